--- /dev/null
+++ b/src/merlinstand/__init__.py
@@ -0,0 +1,1 @@
+"""A rollout service for reinforcement learning."""
--- /dev/null
+++ b/src/merlinstand/common/__init__.py
@@ -0,0 +1,1 @@
+"""Typed identifiers, statuses, errors and constants shared by every role."""
--- /dev/null
+++ b/src/merlinstand/common/errors.py
@@ -0,0 +1,92 @@
+"""The base of every failure type.
+
+Functions return `result.Result[Value, SomeError]`; each package defines its own
+subclasses. An error class fixes its `code` (stable, machine readable), the HTTP status
+and the command line's exit code.
+"""
+
+import enum
+from typing import ClassVar
+
+import msgspec
+
+
+class ExitCode(enum.IntEnum):
+    """Exit codes of the command line, one for each class of error."""
+
+    OK = 0
+    FAILURE = 1
+    USAGE = 2
+    INVALID = 3
+    NOT_FOUND = 4
+    CONFLICT = 5
+    UNAVAILABLE = 6
+    UNAUTHORIZED = 7
+
+
+class MerlinstandError(msgspec.Struct, frozen=True, kw_only=True):
+    """A failure as data."""
+
+    code: ClassVar[str] = "error"
+    http_status: ClassVar[int] = 500
+    exit_code: ClassVar[ExitCode] = ExitCode.FAILURE
+
+    detail: str = ""
+    """What went wrong, for people."""
+    retry_after_seconds: float | None = None
+    """When trying again makes sense; None if it does not."""
+
+
+class InvalidInputError(MerlinstandError, frozen=True, kw_only=True):
+    """The request itself is wrong; sending it again will not help."""
+
+    code: ClassVar[str] = "invalid_input"
+    http_status: ClassVar[int] = 400
+    exit_code: ClassVar[ExitCode] = ExitCode.INVALID
+
+
+class NotFoundError(MerlinstandError, frozen=True, kw_only=True):
+    """The named thing does not exist."""
+
+    code: ClassVar[str] = "not_found"
+    http_status: ClassVar[int] = 404
+    exit_code: ClassVar[ExitCode] = ExitCode.NOT_FOUND
+
+
+class ConflictError(MerlinstandError, frozen=True, kw_only=True):
+    """The thing changed since the caller looked (expected revision differs)."""
+
+    code: ClassVar[str] = "conflict"
+    http_status: ClassVar[int] = 409
+    exit_code: ClassVar[ExitCode] = ExitCode.CONFLICT
+
+
+class UnavailableError(MerlinstandError, frozen=True, kw_only=True):
+    """The system can't do it now; nothing was done."""
+
+    code: ClassVar[str] = "unavailable"
+    http_status: ClassVar[int] = 503
+    exit_code: ClassVar[ExitCode] = ExitCode.UNAVAILABLE
+
+
+class UnauthorizedError(MerlinstandError, frozen=True, kw_only=True):
+    """The operator's token is missing or wrong."""
+
+    code: ClassVar[str] = "unauthorized"
+    http_status: ClassVar[int] = 401
+    exit_code: ClassVar[ExitCode] = ExitCode.UNAUTHORIZED
+
+
+class ErrorBody(msgspec.Struct, frozen=True):
+    """JSON form of an error on every HTTP interface."""
+
+    code: str
+    detail: str
+    retry_after_seconds: float | None = None
+
+
+def error_body(error: MerlinstandError) -> bytes:
+    """Encode an error as the JSON body of an HTTP response."""
+    return msgspec.json.encode(
+        ErrorBody(type(error).code, error.detail, error.retry_after_seconds)
+    )
--- /dev/null
+++ b/src/merlinstand/common/ids.py
@@ -0,0 +1,25 @@
+"""Typed identifiers."""
+
+from typing import NewType
+
+NodeId = NewType("NodeId", str)
+"""Name of a daemon or stand-in process, unique in a deployment (`gateway-hall-a-1`)."""
+
+RequestId = NewType("RequestId", str)
+"""Host-made name of one HTTP request received by a process."""
+
+CallId = NewType("CallId", str)
+"""Reducer-made name of one HTTP request sent by a process."""
+
+CommandId = NewType("CommandId", str)
+"""Client-made name of a command; a resend under the same name is harmless."""
+
+JobId = NewType("JobId", str)
+SampleId = NewType("SampleId", str)
+"""`job/prompt/attempt`: one slot of a job."""
+
+PoolName = NewType("PoolName", str)
+BackendId = NewType("BackendId", str)
+"""One server of a pool, unique in a deployment (`blurb-llm-1`)."""
+
+Zone = NewType("Zone", str)
--- /dev/null
+++ b/src/merlinstand/control/__init__.py
@@ -0,0 +1,1 @@
+"""The control group: replicated configuration, leases, claims and the batch ledger."""
--- /dev/null
+++ b/src/merlinstand/control/commands.py
@@ -0,0 +1,254 @@
+"""Commands of the replicated state machine, and their outcomes.
+
+The same Structs are the JSON of the operators' API, the payload of `CommandRequest`
+and the content of the log. Every command is applied at most once for its command id.
+"""
+
+import msgspec
+
+
+
+class Command(msgspec.Struct, frozen=True, kw_only=True, tag_field="command"):
+    """Base of all commands."""
+
+
+class PutObject(Command, frozen=True, kw_only=True, tag="put_object"):
+    """Create or replace a configuration object.
+
+    `expected_revision` is the revision of this key that the operator saw: 0 means it
+    must not exist, None means whatever is there (create or replace).
+    """
+
+    key: str
+    value: bytes
+    """`configuration.objects.encode_object` of the new value."""
+    expected_revision: int | None = None
+
+
+class DeleteObject(Command, frozen=True, kw_only=True, tag="delete_object"):
+    """Delete a configuration object."""
+
+    key: str
+    expected_revision: int | None = None
+
+
+class PublishWeights(Command, frozen=True, kw_only=True, tag="publish_weights"):
+    """Add the next version of a model. Version must be the newest + 1 (1 at first)."""
+
+    model: str
+    version: int
+    digest: str
+    source: str
+    size_bytes: int
+
+
+class AcquireLease(Command, frozen=True, kw_only=True, tag="acquire_lease"):
+    """Take or renew a lease. A new holder gets a higher epoch; a renewal keeps it."""
+
+    resource: str
+    """`job/NAME`, `engines/POOL` or `gateway/NODE`."""
+    holder: str
+    holder_incarnation: int
+    duration_seconds: float
+
+
+class ReleaseLease(Command, frozen=True, kw_only=True, tag="release_lease"):
+    """Give a lease up (planned stop)."""
+
+    resource: str
+    holder: str
+    holder_incarnation: int
+    epoch: int
+
+
+class ClaimRequest(Command, frozen=True, kw_only=True, tag="claim_request"):
+    """Claim an idempotency key before a non-repeatable request is dispatched."""
+
+    idempotency_key: str
+    """Scoped by the gateway: `service/caller key`."""
+    request_digest: str
+    """Digest of method, path and body; another request under the same key is refused."""
+    owner: str
+    owner_incarnation: int
+
+
+class RecordOutcome(Command, frozen=True, kw_only=True, tag="record_outcome"):
+    """Record how a claimed request ended."""
+
+    idempotency_key: str
+    owner: str
+    owner_incarnation: int
+    outcome: str
+    """`answer`, `not_run` (claim is freed) or `unknown`."""
+    status: int = 0
+    body: bytes = b""
+    content_type: str = ""
+
+
+class BatchSample(msgspec.Struct, frozen=True, array_like=True):
+    """One sample of a batch, as the ledger remembers it."""
+
+    slot: int
+    """Slot number in the job: `prompt_index * samples_per_prompt + attempt`."""
+    sample_id: str
+    oldest_version: int
+    """Version of the oldest span."""
+
+
+class CommitBatch(Command, frozen=True, kw_only=True, tag="commit_batch"):
+    """Compose batch `batch` of a consumer under an attempt nonce.
+
+    Voids an earlier attempt at the same batch. Committing batch N acknowledges N - 1.
+    The job's lease epoch fences out a coordinator that lost the job.
+    """
+
+    job: str
+    consumer: str
+    batch: int
+    nonce: str
+    trainer_version: int
+    samples: tuple[BatchSample, ...]
+    lease_epoch: int
+
+
+class AcknowledgeBatch(Command, frozen=True, kw_only=True, tag="acknowledge_batch"):
+    """The consumer holds batch `batch` safely under this nonce."""
+
+    job: str
+    consumer: str
+    batch: int
+    nonce: str
+    lease_epoch: int
+
+
+class RewindJob(Command, frozen=True, kw_only=True, tag="rewind_job"):
+    """An operator lets a consumer fall back to an older checkpoint."""
+
+    job: str
+    consumer: str
+    batch: int
+    """The next batch the consumer will ask for."""
+    expected_batch: int
+    """The next batch before the rewind."""
+
+
+class ChangeMembership(Command, frozen=True, kw_only=True, tag="change_membership"):
+    """Replace a control replica: `remove` leaves, `add` joins as a learner first."""
+
+    add_node: str = ""
+    remove_node: str = ""
+
+
+AnyCommand = (
+    PutObject
+    | DeleteObject
+    | PublishWeights
+    | AcquireLease
+    | ReleaseLease
+    | ClaimRequest
+    | RecordOutcome
+    | CommitBatch
+    | AcknowledgeBatch
+    | RewindJob
+    | ChangeMembership
+)
+
+
+class Outcome(msgspec.Struct, frozen=True, kw_only=True, tag_field="outcome"):
+    """Base of all outcomes."""
+
+
+class Done(Outcome, frozen=True, kw_only=True, tag="done"):
+    """The command was applied; `revision` is its log position."""
+
+    revision: int
+
+
+class Refused(Outcome, frozen=True, kw_only=True, tag="refused"):
+    """The state machine refused the command; nothing changed."""
+
+    code: str
+    """`conflict`, `not_found`, `invalid_input`, `stale`, `fenced`, `already`."""
+    detail: str
+    current_revision: int = 0
+
+
+class LeaseGranted(Outcome, frozen=True, kw_only=True, tag="lease_granted"):
+    """The holder may act until its send time of the request + duration, less drift."""
+
+    resource: str
+    epoch: int
+    duration_seconds: float
+
+
+class LeaseHeld(Outcome, frozen=True, kw_only=True, tag="lease_held"):
+    """Somebody else holds the lease."""
+
+    resource: str
+    holder: str
+    epoch: int
+    remaining_seconds: float
+
+
+class ClaimGranted(Outcome, frozen=True, kw_only=True, tag="claim_granted"):
+    """The key is new and now the owner's: dispatch once."""
+
+    idempotency_key: str
+
+
+class ClaimTaken(Outcome, frozen=True, kw_only=True, tag="claim_taken"):
+    """The key was claimed before: answer from the record, never dispatch."""
+
+    idempotency_key: str
+    recorded: str
+    """`pending`, `answer`, `unknown` or `different_request`."""
+    status: int = 0
+    body: bytes = b""
+    content_type: str = ""
+
+
+class BatchCommitted(Outcome, frozen=True, kw_only=True, tag="batch_committed"):
+    """The batch is the consumer's batch `batch` under `nonce`."""
+
+    batch: int
+    nonce: str
+    newest_version: int
+    """Newest published version at the commit, against which staleness was judged."""
+
+
+AnyOutcome = (
+    Done | Refused | LeaseGranted | LeaseHeld | ClaimGranted | ClaimTaken | BatchCommitted
+)
+
+_COMMAND_DECODER = msgspec.msgpack.Decoder(AnyCommand)
+_OUTCOME_DECODER = msgspec.msgpack.Decoder(AnyOutcome)
+
+
+def encode_command(command: Command) -> bytes:
+    """Encode a command for the wire and the log."""
+    return msgspec.msgpack.encode(command)
+
+
+def decode_command(data: bytes) -> AnyCommand:
+    """Decode a command.
+
+    Raises:
+        msgspec.DecodeError: The bytes are no command.
+    """
+    return _COMMAND_DECODER.decode(data)
+
+
+def encode_outcome(outcome: Outcome) -> bytes:
+    """Encode an outcome for the wire."""
+    return msgspec.msgpack.encode(outcome)
+
+
+def decode_outcome(data: bytes) -> AnyOutcome:
+    """Decode an outcome.
+
+    Raises:
+        msgspec.DecodeError: The bytes are no outcome.
+    """
+    return _OUTCOME_DECODER.decode(data)
+
+
--- /dev/null
+++ b/src/merlinstand/kernel/effects.py
@@ -0,0 +1,156 @@
+"""Everything a reducer can ask its host to do, as plain data."""
+
+from typing import Any
+
+import msgspec
+
+from merlinstand.common.ids import CallId, NodeId, RequestId
+
+
+class Effect(msgspec.Struct, frozen=True, gc=False):
+    """Base of all effects."""
+
+
+class SetTimer(Effect, frozen=True):
+    """Fire `TimerFired(name)` after a delay; replaces a pending timer of that name."""
+
+    name: str
+    delay_seconds: float
+
+
+class CancelTimer(Effect, frozen=True):
+    """Forget a pending timer; harmless if there is none."""
+
+    name: str
+
+
+class SendMessage(Effect, frozen=True):
+    """Send an internal message; may be lost, delayed, doubled or overtaken."""
+
+    receiver: NodeId
+    message: Any
+    """An instance of a class registered in `merlinstand.protocol.registry`."""
+
+
+class LearnAddress(Effect, frozen=True):
+    """Tell the transport where a node listens (`ip:port`)."""
+
+    node_id: NodeId
+    address: str
+
+
+class AppendRecords(Effect, frozen=True):
+    """Append records to the journal and sync; then `RecordsSynced(token)`."""
+
+    records: tuple[bytes, ...]
+    token: int
+
+
+class SaveSnapshot(Effect, frozen=True):
+    """Replace the snapshot durably, then `SnapshotSaved(token)`.
+
+    The journal is cut atomically with it: `records` become the journal's whole content.
+    """
+
+    data: bytes
+    records: tuple[bytes, ...]
+    token: int
+
+
+class Respond(Effect, frozen=True):
+    """Answer an HTTP request whole."""
+
+    request_id: RequestId
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+
+class RespondStart(Effect, frozen=True):
+    """Begin a streamed HTTP response."""
+
+    request_id: RequestId
+    status: int
+    headers: dict[str, str]
+
+
+class RespondChunk(Effect, frozen=True):
+    """Send body bytes of a streamed response."""
+
+    request_id: RequestId
+    data: bytes
+
+
+class RespondEnd(Effect, frozen=True):
+    """End a streamed response; `whole=False` breaks it so the client sees a truncation."""
+
+    request_id: RequestId
+    whole: bool = True
+
+
+class StartCall(Effect, frozen=True):
+    """Send an HTTP request to an outside system.
+
+    The host never resends: one effect leads to at most one request on the wire. With
+    `stream=False` exactly one of `CallResponded` and `CallFailed` follows; with
+    `stream=True` `CallHeaders`, any `CallChunk`, then `CallEnded` or `CallFailed`.
+    """
+
+    call_id: CallId
+    address: str
+    """`ip:port` of the server."""
+    method: str
+    path: str
+    headers: dict[str, str]
+    body: bytes
+    timeout_seconds: float
+    """Longest wait for a response (`stream=False`) or between bytes (`stream=True`)."""
+    stream: bool = False
+    fresh_connection: bool = False
+    """Use a new connection instead of a pooled one (non-repeatable requests)."""
+
+
+class CancelCall(Effect, frozen=True):
+    """Give up a call: its connection is closed and no further event arrives for it."""
+
+    call_id: CallId
+
+
+class LogEvent(Effect, frozen=True):
+    """Write one structured log line."""
+
+    name: str
+    """Dotted event name, for example `lease.granted`."""
+    fields: dict[str, Any] = {}
+    severity: str = "info"
+
+
+class WriteRecord(Effect, frozen=True):
+    """Append one JSON line to a stand-in's own record file (laboratory only)."""
+
+    stream: str
+    """File name without suffix, for example `engine-hall-a-1`."""
+    record: Any
+    """A msgspec Struct."""
+
+
+class CountMetric(Effect, frozen=True):
+    """Add to a counter exported at `/metrics`."""
+
+    name: str
+    amount: float = 1.0
+    labels: dict[str, str] = {}
+
+
+class SetGauge(Effect, frozen=True):
+    """Set a gauge exported at `/metrics`."""
+
+    name: str
+    value: float
+    labels: dict[str, str] = {}
+
+
+class StopProcess(Effect, frozen=True):
+    """End this process after the effects before it are done."""
+
+    exit_code: int = 0
--- /dev/null
+++ b/src/merlinstand/protocol/__init__.py
@@ -0,0 +1,1 @@
+"""The internal protocol: thrift messages, their registry and their framing."""
