--- /dev/null
+++ b/src/merlinstand/runtime/host_settings.py
@@ -0,0 +1,52 @@
+"""What a host needs to know to run one reducer in one process."""
+
+import msgspec
+
+from merlinstand.common import constants
+
+
+class TlsFiles(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """PEM files for the HTTP door and the internal transport."""
+
+    certificate: str
+    private_key: str
+    authority: str
+    """Certificates that sign the peers of this deployment."""
+
+
+class HttpLimits(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """Bounds of the HTTP door; whatever exceeds them never reaches the reducer."""
+
+    maximum_body_bytes: int = constants.MAXIMUM_REQUEST_BODY_BYTES
+    maximum_connections: int = 4096
+    request_read_timeout_seconds: float = 10.0
+    """Longest time for one request's head and body to arrive."""
+    idle_connection_seconds: float = 60.0
+    """Longest silence between requests on a kept connection."""
+    response_write_timeout_seconds: float = 30.0
+    """Longest time for a client to accept one piece of a response."""
+    maximum_unsent_response_bytes: int = 4 * 1024 * 1024
+    """A client that lags further behind a streamed response is cut off."""
+
+
+class HostSettings(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """One process: its name, addresses and folders."""
+
+    node_id: str
+    http_address: str = "127.0.0.1:0"
+    """`ip:port` of the HTTP door; port 0 takes a free one (logged as `host.listening`)."""
+    internal_address: str = ""
+    """`ip:port` of the internal protocol; empty for processes without one."""
+    data_folder: str = ""
+    """Where journal and snapshot live; empty for processes without durable state."""
+    record_folder: str = ""
+    """Where `WriteRecord` appends `STREAM.jsonl` (laboratory only)."""
+    peers: dict[str, str] = {}
+    """Internal addresses known from the start, by node id."""
+    seed: int | None = None
+    """Seed of `Started`; drawn from the system if absent."""
+    http_limits: HttpLimits = HttpLimits()
+    tls: TlsFiles | None = None
+    log_level: str = "info"
+    profile_path: str = ""
+    """If set, profile the process and write the cProfile statistics there at its end."""
