--- /dev/null
+++ b/src/merlinstand/policy/check.py
@@ -0,0 +1,113 @@
+"""Acceptance check of policy programs: syntax, types, cost and bounds.
+
+Used by the control group before a job is accepted and by `merlinstand policy check`.
+"""
+
+import re
+from typing import Any
+
+import cel
+from result import Err, Ok, Result
+
+from merlinstand.configuration.objects import PolicySource
+from merlinstand.policy.errors import PolicyError
+from merlinstand.policy.program import CompiledPolicy
+from merlinstand.policy.records import EXAMPLE_REQUEST, EXAMPLE_SAMPLE
+
+MAXIMUM_EXPRESSION_CHARACTERS = 2_000
+MAXIMUM_NESTING_DEPTH = 24
+MAXIMUM_STALENESS_VERSIONS = 1_000
+
+# A comprehension's cost grows with its input, and nested ones multiply; `matches`
+# compiles a pattern at every run. Everything else costs no more than its own text.
+FORBIDDEN_FUNCTIONS = ("all", "exists", "exists_one", "map", "filter", "reduce", "matches")
+
+_STRING_LITERAL = re.compile(r"'(?:[^'\\]|\\.)*'|\"(?:[^\"\\]|\\.)*\"")
+_FORBIDDEN_CALL = re.compile(rf"\b({'|'.join(FORBIDDEN_FUNCTIONS)})\s*\(")
+
+
+def check_policy(source: PolicySource) -> Result[CompiledPolicy, PolicyError]:
+    """Compile a policy and try it on the example records.
+
+    Args:
+        source: The policy as an operator wrote it.
+
+    Returns:
+        The compiled policy, or the first thing wrong with it.
+    """
+    bounds = _check_bounds(source)
+    if isinstance(bounds, Err):
+        return bounds
+    weight = _compile("weight", source.weight)
+    if isinstance(weight, Err):
+        return weight
+    priority = _compile("priority", source.priority)
+    if isinstance(priority, Err):
+        return priority
+    policy = CompiledPolicy(source, weight.ok_value, priority.ok_value)
+    return _try_on_examples(policy)
+
+
+def _check_bounds(source: PolicySource) -> Result[None, PolicyError]:
+    if not 0 <= source.maximum_staleness_versions <= MAXIMUM_STALENESS_VERSIONS:
+        return Err(
+            PolicyError(
+                field="maximum_staleness_versions",
+                detail=f"expected 0 to {MAXIMUM_STALENESS_VERSIONS}",
+            )
+        )
+    seconds = source.maximum_staleness_seconds
+    if seconds is not None and not 0.0 < seconds < float("inf"):
+        return Err(
+            PolicyError(field="maximum_staleness_seconds", detail="expected more than 0 seconds")
+        )
+    return Ok(None)
+
+
+def _compile(field: str, expression: str) -> Result[Any, PolicyError]:
+    cost = _check_cost(field, expression)
+    if isinstance(cost, Err):
+        return cost
+    try:
+        return Ok(cel.compile(expression))
+    except ValueError as error:
+        return Err(PolicyError(field=field, detail=str(error).splitlines()[0]))
+
+
+def _check_cost(field: str, expression: str) -> Result[None, PolicyError]:
+    if len(expression) > MAXIMUM_EXPRESSION_CHARACTERS:
+        limit = MAXIMUM_EXPRESSION_CHARACTERS
+        return Err(PolicyError(field=field, detail=f"longer than {limit} characters"))
+    bare = _STRING_LITERAL.sub("''", expression)
+    forbidden = _FORBIDDEN_CALL.search(bare)
+    if forbidden is not None:
+        return Err(PolicyError(field=field, detail=f"{forbidden.group(1)}() is not allowed"))
+    if _nesting_depth(bare) > MAXIMUM_NESTING_DEPTH:
+        return Err(
+            PolicyError(field=field, detail=f"nested deeper than {MAXIMUM_NESTING_DEPTH}")
+        )
+    return Ok(None)
+
+
+def _nesting_depth(expression: str) -> int:
+    deepest = depth = 0
+    for character in expression:
+        # `?` and unary operators nest without a bracket; count them as if they had one.
+        if character in "([{?!-":
+            depth += 1
+            deepest = max(deepest, depth)
+        elif character in ")]}":
+            depth -= 1
+        elif character in ",:&|":
+            depth = max(0, depth - 1) if character == ":" else depth
+    return deepest
+
+
+def _try_on_examples(policy: CompiledPolicy) -> Result[CompiledPolicy, PolicyError]:
+    weight = policy.weight(EXAMPLE_SAMPLE)
+    if isinstance(weight, Err):
+        return Err(PolicyError(field="weight", detail=weight.err_value.detail))
+    priority = policy.priority(EXAMPLE_REQUEST)
+    if isinstance(priority, Err):
+        return Err(PolicyError(field="priority", detail=priority.err_value.detail))
+    return Ok(policy)
--- /dev/null
+++ b/src/merlinstand/policy/program.py
@@ -0,0 +1,70 @@
+"""Compiled policy programs: CEL expressions over one record."""
+
+import math
+from typing import Any
+
+import cel
+import msgspec
+from result import Err, Ok, Result
+
+from merlinstand.configuration.objects import PolicySource
+from merlinstand.policy.errors import PolicyRunError
+from merlinstand.policy.records import RequestRecord, SampleRecord
+
+LARGEST_PRIORITY = 1_000
+"""Priorities are clamped to plus or minus this, so that no program starves others."""
+
+LARGEST_WEIGHT = 1e6
+"""A larger weight is a failure of the program."""
+
+
+class CompiledPolicy:
+    """An accepted policy, ready to run. Make one with `check.check_policy`."""
+
+    def __init__(self, source: PolicySource, weight: Any, priority: Any) -> None:
+        """Keep the compiled programs.
+
+        Args:
+            source: The policy as the operator wrote it.
+            weight: Compiled `cel.Program` of the weight.
+            priority: Compiled `cel.Program` of the priority.
+        """
+        self.source = source
+        self._weight = weight
+        self._priority = priority
+
+    @property
+    def maximum_staleness_versions(self) -> int:
+        """Oldest sample that a trainer may receive, in versions."""
+        return self.source.maximum_staleness_versions
+
+    @property
+    def maximum_staleness_seconds(self) -> float | None:
+        """Oldest sample that a trainer may receive, in seconds."""
+        return self.source.maximum_staleness_seconds
+
+    def weight(self, record: SampleRecord) -> Result[float, PolicyRunError]:
+        """Give a sample's training weight; 0 or less drops the sample."""
+        return _run(self._weight, record, "weight", LARGEST_WEIGHT)
+
+    def priority(self, record: RequestRecord) -> Result[int, PolicyRunError]:
+        """Give a request's priority, clamped to `LARGEST_PRIORITY`; higher goes first."""
+        outcome = _run(self._priority, record, "priority", math.inf)
+        return outcome.map(lambda value: int(min(max(value, -LARGEST_PRIORITY), LARGEST_PRIORITY)))
+
+
+def _run(
+    program: Any, record: msgspec.Struct, field: str, largest: float
+) -> Result[float, PolicyRunError]:
+    # cel raises ValueError, TypeError, RuntimeError and arithmetic errors by kind of
+    # failure; a program is the operator's input, so every one of them becomes data.
+    try:
+        value = program.execute(msgspec.structs.asdict(record))
+    except (ValueError, TypeError, RuntimeError, ArithmeticError, LookupError) as error:
+        return Err(PolicyRunError(field=field, detail=str(error).splitlines()[0]))
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        kind = type(value).__name__
+        return Err(PolicyRunError(field=field, detail=f"expected a number, got {kind}"))
+    if math.isnan(value) or abs(value) > largest:
+        return Err(PolicyRunError(field=field, detail=f"number out of range: {value}"))
+    return Ok(float(value))
