--- a/src/merlinstand/control/commands.py
+++ b/src/merlinstand/control/commands.py
@@ -7,7 +7,6 @@
 import msgspec
 
 
-
 class Command(msgspec.Struct, frozen=True, kw_only=True, tag_field="command"):
     """Base of all commands."""
 
@@ -216,9 +215,7 @@
     """Newest published version at the commit, against which staleness was judged."""
 
 
-AnyOutcome = (
-    Done | Refused | LeaseGranted | LeaseHeld | ClaimGranted | ClaimTaken | BatchCommitted
-)
+AnyOutcome = Done | Refused | LeaseGranted | LeaseHeld | ClaimGranted | ClaimTaken | BatchCommitted
 
 _COMMAND_DECODER = msgspec.msgpack.Decoder(AnyCommand)
 _OUTCOME_DECODER = msgspec.msgpack.Decoder(AnyOutcome)
@@ -250,5 +247,3 @@
         msgspec.DecodeError: The bytes are no outcome.
     """
     return _OUTCOME_DECODER.decode(data)
-
-
--- /dev/null
+++ b/src/merlinstand/session/settings.py
@@ -0,0 +1,46 @@
+"""Settings of a daemon's session with the control group."""
+
+import msgspec
+
+from merlinstand.common import constants
+from merlinstand.control.settings import ControlMember
+
+
+class SessionTimings(msgspec.Struct, frozen=True, kw_only=True):
+    """Tunables of a session."""
+
+    pull_interval_seconds: float = constants.CONFIGURATION_PULL_INTERVAL_SECONDS
+    pull_timeout_seconds: float = 0.6
+    """Silence after which a pull is tried at another replica."""
+    configuration_lease_seconds: float = constants.CONFIGURATION_LEASE_SECONDS
+    resend_seconds: float = 0.5
+    """Silence after which a command or query is sent again, to the next replica."""
+    lease_duration_seconds: float = constants.RESOURCE_LEASE_SECONDS
+    preferred_retry_seconds: float = 60.0
+    """How often a session that failed over tries its preferred replica again."""
+
+
+class SessionSettings(msgspec.Struct, frozen=True, kw_only=True):
+    """Who the daemon is and where control is."""
+
+    node_id: str
+    role: str
+    """`gateway` or `coordinator`."""
+    zone: str
+    address: str
+    """This daemon's internal protocol address."""
+    http_address: str
+    members: tuple[ControlMember, ...]
+    """Control replicas, standbys included."""
+    peers: tuple[ControlMember, ...] = ()
+    """Daemons known beforehand that may relay the configuration."""
+    owns_journal: bool = True
+    """The session may snapshot the process's journal itself.
+
+    False when the embedding daemon writes records too; it then puts
+    `ControlSession.durable_records()` into each `SaveSnapshot.records`.
+    """
+    register: bool = True
+    """Keep a `daemon/NODE_ID` object of this daemon in the configuration."""
+    maximum_pending_commands: int = 4_096
+    timings: SessionTimings = SessionTimings()
