--- /dev/null
+++ b/src/merlinstand_lab/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The `merlinstand-lab` command."""
