--- /dev/null
+++ b/src/merlinstand/control/claims.py
@@ -0,0 +1,138 @@
+"""Claims on idempotency keys: a request that is not repeatable is dispatched at most once.
+
+A key is claimed before its request is dispatched. Whoever finds it claimed never
+dispatches; it answers from the record, or `unknown` as long as there is none.
+"""
+
+import msgspec
+
+from merlinstand.control.commands import (
+    AnyOutcome,
+    ClaimGranted,
+    ClaimRequest,
+    ClaimTaken,
+    Done,
+    RecordOutcome,
+    Refused,
+)
+
+CLAIM_RETENTION_SECONDS = 6 * 3600.0
+"""A key may be used again after this much group time. Callers resend within minutes."""
+
+MAXIMUM_CLAIMS = 50_000
+"""When as many keys are younger than the retention, new claims are refused: forgetting a
+young key could run its request twice."""
+
+MAXIMUM_STORED_BODY_BYTES = 16 * 1024
+MAXIMUM_STORED_BODIES_BYTES = 8 * 1024 * 1024
+"""The oldest bodies go first; a late twin of such a request is answered `unknown`."""
+
+
+class Claim(msgspec.Struct, frozen=True, array_like=True, gc=False):
+    """One claimed key."""
+
+    request_digest: str
+    owner: str
+    owner_incarnation: int
+    claimed_at: float
+    """Group time in seconds."""
+    recorded: str = "pending"
+    status: int = 0
+    body: bytes = b""
+    content_type: str = ""
+
+
+class ClaimTable:
+    """Claims by key, oldest first."""
+
+    def __init__(self) -> None:
+        """Make an empty table."""
+        self.claims: dict[str, Claim] = {}
+        self._bodies: dict[str, int] = {}
+        """Size of each stored body, oldest record first."""
+        self._bodies_bytes = 0
+
+    def claim(self, command: ClaimRequest, group_time: float) -> AnyOutcome:
+        """Claim a key, or tell what became of the earlier claim."""
+        self._forget(group_time - CLAIM_RETENTION_SECONDS)
+        claim = self.claims.get(command.idempotency_key)
+        if claim is not None:
+            return _taken(command, claim)
+        if len(self.claims) >= MAXIMUM_CLAIMS:
+            return Refused(code="busy", detail="too many recent claims")
+        self.claims[command.idempotency_key] = Claim(
+            command.request_digest, command.owner, command.owner_incarnation, group_time
+        )
+        return ClaimGranted(idempotency_key=command.idempotency_key)
+
+    def record(self, command: RecordOutcome, revision: int) -> AnyOutcome:
+        """Record the outcome of a claimed request; only its owner may, and only once."""
+        key = command.idempotency_key
+        claim = self.claims.get(key)
+        if claim is None:
+            return Refused(code="not_found", detail="no such claim")
+        if (claim.owner, claim.owner_incarnation) != (command.owner, command.owner_incarnation):
+            return Refused(code="conflict", detail="claimed by somebody else")
+        if claim.recorded != "pending":
+            return Refused(code="already", detail="the outcome is recorded")
+        if command.outcome == "not_run":
+            del self.claims[key]
+        elif command.outcome == "answer" and len(command.body) <= MAXIMUM_STORED_BODY_BYTES:
+            self._store_answer(key, claim, command)
+        elif command.outcome in ("answer", "unknown"):
+            self.claims[key] = msgspec.structs.replace(claim, recorded="unknown")
+        else:
+            return Refused(code="invalid_input", detail="unknown outcome")
+        return Done(revision=revision)
+
+    def restore(self, claims: dict[str, Claim], bodies: list[str]) -> None:
+        """Replace the content by that of a snapshot."""
+        self.claims = dict(claims)
+        self._bodies = {key: len(claims[key].body) for key in bodies}
+        self._bodies_bytes = sum(self._bodies.values())
+
+    def bodies(self) -> list[str]:
+        """Return the keys with a stored body, oldest record first, for a snapshot."""
+        return list(self._bodies)
+
+    def _store_answer(self, key: str, claim: Claim, command: RecordOutcome) -> None:
+        self.claims[key] = msgspec.structs.replace(
+            claim,
+            recorded="answer",
+            status=command.status,
+            body=command.body,
+            content_type=command.content_type,
+        )
+        self._bodies[key] = len(command.body)
+        self._bodies_bytes += len(command.body)
+        while self._bodies_bytes > MAXIMUM_STORED_BODIES_BYTES:
+            oldest = next(iter(self._bodies))
+            self._drop_body(oldest)
+            self.claims[oldest] = msgspec.structs.replace(
+                self.claims[oldest], recorded="unknown", status=0, body=b"", content_type=""
+            )
+
+    def _drop_body(self, key: str) -> None:
+        self._bodies_bytes -= self._bodies.pop(key, 0)
+
+    def _forget(self, oldest_kept: float) -> None:
+        # Claims are in order of claimed_at: group time never goes back, and recording an
+        # outcome replaces the value in place.
+        while self.claims:
+            key = next(iter(self.claims))
+            if self.claims[key].claimed_at >= oldest_kept:
+                return
+            self._drop_body(key)
+            del self.claims[key]
+
+
+def _taken(command: ClaimRequest, claim: Claim) -> ClaimTaken:
+    if claim.request_digest != command.request_digest:
+        return ClaimTaken(idempotency_key=command.idempotency_key, recorded="different_request")
+    return ClaimTaken(
+        idempotency_key=command.idempotency_key,
+        recorded=claim.recorded,
+        status=claim.status,
+        body=claim.body,
+        content_type=claim.content_type,
+    )
--- a/src/merlinstand/control/commands.py
+++ b/src/merlinstand/control/commands.py
@@ -51,6 +51,22 @@
     duration_seconds: float
 
 
+class LeaseRenewal(msgspec.Struct, frozen=True, array_like=True):
+    """One lease to renew."""
+
+    resource: str
+    epoch: int
+
+
+class RenewLeases(Command, frozen=True, kw_only=True, tag="renew_leases"):
+    """Renew leases that the holder still has, all in one command."""
+
+    holder: str
+    holder_incarnation: int
+    duration_seconds: float
+    leases: tuple[LeaseRenewal, ...]
+
+
 class ReleaseLease(Command, frozen=True, kw_only=True, tag="release_lease"):
     """Give a lease up (planned stop)."""
 
@@ -97,7 +113,12 @@
 class CommitBatch(Command, frozen=True, kw_only=True, tag="commit_batch"):
     """Compose batch `batch` of a consumer under an attempt nonce.
 
-    Voids an earlier attempt at the same batch. Committing batch N acknowledges N - 1.
+    Staleness is judged here, against the newest version published in the same log; a
+    redelivery is a new commit of the same batch under a new nonce and is judged again.
+    Attempts at one batch may share slots; only the attempt that the consumer acknowledges
+    counts. The same nonce with the same samples gets the same answer; with other samples
+    it is refused (`conflict`): the consumer must ask under a new nonce.
+    Committing batch N acknowledges N - 1.
     The job's lease epoch fences out a coordinator that lost the job.
     """
 
@@ -108,6 +129,11 @@
     trainer_version: int
     samples: tuple[BatchSample, ...]
     lease_epoch: int
+    acknowledged_nonce: str = ""
+    """Nonce under which the consumer received batch N - 1; empty: that of the last attempt."""
+    discarded_slots: tuple[int, ...] = ()
+    """Slots that will never be delivered (dropped by policy, expired): the ledger closes
+    them, so that its list of used slots stays short."""
 
 
 class AcknowledgeBatch(Command, frozen=True, kw_only=True, tag="acknowledge_batch"):
@@ -121,7 +147,10 @@
 
 
 class RewindJob(Command, frozen=True, kw_only=True, tag="rewind_job"):
-    """An operator lets a consumer fall back to an older checkpoint."""
+    """An operator lets a consumer fall back to an older checkpoint.
+
+    Samples of batches delivered before stay used: they are not delivered again.
+    """
 
     job: str
     consumer: str
@@ -143,6 +172,7 @@
     | DeleteObject
     | PublishWeights
     | AcquireLease
+    | RenewLeases
     | ReleaseLease
     | ClaimRequest
     | RecordOutcome
@@ -167,7 +197,8 @@
     """The state machine refused the command; nothing changed."""
 
     code: str
-    """`conflict`, `not_found`, `invalid_input`, `stale`, `fenced`, `already`."""
+    """`conflict`, `not_found`, `invalid_input`, `stale`, `fenced`, `already`, `busy`;
+    for batches also `behind` (acknowledged before) and `ahead` (a batch was left out)."""
     detail: str
     current_revision: int = 0
 
@@ -189,6 +220,13 @@
     remaining_seconds: float
 
 
+class LeasesRenewed(Outcome, frozen=True, kw_only=True, tag="leases_renewed"):
+    """Which leases were renewed; the others ran out or were taken."""
+
+    resources: tuple[str, ...]
+    duration_seconds: float
+
+
 class ClaimGranted(Outcome, frozen=True, kw_only=True, tag="claim_granted"):
     """The key is new and now the owner's: dispatch once."""
 
--- /dev/null
+++ b/src/merlinstand/control/leases.py
@@ -0,0 +1,135 @@
+"""Leases with fencing epochs, judged by group time.
+
+The holder counts from its own send time, which is before the group's grant, and takes the
+clock drift off. So the holder stops before the group lets anybody else in.
+"""
+
+import msgspec
+
+from merlinstand.control.commands import (
+    AcquireLease,
+    AnyOutcome,
+    Done,
+    LeaseGranted,
+    LeaseHeld,
+    LeasesRenewed,
+    Refused,
+    ReleaseLease,
+    RenewLeases,
+)
+from merlinstand.control.queries import LeaseState
+
+MAXIMUM_LEASE_SECONDS = 60.0
+MAXIMUM_LEASES = 10_000
+"""Rows of expired leases go first when the table is full."""
+
+
+class Lease(msgspec.Struct, frozen=True, array_like=True, gc=False):
+    """Who holds a resource."""
+
+    holder: str
+    holder_incarnation: int
+    epoch: int
+    """Log position of the grant: it rises with every new holder, also after the row is gone."""
+    expires_at: float
+    """Group time in seconds."""
+
+
+class LeaseTable:
+    """All leases by resource."""
+
+    def __init__(self) -> None:
+        """Make an empty table."""
+        self.leases: dict[str, Lease] = {}
+
+    def acquire(self, command: AcquireLease, revision: int, group_time: float) -> AnyOutcome:
+        """Grant, renew or refuse a lease."""
+        if not 0.0 < command.duration_seconds <= MAXIMUM_LEASE_SECONDS:
+            return Refused(code="invalid_input", detail="lease duration out of range")
+        lease = self.leases.get(command.resource)
+        if lease is not None and lease.expires_at > group_time:
+            if not _is_holder(lease, command):
+                return _held(command.resource, lease, group_time)
+            epoch = lease.epoch
+        else:
+            # Also the former holder gets a new epoch once its lease ran out: it may have
+            # stopped acting, and whatever it sent before must not count as new.
+            epoch = revision
+        if lease is None and not self._make_room(group_time):
+            return Refused(code="busy", detail="too many leases")
+        self.leases[command.resource] = Lease(
+            command.holder,
+            command.holder_incarnation,
+            epoch,
+            group_time + command.duration_seconds,
+        )
+        return LeaseGranted(
+            resource=command.resource, epoch=epoch, duration_seconds=command.duration_seconds
+        )
+
+    def renew(self, command: RenewLeases, group_time: float) -> AnyOutcome:
+        """Renew those of the leases that still have the holder and epoch named."""
+        if not 0.0 < command.duration_seconds <= MAXIMUM_LEASE_SECONDS:
+            return Refused(code="invalid_input", detail="lease duration out of range")
+        expires_at = group_time + command.duration_seconds
+        renewed: list[str] = []
+        for renewal in command.leases:
+            lease = self.leases.get(renewal.resource)
+            if lease is None or lease.epoch != renewal.epoch or lease.expires_at <= group_time:
+                continue
+            if _is_holder(lease, command):
+                self.leases[renewal.resource] = msgspec.structs.replace(
+                    lease, expires_at=expires_at
+                )
+                renewed.append(renewal.resource)
+        return LeasesRenewed(resources=tuple(renewed), duration_seconds=command.duration_seconds)
+
+    def release(self, command: ReleaseLease, revision: int) -> AnyOutcome:
+        """Give up a lease; harmless if the holder no longer has it."""
+        lease = self.leases.get(command.resource)
+        if lease is not None and _is_holder(lease, command) and lease.epoch == command.epoch:
+            del self.leases[command.resource]
+        return Done(revision=revision)
+
+    def is_current(self, resource: str, epoch: int) -> bool:
+        """Tell whether nobody took the resource after `epoch` was granted.
+
+        An expired lease that nobody took is still current: its holder's command was sent
+        while it held the lease, and no other holder can have acted in between.
+        """
+        lease = self.leases.get(resource)
+        return lease is not None and lease.epoch == epoch
+
+    def states(self, group_time: float) -> tuple[LeaseState, ...]:
+        """Return the leases in force, for operators."""
+        return tuple(
+            LeaseState(resource, lease.holder, lease.epoch, lease.expires_at - group_time)
+            for resource, lease in sorted(self.leases.items())
+            if lease.expires_at > group_time
+        )
+
+    def _make_room(self, group_time: float) -> bool:
+        if len(self.leases) < MAXIMUM_LEASES:
+            return True
+        self.leases = {
+            resource: lease
+            for resource, lease in self.leases.items()
+            if lease.expires_at > group_time
+        }
+        return len(self.leases) < MAXIMUM_LEASES
+
+
+def _is_holder(lease: Lease, command: AcquireLease | RenewLeases | ReleaseLease) -> bool:
+    return (lease.holder, lease.holder_incarnation) == (
+        command.holder,
+        command.holder_incarnation,
+    )
+
+
+def _held(resource: str, lease: Lease, group_time: float) -> LeaseHeld:
+    return LeaseHeld(
+        resource=resource,
+        holder=lease.holder,
+        epoch=lease.epoch,
+        remaining_seconds=lease.expires_at - group_time,
+    )
