--- a/src/merlinstand/protocol/idl/consensus.thrift
+++ b/src/merlinstand/protocol/idl/consensus.thrift
@@ -8,6 +8,8 @@
   /** 0 = command, 1 = membership, 2 = no-op that opens a term. */
   3: required i32 kind;
   4: required binary payload;
+  /** Group time when the entry was proposed, in seconds. */
+  5: optional double group_time = 0;
 }
 
 /** Identity of a replica: a node that lost its disk returns under a new incarnation. */
