--- /dev/null
+++ b/src/merlinstand/gateway/settings.py
@@ -0,0 +1,101 @@
+"""Settings of one gateway process."""
+
+import msgspec
+
+from merlinstand.common.constants import MAXIMUM_REQUEST_BODY_BYTES
+from merlinstand.control.settings import ControlMember
+from merlinstand.routing.settings import RouterSettings
+from merlinstand.session.settings import SessionTimings
+
+
+class AdmissionSettings(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """How much work a gateway takes in, and from whom."""
+
+    maximum_requests: int = 2_000
+    """Most requests inside the gateway, waiting or in flight."""
+    lookup_floor: float = 0.4
+    """Share of `maximum_requests` that generations can never take from lookups."""
+    maximum_queued_per_pool: int = 512
+    """Most requests waiting for one pool."""
+    maximum_queued_per_caller: int = 128
+    """Most requests of one caller waiting for one pool."""
+    maximum_lookup_wait_seconds: float = 1.0
+    """Longest wait of a lookup in a queue; then it is refused."""
+    maximum_generation_wait_seconds: float = 20.0
+    """Longest wait of a generation in a queue; then it is refused."""
+    maximum_callers: int = 4_096
+    """Callers with state of their own; the rest share one."""
+    burst_seconds: float = 1.0
+    """Rate limits let through at once what they allow in this time."""
+
+
+class RequestSettings(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """Bounds and time limits of single requests."""
+
+    maximum_body_bytes: int = MAXIMUM_REQUEST_BODY_BYTES
+    maximum_path_bytes: int = 8_192
+    maximum_header_bytes: int = 32_768
+    maximum_deadline_seconds: float = 3_600.0
+    """Longest time a caller may ask for."""
+    generation_deadline_seconds: float = 600.0
+    """Time for a generation that named no deadline."""
+    stream_idle_seconds: float = 20.0
+    """Longest silence of a stream before it is resumed on another engine."""
+    maximum_tries: int = 4
+    """Most back ends tried for one repeatable request."""
+    first_try_share: float = 0.5
+    """Share of the remaining time that a repeatable lookup's try may use."""
+    minimum_try_seconds: float = 0.25
+    require_response_id: bool = True
+    """Refuse an answer of a back end that does not carry the request's id back."""
+
+
+class ClaimSettings(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """How idempotency keys are claimed."""
+
+    pending_retry_seconds: float = 1.0
+    """When a twin of a request still in flight should come back."""
+    maximum_recorded_bytes: int = 65_536
+    """Largest answer body that is recorded for twins; a larger one is recorded `unknown`."""
+    record_timeout_seconds: float = 300.0
+    """How long the record of an outcome is sent again and again."""
+    maximum_claims: int = 1_024
+    """Claims and records under way at one time."""
+    maximum_recent_keys: int = 8_192
+    """Keys whose state is remembered here, to answer twins without asking control."""
+
+
+class HealthSettings(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """How back ends are watched."""
+
+    status_interval_seconds: float = 0.5
+    """Shortest interval between status requests to one back end."""
+    maximum_status_requests_per_second: float = 40.0
+    """Bound on all status requests: the interval grows with the number of back ends."""
+    status_timeout_seconds: float = 1.0
+    machine_list_interval_seconds: float = 1.0
+    cache_event_interval_seconds: float = 1.0
+    """Interval of cache-event requests to one engine; 0 switches them off."""
+
+
+class GatewaySettings(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """Identity, peers and tunables of one gateway."""
+
+    node_id: str
+    zone: str
+    address: str
+    """Where the internal protocol listens, `ip:port`."""
+    http_address: str
+    """Where callers, health checks and metrics are served, `ip:port`."""
+    control_members: tuple[ControlMember, ...]
+    """Control replicas, standbys included."""
+    peers: tuple[ControlMember, ...] = ()
+    """Daemons known beforehand that may relay the configuration."""
+    machine_list_address: str = ""
+    """`ip:port` of the platform's machine list; empty if there is none."""
+    session: SessionTimings = SessionTimings()
+    admission: AdmissionSettings = AdmissionSettings()
+    requests: RequestSettings = RequestSettings()
+    claims: ClaimSettings = ClaimSettings()
+    health: HealthSettings = HealthSettings()
+    routing: RouterSettings = RouterSettings()
--- /dev/null
+++ b/src/merlinstand/routing/balancer.py
@@ -0,0 +1,79 @@
+"""Choice among the usable replicas: two choices by load, or bounded-load affinity."""
+
+from collections.abc import Sequence
+from random import Random
+
+from merlinstand.routing.affinity import rendezvous_rank
+from merlinstand.routing.replica import Replica
+
+
+def least_loaded_of_two(replicas: Sequence[Replica], random: Random, now: float) -> Replica:
+    """Choose the less utilised of two replicas drawn at random.
+
+    Two draws avoid the herd that a full minimum over lagging loads would send to one replica.
+
+    Args:
+        replicas: Candidates, at least one.
+        random: Source of the draws.
+        now: Local monotonic time.
+    """
+    if len(replicas) == 1:
+        return replicas[0]
+    first_index = random.randrange(len(replicas))
+    second_index = random.randrange(len(replicas) - 1)
+    if second_index >= first_index:
+        second_index += 1
+    first = replicas[first_index]
+    second = replicas[second_index]
+    return second if second.utilisation(now) < first.utilisation(now) else first
+
+
+def prefer_zone(
+    replicas: Sequence[Replica], zone: str, spill_utilisation: float, random: Random, now: float
+) -> Replica:
+    """Choose in the own zone, unless its choice is much busier than another zone's."""
+    local = [replica for replica in replicas if replica.backend.zone == zone]
+    if not local or len(local) == len(replicas):
+        return least_loaded_of_two(replicas, random, now)
+    remote = [replica for replica in replicas if replica.backend.zone != zone]
+    local_choice = least_loaded_of_two(local, random, now)
+    remote_choice = least_loaded_of_two(remote, random, now)
+    excess = local_choice.utilisation(now) - remote_choice.utilisation(now)
+    return remote_choice if excess > spill_utilisation else local_choice
+
+
+def bounded_affinity(replicas: Sequence[Replica], key: int, factor: float, now: float) -> Replica:
+    """Choose the first replica in rendezvous order whose load is near the mean.
+
+    Args:
+        replicas: Candidates, at least one.
+        key: Affinity key, for example `affinity.prefix_key(prompt)`.
+        factor: Load allowed, as a multiple of the mean with the new request counted in.
+        now: Local monotonic time.
+    """
+    works = {replica.backend.backend_id: replica.work(now) for replica in replicas}
+    mean = (sum(works.values()) + 1.0) / len(replicas)
+    bound = max(1.0, factor * mean)
+    by_id = {replica.backend.backend_id: replica for replica in replicas}
+    for backend_id in rendezvous_rank(key, by_id):
+        if works[backend_id] + 1.0 <= bound:
+            return by_id[backend_id]
+    return min(replicas, key=lambda replica: works[replica.backend.backend_id])
+
+
+def without_open_breakers(
+    replicas: Sequence[Replica], unanswered_limit: int, panic_share: float, now: float
+) -> list[Replica]:
+    """Leave out replicas that look dead, unless that would leave out most of the pool.
+
+    When nearly everything looks dead, the fault is more likely on this side or a shared one;
+    shutting out the pool would turn it into a certain outage.
+    """
+    healthy = [
+        replica
+        for replica in replicas
+        if replica.breaker.allows(now) and replica.unanswered_statuses < unanswered_limit
+    ]
+    if len(healthy) <= panic_share * len(replicas):
+        return list(replicas)
+    return healthy
--- /dev/null
+++ b/src/merlinstand/routing/breaker.py
@@ -0,0 +1,125 @@
+"""A circuit breaker for one replica."""
+
+import enum
+import math
+from random import Random
+
+from merlinstand.routing.settings import BreakerSettings
+
+
+class BreakerState(enum.Enum):
+    """Whether a replica gets calls."""
+
+    CLOSED = "closed"
+    """Calls go through."""
+    OPEN = "open"
+    """No calls until the pause is over."""
+    HALF_OPEN = "half_open"
+    """One call goes through to see."""
+
+
+class Breaker:
+    """Opens on failures, tries one call after a pause, closes on its success.
+
+    A breaker judges one replica only; `balancer.usable_replicas` sees to it that breakers
+    together never shut out a whole pool.
+    """
+
+    __slots__ = (
+        "_calls",
+        "_consecutive_failures",
+        "_counted_at",
+        "_failures",
+        "_open_until",
+        "_openings",
+        "_probing",
+        "_random",
+        "_settings",
+        "state",
+    )
+
+    def __init__(self, settings: BreakerSettings, random: Random) -> None:
+        """Make a closed breaker."""
+        self._settings = settings
+        self._random = random
+        self.state = BreakerState.CLOSED
+        self._calls = 0.0
+        self._failures = 0.0
+        self._counted_at = 0.0
+        self._consecutive_failures = 0
+        self._openings = 0
+        self._open_until = 0.0
+        self._probing = False
+
+    def allows(self, now: float) -> bool:
+        """Tell whether a call may be sent at `now`."""
+        if self.state is BreakerState.CLOSED:
+            return True
+        if self.state is BreakerState.OPEN:
+            return now >= self._open_until
+        return not self._probing
+
+    def seconds_until_probe(self, now: float) -> float:
+        """Return how long until a call may be tried; 0 if one may be tried now."""
+        if self.state is not BreakerState.OPEN:
+            return 0.0
+        return max(0.0, self._open_until - now)
+
+    def call_started(self, now: float) -> None:
+        """A call was sent: after a pause, it is the probe."""
+        if self.state is BreakerState.CLOSED:
+            return
+        if self.state is BreakerState.OPEN and now < self._open_until:
+            # Sent in panic mode: it may close the breaker but does not count as the probe.
+            return
+        self.state = BreakerState.HALF_OPEN
+        self._probing = True
+
+    def call_succeeded(self, now: float) -> None:
+        """A call came to a good end."""
+        self._count(now, failed=False)
+        self._consecutive_failures = 0
+        self._probing = False
+        if self.state is not BreakerState.CLOSED:
+            self.state = BreakerState.CLOSED
+            self._openings = 0
+            self._calls = 0.0
+            self._failures = 0.0
+
+    def call_failed(self, now: float) -> None:
+        """A call failed by the replica's fault."""
+        self._count(now, failed=True)
+        self._consecutive_failures += 1
+        self._probing = False
+        if self.state is BreakerState.HALF_OPEN or self._too_many_failures():
+            self._open(now)
+
+    def call_abandoned(self) -> None:
+        """A call ended without telling anything about the replica."""
+        self._probing = False
+
+    def _count(self, now: float, *, failed: bool) -> None:
+        elapsed_seconds = max(0.0, now - self._counted_at)
+        decay = math.exp(-elapsed_seconds / self._settings.window_seconds)
+        self._counted_at = now
+        self._calls = self._calls * decay + 1.0
+        self._failures = self._failures * decay + (1.0 if failed else 0.0)
+
+    def _too_many_failures(self) -> bool:
+        if self.state is BreakerState.OPEN:
+            return False
+        if self._consecutive_failures >= self._settings.consecutive_failures:
+            return True
+        if self._calls < self._settings.minimum_calls:
+            return False
+        return self._failures >= self._settings.failure_share * self._calls
+
+    def _open(self, now: float) -> None:
+        pause_seconds = min(
+            self._settings.first_open_seconds * 2.0**self._openings,
+            self._settings.longest_open_seconds,
+        )
+        # Jitter keeps the gateways of a fleet from probing a replica all at once.
+        self._open_until = now + pause_seconds * self._random.uniform(0.75, 1.25)
+        self._openings = min(self._openings + 1, 16)
+        self.state = BreakerState.OPEN
--- /dev/null
+++ b/src/merlinstand/routing/replica.py
@@ -0,0 +1,74 @@
+"""All that a daemon knows of one replica."""
+
+from random import Random
+
+from merlinstand.configuration.objects import Backend, Pool, PoolKind
+from merlinstand.routing.affinity import PrefixHints
+from merlinstand.routing.breaker import Breaker
+from merlinstand.routing.concurrency import ConcurrencyLimit
+from merlinstand.routing.load_reports import AgedLoad
+from merlinstand.routing.membership import LeavingSignals, ReplicaState
+from merlinstand.routing.settings import RouterSettings
+from merlinstand.routing.status import BackendStatus, EngineStatus
+
+
+class Replica:
+    """Mutable state of one replica; owned by a `PoolRouter`."""
+
+    __slots__ = (
+        "back_off_until",
+        "backend",
+        "breaker",
+        "hints",
+        "in_flight",
+        "limit",
+        "load",
+        "signals",
+        "status",
+        "unanswered_statuses",
+    )
+
+    def __init__(self, backend: Backend, settings: RouterSettings, random: Random) -> None:
+        """Start knowing nothing but the address."""
+        self.backend = backend
+        self.breaker = Breaker(settings.breaker, random)
+        self.load = AgedLoad(settings.load_half_life_seconds, settings.load_expiry_seconds)
+        self.signals = LeavingSignals()
+        self.hints = PrefixHints(settings.maximum_hints)
+        self.limit = ConcurrencyLimit(1)
+        self.in_flight = 0
+        self.back_off_until = 0.0
+        self.unanswered_statuses = 0
+        self.status: BackendStatus | None = None
+        """Last answer to `GET /v1/status`."""
+
+    def is_eligible(self, pool: Pool) -> bool:
+        """Tell whether the replica may get new work at all, busy or not.
+
+        Not overridden by panic mode: a leaving replica or an engine without verified weights
+        gets nothing even if it is the last one.
+        """
+        if self.signals.leaving or self.signals.own_state is ReplicaState.FAILED:
+            return False
+        if pool.kind is PoolKind.SERVICE:
+            return True
+        status = self.status
+        return (
+            isinstance(status, EngineStatus)
+            and status.state is ReplicaState.READY
+            and status.active_version is not None
+            and status.active_version > 0
+            and status.model in ("", pool.model)
+        )
+
+    def utilisation(self, now: float) -> float:
+        """Return known work as a share of this daemon's limit at the replica."""
+        return (self.in_flight + self.load.foreign(now)) / self.limit.value
+
+    def work(self, now: float) -> float:
+        """Return the number of requests believed to be at the replica."""
+        return self.in_flight + self.load.foreign(now)
+
+    def has_room(self) -> bool:
+        """Tell whether this daemon may have one more request in flight there."""
+        return self.in_flight < self.limit.value
--- /dev/null
+++ b/src/merlinstand/routing/router.py
@@ -0,0 +1,254 @@
+"""One pool as one daemon sees it: who may take work, who is chosen, what came of it."""
+
+import enum
+from collections.abc import Callable, Collection, Mapping, Sequence
+from random import Random
+
+from result import Err, Ok, Result
+
+from merlinstand.configuration.objects import Backend, Drain, Pool
+from merlinstand.routing.balancer import bounded_affinity, prefer_zone, without_open_breakers
+from merlinstand.routing.errors import NoBackendError, PoolBusyError
+from merlinstand.routing.membership import MachineState
+from merlinstand.routing.replica import Replica
+from merlinstand.routing.retry_budget import RetryBudget
+from merlinstand.routing.settings import RouterSettings
+from merlinstand.routing.status import BackendStatus, MachineList
+from merlinstand.routing.subset import subset
+
+NO_BACKEND_RETRY_SECONDS = 1.0
+BUSY_RETRY_SECONDS = 0.2
+
+
+class CallResult(enum.Enum):
+    """What a finished call tells about its replica."""
+
+    SUCCESS = "success"
+    """It answered."""
+    REFUSED = "refused"
+    """It refused before any work (503 with `X-Not-Run`): alive but busy."""
+    FAILURE = "failure"
+    """It could not be reached, timed out, broke off or answered wrongly."""
+    ABANDONED = "abandoned"
+    """This side gave up for its own reasons; nothing is known."""
+
+
+class PoolRouter:
+    """Chooses replicas of one pool for one daemon.
+
+    Usage: `configure` at every configuration change, the `…_received` methods as signals come,
+    then for each call `choose`, `call_started`, and exactly one `call_finished`.
+    """
+
+    def __init__(self, owner: str, zone: str, random: Random, settings: RouterSettings) -> None:
+        """Make a router without replicas."""
+        self._owner = owner
+        self._zone = zone
+        self._random = random
+        self._settings = settings
+        self._pool: Pool | None = None
+        self._replicas: dict[str, Replica] = {}
+        self.retry_budget = RetryBudget(settings.retry_budget)
+
+    @property
+    def replicas(self) -> Mapping[str, Replica]:
+        """Replicas of this daemon's subset, by backend id."""
+        return self._replicas
+
+    def configure(
+        self, pool: Pool, drains: Mapping[str, Drain], peers: Mapping[str, Sequence[str]]
+    ) -> None:
+        """Follow the configuration.
+
+        Args:
+            pool: The pool as configured now.
+            drains: Operators' drains by backend id.
+            peers: Node ids of the daemons that share this pool, by their zone.
+        """
+        self._pool = pool
+        chosen = self._subset(pool.backends, peers)
+        kept: dict[str, Replica] = {}
+        for backend in chosen:
+            replica = self._replicas.get(backend.backend_id)
+            if replica is None or replica.backend.address != backend.address:
+                replica = Replica(backend, self._settings, self._random)
+            replica.backend = backend
+            replica.signals.drained = backend.backend_id in drains
+            replica.limit.set_maximum(pool.maximum_concurrency)
+            kept[backend.backend_id] = replica
+        self._replicas = kept
+
+    def choose(
+        self,
+        now: float,
+        *,
+        exclude: Collection[str] = (),
+        affinity_key: int | None = None,
+        accept: Callable[[Replica], bool] | None = None,
+    ) -> Result[Backend, NoBackendError | PoolBusyError]:
+        """Choose where a call goes.
+
+        Args:
+            now: Local monotonic time.
+            exclude: Backend ids that were tried before for the same request.
+            affinity_key: Key of `affinity.prefix_key`; None balances by load alone.
+            accept: Further condition on a replica, for example its weight version.
+
+        Returns:
+            The backend, or why there is none. Errors say when to come back.
+        """
+        pool = self._pool
+        if pool is None:
+            return Err(NoBackendError(detail="no such pool", retry_after_seconds=None))
+        eligible = [
+            replica
+            for backend_id, replica in self._replicas.items()
+            if backend_id not in exclude
+            and replica.is_eligible(pool)
+            and (accept is None or accept(replica))
+        ]
+        if not eligible:
+            return Err(
+                NoBackendError(
+                    detail=f"no replica of {pool.name} can take work",
+                    retry_after_seconds=NO_BACKEND_RETRY_SECONDS,
+                )
+            )
+        candidates = [
+            replica
+            for replica in without_open_breakers(
+                eligible,
+                self._settings.unanswered_status_limit,
+                self._settings.panic_share,
+                now,
+            )
+            if replica.has_room() and now >= replica.back_off_until
+        ]
+        if not candidates:
+            return Err(self._busy(eligible, now))
+        if affinity_key is not None:
+            chosen = bounded_affinity(
+                candidates, affinity_key, self._settings.bounded_load_factor, now
+            )
+        else:
+            chosen = prefer_zone(
+                candidates, self._zone, self._settings.spill_utilisation, self._random, now
+            )
+        return Ok(chosen.backend)
+
+    def call_started(self, backend_id: str, now: float) -> None:
+        """Count a call to a replica as in flight."""
+        replica = self._replicas.get(backend_id)
+        if replica is not None:
+            replica.in_flight += 1
+            replica.breaker.call_started(now)
+
+    def call_finished(
+        self,
+        backend_id: str,
+        result: CallResult,
+        now: float,
+        *,
+        retry_after_seconds: float | None = None,
+        leaving: bool = False,
+    ) -> None:
+        """Take in how a call ended.
+
+        Args:
+            backend_id: The replica; ignored if it is no longer in the subset.
+            result: What the end tells about the replica.
+            now: Local monotonic time.
+            retry_after_seconds: The replica's own `Retry-After`, if it refused.
+            leaving: The answer said that the replica is leaving.
+        """
+        replica = self._replicas.get(backend_id)
+        if replica is None:
+            return
+        in_flight = replica.in_flight
+        replica.in_flight = max(0, in_flight - 1)
+        if leaving:
+            replica.signals.refused_as_leaving(now)
+        if result is CallResult.SUCCESS:
+            replica.breaker.call_succeeded(now)
+            replica.limit.succeeded()
+        elif result is CallResult.REFUSED:
+            # A replica that answers is alive: refusals pause it but do not open its breaker.
+            replica.breaker.call_succeeded(now)
+            replica.limit.refused(in_flight)
+            self._back_off(replica, retry_after_seconds, now)
+        elif result is CallResult.FAILURE:
+            replica.breaker.call_failed(now)
+        else:
+            replica.breaker.call_abandoned()
+
+    def status_received(
+        self, backend_id: str, status: BackendStatus, asked_at: float, now: float
+    ) -> None:
+        """Take in a replica's own report."""
+        replica = self._replicas.get(backend_id)
+        if replica is None:
+            return
+        replica.unanswered_statuses = 0
+        previous = replica.status
+        if not replica.signals.own_report(status.state_report(), asked_at):
+            return
+        if previous is not None and previous.incarnation != status.incarnation:
+            replica.hints.clear()
+        replica.status = status
+        replica.load.record(status.load_report(), replica.in_flight, now)
+
+    def status_unanswered(self, backend_id: str) -> None:
+        """A status request got no answer."""
+        replica = self._replicas.get(backend_id)
+        if replica is not None:
+            replica.unanswered_statuses += 1
+
+    def machines_received(self, machines: MachineList) -> None:
+        """Take in the platform's list, matched by address (`ip:port` or `ip`)."""
+        states = {machine.address: machine.state for machine in machines.machines}
+        for replica in self._replicas.values():
+            address = replica.backend.address
+            state = states.get(address) or states.get(address.rsplit(":", 1)[0])
+            if state is None:
+                replica.signals.not_listed(machines.as_of)
+            else:
+                replica.signals.listed(MachineState(state), machines.as_of)
+
+    def free_room(self) -> int:
+        """Return how many more calls the eligible replicas may have in flight together."""
+        pool = self._pool
+        if pool is None:
+            return 0
+        return sum(
+            max(0, replica.limit.value - replica.in_flight)
+            for replica in self._replicas.values()
+            if replica.is_eligible(pool)
+        )
+
+    def _subset(
+        self, backends: Sequence[Backend], peers: Mapping[str, Sequence[str]]
+    ) -> tuple[Backend, ...]:
+        local = [backend for backend in backends if backend.zone == self._zone]
+        remote = [backend for backend in backends if backend.zone != self._zone]
+        everybody = [node_id for zone_peers in peers.values() for node_id in zone_peers]
+        own = subset(local, self._owner, peers.get(self._zone, ()), self._settings.subset_size)
+        remote_size = self._settings.remote_subset_size
+        if not local:
+            # No replica at home: the others are the main choice, not just the spill.
+            remote_size = self._settings.subset_size
+        others = subset(remote, self._owner, everybody, remote_size)
+        return own + others
+
+    def _back_off(self, replica: Replica, retry_after_seconds: float | None, now: float) -> None:
+        asked = retry_after_seconds
+        if asked is None:
+            asked = self._settings.back_off_default_seconds
+        pause_seconds = min(max(0.0, asked), self._settings.back_off_maximum_seconds)
+        replica.back_off_until = max(replica.back_off_until, now + pause_seconds)
+
+    def _busy(self, eligible: Sequence[Replica], now: float) -> PoolBusyError:
+        pauses = [replica.back_off_until - now for replica in eligible]
+        shortest_seconds = max(BUSY_RETRY_SECONDS, min(pauses))
+        return PoolBusyError(
+            detail="every replica is at its limit", retry_after_seconds=shortest_seconds
+        )
