--- /dev/null
+++ b/src/merlinstand_lab/simulator/__init__.py
@@ -0,0 +1,1 @@
+"""Deterministic simulation: any reducers on a virtual clock with modelled faults."""
