--- a/src/merlinstand/runtime/host.py
+++ b/src/merlinstand/runtime/host.py
@@ -1,12 +1,259 @@
 """Hosts one reducer in one process: one loop on one thread."""
 
+import os
+import secrets
+import signal
+import time
+import traceback
+from collections import deque
+from collections.abc import Sequence
+from typing import Any
+
+import gevent
+from gevent.event import Event as LoopEvent
+from result import Err
+
+from merlinstand.common.ids import NodeId
+from merlinstand.kernel.effects import Effect
+from merlinstand.kernel.events import Event, Started, StopRequested, TimerFired
 from merlinstand.kernel.reducer import Reducer
+from merlinstand.runtime import tls
+from merlinstand.runtime.addresses import parse_address
+from merlinstand.runtime.disk import Disk, NoDisk
+from merlinstand.runtime.errors import HostSetupError
 from merlinstand.runtime.host_settings import HostSettings
+from merlinstand.runtime.http_client import HttpClient
+from merlinstand.runtime.http_connection import ConnectionPool
+from merlinstand.runtime.http_door import HttpDoor
+from merlinstand.runtime.http_server import DoorServer
+from merlinstand.runtime.logs import EventLog, configure_process_logging
+from merlinstand.runtime.metrics import Metrics
+from merlinstand.runtime.performer import EffectPerformer
+from merlinstand.runtime.profile import profiled
+from merlinstand.runtime.record_writer import RecordWriter
+from merlinstand.runtime.timers import Timers
+from merlinstand.runtime.transport import Transport
+
+EXIT_SETUP_FAILED = 3
+EXIT_REDUCER_FAILED = 70
+EXIT_FORCED = 130
+FLUSH_SECONDS = 5.0
+"""Longest time at the end for responses and messages to leave."""
+CONNECTION_SWEEP_SECONDS = 10.0
+_SEED_BITS = 63
+_STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+
+
+class HostSetupFailedError(Exception):
+    """Carries a `HostSetupError` out of `Host.start`."""
+
+    def __init__(self, error: HostSetupError) -> None:
+        """Wrap the typed error."""
+        super().__init__(error.detail)
+        self.error = error
+
+
+class Host:
+    """Runs one reducer on the gevent loop of the calling thread.
+
+    Several hosts can live in one process; none uses process-wide state.
+    """
+
+    def __init__(self, reducer: Reducer, settings: HostSettings) -> None:
+        """Create a host that does nothing yet.
+
+        Args:
+            reducer: The decisions.
+            settings: Name, addresses and folders.
+
+        Raises:
+            HostSetupFailedError: The TLS files can't be used.
+        """
+        self.metrics = Metrics()
+        self.log = EventLog(settings.node_id, settings.log_level)
+        self.exit_code = 0
+        self._reducer = reducer
+        self._settings = settings
+        self._events: deque[Event] = deque()
+        self._reducing = False
+        self._stopping = LoopEvent()
+        self._server: DoorServer | None = None
+        server_tls, internal_tls, client_tls = _tls_contexts(settings)
+        self._server_tls = server_tls
+        self.transport = Transport(
+            NodeId(settings.node_id), self.submit, self.log, internal_tls, client_tls
+        )
+        self.metrics.register(self.transport.counters)
+        self._timers = Timers(lambda name: self.submit(TimerFired(name)))
+        self._disk: Disk = NoDisk(self.submit)
+        self._door = HttpDoor(self.submit, self.metrics, settings.http_limits)
+        self._pool = ConnectionPool(client_tls)
+        self._client = HttpClient(self.submit, self._pool)
+        self._records = RecordWriter(settings.record_folder) if settings.record_folder else None
+        self._performer: EffectPerformer | None = None
+        self._sweeper: Any = None
+
+    @property
+    def http_address(self) -> str:
+        """Where the HTTP door listens; empty without one."""
+        if self._server is None:
+            return ""
+        return f"{self._server.server_host}:{self._server.server_port}"
+
+    def start(self) -> None:
+        """Recover durable state, take the addresses and start the reducer.
+
+        Raises:
+            HostSetupFailedError: An address or folder can't be taken.
+        """
+        settings = self._settings
+        started = self._recover()
+        self._performer = EffectPerformer(
+            timers=self._timers,
+            transport=self.transport,
+            disk=self._disk,
+            door=self._door,
+            client=self._client,
+            log=self.log,
+            metrics=self.metrics,
+            records=self._records,
+            stop=self.request_exit,
+        )
+        for node_id, address in settings.peers.items():
+            self.transport.learn(NodeId(node_id), address)
+        self._listen(started.incarnation)
+        self.log.write(
+            "host.listening",
+            {"http": self.http_address, "internal": self.transport.address},
+        )
+        self._sweeper = gevent.spawn(self._sweep)
+        self._reducing = True
+        try:
+            self._perform(self._reducer.start(started, time.monotonic()))
+        except Exception:
+            self._fail("host.reducer_failed", {"on": "Started"})
+        self._reducing = False
+        self._drain_events()
+
+    def submit(self, event: Event) -> None:
+        """Hand an event to the reducer; never blocks, never switches greenlets."""
+        self._events.append(event)
+        if not self._reducing:
+            self._drain_events()
+
+    def request_exit(self, exit_code: int) -> None:
+        """Let `wait` return; later events are dropped."""
+        if not self._stopping.is_set():
+            self.exit_code = exit_code
+            self._door.closing = True
+            self._stopping.set()
+
+    def announce_stop(self) -> None:
+        """Tell the reducer that a planned stop was asked for."""
+        if self._server is not None:
+            self._server.closing = True
+        self.submit(StopRequested())
+
+    def wait(self) -> int:
+        """Block until the reducer asks to stop; returns the exit code."""
+        self._stopping.wait()
+        return self.exit_code
+
+    def stop(self) -> None:
+        """Let responses and messages leave, then close everything."""
+        self._timers.close()
+        if self._server is not None:
+            self._server.closing = True
+            self._server.close()
+        with gevent.Timeout(FLUSH_SECONDS, False):
+            while self._door.open_count:
+                gevent.sleep(0.005)
+        self.transport.flush(FLUSH_SECONDS)
+        self._client.close()
+        self.transport.close()
+        if self._server is not None:
+            self._server.stop(timeout=0)
+        self._disk.close()
+        if self._records is not None:
+            self._records.close()
+        if self._sweeper is not None:
+            self._sweeper.kill(block=False)
+
+    def _recover(self) -> Started:
+        seed = self._settings.seed
+        return Started(
+            node_id=NodeId(self._settings.node_id),
+            incarnation=secrets.randbits(_SEED_BITS),
+            seed=secrets.randbits(_SEED_BITS) if seed is None else seed,
+        )
+
+    def _listen(self, incarnation: int) -> None:
+        settings = self._settings
+        try:
+            if settings.internal_address:
+                self.transport.start(settings.internal_address, incarnation)
+            if settings.http_address:
+                self._server = self._start_server()
+        except (OSError, ValueError) as error:
+            raise HostSetupFailedError(HostSetupError(detail=f"can't listen: {error}")) from error
+
+    def _start_server(self) -> DoorServer:
+        parsed = parse_address(self._settings.http_address)
+        if isinstance(parsed, Err):
+            raise ValueError(parsed.err_value.detail)
+        server = DoorServer(
+            parsed.ok_value.as_pair(),
+            self._door.application,
+            self._settings.http_limits,
+            self._server_tls,
+        )
+        server.start()
+        return server
+
+    def _drain_events(self) -> None:
+        """Reduce queued events, one at a time: effects may queue further ones."""
+        self._reducing = True
+        try:
+            while self._events:
+                event = self._events.popleft()
+                if self._stopping.is_set():
+                    continue
+                try:
+                    effects = self._reducer.reduce(event, time.monotonic())
+                except Exception:
+                    self._fail("host.reducer_failed", {"on": type(event).__name__})
+                    continue
+                self._perform(effects)
+        finally:
+            self._reducing = False
+
+    def _fail(self, event_name: str, fields: dict[str, Any]) -> None:
+        """Stop the process: after a fault its state can't be trusted any more."""
+        self.log.write(event_name, {**fields, "traceback": traceback.format_exc()}, "error")
+        self.request_exit(EXIT_REDUCER_FAILED)
+
+    def _perform(self, effects: Sequence[Effect]) -> None:
+        performer = self._performer
+        if performer is None:
+            return
+        for effect in effects:
+            try:
+                performer.perform(effect)
+            except Exception:
+                self._fail("host.effect_failed", {"effect": type(effect).__name__})
+                return
+
+    def _sweep(self) -> None:
+        while True:
+            gevent.sleep(CONNECTION_SWEEP_SECONDS)
+            self._pool.sweep()
 
 
 def run_host(reducer: Reducer, settings: HostSettings) -> int:
     """Run a reducer until it asks to stop.
 
+    The first SIGTERM or SIGINT becomes `StopRequested`; a second one ends at once.
+
     Args:
         reducer: The process's decisions.
         settings: Its name, addresses and folders.
@@ -14,4 +261,53 @@
     Returns:
         The process's exit code (from `StopProcess`).
     """
-    raise NotImplementedError
+    configure_process_logging()
+    with profiled(settings.profile_path):
+        return _run_host(reducer, settings)
+
+
+def _run_host(reducer: Reducer, settings: HostSettings) -> int:
+    log = EventLog(settings.node_id, settings.log_level)
+    try:
+        host = Host(reducer, settings)
+        watchers = _install_signals(host)
+        host.start()
+    except HostSetupFailedError as failure:
+        log.write("host.setup_failed", {"detail": failure.error.detail}, "error")
+        return EXIT_SETUP_FAILED
+    exit_code = host.wait()
+    host.stop()
+    for watcher in watchers:
+        watcher.stop()
+    log.write("host.stopped", {"exit_code": exit_code})
+    return exit_code
+
+
+def _install_signals(host: Host) -> list[Any]:
+    """Give the watchers: they work as long as they are referenced."""
+    asked = False
+
+    def on_signal() -> None:
+        nonlocal asked
+        if asked:
+            # At once: no flushing, no waiting for responses.
+            os._exit(EXIT_FORCED)
+        asked = True
+        host.announce_stop()
+
+    watchers = [gevent.get_hub().loop.signal(number) for number in _STOP_SIGNALS]
+    for watcher in watchers:
+        watcher.start(on_signal)
+    return watchers
+
+
+def _tls_contexts(settings: HostSettings) -> tuple[Any, Any, Any]:
+    if settings.tls is None:
+        return None, None, None
+    contexts = []
+    for make in (tls.server_context, tls.internal_server_context, tls.client_context):
+        result = make(settings.tls)
+        if isinstance(result, Err):
+            raise HostSetupFailedError(result.err_value)
+        contexts.append(result.ok_value)
+    return contexts[0], contexts[1], contexts[2]
--- /dev/null
+++ b/src/merlinstand/runtime/http_client.py
@@ -0,0 +1,213 @@
+"""HTTP calls to outside systems, on gevent sockets and geventhttpclient's parser.
+
+geventhttpclient's own `HTTPClient` resends a request when a kept connection turns out to
+be dead. That would run non-repeatable requests twice, so only its parser is used here:
+one `StartCall` leads to at most one request on the wire.
+"""
+
+import time
+from collections.abc import Callable
+
+import gevent
+from gevent import Greenlet
+from geventhttpclient.response import HTTPParseError
+
+from merlinstand.common.ids import CallId
+from merlinstand.kernel.effects import StartCall
+from merlinstand.kernel.events import (
+    CallChunk,
+    CallEnded,
+    CallFailed,
+    CallHeaders,
+    CallPhase,
+    CallResponded,
+    Event,
+)
+from merlinstand.runtime.http_connection import (
+    Connection,
+    ConnectionPool,
+    ResponseParser,
+    encode_request,
+)
+
+MAXIMUM_RESPONSE_BYTES = 64 * 1024 * 1024
+"""Largest body of a call with `stream=False`."""
+
+
+class HttpClient:
+    """Runs calls, each in its own greenlet."""
+
+    def __init__(self, submit: Callable[[Event], None], pool: ConnectionPool) -> None:
+        """Create a client.
+
+        Args:
+            submit: Hands an event to the reducer.
+            pool: Where connections come from.
+        """
+        self._submit = submit
+        self._pool = pool
+        self._calls: dict[CallId, Greenlet] = {}
+
+    @property
+    def open_count(self) -> int:
+        """Number of calls under way."""
+        return len(self._calls)
+
+    def start(self, call: StartCall) -> None:
+        """Begin a call; its events follow."""
+        self._calls[call.call_id] = gevent.spawn(self._run, call)
+
+    def cancel(self, call_id: CallId) -> None:
+        """Give a call up; none of its events follows."""
+        greenlet = self._calls.pop(call_id, None)
+        if greenlet is not None:
+            greenlet.kill(block=False)
+
+    def close(self) -> None:
+        """Give every call up and close all connections."""
+        for call_id in list(self._calls):
+            self.cancel(call_id)
+        self._pool.close()
+
+    def _run(self, call: StartCall) -> None:
+        progress = _CallProgress(call, self._pool)
+        try:
+            try:
+                progress.send()
+                final: Event = (
+                    self._read_stream(call, progress) if call.stream else progress.read_whole()
+                )
+            except (TimeoutError, OSError, HTTPParseError, ValueError) as error:
+                final = CallFailed(call.call_id, progress.phase, _reason(error, progress))
+        finally:
+            # Also on a kill: an unfinished connection must never go back to the pool.
+            progress.release()
+        if self._is_current(call):
+            del self._calls[call.call_id]
+            self._submit(final)
+
+    def _read_stream(self, call: StartCall, progress: "_CallProgress") -> Event:
+        progress.read_head()
+        parser = progress.parser
+        self._emit(call, CallHeaders(call.call_id, parser.status_code, parser.header_dict()))
+        while True:
+            data = parser.take_body()
+            if data:
+                self._emit(call, CallChunk(call.call_id, data))
+            if parser.message_complete:
+                return CallEnded(call.call_id)
+            progress.read_more()
+
+    def _emit(self, call: StartCall, event: Event) -> None:
+        if self._is_current(call):
+            self._submit(event)
+
+    def _is_current(self, call: StartCall) -> bool:
+        # The reducer may cancel a call, or reuse its name, while handling its events.
+        return self._calls.get(call.call_id) is gevent.getcurrent()
+
+
+class ResponseTooLargeError(ValueError):
+    """The body exceeds `MAXIMUM_RESPONSE_BYTES`."""
+
+
+class TruncatedResponseError(HTTPParseError):
+    """The connection ended before the response."""
+
+
+class _CallProgress:
+    """One call's connection, parser and phase."""
+
+    def __init__(self, call: StartCall, pool: ConnectionPool) -> None:
+        self._call = call
+        self._pool = pool
+        self._connection: Connection | None = None
+        self._deadline = time.monotonic() + call.timeout_seconds
+        self.phase = CallPhase.CONNECT
+        self.parser = ResponseParser(call.method)
+
+    def send(self) -> None:
+        """Connect and send the request."""
+        request = encode_request(self._call)
+        connection = self._pool.take(
+            self._call.address, self._time_left(), self._call.fresh_connection
+        )
+        self._connection = connection
+        if connection.encrypted:
+            # TLS may hand bytes on before it reports an error: assume the worst.
+            self.phase = CallPhase.SENT
+        view = memoryview(request)
+        while view:
+            connection.set_timeout(self._time_left())
+            # An error of the very first send means that the kernel took no byte.
+            sent = connection.send(view)
+            self.phase = CallPhase.SENT
+            view = view[sent:]
+
+    def read_whole(self) -> CallResponded:
+        """Read head and body."""
+        self.read_head()
+        while not self.parser.message_complete:
+            if self.parser.body_size > MAXIMUM_RESPONSE_BYTES:
+                raise ResponseTooLargeError
+            self.read_more()
+        return CallResponded(
+            self._call.call_id,
+            self.parser.status_code,
+            self.parser.header_dict(),
+            self.parser.take_body(),
+        )
+
+    def read_head(self) -> None:
+        """Read until the final response's headers are complete."""
+        while not self.parser.has_final_head:
+            self.read_more()
+        self.phase = CallPhase.BODY
+        if not self.parser.message_complete and not self.parser.is_framed():
+            # A body that ends with its connection can't be told from a truncated one.
+            raise HTTPParseError("response without length")
+
+    def read_more(self) -> None:
+        """Read some bytes into the parser."""
+        if self._connection is None:
+            raise TruncatedResponseError("no connection")
+        self._connection.set_timeout(self._time_left())
+        data = self._connection.receive()
+        if not data:
+            raise TruncatedResponseError("connection ended")
+        self.parser.feed(data)
+
+    def release(self) -> None:
+        """Give the connection back, or close it unless the response was read to its end."""
+        connection = self._connection
+        self._connection = None
+        if connection is None:
+            return
+        if self.parser.message_complete and not self.parser.should_close():
+            self._pool.give_back(connection)
+        else:
+            connection.close()
+
+    def _time_left(self) -> float:
+        if self._call.stream:
+            return self._call.timeout_seconds
+        left = self._deadline - time.monotonic()
+        if left <= 0:
+            raise TimeoutError
+        return left
+
+
+def _reason(error: BaseException, progress: _CallProgress) -> str:
+    if isinstance(error, TimeoutError):
+        return "timeout"
+    if isinstance(error, ResponseTooLargeError):
+        return "too_large"
+    if isinstance(error, TruncatedResponseError):
+        return "truncated" if progress.phase is CallPhase.BODY else "reset"
+    if isinstance(error, HTTPParseError):
+        return "malformed"
+    if isinstance(error, ConnectionRefusedError):
+        return "refused"
+    if isinstance(error, ValueError):
+        return "invalid_request"
+    return "reset"
--- /dev/null
+++ b/src/merlinstand/runtime/http_connection.py
@@ -0,0 +1,201 @@
+"""Connections to HTTP servers: a pool, the request's bytes and the response's parser."""
+
+import re
+import socket
+import time
+from typing import Any
+
+from gevent import socket as gevent_socket
+from gevent.ssl import SSLContext, SSLError
+from geventhttpclient.response import HTTPResponse
+from result import Err
+
+from merlinstand.kernel.effects import StartCall
+from merlinstand.runtime.addresses import parse_address
+from merlinstand.runtime.http_headers import HOP_BY_HOP_HEADERS, merge_header
+
+CONNECT_TIMEOUT_SECONDS = 2.0
+IDLE_CONNECTION_SECONDS = 20.0
+"""Kept connections are given up well before servers usually close them."""
+MAXIMUM_IDLE_CONNECTIONS = 64
+"""Kept connections for each server."""
+RECEIVE_BYTES = 64 * 1024
+
+_METHODS_WITH_BODY = frozenset(("POST", "PUT", "PATCH"))
+_DROPPED_HEADERS = HOP_BY_HOP_HEADERS | {"content-length", "host", "expect"}
+_TARGET = re.compile(r"/[\x21-\x7e]*\Z")
+_TOKEN = re.compile(r"[!#$%&'*+\-.^_`|~0-9A-Za-z]+\Z")
+_BAD_VALUE = re.compile(r"[\x00-\x08\x0a-\x1f\x7f]")
+
+
+class ConnectError(OSError):
+    """No connection came about; nothing was sent."""
+
+
+class Connection:
+    """One TCP (or TLS) connection to a server."""
+
+    def __init__(self, address: str, sock: Any, encrypted: bool) -> None:
+        """Wrap a connected socket."""
+        self.address = address
+        self.encrypted = encrypted
+        self.idle_since = 0.0
+        self._socket = sock
+
+    def set_timeout(self, seconds: float) -> None:
+        """Bound the next send or receive."""
+        self._socket.settimeout(seconds)
+
+    def send(self, data: memoryview) -> int:
+        """Send some bytes; returns how many."""
+        return int(self._socket.send(data))
+
+    def receive(self) -> bytes:
+        """Receive some bytes; empty at the connection's end."""
+        return bytes(self._socket.recv(RECEIVE_BYTES))
+
+    def is_quiet(self) -> bool:
+        """Tell whether the connection is open with nothing to read, as an idle one must be."""
+        try:
+            self._socket._sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+        return False
+
+    def close(self) -> None:
+        """Close the connection."""
+        self._socket.close()
+
+
+class ConnectionPool:
+    """Connects, and keeps connections whose last response was read to its end."""
+
+    def __init__(self, tls_context: SSLContext | None = None) -> None:
+        """Create an empty pool.
+
+        Args:
+            tls_context: Set to speak TLS to every server.
+        """
+        self._tls_context = tls_context
+        self._idle: dict[str, list[Connection]] = {}
+
+    def take(self, address: str, timeout_seconds: float, fresh: bool) -> Connection:
+        """Give a kept connection that still looks sound, or a new one.
+
+        Raises:
+            ConnectError: No connection came about.
+            ConnectionRefusedError: Nobody listens there.
+            TimeoutError: The server did not answer in time.
+        """
+        idle = self._idle.get(address)
+        while idle and not fresh:
+            connection = idle.pop()
+            is_young = time.monotonic() - connection.idle_since < IDLE_CONNECTION_SECONDS
+            if is_young and connection.is_quiet():
+                return connection
+            connection.close()
+        return self._connect(address, min(timeout_seconds, CONNECT_TIMEOUT_SECONDS))
+
+    def give_back(self, connection: Connection) -> None:
+        """Keep a connection for a later call."""
+        idle = self._idle.setdefault(connection.address, [])
+        if len(idle) >= MAXIMUM_IDLE_CONNECTIONS:
+            connection.close()
+            return
+        connection.idle_since = time.monotonic()
+        idle.append(connection)
+
+    def sweep(self) -> None:
+        """Close connections that were idle for too long."""
+        oldest = time.monotonic() - IDLE_CONNECTION_SECONDS
+        for address, idle in list(self._idle.items()):
+            for connection in idle:
+                if connection.idle_since < oldest:
+                    connection.close()
+            idle[:] = [connection for connection in idle if connection.idle_since >= oldest]
+            if not idle:
+                del self._idle[address]
+
+    def close(self) -> None:
+        """Close all kept connections."""
+        for idle in self._idle.values():
+            for connection in idle:
+                connection.close()
+        self._idle.clear()
+
+    def _connect(self, address: str, timeout_seconds: float) -> Connection:
+        parsed = parse_address(address)
+        if isinstance(parsed, Err):
+            raise ConnectError(parsed.err_value.detail)
+        target = parsed.ok_value
+        family = socket.AF_INET6 if ":" in target.ip else socket.AF_INET
+        sock: Any = gevent_socket.socket(family, socket.SOCK_STREAM)
+        try:
+            sock.settimeout(timeout_seconds)
+            sock.connect(target.as_pair())
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            if self._tls_context is not None:
+                sock = self._tls_context.wrap_socket(sock)
+        except SSLError as error:
+            sock.close()
+            raise ConnectError(str(error)) from error
+        except BaseException:
+            sock.close()
+            raise
+        return Connection(address, sock, self._tls_context is not None)
+
+
+class ResponseParser(HTTPResponse):
+    """geventhttpclient's parser, which tells body bytes from framing as they come."""
+
+    @property
+    def has_final_head(self) -> bool:
+        """Whether the headers of a response other than 1xx are complete."""
+        return bool(self.headers_complete) and self.get_code() >= 200
+
+    @property
+    def body_size(self) -> int:
+        """Number of body bytes not yet taken."""
+        return len(self._body_buffer)
+
+    def is_framed(self) -> bool:
+        """Whether the headers say where the body ends."""
+        if "transfer-encoding" in self:
+            return "chunked" in str(self.get("transfer-encoding")).lower()
+        return self.content_length is not None
+
+    def header_dict(self) -> dict[str, str]:
+        """Give the headers, names in lower case."""
+        headers: dict[str, str] = {}
+        for name, value in self.headers:
+            merge_header(headers, name.lower(), value)
+        return headers
+
+    def take_body(self) -> bytes:
+        """Give the body bytes parsed so far and forget them."""
+        data = bytes(self._body_buffer)
+        del self._body_buffer[:]
+        return data
+
+
+def encode_request(call: StartCall) -> bytes:
+    """Give the bytes of a request.
+
+    Raises:
+        ValueError: Method, path or headers can't be sent safely.
+    """
+    if not _TOKEN.match(call.method) or not _TARGET.match(call.path):
+        raise ValueError("method or path can't be sent")
+    lines = [f"{call.method} {call.path} HTTP/1.1\r\nHost: {call.address}\r\n"]
+    for name, value in call.headers.items():
+        if name.lower() in _DROPPED_HEADERS:
+            continue
+        if not _TOKEN.match(name) or _BAD_VALUE.search(value):
+            raise ValueError("header can't be sent")
+        lines.append(f"{name}: {value}\r\n")
+    if call.body or call.method in _METHODS_WITH_BODY:
+        lines.append(f"Content-Length: {len(call.body)}\r\n")
+    lines.append("\r\n")
+    return "".join(lines).encode("latin-1") + call.body
--- /dev/null
+++ b/src/merlinstand/runtime/http_door.py
@@ -0,0 +1,242 @@
+"""The falcon application that turns HTTP requests into events and effects into responses."""
+
+import itertools
+from collections.abc import Callable
+from typing import Any
+
+import falcon
+import gevent
+
+from merlinstand.common.errors import MerlinstandError, error_body
+from merlinstand.common.ids import RequestId
+from merlinstand.kernel.events import Event, RequestAborted, RequestReceived
+from merlinstand.runtime.end_watcher import EndWatcher
+from merlinstand.runtime.errors import (
+    BodyTooLargeError,
+    MalformedRequestError,
+    SlowRequestError,
+    StoppingError,
+    TruncatedBodyError,
+)
+from merlinstand.runtime.host_settings import HttpLimits
+from merlinstand.runtime.http_exchange import BrokenResponseError, Exchange
+from merlinstand.runtime.http_headers import RequestHead, header_lines
+from merlinstand.runtime.http_server import HEAD_KEY, READ_DEADLINE_KEY, SOCKET_KEY
+from merlinstand.runtime.metrics import CONTENT_TYPE, Metrics
+
+_FRAMING_HEADERS = frozenset(("content-length", "content-type", "date", "server"))
+_BODILESS_STATUSES = frozenset((204, 304))
+
+
+class HttpDoor:
+    """Keeps the requests that wait for a response."""
+
+    def __init__(
+        self, submit: Callable[[Event], None], metrics: Metrics, limits: HttpLimits
+    ) -> None:
+        """Create a door.
+
+        Args:
+            submit: Hands an event to the reducer.
+            metrics: Exported at `/metrics`.
+            limits: Bounds on requests.
+        """
+        self._submit = submit
+        self._metrics = metrics
+        self._limits = limits
+        self._exchanges: dict[RequestId, Exchange] = {}
+        self._numbers = itertools.count(1)
+        self.closing = False
+        """Set when the reducer is done: later requests are refused, not run."""
+        self.application = self._make_application()
+
+    @property
+    def open_count(self) -> int:
+        """Number of requests whose response is not yet sent."""
+        return len(self._exchanges)
+
+    def respond(
+        self, request_id: RequestId, status: int, headers: dict[str, str], body: bytes
+    ) -> None:
+        """Answer a request whole; ignored if its client is gone."""
+        exchange = self._exchanges.get(request_id)
+        if exchange is not None:
+            exchange.respond(status, headers, body)
+
+    def start(self, request_id: RequestId, status: int, headers: dict[str, str]) -> None:
+        """Begin a streamed response."""
+        exchange = self._exchanges.get(request_id)
+        if exchange is not None:
+            exchange.start(status, headers)
+
+    def push(self, request_id: RequestId, data: bytes) -> None:
+        """Send bytes of a streamed response."""
+        exchange = self._exchanges.get(request_id)
+        if exchange is not None:
+            exchange.push(data)
+
+    def end(self, request_id: RequestId, whole: bool) -> None:
+        """End a streamed response."""
+        exchange = self._exchanges.get(request_id)
+        if exchange is not None:
+            exchange.end(whole)
+
+    def _make_application(self) -> falcon.App:
+        application = falcon.App()
+        application.add_route("/livez", _LiveResource())
+        application.add_route("/metrics", _MetricsResource(self._metrics))
+        application.add_sink(self._serve, prefix="/")
+        application.set_error_serializer(_serialize_falcon_error)
+        application.add_error_handler(BrokenResponseError, _reraise)
+        return application
+
+    def _serve(self, req: falcon.Request, resp: falcon.Response, **_: Any) -> None:
+        environ = req.env
+        head: RequestHead = environ[HEAD_KEY]
+        body = self._read_body(environ, head)
+        if isinstance(body, MerlinstandError):
+            _refuse(resp, body)
+            return
+        if self.closing:
+            _refuse(resp, StoppingError(detail="this process is stopping"))
+            return
+        exchange = self._open_exchange()
+        self._submit(
+            RequestReceived(
+                exchange.request_id,
+                head.method,
+                head.target,
+                head.headers,
+                body,
+                environ["REMOTE_ADDR"],
+            )
+        )
+        self._complete(exchange, environ[SOCKET_KEY], resp)
+
+    def _open_exchange(self) -> Exchange:
+        request_id = RequestId(f"r{next(self._numbers)}")
+        exchange = Exchange(
+            request_id, self._limits.maximum_unsent_response_bytes, self._close_exchange
+        )
+        self._exchanges[request_id] = exchange
+        return exchange
+
+    def _close_exchange(self, exchange: Exchange) -> None:
+        self._exchanges.pop(exchange.request_id, None)
+        if not exchange.ended:
+            self._submit(RequestAborted(exchange.request_id))
+
+    def _complete(self, exchange: Exchange, connection: Any, response: falcon.Response) -> None:
+        watcher = None
+        if not exchange.status:
+            watcher = EndWatcher(connection, exchange.abort)
+        try:
+            exchange.wait_for_head()
+        except BaseException:
+            _stop_watcher(watcher)
+            exchange.close()
+            raise
+        if exchange.streamed and not exchange.ended and watcher is None:
+            watcher = EndWatcher(connection, exchange.abort)
+        _set_head(response, exchange)
+        if exchange.streamed:
+            response.stream = _StreamedBody(exchange, watcher)
+        else:
+            _stop_watcher(watcher)
+            exchange.close()
+            response.data = exchange.body
+
+    def _read_body(self, environ: dict[str, Any], head: RequestHead) -> bytes | MerlinstandError:
+        """Read the body under the request's read deadline, which ends here."""
+        deadline: gevent.Timeout = environ[READ_DEADLINE_KEY]
+        limit = self._limits.maximum_body_bytes
+        length = head.content_length
+        try:
+            if length is None and not head.chunked:
+                return b""
+            if length is not None and length > limit:
+                return BodyTooLargeError(detail=f"body exceeds {limit} bytes")
+            body = environ["wsgi.input"].read(limit + 1)
+        except gevent.Timeout as fired:
+            if fired is not deadline:
+                raise
+            return SlowRequestError(detail="request body came too slowly")
+        except (OSError, ValueError):
+            return TruncatedBodyError(detail="request body ended early or is malformed")
+        finally:
+            deadline.close()
+        if len(body) > limit:
+            return BodyTooLargeError(detail=f"body exceeds {limit} bytes")
+        return body
+
+
+class _StreamedBody:
+    """The iterable that pywsgi sends; its `close` runs whatever happens."""
+
+    def __init__(self, exchange: Exchange, watcher: EndWatcher | None) -> None:
+        self._exchange = exchange
+        self._watcher = watcher
+        self._chunks = exchange.chunks()
+
+    def __iter__(self) -> Any:
+        return self._chunks
+
+    def close(self) -> None:
+        _stop_watcher(self._watcher)
+        self._exchange.close()
+
+
+class _LiveResource:
+    """`GET /livez`: the loop turns."""
+
+    def on_get(self, _request: falcon.Request, response: falcon.Response) -> None:
+        response.data = b'{"state":"live"}'
+        response.content_type = "application/json"
+
+
+class _MetricsResource:
+    """`GET /metrics` in Prometheus's text format."""
+
+    def __init__(self, metrics: Metrics) -> None:
+        self._metrics = metrics
+
+    def on_get(self, _request: falcon.Request, response: falcon.Response) -> None:
+        response.data = self._metrics.export()
+        response.content_type = CONTENT_TYPE
+
+
+def _set_head(response: falcon.Response, exchange: Exchange) -> None:
+    response.status = exchange.status
+    for name, value in header_lines(exchange.headers):
+        lower_name = name.lower()
+        if lower_name == "content-type":
+            response.content_type = value
+        elif lower_name not in _FRAMING_HEADERS:
+            response.append_header(name, value)
+
+
+def _refuse(response: falcon.Response, error: MerlinstandError) -> None:
+    """Answer without the reducer; the connection's state is unknown, so it ends."""
+    response.status = type(error).http_status
+    response.content_type = "application/json"
+    response.data = error_body(error)
+    response.set_header("Connection", "close")
+    response.set_header("X-Outcome", "not_run")
+    response.set_header("X-Not-Run", "true")
+
+
+def _stop_watcher(watcher: EndWatcher | None) -> None:
+    if watcher is not None:
+        watcher.stop()
+
+
+def _serialize_falcon_error(
+    _request: falcon.Request, response: falcon.Response, error: falcon.HTTPError
+) -> None:
+    response.content_type = "application/json"
+    response.data = error_body(MalformedRequestError(detail=error.title or "bad request"))
+    response.set_header("X-Outcome", "not_run")
+
+
+def _reraise(_request: Any, _response: Any, error: BaseException, _params: Any) -> None:
+    raise error
--- /dev/null
+++ b/src/merlinstand/runtime/http_exchange.py
@@ -0,0 +1,146 @@
+"""One HTTP request at the door and the response that effects build for it."""
+
+import errno
+from collections import deque
+from collections.abc import Callable, Iterator
+
+from gevent.event import Event
+
+from merlinstand.common.ids import RequestId
+
+
+class BrokenResponseError(OSError):
+    """Ends a response's connection without its proper end, so that the client notices.
+
+    An `OSError` with `EPIPE` because pywsgi then closes the connection quietly.
+    """
+
+    def __init__(self) -> None:
+        """Create the error."""
+        super().__init__(errno.EPIPE, "response broken off")
+
+
+class Exchange:
+    """Carries a response from effects (any greenlet) to the connection's greenlet."""
+
+    def __init__(
+        self,
+        request_id: RequestId,
+        maximum_unsent_bytes: int,
+        on_closed: Callable[["Exchange"], None],
+    ) -> None:
+        """Create an exchange that waits for its response.
+
+        Args:
+            request_id: The host's name for the request.
+            maximum_unsent_bytes: A client that lags further behind is cut off.
+            on_closed: Called once, when the response ended or the client went away.
+        """
+        self.request_id = request_id
+        self.status = 0
+        self.headers: dict[str, str] = {}
+        self.body = b""
+        self.streamed = False
+        self.ended = False
+        """The reducer has said everything."""
+        self.aborted = False
+        """The client is gone, or the response can't be completed."""
+        self._whole = True
+        self._closed = False
+        self._pending: deque[bytes] = deque()
+        self._pending_bytes = 0
+        self._maximum_unsent_bytes = maximum_unsent_bytes
+        self._changed = Event()
+        self._on_closed = on_closed
+
+    def respond(self, status: int, headers: dict[str, str], body: bytes) -> None:
+        """Take the whole response."""
+        if self.status:
+            return
+        self.status = status
+        self.headers = headers
+        self.body = body
+        self.ended = True
+        self._changed.set()
+
+    def start(self, status: int, headers: dict[str, str]) -> None:
+        """Take the head of a streamed response."""
+        if self.status:
+            return
+        self.status = status
+        self.headers = headers
+        self.streamed = True
+        self._changed.set()
+
+    def push(self, data: bytes) -> None:
+        """Take body bytes of a streamed response."""
+        if not self.streamed or self.ended or self.aborted or not data:
+            return
+        self._pending.append(data)
+        self._pending_bytes += len(data)
+        if self._pending_bytes > self._maximum_unsent_bytes:
+            self.abort()
+            return
+        self._changed.set()
+
+    def end(self, whole: bool) -> None:
+        """End a streamed response."""
+        if self.ended:
+            return
+        self.ended = True
+        self._whole = whole
+        self._changed.set()
+
+    def abort(self) -> None:
+        """Note that the client is gone."""
+        self.aborted = True
+        self._changed.set()
+
+    def wait_for_head(self) -> None:
+        """Block this greenlet until the head is known.
+
+        Raises:
+            BrokenResponseError: The client went away first.
+        """
+        while not self.status and not self.aborted:
+            self._changed.wait()
+            self._changed.clear()
+        if self.aborted:
+            raise BrokenResponseError
+
+    def chunks(self) -> Iterator[bytes]:
+        """Yield the body of a streamed response as it comes.
+
+        Raises:
+            BrokenResponseError: The response must not look complete.
+        """
+        try:
+            while True:
+                if self.aborted:
+                    raise BrokenResponseError
+                if self._pending:
+                    yield self._take_pending()
+                    continue
+                if self.ended:
+                    break
+                self._changed.clear()
+                self._changed.wait()
+            if not self._whole:
+                raise BrokenResponseError
+        finally:
+            self.close()
+
+    def close(self) -> None:
+        """Tell the owner, once, that nothing more will be sent."""
+        if not self._closed:
+            self._closed = True
+            self._on_closed(self)
+
+    def _take_pending(self) -> bytes:
+        if len(self._pending) == 1:
+            data = self._pending.popleft()
+        else:
+            data = b"".join(self._pending)
+            self._pending.clear()
+        self._pending_bytes = 0
+        return data
--- /dev/null
+++ b/src/merlinstand/runtime/http_server.py
@@ -0,0 +1,224 @@
+"""HTTP server on gevent.pywsgi with bounded, strict reading of requests."""
+
+import socket
+from http import HTTPStatus
+from typing import Any
+
+import gevent
+from gevent.pool import Pool
+from gevent.pywsgi import Input, WSGIHandler, WSGIServer
+from gevent.ssl import SSLContext
+from result import Err, Result
+
+from merlinstand.common.errors import MerlinstandError, error_body
+from merlinstand.runtime.errors import SlowRequestError
+from merlinstand.runtime.host_settings import HttpLimits
+from merlinstand.runtime.http_headers import RequestHead, read_request_head
+
+HEAD_KEY = "merlinstand.head"
+SOCKET_KEY = "merlinstand.socket"
+READ_DEADLINE_KEY = "merlinstand.read_deadline"
+_LINGER_SECONDS = 1.0
+_LINGER_BYTES = 4 * 1024 * 1024
+_LINGER_CHUNK_BYTES = 64 * 1024
+_MERGED_WRITE_BYTES = 64 * 1024
+"""Bodies up to this size leave in one write with their head."""
+
+
+class DoorInput(Input):
+    """A request's body. Unread rests are never awaited: their connection ends instead."""
+
+    __slots__ = ()
+
+    def _discard(self) -> None:
+        """Override: a bad client could otherwise keep the connection busy for long."""
+
+    @property
+    def is_consumed(self) -> bool:
+        """Whether the whole body was read."""
+        if self.chunked_input:
+            return bool(self.chunk_length == 0)
+        return bool(self.position >= (self.content_length or 0))
+
+
+class DoorServer(WSGIServer):
+    """Accepts connections up to a bound and serves a WSGI application."""
+
+    def __init__(
+        self,
+        listener: Any,
+        application: Any,
+        limits: HttpLimits,
+        tls_context: SSLContext | None,
+    ) -> None:
+        """Create a server; `start` makes it accept.
+
+        Args:
+            listener: `(ip, port)` to bind.
+            application: The WSGI application.
+            limits: Bounds on reading and writing.
+            tls_context: Set to speak TLS.
+        """
+        tls = {} if tls_context is None else {"ssl_context": tls_context}
+        super().__init__(
+            listener,
+            application,
+            spawn=Pool(limits.maximum_connections),
+            log=None,
+            error_log=None,
+            handler_class=DoorHandler,
+            environ={"SERVER_NAME": "merlinstand"},
+            **tls,
+        )
+        self.limits = limits
+        self.closing = False
+        """Set during a planned stop: every response then ends its connection."""
+
+
+class DoorHandler(WSGIHandler):
+    """Serves the requests of one connection, one after the other."""
+
+    server: DoorServer
+
+    def handle_one_request(self) -> Any:
+        """Serve one request; see the base class for the meaning of the result."""
+        if not self._wait_for_first_byte():
+            return None
+        deadline = gevent.Timeout(self.server.limits.request_read_timeout_seconds)
+        deadline.start()
+        try:
+            result = read_request_head(self.rfile)
+        except gevent.Timeout as fired:
+            if fired is not deadline:
+                raise
+            return _early_error(SlowRequestError(detail="request head came too slowly"))
+        except OSError:
+            deadline.close()
+            return None
+        except BaseException:
+            deadline.close()
+            raise
+        if isinstance(result, Err) or result.ok_value is None:
+            deadline.close()
+            return self._refuse(result)
+        try:
+            return self._serve(result.ok_value, deadline)
+        finally:
+            deadline.close()
+
+    def _wait_for_first_byte(self) -> bool:
+        self.socket.settimeout(self.server.limits.idle_connection_seconds)
+        try:
+            return bool(self.rfile.peek(1))
+        except OSError:
+            return False
+
+    def _refuse(self, result: Result[RequestHead | None, MerlinstandError]) -> Any:
+        if isinstance(result, Err):
+            return _early_error(result.err_value)
+        return None
+
+    def _serve(self, head: RequestHead, deadline: gevent.Timeout) -> Any:
+        self.command = head.method
+        self.path = head.target
+        self.request_version = f"HTTP/{head.version}"
+        self.requestline = head.target
+        self.close_connection = not head.keep_alive
+        self.content_length = head.content_length
+        self.environ = self._make_environ(head, deadline)
+        self.application = self.server.application
+        self.socket.settimeout(self.server.limits.response_write_timeout_seconds)
+        self.handle_one_response()
+        if not self.wsgi_input.is_consumed:
+            self._linger()
+            return None
+        return None if self.close_connection else True
+
+    def _linger(self) -> None:
+        """Let the client read its answer before the connection is reset.
+
+        Closing with unread bytes makes the kernel send a reset, which can overtake the
+        answer. So a bounded rest of the request is read and thrown away first.
+        """
+        with gevent.Timeout(_LINGER_SECONDS, False):
+            try:
+                self.socket.shutdown(socket.SHUT_WR)
+                left = _LINGER_BYTES
+                while left > 0:
+                    data = self.socket.recv(_LINGER_CHUNK_BYTES)
+                    if not data:
+                        break
+                    left -= len(data)
+            except OSError:
+                return
+
+    def _make_environ(self, head: RequestHead, deadline: gevent.Timeout) -> dict[str, Any]:
+        environ = self.server.get_environ()
+        path, _mark, query = head.target.partition("?")
+        expects = head.headers.get("expect", "").lower() == "100-continue"
+        self.wsgi_input = DoorInput(
+            self.rfile,
+            head.content_length,
+            socket=self.socket if expects else None,
+            chunked_input=head.chunked,
+        )
+        environ["REQUEST_METHOD"] = head.method
+        environ["PATH_INFO"] = path
+        environ["QUERY_STRING"] = query
+        environ["SERVER_PROTOCOL"] = self.request_version
+        environ["REMOTE_ADDR"] = self.client_address[0]
+        environ["wsgi.input"] = self.wsgi_input
+        environ["wsgi.input_terminated"] = True
+        environ[HEAD_KEY] = head
+        environ[SOCKET_KEY] = self.socket
+        environ[READ_DEADLINE_KEY] = deadline
+        return environ
+
+    def start_response(self, status: str, headers: Any, exc_info: Any = None) -> Any:
+        """Begin a response; see the base class."""
+        if self.server.closing:
+            self.close_connection = True
+        write = super().start_response(status, headers, exc_info)
+        if self.close_connection and not any(name == "Connection" for name, _value in headers):
+            self.response_headers.append((b"Connection", b"close"))
+        return write
+
+    def process_result(self) -> None:
+        """Write the body; a streamed one sends its head at once."""
+        if not hasattr(self.result, "__len__"):
+            self.write(b"")
+        super().process_result()
+
+    def _write_with_headers(self, data: bytes) -> None:
+        self.headers_sent = True
+        self.finalize_headers()
+        lines = [b"HTTP/1.1 ", self.status, b"\r\n"]
+        for name, value in self.response_headers:
+            lines += (name, b": ", value, b"\r\n")
+        lines.append(b"\r\n")
+        if data and not self.response_use_chunked and len(data) <= _MERGED_WRITE_BYTES:
+            lines.append(data)
+            self._sendall(b"".join(lines))
+            return
+        self._sendall(b"".join(lines))
+        self._write(data)
+
+    def log_request(self) -> None:
+        """Write no access log; the reducers log what matters."""
+
+    def log_error(self, msg: str, *args: Any) -> None:
+        """Write no error log; bad clients get typed answers."""
+
+
+def _early_error(error: MerlinstandError) -> tuple[str, bytes]:
+    """Give the response to a request that could not be read, as pywsgi wants it."""
+    status = HTTPStatus(type(error).http_status)
+    body = error_body(error)
+    head = (
+        f"HTTP/1.1 {status.value} {status.phrase}\r\n"
+        "Content-Type: application/json\r\n"
+        "X-Outcome: not_run\r\n"
+        f"Content-Length: {len(body)}\r\n"
+        "Connection: close\r\n\r\n"
+    )
+    return str(status.value), head.encode("ascii") + body
--- /dev/null
+++ b/src/merlinstand/runtime/record_writer.py
@@ -0,0 +1,42 @@
+"""Record files of the laboratory's stand-ins: one JSON line for each record."""
+
+import os
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+_FLAGS = os.O_WRONLY | os.O_CREAT | os.O_APPEND
+_MODE = 0o644
+
+
+class RecordWriter:
+    """Appends lines to `FOLDER/STREAM.jsonl`.
+
+    Each line goes to the kernel in one write, so a killed process loses none.
+    """
+
+    def __init__(self, folder: str) -> None:
+        """Create the folder if need be."""
+        self._folder = Path(folder)
+        self._folder.mkdir(parents=True, exist_ok=True)
+        self._descriptors: dict[str, int] = {}
+
+    def write(self, stream: str, record: Any) -> None:
+        """Append one record.
+
+        Args:
+            stream: File name without suffix.
+            record: A msgspec Struct.
+        """
+        descriptor = self._descriptors.get(stream)
+        if descriptor is None:
+            descriptor = os.open(self._folder / f"{stream}.jsonl", _FLAGS, _MODE)
+            self._descriptors[stream] = descriptor
+        os.write(descriptor, msgspec.json.encode(record) + b"\n")
+
+    def close(self) -> None:
+        """Close all files."""
+        for descriptor in self._descriptors.values():
+            os.close(descriptor)
+        self._descriptors.clear()
--- /dev/null
+++ b/src/merlinstand/runtime/tls.py
@@ -0,0 +1,43 @@
+"""TLS contexts for the HTTP door, the HTTP client and the internal transport."""
+
+import ssl
+
+from gevent.ssl import SSLContext
+from result import Err, Ok, Result
+
+from merlinstand.runtime.errors import HostSetupError
+from merlinstand.runtime.host_settings import TlsFiles
+
+
+def server_context(files: TlsFiles) -> Result[SSLContext, HostSetupError]:
+    """Make the context of an HTTP door: clients need no certificate."""
+    return _context(files, ssl.PROTOCOL_TLS_SERVER, ssl.CERT_NONE)
+
+
+def internal_server_context(files: TlsFiles) -> Result[SSLContext, HostSetupError]:
+    """Make the context of the internal door: peers show a certificate of the authority."""
+    return _context(files, ssl.PROTOCOL_TLS_SERVER, ssl.CERT_REQUIRED)
+
+
+def client_context(files: TlsFiles) -> Result[SSLContext, HostSetupError]:
+    """Make the context for connections to peers.
+
+    Peers are named by IP number and may move, so the authority's signature is checked
+    and the host name is not.
+    """
+    return _context(files, ssl.PROTOCOL_TLS_CLIENT, ssl.CERT_REQUIRED)
+
+
+def _context(
+    files: TlsFiles, protocol: int, verify_mode: ssl.VerifyMode
+) -> Result[SSLContext, HostSetupError]:
+    context = SSLContext(protocol)
+    context.minimum_version = ssl.TLSVersion.TLSv1_2
+    context.check_hostname = False
+    context.verify_mode = verify_mode
+    try:
+        context.load_cert_chain(files.certificate, files.private_key)
+        context.load_verify_locations(files.authority)
+    except (OSError, ssl.SSLError) as error:
+        return Err(HostSetupError(detail=f"TLS files: {error}"))
+    return Ok(context)
--- /dev/null
+++ b/src/merlinstand/runtime/transport.py
@@ -0,0 +1,241 @@
+"""The internal protocol over TCP: thrift messages in frames, one connection a direction.
+
+Each process listens on one address and opens one connection to each peer that it sends
+to. A `Hello` comes first on every connection. Messages may be lost (queues are bounded,
+connections break); they are never sent twice.
+"""
+
+from collections.abc import Callable, Iterator
+from typing import Any
+
+import gevent
+from gevent.pool import Pool
+from gevent.server import StreamServer
+from gevent.ssl import SSLContext
+from prometheus_client.core import CounterMetricFamily
+from result import Err
+
+from merlinstand.common import constants
+from merlinstand.common.ids import NodeId
+from merlinstand.kernel.events import Event, MessageReceived
+from merlinstand.protocol.codec import decode_message, encode_message
+from merlinstand.protocol.generated.control.ttypes import Hello
+from merlinstand.runtime.addresses import parse_address
+from merlinstand.runtime.frames import FrameReader, encode_frame
+from merlinstand.runtime.logs import EventLog
+from merlinstand.runtime.transport_peer import PeerLink
+
+HELLO_TIMEOUT_SECONDS = 5.0
+MAXIMUM_HELLO_BYTES = 4096
+MAXIMUM_INBOUND_CONNECTIONS = 4096
+RECEIVE_BYTES = 256 * 1024
+
+
+class TransportCounters:
+    """What went over the wire, for `/metrics` and for measurements."""
+
+    def __init__(self) -> None:
+        """Start at zero."""
+        self.messages_sent = 0
+        self.messages_received = 0
+        self.bytes_sent = 0
+        self.bytes_received = 0
+        self.messages_dropped = 0
+        self.frames_refused = 0
+        self.sent_by_class: dict[str, int] = {}
+        self.received_by_class: dict[str, int] = {}
+
+    def note_sent(self, message_name: str, size_bytes: int) -> None:
+        """Count a message handed to a connection's queue."""
+        self.messages_sent += 1
+        self.bytes_sent += size_bytes
+        self.sent_by_class[message_name] = self.sent_by_class.get(message_name, 0) + 1
+
+    def note_received(self, message_name: str, size_bytes: int) -> None:
+        """Count a message that arrived whole."""
+        self.messages_received += 1
+        self.bytes_received += size_bytes
+        self.received_by_class[message_name] = self.received_by_class.get(message_name, 0) + 1
+
+    def collect(self) -> Iterator[CounterMetricFamily]:
+        """Export in prometheus_client's collector interface."""
+        messages = CounterMetricFamily(
+            "merlinstand_internal_messages",
+            "Messages of the internal protocol",
+            labels=("direction", "message"),
+        )
+        for direction, counts in (
+            ("sent", self.sent_by_class),
+            ("received", self.received_by_class),
+        ):
+            for message_name, count in counts.items():
+                messages.add_metric((direction, message_name), count)
+        yield messages
+        sizes = CounterMetricFamily(
+            "merlinstand_internal_bytes",
+            "Bytes of the internal protocol, with framing",
+            labels=("direction",),
+        )
+        sizes.add_metric(("sent",), self.bytes_sent)
+        sizes.add_metric(("received",), self.bytes_received)
+        yield sizes
+        losses = CounterMetricFamily(
+            "merlinstand_internal_losses",
+            "Messages dropped before sending, and frames refused",
+            labels=("reason",),
+        )
+        losses.add_metric(("dropped",), self.messages_dropped)
+        losses.add_metric(("refused",), self.frames_refused)
+        yield losses
+
+
+class Transport:
+    """Sends and receives messages for one node."""
+
+    def __init__(
+        self,
+        node_id: NodeId,
+        submit: Callable[[Event], None],
+        log: EventLog,
+        server_context: SSLContext | None = None,
+        client_context: SSLContext | None = None,
+    ) -> None:
+        """Create a transport that does not listen yet.
+
+        Args:
+            node_id: This node's name, told in `Hello`.
+            submit: Hands an event to the reducer.
+            log: For refused connections and frames.
+            server_context: Set to accept TLS only.
+            client_context: Set to connect by TLS.
+        """
+        self.counters = TransportCounters()
+        self.address = ""
+        self._node_id = node_id
+        self._incarnation = 0
+        self._submit = submit
+        self._log = log
+        self._server_context = server_context
+        self._client_context = client_context
+        self._addresses: dict[NodeId, str] = {}
+        self._links: dict[NodeId, PeerLink] = {}
+        self._server: StreamServer | None = None
+
+    def start(self, listen_address: str, incarnation: int) -> None:
+        """Listen for peers.
+
+        Raises:
+            OSError: The address can't be taken.
+            ValueError: It is no `ip:port`.
+        """
+        parsed = parse_address(listen_address)
+        if isinstance(parsed, Err):
+            raise ValueError(parsed.err_value.detail)
+        self._incarnation = incarnation
+        tls = {} if self._server_context is None else {"ssl_context": self._server_context}
+        self._server = StreamServer(
+            parsed.ok_value.as_pair(), self._receive, spawn=Pool(MAXIMUM_INBOUND_CONNECTIONS), **tls
+        )
+        self._server.start()
+        self.address = f"{parsed.ok_value.ip}:{self._server.server_port}"
+
+    def learn(self, node_id: NodeId, address: str) -> None:
+        """Remember where a node listens."""
+        if not address or self._addresses.get(node_id) == address:
+            return
+        self._addresses[node_id] = address
+        link = self._links.get(node_id)
+        if link is not None:
+            link.change_address(address)
+
+    def send(self, receiver: NodeId, message: Any) -> None:
+        """Queue a message; it is dropped if the node's address is unknown."""
+        frame = encode_frame(encode_message(message))
+        link = self._links.get(receiver)
+        if link is None:
+            address = self._addresses.get(receiver)
+            if address is None:
+                self.counters.messages_dropped += 1
+                return
+            link = self._open_link(receiver, address)
+        self.counters.note_sent(type(message).__name__, len(frame))
+        self.counters.messages_dropped += link.push(frame)
+
+    def flush(self, timeout_seconds: float) -> None:
+        """Wait a bounded time until all queued messages are handed to the kernel."""
+        with gevent.Timeout(timeout_seconds, False):
+            for link in list(self._links.values()):
+                link.wait_until_sent()
+
+    def close(self) -> None:
+        """Close all connections."""
+        if self._server is not None:
+            self._server.stop(timeout=0)
+        for link in self._links.values():
+            link.close()
+        self._links.clear()
+
+    def _open_link(self, receiver: NodeId, address: str) -> PeerLink:
+        hello = Hello(node_id=self._node_id, incarnation=self._incarnation, address=self.address)
+        link = PeerLink(address, encode_frame(encode_message(hello)), self._client_context)
+        self._links[receiver] = link
+        return link
+
+    def _receive(self, connection: Any, address: Any) -> None:
+        """Serve one inbound connection; whatever is wrong ends only this connection."""
+        try:
+            self._read_frames(connection)
+        except OSError:
+            pass
+        except InboundRefusedError as error:
+            self.counters.frames_refused += 1
+            self._log.write(
+                "transport.refused", {"peer": address[0], "reason": str(error)}, "warning"
+            )
+        finally:
+            connection.close()
+
+    def _read_frames(self, connection: Any) -> None:
+        reader = FrameReader(MAXIMUM_HELLO_BYTES)
+        sender: NodeId | None = None
+        connection.settimeout(HELLO_TIMEOUT_SECONDS)
+        while True:
+            data = connection.recv(RECEIVE_BYTES)
+            if not data:
+                return
+            reader.feed(data)
+            while (frame := self._next_frame(reader)) is not None:
+                message = _decode(frame)
+                if sender is None:
+                    sender = self._greet(message)
+                    reader.maximum_frame_bytes = constants.MAXIMUM_MESSAGE_BYTES
+                    connection.settimeout(None)
+                    continue
+                self.counters.note_received(type(message).__name__, len(frame))
+                self._submit(MessageReceived(sender, message))
+
+    def _next_frame(self, reader: FrameReader) -> bytes | None:
+        result = reader.next_frame()
+        if isinstance(result, Err):
+            raise InboundRefusedError(result.err_value.detail)
+        return result.ok_value
+
+    def _greet(self, message: Any) -> NodeId:
+        if not isinstance(message, Hello):
+            raise InboundRefusedError("first message is not Hello")
+        sender = NodeId(message.node_id)
+        if message.address and isinstance(parse_address(message.address), Err):
+            raise InboundRefusedError("Hello with a bad address")
+        self.learn(sender, message.address)
+        return sender
+
+
+class InboundRefusedError(Exception):
+    """A peer broke the protocol; its connection ends."""
+
+
+def _decode(frame: bytes) -> Any:
+    result = decode_message(frame)
+    if isinstance(result, Err):
+        raise InboundRefusedError(result.err_value.detail)
+    return result.ok_value
--- /dev/null
+++ b/src/merlinstand/runtime/transport_peer.py
@@ -0,0 +1,141 @@
+"""The outbound connection to one peer."""
+
+import random
+import socket
+from collections import deque
+from typing import Any
+
+import gevent
+from gevent import socket as gevent_socket
+from gevent.event import Event
+from gevent.ssl import SSLContext
+from result import Err
+
+from merlinstand.runtime.addresses import parse_address
+from merlinstand.runtime.end_watcher import EndWatcher
+
+MAXIMUM_QUEUED_FRAMES = 4096
+MAXIMUM_QUEUED_BYTES = 128 * 1024 * 1024
+CONNECT_TIMEOUT_SECONDS = 1.0
+SEND_TIMEOUT_SECONDS = 5.0
+FIRST_BACK_OFF_SECONDS = 0.05
+LONGEST_BACK_OFF_SECONDS = 1.0
+MERGED_SEND_BYTES = 256 * 1024
+
+
+class PeerLink:
+    """Queues frames and sends them over one connection, which it reopens as needed."""
+
+    def __init__(self, address: str, hello_frame: bytes, tls_context: SSLContext | None) -> None:
+        """Start connecting.
+
+        Args:
+            address: Where the peer listens.
+            hello_frame: First frame of every connection.
+            tls_context: Set to connect by TLS.
+        """
+        self._address = address
+        self._hello_frame = hello_frame
+        self._tls_context = tls_context
+        self._queue: deque[bytes] = deque()
+        self._queued_bytes = 0
+        self._wake = Event()
+        self._sent = Event()
+        self._socket: Any = None
+        self._end_watcher: EndWatcher | None = None
+        self._greenlet = gevent.spawn(self._run)
+
+    def push(self, frame: bytes) -> int:
+        """Queue a frame.
+
+        Returns:
+            How many older frames were dropped to keep the queue bounded.
+        """
+        self._queue.append(frame)
+        self._queued_bytes += len(frame)
+        dropped = 0
+        while len(self._queue) > 1 and self._is_too_full():
+            self._queued_bytes -= len(self._queue.popleft())
+            dropped += 1
+        self._sent.clear()
+        self._wake.set()
+        return dropped
+
+    def change_address(self, address: str) -> None:
+        """Follow the peer to another address."""
+        self._address = address
+        self._disconnect()
+
+    def wait_until_sent(self) -> None:
+        """Block this greenlet until the queue is empty."""
+        if self._queue:
+            self._sent.wait()
+
+    def close(self) -> None:
+        """Close the connection and forget what is queued."""
+        self._greenlet.kill(block=False)
+        self._disconnect()
+
+    def _is_too_full(self) -> bool:
+        return len(self._queue) > MAXIMUM_QUEUED_FRAMES or self._queued_bytes > MAXIMUM_QUEUED_BYTES
+
+    def _run(self) -> None:
+        back_off_seconds = FIRST_BACK_OFF_SECONDS
+        while True:
+            self._wake.wait()
+            self._wake.clear()
+            while self._queue:
+                try:
+                    self._send_some()
+                    back_off_seconds = FIRST_BACK_OFF_SECONDS
+                except OSError:
+                    self._disconnect()
+                    # Random, so that a crowd does not reconnect in step.
+                    gevent.sleep(back_off_seconds * random.uniform(0.5, 1.0))
+                    back_off_seconds = min(back_off_seconds * 2, LONGEST_BACK_OFF_SECONDS)
+            self._sent.set()
+
+    def _send_some(self) -> None:
+        connection = self._socket or self._connect()
+        frames: list[bytes] = []
+        size = 0
+        while self._queue and size < MERGED_SEND_BYTES:
+            frame = self._queue.popleft()
+            size += len(frame)
+            frames.append(frame)
+        self._queued_bytes -= size
+        # Frames of a failed send are lost: part of them may have arrived, and a message
+        # must never be sent twice.
+        connection.sendall(frames[0] if len(frames) == 1 else b"".join(frames))
+
+    def _connect(self) -> Any:
+        parsed = parse_address(self._address)
+        if isinstance(parsed, Err):
+            raise OSError(parsed.err_value.detail)
+        target = parsed.ok_value
+        family = socket.AF_INET6 if ":" in target.ip else socket.AF_INET
+        connection: Any = gevent_socket.socket(family, socket.SOCK_STREAM)
+        try:
+            connection.settimeout(CONNECT_TIMEOUT_SECONDS)
+            connection.connect(target.as_pair())
+            connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            if self._tls_context is not None:
+                connection = self._tls_context.wrap_socket(connection)
+            connection.settimeout(SEND_TIMEOUT_SECONDS)
+            connection.sendall(self._hello_frame)
+        except BaseException:
+            connection.close()
+            raise
+        self._socket = connection
+        # The peer's end is noticed at once, so that the next frame opens a new connection.
+        self._end_watcher = EndWatcher(connection, self._disconnect)
+        return connection
+
+    def _disconnect(self) -> None:
+        if self._end_watcher is not None:
+            self._end_watcher.stop()
+            self._end_watcher = None
+        connection = self._socket
+        self._socket = None
+        if connection is not None:
+            connection.close()
