--- a/src/merlinstand/runtime/host.py
+++ b/src/merlinstand/runtime/host.py
@@ -169,6 +169,15 @@
             while self._door.open_count:
                 gevent.sleep(0.005)
         self.transport.flush(FLUSH_SECONDS)
+        self._close()
+
+    def abort(self) -> None:
+        """Close everything at once, as far as a crash can be imitated in a shared process."""
+        self.request_exit(EXIT_FORCED)
+        self._timers.close()
+        self._close()
+
+    def _close(self) -> None:
         self._client.close()
         self.transport.close()
         if self._server is not None:
