--- /dev/null
+++ b/src/merlinstand_lab/capacity/measurements/__init__.py
@@ -0,0 +1,1 @@
+"""One module a measurement; each returns rows for its CSV file."""
--- /dev/null
+++ b/src/merlinstand_lab/capacity/topology.py
@@ -0,0 +1,143 @@
+"""Specs of control groups and hollow fleets on loopback."""
+
+import socket
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from merlinstand.control.settings import ControlMember, ControlSettings, ControlTimings
+from merlinstand.runtime.host_settings import HostSettings
+from merlinstand.session.settings import SessionSettings, SessionTimings
+from merlinstand_lab.capacity.session_daemon import SessionDaemonSettings
+from merlinstand_lab.capacity.targets import TARGET
+from merlinstand_lab.capacity.worker_spec import HostedKind, HostedSpec
+
+LOOPBACK = "127.0.0.1"
+
+
+def free_addresses(count: int) -> list[str]:
+    """Return distinct loopback addresses whose ports were free a moment ago."""
+    sockets = []
+    try:
+        for _ in range(count):
+            listener = socket.socket()
+            listener.bind((LOOPBACK, 0))
+            sockets.append(listener)
+        return [f"{LOOPBACK}:{listener.getsockname()[1]}" for listener in sockets]
+    finally:
+        for listener in sockets:
+            listener.close()
+
+
+def zone_name(number: int) -> str:
+    """Return the zone of the `number`-th machine, spread evenly over regions and zones."""
+    zone = number % TARGET.zones
+    return f"region-{zone % TARGET.regions}-zone-{zone}"
+
+
+def region_of(zone: str) -> str:
+    """Return a zone's region."""
+    return "-".join(zone.split("-")[:2])
+
+
+def hosted_spec(kind: HostedKind, host: HostSettings, settings: Any) -> HostedSpec:
+    """Make a spec from typed settings."""
+    return HostedSpec(kind=kind, host=host, settings=msgspec.Raw(msgspec.json.encode(settings)))
+
+
+def control_members(replicas: int) -> tuple[ControlMember, ...]:
+    """Name the replicas of a new control group and give them addresses."""
+    internal = free_addresses(2 * replicas)
+    return tuple(
+        ControlMember(
+            node_id=f"control-{number}",
+            address=internal[2 * number],
+            zone=zone_name(number),
+            http_address=internal[2 * number + 1],
+        )
+        for number in range(replicas)
+    )
+
+
+def control_spec(
+    member: ControlMember,
+    members: tuple[ControlMember, ...],
+    folder: Path,
+    timings: ControlTimings,
+) -> HostedSpec:
+    """Return the spec of one control replica."""
+    settings = ControlSettings(
+        node_id=member.node_id,
+        zone=member.zone,
+        members=members,
+        http_address=member.http_address,
+        timings=timings,
+    )
+    host = HostSettings(
+        node_id=member.node_id,
+        http_address=member.http_address,
+        internal_address=member.address,
+        data_folder=str(folder / member.node_id),
+        peers={other.node_id: other.address for other in members},
+        seed=int(member.node_id.rpartition("-")[2]) + 1,
+        log_level="warning",
+    )
+    return hosted_spec(HostedKind.CONTROL, host, settings)
+
+
+def session_specs(
+    count: int,
+    members: tuple[ControlMember, ...],
+    folder: Path,
+    timings: SessionTimings,
+    first_number: int = 0,
+) -> list[HostedSpec]:
+    """Return the specs of hollow daemons that register and keep one lease each.
+
+    Their names are `daemon-N`, their zones take turns.
+    """
+    addresses = free_addresses(count)
+    return [
+        _session_spec(number, address, members, folder, timings)
+        for number, address in enumerate(addresses, start=first_number)
+    ]
+
+
+def _session_spec(
+    number: int,
+    address: str,
+    members: tuple[ControlMember, ...],
+    folder: Path,
+    timings: SessionTimings,
+) -> HostedSpec:
+    node_id = f"daemon-{number}"
+    settings = SessionDaemonSettings(
+        session=SessionSettings(
+            node_id=node_id,
+            role="gateway",
+            zone=zone_name(number),
+            address=address,
+            http_address=address,
+            members=members,
+            timings=timings,
+        ),
+        leases=(f"gateway/{node_id}",),
+    )
+    return hosted_spec(
+        HostedKind.SESSION, session_host(node_id, address, members, folder), settings
+    )
+
+
+def session_host(
+    node_id: str, address: str, members: tuple[ControlMember, ...], folder: Path
+) -> HostSettings:
+    """Return the host of a hollow daemon: internal transport and journal, no HTTP door."""
+    return HostSettings(
+        node_id=node_id,
+        http_address="",
+        internal_address=address,
+        data_folder=str(folder / node_id),
+        peers={member.node_id: member.address for member in members},
+        log_level="warning",
+    )
