--- a/src/merlinstand/control/claims.py
+++ b/src/merlinstand/control/claims.py
@@ -71,6 +71,8 @@
         claim = self.claims.get(key)
         if claim is None:
             return Refused(code="not_found", detail="no such claim")
+        # Every claim has its own owner_incarnation (a fencing number made by the gateway), so a
+        # late outcome of an earlier claim of the key can't end a later one.
         if (claim.owner, claim.owner_incarnation) != (command.owner, command.owner_incarnation):
             return Refused(code="conflict", detail="claimed by somebody else")
         if claim.recorded != "pending":
--- a/src/merlinstand/control/commands.py
+++ b/src/merlinstand/control/commands.py
@@ -253,7 +253,16 @@
     """Newest published version at the commit, against which staleness was judged."""
 
 
-AnyOutcome = Done | Refused | LeaseGranted | LeaseHeld | ClaimGranted | ClaimTaken | BatchCommitted
+AnyOutcome = (
+    Done
+    | Refused
+    | LeaseGranted
+    | LeasesRenewed
+    | LeaseHeld
+    | ClaimGranted
+    | ClaimTaken
+    | BatchCommitted
+)
 
 _COMMAND_DECODER = msgspec.msgpack.Decoder(AnyCommand)
 _OUTCOME_DECODER = msgspec.msgpack.Decoder(AnyOutcome)
--- /dev/null
+++ b/src/merlinstand/control/validation.py
@@ -0,0 +1,143 @@
+"""What a configuration object must fulfil to be accepted, whatever the rest of the state.
+
+These checks run on every replica, so they depend on nothing but the object and on no
+library whose verdict could change between versions. Policies are compiled by the leader
+before it proposes (`control.acceptance`).
+"""
+
+import math
+import re
+
+import msgspec
+
+from merlinstand.configuration.objects import (
+    ConfigurationObject,
+    Daemon,
+    Drain,
+    Job,
+    Limits,
+    Pool,
+    PoolKind,
+    Weights,
+    decode_object,
+)
+
+MAXIMUM_NAME_CHARACTERS = 200
+MAXIMUM_OBJECT_BYTES = 4 * 1024 * 1024
+MAXIMUM_BATCH_SIZE = 16_384
+MAXIMUM_BACKENDS = 20_000
+
+_NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._:@+-]*", re.ASCII)
+_ADDRESS = re.compile(r"(\[[0-9a-fA-F:.%]+\]|[0-9]{1,3}(?:\.[0-9]{1,3}){3}):([0-9]{1,5})", re.ASCII)
+
+
+class ValidObject(msgspec.Struct, frozen=True):
+    """An object that may be stored under its key."""
+
+    value: ConfigurationObject
+
+
+class InvalidObject(msgspec.Struct, frozen=True):
+    """Why an object is refused."""
+
+    detail: str
+
+
+def check_object(key: str, payload: bytes) -> ValidObject | InvalidObject:
+    """Decode an object and check it by itself."""
+    if len(payload) > MAXIMUM_OBJECT_BYTES:
+        return InvalidObject(f"larger than {MAXIMUM_OBJECT_BYTES} bytes")
+    prefix, _, name = key.partition("/")
+    if not is_name(name):
+        return InvalidObject(f"{key!r}: a key is KIND/NAME with letters, digits and ._:@+-")
+    try:
+        value = decode_object(key, payload)
+    except KeyError:
+        return InvalidObject(f"unknown kind {prefix!r}")
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        return InvalidObject(f"not a valid {prefix}: {error}")
+    detail = _find_fault(name, value)
+    return InvalidObject(f"{key}: {detail}") if detail else ValidObject(value)
+
+
+def is_name(name: str) -> bool:
+    """Tell whether a name may stand in a key."""
+    return len(name) <= MAXIMUM_NAME_CHARACTERS and _NAME.fullmatch(name) is not None
+
+
+def is_address(address: str) -> bool:
+    """Tell whether a text is `ip:port`."""
+    match = _ADDRESS.fullmatch(address)
+    return match is not None and 0 < int(match.group(2)) < 65_536
+
+
+def _find_fault(name: str, value: ConfigurationObject) -> str:
+    match value:
+        case Pool():
+            return _pool_fault(name, value)
+        case Job():
+            return _job_fault(name, value)
+        case Weights():
+            return "weights change by publishing a version"
+        case Drain():
+            return "" if value.backend_id == name else "backend_id differs from the key"
+        case Limits():
+            return _limits_fault(name, value)
+        case Daemon():
+            return "" if value.node_id == name else "node_id differs from the key"
+
+
+def _pool_fault(name: str, pool: Pool) -> str:
+    if pool.name != name:
+        return "name differs from the key"
+    if pool.kind is PoolKind.ENGINE and not pool.model:
+        return "an engine pool needs a model"
+    if len(pool.backends) > MAXIMUM_BACKENDS:
+        return f"more than {MAXIMUM_BACKENDS} backends"
+    if len({backend.backend_id for backend in pool.backends}) != len(pool.backends):
+        return "a backend_id is named twice"
+    for backend in pool.backends:
+        if not is_name(backend.backend_id):
+            return f"bad backend_id {backend.backend_id!r}"
+        if not is_address(backend.address):
+            return f"backend {backend.backend_id}: address {backend.address!r} is not ip:port"
+    if not _is_positive(pool.request_timeout_seconds) or pool.maximum_concurrency < 1:
+        return "request_timeout_seconds and maximum_concurrency must be above 0"
+    return ""
+
+
+def _job_fault(name: str, job: Job) -> str:
+    if job.name != name:
+        return "name differs from the key"
+    if not job.model or not job.pool:
+        return "a job needs a model and a pool"
+    if not job.consumers or len(set(job.consumers)) != len(job.consumers):
+        return "a job needs consumers, each named once"
+    if not all(map(is_name, job.consumers)):
+        return "bad consumer name"
+    if not 1 <= job.batch_size <= MAXIMUM_BATCH_SIZE:
+        return f"batch_size must be 1 to {MAXIMUM_BATCH_SIZE}"
+    if job.samples_per_prompt < 1 or job.maximum_tokens < 1:
+        return "samples_per_prompt and maximum_tokens must be above 0"
+    if job.batch_size % job.samples_per_prompt:
+        return "batch_size must be a multiple of samples_per_prompt"
+    if not _is_positive(job.share):
+        return "share must be above 0"
+    if job.policy.maximum_staleness_versions < 0:
+        return "maximum_staleness_versions must not be negative"
+    for field in ("prompt_source", "scorer"):
+        address = getattr(job, field)
+        if address and not is_address(address):
+            return f"{field} {address!r} is not ip:port"
+    return ""
+
+
+def _limits_fault(name: str, limits: Limits) -> str:
+    if limits.caller != name:
+        return "caller differs from the key"
+    numbers = (limits.weight, limits.requests_per_second, limits.tokens_per_second)
+    return "" if all(map(_is_positive, numbers)) else "limits must be above 0"
+
+
+def _is_positive(number: float) -> bool:
+    return math.isfinite(number) and number > 0.0
--- /dev/null
+++ b/src/merlinstand/control/waiters.py
@@ -0,0 +1,82 @@
+"""Commands that were proposed and not yet decided, and who waits for their answers."""
+
+import msgspec
+
+from merlinstand.common.ids import NodeId, RequestId
+
+
+class SessionWaiter(msgspec.Struct, frozen=True):
+    """A daemon that is answered by message."""
+
+    node_id: NodeId
+
+
+class OperatorWaiter(msgspec.Struct, frozen=True):
+    """An operator's HTTP request."""
+
+    request_id: RequestId
+
+
+Waiter = SessionWaiter | OperatorWaiter
+
+
+class PendingCommand(msgspec.Struct):
+    """One proposed command."""
+
+    command_id: str
+    digest: int
+    index: int
+    term: int
+    proposed_at: float
+    """Local time in seconds."""
+    waiters: list[Waiter]
+
+
+class PendingCommands:
+    """Proposed commands by id and by log position."""
+
+    def __init__(self) -> None:
+        """Make an empty table."""
+        self._by_id: dict[str, PendingCommand] = {}
+        self._by_index: dict[int, PendingCommand] = {}
+
+    def __len__(self) -> int:
+        """Return how many commands wait."""
+        return len(self._by_id)
+
+    def find(self, command_id: str) -> PendingCommand | None:
+        """Return the pending command of an id."""
+        return self._by_id.get(command_id)
+
+    def add(self, pending: PendingCommand) -> None:
+        """Add a command that was just proposed."""
+        self._by_id[pending.command_id] = pending
+        self._by_index[pending.index] = pending
+
+    def take(self, index: int) -> PendingCommand | None:
+        """Remove and return the command proposed at a log position."""
+        pending = self._by_index.pop(index, None)
+        if pending is not None:
+            self._by_id.pop(pending.command_id, None)
+        return pending
+
+    def take_up_to(self, index: int) -> list[PendingCommand]:
+        """Remove and return every command proposed at or below a log position."""
+        positions = [position for position in self._by_index if position <= index]
+        return [pending for position in positions if (pending := self.take(position))]
+
+    def take_older(self, proposed_before: float) -> list[PendingCommand]:
+        """Remove and return the commands that have waited too long."""
+        positions = [
+            position
+            for position, pending in self._by_index.items()
+            if pending.proposed_at < proposed_before
+        ]
+        return [pending for position in positions if (pending := self.take(position))]
+
+    def forget_request(self, request_id: RequestId) -> None:
+        """Forget an operator who went away; the command itself goes on."""
+        waiter = OperatorWaiter(request_id)
+        for pending in self._by_id.values():
+            if waiter in pending.waiters:
+                pending.waiters.remove(waiter)
