--- /dev/null
+++ b/src/merlinstand/settings/deployment.py
@@ -0,0 +1,120 @@
+"""The settings file of a deployment: one file for all of its processes."""
+
+import msgspec
+
+from merlinstand.control.settings import ControlTimings
+from merlinstand.coordinator.settings import GenerationSettings, RolloutSettings
+from merlinstand.gateway.settings import (
+    AdmissionSettings,
+    ClaimSettings,
+    HealthSettings,
+    RequestSettings,
+)
+from merlinstand.routing.settings import RouterSettings
+from merlinstand.runtime.host_settings import HttpLimits, TlsFiles
+from merlinstand.session.settings import SessionTimings
+
+
+class DeploymentTable(msgspec.Struct, frozen=True, kw_only=True):
+    """`[deployment]`."""
+
+    name: str
+    region: str
+    zones: tuple[str, ...]
+
+
+class ControlTable(msgspec.Struct, frozen=True, kw_only=True):
+    """`[[control]]`: one control replica."""
+
+    node: str
+    zone: str
+    address: str
+    """`ip:port` of the internal protocol."""
+    http_address: str
+    """`ip:port` of the operators' API."""
+    standby: bool = False
+    """Not a founding voter, but taken in when a voter is lost."""
+
+
+class DaemonTable(msgspec.Struct, frozen=True, kw_only=True):
+    """`[[gateway]]` or `[[coordinator]]`: one daemon."""
+
+    node: str
+    zone: str
+    address: str
+    """`ip:port` of the internal protocol."""
+    http_address: str
+    """`ip:port` for callers or trainers."""
+
+
+class OperatorsTable(msgspec.Struct, frozen=True, kw_only=True):
+    """`[operators]`."""
+
+    token: str = ""
+    """Bearer token; needed when a control replica's API is bound beyond loopback."""
+
+
+class DataTable(msgspec.Struct, frozen=True, kw_only=True):
+    """`[data]`."""
+
+    folder: str = "data"
+    """Each process keeps its files in `FOLDER/NODE`; relative to the working directory."""
+
+
+class PlatformTable(msgspec.Struct, frozen=True, kw_only=True):
+    """`[platform]`: what is around the deployment."""
+
+    machine_list: str = ""
+    """`ip:port` of the list of live and leaving machines."""
+
+
+class LogsTable(msgspec.Struct, frozen=True, kw_only=True):
+    """`[logs]`."""
+
+    level: str = "info"
+    """`debug`, `info`, `warning` or `error`."""
+
+
+class ControlOptions(msgspec.Struct, frozen=True, kw_only=True):
+    """`[control_options]`."""
+
+    timings: ControlTimings = ControlTimings()
+
+
+class GatewayOptions(msgspec.Struct, frozen=True, kw_only=True):
+    """`[gateway_options]`."""
+
+    session: SessionTimings = SessionTimings()
+    admission: AdmissionSettings = AdmissionSettings()
+    requests: RequestSettings = RequestSettings()
+    claims: ClaimSettings = ClaimSettings()
+    health: HealthSettings = HealthSettings()
+    routing: RouterSettings = RouterSettings()
+
+
+class CoordinatorOptions(msgspec.Struct, frozen=True, kw_only=True):
+    """`[coordinator_options]`."""
+
+    session: SessionTimings = SessionTimings()
+    tick_seconds: float = 0.1
+    maximum_journal_records: int = 2_000
+    generation: GenerationSettings = GenerationSettings()
+    rollout: RolloutSettings = RolloutSettings()
+
+
+class DeploymentSettings(msgspec.Struct, frozen=True, kw_only=True):
+    """The whole file."""
+
+    deployment: DeploymentTable
+    control: tuple[ControlTable, ...]
+    gateway: tuple[DaemonTable, ...] = ()
+    coordinator: tuple[DaemonTable, ...] = ()
+    operators: OperatorsTable = OperatorsTable()
+    data: DataTable = DataTable()
+    platform: PlatformTable = PlatformTable()
+    logs: LogsTable = LogsTable()
+    http: HttpLimits = HttpLimits()
+    tls: TlsFiles | None = None
+    control_options: ControlOptions = ControlOptions()
+    gateway_options: GatewayOptions = GatewayOptions()
+    coordinator_options: CoordinatorOptions = CoordinatorOptions()
--- /dev/null
+++ b/src/merlinstand/settings/errors.py
@@ -0,0 +1,25 @@
+"""Failures of settings files."""
+
+from typing import ClassVar
+
+from merlinstand.common.errors import InvalidInputError
+
+
+class SettingsError(InvalidInputError, frozen=True, kw_only=True):
+    """A settings file can't be used; names the place, what is there and what should be."""
+
+    code: ClassVar[str] = "settings"
+
+    file: str
+    path: str = ""
+    """Place in the file, for example `gateway[1].http_address`."""
+    value: str = ""
+    """What stands there, or empty if it is missing."""
+    expected: str
+    """What should stand there."""
+
+    def describe(self) -> str:
+        """Give the error on one line."""
+        place = f"{self.file}: {self.path}" if self.path else self.file
+        found = f" = {self.value}" if self.value else ""
+        return f"{place}{found}: expected {self.expected}"
--- /dev/null
+++ b/src/merlinstand/settings/toml_file.py
@@ -0,0 +1,92 @@
+"""Reads a TOML file into a typed Struct; unknown keys are refused."""
+
+import re
+import tomllib
+from pathlib import Path
+from typing import Any, TypeVar
+
+import msgspec
+from result import Err, Ok, Result
+
+from merlinstand.settings.errors import SettingsError
+from merlinstand.settings.unknown_keys import find_unknown_key
+
+Settings = TypeVar("Settings")
+
+_PLACE = re.compile(r"^(?P<problem>.*?)(?: - at `\$(?P<path>[^`]*)`)?$", re.DOTALL)
+_INDEX = re.compile(r"\[(\d+)\]|\.?([^.\[\]]+)")
+_LONGEST_VALUE = 80
+
+
+def load_toml(path: str, settings_type: type[Settings]) -> Result[Settings, SettingsError]:
+    """Read and check a file.
+
+    Args:
+        path: The file.
+        settings_type: A msgspec Struct class.
+
+    Returns:
+        The settings, or the first fault with its place.
+    """
+    content = _read(path)
+    if isinstance(content, Err):
+        return content
+    raw = content.ok_value
+    unknown = find_unknown_key(settings_type, raw)
+    if unknown is not None:
+        return Err(
+            SettingsError(
+                file=path,
+                path=unknown.path,
+                value=_shown(unknown.value),
+                expected=f"one of the keys {', '.join(unknown.known_keys)}",
+            )
+        )
+    try:
+        return Ok(msgspec.convert(raw, settings_type))
+    except msgspec.ValidationError as error:
+        return Err(_from_validation(path, raw, str(error)))
+
+
+def _read(path: str) -> Result[dict[str, Any], SettingsError]:
+    try:
+        text = Path(path).read_bytes().decode("utf-8")
+    except OSError as error:
+        return Err(SettingsError(file=path, expected=f"a readable file ({error.strerror})"))
+    except UnicodeDecodeError as error:
+        return Err(SettingsError(file=path, expected=f"UTF-8 text ({error.reason})"))
+    try:
+        return Ok(tomllib.loads(text))
+    except tomllib.TOMLDecodeError as error:
+        return Err(SettingsError(file=path, expected=f"TOML ({error})"))
+
+
+def _from_validation(path: str, raw: dict[str, Any], message: str) -> SettingsError:
+    match = _PLACE.match(message)
+    problem = match["problem"] if match else message
+    place = ((match["path"] if match else None) or "").removeprefix(".")
+    missing = re.match(r"Object missing required field `([^`]+)`", problem)
+    if missing:
+        key = missing[1]
+        place = f"{place}.{key}" if place else key
+        return SettingsError(file=path, path=place, expected="a value (the key is missing)")
+    expected = re.sub(r"^Expected ", "", problem).split(", got ")[0]
+    return SettingsError(
+        file=path, path=place, value=_shown(_value_at(raw, place)), expected=expected
+    )
+
+
+def _value_at(raw: Any, place: str) -> Any:
+    for index, key in _INDEX.findall(place):
+        try:
+            raw = raw[int(index)] if index else raw[key]
+        except (KeyError, IndexError, TypeError):
+            return None
+    return raw
+
+
+def _shown(value: Any) -> str:
+    if value is None:
+        return ""
+    text = repr(value)
+    return text if len(text) <= _LONGEST_VALUE else text[: _LONGEST_VALUE - 1] + "…"
