--- a/src/merlinstand_lab/standins/engine.py
+++ b/src/merlinstand_lab/standins/engine.py
@@ -263,7 +263,7 @@
         request = self._generation(body, request_id)
         resume = body.resume
         if resume is not None and resume.handle and resume.source:
-            return effects + [self._start_import(request, resume.handle, resume.source)]
+            return [*effects, self._start_import(request, resume.handle, resume.source)]
         return effects + self._perform(self._model.submit(request, now), now)
 
     def _generation(self, body: CompletionBody, request_id: str) -> GenerationRequest:
--- a/src/merlinstand_lab/standins/scorer.py
+++ b/src/merlinstand_lab/standins/scorer.py
@@ -83,7 +83,7 @@
             return (door.respond_error(event.request_id, decoded.err_value),)
         if self._fault == "dead":
             return ()
-        digest = xxhash.xxh3_64_intdigest(decoded.ok_value.sample_id)
+        digest = xxhash.xxh3_64_intdigest(decoded.ok_value.sample_id.encode())
         answer = ScoreAnswer(digest % _SCORE_STEPS / _SCORE_STEPS)
         self._count += 1
         name = f"{_ANSWER_TIMER}{self._count}"
--- a/src/merlinstand_lab/standins/trainer.py
+++ b/src/merlinstand_lab/standins/trainer.py
@@ -1,23 +1,256 @@
-"""The `Trainer` stand-in."""
+"""The trainer stand-in: pulls batches, trains for a modelled time, publishes new weights."""
 
+import random
 from collections.abc import Sequence
 
-from merlinstand.kernel.effects import Effect
-from merlinstand.kernel.events import Event, Started
+import msgspec
+
+from merlinstand.common.ids import CallId
+from merlinstand.kernel.effects import (
+    CountMetric,
+    Effect,
+    LogEvent,
+    SetTimer,
+    StartCall,
+    StopProcess,
+    WriteRecord,
+)
+from merlinstand.kernel.events import (
+    CallFailed,
+    CallResponded,
+    Event,
+    RequestReceived,
+    Started,
+    StopRequested,
+    TimerFired,
+)
+from merlinstand_lab.records.kinds import SampleRecord, StepRecord
+from merlinstand_lab.standins import door
+from merlinstand_lab.standins.engine_model.text import parse_text
+from merlinstand_lab.standins.publisher import Publisher
 from merlinstand_lab.standins.settings import TrainerSettings
+from merlinstand_lab.standins.trainer_messages import (
+    PullBody,
+    PulledBatch,
+    PulledSample,
+    PullRefusal,
+)
+
+_PULL_TIMER = "trainer.pull"
+_STEP_TIMER = "trainer.step"
+_PULL_PREFIX = "pull."
+_FIRST_VERSION = 1
+
+
+class TrainerProgress(msgspec.Struct, frozen=True, kw_only=True):
+    """`GET /lab/progress`: for the launcher's display."""
+
+    consumer: str
+    steps: int
+    version: int
+    waiting: bool
+    samples: int
 
 
 class Trainer:
-    """Reducer of the `trainer` stand-in."""
+    """Reducer of one trainer."""
 
     def __init__(self, settings: TrainerSettings) -> None:
         """Keep the settings; `start` begins."""
         self._settings = settings
+        self._publisher = Publisher(settings)
+        self._version = 0
+        self._last_batch = 0
+        self._last_nonce = ""
+        self._nonce = ""
+        self._calls = 0
+        self._coordinator = 0
+        self._owner = ""
+        self._asked_at: float | None = None
+        self._step: StepRecord | None = None
+        self._samples = 0
 
     def start(self, event: Started, now: float) -> Sequence[Effect]:
-        """Begin."""
-        return ()
+        """Publish the first weights, or just begin to pull."""
+        self._random = random.Random(event.seed)
+        if self._settings.publishes:
+            return self._publisher.publish(_FIRST_VERSION)
+        return (self._pull(now),)
 
     def reduce(self, event: Event, now: float) -> Sequence[Effect]:
         """Take one event."""
-        return ()
+        match event:
+            case CallResponded() | CallFailed() | TimerFired() if self._publisher.handles(event):
+                return self._publishing(event, now)
+            case TimerFired(name=name) if name == _PULL_TIMER:
+                return (self._pull(now),)
+            case TimerFired(name=name) if name == _STEP_TIMER:
+                return self._step_ended(now)
+            case CallResponded() if event.call_id == self._current_call_id():
+                return self._pulled(event, now)
+            case CallFailed() if event.call_id == self._current_call_id():
+                return self._try_elsewhere()
+            case RequestReceived():
+                return (self._request(event),)
+            case StopRequested():
+                return (StopProcess(),)
+            case _:
+                return ()
+
+    def _request(self, event: RequestReceived) -> Effect:
+        """Show progress."""
+        common = door.respond_common(event, ready=True)
+        if common is not None:
+            return common
+        if door.route(event) != ("GET", "/lab/progress"):
+            return door.respond_not_found(event)
+        progress = TrainerProgress(
+            consumer=self._settings.consumer,
+            steps=self._last_batch,
+            version=self._version,
+            waiting=self._asked_at is not None,
+            samples=self._samples,
+        )
+        return door.respond_json(event.request_id, progress)
+
+    # --- publishing -----------------------------------------------------------------
+
+    def _publishing(
+        self, event: CallResponded | CallFailed | TimerFired, now: float
+    ) -> Sequence[Effect]:
+        """Go on with publishing; pull the next batch when it is over."""
+        was_idle = self._publisher.is_idle
+        effects = list(self._publisher.reduce(event, now))
+        if self._publisher.is_idle and not was_idle:
+            self._version += 1
+            effects += self._next_pull(now)
+        return effects
+
+    # --- pulling --------------------------------------------------------------------
+
+    def _next_pull(self, now: float) -> Sequence[Effect]:
+        """Ask for the next batch unless all steps are done."""
+        if 0 < self._settings.steps <= self._last_batch:
+            return (LogEvent("trainer.finished", {"steps": self._last_batch}),)
+        return (self._pull(now),)
+
+    def _current_call_id(self) -> CallId:
+        """Name of the latest pull; answers to earlier ones are dropped."""
+        return CallId(f"{_PULL_PREFIX}{self._calls}")
+
+    def _pull(self, now: float) -> Effect:
+        """Ask for the next batch under a new nonce."""
+        if self._asked_at is None:
+            self._asked_at = now
+        self._calls += 1
+        self._nonce = f"{self._settings.consumer}-{self._random.getrandbits(64):016x}"
+        body = PullBody(
+            consumer=self._settings.consumer,
+            last_received_batch=self._last_batch,
+            trainer_version=self._version,
+            nonce=self._nonce,
+            last_received_nonce=self._last_nonce,
+        )
+        coordinators = self._settings.coordinators
+        return StartCall(
+            call_id=self._current_call_id(),
+            address=self._owner or coordinators[self._coordinator % len(coordinators)],
+            method="POST",
+            path=f"/v1/jobs/{self._settings.job}/batches",
+            headers=dict(door.JSON_HEADERS),
+            body=msgspec.json.encode(body),
+            timeout_seconds=self._settings.request_timeout_seconds,
+        )
+
+    def _pulled(self, event: CallResponded, now: float) -> Sequence[Effect]:
+        """Take a batch, or find out why there is none."""
+        if event.status == 200:
+            batch = msgspec.json.decode(event.body, type=PulledBatch)
+            return self._received(batch, now)
+        refusal = _decode_refusal(event.body)
+        if event.status == 421 and refusal.owner:
+            moved = refusal.owner != self._owner
+            self._owner = refusal.owner
+            return (SetTimer(_PULL_TIMER, 0.0 if moved else self._settings.retry_seconds),)
+        if event.status in (202, 409):
+            delay = refusal.retry_after_seconds
+            return (
+                SetTimer(_PULL_TIMER, self._settings.retry_seconds if delay is None else delay),
+            )
+        return self._try_elsewhere()
+
+    def _try_elsewhere(self) -> Sequence[Effect]:
+        """Ask the next coordinator after a short while."""
+        self._owner = ""
+        self._coordinator += 1
+        return (SetTimer(_PULL_TIMER, self._settings.retry_seconds),)
+
+    def _received(self, batch: PulledBatch, now: float) -> Sequence[Effect]:
+        """Record every sample and train on the batch."""
+        if batch.nonce != self._nonce or batch.batch != self._last_batch + 1:
+            # An answer to an earlier attempt: it was voided, so it must not be trained on.
+            fields = {"batch": batch.batch, "nonce": batch.nonce}
+            drop = LogEvent("trainer.late_answer_dropped", fields, "warning")
+            return (drop, SetTimer(_PULL_TIMER, self._settings.retry_seconds))
+        assert self._asked_at is not None
+        self._last_batch = batch.batch
+        self._last_nonce = batch.nonce
+        self._samples += len(batch.samples)
+        if not self._settings.publishes:
+            self._version = batch.newest_version
+        self._step = StepRecord(
+            batch=batch.batch,
+            asked_at=self._asked_at,
+            received_at=now,
+            step_ended_at=now,
+            trainer_version=self._version,
+            consumer=self._settings.consumer,
+            job=self._settings.job,
+            samples=len(batch.samples),
+            newest_version=batch.newest_version,
+        )
+        self._asked_at = None
+        effects: list[Effect] = [self._record(sample, batch, now) for sample in batch.samples]
+        effects.append(CountMetric("trainer_samples_total", len(batch.samples)))
+        effects.append(SetTimer(_STEP_TIMER, self._settings.step_seconds))
+        return effects
+
+    def _record(self, sample: PulledSample, batch: PulledBatch, now: float) -> WriteRecord:
+        """Record of one sample, with what its text proves."""
+        record = SampleRecord(
+            sample_id=sample.sample_id,
+            job=sample.job,
+            prompt_id=sample.prompt_id,
+            attempt=sample.attempt,
+            batch=batch.batch,
+            trainer_version=self._version,
+            weight_versions=sample.weight_versions,
+            received_at=now,
+            newest_version=batch.newest_version,
+            consumer=self._settings.consumer,
+            token_count=sample.token_count,
+            slot=sample.slot,
+            produced=parse_text(sample.text).produced,
+        )
+        return WriteRecord(f"trainer-{self._settings.consumer}", record)
+
+    # --- training -------------------------------------------------------------------
+
+    def _step_ended(self, now: float) -> Sequence[Effect]:
+        """Record the step and publish the new weights."""
+        assert self._step is not None
+        step = msgspec.structs.replace(self._step, step_ended_at=now)
+        self._step = None
+        effects: list[Effect] = [WriteRecord(f"idle-{self._settings.consumer}", step)]
+        due = step.batch % self._settings.publish_every_steps == 0
+        if self._settings.publishes and due:
+            return [*effects, *self._publisher.publish(self._version + 1)]
+        return [*effects, *self._next_pull(now)]
+
+
+def _decode_refusal(body: bytes) -> PullRefusal:
+    """Decode an answer without a batch; anything else counts as an empty refusal."""
+    try:
+        return msgspec.json.decode(body, type=PullRefusal)
+    except msgspec.DecodeError:
+        return PullRefusal()
--- a/src/merlinstand_lab/standins/weight_store.py
+++ b/src/merlinstand_lab/standins/weight_store.py
@@ -79,7 +79,7 @@
             return (door.respond_error(event.request_id, decoded.err_value),)
         effects: list[Effect] = []
         if key not in self._versions:
-            digest = xxhash.xxh3_64_hexdigest(f"{key[0]}/{key[1]}")
+            digest = xxhash.xxh3_64_hexdigest(f"{key[0]}/{key[1]}".encode())
             self._versions[key] = StoredVersion(digest, decoded.ok_value.size_bytes)
             record = StoreRecord(model=key[0], version=key[1], digest=digest, published_at=now)
             effects.append(WriteRecord("store", record))
