--- a/src/merlinstand_lab/simulator/operator_settings.py
+++ b/src/merlinstand_lab/simulator/operator_settings.py
@@ -18,7 +18,7 @@
 
     operators: int = 2
     interval_seconds: float = 0.5
-    """Mean time between two writes of one operator."""
+    """Beat on which all operators write."""
     keys: int = 3
     resend_share: float = 0.2
     """Share of the answered commands that are sent once more under the same id."""
--- a/src/merlinstand_lab/simulator/operators.py
+++ b/src/merlinstand_lab/simulator/operators.py
@@ -14,6 +14,8 @@
 RECORD_STREAM = "operators"
 SCRIPT = "script"
 NOT_LEADER_STATUS = 421
+BUSY_STATUS = 503
+BEAT_JITTER_SECONDS = 0.002
 
 
 class Attempt(msgspec.Struct):
@@ -173,6 +175,8 @@
             return self._try_elsewhere(attempt, now)
         if event.status == NOT_LEADER_STATUS:
             return self._follow(attempt, body.leader, now)
+        if event.status == BUSY_STATUS:
+            return self._try_elsewhere(attempt, now)
         if body.outcome is not None:
             outcome = str(body.outcome.get("outcome", ""))
             code = str(body.outcome.get("code", ""))
@@ -237,8 +241,10 @@
             and self._random.random() < writes.resend_share
         ):
             return self._resend(attempt, now)
-        wait = self._random.expovariate(1.0 / writes.interval_seconds)
-        return (SetTimer(attempt.operator, wait),)
+        # All operators write on the same beat, so that they race with equal revisions.
+        wait = writes.interval_seconds - now % writes.interval_seconds
+        jitter = self._random.uniform(0.0, BEAT_JITTER_SECONDS)
+        return (SetTimer(attempt.operator, wait + jitter),)
 
     def _resend(self, attempt: Attempt, now: float) -> Sequence[Effect]:
         """Send an answered command once more, as if its answer had been lost."""
--- /dev/null
+++ b/src/merlinstand_lab/simulator/runner.py
@@ -0,0 +1,161 @@
+"""Runs one plan and judges it."""
+
+import time
+
+import msgspec
+
+from merlinstand_lab.checkers.verify import verify_records
+from merlinstand_lab.records.kinds import STREAM_TYPES, RunRecord
+from merlinstand_lab.records.record_set import RecordSet
+from merlinstand_lab.simulator.assembly import Assembly, assemble
+from merlinstand_lab.simulator.deployment import OPERATOR_TOKEN, Parts, lay_out
+from merlinstand_lab.simulator.injector import FaultInjector
+from merlinstand_lab.simulator.liveness import LivenessCheck
+from merlinstand_lab.simulator.observers import ProtocolObservers, Violation
+from merlinstand_lab.simulator.operator_settings import OperatorSettings
+from merlinstand_lab.simulator.scenario import Plan
+from merlinstand_lab.simulator.simulation import Simulation
+from merlinstand_lab.simulator.trace import TraceLevel
+
+CONFIGURE_AT_SECONDS = 1.0
+
+
+class RunResult(msgspec.Struct, frozen=True, kw_only=True):
+    """What came of one run."""
+
+    violations: list[Violation]
+    checked: dict[str, int]
+    """How many times each checker had something to judge."""
+    digest: str
+    """Digest of the trace, or of nothing if the run was not traced."""
+    virtual_seconds: float
+    real_seconds: float
+    events: int
+    messages: int
+    lines: list[str] = []
+    """The trace, if its text was asked for."""
+
+    @property
+    def passed(self) -> bool:
+        """Whether no promise was broken."""
+        return not self.violations
+
+
+class Run:
+    """One simulated deployment with its observers."""
+
+    def __init__(
+        self,
+        plan: Plan,
+        seed: int,
+        trace_level: TraceLevel = TraceLevel.NONE,
+        encode_messages: bool = False,
+    ) -> None:
+        """Set everything up; nothing happens yet."""
+        self.plan = plan
+        self.simulation = Simulation(seed, plan.fleet.sizes.topology, trace_level, encode_messages)
+        self.observers = ProtocolObservers()
+        self.simulation.network.observers.extend(self.observers.all)
+        self.assembly: Assembly = assemble(
+            self.simulation, plan.fleet, self._operator_settings(plan)
+        )
+        machine_list = (
+            self.assembly.places.machine_list.node_id if plan.fleet.parts is Parts.WHOLE else ""
+        )
+        self.injector = FaultInjector(
+            self.simulation,
+            lambda: self.observers.election.leader,
+            self.assembly.control_nodes,
+            machine_list,
+        )
+        self.injector.schedule(plan.faults)
+
+    @staticmethod
+    def _operator_settings(plan: Plan) -> OperatorSettings:
+        places = lay_out(plan.fleet)
+        script = plan.script
+        if plan.fleet.parts is Parts.WHOLE:
+            from merlinstand_lab.simulator.whole_fleet import configuration_script
+
+            script = configuration_script(plan.fleet, places, CONFIGURE_AT_SECONDS) + script
+        return OperatorSettings(
+            controls=tuple(place.http_address for place in places.controls + places.standbys),
+            token=OPERATOR_TOKEN,
+            script=script,
+            writes=plan.writes,
+        )
+
+    def execute(self) -> RunResult:
+        """Run to the end and judge."""
+        began = time.perf_counter()
+        end = self.plan.duration_seconds()
+        self.simulation.run_until(end)
+        real_seconds = time.perf_counter() - began
+        violations, checked = self._judge(end)
+        return RunResult(
+            violations=violations,
+            checked=checked,
+            digest=self.simulation.trace.digest(),
+            virtual_seconds=end,
+            real_seconds=real_seconds,
+            events=sum(process.events_handled for process in self.simulation.processes.values()),
+            messages=self.simulation.network.messages_sent,
+            lines=self.simulation.trace.lines,
+        )
+
+    def _judge(self, end: float) -> tuple[list[Violation], dict[str, int]]:
+        violations = [
+            Violation("no-exception", failure.time, f"{failure.node_id}: {failure.description}")
+            for failure in self.simulation.failures
+        ]
+        violations.extend(self.observers.violations())
+        checked = {observer.name: observer.checked for observer in self.observers.all}
+        self._check_records(violations, checked, end)
+        violations.extend(LivenessCheck(self.assembly, self.plan, self.observers).violations())
+        checked[LivenessCheck.name] = 1
+        return violations, checked
+
+    def _check_records(
+        self, violations: list[Violation], checked: dict[str, int], end: float
+    ) -> None:
+        report = verify_records(self.record_set(end))
+        for promise in report.promises:
+            checked[promise.name] = promise.checked
+            for violation in promise.violations:
+                violations.append(Violation(promise.name, end, str(violation)))
+
+    def record_set(self, end: float) -> RecordSet:
+        """Return the records of outsiders as the checkers read them."""
+        records = RecordSet()
+        places = self.assembly.places
+        consumers = [place.node_id for place in places.trainers]
+        if self.plan.fleet.parts is Parts.WHOLE:
+            records.add(
+                "run",
+                RunRecord(
+                    name="simulation",
+                    started_at=0.0,
+                    ended_at=end,
+                    minimum_steps=0,
+                    consumers=consumers,
+                    backend_addresses={
+                        place.node_id: place.http_address
+                        for place in places.engines + places.services
+                    },
+                ),
+            )
+        for stream, items in self.simulation.records.items():
+            if stream.split("-", 1)[0] in STREAM_TYPES:
+                for item in items:
+                    records.add(stream, item)
+        return records
+
+
+def run_plan(
+    plan: Plan,
+    seed: int,
+    trace_level: TraceLevel = TraceLevel.NONE,
+    encode_messages: bool = False,
+) -> RunResult:
+    """Run a plan under a seed and judge it."""
+    return Run(plan, seed, trace_level, encode_messages).execute()
--- /dev/null
+++ b/src/merlinstand_lab/simulator/scenarios/__init__.py
@@ -0,0 +1,1 @@
+"""The scenarios, grouped by how much of a deployment they run."""
