--- /dev/null
+++ b/src/merlinstand/cli/backend_commands.py
@@ -0,0 +1,107 @@
+"""`merlinstand backend`: servers of the pools."""
+
+from typing import Any
+
+import click
+
+from merlinstand.cli.object_client import (
+    delete_object,
+    put_object,
+    read_object,
+    read_objects,
+)
+from merlinstand.cli.operator_client import OperatorClient
+from merlinstand.cli.options import operator_options
+from merlinstand.cli.output import Column, fail, print_object, print_rows, unwrap
+from merlinstand.common.errors import NotFoundError
+from merlinstand.configuration.objects import Drain
+
+_COLUMNS = (
+    Column("BACKEND", "backend_id"),
+    Column("POOL", "pool"),
+    Column("ADDRESS", "address"),
+    Column("ZONE", "zone"),
+    Column("DRAINING", "draining"),
+    Column("REASON", "reason"),
+)
+
+
+@click.group()
+def backend() -> None:
+    """List servers, and take them out of service or back in."""
+
+
+@backend.command("list")
+@click.option("--pool", default="", help="Only the servers of this pool.")
+@operator_options
+def list_backends(client: OperatorClient, output: str, pool: str) -> None:
+    """List servers and whether they are being drained.
+
+    \b
+    Example:
+        merlinstand backend list --pool shop-api
+    """
+    print_rows(_rows(client, output, pool), _COLUMNS, output)
+
+
+@backend.command()
+@click.argument("backend_id")
+@click.option("--reason", default="", help="For other operators.")
+@operator_options
+def drain(client: OperatorClient, output: str, backend_id: str, reason: str) -> None:
+    """Send no new work to the server BACKEND_ID; what runs there may finish.
+
+    \b
+    Example:
+        merlinstand backend drain shop-api-2 --reason "disk swap"
+    """
+    if not any(row["backend_id"] == backend_id for row in _rows(client, output, "")):
+        fail(NotFoundError(detail=f"no pool has a server {backend_id}"), output)
+    key = f"drain/{backend_id}"
+    present = unwrap(read_objects(client, key), output)
+    seen_revision = next((seen.revision for seen in present if seen.key == key), 0)
+    done = unwrap(put_object(client, key, Drain(backend_id, reason), seen_revision), output)
+    _print_done(backend_id, "draining", done.revision, output)
+
+
+@backend.command()
+@click.argument("backend_id")
+@operator_options
+def undrain(client: OperatorClient, output: str, backend_id: str) -> None:
+    """Let the server BACKEND_ID have new work again.
+
+    \b
+    Example:
+        merlinstand backend undrain shop-api-2
+    """
+    key = f"drain/{backend_id}"
+    seen = unwrap(read_object(client, key), output)
+    done = unwrap(delete_object(client, key, seen.revision), output)
+    _print_done(backend_id, "in service", done.revision, output)
+
+
+def _rows(client: OperatorClient, output: str, pool_name: str) -> list[dict[str, Any]]:
+    drains = {
+        seen.value.backend_id: seen.value for seen in unwrap(read_objects(client, "drain/"), output)
+    }
+    rows = []
+    for seen in unwrap(read_objects(client, "pool/"), output):
+        if pool_name and seen.value.name != pool_name:
+            continue
+        for server in seen.value.backends:
+            found = drains.get(server.backend_id)
+            rows.append(
+                {
+                    "backend_id": server.backend_id,
+                    "pool": seen.value.name,
+                    "address": server.address,
+                    "zone": server.zone,
+                    "draining": found is not None,
+                    "reason": found.reason if found else "",
+                }
+            )
+    return rows
+
+
+def _print_done(backend_id: str, result: str, revision: int, output: str) -> None:
+    print_object({"backend": backend_id, "result": result, "revision": revision}, output)
--- /dev/null
+++ b/src/merlinstand/cli/config_commands.py
@@ -0,0 +1,84 @@
+"""`merlinstand config`: the replicated configuration as a whole."""
+
+from typing import Any
+
+import click
+import msgspec
+
+from merlinstand.cli.operator_client import OperatorClient
+from merlinstand.cli.options import operator_options
+from merlinstand.cli.output import Column, fail, print_rows, unwrap
+
+_COLUMNS = (Column("KEY", "key"), Column("REVISION", "revision"), Column("VALUE", "value"))
+_APPLY_COLUMNS = (Column("KEY", "key"), Column("RESULT", "result"), Column("REVISION", "revision"))
+
+
+@click.group()
+def config() -> None:
+    """Read the configuration, or apply a file to it."""
+
+
+@config.command()
+@click.argument("prefix", default="")
+@operator_options
+def get(client: OperatorClient, output: str, prefix: str) -> None:
+    """Show the objects whose keys begin with PREFIX (all by default).
+
+    \b
+    Example:
+        merlinstand config get pool/ --settings examples/vitrina/merlinstand.toml
+    """
+    found = unwrap(client.configuration(prefix), output)
+    rows = [
+        {"key": item.key, "revision": item.revision, "value": item.value} for item in found.objects
+    ]
+    print_rows(rows, _COLUMNS, output)
+
+
+@config.command()
+@click.argument("file")
+@operator_options
+def apply(client: OperatorClient, output: str, file: str) -> None:
+    """Create or replace the objects that FILE (TOML) describes; others stay.
+
+    Each change is refused if somebody else changed the object meanwhile; running the
+    command again goes on from there. --expected-revision is compared with the newest
+    revision of the whole configuration before anything is changed.
+
+    \b
+    Example:
+        merlinstand config apply examples/vitrina/configuration.toml \\
+            --settings examples/vitrina/merlinstand.toml
+    """
+    from merlinstand.cli.object_client import MUST_NOT_EXIST, read_objects
+    from merlinstand.common.errors import ConflictError
+    from merlinstand.settings.configuration_file import load_configuration
+
+    wanted = unwrap(load_configuration(file), output)
+    expected = client.settings.expected_revision
+    if expected is not None:
+        newest = unwrap(client.configuration(), output).revision
+        if newest != expected:
+            detail = f"the configuration is at revision {newest}, not {expected}"
+            fail(ConflictError(detail=detail), output)
+    seen = {found.key: found for found in unwrap(read_objects(client, ""), output)}
+    rows: list[dict[str, Any]] = []
+    for key, value in wanted:
+        present = seen.get(key)
+        if present is not None and present.value == value:
+            rows.append({"key": key, "result": "unchanged", "revision": present.revision})
+            continue
+        done = unwrap(
+            client.command(
+                {
+                    "command": "put_object",
+                    "key": key,
+                    "object": msgspec.to_builtins(value),
+                    "expected_revision": present.revision if present else MUST_NOT_EXIST,
+                }
+            ),
+            output,
+        )
+        result = "created" if present is None else "changed"
+        rows.append({"key": key, "result": result, "revision": done.revision})
+    print_rows(rows, _APPLY_COLUMNS, output)
--- /dev/null
+++ b/src/merlinstand/cli/daemon_commands.py
@@ -0,0 +1,117 @@
+"""`merlinstand control|gateway|coordinator`: run one daemon."""
+
+import sys
+from collections.abc import Callable
+from typing import Any
+
+import click
+import msgspec
+from result import Result
+
+from merlinstand.cli.output import unwrap
+from merlinstand.kernel.reducer import Reducer
+from merlinstand.settings.daemons import (
+    Overrides,
+    control_daemon,
+    coordinator_daemon,
+    gateway_daemon,
+    load_deployment,
+)
+
+
+def _daemon_options(command: Callable[..., Any]) -> Callable[..., Any]:
+    decorators = (
+        click.option(
+            "--settings",
+            "settings_file",
+            required=True,
+            envvar="MERLINSTAND_SETTINGS",
+            metavar="FILE",
+            help="Deployment file.",
+        ),
+        click.option("--node", required=True, help="Which process of the file this one is."),
+        click.option(
+            "--address", default="", metavar="IP:PORT", help="Internal address, not the file's."
+        ),
+        click.option(
+            "--http-address", default="", metavar="IP:PORT", help="HTTP address, not the file's."
+        ),
+        click.option("--zone", default="", help="Zone, not the file's."),
+        click.option(
+            "--data-folder",
+            default="",
+            metavar="FOLDER",
+            help="Folder of this process's files, not the file's.",
+        ),
+        click.option(
+            "--profile",
+            default="",
+            metavar="FILE",
+            help="Profile the process and write cProfile statistics at its end.",
+        ),
+    )
+    for decorator in reversed(decorators):
+        command = decorator(command)
+    return command
+
+
+@click.command()
+@_daemon_options
+def control(**options: str) -> None:
+    """Run one replica of the control group.
+
+    \b
+    Example:
+        merlinstand control --settings examples/vitrina/merlinstand.toml --node control-hall-a
+    """
+    from merlinstand.control.daemon import ControlDaemon
+
+    _run(control_daemon, ControlDaemon, options)
+
+
+@click.command()
+@_daemon_options
+def gateway(**options: str) -> None:
+    """Run one gateway, the door for callers.
+
+    \b
+    Example:
+        merlinstand gateway --settings examples/vitrina/merlinstand.toml --node gateway-hall-a
+    """
+    from merlinstand.gateway.daemon import GatewayDaemon
+
+    _run(gateway_daemon, GatewayDaemon, options)
+
+
+@click.command()
+@_daemon_options
+def coordinator(**options: str) -> None:
+    """Run one coordinator, which feeds trainers.
+
+    \b
+    Example:
+        merlinstand coordinator --settings examples/vitrina/merlinstand.toml \\
+            --node coordinator-hall-a
+    """
+    from merlinstand.coordinator.daemon import CoordinatorDaemon
+
+    _run(coordinator_daemon, CoordinatorDaemon, options)
+
+
+def _run(
+    find_settings: Callable[..., Result[Any, Any]],
+    daemon_class: Callable[[Any], Reducer],
+    options: dict[str, str],
+) -> None:
+    from merlinstand.runtime.host import run_host
+
+    deployment = unwrap(load_deployment(options["settings_file"]))
+    overrides = Overrides(
+        address=options["address"],
+        http_address=options["http_address"],
+        zone=options["zone"],
+        data_folder=options["data_folder"],
+    )
+    found = unwrap(find_settings(deployment, options["node"], overrides))
+    host_settings = msgspec.structs.replace(found.host, profile_path=options["profile"])
+    sys.exit(run_host(daemon_class(found.role), host_settings))
--- /dev/null
+++ b/src/merlinstand/cli/errors.py
@@ -0,0 +1,39 @@
+"""Failures that only the command line knows."""
+
+from typing import ClassVar
+
+from merlinstand.common.errors import ExitCode, MerlinstandError
+
+
+class ControlRefusedError(MerlinstandError, frozen=True, kw_only=True):
+    """Control answered with an error; nothing was changed."""
+
+    code: ClassVar[str] = "refused"
+
+    answered_code: str
+    """Control's own code."""
+    answered_exit_code: ExitCode
+
+
+class ControlUnavailableError(MerlinstandError, frozen=True, kw_only=True):
+    """No control replica took the command in time.
+
+    The command may still be in force later; the same command id makes a resend harmless.
+    """
+
+    code: ClassVar[str] = "unavailable"
+    exit_code: ClassVar[ExitCode] = ExitCode.UNAVAILABLE
+
+
+class UsageError(MerlinstandError, frozen=True, kw_only=True):
+    """The command line's arguments do not fit together."""
+
+    code: ClassVar[str] = "usage"
+    exit_code: ClassVar[ExitCode] = ExitCode.USAGE
+
+
+class MalformedAnswerError(MerlinstandError, frozen=True, kw_only=True):
+    """Something that is no control replica answered."""
+
+    code: ClassVar[str] = "malformed_answer"
+    exit_code: ClassVar[ExitCode] = ExitCode.FAILURE
--- /dev/null
+++ b/src/merlinstand/cli/http_request.py
@@ -0,0 +1,76 @@
+"""One HTTP request of the operators' client."""
+
+import ssl
+
+import msgspec
+from geventhttpclient import HTTPClient
+from geventhttpclient.response import HTTPParseError
+from result import Err, Ok, Result
+
+from merlinstand.cli.errors import ControlUnavailableError
+from merlinstand.runtime.addresses import parse_address
+
+
+class Answer(msgspec.Struct, frozen=True):
+    """Status and body of a response."""
+
+    status: int
+    body: bytes
+
+
+def request(
+    address: str,
+    method: str,
+    path: str,
+    body: bytes,
+    *,
+    token: str,
+    timeout_seconds: float,
+    authority: str,
+) -> Result[Answer, ControlUnavailableError]:
+    """Send a request on a connection of its own.
+
+    The library may resend on a broken connection; command ids make that harmless here.
+
+    Args:
+        address: `ip:port` of a control replica's API.
+        method: `GET` or `POST`.
+        path: Path with query.
+        body: JSON, or empty.
+        token: Bearer token, or empty.
+        timeout_seconds: Longest wait to connect, and for each piece of the answer.
+        authority: File of the certificates that sign the replicas; empty for plain HTTP.
+    """
+    parsed = parse_address(address)
+    if isinstance(parsed, Err):
+        return Err(ControlUnavailableError(detail=parsed.err_value.detail))
+    headers = {"Content-Type": "application/json"}
+    if token:
+        headers["Authorization"] = f"Bearer {token}"
+    client = HTTPClient(
+        parsed.ok_value.ip,
+        parsed.ok_value.port,
+        connection_timeout=timeout_seconds,
+        network_timeout=timeout_seconds,
+        concurrency=1,
+        ssl=bool(authority),
+        ssl_context_factory=(lambda **_options: _tls_context(authority)) if authority else None,
+        insecure=bool(authority),
+    )
+    try:
+        response = client.request(method, path, body=body, headers=headers)
+        return Ok(Answer(response.status_code, bytes(response.read())))
+    except (OSError, HTTPParseError) as error:
+        return Err(ControlUnavailableError(detail=f"{address}: {error or type(error).__name__}"))
+    finally:
+        client.close()
+
+
+def _tls_context(authority: str) -> ssl.SSLContext:
+    """Trust the deployment's authority; replicas are named by IP number, not by host name."""
+    from gevent.ssl import SSLContext
+
+    context = SSLContext(ssl.PROTOCOL_TLS_CLIENT)
+    context.check_hostname = False
+    context.load_verify_locations(authority)
+    return context
--- /dev/null
+++ b/src/merlinstand/cli/job_commands.py
@@ -0,0 +1,221 @@
+"""`merlinstand job`: rollout jobs."""
+
+from typing import Any
+
+import click
+import msgspec
+
+from merlinstand.cli.object_client import (
+    MUST_NOT_EXIST,
+    SeenObject,
+    put_object,
+    read_object,
+    read_objects,
+)
+from merlinstand.cli.operator_client import OperatorClient
+from merlinstand.cli.options import operator_options
+from merlinstand.cli.output import Column, print_object, print_rows, unwrap
+from merlinstand.configuration.objects import Job, JobMode, JobPhase, PolicySource
+
+_COLUMNS = (
+    Column("JOB", "name"),
+    Column("MODEL", "model"),
+    Column("POOL", "pool"),
+    Column("PHASE", "phase"),
+    Column("MODE", "mode"),
+    Column("BATCH", "batch_size"),
+    Column("CONSUMERS", "consumers"),
+    Column("REVISION", "revision"),
+)
+
+
+@click.group()
+def job() -> None:
+    """Create, show and steer rollout jobs."""
+
+
+@job.command()
+@click.argument("name")
+@click.option("--model", required=True, help="Model whose samples the job wants.")
+@click.option("--pool", required=True, help="Engine pool that generates them.")
+@click.option("--consumer", "consumers", multiple=True, help="Trainer; may be repeated.")
+@click.option("--batch-size", default=32, show_default=True, help="Samples in a batch.")
+@click.option("--samples-per-prompt", default=1, show_default=True, help="Samples of a prompt.")
+@click.option("--prompt", "prompts", multiple=True, help="Prompt text; may be repeated.")
+@click.option("--prompts-file", type=click.File("r", encoding="utf-8"), help="A prompt a line.")
+@click.option("--prompt-source", default="", metavar="IP:PORT", help="Prompt server.")
+@click.option("--maximum-tokens", default=512, show_default=True, help="Bound of a sample.")
+@click.option("--scorer", default="", metavar="IP:PORT", help="Scoring service.")
+@click.option("--share", default=1.0, show_default=True, help="Weight against other jobs.")
+@click.option(
+    "--mode",
+    type=click.Choice([mode.value for mode in JobMode]),
+    default=JobMode.ACTIVE.value,
+    show_default=True,
+    help="Who leads: merlinstand (active) or the old scripts (mirror).",
+)
+@click.option("--policy", "policy_file", default="", metavar="FILE", help="Policy (TOML).")
+@operator_options
+def create(
+    client: OperatorClient, output: str, policy_file: str, prompts_file: Any, **fields: Any
+) -> None:
+    """Create the job NAME.
+
+    \b
+    Example:
+        merlinstand job create blurbs --model blurb --pool blurb-llm --batch-size 16 \\
+            --prompt "Write a blurb for a linen shirt." --control 127.0.0.1:7001
+    """
+    policy = _load_policy(policy_file, output)
+    prompts = list(fields.pop("prompts"))
+    if prompts_file is not None:
+        prompts += [line.strip() for line in prompts_file if line.strip()]
+    consumers = fields.pop("consumers") or ("trainer-1",)
+    new_job = Job(
+        prompts=tuple(prompts),
+        consumers=tuple(consumers),
+        mode=JobMode(fields.pop("mode")),
+        policy=policy,
+        **fields,
+    )
+    done = unwrap(put_object(client, f"job/{new_job.name}", new_job, MUST_NOT_EXIST), output)
+    print_object({"job": new_job.name, "result": "created", "revision": done.revision}, output)
+
+
+@job.command("list")
+@operator_options
+def list_jobs(client: OperatorClient, output: str) -> None:
+    """List all jobs.
+
+    \b
+    Example:
+        merlinstand job list --output json
+    """
+    found = unwrap(read_objects(client, "job/"), output)
+    print_rows([_row(seen) for seen in found], _COLUMNS, output)
+
+
+@job.command()
+@click.argument("name")
+@operator_options
+def show(client: OperatorClient, output: str, name: str) -> None:
+    """Show the job NAME and where its consumers stand.
+
+    \b
+    Example:
+        merlinstand job show blurbs
+    """
+    seen = unwrap(read_object(client, f"job/{name}"), output)
+    ledger = unwrap(client.read(f"/v1/ledger/{name}"), output)
+    print_object({**_row(seen), "ledger": ledger}, output)
+
+
+@job.command()
+@click.argument("name")
+@operator_options
+def pause(client: OperatorClient, output: str, name: str) -> None:
+    """Pause the job NAME; what is committed stays deliverable.
+
+    \b
+    Example:
+        merlinstand job pause blurbs
+    """
+    _change(client, output, name, "paused", phase=JobPhase.PAUSED)
+
+
+@job.command()
+@click.argument("name")
+@operator_options
+def resume(client: OperatorClient, output: str, name: str) -> None:
+    """Let the paused job NAME run again.
+
+    \b
+    Example:
+        merlinstand job resume blurbs
+    """
+    _change(client, output, name, "resumed", phase=JobPhase.RUNNING)
+
+
+@job.command()
+@click.argument("name")
+@operator_options
+def cancel(client: OperatorClient, output: str, name: str) -> None:
+    """Cancel the job NAME for good.
+
+    \b
+    Example:
+        merlinstand job cancel blurbs
+    """
+    _change(client, output, name, "cancelled", phase=JobPhase.CANCELLED)
+
+
+@job.command()
+@click.argument("name")
+@click.option(
+    "--to",
+    "mode",
+    required=True,
+    type=click.Choice([mode.value for mode in JobMode]),
+    help="Who leads from now on: merlinstand (active) or the old scripts (mirror).",
+)
+@operator_options
+def move(client: OperatorClient, output: str, name: str, mode: str) -> None:
+    """Move the job NAME between the old scripts and merlinstand.
+
+    \b
+    Example:
+        merlinstand job move blurbs --to active
+    """
+    _change(client, output, name, "moved", mode=JobMode(mode))
+
+
+@job.command()
+@click.argument("name")
+@click.option("--consumer", required=True, help="Trainer that fell back to a checkpoint.")
+@click.option("--batch", required=True, type=int, help="Next batch it will ask for.")
+@click.option("--expected-batch", required=True, type=int, help="Next batch as it is now.")
+@operator_options
+def rewind(
+    client: OperatorClient, output: str, name: str, consumer: str, batch: int, expected_batch: int
+) -> None:
+    """Let a trainer of the job NAME fall back to an older checkpoint.
+
+    \b
+    Example:
+        merlinstand job rewind blurbs --consumer trainer-1 --batch 40 --expected-batch 57
+    """
+    done = unwrap(
+        client.command(
+            {
+                "command": "rewind_job",
+                "job": name,
+                "consumer": consumer,
+                "batch": batch,
+                "expected_batch": expected_batch,
+            }
+        ),
+        output,
+    )
+    print_object({"job": name, "result": "rewound", "revision": done.revision}, output)
+
+
+def _change(client: OperatorClient, output: str, name: str, result: str, **changes: Any) -> None:
+    key = f"job/{name}"
+    seen = unwrap(read_object(client, key), output)
+    changed = msgspec.structs.replace(seen.value, **changes)
+    done = unwrap(put_object(client, key, changed, seen.revision), output)
+    print_object({"job": name, "result": result, "revision": done.revision}, output)
+
+
+def _row(seen: SeenObject) -> dict[str, Any]:
+    row: dict[str, Any] = msgspec.to_builtins(seen.value)
+    row["revision"] = seen.revision
+    return row
+
+
+def _load_policy(policy_file: str, output: str) -> PolicySource:
+    if not policy_file:
+        return PolicySource()
+    from merlinstand.cli.policy_commands import load_checked_policy
+
+    return unwrap(load_checked_policy(policy_file), output)
--- /dev/null
+++ b/src/merlinstand/cli/members_commands.py
@@ -0,0 +1,58 @@
+"""`merlinstand members`: the control group."""
+
+import click
+
+from merlinstand.cli.errors import UsageError
+from merlinstand.cli.operator_client import OperatorClient
+from merlinstand.cli.options import operator_options
+from merlinstand.cli.output import Column, fail, print_object, print_rows, unwrap
+
+COLUMNS = (
+    Column("NODE", "node_id"),
+    Column("ZONE", "zone"),
+    Column("ADDRESS", "address"),
+    Column("VOTER", "voter"),
+    Column("LEADER", "leader"),
+    Column("MATCH", "match_index"),
+    Column("HEARD", "last_heard_seconds"),
+)
+
+
+@click.group()
+def members() -> None:
+    """List the control replicas, or replace one."""
+
+
+@members.command("list")
+@operator_options
+def list_members(client: OperatorClient, output: str) -> None:
+    """List the control replicas.
+
+    \b
+    Example:
+        merlinstand members list
+    """
+    found = unwrap(client.read("/v1/members"), output)
+    print_rows(found.get("members", []), COLUMNS, output)
+
+
+@members.command()
+@click.option("--remove", default="", metavar="NODE", help="Replica that leaves the group.")
+@click.option("--add", default="", metavar="NODE", help="Replica that joins it.")
+@operator_options
+def replace(client: OperatorClient, output: str, remove: str, add: str) -> None:
+    """Replace a control replica: the new one learns first, then the old one leaves.
+
+    \b
+    Example:
+        merlinstand members replace --remove control-hall-c --add control-hall-d
+    """
+    if not (remove or add):
+        fail(UsageError(detail="give --remove NODE, --add NODE or both"), output)
+    done = unwrap(
+        client.command({"command": "change_membership", "add_node": add, "remove_node": remove}),
+        output,
+    )
+    print_object(
+        {"added": add, "removed": remove, "result": "accepted", "revision": done.revision}, output
+    )
--- /dev/null
+++ b/src/merlinstand/cli/policy_commands.py
@@ -0,0 +1,113 @@
+"""`merlinstand policy`: policy programs of jobs."""
+
+from typing import Any
+
+import click
+import msgspec
+from result import Err, Ok, Result
+
+from merlinstand.cli.operator_client import OperatorClient
+from merlinstand.cli.options import operator_options, output_option
+from merlinstand.cli.output import Column, print_object, print_rows, unwrap
+from merlinstand.common.errors import MerlinstandError
+from merlinstand.configuration.objects import PolicySource
+
+_COLUMNS = (
+    Column("SAMPLE", "sample"),
+    Column("WEIGHT", "weight"),
+    Column("KEPT", "kept"),
+    Column("ERROR", "error"),
+)
+
+
+@click.group()
+def policy() -> None:
+    """Check policy programs and give them to jobs."""
+
+
+@policy.command()
+@click.argument("file")
+@click.option(
+    "--samples",
+    "samples_file",
+    type=click.File("rb"),
+    default=None,
+    help="Recorded samples (JSON Lines of policy.records.SampleRecord) to try it on.",
+)
+@output_option
+def check(file: str, samples_file: Any, output: str) -> None:
+    """Check the policy in FILE (TOML), and try it on recorded samples.
+
+    \b
+    Example:
+        merlinstand policy check policy.toml --samples samples.jsonl
+    """
+    from merlinstand.policy.check import check_policy
+    from merlinstand.policy.records import EXAMPLE_SAMPLE, SampleRecord
+
+    source = unwrap(load_checked_policy(file), output)
+    compiled = unwrap(check_policy(source), output)
+    if samples_file is None:
+        records = [EXAMPLE_SAMPLE]
+    else:
+        records = unwrap(_read_samples(samples_file, SampleRecord), output)
+    rows: list[dict[str, Any]] = []
+    for record in records:
+        name = f"{record.prompt_id}/{record.attempt}"
+        weight = compiled.weight(record)
+        if isinstance(weight, Err):
+            detail = weight.err_value.detail
+            rows.append({"sample": name, "weight": None, "kept": None, "error": detail})
+        else:
+            value = weight.ok_value
+            rows.append({"sample": name, "weight": value, "kept": value > 0, "error": None})
+    print_rows(rows, _COLUMNS, output)
+
+
+@policy.command("set")
+@click.argument("job_name", metavar="JOB")
+@click.argument("file")
+@operator_options
+def set_policy(client: OperatorClient, output: str, job_name: str, file: str) -> None:
+    """Give the policy in FILE (TOML) to JOB.
+
+    \b
+    Example:
+        merlinstand policy set blurbs policy.toml
+    """
+    from merlinstand.cli.object_client import put_object, read_object
+
+    source = unwrap(load_checked_policy(file), output)
+    key = f"job/{job_name}"
+    seen = unwrap(read_object(client, key), output)
+    changed = msgspec.structs.replace(seen.value, policy=source)
+    done = unwrap(put_object(client, key, changed, seen.revision), output)
+    print_object({"job": job_name, "result": "policy set", "revision": done.revision}, output)
+
+
+def load_checked_policy(file: str) -> Result[PolicySource, MerlinstandError]:
+    """Read a policy file and check it as control would."""
+    from merlinstand.policy.check import check_policy
+    from merlinstand.settings.toml_file import load_toml
+
+    loaded = load_toml(file, PolicySource)
+    if isinstance(loaded, Err):
+        return loaded
+    checked = check_policy(loaded.ok_value)
+    return checked if isinstance(checked, Err) else Ok(loaded.ok_value)
+
+
+def _read_samples(samples_file: Any, record_type: type) -> Result[list[Any], MerlinstandError]:
+    from merlinstand.settings.errors import SettingsError
+
+    records: list[Any] = []
+    for number, line in enumerate(samples_file, start=1):
+        if not line.strip():
+            continue
+        try:
+            records.append(msgspec.json.decode(line, type=record_type))
+        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            return Err(
+                SettingsError(file=samples_file.name, path=f"line {number}", expected=str(error))
+            )
+    return Ok(records)
--- /dev/null
+++ b/src/merlinstand/cli/settings_commands.py
@@ -0,0 +1,47 @@
+"""`merlinstand settings`: look at deployment files."""
+
+import click
+
+from merlinstand.cli.options import output_option
+from merlinstand.cli.output import Column, print_rows, unwrap
+
+_COLUMNS = (
+    Column("ROLE", "role"),
+    Column("NODE", "node"),
+    Column("ZONE", "zone"),
+    Column("ADDRESS", "address"),
+    Column("HTTP", "http_address"),
+    Column("STANDBY", "standby"),
+)
+
+
+@click.group()
+def settings() -> None:
+    """Check deployment files."""
+
+
+@settings.command()
+@click.argument("file")
+@output_option
+def check(file: str, output: str) -> None:
+    """Check FILE and list the processes it describes.
+
+    \b
+    Example:
+        merlinstand settings check examples/vitrina/merlinstand.toml
+    """
+    from merlinstand.settings.daemons import list_daemons, load_deployment
+
+    deployment = unwrap(load_deployment(file), output)
+    rows = [
+        {
+            "role": entry.role,
+            "node": entry.node_id,
+            "zone": entry.zone,
+            "address": entry.address,
+            "http_address": entry.http_address,
+            "standby": entry.standby,
+        }
+        for entry in list_daemons(deployment)
+    ]
+    print_rows(rows, _COLUMNS, output)
--- /dev/null
+++ b/src/merlinstand/cli/status_commands.py
@@ -0,0 +1,57 @@
+"""`merlinstand status`: the deployment at a glance."""
+
+from typing import Any
+
+import click
+import msgspec
+
+from merlinstand.cli.object_client import read_objects
+from merlinstand.cli.operator_client import OperatorClient
+from merlinstand.cli.options import operator_options
+from merlinstand.cli.output import JSON, Column, print_object, print_rows, unwrap
+
+_DAEMON_COLUMNS = (
+    Column("DAEMON", "node_id"),
+    Column("ROLE", "role"),
+    Column("ZONE", "zone"),
+    Column("ADDRESS", "address"),
+    Column("HTTP", "http_address"),
+)
+_JOB_COLUMNS = (
+    Column("JOB", "name"),
+    Column("PHASE", "phase"),
+    Column("MODE", "mode"),
+    Column("OWNER", "owner"),
+)
+
+
+@click.command()
+@operator_options
+def status(client: OperatorClient, output: str) -> None:
+    """Show the control group, the registered daemons, the jobs and their owners.
+
+    \b
+    Example:
+        merlinstand status --settings examples/vitrina/merlinstand.toml
+    """
+    from merlinstand.cli.members_commands import COLUMNS
+
+    members = unwrap(client.read("/v1/members"), output)
+    leases = unwrap(client.read("/v1/leases"), output).get("leases", [])
+    owners = {lease["resource"]: lease["holder"] for lease in leases}
+    daemons = [
+        msgspec.to_builtins(seen.value) for seen in unwrap(read_objects(client, "daemon/"), output)
+    ]
+    jobs: list[dict[str, Any]] = []
+    for seen in unwrap(read_objects(client, "job/"), output):
+        row = msgspec.to_builtins(seen.value)
+        jobs.append({**row, "owner": owners.get(f"job/{seen.value.name}")})
+    if output == JSON:
+        body = {"control": members, "daemons": daemons, "jobs": jobs, "leases": leases}
+        print_object(body, output)
+        return
+    print_rows(members.get("members", []), COLUMNS, output)
+    click.echo()
+    print_rows(daemons, _DAEMON_COLUMNS, output)
+    click.echo()
+    print_rows(jobs, _JOB_COLUMNS, output)
--- /dev/null
+++ b/src/merlinstand/cli/weights_commands.py
@@ -0,0 +1,84 @@
+"""`merlinstand weights`: published versions of models."""
+
+from typing import Any
+
+import click
+import msgspec
+
+from merlinstand.cli.object_client import read_objects
+from merlinstand.cli.operator_client import OperatorClient
+from merlinstand.cli.options import operator_options
+from merlinstand.cli.output import Column, print_object, print_rows, unwrap
+
+_COLUMNS = (
+    Column("MODEL", "model"),
+    Column("VERSION", "version"),
+    Column("DIGEST", "digest"),
+    Column("SOURCE", "source"),
+    Column("BYTES", "size_bytes"),
+    Column("PUBLISHED", "published_at"),
+)
+
+
+@click.group()
+def weights() -> None:
+    """Publish weight versions and list them."""
+
+
+@weights.command()
+@click.argument("model")
+@click.argument("version", type=int)
+@click.option("--digest", required=True, help="Digest by which engines verify a load.")
+@click.option("--source", required=True, metavar="IP:PORT", help="Weight store.")
+@click.option("--size-bytes", required=True, type=int, help="Size of the weights.")
+@operator_options
+def publish(
+    client: OperatorClient,
+    output: str,
+    model: str,
+    version: int,
+    digest: str,
+    source: str,
+    size_bytes: int,
+) -> None:
+    """Publish VERSION of MODEL; it must be the newest version plus one.
+
+    \b
+    Example:
+        merlinstand weights publish blurb 4 --digest 9f86d081 --source 127.0.0.1:7401 \\
+            --size-bytes 2000000000
+    """
+    done = unwrap(
+        client.command(
+            {
+                "command": "publish_weights",
+                "model": model,
+                "version": version,
+                "digest": digest,
+                "source": source,
+                "size_bytes": size_bytes,
+            }
+        ),
+        output,
+    )
+    fields = {"model": model, "version": version, "result": "published"}
+    print_object({**fields, "revision": done.revision}, output)
+
+
+@weights.command()
+@click.argument("model", default="")
+@operator_options
+def status(client: OperatorClient, output: str, model: str) -> None:
+    """List the published versions of MODEL (all models by default), newest last.
+
+    \b
+    Example:
+        merlinstand weights status blurb
+    """
+    rows: list[dict[str, Any]] = []
+    for seen in unwrap(read_objects(client, "weights/"), output):
+        if model and seen.value.model != model:
+            continue
+        for version in seen.value.versions:
+            rows.append({"model": seen.value.model, **msgspec.to_builtins(version)})
+    print_rows(rows, _COLUMNS, output)
