--- /dev/null
+++ b/src/merlinstand_lab/fleet/incidents.py
@@ -0,0 +1,128 @@
+"""What happens on the way of a run: operators' work, planned stops, faults."""
+
+from collections.abc import Callable
+
+import gevent
+import msgspec
+
+from merlinstand_lab.fleet.configuration_file import delete_command, put_command
+from merlinstand_lab.fleet.fleet import Fleet
+from merlinstand_lab.fleet.http import request_json
+from merlinstand_lab.fleet.operator import OperatorClient
+from merlinstand_lab.fleet.plan import FleetPlan
+
+_LEAVE_SECONDS = 8.0
+"""How long a back end stays drained or leaving: longer than the promise's few seconds."""
+
+
+class Incident(msgspec.Struct, frozen=True):
+    """Something that begins once every trainer made a number of steps."""
+
+    after_steps: int
+    title: str
+    run: Callable[[], None]
+
+
+class _Member(msgspec.Struct, frozen=True):
+    node_id: str
+    leader: bool = False
+
+
+class _Members(msgspec.Struct, frozen=True):
+    members: list[_Member]
+
+
+class _Lease(msgspec.Struct, frozen=True):
+    resource: str
+    holder: str
+
+
+class _Leases(msgspec.Struct, frozen=True):
+    leases: list[_Lease]
+
+
+class Incidents:
+    """The incidents of one run, in order."""
+
+    def __init__(
+        self, plan: FleetPlan, fleet: Fleet, operator: OperatorClient, say: Callable[[str], None]
+    ) -> None:
+        """Remember what to act on."""
+        self._plan = plan
+        self._fleet = fleet
+        self._operator = operator
+        self._say = say
+
+    def schedule(self, faults: str) -> list[Incident]:
+        """Return the incidents of a run with or without faults."""
+        run = self._plan.lab.run
+        incidents = []
+        if run.drained_backend:
+            incidents.append(Incident(3, f"drain {run.drained_backend}", self._drain))
+        if run.leaving_backend:
+            incidents.append(Incident(6, f"{run.leaving_backend} leaves", self._leave))
+        if run.stopped_daemon:
+            title = f"planned stop of {run.stopped_daemon}"
+            incidents.append(Incident(9, title, self._planned_stop))
+        if faults == "kill":
+            incidents += [
+                Incident(5, "kill -9 of an engine", self._kill_engine),
+                Incident(8, "kill -9 of a gateway", self._kill_gateway),
+                Incident(11, "kill -9 of the job's coordinator", self._kill_coordinator),
+                Incident(14, "kill -9 of the control leader", self._kill_leader),
+            ]
+        return sorted(incidents, key=lambda incident: incident.after_steps)
+
+    def _drain(self) -> None:
+        """The operator drains a back end, and takes it back."""
+        backend = self._plan.lab.run.drained_backend
+        key = f"drain/{backend}"
+        value = {"backend_id": backend, "reason": "maintenance"}
+        self._operator.send(put_command(key, value, expected_revision=0))
+        gevent.sleep(_LEAVE_SECONDS)
+        self._operator.send(delete_command(key))
+
+    def _leave(self) -> None:
+        """A back end leaves by its own word, and comes back."""
+        address = self._fleet.processes[self._plan.lab.run.leaving_backend].spec.http_address
+        request_json(address, "POST", "/lab/leave", {"leaving": True})
+        gevent.sleep(_LEAVE_SECONDS)
+        request_json(address, "POST", "/lab/leave", {"leaving": False})
+
+    def _planned_stop(self) -> None:
+        """A daemon is stopped as planned and started again."""
+        self._fleet.stop_and_restart(self._plan.lab.run.stopped_daemon)
+
+    def _kill_engine(self) -> None:
+        """The first engine dies."""
+        self._kill(self._plan.lab.engine[0].node_id)
+
+    def _kill_gateway(self) -> None:
+        """The first gateway dies."""
+        self._kill(self._fleet.of_roles("gateway")[0].spec.name)
+
+    def _kill_coordinator(self) -> None:
+        """The coordinator that holds the job's lease dies."""
+        leases = self._operator.get("/v1/leases", _Leases)
+        holders = [
+            lease.holder
+            for lease in (leases.leases if isinstance(leases, _Leases) else [])
+            if lease.resource.startswith("job/") and lease.holder in self._fleet.processes
+        ]
+        self._kill(holders[0] if holders else self._fleet.of_roles("coordinator")[0].spec.name)
+
+    def _kill_leader(self) -> None:
+        """The control group's leader dies."""
+        members = self._operator.get("/v1/members", _Members)
+        leaders = [
+            member.node_id
+            for member in (members.members if isinstance(members, _Members) else [])
+            if member.leader and member.node_id in self._fleet.processes
+        ]
+        self._kill(leaders[0] if leaders else self._fleet.of_roles("control")[0].spec.name)
+
+    def _kill(self, name: str) -> None:
+        """Kill a process and start it again, as a process supervisor would."""
+        self._say(f"kill -9 {name}")
+        self._fleet.kill_and_restart(name, "kill", self._plan.lab.run.restart_seconds)
+        self._say(f"{name} is back")
