--- a/src/merlinstand/configuration/table.py
+++ b/src/merlinstand/configuration/table.py
@@ -95,12 +95,13 @@
             have_revision: Revision of a table that was filled from this group's log.
 
         Returns:
-            A delta, or the full state if the changes in between are forgotten or
-            `have_revision` is ahead of this table. The receiver refuses to go back.
+            A delta, or the full state if the changes in between are forgotten. If
+            `have_revision` is ahead of this table, an empty delta that ends below it; the
+            receiver refuses to go back.
         """
-        if have_revision == self.revision:
+        if have_revision >= self.revision:
             return Delta(have_revision, self.revision, False, ())
-        if self._complete_from <= have_revision < self.revision:
+        if have_revision >= self._complete_from:
             first = bisect.bisect_right(self._changes, have_revision, key=_revision)
             keys = dict.fromkeys(change.key for change in self._changes[first:])
             entries = tuple(self._delta_entry(key) for key in keys)
--- /dev/null
+++ b/src/merlinstand/control/command_intake.py
@@ -0,0 +1,222 @@
+"""From a received command to its answer: acceptance, proposal, decision."""
+
+from collections.abc import Callable, Sequence
+
+import msgspec
+from result import Err, Result
+
+from merlinstand.common.errors import UnavailableError
+from merlinstand.common.ids import NodeId
+from merlinstand.consensus.replica import Replica
+from merlinstand.consensus.step import CommittedEntry, EntryKind, Proposal
+from merlinstand.control.acceptance import accept_command
+from merlinstand.control.command_ids import command_digest
+from merlinstand.control.commands import (
+    AnyCommand,
+    AnyOutcome,
+    ChangeMembership,
+    Done,
+    Refused,
+)
+from merlinstand.control.operator_requests import (
+    OutcomeUnknownError,
+    respond_error,
+    respond_not_leader,
+    respond_outcome,
+)
+from merlinstand.control.replies import (
+    BUSY_RETRY_SECONDS,
+    not_proposed_reply,
+    outcome_reply,
+)
+from merlinstand.control.settings import ControlTimings
+from merlinstand.control.state_machine import Applied, StateMachine, encode_logged_command
+from merlinstand.control.waiters import (
+    OperatorWaiter,
+    PendingCommand,
+    PendingCommands,
+    SessionWaiter,
+    Waiter,
+)
+from merlinstand.kernel.effects import Effect
+from merlinstand.protocol.generated.control.ttypes import CommandStatus
+
+
+class LeaderHint(msgspec.Struct, frozen=True):
+    """Where the leader is, as far as this replica knows."""
+
+    node_id: str
+    http_address: str
+
+
+class Intake(msgspec.Struct, frozen=True):
+    """What came of a received command."""
+
+    effects: tuple[Effect, ...]
+    proposal: Proposal | None = None
+    """Its step is to be performed as well."""
+
+
+class CommandIntake:
+    """Commands on their way through this replica."""
+
+    def __init__(
+        self,
+        replica: Replica,
+        state: StateMachine,
+        timings: ControlTimings,
+        leader_hint: Callable[[], LeaderHint],
+    ) -> None:
+        """Make an intake without commands.
+
+        Args:
+            replica: The consensus replica.
+            state: The state machine that committed commands are applied to.
+            timings: Limits.
+            leader_hint: Tells where clients should go instead.
+        """
+        self._replica = replica
+        self._state = state
+        self._timings = timings
+        self._leader_hint = leader_hint
+        self.pending = PendingCommands()
+
+    def receive(self, command_id: str, command: bytes, waiter: Waiter, now: float) -> Intake:
+        """Take a command from a session or an operator.
+
+        Args:
+            command_id: The client's name for it.
+            command: Its encoding.
+            waiter: Who is to be answered.
+            now: Local time in seconds.
+
+        Returns:
+            Effects, and the proposal if it was proposed.
+        """
+        if not self._replica.may_act(now):
+            return Intake((self._not_leader(command_id, waiter),))
+        pending = self.pending.find(command_id)
+        if pending is not None:
+            return Intake(self._wait_too(pending, command, waiter))
+        answered = self._state.find_answer(command_id, command)
+        if answered is not None:
+            return Intake((_answer(waiter, answered),))
+        accepted = accept_command(command)
+        if isinstance(accepted, Err):
+            return Intake((_answer(waiter, Applied(command_id, 0, accepted.err_value)),))
+        if len(self.pending) >= self._timings.maximum_pending_commands:
+            return Intake((_busy(command_id, waiter),))
+        return self._propose(command_id, command, accepted.ok_value, waiter, now)
+
+    def committed(self, entry: CommittedEntry) -> list[Effect]:
+        """Apply a committed entry and answer whoever waits for it."""
+        applied: Applied | None = None
+        if entry.kind is EntryKind.COMMAND:
+            applied = self._state.apply(entry.index, entry.payload, entry.group_time)
+        pending = self.pending.take(entry.index)
+        if pending is None:
+            return []
+        if pending.term != entry.term:
+            # Another leader's entry stands where ours was: ours is lost for good.
+            return self._lost(pending)
+        if applied is None:
+            outcome: AnyOutcome = Done(revision=entry.index)
+            applied = Applied(pending.command_id, entry.index, outcome)
+        return [_answer(waiter, applied) for waiter in pending.waiters]
+
+    def restored(self, up_to_index: int) -> list[Effect]:
+        """Settle commands whose entries a snapshot covered."""
+        effects: list[Effect] = []
+        for pending in self.pending.take_up_to(up_to_index):
+            # The snapshot may hold the answer, but the waiter's resend will find it; here
+            # it is not known whether the entry at that index was ours.
+            effects.extend(_unknown(waiter) for waiter in _operators(pending))
+        return effects
+
+    def expire(self, now: float) -> list[Effect]:
+        """Give up on commands that no leader decided in time."""
+        oldest = now - self._timings.operator_timeout_seconds
+        return [
+            _unknown(waiter)
+            for pending in self.pending.take_older(oldest)
+            for waiter in _operators(pending)
+        ]
+
+    def _propose(
+        self, command_id: str, data: bytes, command: AnyCommand, waiter: Waiter, now: float
+    ) -> Intake:
+        result: Result[Proposal, UnavailableError]
+        if isinstance(command, ChangeMembership):
+            add_node = NodeId(command.add_node) if command.add_node else None
+            remove_node = NodeId(command.remove_node) if command.remove_node else None
+            result = self._replica.request_replacement(add_node, remove_node, now)
+        else:
+            result = self._replica.propose(encode_logged_command(command_id, data), now)
+        if isinstance(result, Err):
+            return Intake((_refuse_unavailable(command_id, waiter, result.err_value),))
+        proposal = result.ok_value
+        self.pending.add(
+            PendingCommand(
+                command_id,
+                command_digest(data),
+                proposal.index,
+                proposal.term,
+                now,
+                [waiter],
+            )
+        )
+        return Intake((), proposal)
+
+    def _wait_too(
+        self, pending: PendingCommand, command: bytes, waiter: Waiter
+    ) -> tuple[Effect, ...]:
+        if pending.digest != command_digest(command):
+            refusal = Refused(
+                code="invalid_input", detail="another command was sent under this command id"
+            )
+            return (_answer(waiter, Applied(pending.command_id, 0, refusal)),)
+        if waiter not in pending.waiters:
+            pending.waiters.append(waiter)
+        return ()
+
+    def _not_leader(self, command_id: str, waiter: Waiter) -> Effect:
+        hint = self._leader_hint()
+        if isinstance(waiter, OperatorWaiter):
+            return respond_not_leader(waiter.request_id, hint.http_address)
+        return not_proposed_reply(
+            waiter.node_id, command_id, CommandStatus.NOT_LEADER, hint.node_id
+        )
+
+    def _lost(self, pending: PendingCommand) -> list[Effect]:
+        return [self._not_leader(pending.command_id, waiter) for waiter in pending.waiters]
+
+
+def _operators(pending: PendingCommand) -> Sequence[OperatorWaiter]:
+    return [waiter for waiter in pending.waiters if isinstance(waiter, OperatorWaiter)]
+
+
+def _answer(waiter: Waiter, applied: Applied) -> Effect:
+    if isinstance(waiter, SessionWaiter):
+        return outcome_reply(waiter.node_id, applied.command_id, applied.revision, applied.outcome)
+    return respond_outcome(waiter.request_id, applied.revision, applied.outcome)
+
+
+def _busy(command_id: str, waiter: Waiter) -> Effect:
+    error = UnavailableError(
+        detail="too many commands wait", retry_after_seconds=BUSY_RETRY_SECONDS
+    )
+    return _refuse_unavailable(command_id, waiter, error)
+
+
+def _refuse_unavailable(command_id: str, waiter: Waiter, error: UnavailableError) -> Effect:
+    if isinstance(waiter, SessionWaiter):
+        return not_proposed_reply(waiter.node_id, command_id, CommandStatus.BUSY, "")
+    return respond_error(waiter.request_id, error)
+
+
+def _unknown(waiter: OperatorWaiter) -> Effect:
+    error = OutcomeUnknownError(
+        detail="not decided in time; send it again under the same command id",
+        retry_after_seconds=1.0,
+    )
+    return respond_error(waiter.request_id, error)
--- a/src/merlinstand/control/daemon.py
+++ b/src/merlinstand/control/daemon.py
@@ -2,9 +2,89 @@
 
 from collections.abc import Sequence
 
-from merlinstand.control.settings import ControlSettings
-from merlinstand.kernel.effects import Effect
-from merlinstand.kernel.events import Event, Started
+import msgspec
+from result import Err
+
+from merlinstand.common.ids import NodeId, Zone
+from merlinstand.consensus.replica import Replica
+from merlinstand.consensus.settings import (
+    PeerSettings,
+    ReplicaLimits,
+    ReplicaSettings,
+    ReplicaTimings,
+)
+from merlinstand.consensus.step import Step
+from merlinstand.control.command_intake import CommandIntake, Intake, LeaderHint
+from merlinstand.control.commands import encode_command
+from merlinstand.control.operator_requests import (
+    CommandPost,
+    ConfigurationGet,
+    HealthGet,
+    QueryGet,
+    StatusGet,
+    read_request,
+    respond_error,
+    respond_health,
+    respond_json,
+)
+from merlinstand.control.queries import MembersAnswer, MemberState, decode_query
+from merlinstand.control.reads import (
+    OperatorConfigurationRead,
+    OperatorRead,
+    Read,
+    Reads,
+    SessionRead,
+)
+from merlinstand.control.replies import configuration_update, query_reply
+from merlinstand.control.settings import ControlMember, ControlSettings
+from merlinstand.control.state_machine import StateMachine
+from merlinstand.control.waiters import OperatorWaiter, SessionWaiter
+from merlinstand.kernel.effects import (
+    Effect,
+    LearnAddress,
+    LogEvent,
+    SendMessage,
+    SetGauge,
+    SetTimer,
+    StopProcess,
+)
+from merlinstand.kernel.events import (
+    Event,
+    MessageReceived,
+    RequestAborted,
+    RequestReceived,
+    Started,
+    StopRequested,
+    TimerFired,
+)
+from merlinstand.protocol.generated.control.ttypes import (
+    CommandRequest,
+    CommandStatus,
+    ConfigurationPull,
+    QueryRequest,
+)
+
+HOUSEKEEPING_TIMER = "control.housekeeping"
+HOUSEKEEPING_INTERVAL_SECONDS = 1.0
+STOP_TIMER = "control.stop"
+STOP_GRACE_SECONDS = 2.0
+"""Longest wait, after leadership was handed over, for commands still undecided."""
+
+
+class StatusBody(msgspec.Struct, frozen=True):
+    """Body of `GET /v1/status`: what this one replica knows."""
+
+    node_id: str
+    zone: str
+    is_leader: bool
+    leader: str
+    leader_http_address: str
+    term: int
+    commit_index: int
+    configuration_revision: int
+    group_time: float
+    proof_age_seconds: float | None
+    pending_commands: int
 
 
 class ControlDaemon:
@@ -17,11 +97,250 @@
             settings: Checked settings of this daemon.
         """
         self._settings = settings
+        self.replica = Replica(_replica_settings(settings))
+        self.state = StateMachine()
+        self._intake = CommandIntake(self.replica, self.state, settings.timings, self._leader_hint)
+        self._reads = Reads(
+            self.state, self._members_answer, self.replica.group_time, self._leader_hint
+        )
+        self._delivered_index = 0
+        self._stopping = False
 
     def start(self, event: Started, now: float) -> Sequence[Effect]:
         """Recover from the journal and join the group."""
-        raise NotImplementedError
+        effects: list[Effect] = [
+            LearnAddress(NodeId(member.node_id), member.address)
+            for member in self._settings.members + self._settings.standbys
+            if member.node_id != self._settings.node_id
+        ]
+        effects.append(SetTimer(HOUSEKEEPING_TIMER, HOUSEKEEPING_INTERVAL_SECONDS))
+        effects.extend(self._perform(self.replica.start(event, now), now))
+        return effects
 
     def reduce(self, event: Event, now: float) -> Sequence[Effect]:
         """Handle one event."""
-        raise NotImplementedError
+        if self.replica.handles(event):
+            return self._perform(self.replica.handle(event, now), now)
+        match event:
+            case MessageReceived():
+                return self._message(event, now)
+            case RequestReceived():
+                return self._request(event, now)
+            case RequestAborted():
+                self._intake.pending.forget_request(event.request_id)
+                self._reads.forget_request(event.request_id)
+                return []
+            case TimerFired():
+                return self._timer(event.name, now)
+            case StopRequested():
+                return self._stop(now)
+            case _:
+                return []
+
+    def _perform(self, step: Step, now: float) -> list[Effect]:
+        effects = list(step.effects)
+        if step.restored is not None:
+            self.state.restore(step.restored)
+            effects.extend(self._intake.restored(self.state.applied_index))
+            self._delivered_index = max(self._delivered_index, self.state.applied_index)
+        for entry in step.committed:
+            effects.extend(self._intake.committed(entry))
+            self._delivered_index = entry.index
+        for read_id in step.reads_ready:
+            effects.extend(self._reads.ready(read_id, now))
+        for read_id in step.reads_failed:
+            effects.extend(self._reads.failed(read_id))
+        if step.leadership is not None:
+            fields = {"change": step.leadership.value, "term": self.replica.term}
+            effects.append(LogEvent("control.leadership", fields))
+        if step.snapshot_wanted:
+            snapshot = self.state.snapshot()
+            compacted = self.replica.compact(self._delivered_index, snapshot, now)
+            effects.extend(self._perform(compacted, now))
+        if step.hand_over_ended and self._stopping:
+            effects.extend(self._leave_if_idle())
+        return effects
+
+    def _message(self, event: MessageReceived, now: float) -> list[Effect]:
+        message = event.message
+        match message:
+            case ConfigurationPull():
+                return [self._pull(event.sender, message, now)]
+            case CommandRequest():
+                waiter = SessionWaiter(event.sender)
+                intake = self._intake.receive(message.command_id, message.command, waiter, now)
+                return self._take_in(intake, now)
+            case QueryRequest():
+                return self._query(event.sender, message, now)
+            case _:
+                return []
+
+    def _pull(self, sender: NodeId, pull: ConfigurationPull, now: float) -> Effect:
+        # Any replica answers: a follower with the age of its own proof.
+        delta = self.state.objects.table.delta_since(pull.have_revision)
+        proof_age = self.replica.proof_age_seconds(now)
+        return SendMessage(sender, configuration_update(pull, delta, proof_age))
+
+    def _query(self, sender: NodeId, message: QueryRequest, now: float) -> list[Effect]:
+        try:
+            query = decode_query(message.query)
+        except (msgspec.DecodeError, UnicodeDecodeError):
+            return [query_reply(sender, message.query_id, CommandStatus.REJECTED, b"", "")]
+        return self._read(SessionRead(sender, message.query_id, query), now)
+
+    def _read(self, read: Read, now: float) -> list[Effect]:
+        read_id = self._reads.add(read)
+        if read_id is None:
+            return [self._reads.refuse_busy(read)]
+        return self._perform(self.replica.read_barrier(read_id, now), now)
+
+    def _take_in(self, intake: Intake, now: float) -> list[Effect]:
+        effects = list(intake.effects)
+        if intake.proposal is not None:
+            effects.extend(self._perform(intake.proposal.step, now))
+        return effects
+
+    def _request(self, event: RequestReceived, now: float) -> list[Effect]:
+        result = read_request(event, self._settings)
+        if isinstance(result, Err):
+            return [respond_error(event.request_id, result.err_value)]
+        request = result.ok_value
+        match request:
+            case HealthGet():
+                return [self._health(event, request.ready, now)]
+            case StatusGet():
+                return [respond_json(event.request_id, self._status(now))]
+            case ConfigurationGet():
+                return self._read(OperatorConfigurationRead(event.request_id, request.prefix), now)
+            case QueryGet():
+                return self._read(OperatorRead(event.request_id, request.query), now)
+            case CommandPost():
+                return self._take_in(
+                    self._intake.receive(
+                        request.command_id,
+                        encode_command(request.command),
+                        OperatorWaiter(event.request_id),
+                        now,
+                    ),
+                    now,
+                )
+
+    def _health(self, event: RequestReceived, ready: bool, now: float) -> Effect:
+        if not ready:
+            return respond_health(event.request_id, True, "alive")
+        proof_age = self.replica.proof_age_seconds(now)
+        limit = self._settings.timings.ready_proof_age_seconds
+        if self._stopping:
+            return respond_health(event.request_id, False, "stopping")
+        if proof_age is None or proof_age > limit:
+            return respond_health(event.request_id, False, "no recent proof of a leader")
+        return respond_health(event.request_id, True, "a leader is known")
+
+    def _status(self, now: float) -> StatusBody:
+        hint = self._leader_hint()
+        return StatusBody(
+            node_id=self._settings.node_id,
+            zone=self._settings.zone,
+            is_leader=self.replica.may_act(now),
+            leader=hint.node_id,
+            leader_http_address=hint.http_address,
+            term=self.replica.term,
+            commit_index=self.replica.commit_index,
+            configuration_revision=self.state.objects.table.revision,
+            group_time=self.replica.group_time(now),
+            proof_age_seconds=self.replica.proof_age_seconds(now),
+            pending_commands=len(self._intake.pending),
+        )
+
+    def _timer(self, name: str, now: float) -> list[Effect]:
+        if name == STOP_TIMER:
+            return [StopProcess()]
+        if name != HOUSEKEEPING_TIMER:
+            return []
+        effects = self._intake.expire(now)
+        effects.extend(self._gauges(now))
+        effects.append(SetTimer(HOUSEKEEPING_TIMER, HOUSEKEEPING_INTERVAL_SECONDS))
+        if self._stopping:
+            effects.extend(self._leave_if_idle())
+        return effects
+
+    def _gauges(self, now: float) -> list[Effect]:
+        proof_age = self.replica.proof_age_seconds(now)
+        values = {
+            "merlinstand_control_leader": float(self.replica.may_act(now)),
+            "merlinstand_control_term": float(self.replica.term),
+            "merlinstand_control_commit_index": float(self.replica.commit_index),
+            "merlinstand_control_revision": float(self.state.objects.table.revision),
+            "merlinstand_control_pending_commands": float(len(self._intake.pending)),
+            "merlinstand_control_claims": float(len(self.state.claims.claims)),
+            "merlinstand_control_proof_age_seconds": -1.0 if proof_age is None else proof_age,
+        }
+        return [SetGauge(name, value) for name, value in values.items()]
+
+    def _stop(self, now: float) -> list[Effect]:
+        if self._stopping:
+            return []
+        self._stopping = True
+        effects: list[Effect] = [LogEvent("control.stopping")]
+        effects.extend(self._perform(self.replica.hand_over(now), now))
+        return effects
+
+    def _leave_if_idle(self) -> list[Effect]:
+        if len(self._intake.pending) == 0:
+            return [StopProcess()]
+        return [SetTimer(STOP_TIMER, STOP_GRACE_SECONDS)]
+
+    def _leader_hint(self) -> LeaderHint:
+        leader = self.replica.leader
+        # This replica never names itself: it was asked because somebody thought it leads.
+        if leader is None or leader == self._settings.node_id:
+            return LeaderHint("", "")
+        known = self._known_member(leader)
+        return LeaderHint(leader, "" if known is None else known.http_address)
+
+    def _known_member(self, node_id: NodeId) -> ControlMember | None:
+        for member in self._settings.members + self._settings.standbys:
+            if member.node_id == node_id:
+                return member
+        return None
+
+    def _members_answer(self, now: float) -> MembersAnswer:
+        members = tuple(
+            MemberState(
+                node_id=member.node_id,
+                incarnation=member.incarnation,
+                address=member.address,
+                zone=member.zone,
+                voter=member.role == "voter",
+                leader=member.is_leader,
+                match_index=member.match_index,
+                last_heard_seconds=member.silent_seconds,
+            )
+            for member in self.replica.members(now)
+        )
+        return MembersAnswer(self.replica.term, self.replica.commit_index, members)
+
+
+def _replica_settings(settings: ControlSettings) -> ReplicaSettings:
+    own = settings.own_member()
+    timings = settings.timings
+    return ReplicaSettings(
+        node_id=NodeId(settings.node_id),
+        address=own.address,
+        zone=Zone(settings.zone),
+        members=tuple(map(_peer, settings.members)),
+        standbys=tuple(map(_peer, settings.standbys)),
+        timings=ReplicaTimings(
+            election_timeout_seconds=timings.election_timeout_seconds,
+            election_timeout_spread_seconds=timings.election_timeout_spread_seconds,
+            heartbeat_interval_seconds=timings.heartbeat_interval_seconds,
+            repair_delay_seconds=timings.replacement_delay_seconds,
+        ),
+        limits=ReplicaLimits(compaction_entries=timings.snapshot_every_entries),
+    )
+
+
+def _peer(member: ControlMember) -> PeerSettings:
+    return PeerSettings(
+        node_id=NodeId(member.node_id), address=member.address, zone=Zone(member.zone)
+    )
--- a/src/merlinstand/control/operator_requests.py
+++ b/src/merlinstand/control/operator_requests.py
@@ -17,7 +17,12 @@
     error_body,
 )
 from merlinstand.common.ids import RequestId
-from merlinstand.configuration.objects import OBJECT_TYPES, decode_object, encode_object
+from merlinstand.configuration.objects import (
+    OBJECT_TYPES,
+    ConfigurationObject,
+    decode_object,
+    encode_object,
+)
 from merlinstand.configuration.table import ConfigurationTable
 from merlinstand.control.commands import (
     AnyCommand,
@@ -251,7 +256,7 @@
 
 
 def _encode_value(key: str, value: Any) -> bytes:
-    typed = msgspec.convert(value, OBJECT_TYPES[key.split("/", 1)[0]])
+    typed: ConfigurationObject = msgspec.convert(value, OBJECT_TYPES[key.split("/", 1)[0]])
     _refuse_unknown_fields(value, typed, "$.object")
     return encode_object(typed)
 
--- /dev/null
+++ b/src/merlinstand/control/reads.py
@@ -0,0 +1,158 @@
+"""Linearizable reads: wait for the read barrier, then answer from the applied state."""
+
+from collections.abc import Callable
+
+import msgspec
+
+from merlinstand.common.errors import NotFoundError, UnavailableError
+from merlinstand.common.ids import NodeId, RequestId
+from merlinstand.control.command_intake import LeaderHint
+from merlinstand.control.operator_requests import (
+    configuration_body,
+    respond_error,
+    respond_json,
+    respond_not_leader,
+)
+from merlinstand.control.queries import (
+    AnyAnswer,
+    AnyQuery,
+    LeaseQuery,
+    LedgerAnswer,
+    LedgerQuery,
+    MembersAnswer,
+    MembersQuery,
+)
+from merlinstand.control.replies import BUSY_RETRY_SECONDS, query_reply
+from merlinstand.control.state_machine import StateMachine
+from merlinstand.kernel.effects import Effect
+from merlinstand.protocol.generated.control.ttypes import CommandStatus
+
+MAXIMUM_PENDING_READS = 1_024
+
+
+class SessionRead(msgspec.Struct, frozen=True):
+    """A daemon's query."""
+
+    node_id: NodeId
+    query_id: str
+    query: AnyQuery
+
+
+class OperatorRead(msgspec.Struct, frozen=True):
+    """An operator's query."""
+
+    request_id: RequestId
+    query: AnyQuery
+
+
+class OperatorConfigurationRead(msgspec.Struct, frozen=True):
+    """An operator's read of the configuration."""
+
+    request_id: RequestId
+    prefix: str
+
+
+Read = SessionRead | OperatorRead | OperatorConfigurationRead
+
+
+class Reads:
+    """Reads that wait for their barrier."""
+
+    def __init__(
+        self,
+        state: StateMachine,
+        members: Callable[[float], MembersAnswer],
+        group_time: Callable[[float], float],
+        leader_hint: Callable[[], LeaderHint],
+    ) -> None:
+        """Make a table without reads.
+
+        Args:
+            state: Where answers come from.
+            members: Describes the group.
+            group_time: The group's time at a local time.
+            leader_hint: Tells where clients should go instead.
+        """
+        self._state = state
+        self._members = members
+        self._group_time = group_time
+        self._leader_hint = leader_hint
+        self._waiting: dict[str, Read] = {}
+        self._counter = 0
+
+    def add(self, read: Read) -> str | None:
+        """Remember a read.
+
+        Returns:
+            The name for its barrier, or None if too many wait.
+        """
+        if len(self._waiting) >= MAXIMUM_PENDING_READS:
+            return None
+        self._counter += 1
+        read_id = f"read-{self._counter}"
+        self._waiting[read_id] = read
+        return read_id
+
+    def ready(self, read_id: str, now: float) -> list[Effect]:
+        """Answer a read whose barrier was passed."""
+        read = self._waiting.pop(read_id, None)
+        match read:
+            case None:
+                return []
+            case OperatorConfigurationRead():
+                body = configuration_body(self._state.objects.table, read.prefix)
+                return [respond_json(read.request_id, body)]
+            case OperatorRead():
+                answer = self._find_answer(read.query, now)
+                if answer is None:
+                    return [respond_error(read.request_id, NotFoundError(detail="no such job"))]
+                return [respond_json(read.request_id, answer)]
+            case SessionRead():
+                return [self._reply(read, self._find_answer(read.query, now))]
+
+    def failed(self, read_id: str) -> list[Effect]:
+        """Send the client of a read elsewhere."""
+        read = self._waiting.pop(read_id, None)
+        return [] if read is None else [self._elsewhere(read)]
+
+    def refuse_busy(self, read: Read) -> Effect:
+        """Refuse a read that was not added."""
+        if isinstance(read, SessionRead):
+            return query_reply(read.node_id, read.query_id, CommandStatus.BUSY, b"", "")
+        error = UnavailableError(
+            detail="too many reads wait", retry_after_seconds=BUSY_RETRY_SECONDS
+        )
+        return respond_error(read.request_id, error)
+
+    def forget_request(self, request_id: RequestId) -> None:
+        """Forget the read of an operator who went away."""
+        self._waiting = {
+            read_id: read
+            for read_id, read in self._waiting.items()
+            if isinstance(read, SessionRead) or read.request_id != request_id
+        }
+
+    def _elsewhere(self, read: Read) -> Effect:
+        hint = self._leader_hint()
+        if isinstance(read, SessionRead):
+            status = CommandStatus.NOT_LEADER
+            return query_reply(read.node_id, read.query_id, status, b"", hint.node_id)
+        return respond_not_leader(read.request_id, hint.http_address)
+
+    def _reply(self, read: SessionRead, answer: AnyAnswer | None) -> Effect:
+        if answer is None:
+            return query_reply(read.node_id, read.query_id, CommandStatus.REJECTED, b"", "")
+        encoded = msgspec.msgpack.encode(answer)
+        return query_reply(read.node_id, read.query_id, CommandStatus.APPLIED, encoded, "")
+
+    def _find_answer(self, query: AnyQuery, now: float) -> AnyAnswer | None:
+        match query:
+            case LedgerQuery():
+                return self._ledger(query.job)
+            case LeaseQuery():
+                return self._state.lease_states(self._group_time(now))
+            case MembersQuery():
+                return self._members(now)
+
+    def _ledger(self, job: str) -> LedgerAnswer | None:
+        return self._state.ledger(job)
--- /dev/null
+++ b/src/merlinstand/session/configuration_follower.py
@@ -0,0 +1,193 @@
+"""Follows the configuration: pulls, never goes back, and knows how current it is.
+
+Promise: a change is accepted when it is committed. From one configuration lease later on
+every daemon has it in force or takes no new work: a proof given after the commit
+includes the change, and work is taken only under a proof younger than the lease.
+"""
+
+import random
+
+import msgspec
+
+from merlinstand.common import constants
+from merlinstand.common.ids import NodeId
+from merlinstand.configuration.table import ConfigurationTable, Delta, DeltaEntry
+from merlinstand.control.replies import configuration_update
+from merlinstand.kernel.effects import CancelTimer, Effect, SendMessage, SetTimer
+from merlinstand.protocol.generated.control.ttypes import ConfigurationPull, ConfigurationUpdate
+from merlinstand.session.durable_state import DurableState
+from merlinstand.session.replica_choice import ReplicaChoice
+from merlinstand.session.settings import SessionSettings
+from merlinstand.session.view import ConfigurationView, next_view
+
+PULL_TIMER = "session.pull"
+PULL_TIMEOUT_TIMER = "session.pull_timeout"
+
+PULL_JITTER = 0.1
+"""Share of the interval by which pulls are spread, up and down."""
+
+MAXIMUM_OUTSTANDING_PULLS = 32
+"""Pulls whose answers are still taken, however late."""
+
+
+class StagedUpdate(msgspec.Struct, frozen=True):
+    """A newer configuration whose revision is being made durable."""
+
+    token: int
+    delta: Delta
+    proof_at: float | None
+
+
+class AppliedUpdate(msgspec.Struct, frozen=True):
+    """A newer configuration that is now in force."""
+
+    changed_keys: tuple[str, ...]
+
+
+class ConfigurationFollower:
+    """The configuration in force at this daemon, and the proof that it is the newest."""
+
+    def __init__(
+        self, settings: SessionSettings, durable: DurableState, generator: random.Random
+    ) -> None:
+        """Make a follower without configuration.
+
+        Args:
+            settings: Who this daemon is and where control is.
+            durable: The session's part of the journal.
+            generator: Source of random choices.
+        """
+        self.view = ConfigurationView()
+        self._settings = settings
+        self._timings = settings.timings
+        self._durable = durable
+        self._generator = generator
+        self._choice = ReplicaChoice(settings.node_id, settings.members, settings.peers)
+        self._table = ConfigurationTable()
+        self._proof_at: float | None = None
+        self._staged: StagedUpdate | None = None
+        self._outstanding: dict[float, tuple[NodeId, ...]] = {}
+        self._preferred_tried_at = 0.0
+
+    @property
+    def usable_proof_age_seconds(self) -> float:
+        """Age at which a proof ends the lease: its duration less the clock drift."""
+        drift = 2 * constants.MAXIMUM_CLOCK_DRIFT
+        return self._timings.configuration_lease_seconds * (1.0 - drift)
+
+    def holds_lease(self, now: float) -> bool:
+        """Tell whether the configuration in force was proved newest recently enough."""
+        return self._proof_at is not None and (now - self._proof_at < self.usable_proof_age_seconds)
+
+    def start(self, now: float) -> list[Effect]:
+        """Send the first pull."""
+        self._preferred_tried_at = now
+        return self.pull(now)
+
+    def pull(self, now: float) -> list[Effect]:
+        """Ask for changes at once."""
+        targets, addresses = self._choice.targets(self.view.daemons, self._generator)
+        if self._wants_preferred(now):
+            self._preferred_tried_at = now
+            targets = (*targets, self._choice.preferred)
+        # Two pulls at one instant share their answer's echo; that is harmless.
+        self._outstanding[now] = targets
+        while len(self._outstanding) > MAXIMUM_OUTSTANDING_PULLS:
+            del self._outstanding[next(iter(self._outstanding))]
+        message = ConfigurationPull(self._settings.node_id, self._table.revision, now)
+        effects: list[Effect] = list(addresses)
+        effects.extend(SendMessage(target, message) for target in targets)
+        effects.append(SetTimer(PULL_TIMEOUT_TIMER, self._timings.pull_timeout_seconds))
+        effects.append(CancelTimer(PULL_TIMER))
+        return effects
+
+    def pull_timed_out(self, now: float) -> list[Effect]:
+        """Nobody gave a proof in time: ask others at once."""
+        self._choice.failed()
+        return self.pull(now)
+
+    def update_received(
+        self, sender: NodeId, update: ConfigurationUpdate, now: float
+    ) -> list[Effect]:
+        """Take an answer to a pull; a newer configuration is first made durable."""
+        if not self._is_expected(sender, update, now):
+            return []
+        proof_at = _proof_time(update)
+        effects = self._judge_answer(sender, proof_at, now)
+        highest = max(self._durable.revision, self._table.revision)
+        if update.to_revision < highest:
+            # The sender lags behind what was in force here before: never go back.
+            return effects
+        if update.to_revision == self._table.revision:
+            self._take_proof(proof_at)
+        else:
+            effects.extend(self._stage(update, proof_at))
+        return effects
+
+    def synced(self, token: int) -> AppliedUpdate | None:
+        """Put the staged configuration in force once its revision is durable."""
+        staged = self._staged
+        if staged is None or token != staged.token:
+            return None
+        self._staged = None
+        changed_keys = self._table.apply(staged.delta)
+        self.view = next_view(self.view, self._table, changed_keys)
+        if staged.proof_at is not None:
+            self._take_proof(staged.proof_at)
+        return AppliedUpdate(changed_keys)
+
+    def answer_pull(self, sender: NodeId, pull: ConfigurationPull, now: float) -> list[Effect]:
+        """Relay the configuration to a peer, with the age of this daemon's own proof."""
+        if self._proof_at is None:
+            return []
+        delta = self._table.delta_since(pull.have_revision)
+        update = configuration_update(pull, delta, max(0.0, now - self._proof_at))
+        return [SendMessage(sender, update)]
+
+    def _wants_preferred(self, now: float) -> bool:
+        waited = now - self._preferred_tried_at >= self._timings.preferred_retry_seconds
+        return waited and self._choice.current != self._choice.preferred
+
+    def _is_expected(self, sender: NodeId, update: ConfigurationUpdate, now: float) -> bool:
+        # The echo must be one of this run's own send times: after a restart the clock may
+        # have started again, and an old answer would look like a fresh proof.
+        targets = self._outstanding.get(update.sent_at)
+        return targets is not None and sender in targets and update.sent_at <= now
+
+    def _judge_answer(self, sender: NodeId, proof_at: float | None, now: float) -> list[Effect]:
+        recent = self._timings.configuration_lease_seconds / 2
+        if proof_at is None or now - proof_at > recent:
+            # The silence timer goes on and will ask others.
+            return []
+        self._choice.succeeded(sender)
+        jitter = self._generator.uniform(1.0 - PULL_JITTER, 1.0 + PULL_JITTER)
+        delay_seconds = self._timings.pull_interval_seconds * jitter
+        return [CancelTimer(PULL_TIMEOUT_TIMER), SetTimer(PULL_TIMER, delay_seconds)]
+
+    def _stage(self, update: ConfigurationUpdate, proof_at: float | None) -> list[Effect]:
+        if self._staged is not None and update.to_revision <= self._staged.delta.to_revision:
+            return []
+        if not update.full and update.from_revision > self._table.revision:
+            return []
+        token, effect = self._durable.write(update.to_revision)
+        self._staged = StagedUpdate(token, _delta(update), proof_at)
+        return [effect]
+
+    def _take_proof(self, proof_at: float | None) -> None:
+        if proof_at is not None and (self._proof_at is None or proof_at > self._proof_at):
+            self._proof_at = proof_at
+
+
+def _proof_time(update: ConfigurationUpdate) -> float | None:
+    # The answer was sent after the pull, so this is earlier than the true time: safe.
+    if update.proof_age_seconds < 0.0:
+        return None
+    return update.sent_at - update.proof_age_seconds
+
+
+def _delta(update: ConfigurationUpdate) -> Delta:
+    entries = tuple(
+        DeltaEntry(entry.key, entry.revision, entry.deleted, entry.payload)
+        for entry in update.entries
+    )
+    return Delta(update.from_revision, update.to_revision, update.full, entries)
--- a/src/merlinstand/session/control_session.py
+++ b/src/merlinstand/session/control_session.py
@@ -4,20 +4,70 @@
 performs the effects of the returned step, and acts on its notices.
 """
 
+import random
 from collections.abc import Sequence
 
 import msgspec
+import xxhash
 
-from merlinstand.common.ids import CommandId
-from merlinstand.control.commands import Command
+from merlinstand.common.errors import MerlinstandError, NotFoundError
+from merlinstand.common.ids import CommandId, NodeId
+from merlinstand.configuration.objects import Daemon, encode_object
+from merlinstand.control.commands import Command, PutObject
 from merlinstand.control.queries import Query
-from merlinstand.kernel.effects import Effect
-from merlinstand.kernel.events import Event, Started
-from merlinstand.session.lease_keeper import HeldLease
-from merlinstand.session.notices import Notice
+from merlinstand.kernel.effects import Effect, LearnAddress, LogEvent, SetTimer
+from merlinstand.kernel.events import (
+    Event,
+    MessageReceived,
+    RecordsSynced,
+    SnapshotSaved,
+    Started,
+    TimerFired,
+)
+from merlinstand.protocol.generated.control.ttypes import (
+    CommandReply,
+    ConfigurationPull,
+    ConfigurationUpdate,
+    QueryReply,
+)
+from merlinstand.session.configuration_follower import (
+    PULL_TIMEOUT_TIMER,
+    PULL_TIMER,
+    AppliedUpdate,
+    ConfigurationFollower,
+)
+from merlinstand.session.durable_state import DurableState
+from merlinstand.session.lease_keeper import (
+    LEASE_TIMER,
+    HeldLease,
+    LeaseKeeper,
+    OutgoingCommand,
+)
+from merlinstand.session.notices import (
+    CommandFinished,
+    CommandUnresolvedError,
+    ConfigurationChanged,
+    ConfigurationLeaseChanged,
+    Notice,
+    QueryFinished,
+    SessionBusyError,
+)
+from merlinstand.session.replica_choice import rank_members
+from merlinstand.session.request_sender import (
+    SENDER_TIMER,
+    Answered,
+    Received,
+    RequestSender,
+)
 from merlinstand.session.settings import SessionSettings
 from merlinstand.session.view import ConfigurationView
 
+NOTICES_TIMER = "session.notices"
+REGISTRATION_TIMEOUT_SECONDS = 10.0
+RETRY_WITHOUT_LEASE_SECONDS = 1.0
+
+_MESSAGES = (CommandReply, QueryReply, ConfigurationPull, ConfigurationUpdate)
+
 
 class SessionStep(msgspec.Struct, frozen=True):
     """What came of one event."""
@@ -32,15 +82,44 @@
     def __init__(self, settings: SessionSettings) -> None:
         """Make a session that has not started."""
         self._settings = settings
-        self.view = ConfigurationView()
+        self._durable = DurableState(settings.owns_journal)
+        self._counter = 0
+        self._queued_notices: list[Notice] = []
+        self._run_name = ""
+        self._run_token: int | None = None
+        self._registration: CommandId | None = None
+        self._lease_was_held = False
+        self._generator = random.Random(0)
+        ranked = rank_members(settings.node_id, settings.members)
+        self._follower = ConfigurationFollower(settings, self._durable, self._generator)
+        self._sender = RequestSender(settings, ranked, self._generator)
+        self._keeper = self._new_keeper(0)
+
+    @property
+    def view(self) -> ConfigurationView:
         """The configuration in force; replaced as a whole."""
+        return self._follower.view
 
     def start(self, event: Started, now: float) -> SessionStep:
         """Recover the highest revision seen and send the first pull.
 
         Records in `event.records` that are not the session's own are ignored.
         """
-        raise NotImplementedError
+        self._durable.recover(event)
+        # Another run is another holder and never uses a command id of this one. That needs
+        # the run's number to be durable before anything leaves under it.
+        incarnation = _run_incarnation(event.incarnation, self._durable.run)
+        self._run_name = f"{self._settings.node_id}/{incarnation:x}"
+        self._generator.seed(event.seed)
+        self._keeper = self._new_keeper(incarnation)
+        self._run_token, write_run = self._durable.write(self._durable.revision)
+        effects: list[Effect] = [
+            LearnAddress(NodeId(member.node_id), member.address)
+            for member in self._settings.members
+        ]
+        effects.append(write_run)
+        effects.extend(self._follower.start(now))
+        return SessionStep(tuple(effects))
 
     def handles(self, event: Event) -> bool:
         """Tell whether an event belongs to the session.
@@ -48,11 +127,26 @@
         True for control messages, timers named `session.…`, and the session's own
         `RecordsSynced` and `SnapshotSaved` tokens (all at or above `SESSION_TOKEN_BASE`).
         """
-        raise NotImplementedError
+        match event:
+            case MessageReceived():
+                return isinstance(event.message, _MESSAGES)
+            case TimerFired():
+                return event.name.startswith("session.")
+            case _:
+                return DurableState.synced_token(event) is not None
 
     def reduce(self, event: Event, now: float) -> SessionStep:
         """Handle an event for which `handles` is true."""
-        raise NotImplementedError
+        match event:
+            case MessageReceived():
+                step = self._message(event, now)
+            case TimerFired():
+                step = self._timer(event.name, now)
+            case RecordsSynced() | SnapshotSaved():
+                step = self._synced(event.token, now)
+            case _:
+                step = SessionStep()
+        return self._with_lease_notice(step, now)
 
     def submit(
         self,
@@ -75,13 +169,26 @@
             The command's id, and effects to perform. `CommandFinished` follows exactly once,
             from a later `reduce`.
         """
-        raise NotImplementedError
+        chosen = self._next_id() if command_id is None else command_id
+        if self._sender.is_full:
+            error = SessionBusyError(detail="too many commands wait", retry_after_seconds=1.0)
+            finished = CommandFinished(command_id=chosen, command=command, error=error)
+            return chosen, self._queue(finished)
+        return chosen, self._sender.add_command(chosen, command, now, timeout_seconds)
 
     def query(
         self, query: Query, now: float, *, timeout_seconds: float = 5.0
     ) -> tuple[CommandId, Sequence[Effect]]:
         """Ask for a linearizable read; `QueryFinished` follows exactly once."""
-        raise NotImplementedError
+        query_id = self._next_id()
+        if self._sender.is_full:
+            error = SessionBusyError(detail="too many requests wait", retry_after_seconds=1.0)
+            return query_id, self._queue(QueryFinished(query_id=query_id, error=error))
+        return query_id, self._sender.add_query(query_id, query, now, timeout_seconds)
+
+    def refresh(self, now: float) -> Sequence[Effect]:
+        """Pull the configuration at once instead of at the next interval."""
+        return self._follower.pull(now)
 
     def may_take_new_work(self, now: float) -> bool:
         """Tell whether the configuration lease is held.
@@ -90,28 +197,185 @@
         configuration in force is the newest accepted one is too old. Work already begun
         goes on.
         """
-        raise NotImplementedError
+        return self._follower.holds_lease(now)
 
     def seconds_until_retry(self, now: float) -> float:
         """Return when a caller refused for want of the configuration lease should come back."""
-        raise NotImplementedError
+        return 0.0 if self.may_take_new_work(now) else RETRY_WITHOUT_LEASE_SECONDS
 
     def want_lease(self, resource: str, now: float) -> Sequence[Effect]:
         """Begin to acquire, and from then on keep, a resource. Harmless if wanted already."""
-        raise NotImplementedError
+        if self._keeper.wants(resource):
+            return []
+        self._keeper.want(resource, now)
+        return [SetTimer(LEASE_TIMER, 0.0)]
 
     def give_up_lease(self, resource: str, now: float) -> Sequence[Effect]:
         """Release a resource and stop asking for it. `lease` is None from this call on."""
-        raise NotImplementedError
+        return self._submit_all(self._keeper.give_up(resource, now), now)
 
     def lease(self, resource: str, now: float) -> HeldLease | None:
         """Return the lease if this daemon may act for the resource at `now`."""
-        raise NotImplementedError
+        return self._keeper.lease(resource, now)
 
     def durable_records(self) -> tuple[bytes, ...]:
         """Return the records an embedding daemon must keep when it cuts the journal."""
-        raise NotImplementedError
+        return (self._durable.record(),)
 
     def stop(self, now: float) -> Sequence[Effect]:
         """Release every lease (planned stop)."""
-        raise NotImplementedError
+        effects: list[Effect] = []
+        for resource in self._keeper.resources():
+            effects.extend(self.give_up_lease(resource, now))
+        return effects
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether no command or query waits for its answer."""
+        return len(self._sender) == 0
+
+    def _new_keeper(self, incarnation: int) -> LeaseKeeper:
+        return LeaseKeeper(
+            self._settings.node_id,
+            incarnation,
+            self._settings.timings.lease_duration_seconds,
+            self._generator,
+        )
+
+    def _message(self, event: MessageReceived, now: float) -> SessionStep:
+        message = event.message
+        match message:
+            case CommandReply():
+                return self._received(self._sender.command_reply(event.sender, message, now), now)
+            case QueryReply():
+                return self._received(self._sender.query_reply(event.sender, message, now), now)
+            case ConfigurationUpdate():
+                effects = self._follower.update_received(event.sender, message, now)
+                return SessionStep(tuple(effects))
+            case ConfigurationPull():
+                effects = self._follower.answer_pull(event.sender, message, now)
+                return SessionStep(tuple(effects))
+            case _:
+                return SessionStep()
+
+    def _timer(self, name: str, now: float) -> SessionStep:
+        if name == PULL_TIMER:
+            return SessionStep(tuple(self._follower.pull(now)))
+        if name == PULL_TIMEOUT_TIMER:
+            return SessionStep(tuple(self._follower.pull_timed_out(now)))
+        if name == SENDER_TIMER:
+            return self._received(self._sender.tick(now), now)
+        if name == LEASE_TIMER:
+            return self._keep_leases(now)
+        if name == NOTICES_TIMER:
+            notices, self._queued_notices = self._queued_notices, []
+            return SessionStep((), tuple(notices))
+        return SessionStep()
+
+    def _synced(self, token: int, now: float) -> SessionStep:
+        effects: list[Effect] = []
+        # Writes are synced in order, so a later token covers the run's number as well.
+        if self._run_token is not None and token >= self._run_token:
+            self._run_token = None
+            effects.extend(self._sender.open(now))
+        applied = self._follower.synced(token)
+        if applied is None:
+            return SessionStep(tuple(effects))
+        effects.extend(self._register(now))
+        return SessionStep(tuple(effects), (self._changed(applied),))
+
+    def _changed(self, applied: AppliedUpdate) -> Notice:
+        return ConfigurationChanged(revision=self.view.revision, changed_keys=applied.changed_keys)
+
+    def _received(self, received: Received, now: float) -> SessionStep:
+        effects = list(received.effects)
+        notices: list[Notice] = []
+        for answered in received.answered:
+            if answered.request_id == self._registration:
+                self._registration = None
+                continue
+            if self._keeper.owns(answered.request_id):
+                notices.extend(self._keeper.finished(answered.request_id, answered.outcome, now))
+                continue
+            notices.append(_finished_notice(answered))
+        return self._then_keep_leases(SessionStep(tuple(effects), tuple(notices)), now)
+
+    def _then_keep_leases(self, step: SessionStep, now: float) -> SessionStep:
+        kept = self._keep_leases(now)
+        return SessionStep(step.effects + kept.effects, step.notices + kept.notices)
+
+    def _keep_leases(self, now: float) -> SessionStep:
+        if not self._keeper.resources():
+            return SessionStep()
+        commands, notices = self._keeper.due(now)
+        effects = self._submit_all(commands, now)
+        next_due_at = self._keeper.next_due_at()
+        if next_due_at is not None:
+            effects.append(SetTimer(LEASE_TIMER, max(0.0, next_due_at - now)))
+        return SessionStep(tuple(effects), tuple(notices))
+
+    def _submit_all(self, commands: Sequence[OutgoingCommand], now: float) -> list[Effect]:
+        # Beyond the limit of waiting commands on purpose: a lease must not fall to load.
+        effects: list[Effect] = []
+        for outgoing in commands:
+            effects.extend(
+                self._sender.add_command(
+                    outgoing.command_id, outgoing.command, now, outgoing.timeout_seconds
+                )
+            )
+        return effects
+
+    def _register(self, now: float) -> list[Effect]:
+        settings = self._settings
+        own = Daemon(
+            settings.node_id, settings.role, settings.address, settings.http_address, settings.zone
+        )
+        if not settings.register or self._registration is not None:
+            return []
+        if self.view.daemons.get(settings.node_id) == own:
+            return []
+        command = PutObject(key=f"daemon/{settings.node_id}", value=encode_object(own))
+        self._registration = self._next_id()
+        return self._sender.add_command(
+            self._registration, command, now, REGISTRATION_TIMEOUT_SECONDS
+        )
+
+    def _with_lease_notice(self, step: SessionStep, now: float) -> SessionStep:
+        held = self._follower.holds_lease(now)
+        if held == self._lease_was_held:
+            return step
+        self._lease_was_held = held
+        severity = "info" if held else "warning"
+        event = LogEvent("session.configuration_lease", {"held": held}, severity)
+        notice = ConfigurationLeaseChanged(held=held)
+        return SessionStep((*step.effects, event), (*step.notices, notice))
+
+    def _queue(self, notice: Notice) -> list[Effect]:
+        self._queued_notices.append(notice)
+        return [SetTimer(NOTICES_TIMER, 0.0)]
+
+    def _next_id(self) -> CommandId:
+        self._counter += 1
+        return CommandId(f"{self._run_name}/{self._counter}")
+
+
+def _run_incarnation(storage_incarnation: int, run: int) -> int:
+    """Name one run of one disk by a number below 2**63."""
+    return int(xxhash.xxh3_64_intdigest(f"{storage_incarnation}/{run}".encode())) >> 1
+
+
+def _finished_notice(answered: Answered) -> Notice:
+    error: MerlinstandError | None = None
+    if answered.timed_out:
+        error = CommandUnresolvedError(detail="no answer in time", retry_after_seconds=1.0)
+    if isinstance(answered.content, Query):
+        if error is None and answered.answer is None:
+            error = NotFoundError(detail="no such thing")
+        return QueryFinished(query_id=answered.request_id, answer=answered.answer, error=error)
+    return CommandFinished(
+        command_id=answered.request_id,
+        command=answered.content,
+        outcome=answered.outcome,
+        revision=answered.revision,
+        error=error,
+    )
--- a/src/merlinstand/session/lease_keeper.py
+++ b/src/merlinstand/session/lease_keeper.py
@@ -1,7 +1,39 @@
-"""Leases wanted and held by this daemon, renewed at a third of their duration."""
+"""Leases wanted and held by this daemon, renewed at a third of their duration.
+
+All leases are renewed by one command, so a daemon costs the group one command every two
+seconds, however many resources it holds, and none if it holds nothing.
+
+The holder counts from the time it *sent* the request, which is before the group granted
+it, and takes the clock drift of both sides off. So it stops before the group, which
+counts group time, can let anybody else in.
+"""
+
+import random
 
 import msgspec
 
+from merlinstand.common import constants
+from merlinstand.common.ids import CommandId
+from merlinstand.control.commands import (
+    AcquireLease,
+    AnyOutcome,
+    Command,
+    LeaseGranted,
+    LeaseHeld,
+    LeaseRenewal,
+    LeasesRenewed,
+    ReleaseLease,
+    RenewLeases,
+)
+from merlinstand.session.notices import LeaseGained, LeaseLost, LeaseUnavailable, Notice
+
+LEASE_TIMER = "session.leases"
+
+RETRY_SECONDS = 1.0
+"""Longest wait before a lease that somebody else holds is asked for again."""
+
+RENEWALS_IN_A_DURATION = 3
+
 
 class HeldLease(msgspec.Struct, frozen=True):
     """A lease as its holder may count on it."""
@@ -10,3 +42,246 @@
     epoch: int
     expires_at: float
     """Local time until which the holder may act: send time + duration, less drift."""
+
+
+class WantedLease(msgspec.Struct):
+    """A resource this daemon wants to hold."""
+
+    resource: str
+    held: HeldLease | None = None
+    asked: CommandId | None = None
+    """The acquisition under way."""
+    next_ask_at: float = 0.0
+    """Local time in seconds."""
+
+
+class Renewal(msgspec.Struct, frozen=True):
+    """A renewal under way."""
+
+    command_id: CommandId
+    sent_at: float
+    leases: tuple[LeaseRenewal, ...]
+
+
+class OutgoingCommand(msgspec.Struct, frozen=True):
+    """A command to submit."""
+
+    command_id: CommandId
+    command: Command
+    timeout_seconds: float
+
+
+class LeaseKeeper:
+    """Leases of one run of a daemon."""
+
+    def __init__(
+        self,
+        holder: str,
+        incarnation: int,
+        duration_seconds: float,
+        generator: random.Random,
+    ) -> None:
+        """Make a keeper that wants nothing.
+
+        Args:
+            holder: The daemon's name.
+            incarnation: Number of this run: another run is another holder.
+            duration_seconds: Duration of every lease.
+            generator: Source of random choices.
+        """
+        self._holder = holder
+        self._incarnation = incarnation
+        self._duration_seconds = duration_seconds
+        self._generator = generator
+        self._wanted: dict[str, WantedLease] = {}
+        self._sent_at: dict[CommandId, float] = {}
+        """Send times of acquisitions under way."""
+        self._renewal: Renewal | None = None
+        self._next_renewal_at = 0.0
+        self._counter = 0
+        self._id_prefix = f"{holder}/{incarnation:x}/lease-"
+
+    def lease(self, resource: str, now: float) -> HeldLease | None:
+        """Return a lease that is held at `now`."""
+        wanted = self._wanted.get(resource)
+        if wanted is None or wanted.held is None or now >= wanted.held.expires_at:
+            return None
+        return wanted.held
+
+    def wants(self, resource: str) -> bool:
+        """Tell whether a resource is wanted."""
+        return resource in self._wanted
+
+    def owns(self, command_id: CommandId) -> bool:
+        """Tell whether a command was made by the keeper."""
+        return command_id.startswith(self._id_prefix)
+
+    def want(self, resource: str, now: float) -> None:
+        """Begin to want a resource."""
+        self._wanted.setdefault(resource, WantedLease(resource, next_ask_at=now))
+
+    def give_up(self, resource: str, now: float) -> list[OutgoingCommand]:
+        """Stop wanting a resource and release it."""
+        wanted = self._wanted.pop(resource, None)
+        if wanted is None or wanted.held is None:
+            return []
+        release = ReleaseLease(
+            resource=resource,
+            holder=self._holder,
+            holder_incarnation=self._incarnation,
+            epoch=wanted.held.epoch,
+        )
+        return [OutgoingCommand(self._next_id(), release, self._duration_seconds)]
+
+    def resources(self) -> tuple[str, ...]:
+        """Return the wanted resources."""
+        return tuple(self._wanted)
+
+    def due(self, now: float) -> tuple[list[OutgoingCommand], list[Notice]]:
+        """Notice expiry, and ask for what is due."""
+        notices = self._expire(now)
+        commands = [
+            self._ask(wanted, now)
+            for wanted in self._wanted.values()
+            if wanted.held is None and wanted.asked is None and now >= wanted.next_ask_at
+        ]
+        renewal = self._renew(now)
+        if renewal is not None:
+            commands.append(renewal)
+        return commands, notices
+
+    def next_due_at(self) -> float | None:
+        """Return when `due` must be called next, None if there is nothing to do."""
+        times: list[float] = []
+        for wanted in self._wanted.values():
+            if wanted.held is not None:
+                times.append(wanted.held.expires_at)
+            elif wanted.asked is None:
+                times.append(wanted.next_ask_at)
+        if self._renewal is None and any(wanted.held for wanted in self._wanted.values()):
+            times.append(self._next_renewal_at)
+        return min(times, default=None)
+
+    def finished(
+        self, command_id: CommandId, outcome: AnyOutcome | None, now: float
+    ) -> list[Notice]:
+        """Take the answer to one of the keeper's commands; None if there was none."""
+        if self._renewal is not None and command_id == self._renewal.command_id:
+            return self._renewed(self._renewal, outcome, now)
+        sent_at = self._sent_at.pop(command_id, None)
+        wanted = next(
+            (wanted for wanted in self._wanted.values() if wanted.asked == command_id), None
+        )
+        if sent_at is None or wanted is None:
+            return []
+        wanted.asked = None
+        return self._asked(wanted, sent_at, outcome, now)
+
+    def _asked(
+        self, wanted: WantedLease, sent_at: float, outcome: AnyOutcome | None, now: float
+    ) -> list[Notice]:
+        match outcome:
+            case LeaseGranted():
+                return self._granted(wanted, sent_at, outcome, now)
+            case LeaseHeld():
+                wait_seconds = min(max(outcome.remaining_seconds, 0.0), RETRY_SECONDS)
+                wanted.next_ask_at = now + self._spread(max(wait_seconds, RETRY_SECONDS / 4))
+                return [
+                    LeaseUnavailable(
+                        resource=wanted.resource,
+                        holder=outcome.holder,
+                        remaining_seconds=outcome.remaining_seconds,
+                    )
+                ]
+            case _:
+                wanted.next_ask_at = now + self._spread(RETRY_SECONDS)
+                return []
+
+    def _granted(
+        self, wanted: WantedLease, sent_at: float, outcome: LeaseGranted, now: float
+    ) -> list[Notice]:
+        expires_at = sent_at + self._usable_seconds(outcome.duration_seconds)
+        if now >= expires_at:
+            # The answer came too late to be of use; ask again, counting anew.
+            wanted.next_ask_at = now
+            return []
+        wanted.held = HeldLease(wanted.resource, outcome.epoch, expires_at)
+        interval = self._duration_seconds / RENEWALS_IN_A_DURATION
+        self._next_renewal_at = min(max(self._next_renewal_at, now), sent_at + interval)
+        return [LeaseGained(resource=wanted.resource, epoch=outcome.epoch)]
+
+    def _renewed(self, renewal: Renewal, outcome: AnyOutcome | None, now: float) -> list[Notice]:
+        self._renewal = None
+        if not isinstance(outcome, LeasesRenewed):
+            # Not answered: the leases go on until they expire; ask again at once.
+            self._next_renewal_at = now
+            return []
+        self._next_renewal_at = renewal.sent_at + self._duration_seconds / RENEWALS_IN_A_DURATION
+        expires_at = renewal.sent_at + self._usable_seconds(outcome.duration_seconds)
+        notices: list[Notice] = []
+        for lease in renewal.leases:
+            wanted = self._wanted.get(lease.resource)
+            if wanted is None or wanted.held is None or wanted.held.epoch != lease.epoch:
+                continue
+            if lease.resource in outcome.resources:
+                later = max(expires_at, wanted.held.expires_at)
+                wanted.held = HeldLease(lease.resource, lease.epoch, later)
+            else:
+                notices.append(self._lose(wanted, "taken", now))
+        return notices
+
+    def _expire(self, now: float) -> list[Notice]:
+        return [
+            self._lose(wanted, "expired", now)
+            for wanted in self._wanted.values()
+            if wanted.held is not None and now >= wanted.held.expires_at
+        ]
+
+    def _lose(self, wanted: WantedLease, reason: str, now: float) -> Notice:
+        epoch = 0 if wanted.held is None else wanted.held.epoch
+        wanted.held = None
+        wanted.next_ask_at = now
+        return LeaseLost(resource=wanted.resource, epoch=epoch, reason=reason)
+
+    def _ask(self, wanted: WantedLease, now: float) -> OutgoingCommand:
+        command_id = self._next_id()
+        wanted.asked = command_id
+        self._sent_at[command_id] = now
+        command = AcquireLease(
+            resource=wanted.resource,
+            holder=self._holder,
+            holder_incarnation=self._incarnation,
+            duration_seconds=self._duration_seconds,
+        )
+        # Beyond this the answer would be of no use, since it counts from the first sending.
+        return OutgoingCommand(command_id, command, self._duration_seconds / RENEWALS_IN_A_DURATION)
+
+    def _renew(self, now: float) -> OutgoingCommand | None:
+        leases = tuple(
+            LeaseRenewal(wanted.resource, wanted.held.epoch)
+            for wanted in self._wanted.values()
+            if wanted.held is not None
+        )
+        if not leases or self._renewal is not None or now < self._next_renewal_at:
+            return None
+        self._renewal = Renewal(self._next_id(), now, leases)
+        command = RenewLeases(
+            holder=self._holder,
+            holder_incarnation=self._incarnation,
+            duration_seconds=self._duration_seconds,
+            leases=leases,
+        )
+        # Given up early and sent anew, so that the next answer counts from a later time.
+        timeout_seconds = self._duration_seconds / RENEWALS_IN_A_DURATION / 2
+        return OutgoingCommand(self._renewal.command_id, command, timeout_seconds)
+
+    def _usable_seconds(self, duration_seconds: float) -> float:
+        # Both clocks may be wrong by the drift: the holder's slow, the leader's fast.
+        return duration_seconds * (1.0 - 2 * constants.MAXIMUM_CLOCK_DRIFT)
+
+    def _spread(self, seconds: float) -> float:
+        return seconds * self._generator.uniform(0.75, 1.25)
+
+    def _next_id(self) -> CommandId:
+        self._counter += 1
+        return CommandId(f"{self._id_prefix}{self._counter}")
--- /dev/null
+++ b/src/merlinstand/session/replica_choice.py
@@ -0,0 +1,105 @@
+"""Which control replica a daemon asks.
+
+Every daemon ranks the replicas by a hash of both names, so that daemons spread evenly over
+them and over the survivors of a loss. While nobody answers, more and more are asked at
+once, and peer daemons too.
+"""
+
+import random
+from collections.abc import Mapping, Sequence
+
+import xxhash
+
+from merlinstand.common.ids import NodeId
+from merlinstand.configuration.objects import Daemon
+from merlinstand.control.settings import ControlMember
+from merlinstand.kernel.effects import LearnAddress
+
+MAXIMUM_ASKED_AT_ONCE = 4
+PEERS_ASKED_AT_ONCE = 2
+
+
+def rank_members(node_id: str, members: Sequence[ControlMember]) -> tuple[NodeId, ...]:
+    """Rank control replicas for one daemon, most preferred first."""
+    ranked = sorted(
+        members,
+        key=lambda member: xxhash.xxh3_64_intdigest(f"{node_id}\0{member.node_id}".encode()),
+    )
+    return tuple(NodeId(member.node_id) for member in ranked)
+
+
+class ReplicaChoice:
+    """The replica in use, and whom to ask when it is silent."""
+
+    def __init__(
+        self, node_id: str, members: Sequence[ControlMember], peers: Sequence[ControlMember]
+    ) -> None:
+        """Make the choice of a daemon that has asked nobody.
+
+        Args:
+            node_id: The daemon's own name.
+            members: Control replicas.
+            peers: Daemons known from the settings.
+        """
+        self._node_id = node_id
+        self._ranked = rank_members(node_id, members)
+        self._peers = {peer.node_id: peer.address for peer in peers if peer.node_id != node_id}
+        self._position = 0
+        self._failures = 0
+
+    @property
+    def preferred(self) -> NodeId:
+        """The first of this daemon's ranking."""
+        return self._ranked[0]
+
+    @property
+    def current(self) -> NodeId:
+        """The replica in use."""
+        return self._ranked[self._position]
+
+    def succeeded(self, replica: NodeId) -> None:
+        """Stay with a replica that gave a recent proof; a peer is asked only in need."""
+        self._failures = 0
+        if replica in self._ranked:
+            self._position = self._ranked.index(replica)
+
+    def failed(self) -> None:
+        """Count a round of silence or of answers without proof."""
+        self._failures += 1
+
+    def targets(
+        self, daemons: Mapping[str, Daemon], generator: random.Random
+    ) -> tuple[tuple[NodeId, ...], tuple[LearnAddress, ...]]:
+        """Choose whom to ask now.
+
+        Args:
+            daemons: Daemons of the configuration in force.
+            generator: Source of random choices.
+
+        Returns:
+            Receivers, and the addresses of those that are not control replicas.
+        """
+        if self._failures == 0:
+            return (self.current,), ()
+        count = min(2**self._failures, MAXIMUM_ASKED_AT_ONCE, len(self._ranked))
+        replicas = [self._next_replica() for _ in range(count)]
+        if self._failures < 2:
+            return tuple(replicas), ()
+        addresses = self._choose_peers(daemons, generator)
+        peers = [address.node_id for address in addresses]
+        return (*replicas, *peers), addresses
+
+    def _next_replica(self) -> NodeId:
+        self._position = (self._position + 1) % len(self._ranked)
+        return self.current
+
+    def _choose_peers(
+        self, daemons: Mapping[str, Daemon], generator: random.Random
+    ) -> tuple[LearnAddress, ...]:
+        known = dict(self._peers)
+        for daemon in daemons.values():
+            known[daemon.node_id] = daemon.address
+        known.pop(self._node_id, None)
+        names = sorted(known)
+        chosen = generator.sample(names, min(PEERS_ASKED_AT_ONCE, len(names)))
+        return tuple(LearnAddress(NodeId(name), known[name]) for name in chosen)
--- a/src/merlinstand/session/view.py
+++ b/src/merlinstand/session/view.py
@@ -1,9 +1,23 @@
 """The configuration in force at a daemon, typed."""
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from types import MappingProxyType
+from typing import Any
 
-from merlinstand.configuration.objects import Daemon, Drain, Job, Limits, Pool, Weights
+import msgspec
+
+from merlinstand.configuration.objects import (
+    Daemon,
+    Drain,
+    Job,
+    Limits,
+    Pool,
+    Weights,
+    decode_object,
+)
+from merlinstand.configuration.table import ConfigurationTable
+
+_EMPTY: Mapping[str, Any] = MappingProxyType({})
 
 
 class ConfigurationView:
@@ -15,21 +29,77 @@
     def __init__(self) -> None:
         """Make the empty view of revision 0."""
         self.revision: int = 0
-        self.pools: Mapping[str, Pool] = MappingProxyType({})
-        self.jobs: Mapping[str, Job] = MappingProxyType({})
-        self.weights: Mapping[str, Weights] = MappingProxyType({})
+        self.pools: Mapping[str, Pool] = _EMPTY
+        self.jobs: Mapping[str, Job] = _EMPTY
+        self.weights: Mapping[str, Weights] = _EMPTY
         """By model name."""
-        self.drains: Mapping[str, Drain] = MappingProxyType({})
+        self.drains: Mapping[str, Drain] = _EMPTY
         """By backend id."""
-        self.limits: Mapping[str, Limits] = MappingProxyType({})
+        self.limits: Mapping[str, Limits] = _EMPTY
         """By caller."""
-        self.daemons: Mapping[str, Daemon] = MappingProxyType({})
+        self.daemons: Mapping[str, Daemon] = _EMPTY
         """By node id."""
+        self._revisions: Mapping[str, int] = _EMPTY
 
     def revision_of(self, key: str) -> int:
         """Return the revision that last changed a key, 0 if it does not exist."""
-        raise NotImplementedError
+        return self._revisions.get(key, 0)
 
     def newest_version(self, model: str) -> int:
         """Return a model's newest published weight version, 0 if there is none."""
-        raise NotImplementedError
+        weights = self.weights.get(model)
+        return 0 if weights is None or not weights.versions else weights.versions[-1].version
+
+
+_ATTRIBUTE_OF_KIND = {
+    "pool": "pools",
+    "job": "jobs",
+    "weights": "weights",
+    "drain": "drains",
+    "limits": "limits",
+    "daemon": "daemons",
+}
+
+
+def next_view(
+    view: ConfigurationView, table: ConfigurationTable, changed_keys: Iterable[str]
+) -> ConfigurationView:
+    """Build the view of a table; only the changed keys are decoded.
+
+    A payload that this version can't read (kind or field of a later version) is left out
+    of the view; control refuses such objects unless a later version accepted them.
+
+    Args:
+        view: The view before the change.
+        table: The table after the change.
+        changed_keys: Keys put or deleted since `view`.
+    """
+    following = ConfigurationView()
+    following.revision = table.revision
+    vars(following).update(
+        (attribute, dict(getattr(view, attribute))) for attribute in _ATTRIBUTE_OF_KIND.values()
+    )
+    for key in changed_keys:
+        _update_key(following, table, key)
+    for attribute in _ATTRIBUTE_OF_KIND.values():
+        setattr(following, attribute, MappingProxyType(getattr(following, attribute)))
+    following._revisions = MappingProxyType(
+        {key: entry.revision for key, entry in table.entries.items()}
+    )
+    return following
+
+
+def _update_key(view: ConfigurationView, table: ConfigurationTable, key: str) -> None:
+    kind, _, name = key.partition("/")
+    attribute = _ATTRIBUTE_OF_KIND.get(kind)
+    if attribute is None:
+        return
+    values: dict[str, Any] = getattr(view, attribute)
+    values.pop(name, None)
+    entry = table.entries.get(key)
+    if entry is None:
+        return
+    try:
+        values[name] = decode_object(key, entry.payload)
+    except (msgspec.DecodeError, UnicodeDecodeError):
+        return
