--- /dev/null
+++ b/src/merlinstand/consensus/election.py
@@ -0,0 +1,264 @@
+"""Elections: pre-vote, votes, the promise to a living leader, and founding the group.
+
+Rules that safety rests on:
+
+- Term and vote are synced before any message that depends on them leaves.
+- Votes count by identity (node and incarnation), never by node.
+- A voter that heard from a leader within one election timeout helps nobody else, unless
+  that leader itself handed over. The same holds after a restart, because the promise
+  made before it is forgotten.
+"""
+
+from collections.abc import Callable
+
+from merlinstand.common.ids import NodeId
+from merlinstand.consensus.membership import Identity, Member, Membership
+from merlinstand.consensus.quorum import quorum_size
+from merlinstand.consensus.state import ELECTION_TIMER, ReplicaState, Role
+from merlinstand.protocol.generated.consensus.ttypes import (
+    ReplicaIdentity,
+    VoteReply,
+    VoteRequest,
+)
+
+
+def to_wire_identity(identity: Identity) -> ReplicaIdentity:
+    """Convert an identity for a message."""
+    return ReplicaIdentity(identity.node_id, identity.incarnation)
+
+
+def from_wire_identity(identity: ReplicaIdentity) -> Identity:
+    """Convert an identity from a message."""
+    return Identity(NodeId(identity.node_id), identity.incarnation)
+
+
+class Election:
+    """Votes given and received by one replica."""
+
+    def __init__(
+        self,
+        state: ReplicaState,
+        on_elected: Callable[[float, Membership | None], None],
+        on_deposed: Callable[[float], None],
+    ) -> None:
+        """Wire the election to its replica.
+
+        Args:
+            state: Shared state.
+            on_elected: Called on a won election; with the first membership if the group
+                was founded by it.
+            on_deposed: Called when a leader must become a follower.
+        """
+        self._state = state
+        self._on_elected = on_elected
+        self._on_deposed = on_deposed
+        self._votes: dict[NodeId, Identity] = {}
+        self._own_vote_position = 0
+        self._promised_until = float("-inf")
+        self._deadline = 0.0
+        self._uses_hand_over = False
+        self._timer_due: float | None = None
+
+    def start(self, now: float) -> None:
+        """Begin as a follower that may have promised something before its restart."""
+        if not self._state.is_blank:
+            self._promised_until = now + self._state.settings.timings.election_timeout_seconds
+        self.postpone(now)
+
+    # Time
+
+    def postpone(self, now: float) -> None:
+        """Wait a new random time before standing for election.
+
+        The running timer is left alone: it finds the later deadline when it fires, so a
+        heartbeat costs no timer.
+        """
+        self._wait(now, self._state.settings.timings.election_timeout_seconds)
+
+    def _wait(self, now: float, shortest_seconds: float) -> None:
+        spread_seconds = self._state.settings.timings.election_timeout_spread_seconds
+        self._deadline = now + shortest_seconds + self._state.random.random() * spread_seconds
+        if self._timer_due is None:
+            self._arm(now)
+
+    def _arm(self, now: float) -> None:
+        self._timer_due = self._deadline
+        self._state.set_timer(ELECTION_TIMER, max(0.0, self._deadline - now))
+
+    def heard_leader(self, now: float) -> None:
+        """A valid leader was heard: promise it one election timeout."""
+        self._promised_until = now + self._state.settings.timings.election_timeout_seconds
+        self.postpone(now)
+
+    def is_promised(self, now: float) -> bool:
+        """Whether this replica must not help to elect another leader now."""
+        return self._state.role is Role.LEADER or now < self._promised_until
+
+    def on_timer(self, now: float) -> None:
+        """The election timer fired."""
+        self._timer_due = None
+        if self._state.role is Role.LEADER:
+            return
+        if now < self._deadline:
+            self._arm(now)
+            return
+        if self._may_stand():
+            self._wait(now, self._state.settings.timings.heartbeat_interval_seconds)
+            self._ask_for_votes(Role.PRE_CANDIDATE, now)
+        else:
+            self.postpone(now)
+
+    # Standing for election
+
+    def _may_stand(self) -> bool:
+        return self._state.is_voter or self._may_found()
+
+    def _may_found(self) -> bool:
+        return self._state.is_blank and self._state.settings.is_founder
+
+    def stand_at_once(self, now: float) -> None:
+        """The present leader handed over: stand without pre-vote."""
+        if not self._state.is_voter or self._state.role is Role.LEADER:
+            return
+        self._uses_hand_over = True
+        self.postpone(now)
+        self._begin_candidacy(now)
+
+    def _begin_candidacy(self, now: float) -> None:
+        self._state.set_hard_state(self._state.term + 1, self._state.identity)
+        self._state.leader = None
+        self._ask_for_votes(Role.CANDIDATE, now)
+
+    def _ask_for_votes(self, role: Role, now: float) -> None:
+        state = self._state
+        state.role = role
+        state.leader = None
+        self._votes = {}
+        is_pre_vote = role is Role.PRE_CANDIDATE
+        request = VoteRequest(
+            term=state.term + 1 if is_pre_vote else state.term,
+            candidate=to_wire_identity(state.identity),
+            last_log_index=state.log.last_index,
+            last_log_term=state.log.last_term,
+            pre_vote=is_pre_vote,
+            hand_over=self._uses_hand_over and not is_pre_vote,
+        )
+        for node_id in self._electorate():
+            if node_id != state.identity.node_id:
+                state.send_when_synced(node_id, request)
+        if is_pre_vote:
+            self._uses_hand_over = False
+            self._count(state.identity, now)
+        else:
+            self._own_vote_position = state.journal.position
+            self.on_synced(now)
+
+    def on_synced(self, now: float) -> None:
+        """Count the own vote, like any other, only when it is durable."""
+        state = self._state
+        is_pending = state.role is Role.CANDIDATE and state.identity.node_id not in self._votes
+        if is_pending and state.journal.synced_position >= self._own_vote_position:
+            self._count(state.identity, now)
+
+    def _electorate(self) -> tuple[NodeId, ...]:
+        state = self._state
+        if self._may_found():
+            peers = tuple(peer.node_id for peer in state.settings.peers())
+            return (state.identity.node_id, *peers)
+        return tuple(member.identity.node_id for member in state.membership.voters)
+
+    # Votes given
+
+    def on_vote_request(self, request: VoteRequest, sender: NodeId, now: float) -> None:
+        """Answer a request for a vote."""
+        if request.pre_vote:
+            self._answer_pre_vote(request, sender, now)
+        elif request.hand_over or not self.is_promised(now):
+            self._answer_vote(request, sender, now)
+
+    def _answer_pre_vote(self, request: VoteRequest, sender: NodeId, now: float) -> None:
+        state = self._state
+        granted = (
+            request.term > state.term
+            and not self.is_promised(now)
+            and state.log.is_up_to_date(request.last_log_index, request.last_log_term)
+        )
+        term = request.term if granted else state.term
+        state.send_when_synced(
+            sender, VoteReply(term, to_wire_identity(state.identity), granted, True)
+        )
+
+    def _answer_vote(self, request: VoteRequest, sender: NodeId, now: float) -> None:
+        state = self._state
+        candidate = from_wire_identity(request.candidate)
+        if request.term > state.term:
+            self.adopt_term(request.term, now)
+        granted = (
+            request.term == state.term
+            and state.voted_for in (None, candidate)
+            and state.log.is_up_to_date(request.last_log_index, request.last_log_term)
+        )
+        if granted:
+            state.set_hard_state(state.term, candidate)
+            self.postpone(now)
+        state.send_when_synced(
+            sender, VoteReply(state.term, to_wire_identity(state.identity), granted, False)
+        )
+
+    def adopt_term(self, term: int, now: float) -> None:
+        """Follow into a newer term, in which this replica hasn't voted yet."""
+        was_leader = self._state.role is Role.LEADER
+        self._state.set_hard_state(term, None)
+        self._state.leader = None
+        self.become_follower(now)
+        if was_leader:
+            self._on_deposed(now)
+
+    def become_follower(self, now: float) -> None:
+        """Stop standing for election."""
+        self._state.role = Role.FOLLOWER
+        self._uses_hand_over = False
+        self._votes = {}
+        self.postpone(now)
+
+    # Votes received
+
+    def on_vote_reply(self, reply: VoteReply, now: float) -> None:
+        """Count a vote."""
+        state = self._state
+        voter = from_wire_identity(reply.voter)
+        if not reply.granted:
+            if reply.term > state.term and not self.is_promised(now):
+                self.adopt_term(reply.term, now)
+            return
+        if reply.pre_vote:
+            expected_role, expected_term = Role.PRE_CANDIDATE, state.term + 1
+        else:
+            expected_role, expected_term = Role.CANDIDATE, state.term
+        if state.role is expected_role and reply.term == expected_term:
+            self._count(voter, now)
+
+    def _count(self, voter: Identity, now: float) -> None:
+        self._votes[voter.node_id] = voter
+        if not self._has_won():
+            return
+        if self._state.role is Role.PRE_CANDIDATE:
+            self._begin_candidacy(now)
+        else:
+            self._on_elected(now, self._founded_membership() if self._may_found() else None)
+
+    def _has_won(self) -> bool:
+        if self._may_found():
+            # Founding needs everybody: whoever holds a log refuses, see decision 0002.
+            return all(node_id in self._votes for node_id in self._electorate())
+        voters = self._state.membership.voter_identities()
+        granted = [vote for vote in self._votes.values() if vote in voters]
+        return len(granted) >= quorum_size(len(voters))
+
+    def _founded_membership(self) -> Membership:
+        return Membership(
+            voters=tuple(
+                Member(self._votes[peer.node_id], peer.address, peer.zone)
+                for peer in self._state.settings.members
+            )
+        )
--- a/src/merlinstand/consensus/membership.py
+++ b/src/merlinstand/consensus/membership.py
@@ -37,7 +37,7 @@
     learners: tuple[Member, ...] = ()
     """Receive the log but neither vote nor count for commits."""
     leaving: tuple[NodeId, ...] = ()
-    """Voters an operator wants replaced although they are alive."""
+    """Nodes an operator wants out; they aren't taken in again until wished in."""
     preferred: tuple[NodeId, ...] = ()
     """Standbys an operator wants taken in first."""
 
@@ -124,7 +124,6 @@
         membership,
         voters=_without(membership.voters, identity),
         learners=_without(membership.learners, identity),
-        leaving=tuple(node for node in membership.leaving if node != identity.node_id),
     )
 
 
@@ -132,7 +131,7 @@
     membership: Membership, add_node: NodeId | None, remove_node: NodeId | None
 ) -> Membership:
     """Record an operator's wish; the leader's repair carries it out step by step."""
-    leaving = membership.leaving
+    leaving = tuple(node for node in membership.leaving if node != add_node)
     if remove_node is not None and remove_node not in leaving:
         leaving = (*leaving, remove_node)
     preferred = membership.preferred
--- a/src/merlinstand/consensus/replica.py
+++ b/src/merlinstand/consensus/replica.py
@@ -8,14 +8,64 @@
 `AppendRecords` or `SaveSnapshot` itself.
 """
 
+from typing import Any
+
 import msgspec
-from result import Result
+from result import Err, Result
 
 from merlinstand.common.ids import NodeId
+from merlinstand.consensus.election import Election, from_wire_identity
+from merlinstand.consensus.follower import Follower
+from merlinstand.consensus.leader import Leader
 from merlinstand.consensus.membership import Identity, Membership
+from merlinstand.consensus.recovery import recover
 from merlinstand.consensus.settings import ReplicaSettings
-from merlinstand.consensus.step import MembershipRefusedError, Proposal, ProposeError, Step
-from merlinstand.kernel.events import Event, Started
+from merlinstand.consensus.state import (
+    ELECTION_TIMER,
+    HAND_OVER_TIMER,
+    HEARTBEAT_TIMER,
+    JOIN_TIMER,
+    TIMER_PREFIX,
+    ReplicaState,
+    Role,
+)
+from merlinstand.consensus.step import (
+    LeadershipChange,
+    MembershipRefusedError,
+    NotLeaderError,
+    Proposal,
+    ProposeError,
+    Step,
+)
+from merlinstand.kernel.events import (
+    Event,
+    MessageReceived,
+    RecordsSynced,
+    SnapshotSaved,
+    Started,
+    TimerFired,
+)
+from merlinstand.protocol.generated.consensus.ttypes import (
+    AppendReply,
+    AppendRequest,
+    ElectNow,
+    JoinRequest,
+    SnapshotChunk,
+    SnapshotReply,
+    VoteReply,
+    VoteRequest,
+)
+
+_MESSAGE_CLASSES = (
+    AppendRequest,
+    AppendReply,
+    VoteRequest,
+    VoteReply,
+    SnapshotChunk,
+    SnapshotReply,
+    ElectNow,
+    JoinRequest,
+)
 
 
 class MemberState(msgspec.Struct, frozen=True):
@@ -39,7 +89,10 @@
 
     def __init__(self, settings: ReplicaSettings) -> None:
         """Make a replica that has not started."""
-        raise NotImplementedError
+        self._state = ReplicaState(settings)
+        self._election = Election(self._state, self._on_elected, self._on_deposed)
+        self._follower = Follower(self._state, self._election)
+        self._leader: Leader | None = None
 
     # Events
 
@@ -49,7 +102,14 @@
         Committed entries after the snapshot are delivered later, when a leader proves
         them committed.
         """
-        raise NotImplementedError
+        state = self._state
+        restored = recover(state, event)
+        for peer in state.settings.peers():
+            state.learn_address(peer.node_id, peer.address)
+        state.membership_changed()
+        self._election.start(now)
+        self._follower.start()
+        return msgspec.structs.replace(self._finish(), restored=restored)
 
     def handles(self, event: Event) -> bool:
         """Whether an event belongs to the replica.
@@ -57,52 +117,80 @@
         True for `consensus.*` timers, messages of `consensus.thrift`, `RecordsSynced`
         and `SnapshotSaved`.
         """
-        raise NotImplementedError
+        if isinstance(event, TimerFired):
+            return event.name.startswith(TIMER_PREFIX)
+        if isinstance(event, MessageReceived):
+            return isinstance(event.message, _MESSAGE_CLASSES)
+        return isinstance(event, RecordsSynced | SnapshotSaved)
 
     def handle(self, event: Event, now: float) -> Step:
         """Take any event for which `handles` is true."""
-        raise NotImplementedError
+        if isinstance(event, MessageReceived):
+            self._on_message(event.message, event.sender, now)
+        elif isinstance(event, TimerFired):
+            self._on_timer(event.name, now)
+        elif isinstance(event, RecordsSynced | SnapshotSaved):
+            self._on_synced(event.token, now)
+        return self._finish()
 
     # Identity and roles
 
     @property
     def identity(self) -> Identity:
         """This replica's node and storage incarnation."""
-        raise NotImplementedError
+        return self._state.identity
 
     @property
     def term(self) -> int:
         """The current term."""
-        raise NotImplementedError
+        return self._state.term
 
     @property
     def is_leader(self) -> bool:
         """Whether this replica was elected in the current term (it may lack a lease)."""
-        raise NotImplementedError
+        return self._leader is not None
 
     @property
     def leader(self) -> NodeId | None:
         """The leader of the current term, if known."""
-        raise NotImplementedError
+        return self._state.leader.node_id if self._state.leader is not None else None
 
     @property
     def leader_address(self) -> str | None:
         """`ip:port` (internal) of the known leader."""
-        raise NotImplementedError
+        return self._state.address_of(self.leader) if self.leader is not None else None
 
     @property
     def membership(self) -> Membership:
         """The newest membership in the log."""
-        raise NotImplementedError
+        return self._state.membership
 
     @property
     def commit_index(self) -> int:
         """Highest position known to be committed; all up to it were delivered."""
-        raise NotImplementedError
+        return self._state.commit_index
 
     def members(self, now: float) -> tuple[MemberState, ...]:
         """The group's members for operators."""
-        raise NotImplementedError
+        state = self._state
+        progress = self._leader.member_progress(now) if self._leader is not None else {}
+        states = []
+        for member in state.membership.members():
+            identity = member.identity
+            match_index, silent_seconds = progress.get(identity, (0, -1.0))
+            states.append(
+                MemberState(
+                    node_id=identity.node_id,
+                    incarnation=identity.incarnation,
+                    address=member.address,
+                    zone=member.zone,
+                    role="voter" if state.membership.is_voter(identity) else "learner",
+                    is_leader=identity == state.leader,
+                    match_index=match_index,
+                    silent_seconds=silent_seconds,
+                )
+            )
+        return tuple(states)
 
     # Time
 
@@ -113,7 +201,7 @@
         no hand-over has begun. Check it before anything that relies on being the only
         leader, at that very moment.
         """
-        raise NotImplementedError
+        return self._leader is not None and self._leader.may_act(now)
 
     def group_time(self, now: float) -> float:
         """The group's own time in seconds.
@@ -125,7 +213,9 @@
         failover they end later. Judge expiry in the state machine by
         `CommittedEntry.group_time` only, so that all replicas agree.
         """
-        raise NotImplementedError
+        if self._leader is not None:
+            return self._leader.group_time(now)
+        return self._state.last_group_time()
 
     def proof_age_seconds(self, now: float) -> float | None:
         """How old the proof is that the delivered state was the newest committed one.
@@ -133,7 +223,9 @@
         0 on a leader that may act. On a follower: everything committed up to this many
         seconds ago has been delivered here. None without any proof.
         """
-        raise NotImplementedError
+        if self._leader is not None:
+            return self._leader.proof_age_seconds(now)
+        return self._follower.proof.age_seconds(now)
 
     # Requests
 
@@ -142,10 +234,12 @@
 
         An error means that it was certainly not proposed. A proposal is decided when
         `Step.committed` delivers its index: with the same term it is this command, with
-        another term this command was lost. Proposals made before one `Step` is
-        performed share the next journal write (group commit).
+        another term this command was lost. Proposals made while a journal write runs
+        share the next one (group commit).
         """
-        raise NotImplementedError
+        if self._leader is None:
+            return Err(NotLeaderError(detail="not the leader", leader=self.leader))
+        return self._leader.propose(payload, now).map(self._proposed)
 
     def read_barrier(self, read_id: str, now: float) -> Step:
         """Ask when a linearizable read may be answered from the delivered state.
@@ -153,11 +247,16 @@
         `Step.reads_ready` names it in this step if the lease is held, else in a later
         step after a quorum round; `Step.reads_failed` if this replica can't tell.
         """
-        raise NotImplementedError
+        if self._leader is None:
+            self._state.reads_refused([read_id])
+        else:
+            self._leader.read_barrier(read_id, now)
+        return self._finish()
 
     def compact(self, applied_index: int, state: bytes, now: float) -> Step:
         """Save a snapshot of the state machine as of `applied_index` and cut the log."""
-        raise NotImplementedError
+        self._state.compact(applied_index, state)
+        return self._finish()
 
     def hand_over(self, now: float) -> Step:
         """Pass leadership on before a planned stop.
@@ -165,7 +264,11 @@
         Proposals are refused from now on; `Step.hand_over_ended` follows (at once if
         this replica doesn't lead or there is nobody to take over).
         """
-        raise NotImplementedError
+        if self._leader is None:
+            self._state.note_hand_over_ended()
+        else:
+            self._leader.hand_over(now)
+        return self._finish()
 
     def request_replacement(
         self, add_node: NodeId | None, remove_node: NodeId | None, now: float
@@ -173,6 +276,97 @@
         """Record an operator's wish to take a node in or out.
 
         The wish is a log entry of its own; the leader carries it out one server at a
-        time, learners first, and hands leadership over before it removes itself.
+        time, learners first, and hands leadership over before it is removed itself.
         """
-        raise NotImplementedError
+        if self._leader is None:
+            return Err(NotLeaderError(detail="not the leader", leader=self.leader))
+        return self._leader.request_replacement(add_node, remove_node, now).map(self._proposed)
+
+    # Dispatch
+
+    def _finish(self) -> Step:
+        step = self._state.finish_step()
+        self._follower.proof.delivered(self._state.delivered_index)
+        return step
+
+    def _proposed(self, index: int) -> Proposal:
+        return Proposal(index, self._state.term, self._finish())
+
+    def _on_timer(self, name: str, now: float) -> None:
+        if name == ELECTION_TIMER:
+            self._election.on_timer(now)
+        elif name == JOIN_TIMER:
+            self._follower.on_join_timer(now)
+        elif self._leader is not None:
+            if name == HEARTBEAT_TIMER:
+                self._leader.on_heartbeat_timer(now)
+            elif name == HAND_OVER_TIMER:
+                self._leader.on_hand_over_timer(now)
+
+    def _on_synced(self, token: int, now: float) -> None:
+        for effect in self._state.journal.confirm(token):
+            self._state.emit(effect)
+        self._election.on_synced(now)
+        if self._leader is not None:
+            self._leader.on_progress(now)
+
+    def _on_message(self, message: Any, sender: NodeId, now: float) -> None:
+        if isinstance(message, AppendRequest):
+            self._follower.on_append(message, sender, now)
+        elif isinstance(message, AppendReply | SnapshotReply):
+            self._on_follower_reply(message, now)
+        elif isinstance(message, VoteRequest):
+            self._election.on_vote_request(message, sender, now)
+        elif isinstance(message, VoteReply):
+            self._election.on_vote_reply(message, now)
+        elif isinstance(message, SnapshotChunk):
+            self._follower.on_chunk(message, sender, now)
+        elif isinstance(message, ElectNow):
+            self._follower.on_elect_now(message, now)
+        elif isinstance(message, JoinRequest):
+            self._on_join_request(message, sender, now)
+
+    def _on_follower_reply(self, reply: AppendReply | SnapshotReply, now: float) -> None:
+        state = self._state
+        if self._leader is None or reply.term < state.term:
+            return
+        if reply.term > state.term:
+            # Only a member's term counts: an outsider can't depose a leader.
+            if state.membership.member_of(from_wire_identity(reply.follower)) is not None:
+                self._election.adopt_term(reply.term, now)
+        elif isinstance(reply, AppendReply):
+            self._leader.on_append_reply(reply, now)
+        else:
+            self._leader.on_snapshot_reply(reply, now)
+
+    def _on_join_request(self, request: JoinRequest, sender: NodeId, now: float) -> None:
+        self._state.learn_address(NodeId(request.replica.node_id), request.address)
+        if self._leader is not None:
+            self._leader.on_join_request(request, now)
+        else:
+            self._follower.relay_join(request, sender)
+
+    # Transitions
+
+    def _on_elected(self, now: float, founded: Membership | None) -> None:
+        state = self._state
+        state.role = Role.LEADER
+        state.leader = state.identity
+        state.log_event("elected", founded=founded is not None)
+        state.note_leadership(LeadershipChange.GAINED)
+        self._leader = Leader(state, now, self._resign)
+        self._leader.begin(founded, now)
+
+    def _resign(self, now: float) -> None:
+        self._state.leader = None
+        self._election.become_follower(now)
+        self._on_deposed(now)
+
+    def _on_deposed(self, now: float) -> None:
+        state = self._state
+        if self._leader is not None:
+            state.heard_group_time = max(state.heard_group_time, self._leader.group_time(now))
+            self._leader.end()
+            self._leader = None
+            state.log_event("deposed")
+            state.note_leadership(LeadershipChange.LOST)
--- a/src/merlinstand/consensus/settings.py
+++ b/src/merlinstand/consensus/settings.py
@@ -46,7 +46,9 @@
     compaction_bytes: int = 16 * 1024 * 1024
     """…or this many payload bytes."""
     retained_entries: int = 2_000
-    """Entries kept behind a snapshot for followers that are a little behind."""
+    """Entries kept behind a snapshot for followers that are a little behind…"""
+    retained_bytes: int = 4 * 1024 * 1024
+    """…within this many payload bytes."""
     unsynced_bytes: int = 32 * 1024 * 1024
     """A leader refuses proposals while more than this waits for commitment."""
 
