--- /dev/null
+++ b/src/merlinstand/gateway/admission.py
@@ -0,0 +1,61 @@
+"""Who is let in: bounds on the whole gateway and each caller's rate limits."""
+
+from result import Err, Ok, Result
+
+from merlinstand.common.errors import MerlinstandError
+from merlinstand.gateway.caller_request import CallerRequest, RequestKind
+from merlinstand.gateway.errors import OverloadedError, RateLimitedError
+from merlinstand.gateway.rate_limits import CallerBuckets, RateLimits
+from merlinstand.gateway.settings import AdmissionSettings
+
+FULL_RETRY_SECONDS = 1.0
+
+
+class Admission:
+    """Counts what is inside and refuses at once what does not fit."""
+
+    def __init__(self, settings: AdmissionSettings) -> None:
+        """Start empty."""
+        self._settings = settings
+        self._inside = {RequestKind.LOOKUP: 0, RequestKind.GENERATION: 0}
+        floor = int(settings.maximum_requests * settings.lookup_floor)
+        self._maximum_generations = settings.maximum_requests - floor
+        self.rate_limits = RateLimits(settings.maximum_callers, settings.burst_seconds)
+
+    @property
+    def inside(self) -> int:
+        """Requests inside the gateway."""
+        return sum(self._inside.values())
+
+    def admit(self, request: CallerRequest, now: float) -> Result[CallerBuckets, MerlinstandError]:
+        """Let a request in, or say why not and when to come back."""
+        if self.inside >= self._settings.maximum_requests:
+            return Err(_overloaded("the gateway is full"))
+        is_generation = request.kind is RequestKind.GENERATION
+        generations = self._inside[RequestKind.GENERATION]
+        if is_generation and generations >= self._maximum_generations:
+            return Err(_overloaded("the gateway has no place for another generation"))
+        buckets = self.rate_limits.buckets(request.caller, now)
+        wait_seconds = max(
+            buckets.requests.seconds_until_open(now), buckets.tokens.seconds_until_open(now)
+        )
+        if wait_seconds > 0.0:
+            return Err(
+                RateLimitedError(
+                    detail="the caller's rate limit is used up", retry_after_seconds=wait_seconds
+                )
+            )
+        buckets.requests.take(1.0)
+        buckets.tokens.take(request.cost)
+        self._inside[request.kind] += 1
+        return Ok(buckets)
+
+    def left(self, request: CallerRequest, buckets: CallerBuckets, unused_cost: float) -> None:
+        """A request was answered for good; what it did not use is given back to its caller."""
+        self._inside[request.kind] -= 1
+        if unused_cost > 0.0:
+            buckets.tokens.give_back(unused_cost)
+
+
+def _overloaded(detail: str) -> OverloadedError:
+    return OverloadedError(detail=detail, retry_after_seconds=FULL_RETRY_SECONDS)
--- /dev/null
+++ b/src/merlinstand/gateway/agenda.py
@@ -0,0 +1,76 @@
+"""Many deadlines behind one host timer."""
+
+import enum
+
+from merlinstand.gateway.removable_heap import RemovableHeap
+from merlinstand.kernel.effects import Effect, SetTimer
+
+AGENDA_TIMER = "gateway.agenda"
+_TOLERANCE_SECONDS = 1e-6
+
+
+class Due(enum.IntEnum):
+    """What is to be done at a time."""
+
+    DEADLINE = 0
+    """A request's deadline."""
+    QUEUE_WAIT = 1
+    """A request waited as long as it may in its queue."""
+    TRY_AGAIN = 2
+    """A begun stream looks for an engine to go on with."""
+    PUMP = 3
+    """A pool's queue may go on after a pause."""
+
+
+AgendaKey = tuple[Due, int]
+"""What to do, and the number of the exchange or lane concerned."""
+
+
+class Agenda:
+    """Keys with due times; one host timer for the earliest.
+
+    Setting and cancelling a host timer for every request would cost two effects each; most
+    deadlines never come due.
+    """
+
+    def __init__(self) -> None:
+        """Make an empty agenda."""
+        self._heap: RemovableHeap[AgendaKey] = RemovableHeap()
+        self._timer_at: float | None = None
+
+    def __len__(self) -> int:
+        """Return the number of keys."""
+        return len(self._heap)
+
+    def set(self, key: AgendaKey, at: float) -> None:
+        """Set or move a key's due time."""
+        self._heap.put(key, at)
+
+    def cancel(self, key: AgendaKey) -> None:
+        """Forget a key; harmless if there is none."""
+        self._heap.remove(key)
+
+    def timer_fired(self) -> None:
+        """The host timer fired."""
+        self._timer_at = None
+
+    def take_due(self, now: float) -> list[AgendaKey]:
+        """Remove and return all keys due at `now`, earliest first."""
+        due: list[AgendaKey] = []
+        while True:
+            head = self._heap.first()
+            if head is None or head[0] > now + _TOLERANCE_SECONDS:
+                return due
+            self._heap.pop()
+            due.append(head[1])
+
+    def arm(self, now: float, out: list[Effect]) -> None:
+        """Set the host timer if the earliest key is due before it would fire."""
+        head = self._heap.first()
+        if head is None:
+            return
+        at = head[0]
+        if self._timer_at is not None and self._timer_at <= at:
+            return
+        self._timer_at = at
+        out.append(SetTimer(AGENDA_TIMER, max(0.0, at - now)))
--- /dev/null
+++ b/src/merlinstand/gateway/calls.py
@@ -0,0 +1,106 @@
+"""Requests that a gateway sends to back ends."""
+
+import msgspec
+
+from merlinstand.common.ids import CallId
+from merlinstand.configuration.objects import Backend
+from merlinstand.gateway.caller_request import CompletionBody, EngineBody
+from merlinstand.gateway.exchange import Exchange
+from merlinstand.gateway.outcome import DEADLINE_HEADER
+from merlinstand.gateway.settings import RequestSettings
+from merlinstand.kernel.effects import StartCall
+
+CANCEL_PATH = "/v1/cancel"
+CANCEL_TIMEOUT_SECONDS = 2.0
+
+
+class CancelBody(msgspec.Struct, frozen=True):
+    """Body of an engine's cancel request."""
+
+    request_id: str
+
+
+def lookup_call(
+    exchange: Exchange, backend: Backend, call_id: CallId, timeout_seconds: float, now: float
+) -> StartCall:
+    """Build the call that carries a lookup or booking."""
+    request = exchange.request
+    headers = dict(request.headers)
+    headers[DEADLINE_HEADER] = f"{exchange.remaining_seconds(now):.3f}"
+    return StartCall(
+        call_id,
+        backend.address,
+        request.method,
+        request.path,
+        headers,
+        request.body,
+        timeout_seconds,
+        stream=False,
+        fresh_connection=not request.repeatable,
+    )
+
+
+def generation_call(
+    exchange: Exchange,
+    completion: CompletionBody,
+    backend: Backend,
+    call_id: CallId,
+    timeout_seconds: float,
+    now: float,
+) -> StartCall:
+    """Build the call that begins a generation or goes on with an interrupted one.
+
+    Always streamed: progress is then known, so that a dead engine costs no token that arrived.
+    """
+    request = exchange.request
+    progress = exchange.progress
+    headers = dict(request.headers)
+    headers["content-type"] = "application/json"
+    headers[DEADLINE_HEADER] = f"{exchange.remaining_seconds(now):.3f}"
+    body = EngineBody(
+        request_id=request.request_id,
+        model=completion.model,
+        prompt=completion.prompt,
+        max_tokens=completion.max_tokens,
+        priority=completion.priority,
+        stream=True,
+        seed=completion.seed,
+        resume=None if progress is None else progress.resume_point(),
+    )
+    return StartCall(
+        call_id,
+        backend.address,
+        request.method,
+        request.path,
+        headers,
+        msgspec.json.encode(body),
+        timeout_seconds,
+        stream=True,
+        fresh_connection=not request.repeatable,
+    )
+
+
+def cancel_call(request_id: str, backend: Backend, call_id: CallId) -> StartCall:
+    """Build the call that tells an engine to stop a generation nobody waits for."""
+    return StartCall(
+        call_id,
+        backend.address,
+        "POST",
+        CANCEL_PATH,
+        {"content-type": "application/json"},
+        msgspec.json.encode(CancelBody(request_id)),
+        CANCEL_TIMEOUT_SECONDS,
+    )
+
+
+def lookup_try_seconds(exchange: Exchange, settings: RequestSettings, now: float) -> float:
+    """Return how long one try of a lookup may take.
+
+    A repeatable lookup keeps part of its time for another replica; one that is not repeatable
+    has a single try.
+    """
+    remaining_seconds = exchange.remaining_seconds(now)
+    if not exchange.request.repeatable or exchange.tries + 1 >= settings.maximum_tries:
+        return remaining_seconds
+    share_seconds = remaining_seconds * settings.first_try_share
+    return min(remaining_seconds, max(settings.minimum_try_seconds, share_seconds))
--- /dev/null
+++ b/src/merlinstand/gateway/claims.py
@@ -0,0 +1,167 @@
+"""Claims on idempotency keys: a request that is not repeatable is dispatched at most once.
+
+The rule, over every gateway and every failure:
+
+1. A key is claimed in the control group before any byte leaves for a back end. Only the gateway
+   whose claim was granted dispatches, and only if the grant arrives before the caller's deadline.
+2. A claim is freed (`not_run`) only by its own owner, who knows that no byte left or that the
+   back end proved it did not start. Each claim has a number of its own (`owner_incarnation`), so
+   a late record of one claim cannot free a later claim of the same key.
+3. A gateway that dies leaves its claim pending for ever: nobody else can know what ran.
+4. A twin of a claimed key is told the recorded answer, or 409 `claim_pending` / 504 with
+   `X-Outcome: unknown`; never `not_run`, because the key's request may have run.
+"""
+
+import enum
+from random import Random
+
+import msgspec
+
+from merlinstand.common.ids import CommandId
+from merlinstand.control.commands import (
+    ClaimGranted,
+    ClaimRequest,
+    ClaimTaken,
+    RecordOutcome,
+)
+from merlinstand.gateway.exchange import ClaimTicket, Exchange
+from merlinstand.gateway.outcome import Outcome
+from merlinstand.gateway.settings import ClaimSettings
+from merlinstand.kernel.effects import Effect
+from merlinstand.session.control_session import ControlSession
+from merlinstand.session.notices import CommandFinished
+
+_RUN_NUMBER_BITS = 31
+_CLAIM_NUMBER_BITS = 31
+
+
+class ClaimVerdict(enum.Enum):
+    """What control said about a claim."""
+
+    GRANTED = "granted"
+    TAKEN = "taken"
+    FAILED = "failed"
+    """No answer of control; nothing was dispatched."""
+
+
+class ClaimResult(msgspec.Struct, frozen=True):
+    """The end of a claim request."""
+
+    ticket: ClaimTicket
+    verdict: ClaimVerdict
+    taken: ClaimTaken | None = None
+
+
+class RecordedAnswer(msgspec.Struct, frozen=True):
+    """An answer as it is recorded for twins."""
+
+    status: int
+    body: bytes
+    content_type: str
+
+
+class Claims:
+    """Claims and records under way."""
+
+    def __init__(self, node_id: str, settings: ClaimSettings, session: ControlSession) -> None:
+        """Start without claims."""
+        self._node_id = node_id
+        self._settings = settings
+        self._session = session
+        self._run_number = 0
+        self._claim_number = 0
+        self._claiming: dict[CommandId, ClaimTicket] = {}
+        self._recording: dict[CommandId, ClaimTicket] = {}
+        self._keys: dict[str, ClaimTicket] = {}
+        """Keys claimed here whose end control has not confirmed."""
+
+    def start(self, random: Random) -> None:
+        """Draw the number of this run of the process."""
+        self._run_number = random.getrandbits(_RUN_NUMBER_BITS)
+
+    @property
+    def under_way(self) -> int:
+        """Claims and records that control has not answered."""
+        return len(self._claiming) + len(self._recording)
+
+    def has_room(self) -> bool:
+        """Tell whether another claim may begin."""
+        return len(self._keys) < self._settings.maximum_claims
+
+    def under_way_ticket(self, key: str) -> ClaimTicket | None:
+        """Return this gateway's own claim on a key, if its end is not confirmed yet."""
+        return self._keys.get(key)
+
+    def claim(self, exchange: Exchange, now: float, out: list[Effect]) -> None:
+        """Ask control for an exchange's key; `command_finished` gives the result."""
+        request = exchange.request
+        self._claim_number += 1
+        number = (self._run_number << _CLAIM_NUMBER_BITS) | self._claim_number
+        ticket = ClaimTicket(request.idempotency_key, request.digest, number, exchange.number)
+        exchange.claim = ticket
+        self._keys[ticket.key] = ticket
+        command = ClaimRequest(
+            idempotency_key=ticket.key,
+            request_digest=ticket.digest,
+            owner=self._node_id,
+            owner_incarnation=number,
+        )
+        command_id, effects = self._session.submit(
+            command, now, timeout_seconds=self._settings.record_timeout_seconds
+        )
+        self._claiming[command_id] = ticket
+        out.extend(effects)
+
+    def record(
+        self,
+        ticket: ClaimTicket,
+        outcome: Outcome,
+        answer: RecordedAnswer | None,
+        now: float,
+        out: list[Effect],
+    ) -> None:
+        """Record how a granted claim ended."""
+        if outcome is Outcome.ANSWER and (
+            answer is None or len(answer.body) > self._settings.maximum_recorded_bytes
+        ):
+            # A twin could not be given the whole answer; it must not get part of it.
+            outcome, answer = Outcome.UNKNOWN, None
+        command = RecordOutcome(
+            idempotency_key=ticket.key,
+            owner=self._node_id,
+            owner_incarnation=ticket.owner_incarnation,
+            outcome=outcome.value,
+            status=0 if answer is None else answer.status,
+            body=b"" if answer is None else answer.body,
+            content_type="" if answer is None else answer.content_type,
+        )
+        command_id, effects = self._session.submit(
+            command, now, timeout_seconds=self._settings.record_timeout_seconds
+        )
+        self._recording[command_id] = ticket
+        out.extend(effects)
+
+    def command_finished(self, notice: CommandFinished) -> ClaimResult | None:
+        """Take in control's answer.
+
+        Returns:
+            The result of a claim request; None for a record, or a command of somebody else.
+        """
+        recorded = self._recording.pop(notice.command_id, None)
+        if recorded is not None:
+            self._forget(recorded)
+            return None
+        ticket = self._claiming.pop(notice.command_id, None)
+        if ticket is None:
+            return None
+        if isinstance(notice.outcome, ClaimGranted):
+            ticket.granted = True
+            return ClaimResult(ticket, ClaimVerdict.GRANTED)
+        self._forget(ticket)
+        if isinstance(notice.outcome, ClaimTaken):
+            return ClaimResult(ticket, ClaimVerdict.TAKEN, notice.outcome)
+        return ClaimResult(ticket, ClaimVerdict.FAILED)
+
+    def _forget(self, ticket: ClaimTicket) -> None:
+        if self._keys.get(ticket.key) is ticket:
+            del self._keys[ticket.key]
--- a/src/merlinstand/gateway/daemon.py
+++ b/src/merlinstand/gateway/daemon.py
@@ -1,23 +1,240 @@
 """The gateway's reducer: composes the sub-reducers and routes events to them."""
 
 from collections.abc import Sequence
+from random import Random
 
+from merlinstand.gateway.admission import Admission
+from merlinstand.gateway.agenda import AGENDA_TIMER, Agenda, Due
+from merlinstand.gateway.claims import Claims
+from merlinstand.gateway.concluder import Concluder
+from merlinstand.gateway.dispatcher import Dispatcher
+from merlinstand.gateway.door import Door
+from merlinstand.gateway.exchange import Exchange, ExchangeTable
+from merlinstand.gateway.health import MACHINES_TIMER, STATUS_TIMER, Health
+from merlinstand.gateway.lanes import Lanes
+from merlinstand.gateway.proxying import Proxying
 from merlinstand.gateway.settings import GatewaySettings
-from merlinstand.kernel.effects import Effect
-from merlinstand.kernel.events import Event, Started
+from merlinstand.gateway.streaming import Streaming
+from merlinstand.kernel.effects import Effect, LogEvent, SetTimer, StopProcess
+from merlinstand.kernel.events import (
+    CallChunk,
+    CallEnded,
+    CallFailed,
+    CallHeaders,
+    CallResponded,
+    Event,
+    RequestAborted,
+    RequestReceived,
+    Started,
+    StopRequested,
+    TimerFired,
+)
+from merlinstand.session.control_session import ControlSession, SessionStep
+from merlinstand.session.notices import CommandFinished, ConfigurationChanged, Notice
+from merlinstand.session.settings import SessionSettings
+
+STOP_TIMER = "gateway.stop"
 
 
 class GatewayDaemon:
     """One gateway process."""
 
-    def __init__(self, settings: GatewaySettings) -> None:
-        """Make a gateway that has not started."""
+    def __init__(self, settings: GatewaySettings, session: ControlSession | None = None) -> None:
+        """Make a gateway that has not started.
+
+        Args:
+            settings: Identity and tunables.
+            session: Its session with control; made from the settings if None.
+        """
         self._settings = settings
+        self._session = session or ControlSession(session_settings(settings))
+        self._agenda = Agenda()
+        self._table = ExchangeTable()
+        self._admission = Admission(settings.admission)
+        self._claims = Claims(settings.node_id, settings.claims, self._session)
+        self._concluder = Concluder(self._table, self._agenda, self._admission, self._claims)
+        self._dispatcher = Dispatcher(
+            settings, self._session, self._table, self._agenda, self._claims, self._concluder
+        )
+        self._proxying = Proxying(settings.requests, self._dispatcher, self._concluder)
+        self._streaming = Streaming(settings.requests, self._dispatcher, self._concluder)
+        self._random = Random(0)
+        self._lanes = Lanes(settings, self._random)
+        self._health = Health(settings.health, settings.machine_list_address, self._lanes)
+        self._door = Door(
+            settings, self._session, self._lanes, self._admission, self._claims, self._dispatcher
+        )
+        self._stop_patience_over = False
+        self._stopped = False
+
+    @property
+    def in_flight(self) -> int:
+        """Requests inside the gateway."""
+        return len(self._table)
 
     def start(self, event: Started, now: float) -> Sequence[Effect]:
         """Begin to follow the configuration."""
-        raise NotImplementedError
+        self._random.seed(event.seed)
+        self._claims.start(self._random)
+        out: list[Effect] = []
+        self._take_session_step(self._session.start(event, now), now, out)
+        self._health.start(out)
+        return out
 
     def reduce(self, event: Event, now: float) -> Sequence[Effect]:
         """Handle one event."""
-        raise NotImplementedError
+        out: list[Effect] = []
+        if isinstance(event, CallChunk):
+            # By far the most frequent event: nothing is done for it that need not be.
+            exchange = self._table.by_call.get(event.call_id)
+            if exchange is None:
+                return out
+            self._streaming.chunk_arrived(exchange, event, now, out)
+            if exchange.call_id is not None:
+                return out
+        else:
+            self._route(event, now, out)
+        for lane in self._concluder.take_freed_lanes():
+            self._dispatcher.pump(lane, now, out)
+        if self._door.stopping:
+            self._stop_if_drained(now, out)
+        self._agenda.arm(now, out)
+        return out
+
+    # Routing of events ----------------------------------------------------------------
+
+    def _route(self, event: Event, now: float, out: list[Effect]) -> None:
+        match event:
+            case RequestReceived():
+                self._door.receive(event, now, out)
+            case CallResponded() | CallHeaders() | CallEnded() | CallFailed():
+                self._route_call(event, now, out)
+            case RequestAborted():
+                exchange = self._table.by_door.get(event.request_id)
+                if exchange is not None:
+                    self._dispatcher.client_left(exchange, now, out)
+            case StopRequested():
+                self._begin_stop(out)
+            case TimerFired() if event.name.startswith("gateway."):
+                self._timer_fired(event.name, now, out)
+            case _:
+                if self._session.handles(event):
+                    self._take_session_step(self._session.reduce(event, now), now, out)
+
+    def _route_call(
+        self,
+        event: CallResponded | CallHeaders | CallEnded | CallFailed,
+        now: float,
+        out: list[Effect],
+    ) -> None:
+        exchange = self._table.by_call.get(event.call_id)
+        if exchange is None:
+            self._health_answered(event, now, out)
+            return
+        match event:
+            case CallResponded():
+                self._proxying.responded(exchange, event, now, out)
+            case CallHeaders():
+                self._streaming.headers_arrived(exchange, event, now, out)
+            case CallEnded():
+                self._streaming.ended(exchange, event, now, out)
+            case CallFailed():
+                self._call_failed(exchange, event, now, out)
+
+    def _call_failed(
+        self, exchange: Exchange, event: CallFailed, now: float, out: list[Effect]
+    ) -> None:
+        if exchange.request.completion is None:
+            self._proxying.failed(exchange, event, now, out)
+        else:
+            self._streaming.failed(exchange, event, now, out)
+
+    def _health_answered(self, event: Event, now: float, out: list[Effect]) -> None:
+        """A call that carries no caller's request; late events of ended ones fall through."""
+        if isinstance(event, CallResponded) and self._health.handles(event.call_id):
+            lane = self._health.responded(event, now)
+            if lane is not None and len(lane.queue):
+                self._dispatcher.pump(lane, now, out)
+        elif isinstance(event, CallFailed):
+            self._health.failed(event)
+
+    # Timers ---------------------------------------------------------------------------
+
+    def _timer_fired(self, name: str, now: float, out: list[Effect]) -> None:
+        if name == AGENDA_TIMER:
+            self._agenda.timer_fired()
+            for due, number in self._agenda.take_due(now):
+                self._due(due, number, now, out)
+        elif name == STATUS_TIMER:
+            self._health.status_tick(now, out)
+        elif name == MACHINES_TIMER:
+            self._health.machines_tick(out)
+        elif name == STOP_TIMER:
+            self._stop_patience_over = True
+
+    def _due(self, due: Due, number: int, now: float, out: list[Effect]) -> None:
+        if due is Due.PUMP:
+            lane = self._lanes.numbered(number)
+            if lane is not None:
+                self._dispatcher.pump(lane, now, out)
+            return
+        exchange = self._table.by_number.get(number)
+        if exchange is None:
+            return
+        if due is Due.DEADLINE:
+            self._dispatcher.deadline_passed(exchange, now, out)
+        elif due is Due.QUEUE_WAIT:
+            self._dispatcher.waited_enough(exchange, now, out)
+        else:
+            self._dispatcher.search_again(exchange, now, out)
+
+    # Control --------------------------------------------------------------------------
+
+    def _take_session_step(self, step: SessionStep, now: float, out: list[Effect]) -> None:
+        out.extend(step.effects)
+        for notice in step.notices:
+            self._take_notice(notice, now, out)
+
+    def _take_notice(self, notice: Notice, now: float, out: list[Effect]) -> None:
+        if isinstance(notice, CommandFinished):
+            result = self._claims.command_finished(notice)
+            if result is not None:
+                self._dispatcher.claim_finished(result, now, out)
+        elif isinstance(notice, ConfigurationChanged):
+            view = self._session.view
+            self._lanes.configure(view)
+            self._admission.rate_limits.configure(view.limits)
+            self._health.ask_new(now, out)
+
+    # Planned stop ---------------------------------------------------------------------
+
+    def _begin_stop(self, out: list[Effect]) -> None:
+        if self._door.stopping:
+            return
+        self._door.stopping = True
+        out.append(LogEvent("gateway.stopping", {"in_flight": len(self._table)}))
+
+    def _stop_if_drained(self, now: float, out: list[Effect]) -> None:
+        """Stop once every request is answered and control has the last outcomes."""
+        if self._stopped or len(self._table):
+            return
+        if self._claims.under_way and not self._stop_patience_over:
+            out.append(SetTimer(STOP_TIMER, self._settings.claims.stop_patience_seconds))
+            return
+        self._stopped = True
+        out.extend(self._session.stop(now))
+        out.append(StopProcess())
+
+
+def session_settings(settings: GatewaySettings) -> SessionSettings:
+    """Return the settings of the gateway's session with control."""
+    return SessionSettings(
+        node_id=settings.node_id,
+        role="gateway",
+        zone=settings.zone,
+        address=settings.address,
+        http_address=settings.http_address,
+        members=settings.control_members,
+        peers=settings.peers,
+        timings=settings.session,
+    )
--- /dev/null
+++ b/src/merlinstand/gateway/door.py
@@ -0,0 +1,159 @@
+"""The door: health checks, and what is refused before a request becomes an exchange."""
+
+from result import Err
+
+from merlinstand.common.errors import MerlinstandError
+from merlinstand.gateway.admission import Admission
+from merlinstand.gateway.caller_request import CallerRequest
+from merlinstand.gateway.claims import Claims
+from merlinstand.gateway.dispatcher import Dispatcher
+from merlinstand.gateway.errors import (
+    ClaimUnavailableError,
+    KeyReusedError,
+    StoppingError,
+    UnknownPoolError,
+)
+from merlinstand.gateway.exchange import Exchange
+from merlinstand.gateway.lanes import Lanes
+from merlinstand.gateway.outcome import Outcome
+from merlinstand.gateway.request_parser import (
+    check_size,
+    parse_head,
+    parse_request,
+)
+from merlinstand.gateway.responses import JSON_TYPE, refusal
+from merlinstand.gateway.settings import GatewaySettings
+from merlinstand.kernel.effects import CountMetric, Effect, Respond
+from merlinstand.kernel.events import RequestReceived
+from merlinstand.session.control_session import ControlSession
+
+REFUSED_METRIC = "merlinstand_gateway_refused_total"
+STOPPING_RETRY_SECONDS = 1.0
+HEALTHY_BODY = b'{"status":"ok"}'
+
+
+class Door:
+    """Checks requests in the order of cost, cheapest first."""
+
+    def __init__(
+        self,
+        settings: GatewaySettings,
+        session: ControlSession,
+        lanes: Lanes,
+        admission: Admission,
+        claims: Claims,
+        dispatcher: Dispatcher,
+    ) -> None:
+        """Join the parts."""
+        self._settings = settings
+        self._session = session
+        self._lanes = lanes
+        self._admission = admission
+        self._claims = claims
+        self._dispatcher = dispatcher
+        self._number = 0
+        self.stopping = False
+        """A planned stop is under way: nothing new is taken in."""
+        self._counters: dict[str, CountMetric] = {}
+
+    def receive(self, event: RequestReceived, now: float, out: list[Effect]) -> None:
+        """Take in a request: make it an exchange or answer it at once."""
+        if event.path == "/livez":
+            out.append(_health(event, None))
+            return
+        if event.path == "/readyz":
+            out.append(_health(event, self._not_ready(now)))
+            return
+        self._number += 1
+        made_id = f"{self._settings.node_id}-{event.request_id}"
+        error = check_size(event, self._settings.requests)
+        if error is not None:
+            self._refuse(event, made_id, error, Outcome.NOT_RUN, out)
+            return
+        head = parse_head(event, made_id, self._settings.requests)
+        if isinstance(head, Err):
+            self._refuse(event, made_id, head.err_value, Outcome.NOT_RUN, out)
+            return
+        request_id = head.ok_value.request_id
+        error = self._not_ready(now)
+        if error is not None:
+            self._refuse(event, request_id, error, Outcome.NOT_RUN, out)
+            return
+        view = self._session.view
+        parsed = parse_request(event, head.ok_value, view.pools, self._settings.requests)
+        if isinstance(parsed, Err):
+            self._refuse(event, request_id, parsed.err_value, Outcome.NOT_RUN, out)
+            return
+        self._admit(event, parsed.ok_value, now, out)
+
+    def _admit(
+        self, event: RequestReceived, request: CallerRequest, now: float, out: list[Effect]
+    ) -> None:
+        if request.idempotency_key and self._refuse_twin(event, request, out):
+            return
+        lane = self._lanes.get(request.pool.name)
+        if lane is None:
+            error: MerlinstandError = UnknownPoolError(detail="no such pool")
+            self._refuse(event, request.request_id, error, Outcome.NOT_RUN, out)
+            return
+        admitted = self._admission.admit(request, now)
+        if isinstance(admitted, Err):
+            self._refuse(event, request.request_id, admitted.err_value, Outcome.NOT_RUN, out)
+            return
+        exchange = Exchange(self._number, event.request_id, request, lane, admitted.ok_value, now)
+        self._dispatcher.submit(exchange, now, out)
+
+    def _refuse_twin(
+        self, event: RequestReceived, request: CallerRequest, out: list[Effect]
+    ) -> bool:
+        """Answer a twin of a request that this gateway has under way."""
+        ticket = self._claims.under_way_ticket(request.idempotency_key)
+        if ticket is not None and ticket.digest != request.digest:
+            error: MerlinstandError = KeyReusedError(
+                detail="another request already used this idempotency key"
+            )
+            self._refuse(event, request.request_id, error, Outcome.NOT_RUN, out)
+            return True
+        if ticket is not None:
+            # Never not_run: the key's request may be running this moment.
+            error = self._dispatcher.claim_pending()
+            self._refuse(event, request.request_id, error, Outcome.UNKNOWN, out)
+            return True
+        if not self._claims.has_room():
+            error = ClaimUnavailableError(
+                detail="too many claims wait for control", retry_after_seconds=1.0
+            )
+            self._refuse(event, request.request_id, error, Outcome.NOT_RUN, out)
+            return True
+        return False
+
+    def _not_ready(self, now: float) -> MerlinstandError | None:
+        if self.stopping:
+            return StoppingError(
+                detail="the gateway is stopping", retry_after_seconds=STOPPING_RETRY_SECONDS
+            )
+        if not self._session.may_take_new_work(now):
+            return self._dispatcher.stale_configuration(now)
+        return None
+
+    def _refuse(
+        self,
+        event: RequestReceived,
+        request_id: str,
+        error: MerlinstandError,
+        outcome: Outcome,
+        out: list[Effect],
+    ) -> None:
+        out.append(refusal(event.request_id, request_id, error, outcome))
+        code = type(error).code
+        counter = self._counters.get(code)
+        if counter is None:
+            counter = CountMetric(REFUSED_METRIC, 1.0, {"code": code})
+            self._counters[code] = counter
+        out.append(counter)
+
+
+def _health(event: RequestReceived, error: MerlinstandError | None) -> Respond:
+    if error is None:
+        return Respond(event.request_id, 200, {"content-type": JSON_TYPE}, HEALTHY_BODY)
+    return refusal(event.request_id, "", error, Outcome.NOT_RUN)
--- /dev/null
+++ b/src/merlinstand/gateway/exchange.py
@@ -0,0 +1,148 @@
+"""One caller's request on its way through the gateway."""
+
+import enum
+from typing import Any
+
+from merlinstand.common.ids import CallId, RequestId
+from merlinstand.configuration.objects import Backend
+from merlinstand.gateway.caller_request import CallerRequest
+from merlinstand.gateway.lanes import PoolLane
+from merlinstand.gateway.rate_limits import CallerBuckets
+from merlinstand.gateway.stream_progress import StreamProgress
+
+
+class ExchangePhase(enum.Enum):
+    """Where a request stands."""
+
+    QUEUED = "queued"
+    """Waits for a free place at a back end."""
+    CLAIMING = "claiming"
+    """A place is held; control is asked for the idempotency key."""
+    CALLING = "calling"
+    """A back end has it."""
+    SEARCHING = "searching"
+    """An interrupted generation looks for an engine to go on."""
+    CONCLUDED = "concluded"
+    """Answered for good."""
+
+
+class ClaimTicket:
+    """A claim on an idempotency key, made by this gateway."""
+
+    __slots__ = ("digest", "exchange_number", "granted", "key", "owner_incarnation")
+
+    def __init__(self, key: str, digest: str, owner_incarnation: int, number: int) -> None:
+        """Make a ticket that is not granted yet."""
+        self.key = key
+        self.digest = digest
+        self.owner_incarnation = owner_incarnation
+        """Unique among all claims of all gateways' runs, so that a late record of one claim
+        cannot touch a later claim of the same key."""
+        self.exchange_number = number
+        self.granted = False
+
+
+class Exchange:
+    """Mutable state of one request."""
+
+    __slots__ = (
+        "arrived_at",
+        "backend",
+        "buckets",
+        "call_id",
+        "call_sent_at",
+        "claim",
+        "client_gone",
+        "deadline_at",
+        "door_id",
+        "held_answer",
+        "lane",
+        "last_error",
+        "maybe_ran",
+        "number",
+        "phase",
+        "progress",
+        "request",
+        "search_until",
+        "tried",
+        "tries",
+    )
+
+    def __init__(
+        self,
+        number: int,
+        door_id: RequestId,
+        request: CallerRequest,
+        lane: PoolLane,
+        buckets: CallerBuckets,
+        now: float,
+    ) -> None:
+        """Make an exchange that has just arrived."""
+        self.number = number
+        self.door_id = door_id
+        """The host's name of the request."""
+        self.request = request
+        self.lane = lane
+        self.buckets = buckets
+        self.arrived_at = now
+        self.deadline_at = now + request.deadline_seconds
+        self.phase = ExchangePhase.QUEUED
+        self.backend: Backend | None = None
+        """Where a place is held or a call is under way."""
+        self.call_id: CallId | None = None
+        self.call_sent_at = 0.0
+        self.tries = 0
+        """Calls sent; for generations, since tokens last arrived."""
+        self.tried: set[str] = set()
+        """Backends that failed it; for generations, since tokens last arrived."""
+        self.maybe_ran = False
+        """Some byte may have left for a back end that did not prove it had not started."""
+        self.client_gone = False
+        self.claim: ClaimTicket | None = None
+        self.progress: StreamProgress | None = None
+        """What arrived of a generation so far."""
+        self.held_answer: Any = None
+        """A non-200 head of a streamed call whose body is being read."""
+        self.search_until = 0.0
+        self.last_error: Any = None
+        """Why the last try failed."""
+
+    def remaining_seconds(self, now: float) -> float:
+        """Return the time left until the caller's deadline."""
+        return self.deadline_at - now
+
+
+class ExchangeTable:
+    """All exchanges, by number, by the host's name and by call."""
+
+    def __init__(self) -> None:
+        """Make an empty table."""
+        self.by_number: dict[int, Exchange] = {}
+        self.by_door: dict[RequestId, Exchange] = {}
+        self.by_call: dict[CallId, Exchange] = {}
+
+    def __len__(self) -> int:
+        """Return the number of exchanges."""
+        return len(self.by_number)
+
+    def add(self, exchange: Exchange) -> None:
+        """Take an exchange in."""
+        self.by_number[exchange.number] = exchange
+        self.by_door[exchange.door_id] = exchange
+
+    def remove(self, exchange: Exchange) -> None:
+        """Forget an exchange."""
+        self.by_number.pop(exchange.number, None)
+        self.by_door.pop(exchange.door_id, None)
+        self.call_ended(exchange)
+
+    def call_began(self, exchange: Exchange, call_id: CallId) -> None:
+        """Remember whose call it is."""
+        exchange.call_id = call_id
+        self.by_call[call_id] = exchange
+
+    def call_ended(self, exchange: Exchange) -> None:
+        """Forget the call of an exchange; later events of it find nobody."""
+        if exchange.call_id is not None:
+            self.by_call.pop(exchange.call_id, None)
+            exchange.call_id = None
--- /dev/null
+++ b/src/merlinstand/gateway/responses.py
@@ -0,0 +1,100 @@
+"""What callers are sent."""
+
+import msgspec
+
+from merlinstand.common.errors import MerlinstandError, error_body
+from merlinstand.common.ids import RequestId
+from merlinstand.gateway.outcome import (
+    ANSWERED_BY_HEADER,
+    GATEWAY_HEADERS,
+    OUTCOME_HEADER,
+    REPLAYED_HEADER,
+    REQUEST_ID_HEADER,
+    RETRY_AFTER_HEADER,
+    Outcome,
+    forwarded_headers,
+    retry_after_value,
+)
+from merlinstand.kernel.effects import Respond, RespondStart
+
+JSON_TYPE = "application/json"
+EVENT_STREAM_TYPE = "text/event-stream"
+RECORD_NAME = "record"
+"""`X-Answered-By` of an answer that was recorded for an earlier twin."""
+
+
+class CompletionAnswer(msgspec.Struct, frozen=True):
+    """A whole completion for a caller that did not ask for a stream."""
+
+    request_id: str
+    text: str
+    token_count: int
+    spans: tuple[tuple[int, int, int], ...]
+    finish_reason: str
+
+
+def refusal(
+    door_id: RequestId, request_id: str, error: MerlinstandError, outcome: Outcome
+) -> Respond:
+    """Answer with an error and an outcome other than `ANSWER`."""
+    headers = {
+        "content-type": JSON_TYPE,
+        REQUEST_ID_HEADER: request_id,
+        OUTCOME_HEADER: outcome.value,
+    }
+    if error.retry_after_seconds is not None:
+        headers[RETRY_AFTER_HEADER] = retry_after_value(error.retry_after_seconds)
+    return Respond(door_id, type(error).http_status, headers, error_body(error))
+
+
+def answer(
+    door_id: RequestId,
+    request_id: str,
+    backend_id: str,
+    status: int,
+    backend_headers: dict[str, str],
+    body: bytes,
+) -> Respond:
+    """Pass a back end's whole answer on."""
+    headers = forwarded_headers(backend_headers, GATEWAY_HEADERS)
+    headers[REQUEST_ID_HEADER] = request_id
+    headers[OUTCOME_HEADER] = Outcome.ANSWER.value
+    headers[ANSWERED_BY_HEADER] = backend_id
+    return Respond(door_id, status, headers, body)
+
+
+def replayed_answer(
+    door_id: RequestId, request_id: str, status: int, content_type: str, body: bytes
+) -> Respond:
+    """Answer a twin with what was recorded for its key."""
+    headers = {
+        "content-type": content_type or JSON_TYPE,
+        REQUEST_ID_HEADER: request_id,
+        OUTCOME_HEADER: Outcome.ANSWER.value,
+        ANSWERED_BY_HEADER: RECORD_NAME,
+        REPLAYED_HEADER: "true",
+    }
+    return Respond(door_id, status, headers, body)
+
+
+def stream_start(door_id: RequestId, request_id: str, backend_id: str) -> RespondStart:
+    """Begin a relayed stream."""
+    headers = {
+        "content-type": EVENT_STREAM_TYPE,
+        "cache-control": "no-store",
+        REQUEST_ID_HEADER: request_id,
+        OUTCOME_HEADER: Outcome.ANSWER.value,
+        ANSWERED_BY_HEADER: backend_id,
+    }
+    return RespondStart(door_id, 200, headers)
+
+
+def completion_answer(door_id: RequestId, backend_id: str, completion: CompletionAnswer) -> Respond:
+    """Answer a whole completion."""
+    headers = {
+        "content-type": JSON_TYPE,
+        REQUEST_ID_HEADER: completion.request_id,
+        OUTCOME_HEADER: Outcome.ANSWER.value,
+        ANSWERED_BY_HEADER: backend_id,
+    }
+    return Respond(door_id, 200, headers, msgspec.json.encode(completion))
--- a/src/merlinstand/gateway/settings.py
+++ b/src/merlinstand/gateway/settings.py
@@ -41,6 +41,12 @@
     """Time for a generation that named no deadline."""
     stream_idle_seconds: float = 20.0
     """Longest silence of a stream before it is resumed on another engine."""
+    resume_patience_seconds: float = 30.0
+    """Longest search for an engine that goes on with an interrupted generation."""
+    resume_interval_seconds: float = 0.1
+    """Interval of that search."""
+    maximum_answer_bytes: int = 16 * 1024 * 1024
+    """Largest answer body gathered from a stream for a caller that did not ask for one."""
     maximum_tries: int = 4
     """Most back ends tried for one repeatable request."""
     first_try_share: float = 0.5
@@ -61,8 +67,8 @@
     """How long the record of an outcome is sent again and again."""
     maximum_claims: int = 1_024
     """Claims and records under way at one time."""
-    maximum_recent_keys: int = 8_192
-    """Keys whose state is remembered here, to answer twins without asking control."""
+    stop_patience_seconds: float = 10.0
+    """Longest wait of a planned stop for control to take in the last outcomes."""
 
 
 class HealthSettings(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
--- /dev/null
+++ b/src/merlinstand/gateway/try_failure.py
@@ -0,0 +1,79 @@
+"""How one try at a back end failed, and whose fault that was."""
+
+import msgspec
+
+from merlinstand.gateway.errors import BackendRefusedError, OutcomeUnknownError
+from merlinstand.gateway.exchange import Exchange
+from merlinstand.gateway.outcome import NOT_RUN_HEADER, RETRY_AFTER_HEADER, parse_retry_after
+from merlinstand.kernel.events import CallFailed, CallPhase, CallResponded
+from merlinstand.routing.router import CallResult
+
+BLAME_SECONDS = 0.25
+"""A try cut shorter than this by the caller's deadline says nothing about the back end."""
+REFUSED_RETRY_SECONDS = 0.5
+LEAVING_CODES = (b'"leaving"', b'"draining"', b'"stopping"')
+"""Error codes with which a back end says that it is leaving."""
+RETRYABLE_STATUSES = frozenset({502, 503, 504})
+
+
+class TryFailure(msgspec.Struct, frozen=True, kw_only=True):
+    """A try that gave no answer to pass on."""
+
+    reason: str
+    """Short code for logs."""
+    ran: bool
+    """The back end may have begun to work on it."""
+    sent: bool = True
+    """Some byte may have left for the back end."""
+    result: CallResult
+    retry_after_seconds: float | None = None
+    leaving: bool = False
+    backend_id: str = ""
+    answer: CallResponded | None = None
+    """A whole answer that reports a failure: passed on if no other try is left."""
+
+
+def call_failure(event: CallFailed, exchange: Exchange, now: float) -> TryFailure:
+    """Judge a call that ended without a whole response."""
+    if event.phase is CallPhase.CONNECT:
+        return TryFailure(reason=event.reason, ran=False, sent=False, result=CallResult.FAILURE)
+    result = CallResult.FAILURE
+    if event.reason == "timeout":
+        result = timeout_result(exchange, now)
+    return TryFailure(reason=event.reason, ran=True, result=result)
+
+
+def timeout_result(exchange: Exchange, now: float) -> CallResult:
+    """Return what a try without answer tells about its back end."""
+    waited_seconds = now - exchange.call_sent_at
+    return CallResult.FAILURE if waited_seconds >= BLAME_SECONDS else CallResult.ABANDONED
+
+
+def is_not_run_refusal(status: int, headers: dict[str, str]) -> bool:
+    """Tell whether a back end proved that it did not start."""
+    return status == 503 and headers.get(NOT_RUN_HEADER, "").lower() == "true"
+
+
+def refusal_failure(headers: dict[str, str], body: bytes) -> TryFailure:
+    """Judge a refusal that proves the request was not run."""
+    return TryFailure(
+        reason="refused",
+        ran=False,
+        result=CallResult.REFUSED,
+        retry_after_seconds=parse_retry_after(headers.get(RETRY_AFTER_HEADER)),
+        leaving=any(code in body[:1024] for code in LEAVING_CODES),
+    )
+
+
+def final_error(
+    exchange: Exchange, failure: TryFailure
+) -> BackendRefusedError | OutcomeUnknownError:
+    """Return what the caller is told when no try is left."""
+    if exchange.maybe_ran:
+        return OutcomeUnknownError(detail=f"may have run: {failure.reason}")
+    retry_after_seconds = failure.retry_after_seconds
+    if retry_after_seconds is None:
+        retry_after_seconds = REFUSED_RETRY_SECONDS
+    return BackendRefusedError(
+        detail=f"not run: {failure.reason}", retry_after_seconds=retry_after_seconds
+    )
--- a/src/merlinstand/routing/router.py
+++ b/src/merlinstand/routing/router.py
@@ -136,6 +136,11 @@
             )
         return Ok(chosen.backend)
 
+    def is_usable(self, backend_id: str) -> bool:
+        """Tell whether a replica chosen a moment ago may still get the call."""
+        replica = self._replicas.get(backend_id)
+        return replica is not None and self._pool is not None and replica.is_eligible(self._pool)
+
     def call_started(self, backend_id: str, now: float) -> None:
         """Count a call to a replica as in flight."""
         replica = self._replicas.get(backend_id)
