--- a/src/merlinstand_lab/simulator/observers.py
+++ b/src/merlinstand_lab/simulator/observers.py
@@ -124,13 +124,19 @@
 
 
 class ConfigurationMonotone(Observer):
-    """A daemon's revision never goes down, also across restarts on the same disk."""
+    """A daemon's revision never goes down, also across restarts on the same disk.
+
+    A daemon keeps the highest revision on its disk but not the objects: after a start it
+    has nothing in force and says 0 until it was given the whole configuration once.
+    """
 
     name = "configuration-monotone"
 
     def __init__(self) -> None:
         super().__init__()
         self._revisions: dict[tuple[str, int], int] = {}
+        self._lives_in_force: dict[str, int] = {}
+        """By node: the life of its process that was last seen with a configuration."""
         self._entries: dict[tuple[str, int], int] = {}
         self.latest_revision = 0
         """Newest revision of a changed object seen on the wire."""
@@ -146,6 +152,10 @@
 
     def _check_pull(self, time: float, sender: SimulatedProcess, message: Any) -> None:
         self.checked += 1
+        if message.have_revision:
+            self._lives_in_force[sender.node_id] = sender.life
+        elif self._lives_in_force.get(sender.node_id) != sender.life:
+            return
         key = (sender.node_id, sender.disk.incarnation)
         before = self._revisions.get(key, 0)
         if message.have_revision < before:
--- a/src/merlinstand_lab/simulator/runner.py
+++ b/src/merlinstand_lab/simulator/runner.py
@@ -65,7 +65,7 @@
         self.injector = FaultInjector(
             self.simulation,
             lambda: self.observers.election.leader,
-            self.assembly.control_nodes,
+            tuple(place.node_id for place in self.assembly.places.controls),
             machine_list,
         )
         self.injector.schedule(plan.faults)
