--- /dev/null
+++ b/src/merlinstand_lab/checkers/operations.py
@@ -0,0 +1,140 @@
+"""Promises about leaving back ends, planned stops and the configuration in force."""
+
+from collections import defaultdict
+
+from merlinstand_lab.checkers.intervals import LeavingPeriod, drain_periods, leaving_periods
+from merlinstand_lab.checkers.limits import CheckLimits
+from merlinstand_lab.checkers.report import PromiseResult, Violation
+from merlinstand_lab.records.kinds import (
+    CallerOutcome,
+    CallerRecord,
+    FaultRecord,
+    StartRecord,
+    StepRecord,
+    StopRecord,
+)
+from merlinstand_lab.records.record_set import RecordSet
+
+_CUT_OUTCOMES = (CallerOutcome.UNKNOWN, CallerOutcome.ERROR)
+
+
+def check_leaving(records: RecordSet, limits: CheckLimits) -> PromiseResult:
+    """Look for work begun by a back end well after it began to leave."""
+    periods = leaving_periods(records)
+    tested = [one for one in periods if one.until - one.since > limits.leaving_seconds]
+    return PromiseResult(
+        name="leaving-gets-no-work",
+        promise="A back end that is leaving receives no new work after a few seconds.",
+        checked=len(tested),
+        unit="departures",
+        violations=_work_after(records, tested, limits.leaving_seconds),
+    )
+
+
+def _work_after(
+    records: RecordSet, periods: list[LeavingPeriod], grace_seconds: float
+) -> list[Violation]:
+    """Work begun in a period after its grace."""
+    starts: dict[str, list[StartRecord]] = defaultdict(list)
+    for start in records.starts:
+        starts[start.backend_id].append(start)
+    violations = []
+    for period in periods:
+        for start in starts[period.backend_id]:
+            late = period.since + grace_seconds < start.started_at < period.until
+            same_process = period.incarnation in (None, start.incarnation)
+            if late and same_process:
+                after = start.started_at - period.since
+                detail = f"began {start.request_id} {after:.1f} s after leaving ({period.signal})"
+                violations.append(Violation(period.backend_id, detail))
+    return violations
+
+
+def check_planned_stops(records: RecordSet) -> PromiseResult:
+    """Look for requests cut off by a planned stop, and for stops that did not end well."""
+    violations: list[Violation] = []
+    checked = 0
+    for stop in records.stops:
+        checked += 1
+        if stop.exit_code != 0:
+            detail = f"planned stop ended with exit code {stop.exit_code}"
+            violations.append(Violation(stop.node_id, detail))
+        for record in records.callers:
+            if not _in_flight_at_stop(record, stop):
+                continue
+            checked += 1
+            if record.outcome in _CUT_OUTCOMES and not _disturbed(record, records.faults):
+                detail = f"cut off by the planned stop of {stop.node_id}: {record.reason}"
+                violations.append(Violation(record.request_id, detail))
+    return PromiseResult(
+        name="planned-stop-cuts-nothing",
+        promise="A planned stop cuts off no request in flight.",
+        checked=checked,
+        unit="stops and requests",
+        violations=violations,
+    )
+
+
+def _in_flight_at_stop(record: CallerRecord, stop: StopRecord) -> bool:
+    """Whether a request was with the stopped gateway when its stop was asked for."""
+    at_gateway = record.gateway == stop.http_address
+    return at_gateway and record.sent_at < stop.requested_at <= record.ended_at
+
+
+def _disturbed(record: CallerRecord, faults: list[FaultRecord]) -> bool:
+    """Whether a fault lasted during a request, so that it may be the cause."""
+    return any(
+        fault.started_at <= record.ended_at
+        and (fault.healed_at is None or record.sent_at <= fault.healed_at)
+        for fault in faults
+    )
+
+
+def check_configuration(records: RecordSet, limits: CheckLimits) -> PromiseResult:
+    """Look for effects of a configuration that was replaced a while ago."""
+    drains = drain_periods(records)
+    tested = [one for one in drains if one.until - one.since > limits.in_force_seconds]
+    violations = _work_after(records, tested, limits.in_force_seconds)
+    by_consumer: dict[tuple[str, str], list[StepRecord]] = defaultdict(list)
+    for step in records.steps:
+        by_consumer[(step.job, step.consumer)].append(step)
+    publications = _publication_times(records)
+    for (job, consumer), steps in by_consumer.items():
+        newest = 0
+        for step in steps:
+            subject = f"{job}/{consumer} batch {step.batch}"
+            if step.newest_version < newest:
+                detail = f"newest version went back from {newest} to {step.newest_version}"
+                violations.append(Violation(subject, detail))
+            newest = max(newest, step.newest_version)
+            due = _newest_due(publications, step, limits)
+            if step.newest_version < due:
+                detail = f"knew version {step.newest_version}, {due} had long been published"
+                violations.append(Violation(subject, detail))
+    return PromiseResult(
+        name="configuration-in-force",
+        promise="An accepted configuration is in force everywhere within seconds, for good.",
+        checked=len(tested) + len(records.steps),
+        unit="changes and batches",
+        violations=violations,
+    )
+
+
+def _publication_times(records: RecordSet) -> dict[str, list[tuple[float, int]]]:
+    """When each publisher's versions were answered as published, by operator name."""
+    times: dict[str, list[tuple[float, int]]] = defaultdict(list)
+    for record in records.operators:
+        if record.command.get("command") == "publish_weights" and record.outcome == "done":
+            assert record.ended_at is not None
+            version = int(str(record.command["version"]))
+            times[record.operator].append((record.ended_at, version))
+    return times
+
+
+def _newest_due(
+    publications: dict[str, list[tuple[float, int]]], step: StepRecord, limits: CheckLimits
+) -> int:
+    """Newest version that a batch must know of: its own trainer published it a while ago."""
+    known_by = step.received_at - limits.in_force_seconds
+    own = publications.get(step.consumer, [])
+    return max((version for time, version in own if time <= known_by), default=0)
--- /dev/null
+++ b/src/merlinstand_lab/checkers/requests.py
@@ -0,0 +1,94 @@
+"""Promises to callers: whole answers, truthful refusals, at most one run."""
+
+from collections import Counter, defaultdict
+
+from merlinstand_lab.checkers.report import PromiseResult, Violation
+from merlinstand_lab.records.kinds import CallerOutcome
+from merlinstand_lab.records.record_set import RecordSet
+
+
+def check_whole_answers(records: RecordSet) -> PromiseResult:
+    """Check digests, request ids and that the named back end did run the request."""
+    violations: list[Violation] = []
+    ran = {(start.request_id, start.backend_id) for start in records.starts}
+    callers = records.callers
+    answers = [record for record in callers if record.outcome is CallerOutcome.ANSWER]
+    for record in answers:
+        if not record.digest_ok:
+            violations.append(
+                Violation(
+                    record.request_id, f"the answer is not whole or not its own: {record.reason}"
+                )
+            )
+        elif record.repeatable and (record.request_id, record.answered_by) not in ran:
+            detail = f"{record.answered_by or 'nobody'} is named but did not run it"
+            violations.append(Violation(record.request_id, detail))
+    twice = Counter(record.request_id for record in callers)
+    violations += [
+        Violation(request_id, f"ended {count} times")
+        for request_id, count in twice.items()
+        if count > 1
+    ]
+    whole = len(records.samples)
+    for sample in records.samples:
+        end_token = sample.produced[-1][3] if sample.produced else 0
+        if end_token != sample.token_count or sample.token_count == 0:
+            detail = f"text ends at token {end_token} of {sample.token_count}"
+            violations.append(Violation(sample.sample_id, detail))
+    return PromiseResult(
+        name="whole-answers",
+        promise="Every caller receives the whole answer to its own request.",
+        checked=len(answers) + whole,
+        unit="answers",
+        violations=violations,
+    )
+
+
+def check_not_run(records: RecordSet) -> PromiseResult:
+    """Check that no back end began a request that was refused as not run."""
+    refused = [one for one in records.callers if one.outcome is CallerOutcome.NOT_RUN]
+    starts = {start.request_id: start.backend_id for start in records.starts}
+    starts |= {one.request_id: one.backend_id for one in records.services}
+    violations = [
+        Violation(record.request_id, f"refused as not run, but {starts[record.request_id]} ran it")
+        for record in refused
+        if record.request_id in starts
+    ]
+    return PromiseResult(
+        name="not-run-is-true",
+        promise='When the system refuses a request as "not run", it was indeed not run.',
+        checked=len(refused),
+        unit="refusals",
+        violations=violations,
+        # Whether anything is refused depends on the run; the lab's floods make sure of it.
+        required=False,
+    )
+
+
+def check_at_most_once(records: RecordSet) -> PromiseResult:
+    """Count the runs of each idempotency key of requests that must not be repeated."""
+    keys = {
+        record.request_id: record.idempotency_key
+        for record in records.callers
+        if not record.repeatable and record.idempotency_key
+    }
+    named = set(keys.values())
+    runs: dict[str, list[str]] = defaultdict(list)
+    for start in records.starts:
+        key = keys.get(start.request_id)
+        if key is None and start.idempotency_key in named:
+            key = start.idempotency_key
+        if key is not None:
+            runs[key].append(f"{start.backend_id}:{start.request_id}")
+    violations = [
+        Violation(key, f"ran {len(where)} times: {', '.join(where)}")
+        for key, where in runs.items()
+        if len(where) > 1
+    ]
+    return PromiseResult(
+        name="at-most-once",
+        promise="A request marked as not repeatable runs at most once.",
+        checked=len(named),
+        unit="keys",
+        violations=violations,
+    )
--- /dev/null
+++ b/src/merlinstand_lab/cli/verify.py
@@ -0,0 +1,85 @@
+"""`merlinstand-lab verify`: check every promise on the records of a run."""
+
+import sys
+from pathlib import Path
+
+import click
+import msgspec
+
+from merlinstand_lab.checkers.limits import CheckLimits
+from merlinstand_lab.checkers.report import PromiseResult, Report
+from merlinstand_lab.checkers.verify import verify_records
+from merlinstand_lab.records.record_set import RecordSet
+
+_EXIT_VIOLATION = 1
+_SHOWN_VIOLATIONS = 5
+
+
+@click.command()
+@click.argument("folder", default="out/run", type=click.Path(exists=True, path_type=Path))
+@click.option("--output", "output_format", default="table", type=click.Choice(["table", "json"]))
+@click.option("--leaving-seconds", default=CheckLimits().leaving_seconds, show_default=True)
+@click.option("--in-force-seconds", default=CheckLimits().in_force_seconds, show_default=True)
+@click.option("--liveness-seconds", default=CheckLimits().liveness_seconds, show_default=True)
+@click.option(
+    "--may-be-untested",
+    multiple=True,
+    metavar="NAME",
+    help="A promise that this run need not have put to the test.",
+)
+def command(
+    folder: Path,
+    output_format: str,
+    leaving_seconds: float,
+    in_force_seconds: float,
+    liveness_seconds: float,
+    may_be_untested: tuple[str, ...],
+) -> None:
+    """Check the records in FOLDER; exit 1 on a violation or on a promise not tested.
+
+    Example: merlinstand-lab verify out/run --output json
+    """
+    limits = CheckLimits(
+        leaving_seconds=leaving_seconds,
+        in_force_seconds=in_force_seconds,
+        liveness_seconds=liveness_seconds,
+        not_required=frozenset(may_be_untested),
+    )
+    sys.exit(verify_folder(folder, output_format, limits))
+
+
+def verify_folder(folder: Path, output_format: str, limits: CheckLimits | None = None) -> int:
+    """Check a folder, print the report, return the exit code."""
+    report = verify_records(RecordSet.load(folder), limits)
+    if output_format == "json":
+        click.echo(msgspec.json.format(msgspec.json.encode(report), indent=2).decode())
+    else:
+        _print_table(report)
+    return 0 if report.passed else _EXIT_VIOLATION
+
+
+def _print_table(report: Report) -> None:
+    """Print one line for each promise, then the violations."""
+    width = max(len(result.name) for result in report.promises)
+    for result in report.promises:
+        counted = f"{result.checked} {result.unit}"
+        click.echo(
+            f"{_verdict(result):<10} {result.name:<{width}}  {counted:<28} "
+            f"{len(result.violations):>3} violations  {result.promise}"
+        )
+    for result in report.promises:
+        for violation in result.violations[:_SHOWN_VIOLATIONS]:
+            click.echo(f"  {result.name}: {violation}", err=True)
+        hidden = len(result.violations) - _SHOWN_VIOLATIONS
+        if hidden > 0:
+            click.echo(f"  {result.name}: and {hidden} more", err=True)
+    click.echo("all promises kept" if report.passed else "NOT ALL PROMISES KEPT")
+
+
+def _verdict(result: PromiseResult) -> str:
+    """One word for a result."""
+    if result.violations:
+        return "VIOLATED"
+    if result.checked == 0:
+        return "UNTESTED" if result.required else "no case"
+    return "kept"
