--- a/src/merlinstand_lab/checkers/completeness.py
+++ b/src/merlinstand_lab/checkers/completeness.py
@@ -1,6 +1,9 @@
 """The records themselves: readable, and none missing that should be there."""
 
+from collections.abc import Sequence
+
 from merlinstand_lab.checkers.report import PromiseResult, Violation
+from merlinstand_lab.records.kinds import Record
 from merlinstand_lab.records.record_set import RecordSet
 
 
@@ -10,7 +13,7 @@
         Violation(f"{one.stream}.jsonl line {one.line_number}", one.detail)
         for one in records.unreadable
     ]
-    needed = {
+    needed: dict[str, Sequence[Record]] = {
         "trainer": records.samples,
         "idle": records.steps,
         "engine": records.generations,
--- a/src/merlinstand_lab/checkers/intervals.py
+++ b/src/merlinstand_lab/checkers/intervals.py
@@ -2,6 +2,7 @@
 
 import math
 from collections import defaultdict
+from collections.abc import Sequence
 
 import msgspec
 
@@ -94,7 +95,7 @@
 
 
 def _periods_of_changes(
-    changes: list[tuple[str, str, float, int | None]], signal: str
+    changes: Sequence[tuple[str, str, float, int | None]], signal: str
 ) -> list[LeavingPeriod]:
     """Turn state changes into periods; the next change of the same back end ends one."""
     periods = []
