--- /dev/null
+++ b/src/merlinstand/storage/incarnation.py
@@ -0,0 +1,22 @@
+"""The storage incarnation's file content (pure)."""
+
+from crc32c import crc32c
+from result import Err, Ok, Result
+
+from merlinstand.storage.errors import IncompleteFolderError, StorageError
+
+_PREFIX = "merlinstand-incarnation 1"
+
+
+def encode_incarnation(incarnation: int) -> bytes:
+    """Encode the file: one line with a checksum."""
+    text = f"{_PREFIX} {incarnation}"
+    return f"{text} {crc32c(text.encode()):08x}\n".encode()
+
+
+def decode_incarnation(data: bytes) -> Result[int, StorageError]:
+    """Decode the file."""
+    parts = data.decode(errors="replace").split()
+    if len(parts) != 4 or not parts[2].isdigit() or encode_incarnation(int(parts[2])) != data:
+        return Err(IncompleteFolderError(detail="the incarnation file is damaged"))
+    return Ok(int(parts[2]))
--- /dev/null
+++ b/src/merlinstand/storage/journal_format.py
@@ -0,0 +1,161 @@
+"""The journal's bytes, format version 2 (pure).
+
+A file is a header and frames. A frame holds the records of exactly one sync, so whatever
+a crash leaves unfinished is in the last frame:
+
+    header: magic (6) | version u16 | salt u64 | crc32c u32
+    frame:  marker (4) | sequence u64 | length u32 | crc32c u32 | records
+    record: length u32 | bytes
+
+All numbers are little-endian. A frame's checksum covers the file's salt, its sequence
+number, its length and its records, so neither old bytes of the disk nor bytes inside a
+record pass for a frame.
+
+A damaged frame with no valid frame after it is a torn tail: it was never confirmed, and
+is trimmed. A damaged frame with a valid frame of a higher sequence number after it had
+been synced, because the next frame is written only after that: the file is refused. A
+fault of the disk in the very last synced frame can't be told from a torn tail.
+"""
+
+import struct
+from collections.abc import Sequence
+
+import msgspec
+from crc32c import crc32c
+from result import Err, Ok, Result
+
+from merlinstand.storage.errors import CorruptJournalError, StorageError, UnsupportedVersionError
+
+MAGIC = b"MSJRNL"
+VERSION = 2
+
+_HEADER = struct.Struct("<6sHQ")
+_FRAME = struct.Struct("<4sQII")
+_LENGTH = struct.Struct("<I")
+_CHECKSUM = struct.Struct("<I")
+_CHECKED_PREFIX = struct.Struct("<QQI")
+_MARKER = b"\xa7MSF"
+
+HEADER_BYTES = _HEADER.size + _CHECKSUM.size
+VERSION_PREFIX = struct.Struct("<6sH")
+"""The part of a header that every version shares."""
+
+
+class DecodedJournal(msgspec.Struct, frozen=True):
+    """What a journal holds."""
+
+    records: tuple[bytes, ...]
+    valid_bytes: int
+    """Length of the sound part; the file is to be cut there before more is appended."""
+    next_sequence: int
+    salt: int
+    torn_bytes: int = 0
+    """How much was trimmed."""
+
+
+class _Frame(msgspec.Struct, frozen=True):
+    sequence: int
+    payload: memoryview
+    end: int
+
+
+def encode_header(salt: int) -> bytes:
+    """Encode the header of a new file.
+
+    Args:
+        salt: A number that differs between files, below 2**64.
+    """
+    header = _HEADER.pack(MAGIC, VERSION, salt)
+    return header + _CHECKSUM.pack(crc32c(header))
+
+
+def encode_frame(records: Sequence[bytes], sequence: int, salt: int) -> bytes:
+    """Encode the records of one sync.
+
+    Args:
+        records: The records, oldest first.
+        sequence: 0 for the file's first frame, then one more for each.
+        salt: The file's salt.
+    """
+    payload = b"".join(part for record in records for part in (_LENGTH.pack(len(record)), record))
+    checksum = _frame_checksum(salt, sequence, payload)
+    return _FRAME.pack(_MARKER, sequence, len(payload), checksum) + payload
+
+
+def _frame_checksum(salt: int, sequence: int, payload: bytes | memoryview) -> int:
+    prefix = _CHECKED_PREFIX.pack(salt, sequence, len(payload))
+    return crc32c(payload, crc32c(prefix))
+
+
+def decode_journal(data: bytes) -> Result[DecodedJournal, StorageError]:
+    """Decode a whole file of this version.
+
+    Returns:
+        The records without a torn tail, or an error if synced records are damaged.
+    """
+    salt = _decode_header(data)
+    if isinstance(salt, Err):
+        return salt
+    view = memoryview(data)
+    records: list[bytes] = []
+    offset = HEADER_BYTES
+    sequence = 0
+    while offset < len(data):
+        frame = _frame_at(view, offset, salt.ok_value)
+        if frame is None or frame.sequence != sequence:
+            if frame is not None or _has_later_frame(data, offset + 1, salt.ok_value, sequence):
+                return Err(CorruptJournalError(detail="damaged before its tail", offset=offset))
+            break
+        records.extend(_split_records(frame.payload))
+        offset = frame.end
+        sequence += 1
+    return Ok(DecodedJournal(tuple(records), offset, sequence, salt.ok_value, len(data) - offset))
+
+
+def _decode_header(data: bytes) -> Result[int, StorageError]:
+    if len(data) < HEADER_BYTES:
+        return Err(CorruptJournalError(detail="header is cut off"))
+    magic, version, salt = _HEADER.unpack_from(data)
+    if magic != MAGIC or version != VERSION:
+        return Err(UnsupportedVersionError(detail="not a journal of version 2", version=version))
+    (checksum,) = _CHECKSUM.unpack_from(data, _HEADER.size)
+    if checksum != crc32c(data[: _HEADER.size]):
+        return Err(CorruptJournalError(detail="header is damaged"))
+    return Ok(salt)
+
+
+def _frame_at(view: memoryview, offset: int, salt: int) -> _Frame | None:
+    """The frame that begins at an offset, if it is sound."""
+    begin = offset + _FRAME.size
+    if begin > len(view):
+        return None
+    marker, sequence, length, checksum = _FRAME.unpack_from(view, offset)
+    payload = view[begin : begin + length]
+    if marker != _MARKER or len(payload) != length:
+        return None
+    if checksum != _frame_checksum(salt, sequence, payload):
+        return None
+    return _Frame(sequence, payload, begin + length)
+
+
+def _has_later_frame(data: bytes, begin: int, salt: int, sequence: int) -> bool:
+    """Whether any sound frame that was written after a given one follows."""
+    view = memoryview(data)
+    offset = data.find(_MARKER, begin)
+    while offset >= 0:
+        frame = _frame_at(view, offset, salt)
+        if frame is not None and frame.sequence >= sequence:
+            return True
+        offset = data.find(_MARKER, offset + 1)
+    return False
+
+
+def _split_records(payload: memoryview) -> list[bytes]:
+    records = []
+    offset = 0
+    while offset < len(payload):
+        (length,) = _LENGTH.unpack_from(payload, offset)
+        offset += _LENGTH.size
+        records.append(bytes(payload[offset : offset + length]))
+        offset += length
+    return records
