--- a/src/merlinstand/control/claims.py
+++ b/src/merlinstand/control/claims.py
@@ -73,7 +73,7 @@
             return Refused(code="not_found", detail="no such claim")
         # Every claim has its own owner_incarnation (a fencing number made by the gateway), so a
         # late outcome of an earlier claim of the key can't end a later one.
-        if (claim.owner, claim.owner_incarnation) != (command.owner, command.owner_incarnation):
+        if not _is_owner(claim, command):
             return Refused(code="conflict", detail="claimed by somebody else")
         if claim.recorded != "pending":
             return Refused(code="already", detail="the outcome is recorded")
@@ -128,6 +128,10 @@
             del self.claims[key]
 
 
+def _is_owner(claim: Claim, command: RecordOutcome) -> bool:
+    return (claim.owner, claim.owner_incarnation) == (command.owner, command.owner_incarnation)
+
+
 def _taken(command: ClaimRequest, claim: Claim) -> ClaimTaken:
     if claim.request_digest != command.request_digest:
         return ClaimTaken(idempotency_key=command.idempotency_key, recorded="different_request")
--- a/src/merlinstand/control/leases.py
+++ b/src/merlinstand/control/leases.py
@@ -47,7 +47,7 @@
         if not 0.0 < command.duration_seconds <= MAXIMUM_LEASE_SECONDS:
             return Refused(code="invalid_input", detail="lease duration out of range")
         lease = self.leases.get(command.resource)
-        if lease is not None and lease.expires_at > group_time:
+        if lease is not None and _is_held(lease, group_time):
             if not _is_holder(lease, command):
                 return _held(command.resource, lease, group_time)
             epoch = lease.epoch
@@ -75,9 +75,9 @@
         renewed: list[str] = []
         for renewal in command.leases:
             lease = self.leases.get(renewal.resource)
-            if lease is None or lease.epoch != renewal.epoch or lease.expires_at <= group_time:
+            if lease is None or lease.epoch != renewal.epoch:
                 continue
-            if _is_holder(lease, command):
+            if _is_held(lease, group_time) and _is_holder(lease, command):
                 self.leases[renewal.resource] = msgspec.structs.replace(
                     lease, expires_at=expires_at
                 )
@@ -105,7 +105,7 @@
         return tuple(
             LeaseState(resource, lease.holder, lease.epoch, lease.expires_at - group_time)
             for resource, lease in sorted(self.leases.items())
-            if lease.expires_at > group_time
+            if _is_held(lease, group_time)
         )
 
     def _make_room(self, group_time: float) -> bool:
@@ -114,11 +114,15 @@
         self.leases = {
             resource: lease
             for resource, lease in self.leases.items()
-            if lease.expires_at > group_time
+            if _is_held(lease, group_time)
         }
         return len(self.leases) < MAXIMUM_LEASES
 
 
+def _is_held(lease: Lease, group_time: float) -> bool:
+    return lease.expires_at > group_time
+
+
 def _is_holder(lease: Lease, command: AcquireLease | RenewLeases | ReleaseLease) -> bool:
     return (lease.holder, lease.holder_incarnation) == (
         command.holder,
--- a/src/merlinstand/control/ledger.py
+++ b/src/merlinstand/control/ledger.py
@@ -99,16 +99,16 @@
         if refusal is not None:
             return refusal
         # Committing batch N + 1 acknowledges one attempt at N; judge as if that was done.
-        delivered = None
-        if command.batch == consumer.next_batch + 1:
-            delivered = consumer.find_attempt(command.acknowledged_nonce)
-        refusal = self._check_slots(command, delivered) or _check_staleness(command, bound)
-        if refusal is not None:
-            return refusal
+        delivered = _delivered_attempt(command, consumer)
         attempt = Attempt(command.nonce, msgspec.msgpack.encode(command.samples))
         earlier = None if delivered else consumer.find_attempt(command.nonce)
-        if earlier is not None and earlier.samples != attempt.samples:
-            return Refused(code="conflict", detail="this nonce was used for other samples")
+        refusal = (
+            self._check_slots(command, delivered)
+            or _check_staleness(command, bound)
+            or _check_nonce(attempt, earlier)
+        )
+        if refusal is not None:
+            return refusal
         self.consumers[command.consumer] = consumer
         if delivered is not None:
             self._acknowledge(consumer, delivered)
@@ -218,11 +218,24 @@
     return None
 
 
+def _delivered_attempt(command: CommitBatch, consumer: ConsumerLedger) -> Attempt | None:
+    if command.batch == consumer.next_batch:
+        return None
+    return consumer.find_attempt(command.acknowledged_nonce)
+
+
 def _check_staleness(command: CommitBatch, bound: StalenessBound) -> Refused | None:
     violation = bound.find_violation(command.samples)
     return Refused(code="stale", detail=violation) if violation else None
 
 
+def _check_nonce(attempt: Attempt, earlier: Attempt | None) -> Refused | None:
+    # The consumer can't tell two answers under one nonce apart, so there is only one.
+    if earlier is None or earlier.samples == attempt.samples:
+        return None
+    return Refused(code="conflict", detail="this nonce was used for other samples")
+
+
 class ConsumerState(msgspec.Struct, frozen=True, array_like=True):
     """A consumer in a snapshot."""
 
--- a/src/merlinstand/session/configuration_follower.py
+++ b/src/merlinstand/session/configuration_follower.py
@@ -26,6 +26,8 @@
 PULL_JITTER = 0.1
 """Share of the interval by which pulls are spread, up and down."""
 
+MINIMUM_REFRESH_SECONDS = 0.1
+
 MAXIMUM_OUTSTANDING_PULLS = 32
 """Pulls whose answers are still taken, however late."""
 
@@ -68,6 +70,8 @@
         self._staged: StagedUpdate | None = None
         self._outstanding: dict[float, tuple[NodeId, ...]] = {}
         self._preferred_tried_at = 0.0
+        self._pulled_at = 0.0
+        self._silence_timer_runs = False
 
     @property
     def usable_proof_age_seconds(self) -> float:
@@ -84,25 +88,35 @@
         self._preferred_tried_at = now
         return self.pull(now)
 
+    def refresh(self, now: float) -> list[Effect]:
+        """Ask for changes before the interval is over, unless that was just done."""
+        if now - self._pulled_at < MINIMUM_REFRESH_SECONDS:
+            return []
+        return self.pull(now)
+
     def pull(self, now: float) -> list[Effect]:
         """Ask for changes at once."""
         targets, addresses = self._choice.targets(self.view.daemons, self._generator)
         if self._wants_preferred(now):
             self._preferred_tried_at = now
             targets = (*targets, self._choice.preferred)
+        self._pulled_at = now
         # Two pulls at one instant share their answer's echo; that is harmless.
-        self._outstanding[now] = targets
+        self._outstanding[now] = (*self._outstanding.get(now, ()), *targets)
         while len(self._outstanding) > MAXIMUM_OUTSTANDING_PULLS:
             del self._outstanding[next(iter(self._outstanding))]
         message = ConfigurationPull(self._settings.node_id, self._table.revision, now)
         effects: list[Effect] = list(addresses)
         effects.extend(SendMessage(target, message) for target in targets)
-        effects.append(SetTimer(PULL_TIMEOUT_TIMER, self._timings.pull_timeout_seconds))
-        effects.append(CancelTimer(PULL_TIMER))
+        if not self._silence_timer_runs:
+            # A running one is left alone, or frequent refreshes would hide the silence.
+            self._silence_timer_runs = True
+            effects.append(SetTimer(PULL_TIMEOUT_TIMER, self._timings.pull_timeout_seconds))
         return effects
 
     def pull_timed_out(self, now: float) -> list[Effect]:
         """Nobody gave a proof in time: ask others at once."""
+        self._silence_timer_runs = False
         self._choice.failed()
         return self.pull(now)
 
@@ -160,6 +174,7 @@
             # The silence timer goes on and will ask others.
             return []
         self._choice.succeeded(sender)
+        self._silence_timer_runs = False
         jitter = self._generator.uniform(1.0 - PULL_JITTER, 1.0 + PULL_JITTER)
         delay_seconds = self._timings.pull_interval_seconds * jitter
         return [CancelTimer(PULL_TIMEOUT_TIMER), SetTimer(PULL_TIMER, delay_seconds)]
--- a/src/merlinstand/session/control_session.py
+++ b/src/merlinstand/session/control_session.py
@@ -187,8 +187,8 @@
         return query_id, self._sender.add_query(query_id, query, now, timeout_seconds)
 
     def refresh(self, now: float) -> Sequence[Effect]:
-        """Pull the configuration at once instead of at the next interval."""
-        return self._follower.pull(now)
+        """Pull the configuration now instead of at the next interval; cheap to call often."""
+        return self._follower.refresh(now)
 
     def may_take_new_work(self, now: float) -> bool:
         """Tell whether the configuration lease is held.
@@ -296,6 +296,8 @@
                 continue
             if self._keeper.owns(answered.request_id):
                 notices.extend(self._keeper.finished(answered.request_id, answered.outcome, now))
+                unwanted = self._keeper.release_unwanted(answered.outcome)
+                effects.extend(self._submit_all(unwanted, now))
                 continue
             notices.append(_finished_notice(answered))
         return self._then_keep_leases(SessionStep(tuple(effects), tuple(notices)), now)
--- a/src/merlinstand/session/lease_keeper.py
+++ b/src/merlinstand/session/lease_keeper.py
@@ -125,13 +125,13 @@
         wanted = self._wanted.pop(resource, None)
         if wanted is None or wanted.held is None:
             return []
-        release = ReleaseLease(
-            resource=resource,
-            holder=self._holder,
-            holder_incarnation=self._incarnation,
-            epoch=wanted.held.epoch,
-        )
-        return [OutgoingCommand(self._next_id(), release, self._duration_seconds)]
+        return [self._release(resource, wanted.held.epoch)]
+
+    def release_unwanted(self, outcome: AnyOutcome | None) -> list[OutgoingCommand]:
+        """Release a lease that was granted after the daemon had given the resource up."""
+        if not isinstance(outcome, LeaseGranted) or outcome.resource in self._wanted:
+            return []
+        return [self._release(outcome.resource, outcome.epoch)]
 
     def resources(self) -> tuple[str, ...]:
         """Return the wanted resources."""
@@ -177,6 +177,15 @@
         wanted.asked = None
         return self._asked(wanted, sent_at, outcome, now)
 
+    def _release(self, resource: str, epoch: int) -> OutgoingCommand:
+        command = ReleaseLease(
+            resource=resource,
+            holder=self._holder,
+            holder_incarnation=self._incarnation,
+            epoch=epoch,
+        )
+        return OutgoingCommand(self._next_id(), command, self._duration_seconds)
+
     def _asked(
         self, wanted: WantedLease, sent_at: float, outcome: AnyOutcome | None, now: float
     ) -> list[Notice]:
