--- a/src/merlinstand/session/control_session.py
+++ b/src/merlinstand/session/control_session.py
@@ -100,6 +100,11 @@
         """The configuration in force; replaced as a whole."""
         return self._follower.view
 
+    @property
+    def run_name(self) -> str:
+        """Name of this run of this process: no other run of any daemon has it."""
+        return self._run_name
+
     def start(self, event: Started, now: float) -> SessionStep:
         """Recover the highest revision seen and send the first pull.
 
