--- /dev/null
+++ b/src/merlinstand/coordinator/batches.py
@@ -0,0 +1,388 @@
+"""Batches to trainers: composed, committed in the ledger, and only then answered."""
+
+from collections.abc import Sequence
+
+import msgspec
+from result import Err
+
+from merlinstand.common.errors import MerlinstandError
+from merlinstand.common.ids import CommandId, RequestId
+from merlinstand.control.commands import AnyOutcome, BatchCommitted, BatchSample, CommitBatch
+from merlinstand.control.commands import Refused as CommandRefused
+from merlinstand.control.queries import LedgerAnswer
+from merlinstand.coordinator.composition import Candidate, compose
+from merlinstand.coordinator.consumers import ConsumerProgress
+from merlinstand.coordinator.context import Context
+from merlinstand.coordinator.errors import (
+    NoLeaseError,
+    NonceUsedError,
+    NotReadyError,
+    SupersededError,
+)
+from merlinstand.coordinator.forecast import ConsumerForecast
+from merlinstand.coordinator.purposes import BatchCommit
+from merlinstand.coordinator.samples import BatchAnswer, BatchRequest, Sample, to_trainer
+from merlinstand.coordinator.slots import SlotState
+from merlinstand.coordinator.staleness import BoundaryBudget
+from merlinstand.coordinator.store import SampleStore
+from merlinstand.coordinator.terms import JobTerms
+
+ASK_AGAIN_SECONDS = 0.05
+REFUSED_RETRY_SECONDS = 0.2
+"""Wait after the ledger refused a batch, for the configuration to catch up."""
+
+MAXIMUM_DISCARDED_SLOTS = 4_096
+"""Most given-up slots reported with one batch."""
+
+
+class Pull(msgspec.Struct):
+    """A trainer's request that waits for its batch."""
+
+    request_id: RequestId
+    request: BatchRequest
+    arrived_at: float
+    not_before: float = 0.0
+    position_read: bool = False
+    """Whether the ledger was read since a mismatch of positions."""
+
+
+class PendingCommit(msgspec.Struct):
+    """A batch on its way through the ledger."""
+
+    command_id: CommandId
+    request_id: RequestId | None
+    """None once the trainer went away."""
+    command: CommitBatch
+    candidates: tuple[Candidate, ...]
+
+
+class BatchDesk:
+    """Serves the consumers of one job, one commit a consumer at a time."""
+
+    def __init__(self, store: SampleStore) -> None:
+        """Begin without knowing any position; `load` brings them."""
+        self._store = store
+        self._budget = BoundaryBudget()
+        self._progress: dict[str, ConsumerProgress] = {}
+        self._pulls: dict[str, Pull] = {}
+        self._commits: dict[str, PendingCommit] = {}
+        self._delivered_at: dict[str, float] = {}
+        self.forecasts: dict[str, ConsumerForecast] = {}
+        self.loaded = False
+        self.wants_ledger = False
+        """Whether the ledger must be read (again) before anything is served."""
+
+    @property
+    def committing(self) -> bool:
+        """Whether any batch is on its way through the ledger."""
+        return bool(self._commits)
+
+    def progress(self, consumer: str) -> ConsumerProgress:
+        """Return a consumer's place in its sequence of batches."""
+        return self._progress.setdefault(consumer, ConsumerProgress(consumer))
+
+    def forecast(self, consumer: str) -> ConsumerForecast:
+        """Return the forecast of a consumer's cycle."""
+        return self.forecasts.setdefault(consumer, ConsumerForecast())
+
+    def boundary_budget(self) -> int:
+        """Return how many samples at the staleness bound may leave now."""
+        return self._budget.available()
+
+    def load(self, answer: LedgerAnswer, slot_of: dict[str, int]) -> None:
+        """Take positions from the ledger.
+
+        Args:
+            answer: The ledger's answer.
+            slot_of: Slot of each sample id of the unacknowledged attempts.
+        """
+        for position in answer.consumers:
+            slots = tuple(slot_of[sample_id] for sample_id in position.samples)
+            self.progress(position.consumer).load(position, slots)
+            self._store.reserve(slots)
+        self.loaded = True
+        self.wants_ledger = False
+        for pull in self._pulls.values():
+            pull.position_read = True
+
+    def ask(self, context: Context, request_id: RequestId, request: BatchRequest) -> None:
+        """Take in a trainer's request; `serve` answers it when its batch is there."""
+        earlier = self._pulls.get(request.consumer)
+        if earlier is not None:
+            detail = "a newer request of this consumer arrived"
+            context.refuse(earlier.request_id, SupersededError(detail=detail))
+        self._pulls[request.consumer] = Pull(request_id, request, context.now)
+        self._note_asked(context, request)
+
+    def _note_asked(self, context: Context, request: BatchRequest) -> None:
+        progress = self.progress(request.consumer)
+        # Asking for the open batch again is no new step of the trainer.
+        again = bool(progress.attempts) and request.last_received_batch < progress.next_batch
+        forecast = self.forecast(request.consumer)
+        if again:
+            forecast.asked_again()
+        else:
+            forecast.asked(context.now)
+
+    def aborted(self, request_id: RequestId) -> None:
+        """A trainer went away. A commit under way goes on; its answer is not sent."""
+        for consumer, pull in list(self._pulls.items()):
+            if pull.request_id == request_id:
+                del self._pulls[consumer]
+        for commit in self._commits.values():
+            if commit.request_id == request_id:
+                commit.request_id = None
+
+    def serve(self, context: Context, terms: JobTerms) -> None:
+        """Compose and commit what can be, least recently served consumer first."""
+        order = sorted(self._pulls, key=lambda name: (self._delivered_at.get(name, -1.0), name))
+        for consumer in order:
+            pull = self._pulls[consumer]
+            if not self._serve_one(context, terms, pull):
+                self._give_up_if_late(context, pull)
+
+    def refuse_all(self, context: Context, error: NoLeaseError) -> None:
+        """The job's lease is gone: nobody is served here any more."""
+        for pull in self._pulls.values():
+            context.refuse(pull.request_id, error)
+        for commit in self._commits.values():
+            if commit.request_id is not None:
+                context.refuse(commit.request_id, error)
+        self._pulls.clear()
+        self._commits.clear()
+
+    # --- composing ------------------------------------------------------------------
+
+    def _serve_one(self, context: Context, terms: JobTerms, pull: Pull) -> bool:
+        """Serve one pull; returns False while it has to wait."""
+        consumer = pull.request.consumer
+        if not self.loaded or self.wants_ledger or consumer in self._commits:
+            return False
+        if context.now < pull.not_before:
+            return False
+        progress = self.progress(consumer)
+        position = progress.check(pull.request)
+        if isinstance(position, Err):
+            return self._refuse_position(context, pull, position.err_value)
+        batch = position.ok_value
+        newest = max(terms.clock.newest, pull.request.trainer_version)
+        if batch == progress.next_batch and pull.request.nonce in progress.attempts:
+            candidates = self._replay(context, terms, progress, pull.request.nonce, newest)
+            if not candidates:
+                detail = "the batch must be composed anew: ask under a new nonce"
+                return self._refuse(context, pull, NonceUsedError(detail=detail))
+        else:
+            candidates = self._compose(context, terms, pull, batch, newest)
+        if not candidates:
+            return False
+        self._commit(context, terms, pull, batch, candidates)
+        return True
+
+    def _compose(
+        self, context: Context, terms: JobTerms, pull: Pull, batch: int, newest: int
+    ) -> tuple[Candidate, ...]:
+        own = self._slots_to_take_again(pull.request, batch)
+        if len(self._store.samples) < terms.job.batch_size:
+            return ()
+        # A version published by another trainer between commit and receipt would push a
+        # sample at the bound over it; only a sole trainer that published all it has cannot.
+        budget = self._budget.available()
+        if len(terms.job.consumers) > 1 or pull.request.trainer_version < newest:
+            budget = 0
+        units = [
+            candidates
+            for unit in self._store.ready_units(own)
+            if (candidates := self._judge_unit(context, terms, unit, newest))
+        ]
+        return compose(units, terms.job.batch_size, budget)
+
+    def _slots_to_take_again(self, request: BatchRequest, batch: int) -> set[int]:
+        progress = self.progress(request.consumer)
+        own = progress.own_slots()
+        if batch == progress.next_batch:
+            return own
+        return own - set(progress.delivered_slots(request.last_received_nonce))
+
+    def _judge_unit(
+        self, context: Context, terms: JobTerms, unit: Sequence[Sample], newest: int
+    ) -> tuple[Candidate, ...]:
+        """Return the unit's candidates, or none if one of them may not leave."""
+        candidates = []
+        for sample in unit:
+            usual = terms.allows(context, sample.oldest_version, newest)
+            if not usual and not terms.allows(
+                context, sample.oldest_version, newest, at_bound=True
+            ):
+                return ()
+            weight = terms.weight(context, sample, newest)
+            if weight <= 0.0:
+                if self._store.slots.state(sample.slot) is SlotState.READY:
+                    self._store.drop(sample.slot)
+                    context.count("samples_dropped_total", job=terms.job.name)
+                return ()
+            candidates.append(Candidate(sample, weight, not usual))
+        return tuple(candidates)
+
+    def _replay(
+        self,
+        context: Context,
+        terms: JobTerms,
+        progress: ConsumerProgress,
+        nonce: str,
+        newest: int,
+    ) -> tuple[Candidate, ...]:
+        """Return the same samples under the same nonce, if all may still leave."""
+        candidates = []
+        for slot in progress.attempts[nonce]:
+            sample = self._store.samples.get(slot)
+            if sample is None:
+                return ()
+            if not terms.allows(context, sample.oldest_version, newest, at_bound=True):
+                return ()
+            weight = max(0.0, terms.weight(context, sample, newest))
+            candidates.append(Candidate(sample, weight, False))
+        return tuple(candidates)
+
+    def _commit(
+        self,
+        context: Context,
+        terms: JobTerms,
+        pull: Pull,
+        batch: int,
+        candidates: tuple[Candidate, ...],
+    ) -> None:
+        request = pull.request
+        samples = tuple(
+            BatchSample(
+                candidate.sample.slot,
+                candidate.sample.sample_id,
+                candidate.sample.oldest_version,
+            )
+            for candidate in candidates
+        )
+        command = CommitBatch(
+            job=terms.job.name,
+            consumer=request.consumer,
+            batch=batch,
+            nonce=request.nonce,
+            trainer_version=request.trainer_version,
+            samples=samples,
+            lease_epoch=terms.epoch,
+            acknowledged_nonce=request.last_received_nonce,
+            discarded_slots=self._store.discarded()[:MAXIMUM_DISCARDED_SLOTS],
+        )
+        self._store.reserve(sample.slot for sample in samples)
+        purpose = BatchCommit(terms.job.name, request.consumer, terms.epoch)
+        command_id = context.submit(command, purpose)
+        self._commits[request.consumer] = PendingCommit(
+            command_id, pull.request_id, command, candidates
+        )
+        del self._pulls[request.consumer]
+
+    # --- outcomes -------------------------------------------------------------------
+
+    def finished(
+        self,
+        context: Context,
+        terms: JobTerms,
+        command_id: CommandId,
+        consumer: str,
+        outcome: AnyOutcome | None,
+    ) -> None:
+        """Take in what the ledger said to a batch."""
+        commit = self._commits.get(consumer)
+        if commit is None or commit.command_id != command_id:
+            return
+        del self._commits[consumer]
+        if isinstance(outcome, BatchCommitted):
+            self._committed(context, terms, commit, outcome)
+        else:
+            self._refused(context, commit, outcome)
+
+    def _committed(
+        self, context: Context, terms: JobTerms, commit: PendingCommit, outcome: BatchCommitted
+    ) -> None:
+        command = commit.command
+        slots = tuple(sample.slot for sample in command.samples)
+        progress = self.progress(command.consumer)
+        if not progress.knows_delivered(command.batch, command.acknowledged_nonce):
+            # An earlier coordinator committed the attempt that the trainer received.
+            self.wants_ledger = True
+        settled = progress.committed(
+            command.batch, command.nonce, slots, command.acknowledged_nonce
+        )
+        self._store.use(settled.used)
+        self._store.release(settled.released)
+        for slot in command.discarded_slots:
+            self._store.slots.set_state(slot, SlotState.USED)
+        at_bound = sum(candidate.at_bound for candidate in commit.candidates)
+        self._budget.delivered(len(slots), at_bound)
+        self._delivered_at[command.consumer] = context.now
+        self.forecast(command.consumer).delivered(context.now, outcome.newest_version)
+        context.count("batches_committed_total", job=terms.job.name)
+        if commit.request_id is not None:
+            self._answer(context, commit, outcome)
+
+    def _answer(self, context: Context, commit: PendingCommit, outcome: BatchCommitted) -> None:
+        assert commit.request_id is not None
+        answer = BatchAnswer(
+            job=commit.command.job,
+            consumer=commit.command.consumer,
+            batch=outcome.batch,
+            nonce=outcome.nonce,
+            newest_version=outcome.newest_version,
+            samples=tuple(
+                to_trainer(candidate.sample, candidate.weight) for candidate in commit.candidates
+            ),
+        )
+        context.respond(commit.request_id, 200, msgspec.json.encode(answer))
+
+    def _refused(self, context: Context, commit: PendingCommit, outcome: AnyOutcome | None) -> None:
+        command = commit.command
+        code = outcome.code if isinstance(outcome, CommandRefused) else "unknown"
+        context.count("batches_refused_total", job=command.job, code=code)
+        context.log("batch.refused", job=command.job, consumer=command.consumer, code=code)
+        self._release_commit(command)
+        # Stale: the ledger knows a newer version, the configuration follows. Everything
+        # else says that the ledger and this desk differ, and the ledger is right.
+        if code not in ("stale", "conflict"):
+            self.wants_ledger = True
+        if commit.request_id is None:
+            return
+        if code == "conflict":
+            detail = "the batch must be composed anew: ask under a new nonce"
+            context.refuse(commit.request_id, NonceUsedError(detail=detail))
+            return
+        error = NotReadyError(detail=code, retry_after_seconds=REFUSED_RETRY_SECONDS)
+        context.refuse(commit.request_id, error)
+
+    def _release_commit(self, command: CommitBatch) -> None:
+        still_held = self.progress(command.consumer).own_slots()
+        self._store.release(
+            sample.slot for sample in command.samples if sample.slot not in still_held
+        )
+
+    # --- refusals -------------------------------------------------------------------
+
+    def _refuse_position(self, context: Context, pull: Pull, error: MerlinstandError) -> bool:
+        # An operator may have rewound the job: the ledger is asked before a trainer is
+        # turned away.
+        if not pull.position_read:
+            self.wants_ledger = True
+            return False
+        return self._refuse(context, pull, error)
+
+    def _refuse(self, context: Context, pull: Pull, error: MerlinstandError) -> bool:
+        del self._pulls[pull.request.consumer]
+        context.refuse(pull.request_id, error)
+        return True
+
+    def _give_up_if_late(self, context: Context, pull: Pull) -> None:
+        held_for = context.now - pull.arrived_at
+        if held_for >= context.settings.generation.pull_hold_seconds:
+            detail = "the batch is not ready"
+            self._refuse(
+                context,
+                pull,
+                NotReadyError(detail=detail, retry_after_seconds=ASK_AGAIN_SECONDS),
+            )
--- /dev/null
+++ b/src/merlinstand/coordinator/composition.py
@@ -0,0 +1,48 @@
+"""Which finished samples make a batch."""
+
+from collections.abc import Sequence
+
+import msgspec
+
+from merlinstand.coordinator.samples import Sample
+
+
+class Candidate(msgspec.Struct, frozen=True):
+    """A sample that the policy lets go now."""
+
+    sample: Sample
+    weight: float
+    at_bound: bool
+    """Whether it uses up the whole staleness bound."""
+
+
+def compose(
+    units: Sequence[Sequence[Candidate]], batch_size: int, at_bound_budget: int
+) -> tuple[Candidate, ...]:
+    """Choose whole units until the batch is full.
+
+    Args:
+        units: Samples that leave together, unit by unit.
+        batch_size: Samples in the batch.
+        at_bound_budget: Most samples that may use up the whole bound.
+
+    Returns:
+        Exactly `batch_size` candidates, or none if the units do not suffice.
+    """
+    chosen: list[Candidate] = []
+    budget = at_bound_budget
+    for unit in sorted(units, key=_leaving_order):
+        at_bound = sum(candidate.at_bound for candidate in unit)
+        if at_bound > budget or len(chosen) + len(unit) > batch_size:
+            continue
+        chosen.extend(unit)
+        budget -= at_bound
+        if len(chosen) == batch_size:
+            return tuple(chosen)
+    return ()
+
+
+def _leaving_order(unit: Sequence[Candidate]) -> tuple[int, int]:
+    """Oldest first: they expire next."""
+    oldest = min(candidate.sample.oldest_version for candidate in unit)
+    return oldest, unit[0].sample.slot
--- a/src/merlinstand/coordinator/daemon.py
+++ b/src/merlinstand/coordinator/daemon.py
@@ -1,10 +1,66 @@
 """The coordinator process as one reducer."""
 
 from collections.abc import Sequence
+from random import Random
 
+import msgspec
+from result import Err
+
+from merlinstand.coordinator.call_router import CallRouter
+from merlinstand.coordinator.context import Context
+from merlinstand.coordinator.errors import NoLeaseError, NotOwnerError, UnknownJobError
+from merlinstand.coordinator.job_status import JobsAnswer, describe
+from merlinstand.coordinator.leadership import job_resource
+from merlinstand.coordinator.samples import BatchRequest
 from merlinstand.coordinator.settings import CoordinatorSettings
-from merlinstand.kernel.effects import Effect
-from merlinstand.kernel.events import Event, Started
+from merlinstand.coordinator.trainer_door import (
+    BatchAsked,
+    JobsAsked,
+    LivenessAsked,
+    parse_request,
+)
+from merlinstand.coordinator.workplace import Workplace
+from merlinstand.kernel.effects import Effect, SetTimer, StopProcess
+from merlinstand.kernel.events import (
+    CallChunk,
+    CallEnded,
+    CallFailed,
+    CallHeaders,
+    CallResponded,
+    Event,
+    RecordsSynced,
+    RequestAborted,
+    RequestReceived,
+    Started,
+    StopRequested,
+    TimerFired,
+)
+from merlinstand.session.control_session import ControlSession, SessionStep
+from merlinstand.session.notices import (
+    CommandFinished,
+    ConfigurationChanged,
+    LeaseGained,
+    LeaseLost,
+    LeaseUnavailable,
+    Notice,
+    QueryFinished,
+)
+from merlinstand.session.settings import SessionSettings
+
+TICK_TIMER = "coordinator.tick"
+RELEASE_SECONDS = 2.0
+"""Longest a planned stop waits for its leases to be released."""
+
+RETRY_SECONDS = 0.5
+
+
+class NotOwnerBody(msgspec.Struct, frozen=True, kw_only=True):
+    """421: another coordinator leads the job."""
+
+    code: str
+    detail: str
+    owner: str
+    retry_after_seconds: float | None = None
 
 
 class CoordinatorDaemon:
@@ -16,11 +72,167 @@
     def __init__(self, settings: CoordinatorSettings) -> None:
         """Remember the settings; nothing happens before `start`."""
         self._settings = settings
+        self._session = ControlSession(_session_settings(settings))
+        self._context = Context(settings, self._session)
+        self._work = Workplace(self._context, Random(0))
+        self._calls = CallRouter(self._context, self._work)
+        self._stopping_since: float | None = None
+        self._released_at: float | None = None
 
     def start(self, event: Started, now: float) -> Sequence[Effect]:
         """Recover the journal and join the control group's clients."""
-        raise NotImplementedError
+        self._context.now = now
+        self._work = Workplace(self._context, Random(event.seed))
+        self._calls = CallRouter(self._context, self._work)
+        recovered = self._work.journal.recover(event.snapshot, event.records)
+        self._context.add(*self._session.start(event, now).effects)
+        self._context.log("coordinator.started", recovered_samples=len(recovered))
+        self._context.add(SetTimer(TICK_TIMER, self._settings.tick_seconds))
+        return self._context.take_effects()
 
     def reduce(self, event: Event, now: float) -> Sequence[Effect]:
         """Take one event and decide what to do."""
-        raise NotImplementedError
+        self._context.now = now
+        # A process that was frozen may wake up after its leases ran out: nothing is done
+        # for a resource before its lease was checked against the time of this event.
+        self._work.check_leases()
+        if self._session.handles(event):
+            self._session_step(self._session.reduce(event, now))
+        else:
+            self._handle(event)
+        return self._context.take_effects()
+
+    def _handle(self, event: Event) -> None:
+        match event:
+            case TimerFired(name=name) if name == TICK_TIMER:
+                self._tick()
+            case RequestReceived():
+                self._request(event)
+            case RequestAborted():
+                self._work.request_aborted(event.request_id)
+            case RecordsSynced():
+                self._work.records_synced(event.token)
+            case CallHeaders() | CallChunk() | CallEnded() | CallFailed() | CallResponded():
+                self._calls.route(event)
+            case StopRequested():
+                self._begin_stop()
+            case _:
+                pass
+
+    def _tick(self) -> None:
+        self._context.add(SetTimer(TICK_TIMER, self._settings.tick_seconds))
+        if self._released_at is None:
+            self._work.tick()
+        if self._stopping_since is not None:
+            self._continue_stop(self._stopping_since)
+
+    # --- control group --------------------------------------------------------------
+
+    def _session_step(self, step: SessionStep) -> None:
+        self._context.add(*step.effects)
+        for notice in step.notices:
+            self._notice(notice)
+
+    def _notice(self, notice: Notice) -> None:
+        match notice:
+            case ConfigurationChanged():
+                self._work.configuration_changed()
+            case LeaseGained():
+                self._work.lease_gained(notice.resource, notice.epoch)
+            case LeaseLost():
+                self._work.lease_lost(notice.resource, notice.reason)
+            case LeaseUnavailable():
+                self._work.leadership.holders[notice.resource] = notice.holder
+            case CommandFinished():
+                self._work.command_finished(notice)
+            case QueryFinished():
+                self._work.query_finished(notice)
+            case _:
+                pass
+
+    # --- HTTP -----------------------------------------------------------------------
+
+    def _request(self, event: RequestReceived) -> None:
+        parsed = parse_request(event)
+        if isinstance(parsed, Err):
+            self._context.refuse(event.request_id, parsed.err_value)
+            return
+        asked = parsed.ok_value
+        if isinstance(asked, BatchAsked):
+            self._batch_asked(event, asked.job, asked.request)
+        elif isinstance(asked, JobsAsked):
+            body = JobsAnswer(
+                tuple(
+                    describe(self._context, runner, pool) for runner, pool in self._work.led_jobs()
+                )
+            )
+            self._context.respond(event.request_id, 200, msgspec.json.encode(body))
+        elif isinstance(asked, LivenessAsked) or self._ready():
+            self._context.respond(event.request_id, 200, b'{"ready":true}')
+        else:
+            detail = "no proof of the newest configuration, or stopping"
+            error = NoLeaseError(detail=detail, retry_after_seconds=RETRY_SECONDS)
+            self._context.refuse(event.request_id, error)
+
+    def _ready(self) -> bool:
+        stopping = self._stopping_since is not None
+        return not stopping and self._session.may_take_new_work(self._context.now)
+
+    def _batch_asked(self, event: RequestReceived, job: str, request: BatchRequest) -> None:
+        runner = self._work.runner(job)
+        if runner is not None:
+            self._work.version_seen(runner.job.model, request.trainer_version)
+            runner.ask(event.request_id, request)
+            return
+        if self._context.view.revision > 0 and job not in self._context.view.jobs:
+            self._context.refuse(event.request_id, UnknownJobError(detail=f"no job {job!r}"))
+            return
+        self._not_owner(event, job)
+
+    def _not_owner(self, event: RequestReceived, job: str) -> None:
+        holder = self._work.leadership.holders.get(job_resource(job), "")
+        owner = self._context.view.daemons.get(holder)
+        if owner is None or holder == self._settings.node_id:
+            error = NoLeaseError(
+                detail=f"no coordinator is known to lead {job}", retry_after_seconds=RETRY_SECONDS
+            )
+            self._context.refuse(event.request_id, error)
+            return
+        body = NotOwnerBody(
+            code=NotOwnerError.code, detail=f"{holder} leads {job}", owner=owner.http_address
+        )
+        status = NotOwnerError.http_status
+        self._context.respond(event.request_id, status, msgspec.json.encode(body))
+
+    # --- planned stop ---------------------------------------------------------------
+
+    def _begin_stop(self) -> None:
+        if self._stopping_since is None:
+            self._stopping_since = self._context.now
+            self._work.stop_accepting()
+            self._context.log("coordinator.stopping")
+
+    def _continue_stop(self, since: float) -> None:
+        now = self._context.now
+        if self._released_at is None:
+            if self._work.idle() or now - since >= self._settings.drain_seconds:
+                self._work.stop_all("stopping")
+                self._context.add(*self._session.stop(now))
+                self._released_at = now
+        elif self._session.is_idle or now - self._released_at >= RELEASE_SECONDS:
+            self._context.log("coordinator.stopped")
+            self._context.add(StopProcess())
+
+
+def _session_settings(settings: CoordinatorSettings) -> SessionSettings:
+    return SessionSettings(
+        node_id=settings.node_id,
+        role="coordinator",
+        zone=settings.zone,
+        address=settings.address,
+        http_address=settings.http_address,
+        members=settings.control_members,
+        peers=settings.peers,
+        owns_journal=False,
+        timings=settings.session,
+    )
--- /dev/null
+++ b/src/merlinstand/coordinator/engines.py
@@ -0,0 +1,150 @@
+"""The engines of one pool as this coordinator sees them."""
+
+from collections.abc import Mapping
+from random import Random
+
+import msgspec
+
+from merlinstand.configuration.objects import Backend, Drain, Pool, Weights
+from merlinstand.coordinator.context import Context
+from merlinstand.coordinator.engine_protocol import EngineState, EngineStatus
+from merlinstand.coordinator.purposes import StatusCall
+from merlinstand.kernel.events import CallFailed, CallResponded
+from merlinstand.routing.breaker import Breaker
+from merlinstand.routing.load_reports import AgedLoad, LoadReport
+from merlinstand.routing.membership import LeavingSignals, ReplicaState, StateReport
+from merlinstand.routing.settings import RouterSettings
+
+STATUS_EXPIRY_SECONDS = 5.0
+"""An engine whose last report was received longer ago gets no new work."""
+
+URGENT_STATUS_SECONDS = 0.1
+"""Interval of reports while an order is under way or after a refusal."""
+
+_STATUS_DECODER = msgspec.json.Decoder(EngineStatus)
+
+
+class Engine:
+    """Mutable state of one engine; owned by an `EnginePool`."""
+
+    def __init__(self, backend: Backend, settings: RouterSettings, random: Random) -> None:
+        """Start knowing nothing but the address."""
+        self.backend = backend
+        self.breaker = Breaker(settings.breaker, random)
+        self.load = AgedLoad(settings.load_half_life_seconds, settings.load_expiry_seconds)
+        self.signals = LeavingSignals()
+        self.status: EngineStatus | None = None
+        self.status_received_at = -1.0
+        self.status_asked_at: float | None = None
+        self.last_asked_at = -1.0
+        self.urgent = False
+        """Whether its status is wanted more often."""
+        self.in_flight = 0
+        self.back_off_until = 0.0
+
+    @property
+    def active_version(self) -> int:
+        """Version it serves, by its own word; 0 if none or unknown."""
+        return (self.status.active_version or 0) if self.status is not None else 0
+
+    def work(self, now: float) -> float:
+        """Return the number of requests believed to be there."""
+        return self.in_flight + self.load.foreign(now)
+
+
+class EnginePool:
+    """Polls the engines of a pool and tells which of them may take work."""
+
+    def __init__(self, pool: Pool, random: Random) -> None:
+        """Begin with the configured engines, knowing nothing of them."""
+        self.pool = pool
+        self.engines: dict[str, Engine] = {}
+        self._random = random
+        self._router_settings = RouterSettings()
+
+    def configure(self, pool: Pool, drains: Mapping[str, Drain]) -> None:
+        """Follow the configuration."""
+        self.pool = pool
+        kept: dict[str, Engine] = {}
+        for backend in pool.backends:
+            engine = self.engines.get(backend.backend_id)
+            if engine is None or engine.backend.address != backend.address:
+                engine = Engine(backend, self._router_settings, self._random)
+            engine.backend = backend
+            engine.signals.drained = backend.backend_id in drains
+            kept[backend.backend_id] = engine
+        self.engines = kept
+
+    def poll(self, context: Context) -> None:
+        """Ask engines for their status where it is due."""
+        settings = context.settings.rollout
+        for backend_id, engine in self.engines.items():
+            interval = URGENT_STATUS_SECONDS if engine.urgent else settings.status_interval_seconds
+            if engine.status_asked_at is not None or context.now - engine.last_asked_at < interval:
+                continue
+            engine.status_asked_at = engine.last_asked_at = context.now
+            context.start_call(
+                StatusCall(self.pool.name, backend_id),
+                engine.backend.address,
+                "GET",
+                "/v1/status",
+                timeout_seconds=STATUS_EXPIRY_SECONDS / 2,
+            )
+
+    def status_answered(
+        self, purpose: StatusCall, event: CallResponded | CallFailed, now: float
+    ) -> Engine | None:
+        """Take in the answer to a status request.
+
+        Returns:
+            The engine if its report is news.
+        """
+        engine = self.engines.get(purpose.backend_id)
+        if engine is None or engine.status_asked_at is None:
+            return None
+        asked_at, engine.status_asked_at = engine.status_asked_at, None
+        if isinstance(event, CallFailed) or event.status != 200:
+            return None
+        try:
+            status = _STATUS_DECODER.decode(event.body)
+        except msgspec.DecodeError:
+            return None
+        report = StateReport(
+            ReplicaState(status.state.value), status.reported_at, status.incarnation
+        )
+        if not engine.signals.own_report(report, asked_at):
+            return None
+        engine.status = status
+        engine.status_received_at = now
+        load = LoadReport(status.running, status.queued, status.reported_at, status.incarnation)
+        engine.load.record(load, engine.in_flight, now)
+        return engine
+
+    def serves(self, engine: Engine, weights: Weights | None, now: float) -> bool:
+        """Tell whether an engine may get new generations at all, busy or not.
+
+        Its active weights must be a published version with the published digest: an engine
+        whose swap failed or is in doubt gets nothing.
+        """
+        status = engine.status
+        if status is None or now - engine.status_received_at > STATUS_EXPIRY_SECONDS:
+            return False
+        if status.state is not EngineState.READY or status.model != self.pool.model:
+            return False
+        if engine.signals.leaving or not engine.breaker.allows(now):
+            return False
+        if weights is None or now < engine.back_off_until:
+            return False
+        return any(
+            published.version == status.active_version and published.digest == status.active_digest
+            for published in weights.versions
+        )
+
+    def speed(self, now: float) -> float:
+        """Return the reported tokens per second of the whole pool."""
+        return sum(
+            engine.status.tokens_per_second
+            for engine in self.engines.values()
+            if engine.status is not None
+            and now - engine.status_received_at <= STATUS_EXPIRY_SECONDS
+        )
--- /dev/null
+++ b/src/merlinstand/coordinator/forecast.py
@@ -0,0 +1,95 @@
+"""When trainers will ask for their next batches, and how old weights will be by then."""
+
+import msgspec
+
+SMOOTHING = 0.3
+
+
+class Demand(msgspec.Struct, frozen=True):
+    """A batch that a consumer is expected to ask for."""
+
+    round: int
+    """0 for the batch asked for next."""
+    due_at: float
+    newest_version: int
+    """Newest version expected to be published when it is asked for."""
+    count: int
+    """Samples in it."""
+
+
+class ConsumerForecast:
+    """Follows one consumer's cycle: ask, receive, train, publish, ask again."""
+
+    def __init__(self) -> None:
+        """Begin without measurements: the consumer is taken to be waiting."""
+        self._waiting = True
+        self._asked_before = False
+        self._delivered_at: float | None = None
+        self._newest_at_delivery = 0
+        self._step_seconds: float | None = None
+        self._cycle_seconds: float | None = None
+        self._versions_per_cycle = 1.0
+
+    @property
+    def waiting(self) -> bool:
+        """Whether the consumer waits for a batch, as far as is known."""
+        return self._waiting
+
+    @property
+    def cycle_seconds(self) -> float | None:
+        """Smoothed time between deliveries."""
+        return self._cycle_seconds
+
+    def asked(self, now: float) -> None:
+        """The consumer asked for its next batch."""
+        if self._delivered_at is not None and not self._waiting:
+            self._step_seconds = _smooth(self._step_seconds, now - self._delivered_at)
+        self._waiting = True
+        self._asked_before = True
+
+    def asked_again(self) -> None:
+        """The consumer did not receive its batch and asked for it again."""
+        self._waiting = True
+
+    def delivered(self, now: float, newest_version: int) -> None:
+        """A batch was committed for the consumer."""
+        if self._delivered_at is not None:
+            self._cycle_seconds = _smooth(self._cycle_seconds, now - self._delivered_at)
+            published = max(0, newest_version - self._newest_at_delivery)
+            self._versions_per_cycle += SMOOTHING * (published - self._versions_per_cycle)
+        self._delivered_at = now
+        self._newest_at_delivery = newest_version
+        self._waiting = False
+
+    def demands(self, now: float, newest: int, count: int, rounds: int) -> list[Demand]:
+        """Forecast the next batches.
+
+        Args:
+            now: Local monotonic time.
+            newest: Newest version published now.
+            count: Batch size.
+            rounds: Batches to look ahead beyond the next one.
+
+        Returns:
+            One demand a batch, soonest first.
+        """
+        versions_per_cycle = round(self._versions_per_cycle)
+        due_at = now
+        if not self._waiting and self._delivered_at is not None:
+            due_at = max(now, self._delivered_at + (self._step_seconds or 0.0))
+            published = newest - self._newest_at_delivery
+            newest += max(0, versions_per_cycle - published)
+        demands = [Demand(0, due_at, newest, count)]
+        # A consumer that never asked may not exist yet: one batch is kept for it, no more.
+        if not self._asked_before:
+            return demands
+        cycle_seconds = self._cycle_seconds or self._step_seconds or 0.0
+        for ahead in range(1, rounds + 1):
+            due_at += cycle_seconds
+            newest += versions_per_cycle
+            demands.append(Demand(ahead, due_at, newest, count))
+        return demands
+
+
+def _smooth(known: float | None, measured: float) -> float:
+    return measured if known is None else known + SMOOTHING * (measured - known)
--- /dev/null
+++ b/src/merlinstand/coordinator/generation.py
@@ -0,0 +1,183 @@
+"""One generation: the stream of one slot's sample over one or more engines."""
+
+import msgspec
+from result import Err, Ok, Result
+
+from merlinstand.common.errors import InvalidInputError
+from merlinstand.common.ids import CallId
+from merlinstand.coordinator.engine_protocol import (
+    CompletionChunk,
+    CompletionRequest,
+    FinishReason,
+    ResumeState,
+)
+from merlinstand.coordinator.event_stream import DONE_PAYLOAD, EventStreamParser
+from merlinstand.coordinator.slots import SlotName
+from merlinstand.coordinator.spans import SpanError, SpanRecorder, normalised
+
+_CHUNK_DECODER = msgspec.json.Decoder(CompletionChunk)
+COMPLETE_REASONS = frozenset({FinishReason.STOP, FinishReason.LENGTH})
+
+
+class CacheHandle(msgspec.Struct, frozen=True):
+    """An exported KV cache to resume from."""
+
+    handle: str
+    source: str
+    token_count: int
+
+
+class Generation:
+    """State of one generation; survives interruptions with the tokens it has."""
+
+    def __init__(
+        self,
+        generation_id: str,
+        slot: SlotName,
+        prompt: str,
+        maximum_tokens: int,
+        seed: int,
+        now: float,
+    ) -> None:
+        """Begin without any token, waiting for an engine."""
+        self.generation_id = generation_id
+        self.slot = slot
+        self.prompt = prompt
+        self.maximum_tokens = maximum_tokens
+        self.seed = seed
+        self.wanted_since = now
+        self.first_token_at: float | None = None
+        self.recorder = SpanRecorder()
+        self.interruptions = 0
+        self.cache: CacheHandle | None = None
+        self.backend_id: str | None = None
+        self.call_id: CallId | None = None
+        self.request_id = ""
+        self.stream_started_at = now
+        self.stream_first_token = 0
+        self.last_data_at = now
+        self.finish_reason: FinishReason | None = None
+        self.exporting = False
+        self._text: list[str] = []
+        self._parser = EventStreamParser()
+        self._done = False
+
+    @property
+    def token_count(self) -> int:
+        """Tokens received so far."""
+        return self.recorder.token_count
+
+    @property
+    def streaming(self) -> bool:
+        """Whether an engine works on it."""
+        return self.call_id is not None
+
+    @property
+    def complete(self) -> bool:
+        """Whether the whole sample arrived and its spans agree with the engine's."""
+        return self._done and self.finish_reason in COMPLETE_REASONS
+
+    def text(self) -> str:
+        """Return the text so far, by position."""
+        return "".join(self._text)
+
+    def request(self, model: str, priority: int) -> CompletionRequest:
+        """Make the request that begins or resumes this generation under `request_id`."""
+        resume = None
+        if self.token_count > 0:
+            # An export is only good for exactly the tokens received here.
+            cache = self.cache
+            usable = cache is not None and cache.token_count == self.token_count
+            resume = ResumeState(
+                handle=cache.handle if cache is not None and usable else None,
+                source=cache.source if cache is not None and usable else None,
+                token_count=self.token_count,
+                spans=self.recorder.spans(),
+                text=self.text(),
+            )
+        return CompletionRequest(
+            request_id=self.request_id,
+            model=model,
+            prompt=self.prompt,
+            max_tokens=self.maximum_tokens,
+            priority=priority,
+            stream=True,
+            seed=self.seed,
+            resume=resume,
+        )
+
+    def stream_started(self, backend_id: str, call_id: CallId, now: float) -> None:
+        """An engine was asked to begin or go on."""
+        self.backend_id = backend_id
+        self.call_id = call_id
+        self.stream_started_at = self.last_data_at = now
+        self.stream_first_token = self.token_count
+        self.finish_reason = None
+        self.exporting = False
+        self._parser = EventStreamParser()
+        self._done = False
+
+    def stream_ended(self) -> None:
+        """The stream is over, for whatever reason; the tokens stay."""
+        self.backend_id = None
+        self.call_id = None
+
+    def restart(self, seed: int, now: float) -> None:
+        """Throw all tokens away and begin again."""
+        self.recorder = SpanRecorder()
+        self._text = []
+        self.cache = None
+        self.seed = seed
+        self.interruptions = 0
+        self.first_token_at = None
+        self.wanted_since = now
+
+    def feed(self, data: bytes, now: float) -> Result[None, InvalidInputError]:
+        """Take bytes of the stream in.
+
+        Returns:
+            `SpanError` if the sample can no longer name its versions (it is void), another
+            `InvalidInputError` if the stream is malformed but what came before is good.
+        """
+        self.last_data_at = now
+        payloads = self._parser.feed(data)
+        if isinstance(payloads, Err):
+            return payloads
+        for payload in payloads.ok_value:
+            outcome = self._take(payload, now)
+            if isinstance(outcome, Err):
+                return outcome
+        return Ok(None)
+
+    def _take(self, payload: bytes, now: float) -> Result[None, InvalidInputError]:
+        if payload == DONE_PAYLOAD:
+            self._done = True
+            return Ok(None)
+        try:
+            chunk = _CHUNK_DECODER.decode(payload)
+        except msgspec.DecodeError as error:
+            return Err(InvalidInputError(detail=f"malformed chunk: {error}"))
+        if chunk.request_id != self.request_id:
+            return Err(SpanError(detail=f"chunk of request {chunk.request_id!r}"))
+        if self.finish_reason is not None:
+            return Err(SpanError(detail="chunk after the last one"))
+        joined = self.recorder.append(chunk.weight_version, chunk.index, chunk.token_count)
+        if isinstance(joined, Err):
+            return joined
+        if self.token_count > self.maximum_tokens:
+            return Err(SpanError(detail=f"{self.token_count} tokens, more than asked for"))
+        if chunk.text:
+            self._text.append(chunk.text)
+        if chunk.token_count > 0 and self.first_token_at is None:
+            self.first_token_at = now
+        if chunk.finish_reason is not None:
+            return self._finish(chunk)
+        return Ok(None)
+
+    def _finish(self, chunk: CompletionChunk) -> Result[None, InvalidInputError]:
+        self.finish_reason = chunk.finish_reason
+        # The engine's own account must agree with its chunks, over every engine that took
+        # part: where they differ nobody can say which versions made the sample.
+        if chunk.spans is None or normalised(chunk.spans) != self.recorder.spans():
+            return Err(SpanError(detail="spans of the last chunk differ from the chunks"))
+        return Ok(None)
--- /dev/null
+++ b/src/merlinstand/coordinator/generations.py
@@ -0,0 +1,306 @@
+"""The generations of one job: begun, resumed after interruptions, cancelled."""
+
+from collections.abc import Callable
+
+import msgspec
+import xxhash
+from result import Err
+
+from merlinstand.common.errors import InvalidInputError
+from merlinstand.coordinator.context import Context
+from merlinstand.coordinator.engine_protocol import ExportedCache, FinishReason, RequestName
+from merlinstand.coordinator.engines import Engine, EnginePool
+from merlinstand.coordinator.generation import CacheHandle, Generation
+from merlinstand.coordinator.purposes import CancelRequestCall, ExportCall, GenerationCall
+from merlinstand.coordinator.slots import SlotName
+from merlinstand.coordinator.spans import SpanError
+from merlinstand.coordinator.speed import StreamSpeed
+from merlinstand.kernel.events import (
+    CallChunk,
+    CallEnded,
+    CallFailed,
+    CallHeaders,
+    CallPhase,
+    CallResponded,
+)
+
+CONTROL_TIMEOUT_SECONDS = 3.0
+"""Longest wait for the answer to a cancel or an export."""
+
+REFUSAL_BACK_OFF_SECONDS = 0.25
+"""Pause of an engine that refused a completion without saying when to come back."""
+
+LONGEST_BACK_OFF_SECONDS = 5.0
+SEED_MASK = 0x7FFF_FFFF
+
+
+class GenerationDesk:
+    """Owns a job's generations and their streams."""
+
+    def __init__(self, job: str, pool: EnginePool, on_finished: Callable[[Generation], None]):
+        """Begin without generations.
+
+        Args:
+            job: The job's name.
+            pool: Engines that generate for it.
+            on_finished: Called with each generation whose whole sample arrived.
+        """
+        self._job = job
+        self._pool = pool
+        self._on_finished = on_finished
+        self._generations: dict[str, Generation] = {}
+        self._by_slot: dict[int, Generation] = {}
+        self.speed = StreamSpeed()
+
+    def __len__(self) -> int:
+        """Return the number of generations, waiting or streaming."""
+        return len(self._generations)
+
+    def all(self) -> list[Generation]:
+        """Return all generations, oldest first."""
+        return list(self._generations.values())
+
+    def of_slot(self, slot: int) -> Generation | None:
+        """Return a slot's generation, if one is in progress."""
+        return self._by_slot.get(slot)
+
+    def waiting(self) -> list[Generation]:
+        """Return the interrupted generations that wait for an engine."""
+        return [
+            generation
+            for generation in self._generations.values()
+            if not generation.streaming and not generation.exporting
+        ]
+
+    def on_engine(self, backend_id: str) -> int:
+        """Return how many streams run on an engine."""
+        return sum(generation.backend_id == backend_id for generation in self._generations.values())
+
+    def begin(
+        self, context: Context, slot: SlotName, prompt: str, maximum_tokens: int, tries: int
+    ) -> Generation:
+        """Make a slot's generation; `send` gives it to an engine."""
+        # The seed hangs on the slot, not on chance: a sample begun again after it expired is
+        # the same sample, so that long ones are not exchanged for shorter ones.
+        seed = xxhash.xxh64_intdigest(f"{slot.sample_id}#{tries}".encode()) & SEED_MASK
+        generation_id = context.new_name()
+        generation = Generation(generation_id, slot, prompt, maximum_tokens, seed, context.now)
+        self._generations[generation_id] = generation
+        self._by_slot[slot.slot] = generation
+        return generation
+
+    def send(
+        self, context: Context, generation: Generation, engine: Engine, model: str, priority: int
+    ) -> None:
+        """Begin or resume a generation on an engine."""
+        generation.request_id = f"{generation.slot.sample_id}~{context.new_name()}"
+        body = msgspec.json.encode(generation.request(model, priority))
+        call_id = context.start_call(
+            GenerationCall(self._job, generation.generation_id),
+            engine.backend.address,
+            "POST",
+            "/v1/completions",
+            body=body,
+            headers={"X-Request-Id": generation.request_id},
+            timeout_seconds=context.settings.generation.stream_idle_timeout_seconds,
+            stream=True,
+        )
+        generation.stream_started(engine.backend.backend_id, call_id, context.now)
+        engine.in_flight += 1
+        engine.breaker.call_started(context.now)
+
+    # --- stream events --------------------------------------------------------------
+
+    def stream_event(
+        self,
+        context: Context,
+        generation_id: str,
+        event: CallHeaders | CallChunk | CallEnded | CallFailed,
+    ) -> None:
+        """Take in an event of a generation's stream."""
+        generation = self._generations.get(generation_id)
+        if generation is None or generation.call_id != event.call_id:
+            return
+        if isinstance(event, CallHeaders):
+            if event.status != 200:
+                self._refused(context, generation, event)
+        elif isinstance(event, CallChunk):
+            self._chunk(context, generation, event)
+        elif isinstance(event, CallEnded):
+            self._interrupted(context, generation, failed=generation.finish_reason is None)
+        else:
+            reason = f"{event.phase.value}.{event.reason}"
+            context.log("generation.broken", job=self._job, reason=reason)
+            self._interrupted(context, generation, failed=True)
+            if event.phase is CallPhase.CONNECT:
+                # Nothing was sent, so the try does not count against the sample.
+                generation.interruptions = max(0, generation.interruptions - 1)
+
+    def _chunk(self, context: Context, generation: Generation, event: CallChunk) -> None:
+        outcome = generation.feed(event.data, context.now)
+        if isinstance(outcome, Err):
+            self._broken(context, generation, outcome.err_value)
+        elif generation.complete:
+            self._finish(context, generation)
+
+    def _finish(self, context: Context, generation: Generation) -> None:
+        engine = self._engine_of(generation)
+        if engine is not None:
+            engine.breaker.call_succeeded(context.now)
+        if generation.call_id is not None:
+            context.finish_call(generation.call_id)
+        self._measure(context, generation)
+        self._end_stream(generation)
+        self._forget(generation)
+        self._on_finished(generation)
+
+    def _broken(self, context: Context, generation: Generation, error: InvalidInputError) -> None:
+        """The engine sent what it must not: void the sample, or resume from the good part."""
+        context.log(
+            "generation.malformed",
+            "warning",
+            job=self._job,
+            backend=generation.backend_id,
+            code=type(error).code,
+            detail=error.detail,
+        )
+        self._cancel_stream(context, generation)
+        if isinstance(error, SpanError):
+            context.count("samples_void_total", job=self._job)
+            generation.restart(generation.seed, context.now)
+            generation.interruptions += 1
+        else:
+            self._interrupted(context, generation, failed=True)
+
+    def _refused(self, context: Context, generation: Generation, event: CallHeaders) -> None:
+        engine = self._engine_of(generation)
+        if engine is not None:
+            asked = _retry_after(event.headers)
+            pause = min(max(asked, REFUSAL_BACK_OFF_SECONDS), LONGEST_BACK_OFF_SECONDS)
+            engine.back_off_until = context.now + pause
+            engine.urgent = True
+        context.count("generations_refused_total", job=self._job)
+        self._cancel_stream(context, generation, tell_engine=False)
+
+    def _interrupted(self, context: Context, generation: Generation, *, failed: bool) -> None:
+        engine = self._engine_of(generation)
+        if engine is not None and failed:
+            engine.breaker.call_failed(context.now)
+            engine.urgent = True
+        if generation.call_id is not None:
+            context.finish_call(generation.call_id)
+        progressed = generation.token_count > generation.stream_first_token
+        self._end_stream(generation)
+        context.count("generations_interrupted_total", job=self._job)
+        if not progressed:
+            generation.interruptions += 1
+        if generation.interruptions > context.settings.generation.maximum_attempts:
+            # Something in what was received may be what breaks its engines.
+            context.count("generations_restarted_total", job=self._job)
+            generation.restart(generation.seed, context.now)
+
+    # --- leaving engines ------------------------------------------------------------
+
+    def export_from(self, context: Context, engine: Engine, worth_tokens: float) -> None:
+        """Move streams away from a leaving engine with their KV cache.
+
+        Args:
+            context: Shared state.
+            engine: The leaving engine.
+            worth_tokens: Only generations with at least so many tokens are worth moving;
+                shorter ones end by themselves.
+        """
+        for generation in self._generations.values():
+            if generation.backend_id != engine.backend.backend_id or generation.exporting:
+                continue
+            if generation.token_count < worth_tokens:
+                continue
+            generation.exporting = True
+            context.start_call(
+                ExportCall(self._job, generation.generation_id, engine.backend.address),
+                engine.backend.address,
+                "POST",
+                "/v1/kv/export",
+                body=msgspec.json.encode(RequestName(generation.request_id)),
+                timeout_seconds=CONTROL_TIMEOUT_SECONDS,
+            )
+
+    def export_answered(
+        self, generation_id: str, event: CallResponded | CallFailed, source: str
+    ) -> None:
+        """Take in the answer to an export; without one the text is resumed by prefix."""
+        generation = self._generations.get(generation_id)
+        if generation is None:
+            return
+        generation.exporting = False
+        if isinstance(event, CallFailed) or event.status != 200:
+            return
+        try:
+            exported = msgspec.json.decode(event.body, type=ExportedCache)
+        except msgspec.DecodeError:
+            return
+        generation.cache = CacheHandle(exported.handle, source, exported.token_count)
+
+    # --- cancelling -----------------------------------------------------------------
+
+    def cancel(self, context: Context, generation: Generation) -> None:
+        """Give a generation up with all its tokens."""
+        if generation.streaming:
+            self._cancel_stream(context, generation)
+        self._forget(generation)
+
+    def cancel_all(self, context: Context) -> None:
+        """Give every generation up."""
+        for generation in self.all():
+            self.cancel(context, generation)
+
+    def _cancel_stream(
+        self, context: Context, generation: Generation, *, tell_engine: bool = True
+    ) -> None:
+        engine = self._engine_of(generation)
+        if generation.call_id is not None:
+            context.cancel_call(generation.call_id)
+        if engine is not None:
+            engine.breaker.call_abandoned()
+            if tell_engine:
+                # An engine may not notice a closed connection before its next chunk.
+                context.start_call(
+                    CancelRequestCall(),
+                    engine.backend.address,
+                    "POST",
+                    "/v1/cancel",
+                    body=msgspec.json.encode(RequestName(generation.request_id)),
+                    timeout_seconds=CONTROL_TIMEOUT_SECONDS,
+                )
+        self._end_stream(generation)
+
+    # --- small parts ----------------------------------------------------------------
+
+    def _engine_of(self, generation: Generation) -> Engine | None:
+        if generation.backend_id is None:
+            return None
+        return self._pool.engines.get(generation.backend_id)
+
+    def _end_stream(self, generation: Generation) -> None:
+        engine = self._engine_of(generation)
+        if engine is not None and generation.streaming:
+            engine.in_flight = max(0, engine.in_flight - 1)
+        generation.stream_ended()
+        if generation.finish_reason is not FinishReason.EXPORTED:
+            generation.exporting = False
+
+    def _forget(self, generation: Generation) -> None:
+        self._generations.pop(generation.generation_id, None)
+        if self._by_slot.get(generation.slot.slot) is generation:
+            del self._by_slot[generation.slot.slot]
+
+    def _measure(self, context: Context, generation: Generation) -> None:
+        tokens = generation.token_count - generation.stream_first_token
+        self.speed.record(tokens, context.now - generation.stream_started_at)
+
+
+def _retry_after(headers: dict[str, str]) -> float:
+    try:
+        return float(headers.get("retry-after", "0"))
+    except ValueError:
+        return 0.0
--- /dev/null
+++ b/src/merlinstand/coordinator/job_status.py
@@ -0,0 +1,84 @@
+"""How a job is doing, for operators, and whether it can be met at all."""
+
+import msgspec
+
+from merlinstand.configuration.objects import JobPhase, PoolKind
+from merlinstand.coordinator.context import Context
+from merlinstand.coordinator.engines import EnginePool
+from merlinstand.coordinator.jobs import JobRunner
+
+
+class JobStatus(msgspec.Struct, frozen=True, kw_only=True):
+    """One job in the answer to `GET /v1/jobs`."""
+
+    job: str
+    phase: str
+    mode: str
+    epoch: int
+    newest_version: int
+    ready_samples: int
+    generating: int
+    problem: str = ""
+    """Why the job cannot be met now; empty if it can."""
+    detail: str = ""
+
+
+class JobsAnswer(msgspec.Struct, frozen=True):
+    """Answer to `GET /v1/jobs`."""
+
+    jobs: tuple[JobStatus, ...]
+
+
+class Problem(msgspec.Struct, frozen=True):
+    """Why a job cannot be met, by a stable code."""
+
+    code: str
+    detail: str
+
+
+def find_problem(context: Context, runner: JobRunner, pool: EnginePool) -> Problem | None:
+    """Return the first reason why a job cannot be met, None if none is known."""
+    job = runner.job
+    if job.phase is not JobPhase.RUNNING:
+        return None
+    if pool.pool.kind is not PoolKind.ENGINE or pool.pool.model != job.model:
+        return Problem("wrong_pool", f"pool {job.pool} does not serve model {job.model}")
+    weights = context.view.weights.get(job.model)
+    if weights is None or not weights.versions:
+        return Problem("no_weights", f"no version of {job.model} was published")
+    if not job.prompts and not job.prompt_source:
+        return Problem("no_prompts", "the job has neither prompts nor a prompt source")
+    if not any(pool.serves(engine, weights, context.now) for engine in pool.engines.values()):
+        return Problem("no_engines", f"no engine of {job.pool} serves published weights")
+    return _find_shortage(runner, pool, context)
+
+
+def _find_shortage(runner: JobRunner, pool: EnginePool, context: Context) -> Problem | None:
+    """A job whose samples take longer than weights live can never meet its bound."""
+    cycle_seconds = runner.shortest_cycle_seconds()
+    if cycle_seconds is None:
+        return None
+    allowed = runner.terms().bound.maximum_versions + 1
+    typical = runner.typical_sample_seconds()
+    if typical > allowed * cycle_seconds:
+        return Problem(
+            "samples_too_long",
+            f"half of the samples take {typical:.1f} s, weights change every {cycle_seconds:.1f} s",
+        )
+    return None
+
+
+def describe(context: Context, runner: JobRunner, pool: EnginePool) -> JobStatus:
+    """Return a job's status."""
+    problem = find_problem(context, runner, pool)
+    return JobStatus(
+        job=runner.job.name,
+        phase=runner.job.phase.value,
+        mode=runner.job.mode.value,
+        epoch=runner.epoch,
+        newest_version=context.versions(runner.job.model).newest,
+        ready_samples=runner.ready_count(),
+        generating=len(runner.generations),
+        problem=problem.code if problem else "",
+        detail=problem.detail if problem else "",
+    )
--- /dev/null
+++ b/src/merlinstand/coordinator/jobs.py
@@ -0,0 +1,409 @@
+"""One job that this coordinator leads: from prompts to batches."""
+
+from random import Random
+
+from result import Err
+
+from merlinstand.common.ids import CommandId, RequestId
+from merlinstand.configuration.objects import Job, JobMode, JobPhase
+from merlinstand.control.commands import AnyOutcome
+from merlinstand.control.queries import LedgerAnswer, LedgerQuery
+from merlinstand.coordinator.batches import BatchDesk
+from merlinstand.coordinator.context import Context
+from merlinstand.coordinator.dispatch import Wish
+from merlinstand.coordinator.engines import Engine, EnginePool
+from merlinstand.coordinator.errors import (
+    JobNotActiveError,
+    NoLeaseError,
+    NotReadyError,
+    UnknownConsumerError,
+)
+from merlinstand.coordinator.forecast import Demand
+from merlinstand.coordinator.generation import Generation
+from merlinstand.coordinator.generations import GenerationDesk
+from merlinstand.coordinator.journal import SampleJournal
+from merlinstand.coordinator.lengths import LengthStatistics
+from merlinstand.coordinator.planning import PlannedStart, plan_starts
+from merlinstand.coordinator.prompts import PromptBook
+from merlinstand.coordinator.purposes import LedgerRead
+from merlinstand.coordinator.samples import BatchRequest, Sample
+from merlinstand.coordinator.scoring import ScoringDesk
+from merlinstand.coordinator.slots import SlotState
+from merlinstand.coordinator.store import SampleStore
+from merlinstand.coordinator.supply import SupplyBook
+from merlinstand.coordinator.terms import JobTerms
+from merlinstand.kernel.events import CallFailed, CallResponded
+from merlinstand.policy.check import check_policy
+from merlinstand.policy.program import CompiledPolicy
+from merlinstand.policy.records import RequestRecord
+
+PAUSED_RETRY_SECONDS = 2.0
+PRIORITY_STEP = 4
+"""Engine priorities: the policy's value times this, plus how soon the batch is due."""
+
+
+class JobRunner:
+    """Generates, scores, journals and delivers the samples of one leased job."""
+
+    def __init__(
+        self,
+        context: Context,
+        job: Job,
+        epoch: int,
+        pool: EnginePool,
+        journal: SampleJournal,
+        random: Random,
+    ) -> None:
+        """Begin under a lease; nothing is done before the ledger was read."""
+        self.job = job
+        self.epoch = epoch
+        self.accepting = True
+        """False during a planned stop: nothing new is begun."""
+        self._context = context
+        self._journal = journal
+        self._policy = _compile(job)
+        unit_size = self._unit_size()
+        self._store = SampleStore(job.name, job.samples_per_prompt, unit_size)
+        self.desk = BatchDesk(self._store)
+        self._lengths = LengthStatistics(job.maximum_tokens)
+        self.generations = GenerationDesk(job.name, pool, self._generated)
+        self._scoring = ScoringDesk(job.name, random)
+        self._prompts = PromptBook(job)
+        self._supply = SupplyBook(self._store, self.generations, self._lengths, pool)
+        self._settling: set[int] = set()
+        self._recovered: list[Sample] = journal.live_samples(job.name)
+        self._reading_ledger = False
+
+    # --- configuration and ledger ---------------------------------------------------
+
+    def configure(self, job: Job) -> None:
+        """Follow the configuration."""
+        if job.policy != self.job.policy:
+            self._policy = _compile(job)
+        self.job = job
+        self._prompts.configure(job)
+        if job.phase is JobPhase.CANCELLED:
+            self.generations.cancel_all(self._context)
+
+    def terms(self) -> JobTerms:
+        """Return what holds for the job now."""
+        clock = self._context.versions(self.job.model)
+        return JobTerms(self.job, self._policy, self.epoch, clock)
+
+    def ledger_read(self, answer: LedgerAnswer | None) -> None:
+        """Take in the ledger, or the failure to read it."""
+        self._reading_ledger = False
+        if answer is None:
+            return
+        self._store.release(self._store.slots.with_state(SlotState.RESERVED))
+        self._store.load_used(answer.used_below, answer.used_above)
+        slot_of = {
+            sample_id: self._slot_of(sample_id)
+            for position in answer.consumers
+            for sample_id in position.samples
+        }
+        self.desk.load(answer, slot_of)
+        for slot in self._store.slots.with_state(SlotState.RESERVED):
+            self._cancel_slot(slot)
+        recovered, self._recovered = self._recovered, []
+        useless = tuple(sample.slot for sample in recovered if not self._store.put(sample))
+        if useless:
+            self._context.add(self._journal.close(self.job.name, useless))
+        self._context.log("job.ledger_read", job=self.job.name, used_below=answer.used_below)
+        self.serve()
+
+    def _slot_of(self, sample_id: str) -> int:
+        _job, prompt_index, attempt = sample_id.rsplit("/", 2)
+        return int(prompt_index) * max(1, self.job.samples_per_prompt) + int(attempt)
+
+    def _read_ledger_if_wanted(self) -> None:
+        desk = self.desk
+        # While a batch is on its way the answer could be older than its outcome.
+        if self._reading_ledger or desk.committing or (desk.loaded and not desk.wants_ledger):
+            return
+        self._reading_ledger = True
+        self._context.query(LedgerQuery(job=self.job.name), LedgerRead(self.job.name, self.epoch))
+
+    # --- trainers -------------------------------------------------------------------
+
+    def ask(self, request_id: RequestId, request: BatchRequest) -> None:
+        """A trainer asks for a batch."""
+        context = self._context
+        if request.consumer not in self.job.consumers:
+            detail = f"job {self.job.name} has no consumer {request.consumer!r}"
+            context.refuse(request_id, UnknownConsumerError(detail=detail))
+        elif self.job.mode is JobMode.MIRROR:
+            detail = "the job is in mirror mode: the team's own scripts lead it"
+            context.refuse(request_id, JobNotActiveError(detail=detail))
+        elif self.job.phase is JobPhase.PAUSED:
+            detail = "the job is paused"
+            error = NotReadyError(detail=detail, retry_after_seconds=PAUSED_RETRY_SECONDS)
+            context.refuse(request_id, error)
+        else:
+            self.desk.ask(context, request_id, request)
+            self.serve()
+
+    def serve(self) -> None:
+        """Answer the trainers that can be."""
+        self.desk.serve(self._context, self.terms())
+        closed = self._store.take_closed()
+        if closed:
+            self._context.add(self._journal.close(self.job.name, closed))
+
+    def batch_finished(
+        self, command_id: CommandId, consumer: str, outcome: AnyOutcome | None
+    ) -> None:
+        """The ledger answered a batch."""
+        self.desk.finished(self._context, self.terms(), command_id, consumer, outcome)
+        self._read_ledger_if_wanted()
+        self.serve()
+
+    # --- the way of a sample --------------------------------------------------------
+
+    def _generated(self, generation: Generation) -> None:
+        """A whole sample arrived: score it."""
+        slot = generation.slot
+        self._lengths.record(generation.prompt, generation.token_count)
+        assert generation.finish_reason is not None
+        sample = Sample(
+            job=self.job.name,
+            slot=slot.slot,
+            sample_id=slot.sample_id,
+            prompt_index=slot.prompt_index,
+            attempt=slot.attempt,
+            prompt=generation.prompt,
+            text=generation.text(),
+            token_count=generation.token_count,
+            spans=generation.recorder.spans(),
+            finish_reason=generation.finish_reason.value,
+        )
+        if not sample.spans:
+            # Nothing was generated, so no version can be named: begin again.
+            self._store.slots.set_state(slot.slot, SlotState.WANTED)
+            return
+        self._context.count("samples_generated_total", job=self.job.name)
+        self._settling.add(slot.slot)
+        self._scored(self._scoring.submit(self._context, self.job.scorer, sample))
+
+    def scorer_answered(self, slot: int, event: CallResponded | CallFailed) -> None:
+        """The scorer answered."""
+        self._scored(self._scoring.answered(self._context, slot, event))
+
+    def _scored(self, samples: list[Sample]) -> None:
+        """Samples have their score, or go without: write them to the journal."""
+        terms = self.terms()
+        kept = []
+        for sample in samples:
+            if terms.weight(self._context, sample, terms.clock.newest) > 0.0:
+                kept.append(sample)
+                continue
+            self._settling.discard(sample.slot)
+            self._context.count("samples_dropped_total", job=self.job.name)
+            if self._store.drop(sample.slot):
+                self._context.count("slots_given_up_total", job=self.job.name, reason="policy")
+        if kept:
+            self._context.add(self._journal.append(tuple(kept)))
+
+    def durable(self, sample: Sample) -> None:
+        """A sample is in the journal: the first of its slot wins."""
+        self._settling.discard(sample.slot)
+        if not self._store.put(sample):
+            self._context.count("samples_late_total", job=self.job.name)
+            return
+        late_twin = self.generations.of_slot(sample.slot)
+        if late_twin is not None:
+            self.generations.cancel(self._context, late_twin)
+
+    def prompts_answered(self, offset: int, event: CallResponded | CallFailed) -> None:
+        """The prompt server answered."""
+        self._prompts.answered(offset, event)
+
+    # --- scheduling -----------------------------------------------------------------
+
+    def tick(self) -> None:
+        """Do what time alone brings about."""
+        self._read_ledger_if_wanted()
+        self._scored(self._scoring.tick(self._context, self.job.scorer))
+        if self.desk.loaded:
+            self._expire()
+            self.serve()
+
+    def streaming(self) -> int:
+        """Return the streams in progress."""
+        return sum(generation.streaming for generation in self.generations.all())
+
+    def demands(self) -> list[Demand]:
+        """Return the expected batches of all consumers, soonest first."""
+        newest = self._context.versions(self.job.model).newest
+        rounds = self._context.settings.generation.look_ahead_batches
+        demands = [
+            demand
+            for consumer in self.job.consumers
+            for demand in self.desk.forecast(consumer).demands(
+                self._context.now, newest, self.job.batch_size, rounds
+            )
+        ]
+        return sorted(demands, key=lambda demand: demand.due_at)
+
+    def wishes(self, context: Context) -> list[Wish]:
+        """Return what to begin or resume now."""
+        if not self.desk.loaded or self.job.phase is not JobPhase.RUNNING:
+            return []
+        terms = self.terms()
+        usual = terms.bound.usual_versions
+        wishes = [
+            self._resumption(generation, terms.clock.newest - usual)
+            for generation in self.generations.waiting()
+        ]
+        if not self.accepting or not context.session.may_take_new_work(context.now):
+            return wishes
+        starts = plan_starts(
+            self.demands(),
+            self._supply.supplies(context, terms, self._settling),
+            now=context.now,
+            fresh_seconds=self._supply.fresh_seconds(),
+            usual_staleness=usual,
+            over_commit_factor=context.settings.generation.over_commit_factor,
+        )
+        return wishes + self._beginnings(starts)
+
+    def _resumption(self, generation: Generation, minimum_version: int) -> Wish:
+        oldest = generation.recorder.oldest_version or 0
+        return Wish(
+            round=0,
+            minimum_version=max(oldest, minimum_version),
+            expected_tokens=self._supply.remaining_tokens(generation),
+            expirations=self._store.expirations(generation.slot.slot),
+            slot=generation.slot.slot,
+            generation=generation,
+        )
+
+    def _beginnings(self, starts: list[PlannedStart]) -> list[Wish]:
+        total = sum(start.count for start in starts)
+        slots = self._store.slots.wanted()
+        while len(slots) < total:
+            opened = self._store.slots.open_group()
+            slots.extend(opened)
+        expected = {slot: self._expected_tokens(slot) for slot in slots}
+        # Wanted slots go first: their prompts wait for them. Longest expected first.
+        wishes: list[Wish] = []
+        taken = 0
+        for start in starts:
+            chosen = slots[taken : taken + start.count]
+            taken += start.count
+            wishes.extend(
+                Wish(
+                    round=start.round,
+                    minimum_version=start.minimum_version,
+                    expected_tokens=expected[slot],
+                    expirations=self._store.expirations(slot),
+                    slot=slot,
+                )
+                for slot in chosen
+            )
+        return wishes
+
+    def _expected_tokens(self, slot: int) -> float:
+        prompt_index = self._store.slots.name(slot).prompt_index
+        prompt = self._prompts.text(self._context, prompt_index)
+        return self._lengths.expected(prompt) if prompt is not None else 0.0
+
+    def grant(self, context: Context, wish: Wish, engine: Engine) -> bool:
+        """Begin or resume a sample on an engine."""
+        name = self._store.slots.name(wish.slot)
+        generation = wish.generation
+        if generation is None:
+            prompt = self._prompts.text(context, name.prompt_index)
+            if prompt is None:
+                return False
+            self._store.slots.set_state(wish.slot, SlotState.ACTIVE)
+            tries = self._store.tries(wish.slot)
+            generation = self.generations.begin(
+                context, name, prompt, self.job.maximum_tokens, tries
+            )
+        priority = self._priority(context, generation, wish)
+        self.generations.send(context, generation, engine, self.job.model, priority)
+        return True
+
+    def _priority(self, context: Context, generation: Generation, wish: Wish) -> int:
+        record = RequestRecord(
+            prompt_id=generation.slot.prompt_index,
+            attempt=generation.slot.attempt,
+            prompt=generation.prompt,
+            expected_tokens=int(wish.expected_tokens),
+            done_tokens=generation.token_count,
+            waiting_seconds=context.now - generation.wanted_since,
+        )
+        value = self.terms().priority(context, record)
+        urgency = max(0, PRIORITY_STEP - 1 - wish.round)
+        return value * PRIORITY_STEP + urgency
+
+    # --- expiry and the end ---------------------------------------------------------
+
+    def _expire(self) -> None:
+        terms = self.terms()
+        for slot in self._supply.expired_samples(self._context, terms):
+            self._expire_slot(slot, "finished")
+        doomed = self._supply.doomed_generations(
+            self._context, terms, self.demands(), self.desk.boundary_budget()
+        )
+        for generation in doomed:
+            slot = generation.slot.slot
+            self._context.log(
+                "sample.expired", job=self.job.name, slot=slot, tokens=generation.token_count
+            )
+            self.generations.cancel(self._context, generation)
+            self._expire_slot(slot, "generating")
+
+    def _expire_slot(self, slot: int, stage: str) -> None:
+        self._context.count("samples_expired_total", job=self.job.name, stage=stage)
+        if self._store.expire(slot):
+            self._context.count("slots_given_up_total", job=self.job.name, reason="staleness")
+            for member in self._store.unit(slot):
+                self._cancel_slot(member)
+
+    def _cancel_slot(self, slot: int) -> None:
+        generation = self.generations.of_slot(slot)
+        if generation is not None:
+            self.generations.cancel(self._context, generation)
+        self._scoring.forget(slot)
+        self._settling.discard(slot)
+
+    def ready_count(self) -> int:
+        """Return the finished samples in store."""
+        return len(self._store.samples)
+
+    def shortest_cycle_seconds(self) -> float | None:
+        """Return the shortest measured cycle of a consumer."""
+        cycles = [forecast.cycle_seconds for forecast in self.desk.forecasts.values()]
+        return min((cycle for cycle in cycles if cycle is not None), default=None)
+
+    def typical_sample_seconds(self) -> float:
+        """Return how long half of the samples take at least."""
+        return self.generations.speed.seconds(self._lengths.quantile(0.5))
+
+    def idle(self) -> bool:
+        """Tell whether nothing is under way (planned stop)."""
+        return not self.desk.committing and len(self.generations) == 0 and not self._settling
+
+    def stop(self, reason: str) -> None:
+        """The lease is gone: end everything that was done under it."""
+        detail = f"this coordinator no longer leads the job ({reason})"
+        self.desk.refuse_all(self._context, NoLeaseError(detail=detail, retry_after_seconds=0.5))
+        self.generations.cancel_all(self._context)
+
+    def _unit_size(self) -> int:
+        per_prompt = max(1, self.job.samples_per_prompt)
+        return per_prompt if self.job.batch_size % per_prompt == 0 else 1
+
+
+def _compile(job: Job) -> CompiledPolicy:
+    """Compile an accepted policy; one that fails now is replaced by the neutral one.
+
+    The control group refuses bad policies, so this happens only if releases differ. The
+    staleness bound is kept in any case.
+    """
+    checked = check_policy(job.policy)
+    if isinstance(checked, Err):
+        return CompiledPolicy.neutral(job.policy)
+    return checked.ok_value
--- /dev/null
+++ b/src/merlinstand/coordinator/lengths.py
@@ -0,0 +1,66 @@
+"""Measured completion lengths: how long will a sample be, and how much is left of it."""
+
+from bisect import bisect_right, insort
+from collections import OrderedDict, deque
+
+MAXIMUM_MEASURED = 512
+MAXIMUM_PROMPTS = 4_096
+PROMPT_SMOOTHING = 0.3
+MINIMUM_MEASURED = 8
+"""Fewer measured lengths than this tell nothing."""
+
+
+class LengthStatistics:
+    """Quantiles of recent lengths of a job, and a smoothed length for each prompt."""
+
+    def __init__(self, maximum_tokens: int) -> None:
+        """Begin without measurements.
+
+        Args:
+            maximum_tokens: The job's limit, taken as the length until something is known.
+        """
+        self._maximum_tokens = maximum_tokens
+        self._recent: deque[int] = deque()
+        self._ordered: list[int] = []
+        self._by_prompt: OrderedDict[str, float] = OrderedDict()
+
+    def record(self, prompt: str, token_count: int) -> None:
+        """Take in the length of a finished sample."""
+        self._recent.append(token_count)
+        insort(self._ordered, token_count)
+        if len(self._recent) > MAXIMUM_MEASURED:
+            oldest = self._recent.popleft()
+            del self._ordered[bisect_right(self._ordered, oldest) - 1]
+        known = self._by_prompt.pop(prompt, float(token_count))
+        self._by_prompt[prompt] = known + PROMPT_SMOOTHING * (token_count - known)
+        if len(self._by_prompt) > MAXIMUM_PROMPTS:
+            self._by_prompt.popitem(last=False)
+
+    def quantile(self, fraction: float) -> float:
+        """Return a quantile of recent lengths."""
+        if len(self._ordered) < MINIMUM_MEASURED:
+            return float(self._maximum_tokens) * fraction
+        index = min(int(fraction * len(self._ordered)), len(self._ordered) - 1)
+        return float(self._ordered[index])
+
+    def mean(self) -> float:
+        """Return the mean of recent lengths."""
+        if len(self._ordered) < MINIMUM_MEASURED:
+            return self._maximum_tokens / 2
+        return sum(self._ordered) / len(self._ordered)
+
+    def expected(self, prompt: str) -> float:
+        """Return the expected length of a prompt's completion."""
+        return self._by_prompt.get(prompt, self.mean())
+
+    def expected_remaining(self, done_tokens: int) -> float:
+        """Return the median rest of a sample that has come this far.
+
+        Lengths are heavy-tailed: the further a sample has come, the more is left.
+        """
+        longer = len(self._ordered) - bisect_right(self._ordered, done_tokens)
+        left = max(0, self._maximum_tokens - done_tokens)
+        if longer < 2:
+            return left / 2
+        median = self._ordered[len(self._ordered) - longer + longer // 2]
+        return float(min(median - done_tokens, left))
--- /dev/null
+++ b/src/merlinstand/coordinator/prompts.py
@@ -0,0 +1,83 @@
+"""Prompt texts of a job, from its configuration or from a prompt server."""
+
+from collections import OrderedDict
+
+import msgspec
+
+from merlinstand.configuration.objects import Job
+from merlinstand.coordinator.context import Context
+from merlinstand.coordinator.purposes import PromptCall
+from merlinstand.kernel.events import CallFailed, CallResponded
+
+PAGE_PROMPTS = 64
+MAXIMUM_PAGES = 64
+CALL_TIMEOUT_SECONDS = 5.0
+RETRY_SECONDS = 1.0
+
+
+class PromptPage(msgspec.Struct, frozen=True):
+    """Answer of a prompt server to `GET /v1/prompts?offset=&limit=`."""
+
+    prompts: tuple[str, ...]
+
+
+class PromptBook:
+    """Gives the text of a prompt index; remembers a bounded number of pages."""
+
+    def __init__(self, job: Job) -> None:
+        """Begin without any page."""
+        self._job = job
+        self._pages: OrderedDict[int, tuple[str, ...]] = OrderedDict()
+        self._asked_at: dict[int, float] = {}
+
+    def configure(self, job: Job) -> None:
+        """Follow the configuration."""
+        if job.prompt_source != self._job.prompt_source:
+            self._pages.clear()
+        self._job = job
+
+    def text(self, context: Context, prompt_index: int) -> str | None:
+        """Return a prompt's text; None while it is being fetched or if there is none."""
+        if not self._job.prompt_source:
+            prompts = self._job.prompts
+            return prompts[prompt_index % len(prompts)] if prompts else None
+        offset = prompt_index - prompt_index % PAGE_PROMPTS
+        page = self._pages.get(offset)
+        if page is None:
+            self._fetch(context, offset)
+            return None
+        self._pages.move_to_end(offset)
+        # A short page is the end of the source, which is then read again from its start.
+        return page[(prompt_index - offset) % len(page)]
+
+    def answered(self, offset: int, event: CallResponded | CallFailed) -> None:
+        """Take in a page."""
+        if isinstance(event, CallFailed) or event.status != 200:
+            return
+        try:
+            page = msgspec.json.decode(event.body, type=PromptPage)
+        except msgspec.DecodeError:
+            return
+        if page.prompts:
+            self._asked_at.pop(offset, None)
+            self._pages[offset] = page.prompts
+            while len(self._pages) > MAXIMUM_PAGES:
+                self._pages.popitem(last=False)
+
+    def _fetch(self, context: Context, offset: int) -> None:
+        asked_at = self._asked_at.get(offset)
+        if asked_at is not None and context.now - asked_at < RETRY_SECONDS:
+            return
+        self._asked_at = {
+            known: at
+            for known, at in self._asked_at.items()
+            if context.now - at < CALL_TIMEOUT_SECONDS
+        }
+        self._asked_at[offset] = context.now
+        context.start_call(
+            PromptCall(self._job.name, offset),
+            self._job.prompt_source,
+            "GET",
+            f"/v1/prompts?offset={offset}&limit={PAGE_PROMPTS}",
+            timeout_seconds=CALL_TIMEOUT_SECONDS,
+        )
--- /dev/null
+++ b/src/merlinstand/coordinator/rollout_engine.py
@@ -0,0 +1,163 @@
+"""Where one engine stands in a rollout, and which order it needs next."""
+
+import enum
+
+import msgspec
+
+from merlinstand.configuration.objects import Weights, WeightVersion
+from merlinstand.coordinator.engine_protocol import (
+    EngineOrder,
+    EngineState,
+    EngineStatus,
+    OrderKind,
+    OrderState,
+)
+from merlinstand.coordinator.settings import RolloutSettings
+
+CONTRADICTION_SECONDS = 3.0
+"""Reports lag: a report that contradicts a confirmed order is heeded only after this."""
+
+
+class Need(enum.Enum):
+    """What an engine needs next."""
+
+    NOTHING = "nothing"
+    LOAD = "load"
+    ACTIVATE = "activate"
+
+
+class NextOrder(msgspec.Struct, frozen=True):
+    """A need with the version it is about."""
+
+    need: Need
+    version: WeightVersion | None = None
+
+
+NOTHING = NextOrder(Need.NOTHING)
+
+
+class EngineRollout:
+    """Orders sent to one engine under one lease."""
+
+    def __init__(self) -> None:
+        """Begin without any order sent."""
+        self.order: EngineOrder | None = None
+        """Order under way."""
+        self.sent_at = 0.0
+        """When the order under way was first sent."""
+        self.last_sent_at = 0.0
+        self.in_call = False
+        self.quarantined = False
+        """Its last swap failed or is in doubt: it must load again before it may activate."""
+        self.not_before = 0.0
+        self._failures = 0
+        self._incarnation: int | None = None
+        self._held: set[tuple[int, str]] = set()
+        """Versions that orders of this lease confirmed as loaded."""
+        self._confirmed: tuple[int, str] | None = None
+        """Version that an order of this lease confirmed as active."""
+        self._confirmed_at = 0.0
+
+    @property
+    def swapping(self) -> bool:
+        """Whether an activation is under way."""
+        return self.order is not None and self.order.kind is OrderKind.ACTIVATE
+
+    @property
+    def loading(self) -> bool:
+        """Whether a load is under way."""
+        return self.order is not None and self.order.kind is OrderKind.LOAD
+
+    def observe(self, status: EngineStatus, now: float) -> None:
+        """Take in a report."""
+        if self._incarnation is not None and status.incarnation != self._incarnation:
+            # It crashed and came back empty: everything confirmed before is void.
+            self.order = None
+            self.in_call = False
+            self.quarantined = False
+            self._held.clear()
+            self._confirmed = None
+            self._failures = 0
+            self.not_before = now
+        self._incarnation = status.incarnation
+
+    def sent(self, order: EngineOrder, now: float) -> None:
+        """An order was sent, or sent again."""
+        if self.order != order:
+            self.order = order
+            self.sent_at = now
+        self.last_sent_at = now
+        self.in_call = True
+
+    def settled(self, state: OrderState, now: float, settings: RolloutSettings) -> None:
+        """The order under way came to an end."""
+        order = self.order
+        if order is None or state is OrderState.IN_PROGRESS:
+            return
+        self.order = None
+        if state is OrderState.FAILED:
+            self._failed(order, now, settings)
+            return
+        self._failures = 0
+        if order.kind is OrderKind.LOAD:
+            self.quarantined = False
+            self._held.add((order.version, order.digest))
+        elif order.kind is OrderKind.ACTIVATE:
+            self._confirmed = (order.version, order.digest)
+            self._confirmed_at = now
+
+    def overdue(self, now: float, settings: RolloutSettings) -> bool:
+        """Tell whether the order under way has taken too long."""
+        if self.order is None:
+            return False
+        limit = settings.load_timeout_seconds
+        if self.order.kind is not OrderKind.LOAD:
+            limit = settings.activate_timeout_seconds
+        return now - self.sent_at > limit
+
+    def next_order(self, status: EngineStatus, weights: Weights, now: float) -> NextOrder:
+        """Return what the engine needs to serve the newest version.
+
+        Args:
+            status: Its last report, which lags.
+            weights: Published versions, oldest first.
+            now: Local monotonic time.
+        """
+        if self.order is not None or now < self.not_before or not weights.versions:
+            return NOTHING
+        newest = weights.versions[-1]
+        if self.quarantined:
+            return NextOrder(Need.LOAD, newest)
+        active = self._active(status, now)
+        if active == (newest.version, newest.digest):
+            return NOTHING
+        # An older version that is loaded and newer than the active one goes first: where
+        # versions come faster than loads, waiting for the newest would wait for ever.
+        for version in reversed(weights.versions):
+            if version.version <= active[0]:
+                break
+            if self._holds(status, version):
+                return NextOrder(Need.ACTIVATE, version)
+        return NextOrder(Need.LOAD, newest)
+
+    def _active(self, status: EngineStatus, now: float) -> tuple[int, str]:
+        if self._confirmed is not None and now - self._confirmed_at < CONTRADICTION_SECONDS:
+            return self._confirmed
+        if status.state is EngineState.FAILED:
+            return (0, "")
+        return (status.active_version or 0, status.active_digest or "")
+
+    def _holds(self, status: EngineStatus, version: WeightVersion) -> bool:
+        held = (version.version, version.digest) in self._held
+        return held or status.holds(version.version, version.digest)
+
+    def _failed(self, order: EngineOrder, now: float, settings: RolloutSettings) -> None:
+        wait_seconds = min(
+            settings.retry_seconds * 2.0**self._failures, settings.longest_retry_seconds
+        )
+        self._failures = min(self._failures + 1, 16)
+        self.not_before = now + wait_seconds
+        self._held.discard((order.version, order.digest))
+        if order.kind is OrderKind.ACTIVATE:
+            self.quarantined = True
+            self._confirmed = None
--- /dev/null
+++ b/src/merlinstand/coordinator/scoring.py
@@ -0,0 +1,122 @@
+"""Scores for finished samples, from a service that may be slow or dead."""
+
+import math
+from random import Random
+
+import msgspec
+
+from merlinstand.coordinator.context import Context
+from merlinstand.coordinator.purposes import ScoreCall
+from merlinstand.coordinator.samples import Sample
+from merlinstand.kernel.events import CallFailed, CallResponded
+from merlinstand.routing.breaker import Breaker
+from merlinstand.routing.settings import BreakerSettings
+
+RETRY_SECONDS = 0.25
+
+
+class ScoreRequest(msgspec.Struct, frozen=True):
+    """`POST /v1/score`."""
+
+    sample_id: str
+    prompt: str
+    text: str
+
+
+class ScoreAnswer(msgspec.Struct, frozen=True):
+    """Answer of the scorer."""
+
+    score: float
+
+
+class WaitingSample(msgspec.Struct):
+    """A finished sample without its score."""
+
+    sample: Sample
+    give_up_at: float
+    next_try_at: float
+    in_call: bool = False
+
+
+class ScoringDesk:
+    """Scores the samples of one job; every sample leaves within a bounded time."""
+
+    def __init__(self, job: str, random: Random) -> None:
+        """Begin with nothing waiting."""
+        self._job = job
+        self._breaker = Breaker(BreakerSettings(), random)
+        self._waiting: dict[int, WaitingSample] = {}
+
+    def submit(self, context: Context, scorer: str, sample: Sample) -> list[Sample]:
+        """Take a finished sample in.
+
+        Returns:
+            The sample, if it needs not wait for a score.
+        """
+        if not scorer:
+            return [sample]
+        give_up_at = context.now + context.settings.generation.scorer_wait_seconds
+        self._waiting[sample.slot] = WaitingSample(sample, give_up_at, context.now)
+        return self.tick(context, scorer)
+
+    def tick(self, context: Context, scorer: str) -> list[Sample]:
+        """Send what is due; return samples that go on without a score."""
+        leaving = []
+        for slot, waiting in list(self._waiting.items()):
+            # While the breaker is open nobody waits: a dead scorer must not idle trainers.
+            closed = self._breaker.allows(context.now)
+            if context.now >= waiting.give_up_at or not (closed or waiting.in_call):
+                del self._waiting[slot]
+                context.count("samples_without_score_total", job=self._job)
+                leaving.append(waiting.sample)
+            elif not waiting.in_call and context.now >= waiting.next_try_at:
+                self._send(context, scorer, waiting)
+        return leaving
+
+    def answered(
+        self, context: Context, slot: int, event: CallResponded | CallFailed
+    ) -> list[Sample]:
+        """Take in an answer; return the sample if it is scored now."""
+        score = _decode_score(event)
+        if score is None:
+            self._breaker.call_failed(context.now)
+        else:
+            self._breaker.call_succeeded(context.now)
+        waiting = self._waiting.get(slot)
+        if waiting is None:
+            return []
+        if score is None:
+            waiting.in_call = False
+            waiting.next_try_at = context.now + RETRY_SECONDS
+            return []
+        del self._waiting[slot]
+        return [msgspec.structs.replace(waiting.sample, score=score)]
+
+    def forget(self, slot: int) -> None:
+        """Drop a sample that is not wanted any more."""
+        self._waiting.pop(slot, None)
+
+    def _send(self, context: Context, scorer: str, waiting: WaitingSample) -> None:
+        waiting.in_call = True
+        self._breaker.call_started(context.now)
+        sample = waiting.sample
+        body = ScoreRequest(sample.sample_id, sample.prompt, sample.text)
+        context.start_call(
+            ScoreCall(self._job, sample.slot),
+            scorer,
+            "POST",
+            "/v1/score",
+            body=msgspec.json.encode(body),
+            timeout_seconds=context.settings.generation.scorer_timeout_seconds,
+        )
+
+
+def _decode_score(event: CallResponded | CallFailed) -> float | None:
+    if isinstance(event, CallFailed) or event.status != 200:
+        return None
+    try:
+        score = msgspec.json.decode(event.body, type=ScoreAnswer).score
+    except msgspec.DecodeError:
+        return None
+    # An infinite score cannot be written as JSON.
+    return score if math.isfinite(score) else None
--- a/src/merlinstand/coordinator/settings.py
+++ b/src/merlinstand/coordinator/settings.py
@@ -37,14 +37,21 @@
     """How often the load report of an engine is read."""
     order_timeout_seconds: float = 5.0
     """Longest wait for the answer to an order; then it is sent again."""
+    order_poll_seconds: float = 0.1
+    """How often an order under way is sent again, under its fence, to learn its state."""
+    maximum_parallel_loads: int = 8
+    """Most engines of a pool that load from the weight store at one time; halved whenever
+    a load fails."""
     load_timeout_seconds: float = 120.0
     """A load not finished for so long is ordered again under a newer fence."""
     activate_timeout_seconds: float = 10.0
-    """An activation not confirmed for so long puts the engine in quarantine."""
+    """An activation not confirmed for so long puts the engine in quarantine: it must load
+    again under a newer fence before it may activate."""
     wave_fraction: float = 0.5
     """Largest share of a pool's ready engines that swap at one time (at least one)."""
-    quarantine_retry_seconds: float = 1.0
-    """Wait before a quarantined engine is ordered to load and activate again."""
+    retry_seconds: float = 0.5
+    """First wait before an engine whose load or swap failed is ordered again; doubles."""
+    longest_retry_seconds: float = 10.0
 
 
 class CoordinatorSettings(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
@@ -61,9 +68,13 @@
     peers: tuple[ControlMember, ...] = ()
     """Daemons that may relay the configuration."""
     session: SessionTimings = SessionTimings()
-    tick_seconds: float = 0.1
+    tick_seconds: float = 0.05
     """Interval of the scheduler."""
     maximum_journal_records: int = 2_000
     """Journal records after which a snapshot replaces them."""
+    drain_seconds: float = 20.0
+    """Longest a planned stop waits for generations in flight before it hands over."""
+    machine_list: str = ""
+    """Optional `ip:port` of the platform's list of live and leaving machines."""
     generation: GenerationSettings = GenerationSettings()
     rollout: RolloutSettings = RolloutSettings()
--- /dev/null
+++ b/src/merlinstand/coordinator/slots.py
@@ -0,0 +1,128 @@
+"""Which slots of a job are used, reserved, in progress or still to be generated.
+
+A slot is `prompt_index * samples_per_prompt + attempt`. Slots below the frontier have a
+state; all slots at or beyond it are untouched. Every slot ends as used (delivered and
+acknowledged) or discarded (reported to the ledger), so the table stays short.
+"""
+
+import enum
+from collections.abc import Iterable
+
+import msgspec
+
+
+class SlotState(enum.Enum):
+    """What became of a slot below the frontier."""
+
+    WANTED = "wanted"
+    """To be generated (again)."""
+    ACTIVE = "active"
+    """Being generated, scored or written to the journal."""
+    READY = "ready"
+    """Its durable sample waits for a batch."""
+    RESERVED = "reserved"
+    """In an attempt at a batch that is not acknowledged."""
+    DISCARDED = "discarded"
+    """Given up; the ledger does not know yet."""
+    USED = "used"
+
+
+class SlotName(msgspec.Struct, frozen=True):
+    """A slot by its parts."""
+
+    slot: int
+    prompt_index: int
+    attempt: int
+    sample_id: str
+
+
+class SlotTable:
+    """State of every slot of one job."""
+
+    def __init__(self, job: str, samples_per_prompt: int) -> None:
+        """Begin with all slots untouched."""
+        self._job = job
+        self._samples_per_prompt = max(1, samples_per_prompt)
+        self._states: dict[int, SlotState] = {}
+        self._wanted: set[int] = set()
+        self._used_below = 0
+        self._frontier = 0
+
+    @property
+    def frontier(self) -> int:
+        """First untouched slot."""
+        return self._frontier
+
+    def name(self, slot: int) -> SlotName:
+        """Return the parts and the sample id of a slot."""
+        prompt_index, attempt = divmod(slot, self._samples_per_prompt)
+        return SlotName(slot, prompt_index, attempt, f"{self._job}/{prompt_index}/{attempt}")
+
+    def group(self, slot: int) -> range:
+        """Return the slots of the same prompt."""
+        first = slot - slot % self._samples_per_prompt
+        return range(first, first + self._samples_per_prompt)
+
+    def load_used(self, used_below: int, used_above: Iterable[int]) -> None:
+        """Take the ledger's word for which slots are used, keeping other states."""
+        if used_below > self._used_below:
+            self._used_below = used_below
+            self._frontier = max(self._frontier, used_below)
+            self._states = {
+                slot: state for slot, state in self._states.items() if slot >= used_below
+            }
+            self._wanted = {slot for slot in self._wanted if slot >= used_below}
+        for slot in used_above:
+            self._set(slot, SlotState.USED)
+        self._compact()
+
+    def state(self, slot: int) -> SlotState | None:
+        """Return a slot's state; None if it is untouched."""
+        if slot < self._used_below:
+            return SlotState.USED
+        return self._states.get(slot)
+
+    def set_state(self, slot: int, state: SlotState) -> None:
+        """Move a slot to a state. A used slot stays used."""
+        if self.state(slot) is not SlotState.USED:
+            self._set(slot, state)
+            self._compact()
+
+    def with_state(self, state: SlotState) -> list[int]:
+        """Return the slots in a state, lowest first."""
+        return sorted(slot for slot, known in self._states.items() if known is state)
+
+    def wanted(self) -> list[int]:
+        """Return the slots to be generated again, lowest first."""
+        return sorted(self._wanted)
+
+    def open_group(self) -> list[int]:
+        """Make the next untouched prompt's slots wanted.
+
+        Returns:
+            Its slots that are not used already.
+        """
+        opened = []
+        for slot in self.group(self._frontier):
+            if slot >= self._frontier:
+                self._set(slot, SlotState.WANTED)
+                opened.append(slot)
+        return opened
+
+    def _set(self, slot: int, state: SlotState) -> None:
+        while self._frontier <= slot:
+            # Slots passed over (used ones beyond a gap) are wanted unless set otherwise.
+            if self._frontier not in self._states and self._frontier >= self._used_below:
+                self._states[self._frontier] = SlotState.WANTED
+                self._wanted.add(self._frontier)
+            self._frontier += 1
+        self._states[slot] = state
+        if state is SlotState.WANTED:
+            self._wanted.add(slot)
+        else:
+            self._wanted.discard(slot)
+
+    def _compact(self) -> None:
+        while self._states.get(self._used_below) is SlotState.USED:
+            del self._states[self._used_below]
+            self._used_below += 1
--- /dev/null
+++ b/src/merlinstand/coordinator/spans.py
@@ -0,0 +1,74 @@
+"""Weight-version spans of a sample, taken from the engine's chunks and nowhere else."""
+
+from collections.abc import Sequence
+
+from result import Err, Ok, Result
+
+from merlinstand.common.errors import InvalidInputError
+from merlinstand.coordinator.engine_protocol import Span
+
+
+class SpanError(InvalidInputError, frozen=True, kw_only=True):
+    """Chunks do not join up: the sample cannot name the versions that produced it."""
+
+    code = "span_mismatch"
+
+
+class SpanRecorder:
+    """Joins chunks into spans without gaps or overlaps."""
+
+    __slots__ = ("_spans",)
+
+    def __init__(self, spans: Sequence[Span] = ()) -> None:
+        """Begin, or go on after spans recorded before an interruption."""
+        self._spans = list(spans)
+
+    @property
+    def token_count(self) -> int:
+        """Tokens recorded so far."""
+        return self._spans[-1].end_token if self._spans else 0
+
+    @property
+    def oldest_version(self) -> int | None:
+        """Oldest version that made any token, None before the first."""
+        return min((span.version for span in self._spans), default=None)
+
+    def spans(self) -> tuple[Span, ...]:
+        """Return the spans so far."""
+        return tuple(self._spans)
+
+    def append(self, version: int, first_token: int, token_count: int) -> Result[None, SpanError]:
+        """Record one chunk.
+
+        Args:
+            version: Version stamped on the chunk.
+            first_token: Position of its first token.
+            token_count: Its tokens; 0 records nothing.
+
+        Returns:
+            An error if the chunk does not begin where the last one ended.
+        """
+        if first_token != self.token_count:
+            detail = f"chunk begins at {first_token}, expected {self.token_count}"
+            return Err(SpanError(detail=detail))
+        if token_count < 0 or (token_count > 0 and version <= 0):
+            return Err(SpanError(detail=f"version {version}, {token_count} tokens"))
+        if token_count == 0:
+            return Ok(None)
+        end_token = first_token + token_count
+        last = self._spans[-1] if self._spans else None
+        if last is not None and last.version == version:
+            self._spans[-1] = Span(version, last.first_token, end_token)
+        else:
+            self._spans.append(Span(version, first_token, end_token))
+        return Ok(None)
+
+
+def normalised(spans: Sequence[Span]) -> tuple[Span, ...] | None:
+    """Join neighbours of one version; None if the spans do not join up."""
+    recorder = SpanRecorder()
+    for span in spans:
+        token_count = span.end_token - span.first_token
+        if isinstance(recorder.append(span.version, span.first_token, token_count), Err):
+            return None
+    return recorder.spans()
--- /dev/null
+++ b/src/merlinstand/coordinator/staleness.py
@@ -0,0 +1,95 @@
+"""How old a sample is, and which samples a batch may hold."""
+
+import math
+
+import msgspec
+
+REMEMBERED_VERSIONS = 256
+SECONDS_MARGIN_FRACTION = 0.1
+"""Part of a bound in seconds kept back for the way of an answer to its trainer."""
+
+
+class VersionClock:
+    """When newer versions of a model were first seen here."""
+
+    def __init__(self) -> None:
+        """Begin without any version."""
+        self.newest = 0
+        self._seen_at: dict[int, float] = {}
+
+    def observe(self, version: int, now: float) -> bool:
+        """Take in a published version; returns whether it is the newest so far."""
+        if version <= self.newest:
+            return False
+        if self.newest > 0:
+            for missed in range(max(self.newest + 1, version - REMEMBERED_VERSIONS), version + 1):
+                self._seen_at[missed] = now
+        self.newest = version
+        while len(self._seen_at) > REMEMBERED_VERSIONS:
+            del self._seen_at[next(iter(self._seen_at))]
+        return True
+
+    def age_seconds(self, version: int, now: float) -> float:
+        """Return for how long a version has not been the newest; infinite if unknown."""
+        if version >= self.newest:
+            return 0.0
+        superseded_at = self._seen_at.get(version + 1)
+        return math.inf if superseded_at is None else now - superseded_at
+
+
+class StalenessBound(msgspec.Struct, frozen=True):
+    """A policy's staleness bound and what composition makes of it.
+
+    A batch is judged at its commit, but a version may be published between the commit and
+    the receipt. Where the bound leaves room, ordinary samples are therefore taken only up
+    to one version below it (`usual_versions`).
+    """
+
+    maximum_versions: int
+    maximum_seconds: float | None = None
+
+    @property
+    def usual_versions(self) -> int:
+        """Largest staleness at commit of an ordinary sample."""
+        return self.maximum_versions - 1 if self.maximum_versions >= 2 else self.maximum_versions
+
+    def allows(self, oldest: int, newest: int, age_seconds: float, *, at_bound: bool) -> bool:
+        """Tell whether a sample may be committed.
+
+        Args:
+            oldest: Version of its oldest span.
+            newest: Newest version at the commit.
+            age_seconds: How long `oldest` has not been the newest.
+            at_bound: Whether the whole bound may be used up.
+        """
+        versions = self.maximum_versions if at_bound else self.usual_versions
+        if newest - oldest > versions:
+            return False
+        if self.maximum_seconds is None:
+            return True
+        return age_seconds <= self.maximum_seconds * (1.0 - SECONDS_MARGIN_FRACTION)
+
+
+class BoundaryBudget:
+    """Lets a small share of delivered samples be as old as the whole bound.
+
+    Only samples that run longer than a version lives need it. Refusing them always would
+    bias training against long samples; letting all of them in would make the usual
+    staleness the bound itself.
+    """
+
+    SHARE = 0.009
+    LARGEST_CREDIT = 4.0
+
+    def __init__(self) -> None:
+        """Begin with room for one sample."""
+        self._credit = 1.0
+
+    def available(self) -> int:
+        """Return how many samples at the bound may be delivered now."""
+        return int(self._credit)
+
+    def delivered(self, sample_count: int, at_bound_count: int) -> None:
+        """Account for a committed batch."""
+        earned = self._credit + self.SHARE * sample_count - at_bound_count
+        self._credit = min(earned, self.LARGEST_CREDIT)
--- /dev/null
+++ b/src/merlinstand/coordinator/store.py
@@ -0,0 +1,157 @@
+"""Durable samples of one job, and what becomes of their slots."""
+
+from collections.abc import Iterable
+
+from merlinstand.coordinator.samples import Sample
+from merlinstand.coordinator.slots import SlotState, SlotTable
+
+MAXIMUM_EXPIRATIONS = 3
+"""A slot whose sample expired so often is given up: it runs longer than versions live."""
+
+MAXIMUM_DROPS = 3
+"""A slot that the policy dropped so often is given up."""
+
+
+class SampleStore:
+    """The first durable sample of a slot wins; later twins are refused."""
+
+    def __init__(self, job: str, samples_per_prompt: int, unit_size: int) -> None:
+        """Begin empty.
+
+        Args:
+            job: The job's name.
+            samples_per_prompt: Attempts at each prompt.
+            unit_size: Samples that leave together: a whole prompt's, or 1.
+        """
+        self.slots = SlotTable(job, samples_per_prompt)
+        self.samples: dict[int, Sample] = {}
+        self._whole_prompts = unit_size > 1
+        self._expirations: dict[int, int] = {}
+        self._drops: dict[int, int] = {}
+        self._closed: list[int] = []
+
+    def put(self, sample: Sample) -> bool:
+        """Take a durable sample in; returns False for a twin that lost."""
+        state = self.slots.state(sample.slot)
+        if sample.slot in self.samples or state in (SlotState.USED, SlotState.DISCARDED):
+            return False
+        self.samples[sample.slot] = sample
+        # A slot that an earlier attempt at a batch holds stays reserved: whether that attempt
+        # counts is for its trainer to say.
+        if state is not SlotState.RESERVED:
+            self.slots.set_state(sample.slot, SlotState.READY)
+        return True
+
+    def unit(self, slot: int) -> Iterable[int]:
+        """Return the slots that leave together with one."""
+        return self.slots.group(slot) if self._whole_prompts else (slot,)
+
+    def ready_units(self, own: Iterable[int] = ()) -> list[tuple[Sample, ...]]:
+        """Return the whole units that a batch may take, in slot order.
+
+        Args:
+            own: Slots reserved by the asking consumer's own open batch, which it may take
+                again.
+        """
+        own_slots = set(own)
+        units = []
+        seen: set[int] = set()
+        for slot in sorted(self.samples):
+            if slot in seen:
+                continue
+            members = tuple(self.unit(slot))
+            seen.update(members)
+            samples = self._whole_unit(members, own_slots)
+            if samples:
+                units.append(samples)
+        return units
+
+    def _whole_unit(self, members: tuple[int, ...], own_slots: set[int]) -> tuple[Sample, ...]:
+        samples = []
+        for slot in members:
+            state = self.slots.state(slot)
+            if state in (SlotState.USED, SlotState.DISCARDED):
+                continue
+            taken_back = state is SlotState.RESERVED and slot in own_slots
+            if slot not in self.samples or not (state is SlotState.READY or taken_back):
+                return ()
+            samples.append(self.samples[slot])
+        return tuple(samples)
+
+    def load_used(self, used_below: int, used_above: Iterable[int]) -> None:
+        """Take the ledger's word for which slots are used."""
+        above = tuple(used_above)
+        used = set(above)
+        for slot in [known for known in self.samples if known < used_below or known in used]:
+            self._close(slot, SlotState.USED)
+        self.slots.load_used(used_below, above)
+
+    def reserve(self, slots: Iterable[int]) -> None:
+        """Hold slots for an attempt at a batch."""
+        for slot in slots:
+            self.slots.set_state(slot, SlotState.RESERVED)
+
+    def release(self, slots: Iterable[int]) -> None:
+        """Give slots of a voided attempt back; lost samples are generated again."""
+        for slot in slots:
+            if self.slots.state(slot) is SlotState.RESERVED:
+                known = slot in self.samples
+                self.slots.set_state(slot, SlotState.READY if known else SlotState.WANTED)
+
+    def use(self, slots: Iterable[int]) -> None:
+        """Slots were delivered and acknowledged."""
+        for slot in slots:
+            self._close(slot, SlotState.USED)
+
+    def expire(self, slot: int) -> bool:
+        """A sample became too old; its slot is generated again, or given up.
+
+        Returns:
+            Whether the slot was given up.
+        """
+        return self._again(slot, self._expirations, MAXIMUM_EXPIRATIONS)
+
+    def drop(self, slot: int) -> bool:
+        """The policy dropped a sample; its slot is generated again, or given up.
+
+        Returns:
+            Whether the slot was given up.
+        """
+        return self._again(slot, self._drops, MAXIMUM_DROPS)
+
+    def tries(self, slot: int) -> int:
+        """Return how often the policy dropped a slot's samples (each takes a new seed)."""
+        return self._drops.get(slot, 0)
+
+    def expirations(self, slot: int) -> int:
+        """Return how often a slot's sample expired."""
+        return self._expirations.get(slot, 0)
+
+    def discarded(self) -> tuple[int, ...]:
+        """Return given-up slots that the ledger does not know of."""
+        return tuple(self.slots.with_state(SlotState.DISCARDED))
+
+    def take_closed(self) -> tuple[int, ...]:
+        """Return slots whose journalled samples are not needed any more, once."""
+        closed, self._closed = tuple(self._closed), []
+        return closed
+
+    def _again(self, slot: int, counts: dict[int, int], maximum: int) -> bool:
+        counts[slot] = counts.get(slot, 0) + 1
+        if counts[slot] >= maximum:
+            # A prompt with a hole would never be whole: all its slots go.
+            for member in self.unit(slot):
+                if self.slots.state(member) not in (SlotState.USED, SlotState.RESERVED):
+                    self._close(member, SlotState.DISCARDED)
+            return True
+        if self.samples.pop(slot, None) is not None:
+            self._closed.append(slot)
+        self.slots.set_state(slot, SlotState.WANTED)
+        return False
+
+    def _close(self, slot: int, state: SlotState) -> None:
+        self.slots.set_state(slot, state)
+        self._expirations.pop(slot, None)
+        self._drops.pop(slot, None)
+        if self.samples.pop(slot, None) is not None:
+            self._closed.append(slot)
--- /dev/null
+++ b/src/merlinstand/coordinator/supply.py
@@ -0,0 +1,172 @@
+"""What a job has finished and in progress, and what of it can no longer be delivered."""
+
+import math
+from collections.abc import Iterable, Sequence
+
+import msgspec
+
+from merlinstand.coordinator.context import Context
+from merlinstand.coordinator.engines import EnginePool
+from merlinstand.coordinator.forecast import Demand
+from merlinstand.coordinator.generation import Generation
+from merlinstand.coordinator.generations import GenerationDesk
+from merlinstand.coordinator.lengths import LengthStatistics
+from merlinstand.coordinator.planning import Supply
+from merlinstand.coordinator.slots import SlotState
+from merlinstand.coordinator.store import SampleStore
+from merlinstand.coordinator.terms import JobTerms
+
+OPTIMISM = 0.5
+"""Share of the expected rest of a sample that is surely left: cancelling one early that
+would have made it costs more than letting one run on in vain for a while."""
+
+
+class Member(msgspec.Struct, frozen=True):
+    """One sample of a unit, for planning."""
+
+    oldest_version: int
+    finish_at: float
+
+
+class SupplyBook:
+    """Describes a job's samples to the planner."""
+
+    def __init__(
+        self,
+        store: SampleStore,
+        generations: GenerationDesk,
+        lengths: LengthStatistics,
+        pool: EnginePool,
+    ) -> None:
+        """Read from a job's parts."""
+        self._store = store
+        self._generations = generations
+        self._lengths = lengths
+        self._pool = pool
+
+    def remaining_tokens(self, generation: Generation) -> float:
+        """Return the tokens that a generation is expected to make yet."""
+        if generation.token_count > 0:
+            return self._lengths.expected_remaining(generation.token_count)
+        return self._lengths.expected(generation.prompt)
+
+    def finish_at(self, generation: Generation, now: float) -> float:
+        """Return when a generation is expected to be finished."""
+        seconds = self._generations.speed.seconds(self.remaining_tokens(generation))
+        return now + max(seconds, 1e-3)
+
+    def fresh_seconds(self) -> float:
+        """Return the time that most samples begun now take."""
+        return self._generations.speed.seconds(self._lengths.quantile(0.75))
+
+    def supplies(self, context: Context, terms: JobTerms, settling: Iterable[int]) -> list[Supply]:
+        """Return the units that are finished or wholly in progress.
+
+        Args:
+            context: Shared state.
+            terms: The job's terms.
+            settling: Slots whose finished samples wait for a score or the journal.
+        """
+        settling_slots = set(settling)
+        supplies = []
+        seen: set[int] = set()
+        slots = [*self._store.samples, *settling_slots]
+        slots.extend(generation.slot.slot for generation in self._generations.all())
+        for slot in slots:
+            if slot in seen:
+                continue
+            unit = tuple(self._store.unit(slot))
+            seen.update(unit)
+            supply = self._unit(context, terms, unit, settling_slots)
+            if supply is not None:
+                supplies.append(supply)
+        return supplies
+
+    def _unit(
+        self, context: Context, terms: JobTerms, unit: Sequence[int], settling: set[int]
+    ) -> Supply | None:
+        members = []
+        for slot in unit:
+            if self._store.slots.state(slot) in (SlotState.USED, SlotState.DISCARDED):
+                continue
+            member = self._member(context, terms, slot, settling)
+            if member is None:
+                return None
+            members.append(member)
+        if not members:
+            return None
+        oldest = min(member.oldest_version for member in members)
+        finish_at = max(member.finish_at for member in members)
+        return Supply(oldest, finish_at, len(members))
+
+    def _member(
+        self, context: Context, terms: JobTerms, slot: int, settling: set[int]
+    ) -> Member | None:
+        state = self._store.slots.state(slot)
+        sample = self._store.samples.get(slot)
+        if sample is not None:
+            ready = state is SlotState.READY
+            return Member(sample.oldest_version, -math.inf) if ready else None
+        if slot in settling:
+            return Member(terms.clock.newest, context.now + 1e-3)
+        generation = self._generations.of_slot(slot)
+        if generation is None:
+            return None
+        version = self.oldest_version(generation, terms)
+        return Member(version, self.finish_at(generation, context.now))
+
+    def oldest_version(self, generation: Generation, terms: JobTerms) -> int:
+        """Return a generation's oldest version; before its first token, its engine's."""
+        recorded = generation.recorder.oldest_version
+        if recorded is not None:
+            return recorded
+        engine = self._pool.engines.get(generation.backend_id or "")
+        return engine.active_version if engine is not None else terms.clock.newest
+
+    # --- expiry ---------------------------------------------------------------------
+
+    def expired_samples(self, context: Context, terms: JobTerms) -> list[int]:
+        """Return the slots of finished samples that no batch may hold any more."""
+        return [
+            slot
+            for slot, sample in self._store.samples.items()
+            if self._store.slots.state(slot) is SlotState.READY
+            and not terms.allows(context, sample.oldest_version, terms.clock.newest, at_bound=True)
+        ]
+
+    def doomed_generations(
+        self, context: Context, terms: JobTerms, demands: Sequence[Demand], at_bound_budget: int
+    ) -> list[Generation]:
+        """Return the generations that will be too old when they could be received.
+
+        Args:
+            context: Shared state.
+            terms: The job's terms.
+            demands: Expected batches, soonest first.
+            at_bound_budget: Generations that may end at the bound itself; those that came
+                furthest go on.
+        """
+        doomed = []
+        at_bound = []
+        for generation in self._generations.all():
+            oldest = generation.recorder.oldest_version
+            if oldest is None:
+                continue
+            newest = self._newest_at_receipt(context, generation, demands, terms)
+            if not terms.allows(context, oldest, newest, at_bound=True):
+                doomed.append(generation)
+            elif not terms.allows(context, oldest, newest):
+                at_bound.append(generation)
+        at_bound.sort(key=lambda generation: -generation.token_count)
+        return doomed + at_bound[at_bound_budget:]
+
+    def _newest_at_receipt(
+        self, context: Context, generation: Generation, demands: Sequence[Demand], terms: JobTerms
+    ) -> int:
+        seconds = self._generations.speed.seconds(self.remaining_tokens(generation)) * OPTIMISM
+        finish_at = context.now + seconds
+        for demand in demands:
+            # A waiting trainer takes it when it is finished, at the version of that time.
+            if demand.due_at >= finish_at or demand is demands[-1]:
+                return max(demand.newest_version, terms.clock.newest)
+        return terms.clock.newest
--- /dev/null
+++ b/src/merlinstand/coordinator/trainer_door.py
@@ -0,0 +1,90 @@
+"""The trainers' HTTP requests, checked before anything is done for them."""
+
+from typing import Annotated
+from urllib.parse import unquote, urlsplit
+
+import msgspec
+from result import Err, Ok, Result
+
+from merlinstand.common.errors import InvalidInputError, MerlinstandError, NotFoundError
+from merlinstand.coordinator.samples import BatchRequest
+from merlinstand.kernel.events import RequestReceived
+
+MAXIMUM_NAME_CHARACTERS = 200
+
+Name = Annotated[str, msgspec.Meta(min_length=1, max_length=MAXIMUM_NAME_CHARACTERS)]
+Position = Annotated[int, msgspec.Meta(ge=0, lt=2**53)]
+
+
+class BatchRequestBody(msgspec.Struct, frozen=True, kw_only=True):
+    """Body of `POST /v1/jobs/JOB/batches`, as it comes in."""
+
+    consumer: Name
+    last_received_batch: Position
+    trainer_version: Position
+    nonce: Name
+    last_received_nonce: Annotated[str, msgspec.Meta(max_length=MAXIMUM_NAME_CHARACTERS)] = ""
+
+
+class BatchAsked(msgspec.Struct, frozen=True):
+    """A well-formed request for a batch."""
+
+    job: str
+    request: BatchRequest
+
+
+class JobsAsked(msgspec.Struct, frozen=True):
+    """`GET /v1/jobs`: how the jobs led here are doing."""
+
+
+class ReadinessAsked(msgspec.Struct, frozen=True):
+    """`GET /readyz`."""
+
+
+class LivenessAsked(msgspec.Struct, frozen=True):
+    """`GET /livez`, where the host does not answer it itself."""
+
+
+Asked = BatchAsked | JobsAsked | ReadinessAsked | LivenessAsked
+
+
+class MethodError(InvalidInputError, frozen=True, kw_only=True):
+    """The path exists, but not for this method."""
+
+    code = "method_not_allowed"
+    http_status = 405
+
+
+_DECODER = msgspec.json.Decoder(BatchRequestBody)
+
+
+def parse_request(event: RequestReceived) -> Result[Asked, MerlinstandError]:
+    """Find out what an HTTP request asks for."""
+    path = urlsplit(event.path).path
+    if path == "/readyz":
+        return Ok(ReadinessAsked())
+    if path == "/livez":
+        return Ok(LivenessAsked())
+    if path == "/v1/jobs":
+        return Ok(JobsAsked()) if event.method == "GET" else Err(MethodError(detail="use GET"))
+    parts = path.split("/")
+    if len(parts) != 5 or parts[1:3] != ["v1", "jobs"] or parts[4] != "batches":
+        return Err(NotFoundError(detail="no such path"))
+    if event.method != "POST":
+        return Err(MethodError(detail="use POST"))
+    return _parse_batch_request(unquote(parts[3]), event.body)
+
+
+def _parse_batch_request(job: str, body: bytes) -> Result[Asked, MerlinstandError]:
+    try:
+        decoded = _DECODER.decode(body)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        return Err(InvalidInputError(detail=str(error)))
+    request = BatchRequest(
+        consumer=decoded.consumer,
+        last_received_batch=decoded.last_received_batch,
+        trainer_version=decoded.trainer_version,
+        nonce=decoded.nonce,
+        last_received_nonce=decoded.last_received_nonce,
+    )
+    return Ok(BatchAsked(job, request))
--- /dev/null
+++ b/src/merlinstand/coordinator/workplace.py
@@ -0,0 +1,201 @@
+"""Everything a coordinator works on: its pools, led jobs and rollouts."""
+
+from collections.abc import Iterator
+from random import Random
+
+from merlinstand.common.ids import RequestId
+from merlinstand.configuration.objects import PoolKind
+from merlinstand.control.queries import LedgerAnswer
+from merlinstand.coordinator.context import Context
+from merlinstand.coordinator.dispatch import dispatch
+from merlinstand.coordinator.engines import EnginePool
+from merlinstand.coordinator.jobs import JobRunner
+from merlinstand.coordinator.journal import SampleJournal
+from merlinstand.coordinator.leadership import Leadership, engines_resource, job_resource
+from merlinstand.coordinator.purposes import BatchCommit, LedgerRead
+from merlinstand.coordinator.rollout import PoolRollout
+from merlinstand.session.notices import CommandFinished, QueryFinished
+
+
+class Workplace:
+    """Creates and ends work as the configuration and the leases say."""
+
+    def __init__(self, context: Context, random: Random) -> None:
+        """Begin without work."""
+        self.leadership = Leadership(context.settings.node_id)
+        self.journal = SampleJournal(context.settings.maximum_journal_records)
+        self._context = context
+        self._random = random
+        self._pools: dict[str, EnginePool] = {}
+        self._runners: dict[str, JobRunner] = {}
+        self._rollouts: dict[str, PoolRollout] = {}
+        self._accepting = True
+
+    def runner(self, job: str) -> JobRunner | None:
+        """Return a job's runner if this coordinator leads it."""
+        return self._runners.get(job)
+
+    def pool(self, name: str) -> EnginePool | None:
+        """Return an engine pool."""
+        return self._pools.get(name)
+
+    def rollout(self, pool: str) -> PoolRollout | None:
+        """Return a pool's rollout if this coordinator runs it."""
+        return self._rollouts.get(pool)
+
+    def led_jobs(self) -> Iterator[tuple[JobRunner, EnginePool]]:
+        """Return the led jobs with their pools."""
+        for runner in self._runners.values():
+            pool = self._pools.get(runner.job.pool)
+            if pool is not None:
+                yield runner, pool
+
+    # --- configuration and leases ---------------------------------------------------
+
+    def configuration_changed(self) -> None:
+        """Follow the configuration in force."""
+        view = self._context.view
+        for name, pool in view.pools.items():
+            if pool.kind is not PoolKind.ENGINE:
+                continue
+            engine_pool = self._pools.setdefault(name, EnginePool(pool, self._random))
+            engine_pool.configure(pool, view.drains)
+        for name in [known for known in self._pools if known not in view.pools]:
+            del self._pools[name]
+        for model, weights in view.weights.items():
+            for published in weights.versions:
+                self._observe_version(model, published.version)
+        for name, runner in self._runners.items():
+            job = view.jobs.get(name)
+            if job is not None:
+                runner.configure(job)
+        self.leadership.update(self._context)
+
+    def _observe_version(self, model: str, version: int) -> None:
+        if self._context.versions(model).observe(version, self._context.now):
+            self._context.log("weights.published", model=model, version=version)
+
+    def version_seen(self, model: str, version: int) -> None:
+        """A trainer names a version that the configuration here may not show yet."""
+        if version > self._context.versions(model).newest:
+            self._context.add(*self._context.session.refresh(self._context.now))
+
+    def lease_gained(self, resource: str, epoch: int) -> None:
+        """Begin to work under a lease."""
+        kind, _, name = resource.partition("/")
+        context = self._context
+        self.leadership.holders.pop(resource, None)
+        context.log("lease.gained", resource=resource, epoch=epoch)
+        if kind == "engines" and name in self._pools:
+            self._rollouts[name] = PoolRollout(self._pools[name], epoch)
+            return
+        job = context.view.jobs.get(name)
+        if kind != "job" or job is None:
+            return
+        if name in self._runners:
+            self._runners.pop(name).stop("leased anew")
+        pool = self._pools.get(job.pool)
+        if pool is None:
+            context.log("job.without_pool", "warning", job=name, pool=job.pool)
+            return
+        runner = JobRunner(context, job, epoch, pool, self.journal, self._random)
+        runner.accepting = self._accepting
+        self._runners[name] = runner
+        runner.tick()
+
+    def lease_lost(self, resource: str, reason: str) -> None:
+        """Stop working for a resource at once."""
+        kind, _, name = resource.partition("/")
+        self._context.log("lease.lost", "warning", resource=resource, reason=reason)
+        if kind == "engines":
+            self._rollouts.pop(name, None)
+        elif kind == "job" and name in self._runners:
+            self._runners.pop(name).stop(reason)
+            self.journal.forget_job(name)
+
+    def check_leases(self) -> None:
+        """End work whose lease ran out, whatever the session has said so far."""
+        context = self._context
+        for name in list(self._runners):
+            if context.session.lease(job_resource(name), context.now) is None:
+                self.lease_lost(job_resource(name), "expired")
+        for name in list(self._rollouts):
+            if context.session.lease(engines_resource(name), context.now) is None:
+                self.lease_lost(engines_resource(name), "expired")
+
+    # --- answers of the control group and the disk -----------------------------------
+
+    def command_finished(self, notice: CommandFinished) -> None:
+        """A command came to its end."""
+        purpose = self._context.take_request(notice.command_id)
+        if not isinstance(purpose, BatchCommit):
+            return
+        runner = self._runners.get(purpose.job)
+        if runner is not None and runner.epoch == purpose.epoch:
+            runner.batch_finished(notice.command_id, purpose.consumer, notice.outcome)
+
+    def query_finished(self, notice: QueryFinished) -> None:
+        """A query was answered, or given up."""
+        purpose = self._context.take_request(notice.query_id)
+        if not isinstance(purpose, LedgerRead):
+            return
+        runner = self._runners.get(purpose.job)
+        if runner is not None and runner.epoch == purpose.epoch:
+            answer = notice.answer if isinstance(notice.answer, LedgerAnswer) else None
+            runner.ledger_read(answer)
+
+    def records_synced(self, token: int) -> None:
+        """Journal records are durable."""
+        touched: dict[str, JobRunner] = {}
+        for sample in self.journal.synced(token):
+            runner = self._runners.get(sample.job)
+            if runner is not None:
+                runner.durable(sample)
+                touched[sample.job] = runner
+        for runner in touched.values():
+            runner.serve()
+
+    def request_aborted(self, request_id: RequestId) -> None:
+        """A trainer went away."""
+        for runner in self._runners.values():
+            runner.desk.aborted(request_id)
+
+    # --- time -----------------------------------------------------------------------
+
+    def tick(self) -> None:
+        """Poll, schedule, roll out."""
+        context = self._context
+        if context.view.revision > 0:
+            self.leadership.update(context)
+        for name, pool in self._pools.items():
+            runners = [runner for runner in self._runners.values() if runner.job.pool == name]
+            rollout = self._rollouts.get(name)
+            if not runners and rollout is None:
+                continue
+            pool.poll(context)
+            weights = context.view.weights.get(pool.pool.model)
+            if rollout is not None:
+                rollout.tick(context, weights)
+            for runner in runners:
+                runner.tick()
+            dispatch(context, pool, runners, context.view.jobs.values(), weights)
+        if self.journal.needs_cut():
+            context.add(self.journal.cut(context.session.durable_records()))
+
+    # --- planned stop ---------------------------------------------------------------
+
+    def stop_accepting(self) -> None:
+        """Begin nothing new."""
+        self._accepting = False
+        for runner in self._runners.values():
+            runner.accepting = False
+
+    def idle(self) -> bool:
+        """Tell whether nothing is under way."""
+        return all(runner.idle() for runner in self._runners.values())
+
+    def stop_all(self, reason: str) -> None:
+        """End all work before the leases are released."""
+        for name in list(self._runners):
+            self._runners.pop(name).stop(reason)
+        self._rollouts.clear()
--- a/src/merlinstand/policy/program.py
+++ b/src/merlinstand/policy/program.py
@@ -33,6 +33,11 @@
         self._weight = weight
         self._priority = priority
 
+    @classmethod
+    def neutral(cls, source: PolicySource) -> "CompiledPolicy":
+        """Return a policy that weighs all samples alike but keeps the staleness bound."""
+        return cls(source, cel.compile("1.0"), cel.compile("0"))
+
     @property
     def maximum_staleness_versions(self) -> int:
         """Oldest sample that a trainer may receive, in versions."""
