--- a/src/merlinstand_lab/capacity/fleet.py
+++ b/src/merlinstand_lab/capacity/fleet.py
@@ -74,6 +74,29 @@
             time.sleep(POLL_SECONDS)
         return False
 
+    def wait_joined(self, revision: int, timeout_seconds: float) -> bool:
+        """Wait until every node has a revision, takes new work and holds its leases."""
+        end = time.monotonic() + timeout_seconds
+        while time.monotonic() < end:
+            if all(_has_joined(report, revision) for report in self.reports()):
+                return True
+            time.sleep(POLL_SECONDS)
+        return False
+
+    def wait_quiet(self, quiet_seconds: float, timeout_seconds: float) -> bool:
+        """Wait until all nodes have one revision and it has not moved for a while."""
+        end = time.monotonic() + timeout_seconds
+        last, since = -1, time.monotonic()
+        while time.monotonic() < end:
+            revisions = {count.revision for report in self.reports() for count in report.counts}
+            highest = max(revisions, default=0)
+            if len(revisions) > 1 or highest != last:
+                last, since = highest, time.monotonic()
+            elif time.monotonic() - since >= quiet_seconds:
+                return True
+            time.sleep(POLL_SECONDS)
+        return False
+
     def in_force_seconds(self, revision: int, since: float) -> list[float]:
         """Return, for each node that has it, how long after `since` a revision was in force."""
         first: dict[str, float] = {}
@@ -88,3 +111,8 @@
         """End every worker."""
         for worker in self.workers:
             worker.stop()
+
+
+def _has_joined(report: WorkerReport, revision: int) -> bool:
+    ready = all(count.revision >= revision and count.takes_new_work for count in report.counts)
+    return ready and all(load.leases_gained >= load.leases_wanted for load in report.loads.values())
--- /dev/null
+++ b/src/merlinstand_lab/capacity/measurements/daemons.py
@@ -0,0 +1,40 @@
+"""Steady cost of control against the number of daemons, at several group sizes."""
+
+from collections.abc import Sequence
+from pathlib import Path
+
+from merlinstand_lab.capacity.deployment import Deployment, DeploymentSize
+from merlinstand_lab.capacity.results import Measured
+from merlinstand_lab.capacity.window import Subject, measure_roles
+
+REPLICAS = (3, 7)
+DAEMONS = (70, 160, 320, 630)
+WINDOW_SECONDS = 20.0
+SERVERS_PER_DAEMON = 3_400 / 630
+
+
+def measure_daemons(
+    folder: Path,
+    replicas: Sequence[int] = REPLICAS,
+    daemons: Sequence[int] = DAEMONS,
+    window_seconds: float = WINDOW_SECONDS,
+    leases: bool = True,
+) -> list[Measured]:
+    """Measure leader, followers and daemons while nothing changes but leases.
+
+    Servers grow with the daemons, as they do towards the target size.
+    """
+    rows: list[Measured] = []
+    for group in replicas:
+        for count in daemons:
+            size = DeploymentSize(
+                replicas=group,
+                daemons=count,
+                servers=round(count * SERVERS_PER_DAEMON),
+                leases=leases,
+            )
+            name = f"daemons-{group}-replicas" if leases else f"daemons-{group}-no-leases"
+            with Deployment(size, folder / f"{name}-{count}") as deployment:
+                subject = Subject(name, "daemons", count)
+                rows += measure_roles(subject, deployment.control, deployment.fleet, window_seconds)
+    return rows
--- a/src/merlinstand_lab/capacity/operator_client.py
+++ b/src/merlinstand_lab/capacity/operator_client.py
@@ -65,11 +65,16 @@
 
     def get(self, path: str) -> Any:
         """Read a JSON document from the first replica that answers."""
-        for address in self._addresses:
-            status, answer = _get(address, path)
-            if status == http.client.OK:
-                return msgspec.json.decode(answer)
-        raise OperatorCommandError(f"no replica answered {path}")
+        end = time.monotonic() + GIVE_UP_SECONDS
+        last = ""
+        while time.monotonic() < end:
+            for address in self._addresses:
+                status, answer = _get(address, path)
+                if status == http.client.OK:
+                    return msgspec.json.decode(answer)
+                last = f"{address}: {status} {answer!r}"
+            time.sleep(RETRY_SECONDS)
+        raise OperatorCommandError(f"no replica answered {path}; last answer {last}")
 
     def _accepted(self, address: str, answer: bytes) -> PutAnswer:
         accepted_at = time.monotonic()
--- a/src/merlinstand_lab/capacity/session_daemon.py
+++ b/src/merlinstand_lab/capacity/session_daemon.py
@@ -31,6 +31,7 @@
     applied: int = 0
     refused: int = 0
     unresolved: int = 0
+    leases_wanted: int = 0
     leases_gained: int = 0
     latencies_seconds: tuple[float, ...] = ()
     last_refusal: str = ""
@@ -77,6 +78,7 @@
             applied=self._applied,
             refused=self._refused,
             unresolved=self._unresolved,
+            leases_wanted=len(self._settings.leases),
             leases_gained=self._leases_gained,
             latencies_seconds=tuple(latencies),
             last_refusal=self._last_refusal,
--- a/src/merlinstand_lab/capacity/topology.py
+++ b/src/merlinstand_lab/capacity/topology.py
@@ -91,16 +91,16 @@
     members: tuple[ControlMember, ...],
     folder: Path,
     timings: SessionTimings,
-    first_number: int = 0,
+    leases: bool = True,
 ) -> list[HostedSpec]:
-    """Return the specs of hollow daemons that register and keep one lease each.
+    """Return the specs of hollow daemons that register and, if wanted, keep one lease each.
 
     Their names are `daemon-N`, their zones take turns.
     """
     addresses = free_addresses(count)
     return [
-        _session_spec(number, address, members, folder, timings)
-        for number, address in enumerate(addresses, start=first_number)
+        _session_spec(number, address, members, folder, timings, leases)
+        for number, address in enumerate(addresses)
     ]
 
 
@@ -110,6 +110,7 @@
     members: tuple[ControlMember, ...],
     folder: Path,
     timings: SessionTimings,
+    leases: bool,
 ) -> HostedSpec:
     node_id = f"daemon-{number}"
     settings = SessionDaemonSettings(
@@ -122,7 +123,7 @@
             members=members,
             timings=timings,
         ),
-        leases=(f"gateway/{node_id}",),
+        leases=(f"gateway/{node_id}",) if leases else (),
     )
     return hosted_spec(
         HostedKind.SESSION, session_host(node_id, address, members, folder), settings
