--- a/src/merlinstand/session/configuration_follower.py
+++ b/src/merlinstand/session/configuration_follower.py
@@ -128,8 +128,7 @@
             return []
         proof_at = _proof_time(update)
         effects = self._judge_answer(sender, proof_at, now)
-        highest = max(self._durable.revision, self._table.revision)
-        if update.to_revision < highest:
+        if self._is_older(update):
             # The sender lags behind what was in force here before: never go back.
             return effects
         if update.to_revision == self._table.revision:
@@ -168,6 +167,9 @@
         targets = self._outstanding.get(update.sent_at)
         return targets is not None and sender in targets and update.sent_at <= now
 
+    def _is_older(self, update: ConfigurationUpdate) -> bool:
+        return update.to_revision < max(self._durable.revision, self._table.revision)
+
     def _judge_answer(self, sender: NodeId, proof_at: float | None, now: float) -> list[Effect]:
         recent = self._timings.configuration_lease_seconds / 2
         if proof_at is None or now - proof_at > recent:
--- a/src/merlinstand/session/control_session.py
+++ b/src/merlinstand/session/control_session.py
@@ -355,7 +355,9 @@
         severity = "info" if held else "warning"
         event = LogEvent("session.configuration_lease", {"held": held}, severity)
         notice = ConfigurationLeaseChanged(held=held)
-        return SessionStep((*step.effects, event), (*step.notices, notice))
+        # Also here: while the configuration is still empty no change is ever applied.
+        registration = self._register(now) if held else []
+        return SessionStep((*step.effects, event, *registration), (*step.notices, notice))
 
     def _queue(self, notice: Notice) -> list[Effect]:
         self._queued_notices.append(notice)
