--- a/src/merlinstand/control/operator_requests.py
+++ b/src/merlinstand/control/operator_requests.py
@@ -3,7 +3,7 @@
 import hmac
 from collections.abc import Mapping
 from typing import Any
-from urllib.parse import parse_qs, unquote, urlsplit
+from urllib.parse import parse_qs, unquote
 
 import msgspec
 from result import Err, Ok, Result
@@ -146,16 +146,17 @@
     event: RequestReceived, settings: ControlSettings
 ) -> Result[OperatorRequest, MerlinstandError]:
     """Check the token and parse a request."""
-    split = urlsplit(event.path)
-    if split.path in ("/livez", "/readyz"):
-        return Ok(HealthGet(split.path == "/readyz"))
+    # Not `urlsplit`, which raises on a request target such as `//[`.
+    path, _, query = event.path.partition("?")
+    if path in ("/livez", "/readyz"):
+        return Ok(HealthGet(path == "/readyz"))
     if not _is_authorized(event.headers, settings):
         return Err(UnauthorizedError(detail="a valid bearer token is needed"))
-    if event.method == "POST" and split.path == "/v1/commands":
+    if event.method == "POST" and path == "/v1/commands":
         return _read_command(event.body)
     if event.method == "GET":
-        return _read_get(split.path, split.query)
-    return Err(NotFoundError(detail=f"{event.method} {split.path} is not served here"))
+        return _read_get(path, query)
+    return Err(NotFoundError(detail=f"{event.method} {path} is not served here"))
 
 
 def respond_error(request_id: RequestId, error: MerlinstandError) -> Respond:
