--- a/src/merlinstand/gateway/calls.py
+++ b/src/merlinstand/gateway/calls.py
@@ -93,14 +93,18 @@
     )
 
 
-def lookup_try_seconds(exchange: Exchange, settings: RequestSettings, now: float) -> float:
+def lookup_try_seconds(
+    exchange: Exchange, settings: RequestSettings, linger_seconds: float, now: float
+) -> float:
     """Return how long one try of a lookup may take.
 
-    A repeatable lookup keeps part of its time for another replica; one that is not repeatable
-    has a single try.
+    A repeatable lookup keeps part of its time for another replica. One that is not repeatable
+    has a single try, which may outlast the caller's deadline by `linger_seconds`.
     """
     remaining_seconds = exchange.remaining_seconds(now)
-    if not exchange.request.repeatable or exchange.tries + 1 >= settings.maximum_tries:
+    if not exchange.request.repeatable:
+        return remaining_seconds + linger_seconds
+    if exchange.tries + 1 >= settings.maximum_tries:
         return remaining_seconds
     share_seconds = remaining_seconds * settings.first_try_share
     return min(remaining_seconds, max(settings.minimum_try_seconds, share_seconds))
--- /dev/null
+++ b/src/merlinstand/gateway/claim_flow.py
@@ -0,0 +1,108 @@
+"""What follows once control has judged a claim: dispatch, the recorded answer, or a refusal."""
+
+from merlinstand.common.errors import MerlinstandError
+from merlinstand.control.commands import ClaimTaken
+from merlinstand.gateway.claims import ClaimResult, Claims, ClaimVerdict
+from merlinstand.gateway.concluder import Concluder
+from merlinstand.gateway.dispatcher import DEADLINE_RETRY_SECONDS, Dispatcher, too_late
+from merlinstand.gateway.errors import (
+    ClaimPendingError,
+    ClaimUnavailableError,
+    KeyReusedError,
+    OutcomeUnknownError,
+)
+from merlinstand.gateway.exchange import Exchange, ExchangePhase, ExchangeTable
+from merlinstand.gateway.outcome import Outcome
+from merlinstand.gateway.responses import replayed_answer
+from merlinstand.gateway.settings import ClaimSettings
+from merlinstand.kernel.effects import Effect
+from merlinstand.routing.router import CallResult
+from merlinstand.session.control_session import ControlSession
+
+
+class ClaimFlow:
+    """Goes on with exchanges that waited for a claim. `claims` holds the rule."""
+
+    def __init__(
+        self,
+        settings: ClaimSettings,
+        session: ControlSession,
+        table: ExchangeTable,
+        claims: Claims,
+        dispatcher: Dispatcher,
+        concluder: Concluder,
+    ) -> None:
+        """Join the parts."""
+        self._pending_retry_seconds = settings.pending_retry_seconds
+        self._session = session
+        self._table = table
+        self._claims = claims
+        self._dispatcher = dispatcher
+        self._concluder = concluder
+
+    def claim_finished(self, result: ClaimResult, now: float, out: list[Effect]) -> None:
+        """Go on with an exchange whose claim control has judged."""
+        exchange = self._table.by_number.get(result.ticket.exchange_number)
+        if exchange is None or exchange.phase is not ExchangePhase.CLAIMING:
+            # Its caller was told not_run meanwhile: never dispatched, so the claim is freed.
+            if result.verdict is ClaimVerdict.GRANTED:
+                self._claims.record(result.ticket, Outcome.NOT_RUN, None, now, out)
+            return
+        if result.verdict is ClaimVerdict.GRANTED:
+            self._dispatch_claimed(exchange, now, out)
+        elif result.taken is not None:
+            self._answer_twin(exchange, result.taken, now, out)
+        else:
+            error = ClaimUnavailableError(
+                detail="no answer of control", retry_after_seconds=DEADLINE_RETRY_SECONDS
+            )
+            self._concluder.refuse(exchange, error, now, out)
+
+    def _dispatch_claimed(self, exchange: Exchange, now: float, out: list[Effect]) -> None:
+        if exchange.client_gone or exchange.remaining_seconds(now) <= 0.0:
+            self._concluder.refuse(exchange, too_late(), now, out)
+            return
+        if not self._session.may_take_new_work(now):
+            self._concluder.refuse(exchange, self._dispatcher.stale_configuration(now), now, out)
+            return
+        backend = exchange.backend
+        if backend is not None and exchange.lane.router.is_usable(backend.backend_id):
+            self._dispatcher.call(exchange, backend, now, out)
+            return
+        self._concluder.release(exchange, CallResult.ABANDONED, now)
+        error = self._dispatcher.dispatch(exchange, now, out)
+        if error is not None:
+            self._concluder.refuse(exchange, error, now, out)
+
+    def _answer_twin(
+        self, exchange: Exchange, taken: ClaimTaken, now: float, out: list[Effect]
+    ) -> None:
+        """Answer a request whose key was claimed before; it is never dispatched."""
+        request_id = exchange.request.request_id
+        if taken.recorded == "answer":
+            out.append(
+                replayed_answer(
+                    exchange.door_id, request_id, taken.status, taken.content_type, taken.body
+                )
+            )
+            self._concluder.conclude(exchange, Outcome.ANSWER, None, now, out)
+        elif taken.recorded == "different_request":
+            error: MerlinstandError = KeyReusedError(
+                detail="another request already used this idempotency key"
+            )
+            self._concluder.refuse_as(exchange, error, Outcome.NOT_RUN, now, out)
+        elif taken.recorded == "pending":
+            self._concluder.refuse_as(
+                exchange, claim_pending(self._pending_retry_seconds), Outcome.UNKNOWN, now, out
+            )
+        else:
+            error = OutcomeUnknownError(detail="an earlier request under this key may have run")
+            self._concluder.refuse_as(exchange, error, Outcome.UNKNOWN, now, out)
+
+
+def claim_pending(retry_after_seconds: float) -> ClaimPendingError:
+    """Return what a twin of a request under way is told."""
+    return ClaimPendingError(
+        detail="a request under this key is under way",
+        retry_after_seconds=retry_after_seconds,
+    )
--- a/src/merlinstand/gateway/concluder.py
+++ b/src/merlinstand/gateway/concluder.py
@@ -107,6 +107,13 @@
         out: list[Effect],
     ) -> None:
         """End with an error and a given outcome."""
+        self.tell(exchange, error, outcome, out)
+        self.conclude(exchange, outcome, None, now, out)
+
+    def tell(
+        self, exchange: Exchange, error: MerlinstandError, outcome: Outcome, out: list[Effect]
+    ) -> None:
+        """Answer the caller with an error, whether or not the exchange goes on."""
         if not exchange.client_gone:
             out.append(refusal(exchange.door_id, exchange.request.request_id, error, outcome))
         out.append(
@@ -121,7 +128,7 @@
                 "debug" if outcome is Outcome.NOT_RUN else "warning",
             )
         )
-        self.conclude(exchange, outcome, None, now, out)
+        self.count(exchange, outcome, out)
 
     def conclude(
         self,
@@ -155,7 +162,13 @@
         ticket = exchange.claim
         if ticket is not None and ticket.granted:
             self._claims.record(ticket, outcome, recorded, now, out)
-        out.append(self._counter(request.pool.name, outcome))
+        self.count(exchange, outcome, out)
+
+    def count(self, exchange: Exchange, outcome: Outcome, out: list[Effect]) -> None:
+        """Count what a caller was told, once."""
+        if not exchange.told:
+            exchange.told = True
+            out.append(self._counter(exchange.request.pool.name, outcome))
 
     def _counter(self, pool_name: str, outcome: Outcome) -> CountMetric:
         key = (pool_name, outcome.value)
--- a/src/merlinstand/gateway/daemon.py
+++ b/src/merlinstand/gateway/daemon.py
@@ -5,14 +5,17 @@
 
 from merlinstand.gateway.admission import Admission
 from merlinstand.gateway.agenda import AGENDA_TIMER, Agenda, Due
+from merlinstand.gateway.claim_flow import ClaimFlow
 from merlinstand.gateway.claims import Claims
 from merlinstand.gateway.concluder import Concluder
 from merlinstand.gateway.dispatcher import Dispatcher
 from merlinstand.gateway.door import Door
 from merlinstand.gateway.exchange import Exchange, ExchangeTable
 from merlinstand.gateway.health import MACHINES_TIMER, STATUS_TIMER, Health
+from merlinstand.gateway.interruptions import Interruptions
 from merlinstand.gateway.lanes import Lanes
 from merlinstand.gateway.proxying import Proxying
+from merlinstand.gateway.retries import Retries
 from merlinstand.gateway.settings import GatewaySettings
 from merlinstand.gateway.streaming import Streaming
 from merlinstand.kernel.effects import Effect, LogEvent, SetTimer, StopProcess
@@ -34,6 +37,8 @@
 from merlinstand.session.settings import SessionSettings
 
 STOP_TIMER = "gateway.stop"
+FOLLOWED_KINDS = ("pool/", "drain/", "limits/", "daemon/")
+"""Kinds of configuration objects that change what a gateway does."""
 
 
 class GatewayDaemon:
@@ -56,14 +61,31 @@
         self._dispatcher = Dispatcher(
             settings, self._session, self._table, self._agenda, self._claims, self._concluder
         )
-        self._proxying = Proxying(settings.requests, self._dispatcher, self._concluder)
-        self._streaming = Streaming(settings.requests, self._dispatcher, self._concluder)
+        self._claim_flow = ClaimFlow(
+            settings.claims,
+            self._session,
+            self._table,
+            self._claims,
+            self._dispatcher,
+            self._concluder,
+        )
+        self._retries = Retries(settings.requests, self._agenda, self._dispatcher, self._concluder)
+        self._interruptions = Interruptions(
+            settings.claims.linger_seconds,
+            self._agenda,
+            self._dispatcher,
+            self._retries,
+            self._concluder,
+        )
+        self._proxying = Proxying(settings.requests, self._retries, self._concluder)
+        self._streaming = Streaming(settings.requests, self._retries, self._concluder)
         self._random = Random(0)
         self._lanes = Lanes(settings, self._random)
         self._health = Health(settings.health, settings.machine_list_address, self._lanes)
         self._door = Door(
             settings, self._session, self._lanes, self._admission, self._claims, self._dispatcher
         )
+        self._stop_timer_set = False
         self._stop_patience_over = False
         self._stopped = False
 
@@ -78,6 +100,7 @@
         self._claims.start(self._random)
         out: list[Effect] = []
         self._take_session_step(self._session.start(event, now), now, out)
+        self._follow_configuration(now, out)
         self._health.start(out)
         return out
 
@@ -112,7 +135,7 @@
             case RequestAborted():
                 exchange = self._table.by_door.get(event.request_id)
                 if exchange is not None:
-                    self._dispatcher.client_left(exchange, now, out)
+                    self._interruptions.client_left(exchange, now, out)
             case StopRequested():
                 self._begin_stop(out)
             case TimerFired() if event.name.startswith("gateway."):
@@ -182,11 +205,11 @@
         if exchange is None:
             return
         if due is Due.DEADLINE:
-            self._dispatcher.deadline_passed(exchange, now, out)
+            self._interruptions.deadline_passed(exchange, now, out)
         elif due is Due.QUEUE_WAIT:
-            self._dispatcher.waited_enough(exchange, now, out)
+            self._interruptions.waited_enough(exchange, now, out)
         else:
-            self._dispatcher.search_again(exchange, now, out)
+            self._retries.search_again(exchange, now, out)
 
     # Control --------------------------------------------------------------------------
 
@@ -199,12 +222,15 @@
         if isinstance(notice, CommandFinished):
             result = self._claims.command_finished(notice)
             if result is not None:
-                self._dispatcher.claim_finished(result, now, out)
-        elif isinstance(notice, ConfigurationChanged):
-            view = self._session.view
-            self._lanes.configure(view)
-            self._admission.rate_limits.configure(view.limits)
-            self._health.ask_new(now, out)
+                self._claim_flow.claim_finished(result, now, out)
+        elif isinstance(notice, ConfigurationChanged) and _concerns_gateways(notice):
+            self._follow_configuration(now, out)
+
+    def _follow_configuration(self, now: float, out: list[Effect]) -> None:
+        view = self._session.view
+        self._lanes.configure(view)
+        self._admission.rate_limits.configure(view.limits)
+        self._health.ask_new(now, out)
 
     # Planned stop ---------------------------------------------------------------------
 
@@ -219,13 +245,19 @@
         if self._stopped or len(self._table):
             return
         if self._claims.under_way and not self._stop_patience_over:
-            out.append(SetTimer(STOP_TIMER, self._settings.claims.stop_patience_seconds))
+            if not self._stop_timer_set:
+                self._stop_timer_set = True
+                out.append(SetTimer(STOP_TIMER, self._settings.claims.stop_patience_seconds))
             return
         self._stopped = True
         out.extend(self._session.stop(now))
         out.append(StopProcess())
 
 
+def _concerns_gateways(notice: ConfigurationChanged) -> bool:
+    return any(key.startswith(FOLLOWED_KINDS) for key in notice.changed_keys)
+
+
 def session_settings(settings: GatewaySettings) -> SessionSettings:
     """Return the settings of the gateway's session with control."""
     return SessionSettings(
--- a/src/merlinstand/gateway/door.py
+++ b/src/merlinstand/gateway/door.py
@@ -5,6 +5,7 @@
 from merlinstand.common.errors import MerlinstandError
 from merlinstand.gateway.admission import Admission
 from merlinstand.gateway.caller_request import CallerRequest
+from merlinstand.gateway.claim_flow import claim_pending
 from merlinstand.gateway.claims import Claims
 from merlinstand.gateway.dispatcher import Dispatcher
 from merlinstand.gateway.errors import (
@@ -116,7 +117,7 @@
             return True
         if ticket is not None:
             # Never not_run: the key's request may be running this moment.
-            error = self._dispatcher.claim_pending()
+            error = claim_pending(self._settings.claims.pending_retry_seconds)
             self._refuse(event, request.request_id, error, Outcome.UNKNOWN, out)
             return True
         if not self._claims.has_room():
--- a/src/merlinstand/gateway/exchange.py
+++ b/src/merlinstand/gateway/exchange.py
@@ -64,6 +64,7 @@
         "progress",
         "request",
         "search_until",
+        "told",
         "tried",
         "tries",
     )
@@ -98,12 +99,16 @@
         self.maybe_ran = False
         """Some byte may have left for a back end that did not prove it had not started."""
         self.client_gone = False
+        """Nobody waits for an answer any more."""
+        self.told = False
+        """The caller was answered, though the exchange goes on for the sake of its record."""
         self.claim: ClaimTicket | None = None
         self.progress: StreamProgress | None = None
         """What arrived of a generation so far."""
         self.held_answer: Any = None
         """A non-200 head of a streamed call whose body is being read."""
         self.search_until = 0.0
+        """When a search for an engine gives up; 0 while none began since tokens last arrived."""
         self.last_error: Any = None
         """Why the last try failed."""
 
--- /dev/null
+++ b/src/merlinstand/gateway/interruptions.py
@@ -0,0 +1,103 @@
+"""Ends that come from outside: deadlines, waits that grew too long, callers that left."""
+
+from merlinstand.common.errors import MerlinstandError
+from merlinstand.gateway.agenda import Agenda, Due
+from merlinstand.gateway.caller_request import RequestKind
+from merlinstand.gateway.calls import cancel_call
+from merlinstand.gateway.concluder import Concluder
+from merlinstand.gateway.dispatcher import Dispatcher, overloaded, too_late
+from merlinstand.gateway.errors import OutcomeUnknownError
+from merlinstand.gateway.exchange import Exchange, ExchangePhase
+from merlinstand.gateway.outcome import Outcome
+from merlinstand.gateway.retries import Retries
+from merlinstand.gateway.try_failure import timeout_result
+from merlinstand.kernel.effects import CancelCall, Effect, RespondEnd
+from merlinstand.routing.router import CallResult
+
+
+class Interruptions:
+    """Ends exchanges before their back end does."""
+
+    def __init__(
+        self,
+        linger_seconds: float,
+        agenda: Agenda,
+        dispatcher: Dispatcher,
+        retries: Retries,
+        concluder: Concluder,
+    ) -> None:
+        """Join the parts."""
+        self._linger_seconds = linger_seconds
+        self._agenda = agenda
+        self._dispatcher = dispatcher
+        self._retries = retries
+        self._concluder = concluder
+
+    def deadline_passed(self, exchange: Exchange, now: float, out: list[Effect]) -> None:
+        """The caller's time is up: answer at once, whatever is under way."""
+        if exchange.phase is ExchangePhase.CALLING and self._begins_lingering(exchange):
+            self._linger(exchange, now, out)
+            return
+        if exchange.phase is ExchangePhase.CALLING:
+            exchange.maybe_ran = True
+            self._cancel_call(exchange, timeout_result(exchange, now), now, out)
+        if self._retries.break_stream(exchange, now, out):
+            return
+        if exchange.maybe_ran:
+            error: MerlinstandError = OutcomeUnknownError(detail="the deadline passed")
+        else:
+            error = too_late()
+        self._concluder.refuse(exchange, error, now, out)
+
+    def _begins_lingering(self, exchange: Exchange) -> bool:
+        return exchange.claim is not None and not exchange.told
+
+    def _linger(self, exchange: Exchange, now: float, out: list[Effect]) -> None:
+        """Tell the caller `unknown` and let its request go on, to record what became of it."""
+        exchange.maybe_ran = True
+        progress = exchange.progress
+        if progress is not None and progress.started:
+            if not exchange.client_gone:
+                out.append(RespondEnd(exchange.door_id, whole=False))
+            self._concluder.count(exchange, Outcome.UNKNOWN, out)
+        else:
+            error = OutcomeUnknownError(detail="the deadline passed")
+            self._concluder.tell(exchange, error, Outcome.UNKNOWN, out)
+        exchange.client_gone = True
+        exchange.deadline_at = now + self._linger_seconds
+        self._agenda.set((Due.DEADLINE, exchange.number), exchange.deadline_at)
+
+    def waited_enough(self, exchange: Exchange, now: float, out: list[Effect]) -> None:
+        """A request has waited in its queue as long as it may."""
+        if exchange.phase is ExchangePhase.QUEUED:
+            expected_seconds = exchange.lane.expected_wait_seconds(
+                exchange.request.caller, exchange.buckets.weight, now
+            )
+            self._concluder.refuse(exchange, overloaded(expected_seconds), now, out)
+
+    def client_left(self, exchange: Exchange, now: float, out: list[Effect]) -> None:
+        """The caller closed its connection."""
+        exchange.client_gone = True
+        if exchange.phase is ExchangePhase.CALLING:
+            if not exchange.request.repeatable:
+                # It runs to its end, so that a twin can be told the outcome.
+                return
+            self._cancel_call(exchange, CallResult.ABANDONED, now, out)
+            self._concluder.conclude(exchange, Outcome.UNKNOWN, None, now, out)
+        elif exchange.phase is ExchangePhase.CLAIMING:
+            # Freed when the grant comes; its place goes back now.
+            self._concluder.conclude(exchange, Outcome.NOT_RUN, None, now, out)
+        else:
+            outcome = Outcome.UNKNOWN if exchange.maybe_ran else Outcome.NOT_RUN
+            self._concluder.conclude(exchange, outcome, None, now, out)
+
+    def _cancel_call(
+        self, exchange: Exchange, result: CallResult, now: float, out: list[Effect]
+    ) -> None:
+        backend, call_id = exchange.backend, exchange.call_id
+        if backend is not None and call_id is not None:
+            out.append(CancelCall(call_id))
+            if exchange.request.kind is RequestKind.GENERATION:
+                cancel_id = self._dispatcher.next_call_id()
+                out.append(cancel_call(exchange.request.request_id, backend, cancel_id))
+        self._concluder.release(exchange, result, now)
--- a/src/merlinstand/gateway/proxying.py
+++ b/src/merlinstand/gateway/proxying.py
@@ -1,9 +1,9 @@
 """Lookups and bookings: one whole response in, one whole response out."""
 
 from merlinstand.gateway.concluder import Concluder
-from merlinstand.gateway.dispatcher import Dispatcher
 from merlinstand.gateway.exchange import Exchange
 from merlinstand.gateway.outcome import REQUEST_ID_HEADER
+from merlinstand.gateway.retries import Retries
 from merlinstand.gateway.settings import RequestSettings
 from merlinstand.gateway.try_failure import (
     RETRYABLE_STATUSES,
@@ -20,12 +20,10 @@
 class Proxying:
     """Handles the ends of calls that carry lookups and bookings."""
 
-    def __init__(
-        self, settings: RequestSettings, dispatcher: Dispatcher, concluder: Concluder
-    ) -> None:
+    def __init__(self, settings: RequestSettings, retries: Retries, concluder: Concluder) -> None:
         """Join the parts."""
         self._require_response_id = settings.require_response_id
-        self._dispatcher = dispatcher
+        self._retries = retries
         self._concluder = concluder
 
     def responded(
@@ -35,7 +33,7 @@
         backend_id = "" if exchange.backend is None else exchange.backend.backend_id
         failure = self._judge(exchange, backend_id, event)
         if failure is not None:
-            self._dispatcher.try_failed(exchange, failure, now, out)
+            self._retries.try_failed(exchange, failure, now, out)
             return
         result = CallResult.FAILURE if event.status >= 500 else CallResult.SUCCESS
         self._concluder.release(exchange, result, now)
@@ -43,7 +41,7 @@
 
     def failed(self, exchange: Exchange, event: CallFailed, now: float, out: list[Effect]) -> None:
         """A call ended without a whole answer."""
-        self._dispatcher.try_failed(exchange, call_failure(event, exchange, now), now, out)
+        self._retries.try_failed(exchange, call_failure(event, exchange, now), now, out)
 
     def _judge(
         self, exchange: Exchange, backend_id: str, event: CallResponded
--- a/src/merlinstand/gateway/settings.py
+++ b/src/merlinstand/gateway/settings.py
@@ -63,6 +63,9 @@
     """When a twin of a request still in flight should come back."""
     maximum_recorded_bytes: int = 65_536
     """Largest answer body that is recorded for twins; a larger one is recorded `unknown`."""
+    linger_seconds: float = 10.0
+    """How long a dispatched request goes on after its caller's deadline or departure, so that
+    its outcome can be recorded for twins."""
     record_timeout_seconds: float = 300.0
     """How long the record of an outcome is sent again and again."""
     maximum_claims: int = 1_024
--- a/src/merlinstand/gateway/streaming.py
+++ b/src/merlinstand/gateway/streaming.py
@@ -9,11 +9,11 @@
 
 from merlinstand.gateway.claims import RecordedAnswer
 from merlinstand.gateway.concluder import Concluder
-from merlinstand.gateway.dispatcher import Dispatcher
 from merlinstand.gateway.exchange import Exchange
 from merlinstand.gateway.outcome import Outcome
 from merlinstand.gateway.proxying import answers_own_request
 from merlinstand.gateway.responses import CompletionAnswer, completion_answer, stream_start
+from merlinstand.gateway.retries import Retries
 from merlinstand.gateway.settings import RequestSettings
 from merlinstand.gateway.sse import (
     DATA_PREFIX,
@@ -37,8 +37,10 @@
 from merlinstand.routing.router import CallResult
 
 MAXIMUM_ERROR_BODY_BYTES = 65_536
-ENGINE_REASONS = frozenset({"cancelled", "exported", "swapped"})
-"""Finish reasons of an engine that works well but ended early on somebody's order."""
+ANSWER_TOO_LARGE = "answer_too_large"
+BLAMELESS_REASONS = frozenset({"cancelled", "exported", "swapped", ANSWER_TOO_LARGE})
+"""Reasons that say nothing against the engine: it ended early on somebody's order, or wrote
+more than this gateway gathers."""
 
 
 class HeldAnswer:
@@ -56,12 +58,10 @@
 class Streaming:
     """Handles the events of calls that carry generations."""
 
-    def __init__(
-        self, settings: RequestSettings, dispatcher: Dispatcher, concluder: Concluder
-    ) -> None:
+    def __init__(self, settings: RequestSettings, retries: Retries, concluder: Concluder) -> None:
         """Join the parts."""
         self._settings = settings
-        self._dispatcher = dispatcher
+        self._retries = retries
         self._concluder = concluder
 
     # Call events ----------------------------------------------------------------------
@@ -131,9 +131,9 @@
         else:
             failure = self._error_answer(exchange, held, event)
             if failure.answer is not None and held.status not in RETRYABLE_STATUSES:
-                self._dispatcher.no_answer_left(exchange, failure, now, out)
+                self._retries.no_answer_left(exchange, failure, now, out)
                 return
-        self._dispatcher.try_failed(exchange, failure, now, out)
+        self._retries.try_failed(exchange, failure, now, out)
 
     def failed(self, exchange: Exchange, event: CallFailed, now: float, out: list[Effect]) -> None:
         """An engine's answer broke off."""
@@ -144,7 +144,7 @@
             failure = refusal_failure(held.headers, held.body)
         else:
             failure = call_failure(event, exchange, now)
-        self._dispatcher.try_failed(exchange, failure, now, out)
+        self._retries.try_failed(exchange, failure, now, out)
 
     # Events of a stream ---------------------------------------------------------------
 
@@ -192,11 +192,12 @@
 
     def _too_large(self, progress: StreamProgress) -> str:
         if progress.text_bytes > self._settings.maximum_answer_bytes:
-            return "answer_too_large"
+            return ANSWER_TOO_LARGE
         return ""
 
     def _note_progress(self, exchange: Exchange) -> None:
         """Tokens arrived: earlier tries no longer count against this one."""
+        exchange.search_until = 0.0
         if exchange.tries > 1:
             exchange.tries = 1
             exchange.tried.clear()
@@ -282,9 +283,12 @@
 
     def _fail(self, exchange: Exchange, reason: str, now: float, out: list[Effect]) -> None:
         exchange.held_answer = None
-        result = CallResult.ABANDONED if reason in ENGINE_REASONS else CallResult.FAILURE
+        result = CallResult.ABANDONED if reason in BLAMELESS_REASONS else CallResult.FAILURE
         failure = TryFailure(reason=reason, ran=True, result=result)
-        self._dispatcher.try_failed(exchange, failure, now, out)
+        if reason == ANSWER_TOO_LARGE:
+            self._retries.no_answer_left(exchange, failure, now, out)
+            return
+        self._retries.try_failed(exchange, failure, now, out)
 
     def _error_answer(self, exchange: Exchange, held: HeldAnswer, event: CallEnded) -> TryFailure:
         """Judge an engine's whole answer that is not a stream."""
--- /dev/null
+++ b/tests/gateway/test_claims.py
@@ -0,0 +1,314 @@
+"""Requests that are not repeatable run at most once; twins are told the truth."""
+
+import pytest
+
+from merlinstand.control.commands import (
+    ClaimGranted,
+    ClaimRequest,
+    ClaimTaken,
+    Done,
+    RecordOutcome,
+)
+from merlinstand.kernel.events import CallPhase, StopRequested
+from merlinstand.session.notices import CommandUnresolvedError, SessionBusyError
+from tests.gateway.driver import GatewayDriver, engine_pool, service_pool
+
+BOOKING = {"x_repeatable": "false", "idempotency_key": "k-1"}
+
+
+def booking_driver(**changes: object) -> GatewayDriver:
+    return GatewayDriver([service_pool("book-app"), engine_pool()], **changes)
+
+
+def grant(driver: GatewayDriver, index: int) -> None:
+    driver.finish_command(index, ClaimGranted(idempotency_key="book-app/k-1"))
+
+
+def recorded(driver: GatewayDriver) -> list[RecordOutcome]:
+    return [
+        submitted.command
+        for submitted in driver.session.submitted
+        if isinstance(submitted.command, RecordOutcome)
+    ]
+
+
+def test_key_is_needed() -> None:
+    driver = booking_driver()
+    door_id = driver.request("/book-app/book", "POST", x_repeatable="false")
+    assert driver.response(door_id).status == 400
+    assert driver.outcome(door_id) == "not_run"
+    assert not driver.session.submitted
+
+
+def test_pool_and_path_make_a_request_not_repeatable() -> None:
+    pool = service_pool("book-app", not_repeatable_paths=("/book",))
+    driver = GatewayDriver([pool])
+    driver.request("/book-app/book/7", "POST", idempotency_key="k")
+    assert not driver.calls
+    driver.request("/book-app/book/7", "GET")
+    assert len(driver.calls) == 1
+
+
+def test_claim_comes_before_the_call() -> None:
+    driver = booking_driver()
+    door_id = driver.request("/book-app/book", "POST", b"{}", **BOOKING)
+    claim = driver.session.submitted[0].command
+    assert isinstance(claim, ClaimRequest)
+    assert claim.idempotency_key == "book-app/k-1"
+    assert not driver.calls
+    grant(driver, 0)
+    call = driver.only_call()
+    assert call.fresh_connection
+    assert call.headers["idempotency-key"] == "k-1"
+    driver.respond(call, 201, b"slot 9", content_type="text/plain")
+    assert driver.outcome(door_id) == "answer"
+    record = recorded(driver)[0]
+    assert (record.outcome, record.status, record.body) == ("answer", 201, b"slot 9")
+    assert record.content_type == "text/plain"
+    assert record.owner_incarnation == claim.owner_incarnation
+
+
+def test_each_claim_has_its_own_number() -> None:
+    driver = booking_driver()
+    driver.request("/book-app/book", "POST", **BOOKING)
+    driver.request("/book-app/book", "POST", x_repeatable="false", idempotency_key="k-2")
+    first, second = (submitted.command for submitted in driver.session.submitted)
+    assert first.owner_incarnation != second.owner_incarnation
+
+
+@pytest.mark.parametrize("phase", [CallPhase.SENT, CallPhase.BODY])
+def test_no_second_call_once_a_byte_may_have_left(phase: CallPhase) -> None:
+    driver = booking_driver()
+    door_id = driver.request("/book-app/book", "POST", **BOOKING)
+    grant(driver, 0)
+    driver.fail(driver.only_call(), phase)
+    assert not driver.calls
+    assert driver.outcome(door_id) == "unknown"
+    assert recorded(driver)[0].outcome == "unknown"
+
+
+def test_unreachable_replica_is_followed_by_another_under_the_same_claim() -> None:
+    driver = booking_driver()
+    door_id = driver.request("/book-app/book", "POST", **BOOKING)
+    grant(driver, 0)
+    driver.fail(driver.only_call(), CallPhase.CONNECT, "refused")
+    call = driver.only_call()
+    assert call.fresh_connection
+    driver.respond(call)
+    assert driver.outcome(door_id) == "answer"
+    assert len(driver.session.submitted) == 2
+
+
+def test_proved_refusal_frees_the_key_and_is_not_sent_again() -> None:
+    driver = booking_driver()
+    door_id = driver.request("/book-app/book", "POST", **BOOKING)
+    grant(driver, 0)
+    driver.refuse(driver.only_call())
+    assert not driver.calls
+    assert driver.outcome(door_id) == "not_run"
+    assert recorded(driver)[0].outcome == "not_run"
+
+
+def test_claim_granted_after_the_deadline_is_freed_and_never_dispatched() -> None:
+    driver = booking_driver()
+    door_id = driver.request("/book-app/book", "POST", x_deadline_seconds="1", **BOOKING)
+    driver.advance(1.01)
+    assert driver.outcome(door_id) == "not_run"
+    assert "retry-after" in driver.response(door_id).headers
+    grant(driver, 0)
+    assert not driver.calls
+    assert recorded(driver)[0].outcome == "not_run"
+    assert recorded(driver)[0].owner_incarnation == (
+        driver.session.submitted[0].command.owner_incarnation
+    )
+
+
+def test_claim_granted_in_the_very_moment_of_the_deadline_is_not_dispatched() -> None:
+    driver = booking_driver()
+    door_id = driver.request("/book-app/book", "POST", x_deadline_seconds="1", **BOOKING)
+    # The process was frozen: the grant is read before the overdue timer.
+    driver.now += 5.0
+    grant(driver, 0)
+    assert not driver.calls
+    assert driver.outcome(door_id) == "not_run"
+    assert recorded(driver)[0].outcome == "not_run"
+
+
+def test_claim_granted_after_the_caller_left_is_freed() -> None:
+    driver = booking_driver()
+    door_id = driver.request("/book-app/book", "POST", **BOOKING)
+    driver.abort(door_id)
+    grant(driver, 0)
+    assert not driver.calls
+    assert recorded(driver)[0].outcome == "not_run"
+
+
+def test_claim_granted_without_configuration_lease_is_freed() -> None:
+    driver = booking_driver()
+    door_id = driver.request("/book-app/book", "POST", **BOOKING)
+    driver.session.lease_held = False
+    grant(driver, 0)
+    assert not driver.calls
+    assert driver.outcome(door_id) == "not_run"
+    assert recorded(driver)[0].outcome == "not_run"
+
+
+def test_claim_granted_when_the_chosen_server_left_goes_to_another() -> None:
+    driver = GatewayDriver([service_pool("book-app", count=2)])
+    driver.request("/book-app/book", "POST", **BOOKING)
+    # Each request holds a place at the server chosen before the claim.
+    held = next(
+        lane.router.replicas
+        for lane in driver.gateway._lanes  # the place is visible nowhere else
+    )
+    chosen = next(name for name, replica in held.items() if replica.in_flight)
+    held[chosen].signals.drained = True
+    grant(driver, 0)
+    assert driver.backend_at(driver.only_call().address) != chosen
+
+
+@pytest.mark.parametrize(
+    "error", [CommandUnresolvedError(detail="?"), SessionBusyError(detail="full")]
+)
+def test_claim_without_answer_of_control_is_never_dispatched(error: object) -> None:
+    driver = booking_driver()
+    door_id = driver.request("/book-app/book", "POST", **BOOKING)
+    driver.finish_command(0, error=error)
+    assert not driver.calls
+    assert driver.outcome(door_id) == "not_run"
+
+
+def test_twin_is_told_the_recorded_answer() -> None:
+    driver = booking_driver()
+    door_id = driver.request("/book-app/book", "POST", **BOOKING)
+    taken = ClaimTaken(
+        idempotency_key="book-app/k-1",
+        recorded="answer",
+        status=201,
+        body=b"slot 9",
+        content_type="text/plain",
+    )
+    driver.finish_command(0, taken)
+    response = driver.response(door_id)
+    assert not driver.calls
+    assert (response.status, response.body) == (201, b"slot 9")
+    assert response.headers["x-outcome"] == "answer"
+    assert response.headers["x-replayed"] == "true"
+    assert response.headers["content-type"] == "text/plain"
+
+
+@pytest.mark.parametrize(
+    ("state", "status", "outcome"),
+    [
+        ("pending", 409, "unknown"),
+        ("unknown", 504, "unknown"),
+        ("different_request", 422, "not_run"),
+    ],
+)
+def test_twin_without_recorded_answer(state: str, status: int, outcome: str) -> None:
+    driver = booking_driver()
+    door_id = driver.request("/book-app/book", "POST", **BOOKING)
+    driver.finish_command(0, ClaimTaken(idempotency_key="book-app/k-1", recorded=state))
+    assert not driver.calls
+    assert driver.response(door_id).status == status
+    assert driver.outcome(door_id) == outcome
+    assert not recorded(driver)
+
+
+def test_twin_at_the_same_gateway_is_told_pending_without_asking_control() -> None:
+    driver = booking_driver()
+    driver.request("/book-app/book", "POST", **BOOKING)
+    twin = driver.request("/book-app/book", "POST", **BOOKING)
+    assert driver.code(twin) == "claim_pending"
+    assert driver.outcome(twin) == "unknown"
+    assert "retry-after" in driver.response(twin).headers
+    assert len(driver.session.submitted) == 1
+
+
+def test_twin_is_pending_until_control_confirmed_the_record() -> None:
+    driver = booking_driver()
+    driver.request("/book-app/book", "POST", **BOOKING)
+    grant(driver, 0)
+    driver.respond(driver.only_call())
+    twin = driver.request("/book-app/book", "POST", **BOOKING)
+    assert driver.code(twin) == "claim_pending"
+    driver.finish_command(1, Done(revision=9))
+    driver.request("/book-app/book", "POST", **BOOKING)
+    assert isinstance(driver.session.submitted[2].command, ClaimRequest)
+
+
+def test_other_request_under_a_key_under_way_is_refused() -> None:
+    driver = booking_driver()
+    driver.request("/book-app/book", "POST", b"a", **BOOKING)
+    other = driver.request("/book-app/book", "POST", b"b", **BOOKING)
+    assert driver.code(other) == "idempotency_key_reused"
+
+
+def test_outcome_is_learnt_and_recorded_after_the_callers_deadline() -> None:
+    driver = booking_driver()
+    door_id = driver.request("/book-app/book", "POST", x_deadline_seconds="1", **BOOKING)
+    grant(driver, 0)
+    call = driver.only_call()
+    driver.advance(1.01)
+    assert driver.outcome(door_id) == "unknown"
+    assert not driver.cancelled
+    assert call.timeout_seconds > 1.0
+    driver.respond(call, 201, b"slot 9")
+    assert recorded(driver)[0].outcome == "answer"
+    assert driver.gateway.in_flight == 0
+
+
+def test_lingering_ends() -> None:
+    driver = booking_driver()
+    driver.request("/book-app/book", "POST", x_deadline_seconds="1", **BOOKING)
+    grant(driver, 0)
+    driver.advance(30.0)
+    assert recorded(driver)[0].outcome == "unknown"
+    assert driver.gateway.in_flight == 0
+
+
+def test_departed_caller_does_not_stop_its_booking() -> None:
+    driver = booking_driver()
+    door_id = driver.request("/book-app/book", "POST", **BOOKING)
+    grant(driver, 0)
+    driver.abort(door_id)
+    assert not driver.cancelled
+    driver.respond(driver.only_call(), 201, b"slot 9")
+    assert recorded(driver)[0].outcome == "answer"
+    assert not driver.is_answered(door_id)
+
+
+def test_answer_too_large_to_record_is_unknown_for_twins_not_cut() -> None:
+    driver = booking_driver()
+    door_id = driver.request("/book-app/book", "POST", **BOOKING)
+    grant(driver, 0)
+    driver.respond(driver.only_call(), 200, b"x" * 100_000)
+    assert driver.outcome(door_id) == "answer"
+    assert (recorded(driver)[0].outcome, recorded(driver)[0].body) == ("unknown", b"")
+
+
+def test_generation_that_is_not_repeatable_is_claimed_and_not_resumed() -> None:
+    driver = booking_driver()
+    door_id = driver.complete(**BOOKING)
+    assert not driver.calls
+    grant(driver, 0)
+    call = driver.only_call()
+    driver.open_stream(call)
+    driver.tokens(call, 0, 2)
+    driver.fail(call, CallPhase.BODY)
+    assert not driver.calls
+    assert driver.streamed(door_id)[1] is False
+    assert recorded(driver)[0].outcome == "unknown"
+
+
+def test_planned_stop_waits_for_the_record_but_not_for_ever() -> None:
+    driver = booking_driver()
+    driver.request("/book-app/book", "POST", **BOOKING)
+    grant(driver, 0)
+    driver.send(StopRequested())
+    driver.respond(driver.only_call())
+    assert not driver.has_stopped()
+    driver.advance(5.0)
+    assert not driver.has_stopped()
+    driver.advance(6.0)
+    assert driver.has_stopped()
