--- a/src/merlinstand_lab/fleet/launcher.py
+++ b/src/merlinstand_lab/fleet/launcher.py
@@ -91,7 +91,11 @@
         operator = OperatorClient(
             "operator", self._plan.controls, token, records, _OPERATOR_PATIENCE_SECONDS
         )
-        failure = self._start_system(fleet) or self._configure(operator)
+        failure = (
+            self._start_system(fleet)
+            or self._configure(operator)
+            or self._wait_ready(fleet, "gateway", "coordinator")
+        )
         if failure is None:
             fleet.start_roles("trainer", "callers")
             incidents = Incidents(self._plan, fleet, operator, self._say)
@@ -104,10 +108,12 @@
         own = ("control", "gateway", "coordinator")
         self._say(f"starting {len(self._plan.specs)} processes")
         fleet.start_roles(*platform, *own)
-        missing = fleet.wait_ready(fleet.of_roles("control"), self._plan.lab.run.start_seconds)
-        if missing:
-            return self._not_ready(fleet, missing)
-        return None
+        return self._wait_ready(fleet, "control")
+
+    def _wait_ready(self, fleet: Fleet, *roles: str) -> RunFailedError | None:
+        """Wait for every process of some roles."""
+        missing = fleet.wait_ready(fleet.of_roles(*roles), self._plan.lab.run.start_seconds)
+        return self._not_ready(fleet, missing) if missing else None
 
     def _not_ready(self, fleet: Fleet, names: list[str]) -> RunFailedError:
         """Name processes that did not come up, with the ends of their logs."""
