--- a/src/merlinstand/runtime/host.py
+++ b/src/merlinstand/runtime/host.py
@@ -19,7 +19,7 @@
 from merlinstand.kernel.reducer import Reducer
 from merlinstand.runtime import tls
 from merlinstand.runtime.addresses import parse_address
-from merlinstand.runtime.disk import Disk, NoDisk
+from merlinstand.runtime.disk import Disk, NoDisk, StoreDisk
 from merlinstand.runtime.errors import HostSetupError
 from merlinstand.runtime.host_settings import HostSettings
 from merlinstand.runtime.http_client import HttpClient
@@ -33,14 +33,19 @@
 from merlinstand.runtime.record_writer import RecordWriter
 from merlinstand.runtime.timers import Timers
 from merlinstand.runtime.transport import Transport
+from merlinstand.storage.errors import StorageError
+from merlinstand.storage.store import DurableStore
 
 EXIT_SETUP_FAILED = 3
 EXIT_REDUCER_FAILED = 70
+EXIT_DISK_FAILED = 74
 EXIT_FORCED = 130
 FLUSH_SECONDS = 5.0
 """Longest time at the end for responses and messages to leave."""
 CONNECTION_SWEEP_SECONDS = 10.0
 _SEED_BITS = 63
+_FAULTS = frozenset((EXIT_REDUCER_FAILED, EXIT_DISK_FAILED))
+"""Exit codes after which nothing of the process can be trusted enough to finish."""
 _STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
 
@@ -87,7 +92,8 @@
         self._timers = Timers(lambda name: self.submit(TimerFired(name)))
         self._disk: Disk = NoDisk(self.submit)
         self._door = HttpDoor(self.submit, self.metrics, settings.http_limits)
-        self._pool = ConnectionPool(client_tls)
+        outbound_tls = client_tls if settings.tls and settings.tls.calls else None
+        self._pool = ConnectionPool(outbound_tls)
         self._client = HttpClient(self.submit, self._pool)
         self._records = RecordWriter(settings.record_folder) if settings.record_folder else None
         self._performer: EffectPerformer | None = None
@@ -107,6 +113,8 @@
             HostSetupFailedError: An address or folder can't be taken.
         """
         settings = self._settings
+        # Until the reducer has started, events only queue up.
+        self._reducing = True
         started = self._recover()
         self._performer = EffectPerformer(
             timers=self._timers,
@@ -127,12 +135,10 @@
             {"http": self.http_address, "internal": self.transport.address},
         )
         self._sweeper = gevent.spawn(self._sweep)
-        self._reducing = True
         try:
             self._perform(self._reducer.start(started, time.monotonic()))
         except Exception:
             self._fail("host.reducer_failed", {"on": "Started"})
-        self._reducing = False
         self._drain_events()
 
     def submit(self, event: Event) -> None:
@@ -169,6 +175,7 @@
             while self._door.open_count:
                 gevent.sleep(0.005)
         self.transport.flush(FLUSH_SECONDS)
+        self._disk.flush(FLUSH_SECONDS)
         self._close()
 
     def abort(self) -> None:
@@ -189,12 +196,34 @@
             self._sweeper.kill(block=False)
 
     def _recover(self) -> Started:
-        seed = self._settings.seed
-        return Started(
-            node_id=NodeId(self._settings.node_id),
-            incarnation=secrets.randbits(_SEED_BITS),
-            seed=secrets.randbits(_SEED_BITS) if seed is None else seed,
+        """Open the data folder, if there is one, and tell what survived in it."""
+        settings = self._settings
+        seed = secrets.randbits(_SEED_BITS) if settings.seed is None else settings.seed
+        node_id = NodeId(settings.node_id)
+        if not settings.data_folder:
+            return Started(node_id, incarnation=secrets.randbits(_SEED_BITS), seed=seed)
+        opened = DurableStore.open(settings.data_folder)
+        if isinstance(opened, Err):
+            error = opened.err_value
+            detail = f"{type(error).code}: {error.path}: {error.detail}"
+            raise HostSetupFailedError(HostSetupError(detail=detail))
+        recovered = opened.ok_value.recovered
+        self._disk = StoreDisk(opened.ok_value, self.submit, self._on_disk_failure)
+        self.log.write(
+            "host.recovered",
+            {
+                "incarnation": recovered.incarnation,
+                "snapshot_bytes": len(recovered.snapshot or b""),
+                "records": len(recovered.records),
+                "torn_bytes": recovered.torn_bytes,
+            },
         )
+        return Started(node_id, recovered.incarnation, seed, recovered.snapshot, recovered.records)
+
+    def _on_disk_failure(self, error: StorageError) -> None:
+        """Stop the process: nobody knows what is on the disk any more."""
+        self.log.write("host.disk_failed", {"path": error.path, "detail": error.detail}, "error")
+        self.request_exit(EXIT_DISK_FAILED)
 
     def _listen(self, incarnation: int) -> None:
         settings = self._settings
@@ -285,7 +314,10 @@
         log.write("host.setup_failed", {"detail": failure.error.detail}, "error")
         return EXIT_SETUP_FAILED
     exit_code = host.wait()
-    host.stop()
+    if exit_code in _FAULTS:
+        host.abort()
+    else:
+        host.stop()
     for watcher in watchers:
         watcher.stop()
     log.write("host.stopped", {"exit_code": exit_code})
--- a/src/merlinstand/runtime/host_settings.py
+++ b/src/merlinstand/runtime/host_settings.py
@@ -12,6 +12,8 @@
     private_key: str
     authority: str
     """Certificates that sign the peers of this deployment."""
+    calls: bool = False
+    """Speak TLS also to back ends and other outside systems."""
 
 
 class HttpLimits(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
