--- a/src/merlinstand_lab/checkers/liveness.py
+++ b/src/merlinstand_lab/checkers/liveness.py
@@ -29,7 +29,11 @@
         for record in records.callers
         if record.outcome is CallerOutcome.ANSWER and not record.repeatable
     }
+    answered = _answered_keys(records.callers)
     for record in records.callers:
+        if record.idempotency_key in answered:
+            # A twin in flight may hear "unknown", as long as its key has an answer.
+            continue
         if record.sent_at < calm_since or _at_stopped_gateway(record, records.stops):
             continue
         # A twin sent while its booking is in flight is told `unknown`: the key is answered.
@@ -43,6 +47,15 @@
     return _result(checked, violations)
 
 
+def _answered_keys(callers: list[CallerRecord]) -> set[str]:
+    """Idempotency keys that got an answer."""
+    return {
+        record.idempotency_key
+        for record in callers
+        if record.idempotency_key and record.outcome is CallerOutcome.ANSWER
+    }
+
+
 def _result(checked: int, violations: list[Violation]) -> PromiseResult:
     """Build the result."""
     return PromiseResult(
