--- a/src/merlinstand/routing/settings.py
+++ b/src/merlinstand/routing/settings.py
@@ -44,8 +44,11 @@
     """Utilisation by which a local replica must exceed a remote one to send work away."""
     bounded_load_factor: float = 1.25
     """Affinity may load a replica up to this multiple of the mean."""
-    panic_share: float = 0.5
-    """Share of usable replicas below which breakers are ignored."""
+    panic_share: float = 0.2
+    """Breakers are ignored when they would leave no more than this share of the replicas.
+
+    Small enough that the last healthy one of three or four replicas still gets all the work:
+    two thirds of it sent to dead replicas would fail, where one live replica can serve."""
     back_off_default_seconds: float = 0.5
     """Pause after a refusal that did not say when to come back."""
     back_off_maximum_seconds: float = 10.0
--- a/src/merlinstand/routing/subset.py
+++ b/src/merlinstand/routing/subset.py
@@ -5,15 +5,12 @@
 replica is left without senders, which independent random subsets cannot promise.
 """
 
-import math
 from collections.abc import Sequence
 
 import xxhash
 
 from merlinstand.configuration.objects import Backend
 
-_RING = float(2**64)
-
 
 def subset(
     backends: Sequence[Backend], owner: str, peers: Sequence[str], size: int
@@ -35,14 +32,18 @@
     ring = sorted(
         backends, key=lambda backend: xxhash.xxh3_64_intdigest(backend.backend_id.encode())
     )
-    position, arc = _place(owner, sorted(set(peers)))
-    first = int(position * len(ring))
-    count = min(len(ring), max(size, math.ceil(arc * len(ring))))
+    first, end = _arc(owner, sorted(set(peers)), len(ring))
+    count = min(len(ring), max(size, end - first))
     return tuple(ring[(first + offset) % len(ring)] for offset in range(count))
 
 
-def _place(owner: str, peers: list[str]) -> tuple[float, float]:
-    """Return a daemon's position on the ring and the length of its arc, both in 0..1."""
+def _arc(owner: str, peers: list[str], ring_length: int) -> tuple[int, int]:
+    """Return where a daemon's arc begins and ends.
+
+    Whole numbers throughout: with fractions, rounding would leave gaps between arcs.
+    """
     if owner in peers:
-        return peers.index(owner) / len(peers), 1.0 / len(peers)
-    return xxhash.xxh3_64_intdigest(owner.encode()) / _RING, 1.0 / (len(peers) + 1)
+        index = peers.index(owner)
+        return index * ring_length // len(peers), (index + 1) * ring_length // len(peers)
+    first = xxhash.xxh3_64_intdigest(owner.encode()) % ring_length
+    return first, first + ring_length // (len(peers) + 1)
--- /dev/null
+++ b/tests/gateway/test_admission.py
@@ -0,0 +1,186 @@
+"""Limits, fairness, early refusal."""
+
+from merlinstand.configuration.objects import Limits
+from merlinstand.gateway.settings import AdmissionSettings
+from merlinstand.kernel.events import CallPhase
+from tests.gateway.driver import GatewayDriver, engine_pool, service_pool
+
+
+def narrow_pool() -> object:
+    """A pool with one place."""
+    return service_pool(count=1, maximum_concurrency=1)
+
+
+def test_rate_limited_caller_is_told_when_to_come_back_and_others_are_served() -> None:
+    limits = [Limits(caller="flood", requests_per_second=2.0)]
+    driver = GatewayDriver([service_pool()], limits=limits)
+    doors = [driver.request("/shop-api/a", x_caller="flood") for _ in range(3)]
+    assert driver.response(doors[2]).status == 429
+    assert driver.outcome(doors[2]) == "not_run"
+    assert driver.response(doors[2]).headers["retry-after"] == "1"
+    driver.request("/shop-api/a", x_caller="other")
+    assert len(driver.calls) == 3
+    driver.advance(0.6)
+    driver.request("/shop-api/a", x_caller="flood")
+    assert len(driver.calls) == 4
+
+
+def test_limit_counts_tokens_and_gives_unused_ones_back() -> None:
+    limits = [Limits(caller="c", tokens_per_second=100.0)]
+    driver = GatewayDriver([engine_pool()], limits=limits)
+    driver.complete(max_tokens=5_000, x_caller="c", x_request_id="r")
+    refused = driver.complete(max_tokens=1, x_caller="c")
+    assert driver.code(refused) == "rate_limited"
+    call = driver.only_call()
+    driver.open_stream(call)
+    driver.tokens(call, 0, 3)
+    driver.finish_stream(call, [(1, 0, 3)])
+    driver.complete(max_tokens=1, x_caller="c")
+    assert len(driver.calls) == 1
+
+
+def test_limits_follow_the_configuration() -> None:
+    driver = GatewayDriver([service_pool()], limits=[Limits(caller="c", requests_per_second=1.0)])
+    driver.request("/shop-api/a", x_caller="c")
+    driver.configure([service_pool()], limits=[Limits(caller="c", requests_per_second=100.0)])
+    driver.advance(0.05)
+    driver.request("/shop-api/a", x_caller="c")
+    assert len(driver.calls) == 2
+
+
+def test_generations_leave_a_floor_for_lookups() -> None:
+    admission = AdmissionSettings(maximum_requests=10, lookup_floor=0.4)
+    driver = GatewayDriver([engine_pool(), service_pool()], admission=admission)
+    doors = [driver.complete(x_caller=f"c{number}") for number in range(8)]
+    refused = [door for door in doors if driver.is_answered(door)]
+    assert len(refused) == 2
+    assert driver.code(refused[0]) == "overloaded"
+    lookups = [driver.request("/shop-api/a", x_caller="shopper") for _ in range(4)]
+    assert not any(driver.is_answered(door) for door in lookups)
+
+
+def test_whole_gateway_is_bounded() -> None:
+    driver = GatewayDriver([service_pool()], admission=AdmissionSettings(maximum_requests=5))
+    doors = [driver.request("/shop-api/a") for _ in range(6)]
+    assert driver.outcome(doors[5]) == "not_run"
+    assert driver.gateway.in_flight == 5
+
+
+def test_waiting_request_goes_when_a_place_is_free() -> None:
+    driver = GatewayDriver([narrow_pool()])
+    driver.request("/shop-api/a")
+    waiting = driver.request("/shop-api/b")
+    first = driver.only_call()
+    driver.respond(first)
+    assert driver.only_call().path == "/b"
+    driver.respond(driver.only_call())
+    assert driver.outcome(waiting) == "answer"
+
+
+def test_flood_of_one_caller_does_not_delay_another() -> None:
+    driver = GatewayDriver([narrow_pool()])
+    for number in range(50):
+        driver.request(f"/shop-api/flood{number}", x_caller="flood")
+    driver.request("/shop-api/other", x_caller="other")
+    driver.respond(driver.only_call())
+    driver.respond(driver.only_call())
+    served_third = driver.only_call().path
+    driver.respond(driver.only_call())
+    assert "/other" in (served_third, driver.only_call().path)
+
+
+def test_full_queue_drops_from_the_caller_with_most_waiting() -> None:
+    admission = AdmissionSettings(maximum_queued_per_pool=10, maximum_queued_per_caller=10)
+    driver = GatewayDriver([narrow_pool()], admission=admission)
+    floods = [driver.request("/shop-api/f", x_caller="flood") for _ in range(12)]
+    assert driver.code(floods[11]) == "overloaded"
+    assert not driver.is_answered(floods[10])
+    other = driver.request("/shop-api/o", x_caller="other")
+    assert not driver.is_answered(other)
+    assert driver.outcome(floods[10]) == "not_run"
+
+
+def test_queued_request_is_refused_at_once_when_it_has_waited_enough() -> None:
+    admission = AdmissionSettings(maximum_lookup_wait_seconds=0.5)
+    driver = GatewayDriver([narrow_pool()], admission=admission)
+    driver.request("/shop-api/a", x_deadline_seconds="60")
+    waiting = driver.request("/shop-api/b", x_deadline_seconds="60")
+    driver.advance(0.49)
+    assert not driver.is_answered(waiting)
+    driver.advance(0.02)
+    assert driver.outcome(waiting) == "not_run"
+    assert "retry-after" in driver.response(waiting).headers
+
+
+def test_request_that_cannot_be_served_in_time_is_refused_at_once() -> None:
+    driver = GatewayDriver([narrow_pool()])
+    for _ in range(10):
+        driver.request("/shop-api/a")
+        driver.advance(0.1)
+        driver.respond(driver.only_call())
+    # About ten a second are served: a backlog of fifteen takes longer than the bound.
+    for _ in range(15):
+        driver.request("/shop-api/a", x_caller="one")
+    refused = driver.request("/shop-api/a", x_caller="one")
+    assert driver.code(refused) == "overloaded"
+    assert driver.outcome(refused) == "not_run"
+    other = driver.request("/shop-api/a", x_caller="two")
+    assert not driver.is_answered(other)
+
+
+def test_paused_replicas_take_work_again_when_they_said() -> None:
+    driver = GatewayDriver([service_pool(count=1)])
+    first = driver.request("/shop-api/a")
+    driver.refuse(driver.only_call(), retry_after="0.4")
+    assert driver.outcome(first) == "not_run"
+    waiting = driver.request("/shop-api/b")
+    assert not driver.calls
+    assert not driver.is_answered(waiting)
+    driver.advance(0.5)
+    assert driver.only_call().path == "/b"
+
+
+def test_no_usable_replica_is_refused_at_once() -> None:
+    driver = GatewayDriver([service_pool(count=2)])
+    leaving = {"state": "leaving"}
+    driver.advance(1.0, watch=True)
+    driver.answer_statuses(shop_api_0=leaving, shop_api_1=leaving)
+    door_id = driver.request("/shop-api/a")
+    assert driver.code(door_id) == "no_backend"
+    assert driver.outcome(door_id) == "not_run"
+
+
+def test_callers_beyond_the_table_share_one_limit() -> None:
+    admission = AdmissionSettings(maximum_callers=4)
+    driver = GatewayDriver([service_pool(maximum_concurrency=10_000)], admission=admission)
+    doors = [driver.request("/shop-api/a", x_caller=f"name{number}") for number in range(400)]
+    refused = sum(driver.is_answered(door) for door in doors)
+    # Inventing names gives the four named ones and one shared limit of 200, no more.
+    assert refused == 400 - 4 - 200
+    assert len(driver.gateway._admission.rate_limits) == 5
+
+
+def test_everything_is_given_back() -> None:
+    driver = GatewayDriver([service_pool(), engine_pool()])
+    for number in range(30):
+        door_id = driver.request("/shop-api/a") if number % 2 else driver.complete()
+        call = next(iter(driver.calls.values()))
+        match number % 5:
+            case 0:
+                driver.abort(door_id)
+            case 1:
+                driver.fail(call, CallPhase.SENT)
+            case 2:
+                driver.advance(700.0)
+            case 3:
+                driver.respond(call)
+            case 4:
+                driver.fail(call, CallPhase.CONNECT)
+        driver.advance(700.0)
+        driver.calls.clear()
+    assert driver.gateway.in_flight == 0
+    assert driver.gateway._admission.inside == 0
+    assert len(driver.gateway._agenda) == 0
+    for lane in driver.gateway._lanes:
+        assert len(lane.queue) == 0
+        assert all(replica.in_flight == 0 for replica in lane.router.replicas.values())
--- /dev/null
+++ b/tests/gateway/test_lifecycle.py
@@ -0,0 +1,227 @@
+"""Configuration lease, planned stop, leaving back ends."""
+
+import msgspec
+import pytest
+
+from merlinstand.configuration.objects import Drain
+from merlinstand.kernel.events import CallResponded, StopRequested
+from tests.gateway.driver import GatewayDriver, engine_pool, service_pool
+
+
+def addresses_used(driver: GatewayDriver, count: int = 40) -> set[str]:
+    """Ids of the servers that get requests now."""
+    used = set()
+    for _ in range(count):
+        door_id = driver.request("/shop-api/a", x_caller="probe")
+        if driver.is_answered(door_id):
+            continue
+        call = driver.only_call()
+        used.add(driver.backend_at(call.address))
+        driver.respond(call)
+        driver.advance(0.01)
+    return used
+
+
+def machines(driver: GatewayDriver, as_of: float, **states: str) -> None:
+    """Answer the request for the platform's list."""
+    pool = driver.session.view.pools["shop-api"]
+    by_id = {backend.backend_id.replace("-", "_"): backend.address for backend in pool.backends}
+    listed = [{"address": by_id[name], "state": state} for name, state in states.items()]
+    driver.advance(1.0, watch=True)
+    call_id = next(
+        call_id for call_id, call in driver.status_calls.items() if call.path == "/v1/machines"
+    )
+    del driver.status_calls[call_id]
+    body = msgspec.json.encode({"machines": listed, "as_of": as_of})
+    driver.send(CallResponded(call_id, 200, {}, body))
+    driver.answer_statuses()
+
+
+# Configuration lease -------------------------------------------------------------------
+
+
+def test_without_configuration_lease_everything_is_refused_at_once() -> None:
+    driver = GatewayDriver([service_pool()])
+    driver.session.lease_held = False
+    door_id = driver.request("/shop-api/a")
+    assert driver.code(door_id) == "configuration_stale"
+    assert driver.outcome(door_id) == "not_run"
+    assert driver.response(door_id).headers["retry-after"] == "2"
+    assert driver.response(driver.request("/readyz")).status == 503
+    assert driver.response(driver.request("/livez")).status == 200
+
+
+def test_queued_request_is_not_dispatched_without_lease() -> None:
+    driver = GatewayDriver([service_pool(count=1, maximum_concurrency=1)])
+    driver.request("/shop-api/a")
+    waiting = driver.request("/shop-api/b")
+    driver.session.lease_held = False
+    driver.respond(driver.only_call())
+    assert not driver.calls
+    assert driver.code(waiting) == "configuration_stale"
+
+
+def test_retry_is_not_dispatched_without_lease() -> None:
+    driver = GatewayDriver([service_pool()])
+    door_id = driver.request("/shop-api/a")
+    driver.session.lease_held = False
+    driver.refuse(driver.only_call())
+    assert not driver.calls
+    assert driver.outcome(door_id) == "not_run"
+
+
+# Planned stop --------------------------------------------------------------------------
+
+
+def test_planned_stop_finishes_what_is_in_flight() -> None:
+    driver = GatewayDriver([service_pool(count=1, maximum_concurrency=1), engine_pool()])
+    lookup = driver.request("/shop-api/a")
+    waiting = driver.request("/shop-api/b")
+    lookup_call = driver.only_call()
+    stream = driver.complete(x_request_id="r")
+    engine_call = next(call for call in driver.calls.values() if call is not lookup_call)
+    driver.send(StopRequested())
+    refused = driver.request("/shop-api/a")
+    assert driver.code(refused) == "stopping"
+    assert driver.outcome(refused) == "not_run"
+    assert "retry-after" in driver.response(refused).headers
+    assert driver.response(driver.request("/readyz")).status == 503
+    driver.respond(lookup_call)
+    driver.open_stream(engine_call)
+    driver.tokens(engine_call, 0, 1)
+    assert not driver.has_stopped()
+    driver.respond(next(call for call in driver.calls.values() if call is not engine_call))
+    assert not driver.has_stopped()
+    driver.finish_stream(engine_call, [(1, 0, 1)])
+    assert driver.has_stopped()
+    assert driver.session.stopped
+    assert driver.outcome(lookup) == driver.outcome(waiting) == "answer"
+    assert driver.streamed(stream)[1] is True
+
+
+def test_idle_gateway_stops_at_once() -> None:
+    driver = GatewayDriver([service_pool()])
+    driver.send(StopRequested())
+    assert driver.has_stopped()
+
+
+# Leaving -------------------------------------------------------------------------------
+
+
+def test_operators_drain_ends_new_work_at_once_and_comes_back_with_its_deletion() -> None:
+    driver = GatewayDriver([service_pool()])
+    driver.configure([service_pool()], drains=[Drain(backend_id="shop-api-0")])
+    assert addresses_used(driver) == {"shop-api-1", "shop-api-2"}
+    driver.configure([service_pool()])
+    driver.answer_statuses()
+    assert "shop-api-0" in addresses_used(driver)
+
+
+def test_back_ends_own_status_ends_new_work() -> None:
+    driver = GatewayDriver([service_pool()])
+    driver.advance(1.0, watch=True)
+    driver.answer_statuses(shop_api_0={"state": "leaving"})
+    assert "shop-api-0" not in addresses_used(driver)
+    driver.advance(1.0, watch=True)
+    driver.answer_statuses()
+    assert "shop-api-0" in addresses_used(driver)
+
+
+def test_refusal_as_leaving_ends_new_work_until_newer_evidence() -> None:
+    driver = GatewayDriver([service_pool(count=2)])
+    driver.request("/shop-api/a")
+    call = driver.only_call()
+    leaver = driver.backend_at(call.address)
+    driver.refuse(call, b'{"code":"leaving"}', retry_after="0")
+    driver.respond(driver.only_call())
+    driver.advance(1.0, watch=True)
+    # This status may still describe a moment before the refusal.
+    driver.answer_statuses()
+    assert leaver not in addresses_used(driver)
+    driver.advance(4.0, watch=True)
+    driver.answer_statuses()
+    driver.advance(1.0, watch=True)
+    driver.answer_statuses()
+    assert leaver in addresses_used(driver)
+
+
+def test_platforms_list_ends_new_work_and_only_a_newer_list_takes_it_back() -> None:
+    driver = GatewayDriver([service_pool()], machine_list_address="10.7.0.1:80")
+    machines(driver, 50.0, shop_api_0="leaving", shop_api_1="live", shop_api_2="live")
+    assert "shop-api-0" not in addresses_used(driver)
+    machines(driver, 40.0, shop_api_0="live", shop_api_1="live", shop_api_2="live")
+    assert "shop-api-0" not in addresses_used(driver)
+    machines(driver, 60.0, shop_api_0="live", shop_api_1="live", shop_api_2="live")
+    assert "shop-api-0" in addresses_used(driver)
+
+
+def test_machine_that_vanished_from_the_list_gets_nothing() -> None:
+    driver = GatewayDriver([service_pool()], machine_list_address="10.7.0.1:80")
+    machines(driver, 50.0, shop_api_0="live", shop_api_1="live")
+    machines(driver, 60.0, shop_api_1="live")
+    assert addresses_used(driver) == {"shop-api-1", "shop-api-2"}
+
+
+def test_list_that_says_live_cannot_undo_the_back_ends_own_word() -> None:
+    driver = GatewayDriver([service_pool()], machine_list_address="10.7.0.1:80")
+    driver.advance(1.0, watch=True)
+    driver.answer_statuses(shop_api_0={"state": "leaving", "reported_at": 1e9})
+    machines(driver, 60.0, shop_api_0="live", shop_api_1="live", shop_api_2="live")
+    assert "shop-api-0" not in addresses_used(driver)
+
+
+def test_engine_whose_swap_failed_gets_nothing_until_it_is_ready() -> None:
+    driver = GatewayDriver([engine_pool(count=1)])
+    driver.advance(1.0, watch=True)
+    driver.answer_statuses(engine_0={"state": "failed"})
+    assert driver.outcome(driver.complete()) == "not_run"
+    driver.advance(1.0, watch=True)
+    driver.answer_statuses()
+    driver.complete()
+    assert len(driver.calls) == 1
+
+
+def test_silent_replica_is_left_alone_but_never_the_whole_pool() -> None:
+    driver = GatewayDriver([service_pool(count=2)])
+    silent = driver.session.view.pools["shop-api"].backends[0].address
+    for _ in range(5):
+        driver.advance(1.0, watch=True)
+        _fail_statuses(driver, {silent})
+        driver.answer_statuses()
+    assert addresses_used(driver) == {"shop-api-1"}
+    for _ in range(5):
+        driver.advance(1.0, watch=True)
+        _fail_statuses(driver, {call.address for call in driver.status_calls.values()})
+    # Everything looks dead now: nothing is left out, so the own zone is preferred again.
+    assert addresses_used(driver) == {"shop-api-0"}
+
+
+def _fail_statuses(driver: GatewayDriver, addresses: set[str]) -> None:
+    from merlinstand.kernel.events import CallFailed, CallPhase
+
+    for call_id, call in list(driver.status_calls.items()):
+        if call.address in addresses:
+            del driver.status_calls[call_id]
+            driver.send(CallFailed(call_id, CallPhase.CONNECT, "refused"))
+
+
+@pytest.mark.parametrize("count", [3, 60, 300])
+def test_status_requests_are_bounded_whatever_the_number_of_servers(count: int) -> None:
+    backends = service_pool(count=count)
+    driver = GatewayDriver([backends])
+    before = sum(1 for effect in driver.effects if "status" in getattr(effect, "path", ""))
+    for _ in range(100):
+        driver.advance(0.1, watch=True)
+        driver.answer_statuses()
+    after = sum(1 for effect in driver.effects if "status" in getattr(effect, "path", ""))
+    assert (after - before) / 10.0 <= 41.0
+    assert (after - before) / 10.0 >= min(count, 20) * 1.5
+
+
+def test_deleted_pool_refuses_and_its_request_in_flight_ends_well() -> None:
+    driver = GatewayDriver([service_pool()])
+    door_id = driver.request("/shop-api/a")
+    driver.configure([])
+    assert driver.response(driver.request("/shop-api/a")).status == 404
+    driver.respond(driver.only_call())
+    assert driver.outcome(door_id) == "answer"
--- /dev/null
+++ b/tests/routing/test_routing.py
@@ -0,0 +1,333 @@
+"""Rules of routing: breaker, budget, aged load, affinity, subsets, choice."""
+
+from collections import Counter
+from random import Random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from merlinstand.configuration.objects import Backend, Pool, PoolKind
+from merlinstand.routing.affinity import PrefixHints, prefix_key, rendezvous_rank
+from merlinstand.routing.breaker import Breaker, BreakerState
+from merlinstand.routing.concurrency import ConcurrencyLimit
+from merlinstand.routing.load_reports import AgedLoad, LoadReport
+from merlinstand.routing.membership import (
+    LeavingSignals,
+    MachineState,
+    ReplicaState,
+    StateReport,
+)
+from merlinstand.routing.retry_budget import RetryBudget
+from merlinstand.routing.router import CallResult, PoolRouter
+from merlinstand.routing.settings import BreakerSettings, RetryBudgetSettings, RouterSettings
+from merlinstand.routing.status import ServiceStatus
+from merlinstand.routing.subset import subset
+
+
+def backends(count: int, zones: int = 1) -> tuple[Backend, ...]:
+    return tuple(
+        Backend(f"server-{number}", f"10.0.{number // 250}.{number % 250}:80", f"z{number % zones}")
+        for number in range(count)
+    )
+
+
+def router(count: int = 4, zones: int = 1, seed: int = 1, **changes: object) -> PoolRouter:
+    pool = Pool(name="p", kind=PoolKind.SERVICE, backends=backends(count, zones), **changes)
+    made = PoolRouter("gateway-1", "z0", Random(seed), RouterSettings())
+    made.configure(pool, {}, {})
+    return made
+
+
+# Breaker -------------------------------------------------------------------------------
+
+
+def test_breaker_opens_on_failures_in_a_row_and_probes_once() -> None:
+    breaker = Breaker(BreakerSettings(), Random(1))
+    for _ in range(5):
+        assert breaker.allows(0.0)
+        breaker.call_started(0.0)
+        breaker.call_failed(0.0)
+    assert not breaker.allows(0.5)
+    assert breaker.allows(1.3)
+    breaker.call_started(1.3)
+    assert not breaker.allows(1.3)
+    breaker.call_succeeded(1.4)
+    assert breaker.state is BreakerState.CLOSED
+
+
+def test_breaker_waits_longer_after_each_failed_probe() -> None:
+    breaker = Breaker(BreakerSettings(), Random(1))
+    for _ in range(5):
+        breaker.call_failed(0.0)
+    pauses = []
+    now = 0.0
+    for _ in range(8):
+        pause = breaker.seconds_until_probe(now)
+        pauses.append(pause)
+        now += pause
+        breaker.call_started(now)
+        breaker.call_failed(now)
+    assert pauses[1] > pauses[0]
+    assert max(pauses) <= 20.0 * 1.25
+
+
+def test_breaker_opens_on_a_share_of_failures() -> None:
+    breaker = Breaker(BreakerSettings(), Random(1))
+    states = []
+    for _ in range(5):
+        breaker.call_succeeded(0.0)
+        breaker.call_failed(0.0)
+        states.append(breaker.state)
+    # Never two failures in a row, but half of ten calls.
+    assert states == [BreakerState.CLOSED] * 4 + [BreakerState.OPEN]
+
+
+def test_breaker_probe_without_result_frees_its_place() -> None:
+    breaker = Breaker(BreakerSettings(), Random(1))
+    for _ in range(5):
+        breaker.call_failed(0.0)
+    breaker.call_started(2.0)
+    breaker.call_abandoned()
+    assert breaker.allows(2.0)
+
+
+# Retry budget --------------------------------------------------------------------------
+
+
+def test_retry_budget_is_a_share_of_first_tries() -> None:
+    budget = RetryBudget(RetryBudgetSettings(floor_per_second=0.0))
+    taken = 0
+    for _ in range(1000):
+        budget.first_try(0.0)
+        taken += budget.take(0.0)
+    assert 195 <= taken <= 200
+
+
+def test_retry_budget_does_not_save_up_for_ever() -> None:
+    budget = RetryBudget(RetryBudgetSettings())
+    budget.first_try(0.0)
+    budget.first_try(1e6)
+    assert sum(budget.take(1e6) for _ in range(1000)) == 20
+
+
+# Aged load -----------------------------------------------------------------------------
+
+
+def test_own_requests_are_not_counted_twice() -> None:
+    load = AgedLoad(2.0, 15.0)
+    load.record(LoadReport(5, 2, 10.0), own_in_flight=4, now=0.0)
+    assert load.foreign(0.0) == 3.0
+
+
+def test_reported_load_fades_and_expires() -> None:
+    load = AgedLoad(2.0, 15.0)
+    load.record(LoadReport(8, 0, 10.0), own_in_flight=0, now=0.0)
+    assert load.foreign(2.0) == 4.0
+    assert load.foreign(15.0) == 0.0
+
+
+def test_older_report_is_ignored_unless_the_replica_restarted() -> None:
+    load = AgedLoad(2.0, 15.0)
+    load.record(LoadReport(8, 0, 10.0), 0, 0.0)
+    assert not load.record(LoadReport(1, 0, 9.0), 0, 0.1)
+    assert load.record(LoadReport(1, 0, 1.0, incarnation=2), 0, 0.2)
+
+
+# Leaving -------------------------------------------------------------------------------
+
+
+def test_each_signal_is_taken_back_only_by_its_own_source() -> None:
+    signals = LeavingSignals()
+    signals.own_report(StateReport(ReplicaState.LEAVING, 5.0), asked_at=1.0)
+    signals.listed(MachineState.LIVE, 100.0)
+    assert signals.leaving
+    signals.own_report(StateReport(ReplicaState.READY, 4.0), asked_at=2.0)
+    assert signals.leaving, "a report older than the leaving one"
+    signals.own_report(StateReport(ReplicaState.READY, 6.0), asked_at=3.0)
+    assert not signals.leaving
+
+
+def test_list_is_ordered_by_its_own_time() -> None:
+    signals = LeavingSignals()
+    signals.listed(MachineState.LEAVING, 10.0)
+    signals.listed(MachineState.LIVE, 10.0)
+    assert signals.leaving
+    signals.listed(MachineState.LIVE, 11.0)
+    assert not signals.leaving
+
+
+def test_machine_never_listed_is_no_signal() -> None:
+    signals = LeavingSignals()
+    signals.not_listed(10.0)
+    assert not signals.leaving
+
+
+def test_old_answer_of_an_earlier_incarnation_is_ignored() -> None:
+    signals = LeavingSignals()
+    signals.own_report(StateReport(ReplicaState.LEAVING, 1.0, incarnation=2), asked_at=5.0)
+    assert not signals.own_report(StateReport(ReplicaState.READY, 99.0, incarnation=1), 4.0)
+    assert signals.leaving
+
+
+# Affinity ------------------------------------------------------------------------------
+
+
+def test_rendezvous_moves_only_the_keys_of_the_name_that_left() -> None:
+    names = [f"n{number}" for number in range(8)]
+    for key in range(200):
+        before = rendezvous_rank(key, names)
+        after = rendezvous_rank(key, [name for name in names if name != "n3"])
+        assert after == [name for name in before if name != "n3"]
+
+
+def test_common_beginning_shares_a_key() -> None:
+    assert prefix_key("a" * 300 + "x") == prefix_key("a" * 300 + "y")
+    assert prefix_key("x" + "a" * 300) != prefix_key("y" + "a" * 300)
+
+
+def test_affinity_keeps_to_one_replica_until_its_load_is_above_the_bound() -> None:
+    made = router(4, maximum_concurrency=100)
+    chosen = [_start(made, affinity_key=7) for _ in range(40)]
+    counts = Counter(chosen)
+    assert counts.most_common(1)[0][0] == chosen[0]
+    assert max(counts.values()) <= 1.25 * (40 + 1) / 4 + 1
+
+
+def test_hints_are_bounded_and_forget_the_oldest() -> None:
+    hints = PrefixHints(3)
+    for number in range(5):
+        hints.stored(str(number))
+    assert len(hints) == 3
+    assert not hints.holds("1")
+    assert hints.holds("4")
+
+
+# Subsets -------------------------------------------------------------------------------
+
+
+@settings(max_examples=60, deadline=None, derandomize=True)
+@given(servers=st.integers(1, 400), daemons=st.integers(1, 60), size=st.integers(1, 20))
+def test_subsets_cover_every_server_evenly(servers: int, daemons: int, size: int) -> None:
+    pool = backends(servers)
+    peers = [f"gateway-{number}" for number in range(daemons)]
+    uses: Counter[str] = Counter()
+    for peer in peers:
+        chosen = subset(pool, peer, peers, size)
+        assert len(chosen) >= min(size, servers)
+        assert len({backend.backend_id for backend in chosen}) == len(chosen)
+        uses.update(backend.backend_id for backend in chosen)
+    assert len(uses) == servers, "a server without senders"
+    if servers > size:
+        mean = sum(uses.values()) / servers
+        assert max(uses.values()) <= mean + 2
+
+
+def test_subset_is_the_same_for_everybody_who_computes_it() -> None:
+    pool = backends(100)
+    peers = ["b", "a", "c"]
+    assert subset(pool, "a", peers, 8) == subset(tuple(reversed(pool)), "a", sorted(peers), 8)
+
+
+def test_unregistered_daemon_takes_a_place_by_hash() -> None:
+    assert len(subset(backends(100), "new", [], 8)) >= 8
+
+
+# Choice --------------------------------------------------------------------------------
+
+
+def _start(made: PoolRouter, now: float = 0.0, **arguments: object) -> str:
+    chosen = made.choose(now, **arguments)
+    backend_id = chosen.unwrap().backend_id
+    made.call_started(backend_id, now)
+    return backend_id
+
+
+def test_two_choices_spread_the_work() -> None:
+    made = router(8, maximum_concurrency=1000)
+    counts = Counter(_start(made) for _ in range(800))
+    assert max(counts.values()) - min(counts.values()) <= 8
+
+
+def test_reported_load_of_others_is_avoided() -> None:
+    made = router(2)
+    status = ServiceStatus(state=ReplicaState.READY, reported_at=1.0, in_flight=30)
+    made.status_received("server-0", status, asked_at=0.0, now=0.0)
+    counts = Counter(_start(made) for _ in range(20))
+    assert counts["server-1"] == 20
+
+
+def test_own_zone_is_preferred_and_spills_when_it_is_much_busier() -> None:
+    made = router(3, zones=3, maximum_concurrency=10)
+    first = [_start(made) for _ in range(4)]
+    assert set(first) == {"server-0"}
+    later = [_start(made) for _ in range(8)]
+    assert set(later) - {"server-0"}
+
+
+def test_replica_at_its_limit_gets_nothing_more() -> None:
+    made = router(2, maximum_concurrency=3)
+    counts = Counter(_start(made) for _ in range(6))
+    assert set(counts.values()) == {3}
+    assert made.choose(0.0).is_err()
+    made.call_finished("server-0", CallResult.SUCCESS, 1.0)
+    assert _start(made, 1.0) == "server-0"
+
+
+def test_replica_that_refused_rests_as_long_as_it_asked() -> None:
+    made = router(1)
+    _start(made)
+    made.call_finished("server-0", CallResult.REFUSED, 1.0, retry_after_seconds=3.0)
+    refused = made.choose(3.9).unwrap_err()
+    assert refused.retry_after_seconds == pytest.approx(0.2)
+    assert made.choose(4.0).is_ok()
+
+
+def test_retry_after_without_end_is_bounded() -> None:
+    made = router(1)
+    _start(made)
+    made.call_finished("server-0", CallResult.REFUSED, 1.0, retry_after_seconds=1e9)
+    assert made.choose(11.1).is_ok()
+
+
+def test_refusals_narrow_the_limit_and_successes_widen_it_again() -> None:
+    limit = ConcurrencyLimit(20)
+    limit.refused(in_flight=10)
+    assert limit.value == 7
+    for _ in range(400):
+        limit.succeeded()
+    assert limit.value == 20
+
+
+def test_excluded_replica_is_not_chosen() -> None:
+    made = router(2)
+    assert {made.choose(0.0, exclude={"server-0"}).unwrap().backend_id for _ in range(9)} == {
+        "server-1"
+    }
+
+
+def test_dead_replicas_are_left_out_down_to_the_last_live_one() -> None:
+    made = router(3)
+    for backend_id in ("server-0", "server-1"):
+        for _ in range(5):
+            made.call_started(backend_id, 0.0)
+            made.call_finished(backend_id, CallResult.FAILURE, 0.0)
+    assert {_start(made) for _ in range(10)} == {"server-2"}
+
+
+def test_breakers_never_shut_out_a_whole_pool() -> None:
+    made = router(3)
+    for backend_id in made.replicas:
+        for _ in range(5):
+            made.call_started(backend_id, 0.0)
+            made.call_finished(backend_id, CallResult.FAILURE, 0.0)
+    assert {_start(made) for _ in range(20)} == set(made.replicas)
+
+
+def test_state_is_kept_over_a_change_of_configuration() -> None:
+    made = router(2)
+    _start(made)
+    busy = next(name for name, replica in made.replicas.items() if replica.in_flight)
+    pool = Pool(name="p", kind=PoolKind.SERVICE, backends=backends(3))
+    made.configure(pool, {}, {})
+    assert made.replicas[busy].in_flight == 1
