--- a/src/merlinstand/coordinator/batches.py
+++ b/src/merlinstand/coordinator/batches.py
@@ -1,5 +1,6 @@
 """Batches to trainers: composed, committed in the ledger, and only then answered."""
 
+import math
 from collections.abc import Sequence
 
 import msgspec
@@ -85,10 +86,6 @@
         """Return the forecast of a consumer's cycle."""
         return self.forecasts.setdefault(consumer, ConsumerForecast())
 
-    def boundary_budget(self) -> int:
-        """Return how many samples at the staleness bound may leave now."""
-        return self._budget.available()
-
     def load(self, answer: LedgerAnswer, slot_of: dict[str, int]) -> None:
         """Take positions from the ledger.
 
@@ -184,17 +181,12 @@
         own = self._slots_to_take_again(pull.request, batch)
         if len(self._store.samples) < terms.job.batch_size:
             return ()
-        # A version published by another trainer between commit and receipt would push a
-        # sample at the bound over it; only a sole trainer that published all it has cannot.
-        budget = self._budget.available()
-        if len(terms.job.consumers) > 1 or pull.request.trainer_version < newest:
-            budget = 0
         units = [
             candidates
             for unit in self._store.ready_units(own)
-            if (candidates := self._judge_unit(context, terms, unit, newest))
+            if (candidates := self._judge_unit(context, terms, unit, pull.request, newest))
         ]
-        return compose(units, terms.job.batch_size, budget)
+        return compose(units, terms.job.batch_size, self._budget.available())
 
     def _slots_to_take_again(self, request: BatchRequest, batch: int) -> set[int]:
         progress = self.progress(request.consumer)
@@ -204,25 +196,38 @@
         return own - set(progress.delivered_slots(request.last_received_nonce))
 
     def _judge_unit(
-        self, context: Context, terms: JobTerms, unit: Sequence[Sample], newest: int
+        self,
+        context: Context,
+        terms: JobTerms,
+        unit: Sequence[Sample],
+        request: BatchRequest,
+        newest: int,
     ) -> tuple[Candidate, ...]:
         """Return the unit's candidates, or none if one of them may not leave."""
+        # A version published by another trainer between commit and receipt would push a
+        # sample at the bound over it; only a sole trainer that published all it has cannot.
+        whole_bound = terms.sole_consumer and request.trainer_version >= newest
+        delivered_at = self._delivered_at.get(request.consumer, -math.inf)
         candidates = []
         for sample in unit:
             usual = terms.allows(context, sample.oldest_version, newest)
-            if not usual and not terms.allows(
-                context, sample.oldest_version, newest, at_bound=True
+            if not usual and not (
+                whole_bound and terms.allows(context, sample.oldest_version, newest, at_bound=True)
             ):
                 return ()
             weight = terms.weight(context, sample, newest)
             if weight <= 0.0:
-                if self._store.slots.state(sample.slot) is SlotState.READY:
-                    self._store.drop(sample.slot)
-                    context.count("samples_dropped_total", job=terms.job.name)
+                self._drop(context, terms, sample)
                 return ()
-            candidates.append(Candidate(sample, weight, not usual))
+            passed_over = self._store.durable_at(sample.slot) <= delivered_at
+            candidates.append(Candidate(sample, weight, not usual, passed_over))
         return tuple(candidates)
 
+    def _drop(self, context: Context, terms: JobTerms, sample: Sample) -> None:
+        if self._store.slots.state(sample.slot) is SlotState.READY:
+            self._store.drop(sample.slot)
+            context.count("samples_dropped_total", job=terms.job.name)
+
     def _replay(
         self,
         context: Context,
@@ -240,7 +245,7 @@
             if not terms.allows(context, sample.oldest_version, newest, at_bound=True):
                 return ()
             weight = max(0.0, terms.weight(context, sample, newest))
-            candidates.append(Candidate(sample, weight, False))
+            candidates.append(Candidate(sample, weight))
         return tuple(candidates)
 
     def _commit(
@@ -315,8 +320,8 @@
         self._store.release(settled.released)
         for slot in command.discarded_slots:
             self._store.slots.set_state(slot, SlotState.USED)
-        at_bound = sum(candidate.at_bound for candidate in commit.candidates)
-        self._budget.delivered(len(slots), at_bound)
+        spent = sum(candidate.at_bound and candidate.passed_over for candidate in commit.candidates)
+        self._budget.delivered(len(slots), spent)
         self._delivered_at[command.consumer] = context.now
         self.forecast(command.consumer).delivered(context.now, outcome.newest_version)
         context.count("batches_committed_total", job=terms.job.name)
--- a/src/merlinstand/coordinator/composition.py
+++ b/src/merlinstand/coordinator/composition.py
@@ -12,31 +12,33 @@
 
     sample: Sample
     weight: float
-    at_bound: bool
+    at_bound: bool = False
     """Whether it uses up the whole staleness bound."""
+    passed_over: bool = False
+    """Whether an earlier batch could have taken it."""
 
 
 def compose(
-    units: Sequence[Sequence[Candidate]], batch_size: int, at_bound_budget: int
+    units: Sequence[Sequence[Candidate]], batch_size: int, passed_over_budget: int
 ) -> tuple[Candidate, ...]:
     """Choose whole units until the batch is full.
 
     Args:
         units: Samples that leave together, unit by unit.
         batch_size: Samples in the batch.
-        at_bound_budget: Most samples that may use up the whole bound.
+        passed_over_budget: Most samples at the bound that an earlier batch could have taken.
 
     Returns:
         Exactly `batch_size` candidates, or none if the units do not suffice.
     """
     chosen: list[Candidate] = []
-    budget = at_bound_budget
+    budget = passed_over_budget
     for unit in sorted(units, key=_leaving_order):
-        at_bound = sum(candidate.at_bound for candidate in unit)
-        if at_bound > budget or len(chosen) + len(unit) > batch_size:
+        spent = sum(candidate.at_bound and candidate.passed_over for candidate in unit)
+        if spent > budget or len(chosen) + len(unit) > batch_size:
             continue
         chosen.extend(unit)
-        budget -= at_bound
+        budget -= spent
         if len(chosen) == batch_size:
             return tuple(chosen)
     return ()
--- a/src/merlinstand/coordinator/jobs.py
+++ b/src/merlinstand/coordinator/jobs.py
@@ -207,7 +207,7 @@
     def durable(self, sample: Sample) -> None:
         """A sample is in the journal: the first of its slot wins."""
         self._settling.discard(sample.slot)
-        if not self._store.put(sample):
+        if not self._store.put(sample, self._context.now):
             self._context.count("samples_late_total", job=self.job.name)
             return
         late_twin = self.generations.of_slot(sample.slot)
@@ -261,7 +261,6 @@
             self.demands(),
             self._supply.supplies(context, terms, self._settling),
             now=context.now,
-            fresh_seconds=self._supply.fresh_seconds(),
             usual_staleness=usual,
             over_commit_factor=context.settings.generation.over_commit_factor,
         )
@@ -343,20 +342,18 @@
     def _expire(self) -> None:
         terms = self.terms()
         for slot in self._supply.expired_samples(self._context, terms):
-            self._expire_slot(slot, "finished")
-        doomed = self._supply.doomed_generations(
-            self._context, terms, self.demands(), self.desk.boundary_budget()
-        )
-        for generation in doomed:
+            self._context.count("samples_expired_total", job=self.job.name, stage="finished")
+            self._store.expire_finished(slot)
+        for generation in self._supply.doomed_generations(self._context, terms, self.demands()):
             slot = generation.slot.slot
             self._context.log(
                 "sample.expired", job=self.job.name, slot=slot, tokens=generation.token_count
             )
             self.generations.cancel(self._context, generation)
-            self._expire_slot(slot, "generating")
+            self._expire_slot(slot)
 
-    def _expire_slot(self, slot: int, stage: str) -> None:
-        self._context.count("samples_expired_total", job=self.job.name, stage=stage)
+    def _expire_slot(self, slot: int) -> None:
+        self._context.count("samples_expired_total", job=self.job.name, stage="generating")
         if self._store.expire(slot):
             self._context.count("slots_given_up_total", job=self.job.name, reason="staleness")
             for member in self._store.unit(slot):
--- a/src/merlinstand/coordinator/planning.py
+++ b/src/merlinstand/coordinator/planning.py
@@ -32,60 +32,54 @@
     supplies: Sequence[Supply],
     *,
     now: float,
-    fresh_seconds: float,
     usual_staleness: int,
     over_commit_factor: float,
 ) -> list[PlannedStart]:
     """Match supplies to demands, soonest first, and plan what is lacking.
 
+    A sample in progress that is expected to end after its batch is due is replaced, within
+    `over_commit_factor`, and carried over to the next batch. Once the batch is due nothing is
+    begun in place of stragglers: what is begun for later batches may overtake them.
+
     Args:
         demands: Expected batches of all consumers.
         supplies: Finished samples and those in progress.
         now: Local monotonic time.
-        fresh_seconds: Time that a sample begun now usually takes.
         usual_staleness: Largest staleness, in versions, of an ordinary sample.
-        over_commit_factor: Samples in progress for a batch as a multiple of those it lacks.
+        over_commit_factor: Most samples in progress for a batch, as a multiple of its size.
 
     Returns:
         What to begin, soonest first.
     """
-    # The oldest leave first: what a sooner batch can still take, a later one may not.
-    unassigned = sorted(supplies, key=lambda supply: (supply.oldest_version, supply.finish_at))
+    unassigned = sorted(supplies, key=lambda supply: supply.finish_at)
     starts = []
     for demand in sorted(demands, key=lambda demand: (demand.round, demand.due_at)):
         minimum_version = demand.newest_version - usual_staleness
-        # A sample in progress that ends later than a new one would is no help for this batch.
-        latest_finish = max(demand.due_at, now + fresh_seconds)
-        fitting = [
-            supply
-            for supply in unassigned
-            if supply.oldest_version >= minimum_version and supply.finish_at <= latest_finish
-        ]
-        finished = _take(fitting, demand.count, only_finished_by=now)
-        lacking = demand.count - sum(supply.count for supply in finished)
-        in_progress: list[Supply] = []
-        if lacking > 0:
-            wanted = math.ceil(lacking * over_commit_factor)
-            rest = [supply for supply in fitting if supply.finish_at > now]
-            in_progress = _take(rest, wanted)
-            missing = wanted - sum(supply.count for supply in in_progress)
-            if missing > 0:
-                starts.append(PlannedStart(demand.round, missing, minimum_version))
-        taken = {id(supply) for supply in (*finished, *in_progress)}
-        unassigned = [supply for supply in unassigned if id(supply) not in taken]
+        fitting = [supply for supply in unassigned if supply.oldest_version >= minimum_version]
+        spare = _spare(demand, fitting, now, over_commit_factor)
+        taken = _take(fitting, demand.count + spare)
+        missing = demand.count + spare - sum(supply.count for supply in taken)
+        if missing > 0:
+            starts.append(PlannedStart(demand.round, missing, minimum_version))
+        taken_ids = {id(supply) for supply in taken}
+        unassigned = [supply for supply in unassigned if id(supply) not in taken_ids]
     return starts
 
 
-def _take(
-    supplies: Sequence[Supply], count: int, only_finished_by: float | None = None
-) -> list[Supply]:
+def _spare(demand: Demand, fitting: Sequence[Supply], now: float, over_commit_factor: float) -> int:
+    """Return how many samples to have in progress beyond the batch's size."""
+    if demand.due_at <= now:
+        return 0
+    late = sum(supply.count for supply in fitting if supply.finish_at > demand.due_at)
+    return min(late, math.ceil(demand.count * (over_commit_factor - 1.0)))
+
+
+def _take(supplies: Sequence[Supply], count: int) -> list[Supply]:
     taken: list[Supply] = []
     total = 0
     for supply in supplies:
         if total >= count:
             break
-        if only_finished_by is not None and supply.finish_at > only_finished_by:
-            continue
         taken.append(supply)
         total += supply.count
     return taken
--- a/src/merlinstand/coordinator/settings.py
+++ b/src/merlinstand/coordinator/settings.py
@@ -19,7 +19,8 @@
     pull_hold_seconds: float = 5.0
     """Longest a trainer's request is held open before it is told to ask again."""
     over_commit_factor: float = 1.25
-    """Most samples in progress for a batch, as a multiple of those it still lacks."""
+    """Most samples in progress for a batch, as a multiple of its size. Only samples expected
+    to end after the batch is due are replaced; they are carried over, not dropped."""
     hedge_quantile: float = 0.98
     """A generation beyond this quantile of measured duration may be started twice."""
     maximum_attempts: int = 6
@@ -74,7 +75,7 @@
     """Journal records after which a snapshot replaces them."""
     drain_seconds: float = 20.0
     """Longest a planned stop waits for generations in flight before it hands over."""
-    machine_list: str = ""
+    machine_list_address: str = ""
     """Optional `ip:port` of the platform's list of live and leaving machines."""
     generation: GenerationSettings = GenerationSettings()
     rollout: RolloutSettings = RolloutSettings()
--- a/src/merlinstand/coordinator/staleness.py
+++ b/src/merlinstand/coordinator/staleness.py
@@ -71,11 +71,12 @@
 
 
 class BoundaryBudget:
-    """Lets a small share of delivered samples be as old as the whole bound.
+    """Lets a small share of passed-over samples leave when they are as old as the bound.
 
-    Only samples that run longer than a version lives need it. Refusing them always would
-    bias training against long samples; letting all of them in would make the usual
-    staleness the bound itself.
+    A sample that ran so long that no batch could take it sooner leaves at the bound without
+    asking: refusing it would bias training against long samples. One that lay ready while a
+    batch left without it is only worth delivering if that does not make the usual staleness
+    the bound itself.
     """
 
     SHARE = 0.009
@@ -89,7 +90,7 @@
         """Return how many samples at the bound may be delivered now."""
         return int(self._credit)
 
-    def delivered(self, sample_count: int, at_bound_count: int) -> None:
+    def delivered(self, sample_count: int, spent: int) -> None:
         """Account for a committed batch."""
-        earned = self._credit + self.SHARE * sample_count - at_bound_count
+        earned = self._credit + self.SHARE * sample_count - spent
         self._credit = min(earned, self.LARGEST_CREDIT)
--- a/src/merlinstand/coordinator/store.py
+++ b/src/merlinstand/coordinator/store.py
@@ -1,5 +1,6 @@
 """Durable samples of one job, and what becomes of their slots."""
 
+import math
 from collections.abc import Iterable
 
 from merlinstand.coordinator.samples import Sample
@@ -25,17 +26,24 @@
         """
         self.slots = SlotTable(job, samples_per_prompt)
         self.samples: dict[int, Sample] = {}
+        self._durable_at: dict[int, float] = {}
         self._whole_prompts = unit_size > 1
         self._expirations: dict[int, int] = {}
         self._drops: dict[int, int] = {}
         self._closed: list[int] = []
 
-    def put(self, sample: Sample) -> bool:
-        """Take a durable sample in; returns False for a twin that lost."""
+    def put(self, sample: Sample, durable_at: float = -math.inf) -> bool:
+        """Take a durable sample in; returns False for a twin that lost.
+
+        Args:
+            sample: The sample.
+            durable_at: When it became durable; unknown after a restart.
+        """
         state = self.slots.state(sample.slot)
         if sample.slot in self.samples or state in (SlotState.USED, SlotState.DISCARDED):
             return False
         self.samples[sample.slot] = sample
+        self._durable_at[sample.slot] = durable_at
         # A slot that an earlier attempt at a batch holds stays reserved: whether that attempt
         # counts is for its trainer to say.
         if state is not SlotState.RESERVED:
@@ -103,8 +111,17 @@
         for slot in slots:
             self._close(slot, SlotState.USED)
 
+    def durable_at(self, slot: int) -> float:
+        """Return when a slot's sample became durable."""
+        return self._durable_at.get(slot, -math.inf)
+
+    def expire_finished(self, slot: int) -> None:
+        """A finished sample became too old before a batch took it: generate it again."""
+        self._remove(slot)
+        self.slots.set_state(slot, SlotState.WANTED)
+
     def expire(self, slot: int) -> bool:
-        """A sample became too old; its slot is generated again, or given up.
+        """A sample would be too old before it ends; its slot is begun again, or given up.
 
         Returns:
             Whether the slot was given up.
@@ -144,8 +161,7 @@
                 if self.slots.state(member) not in (SlotState.USED, SlotState.RESERVED):
                     self._close(member, SlotState.DISCARDED)
             return True
-        if self.samples.pop(slot, None) is not None:
-            self._closed.append(slot)
+        self._remove(slot)
         self.slots.set_state(slot, SlotState.WANTED)
         return False
 
@@ -153,5 +169,9 @@
         self.slots.set_state(slot, state)
         self._expirations.pop(slot, None)
         self._drops.pop(slot, None)
+        self._remove(slot)
+
+    def _remove(self, slot: int) -> None:
+        self._durable_at.pop(slot, None)
         if self.samples.pop(slot, None) is not None:
             self._closed.append(slot)
--- a/src/merlinstand/coordinator/supply.py
+++ b/src/merlinstand/coordinator/supply.py
@@ -55,10 +55,6 @@
         seconds = self._generations.speed.seconds(self.remaining_tokens(generation))
         return now + max(seconds, 1e-3)
 
-    def fresh_seconds(self) -> float:
-        """Return the time that most samples begun now take."""
-        return self._generations.speed.seconds(self._lengths.quantile(0.75))
-
     def supplies(self, context: Context, terms: JobTerms, settling: Iterable[int]) -> list[Supply]:
         """Return the units that are finished or wholly in progress.
 
@@ -135,30 +131,18 @@
         ]
 
     def doomed_generations(
-        self, context: Context, terms: JobTerms, demands: Sequence[Demand], at_bound_budget: int
+        self, context: Context, terms: JobTerms, demands: Sequence[Demand]
     ) -> list[Generation]:
-        """Return the generations that will be too old when they could be received.
-
-        Args:
-            context: Shared state.
-            terms: The job's terms.
-            demands: Expected batches, soonest first.
-            at_bound_budget: Generations that may end at the bound itself; those that came
-                furthest go on.
-        """
+        """Return the generations that will be too old when they could be received."""
         doomed = []
-        at_bound = []
         for generation in self._generations.all():
             oldest = generation.recorder.oldest_version
             if oldest is None:
                 continue
             newest = self._newest_at_receipt(context, generation, demands, terms)
-            if not terms.allows(context, oldest, newest, at_bound=True):
+            if not terms.allows(context, oldest, newest, at_bound=terms.sole_consumer):
                 doomed.append(generation)
-            elif not terms.allows(context, oldest, newest):
-                at_bound.append(generation)
-        at_bound.sort(key=lambda generation: -generation.token_count)
-        return doomed + at_bound[at_bound_budget:]
+        return doomed
 
     def _newest_at_receipt(
         self, context: Context, generation: Generation, demands: Sequence[Demand], terms: JobTerms
--- a/src/merlinstand/coordinator/terms.py
+++ b/src/merlinstand/coordinator/terms.py
@@ -35,6 +35,11 @@
         per_prompt = max(1, self.job.samples_per_prompt)
         return per_prompt if self.job.batch_size % per_prompt == 0 else 1
 
+    @property
+    def sole_consumer(self) -> bool:
+        """Whether one trainer alone receives this job's batches."""
+        return len(self.job.consumers) == 1
+
     def allows(
         self, context: Context, oldest_version: int, newest: int, *, at_bound: bool = False
     ) -> bool:
