--- a/src/merlinstand_lab/capacity/cli.py
+++ b/src/merlinstand_lab/capacity/cli.py
@@ -224,6 +224,51 @@
     finish(output, rows[0].measurement, rows)
 
 
+@command.command()
+@click.option("--daemons", default=630, show_default=True)
+@click.option("--replicas", default=7, show_default=True)
+@click.option("--failures", default=67, show_default=True)
+@click.option("--restarts", default=670, show_default=True)
+@click.option("--seconds", default=180.0, show_default=True, help="Time for all of them.")
+@click.pass_obj
+def churn(
+    output: Path, daemons: int, replicas: int, failures: int, restarts: int, seconds: float
+) -> None:
+    """A day's failures and restarts compressed into minutes.
+
+    Example: merlinstand-lab capacity churn --seconds 180
+    """
+    from merlinstand_lab.capacity.measurements.churn import ChurnPlan, measure_churn
+
+    plan = ChurnPlan(
+        daemons=daemons, replicas=replicas, failures=failures, restarts=restarts, seconds=seconds
+    )
+    with run_folder() as folder:
+        rows = measure_churn(folder, plan)
+    finish(output, "churn", rows)
+
+
+@command.command()
+@click.option("--daemons", default=630, show_default=True)
+@click.option("--replicas", default=7, show_default=True)
+@click.option("--cut-seconds", default=20.0, show_default=True)
+@click.pass_obj
+def partitions(output: Path, daemons: int, replicas: int, cut_seconds: float) -> None:
+    """Loss of a zone, and regions that lose each other and meet again.
+
+    Example: merlinstand-lab capacity partitions
+    """
+    from merlinstand_lab.capacity.measurements.partitions import (
+        PartitionPlan,
+        measure_partitions,
+    )
+
+    plan = PartitionPlan(daemons=daemons, replicas=replicas, cut_seconds=cut_seconds)
+    with run_folder() as folder:
+        rows = measure_partitions(folder, plan)
+    finish(output, "partitions", rows)
+
+
 @command.command()
 @click.pass_obj
 def plot(output: Path) -> None:
--- a/src/merlinstand_lab/capacity/operator_client.py
+++ b/src/merlinstand_lab/capacity/operator_client.py
@@ -10,7 +10,7 @@
 
 from merlinstand.configuration.objects import ConfigurationObject
 
-REQUEST_TIMEOUT_SECONDS = 3.0
+REQUEST_TIMEOUT_SECONDS = 1.0
 RETRY_SECONDS = 0.1
 GIVE_UP_SECONDS = 60.0
 
