--- a/src/merlinstand_lab/simulator/deployment.py
+++ b/src/merlinstand_lab/simulator/deployment.py
@@ -5,10 +5,14 @@
 import msgspec
 
 from merlinstand.control.settings import ControlMember
+from merlinstand.coordinator.settings import GenerationSettings, RolloutSettings
 from merlinstand_lab.simulator.topology import TATRASOFT, VITRINA, Topology
+from merlinstand_lab.standins.settings import EngineProfile
 
 OPERATOR_TOKEN = "simulated-operators"
 HTTP_PORT = 8080
+ENGINE_CHUNK_SECONDS = 1.0
+"""Coarser chunks than in real runs: fewer events, the same decisions."""
 INTERNAL_PORT = 7070
 
 
@@ -23,6 +27,14 @@
     """Everything, with stand-ins for the outside world."""
 
 
+class Scheduler(enum.Enum):
+    """Who schedules generations and feeds trainers."""
+
+    MERLINSTAND = "merlinstand"
+    SCRIPTS = "scripts"
+    """The baseline: what teams' own scripts do (`experiments.scripts`)."""
+
+
 class Place(msgspec.Struct, frozen=True):
     """One process's name and where it listens."""
 
@@ -119,6 +131,16 @@
     completions_per_second: float = 0.2
     batch_size: int = 16
     trainers: int = 1
+    maximum_tokens: int = 400
+    maximum_staleness_versions: int = 2
+    scheduler: Scheduler = Scheduler.MERLINSTAND
+    generation: GenerationSettings = GenerationSettings()
+    rollout: RolloutSettings = RolloutSettings()
+    engine_profile: EngineProfile = EngineProfile(chunk_interval_seconds=ENGINE_CHUNK_SECONDS)
+    weight_bytes: int = 2_000_000_000
+    flood_per_second: float = 0.0
+    """Lookups a second of one caller beside the others (experiments only)."""
+    flood_start_seconds: float = 0.0
 
 
 def _places(
--- a/src/merlinstand_lab/simulator/whole_fleet.py
+++ b/src/merlinstand_lab/simulator/whole_fleet.py
@@ -7,7 +7,7 @@
 from merlinstand.gateway.daemon import GatewayDaemon
 from merlinstand.gateway.settings import GatewaySettings
 from merlinstand_lab.simulator.assembly import Assembly
-from merlinstand_lab.simulator.deployment import OPERATOR_TOKEN, FleetPlan, Place, Places
+from merlinstand_lab.simulator.deployment import OPERATOR_TOKEN, FleetPlan, Place, Places, Scheduler
 from merlinstand_lab.simulator.operator_settings import ScriptedCommand
 from merlinstand_lab.standins import settings as st
 from merlinstand_lab.standins.callers import Callers
@@ -19,9 +19,7 @@
 from merlinstand_lab.standins.weight_store import WeightStore
 
 JOB = "simulated-job"
-ENGINE_CHUNK_SECONDS = 1.0
-"""Coarser chunks than in real runs: fewer events, the same decisions."""
-
+PROMPTS = 64
 CALLERS_START_SECONDS = 4.0
 """Callers begin when the pools have been configured."""
 
@@ -29,7 +27,10 @@
 def add_whole_fleet(assembly: Assembly) -> None:
     """Add gateways, coordinators and stand-ins."""
     _add_gateways(assembly)
-    _add_coordinators(assembly)
+    if assembly.plan.scheduler is Scheduler.SCRIPTS:
+        _add_scripts(assembly)
+    else:
+        _add_coordinators(assembly)
     _add_back_ends(assembly)
     _add_platform(assembly)
     _add_users(assembly)
@@ -61,13 +62,41 @@
             address=place.internal_address,
             http_address=place.http_address,
             control_members=members,
+            generation=assembly.plan.generation,
+            rollout=assembly.plan.rollout,
         )
         assembly.add_product(place, lambda settings=settings: CoordinatorDaemon(settings))  # type: ignore[misc]
 
 
+def _add_scripts(assembly: Assembly) -> None:
+    """Let the baseline's scripts feed the trainers in place of the coordinators."""
+    # Imported late: only experiments run the baseline.
+    from merlinstand_lab.experiments.scripts import Scripts, ScriptsSettings
+
+    places, plan = assembly.places, assembly.plan
+    place = places.coordinators[0]
+    settings = ScriptsSettings(
+        node_id=place.node_id,
+        address=place.http_address,
+        job=JOB,
+        model=plan.sizes.engine_pool,
+        engines=tuple(engine.http_address for engine in places.engines),
+        weight_store=places.weight_store.http_address,
+        batch_size=plan.batch_size,
+        prompts=prompts(),
+        maximum_tokens=plan.maximum_tokens,
+    )
+    assembly.add_outsider(place, lambda: Scripts(settings))
+
+
+def prompts() -> tuple[str, ...]:
+    """Return the prompts of the simulated job."""
+    return tuple(f"Describe article {number}." for number in range(PROMPTS))
+
+
 def _add_back_ends(assembly: Assembly) -> None:
     sizes = assembly.plan.sizes
-    profile = st.EngineProfile(chunk_interval_seconds=ENGINE_CHUNK_SECONDS)
+    profile = assembly.plan.engine_profile
     for place in assembly.places.engines:
         engine = st.EngineSettings(
             node_id=place.node_id,
@@ -125,6 +154,7 @@
             weight_store=places.weight_store.http_address,
             operator_token=OPERATOR_TOKEN,
             step_seconds=plan.trainer_step_seconds,
+            weight_bytes=plan.weight_bytes,
             publishes=place is places.trainers[0],
         )
         assembly.add_outsider(place, lambda trainer=trainer: Trainer(trainer))  # type: ignore[misc]
@@ -176,10 +206,10 @@
         "pool": sizes.engine_pool,
         "consumers": [place.node_id for place in places.trainers],
         "batch_size": plan.batch_size,
-        "prompts": [f"Describe article {number}." for number in range(64)],
-        "maximum_tokens": 400,
+        "prompts": list(prompts()),
+        "maximum_tokens": plan.maximum_tokens,
         "scorer": places.scorer.http_address,
-        "policy": {"maximum_staleness_versions": 2},
+        "policy": {"maximum_staleness_versions": plan.maximum_staleness_versions},
     }
     return (
         _put(f"pool/{sizes.engine_pool}", engine_pool, at),
