--- a/src/merlinstand_lab/standins/engine.py
+++ b/src/merlinstand_lab/standins/engine.py
@@ -3,7 +3,6 @@
 import random
 from collections.abc import Sequence
 
-import msgspec
 from result import Err
 
 from merlinstand.common.errors import (
@@ -12,14 +11,12 @@
     NotFoundError,
     UnavailableError,
 )
-from merlinstand.common.ids import CallId
 from merlinstand.kernel.effects import (
     CancelTimer,
     Effect,
     LogEvent,
     RespondStart,
     SetTimer,
-    StartCall,
     StopProcess,
     WriteRecord,
 )
@@ -35,46 +32,35 @@
 )
 from merlinstand_lab.records.kinds import (
     ActivationRecord,
-    BackendStateRecord,
     GenerationOutcome,
     StartRecord,
 )
 from merlinstand_lab.standins import door
 from merlinstand_lab.standins.engine_background import BackgroundSource
+from merlinstand_lab.standins.engine_kv import KvExchange
 from merlinstand_lab.standins.engine_messages import (
     Cancelled,
     CompletionBody,
-    EngineStatus,
-    Exported,
     FencedBody,
     OrderBody,
     RequestName,
 )
-from merlinstand_lab.standins.engine_model.lengths import completion_length, prompt_token_count
 from merlinstand_lab.standins.engine_model.model import EngineModel
-from merlinstand_lab.standins.engine_model.prefix_cache import prefix_digests
-from merlinstand_lab.standins.engine_model.sequence import GenerationRequest, ModelEvent
-from merlinstand_lab.standins.engine_orders import STATE_DONE, STATE_FAILED, OrderBook
-from merlinstand_lab.standins.engine_reports import CacheEventLog, StatusHistory
+from merlinstand_lab.standins.engine_model.sequence import ModelEvent
+from merlinstand_lab.standins.engine_orders import OrderBook
+from merlinstand_lab.standins.engine_reports import CacheEventLog, EngineReporter
+from merlinstand_lab.standins.engine_requests import generation_request, read_completion
 from merlinstand_lab.standins.engine_streams import StreamTable
+from merlinstand_lab.standins.engine_swap import SwapController
 from merlinstand_lab.standins.settings import EngineSettings
 
 _MODEL_TIMER = "engine.model"
 _STATUS_TIMER = "engine.status"
 _RESTART_TIMER = "engine.restart"
-_KV_TIMEOUT_SECONDS = 3.0
 _RETRY_AFTER_SECONDS = 0.5
-_KEPT_EXPORTS = 256
-_MAXIMUM_TOKENS = 100_000
 _SSE_HEADERS = {"content-type": "text/event-stream", "cache-control": "no-cache"}
 
 
-class _ExportedState(msgspec.Struct, frozen=True):
-    """Cached keys and values kept for another engine."""
-
-    size_bytes: int
-
-
 class EngineServer:
     """Reducer of one engine."""
 
@@ -98,17 +84,19 @@
         self._model = EngineModel(self._profile, now)
         self._orders = OrderBook()
         self._streams = StreamTable(self._settings)
-        self._history = StatusHistory(self._profile)
         self._cache_log = CacheEventLog(self._profile, self._random)
         self._background = BackgroundSource(self._profile, self._random, now)
-        self._exports: dict[str, _ExportedState] = {}
-        self._importing: dict[CallId, GenerationRequest] = {}
-        self._activating: OrderBody | None = None
-        self._active_digest = ""
-        self._failed = False
+        name = f"{self._settings.node_id}-{self._incarnation}"
+        self._exchange = KvExchange(self._profile, self._random, name)
+        self._swap = SwapController(self._model, self._orders, self._profile.activate_seconds)
         self._down = False
         self._pending_timer: float | None = None
-        self._history.add(self._status(now))
+        self._reporter = EngineReporter(self._settings, self._model, self._orders, self._swap)
+        self._take_snapshot(now)
+
+    def _take_snapshot(self, now: float) -> None:
+        """Remember the state of this moment for later readers."""
+        self._reporter.take_snapshot(self._incarnation, self._leaving, now)
 
     def reduce(self, event: Event, now: float) -> Sequence[Effect]:
         """Take one event."""
@@ -133,11 +121,17 @@
 
     def _advance(self, now: float) -> list[Effect]:
         """Let the model's time pass."""
-        effects = self._perform(self._model.advance(now), now)
+        effects: list[Effect] = []
+        swap_ends_at = self._model.paused_until
+        if swap_ends_at is not None and swap_ends_at <= now:
+            # Whether the swap failed must be known before a token is made under it.
+            effects += self._perform(self._model.advance(swap_ends_at), now)
+            effects += self._finish_swap(now)
+        effects += self._perform(self._model.advance(now), now)
         for request in self._background.due(now):
             if self._model.version and not self._down:
                 effects += self._perform(self._model.submit(request, now), now)
-        return effects + self._finish_swap(now)
+        return effects
 
     def _perform(self, events: list[ModelEvent], now: float) -> list[Effect]:
         """Turn what the model did into responses and records."""
@@ -166,7 +160,7 @@
             self._pending_timer = None
             return []
         if event.name == _STATUS_TIMER:
-            self._history.add(self._status(now))
+            self._take_snapshot(now)
             return [SetTimer(_STATUS_TIMER, self._profile.status_interval_seconds)]
         if event.name == _RESTART_TIMER:
             self._incarnation += 1
@@ -182,7 +176,7 @@
 
     def _request(self, event: RequestReceived, now: float) -> list[Effect]:
         """Route one HTTP request."""
-        ready = self._model.version > 0 and not self._failed and not self._down
+        ready = self._model.version > 0 and not self._swap.failed and not self._down
         common = door.respond_common(event, ready)
         if common is not None:
             return [common]
@@ -201,12 +195,12 @@
             case ("POST", "/v1/orders"):
                 return self._order(event, now)
             case ("GET", "/v1/status"):
-                return [door.respond_json(event.request_id, self._history.visible(now))]
+                return [door.respond_json(event.request_id, self._reporter.visible(now))]
             case ("GET", "/v1/cache_events"):
                 lines = self._cache_log.after(door.query_integer(event, "after"), now)
                 return [door.respond_json(event.request_id, lines)]
             case ("GET", _) if path.startswith("/v1/kv/"):
-                return [self._import_source(event, path.rsplit("/", 1)[1])]
+                return [self._exchange.answer(event, path.rsplit("/", 1)[1])]
             case _:
                 return [door.respond_not_found(event)]
 
@@ -221,19 +215,13 @@
 
     def _complete(self, event: RequestReceived, now: float) -> list[Effect]:
         """Take a completion request, or refuse it."""
-        decoded = door.decode_body(event.body, CompletionBody)
-        if isinstance(decoded, Err):
-            return [door.respond_error(event.request_id, decoded.err_value)]
-        body = decoded.ok_value
+        read = read_completion(event, self._settings.model)
+        if isinstance(read, Err):
+            return [door.respond_error(event.request_id, read.err_value)]
+        body = read.ok_value
         request_id = body.request_id or event.headers.get(door.REQUEST_ID_HEADER, "")
         request_id = request_id or str(event.request_id)
-        if body.model != self._settings.model:
-            error = NotFoundError(detail=f"this engine serves {self._settings.model}")
-            return [door.respond_error(event.request_id, error)]
-        if not 0 < body.max_tokens <= _MAXIMUM_TOKENS:
-            invalid = InvalidInputError(detail=f"max_tokens must be in 1..{_MAXIMUM_TOKENS}")
-            return [door.respond_error(event.request_id, invalid)]
-        if not self._model.version or self._failed or self._stopping:
+        if not self._model.version or self._swap.failed or self._stopping:
             return [self._refuse(event, "the engine serves no version now")]
         if self._streams.holds(request_id):
             conflict = ConflictError(detail=f"request {request_id} is running")
@@ -260,26 +248,12 @@
         if body.stream:
             headers = {**_SSE_HEADERS, door.REQUEST_ID_HEADER: request_id}
             effects.append(RespondStart(event.request_id, 200, headers))
-        request = self._generation(body, request_id)
+        request = generation_request(body, request_id, self._profile)
         resume = body.resume
         if resume is not None and resume.handle and resume.source:
-            return [*effects, self._start_import(request, resume.handle, resume.source)]
+            return [*effects, self._exchange.start_import(request, resume.handle, resume.source)]
         return effects + self._perform(self._model.submit(request, now), now)
 
-    def _generation(self, body: CompletionBody, request_id: str) -> GenerationRequest:
-        """Translate a request for the model."""
-        length = completion_length(body.prompt, body.seed, self._profile.lengths)
-        limited = length > body.max_tokens
-        return GenerationRequest(
-            request_id=request_id,
-            prompt_tokens=prompt_token_count(body.prompt),
-            prefix_digests=prefix_digests(body.prompt, self._profile.block_tokens),
-            target_tokens=min(length, body.max_tokens),
-            outcome_at_target=GenerationOutcome.LENGTH if limited else GenerationOutcome.STOP,
-            priority=body.priority,
-            first_token=body.resume.token_count if body.resume else 0,
-        )
-
     def _cancel(self, event: RequestReceived, now: float) -> list[Effect]:
         """End a request on the caller's wish."""
         decoded = door.decode_body(event.body, RequestName)
@@ -293,9 +267,7 @@
     def _end(self, name: str, outcome: GenerationOutcome, now: float) -> list[Effect]:
         """End a request early, also one whose import is still under way."""
         if self._streams.holds(name) and not self._model.holds(name):
-            for call_id, request in list(self._importing.items()):
-                if request.request_id == name:
-                    del self._importing[call_id]
+            self._exchange.give_up(name)
             return self._streams.end_unstarted(name, outcome, self._incarnation, now)
         return self._perform(self._model.end(name, outcome, now), now)
 
@@ -318,42 +290,18 @@
         prompt_tokens = self._streams.prompt_tokens(name)
         effects = self._end(name, GenerationOutcome.EXPORTED, now)
         token_count = self._streams.last_token_count
-        handle = f"{self._settings.node_id}-{self._incarnation}-{self._random.getrandbits(48):x}"
-        size_bytes = (prompt_tokens + token_count) * self._profile.kv_bytes_per_token
-        while len(self._exports) >= _KEPT_EXPORTS:
-            del self._exports[next(iter(self._exports))]
-        self._exports[handle] = _ExportedState(size_bytes)
-        answer = Exported(handle, token_count, size_bytes)
+        answer = self._exchange.keep(token_count, prompt_tokens + token_count)
         return [*effects, door.respond_json(event.request_id, answer)]
 
-    def _import_source(self, event: RequestReceived, handle: str) -> Effect:
-        """Another engine asks for exported state."""
-        state = self._exports.get(handle)
-        if state is None:
-            error = NotFoundError(detail="no such exported state")
-            return door.respond_error(event.request_id, error)
-        return door.respond_json(event.request_id, state)
-
-    def _start_import(self, request: GenerationRequest, handle: str, source: str) -> Effect:
-        """Ask the exporting engine for the state."""
-        call_id = CallId(f"import.{request.request_id}.{self._random.getrandbits(32):x}")
-        self._importing[call_id] = request
-        return StartCall(call_id, source, "GET", f"/v1/kv/{handle}", {}, b"", _KV_TIMEOUT_SECONDS)
-
     def _call_ended(self, event: CallResponded | CallFailed, now: float) -> list[Effect]:
         """The store or another engine answered."""
         if self._down:
             return []
         if self._orders.handles(event):
             return list(self._orders.reduce(event))
-        request = self._importing.pop(event.call_id, None)
+        request = self._exchange.imported(event)
         if request is None:
             return []
-        if isinstance(event, CallResponded) and event.status == 200:
-            state = msgspec.json.decode(event.body, type=_ExportedState)
-            seconds = state.size_bytes / self._profile.kv_transfer_bytes_per_second
-            request = msgspec.structs.replace(request, import_seconds=seconds)
-        # Without the state the prompt and the resumed tokens are computed again.
         return self._perform(self._model.submit(request, now), now)
 
     # --- orders ---------------------------------------------------------------------
@@ -372,65 +320,31 @@
         if not self._orders.is_resent(order.fence):
             effects += self._orders.accept(order)
             if order.kind == "activate":
-                effects += self._begin_swap(order, now)
+                effects += self._perform(self._swap.begin(order, now), now)
         return [*effects, door.respond_json(event.request_id, self._orders.last)]
 
-    def _begin_swap(self, order: OrderBody, now: float) -> list[Effect]:
-        """Start a swap to a loaded version."""
-        assert self._orders.last is not None
-        if self._orders.last.state == STATE_FAILED:
-            return []
-        active = (self._model.version, self._active_digest)
-        if self._activating is None and active == (order.version, order.digest):
-            self._orders.settle(STATE_DONE)
-            return []
-        self._activating = order
-        # The digest belongs to the version of the batch, which changes when the swap ends.
-        return self._perform(
-            self._model.activate(order.version, self._profile.activate_seconds, now), now
-        )
-
     def _finish_swap(self, now: float) -> list[Effect]:
         """The swap's pause is over: serve the version, or fail half-way if told to."""
-        order = self._activating
-        if order is None or self._model.version != order.version or self._model.is_paused:
+        was_failed = self._swap.failed
+        end = self._swap.finish(self._swap_failures > 0, now)
+        if end is None:
             return []
-        self._activating = None
-        last = self._orders.last
-        is_last_order = last is not None and last.fence == order.fence
-        if self._swap_failures > 0:
+        effects = self._perform(end.events, now)
+        if end.failed != was_failed:
+            effects.append(self._state_record(now))
+        if end.failed:
             self._swap_failures -= 1
-            if is_last_order:
-                self._orders.settle(STATE_FAILED)
-            return self._fail(now)
-        self._active_digest = order.digest
-        if is_last_order:
-            self._orders.settle(STATE_DONE)
-        effects = self._set_failed(False, now)
+            return effects
         record = ActivationRecord(
             backend_id=self._settings.node_id,
             model=self._settings.model,
-            version=order.version,
-            digest=order.digest,
+            version=end.order.version,
+            digest=end.order.digest,
             activated_at=now,
             incarnation=self._incarnation,
         )
         return [*effects, WriteRecord(f"versions-{self._settings.node_id}", record)]
 
-    def _fail(self, now: float) -> list[Effect]:
-        """Half of the weights are of another version: serve nothing."""
-        effects = self._perform(self._model.end_all(GenerationOutcome.SWAPPED, now), now)
-        self._model.deactivate()
-        self._active_digest = ""
-        return effects + self._set_failed(True, now)
-
-    def _set_failed(self, failed: bool, now: float) -> list[Effect]:
-        """Change the failed state, and record it."""
-        if failed == self._failed:
-            return []
-        self._failed = failed
-        return [self._state_record(now)]
-
     # --- laboratory -----------------------------------------------------------------
 
     def _laboratory(self, event: RequestReceived, path: str, now: float) -> list[Effect]:
@@ -462,8 +376,6 @@
         ends = self._model.end_all(GenerationOutcome.CRASHED, now)
         effects = self._streams.break_all(ends, self._incarnation, now)
         self._model.deactivate()
-        self._importing.clear()
-        self._activating = None
         self._down = True
         return [*effects, SetTimer(_RESTART_TIMER, self._profile.restart_seconds)]
 
@@ -476,40 +388,4 @@
 
     def _state_record(self, now: float) -> Effect:
         """Record the state that the engine reports."""
-        return WriteRecord(
-            f"state-{self._settings.node_id}",
-            BackendStateRecord(
-                backend_id=self._settings.node_id,
-                state=self._state(),
-                at=now,
-                incarnation=self._incarnation,
-            ),
-        )
-
-    def _state(self) -> str:
-        """State for reports."""
-        if self._failed:
-            return "failed"
-        return "leaving" if self._leaving else "ready"
-
-    def _status(self, now: float) -> EngineStatus:
-        """Snapshot for later readers."""
-        return EngineStatus(
-            backend_id=self._settings.node_id,
-            state=self._state(),
-            model=self._settings.model,
-            active_version=0 if self._failed else self._model.version,
-            active_digest=self._active_digest,
-            loaded=self._orders.loaded,
-            loading=self._orders.loading,
-            order=self._orders.last,
-            running=self._model.running,
-            queued=self._model.queued,
-            queued_tokens=self._model.queued_tokens,
-            free_blocks=self._model.free_blocks,
-            total_blocks=self._profile.total_blocks,
-            tokens_per_second=self._model.tokens_per_second,
-            incarnation=self._incarnation,
-            reported_at=now,
-            role=self._orders.role,
-        )
+        return self._reporter.state_record(self._incarnation, self._leaving, now)
--- a/src/merlinstand_lab/standins/engine_model/model.py
+++ b/src/merlinstand_lab/standins/engine_model/model.py
@@ -7,11 +7,15 @@
 swaps and pre-emptions are events; tokens are not.
 """
 
-import heapq
 import math
 
 from merlinstand_lab.records.kinds import GenerationOutcome
 from merlinstand_lab.standins.engine_model.prefix_cache import PrefixCache
+from merlinstand_lab.standins.engine_model.schedules import (
+    CLOCK_EPSILON,
+    EndSchedule,
+    WaitingQueue,
+)
 from merlinstand_lab.standins.engine_model.sequence import (
     ChunkReady,
     Finished,
@@ -20,10 +24,9 @@
     Sequence,
     extend_spans,
 )
+from merlinstand_lab.standins.engine_model.speed import prefill_seconds, step_seconds
 from merlinstand_lab.standins.settings import EngineProfile
 
-_CLOCK_EPSILON = 1e-6
-"""Rounding slack of the decode clock, in tokens."""
 _TIME_EPSILON_SECONDS = 1e-6
 """Well above the resolution of a double that counts seconds since boot."""
 
@@ -43,14 +46,13 @@
         self._paused_until: float | None = None
         self._next_version = 0
         self._sequences: dict[str, Sequence] = {}
-        self._waiting: list[tuple[int, int, Sequence]] = []
+        self._waiting = WaitingQueue()
         self._prefilling: Sequence | None = None
         self._decoding: dict[str, Sequence] = {}
-        self._ends: list[tuple[float, int, Sequence]] = []
+        self._ends = EndSchedule()
         self._context_offset = 0.0
         self._next_tick: float | None = None
         self._arrivals = 0
-        self._joins = 0
         self._events: list[ModelEvent] = []
 
     # --- what the door asks ---------------------------------------------------------
@@ -68,11 +70,7 @@
     @property
     def queued_tokens(self) -> int:
         """Prompt tokens waiting for prefill."""
-        return sum(
-            sequence.request.prompt_tokens
-            for _, _, sequence in self._waiting
-            if self._is_waiting(sequence)
-        )
+        return self._waiting.prompt_tokens()
 
     @property
     def free_blocks(self) -> int:
@@ -85,9 +83,9 @@
         return self._rate * len(self._decoding)
 
     @property
-    def is_paused(self) -> bool:
-        """Whether a swap is under way."""
-        return self._paused_until is not None
+    def paused_until(self) -> float | None:
+        """When the swap under way ends; None if there is none."""
+        return self._paused_until
 
     def holds(self, request_id: str) -> bool:
         """Whether a request is queued or running."""
@@ -111,7 +109,7 @@
             self._finish(sequence, request.outcome_at_target)
             return self._take_events()
         sequence.work_seconds = self._first_work_seconds(sequence)
-        self._enqueue(sequence)
+        self._waiting.add(sequence)
         self._reschedule()
         return self._take_events()
 
@@ -217,20 +215,15 @@
         sequence.decoding = True
         sequence.joined_clock = self._clock
         self._decoding[sequence.request.request_id] = sequence
-        self._context_offset += self._context_at_join(sequence) - self._clock
-        remaining = sequence.request.target_tokens - sequence.produced
-        self._joins += 1
-        heapq.heappush(self._ends, (self._clock + remaining, self._joins, sequence))
+        self._context_offset += sequence.context_tokens - self._clock
+        self._ends.add(sequence, self._clock)
         self.cache.store(sequence.request.prefix_digests)
 
     def _finish_ended(self) -> None:
         """End the sequences that reached their last token."""
-        while self._ends and self._ends[0][0] <= self._clock + _CLOCK_EPSILON:
-            end_clock, _, sequence = heapq.heappop(self._ends)
-            if not self._entry_is_live(end_clock, sequence):
-                continue
+        for sequence in self._ends.take_due(self._clock):
             self._settle(sequence)
-            missing = sequence.request.target_tokens - sequence.produced
+            missing = sequence.remaining
             sequence.produced += missing
             sequence.joined_clock += missing
             self._emit(sequence)
@@ -244,15 +237,9 @@
         if batch == 0:
             self._rate = 0.0
             return
-        profile = self._profile
         context = self._context_offset + batch * self._clock
-        step_seconds = (
-            profile.step_base_seconds
-            + profile.step_seconds_per_sequence * batch
-            + profile.step_seconds_per_context_token * context
-        )
-        share = 1.0 - profile.prefill_share if self._prefilling is not None else 1.0
-        self._rate = share / step_seconds
+        share = 1.0 - self._profile.prefill_share if self._prefilling is not None else 1.0
+        self._rate = share / step_seconds(self._profile, batch, context)
 
     def _work_share(self) -> float:
         """Share of the engine's time that prefill gets."""
@@ -260,11 +247,10 @@
 
     def _next_end_at(self) -> float | None:
         """When the next decoding sequence reaches its last token."""
-        while self._ends and not self._entry_is_live(self._ends[0][0], self._ends[0][2]):
-            heapq.heappop(self._ends)
-        if not self._ends or self._rate <= 0:
+        end_clock = self._ends.next_clock()
+        if end_clock is None or self._rate <= 0:
             return None
-        return self._time + max(0.0, self._ends[0][0] - self._clock) / self._rate
+        return self._time + max(0.0, end_clock - self._clock) / self._rate
 
     def _next_work_end_at(self) -> float | None:
         """When the current prefill is done."""
@@ -282,36 +268,13 @@
 
     # --- admission and memory -------------------------------------------------------
 
-    def _enqueue(self, sequence: Sequence) -> None:
-        """Put a sequence into the queue, higher priority and earlier arrival first."""
-        entry = (-sequence.request.priority, sequence.arrival, sequence)
-        heapq.heappush(self._waiting, entry)
-
-    def _is_waiting(self, sequence: Sequence) -> bool:
-        """Whether a queue entry is still meant (entries are deleted lazily)."""
-        return (
-            self._sequences.get(sequence.request.request_id) is sequence
-            and not sequence.decoding
-            and sequence is not self._prefilling
-        )
-
-    def _entry_is_live(self, end_clock: float, sequence: Sequence) -> bool:
-        """Whether an entry of the end heap is still meant."""
-        if not sequence.decoding:
-            return False
-        remaining = sequence.request.target_tokens - sequence.produced
-        return abs(sequence.joined_clock + remaining - end_clock) < _CLOCK_EPSILON
-
     def _admit(self) -> None:
         """Start the prefill of the next waiting sequence if there is room."""
-        while self._prefilling is None and self._waiting:
-            sequence = self._waiting[0][2]
-            if not self._is_waiting(sequence):
-                heapq.heappop(self._waiting)
-                continue
-            if not self._make_room(sequence):
+        while self._prefilling is None:
+            sequence = self._waiting.head()
+            if sequence is None or not self._make_room(sequence):
                 return
-            heapq.heappop(self._waiting)
+            self._waiting.take_head()
             self._prefilling = sequence
 
     def _make_room(self, sequence: Sequence) -> bool:
@@ -343,9 +306,8 @@
         self._settle(victim)
         self._emit(victim)
         self._leave_batch(victim)
-        context = victim.request.prompt_tokens + victim.produced
-        victim.work_seconds = context * self._profile.prefill_seconds_per_token
-        self._enqueue(victim)
+        victim.work_seconds = prefill_seconds(self._profile, victim.context_tokens)
+        self._waiting.add(victim)
 
     def _relieve_memory(self) -> None:
         """Evict cached blocks, then pre-empt, until the growing contexts fit."""
@@ -367,8 +329,7 @@
 
     def _blocks_of(self, sequence: Sequence) -> int:
         """Blocks that a sequence needs to start."""
-        tokens = sequence.request.prompt_tokens + sequence.produced
-        return math.ceil(tokens / self._profile.block_tokens)
+        return math.ceil(sequence.context_tokens / self._profile.block_tokens)
 
     def _first_work_seconds(self, sequence: Sequence) -> float:
         """Work before the first token: import of state, or prefill less the cached prefix."""
@@ -376,22 +337,16 @@
         if request.import_seconds is not None:
             return request.import_seconds
         matched = self.cache.match(request.prefix_digests) * self._profile.block_tokens
-        tokens = max(1, request.prompt_tokens + request.first_token - matched)
-        return tokens * self._profile.prefill_seconds_per_token
+        return prefill_seconds(self._profile, sequence.context_tokens - matched)
 
     # --- progress of one sequence ---------------------------------------------------
 
-    def _context_at_join(self, sequence: Sequence) -> int:
-        """Tokens in a sequence's context when it joined."""
-        return sequence.request.prompt_tokens + sequence.produced
-
     def _settle(self, sequence: Sequence) -> None:
         """Turn the clock's advance into whole tokens of one sequence."""
         if not sequence.decoding:
             return
-        whole = math.floor(self._clock - sequence.joined_clock + _CLOCK_EPSILON)
-        limit = sequence.request.target_tokens - sequence.produced
-        whole = min(whole, limit)
+        whole = math.floor(self._clock - sequence.joined_clock + CLOCK_EPSILON)
+        whole = min(whole, sequence.remaining)
         sequence.produced += whole
         sequence.joined_clock += whole
 
@@ -421,7 +376,7 @@
         if sequence.decoding:
             del self._decoding[sequence.request.request_id]
             # The context's part that grew with the clock leaves with the sequence.
-            self._context_offset -= self._context_at_join(sequence) - sequence.joined_clock
+            self._context_offset -= sequence.context_tokens - sequence.joined_clock
             sequence.decoding = False
         elif sequence is self._prefilling:
             self._prefilling = None
@@ -429,6 +384,7 @@
     def _finish(self, sequence: Sequence, outcome: GenerationOutcome) -> None:
         """End a sequence; only tokens already given out count."""
         self._leave_batch(sequence)
+        sequence.waiting = False
         del self._sequences[sequence.request.request_id]
         if not sequence.request.background:
             self._events.append(
--- a/src/merlinstand_lab/standins/engine_model/sequence.py
+++ b/src/merlinstand_lab/standins/engine_model/sequence.py
@@ -38,9 +38,20 @@
     joined_clock: float = 0.0
     """Decode clock at which `produced` was right."""
     decoding: bool = False
+    waiting: bool = False
     spans: list[Span] = []
     """Spans made here."""
 
+    @property
+    def remaining(self) -> int:
+        """Tokens to go at the last settlement."""
+        return self.request.target_tokens - self.produced
+
+    @property
+    def context_tokens(self) -> int:
+        """Tokens in the context at the last settlement."""
+        return self.request.prompt_tokens + self.produced
+
 
 class ChunkReady(msgspec.Struct, frozen=True):
     """Tokens of one version for the caller."""
