--- a/src/merlinstand/runtime/http_client.py
+++ b/src/merlinstand/runtime/http_client.py
@@ -160,9 +160,13 @@
 
     def read_head(self) -> None:
         """Read until the final response's headers are complete."""
-        while not self.parser.has_final_head:
-            self.read_more()
-        self.phase = CallPhase.BODY
+        try:
+            while not self.parser.has_final_head:
+                self.read_more()
+        finally:
+            # The head may be there although the bytes behind it are malformed.
+            if self.parser.has_final_head:
+                self.phase = CallPhase.BODY
         if not self.parser.message_complete and not self.parser.is_framed():
             # A body that ends with its connection can't be told from a truncated one.
             raise HTTPParseError("response without length")
--- a/src/merlinstand/runtime/http_connection.py
+++ b/src/merlinstand/runtime/http_connection.py
@@ -7,7 +7,11 @@
 
 from gevent import socket as gevent_socket
 from gevent.ssl import SSLContext, SSLError
-from geventhttpclient.response import HTTPResponse
+from geventhttpclient.response import (
+    HTTPParseError,
+    HTTPProtocolViolationError,
+    HTTPResponse,
+)
 from result import Err
 
 from merlinstand.kernel.effects import StartCall
@@ -21,6 +25,7 @@
 """Kept connections for each server."""
 RECEIVE_BYTES = 64 * 1024
 
+_FIRST_FINAL_STATUS = 200
 _METHODS_WITH_BODY = frozenset(("POST", "PUT", "PATCH"))
 _DROPPED_HEADERS = HOP_BY_HOP_HEADERS | {"content-length", "host", "expect"}
 _TARGET = re.compile(r"/[\x21-\x7e]*\Z")
@@ -148,12 +153,36 @@
 
 
 class ResponseParser(HTTPResponse):
-    """geventhttpclient's parser, which tells body bytes from framing as they come."""
+    """geventhttpclient's parser, for exactly one final response."""
+
+    _final_complete = False
+
+    def feed(self, data: str | bytes) -> None:
+        """Parse some bytes; whatever follows the response ends the connection's use."""
+        try:
+            super().feed(data)
+        except HTTPParseError:
+            if not self._final_complete:
+                raise
+            # The response itself is whole. The bytes behind it answer no request; the
+            # base class would take them for another response and mix the two.
+            self.headers_complete = True
+            self.message_complete = True
+            self._trailing_data_dropped = True
+
+    def _on_message_begin(self) -> None:
+        if self._final_complete:
+            raise HTTPProtocolViolationError("bytes after the response")
+        super()._on_message_begin()
+
+    def _on_message_complete(self) -> None:
+        super()._on_message_complete()
+        self._final_complete = self.get_code() >= _FIRST_FINAL_STATUS
 
     @property
     def has_final_head(self) -> bool:
         """Whether the headers of a response other than 1xx are complete."""
-        return bool(self.headers_complete) and self.get_code() >= 200
+        return bool(self.headers_complete) and self.get_code() >= _FIRST_FINAL_STATUS
 
     @property
     def body_size(self) -> int:
--- /dev/null
+++ b/tests/runtime/test_http_client.py
@@ -0,0 +1,297 @@
+"""How calls end, and that no request is ever sent twice."""
+
+import socket
+import struct
+from typing import Any
+
+import pytest
+
+from merlinstand.common.ids import CallId
+from merlinstand.kernel.effects import StartCall
+from merlinstand.kernel.events import (
+    CallChunk,
+    CallEnded,
+    CallFailed,
+    CallHeaders,
+    CallPhase,
+    CallResponded,
+)
+from merlinstand.runtime.http_client import HttpClient
+from merlinstand.runtime.http_connection import ConnectionPool
+from tests.runtime.conftest import EventSink, read_request
+
+WHOLE = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nX-A: b\r\nSet-Cookie: a=1,2\r\nSet-Cookie: c\r\n\r\nok"
+
+
+def call(address: str, call_id: str = "c1", **changes: Any) -> StartCall:
+    fields: dict[str, Any] = {
+        "call_id": CallId(call_id),
+        "address": address,
+        "method": "POST",
+        "path": "/book?slot=1",
+        "headers": {"X-Request-Id": "r1", "Connection": "upgrade"},
+        "body": b"cat",
+        "timeout_seconds": 20.0,
+    }
+    return StartCall(**{**fields, **changes})
+
+
+def reset(connection: Any) -> None:
+    """Close with a TCP reset."""
+    linger = struct.pack("ii", 1, 0)
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    connection.close()
+
+
+@pytest.fixture
+def client(sink: EventSink) -> Any:
+    made = HttpClient(sink.submit, ConnectionPool())
+    yield made
+    made.close()
+
+
+def test_whole_response(sink: EventSink, client: Any, raw_server: Any) -> None:
+    seen: list[bytes] = []
+
+    def serve(connection: Any) -> None:
+        seen.append(read_request(connection))
+        connection.sendall(WHOLE)
+
+    client.start(call(raw_server(serve)))
+    event = sink.wait_for(CallResponded)
+    assert (event.status, event.body) == (200, b"ok")
+    assert event.headers["x-a"] == "b"
+    assert event.headers["set-cookie"] == "a=1,2\nc"
+    assert seen[0].startswith(b"POST /book?slot=1 HTTP/1.1\r\nHost: 127.0.0.1:")
+    assert b"Content-Length: 3" in seen[0]
+    assert b"upgrade" not in seen[0]
+    assert seen[0].endswith(b"\r\n\r\ncat")
+
+
+def test_refused_connection_is_not_run(sink: EventSink, client: Any) -> None:
+    with socket.socket() as unused:
+        unused.bind(("127.0.0.1", 0))
+        client.start(call(f"127.0.0.1:{unused.getsockname()[1]}"))
+        event = sink.wait_for(CallFailed)
+    assert (event.phase, event.reason) == (CallPhase.CONNECT, "refused")
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"path": "no-slash"},
+        {"path": "/a b"},
+        {"path": "/a\r\nX: y"},
+        {"method": "GET /x"},
+        {"headers": {"X-A": "b\r\nX-C: d"}},
+        {"headers": {"X A": "b"}},
+        {"headers": {"X-A": "\u20ac"}},
+        {"address": "example.com:80"},
+    ],
+)
+def test_request_that_cannot_be_sent_is_not_run(
+    sink: EventSink, client: Any, raw_server: Any, changes: dict[str, Any]
+) -> None:
+    address = raw_server(lambda connection: pytest.fail("connected"))
+    client.start(call(**{"address": address, **changes}))
+    assert sink.wait_for(CallFailed).phase is CallPhase.CONNECT
+
+
+@pytest.mark.parametrize("read_first", [True, False])
+@pytest.mark.parametrize("end", [reset, lambda connection: connection.close()])
+def test_accept_then_close_may_have_run(
+    sink: EventSink, client: Any, raw_server: Any, read_first: bool, end: Any
+) -> None:
+    def serve(connection: Any) -> None:
+        if read_first:
+            read_request(connection)
+        else:
+            # Bytes have left the client, though nobody read them here.
+            connection.recv(1)
+        end(connection)
+
+    client.start(call(raw_server(serve)))
+    event = sink.wait_for(CallFailed)
+    assert (event.phase, event.reason) == (CallPhase.SENT, "reset")
+
+
+def test_no_response_in_time_may_have_run(sink: EventSink, client: Any, raw_server: Any) -> None:
+    def serve(connection: Any) -> None:
+        read_request(connection)
+        connection.recv(1)
+
+    client.start(call(raw_server(serve), timeout_seconds=0.05))
+    event = sink.wait_for(CallFailed)
+    assert (event.phase, event.reason) == (CallPhase.SENT, "timeout")
+
+
+@pytest.mark.parametrize(
+    ("response", "phase", "reason"),
+    [
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf", CallPhase.BODY, "truncated"),
+        (b"HTTP/1.1 200 OK\r\nContent-Le", CallPhase.SENT, "reset"),
+        (b"HTTP/1.1 100 Continue\r\n\r\n", CallPhase.SENT, "reset"),
+        (b"garbage\r\n\r\n", CallPhase.SENT, "malformed"),
+        (b"HTTP/1.1 200 OK\r\n\r\nno length", CallPhase.BODY, "malformed"),
+        (
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n",
+            CallPhase.BODY,
+            "truncated",
+        ),
+        (
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nhalf\r\n",
+            CallPhase.BODY,
+            "malformed",
+        ),
+    ],
+)
+@pytest.mark.parametrize("stream", [False, True])
+def test_broken_responses(
+    sink: EventSink,
+    client: Any,
+    raw_server: Any,
+    response: bytes,
+    phase: CallPhase,
+    reason: str,
+    stream: bool,
+) -> None:
+    def serve(connection: Any) -> None:
+        read_request(connection)
+        connection.sendall(response)
+
+    client.start(call(raw_server(serve), stream=stream))
+    event = sink.wait_for(CallFailed)
+    assert (event.phase, event.reason) == (phase, reason)
+    assert not [one for one in sink.events if isinstance(one, CallResponded | CallEnded)]
+
+
+def test_whole_responses_share_a_connection(
+    sink: EventSink, client: Any, raw_server: Any
+) -> None:
+    connections = 0
+
+    def serve(connection: Any) -> None:
+        nonlocal connections
+        connections += 1
+        while read_request(connection):
+            connection.sendall(WHOLE)
+
+    address = raw_server(serve)
+    for number in range(1, 4):
+        client.start(call(address, f"c{number}"))
+        sink.wait_for(CallResponded, number)
+    assert connections == 1
+    client.start(call(address, "c4", fresh_connection=True))
+    sink.wait_for(CallResponded, 4)
+    assert connections == 2
+
+
+def test_stale_kept_connection_is_never_resent(
+    sink: EventSink, client: Any, raw_server: Any
+) -> None:
+    """The server dies between two requests of one connection: at most one copy is sent."""
+    requests: list[bytes] = []
+
+    def serve(connection: Any) -> None:
+        requests.append(read_request(connection))
+        connection.sendall(WHOLE)
+        second = read_request(connection)
+        if second:
+            requests.append(second)
+            reset(connection)
+
+    address = raw_server(serve)
+    client.start(call(address, "c1"))
+    sink.wait_for(CallResponded)
+    client.start(call(address, "c2"))
+    event = sink.wait_for(CallFailed)
+    assert (event.call_id, event.phase) == ("c2", CallPhase.SENT)
+    assert len(requests) == 2
+
+
+def test_connection_closed_while_idle_is_replaced(
+    sink: EventSink, client: Any, raw_server: Any
+) -> None:
+    connections = 0
+
+    def serve(connection: Any) -> None:
+        nonlocal connections
+        connections += 1
+        read_request(connection)
+        # The end follows the answer at once: both are there before the next call.
+        connection.sendall(WHOLE)
+
+    address = raw_server(serve)
+    client.start(call(address, "c1"))
+    sink.wait_for(CallResponded)
+    client.start(call(address, "c2"))
+    sink.wait_for(CallResponded, 2)
+    assert connections == 2
+
+
+@pytest.mark.parametrize(
+    ("first", "ended"),
+    [
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf", CallFailed),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nConnection: close\r\n\r\nok", CallResponded),
+        # An answer that nobody asked for must neither join this one nor become the next.
+        (WHOLE + b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother", CallResponded),
+        (WHOLE + b"garbage", CallResponded),
+    ],
+)
+def test_doubtful_connections_are_not_reused(
+    sink: EventSink, client: Any, raw_server: Any, first: bytes, ended: type
+) -> None:
+    count = 0
+
+    def serve(connection: Any) -> None:
+        nonlocal count
+        count += 1
+        read_request(connection)
+        connection.sendall(first if count == 1 else WHOLE)
+        if b"half" not in first:
+            connection.recv(1)
+
+    address = raw_server(serve)
+    client.start(call(address, "c1"))
+    assert getattr(sink.wait_for(ended), "body", b"ok") == b"ok"
+    sink.events.clear()
+    client.start(call(address, "c2"))
+    second = sink.wait_for(CallResponded)
+    assert (second.call_id, second.body, second.headers["x-a"]) == ("c2", b"ok", "b")
+    assert count == 2
+
+
+def test_stream_comes_in_pieces_and_ends(sink: EventSink, client: Any, raw_server: Any) -> None:
+    def serve(connection: Any) -> None:
+        read_request(connection)
+        connection.sendall(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+        sink.wait_for(CallHeaders)
+        connection.sendall(b"3\r\none\r\n")
+        sink.wait_for(CallChunk)
+        connection.sendall(b"3\r\ntwo\r\n0\r\n\r\n")
+
+    client.start(call(raw_server(serve), stream=True))
+    sink.wait_for(CallEnded)
+    names = [type(event).__name__ for event in sink.events]
+    assert names[0] == "CallHeaders"
+    assert b"".join(e.data for e in sink.events if isinstance(e, CallChunk)) == b"onetwo"
+
+
+def test_cancelled_call_closes_its_connection_in_silence(
+    sink: EventSink, client: Any, raw_server: Any
+) -> None:
+    closed = EventSink()
+
+    def serve(connection: Any) -> None:
+        read_request(connection)
+        connection.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf")
+        assert connection.recv(1) == b""
+        closed.submit(CallEnded(CallId("seen by the server")))
+
+    client.start(call(raw_server(serve), stream=True))
+    sink.wait_for(CallChunk)
+    client.cancel(CallId("c1"))
+    closed.wait_for(CallEnded)
+    assert not [one for one in sink.events if isinstance(one, CallEnded | CallFailed)]
+    assert client.open_count == 0
--- /dev/null
+++ b/tests/runtime/test_http_door.py
@@ -0,0 +1,311 @@
+"""The HTTP door: what reaches the reducer, how responses leave, what bad clients get."""
+
+import json
+from collections.abc import Sequence
+from typing import Any
+
+import gevent
+import pytest
+from hypothesis import example, given
+from hypothesis import strategies as st
+
+from merlinstand.kernel.effects import (
+    CountMetric,
+    Effect,
+    Respond,
+    RespondChunk,
+    RespondEnd,
+    RespondStart,
+)
+from merlinstand.kernel.events import Event, RequestAborted, RequestReceived
+from merlinstand.runtime.host_settings import HttpLimits
+from tests.runtime.conftest import connect, read_to_end
+
+LIMITS = HttpLimits(maximum_body_bytes=1000, request_read_timeout_seconds=0.2)
+PATIENT = HttpLimits(maximum_body_bytes=1000)
+
+
+def echo(event: Event) -> Sequence[Effect]:
+    if not isinstance(event, RequestReceived):
+        return ()
+    headers = {"Content-Type": "text/plain", "X-Path": event.path, "Connection": "upgrade"}
+    return (
+        CountMetric("requests", 1.0, {"method": event.method}),
+        Respond(event.request_id, 200, headers, event.body),
+    )
+
+
+def exchange(host: Any, data: bytes) -> bytes:
+    """Send bytes, then read what comes until the server closes."""
+    connection = connect(host.http_address)
+    connection.sendall(data)
+    answer = read_to_end(connection)
+    connection.close()
+    return answer
+
+
+def error_of(answer: bytes) -> tuple[int, str]:
+    """Give status and code of an error response, checking its form."""
+    head, _separator, body = answer.partition(b"\r\n\r\n")
+    parsed = json.loads(body)
+    assert set(parsed) == {"code", "detail", "retry_after_seconds"}
+    assert parsed["detail"]
+    assert b"x-outcome: not_run" in head.lower()
+    return int(head.split(b" ")[1]), parsed["code"]
+
+
+def request(target: str = "/a/b%20c?d=e", body: bytes = b"", *lines: str) -> bytes:
+    head = [f"POST {target} HTTP/1.1", "Host: x", f"Content-Length: {len(body)}", *lines]
+    return ("\r\n".join(head) + "\r\n\r\n").encode() + body
+
+
+def test_request_and_response(run_reducer: Any) -> None:
+    host, reducer = run_reducer(echo)
+    lines = ("X-Caller: me", "x-caller: you", "Connection: close")
+    answer = exchange(host, request("/a/b%20c?d=e", b"hello", *lines))
+    event = reducer.sink.wait_for(RequestReceived)
+    assert (event.method, event.path, event.body) == ("POST", "/a/b%20c?d=e", b"hello")
+    assert event.headers["x-caller"] == "me, you"
+    assert event.peer == "127.0.0.1"
+    head, _separator, body = answer.partition(b"\r\n\r\n")
+    assert head.startswith(b"HTTP/1.1 200 OK\r\n")
+    assert b"X-Path: /a/b%20c?d=e" in head or b"x-path: /a/b%20c?d=e" in head
+    assert b"upgrade" not in head
+    assert body == b"hello"
+
+
+def test_requests_of_one_connection_are_answered_in_order(run_reducer: Any) -> None:
+    host, reducer = run_reducer(echo)
+    answer = exchange(
+        host, request("/1", b"one") + request("/2", b"two") + request("/3", b"", "Connection: close")
+    )
+    assert answer.index(b"one") < answer.index(b"two")
+    assert answer.count(b"HTTP/1.1 200 OK") == 3
+    ids = {event.request_id for event in reducer.sink.events if isinstance(event, RequestReceived)}
+    assert len(ids) == 3
+
+
+def test_chunked_body(run_reducer: Any) -> None:
+    host, _reducer = run_reducer(echo)
+    data = b"PUT /x HTTP/1.1\r\nTransfer-Encoding: chunked\r\nConnection: close\r\n\r\n"
+    assert exchange(host, data + b"3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n").endswith(b"abcde")
+
+
+def test_live_and_metrics_are_the_hosts(run_reducer: Any) -> None:
+    host, _reducer = run_reducer(echo)
+    close = b"HTTP/1.1\r\nConnection: close\r\n\r\n"
+    assert b"200 OK" in exchange(host, b"GET /livez " + close)
+    exchange(host, b"GET /count " + close)
+    assert b'merlinstand_requests_total{method="GET"} 1.0' in exchange(
+        host, b"GET /metrics " + close
+    )
+
+
+def test_streamed_response_comes_as_it_is_made(run_reducer: Any) -> None:
+    def decide(event: Event) -> Sequence[Effect]:
+        if isinstance(event, RequestReceived) and event.method == "GET":
+            return (RespondStart(event.request_id, 200, {"Content-Type": "text/event-stream"}),)
+        if isinstance(event, RequestReceived):
+            streamed = reducer.sink.wait_for(RequestReceived).request_id
+            more = event.body or b"unused"
+            end = (RespondEnd(streamed),) if not event.body else ()
+            done = Respond(event.request_id, 200, {}, b"")
+            return (RespondChunk(streamed, more), *end, done)
+        return ()
+
+    host, reducer = run_reducer(decide)
+    stream = connect(host.http_address)
+    stream.sendall(b"GET /s HTTP/1.1\r\n\r\n")
+    head = stream.recv(65536)
+    assert b"200 OK" in head
+    exchange(host, request("/push", b"first", "Connection: close"))
+    assert b"first" in stream.recv(65536)
+    exchange(host, request("/push", b"", "Connection: close"))
+    rest = b""
+    while not rest.endswith(b"0\r\n\r\n"):
+        rest += stream.recv(65536)
+    stream.close()
+
+
+def test_broken_stream_does_not_look_whole(run_reducer: Any) -> None:
+    def decide(event: Event) -> Sequence[Effect]:
+        if not isinstance(event, RequestReceived):
+            return ()
+        one = event.request_id
+        return (RespondStart(one, 200, {}), RespondChunk(one, b"half"), RespondEnd(one, False))
+
+    host, _reducer = run_reducer(decide)
+    answer = exchange(host, request())
+    assert not answer.endswith(b"0\r\n\r\n")
+
+
+@pytest.mark.parametrize("streamed", [False, True])
+def test_client_that_goes_away_is_reported(run_reducer: Any, streamed: bool) -> None:
+    def decide(event: Event) -> Sequence[Effect]:
+        if streamed and isinstance(event, RequestReceived):
+            return (RespondStart(event.request_id, 200, {}),)
+        return ()
+
+    host, reducer = run_reducer(decide)
+    connection = connect(host.http_address)
+    connection.sendall(request())
+    received = reducer.sink.wait_for(RequestReceived)
+    connection.close()
+    assert reducer.sink.wait_for(RequestAborted).request_id == received.request_id
+
+
+def test_client_that_never_reads_is_cut_off(run_reducer: Any) -> None:
+    def decide(event: Event) -> Sequence[Effect]:
+        if not isinstance(event, RequestReceived):
+            return ()
+        chunk = b"x" * 100_000
+        chunks = [RespondChunk(event.request_id, chunk) for _ in range(20)]
+        return (RespondStart(event.request_id, 200, {}), *chunks)
+
+    limits = HttpLimits(maximum_unsent_response_bytes=1_000_000)
+    host, reducer = run_reducer(decide, http_limits=limits)
+    connection = connect(host.http_address)
+    connection.sendall(request())
+    reducer.sink.wait_for(RequestAborted)
+    connection.close()
+
+
+@pytest.mark.parametrize(
+    ("data", "status", "code"),
+    [
+        (b"nonsense\r\n\r\n", 400, "malformed_request"),
+        (b"GET /\r\n\r\n", 400, "malformed_request"),
+        (b"GET / HTTP/2.0\r\n\r\n", 400, "malformed_request"),
+        (b"GET x HTTP/1.1\r\n\r\n", 400, "malformed_request"),
+        (b"GET /\xff\xfe HTTP/1.1\r\n\r\n", 400, "malformed_request"),
+        (b"GET / HTTP/1.1\r\nno colon\r\n\r\n", 400, "malformed_request"),
+        (b"GET / HTTP/1.1\r\nX-A : b\r\n\r\n", 400, "malformed_request"),
+        (b"GET / HTTP/1.1\r\nX-A: b\x00c\r\n\r\n", 400, "malformed_request"),
+        (b"GET / HTTP/1.1\r\nX-A: b\r\n folded\r\n\r\n", 400, "malformed_request"),
+        (b"POST / HTTP/1.1\r\nContent-Length: -1\r\n\r\n", 400, "malformed_request"),
+        (b"POST / HTTP/1.1\r\nContent-Length: 1e3\r\n\r\n", 400, "malformed_request"),
+        (
+            b"POST / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 1\r\n\r\nx",
+            400,
+            "malformed_request",
+        ),
+        (
+            b"POST / HTTP/1.1\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n",
+            400,
+            "malformed_request",
+        ),
+        (b"POST / HTTP/1.1\r\nTransfer-Encoding: gzip\r\n\r\n", 400, "malformed_request"),
+        (b"GET /" + b"x" * 9000 + b" HTTP/1.1\r\n\r\n", 414, "target_too_long"),
+        (b"GET / HTTP/1.1\r\nX-A: " + b"x" * 70_000 + b"\r\n\r\n", 431, "head_too_large"),
+        (b"GET / HTTP/1.1\r\n" + b"X-A: b\r\n" * 200 + b"\r\n", 431, "head_too_large"),
+        (request("/", b"x" * 1001), 413, "body_too_large"),
+        (b"POST / HTTP/1.1\r\nContent-Length: 99999999999\r\n\r\n", 413, "body_too_large"),
+        (
+            b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+            + b"400\r\n" + b"x" * 1024 + b"\r\n" + b"0\r\n\r\n",
+            413,
+            "body_too_large",
+        ),
+        (
+            b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+            400,
+            "truncated_body",
+        ),
+    ],
+)
+def test_bad_requests_get_typed_errors(
+    run_reducer: Any, data: bytes, status: int, code: str
+) -> None:
+    host, reducer = run_reducer(echo, http_limits=PATIENT)
+    assert error_of(exchange(host, data)) == (status, code)
+    assert not [one for one in reducer.sink.events if isinstance(one, RequestReceived)]
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"GET / HT",
+        b"GET / HTTP/1.1\r\nX-A: b\r\n",
+        b"POST / HTTP/1.1\r\nContent-Length: 9\r\n\r\nhalf",
+        b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nhalf",
+    ],
+)
+def test_slow_sender_gets_408_and_costs_nobody_else(run_reducer: Any, data: bytes) -> None:
+    host, reducer = run_reducer(echo, http_limits=LIMITS)
+    slow = connect(host.http_address)
+    slow.sendall(data)
+    assert exchange(host, request("/", b"quick", "Connection: close")).endswith(b"quick")
+    assert error_of(read_to_end(slow)) == (408, "slow_request")
+    slow.close()
+    assert len([one for one in reducer.sink.events if isinstance(one, RequestReceived)]) == 1
+
+
+def test_truncated_body_does_not_reach_the_reducer(run_reducer: Any) -> None:
+    host, reducer = run_reducer(echo)
+    connection = connect(host.http_address)
+    connection.sendall(b"POST / HTTP/1.1\r\nContent-Length: 9\r\n\r\nhalf")
+    connection.shutdown(1)
+    assert error_of(read_to_end(connection)) == (400, "truncated_body")
+    connection.close()
+    assert not [one for one in reducer.sink.events if isinstance(one, RequestReceived)]
+
+
+def test_requests_after_the_reducer_stopped_are_refused_as_not_run(run_reducer: Any) -> None:
+    host, reducer = run_reducer(echo)
+    host.request_exit(0)
+    assert error_of(exchange(host, request())) == (503, "stopping")
+    assert not [one for one in reducer.sink.events if isinstance(one, RequestReceived)]
+
+
+def test_planned_stop_lets_responses_end(run_reducer: Any) -> None:
+    host, reducer = run_reducer(lambda _event: ())
+    connection = connect(host.http_address)
+    connection.sendall(request())
+    one = reducer.sink.wait_for(RequestReceived).request_id
+    effects = [RespondStart(one, 200, {}), RespondChunk(one, b"late"), RespondEnd(one)]
+    for effect in effects:
+        host._performer.perform(effect)
+    host.request_exit(0)
+    stopping = gevent.spawn(host.stop)
+    answer = read_to_end(connection)
+    assert answer.endswith(b"4\r\nlate\r\n0\r\n\r\n")
+    stopping.get()
+    connection.close()
+
+
+FRAGMENTS = st.sampled_from(
+    [
+        b"GET /x HTTP/1.1\r\n",
+        b"POST /\xc3\xa9 HTTP/1.1\r\n",
+        b"Content-Length: 4\r\n",
+        b"Content-Length: \xd9\xa3\r\n",
+        b"Transfer-Encoding: chunked\r\n",
+        b"Expect: 100-continue\r\n",
+        b"Connection: close\r\n",
+        b"\r\n",
+        b"\n",
+        b"4\r\nbody\r\n0\r\n\r\n",
+        b"body",
+        b"\x00",
+        b"\xff\xfe",
+    ]
+)
+
+
+@given(st.lists(st.one_of(FRAGMENTS, st.binary(max_size=30)), max_size=12))
+@example([b"OPTIONS * HTTP/1.1\r\n\r\n"])
+@example([b"GET http://h HTTP/1.0\r\n\r\n"])
+@example([b"BREW /pot HTTP/1.1\r\n\r\n"])
+@example([b"POST / HTTP/1.1\r\nContent-Length: 0000000000000000004\r\n\r\nbody"])
+def test_any_bytes_leave_the_door_open(run_reducer: Any, parts: list[bytes]) -> None:
+    """Whatever a client sends, it gets HTTP or silence, and the next client is served."""
+    host, reducer = run_reducer(echo, http_limits=PATIENT)
+    connection = connect(host.http_address)
+    connection.sendall(b"".join(parts))
+    connection.shutdown(1)
+    answer = read_to_end(connection)
+    connection.close()
+    assert not answer or answer.startswith(b"HTTP/1.1 ")
+    assert b"Internal Server Error" not in answer
+    assert exchange(host, request("/", b"next", "Connection: close")).endswith(b"next")
+    host.abort()
