--- a/src/merlinstand_lab/standins/engine_model/model.py
+++ b/src/merlinstand_lab/standins/engine_model/model.py
@@ -377,6 +377,9 @@
             del self._decoding[sequence.request.request_id]
             # The context's part that grew with the clock leaves with the sequence.
             self._context_offset -= sequence.context_tokens - sequence.joined_clock
+            if not self._decoding:
+                # Rounding must not build up over days.
+                self._context_offset = 0.0
             sequence.decoding = False
         elif sequence is self._prefilling:
             self._prefilling = None
