Choose a replica for a lookup in constant time

Cause: profile of the reducer alone showed a third of each lookup in scanning the 16 replicas of the subset (is_eligible, has_room, breaker) and in randrange. Ruled out: parsing (5 us of 32) and the agenda (2 us). Change: eligible replicas of the own zone are cached until a signal changes them; two draws decide unless they look unhealthy, full or busy enough to spill. random() in place of randrange.

--- a/src/merlinstand/routing/balancer.py
+++ b/src/merlinstand/routing/balancer.py
@@ -19,13 +19,19 @@
     """
     if len(replicas) == 1:
         return replicas[0]
-    first_index = random.randrange(len(replicas))
-    second_index = random.randrange(len(replicas) - 1)
+    first, second = two_of(replicas, random)
+    return second if second.utilisation(now) < first.utilisation(now) else first
+
+
+def two_of(replicas: Sequence[Replica], random: Random) -> tuple[Replica, Replica]:
+    """Draw two different replicas out of at least two."""
+    # `random()` is several times cheaper than `randrange` and even enough for so few.
+    count = len(replicas)
+    first_index = int(random.random() * count)
+    second_index = int(random.random() * (count - 1))
     if second_index >= first_index:
         second_index += 1
-    first = replicas[first_index]
-    second = replicas[second_index]
-    return second if second.utilisation(now) < first.utilisation(now) else first
+    return replicas[first_index], replicas[second_index]
 
 
 def prefer_zone(
--- a/src/merlinstand/routing/replica.py
+++ b/src/merlinstand/routing/replica.py
@@ -69,6 +69,15 @@
         """Return the number of requests believed to be at the replica."""
         return self.in_flight + self.load.foreign(now)
 
+    def can_take(self, unanswered_limit: int, now: float) -> bool:
+        """Tell whether an eligible replica looks healthy and has a free place."""
+        return (
+            self.in_flight < self.limit.value
+            and now >= self.back_off_until
+            and self.unanswered_statuses < unanswered_limit
+            and self.breaker.allows(now)
+        )
+
     def has_room(self) -> bool:
         """Tell whether this daemon may have one more request in flight there."""
         return self.in_flight < self.limit.value
--- a/src/merlinstand/routing/router.py
+++ b/src/merlinstand/routing/router.py
@@ -7,14 +7,19 @@
 from result import Err, Ok, Result
 
 from merlinstand.configuration.objects import Backend, Drain, Pool
-from merlinstand.routing.balancer import bounded_affinity, prefer_zone, without_open_breakers
+from merlinstand.routing.balancer import (
+    bounded_affinity,
+    prefer_zone,
+    two_of,
+    without_open_breakers,
+)
 from merlinstand.routing.errors import NoBackendError, PoolBusyError
 from merlinstand.routing.membership import MachineState
 from merlinstand.routing.replica import Replica
 from merlinstand.routing.retry_budget import RetryBudget
 from merlinstand.routing.settings import RouterSettings
 from merlinstand.routing.status import BackendStatus, MachineList
-from merlinstand.routing.subset import subset
+from merlinstand.routing.subset import zone_subset
 
 NO_BACKEND_RETRY_SECONDS = 1.0
 BUSY_RETRY_SECONDS = 0.2
@@ -48,6 +53,8 @@
         self._settings = settings
         self._pool: Pool | None = None
         self._replicas: dict[str, Replica] = {}
+        self._local: list[Replica] | None = None
+        """Eligible replicas of the own zone, until a signal may have changed them."""
         self.retry_budget = RetryBudget(settings.retry_budget)
 
     @property
@@ -66,7 +73,7 @@
             peers: Node ids of the daemons that share this pool, by their zone.
         """
         self._pool = pool
-        chosen = self._subset(pool.backends, peers)
+        chosen = zone_subset(pool.backends, self._zone, self._owner, peers, self._settings)
         kept: dict[str, Replica] = {}
         for backend in chosen:
             replica = self._replicas.get(backend.backend_id)
@@ -77,6 +84,7 @@
             replica.limit.set_maximum(pool.maximum_concurrency)
             kept[backend.backend_id] = replica
         self._replicas = kept
+        self._local = None
 
     def choose(
         self,
@@ -100,6 +108,10 @@
         pool = self._pool
         if pool is None:
             return Err(NoBackendError(detail="no such pool", retry_after_seconds=None))
+        if not exclude and affinity_key is None and accept is None:
+            quick = self._quick_choice(pool, now)
+            if quick is not None:
+                return Ok(quick.backend)
         eligible = [
             replica
             for backend_id, replica in self._replicas.items()
@@ -136,6 +148,33 @@
             )
         return Ok(chosen.backend)
 
+    def _quick_choice(self, pool: Pool, now: float) -> Replica | None:
+        """Choose in the own zone if two draws show a healthy replica that need not spill.
+
+        The common case, at a cost that does not grow with the subset; None leaves the choice to
+        the full rules. A replica this little utilised cannot exceed a remote one by the spill
+        margin, so the result is one that the full rules allow.
+        """
+        local = self._local
+        if local is None:
+            local = self._local = [
+                replica
+                for replica in self._replicas.values()
+                if replica.backend.zone == self._zone and replica.is_eligible(pool)
+            ]
+        if not local:
+            return None
+        unanswered_limit = self._settings.unanswered_status_limit
+        first, second = (local[0], local[0]) if len(local) == 1 else two_of(local, self._random)
+        first_utilisation = first.utilisation(now)
+        second_utilisation = second.utilisation(now)
+        if second_utilisation < first_utilisation:
+            first, second = second, first
+            first_utilisation = second_utilisation
+        if first_utilisation > self._settings.spill_utilisation:
+            return None
+        return first if first.can_take(unanswered_limit, now) else None
+
     def is_usable(self, backend_id: str) -> bool:
         """Tell whether a replica chosen a moment ago may still get the call."""
         replica = self._replicas.get(backend_id)
@@ -173,6 +212,7 @@
         replica.in_flight = max(0, in_flight - 1)
         if leaving:
             replica.signals.refused_as_leaving(now)
+            self._local = None
         if result is CallResult.SUCCESS:
             replica.breaker.call_succeeded(now)
             replica.limit.succeeded()
@@ -200,6 +240,7 @@
         if previous is not None and previous.incarnation != status.incarnation:
             replica.hints.clear()
         replica.status = status
+        self._local = None
         replica.load.record(status.load_report(), replica.in_flight, now)
 
     def status_unanswered(self, backend_id: str) -> None:
@@ -218,6 +259,7 @@
                 replica.signals.not_listed(machines.as_of)
             else:
                 replica.signals.listed(MachineState(state), machines.as_of)
+        self._local = None
 
     def free_room(self) -> int:
         """Return how many more calls the eligible replicas may have in flight together."""
@@ -230,20 +272,6 @@
             if replica.is_eligible(pool)
         )
 
-    def _subset(
-        self, backends: Sequence[Backend], peers: Mapping[str, Sequence[str]]
-    ) -> tuple[Backend, ...]:
-        local = [backend for backend in backends if backend.zone == self._zone]
-        remote = [backend for backend in backends if backend.zone != self._zone]
-        everybody = [node_id for zone_peers in peers.values() for node_id in zone_peers]
-        own = subset(local, self._owner, peers.get(self._zone, ()), self._settings.subset_size)
-        remote_size = self._settings.remote_subset_size
-        if not local:
-            # No replica at home: the others are the main choice, not just the spill.
-            remote_size = self._settings.subset_size
-        others = subset(remote, self._owner, everybody, remote_size)
-        return own + others
-
     def _back_off(self, replica: Replica, retry_after_seconds: float | None, now: float) -> None:
         asked = retry_after_seconds
         if asked is None:
--- a/src/merlinstand/routing/subset.py
+++ b/src/merlinstand/routing/subset.py
@@ -5,11 +5,37 @@
 replica is left without senders, which independent random subsets cannot promise.
 """
 
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 
 import xxhash
 
 from merlinstand.configuration.objects import Backend
+from merlinstand.routing.settings import RouterSettings
+
+
+def zone_subset(
+    backends: Sequence[Backend],
+    zone: str,
+    owner: str,
+    peers: Mapping[str, Sequence[str]],
+    settings: RouterSettings,
+) -> tuple[Backend, ...]:
+    """Choose what one daemon uses of a pool: mostly its own zone, some others to spill to.
+
+    Args:
+        backends: All backends of the pool.
+        zone: The daemon's zone.
+        owner: The daemon's node id.
+        peers: Node ids of the daemons that share the pool, by zone.
+        settings: Sizes.
+    """
+    local = [backend for backend in backends if backend.zone == zone]
+    remote = [backend for backend in backends if backend.zone != zone]
+    own = subset(local, owner, peers.get(zone, ()), settings.subset_size)
+    # Without a replica at home the others are the main choice, not just the spill.
+    remote_size = settings.remote_subset_size if local else settings.subset_size
+    everybody = [node_id for zone_peers in peers.values() for node_id in zone_peers]
+    return own + subset(remote, owner, everybody, remote_size)
 
 
 def subset(
--- a/tests/gateway/test_claims.py
+++ b/tests/gateway/test_claims.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from merlinstand.configuration.objects import Drain
 from merlinstand.control.commands import (
     ClaimGranted,
     ClaimRequest,
@@ -154,15 +155,13 @@
 
 
 def test_claim_granted_when_the_chosen_server_left_goes_to_another() -> None:
-    driver = GatewayDriver([service_pool("book-app", count=2)])
+    pool = service_pool("book-app", count=2)
+    driver = GatewayDriver([pool])
     driver.request("/book-app/book", "POST", **BOOKING)
-    # Each request holds a place at the server chosen before the claim.
-    held = next(
-        lane.router.replicas
-        for lane in driver.gateway._lanes  # the place is visible nowhere else
-    )
-    chosen = next(name for name, replica in held.items() if replica.in_flight)
-    held[chosen].signals.drained = True
+    # A place is held at the server chosen before the claim.
+    router = next(iter(driver.gateway._lanes)).router
+    chosen = next(name for name, replica in router.replicas.items() if replica.in_flight)
+    driver.configure([pool], drains=[Drain(backend_id=chosen)])
     grant(driver, 0)
     assert driver.backend_at(driver.only_call().address) != chosen
 
