--- a/src/merlinstand/coordinator/batches.py
+++ b/src/merlinstand/coordinator/batches.py
@@ -277,6 +277,9 @@
             discarded_slots=self._store.discarded()[:MAXIMUM_DISCARDED_SLOTS],
         )
         self._store.reserve(sample.slot for sample in samples)
+        self.forecast(request.consumer).composed(
+            context.now, max(terms.clock.newest, request.trainer_version)
+        )
         purpose = BatchCommit(terms.job.name, request.consumer, terms.epoch)
         command_id = context.submit(command, purpose)
         self._commits[request.consumer] = PendingCommit(
@@ -323,7 +326,8 @@
         spent = sum(candidate.at_bound and candidate.passed_over for candidate in commit.candidates)
         self._budget.delivered(len(slots), spent)
         self._delivered_at[command.consumer] = context.now
-        self.forecast(command.consumer).delivered(context.now, outcome.newest_version)
+        terms.clock.observe(outcome.newest_version, context.now)
+        self.forecast(command.consumer).committed(outcome.newest_version)
         context.count("batches_committed_total", job=terms.job.name)
         if commit.request_id is not None:
             self._answer(context, commit, outcome)
@@ -348,6 +352,7 @@
         context.count("batches_refused_total", job=command.job, code=code)
         context.log("batch.refused", job=command.job, consumer=command.consumer, code=code)
         self._release_commit(command)
+        self.forecast(command.consumer).asked_again()
         # Stale: the ledger knows a newer version, the configuration follows. Everything
         # else says that the ledger and this desk differ, and the ledger is right.
         if code not in ("stale", "conflict"):
--- a/src/merlinstand/coordinator/engines.py
+++ b/src/merlinstand/coordinator/engines.py
@@ -12,7 +12,12 @@
 from merlinstand.kernel.events import CallFailed, CallResponded
 from merlinstand.routing.breaker import Breaker
 from merlinstand.routing.load_reports import AgedLoad, LoadReport
-from merlinstand.routing.membership import LeavingSignals, ReplicaState, StateReport
+from merlinstand.routing.membership import (
+    REPORT_LAG_SECONDS,
+    LeavingSignals,
+    ReplicaState,
+    StateReport,
+)
 from merlinstand.routing.settings import RouterSettings
 
 STATUS_EXPIRY_SECONDS = 5.0
@@ -24,6 +29,21 @@
 _STATUS_DECODER = msgspec.json.Decoder(EngineStatus)
 
 
+class SwappedEngine(msgspec.Struct, frozen=True):
+    """A swap that an order confirmed and lagging reports do not show yet."""
+
+    version: int
+    digest: str
+    incarnation: int
+    until: float
+
+    def outlasts(self, status: EngineStatus, now: float) -> bool:
+        """Tell whether the swap is newer than a report."""
+        if now >= self.until or status.incarnation != self.incarnation:
+            return False
+        return (status.active_version or 0) < self.version
+
+
 class Engine:
     """Mutable state of one engine; owned by an `EnginePool`."""
 
@@ -41,12 +61,34 @@
         """Whether its status is wanted more often."""
         self.in_flight = 0
         self.back_off_until = 0.0
+        self._swapped: SwappedEngine | None = None
 
     @property
     def active_version(self) -> int:
         """Version it serves, by its own word; 0 if none or unknown."""
         return (self.status.active_version or 0) if self.status is not None else 0
 
+    def swapped(self, version: int, digest: str, now: float) -> None:
+        """An order was answered: the engine serves this version from now on."""
+        if self.status is not None:
+            until = now + REPORT_LAG_SECONDS
+            self._swapped = SwappedEngine(version, digest, self.status.incarnation, until)
+            self.reported(self.status, now)
+
+    def reported(self, status: EngineStatus, now: float) -> None:
+        """Take in a report, which may still describe the time before a swap."""
+        known = self._swapped
+        if known is not None and known.outlasts(status, now):
+            status = msgspec.structs.replace(
+                status,
+                state=EngineState.READY if status.state is EngineState.FAILED else status.state,
+                active_version=known.version,
+                active_digest=known.digest,
+            )
+        else:
+            self._swapped = None
+        self.status = status
+
     def work(self, now: float) -> float:
         """Return the number of requests believed to be there."""
         return self.in_flight + self.load.foreign(now)
@@ -114,7 +156,7 @@
         )
         if not engine.signals.own_report(report, asked_at):
             return None
-        engine.status = status
+        engine.reported(status, now)
         engine.status_received_at = now
         load = LoadReport(status.running, status.queued, status.reported_at, status.incarnation)
         engine.load.record(load, engine.in_flight, now)
--- a/src/merlinstand/coordinator/forecast.py
+++ b/src/merlinstand/coordinator/forecast.py
@@ -51,8 +51,12 @@
         """The consumer did not receive its batch and asked for it again."""
         self._waiting = True
 
-    def delivered(self, now: float, newest_version: int) -> None:
-        """A batch was committed for the consumer."""
+    def composed(self, now: float, newest_version: int) -> None:
+        """A batch was composed for the consumer and is on its way through the ledger.
+
+        From here on its samples are spoken for: to plan as if the consumer still waited
+        would begin a second batch in their place.
+        """
         if self._delivered_at is not None:
             self._cycle_seconds = _smooth(self._cycle_seconds, now - self._delivered_at)
             published = max(0, newest_version - self._newest_at_delivery)
@@ -61,6 +65,10 @@
         self._newest_at_delivery = newest_version
         self._waiting = False
 
+    def committed(self, newest_version: int) -> None:
+        """The ledger took the batch, at a version that may be newer than known here."""
+        self._newest_at_delivery = max(self._newest_at_delivery, newest_version)
+
     def demands(self, now: float, newest: int, count: int, rounds: int) -> list[Demand]:
         """Forecast the next batches.
 
--- a/src/merlinstand/coordinator/generation.py
+++ b/src/merlinstand/coordinator/generation.py
@@ -51,6 +51,8 @@
         self.interruptions = 0
         self.cache: CacheHandle | None = None
         self.backend_id: str | None = None
+        self.engine_version = 0
+        """Version that the engine served when the stream began."""
         self.call_id: CallId | None = None
         self.request_id = ""
         self.stream_started_at = now
@@ -106,9 +108,12 @@
             resume=resume,
         )
 
-    def stream_started(self, backend_id: str, call_id: CallId, now: float) -> None:
+    def stream_started(
+        self, backend_id: str, engine_version: int, call_id: CallId, now: float
+    ) -> None:
         """An engine was asked to begin or go on."""
         self.backend_id = backend_id
+        self.engine_version = engine_version
         self.call_id = call_id
         self.stream_started_at = self.last_data_at = now
         self.stream_first_token = self.token_count
--- a/src/merlinstand/coordinator/generations.py
+++ b/src/merlinstand/coordinator/generations.py
@@ -105,7 +105,9 @@
             timeout_seconds=context.settings.generation.stream_idle_timeout_seconds,
             stream=True,
         )
-        generation.stream_started(engine.backend.backend_id, call_id, context.now)
+        generation.stream_started(
+            engine.backend.backend_id, engine.active_version, call_id, context.now
+        )
         engine.in_flight += 1
         engine.breaker.call_started(context.now)
 
--- a/src/merlinstand/coordinator/jobs.py
+++ b/src/merlinstand/coordinator/jobs.py
@@ -69,7 +69,7 @@
         self.generations = GenerationDesk(job.name, pool, self._generated)
         self._scoring = ScoringDesk(job.name, random)
         self._prompts = PromptBook(job)
-        self._supply = SupplyBook(self._store, self.generations, self._lengths, pool)
+        self._supply = SupplyBook(self._store, self.generations, self._lengths)
         self._settling: set[int] = set()
         self._recovered: list[Sample] = journal.live_samples(job.name)
         self._reading_ledger = False
--- a/src/merlinstand/coordinator/rollout.py
+++ b/src/merlinstand/coordinator/rollout.py
@@ -11,7 +11,6 @@
 from merlinstand.coordinator.context import Context
 from merlinstand.coordinator.engine_protocol import (
     EngineOrder,
-    EngineState,
     Fence,
     FencedAnswer,
     OrderAnswer,
@@ -182,7 +181,7 @@
         if order.kind is OrderKind.LOAD:
             self._adapt_loads(context, state)
         elif order.kind is OrderKind.ACTIVATE and state is OrderState.DONE:
-            _assume_active(engine, order)
+            engine.swapped(order.version, order.digest, context.now)
 
     def _adapt_loads(self, context: Context, state: OrderState) -> None:
         # The store refuses beyond its rate, which an engine reports as a failed load.
@@ -216,17 +215,6 @@
             context.log("rollout.done", pool=self._pool.pool.name, version=newest.version)
 
 
-def _assume_active(engine: Engine, order: EngineOrder) -> None:
-    """Let work flow at once: the next report may still describe the time before the swap."""
-    if engine.status is not None:
-        engine.status = msgspec.structs.replace(
-            engine.status,
-            state=EngineState.READY,
-            active_version=order.version,
-            active_digest=order.digest,
-        )
-
-
 def _decode_answer(event: CallResponded) -> OrderAnswer | None:
     if event.status != 200:
         return None
--- a/src/merlinstand/coordinator/supply.py
+++ b/src/merlinstand/coordinator/supply.py
@@ -6,7 +6,6 @@
 import msgspec
 
 from merlinstand.coordinator.context import Context
-from merlinstand.coordinator.engines import EnginePool
 from merlinstand.coordinator.forecast import Demand
 from merlinstand.coordinator.generation import Generation
 from merlinstand.coordinator.generations import GenerationDesk
@@ -36,13 +35,11 @@
         store: SampleStore,
         generations: GenerationDesk,
         lengths: LengthStatistics,
-        pool: EnginePool,
     ) -> None:
         """Read from a job's parts."""
         self._store = store
         self._generations = generations
         self._lengths = lengths
-        self._pool = pool
 
     def remaining_tokens(self, generation: Generation) -> float:
         """Return the tokens that a generation is expected to make yet."""
@@ -112,12 +109,11 @@
         return Member(version, self.finish_at(generation, context.now))
 
     def oldest_version(self, generation: Generation, terms: JobTerms) -> int:
-        """Return a generation's oldest version; before its first token, its engine's."""
+        """Return the oldest version of a generation, or the one that will make its first token."""
         recorded = generation.recorder.oldest_version
         if recorded is not None:
             return recorded
-        engine = self._pool.engines.get(generation.backend_id or "")
-        return engine.active_version if engine is not None else terms.clock.newest
+        return generation.engine_version if generation.streaming else terms.clock.newest
 
     # --- expiry ---------------------------------------------------------------------
 
