--- a/src/merlinstand/consensus/election.py
+++ b/src/merlinstand/consensus/election.py
@@ -165,7 +165,8 @@
         if self._may_found():
             peers = tuple(peer.node_id for peer in state.settings.peers())
             return (state.identity.node_id, *peers)
-        return tuple(member.identity.node_id for member in state.membership.voters)
+        # Once each: a node may be listed with its former identity, too.
+        return tuple(dict.fromkeys(member.identity.node_id for member in state.membership.voters))
 
     # Votes given
 
--- a/src/merlinstand/consensus/leader_lease.py
+++ b/src/merlinstand/consensus/leader_lease.py
@@ -79,6 +79,7 @@
         """Give the lease up for good: a successor may be elected from now on."""
         self._clock_base = self.group_time(now)
         self._clock_anchor = _NEVER
+        self._lease_until = min(self._lease_until, now)
         self._surrendered = True
 
     def group_time(self, now: float) -> float:
--- a/src/merlinstand/consensus/repair.py
+++ b/src/merlinstand/consensus/repair.py
@@ -123,7 +123,11 @@
     view: GroupView, settings: RepairSettings, has_vacancy: bool
 ) -> RepairAction | None:
     """Free the place of a learner that fell silent, or that nobody needs any more."""
-    is_complete = len(view.membership.voters) >= settings.target_voters
+    voters = view.membership.voters
+    # A new leader must hear every voter before it can tell that no place is vacant.
+    is_complete = len(voters) >= settings.target_voters and _count_heard(view, voters) == len(
+        voters
+    )
     for member in view.membership.learners:
         is_wanted = has_vacancy or not is_complete or _is_preferred(view, member)
         if not is_wanted or _is_lost(view, settings, member):
--- a/src/merlinstand/consensus/replication.py
+++ b/src/merlinstand/consensus/replication.py
@@ -42,6 +42,7 @@
         self._is_authoritative = is_authoritative
         self._wire_identity = to_wire_identity(state.identity)
         self.followers: dict[Identity, Progress] = {}
+        self._receivers: list[Progress] = []
 
     def follow_membership(self, now: float) -> None:
         """Keep one `Progress` for each other member, by identity."""
@@ -53,19 +54,28 @@
             for identity in members
             if identity != state.identity
         }
+        # A node that came back with a blank disk may be listed twice for a while. Only its
+        # newer identity, listed later, is there to be written to.
+        newest = {identity.node_id: identity for identity in members}
+        newest[state.identity.node_id] = state.identity
+        self._receivers = [
+            progress
+            for identity, progress in self.followers.items()
+            if newest[identity.node_id] == identity
+        ]
 
     # Sending
 
     def send_heartbeats(self, now: float) -> None:
         """Send every follower one message, whether or not there is anything new."""
-        for progress in self.followers.values():
+        for progress in self._receivers:
             progress.tick()
             if not self._send_next(progress, now):
                 self._send_append(progress, [], now)
 
     def send_entries(self, now: float) -> None:
         """Send what is new to every follower that can take more."""
-        for progress in self.followers.values():
+        for progress in self._receivers:
             if progress.transfer is None:
                 self._send_next(progress, now)
 
--- a/src/merlinstand/consensus/state.py
+++ b/src/merlinstand/consensus/state.py
@@ -234,7 +234,8 @@
         limits = self.settings.limits
         index = applied_index
         retained_bytes = 0
-        oldest = max(self.log.base_index, applied_index - limits.retained_entries)
+        retained_entries = min(limits.retained_entries, limits.compaction_entries // 4)
+        oldest = max(self.log.base_index, applied_index - retained_entries)
         while index > oldest:
             entry = self.log.entry_at(index)
             retained_bytes += len(entry.payload) if entry is not None else 0
