--- a/src/merlinstand/runtime/host.py
+++ b/src/merlinstand/runtime/host.py
@@ -306,6 +306,12 @@
 
 def _run_host(reducer: Reducer, settings: HostSettings) -> int:
     log = EventLog(settings.node_id, settings.log_level)
+    # Unexpected faults of greenlets become log lines, not tracebacks over many lines.
+    gevent.get_hub().print_exception = lambda _context, *failure: log.write(
+        "host.greenlet_failed",
+        {"traceback": "".join(traceback.format_exception(*failure))},
+        "error",
+    )
     try:
         host = Host(reducer, settings)
         watchers = _install_signals(host)
--- a/src/merlinstand/runtime/http_server.py
+++ b/src/merlinstand/runtime/http_server.py
@@ -14,10 +14,12 @@
 from merlinstand.runtime.errors import SlowRequestError
 from merlinstand.runtime.host_settings import HttpLimits
 from merlinstand.runtime.http_headers import RequestHead, read_request_head
+from merlinstand.runtime.tls import BoundedHandshakeServer
 
 HEAD_KEY = "merlinstand.head"
 SOCKET_KEY = "merlinstand.socket"
 READ_DEADLINE_KEY = "merlinstand.read_deadline"
+LISTEN_BACKLOG = 1024
 _LINGER_SECONDS = 1.0
 _LINGER_BYTES = 4 * 1024 * 1024
 _LINGER_CHUNK_BYTES = 64 * 1024
@@ -41,7 +43,7 @@
         return bool(self.position >= (self.content_length or 0))
 
 
-class DoorServer(WSGIServer):
+class DoorServer(BoundedHandshakeServer, WSGIServer):
     """Accepts connections up to a bound and serves a WSGI application."""
 
     def __init__(
@@ -63,6 +65,7 @@
         super().__init__(
             listener,
             application,
+            backlog=LISTEN_BACKLOG,
             spawn=Pool(limits.maximum_connections),
             log=None,
             error_log=None,
--- a/src/merlinstand/runtime/tls.py
+++ b/src/merlinstand/runtime/tls.py
@@ -1,13 +1,37 @@
-"""TLS contexts for the HTTP door, the HTTP client and the internal transport."""
+"""TLS for the HTTP door, the HTTP client and the internal transport."""
 
 import ssl
+from typing import Any
 
+import gevent
+from gevent.server import StreamServer
 from gevent.ssl import SSLContext
 from result import Err, Ok, Result
 
 from merlinstand.runtime.errors import HostSetupError
 from merlinstand.runtime.host_settings import TlsFiles
 
+HANDSHAKE_SECONDS = 5.0
+
+
+class BoundedHandshakeServer(StreamServer):
+    """A server that gives up, in silence, on clients whose handshake fails or drags."""
+
+    def wrap_socket_and_handle(self, client_socket: Any, address: Any) -> None:
+        """Override: shake hands within a time limit, then serve."""
+        secured = None
+        with gevent.Timeout(HANDSHAKE_SECONDS, False):
+            try:
+                secured = self.wrap_socket(client_socket, **self.ssl_args)
+            except OSError:
+                return
+        if secured is None:
+            return
+        try:
+            self.handle(secured, address)
+        finally:
+            secured.close()
+
 
 def server_context(files: TlsFiles) -> Result[SSLContext, HostSetupError]:
     """Make the context of an HTTP door: clients need no certificate."""
--- a/src/merlinstand/runtime/transport.py
+++ b/src/merlinstand/runtime/transport.py
@@ -10,7 +10,6 @@
 
 import gevent
 from gevent.pool import Pool
-from gevent.server import StreamServer
 from gevent.ssl import SSLContext
 from prometheus_client.core import CounterMetricFamily
 from result import Err
@@ -23,6 +22,7 @@
 from merlinstand.runtime.addresses import parse_address
 from merlinstand.runtime.frames import FrameReader, encode_frame
 from merlinstand.runtime.logs import EventLog
+from merlinstand.runtime.tls import BoundedHandshakeServer
 from merlinstand.runtime.transport_peer import PeerLink
 
 HELLO_TIMEOUT_SECONDS = 5.0
@@ -119,7 +119,7 @@
         self._client_context = client_context
         self._addresses: dict[NodeId, str] = {}
         self._links: dict[NodeId, PeerLink] = {}
-        self._server: StreamServer | None = None
+        self._server: BoundedHandshakeServer | None = None
 
     def start(self, listen_address: str, incarnation: int) -> None:
         """Listen for peers.
@@ -133,7 +133,7 @@
             raise ValueError(parsed.err_value.detail)
         self._incarnation = incarnation
         tls = {} if self._server_context is None else {"ssl_context": self._server_context}
-        self._server = StreamServer(
+        self._server = BoundedHandshakeServer(
             parsed.ok_value.as_pair(), self._receive, spawn=Pool(MAXIMUM_INBOUND_CONNECTIONS), **tls
         )
         self._server.start()
--- a/tests/runtime/conftest.py
+++ b/tests/runtime/conftest.py
@@ -91,7 +91,9 @@
         decide: Callable[[Event], Sequence[Effect]] = lambda _event: (), **settings: Any
     ) -> tuple[Host, ScriptedReducer]:
         reducer = ScriptedReducer(decide)
-        host = Host(reducer, HostSettings(**{"node_id": "node-1", "log_level": "error", **settings}))
+        host = Host(
+            reducer, HostSettings(**{"node_id": "node-1", "log_level": "error", **settings})
+        )
         hosts.append(host)
         host.start()
         return host, reducer
@@ -104,8 +106,7 @@
 def connect(address: str) -> Any:
     """Open a TCP connection as a plain client."""
     ip, port = address.rsplit(":", 1)
-    connection = gevent_socket.create_connection((ip, int(port)), timeout=GIVE_UP_SECONDS)
-    return connection
+    return gevent_socket.create_connection((ip, int(port)), timeout=GIVE_UP_SECONDS)
 
 
 def read_to_end(connection: Any) -> bytes:
--- a/tests/runtime/test_http_client.py
+++ b/tests/runtime/test_http_client.py
@@ -20,7 +20,10 @@
 from merlinstand.runtime.http_connection import ConnectionPool
 from tests.runtime.conftest import EventSink, read_request
 
-WHOLE = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nX-A: b\r\nSet-Cookie: a=1,2\r\nSet-Cookie: c\r\n\r\nok"
+WHOLE = (
+    b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nX-A: b\r\n"
+    b"Set-Cookie: a=1,2\r\nSet-Cookie: c\r\n\r\nok"
+)
 
 
 def call(address: str, call_id: str = "c1", **changes: Any) -> StartCall:
@@ -165,9 +168,7 @@
     assert not [one for one in sink.events if isinstance(one, CallResponded | CallEnded)]
 
 
-def test_whole_responses_share_a_connection(
-    sink: EventSink, client: Any, raw_server: Any
-) -> None:
+def test_whole_responses_share_a_connection(sink: EventSink, client: Any, raw_server: Any) -> None:
     connections = 0
 
     def serve(connection: Any) -> None:
--- a/tests/runtime/test_http_door.py
+++ b/tests/runtime/test_http_door.py
@@ -77,7 +77,8 @@
 def test_requests_of_one_connection_are_answered_in_order(run_reducer: Any) -> None:
     host, reducer = run_reducer(echo)
     answer = exchange(
-        host, request("/1", b"one") + request("/2", b"two") + request("/3", b"", "Connection: close")
+        host,
+        request("/1", b"one") + request("/2", b"two") + request("/3", b"", "Connection: close"),
     )
     assert answer.index(b"one") < answer.index(b"two")
     assert answer.count(b"HTTP/1.1 200 OK") == 3
@@ -202,7 +203,10 @@
         (b"POST / HTTP/1.1\r\nContent-Length: 99999999999\r\n\r\n", 413, "body_too_large"),
         (
             b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
-            + b"400\r\n" + b"x" * 1024 + b"\r\n" + b"0\r\n\r\n",
+            + b"400\r\n"
+            + b"x" * 1024
+            + b"\r\n"
+            + b"0\r\n\r\n",
             413,
             "body_too_large",
         ),
@@ -299,7 +303,7 @@
 @example([b"POST / HTTP/1.1\r\nContent-Length: 0000000000000000004\r\n\r\nbody"])
 def test_any_bytes_leave_the_door_open(run_reducer: Any, parts: list[bytes]) -> None:
     """Whatever a client sends, it gets HTTP or silence, and the next client is served."""
-    host, reducer = run_reducer(echo, http_limits=PATIENT)
+    host, _reducer = run_reducer(echo, http_limits=PATIENT)
     connection = connect(host.http_address)
     connection.sendall(b"".join(parts))
     connection.shutdown(1)
--- /dev/null
+++ b/tests/runtime/test_tls.py
@@ -0,0 +1,113 @@
+"""TLS on the HTTP door, on calls and between peers, with certificates made for the tests."""
+
+import ssl
+from collections.abc import Sequence
+from pathlib import Path
+from typing import Any
+
+import pytest
+from gevent.ssl import SSLContext
+from gevent.ssl import SSLError as GeventSSLError
+
+from merlinstand.common.ids import CallId, NodeId
+from merlinstand.kernel.effects import Effect, Respond, StartCall
+from merlinstand.kernel.events import (
+    CallFailed,
+    CallPhase,
+    CallResponded,
+    Event,
+    MessageReceived,
+    RequestReceived,
+)
+from merlinstand.protocol.generated.consensus.ttypes import ElectNow, ReplicaIdentity
+from merlinstand.runtime.host_settings import TlsFiles
+from tests.runtime.conftest import connect, read_request, read_to_end
+
+FOLDER = Path(__file__).parent / "tls"
+
+
+def files(name: str = "node", authority: str = "authority") -> TlsFiles:
+    return TlsFiles(
+        certificate=str(FOLDER / f"{name}.pem"),
+        private_key=str(FOLDER / f"{name}.key"),
+        authority=str(FOLDER / f"{authority}.pem"),
+        calls=True,
+    )
+
+
+def answer_ok(event: Event) -> Sequence[Effect]:
+    if isinstance(event, RequestReceived):
+        return (Respond(event.request_id, 200, {}, b"ok"),)
+    return ()
+
+
+def call(address: str) -> StartCall:
+    return StartCall(CallId("c"), address, "GET", "/x", {}, b"", 20.0)
+
+
+def test_calls_and_door_speak_tls(run_reducer: Any) -> None:
+    server, _reducer = run_reducer(answer_ok, tls=files())
+    client, reducer = run_reducer(tls=files())
+    client._client.start(call(server.http_address))
+    assert reducer.sink.wait_for(CallResponded).body == b"ok"
+
+
+def test_call_to_a_stranger_is_not_run(run_reducer: Any) -> None:
+    server, served = run_reducer(answer_ok, tls=files("stranger"))
+    client, reducer = run_reducer(tls=files())
+    client._client.start(call(server.http_address))
+    assert reducer.sink.wait_for(CallFailed).phase is CallPhase.CONNECT
+    assert not [one for one in served.sink.events if isinstance(one, RequestReceived)]
+
+
+def test_plain_client_gets_nothing_from_a_tls_door(run_reducer: Any) -> None:
+    server, served = run_reducer(answer_ok, tls=files())
+    connection = connect(server.http_address)
+    connection.sendall(b"GET / HTTP/1.1\r\n\r\n")
+    try:
+        answer = read_to_end(connection)
+    except ConnectionResetError:
+        answer = b""
+    assert answer == b""
+    connection.close()
+    assert not [one for one in served.sink.events if isinstance(one, RequestReceived)]
+
+
+def test_broken_tls_call_may_have_run(run_reducer: Any, raw_server: Any) -> None:
+    context = SSLContext(ssl.PROTOCOL_TLS_SERVER)
+    context.load_cert_chain(FOLDER / "node.pem", FOLDER / "node.key")
+
+    def serve(connection: Any) -> None:
+        secured = context.wrap_socket(connection, server_side=True)
+        read_request(secured)
+        secured.close()
+
+    client, reducer = run_reducer(tls=files())
+    client._client.start(call(raw_server(serve)))
+    assert reducer.sink.wait_for(CallFailed).phase is CallPhase.SENT
+
+
+def test_peers_need_the_authoritys_signature(run_reducer: Any) -> None:
+    internal = {"internal_address": "127.0.0.1:0", "http_address": ""}
+    server, served = run_reducer(node_id="b", tls=files(), **internal)
+    peer, _reducer = run_reducer(node_id="a", tls=files(), **internal)
+    stranger, _other = run_reducer(node_id="s", tls=files("stranger"), **internal)
+    plain, _other = run_reducer(node_id="p", **internal)
+    for sender in (stranger, plain, peer):
+        sender.transport.learn(NodeId("b"), server.transport.address)
+        sender.transport.send(NodeId("b"), ElectNow(1, ReplicaIdentity("x", 1)))
+    assert served.sink.wait_for(MessageReceived).sender == "a"
+    senders = {one.sender for one in served.sink.events if isinstance(one, MessageReceived)}
+    assert senders == {"a"}
+
+
+def test_certificate_of_a_peer_is_asked_for(run_reducer: Any) -> None:
+    server, _served = run_reducer(tls=files(), internal_address="127.0.0.1:0")
+    context = SSLContext(ssl.PROTOCOL_TLS_CLIENT)
+    context.check_hostname = False
+    context.load_verify_locations(FOLDER / "authority.pem")
+    with pytest.raises((GeventSSLError, OSError)):
+        connection = context.wrap_socket(connect(server.transport.address))
+        connection.sendall(b"x")
+        if connection.recv(1) == b"":
+            raise OSError("closed")
