--- a/src/merlinstand/coordinator/call_router.py
+++ b/src/merlinstand/coordinator/call_router.py
@@ -4,6 +4,7 @@
 from merlinstand.coordinator.purposes import (
     ExportCall,
     GenerationCall,
+    MachineListCall,
     OrderCall,
     PromptCall,
     ScoreCall,
@@ -62,6 +63,8 @@
                 runner = self._work.runner(purpose.job)
                 if runner is not None:
                     runner.generations.export_answered(purpose.generation_id, event, purpose.source)
+            case MachineListCall():
+                self._work.machines.answered(event, self._work.engines())
             case PromptCall():
                 runner = self._work.runner(purpose.job)
                 if runner is not None:
--- /dev/null
+++ b/src/merlinstand/coordinator/machines.py
@@ -0,0 +1,56 @@
+"""The platform's list of machines: one of the signals that an engine is leaving. It lags."""
+
+from collections.abc import Iterable
+
+from result import Err
+
+from merlinstand.coordinator.context import Context
+from merlinstand.coordinator.engines import Engine
+from merlinstand.coordinator.purposes import MachineListCall
+from merlinstand.kernel.events import CallFailed, CallResponded
+from merlinstand.routing.membership import MachineState
+from merlinstand.routing.status import MachineList, decode_machine_list
+
+INTERVAL_SECONDS = 1.0
+CALL_TIMEOUT_SECONDS = 3.0
+
+
+class MachineListPoller:
+    """Reads the list while work is done here."""
+
+    def __init__(self) -> None:
+        """Begin without a list."""
+        self._asked_at = -INTERVAL_SECONDS
+        self._in_call = False
+
+    def poll(self, context: Context) -> None:
+        """Ask for the list where it is due."""
+        address = context.settings.machine_list_address
+        if not address or self._in_call or context.now - self._asked_at < INTERVAL_SECONDS:
+            return
+        self._in_call = True
+        self._asked_at = context.now
+        context.start_call(
+            MachineListCall(), address, "GET", "/v1/machines", timeout_seconds=CALL_TIMEOUT_SECONDS
+        )
+
+    def answered(self, event: CallResponded | CallFailed, engines: Iterable[Engine]) -> None:
+        """Take in an answer."""
+        self._in_call = False
+        if isinstance(event, CallFailed) or event.status != 200:
+            return
+        decoded = decode_machine_list(event.body)
+        if not isinstance(decoded, Err):
+            for engine in engines:
+                _apply(engine, decoded.ok_value)
+
+
+def _apply(engine: Engine, machines: MachineList) -> None:
+    address = engine.backend.address
+    host = address.rsplit(":", 1)[0]
+    states = {machine.address: machine.state for machine in machines.machines}
+    state = states.get(address) or states.get(host)
+    if state is None:
+        engine.signals.not_listed(machines.as_of)
+    else:
+        engine.signals.listed(MachineState(state), machines.as_of)
--- a/src/merlinstand/coordinator/purposes.py
+++ b/src/merlinstand/coordinator/purposes.py
@@ -54,6 +54,10 @@
     offset: int
 
 
+class MachineListCall(Purpose, frozen=True):
+    """A read of the platform's list of machines."""
+
+
 class CancelRequestCall(Purpose, frozen=True):
     """A cancel sent to an engine; its answer does not matter."""
 
--- a/src/merlinstand/coordinator/settings.py
+++ b/src/merlinstand/coordinator/settings.py
@@ -68,7 +68,8 @@
     """Control replicas, standbys included."""
     peers: tuple[ControlMember, ...] = ()
     """Daemons that may relay the configuration."""
-    session: SessionTimings = SessionTimings()
+    session: SessionTimings = SessionTimings(pull_interval_seconds=0.25)
+    """Coordinators are few and act on new weights at once, so they pull more often."""
     tick_seconds: float = 0.05
     """Interval of the scheduler."""
     maximum_journal_records: int = 2_000
--- a/src/merlinstand/coordinator/workplace.py
+++ b/src/merlinstand/coordinator/workplace.py
@@ -8,10 +8,11 @@
 from merlinstand.control.queries import LedgerAnswer
 from merlinstand.coordinator.context import Context
 from merlinstand.coordinator.dispatch import dispatch
-from merlinstand.coordinator.engines import EnginePool
+from merlinstand.coordinator.engines import Engine, EnginePool
 from merlinstand.coordinator.jobs import JobRunner
 from merlinstand.coordinator.journal import SampleJournal
 from merlinstand.coordinator.leadership import Leadership, engines_resource, job_resource
+from merlinstand.coordinator.machines import MachineListPoller
 from merlinstand.coordinator.purposes import BatchCommit, LedgerRead
 from merlinstand.coordinator.rollout import PoolRollout
 from merlinstand.session.notices import CommandFinished, QueryFinished
@@ -24,6 +25,7 @@
         """Begin without work."""
         self.leadership = Leadership(context.settings.node_id)
         self.journal = SampleJournal(context.settings.maximum_journal_records)
+        self.machines = MachineListPoller()
         self._context = context
         self._random = random
         self._pools: dict[str, EnginePool] = {}
@@ -39,6 +41,11 @@
         """Return an engine pool."""
         return self._pools.get(name)
 
+    def engines(self) -> Iterator[Engine]:
+        """Return all engines of all pools."""
+        for pool in self._pools.values():
+            yield from pool.engines.values()
+
     def rollout(self, pool: str) -> PoolRollout | None:
         """Return a pool's rollout if this coordinator runs it."""
         return self._rollouts.get(pool)
@@ -179,6 +186,8 @@
             for runner in runners:
                 runner.tick()
             dispatch(context, pool, runners, context.view.jobs.values(), weights)
+        if self._runners or self._rollouts:
+            self.machines.poll(context)
         if self.journal.needs_cut():
             context.add(self.journal.cut(context.session.durable_records()))
 
