--- a/tests/control/group.py
+++ b/tests/control/group.py
@@ -6,7 +6,7 @@
 
 from merlinstand.configuration.objects import Backend, Pool, PoolKind
 from merlinstand.control.daemon import ControlDaemon
-from merlinstand.control.settings import ControlMember, ControlSettings
+from merlinstand.control.settings import ControlMember, ControlSettings, ControlTimings
 from merlinstand.kernel.effects import Effect
 from merlinstand.kernel.events import Event, Started
 from merlinstand.session.control_session import ControlSession, SessionStep
@@ -44,8 +44,15 @@
 class Group:
     """Control replicas and daemons."""
 
-    def __init__(self, size: int = 3, **network: Any) -> None:
+    def __init__(
+        self,
+        size: int = 3,
+        standbys: int = 0,
+        timings: ControlTimings | None = None,
+        **network: Any,
+    ) -> None:
         self.network = SmallNetwork(**network)
+        self._timings = timings or ControlTimings()
         self.members = tuple(
             ControlMember(
                 f"control-{number}",
@@ -53,13 +60,20 @@
                 f"zone-{number}",
                 f"127.0.0.1:{8000 + number}",
             )
-            for number in range(1, size + 1)
+            for number in range(1, size + standbys + 1)
         )
+        self._founders = self.members[:size]
         for number, member in enumerate(self.members, start=1):
             self._add_replica(member, 1000 + number)
 
     def _add_replica(self, member: ControlMember, incarnation: int) -> None:
-        settings = ControlSettings(node_id=member.node_id, zone=member.zone, members=self.members)
+        settings = ControlSettings(
+            node_id=member.node_id,
+            zone=member.zone,
+            members=self._founders,
+            standbys=tuple(other for other in self.members if other not in self._founders),
+            timings=self._timings,
+        )
         self.network.add(member.node_id, lambda: ControlDaemon(settings), incarnation)
 
     @property
@@ -78,6 +92,18 @@
         """Return a replica's reducer."""
         return self.network.processes[node_id].reducer
 
+    def lose_disk(self, node_id: str) -> None:
+        """Kill a replica and wipe its disk; it may be started again as a new replica."""
+        self.network.kill(node_id)
+        process = self.network.processes[node_id]
+        process.snapshot, process.records = None, []
+        process.incarnation += 100
+
+    def voters(self) -> set[str]:
+        """Names of the voters as the leader sees them."""
+        membership = self.control(self.wait_for_leader()).replica.membership
+        return {member.identity.node_id for member in membership.voters}
+
     def wait_for_leader(self) -> str:
         """Run until a replica may act."""
         assert self.network.run_until(lambda: self.leader != "", 30.0), "no leader"
