--- a/src/merlinstand_lab/fleet/configuration_file.py
+++ b/src/merlinstand_lab/fleet/configuration_file.py
@@ -1,36 +1,29 @@
-"""`configuration.toml` as the commands of an operator."""
+"""Configuration objects as the commands of an operator."""
 
-import tomllib
-from pathlib import Path
-from typing import Any
+import msgspec
+from result import Err, Ok, Result
 
-_NAME_FIELDS = {"pool": "name", "job": "name", "limits": "caller", "drain": "backend_id"}
-"""Field of each kind that completes the object's key."""
+from merlinstand.configuration.objects import ConfigurationObject
+from merlinstand.settings.configuration_file import load_configuration
+from merlinstand.settings.errors import SettingsError
 
 
-def read_put_commands(path: Path) -> list[dict[str, object]]:
-    """Return one `put_object` command for each object, pools before jobs.
-
-    Raises:
-        KeyError: An object has no name, or its kind is unknown.
-    """
-    document: dict[str, list[dict[str, Any]]] = tomllib.loads(path.read_text())
-    commands: list[dict[str, object]] = []
-    for kind in sorted(document, key=lambda name: list(_NAME_FIELDS).index(name)):
-        for value in document[kind]:
-            key = f"{kind}/{value[_NAME_FIELDS[kind]]}"
-            commands.append(put_command(key, value, expected_revision=0))
-    return commands
+def read_put_commands(path: str) -> Result[list[dict[str, object]], SettingsError]:
+    """Return one `put_object` command for each object of a file, pools before jobs."""
+    loaded = load_configuration(path)
+    if isinstance(loaded, Err):
+        return loaded
+    return Ok([put_command(key, value, expected_revision=0) for key, value in loaded.ok_value])
 
 
 def put_command(
-    key: str, value: dict[str, Any], expected_revision: int | None
+    key: str, value: ConfigurationObject, expected_revision: int | None
 ) -> dict[str, object]:
     """Return a `put_object` command."""
     return {
         "command": "put_object",
         "key": key,
-        "object": value,
+        "object": msgspec.to_builtins(value),
         "expected_revision": expected_revision,
     }
 
--- a/src/merlinstand_lab/fleet/incidents.py
+++ b/src/merlinstand_lab/fleet/incidents.py
@@ -1,10 +1,12 @@
 """What happens on the way of a run: operators' work, planned stops, faults."""
 
+import functools
 from collections.abc import Callable
 
 import gevent
 import msgspec
 
+from merlinstand.configuration.objects import Drain
 from merlinstand_lab.fleet.configuration_file import delete_command, put_command
 from merlinstand_lab.fleet.fleet import Fleet
 from merlinstand_lab.fleet.http import request_json
@@ -20,7 +22,7 @@
 
     after_steps: int
     title: str
-    run: Callable[[], None]
+    run: Callable[[], object]
 
 
 class _Member(msgspec.Struct, frozen=True):
@@ -61,9 +63,10 @@
             incidents.append(Incident(3, f"drain {run.drained_backend}", self._drain))
         if run.leaving_backend:
             incidents.append(Incident(6, f"{run.leaving_backend} leaves", self._leave))
-        if run.stopped_daemon:
-            title = f"planned stop of {run.stopped_daemon}"
-            incidents.append(Incident(9, title, self._planned_stop))
+        for number, name in enumerate(run.stopped_daemons):
+            title = f"planned stop of {name}"
+            stop = functools.partial(self._fleet.stop_and_restart, name)
+            incidents.append(Incident(9 + 3 * number, title, stop))
         if faults == "kill":
             incidents += [
                 Incident(5, "kill -9 of an engine", self._kill_engine),
@@ -77,8 +80,8 @@
         """The operator drains a back end, and takes it back."""
         backend = self._plan.lab.run.drained_backend
         key = f"drain/{backend}"
-        value = {"backend_id": backend, "reason": "maintenance"}
-        self._operator.send(put_command(key, value, expected_revision=0))
+        drain = Drain(backend, "maintenance")
+        self._operator.send(put_command(key, drain, expected_revision=0))
         gevent.sleep(_LEAVE_SECONDS)
         self._operator.send(delete_command(key))
 
@@ -89,10 +92,6 @@
         gevent.sleep(_LEAVE_SECONDS)
         request_json(address, "POST", "/lab/leave", {"leaving": False})
 
-    def _planned_stop(self) -> None:
-        """A daemon is stopped as planned and started again."""
-        self._fleet.stop_and_restart(self._plan.lab.run.stopped_daemon)
-
     def _kill_engine(self) -> None:
         """The first engine dies."""
         self._kill(self._plan.lab.engine[0].node_id)
--- a/src/merlinstand_lab/fleet/launcher.py
+++ b/src/merlinstand_lab/fleet/launcher.py
@@ -7,6 +7,7 @@
 
 import gevent
 import msgspec
+from result import Err
 
 from merlinstand.runtime.record_writer import RecordWriter
 from merlinstand_lab.fleet.configuration_file import read_put_commands
@@ -124,7 +125,10 @@
 
     def _configure(self, operator: OperatorClient) -> RunFailedError | None:
         """Apply every object of the configuration file."""
-        for command in read_put_commands(self._plan.configuration_path):
+        commands = read_put_commands(str(self._plan.configuration_path))
+        if isinstance(commands, Err):
+            return RunFailedError(detail=commands.err_value.describe())
+        for command in commands.ok_value:
             answer = operator.send(command)
             if answer is None or answer.outcome.outcome != "done":
                 why = "no answer" if answer is None else f"{answer.outcome}"
--- a/src/merlinstand_lab/fleet/settings.py
+++ b/src/merlinstand_lab/fleet/settings.py
@@ -36,8 +36,8 @@
     """This back end is drained by the operator on the way, and brought back."""
     leaving_backend: str = ""
     """This back end says itself, on the way, that it is leaving, and comes back."""
-    stopped_daemon: str = ""
-    """This daemon gets a planned stop on the way and is started again."""
+    stopped_daemons: tuple[str, ...] = ()
+    """These daemons get a planned stop, one after the other, and are started again."""
 
 
 class LabSettings(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
--- a/src/merlinstand_lab/standins/callers.py
+++ b/src/merlinstand_lab/standins/callers.py
@@ -32,6 +32,7 @@
 
 _ARRIVAL_TIMER = "callers.arrival."
 _RETRY_TIMER = "callers.retry."
+_BURST_TIMER = "callers.burst"
 _DRAIN_TIMER = "callers.drain"
 _DRAIN_SECONDS = 5.0
 _SHORTEST_TRY_SECONDS = 0.05
@@ -66,7 +67,10 @@
         """Plan the first arrival of each kind."""
         self._random = random.Random(event.seed)
         self._run_name = f"{event.seed & 0xFFFFFFFF:08x}"
-        return [self._plan(kind) for kind, rate in self._rates.items() if rate > 0]
+        effects = [self._plan(kind) for kind, rate in self._rates.items() if rate > 0]
+        if self._settings.burst.requests > 0:
+            effects.append(SetTimer(_BURST_TIMER, self._settings.burst.interval_seconds))
+        return effects
 
     def reduce(self, event: Event, now: float) -> Sequence[Effect]:
         """Take one event."""
@@ -74,6 +78,8 @@
         match event:
             case TimerFired(name=name) if name.startswith(_ARRIVAL_TIMER):
                 effects += self._arrival(RequestKind(name.removeprefix(_ARRIVAL_TIMER)), now)
+            case TimerFired(name=name) if name == _BURST_TIMER:
+                effects += self._burst(now)
             case TimerFired(name=name) if name in self._retries:
                 effects.append(self._send(self._retries.pop(name), now))
             case TimerFired(name=name) if name == _DRAIN_TIMER:
@@ -127,6 +133,23 @@
             effects.append(self._send(second, now))
         return effects
 
+    def _burst(self, now: float) -> list[Effect]:
+        """One caller sends many lookups at once; each is tried once only."""
+        if self._stopping:
+            return []
+        burst = self._settings.burst
+        effects: list[Effect] = [SetTimer(_BURST_TIMER, burst.interval_seconds)]
+        self._operations += 1
+        gateway_index = self._operations
+        for number in range(burst.requests):
+            name = f"{self._run_name}-{self._operations}-{number}"
+            operation = self._operation(RequestKind.LOOKUP, name, set(), now)
+            operation.caller = burst.caller
+            operation.gateway_index = gateway_index
+            operation.attempts = self._settings.maximum_attempts
+            effects.append(self._send(operation, now))
+        return effects
+
     def _operation(
         self, kind: RequestKind, name: str, request_ids: set[str], now: float
     ) -> Operation:
--- a/src/merlinstand_lab/standins/settings.py
+++ b/src/merlinstand_lab/standins/settings.py
@@ -134,6 +134,14 @@
     request_timeout_seconds: float = 10.0
 
 
+class BurstSettings(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """A caller that sends many lookups at once, beyond its limit."""
+
+    caller: str = ""
+    requests: int = 0
+    interval_seconds: float = 10.0
+
+
 class CallersSettings(StandinSettings, frozen=True, kw_only=True, forbid_unknown_fields=True):
     """Live callers of the services and of the engines, through the gateways."""
 
@@ -152,3 +160,4 @@
     retry_seconds: float = 0.2
     completion_tokens: int = 48
     caller_names: tuple[str, ...] = ("web", "partner")
+    burst: BurstSettings = BurstSettings()
