--- a/src/merlinstand_lab/fleet/fleet.py
+++ b/src/merlinstand_lab/fleet/fleet.py
@@ -3,6 +3,7 @@
 import time
 
 import gevent
+from gevent.lock import Semaphore
 
 from merlinstand.runtime.record_writer import RecordWriter
 from merlinstand_lab.fleet.http import is_ready
@@ -35,6 +36,8 @@
         self._records = records
         logs = plan.output / "logs"
         logs.mkdir(parents=True, exist_ok=True)
+        # Incidents of one process never overlap: a dead process can't be stopped as planned.
+        self._locks = {spec.name: Semaphore(1) for spec in plan.specs}
         self.processes = {spec.name: ManagedProcess(spec, logs) for spec in plan.specs}
 
     def start_roles(self, *roles: str) -> None:
@@ -67,23 +70,26 @@
 
     def kill_and_restart(self, name: str, kind: str, down_seconds: float) -> None:
         """Kill a process at once, start it again later, record the fault."""
-        started_at = time.monotonic()
-        process = self.processes[name]
-        process.kill()
-        gevent.sleep(down_seconds)
-        process.start()
-        self.wait_ready([process], down_seconds * 3)
-        record = FaultRecord(
-            kind=kind, target=name, started_at=started_at, healed_at=time.monotonic()
-        )
-        self._records.write("faults", record)
+        with self._locks[name]:
+            started_at = time.monotonic()
+            process = self.processes[name]
+            process.kill()
+            gevent.sleep(down_seconds)
+            process.start()
+            self.wait_ready([process], down_seconds * 3)
+            record = FaultRecord(
+                kind=kind, target=name, started_at=started_at, healed_at=time.monotonic()
+            )
+            self._records.write("faults", record)
 
     def stop_and_restart(self, name: str) -> int | None:
         """Stop a process as planned, record it, start it again."""
-        process = self.processes[name]
-        exit_code = self.stop(process)
-        process.start()
-        return exit_code
+        with self._locks[name]:
+            process = self.processes[name]
+            exit_code = self.stop(process)
+            process.start()
+            self.wait_ready([process], self._plan.lab.run.start_seconds)
+            return exit_code
 
     def stop(self, process: ManagedProcess) -> int | None:
         """Stop one process as planned; returns its exit code, None if it had to be killed."""
--- /dev/null
+++ b/tests/fleet/test_plan.py
@@ -0,0 +1,85 @@
+"""The plan of both examples, and the order of a run's incidents."""
+
+from pathlib import Path
+
+import pytest
+from result import Err, Ok
+
+from merlinstand.runtime.record_writer import RecordWriter
+from merlinstand_lab.fleet.configuration_file import read_put_commands
+from merlinstand_lab.fleet.fleet import Fleet
+from merlinstand_lab.fleet.incidents import Incidents
+from merlinstand_lab.fleet.operator import OperatorClient
+from merlinstand_lab.fleet.plan import FleetPlan, make_plan
+from merlinstand_lab.fleet.settings import load_lab_settings
+from merlinstand_lab.standins.catalogue import make_standin
+
+EXAMPLES = Path(__file__).parents[2] / "examples"
+ROLES = {
+    "vitrina": {"control": 3, "gateway": 3, "coordinator": 2, "engine": 4, "service": 3},
+    "tatrasoft": {"control": 3, "gateway": 3, "coordinator": 2, "engine": 5, "service": 3},
+}
+
+
+def plan_of(name: str, output: Path) -> FleetPlan:
+    plan = make_plan(EXAMPLES / name, output)
+    assert isinstance(plan, Ok)
+    return plan.ok_value
+
+
+@pytest.mark.parametrize("name", sorted(ROLES))
+def test_an_example_has_the_fleet_of_its_users(name: str, tmp_path: Path) -> None:
+    plan = plan_of(name, tmp_path)
+    counts: dict[str, int] = {}
+    for spec in plan.specs:
+        counts[spec.role] = counts.get(spec.role, 0) + 1
+    once = {"weight-store": 1, "scorer": 1, "machine-list": 1, "trainer": 1, "callers": 1}
+    assert counts == ROLES[name] | once
+    addresses = plan.addresses()
+    assert len(addresses) == len(set(addresses))
+    assert all(address.startswith("127.0.0.1:") for address in addresses)
+
+
+@pytest.mark.parametrize("name", sorted(ROLES))
+def test_back_ends_of_the_configuration_are_the_stand_ins(name: str, tmp_path: Path) -> None:
+    lab = plan_of(name, tmp_path).lab
+    commands = read_put_commands(str(EXAMPLES / name / "configuration.toml"))
+    assert isinstance(commands, Ok)
+    configured = {
+        backend["backend_id"]: backend["address"]
+        for command in commands.ok_value
+        if str(command["key"]).startswith("pool/")
+        for backend in command["object"]["backends"]  # type: ignore[index]
+    }
+    assert configured == {one.node_id: one.address for one in (*lab.engine, *lab.service)}
+    (job,) = [one for one in commands.ok_value if str(one["key"]).startswith("job/")]
+    assert job["object"]["policy"]["maximum_staleness_versions"] == 2  # type: ignore[index]
+
+
+@pytest.mark.parametrize("name", sorted(ROLES))
+def test_every_stand_in_of_an_example_can_be_made(name: str, tmp_path: Path) -> None:
+    lab = plan_of(name, tmp_path).lab
+    for _, settings in lab.platform_standins() + lab.load_standins():
+        assert make_standin(settings) is not None
+
+
+def test_an_unknown_key_is_refused_with_its_place(tmp_path: Path) -> None:
+    text = (EXAMPLES / "vitrina" / "lab.toml").read_text()
+    path = tmp_path / "lab.toml"
+    path.write_text(text.replace("minimum_steps", "minimum_stepps"))
+    loaded = load_lab_settings(str(path))
+    assert isinstance(loaded, Err)
+    assert "run.minimum_stepps" in loaded.err_value.describe()
+
+
+def test_faults_come_one_after_the_other_and_only_when_asked_for(tmp_path: Path) -> None:
+    plan = plan_of("vitrina", tmp_path)
+    records = RecordWriter(str(tmp_path))
+    operator = OperatorClient("operator", plan.controls, "", records, 1.0)
+    incidents = Incidents(plan, Fleet(plan, records), operator, print)
+    calm, faulty = incidents.schedule("none"), incidents.schedule("kill")
+    assert not any("kill" in incident.title for incident in calm)
+    kills = [incident for incident in faulty if "kill" in incident.title]
+    assert len(kills) == 4
+    begins = [incident.after_steps for incident in faulty]
+    assert begins == sorted(begins) and begins[-1] < plan.lab.run.minimum_steps
--- /dev/null
+++ b/tests/standins/test_trainer.py
@@ -0,0 +1,136 @@
+"""The trainer: publishing, pulling, what it does with late and redirected answers."""
+
+from typing import Any
+
+import msgspec
+import pytest
+
+from merlinstand.common.ids import CallId
+from merlinstand.kernel.effects import StartCall
+from merlinstand.kernel.events import CallFailed, CallPhase
+from merlinstand_lab.records.kinds import SampleRecord, StepRecord
+from merlinstand_lab.standins.settings import TrainerSettings
+from merlinstand_lab.standins.trainer import Trainer
+
+from .driver import Driver
+
+DONE = {"revision": 4, "outcome": {"outcome": "done", "revision": 4}}
+
+
+@pytest.fixture
+def driver() -> Driver:
+    settings = TrainerSettings(
+        node_id="t",
+        address="127.0.0.1:1",
+        consumer="trainer-1",
+        job="j",
+        model="m",
+        coordinators=("coordinator-a", "coordinator-b"),
+        controls=("control-a", "control-b"),
+        weight_store="store",
+        step_seconds=2.0,
+    )
+    return Driver(Trainer(settings))
+
+
+def call(driver: Driver) -> StartCall:
+    (only,) = driver.calls
+    return only
+
+
+def body(driver: Driver) -> Any:
+    return msgspec.json.decode(call(driver).body)
+
+
+def publish(driver: Driver) -> None:
+    driver.respond(call(driver), {"digest": "d"})
+    driver.respond(call(driver), DONE)
+
+
+def batch(driver: Driver, number: int, nonce: str) -> dict[str, object]:
+    sample = {
+        "sample_id": f"j/p/{number}",
+        "slot": number,
+        "job": "j",
+        "prompt_id": "p",
+        "attempt": 0,
+        "prompt": "",
+        "text": "[0-4@1 r1]",
+        "token_count": 4,
+        "weight_versions": [[1, 0, 4]],
+    }
+    return {
+        "job": "j",
+        "consumer": "trainer-1",
+        "batch": number,
+        "nonce": nonce,
+        "newest_version": 1,
+        "samples": [sample],
+    }
+
+
+def test_it_publishes_pulls_trains_and_publishes_again(driver: Driver) -> None:
+    assert (call(driver).address, call(driver).method) == ("store", "PUT")
+    publish(driver)
+    first = body(driver)
+    assert (first["last_received_batch"], first["trainer_version"]) == (0, 1)
+    driver.respond(call(driver), batch(driver, 1, first["nonce"]))
+    (sample,) = driver.records["trainer-trainer-1"]
+    assert isinstance(sample, SampleRecord)
+    assert sample.produced == [("r1", 1, 0, 4)] and sample.batch == 1
+    assert driver.calls == []
+    driver.advance(2.0)
+    (step,) = driver.records["idle-trainer-1"]
+    assert isinstance(step, StepRecord)
+    assert step.step_ended_at - step.received_at == 2.0
+    publish(driver)
+    second = body(driver)
+    assert (second["last_received_batch"], second["trainer_version"]) == (1, 2)
+    assert second["last_received_nonce"] == first["nonce"] != second["nonce"]
+    assert len(driver.records["operators-t"]) == 2
+
+
+def test_a_publication_is_resent_under_its_command_id_and_follows_the_leader(
+    driver: Driver,
+) -> None:
+    driver.respond(call(driver), {"digest": "d"})
+    command_id = body(driver)["command_id"]
+    driver.send(CallFailed(CallId(driver.calls.pop().call_id), CallPhase.SENT, "timeout"))
+    driver.advance(1.0)
+    assert (call(driver).address, body(driver)["command_id"]) == ("control-b", command_id)
+    driver.respond(call(driver), {"code": "not_leader", "leader": "control-c"}, status=421)
+    assert (call(driver).address, body(driver)["command_id"]) == ("control-c", command_id)
+
+
+def test_an_answer_under_an_old_nonce_is_dropped(driver: Driver) -> None:
+    publish(driver)
+    driver.respond(call(driver), batch(driver, 1, "another-nonce"))
+    assert "trainer-trainer-1" not in driver.records
+    driver.advance(1.0)
+    assert body(driver)["last_received_batch"] == 0
+
+
+def test_a_pull_that_was_not_answered_is_tried_elsewhere_under_a_new_nonce(
+    driver: Driver,
+) -> None:
+    publish(driver)
+    before = body(driver)["nonce"]
+    driver.send(CallFailed(CallId(driver.calls.pop().call_id), CallPhase.SENT, "timeout"))
+    driver.advance(1.0)
+    assert call(driver).address == "coordinator-b"
+    assert body(driver)["nonce"] != before
+
+
+def test_a_redirect_leads_to_the_owner(driver: Driver) -> None:
+    publish(driver)
+    driver.respond(call(driver), {"code": "not_owner", "owner": "coordinator-c"}, status=421)
+    driver.advance(0.1)
+    assert call(driver).address == "coordinator-c"
+
+
+def test_not_ready_is_asked_again_later(driver: Driver) -> None:
+    publish(driver)
+    driver.respond(call(driver), {"code": "not_ready", "retry_after_seconds": 0.5}, status=202)
+    assert driver.calls == []
+    driver.advance(0.6)
+    assert body(driver)["last_received_batch"] == 0
