--- a/src/merlinstand/settings/daemons.py
+++ b/src/merlinstand/settings/daemons.py
@@ -157,6 +157,7 @@
         http_address=table.http_address,
         control_members=_control_members(settings),
         peers=_relays(settings, node),
+        machine_list_address=settings.platform.machine_list,
         session=options.session,
         tick_seconds=options.tick_seconds,
         maximum_journal_records=options.maximum_journal_records,
--- /dev/null
+++ b/tests/settings/test_deployment.py
@@ -0,0 +1,205 @@
+"""Deployment files: typed values, errors that name the place, settings of single daemons."""
+
+from pathlib import Path
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from result import Err, Ok
+
+from merlinstand.settings.configuration_file import load_configuration
+from merlinstand.settings.daemons import (
+    Overrides,
+    control_daemon,
+    coordinator_daemon,
+    gateway_daemon,
+    list_daemons,
+    load_deployment,
+)
+from merlinstand.settings.deployment import DeploymentSettings
+from merlinstand.settings.errors import SettingsError
+
+EXAMPLES = Path(__file__).parents[2] / "examples"
+
+GOOD = """
+[deployment]
+name = "test"
+region = "r"
+zones = ["z1", "z2"]
+
+[[control]]
+node = "control-1"
+zone = "z1"
+address = "127.0.0.1:1"
+http_address = "127.0.0.1:2"
+
+[[control]]
+node = "control-2"
+zone = "z2"
+address = "127.0.0.1:3"
+http_address = "127.0.0.1:4"
+standby = true
+
+[[gateway]]
+node = "gateway-1"
+zone = "z1"
+address = "127.0.0.1:5"
+http_address = "127.0.0.1:6"
+
+[[coordinator]]
+node = "coordinator-1"
+zone = "z2"
+address = "127.0.0.1:7"
+http_address = "127.0.0.1:8"
+"""
+
+
+def load(tmp_path: Path, text: str) -> Ok[DeploymentSettings] | Err[SettingsError]:
+    file = tmp_path / "merlinstand.toml"
+    file.write_text(text, encoding="utf-8")
+    return load_deployment(str(file))
+
+
+def loaded(tmp_path: Path, extra: str = "") -> DeploymentSettings:
+    return load(tmp_path, GOOD + extra).unwrap()
+
+
+@pytest.mark.parametrize("name", ["vitrina", "tatrasoft"])
+def test_examples_are_valid(name: str) -> None:
+    settings = load_deployment(str(EXAMPLES / name / "merlinstand.toml")).unwrap()
+    roles = [entry.role for entry in list_daemons(settings)]
+    assert [roles.count(role) for role in ("control", "gateway", "coordinator")] == [3, 3, 2]
+    objects = load_configuration(str(EXAMPLES / name / "configuration.toml")).unwrap()
+    job = objects[-1][1]
+    assert job.policy.maximum_staleness_versions == 2
+    pools = {key: value for key, value in objects if key.startswith("pool/")}
+    sizes = sorted(len(pool.backends) for pool in pools.values())
+    assert sizes == {"vitrina": [3, 4], "tatrasoft": [3, 5]}[name]
+    zones = {backend.zone for pool in pools.values() for backend in pool.backends}
+    assert zones == set(settings.deployment.zones)
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "path", "value", "expected"),
+    [
+        ('region = "r"', "region = 5", "deployment.region", "5", "`str`"),
+        ('region = "r"\n', "", "deployment.region", "", "a value"),
+        ('region = "r"', 'region = "r"\nregoin = 1', "deployment.regoin", "1", "one of the keys"),
+        ("standby = true", 'standby = "yes"', "control[1].standby", "'yes'", "`bool`"),
+        ("standby = true", "", "control", "2", "an odd number"),
+        ("127.0.0.1:5", "127.0.0.1", "gateway[0].address", "'127.0.0.1'", "ip:port"),
+        ("127.0.0.1:5", "localhost:5", "gateway[0].address", "'localhost:5'", "ip:port"),
+        ("127.0.0.1:5", "127.0.0.1:70000", "gateway[0].address", "70000", "ip:port"),
+        ("127.0.0.1:5", "127.0.0.1:8", "coordinator[0].http_address", ":8'", "only once"),
+        ("gateway-1", "control-1", "gateway[0].node", "'control-1'", "only once"),
+        ("gateway-1", "../gateway", "gateway[0].node", "'../gateway'", "folder"),
+        ('zone = "z2"', 'zone = "z3"', "control[1].zone", "'z3'", "one of z1, z2"),
+        ("127.0.0.1:2", "10.0.0.1:2", "operators.token", "''", "a token"),
+        ("[deployment]", "[deployment", "", "", "TOML"),
+        ("[deployment]", '[logs]\nlevel = "loud"\n[deployment]', "logs.level", "loud", "one of"),
+        (
+            "[deployment]",
+            "[gateway_options.admission]\nmaximum_request = 5\n[deployment]",
+            "gateway_options.admission.maximum_request",
+            "5",
+            "maximum_requests",
+        ),
+        (
+            "[deployment]",
+            "[control_options.timings]\nheartbeat = 5\n[deployment]",
+            "control_options.timings.heartbeat",
+            "5",
+            "heartbeat_interval_seconds",
+        ),
+        (
+            "[deployment]",
+            "[coordinator_options.generation]\nengine_concurrency = 1.5\n[deployment]",
+            "coordinator_options.generation.engine_concurrency",
+            "1.5",
+            "`int`",
+        ),
+    ],
+)
+def test_errors_name_file_place_value_and_expectation(
+    tmp_path: Path, old: str, new: str, path: str, value: str, expected: str
+) -> None:
+    assert old in GOOD
+    error = load(tmp_path, GOOD.replace(old, new, 1)).unwrap_err()
+    assert error.file.endswith("merlinstand.toml")
+    assert error.path == path
+    assert value in error.value
+    assert expected in error.expected
+    assert path in error.describe()
+
+
+def test_unreadable_files_are_errors(tmp_path: Path) -> None:
+    assert "readable" in load_deployment(str(tmp_path / "none.toml")).unwrap_err().expected
+    assert "readable" in load_deployment(str(tmp_path)).unwrap_err().expected
+    file = tmp_path / "latin.toml"
+    file.write_bytes(b'a = "\xff"')
+    assert "UTF-8" in load_deployment(str(file)).unwrap_err().expected
+
+
+def test_control_settings(tmp_path: Path) -> None:
+    extra = '[operators]\ntoken = "t"\n[data]\nfolder = "d"\n[tls]\ncertificate = "{node}.pem"\n'
+    extra += 'private_key = "{node}.key"\nauthority = "ca.pem"\n'
+    settings = loaded(tmp_path, extra)
+    found = control_daemon(settings, "control-2", Overrides()).unwrap()
+    assert [member.node_id for member in found.role.members] == ["control-1"]
+    assert [member.http_address for member in found.role.standbys] == ["127.0.0.1:4"]
+    assert found.role.operator_token == "t"
+    assert found.host.data_folder == "d/control-2"
+    assert found.host.internal_address == "127.0.0.1:3"
+    assert found.host.peers["gateway-1"] == "127.0.0.1:5"
+    assert "control-2" not in found.host.peers
+    assert found.host.tls is not None
+    assert found.host.tls.certificate == "control-2.pem"
+
+
+def test_gateway_and_coordinator_settings(tmp_path: Path) -> None:
+    extra = '[platform]\nmachine_list = "127.0.0.1:9"\n[gateway_options.requests]\n'
+    extra += "maximum_tries = 2\n[coordinator_options.rollout]\nwave_fraction = 0.25\n"
+    settings = loaded(tmp_path, extra)
+    gateway = gateway_daemon(settings, "gateway-1", Overrides()).unwrap().role
+    assert [member.node_id for member in gateway.control_members] == ["control-1", "control-2"]
+    assert [member.node_id for member in gateway.peers] == ["coordinator-1"]
+    assert gateway.machine_list_address == "127.0.0.1:9"
+    assert gateway.requests.maximum_tries == 2
+    coordinator = coordinator_daemon(settings, "coordinator-1", Overrides()).unwrap().role
+    assert coordinator.rollout.wave_fraction == 0.25
+    assert coordinator.machine_list_address == "127.0.0.1:9"
+
+
+def test_flags_go_before_the_file(tmp_path: Path) -> None:
+    overrides = Overrides(
+        address="127.0.0.1:55", http_address="127.0.0.1:66", zone="z2", data_folder="elsewhere"
+    )
+    found = gateway_daemon(loaded(tmp_path), "gateway-1", overrides).unwrap()
+    assert (found.role.address, found.role.http_address) == ("127.0.0.1:55", "127.0.0.1:66")
+    assert found.role.zone == "z2"
+    assert found.host.internal_address == "127.0.0.1:55"
+    assert found.host.data_folder == "elsewhere"
+
+
+def test_unknown_node_lists_the_known_ones(tmp_path: Path) -> None:
+    error = gateway_daemon(loaded(tmp_path), "control-1", Overrides()).unwrap_err()
+    assert "gateway-1" in error.detail
+
+
+@given(st.text(max_size=60))
+def test_any_text_gives_settings_or_an_error(tmp_path: Path, text: str) -> None:
+    file = tmp_path / "any.toml"
+    file.write_text(text, encoding="utf-8", errors="surrogatepass")
+    result = load_deployment(str(file))
+    assert isinstance(result, Err)
+    assert result.err_value.describe()
+
+
+def test_configuration_file_errors(tmp_path: Path) -> None:
+    file = tmp_path / "configuration.toml"
+    file.write_text('[[limits]]\ncaller = "a"\n[[limits]]\ncaller = "a"\n')
+    assert load_configuration(str(file)).unwrap_err().path == "limits/a"
+    file.write_text('[[pool]]\nname = "p"\nkind = "motor"\nbackends = []\n')
+    assert load_configuration(str(file)).unwrap_err().path == "pool[0].kind"
+    file.write_text('[[job]]\nname = "j"\nmodel = "m"\npool = "p"\n[job.policy]\nwieght = "1"\n')
+    assert load_configuration(str(file)).unwrap_err().path == "job[0].policy.wieght"
