--- a/src/merlinstand_lab/simulator/assembly.py
+++ b/src/merlinstand_lab/simulator/assembly.py
@@ -7,7 +7,6 @@
 from merlinstand.control.settings import ControlSettings, ControlTimings
 from merlinstand.kernel.reducer import Reducer
 from merlinstand.session.settings import SessionSettings
-from merlinstand_lab.capacity.session_daemon import SessionDaemon, SessionDaemonSettings
 from merlinstand_lab.simulator.deployment import (
     OPERATOR_TOKEN,
     FleetPlan,
@@ -16,6 +15,7 @@
     Places,
     lay_out,
 )
+from merlinstand_lab.simulator.lease_worker import LeaseWorker, LeaseWorkerSettings
 from merlinstand_lab.simulator.operator_settings import OperatorSettings
 from merlinstand_lab.simulator.operators import Operators
 from merlinstand_lab.simulator.process import ProcessSpec
@@ -108,7 +108,7 @@
         members = tuple(place.member() for place in self.places.controls + self.places.standbys)
         for number, place in enumerate(self.places.sessions):
             peers = tuple(peer.member() for peer in self.places.sessions if peer is not place)
-            settings = SessionDaemonSettings(
+            settings = LeaseWorkerSettings(
                 session=SessionSettings(
                     node_id=place.node_id,
                     role="gateway",
@@ -118,9 +118,9 @@
                     members=members,
                     peers=peers,
                 ),
-                leases=(f"job/raced-{number % 2 + 1}",),
+                resource=f"job/raced-{number % 2 + 1}",
             )
-            self.add_product(place, lambda settings=settings: SessionDaemon(settings))  # type: ignore[misc]
+            self.add_product(place, lambda settings=settings: LeaseWorker(settings))  # type: ignore[misc]
 
 
 def assemble(simulation: Simulation, plan: FleetPlan, operators: OperatorSettings) -> Assembly:
--- a/src/merlinstand_lab/simulator/injector.py
+++ b/src/merlinstand_lab/simulator/injector.py
@@ -77,7 +77,7 @@
         record = FaultRecord(
             kind=kind, target=target, started_at=self._clock.now, healed_at=fault.healed_at()
         )
-        self._simulation.records.setdefault(FAULT_STREAM, []).append(record)
+        self._simulation.write_record(FAULT_STREAM, record)
 
     def _resolve(self, target: str) -> str:
         if target not in (ft.LEADER, ft.FOLLOWER):
@@ -148,7 +148,7 @@
             ended_at=self._clock.now,
             exit_code=process.exit_code if ended_by_itself else -9,  # type: ignore[arg-type]
         )
-        self._simulation.records.setdefault(STOP_STREAM, []).append(record)
+        self._simulation.write_record(STOP_STREAM, record)
         self._clock.call_after(fault.down_seconds, self._simulation.start_if_down, process)
 
     # Network and disk.
--- a/src/merlinstand_lab/simulator/process.py
+++ b/src/merlinstand_lab/simulator/process.py
@@ -363,7 +363,7 @@
     # Records, logs, metrics, end.
 
     def _write_record(self, effect: fx.WriteRecord) -> None:
-        self._simulation.records.setdefault(effect.stream, []).append(effect.record)
+        self._simulation.write_record(effect.stream, effect.record)
 
     def _log_event(self, effect: fx.LogEvent) -> None:
         self._simulation.log(self, effect)
--- a/src/merlinstand_lab/simulator/runner.py
+++ b/src/merlinstand_lab/simulator/runner.py
@@ -7,11 +7,18 @@
 
 from merlinstand_lab.checkers.limits import CheckLimits
 from merlinstand_lab.checkers.verify import verify_records
-from merlinstand_lab.records.kinds import STREAM_TYPES, Record, RunRecord
+from merlinstand_lab.records.kinds import STREAM_TYPES, OperatorRecord, Record, RunRecord
 from merlinstand_lab.records.record_set import RecordSet
+from merlinstand_lab.simulator.act_checkers import (
+    LEASE_CHECKER,
+    STALE_CHECKER,
+    check_leases,
+    check_work,
+)
 from merlinstand_lab.simulator.assembly import Assembly, assemble
 from merlinstand_lab.simulator.deployment import OPERATOR_TOKEN, Parts, lay_out
 from merlinstand_lab.simulator.injector import FaultInjector
+from merlinstand_lab.simulator.lease_worker import ACT_STREAM, ActRecord
 from merlinstand_lab.simulator.liveness import LivenessCheck
 from merlinstand_lab.simulator.observers import ProtocolObservers, Violation
 from merlinstand_lab.simulator.operator_settings import OperatorSettings
@@ -121,6 +128,7 @@
         violations.extend(self.observers.violations())
         checked = {observer.name: observer.checked for observer in self.observers.all}
         self._check_records(violations, checked, end)
+        self._check_acts(violations, checked)
         violations.extend(LivenessCheck(self.assembly, self.plan, self.observers).violations())
         checked[LivenessCheck.name] = 1
         return violations, checked
@@ -137,6 +145,24 @@
             for violation in promise.violations:
                 violations.append(Violation(promise.name, end, str(violation)))
 
+    def _check_acts(self, violations: list[Violation], checked: dict[str, int]) -> None:
+        records = self.simulation.records.get(ACT_STREAM, [])
+        times = self.simulation.record_times.get(ACT_STREAM, [])
+        acts = [
+            (time, record)
+            for time, record in zip(times, records, strict=True)
+            if isinstance(record, ActRecord)
+        ]
+        operators = [
+            record
+            for record in self.simulation.records.get("operators", [])
+            if isinstance(record, OperatorRecord)
+        ]
+        violations.extend(check_leases(acts))
+        violations.extend(check_work(acts, operators))
+        checked[LEASE_CHECKER] = sum(1 for _, act in acts if act.epoch)
+        checked[STALE_CHECKER] = sum(1 for _, act in acts if act.revision >= 0)
+
     def record_set(self, end: float) -> RecordSet:
         """Return the records of outsiders as the checkers read them."""
         records = RecordSet()
--- a/src/merlinstand_lab/simulator/simulation.py
+++ b/src/merlinstand_lab/simulator/simulation.py
@@ -50,6 +50,8 @@
         self.processes: dict[str, SimulatedProcess] = {}
         self.records: dict[str, list[object]] = {}
         """Records of outsiders by stream name, in the order written."""
+        self.record_times: dict[str, list[float]] = {}
+        """True time of each record, by stream."""
         self.failures: list[ReducerFailure] = []
         self.counters: dict[tuple[str, str, tuple[tuple[str, str], ...]], float] = {}
         self.gauges: dict[tuple[str, str, tuple[tuple[str, str], ...]], float] = {}
@@ -93,6 +95,11 @@
         """Run to a true time."""
         self.clock.run_until(time)
 
+    def write_record(self, stream: str, record: object) -> None:
+        """Keep one record of an outsider."""
+        self.records.setdefault(stream, []).append(record)
+        self.record_times.setdefault(stream, []).append(self.clock.now)
+
     def reducer_failed(self, process: SimulatedProcess, error: Exception) -> None:
         """Note an exception that escaped from a reducer and end the process."""
         description = "".join(traceback.format_exception(error))
