--- a/src/merlinstand_lab/fleet/launcher.py
+++ b/src/merlinstand_lab/fleet/launcher.py
@@ -26,6 +26,8 @@
 _OPERATOR_PATIENCE_SECONDS = 30.0
 _SETTLE_SECONDS = 3.0
 """Calm time between the last incident and the end, so that its effects are seen."""
+_SPREAD_SECONDS = 2.0
+"""Time for the applied configuration to reach every daemon before callers begin."""
 _LOG_TAIL_LINES = 15
 
 
@@ -98,6 +100,7 @@
             or self._wait_ready(fleet, "gateway", "coordinator")
         )
         if failure is None:
+            gevent.sleep(_SPREAD_SECONDS)
             fleet.start_roles("trainer", "callers")
             incidents = Incidents(self._plan, fleet, operator, self._say)
             failure = self._watch(fleet, incidents.schedule(self._faults))
