Keep rich and prompt_toolkit out of daemons; a stop no longer waits for dead peers

Cause: `import cel` loads its own command line with rich, typer and prompt_toolkit; a planned stop waited 5 s for messages to peers that were gone. Ruled out: another expression library. Change: an empty module in place of cel.cli; a link that fails to connect is not waited for.

--- a/src/merlinstand/policy/check.py
+++ b/src/merlinstand/policy/check.py
@@ -6,10 +6,10 @@
 import re
 from typing import Any
 
-import cel
 from result import Err, Ok, Result
 
 from merlinstand.configuration.objects import PolicySource
+from merlinstand.policy.cel_library import cel
 from merlinstand.policy.errors import PolicyError
 from merlinstand.policy.program import CompiledPolicy
 from merlinstand.policy.records import EXAMPLE_REQUEST, EXAMPLE_SAMPLE
--- a/src/merlinstand/policy/program.py
+++ b/src/merlinstand/policy/program.py
@@ -3,11 +3,11 @@
 import math
 from typing import Any
 
-import cel
 import msgspec
 from result import Err, Ok, Result
 
 from merlinstand.configuration.objects import PolicySource
+from merlinstand.policy.cel_library import cel
 from merlinstand.policy.errors import PolicyRunError
 from merlinstand.policy.records import RequestRecord, SampleRecord
 
--- a/src/merlinstand/runtime/transport_peer.py
+++ b/src/merlinstand/runtime/transport_peer.py
@@ -41,6 +41,7 @@
         self._queued_bytes = 0
         self._wake = Event()
         self._sent = Event()
+        self._failing = False
         self._socket: Any = None
         self._end_watcher: EndWatcher | None = None
         self._greenlet = gevent.spawn(self._run)
@@ -67,8 +68,8 @@
         self._disconnect()
 
     def wait_until_sent(self) -> None:
-        """Block this greenlet until the queue is empty."""
-        if self._queue:
+        """Block this greenlet until the queue is empty or the peer turns out to be gone."""
+        if self._queue and not self._failing:
             self._sent.wait()
 
     def close(self) -> None:
@@ -88,8 +89,11 @@
                 try:
                     self._send_some()
                     back_off_seconds = FIRST_BACK_OFF_SECONDS
+                    self._failing = False
                 except OSError:
                     self._disconnect()
+                    self._failing = True
+                    self._sent.set()
                     # Random, so that a crowd does not reconnect in step.
                     gevent.sleep(back_off_seconds * random.uniform(0.5, 1.0))
                     back_off_seconds = min(back_off_seconds * 2, LONGEST_BACK_OFF_SECONDS)
--- a/tests/runtime/test_transport.py
+++ b/tests/runtime/test_transport.py
@@ -114,6 +114,14 @@
     assert a.transport.counters.messages_dropped == 15
 
 
+def test_flush_does_not_wait_for_a_peer_that_is_gone(nodes: list[Node]) -> None:
+    a = nodes[0]
+    a.transport.learn(NodeId("gone"), "127.0.0.1:9")
+    a.transport.send(NodeId("gone"), message(1))
+    with gevent.Timeout(30):
+        a.transport.flush(1000.0)
+
+
 @pytest.mark.parametrize(
     "data",
     [
