--- a/src/merlinstand/consensus/leader.py
+++ b/src/merlinstand/consensus/leader.py
@@ -143,13 +143,18 @@
         state = self._state
         quorum_sent_at = self._lease.refresh(state.membership, now)
         self._quorum_heard_at = max(self._quorum_heard_at, quorum_sent_at)
-        self._commit()
+        membership_committed = self._commit()
         if state.commit_index >= self._first_index:
             state.reads_passed(self._reads.passed(quorum_sent_at))
         self._replicator.send_entries(now)
         self._continue_hand_over(now)
+        if membership_committed:
+            # The next step of a repair follows at once: it is in between that another
+            # loss hurts most.
+            self._repair(now)
 
-    def _commit(self) -> None:
+    def _commit(self) -> bool:
+        """Commit what a quorum holds; true if a change of the membership was among it."""
         state = self._state
         index = self._replicator.committable_index()
         # An older term's entry at a quorum can still be replaced; it is committed only
@@ -158,12 +163,15 @@
             committed = state.log.between(max(state.commit_index + 1, self._first_index), index)
             self._uncommitted_bytes -= sum(len(entry.payload) for entry in committed)
             state.commit_index = index
+            return any(entry.kind is EntryKind.MEMBERSHIP for entry in committed)
+        return False
 
     def on_append_reply(self, reply: AppendReply, now: float) -> None:
         """Take an answer of this term; it counts for exactly the identity it names."""
         identity = from_wire_identity(reply.follower)
         progress = self._replicator.followers.get(identity)
         if progress is None:
+            self._note_stranger(identity, now)
             return
         self._lease.acknowledge(identity, reply.leader_sent_at)
         self._replicator.on_append_reply(progress, reply, now)
@@ -207,8 +215,7 @@
             return
         self._replicator.send_heartbeats(now)
         state.set_timer(HEARTBEAT_TIMER, timings.heartbeat_interval_seconds)
-        if state.settings.automatic_repair:
-            self._repair(now)
+        self._repair(now)
 
     # Membership
 
@@ -220,6 +227,16 @@
         member = Member(identity, request.address, Zone(request.zone))
         self._standbys[identity.node_id] = (member, now)
 
+    def _note_stranger(self, identity: Identity, now: float) -> None:
+        """A replica with a new disk answers for its former self: it could be taken in.
+
+        It hears the leader, so it may not announce itself.
+        """
+        former = self._state.membership.member_on(identity.node_id)
+        if former is not None:
+            member = Member(identity, former.address, former.zone)
+            self._standbys[identity.node_id] = (member, now)
+
     def request_replacement(
         self, add_node: NodeId | None, remove_node: NodeId | None, now: float
     ) -> Result[int, ProposeError | MembershipRefusedError]:
@@ -244,7 +261,8 @@
         return index
 
     def _repair(self, now: float) -> None:
-        if not self._may_change_membership(now) or self._hand_over is not None:
+        is_possible = self._may_change_membership(now) and self._hand_over is None
+        if not is_possible or not self._state.settings.automatic_repair:
             return
         action = decide(self._group_view(now), self._repair_settings())
         if action is None:
--- a/src/merlinstand/consensus/repair.py
+++ b/src/merlinstand/consensus/repair.py
@@ -1,9 +1,10 @@
 """Which membership change the leader should make next, if any (a pure decision).
 
-One change at a time, learners first. A lost voter is removed only when a caught-up
-learner stands ready to take its place, and only if the voters that are heard from are
-still a quorum afterwards. Shrinking comes before growing: with n voters of which one is
-lost, the voters that remain need fewer of each other than with a newcomer added on top.
+One change at a time, learners first. The newcomer becomes a voter *before* the lost one
+is removed. Both orders bear the same number of further losses for good (a group of
+2k + 1 voters with l lost bears k - l more, in between as well), but in this order a
+voter that was only cut off, and returns while another is lost, still helps to form a
+quorum. The other order leaves a group that can't elect anybody in that case.
 """
 
 import enum
@@ -79,9 +80,9 @@
     """
     to_replace = _voters_to_replace(view, settings)
     return (
-        _drop_useless_learner(view, settings, bool(to_replace))
-        or _promote(view, settings)
-        or _remove(view, settings, to_replace)
+        _remove_voter(view, settings, to_replace)
+        or _drop_useless_learner(view, settings, to_replace)
+        or _promote(view, settings, to_replace)
         or _add_learner(view, settings, to_replace)
     )
 
@@ -110,26 +111,37 @@
     return lost + leaving
 
 
-def _ready_learners(view: GroupView) -> list[Member]:
-    ready = []
-    for member in view.membership.learners:
-        health = view.health[member.identity]
-        if health.is_caught_up and health.is_heard:
-            ready.append(member)
-    return ready
+def _count_heard(view: GroupView, voters: Sequence[Member]) -> int:
+    return sum(1 for voter in voters if view.health[voter.identity].is_heard)
+
+
+def _remove_voter(
+    view: GroupView, settings: RepairSettings, to_replace: list[Member]
+) -> RepairAction | None:
+    """Remove a voter whose successor votes already."""
+    voters = view.membership.voters
+    if not to_replace or len(voters) <= settings.target_voters:
+        return None
+    member = to_replace[0]
+    remaining = [voter for voter in voters if voter != member]
+    if _count_heard(view, remaining) < quorum_size(len(remaining)):
+        return None
+    return RepairAction(RepairKind.REMOVE, member)
 
 
 def _drop_useless_learner(
-    view: GroupView, settings: RepairSettings, has_vacancy: bool
+    view: GroupView, settings: RepairSettings, to_replace: list[Member]
 ) -> RepairAction | None:
     """Free the place of a learner that fell silent, or that nobody needs any more."""
     voters = view.membership.voters
     # A new leader must hear every voter before it can tell that no place is vacant.
-    is_complete = len(voters) >= settings.target_voters and _count_heard(view, voters) == len(
-        voters
+    is_complete = (
+        len(voters) >= settings.target_voters
+        and _count_heard(view, voters) == len(voters)
+        and not to_replace
     )
     for member in view.membership.learners:
-        is_wanted = has_vacancy or not is_complete or _is_preferred(view, member)
+        is_wanted = not is_complete or _is_preferred(view, member)
         if not is_wanted or _is_lost(view, settings, member):
             return RepairAction(RepairKind.REMOVE, member)
     return None
@@ -139,49 +151,22 @@
     return member.identity.node_id in view.membership.preferred
 
 
-def _promote(view: GroupView, settings: RepairSettings) -> RepairAction | None:
-    """Let a caught-up learner vote, if a place is free and all voters needed are heard."""
+def _promote(
+    view: GroupView, settings: RepairSettings, to_replace: list[Member]
+) -> RepairAction | None:
+    """Let a caught-up learner vote, if the larger group has a quorum that is heard."""
     voters = view.membership.voters
-    if len(voters) >= settings.target_voters and not any(
-        _is_preferred(view, member) for member in view.membership.learners
-    ):
+    places = settings.target_voters + (1 if to_replace else 0)
+    if _count_heard(view, voters) + 1 < quorum_size(len(voters) + 1):
         return None
-    for member in _ready_learners(view):
-        heard_voters = _count_heard(view, voters) + 1
-        is_free = len(voters) < settings.target_voters or _is_surplus_wish(view, member)
-        if is_free and heard_voters >= quorum_size(len(voters) + 1):
+    for member in view.membership.learners:
+        health = view.health[member.identity]
+        has_place = len(voters) < places or _is_preferred(view, member)
+        if has_place and health.is_caught_up and health.is_heard:
             return RepairAction(RepairKind.PROMOTE, member)
     return None
 
 
-def _is_surplus_wish(view: GroupView, member: Member) -> bool:
-    """An operator asked for this node in without taking one out."""
-    leaves = any(v.identity.node_id in view.membership.leaving for v in view.membership.voters)
-    return _is_preferred(view, member) and not leaves
-
-
-def _count_heard(view: GroupView, voters: Sequence[Member]) -> int:
-    return sum(1 for voter in voters if view.health[voter.identity].is_heard)
-
-
-def _remove(
-    view: GroupView, settings: RepairSettings, to_replace: list[Member]
-) -> RepairAction | None:
-    """Remove a voter whose successor stands ready."""
-    if not to_replace or not _has_successor(view, settings):
-        return None
-    member = to_replace[0]
-    remaining = [voter for voter in view.membership.voters if voter != member]
-    if not remaining or _count_heard(view, remaining) < quorum_size(len(remaining)):
-        return None
-    return RepairAction(RepairKind.REMOVE, member)
-
-
-def _has_successor(view: GroupView, settings: RepairSettings) -> bool:
-    surplus = len(view.membership.voters) > settings.target_voters
-    return surplus or bool(_ready_learners(view))
-
-
 def _add_learner(
     view: GroupView, settings: RepairSettings, to_replace: list[Member]
 ) -> RepairAction | None:
