--- /dev/null
+++ b/benchmarks/raw_load.py
@@ -0,0 +1,103 @@
+"""Keeps connections busy with one request after the other, and prints one JSON line.
+
+Usage: python benchmarks/raw_load.py IP:PORT lookup|stream CONNECTIONS SECONDS
+"""
+
+import json
+import sys
+import time
+from typing import Any
+
+import gevent
+from gevent import socket
+
+LOOKUP = b"GET /raw-api/stock?item=%d HTTP/1.1\r\nHost: x\r\nX-Caller: c%d\r\n\r\n"
+COMPLETION = b'{"model":"m","prompt":"Write a blurb for item %d.","max_tokens":1000,"stream":true}'
+STREAM = (
+    b"POST /v1/completions HTTP/1.1\r\nHost: x\r\nX-Caller: c%d\r\n"
+    b"Content-Type: application/json\r\nContent-Length: %d\r\n\r\n%s"
+)
+
+
+class Load:
+    """One load process."""
+
+    def __init__(self, address: str, kind: str, seconds: float) -> None:
+        ip, port = address.split(":")
+        self._address = (ip, int(port))
+        self._is_stream = kind == "stream"
+        self._end = time.monotonic() + seconds
+        self.latencies: list[float] = []
+        self.chunks = 0
+        self.failures = 0
+
+    def run(self, number: int) -> None:
+        """Keep one connection busy until the end."""
+        count = 0
+        while time.monotonic() < self._end:
+            connection = socket.create_connection(self._address)
+            connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            try:
+                while time.monotonic() < self._end:
+                    count += 1
+                    began = time.monotonic()
+                    connection.sendall(self._request(number, count))
+                    is_good = self._stream(connection) if self._is_stream else self._whole(connection)
+                    if is_good:
+                        self.latencies.append(time.monotonic() - began)
+                    else:
+                        self.failures += 1
+                        gevent.sleep(0.01)
+            except OSError:
+                self.failures += 1
+            finally:
+                connection.close()
+
+    def _request(self, number: int, count: int) -> bytes:
+        if not self._is_stream:
+            return LOOKUP % (count, number)
+        body = COMPLETION % count
+        return STREAM % (number, len(body), body)
+
+    def _whole(self, connection: Any) -> bool:
+        data = self._head(connection)
+        head, _separator, body = data.partition(b"\r\n\r\n")
+        start = head.lower().index(b"content-length: ") + len(b"content-length: ")
+        length = int(head[start:].split(b"\r\n", 1)[0])
+        while len(body) < length:
+            body += connection.recv(65536)
+        return head.startswith(b"HTTP/1.1 200")
+
+    def _stream(self, connection: Any) -> bool:
+        data = self._head(connection)
+        if not data.startswith(b"HTTP/1.1 200"):
+            return False
+        self.chunks += data.count(b"data: ")
+        while not data.endswith(b"0\r\n\r\n"):
+            data = connection.recv(65536)
+            if not data:
+                raise OSError("truncated")
+            self.chunks += data.count(b"data: ")
+        return True
+
+    def _head(self, connection: Any) -> bytes:
+        data = b""
+        while b"\r\n\r\n" not in data:
+            more = connection.recv(65536)
+            if not more:
+                raise OSError("closed")
+            data += more
+        return data
+
+
+def main() -> None:
+    """Run and print the figures."""
+    address, kind, connections, seconds = sys.argv[1:5]
+    load = Load(address, kind, float(seconds))
+    gevent.joinall([gevent.spawn(load.run, number) for number in range(int(connections))])
+    figures = {"latencies": load.latencies, "chunks": load.chunks, "failures": load.failures}
+    print(json.dumps(figures))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/merlinstand_lab/experiments/__init__.py
@@ -0,0 +1,1 @@
+"""Paired experiments on the simulator: variants, seeds, measures, confidence intervals."""
