--- a/src/merlinstand_lab/simulator/whole_fleet.py
+++ b/src/merlinstand_lab/simulator/whole_fleet.py
@@ -64,6 +64,7 @@
             control_members=members,
             generation=assembly.plan.generation,
             rollout=assembly.plan.rollout,
+            machine_list_address=places.machine_list.http_address,
         )
         assembly.add_product(place, lambda settings=settings: CoordinatorDaemon(settings))  # type: ignore[misc]
 
