--- /dev/null
+++ b/src/merlinstand/client/weights.py
@@ -0,0 +1,116 @@
+"""Publishing weights."""
+
+import random
+import time
+import uuid
+from collections.abc import Callable, Sequence
+
+import msgspec
+from result import Err, Ok, Result
+
+from merlinstand.client.errors import ClientError, NoAnswerError, RejectedError
+from merlinstand.client.http_json import HttpAnswer, decode_error, post_json
+from merlinstand.control.commands import PublishWeights
+
+REQUEST_TIMEOUT_SECONDS = 10.0
+FIRST_BACK_OFF_SECONDS = 0.1
+LONGEST_BACK_OFF_SECONDS = 2.0
+
+
+class Published(msgspec.Struct, frozen=True):
+    """A version is published: samples are judged against it from now on."""
+
+    model: str
+    version: int
+    revision: int
+
+
+class _Outcome(msgspec.Struct, frozen=True, kw_only=True):
+    outcome: str
+    code: str = ""
+    detail: str = ""
+
+
+class _CommandAnswer(msgspec.Struct, frozen=True, kw_only=True):
+    revision: int
+    outcome: _Outcome
+
+
+class _CommandBody(msgspec.Struct, frozen=True, kw_only=True):
+    command_id: str
+    command: PublishWeights
+
+
+def publish_weights(
+    addresses: Sequence[str],
+    weights: PublishWeights,
+    *,
+    token: str = "",
+    deadline_seconds: float = 60.0,
+    sleep: Callable[[float], None] = time.sleep,
+) -> Result[Published, ClientError]:
+    """Publish the next version of a model that was put into the weight store before.
+
+    The command is sent under one command id until it is answered, so it is applied once
+    however often it is sent.
+
+    Args:
+        addresses: HTTP addresses of the control replicas.
+        weights: Model, version (the newest + 1), digest, source and size.
+        token: Operator's token, needed where control is bound beyond loopback.
+        deadline_seconds: Longest to try.
+        sleep: Waits between tries; replaced in tests.
+
+    Raises:
+        ValueError: No address was given.
+    """
+    if not addresses:
+        raise ValueError("no control address")
+    body = msgspec.json.encode(_CommandBody(command_id=uuid.uuid4().hex, command=weights))
+    headers = {"Authorization": f"Bearer {token}"} if token else {}
+    ends_at = time.monotonic() + deadline_seconds
+    back_off_seconds = FIRST_BACK_OFF_SECONDS
+    tries = 0
+    leader = ""
+    while True:
+        address = leader or addresses[tries % len(addresses)]
+        tries += 1
+        leader = ""
+        answered = post_json(
+            address,
+            "/v1/commands",
+            body,
+            timeout_seconds=REQUEST_TIMEOUT_SECONDS,
+            headers=headers,
+        )
+        if isinstance(answered, Ok):
+            answer = answered.ok_value
+            if answer.status not in (421, 429, 500, 502, 503, 504):
+                return _finished(answer, weights)
+            leader = decode_error(answer).leader
+            problem = NoAnswerError(detail=f"{address}: {decode_error(answer).detail}")
+        else:
+            problem = answered.err_value
+        if time.monotonic() + back_off_seconds >= ends_at:
+            return Err(problem)
+        # Also before asking the named leader: during an election replicas may name each other.
+        sleep(back_off_seconds * random.uniform(0.5, 1.0))
+        if not leader:
+            back_off_seconds = min(back_off_seconds * 2.0, LONGEST_BACK_OFF_SECONDS)
+
+
+def _finished(answer: HttpAnswer, weights: PublishWeights) -> Result[Published, ClientError]:
+    try:
+        decoded = msgspec.json.decode(answer.body, type=_CommandAnswer)
+    except (msgspec.DecodeError, UnicodeDecodeError):
+        error = decode_error(answer)
+        return Err(RejectedError(detail=error.detail, server_code=error.code, status=answer.status))
+    if decoded.outcome.outcome == "done":
+        return Ok(Published(weights.model, weights.version, decoded.revision))
+    return Err(
+        RejectedError(
+            detail=decoded.outcome.detail,
+            server_code=decoded.outcome.code,
+            status=answer.status,
+        )
+    )
--- a/src/merlinstand/coordinator/context.py
+++ b/src/merlinstand/coordinator/context.py
@@ -105,6 +105,10 @@
         if self._calls.pop(call_id, None) is not None:
             self.add(CancelCall(call_id))
 
+    def abandon_call(self, call_id: CallId) -> None:
+        """Close the connection of a call that was taken for dead."""
+        self.add(CancelCall(call_id))
+
     def submit(self, command: Command, purpose: Purpose) -> CommandId:
         """Send a command to the control group, resent until it is answered."""
         command_id, effects = self.session.submit(command, self.now)
--- a/src/merlinstand/coordinator/generation.py
+++ b/src/merlinstand/coordinator/generation.py
@@ -60,6 +60,8 @@
         self.last_data_at = now
         self.finish_reason: FinishReason | None = None
         self.exporting = False
+        """Whether an export was asked for and not answered yet."""
+        self.export_tried = False
         self._text: list[str] = []
         self._parser = EventStreamParser()
         self._done = False
@@ -119,6 +121,7 @@
         self.stream_first_token = self.token_count
         self.finish_reason = None
         self.exporting = False
+        self.export_tried = False
         self._parser = EventStreamParser()
         self._done = False
 
--- a/src/merlinstand/coordinator/generations.py
+++ b/src/merlinstand/coordinator/generations.py
@@ -201,23 +201,41 @@
             context.count("generations_restarted_total", job=self._job)
             generation.restart(generation.seed, context.now)
 
-    # --- leaving engines ------------------------------------------------------------
+    # --- silent and leaving engines --------------------------------------------------
 
-    def export_from(self, context: Context, engine: Engine, worth_tokens: float) -> None:
-        """Move streams away from a leaving engine with their KV cache.
-
-        Args:
-            context: Shared state.
-            engine: The leaving engine.
-            worth_tokens: Only generations with at least so many tokens are worth moving;
-                shorter ones end by themselves.
-        """
+    def resume_stalled(self, context: Context) -> None:
+        """Take streams off engines that have gone silent without a connection error."""
+        stall_seconds = context.settings.generation.stall_seconds
+        for generation in self.all():
+            engine = self._engine_of(generation)
+            if engine is None or not generation.streaming:
+                continue
+            # A stream may be silent because it is queued; then the engine's status is not.
+            last_sign = max(generation.last_data_at, engine.status_received_at)
+            if context.now - last_sign > stall_seconds:
+                context.log(
+                    "generation.stalled",
+                    "warning",
+                    job=self._job,
+                    backend=generation.backend_id,
+                    tokens=generation.token_count,
+                )
+                call_id = generation.call_id
+                self._interrupted(context, generation, failed=True)
+                if call_id is not None:
+                    context.abandon_call(call_id)
+
+    def move_off_leaving(self, context: Context) -> None:
+        """Move long streams off leaving engines with their KV cache."""
+        worth_tokens = context.settings.generation.export_minimum_tokens
         for generation in self._generations.values():
-            if generation.backend_id != engine.backend.backend_id or generation.exporting:
+            engine = self._engine_of(generation)
+            if engine is None or not engine.signals.leaving or generation.exporting:
                 continue
-            if generation.token_count < worth_tokens:
+            if generation.token_count < worth_tokens or generation.export_tried:
                 continue
             generation.exporting = True
+            generation.export_tried = True
             context.start_call(
                 ExportCall(self._job, generation.generation_id, engine.backend.address),
                 engine.backend.address,
--- a/src/merlinstand/coordinator/jobs.py
+++ b/src/merlinstand/coordinator/jobs.py
@@ -225,6 +225,8 @@
         self._read_ledger_if_wanted()
         self._scored(self._scoring.tick(self._context, self.job.scorer))
         if self.desk.loaded:
+            self.generations.resume_stalled(self._context)
+            self.generations.move_off_leaving(self._context)
             self._expire()
             self.serve()
 
--- a/src/merlinstand/coordinator/settings.py
+++ b/src/merlinstand/coordinator/settings.py
@@ -21,8 +21,12 @@
     over_commit_factor: float = 1.25
     """Most samples in progress for a batch, as a multiple of its size. Only samples expected
     to end after the batch is due are replaced; they are carried over, not dropped."""
-    hedge_quantile: float = 0.98
-    """A generation beyond this quantile of measured duration may be started twice."""
+    stall_seconds: float = 3.0
+    """A stream silent for so long, on an engine whose status is silent as well, is resumed on
+    another engine."""
+    export_minimum_tokens: int = 64
+    """Generations on a leaving engine are moved, with their KV cache, from so many tokens;
+    shorter ones end where they are."""
     maximum_attempts: int = 6
     """Interruptions of one sample before its text is thrown away and begun again."""
     scorer_timeout_seconds: float = 2.0
