--- a/src/merlinstand_lab/fleet/incidents.py
+++ b/src/merlinstand_lab/fleet/incidents.py
@@ -6,7 +6,7 @@
 import gevent
 import msgspec
 
-from merlinstand.configuration.objects import Drain
+from merlinstand.configuration.objects import Drain, Limits
 from merlinstand_lab.fleet.configuration_file import delete_command, put_command
 from merlinstand_lab.fleet.fleet import Fleet
 from merlinstand_lab.fleet.http import request_json
@@ -34,6 +34,15 @@
     members: list[_Member]
 
 
+class _ConfigurationItem(msgspec.Struct, frozen=True):
+    key: str
+    revision: int
+
+
+class _Configuration(msgspec.Struct, frozen=True):
+    objects: list[_ConfigurationItem]
+
+
 class _Lease(msgspec.Struct, frozen=True):
     resource: str
     holder: str
@@ -59,6 +68,8 @@
         """Return the incidents of a run with or without faults."""
         run = self._plan.lab.run
         incidents = []
+        if run.raced_limits:
+            incidents.append(Incident(2, "two operators race, one resends", self._race))
         if run.drained_backend:
             incidents.append(Incident(3, f"drain {run.drained_backend}", self._drain))
         if run.leaving_backend:
@@ -76,6 +87,26 @@
             ]
         return sorted(incidents, key=lambda incident: incident.after_steps)
 
+    def _race(self) -> None:
+        """Two operators change one object from the same revision; one sends twice."""
+        caller = self._plan.lab.run.raced_limits
+        key = f"limits/{caller}"
+        found = self._operator.get(f"/v1/configuration?prefix={key}", _Configuration)
+        items = found.objects if isinstance(found, _Configuration) else []
+        revision = next((item.revision for item in items if item.key == key), 0)
+        limits = [
+            Limits(caller=caller, weight=weight, requests_per_second=10.0) for weight in (0.2, 0.3)
+        ]
+        commands = [put_command(key, one, expected_revision=revision) for one in limits]
+        command_id = self._operator.new_command_id()
+        rival = self._operator.twin("rival")
+        senders = [
+            gevent.spawn(self._operator.send, commands[0], command_id),
+            gevent.spawn(rival.send, commands[1]),
+        ]
+        gevent.joinall(senders, raise_error=True)
+        self._operator.send(commands[0], command_id)
+
     def _drain(self) -> None:
         """The operator drains a back end, and takes it back."""
         backend = self._plan.lab.run.drained_backend
--- a/src/merlinstand_lab/fleet/operator.py
+++ b/src/merlinstand_lab/fleet/operator.py
@@ -37,10 +37,14 @@
         self._next = 0
         self._count = 0
 
-    def send(self, command: dict[str, object]) -> CommandAnswer | None:
-        """Send a command and record its outcome; None if no answer came in time."""
+    def new_command_id(self) -> str:
+        """Make the id of a command; a resend uses the same one."""
         self._count += 1
-        command_id = f"{self._name}-{time.monotonic_ns()}-{self._count}"
+        return f"{self._name}-{time.monotonic_ns()}-{self._count}"
+
+    def send(self, command: dict[str, object], command_id: str = "") -> CommandAnswer | None:
+        """Send a command and record its outcome; None if no answer came in time."""
+        command_id = command_id or self.new_command_id()
         sent_at = time.monotonic()
         answer = None
         while answer is None and time.monotonic() - sent_at < self._patience_seconds:
@@ -50,6 +54,12 @@
         self._records.write("operators", self._record(command_id, command, sent_at, answer))
         return answer
 
+    def twin(self, name: str) -> "OperatorClient":
+        """Another operator of the same control group."""
+        return OperatorClient(
+            name, self._controls, self._token, self._records, self._patience_seconds
+        )
+
     def get(self, path: str, body_type: type) -> object | None:
         """Read from whichever control replica answers."""
         for address in self._controls:
--- a/src/merlinstand_lab/fleet/settings.py
+++ b/src/merlinstand_lab/fleet/settings.py
@@ -32,6 +32,8 @@
     """Longest wait for one process's planned stop."""
     restart_seconds: float = 3.0
     """A killed process is started again after this long."""
+    raced_limits: str = ""
+    """Two operators change the limits of this caller at once, from the same revision."""
     drained_backend: str = ""
     """This back end is drained by the operator on the way, and brought back."""
     leaving_backend: str = ""
