--- a/src/merlinstand/gateway/calls.py
+++ b/src/merlinstand/gateway/calls.py
@@ -101,9 +101,21 @@
     A repeatable lookup keeps part of its time for another replica. One that is not repeatable
     has a single try, which may outlast the caller's deadline by `linger_seconds`.
     """
-    remaining_seconds = exchange.remaining_seconds(now)
     if not exchange.request.repeatable:
-        return remaining_seconds + linger_seconds
+        return exchange.remaining_seconds(now) + linger_seconds
+    return _shared_try_seconds(exchange, settings, now)
+
+
+def stream_idle_seconds(exchange: Exchange, settings: RequestSettings, now: float) -> float:
+    """Return the longest silence of an engine before its generation goes on elsewhere.
+
+    Short deadlines shorten it: a frozen engine must not use up all of the caller's time.
+    """
+    return min(settings.stream_idle_seconds, _shared_try_seconds(exchange, settings, now))
+
+
+def _shared_try_seconds(exchange: Exchange, settings: RequestSettings, now: float) -> float:
+    remaining_seconds = exchange.remaining_seconds(now)
     if exchange.tries + 1 >= settings.maximum_tries:
         return remaining_seconds
     share_seconds = remaining_seconds * settings.first_try_share
--- a/src/merlinstand/gateway/dispatcher.py
+++ b/src/merlinstand/gateway/dispatcher.py
@@ -9,6 +9,7 @@
     generation_call,
     lookup_call,
     lookup_try_seconds,
+    stream_idle_seconds,
 )
 from merlinstand.gateway.claims import Claims
 from merlinstand.gateway.concluder import Concluder
@@ -151,7 +152,7 @@
             )
         else:
             exchange.progress.new_call()
-        timeout_seconds = min(settings.stream_idle_seconds, exchange.remaining_seconds(now))
+        timeout_seconds = stream_idle_seconds(exchange, settings, now)
         return generation_call(exchange, completion, backend, call_id, timeout_seconds, now)
 
     def next_call_id(self) -> CallId:
--- a/src/merlinstand/gateway/settings.py
+++ b/src/merlinstand/gateway/settings.py
@@ -50,7 +50,7 @@
     maximum_tries: int = 4
     """Most back ends tried for one repeatable request."""
     first_try_share: float = 0.5
-    """Share of the remaining time that a repeatable lookup's try may use."""
+    """Share of the remaining time for which a repeatable try may be silent."""
     minimum_try_seconds: float = 0.25
     require_response_id: bool = True
     """Refuse an answer of a back end that does not carry the request's id back."""
--- a/src/merlinstand/routing/retry_budget.py
+++ b/src/merlinstand/routing/retry_budget.py
@@ -9,9 +9,9 @@
     __slots__ = ("_balance", "_settings", "_updated_at")
 
     def __init__(self, settings: RetryBudgetSettings) -> None:
-        """Start with the floor's worth of one second."""
+        """Start half full: a replica may die before a quiet pool has earned anything."""
         self._settings = settings
-        self._balance = min(settings.floor_per_second, settings.burst)
+        self._balance = settings.burst / 2.0
         self._updated_at: float | None = None
 
     def first_try(self, now: float) -> None:
--- a/tests/gateway/test_streams.py
+++ b/tests/gateway/test_streams.py
@@ -247,6 +247,14 @@
     assert (cancel.path, cancel.address) == ("/v1/cancel", call.address)
 
 
+def test_silence_of_an_engine_leaves_time_for_another_one() -> None:
+    driver = GatewayDriver([engine_pool()])
+    driver.complete(x_deadline_seconds="3")
+    assert driver.only_call().timeout_seconds == 1.5
+    driver.complete(x_deadline_seconds="600")
+    assert list(driver.calls.values())[1].timeout_seconds == 20.0
+
+
 def test_engine_not_ready_or_without_version_gets_nothing() -> None:
     driver = GatewayDriver([engine_pool()], statuses_known=False)
     unknown = driver.complete()
