Plan only when something changed; count streams and ready samples as they change

Change: dispatch runs on changes and every 0.5 s, leases and leadership are looked at when due, counts are kept.

--- a/src/merlinstand/coordinator/batches.py
+++ b/src/merlinstand/coordinator/batches.py
@@ -132,6 +132,8 @@
 
     def serve(self, context: Context, terms: JobTerms) -> None:
         """Compose and commit what can be, least recently served consumer first."""
+        if not self._pulls:
+            return
         order = sorted(self._pulls, key=lambda name: (self._delivered_at.get(name, -1.0), name))
         for consumer in order:
             pull = self._pulls[consumer]
@@ -179,7 +181,7 @@
         self, context: Context, terms: JobTerms, pull: Pull, batch: int, newest: int
     ) -> tuple[Candidate, ...]:
         own = self._slots_to_take_again(pull.request, batch)
-        if len(self._store.samples) < terms.job.batch_size:
+        if self._store.slots.ready_count + len(own) < terms.job.batch_size:
             return ()
         units = [
             candidates
--- a/src/merlinstand/coordinator/dispatch.py
+++ b/src/merlinstand/coordinator/dispatch.py
@@ -1,6 +1,8 @@
 """Gives work to the engines of a pool: soonest batch first, jobs by their shares."""
 
-from collections.abc import Callable, Iterable, Sequence
+import heapq
+from collections import deque
+from collections.abc import Iterable, Sequence
 from typing import Protocol
 
 import msgspec
@@ -13,6 +15,8 @@
 BORROWING_FREE_SHARE = 0.25
 """A job may exceed its share of a pool while at least so much of the pool is free."""
 
+SMALLEST_SHARE = 1e-6
+
 
 class Wish(msgspec.Struct, frozen=True):
     """One sample that a job wants to begin or resume."""
@@ -47,6 +51,45 @@
         ...
 
 
+class Room:
+    """Free places of the serving engines, least loaded first."""
+
+    def __init__(self, serving: Sequence[Engine], concurrency: int, now: float) -> None:
+        """Look at the engines once; grants are counted from then on."""
+        self.capacity = concurrency * len(serving)
+        self._concurrency = concurrency
+        self._work = {engine.backend.backend_id: engine.work(now) for engine in serving}
+        self._by_version: dict[int, list[tuple[float, str]]] = {}
+        self._engines = {engine.backend.backend_id: engine for engine in serving}
+        for engine in serving:
+            entry = (self._work[engine.backend.backend_id], engine.backend.backend_id)
+            heapq.heappush(self._by_version.setdefault(engine.active_version, []), entry)
+
+    @property
+    def free(self) -> float:
+        """Places left on all engines together."""
+        return self.capacity - sum(self._work.values())
+
+    def choose(self, minimum_version: int) -> Engine | None:
+        """Return the least loaded engine that serves at least a version and has room."""
+        tops = [
+            (heap[0], version)
+            for version, heap in self._by_version.items()
+            if version >= minimum_version
+        ]
+        if not tops:
+            return None
+        (work, backend_id), _version = min(tops)
+        return self._engines[backend_id] if work < self._concurrency else None
+
+    def taken(self, engine: Engine) -> None:
+        """Count one more stream on an engine that `choose` returned."""
+        backend_id = engine.backend.backend_id
+        self._work[backend_id] += 1.0
+        entry = (self._work[backend_id], backend_id)
+        heapq.heapreplace(self._by_version[engine.active_version], entry)
+
+
 def dispatch(
     context: Context,
     pool: EnginePool,
@@ -63,28 +106,29 @@
         all_jobs: Every configured job, whoever leads it.
         weights: Published weights of the pool's model.
     """
-    serving = [
-        engine for engine in pool.engines.values() if pool.serves(engine, weights, context.now)
-    ]
-    if not serving:
+    now = context.now
+    serving = [engine for engine in pool.engines.values() if pool.serves(engine, weights, now)]
+    room = Room(serving, context.settings.generation.engine_concurrency, now)
+    if room.free < 1.0:
         return
-    queues = {index: _sorted_wishes(job.wishes(context)) for index, job in enumerate(jobs)}
-    limits = [_limit(context, pool, job.job, all_jobs, serving) for job in jobs]
-    while any(queues.values()):
+    queues = [deque(_sorted_wishes(job.wishes(context))) for job in jobs]
+    shares = _total_share(pool, all_jobs)
+    limits = [room.capacity * _share(job) / max(shares, _share(job)) for job in jobs]
+    while True:
+        waiting = [index for index, queue in enumerate(queues) if queue]
+        if not waiting:
+            return
         index = min(
-            (index for index in queues if queues[index]),
-            key=lambda index: (
-                queues[index][0].round,
-                jobs[index].streaming() / _share(jobs[index]),
-            ),
+            waiting, key=lambda index: (queues[index][0].round, _fair_position(jobs[index]))
         )
-        wish = queues[index].pop(0)
-        if jobs[index].streaming() >= limits[index]():
-            queues[index] = []
+        wish = queues[index].popleft()
+        may_borrow = room.free > BORROWING_FREE_SHARE * room.capacity
+        if jobs[index].streaming() >= max(1.0, limits[index]) and not may_borrow:
+            queues[index].clear()
             continue
-        engine = _choose(context, serving, wish)
-        if engine is not None:
-            jobs[index].grant(context, wish, engine)
+        engine = room.choose(wish.minimum_version)
+        if engine is not None and jobs[index].grant(context, wish, engine):
+            room.taken(engine)
 
 
 def _sorted_wishes(wishes: Sequence[Wish]) -> list[Wish]:
@@ -95,41 +139,18 @@
     )
 
 
-def _choose(context: Context, serving: Sequence[Engine], wish: Wish) -> Engine | None:
-    concurrency = context.settings.generation.engine_concurrency
-    fitting = [
-        engine
-        for engine in serving
-        if engine.active_version >= wish.minimum_version and engine.work(context.now) < concurrency
-    ]
-    if not fitting:
-        return None
-    return min(fitting, key=lambda engine: (engine.work(context.now), engine.backend.backend_id))
+def _fair_position(job: WishingJob) -> float:
+    """Return how much of its share a job uses: the least goes first."""
+    return job.streaming() / _share(job)
 
 
-def _limit(
-    context: Context,
-    pool: EnginePool,
-    job: Job,
-    all_jobs: Iterable[Job],
-    serving: Sequence[Engine],
-) -> Callable[[], float]:
-    """Return a function giving the most streams that a job may have now."""
-    capacity = context.settings.generation.engine_concurrency * len(serving)
-    shares = sum(
-        max(other.share, 0.0)
+def _total_share(pool: EnginePool, all_jobs: Iterable[Job]) -> float:
+    return sum(
+        max(other.share, SMALLEST_SHARE)
         for other in all_jobs
         if other.pool == pool.pool.name and other.phase is JobPhase.RUNNING
     )
-    own_limit = max(1.0, capacity * max(job.share, 0.0) / shares) if shares > 0 else capacity
-
-    def limit() -> float:
-        work = sum(engine.work(context.now) for engine in serving)
-        may_borrow = capacity - work > BORROWING_FREE_SHARE * capacity
-        return float(capacity) if may_borrow else own_limit
-
-    return limit
 
 
 def _share(job: WishingJob) -> float:
-    return max(job.job.share, 1e-6)
+    return max(job.job.share, SMALLEST_SHARE)
--- a/src/merlinstand/coordinator/engines.py
+++ b/src/merlinstand/coordinator/engines.py
@@ -101,6 +101,8 @@
         """Begin with the configured engines, knowing nothing of them."""
         self.pool = pool
         self.engines: dict[str, Engine] = {}
+        self.changed = True
+        """Whether an engine began or ceased to serve something; cleared by the planner."""
         self._random = random
         self._router_settings = RouterSettings()
 
@@ -156,8 +158,11 @@
         )
         if not engine.signals.own_report(report, asked_at):
             return None
+        known = engine.status
         engine.reported(status, now)
         engine.status_received_at = now
+        if known is None or _served(known) != _served(engine.status):
+            self.changed = True
         load = LoadReport(status.running, status.queued, status.reported_at, status.incarnation)
         engine.load.record(load, engine.in_flight, now)
         return engine
@@ -190,3 +195,7 @@
             if engine.status is not None
             and now - engine.status_received_at <= STATUS_EXPIRY_SECONDS
         )
+
+
+def _served(status: EngineStatus | None) -> tuple[EngineState, int | None] | None:
+    return (status.state, status.active_version) if status is not None else None
--- a/src/merlinstand/coordinator/generations.py
+++ b/src/merlinstand/coordinator/generations.py
@@ -50,6 +50,10 @@
         self._on_finished = on_finished
         self._generations: dict[str, Generation] = {}
         self._by_slot: dict[int, Generation] = {}
+        self.streaming_count = 0
+        """Streams in progress."""
+        self.changed = True
+        """Whether something happened that planning should know of; cleared by the planner."""
         self.speed = StreamSpeed()
 
     def __len__(self) -> int:
@@ -72,10 +76,6 @@
             if not generation.streaming and not generation.exporting
         ]
 
-    def on_engine(self, backend_id: str) -> int:
-        """Return how many streams run on an engine."""
-        return sum(generation.backend_id == backend_id for generation in self._generations.values())
-
     def begin(
         self, context: Context, slot: SlotName, prompt: str, maximum_tokens: int, tries: int
     ) -> Generation:
@@ -108,6 +108,7 @@
         generation.stream_started(
             engine.backend.backend_id, engine.active_version, call_id, context.now
         )
+        self.streaming_count += 1
         engine.in_flight += 1
         engine.breaker.call_started(context.now)
 
@@ -303,8 +304,11 @@
 
     def _end_stream(self, generation: Generation) -> None:
         engine = self._engine_of(generation)
-        if engine is not None and generation.streaming:
-            engine.in_flight = max(0, engine.in_flight - 1)
+        self.changed = True
+        if generation.streaming:
+            self.streaming_count -= 1
+            if engine is not None:
+                engine.in_flight = max(0, engine.in_flight - 1)
         generation.stream_ended()
         if generation.finish_reason is not FinishReason.EXPORTED:
             generation.exporting = False
--- a/src/merlinstand/coordinator/jobs.py
+++ b/src/merlinstand/coordinator/jobs.py
@@ -38,6 +38,9 @@
 from merlinstand.policy.records import RequestRecord
 
 PAUSED_RETRY_SECONDS = 2.0
+HOUSEKEEPING_SECONDS = 0.2
+"""Interval of looking for stalled, leaving and expired work."""
+
 PRIORITY_STEP = 4
 """Engine priorities: the policy's value times this, plus how soon the batch is due."""
 
@@ -73,6 +76,16 @@
         self._settling: set[int] = set()
         self._recovered: list[Sample] = journal.live_samples(job.name)
         self._reading_ledger = False
+        self._housekeeping_at = 0.0
+
+    @property
+    def changed(self) -> bool:
+        """Whether something happened that planning should know of."""
+        return self.generations.changed
+
+    @changed.setter
+    def changed(self, value: bool) -> None:
+        self.generations.changed = value
 
     # --- configuration and ledger ---------------------------------------------------
 
@@ -84,6 +97,7 @@
         self._prompts.configure(job)
         if job.phase is JobPhase.CANCELLED:
             self.generations.cancel_all(self._context)
+        self.changed = True
 
     def terms(self) -> JobTerms:
         """Return what holds for the job now."""
@@ -109,6 +123,7 @@
         useless = tuple(sample.slot for sample in recovered if not self._store.put(sample))
         if useless:
             self._context.add(self._journal.close(self.job.name, useless))
+        self.changed = True
         self._context.log("job.ledger_read", job=self.job.name, used_below=answer.used_below)
         self.serve()
 
@@ -140,6 +155,7 @@
             error = NotReadyError(detail=detail, retry_after_seconds=PAUSED_RETRY_SECONDS)
             context.refuse(request_id, error)
         else:
+            self.changed = True
             self.desk.ask(context, request_id, request)
             self.serve()
 
@@ -154,6 +170,7 @@
         self, command_id: CommandId, consumer: str, outcome: AnyOutcome | None
     ) -> None:
         """The ledger answered a batch."""
+        self.changed = True
         self.desk.finished(self._context, self.terms(), command_id, consumer, outcome)
         self._read_ledger_if_wanted()
         self.serve()
@@ -207,6 +224,7 @@
     def durable(self, sample: Sample) -> None:
         """A sample is in the journal: the first of its slot wins."""
         self._settling.discard(sample.slot)
+        self.changed = True
         if not self._store.put(sample, self._context.now):
             self._context.count("samples_late_total", job=self.job.name)
             return
@@ -224,7 +242,8 @@
         """Do what time alone brings about."""
         self._read_ledger_if_wanted()
         self._scored(self._scoring.tick(self._context, self.job.scorer))
-        if self.desk.loaded:
+        if self.desk.loaded and self._context.now >= self._housekeeping_at:
+            self._housekeeping_at = self._context.now + HOUSEKEEPING_SECONDS
             self.generations.resume_stalled(self._context)
             self.generations.move_off_leaving(self._context)
             self._expire()
@@ -232,7 +251,7 @@
 
     def streaming(self) -> int:
         """Return the streams in progress."""
-        return sum(generation.streaming for generation in self.generations.all())
+        return self.generations.streaming_count
 
     def demands(self) -> list[Demand]:
         """Return the expected batches of all consumers, soonest first."""
@@ -346,6 +365,7 @@
         for slot in self._supply.expired_samples(self._context, terms):
             self._context.count("samples_expired_total", job=self.job.name, stage="finished")
             self._store.expire_finished(slot)
+            self.changed = True
         for generation in self._supply.doomed_generations(self._context, terms, self.demands()):
             slot = generation.slot.slot
             self._context.log(
--- a/src/merlinstand/coordinator/rollout.py
+++ b/src/merlinstand/coordinator/rollout.py
@@ -182,6 +182,7 @@
             self._adapt_loads(context, state)
         elif order.kind is OrderKind.ACTIVATE and state is OrderState.DONE:
             engine.swapped(order.version, order.digest, context.now)
+            self._pool.changed = True
 
     def _adapt_loads(self, context: Context, state: OrderState) -> None:
         # The store refuses beyond its rate, which an engine reports as a failed load.
--- a/src/merlinstand/coordinator/slots.py
+++ b/src/merlinstand/coordinator/slots.py
@@ -45,6 +45,7 @@
         self._samples_per_prompt = max(1, samples_per_prompt)
         self._states: dict[int, SlotState] = {}
         self._wanted: set[int] = set()
+        self._ready: set[int] = set()
         self._used_below = 0
         self._frontier = 0
 
@@ -72,6 +73,7 @@
                 slot: state for slot, state in self._states.items() if slot >= used_below
             }
             self._wanted = {slot for slot in self._wanted if slot >= used_below}
+            self._ready = {slot for slot in self._ready if slot >= used_below}
         for slot in used_above:
             self._set(slot, SlotState.USED)
         self._compact()
@@ -88,6 +90,15 @@
             self._set(slot, state)
             self._compact()
 
+    @property
+    def ready_count(self) -> int:
+        """Slots whose durable sample waits for a batch."""
+        return len(self._ready)
+
+    def ready(self) -> list[int]:
+        """Return the slots whose durable sample waits for a batch, lowest first."""
+        return sorted(self._ready)
+
     def with_state(self, state: SlotState) -> list[int]:
         """Return the slots in a state, lowest first."""
         return sorted(slot for slot, known in self._states.items() if known is state)
@@ -121,6 +132,10 @@
             self._wanted.add(slot)
         else:
             self._wanted.discard(slot)
+        if state is SlotState.READY:
+            self._ready.add(slot)
+        else:
+            self._ready.discard(slot)
 
     def _compact(self) -> None:
         while self._states.get(self._used_below) is SlotState.USED:
--- a/src/merlinstand/coordinator/store.py
+++ b/src/merlinstand/coordinator/store.py
@@ -64,7 +64,7 @@
         own_slots = set(own)
         units = []
         seen: set[int] = set()
-        for slot in sorted(self.samples):
+        for slot in sorted({*self.slots.ready(), *own_slots}):
             if slot in seen:
                 continue
             members = tuple(self.unit(slot))
--- a/src/merlinstand/coordinator/workplace.py
+++ b/src/merlinstand/coordinator/workplace.py
@@ -17,6 +17,12 @@
 from merlinstand.coordinator.rollout import PoolRollout
 from merlinstand.session.notices import CommandFinished, QueryFinished
 
+LEADERSHIP_INTERVAL_SECONDS = 0.5
+REPLAN_SECONDS = 0.5
+"""Interval of planning while nothing but time changes."""
+
+LEASE_CHECK_SECONDS = 1.0
+
 
 class Workplace:
     """Creates and ends work as the configuration and the leases say."""
@@ -32,6 +38,10 @@
         self._runners: dict[str, JobRunner] = {}
         self._rollouts: dict[str, PoolRollout] = {}
         self._accepting = True
+        self._leases_good_until = 0.0
+        """Until then no held lease runs out, even if none is renewed."""
+        self._leadership_due_at = 0.0
+        self._dispatched_at: dict[str, float] = {}
 
     def runner(self, job: str) -> JobRunner | None:
         """Return a job's runner if this coordinator leads it."""
@@ -77,6 +87,8 @@
             if job is not None:
                 runner.configure(job)
         self.leadership.update(self._context)
+        for engine_pool in self._pools.values():
+            engine_pool.changed = True
 
     def _observe_version(self, model: str, version: int) -> None:
         if self._context.versions(model).observe(version, self._context.now):
@@ -92,6 +104,7 @@
         kind, _, name = resource.partition("/")
         context = self._context
         self.leadership.holders.pop(resource, None)
+        self._leases_good_until = 0.0
         context.log("lease.gained", resource=resource, epoch=epoch)
         if kind == "engines" and name in self._pools:
             self._rollouts[name] = PoolRollout(self._pools[name], epoch)
@@ -123,12 +136,18 @@
     def check_leases(self) -> None:
         """End work whose lease ran out, whatever the session has said so far."""
         context = self._context
-        for name in list(self._runners):
-            if context.session.lease(job_resource(name), context.now) is None:
-                self.lease_lost(job_resource(name), "expired")
-        for name in list(self._rollouts):
-            if context.session.lease(engines_resource(name), context.now) is None:
-                self.lease_lost(engines_resource(name), "expired")
+        if context.now < self._leases_good_until:
+            return
+        expiries = [context.now + LEASE_CHECK_SECONDS]
+        held = [job_resource(name) for name in self._runners]
+        held.extend(engines_resource(name) for name in self._rollouts)
+        for resource in held:
+            lease = context.session.lease(resource, context.now)
+            if lease is None:
+                self.lease_lost(resource, "expired")
+            else:
+                expiries.append(lease.expires_at)
+        self._leases_good_until = min(expiries)
 
     # --- answers of the control group and the disk -----------------------------------
 
@@ -172,25 +191,38 @@
     def tick(self) -> None:
         """Poll, schedule, roll out."""
         context = self._context
-        if context.view.revision > 0:
+        if context.view.revision > 0 and context.now >= self._leadership_due_at:
+            self._leadership_due_at = context.now + LEADERSHIP_INTERVAL_SECONDS
             self.leadership.update(context)
         for name, pool in self._pools.items():
-            runners = [runner for runner in self._runners.values() if runner.job.pool == name]
-            rollout = self._rollouts.get(name)
-            if not runners and rollout is None:
-                continue
-            pool.poll(context)
-            weights = context.view.weights.get(pool.pool.model)
-            if rollout is not None:
-                rollout.tick(context, weights)
-            for runner in runners:
-                runner.tick()
-            dispatch(context, pool, runners, context.view.jobs.values(), weights)
+            self._tick_pool(name, pool)
         if self._runners or self._rollouts:
             self.machines.poll(context)
         if self.journal.needs_cut():
             context.add(self.journal.cut(context.session.durable_records()))
 
+    def _tick_pool(self, name: str, pool: EnginePool) -> None:
+        context = self._context
+        runners = [runner for runner in self._runners.values() if runner.job.pool == name]
+        rollout = self._rollouts.get(name)
+        if not runners and rollout is None:
+            return
+        pool.poll(context)
+        weights = context.view.weights.get(pool.pool.model)
+        if rollout is not None:
+            rollout.tick(context, weights)
+        for runner in runners:
+            runner.tick()
+        # Most ticks find nothing to plan anew; time alone shifts a plan only slowly.
+        due = context.now - self._dispatched_at.get(name, 0.0) >= REPLAN_SECONDS
+        changed = pool.changed or any(runner.changed for runner in runners)
+        if runners and (due or changed):
+            self._dispatched_at[name] = context.now
+            pool.changed = False
+            for runner in runners:
+                runner.changed = False
+            dispatch(context, pool, runners, context.view.jobs.values(), weights)
+
     # --- planned stop ---------------------------------------------------------------
 
     def stop_accepting(self) -> None:
