--- a/src/merlinstand_lab/checkers/limits.py
+++ b/src/merlinstand_lab/checkers/limits.py
@@ -13,7 +13,7 @@
 
     One configuration lease plus the interval at which it is pulled.
     """
-    liveness_seconds: float = 30.0
+    liveness_seconds: float = 15.0
     """After the last fault healed, everything works again within this."""
     not_required: frozenset[str] = frozenset()
     """Checkers that may find nothing to check in this run."""
--- a/src/merlinstand_lab/fleet/incidents.py
+++ b/src/merlinstand_lab/fleet/incidents.py
@@ -80,10 +80,10 @@
             incidents.append(Incident(9 + 3 * number, title, stop))
         if faults == "kill":
             incidents += [
-                Incident(5, "kill -9 of an engine", self._kill_engine),
-                Incident(8, "kill -9 of a gateway", self._kill_gateway),
-                Incident(11, "kill -9 of the job's coordinator", self._kill_coordinator),
-                Incident(14, "kill -9 of the control leader", self._kill_leader),
+                Incident(4, "kill -9 of an engine", self._kill_engine),
+                Incident(7, "kill -9 of a gateway", self._kill_gateway),
+                Incident(10, "kill -9 of the job's coordinator", self._kill_coordinator),
+                Incident(13, "kill -9 of the control leader", self._kill_leader),
             ]
         return sorted(incidents, key=lambda incident: incident.after_steps)
 
--- a/src/merlinstand_lab/fleet/launcher.py
+++ b/src/merlinstand_lab/fleet/launcher.py
@@ -10,6 +10,7 @@
 from result import Err
 
 from merlinstand.runtime.record_writer import RecordWriter
+from merlinstand_lab.checkers.limits import CheckLimits
 from merlinstand_lab.fleet.configuration_file import read_put_commands
 from merlinstand_lab.fleet.fleet import Fleet
 from merlinstand_lab.fleet.http import get_typed
@@ -26,6 +27,8 @@
 _OPERATOR_PATIENCE_SECONDS = 30.0
 _SETTLE_SECONDS = 3.0
 """Calm time between the last incident and the end, so that its effects are seen."""
+_RECOVERED_SECONDS = 8.0
+"""Time after the recovery's bound in which everything must work."""
 _SPREAD_SECONDS = 2.0
 """Time for the applied configuration to reach every daemon before callers begin."""
 _LOG_TAIL_LINES = 15
@@ -144,6 +147,7 @@
         run = self._plan.lab.run
         pending = list(schedule)
         under_way: list[gevent.Greenlet] = []
+        calm_since = time.monotonic()
         deadline = time.monotonic() + run.maximum_seconds
         while time.monotonic() < deadline:
             gevent.sleep(_POLL_SECONDS)
@@ -154,20 +158,26 @@
             steps = self._fewest_steps()
             while pending and steps >= pending[0].after_steps:
                 under_way.append(self._begin(pending.pop(0)))
-            over = not pending and all(job.ready() for job in under_way)
-            if steps >= run.minimum_steps and over:
+            if pending or not all(job.ready() for job in under_way):
+                calm_since = time.monotonic()
+            calm_seconds = time.monotonic() - calm_since
+            if steps >= run.minimum_steps and calm_seconds >= self._calm_seconds():
                 return self._settle(under_way)
         return RunFailedError(detail=f"not complete after {run.maximum_seconds:g} s")
 
+    def _calm_seconds(self) -> float:
+        """How long a run goes on after its last incident: recovery must be seen."""
+        if self._faults == "none":
+            return _SETTLE_SECONDS
+        return CheckLimits().liveness_seconds + _RECOVERED_SECONDS
+
     def _begin(self, incident: Incident) -> gevent.Greenlet:
         """Begin an incident beside the watching."""
         self._say(incident.title)
         return gevent.spawn(incident.run)
 
     def _settle(self, incidents: list[gevent.Greenlet]) -> RunFailedError | None:
-        """Let the last effects be seen; an incident that raised fails the run."""
-        gevent.sleep(_SETTLE_SECONDS)
-        self._refresh()
+        """Sum the incidents up; one that raised fails the run."""
         raised = [job.exception for job in incidents if job.exception is not None]
         return RunFailedError(detail=f"an incident failed: {raised[0]!r}") if raised else None
 
