--- a/src/merlinstand_lab/cli/run.py
+++ b/src/merlinstand_lab/cli/run.py
@@ -25,7 +25,9 @@
 @click.option(
     "--out", "output", default="out/run", show_default=True, type=click.Path(path_type=Path)
 )
-@click.option("--faults", default="none", show_default=True, type=click.Choice(["none", "kill"]))
+@click.option(
+    "--faults", default="none", show_default=True, type=click.Choice(["none", "kill", "all"])
+)
 def command(settings_folder: Path, output: Path, faults: str) -> None:
     """Run a fleet until its trainers made their steps, then verify the records.
 
--- a/src/merlinstand_lab/fleet/fleet.py
+++ b/src/merlinstand_lab/fleet/fleet.py
@@ -77,10 +77,26 @@
             gevent.sleep(down_seconds)
             process.start()
             self.wait_ready([process], down_seconds * 3)
-            record = FaultRecord(
-                kind=kind, target=name, started_at=started_at, healed_at=time.monotonic()
-            )
-            self._records.write("faults", record)
+            self.record_fault(kind, name, started_at)
+
+    def freeze(self, name: str, seconds: float) -> None:
+        """Freeze a process for a while, record the fault."""
+        with self._locks[name]:
+            process = self.processes[name]
+            started_at = time.monotonic()
+            process.freeze()
+            try:
+                gevent.sleep(seconds)
+            finally:
+                process.thaw()
+            self.record_fault("freeze", name, started_at)
+
+    def record_fault(self, kind: str, target: str, started_at: float) -> None:
+        """Record a fault that has just healed."""
+        record = FaultRecord(
+            kind=kind, target=target, started_at=started_at, healed_at=time.monotonic()
+        )
+        self._records.write("faults", record)
 
     def stop_and_restart(self, name: str) -> int | None:
         """Stop a process as planned, record it, start it again."""
--- a/src/merlinstand_lab/fleet/incidents.py
+++ b/src/merlinstand_lab/fleet/incidents.py
@@ -1,6 +1,7 @@
 """What happens on the way of a run: operators' work, planned stops, faults."""
 
 import functools
+import time
 from collections.abc import Callable
 
 import gevent
@@ -16,6 +17,9 @@
 _LEAVE_SECONDS = 8.0
 """How long a back end stays drained or leaving: longer than the promise's few seconds."""
 
+_HURT_SECONDS = 4.0
+_FREEZE_SECONDS = 8.0
+
 
 class Incident(msgspec.Struct, frozen=True):
     """Something that begins once every trainer made a number of steps."""
@@ -78,13 +82,19 @@
             title = f"planned stop of {name}"
             stop = functools.partial(self._fleet.stop_and_restart, name)
             incidents.append(Incident(9 + 3 * number, title, stop))
-        if faults == "kill":
+        if faults in ("kill", "all"):
             incidents += [
                 Incident(4, "kill -9 of an engine", self._kill_engine),
                 Incident(7, "kill -9 of a gateway", self._kill_gateway),
                 Incident(10, "kill -9 of the job's coordinator", self._kill_coordinator),
                 Incident(13, "kill -9 of the control leader", self._kill_leader),
             ]
+        if faults == "all":
+            incidents += [
+                Incident(5, "a swap fails half-way", self._fail_swap),
+                Incident(8, "the scorer is slow, then dead", self._hurt_scorer),
+                Incident(16, "the control leader freezes in silence", self._freeze_leader),
+            ]
         return sorted(incidents, key=lambda incident: incident.after_steps)
 
     def _race(self) -> None:
@@ -143,13 +153,40 @@
 
     def _kill_leader(self) -> None:
         """The control group's leader dies."""
+        self._kill(self._leader())
+
+    def _freeze_leader(self) -> None:
+        """The leader stops for a long time; no connection error tells anybody."""
+        name = self._leader()
+        self._say(f"freeze {name}")
+        self._fleet.freeze(name, _FREEZE_SECONDS)
+
+    def _fail_swap(self) -> None:
+        """The last engine's next swap fails half-way."""
+        engine = self._plan.lab.engine[-1]
+        started_at = time.monotonic()
+        request_json(engine.address, "POST", "/lab/faults", {"kind": "swap_failure"})
+        gevent.sleep(_HURT_SECONDS)
+        self._fleet.record_fault("swap_failure", engine.node_id, started_at)
+
+    def _hurt_scorer(self) -> None:
+        """The scorer is slow for a while, and then does not answer at all."""
+        scorer = self._plan.lab.scorer
+        started_at = time.monotonic()
+        for kind in ("slow", "dead", "heal"):
+            request_json(scorer.address, "POST", "/lab/faults", {"kind": kind})
+            gevent.sleep(_HURT_SECONDS)
+        self._fleet.record_fault("scorer", scorer.node_id, started_at)
+
+    def _leader(self) -> str:
+        """Name of the control group's leader."""
         members = self._operator.get("/v1/members", _Members)
         leaders = [
             member.node_id
             for member in (members.members if isinstance(members, _Members) else [])
             if member.leader and member.node_id in self._fleet.processes
         ]
-        self._kill(leaders[0] if leaders else self._fleet.of_roles("control")[0].spec.name)
+        return leaders[0] if leaders else self._fleet.of_roles("control")[0].spec.name
 
     def _kill(self, name: str) -> None:
         """Kill a process and start it again, as a process supervisor would."""
--- a/src/merlinstand_lab/fleet/launcher.py
+++ b/src/merlinstand_lab/fleet/launcher.py
@@ -60,7 +60,7 @@
 
         Args:
             plan: Processes and settings.
-            faults: `none` or `kill`.
+            faults: `none`, `kill` or `all` (also a half-failed swap, a hurt scorer, a freeze).
             say: Shows one line of progress.
         """
         self._plan = plan
--- a/src/merlinstand_lab/fleet/processes.py
+++ b/src/merlinstand_lab/fleet/processes.py
@@ -78,6 +78,14 @@
         self.expected_down = True
         self._signal(signal.SIGTERM)
 
+    def freeze(self) -> None:
+        """Stop the process silently (SIGSTOP): its connections stay open."""
+        self._signal(signal.SIGSTOP)
+
+    def thaw(self) -> None:
+        """Let a frozen process go on."""
+        self._signal(signal.SIGCONT)
+
     def wait(self, seconds: float) -> int | None:
         """Wait for the end; None if the child still runs afterwards."""
         with gevent.Timeout(seconds, False):
