--- /dev/null
+++ b/src/merlinstand/gateway/cache_watch.py
@@ -0,0 +1,90 @@
+"""Reads engines' cache events: late and with gaps, so hints for affinity and nothing more."""
+
+import msgspec
+
+from merlinstand.common.ids import CallId
+from merlinstand.configuration.objects import PoolKind
+from merlinstand.gateway.lanes import Lanes, PoolLane
+from merlinstand.gateway.settings import HealthSettings
+from merlinstand.kernel.effects import Effect, SetTimer, StartCall
+from merlinstand.kernel.events import CallFailed, CallResponded
+from merlinstand.routing.status import decode_cache_events
+
+CACHE_TIMER = "gateway.cache_events"
+CACHE_PATH = "/v1/cache_events?after="
+
+
+class CacheCall(msgspec.Struct, frozen=True):
+    """A request for cache events under way."""
+
+    lane: PoolLane
+    backend_id: str
+    incarnation: int
+
+
+class CacheWatch:
+    """Asks one engine a tick, in turn: the cost of a gateway does not grow with its engines."""
+
+    def __init__(self, settings: HealthSettings, lanes: Lanes) -> None:
+        """Start without calls."""
+        self._settings = settings
+        self._lanes = lanes
+        self._calls: dict[CallId, CacheCall] = {}
+        self._turns: list[tuple[PoolLane, str]] = []
+        self._number = 0
+
+    def start(self, out: list[Effect]) -> None:
+        """Begin to ask, if it is switched on."""
+        if self._settings.cache_event_interval_seconds > 0.0:
+            out.append(SetTimer(CACHE_TIMER, self._settings.cache_event_interval_seconds))
+
+    def tick(self, out: list[Effect]) -> None:
+        """Ask the next engine."""
+        if not self._turns:
+            self._turns = [
+                (lane, backend_id)
+                for lane in self._lanes
+                if lane.pool.kind is PoolKind.ENGINE
+                for backend_id in lane.router.replicas
+            ]
+        interval_seconds = self._settings.cache_event_interval_seconds
+        shortest_seconds = 1.0 / self._settings.maximum_status_requests_per_second
+        tick_seconds = max(shortest_seconds, interval_seconds / max(1, len(self._turns)))
+        out.append(SetTimer(CACHE_TIMER, min(interval_seconds, tick_seconds)))
+        if self._turns:
+            lane, backend_id = self._turns.pop()
+            self._ask(lane, backend_id, out)
+
+    def responded(self, event: CallResponded) -> None:
+        """Take in an answer."""
+        call = self._calls.pop(event.call_id, None)
+        if call is None or event.status != 200:
+            return
+        decoded = decode_cache_events(event.body)
+        if decoded.is_ok():
+            call.lane.router.cache_events_received(
+                call.backend_id, decoded.unwrap(), call.incarnation
+            )
+
+    def failed(self, event: CallFailed) -> None:
+        """A request got no answer: nothing is learnt from that."""
+        self._calls.pop(event.call_id, None)
+
+    def _ask(self, lane: PoolLane, backend_id: str, out: list[Effect]) -> None:
+        replica = lane.router.replicas.get(backend_id)
+        if replica is None or replica.status is None:
+            return
+        self._number += 1
+        call_id = CallId(f"cache.{self._number}")
+        self._calls[call_id] = CacheCall(lane, backend_id, replica.status.incarnation)
+        out.append(
+            StartCall(
+                call_id,
+                replica.backend.address,
+                "GET",
+                f"{CACHE_PATH}{replica.hints.next_sequence}",
+                {},
+                b"",
+                self._settings.status_timeout_seconds,
+            )
+        )
--- a/src/merlinstand/gateway/caller_request.py
+++ b/src/merlinstand/gateway/caller_request.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from merlinstand.configuration.objects import Pool
+from merlinstand.routing.affinity import PromptAffinity
 
 
 class RequestKind(enum.Enum):
@@ -72,4 +73,4 @@
     cost: float
     """Tokens, prompt and generated; 1 and a little for a lookup."""
     completion: CompletionBody | None = None
-    affinity_key: int | None = None
+    affinity: PromptAffinity | None = None
--- a/src/merlinstand/gateway/daemon.py
+++ b/src/merlinstand/gateway/daemon.py
@@ -5,6 +5,7 @@
 
 from merlinstand.gateway.admission import Admission
 from merlinstand.gateway.agenda import AGENDA_TIMER, Agenda, Due
+from merlinstand.gateway.cache_watch import CACHE_TIMER, CacheWatch
 from merlinstand.gateway.claim_flow import ClaimFlow
 from merlinstand.gateway.claims import Claims
 from merlinstand.gateway.concluder import Concluder
@@ -82,6 +83,7 @@
         self._random = Random(0)
         self._lanes = Lanes(settings, self._random)
         self._health = Health(settings.health, settings.machine_list_address, self._lanes)
+        self._cache_watch = CacheWatch(settings.health, self._lanes)
         self._door = Door(
             settings, self._session, self._lanes, self._admission, self._claims, self._dispatcher
         )
@@ -102,6 +104,7 @@
         self._take_session_step(self._session.start(event, now), now, out)
         self._follow_configuration(now, out)
         self._health.start(out)
+        self._cache_watch.start(out)
         return out
 
     def reduce(self, event: Event, now: float) -> Sequence[Effect]:
@@ -174,11 +177,13 @@
 
     def _health_answered(self, event: Event, now: float, out: list[Effect]) -> None:
         """A call that carries no caller's request; late events of ended ones fall through."""
-        if isinstance(event, CallResponded) and self._health.handles(event.call_id):
+        if isinstance(event, CallResponded):
+            self._cache_watch.responded(event)
             lane = self._health.responded(event, now)
             if lane is not None and len(lane.queue):
                 self._dispatcher.pump(lane, now, out)
         elif isinstance(event, CallFailed):
+            self._cache_watch.failed(event)
             self._health.failed(event)
 
     # Timers ---------------------------------------------------------------------------
@@ -192,6 +197,8 @@
             self._health.status_tick(now, out)
         elif name == MACHINES_TIMER:
             self._health.machines_tick(out)
+        elif name == CACHE_TIMER:
+            self._cache_watch.tick(out)
         elif name == STOP_TIMER:
             self._stop_patience_over = True
 
--- a/src/merlinstand/gateway/dispatcher.py
+++ b/src/merlinstand/gateway/dispatcher.py
@@ -104,7 +104,7 @@
             # The configuration may have been replaced: a back end in it may be drained.
             return self.stale_configuration(now)
         chosen = exchange.lane.router.choose(
-            now, exclude=exchange.tried, affinity_key=exchange.request.affinity_key
+            now, exclude=exchange.tried, affinity=exchange.request.affinity
         )
         if chosen.is_err():
             return chosen.unwrap_err()
--- a/src/merlinstand/gateway/health.py
+++ b/src/merlinstand/gateway/health.py
@@ -56,10 +56,6 @@
         if self._machine_list_address:
             out.append(SetTimer(MACHINES_TIMER, 0.0))
 
-    def handles(self, call_id: CallId) -> bool:
-        """Tell whether a call is one of these."""
-        return call_id in self._calls or call_id == MACHINES_CALL
-
     def ask_new(self, now: float, out: list[Effect]) -> None:
         """Ask replicas that were never asked, at once (the configuration changed)."""
         for lane in self._lanes:
--- a/src/merlinstand/gateway/request_parser.py
+++ b/src/merlinstand/gateway/request_parser.py
@@ -27,7 +27,7 @@
 )
 from merlinstand.gateway.settings import RequestSettings
 from merlinstand.kernel.events import RequestReceived
-from merlinstand.routing.affinity import prefix_key
+from merlinstand.routing.affinity import prompt_affinity
 
 COMPLETIONS_PATH = "/v1/completions"
 MAXIMUM_TOKENS = 131_072
@@ -249,7 +249,7 @@
             body=event.body,
             cost=cost,
             completion=completion,
-            affinity_key=None if completion is None else prefix_key(completion.prompt),
+            affinity=None if completion is None else prompt_affinity(completion.prompt),
         )
     )
 
--- a/src/merlinstand/routing/affinity.py
+++ b/src/merlinstand/routing/affinity.py
@@ -3,16 +3,45 @@
 from collections import OrderedDict
 from collections.abc import Iterable
 
+import msgspec
 import xxhash
 
 PREFIX_CHARACTERS = 256
 """Prompt characters that decide affinity."""
 
+BLOCK_CHARACTERS = 64
+"""Prompt characters of one cache block; cache events name whole blocks."""
 
-def prefix_key(prompt: str) -> int:
-    """Return the affinity key of a prompt: requests with a common beginning share it."""
+MAXIMUM_BLOCKS = 32
+"""Blocks of a prompt that are looked up in the hints."""
+
+
+class PromptAffinity(msgspec.Struct, frozen=True):
+    """What draws a prompt to an engine."""
+
+    key: int
+    """Prompts with a common beginning share it."""
+    digests: tuple[str, ...] = ()
+    """Digest of the prompt up to the end of each whole block, shortest first."""
+
+
+def prompt_affinity(prompt: str) -> PromptAffinity:
+    """Return the affinity of a prompt."""
     prefix = prompt[:PREFIX_CHARACTERS].encode("utf-8", "surrogatepass")
-    return int(xxhash.xxh3_64_intdigest(prefix))
+    return PromptAffinity(int(xxhash.xxh3_64_intdigest(prefix)), prefix_digests(prompt))
+
+
+def prefix_digests(prompt: str) -> tuple[str, ...]:
+    """Return the digests by which engines' cache events name a prompt's prefixes."""
+    block_count = min(len(prompt) // BLOCK_CHARACTERS, MAXIMUM_BLOCKS)
+    digest = xxhash.xxh3_64()
+    digests = []
+    for block in range(block_count):
+        start = block * BLOCK_CHARACTERS
+        characters = prompt[start : start + BLOCK_CHARACTERS]
+        digest.update(characters.encode("utf-8", "surrogatepass"))
+        digests.append(digest.hexdigest())
+    return tuple(digests)
 
 
 def rendezvous_rank(key: int, names: Iterable[str]) -> list[str]:
@@ -57,6 +86,18 @@
         """Tell whether the engine probably holds a prefix."""
         return digest in self._digests
 
+    def held_blocks(self, digests: tuple[str, ...]) -> int:
+        """Return how many blocks of a prompt the engine probably holds.
+
+        Events may be missing, so a longer prefix counts even if a shorter one is not known.
+        """
+        if not self._digests:
+            return 0
+        for count in range(len(digests), 0, -1):
+            if digests[count - 1] in self._digests:
+                return count
+        return 0
+
     def __len__(self) -> int:
         """Return how many digests are remembered."""
         return len(self._digests)
--- a/src/merlinstand/routing/balancer.py
+++ b/src/merlinstand/routing/balancer.py
@@ -3,7 +3,7 @@
 from collections.abc import Sequence
 from random import Random
 
-from merlinstand.routing.affinity import rendezvous_rank
+from merlinstand.routing.affinity import PromptAffinity, rendezvous_rank
 from merlinstand.routing.replica import Replica
 
 
@@ -48,12 +48,17 @@
     return remote_choice if excess > spill_utilisation else local_choice
 
 
-def bounded_affinity(replicas: Sequence[Replica], key: int, factor: float, now: float) -> Replica:
-    """Choose the first replica in rendezvous order whose load is near the mean.
+def bounded_affinity(
+    replicas: Sequence[Replica], affinity: PromptAffinity, factor: float, now: float
+) -> Replica:
+    """Choose where the prompt's prefix most probably is, among replicas with a load near the mean.
+
+    Cache events are hints only: where they know nothing, the first replica in rendezvous order
+    is the one that got this prefix before.
 
     Args:
         replicas: Candidates, at least one.
-        key: Affinity key, for example `affinity.prefix_key(prompt)`.
+        affinity: Of `affinity.prompt_affinity(prompt)`.
         factor: Load allowed, as a multiple of the mean with the new request counted in.
         now: Local monotonic time.
     """
@@ -61,10 +66,15 @@
     mean = (sum(works.values()) + 1.0) / len(replicas)
     bound = max(1.0, factor * mean)
     by_id = {replica.backend.backend_id: replica for replica in replicas}
-    for backend_id in rendezvous_rank(key, by_id):
-        if works[backend_id] + 1.0 <= bound:
-            return by_id[backend_id]
-    return min(replicas, key=lambda replica: works[replica.backend.backend_id])
+    within = [
+        by_id[backend_id]
+        for backend_id in rendezvous_rank(affinity.key, by_id)
+        if works[backend_id] + 1.0 <= bound
+    ]
+    if not within:
+        return min(replicas, key=lambda replica: works[replica.backend.backend_id])
+    # `max` keeps the first of equals, so rendezvous order decides between equal hints.
+    return max(within, key=lambda replica: replica.hints.held_blocks(affinity.digests))
 
 
 def without_open_breakers(
--- a/src/merlinstand/routing/router.py
+++ b/src/merlinstand/routing/router.py
@@ -7,6 +7,7 @@
 from result import Err, Ok, Result
 
 from merlinstand.configuration.objects import Backend, Drain, Pool
+from merlinstand.routing.affinity import PromptAffinity
 from merlinstand.routing.balancer import (
     bounded_affinity,
     prefer_zone,
@@ -18,7 +19,7 @@
 from merlinstand.routing.replica import Replica
 from merlinstand.routing.retry_budget import RetryBudget
 from merlinstand.routing.settings import RouterSettings
-from merlinstand.routing.status import BackendStatus, MachineList
+from merlinstand.routing.status import BackendStatus, CacheEvents, MachineList
 from merlinstand.routing.subset import zone_subset
 
 NO_BACKEND_RETRY_SECONDS = 1.0
@@ -91,7 +92,7 @@
         now: float,
         *,
         exclude: Collection[str] = (),
-        affinity_key: int | None = None,
+        affinity: PromptAffinity | None = None,
         accept: Callable[[Replica], bool] | None = None,
     ) -> Result[Backend, NoBackendError | PoolBusyError]:
         """Choose where a call goes.
@@ -99,7 +100,7 @@
         Args:
             now: Local monotonic time.
             exclude: Backend ids that were tried before for the same request.
-            affinity_key: Key of `affinity.prefix_key`; None balances by load alone.
+            affinity: Of `affinity.prompt_affinity`; None balances by load alone.
             accept: Further condition on a replica, for example its weight version.
 
         Returns:
@@ -108,7 +109,7 @@
         pool = self._pool
         if pool is None:
             return Err(NoBackendError(detail="no such pool", retry_after_seconds=None))
-        if not exclude and affinity_key is None and accept is None:
+        if not exclude and affinity is None and accept is None:
             quick = self._quick_choice(pool, now)
             if quick is not None:
                 return Ok(quick.backend)
@@ -138,10 +139,8 @@
         ]
         if not candidates:
             return Err(self._busy(eligible, now))
-        if affinity_key is not None:
-            chosen = bounded_affinity(
-                candidates, affinity_key, self._settings.bounded_load_factor, now
-            )
+        if affinity is not None:
+            chosen = bounded_affinity(candidates, affinity, self._settings.bounded_load_factor, now)
         else:
             chosen = prefer_zone(
                 candidates, self._zone, self._settings.spill_utilisation, self._random, now
@@ -249,6 +248,25 @@
         if replica is not None:
             replica.unanswered_statuses += 1
 
+    def cache_events_received(self, backend_id: str, events: CacheEvents, incarnation: int) -> None:
+        """Take in what an engine says of its prefix cache.
+
+        Args:
+            backend_id: The engine.
+            events: Its answer.
+            incarnation: Of the engine when it was asked; an answer about an earlier life is
+                ignored.
+        """
+        replica = self._replicas.get(backend_id)
+        if replica is None or replica.status is None or replica.status.incarnation != incarnation:
+            return
+        for event in events.events:
+            if event.kind == "stored":
+                replica.hints.stored(event.prefix_digest)
+            else:
+                replica.hints.evicted(event.prefix_digest)
+        replica.hints.next_sequence = max(replica.hints.next_sequence, events.next)
+
     def machines_received(self, machines: MachineList) -> None:
         """Take in the platform's list, matched by address (`ip:port` or `ip`)."""
         states = {machine.address: machine.state for machine in machines.machines}
--- a/tests/gateway/driver.py
+++ b/tests/gateway/driver.py
@@ -144,6 +144,8 @@
         """Calls under way that carry callers' requests."""
         self.status_calls: dict[CallId, StartCall] = {}
         self.cancelled: list[CallId] = []
+        self.cache_events: list[dict[str, Any]] = []
+        """Told to the gateway by whichever engine it asks next."""
         self._requests = 0
         self.perform(self.gateway.start(Started("gateway-1", 1, 7), self.now))
         self.configure(pools, limits=limits)
@@ -160,7 +162,8 @@
             elif isinstance(effect, CancelTimer):
                 self.timers.pop(effect.name, None)
             elif isinstance(effect, StartCall):
-                is_watch = effect.path in ("/v1/status", "/v1/machines")
+                watched = ("/v1/status", "/v1/machines", "/v1/cache_events")
+                is_watch = effect.path.startswith(watched)
                 (self.status_calls if is_watch else self.calls)[effect.call_id] = effect
             elif isinstance(effect, CancelCall):
                 self.cancelled.append(effect.call_id)
@@ -338,6 +341,9 @@
         """Answer every status request under way; overrides by backend id with _ for -."""
         while self.status_calls:
             call_id, call = self.status_calls.popitem()
+            if call.path.startswith("/v1/cache_events"):
+                body = msgspec.json.encode({"events": self.cache_events, "next": 9})
+                self.send(CallResponded(call_id, 200, {}, body))
             if call.path != "/v1/status":
                 continue
             backend_id = self.backend_at(call.address)
--- a/tests/routing/test_routing.py
+++ b/tests/routing/test_routing.py
@@ -8,7 +8,7 @@
 from hypothesis import strategies as st
 
 from merlinstand.configuration.objects import Backend, Pool, PoolKind
-from merlinstand.routing.affinity import PrefixHints, prefix_key, rendezvous_rank
+from merlinstand.routing.affinity import PrefixHints, prompt_affinity, rendezvous_rank
 from merlinstand.routing.breaker import Breaker, BreakerState
 from merlinstand.routing.concurrency import ConcurrencyLimit
 from merlinstand.routing.load_reports import AgedLoad, LoadReport
@@ -21,8 +21,9 @@
 from merlinstand.routing.retry_budget import RetryBudget
 from merlinstand.routing.router import CallResult, PoolRouter
 from merlinstand.routing.settings import BreakerSettings, RetryBudgetSettings, RouterSettings
-from merlinstand.routing.status import ServiceStatus
+from merlinstand.routing.status import CacheEvent, CacheEvents, ServiceStatus
 from merlinstand.routing.subset import subset
+from merlinstand_lab.standins.engine_model.prefix_cache import prefix_digests as engines_digests
 
 
 def backends(count: int, zones: int = 1) -> tuple[Backend, ...]:
@@ -182,13 +183,44 @@
 
 
 def test_common_beginning_shares_a_key() -> None:
-    assert prefix_key("a" * 300 + "x") == prefix_key("a" * 300 + "y")
-    assert prefix_key("x" + "a" * 300) != prefix_key("y" + "a" * 300)
+    first, second = prompt_affinity("a" * 300 + "x" * 64), prompt_affinity("a" * 300 + "y" * 64)
+    assert first.key == second.key
+    assert first.digests[:4] == second.digests[:4]
+    assert first.digests[4] != second.digests[4]
+    assert prompt_affinity("x" + "a" * 300).key != first.key
+
+
+def test_digests_are_those_of_the_engines_cache_events() -> None:
+    prompt = "Describe this wool hat with a small brim, in stock since May, in two lines." * 9
+    assert prompt_affinity(prompt).digests == engines_digests(prompt, 16)
+
+
+def test_hinted_replica_is_preferred_only_within_the_bound() -> None:
+    made = router(4, maximum_concurrency=100)
+    prompt = "b" * 400
+    affinity = prompt_affinity(prompt)
+    usual = made.choose(0.0, affinity=affinity).unwrap().backend_id
+    other = next(name for name in made.replicas if name != usual)
+    status = ServiceStatus(state=ReplicaState.READY, reported_at=1.0)
+    made.status_received(other, status, asked_at=0.0, now=0.0)
+    stored = CacheEvent(1, "stored", affinity.digests[2])
+    made.cache_events_received(other, CacheEvents((stored,), 1), incarnation=7)
+    assert made.choose(0.0, affinity=affinity).unwrap().backend_id == usual, "of another life"
+    made.cache_events_received(other, CacheEvents((stored,), 1), incarnation=0)
+    assert made.choose(0.0, affinity=affinity).unwrap().backend_id == other
+    for _ in range(4):
+        made.call_started(other, 0.0)
+    assert made.choose(0.0, affinity=affinity).unwrap().backend_id == usual
+    evicted = CacheEvent(2, "evicted", affinity.digests[2])
+    for _ in range(4):
+        made.call_finished(other, CallResult.SUCCESS, 0.0)
+    made.cache_events_received(other, CacheEvents((evicted,), 2), incarnation=0)
+    assert made.choose(0.0, affinity=affinity).unwrap().backend_id == usual
 
 
 def test_affinity_keeps_to_one_replica_until_its_load_is_above_the_bound() -> None:
     made = router(4, maximum_concurrency=100)
-    chosen = [_start(made, affinity_key=7) for _ in range(40)]
+    chosen = [_start(made, affinity=prompt_affinity("a hat")) for _ in range(40)]
     counts = Counter(chosen)
     assert counts.most_common(1)[0][0] == chosen[0]
     assert max(counts.values()) <= 1.25 * (40 + 1) / 4 + 1
