--- a/src/merlinstand_lab/capacity/cli.py
+++ b/src/merlinstand_lab/capacity/cli.py
@@ -100,14 +100,14 @@
 @click.option("--replicas", type=INTEGERS, default="3,7", show_default=True)
 @click.option("--sizes", type=INTEGERS, default="70,160,320,630", show_default=True)
 @click.option("--seconds", default=20.0, show_default=True, help="Length of each window.")
-@click.option("--leases/--no-leases", default=True, help="Whether daemons keep a lease each.")
+@click.option("--lease-every", default=21, show_default=True, help="Which daemons keep leases.")
 @click.pass_obj
 def daemons(
     output: Path,
     replicas: tuple[int, ...],
     sizes: tuple[int, ...],
     seconds: float,
-    leases: bool,
+    lease_every: int,
 ) -> None:
     """Steady cost of control against the number of daemons.
 
@@ -117,7 +117,7 @@
 
     with run_folder() as folder:
         for group in replicas:
-            rows = measure_daemons(folder, (group,), sizes, seconds, leases)
+            rows = measure_daemons(folder, (group,), sizes, seconds, lease_every)
             finish(output, rows[0].measurement, rows)
 
 
--- a/src/merlinstand_lab/capacity/deployment.py
+++ b/src/merlinstand_lab/capacity/deployment.py
@@ -12,6 +12,9 @@
 from merlinstand_lab.capacity.measurements.codecs import SERVERS_PER_POOL, make_pool
 from merlinstand_lab.capacity.topology import session_specs
 
+DAEMONS_PER_COORDINATOR = 21
+"""30 coordinators among 630 daemons: an assumption of the page."""
+
 JOIN_TIMEOUT_SECONDS = 180.0
 QUIET_SECONDS = 3.0
 """Daemons register when they join; the registrations must have spread before a window."""
@@ -24,8 +27,8 @@
     daemons: int = 0
     servers: int = 0
     nodes_per_process: int = NODES_PER_PROCESS
-    leases: bool = True
-    """Every daemon keeps a lease of its own."""
+    lease_every: int = DAEMONS_PER_COORDINATOR
+    """Every so many daemons one keeps leases; 0 for none."""
 
 
 class Deployment:
@@ -71,7 +74,7 @@
         self.control.wait_ready()
         revision = self._put_pools()
         specs = session_specs(
-            self.size.daemons, self.control.members, self.folder, timings, self.size.leases
+            self.size.daemons, self.control.members, self.folder, timings, self.size.lease_every
         )
         self.fleet = HollowFleet(specs, self.folder, "fleet", self.size.nodes_per_process)
         self.fleet.wait_started()
--- a/src/merlinstand_lab/capacity/door_bench.py
+++ b/src/merlinstand_lab/capacity/door_bench.py
@@ -7,11 +7,11 @@
 
 import msgspec
 
-from merlinstand.configuration.objects import Backend, Pool, PoolKind
+from merlinstand.configuration.objects import Backend, Limits, Pool, PoolKind
 from merlinstand.gateway.settings import GatewaySettings
 from merlinstand.runtime.host_settings import HostSettings
 from merlinstand_lab.capacity.control_group import ControlGroup
-from merlinstand_lab.capacity.hollow_caller import HollowCallerCounts
+from merlinstand_lab.capacity.hollow_caller import CALLER_NAME, HollowCallerCounts
 from merlinstand_lab.capacity.hollow_settings import HollowCallerSettings, HollowServerSettings
 from merlinstand_lab.capacity.process_sampling import ProcessCost, cost_between
 from merlinstand_lab.capacity.topology import free_addresses, hosted_spec, zone_name
@@ -22,6 +22,8 @@
 SETTLE_SECONDS = 2.0
 READY_TIMEOUT_SECONDS = 30.0
 MAXIMUM_CONCURRENCY = 100_000
+UNLIMITED = Limits(caller=CALLER_NAME, requests_per_second=1e6, tokens_per_second=1e9)
+"""The limits of callers are not what is measured."""
 
 
 class DoorLoad(msgspec.Struct, frozen=True, kw_only=True):
@@ -51,6 +53,7 @@
     answers: int
     refused: int
     failed: int
+    last_refusal: str
     latencies_seconds: tuple[float, ...]
 
 
@@ -120,6 +123,7 @@
             answers=_difference(counts_before, counts, "answers"),
             refused=_difference(counts_before, counts, "refused"),
             failed=_difference(counts_before, counts, "failed"),
+            last_refusal=next((count.last_refusal for count in counts if count.refused), ""),
             latencies_seconds=tuple(
                 latency for count in counts for latency in count.latencies_seconds
             ),
@@ -129,6 +133,7 @@
         self._control = ControlGroup(1, self._folder)
         self._control.wait_ready()
         self._control.operator.put(f"pool/{POOL_NAME}", self._pool())
+        self._control.operator.put(f"limits/{CALLER_NAME}", UNLIMITED)
         address, internal = free_addresses(2)
         spec = gateway_spec("gateway-0", address, internal, self._control, self._folder)
         self._gateway = WorkerProcess("gateway-0", [spec], self._folder)
--- a/src/merlinstand_lab/capacity/hollow_caller.py
+++ b/src/merlinstand_lab/capacity/hollow_caller.py
@@ -10,6 +10,7 @@
     CallChunk,
     CallEnded,
     CallFailed,
+    CallHeaders,
     CallResponded,
     Event,
     Started,
@@ -19,6 +20,8 @@
 
 LOAD_TIMER = "hollow.load"
 HTTP_OK = 200
+CALLER_NAME = "hollow"
+"""Name under which an operator puts the limits of hollow callers."""
 _COMPLETION_PATH = "/v1/completions"
 
 
@@ -32,6 +35,7 @@
     chunks: int = 0
     stream_bytes: int = 0
     latencies_seconds: tuple[float, ...] = ()
+    last_refusal: str = ""
 
 
 class HollowCaller:
@@ -46,6 +50,8 @@
         self._sent_at: dict[CallId, float] = {}
         self._streams: set[CallId] = set()
         self._latencies: list[float] = []
+        self._refused_streams: set[CallId] = set()
+        self._last_refusal = ""
         self._answers = self._refused = self._failed = 0
         self._streams_ended = self._chunks = self._stream_bytes = 0
 
@@ -57,15 +63,15 @@
 
     def reduce(self, event: Event, now: float) -> Sequence[Effect]:
         """Count what came, and send what is owed."""
-        if isinstance(event, CallChunk):
-            self._chunks += 1
-            self._stream_bytes += len(event.data)
+        if isinstance(event, CallHeaders) and event.status != HTTP_OK:
+            self._refused_streams.add(event.call_id)
+            self._last_refusal = str(event.status)
+        elif isinstance(event, CallChunk):
+            self._count_chunk(event)
         elif isinstance(event, CallResponded):
             self._count_answer(event, now)
         elif isinstance(event, CallEnded):
-            self._streams_ended += 1
-            self._streams.discard(event.call_id)
-            return (self._stream_call(),)
+            return self._end_stream(event.call_id)
         elif isinstance(event, CallFailed):
             self._failed += 1
             self._sent_at.pop(event.call_id, None)
@@ -85,8 +91,26 @@
             chunks=self._chunks,
             stream_bytes=self._stream_bytes,
             latencies_seconds=tuple(latencies),
+            last_refusal=self._last_refusal[:500],
         )
 
+    def _count_chunk(self, event: CallChunk) -> None:
+        if event.call_id in self._refused_streams:
+            self._last_refusal += event.data.decode(errors="replace")
+            return
+        self._chunks += 1
+        self._stream_bytes += len(event.data)
+
+    def _end_stream(self, call_id: CallId) -> Sequence[Effect]:
+        """Follow an ended stream by the next; after a refusal the next tick does it."""
+        self._streams.discard(call_id)
+        if call_id in self._refused_streams:
+            self._refused_streams.discard(call_id)
+            self._refused += 1
+            return ()
+        self._streams_ended += 1
+        return (self._stream_call(),)
+
     def _count_answer(self, event: CallResponded, now: float) -> None:
         sent_at = self._sent_at.pop(event.call_id, now)
         if event.status == HTTP_OK:
@@ -114,7 +138,7 @@
             address=self._settings.address,
             method="GET",
             path=self._settings.path,
-            headers={"X-Request-Id": call_id},
+            headers={"X-Request-Id": call_id, "X-Caller": CALLER_NAME},
             body=b"",
             timeout_seconds=self._settings.timeout_seconds,
         )
@@ -137,7 +161,11 @@
             address=self._settings.address,
             method="POST",
             path=_COMPLETION_PATH,
-            headers={"X-Request-Id": call_id, "Content-Type": "application/json"},
+            headers={
+                "X-Request-Id": call_id,
+                "X-Caller": CALLER_NAME,
+                "Content-Type": "application/json",
+            },
             body=msgspec.json.encode(body),
             timeout_seconds=self._settings.timeout_seconds,
             stream=True,
--- a/src/merlinstand_lab/capacity/hollow_orders.py
+++ b/src/merlinstand_lab/capacity/hollow_orders.py
@@ -9,9 +9,9 @@
     """Fenced orders answered as done at once, and the status they lead to."""
 
     def __init__(self, settings: HollowServerSettings) -> None:
-        """Begin with version 0 active."""
+        """Begin with the version of the settings active."""
         self._settings = settings
-        self.active_version = 0
+        self.active_version = settings.first_version
         self._active_digest = ""
         self._loaded: dict[int, str] = {}
         self._fence = {"epoch": 0, "sequence": 0}
--- a/src/merlinstand_lab/capacity/hollow_settings.py
+++ b/src/merlinstand_lab/capacity/hollow_settings.py
@@ -12,6 +12,8 @@
     chunk_interval_seconds: float = 0.02
     """Interval between two chunks of a stream, alike for all streams."""
     tokens_per_second: float = 2_000.0
+    first_version: int = 1
+    """Weight version active at the start; gateways send nothing to an engine without one."""
     delay_seconds: float = 0.0
 
 
--- a/src/merlinstand_lab/capacity/measurements/daemons.py
+++ b/src/merlinstand_lab/capacity/measurements/daemons.py
@@ -3,7 +3,11 @@
 from collections.abc import Sequence
 from pathlib import Path
 
-from merlinstand_lab.capacity.deployment import Deployment, DeploymentSize
+from merlinstand_lab.capacity.deployment import (
+    DAEMONS_PER_COORDINATOR,
+    Deployment,
+    DeploymentSize,
+)
 from merlinstand_lab.capacity.results import Measured
 from merlinstand_lab.capacity.window import Subject, measure_roles
 
@@ -18,7 +22,7 @@
     replicas: Sequence[int] = REPLICAS,
     daemons: Sequence[int] = DAEMONS,
     window_seconds: float = WINDOW_SECONDS,
-    leases: bool = True,
+    lease_every: int = DAEMONS_PER_COORDINATOR,
 ) -> list[Measured]:
     """Measure leader, followers and daemons while nothing changes but leases.
 
@@ -31,9 +35,11 @@
                 replicas=group,
                 daemons=count,
                 servers=round(count * SERVERS_PER_DAEMON),
-                leases=leases,
+                lease_every=lease_every,
             )
-            name = f"daemons-{group}-replicas" if leases else f"daemons-{group}-no-leases"
+            name = f"daemons-{group}-replicas"
+            if lease_every != DAEMONS_PER_COORDINATOR:
+                name = f"daemons-{group}-replicas-lease-every-{lease_every}"
             with Deployment(size, folder / f"{name}-{count}") as deployment:
                 subject = Subject(name, "daemons", count)
                 rows += measure_roles(subject, deployment.control, deployment.fleet, window_seconds)
--- a/src/merlinstand_lab/capacity/measurements/streams.py
+++ b/src/merlinstand_lab/capacity/measurements/streams.py
@@ -49,7 +49,7 @@
         subject.row("caller", "core_share", window.caller.core_share, elapsed),
         subject.row("caller", "reads_per_second", window.chunks / elapsed, elapsed),
         subject.row("caller", "bytes_per_second", window.stream_bytes / elapsed, elapsed),
-        subject.row("caller", "failed_streams", float(window.failed), elapsed),
+        subject.row("caller", "failed_streams", float(window.failed + window.refused), elapsed),
     ]
     if window.gateway is not None:
         rows.append(subject.row("gateway", "core_share", window.gateway.core_share, elapsed))
--- a/src/merlinstand_lab/capacity/observed.py
+++ b/src/merlinstand_lab/capacity/observed.py
@@ -42,7 +42,7 @@
         """Wrap a reducer that has not started."""
         self._node_id = node_id
         self._reducer = reducer
-        self._session: Any = getattr(reducer, "session", None)
+        self._session: Any = _session_of(reducer)
         self._blocked: frozenset[str] = frozenset()
         self._sent: Counter[str] = Counter()
         self._received: Counter[str] = Counter()
@@ -121,3 +121,8 @@
         if self._session is None:
             return True
         return bool(self._session.may_take_new_work(now))
+
+
+def _session_of(reducer: Reducer) -> Any:
+    """Find the session that a daemon embeds; daemons of the product keep it private."""
+    return getattr(reducer, "session", None) or getattr(reducer, "_session", None)
--- a/src/merlinstand_lab/capacity/topology.py
+++ b/src/merlinstand_lab/capacity/topology.py
@@ -91,15 +91,17 @@
     members: tuple[ControlMember, ...],
     folder: Path,
     timings: SessionTimings,
-    leases: bool = True,
+    lease_every: int,
 ) -> list[HostedSpec]:
-    """Return the specs of hollow daemons that register and, if wanted, keep one lease each.
+    """Return the specs of hollow daemons that register.
 
-    Their names are `daemon-N`, their zones take turns.
+    Their names are `daemon-N`, their zones take turns. Every `lease_every`-th keeps two
+    leases as a coordinator does, for a job and an engine pool; the others keep none, as
+    gateways do. 0: no daemon keeps any.
     """
     addresses = free_addresses(count)
     return [
-        _session_spec(number, address, members, folder, timings, leases)
+        _session_spec(number, address, members, folder, timings, lease_every)
         for number, address in enumerate(addresses)
     ]
 
@@ -110,7 +112,7 @@
     members: tuple[ControlMember, ...],
     folder: Path,
     timings: SessionTimings,
-    leases: bool,
+    lease_every: int,
 ) -> HostedSpec:
     node_id = f"daemon-{number}"
     settings = SessionDaemonSettings(
@@ -123,13 +125,19 @@
             members=members,
             timings=timings,
         ),
-        leases=(f"gateway/{node_id}",) if leases else (),
+        leases=_leases(number, lease_every),
     )
     return hosted_spec(
         HostedKind.SESSION, session_host(node_id, address, members, folder), settings
     )
 
 
+def _leases(number: int, lease_every: int) -> tuple[str, ...]:
+    if lease_every == 0 or number % lease_every:
+        return ()
+    return (f"job/job-{number}", f"engines/pool-{number}")
+
+
 def session_host(
     node_id: str, address: str, members: tuple[ControlMember, ...], folder: Path
 ) -> HostSettings:
--- a/tests/capacity/test_hollow_server.py
+++ b/tests/capacity/test_hollow_server.py
@@ -25,7 +25,7 @@
     events = [msgspec.json.decode(data[6:].split(b"\n\n")[0]) for data in chunks]
     assert [(event["index"], event["token_count"]) for event in events] == [(0, 4), (4, 4), (8, 2)]
     assert events[-1]["finish_reason"] == "length"
-    assert events[-1]["spans"] == [[0, 0, 10]]
+    assert events[-1]["spans"] == [[1, 0, 10]]
     assert chunks[-1].endswith(b"data: [DONE]\n\n")
     assert sum(isinstance(effect, RespondEnd) for effect in effects) == 1
     assert [type(effect) for effect in server.reduce(TimerFired(CHUNK_TIMER), 0.0)] == [SetTimer]
