--- a/src/merlinstand/consensus/leader.py
+++ b/src/merlinstand/consensus/leader.py
@@ -18,6 +18,7 @@
     with_replacement_wish,
     without_member,
 )
+from merlinstand.consensus.progress import Progress
 from merlinstand.consensus.read_barrier import ReadBarrier
 from merlinstand.consensus.repair import (
     GroupView,
@@ -286,19 +287,26 @@
         )
 
     def _group_view(self, now: float) -> GroupView:
-        heard_limit_seconds = 2 * self._state.settings.timings.election_timeout_seconds
+        heard_limit_seconds = 2 * self._state.settings.timings.heartbeat_interval_seconds
         last_index = self._state.log.last_index
-        health = {self._state.identity: MemberHealth(0.0, True, True)}
+        health = {self._state.identity: MemberHealth(0.0, True, False, True)}
         for identity, progress in self._replicator.followers.items():
             silent_seconds = now - progress.last_heard_at
+            is_gone = self._is_gone(progress)
+            is_heard = progress.has_answered and silent_seconds < heard_limit_seconds
+            is_caught_up = progress.match_index + _CAUGHT_UP_ENTRIES >= last_index
             health[identity] = MemberHealth(
-                silent_seconds,
-                progress.has_answered and silent_seconds < heard_limit_seconds,
-                progress.match_index + _CAUGHT_UP_ENTRIES >= last_index,
+                silent_seconds, is_heard and not is_gone, is_gone, is_caught_up
             )
         standbys = [Standby(member, now - heard) for member, heard in self._standbys.values()]
         return GroupView(self._state.membership, health, standbys)
 
+    def _is_gone(self, progress: Progress) -> bool:
+        """Whether another incarnation of the node was heard after this one."""
+        member, heard_at = self._standbys.get(progress.identity.node_id, (None, 0.0))
+        is_other = member is not None and member.identity != progress.identity
+        return is_other and heard_at > progress.last_heard_at
+
     # Hand-over
 
     def hand_over(self, now: float) -> None:
--- a/src/merlinstand/consensus/repair.py
+++ b/src/merlinstand/consensus/repair.py
@@ -1,10 +1,13 @@
 """Which membership change the leader should make next, if any (a pure decision).
 
-One change at a time, learners first. The newcomer becomes a voter *before* the lost one
-is removed. Both orders bear the same number of further losses for good (a group of
-2k + 1 voters with l lost bears k - l more, in between as well), but in this order a
-voter that was only cut off, and returns while another is lost, still helps to form a
-quorum. The other order leaves a group that can't elect anybody in that case.
+One change at a time, learners first, and never so that the voters heard from are no
+quorum of the new group. The order depends on how sure the loss is:
+
+- A voter whose node answers under a new incarnation is gone for good. It is removed
+  first, which never asks more of the voters that remain.
+- A voter that is only silent may come back. The newcomer becomes a voter before the
+  silent one is removed, so that the silent one, should it return while another is lost,
+  still helps to form a quorum.
 """
 
 import enum
@@ -38,7 +41,9 @@
     silent_seconds: float
     """Time since the last answer; 0 for the leader itself."""
     is_heard: bool
-    """Whether it answered this leader lately."""
+    """Whether it answered this leader very lately."""
+    is_gone: bool
+    """Whether its node has answered since under another incarnation."""
     is_caught_up: bool
     """Whether its log reaches (nearly) as far as the leader's."""
 
@@ -87,22 +92,21 @@
     )
 
 
+def _is_gone(view: GroupView, settings: RepairSettings, member: Member) -> bool:
+    health = view.health[member.identity]
+    return health.is_gone and health.silent_seconds >= settings.replaced_disk_delay_seconds
+
+
 def _is_lost(view: GroupView, settings: RepairSettings, member: Member) -> bool:
     silent_seconds = view.health[member.identity].silent_seconds
-    if silent_seconds >= settings.repair_delay_seconds:
-        return True
-    return silent_seconds >= settings.replaced_disk_delay_seconds and any(
-        standby.member.identity.node_id == member.identity.node_id
-        and standby.member.identity != member.identity
-        and standby.announced_seconds_ago < silent_seconds
-        for standby in view.standbys
-    )
+    return silent_seconds >= settings.repair_delay_seconds or _is_gone(view, settings, member)
 
 
 def _voters_to_replace(view: GroupView, settings: RepairSettings) -> list[Member]:
-    """Lost voters, then those an operator wants out."""
+    """Voters gone for good, then lost ones, then those an operator wants out."""
     voters = view.membership.voters
     lost = [member for member in voters if _is_lost(view, settings, member)]
+    lost.sort(key=lambda member: not _is_gone(view, settings, member))
     leaving = [
         member
         for member in voters
@@ -118,11 +122,13 @@
 def _remove_voter(
     view: GroupView, settings: RepairSettings, to_replace: list[Member]
 ) -> RepairAction | None:
-    """Remove a voter whose successor votes already."""
+    """Remove a voter that is gone for good, or whose successor votes already."""
     voters = view.membership.voters
-    if not to_replace or len(voters) <= settings.target_voters:
+    if not to_replace:
         return None
     member = to_replace[0]
+    if len(voters) <= settings.target_voters and not _is_gone(view, settings, member):
+        return None
     remaining = [voter for voter in voters if voter != member]
     if _count_heard(view, remaining) < quorum_size(len(remaining)):
         return None
