--- a/src/merlinstand/gateway/admission.py
+++ b/src/merlinstand/gateway/admission.py
@@ -5,6 +5,7 @@
 from merlinstand.common.errors import MerlinstandError
 from merlinstand.gateway.caller_request import CallerRequest, RequestKind
 from merlinstand.gateway.errors import OverloadedError, RateLimitedError
+from merlinstand.gateway.loop_delay import LoopDelay
 from merlinstand.gateway.rate_limits import CallerBuckets, RateLimits
 from merlinstand.gateway.settings import AdmissionSettings
 
@@ -14,9 +15,10 @@
 class Admission:
     """Counts what is inside and refuses at once what does not fit."""
 
-    def __init__(self, settings: AdmissionSettings) -> None:
+    def __init__(self, settings: AdmissionSettings, loop_delay: LoopDelay) -> None:
         """Start empty."""
         self._settings = settings
+        self._loop_delay = loop_delay
         self._inside = {RequestKind.LOOKUP: 0, RequestKind.GENERATION: 0}
         floor = int(settings.maximum_requests * settings.lookup_floor)
         self._maximum_generations = settings.maximum_requests - floor
@@ -27,24 +29,30 @@
         """Requests inside the gateway."""
         return sum(self._inside.values())
 
-    def admit(self, request: CallerRequest, now: float) -> Result[CallerBuckets, MerlinstandError]:
-        """Let a request in, or say why not and when to come back."""
+    def refuse_early(self, caller: str, now: float) -> MerlinstandError | None:
+        """Return why a request is refused whatever it asks, before its body is looked at."""
+        if self._loop_delay.seconds >= self._settings.lookup_loop_delay_seconds:
+            return _overloaded("the gateway is far behind")
         if self.inside >= self._settings.maximum_requests:
-            return Err(_overloaded("the gateway is full"))
-        is_generation = request.kind is RequestKind.GENERATION
-        generations = self._inside[RequestKind.GENERATION]
-        if is_generation and generations >= self._maximum_generations:
-            return Err(_overloaded("the gateway has no place for another generation"))
-        buckets = self.rate_limits.buckets(request.caller, now)
+            return _overloaded("the gateway is full")
+        buckets = self.rate_limits.buckets(caller, now)
         wait_seconds = max(
             buckets.requests.seconds_until_open(now), buckets.tokens.seconds_until_open(now)
         )
-        if wait_seconds > 0.0:
-            return Err(
-                RateLimitedError(
-                    detail="the caller's rate limit is used up", retry_after_seconds=wait_seconds
-                )
-            )
+        if wait_seconds <= 0.0:
+            return None
+        return RateLimitedError(
+            detail="the caller's rate limit is used up", retry_after_seconds=wait_seconds
+        )
+
+    def admit(self, request: CallerRequest, now: float) -> Result[CallerBuckets, MerlinstandError]:
+        """Let in a request that was not refused early, or say why not and when to come back."""
+        if request.kind is RequestKind.GENERATION:
+            if self._inside[RequestKind.GENERATION] >= self._maximum_generations:
+                return Err(_overloaded("the gateway has no place for another generation"))
+            if self._loop_delay.seconds >= self._settings.generation_loop_delay_seconds:
+                return Err(_overloaded("the gateway is behind"))
+        buckets = self.rate_limits.buckets(request.caller, now)
         buckets.requests.take(1.0)
         buckets.tokens.take(request.cost)
         self._inside[request.kind] += 1
--- a/src/merlinstand/gateway/claims.py
+++ b/src/merlinstand/gateway/claims.py
@@ -13,6 +13,7 @@
 """
 
 import enum
+from collections import Counter
 from random import Random
 
 import msgspec
@@ -74,6 +75,8 @@
         self._recording: dict[CommandId, ClaimTicket] = {}
         self._keys: dict[str, ClaimTicket] = {}
         """Keys claimed here whose end control has not confirmed."""
+        self._callers_keys: Counter[str] = Counter()
+        """The same keys without their pool."""
 
     def start(self, random: Random) -> None:
         """Draw the number of this run of the process."""
@@ -92,6 +95,10 @@
         """Return this gateway's own claim on a key, if its end is not confirmed yet."""
         return self._keys.get(key)
 
+    def may_concern_key_under_way(self, callers_key: str) -> bool:
+        """Tell whether a key, as the caller sent it, may be one that is under way here."""
+        return callers_key in self._callers_keys
+
     def claim(self, exchange: Exchange, now: float, out: list[Effect]) -> None:
         """Ask control for an exchange's key; `command_finished` gives the result."""
         request = exchange.request
@@ -100,6 +107,7 @@
         ticket = ClaimTicket(request.idempotency_key, request.digest, number, exchange.number)
         exchange.claim = ticket
         self._keys[ticket.key] = ticket
+        self._callers_keys[callers_key(ticket.key)] += 1
         command = ClaimRequest(
             idempotency_key=ticket.key,
             request_digest=ticket.digest,
@@ -165,3 +173,12 @@
     def _forget(self, ticket: ClaimTicket) -> None:
         if self._keys.get(ticket.key) is ticket:
             del self._keys[ticket.key]
+            key = callers_key(ticket.key)
+            self._callers_keys[key] -= 1
+            if not self._callers_keys[key]:
+                del self._callers_keys[key]
+
+
+def callers_key(scoped_key: str) -> str:
+    """Return the key as the caller sent it: pool names have no slash."""
+    return scoped_key.split("/", 1)[1]
--- a/src/merlinstand/gateway/daemon.py
+++ b/src/merlinstand/gateway/daemon.py
@@ -15,6 +15,7 @@
 from merlinstand.gateway.health import MACHINES_TIMER, STATUS_TIMER, Health
 from merlinstand.gateway.interruptions import Interruptions
 from merlinstand.gateway.lanes import Lanes
+from merlinstand.gateway.loop_delay import LoopDelay
 from merlinstand.gateway.proxying import Proxying
 from merlinstand.gateway.retries import Retries
 from merlinstand.gateway.settings import GatewaySettings
@@ -56,7 +57,8 @@
         self._session = session or ControlSession(session_settings(settings))
         self._agenda = Agenda()
         self._table = ExchangeTable()
-        self._admission = Admission(settings.admission)
+        self._loop_delay = LoopDelay()
+        self._admission = Admission(settings.admission, self._loop_delay)
         self._claims = Claims(settings.node_id, settings.claims, self._session)
         self._concluder = Concluder(self._table, self._agenda, self._admission, self._claims)
         self._dispatcher = Dispatcher(
@@ -194,7 +196,8 @@
             for due, number in self._agenda.take_due(now):
                 self._due(due, number, now, out)
         elif name == STATUS_TIMER:
-            self._health.status_tick(now, out)
+            self._loop_delay.timer_fired(now)
+            self._loop_delay.timer_set(now, self._health.status_tick(now, out))
         elif name == MACHINES_TIMER:
             self._health.machines_tick(out)
         elif name == CACHE_TIMER:
--- a/src/merlinstand/gateway/door.py
+++ b/src/merlinstand/gateway/door.py
@@ -18,6 +18,7 @@
 from merlinstand.gateway.lanes import Lanes
 from merlinstand.gateway.outcome import Outcome
 from merlinstand.gateway.request_parser import (
+    RequestHead,
     check_size,
     parse_head,
     parse_request,
@@ -76,9 +77,9 @@
             self._refuse(event, made_id, head.err_value, Outcome.NOT_RUN, out)
             return
         request_id = head.ok_value.request_id
-        error = self._not_ready(now)
+        error = self._not_ready(now) or self._admission.refuse_early(head.ok_value.caller, now)
         if error is not None:
-            self._refuse(event, request_id, error, Outcome.NOT_RUN, out)
+            self._refuse_early(event, head.ok_value, error, out)
             return
         view = self._session.view
         parsed = parse_request(event, head.ok_value, view.pools, self._settings.requests)
@@ -104,6 +105,20 @@
         exchange = Exchange(self._number, event.request_id, request, lane, admitted.ok_value, now)
         self._dispatcher.submit(exchange, now, out)
 
+    def _refuse_early(
+        self,
+        event: RequestReceived,
+        head: RequestHead,
+        error: MerlinstandError,
+        out: list[Effect],
+    ) -> None:
+        """Refuse a request whose pool and body were not looked at."""
+        if self._claims.may_concern_key_under_way(head.idempotency_key):
+            pending = claim_pending(self._settings.claims.pending_retry_seconds)
+            self._refuse(event, head.request_id, pending, Outcome.UNKNOWN, out)
+            return
+        self._refuse(event, head.request_id, error, Outcome.NOT_RUN, out)
+
     def _refuse_twin(
         self, event: RequestReceived, request: CallerRequest, out: list[Effect]
     ) -> bool:
--- a/src/merlinstand/gateway/health.py
+++ b/src/merlinstand/gateway/health.py
@@ -65,8 +65,8 @@
 
     # Timers ---------------------------------------------------------------------------
 
-    def status_tick(self, now: float, out: list[Effect]) -> None:
-        """Ask the next few replicas."""
+    def status_tick(self, now: float, out: list[Effect]) -> float:
+        """Ask the next few replicas; return the time to the next tick."""
         tick_seconds = self._settings.status_interval_seconds / TICKS_PER_INTERVAL
         out.append(SetTimer(STATUS_TIMER, tick_seconds))
         count = sum(len(lane.router.replicas) for lane in self._lanes)
@@ -81,9 +81,10 @@
             if not self._turns:
                 self._begin_round()
             if not self._turns:
-                return
+                break
             lane, backend_id = self._turns.pop()
             self._ask(lane, backend_id, now, out)
+        return tick_seconds
 
     def machines_tick(self, out: list[Effect]) -> None:
         """Ask for the platform's list."""
--- a/src/merlinstand/gateway/settings.py
+++ b/src/merlinstand/gateway/settings.py
@@ -25,6 +25,10 @@
     """Longest wait of a generation in a queue; then it is refused."""
     maximum_callers: int = 4_096
     """Callers with state of their own; the rest share one."""
+    generation_loop_delay_seconds: float = 0.25
+    """Delay of the process's loop at which generations are refused."""
+    lookup_loop_delay_seconds: float = 1.0
+    """Delay of the process's loop at which lookups are refused too."""
     burst_seconds: float = 1.0
     """Rate limits let through at once what they allow in this time."""
 
--- a/tests/gateway/test_admission.py
+++ b/tests/gateway/test_admission.py
@@ -2,7 +2,7 @@
 
 from merlinstand.configuration.objects import Limits
 from merlinstand.gateway.settings import AdmissionSettings
-from merlinstand.kernel.events import CallPhase
+from merlinstand.kernel.events import CallPhase, TimerFired
 from tests.gateway.driver import GatewayDriver, engine_pool, service_pool
 
 
@@ -140,6 +140,31 @@
     assert driver.only_call().path == "/b"
 
 
+def test_process_that_is_behind_refuses_generations_first_and_recovers() -> None:
+    driver = GatewayDriver([service_pool(), engine_pool()])
+    driver.advance(1.0, watch=True)
+    driver.answer_statuses()
+    assert _refused(driver) == (False, False)
+    _fire_late(driver, 0.3)
+    assert _refused(driver) == (True, False)
+    _fire_late(driver, 1.2)
+    assert _refused(driver) == (True, True)
+    driver.advance(0.2, watch=True)
+    assert _refused(driver) == (False, False)
+
+
+def _fire_late(driver: GatewayDriver, late_seconds: float) -> None:
+    """Let the status timer fire late, as it does when the loop is overloaded."""
+    driver.now = driver.timers.pop("gateway.status") + late_seconds
+    driver.send(TimerFired("gateway.status"))
+
+
+def _refused(driver: GatewayDriver) -> tuple[bool, bool]:
+    """Whether a generation and a lookup are refused now."""
+    generation, lookup = driver.complete(), driver.request("/shop-api/a")
+    return driver.is_answered(generation), driver.is_answered(lookup)
+
+
 def test_no_usable_replica_is_refused_at_once() -> None:
     driver = GatewayDriver([service_pool(count=2)])
     leaving = {"state": "leaving"}
--- a/tests/gateway/test_claims.py
+++ b/tests/gateway/test_claims.py
@@ -236,6 +236,16 @@
     assert isinstance(driver.session.submitted[2].command, ClaimRequest)
 
 
+def test_twin_refused_early_is_not_told_not_run_either() -> None:
+    driver = booking_driver()
+    driver.request("/book-app/book", "POST", **BOOKING)
+    driver.session.lease_held = False
+    twin = driver.request("/book-app/book", "POST", **BOOKING)
+    assert driver.outcome(twin) == "unknown"
+    other = driver.request("/book-app/book", "POST", x_repeatable="false", idempotency_key="k-2")
+    assert driver.outcome(other) == "not_run"
+
+
 def test_other_request_under_a_key_under_way_is_refused() -> None:
     driver = booking_driver()
     driver.request("/book-app/book", "POST", b"a", **BOOKING)
