--- a/src/merlinstand/consensus/leader.py
+++ b/src/merlinstand/consensus/leader.py
@@ -4,31 +4,19 @@
 
 from result import Err, Ok, Result
 
-from merlinstand.common.ids import NodeId, Zone
+from merlinstand.common.ids import NodeId
 from merlinstand.consensus.election import from_wire_identity, to_wire_identity
+from merlinstand.consensus.group_watch import GroupWatch
 from merlinstand.consensus.hand_over import HandOver, has_possible_successor
 from merlinstand.consensus.leader_lease import LeaderLease
 from merlinstand.consensus.membership import (
     Identity,
-    Member,
     Membership,
     encode_membership,
-    with_learner,
-    with_promotion,
     with_replacement_wish,
-    without_member,
 )
-from merlinstand.consensus.progress import Progress
 from merlinstand.consensus.read_barrier import ReadBarrier
-from merlinstand.consensus.repair import (
-    GroupView,
-    MemberHealth,
-    RepairAction,
-    RepairKind,
-    RepairSettings,
-    Standby,
-    decide,
-)
+from merlinstand.consensus.repair import apply_action, decide
 from merlinstand.consensus.replication import Replicator
 from merlinstand.consensus.state import HAND_OVER_TIMER, HEARTBEAT_TIMER, ReplicaState
 from merlinstand.consensus.step import (
@@ -45,9 +33,6 @@
     SnapshotReply,
 )
 
-_CAUGHT_UP_ENTRIES = 100
-"""A learner this close behind the leader's log may become a voter."""
-
 
 class Leader:
     """What a replica is while it leads a term; a new object for each leadership."""
@@ -69,7 +54,7 @@
         self._replicator = Replicator(state, self._lease, self.may_act)
         self._reads = ReadBarrier()
         self._hand_over: HandOver | None = None
-        self._standbys: dict[NodeId, tuple[Member, float]] = {}
+        self._watch = GroupWatch(state)
         self._first_index = 0
         self._uncommitted_bytes = 0
         self._quorum_heard_at = now
@@ -172,7 +157,7 @@
         identity = from_wire_identity(reply.follower)
         progress = self._replicator.followers.get(identity)
         if progress is None:
-            self._note_stranger(identity, now)
+            self._watch.on_stranger(identity, now)
             return
         self._lease.acknowledge(identity, reply.leader_sent_at)
         self._replicator.on_append_reply(progress, reply, now)
@@ -221,22 +206,8 @@
     # Membership
 
     def on_join_request(self, request: JoinRequest, now: float) -> None:
-        """Remember a replica that is outside the group."""
-        identity = from_wire_identity(request.replica)
-        if self._state.membership.member_of(identity) is not None:
-            return
-        member = Member(identity, request.address, Zone(request.zone))
-        self._standbys[identity.node_id] = (member, now)
-
-    def _note_stranger(self, identity: Identity, now: float) -> None:
-        """A replica with a new disk answers for its former self: it could be taken in.
-
-        It hears the leader, so it may not announce itself.
-        """
-        former = self._state.membership.member_on(identity.node_id)
-        if former is not None:
-            member = Member(identity, former.address, former.zone)
-            self._standbys[identity.node_id] = (member, now)
+        """Take note of a replica outside the group."""
+        self._watch.on_join_request(request, now)
 
     def request_replacement(
         self, add_node: NodeId | None, remove_node: NodeId | None, now: float
@@ -265,7 +236,10 @@
         is_possible = self._may_change_membership(now) and self._hand_over is None
         if not is_possible or not self._state.settings.automatic_repair:
             return
-        action = decide(self._group_view(now), self._repair_settings())
+        action = decide(
+            self._watch.view(self._replicator.followers.values(), now),
+            self._watch.repair_settings(),
+        )
         if action is None:
             return
         state = self._state
@@ -275,37 +249,7 @@
         state.log_event(
             "membership_change", kind=action.kind.value, node=action.member.identity.node_id
         )
-        self._propose_membership(_apply(action, state.membership), now)
-
-    def _repair_settings(self) -> RepairSettings:
-        settings = self._state.settings
-        return RepairSettings(
-            target_voters=len(settings.members),
-            repair_delay_seconds=settings.timings.repair_delay_seconds,
-            standby_freshness_seconds=settings.timings.standby_freshness_seconds,
-            replaced_disk_delay_seconds=2 * settings.timings.election_timeout_seconds,
-        )
-
-    def _group_view(self, now: float) -> GroupView:
-        heard_limit_seconds = 2 * self._state.settings.timings.heartbeat_interval_seconds
-        last_index = self._state.log.last_index
-        health = {self._state.identity: MemberHealth(0.0, True, False, True)}
-        for identity, progress in self._replicator.followers.items():
-            silent_seconds = now - progress.last_heard_at
-            is_gone = self._is_gone(progress)
-            is_heard = progress.has_answered and silent_seconds < heard_limit_seconds
-            is_caught_up = progress.match_index + _CAUGHT_UP_ENTRIES >= last_index
-            health[identity] = MemberHealth(
-                silent_seconds, is_heard and not is_gone, is_gone, is_caught_up
-            )
-        standbys = [Standby(member, now - heard) for member, heard in self._standbys.values()]
-        return GroupView(self._state.membership, health, standbys)
-
-    def _is_gone(self, progress: Progress) -> bool:
-        """Whether another incarnation of the node was heard after this one."""
-        member, heard_at = self._standbys.get(progress.identity.node_id, (None, 0.0))
-        is_other = member is not None and member.identity != progress.identity
-        return is_other and heard_at > progress.last_heard_at
+        self._propose_membership(apply_action(action, state.membership), now)
 
     # Hand-over
 
@@ -350,11 +294,3 @@
         self._hand_over = None
         self._state.cancel_timer(HAND_OVER_TIMER)
         self._state.note_hand_over_ended()
-
-
-def _apply(action: RepairAction, membership: Membership) -> Membership:
-    if action.kind is RepairKind.ADD_LEARNER:
-        return with_learner(membership, action.member)
-    if action.kind is RepairKind.PROMOTE:
-        return with_promotion(membership, action.member.identity)
-    return without_member(membership, action.member.identity)
--- a/src/merlinstand/consensus/repair.py
+++ b/src/merlinstand/consensus/repair.py
@@ -16,7 +16,14 @@
 import msgspec
 
 from merlinstand.common.ids import NodeId, Zone
-from merlinstand.consensus.membership import Identity, Member, Membership
+from merlinstand.consensus.membership import (
+    Identity,
+    Member,
+    Membership,
+    with_learner,
+    with_promotion,
+    without_member,
+)
 from merlinstand.consensus.quorum import quorum_size
 
 
@@ -207,3 +214,12 @@
     staying = [voter for voter in view.membership.voters if voter not in to_replace]
     zone_crowding = sum(1 for voter in staying if voter.zone == zone)
     return (not returns, zone_crowding, candidate.identity.node_id)
+
+
+def apply_action(action: RepairAction, membership: Membership) -> Membership:
+    """The membership after one change."""
+    if action.kind is RepairKind.ADD_LEARNER:
+        return with_learner(membership, action.member)
+    if action.kind is RepairKind.PROMOTE:
+        return with_promotion(membership, action.member.identity)
+    return without_member(membership, action.member.identity)
