--- a/benchmarks/raw_load.py
+++ b/benchmarks/raw_load.py
@@ -42,7 +42,9 @@
                     count += 1
                     began = time.monotonic()
                     connection.sendall(self._request(number, count))
-                    is_good = self._stream(connection) if self._is_stream else self._whole(connection)
+                    is_good = (
+                        self._stream(connection) if self._is_stream else self._whole(connection)
+                    )
                     if is_good:
                         self.latencies.append(time.monotonic() - began)
                     else:
