--- /dev/null
+++ b/src/merlinstand_lab/report/__init__.py
@@ -0,0 +1,1 @@
+"""Reports of experiments: an HTML page with plots."""
