--- a/src/merlinstand_lab/checkers/operations.py
+++ b/src/merlinstand_lab/checkers/operations.py
@@ -9,12 +9,16 @@
     CallerOutcome,
     CallerRecord,
     FaultRecord,
+    GenerationOutcome,
+    GenerationRecord,
     StartRecord,
     StepRecord,
     StopRecord,
 )
 from merlinstand_lab.records.record_set import RecordSet
 
+_ABORT_SEEN_SECONDS = 1.0
+"""An engine notices that its client went away within this."""
 _CUT_OUTCOMES = (CallerOutcome.UNKNOWN, CallerOutcome.ERROR)
 
 
@@ -71,9 +75,18 @@
             if not _in_flight_at_stop(record, stop):
                 continue
             checked += 1
-            if record.outcome in _CUT_OUTCOMES and not _disturbed(record, records.faults):
+            disturbed = _disturbed(record.sent_at, record.ended_at, records.faults)
+            if record.outcome in _CUT_OUTCOMES and not disturbed:
                 detail = f"cut off by the planned stop of {stop.node_id}: {record.reason}"
                 violations.append(Violation(record.request_id, detail))
+        if stop.role == "coordinator":
+            in_flight = _generations_at_stop(records, stop)
+            checked += len(in_flight)
+            violations += [
+                Violation(one.request_id, f"abandoned at the planned stop of {stop.node_id}")
+                for one in in_flight
+                if one.outcome is GenerationOutcome.ABORTED
+            ]
     return PromiseResult(
         name="planned-stop-cuts-nothing",
         promise="A planned stop cuts off no request in flight.",
@@ -83,17 +96,30 @@
     )
 
 
+def _generations_at_stop(records: RecordSet, stop: StopRecord) -> list[GenerationRecord]:
+    """Generations that ended while a coordinator stopped, or at once after it.
+
+    They may be another coordinator's; without a fault none of them is to be abandoned.
+    """
+    until = stop.ended_at + _ABORT_SEEN_SECONDS
+    return [
+        one
+        for one in records.generations
+        if one.started_at < stop.requested_at <= one.ended_at <= until
+        and not _disturbed(one.started_at, one.ended_at, records.faults)
+    ]
+
+
 def _in_flight_at_stop(record: CallerRecord, stop: StopRecord) -> bool:
     """Whether a request was with the stopped gateway when its stop was asked for."""
     at_gateway = record.gateway == stop.http_address
     return at_gateway and record.sent_at < stop.requested_at <= record.ended_at
 
 
-def _disturbed(record: CallerRecord, faults: list[FaultRecord]) -> bool:
+def _disturbed(began_at: float, ended_at: float, faults: list[FaultRecord]) -> bool:
     """Whether a fault lasted during a request, so that it may be the cause."""
     return any(
-        fault.started_at <= record.ended_at
-        and (fault.healed_at is None or record.sent_at <= fault.healed_at)
+        fault.started_at <= ended_at and (fault.healed_at is None or began_at <= fault.healed_at)
         for fault in faults
     )
 
--- a/tests/checkers/test_promises.py
+++ b/tests/checkers/test_promises.py
@@ -80,6 +80,10 @@
     exit_code=-1,
 )
 
+COORDINATOR_STOP = msgspec.structs.replace(
+    STOP_FAILED, role="coordinator", requested_at=45.0, ended_at=45.5, exit_code=0
+)
+
 VIOLATIONS: list[tuple[str, str, Plant]] = [
     (
         "versions-true",
@@ -193,6 +197,19 @@
             caller_record("cut", 14.9, ended_at=15.5, outcome=CallerOutcome.UNKNOWN),
         ),
     ),
+    (
+        "planned-stop-cuts-nothing",
+        "a coordinator abandons a generation",
+        _both(
+            adding("stops", COORDINATOR_STOP),
+            adding(
+                f"engine-{ENGINE}",
+                generation_record(
+                    "abandoned", 3, started_at=44, ended_at=46, outcome=GenerationOutcome.ABORTED
+                ),
+            ),
+        ),
+    ),
     ("planned-stop-cuts-nothing", "a stop that had to be forced", adding("stops", STOP_FAILED)),
     (
         "configuration-in-force",
