--- a/src/merlinstand_lab/cli/run.py
+++ b/src/merlinstand_lab/cli/run.py
@@ -6,8 +6,12 @@
 import click
 from result import Err
 
+from merlinstand_lab.checkers.verify import verify_records
+from merlinstand_lab.cli.verify import show_report
 from merlinstand_lab.fleet.launcher import Launcher, RunOutcome
 from merlinstand_lab.fleet.plan import make_plan
+from merlinstand_lab.fleet.summary import render_summary, summarize
+from merlinstand_lab.records.record_set import RecordSet
 
 _EXIT_FAILED = 1
 _EXIT_INVALID = 3
@@ -38,23 +42,18 @@
         click.echo(plan.err_value.describe(), err=True)
         sys.exit(_EXIT_INVALID)
     outcome = Launcher(plan.ok_value, faults, click.echo).run()
-    _show_outcome(outcome)
+    records = RecordSet.load(output)
+    _show_outcome(outcome, records)
     if outcome.failure is not None or outcome.bad_exits:
         sys.exit(_EXIT_FAILED)
-    from merlinstand_lab.cli.verify import verify_folder
+    sys.exit(show_report(verify_records(records), "table"))
 
-    sys.exit(verify_folder(output, "table"))
 
-
-def _show_outcome(outcome: RunOutcome) -> None:
+def _show_outcome(outcome: RunOutcome, records: RecordSet) -> None:
     """Print the summary of a run."""
-    click.echo("")
-    click.echo(f"time      {outcome.elapsed_seconds:.0f} s")
-    for consumer, steps in outcome.steps.items():
-        click.echo(f"{consumer}  {steps} steps, weights up to version {outcome.versions[consumer]}")
-    click.echo(f"samples   {outcome.samples}")
-    counts = ", ".join(f"{count} {name}" for name, count in outcome.caller_outcomes.items())
-    click.echo(f"callers   {counts}")
+    click.echo(f"\ntime      {outcome.elapsed_seconds:.0f} s")
+    for line in render_summary(summarize(records)):
+        click.echo(line)
     for name, code in outcome.bad_exits.items():
         said = "had to be killed" if code is None else f"exit code {code}"
         click.echo(f"stop      {name}: {said}", err=True)
--- a/src/merlinstand_lab/cli/verify.py
+++ b/src/merlinstand_lab/cli/verify.py
@@ -45,12 +45,11 @@
         liveness_seconds=liveness_seconds,
         not_required=frozenset(may_be_untested),
     )
-    sys.exit(verify_folder(folder, output_format, limits))
+    sys.exit(show_report(verify_records(RecordSet.load(folder), limits), output_format))
 
 
-def verify_folder(folder: Path, output_format: str, limits: CheckLimits | None = None) -> int:
-    """Check a folder, print the report, return the exit code."""
-    report = verify_records(RecordSet.load(folder), limits)
+def show_report(report: Report, output_format: str) -> int:
+    """Print a report, return the exit code."""
     if output_format == "json":
         click.echo(msgspec.json.format(msgspec.json.encode(report), indent=2).decode())
     else:
--- a/src/merlinstand_lab/fleet/launcher.py
+++ b/src/merlinstand_lab/fleet/launcher.py
@@ -45,11 +45,8 @@
 
     failure: RunFailedError | None
     elapsed_seconds: float
-    steps: dict[str, int]
-    versions: dict[str, int]
-    samples: int
-    caller_outcomes: dict[str, int]
     bad_exits: dict[str, int | None]
+    """Processes that did not stop with exit code 0; None if they had to be killed."""
 
 
 class Launcher:
@@ -82,7 +79,7 @@
         fleet = Fleet(self._plan, records)
         bad_exits: dict[str, int | None] = {}
         try:
-            failure = self._go(fleet, records)
+            failure = self._go_until_interrupted(fleet, records)
             self._say("stopping")
             bad_exits = fleet.stop_all()
         finally:
@@ -91,6 +88,13 @@
         records.close()
         return self._outcome(failure, bad_exits)
 
+    def _go_until_interrupted(self, fleet: Fleet, records: RecordWriter) -> RunFailedError | None:
+        """Run; an interrupt from the keyboard ends the run as a failed one."""
+        try:
+            return self._go(fleet, records)
+        except KeyboardInterrupt:
+            return RunFailedError(detail="interrupted")
+
     def _go(self, fleet: Fleet, records: RecordWriter) -> RunFailedError | None:
         """Start, configure, watch; returns what went wrong, if anything."""
         token = self._plan.deployment.operators.token
@@ -244,10 +248,6 @@
         return RunOutcome(
             failure=failure,
             elapsed_seconds=time.monotonic() - self._began_at,
-            steps={name: one.steps for name, one in self._trainers.items()},
-            versions={name: one.version for name, one in self._trainers.items()},
-            samples=sum(one.samples for one in self._trainers.values()),
-            caller_outcomes=self._callers.outcomes,
             bad_exits=bad_exits,
         )
 
--- /dev/null
+++ b/src/merlinstand_lab/fleet/summary.py
@@ -0,0 +1,98 @@
+"""What users measure, from a run's records: idle trainers, stale samples, slow lookups."""
+
+from collections import Counter
+
+import msgspec
+
+from merlinstand_lab.records.kinds import CallerOutcome
+from merlinstand_lab.records.record_set import RecordSet
+
+_QUANTILES = (0.5, 0.99)
+
+
+class TrainerSummary(msgspec.Struct, frozen=True, kw_only=True):
+    """One trainer."""
+
+    consumer: str
+    steps: int
+    last_version: int
+    idle_share: float
+    """Time between the end of a step and the next batch, over all time of the trainer."""
+
+
+class RunSummary(msgspec.Struct, frozen=True, kw_only=True):
+    """One run."""
+
+    trainers: list[TrainerSummary]
+    samples: int
+    staleness: dict[int, int]
+    """Number of samples by versions between the newest and their oldest span, at receipt."""
+    lookup_seconds: dict[float, float]
+    """Quantiles of the time of answered lookups."""
+    caller_outcomes: dict[str, int]
+
+
+def summarize(records: RecordSet) -> RunSummary:
+    """Compute the summary of a run."""
+    lookups = [
+        record.ended_at - record.sent_at
+        for record in records.callers
+        if record.kind == "lookup" and record.outcome is CallerOutcome.ANSWER
+    ]
+    staleness = Counter(
+        sample.trainer_version - min(span[0] for span in sample.weight_versions)
+        for sample in records.samples
+    )
+    outcomes = Counter(record.outcome.value for record in records.callers)
+    return RunSummary(
+        trainers=_trainers(records),
+        samples=len(records.samples),
+        staleness=dict(sorted(staleness.items())),
+        lookup_seconds={quantile: _quantile(lookups, quantile) for quantile in _QUANTILES},
+        caller_outcomes={outcome.value: outcomes[outcome.value] for outcome in CallerOutcome},
+    )
+
+
+def render_summary(summary: RunSummary) -> list[str]:
+    """Return the summary as lines for a terminal."""
+    lines = [
+        f"{one.consumer:<10}{one.steps} steps, weights up to version {one.last_version}, "
+        f"idle {one.idle_share:.1%} of its time"
+        for one in summary.trainers
+    ]
+    staleness = ", ".join(f"{count} at {age}" for age, count in summary.staleness.items())
+    lines.append(f"samples   {summary.samples}; versions behind at receipt: {staleness or '-'}")
+    times = ", ".join(
+        f"p{quantile * 100:g} {seconds * 1000:.1f} ms"
+        for quantile, seconds in summary.lookup_seconds.items()
+    )
+    lines.append(f"lookups   {times}")
+    outcomes = ", ".join(f"{count} {name}" for name, count in summary.caller_outcomes.items())
+    lines.append(f"callers   {outcomes}")
+    return lines
+
+
+def _trainers(records: RecordSet) -> list[TrainerSummary]:
+    """Summaries of all trainers."""
+    summaries = []
+    for consumer in sorted({step.consumer for step in records.steps}):
+        steps = [step for step in records.steps if step.consumer == consumer]
+        total = steps[-1].step_ended_at - steps[0].asked_at
+        busy = sum(step.step_ended_at - step.received_at for step in steps)
+        summaries.append(
+            TrainerSummary(
+                consumer=consumer,
+                steps=len(steps),
+                last_version=steps[-1].trainer_version,
+                idle_share=1.0 - busy / total if total > 0 else 0.0,
+            )
+        )
+    return summaries
+
+
+def _quantile(values: list[float], quantile: float) -> float:
+    """Nearest-rank quantile; 0 without values."""
+    if not values:
+        return 0.0
+    ordered = sorted(values)
+    return ordered[min(len(ordered) - 1, int(quantile * len(ordered)))]
--- /dev/null
+++ b/tests/fleet/test_summary.py
@@ -0,0 +1,67 @@
+"""The figures that a run ends with."""
+
+import pytest
+
+from merlinstand_lab.fleet.summary import render_summary, summarize
+from merlinstand_lab.records.kinds import CallerOutcome, CallerRecord, SampleRecord, StepRecord
+from merlinstand_lab.records.record_set import RecordSet
+
+
+def step(batch: int, asked_at: float, received_at: float, ended_at: float) -> StepRecord:
+    return StepRecord(
+        batch=batch,
+        asked_at=asked_at,
+        received_at=received_at,
+        step_ended_at=ended_at,
+        trainer_version=batch,
+        consumer="t",
+    )
+
+
+def sample(version: int, trainer_version: int) -> SampleRecord:
+    return SampleRecord(
+        sample_id=f"{version}-{trainer_version}",
+        job="j",
+        prompt_id="p",
+        attempt=0,
+        batch=1,
+        trainer_version=trainer_version,
+        weight_versions=[(version, 0, 1), (version + 1, 1, 2)],
+        received_at=1.0,
+    )
+
+
+def lookup(seconds: float) -> CallerRecord:
+    return CallerRecord(
+        request_id="r",
+        sent_at=0.0,
+        ended_at=seconds,
+        outcome=CallerOutcome.ANSWER,
+        answered_by="s",
+        digest_ok=True,
+        service="shop",
+        idempotency_key="",
+        repeatable=True,
+        kind="lookup",
+    )
+
+
+def test_idle_time_staleness_and_latency_are_taken_from_the_records() -> None:
+    records = RecordSet()
+    records.add("idle-t", step(1, 0.0, 2.0, 5.0))
+    records.add("idle-t", step(2, 5.0, 6.0, 10.0))
+    records.add("trainer-t", sample(1, 2))
+    records.add("trainer-t", sample(2, 2))
+    for hundredths in range(1, 101):
+        records.add("callers", lookup(hundredths / 100))
+    summary = summarize(records)
+    (trainer,) = summary.trainers
+    assert trainer.idle_share == pytest.approx(0.3)
+    assert summary.staleness == {0: 1, 1: 1}
+    assert summary.lookup_seconds == pytest.approx({0.5: 0.51, 0.99: 1.0})
+    text = "\n".join(render_summary(summary))
+    assert "idle 30.0%" in text and "1 at 0, 1 at 1" in text and "p99 1000.0 ms" in text
+
+
+def test_a_run_without_records_has_a_summary_too() -> None:
+    assert render_summary(summarize(RecordSet()))
