--- a/src/merlinstand_lab/capacity/cli.py
+++ b/src/merlinstand_lab/capacity/cli.py
@@ -269,6 +269,64 @@
     finish(output, "partitions", rows)
 
 
+@command.command()
+@click.option("--sizes", type=INTEGERS, default="4,8,16,30", show_default=True)
+@click.option("--pools", default=34, show_default=True)
+@click.option("--replicas", default=7, show_default=True)
+@click.option("--seconds", default=15.0, show_default=True, help="Length of each window.")
+@click.pass_obj
+def coordinators(
+    output: Path, sizes: tuple[int, ...], pools: int, replicas: int, seconds: float
+) -> None:
+    """Load that coordinators put on control.
+
+    Example: merlinstand-lab capacity coordinators --sizes 4,8,16,30
+    """
+    from merlinstand_lab.capacity.measurements.coordinators import (
+        CoordinatorPlan,
+        measure_coordinators,
+    )
+
+    plan = CoordinatorPlan(
+        coordinators=sizes, pools=pools, replicas=replicas, window_seconds=seconds
+    )
+    with run_folder() as folder:
+        rows = measure_coordinators(folder, plan)
+    finish(output, "coordinators", rows)
+
+
+@command.command()
+@click.option("--sizes", type=INTEGERS, default="25,50,100,200", show_default=True)
+@click.option("--seconds", default=15.0, show_default=True, help="Length of each window.")
+@click.pass_obj
+def engines(output: Path, sizes: tuple[int, ...], seconds: float) -> None:
+    """One coordinator against the engines of its pools.
+
+    Example: merlinstand-lab capacity engines --sizes 25,50,100,200
+    """
+    from merlinstand_lab.capacity.measurements.engines import EnginePlan, measure_engines
+
+    with run_folder() as folder:
+        rows = measure_engines(folder, EnginePlan(engines=sizes, window_seconds=seconds))
+    finish(output, "engines", rows)
+
+
+@command.command()
+@click.option("--sizes", type=INTEGERS, default="425,850,1700,3400", show_default=True)
+@click.option("--seconds", default=15.0, show_default=True, help="Length of each window.")
+@click.pass_obj
+def servers(output: Path, sizes: tuple[int, ...], seconds: float) -> None:
+    """One idle gateway against all servers of the deployment.
+
+    Example: merlinstand-lab capacity servers --sizes 425,850,1700,3400
+    """
+    from merlinstand_lab.capacity.measurements.engines import EnginePlan, measure_servers
+
+    with run_folder() as folder:
+        rows = measure_servers(folder, EnginePlan(servers=sizes, window_seconds=seconds))
+    finish(output, "servers", rows)
+
+
 @command.command()
 @click.pass_obj
 def plot(output: Path) -> None:
--- a/src/merlinstand_lab/capacity/hollow.py
+++ b/src/merlinstand_lab/capacity/hollow.py
@@ -124,6 +124,7 @@
             loads=self._collect("load_counts"),
             callers=self._collect("caller_counts"),
             seen=tuple(seen),
+            versions=self._collect("versions_seen"),
             http_addresses={node.node_id: node.host.http_address for node in nodes},
         )
 
--- a/src/merlinstand_lab/capacity/hollow_server.py
+++ b/src/merlinstand_lab/capacity/hollow_server.py
@@ -15,13 +15,15 @@
     SetTimer,
 )
 from merlinstand.kernel.events import (
+    CallFailed,
+    CallResponded,
     Event,
     RequestAborted,
     RequestReceived,
     Started,
     TimerFired,
 )
-from merlinstand_lab.capacity.hollow_orders import HollowOrders
+from merlinstand_lab.capacity.hollow_orders import HollowOrders, VersionSeen
 from merlinstand_lab.capacity.hollow_settings import HollowServerSettings
 
 CHUNK_TIMER = "hollow.chunk"
@@ -43,8 +45,8 @@
 class HollowServer:
     """Answers requests at once, and completions as streams of equal chunks.
 
-    Weight orders are answered as done at once: rollouts over many hollow engines load the
-    coordinator as real ones do, without the time of a swap.
+    Rollouts over many hollow engines load the coordinator as real ones do, without the time
+    of a swap.
     """
 
     def __init__(self, settings: HollowServerSettings) -> None:
@@ -65,15 +67,24 @@
         if isinstance(event, RequestAborted):
             self._streams.pop(event.request_id, None)
         elif isinstance(event, TimerFired):
+            if event.name != CHUNK_TIMER:
+                return self._orders.timer_fired(event.name)
             return (*self._send_chunks(), self._next_chunk_timer())
+        elif isinstance(event, CallResponded | CallFailed):
+            return self._orders.store_answered(event)
         return ()
 
+    def versions_seen(self) -> list[VersionSeen]:
+        """Return the versions that became active since the last call."""
+        return self._orders.take_seen()
+
     def _answer(self, event: RequestReceived, now: float) -> Sequence[Effect]:
         path = event.path.partition("?")[0]
         if path == _STATUS_PATH:
             return (_respond(event, self._orders.status(len(self._streams), now)),)
         if path == "/v1/orders":
-            return (_respond(event, self._orders.order(event.body)),)
+            answer, effects = self._orders.order(event.body, now)
+            return (*effects, _respond(event, answer))
         if path == "/v1/cache_events":
             return (_respond(event, b'{"events": [], "next": 0}'),)
         if path == _COMPLETION_PATH:
--- a/src/merlinstand_lab/capacity/hollow_settings.py
+++ b/src/merlinstand_lab/capacity/hollow_settings.py
@@ -14,7 +14,10 @@
     tokens_per_second: float = 2_000.0
     first_version: int = 1
     """Weight version active at the start; gateways send nothing to an engine without one."""
-    delay_seconds: float = 0.0
+    load_seconds: float = 0.0
+    """Time from an order to load until it is done, if no store is asked."""
+    asks_store: bool = False
+    """Ask the order's source for the weights, as a real engine does."""
 
 
 class HollowCallerSettings(msgspec.Struct, frozen=True, kw_only=True):
--- /dev/null
+++ b/src/merlinstand_lab/capacity/measurements/engines.py
@@ -0,0 +1,105 @@
+"""Cost of one coordinator against the engines of its pools, and of one gateway before all."""
+
+import time
+from collections.abc import Sequence
+from pathlib import Path
+
+import msgspec
+
+from merlinstand_lab.capacity.control_group import ControlGroup
+from merlinstand_lab.capacity.door_bench import gateway_spec
+from merlinstand_lab.capacity.fleet import HollowFleet
+from merlinstand_lab.capacity.measurements.coordinators import coordinator_specs
+from merlinstand_lab.capacity.results import Measured
+from merlinstand_lab.capacity.server_park import ParkPlan, ServerPark
+from merlinstand_lab.capacity.topology import free_addresses
+from merlinstand_lab.capacity.window import Subject, between, mark
+from merlinstand_lab.capacity.worker_process import WorkerProcess
+from merlinstand_lab.capacity.worker_spec import HostedSpec, WorkerReport
+
+ENGINES_OF_ONE_COORDINATOR = (25, 50, 100, 200)
+SERVERS = (425, 850, 1_700, 3_400)
+ENGINES_PER_POOL = 25
+SETTLE_SECONDS = 6.0
+WINDOW_SECONDS = 15.0
+JOIN_TIMEOUT_SECONDS = 90.0
+
+
+class EnginePlan(msgspec.Struct, frozen=True, kw_only=True):
+    """How many servers."""
+
+    engines: Sequence[int] = ENGINES_OF_ONE_COORDINATOR
+    servers: Sequence[int] = SERVERS
+    window_seconds: float = WINDOW_SECONDS
+
+
+def measure_engines(folder: Path, plan: EnginePlan) -> list[Measured]:
+    """Measure a coordinator that holds all pools, without jobs."""
+    rows: list[Measured] = []
+    for count in plan.engines:
+        run = folder / f"engines-{count}"
+        subject = Subject("engines", "engines_of_one_coordinator", count)
+        park_plan = ParkPlan(servers=count, servers_per_pool=ENGINES_PER_POOL)
+        rows += _measure(subject, park_plan, "coordinator", run, plan.window_seconds)
+    return rows
+
+
+def measure_servers(folder: Path, plan: EnginePlan) -> list[Measured]:
+    """Measure an idle gateway that knows all servers."""
+    rows: list[Measured] = []
+    for count in plan.servers:
+        run = folder / f"servers-{count}"
+        subject = Subject("servers", "servers", count)
+        rows += _measure(subject, ParkPlan(servers=count), "gateway", run, plan.window_seconds)
+    return rows
+
+
+def _measure(
+    subject: Subject, park_plan: ParkPlan, role: str, folder: Path, seconds: float
+) -> list[Measured]:
+    control = ControlGroup(1, folder)
+    park = ServerPark(park_plan, folder)
+    fleet = HollowFleet([], folder)
+    try:
+        control.wait_ready()
+        park.wait_started()
+        revision = park.put_pools(control.operator)
+        fleet = HollowFleet([_daemon_spec(role, control, folder)], folder, role)
+        fleet.wait_started()
+        if not fleet.wait_revision(revision, JOIN_TIMEOUT_SECONDS):
+            raise TimeoutError(f"the {role} did not join")
+        time.sleep(SETTLE_SECONDS)
+        return _measure_one(subject, role, fleet.workers[0], seconds)
+    finally:
+        fleet.stop()
+        park.stop()
+        control.stop()
+
+
+def _daemon_spec(role: str, control: ControlGroup, folder: Path) -> HostedSpec:
+    if role == "coordinator":
+        return coordinator_specs(1, control, folder)[0]
+    http_address, internal_address = free_addresses(2)
+    return gateway_spec("gateway-0", http_address, internal_address, control, folder)
+
+
+def _measure_one(
+    subject: Subject, role: str, worker: WorkerProcess, seconds: float
+) -> list[Measured]:
+    before = mark(worker)
+    time.sleep(seconds)
+    after = mark(worker)
+    window = between(before, after)
+    elapsed = window.cost.elapsed_seconds
+    calls = _calls(after.report) - _calls(before.report)
+    bytes_each_second = (window.bytes_sent + window.bytes_received) / elapsed
+    return [
+        subject.row(role, "core_share", window.cost.core_share, elapsed),
+        subject.row(role, "resident_bytes_real_process", window.cost.resident_bytes, elapsed),
+        subject.row(role, "calls_per_second", calls / elapsed, elapsed),
+        subject.row(role, "control_bytes_per_second_per_daemon", bytes_each_second, elapsed),
+    ]
+
+
+def _calls(report: WorkerReport) -> int:
+    return sum(counts.calls for counts in report.counts)
--- a/src/merlinstand_lab/capacity/worker_spec.py
+++ b/src/merlinstand_lab/capacity/worker_spec.py
@@ -6,6 +6,7 @@
 
 from merlinstand.runtime.host_settings import HostSettings
 from merlinstand_lab.capacity.hollow_caller import HollowCallerCounts
+from merlinstand_lab.capacity.hollow_orders import VersionSeen
 from merlinstand_lab.capacity.observed import Counts, RevisionSeen
 from merlinstand_lab.capacity.session_daemon import LoadCounts
 
@@ -88,4 +89,5 @@
     loads: dict[str, LoadCounts] = {}
     callers: dict[str, HollowCallerCounts] = {}
     seen: tuple[RevisionSeen, ...] = ()
+    versions: dict[str, tuple[VersionSeen, ...]] = {}
     http_addresses: dict[str, str] = {}
