--- a/src/merlinstand_lab/checkers/requests.py
+++ b/src/merlinstand_lab/checkers/requests.py
@@ -3,7 +3,7 @@
 from collections import Counter, defaultdict
 
 from merlinstand_lab.checkers.report import PromiseResult, Violation
-from merlinstand_lab.records.kinds import CallerOutcome
+from merlinstand_lab.records.kinds import CallerOutcome, GenerationOutcome
 from merlinstand_lab.records.record_set import RecordSet
 
 
@@ -30,7 +30,16 @@
         if count > 1
     ]
     whole = len(records.samples)
+    # An engine records the end of a generation before it tells anybody.
+    ended = {
+        generation.request_id
+        for generation in records.generations
+        if generation.outcome in (GenerationOutcome.STOP, GenerationOutcome.LENGTH)
+    }
     for sample in records.samples:
+        if sample.produced and sample.produced[-1][0] not in ended:
+            detail = f"its last engine did not come to the end of {sample.produced[-1][0]}"
+            violations.append(Violation(sample.sample_id, detail))
         end_token = sample.produced[-1][3] if sample.produced else 0
         if end_token != sample.token_count or sample.token_count == 0:
             detail = f"text ends at token {end_token} of {sample.token_count}"
--- a/src/merlinstand_lab/simulator/injector.py
+++ b/src/merlinstand_lab/simulator/injector.py
@@ -67,7 +67,9 @@
         if target:
             fault = msgspec.structs.replace(fault, node=self._resolve(target))
         self._strikers[type(fault)](fault)
-        self._record(fault)
+        if not isinstance(fault, ft.PlannedStop):
+            # A planned stop is no fault: nothing may be excused by it.
+            self._record(fault)
 
     def _record(self, fault: ft.AnyFault) -> None:
         kind = str(type(fault).__struct_config__.tag)
--- a/src/merlinstand_lab/simulator/scenarios/control.py
+++ b/src/merlinstand_lab/simulator/scenarios/control.py
@@ -208,6 +208,23 @@
     return control_plan(source, faults)
 
 
+@scenario("kill-at-heal")
+def kill_at_heal(source: random.Random) -> Plan:
+    """A replica that was cut off comes back behind in the moment in which the leader dies."""
+    faults: list[ft.AnyFault] = []
+    at = sc.FIRST_FAULT_SECONDS + source.uniform(0.0, 2.0)
+    for _ in range(source.randint(1, 3)):
+        seconds = source.uniform(0.5, 3.0)
+        node = source.choice(NODES)
+        inward = source.random() < 0.7
+        outward = not inward or source.random() < 0.5
+        faults.append(ft.Isolate(at=at, node=node, seconds=seconds, inward=inward, outward=outward))
+        kill = sc.kill(source, ft.LEADER, at + seconds + source.uniform(-0.3, 0.1))
+        faults.append(kill)
+        at = kill.healed_at() + source.uniform(0.0, 2.0)
+    return control_plan(source, faults)
+
+
 @scenario("control-chaos")
 def control_chaos(source: random.Random) -> Plan:
     """Any faults of the control group, together and twice, also while it is founded."""
--- a/src/merlinstand_lab/simulator/scenarios/whole.py
+++ b/src/merlinstand_lab/simulator/scenarios/whole.py
@@ -29,11 +29,14 @@
 
 
 def whole_plan(
-    sizes: Sizes, faults: list[ft.AnyFault], script: tuple[ScriptedCommand, ...] = ()
+    sizes: Sizes,
+    faults: list[ft.AnyFault],
+    script: tuple[ScriptedCommand, ...] = (),
+    **changes: object,
 ) -> Plan:
     """Return a plan of a whole deployment with a few racing operators."""
     plan = Plan(
-        fleet=FleetPlan(sizes=sizes, parts=Parts.WHOLE, standbys=1),
+        fleet=FleetPlan(sizes=sizes, parts=Parts.WHOLE, standbys=1, **changes),  # type: ignore[arg-type]
         faults=tuple(faults),
         script=script,
         recovery_seconds=WHOLE_RECOVERY_SECONDS,
@@ -70,7 +73,7 @@
     faults: list[ft.AnyFault] = [
         sc.kill(source, source.choice(GATEWAYS), at) for at in times(source, 2, 5)
     ]
-    return whole_plan(TATRASOFT_SIZES, faults)
+    return whole_plan(TATRASOFT_SIZES, faults, bookings_per_second=6.0)
 
 
 @scenario("control-failover-during-claim")
@@ -80,7 +83,7 @@
     for at in times(source, 1, 4):
         fault = source.choice((sc.kill, sc.freeze, sc.isolate, sc.one_way))
         faults.append(fault(source, ft.LEADER, at))
-    return whole_plan(TATRASOFT_SIZES, faults)
+    return whole_plan(TATRASOFT_SIZES, faults, bookings_per_second=6.0)
 
 
 @scenario("coordinator-kill")
@@ -149,6 +152,16 @@
     return whole_plan(sizes, faults)
 
 
+@scenario("service-crash")
+def service_crash(source: random.Random) -> Plan:
+    """Service servers crash, freeze or are cut off in the middle of bookings."""
+    faults: list[ft.AnyFault] = []
+    for at in times(source, 3, 6):
+        fault = source.choice((sc.kill, sc.kill, sc.freeze, sc.isolate, sc.one_way))
+        faults.append(fault(source, source.choice(services(TATRASOFT_SIZES)), at, 4.0))
+    return whole_plan(TATRASOFT_SIZES, faults, bookings_per_second=10.0)
+
+
 @scenario("planned-stop")
 def planned_stop(source: random.Random) -> Plan:
     """Daemons are stopped by plan, under load; nothing in flight is cut off."""
@@ -157,7 +170,7 @@
         ft.PlannedStop(at=FIRST_FAULT_SECONDS + 6.0 * number + source.random(), node=node)
         for number, node in enumerate(nodes)
     ]
-    return whole_plan(either(source), faults)
+    return whole_plan(either(source), faults, completions_per_second=2.0, bookings_per_second=4.0)
 
 
 @scenario("drain")
