Count samples that may leave at the bound as supply; give hopeless ones up at once

The first cycle, whose step length is not known, was planned without over-commit. Change: supplies carry the staleness at which a batch takes them; a sample that expired after 0.6 of the time its bound allows is not begun again; over-commit also before the first measured step; jobs with several consumers keep a margin of one version under any bound.

--- a/src/merlinstand/coordinator/batches.py
+++ b/src/merlinstand/coordinator/batches.py
@@ -86,6 +86,10 @@
         """Return the forecast of a consumer's cycle."""
         return self.forecasts.setdefault(consumer, ConsumerForecast())
 
+    def last_delivered_at(self) -> float:
+        """Return when the last batch was committed."""
+        return max(self._delivered_at.values(), default=-math.inf)
+
     def load(self, answer: LedgerAnswer, slot_of: dict[str, int]) -> None:
         """Take positions from the ledger.
 
--- a/src/merlinstand/coordinator/forecast.py
+++ b/src/merlinstand/coordinator/forecast.py
@@ -15,6 +15,8 @@
     """Newest version expected to be published when it is asked for."""
     count: int
     """Samples in it."""
+    waited_for: bool = True
+    """Whether its consumer waits for it already."""
 
 
 class ConsumerForecast:
@@ -82,12 +84,13 @@
             One demand a batch, soonest first.
         """
         versions_per_cycle = round(self._versions_per_cycle)
+        waited_for = self._waiting
         due_at = now
         if not self._waiting and self._delivered_at is not None:
             due_at = max(now, self._delivered_at + (self._step_seconds or 0.0))
             published = newest - self._newest_at_delivery
             newest += max(0, versions_per_cycle - published)
-        demands = [Demand(0, due_at, newest, count)]
+        demands = [Demand(0, due_at, newest, count, waited_for)]
         # A consumer that never asked may not exist yet: one batch is kept for it, no more.
         if not self._asked_before:
             return demands
@@ -95,7 +98,7 @@
         for ahead in range(1, rounds + 1):
             due_at += cycle_seconds
             newest += versions_per_cycle
-            demands.append(Demand(ahead, due_at, newest, count))
+            demands.append(Demand(ahead, due_at, newest, count, False))
         return demands
 
 
--- a/src/merlinstand/coordinator/jobs.py
+++ b/src/merlinstand/coordinator/jobs.py
@@ -38,6 +38,9 @@
 from merlinstand.policy.records import RequestRecord
 
 PAUSED_RETRY_SECONDS = 2.0
+HOPELESS_SHARE = 0.6
+"""A sample that expired after so much of the time that its bound allows is not begun again."""
+
 HOUSEKEEPING_SECONDS = 0.2
 """Interval of looking for stalled, leaving and expired work."""
 
@@ -280,8 +283,7 @@
             return wishes
         starts = plan_starts(
             self.demands(),
-            self._supply.supplies(context, terms, self._settling),
-            now=context.now,
+            self._supply.supplies(context, terms, self._settling, self.desk.last_delivered_at()),
             usual_staleness=usual,
             over_commit_factor=context.settings.generation.over_commit_factor,
         )
@@ -372,11 +374,20 @@
                 "sample.expired", job=self.job.name, slot=slot, tokens=generation.token_count
             )
             self.generations.cancel(self._context, generation)
-            self._expire_slot(slot)
-
-    def _expire_slot(self, slot: int) -> None:
+            self._expire_slot(slot, hopeless=self._is_hopeless(generation))
+
+    def _is_hopeless(self, generation: Generation) -> bool:
+        """Tell whether a sample is too long for its bound even from the start of a version."""
+        cycle_seconds = self.shortest_cycle_seconds()
+        if cycle_seconds is None:
+            return False
+        most_seconds = self.terms().bound.maximum_versions * cycle_seconds
+        spent_seconds = self.generations.speed.seconds(generation.token_count)
+        return spent_seconds > HOPELESS_SHARE * most_seconds
+
+    def _expire_slot(self, slot: int, *, hopeless: bool) -> None:
         self._context.count("samples_expired_total", job=self.job.name, stage="generating")
-        if self._store.expire(slot):
+        if self._store.expire(slot, hopeless=hopeless):
             self._context.count("slots_given_up_total", job=self.job.name, reason="staleness")
             for member in self._store.unit(slot):
                 self._cancel_slot(member)
--- a/src/merlinstand/coordinator/planning.py
+++ b/src/merlinstand/coordinator/planning.py
@@ -16,6 +16,8 @@
     finish_at: float
     """Expected time at which the last of them is finished; the past if it is."""
     count: int
+    allowed_staleness: int
+    """Largest staleness, in versions, at which a batch will take them."""
 
 
 class PlannedStart(msgspec.Struct, frozen=True):
@@ -31,7 +33,6 @@
     demands: Sequence[Demand],
     supplies: Sequence[Supply],
     *,
-    now: float,
     usual_staleness: int,
     over_commit_factor: float,
 ) -> list[PlannedStart]:
@@ -44,7 +45,6 @@
     Args:
         demands: Expected batches of all consumers.
         supplies: Finished samples and those in progress.
-        now: Local monotonic time.
         usual_staleness: Largest staleness, in versions, of an ordinary sample.
         over_commit_factor: Most samples in progress for a batch, as a multiple of its size.
 
@@ -55,8 +55,12 @@
     starts = []
     for demand in sorted(demands, key=lambda demand: (demand.round, demand.due_at)):
         minimum_version = demand.newest_version - usual_staleness
-        fitting = [supply for supply in unassigned if supply.oldest_version >= minimum_version]
-        spare = _spare(demand, fitting, now, over_commit_factor)
+        fitting = [
+            supply
+            for supply in unassigned
+            if demand.newest_version - supply.oldest_version <= supply.allowed_staleness
+        ]
+        spare = _spare(demand, fitting, over_commit_factor)
         taken = _take(fitting, demand.count + spare)
         missing = demand.count + spare - sum(supply.count for supply in taken)
         if missing > 0:
@@ -66,10 +70,11 @@
     return starts
 
 
-def _spare(demand: Demand, fitting: Sequence[Supply], now: float, over_commit_factor: float) -> int:
+def _spare(demand: Demand, fitting: Sequence[Supply], over_commit_factor: float) -> int:
     """Return how many samples to have in progress beyond the batch's size."""
-    if demand.due_at <= now:
+    if demand.waited_for:
         return 0
+    # While the length of the consumer's step is not known, the batch is due at any moment.
     late = sum(supply.count for supply in fitting if supply.finish_at > demand.due_at)
     return min(late, math.ceil(demand.count * (over_commit_factor - 1.0)))
 
--- a/src/merlinstand/coordinator/staleness.py
+++ b/src/merlinstand/coordinator/staleness.py
@@ -47,11 +47,15 @@
 
     maximum_versions: int
     maximum_seconds: float | None = None
+    sole_consumer: bool = True
+    """Whether one trainer alone receives the batches: then nobody else publishes between a
+    commit and its receipt, and the whole bound may be used up."""
 
     @property
     def usual_versions(self) -> int:
         """Largest staleness at commit of an ordinary sample."""
-        return self.maximum_versions - 1 if self.maximum_versions >= 2 else self.maximum_versions
+        keeps_margin = self.maximum_versions >= 2 or not self.sole_consumer
+        return max(0, self.maximum_versions - 1) if keeps_margin else self.maximum_versions
 
     def allows(self, oldest: int, newest: int, age_seconds: float, *, at_bound: bool) -> bool:
         """Tell whether a sample may be committed.
--- a/src/merlinstand/coordinator/store.py
+++ b/src/merlinstand/coordinator/store.py
@@ -6,7 +6,7 @@
 from merlinstand.coordinator.samples import Sample
 from merlinstand.coordinator.slots import SlotState, SlotTable
 
-MAXIMUM_EXPIRATIONS = 3
+MAXIMUM_EXPIRATIONS = 2
 """A slot whose sample expired so often is given up: it runs longer than versions live."""
 
 MAXIMUM_DROPS = 3
@@ -120,13 +120,17 @@
         self._remove(slot)
         self.slots.set_state(slot, SlotState.WANTED)
 
-    def expire(self, slot: int) -> bool:
+    def expire(self, slot: int, *, hopeless: bool = False) -> bool:
         """A sample would be too old before it ends; its slot is begun again, or given up.
 
+        Args:
+            slot: The sample's slot.
+            hopeless: Whether it would be too old again however soon it was begun.
+
         Returns:
             Whether the slot was given up.
         """
-        return self._again(slot, self._expirations, MAXIMUM_EXPIRATIONS)
+        return self._again(slot, self._expirations, 1 if hopeless else MAXIMUM_EXPIRATIONS)
 
     def drop(self, slot: int) -> bool:
         """The policy dropped a sample; its slot is generated again, or given up.
--- a/src/merlinstand/coordinator/supply.py
+++ b/src/merlinstand/coordinator/supply.py
@@ -25,6 +25,7 @@
 
     oldest_version: int
     finish_at: float
+    passed_over: bool = False
 
 
 class SupplyBook:
@@ -40,6 +41,7 @@
         self._store = store
         self._generations = generations
         self._lengths = lengths
+        self._delivered_at = -math.inf
 
     def remaining_tokens(self, generation: Generation) -> float:
         """Return the tokens that a generation is expected to make yet."""
@@ -52,14 +54,18 @@
         seconds = self._generations.speed.seconds(self.remaining_tokens(generation))
         return now + max(seconds, 1e-3)
 
-    def supplies(self, context: Context, terms: JobTerms, settling: Iterable[int]) -> list[Supply]:
+    def supplies(
+        self, context: Context, terms: JobTerms, settling: Iterable[int], delivered_at: float
+    ) -> list[Supply]:
         """Return the units that are finished or wholly in progress.
 
         Args:
             context: Shared state.
             terms: The job's terms.
             settling: Slots whose finished samples wait for a score or the journal.
+            delivered_at: When the last batch left.
         """
+        self._delivered_at = delivered_at
         settling_slots = set(settling)
         supplies = []
         seen: set[int] = set()
@@ -90,7 +96,11 @@
             return None
         oldest = min(member.oldest_version for member in members)
         finish_at = max(member.finish_at for member in members)
-        return Supply(oldest, finish_at, len(members))
+        # A sample that no batch could take sooner may leave at the bound itself.
+        to_the_bound = terms.sole_consumer and not any(member.passed_over for member in members)
+        bound = terms.bound
+        allowed = bound.maximum_versions if to_the_bound else bound.usual_versions
+        return Supply(oldest, finish_at, len(members), allowed)
 
     def _member(
         self, context: Context, terms: JobTerms, slot: int, settling: set[int]
@@ -99,7 +109,8 @@
         sample = self._store.samples.get(slot)
         if sample is not None:
             ready = state is SlotState.READY
-            return Member(sample.oldest_version, -math.inf) if ready else None
+            passed_over = self._store.durable_at(slot) <= self._delivered_at
+            return Member(sample.oldest_version, -math.inf, passed_over) if ready else None
         if slot in settling:
             return Member(terms.clock.newest, context.now + 1e-3)
         generation = self._generations.of_slot(slot)
--- a/src/merlinstand/coordinator/terms.py
+++ b/src/merlinstand/coordinator/terms.py
@@ -26,7 +26,9 @@
     def bound(self) -> StalenessBound:
         """The staleness bound of the policy."""
         return StalenessBound(
-            self.policy.maximum_staleness_versions, self.policy.maximum_staleness_seconds
+            self.policy.maximum_staleness_versions,
+            self.policy.maximum_staleness_seconds,
+            self.sole_consumer,
         )
 
     @property
