--- a/src/merlinstand/coordinator/forecast.py
+++ b/src/merlinstand/coordinator/forecast.py
@@ -17,8 +17,6 @@
     """Samples in it."""
     waited_for: bool = True
     """Whether its consumer waits for it already."""
-    due_known: bool = True
-    """False before the first step of the consumer was measured: it may ask at any moment."""
 
 
 class ConsumerForecast:
@@ -87,13 +85,12 @@
         """
         versions_per_cycle = round(self._versions_per_cycle)
         waited_for = self._waiting
-        known = self._waiting or self._step_seconds is not None
         due_at = now
         if not self._waiting and self._delivered_at is not None:
             due_at = max(now, self._delivered_at + (self._step_seconds or 0.0))
             published = newest - self._newest_at_delivery
             newest += max(0, versions_per_cycle - published)
-        demands = [Demand(0, due_at, newest, count, waited_for, known)]
+        demands = [Demand(0, due_at, newest, count, waited_for)]
         # A consumer that never asked may not exist yet: one batch is kept for it, no more.
         if not self._asked_before:
             return demands
--- a/src/merlinstand/coordinator/jobs.py
+++ b/src/merlinstand/coordinator/jobs.py
@@ -284,8 +284,6 @@
         starts = plan_starts(
             self.demands(),
             self._supply.supplies(context, terms, self._settling, self.desk.last_delivered_at()),
-            now=context.now,
-            typical_seconds=self.typical_sample_seconds(),
             usual_staleness=usual,
             over_commit_factor=context.settings.generation.over_commit_factor,
         )
--- a/src/merlinstand/coordinator/planning.py
+++ b/src/merlinstand/coordinator/planning.py
@@ -33,23 +33,18 @@
     demands: Sequence[Demand],
     supplies: Sequence[Supply],
     *,
-    now: float,
-    typical_seconds: float,
     usual_staleness: int,
     over_commit_factor: float,
 ) -> list[PlannedStart]:
     """Match supplies to demands, soonest first, and plan what is lacking.
 
     A sample in progress that is expected to end after its batch is due is replaced, within
-    `over_commit_factor`, and carried over to the next batch. When a replacement would come
-    too late as well, nothing is begun in place of stragglers; once the batch is waited for,
-    what is begun for later batches may overtake them.
+    `over_commit_factor`, and carried over to the next batch. Once the batch is due nothing is
+    begun in place of stragglers: what is begun for later batches may overtake them.
 
     Args:
         demands: Expected batches of all consumers.
         supplies: Finished samples and those in progress.
-        now: Local monotonic time.
-        typical_seconds: Time that half of the samples take.
         usual_staleness: Largest staleness, in versions, of an ordinary sample.
         over_commit_factor: Most samples in progress for a batch, as a multiple of its size.
 
@@ -65,8 +60,7 @@
             for supply in unassigned
             if demand.newest_version - supply.oldest_version <= supply.allowed_staleness
         ]
-        in_time = now + typical_seconds <= demand.due_at or not demand.due_known
-        spare = _spare(demand, fitting, over_commit_factor) if in_time else 0
+        spare = _spare(demand, fitting, over_commit_factor)
         taken = _take(fitting, demand.count + spare)
         missing = demand.count + spare - sum(supply.count for supply in taken)
         if missing > 0:
@@ -80,6 +74,7 @@
     """Return how many samples to have in progress beyond the batch's size."""
     if demand.waited_for:
         return 0
+    # While the length of the consumer's step is not known, the batch is due at any moment.
     late = sum(supply.count for supply in fitting if supply.finish_at > demand.due_at)
     return min(late, math.ceil(demand.count * (over_commit_factor - 1.0)))
 
