--- a/src/merlinstand_lab/standins/trainer.py
+++ b/src/merlinstand_lab/standins/trainer.py
@@ -47,6 +47,7 @@
 
     consumer: str
     steps: int
+    """Steps completed, and so recorded."""
     version: int
     waiting: bool
     samples: int
@@ -69,6 +70,7 @@
         self._asked_at: float | None = None
         self._step: StepRecord | None = None
         self._samples = 0
+        self._steps_done = 0
 
     def start(self, event: Started, now: float) -> Sequence[Effect]:
         """Publish the first weights, or just begin to pull."""
@@ -106,7 +108,7 @@
             return door.respond_not_found(event)
         progress = TrainerProgress(
             consumer=self._settings.consumer,
-            steps=self._last_batch,
+            steps=self._steps_done,
             version=self._version,
             waiting=self._asked_at is not None,
             samples=self._samples,
@@ -241,6 +243,7 @@
         assert self._step is not None
         step = msgspec.structs.replace(self._step, step_ended_at=now)
         self._step = None
+        self._steps_done += 1
         effects: list[Effect] = [WriteRecord(f"idle-{self._settings.consumer}", step)]
         due = step.batch % self._settings.publish_every_steps == 0
         if self._settings.publishes and due:
