--- a/src/merlinstand_lab/checkers/requests.py
+++ b/src/merlinstand_lab/checkers/requests.py
@@ -32,13 +32,15 @@
     whole = len(records.samples)
     # An engine records the end of a generation before it tells anybody.
     ended = {
-        generation.request_id
+        (generation.request_id, generation.spans[-1][2])
         for generation in records.generations
-        if generation.outcome in (GenerationOutcome.STOP, GenerationOutcome.LENGTH)
+        if generation.spans
+        and generation.outcome in (GenerationOutcome.STOP, GenerationOutcome.LENGTH)
     }
     for sample in records.samples:
-        if sample.produced and sample.produced[-1][0] not in ended:
-            detail = f"its last engine did not come to the end of {sample.produced[-1][0]}"
+        last_request = sample.produced[-1][0] if sample.produced else ""
+        if (last_request, sample.token_count) not in ended:
+            detail = f"its engine did not end {last_request} at token {sample.token_count}"
             violations.append(Violation(sample.sample_id, detail))
         end_token = sample.produced[-1][3] if sample.produced else 0
         if end_token != sample.token_count or sample.token_count == 0:
--- a/tests/simulator/mutants.py
+++ b/tests/simulator/mutants.py
@@ -75,7 +75,8 @@
 
 def _logs_always_meet(follower: Any, request: Any) -> tuple[int, bool]:
     log = follower._state.log
-    return min(max(0, log.base_index - request.previous_index), len(request.entries)), True
+    behind = min(max(0, log.base_index - request.previous_index), len(request.entries))
+    return behind, request.previous_index <= log.last_index
 
 
 def _send_at_once(state: Any, receiver: Any, message: Any) -> None:
