Tests of the coordinator, event by event; silent engines get no new work after 2.5 s

Found by the tests: a stream taken off a silent engine after 3 s was sent back to it, because its last report counted for 5 s; a mismatch of positions waited for the next tick.

--- a/src/merlinstand/coordinator/daemon.py
+++ b/src/merlinstand/coordinator/daemon.py
@@ -69,10 +69,17 @@
     Hosts call `start` once and `reduce` for every event (`kernel.reducer.Reducer`).
     """
 
-    def __init__(self, settings: CoordinatorSettings) -> None:
-        """Remember the settings; nothing happens before `start`."""
+    def __init__(
+        self, settings: CoordinatorSettings, session: ControlSession | None = None
+    ) -> None:
+        """Make a coordinator that has not started.
+
+        Args:
+            settings: Identity and tunables.
+            session: Its session with control; made from the settings if None.
+        """
         self._settings = settings
-        self._session = ControlSession(_session_settings(settings))
+        self._session = session or ControlSession(_session_settings(settings))
         self._context = Context(settings, self._session)
         self._work = Workplace(self._context, Random(0))
         self._calls = CallRouter(self._context, self._work)
--- a/src/merlinstand/coordinator/engines.py
+++ b/src/merlinstand/coordinator/engines.py
@@ -20,8 +20,10 @@
 )
 from merlinstand.routing.settings import RouterSettings
 
-STATUS_EXPIRY_SECONDS = 5.0
-"""An engine whose last report was received longer ago gets no new work."""
+STATUS_EXPIRY_SECONDS = 2.5
+"""An engine whose last report was received longer ago gets no new work. Shorter than
+`GenerationSettings.stall_seconds`, so that a stream taken off a silent engine is not sent
+back to it."""
 
 URGENT_STATUS_SECONDS = 0.1
 """Interval of reports while an order is under way or after a refusal."""
--- a/src/merlinstand/coordinator/jobs.py
+++ b/src/merlinstand/coordinator/jobs.py
@@ -161,6 +161,7 @@
             self.changed = True
             self.desk.ask(context, request_id, request)
             self.serve()
+            self._read_ledger_if_wanted()
 
     def serve(self) -> None:
         """Answer the trainers that can be."""
--- /dev/null
+++ b/tests/coordinator/driver.py
@@ -0,0 +1,556 @@
+"""Drives a coordinator event by event: the real ledger, scripted control, engines by hand."""
+
+import json
+from collections.abc import Sequence
+from types import MappingProxyType
+from typing import Any
+
+import msgspec
+
+from merlinstand.common.ids import CallId, CommandId, NodeId, RequestId
+from merlinstand.configuration.objects import (
+    Backend,
+    Drain,
+    Job,
+    Pool,
+    PoolKind,
+    Weights,
+    WeightVersion,
+)
+from merlinstand.control.commands import Command, CommitBatch, Refused
+from merlinstand.control.ledger import JobLedger
+from merlinstand.control.queries import LedgerQuery, Query
+from merlinstand.control.weights import StalenessBound
+from merlinstand.coordinator.daemon import TICK_TIMER, CoordinatorDaemon
+from merlinstand.coordinator.settings import CoordinatorSettings
+from merlinstand.kernel.effects import (
+    AppendRecords,
+    CancelCall,
+    Effect,
+    Respond,
+    SaveSnapshot,
+    StartCall,
+    StopProcess,
+)
+from merlinstand.kernel.events import (
+    CallChunk,
+    CallEnded,
+    CallFailed,
+    CallHeaders,
+    CallPhase,
+    CallResponded,
+    Event,
+    MessageReceived,
+    RecordsSynced,
+    RequestAborted,
+    RequestReceived,
+    SnapshotSaved,
+    Started,
+    StopRequested,
+    TimerFired,
+)
+from merlinstand.session.control_session import ControlSession, SessionStep
+from merlinstand.session.lease_keeper import HeldLease
+from merlinstand.session.notices import (
+    CommandFinished,
+    ConfigurationChanged,
+    LeaseGained,
+    LeaseLost,
+    Notice,
+    QueryFinished,
+)
+from merlinstand.session.view import ConfigurationView
+
+JOB = "blurbs"
+POOL = "blurb-llm"
+MODEL = "blurb"
+
+
+class Waiting(msgspec.Struct):
+    """A command or query that control has not answered."""
+
+    request_id: CommandId
+    content: Any
+
+
+class ScriptedSession(ControlSession):
+    """A session whose answers the test gives."""
+
+    def __init__(self, run: str) -> None:
+        self.scripted_view = ConfigurationView()
+        self.may_take = True
+        self.held: dict[str, HeldLease] = {}
+        self.wanted: list[str] = []
+        self.waiting: list[Waiting] = []
+        self.stopped = False
+        self.refreshes = 0
+        self.next_step = SessionStep()
+        self._run = run
+        self._made = 0
+
+    @property
+    def view(self) -> ConfigurationView:
+        return self.scripted_view
+
+    @property
+    def run_name(self) -> str:
+        return self._run
+
+    @property
+    def is_idle(self) -> bool:
+        return not self.waiting
+
+    def start(self, event: Started, now: float) -> SessionStep:
+        return SessionStep()
+
+    def handles(self, event: Event) -> bool:
+        return isinstance(event, MessageReceived)
+
+    def reduce(self, event: Event, now: float) -> SessionStep:
+        step, self.next_step = self.next_step, SessionStep()
+        return step
+
+    def _wait(self, content: Any) -> CommandId:
+        self._made += 1
+        request_id = CommandId(f"{self._run}/{self._made}")
+        self.waiting.append(Waiting(request_id, content))
+        return request_id
+
+    def submit(
+        self,
+        command: Command,
+        now: float,
+        *,
+        command_id: CommandId | None = None,
+        timeout_seconds: float | None = None,
+    ) -> tuple[CommandId, Sequence[Effect]]:
+        return self._wait(command), ()
+
+    def query(
+        self, query: Query, now: float, *, timeout_seconds: float = 5.0
+    ) -> tuple[CommandId, Sequence[Effect]]:
+        return self._wait(query), ()
+
+    def may_take_new_work(self, now: float) -> bool:
+        return self.may_take
+
+    def refresh(self, now: float) -> Sequence[Effect]:
+        self.refreshes += 1
+        return ()
+
+    def want_lease(self, resource: str, now: float) -> Sequence[Effect]:
+        self.wanted.append(resource)
+        return ()
+
+    def give_up_lease(self, resource: str, now: float) -> Sequence[Effect]:
+        self.held.pop(resource, None)
+        return ()
+
+    def lease(self, resource: str, now: float) -> HeldLease | None:
+        held = self.held.get(resource)
+        return held if held is not None and now < held.expires_at else None
+
+    def durable_records(self) -> tuple[bytes, ...]:
+        return (b"session-record",)
+
+    def stop(self, now: float) -> Sequence[Effect]:
+        self.stopped = True
+        return ()
+
+
+class Control:
+    """What survives any coordinator: the ledger, the published versions, lease epochs."""
+
+    def __init__(self, job: Job) -> None:
+        self.job = job
+        self.ledger = JobLedger()
+        self.epoch = 0
+        self.newest = 0
+        self.committed: list[CommitBatch] = []
+
+    def answer(self, content: Any) -> Any:
+        if isinstance(content, LedgerQuery):
+            return self.ledger.answer(self.job)
+        assert isinstance(content, CommitBatch)
+        if content.lease_epoch != self.epoch:
+            return Refused(code="fenced", detail="older epoch")
+        oldest = self.newest - self.job.policy.maximum_staleness_versions
+        outcome = self.ledger.commit(content, StalenessBound(self.newest, oldest))
+        if not isinstance(outcome, Refused):
+            self.committed.append(content)
+        return outcome
+
+
+class Stream(msgspec.Struct):
+    """An open completion call, seen from its engine."""
+
+    call_id: CallId
+    address: str
+    request: dict[str, Any]
+    spans: list[list[int]]
+    ended: bool = False
+
+    @property
+    def request_id(self) -> str:
+        return str(self.request["request_id"])
+
+    @property
+    def token_count(self) -> int:
+        return self.spans[-1][2] if self.spans else 0
+
+
+def engine_pool(count: int = 2) -> Pool:
+    """A pool of engines in one zone."""
+    backends = tuple(
+        Backend(f"engine-{number}", f"10.0.1.{number}:80", "hall-a") for number in range(count)
+    )
+    return Pool(name=POOL, kind=PoolKind.ENGINE, model=MODEL, backends=backends)
+
+
+def make_job(**changes: Any) -> Job:
+    """A job of small batches."""
+    fields: dict[str, Any] = {
+        "name": JOB,
+        "model": MODEL,
+        "pool": POOL,
+        "batch_size": 4,
+        "prompts": ("first prompt", "second prompt", "third prompt"),
+        "maximum_tokens": 100,
+    }
+    return Job(**{**fields, **changes})
+
+
+class CoordinatorDriver:
+    """A coordinator, its clock and everything it asked for."""
+
+    def __init__(
+        self,
+        job: Job | None = None,
+        *,
+        control: Control | None = None,
+        pool: Pool | None = None,
+        run: str = "coordinator-1/a",
+        journal: Sequence[bytes] = (),
+        snapshot: bytes | None = None,
+        lead: bool = True,
+        **changes: Any,
+    ) -> None:
+        self.control = control or Control(job or make_job())
+        self.pool = pool or engine_pool()
+        self.now = 100.0
+        self.session = ScriptedSession(run)
+        settings = CoordinatorSettings(
+            node_id="coordinator-1",
+            zone="hall-a",
+            address="10.9.0.1:1",
+            http_address="10.9.0.1:2",
+            control_members=(),
+            **changes,
+        )
+        self.daemon = CoordinatorDaemon(settings, self.session)
+        self.streams: dict[CallId, Stream] = {}
+        self.calls: list[StartCall] = []
+        self.responses: dict[str, Respond] = {}
+        self.journal: list[bytes] = list(journal)
+        self.snapshot = snapshot
+        self.unsynced: list[AppendRecords | SaveSnapshot] = []
+        self.exit_code: int | None = None
+        self.status_of: dict[str, dict[str, Any]] = {}
+        self.orders: list[tuple[str, dict[str, Any]]] = []
+        self.cancelled_requests: list[str] = []
+        self._asked = 0
+        started = Started(NodeId("coordinator-1"), 1, 7, snapshot, tuple(journal))
+        self._perform(self.daemon.start(started, self.now))
+        self.publish(max(1, self.control.newest))
+        for backend in self.pool.backends:
+            self.serve(backend.backend_id, self.control.newest)
+        if lead:
+            self.lead()
+            self.tick()  # Status requests go out, and are answered.
+
+    # --- control --------------------------------------------------------------------
+
+    def notify(self, *notices: Notice) -> None:
+        """Have the session tell something."""
+        self.session.next_step = SessionStep((), notices)
+        self.send(MessageReceived(NodeId("control-1"), None))
+
+    def lead(self) -> None:
+        """Grant the job's lease under a new epoch and let the ledger be read."""
+        self.control.epoch += 1
+        resource = f"job/{JOB}"
+        self.session.held[resource] = HeldLease(resource, self.control.epoch, self.now + 1e6)
+        self.notify(LeaseGained(resource=resource, epoch=self.control.epoch))
+        self.settle()
+
+    def lead_engines(self, epoch: int = 1) -> None:
+        """Grant the lease of the pool's engines."""
+        resource = f"engines/{POOL}"
+        self.session.held[resource] = HeldLease(resource, epoch, self.now + 1e6)
+        self.notify(LeaseGained(resource=resource, epoch=epoch))
+
+    def lose(self, resource: str = f"job/{JOB}") -> None:
+        """Take a lease away."""
+        held = self.session.held.pop(resource)
+        self.notify(LeaseLost(resource=resource, epoch=held.epoch, reason="taken"))
+
+    def configure(self, job: Job | None = None, drains: Sequence[str] = ()) -> None:
+        """Put the configuration in force."""
+        self.control.job = job or self.control.job
+        view = ConfigurationView()
+        view.revision = self.session.scripted_view.revision + 1
+        view.pools = MappingProxyType({POOL: self.pool})
+        view.jobs = MappingProxyType({JOB: self.control.job})
+        view.drains = MappingProxyType({name: Drain(name) for name in drains})
+        versions = tuple(
+            WeightVersion(number, f"digest-{number}", "10.0.9.1:80", 10, float(number))
+            for number in range(1, self.control.newest + 1)
+        )
+        view.weights = MappingProxyType({MODEL: Weights(MODEL, versions)})
+        self.session.scripted_view = view
+        self.notify(ConfigurationChanged(revision=view.revision, changed_keys=()))
+
+    def publish(self, version: int) -> None:
+        """Publish weights up to a version."""
+        self.control.newest = version
+        self.configure()
+
+    def settle(self) -> None:
+        """Let control answer everything and the disk sync everything."""
+        while self.session.waiting or self.unsynced:
+            self.sync()
+            self.answer_control()
+
+    def answer_control(self) -> None:
+        """Let control answer what waits."""
+        waiting, self.session.waiting = self.session.waiting, []
+        for request in waiting:
+            self.answer_one(request)
+
+    def answer_one(self, request: Waiting) -> None:
+        """Let control answer one command or query."""
+        answer = self.control.answer(request.content)
+        if isinstance(request.content, LedgerQuery):
+            self.notify(QueryFinished(query_id=request.request_id, answer=answer))
+        else:
+            finished = CommandFinished(
+                command_id=request.request_id, command=request.content, outcome=answer
+            )
+            self.notify(finished)
+
+    def sync(self) -> None:
+        """Let the disk sync what was written."""
+        written, self.unsynced = self.unsynced, []
+        for effect in written:
+            if isinstance(effect, SaveSnapshot):
+                self.snapshot, self.journal = effect.data, list(effect.records)
+                self.send(SnapshotSaved(effect.token))
+            else:
+                self.journal.extend(effect.records)
+                self.send(RecordsSynced(effect.token))
+
+    # --- time and events ------------------------------------------------------------
+
+    def send(self, event: Event) -> None:
+        """Deliver an event and perform its effects."""
+        self._perform(self.daemon.reduce(event, self.now))
+
+    def tick(self, seconds: float = 0.5) -> None:
+        """Let time pass and the scheduler run; engines answer status requests at once."""
+        self.now += seconds
+        self.send(TimerFired(TICK_TIMER))
+        self.settle()
+
+    def stop(self) -> None:
+        """Ask for a planned stop."""
+        self.send(StopRequested())
+
+    def _perform(self, effects: Sequence[Effect]) -> None:
+        answers: list[Event] = []
+        for effect in effects:
+            if isinstance(effect, StartCall):
+                answers.extend(self._call(effect))
+            elif isinstance(effect, CancelCall):
+                self.streams.pop(effect.call_id, None)
+            elif isinstance(effect, AppendRecords | SaveSnapshot):
+                self.unsynced.append(effect)
+            elif isinstance(effect, Respond):
+                assert effect.request_id not in self.responses, "answered twice"
+                self.responses[effect.request_id] = effect
+            elif isinstance(effect, StopProcess):
+                self.exit_code = effect.exit_code
+        for answer in answers:
+            self.send(answer)
+
+    def _call(self, call: StartCall) -> list[Event]:
+        self.calls.append(call)
+        if call.path == "/v1/completions":
+            self.streams[call.call_id] = self._open(call)
+        elif call.path == "/v1/status":
+            return self._status(call)
+        elif call.path == "/v1/orders":
+            self.orders.append((call.call_id, json.loads(call.body)))
+        elif call.path == "/v1/cancel":
+            self.cancelled_requests.append(json.loads(call.body)["request_id"])
+        return []
+
+    # --- engines --------------------------------------------------------------------
+
+    def serve(self, backend_id: str, version: int, **changes: Any) -> None:
+        """Set what an engine's status says from now on."""
+        loaded = [{"version": version, "digest": f"digest-{version}"}] if version else []
+        fields = {
+            "backend_id": backend_id,
+            "state": "ready",
+            "model": MODEL,
+            "active_version": version,
+            "active_digest": f"digest-{version}" if version else "",
+            "loaded": loaded,
+            "incarnation": 1,
+        }
+        self.status_of[backend_id] = {**fields, **changes}
+
+    def serve_all(self, version: int) -> None:
+        """Have every engine serve a version."""
+        for backend in self.pool.backends:
+            self.serve(backend.backend_id, version)
+
+    def backend_of(self, address: str) -> str:
+        return next(b.backend_id for b in self.pool.backends if b.address == address)
+
+    def _status(self, call: StartCall) -> list[Event]:
+        status = self.status_of.get(self.backend_of(call.address))
+        if status is None:
+            return [CallFailed(call.call_id, CallPhase.CONNECT, "refused")]
+        body = json.dumps({**status, "reported_at": self.now}).encode()
+        return [CallResponded(call.call_id, 200, {}, body)]
+
+    @staticmethod
+    def _open(call: StartCall) -> Stream:
+        request = json.loads(call.body)
+        resume = request.get("resume")
+        spans = [list(span) for span in resume["spans"]] if resume else []
+        return Stream(call.call_id, call.address, request, spans)
+
+    def open_streams(self) -> list[Stream]:
+        """Return the completion calls in progress, oldest first."""
+        return [stream for stream in self.streams.values() if not stream.ended]
+
+    def accept(self, stream: Stream) -> None:
+        """Answer the headers of a stream."""
+        self.send(CallHeaders(stream.call_id, 200, {}))
+
+    def chunk(self, stream: Stream, tokens: int, version: int) -> None:
+        """Send one chunk of a stream."""
+        first = stream.token_count
+        if stream.spans and stream.spans[-1][0] == version:
+            stream.spans[-1][2] = first + tokens
+        else:
+            stream.spans.append([version, first, first + tokens])
+        self.send_chunk(stream, first, tokens, version)
+
+    def send_chunk(self, stream: Stream, index: int, tokens: int, version: int) -> None:
+        """Send a chunk as it is, right or wrong."""
+        body = {
+            "request_id": stream.request_id,
+            "index": index,
+            "token_count": tokens,
+            "weight_version": version,
+            "text": f"[{index}-{index + tokens}@{version}]",
+            "finish_reason": None,
+        }
+        self.send_data(stream, body)
+
+    def send_data(self, stream: Stream, body: dict[str, Any]) -> None:
+        """Send one server-sent event, in two pieces."""
+        data = b"data: " + json.dumps(body).encode() + b"\n\n"
+        middle = len(data) // 2
+        self.send(CallChunk(stream.call_id, data[:middle]))
+        self.send(CallChunk(stream.call_id, data[middle:]))
+
+    def end(
+        self, stream: Stream, reason: str = "stop", spans: list[list[int]] | None = None
+    ) -> None:
+        """Send the last event of a stream and close it."""
+        stream.ended = True
+        body = {
+            "request_id": stream.request_id,
+            "index": stream.token_count,
+            "token_count": 0,
+            "weight_version": stream.spans[-1][0] if stream.spans else 0,
+            "text": "",
+            "finish_reason": reason,
+            "spans": stream.spans if spans is None else spans,
+        }
+        self.send_data(stream, body)
+        self.send(CallChunk(stream.call_id, b"data: [DONE]\n\n"))
+        self.send(CallEnded(stream.call_id))
+
+    def crash(self, stream: Stream) -> None:
+        """Break a stream off."""
+        stream.ended = True
+        self.send(CallFailed(stream.call_id, CallPhase.BODY, "reset"))
+
+    def complete(self, stream: Stream, version: int, tokens: int = 10) -> None:
+        """Send a whole sample."""
+        self.chunk(stream, tokens, version)
+        self.end(stream)
+
+    def complete_all(self, version: int) -> None:
+        """Send whole samples for all streams in progress."""
+        for stream in self.open_streams():
+            self.complete(stream, version)
+        self.settle()
+
+    # --- trainers -------------------------------------------------------------------
+
+    def ask(
+        self,
+        last_received: int,
+        nonce: str,
+        *,
+        consumer: str = "trainer-1",
+        version: int | None = None,
+        last_nonce: str = "",
+    ) -> str:
+        """Send a trainer's request and return its name."""
+        body = {
+            "consumer": consumer,
+            "last_received_batch": last_received,
+            "trainer_version": self.control.newest if version is None else version,
+            "nonce": nonce,
+            "last_received_nonce": last_nonce,
+        }
+        return self.post(f"/v1/jobs/{JOB}/batches", json.dumps(body).encode())
+
+    def post(self, path: str, body: bytes, method: str = "POST") -> str:
+        """Send an HTTP request and return its name."""
+        self._asked += 1
+        name = f"request-{self._asked}"
+        self.send(RequestReceived(RequestId(name), method, path, {}, body))
+        return name
+
+    def abort(self, name: str) -> None:
+        """The trainer goes away."""
+        self.send(RequestAborted(RequestId(name)))
+
+    def answer_to(self, name: str) -> tuple[int, dict[str, Any]] | None:
+        """Return status and body of an answer, None if there is none yet."""
+        response = self.responses.get(name)
+        return None if response is None else (response.status, json.loads(response.body))
+
+    def batch_of(self, name: str) -> dict[str, Any]:
+        """Return the batch that answered a request."""
+        answer = self.answer_to(name)
+        assert answer is not None, "no answer yet"
+        assert answer[0] == 200, answer
+        return answer[1]
+
+    def generate(self, rounds: int = 6) -> None:
+        """Run the scheduler and finish whatever it begins, for some rounds."""
+        for _ in range(rounds):
+            self.tick()
+            for stream in self.open_streams():
+                backend_id = self.backend_of(stream.address)
+                self.complete(stream, self.status_of[backend_id]["active_version"])
+            self.settle()
