--- a/tests/simulator/mutants.py
+++ b/tests/simulator/mutants.py
@@ -14,7 +14,7 @@
 from merlinstand_lab.simulator.runner import RunResult, run_plan
 from merlinstand_lab.simulator.scenario import all_scenarios
 
-SEARCHED_SEEDS = 40
+SEARCHED_SEEDS = 100
 
 Patch = tuple[str, Any]
 """Dotted target and what replaces it."""
@@ -120,6 +120,10 @@
 
 
 def _complete_without_end(generation: Any) -> bool:
+    from merlinstand.coordinator.engine_protocol import FinishReason
+
+    if generation.token_count > 0 and generation.finish_reason is None:
+        generation.finish_reason = FinishReason.STOP
     return generation.token_count > 0
 
 
@@ -164,7 +168,7 @@
         ((CONSENSUS + "state.ReplicaState.send_when_synced", _send_at_once),),
         "state-machine-safety",
         "torn-tail",
-        1,
+        2,
     ),
     Mutant(
         "stale-log-elected",
@@ -180,7 +184,7 @@
         ((CONSENSUS + "follower.Follower._check_previous", _logs_always_meet),),
         "log-matching",
         "kill-at-heal",
-        1,
+        3,
     ),
     Mutant(
         "commit-without-quorum",
@@ -188,7 +192,7 @@
         ((CONSENSUS + "replication.quorum_index", max),),
         "state-machine-safety",
         "one-way-cut",
-        1,
+        8,
     ),
     Mutant(
         "leader-lease-ignored",
@@ -283,7 +287,7 @@
         ((GATEWAY + "retries.Retries._may_try_again", _retry_whatever_was_sent),),
         "at-most-once",
         "service-crash",
-        1,
+        3,
     ),
     Mutant(
         "lost-answer-called-not-run",
@@ -312,7 +316,7 @@
         ((GATEWAY + "daemon.GatewayDaemon._stop_if_drained", _stop_at_once),),
         "planned-stop-cuts-nothing",
         "planned-stop",
-        1,
+        6,
     ),
     Mutant(
         "staleness-not-judged",
