--- a/src/merlinstand_lab/checkers/delivery.py
+++ b/src/merlinstand_lab/checkers/delivery.py
@@ -3,15 +3,18 @@
 from collections import Counter, defaultdict
 
 from merlinstand_lab.checkers.report import PromiseResult, Violation
-from merlinstand_lab.records.kinds import OperatorRecord, SampleRecord, StepRecord
+from merlinstand_lab.records.kinds import OperatorRecord, StepRecord
 from merlinstand_lab.records.record_set import RecordSet
 
 _FIRST_BATCH = 1
 
 
 def check_exactly_once(records: RecordSet) -> PromiseResult:
-    """Look for a sample or a slot that reached trainers twice."""
-    samples = _without_rewound(records)
+    """Look for a sample or a slot that reached trainers twice.
+
+    Not even an operator's rewind lets a sample be delivered again.
+    """
+    samples = records.samples
     violations = []
     by_id = Counter((sample.job, sample.sample_id) for sample in samples)
     violations += [
@@ -41,7 +44,9 @@
     """Look for gaps, repetitions and incomplete batches of each trainer."""
     violations: list[Violation] = []
     rewinds = _rewinds(records.operators)
-    received = Counter((one.job, one.consumer, one.batch) for one in _without_rewound(records))
+    received = Counter(
+        (one.job, one.consumer, one.batch, one.received_at) for one in records.samples
+    )
     by_consumer: dict[tuple[str, str], list[StepRecord]] = defaultdict(list)
     for step in records.steps:
         by_consumer[(step.job, step.consumer)].append(step)
@@ -52,7 +57,7 @@
             if step.batch != expected and not rewound:
                 detail = f"batch {step.batch} came where {expected} was due"
                 violations.append(Violation(f"{job}/{consumer}", detail))
-            count = received[(job, consumer, step.batch)]
+            count = received[(job, consumer, step.batch, step.received_at)]
             if count != step.samples:
                 detail = f"{count} samples recorded, {step.samples} received"
                 violations.append(Violation(f"{job}/{consumer} batch {step.batch}", detail))
@@ -66,31 +71,14 @@
     )
 
 
-def _rewinds(operators: list[OperatorRecord]) -> dict[tuple[str, str, int], float]:
-    """Batches that operators rewound a consumer to, with the time of the command."""
+def _rewinds(operators: list[OperatorRecord]) -> set[tuple[str, str, int]]:
+    """Batches that operators rewound a consumer to."""
     return {
         (
             str(record.command["job"]),
             str(record.command["consumer"]),
             int(str(record.command["batch"])),
-        ): record.sent_at
+        )
         for record in operators
         if record.command.get("command") == "rewind_job" and record.outcome != "refused"
     }
-
-
-def _without_rewound(records: RecordSet) -> list[SampleRecord]:
-    """Samples less those that an operator's rewind made the trainer throw away."""
-    rewinds = _rewinds(records.operators)
-    if not rewinds:
-        return records.samples
-    return [
-        sample
-        for sample in records.samples
-        if not any(
-            (sample.job, sample.consumer) == (job, consumer)
-            and sample.batch >= batch
-            and sample.received_at < sent_at
-            for (job, consumer, batch), sent_at in rewinds.items()
-        )
-    ]
--- a/tests/checkers/test_promises.py
+++ b/tests/checkers/test_promises.py
@@ -351,15 +351,20 @@
     assert _result(records, "staleness-bound").violations != []
 
 
-def test_a_rewind_by_an_operator_allows_a_batch_again(records: RecordSet) -> None:
+def test_a_rewind_by_an_operator_allows_a_batch_number_but_no_sample_again(
+    records: RecordSet,
+) -> None:
     rewind = {"command": "rewind_job", "job": JOB, "consumer": CONSUMER, "batch": 3}
     records.add("operators", operator_record("c9", rewind, sent_at=40, ended_at=41, revision=41))
-    again = {"received_at": 45.0}
-    records.add(f"trainer-{CONSUMER}", sample_record(3, 0, **again))
-    records.add(f"trainer-{CONSUMER}", sample_record(3, 1, **again))
-    records.add(f"idle-{CONSUMER}", step_record(3, **again))
+    for number in (7, 8):
+        fresh = sample_record(3, number, received_at=45.0, slot=90 + number)
+        records.add(f"trainer-{CONSUMER}", fresh)
+    records.add(f"idle-{CONSUMER}", step_record(3, received_at=45.0))
     assert _result(records, "exactly-once").violations == []
     assert _result(records, "batches-in-order").violations == []
+    records.add(f"trainer-{CONSUMER}", sample_record(3, 0, received_at=45.0))
+    assert _result(records, "exactly-once").violations != []
+    assert _result(records, "batches-in-order").violations != []
 
 
 def test_a_command_that_finds_its_object_as_wanted_may_repeat_the_revision(
