--- a/src/merlinstand_lab/fleet/incidents.py
+++ b/src/merlinstand_lab/fleet/incidents.py
@@ -13,12 +13,15 @@
 from merlinstand_lab.fleet.http import request_json
 from merlinstand_lab.fleet.operator import OperatorClient
 from merlinstand_lab.fleet.plan import FleetPlan
+from merlinstand_lab.standins.settings import TrainerSettings
 
 _LEAVE_SECONDS = 8.0
 """How long a back end stays drained or leaving: longer than the promise's few seconds."""
 
 _HURT_SECONDS = 4.0
 _FREEZE_SECONDS = 8.0
+_REWOUND_BATCHES = 2
+_REWIND_TRIES = 5
 
 
 class Incident(msgspec.Struct, frozen=True):
@@ -47,6 +50,15 @@
     objects: list[_ConfigurationItem]
 
 
+class _Position(msgspec.Struct, frozen=True):
+    consumer: str
+    next_batch: int
+
+
+class _Ledger(msgspec.Struct, frozen=True):
+    consumers: list[_Position]
+
+
 class _Lease(msgspec.Struct, frozen=True):
     resource: str
     holder: str
@@ -93,6 +105,7 @@
             incidents += [
                 Incident(5, "a swap fails half-way", self._fail_swap),
                 Incident(8, "the scorer is slow, then dead", self._hurt_scorer),
+                Incident(15, "the trainer falls back, an operator rewinds", self._rewind),
                 Incident(16, "the control leader freezes in silence", self._freeze_leader),
             ]
         return sorted(incidents, key=lambda incident: incident.after_steps)
@@ -178,6 +191,30 @@
             gevent.sleep(_HURT_SECONDS)
         self._fleet.record_fault("scorer", scorer.node_id, started_at)
 
+    def _rewind(self) -> None:
+        """A trainer falls back to an older checkpoint, and an operator allows it."""
+        trainer = self._plan.lab.trainer[0]
+        target = max(1, self._next_batch(trainer) - _REWOUND_BATCHES)
+        request_json(trainer.address, "POST", "/lab/rewind", {"batch": target})
+        for _ in range(_REWIND_TRIES):
+            command: dict[str, object] = {
+                "command": "rewind_job",
+                "job": trainer.job,
+                "consumer": trainer.consumer,
+                "batch": target,
+                "expected_batch": self._next_batch(trainer),
+            }
+            answer = self._operator.send(command)
+            if answer is None or answer.outcome.code != "conflict":
+                return
+
+    def _next_batch(self, trainer: TrainerSettings) -> int:
+        """Batch that a trainer will ask for next, as the ledger says."""
+        ledger = self._operator.get(f"/v1/ledger/{trainer.job}", _Ledger)
+        positions = ledger.consumers if isinstance(ledger, _Ledger) else []
+        found = [one.next_batch for one in positions if one.consumer == trainer.consumer]
+        return found[0] if found else 1
+
     def _leader(self) -> str:
         """Name of the control group's leader."""
         members = self._operator.get("/v1/members", _Members)
--- a/src/merlinstand_lab/standins/trainer.py
+++ b/src/merlinstand_lab/standins/trainer.py
@@ -4,9 +4,13 @@
 from collections.abc import Sequence
 
 import msgspec
+from result import Err
 
+from merlinstand.common.errors import InvalidInputError
 from merlinstand.common.ids import CallId
 from merlinstand.kernel.effects import (
+    CancelCall,
+    CancelTimer,
     CountMetric,
     Effect,
     LogEvent,
@@ -53,6 +57,12 @@
     samples: int
 
 
+class Rewind(msgspec.Struct, frozen=True):
+    """`POST /lab/rewind`: fall back to the checkpoint before a batch."""
+
+    batch: int
+
+
 class Trainer:
     """Reducer of one trainer."""
 
@@ -93,19 +103,27 @@
             case CallFailed() if event.call_id == self._current_call_id():
                 return self._try_elsewhere()
             case RequestReceived():
-                return (self._request(event),)
+                return self._request(event, now)
             case StopRequested():
                 return (StopProcess(),)
             case _:
                 return ()
 
-    def _request(self, event: RequestReceived) -> Effect:
-        """Show progress."""
+    def _request(self, event: RequestReceived, now: float) -> Sequence[Effect]:
+        """Route one HTTP request."""
         common = door.respond_common(event, ready=True)
         if common is not None:
-            return common
-        if door.route(event) != ("GET", "/lab/progress"):
-            return door.respond_not_found(event)
+            return (common,)
+        match door.route(event):
+            case ("GET", "/lab/progress"):
+                return (self._show_progress(event),)
+            case ("POST", "/lab/rewind"):
+                return self._rewind(event, now)
+            case _:
+                return (door.respond_not_found(event),)
+
+    def _show_progress(self, event: RequestReceived) -> Effect:
+        """Answer how far the trainer is."""
         progress = TrainerProgress(
             consumer=self._settings.consumer,
             steps=self._steps_done,
@@ -115,6 +133,29 @@
         )
         return door.respond_json(event.request_id, progress)
 
+    def _rewind(self, event: RequestReceived, now: float) -> Sequence[Effect]:
+        """Fall back to an older checkpoint: the step under way and its batch are lost."""
+        decoded = door.decode_body(event.body, Rewind)
+        if isinstance(decoded, Err):
+            return (door.respond_error(event.request_id, decoded.err_value),)
+        batch = decoded.ok_value.batch
+        if not 1 <= batch <= self._last_batch + 1:
+            error = InvalidInputError(detail=f"there is no checkpoint before batch {batch}")
+            return (door.respond_error(event.request_id, error),)
+        effects: list[Effect] = [
+            door.respond_json(event.request_id, door.Acknowledged()),
+            CancelCall(self._current_call_id()),
+            CancelTimer(_STEP_TIMER),
+            CancelTimer(_PULL_TIMER),
+        ]
+        self._last_batch = batch - 1
+        self._last_nonce = ""
+        self._step = None
+        self._asked_at = None
+        if self._publisher.is_idle:
+            effects += self._next_pull(now)
+        return effects
+
     # --- publishing -----------------------------------------------------------------
 
     def _publishing(
--- a/tests/standins/test_trainer.py
+++ b/tests/standins/test_trainer.py
@@ -134,3 +134,21 @@
     assert driver.calls == []
     driver.advance(0.6)
     assert body(driver)["last_received_batch"] == 0
+
+
+def test_a_trainer_that_falls_back_loses_its_step_and_asks_for_the_older_batch(
+    driver: Driver,
+) -> None:
+    publish(driver)
+    for number in (1, 2):
+        driver.respond(call(driver), batch(driver, number, body(driver)["nonce"]))
+        if number == 1:
+            driver.advance(2.0)
+            publish(driver)
+    refused = driver.response(driver.request("POST", "/lab/rewind", {"batch": 9}))
+    assert refused is not None and refused.status == 400
+    driver.ask("POST", "/lab/rewind", {"batch": 1})
+    assert body(driver)["last_received_batch"] == 0
+    assert body(driver)["last_received_nonce"] == ""
+    driver.advance(10.0)
+    assert len(driver.records["idle-trainer-1"]) == 1
