--- a/src/merlinstand_lab/checkers/intervals.py
+++ b/src/merlinstand_lab/checkers/intervals.py
@@ -10,6 +10,8 @@
 from merlinstand_lab.records.record_set import RecordSet
 
 _DRAIN_PREFIX = "drain/"
+_JOB_PREFIX = "job/"
+_RUNNING = "running"
 
 
 class LeavingPeriod(msgspec.Struct, frozen=True, kw_only=True):
@@ -24,6 +26,52 @@
     """Process of the back end that said so, when it did so itself."""
 
 
+class PausePeriod(msgspec.Struct, frozen=True, kw_only=True):
+    """From the answer to the command that paused a job until the next one was sent."""
+
+    job: str
+    phase: str
+    since: float
+    until: float
+
+
+def pause_periods(records: RecordSet) -> list[PausePeriod]:
+    """Periods in which an accepted command had paused or cancelled a job."""
+    history: dict[str, list[OperatorRecord]] = defaultdict(list)
+    for record in sorted(records.operators, key=lambda one: one.sent_at):
+        key = str(record.command.get("key", ""))
+        if key.startswith(_JOB_PREFIX) and record.outcome != "refused":
+            history[key.removeprefix(_JOB_PREFIX)].append(record)
+    periods = []
+    for job, commands in history.items():
+        for index, record in enumerate(commands):
+            phase = _phase(record)
+            if record.outcome != "done" or record.ended_at is None or phase == _RUNNING:
+                continue
+            others = commands[:index] + commands[index + 1 :]
+            later = [one.sent_at for one in others if _may_follow(one, record)]
+            periods.append(
+                PausePeriod(
+                    job=job,
+                    phase=phase,
+                    since=record.ended_at,
+                    until=min(later, default=math.inf),
+                )
+            )
+    return periods
+
+
+def _may_follow(other: OperatorRecord, record: OperatorRecord) -> bool:
+    """Whether another command may have taken effect after this one."""
+    return other.ended_at is None or other.ended_at > record.sent_at
+
+
+def _phase(record: OperatorRecord) -> str:
+    """Phase of a job that a command asks for."""
+    value = record.command.get("object")
+    return str(value.get("phase", _RUNNING)) if isinstance(value, dict) else _RUNNING
+
+
 def leaving_periods(records: RecordSet) -> list[LeavingPeriod]:
     """Return every leaving period of every back end."""
     return drain_periods(records) + _listed_periods(records) + _own_periods(records)
--- a/src/merlinstand_lab/checkers/operations.py
+++ b/src/merlinstand_lab/checkers/operations.py
@@ -2,7 +2,13 @@
 
 from collections import defaultdict
 
-from merlinstand_lab.checkers.intervals import LeavingPeriod, drain_periods, leaving_periods
+from merlinstand_lab.checkers.intervals import (
+    LeavingPeriod,
+    PausePeriod,
+    drain_periods,
+    leaving_periods,
+    pause_periods,
+)
 from merlinstand_lab.checkers.limits import CheckLimits
 from merlinstand_lab.checkers.report import PromiseResult, Violation
 from merlinstand_lab.records.kinds import (
@@ -129,6 +135,8 @@
     drains = drain_periods(records)
     tested = _long_enough(records, drains, limits.in_force_seconds)
     violations = _work_after(records, tested, limits.in_force_seconds)
+    pauses = pause_periods(records)
+    violations += _batches_while_paused(records, pauses, limits)
     by_consumer: dict[tuple[str, str], list[StepRecord]] = defaultdict(list)
     for step in records.steps:
         by_consumer[(step.job, step.consumer)].append(step)
@@ -148,12 +156,28 @@
     return PromiseResult(
         name="configuration-in-force",
         promise="An accepted configuration is in force everywhere within seconds, for good.",
-        checked=len(tested) + len(records.steps),
+        checked=len(tested) + len(pauses) + len(records.steps),
         unit="changes and batches",
         violations=violations,
     )
 
 
+def _batches_while_paused(
+    records: RecordSet, pauses: list[PausePeriod], limits: CheckLimits
+) -> list[Violation]:
+    """Batches that a job delivered though it had been paused or cancelled a while ago."""
+    return [
+        Violation(
+            f"{step.job}/{step.consumer} batch {step.batch}",
+            f"delivered {step.received_at - pause.since:.1f} s after the job was {pause.phase}",
+        )
+        for pause in pauses
+        for step in records.steps
+        if step.job == pause.job
+        and pause.since + limits.in_force_seconds < step.received_at < pause.until
+    ]
+
+
 def _publication_times(records: RecordSet) -> dict[str, list[tuple[float, int]]]:
     """When each publisher's versions were answered as published, by operator name."""
     times: dict[str, list[tuple[float, int]]] = defaultdict(list)
--- a/src/merlinstand_lab/fleet/incidents.py
+++ b/src/merlinstand_lab/fleet/incidents.py
@@ -7,7 +7,7 @@
 import gevent
 import msgspec
 
-from merlinstand.configuration.objects import Drain, Limits
+from merlinstand.configuration.objects import Drain, Job, JobPhase, Limits
 from merlinstand_lab.fleet.configuration_file import delete_command, put_command
 from merlinstand_lab.fleet.fleet import Fleet
 from merlinstand_lab.fleet.http import request_json
@@ -18,6 +18,7 @@
 _LEAVE_SECONDS = 8.0
 """How long a back end stays drained or leaving: longer than the promise's few seconds."""
 
+_PAUSE_SECONDS = 10.0
 _HURT_SECONDS = 4.0
 _FREEZE_SECONDS = 8.0
 _REWOUND_BATCHES = 2
@@ -44,6 +45,7 @@
 class _ConfigurationItem(msgspec.Struct, frozen=True):
     key: str
     revision: int
+    value: dict[str, object]
 
 
 class _Configuration(msgspec.Struct, frozen=True):
@@ -104,6 +106,7 @@
         if faults == "all":
             incidents += [
                 Incident(5, "a swap fails half-way", self._fail_swap),
+                Incident(6, "the operator pauses the job", self._pause),
                 Incident(8, "the scorer is slow, then dead", self._hurt_scorer),
                 Incident(15, "the trainer falls back, an operator rewinds", self._rewind),
                 Incident(16, "the control leader freezes in silence", self._freeze_leader),
@@ -114,9 +117,8 @@
         """Two operators change one object from the same revision; one sends twice."""
         caller = self._plan.lab.run.raced_limits
         key = f"limits/{caller}"
-        found = self._operator.get(f"/v1/configuration?prefix={key}", _Configuration)
-        items = found.objects if isinstance(found, _Configuration) else []
-        revision = next((item.revision for item in items if item.key == key), 0)
+        present = self._object(key)
+        revision = 0 if present is None else present.revision
         limits = [
             Limits(caller=caller, weight=weight, requests_per_second=10.0) for weight in (0.3, 0.4)
         ]
@@ -130,6 +132,23 @@
         gevent.joinall(senders, raise_error=True)
         self._operator.send(commands[0], command_id)
 
+    def _object(self, key: str) -> _ConfigurationItem | None:
+        """Read one object of the configuration."""
+        found = self._operator.get(f"/v1/configuration?prefix={key}", _Configuration)
+        items = found.objects if isinstance(found, _Configuration) else []
+        return next((item for item in items if item.key == key), None)
+
+    def _pause(self) -> None:
+        """The operator pauses the job for a while."""
+        for phase in (JobPhase.PAUSED, JobPhase.RUNNING):
+            item = self._object(f"job/{self._plan.lab.trainer[0].job}")
+            if item is None:
+                return
+            job = msgspec.structs.replace(msgspec.convert(item.value, Job), phase=phase)
+            self._operator.send(put_command(item.key, job, expected_revision=item.revision))
+            if phase is JobPhase.PAUSED:
+                gevent.sleep(_PAUSE_SECONDS)
+
     def _drain(self) -> None:
         """The operator drains a back end, and takes it back."""
         backend = self._plan.lab.run.drained_backend
--- a/tests/checkers/test_promises.py
+++ b/tests/checkers/test_promises.py
@@ -11,6 +11,7 @@
 from merlinstand_lab.records.kinds import (
     CallerOutcome,
     GenerationOutcome,
+    OperatorRecord,
     Record,
     StopRecord,
     StoreRecord,
@@ -71,6 +72,12 @@
     return _both(adding("operators", first), adding("operators", second))
 
 
+def _paused() -> OperatorRecord:
+    put = _command("put_object", f"job/{JOB}", 1)
+    put["object"] = {"name": JOB, "model": "blurb", "phase": "paused"}
+    return operator_record("pause", put, sent_at=36.0, ended_at=36.1, revision=36)
+
+
 STOP_FAILED = StopRecord(
     node_id="gateway-a",
     role="gateway",
@@ -239,6 +246,14 @@
             adding(f"idle-{CONSUMER}", step_record(4, newest_version=3, received_at=50.0)),
         ),
     ),
+    (
+        "configuration-in-force",
+        "a paused job delivers",
+        _both(
+            adding("operators", _paused()),
+            adding(f"idle-{CONSUMER}", step_record(4, samples=0, received_at=48.0)),
+        ),
+    ),
     ("commands-linearizable", "two creations of one key", _two_done_creations()),
     (
         "commands-linearizable",
@@ -367,6 +382,15 @@
     assert _result(records, "batches-in-order").violations != []
 
 
+def test_a_paused_job_may_deliver_after_it_was_resumed(records: RecordSet) -> None:
+    records.add("operators", _paused())
+    resume = _command("put_object", f"job/{JOB}", 36)
+    resume["object"] = {"name": JOB, "model": "blurb", "phase": "running"}
+    records.add("operators", operator_record("go", resume, sent_at=46, ended_at=47, revision=46))
+    records.add(f"idle-{CONSUMER}", step_record(4, samples=0, received_at=48.0))
+    assert _result(records, "configuration-in-force").violations == []
+
+
 def test_a_command_that_finds_its_object_as_wanted_may_repeat_the_revision(
     records: RecordSet,
 ) -> None:
