Let jobs of several trainers use the whole bound while no publication is due

Cause: jobs with several consumers kept one version of margin always, so every sample that crossed two versions was cancelled. Change: a sample at the bound may leave in the first half of the shortest recent interval between publications; if its commit takes long or the ledger was overtaken, it is not answered.

--- a/src/merlinstand/coordinator/batches.py
+++ b/src/merlinstand/coordinator/batches.py
@@ -210,9 +210,11 @@
         newest: int,
     ) -> tuple[Candidate, ...]:
         """Return the unit's candidates, or none if one of them may not leave."""
-        # A version published by another trainer between commit and receipt would push a
-        # sample at the bound over it; only a sole trainer that published all it has cannot.
-        whole_bound = terms.sole_consumer and request.trainer_version >= newest
+        # A version published between commit and receipt would push a sample at the bound over
+        # it. A sole trainer that published all it has cannot publish meanwhile; of several,
+        # none is expected to for a while after the last publication.
+        sole = terms.sole_consumer and request.trainer_version >= newest
+        whole_bound = sole or terms.clock.quiet(context.now)
         delivered_at = self._delivered_at.get(request.consumer, -math.inf)
         candidates = []
         for sample in unit:
@@ -251,7 +253,8 @@
             if not terms.allows(context, sample.oldest_version, newest, at_bound=True):
                 return ()
             weight = max(0.0, terms.weight(context, sample, newest))
-            candidates.append(Candidate(sample, weight))
+            at_bound = not terms.allows(context, sample.oldest_version, newest)
+            candidates.append(Candidate(sample, weight, at_bound))
         return tuple(candidates)
 
     def _commit(
@@ -335,8 +338,19 @@
         terms.clock.observe(outcome.newest_version, context.now)
         self.forecast(command.consumer).committed(outcome.newest_version)
         context.count("batches_committed_total", job=terms.job.name)
-        if commit.request_id is not None:
-            self._answer(context, commit, outcome)
+        if commit.request_id is None:
+            return
+        overtaken = terms.clock.newest > outcome.newest_version or not (
+            terms.sole_consumer or terms.clock.quiet(context.now)
+        )
+        if overtaken and any(candidate.at_bound for candidate in commit.candidates):
+            # The commit took so long that a version may have been published since: the
+            # trainer asks again, and staleness is judged again.
+            detail = "the batch may have grown too old on its way"
+            error = NotReadyError(detail=detail, retry_after_seconds=ASK_AGAIN_SECONDS)
+            context.refuse(commit.request_id, error)
+            return
+        self._answer(context, commit, outcome)
 
     def _answer(self, context: Context, commit: PendingCommit, outcome: BatchCommitted) -> None:
         assert commit.request_id is not None
--- a/src/merlinstand/coordinator/staleness.py
+++ b/src/merlinstand/coordinator/staleness.py
@@ -1,10 +1,13 @@
 """How old a sample is, and which samples a batch may hold."""
 
 import math
+from collections import deque
 
 import msgspec
 
 REMEMBERED_VERSIONS = 256
+REMEMBERED_INTERVALS = 8
+QUIET_FRACTION = 0.5
 SECONDS_MARGIN_FRACTION = 0.1
 """Part of a bound in seconds kept back for the way of an answer to its trainer."""
 
@@ -16,6 +19,8 @@
         """Begin without any version."""
         self.newest = 0
         self._seen_at: dict[int, float] = {}
+        self._last_published_at: float | None = None
+        self._intervals: deque[float] = deque(maxlen=REMEMBERED_INTERVALS)
 
     def observe(self, version: int, now: float) -> bool:
         """Take in a published version; returns whether it is the newest so far."""
@@ -24,11 +29,23 @@
         if self.newest > 0:
             for missed in range(max(self.newest + 1, version - REMEMBERED_VERSIONS), version + 1):
                 self._seen_at[missed] = now
+        if self._last_published_at is not None:
+            self._intervals.append(now - self._last_published_at)
+        self._last_published_at = now
         self.newest = version
         while len(self._seen_at) > REMEMBERED_VERSIONS:
             del self._seen_at[next(iter(self._seen_at))]
         return True
 
+    def quiet(self, now: float) -> bool:
+        """Tell whether no publication is to be expected for a while.
+
+        True in the first half of the shortest recent interval between publications.
+        """
+        if self._last_published_at is None or not self._intervals:
+            return False
+        return now - self._last_published_at < QUIET_FRACTION * min(self._intervals)
+
     def age_seconds(self, version: int, now: float) -> float:
         """Return for how long a version has not been the newest; infinite if unknown."""
         if version >= self.newest:
--- a/src/merlinstand/coordinator/supply.py
+++ b/src/merlinstand/coordinator/supply.py
@@ -147,7 +147,7 @@
             if oldest is None:
                 continue
             newest = self._newest_at_receipt(context, generation, demands, terms)
-            if not terms.allows(context, oldest, newest, at_bound=terms.sole_consumer):
+            if not terms.allows(context, oldest, newest, at_bound=True):
                 doomed.append(generation)
         return doomed
 
