Refuse a lease that somebody else holds without a log entry

Cause: every coordinator asks for the lease of every job and engine pool once a second, and each refusal went through the log.

Ruled out: renewals (all leases of a daemon go in one command) and pulls (no log entry).

Change: the leader, while it may act, answers LeaseHeld from its applied state. The refusal changes nothing, so it needs no agreement; a state that lags behind a release only makes the standby ask once more.

--- a/src/merlinstand/control/command_intake.py
+++ b/src/merlinstand/control/command_intake.py
@@ -12,10 +12,12 @@
 from merlinstand.control.acceptance import accept_command
 from merlinstand.control.command_ids import command_digest
 from merlinstand.control.commands import (
+    AcquireLease,
     AnyCommand,
     AnyOutcome,
     ChangeMembership,
     Done,
+    LeaseHeld,
     Refused,
 )
 from merlinstand.control.operator_requests import (
@@ -104,6 +106,9 @@
         accepted = accept_command(command)
         if isinstance(accepted, Err):
             return Intake((_answer(waiter, Applied(command_id, 0, accepted.err_value)),))
+        held = self._held_by_other(accepted.ok_value, now)
+        if held is not None:
+            return Intake((_answer(waiter, Applied(command_id, self._state.applied_index, held)),))
         if len(self.pending) >= self._timings.maximum_pending_commands:
             return Intake((_busy(command_id, waiter),))
         return self._propose(command_id, command, accepted.ok_value, waiter, now)
@@ -142,6 +147,17 @@
             for waiter in _operators(pending)
         ]
 
+    def _held_by_other(self, command: AnyCommand, now: float) -> LeaseHeld | None:
+        """Refuse a lease that somebody else holds, without a log entry.
+
+        Standbys ask for every lease again and again. The refusal changes nothing, so it
+        needs no agreement: if this state is behind a release, the standby asks once more.
+        """
+        if not isinstance(command, AcquireLease):
+            return None
+        group_time = self._replica.group_time(now)
+        return self._state.leases.find_other_holder(command, group_time)
+
     def _propose(
         self, command_id: str, data: bytes, command: AnyCommand, waiter: Waiter, now: float
     ) -> Intake:
--- a/src/merlinstand/control/leases.py
+++ b/src/merlinstand/control/leases.py
@@ -46,10 +46,11 @@
         """Grant, renew or refuse a lease."""
         if not 0.0 < command.duration_seconds <= MAXIMUM_LEASE_SECONDS:
             return Refused(code="invalid_input", detail="lease duration out of range")
+        held = self.find_other_holder(command, group_time)
+        if held is not None:
+            return held
         lease = self.leases.get(command.resource)
         if lease is not None and _is_held(lease, group_time):
-            if not _is_holder(lease, command):
-                return _held(command.resource, lease, group_time)
             epoch = lease.epoch
         else:
             # Also the former holder gets a new epoch once its lease ran out: it may have
@@ -67,6 +68,13 @@
             resource=command.resource, epoch=epoch, duration_seconds=command.duration_seconds
         )
 
+    def find_other_holder(self, command: AcquireLease, group_time: float) -> LeaseHeld | None:
+        """Return who else holds the resource, or None if it could be granted now."""
+        lease = self.leases.get(command.resource)
+        if lease is None or not _is_held(lease, group_time) or _is_holder(lease, command):
+            return None
+        return _held(command.resource, lease, group_time)
+
     def renew(self, command: RenewLeases, group_time: float) -> AnyOutcome:
         """Renew those of the leases that still have the holder and epoch named."""
         if not 0.0 < command.duration_seconds <= MAXIMUM_LEASE_SECONDS:
