A deeply nested body no longer ends a process: every decoder's errors are caught

Cause: msgspec raises RecursionError, which is no DecodeError, when JSON or msgpack nests deeper than Python's recursion limit. Only the gateway's completions body caught it. One POST of 5 KB to a coordinator's trainers' door or to the operators' API, or one such answer or stream event of an engine, a status or a scorer, raised out of the reducer, and the host ends its process on that. `//[` as the target of a trainer's request did the same through urlsplit. Ruled out: the internal doors; thrift's accelerated decoder refuses depth 1,000 to 2,000,000 as a typed error (tried). Change: common/decoding.MALFORMED_INPUT names what decoding may raise; all except clauses of msgspec's errors use it. The trainers' door splits its target by hand.

--- a/src/merlinstand/cli/operator_client.py
+++ b/src/merlinstand/cli/operator_client.py
@@ -16,6 +16,7 @@
     MalformedAnswerError,
 )
 from merlinstand.cli.http_request import Answer, request
+from merlinstand.common.decoding import MALFORMED_INPUT
 from merlinstand.common.errors import ExitCode, MerlinstandError
 
 REQUEST_TIMEOUT_SECONDS = 5.0
@@ -189,14 +190,14 @@
 def _decode(answer: Answer, answer_type: Any) -> Result[Any, MerlinstandError]:
     try:
         return Ok(msgspec.json.decode(answer.body, type=answer_type))
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except MALFORMED_INPUT as error:
         return Err(MalformedAnswerError(detail=str(error)))
 
 
 def _error_answer(answer: Answer) -> _ErrorAnswer:
     try:
         return msgspec.json.decode(answer.body, type=_ErrorAnswer)
-    except (msgspec.DecodeError, UnicodeDecodeError):
+    except MALFORMED_INPUT:
         return _ErrorAnswer(detail=f"status {answer.status}")
 
 
--- a/src/merlinstand/cli/policy_commands.py
+++ b/src/merlinstand/cli/policy_commands.py
@@ -9,6 +9,7 @@
 from merlinstand.cli.operator_client import OperatorClient
 from merlinstand.cli.options import operator_options, output_option
 from merlinstand.cli.output import Column, print_object, print_rows, unwrap
+from merlinstand.common.decoding import MALFORMED_INPUT
 from merlinstand.common.errors import MerlinstandError
 from merlinstand.configuration.objects import PolicySource
 
@@ -106,7 +107,7 @@
             continue
         try:
             records.append(msgspec.json.decode(line, type=record_type))
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        except MALFORMED_INPUT as error:
             return Err(
                 SettingsError(file=samples_file.name, path=f"line {number}", expected=str(error))
             )
--- a/src/merlinstand/client/batches.py
+++ b/src/merlinstand/client/batches.py
@@ -17,6 +17,7 @@
     RejectedError,
 )
 from merlinstand.client.http_json import ErrorAnswer, HttpAnswer, decode_error, post_json
+from merlinstand.common.decoding import MALFORMED_INPUT
 
 FIRST_BACK_OFF_SECONDS = 0.1
 LONGEST_BACK_OFF_SECONDS = 5.0
@@ -175,7 +176,7 @@
     def _accept(self, answer: HttpAnswer, nonce: str) -> Result[Batch, ClientError]:
         try:
             batch = _BATCH_DECODER.decode(answer.body)
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        except MALFORMED_INPUT as error:
             self._try_elsewhere()
             return Err(NoAnswerError(detail=f"unreadable batch: {error}"))
         expected = self.position.last_received_batch + 1
--- a/src/merlinstand/client/http_json.py
+++ b/src/merlinstand/client/http_json.py
@@ -6,6 +6,7 @@
 from result import Err, Ok, Result
 
 from merlinstand.client.errors import NoAnswerError
+from merlinstand.common.decoding import MALFORMED_INPUT
 
 MAXIMUM_ANSWER_BYTES = 1024 * 1024 * 1024
 
@@ -60,5 +61,5 @@
     """Decode a refusal; anything unreadable counts as an empty one."""
     try:
         return msgspec.json.decode(answer.body, type=ErrorAnswer)
-    except (msgspec.DecodeError, UnicodeDecodeError):
+    except MALFORMED_INPUT:
         return ErrorAnswer()
--- a/src/merlinstand/client/weights.py
+++ b/src/merlinstand/client/weights.py
@@ -10,6 +10,7 @@
 
 from merlinstand.client.errors import ClientError, NoAnswerError, RejectedError
 from merlinstand.client.http_json import HttpAnswer, decode_error, post_json
+from merlinstand.common.decoding import MALFORMED_INPUT
 from merlinstand.control.commands import PublishWeights
 
 REQUEST_TIMEOUT_SECONDS = 10.0
@@ -102,7 +103,7 @@
 def _finished(answer: HttpAnswer, weights: PublishWeights) -> Result[Published, ClientError]:
     try:
         decoded = msgspec.json.decode(answer.body, type=_CommandAnswer)
-    except (msgspec.DecodeError, UnicodeDecodeError):
+    except MALFORMED_INPUT:
         error = decode_error(answer)
         return Err(RejectedError(detail=error.detail, server_code=error.code, status=answer.status))
     if decoded.outcome.outcome == "done":
--- /dev/null
+++ b/src/merlinstand/common/decoding.py
@@ -0,0 +1,9 @@
+"""What decoding bytes from outside may raise."""
+
+import msgspec
+
+MALFORMED_INPUT = (msgspec.DecodeError, UnicodeDecodeError, RecursionError)
+"""Errors of `msgspec` on bad input: not the format, not UTF-8, or nested too deeply.
+
+A decoding function that lets one of them through lets one bad sender end the process.
+"""
--- a/src/merlinstand/consensus/recovery.py
+++ b/src/merlinstand/consensus/recovery.py
@@ -2,8 +2,7 @@
 
 import random
 
-import msgspec
-
+from merlinstand.common.decoding import MALFORMED_INPUT
 from merlinstand.consensus.journal import Journal
 from merlinstand.consensus.log import ReplicaLog
 from merlinstand.consensus.membership import Identity
@@ -51,7 +50,7 @@
 def _restore_snapshot(state: ReplicaState, data: bytes) -> None:
     try:
         state.snapshot = decode_snapshot(data)
-    except msgspec.DecodeError as error:
+    except MALFORMED_INPUT as error:
         raise JournalContentError(f"undecodable snapshot: {error}") from error
     state.snapshot_data = data
     snapshot = state.snapshot
@@ -63,7 +62,7 @@
 def _decode(data: bytes) -> Record:
     try:
         return decode_record(data)
-    except msgspec.DecodeError as error:
+    except MALFORMED_INPUT as error:
         raise JournalContentError(f"undecodable journal record: {error}") from error
 
 
--- a/src/merlinstand/consensus/snapshot_transfer.py
+++ b/src/merlinstand/consensus/snapshot_transfer.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from merlinstand.common.decoding import MALFORMED_INPUT
 from merlinstand.consensus.records import Snapshot, decode_snapshot
 
 
@@ -77,5 +78,5 @@
         self._data.clear()
         try:
             return ReceivedChunk(len(whole), decode_snapshot(whole), whole)
-        except msgspec.DecodeError:
+        except MALFORMED_INPUT:
             return ReceivedChunk(0)
--- a/src/merlinstand/control/daemon.py
+++ b/src/merlinstand/control/daemon.py
@@ -5,6 +5,7 @@
 import msgspec
 from result import Err
 
+from merlinstand.common.decoding import MALFORMED_INPUT
 from merlinstand.common.ids import NodeId, Zone
 from merlinstand.consensus.replica import Replica
 from merlinstand.consensus.settings import (
@@ -184,7 +185,7 @@
     def _query(self, sender: NodeId, message: QueryRequest, now: float) -> list[Effect]:
         try:
             query = decode_query(message.query)
-        except (msgspec.DecodeError, UnicodeDecodeError):
+        except MALFORMED_INPUT:
             return [query_reply(sender, message.query_id, CommandStatus.REJECTED, b"", "")]
         return self._read(SessionRead(sender, message.query_id, query), now)
 
--- a/src/merlinstand/control/operator_requests.py
+++ b/src/merlinstand/control/operator_requests.py
@@ -8,6 +8,7 @@
 import msgspec
 from result import Err, Ok, Result
 
+from merlinstand.common.decoding import MALFORMED_INPUT
 from merlinstand.common.errors import (
     ErrorBody,
     InvalidInputError,
@@ -233,7 +234,7 @@
     try:
         parsed = msgspec.json.decode(body, type=CommandBody)
         command = _convert_command(parsed.command)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except MALFORMED_INPUT as error:
         return Err(InvalidInputError(detail=str(error)))
     except KeyError as error:
         return Err(InvalidInputError(detail=f"unknown kind of object: {error}"))
--- a/src/merlinstand/control/state_machine.py
+++ b/src/merlinstand/control/state_machine.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from merlinstand.common.decoding import MALFORMED_INPUT
 from merlinstand.control.claims import Claim, ClaimTable
 from merlinstand.control.command_ids import (
     DAEMON_WINDOW_COMMANDS,
@@ -126,11 +127,11 @@
         self.group_time = max(self.group_time, group_time)
         try:
             logged = _LOGGED_DECODER.decode(payload)
-        except (msgspec.DecodeError, UnicodeDecodeError):
+        except MALFORMED_INPUT:
             return Applied("", index, _undecodable())
         try:
             command = decode_command(logged.command)
-        except (msgspec.DecodeError, UnicodeDecodeError):
+        except MALFORMED_INPUT:
             return Applied(logged.command_id, index, _undecodable())
         return self._apply_once(index, logged, command)
 
--- a/src/merlinstand/coordinator/engines.py
+++ b/src/merlinstand/coordinator/engines.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from merlinstand.common.decoding import MALFORMED_INPUT
 from merlinstand.configuration.objects import Backend, Drain, Pool, Weights
 from merlinstand.coordinator.context import Context
 from merlinstand.coordinator.engine_protocol import EngineState, EngineStatus
@@ -153,7 +154,7 @@
             return None
         try:
             status = _STATUS_DECODER.decode(event.body)
-        except msgspec.DecodeError:
+        except MALFORMED_INPUT:
             return None
         report = StateReport(
             ReplicaState(status.state.value), status.reported_at, status.incarnation
--- a/src/merlinstand/coordinator/generation.py
+++ b/src/merlinstand/coordinator/generation.py
@@ -3,6 +3,7 @@
 import msgspec
 from result import Err, Ok, Result
 
+from merlinstand.common.decoding import MALFORMED_INPUT
 from merlinstand.common.errors import InvalidInputError
 from merlinstand.common.ids import CallId
 from merlinstand.coordinator.engine_protocol import (
@@ -163,7 +164,7 @@
             return Ok(None)
         try:
             chunk = _CHUNK_DECODER.decode(payload)
-        except msgspec.DecodeError as error:
+        except MALFORMED_INPUT as error:
             return Err(InvalidInputError(detail=f"malformed chunk: {error}"))
         if chunk.request_id != self.request_id:
             return Err(SpanError(detail=f"chunk of request {chunk.request_id!r}"))
--- a/src/merlinstand/coordinator/generations.py
+++ b/src/merlinstand/coordinator/generations.py
@@ -6,6 +6,7 @@
 import xxhash
 from result import Err
 
+from merlinstand.common.decoding import MALFORMED_INPUT
 from merlinstand.common.errors import InvalidInputError
 from merlinstand.coordinator.context import Context
 from merlinstand.coordinator.engine_protocol import ExportedCache, FinishReason, RequestName
@@ -258,7 +259,7 @@
             return
         try:
             exported = msgspec.json.decode(event.body, type=ExportedCache)
-        except msgspec.DecodeError:
+        except MALFORMED_INPUT:
             return
         generation.cache = CacheHandle(exported.handle, source, exported.token_count)
 
--- a/src/merlinstand/coordinator/prompts.py
+++ b/src/merlinstand/coordinator/prompts.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from merlinstand.common.decoding import MALFORMED_INPUT
 from merlinstand.configuration.objects import Job
 from merlinstand.coordinator.context import Context
 from merlinstand.coordinator.purposes import PromptCall
@@ -56,7 +57,7 @@
             return
         try:
             page = msgspec.json.decode(event.body, type=PromptPage)
-        except msgspec.DecodeError:
+        except MALFORMED_INPUT:
             return
         if page.prompts:
             self._asked_at.pop(offset, None)
--- a/src/merlinstand/coordinator/rollout.py
+++ b/src/merlinstand/coordinator/rollout.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from merlinstand.common.decoding import MALFORMED_INPUT
 from merlinstand.configuration.objects import Weights, WeightVersion
 from merlinstand.coordinator.context import Context
 from merlinstand.coordinator.engine_protocol import (
@@ -195,7 +196,7 @@
     def _fenced(self, context: Context, rollout: EngineRollout, event: CallResponded) -> None:
         try:
             fence = msgspec.json.decode(event.body, type=FencedAnswer).fence
-        except msgspec.DecodeError:
+        except MALFORMED_INPUT:
             return
         rollout.order = None
         if fence.epoch == self.epoch:
@@ -221,5 +222,5 @@
         return None
     try:
         return msgspec.json.decode(event.body, type=OrderAnswer)
-    except msgspec.DecodeError:
+    except MALFORMED_INPUT:
         return None
--- a/src/merlinstand/coordinator/scoring.py
+++ b/src/merlinstand/coordinator/scoring.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from merlinstand.common.decoding import MALFORMED_INPUT
 from merlinstand.coordinator.context import Context
 from merlinstand.coordinator.purposes import ScoreCall
 from merlinstand.coordinator.samples import Sample
@@ -116,7 +117,7 @@
         return None
     try:
         score = msgspec.json.decode(event.body, type=ScoreAnswer).score
-    except msgspec.DecodeError:
+    except MALFORMED_INPUT:
         return None
     # An infinite score cannot be written as JSON.
     return score if math.isfinite(score) else None
--- a/src/merlinstand/coordinator/trainer_door.py
+++ b/src/merlinstand/coordinator/trainer_door.py
@@ -1,11 +1,12 @@
 """The trainers' HTTP requests, checked before anything is done for them."""
 
 from typing import Annotated
-from urllib.parse import unquote, urlsplit
+from urllib.parse import unquote
 
 import msgspec
 from result import Err, Ok, Result
 
+from merlinstand.common.decoding import MALFORMED_INPUT
 from merlinstand.common.errors import InvalidInputError, MerlinstandError, NotFoundError
 from merlinstand.coordinator.samples import BatchRequest
 from merlinstand.kernel.events import RequestReceived
@@ -60,7 +61,8 @@
 
 def parse_request(event: RequestReceived) -> Result[Asked, MerlinstandError]:
     """Find out what an HTTP request asks for."""
-    path = urlsplit(event.path).path
+    # Not `urlsplit`, which raises on a request target such as `//[`.
+    path, _, _query = event.path.partition("?")
     if path == "/readyz":
         return Ok(ReadinessAsked())
     if path == "/livez":
@@ -78,7 +80,7 @@
 def _parse_batch_request(job: str, body: bytes) -> Result[Asked, MerlinstandError]:
     try:
         decoded = _DECODER.decode(body)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except MALFORMED_INPUT as error:
         return Err(InvalidInputError(detail=str(error)))
     request = BatchRequest(
         consumer=decoded.consumer,
--- a/src/merlinstand/gateway/request_parser.py
+++ b/src/merlinstand/gateway/request_parser.py
@@ -7,6 +7,7 @@
 import xxhash
 from result import Err, Ok, Result
 
+from merlinstand.common.decoding import MALFORMED_INPUT
 from merlinstand.common.errors import InvalidInputError, MerlinstandError
 from merlinstand.configuration.objects import Pool, PoolKind
 from merlinstand.gateway.caller_request import CallerRequest, CompletionBody, RequestKind
@@ -151,7 +152,7 @@
 def _decode_completion(body: bytes) -> Result[CompletionBody, MerlinstandError]:
     try:
         completion = _COMPLETION_DECODER.decode(body)
-    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+    except MALFORMED_INPUT as error:
         return Err(InvalidInputError(detail=f"body: {error}"))
     if not 1 <= completion.max_tokens <= MAXIMUM_TOKENS:
         return Err(InvalidInputError(detail=f"max_tokens must be from 1 to {MAXIMUM_TOKENS}"))
--- a/src/merlinstand/gateway/stream_progress.py
+++ b/src/merlinstand/gateway/stream_progress.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from merlinstand.common.decoding import MALFORMED_INPUT
 from merlinstand.gateway.caller_request import ResumePoint
 from merlinstand.gateway.sse import (
     DATA_PREFIX,
@@ -103,7 +104,7 @@
             return Taken.GOES_ON
         try:
             event = self._decoder.decode(raw[DATA_PREFIX_LENGTH:])
-        except (msgspec.DecodeError, UnicodeDecodeError):
+        except MALFORMED_INPUT:
             return self._take_mark(raw)
         if event.request_id != self._request_id:
             return Taken.FOREIGN
@@ -166,7 +167,7 @@
         """Take in the event with the finish reason."""
         try:
             event = EVENT_DECODER.decode(raw[DATA_PREFIX_LENGTH:])
-        except (msgspec.DecodeError, UnicodeDecodeError):
+        except MALFORMED_INPUT:
             return Taken.MALFORMED
         if event.finish_reason not in WHOLE_REASONS:
             return Taken.ENDED_EARLY
--- a/src/merlinstand/routing/status.py
+++ b/src/merlinstand/routing/status.py
@@ -5,6 +5,7 @@
 import msgspec
 from result import Err, Ok, Result
 
+from merlinstand.common.decoding import MALFORMED_INPUT
 from merlinstand.common.errors import InvalidInputError
 from merlinstand.routing.load_reports import LoadReport
 from merlinstand.routing.membership import MachineState, ReplicaState, StateReport
@@ -95,7 +96,7 @@
 def _decode(decoder: msgspec.json.Decoder[Value], body: bytes) -> Result[Value, InvalidInputError]:
     try:
         return Ok(decoder.decode(body))
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except MALFORMED_INPUT as error:
         return Err(InvalidInputError(detail=str(error)))
 
 
--- a/src/merlinstand/session/request_sender.py
+++ b/src/merlinstand/session/request_sender.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from merlinstand.common.decoding import MALFORMED_INPUT
 from merlinstand.common.ids import CommandId, NodeId
 from merlinstand.control.commands import AnyOutcome, Command, decode_outcome, encode_command
 from merlinstand.control.queries import AnyAnswer, Query, decode_answer
@@ -132,7 +133,7 @@
             return self._refused(waiting, sender, reply.status, reply.leader, retry_seconds, now)
         try:
             outcome = decode_outcome(reply.outcome)
-        except (msgspec.DecodeError, UnicodeDecodeError):
+        except MALFORMED_INPUT:
             return Received()
         answered = Answered(
             waiting.request_id, waiting.content, outcome=outcome, revision=reply.revision
@@ -151,7 +152,7 @@
         if reply.status == CommandStatus.APPLIED:
             try:
                 answer = decode_answer(reply.answer)
-            except (msgspec.DecodeError, UnicodeDecodeError):
+            except MALFORMED_INPUT:
                 return Received()
         answered = Answered(waiting.request_id, waiting.content, answer=answer)
         return self._answered(answered, sender, now)
--- a/src/merlinstand/session/view.py
+++ b/src/merlinstand/session/view.py
@@ -4,8 +4,7 @@
 from types import MappingProxyType
 from typing import Any
 
-import msgspec
-
+from merlinstand.common.decoding import MALFORMED_INPUT
 from merlinstand.configuration.objects import (
     Daemon,
     Drain,
@@ -101,5 +100,5 @@
         return
     try:
         values[name] = decode_object(key, entry.payload)
-    except (msgspec.DecodeError, UnicodeDecodeError):
+    except MALFORMED_INPUT:
         return
--- a/tests/control/test_daemon.py
+++ b/tests/control/test_daemon.py
@@ -2,7 +2,7 @@
 
 import msgspec
 import pytest
-from hypothesis import given, settings
+from hypothesis import example, given, settings
 from hypothesis import strategies as st
 
 from merlinstand.common.ids import RequestId
@@ -248,12 +248,18 @@
     assert response.status == status
 
 
+NESTED_COMMAND = b'{"command_id":"c","command":' + b'{"a":' * 5000 + b"1" + b"}" * 5000 + b"}"
+"""Nested further than a decoder follows."""
+
+
 @settings(max_examples=150, deadline=None, derandomize=True)
+@example(method="POST", path="/v1/commands", body=NESTED_COMMAND)
 @given(
     method=st.sampled_from(["GET", "POST", "PUT"]),
     path=st.sampled_from(["/v1/commands", "/v1/ledger/%ff", "/v1/x", "/", "//[", "/v1/status"]),
     body=st.one_of(
         st.binary(max_size=200),
+        st.just(NESTED_COMMAND),
         st.dictionaries(
             st.sampled_from(["command_id", "command"]),
             st.recursive(
@@ -277,6 +283,25 @@
     assert "code" in msgspec.json.decode(responses[0].body) or responses[0].status == 200
 
 
+@settings(max_examples=150, deadline=None, derandomize=True)
+@given(
+    path=st.sampled_from(["/v1/commands", "/v1/configuration?prefix=%ff&=&&", "/v1/status"]),
+    header=st.text(st.characters(max_codepoint=0xFF), max_size=30)
+    | st.sampled_from(["Bearer", "Bearer ", "bearer  s3 s3", "Basic s3", "Bearer s\u00e9"]),
+)
+def test_no_other_token_opens_the_door(path: str, header: str) -> None:
+    made = control_daemon.ControlDaemon(
+        ControlSettings(
+            node_id="control-1", zone="z", members=(MEMBER,), http_address="10.0.0.1:8000",
+            operator_token="s3cret",
+        )
+    )  # fmt: skip
+    event = RequestReceived(RequestId("r1"), "GET", path, {"authorization": header}, b"")
+    (response,) = made.reduce(event, 1.0)
+    assert isinstance(response, Respond)
+    assert (response.status, msgspec.json.decode(response.body)["code"]) == (401, "unauthorized")
+
+
 def test_aborted_request_is_not_answered() -> None:
     group = Group(seed=17)
     leader = group.wait_for_leader()
--- a/tests/gateway/test_door.py
+++ b/tests/gateway/test_door.py
@@ -2,7 +2,7 @@
 
 import msgspec
 import pytest
-from hypothesis import given, settings
+from hypothesis import example, given, settings
 from hypothesis import strategies as st
 
 from merlinstand.common.ids import RequestId
@@ -142,7 +142,12 @@
         assert call.headers["x-request-id"].isprintable()
 
 
+DEEP = b'{"a":' * 5000 + b"1" + b"}" * 5000
+"""Nested further than a decoder follows."""
+
+
 @settings(max_examples=200, deadline=None, derandomize=True)
+@example(chunks=[b"data: " + DEEP + b"\n\n"])
 @given(chunks=st.lists(st.binary(max_size=40) | st.just(b"data: {}\n\n"), max_size=6))
 def test_whatever_an_engine_sends_harms_only_its_own_stream(chunks: list[bytes]) -> None:
     driver = GatewayDriver([engine_pool(), service_pool()])
@@ -159,6 +164,7 @@
 
 
 @settings(max_examples=100, deadline=None, derandomize=True)
+@example(body=DEEP, status=200)
 @given(body=st.binary(max_size=80), status=st.sampled_from([200, 500, 302]))
 def test_whatever_a_status_request_gets_is_survived(body: bytes, status: int) -> None:
     from merlinstand.kernel.events import CallResponded
