--- a/src/merlinstand/common/errors.py
+++ b/src/merlinstand/common/errors.py
@@ -87,6 +87,4 @@
 
 def error_body(error: MerlinstandError) -> bytes:
     """Encode an error as the JSON body of an HTTP response."""
-    return msgspec.json.encode(
-        ErrorBody(type(error).code, error.detail, error.retry_after_seconds)
-    )
+    return msgspec.json.encode(ErrorBody(type(error).code, error.detail, error.retry_after_seconds))
--- a/src/merlinstand/control/leases.py
+++ b/src/merlinstand/control/leases.py
@@ -50,12 +50,10 @@
         if held is not None:
             return held
         lease = self.leases.get(command.resource)
-        if lease is not None and _is_held(lease, group_time):
-            epoch = lease.epoch
-        else:
-            # Also the former holder gets a new epoch once its lease ran out: it may have
-            # stopped acting, and whatever it sent before must not count as new.
-            epoch = revision
+        # Also the former holder gets a new epoch once its lease ran out: it may have
+        # stopped acting, and whatever it sent before must not count as new.
+        is_held = lease is not None and _is_held(lease, group_time)
+        epoch = lease.epoch if lease is not None and is_held else revision
         if lease is None and not self._make_room(group_time):
             return Refused(code="busy", detail="too many leases")
         self.leases[command.resource] = Lease(
