Leave the engines of a mirrored job to the old scripts

Cause: docs/ADOPTION.md promises that a pool's rollouts begin when a job on it is active, but a coordinator wanted the lease of every engine pool, so in mirror mode both sides sent orders to the same engines. Ruled out: refusing orders at the engine (fences can't tell who should lead).

Change: the lease engines/POOL is wanted only while some job on the pool is active and not cancelled; work for a resource that was given up ends with the configuration that says so, not at the next lease check.

--- a/src/merlinstand/coordinator/leadership.py
+++ b/src/merlinstand/coordinator/leadership.py
@@ -4,7 +4,7 @@
 
 import xxhash
 
-from merlinstand.configuration.objects import JobPhase, PoolKind
+from merlinstand.configuration.objects import JobMode, JobPhase
 from merlinstand.coordinator.context import Context
 from merlinstand.session.view import ConfigurationView
 
@@ -24,7 +24,11 @@
 
 
 class Leadership:
-    """Wants the leases of all jobs and engine pools, its preferred ones first."""
+    """Wants the leases of all jobs and of the engine pools that merlinstand swaps.
+
+    A pool without an active job belongs to the team's own scripts: orders of two sides would
+    overtake each other for ever.
+    """
 
     def __init__(self, node_id: str) -> None:
         """Begin wanting nothing."""
@@ -58,11 +62,11 @@
 
 def _resources(view: ConfigurationView) -> Iterable[str]:
     for name, job in view.jobs.items():
-        if job.phase is not JobPhase.CANCELLED:
-            yield job_resource(name)
-    for name, pool in view.pools.items():
-        if pool.kind is PoolKind.ENGINE:
-            yield engines_resource(name)
+        if job.phase is JobPhase.CANCELLED:
+            continue
+        yield job_resource(name)
+        if job.mode is JobMode.ACTIVE and job.pool in view.pools:
+            yield engines_resource(job.pool)
 
 
 def _rank(node_id: str, resource: str) -> tuple[int, str]:
--- a/src/merlinstand/coordinator/workplace.py
+++ b/src/merlinstand/coordinator/workplace.py
@@ -87,6 +87,9 @@
             if job is not None:
                 runner.configure(job)
         self.leadership.update(self._context)
+        # Work for a resource that was given up ends now, not at the next check.
+        self._leases_good_until = 0.0
+        self.check_leases()
         for engine_pool in self._pools.values():
             engine_pool.changed = True
 
