A run in which a job moves from the old scripts to merlinstand and back

The scripts became a stand-in (moved from experiments). Found while making them one: they never came above a fence that a coordinator had set (epoch 1 for ever), so engines could not be taken back; and a batch begun before a move was handed out after the next one with samples of an old version. Their samples have names and no ledger slot of their own, since merlinstand makes samples of the same job beside them; the trainer's position is kept for each feeder, and its records name the feeder.

--- a/src/merlinstand_lab/cli/run.py
+++ b/src/merlinstand_lab/cli/run.py
@@ -32,16 +32,22 @@
 @click.option(
     "--faults", default="none", show_default=True, type=click.Choice(["none", "kill", "all"])
 )
-def command(settings_folder: Path, output: Path, faults: str) -> None:
+@click.option(
+    "--move",
+    "moves",
+    is_flag=True,
+    help="Begin with the team's old scripts; move the job to merlinstand, back, and again.",
+)
+def command(settings_folder: Path, output: Path, faults: str, moves: bool) -> None:
     """Run a fleet until its trainers made their steps, then verify the records.
 
     Example: merlinstand-lab run --settings examples/tatrasoft --faults kill
     """
-    plan = make_plan(settings_folder, output)
+    plan = make_plan(settings_folder, output, with_scripts=moves)
     if isinstance(plan, Err):
         click.echo(plan.err_value.describe(), err=True)
         sys.exit(_EXIT_INVALID)
-    outcome = Launcher(plan.ok_value, faults, click.echo).run()
+    outcome = Launcher(plan.ok_value, faults, click.echo, moves=moves).run()
     records = RecordSet.load(output)
     _show_outcome(outcome, records)
     if outcome.failure is not None or outcome.bad_exits:
--- a/src/merlinstand_lab/cli/standin.py
+++ b/src/merlinstand_lab/cli/standin.py
@@ -11,7 +11,16 @@
 from merlinstand_lab.standins.catalogue import make_standin
 from merlinstand_lab.standins.settings import StandinSettings
 
-_KINDS = ("engine", "service", "weight-store", "scorer", "machine-list", "trainer", "callers")
+_KINDS = (
+    "engine",
+    "service",
+    "weight-store",
+    "scorer",
+    "machine-list",
+    "scripts",
+    "trainer",
+    "callers",
+)
 _EXIT_USAGE = 2
 _EXIT_INVALID = 3
 
@@ -48,7 +57,8 @@
 
 def find_standin(lab: LabSettings, kind: str, node: str) -> StandinSettings | None:
     """Find a stand-in by kind and node id."""
-    for one_kind, settings in lab.platform_standins() + lab.load_standins():
+    standins = lab.platform_standins() + lab.old_scripts() + lab.load_standins()
+    for one_kind, settings in standins:
         if (one_kind, settings.node_id) == (kind, node):
             return settings
     return None
--- a/src/merlinstand_lab/fleet/fleet.py
+++ b/src/merlinstand_lab/fleet/fleet.py
@@ -15,6 +15,7 @@
 _STOP_ORDER = (
     "callers",
     "trainer",
+    "scripts",
     "coordinator",
     "gateway",
     "control",
--- a/src/merlinstand_lab/fleet/incidents.py
+++ b/src/merlinstand_lab/fleet/incidents.py
@@ -11,7 +11,7 @@
 from merlinstand_lab.fleet.configuration_file import delete_command, put_command
 from merlinstand_lab.fleet.fleet import Fleet
 from merlinstand_lab.fleet.http import request_json
-from merlinstand_lab.fleet.operator import OperatorClient
+from merlinstand_lab.fleet.operator import OperatorClient, find_object
 from merlinstand_lab.fleet.plan import FleetPlan
 from merlinstand_lab.standins.settings import TrainerSettings
 
@@ -42,16 +42,6 @@
     members: list[_Member]
 
 
-class _ConfigurationItem(msgspec.Struct, frozen=True):
-    key: str
-    revision: int
-    value: dict[str, object]
-
-
-class _Configuration(msgspec.Struct, frozen=True):
-    objects: list[_ConfigurationItem]
-
-
 class _Position(msgspec.Struct, frozen=True):
     consumer: str
     next_batch: int
@@ -117,7 +107,7 @@
         """Two operators change one object from the same revision; one sends twice."""
         caller = self._plan.lab.run.raced_limits
         key = f"limits/{caller}"
-        present = self._object(key)
+        present = find_object(self._operator, key)
         revision = 0 if present is None else present.revision
         limits = [
             Limits(caller=caller, weight=weight, requests_per_second=10.0) for weight in (0.3, 0.4)
@@ -132,16 +122,10 @@
         gevent.joinall(senders, raise_error=True)
         self._operator.send(commands[0], command_id)
 
-    def _object(self, key: str) -> _ConfigurationItem | None:
-        """Read one object of the configuration."""
-        found = self._operator.get(f"/v1/configuration?prefix={key}", _Configuration)
-        items = found.objects if isinstance(found, _Configuration) else []
-        return next((item for item in items if item.key == key), None)
-
     def _pause(self) -> None:
         """The operator pauses the job for a while."""
         for phase in (JobPhase.PAUSED, JobPhase.RUNNING):
-            item = self._object(f"job/{self._plan.lab.trainer[0].job}")
+            item = find_object(self._operator, f"job/{self._plan.lab.trainer[0].job}")
             if item is None:
                 return
             job = msgspec.structs.replace(msgspec.convert(item.value, Job), phase=phase)
--- a/src/merlinstand_lab/fleet/launcher.py
+++ b/src/merlinstand_lab/fleet/launcher.py
@@ -15,6 +15,7 @@
 from merlinstand_lab.fleet.fleet import Fleet
 from merlinstand_lab.fleet.http import get_typed
 from merlinstand_lab.fleet.incidents import Incident, Incidents
+from merlinstand_lab.fleet.job_move import STEPS_FED_BY_SCRIPTS, JobMove, as_mirror
 from merlinstand_lab.fleet.operator import OperatorClient
 from merlinstand_lab.fleet.plan import FleetPlan
 from merlinstand_lab.fleet.processes import busy_addresses
@@ -52,16 +53,20 @@
 class Launcher:
     """Runs a fleet once."""
 
-    def __init__(self, plan: FleetPlan, faults: str, say: Callable[[str], None]) -> None:
+    def __init__(
+        self, plan: FleetPlan, faults: str, say: Callable[[str], None], *, moves: bool = False
+    ) -> None:
         """Prepare a run.
 
         Args:
             plan: Processes and settings.
             faults: `none`, `kill` or `all` (also a half-failed swap, a hurt scorer, a freeze).
             say: Shows one line of progress.
+            moves: Whether the job moves between the old scripts and merlinstand.
         """
         self._plan = plan
         self._faults = faults
+        self._moves = moves
         self._say = say
         self._began_at = time.monotonic()
         self._shown_at = 0.0
@@ -108,9 +113,15 @@
         )
         if failure is None:
             gevent.sleep(_SPREAD_SECONDS)
-            fleet.start_roles("trainer", "callers")
-            incidents = Incidents(self._plan, fleet, operator, self._say)
-            failure = self._watch(fleet, incidents.schedule(self._faults))
+            fleet.start_roles("scripts", "trainer", "callers")
+            schedule = Incidents(self._plan, fleet, operator, self._say).schedule(self._faults)
+            if self._moves:
+                move = JobMove(self._plan, operator, self._say)
+                failure = self._wait_ready(fleet, "scripts", "trainer")
+                if failure is None:
+                    move.begin()
+                schedule = sorted(schedule + move.schedule(), key=lambda one: one.after_steps)
+            failure = failure or self._watch(fleet, schedule)
         return failure
 
     def _start_system(self, fleet: Fleet) -> RunFailedError | None:
@@ -138,7 +149,8 @@
         commands = read_put_commands(str(self._plan.configuration_path))
         if isinstance(commands, Err):
             return RunFailedError(detail=commands.err_value.describe())
-        for command in commands.ok_value:
+        for put in commands.ok_value:
+            command = as_mirror(put) if self._moves else put
             answer = operator.send(command)
             if answer is None or answer.outcome.outcome != "done":
                 why = "no answer" if answer is None else f"{answer.outcome}"
@@ -152,6 +164,7 @@
         pending = list(schedule)
         under_way: list[gevent.Greenlet] = []
         calm_since = time.monotonic()
+        needed_steps = run.minimum_steps + (STEPS_FED_BY_SCRIPTS if self._moves else 0)
         deadline = time.monotonic() + run.maximum_seconds
         while time.monotonic() < deadline:
             gevent.sleep(_POLL_SECONDS)
@@ -165,7 +178,7 @@
             if pending or not all(job.ready() for job in under_way):
                 calm_since = time.monotonic()
             calm_seconds = time.monotonic() - calm_since
-            if steps >= run.minimum_steps and calm_seconds >= self._calm_seconds():
+            if steps >= needed_steps and calm_seconds >= self._calm_seconds():
                 return self._settle(under_way)
         return RunFailedError(detail=f"not complete after {run.maximum_seconds:g} s")
 
--- a/src/merlinstand_lab/fleet/operator.py
+++ b/src/merlinstand_lab/fleet/operator.py
@@ -21,6 +21,20 @@
     command: dict[str, object]
 
 
+class ConfigurationItem(msgspec.Struct, frozen=True):
+    """One object of the configuration."""
+
+    key: str
+    revision: int
+    value: dict[str, object]
+
+
+class _Configuration(msgspec.Struct, frozen=True):
+    """`GET /v1/configuration`."""
+
+    objects: list[ConfigurationItem]
+
+
 class OperatorClient:
     """Sends each command under one id until an answer comes or time is up."""
 
@@ -103,6 +117,13 @@
         )
 
 
+def find_object(operator: OperatorClient, key: str) -> ConfigurationItem | None:
+    """Read one object of the configuration; None if there is none or no answer."""
+    found = operator.get(f"/v1/configuration?prefix={key}", _Configuration)
+    items = found.objects if isinstance(found, _Configuration) else []
+    return next((item for item in items if item.key == key), None)
+
+
 def _leader_of(response: JsonResponse) -> str:
     """Leader's address in a 421, empty if unknown."""
     try:
--- a/src/merlinstand_lab/fleet/plan.py
+++ b/src/merlinstand_lab/fleet/plan.py
@@ -44,8 +44,16 @@
         return addresses + [spec.internal_address for spec in self.specs if spec.internal_address]
 
 
-def make_plan(folder: Path, output: Path) -> Result[FleetPlan, SettingsError]:
-    """Read the settings of a fleet."""
+def make_plan(
+    folder: Path, output: Path, *, with_scripts: bool = False
+) -> Result[FleetPlan, SettingsError]:
+    """Read the settings of a fleet.
+
+    Args:
+        folder: Where the settings files are.
+        output: Where records, logs and data of the run go.
+        with_scripts: Whether the team's old scripts run beside.
+    """
     deployment = load_deployment(str(folder / "merlinstand.toml"))
     if isinstance(deployment, Err):
         return deployment
@@ -54,7 +62,10 @@
         return lab
     daemons = list_daemons(deployment.ok_value)
     platform = [_standin_spec(folder, output, *one) for one in lab.ok_value.platform_standins()]
-    load = [_standin_spec(folder, output, *one) for one in lab.ok_value.load_standins()]
+    users = lab.ok_value.load_standins()
+    if with_scripts:
+        users = lab.ok_value.old_scripts() + users
+    load = [_standin_spec(folder, output, *one) for one in users]
     own = [_daemon_spec(folder, output, daemon) for daemon in daemons]
     plan = FleetPlan(
         folder=folder,
--- a/src/merlinstand_lab/fleet/settings.py
+++ b/src/merlinstand_lab/fleet/settings.py
@@ -11,6 +11,7 @@
     EngineSettings,
     MachineListSettings,
     ScorerSettings,
+    ScriptsSettings,
     ServiceSettings,
     StandinSettings,
     TrainerSettings,
@@ -55,6 +56,8 @@
     machine_list: MachineListSettings
     trainer: tuple[TrainerSettings, ...]
     callers: CallersSettings
+    scripts: ScriptsSettings | None = None
+    """The old scripts, which run only while a job moves."""
 
     def platform_standins(self) -> list[tuple[str, StandinSettings]]:
         """What must be there before the system starts, as (kind, settings)."""
@@ -67,6 +70,10 @@
         platform += [("service", service) for service in self.service]
         return platform
 
+    def old_scripts(self) -> list[tuple[str, StandinSettings]]:
+        """What a team had before and runs beside the system, as (kind, settings)."""
+        return [] if self.scripts is None else [("scripts", self.scripts)]
+
     def load_standins(self) -> list[tuple[str, StandinSettings]]:
         """What uses the system, as (kind, settings)."""
         load: list[tuple[str, StandinSettings]] = [("trainer", one) for one in self.trainer]
--- a/src/merlinstand_lab/fleet/summary.py
+++ b/src/merlinstand_lab/fleet/summary.py
@@ -1,11 +1,12 @@
 """What users measure, from a run's records: idle trainers, stale samples, slow lookups."""
 
-from collections import Counter
+from collections import Counter, defaultdict
 
 import msgspec
 
-from merlinstand_lab.records.kinds import CallerOutcome
+from merlinstand_lab.records.kinds import CallerOutcome, StepRecord
 from merlinstand_lab.records.record_set import RecordSet
+from merlinstand_lab.standins.trainer_feed import trainer_of
 
 _QUANTILES = (0.5, 0.99)
 
@@ -15,6 +16,7 @@
 
     consumer: str
     steps: int
+    steps_fed_by_scripts: int
     last_version: int
     idle_share: float
     """Time between the end of a step and the next batch, over all time of the trainer."""
@@ -56,8 +58,8 @@
 def render_summary(summary: RunSummary) -> list[str]:
     """Return the summary as lines for a terminal."""
     lines = [
-        f"{one.consumer:<10}{one.steps} steps, weights up to version {one.last_version}, "
-        f"idle {one.idle_share:.1%} of its time"
+        f"{one.consumer:<10}{one.steps} steps{_fed_by_scripts(one)}, "
+        f"weights up to version {one.last_version}, idle {one.idle_share:.1%} of its time"
         for one in summary.trainers
     ]
     staleness = ", ".join(f"{count} at {age}" for age, count in summary.staleness.items())
@@ -72,22 +74,34 @@
     return lines
 
 
+def _fed_by_scripts(trainer: TrainerSummary) -> str:
+    """Tell how many steps the old scripts fed, if any."""
+    count = trainer.steps_fed_by_scripts
+    return f" ({count} fed by the old scripts)" if count else ""
+
+
 def _trainers(records: RecordSet) -> list[TrainerSummary]:
     """Summaries of all trainers."""
-    summaries = []
-    for consumer in sorted({step.consumer for step in records.steps}):
-        steps = [step for step in records.steps if step.consumer == consumer]
-        total = steps[-1].step_ended_at - steps[0].asked_at
-        busy = sum(step.step_ended_at - step.received_at for step in steps)
-        summaries.append(
-            TrainerSummary(
-                consumer=consumer,
-                steps=len(steps),
-                last_version=steps[-1].trainer_version,
-                idle_share=1.0 - busy / total if total > 0 else 0.0,
-            )
-        )
-    return summaries
+    by_trainer: dict[str, list[StepRecord]] = defaultdict(list)
+    for step in records.steps:
+        by_trainer[trainer_of(step.consumer)].append(step)
+    return [
+        _trainer(name, sorted(steps, key=lambda step: step.received_at))
+        for name, steps in sorted(by_trainer.items())
+    ]
+
+
+def _trainer(name: str, steps: list[StepRecord]) -> TrainerSummary:
+    """Summary of one trainer, from its steps in order."""
+    total = steps[-1].step_ended_at - steps[0].asked_at
+    busy = sum(step.step_ended_at - step.received_at for step in steps)
+    return TrainerSummary(
+        consumer=name,
+        steps=len(steps),
+        steps_fed_by_scripts=sum(step.consumer != name for step in steps),
+        last_version=steps[-1].trainer_version,
+        idle_share=1.0 - busy / total if total > 0 else 0.0,
+    )
 
 
 def _quantile(values: list[float], quantile: float) -> float:
--- a/src/merlinstand_lab/simulator/deployment.py
+++ b/src/merlinstand_lab/simulator/deployment.py
@@ -32,7 +32,7 @@
 
     MERLINSTAND = "merlinstand"
     SCRIPTS = "scripts"
-    """The baseline: what teams' own scripts do (`experiments.scripts`)."""
+    """The baseline: what teams' own scripts do (`standins.scripts`)."""
 
 
 class Place(msgspec.Struct, frozen=True):
--- a/src/merlinstand_lab/simulator/whole_fleet.py
+++ b/src/merlinstand_lab/simulator/whole_fleet.py
@@ -16,6 +16,7 @@
 from merlinstand_lab.standins.engine import EngineServer
 from merlinstand_lab.standins.machine_list import MachineList
 from merlinstand_lab.standins.scorer import Scorer
+from merlinstand_lab.standins.scripts import Scripts
 from merlinstand_lab.standins.service import ServiceServer
 from merlinstand_lab.standins.trainer import Trainer
 from merlinstand_lab.standins.weight_store import WeightStore
@@ -75,12 +76,9 @@
 
 def _add_scripts(assembly: Assembly) -> None:
     """Let the baseline's scripts feed the trainers in place of the coordinators."""
-    # Imported late: only experiments run the baseline.
-    from merlinstand_lab.experiments.scripts import Scripts, ScriptsSettings
-
     places, plan = assembly.places, assembly.plan
     place = places.coordinators[0]
-    settings = ScriptsSettings(
+    settings = st.ScriptsSettings(
         node_id=place.node_id,
         address=place.http_address,
         job=JOB,
--- a/src/merlinstand_lab/standins/catalogue.py
+++ b/src/merlinstand_lab/standins/catalogue.py
@@ -5,12 +5,14 @@
 from merlinstand_lab.standins.engine import EngineServer
 from merlinstand_lab.standins.machine_list import MachineList
 from merlinstand_lab.standins.scorer import Scorer
+from merlinstand_lab.standins.scripts import Scripts
 from merlinstand_lab.standins.service import ServiceServer
 from merlinstand_lab.standins.settings import (
     CallersSettings,
     EngineSettings,
     MachineListSettings,
     ScorerSettings,
+    ScriptsSettings,
     ServiceSettings,
     StandinSettings,
     TrainerSettings,
@@ -39,6 +41,8 @@
             return MachineList(settings)
         case TrainerSettings():
             return Trainer(settings)
+        case ScriptsSettings():
+            return Scripts(settings)
         case CallersSettings():
             return Callers(settings)
         case _:
--- a/src/merlinstand_lab/experiments/scripts.py
+++ b/src/merlinstand_lab/standins/scripts.py
@@ -5,8 +5,9 @@
 answers. A failed request is begun again from its prompt on the next engine. Nothing is
 generated ahead, nothing is resumed, no load report is read.
 
-It serves the trainers' contract of `docs/INTERFACES.md`, so that the same trainer stand-in
-and the same records measure it.
+A team that moves in has it running beside merlinstand, for the same job: its own names for
+samples keep the two sides' samples apart. It serves the trainers' contract of
+`docs/INTERFACES.md`, so that the same trainer stand-in and the same records measure it.
 """
 
 from collections.abc import Sequence
@@ -25,10 +26,10 @@
     StopRequested,
     TimerFired,
 )
-from merlinstand_lab.experiments.scripts_swap import ScriptsSwap
 from merlinstand_lab.standins import door
 from merlinstand_lab.standins.engine_messages import CompletionAnswer, CompletionBody
-from merlinstand_lab.standins.settings import StandinSettings
+from merlinstand_lab.standins.scripts_swap import ScriptsSwap
+from merlinstand_lab.standins.settings import ScriptsSettings
 from merlinstand_lab.standins.trainer_messages import (
     PullBody,
     PulledBatch,
@@ -43,21 +44,6 @@
 _GENERATION_PREFIX = "generation."
 
 
-class ScriptsSettings(StandinSettings, frozen=True, kw_only=True, forbid_unknown_fields=True):
-    """What a team writes at the top of its script."""
-
-    job: str
-    model: str
-    engines: tuple[str, ...]
-    """HTTP addresses."""
-    weight_store: str
-    batch_size: int
-    prompts: tuple[str, ...]
-    maximum_tokens: int
-    timeout_seconds: float = 300.0
-    """Longest wait for one sample before it is begun again."""
-
-
 class _Slot(msgspec.Struct):
     """One sample of the batch being generated."""
 
@@ -134,7 +120,9 @@
         effects: list[Effect] = []
         batch = pull.last_received_batch + 1
         step = self._steps.get(pull.consumer)
-        if step is None or step.batch != batch:
+        if step is None or step.batch != batch or step.version < pull.trainer_version:
+            # Samples begun for an older version of the trainer (it was fed by merlinstand
+            # meanwhile) are worth nothing to it.
             step = self._new_step(batch, pull.trainer_version)
             self._steps[pull.consumer] = step
             effects += self._swap.swap_to(pull.trainer_version)
@@ -184,15 +172,14 @@
         self._call_count += 1
         call_id = CallId(f"{_GENERATION_PREFIX}{self._call_count}")
         self._calls[call_id] = slot
-        sample_id = self._sample_id(slot.slot)
-        request_id = f"{sample_id}~{self._call_count}"
+        request_id = f"{self._sample_id(slot.slot)}~{self._call_count}"
         body = CompletionBody(
             request_id=request_id,
             model=settings.model,
             prompt=self._prompt(slot.slot),
             max_tokens=settings.maximum_tokens,
             # The coordinator's formula, so that a slot has the same length in every variant.
-            seed=xxhash.xxh64_intdigest(f"{sample_id}#0".encode()) & SEED_MASK,
+            seed=xxhash.xxh64_intdigest(f"{self._slot_name(slot.slot)}#0".encode()) & SEED_MASK,
         )
         return StartCall(
             call_id=call_id,
@@ -228,13 +215,17 @@
     def _prompt(self, slot: int) -> str:
         return self._settings.prompts[slot % len(self._settings.prompts)]
 
-    def _sample_id(self, slot: int) -> str:
+    def _slot_name(self, slot: int) -> str:
         return f"{self._settings.job}/{slot}/0"
 
+    def _sample_id(self, slot: int) -> str:
+        return f"{self._settings.sample_prefix}{self._slot_name(slot)}"
+
     def _sample(self, slot: int, answer: CompletionAnswer) -> PulledSample:
         return PulledSample(
             sample_id=self._sample_id(slot),
-            slot=slot,
+            # Beside merlinstand the ledger numbers the job's slots, and these are not its own.
+            slot=-1 if self._settings.sample_prefix else slot,
             job=self._settings.job,
             prompt_id=str(slot),
             attempt=0,
--- a/src/merlinstand_lab/experiments/scripts_swap.py
+++ b/src/merlinstand_lab/standins/scripts_swap.py
@@ -1,4 +1,4 @@
-"""The baseline's weight swap: every engine loads, then activates, before a step begins."""
+"""The scripts' weight swap: every engine loads, then activates, before a step begins."""
 
 import enum
 from collections.abc import Sequence
@@ -11,6 +11,7 @@
 from merlinstand_lab.standins import door
 from merlinstand_lab.standins.engine_messages import (
     Fence,
+    FencedBody,
     OrderBody,
     OrderState,
     StorePut,
@@ -22,7 +23,6 @@
 WEIGHT_BYTES = 2_000_000_000
 _CALL_PREFIX = "swap."
 _TIMER_PREFIX = "scripts.swap."
-_EPOCH = 1
 
 
 class _Phase(enum.Enum):
@@ -51,7 +51,7 @@
         self._store = weight_store
         self._version = 0
         self._digest = ""
-        self._sequence = 0
+        self._highest = Fence(1, 0)
         self._calls = 0
         self._digest_call: CallId | None = None
         self._swaps: dict[int, _EngineSwap] = {}
@@ -113,7 +113,11 @@
         self, engine: int, swap: _EngineSwap, event: CallResponded | CallFailed
     ) -> Sequence[Effect]:
         state = ""
-        if isinstance(event, CallResponded) and event.status == 200:
+        if isinstance(event, CallResponded) and event.status == 409:
+            # Somebody else ordered this engine last; these scripts lead it again.
+            seen = msgspec.json.decode(event.body, type=FencedBody).fence
+            self._highest = max(self._highest, seen)
+        elif isinstance(event, CallResponded) and event.status == 200:
             state = msgspec.json.decode(event.body, type=OrderState).state
         if state == "done" and swap.phase is _Phase.LOAD:
             swap.phase = _Phase.ACTIVATE
@@ -135,8 +139,8 @@
         return self._order(engine, swap)
 
     def _new_fence(self) -> Fence:
-        self._sequence += 1
-        return Fence(_EPOCH, self._sequence)
+        self._highest = Fence(self._highest.epoch, self._highest.sequence + 1)
+        return self._highest
 
     def _new_call(self) -> CallId:
         self._calls += 1
--- a/src/merlinstand_lab/standins/settings.py
+++ b/src/merlinstand_lab/standins/settings.py
@@ -122,6 +122,8 @@
     controls: tuple[str, ...]
     """HTTP addresses of all control replicas."""
     weight_store: str
+    scripts: str = ""
+    """HTTP address of the old scripts, if they can feed this trainer too."""
     operator_token: str = ""
     step_seconds: float = 3.0
     steps: int = 0
@@ -134,6 +136,23 @@
     request_timeout_seconds: float = 10.0
 
 
+class ScriptsSettings(StandinSettings, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """What a team writes at the top of its own script."""
+
+    job: str
+    model: str
+    engines: tuple[str, ...]
+    """HTTP addresses."""
+    weight_store: str
+    batch_size: int
+    prompts: tuple[str, ...]
+    maximum_tokens: int
+    timeout_seconds: float = 300.0
+    """Longest wait for one sample before it is begun again."""
+    sample_prefix: str = ""
+    """Put before its sample ids where merlinstand makes samples of the same job."""
+
+
 class BurstSettings(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
     """A caller that sends many lookups at once, beyond its limit."""
 
--- a/src/merlinstand_lab/standins/trainer.py
+++ b/src/merlinstand_lab/standins/trainer.py
@@ -28,17 +28,18 @@
     StopRequested,
     TimerFired,
 )
-from merlinstand_lab.records.kinds import SampleRecord, StepRecord
+from merlinstand_lab.records.kinds import StepRecord
 from merlinstand_lab.standins import door
-from merlinstand_lab.standins.engine_model.text import parse_text
 from merlinstand_lab.standins.publisher import Publisher
 from merlinstand_lab.standins.settings import TrainerSettings
+from merlinstand_lab.standins.trainer_feed import FeedBody, FeedName, make_feeds
 from merlinstand_lab.standins.trainer_messages import (
     PullBody,
     PulledBatch,
     PulledSample,
     PullRefusal,
 )
+from merlinstand_lab.standins.trainer_records import sample_record, step_record
 
 _PULL_TIMER = "trainer.pull"
 _STEP_TIMER = "trainer.step"
@@ -71,12 +72,10 @@
         self._settings = settings
         self._publisher = Publisher(settings)
         self._version = 0
-        self._last_batch = 0
-        self._last_nonce = ""
+        self._feeds = make_feeds(settings)
+        self._feed = self._feeds[FeedName.COORDINATORS]
         self._nonce = ""
         self._calls = 0
-        self._coordinator = 0
-        self._owner = ""
         self._asked_at: float | None = None
         self._step: StepRecord | None = None
         self._samples = 0
@@ -119,6 +118,8 @@
                 return (self._show_progress(event),)
             case ("POST", "/lab/rewind"):
                 return self._rewind(event, now)
+            case ("POST", "/lab/feed"):
+                return self._change_feed(event, now)
             case _:
                 return (door.respond_not_found(event),)
 
@@ -139,7 +140,7 @@
         if isinstance(decoded, Err):
             return (door.respond_error(event.request_id, decoded.err_value),)
         batch = decoded.ok_value.batch
-        if not 1 <= batch <= self._last_batch + 1:
+        if not 1 <= batch <= self._feed.last_batch + 1:
             error = InvalidInputError(detail=f"there is no checkpoint before batch {batch}")
             return (door.respond_error(event.request_id, error),)
         effects: list[Effect] = [
@@ -148,14 +149,30 @@
             CancelTimer(_STEP_TIMER),
             CancelTimer(_PULL_TIMER),
         ]
-        self._last_batch = batch - 1
-        self._last_nonce = ""
+        self._feed.fall_back(batch - 1)
         self._step = None
         self._asked_at = None
         if self._publisher.is_idle:
             effects += self._next_pull(now)
         return effects
 
+    def _change_feed(self, event: RequestReceived, now: float) -> Sequence[Effect]:
+        """Pull from somebody else; a step under way goes on."""
+        decoded = door.decode_body(event.body, FeedBody)
+        if isinstance(decoded, Err):
+            return (door.respond_error(event.request_id, decoded.err_value),)
+        feed = self._feeds.get(decoded.ok_value.feed)
+        if feed is None:
+            error = InvalidInputError(detail="the settings name no such source of batches")
+            return (door.respond_error(event.request_id, error),)
+        self._feed = feed
+        acknowledged = door.respond_json(event.request_id, door.Acknowledged())
+        if self._asked_at is None:
+            return (acknowledged,)
+        # An answer of the former source that is still on its way has an older nonce.
+        cancel = (CancelCall(self._current_call_id()), CancelTimer(_PULL_TIMER))
+        return (acknowledged, *cancel, self._pull(now))
+
     # --- publishing -----------------------------------------------------------------
 
     def _publishing(
@@ -173,8 +190,9 @@
 
     def _next_pull(self, now: float) -> Sequence[Effect]:
         """Ask for the next batch unless all steps are done."""
-        if 0 < self._settings.steps <= self._last_batch:
-            return (LogEvent("trainer.finished", {"steps": self._last_batch}),)
+        last_batch = self._feed.last_batch
+        if 0 < self._settings.steps <= last_batch:
+            return (LogEvent("trainer.finished", {"steps": last_batch}),)
         return (self._pull(now),)
 
     def _current_call_id(self) -> CallId:
@@ -189,15 +207,14 @@
         self._nonce = f"{self._settings.consumer}-{self._random.getrandbits(64):016x}"
         body = PullBody(
             consumer=self._settings.consumer,
-            last_received_batch=self._last_batch,
+            last_received_batch=self._feed.last_batch,
             trainer_version=self._version,
             nonce=self._nonce,
-            last_received_nonce=self._last_nonce,
+            last_received_nonce=self._feed.last_nonce,
         )
-        coordinators = self._settings.coordinators
         return StartCall(
             call_id=self._current_call_id(),
-            address=self._owner or coordinators[self._coordinator % len(coordinators)],
+            address=self._feed.address,
             method="POST",
             path=f"/v1/jobs/{self._settings.job}/batches",
             headers=dict(door.JSON_HEADERS),
@@ -212,8 +229,7 @@
             return self._received(batch, now)
         refusal = _decode_refusal(event.body)
         if event.status == 421 and refusal.owner:
-            moved = refusal.owner != self._owner
-            self._owner = refusal.owner
+            moved = self._feed.redirect(refusal.owner)
             return (SetTimer(_PULL_TIMER, 0.0 if moved else self._settings.retry_seconds),)
         if event.status in (202, 409):
             delay = refusal.retry_after_seconds
@@ -223,35 +239,23 @@
         return self._try_elsewhere()
 
     def _try_elsewhere(self) -> Sequence[Effect]:
-        """Ask the next coordinator after a short while."""
-        self._owner = ""
-        self._coordinator += 1
+        """Ask the next address after a short while."""
+        self._feed.try_next()
         return (SetTimer(_PULL_TIMER, self._settings.retry_seconds),)
 
     def _received(self, batch: PulledBatch, now: float) -> Sequence[Effect]:
         """Record every sample and train on the batch."""
-        if batch.nonce != self._nonce or batch.batch != self._last_batch + 1:
+        if batch.nonce != self._nonce or batch.batch != self._feed.last_batch + 1:
             # An answer to an earlier attempt: it was voided, so it must not be trained on.
             fields = {"batch": batch.batch, "nonce": batch.nonce}
             drop = LogEvent("trainer.late_answer_dropped", fields, "warning")
             return (drop, SetTimer(_PULL_TIMER, self._settings.retry_seconds))
         assert self._asked_at is not None
-        self._last_batch = batch.batch
-        self._last_nonce = batch.nonce
+        self._feed.received(batch.batch, batch.nonce)
         self._samples += len(batch.samples)
         if not self._settings.publishes:
             self._version = batch.newest_version
-        self._step = StepRecord(
-            batch=batch.batch,
-            asked_at=self._asked_at,
-            received_at=now,
-            step_ended_at=now,
-            trainer_version=self._version,
-            consumer=self._settings.consumer,
-            job=self._settings.job,
-            samples=len(batch.samples),
-            newest_version=batch.newest_version,
-        )
+        self._step = step_record(batch, self._feed.label, self._version, self._asked_at, now)
         self._asked_at = None
         effects: list[Effect] = [self._record(sample, batch, now) for sample in batch.samples]
         effects.append(CountMetric("trainer_samples_total", len(batch.samples)))
@@ -259,22 +263,8 @@
         return effects
 
     def _record(self, sample: PulledSample, batch: PulledBatch, now: float) -> WriteRecord:
-        """Record of one sample, with what its text proves."""
-        record = SampleRecord(
-            sample_id=sample.sample_id,
-            job=sample.job,
-            prompt_id=sample.prompt_id,
-            attempt=sample.attempt,
-            batch=batch.batch,
-            trainer_version=self._version,
-            weight_versions=sample.weight_versions,
-            received_at=now,
-            newest_version=batch.newest_version,
-            consumer=self._settings.consumer,
-            token_count=sample.token_count,
-            slot=sample.slot,
-            produced=parse_text(sample.text).produced,
-        )
+        """Record one sample."""
+        record = sample_record(sample, batch, self._feed.label, self._version, now)
         return WriteRecord(f"trainer-{self._settings.consumer}", record)
 
     # --- training -------------------------------------------------------------------
--- a/tests/fleet/test_plan.py
+++ b/tests/fleet/test_plan.py
@@ -9,6 +9,7 @@
 from merlinstand_lab.fleet.configuration_file import read_put_commands
 from merlinstand_lab.fleet.fleet import Fleet
 from merlinstand_lab.fleet.incidents import Incidents
+from merlinstand_lab.fleet.job_move import STEPS_FED_BY_SCRIPTS, JobMove, as_mirror
 from merlinstand_lab.fleet.operator import OperatorClient
 from merlinstand_lab.fleet.plan import FleetPlan, make_plan
 from merlinstand_lab.fleet.settings import load_lab_settings
@@ -56,10 +57,34 @@
     assert job["object"]["policy"]["maximum_staleness_versions"] == 2  # type: ignore[index]
 
 
+@pytest.mark.parametrize("name", sorted(ROLES))
+def test_old_scripts_run_only_where_a_job_moves_and_do_the_same_work(
+    name: str, tmp_path: Path
+) -> None:
+    moving = make_plan(EXAMPLES / name, tmp_path, with_scripts=True)
+    assert isinstance(moving, Ok)
+    lab, scripts = moving.ok_value.lab, moving.ok_value.lab.scripts
+    assert [spec.name for spec in moving.ok_value.specs if spec.role == "scripts"] == [
+        "old-scripts"
+    ]
+    assert scripts is not None and scripts.sample_prefix
+    assert scripts.address == lab.trainer[0].scripts
+    assert scripts.engines == tuple(engine.address for engine in lab.engine)
+    commands = read_put_commands(str(EXAMPLES / name / "configuration.toml"))
+    assert isinstance(commands, Ok)
+    (job,) = [one["object"] for one in commands.ok_value if str(one["key"]).startswith("job/")]
+    assert isinstance(job, dict)
+    assert (scripts.job, scripts.batch_size, list(scripts.prompts)) == (
+        job["name"],
+        job["batch_size"],
+        list(job["prompts"]),
+    )
+
+
 @pytest.mark.parametrize("name", sorted(ROLES))
 def test_every_stand_in_of_an_example_can_be_made(name: str, tmp_path: Path) -> None:
     lab = plan_of(name, tmp_path).lab
-    for _, settings in lab.platform_standins() + lab.load_standins():
+    for _, settings in lab.platform_standins() + lab.old_scripts() + lab.load_standins():
         assert make_standin(settings) is not None
 
 
@@ -72,6 +97,24 @@
     assert "run.minimum_stepps" in loaded.err_value.describe()
 
 
+def test_a_moving_job_begins_as_a_mirror_and_ends_active(tmp_path: Path) -> None:
+    plan = plan_of("vitrina", tmp_path)
+    commands = read_put_commands(str(plan.configuration_path))
+    assert isinstance(commands, Ok)
+    modes = {
+        str(command["key"]): as_mirror(command)["object"].get("mode")  # type: ignore[attr-defined]
+        for command in commands.ok_value
+    }
+    assert modes["job/blurbs"] == "mirror"
+    assert [mode for key, mode in modes.items() if not key.startswith("job/")] == [None] * 3
+    operator = OperatorClient("operator", plan.controls, "", RecordWriter(str(tmp_path)), 1.0)
+    moves = JobMove(plan, operator, print).schedule()
+    assert [move.title.rsplit(" ", 1)[1] for move in moves] == ["active", "mirror", "active"]
+    # What the scripts feed is not counted for the run's minimum of steps.
+    first, back, again = (move.after_steps for move in moves)
+    assert first + again - back == STEPS_FED_BY_SCRIPTS
+
+
 def test_faults_come_one_after_the_other_and_only_when_asked_for(tmp_path: Path) -> None:
     plan = plan_of("vitrina", tmp_path)
     records = RecordWriter(str(tmp_path))
--- a/tests/fleet/test_summary.py
+++ b/tests/fleet/test_summary.py
@@ -1,5 +1,6 @@
 """The figures that a run ends with."""
 
+import msgspec
 import pytest
 
 from merlinstand_lab.fleet.summary import render_summary, summarize
@@ -63,5 +64,16 @@
     assert "idle 30.0%" in text and "1 at 0, 1 at 1" in text and "p99 1000.0 ms" in text
 
 
+def test_steps_of_both_feeders_are_one_trainers_steps() -> None:
+    records = RecordSet()
+    fed_by_scripts = msgspec.structs.replace(step(1, 0.0, 2.0, 5.0), consumer="t@scripts")
+    records.add("idle-t", fed_by_scripts)
+    records.add("idle-t", step(1, 5.0, 6.0, 10.0))
+    (trainer,) = summarize(records).trainers
+    assert (trainer.consumer, trainer.steps, trainer.steps_fed_by_scripts) == ("t", 2, 1)
+    assert trainer.idle_share == pytest.approx(0.3)
+    assert "2 steps (1 fed by the old scripts)" in render_summary(summarize(records))[0]
+
+
 def test_a_run_without_records_has_a_summary_too() -> None:
     assert render_summary(summarize(RecordSet()))
--- a/tests/standins/test_trainer.py
+++ b/tests/standins/test_trainer.py
@@ -17,20 +17,22 @@
 DONE = {"revision": 4, "outcome": {"outcome": "done", "revision": 4}}
 
 
+SETTINGS = TrainerSettings(
+    node_id="t",
+    address="127.0.0.1:1",
+    consumer="trainer-1",
+    job="j",
+    model="m",
+    coordinators=("coordinator-a", "coordinator-b"),
+    controls=("control-a", "control-b"),
+    weight_store="store",
+    step_seconds=2.0,
+)
+
+
 @pytest.fixture
 def driver() -> Driver:
-    settings = TrainerSettings(
-        node_id="t",
-        address="127.0.0.1:1",
-        consumer="trainer-1",
-        job="j",
-        model="m",
-        coordinators=("coordinator-a", "coordinator-b"),
-        controls=("control-a", "control-b"),
-        weight_store="store",
-        step_seconds=2.0,
-    )
-    return Driver(Trainer(settings))
+    return Driver(Trainer(SETTINGS))
 
 
 def call(driver: Driver) -> StartCall:
@@ -152,3 +154,69 @@
     assert body(driver)["last_received_nonce"] == ""
     driver.advance(10.0)
     assert len(driver.records["idle-trainer-1"]) == 1
+
+
+@pytest.fixture
+def moving() -> Driver:
+    """A trainer that old scripts may feed too, after its first publication."""
+    driver = Driver(Trainer(msgspec.structs.replace(SETTINGS, scripts="old-scripts")))
+    publish(driver)
+    return driver
+
+
+def take_batch(driver: Driver, number: int) -> StartCall:
+    """Answer the pull under way with a batch; returns the pull."""
+    pull = call(driver)
+    driver.respond(pull, batch(driver, number, body(driver)["nonce"]))
+    return pull
+
+
+def test_each_feeder_has_its_own_position_and_its_own_name_in_the_records(moving: Driver) -> None:
+    assert moving.ask("POST", "/lab/feed", {"feed": "scripts"}) == {"done": True}
+    former, pull = moving.calls
+    moving.calls.remove(former)
+    assert (former.address, pull.address) == ("coordinator-a", "old-scripts")
+    for number in (1, 2):
+        take_batch(moving, number)
+        moving.advance(2.0)
+        publish(moving)
+    assert body(moving)["last_received_batch"] == 2
+    moving.ask("POST", "/lab/feed", {"feed": "coordinators"})
+    moving.calls.pop(0)
+    assert call(moving).address == "coordinator-a"
+    assert (body(moving)["last_received_batch"], body(moving)["trainer_version"]) == (0, 3)
+    take_batch(moving, 1)
+    moving.advance(2.0)
+    publish(moving)
+    moving.ask("POST", "/lab/feed", {"feed": "scripts"})
+    moving.calls.pop(0)
+    assert body(moving)["last_received_batch"] == 2
+    steps = [
+        (one.consumer, one.batch)
+        for one in moving.records["idle-trainer-1"]
+        if isinstance(one, StepRecord)
+    ]
+    assert steps == [("trainer-1@scripts", 1), ("trainer-1@scripts", 2), ("trainer-1", 1)]
+
+
+def test_an_answer_of_the_former_feeder_is_dropped(moving: Driver) -> None:
+    nonce = body(moving)["nonce"]
+    former = call(moving)
+    moving.ask("POST", "/lab/feed", {"feed": "scripts"})
+    moving.respond(former, batch(moving, 1, nonce))
+    assert "trainer-trainer-1" not in moving.records
+    assert call(moving).address == "old-scripts"
+
+
+def test_a_step_under_way_goes_on_when_the_feeder_changes(moving: Driver) -> None:
+    take_batch(moving, 1)
+    moving.ask("POST", "/lab/feed", {"feed": "scripts"})
+    assert moving.calls == []
+    moving.advance(2.0)
+    publish(moving)
+    assert call(moving).address == "old-scripts"
+
+
+def test_a_feeder_that_the_settings_do_not_name_is_refused(driver: Driver) -> None:
+    answer = driver.ask("POST", "/lab/feed", {"feed": "scripts"})
+    assert answer["code"] == "invalid_input"
