--- a/src/merlinstand_lab/cli/verify.py
+++ b/src/merlinstand_lab/cli/verify.py
@@ -7,8 +7,10 @@
 import msgspec
 
 from merlinstand_lab.checkers.limits import CheckLimits
+from merlinstand_lab.checkers.named_fields import verify_named_fields
 from merlinstand_lab.checkers.report import PromiseResult, Report
 from merlinstand_lab.checkers.verify import verify_records
+from merlinstand_lab.records.named_fields import NamedRecords
 from merlinstand_lab.records.record_set import RecordSet
 
 _EXIT_VIOLATION = 1
@@ -27,6 +29,11 @@
     metavar="NAME",
     help="A promise that this run need not have put to the test.",
 )
+@click.option(
+    "--named-fields-only",
+    is_flag=True,
+    help="Read only the files and fields that users' own checks read.",
+)
 def command(
     folder: Path,
     output_format: str,
@@ -34,11 +41,14 @@
     in_force_seconds: float,
     liveness_seconds: float,
     may_be_untested: tuple[str, ...],
+    named_fields_only: bool,
 ) -> None:
     """Check the records in FOLDER; exit 1 on a violation or on a promise not tested.
 
     Example: merlinstand-lab verify out/run --output json
     """
+    if named_fields_only:
+        sys.exit(show_report(verify_named_fields(NamedRecords(folder)), output_format))
     limits = CheckLimits(
         leaving_seconds=leaving_seconds,
         in_force_seconds=in_force_seconds,
--- a/src/merlinstand_lab/records/record_set.py
+++ b/src/merlinstand_lab/records/record_set.py
@@ -56,6 +56,10 @@
         """Add one record."""
         self._streams.setdefault(stream, []).append(record)
 
+    def streams(self) -> list[tuple[str, list[Record]]]:
+        """Return the streams with their records."""
+        return sorted(self._streams.items())
+
     def of_kind(self, kind: str, record_type: type[AnyRecord]) -> list[AnyRecord]:
         """Return the records of every stream of a kind."""
         assert STREAM_TYPES[kind] is record_type
--- a/src/merlinstand_lab/standins/scripts.py
+++ b/src/merlinstand_lab/standins/scripts.py
@@ -227,7 +227,7 @@
             # Beside merlinstand the ledger numbers the job's slots, and these are not its own.
             slot=-1 if self._settings.sample_prefix else slot,
             job=self._settings.job,
-            prompt_id=str(slot),
+            prompt_id=f"{self._settings.sample_prefix}{slot}",
             attempt=0,
             prompt=self._prompt(slot),
             text=answer.text,
