--- a/src/merlinstand_lab/standins/engine_messages.py
+++ b/src/merlinstand_lab/standins/engine_messages.py
@@ -142,6 +142,7 @@
     incarnation: int
     reported_at: float
     role: str = ""
+    adapter: str = ""
 
 
 class CacheEventLine(msgspec.Struct, frozen=True):
--- a/src/merlinstand_lab/standins/engine_reports.py
+++ b/src/merlinstand_lab/standins/engine_reports.py
@@ -133,4 +133,5 @@
             incarnation=incarnation,
             reported_at=now,
             role=self._orders.role,
+            adapter=self._orders.adapter,
         )
