Split the engine model: the batch with its decode clock, and what feeds it

Batch keeps the lockstep clock, the prefill, the ends and the memory in use; the model keeps queue, cache, version and events.

--- a/src/merlinstand_lab/standins/engine_model/model.py
+++ b/src/merlinstand_lab/standins/engine_model/model.py
@@ -1,21 +1,13 @@
 """Continuous batching as events on a continuous clock.
 
-All decoding sequences advance in lockstep, one token a step, and a step's time grows with
-the batch and its context. The model therefore keeps one *decode clock* (tokens made by
-each decoding sequence since the engine began) instead of a counter for each sequence: a
-sequence's progress is the clock's advance since it joined. Only joins, ends, chunk ticks,
-swaps and pre-emptions are events; tokens are not.
+Only joins, ends, chunk ticks, swaps and pre-emptions are events; tokens are not (see
+`batch`).
 """
 
-import math
-
 from merlinstand_lab.records.kinds import GenerationOutcome
+from merlinstand_lab.standins.engine_model.batch import Batch
 from merlinstand_lab.standins.engine_model.prefix_cache import PrefixCache
-from merlinstand_lab.standins.engine_model.schedules import (
-    CLOCK_EPSILON,
-    EndSchedule,
-    WaitingQueue,
-)
+from merlinstand_lab.standins.engine_model.schedules import WaitingQueue
 from merlinstand_lab.standins.engine_model.sequence import (
     ChunkReady,
     Finished,
@@ -24,7 +16,7 @@
     Sequence,
     extend_spans,
 )
-from merlinstand_lab.standins.engine_model.speed import prefill_seconds, step_seconds
+from merlinstand_lab.standins.engine_model.speed import prefill_seconds
 from merlinstand_lab.standins.settings import EngineProfile
 
 _TIME_EPSILON_SECONDS = 1e-6
@@ -41,16 +33,11 @@
         self.version = 0
         """Version being served; 0 is none."""
         self._time = now
-        self._clock = 0.0
-        self._rate = 0.0
+        self._batch = Batch(profile)
         self._paused_until: float | None = None
         self._next_version = 0
         self._sequences: dict[str, Sequence] = {}
         self._waiting = WaitingQueue()
-        self._prefilling: Sequence | None = None
-        self._decoding: dict[str, Sequence] = {}
-        self._ends = EndSchedule()
-        self._context_offset = 0.0
         self._next_tick: float | None = None
         self._arrivals = 0
         self._events: list[ModelEvent] = []
@@ -60,7 +47,7 @@
     @property
     def running(self) -> int:
         """Sequences in the batch."""
-        return len(self._decoding) + (self._prefilling is not None)
+        return self._batch.running_count
 
     @property
     def queued(self) -> int:
@@ -75,12 +62,12 @@
     @property
     def free_blocks(self) -> int:
         """Blocks that no running sequence uses (cached ones can be evicted)."""
-        return max(0, self._profile.total_blocks - self._used_blocks())
+        return max(0, self._profile.total_blocks - self._batch.used_blocks)
 
     @property
     def tokens_per_second(self) -> float:
         """Tokens decoded a second over the whole batch, now."""
-        return self._rate * len(self._decoding)
+        return self._batch.tokens_per_second
 
     @property
     def paused_until(self) -> float | None:
@@ -118,7 +105,7 @@
         self._run_until(now)
         sequence = self._sequences.get(request_id)
         if sequence is not None:
-            self._settle(sequence)
+            self._batch.settle(sequence)
             self._emit(sequence)
             self._finish(sequence, outcome)
             self._reschedule()
@@ -128,7 +115,7 @@
         """End every request (a failed swap, a crash)."""
         self._run_until(now)
         for sequence in list(self._sequences.values()):
-            self._settle(sequence)
+            self._batch.settle(sequence)
             if outcome is not GenerationOutcome.CRASHED:
                 self._emit(sequence)
             self._finish(sequence, outcome)
@@ -159,14 +146,13 @@
 
     def next_event_at(self) -> float | None:
         """Return when `advance` should be called next; None while idle."""
-        times = [
-            time
-            for time in (self._next_end_at(), self._next_work_end_at(), self._next_tick_at())
-            if time is not None
-        ]
         if self._paused_until is not None:
-            times = [self._paused_until]
-        return min(times) if times else None
+            return self._paused_until
+        times = [self._next_tick_at()]
+        event_in = self._batch.next_event_in()
+        if event_in is not None:
+            times.append(self._time + event_in)
+        return min((time for time in times if time is not None), default=None)
 
     # --- time -----------------------------------------------------------------------
 
@@ -186,9 +172,7 @@
         self._time = until
         if elapsed <= 0 or self._paused_until is not None:
             return
-        self._clock += elapsed * self._rate
-        if self._prefilling is not None:
-            self._prefilling.work_seconds -= elapsed * self._work_share()
+        self._batch.pass_time(elapsed)
 
     def _handle_due(self) -> None:
         """Handle everything due at the current time."""
@@ -198,69 +182,27 @@
                 self.version = self._next_version
                 self._reschedule()
             return
-        self._finish_prefill_if_done()
-        self._finish_ended()
+        prefilled = self._batch.take_prefilled()
+        if prefilled is not None:
+            self.cache.store(prefilled.request.prefix_digests)
+        for sequence in self._batch.take_ended():
+            self._emit(sequence)
+            self._finish(sequence, sequence.request.outcome_at_target)
         if self._next_tick is not None and self._time + _TIME_EPSILON_SECONDS >= self._next_tick:
             self._next_tick = None
             self._emit_all()
             self._relieve_memory()
         self._reschedule()
 
-    def _finish_prefill_if_done(self) -> None:
-        """Move a sequence whose prefill is done into the decoding batch."""
-        sequence = self._prefilling
-        if sequence is None or sequence.work_seconds > _TIME_EPSILON_SECONDS:
-            return
-        self._prefilling = None
-        sequence.decoding = True
-        sequence.joined_clock = self._clock
-        self._decoding[sequence.request.request_id] = sequence
-        self._context_offset += sequence.context_tokens - self._clock
-        self._ends.add(sequence, self._clock)
-        self.cache.store(sequence.request.prefix_digests)
-
-    def _finish_ended(self) -> None:
-        """End the sequences that reached their last token."""
-        for sequence in self._ends.take_due(self._clock):
-            self._settle(sequence)
-            missing = sequence.remaining
-            sequence.produced += missing
-            sequence.joined_clock += missing
-            self._emit(sequence)
-            self._finish(sequence, sequence.request.outcome_at_target)
-
     def _reschedule(self) -> None:
         """Admit what fits, and compute the speed of the batch as it now is."""
         if self._paused_until is None and self.version:
             self._admit()
-        batch = len(self._decoding)
-        if batch == 0:
-            self._rate = 0.0
-            return
-        context = self._context_offset + batch * self._clock
-        share = 1.0 - self._profile.prefill_share if self._prefilling is not None else 1.0
-        self._rate = share / step_seconds(self._profile, batch, context)
-
-    def _work_share(self) -> float:
-        """Share of the engine's time that prefill gets."""
-        return self._profile.prefill_share if self._decoding else 1.0
-
-    def _next_end_at(self) -> float | None:
-        """When the next decoding sequence reaches its last token."""
-        end_clock = self._ends.next_clock()
-        if end_clock is None or self._rate <= 0:
-            return None
-        return self._time + max(0.0, end_clock - self._clock) / self._rate
-
-    def _next_work_end_at(self) -> float | None:
-        """When the current prefill is done."""
-        if self._prefilling is None:
-            return None
-        return self._time + max(0.0, self._prefilling.work_seconds) / self._work_share()
+        self._batch.recompute_rate()
 
     def _next_tick_at(self) -> float | None:
         """When chunks go out next; ticks exist only while something decodes."""
-        if not self._decoding:
+        if not self._batch.decoding_count:
             self._next_tick = None
         elif self._next_tick is None:
             self._next_tick = self._time + self._profile.chunk_interval_seconds
@@ -270,17 +212,18 @@
 
     def _admit(self) -> None:
         """Start the prefill of the next waiting sequence if there is room."""
-        while self._prefilling is None:
+        while self._batch.prefilling is None:
             sequence = self._waiting.head()
             if sequence is None or not self._make_room(sequence):
                 return
             self._waiting.take_head()
-            self._prefilling = sequence
+            self._batch.prefilling = sequence
 
     def _make_room(self, sequence: Sequence) -> bool:
         """Find a batch place and blocks, pre-empting lower priorities if needed."""
-        while len(self._decoding) >= self._profile.maximum_batch or not self._fits(sequence):
-            victim = self._lowest_priority_victim(sequence.request.priority)
+        full = self._profile.maximum_batch
+        while self._batch.decoding_count >= full or not self._fits(sequence):
+            victim = self._batch.lowest_priority(below=sequence.request.priority)
             if victim is None:
                 return False
             self._preempt(victim)
@@ -288,49 +231,33 @@
 
     def _fits(self, sequence: Sequence) -> bool:
         """Whether a sequence's blocks fit; cached blocks are evicted for it."""
-        needed = self._blocks_of(sequence)
-        used = self._used_blocks()
+        needed = self._batch.blocks_of(sequence)
+        used = self._batch.used_blocks
         if used + needed > self._profile.total_blocks:
             # A sequence larger than the whole memory must still run alone.
-            return not self._decoding
+            return self._batch.decoding_count == 0
         self.cache.evict(used + needed + len(self.cache) - self._profile.total_blocks)
         return True
 
-    def _lowest_priority_victim(self, below: int) -> Sequence | None:
-        """Return the latest decoding sequence with a priority below a bound."""
-        candidates = [s for s in self._decoding.values() if s.request.priority < below]
-        return min(candidates, key=lambda s: (s.request.priority, -s.arrival), default=None)
-
     def _preempt(self, victim: Sequence) -> None:
         """Take a sequence out of the batch; its keys and values must be computed again."""
-        self._settle(victim)
+        self._batch.settle(victim)
         self._emit(victim)
-        self._leave_batch(victim)
+        self._batch.remove(victim)
         victim.work_seconds = prefill_seconds(self._profile, victim.context_tokens)
         self._waiting.add(victim)
 
     def _relieve_memory(self) -> None:
         """Evict cached blocks, then pre-empt, until the growing contexts fit."""
-        excess = self._used_blocks() + len(self.cache) - self._profile.total_blocks
+        excess = self._batch.used_blocks + len(self.cache) - self._profile.total_blocks
         if excess > 0:
             self.cache.evict(excess)
-        while len(self._decoding) > 1 and self._used_blocks() > self._profile.total_blocks:
-            victim = min(self._decoding.values(), key=lambda s: (s.request.priority, -s.arrival))
+        while self._batch.decoding_count > 1:
+            victim = self._batch.lowest_priority()
+            if victim is None or self._batch.used_blocks <= self._profile.total_blocks:
+                return
             self._preempt(victim)
 
-    def _used_blocks(self) -> int:
-        """Blocks of the running sequences (rounded up on average)."""
-        batch = len(self._decoding)
-        context = self._context_offset + batch * self._clock
-        blocks = math.ceil(context / self._profile.block_tokens) + batch // 2
-        if self._prefilling is not None:
-            blocks += self._blocks_of(self._prefilling)
-        return blocks
-
-    def _blocks_of(self, sequence: Sequence) -> int:
-        """Blocks that a sequence needs to start."""
-        return math.ceil(sequence.context_tokens / self._profile.block_tokens)
-
     def _first_work_seconds(self, sequence: Sequence) -> float:
         """Work before the first token: import of state, or prefill less the cached prefix."""
         request = sequence.request
@@ -339,21 +266,12 @@
         matched = self.cache.match(request.prefix_digests) * self._profile.block_tokens
         return prefill_seconds(self._profile, sequence.context_tokens - matched)
 
-    # --- progress of one sequence ---------------------------------------------------
-
-    def _settle(self, sequence: Sequence) -> None:
-        """Turn the clock's advance into whole tokens of one sequence."""
-        if not sequence.decoding:
-            return
-        whole = math.floor(self._clock - sequence.joined_clock + CLOCK_EPSILON)
-        whole = min(whole, sequence.remaining)
-        sequence.produced += whole
-        sequence.joined_clock += whole
+    # --- tokens given out -----------------------------------------------------------
 
     def _emit_all(self) -> None:
         """Give out the tokens of every decoding sequence."""
-        for sequence in self._decoding.values():
-            self._settle(sequence)
+        for sequence in self._batch.decoding:
+            self._batch.settle(sequence)
             self._emit(sequence)
 
     def _emit(self, sequence: Sequence) -> None:
@@ -371,22 +289,9 @@
                 )
             )
 
-    def _leave_batch(self, sequence: Sequence) -> None:
-        """Remove a sequence from the batch, wherever it is."""
-        if sequence.decoding:
-            del self._decoding[sequence.request.request_id]
-            # The context's part that grew with the clock leaves with the sequence.
-            self._context_offset -= sequence.context_tokens - sequence.joined_clock
-            if not self._decoding:
-                # Rounding must not build up over days.
-                self._context_offset = 0.0
-            sequence.decoding = False
-        elif sequence is self._prefilling:
-            self._prefilling = None
-
     def _finish(self, sequence: Sequence, outcome: GenerationOutcome) -> None:
         """End a sequence; only tokens already given out count."""
-        self._leave_batch(sequence)
+        self._batch.remove(sequence)
         sequence.waiting = False
         del self._sequences[sequence.request.request_id]
         if not sequence.request.background:
