Engine: the cache gives way at every event; tests of what makes the engine honest

Found by one of them: the prefix of a finished prefill entered the cache without evicting anything until the next tick of the chunks, so cache and batch held more blocks than there are. Eviction now follows every event; pre-emption stays at the ticks.

--- a/src/merlinstand_lab/standins/engine_model/model.py
+++ b/src/merlinstand_lab/standins/engine_model/model.py
@@ -191,7 +191,8 @@
         if self._next_tick is not None and self._time + _TIME_EPSILON_SECONDS >= self._next_tick:
             self._next_tick = None
             self._emit_all()
-            self._relieve_memory()
+            self._preempt_excess()
+        self._evict_excess()
         self._reschedule()
 
     def _reschedule(self) -> None:
@@ -247,11 +248,14 @@
         victim.work_seconds = prefill_seconds(self._profile, victim.context_tokens)
         self._waiting.add(victim)
 
-    def _relieve_memory(self) -> None:
-        """Evict cached blocks, then pre-empt, until the growing contexts fit."""
+    def _evict_excess(self) -> None:
+        """Evict cached blocks until they fit beside the running sequences."""
         excess = self._batch.used_blocks + len(self.cache) - self._profile.total_blocks
         if excess > 0:
             self.cache.evict(excess)
+
+    def _preempt_excess(self) -> None:
+        """Pre-empt until the growing contexts fit."""
         while self._batch.decoding_count > 1:
             victim = self._batch.lowest_priority()
             if victim is None or self._batch.used_blocks <= self._profile.total_blocks:
--- /dev/null
+++ b/tests/standins/test_engine_behaviour.py
@@ -0,0 +1,213 @@
+"""What makes the engine worth scheduling for, each thing by its effect."""
+
+import pytest
+
+from merlinstand_lab.records.kinds import GenerationOutcome
+from merlinstand_lab.standins.engine import EngineServer
+from merlinstand_lab.standins.engine_model.model import EngineModel
+from merlinstand_lab.standins.engine_model.prefix_cache import PrefixCache, prefix_digests
+from merlinstand_lab.standins.engine_model.sequence import (
+    ChunkReady,
+    Finished,
+    GenerationRequest,
+    ModelEvent,
+)
+from merlinstand_lab.standins.engine_model.text import parse_text
+from merlinstand_lab.standins.settings import BackgroundLoad, EngineProfile, EngineSettings
+
+from .driver import Driver
+
+PROMPT = "p" * 80
+DIGEST = "d1"
+
+
+def serving_model(profile: EngineProfile) -> EngineModel:
+    model = EngineModel(profile, 0.0)
+    model.activate(1, 0.1, 0.0)
+    model.advance(0.1)
+    return model
+
+
+def request(name: str, tokens: int = 50, **changes: object) -> GenerationRequest:
+    fields: dict[str, object] = {"request_id": name, "prompt_tokens": 16, "target_tokens": tokens}
+    return GenerationRequest(**(fields | changes))  # type: ignore[arg-type]
+
+
+def run_dry(model: EngineModel) -> list[tuple[float, ModelEvent]]:
+    """Advance until nothing is left to happen; returns the events with their times."""
+    events = []
+    while (at := model.next_event_at()) is not None:
+        events += [(at, event) for event in model.advance(at)]
+    return events
+
+
+def finish_time(events: list[tuple[float, ModelEvent]], name: str) -> float:
+    return next(
+        at for at, event in events if isinstance(event, Finished) and event.request_id == name
+    )
+
+
+def serving_engine(**profile: object) -> Driver:
+    """An engine that serves version 1."""
+    settings = EngineSettings(
+        node_id="e1",
+        address="127.0.0.1:1",
+        model="m",
+        profile=EngineProfile(**profile),  # type: ignore[arg-type]
+    )
+    driver = Driver(EngineServer(settings))
+    order(driver, "load", 1)
+    driver.respond(driver.calls[-1], {"digest": DIGEST, "size_bytes": 1, "transfer_seconds": 0.5})
+    driver.advance(0.6)
+    order(driver, "activate", 2)
+    driver.advance(0.5)
+    return driver
+
+
+def order(driver: Driver, kind: str, sequence: int, **changes: object) -> dict[str, object]:
+    body: dict[str, object] = {
+        "fence": {"epoch": 1, "sequence": sequence},
+        "kind": kind,
+        "model": "m",
+        "version": 1,
+        "digest": DIGEST,
+        "source": "127.0.0.1:9",
+    }
+    answer: dict[str, object] = driver.ask("POST", "/v1/orders", body | changes)
+    return answer
+
+
+def completion(driver: Driver, request_id: str, **changes: object) -> str:
+    body = {"request_id": request_id, "model": "m", "prompt": PROMPT, "stream": True}
+    return driver.request("POST", "/v1/completions", body | changes)
+
+
+def cache_events(driver: Driver, kind: str) -> list[str]:
+    """Digests of the published cache events of a kind."""
+    driver.advance(5)
+    lines = driver.ask("GET", "/v1/cache_events?after=0")["events"]
+    return [line["prefix_digest"] for line in lines if line["kind"] == kind]
+
+
+def test_a_longer_context_makes_every_step_slower() -> None:
+    profile = EngineProfile(prefill_seconds_per_token=0.0)
+
+    def time_of(prompt_tokens: int) -> float:
+        model = serving_model(profile)
+        model.submit(request("a", prompt_tokens=prompt_tokens), 0.1)
+        return finish_time(run_dry(model), "a") - 0.1
+
+    extra = time_of(10_016) - time_of(16)
+    assert extra == pytest.approx(50 * 10_000 * profile.step_seconds_per_context_token, rel=0.02)
+
+
+def test_a_prefill_slows_decoding_but_does_not_stop_it() -> None:
+    profile = EngineProfile(prefill_seconds_per_token=0.001, prefill_share=0.5)
+
+    def time_of(*others: GenerationRequest) -> float:
+        model = serving_model(profile)
+        model.submit(request("a", 400), 0.1)
+        model.advance(0.5)
+        for other in others:
+            model.submit(other, 0.5)
+        return finish_time(run_dry(model), "a")
+
+    alone, beside = time_of(), time_of(request("long", 1, prompt_tokens=1000))
+    # Half of the engine for the two seconds that a prefill of one second takes so.
+    assert beside - alone == pytest.approx(1.0, abs=0.1)
+
+
+def test_no_token_comes_before_the_prefill_is_done() -> None:
+    profile = EngineProfile(prefill_seconds_per_token=0.01, chunk_interval_seconds=0.05)
+    model = serving_model(profile)
+    model.submit(request("a", prompt_tokens=200), 0.1)
+    first = next(at for at, event in run_dry(model) if isinstance(event, ChunkReady))
+    assert first > 0.1 + 200 * 0.01
+
+
+def test_the_least_recently_used_block_is_evicted_first() -> None:
+    cache = PrefixCache()
+    cache.store(("a", "b", "c"))
+    assert cache.match(("a",)) == 1
+    assert cache.evict(1) == 1
+    assert [cache.match((digest,)) for digest in ("a", "b", "c")] == [1, 0, 1]
+    assert [(event.kind, event.prefix_digest) for event in cache.take_events()][-1] == (
+        "evicted",
+        "b",
+    )
+
+
+def test_running_requests_and_cache_together_stay_within_the_blocks() -> None:
+    profile = EngineProfile(maximum_batch=8, total_blocks=32, chunk_interval_seconds=0.05)
+    model = serving_model(profile)
+    for index in range(30):
+        digests = prefix_digests(f"{index:02d}" * 96, profile.block_tokens)
+        model.submit(request(str(index), 100, prompt_tokens=48, prefix_digests=digests), 0.1)
+    ended = 0
+    while (at := model.next_event_at()) is not None:
+        ended += sum(isinstance(event, Finished) for event in model.advance(at))
+        assert profile.total_blocks - model.free_blocks + len(model.cache) <= profile.total_blocks
+    assert ended == 30
+
+
+def test_old_scripts_requests_slow_others_down_and_are_not_recorded() -> None:
+    def time_of(*background: GenerationRequest) -> float:
+        model = serving_model(EngineProfile())
+        for one in background:
+            model.submit(one, 0.1)
+        model.submit(request("a", 100), 0.1)
+        return finish_time(run_dry(model), "a")
+
+    scripts = [request(f"old-{number}", 300, background=True) for number in range(8)]
+    assert time_of(*scripts) > 1.1 * time_of()
+
+
+def test_old_scripts_load_shows_in_the_reports_of_an_engine_that_we_do_not_use() -> None:
+    load = BackgroundLoad(requests_per_second=20.0, completion_tokens=200)
+    driver = serving_engine(background=load)
+    seen = []
+    for _ in range(10):
+        driver.advance(1.0)
+        seen.append(driver.ask("GET", "/v1/status")["running"])
+    assert max(seen) >= 5
+    assert "engine-e1" not in driver.records
+
+
+def test_a_cancelled_stream_goes_on_elsewhere_with_whole_text() -> None:
+    first, second = serving_engine(), serving_engine()
+    name = completion(first, "r1")
+    first.advance(0.4)
+    first.ask("POST", "/v1/cancel", {"request_id": "r1"})
+    end = first.stream(name)[-1]
+    held = end["spans"][-1][2]
+    assert end["finish_reason"] == GenerationOutcome.CANCELLED.value
+    resumed = completion(second, "r2", resume={"token_count": held, "spans": end["spans"]})
+    second.advance(60)
+    events = first.stream(name) + second.stream(resumed)
+    text = parse_text("".join(event["text"] for event in events))
+    whole = completion(second, "r3")
+    second.advance(60)
+    assert text.contiguous and [span[0] for span in text.produced] == ["r1", "r2"]
+    assert text.token_count == second.stream(whole)[-1]["spans"][-1][2]
+
+
+def test_role_and_adapter_orders_are_fenced_and_reported() -> None:
+    driver = serving_engine()
+    assert order(driver, "role", 3, role="prefill")["state"] == "done"
+    assert order(driver, "adapter", 4, digest="adapter-7")["state"] == "done"
+    assert order(driver, "role", 3, role="decode")["code"] == "fenced"
+    assert order(driver, "adapter", 4, digest="another")["state"] == "done", "resent, not repeated"
+    driver.advance(2)
+    status = driver.ask("GET", "/v1/status")
+    assert (status["role"], status["adapter"]) == ("prefill", "adapter-7")
+    assert order(driver, "melt", 5)["state"] == "failed"
+
+
+def test_another_adapter_makes_the_prefix_cache_useless() -> None:
+    driver = serving_engine(cache_event_loss=0.0)
+    completion(driver, "r1")
+    driver.advance(60)
+    kept = set(prefix_digests(PROMPT, 16))
+    assert kept <= set(cache_events(driver, "stored"))
+    order(driver, "adapter", 3, digest="adapter-7")
+    assert kept <= set(cache_events(driver, "evicted"))
