--- a/tests/standins/test_engine_behaviour.py
+++ b/tests/standins/test_engine_behaviour.py
@@ -150,6 +150,21 @@
     assert ended == 30
 
 
+def test_growing_contexts_pre_empt_the_lowest_priority() -> None:
+    profile = EngineProfile(maximum_batch=8, total_blocks=20, chunk_interval_seconds=0.1)
+    model = serving_model(profile)
+    for name, priority in {"first": 1, "low": 0, "last": 1}.items():
+        model.submit(request(name, 120, priority=priority), 0.1)
+    model.advance(0.5)
+    assert model.running == 3, "all of them fit at first"
+    events, counts = [], []
+    while (at := model.next_event_at()) is not None:
+        events += [(at, event) for event in model.advance(at)]
+        counts.append((model.running, model.queued))
+    assert (2, 1) in counts, "one gave way while the others went on"
+    assert finish_time(events, "low") > finish_time(events, "last")
+
+
 def test_old_scripts_requests_slow_others_down_and_are_not_recorded() -> None:
     def time_of(*background: GenerationRequest) -> float:
         model = serving_model(EngineProfile())
@@ -173,6 +188,34 @@
     assert "engine-e1" not in driver.records
 
 
+def test_a_report_is_as_old_as_the_lag_even_when_a_newer_one_was_taken() -> None:
+    driver = serving_engine(status_interval_seconds=0.1, status_lag_seconds=2.0)
+    driver.advance(3.0)
+    completion(driver, "r", max_tokens=10_000)
+    for _ in range(18):
+        driver.advance(0.1)
+        status = driver.ask("GET", "/v1/status")
+        assert status["running"] + status["queued"] == 0
+        assert driver.now - status["reported_at"] >= 2.0
+    driver.advance(0.4)
+    assert driver.ask("GET", "/v1/status")["running"] == 1
+
+
+def test_imported_state_saves_the_prefill_at_the_door_too() -> None:
+    def first_chunk_after(status: int) -> float:
+        driver = serving_engine(prefill_seconds_per_token=0.05, chunk_interval_seconds=0.05)
+        resume = {"handle": "h", "source": "127.0.0.1:7", "token_count": 40, "spans": [[1, 0, 40]]}
+        name = completion(driver, "r", resume=resume, prompt="p" * 400, max_tokens=60)
+        driver.respond(driver.calls[-1], {"size_bytes": 1_000_000}, status)
+        began = driver.now
+        while not driver.stream(name):
+            driver.advance(0.05)
+        return driver.now - began
+
+    assert first_chunk_after(200) < 0.3
+    assert first_chunk_after(404) > 100 * 0.05, "lost state is computed again"
+
+
 def test_a_cancelled_stream_goes_on_elsewhere_with_whole_text() -> None:
     first, second = serving_engine(), serving_engine()
     name = completion(first, "r1")
