--- a/tests/standins/test_engine_behaviour.py
+++ b/tests/standins/test_engine_behaviour.py
@@ -4,49 +4,22 @@
 
 from merlinstand_lab.records.kinds import GenerationOutcome
 from merlinstand_lab.standins.engine import EngineServer
-from merlinstand_lab.standins.engine_model.model import EngineModel
 from merlinstand_lab.standins.engine_model.prefix_cache import PrefixCache, prefix_digests
 from merlinstand_lab.standins.engine_model.sequence import (
     ChunkReady,
     Finished,
     GenerationRequest,
-    ModelEvent,
 )
 from merlinstand_lab.standins.engine_model.text import parse_text
 from merlinstand_lab.standins.settings import BackgroundLoad, EngineProfile, EngineSettings
 
 from .driver import Driver
+from .engine_runs import finish_time, request, run_dry, serving
 
 PROMPT = "p" * 80
 DIGEST = "d1"
 
 
-def serving_model(profile: EngineProfile) -> EngineModel:
-    model = EngineModel(profile, 0.0)
-    model.activate(1, 0.1, 0.0)
-    model.advance(0.1)
-    return model
-
-
-def request(name: str, tokens: int = 50, **changes: object) -> GenerationRequest:
-    fields: dict[str, object] = {"request_id": name, "prompt_tokens": 16, "target_tokens": tokens}
-    return GenerationRequest(**(fields | changes))  # type: ignore[arg-type]
-
-
-def run_dry(model: EngineModel) -> list[tuple[float, ModelEvent]]:
-    """Advance until nothing is left to happen; returns the events with their times."""
-    events = []
-    while (at := model.next_event_at()) is not None:
-        events += [(at, event) for event in model.advance(at)]
-    return events
-
-
-def finish_time(events: list[tuple[float, ModelEvent]], name: str) -> float:
-    return next(
-        at for at, event in events if isinstance(event, Finished) and event.request_id == name
-    )
-
-
 def serving_engine(**profile: object) -> Driver:
     """An engine that serves version 1."""
     settings = EngineSettings(
@@ -93,8 +66,8 @@
     profile = EngineProfile(prefill_seconds_per_token=0.0)
 
     def time_of(prompt_tokens: int) -> float:
-        model = serving_model(profile)
-        model.submit(request("a", prompt_tokens=prompt_tokens), 0.1)
+        model = serving(profile)
+        model.submit(request("a", 50, prompt_tokens=prompt_tokens), 0.1)
         return finish_time(run_dry(model), "a") - 0.1
 
     extra = time_of(10_016) - time_of(16)
@@ -105,7 +78,7 @@
     profile = EngineProfile(prefill_seconds_per_token=0.001, prefill_share=0.5)
 
     def time_of(*others: GenerationRequest) -> float:
-        model = serving_model(profile)
+        model = serving(profile)
         model.submit(request("a", 400), 0.1)
         model.advance(0.5)
         for other in others:
@@ -119,7 +92,7 @@
 
 def test_no_token_comes_before_the_prefill_is_done() -> None:
     profile = EngineProfile(prefill_seconds_per_token=0.01, chunk_interval_seconds=0.05)
-    model = serving_model(profile)
+    model = serving(profile)
     model.submit(request("a", prompt_tokens=200), 0.1)
     first = next(at for at, event in run_dry(model) if isinstance(event, ChunkReady))
     assert first > 0.1 + 200 * 0.01
@@ -139,7 +112,7 @@
 
 def test_running_requests_and_cache_together_stay_within_the_blocks() -> None:
     profile = EngineProfile(maximum_batch=8, total_blocks=32, chunk_interval_seconds=0.05)
-    model = serving_model(profile)
+    model = serving(profile)
     for index in range(30):
         digests = prefix_digests(f"{index:02d}" * 96, profile.block_tokens)
         model.submit(request(str(index), 100, prompt_tokens=48, prefix_digests=digests), 0.1)
@@ -152,7 +125,7 @@
 
 def test_growing_contexts_pre_empt_the_lowest_priority() -> None:
     profile = EngineProfile(maximum_batch=8, total_blocks=20, chunk_interval_seconds=0.1)
-    model = serving_model(profile)
+    model = serving(profile)
     for name, priority in {"first": 1, "low": 0, "last": 1}.items():
         model.submit(request(name, 120, priority=priority), 0.1)
     model.advance(0.5)
@@ -167,7 +140,7 @@
 
 def test_old_scripts_requests_slow_others_down_and_are_not_recorded() -> None:
     def time_of(*background: GenerationRequest) -> float:
-        model = serving_model(EngineProfile())
+        model = serving(EngineProfile())
         for one in background:
             model.submit(one, 0.1)
         model.submit(request("a", 100), 0.1)
--- a/tests/standins/test_engine_model.py
+++ b/tests/standins/test_engine_model.py
@@ -5,48 +5,21 @@
 
 from merlinstand_lab.records.kinds import GenerationOutcome
 from merlinstand_lab.standins.engine_model.lengths import completion_length
-from merlinstand_lab.standins.engine_model.model import EngineModel
 from merlinstand_lab.standins.engine_model.prefix_cache import prefix_digests
 from merlinstand_lab.standins.engine_model.sequence import (
     ChunkReady,
     Finished,
-    GenerationRequest,
-    ModelEvent,
 )
 from merlinstand_lab.standins.engine_model.text import parse_text, render_chunk
 from merlinstand_lab.standins.settings import EngineProfile, LengthSettings
 
-PROFILE = EngineProfile(maximum_batch=4, total_blocks=64, chunk_interval_seconds=0.1)
-
-
-def serving(profile: EngineProfile = PROFILE) -> EngineModel:
-    model = EngineModel(profile, 0.0)
-    model.activate(1, 0.1, 0.0)
-    model.advance(0.1)
-    return model
-
-
-def request(name: str, tokens: int = 20, **changes: object) -> GenerationRequest:
-    fields: dict[str, object] = {"request_id": name, "prompt_tokens": 16, "target_tokens": tokens}
-    return GenerationRequest(**(fields | changes))  # type: ignore[arg-type]
+from .engine_runs import finish_time, request, run_dry, serving
 
-
-def run_dry(model: EngineModel) -> list[tuple[float, ModelEvent]]:
-    """Advance until nothing is left to happen; returns the events with their times."""
-    events = []
-    while (at := model.next_event_at()) is not None:
-        events += [(at, event) for event in model.advance(at)]
-    return events
-
-
-def finish_time(events: list[tuple[float, ModelEvent]], name: str) -> float:
-    return next(
-        at for at, event in events if isinstance(event, Finished) and event.request_id == name
-    )
+PROFILE = EngineProfile(maximum_batch=4, total_blocks=64, chunk_interval_seconds=0.1)
 
 
 def test_chunks_are_contiguous_and_add_up() -> None:
-    model = serving()
+    model = serving(PROFILE)
     model.submit(request("a", 57), 0.1)
     events = [event for _, event in run_dry(model)]
     chunks = [event for event in events if isinstance(event, ChunkReady)]
@@ -57,7 +30,7 @@
 
 def test_a_larger_batch_makes_each_sequence_slower_and_the_engine_faster() -> None:
     def time_of(count: int) -> float:
-        model = serving()
+        model = serving(PROFILE)
         for index in range(count):
             model.submit(request(str(index), 100), 0.1)
         return max(at for at, _ in run_dry(model))
@@ -67,7 +40,7 @@
 
 
 def test_tokens_made_before_a_swap_keep_the_old_version() -> None:
-    model = serving()
+    model = serving(PROFILE)
     model.submit(request("a", 200), 0.1)
     swap_events = model.activate(2, 0.3, 0.9)
     events = swap_events + [event for _, event in run_dry(model)]
@@ -79,7 +52,7 @@
 
 
 def test_nothing_moves_while_a_swap_lasts() -> None:
-    model = serving()
+    model = serving(PROFILE)
     model.submit(request("a", 200), 0.1)
     model.activate(2, 5.0, 0.5)
     assert model.advance(5.4) == []
@@ -136,7 +109,7 @@
 
 
 def test_a_resumed_request_goes_on_where_it_was_and_keeps_its_length() -> None:
-    model = serving()
+    model = serving(PROFILE)
     model.submit(request("a", 50), 0.1)
     cut = model.end("a", GenerationOutcome.EXPORTED, 0.4)[-1]
     assert isinstance(cut, Finished) and 0 < cut.token_count < 50
@@ -146,7 +119,7 @@
 
 
 def test_background_load_slows_down_but_is_silent() -> None:
-    model = serving()
+    model = serving(PROFILE)
     model.submit(request("old-script", 100, background=True), 0.1)
     assert run_dry(model) == []
 
