A service's line is written when the request runs, not when it is answered

Cause: users' own checks count runs by service-*.jsonl, one line a request run. The line was written with the answer, so a request whose server was killed on the way (its effect counts from the start) had none, and a foreign reader could neither see a second run nor a false "not run". Change: written at the start; ended_at, which nobody read, is gone.

The test of a crash asserted that there is no such line, which was the fault; it now asserts that there is exactly one, with its key.

--- a/src/merlinstand_lab/records/kinds.py
+++ b/src/merlinstand_lab/records/kinds.py
@@ -116,13 +116,12 @@
 
 
 class ServiceRecord(Record, frozen=True, kw_only=True):
-    """`service-*.jsonl`: one request run by a service server."""
+    """`service-*.jsonl`: one request run by a service server, written as soon as it runs."""
 
     request_id: str
     idempotency_key: str
     repeatable: bool
     started_at: float
-    ended_at: float
     backend_id: str = ""
     path: str = ""
     incarnation: int = 0
--- a/src/merlinstand_lab/standins/service.py
+++ b/src/merlinstand_lab/standins/service.py
@@ -94,7 +94,7 @@
             case RequestReceived():
                 effects += self._request(event, now)
             case TimerFired() if event.name in self._running:
-                effects += self._answer(self._running.pop(event.name), now)
+                effects += self._answer(self._running.pop(event.name))
             case TimerFired() if event.name == _RESTART_TIMER:
                 self._down = False
                 self._incarnation += 1
@@ -159,27 +159,33 @@
             idempotency_key=running.idempotency_key,
             repeatable=running.repeatable,
         )
-        write = WriteRecord(f"started-{self._settings.node_id}", record)
-        return (write, SetTimer(name, self._delay_seconds(method)))
-
-    def _delay_seconds(self, method: str) -> float:
-        """Draw a response time."""
-        settings = self._settings
-        median = settings.booking_seconds if method == "POST" else settings.response_median_seconds
-        return self._random.lognormvariate(math.log(median), settings.response_sigma)
+        return (
+            WriteRecord(f"started-{self._settings.node_id}", record),
+            # Written now, not with the answer: whoever counts runs must see a crashed one too.
+            WriteRecord(f"service-{self._settings.node_id}", self._run_record(running)),
+            SetTimer(name, self._delay_seconds(method)),
+        )
 
-    def _answer(self, running: _Running, now: float) -> Sequence[Effect]:
-        """Record and answer a request that ran."""
-        record = ServiceRecord(
+    def _run_record(self, running: _Running) -> ServiceRecord:
+        """Record of a request that runs."""
+        return ServiceRecord(
             request_id=running.request_id,
             idempotency_key=running.idempotency_key,
             repeatable=running.repeatable,
             started_at=running.started_at,
-            ended_at=now,
             backend_id=self._settings.node_id,
             path=running.path,
             incarnation=self._incarnation,
         )
+
+    def _delay_seconds(self, method: str) -> float:
+        """Draw a response time."""
+        settings = self._settings
+        median = settings.booking_seconds if method == "POST" else settings.response_median_seconds
+        return self._random.lognormvariate(math.log(median), settings.response_sigma)
+
+    def _answer(self, running: _Running) -> Sequence[Effect]:
+        """Answer a request that ran."""
         answer = ServiceAnswer(
             request_id=running.request_id,
             path=running.path,
@@ -188,10 +194,7 @@
             filler="." * self._settings.response_bytes,
         )
         headers = {door.REQUEST_ID_HEADER: running.request_id}
-        return (
-            WriteRecord(f"service-{self._settings.node_id}", record),
-            door.respond_json(running.http_request_id, answer, headers=headers),
-        )
+        return (door.respond_json(running.http_request_id, answer, headers=headers),)
 
     def _status(self, now: float) -> ServiceStatus:
         """State and load."""
--- a/tests/checkers/clean_run.py
+++ b/tests/checkers/clean_run.py
@@ -192,20 +192,25 @@
     found.add("callers", caller_record("booking-1", 12.0, **booking))
     found.add("callers", caller_record("booking-1-twin", 12.0, **booking))
     found.add(f"started-{SERVICE}", start_record("booking-1", SERVICE, 12.0, **booking))
-    _add_service_run(found, "booking-1", 12.0)
+    _add_service_run(found, "booking-1", 12.0, **booking)
     refused = caller_record(
         "refused", 13.0, outcome=CallerOutcome.NOT_RUN, answered_by="", status=503
     )
     found.add("callers", refused)
 
 
-def _add_service_run(found: RecordSet, request_id: str, at: float) -> None:
+def _add_service_run(
+    found: RecordSet,
+    request_id: str,
+    at: float,
+    idempotency_key: str = "",
+    repeatable: bool = True,
+) -> None:
     run = ServiceRecord(
         request_id=request_id,
-        idempotency_key="",
-        repeatable=True,
+        idempotency_key=idempotency_key,
+        repeatable=repeatable,
         started_at=at,
-        ended_at=at + 0.05,
         backend_id=SERVICE,
         incarnation=INCARNATION,
     )
--- a/tests/standins/test_platform.py
+++ b/tests/standins/test_platform.py
@@ -58,12 +58,15 @@
 
 def test_a_crash_breaks_running_requests() -> None:
     driver = service()
-    name = driver.request("GET", "/a")
+    name = driver.request("POST", "/bookings", b"", {"x-request-id": "r", "idempotency-key": "k"})
     driver.ask("POST", "/lab/faults", {"kind": "crash"})
     assert driver.ended_whole(name) is False
-    assert "service-s1" not in driver.records
+    (run,) = driver.records["service-s1"]
+    assert (run.request_id, run.idempotency_key) == ("r", "k"), "it ran, whoever heard of it"  # type: ignore[attr-defined]
     refused = driver.response(driver.request("GET", "/b"))
     assert refused is not None and refused.status == 503
+    driver.advance(60)
+    assert len(driver.records["service-s1"]) == 1
 
 
 def test_the_store_keeps_versions_and_limits_transfers() -> None:
