--- a/src/merlinstand_lab/cli/run.py
+++ b/src/merlinstand_lab/cli/run.py
@@ -38,7 +38,14 @@
     is_flag=True,
     help="Begin with the team's old scripts; move the job to merlinstand, back, and again.",
 )
-def command(settings_folder: Path, output: Path, faults: str, moves: bool) -> None:
+@click.option(
+    "--rounds",
+    default=1,
+    show_default=True,
+    type=click.IntRange(min=1),
+    help="Go through the steps and incidents of a run so often.",
+)
+def command(settings_folder: Path, output: Path, faults: str, moves: bool, rounds: int) -> None:
     """Run a fleet until its trainers made their steps, then verify the records.
 
     Example: merlinstand-lab run --settings examples/tatrasoft --faults kill
@@ -47,7 +54,8 @@
     if isinstance(plan, Err):
         click.echo(plan.err_value.describe(), err=True)
         sys.exit(_EXIT_INVALID)
-    outcome = Launcher(plan.ok_value, faults, click.echo, moves=moves).run()
+    launcher = Launcher(plan.ok_value, faults, click.echo, moves=moves, rounds=rounds)
+    outcome = launcher.run()
     records = RecordSet.load(output)
     _show_outcome(outcome, records)
     if outcome.failure is not None or outcome.bad_exits:
--- a/src/merlinstand_lab/fleet/fleet.py
+++ b/src/merlinstand_lab/fleet/fleet.py
@@ -25,7 +25,7 @@
     "machine-list",
     "weight-store",
 )
-_OWN_ROLES = ("control", "gateway", "coordinator")
+OWN_ROLES = ("control", "gateway", "coordinator")
 
 
 class Fleet:
@@ -113,7 +113,7 @@
         requested_at = time.monotonic()
         process.terminate()
         exit_code = process.wait(self._plan.lab.run.stop_seconds)
-        if process.spec.role in _OWN_ROLES:
+        if process.spec.role in OWN_ROLES:
             record = StopRecord(
                 node_id=process.spec.name,
                 role=process.spec.role,
--- a/src/merlinstand_lab/fleet/incidents.py
+++ b/src/merlinstand_lab/fleet/incidents.py
@@ -33,6 +33,21 @@
     run: Callable[[], object]
 
 
+def in_rounds(schedule: list[Incident], rounds: int, steps: int) -> list[Incident]:
+    """Repeat a schedule every so many steps.
+
+    Args:
+        schedule: One round, in order.
+        rounds: How often.
+        steps: Steps of a round.
+    """
+    return [
+        msgspec.structs.replace(incident, after_steps=incident.after_steps + number * steps)
+        for number in range(rounds)
+        for incident in schedule
+    ]
+
+
 class _Member(msgspec.Struct, frozen=True):
     node_id: str
     leader: bool = False
--- a/src/merlinstand_lab/fleet/launcher.py
+++ b/src/merlinstand_lab/fleet/launcher.py
@@ -14,8 +14,9 @@
 from merlinstand_lab.fleet.configuration_file import read_put_commands
 from merlinstand_lab.fleet.fleet import Fleet
 from merlinstand_lab.fleet.http import get_typed
-from merlinstand_lab.fleet.incidents import Incident, Incidents
+from merlinstand_lab.fleet.incidents import Incident, Incidents, in_rounds
 from merlinstand_lab.fleet.job_move import STEPS_FED_BY_SCRIPTS, JobMove, as_mirror
+from merlinstand_lab.fleet.memory import MemorySampler
 from merlinstand_lab.fleet.operator import OperatorClient
 from merlinstand_lab.fleet.plan import FleetPlan
 from merlinstand_lab.fleet.processes import busy_addresses
@@ -54,7 +55,13 @@
     """Runs a fleet once."""
 
     def __init__(
-        self, plan: FleetPlan, faults: str, say: Callable[[str], None], *, moves: bool = False
+        self,
+        plan: FleetPlan,
+        faults: str,
+        say: Callable[[str], None],
+        *,
+        moves: bool = False,
+        rounds: int = 1,
     ) -> None:
         """Prepare a run.
 
@@ -63,10 +70,12 @@
             faults: `none`, `kill` or `all` (also a half-failed swap, a hurt scorer, a freeze).
             say: Shows one line of progress.
             moves: Whether the job moves between the old scripts and merlinstand.
+            rounds: How often to go through the steps and incidents of a run.
         """
         self._plan = plan
         self._faults = faults
         self._moves = moves
+        self._rounds = rounds
         self._say = say
         self._began_at = time.monotonic()
         self._shown_at = 0.0
@@ -114,14 +123,18 @@
         if failure is None:
             gevent.sleep(_SPREAD_SECONDS)
             fleet.start_roles("scripts", "trainer", "callers")
-            schedule = Incidents(self._plan, fleet, operator, self._say).schedule(self._faults)
+            incidents = Incidents(self._plan, fleet, operator, self._say)
+            schedule = incidents.schedule(self._faults)
+            schedule = in_rounds(schedule, self._rounds, self._plan.lab.run.minimum_steps)
             if self._moves:
                 move = JobMove(self._plan, operator, self._say)
                 failure = self._wait_ready(fleet, "scripts", "trainer")
                 if failure is None:
                     move.begin()
                 schedule = sorted(schedule + move.schedule(), key=lambda one: one.after_steps)
+            memory = MemorySampler(fleet, records)
             failure = failure or self._watch(fleet, schedule)
+            memory.stop()
         return failure
 
     def _start_system(self, fleet: Fleet) -> RunFailedError | None:
@@ -164,8 +177,9 @@
         pending = list(schedule)
         under_way: list[gevent.Greenlet] = []
         calm_since = time.monotonic()
-        needed_steps = run.minimum_steps + (STEPS_FED_BY_SCRIPTS if self._moves else 0)
-        deadline = time.monotonic() + run.maximum_seconds
+        needed_steps = self._minimum_steps() + (STEPS_FED_BY_SCRIPTS if self._moves else 0)
+        maximum_seconds = run.maximum_seconds * self._rounds
+        deadline = time.monotonic() + maximum_seconds
         while time.monotonic() < deadline:
             gevent.sleep(_POLL_SECONDS)
             if fleet.crashed():
@@ -180,7 +194,11 @@
             calm_seconds = time.monotonic() - calm_since
             if steps >= needed_steps and calm_seconds >= self._calm_seconds():
                 return self._settle(under_way)
-        return RunFailedError(detail=f"not complete after {run.maximum_seconds:g} s")
+        return RunFailedError(detail=f"not complete after {maximum_seconds:g} s")
+
+    def _minimum_steps(self) -> int:
+        """Steps that merlinstand has to feed."""
+        return self._plan.lab.run.minimum_steps * self._rounds
 
     def _calm_seconds(self) -> float:
         """How long a run goes on after its last incident: recovery must be seen."""
@@ -249,7 +267,7 @@
             name=lab.run.name,
             started_at=self._began_at,
             ended_at=time.monotonic(),
-            minimum_steps=lab.run.minimum_steps,
+            minimum_steps=self._minimum_steps(),
             consumers=[trainer.consumer for trainer in lab.trainer],
             backend_addresses={one.node_id: one.address for one in backends},
         )
--- a/src/merlinstand_lab/fleet/summary.py
+++ b/src/merlinstand_lab/fleet/summary.py
@@ -4,10 +4,11 @@
 
 import msgspec
 
-from merlinstand_lab.records.kinds import CallerOutcome, StepRecord
+from merlinstand_lab.records.kinds import CallerOutcome, MemoryRecord, StepRecord
 from merlinstand_lab.records.record_set import RecordSet
 from merlinstand_lab.standins.trainer_feed import trainer_of
 
+_MEBIBYTE_BYTES = 1024 * 1024
 _QUANTILES = (0.5, 0.99)
 
 
@@ -22,6 +23,15 @@
     """Time between the end of a step and the next batch, over all time of the trainer."""
 
 
+class MemorySummary(msgspec.Struct, frozen=True, kw_only=True):
+    """The longest-lived process of one daemon."""
+
+    node_id: str
+    first_bytes: int
+    last_bytes: int
+    seconds: float
+
+
 class RunSummary(msgspec.Struct, frozen=True, kw_only=True):
     """One run."""
 
@@ -32,6 +42,9 @@
     lookup_seconds: dict[float, float]
     """Quantiles of the time of answered lookups."""
     caller_outcomes: dict[str, int]
+    memory: list[MemorySummary]
+    faults: dict[str, int]
+    """Number of faults by kind."""
 
 
 def summarize(records: RecordSet) -> RunSummary:
@@ -51,6 +64,8 @@
         samples=len(records.samples),
         staleness=dict(sorted(staleness.items())),
         lookup_seconds={quantile: _quantile(lookups, quantile) for quantile in _QUANTILES},
+        memory=_memory(records),
+        faults=dict(Counter(fault.kind for fault in records.faults)),
         caller_outcomes={outcome.value: outcomes[outcome.value] for outcome in CallerOutcome},
     )
 
@@ -71,9 +86,20 @@
     lines.append(f"lookups   {times}")
     outcomes = ", ".join(f"{count} {name}" for name, count in summary.caller_outcomes.items())
     lines.append(f"callers   {outcomes}")
+    if summary.memory:
+        lines.append(f"memory    {', '.join(_memory_text(one) for one in summary.memory)}")
+    if summary.faults:
+        faults = ", ".join(f"{count} {kind}" for kind, count in summary.faults.items())
+        lines.append(f"faults    {faults}")
     return lines
 
 
+def _memory_text(memory: MemorySummary) -> str:
+    """One daemon's growth in a few words."""
+    first, last = memory.first_bytes / _MEBIBYTE_BYTES, memory.last_bytes / _MEBIBYTE_BYTES
+    return f"{memory.node_id} {first:.0f} to {last:.0f} MiB in {memory.seconds:.0f} s"
+
+
 def _fed_by_scripts(trainer: TrainerSummary) -> str:
     """Tell how many steps the old scripts fed, if any."""
     count = trainer.steps_fed_by_scripts
@@ -104,6 +130,32 @@
     )
 
 
+def _memory(records: RecordSet) -> list[MemorySummary]:
+    """First and last memory of each daemon's longest life."""
+    lives: dict[tuple[str, int], list[MemoryRecord]] = defaultdict(list)
+    for record in records.memory:
+        lives[(record.node_id, record.process_id)].append(record)
+    longest: dict[str, list[MemoryRecord]] = {}
+    for (node_id, _), samples in lives.items():
+        known = longest.get(node_id)
+        if known is None or _life_seconds(samples) > _life_seconds(known):
+            longest[node_id] = samples
+    return [
+        MemorySummary(
+            node_id=node_id,
+            first_bytes=samples[0].resident_bytes,
+            last_bytes=samples[-1].resident_bytes,
+            seconds=_life_seconds(samples),
+        )
+        for node_id, samples in sorted(longest.items())
+    ]
+
+
+def _life_seconds(samples: list[MemoryRecord]) -> float:
+    """Time between the first and the last sample of one process."""
+    return samples[-1].at - samples[0].at
+
+
 def _quantile(values: list[float], quantile: float) -> float:
     """Nearest-rank quantile; 0 without values."""
     if not values:
--- a/src/merlinstand_lab/records/kinds.py
+++ b/src/merlinstand_lab/records/kinds.py
@@ -214,6 +214,15 @@
     healed_at: float | None
 
 
+class MemoryRecord(Record, frozen=True, kw_only=True):
+    """`memory.jsonl`: resident memory of one of the system's processes at a moment."""
+
+    node_id: str
+    process_id: int
+    resident_bytes: int
+    at: float
+
+
 class RunRecord(Record, frozen=True, kw_only=True):
     """`run.jsonl`: what the laboratory set out to do."""
 
@@ -240,6 +249,7 @@
     "machines": MachineRecord,
     "stops": StopRecord,
     "faults": FaultRecord,
+    "memory": MemoryRecord,
     "run": RunRecord,
 }
 """Record type of a stream: the part of its name before the first hyphen."""
--- a/src/merlinstand_lab/records/record_set.py
+++ b/src/merlinstand_lab/records/record_set.py
@@ -14,6 +14,7 @@
     FaultRecord,
     GenerationRecord,
     MachineRecord,
+    MemoryRecord,
     OperatorRecord,
     Record,
     RunRecord,
@@ -134,6 +135,11 @@
         """Faults brought about."""
         return self.of_kind("faults", FaultRecord)
 
+    @property
+    def memory(self) -> list[MemoryRecord]:
+        """Memory of the system's processes."""
+        return self.of_kind("memory", MemoryRecord)
+
     @property
     def run(self) -> RunRecord | None:
         """What the run was, if it came to its end."""
--- a/tests/fleet/test_plan.py
+++ b/tests/fleet/test_plan.py
@@ -8,7 +8,7 @@
 from merlinstand.runtime.record_writer import RecordWriter
 from merlinstand_lab.fleet.configuration_file import read_put_commands
 from merlinstand_lab.fleet.fleet import Fleet
-from merlinstand_lab.fleet.incidents import Incidents
+from merlinstand_lab.fleet.incidents import Incident, Incidents, in_rounds
 from merlinstand_lab.fleet.job_move import STEPS_FED_BY_SCRIPTS, JobMove, as_mirror
 from merlinstand_lab.fleet.operator import OperatorClient
 from merlinstand_lab.fleet.plan import FleetPlan, make_plan
@@ -115,6 +115,19 @@
     assert first + again - back == STEPS_FED_BY_SCRIPTS
 
 
+def test_rounds_repeat_the_incidents_every_so_many_steps() -> None:
+    once = [Incident(2, "a", list), Incident(9, "b", list)]
+    repeated = in_rounds(once, rounds=3, steps=20)
+    assert [(one.after_steps, one.title) for one in repeated] == [
+        (2, "a"),
+        (9, "b"),
+        (22, "a"),
+        (29, "b"),
+        (42, "a"),
+        (49, "b"),
+    ]
+
+
 def test_faults_come_one_after_the_other_and_only_when_asked_for(tmp_path: Path) -> None:
     plan = plan_of("vitrina", tmp_path)
     records = RecordWriter(str(tmp_path))
--- a/tests/fleet/test_summary.py
+++ b/tests/fleet/test_summary.py
@@ -4,7 +4,13 @@
 import pytest
 
 from merlinstand_lab.fleet.summary import render_summary, summarize
-from merlinstand_lab.records.kinds import CallerOutcome, CallerRecord, SampleRecord, StepRecord
+from merlinstand_lab.records.kinds import (
+    CallerOutcome,
+    CallerRecord,
+    MemoryRecord,
+    SampleRecord,
+    StepRecord,
+)
 from merlinstand_lab.records.record_set import RecordSet
 
 
@@ -75,5 +81,24 @@
     assert "2 steps (1 fed by the old scripts)" in render_summary(summarize(records))[0]
 
 
+def memory(node_id: str, process_id: int, mebibytes: int, at: float) -> MemoryRecord:
+    size = mebibytes * 1024 * 1024
+    return MemoryRecord(node_id=node_id, process_id=process_id, resident_bytes=size, at=at)
+
+
+def test_memory_is_that_of_the_longest_life_of_each_daemon() -> None:
+    records = RecordSet()
+    for record in (
+        memory("gateway-a", 7, 40, 0.0),
+        memory("gateway-a", 7, 90, 10.0),
+        memory("gateway-a", 8, 41, 15.0),
+        memory("gateway-a", 8, 45, 75.0),
+        memory("control-a", 9, 50, 0.0),
+    ):
+        records.add("memory", record)
+    lines = render_summary(summarize(records))
+    assert lines[-1] == ("memory    control-a 50 to 50 MiB in 0 s, gateway-a 41 to 45 MiB in 60 s")
+
+
 def test_a_run_without_records_has_a_summary_too() -> None:
     assert render_summary(summarize(RecordSet()))
