A planned stop of an idle process keeps it down two seconds, not thirty

The fault injector read the number of the process's life after it had asked it to stop. A daemon that is idle (a control follower, a gateway without requests) ends within the request itself, so the injector waited for the end of the next life: 30 s with the daemon down, then 2 s more. No checker excuses an outage that no recorded fault explains.

Change: the injector reads the life before it asks. Nothing of the product and no checker changes; the scenario is as strict, and its stops now are what it says: down for two seconds.

The new test fails on the old injector.

Not proved by this scenario any more, because it never meant to: two voters of three down at once.

--- a/src/merlinstand_lab/simulator/injector.py
+++ b/src/merlinstand_lab/simulator/injector.py
@@ -127,8 +127,10 @@
     def _planned_stop(self, fault: ft.PlannedStop) -> None:
         process = self._process(fault.node)
         if process.running:
+            # An idle process ends within the request itself: its life is read before.
+            life = process.life
             process.request_stop()
-            self._await_stop(fault, process, process.life, self._clock.now)
+            self._await_stop(fault, process, life, self._clock.now)
 
     def _await_stop(
         self, fault: ft.PlannedStop, process: SimulatedProcess, life: int, asked_at: float
--- a/tests/simulator/test_faults.py
+++ b/tests/simulator/test_faults.py
@@ -12,8 +12,9 @@
 from merlinstand_lab.simulator.scenario import Plan, all_scenarios
 from merlinstand_lab.simulator.shrink import shrink
 from merlinstand_lab.simulator.simulation import Simulation
-from tests.simulator.test_host import ping_pair
-from tests.simulator.toys import Echo
+from merlinstand_lab.simulator.topology import VITRINA
+from tests.simulator.test_host import add, ping_pair
+from tests.simulator.toys import Echo, Leaver
 
 
 def injector(simulation: Simulation, leader: str = "pinger") -> FaultInjector:
@@ -82,6 +83,19 @@
     assert simulation.processes["echo"].running
 
 
+def test_a_process_that_stops_at_once_is_down_only_as_long_as_planned() -> None:
+    simulation = Simulation(1, VITRINA)
+    process = add(simulation, "leaver", Leaver())
+    stop = ft.PlannedStop(at=0.25, node="leaver", down_seconds=0.5)
+    injector(simulation).schedule((stop,))
+    simulation.run_until(1.0)
+    assert process.running
+    (record,) = simulation.records["stops"]
+    assert isinstance(record, StopRecord)
+    assert record.ended_at == record.requested_at
+    assert record.exit_code == 0
+
+
 def test_a_frozen_echo_is_not_two_echoes() -> None:
     simulation, _pinger, _echo = ping_pair()
     faults = tuple(ft.Freeze(at=0.25 + n * 0.1, node="echo", seconds=0.5) for n in range(2))
--- a/tests/simulator/toys.py
+++ b/tests/simulator/toys.py
@@ -78,6 +78,13 @@
         return []
 
 
+class Leaver(Toy):
+    """Ends within the request to stop."""
+
+    def react(self, event: Event, now: float) -> Sequence[Effect]:
+        return [fx.StopProcess()] if isinstance(event, ev.StopRequested) else []
+
+
 class Writer(Toy):
     """Appends a numbered record whenever the one before is durable."""
 
