--- a/src/merlinstand/session/control_session.py
+++ b/src/merlinstand/session/control_session.py
@@ -39,6 +39,7 @@
 from merlinstand.session.durable_state import DurableState
 from merlinstand.session.lease_keeper import (
     LEASE_TIMER,
+    RETRY_SECONDS,
     HeldLease,
     LeaseKeeper,
     OutgoingCommand,
@@ -208,11 +209,18 @@
         """Return when a caller refused for want of the configuration lease should come back."""
         return 0.0 if self.may_take_new_work(now) else RETRY_WITHOUT_LEASE_SECONDS
 
-    def want_lease(self, resource: str, now: float) -> Sequence[Effect]:
-        """Begin to acquire, and from then on keep, a resource. Harmless if wanted already."""
-        if self._keeper.wants(resource):
-            return []
-        self._keeper.want(resource, now)
+    def want_lease(
+        self, resource: str, now: float, retry_seconds: float = RETRY_SECONDS
+    ) -> Sequence[Effect]:
+        """Begin to acquire, and from then on keep, a resource. Harmless if wanted already.
+
+        Args:
+            resource: What to hold.
+            now: Local monotonic time in seconds.
+            retry_seconds: Longest wait before it is asked for again while somebody else
+                holds it; a call for a wanted resource changes it.
+        """
+        self._keeper.want(resource, now, retry_seconds)
         return [SetTimer(LEASE_TIMER, 0.0)]
 
     def give_up_lease(self, resource: str, now: float) -> Sequence[Effect]:
--- a/src/merlinstand/session/lease_keeper.py
+++ b/src/merlinstand/session/lease_keeper.py
@@ -30,7 +30,8 @@
 LEASE_TIMER = "session.leases"
 
 RETRY_SECONDS = 1.0
-"""Longest wait before a lease that somebody else holds is asked for again."""
+"""Longest wait before a lease that somebody else holds is asked for again, unless the daemon
+wants it less eagerly."""
 
 RENEWALS_IN_A_DURATION = 3
 
@@ -48,6 +49,8 @@
     """A resource this daemon wants to hold."""
 
     resource: str
+    retry_seconds: float = RETRY_SECONDS
+    """Longest wait before it is asked for again while somebody else holds it."""
     held: HeldLease | None = None
     asked: CommandId | None = None
     """The acquisition under way."""
@@ -116,9 +119,12 @@
         """Tell whether a command was made by the keeper."""
         return command_id.startswith(self._id_prefix)
 
-    def want(self, resource: str, now: float) -> None:
-        """Begin to want a resource."""
-        self._wanted.setdefault(resource, WantedLease(resource, next_ask_at=now))
+    def want(self, resource: str, now: float, retry_seconds: float = RETRY_SECONDS) -> None:
+        """Begin to want a resource, or change how eagerly it is asked for."""
+        wanted = self._wanted.setdefault(resource, WantedLease(resource, next_ask_at=now))
+        if retry_seconds < wanted.retry_seconds:
+            wanted.next_ask_at = min(wanted.next_ask_at, now + retry_seconds)
+        wanted.retry_seconds = retry_seconds
 
     def give_up(self, resource: str, now: float) -> list[OutgoingCommand]:
         """Stop wanting a resource and release it."""
@@ -193,8 +199,7 @@
             case LeaseGranted():
                 return self._granted(wanted, sent_at, outcome, now)
             case LeaseHeld():
-                wait_seconds = min(max(outcome.remaining_seconds, 0.0), RETRY_SECONDS)
-                wanted.next_ask_at = now + self._spread(max(wait_seconds, RETRY_SECONDS / 4))
+                wanted.next_ask_at = now + self._spread(_wait_seconds(wanted, outcome))
                 return [
                     LeaseUnavailable(
                         resource=wanted.resource,
@@ -203,7 +208,9 @@
                     )
                 ]
             case _:
-                wanted.next_ask_at = now + self._spread(RETRY_SECONDS)
+                # Also unanswered questions come back patiently, or all of them would meet
+                # a control group that has just recovered.
+                wanted.next_ask_at = now + self._spread(wanted.retry_seconds)
                 return []
 
     def _granted(
@@ -294,3 +301,14 @@
     def _next_id(self) -> CommandId:
         self._counter += 1
         return CommandId(f"{self._id_prefix}{self._counter}")
+
+
+def _wait_seconds(wanted: WantedLease, held: LeaseHeld) -> float:
+    """Return when to ask again for a lease that somebody else holds.
+
+    An eager daemon comes back when the lease may have run out; a patient one leaves it to
+    the eager ones first.
+    """
+    if wanted.retry_seconds > RETRY_SECONDS:
+        return wanted.retry_seconds
+    return max(min(held.remaining_seconds, wanted.retry_seconds), RETRY_SECONDS / 4)
--- a/tests/coordinator/driver.py
+++ b/tests/coordinator/driver.py
@@ -50,7 +50,7 @@
     TimerFired,
 )
 from merlinstand.session.control_session import ControlSession, SessionStep
-from merlinstand.session.lease_keeper import HeldLease
+from merlinstand.session.lease_keeper import RETRY_SECONDS, HeldLease
 from merlinstand.session.notices import (
     CommandFinished,
     ConfigurationChanged,
@@ -138,7 +138,9 @@
         self.refreshes += 1
         return ()
 
-    def want_lease(self, resource: str, now: float) -> Sequence[Effect]:
+    def want_lease(
+        self, resource: str, now: float, retry_seconds: float = RETRY_SECONDS
+    ) -> Sequence[Effect]:
         self.wanted.append(resource)
         return ()
 
