Make a repeated command line harmless, and every error of the command line one line

A lost answer did not name the id to repeat.

Ruled out: comparing intents in the state machine (commands would need patch forms).

Change: ids of a line's commands are made of the line's id and what was asked for; control tells how a remembered command ended (GET /v1/commands/ID), which the client asks first when an id was given. Errors are one line with code and advice, also as JSON. Flags go through the file's checks.

--- a/src/merlinstand/cli/backend_commands.py
+++ b/src/merlinstand/cli/backend_commands.py
@@ -5,9 +5,9 @@
 import click
 
 from merlinstand.cli.object_client import (
+    MUST_NOT_EXIST,
     delete_object,
     put_object,
-    read_object,
     read_objects,
 )
 from merlinstand.cli.operator_client import OperatorClient
@@ -58,8 +58,7 @@
     if not any(row["backend_id"] == backend_id for row in _rows(client, output, "")):
         fail(NotFoundError(detail=f"no pool has a server {backend_id}"), output)
     key = f"drain/{backend_id}"
-    present = unwrap(read_objects(client, key), output)
-    seen_revision = next((seen.revision for seen in present if seen.key == key), 0)
+    seen_revision = _seen_revision(client, output, key)
     done = unwrap(put_object(client, key, Drain(backend_id, reason), seen_revision), output)
     _print_done(backend_id, "draining", done.revision, output)
 
@@ -75,11 +74,15 @@
         merlinstand backend undrain shop-api-2
     """
     key = f"drain/{backend_id}"
-    seen = unwrap(read_object(client, key), output)
-    done = unwrap(delete_object(client, key, seen.revision), output)
+    done = unwrap(delete_object(client, key, _seen_revision(client, output, key)), output)
     _print_done(backend_id, "in service", done.revision, output)
 
 
+def _seen_revision(client: OperatorClient, output: str, key: str) -> int:
+    present = unwrap(read_objects(client, key), output)
+    return next((seen.revision for seen in present if seen.key == key), MUST_NOT_EXIST)
+
+
 def _rows(client: OperatorClient, output: str, pool_name: str) -> list[dict[str, Any]]:
     drains = {
         seen.value.backend_id: seen.value for seen in unwrap(read_objects(client, "drain/"), output)
--- a/src/merlinstand/cli/config_commands.py
+++ b/src/merlinstand/cli/config_commands.py
@@ -3,7 +3,6 @@
 from typing import Any
 
 import click
-import msgspec
 
 from merlinstand.cli.operator_client import OperatorClient
 from merlinstand.cli.options import operator_options
@@ -50,7 +49,7 @@
         merlinstand config apply examples/vitrina/configuration.toml \\
             --settings examples/vitrina/merlinstand.toml
     """
-    from merlinstand.cli.object_client import MUST_NOT_EXIST, read_objects
+    from merlinstand.cli.object_client import MUST_NOT_EXIST, put_seen_object, read_objects
     from merlinstand.common.errors import ConflictError
     from merlinstand.settings.configuration_file import load_configuration
 
@@ -68,17 +67,8 @@
         if present is not None and present.value == value:
             rows.append({"key": key, "result": "unchanged", "revision": present.revision})
             continue
-        done = unwrap(
-            client.command(
-                {
-                    "command": "put_object",
-                    "key": key,
-                    "object": msgspec.to_builtins(value),
-                    "expected_revision": present.revision if present else MUST_NOT_EXIST,
-                }
-            ),
-            output,
-        )
+        seen_revision = present.revision if present else MUST_NOT_EXIST
+        done = unwrap(put_seen_object(client, key, value, seen_revision), output)
         result = "created" if present is None else "changed"
         rows.append({"key": key, "result": result, "revision": done.revision})
     print_rows(rows, _APPLY_COLUMNS, output)
--- a/src/merlinstand/cli/daemon_commands.py
+++ b/src/merlinstand/cli/daemon_commands.py
@@ -16,6 +16,7 @@
     coordinator_daemon,
     gateway_daemon,
     load_deployment,
+    override_node,
 )
 
 
@@ -105,13 +106,14 @@
 ) -> None:
     from merlinstand.runtime.host import run_host
 
-    deployment = unwrap(load_deployment(options["settings_file"]))
+    file, node = options["settings_file"], options["node"]
+    deployment = unwrap(load_deployment(file))
     overrides = Overrides(
         address=options["address"],
         http_address=options["http_address"],
         zone=options["zone"],
-        data_folder=options["data_folder"],
     )
-    found = unwrap(find_settings(deployment, options["node"], overrides))
+    deployment = unwrap(override_node(file, deployment, node, overrides))
+    found = unwrap(find_settings(deployment, node, options["data_folder"]))
     host_settings = msgspec.structs.replace(found.host, profile_path=options["profile"])
     sys.exit(run_host(daemon_class(found.role), host_settings))
--- a/src/merlinstand/cli/errors.py
+++ b/src/merlinstand/cli/errors.py
@@ -24,6 +24,22 @@
     code: ClassVar[str] = "unavailable"
     exit_code: ClassVar[ExitCode] = ExitCode.UNAVAILABLE
 
+    command_id: str = ""
+    """For `--command-id`, if a command may have been sent."""
+
+
+class UntrustedControlError(MerlinstandError, frozen=True, kw_only=True):
+    """TLS failed: the replica's certificate is not (or no longer) one of the authority's."""
+
+    code: ClassVar[str] = "untrusted"
+    exit_code: ClassVar[ExitCode] = ExitCode.UNAVAILABLE
+
+
+class BrokenOffError(MerlinstandError, frozen=True, kw_only=True):
+    """The operator broke the command off; what was sent may still be done."""
+
+    code: ClassVar[str] = "interrupted"
+
 
 class UsageError(MerlinstandError, frozen=True, kw_only=True):
     """The command line's arguments do not fit together."""
@@ -31,6 +47,9 @@
     code: ClassVar[str] = "usage"
     exit_code: ClassVar[ExitCode] = ExitCode.USAGE
 
+    command_path: str = "merlinstand"
+    """The command whose help tells more."""
+
 
 class MalformedAnswerError(MerlinstandError, frozen=True, kw_only=True):
     """Something that is no control replica answered."""
--- a/src/merlinstand/cli/http_request.py
+++ b/src/merlinstand/cli/http_request.py
@@ -7,7 +7,7 @@
 from geventhttpclient.response import HTTPParseError
 from result import Err, Ok, Result
 
-from merlinstand.cli.errors import ControlUnavailableError
+from merlinstand.cli.errors import ControlUnavailableError, UntrustedControlError
 from merlinstand.runtime.addresses import parse_address
 
 
@@ -27,7 +27,7 @@
     token: str,
     timeout_seconds: float,
     authority: str,
-) -> Result[Answer, ControlUnavailableError]:
+) -> Result[Answer, ControlUnavailableError | UntrustedControlError]:
     """Send a request on a connection of its own.
 
     The library may resend on a broken connection; command ids make that harmless here.
@@ -54,23 +54,35 @@
         network_timeout=timeout_seconds,
         concurrency=1,
         ssl=bool(authority),
-        ssl_context_factory=(lambda **_options: _tls_context(authority)) if authority else None,
+        ssl_context_factory=(lambda **_options: trust(authority)) if authority else None,
         insecure=bool(authority),
     )
     try:
         response = client.request(method, path, body=body, headers=headers)
         return Ok(Answer(response.status_code, bytes(response.read())))
+    except ssl.SSLError as error:
+        return Err(UntrustedControlError(detail=f"{address}: {_describe_tls(error)}"))
     except (OSError, HTTPParseError) as error:
         return Err(ControlUnavailableError(detail=f"{address}: {error or type(error).__name__}"))
     finally:
         client.close()
 
 
-def _tls_context(authority: str) -> ssl.SSLContext:
-    """Trust the deployment's authority; replicas are named by IP number, not by host name."""
+def trust(authority: str) -> ssl.SSLContext:
+    """Trust the deployment's authority; replicas are named by IP number, not by host name.
+
+    Raises:
+        OSError: The file can't be read, or holds no certificates.
+    """
     from gevent.ssl import SSLContext
 
     context = SSLContext(ssl.PROTOCOL_TLS_CLIENT)
     context.check_hostname = False
     context.load_verify_locations(authority)
     return context
+
+
+def _describe_tls(error: ssl.SSLError) -> str:
+    if isinstance(error, ssl.SSLCertVerificationError):
+        return f"certificate refused: {error.verify_message}"
+    return f"TLS failed: {error.reason or error}"
--- a/src/merlinstand/cli/job_commands.py
+++ b/src/merlinstand/cli/job_commands.py
@@ -5,6 +5,7 @@
 import click
 import msgspec
 
+from merlinstand.cli.input_lines import read_lines
 from merlinstand.cli.object_client import (
     MUST_NOT_EXIST,
     SeenObject,
@@ -42,7 +43,7 @@
 @click.option("--batch-size", default=32, show_default=True, help="Samples in a batch.")
 @click.option("--samples-per-prompt", default=1, show_default=True, help="Samples of a prompt.")
 @click.option("--prompt", "prompts", multiple=True, help="Prompt text; may be repeated.")
-@click.option("--prompts-file", type=click.File("r", encoding="utf-8"), help="A prompt a line.")
+@click.option("--prompts-file", default="", metavar="FILE", help="A prompt a line; - = stdin.")
 @click.option("--prompt-source", default="", metavar="IP:PORT", help="Prompt server.")
 @click.option("--maximum-tokens", default=512, show_default=True, help="Bound of a sample.")
 @click.option("--scorer", default="", metavar="IP:PORT", help="Scoring service.")
@@ -57,7 +58,7 @@
 @click.option("--policy", "policy_file", default="", metavar="FILE", help="Policy (TOML).")
 @operator_options
 def create(
-    client: OperatorClient, output: str, policy_file: str, prompts_file: Any, **fields: Any
+    client: OperatorClient, output: str, policy_file: str, prompts_file: str, **fields: Any
 ) -> None:
     """Create the job NAME.
 
@@ -68,8 +69,8 @@
     """
     policy = _load_policy(policy_file, output)
     prompts = list(fields.pop("prompts"))
-    if prompts_file is not None:
-        prompts += [line.strip() for line in prompts_file if line.strip()]
+    if prompts_file:
+        prompts += [line.text for line in unwrap(read_lines(prompts_file), output)]
     consumers = fields.pop("consumers") or ("trainer-1",)
     new_job = Job(
         prompts=tuple(prompts),
@@ -203,7 +204,7 @@
     key = f"job/{name}"
     seen = unwrap(read_object(client, key), output)
     changed = msgspec.structs.replace(seen.value, **changes)
-    done = unwrap(put_object(client, key, changed, seen.revision), output)
+    done = unwrap(put_object(client, key, changed, seen.revision, change=changes), output)
     print_object({"job": name, "result": result, "revision": done.revision}, output)
 
 
--- a/src/merlinstand/cli/main.py
+++ b/src/merlinstand/cli/main.py
@@ -5,9 +5,18 @@
 """
 
 import importlib
+import sys
+from collections.abc import Sequence
+from typing import Any
 
 import click
 
+from merlinstand.cli.errors import BrokenOffError, UsageError
+from merlinstand.cli.output import JSON, TABLE, fail
+from merlinstand.common.errors import ExitCode
+
+PROGRAM_NAME = "merlinstand"
+
 EPILOG = """\b
 Exit codes: 0 done, 1 failure, 2 usage, 3 invalid input, 4 not found, 5 conflict,
 6 unavailable, 7 unauthorized.
@@ -45,8 +54,60 @@
         command: click.Command = getattr(importlib.import_module(module_name), attribute)
         return command
 
+    def main(
+        self,
+        args: Sequence[str] | None = None,
+        prog_name: str | None = None,
+        complete_var: str | None = None,
+        standalone_mode: bool = True,
+        windows_expand_args: bool = True,
+        **extra: Any,
+    ) -> Any:
+        """Run a command line; every error is one line, in the form that was asked for."""
+        arguments = list(sys.argv[1:] if args is None else args)
+        name = prog_name or PROGRAM_NAME
+        if not standalone_mode:
+            return super().main(arguments, name, complete_var, False, **extra)
+        output = _asked_output(arguments)
+        fault = _find_bad_text(arguments)
+        if fault is not None:
+            fail(fault, output)
+        try:
+            exit_code = super().main(arguments, name, complete_var, False, **extra)
+        except click.exceptions.NoArgsIsHelpError as error:
+            error.show()
+            sys.exit(ExitCode.USAGE)
+        except click.ClickException as error:
+            fail(_usage_error(error), output)
+        except click.Abort:
+            fail(BrokenOffError(detail="broken off by the operator"), output)
+        sys.exit(exit_code if isinstance(exit_code, int) else ExitCode.OK)
+
+
+def _asked_output(arguments: Sequence[str]) -> str:
+    """Find `--output json` even in a command line that can't be parsed."""
+    asked = " ".join(arguments).replace("--output=", "--output ")
+    return JSON if f"--output {JSON}" in asked else TABLE
+
+
+def _find_bad_text(arguments: Sequence[str]) -> UsageError | None:
+    """Refuse bytes that are no UTF-8: they could not be sent on."""
+    for argument in arguments:
+        try:
+            argument.encode("utf-8")
+        except UnicodeEncodeError:
+            return UsageError(detail=f"{argument!a}: expected UTF-8 text")
+    return None
+
+
+def _usage_error(error: click.ClickException) -> UsageError:
+    context = error.ctx if isinstance(error, click.UsageError) else None
+    command_path = context.command_path if context is not None else PROGRAM_NAME
+    message = error.format_message().rstrip(".")
+    return UsageError(detail=f"{command_path}: {message}", command_path=command_path)
+
 
-@click.group(cls=LazyGroup, epilog=EPILOG)
+@click.group(name=PROGRAM_NAME, cls=LazyGroup, epilog=EPILOG)
 @click.version_option(package_name="merlinstand")
 def main() -> None:
     """Run merlinstand's daemons, and operate a deployment.
--- a/src/merlinstand/cli/members_commands.py
+++ b/src/merlinstand/cli/members_commands.py
@@ -6,6 +6,7 @@
 from merlinstand.cli.operator_client import OperatorClient
 from merlinstand.cli.options import operator_options
 from merlinstand.cli.output import Column, fail, print_object, print_rows, unwrap
+from merlinstand.common.errors import NotFoundError
 
 COLUMNS = (
     Column("NODE", "node_id"),
@@ -43,12 +44,18 @@
 def replace(client: OperatorClient, output: str, remove: str, add: str) -> None:
     """Replace a control replica: the new one learns first, then the old one leaves.
 
+    Without --add, the leader takes a standby that announced itself. The group carries the
+    change out step by step after it was accepted; `members list` shows how far it is.
+
     \b
     Example:
         merlinstand members replace --remove control-hall-c --add control-hall-d
     """
     if not (remove or add):
         fail(UsageError(detail="give --remove NODE, --add NODE or both"), output)
+    unknown = _find_unknown(client, output, remove, add)
+    if unknown is not None:
+        fail(unknown, output)
     done = unwrap(
         client.command({"command": "change_membership", "add_node": add, "remove_node": remove}),
         output,
@@ -56,3 +63,19 @@
     print_object(
         {"added": add, "removed": remove, "result": "accepted", "revision": done.revision}, output
     )
+
+
+def _find_unknown(
+    client: OperatorClient, output: str, remove: str, add: str
+) -> NotFoundError | None:
+    """Refuse names that are no replica: the group would keep the wish, and wait for ever."""
+    listed = unwrap(client.read("/v1/members"), output).get("members", [])
+    known = {str(row["node_id"]) for row in listed}
+    known.update(client.settings.control_nodes)
+    # Without a deployment file, a replica that is to join can't be known here.
+    names = (remove, add) if client.settings.control_nodes else (remove,)
+    for name in names:
+        if name and name not in known:
+            detail = f"no control replica {name}; there are: {', '.join(sorted(known))}"
+            return NotFoundError(detail=detail)
+    return None
--- a/src/merlinstand/cli/object_client.py
+++ b/src/merlinstand/cli/object_client.py
@@ -58,7 +58,11 @@
 
 
 def put_object(
-    client: OperatorClient, key: str, value: ConfigurationObject, seen_revision: int
+    client: OperatorClient,
+    key: str,
+    value: ConfigurationObject,
+    seen_revision: int,
+    change: Any = None,
 ) -> Result[CommandDone, MerlinstandError]:
     """Create or replace an object, unless it changed meanwhile.
 
@@ -68,14 +72,29 @@
         value: Its new value.
         seen_revision: Revision that the change is based on; the operator's own
             `--expected-revision` goes before it.
+        change: What the operator asked to change; the whole value if None.
     """
+    expected_revision = _expected(client, seen_revision)
+    return put_seen_object(client, key, value, expected_revision, change)
+
+
+def put_seen_object(
+    client: OperatorClient,
+    key: str,
+    value: ConfigurationObject,
+    seen_revision: int,
+    change: Any = None,
+) -> Result[CommandDone, MerlinstandError]:
+    """Put an object as `put_object` does, whatever `--expected-revision` says."""
+    wanted = msgspec.to_builtins(value)
     return client.command(
         {
             "command": "put_object",
             "key": key,
-            "object": msgspec.to_builtins(value),
-            "expected_revision": _expected(client, seen_revision),
-        }
+            "object": wanted,
+            "expected_revision": seen_revision,
+        },
+        intent=["put", key, wanted if change is None else msgspec.to_builtins(change)],
     )
 
 
@@ -88,7 +107,8 @@
             "command": "delete_object",
             "key": key,
             "expected_revision": _expected(client, seen_revision),
-        }
+        },
+        intent=["delete", key],
     )
 
 
--- a/src/merlinstand/cli/operator_client.py
+++ b/src/merlinstand/cli/operator_client.py
@@ -8,12 +8,15 @@
 from urllib.parse import quote
 
 import msgspec
+import xxhash
 from result import Err, Ok, Result
 
+from merlinstand.cli.client_settings import ClientSettings
 from merlinstand.cli.errors import (
     ControlRefusedError,
     ControlUnavailableError,
     MalformedAnswerError,
+    UntrustedControlError,
 )
 from merlinstand.cli.http_request import Answer, request
 from merlinstand.common.decoding import MALFORMED_INPUT
@@ -37,6 +40,11 @@
     HTTPStatus.NOT_FOUND: ExitCode.NOT_FOUND,
     HTTPStatus.CONFLICT: ExitCode.CONFLICT,
 }
+_OUTCOME_EXIT_CODES = {
+    "invalid_input": ExitCode.INVALID,
+    "not_found": ExitCode.NOT_FOUND,
+    "busy": ExitCode.UNAVAILABLE,
+}
 
 
 class ConfigurationItem(msgspec.Struct, frozen=True):
@@ -67,22 +75,6 @@
     leader: str = ""
 
 
-class ClientSettings(msgspec.Struct, frozen=True, kw_only=True):
-    """Where control is, and how to speak to it."""
-
-    addresses: tuple[str, ...]
-    """HTTP addresses of all control replicas."""
-    token: str = ""
-    authority: str = ""
-    """File of certificates, when the replicas speak TLS."""
-    timeout_seconds: float = 15.0
-    """Longest time to try one command."""
-    command_id: str = ""
-    """Given by the operator to repeat an earlier command; made if empty."""
-    expected_revision: int | None = None
-    """Revision that the operator saw; None = the one that the client just read."""
-
-
 class OperatorClient:
     """Runs commands; retries go under the same command id, so they are harmless."""
 
@@ -103,17 +95,29 @@
         self._addresses = list(settings.addresses)
         self._monotonic = monotonic
         self._sleep = sleep
-        self._command_count = 0
+        self._line_id = settings.command_id or uuid.uuid4().hex
 
-    def command(self, command: dict[str, Any]) -> Result[CommandDone, MerlinstandError]:
-        """Run a command.
+    def command(
+        self, command: dict[str, Any], intent: Any = None
+    ) -> Result[CommandDone, MerlinstandError]:
+        """Run a command, unless it was run before under the operator's command id.
 
         Args:
             command: JSON form of a class of `control.commands`.
+            intent: What the operator asked for, apart from what was read meanwhile; the
+                command itself if None. A repeated command line has the same intent even
+                when the object it changes has moved on.
         """
-        body = msgspec.json.encode({"command_id": self.next_command_id(), "command": command})
+        command_id = self._command_id(command if intent is None else intent)
+        if self.settings.command_id:
+            earlier = self._find_earlier(command_id)
+            if earlier is not None:
+                return earlier
+        body = msgspec.json.encode({"command_id": command_id, "command": command})
         answer = self._ask("POST", "/v1/commands", body)
-        return answer.and_then(lambda found: _decode(found, CommandDone))
+        return answer.map_err(self._with_line_id).and_then(
+            lambda found: _decode(found, CommandDone)
+        )
 
     def configuration(self, prefix: str = "") -> Result[Configuration, MerlinstandError]:
         """Read the objects whose keys begin with a prefix."""
@@ -125,24 +129,50 @@
         answer = self._ask("GET", path, b"")
         return answer.and_then(lambda found: _decode(found, dict[str, Any]))
 
-    def next_command_id(self) -> str:
-        """Make the id of the next command.
+    def _command_id(self, intent: Any) -> str:
+        """Name a command below the command line's id.
 
-        A command line that sends several commands numbers them below the operator's id, so
-        that a repeated line repeats the same ids.
+        A line may send several commands, and a repeated line may send fewer of them, so
+        they are told apart by what they ask for and not by their order.
         """
-        self._command_count += 1
-        given = self.settings.command_id
-        if not given:
-            return uuid.uuid4().hex
-        return given if self._command_count == 1 else f"{given}.{self._command_count}"
+        asked = msgspec.json.encode([intent, self.settings.expected_revision], order="sorted")
+        return f"{self._line_id}.{xxhash.xxh3_64_hexdigest(asked)}"
+
+    def _find_earlier(self, command_id: str) -> Result[CommandDone, MerlinstandError] | None:
+        """Ask how a command ended that may have been sent before; None if it was not."""
+        asked = self._ask("GET", f"/v1/commands/{quote(command_id, safe='')}", b"")
+        if isinstance(asked, Err):
+            error = asked.err_value
+            is_new = isinstance(error, ControlRefusedError) and error.answered_code == "not_found"
+            return None if is_new else asked
+        decoded = _decode(asked.ok_value, CommandDone)
+        if isinstance(decoded, Err):
+            return decoded
+        done: CommandDone = decoded.ok_value
+        if done.outcome.get("outcome") != "refused":
+            return Ok(done)
+        code = str(done.outcome.get("code", "refused"))
+        return Err(
+            ControlRefusedError(
+                detail=str(done.outcome.get("detail", "")),
+                answered_code=code,
+                answered_exit_code=_OUTCOME_EXIT_CODES.get(code, ExitCode.CONFLICT),
+            )
+        )
+
+    def _with_line_id(self, error: MerlinstandError) -> MerlinstandError:
+        """Tell under which id a command is to be repeated whose answer did not come."""
+        if not isinstance(error, ControlUnavailableError):
+            return error
+        return msgspec.structs.replace(error, command_id=self._line_id)
 
     def _ask(self, method: str, path: str, body: bytes) -> Result[Answer, MerlinstandError]:
         """Try every replica, following the leader, until one gives a final answer."""
         end = self._monotonic() + self.settings.timeout_seconds
         problem = "no control address is known"
         turn = 0
-        while self._addresses:
+        untrusted: dict[str, UntrustedControlError] = {}
+        while not untrusted.keys() >= set(self._addresses):
             address = self._addresses[turn % len(self._addresses)]
             turn += 1
             left = end - self._monotonic()
@@ -159,6 +189,8 @@
             )
             if isinstance(result, Err):
                 problem = result.err_value.detail
+                if isinstance(result.err_value, UntrustedControlError):
+                    untrusted[address] = result.err_value
             else:
                 answer = result.ok_value
                 if answer.status == HTTPStatus.OK:
@@ -178,6 +210,8 @@
                     return Err(_refusal(answer, error))
             if turn % len(self._addresses) == 0:
                 self._sleep(RETRY_INTERVAL_SECONDS)
+        if untrusted:
+            return Err(next(iter(untrusted.values())))
         return Err(ControlUnavailableError(detail=f"no replica answered in time; last: {problem}"))
 
     def _prefer(self, address: str) -> None:
--- a/src/merlinstand/cli/output.py
+++ b/src/merlinstand/cli/output.py
@@ -8,6 +8,7 @@
 import msgspec
 from result import Err, Result
 
+from merlinstand.cli.advice import find_advice
 from merlinstand.cli.errors import ControlRefusedError
 from merlinstand.common.errors import MerlinstandError
 
@@ -57,17 +58,18 @@
 
 
 def fail(error: MerlinstandError, output: str = TABLE) -> NoReturn:
-    """Print an error to standard error and end with the exit code of its class."""
+    """Print an error on one line of standard error and end with the exit code of its class."""
     code, exit_code = type(error).code, type(error).exit_code
     if isinstance(error, ControlRefusedError):
         code, exit_code = error.answered_code, error.answered_exit_code
     describe = getattr(error, "describe", None)
-    detail = describe() if describe else error.detail
+    detail = " ".join((describe() if describe else error.detail).split())
+    advice = find_advice(error, code, exit_code)
     if output == JSON:
-        body = {"code": code, "detail": detail, "exit_code": int(exit_code)}
-        click.echo(_to_json(body), err=True)
+        body = {"code": code, "detail": detail, "advice": advice, "exit_code": int(exit_code)}
+        click.echo(msgspec.json.encode(body).decode(), err=True)
     else:
-        click.echo(f"error: {code}: {detail}", err=True)
+        click.echo(f"error: {code}: {detail}; {advice}", err=True)
     sys.exit(int(exit_code))
 
 
--- a/src/merlinstand/cli/policy_commands.py
+++ b/src/merlinstand/cli/policy_commands.py
@@ -31,12 +31,12 @@
 @click.option(
     "--samples",
     "samples_file",
-    type=click.File("rb"),
-    default=None,
-    help="Recorded samples (JSON Lines of policy.records.SampleRecord) to try it on.",
+    default="",
+    metavar="FILE",
+    help="Recorded samples (JSON Lines, see docs/POLICIES.md) to try it on; - = stdin.",
 )
 @output_option
-def check(file: str, samples_file: Any, output: str) -> None:
+def check(file: str, samples_file: str, output: str) -> None:
     """Check the policy in FILE (TOML), and try it on recorded samples.
 
     \b
@@ -48,9 +48,8 @@
 
     source = unwrap(load_checked_policy(file), output)
     compiled = unwrap(check_policy(source), output)
-    if samples_file is None:
-        records = [EXAMPLE_SAMPLE]
-    else:
+    records = [EXAMPLE_SAMPLE]
+    if samples_file:
         records = unwrap(_read_samples(samples_file, SampleRecord), output)
     rows: list[dict[str, Any]] = []
     for record in records:
@@ -82,7 +81,7 @@
     key = f"job/{job_name}"
     seen = unwrap(read_object(client, key), output)
     changed = msgspec.structs.replace(seen.value, policy=source)
-    done = unwrap(put_object(client, key, changed, seen.revision), output)
+    done = unwrap(put_object(client, key, changed, seen.revision, change=source), output)
     print_object({"job": job_name, "result": "policy set", "revision": done.revision}, output)
 
 
@@ -98,17 +97,21 @@
     return checked if isinstance(checked, Err) else Ok(loaded.ok_value)
 
 
-def _read_samples(samples_file: Any, record_type: type) -> Result[list[Any], MerlinstandError]:
+def _read_samples(samples_file: str, record_type: type) -> Result[list[Any], MerlinstandError]:
+    from merlinstand.cli.input_lines import read_lines
     from merlinstand.settings.errors import SettingsError
 
+    lines = read_lines(samples_file)
+    if isinstance(lines, Err):
+        return lines
     records: list[Any] = []
-    for number, line in enumerate(samples_file, start=1):
-        if not line.strip():
-            continue
+    for line in lines.ok_value:
         try:
-            records.append(msgspec.json.decode(line, type=record_type))
+            records.append(msgspec.json.decode(line.text, type=record_type))
         except MALFORMED_INPUT as error:
+            place = f"line {line.number}"
+            expected = f"a recorded sample ({error})"
             return Err(
-                SettingsError(file=samples_file.name, path=f"line {number}", expected=str(error))
+                SettingsError(file=samples_file, path=place, value=line.text, expected=expected)
             )
     return Ok(records)
--- a/src/merlinstand/control/objects.py
+++ b/src/merlinstand/control/objects.py
@@ -3,6 +3,7 @@
 from merlinstand.configuration.objects import (
     ConfigurationObject,
     Job,
+    JobPhase,
     Pool,
     PoolKind,
     Weights,
@@ -116,6 +117,10 @@
             detail = f"pool {pool.name} serves model {pool.model}, not {value.model}"
             return Refused(code="invalid_input", detail=detail)
         present = self.find_job(value.name)
+        is_cancelled = present is not None and present.phase is JobPhase.CANCELLED
+        if is_cancelled and value.phase is not JobPhase.CANCELLED:
+            detail = f"job {value.name} was cancelled for good; make one under another name"
+            return Refused(code="conflict", detail=detail)
         if present is not None and present.samples_per_prompt != value.samples_per_prompt:
             # Slot numbers and sample ids hang on it.
             return Refused(code="invalid_input", detail="samples_per_prompt can't be changed")
--- a/src/merlinstand/control/operator_requests.py
+++ b/src/merlinstand/control/operator_requests.py
@@ -35,7 +35,13 @@
     Refused,
     RewindJob,
 )
-from merlinstand.control.queries import AnyQuery, LeaseQuery, LedgerQuery, MembersQuery
+from merlinstand.control.queries import (
+    AnyQuery,
+    CommandQuery,
+    LeaseQuery,
+    LedgerQuery,
+    MembersQuery,
+)
 from merlinstand.control.settings import ControlSettings
 from merlinstand.kernel.effects import Respond
 from merlinstand.kernel.events import RequestReceived
@@ -225,6 +231,9 @@
         return Ok(QueryGet(LeaseQuery()))
     if path == "/v1/status":
         return Ok(StatusGet())
+    if path.startswith("/v1/commands/"):
+        command_id = unquote(path.removeprefix("/v1/commands/"))
+        return Ok(QueryGet(CommandQuery(command_id=command_id)))
     if path.startswith("/v1/ledger/"):
         return Ok(QueryGet(LedgerQuery(job=unquote(path.removeprefix("/v1/ledger/")))))
     return Err(NotFoundError(detail=f"GET {path} is not served here"))
--- a/src/merlinstand/control/queries.py
+++ b/src/merlinstand/control/queries.py
@@ -2,6 +2,8 @@
 
 import msgspec
 
+from merlinstand.control.commands import AnyOutcome
+
 
 class Query(msgspec.Struct, frozen=True, kw_only=True, tag_field="query"):
     """Base of all queries."""
@@ -21,6 +23,12 @@
     """The control group's members (operators' status)."""
 
 
+class CommandQuery(Query, frozen=True, kw_only=True, tag="command"):
+    """How an operator's command ended, as long as it is remembered."""
+
+    command_id: str
+
+
 class ConsumerPosition(msgspec.Struct, frozen=True):
     """One consumer of a job."""
 
@@ -81,8 +89,15 @@
     members: tuple[MemberState, ...]
 
 
-AnyQuery = LedgerQuery | LeaseQuery | MembersQuery
-AnyAnswer = LedgerAnswer | LeaseAnswer | MembersAnswer
+class CommandAnswer(msgspec.Struct, frozen=True, tag="command"):
+    """The first outcome of a command, and the log position where it was judged."""
+
+    revision: int
+    outcome: AnyOutcome
+
+
+AnyQuery = LedgerQuery | LeaseQuery | MembersQuery | CommandQuery
+AnyAnswer = LedgerAnswer | LeaseAnswer | MembersAnswer | CommandAnswer
 
 _QUERY_DECODER = msgspec.msgpack.Decoder(AnyQuery)
 _ANSWER_DECODER = msgspec.msgpack.Decoder(AnyAnswer)
--- a/src/merlinstand/control/reads.py
+++ b/src/merlinstand/control/reads.py
@@ -16,6 +16,7 @@
 from merlinstand.control.queries import (
     AnyAnswer,
     AnyQuery,
+    CommandQuery,
     LeaseQuery,
     LedgerAnswer,
     LedgerQuery,
@@ -105,7 +106,11 @@
             case OperatorRead():
                 answer = self._find_answer(read.query, now)
                 if answer is None:
-                    return [respond_error(read.request_id, NotFoundError(detail="no such job"))]
+                    return [
+                        respond_error(
+                            read.request_id, NotFoundError(detail="no such job or command")
+                        )
+                    ]
                 return [respond_json(read.request_id, answer)]
             case SessionRead():
                 return [self._reply(read, self._find_answer(read.query, now))]
@@ -153,6 +158,8 @@
                 return self._state.lease_states(self._group_time(now))
             case MembersQuery():
                 return self._members(now)
+            case CommandQuery():
+                return self._state.command_answer(query.command_id)
 
     def _ledger(self, job: str) -> LedgerAnswer | None:
         return self._state.ledger(job)
--- a/src/merlinstand/control/state_machine.py
+++ b/src/merlinstand/control/state_machine.py
@@ -45,7 +45,7 @@
     ledger_state,
 )
 from merlinstand.control.objects import ObjectStore, TableState
-from merlinstand.control.queries import LeaseAnswer, LedgerAnswer
+from merlinstand.control.queries import CommandAnswer, LeaseAnswer, LedgerAnswer
 from merlinstand.control.weights import staleness_bound
 
 SNAPSHOT_FORMAT_VERSION = 1
@@ -144,6 +144,13 @@
                 return Applied(command_id, revision, outcome)
         return None
 
+    def command_answer(self, command_id: str) -> CommandAnswer | None:
+        """Return how an operator's command ended, None if it is not remembered."""
+        remembered = self._operator_commands.find(command_id)
+        if remembered is None:
+            return None
+        return CommandAnswer(remembered.revision, remembered.outcome)
+
     def ledger(self, job_name: str) -> LedgerAnswer | None:
         """Return the positions of a job's consumers, None if there is no such job."""
         job = self.objects.find_job(job_name)
--- a/src/merlinstand/settings/daemons.py
+++ b/src/merlinstand/settings/daemons.py
@@ -32,7 +32,6 @@
     address: str = ""
     http_address: str = ""
     zone: str = ""
-    data_folder: str = ""
 
 
 class DaemonEntry(msgspec.Struct, frozen=True):
@@ -77,6 +76,20 @@
     return loaded if fault is None else Err(fault)
 
 
+def override_node(
+    path: str, settings: DeploymentSettings, node: str, overrides: Overrides
+) -> Result[DeploymentSettings, SettingsError]:
+    """Put flags in place of the file's values for one node, and check the whole again."""
+    changed = msgspec.structs.replace(
+        settings,
+        control=_override_one(settings.control, node, overrides),
+        gateway=_override_one(settings.gateway, node, overrides),
+        coordinator=_override_one(settings.coordinator, node, overrides),
+    )
+    fault = check_deployment(f"{path} with the flags given", changed)
+    return Ok(changed) if fault is None else Err(fault)
+
+
 def list_daemons(settings: DeploymentSettings) -> tuple[DaemonEntry, ...]:
     """Give all daemons of a deployment, control first."""
     entries = [
@@ -94,34 +107,33 @@
 
 
 def control_daemon(
-    settings: DeploymentSettings, node: str, overrides: Overrides
+    settings: DeploymentSettings, node: str, data_folder: str = ""
 ) -> Result[ControlDaemonSettings, NotFoundError]:
-    """Give the settings of one control replica."""
+    """Give the settings of one control replica; the folder goes before the file's."""
     found = _find(settings.control, node, "control")
     if isinstance(found, Err):
         return found
-    table = _override(found.ok_value, overrides)
-    tables = tuple(table if one.node == node else one for one in settings.control)
+    table = found.ok_value
     role = ControlSettings(
         node_id=node,
         zone=table.zone,
-        members=tuple(_member(one) for one in tables if not one.standby),
-        standbys=tuple(_member(one) for one in tables if one.standby),
+        members=tuple(_member(one) for one in settings.control if not one.standby),
+        standbys=tuple(_member(one) for one in settings.control if one.standby),
         http_address=table.http_address,
         operator_token=settings.operators.token,
         timings=settings.control_options.timings,
     )
-    return Ok(ControlDaemonSettings(_host_settings(settings, table, overrides), role))
+    return Ok(ControlDaemonSettings(_host_settings(settings, table, data_folder), role))
 
 
 def gateway_daemon(
-    settings: DeploymentSettings, node: str, overrides: Overrides
+    settings: DeploymentSettings, node: str, data_folder: str = ""
 ) -> Result[GatewayDaemonSettings, NotFoundError]:
-    """Give the settings of one gateway."""
+    """Give the settings of one gateway; the folder goes before the file's."""
     found = _find(settings.gateway, node, "gateway")
     if isinstance(found, Err):
         return found
-    table = _override(found.ok_value, overrides)
+    table = found.ok_value
     options = settings.gateway_options
     role = GatewaySettings(
         node_id=node,
@@ -138,17 +150,17 @@
         health=options.health,
         routing=options.routing,
     )
-    return Ok(GatewayDaemonSettings(_host_settings(settings, table, overrides), role))
+    return Ok(GatewayDaemonSettings(_host_settings(settings, table, data_folder), role))
 
 
 def coordinator_daemon(
-    settings: DeploymentSettings, node: str, overrides: Overrides
+    settings: DeploymentSettings, node: str, data_folder: str = ""
 ) -> Result[CoordinatorDaemonSettings, NotFoundError]:
-    """Give the settings of one coordinator."""
+    """Give the settings of one coordinator; the folder goes before the file's."""
     found = _find(settings.coordinator, node, "coordinator")
     if isinstance(found, Err):
         return found
-    table = _override(found.ok_value, overrides)
+    table = found.ok_value
     options = settings.coordinator_options
     role = CoordinatorSettings(
         node_id=node,
@@ -164,7 +176,7 @@
         generation=options.generation,
         rollout=options.rollout,
     )
-    return Ok(CoordinatorDaemonSettings(_host_settings(settings, table, overrides), role))
+    return Ok(CoordinatorDaemonSettings(_host_settings(settings, table, data_folder), role))
 
 
 def _find(tables: tuple[Table, ...], node: str, role: str) -> Result[Table, NotFoundError]:
@@ -175,19 +187,24 @@
     return Err(NotFoundError(detail=f"no [[{role}]] with node = {node!r}; there are: {known}"))
 
 
-def _override(table: Table, overrides: Overrides) -> Table:
-    return msgspec.structs.replace(
-        table,
-        address=overrides.address or table.address,
-        http_address=overrides.http_address or table.http_address,
-        zone=overrides.zone or table.zone,
+def _override_one(tables: tuple[Table, ...], node: str, overrides: Overrides) -> tuple[Table, ...]:
+    return tuple(
+        msgspec.structs.replace(
+            table,
+            address=overrides.address or table.address,
+            http_address=overrides.http_address or table.http_address,
+            zone=overrides.zone or table.zone,
+        )
+        if table.node == node
+        else table
+        for table in tables
     )
 
 
 def _host_settings(
-    settings: DeploymentSettings, table: ControlTable | DaemonTable, overrides: Overrides
+    settings: DeploymentSettings, table: ControlTable | DaemonTable, data_folder: str
 ) -> HostSettings:
-    folder = overrides.data_folder or str(Path(settings.data.folder) / table.node)
+    folder = data_folder or str(Path(settings.data.folder) / table.node)
     return HostSettings(
         node_id=table.node,
         http_address=table.http_address,
--- /dev/null
+++ b/tests/cli/test_errors.py
@@ -0,0 +1,179 @@
+"""Wrong input: every error is one line, with a code and what to do."""
+
+import json
+import ssl
+from pathlib import Path
+from typing import Any
+
+import pytest
+from click.testing import CliRunner, Result
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from merlinstand.cli import http_request
+from merlinstand.cli.main import main
+from tests.cli.conftest import FakeControl
+
+EXAMPLE = str(Path(__file__).parents[2] / "examples" / "vitrina" / "merlinstand.toml")
+CREATE = ("job", "create", "j", "--model", "m", "--pool", "p")
+
+
+def invoke(*arguments: str) -> Result:
+    return CliRunner().invoke(main, list(arguments), env={})
+
+
+def check_error(result: Result, exit_code: int, *parts: str) -> None:
+    assert result.exit_code == exit_code, result.output
+    assert isinstance(result.exception, SystemExit), result.exception
+    (line,) = result.stderr.splitlines()
+    assert line.startswith("error: ")
+    assert "; " in line, "no advice"
+    for part in parts:
+        assert part in line
+
+
+@pytest.mark.parametrize(
+    ("arguments", "part"),
+    [
+        (("nonsense",), "No such command 'nonsense'"),
+        (("job", "pause"), "see `merlinstand job pause --help`"),
+        (("job", "list", "--output", "xml"), "'xml' is not one of"),
+        (("job", "list"), "--control IP:PORT"),
+        (("job", "list", "--control", "localhost:1"), "'localhost' is no IP number"),
+        (("job", "list", "--control", "garbage"), "'garbage' is not ip:port"),
+        (("job", "list", "--control", "127.0.0.1:1", "--timeout", "-1"), "x>0"),
+        (("job", "list", "--control", "127.0.0.1:1", "--timeout", "nan"), "--timeout"),
+        (("job", "list", "--control", "127.0.0.1:1", "--token", "a\nb"), "--token"),
+        (("job", "list", "--control", "127.0.0.1:1", "--command-id", "i" * 151), "--command-id"),
+        (("job", "list", "--control", "127.0.0.1:1", "--expected-revision", "x"), "integer"),
+        (("job", "pause", "\udcff"), "UTF-8"),
+        (("gateway", "--settings", EXAMPLE), "'--node'"),
+        (("weights", "publish", "m", "one"), "not a valid integer"),
+    ],
+)
+def test_usage_errors_are_one_line(arguments: tuple[str, ...], part: str) -> None:
+    check_error(invoke(*arguments), 2, "error: usage: ", part)
+
+
+def test_errors_are_json_where_json_was_asked_for() -> None:
+    for form in (("--output", "json"), ("--output=json",)):
+        error = json.loads(invoke("job", "pause", *form).stderr)
+        assert (error["code"], error["exit_code"]) == ("usage", 2)
+        assert error["advice"] == "see `merlinstand job pause --help`"
+
+
+@pytest.mark.parametrize(
+    ("flag", "value", "part"),
+    [
+        ("--address", "1.2.3.4", "control[0].address = '1.2.3.4': expected ip:port"),
+        ("--http-address", "8.8.8.8:1", "operators.token"),
+        ("--zone", "nowhere", "control[0].zone = 'nowhere': expected one of"),
+    ],
+)
+def test_daemon_flags_are_checked_before_the_start(flag: str, value: str, part: str) -> None:
+    line = ("control", "--settings", EXAMPLE, "--node", "control-hall-a", flag, value)
+    check_error(invoke(*line), 3, "with the flags given", part)
+
+
+@pytest.mark.parametrize("option", ["--prompts-file", "--policy"])
+def test_unreadable_input_files(tmp_path: Path, option: str) -> None:
+    missing = (*CREATE, "--control", "127.0.0.1:1", option, str(tmp_path / "none"))
+    check_error(invoke(*missing), 3, "expected a readable file")
+    binary = tmp_path / "binary"
+    binary.write_bytes(b"\x7fELF\xff\xfe")
+    check_error(invoke(*missing[:-1], str(binary)), 3, "expected UTF-8 text")
+
+
+def test_bad_recorded_samples_name_file_and_line(tmp_path: Path) -> None:
+    policy = tmp_path / "policy.toml"
+    policy.write_text('weight = "1.0"\n')
+    samples = tmp_path / "samples.jsonl"
+    samples.write_text('\n{"prompt_id": "seven"}\n')
+    line = ("policy", "check", str(policy), "--samples", str(samples))
+    check_error(invoke(*line), 3, f"{samples}: line 2", "prompt_id")
+    check_error(invoke(*line[:-1], str(tmp_path / "none")), 3, "expected a readable file")
+
+
+def test_prompts_come_from_a_file_or_standard_input(
+    run: Any, control: FakeControl, tmp_path: Path
+) -> None:
+    file = tmp_path / "prompts.txt"
+    file.write_text("one\n\n  two \u2028 lines\n", encoding="utf-8")
+    assert run(*CREATE, "--prompts-file", str(file)).exit_code == 0
+    assert control.objects["job/j"][1]["prompts"] == ("one", "two \u2028 lines")
+
+
+def test_control_is_down() -> None:
+    line = ("members", "list", "--control", "127.0.0.1:1", "--timeout", "0.2")
+    check_error(invoke(*line), 6, "error: unavailable: ", "127.0.0.1:1", "try again")
+
+
+@pytest.mark.parametrize("content", ["", "no certificate"])
+def test_authority_must_hold_certificates(tmp_path: Path, content: str) -> None:
+    file = tmp_path / "authority.pem"
+    line = ("members", "list", "--control", "127.0.0.1:1", "--authority", str(file))
+    check_error(invoke(*line), 3, "expected a readable file of certificates")
+    file.write_text(content)
+    check_error(invoke(*line), 3, "expected a readable file of certificates")
+
+
+def test_refused_certificates_end_the_search_at_once(monkeypatch: pytest.MonkeyPatch) -> None:
+    asked: list[str] = []
+
+    class ExpiredClient:
+        def __init__(self, host: str, port: int, **_options: Any) -> None:
+            asked.append(f"{host}:{port}")
+
+        def request(self, *_arguments: Any, **_options: Any) -> None:
+            error = ssl.SSLCertVerificationError(1, "certificate verify failed")
+            error.verify_message = "certificate has expired"
+            raise error
+
+        def close(self) -> None:
+            pass
+
+    monkeypatch.setattr(http_request, "HTTPClient", ExpiredClient)
+    addresses = ("--control", "127.0.0.1:1", "--control", "127.0.0.1:2")
+    result = invoke("members", "list", *addresses, "--timeout", "60")
+    check_error(result, 6, "error: untrusted: 127.0.0.1:1", "certificate has expired", "renew")
+    assert asked == ["127.0.0.1:1", "127.0.0.1:2"]
+
+
+WORDS = st.sampled_from(
+    [
+        "job",
+        "list",
+        "create",
+        "config",
+        "get",
+        "policy",
+        "check",
+        "backend",
+        "drain",
+        "weights",
+        "publish",
+        "members",
+        "replace",
+        "status",
+        "settings",
+        "--output",
+        "json",
+        "--control",
+        "127.0.0.1:1",
+        "--timeout",
+        "0.01",
+        "--settings",
+        "--pool",
+        "--",
+        "-",
+        "=",
+        "�",
+    ]
+)
+
+
+@settings(max_examples=150, deadline=None, derandomize=True)
+@given(st.lists(WORDS | st.text(max_size=5), max_size=6))
+def test_no_command_line_ends_in_a_traceback(arguments: list[str]) -> None:
+    result = CliRunner().invoke(main, arguments, env={}, input="")
+    assert result.exception is None or isinstance(result.exception, SystemExit), arguments
--- /dev/null
+++ b/tests/cli/test_resends.py
@@ -0,0 +1,96 @@
+"""A command line that is repeated under its `--command-id` does nothing a second time."""
+
+import json
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from merlinstand.configuration.objects import Backend, Job, Pool, PoolKind
+from tests.cli.conftest import FakeControl
+
+JOB = Job(name="blurbs", model="blurb", pool="blurb-llm", prompts=("a",))
+POOL = Pool(
+    name="shop-api", kind=PoolKind.SERVICE, backends=(Backend("shop-api-1", "127.0.0.1:9", "z1"),)
+)
+PUBLISH = ("--digest", "d", "--source", "127.0.0.1:7401", "--size-bytes", "10")
+
+
+@pytest.mark.parametrize(
+    "line",
+    [
+        ("job", "create", "new", "--model", "blurb", "--pool", "blurb-llm"),
+        ("job", "pause", "blurbs"),
+        ("job", "cancel", "blurbs"),
+        ("job", "move", "blurbs", "--to", "mirror"),
+        ("backend", "drain", "shop-api-1", "--reason", "disk"),
+        ("backend", "undrain", "shop-api-1"),
+        ("weights", "publish", "blurb", "1", *PUBLISH),
+        ("job", "rewind", "blurbs", "--consumer", "t", "--batch", "3", "--expected-batch", "9"),
+    ],
+    ids=lambda line: " ".join(line[:2]),
+)
+def test_a_repeated_line_gets_its_first_answer(
+    run: Any, control: FakeControl, line: tuple[str, ...]
+) -> None:
+    control.put("job/blurbs", JOB)
+    control.put("pool/shop-api", POOL)
+    if line[:2] == ("backend", "undrain"):
+        assert run("backend", "drain", "shop-api-1").exit_code == 0
+    first = run(*line, "--command-id", "mine")
+    assert first.exit_code == 0, first.output
+    revision = control.revision
+    # Another operator changes the same object in between.
+    control.put("job/blurbs", JOB)
+    again = run(*line, "--command-id", "mine")
+    assert (again.exit_code, again.output) == (0, first.output)
+    assert control.revision == revision + 1, "the resend changed something"
+
+
+def test_another_line_under_the_same_id_is_another_command(run: Any, control: FakeControl) -> None:
+    control.put("job/blurbs", JOB)
+    assert run("job", "pause", "blurbs", "--command-id", "mine").exit_code == 0
+    assert run("job", "resume", "blurbs", "--command-id", "mine").exit_code == 0
+    assert control.objects["job/blurbs"][1]["phase"] == "running"
+
+
+def test_a_repeated_line_gets_its_first_refusal(run: Any, control: FakeControl) -> None:
+    control.put("job/blurbs", JOB)
+    line = ("job", "pause", "blurbs", "--expected-revision", "7", "--command-id", "mine")
+    outcome = {"outcome": "refused", "code": "conflict", "detail": "at revision 1, not 7"}
+    control.override = lambda method, path, _body: (
+        (200, {"revision": 9, "outcome": outcome}) if "/v1/commands/mine." in path else None
+    )
+    result = run(*line)
+    assert result.exit_code == 5
+    assert "at revision 1, not 7" in result.output
+    assert control.posts == []
+
+
+def test_apply_goes_on_where_a_lost_answer_left_it(
+    run: Any, control: FakeControl, tmp_path: Path
+) -> None:
+    file = tmp_path / "configuration.toml"
+    limits = "".join(f'[[limits]]\ncaller = "caller-{number}"\n' for number in range(3))
+    file.write_text(limits)
+    answers = iter([None, (500, {"code": "lost", "detail": ""})])
+    control.override = lambda method, *_rest: next(answers, None) if method == "POST" else None
+    line = ("config", "apply", str(file), "--command-id", "mine", "--output", "json")
+    assert run(*line).exit_code != 0
+    rows = json.loads(run(*line).output)
+    assert [row["result"] for row in rows] == ["unchanged", "created", "created"]
+    assert set(control.objects) == {f"limits/caller-{number}" for number in range(3)}
+
+
+def test_a_lost_answer_names_the_id_to_repeat(run: Any, control: FakeControl) -> None:
+    control.put("job/blurbs", JOB)
+    control.override = lambda method, *_rest: (
+        (504, {"code": "outcome_unknown", "detail": "not decided"}) if method == "POST" else None
+    )
+    result = run("job", "pause", "blurbs", "--timeout", "0.1")
+    assert result.exit_code == 6
+    line_id = result.stderr.strip().rpartition("--command-id ")[2]
+    assert control.posts[0]["command_id"].startswith(f"{line_id}.")
+    control.override = lambda *_request: None
+    assert run("job", "pause", "blurbs", "--command-id", line_id).exit_code == 0
+    assert control.posts[-1]["command_id"] == control.posts[0]["command_id"]
--- a/tests/control/test_daemon.py
+++ b/tests/control/test_daemon.py
@@ -6,7 +6,7 @@
 from hypothesis import strategies as st
 
 from merlinstand.common.ids import RequestId
-from merlinstand.configuration.objects import Job, PolicySource
+from merlinstand.configuration.objects import Job, JobPhase, PolicySource
 from merlinstand.control import daemon as control_daemon
 from merlinstand.control.commands import ClaimGranted, ClaimRequest, Done, PutObject
 from merlinstand.control.settings import ControlMember, ControlSettings, ControlTimings
@@ -64,6 +64,18 @@
     assert (status, body["code"]) == (400, "invalid_input")
 
 
+def test_an_operator_may_ask_how_a_command_ended() -> None:
+    group = Group(seed=20)
+    revision = group.operator("mine.1", put("pool/a", pool_object("a")))[1]["revision"]
+    done = {"outcome": "done", "revision": revision}
+    answer = {"type": "command", "revision": revision, "outcome": done}
+    assert group.get("/v1/commands/mine.1") == (200, answer)
+    group.operator("mine.2", put("pool/a", pool_object("a"), expected_revision=0))
+    outcome = group.get("/v1/commands/mine.2")[1]["outcome"]
+    assert (outcome["outcome"], outcome["code"]) == ("refused", "conflict")
+    assert group.get("/v1/commands/other")[0] == 404
+
+
 def test_session_command_is_applied_once_over_a_silent_leader_loss() -> None:
     group = Group(seed=5)
     group.add_daemon("gateway-1")
@@ -217,6 +229,19 @@
     assert group.get("/v1/ledger/none")[0] == 404
 
 
+def test_a_cancelled_job_stays_cancelled() -> None:
+    group = Group(seed=21)
+    group.operator("c0", put("pool/blurb-llm", pool_object("blurb-llm")))
+    job = Job(name="j", model="blurb", pool="blurb-llm")
+    assert group.operator("c1", put("job/j", job))[0] == 200
+    cancelled = msgspec.structs.replace(job, phase=JobPhase.CANCELLED)
+    assert group.operator("c2", put("job/j", cancelled))[0] == 200
+    status, body = group.operator("c3", put("job/j", job))
+    assert (status, body["code"]) == (409, "conflict")
+    assert "cancelled for good" in body["detail"]
+    assert group.operator("c4", put("job/j", cancelled))[0] == 200
+
+
 def test_membership_replacement_is_accepted_once_the_group_took_it_in() -> None:
     group = Group(seed=16)
     group.wait_for_leader()
