One truth for settings: a reference page from the code, checked numbers, a lease that follows the timeout

(2) The leader's lease stayed 0.98 s whatever election_timeout_seconds said: with a shorter timeout two leaders could have held leases at once. (3) Negative, infinite and not-a-number values were taken. (4) control_options.timings.maximum_batch_commands was read by nobody.

Change: the defaults stand once; the lease follows the timeout; numbers are checked alone and in pairs (heartbeat against election timeout, configuration lease against pull); the dead setting is gone; each setting has a meaning in its docstring, and `merlinstand settings reference` makes docs/SETTINGS.md of them.

--- a/src/merlinstand/cli/settings_commands.py
+++ b/src/merlinstand/cli/settings_commands.py
@@ -45,3 +45,16 @@
         for entry in list_daemons(deployment)
     ]
     print_rows(rows, _COLUMNS, output)
+
+
+@settings.command()
+def reference() -> None:
+    """Print the reference of all settings, as Markdown.
+
+    \b
+    Example:
+        merlinstand settings reference > SETTINGS.md
+    """
+    from merlinstand.settings.reference import reference_page
+
+    click.echo(reference_page(), nl=False)
--- a/src/merlinstand/common/constants.py
+++ b/src/merlinstand/common/constants.py
@@ -12,8 +12,17 @@
 HEARTBEAT_INTERVAL_SECONDS = 0.25
 """Leader's interval between append messages to each follower."""
 
-LEADER_LEASE_SECONDS = ELECTION_TIMEOUT_SECONDS * (1.0 - 2 * MAXIMUM_CLOCK_DRIFT)
-"""How long a leader may act after it sent a heartbeat that a quorum acknowledged."""
+
+def leader_lease_seconds(election_timeout_seconds: float) -> float:
+    """Give how long a leader may act after it sent a heartbeat that a quorum acknowledged.
+
+    Shorter than the silence after which another may be elected, whatever two clocks drift.
+    """
+    return election_timeout_seconds * (1.0 - 2 * MAXIMUM_CLOCK_DRIFT)
+
+
+LEADER_LEASE_SECONDS = leader_lease_seconds(ELECTION_TIMEOUT_SECONDS)
+"""The leader's lease with the default election timeout."""
 
 CONFIGURATION_PULL_INTERVAL_SECONDS = 1.0
 """How often a daemon asks for changes of the configuration."""
--- a/src/merlinstand/configuration/objects.py
+++ b/src/merlinstand/configuration/objects.py
@@ -19,17 +19,22 @@
     """One server of a pool."""
 
     backend_id: str
+    """Name of the server, unique in a deployment."""
     address: str
     """`ip:port`."""
     zone: str
+    """Zone it stands in."""
 
 
 class Pool(msgspec.Struct, frozen=True, kw_only=True):
     """`pool/NAME`: a set of interchangeable servers."""
 
     name: str
+    """Name of the pool; first part of the path at a gateway."""
     kind: PoolKind
+    """`engine` or `service`."""
     backends: tuple[Backend, ...]
+    """Its servers."""
     model: str = ""
     """Model name served by an engine pool."""
     repeatable: bool = True
@@ -37,6 +42,7 @@
     not_repeatable_paths: tuple[str, ...] = ()
     """Path prefixes of a service whose requests are not repeatable (POST only)."""
     request_timeout_seconds: float = 5.0
+    """Time for a request that named no deadline."""
     maximum_concurrency: int = 64
     """Most requests in flight to one backend from one gateway."""
 
@@ -64,31 +70,42 @@
     priority: str = "0"
     """Expression giving a request's priority; higher goes first."""
     maximum_staleness_versions: int = 2
+    """Oldest sample a trainer may receive: newest version less that of its oldest span."""
     maximum_staleness_seconds: float | None = None
+    """Oldest sample a trainer may receive, from its first token; none if absent."""
 
 
 class Job(msgspec.Struct, frozen=True, kw_only=True):
     """`job/NAME`: a rollout job."""
 
     name: str
+    """Name of the job; it can't be given again, even after the job was cancelled."""
     model: str
+    """Model whose samples the job wants; the one that the pool serves."""
     pool: str
+    """Engine pool that generates the samples."""
     consumers: tuple[str, ...] = ("trainer-1",)
     """Trainers that pull batches; each receives its own batches."""
     batch_size: int = 32
+    """Samples in a batch; a multiple of `samples_per_prompt`."""
     samples_per_prompt: int = 1
+    """Samples generated for each prompt; fixed once the job exists."""
     prompts: tuple[str, ...] = ()
     """Prompt texts, used round robin when no prompt source is given."""
     prompt_source: str = ""
     """Optional `ip:port` of a prompt server (`GET /v1/prompts?offset=&limit=`)."""
     maximum_tokens: int = 512
+    """Most tokens of a sample."""
     scorer: str = ""
     """Optional `ip:port` of a scoring service."""
     share: float = 1.0
     """Weight of this job against others on the same pool."""
     phase: JobPhase = JobPhase.RUNNING
+    """`running`, `paused` or `cancelled` (for good)."""
     mode: JobMode = JobMode.ACTIVE
+    """`active`, or `mirror` while the old scripts lead."""
     policy: PolicySource = PolicySource()
+    """Which samples matter, how fresh, and who goes first."""
 
 
 class WeightVersion(msgspec.Struct, frozen=True):
@@ -114,6 +131,7 @@
     """`drain/BACKEND_ID`: an operator asked this backend to leave."""
 
     backend_id: str
+    """Name of the server, unique in a deployment."""
     reason: str = ""
 
 
@@ -121,9 +139,13 @@
     """`limits/CALLER`: what one caller may use at each gateway."""
 
     caller: str
+    """Value of the `X-Caller` header."""
     weight: float = 1.0
+    """Share of the queues, against other callers."""
     requests_per_second: float = 200.0
+    """Requests let through, averaged over `burst_seconds`."""
     tokens_per_second: float = 20_000.0
+    """Tokens of generations let through."""
 
 
 class Daemon(msgspec.Struct, frozen=True):
@@ -135,6 +157,7 @@
     """Internal protocol address."""
     http_address: str
     zone: str
+    """Zone it stands in."""
 
 
 ConfigurationObject = Pool | Job | Weights | Drain | Limits | Daemon
--- a/src/merlinstand/control/daemon.py
+++ b/src/merlinstand/control/daemon.py
@@ -5,6 +5,7 @@
 import msgspec
 from result import Err
 
+from merlinstand.common.constants import leader_lease_seconds
 from merlinstand.common.decoding import MALFORMED_INPUT
 from merlinstand.common.ids import NodeId, Zone
 from merlinstand.consensus.replica import Replica
@@ -98,7 +99,7 @@
             settings: Checked settings of this daemon.
         """
         self._settings = settings
-        self.replica = Replica(_replica_settings(settings))
+        self.replica = Replica(replica_settings(settings))
         self.state = StateMachine()
         self._intake = CommandIntake(self.replica, self.state, settings.timings, self._leader_hint)
         self._reads = Reads(
@@ -322,7 +323,8 @@
         return MembersAnswer(self.replica.term, self.replica.commit_index, members)
 
 
-def _replica_settings(settings: ControlSettings) -> ReplicaSettings:
+def replica_settings(settings: ControlSettings) -> ReplicaSettings:
+    """Give the consensus replica's part of a control daemon's settings."""
     own = settings.own_member()
     timings = settings.timings
     return ReplicaSettings(
@@ -335,6 +337,7 @@
             election_timeout_seconds=timings.election_timeout_seconds,
             election_timeout_spread_seconds=timings.election_timeout_spread_seconds,
             heartbeat_interval_seconds=timings.heartbeat_interval_seconds,
+            leader_lease_seconds=leader_lease_seconds(timings.election_timeout_seconds),
             repair_delay_seconds=timings.replacement_delay_seconds,
         ),
         limits=ReplicaLimits(compaction_entries=timings.snapshot_every_entries),
--- a/src/merlinstand/control/settings.py
+++ b/src/merlinstand/control/settings.py
@@ -20,8 +20,12 @@
     """Tunables of a control daemon."""
 
     election_timeout_seconds: float = constants.ELECTION_TIMEOUT_SECONDS
+    """Shortest silence of the leader after which a replica stands for election; the leader's
+    lease follows from it. Make it shorter only while all control replicas are stopped."""
     election_timeout_spread_seconds: float = constants.ELECTION_TIMEOUT_SPREAD_SECONDS
+    """Random extra silence that keeps candidates apart."""
     heartbeat_interval_seconds: float = constants.HEARTBEAT_INTERVAL_SECONDS
+    """Interval of the leader's messages to each replica."""
     replacement_delay_seconds: float = 30.0
     """Silence after which a lost voter is replaced from the standbys."""
     ready_proof_age_seconds: float = 3.0
@@ -32,8 +36,6 @@
     """A snapshot is taken after this many log entries."""
     maximum_pending_commands: int = 4_096
     """Commands proposed or waiting, beyond which new ones are refused as busy."""
-    maximum_batch_commands: int = 256
-    """Most commands proposed to the log at once."""
 
 
 class ControlSettings(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/merlinstand/coordinator/settings.py
+++ b/src/merlinstand/coordinator/settings.py
@@ -3,7 +3,11 @@
 import msgspec
 
 from merlinstand.control.settings import ControlMember
-from merlinstand.session.settings import SessionTimings
+from merlinstand.session.settings import CoordinatorSessionTimings, SessionTimings
+
+TICK_SECONDS = 0.05
+MAXIMUM_JOURNAL_RECORDS = 2_000
+DRAIN_SECONDS = 20.0
 
 
 class GenerationSettings(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
@@ -57,6 +61,7 @@
     retry_seconds: float = 0.5
     """First wait before an engine whose load or swap failed is ordered again; doubles."""
     longest_retry_seconds: float = 10.0
+    """Longest of these waits."""
 
 
 class CoordinatorSettings(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
@@ -72,13 +77,12 @@
     """Control replicas, standbys included."""
     peers: tuple[ControlMember, ...] = ()
     """Daemons that may relay the configuration."""
-    session: SessionTimings = SessionTimings(pull_interval_seconds=0.25)
-    """Coordinators are few and act on new weights at once, so they pull more often."""
-    tick_seconds: float = 0.05
+    session: SessionTimings = CoordinatorSessionTimings()
+    tick_seconds: float = TICK_SECONDS
     """Interval of the scheduler."""
-    maximum_journal_records: int = 2_000
+    maximum_journal_records: int = MAXIMUM_JOURNAL_RECORDS
     """Journal records after which a snapshot replaces them."""
-    drain_seconds: float = 20.0
+    drain_seconds: float = DRAIN_SECONDS
     """Longest a planned stop waits for generations in flight before it hands over."""
     machine_list_address: str = ""
     """Optional `ip:port` of the platform's list of live and leaving machines."""
--- a/src/merlinstand/gateway/settings.py
+++ b/src/merlinstand/gateway/settings.py
@@ -37,8 +37,11 @@
     """Bounds and time limits of single requests."""
 
     maximum_body_bytes: int = MAXIMUM_REQUEST_BODY_BYTES
+    """Largest request body; a larger one is refused."""
     maximum_path_bytes: int = 8_192
+    """Longest path with query."""
     maximum_header_bytes: int = 32_768
+    """Most bytes of all headers together."""
     maximum_deadline_seconds: float = 3_600.0
     """Longest time a caller may ask for."""
     generation_deadline_seconds: float = 600.0
@@ -62,6 +65,7 @@
     first_try_share: float = 0.5
     """Share of the remaining time for which a repeatable try may be silent."""
     minimum_try_seconds: float = 0.25
+    """Least time given to one try, whatever `first_try_share` leaves."""
     require_response_id: bool = True
     """Refuse an answer of a back end that does not carry the request's id back."""
 
@@ -92,7 +96,9 @@
     maximum_status_requests_per_second: float = 40.0
     """Bound on all status requests: the interval grows with the number of back ends."""
     status_timeout_seconds: float = 1.0
+    """Longest wait for one load report."""
     machine_list_interval_seconds: float = 1.0
+    """How often the platform's machine list is read."""
     cache_event_interval_seconds: float = 1.0
     """Interval of cache-event requests to one engine; 0 switches them off."""
 
--- a/src/merlinstand/routing/settings.py
+++ b/src/merlinstand/routing/settings.py
@@ -15,7 +15,9 @@
     window_seconds: float = 10.0
     """Time constant with which calls are forgotten."""
     first_open_seconds: float = 1.0
+    """How long a breaker stays open at first; it doubles with each failed trial."""
     longest_open_seconds: float = 20.0
+    """Longest time a breaker stays open."""
 
 
 class RetryBudgetSettings(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
@@ -58,4 +60,6 @@
     maximum_hints: int = 4_096
     """Most prefix digests remembered for one replica."""
     breaker: BreakerSettings = BreakerSettings()
+    """When a replica is left alone."""
     retry_budget: RetryBudgetSettings = RetryBudgetSettings()
+    """How many retries a pool may see."""
--- a/src/merlinstand/runtime/host_settings.py
+++ b/src/merlinstand/runtime/host_settings.py
@@ -9,7 +9,9 @@
     """PEM files for the HTTP door and the internal transport."""
 
     certificate: str
+    """PEM file of this process; `{node}` stands for its name."""
     private_key: str
+    """PEM file of its key; `{node}` stands for its name."""
     authority: str
     """Certificates that sign the peers of this deployment."""
     calls: bool = False
@@ -20,7 +22,9 @@
     """Bounds of the HTTP door; whatever exceeds them never reaches the reducer."""
 
     maximum_body_bytes: int = constants.MAXIMUM_REQUEST_BODY_BYTES
+    """Largest body that the HTTP door takes in."""
     maximum_connections: int = 4096
+    """Most connections of the HTTP door; further ones wait until one ends."""
     request_read_timeout_seconds: float = 10.0
     """Longest time for one request's head and body to arrive."""
     idle_connection_seconds: float = 60.0
--- a/src/merlinstand/session/settings.py
+++ b/src/merlinstand/session/settings.py
@@ -10,16 +10,26 @@
     """Tunables of a session."""
 
     pull_interval_seconds: float = constants.CONFIGURATION_PULL_INTERVAL_SECONDS
+    """How often changes of the configuration are asked for."""
     pull_timeout_seconds: float = 0.6
     """Silence after which a pull is tried at another replica."""
     configuration_lease_seconds: float = constants.CONFIGURATION_LEASE_SECONDS
+    """Age of the newest proof from which the daemon takes no new work."""
     resend_seconds: float = 0.5
     """Silence after which a command or query is sent again, to the next replica."""
     lease_duration_seconds: float = constants.RESOURCE_LEASE_SECONDS
+    """Duration of the leases that the daemon asks for."""
     preferred_retry_seconds: float = 60.0
     """How often a session that failed over tries its preferred replica again."""
 
 
+class CoordinatorSessionTimings(SessionTimings, frozen=True, kw_only=True):
+    """Coordinators are few and act on new weights at once, so they pull more often."""
+
+    pull_interval_seconds: float = 0.25
+    """How often changes of the configuration are asked for."""
+
+
 class SessionSettings(msgspec.Struct, frozen=True, kw_only=True):
     """Who the daemon is and where control is."""
 
--- a/src/merlinstand/settings/checks.py
+++ b/src/merlinstand/settings/checks.py
@@ -6,7 +6,8 @@
 
 from merlinstand.runtime.addresses import parse_address
 from merlinstand.settings.deployment import ControlTable, DaemonTable, DeploymentSettings
-from merlinstand.settings.errors import SettingsError
+from merlinstand.settings.errors import Fault, SettingsError
+from merlinstand.settings.numbers import check_numbers
 
 LOG_LEVELS = ("debug", "info", "warning", "error")
 
@@ -18,16 +19,12 @@
         file: The file's name, for the error.
         settings: What was read from it.
     """
-    for check in (_check_members, _check_nodes, _check_addresses, _check_rest):
+    for check in (_check_members, _check_nodes, _check_addresses, _check_rest, check_numbers):
         for path, value, expected in check(settings):
             return SettingsError(file=file, path=path, value=repr(value), expected=expected)
     return None
 
 
-Fault = tuple[str, object, str]
-"""Place, value and what was expected; only used between the checks of this module."""
-
-
 def _check_members(settings: DeploymentSettings) -> Iterator[Fault]:
     voters = [table for table in settings.control if not table.standby]
     if len(voters) % 2 == 0:
--- a/src/merlinstand/settings/daemons.py
+++ b/src/merlinstand/settings/daemons.py
@@ -173,6 +173,7 @@
         session=options.session,
         tick_seconds=options.tick_seconds,
         maximum_journal_records=options.maximum_journal_records,
+        drain_seconds=options.drain_seconds,
         generation=options.generation,
         rollout=options.rollout,
     )
--- a/src/merlinstand/settings/deployment.py
+++ b/src/merlinstand/settings/deployment.py
@@ -3,7 +3,13 @@
 import msgspec
 
 from merlinstand.control.settings import ControlTimings
-from merlinstand.coordinator.settings import GenerationSettings, RolloutSettings
+from merlinstand.coordinator.settings import (
+    DRAIN_SECONDS,
+    MAXIMUM_JOURNAL_RECORDS,
+    TICK_SECONDS,
+    GenerationSettings,
+    RolloutSettings,
+)
 from merlinstand.gateway.settings import (
     AdmissionSettings,
     ClaimSettings,
@@ -12,22 +18,27 @@
 )
 from merlinstand.routing.settings import RouterSettings
 from merlinstand.runtime.host_settings import HttpLimits, TlsFiles
-from merlinstand.session.settings import SessionTimings
+from merlinstand.session.settings import CoordinatorSessionTimings, SessionTimings
 
 
 class DeploymentTable(msgspec.Struct, frozen=True, kw_only=True):
     """`[deployment]`."""
 
     name: str
+    """Name of the deployment, for people."""
     region: str
+    """Region it stands in, for people."""
     zones: tuple[str, ...]
+    """Zones that the processes below may be in."""
 
 
 class ControlTable(msgspec.Struct, frozen=True, kw_only=True):
     """`[[control]]`: one control replica."""
 
     node: str
+    """Name of the process, unique in the file; also the name of its folder."""
     zone: str
+    """Zone it runs in, one of `deployment.zones`."""
     address: str
     """`ip:port` of the internal protocol."""
     http_address: str
@@ -40,7 +51,9 @@
     """`[[gateway]]` or `[[coordinator]]`: one daemon."""
 
     node: str
+    """Name of the process, unique in the file; also the name of its folder."""
     zone: str
+    """Zone it runs in, one of `deployment.zones`."""
     address: str
     """`ip:port` of the internal protocol."""
     http_address: str
@@ -95,9 +108,13 @@
 class CoordinatorOptions(msgspec.Struct, frozen=True, kw_only=True):
     """`[coordinator_options]`."""
 
-    session: SessionTimings = SessionTimings()
-    tick_seconds: float = 0.1
-    maximum_journal_records: int = 2_000
+    session: CoordinatorSessionTimings = CoordinatorSessionTimings()
+    tick_seconds: float = TICK_SECONDS
+    """Interval of the scheduler."""
+    maximum_journal_records: int = MAXIMUM_JOURNAL_RECORDS
+    """Journal records after which a snapshot replaces them."""
+    drain_seconds: float = DRAIN_SECONDS
+    """Longest a planned stop waits for generations in flight before it hands over."""
     generation: GenerationSettings = GenerationSettings()
     rollout: RolloutSettings = RolloutSettings()
 
--- a/src/merlinstand/settings/errors.py
+++ b/src/merlinstand/settings/errors.py
@@ -23,3 +23,7 @@
         place = f"{self.file}: {self.path}" if self.path else self.file
         found = f" = {self.value}" if self.value else ""
         return f"{place}{found}: expected {self.expected}"
+
+
+Fault = tuple[str, object, str]
+"""Place, value and what was expected: a fault before it is known of which file."""
--- a/tests/settings/test_deployment.py
+++ b/tests/settings/test_deployment.py
@@ -1,12 +1,15 @@
 """Deployment files: typed values, errors that name the place, settings of single daemons."""
 
 from pathlib import Path
+from typing import Any
 
 import pytest
-from hypothesis import given
+from hypothesis import given, settings
 from hypothesis import strategies as st
 from result import Err, Ok
 
+from merlinstand.common.constants import MAXIMUM_CLOCK_DRIFT
+from merlinstand.control.daemon import replica_settings
 from merlinstand.settings.configuration_file import load_configuration
 from merlinstand.settings.daemons import (
     Overrides,
@@ -133,6 +136,77 @@
     assert path in error.describe()
 
 
+@pytest.mark.parametrize(
+    ("table", "line", "expected"),
+    [
+        ("control_options.timings", "election_timeout_seconds = -1.0", "more than 0"),
+        ("control_options.timings", "operator_timeout_seconds = nan", "a finite number"),
+        ("control_options.timings", "heartbeat_interval_seconds = 0.9", "at most half"),
+        ("gateway_options.session", "configuration_lease_seconds = 1.5", "pull_interval_seconds"),
+        ("gateway_options.admission", "lookup_floor = 1.5", "at most 1"),
+        ("gateway_options.health", "cache_event_interval_seconds = -1", "0 or more"),
+        ("gateway_options.routing.breaker", "window_seconds = inf", "a finite number"),
+        ("coordinator_options.rollout", "wave_fraction = 0", "more than 0"),
+        ("http", "maximum_connections = 0", "more than 0"),
+    ],
+)
+def test_numbers_must_make_sense(tmp_path: Path, table: str, line: str, expected: str) -> None:
+    error = load(tmp_path, f"{GOOD}\n[{table}]\n{line}\n").unwrap_err()
+    assert error.path == f"{table}.{line.split()[0]}"
+    assert expected in error.expected
+    assert error.value
+
+
+def test_zero_switches_off_what_may_be_off(tmp_path: Path) -> None:
+    extra = "[gateway_options.health]\ncache_event_interval_seconds = 0\n"
+    settings = loaded(tmp_path, extra)
+    assert settings.gateway_options.health.cache_event_interval_seconds == 0
+
+
+def test_a_leader_s_lease_ends_before_another_can_be_elected(tmp_path: Path) -> None:
+    extra = "[control_options.timings]\nelection_timeout_seconds = 0.5\n"
+    extra += "heartbeat_interval_seconds = 0.1\n"
+    found = control_daemon(loaded(tmp_path, extra), "control-1").unwrap()
+    timings = replica_settings(found.role).timings
+    assert timings.election_timeout_seconds == 0.5
+    assert timings.leader_lease_seconds < 0.5 * (1 - MAXIMUM_CLOCK_DRIFT)
+
+
+VALUES = st.sampled_from(
+    ("-1", "0", "1", "1.5", "nan", "-inf", "true", '""', '"x"', "[]", "[1]", '["a"]', "{}", "=")
+) | st.sampled_from(
+    ("{ a = 1 }", "1979-05-27", '"127.0.0.1:0"', '"[::1]:99999"', "99999999999999999999")
+)
+
+
+@settings(max_examples=300, deadline=None, derandomize=True)
+@given(file=st.sampled_from(["merlinstand.toml", "configuration.toml"]), data=st.data())
+def test_changed_examples_give_settings_or_a_typed_error(
+    tmp_path_factory: pytest.TempPathFactory, file: str, data: st.DataObject
+) -> None:
+    lines = (EXAMPLES / "tatrasoft" / file).read_text(encoding="utf-8").splitlines()
+    for _change in range(data.draw(st.integers(1, 3))):
+        number = data.draw(st.integers(0, len(lines) - 1))
+        key = lines[number].partition("=")[0]
+        change = data.draw(st.sampled_from(["value", "drop", "repeat", "key"]))
+        if change == "value":
+            lines[number] = f"{key}= {data.draw(VALUES)}"
+        elif change == "drop":
+            del lines[number]
+        elif change == "repeat":
+            lines.insert(number, lines[number])
+        else:
+            lines[number] = "x" + lines[number]
+    path = tmp_path_factory.getbasetemp() / file
+    path.write_text("\n".join(lines), encoding="utf-8")
+    load_file: Any = load_deployment if file == "merlinstand.toml" else load_configuration
+    result = load_file(str(path))
+    if isinstance(result, Err):
+        assert isinstance(result.err_value, SettingsError)
+        assert result.err_value.file == str(path)
+        assert result.err_value.expected
+
+
 def test_unreadable_files_are_errors(tmp_path: Path) -> None:
     assert "readable" in load_deployment(str(tmp_path / "none.toml")).unwrap_err().expected
     assert "readable" in load_deployment(str(tmp_path)).unwrap_err().expected
