--- a/src/merlinstand/cli/policy_commands.py
+++ b/src/merlinstand/cli/policy_commands.py
@@ -39,6 +39,8 @@
 def check(file: str, samples_file: str, output: str) -> None:
     """Check the policy in FILE (TOML), and try it on recorded samples.
 
+    Without samples it is tried on the example record of docs/POLICIES.md.
+
     \b
     Example:
         merlinstand policy check policy.toml --samples samples.jsonl
--- a/src/merlinstand/policy/check.py
+++ b/src/merlinstand/policy/check.py
@@ -4,24 +4,46 @@
 """
 
 import re
+from collections.abc import Sequence
 from typing import Any
 
+import msgspec
 from result import Err, Ok, Result
 
 from merlinstand.configuration.objects import PolicySource
 from merlinstand.policy.cel_library import cel
 from merlinstand.policy.errors import PolicyError
 from merlinstand.policy.program import CompiledPolicy
-from merlinstand.policy.records import EXAMPLE_REQUEST, EXAMPLE_SAMPLE
+from merlinstand.policy.records import (
+    EXAMPLE_REQUEST,
+    EXAMPLE_SAMPLE,
+    RequestRecord,
+    SampleRecord,
+)
 
 MAXIMUM_EXPRESSION_CHARACTERS = 2_000
 MAXIMUM_NESTING_DEPTH = 24
 MAXIMUM_STALENESS_VERSIONS = 1_000
 
-# A comprehension's cost grows with its input, and nested ones multiply; `matches`
-# compiles a pattern at every run. Everything else costs no more than its own text.
+MAXIMUM_ADDITIONS = 16
+"""A chain of n additions of strings copies its first string n times."""
+
+MAXIMUM_DETAIL_CHARACTERS = 300
+
+ALLOWED_FUNCTIONS = ("size", "contains", "startsWith", "endsWith", "int", "double", "string")
+"""Besides the operators; each costs no more than the length of its arguments."""
+
+_ARITHMETIC = ("-_", "_+_", "_-_", "_*_", "_/_", "_%_")
+_COMPARISONS = ("_==_", "_!=_", "_<_", "_<=_", "_>_", "_>=_", "_[_]", "@in")
+_OPERATORS = frozenset(("_?_:_", "_&&_", "_||_", "!_", *_ARITHMETIC, *_COMPARISONS))
+
+# A comprehension's cost grows with its input, and nested ones multiply. The compiled
+# program shows them only as the operators they are made of, so they are looked for by name.
 FORBIDDEN_FUNCTIONS = ("all", "exists", "exists_one", "map", "filter", "reduce", "matches")
 
+# Between a name and its bracket, a comment would hide a comprehension.
+_COMMENT = "//"
+
 _FORBIDDEN_CALL = re.compile(rf"\b({'|'.join(FORBIDDEN_FUNCTIONS)})\s*\(")
 
 
@@ -37,10 +59,10 @@
     bounds = _check_bounds(source)
     if isinstance(bounds, Err):
         return bounds
-    weight = _compile("weight", source.weight)
+    weight = _compile("weight", source.weight, SampleRecord)
     if isinstance(weight, Err):
         return weight
-    priority = _compile("priority", source.priority)
+    priority = _compile("priority", source.priority, RequestRecord)
     if isinstance(priority, Err):
         return priority
     policy = CompiledPolicy(source, weight.ok_value, priority.ok_value)
@@ -63,14 +85,30 @@
     return Ok(None)
 
 
-def _compile(field: str, expression: str) -> Result[Any, PolicyError]:
+def _compile(
+    field: str, expression: str, record_type: type[msgspec.Struct]
+) -> Result[Any, PolicyError]:
     cost = _check_cost(field, expression)
     if isinstance(cost, Err):
         return cost
     try:
-        return Ok(cel.compile(expression))
+        program = cel.compile(expression)
     except ValueError as error:
-        return Err(PolicyError(field=field, detail=str(error).splitlines()[0]))
+        detail = str(error).splitlines()[0][-MAXIMUM_DETAIL_CHARACTERS:]
+        return Err(PolicyError(field=field, detail=detail))
+    unknown = _find_unknown_name(program, record_type.__struct_fields__)
+    return Err(PolicyError(field=field, detail=unknown)) if unknown else Ok(program)
+
+
+def _find_unknown_name(program: Any, variables: Sequence[str]) -> str:
+    """Say what the program uses that it may not, also where the example does not lead."""
+    for name in program.variables():
+        if name not in variables:
+            return f"Undefined variable {name}; there are: {', '.join(variables)}"
+    for name in program.functions():
+        if name not in _OPERATORS and name not in ALLOWED_FUNCTIONS:
+            return f"{name}() is not allowed; there are: {', '.join(ALLOWED_FUNCTIONS)}"
+    return ""
 
 
 def _check_cost(field: str, expression: str) -> Result[None, PolicyError]:
@@ -79,6 +117,10 @@
         return Err(PolicyError(field=field, detail=f"longer than {limit} characters"))
     # String literals are searched too: telling them apart would need a second parser,
     # and a mistake in it would let a comprehension through.
+    if _COMMENT in expression:
+        return Err(PolicyError(field=field, detail=f"comments ({_COMMENT}) are not allowed"))
+    if expression.count("+") > MAXIMUM_ADDITIONS:
+        return Err(PolicyError(field=field, detail=f"more than {MAXIMUM_ADDITIONS} additions"))
     forbidden = _FORBIDDEN_CALL.search(expression)
     if forbidden is not None:
         return Err(PolicyError(field=field, detail=f"{forbidden.group(1)}() is not allowed"))
--- a/tests/policy/test_check.py
+++ b/tests/policy/test_check.py
@@ -8,6 +8,8 @@
 
 from merlinstand.configuration.objects import PolicySource
 from merlinstand.policy.check import (
+    FORBIDDEN_FUNCTIONS,
+    MAXIMUM_ADDITIONS,
     MAXIMUM_EXPRESSION_CHARACTERS,
     MAXIMUM_NESTING_DEPTH,
     check_policy,
@@ -35,7 +37,7 @@
     ("weight", "part"),
     [
         ("1 +", "Failed to parse"),
-        ("no_such_variable", "Undefined"),
+        ("no_such_variable", "Undefined variable no_such_variable"),
         ("'text'", "expected a number"),
         ("true", "expected a number"),
         ("1 / 0", "division"),
@@ -48,6 +50,11 @@
         ("1" + " " * MAXIMUM_EXPRESSION_CHARACTERS, "longer than"),
         ("(" * (MAXIMUM_NESTING_DEPTH + 1) + "1" + ")" * (MAXIMUM_NESTING_DEPTH + 1), "nested"),
         (f"{LARGEST_WEIGHT * 2}", "out of range"),
+        ("has_score ? 1.0 : nonsuch", "Undefined variable nonsuch"),
+        ("has_score ? 1.0 : expected_tokens", "Undefined variable expected_tokens"),
+        ("has_score ? 1.0 : best(score)", "best() is not allowed"),
+        ("duration('1s') > duration('2s') ? 1.0 : 0.0", "duration() is not allowed"),
+        ("size(text" + " + text" * (MAXIMUM_ADDITIONS + 1) + ") > 0 ? 1.0 : 0.0", "additions"),
     ],
 )
 def test_refuses_with_the_field_and_the_reason(weight: str, part: str) -> None:
@@ -62,6 +69,17 @@
     assert isinstance(check_policy(PolicySource(weight=hidden)), Err)
 
 
+@pytest.mark.parametrize("name", FORBIDDEN_FUNCTIONS)
+def test_a_comprehension_cannot_hide_behind_a_comment(name: str) -> None:
+    checked = check_policy(PolicySource(weight=f"[1].{name}//\n(text, true) == [] ? 1.0 : 0.0"))
+    assert "comments" in checked.unwrap_err().detail
+
+
+def test_what_is_refused_is_quoted_in_part_only() -> None:
+    long = "true ? 1.0 : " * 140 + "1.0"
+    assert len(check_policy(PolicySource(weight=long)).unwrap_err().detail) <= 300
+
+
 @pytest.mark.parametrize(
     ("source", "field"),
     [
