Bound whom daemons ask while control is silent: 16 neighbours, and waits that grow

Cause: 630 hollow daemons joining 7 replicas at once (merlinstand-lab capacity daemons) never joined in 180 s. Each pull that timed out twice asked two peers drawn at random from all daemons, every 0.6 s, and each peer asked costs a connection that stays: the fleet grew into a full mesh and its processes ran out of files (11,804 x EMFILE). Up to four replicas and two peers answered each such pull with the full table, and the waits did not grow, so a slow group was held down by its daemons. Ruled out: the limit of open files (20,000, for 90 daemons a process) is not low; 70, 160 and 320 daemons joined under the same load of the machine. Change: peers are the 16 nearest by hash, always the same; the wait for an answer doubles from the second failed round on, up to four times.

--- a/src/merlinstand/session/configuration_follower.py
+++ b/src/merlinstand/session/configuration_follower.py
@@ -111,7 +111,8 @@
         if not self._silence_timer_runs:
             # A running one is left alone, or frequent refreshes would hide the silence.
             self._silence_timer_runs = True
-            effects.append(SetTimer(PULL_TIMEOUT_TIMER, self._timings.pull_timeout_seconds))
+            timeout_seconds = self._timings.pull_timeout_seconds * self._choice.back_off
+            effects.append(SetTimer(PULL_TIMEOUT_TIMER, timeout_seconds))
         return effects
 
     def pull_timed_out(self, now: float) -> list[Effect]:
--- a/src/merlinstand/session/replica_choice.py
+++ b/src/merlinstand/session/replica_choice.py
@@ -5,6 +5,7 @@
 once, and peer daemons too.
 """
 
+import heapq
 import random
 from collections.abc import Mapping, Sequence
 
@@ -17,14 +18,20 @@
 
 MAXIMUM_ASKED_AT_ONCE = 4
 PEERS_ASKED_AT_ONCE = 2
+MAXIMUM_BACK_OFF = 4
+"""By how much the wait for an answer grows while nobody gives one."""
+
+NEIGHBOURS = 16
+"""Peers among which a daemon chooses, always the same few.
+
+Each peer that is ever asked costs a connection that stays open. Without a bound a control group
+that is silent for a minute turns a large fleet into a full mesh.
+"""
 
 
 def rank_members(node_id: str, members: Sequence[ControlMember]) -> tuple[NodeId, ...]:
     """Rank control replicas for one daemon, most preferred first."""
-    ranked = sorted(
-        members,
-        key=lambda member: xxhash.xxh3_64_intdigest(f"{node_id}\0{member.node_id}".encode()),
-    )
+    ranked = sorted(members, key=lambda member: _distance(node_id, member.node_id))
     return tuple(NodeId(member.node_id) for member in ranked)
 
 
@@ -57,6 +64,14 @@
         """The replica in use."""
         return self._ranked[self._position]
 
+    @property
+    def back_off(self) -> int:
+        """Factor of the wait for an answer: many daemons must not hold a slow group down.
+
+        The first two rounds are quick, since a single silent replica is the usual case.
+        """
+        return min(MAXIMUM_BACK_OFF, 2 ** max(0, self._failures - 1))
+
     def succeeded(self, replica: NodeId) -> None:
         """Stay with a replica that gave a recent proof; a peer is asked only in need."""
         self._failures = 0
@@ -100,6 +115,13 @@
         for daemon in daemons.values():
             known[daemon.node_id] = daemon.address
         known.pop(self._node_id, None)
-        names = sorted(known)
+        names = heapq.nsmallest(NEIGHBOURS, known, key=self._distance)
         chosen = generator.sample(names, min(PEERS_ASKED_AT_ONCE, len(names)))
         return tuple(LearnAddress(NodeId(name), known[name]) for name in chosen)
+
+    def _distance(self, peer: str) -> int:
+        return _distance(self._node_id, peer)
+
+
+def _distance(node_id: str, other: str) -> int:
+    return xxhash.xxh3_64_intdigest(f"{node_id}\0{other}".encode())
