capacity: rows are kept when a larger size fails; one module each for the subcommands

A measurement that failed at its largest size lost the rows of all smaller ones. A deployment's daemons start process by process.

--- /dev/null
+++ b/src/merlinstand_lab/capacity/cli_traffic.py
@@ -0,0 +1,77 @@
+"""Subcommands that measure requests, streams, servers and weights."""
+
+import click
+
+from merlinstand_lab.capacity.run import INTEGERS, OutputOptions, run_measurement
+
+
+@click.command()
+@click.option("--streams", "counts", type=INTEGERS, default="20,40,80,160", show_default=True)
+@click.option("--tokens-per-chunk", type=INTEGERS, default="1,4,16", show_default=True)
+@click.option("--seconds", default=8.0, show_default=True, help="Length of each window.")
+@click.option("--direct", is_flag=True, help="Without the gateway: the cost of the load itself.")
+@click.pass_obj
+def streams(
+    options: OutputOptions,
+    counts: tuple[int, ...],
+    tokens_per_chunk: tuple[int, ...],
+    seconds: float,
+    direct: bool,
+) -> None:
+    """Streamed tokens through one gateway, at several tokens a chunk.
+
+    Example: merlinstand-lab capacity streams --tokens-per-chunk 1,4,16
+    """
+    from merlinstand_lab.capacity.measurements.streams import measure_streams
+
+    run_measurement(
+        options, lambda folder: measure_streams(folder, counts, tokens_per_chunk, seconds, direct)
+    )
+
+
+@click.command()
+@click.option("--rates", type=INTEGERS, default="25,50,100,200,400", show_default=True)
+@click.option("--seconds", default=8.0, show_default=True, help="Length of each window.")
+@click.option("--direct", is_flag=True, help="Without the gateway: the cost of the load itself.")
+@click.pass_obj
+def lookups(options: OutputOptions, rates: tuple[int, ...], seconds: float, direct: bool) -> None:
+    """Short requests through one gateway.
+
+    Example: merlinstand-lab capacity lookups --rates 50,100,200,400
+    """
+    from merlinstand_lab.capacity.measurements.lookups import measure_lookups
+
+    run_measurement(options, lambda folder: measure_lookups(folder, rates, seconds, direct))
+
+
+@click.command()
+@click.option("--sizes", type=INTEGERS, default="25,50,100,200", show_default=True)
+@click.option("--seconds", default=15.0, show_default=True, help="Length of each window.")
+@click.pass_obj
+def engines(options: OutputOptions, sizes: tuple[int, ...], seconds: float) -> None:
+    """One coordinator against the engines of its pools.
+
+    Example: merlinstand-lab capacity engines --sizes 25,50,100,200
+    """
+    from merlinstand_lab.capacity.measurements.engines import EnginePlan, measure_engines
+
+    plan = EnginePlan(engines=sizes, window_seconds=seconds)
+    run_measurement(options, lambda folder: measure_engines(folder, plan))
+
+
+@click.command()
+@click.option("--sizes", type=INTEGERS, default="425,850,1700,3400", show_default=True)
+@click.option("--seconds", default=15.0, show_default=True, help="Length of each window.")
+@click.pass_obj
+def servers(options: OutputOptions, sizes: tuple[int, ...], seconds: float) -> None:
+    """One idle gateway against all servers of the deployment.
+
+    Example: merlinstand-lab capacity servers --sizes 425,850,1700,3400
+    """
+    from merlinstand_lab.capacity.measurements.engines import EnginePlan, measure_servers
+
+    plan = EnginePlan(servers=sizes, window_seconds=seconds)
+    run_measurement(options, lambda folder: measure_servers(folder, plan))
+
+
+COMMANDS = (streams, lookups, engines, servers)
--- a/src/merlinstand_lab/capacity/deployment.py
+++ b/src/merlinstand_lab/capacity/deployment.py
@@ -76,10 +76,17 @@
         specs = session_specs(
             self.size.daemons, self.control.members, self.folder, timings, self.size.lease_every
         )
-        self.fleet = HollowFleet(specs, self.folder, "fleet", self.size.nodes_per_process)
-        self.fleet.wait_started()
-        if not self.fleet.wait_joined(revision, JOIN_TIMEOUT_SECONDS):
-            raise TimeoutError(f"not all of {self.size.daemons} daemons joined")
+        # One process after the other, as an operator's rolling start: what a window measures
+        # is the steady state, and not a start of all at once.
+        per_process = self.size.nodes_per_process
+        for first in range(0, len(specs), per_process):
+            part = HollowFleet(
+                specs[first : first + per_process], self.folder, f"fleet-{first}", per_process
+            )
+            self.fleet.workers.extend(part.workers)
+            part.wait_started()
+            if not self.fleet.wait_joined(revision, JOIN_TIMEOUT_SECONDS):
+                raise TimeoutError(f"not all of the first {first + per_process} daemons joined")
         if not self.fleet.wait_quiet(QUIET_SECONDS, JOIN_TIMEOUT_SECONDS):
             raise TimeoutError("the configuration does not come to rest")
 
--- a/src/merlinstand_lab/capacity/fleet.py
+++ b/src/merlinstand_lab/capacity/fleet.py
@@ -22,7 +22,14 @@
         name: str = "fleet",
         nodes_per_process: int = NODES_PER_PROCESS,
     ) -> None:
-        """Start the workers; `wait_started` follows."""
+        """Start the workers; `wait_started` follows.
+
+        Args:
+            specs: The nodes.
+            folder: Where the workers keep their files.
+            name: Prefix of the workers' names.
+            nodes_per_process: How many nodes share a worker.
+        """
         self.workers = [
             WorkerProcess(f"{name}-{first}", specs[first : first + nodes_per_process], folder)
             for first in range(0, len(specs), nodes_per_process)
--- a/src/merlinstand_lab/capacity/measurements/commits.py
+++ b/src/merlinstand_lab/capacity/measurements/commits.py
@@ -1,7 +1,7 @@
 """Commands that a control group commits a second, and what one costs its leader."""
 
 import time
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterator, Sequence
 from pathlib import Path
 
 import msgspec
@@ -39,16 +39,16 @@
     window_seconds: float = WINDOW_SECONDS
 
 
-def measure_commits(folder: Path, plan: CommitPlan) -> list[Measured]:
+def measure_commits(folder: Path, plan: CommitPlan) -> Iterator[Measured]:
     """Measure each group size at each number of commands under way."""
-    rows: list[Measured] = []
     for replicas in plan.replicas:
         for window in plan.windows:
             subject = Subject(f"commits-{replicas}-replicas", "commands_under_way", window)
             load = CommandLoadSettings(kind=LoadKind.CLAIM, window=window)
             run = folder / f"commits-{replicas}-{window}"
-            rows += measure_load(subject, replicas, [load] * SUBMITTERS, run, plan.window_seconds)
-    return rows
+            yield from measure_load(
+                subject, replicas, [load] * SUBMITTERS, run, plan.window_seconds
+            )
 
 
 def measure_load(
--- a/src/merlinstand_lab/capacity/measurements/coordinators.py
+++ b/src/merlinstand_lab/capacity/measurements/coordinators.py
@@ -1,6 +1,6 @@
 """Load that coordinators put on control, against how many of them there are."""
 
-from collections.abc import Sequence
+from collections.abc import Iterator, Sequence
 from pathlib import Path
 
 import msgspec
@@ -36,9 +36,8 @@
     window_seconds: float = WINDOW_SECONDS
 
 
-def measure_coordinators(folder: Path, plan: CoordinatorPlan) -> list[Measured]:
+def measure_coordinators(folder: Path, plan: CoordinatorPlan) -> Iterator[Measured]:
     """Measure the leader with all leases taken and nothing to do."""
-    rows: list[Measured] = []
     for count in plan.coordinators:
         run = folder / f"coordinators-{count}"
         control = ControlGroup(plan.replicas, run)
@@ -54,12 +53,11 @@
                 raise TimeoutError("not all coordinators joined")
             fleet.wait_quiet(SETTLE_SECONDS, JOIN_TIMEOUT_SECONDS)
             subject = Subject("coordinators", "coordinators", count)
-            rows += measure_roles(subject, control, fleet, plan.window_seconds)
+            yield from measure_roles(subject, control, fleet, plan.window_seconds)
         finally:
             fleet.stop()
             park.stop()
             control.stop()
-    return rows
 
 
 def coordinator_specs(count: int, control: ControlGroup, folder: Path) -> list[HostedSpec]:
--- a/src/merlinstand_lab/capacity/measurements/daemons.py
+++ b/src/merlinstand_lab/capacity/measurements/daemons.py
@@ -1,6 +1,6 @@
 """Steady cost of control against the number of daemons, at several group sizes."""
 
-from collections.abc import Sequence
+from collections.abc import Iterator, Sequence
 from pathlib import Path
 
 from merlinstand_lab.capacity.deployment import (
@@ -23,12 +23,11 @@
     daemons: Sequence[int] = DAEMONS,
     window_seconds: float = WINDOW_SECONDS,
     lease_every: int = DAEMONS_PER_COORDINATOR,
-) -> list[Measured]:
+) -> Iterator[Measured]:
     """Measure leader, followers and daemons while nothing changes but leases.
 
     Servers grow with the daemons, as they do towards the target size.
     """
-    rows: list[Measured] = []
     for group in replicas:
         for count in daemons:
             size = DeploymentSize(
@@ -42,5 +41,6 @@
                 name = f"daemons-{group}-replicas-lease-every-{lease_every}"
             with Deployment(size, folder / f"{name}-{count}") as deployment:
                 subject = Subject(name, "daemons", count)
-                rows += measure_roles(subject, deployment.control, deployment.fleet, window_seconds)
-    return rows
+                yield from measure_roles(
+                    subject, deployment.control, deployment.fleet, window_seconds
+                )
--- a/src/merlinstand_lab/capacity/measurements/engines.py
+++ b/src/merlinstand_lab/capacity/measurements/engines.py
@@ -1,7 +1,7 @@
 """Cost of one coordinator against the engines of its pools, and of one gateway before all."""
 
 import time
-from collections.abc import Sequence
+from collections.abc import Iterator, Sequence
 from pathlib import Path
 
 import msgspec
@@ -33,25 +33,21 @@
     window_seconds: float = WINDOW_SECONDS
 
 
-def measure_engines(folder: Path, plan: EnginePlan) -> list[Measured]:
+def measure_engines(folder: Path, plan: EnginePlan) -> Iterator[Measured]:
     """Measure a coordinator that holds all pools, without jobs."""
-    rows: list[Measured] = []
     for count in plan.engines:
         run = folder / f"engines-{count}"
         subject = Subject("engines", "engines_of_one_coordinator", count)
         park_plan = ParkPlan(servers=count, servers_per_pool=ENGINES_PER_POOL)
-        rows += _measure(subject, park_plan, "coordinator", run, plan.window_seconds)
-    return rows
+        yield from _measure(subject, park_plan, "coordinator", run, plan.window_seconds)
 
 
-def measure_servers(folder: Path, plan: EnginePlan) -> list[Measured]:
+def measure_servers(folder: Path, plan: EnginePlan) -> Iterator[Measured]:
     """Measure an idle gateway that knows all servers."""
-    rows: list[Measured] = []
     for count in plan.servers:
         run = folder / f"servers-{count}"
         subject = Subject("servers", "servers", count)
-        rows += _measure(subject, ParkPlan(servers=count), "gateway", run, plan.window_seconds)
-    return rows
+        yield from _measure(subject, ParkPlan(servers=count), "gateway", run, plan.window_seconds)
 
 
 def _measure(
--- a/src/merlinstand_lab/capacity/measurements/ledger.py
+++ b/src/merlinstand_lab/capacity/measurements/ledger.py
@@ -1,7 +1,7 @@
 """Batches through the ledger: the state machine by itself, and through a whole group."""
 
 import time
-from collections.abc import Sequence
+from collections.abc import Iterator, Sequence
 from pathlib import Path
 
 import msgspec
@@ -43,14 +43,12 @@
     window_seconds: float = WINDOW_SECONDS
 
 
-def measure_ledger(folder: Path, plan: LedgerPlan) -> list[Measured]:
+def measure_ledger(folder: Path, plan: LedgerPlan) -> Iterator[Measured]:
     """Measure both at each number of samples a batch."""
-    rows: list[Measured] = []
     for samples in plan.samples:
         subject = Subject("ledger", "samples", samples)
-        rows += _measure_state_machine(subject, plan.batches)
-        rows += _measure_group(subject, plan, folder / f"ledger-{samples}")
-    return rows
+        yield from _measure_state_machine(subject, plan.batches)
+        yield from _measure_group(subject, plan, folder / f"ledger-{samples}")
 
 
 class _Bench:
--- a/src/merlinstand_lab/capacity/measurements/lookups.py
+++ b/src/merlinstand_lab/capacity/measurements/lookups.py
@@ -1,6 +1,6 @@
 """Processor time and added latency of a gateway against short requests."""
 
-from collections.abc import Sequence
+from collections.abc import Iterator, Sequence
 from pathlib import Path
 
 from merlinstand.configuration.objects import PoolKind
@@ -18,14 +18,12 @@
     rates: Sequence[float] = RATES,
     window_seconds: float = WINDOW_SECONDS,
     direct: bool = False,
-) -> list[Measured]:
+) -> Iterator[Measured]:
     """Measure gateway, server and caller at each rate."""
-    rows: list[Measured] = []
     for rate in rates:
         load = DoorLoad(pool_kind=PoolKind.SERVICE, requests_per_second=rate, direct=direct)
         with DoorBench(load, folder / f"lookups-{rate:g}") as bench:
-            rows += _rows(bench.measure(window_seconds), load)
-    return rows
+            yield from _rows(bench.measure(window_seconds), load)
 
 
 def _rows(window: DoorWindow, load: DoorLoad) -> list[Measured]:
--- a/src/merlinstand_lab/capacity/measurements/spread.py
+++ b/src/merlinstand_lab/capacity/measurements/spread.py
@@ -1,7 +1,7 @@
 """Time from an accepted change of configuration until it is in force at every daemon."""
 
 import time
-from collections.abc import Sequence
+from collections.abc import Iterator, Sequence
 from pathlib import Path
 
 import msgspec
@@ -28,17 +28,15 @@
     frozen_changes: int = FROZEN_CHANGES
 
 
-def measure_spread(folder: Path, plan: SpreadPlan) -> list[Measured]:
+def measure_spread(folder: Path, plan: SpreadPlan) -> Iterator[Measured]:
     """Measure with all replicas well, with a follower frozen and with the leader frozen."""
-    rows: list[Measured] = []
     for count in plan.daemons:
         size = DeploymentSize(replicas=plan.replicas, daemons=count, servers=count * 5)
         with Deployment(size, folder / f"spread-{count}") as deployment:
             subject = Subject(f"spread-{plan.replicas}-replicas", "daemons", count)
-            rows += _rows(subject, "in_force", _make_changes(deployment, plan.changes))
-            rows += _measure_frozen(deployment, subject, plan, leader=False)
-            rows += _measure_frozen(deployment, subject, plan, leader=True)
-    return rows
+            yield from _rows(subject, "in_force", _make_changes(deployment, plan.changes))
+            yield from _measure_frozen(deployment, subject, plan, leader=False)
+            yield from _measure_frozen(deployment, subject, plan, leader=True)
 
 
 def _measure_frozen(
--- a/src/merlinstand_lab/capacity/measurements/streams.py
+++ b/src/merlinstand_lab/capacity/measurements/streams.py
@@ -1,6 +1,6 @@
 """Processor time of a gateway against streamed chunks, at several tokens a chunk."""
 
-from collections.abc import Sequence
+from collections.abc import Iterator, Sequence
 from pathlib import Path
 
 from merlinstand.configuration.objects import PoolKind
@@ -21,9 +21,8 @@
     tokens_per_chunk: Sequence[int] = TOKENS_PER_CHUNK,
     window_seconds: float = WINDOW_SECONDS,
     direct: bool = False,
-) -> list[Measured]:
+) -> Iterator[Measured]:
     """Measure gateway, server and caller at each load."""
-    rows: list[Measured] = []
     for tokens in tokens_per_chunk:
         for streams in stream_counts:
             load = DoorLoad(
@@ -35,8 +34,7 @@
                 direct=direct,
             )
             with DoorBench(load, folder / f"streams-{tokens}-{streams}") as bench:
-                rows += _rows(bench.measure(window_seconds), load)
-    return rows
+                yield from _rows(bench.measure(window_seconds), load)
 
 
 def _rows(window: DoorWindow, load: DoorLoad) -> list[Measured]:
--- a/src/merlinstand_lab/capacity/results.py
+++ b/src/merlinstand_lab/capacity/results.py
@@ -61,15 +61,27 @@
     return path
 
 
+def add_measured(
+    folder: Path, measurement: str, rows: Sequence[Measured], *, keep_other_sizes: bool
+) -> Path:
+    """Write a measurement's CSV file, perhaps with its earlier rows of other sizes."""
+    path = folder / f"{measurement}.csv"
+    kept: list[Measured] = []
+    if keep_other_sizes and path.exists():
+        measured_now = {(row.size_name, row.size) for row in rows}
+        kept = [row for row in read_file(path) if (row.size_name, row.size) not in measured_now]
+    return write_measured(folder, measurement, [*kept, *rows])
+
+
 def read_measured(folder: Path) -> list[Measured]:
     """Read every measurement's CSV file of a folder."""
-    rows: list[Measured] = []
-    for path in sorted(folder.glob("*.csv")):
-        with path.open(newline="", encoding="utf-8") as file:
-            rows.extend(
-                msgspec.convert(line, Measured, strict=False) for line in csv.DictReader(file)
-            )
-    return rows
+    return [row for path in sorted(folder.glob("*.csv")) for row in read_file(path)]
+
+
+def read_file(path: Path) -> list[Measured]:
+    """Read one measurement's CSV file."""
+    with path.open(newline="", encoding="utf-8") as file:
+        return [msgspec.convert(line, Measured, strict=False) for line in csv.DictReader(file)]
 
 
 def group_series(rows: Sequence[Measured]) -> list[Series]:
