--- a/src/merlinstand_lab/capacity/cli.py
+++ b/src/merlinstand_lab/capacity/cli.py
@@ -47,14 +47,16 @@
 @command.command()
 @click.pass_obj
 def plot(options: OutputOptions) -> None:
-    """Redraw every plot from the CSV files.
+    """Redraw every plot and the table of slopes from the CSV files.
 
     Example: merlinstand-lab capacity plot
     """
     from merlinstand_lab.capacity.plots import draw_all
+    from merlinstand_lab.capacity.slope_table import write_slope_table
 
     for path in draw_all(options.folder):
         click.echo(str(path))
+    click.echo(str(write_slope_table(options.folder, read_measured(options.folder))))
 
 
 @command.command()
--- a/src/merlinstand_lab/capacity/cli_traffic.py
+++ b/src/merlinstand_lab/capacity/cli_traffic.py
@@ -74,4 +74,34 @@
     run_measurement(options, lambda folder: measure_servers(folder, plan))
 
 
-COMMANDS = (streams, lookups, engines, servers)
+@click.command()
+@click.option("--sizes", type=INTEGERS, default="100,200,400,800", show_default=True)
+@click.option("--load-seconds", default=0.5, show_default=True, help="Time of one load.")
+@click.option(
+    "--store-bytes-per-second", default=0.0, show_default=True, help="Ask a store of this rate."
+)
+@click.option("--store-transfers", default=8, show_default=True, help="Transfers at one time.")
+@click.pass_obj
+def rollouts(
+    options: OutputOptions,
+    sizes: tuple[int, ...],
+    load_seconds: float,
+    store_bytes_per_second: float,
+    store_transfers: int,
+) -> None:
+    """A new weight version on all servers, with and without a store's limit.
+
+    Example: merlinstand-lab capacity rollouts --sizes 100,200,400,800
+    """
+    from merlinstand_lab.capacity.measurements.rollouts import RolloutPlan, measure_rollouts
+
+    plan = RolloutPlan(
+        servers=sizes,
+        load_seconds=load_seconds,
+        store_bytes_per_second=store_bytes_per_second,
+        store_transfers=store_transfers,
+    )
+    run_measurement(options, lambda folder: measure_rollouts(folder, plan))
+
+
+COMMANDS = (streams, lookups, engines, servers, rollouts)
--- a/src/merlinstand_lab/capacity/server_park.py
+++ b/src/merlinstand_lab/capacity/server_park.py
@@ -21,6 +21,8 @@
 
     servers: int
     servers_per_pool: int = 100
+    model: str = ""
+    """Model of all pools; empty for one of its own for each pool."""
     load_seconds: float = 0.0
     """Time an engine needs to load a version if it asks no store."""
     asks_store: bool = False
@@ -79,5 +81,6 @@
             Backend(f"{name}-server-{offset}", address, zone_name(offset))
             for offset, address in enumerate(addresses[first : first + plan.servers_per_pool])
         )
-        pools.append(Pool(name=name, kind=PoolKind.ENGINE, model=name, backends=backends))
+        model = plan.model or name
+        pools.append(Pool(name=name, kind=PoolKind.ENGINE, model=model, backends=backends))
     return pools
--- a/src/merlinstand_lab/capacity/targets.py
+++ b/src/merlinstand_lab/capacity/targets.py
@@ -36,22 +36,22 @@
 TARGET = TargetSize()
 BOUNDS = Bounds()
 
-GATEWAY_SHARE_OF_DAEMONS = 0.95
-"""Assumed split of daemons: the rest are coordinators and control replicas."""
+COORDINATORS_AT_TARGET = 30
+"""Assumed split of daemons: the rest, but for the control replicas, are gateways."""
 
 SECONDS_PER_DAY = 86_400.0
 
 
 def gateways_at_target() -> int:
     """Number of gateways among the daemons of the target size."""
-    return round(TARGET.daemons * GATEWAY_SHARE_OF_DAEMONS)
+    return TARGET.daemons - COORDINATORS_AT_TARGET - TARGET.control_machines
 
 
 def tokens_per_second_per_gateway() -> float:
     """Generated tokens that one gateway relays at the peak, spread evenly."""
-    return TARGET.tokens_per_second / TARGET.daemons
+    return TARGET.tokens_per_second / gateways_at_target()
 
 
 def requests_per_second_per_gateway() -> float:
     """Requests that one gateway takes at the peak, spread evenly."""
-    return TARGET.requests_per_second / TARGET.daemons
+    return TARGET.requests_per_second / gateways_at_target()
--- a/src/merlinstand_lab/capacity/topology.py
+++ b/src/merlinstand_lab/capacity/topology.py
@@ -1,5 +1,6 @@
 """Specs of control groups and hollow fleets on loopback."""
 
+import random
 import socket
 from pathlib import Path
 from typing import Any
@@ -14,20 +15,38 @@
 from merlinstand_lab.capacity.worker_spec import HostedKind, HostedSpec
 
 LOOPBACK = "127.0.0.1"
+FIRST_PORT = 12_000
+END_PORT = 32_000
+
+_given: set[int] = set()
+"""Ports given out by this process; a measurement uses each once."""
 
 
 def free_addresses(count: int) -> list[str]:
-    """Return distinct loopback addresses whose ports were free a moment ago."""
-    sockets = []
-    try:
-        for _ in range(count):
-            listener = socket.socket()
-            listener.bind((LOOPBACK, 0))
-            sockets.append(listener)
-        return [f"{LOOPBACK}:{listener.getsockname()[1]}" for listener in sockets]
-    finally:
-        for listener in sockets:
-            listener.close()
+    """Return distinct loopback addresses whose ports were free a moment ago.
+
+    The ports lie below those that the kernel gives to outgoing connections: one of those may
+    be taken again before a process of ours listens on it.
+    """
+    found: list[str] = []
+    port = random.SystemRandom().randrange(FIRST_PORT, END_PORT)
+    for _ in range(END_PORT - FIRST_PORT):
+        if len(found) == count:
+            return found
+        port = port + 1 if port + 1 < END_PORT else FIRST_PORT
+        if port not in _given and _is_free(port):
+            _given.add(port)
+            found.append(f"{LOOPBACK}:{port}")
+    raise OSError(f"fewer than {count} free ports")
+
+
+def _is_free(port: int) -> bool:
+    with socket.socket() as listener:
+        try:
+            listener.bind((LOOPBACK, port))
+        except OSError:
+            return False
+    return True
 
 
 def zone_name(number: int) -> str:
