--- a/src/merlinstand_lab/capacity/cli_traffic.py
+++ b/src/merlinstand_lab/capacity/cli_traffic.py
@@ -104,4 +104,32 @@
     run_measurement(options, lambda folder: measure_rollouts(folder, plan))
 
 
-COMMANDS = (streams, lookups, engines, servers, rollouts)
+@click.command()
+@click.option("--samples", type=INTEGERS, default="128,256,512,1024", show_default=True)
+@click.option("--engines", "engine_count", default=16, show_default=True)
+@click.option("--tokens-per-sample", default=256, show_default=True)
+@click.option("--tokens-per-chunk", default=8, show_default=True)
+@click.pass_obj
+def steps(
+    options: OutputOptions,
+    samples: tuple[int, ...],
+    engine_count: int,
+    tokens_per_sample: int,
+    tokens_per_chunk: int,
+) -> None:
+    """The samples of one trainer's step through one coordinator.
+
+    Example: merlinstand-lab capacity steps --samples 128,256,512,1024
+    """
+    from merlinstand_lab.capacity.measurements.steps import StepPlan, measure_steps
+
+    plan = StepPlan(
+        samples=samples,
+        engines=engine_count,
+        tokens_per_sample=tokens_per_sample,
+        tokens_per_chunk=tokens_per_chunk,
+    )
+    run_measurement(options, lambda folder: measure_steps(folder, plan))
+
+
+COMMANDS = (streams, lookups, engines, servers, rollouts, steps)
