merlinstand-lab failover: real leaders killed and frozen under steady writes

Cause: the bar "writes are accepted again within 3 s, no accepted command is lost" was shown by the simulator only; no run with real processes measured it.

Change: package merlinstand_lab.failover.

--- /dev/null
+++ b/src/merlinstand_lab/failover/group.py
@@ -0,0 +1,156 @@
+"""A control group of plain processes on loopback, started by the product's command line."""
+
+import time
+from pathlib import Path
+
+import gevent
+import msgspec
+
+from merlinstand_lab.capacity.topology import free_addresses
+from merlinstand_lab.failover.history import KEY_PREFIX
+from merlinstand_lab.fleet.http import get_typed, is_ready
+from merlinstand_lab.fleet.processes import ManagedProcess, ProcessSpec, program
+
+POLL_SECONDS = 0.05
+START_SECONDS = 30.0
+READ_SECONDS = 20.0
+
+_HEADER = """[deployment]
+name = "failover"
+region = "laboratory"
+zones = [{zones}]
+"""
+_REPLICA = """
+[[control]]
+node = "{node}"
+zone = "{zone}"
+address = "{address}"
+http_address = "{http_address}"
+"""
+
+
+class GroupNotReadyError(Exception):
+    """The group did not come up, or does not answer, in time."""
+
+
+class _Status(msgspec.Struct, frozen=True):
+    is_leader: bool
+    term: int
+
+
+class _Item(msgspec.Struct, frozen=True):
+    key: str
+    revision: int
+
+
+class _Configuration(msgspec.Struct, frozen=True):
+    objects: tuple[_Item, ...]
+
+
+class ControlProcesses:
+    """Starts, breaks and ends the replicas."""
+
+    def __init__(self, replicas: int, folder: Path) -> None:
+        """Write the settings file; nothing runs yet."""
+        addresses = free_addresses(2 * replicas)
+        self._folder = folder
+        self._names = [f"control-{number}" for number in range(1, replicas + 1)]
+        self.http_addresses = tuple(addresses[replicas:])
+        self._settings_path = folder / "merlinstand.toml"
+        self._settings_path.write_text(_settings(self._names, addresses[:replicas], self))
+        self._processes = {
+            name: ManagedProcess(self._spec(name, http_address), folder)
+            for name, http_address in zip(self._names, self.http_addresses, strict=True)
+        }
+
+    def start(self) -> None:
+        """Start every replica and wait until a leader is known everywhere.
+
+        Raises:
+            GroupNotReadyError: Not in time.
+        """
+        for process in self._processes.values():
+            process.start()
+        self.wait_ready()
+
+    def end(self) -> None:
+        """End every replica, thawed first: a frozen process heeds no request to stop."""
+        for process in self._processes.values():
+            process.thaw()
+            process.kill()
+
+    def process(self, name: str) -> ManagedProcess:
+        """Return a replica's process."""
+        return self._processes[name]
+
+    def wait_ready(self) -> None:
+        """Wait until every replica says it is ready.
+
+        Raises:
+            GroupNotReadyError: Not in time.
+        """
+        deadline = time.monotonic() + START_SECONDS
+        waiting = list(self._processes.values())
+        while waiting:
+            waiting = [one for one in waiting if not is_ready(one.spec.http_address)]
+            if time.monotonic() > deadline:
+                tails = "\n".join(one.log_tail(5) for one in waiting)
+                raise GroupNotReadyError(f"not ready in time:\n{tails}")
+            gevent.sleep(POLL_SECONDS)
+
+    def leader(self) -> tuple[str, int]:
+        """Return the name of the replica that may act, and its term.
+
+        Raises:
+            GroupNotReadyError: None in time.
+        """
+        deadline = time.monotonic() + START_SECONDS
+        while time.monotonic() < deadline:
+            for name, process in self._processes.items():
+                status = get_typed(process.spec.http_address, "/v1/status", _Status)
+                if status is not None and status.is_leader:
+                    return name, status.term
+            gevent.sleep(POLL_SECONDS)
+        raise GroupNotReadyError("no replica leads")
+
+    def revisions(self) -> dict[str, int]:
+        """Read the revision of every written object, linearizably.
+
+        Raises:
+            GroupNotReadyError: No replica answered in time.
+        """
+        deadline = time.monotonic() + READ_SECONDS
+        path = f"/v1/configuration?prefix={KEY_PREFIX}"
+        while time.monotonic() < deadline:
+            for address in self.http_addresses:
+                found = get_typed(address, path, _Configuration)
+                if found is not None:
+                    return {item.key: item.revision for item in found.objects}
+            gevent.sleep(POLL_SECONDS)
+        raise GroupNotReadyError("no replica answered a read")
+
+    def _spec(self, name: str, http_address: str) -> ProcessSpec:
+        arguments = program(
+            "merlinstand.cli.main",
+            "merlinstand",
+            "control",
+            "--settings",
+            str(self._settings_path),
+            "--node",
+            name,
+            "--data-folder",
+            str(self._folder / name),
+        )
+        return ProcessSpec(
+            name=name, role="control", arguments=arguments, http_address=http_address
+        )
+
+
+def _settings(names: list[str], addresses: list[str], group: ControlProcesses) -> str:
+    zones = [f"zone-{number}" for number in range(1, len(names) + 1)]
+    replicas = zip(names, zones, addresses, group.http_addresses, strict=True)
+    header = _HEADER.format(zones=", ".join(f'"{zone}"' for zone in zones))
+    return header + "".join(
+        _REPLICA.format(node=name, zone=zone, address=address, http_address=http_address)
+        for name, zone, address, http_address in replicas
+    )
