--- a/tests/consensus/chaos.py
+++ b/tests/consensus/chaos.py
@@ -183,3 +183,12 @@
     network.start_all()
     network.commit(b"first")
     return Chaos(network)
+
+
+def play(seed: int, actions: int = 60) -> None:
+    """One whole run of random faults, with a group that depends on the seed."""
+    members = 3 if seed % 3 else 5
+    standbys = seed % 2 + (1 if seed % 3 else 0)
+    chaos = make_chaos(seed, members, standbys)
+    chaos.run_random(seed, actions)
+    chaos.finish()
