--- a/tests/consensus/observer.py
+++ b/tests/consensus/observer.py
@@ -60,9 +60,19 @@
         for read_id in step.reads_ready:
             assert node.applied_index >= self._reads[read_id], f"stale read {read_id}"
             self.reads_answered.add(read_id)
+        if step.restored is not None:
+            self._check_terms(node)
         self._check_lease()
         self._check_proof(node)
 
+    @staticmethod
+    def _check_terms(node: "Node") -> None:
+        """Terms never fall along a log: what conflicts with a snapshot is cut off with it."""
+        assert node.replica is not None
+        log = node.replica._state.log
+        terms = [log.term_at(index) for index in range(log.base_index, log.last_index + 1)]
+        assert terms == sorted(terms), f"terms fall along the log of {node.name}: {terms}"
+
     def _check_committed(self, entry: CommittedEntry) -> None:
         known = self.committed.setdefault(entry.index, entry)
         assert known == entry, f"two different entries committed at {entry.index}"
