Experiments hold their figures against stated limits

Cause: a reader of an experiment's table had to compute idle over its lower bound, and the worst seed's staleness, by hand to learn whether a limit was kept. Conclusion: verdicts come from the run itself.

--- a/src/merlinstand_lab/experiments/cli.py
+++ b/src/merlinstand_lab/experiments/cli.py
@@ -9,6 +9,7 @@
 from result import Err
 
 from merlinstand.settings.toml_file import load_toml
+from merlinstand_lab.experiments.bars import check_bars
 from merlinstand_lab.experiments.results import ExperimentResult, save_result
 from merlinstand_lab.experiments.runner import collect, run_experiment
 from merlinstand_lab.experiments.settings import Experiment
@@ -51,6 +52,15 @@
     click.echo(f"  violations: {result.violations(variant) or 'none'}")
 
 
+def _print_bars(result: ExperimentResult) -> None:
+    click.echo("\nlimits")
+    for bar in check_bars(result):
+        verdict = "met" if bar.is_met else "NOT MET"
+        click.echo(
+            f"  {bar.variant:20} {bar.name:36} {bar.value:8.4g} <= {bar.limit:<8.4g} {verdict}"
+        )
+
+
 @click.command("experiment", short_help="Compare variants over paired seeds.")
 @click.argument("file", type=click.Path(exists=True, dir_okay=False, path_type=Path))
 @click.option("--jobs", default=1, show_default=True, help="Processes to run in.")
@@ -83,6 +93,7 @@
     click.echo(f"means over {experiment.seeds} seeds with 95% bootstrap intervals")
     for variant in experiment.variants:
         _print_variant(result, variant.name)
+    _print_bars(result)
     path = out or Path("out/experiments") / f"{experiment.name}.json"
     save_result(result, path)
     click.echo(f"\nsaved {path}")
--- a/src/merlinstand_lab/experiments/settings.py
+++ b/src/merlinstand_lab/experiments/settings.py
@@ -44,6 +44,19 @@
     """Numbers of the workload that differ in this variant (a flood, for example)."""
 
 
+class Bars(ExperimentSettings, frozen=True, kw_only=True):
+    """Limits for the variants that merlinstand schedules."""
+
+    idle_over_bound: float = 1.15
+    """Trainer idle share over its lower bound, both averaged over the seeds."""
+    idle_over_baseline: float = 0.2
+    """Trainer idle share over the baseline's, where the lower bound allows it."""
+    staleness_p99: float = 1.0
+    """Versions, in the worst seed."""
+    lookups_in_rollouts: float = 1.2
+    """p99 of lookups during weight rollouts over their p99 at other times."""
+
+
 class Experiment(ExperimentSettings, frozen=True, kw_only=True):
     """A whole experiment file."""
 
@@ -55,6 +68,7 @@
     baseline: str
     """Variant that the others are compared with, seed by seed."""
     workload: Workload = Workload()
+    bars: Bars = Bars()
     variants: tuple[Variant, ...]
 
     def workload_of(self, variant: Variant) -> Workload:
--- a/src/merlinstand_lab/report/page.py
+++ b/src/merlinstand_lab/report/page.py
@@ -6,6 +6,7 @@
 from pathlib import Path
 from string import Template
 
+from merlinstand_lab.experiments.bars import check_bars
 from merlinstand_lab.experiments.results import MEASURE_NAMES, ExperimentResult
 from merlinstand_lab.experiments.statistics import Interval
 from merlinstand_lab.report.plots import plot_measure, plot_staleness
@@ -56,6 +57,7 @@
             f"<h2>{html.escape(experiment.name)}</h2>",
             f"<p>{html.escape(experiment.question)}</p>",
             "<p>" + "".join(images) + "</p>",
+            _bars(result),
             _table(result),
             _violations(result),
         )
@@ -80,6 +82,16 @@
     )
 
 
+def _bars(result: ExperimentResult) -> str:
+    rows = ["<tr><th>limit</th><th>variant</th><th>figure</th><th>at most</th><th></th></tr>"]
+    for bar in check_bars(result):
+        verdict = "met" if bar.is_met else '<span class="bad">not met</span>'
+        cells = (html.escape(bar.name), html.escape(bar.variant), f"{bar.value:.4g}")
+        row = "".join(f"<td>{cell}</td>" for cell in (*cells, f"{bar.limit:.4g}", verdict))
+        rows.append(f"<tr>{row}</tr>")
+    return "<table>" + "\n".join(rows) + "</table>"
+
+
 def _table(result: ExperimentResult) -> str:
     names = [variant.name for variant in result.experiment.variants]
     head = "".join(f"<th>{html.escape(name)}</th><th>difference</th>" for name in names)
