Gateway benchmark: free ports, a probe against a direct call, the kernel's share

Cause: two runs on one machine shared fixed ports and measured each other; the latency given was that of a saturated queue, not what the gateway adds. Change: ports are found free; a probe sends requests in turn to a back end itself and through the gateway, and latencies are ratios of the two in one run; the kernel's part of the processor time is told; load can pause and chunks can be paced.

--- a/benchmarks/gateway_throughput.py
+++ b/benchmarks/gateway_throughput.py
@@ -2,14 +2,19 @@
 
 Starts one control replica, one gateway, cheap back ends and load processes on loopback.
 The processor time of the gateway a request is the steadier figure on a busy machine.
+A probe beside the load sends requests in turn to a back end itself and through the gateway;
+latencies are given as ratios of the two.
 
 Usage: python benchmarks/gateway_throughput.py [--kind lookup|stream] [--seconds 8]
-       [--load-processes 2] [--connections 16] [--profile FILE]
+       [--load-processes 2] [--connections 16] [--pause-seconds 0] [--chunk-seconds 0.005]
+       [--profile FILE]
 """
 
 import argparse
+import contextlib
 import json
 import os
+import socket
 import subprocess
 import sys
 import tempfile
@@ -17,10 +22,9 @@
 from pathlib import Path
 
 FOLDER = Path(__file__).parent
-BASE_PORT = 24_100
 BACKEND_COUNT = 3
+DAEMON_PORT_COUNT = 4
 CHUNKS = 50
-CHUNK_INTERVAL_SECONDS = 0.005
 LAUNCH = "import sys; from merlinstand.cli.main import main; main()"
 WARM_UP_SECONDS = 1.0
 
@@ -34,29 +38,38 @@
 [[control]]
 node = "control-1"
 zone = "z"
-address = "127.0.0.1:{base}1"
-http_address = "127.0.0.1:{base}2"
+address = "127.0.0.1:{ports[0]}"
+http_address = "127.0.0.1:{ports[1]}"
 [[gateway]]
 node = "gateway-1"
 zone = "z"
-address = "127.0.0.1:{base}3"
-http_address = "127.0.0.1:{base}4"
+address = "127.0.0.1:{ports[2]}"
+http_address = "127.0.0.1:{ports[3]}"
 [gateway_options.admission]
 maximum_requests = 20000
 """
 
 
-def deployment_files(folder: Path) -> tuple[Path, Path]:
+def free_ports(count: int) -> list[int]:
+    """Find ports that nobody listens on."""
+    with contextlib.ExitStack() as stack:
+        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
+        for one in sockets:
+            one.bind(("127.0.0.1", 0))
+        return [one.getsockname()[1] for one in sockets]
+
+
+def deployment_files(folder: Path, ports: list[int]) -> tuple[Path, Path]:
     """Write the settings and the configuration."""
     settings = folder / "merlinstand.toml"
-    settings.write_text(DEPLOYMENT.format(folder=folder / "data", base=BASE_PORT // 10))
+    settings.write_text(DEPLOYMENT.format(folder=folder / "data", ports=ports))
     lines = []
     for name, kind, model in (("raw-api", "service", ""), ("raw-llm", "engine", "m")):
         lines.append(f'[[pool]]\nname = "{name}"\nkind = "{kind}"\nmodel = "{model}"')
         for number in range(BACKEND_COUNT):
             lines.append(
                 f'[[pool.backends]]\nbackend_id = "{name}-{number}"\nzone = "z"\n'
-                f'address = "127.0.0.1:{BASE_PORT + 10 + number}"'
+                f'address = "127.0.0.1:{ports[DAEMON_PORT_COUNT + number]}"'
             )
     for number in range(256):
         lines.append(
@@ -67,40 +80,65 @@
     return settings, configuration
 
 
-def processor_seconds(process_id: int) -> float:
-    """Processor time used by a process so far."""
+def processor_seconds(process_id: int) -> tuple[float, float]:
+    """Processor time used by a process so far: all of it, and the kernel's part."""
     fields = Path(f"/proc/{process_id}/stat").read_text().rsplit(")", 1)[1].split()
-    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+    user, system = (int(field) / os.sysconf("SC_CLK_TCK") for field in fields[11:13])
+    return user + system, system
 
 
-def run_load(options: argparse.Namespace, gateway: subprocess.Popen[bytes]) -> dict[str, object]:
-    """Run the load processes and gather their figures."""
-    address = f"127.0.0.1:{BASE_PORT + 4}"
+def run_load(
+    options: argparse.Namespace, gateway: subprocess.Popen[bytes], ports: list[int]
+) -> dict[str, object]:
+    """Run the load processes and the probe, and gather their figures."""
+    address = f"127.0.0.1:{ports[DAEMON_PORT_COUNT - 1]}"
     command = [sys.executable, str(FOLDER / "raw_load.py"), address, options.kind]
-    command += [str(options.connections), str(options.seconds)]
-    before, began = processor_seconds(gateway.pid), time.monotonic()
+    command += [str(options.connections), str(options.seconds), str(options.pause_seconds)]
+    backend = f"127.0.0.1:{ports[DAEMON_PORT_COUNT]}"
+    probing = [sys.executable, str(FOLDER / "raw_probe.py"), address, backend, options.kind]
+    (before, system_before), began = processor_seconds(gateway.pid), time.monotonic()
+    probe = subprocess.Popen([*probing, str(options.seconds)], stdout=subprocess.PIPE)
     loads = [
         subprocess.Popen(command, stdout=subprocess.PIPE) for _ in range(options.load_processes)
     ]
     outputs = [json.loads(load.communicate()[0]) for load in loads]
-    elapsed, used = time.monotonic() - began, processor_seconds(gateway.pid) - before
-    latencies = sorted(one for output in outputs for one in output["latencies"])
-    count, chunks = len(latencies), sum(output["chunks"] for output in outputs)
+    probed = json.loads(probe.communicate()[0])
+    after, system_after = processor_seconds(gateway.pid)
+    elapsed, used = time.monotonic() - began, after - before
+    probes = len(probed["gateway"]["whole"])
+    count = sum(len(output["latencies"]) for output in outputs) + probes
+    chunks = sum(output["chunks"] for output in outputs)
     figures: dict[str, object] = {
         "kind": options.kind,
         "requests_per_second": round(count / options.seconds),
         "failures": sum(output["failures"] for output in outputs),
-        "p50_ms": round(latencies[count // 2] * 1000, 2),
-        "p99_ms": round(latencies[count * 99 // 100] * 1000, 2),
         "gateway_processor_share": round(used / elapsed, 2),
+        "kernels_share_of_it": round((system_after - system_before) / used, 2),
         "processor_us_a_request": round(used / count * 1e6),
+        "probes": probes,
+        **latency_figures(probed, "first" if options.kind == "stream" else "whole"),
     }
-    if chunks:
+    if options.kind == "stream":
+        chunks += probes * CHUNKS
         figures["chunks_per_second"] = round(chunks / options.seconds)
         figures["processor_us_a_chunk"] = round(used / chunks * 1e6, 1)
     return figures
 
 
+def latency_figures(probed: dict[str, dict[str, list[float]]], what: str) -> dict[str, float]:
+    """Compare both ways; what the gateway adds is a difference of the same quantile."""
+    figures: dict[str, float] = {}
+    direct, gateway = sorted(probed["direct"][what]), sorted(probed["gateway"][what])
+    for percent in (50, 99):
+        position = len(direct) * percent // 100
+        figures[f"{what}_p{percent}_direct_ms"] = round(direct[position] * 1000, 3)
+        figures[f"{what}_p{percent}_added_ms"] = round(
+            (gateway[position] - direct[position]) * 1000, 3
+        )
+        figures[f"{what}_p{percent}_ratio"] = round(gateway[position] / direct[position], 2)
+    return figures
+
+
 def main() -> None:
     """Start everything, measure, stop everything."""
     parser = argparse.ArgumentParser()
@@ -108,19 +146,22 @@
     parser.add_argument("--seconds", type=float, default=8.0)
     parser.add_argument("--load-processes", type=int, default=2)
     parser.add_argument("--connections", type=int, default=16)
+    parser.add_argument("--pause-seconds", type=float, default=0.0)
+    parser.add_argument("--chunk-seconds", type=float, default=0.005)
     parser.add_argument("--profile", default="")
     options = parser.parse_args()
+    ports = free_ports(DAEMON_PORT_COUNT + BACKEND_COUNT)
     children: list[subprocess.Popen[bytes]] = []
     with tempfile.TemporaryDirectory() as name:
         folder = Path(name)
-        settings, configuration = deployment_files(folder)
+        settings, configuration = deployment_files(folder, ports)
         base = [sys.executable, "-c", LAUNCH]
         log = (folder / "log").open("ab")
         try:
             for number in range(BACKEND_COUNT):
-                port = str(BASE_PORT + 10 + number)
+                port = str(ports[DAEMON_PORT_COUNT + number])
                 raw = [sys.executable, str(FOLDER / "raw_backend.py"), port]
-                children.append(subprocess.Popen([*raw, str(CHUNKS), str(CHUNK_INTERVAL_SECONDS)]))
+                children.append(subprocess.Popen([*raw, str(CHUNKS), str(options.chunk_seconds)]))
             common = ["--settings", str(settings), "--node"]
             control = [*base, "control", *common, "control-1"]
             children.append(subprocess.Popen(control, stderr=log))
@@ -132,7 +173,7 @@
             apply = [*base, "config", "apply", str(configuration), "--settings", str(settings)]
             subprocess.run(apply, check=True, stdout=subprocess.DEVNULL)
             time.sleep(3 * WARM_UP_SECONDS)
-            print(json.dumps(run_load(options, gateway)))
+            print(json.dumps(run_load(options, gateway, ports)))
         finally:
             for child in reversed(children):
                 child.terminate()
--- a/benchmarks/raw_backend.py
+++ b/benchmarks/raw_backend.py
@@ -82,7 +82,7 @@
         gevent.sleep(CHUNK_INTERVAL_SECONDS)
         last = index == CHUNKS - 1
         event = {
-            "request_id": request["request_id"],
+            "request_id": request.get("request_id", ""),
             "index": index,
             "token_count": 1,
             "weight_version": 1,
--- a/benchmarks/raw_load.py
+++ b/benchmarks/raw_load.py
@@ -1,6 +1,6 @@
 """Keeps connections busy with one request after the other, and prints one JSON line.
 
-Usage: python benchmarks/raw_load.py IP:PORT lookup|stream CONNECTIONS SECONDS
+Usage: python benchmarks/raw_load.py IP:PORT lookup|stream CONNECTIONS SECONDS PAUSE_SECONDS
 """
 
 import json
@@ -19,13 +19,22 @@
 )
 
 
+def request_bytes(kind: str, number: int, count: int) -> bytes:
+    """Give the `count`-th request of caller `number`."""
+    if kind != "stream":
+        return LOOKUP % (count, number)
+    body = COMPLETION % count
+    return STREAM % (number, len(body), body)
+
+
 class Load:
     """One load process."""
 
-    def __init__(self, address: str, kind: str, seconds: float) -> None:
+    def __init__(self, address: str, kind: str, seconds: float, pause_seconds: float) -> None:
         ip, port = address.split(":")
         self._address = (ip, int(port))
-        self._is_stream = kind == "stream"
+        self._kind = kind
+        self._pause_seconds = pause_seconds
         self._end = time.monotonic() + seconds
         self.latencies: list[float] = []
         self.chunks = 0
@@ -41,26 +50,21 @@
                 while time.monotonic() < self._end:
                     count += 1
                     began = time.monotonic()
-                    connection.sendall(self._request(number, count))
-                    is_good = (
-                        self._stream(connection) if self._is_stream else self._whole(connection)
-                    )
+                    connection.sendall(request_bytes(self._kind, number, count))
+                    is_stream = self._kind == "stream"
+                    is_good = self._stream(connection) if is_stream else self._whole(connection)
                     if is_good:
                         self.latencies.append(time.monotonic() - began)
                     else:
                         self.failures += 1
                         gevent.sleep(0.01)
+                    if self._pause_seconds:
+                        gevent.sleep(self._pause_seconds)
             except OSError:
                 self.failures += 1
             finally:
                 connection.close()
 
-    def _request(self, number: int, count: int) -> bytes:
-        if not self._is_stream:
-            return LOOKUP % (count, number)
-        body = COMPLETION % count
-        return STREAM % (number, len(body), body)
-
     def _whole(self, connection: Any) -> bool:
         data = self._head(connection)
         head, _separator, body = data.partition(b"\r\n\r\n")
@@ -94,8 +98,8 @@
 
 def main() -> None:
     """Run and print the figures."""
-    address, kind, connections, seconds = sys.argv[1:5]
-    load = Load(address, kind, float(seconds))
+    address, kind, connections, seconds, pause_seconds = sys.argv[1:6]
+    load = Load(address, kind, float(seconds), float(pause_seconds))
     gevent.joinall([gevent.spawn(load.run, number) for number in range(int(connections))])
     figures = {"latencies": load.latencies, "chunks": load.chunks, "failures": load.failures}
     print(json.dumps(figures))
--- /dev/null
+++ b/benchmarks/raw_probe.py
@@ -0,0 +1,77 @@
+"""Sends one request at a time, in turn to a back end itself and through a gateway.
+
+Both ways meet the same moments of a busy machine, so their ratio is steadier than either.
+Prints one JSON line: for each way the seconds to the first body byte and to the end.
+
+Usage: python benchmarks/raw_probe.py GATEWAY_IP:PORT BACKEND_IP:PORT lookup|stream SECONDS
+"""
+
+import json
+import sys
+import time
+from typing import Any
+
+from gevent import socket
+from raw_load import request_bytes
+
+PROBE_NUMBER = 255
+"""The caller whose limits the probe uses; the load uses the first ones."""
+
+
+class Way:
+    """One connection and what was measured on it."""
+
+    def __init__(self, address: str) -> None:
+        ip, port = address.split(":")
+        self._connection: Any = socket.create_connection((ip, int(port)))
+        self._connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.first_seconds: list[float] = []
+        self.whole_seconds: list[float] = []
+
+    def probe(self, kind: str, count: int) -> None:
+        """Send one request and read its response."""
+        request = request_bytes(kind, PROBE_NUMBER, count)
+        began = time.monotonic()
+        self._connection.sendall(request)
+        data = b""
+        while not data.partition(b"\r\n\r\n")[2]:
+            data += self._receive()
+        self.first_seconds.append(time.monotonic() - began)
+        if not data.startswith(b"HTTP/1.1 200"):
+            raise OSError(data.partition(b"\r\n")[0])
+        if kind == "stream":
+            while not data.endswith(b"0\r\n\r\n"):
+                data = self._receive()
+        else:
+            head, _separator, body = data.partition(b"\r\n\r\n")
+            length = int(head.lower().partition(b"content-length: ")[2].split(b"\r\n", 1)[0])
+            while len(body) < length:
+                body += self._receive()
+        self.whole_seconds.append(time.monotonic() - began)
+
+    def _receive(self) -> bytes:
+        data: bytes = self._connection.recv(65536)
+        if not data:
+            raise OSError("closed")
+        return data
+
+    def figures(self) -> dict[str, list[float]]:
+        """Give what was measured."""
+        return {"first": self.first_seconds, "whole": self.whole_seconds}
+
+
+def main() -> None:
+    """Run and print the figures."""
+    gateway_address, backend_address, kind, seconds = sys.argv[1:5]
+    gateway, direct = Way(gateway_address), Way(backend_address)
+    end = time.monotonic() + float(seconds)
+    count = 0
+    while time.monotonic() < end:
+        count += 1
+        direct.probe(kind, count)
+        gateway.probe(kind, count)
+    print(json.dumps({"direct": direct.figures(), "gateway": gateway.figures()}))
+
+
+if __name__ == "__main__":
+    main()
