Heads are read from the buffer at once; header names and the date are cached

Cause: profile of the gateway's host: a readline and a regular expression a header line, a date formatted for each response. Ruled out: a looser parser. Change: a whole head in the buffer is parsed in one go; lower-case names are cached, at most 512 of at most 64 characters, so callers cannot fill the memory with long names; one date a second.

--- a/src/merlinstand/runtime/http_headers.py
+++ b/src/merlinstand/runtime/http_headers.py
@@ -2,6 +2,7 @@
 
 import re
 from collections.abc import Iterable
+from functools import lru_cache
 from typing import Protocol
 
 import msgspec
@@ -35,19 +36,30 @@
 SET_COOKIE_SEPARATOR = "\n"
 """Cookies hold commas, so several `Set-Cookie` values are kept apart by line ends."""
 
-_REQUEST_LINE = re.compile(
-    rb"([!#$%&'*+\-.^_`|~0-9A-Za-z]{1,32}) ([\x21-\x7e]+) HTTP/(1\.[01])\r?\n\Z"
-)
-_HEADER_LINE = re.compile(
-    rb"([!#$%&'*+\-.^_`|~0-9A-Za-z]+):[ \t]*([^\x00-\x08\x0a-\x1f\x7f]*?)[ \t]*\r?\n\Z"
-)
+HEAD_END = b"\r\n\r\n"
+_LINE_END = b"\r\n"
+
+_REQUEST_LINE = re.compile(r"([!#$%&'*+\-.^_`|~0-9A-Za-z]{1,32}) ([\x21-\x7e]+) HTTP/(1\.[01])\Z")
+_HEADER_NAME = re.compile(r"[!#$%&'*+\-.^_`|~0-9A-Za-z]+\Z")
+_BAD_CHARACTER = re.compile(r"[\x00-\x08\x0b\x0c\x0e-\x1f\x7f]|\r(?!\n)|(?<!\r)\n")
+_CACHED_NAMES = 512
+_CACHED_NAME_CHARACTERS = 64
+"""Longer names are not cached: callers choose them, and the cache must stay small."""
+
+
+class HeadReader(Protocol):
+    """The part of a buffered binary file that reading a head needs."""
 
+    def peek(self, size: int, /) -> bytes:
+        """Give buffered bytes without taking them."""
+        ...
 
-class LineReader(Protocol):
-    """The part of a binary file that the parser needs."""
+    def read(self, size: int, /) -> bytes:
+        """Take exactly `size` bytes."""
+        ...
 
     def readline(self, limit: int, /) -> bytes:
-        """Read up to and including a line end."""
+        """Take bytes up to and including a line end."""
         ...
 
 
@@ -81,35 +93,51 @@
         return None if text is None else int(text)
 
 
-def read_request_head(reader: LineReader) -> Result[RequestHead | None, MerlinstandError]:
+def read_request_head(reader: HeadReader) -> Result[RequestHead | None, MerlinstandError]:
     """Read one request's head.
 
     Returns:
         The head, None if the connection ended before its first byte, or what is wrong.
     """
-    line = reader.readline(MAXIMUM_REQUEST_LINE_BYTES + 1)
-    if not line:
+    data = _read_head_bytes(reader)
+    if isinstance(data, Err):
+        return data
+    if not data.ok_value:
         return Ok(None)
-    if len(line) > MAXIMUM_REQUEST_LINE_BYTES:
-        return Err(
-            TargetTooLongError(
-                detail=f"request line is longer than {MAXIMUM_REQUEST_LINE_BYTES} bytes"
-            )
-        )
-    match = _REQUEST_LINE.match(line)
+    return parse_request_head(data.ok_value)
+
+
+def parse_request_head(data: bytes) -> Result[RequestHead, MerlinstandError]:
+    """Parse a whole head, its empty line included."""
+    text = data.decode("latin-1")
+    if _BAD_CHARACTER.search(text):
+        return Err(MalformedRequestError(detail="control characters in the head"))
+    lines = text.split("\r\n")
+    match = _REQUEST_LINE.match(lines[0])
     if match is None:
         return Err(MalformedRequestError(detail="not an HTTP/1.1 request line"))
-    method, target, version = (part.decode("ascii") for part in match.groups())
-    path = _origin_form(target)
+    method, target, version = match.groups()
+    path = target if target.startswith("/") else _path_of_absolute(target)
     if path is None:
         return Err(MalformedRequestError(detail="request target must begin with /"))
-    headers = _read_headers(reader)
-    if isinstance(headers, Err):
-        return headers
-    framing_fault = _framing_fault(headers.ok_value)
-    if framing_fault:
-        return Err(MalformedRequestError(detail=framing_fault))
-    return Ok(RequestHead(method, path, version, headers.ok_value))
+    headers: dict[str, str] = {}
+    # The last two parts are empty: they stand behind the last header and the empty line.
+    for line in lines[1:-2]:
+        raw_name, colon, value = line.partition(":")
+        is_short = len(raw_name) <= _CACHED_NAME_CHARACTERS
+        name = _cached_lower_name(raw_name) if is_short else _lower_name(raw_name)
+        if not (colon and name):
+            return Err(MalformedRequestError(detail="malformed header line"))
+        if name in headers:
+            if name == "content-length":
+                return Err(MalformedRequestError(detail="more than one content-length"))
+            merge_header(headers, name, value.strip(" \t"))
+        else:
+            headers[name] = value.strip(" \t")
+    fault = _framing_fault(headers)
+    if fault:
+        return Err(MalformedRequestError(detail=fault))
+    return Ok(RequestHead(method, path, version, headers))
 
 
 def merge_header(headers: dict[str, str], name: str, value: str) -> None:
@@ -136,33 +164,64 @@
             yield name, value
 
 
-def _origin_form(target: str) -> str | None:
-    if target.startswith("/"):
-        return target
-    if target.startswith(("http://", "https://")):
-        _host, slash, path = target.split("://", 1)[1].partition("/")
-        return slash + path if slash else "/"
-    return None
+def _path_of_absolute(target: str) -> str | None:
+    if not target.startswith(("http://", "https://")):
+        return None
+    _host, slash, path = target.split("://", 1)[1].partition("/")
+    return slash + path if slash else "/"
 
 
-def _read_headers(reader: LineReader) -> Result[dict[str, str], MerlinstandError]:
-    headers: dict[str, str] = {}
+def _lower_name(name: str) -> str:
+    """Give a header's name in lower case, or nothing if it is malformed."""
+    return name.lower() if _HEADER_NAME.match(name) else ""
+
+
+_cached_lower_name = lru_cache(maxsize=_CACHED_NAMES)(_lower_name)
+
+
+def _read_head_bytes(reader: HeadReader) -> Result[bytes, MerlinstandError]:
+    """Take a head's bytes; nothing if the connection ended before the first one."""
+    buffered = reader.peek(1)
+    end = buffered.find(HEAD_END)
+    if end < 0:
+        return _read_head_lines(reader)
+    # The usual case: the whole head has come with the first bytes.
+    data = buffered[: end + len(HEAD_END)]
+    fault = _size_fault(data.find(_LINE_END), len(data), data.count(_LINE_END))
+    if fault is not None:
+        return Err(fault)
+    return Ok(reader.read(len(data)))
+
+
+def _read_head_lines(reader: HeadReader) -> Result[bytes, MerlinstandError]:
+    """Take a head that comes in pieces, with its bounds checked as it grows."""
+    lines: list[bytes] = []
     size = 0
-    for _count in range(MAXIMUM_HEADER_COUNT + 1):
-        line = reader.readline(MAXIMUM_HEAD_BYTES - size + 1)
+    while True:
+        line = reader.readline(MAXIMUM_HEAD_BYTES + 1)
+        if not line and not lines:
+            return Ok(b"")
+        lines.append(line)
         size += len(line)
-        if size > MAXIMUM_HEAD_BYTES:
-            return Err(HeadTooLargeError(detail=f"head exceeds {MAXIMUM_HEAD_BYTES} bytes"))
-        if line in (b"\r\n", b"\n"):
-            return Ok(headers)
-        match = _HEADER_LINE.match(line)
-        if match is None:
-            return Err(MalformedRequestError(detail="malformed or truncated header line"))
-        name = match.group(1).decode("ascii").lower()
-        if name == "content-length" and name in headers:
-            return Err(MalformedRequestError(detail="more than one content-length"))
-        merge_header(headers, name, match.group(2).decode("latin-1"))
-    return Err(HeadTooLargeError(detail=f"more than {MAXIMUM_HEADER_COUNT} headers"))
+        fault = _size_fault(len(lines[0]) - len(_LINE_END), size, len(lines))
+        if fault is not None:
+            return Err(fault)
+        if line == _LINE_END:
+            return Ok(b"".join(lines))
+        if not line.endswith(_LINE_END):
+            return Err(MalformedRequestError(detail="truncated or malformed head"))
+
+
+def _size_fault(request_line_bytes: int, size: int, line_count: int) -> MerlinstandError | None:
+    if request_line_bytes > MAXIMUM_REQUEST_LINE_BYTES:
+        detail = f"request line is longer than {MAXIMUM_REQUEST_LINE_BYTES} bytes"
+        return TargetTooLongError(detail=detail)
+    if size > MAXIMUM_HEAD_BYTES:
+        return HeadTooLargeError(detail=f"head exceeds {MAXIMUM_HEAD_BYTES} bytes")
+    # Besides the headers there are the request line and the empty line.
+    if line_count > MAXIMUM_HEADER_COUNT + 2:
+        return HeadTooLargeError(detail=f"more than {MAXIMUM_HEADER_COUNT} headers")
+    return None
 
 
 def _framing_fault(headers: dict[str, str]) -> str:
--- a/src/merlinstand/runtime/http_server.py
+++ b/src/merlinstand/runtime/http_server.py
@@ -1,12 +1,14 @@
 """HTTP server on gevent.pywsgi with bounded, strict reading of requests."""
 
 import socket
+import time
+from functools import lru_cache
 from http import HTTPStatus
 from typing import Any
 
 import gevent
 from gevent.pool import Pool
-from gevent.pywsgi import Input, WSGIHandler, WSGIServer
+from gevent.pywsgi import Input, WSGIHandler, WSGIServer, format_date_time
 from gevent.ssl import SSLContext
 from result import Err, Result
 
@@ -82,6 +84,7 @@
     """Serves the requests of one connection, one after the other."""
 
     server: DoorServer
+    provided_date: str | None
 
     def handle_one_request(self) -> Any:
         """Serve one request; see the base class for the meaning of the result."""
@@ -192,6 +195,13 @@
             self.write(b"")
         super().process_result()
 
+    def finalize_headers(self) -> None:
+        """Complete the head; a date is made once a second only."""
+        if self.provided_date is None:
+            self.provided_date = "given here"
+            self.response_headers.append((b"Date", _date_now()))
+        super().finalize_headers()
+
     def _write_with_headers(self, data: bytes) -> None:
         self.headers_sent = True
         self.finalize_headers()
@@ -225,3 +235,12 @@
         "Connection: close\r\n\r\n"
     )
     return str(status.value), head.encode("ascii") + body
+
+
+@lru_cache(maxsize=1)
+def _date_of(second: int) -> bytes:
+    return bytes(format_date_time(second))
+
+
+def _date_now() -> bytes:
+    return _date_of(int(time.time()))
