One watchdog a greenlet instead of a timer for each step

Cause: each step of a connection (idle, request, piece of a response, read) set a socket timeout or a gevent.Timeout: a timer made, started and stopped each time. Ruled out: no limit on writes and reads of kept connections, since a slow client would hold its greenlet for ever. Change: Watchdog: a new limit is an assignment, the timer stays and is set again for the rest when it fires too early. Limits strike from the loop itself, so never a later step. The early error to a slow or malformed sender has a limit of its own.

--- a/src/merlinstand/runtime/http_client.py
+++ b/src/merlinstand/runtime/http_client.py
@@ -5,7 +5,6 @@
 one `StartCall` leads to at most one request on the wire.
 """
 
-import time
 from collections.abc import Callable
 
 import gevent
@@ -29,6 +28,7 @@
     ResponseParser,
     encode_request,
 )
+from merlinstand.runtime.watchdog import Watchdog
 
 MAXIMUM_RESPONSE_BYTES = 64 * 1024 * 1024
 """Largest body of a call with `stream=False`."""
@@ -122,23 +122,21 @@
         self._call = call
         self._pool = pool
         self._connection: Connection | None = None
-        self._deadline = time.monotonic() + call.timeout_seconds
+        self._watchdog = Watchdog()
         self.phase = CallPhase.CONNECT
         self.parser = ResponseParser(call.method)
 
     def send(self) -> None:
         """Connect and send the request."""
         request = encode_request(self._call)
-        connection = self._pool.take(
-            self._call.address, self._time_left(), self._call.fresh_connection
-        )
+        self._limit_step()
+        connection = self._pool.take(self._call.address, self._call.fresh_connection)
         self._connection = connection
         if connection.encrypted:
             # TLS may hand bytes on before it reports an error: assume the worst.
             self.phase = CallPhase.SENT
         view = memoryview(request)
         while view:
-            connection.set_timeout(self._time_left())
             # An error of the very first send means that the kernel took no byte.
             sent = connection.send(view)
             self.phase = CallPhase.SENT
@@ -175,14 +173,16 @@
         """Read some bytes into the parser."""
         if self._connection is None:
             raise TruncatedResponseError("no connection")
-        self._connection.set_timeout(self._time_left())
         data = self._connection.receive()
         if not data:
             raise TruncatedResponseError("connection ended")
+        if self._call.stream:
+            self._limit_step()
         self.parser.feed(data)
 
     def release(self) -> None:
         """Give the connection back, or close it unless the response was read to its end."""
+        self._watchdog.close()
         connection = self._connection
         self._connection = None
         if connection is None:
@@ -192,13 +192,9 @@
         else:
             connection.close()
 
-    def _time_left(self) -> float:
-        if self._call.stream:
-            return self._call.timeout_seconds
-        left = self._deadline - time.monotonic()
-        if left <= 0:
-            raise TimeoutError
-        return left
+    def _limit_step(self) -> None:
+        """Begin the time limit: of the whole call, or of the next bytes of a stream."""
+        self._watchdog.limit(self._call.timeout_seconds, TimeoutError)
 
 
 def _reason(error: BaseException, progress: _CallProgress) -> str:
--- a/src/merlinstand/runtime/http_connection.py
+++ b/src/merlinstand/runtime/http_connection.py
@@ -47,10 +47,6 @@
         self.idle_since = 0.0
         self._socket = sock
 
-    def set_timeout(self, seconds: float) -> None:
-        """Bound the next send or receive."""
-        self._socket.settimeout(seconds)
-
     def send(self, data: memoryview) -> int:
         """Send some bytes; returns how many."""
         return int(self._socket.send(data))
@@ -86,7 +82,7 @@
         self._tls_context = tls_context
         self._idle: dict[str, list[Connection]] = {}
 
-    def take(self, address: str, timeout_seconds: float, fresh: bool) -> Connection:
+    def take(self, address: str, fresh: bool) -> Connection:
         """Give a kept connection that still looks sound, or a new one.
 
         Raises:
@@ -101,7 +97,7 @@
             if is_young and connection.is_quiet():
                 return connection
             connection.close()
-        return self._connect(address, min(timeout_seconds, CONNECT_TIMEOUT_SECONDS))
+        return self._connect(address)
 
     def give_back(self, connection: Connection) -> None:
         """Keep a connection for a later call."""
@@ -130,7 +126,7 @@
                 connection.close()
         self._idle.clear()
 
-    def _connect(self, address: str, timeout_seconds: float) -> Connection:
+    def _connect(self, address: str) -> Connection:
         parsed = parse_address(address)
         if isinstance(parsed, Err):
             raise ConnectError(parsed.err_value.detail)
@@ -138,11 +134,13 @@
         family = socket.AF_INET6 if ":" in target.ip else socket.AF_INET
         sock: Any = gevent_socket.socket(family, socket.SOCK_STREAM)
         try:
-            sock.settimeout(timeout_seconds)
+            sock.settimeout(CONNECT_TIMEOUT_SECONDS)
             sock.connect(target.as_pair())
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             if self._tls_context is not None:
                 sock = self._tls_context.wrap_socket(sock)
+            # From here on the caller's own limit holds.
+            sock.settimeout(None)
         except SSLError as error:
             sock.close()
             raise ConnectError(str(error)) from error
--- a/src/merlinstand/runtime/http_door.py
+++ b/src/merlinstand/runtime/http_door.py
@@ -5,7 +5,6 @@
 from typing import Any
 
 import falcon
-import gevent
 
 from merlinstand.common.errors import MerlinstandError, error_body
 from merlinstand.common.ids import RequestId
@@ -21,7 +20,7 @@
 from merlinstand.runtime.host_settings import HttpLimits
 from merlinstand.runtime.http_exchange import BrokenResponseError, Exchange
 from merlinstand.runtime.http_headers import RequestHead, header_lines
-from merlinstand.runtime.http_server import HEAD_KEY, READ_DEADLINE_KEY, SOCKET_KEY
+from merlinstand.runtime.http_server import HEAD_KEY, SOCKET_KEY, WATCHDOG_KEY, SlowSenderError
 from merlinstand.runtime.metrics import CONTENT_TYPE, Metrics
 
 _FRAMING_HEADERS = frozenset(("content-length", "content-type", "date", "server"))
@@ -147,8 +146,7 @@
             response.data = exchange.body
 
     def _read_body(self, environ: dict[str, Any], head: RequestHead) -> bytes | MerlinstandError:
-        """Read the body under the request's read deadline, which ends here."""
-        deadline: gevent.Timeout = environ[READ_DEADLINE_KEY]
+        """Read the body under the request's read limit, which ends here."""
         limit = self._limits.maximum_body_bytes
         length = head.content_length
         try:
@@ -156,15 +154,13 @@
                 return b""
             if length is not None and length > limit:
                 return BodyTooLargeError(detail=f"body exceeds {limit} bytes")
-            body = environ["wsgi.input"].read(limit + 1)
-        except gevent.Timeout as fired:
-            if fired is not deadline:
-                raise
+            body: bytes = environ["wsgi.input"].read(limit + 1)
+        except SlowSenderError:
             return SlowRequestError(detail="request body came too slowly")
         except (OSError, ValueError):
             return TruncatedBodyError(detail="request body ended early or is malformed")
         finally:
-            deadline.close()
+            environ[WATCHDOG_KEY].lift()
         if len(body) > limit:
             return BodyTooLargeError(detail=f"body exceeds {limit} bytes")
         return body
--- a/src/merlinstand/runtime/http_server.py
+++ b/src/merlinstand/runtime/http_server.py
@@ -1,26 +1,27 @@
 """HTTP server on gevent.pywsgi with bounded, strict reading of requests."""
 
+import errno
 import socket
 import time
 from functools import lru_cache
 from http import HTTPStatus
 from typing import Any
 
-import gevent
 from gevent.pool import Pool
 from gevent.pywsgi import Input, WSGIHandler, WSGIServer, format_date_time
 from gevent.ssl import SSLContext
-from result import Err, Result
+from result import Err
 
 from merlinstand.common.errors import MerlinstandError, error_body
 from merlinstand.runtime.errors import SlowRequestError
 from merlinstand.runtime.host_settings import HttpLimits
 from merlinstand.runtime.http_headers import RequestHead, read_request_head
 from merlinstand.runtime.tls import BoundedHandshakeServer
+from merlinstand.runtime.watchdog import Watchdog
 
 HEAD_KEY = "merlinstand.head"
 SOCKET_KEY = "merlinstand.socket"
-READ_DEADLINE_KEY = "merlinstand.read_deadline"
+WATCHDOG_KEY = "merlinstand.watchdog"
 LISTEN_BACKLOG = 1024
 _LINGER_SECONDS = 1.0
 _LINGER_BYTES = 4 * 1024 * 1024
@@ -80,85 +81,82 @@
         """Set during a planned stop: every response then ends its connection."""
 
 
+class SlowSenderError(OSError):
+    """A request did not arrive whole in time."""
+
+
+class SlowReceiverError(OSError):
+    """A client did not take a response in time.
+
+    Carries `EPIPE`, for which pywsgi closes the connection quietly.
+    """
+
+    def __init__(self) -> None:
+        """Create the error."""
+        super().__init__(errno.EPIPE, "client takes the response too slowly")
+
+
 class DoorHandler(WSGIHandler):
     """Serves the requests of one connection, one after the other."""
 
     server: DoorServer
     provided_date: str | None
 
+    def __init__(self, connection: Any, address: Any, server: DoorServer) -> None:
+        """Begin on a new connection, in its greenlet."""
+        super().__init__(connection, address, server)
+        self._watchdog = Watchdog()
+
+    def handle(self) -> None:
+        """Serve requests until the connection ends."""
+        try:
+            super().handle()
+        finally:
+            self._watchdog.close()
+
     def handle_one_request(self) -> Any:
         """Serve one request; see the base class for the meaning of the result."""
-        if not self._wait_for_first_byte():
-            return None
-        deadline = gevent.Timeout(self.server.limits.request_read_timeout_seconds)
-        deadline.start()
+        limits = self.server.limits
+        self._watchdog.limit(limits.idle_connection_seconds, SlowSenderError)
         try:
-            result = read_request_head(self.rfile)
-        except gevent.Timeout as fired:
-            if fired is not deadline:
-                raise
-            return _early_error(SlowRequestError(detail="request head came too slowly"))
+            if not self.rfile.peek(1):
+                return None
         except OSError:
-            deadline.close()
             return None
-        except BaseException:
-            deadline.close()
-            raise
-        if isinstance(result, Err) or result.ok_value is None:
-            deadline.close()
-            return self._refuse(result)
-        try:
-            return self._serve(result.ok_value, deadline)
-        finally:
-            deadline.close()
-
-    def _wait_for_first_byte(self) -> bool:
-        self.socket.settimeout(self.server.limits.idle_connection_seconds)
+        # From the first byte on, head and body together have one limit; the application
+        # lifts it when it has the body.
+        self._watchdog.limit(limits.request_read_timeout_seconds, SlowSenderError)
         try:
-            return bool(self.rfile.peek(1))
+            head = read_request_head(self.rfile)
+        except SlowSenderError:
+            return self._refuse(SlowRequestError(detail="request head came too slowly"))
         except OSError:
-            return False
+            return None
+        if isinstance(head, Err):
+            return self._refuse(head.err_value)
+        return self._serve(head.ok_value) if head.ok_value is not None else None
 
-    def _refuse(self, result: Result[RequestHead | None, MerlinstandError]) -> Any:
-        if isinstance(result, Err):
-            return _early_error(result.err_value)
-        return None
+    def _refuse(self, error: MerlinstandError) -> Any:
+        """Give an early error to the base class, which sends it and ends the connection."""
+        self._watchdog.limit(self.server.limits.response_write_timeout_seconds, SlowReceiverError)
+        return _early_error(error)
 
-    def _serve(self, head: RequestHead, deadline: gevent.Timeout) -> Any:
+    def _serve(self, head: RequestHead) -> Any:
         self.command = head.method
         self.path = head.target
         self.request_version = f"HTTP/{head.version}"
         self.requestline = head.target
         self.close_connection = not head.keep_alive
         self.content_length = head.content_length
-        self.environ = self._make_environ(head, deadline)
+        self.environ = self._make_environ(head)
         self.application = self.server.application
-        self.socket.settimeout(self.server.limits.response_write_timeout_seconds)
         self.handle_one_response()
         if not self.wsgi_input.is_consumed:
             self._linger()
             return None
         return None if self.close_connection else True
 
-    def _linger(self) -> None:
-        """Let the client read its answer before the connection is reset.
-
-        Closing with unread bytes makes the kernel send a reset, which can overtake the
-        answer. So a bounded rest of the request is read and thrown away first.
-        """
-        with gevent.Timeout(_LINGER_SECONDS, False):
-            try:
-                self.socket.shutdown(socket.SHUT_WR)
-                left = _LINGER_BYTES
-                while left > 0:
-                    data = self.socket.recv(_LINGER_CHUNK_BYTES)
-                    if not data:
-                        break
-                    left -= len(data)
-            except OSError:
-                return
-
-    def _make_environ(self, head: RequestHead, deadline: gevent.Timeout) -> dict[str, Any]:
+    def _make_environ(self, head: RequestHead) -> dict[str, Any]:
         environ = self.server.get_environ()
         path, _mark, query = head.target.partition("?")
         expects = head.headers.get("expect", "").lower() == "100-continue"
@@ -177,9 +175,27 @@
         environ["wsgi.input_terminated"] = True
         environ[HEAD_KEY] = head
         environ[SOCKET_KEY] = self.socket
-        environ[READ_DEADLINE_KEY] = deadline
+        environ[WATCHDOG_KEY] = self._watchdog
         return environ
 
+    def _linger(self) -> None:
+        """Let the client read its answer before the connection is reset.
+
+        Closing with unread bytes makes the kernel send a reset, which can overtake the
+        answer. So a bounded rest of the request is read and thrown away first.
+        """
+        self._watchdog.limit(_LINGER_SECONDS, SlowSenderError)
+        try:
+            self.socket.shutdown(socket.SHUT_WR)
+            left = _LINGER_BYTES
+            while left > 0:
+                data = self.socket.recv(_LINGER_CHUNK_BYTES)
+                if not data:
+                    break
+                left -= len(data)
+        except OSError:
+            return
+
     def start_response(self, status: str, headers: Any, exc_info: Any = None) -> Any:
         """Begin a response; see the base class."""
         if self.server.closing:
@@ -216,6 +232,19 @@
         self._sendall(b"".join(lines))
         self._write(data)
 
+    def _write(self, data: bytes) -> None:
+        if not data:
+            return
+        if self.response_use_chunked:
+            data = b"%x\r\n%b\r\n" % (len(data), data)
+        self._sendall(data)
+
+    def _sendall(self, data: bytes) -> None:
+        """Send some of the response under a time limit of its own."""
+        self._watchdog.limit(self.server.limits.response_write_timeout_seconds, SlowReceiverError)
+        super()._sendall(data)
+        self._watchdog.lift()
+
     def log_request(self) -> None:
         """Write no access log; the reducers log what matters."""
 
--- /dev/null
+++ b/src/merlinstand/runtime/watchdog.py
@@ -0,0 +1,76 @@
+"""Time limits for one greenlet that change at every step but seldom run out."""
+
+import math
+import time
+from typing import Any
+
+import gevent
+
+
+class Watchdog:
+    """Raises an error in its greenlet when a step takes too long.
+
+    `gevent.Timeout` starts and stops a timer for each step. Here a new limit is mostly one
+    assignment: the timer stays as it is, and when it fires before the present limit it is
+    set again for the rest.
+    """
+
+    __slots__ = ("_due", "_error", "_fires_at", "_greenlet", "_loop", "_timer")
+
+    def __init__(self) -> None:
+        """Watch over the calling greenlet, without a limit at first."""
+        self._greenlet = gevent.getcurrent()
+        self._loop = gevent.get_hub().loop
+        self._due = math.inf
+        self._fires_at = math.inf
+        self._error: type[BaseException] = TimeoutError
+        self._timer: Any = None
+
+    def limit(self, seconds: float, error: type[BaseException]) -> None:
+        """Begin a step; replaces the limit of the step before.
+
+        Args:
+            seconds: Longest duration from now.
+            error: Raised in the greenlet, wherever it waits, when time is up.
+        """
+        now = time.monotonic()
+        self._due = now + seconds
+        self._error = error
+        if self._fires_at > self._due:
+            self._arm(seconds, now)
+
+    def lift(self) -> None:
+        """End the step."""
+        self._due = math.inf
+
+    def close(self) -> None:
+        """End watching."""
+        self._due = math.inf
+        self._disarm()
+
+    def _arm(self, seconds: float, now: float) -> None:
+        self._disarm()
+        self._fires_at = now + seconds
+        self._timer = self._loop.timer(seconds)
+        self._timer.start(self._fire, update=True)
+
+    def _disarm(self) -> None:
+        if self._timer is not None:
+            self._timer.stop()
+            self._timer.close()
+            self._timer = None
+        self._fires_at = math.inf
+
+    def _fire(self) -> None:
+        self._disarm()
+        if self._due == math.inf:
+            return
+        now = time.monotonic()
+        left = self._due - now
+        if left > 0:
+            self._arm(left, now)
+            return
+        self._due = math.inf
+        # Thrown from the loop itself, not by way of a callback: between the two the
+        # greenlet could have come to another step, which this limit does not concern.
+        self._greenlet.throw(self._error())
