The host lets a stream's bytes gather where a call asks for it

Cause: StartCall.read_interval_seconds was set by the gateway but not performed. A token's cost is its read, its switch and its write. Change: the client pauses between reads after the first one; the pause does not count as the server's time.

--- a/src/merlinstand/runtime/http_client.py
+++ b/src/merlinstand/runtime/http_client.py
@@ -96,6 +96,9 @@
                 self._emit(call, CallChunk(call.call_id, data))
             if parser.message_complete:
                 return CallEnded(call.call_id)
+            if data and call.read_interval_seconds > 0.0:
+                # Not before the first read of the body: the first token is not delayed.
+                progress.pause(call.read_interval_seconds)
             progress.read_more()
 
     def _emit(self, call: StartCall, event: Event) -> None:
@@ -180,6 +183,12 @@
             self._limit_step()
         self.parser.feed(data)
 
+    def pause(self, seconds: float) -> None:
+        """Let more bytes gather; the wait is ours and does not count as the server's."""
+        self._watchdog.lift()
+        gevent.sleep(seconds)
+        self._limit_step()
+
     def release(self) -> None:
         """Give the connection back, or close it unless the response was read to its end."""
         self._watchdog.close()
