One busy connection takes turns with the others

Cause: a read that finds bytes does not turn gevent's loop. A client with many requests sent ahead, a body in one-byte chunks, or a server that sends faster than it is read kept the loop to itself for as long as its bytes lasted, and no time limit could strike meanwhile. A chunked transfer-encoding was taken from HTTP/1.0 clients, whose proxies may frame the body otherwise. Ruled out: a turn before every read, which would cost each lookup a switch. Tests: floods of requests and of chunks beside a quick client, a fast server; each fails without its turn. Bad heads also in two pieces; bare line feeds, empty and repeated lengths; a client that stops reading is let go; time to send does not bound the answer.

--- a/src/merlinstand/runtime/http_client.py
+++ b/src/merlinstand/runtime/http_client.py
@@ -126,6 +126,9 @@
         self._pool = pool
         self._connection: Connection | None = None
         self._watchdog = Watchdog()
+        self._loop = gevent.get_hub().loop
+        self._turn = -1
+        """The loop's turn of the last read."""
         self.phase = CallPhase.CONNECT
         self.parser = ResponseParser(call.method)
 
@@ -176,6 +179,10 @@
         """Read some bytes into the parser."""
         if self._connection is None:
             raise TruncatedResponseError("no connection")
+        if self._turn == self._loop.iteration:
+            # A server that sends faster than we read must not keep the loop to itself.
+            gevent.sleep(0)
+        self._turn = self._loop.iteration
         data = self._connection.receive()
         if not data:
             raise TruncatedResponseError("connection ended")
--- a/src/merlinstand/runtime/http_headers.py
+++ b/src/merlinstand/runtime/http_headers.py
@@ -134,7 +134,7 @@
             merge_header(headers, name, value.strip(" \t"))
         else:
             headers[name] = value.strip(" \t")
-    fault = _framing_fault(headers)
+    fault = _framing_fault(version, headers)
     if fault:
         return Err(MalformedRequestError(detail=fault))
     return Ok(RequestHead(method, path, version, headers))
@@ -224,7 +224,7 @@
     return None
 
 
-def _framing_fault(headers: dict[str, str]) -> str:
+def _framing_fault(version: str, headers: dict[str, str]) -> str:
     """Refuse bodies whose end two readers could see differently (request smuggling)."""
     length = headers.get("content-length")
     if length is not None and not (length.isascii() and length.isdigit() and len(length) < 19):
@@ -234,6 +234,8 @@
         return ""
     if encoding.lower() != "chunked":
         return "the only transfer-encoding understood is chunked"
+    if version == "1.0":
+        return "transfer-encoding needs HTTP/1.1"
     if length is not None:
         return "both content-length and transfer-encoding"
     return ""
--- a/src/merlinstand/runtime/http_server.py
+++ b/src/merlinstand/runtime/http_server.py
@@ -7,8 +7,9 @@
 from http import HTTPStatus
 from typing import Any
 
+import gevent
 from gevent.pool import Pool
-from gevent.pywsgi import Input, WSGIHandler, WSGIServer, format_date_time
+from gevent.pywsgi import WSGIHandler, WSGIServer, format_date_time
 from gevent.ssl import SSLContext
 from result import Err
 
@@ -16,6 +17,7 @@
 from merlinstand.runtime.errors import SlowRequestError
 from merlinstand.runtime.host_settings import HttpLimits
 from merlinstand.runtime.http_headers import RequestHead, read_request_head
+from merlinstand.runtime.http_input import DoorInput
 from merlinstand.runtime.tls import BoundedHandshakeServer
 from merlinstand.runtime.watchdog import Watchdog
 
@@ -30,22 +32,6 @@
 """Bodies up to this size leave in one write with their head."""
 
 
-class DoorInput(Input):
-    """A request's body. Unread rests are never awaited: their connection ends instead."""
-
-    __slots__ = ()
-
-    def _discard(self) -> None:
-        """Override: a bad client could otherwise keep the connection busy for long."""
-
-    @property
-    def is_consumed(self) -> bool:
-        """Whether the whole body was read."""
-        if self.chunked_input:
-            return bool(self.chunk_length == 0)
-        return bool(self.position >= (self.content_length or 0))
-
-
 class DoorServer(BoundedHandshakeServer, WSGIServer):
     """Accepts connections up to a bound and serves a WSGI application."""
 
@@ -106,6 +92,9 @@
         """Begin on a new connection, in its greenlet."""
         super().__init__(connection, address, server)
         self._watchdog = Watchdog()
+        self._loop = gevent.get_hub().loop
+        self._turn = -1
+        """The loop's turn in which the last request ended."""
 
     def handle(self) -> None:
         """Serve requests until the connection ends."""
@@ -117,6 +106,10 @@
     def handle_one_request(self) -> Any:
         """Serve one request; see the base class for the meaning of the result."""
         limits = self.server.limits
+        if self._turn == self._loop.iteration:
+            # A client that sent many requests ahead gets one answer a turn.
+            gevent.sleep(0)
+        self._turn = self._loop.iteration
         self._watchdog.limit(limits.idle_connection_seconds, SlowSenderError)
         try:
             if not self.rfile.peek(1):
@@ -163,8 +156,8 @@
         self.wsgi_input = DoorInput(
             self.rfile,
             head.content_length,
-            socket=self.socket if expects else None,
-            chunked_input=head.chunked,
+            self.socket if expects else None,
+            head.chunked,
         )
         environ["REQUEST_METHOD"] = head.method
         environ["PATH_INFO"] = path
--- a/tests/runtime/test_http_client.py
+++ b/tests/runtime/test_http_client.py
@@ -4,6 +4,7 @@
 import struct
 from typing import Any
 
+import gevent
 import pytest
 
 from merlinstand.common.ids import CallId
@@ -25,6 +26,8 @@
     b"Set-Cookie: a=1,2\r\nSet-Cookie: c\r\n\r\nok"
 )
 
+MOST_READS_A_TURN = 2
+
 
 def call(address: str, call_id: str = "c1", **changes: Any) -> StartCall:
     fields: dict[str, Any] = {
@@ -296,3 +299,54 @@
     closed.wait_for(CallEnded)
     assert not [one for one in sink.events if isinstance(one, CallEnded | CallFailed)]
     assert client.open_count == 0
+
+
+def test_first_bytes_of_a_paced_stream_are_not_held_back(
+    sink: EventSink, client: Any, raw_server: Any
+) -> None:
+    """The rest gathers between two reads, also when a read's time limit is shorter."""
+    sent = [b"first", *[b"%d" % number for number in range(20)]]
+
+    def serve(connection: Any) -> None:
+        read_request(connection)
+        connection.sendall(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+        for data in sent:
+            connection.sendall(b"%x\r\n%s\r\n" % (len(data), data))
+            sink.wait_for(CallChunk)
+        connection.sendall(b"0\r\n\r\n")
+
+    paced = call(raw_server(serve), stream=True, read_interval_seconds=0.3, timeout_seconds=0.2)
+    client.start(paced)
+    sink.wait_for(CallEnded)
+    chunks = [event.data for event in sink.events if isinstance(event, CallChunk)]
+    assert chunks[0] == b"first"
+    assert b"".join(chunks) == b"".join(sent)
+    assert len(chunks) < len(sent)
+
+
+def test_server_that_sends_fast_takes_turns_with_others(
+    sink: EventSink, client: Any, raw_server: Any
+) -> None:
+    """Whoever passes a stream's bytes on must get to do so between two reads."""
+
+    def serve(connection: Any) -> None:
+        read_request(connection)
+        connection.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 20000000\r\n\r\n")
+        while True:
+            connection.sendall(b"x" * 1_000_000)
+
+    seen: list[int] = []
+
+    def watch() -> None:
+        while not any(isinstance(event, CallEnded) for event in sink.events):
+            seen.append(sum(isinstance(event, CallChunk) for event in sink.events))
+            gevent.sleep(0)
+
+    client.start(call(raw_server(serve), stream=True))
+    sink.wait_for(CallChunk)
+    watcher = gevent.spawn(watch)
+    sink.wait_for(CallEnded)
+    watcher.get()
+    chunks = sum(isinstance(event, CallChunk) for event in sink.events)
+    steps = [later - earlier for earlier, later in zip([1, *seen], [*seen, chunks], strict=True)]
+    assert max(steps) <= MOST_READS_A_TURN
--- a/tests/runtime/test_http_door.py
+++ b/tests/runtime/test_http_door.py
@@ -9,6 +9,7 @@
 from hypothesis import example, given
 from hypothesis import strategies as st
 
+from merlinstand.common.ids import RequestId
 from merlinstand.kernel.effects import (
     CountMetric,
     Effect,
@@ -16,9 +17,11 @@
     RespondChunk,
     RespondEnd,
     RespondStart,
+    SetTimer,
 )
-from merlinstand.kernel.events import Event, RequestAborted, RequestReceived
+from merlinstand.kernel.events import Event, RequestAborted, RequestReceived, TimerFired
 from merlinstand.runtime.host_settings import HttpLimits
+from merlinstand.runtime.http_input import MAXIMUM_CHUNK_READS
 from tests.runtime.conftest import connect, read_to_end
 
 LIMITS = HttpLimits(maximum_body_bytes=1000, request_read_timeout_seconds=0.2)
@@ -180,6 +183,22 @@
         (b"GET x HTTP/1.1\r\n\r\n", 400, "malformed_request"),
         (b"GET /\xff\xfe HTTP/1.1\r\n\r\n", 400, "malformed_request"),
         (b"GET / HTTP/1.1\r\nno colon\r\n\r\n", 400, "malformed_request"),
+        (b"GET / HTTP/1.1\nX-A: b\n\n", 400, "malformed_request"),
+        (b"GET / HTTP/1.1\r\nX-A: b\nX-B: c\r\n\r\n", 400, "malformed_request"),
+        (b"GET / HTTP/1.1\r\nX-A: b\rX-B: c\r\n\r\n", 400, "malformed_request"),
+        (b"GET / HTTP/1.1\r\r\n\r\n", 400, "malformed_request"),
+        (b"\r\n\r\nGET / HTTP/1.1\r\n\r\n", 400, "malformed_request"),
+        (b"GET / HTTP/1.1\r\n: empty\r\n\r\n", 400, "malformed_request"),
+        (b"GET / HTTP/1.1\r\n" + b"X" * 70 + b" : b\r\n\r\n", 400, "malformed_request"),
+        (b"POST / HTTP/1.1\r\nContent-Length: 1, 1\r\n\r\nx", 400, "malformed_request"),
+        (b"POST / HTTP/1.1\r\nContent-Length: +1\r\n\r\nx", 400, "malformed_request"),
+        (b"POST / HTTP/1.1\r\nContent-Length:\r\n\r\nx", 400, "malformed_request"),
+        (
+            b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: x\r\n\r\n",
+            400,
+            "malformed_request",
+        ),
+        (b"POST / HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n", 400, "malformed_request"),
         (b"GET / HTTP/1.1\r\nX-A : b\r\n\r\n", 400, "malformed_request"),
         (b"GET / HTTP/1.1\r\nX-A: b\x00c\r\n\r\n", 400, "malformed_request"),
         (b"GET / HTTP/1.1\r\nX-A: b\r\n folded\r\n\r\n", 400, "malformed_request"),
@@ -217,11 +236,19 @@
         ),
     ],
 )
+@pytest.mark.parametrize("in_pieces", [False, True])
 def test_bad_requests_get_typed_errors(
-    run_reducer: Any, data: bytes, status: int, code: str
+    run_reducer: Any, data: bytes, status: int, code: str, in_pieces: bool
 ) -> None:
     host, reducer = run_reducer(echo, http_limits=PATIENT)
-    assert error_of(exchange(host, data)) == (status, code)
+    connection = connect(host.http_address)
+    if in_pieces:
+        connection.sendall(data[:5])
+        gevent.sleep(0.002)
+        data = data[5:]
+    connection.sendall(data)
+    assert error_of(read_to_end(connection)) == (status, code)
+    connection.close()
     assert not [one for one in reducer.sink.events if isinstance(one, RequestReceived)]
 
 
@@ -244,6 +271,88 @@
     assert len([one for one in reducer.sink.events if isinstance(one, RequestReceived)]) == 1
 
 
+SMALL_CHUNKS = b"POST /many HTTP/1.1\r\nTransfer-Encoding: chunked\r\nConnection: close\r\n\r\n"
+
+
+@pytest.mark.parametrize(
+    "flood",
+    [
+        b"GET /many HTTP/1.1\r\n\r\n" * 500 + request("/many", b"", "Connection: close"),
+        b"GET /livez HTTP/1.1\r\n\r\n" * 500 + request("/many", b"", "Connection: close"),
+        SMALL_CHUNKS + b"1\r\nx\r\n" * 20_000 + b"0\r\n\r\n",
+    ],
+)
+def test_client_that_sends_much_ahead_takes_turns_with_others(
+    run_reducer: Any, flood: bytes
+) -> None:
+    host, reducer = run_reducer(echo)
+    quick = connect(host.http_address)
+    many = connect(host.http_address)
+    gevent.sleep(0)
+    many.sendall(flood)
+    quick.sendall(request("/quick", b"", "Connection: close"))
+    read_to_end(many)
+    read_to_end(quick)
+    paths = [one.path for one in reducer.sink.events if isinstance(one, RequestReceived)]
+    assert paths[-1] == "/many"
+    many.close()
+    quick.close()
+
+
+def test_body_in_too_many_chunks_is_refused(run_reducer: Any) -> None:
+    host, reducer = run_reducer(echo)
+    flood = SMALL_CHUNKS + b"1\r\nx\r\n" * (MAXIMUM_CHUNK_READS // 5)
+    connection = connect(host.http_address)
+    sender = gevent.spawn(connection.sendall, flood)
+    assert error_of(read_to_end(connection)) == (400, "truncated_body")
+    sender.kill()
+    connection.close()
+    assert not [one for one in reducer.sink.events if isinstance(one, RequestReceived)]
+
+
+def test_time_to_send_a_request_does_not_bound_its_answer(run_reducer: Any) -> None:
+    def decide(event: Event) -> Sequence[Effect]:
+        if isinstance(event, RequestReceived):
+            asked.append(event.request_id)
+            return (SetTimer("answer", 3 * LIMITS.request_read_timeout_seconds),)
+        return (Respond(asked[0], 200, {}, b"late"),) if isinstance(event, TimerFired) else ()
+
+    asked: list[RequestId] = []
+    host, _reducer = run_reducer(decide, http_limits=LIMITS)
+    answer = exchange(host, request("/", b"x", "Connection: close"))
+    assert answer.startswith(b"HTTP/1.1 200") and answer.endswith(b"late")
+
+
+@pytest.mark.parametrize("streamed", [False, True])
+def test_client_that_stops_reading_is_let_go(run_reducer: Any, streamed: bool) -> None:
+    body = b"x" * 30_000_000
+
+    def decide(event: Event) -> Sequence[Effect]:
+        if not isinstance(event, RequestReceived):
+            return ()
+        one = event.request_id
+        if streamed:
+            return (RespondStart(one, 200, {}), RespondChunk(one, body), RespondEnd(one))
+        return (Respond(one, 200, {}, body),)
+
+    limits = HttpLimits(
+        response_write_timeout_seconds=0.2, maximum_unsent_response_bytes=2 * len(body)
+    )
+    host, _reducer = run_reducer(decide, http_limits=limits)
+    connection = connect(host.http_address)
+    connection.sendall(request())
+    assert connection.recv(15).startswith(b"HTTP/1.1 200")
+    with gevent.Timeout(30):
+        while host._server.pool.free_count() < limits.maximum_connections:
+            gevent.sleep(0.01)
+    try:
+        received = len(read_to_end(connection))
+    except ConnectionResetError:
+        received = 0
+    assert received < len(body)
+    connection.close()
+
+
 def test_truncated_body_does_not_reach_the_reducer(run_reducer: Any) -> None:
     host, reducer = run_reducer(echo)
     connection = connect(host.http_address)
