A planned stop sends large answers to their end

Cause: the host counted a response as sent when its bytes were handed to the connection. An answer larger than the socket's buffer was cut off at the process's end: 8 of 30 MB arrived. Change: the host also waits, within the same 5 s, for connections whose client has not yet taken what is being sent. Tests: an answer of 30 MB and a stop in one step, whole and streamed; the whole one fails without the change.

--- a/src/merlinstand/runtime/host.py
+++ b/src/merlinstand/runtime/host.py
@@ -42,6 +42,7 @@
 EXIT_FORCED = 130
 FLUSH_SECONDS = 5.0
 """Longest time at the end for responses and messages to leave."""
+FLUSH_POLL_SECONDS = 0.005
 CONNECTION_SWEEP_SECONDS = 10.0
 _SEED_BITS = 63
 _FAULTS = frozenset((EXIT_REDUCER_FAILED, EXIT_DISK_FAILED))
@@ -172,8 +173,8 @@
             self._server.closing = True
             self._server.close()
         with gevent.Timeout(FLUSH_SECONDS, False):
-            while self._door.open_count:
-                gevent.sleep(0.005)
+            while self._door.open_count or (self._server is not None and self._server.sending):
+                gevent.sleep(FLUSH_POLL_SECONDS)
         self.transport.flush(FLUSH_SECONDS)
         self._disk.flush(FLUSH_SECONDS)
         self._close()
--- a/src/merlinstand/runtime/http_server.py
+++ b/src/merlinstand/runtime/http_server.py
@@ -65,6 +65,8 @@
         self.limits = limits
         self.closing = False
         """Set during a planned stop: every response then ends its connection."""
+        self.sending = 0
+        """Number of connections whose client has not yet taken what is being sent."""
 
 
 class SlowSenderError(OSError):
@@ -240,7 +242,11 @@
         # Mostly one call takes it all; `sendall` asks for the buffer's size each time.
         sent = self.socket.send(data)
         if sent < len(data):
-            self.socket.sendall(memoryview(data)[sent:])
+            self.server.sending += 1
+            try:
+                self.socket.sendall(memoryview(data)[sent:])
+            finally:
+                self.server.sending -= 1
         self._watchdog.lift()
 
     def log_request(self) -> None:
--- a/tests/runtime/test_http_door.py
+++ b/tests/runtime/test_http_door.py
@@ -18,6 +18,7 @@
     RespondEnd,
     RespondStart,
     SetTimer,
+    StopProcess,
 )
 from merlinstand.kernel.events import Event, RequestAborted, RequestReceived, TimerFired
 from merlinstand.runtime.host_settings import HttpLimits
@@ -386,6 +387,34 @@
     connection.close()
 
 
+@pytest.mark.parametrize("streamed", [False, True])
+def test_planned_stop_sends_large_answers_to_their_end(run_reducer: Any, streamed: bool) -> None:
+    """A client that takes its answer slowly is no reason to cut it off."""
+    body = b"x" * 30_000_000
+
+    def decide(event: Event) -> Sequence[Effect]:
+        if not isinstance(event, RequestReceived):
+            return ()
+        one = event.request_id
+        if streamed:
+            parts = (RespondStart(one, 200, {}), RespondChunk(one, body), RespondEnd(one))
+            return (*parts, StopProcess(0))
+        return (Respond(one, 200, {}, body), StopProcess(0))
+
+    limits = HttpLimits(maximum_unsent_response_bytes=2 * len(body))
+    host, _reducer = run_reducer(decide, http_limits=limits)
+    connection = connect(host.http_address)
+    connection.sendall(request())
+    host.wait()
+    stopping = gevent.spawn(host.stop)
+    while host._server.sending == 0:
+        gevent.sleep(0)
+    answer = read_to_end(connection)
+    assert answer.count(b"x") >= len(body)
+    stopping.get()
+    connection.close()
+
+
 FRAGMENTS = st.sampled_from(
     [
         b"GET /x HTTP/1.1\r\n",
