Tests: planned stops of real daemons, and the TLS door under bad bytes

A gateway with 20 requests in flight gets SIGTERM: all are answered whole, a late one is refused, exit code 0. A second SIGTERM ends it at once with 130. A SIGTERM at the first line of the log, before the reducer starts, ends control, gateway and coordinator cleanly. The TLS door: any bytes, unfinished handshakes and bad requests cost nobody else anything.

--- /dev/null
+++ b/tests/runtime/test_real_stop.py
@@ -0,0 +1,91 @@
+"""Planned stops of real daemons: nothing in flight is lost, and nothing hangs."""
+
+import signal
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+import gevent
+import pytest
+
+from tests.runtime.real_processes import (
+    GIVE_UP_SECONDS,
+    HeldBackend,
+    RealProcesses,
+    get,
+    wait_until,
+)
+
+IN_FLIGHT = 20
+
+
+@pytest.fixture
+def processes(tmp_path: Path) -> Iterator[RealProcesses]:
+    made = RealProcesses(tmp_path)
+    yield made
+    made.close()
+
+
+@pytest.fixture
+def backend() -> Iterator[HeldBackend]:
+    made = HeldBackend()
+    yield made
+    made.close()
+
+
+def start_gateway(processes: RealProcesses, backend: HeldBackend) -> Any:
+    """Start control and a gateway that serves one pool."""
+    processes.start("control")
+    gateway = processes.start("gateway")
+    processes.configure(backend)
+    address = processes.gateway_address
+    wait_until(lambda: get(address, "/readyz")[0] == 200)
+    wait_until(lambda: get(address, "/shop-api/v1/status")[0] == 200)
+    return gateway
+
+
+def test_a_stop_under_load_loses_nothing_in_flight(
+    processes: RealProcesses, backend: HeldBackend
+) -> None:
+    gateway = start_gateway(processes, backend)
+    address = processes.gateway_address
+    calls = [gevent.spawn(get, address, f"/shop-api/item-{n}") for n in range(IN_FLIGHT)]
+    wait_until(lambda: backend.held == IN_FLIGHT)
+    gateway.send_signal(signal.SIGTERM)
+    wait_until(lambda: get(address, "/readyz")[0] != 200)
+    status, _body = get(address, "/shop-api/late")
+    assert status in (0, 503)
+    assert backend.held == IN_FLIGHT
+    backend.release.set()
+    gevent.joinall(calls, timeout=GIVE_UP_SECONDS)
+    assert [call.value for call in calls] == [(200, b"/item-%d" % n) for n in range(IN_FLIGHT)]
+    assert gateway.wait(GIVE_UP_SECONDS) == 0
+
+
+def test_a_second_signal_ends_at_once(processes: RealProcesses, backend: HeldBackend) -> None:
+    gateway = start_gateway(processes, backend)
+    address = processes.gateway_address
+    call = gevent.spawn(get, address, "/shop-api/item")
+    wait_until(lambda: backend.held == 1)
+    gateway.send_signal(signal.SIGTERM)
+    wait_until(lambda: get(address, "/readyz")[0] != 200)
+    assert gateway.poll() is None
+    gateway.send_signal(signal.SIGTERM)
+    assert gateway.wait(GIVE_UP_SECONDS) == 130
+    assert call.get(timeout=GIVE_UP_SECONDS) == (0, b"")
+
+
+@pytest.mark.parametrize("role", ["control", "gateway", "coordinator"])
+def test_a_signal_during_the_start_ends_the_process_cleanly(
+    processes: RealProcesses, role: str
+) -> None:
+    process = processes.start(role)
+    with gevent.Timeout(GIVE_UP_SECONDS):
+        # The first line is written before the reducer starts.
+        lines = [process.stderr.readline()]
+        process.send_signal(signal.SIGTERM)
+        lines += process.stderr.readlines()
+    assert process.wait(GIVE_UP_SECONDS) == 0
+    assert b"event=host." in lines[0]
+    assert b"event=host.stopped exit_code=0" in lines[-1]
+    assert not [line for line in lines if b"_failed" in line]
--- a/tests/runtime/test_tls.py
+++ b/tests/runtime/test_tls.py
@@ -1,5 +1,7 @@
 """TLS on the HTTP door, on calls and between peers, with certificates made for the tests."""
 
+import contextlib
+import socket
 import ssl
 from collections.abc import Sequence
 from pathlib import Path
@@ -8,6 +10,8 @@
 import pytest
 from gevent.ssl import SSLContext
 from gevent.ssl import SSLError as GeventSSLError
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from merlinstand.common.ids import CallId, NodeId
 from merlinstand.kernel.effects import Effect, Respond, StartCall
@@ -20,7 +24,7 @@
     RequestReceived,
 )
 from merlinstand.protocol.generated.consensus.ttypes import ElectNow, ReplicaIdentity
-from merlinstand.runtime.host_settings import TlsFiles
+from merlinstand.runtime.host_settings import HttpLimits, TlsFiles
 from tests.runtime.conftest import connect, read_request, read_to_end
 
 FOLDER = Path(__file__).parent / "tls"
@@ -73,6 +77,74 @@
     assert not [one for one in served.sink.events if isinstance(one, RequestReceived)]
 
 
+def secured(address: str) -> Any:
+    """Connect as a client that trusts the tests' authority."""
+    context = SSLContext(ssl.PROTOCOL_TLS_CLIENT)
+    context.check_hostname = False
+    context.load_verify_locations(FOLDER / "authority.pem")
+    return context.wrap_socket(connect(address))
+
+
+def secured_exchange(address: str, data: bytes) -> bytes:
+    """Send bytes over TLS, then read what comes until the server closes."""
+    connection = secured(address)
+    connection.sendall(data)
+    answer = read_to_end(connection)
+    connection.close()
+    return answer
+
+
+GOOD = b"GET / HTTP/1.1\r\nConnection: close\r\n\r\n"
+RECORDS = st.sampled_from([b"", b"\x16\x03\x01", b"\x16\x03\x01\x00\x10", b"\x15\x03\x03\x00\x02"])
+
+
+@settings(max_examples=30)
+@given(first=RECORDS, rest=st.binary(max_size=40))
+def test_any_bytes_leave_the_tls_door_open(run_reducer: Any, first: bytes, rest: bytes) -> None:
+    server, served = run_reducer(answer_ok, tls=files())
+    connection = connect(server.http_address)
+    connection.sendall(first + rest)
+    connection.shutdown(socket.SHUT_WR)
+    with contextlib.suppress(ConnectionResetError):
+        assert not read_to_end(connection).startswith(b"HTTP")
+    connection.close()
+    assert secured_exchange(server.http_address, GOOD).endswith(b"ok")
+    assert len([one for one in served.sink.events if isinstance(one, RequestReceived)]) == 1
+    server.abort()
+
+
+def test_unfinished_handshakes_delay_nobody(run_reducer: Any) -> None:
+    server, served = run_reducer(answer_ok, tls=files())
+    stalled = [connect(server.http_address) for _ in range(20)]
+    for connection in stalled:
+        connection.sendall(b"\x16\x03\x01\x02\x00")
+    assert secured_exchange(server.http_address, GOOD).endswith(b"ok")
+    for connection in stalled:
+        connection.close()
+    assert len([one for one in served.sink.events if isinstance(one, RequestReceived)]) == 1
+
+
+@pytest.mark.parametrize(
+    ("data", "status"),
+    [
+        (b"nonsense\r\n\r\n", b"400"),
+        (b"GET / HTTP/1.1\r\nX-A: " + b"x" * 70_000 + b"\r\n\r\n", b"431"),
+        (b"POST / HTTP/1.1\r\nContent-Length: 99999999999\r\n\r\n", b"413"),
+        (b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", b"400"),
+        (b"POST / HTTP/1.1\r\nContent-Length: 9\r\n\r\nhalf", b"408"),
+    ],
+)
+def test_bad_requests_over_tls_get_typed_errors(
+    run_reducer: Any, data: bytes, status: bytes
+) -> None:
+    limits = HttpLimits(request_read_timeout_seconds=0.5)
+    server, served = run_reducer(answer_ok, tls=files(), http_limits=limits)
+    answer = secured_exchange(server.http_address, data)
+    assert answer.split(b" ")[1] == status
+    assert b"x-outcome: not_run" in answer.lower()
+    assert not [one for one in served.sink.events if isinstance(one, RequestReceived)]
+
+
 def test_broken_tls_call_may_have_run(run_reducer: Any, raw_server: Any) -> None:
     context = SSLContext(ssl.PROTOCOL_TLS_SERVER)
     context.load_cert_chain(FOLDER / "node.pem", FOLDER / "node.key")
