--- a/src/merlinstand/cli/job_commands.py
+++ b/src/merlinstand/cli/job_commands.py
@@ -115,7 +115,7 @@
 @click.argument("name")
 @operator_options
 def pause(client: OperatorClient, output: str, name: str) -> None:
-    """Pause the job NAME; what is committed stays deliverable.
+    """Pause the job NAME: it generates and delivers nothing until it is resumed.
 
     \b
     Example:
--- a/src/merlinstand/cli/status_commands.py
+++ b/src/merlinstand/cli/status_commands.py
@@ -17,6 +17,7 @@
     Column("ADDRESS", "address"),
     Column("HTTP", "http_address"),
 )
+_WEIGHTS_COLUMNS = (Column("MODEL", "model"), Column("NEWEST", "version"))
 _JOB_COLUMNS = (
     Column("JOB", "name"),
     Column("PHASE", "phase"),
@@ -28,7 +29,7 @@
 @click.command()
 @operator_options
 def status(client: OperatorClient, output: str) -> None:
-    """Show the control group, the registered daemons, the jobs and their owners.
+    """Show the control group, the daemons, the jobs and their owners, the newest weights.
 
     \b
     Example:
@@ -46,8 +47,14 @@
     for seen in unwrap(read_objects(client, "job/"), output):
         row = msgspec.to_builtins(seen.value)
         jobs.append({**row, "owner": owners.get(f"job/{seen.value.name}")})
+    newest = [
+        {"model": seen.value.model, "version": seen.value.versions[-1].version}
+        for seen in unwrap(read_objects(client, "weights/"), output)
+        if seen.value.versions
+    ]
     if output == JSON:
-        body = {"control": members, "daemons": daemons, "jobs": jobs, "leases": leases}
+        body = {"control": members, "daemons": daemons, "jobs": jobs, "weights": newest}
+        body["leases"] = leases
         print_object(body, output)
         return
     print_rows(members.get("members", []), COLUMNS, output)
@@ -55,3 +62,5 @@
     print_rows(daemons, _DAEMON_COLUMNS, output)
     click.echo()
     print_rows(jobs, _JOB_COLUMNS, output)
+    click.echo()
+    print_rows(newest, _WEIGHTS_COLUMNS, output)
