Shared errors and daemon settings stand once

Change: the shared errors are in common/errors.py with the same codes and statuses; DaemonSettings and session_settings in session/settings.py; a role's options are handed over as they are.

--- a/src/merlinstand/common/errors.py
+++ b/src/merlinstand/common/errors.py
@@ -77,6 +77,40 @@
     exit_code: ClassVar[ExitCode] = ExitCode.UNAUTHORIZED
 
 
+class BodyTooLargeError(InvalidInputError, frozen=True, kw_only=True):
+    """The request's body is larger than allowed."""
+
+    code: ClassVar[str] = "body_too_large"
+    http_status: ClassVar[int] = 413
+
+
+class HeadTooLargeError(InvalidInputError, frozen=True, kw_only=True):
+    """The request's path or headers are larger than allowed."""
+
+    code: ClassVar[str] = "head_too_large"
+    http_status: ClassVar[int] = 431
+
+
+class MethodNotAllowedError(InvalidInputError, frozen=True, kw_only=True):
+    """The path exists, but not with this method."""
+
+    code: ClassVar[str] = "method_not_allowed"
+    http_status: ClassVar[int] = 405
+
+
+class StoppingError(UnavailableError, frozen=True, kw_only=True):
+    """The process is stopping; the request was not run."""
+
+    code: ClassVar[str] = "stopping"
+
+
+class OutcomeUnknownError(MerlinstandError, frozen=True, kw_only=True):
+    """The request may have been done, or may still be; no whole answer came."""
+
+    code: ClassVar[str] = "outcome_unknown"
+    http_status: ClassVar[int] = 504
+
+
 class ErrorBody(msgspec.Struct, frozen=True):
     """JSON form of an error on every HTTP interface."""
 
--- a/src/merlinstand/control/command_intake.py
+++ b/src/merlinstand/control/command_intake.py
@@ -5,7 +5,7 @@
 import msgspec
 from result import Err, Result
 
-from merlinstand.common.errors import UnavailableError
+from merlinstand.common.errors import OutcomeUnknownError, UnavailableError
 from merlinstand.common.ids import NodeId
 from merlinstand.consensus.replica import Replica
 from merlinstand.consensus.step import CommittedEntry, EntryKind, Proposal
@@ -20,12 +20,7 @@
     LeaseHeld,
     Refused,
 )
-from merlinstand.control.operator_requests import (
-    OutcomeUnknownError,
-    respond_error,
-    respond_not_leader,
-    respond_outcome,
-)
+from merlinstand.control.operator_requests import respond_error, respond_not_leader, respond_outcome
 from merlinstand.control.replies import (
     BUSY_RETRY_SECONDS,
     not_proposed_reply,
--- a/src/merlinstand/control/operator_requests.py
+++ b/src/merlinstand/control/operator_requests.py
@@ -61,13 +61,6 @@
     http_status = 421
 
 
-class OutcomeUnknownError(MerlinstandError, frozen=True, kw_only=True):
-    """The command may or may not be applied later: send it again under the same id."""
-
-    code = "outcome_unknown"
-    http_status = 504
-
-
 class CommandBody(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Body of `POST /v1/commands`."""
 
--- a/src/merlinstand/coordinator/daemon.py
+++ b/src/merlinstand/coordinator/daemon.py
@@ -45,7 +45,7 @@
     Notice,
     QueryFinished,
 )
-from merlinstand.session.settings import SessionSettings
+from merlinstand.session.settings import session_settings
 
 TICK_TIMER = "coordinator.tick"
 RELEASE_SECONDS = 2.0
@@ -79,7 +79,9 @@
             session: Its session with control; made from the settings if None.
         """
         self._settings = settings
-        self._session = session or ControlSession(_session_settings(settings))
+        self._session = session or ControlSession(
+            session_settings(settings, "coordinator", owns_journal=False)
+        )
         self._context = Context(settings, self._session)
         self._work = Workplace(self._context, Random(0))
         self._calls = CallRouter(self._context, self._work)
@@ -229,17 +231,3 @@
         elif self._session.is_idle or now - self._released_at >= RELEASE_SECONDS:
             self._context.log("coordinator.stopped")
             self._context.add(StopProcess())
-
-
-def _session_settings(settings: CoordinatorSettings) -> SessionSettings:
-    return SessionSettings(
-        node_id=settings.node_id,
-        role="coordinator",
-        zone=settings.zone,
-        address=settings.address,
-        http_address=settings.http_address,
-        members=settings.control_members,
-        peers=settings.peers,
-        owns_journal=False,
-        timings=settings.session,
-    )
--- a/src/merlinstand/coordinator/settings.py
+++ b/src/merlinstand/coordinator/settings.py
@@ -2,8 +2,7 @@
 
 import msgspec
 
-from merlinstand.control.settings import ControlMember
-from merlinstand.session.settings import CoordinatorSessionTimings, SessionTimings
+from merlinstand.session.settings import CoordinatorSessionTimings, DaemonSettings, SessionTimings
 
 TICK_SECONDS = 0.05
 MAXIMUM_JOURNAL_RECORDS = 2_000
@@ -64,19 +63,9 @@
     """Longest of these waits."""
 
 
-class CoordinatorSettings(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+class CoordinatorSettings(DaemonSettings, frozen=True, kw_only=True, forbid_unknown_fields=True):
     """Identity, peers and tunables of one coordinator."""
 
-    node_id: str
-    zone: str
-    address: str
-    """Where the internal protocol listens, `ip:port`."""
-    http_address: str
-    """Where trainers, health checks and metrics are served, `ip:port`."""
-    control_members: tuple[ControlMember, ...]
-    """Control replicas, standbys included."""
-    peers: tuple[ControlMember, ...] = ()
-    """Daemons that may relay the configuration."""
     session: SessionTimings = CoordinatorSessionTimings()
     tick_seconds: float = TICK_SECONDS
     """Interval of the scheduler."""
@@ -84,7 +73,5 @@
     """Journal records after which a snapshot replaces them."""
     drain_seconds: float = DRAIN_SECONDS
     """Longest a planned stop waits for generations in flight before it hands over."""
-    machine_list_address: str = ""
-    """Optional `ip:port` of the platform's list of live and leaving machines."""
     generation: GenerationSettings = GenerationSettings()
     rollout: RolloutSettings = RolloutSettings()
--- a/src/merlinstand/coordinator/trainer_door.py
+++ b/src/merlinstand/coordinator/trainer_door.py
@@ -7,7 +7,12 @@
 from result import Err, Ok, Result
 
 from merlinstand.common.decoding import MALFORMED_INPUT
-from merlinstand.common.errors import InvalidInputError, MerlinstandError, NotFoundError
+from merlinstand.common.errors import (
+    InvalidInputError,
+    MerlinstandError,
+    MethodNotAllowedError,
+    NotFoundError,
+)
 from merlinstand.coordinator.samples import BatchRequest
 from merlinstand.kernel.events import RequestReceived
 
@@ -49,13 +54,6 @@
 Asked = BatchAsked | JobsAsked | ReadinessAsked | LivenessAsked
 
 
-class MethodError(InvalidInputError, frozen=True, kw_only=True):
-    """The path exists, but not for this method."""
-
-    code = "method_not_allowed"
-    http_status = 405
-
-
 _DECODER = msgspec.json.Decoder(BatchRequestBody)
 
 
@@ -68,12 +66,16 @@
     if path == "/livez":
         return Ok(LivenessAsked())
     if path == "/v1/jobs":
-        return Ok(JobsAsked()) if event.method == "GET" else Err(MethodError(detail="use GET"))
+        return (
+            Ok(JobsAsked())
+            if event.method == "GET"
+            else Err(MethodNotAllowedError(detail="use GET"))
+        )
     parts = path.split("/")
     if len(parts) != 5 or parts[1:3] != ["v1", "jobs"] or parts[4] != "batches":
         return Err(NotFoundError(detail="no such path"))
     if event.method != "POST":
-        return Err(MethodError(detail="use POST"))
+        return Err(MethodNotAllowedError(detail="use POST"))
     return _parse_batch_request(unquote(parts[3]), event.body)
 
 
--- a/src/merlinstand/gateway/claim_flow.py
+++ b/src/merlinstand/gateway/claim_flow.py
@@ -1,16 +1,11 @@
 """What follows once control has judged a claim: dispatch, the recorded answer, or a refusal."""
 
-from merlinstand.common.errors import MerlinstandError
+from merlinstand.common.errors import MerlinstandError, OutcomeUnknownError
 from merlinstand.control.commands import ClaimTaken
 from merlinstand.gateway.claims import ClaimResult, Claims, ClaimVerdict
 from merlinstand.gateway.concluder import Concluder
 from merlinstand.gateway.dispatcher import DEADLINE_RETRY_SECONDS, Dispatcher, too_late
-from merlinstand.gateway.errors import (
-    ClaimPendingError,
-    ClaimUnavailableError,
-    KeyReusedError,
-    OutcomeUnknownError,
-)
+from merlinstand.gateway.errors import ClaimPendingError, ClaimUnavailableError, KeyReusedError
 from merlinstand.gateway.exchange import Exchange, ExchangePhase, ExchangeTable
 from merlinstand.gateway.outcome import Outcome
 from merlinstand.gateway.responses import replayed_answer
--- a/src/merlinstand/gateway/daemon.py
+++ b/src/merlinstand/gateway/daemon.py
@@ -36,7 +36,7 @@
 )
 from merlinstand.session.control_session import ControlSession, SessionStep
 from merlinstand.session.notices import CommandFinished, ConfigurationChanged, Notice
-from merlinstand.session.settings import SessionSettings
+from merlinstand.session.settings import session_settings
 
 STOP_TIMER = "gateway.stop"
 FOLLOWED_KINDS = ("pool/", "drain/", "limits/", "daemon/")
@@ -54,7 +54,7 @@
             session: Its session with control; made from the settings if None.
         """
         self._settings = settings
-        self._session = session or ControlSession(session_settings(settings))
+        self._session = session or ControlSession(session_settings(settings, "gateway"))
         self._agenda = Agenda()
         self._table = ExchangeTable()
         self._loop_delay = LoopDelay()
@@ -272,17 +272,3 @@
 
 def _concerns_gateways(notice: ConfigurationChanged) -> bool:
     return any(key.startswith(FOLLOWED_KINDS) for key in notice.changed_keys)
-
-
-def session_settings(settings: GatewaySettings) -> SessionSettings:
-    """Return the settings of the gateway's session with control."""
-    return SessionSettings(
-        node_id=settings.node_id,
-        role="gateway",
-        zone=settings.zone,
-        address=settings.address,
-        http_address=settings.http_address,
-        members=settings.control_members,
-        peers=settings.peers,
-        timings=settings.session,
-    )
--- a/src/merlinstand/gateway/door.py
+++ b/src/merlinstand/gateway/door.py
@@ -2,18 +2,13 @@
 
 from result import Err
 
-from merlinstand.common.errors import MerlinstandError
+from merlinstand.common.errors import MerlinstandError, StoppingError
 from merlinstand.gateway.admission import Admission
 from merlinstand.gateway.caller_request import CallerRequest
 from merlinstand.gateway.claim_flow import claim_pending
 from merlinstand.gateway.claims import Claims
 from merlinstand.gateway.dispatcher import Dispatcher
-from merlinstand.gateway.errors import (
-    ClaimUnavailableError,
-    KeyReusedError,
-    StoppingError,
-    UnknownPoolError,
-)
+from merlinstand.gateway.errors import ClaimUnavailableError, KeyReusedError, UnknownPoolError
 from merlinstand.gateway.exchange import Exchange
 from merlinstand.gateway.lanes import Lanes
 from merlinstand.gateway.outcome import Outcome
--- a/src/merlinstand/gateway/errors.py
+++ b/src/merlinstand/gateway/errors.py
@@ -5,26 +5,11 @@
 from merlinstand.common.errors import (
     ConflictError,
     InvalidInputError,
-    MerlinstandError,
     NotFoundError,
     UnavailableError,
 )
 
 
-class BodyTooLargeError(InvalidInputError, frozen=True, kw_only=True):
-    """The request's body is larger than allowed."""
-
-    code: ClassVar[str] = "body_too_large"
-    http_status: ClassVar[int] = 413
-
-
-class HeadTooLargeError(InvalidInputError, frozen=True, kw_only=True):
-    """The request's path or headers are larger than allowed."""
-
-    code: ClassVar[str] = "head_too_large"
-    http_status: ClassVar[int] = 431
-
-
 class MissingKeyError(InvalidInputError, frozen=True, kw_only=True):
     """A request that is not repeatable came without `Idempotency-Key`."""
 
@@ -37,13 +22,6 @@
     code: ClassVar[str] = "unknown_pool"
 
 
-class MethodNotAllowedError(InvalidInputError, frozen=True, kw_only=True):
-    """The path exists, but not with this method."""
-
-    code: ClassVar[str] = "method_not_allowed"
-    http_status: ClassVar[int] = 405
-
-
 class KeyReusedError(InvalidInputError, frozen=True, kw_only=True):
     """Another request already used this idempotency key; this one was not run."""
 
@@ -70,12 +48,6 @@
     code: ClassVar[str] = "configuration_stale"
 
 
-class StoppingError(UnavailableError, frozen=True, kw_only=True):
-    """The gateway is stopping; another one will answer."""
-
-    code: ClassVar[str] = "stopping"
-
-
 class ClaimUnavailableError(UnavailableError, frozen=True, kw_only=True):
     """The control group did not grant the idempotency key in time; nothing was sent."""
 
@@ -98,10 +70,3 @@
     """A request under this key is under way; whether it runs is not known yet."""
 
     code: ClassVar[str] = "claim_pending"
-
-
-class OutcomeUnknownError(MerlinstandError, frozen=True, kw_only=True):
-    """The request may have run; no whole answer came."""
-
-    code: ClassVar[str] = "outcome_unknown"
-    http_status: ClassVar[int] = 504
--- a/src/merlinstand/gateway/interruptions.py
+++ b/src/merlinstand/gateway/interruptions.py
@@ -1,12 +1,11 @@
 """Ends that come from outside: deadlines, waits that grew too long, callers that left."""
 
-from merlinstand.common.errors import MerlinstandError
+from merlinstand.common.errors import MerlinstandError, OutcomeUnknownError
 from merlinstand.gateway.agenda import Agenda, Due
 from merlinstand.gateway.caller_request import RequestKind
 from merlinstand.gateway.calls import cancel_call
 from merlinstand.gateway.concluder import Concluder
 from merlinstand.gateway.dispatcher import Dispatcher, overloaded, too_late
-from merlinstand.gateway.errors import OutcomeUnknownError
 from merlinstand.gateway.exchange import Exchange, ExchangePhase
 from merlinstand.gateway.outcome import Outcome
 from merlinstand.gateway.retries import Retries
--- a/src/merlinstand/gateway/request_parser.py
+++ b/src/merlinstand/gateway/request_parser.py
@@ -8,16 +8,16 @@
 from result import Err, Ok, Result
 
 from merlinstand.common.decoding import MALFORMED_INPUT
-from merlinstand.common.errors import InvalidInputError, MerlinstandError
-from merlinstand.configuration.objects import Pool, PoolKind
-from merlinstand.gateway.caller_request import CallerRequest, CompletionBody, RequestKind
-from merlinstand.gateway.errors import (
+from merlinstand.common.errors import (
     BodyTooLargeError,
     HeadTooLargeError,
+    InvalidInputError,
+    MerlinstandError,
     MethodNotAllowedError,
-    MissingKeyError,
-    UnknownPoolError,
 )
+from merlinstand.configuration.objects import Pool, PoolKind
+from merlinstand.gateway.caller_request import CallerRequest, CompletionBody, RequestKind
+from merlinstand.gateway.errors import MissingKeyError, UnknownPoolError
 from merlinstand.gateway.outcome import (
     CALLER_HEADER,
     DEADLINE_HEADER,
--- a/src/merlinstand/gateway/settings.py
+++ b/src/merlinstand/gateway/settings.py
@@ -3,9 +3,8 @@
 import msgspec
 
 from merlinstand.common.constants import MAXIMUM_REQUEST_BODY_BYTES
-from merlinstand.control.settings import ControlMember
 from merlinstand.routing.settings import RouterSettings
-from merlinstand.session.settings import SessionTimings
+from merlinstand.session.settings import DaemonSettings
 
 
 class AdmissionSettings(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
@@ -103,22 +102,9 @@
     """Interval of cache-event requests to one engine; 0 switches them off."""
 
 
-class GatewaySettings(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+class GatewaySettings(DaemonSettings, frozen=True, kw_only=True, forbid_unknown_fields=True):
     """Identity, peers and tunables of one gateway."""
 
-    node_id: str
-    zone: str
-    address: str
-    """Where the internal protocol listens, `ip:port`."""
-    http_address: str
-    """Where callers, health checks and metrics are served, `ip:port`."""
-    control_members: tuple[ControlMember, ...]
-    """Control replicas, standbys included."""
-    peers: tuple[ControlMember, ...] = ()
-    """Daemons known beforehand that may relay the configuration."""
-    machine_list_address: str = ""
-    """`ip:port` of the platform's machine list; empty if there is none."""
-    session: SessionTimings = SessionTimings()
     admission: AdmissionSettings = AdmissionSettings()
     requests: RequestSettings = RequestSettings()
     claims: ClaimSettings = ClaimSettings()
--- a/src/merlinstand/gateway/try_failure.py
+++ b/src/merlinstand/gateway/try_failure.py
@@ -2,7 +2,8 @@
 
 import msgspec
 
-from merlinstand.gateway.errors import BackendRefusedError, OutcomeUnknownError
+from merlinstand.common.errors import OutcomeUnknownError
+from merlinstand.gateway.errors import BackendRefusedError
 from merlinstand.gateway.exchange import Exchange
 from merlinstand.gateway.outcome import NOT_RUN_HEADER, RETRY_AFTER_HEADER, parse_retry_after
 from merlinstand.kernel.events import CallFailed, CallPhase, CallResponded
--- a/src/merlinstand/runtime/errors.py
+++ b/src/merlinstand/runtime/errors.py
@@ -2,7 +2,7 @@
 
 from typing import ClassVar
 
-from merlinstand.common.errors import InvalidInputError, MerlinstandError, UnavailableError
+from merlinstand.common.errors import InvalidInputError, MerlinstandError
 
 
 class HostSetupError(MerlinstandError, frozen=True, kw_only=True):
@@ -11,13 +11,6 @@
     code: ClassVar[str] = "host_setup"
 
 
-class HeadTooLargeError(InvalidInputError, frozen=True, kw_only=True):
-    """Request line or headers exceed the limit."""
-
-    code: ClassVar[str] = "head_too_large"
-    http_status: ClassVar[int] = 431
-
-
 class TargetTooLongError(InvalidInputError, frozen=True, kw_only=True):
     """The request line is longer than the limit."""
 
@@ -31,13 +24,6 @@
     code: ClassVar[str] = "malformed_request"
 
 
-class BodyTooLargeError(InvalidInputError, frozen=True, kw_only=True):
-    """The request's body exceeds the limit."""
-
-    code: ClassVar[str] = "body_too_large"
-    http_status: ClassVar[int] = 413
-
-
 class TruncatedBodyError(InvalidInputError, frozen=True, kw_only=True):
     """The request's body ended before its declared length."""
 
@@ -49,9 +35,3 @@
 
     code: ClassVar[str] = "slow_request"
     http_status: ClassVar[int] = 408
-
-
-class StoppingError(UnavailableError, frozen=True, kw_only=True):
-    """The process is going away; the request was not run."""
-
-    code: ClassVar[str] = "stopping"
--- a/src/merlinstand/runtime/http_door.py
+++ b/src/merlinstand/runtime/http_door.py
@@ -6,17 +6,11 @@
 
 import falcon
 
-from merlinstand.common.errors import MerlinstandError, error_body
+from merlinstand.common.errors import BodyTooLargeError, MerlinstandError, StoppingError, error_body
 from merlinstand.common.ids import RequestId
 from merlinstand.kernel.events import Event, RequestAborted, RequestReceived
 from merlinstand.runtime.end_watcher import EndWatcher
-from merlinstand.runtime.errors import (
-    BodyTooLargeError,
-    MalformedRequestError,
-    SlowRequestError,
-    StoppingError,
-    TruncatedBodyError,
-)
+from merlinstand.runtime.errors import MalformedRequestError, SlowRequestError, TruncatedBodyError
 from merlinstand.runtime.host_settings import HttpLimits
 from merlinstand.runtime.http_exchange import BrokenResponseError, Exchange
 from merlinstand.runtime.http_headers import RequestHead, header_lines
--- a/src/merlinstand/runtime/http_headers.py
+++ b/src/merlinstand/runtime/http_headers.py
@@ -8,12 +8,8 @@
 import msgspec
 from result import Err, Ok, Result
 
-from merlinstand.common.errors import MerlinstandError
-from merlinstand.runtime.errors import (
-    HeadTooLargeError,
-    MalformedRequestError,
-    TargetTooLongError,
-)
+from merlinstand.common.errors import HeadTooLargeError, MerlinstandError
+from merlinstand.runtime.errors import MalformedRequestError, TargetTooLongError
 
 MAXIMUM_REQUEST_LINE_BYTES = 8192
 MAXIMUM_HEAD_BYTES = 64 * 1024
--- a/src/merlinstand/session/settings.py
+++ b/src/merlinstand/session/settings.py
@@ -30,6 +30,24 @@
     """How often changes of the configuration are asked for."""
 
 
+class DaemonSettings(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """What gateways and coordinators know of themselves and of the deployment."""
+
+    node_id: str
+    zone: str
+    address: str
+    """Where the internal protocol listens, `ip:port`."""
+    http_address: str
+    """Where callers or trainers, health checks and metrics are served, `ip:port`."""
+    control_members: tuple[ControlMember, ...]
+    """Control replicas, standbys included."""
+    peers: tuple[ControlMember, ...] = ()
+    """Daemons known beforehand that may relay the configuration."""
+    machine_list_address: str = ""
+    """`ip:port` of the platform's list of live and leaving machines; empty if there is none."""
+    session: SessionTimings = SessionTimings()
+
+
 class SessionSettings(msgspec.Struct, frozen=True, kw_only=True):
     """Who the daemon is and where control is."""
 
@@ -54,3 +72,26 @@
     """Keep a `daemon/NODE_ID` object of this daemon in the configuration."""
     maximum_pending_commands: int = 4_096
     timings: SessionTimings = SessionTimings()
+
+
+def session_settings(
+    settings: DaemonSettings, role: str, *, owns_journal: bool = True
+) -> SessionSettings:
+    """Give the settings of a daemon's session with control.
+
+    Args:
+        settings: The daemon's settings.
+        role: `gateway` or `coordinator`.
+        owns_journal: See `SessionSettings.owns_journal`.
+    """
+    return SessionSettings(
+        node_id=settings.node_id,
+        role=role,
+        zone=settings.zone,
+        address=settings.address,
+        http_address=settings.http_address,
+        members=settings.control_members,
+        peers=settings.peers,
+        owns_journal=owns_journal,
+        timings=settings.session,
+    )
--- a/src/merlinstand/settings/daemons.py
+++ b/src/merlinstand/settings/daemons.py
@@ -1,7 +1,7 @@
 """From the deployment file to the settings of single daemons."""
 
 from pathlib import Path
-from typing import TypeVar
+from typing import Any, TypeVar
 
 import msgspec
 from result import Err, Ok, Result
@@ -134,22 +134,8 @@
     if isinstance(found, Err):
         return found
     table = found.ok_value
-    options = settings.gateway_options
-    role = GatewaySettings(
-        node_id=node,
-        zone=table.zone,
-        address=table.address,
-        http_address=table.http_address,
-        control_members=_control_members(settings),
-        peers=_relays(settings, node),
-        machine_list_address=settings.platform.machine_list,
-        session=options.session,
-        admission=options.admission,
-        requests=options.requests,
-        claims=options.claims,
-        health=options.health,
-        routing=options.routing,
-    )
+    options = msgspec.structs.asdict(settings.gateway_options)
+    role = GatewaySettings(**_identity(settings, table), **options)
     return Ok(GatewayDaemonSettings(_host_settings(settings, table, data_folder), role))
 
 
@@ -161,22 +147,8 @@
     if isinstance(found, Err):
         return found
     table = found.ok_value
-    options = settings.coordinator_options
-    role = CoordinatorSettings(
-        node_id=node,
-        zone=table.zone,
-        address=table.address,
-        http_address=table.http_address,
-        control_members=_control_members(settings),
-        peers=_relays(settings, node),
-        machine_list_address=settings.platform.machine_list,
-        session=options.session,
-        tick_seconds=options.tick_seconds,
-        maximum_journal_records=options.maximum_journal_records,
-        drain_seconds=options.drain_seconds,
-        generation=options.generation,
-        rollout=options.rollout,
-    )
+    options = msgspec.structs.asdict(settings.coordinator_options)
+    role = CoordinatorSettings(**_identity(settings, table), **options)
     return Ok(CoordinatorDaemonSettings(_host_settings(settings, table, data_folder), role))
 
 
@@ -188,6 +160,19 @@
     return Err(NotFoundError(detail=f"no [[{role}]] with node = {node!r}; there are: {known}"))
 
 
+def _identity(settings: DeploymentSettings, table: DaemonTable) -> dict[str, Any]:
+    """Give the fields of `DaemonSettings`; the others are those of the role's options."""
+    return {
+        "node_id": table.node,
+        "zone": table.zone,
+        "address": table.address,
+        "http_address": table.http_address,
+        "control_members": _control_members(settings),
+        "peers": _relays(settings, table.node),
+        "machine_list_address": settings.platform.machine_list,
+    }
+
+
 def _override_one(tables: tuple[Table, ...], node: str, overrides: Overrides) -> tuple[Table, ...]:
     return tuple(
         msgspec.structs.replace(
