Every package says what it is for; a test asks for docstrings

Also held by tests now: README's policy is accepted, and its trainer program uses what the client has.

--- a/benchmarks/control_state_machine.py
+++ b/benchmarks/control_state_machine.py
@@ -1,4 +1,4 @@
-"""Cost of the control state machine at the size of letter 1.
+"""Cost of the control state machine at its target size (DEVELOPERS.md).
 
 Usage: python benchmarks/control_state_machine.py [--profile KIND]
 Prints, for each kind of command, applied commands per second on one core, and for the
--- a/src/merlinstand/cli/__init__.py
+++ b/src/merlinstand/cli/__init__.py
@@ -1,1 +1,1 @@
-
+"""The command line: daemons, and the operators' client."""
--- a/src/merlinstand/control/command_ids.py
+++ b/src/merlinstand/control/command_ids.py
@@ -17,7 +17,7 @@
 
 OPERATOR_WINDOW_SECONDS = 24 * 3600.0
 OPERATOR_WINDOW_COMMANDS = 10_000
-"""Five days of letter 1's 1,700 configuration changes a day; time binds first."""
+"""Five days of the target of 1,700 configuration changes a day; time binds first."""
 
 DAEMON_WINDOW_SECONDS = 120.0
 DAEMON_WINDOW_COMMANDS = 8_192
--- a/src/merlinstand/coordinator/__init__.py
+++ b/src/merlinstand/coordinator/__init__.py
@@ -1,1 +1,1 @@
-
+"""The coordinator: jobs, generations, batches and weight rollouts."""
--- a/src/merlinstand/policy/__init__.py
+++ b/src/merlinstand/policy/__init__.py
@@ -1,1 +1,1 @@
-
+"""Operators' policy programs in CEL: acceptance check and execution."""
--- a/src/merlinstand/settings/__init__.py
+++ b/src/merlinstand/settings/__init__.py
@@ -1,1 +1,1 @@
-
+"""The deployment and configuration files: typed, checked, documented."""
--- a/tests/docs/test_pages.py
+++ b/tests/docs/test_pages.py
@@ -1,14 +1,20 @@
 """The pages name only what exists: commands, options, metrics, log events, files, settings."""
 
+import ast
 import re
 import shlex
+import tomllib
 from pathlib import Path
 
 import click
+import msgspec
 import pytest
 
 from merlinstand.cli.main import main as product
+from merlinstand.client.batches import Batch, Sample, TrainerClient
 from merlinstand.common.errors import ExitCode
+from merlinstand.configuration.objects import PolicySource
+from merlinstand.policy.check import check_policy
 from merlinstand.settings.reference import configuration_tables, deployment_tables
 from merlinstand_lab.cli.main import main as laboratory
 
@@ -127,3 +133,28 @@
     text = (ROOT / "docs" / "INTERFACES.md").read_text(encoding="utf-8")
     for path in set(re.findall(r"(?:GET|POST|PUT|ANY) (/(?:v1|lab)/[a-z_/]+)", text)):
         assert path.rstrip("/") in SOURCE, path
+
+
+def test_every_module_and_public_class_has_a_docstring() -> None:
+    for path in sorted((ROOT / "src").rglob("*.py")):
+        if "generated" in path.parts:
+            continue
+        module = ast.parse(path.read_text(encoding="utf-8"))
+        assert ast.get_docstring(module), path
+        for item in module.body:
+            if isinstance(item, ast.ClassDef) and not item.name.startswith("_"):
+                assert ast.get_docstring(item), f"{path}: {item.name}"
+
+
+def test_the_readme_s_policy_is_accepted() -> None:
+    text = (ROOT / "README.md").read_text(encoding="utf-8")
+    (policy,) = re.findall(r"```toml\n(.*?)```", text, re.DOTALL)
+    assert check_policy(msgspec.convert(tomllib.loads(policy), PolicySource)).is_ok()
+
+
+def test_the_readme_s_trainer_uses_what_the_client_has() -> None:
+    text = (ROOT / "README.md").read_text(encoding="utf-8")
+    (program,) = re.findall(r"```python\n(.*?)```", text, re.DOTALL)
+    used = {node.attr for node in ast.walk(ast.parse(program)) if isinstance(node, ast.Attribute)}
+    known = {*dir(TrainerClient), *Batch.__struct_fields__, *Sample.__struct_fields__}
+    assert used <= known | {"is_ok", "unwrap", "client"}
