--- a/src/merlinstand/consensus/leader.py
+++ b/src/merlinstand/consensus/leader.py
@@ -247,7 +247,7 @@
             self.hand_over(now)
             return
         state.log_event(
-            "membership_change", kind=action.kind.value, node=action.member.identity.node_id
+            "membership_change", kind=action.kind.value, member=action.member.identity.node_id
         )
         self._propose_membership(apply_action(action, state.membership), now)
 
--- a/src/merlinstand/runtime/logs.py
+++ b/src/merlinstand/runtime/logs.py
@@ -31,7 +31,9 @@
         level = severity_level(severity)
         if not self._logger.isEnabledFor(level):
             return
-        pairs = {"node": self._node_id, "event": event_name, **fields}
+        own = {"node": self._node_id, "event": event_name}
+        # A field may not take the place of who writes the line, or of what happened.
+        pairs = {**own, **fields, **own}
         self._logger.log(level, "%s", format_pairs(pairs))
 
 
--- a/tests/cli/test_operator_commands.py
+++ b/tests/cli/test_operator_commands.py
@@ -276,9 +276,28 @@
     assert f"merlinstand {' '.join(path)}" in result.output
 
 
-def test_shell_completion() -> None:
-    environment = {"_MERLINSTAND_COMPLETE": "bash_complete", "COMP_WORDS": "merlinstand jo"}
-    result = CliRunner().invoke(
-        main, [], prog_name="merlinstand", env={**environment, "COMP_CWORD": "1"}
-    )
-    assert "job" in result.output
+@pytest.mark.parametrize("shell", ["bash", "zsh", "fish"])
+def test_shell_completion(shell: str) -> None:
+    script = complete(f"{shell}_source")
+    assert "_MERLINSTAND_COMPLETE" in script
+    for line, expected in (
+        ("merlinstand jo", "job"),
+        ("merlinstand job pa", "pause"),
+        ("merlinstand job move blurbs --to mi", "mirror"),
+        ("merlinstand status --exp", "--expected-revision"),
+    ):
+        assert expected in complete(f"{shell}_complete", line)
+
+
+def complete(instruction: str, line: str = "") -> str:
+    """Ask as a shell does that completes the last word of a line."""
+    environment = {
+        "_MERLINSTAND_COMPLETE": instruction,
+        "COMP_WORDS": line,
+        "COMP_CWORD": str(max(0, len(line.split()) - 1))
+        if "fish" not in instruction
+        else line.split()[-1]
+        if line
+        else "",
+    }
+    return CliRunner().invoke(main, [], prog_name="merlinstand", env=environment).output
