An operator's huge integer no longer ends the control leader

JSON reads integers of any size; the log's encoding holds 64 bits and raised in the reducer, outside of the checks.

Ruled out: limits in the Structs only (every integer of every object would need one, and the next would lack it).

Change: a command is encoded where the request is read, and what does not fit is refused (400 invalid_input). Tests: three places for such an integer, three integers; the group goes on. Also: a full disk behind standard output is a typed error in place of a traceback.

--- a/src/merlinstand/cli/advice.py
+++ b/src/merlinstand/cli/advice.py
@@ -8,6 +8,7 @@
     "invalid_policy": "correct the program; docs/POLICIES.md lists what it may use",
     "untrusted": "renew the replica's certificate, or give its signer's by --authority",
     "malformed_answer": "check that --control names a control replica's HTTP address",
+    "output": "make room where the output goes, then look with `merlinstand status`",
     "interrupted": "look with `merlinstand status`",
 }
 
--- a/src/merlinstand/cli/errors.py
+++ b/src/merlinstand/cli/errors.py
@@ -35,6 +35,12 @@
     exit_code: ClassVar[ExitCode] = ExitCode.UNAVAILABLE
 
 
+class OutputError(MerlinstandError, frozen=True, kw_only=True):
+    """The result could not be written; what was asked for may be done."""
+
+    code: ClassVar[str] = "output"
+
+
 class BrokenOffError(MerlinstandError, frozen=True, kw_only=True):
     """The operator broke the command off; what was sent may still be done."""
 
--- a/src/merlinstand/cli/main.py
+++ b/src/merlinstand/cli/main.py
@@ -11,7 +11,7 @@
 
 import click
 
-from merlinstand.cli.errors import BrokenOffError, UsageError
+from merlinstand.cli.errors import BrokenOffError, OutputError, UsageError
 from merlinstand.cli.output import JSON, TABLE, fail
 from merlinstand.common.errors import ExitCode
 
@@ -79,6 +79,9 @@
             sys.exit(ExitCode.USAGE)
         except click.ClickException as error:
             fail(_usage_error(error), output)
+        except OSError as error:
+            # All that commands read or send is caught where it happens; this is the output.
+            fail(OutputError(detail=error.strerror or str(error)), output)
         except click.Abort:
             fail(BrokenOffError(detail="broken off by the operator"), output)
         sys.exit(exit_code if isinstance(exit_code, int) else ExitCode.OK)
--- a/src/merlinstand/control/daemon.py
+++ b/src/merlinstand/control/daemon.py
@@ -17,7 +17,6 @@
 )
 from merlinstand.consensus.step import Step
 from merlinstand.control.command_intake import CommandIntake, Intake, LeaderHint
-from merlinstand.control.commands import encode_command
 from merlinstand.control.operator_requests import (
     CommandPost,
     ConfigurationGet,
@@ -220,7 +219,7 @@
                 return self._take_in(
                     self._intake.receive(
                         request.command_id,
-                        encode_command(request.command),
+                        request.command,
                         OperatorWaiter(event.request_id),
                         now,
                     ),
--- a/src/merlinstand/control/operator_requests.py
+++ b/src/merlinstand/control/operator_requests.py
@@ -26,7 +26,6 @@
 )
 from merlinstand.configuration.table import ConfigurationTable
 from merlinstand.control.commands import (
-    AnyCommand,
     AnyOutcome,
     ChangeMembership,
     DeleteObject,
@@ -34,6 +33,7 @@
     PutObject,
     Refused,
     RewindJob,
+    encode_command,
 )
 from merlinstand.control.queries import (
     AnyQuery,
@@ -72,7 +72,8 @@
     """A command an operator sent."""
 
     command_id: str
-    command: AnyCommand
+    command: bytes
+    """Its encoding, which the log holds."""
 
 
 class QueryGet(msgspec.Struct, frozen=True):
@@ -235,9 +236,12 @@
 def _read_command(body: bytes) -> Result[OperatorRequest, MerlinstandError]:
     try:
         parsed = msgspec.json.decode(body, type=CommandBody)
-        command = _convert_command(parsed.command)
+        # Encoded here: JSON has integers that no encoding of the log can hold.
+        command = encode_command(_convert_command(parsed.command))
     except MALFORMED_INPUT as error:
         return Err(InvalidInputError(detail=str(error)))
+    except OverflowError:
+        return Err(InvalidInputError(detail="an integer is outside 64 bits"))
     except KeyError as error:
         return Err(InvalidInputError(detail=f"unknown kind of object: {error}"))
     if not 0 < len(parsed.command_id) <= MAXIMUM_COMMAND_ID_CHARACTERS:
--- a/tests/cli/test_errors.py
+++ b/tests/cli/test_errors.py
@@ -1,7 +1,9 @@
 """Wrong input: every error is one line, with a code and what to do."""
 
+import errno
 import json
 import ssl
+import sys
 from pathlib import Path
 from typing import Any
 
@@ -10,7 +12,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from merlinstand.cli import http_request
+from merlinstand.cli import http_request, output
 from merlinstand.cli.main import main
 from tests.cli.conftest import FakeControl
 
@@ -108,6 +110,18 @@
     check_error(invoke(*line), 6, "error: unavailable: ", "127.0.0.1:1", "try again")
 
 
+def test_output_that_cannot_be_written(
+    run: Any, control: FakeControl, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    def full(*_arguments: Any, **options: Any) -> None:
+        if not options.get("err"):
+            raise OSError(errno.ENOSPC, "No space left on device")
+        sys.stderr.write(str(_arguments[0]) + "\n")
+
+    monkeypatch.setattr(output.click, "echo", full)
+    check_error(run("members", "list"), 1, "error: output: No space left on device")
+
+
 @pytest.mark.parametrize("content", ["", "no certificate"])
 def test_authority_must_hold_certificates(tmp_path: Path, content: str) -> None:
     file = tmp_path / "authority.pem"
--- a/tests/control/test_daemon.py
+++ b/tests/control/test_daemon.py
@@ -327,6 +327,21 @@
     assert (response.status, msgspec.json.decode(response.body)["code"]) == (401, "unauthorized")
 
 
+@pytest.mark.parametrize("number", [2**64, -(2**63) - 1, 10**40])
+def test_integers_beyond_64_bits_are_refused(number: int) -> None:
+    group = Group(seed=22)
+    publish = {"command": "publish_weights", "model": "m", "version": 1, "digest": "d"}
+    publish |= {"source": "127.0.0.1:1", "size_bytes": number}
+    wide = put("pool/a", pool_object("a"))
+    wide["object"]["maximum_concurrency"] = number
+    expecting = put("pool/a", pool_object("a"), expected_revision=number)
+    for command_id, command in (("c1", publish), ("c2", wide), ("c3", expecting)):
+        status, body = group.operator(command_id, command)
+        assert (status, body["code"]) == (400, "invalid_input"), command
+        assert "64 bits" in body["detail"]
+    assert group.operator("c4", put("pool/a", pool_object("a")))[0] == 200
+
+
 def test_aborted_request_is_not_answered() -> None:
     group = Group(seed=17)
     leader = group.wait_for_leader()
