Begin samples again on new weights where the engines have time to spare before the next batch

Ruled out: look-ahead (the plan begins nothing for the batch after next on the old version); the order in a batch (oldest first keeps expiries and unused tokens low; it decides nothing where all ready samples leave). Change: when a batch left and an engine serves the new version, samples in progress that would be two versions old are begun again, cheapest first, within half of the tokens that the engines can spare before the batch is due, none that took half a cycle or was begun again before. The slot and its seed stay, so no sample is exchanged for a shorter one.

--- a/src/merlinstand/coordinator/dispatch.py
+++ b/src/merlinstand/coordinator/dispatch.py
@@ -24,7 +24,7 @@
     round: int
     minimum_version: int
     expected_tokens: float
-    expirations: int
+    restarts: int
     slot: int
     generation: Generation | None = None
     """Set for a resumption."""
@@ -33,6 +33,9 @@
 class WishingJob(Protocol):
     """A job as the dispatcher sees it."""
 
+    stream_limit: float
+    """Streams that it may have at a time; set here."""
+
     @property
     def job(self) -> Job:
         """Its configuration."""
@@ -114,6 +117,8 @@
     queues = [deque(_sorted_wishes(job.wishes(context))) for job in jobs]
     shares = _total_share(pool, all_jobs)
     limits = [room.capacity * _share(job) / max(shares, _share(job)) for job in jobs]
+    for job, limit in zip(jobs, limits, strict=True):
+        job.stream_limit = limit
     while True:
         waiting = [index for index, queue in enumerate(queues) if queue]
         if not waiting:
@@ -132,10 +137,10 @@
 
 
 def _sorted_wishes(wishes: Sequence[Wish]) -> list[Wish]:
-    """Order a job's wishes: soonest batch, expired before, then longest expected first."""
+    """Order a job's wishes: soonest batch, begun again before, then longest expected first."""
     return sorted(
         wishes,
-        key=lambda wish: (wish.round, -wish.expirations, -wish.expected_tokens, wish.slot),
+        key=lambda wish: (wish.round, -wish.restarts, -wish.expected_tokens, wish.slot),
     )
 
 
--- a/src/merlinstand/coordinator/generations.py
+++ b/src/merlinstand/coordinator/generations.py
@@ -77,6 +77,18 @@
             if not generation.streaming and not generation.exporting
         ]
 
+    def of_older_weights(self, version: int) -> list[Generation]:
+        """Return the streams begun before a version on engines that serve it by now."""
+        older = []
+        for generation in self._generations.values():
+            engine = self._engine_of(generation)
+            oldest = generation.recorder.oldest_version
+            if engine is None or oldest is None or generation.exporting:
+                continue
+            if oldest < version <= engine.active_version:
+                older.append(generation)
+        return older
+
     def begin(
         self, context: Context, slot: SlotName, prompt: str, maximum_tokens: int, tries: int
     ) -> Generation:
--- a/src/merlinstand/coordinator/jobs.py
+++ b/src/merlinstand/coordinator/jobs.py
@@ -26,6 +26,7 @@
 from merlinstand.coordinator.planning import PlannedStart, plan_starts
 from merlinstand.coordinator.prompts import PromptBook
 from merlinstand.coordinator.purposes import LedgerRead
+from merlinstand.coordinator.refresh import Restartable, Window, choose_restarts
 from merlinstand.coordinator.samples import BatchRequest, Sample
 from merlinstand.coordinator.scoring import ScoringDesk
 from merlinstand.coordinator.slots import SlotState
@@ -80,6 +81,8 @@
         self._recovered: list[Sample] = journal.live_samples(job.name)
         self._reading_ledger = False
         self._housekeeping_at = 0.0
+        self.stream_limit = 0.0
+        """Streams that the job may have at a time, by its share of the pool."""
 
     @property
     def changed(self) -> bool:
@@ -251,6 +254,7 @@
             self.generations.resume_stalled(self._context)
             self.generations.move_off_leaving(self._context)
             self._expire()
+            self._begin_again_on_newer_weights()
             self.serve()
 
     def streaming(self) -> int:
@@ -296,7 +300,7 @@
             round=0,
             minimum_version=max(oldest, minimum_version),
             expected_tokens=self._supply.remaining_tokens(generation),
-            expirations=self._store.expirations(generation.slot.slot),
+            restarts=self._store.restarts(generation.slot.slot),
             slot=generation.slot.slot,
             generation=generation,
         )
@@ -319,7 +323,7 @@
                     round=start.round,
                     minimum_version=start.minimum_version,
                     expected_tokens=expected[slot],
-                    expirations=self._store.expirations(slot),
+                    restarts=self._store.restarts(slot),
                     slot=slot,
                 )
                 for slot in chosen
@@ -377,6 +381,28 @@
             self.generations.cancel(self._context, generation)
             self._expire_slot(slot, hopeless=self._is_hopeless(generation))
 
+    def _begin_again_on_newer_weights(self) -> None:
+        demand = self.demands()[0]
+        if demand.waited_for or self.job.phase is not JobPhase.RUNNING or not self.accepting:
+            return
+        needed_version = demand.newest_version - self.terms().bound.usual_versions
+        stream_seconds = demand.due_at - self._context.now
+        lacking = max(0, demand.count - self.ready_count())
+        window = Window(
+            stream_tokens=stream_seconds * self.generations.speed.tokens_per_second,
+            streams=self.stream_limit,
+            needed_tokens=lacking * self._lengths.mean(),
+        )
+        candidates = [
+            Restartable(generation.slot.slot, generation.token_count)
+            for generation in self.generations.of_older_weights(needed_version)
+            if not self._store.was_begun_again(generation.slot.slot)
+        ]
+        for slot in choose_restarts(candidates, window):
+            self._context.count("samples_begun_again_total", job=self.job.name)
+            self._cancel_slot(slot)
+            self._store.begin_again(slot)
+
     def _is_hopeless(self, generation: Generation) -> bool:
         """Tell whether a sample is too long for its bound even from the start of a version."""
         cycle_seconds = self.shortest_cycle_seconds()
--- /dev/null
+++ b/src/merlinstand/coordinator/refresh.py
@@ -0,0 +1,64 @@
+"""Which samples in progress to begin again on newer weights, so that fewer arrive old.
+
+A sample still in progress when its batch leaves goes to a later batch, one version older.
+Where the engines have time to spare before that batch is due, it is begun again on the new
+weights instead. The same slot makes the same sample, so none is exchanged for a shorter one;
+one too long to end within a cycle is left alone and leaves at the bound.
+"""
+
+import math
+from collections.abc import Iterable
+
+import msgspec
+
+LONGEST_SHARE = 0.5
+"""A sample that took more of a cycle already would hardly end within the next one."""
+
+SPARE_SHARE = 0.5
+"""Part of the spare time that may be spent on tokens made a second time."""
+
+
+class Window(msgspec.Struct, frozen=True):
+    """What the engines can do for a job before its next batch is due."""
+
+    stream_tokens: float
+    """Tokens that one stream makes until then."""
+    streams: float
+    """Streams that the job may have at a time."""
+    needed_tokens: float
+    """Tokens still to be made for that batch."""
+
+    @property
+    def spare_tokens(self) -> float:
+        """Tokens that may be made a second time."""
+        return SPARE_SHARE * max(0.0, self.stream_tokens * self.streams - self.needed_tokens)
+
+
+class Restartable(msgspec.Struct, frozen=True):
+    """A sample in progress that would be old at its receipt."""
+
+    slot: int
+    done_tokens: int
+
+
+def choose_restarts(candidates: Iterable[Restartable], window: Window) -> list[int]:
+    """Choose the samples to begin again, those with the fewest tokens first.
+
+    Args:
+        candidates: Samples in progress that would be old, each never begun again before.
+        window: What the engines can do.
+
+    Returns:
+        Their slots.
+    """
+    longest = LONGEST_SHARE * window.stream_tokens
+    left = window.spare_tokens
+    if not math.isfinite(left):
+        return []
+    chosen = []
+    for candidate in sorted(candidates, key=lambda each: (each.done_tokens, each.slot)):
+        if candidate.done_tokens > longest or candidate.done_tokens > left:
+            break
+        left -= candidate.done_tokens
+        chosen.append(candidate.slot)
+    return chosen
--- a/src/merlinstand/coordinator/store.py
+++ b/src/merlinstand/coordinator/store.py
@@ -30,6 +30,7 @@
         self._whole_prompts = unit_size > 1
         self._expirations: dict[int, int] = {}
         self._drops: dict[int, int] = {}
+        self._begun_again: set[int] = set()
         self._closed: list[int] = []
 
     def put(self, sample: Sample, durable_at: float = -math.inf) -> bool:
@@ -144,9 +145,18 @@
         """Return how often the policy dropped a slot's samples (each takes a new seed)."""
         return self._drops.get(slot, 0)
 
-    def expirations(self, slot: int) -> int:
-        """Return how often a slot's sample expired."""
-        return self._expirations.get(slot, 0)
+    def begin_again(self, slot: int) -> None:
+        """A sample in progress gives way to a fresher one of the same slot."""
+        self._begun_again.add(slot)
+        self.slots.set_state(slot, SlotState.WANTED)
+
+    def was_begun_again(self, slot: int) -> bool:
+        """Tell whether a slot's sample gave way to a fresher one before."""
+        return slot in self._begun_again
+
+    def restarts(self, slot: int) -> int:
+        """Return how often a slot's sample expired or gave way to a fresher one."""
+        return self._expirations.get(slot, 0) + (slot in self._begun_again)
 
     def discarded(self) -> tuple[int, ...]:
         """Return given-up slots that the ledger does not know of."""
@@ -173,6 +183,7 @@
         self.slots.set_state(slot, state)
         self._expirations.pop(slot, None)
         self._drops.pop(slot, None)
+        self._begun_again.discard(slot)
         self._remove(slot)
 
     def _remove(self, slot: int) -> None:
