A job has the whole bound only if its trainer is the only one of the model, over all jobs

Cause: whether samples may leave at the bound was decided by the consumers of one job. Two jobs on one model with a trainer each both took themselves for sole: either trainer may publish while the other's batch is on its way, and a sample at the bound is received one version over it. Change: trainers are counted over all jobs of the model that are not cancelled; the terms of a job are made when the configuration changes, not at every question. Tests: the margin is kept beside another job of the model, and not beside a job of another model. Left: with several trainers a publication between the answer and its receipt is still possible (needs an acknowledgement at receipt through the log).

--- a/src/merlinstand/coordinator/jobs.py
+++ b/src/merlinstand/coordinator/jobs.py
@@ -30,9 +30,10 @@
 from merlinstand.coordinator.samples import BatchRequest, Sample
 from merlinstand.coordinator.scoring import ScoringDesk
 from merlinstand.coordinator.slots import SlotState
+from merlinstand.coordinator.staleness import StalenessBound
 from merlinstand.coordinator.store import SampleStore
 from merlinstand.coordinator.supply import SupplyBook
-from merlinstand.coordinator.terms import JobTerms
+from merlinstand.coordinator.terms import JobTerms, has_sole_consumer
 from merlinstand.kernel.events import CallFailed, CallResponded
 from merlinstand.policy.check import check_policy
 from merlinstand.policy.program import CompiledPolicy
@@ -69,6 +70,7 @@
         self._context = context
         self._journal = journal
         self._policy = _compile(job)
+        self._terms = self._make_terms()
         unit_size = self._unit_size()
         self._store = SampleStore(job.name, job.samples_per_prompt, unit_size)
         self.desk = BatchDesk(self._store)
@@ -100,6 +102,7 @@
         if job.policy != self.job.policy:
             self._policy = _compile(job)
         self.job = job
+        self._terms = self._make_terms()
         self._prompts.configure(job)
         if job.phase is JobPhase.CANCELLED:
             self.generations.cancel_all(self._context)
@@ -107,8 +110,16 @@
 
     def terms(self) -> JobTerms:
         """Return what holds for the job now."""
+        return self._terms
+
+    def _make_terms(self) -> JobTerms:
+        sole = has_sole_consumer(self.job, self._context.view.jobs.values())
+        policy = self._policy
+        bound = StalenessBound(
+            policy.maximum_staleness_versions, policy.maximum_staleness_seconds, sole
+        )
         clock = self._context.versions(self.job.model)
-        return JobTerms(self.job, self._policy, self.epoch, clock)
+        return JobTerms(self.job, policy, self.epoch, clock, bound)
 
     def ledger_read(self, answer: LedgerAnswer | None) -> None:
         """Take in the ledger, or the failure to read it."""
--- a/src/merlinstand/coordinator/staleness.py
+++ b/src/merlinstand/coordinator/staleness.py
@@ -65,8 +65,8 @@
     maximum_versions: int
     maximum_seconds: float | None = None
     sole_consumer: bool = True
-    """Whether one trainer alone receives the batches: then nobody else publishes between a
-    commit and its receipt, and the whole bound may be used up."""
+    """Whether one trainer alone receives what the model makes: then nobody else publishes
+    between a commit and its receipt, and the whole bound may be used up."""
 
     @property
     def usual_versions(self) -> int:
--- a/src/merlinstand/coordinator/terms.py
+++ b/src/merlinstand/coordinator/terms.py
@@ -1,9 +1,11 @@
 """What holds for a job at one moment."""
 
+from collections.abc import Iterable
+
 import msgspec
 from result import Err
 
-from merlinstand.configuration.objects import Job
+from merlinstand.configuration.objects import Job, JobPhase
 from merlinstand.coordinator.context import Context
 from merlinstand.coordinator.samples import Sample
 from merlinstand.coordinator.staleness import StalenessBound, VersionClock
@@ -14,6 +16,18 @@
 NEUTRAL_PRIORITY = 0
 
 
+def has_sole_consumer(job: Job, jobs: Iterable[Job]) -> bool:
+    """Tell whether one trainer alone receives what a job's model makes, over all jobs.
+
+    That trainer cannot publish while it waits for a batch, so nobody does.
+    """
+    trainers = len(job.consumers)
+    for other in jobs:
+        if other.name != job.name and other.model == job.model:
+            trainers += len(other.consumers) if other.phase is not JobPhase.CANCELLED else 0
+    return trainers == 1
+
+
 class JobTerms(msgspec.Struct, frozen=True):
     """A job's configuration, its accepted policy, its lease and its model's versions."""
 
@@ -21,15 +35,7 @@
     policy: CompiledPolicy
     epoch: int
     clock: VersionClock
-
-    @property
-    def bound(self) -> StalenessBound:
-        """The staleness bound of the policy."""
-        return StalenessBound(
-            self.policy.maximum_staleness_versions,
-            self.policy.maximum_staleness_seconds,
-            self.sole_consumer,
-        )
+    bound: StalenessBound
 
     @property
     def unit_size(self) -> int:
@@ -39,8 +45,8 @@
 
     @property
     def sole_consumer(self) -> bool:
-        """Whether one trainer alone receives this job's batches."""
-        return len(self.job.consumers) == 1
+        """Whether one trainer alone receives batches made by the job's model."""
+        return self.bound.sole_consumer
 
     def allows(
         self, context: Context, oldest_version: int, newest: int, *, at_bound: bool = False
--- a/tests/coordinator/driver.py
+++ b/tests/coordinator/driver.py
@@ -231,6 +231,7 @@
         *,
         control: Control | None = None,
         pool: Pool | None = None,
+        other_jobs: Sequence[Job] = (),
         run: str = "coordinator-1/a",
         journal: Sequence[bytes] = (),
         snapshot: bytes | None = None,
@@ -239,6 +240,7 @@
     ) -> None:
         self.control = control or Control(job or make_job())
         self.pool = pool or engine_pool()
+        self.other_jobs = {other.name: other for other in other_jobs}
         self.now = 100.0
         self.session = ScriptedSession(run)
         settings = CoordinatorSettings(
@@ -302,7 +304,7 @@
         view = ConfigurationView()
         view.revision = self.session.scripted_view.revision + 1
         view.pools = MappingProxyType({POOL: self.pool})
-        view.jobs = MappingProxyType({JOB: self.control.job})
+        view.jobs = MappingProxyType({JOB: self.control.job, **self.other_jobs})
         view.drains = MappingProxyType({name: Drain(name) for name in drains})
         versions = tuple(
             WeightVersion(number, f"digest-{number}", "10.0.9.1:80", 10, float(number))
--- a/tests/coordinator/test_batches.py
+++ b/tests/coordinator/test_batches.py
@@ -181,6 +181,24 @@
     assert driver.answer_to(name) is None
 
 
+def test_another_job_on_the_model_keeps_the_margin_as_well() -> None:
+    driver = CoordinatorDriver(other_jobs=[make_job(name="hints", consumers=("trainer-2",))])
+    driver.generate()
+    driver.publish(3)  # The other job's trainer may publish while this one's batch is on its way.
+    name = driver.ask(0, "n1")
+    driver.settle()
+    assert driver.answer_to(name) is None
+
+
+def test_a_sole_trainer_of_the_model_gets_samples_at_the_bound() -> None:
+    driver = CoordinatorDriver(other_jobs=[make_job(name="hints", model="another")])
+    driver.generate()
+    driver.publish(3)
+    name = driver.ask(0, "n1")
+    driver.settle()
+    assert len(driver.batch_of(name)["samples"]) == 4
+
+
 def test_policy_drops_samples_and_closes_their_slots() -> None:
     policy = PolicySource(weight="attempt == 0 && prompt_id == 0 ? 0.0 : 2.0")
     driver = CoordinatorDriver(make_job(policy=policy))
