Make planning and polling of a coordinator cheaper: one look at each slot, no needless polls

An engine that refused once was polled so for ever by a coordinator that does not lead its pool. Change: slots are described in one pass; a running sum of lengths; samples that no forecast makes too old are passed over at once; a coordinator that leads nothing ticks every 0.5 s; reports are wanted more often only for 2 s after a refusal or a broken stream.

--- a/src/merlinstand/coordinator/daemon.py
+++ b/src/merlinstand/coordinator/daemon.py
@@ -48,6 +48,9 @@
 from merlinstand.session.settings import session_settings
 
 TICK_TIMER = "coordinator.tick"
+IDLE_TICK_SECONDS = 0.5
+"""Interval of the scheduler while nothing is led here."""
+
 RELEASE_SECONDS = 2.0
 """Longest a planned stop waits for its leases to be released."""
 
@@ -129,7 +132,9 @@
                 pass
 
     def _tick(self) -> None:
-        self._context.add(SetTimer(TICK_TIMER, self._settings.tick_seconds))
+        busy = self._work.has_work or self._stopping_since is not None
+        seconds = self._settings.tick_seconds if busy else IDLE_TICK_SECONDS
+        self._context.add(SetTimer(TICK_TIMER, seconds))
         if self._released_at is None:
             self._work.tick()
         if self._stopping_since is not None:
@@ -148,6 +153,7 @@
                 self._work.configuration_changed()
             case LeaseGained():
                 self._work.lease_gained(notice.resource, notice.epoch)
+                self._context.add(SetTimer(TICK_TIMER, self._settings.tick_seconds))
             case LeaseLost():
                 self._work.lease_lost(notice.resource, notice.reason)
             case LeaseUnavailable():
@@ -219,6 +225,7 @@
         if self._stopping_since is None:
             self._stopping_since = self._context.now
             self._work.stop_accepting()
+            self._context.add(SetTimer(TICK_TIMER, self._settings.tick_seconds))
             self._context.log("coordinator.stopping")
 
     def _continue_stop(self, since: float) -> None:
--- a/src/merlinstand/coordinator/engines.py
+++ b/src/merlinstand/coordinator/engines.py
@@ -1,5 +1,6 @@
 """The engines of one pool as this coordinator sees them."""
 
+import math
 from collections.abc import Mapping
 from random import Random
 
@@ -27,7 +28,10 @@
 back to it."""
 
 URGENT_STATUS_SECONDS = 0.1
-"""Interval of reports while an order is under way or after a refusal."""
+"""Interval of reports for a while after an engine refused or broke a stream."""
+
+URGENCY_SECONDS = 2.0
+"""How long reports are wanted more often: longer than they lag."""
 
 _STATUS_DECODER = msgspec.json.Decoder(EngineStatus)
 
@@ -60,8 +64,8 @@
         self.status_received_at = -1.0
         self.status_asked_at: float | None = None
         self.last_asked_at = -1.0
-        self.urgent = False
-        """Whether its status is wanted more often."""
+        self.urgent_until = -math.inf
+        """Until then its status is wanted more often."""
         self.in_flight = 0
         self.back_off_until = 0.0
         self._swapped: SwappedEngine | None = None
@@ -92,6 +96,10 @@
             self._swapped = None
         self.status = status
 
+    def watch_closely(self, now: float) -> None:
+        """Want its status more often for a while."""
+        self.urgent_until = now + URGENCY_SECONDS
+
     def work(self, now: float) -> float:
         """Return the number of requests believed to be there."""
         return self.in_flight + self.load.foreign(now)
@@ -126,7 +134,8 @@
         """Ask engines for their status where it is due."""
         settings = context.settings.rollout
         for backend_id, engine in self.engines.items():
-            interval = URGENT_STATUS_SECONDS if engine.urgent else settings.status_interval_seconds
+            urgent = context.now < engine.urgent_until
+            interval = URGENT_STATUS_SECONDS if urgent else settings.status_interval_seconds
             if engine.status_asked_at is not None or context.now - engine.last_asked_at < interval:
                 continue
             engine.status_asked_at = engine.last_asked_at = context.now
--- a/src/merlinstand/coordinator/generations.py
+++ b/src/merlinstand/coordinator/generations.py
@@ -194,7 +194,7 @@
             asked = _retry_after(event.headers)
             pause = min(max(asked, REFUSAL_BACK_OFF_SECONDS), LONGEST_BACK_OFF_SECONDS)
             engine.back_off_until = context.now + pause
-            engine.urgent = True
+            engine.watch_closely(context.now)
         context.count("generations_refused_total", job=self._job)
         self._cancel_stream(context, generation, tell_engine=False)
 
@@ -202,7 +202,7 @@
         engine = self._engine_of(generation)
         if engine is not None and failed:
             engine.breaker.call_failed(context.now)
-            engine.urgent = True
+            engine.watch_closely(context.now)
         if generation.call_id is not None:
             context.finish_call(generation.call_id)
         progressed = generation.token_count > generation.stream_first_token
--- a/src/merlinstand/coordinator/lengths.py
+++ b/src/merlinstand/coordinator/lengths.py
@@ -22,14 +22,17 @@
         self._maximum_tokens = maximum_tokens
         self._recent: deque[int] = deque()
         self._ordered: list[int] = []
+        self._total_tokens = 0
         self._by_prompt: OrderedDict[str, float] = OrderedDict()
 
     def record(self, prompt: str, token_count: int) -> None:
         """Take in the length of a finished sample."""
         self._recent.append(token_count)
+        self._total_tokens += token_count
         insort(self._ordered, token_count)
         if len(self._recent) > MAXIMUM_MEASURED:
             oldest = self._recent.popleft()
+            self._total_tokens -= oldest
             del self._ordered[bisect_right(self._ordered, oldest) - 1]
         known = self._by_prompt.pop(prompt, float(token_count))
         self._by_prompt[prompt] = known + PROMPT_SMOOTHING * (token_count - known)
@@ -47,7 +50,7 @@
         """Return the mean of recent lengths."""
         if len(self._ordered) < MINIMUM_MEASURED:
             return self._maximum_tokens / 2
-        return sum(self._ordered) / len(self._ordered)
+        return self._total_tokens / len(self._ordered)
 
     def expected(self, prompt: str) -> float:
         """Return the expected length of a prompt's completion."""
--- a/src/merlinstand/coordinator/rollout.py
+++ b/src/merlinstand/coordinator/rollout.py
@@ -63,7 +63,6 @@
         settings = context.settings.rollout
         rollout = self._engines.setdefault(backend_id, EngineRollout())
         rollout.observe(status, context.now)
-        engine.urgent = rollout.order is not None
         if rollout.in_call:
             return
         if rollout.overdue(context.now, settings):
--- a/src/merlinstand/coordinator/store.py
+++ b/src/merlinstand/coordinator/store.py
@@ -27,7 +27,7 @@
         self.slots = SlotTable(job, samples_per_prompt)
         self.samples: dict[int, Sample] = {}
         self._durable_at: dict[int, float] = {}
-        self._whole_prompts = unit_size > 1
+        self.whole_prompts = unit_size > 1
         self._expirations: dict[int, int] = {}
         self._drops: dict[int, int] = {}
         self._begun_again: set[int] = set()
@@ -53,7 +53,7 @@
 
     def unit(self, slot: int) -> Iterable[int]:
         """Return the slots that leave together with one."""
-        return self.slots.group(slot) if self._whole_prompts else (slot,)
+        return self.slots.group(slot) if self.whole_prompts else (slot,)
 
     def ready_units(self, own: Iterable[int] = ()) -> list[tuple[Sample, ...]]:
         """Return the whole units that a batch may take, in slot order.
--- a/src/merlinstand/coordinator/supply.py
+++ b/src/merlinstand/coordinator/supply.py
@@ -3,8 +3,6 @@
 import math
 from collections.abc import Iterable, Sequence
 
-import msgspec
-
 from merlinstand.coordinator.context import Context
 from merlinstand.coordinator.forecast import Demand
 from merlinstand.coordinator.generation import Generation
@@ -19,13 +17,8 @@
 """Share of the expected rest of a sample that is surely left: cancelling one early that
 would have made it costs more than letting one run on in vain for a while."""
 
-
-class Member(msgspec.Struct, frozen=True):
-    """One sample of a unit, for planning."""
-
-    oldest_version: int
-    finish_at: float
-    passed_over: bool = False
+SETTLING_SECONDS = 1e-3
+"""Time that a score and the journal are expected to take yet."""
 
 
 class SupplyBook:
@@ -41,7 +34,6 @@
         self._store = store
         self._generations = generations
         self._lengths = lengths
-        self._delivered_at = -math.inf
 
     def remaining_tokens(self, generation: Generation) -> float:
         """Return the tokens that a generation is expected to make yet."""
@@ -65,59 +57,62 @@
             settling: Slots whose finished samples wait for a score or the journal.
             delivered_at: When the last batch left.
         """
-        self._delivered_at = delivered_at
-        settling_slots = set(settling)
+        singles = self._singles(context, terms, settling, delivered_at)
+        if not self._store.whole_prompts:
+            return list(singles.values())
         supplies = []
         seen: set[int] = set()
-        slots = [*self._store.samples, *settling_slots]
-        slots.extend(generation.slot.slot for generation in self._generations.all())
-        for slot in slots:
+        for slot in singles:
             if slot in seen:
                 continue
             unit = tuple(self._store.unit(slot))
             seen.update(unit)
-            supply = self._unit(context, terms, unit, settling_slots)
+            supply = self._unit(unit, singles)
             if supply is not None:
                 supplies.append(supply)
         return supplies
 
-    def _unit(
-        self, context: Context, terms: JobTerms, unit: Sequence[int], settling: set[int]
-    ) -> Supply | None:
+    def _singles(
+        self, context: Context, terms: JobTerms, settling: Iterable[int], delivered_at: float
+    ) -> dict[int, Supply]:
+        """Describe each slot by itself. Planning runs often, so this looks at each slot once."""
+        bound = terms.bound
+        now = context.now
+        usual = bound.usual_versions
+        # A sample that no batch could take sooner may leave at the bound itself.
+        freely = bound.maximum_versions if bound.sole_consumer else usual
+        singles: dict[int, Supply] = {}
+        for slot in self._store.slots.ready():
+            sample = self._store.samples[slot]
+            passed_over = self._store.durable_at(slot) <= delivered_at
+            allowed = usual if passed_over else freely
+            singles[slot] = Supply(sample.oldest_version, -math.inf, 1, allowed)
+        for slot in settling:
+            singles.setdefault(slot, Supply(terms.clock.newest, now + SETTLING_SECONDS, 1, freely))
+        for generation in self._generations.all():
+            slot = generation.slot.slot
+            if slot not in singles and self._store.slots.state(slot) is SlotState.ACTIVE:
+                version = self.oldest_version(generation, terms)
+                singles[slot] = Supply(version, self.finish_at(generation, now), 1, freely)
+        return singles
+
+    def _unit(self, unit: Sequence[int], singles: dict[int, Supply]) -> Supply | None:
         members = []
         for slot in unit:
             if self._store.slots.state(slot) in (SlotState.USED, SlotState.DISCARDED):
                 continue
-            member = self._member(context, terms, slot, settling)
+            member = singles.get(slot)
             if member is None:
                 return None
             members.append(member)
         if not members:
             return None
-        oldest = min(member.oldest_version for member in members)
-        finish_at = max(member.finish_at for member in members)
-        # A sample that no batch could take sooner may leave at the bound itself.
-        to_the_bound = terms.sole_consumer and not any(member.passed_over for member in members)
-        bound = terms.bound
-        allowed = bound.maximum_versions if to_the_bound else bound.usual_versions
-        return Supply(oldest, finish_at, len(members), allowed)
-
-    def _member(
-        self, context: Context, terms: JobTerms, slot: int, settling: set[int]
-    ) -> Member | None:
-        state = self._store.slots.state(slot)
-        sample = self._store.samples.get(slot)
-        if sample is not None:
-            ready = state is SlotState.READY
-            passed_over = self._store.durable_at(slot) <= self._delivered_at
-            return Member(sample.oldest_version, -math.inf, passed_over) if ready else None
-        if slot in settling:
-            return Member(terms.clock.newest, context.now + 1e-3)
-        generation = self._generations.of_slot(slot)
-        if generation is None:
-            return None
-        version = self.oldest_version(generation, terms)
-        return Member(version, self.finish_at(generation, context.now))
+        return Supply(
+            min(member.oldest_version for member in members),
+            max(member.finish_at for member in members),
+            len(members),
+            min(member.allowed_staleness for member in members),
+        )
 
     def oldest_version(self, generation: Generation, terms: JobTerms) -> int:
         """Return the oldest version of a generation, or the one that will make its first token."""
@@ -142,10 +137,14 @@
     ) -> list[Generation]:
         """Return the generations that will be too old when they could be received."""
         doomed = []
+        last_newest = max(terms.clock.newest, demands[-1].newest_version)
+        surely_allowed = last_newest - terms.bound.maximum_versions
         for generation in self._generations.all():
             oldest = generation.recorder.oldest_version
             if oldest is None:
                 continue
+            if oldest >= surely_allowed and terms.bound.maximum_seconds is None:
+                continue
             newest = self._newest_at_receipt(context, generation, demands, terms)
             if not terms.allows(context, oldest, newest, at_bound=True):
                 doomed.append(generation)
--- a/src/merlinstand/coordinator/workplace.py
+++ b/src/merlinstand/coordinator/workplace.py
@@ -43,6 +43,11 @@
         self._leadership_due_at = 0.0
         self._dispatched_at: dict[str, float] = {}
 
+    @property
+    def has_work(self) -> bool:
+        """Whether any job or engine pool is led here."""
+        return bool(self._runners or self._rollouts)
+
     def runner(self, job: str) -> JobRunner | None:
         """Return a job's runner if this coordinator leads it."""
         return self._runners.get(job)
