A prompt that was given up stays given up; parts of prompts can't block a batch

A long mirror time had left many samples to expire at once. JobRunner._expire walks a list made beforehand: giving slot 316 up discards its whole prompt (316, 317) and cancels 317's generation, then the loop came to 317 and store.expire made the discarded slot wanted again. It came back alone. Composition took this unit of one first, reached 15 of 16 and no pair fitted; the planner counted 17 of 16 and began nothing.

Change: a generation that is gone is passed over; a closed slot stays closed; composition leaves the youngest parts of prompts out until the rest fills the batch. Tests: four, which fail on the old code (the driver's repeats the two expiries).

--- a/src/merlinstand/coordinator/composition.py
+++ b/src/merlinstand/coordinator/composition.py
@@ -31,9 +31,26 @@
     Returns:
         Exactly `batch_size` candidates, or none if the units do not suffice.
     """
+    ordered = sorted(units, key=_leaving_order)
+    whole_size = max(map(len, ordered), default=0)
+    parts = [unit for unit in ordered if len(unit) < whole_size]
+    # A part of a prompt may leave a rest that no whole prompt fits into: the youngest parts
+    # then wait, as many as it takes.
+    for left_out in range(len(parts) + 1):
+        waiting = {id(unit) for unit in parts[len(parts) - left_out :]}
+        rest = [unit for unit in ordered if id(unit) not in waiting]
+        chosen = _fill(rest, batch_size, passed_over_budget)
+        if chosen:
+            return chosen
+    return ()
+
+
+def _fill(
+    units: Sequence[Sequence[Candidate]], batch_size: int, budget: int
+) -> tuple[Candidate, ...]:
+    """Take units in order while they fit; none of them if the batch does not get full."""
     chosen: list[Candidate] = []
-    budget = passed_over_budget
-    for unit in sorted(units, key=_leaving_order):
+    for unit in units:
         spent = sum(candidate.at_bound and candidate.passed_over for candidate in unit)
         if spent > budget or len(chosen) + len(unit) > batch_size:
             continue
--- a/src/merlinstand/coordinator/jobs.py
+++ b/src/merlinstand/coordinator/jobs.py
@@ -386,6 +386,9 @@
             self.changed = True
         for generation in self._supply.doomed_generations(self._context, terms, self.demands()):
             slot = generation.slot.slot
+            if self.generations.of_slot(slot) is not generation:
+                # Another of its prompt was given up just now, and this one with it.
+                continue
             self._context.log(
                 "sample.expired", job=self.job.name, slot=slot, tokens=generation.token_count
             )
--- a/src/merlinstand/coordinator/store.py
+++ b/src/merlinstand/coordinator/store.py
@@ -168,6 +168,9 @@
         return closed
 
     def _again(self, slot: int, counts: dict[int, int], maximum: int) -> bool:
+        if self.slots.state(slot) in (SlotState.USED, SlotState.DISCARDED):
+            # A closed slot stays closed: begun again, it would leave its prompt as a part.
+            return True
         counts[slot] = counts.get(slot, 0) + 1
         if counts[slot] >= maximum:
             # A prompt with a hole would never be whole: all its slots go.
--- a/src/merlinstand_lab/simulator/deployment.py
+++ b/src/merlinstand_lab/simulator/deployment.py
@@ -33,6 +33,8 @@
     MERLINSTAND = "merlinstand"
     SCRIPTS = "scripts"
     """The baseline: what teams' own scripts do (`standins.scripts`)."""
+    BOTH = "both"
+    """merlinstand, with the scripts beside it: trainers may be told to follow either."""
 
 
 class Place(msgspec.Struct, frozen=True):
@@ -109,6 +111,7 @@
     weight_store: Place
     scorer: Place
     machine_list: Place
+    scripts: Place
     callers: Place
     operators: Place
 
@@ -130,6 +133,7 @@
     bookings_per_second: float = 2.0
     completions_per_second: float = 0.2
     batch_size: int = 16
+    samples_per_prompt: int = 1
     trainers: int = 1
     maximum_tokens: int = 400
     maximum_staleness_versions: int = 2
@@ -175,6 +179,7 @@
         weight_store=one("weight-store", 9, zones[0]),
         scorer=one("scorer", 10, zones[0]),
         machine_list=one("machine-list", 11, zones[0]),
+        scripts=one("old-scripts", 15, zones[0]),
         callers=one("callers", 12, "clients"),
         operators=one("operators", 13, "clients"),
     )
--- a/src/merlinstand_lab/simulator/whole_fleet.py
+++ b/src/merlinstand_lab/simulator/whole_fleet.py
@@ -32,10 +32,13 @@
 def add_whole_fleet(assembly: Assembly) -> None:
     """Add gateways, coordinators and stand-ins."""
     _add_gateways(assembly)
-    if assembly.plan.scheduler is Scheduler.SCRIPTS:
-        _add_scripts(assembly)
+    scheduler = assembly.plan.scheduler
+    if scheduler is Scheduler.SCRIPTS:
+        _add_scripts(assembly, assembly.places.coordinators[0])
     else:
         _add_coordinators(assembly)
+    if scheduler is Scheduler.BOTH:
+        _add_scripts(assembly, assembly.places.scripts, sample_prefix="scripts/")
     _add_back_ends(assembly)
     _add_platform(assembly)
     _add_users(assembly)
@@ -74,10 +77,9 @@
         assembly.add_product(place, lambda settings=settings: CoordinatorDaemon(settings))  # type: ignore[misc]
 
 
-def _add_scripts(assembly: Assembly) -> None:
-    """Let the baseline's scripts feed the trainers in place of the coordinators."""
+def _add_scripts(assembly: Assembly, place: Place, sample_prefix: str = "") -> None:
+    """Add the baseline's scripts, in place of the coordinators or beside them."""
     places, plan = assembly.places, assembly.plan
-    place = places.coordinators[0]
     settings = st.ScriptsSettings(
         node_id=place.node_id,
         address=place.http_address,
@@ -88,6 +90,7 @@
         batch_size=plan.batch_size,
         prompts=prompts(),
         maximum_tokens=plan.maximum_tokens,
+        sample_prefix=sample_prefix,
     )
     assembly.add_outsider(place, lambda: Scripts(settings))
 
@@ -155,6 +158,7 @@
             coordinators=tuple(peer.http_address for peer in places.coordinators),
             controls=assembly.control_http_addresses,
             weight_store=places.weight_store.http_address,
+            scripts=places.scripts.http_address if plan.scheduler is Scheduler.BOTH else "",
             operator_token=OPERATOR_TOKEN,
             step_seconds=plan.trainer_step_seconds,
             weight_bytes=plan.weight_bytes,
@@ -227,6 +231,7 @@
         "pool": sizes.engine_pool,
         "consumers": [place.node_id for place in places.trainers],
         "batch_size": plan.batch_size,
+        "samples_per_prompt": plan.samples_per_prompt,
         "prompts": list(prompts()),
         "maximum_tokens": plan.maximum_tokens,
         "scorer": places.scorer.http_address,
--- a/tests/coordinator/test_generations.py
+++ b/tests/coordinator/test_generations.py
@@ -1,7 +1,9 @@
 """Streams: interruptions, resumption, and samples that cannot name their versions."""
 
+from collections import Counter
+
 from merlinstand.kernel.events import CallFailed, CallHeaders, CallPhase, CallResponded
-from tests.coordinator.driver import CoordinatorDriver, Stream
+from tests.coordinator.driver import CoordinatorDriver, Stream, make_job
 
 
 def _first(driver: CoordinatorDriver) -> Stream:
@@ -213,6 +215,25 @@
     assert _resumed(driver, stream).request["resume"] is None
 
 
+def test_a_prompt_given_up_is_given_up_with_all_its_samples() -> None:
+    driver = CoordinatorDriver(make_job(samples_per_prompt=2))
+    serving = 1
+    for newest in (4, 8):
+        driver.tick()
+        for stream in driver.open_streams():
+            driver.chunk(stream, 6, serving)
+        # All of them are too old now, the second time for good.
+        driver.publish(newest)
+        driver.serve_all(newest)
+        driver.tick()
+        serving = newest
+    driver.tick()
+    attempts = Counter(
+        stream.request_id.split("~")[0].rsplit("/", 1)[0] for stream in driver.open_streams()
+    )
+    assert attempts and set(attempts.values()) == {2}, "a part of a prompt was begun again"
+
+
 def test_a_finished_sample_is_ready_only_when_it_is_durable() -> None:
     driver = CoordinatorDriver()
     driver.tick()
--- a/tests/coordinator/test_parts.py
+++ b/tests/coordinator/test_parts.py
@@ -75,6 +75,25 @@
     assert compose(units, 3, 0) == ()
 
 
+def test_a_part_of_a_prompt_does_not_keep_whole_ones_from_filling_a_batch() -> None:
+    pairs = [[_candidate(2 * number, 5), _candidate(2 * number + 1, 5)] for number in range(3)]
+    part = [_candidate(90, 3)]
+    slots = [candidate.sample.slot for candidate in compose([part, *pairs], 4, 0)]
+    assert slots == [0, 1, 2, 3], "three of four places would be taken, and nothing fits the last"
+    another = [_candidate(92, 4)]
+    slots = [candidate.sample.slot for candidate in compose([part, another, *pairs], 4, 0)]
+    assert slots == [90, 92, 0, 1], "parts that add up leave first, as they are older"
+
+
+@settings(max_examples=200, deadline=None, derandomize=True)
+@given(st.integers(0, 5), st.lists(st.integers(1, 3), max_size=6))
+def test_enough_whole_prompts_always_make_a_batch(spare: int, parts: list[int]) -> None:
+    slots = iter(range(1000))
+    sizes = [*parts, *([4] * (4 + spare))]
+    units = [[_candidate(next(slots), 1) for _ in range(size)] for size in sizes]
+    assert len(compose(units, 16, 0)) == 16
+
+
 @settings(max_examples=200, deadline=None, derandomize=True)
 @given(
     st.lists(st.integers(1, 4), max_size=12),
@@ -150,6 +169,15 @@
     assert store.slots.wanted() == [2, 3]
 
 
+def test_a_given_up_slot_is_not_begun_again() -> None:
+    store = SampleStore("j", 2, 2)
+    store.slots.open_group()
+    assert store.expire(0, hopeless=True), "the whole prompt goes"
+    assert store.expire(1) and store.drop(1)
+    assert [store.slots.state(slot) for slot in (0, 1)] == [SlotState.DISCARDED] * 2
+    assert store.slots.wanted() == []
+
+
 def test_slots_below_the_ledger_take_no_memory() -> None:
     table = SlotTable("j", 2)
     table.load_used(10**9, [])
