--- a/src/merlinstand_lab/fleet/summary.py
+++ b/src/merlinstand_lab/fleet/summary.py
@@ -86,18 +86,21 @@
     lines.append(f"lookups   {times}")
     outcomes = ", ".join(f"{count} {name}" for name, count in summary.caller_outcomes.items())
     lines.append(f"callers   {outcomes}")
-    if summary.memory:
-        lines.append(f"memory    {', '.join(_memory_text(one) for one in summary.memory)}")
+    lines += _memory_lines(summary.memory)
     if summary.faults:
         faults = ", ".join(f"{count} {kind}" for kind, count in summary.faults.items())
         lines.append(f"faults    {faults}")
     return lines
 
 
-def _memory_text(memory: MemorySummary) -> str:
-    """One daemon's growth in a few words."""
-    first, last = memory.first_bytes / _MEBIBYTE_BYTES, memory.last_bytes / _MEBIBYTE_BYTES
-    return f"{memory.node_id} {first:.0f} to {last:.0f} MiB in {memory.seconds:.0f} s"
+def _memory_lines(memory: list[MemorySummary]) -> list[str]:
+    """One line for the daemons of each role."""
+    by_role: dict[str, list[str]] = defaultdict(list)
+    for one in memory:
+        first, last = one.first_bytes / _MEBIBYTE_BYTES, one.last_bytes / _MEBIBYTE_BYTES
+        text = f"{first:.0f} to {last:.0f} MiB in {one.seconds:.0f} s"
+        by_role[one.node_id.split("-", 1)[0]].append(text)
+    return [f"memory    {role}: {', '.join(texts)}" for role, texts in by_role.items()]
 
 
 def _fed_by_scripts(trainer: TrainerSummary) -> str:
--- a/tests/fleet/test_summary.py
+++ b/tests/fleet/test_summary.py
@@ -97,7 +97,10 @@
     ):
         records.add("memory", record)
     lines = render_summary(summarize(records))
-    assert lines[-1] == ("memory    control-a 50 to 50 MiB in 0 s, gateway-a 41 to 45 MiB in 60 s")
+    assert lines[-2:] == [
+        "memory    control: 50 to 50 MiB in 0 s",
+        "memory    gateway: 41 to 45 MiB in 60 s",
+    ]
 
 
 def test_a_run_without_records_has_a_summary_too() -> None:
