A moving run ends when merlinstand itself fed its steps

The end was counted by all steps of the trainer, less an estimate of the scripts' own; one more step by the scripts would have left merlinstand with 19 of 20 and a violation of works-again. The trainer now tells how many steps the scripts fed.

--- a/src/merlinstand_lab/fleet/job_move.py
+++ b/src/merlinstand_lab/fleet/job_move.py
@@ -22,9 +22,6 @@
 )
 """After how many steps of its trainer the job moves; it begins as a mirror."""
 
-STEPS_FED_BY_SCRIPTS = 8
-"""Steps at least that the scripts feed, between the moves above."""
-
 _MOVE_TRIES = 5
 
 
--- a/src/merlinstand_lab/fleet/launcher.py
+++ b/src/merlinstand_lab/fleet/launcher.py
@@ -15,7 +15,7 @@
 from merlinstand_lab.fleet.fleet import Fleet
 from merlinstand_lab.fleet.http import get_typed
 from merlinstand_lab.fleet.incidents import Incident, Incidents, in_rounds
-from merlinstand_lab.fleet.job_move import STEPS_FED_BY_SCRIPTS, JobMove, as_mirror
+from merlinstand_lab.fleet.job_move import JobMove, as_mirror
 from merlinstand_lab.fleet.memory import MemorySampler
 from merlinstand_lab.fleet.operator import OperatorClient
 from merlinstand_lab.fleet.plan import FleetPlan
@@ -177,7 +177,6 @@
         pending = list(schedule)
         under_way: list[gevent.Greenlet] = []
         calm_since = time.monotonic()
-        needed_steps = self._minimum_steps() + (STEPS_FED_BY_SCRIPTS if self._moves else 0)
         maximum_seconds = run.maximum_seconds * self._rounds
         deadline = time.monotonic() + maximum_seconds
         while time.monotonic() < deadline:
@@ -186,13 +185,13 @@
                 return self._crashed(fleet)
             self._refresh()
             self._show_at_intervals()
-            steps = self._fewest_steps()
-            while pending and steps >= pending[0].after_steps:
+            while pending and self._fewest_steps() >= pending[0].after_steps:
                 under_way.append(self._begin(pending.pop(0)))
             if pending or not all(job.ready() for job in under_way):
                 calm_since = time.monotonic()
             calm_seconds = time.monotonic() - calm_since
-            if steps >= needed_steps and calm_seconds >= self._calm_seconds():
+            complete = self._fewest_steps(own_only=True) >= self._minimum_steps()
+            if complete and calm_seconds >= self._calm_seconds():
                 return self._settle(under_way)
         return RunFailedError(detail=f"not complete after {maximum_seconds:g} s")
 
@@ -216,11 +215,14 @@
         raised = [job.exception for job in incidents if job.exception is not None]
         return RunFailedError(detail=f"an incident failed: {raised[0]!r}") if raised else None
 
-    def _fewest_steps(self) -> int:
-        """Steps of the slowest trainer."""
+    def _fewest_steps(self, *, own_only: bool = False) -> int:
+        """Steps of the slowest trainer, all or only those that merlinstand fed."""
         if len(self._trainers) < len(self._plan.lab.trainer):
             return 0
-        return min(one.steps for one in self._trainers.values())
+        return min(
+            one.steps - (one.steps_fed_by_scripts if own_only else 0)
+            for one in self._trainers.values()
+        )
 
     def _crashed(self, fleet: Fleet) -> RunFailedError:
         """Name processes that ended by themselves."""
--- a/src/merlinstand_lab/standins/trainer.py
+++ b/src/merlinstand_lab/standins/trainer.py
@@ -53,6 +53,8 @@
     consumer: str
     steps: int
     """Steps completed, and so recorded."""
+    steps_fed_by_scripts: int = 0
+    """Those of them on batches of the old scripts."""
     version: int
     waiting: bool
     samples: int
@@ -80,6 +82,7 @@
         self._step: StepRecord | None = None
         self._samples = 0
         self._steps_done = 0
+        self._steps_fed_by_scripts = 0
 
     def start(self, event: Started, now: float) -> Sequence[Effect]:
         """Publish the first weights, or just begin to pull."""
@@ -128,6 +131,7 @@
         progress = TrainerProgress(
             consumer=self._settings.consumer,
             steps=self._steps_done,
+            steps_fed_by_scripts=self._steps_fed_by_scripts,
             version=self._version,
             waiting=self._asked_at is not None,
             samples=self._samples,
@@ -275,6 +279,7 @@
         step = msgspec.structs.replace(self._step, step_ended_at=now)
         self._step = None
         self._steps_done += 1
+        self._steps_fed_by_scripts += step.consumer != self._settings.consumer
         effects: list[Effect] = [WriteRecord(f"idle-{self._settings.consumer}", step)]
         due = step.batch % self._settings.publish_every_steps == 0
         if self._settings.publishes and due:
--- a/tests/fleet/test_plan.py
+++ b/tests/fleet/test_plan.py
@@ -9,7 +9,7 @@
 from merlinstand_lab.fleet.configuration_file import read_put_commands
 from merlinstand_lab.fleet.fleet import Fleet
 from merlinstand_lab.fleet.incidents import Incident, Incidents, in_rounds
-from merlinstand_lab.fleet.job_move import STEPS_FED_BY_SCRIPTS, JobMove, as_mirror
+from merlinstand_lab.fleet.job_move import JobMove, as_mirror
 from merlinstand_lab.fleet.operator import OperatorClient
 from merlinstand_lab.fleet.plan import FleetPlan, make_plan
 from merlinstand_lab.fleet.settings import load_lab_settings
@@ -110,9 +110,8 @@
     operator = OperatorClient("operator", plan.controls, "", RecordWriter(str(tmp_path)), 1.0)
     moves = JobMove(plan, operator, print).schedule()
     assert [move.title.rsplit(" ", 1)[1] for move in moves] == ["active", "mirror", "active"]
-    # What the scripts feed is not counted for the run's minimum of steps.
-    first, back, again = (move.after_steps for move in moves)
-    assert first + again - back == STEPS_FED_BY_SCRIPTS
+    begins = [move.after_steps for move in moves]
+    assert begins == sorted(begins) and begins[-1] <= plan.lab.run.minimum_steps
 
 
 def test_rounds_repeat_the_incidents_every_so_many_steps() -> None:
--- a/tests/standins/test_trainer.py
+++ b/tests/standins/test_trainer.py
@@ -197,6 +197,8 @@
         if isinstance(one, StepRecord)
     ]
     assert steps == [("trainer-1@scripts", 1), ("trainer-1@scripts", 2), ("trainer-1", 1)]
+    progress = moving.ask("GET", "/lab/progress")
+    assert (progress["steps"], progress["steps_fed_by_scripts"]) == (3, 2)
 
 
 def test_an_answer_of_the_former_feeder_is_dropped(moving: Driver) -> None:
