A run fails as soon as one of its incidents does, with the reason

An incident that raised was told of only after the run was complete; a failed move kept the trainer waiting until the time was up and hid behind "not complete".

--- a/src/merlinstand_lab/fleet/launcher.py
+++ b/src/merlinstand_lab/fleet/launcher.py
@@ -181,8 +181,9 @@
         deadline = time.monotonic() + maximum_seconds
         while time.monotonic() < deadline:
             gevent.sleep(_POLL_SECONDS)
-            if fleet.crashed():
-                return self._crashed(fleet)
+            failure = self._crashed(fleet) or self._failed_incident(under_way)
+            if failure is not None:
+                return failure
             self._refresh()
             self._show_at_intervals()
             while pending and self._fewest_steps() >= pending[0].after_steps:
@@ -192,7 +193,7 @@
             calm_seconds = time.monotonic() - calm_since
             complete = self._fewest_steps(own_only=True) >= self._minimum_steps()
             if complete and calm_seconds >= self._calm_seconds():
-                return self._settle(under_way)
+                return None
         return RunFailedError(detail=f"not complete after {maximum_seconds:g} s")
 
     def _minimum_steps(self) -> int:
@@ -210,8 +211,8 @@
         self._say(incident.title)
         return gevent.spawn(incident.run)
 
-    def _settle(self, incidents: list[gevent.Greenlet]) -> RunFailedError | None:
-        """Sum the incidents up; one that raised fails the run."""
+    def _failed_incident(self, incidents: list[gevent.Greenlet]) -> RunFailedError | None:
+        """Return the failure of an incident that raised, if one did."""
         raised = [job.exception for job in incidents if job.exception is not None]
         return RunFailedError(detail=f"an incident failed: {raised[0]!r}") if raised else None
 
@@ -224,10 +225,13 @@
             for one in self._trainers.values()
         )
 
-    def _crashed(self, fleet: Fleet) -> RunFailedError:
-        """Name processes that ended by themselves."""
+    def _crashed(self, fleet: Fleet) -> RunFailedError | None:
+        """Name processes that ended by themselves, if any did."""
+        crashed = fleet.crashed()
+        if not crashed:
+            return None
         parts = []
-        for one in fleet.crashed():
+        for one in crashed:
             parts.append(f"{one.spec.name} ended with exit code {one.exit_code()}")
             parts.append(one.log_tail(_LOG_TAIL_LINES))
         return RunFailedError(detail="\n".join(parts))
