config check: a configuration file is checked without a control group, and whole before it is applied

Cause: a wrong object or policy in the middle of a file was found by control only after the objects before it were in force; there was no way to check the file offline, as `settings check` does for a deployment. Change: load_configuration checks every object and policy as control does; `config apply` sends nothing of a wrong file. Tests: five faults with place and reason; both examples pass.

--- a/src/merlinstand/cli/config_commands.py
+++ b/src/merlinstand/cli/config_commands.py
@@ -5,10 +5,11 @@
 import click
 
 from merlinstand.cli.operator_client import OperatorClient
-from merlinstand.cli.options import operator_options
+from merlinstand.cli.options import operator_options, output_option
 from merlinstand.cli.output import Column, fail, print_rows, unwrap
 
 _COLUMNS = (Column("KEY", "key"), Column("REVISION", "revision"), Column("VALUE", "value"))
+_CHECK_COLUMNS = (Column("KEY", "key"), Column("KIND", "kind"))
 _APPLY_COLUMNS = (Column("KEY", "key"), Column("RESULT", "result"), Column("REVISION", "revision"))
 
 
@@ -34,15 +35,34 @@
     print_rows(rows, _COLUMNS, output)
 
 
+@config.command()
+@click.argument("file")
+@output_option
+def check(file: str, output: str) -> None:
+    """Check FILE (TOML) as far as that goes without a control group.
+
+    \b
+    Example:
+        merlinstand config check examples/vitrina/configuration.toml
+    """
+    from merlinstand.settings.configuration_file import load_configuration
+
+    rows = [
+        {"key": key, "kind": type(value).__name__.lower()}
+        for key, value in unwrap(load_configuration(file), output)
+    ]
+    print_rows(rows, _CHECK_COLUMNS, output)
+
+
 @config.command()
 @click.argument("file")
 @operator_options
 def apply(client: OperatorClient, output: str, file: str) -> None:
     """Create or replace the objects that FILE (TOML) describes; others stay.
 
-    Each change is refused if somebody else changed the object meanwhile; running the
-    command again goes on from there. --expected-revision is compared with the newest
-    revision of the whole configuration before anything is changed.
+    The whole file is checked first. Each change is refused if somebody else changed the
+    object meanwhile; running the command again goes on from there. --expected-revision is
+    compared with the newest revision of the whole configuration before anything is changed.
 
     \b
     Example:
--- a/src/merlinstand/settings/configuration_file.py
+++ b/src/merlinstand/settings/configuration_file.py
@@ -3,7 +3,15 @@
 import msgspec
 from result import Err, Ok, Result
 
-from merlinstand.configuration.objects import ConfigurationObject, Job, Limits, Pool
+from merlinstand.configuration.objects import (
+    ConfigurationObject,
+    Job,
+    Limits,
+    PolicySource,
+    Pool,
+    encode_object,
+)
+from merlinstand.control.validation import InvalidObject, check_object
 from merlinstand.settings.errors import SettingsError
 from merlinstand.settings.toml_file import load_toml
 
@@ -21,7 +29,7 @@
 
 
 def load_configuration(path: str) -> Result[tuple[KeyedObject, ...], SettingsError]:
-    """Read a file's objects, pools first: jobs name pools."""
+    """Read and check a file's objects, pools first: jobs name pools."""
     loaded = load_toml(path, ConfigurationFile)
     if isinstance(loaded, Err):
         return loaded
@@ -36,4 +44,41 @@
                 SettingsError(file=path, path=key, expected="each name only once in the file")
             )
         seen.add(key)
-    return Ok(tuple(objects))
+    fault = _find_fault(path, objects)
+    return Ok(tuple(objects)) if fault is None else Err(fault)
+
+
+def _find_fault(path: str, objects: list[KeyedObject]) -> SettingsError | None:
+    """Check each object by itself, as control will do again."""
+    for key, value in objects:
+        detail = _object_fault(key, value)
+        if detail:
+            return SettingsError(file=path, path=key, expected=f"a valid object ({detail})")
+        fault = _policy_fault(path, key, value.policy) if isinstance(value, Job) else None
+        if fault is not None:
+            return fault
+    return None
+
+
+def _object_fault(key: str, value: ConfigurationObject) -> str:
+    try:
+        payload = encode_object(value)
+    except OverflowError:
+        return "an integer is outside 64 bits"
+    checked = check_object(key, payload)
+    return checked.detail.removeprefix(f"{key}: ") if isinstance(checked, InvalidObject) else ""
+
+
+def _policy_fault(path: str, key: str, source: PolicySource) -> SettingsError | None:
+    from merlinstand.policy.check import check_policy
+
+    checked = check_policy(source)
+    if not isinstance(checked, Err):
+        return None
+    error = checked.err_value
+    return SettingsError(
+        file=path,
+        path=f"{key}: policy.{error.field}",
+        value=repr(getattr(source, error.field)),
+        expected=f"a valid policy ({error.detail})",
+    )
--- a/tests/cli/test_operator_commands.py
+++ b/tests/cli/test_operator_commands.py
@@ -242,13 +242,21 @@
     assert CliRunner().invoke(main, arguments).exit_code == 3
 
 
-def test_settings_check() -> None:
-    file = str(EXAMPLES / "vitrina" / "merlinstand.toml")
+@pytest.mark.parametrize("name", ["vitrina", "tatrasoft"])
+def test_settings_and_configuration_of_the_examples(name: str) -> None:
+    file = str(EXAMPLES / name / "merlinstand.toml")
     result = CliRunner().invoke(main, ["settings", "check", file, "--output", "json"])
     assert result.exit_code == 0
     assert len(json.loads(result.output)) == 8
-    result = CliRunner().invoke(main, ["settings", "check", "/none"])
-    assert result.exit_code == 3
+    file = str(EXAMPLES / name / "configuration.toml")
+    result = CliRunner().invoke(main, ["config", "check", file, "--output", "json"])
+    assert result.exit_code == 0, result.output
+    assert {row["kind"] for row in json.loads(result.output)} >= {"pool", "job"}
+
+
+def test_settings_check_of_a_missing_file() -> None:
+    for group in ("settings", "config"):
+        assert CliRunner().invoke(main, [group, "check", "/none"]).exit_code == 3
 
 
 def test_unknown_node_of_a_daemon() -> None:
--- a/tests/settings/test_deployment.py
+++ b/tests/settings/test_deployment.py
@@ -295,3 +295,31 @@
     assert load_configuration(str(file)).unwrap_err().path == "pool[0].kind"
     file.write_text('[[job]]\nname = "j"\nmodel = "m"\npool = "p"\n[job.policy]\nwieght = "1"\n')
     assert load_configuration(str(file)).unwrap_err().path == "job[0].policy.wieght"
+
+
+@pytest.mark.parametrize(
+    ("text", "path", "expected"),
+    [
+        ('[[pool]]\nname = "p"\nkind = "engine"\nbackends = []\n', "pool/p", "needs a model"),
+        ('[[limits]]\ncaller = "c"\nrequests_per_second = -1\n', "limits/c", "above 0"),
+        ('[[job]]\nname = "../j"\nmodel = "m"\npool = "p"\n', "job/../j", "a key is KIND/NAME"),
+        (
+            '[[job]]\nname = "j"\nmodel = "m"\npool = "p"\n[job.policy]\nweight = "scroe"\n',
+            "job/j: policy.weight",
+            "Undefined variable scroe",
+        ),
+        (
+            '[[job]]\nname = "j"\nmodel = "m"\npool = "p"\nbatch_size = 99999999999999999999\n',
+            "job/j",
+            "64 bits",
+        ),
+    ],
+)
+def test_objects_are_checked_before_they_are_sent(
+    tmp_path: Path, text: str, path: str, expected: str
+) -> None:
+    file = tmp_path / "configuration.toml"
+    file.write_text(text)
+    error = load_configuration(str(file)).unwrap_err()
+    assert error.path == path
+    assert expected in error.expected
