The host without the process around it: run_host, exit codes and TLS contexts have modules of their own

Change: process.py runs one reducer as a whole process (logs, signals, exit code), exit_codes.py names how it may end, TlsContexts makes the three contexts. No behaviour changes.

--- a/src/merlinstand/cli/daemon_commands.py
+++ b/src/merlinstand/cli/daemon_commands.py
@@ -104,7 +104,7 @@
     daemon_class: Callable[[Any], Reducer],
     options: dict[str, str],
 ) -> None:
-    from merlinstand.runtime.host import run_host
+    from merlinstand.runtime.process import run_host
 
     file, node = options["settings_file"], options["node"]
     deployment = unwrap(load_deployment(file))
--- a/src/merlinstand/runtime/host.py
+++ b/src/merlinstand/runtime/host.py
@@ -1,8 +1,6 @@
 """Hosts one reducer in one process: one loop on one thread."""
 
-import os
 import secrets
-import signal
 import time
 import traceback
 from collections import deque
@@ -17,37 +15,30 @@
 from merlinstand.kernel.effects import Effect
 from merlinstand.kernel.events import Event, Started, StopRequested, TimerFired
 from merlinstand.kernel.reducer import Reducer
-from merlinstand.runtime import tls
 from merlinstand.runtime.addresses import parse_address
 from merlinstand.runtime.disk import Disk, NoDisk, StoreDisk
 from merlinstand.runtime.errors import HostSetupError
+from merlinstand.runtime.exit_codes import EXIT_DISK_FAILED, EXIT_FORCED, EXIT_REDUCER_FAILED
 from merlinstand.runtime.host_settings import HostSettings
 from merlinstand.runtime.http_client import HttpClient
 from merlinstand.runtime.http_connection import ConnectionPool
 from merlinstand.runtime.http_door import HttpDoor
 from merlinstand.runtime.http_server import DoorServer
-from merlinstand.runtime.logs import EventLog, configure_process_logging
+from merlinstand.runtime.logs import EventLog
 from merlinstand.runtime.metrics import Metrics
 from merlinstand.runtime.performer import EffectPerformer
-from merlinstand.runtime.profile import profiled
 from merlinstand.runtime.record_writer import RecordWriter
 from merlinstand.runtime.timers import Timers
+from merlinstand.runtime.tls import TlsContexts
 from merlinstand.runtime.transport import Transport
 from merlinstand.storage.errors import StorageError
 from merlinstand.storage.store import DurableStore
 
-EXIT_SETUP_FAILED = 3
-EXIT_REDUCER_FAILED = 70
-EXIT_DISK_FAILED = 74
-EXIT_FORCED = 130
 FLUSH_SECONDS = 5.0
 """Longest time at the end for responses and messages to leave."""
 FLUSH_POLL_SECONDS = 0.005
 CONNECTION_SWEEP_SECONDS = 10.0
 _SEED_BITS = 63
-_FAULTS = frozenset((EXIT_REDUCER_FAILED, EXIT_DISK_FAILED))
-"""Exit codes after which nothing of the process can be trusted enough to finish."""
-_STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
 
 class HostSetupFailedError(Exception):
@@ -84,16 +75,18 @@
         self._reducing = False
         self._stopping = LoopEvent()
         self._server: DoorServer | None = None
-        server_tls, internal_tls, client_tls = _tls_contexts(settings)
-        self._server_tls = server_tls
+        contexts = TlsContexts.of(settings.tls)
+        if isinstance(contexts, Err):
+            raise HostSetupFailedError(contexts.err_value)
+        self._tls = contexts.ok_value
         self.transport = Transport(
-            NodeId(settings.node_id), self.submit, self.log, internal_tls, client_tls
+            NodeId(settings.node_id), self.submit, self.log, self._tls.internal, self._tls.client
         )
         self.metrics.register(self.transport.counters)
         self._timers = Timers(lambda name: self.submit(TimerFired(name)))
         self._disk: Disk = NoDisk(self.submit)
         self._door = HttpDoor(self.submit, self.metrics, settings.http_limits)
-        outbound_tls = client_tls if settings.tls and settings.tls.calls else None
+        outbound_tls = self._tls.client if settings.tls and settings.tls.calls else None
         self._pool = ConnectionPool(outbound_tls)
         self._client = HttpClient(self.submit, self._pool)
         self._records = RecordWriter(settings.record_folder) if settings.record_folder else None
@@ -244,7 +237,7 @@
             parsed.ok_value.as_pair(),
             self._door.application,
             self._settings.http_limits,
-            self._server_tls,
+            self._tls.server,
         )
         server.start()
         return server
@@ -286,76 +279,3 @@
         while True:
             gevent.sleep(CONNECTION_SWEEP_SECONDS)
             self._pool.sweep()
-
-
-def run_host(reducer: Reducer, settings: HostSettings) -> int:
-    """Run a reducer until it asks to stop.
-
-    The first SIGTERM or SIGINT becomes `StopRequested`; a second one ends at once.
-
-    Args:
-        reducer: The process's decisions.
-        settings: Its name, addresses and folders.
-
-    Returns:
-        The process's exit code (from `StopProcess`).
-    """
-    configure_process_logging()
-    with profiled(settings.profile_path):
-        return _run_host(reducer, settings)
-
-
-def _run_host(reducer: Reducer, settings: HostSettings) -> int:
-    log = EventLog(settings.node_id, settings.log_level)
-    # Unexpected faults of greenlets become log lines, not tracebacks over many lines.
-    gevent.get_hub().print_exception = lambda _context, *failure: log.write(
-        "host.greenlet_failed",
-        {"traceback": "".join(traceback.format_exception(*failure))},
-        "error",
-    )
-    try:
-        host = Host(reducer, settings)
-        watchers = _install_signals(host)
-        host.start()
-    except HostSetupFailedError as failure:
-        log.write("host.setup_failed", {"detail": failure.error.detail}, "error")
-        return EXIT_SETUP_FAILED
-    exit_code = host.wait()
-    if exit_code in _FAULTS:
-        host.abort()
-    else:
-        host.stop()
-    for watcher in watchers:
-        watcher.stop()
-    log.write("host.stopped", {"exit_code": exit_code})
-    return exit_code
-
-
-def _install_signals(host: Host) -> list[Any]:
-    """Give the watchers: they work as long as they are referenced."""
-    asked = False
-
-    def on_signal() -> None:
-        nonlocal asked
-        if asked:
-            # At once: no flushing, no waiting for responses.
-            os._exit(EXIT_FORCED)
-        asked = True
-        host.announce_stop()
-
-    watchers = [gevent.get_hub().loop.signal(number) for number in _STOP_SIGNALS]
-    for watcher in watchers:
-        watcher.start(on_signal)
-    return watchers
-
-
-def _tls_contexts(settings: HostSettings) -> tuple[Any, Any, Any]:
-    if settings.tls is None:
-        return None, None, None
-    contexts = []
-    for make in (tls.server_context, tls.internal_server_context, tls.client_context):
-        result = make(settings.tls)
-        if isinstance(result, Err):
-            raise HostSetupFailedError(result.err_value)
-        contexts.append(result.ok_value)
-    return contexts[0], contexts[1], contexts[2]
--- /dev/null
+++ b/src/merlinstand/runtime/process.py
@@ -0,0 +1,78 @@
+"""Runs one reducer as the whole of this process: logs, signals, exit code."""
+
+import os
+import signal
+import traceback
+from typing import Any
+
+import gevent
+
+from merlinstand.kernel.reducer import Reducer
+from merlinstand.runtime.exit_codes import EXIT_FORCED, EXIT_SETUP_FAILED, FAULTS
+from merlinstand.runtime.host import Host, HostSetupFailedError
+from merlinstand.runtime.host_settings import HostSettings
+from merlinstand.runtime.logs import EventLog, configure_process_logging
+from merlinstand.runtime.profile import profiled
+
+_STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+
+
+def run_host(reducer: Reducer, settings: HostSettings) -> int:
+    """Run a reducer until it asks to stop.
+
+    The first SIGTERM or SIGINT becomes `StopRequested`; a second one ends at once.
+
+    Args:
+        reducer: The process's decisions.
+        settings: Its name, addresses and folders.
+
+    Returns:
+        The process's exit code (from `StopProcess`).
+    """
+    configure_process_logging()
+    with profiled(settings.profile_path):
+        return _run_host(reducer, settings)
+
+
+def _run_host(reducer: Reducer, settings: HostSettings) -> int:
+    log = EventLog(settings.node_id, settings.log_level)
+    # Unexpected faults of greenlets become log lines, not tracebacks over many lines.
+    gevent.get_hub().print_exception = lambda _context, *failure: log.write(
+        "host.greenlet_failed",
+        {"traceback": "".join(traceback.format_exception(*failure))},
+        "error",
+    )
+    try:
+        host = Host(reducer, settings)
+        watchers = _install_signals(host)
+        host.start()
+    except HostSetupFailedError as failure:
+        log.write("host.setup_failed", {"detail": failure.error.detail}, "error")
+        return EXIT_SETUP_FAILED
+    exit_code = host.wait()
+    if exit_code in FAULTS:
+        host.abort()
+    else:
+        host.stop()
+    for watcher in watchers:
+        watcher.stop()
+    log.write("host.stopped", {"exit_code": exit_code})
+    return exit_code
+
+
+def _install_signals(host: Host) -> list[Any]:
+    """Give the watchers: they work as long as they are referenced."""
+    asked = False
+
+    def on_signal() -> None:
+        nonlocal asked
+        if asked:
+            # At once: no flushing, no waiting for responses.
+            os._exit(EXIT_FORCED)
+        asked = True
+        host.announce_stop()
+
+    watchers = [gevent.get_hub().loop.signal(number) for number in _STOP_SIGNALS]
+    for watcher in watchers:
+        watcher.start(on_signal)
+    return watchers
--- a/src/merlinstand/runtime/tls.py
+++ b/src/merlinstand/runtime/tls.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 import gevent
+import msgspec
 from gevent.server import StreamServer
 from gevent.ssl import SSLContext
 from result import Err, Ok, Result
@@ -33,6 +34,30 @@
             secured.close()
 
 
+class TlsContexts(msgspec.Struct, frozen=True):
+    """The contexts of one process; all None without TLS."""
+
+    server: Any = None
+    """Of the HTTP door: clients need no certificate."""
+    internal: Any = None
+    """Of the internal door: peers show a certificate of the authority."""
+    client: Any = None
+    """Of connections to peers and, if asked for, to back ends."""
+
+    @classmethod
+    def of(cls, files: TlsFiles | None) -> Result["TlsContexts", HostSetupError]:
+        """Make the contexts from their files."""
+        if files is None:
+            return Ok(cls())
+        contexts = []
+        for make in (server_context, internal_server_context, client_context):
+            result = make(files)
+            if isinstance(result, Err):
+                return result
+            contexts.append(result.ok_value)
+        return Ok(cls(*contexts))
+
+
 def server_context(files: TlsFiles) -> Result[SSLContext, HostSetupError]:
     """Make the context of an HTTP door: clients need no certificate."""
     return _context(files, ssl.PROTOCOL_TLS_SERVER, ssl.CERT_NONE)
--- a/src/merlinstand_lab/cli/standin.py
+++ b/src/merlinstand_lab/cli/standin.py
@@ -5,8 +5,8 @@
 import click
 from result import Err
 
-from merlinstand.runtime.host import run_host
 from merlinstand.runtime.host_settings import HostSettings
+from merlinstand.runtime.process import run_host
 from merlinstand_lab.fleet.settings import LabSettings, load_lab_settings
 from merlinstand_lab.standins.catalogue import make_standin
 from merlinstand_lab.standins.settings import StandinSettings
--- a/tests/runtime/test_daemon_imports.py
+++ b/tests/runtime/test_daemon_imports.py
@@ -20,7 +20,7 @@
 import merlinstand.control.daemon
 import merlinstand.gateway.daemon
 import merlinstand.coordinator.daemon
-import merlinstand.runtime.host
+import merlinstand.runtime.process
 print(" ".join(sys.modules))
 """
 
--- a/tests/runtime/test_host.py
+++ b/tests/runtime/test_host.py
@@ -34,7 +34,7 @@
     StopRequested,
     TimerFired,
 )
-from merlinstand.runtime import host as host_module
+from merlinstand.runtime import exit_codes
 from merlinstand.runtime.host import Host, HostSetupFailedError
 from merlinstand.runtime.host_settings import HostSettings, TlsFiles
 from merlinstand.runtime.logs import format_pairs
@@ -94,7 +94,7 @@
     host, reducer = run_reducer(
         on_start(AppendRecords((b"one",), 1)), data_folder=str(tmp_path / "data")
     )
-    assert host.wait() == host_module.EXIT_DISK_FAILED
+    assert host.wait() == exit_codes.EXIT_DISK_FAILED
     assert not [event for event in reducer.sink.events if isinstance(event, RecordsSynced)]
 
 
@@ -140,7 +140,7 @@
         return (SetTimer("soon", 0.0),)
 
     host, _reducer = run_reducer(decide)
-    assert host.wait() == host_module.EXIT_REDUCER_FAILED
+    assert host.wait() == exit_codes.EXIT_REDUCER_FAILED
 
 
 def test_stop_is_the_reducers_choice(run_reducer: Any) -> None:
@@ -212,7 +212,7 @@
 import sys
 from merlinstand.kernel.effects import LogEvent, StopProcess
 from merlinstand.kernel.events import StopRequested
-from merlinstand.runtime.host import run_host
+from merlinstand.runtime.process import run_host
 from merlinstand.runtime.host_settings import HostSettings
 
 class Daemon:
