Gateway benchmark: first tokens probed often, peak memory, a back end without Nagle's delay

Change: the probe gives a stream up after its first token and connects again; the gateway's peak memory is told; the back end sets TCP_NODELAY.

--- a/benchmarks/gateway_throughput.py
+++ b/benchmarks/gateway_throughput.py
@@ -87,6 +87,13 @@
     return user + system, system
 
 
+def peak_megabytes(process_id: int) -> float:
+    """Most memory that a process had resident."""
+    lines = Path(f"/proc/{process_id}/status").read_text().splitlines()
+    fields = dict(line.split(":", 1) for line in lines)
+    return round(int(fields["VmHWM"].split()[0]) / 1024, 1)
+
+
 def run_load(
     options: argparse.Namespace, gateway: subprocess.Popen[bytes], ports: list[int]
 ) -> dict[str, object]:
@@ -105,7 +112,7 @@
     probed = json.loads(probe.communicate()[0])
     after, system_after = processor_seconds(gateway.pid)
     elapsed, used = time.monotonic() - began, after - before
-    probes = len(probed["gateway"]["whole"])
+    probes = len(probed["gateway"]["first"])
     count = sum(len(output["latencies"]) for output in outputs) + probes
     chunks = sum(output["chunks"] for output in outputs)
     figures: dict[str, object] = {
@@ -115,11 +122,12 @@
         "gateway_processor_share": round(used / elapsed, 2),
         "kernels_share_of_it": round((system_after - system_before) / used, 2),
         "processor_us_a_request": round(used / count * 1e6),
+        "peak_megabytes": peak_megabytes(gateway.pid),
         "probes": probes,
         **latency_figures(probed, "first" if options.kind == "stream" else "whole"),
     }
     if options.kind == "stream":
-        chunks += probes * CHUNKS
+        chunks += probes
         figures["chunks_per_second"] = round(chunks / options.seconds)
         figures["processor_us_a_chunk"] = round(used / chunks * 1e6, 1)
     return figures
--- a/benchmarks/raw_backend.py
+++ b/benchmarks/raw_backend.py
@@ -4,6 +4,7 @@
 """
 
 import json
+import socket
 import sys
 from typing import Any
 
@@ -38,6 +39,7 @@
 
 def serve(connection: Any, _address: Any) -> None:
     """Serve one connection."""
+    connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     data = b""
     while True:
         while b"\r\n\r\n" not in data:
--- a/benchmarks/raw_probe.py
+++ b/benchmarks/raw_probe.py
@@ -1,7 +1,8 @@
 """Sends one request at a time, in turn to a back end itself and through a gateway.
 
 Both ways meet the same moments of a busy machine, so their ratio is steadier than either.
-Prints one JSON line: for each way the seconds to the first body byte and to the end.
+Prints one JSON line: for each way the seconds to the first body byte and, for lookups, to
+the end. A stream is given up after its first token, on a connection of its own.
 
 Usage: python benchmarks/raw_probe.py GATEWAY_IP:PORT BACKEND_IP:PORT lookup|stream SECONDS
 """
@@ -23,8 +24,8 @@
 
     def __init__(self, address: str) -> None:
         ip, port = address.split(":")
-        self._connection: Any = socket.create_connection((ip, int(port)))
-        self._connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self._address = (ip, int(port))
+        self._connection: Any = self._connect()
         self.first_seconds: list[float] = []
         self.whole_seconds: list[float] = []
 
@@ -40,15 +41,20 @@
         if not data.startswith(b"HTTP/1.1 200"):
             raise OSError(data.partition(b"\r\n")[0])
         if kind == "stream":
-            while not data.endswith(b"0\r\n\r\n"):
-                data = self._receive()
-        else:
-            head, _separator, body = data.partition(b"\r\n\r\n")
-            length = int(head.lower().partition(b"content-length: ")[2].split(b"\r\n", 1)[0])
-            while len(body) < length:
-                body += self._receive()
+            self._connection.close()
+            self._connection = self._connect()
+            return
+        head, _separator, body = data.partition(b"\r\n\r\n")
+        length = int(head.lower().partition(b"content-length: ")[2].split(b"\r\n", 1)[0])
+        while len(body) < length:
+            body += self._receive()
         self.whole_seconds.append(time.monotonic() - began)
 
+    def _connect(self) -> Any:
+        connection: Any = socket.create_connection(self._address)
+        connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        return connection
+
     def _receive(self) -> bytes:
         data: bytes = self._connection.recv(65536)
         if not data:
