The command line's client in short steps

One attempt is now a function of its own with a typed outcome; the shared options stand as a table. No behaviour changed, but one: if only some replicas' certificates are refused and the others don't answer, the error is `unavailable`, with the last problem, since trying again may help.

--- a/src/merlinstand/cli/operator_client.py
+++ b/src/merlinstand/cli/operator_client.py
@@ -75,6 +75,15 @@
     leader: str = ""
 
 
+class _AskElsewhere(msgspec.Struct, frozen=True, kw_only=True):
+    """One replica gave no final answer."""
+
+    problem: str
+    leader: str = ""
+    """HTTP address of the replica that leads, if it was named."""
+    untrusted: UntrustedControlError | None = None
+
+
 class OperatorClient:
     """Runs commands; retries go under the same command id, so they are harmless."""
 
@@ -172,48 +181,60 @@
         problem = "no control address is known"
         turn = 0
         untrusted: dict[str, UntrustedControlError] = {}
-        while not untrusted.keys() >= set(self._addresses):
+        while self._addresses:
             address = self._addresses[turn % len(self._addresses)]
             turn += 1
             left = end - self._monotonic()
             if left <= 0:
                 break
-            result = request(
-                address,
-                method,
-                path,
-                body,
-                token=self.settings.token,
-                timeout_seconds=min(REQUEST_TIMEOUT_SECONDS, left),
-                authority=self.settings.authority,
-            )
-            if isinstance(result, Err):
-                problem = result.err_value.detail
-                if isinstance(result.err_value, UntrustedControlError):
-                    untrusted[address] = result.err_value
-            else:
-                answer = result.ok_value
-                if answer.status == HTTPStatus.OK:
-                    self._prefer(address)
-                    return Ok(answer)
-                error = _error_answer(answer)
-                problem = f"{address}: {error.code}: {error.detail}"
-                if answer.status == HTTPStatus.MISDIRECTED_REQUEST:
-                    if error.leader and error.leader != address:
-                        self._prefer(error.leader)
-                        turn = 0
-                        # The leader is asked at once, but two replicas that name each
-                        # other during an election must not be asked in a tight loop.
-                        self._sleep(RETRY_INTERVAL_SECONDS / 4)
-                        continue
-                elif answer.status not in _RETRIED_STATUSES:
-                    return Err(_refusal(answer, error))
-            if turn % len(self._addresses) == 0:
+            outcome = self._try(address, method, path, body, left)
+            if not isinstance(outcome, _AskElsewhere):
+                return outcome
+            problem = outcome.problem
+            if outcome.untrusted is not None:
+                untrusted[address] = outcome.untrusted
+                if untrusted.keys() >= set(self._addresses):
+                    return Err(next(iter(untrusted.values())))
+            if outcome.leader:
+                self._prefer(outcome.leader)
+                turn = 0
+                # The leader is asked at once, but two replicas that name each other during
+                # an election must not be asked in a tight loop.
+                self._sleep(RETRY_INTERVAL_SECONDS / 4)
+            elif turn % len(self._addresses) == 0:
                 self._sleep(RETRY_INTERVAL_SECONDS)
-        if untrusted:
-            return Err(next(iter(untrusted.values())))
         return Err(ControlUnavailableError(detail=f"no replica answered in time; last: {problem}"))
 
+    def _try(
+        self, address: str, method: str, path: str, body: bytes, left_seconds: float
+    ) -> "Result[Answer, MerlinstandError] | _AskElsewhere":
+        """Ask one replica."""
+        result = request(
+            address,
+            method,
+            path,
+            body,
+            token=self.settings.token,
+            timeout_seconds=min(REQUEST_TIMEOUT_SECONDS, left_seconds),
+            authority=self.settings.authority,
+        )
+        if isinstance(result, Err):
+            error = result.err_value
+            untrusted = error if isinstance(error, UntrustedControlError) else None
+            return _AskElsewhere(problem=error.detail, untrusted=untrusted)
+        answer = result.ok_value
+        if answer.status == HTTPStatus.OK:
+            self._prefer(address)
+            return Ok(answer)
+        refused = _error_answer(answer)
+        problem = f"{address}: {refused.code}: {refused.detail}"
+        if answer.status == HTTPStatus.MISDIRECTED_REQUEST:
+            leader = refused.leader if refused.leader != address else ""
+            return _AskElsewhere(problem=problem, leader=leader)
+        if answer.status in _RETRIED_STATUSES:
+            return _AskElsewhere(problem=problem)
+        return Err(_refusal(answer, refused))
+
     def _prefer(self, address: str) -> None:
         """Ask this replica first from now on."""
         if address in self._addresses:
--- a/src/merlinstand/cli/options.py
+++ b/src/merlinstand/cli/options.py
@@ -34,6 +34,56 @@
     )(command)
 
 
+_OPERATOR_OPTIONS = (
+    click.option(
+        "--settings",
+        "settings_file",
+        envvar=SETTINGS_VARIABLE,
+        default="",
+        metavar="FILE",
+        help=f"Deployment file that names the control replicas (or ${SETTINGS_VARIABLE}).",
+    ),
+    click.option(
+        "--control",
+        multiple=True,
+        envvar=CONTROL_VARIABLE,
+        metavar="IP:PORT",
+        help=f"HTTP address of a control replica; may be repeated (or ${CONTROL_VARIABLE}).",
+    ),
+    click.option(
+        "--token",
+        envvar=TOKEN_VARIABLE,
+        default="",
+        help=f"Operators' token (or ${TOKEN_VARIABLE}).",
+    ),
+    click.option(
+        "--authority",
+        default="",
+        metavar="FILE",
+        help="Certificates that sign the replicas, where they speak TLS.",
+    ),
+    click.option(
+        "--timeout",
+        type=click.FloatRange(min=0.0, min_open=True),
+        default=15.0,
+        show_default=True,
+        help="Longest time to try, in seconds.",
+    ),
+    click.option(
+        "--command-id",
+        default="",
+        help="Name of this command: repeating it under the same name is harmless.",
+    ),
+    click.option(
+        "--expected-revision",
+        type=click.IntRange(min=0),
+        default=None,
+        help="Refuse unless the object still has this revision (0: must not exist).",
+    ),
+    output_option,
+)
+
+
 def operator_options(command: Callable[..., Any]) -> Callable[..., Any]:
     """Add what every operator command takes; the command gets `client` and `output`."""
 
@@ -50,12 +100,10 @@
         output: str,
         **arguments: Any,
     ) -> Any:
-        from merlinstand.cli.client_settings import ClientSettings, find_fault
-        from merlinstand.cli.operator_client import OperatorClient
-
         access = _from_settings(settings_file, output)
         given = tuple(part for text in control for part in text.split(",") if part)
-        settings = ClientSettings(
+        client = _make_client(
+            output,
             addresses=given or access.addresses,
             control_nodes=access.nodes,
             token=token or access.token,
@@ -64,65 +112,26 @@
             command_id=command_id,
             expected_revision=expected_revision,
         )
-        fault = find_fault(settings)
-        if fault is not None:
-            fail(fault, output)
-        return command(client=OperatorClient(settings), output=output, **arguments)
-
-    decorators = (
-        click.option(
-            "--settings",
-            "settings_file",
-            envvar=SETTINGS_VARIABLE,
-            default="",
-            metavar="FILE",
-            help=f"Deployment file that names the control replicas (or ${SETTINGS_VARIABLE}).",
-        ),
-        click.option(
-            "--control",
-            multiple=True,
-            envvar=CONTROL_VARIABLE,
-            metavar="IP:PORT",
-            help=f"HTTP address of a control replica; may be repeated (or ${CONTROL_VARIABLE}).",
-        ),
-        click.option(
-            "--token",
-            envvar=TOKEN_VARIABLE,
-            default="",
-            help=f"Operators' token (or ${TOKEN_VARIABLE}).",
-        ),
-        click.option(
-            "--authority",
-            default="",
-            metavar="FILE",
-            help="Certificates that sign the replicas, where they speak TLS.",
-        ),
-        click.option(
-            "--timeout",
-            type=click.FloatRange(min=0.0, min_open=True),
-            default=15.0,
-            show_default=True,
-            help="Longest time to try, in seconds.",
-        ),
-        click.option(
-            "--command-id",
-            default="",
-            help="Name of this command: repeating it under the same name is harmless.",
-        ),
-        click.option(
-            "--expected-revision",
-            type=click.IntRange(min=0),
-            default=None,
-            help="Refuse unless the object still has this revision (0: must not exist).",
-        ),
-        output_option,
-    )
+        return command(client=client, output=output, **arguments)
+
     decorated: Callable[..., Any] = run
-    for decorator in reversed(decorators):
+    for decorator in reversed(_OPERATOR_OPTIONS):
         decorated = decorator(decorated)
     return decorated
 
 
+def _make_client(output: str, **settings: Any) -> Any:
+    """Make the client, or end with what is wrong with its settings."""
+    from merlinstand.cli.client_settings import ClientSettings, find_fault
+    from merlinstand.cli.operator_client import OperatorClient
+
+    checked = ClientSettings(**settings)
+    fault = find_fault(checked)
+    if fault is not None:
+        fail(fault, output)
+    return OperatorClient(checked)
+
+
 def _from_settings(settings_file: str, output: str) -> DeploymentAccess:
     """Read where the control replicas of a deployment file are."""
     if not settings_file:
