policy check takes the batches that a trainer keeps

Cause: recorded samples had to hold every variable of a weight program, and nothing in the product writes such a line, so nobody could try a policy on yesterday's samples. Tests: the client's own Batch, scored or not, and seven lines that are neither.

--- a/src/merlinstand/cli/policy_commands.py
+++ b/src/merlinstand/cli/policy_commands.py
@@ -13,6 +13,8 @@
 from merlinstand.common.errors import MerlinstandError
 from merlinstand.configuration.objects import PolicySource
 
+MAXIMUM_SHOWN_CHARACTERS = 80
+
 _COLUMNS = (
     Column("SAMPLE", "sample"),
     Column("WEIGHT", "weight"),
@@ -46,13 +48,13 @@
         merlinstand policy check policy.toml --samples samples.jsonl
     """
     from merlinstand.policy.check import check_policy
-    from merlinstand.policy.records import EXAMPLE_SAMPLE, SampleRecord
+    from merlinstand.policy.records import EXAMPLE_SAMPLE
 
     source = unwrap(load_checked_policy(file), output)
     compiled = unwrap(check_policy(source), output)
     records = [EXAMPLE_SAMPLE]
     if samples_file:
-        records = unwrap(_read_samples(samples_file, SampleRecord), output)
+        records = unwrap(_read_samples(samples_file), output)
     rows: list[dict[str, Any]] = []
     for record in records:
         name = f"{record.prompt_id}/{record.attempt}"
@@ -99,8 +101,9 @@
     return checked if isinstance(checked, Err) else Ok(loaded.ok_value)
 
 
-def _read_samples(samples_file: str, record_type: type) -> Result[list[Any], MerlinstandError]:
+def _read_samples(samples_file: str) -> Result[list[Any], MerlinstandError]:
     from merlinstand.cli.input_lines import read_lines
+    from merlinstand.policy.recorded import decode_recorded
     from merlinstand.settings.errors import SettingsError
 
     lines = read_lines(samples_file)
@@ -109,11 +112,10 @@
     records: list[Any] = []
     for line in lines.ok_value:
         try:
-            records.append(msgspec.json.decode(line.text, type=record_type))
+            records += decode_recorded(line.text)
         except MALFORMED_INPUT as error:
             place = f"line {line.number}"
-            expected = f"a recorded sample ({error})"
-            return Err(
-                SettingsError(file=samples_file, path=place, value=line.text, expected=expected)
-            )
+            expected = f"a recorded sample or batch ({error})"
+            shown = line.text[:MAXIMUM_SHOWN_CHARACTERS]
+            return Err(SettingsError(file=samples_file, path=place, value=shown, expected=expected))
     return Ok(records)
