Split the control daemon: what it says of itself, and the replica's settings

Change: self_report.py (reads only) and replica_settings.py; the table of pending commands is made by the daemon and shared by the intake, which alone changes it, and the report. No behaviour changes.

--- a/src/merlinstand/control/command_intake.py
+++ b/src/merlinstand/control/command_intake.py
@@ -26,6 +26,7 @@
     not_proposed_reply,
     outcome_reply,
 )
+from merlinstand.control.self_report import LeaderHint
 from merlinstand.control.settings import ControlTimings
 from merlinstand.control.state_machine import Applied, StateMachine, encode_logged_command
 from merlinstand.control.waiters import (
@@ -39,13 +40,6 @@
 from merlinstand.protocol.generated.control.ttypes import CommandStatus
 
 
-class LeaderHint(msgspec.Struct, frozen=True):
-    """Where the leader is, as far as this replica knows."""
-
-    node_id: str
-    http_address: str
-
-
 class Intake(msgspec.Struct, frozen=True):
     """What came of a received command."""
 
@@ -61,14 +55,16 @@
         self,
         replica: Replica,
         state: StateMachine,
+        pending: PendingCommands,
         timings: ControlTimings,
         leader_hint: Callable[[], LeaderHint],
     ) -> None:
-        """Make an intake without commands.
+        """Make an intake.
 
         Args:
             replica: The consensus replica.
             state: The state machine that committed commands are applied to.
+            pending: Commands proposed and not decided; only the intake changes it.
             timings: Limits.
             leader_hint: Tells where clients should go instead.
         """
@@ -76,7 +72,7 @@
         self._state = state
         self._timings = timings
         self._leader_hint = leader_hint
-        self.pending = PendingCommands()
+        self.pending = pending
 
     def receive(self, command_id: str, command: bytes, waiter: Waiter, now: float) -> Intake:
         """Take a command from a session or an operator.
--- a/src/merlinstand/control/daemon.py
+++ b/src/merlinstand/control/daemon.py
@@ -2,21 +2,13 @@
 
 from collections.abc import Sequence
 
-import msgspec
 from result import Err
 
-from merlinstand.common.constants import leader_lease_seconds
 from merlinstand.common.decoding import MALFORMED_INPUT
-from merlinstand.common.ids import NodeId, Zone
+from merlinstand.common.ids import NodeId
 from merlinstand.consensus.replica import Replica
-from merlinstand.consensus.settings import (
-    PeerSettings,
-    ReplicaLimits,
-    ReplicaSettings,
-    ReplicaTimings,
-)
 from merlinstand.consensus.step import Step
-from merlinstand.control.command_intake import CommandIntake, Intake, LeaderHint
+from merlinstand.control.command_intake import CommandIntake, Intake
 from merlinstand.control.operator_requests import (
     CommandPost,
     ConfigurationGet,
@@ -28,7 +20,7 @@
     respond_health,
     respond_json,
 )
-from merlinstand.control.queries import MembersAnswer, MemberState, decode_query
+from merlinstand.control.queries import decode_query
 from merlinstand.control.reads import (
     OperatorConfigurationRead,
     OperatorRead,
@@ -36,16 +28,17 @@
     Reads,
     SessionRead,
 )
+from merlinstand.control.replica_settings import replica_settings
 from merlinstand.control.replies import configuration_update, query_reply
-from merlinstand.control.settings import ControlMember, ControlSettings
+from merlinstand.control.self_report import SelfReport
+from merlinstand.control.settings import ControlSettings
 from merlinstand.control.state_machine import StateMachine
-from merlinstand.control.waiters import OperatorWaiter, SessionWaiter
+from merlinstand.control.waiters import OperatorWaiter, PendingCommands, SessionWaiter
 from merlinstand.kernel.effects import (
     Effect,
     LearnAddress,
     LogEvent,
     SendMessage,
-    SetGauge,
     SetTimer,
     StopProcess,
 )
@@ -72,22 +65,6 @@
 """Longest wait, after leadership was handed over, for commands still undecided."""
 
 
-class StatusBody(msgspec.Struct, frozen=True):
-    """Body of `GET /v1/status`: what this one replica knows."""
-
-    node_id: str
-    zone: str
-    is_leader: bool
-    leader: str
-    leader_http_address: str
-    term: int
-    commit_index: int
-    configuration_revision: int
-    group_time: float
-    proof_age_seconds: float | None
-    pending_commands: int
-
-
 class ControlDaemon:
     """Reducer of the `control` role."""
 
@@ -100,10 +77,13 @@
         self._settings = settings
         self.replica = Replica(replica_settings(settings))
         self.state = StateMachine()
-        self._intake = CommandIntake(self.replica, self.state, settings.timings, self._leader_hint)
-        self._reads = Reads(
-            self.state, self._members_answer, self.replica.group_time, self._leader_hint
+        pending = PendingCommands()
+        self._report = SelfReport(settings, self.replica, self.state, pending)
+        leader_hint = self._report.leader_hint
+        self._intake = CommandIntake(
+            self.replica, self.state, pending, settings.timings, leader_hint
         )
+        self._reads = Reads(self.state, self._report.members, self.replica.group_time, leader_hint)
         self._delivered_index = 0
         self._stopping = False
 
@@ -210,7 +190,7 @@
             case HealthGet():
                 return [self._health(event, request.ready, now)]
             case StatusGet():
-                return [respond_json(event.request_id, self._status(now))]
+                return [respond_json(event.request_id, self._report.status(now))]
             case ConfigurationGet():
                 return self._read(OperatorConfigurationRead(event.request_id, request.prefix), now)
             case QueryGet():
@@ -237,47 +217,18 @@
             return respond_health(event.request_id, False, "no recent proof of a leader")
         return respond_health(event.request_id, True, "a leader is known")
 
-    def _status(self, now: float) -> StatusBody:
-        hint = self._leader_hint()
-        return StatusBody(
-            node_id=self._settings.node_id,
-            zone=self._settings.zone,
-            is_leader=self.replica.may_act(now),
-            leader=hint.node_id,
-            leader_http_address=hint.http_address,
-            term=self.replica.term,
-            commit_index=self.replica.commit_index,
-            configuration_revision=self.state.objects.table.revision,
-            group_time=self.replica.group_time(now),
-            proof_age_seconds=self.replica.proof_age_seconds(now),
-            pending_commands=len(self._intake.pending),
-        )
-
     def _timer(self, name: str, now: float) -> list[Effect]:
         if name == STOP_TIMER:
             return [StopProcess()]
         if name != HOUSEKEEPING_TIMER:
             return []
         effects = self._intake.expire(now)
-        effects.extend(self._gauges(now))
+        effects.extend(self._report.gauges(now))
         effects.append(SetTimer(HOUSEKEEPING_TIMER, HOUSEKEEPING_INTERVAL_SECONDS))
         if self._stopping:
             effects.extend(self._leave_if_idle())
         return effects
 
-    def _gauges(self, now: float) -> list[Effect]:
-        proof_age = self.replica.proof_age_seconds(now)
-        values = {
-            "merlinstand_control_leader": float(self.replica.may_act(now)),
-            "merlinstand_control_term": float(self.replica.term),
-            "merlinstand_control_commit_index": float(self.replica.commit_index),
-            "merlinstand_control_revision": float(self.state.objects.table.revision),
-            "merlinstand_control_pending_commands": float(len(self._intake.pending)),
-            "merlinstand_control_claims": float(len(self.state.claims.claims)),
-            "merlinstand_control_proof_age_seconds": -1.0 if proof_age is None else proof_age,
-        }
-        return [SetGauge(name, value) for name, value in values.items()]
-
     def _stop(self, now: float) -> list[Effect]:
         if self._stopping:
             return []
@@ -290,60 +241,3 @@
         if len(self._intake.pending) == 0:
             return [StopProcess()]
         return [SetTimer(STOP_TIMER, STOP_GRACE_SECONDS)]
-
-    def _leader_hint(self) -> LeaderHint:
-        leader = self.replica.leader
-        # This replica never names itself: it was asked because somebody thought it leads.
-        if leader is None or leader == self._settings.node_id:
-            return LeaderHint("", "")
-        known = self._known_member(leader)
-        return LeaderHint(leader, "" if known is None else known.http_address)
-
-    def _known_member(self, node_id: NodeId) -> ControlMember | None:
-        for member in self._settings.members + self._settings.standbys:
-            if member.node_id == node_id:
-                return member
-        return None
-
-    def _members_answer(self, now: float) -> MembersAnswer:
-        members = tuple(
-            MemberState(
-                node_id=member.node_id,
-                incarnation=member.incarnation,
-                address=member.address,
-                zone=member.zone,
-                voter=member.role == "voter",
-                leader=member.is_leader,
-                match_index=member.match_index,
-                last_heard_seconds=member.silent_seconds,
-            )
-            for member in self.replica.members(now)
-        )
-        return MembersAnswer(self.replica.term, self.replica.commit_index, members)
-
-
-def replica_settings(settings: ControlSettings) -> ReplicaSettings:
-    """Give the consensus replica's part of a control daemon's settings."""
-    own = settings.own_member()
-    timings = settings.timings
-    return ReplicaSettings(
-        node_id=NodeId(settings.node_id),
-        address=own.address,
-        zone=Zone(settings.zone),
-        members=tuple(map(_peer, settings.members)),
-        standbys=tuple(map(_peer, settings.standbys)),
-        timings=ReplicaTimings(
-            election_timeout_seconds=timings.election_timeout_seconds,
-            election_timeout_spread_seconds=timings.election_timeout_spread_seconds,
-            heartbeat_interval_seconds=timings.heartbeat_interval_seconds,
-            leader_lease_seconds=leader_lease_seconds(timings.election_timeout_seconds),
-            repair_delay_seconds=timings.replacement_delay_seconds,
-        ),
-        limits=ReplicaLimits(compaction_entries=timings.snapshot_every_entries),
-    )
-
-
-def _peer(member: ControlMember) -> PeerSettings:
-    return PeerSettings(
-        node_id=NodeId(member.node_id), address=member.address, zone=Zone(member.zone)
-    )
--- a/src/merlinstand/control/reads.py
+++ b/src/merlinstand/control/reads.py
@@ -6,7 +6,6 @@
 
 from merlinstand.common.errors import NotFoundError, UnavailableError
 from merlinstand.common.ids import NodeId, RequestId
-from merlinstand.control.command_intake import LeaderHint
 from merlinstand.control.operator_requests import (
     configuration_body,
     respond_error,
@@ -24,6 +23,7 @@
     MembersQuery,
 )
 from merlinstand.control.replies import BUSY_RETRY_SECONDS, query_reply
+from merlinstand.control.self_report import LeaderHint
 from merlinstand.control.state_machine import StateMachine
 from merlinstand.kernel.effects import Effect
 from merlinstand.protocol.generated.control.ttypes import CommandStatus
--- a/tests/settings/test_deployment.py
+++ b/tests/settings/test_deployment.py
@@ -9,7 +9,7 @@
 from result import Err, Ok
 
 from merlinstand.common.constants import MAXIMUM_CLOCK_DRIFT
-from merlinstand.control.daemon import replica_settings
+from merlinstand.control.replica_settings import replica_settings
 from merlinstand.settings.configuration_file import load_configuration
 from merlinstand.settings.daemons import (
     Overrides,
