--- a/src/merlinstand_lab/checkers/intervals.py
+++ b/src/merlinstand_lab/checkers/intervals.py
@@ -10,7 +10,7 @@
 from merlinstand_lab.records.record_set import RecordSet
 
 _DRAIN_PREFIX = "drain/"
-_JOB_PREFIX = "job/"
+JOB_PREFIX = "job/"
 _RUNNING = "running"
 _MIRROR = "mirror"
 
@@ -41,8 +41,8 @@
     history: dict[str, list[OperatorRecord]] = defaultdict(list)
     for record in sorted(records.operators, key=lambda one: one.sent_at):
         key = str(record.command.get("key", ""))
-        if key.startswith(_JOB_PREFIX) and record.outcome != "refused":
-            history[key.removeprefix(_JOB_PREFIX)].append(record)
+        if key.startswith(JOB_PREFIX) and record.outcome != "refused":
+            history[key.removeprefix(JOB_PREFIX)].append(record)
     periods = []
     for job, commands in history.items():
         for index, record in enumerate(commands):
--- a/src/merlinstand_lab/checkers/liveness.py
+++ b/src/merlinstand_lab/checkers/liveness.py
@@ -24,23 +24,14 @@
         if fault is not None:
             violations.append(Violation(consumer, fault))
     calm_since = run.started_at if healed_at is None else healed_at + limits.liveness_seconds
-    answered_keys = {
-        record.idempotency_key
-        for record in records.callers
-        if record.outcome is CallerOutcome.ANSWER and not record.repeatable
-    }
     answered = _answered_keys(records.callers)
     for record in records.callers:
-        if record.idempotency_key in answered:
-            # A twin in flight may hear "unknown", as long as its key has an answer.
-            continue
         if record.sent_at < calm_since or _at_stopped_gateway(record, records.stops):
             continue
+        checked += 1
         # A twin sent while its booking is in flight is told `unknown`: the key is answered.
-        if not record.repeatable and record.idempotency_key in answered_keys:
-            checked += 1
+        if not record.repeatable and record.idempotency_key in answered:
             continue
-        checked += 1
         if record.outcome in (CallerOutcome.UNKNOWN, CallerOutcome.ERROR):
             detail = f"{record.outcome.value} in calm times: {record.reason}"
             violations.append(Violation(record.request_id, detail))
@@ -48,11 +39,13 @@
 
 
 def _answered_keys(callers: list[CallerRecord]) -> set[str]:
-    """Idempotency keys that got an answer."""
+    """Idempotency keys of not repeatable requests that got an answer."""
     return {
         record.idempotency_key
         for record in callers
-        if record.idempotency_key and record.outcome is CallerOutcome.ANSWER
+        if record.idempotency_key
+        and not record.repeatable
+        and record.outcome is CallerOutcome.ANSWER
     }
 
 
--- a/src/merlinstand_lab/checkers/operations.py
+++ b/src/merlinstand_lab/checkers/operations.py
@@ -3,6 +3,7 @@
 from collections import defaultdict
 
 from merlinstand_lab.checkers.intervals import (
+    JOB_PREFIX,
     LeavingPeriod,
     PausePeriod,
     drain_periods,
@@ -142,6 +143,7 @@
     for step in records.steps:
         by_consumer[(step.job, step.consumer)].append(step)
     publications = _publication_times(records)
+    models = _models(records)
     for (job, consumer), steps in by_consumer.items():
         newest = 0
         for step in steps:
@@ -150,7 +152,7 @@
                 detail = f"newest version went back from {newest} to {step.newest_version}"
                 violations.append(Violation(subject, detail))
             newest = max(newest, step.newest_version)
-            due = _newest_due(publications, step, limits)
+            due = _newest_due(publications[models.get(job, "")], step, limits)
             if step.newest_version < due:
                 detail = f"knew version {step.newest_version}, {due} had long been published"
                 violations.append(Violation(subject, detail))
@@ -182,20 +184,30 @@
 
 
 def _publication_times(records: RecordSet) -> dict[str, list[tuple[float, int]]]:
-    """When each publisher's versions were answered as published, by operator name."""
+    """When each version was answered as published, by model."""
     times: dict[str, list[tuple[float, int]]] = defaultdict(list)
     for record in records.operators:
         if record.command.get("command") == "publish_weights" and record.outcome == "done":
             assert record.ended_at is not None
             version = int(str(record.command["version"]))
-            times[record.operator].append((record.ended_at, version))
+            times[str(record.command["model"])].append((record.ended_at, version))
     return times
 
 
+def _models(records: RecordSet) -> dict[str, str]:
+    """Model of each job that somebody asked for."""
+    models: dict[str, str] = {}
+    for record in records.operators:
+        value = record.command.get("object")
+        key = str(record.command.get("key", ""))
+        if key.startswith(JOB_PREFIX) and isinstance(value, dict) and "model" in value:
+            models[key.removeprefix(JOB_PREFIX)] = str(value["model"])
+    return models
+
+
 def _newest_due(
-    publications: dict[str, list[tuple[float, int]]], step: StepRecord, limits: CheckLimits
+    publications: list[tuple[float, int]], step: StepRecord, limits: CheckLimits
 ) -> int:
-    """Newest version that a batch must know of: its own trainer published it a while ago."""
+    """Newest version that a batch must know of: anybody published it a while ago."""
     known_by = step.received_at - limits.in_force_seconds
-    own = publications.get(step.consumer, [])
-    return max((version for time, version in own if time <= known_by), default=0)
+    return max((version for time, version in publications if time <= known_by), default=0)
--- a/src/merlinstand_lab/checkers/staleness.py
+++ b/src/merlinstand_lab/checkers/staleness.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from merlinstand_lab.checkers.limits import CheckLimits
 from merlinstand_lab.checkers.report import PromiseResult, Violation
 from merlinstand_lab.records.kinds import OperatorRecord, SampleRecord
 from merlinstand_lab.records.record_set import RecordSet
@@ -35,14 +36,17 @@
     superseded_at: float | None = None
 
 
-def check_staleness(records: RecordSet) -> PromiseResult:
+def check_staleness(records: RecordSet, limits: CheckLimits) -> PromiseResult:
     """Judge each sample against the newest version published when it was received."""
     publications = _Publications(records.operators)
     jobs = _job_versions(records.operators)
     violations = []
     samples = records.samples
     for sample in samples:
-        fault = _fault(sample, jobs.get(sample.job, []), publications)
+        versions = _may_be_in_force(
+            jobs.get(sample.job, []), sample.received_at, limits.in_force_seconds
+        )
+        fault = _fault(sample, versions, publications)
         if fault is not None:
             violations.append(Violation(sample.sample_id, fault))
     return PromiseResult(
@@ -78,12 +82,11 @@
 
 
 def _fault(
-    sample: SampleRecord, versions: list[_JobVersion], publications: _Publications
+    sample: SampleRecord, in_force: list[_JobVersion], publications: _Publications
 ) -> str | None:
     """Return why a sample is too old, or None."""
     if not sample.weight_versions:
         return "names no versions"
-    in_force = _may_be_in_force(versions, sample.received_at)
     if not in_force:
         return f"nobody asked for job {sample.job}"
     oldest = min(span[0] for span in sample.weight_versions)
@@ -135,9 +138,10 @@
     return versions
 
 
-def _may_be_in_force(versions: list[_JobVersion], at: float) -> list[_JobVersion]:
-    """Forms of a job that may have been in force at a moment (a few seconds of overlap)."""
-    overlap_seconds = 10.0
+def _may_be_in_force(
+    versions: list[_JobVersion], at: float, overlap_seconds: float
+) -> list[_JobVersion]:
+    """Forms of a job that may have been in force at a moment, the replaced one for a while."""
     return [
         one
         for one in versions
--- a/src/merlinstand_lab/checkers/verify.py
+++ b/src/merlinstand_lab/checkers/verify.py
@@ -36,7 +36,7 @@
     limits = limits or CheckLimits()
     results = [
         check_versions(records),
-        check_staleness(records),
+        check_staleness(records, limits),
         check_exactly_once(records),
         check_whole_answers(records),
         check_not_run(records),
