--- a/src/merlinstand_lab/simulator/whole_fleet.py
+++ b/src/merlinstand_lab/simulator/whole_fleet.py
@@ -225,10 +225,18 @@
         "not_repeatable_paths": ["/"] if sizes.bookings else [],
         "request_timeout_seconds": 2.0,
     }
-    job = {
+    return (
+        _put(f"pool/{sizes.engine_pool}", engine_pool, at),
+        _put(f"pool/{sizes.service_pool}", service_pool, at),
+        _put(f"job/{JOB}", _job_object(plan, places, "running"), at),
+    )
+
+
+def _job_object(plan: FleetPlan, places: Places, phase: str) -> dict[str, object]:
+    return {
         "name": JOB,
-        "model": sizes.engine_pool,
-        "pool": sizes.engine_pool,
+        "model": plan.sizes.engine_pool,
+        "pool": plan.sizes.engine_pool,
         "consumers": [place.node_id for place in places.trainers],
         "batch_size": plan.batch_size,
         "samples_per_prompt": plan.samples_per_prompt,
@@ -236,12 +244,8 @@
         "maximum_tokens": plan.maximum_tokens,
         "scorer": places.scorer.http_address,
         "policy": {"maximum_staleness_versions": plan.maximum_staleness_versions},
+        "phase": phase,
     }
-    return (
-        _put(f"pool/{sizes.engine_pool}", engine_pool, at),
-        _put(f"pool/{sizes.service_pool}", service_pool, at),
-        _put(f"job/{JOB}", job, at),
-    )
 
 
 def drain_script(backend_id: str, at: float, seconds: float) -> tuple[ScriptedCommand, ...]:
@@ -249,3 +253,13 @@
     drain = _put(f"drain/{backend_id}", {"backend_id": backend_id, "reason": "simulated"}, at)
     undrain = {"command": "delete_object", "key": f"drain/{backend_id}", "expected_revision": None}
     return (drain, ScriptedCommand(at=at + seconds, command=undrain))
+
+
+def pause_script(
+    plan: FleetPlan, places: Places, at: float, seconds: float
+) -> tuple[ScriptedCommand, ...]:
+    """Return the commands that pause the job for a while."""
+    return (
+        _put(f"job/{JOB}", _job_object(plan, places, "paused"), at),
+        _put(f"job/{JOB}", _job_object(plan, places, "running"), at + seconds),
+    )
