Configuration lease 4.5 s: a cut-off gateway gave a drained server work for over 5 s

Cause: a server leaves within 5 s of an accepted drain, but a gateway that was cut off in that moment worked on under its lease of 6 s. No scenario drained a server while its zone was cut; drain-at-cut does.

The bound on configurations in force falls from 7 to 6 s.

--- a/src/merlinstand/common/constants.py
+++ b/src/merlinstand/common/constants.py
@@ -27,7 +27,7 @@
 CONFIGURATION_PULL_INTERVAL_SECONDS = 1.0
 """How often a daemon asks for changes of the configuration."""
 
-CONFIGURATION_LEASE_SECONDS = 6.0
+CONFIGURATION_LEASE_SECONDS = 4.5
 """A daemon that got no proof of being current for this long takes no new work."""
 
 RESOURCE_LEASE_SECONDS = 6.0
--- a/src/merlinstand_lab/checkers/limits.py
+++ b/src/merlinstand_lab/checkers/limits.py
@@ -8,10 +8,10 @@
 
     leaving_seconds: float = 5.0
     """A leaving back end may get new work for this long after the first signal."""
-    in_force_seconds: float = 7.0
+    in_force_seconds: float = 6.0
     """An accepted configuration is in force everywhere after this long.
 
-    One configuration lease plus the interval at which it is pulled.
+    One configuration lease plus the interval at which it is pulled, and half a second.
     """
     liveness_seconds: float = 15.0
     """After the last fault healed, everything works again within this."""
--- a/src/merlinstand_lab/simulator/deployment.py
+++ b/src/merlinstand_lab/simulator/deployment.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from merlinstand.common.constants import CONFIGURATION_LEASE_SECONDS
 from merlinstand.control.settings import ControlMember
 from merlinstand.coordinator.settings import GenerationSettings, RolloutSettings
 from merlinstand_lab.simulator.topology import TATRASOFT, VITRINA, Topology
@@ -127,6 +128,8 @@
     coordinators: int = 2
     session_daemons: int = 6
     replacement_delay_seconds: float = 10.0
+    configuration_lease_seconds: float = CONFIGURATION_LEASE_SECONDS
+    """Of gateways and coordinators."""
     snapshot_every_entries: int = 1_000
     trainer_step_seconds: float = 3.0
     lookups_per_second: float = 4.0
--- a/src/merlinstand_lab/simulator/scenarios/together.py
+++ b/src/merlinstand_lab/simulator/scenarios/together.py
@@ -24,6 +24,7 @@
 LEAST_LEAVING_SECONDS = 8.0
 """Longer than the few seconds within which a leaving back end gets no more work."""
 MOST_LEAVING_SECONDS = 14.0
+LOOKUPS_PER_SECOND_AT_CUT = 20.0
 REPAIR_SECONDS = 10.0
 """A control machine that was silent for this long is replaced from the standbys."""
 
@@ -72,6 +73,20 @@
     return whole_plan(sizes, faults, script, completions_per_second=1.0)
 
 
+@scenario("drain-at-cut")
+def drain_at_cut(source: random.Random) -> Plan:
+    """A server is drained in the moment in which its zone is cut off from control."""
+    sizes = either(source)
+    zone = source.choice(sizes.topology.zones)
+    servers = [place for place in lay_out(FleetPlan(sizes=sizes)).services if place.zone == zone]
+    at = FIRST_FAULT_SECONDS + source.uniform(0.0, 5.0)
+    seconds = source.uniform(LEAST_LEAVING_SECONDS, MOST_LEAVING_SECONDS)
+    cut = ft.CutZone(at=at, zones=(zone,), seconds=seconds, spare_clients=True)
+    drained_at = at + source.uniform(-0.2, 0.4)
+    script = drain_script(source.choice(servers).node_id, drained_at, seconds)
+    return whole_plan(sizes, [cut], script, lookups_per_second=LOOKUPS_PER_SECOND_AT_CUT)
+
+
 @scenario("fleet-chaos")
 def fleet_chaos(source: random.Random) -> Plan:
     """Every fault of the brief on a whole deployment, with lost disks, drains and stops."""
--- a/src/merlinstand_lab/simulator/whole_fleet.py
+++ b/src/merlinstand_lab/simulator/whole_fleet.py
@@ -8,6 +8,7 @@
 from merlinstand.coordinator.settings import CoordinatorSettings
 from merlinstand.gateway.daemon import GatewayDaemon
 from merlinstand.gateway.settings import GatewaySettings
+from merlinstand.session.settings import SessionTimings
 from merlinstand_lab.simulator.assembly import Assembly
 from merlinstand_lab.simulator.deployment import OPERATOR_TOKEN, FleetPlan, Place, Places, Scheduler
 from merlinstand_lab.simulator.operator_settings import ScriptedCommand
@@ -57,9 +58,19 @@
             peers=tuple(peer.member() for peer in places.gateways if peer is not place),
             machine_list_address=places.machine_list.http_address,
         )
+        settings = msgspec.structs.replace(
+            settings, session=_with_lease(settings.session, assembly.plan)
+        )
         assembly.add_product(place, lambda settings=settings: GatewayDaemon(settings))  # type: ignore[misc]
 
 
+def _with_lease(timings: SessionTimings, plan: FleetPlan) -> SessionTimings:
+    """Return a role's own timings with the plan's configuration lease."""
+    return msgspec.structs.replace(
+        timings, configuration_lease_seconds=plan.configuration_lease_seconds
+    )
+
+
 def _add_coordinators(assembly: Assembly) -> None:
     places = assembly.places
     members = tuple(place.member() for place in places.controls + places.standbys)
@@ -74,6 +85,9 @@
             rollout=assembly.plan.rollout,
             machine_list_address=places.machine_list.http_address,
         )
+        settings = msgspec.structs.replace(
+            settings, session=_with_lease(settings.session, assembly.plan)
+        )
         assembly.add_product(place, lambda settings=settings: CoordinatorDaemon(settings))  # type: ignore[misc]
 
 
