Two trainers that publish equal versions; a text may be ended by the engine that took it over whole

Change: FleetPlan.publishers, scenario version-race. The checker takes the end of any engine that took the sample's whole text over and ended it at that very token. As strict: an end at another token, or none, is reported (tested).

--- a/src/merlinstand_lab/checkers/requests.py
+++ b/src/merlinstand_lab/checkers/requests.py
@@ -3,9 +3,17 @@
 from collections import Counter, defaultdict
 
 from merlinstand_lab.checkers.report import PromiseResult, Violation
-from merlinstand_lab.records.kinds import CallerOutcome, GenerationOutcome
+from merlinstand_lab.records.kinds import (
+    CallerOutcome,
+    GenerationOutcome,
+    GenerationRecord,
+    SampleRecord,
+)
 from merlinstand_lab.records.record_set import RecordSet
 
+_REQUEST_OF_SAMPLE = "~"
+"""Between the sample's id and the rest in the request ids of its generations."""
+
 
 def check_whole_answers(records: RecordSet) -> PromiseResult:
     """Check digests, request ids and that the named back end did run the request."""
@@ -30,17 +38,11 @@
         if count > 1
     ]
     whole = len(records.samples)
-    # An engine records the end of a generation before it tells anybody.
-    ended = {
-        (generation.request_id, generation.spans[-1][2])
-        for generation in records.generations
-        if generation.spans
-        and generation.outcome in (GenerationOutcome.STOP, GenerationOutcome.LENGTH)
-    }
+    ends = _GenerationEnds(records.generations)
     for sample in records.samples:
-        last_request = sample.produced[-1][0] if sample.produced else ""
-        if (last_request, sample.token_count) not in ended:
-            detail = f"its engine did not end {last_request} at token {sample.token_count}"
+        if not ends.has_end_of(sample):
+            last_request = sample.produced[-1][0] if sample.produced else ""
+            detail = f"no engine ended {last_request} at token {sample.token_count}"
             violations.append(Violation(sample.sample_id, detail))
         end_token = sample.produced[-1][3] if sample.produced else 0
         if end_token != sample.token_count or sample.token_count == 0:
@@ -55,6 +57,32 @@
     )
 
 
+class _GenerationEnds:
+    """Where engines said that a text ends; they record it before they tell anybody."""
+
+    def __init__(self, generations: list[GenerationRecord]) -> None:
+        """Index the generations that came to their end."""
+        self._by_request: set[tuple[str, int]] = set()
+        self._without_tokens: set[tuple[str, int]] = set()
+        """By sample: an engine took a whole text over from one that died, and said that it is."""
+        for generation in generations:
+            if generation.outcome not in (GenerationOutcome.STOP, GenerationOutcome.LENGTH):
+                continue
+            if generation.spans:
+                self._by_request.add((generation.request_id, generation.spans[-1][2]))
+            elif generation.first_token > 0:
+                sample_id = generation.request_id.partition(_REQUEST_OF_SAMPLE)[0]
+                self._without_tokens.add((sample_id, generation.first_token))
+
+    def has_end_of(self, sample: SampleRecord) -> bool:
+        """Whether an engine ended a sample exactly where its text ends."""
+        last_request = sample.produced[-1][0] if sample.produced else ""
+        return (last_request, sample.token_count) in self._by_request or (
+            sample.sample_id,
+            sample.token_count,
+        ) in self._without_tokens
+
+
 def check_not_run(records: RecordSet) -> PromiseResult:
     """Check that no back end began a request that was refused as not run."""
     refused = [one for one in records.callers if one.outcome is CallerOutcome.NOT_RUN]
--- a/src/merlinstand_lab/simulator/deployment.py
+++ b/src/merlinstand_lab/simulator/deployment.py
@@ -138,6 +138,8 @@
     batch_size: int = 16
     samples_per_prompt: int = 1
     trainers: int = 1
+    publishers: int = 1
+    """How many of the trainers publish weights: two race each other with equal versions."""
     maximum_tokens: int = 400
     maximum_staleness_versions: int = 2
     scheduler: Scheduler = Scheduler.MERLINSTAND
--- a/src/merlinstand_lab/simulator/scenarios/together.py
+++ b/src/merlinstand_lab/simulator/scenarios/together.py
@@ -21,6 +21,7 @@
 )
 from merlinstand_lab.simulator.whole_fleet import drain_script, pause_script
 
+TRAINERS = ("trainer-1", "trainer-2")
 LEAST_LEAVING_SECONDS = 8.0
 """Longer than the few seconds within which a leaving back end gets no more work."""
 MOST_LEAVING_SECONDS = 14.0
@@ -87,6 +88,33 @@
     return whole_plan(sizes, [cut], script, lookups_per_second=LOOKUPS_PER_SECOND_AT_CUT)
 
 
+@scenario("version-race")
+def version_race(source: random.Random) -> Plan:
+    """Two trainers of one job publish equal version numbers, and answers to them are late."""
+    faults: list[ft.AnyFault] = []
+    for at in times(source, 1, 4):
+        trainer = source.choice(TRAINERS)
+        kind = source.randrange(4)
+        if kind == 0:
+            faults.append(sc.kill(source, ft.LEADER, at))
+        elif kind == 1:
+            faults.append(sc.isolate(source, trainer, at, 6.0))
+        else:
+            faults.append(late_batches(source, trainer, at))
+    return whole_plan(either(source), faults, trainers=len(TRAINERS), publishers=len(TRAINERS))
+
+
+def late_batches(source: random.Random, trainer: str, at: float) -> ft.Cut:
+    """Return a silent cut from one coordinator to one trainer: answers come when it heals."""
+    return ft.Cut(
+        at=at,
+        seconds=source.uniform(0.5, 8.0),
+        sources=(source.choice(COORDINATORS),),
+        destinations=(trainer,),
+        both_ways=False,
+    )
+
+
 @scenario("fleet-chaos")
 def fleet_chaos(source: random.Random) -> Plan:
     """Every fault of the brief on a whole deployment, with lost disks, drains and stops."""
--- a/src/merlinstand_lab/simulator/whole_fleet.py
+++ b/src/merlinstand_lab/simulator/whole_fleet.py
@@ -176,7 +176,7 @@
             operator_token=OPERATOR_TOKEN,
             step_seconds=plan.trainer_step_seconds,
             weight_bytes=plan.weight_bytes,
-            publishes=place is places.trainers[0],
+            publishes=place in places.trainers[: plan.publishers],
         )
         assembly.add_outsider(place, lambda trainer=trainer: Trainer(trainer))  # type: ignore[misc]
     callers = st.CallersSettings(
--- a/tests/checkers/test_requests.py
+++ b/tests/checkers/test_requests.py
@@ -4,8 +4,15 @@
 
 from merlinstand_lab.records.record_set import RecordSet
 
-from .clean_run import SAMPLE_TOKENS, SERVICE, caller_record, start_record
-from .planting import Case, Plant, adding, case_id, check_is_reported, fresh_sample
+from .clean_run import (
+    ENGINE,
+    SAMPLE_TOKENS,
+    SERVICE,
+    caller_record,
+    generation_record,
+    start_record,
+)
+from .planting import Case, Plant, adding, case_id, check_is_reported, fresh_sample, result_of
 
 VIOLATIONS: list[Case] = [
     (
@@ -43,3 +50,16 @@
     records: RecordSet, name: str, title: str, plant: Plant
 ) -> None:
     check_is_reported(records, name, plant)
+
+
+@pytest.mark.parametrize(("first_token", "is_whole"), [(SAMPLE_TOKENS, True), (4, False)])
+def test_a_text_may_be_ended_by_the_engine_that_took_it_over_whole(
+    records: RecordSet, first_token: int, is_whole: bool
+) -> None:
+    records.add(f"started-{ENGINE}", start_record("planted~killed", ENGINE, 32.0))
+    span = (3, 0, SAMPLE_TOKENS)
+    fresh_sample(produced=[("planted~killed", *span)], weight_versions=[span])(records)
+    assert result_of(records, "whole-answers").violations != []
+    ending = generation_record("planted~resumed", 3, spans=[], first_token=first_token)
+    records.add(f"engine-{ENGINE}", ending)
+    assert (result_of(records, "whole-answers").violations == []) is is_whole
--- a/tests/simulator/test_regressions.py
+++ b/tests/simulator/test_regressions.py
@@ -12,6 +12,8 @@
     ("drain-at-cut", 4),
     # The injector kept two control replicas down for 30 s after they had stopped at once.
     ("planned-stop", 6),
+    # An engine died after its last token; the one that resumed had nothing left to make.
+    ("engine-crash-mid-stream", 40),
     ("leave-under-faults", 1),
     ("fleet-chaos", 1),
 ]
