Begin also samples again that ended just after their batch left; judge them by expected length

Per batch of 768 about six had ended between the request and the swap, and six had done more than half a cycle when their batch left, though 4,096 tokens, the most, fit into one. Change: finished samples of the old version are begun again as well, whole units only; the limit is the expected length (done plus median rest) at 0.9 of what a stream makes before the batch is due.

--- a/src/merlinstand/coordinator/generation.py
+++ b/src/merlinstand/coordinator/generation.py
@@ -82,6 +82,11 @@
         """Whether the whole sample arrived and its spans agree with the engine's."""
         return self._done and self.finish_reason in COMPLETE_REASONS
 
+    def is_older_than(self, version: int) -> bool:
+        """Tell whether any of its tokens was made by an older version."""
+        oldest = self.recorder.oldest_version
+        return oldest is not None and oldest < version
+
     def text(self) -> str:
         """Return the text so far, by position."""
         return "".join(self._text)
--- a/src/merlinstand/coordinator/generations.py
+++ b/src/merlinstand/coordinator/generations.py
@@ -79,15 +79,18 @@
 
     def of_older_weights(self, version: int) -> list[Generation]:
         """Return the streams begun before a version on engines that serve it by now."""
-        older = []
-        for generation in self._generations.values():
-            engine = self._engine_of(generation)
-            oldest = generation.recorder.oldest_version
-            if engine is None or oldest is None or generation.exporting:
-                continue
-            if oldest < version <= engine.active_version:
-                older.append(generation)
-        return older
+        return [
+            generation
+            for generation in self._generations.values()
+            if generation.is_older_than(version) and self.serves(generation, version)
+        ]
+
+    def serves(self, generation: Generation, version: int) -> bool:
+        """Tell whether a stream's engine serves a version, or a newer one, by now."""
+        engine = self._engine_of(generation)
+        if engine is None or generation.exporting:
+            return False
+        return engine.active_version >= version
 
     def begin(
         self, context: Context, slot: SlotName, prompt: str, maximum_tokens: int, tries: int
--- a/src/merlinstand/coordinator/jobs.py
+++ b/src/merlinstand/coordinator/jobs.py
@@ -26,7 +26,7 @@
 from merlinstand.coordinator.planning import PlannedStart, plan_starts
 from merlinstand.coordinator.prompts import PromptBook
 from merlinstand.coordinator.purposes import LedgerRead
-from merlinstand.coordinator.refresh import Restartable, Window, choose_restarts
+from merlinstand.coordinator.refresh import Window, choose_restarts
 from merlinstand.coordinator.samples import BatchRequest, Sample
 from merlinstand.coordinator.scoring import ScoringDesk
 from merlinstand.coordinator.slots import SlotState
@@ -407,12 +407,7 @@
             streams=self.stream_limit,
             needed_tokens=lacking * self._lengths.mean(),
         )
-        candidates = [
-            Restartable(generation.slot.slot, generation.token_count)
-            for generation in self.generations.of_older_weights(needed_version)
-            if not self._store.was_begun_again(generation.slot.slot)
-        ]
-        for slot in choose_restarts(candidates, window):
+        for slot in choose_restarts(self._supply.old_units(needed_version), window):
             self._context.count("samples_begun_again_total", job=self.job.name)
             self._cancel_slot(slot)
             self._store.begin_again(slot)
--- a/src/merlinstand/coordinator/refresh.py
+++ b/src/merlinstand/coordinator/refresh.py
@@ -1,18 +1,17 @@
 """Which samples in progress to begin again on newer weights, so that fewer arrive old.
 
-A sample still in progress when its batch leaves goes to a later batch, one version older.
-Where the engines have time to spare before that batch is due, it is begun again on the new
-weights instead. The same slot makes the same sample, so none is exchanged for a shorter one;
-one too long to end within a cycle is left alone and leaves at the bound.
+A sample still in progress when its batch leaves, or finished just after, goes to a later batch,
+one version older. Where the engines have time to spare before that batch is due, it is begun
+again on the new weights instead. The same slot makes the same sample, so none is exchanged for a
+shorter one; one too long to end within a cycle is left alone and leaves at the bound.
 """
 
-import math
 from collections.abc import Iterable
 
 import msgspec
 
-LONGEST_SHARE = 0.5
-"""A sample that took more of a cycle already would hardly end within the next one."""
+LONGEST_SHARE = 0.9
+"""Samples expected to take more of what a stream makes until then are left alone."""
 
 SPARE_SHARE = 0.5
 """Part of the spare time that may be spent on tokens made a second time."""
@@ -35,17 +34,20 @@
 
 
 class Restartable(msgspec.Struct, frozen=True):
-    """A sample in progress that would be old at its receipt."""
+    """Samples that leave together and would be old at their receipt."""
 
-    slot: int
+    slots: tuple[int, ...]
     done_tokens: int
+    """Tokens of all of them, to be made a second time."""
+    expected_tokens: float
+    """Expected length of the longest."""
 
 
 def choose_restarts(candidates: Iterable[Restartable], window: Window) -> list[int]:
     """Choose the samples to begin again, those with the fewest tokens first.
 
     Args:
-        candidates: Samples in progress that would be old, each never begun again before.
+        candidates: Samples that would be old, each never begun again before.
         window: What the engines can do.
 
     Returns:
@@ -53,12 +55,11 @@
     """
     longest = LONGEST_SHARE * window.stream_tokens
     left = window.spare_tokens
-    if not math.isfinite(left):
-        return []
-    chosen = []
-    for candidate in sorted(candidates, key=lambda each: (each.done_tokens, each.slot)):
-        if candidate.done_tokens > longest or candidate.done_tokens > left:
+    chosen: list[int] = []
+    for candidate in sorted(candidates, key=lambda each: (each.done_tokens, each.slots)):
+        if candidate.done_tokens > left:
             break
-        left -= candidate.done_tokens
-        chosen.append(candidate.slot)
+        if candidate.expected_tokens <= longest:
+            left -= candidate.done_tokens
+            chosen.extend(candidate.slots)
     return chosen
--- a/src/merlinstand/coordinator/store.py
+++ b/src/merlinstand/coordinator/store.py
@@ -146,8 +146,9 @@
         return self._drops.get(slot, 0)
 
     def begin_again(self, slot: int) -> None:
-        """A sample in progress gives way to a fresher one of the same slot."""
+        """A sample, finished or in progress, gives way to a fresher one of the same slot."""
         self._begun_again.add(slot)
+        self._remove(slot)
         self.slots.set_state(slot, SlotState.WANTED)
 
     def was_begun_again(self, slot: int) -> bool:
--- a/src/merlinstand/coordinator/supply.py
+++ b/src/merlinstand/coordinator/supply.py
@@ -9,6 +9,7 @@
 from merlinstand.coordinator.generations import GenerationDesk
 from merlinstand.coordinator.lengths import LengthStatistics
 from merlinstand.coordinator.planning import Supply
+from merlinstand.coordinator.refresh import Restartable
 from merlinstand.coordinator.slots import SlotState
 from merlinstand.coordinator.store import SampleStore
 from merlinstand.coordinator.terms import JobTerms
@@ -114,6 +115,57 @@
             min(member.allowed_staleness for member in members),
         )
 
+    # --- samples to begin again -----------------------------------------------------
+
+    def old_units(self, version: int) -> list[Restartable]:
+        """Return what has tokens of versions before one and can be begun again on it now."""
+        seen: set[int] = set()
+        units = []
+        for slot in self._slots_of_older_weights(version):
+            if slot in seen:
+                continue
+            unit = tuple(self._store.unit(slot))
+            seen.update(unit)
+            old = self._old_members(unit, version)
+            if old is not None:
+                units.append(old)
+        return units
+
+    def _slots_of_older_weights(self, version: int) -> list[int]:
+        slots = [generation.slot.slot for generation in self._generations.of_older_weights(version)]
+        slots.extend(
+            slot
+            for slot in self._store.slots.ready()
+            if self._store.samples[slot].oldest_version < version
+        )
+        return slots
+
+    def _old_members(self, unit: Sequence[int], version: int) -> Restartable | None:
+        """Return a unit's old members; None if one of them cannot be begun again now."""
+        old, done_tokens, expected_tokens = [], 0, 0.0
+        for slot in unit:
+            sample = self._store.samples.get(slot)
+            generation = self._generations.of_slot(slot)
+            if sample is not None:
+                if sample.oldest_version >= version:
+                    continue
+                if self._store.slots.state(slot) is not SlotState.READY:
+                    return None
+                tokens, expected = sample.token_count, float(sample.token_count)
+            elif generation is not None and generation.is_older_than(version):
+                if not self._generations.serves(generation, version):
+                    return None
+                tokens = generation.token_count
+                expected = tokens + self.remaining_tokens(generation)
+            else:
+                continue
+            if self._store.was_begun_again(slot):
+                return None
+            old.append(slot)
+            done_tokens += tokens
+            expected_tokens = max(expected_tokens, expected)
+        return Restartable(tuple(old), done_tokens, expected_tokens)
+
     def oldest_version(self, generation: Generation, terms: JobTerms) -> int:
         """Return the oldest version of a generation, or the one that will make its first token."""
         recorded = generation.recorder.oldest_version
--- a/tests/coordinator/test_refresh.py
+++ b/tests/coordinator/test_refresh.py
@@ -7,65 +7,89 @@
 
 
 def _straggler_after_a_publication(tokens: int) -> tuple[CoordinatorDriver, Stream]:
-    """A sample with tokens of version 1 that missed its batch; version 2 serves."""
+    """A sample with tokens of version 1 that missed its batch; version 2 is published."""
     driver = CoordinatorDriver(make_job(maximum_tokens=10_000))
     first = driver.ask(0, "a")
     driver.tick()
     straggler = driver.open_streams()[-1]
     driver.chunk(straggler, tokens, version=1)
     for _ in range(3):
-        for stream in driver.open_streams():
+        begun = driver.open_streams()
+        driver.tick()
+        for stream in begun:
             if stream is not straggler:
-                driver.complete(stream, version=1)
+                driver.complete(stream, version=1, tokens=50)
         driver.tick()
     driver.batch_of(first)
     for _ in range(STEP_SECONDS):
         driver.tick(1.0)
     driver.publish(2)
     driver.batch_of(_second_batch(driver))
-    driver.serve_all(2)
-    driver.tick()
-    driver.tick()
     return driver, straggler
 
 
+def _swap(driver: CoordinatorDriver) -> None:
+    driver.serve_all(2)
+    for _ in range(3):
+        driver.tick()
+
+
 def _second_batch(driver: CoordinatorDriver) -> str:
     second = driver.ask(1, "b", last_nonce="a")
     driver.settle()
     return second
 
 
+def _assert_begun_again(driver: CoordinatorDriver, straggler: Stream) -> None:
+    again = [s for s in driver.open_streams() if _slot_name(s) == _slot_name(straggler)]
+    assert [stream.request["resume"] for stream in again] == [None]
+    assert again[0].request["seed"] == straggler.request["seed"]
+
+
 def _slot_name(stream: Stream) -> str:
     return stream.request_id.split("~")[0]
 
 
 def test_a_young_straggler_is_begun_again_on_the_new_weights() -> None:
     driver, straggler = _straggler_after_a_publication(tokens=10)
+    _swap(driver)
     assert straggler.request_id in driver.cancelled_requests
-    again = [s for s in driver.open_streams() if _slot_name(s) == _slot_name(straggler)]
-    assert [stream.request["resume"] for stream in again] == [None]
-    assert again[0].request["seed"] == straggler.request["seed"]
+    _assert_begun_again(driver, straggler)
+
+
+def test_a_sample_that_ended_just_after_its_batch_left_is_begun_again() -> None:
+    driver, straggler = _straggler_after_a_publication(tokens=10)
+    driver.end(straggler)
+    driver.settle()
+    _swap(driver)
+    _assert_begun_again(driver, straggler)
 
 
 def test_a_straggler_that_has_come_far_goes_on() -> None:
     driver, straggler = _straggler_after_a_publication(tokens=5_000)
+    _swap(driver)
     assert straggler in driver.open_streams()
     assert straggler.request_id not in driver.cancelled_requests
 
 
+def _single(slot: int, done_tokens: int) -> Restartable:
+    return Restartable((slot,), done_tokens, float(done_tokens))
+
+
 def test_the_cheapest_are_begun_again_within_the_spare_tokens() -> None:
-    candidates = [Restartable(1, 900), Restartable(2, 10), Restartable(3, 400)]
+    candidates = [_single(1, 800), _single(2, 10), _single(3, 400)]
     window = Window(stream_tokens=1000.0, streams=2.0, needed_tokens=1000.0)
     assert choose_restarts(candidates, window) == [2, 3]
     busy = Window(stream_tokens=1000.0, streams=2.0, needed_tokens=2000.0)
     assert choose_restarts(candidates, busy) == []
 
 
-def test_a_sample_that_took_most_of_a_cycle_is_left_alone() -> None:
+def test_a_sample_that_would_not_end_in_time_is_left_alone() -> None:
     window = Window(stream_tokens=1000.0, streams=100.0, needed_tokens=0.0)
-    assert choose_restarts([Restartable(1, 501), Restartable(2, 500)], window) == [2]
+    too_long = Restartable((1,), 10, 901.0)
+    assert choose_restarts([too_long, Restartable((2, 3), 500, 900.0)], window) == [2, 3]
 
 
 def test_a_batch_that_is_due_leaves_no_window() -> None:
     window = Window(stream_tokens=-5.0, streams=10.0, needed_tokens=0.0)
-    assert choose_restarts([Restartable(1, 10)], window) == []
+    assert choose_restarts([_single(1, 10)], window) == []
