--- a/src/merlinstand/coordinator/dispatch.py
+++ b/src/merlinstand/coordinator/dispatch.py
@@ -112,13 +112,10 @@
     now = context.now
     serving = [engine for engine in pool.engines.values() if pool.serves(engine, weights, now)]
     room = Room(serving, context.settings.generation.engine_concurrency, now)
+    limits = _share_out(room, pool, jobs, all_jobs)
     if room.free < 1.0:
         return
     queues = [deque(_sorted_wishes(job.wishes(context))) for job in jobs]
-    shares = _total_share(pool, all_jobs)
-    limits = [room.capacity * _share(job) / max(shares, _share(job)) for job in jobs]
-    for job, limit in zip(jobs, limits, strict=True):
-        job.stream_limit = limit
     while True:
         waiting = [index for index, queue in enumerate(queues) if queue]
         if not waiting:
@@ -136,6 +133,16 @@
             room.taken(engine)
 
 
+def _share_out(
+    room: Room, pool: EnginePool, jobs: Sequence[WishingJob], all_jobs: Iterable[Job]
+) -> list[float]:
+    """Set and return how many streams each job may have, by its share of the serving engines."""
+    shares = _total_share(pool, all_jobs)
+    for job in jobs:
+        job.stream_limit = room.capacity * _share(job) / max(shares, _share(job))
+    return [job.stream_limit for job in jobs]
+
+
 def _sorted_wishes(wishes: Sequence[Wish]) -> list[Wish]:
     """Order a job's wishes: soonest batch, begun again before, then longest expected first."""
     return sorted(
