--- a/src/merlinstand/coordinator/forecast.py
+++ b/src/merlinstand/coordinator/forecast.py
@@ -42,6 +42,11 @@
         """Smoothed time between deliveries."""
         return self._cycle_seconds
 
+    @property
+    def step_seconds(self) -> float | None:
+        """Smoothed time from a delivery to the next request."""
+        return self._step_seconds
+
     def asked(self, now: float) -> None:
         """The consumer asked for its next batch."""
         if self._delivered_at is not None and not self._waiting:
--- a/src/merlinstand/coordinator/job_status.py
+++ b/src/merlinstand/coordinator/job_status.py
@@ -18,6 +18,10 @@
     newest_version: int
     ready_samples: int
     generating: int
+    needed_tokens_per_second: float | None = None
+    """What would keep all of its trainers busy; null before the first measured step."""
+    capacity_tokens_per_second: float = 0.0
+    """What its share of the serving engines makes."""
     problem: str = ""
     """Why the job cannot be met now; empty if it can."""
     detail: str = ""
@@ -65,6 +69,14 @@
             "samples_too_long",
             f"half of the samples take {typical:.1f} s, weights change every {cycle_seconds:.1f} s",
         )
+    needed = runner.needed_tokens_per_second()
+    capacity = runner.capacity_tokens_per_second()
+    if needed is not None and needed > capacity:
+        return Problem(
+            "too_little_capacity",
+            f"trainers need {needed:.0f} tokens/s, the job's share of {pool.pool.name} makes"
+            f" {capacity:.0f}: they wait",
+        )
     return None
 
 
@@ -79,6 +91,8 @@
         newest_version=context.versions(runner.job.model).newest,
         ready_samples=runner.ready_count(),
         generating=len(runner.generations),
+        needed_tokens_per_second=runner.needed_tokens_per_second(),
+        capacity_tokens_per_second=runner.capacity_tokens_per_second(),
         problem=problem.code if problem else "",
         detail=problem.detail if problem else "",
     )
--- a/src/merlinstand/coordinator/jobs.py
+++ b/src/merlinstand/coordinator/jobs.py
@@ -448,6 +448,16 @@
         """Return how long half of the samples take at least."""
         return self.generations.speed.seconds(self._lengths.quantile(0.5))
 
+    def needed_tokens_per_second(self) -> float | None:
+        """Return what would keep all trainers busy; None before the first measured step."""
+        steps = [forecast.step_seconds for forecast in self.desk.forecasts.values()]
+        rate = sum(self.job.batch_size / seconds for seconds in steps if seconds)
+        return rate * self._lengths.mean() if rate else None
+
+    def capacity_tokens_per_second(self) -> float:
+        """Return what the job's share of the serving engines makes."""
+        return self.stream_limit * self.generations.speed.tokens_per_second
+
     def idle(self) -> bool:
         """Tell whether nothing is under way (planned stop)."""
         return not self.desk.committing and len(self.generations) == 0 and not self._settling
