--- a/src/merlinstand/coordinator/batches.py
+++ b/src/merlinstand/coordinator/batches.py
@@ -1,7 +1,6 @@
 """Batches to trainers: composed, committed in the ledger, and only then answered."""
 
 import math
-from collections.abc import Sequence
 
 import msgspec
 from result import Err
@@ -11,7 +10,8 @@
 from merlinstand.control.commands import AnyOutcome, BatchCommitted, BatchSample, CommitBatch
 from merlinstand.control.commands import Refused as CommandRefused
 from merlinstand.control.queries import LedgerAnswer
-from merlinstand.coordinator.composition import Candidate, compose
+from merlinstand.coordinator.candidates import CandidateJudge
+from merlinstand.coordinator.composition import Candidate
 from merlinstand.coordinator.consumers import ConsumerProgress
 from merlinstand.coordinator.context import Context
 from merlinstand.coordinator.errors import (
@@ -22,9 +22,8 @@
 )
 from merlinstand.coordinator.forecast import ConsumerForecast
 from merlinstand.coordinator.purposes import BatchCommit
-from merlinstand.coordinator.samples import BatchAnswer, BatchRequest, Sample, to_trainer
+from merlinstand.coordinator.samples import BatchAnswer, BatchRequest, to_trainer
 from merlinstand.coordinator.slots import SlotState
-from merlinstand.coordinator.staleness import BoundaryBudget
 from merlinstand.coordinator.store import SampleStore
 from merlinstand.coordinator.terms import JobTerms
 
@@ -63,7 +62,7 @@
     def __init__(self, store: SampleStore) -> None:
         """Begin without knowing any position; `load` brings them."""
         self._store = store
-        self._budget = BoundaryBudget()
+        self._judge = CandidateJudge(store)
         self._progress: dict[str, ConsumerProgress] = {}
         self._pulls: dict[str, Pull] = {}
         self._commits: dict[str, PendingCommit] = {}
@@ -170,30 +169,21 @@
         batch = position.ok_value
         newest = max(terms.clock.newest, pull.request.trainer_version)
         if batch == progress.next_batch and pull.request.nonce in progress.attempts:
-            candidates = self._replay(context, terms, progress, pull.request.nonce, newest)
+            candidates = self._judge.replay(context, terms, progress, pull.request.nonce, newest)
             if not candidates:
                 detail = "the batch must be composed anew: ask under a new nonce"
                 return self._refuse(context, pull, NonceUsedError(detail=detail))
         else:
-            candidates = self._compose(context, terms, pull, batch, newest)
+            own = self._slots_to_take_again(pull.request, batch)
+            delivered_at = self._delivered_at.get(consumer, -math.inf)
+            candidates = self._judge.compose(
+                context, terms, pull.request, own, newest, delivered_at
+            )
         if not candidates:
             return False
         self._commit(context, terms, pull, batch, candidates)
         return True
 
-    def _compose(
-        self, context: Context, terms: JobTerms, pull: Pull, batch: int, newest: int
-    ) -> tuple[Candidate, ...]:
-        own = self._slots_to_take_again(pull.request, batch)
-        if self._store.slots.ready_count + len(own) < terms.job.batch_size:
-            return ()
-        units = [
-            candidates
-            for unit in self._store.ready_units(own)
-            if (candidates := self._judge_unit(context, terms, unit, pull.request, newest))
-        ]
-        return compose(units, terms.job.batch_size, self._budget.available())
-
     def _slots_to_take_again(self, request: BatchRequest, batch: int) -> set[int]:
         progress = self.progress(request.consumer)
         own = progress.own_slots()
@@ -201,62 +191,6 @@
             return own
         return own - set(progress.delivered_slots(request.last_received_nonce))
 
-    def _judge_unit(
-        self,
-        context: Context,
-        terms: JobTerms,
-        unit: Sequence[Sample],
-        request: BatchRequest,
-        newest: int,
-    ) -> tuple[Candidate, ...]:
-        """Return the unit's candidates, or none if one of them may not leave."""
-        # A version published between commit and receipt would push a sample at the bound over
-        # it. A sole trainer that published all it has cannot publish meanwhile; of several,
-        # none is expected to for a while after the last publication.
-        sole = terms.sole_consumer and request.trainer_version >= newest
-        whole_bound = sole or terms.clock.quiet(context.now)
-        delivered_at = self._delivered_at.get(request.consumer, -math.inf)
-        candidates = []
-        for sample in unit:
-            usual = terms.allows(context, sample.oldest_version, newest)
-            if not usual and not (
-                whole_bound and terms.allows(context, sample.oldest_version, newest, at_bound=True)
-            ):
-                return ()
-            weight = terms.weight(context, sample, newest)
-            if weight <= 0.0:
-                self._drop(context, terms, sample)
-                return ()
-            passed_over = self._store.durable_at(sample.slot) <= delivered_at
-            candidates.append(Candidate(sample, weight, not usual, passed_over))
-        return tuple(candidates)
-
-    def _drop(self, context: Context, terms: JobTerms, sample: Sample) -> None:
-        if self._store.slots.state(sample.slot) is SlotState.READY:
-            self._store.drop(sample.slot)
-            context.count("samples_dropped_total", job=terms.job.name)
-
-    def _replay(
-        self,
-        context: Context,
-        terms: JobTerms,
-        progress: ConsumerProgress,
-        nonce: str,
-        newest: int,
-    ) -> tuple[Candidate, ...]:
-        """Return the same samples under the same nonce, if all may still leave."""
-        candidates = []
-        for slot in progress.attempts[nonce]:
-            sample = self._store.samples.get(slot)
-            if sample is None:
-                return ()
-            if not terms.allows(context, sample.oldest_version, newest, at_bound=True):
-                return ()
-            weight = max(0.0, terms.weight(context, sample, newest))
-            at_bound = not terms.allows(context, sample.oldest_version, newest)
-            candidates.append(Candidate(sample, weight, at_bound))
-        return tuple(candidates)
-
     def _commit(
         self,
         context: Context,
@@ -333,7 +267,7 @@
         for slot in command.discarded_slots:
             self._store.slots.set_state(slot, SlotState.USED)
         spent = sum(candidate.at_bound and candidate.passed_over for candidate in commit.candidates)
-        self._budget.delivered(len(slots), spent)
+        self._judge.budget.delivered(len(slots), spent)
         self._delivered_at[command.consumer] = context.now
         terms.clock.observe(outcome.newest_version, context.now)
         self.forecast(command.consumer).committed(outcome.newest_version)
--- /dev/null
+++ b/src/merlinstand/coordinator/candidates.py
@@ -0,0 +1,109 @@
+"""Which of a job's finished samples may leave in answer to one request."""
+
+from collections.abc import Sequence
+
+from merlinstand.coordinator.composition import Candidate, compose
+from merlinstand.coordinator.consumers import ConsumerProgress
+from merlinstand.coordinator.context import Context
+from merlinstand.coordinator.samples import BatchRequest, Sample
+from merlinstand.coordinator.slots import SlotState
+from merlinstand.coordinator.staleness import BoundaryBudget
+from merlinstand.coordinator.store import SampleStore
+from merlinstand.coordinator.terms import JobTerms
+
+
+class CandidateJudge:
+    """Judges samples by the policy, at the newest version known."""
+
+    def __init__(self, store: SampleStore) -> None:
+        """Judge the samples of one job's store."""
+        self._store = store
+        self.budget = BoundaryBudget()
+        """Samples at the bound that were passed over before."""
+
+    def compose(
+        self,
+        context: Context,
+        terms: JobTerms,
+        request: BatchRequest,
+        own: set[int],
+        newest: int,
+        delivered_at: float,
+    ) -> tuple[Candidate, ...]:
+        """Choose a new batch.
+
+        Args:
+            context: Shared state.
+            terms: The job's terms.
+            request: The trainer's request.
+            own: Slots that the consumer's open batch holds and that it may take again.
+            newest: Newest version known here or to the trainer.
+            delivered_at: When the consumer's last batch left.
+
+        Returns:
+            The batch, or nothing while there is not enough for it.
+        """
+        if self._store.slots.ready_count + len(own) < terms.job.batch_size:
+            return ()
+        units = [
+            candidates
+            for unit in self._store.ready_units(own)
+            if (candidates := self._judge_unit(context, terms, unit, request, newest, delivered_at))
+        ]
+        return compose(units, terms.job.batch_size, self.budget.available())
+
+    def _judge_unit(
+        self,
+        context: Context,
+        terms: JobTerms,
+        unit: Sequence[Sample],
+        request: BatchRequest,
+        newest: int,
+        delivered_at: float,
+    ) -> tuple[Candidate, ...]:
+        """Return the unit's candidates, or none if one of them may not leave."""
+        # A version published between commit and receipt would push a sample at the bound over
+        # it. A sole trainer that published all it has cannot publish meanwhile; of several,
+        # none is expected to for a while after the last publication.
+        sole = terms.sole_consumer and request.trainer_version >= newest
+        whole_bound = sole or terms.clock.quiet(context.now)
+        candidates = []
+        for sample in unit:
+            usual = terms.allows(context, sample.oldest_version, newest)
+            if not usual and not (
+                whole_bound and terms.allows(context, sample.oldest_version, newest, at_bound=True)
+            ):
+                return ()
+            weight = terms.weight(context, sample, newest)
+            if weight <= 0.0:
+                self._drop(context, terms, sample)
+                return ()
+            passed_over = self._store.durable_at(sample.slot) <= delivered_at
+            candidates.append(Candidate(sample, weight, not usual, passed_over))
+        return tuple(candidates)
+
+    def _drop(self, context: Context, terms: JobTerms, sample: Sample) -> None:
+        if self._store.slots.state(sample.slot) is SlotState.READY:
+            self._store.drop(sample.slot)
+            context.count("samples_dropped_total", job=terms.job.name)
+
+    def replay(
+        self,
+        context: Context,
+        terms: JobTerms,
+        progress: ConsumerProgress,
+        nonce: str,
+        newest: int,
+    ) -> tuple[Candidate, ...]:
+        """Return the same samples under the same nonce, if all may still leave."""
+        candidates = []
+        for slot in progress.attempts[nonce]:
+            sample = self._store.samples.get(slot)
+            if sample is None:
+                return ()
+            if not terms.allows(context, sample.oldest_version, newest, at_bound=True):
+                return ()
+            weight = max(0.0, terms.weight(context, sample, newest))
+            at_bound = not terms.allows(context, sample.oldest_version, newest)
+            candidates.append(Candidate(sample, weight, at_bound))
+        return tuple(candidates)
