Answers to one of several trainers say how long they surely stay within the staleness bound

Ruled out: to void the committed batch at the publication (its trainer may have received it: its samples would be delivered twice); to let the publication wait (a trainer acknowledges a whole step later, so every publication would wait for another trainer's step). Change: the answer carries `use_within_seconds`: the time the request spent here, plus the time for which no more versions will come than the batch has to spare, by half of the shortest recent interval between publications (and what is left of a bound in seconds). The trainer counts from when it sent the request, so no clocks are compared; a later answer is dropped like one under an old nonce, and staleness is judged anew. A model's sole trainer has no limit. Tests: the client drops a late answer and does not acknowledge it; the limit of one and of several trainers. Left: a publication that follows another in less than half of the shortest of the last 8 intervals.

--- a/src/merlinstand/client/batches.py
+++ b/src/merlinstand/client/batches.py
@@ -52,6 +52,8 @@
     newest_version: int
     """Newest published version when the batch was committed."""
     samples: tuple[Sample, ...]
+    use_within_seconds: float | None = None
+    """Seconds from the request after which the batch may be older than its bound."""
 
 
 class Position(msgspec.Struct, frozen=True):
@@ -76,8 +78,8 @@
     """Pulls the batches of one consumer of one job, one after another.
 
     Not thread-safe. Publish new weights before asking for the next batch: staleness is
-    judged against the newest published version, and a version that appears while an answer
-    is on its way would make the batch older than it was judged.
+    judged against the newest published version. An answer that took so long that another
+    trainer may have published meanwhile is dropped, and its batch asked for again.
     """
 
     def __init__(
@@ -159,6 +161,7 @@
             last_received_nonce=self.position.last_received_nonce,
         )
         address = self._owner or self._addresses[self._current % len(self._addresses)]
+        sent_at = time.monotonic()
         answered = post_json(
             address,
             f"/v1/jobs/{quote(self._job, safe='')}/batches",
@@ -170,10 +173,10 @@
             return answered
         answer = answered.ok_value
         if answer.status == 200:
-            return self._accept(answer, nonce)
+            return self._accept(answer, nonce, sent_at)
         return Err(self._refused(answer))
 
-    def _accept(self, answer: HttpAnswer, nonce: str) -> Result[Batch, ClientError]:
+    def _accept(self, answer: HttpAnswer, nonce: str, sent_at: float) -> Result[Batch, ClientError]:
         try:
             batch = _BATCH_DECODER.decode(answer.body)
         except MALFORMED_INPUT as error:
@@ -187,6 +190,10 @@
             self._consumer,
         ):
             return Err(NoAnswerError(detail="an answer to another request was dropped"))
+        limit_seconds = batch.use_within_seconds
+        if limit_seconds is not None and time.monotonic() - sent_at > limit_seconds:
+            detail = "the answer took so long that the batch may be older than its bound"
+            return Err(NoAnswerError(detail=detail, retry_after_seconds=0.0))
         self.position = Position(batch.batch, batch.nonce)
         return Ok(batch)
 
--- a/src/merlinstand/coordinator/batches.py
+++ b/src/merlinstand/coordinator/batches.py
@@ -24,6 +24,7 @@
 from merlinstand.coordinator.purposes import BatchCommit
 from merlinstand.coordinator.samples import BatchAnswer, BatchRequest, to_trainer
 from merlinstand.coordinator.slots import SlotState
+from merlinstand.coordinator.staleness import fresh_seconds
 from merlinstand.coordinator.store import SampleStore
 from merlinstand.coordinator.terms import JobTerms
 
@@ -54,6 +55,8 @@
     """None once the trainer went away."""
     command: CommitBatch
     candidates: tuple[Candidate, ...]
+    asked_at: float
+    """When the trainer's request came in."""
 
 
 class BatchDesk:
@@ -226,7 +229,7 @@
         purpose = BatchCommit(terms.job.name, request.consumer, terms.epoch)
         command_id = context.submit(command, purpose)
         self._commits[request.consumer] = PendingCommit(
-            command_id, pull.request_id, command, candidates
+            command_id, pull.request_id, command, candidates, pull.arrived_at
         )
         del self._pulls[request.consumer]
 
@@ -284,10 +287,17 @@
             error = NotReadyError(detail=detail, retry_after_seconds=ASK_AGAIN_SECONDS)
             context.refuse(commit.request_id, error)
             return
-        self._answer(context, commit, outcome)
+        self._answer(context, terms, commit, outcome)
 
-    def _answer(self, context: Context, commit: PendingCommit, outcome: BatchCommitted) -> None:
+    def _answer(
+        self, context: Context, terms: JobTerms, commit: PendingCommit, outcome: BatchCommitted
+    ) -> None:
         assert commit.request_id is not None
+        oldest = min(candidate.sample.oldest_version for candidate in commit.candidates)
+        fresh = fresh_seconds(terms.bound, terms.clock, oldest, outcome.newest_version, context.now)
+        # The trainer counts from its request, so the time that it took here is added: no
+        # clocks are compared, and the way of the request is on the safe side.
+        waited = context.now - commit.asked_at
         answer = BatchAnswer(
             job=commit.command.job,
             consumer=commit.command.consumer,
@@ -297,6 +307,7 @@
             samples=tuple(
                 to_trainer(candidate.sample, candidate.weight) for candidate in commit.candidates
             ),
+            use_within_seconds=None if fresh is None else waited + fresh,
         )
         context.respond(commit.request_id, 200, msgspec.json.encode(answer))
 
--- a/src/merlinstand/coordinator/samples.py
+++ b/src/merlinstand/coordinator/samples.py
@@ -56,6 +56,9 @@
     nonce: str
     newest_version: int
     samples: tuple[TrainerSample, ...]
+    use_within_seconds: float | None = None
+    """Counted from when the trainer sent its request. Received later, the batch may be older
+    than its bound: it must be dropped and asked for again under a new nonce."""
 
 
 class BatchRequest(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/merlinstand/coordinator/staleness.py
+++ b/src/merlinstand/coordinator/staleness.py
@@ -8,6 +8,8 @@
 REMEMBERED_VERSIONS = 256
 REMEMBERED_INTERVALS = 8
 QUIET_FRACTION = 0.5
+UNKNOWN_INTERVAL_SECONDS = 1.0
+"""Interval between publications, as long as none was measured."""
 SECONDS_MARGIN_FRACTION = 0.1
 """Part of a bound in seconds kept back for the way of an answer to its trainer."""
 
@@ -46,6 +48,21 @@
             return False
         return now - self._last_published_at < QUIET_FRACTION * min(self._intervals)
 
+    def unpublished_seconds(self, versions: int, now: float) -> float:
+        """Return for how long surely no more than some versions will be published.
+
+        That is, as long as none follows another in less than half of the shortest recent
+        interval.
+
+        Args:
+            versions: Publications that do no harm.
+            now: Local monotonic time.
+        """
+        if self._last_published_at is None or not self._intervals:
+            return versions * UNKNOWN_INTERVAL_SECONDS
+        interval = QUIET_FRACTION * min(self._intervals)
+        return max(0.0, self._last_published_at + interval - now) + versions * interval
+
     def age_seconds(self, version: int, now: float) -> float:
         """Return for how long a version has not been the newest; infinite if unknown."""
         if version >= self.newest:
@@ -91,6 +108,30 @@
         return age_seconds <= self.maximum_seconds * (1.0 - SECONDS_MARGIN_FRACTION)
 
 
+def fresh_seconds(
+    bound: StalenessBound, clock: VersionClock, oldest: int, newest: int, now: float
+) -> float | None:
+    """Return for how long a batch surely stays within its bound from now on.
+
+    Args:
+        bound: The bound.
+        clock: When versions were published.
+        oldest: Oldest version in the batch.
+        newest: Newest version at its commit.
+        now: Local monotonic time.
+
+    Returns:
+        Seconds, None if nothing that may happen makes the batch too old.
+    """
+    limits = []
+    if not bound.sole_consumer:
+        spare_versions = max(0, bound.maximum_versions - (newest - oldest))
+        limits.append(clock.unpublished_seconds(spare_versions, now))
+    if bound.maximum_seconds is not None and oldest < newest:
+        limits.append(max(0.0, bound.maximum_seconds - clock.age_seconds(oldest, now)))
+    return min(limits, default=None)
+
+
 class BoundaryBudget:
     """Lets a small share of passed-over samples leave when they are as old as the bound.
 
--- a/src/merlinstand_lab/standins/trainer.py
+++ b/src/merlinstand_lab/standins/trainer.py
@@ -79,6 +79,7 @@
         self._nonce = ""
         self._calls = 0
         self._asked_at: float | None = None
+        self._sent_at = 0.0
         self._step: StepRecord | None = None
         self._samples = 0
         self._steps_done = 0
@@ -207,6 +208,7 @@
         """Ask for the next batch under a new nonce."""
         if self._asked_at is None:
             self._asked_at = now
+        self._sent_at = now
         self._calls += 1
         self._nonce = f"{self._settings.consumer}-{self._random.getrandbits(64):016x}"
         body = PullBody(
@@ -254,6 +256,10 @@
             fields = {"batch": batch.batch, "nonce": batch.nonce}
             drop = LogEvent("trainer.late_answer_dropped", fields, "warning")
             return (drop, SetTimer(_PULL_TIMER, self._settings.retry_seconds))
+        limit_seconds = batch.use_within_seconds
+        if limit_seconds is not None and now - self._sent_at > limit_seconds:
+            drop = LogEvent("trainer.old_answer_dropped", {"batch": batch.batch}, "warning")
+            return (drop, SetTimer(_PULL_TIMER, 0.0))
         assert self._asked_at is not None
         self._feed.received(batch.batch, batch.nonce)
         self._samples += len(batch.samples)
--- a/src/merlinstand_lab/standins/trainer_messages.py
+++ b/src/merlinstand_lab/standins/trainer_messages.py
@@ -40,6 +40,7 @@
     nonce: str
     newest_version: int
     samples: list[PulledSample]
+    use_within_seconds: float | None = None
 
 
 class PullRefusal(msgspec.Struct, frozen=True, kw_only=True):
--- a/tests/client/test_trainer_client.py
+++ b/tests/client/test_trainer_client.py
@@ -146,6 +146,19 @@
     assert _client(server.address).next_batch(1).unwrap().batch == 1
 
 
+def test_an_answer_that_took_too_long_is_dropped_and_asked_for_anew(
+    server: ScriptedServer,
+) -> None:
+    server.handlers = [
+        lambda request: _batch(request, use_within_seconds=0.0),
+        lambda request: _batch(request, use_within_seconds=60.0),
+    ]
+    batch = _client(server.address).next_batch(1).unwrap()
+    first, second = server.requests
+    assert batch.nonce == second["nonce"] != first["nonce"]
+    assert second["last_received_batch"] == 0, "the dropped answer does not count as received"
+
+
 def test_a_truncated_answer_is_asked_for_again(server: ScriptedServer) -> None:
     server.handlers = [_batch]
     server.cut_bodies = 1
--- a/tests/coordinator/test_batches.py
+++ b/tests/coordinator/test_batches.py
@@ -1,5 +1,7 @@
 """Batches: committed before answered, exactly once, never over the bound."""
 
+import pytest
+
 from merlinstand.configuration.objects import JobMode, JobPhase, PolicySource
 from tests.coordinator.driver import Control, CoordinatorDriver, make_job
 
@@ -199,6 +201,30 @@
     assert len(driver.batch_of(name)["samples"]) == 4
 
 
+def test_a_sole_trainer_has_no_limit_for_its_answer() -> None:
+    driver = CoordinatorDriver()
+    driver.generate()
+    name = driver.ask(0, "n1")
+    driver.settle()
+    assert driver.batch_of(name)["use_within_seconds"] is None
+
+
+def test_among_several_trainers_an_answer_holds_until_a_version_may_come() -> None:
+    driver = CoordinatorDriver(make_job(consumers=("trainer-1", "trainer-2")))
+    for version in (2, 3):  # Twenty seconds apart.
+        driver.tick(20.0)
+        driver.publish(version)
+    driver.serve_all(3)
+    driver.tick(20.0)
+    driver.generate()
+    driver.publish(4)  # The samples have one version to spare.
+    driver.tick(5.0)
+    name = driver.ask(0, "n1")
+    driver.tick(1.0)
+    # Five of ten quiet seconds are left, and half of an interval for the spare version.
+    assert driver.batch_of(name)["use_within_seconds"] == pytest.approx(15.0, abs=1.5)
+
+
 def test_policy_drops_samples_and_closes_their_slots() -> None:
     policy = PolicySource(weight="attempt == 0 && prompt_id == 0 ? 0.0 : 2.0")
     driver = CoordinatorDriver(make_job(policy=policy))
