--- a/src/merlinstand/coordinator/refresh.py
+++ b/src/merlinstand/coordinator/refresh.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-LONGEST_SHARE = 0.9
+LONGEST_SHARE = 0.7
 """Samples expected to take more of what a stream makes until then are left alone."""
 
 SPARE_SHARE = 0.5
--- a/tests/coordinator/test_refresh.py
+++ b/tests/coordinator/test_refresh.py
@@ -86,8 +86,8 @@
 
 def test_a_sample_that_would_not_end_in_time_is_left_alone() -> None:
     window = Window(stream_tokens=1000.0, streams=100.0, needed_tokens=0.0)
-    too_long = Restartable((1,), 10, 901.0)
-    assert choose_restarts([too_long, Restartable((2, 3), 500, 900.0)], window) == [2, 3]
+    too_long = Restartable((1,), 10, 701.0)
+    assert choose_restarts([too_long, Restartable((2, 3), 500, 700.0)], window) == [2, 3]
 
 
 def test_a_batch_that_is_due_leaves_no_window() -> None:
