Impossible integers in an engine's answers are malformed, they no longer end the coordinator

Cause: counts and versions of engines were unbounded integers. Change: they are decoded as 0 to 2^53 - 1, like trainers' positions; anything else is a malformed chunk or report, which costs that engine its stream or its report.

--- a/src/merlinstand/coordinator/engine_protocol.py
+++ b/src/merlinstand/coordinator/engine_protocol.py
@@ -1,16 +1,21 @@
 """Bodies of the engines' HTTP interface (`docs/INTERFACES.md`, "Engine servers")."""
 
 import enum
+from typing import Annotated
 
 import msgspec
 
+Count = Annotated[int, msgspec.Meta(ge=0, lt=2**53)]
+"""Of an engine's body. A larger integer would end the process when it is written to the journal
+or turned into a gauge, so it is refused as malformed."""
+
 
 class Span(msgspec.Struct, frozen=True, array_like=True):
     """Tokens made by one weight version; the end is exclusive."""
 
-    version: int
-    first_token: int
-    end_token: int
+    version: Count
+    first_token: Count
+    end_token: Count
 
 
 class ResumeState(msgspec.Struct, frozen=True, kw_only=True):
@@ -52,9 +57,9 @@
     """One server-sent event of a stream; the last one has a reason and the spans."""
 
     request_id: str
-    index: int
-    token_count: int
-    weight_version: int
+    index: Count
+    token_count: Count
+    weight_version: Count
     text: str
     finish_reason: FinishReason | None = None
     spans: tuple[Span, ...] | None = None
@@ -70,15 +75,15 @@
     """Answer to `POST /v1/kv/export`."""
 
     handle: str
-    token_count: int
-    size_bytes: int
+    token_count: Count
+    size_bytes: Count
 
 
 class Fence(msgspec.Struct, frozen=True, order=True):
     """Orders apply in growing order of fences only."""
 
-    epoch: int
-    sequence: int
+    epoch: Count
+    sequence: Count
 
 
 class OrderKind(enum.Enum):
@@ -126,7 +131,7 @@
 class LoadedVersion(msgspec.Struct, frozen=True):
     """A version held by an engine."""
 
-    version: int
+    version: Count
     digest: str
 
 
@@ -144,18 +149,19 @@
     backend_id: str
     state: EngineState
     model: str
-    active_version: int | None = None
+    active_version: Count | None = None
     active_digest: str | None = None
     loaded: tuple[LoadedVersion, ...] = ()
-    loading: tuple[int, ...] = ()
+    loading: tuple[Count, ...] = ()
     order: OrderAnswer | None = None
-    running: int = 0
-    queued: int = 0
-    queued_tokens: int = 0
-    free_blocks: int = 0
-    total_blocks: int = 0
+    running: Count = 0
+    queued: Count = 0
+    queued_tokens: Count = 0
+    free_blocks: Count = 0
+    total_blocks: Count = 0
     tokens_per_second: float = 0.0
     incarnation: int = 0
+    """A random number: it is compared, never counted with nor written."""
     reported_at: float = 0.0
     role: str = ""
 
