What a job begins is planned in a module of its own; a job without consumers no longer fails

Planning and granting moved to job_planner.py unchanged. Found meanwhile: expiry and the samples to begin again took for granted that a job has a consumer; one that lost its last would have ended the coordinator. Test: a job loses all its consumers while it generates, and gets one back.

--- /dev/null
+++ b/src/merlinstand/coordinator/job_planner.py
@@ -0,0 +1,155 @@
+"""What a job wants to begin or resume, and how it is sent to an engine."""
+
+from collections.abc import Collection
+
+from merlinstand.coordinator.batches import BatchDesk
+from merlinstand.coordinator.context import Context
+from merlinstand.coordinator.dispatch import Wish
+from merlinstand.coordinator.engines import Engine
+from merlinstand.coordinator.forecast import Demand
+from merlinstand.coordinator.generation import Generation
+from merlinstand.coordinator.generations import GenerationDesk
+from merlinstand.coordinator.lengths import LengthStatistics
+from merlinstand.coordinator.planning import PlannedStart, plan_starts
+from merlinstand.coordinator.prompts import PromptBook
+from merlinstand.coordinator.slots import SlotState
+from merlinstand.coordinator.store import SampleStore
+from merlinstand.coordinator.supply import SupplyBook
+from merlinstand.coordinator.terms import JobTerms
+from merlinstand.policy.records import RequestRecord
+
+PRIORITY_STEP = 4
+"""Engine priorities: the policy's value times this, plus how soon the batch is due."""
+
+
+class JobPlanner:
+    """Plans the generations of one job; owned by its `JobRunner`, asked by the dispatcher."""
+
+    def __init__(
+        self,
+        store: SampleStore,
+        desk: BatchDesk,
+        generations: GenerationDesk,
+        prompts: PromptBook,
+        lengths: LengthStatistics,
+        supply: SupplyBook,
+    ) -> None:
+        """Plan from a job's parts."""
+        self._store = store
+        self._desk = desk
+        self._generations = generations
+        self._prompts = prompts
+        self._lengths = lengths
+        self._supply = supply
+
+    def demands(self, context: Context, terms: JobTerms) -> list[Demand]:
+        """Return the expected batches of all consumers, soonest first."""
+        rounds = context.settings.generation.look_ahead_batches
+        demands = [
+            demand
+            for consumer in terms.job.consumers
+            for demand in self._desk.forecast(consumer).demands(
+                context.now, terms.clock.newest, terms.job.batch_size, rounds
+            )
+        ]
+        return sorted(demands, key=lambda demand: demand.due_at)
+
+    def wishes(
+        self, context: Context, terms: JobTerms, settling: Collection[int], *, may_begin: bool
+    ) -> list[Wish]:
+        """Return what to begin or resume now.
+
+        Args:
+            context: Shared state.
+            terms: The job's terms.
+            settling: Slots whose finished samples wait for a score or the journal.
+            may_begin: Whether anything new may be begun; interrupted samples are resumed anyway.
+        """
+        usual = terms.bound.usual_versions
+        wishes = [
+            self._resumption(generation, terms.clock.newest - usual)
+            for generation in self._generations.waiting()
+        ]
+        if not may_begin:
+            return wishes
+        delivered_at = self._desk.last_delivered_at()
+        starts = plan_starts(
+            self.demands(context, terms),
+            self._supply.supplies(context, terms, settling, delivered_at),
+            usual_staleness=usual,
+            over_commit_factor=context.settings.generation.over_commit_factor,
+        )
+        return wishes + self._beginnings(context, starts)
+
+    def _resumption(self, generation: Generation, minimum_version: int) -> Wish:
+        oldest = generation.recorder.oldest_version or 0
+        return Wish(
+            round=0,
+            minimum_version=max(oldest, minimum_version),
+            expected_tokens=self._supply.remaining_tokens(generation),
+            restarts=self._store.restarts(generation.slot.slot),
+            slot=generation.slot.slot,
+            generation=generation,
+        )
+
+    def _beginnings(self, context: Context, starts: list[PlannedStart]) -> list[Wish]:
+        total = sum(start.count for start in starts)
+        slots = self._store.slots.wanted()
+        while len(slots) < total:
+            slots.extend(self._store.slots.open_group())
+        # Wanted slots go first: their prompts wait for them.
+        wishes: list[Wish] = []
+        taken = 0
+        for start in starts:
+            chosen = slots[taken : taken + start.count]
+            taken += start.count
+            wishes.extend(self._beginning(context, start, slot) for slot in chosen)
+        return wishes
+
+    def _beginning(self, context: Context, start: PlannedStart, slot: int) -> Wish:
+        return Wish(
+            round=start.round,
+            minimum_version=start.minimum_version,
+            expected_tokens=self._expected_tokens(context, slot),
+            restarts=self._store.restarts(slot),
+            slot=slot,
+        )
+
+    def _expected_tokens(self, context: Context, slot: int) -> float:
+        prompt_index = self._store.slots.name(slot).prompt_index
+        prompt = self._prompts.text(context, prompt_index)
+        return self._lengths.expected(prompt) if prompt is not None else 0.0
+
+    def grant(self, context: Context, terms: JobTerms, wish: Wish, engine: Engine) -> bool:
+        """Begin or resume a sample on an engine.
+
+        Returns:
+            False if its prompt is not known yet.
+        """
+        name = self._store.slots.name(wish.slot)
+        generation = wish.generation
+        if generation is None:
+            prompt = self._prompts.text(context, name.prompt_index)
+            if prompt is None:
+                return False
+            self._store.slots.set_state(wish.slot, SlotState.ACTIVE)
+            tries = self._store.tries(wish.slot)
+            generation = self._generations.begin(
+                context, name, prompt, terms.job.maximum_tokens, tries
+            )
+        priority = _priority(context, terms, generation, wish)
+        self._generations.send(context, generation, engine, terms.job.model, priority)
+        return True
+
+
+def _priority(context: Context, terms: JobTerms, generation: Generation, wish: Wish) -> int:
+    record = RequestRecord(
+        prompt_id=generation.slot.prompt_index,
+        attempt=generation.slot.attempt,
+        prompt=generation.prompt,
+        expected_tokens=int(wish.expected_tokens),
+        done_tokens=generation.token_count,
+        waiting_seconds=context.now - generation.wanted_since,
+    )
+    urgency = max(0, PRIORITY_STEP - 1 - wish.round)
+    return terms.priority(context, record) * PRIORITY_STEP + urgency
--- a/src/merlinstand/coordinator/jobs.py
+++ b/src/merlinstand/coordinator/jobs.py
@@ -21,9 +21,9 @@
 from merlinstand.coordinator.forecast import Demand
 from merlinstand.coordinator.generation import Generation
 from merlinstand.coordinator.generations import GenerationDesk
+from merlinstand.coordinator.job_planner import JobPlanner
 from merlinstand.coordinator.journal import SampleJournal
 from merlinstand.coordinator.lengths import LengthStatistics
-from merlinstand.coordinator.planning import PlannedStart, plan_starts
 from merlinstand.coordinator.prompts import PromptBook
 from merlinstand.coordinator.purposes import LedgerRead
 from merlinstand.coordinator.refresh import Window, choose_restarts
@@ -37,7 +37,6 @@
 from merlinstand.kernel.events import CallFailed, CallResponded
 from merlinstand.policy.check import check_policy
 from merlinstand.policy.program import CompiledPolicy
-from merlinstand.policy.records import RequestRecord
 
 PAUSED_RETRY_SECONDS = 2.0
 HOPELESS_SHARE = 0.6
@@ -46,9 +45,6 @@
 HOUSEKEEPING_SECONDS = 0.2
 """Interval of looking for stalled, leaving and expired work."""
 
-PRIORITY_STEP = 4
-"""Engine priorities: the policy's value times this, plus how soon the batch is due."""
-
 
 class JobRunner:
     """Generates, scores, journals and delivers the samples of one leased job."""
@@ -79,6 +75,9 @@
         self._scoring = ScoringDesk(job.name, random)
         self._prompts = PromptBook(job)
         self._supply = SupplyBook(self._store, self.generations, self._lengths)
+        self._planner = JobPlanner(
+            self._store, self.desk, self.generations, self._prompts, self._lengths, self._supply
+        )
         self._settling: set[int] = set()
         self._recovered: list[Sample] = journal.live_samples(job.name)
         self._reading_ledger = False
@@ -274,107 +273,18 @@
 
     def demands(self) -> list[Demand]:
         """Return the expected batches of all consumers, soonest first."""
-        newest = self._context.versions(self.job.model).newest
-        rounds = self._context.settings.generation.look_ahead_batches
-        demands = [
-            demand
-            for consumer in self.job.consumers
-            for demand in self.desk.forecast(consumer).demands(
-                self._context.now, newest, self.job.batch_size, rounds
-            )
-        ]
-        return sorted(demands, key=lambda demand: demand.due_at)
+        return self._planner.demands(self._context, self._terms)
 
     def wishes(self, context: Context) -> list[Wish]:
         """Return what to begin or resume now."""
         if not self.desk.loaded or self.job.phase is not JobPhase.RUNNING:
             return []
-        terms = self.terms()
-        usual = terms.bound.usual_versions
-        wishes = [
-            self._resumption(generation, terms.clock.newest - usual)
-            for generation in self.generations.waiting()
-        ]
-        if not self.accepting or not context.session.may_take_new_work(context.now):
-            return wishes
-        starts = plan_starts(
-            self.demands(),
-            self._supply.supplies(context, terms, self._settling, self.desk.last_delivered_at()),
-            usual_staleness=usual,
-            over_commit_factor=context.settings.generation.over_commit_factor,
-        )
-        return wishes + self._beginnings(starts)
-
-    def _resumption(self, generation: Generation, minimum_version: int) -> Wish:
-        oldest = generation.recorder.oldest_version or 0
-        return Wish(
-            round=0,
-            minimum_version=max(oldest, minimum_version),
-            expected_tokens=self._supply.remaining_tokens(generation),
-            restarts=self._store.restarts(generation.slot.slot),
-            slot=generation.slot.slot,
-            generation=generation,
-        )
-
-    def _beginnings(self, starts: list[PlannedStart]) -> list[Wish]:
-        total = sum(start.count for start in starts)
-        slots = self._store.slots.wanted()
-        while len(slots) < total:
-            opened = self._store.slots.open_group()
-            slots.extend(opened)
-        expected = {slot: self._expected_tokens(slot) for slot in slots}
-        # Wanted slots go first: their prompts wait for them. Longest expected first.
-        wishes: list[Wish] = []
-        taken = 0
-        for start in starts:
-            chosen = slots[taken : taken + start.count]
-            taken += start.count
-            wishes.extend(
-                Wish(
-                    round=start.round,
-                    minimum_version=start.minimum_version,
-                    expected_tokens=expected[slot],
-                    restarts=self._store.restarts(slot),
-                    slot=slot,
-                )
-                for slot in chosen
-            )
-        return wishes
-
-    def _expected_tokens(self, slot: int) -> float:
-        prompt_index = self._store.slots.name(slot).prompt_index
-        prompt = self._prompts.text(self._context, prompt_index)
-        return self._lengths.expected(prompt) if prompt is not None else 0.0
+        may_begin = self.accepting and context.session.may_take_new_work(context.now)
+        return self._planner.wishes(context, self._terms, self._settling, may_begin=may_begin)
 
     def grant(self, context: Context, wish: Wish, engine: Engine) -> bool:
         """Begin or resume a sample on an engine."""
-        name = self._store.slots.name(wish.slot)
-        generation = wish.generation
-        if generation is None:
-            prompt = self._prompts.text(context, name.prompt_index)
-            if prompt is None:
-                return False
-            self._store.slots.set_state(wish.slot, SlotState.ACTIVE)
-            tries = self._store.tries(wish.slot)
-            generation = self.generations.begin(
-                context, name, prompt, self.job.maximum_tokens, tries
-            )
-        priority = self._priority(context, generation, wish)
-        self.generations.send(context, generation, engine, self.job.model, priority)
-        return True
-
-    def _priority(self, context: Context, generation: Generation, wish: Wish) -> int:
-        record = RequestRecord(
-            prompt_id=generation.slot.prompt_index,
-            attempt=generation.slot.attempt,
-            prompt=generation.prompt,
-            expected_tokens=int(wish.expected_tokens),
-            done_tokens=generation.token_count,
-            waiting_seconds=context.now - generation.wanted_since,
-        )
-        value = self.terms().priority(context, record)
-        urgency = max(0, PRIORITY_STEP - 1 - wish.round)
-        return value * PRIORITY_STEP + urgency
+        return self._planner.grant(context, self._terms, wish, engine)
 
     # --- expiry and the end ---------------------------------------------------------
 
@@ -396,8 +306,10 @@
             self._expire_slot(slot, hopeless=self._is_hopeless(generation))
 
     def _begin_again_on_newer_weights(self) -> None:
-        demand = self.demands()[0]
-        if demand.waited_for or self.job.phase is not JobPhase.RUNNING or not self.accepting:
+        demand = next(iter(self.demands()), None)
+        if demand is None or demand.waited_for or not self.accepting:
+            return
+        if self.job.phase is not JobPhase.RUNNING:
             return
         needed_version = demand.newest_version - self.terms().bound.usual_versions
         stream_seconds = demand.due_at - self._context.now
--- a/src/merlinstand/coordinator/supply.py
+++ b/src/merlinstand/coordinator/supply.py
@@ -189,7 +189,8 @@
     ) -> list[Generation]:
         """Return the generations that will be too old when they could be received."""
         doomed = []
-        last_newest = max(terms.clock.newest, demands[-1].newest_version)
+        last_newest = max((demand.newest_version for demand in demands), default=terms.clock.newest)
+        last_newest = max(last_newest, terms.clock.newest)
         surely_allowed = last_newest - terms.bound.maximum_versions
         for generation in self._generations.all():
             oldest = generation.recorder.oldest_version
--- a/tests/coordinator/test_batches.py
+++ b/tests/coordinator/test_batches.py
@@ -288,6 +288,20 @@
     assert answer[0] == 202
 
 
+def test_a_job_that_loses_all_its_consumers_goes_on_without_them() -> None:
+    driver = CoordinatorDriver()
+    driver.tick()
+    for stream in driver.open_streams():
+        driver.chunk(stream, 5, version=1)
+    driver.configure(make_job(consumers=()))
+    for _ in range(5):
+        driver.tick()
+    driver.configure(make_job())
+    name = driver.ask(0, "n1")
+    driver.complete_all(version=1)
+    assert len(driver.batch_of(name)["samples"]) == 4
+
+
 def test_a_lost_lease_refuses_waiting_trainers_and_cancels_streams() -> None:
     driver = CoordinatorDriver()
     driver.tick()
