--- a/src/merlinstand/coordinator/jobs.py
+++ b/src/merlinstand/coordinator/jobs.py
@@ -26,7 +26,7 @@
 from merlinstand.coordinator.lengths import LengthStatistics
 from merlinstand.coordinator.prompts import PromptBook
 from merlinstand.coordinator.purposes import LedgerRead
-from merlinstand.coordinator.refresh import Window, choose_restarts
+from merlinstand.coordinator.refresh import RestartBudget, Window
 from merlinstand.coordinator.samples import BatchRequest, Sample
 from merlinstand.coordinator.scoring import ScoringDesk
 from merlinstand.coordinator.slots import SlotState
@@ -75,6 +75,7 @@
         self._scoring = ScoringDesk(job.name, random)
         self._prompts = PromptBook(job)
         self._supply = SupplyBook(self._store, self.generations, self._lengths)
+        self._restarts = RestartBudget()
         self._planner = JobPlanner(
             self._store, self.desk, self.generations, self._prompts, self._lengths, self._supply
         )
@@ -319,7 +320,8 @@
             streams=self.stream_limit,
             needed_tokens=lacking * self._lengths.mean(),
         )
-        for slot in choose_restarts(self._supply.old_units(needed_version), window):
+        old = self._supply.old_units(needed_version)
+        for slot in self._restarts.choose(old, window, needed_version):
             self._context.count("samples_begun_again_total", job=self.job.name)
             self._cancel_slot(slot)
             self._store.begin_again(slot)
--- a/src/merlinstand/coordinator/refresh.py
+++ b/src/merlinstand/coordinator/refresh.py
@@ -13,7 +13,7 @@
 LONGEST_SHARE = 0.7
 """Samples expected to take more of what a stream makes until then are left alone."""
 
-SPARE_SHARE = 0.5
+SPARE_SHARE = 0.25
 """Part of the spare time that may be spent on tokens made a second time."""
 
 
@@ -43,23 +43,36 @@
     """Expected length of the longest."""
 
 
-def choose_restarts(candidates: Iterable[Restartable], window: Window) -> list[int]:
-    """Choose the samples to begin again, those with the fewest tokens first.
-
-    Args:
-        candidates: Samples that would be old, each never begun again before.
-        window: What the engines can do.
-
-    Returns:
-        Their slots.
-    """
-    longest = LONGEST_SHARE * window.stream_tokens
-    left = window.spare_tokens
-    chosen: list[int] = []
-    for candidate in sorted(candidates, key=lambda each: (each.done_tokens, each.slots)):
-        if candidate.done_tokens > left:
-            break
-        if candidate.expected_tokens <= longest:
-            left -= candidate.done_tokens
-            chosen.extend(candidate.slots)
-    return chosen
+class RestartBudget:
+    """Chooses the samples of one job to begin again, within a budget for each batch."""
+
+    def __init__(self) -> None:
+        """Begin with nothing spent."""
+        self._version = 0
+        self._spent_tokens = 0
+
+    def choose(self, candidates: Iterable[Restartable], window: Window, version: int) -> list[int]:
+        """Choose samples, those with the fewest tokens first.
+
+        Engines swap one after another, so this is asked several times for one batch.
+
+        Args:
+            candidates: Samples that would be old, each never begun again before.
+            window: What the engines can do.
+            version: Oldest version that is not too old for the batch; a new one opens a new
+                budget.
+
+        Returns:
+            Their slots.
+        """
+        if version != self._version:
+            self._version, self._spent_tokens = version, 0
+        longest = LONGEST_SHARE * window.stream_tokens
+        chosen: list[int] = []
+        for candidate in sorted(candidates, key=lambda each: (each.done_tokens, each.slots)):
+            if self._spent_tokens + candidate.done_tokens > window.spare_tokens:
+                break
+            if candidate.expected_tokens <= longest:
+                self._spent_tokens += candidate.done_tokens
+                chosen.extend(candidate.slots)
+        return chosen
--- a/tests/coordinator/test_refresh.py
+++ b/tests/coordinator/test_refresh.py
@@ -1,6 +1,6 @@
 """Samples that would arrive old are begun again on newer weights, where there is time to spare."""
 
-from merlinstand.coordinator.refresh import Restartable, Window, choose_restarts
+from merlinstand.coordinator.refresh import Restartable, RestartBudget, Window
 from tests.coordinator.driver import CoordinatorDriver, Stream, make_job
 
 STEP_SECONDS = 60
@@ -76,20 +76,33 @@
     return Restartable((slot,), done_tokens, float(done_tokens))
 
 
+def _choose(candidates: list[Restartable], window: Window) -> list[int]:
+    return RestartBudget().choose(candidates, window, version=2)
+
+
 def test_the_cheapest_are_begun_again_within_the_spare_tokens() -> None:
-    candidates = [_single(1, 800), _single(2, 10), _single(3, 400)]
-    window = Window(stream_tokens=1000.0, streams=2.0, needed_tokens=1000.0)
-    assert choose_restarts(candidates, window) == [2, 3]
+    candidates = [_single(1, 600), _single(2, 10), _single(3, 400)]
+    window = Window(stream_tokens=1000.0, streams=3.0, needed_tokens=1000.0)
+    assert window.spare_tokens == 500.0
+    assert _choose(candidates, window) == [2, 3]
     busy = Window(stream_tokens=1000.0, streams=2.0, needed_tokens=2000.0)
-    assert choose_restarts(candidates, busy) == []
+    assert _choose(candidates, busy) == []
+
+
+def test_the_budget_holds_for_all_engines_that_swap_before_one_batch() -> None:
+    window = Window(stream_tokens=1000.0, streams=3.0, needed_tokens=1000.0)
+    budget = RestartBudget()
+    assert budget.choose([_single(1, 300)], window, version=2) == [1]
+    assert budget.choose([_single(2, 300)], window, version=2) == []
+    assert budget.choose([_single(2, 300)], window, version=3) == [2]
 
 
 def test_a_sample_that_would_not_end_in_time_is_left_alone() -> None:
     window = Window(stream_tokens=1000.0, streams=100.0, needed_tokens=0.0)
     too_long = Restartable((1,), 10, 701.0)
-    assert choose_restarts([too_long, Restartable((2, 3), 500, 700.0)], window) == [2, 3]
+    assert _choose([too_long, Restartable((2, 3), 500, 700.0)], window) == [2, 3]
 
 
 def test_a_batch_that_is_due_leaves_no_window() -> None:
     window = Window(stream_tokens=-5.0, streams=10.0, needed_tokens=0.0)
-    assert choose_restarts([_single(1, 10)], window) == []
+    assert _choose([_single(1, 10)], window) == []
