--- a/tests/coordinator/driver.py
+++ b/tests/coordinator/driver.py
@@ -1,13 +1,11 @@
-"""Drives a coordinator event by event: the real ledger, scripted control, engines by hand."""
+"""Drives a coordinator event by event: its clock, its disk, control and its trainers."""
 
 import json
 from collections.abc import Sequence
 from types import MappingProxyType
 from typing import Any
 
-import msgspec
-
-from merlinstand.common.ids import CallId, CommandId, NodeId, RequestId
+from merlinstand.common.ids import NodeId, RequestId
 from merlinstand.configuration.objects import (
     Backend,
     Drain,
@@ -17,10 +15,7 @@
     Weights,
     WeightVersion,
 )
-from merlinstand.control.commands import Command, CommitBatch, Refused
-from merlinstand.control.ledger import JobLedger
-from merlinstand.control.queries import LedgerQuery, Query
-from merlinstand.control.weights import StalenessBound
+from merlinstand.control.queries import LedgerQuery
 from merlinstand.coordinator.daemon import TICK_TIMER, CoordinatorDaemon
 from merlinstand.coordinator.settings import CoordinatorSettings
 from merlinstand.kernel.effects import (
@@ -33,12 +28,6 @@
     StopProcess,
 )
 from merlinstand.kernel.events import (
-    CallChunk,
-    CallEnded,
-    CallFailed,
-    CallHeaders,
-    CallPhase,
-    CallResponded,
     Event,
     MessageReceived,
     RecordsSynced,
@@ -49,8 +38,8 @@
     StopRequested,
     TimerFired,
 )
-from merlinstand.session.control_session import ControlSession, SessionStep
-from merlinstand.session.lease_keeper import RETRY_SECONDS, HeldLease
+from merlinstand.session.control_session import SessionStep
+from merlinstand.session.lease_keeper import HeldLease
 from merlinstand.session.notices import (
     CommandFinished,
     ConfigurationChanged,
@@ -60,145 +49,9 @@
     QueryFinished,
 )
 from merlinstand.session.view import ConfigurationView
-
-JOB = "blurbs"
-POOL = "blurb-llm"
-MODEL = "blurb"
-
-
-class Waiting(msgspec.Struct):
-    """A command or query that control has not answered."""
-
-    request_id: CommandId
-    content: Any
-
-
-class ScriptedSession(ControlSession):
-    """A session whose answers the test gives."""
-
-    def __init__(self, run: str) -> None:
-        self.scripted_view = ConfigurationView()
-        self.may_take = True
-        self.held: dict[str, HeldLease] = {}
-        self.wanted: list[str] = []
-        self.waiting: list[Waiting] = []
-        self.stopped = False
-        self.refreshes = 0
-        self.next_step = SessionStep()
-        self._run = run
-        self._made = 0
-
-    @property
-    def view(self) -> ConfigurationView:
-        return self.scripted_view
-
-    @property
-    def run_name(self) -> str:
-        return self._run
-
-    @property
-    def is_idle(self) -> bool:
-        return not self.waiting
-
-    def start(self, event: Started, now: float) -> SessionStep:
-        return SessionStep()
-
-    def handles(self, event: Event) -> bool:
-        return isinstance(event, MessageReceived)
-
-    def reduce(self, event: Event, now: float) -> SessionStep:
-        step, self.next_step = self.next_step, SessionStep()
-        return step
-
-    def _wait(self, content: Any) -> CommandId:
-        self._made += 1
-        request_id = CommandId(f"{self._run}/{self._made}")
-        self.waiting.append(Waiting(request_id, content))
-        return request_id
-
-    def submit(
-        self,
-        command: Command,
-        now: float,
-        *,
-        command_id: CommandId | None = None,
-        timeout_seconds: float | None = None,
-    ) -> tuple[CommandId, Sequence[Effect]]:
-        return self._wait(command), ()
-
-    def query(
-        self, query: Query, now: float, *, timeout_seconds: float = 5.0
-    ) -> tuple[CommandId, Sequence[Effect]]:
-        return self._wait(query), ()
-
-    def may_take_new_work(self, now: float) -> bool:
-        return self.may_take
-
-    def refresh(self, now: float) -> Sequence[Effect]:
-        self.refreshes += 1
-        return ()
-
-    def want_lease(
-        self, resource: str, now: float, retry_seconds: float = RETRY_SECONDS
-    ) -> Sequence[Effect]:
-        self.wanted.append(resource)
-        return ()
-
-    def give_up_lease(self, resource: str, now: float) -> Sequence[Effect]:
-        self.held.pop(resource, None)
-        return ()
-
-    def lease(self, resource: str, now: float) -> HeldLease | None:
-        held = self.held.get(resource)
-        return held if held is not None and now < held.expires_at else None
-
-    def durable_records(self) -> tuple[bytes, ...]:
-        return (b"session-record",)
-
-    def stop(self, now: float) -> Sequence[Effect]:
-        self.stopped = True
-        return ()
-
-
-class Control:
-    """What survives any coordinator: the ledger, the published versions, lease epochs."""
-
-    def __init__(self, job: Job) -> None:
-        self.job = job
-        self.ledger = JobLedger()
-        self.epoch = 0
-        self.newest = 0
-        self.committed: list[CommitBatch] = []
-
-    def answer(self, content: Any) -> Any:
-        if isinstance(content, LedgerQuery):
-            return self.ledger.answer(self.job)
-        assert isinstance(content, CommitBatch)
-        if content.lease_epoch != self.epoch:
-            return Refused(code="fenced", detail="older epoch")
-        oldest = self.newest - self.job.policy.maximum_staleness_versions
-        outcome = self.ledger.commit(content, StalenessBound(self.newest, oldest))
-        if not isinstance(outcome, Refused):
-            self.committed.append(content)
-        return outcome
-
-
-class Stream(msgspec.Struct):
-    """An open completion call, seen from its engine."""
-
-    call_id: CallId
-    address: str
-    request: dict[str, Any]
-    spans: list[list[int]]
-    ended: bool = False
-
-    @property
-    def request_id(self) -> str:
-        return str(self.request["request_id"])
-
-    @property
-    def token_count(self) -> int:
-        return self.spans[-1][2] if self.spans else 0
+from tests.coordinator.engine_side import EngineSide
+from tests.coordinator.names import JOB, MODEL, POOL
+from tests.coordinator.scripted_control import Control, ScriptedSession, Waiting
 
 
 def engine_pool(count: int = 2) -> Pool:
@@ -222,7 +75,7 @@
     return Job(**{**fields, **changes})
 
 
-class CoordinatorDriver:
+class CoordinatorDriver(EngineSide):
     """A coordinator, its clock and everything it asked for."""
 
     def __init__(
@@ -239,9 +92,8 @@
         **changes: Any,
     ) -> None:
         self.control = control or Control(job or make_job())
-        self.pool = pool or engine_pool()
+        super().__init__(pool or engine_pool())
         self.other_jobs = {other.name: other for other in other_jobs}
-        self.now = 100.0
         self.session = ScriptedSession(run)
         settings = CoordinatorSettings(
             node_id="coordinator-1",
@@ -252,14 +104,12 @@
             **changes,
         )
         self.daemon = CoordinatorDaemon(settings, self.session)
-        self.streams: dict[CallId, Stream] = {}
         self.calls: list[StartCall] = []
         self.responses: dict[str, Respond] = {}
         self.journal: list[bytes] = list(journal)
         self.snapshot = snapshot
         self.unsynced: list[AppendRecords | SaveSnapshot] = []
         self.exit_code: int | None = None
-        self.status_of: dict[str, dict[str, Any]] = {}
         self.orders: list[tuple[str, dict[str, Any]]] = []
         self.cancelled_requests: list[str] = []
         self._asked = 0
@@ -398,114 +248,6 @@
             self.cancelled_requests.append(json.loads(call.body)["request_id"])
         return []
 
-    # --- engines --------------------------------------------------------------------
-
-    def serve(self, backend_id: str, version: int, **changes: Any) -> None:
-        """Set what an engine's status says from now on."""
-        loaded = [{"version": version, "digest": f"digest-{version}"}] if version else []
-        fields = {
-            "backend_id": backend_id,
-            "state": "ready",
-            "model": MODEL,
-            "active_version": version,
-            "active_digest": f"digest-{version}" if version else "",
-            "loaded": loaded,
-            "incarnation": 1,
-        }
-        self.status_of[backend_id] = {**fields, **changes}
-
-    def serve_all(self, version: int) -> None:
-        """Have every engine serve a version."""
-        for backend in self.pool.backends:
-            self.serve(backend.backend_id, version)
-
-    def backend_of(self, address: str) -> str:
-        return next(b.backend_id for b in self.pool.backends if b.address == address)
-
-    def _status(self, call: StartCall) -> list[Event]:
-        status = self.status_of.get(self.backend_of(call.address))
-        if status is None:
-            return [CallFailed(call.call_id, CallPhase.CONNECT, "refused")]
-        body = json.dumps({**status, "reported_at": self.now}).encode()
-        return [CallResponded(call.call_id, 200, {}, body)]
-
-    @staticmethod
-    def _open(call: StartCall) -> Stream:
-        request = json.loads(call.body)
-        resume = request.get("resume")
-        spans = [list(span) for span in resume["spans"]] if resume else []
-        return Stream(call.call_id, call.address, request, spans)
-
-    def open_streams(self) -> list[Stream]:
-        """Return the completion calls in progress, oldest first."""
-        return [stream for stream in self.streams.values() if not stream.ended]
-
-    def accept(self, stream: Stream) -> None:
-        """Answer the headers of a stream."""
-        self.send(CallHeaders(stream.call_id, 200, {}))
-
-    def chunk(self, stream: Stream, tokens: int, version: int) -> None:
-        """Send one chunk of a stream."""
-        first = stream.token_count
-        if stream.spans and stream.spans[-1][0] == version:
-            stream.spans[-1][2] = first + tokens
-        else:
-            stream.spans.append([version, first, first + tokens])
-        self.send_chunk(stream, first, tokens, version)
-
-    def send_chunk(self, stream: Stream, index: int, tokens: int, version: int) -> None:
-        """Send a chunk as it is, right or wrong."""
-        body = {
-            "request_id": stream.request_id,
-            "index": index,
-            "token_count": tokens,
-            "weight_version": version,
-            "text": f"[{index}-{index + tokens}@{version}]",
-            "finish_reason": None,
-        }
-        self.send_data(stream, body)
-
-    def send_data(self, stream: Stream, body: dict[str, Any]) -> None:
-        """Send one server-sent event, in two pieces."""
-        data = b"data: " + json.dumps(body).encode() + b"\n\n"
-        middle = len(data) // 2
-        self.send(CallChunk(stream.call_id, data[:middle]))
-        self.send(CallChunk(stream.call_id, data[middle:]))
-
-    def end(
-        self, stream: Stream, reason: str = "stop", spans: list[list[int]] | None = None
-    ) -> None:
-        """Send the last event of a stream and close it."""
-        stream.ended = True
-        body = {
-            "request_id": stream.request_id,
-            "index": stream.token_count,
-            "token_count": 0,
-            "weight_version": stream.spans[-1][0] if stream.spans else 0,
-            "text": "",
-            "finish_reason": reason,
-            "spans": stream.spans if spans is None else spans,
-        }
-        self.send_data(stream, body)
-        self.send(CallChunk(stream.call_id, b"data: [DONE]\n\n"))
-        self.send(CallEnded(stream.call_id))
-
-    def crash(self, stream: Stream) -> None:
-        """Break a stream off."""
-        stream.ended = True
-        self.send(CallFailed(stream.call_id, CallPhase.BODY, "reset"))
-
-    def complete(self, stream: Stream, version: int, tokens: int = 10) -> None:
-        """Send a whole sample."""
-        self.chunk(stream, tokens, version)
-        self.end(stream)
-
-    def complete_all(self, version: int) -> None:
-        """Send whole samples for all streams in progress."""
-        for stream in self.open_streams():
-            self.complete(stream, version)
-        self.settle()
-
     # --- trainers -------------------------------------------------------------------
 
     def ask(
--- a/tests/coordinator/lease_contest.py
+++ b/tests/coordinator/lease_contest.py
@@ -14,7 +14,7 @@
 from merlinstand.kernel.effects import Effect
 from merlinstand.session.lease_keeper import RETRY_SECONDS, LeaseKeeper, OutgoingCommand
 from merlinstand.session.view import ConfigurationView
-from tests.coordinator.driver import ScriptedSession
+from tests.coordinator.scripted_control import ScriptedSession
 
 STEP_SECONDS = 0.05
 
--- a/tests/coordinator/test_adoption.py
+++ b/tests/coordinator/test_adoption.py
@@ -1,7 +1,8 @@
 """A job that moves between the old scripts and merlinstand: only one side orders engines."""
 
 from merlinstand.configuration.objects import JobMode, JobPhase
-from tests.coordinator.driver import POOL, CoordinatorDriver, engine_pool, make_job
+from tests.coordinator.driver import CoordinatorDriver, engine_pool, make_job
+from tests.coordinator.names import POOL
 
 ENGINES = f"engines/{POOL}"
 SPREAD_SECONDS = 4.0
--- a/tests/coordinator/test_batches.py
+++ b/tests/coordinator/test_batches.py
@@ -3,7 +3,8 @@
 import pytest
 
 from merlinstand.configuration.objects import JobMode, JobPhase, PolicySource
-from tests.coordinator.driver import Control, CoordinatorDriver, make_job
+from tests.coordinator.driver import CoordinatorDriver, make_job
+from tests.coordinator.scripted_control import Control
 
 
 def test_a_batch_is_committed_before_it_is_answered() -> None:
--- a/tests/coordinator/test_dispatch.py
+++ b/tests/coordinator/test_dispatch.py
@@ -9,7 +9,8 @@
 from merlinstand.coordinator.dispatch import Wish, dispatch
 from merlinstand.coordinator.engines import Engine
 from merlinstand.coordinator.settings import GenerationSettings
-from tests.coordinator.driver import MODEL, POOL, CoordinatorDriver, engine_pool, make_job
+from tests.coordinator.driver import CoordinatorDriver, engine_pool, make_job
+from tests.coordinator.names import MODEL, POOL
 
 CONCURRENCY = 8
 PLACES = 2 * CONCURRENCY
--- a/tests/coordinator/test_doors.py
+++ b/tests/coordinator/test_doors.py
@@ -8,7 +8,8 @@
 
 from merlinstand.kernel.effects import StartCall
 from merlinstand.kernel.events import CallChunk, CallEnded, CallResponded, Event
-from tests.coordinator.driver import JOB, CoordinatorDriver
+from tests.coordinator.driver import CoordinatorDriver
+from tests.coordinator.names import JOB
 
 DEEP = b'{"a":' * 5000 + b"1" + b"}" * 5000
 """Nested further than a decoder follows."""
--- a/tests/coordinator/test_exactly_once.py
+++ b/tests/coordinator/test_exactly_once.py
@@ -5,7 +5,8 @@
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
-from tests.coordinator.driver import Control, CoordinatorDriver, make_job
+from tests.coordinator.driver import CoordinatorDriver, make_job
+from tests.coordinator.scripted_control import Control
 
 BOUND = 2
 
--- a/tests/coordinator/test_generations.py
+++ b/tests/coordinator/test_generations.py
@@ -3,7 +3,8 @@
 from collections import Counter
 
 from merlinstand.kernel.events import CallFailed, CallHeaders, CallPhase, CallResponded
-from tests.coordinator.driver import CoordinatorDriver, Stream, make_job
+from tests.coordinator.driver import CoordinatorDriver, make_job
+from tests.coordinator.engine_side import Stream
 
 
 def _first(driver: CoordinatorDriver) -> Stream:
--- a/tests/coordinator/test_journal_and_stop.py
+++ b/tests/coordinator/test_journal_and_stop.py
@@ -3,7 +3,9 @@
 import json
 
 from merlinstand.kernel.events import CallFailed, CallPhase, CallResponded
-from tests.coordinator.driver import JOB, Control, CoordinatorDriver, make_job
+from tests.coordinator.driver import CoordinatorDriver, make_job
+from tests.coordinator.names import JOB
+from tests.coordinator.scripted_control import Control
 
 
 def test_samples_survive_a_restart_and_are_not_generated_again() -> None:
--- a/tests/coordinator/test_leaving.py
+++ b/tests/coordinator/test_leaving.py
@@ -7,7 +7,8 @@
 from merlinstand.common.ids import CallId
 from merlinstand.coordinator.settings import GenerationSettings
 from merlinstand.kernel.events import CallResponded
-from tests.coordinator.driver import JOB, CoordinatorDriver, engine_pool, make_job
+from tests.coordinator.driver import CoordinatorDriver, engine_pool, make_job
+from tests.coordinator.names import JOB
 
 MACHINE_LIST = "10.7.0.1:80"
 LEAVING = "engine-0"
--- a/tests/coordinator/test_refresh.py
+++ b/tests/coordinator/test_refresh.py
@@ -1,7 +1,8 @@
 """Samples that would arrive old are begun again on newer weights, where there is time to spare."""
 
 from merlinstand.coordinator.refresh import Restartable, RestartBudget, Window
-from tests.coordinator.driver import CoordinatorDriver, Stream, make_job
+from tests.coordinator.driver import CoordinatorDriver, make_job
+from tests.coordinator.engine_side import Stream
 
 STEP_SECONDS = 60
 
