Trainers' requests and HTTP servers by their usual names

coordinator/trainer_door.py is trainer_requests.py, beside control's operator_requests.py; pages and settings say HTTP server. Left for a quiet moment, since others work in these files: gateway/door.py, runtime/http_door.py, standins/door.py and door_id, which is the host's request id.

--- a/src/merlinstand/cli/daemon_commands.py
+++ b/src/merlinstand/cli/daemon_commands.py
@@ -73,7 +73,7 @@
 @click.command()
 @_daemon_options
 def gateway(**options: str) -> None:
-    """Run one gateway, the door for callers.
+    """Run one gateway, which carries callers' requests.
 
     \b
     Example:
--- a/src/merlinstand/coordinator/daemon.py
+++ b/src/merlinstand/coordinator/daemon.py
@@ -13,7 +13,7 @@
 from merlinstand.coordinator.leadership import job_resource
 from merlinstand.coordinator.samples import BatchRequest
 from merlinstand.coordinator.settings import CoordinatorSettings
-from merlinstand.coordinator.trainer_door import (
+from merlinstand.coordinator.trainer_requests import (
     BatchAsked,
     JobsAsked,
     LivenessAsked,
--- a/src/merlinstand/kernel/events.py
+++ b/src/merlinstand/kernel/events.py
@@ -53,7 +53,7 @@
 
 
 class RequestReceived(Event, frozen=True):
-    """An HTTP request arrived whole at this process's door."""
+    """An HTTP request arrived whole at this process."""
 
     request_id: RequestId
     """Unique within this process's run; names the request in `Respond…` effects."""
--- a/src/merlinstand/runtime/host_settings.py
+++ b/src/merlinstand/runtime/host_settings.py
@@ -6,7 +6,7 @@
 
 
 class TlsFiles(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
-    """PEM files for the HTTP door and the internal transport."""
+    """PEM files for the HTTP server and the internal transport."""
 
     certificate: str
     """PEM file of this process; `{node}` stands for its name."""
@@ -19,12 +19,12 @@
 
 
 class HttpLimits(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
-    """Bounds of the HTTP door; whatever exceeds them never reaches the reducer."""
+    """Bounds of the HTTP server; whatever exceeds them never reaches the reducer."""
 
     maximum_body_bytes: int = constants.MAXIMUM_REQUEST_BODY_BYTES
-    """Largest body that the HTTP door takes in."""
+    """Largest body that the HTTP server takes in."""
     maximum_connections: int = 4096
-    """Most connections of the HTTP door; further ones wait until one ends."""
+    """Most connections of the HTTP server; further ones wait until one ends."""
     request_read_timeout_seconds: float = 10.0
     """Longest time for one request's head and body to arrive."""
     idle_connection_seconds: float = 60.0
@@ -40,7 +40,7 @@
 
     node_id: str
     http_address: str = "127.0.0.1:0"
-    """`ip:port` of the HTTP door; port 0 takes a free one (logged as `host.listening`)."""
+    """`ip:port` of the HTTP server; port 0 takes a free one (logged as `host.listening`)."""
     internal_address: str = ""
     """`ip:port` of the internal protocol; empty for processes without one."""
     data_folder: str = ""
--- a/src/merlinstand/runtime/tls.py
+++ b/src/merlinstand/runtime/tls.py
@@ -1,4 +1,4 @@
-"""TLS for the HTTP door, the HTTP client and the internal transport."""
+"""TLS for the HTTP server, the HTTP client and the internal transport."""
 
 import ssl
 from typing import Any
@@ -59,12 +59,12 @@
 
 
 def server_context(files: TlsFiles) -> Result[SSLContext, HostSetupError]:
-    """Make the context of an HTTP door: clients need no certificate."""
+    """Make the context of an HTTP server: clients need no certificate."""
     return _context(files, ssl.PROTOCOL_TLS_SERVER, ssl.CERT_NONE)
 
 
 def internal_server_context(files: TlsFiles) -> Result[SSLContext, HostSetupError]:
-    """Make the context of the internal door: peers show a certificate of the authority."""
+    """Make the context of the internal listener: peers show a certificate of the authority."""
     return _context(files, ssl.PROTOCOL_TLS_SERVER, ssl.CERT_REQUIRED)
 
 
