--- a/src/merlinstand/cli/config_commands.py
+++ b/src/merlinstand/cli/config_commands.py
@@ -3,6 +3,7 @@
 from typing import Any
 
 import click
+from result import Err
 
 from merlinstand.cli.operator_client import OperatorClient
 from merlinstand.cli.options import operator_options, output_option
@@ -88,7 +89,11 @@
             rows.append({"key": key, "result": "unchanged", "revision": present.revision})
             continue
         seen_revision = present.revision if present else MUST_NOT_EXIST
-        done = unwrap(put_seen_object(client, key, value, seen_revision), output)
+        done = put_seen_object(client, key, value, seen_revision)
+        if isinstance(done, Err):
+            # What was done before is in force, and has to be known.
+            print_rows(rows, _APPLY_COLUMNS, output)
+            fail(done.err_value, output)
         result = "created" if present is None else "changed"
-        rows.append({"key": key, "result": result, "revision": done.revision})
+        rows.append({"key": key, "result": result, "revision": done.ok_value.revision})
     print_rows(rows, _APPLY_COLUMNS, output)
--- a/tests/cli/test_resends.py
+++ b/tests/cli/test_resends.py
@@ -76,7 +76,9 @@
     answers = iter([None, (500, {"code": "lost", "detail": ""})])
     control.override = lambda method, *_rest: next(answers, None) if method == "POST" else None
     line = ("config", "apply", str(file), "--command-id", "mine", "--output", "json")
-    assert run(*line).exit_code != 0
+    failed = run(*line)
+    assert failed.exit_code != 0
+    assert [row["key"] for row in json.loads(failed.stdout)] == ["limits/caller-0"]
     rows = json.loads(run(*line).output)
     assert [row["result"] for row in rows] == ["unchanged", "created", "created"]
     assert set(control.objects) == {f"limits/caller-{number}" for number in range(3)}
