--- a/src/merlinstand/cli/job_commands.py
+++ b/src/merlinstand/cli/job_commands.py
@@ -107,7 +107,7 @@
         merlinstand job show blurbs
     """
     seen = unwrap(read_object(client, f"job/{name}"), output)
-    ledger = unwrap(client.read(f"/v1/ledger/{name}"), output)
+    ledger = unwrap(client.ledger(name), output)
     print_object({**_row(seen), "ledger": ledger}, output)
 
 
--- a/src/merlinstand/cli/members_commands.py
+++ b/src/merlinstand/cli/members_commands.py
@@ -1,6 +1,7 @@
 """`merlinstand members`: the control group."""
 
 import click
+import msgspec
 
 from merlinstand.cli.errors import UsageError
 from merlinstand.cli.operator_client import OperatorClient
@@ -33,8 +34,8 @@
     Example:
         merlinstand members list
     """
-    found = unwrap(client.read("/v1/members"), output)
-    print_rows(found.get("members", []), COLUMNS, output)
+    found = unwrap(client.members(), output)
+    print_rows(msgspec.to_builtins(found.members), COLUMNS, output)
 
 
 @members.command()
@@ -69,8 +70,7 @@
     client: OperatorClient, output: str, remove: str, add: str
 ) -> NotFoundError | None:
     """Refuse names that are no replica: the group would keep the wish, and wait for ever."""
-    listed = unwrap(client.read("/v1/members"), output).get("members", [])
-    known = {str(row["node_id"]) for row in listed}
+    known = {member.node_id for member in unwrap(client.members(), output).members}
     known.update(client.settings.control_nodes)
     # Without a deployment file, a replica that is to join can't be known here.
     names = (remove, add) if client.settings.control_nodes else (remove,)
--- a/src/merlinstand/cli/object_client.py
+++ b/src/merlinstand/cli/object_client.py
@@ -5,8 +5,9 @@
 import msgspec
 from result import Err, Ok, Result
 
+from merlinstand.cli.answers import CommandDone
 from merlinstand.cli.errors import MalformedAnswerError
-from merlinstand.cli.operator_client import CommandDone, OperatorClient
+from merlinstand.cli.operator_client import OperatorClient
 from merlinstand.common.errors import MerlinstandError, NotFoundError
 from merlinstand.configuration.objects import OBJECT_TYPES, ConfigurationObject
 
--- a/src/merlinstand/cli/operator_client.py
+++ b/src/merlinstand/cli/operator_client.py
@@ -11,6 +11,7 @@
 import xxhash
 from result import Err, Ok, Result
 
+from merlinstand.cli.answers import CommandDone, Configuration, Leases, Members
 from merlinstand.cli.client_settings import ClientSettings
 from merlinstand.cli.errors import (
     ControlRefusedError,
@@ -47,28 +48,6 @@
 }
 
 
-class ConfigurationItem(msgspec.Struct, frozen=True):
-    """One object of the configuration."""
-
-    key: str
-    revision: int
-    value: dict[str, Any]
-
-
-class Configuration(msgspec.Struct, frozen=True):
-    """Objects of the configuration at one revision."""
-
-    revision: int
-    objects: tuple[ConfigurationItem, ...]
-
-
-class CommandDone(msgspec.Struct, frozen=True):
-    """Control's answer to an applied command."""
-
-    revision: int
-    outcome: dict[str, Any]
-
-
 class _ErrorAnswer(msgspec.Struct, frozen=True):
     code: str = "error"
     detail: str = ""
@@ -133,9 +112,19 @@
         answer = self._ask("GET", f"/v1/configuration?prefix={quote(prefix, safe='')}", b"")
         return answer.and_then(lambda found: _decode(found, Configuration))
 
-    def read(self, path: str) -> Result[dict[str, Any], MerlinstandError]:
-        """Read another JSON object of the API."""
-        answer = self._ask("GET", path, b"")
+    def members(self) -> Result[Members, MerlinstandError]:
+        """Read the control group's members."""
+        answer = self._ask("GET", "/v1/members", b"")
+        return answer.and_then(lambda found: _decode(found, Members))
+
+    def leases(self) -> Result[Leases, MerlinstandError]:
+        """Read all leases."""
+        answer = self._ask("GET", "/v1/leases", b"")
+        return answer.and_then(lambda found: _decode(found, Leases))
+
+    def ledger(self, job: str) -> Result[dict[str, Any], MerlinstandError]:
+        """Read where a job's consumers stand."""
+        answer = self._ask("GET", f"/v1/ledger/{quote(job, safe='')}", b"")
         return answer.and_then(lambda found: _decode(found, dict[str, Any]))
 
     def _command_id(self, intent: Any) -> str:
--- a/src/merlinstand/cli/status_commands.py
+++ b/src/merlinstand/cli/status_commands.py
@@ -37,9 +37,9 @@
     """
     from merlinstand.cli.members_commands import COLUMNS
 
-    members = unwrap(client.read("/v1/members"), output)
-    leases = unwrap(client.read("/v1/leases"), output).get("leases", [])
-    owners = {lease["resource"]: lease["holder"] for lease in leases}
+    members = msgspec.to_builtins(unwrap(client.members(), output))
+    leases = unwrap(client.leases(), output).leases
+    owners = {lease.resource: lease.holder for lease in leases}
     daemons = [
         msgspec.to_builtins(seen.value) for seen in unwrap(read_objects(client, "daemon/"), output)
     ]
@@ -54,10 +54,10 @@
     ]
     if output == JSON:
         body = {"control": members, "daemons": daemons, "jobs": jobs, "weights": newest}
-        body["leases"] = leases
+        body["leases"] = msgspec.to_builtins(leases)
         print_object(body, output)
         return
-    print_rows(members.get("members", []), COLUMNS, output)
+    print_rows(members["members"], COLUMNS, output)
     click.echo()
     print_rows(daemons, _DAEMON_COLUMNS, output)
     click.echo()
--- a/tests/cli/test_operator_commands.py
+++ b/tests/cli/test_operator_commands.py
@@ -198,9 +198,25 @@
     assert "no quorum" in result.output
 
 
-def test_answer_of_a_stranger_is_an_error(run: Any, control: FakeControl) -> None:
-    control.override = lambda *_request: (200, b"<html>\xff")
-    assert run("members", "list").exit_code == 1
+@pytest.mark.parametrize(
+    "answer",
+    [
+        b"<html>\xff",
+        b"5",
+        b"{}",
+        b'{"members": [5], "leases": [{}], "objects": [{}], "revision": 1}',
+    ],
+)
+@pytest.mark.parametrize(
+    "line", ["members list", "members replace --remove a", "status", "config get", "job list"]
+)
+def test_answer_of_a_stranger_is_an_error(
+    run: Any, control: FakeControl, answer: bytes, line: str
+) -> None:
+    control.override = lambda *_request: (200, answer)
+    result = run(*line.split())
+    assert result.exit_code == 1
+    assert "error: malformed_answer: " in result.stderr
 
 
 def test_token_and_addresses_come_from_the_settings(control: FakeControl, tmp_path: Path) -> None:
