--- a/src/merlinstand/consensus/replica.py
+++ b/src/merlinstand/consensus/replica.py
@@ -17,6 +17,7 @@
 from merlinstand.consensus.election import Election, from_wire_identity
 from merlinstand.consensus.follower import Follower
 from merlinstand.consensus.leader import Leader
+from merlinstand.consensus.member_states import MemberState, describe_members
 from merlinstand.consensus.membership import Identity, Membership
 from merlinstand.consensus.recovery import recover
 from merlinstand.consensus.settings import ReplicaSettings
@@ -68,22 +69,6 @@
 )
 
 
-class MemberState(msgspec.Struct, frozen=True):
-    """A member as the leader (or, with less detail, a follower) sees it."""
-
-    node_id: NodeId
-    incarnation: int
-    address: str
-    zone: str
-    role: str
-    """`voter` or `learner`."""
-    is_leader: bool
-    match_index: int
-    """Highest log position known to be durable there; 0 if not known."""
-    silent_seconds: float
-    """Time since its last answer; negative if not known."""
-
-
 class Replica:
     """Raft-style replication of an opaque command log."""
 
@@ -172,25 +157,8 @@
 
     def members(self, now: float) -> tuple[MemberState, ...]:
         """The group's members for operators."""
-        state = self._state
         progress = self._leader.member_progress(now) if self._leader is not None else {}
-        states = []
-        for member in state.membership.members():
-            identity = member.identity
-            match_index, silent_seconds = progress.get(identity, (0, -1.0))
-            states.append(
-                MemberState(
-                    node_id=identity.node_id,
-                    incarnation=identity.incarnation,
-                    address=member.address,
-                    zone=member.zone,
-                    role="voter" if state.membership.is_voter(identity) else "learner",
-                    is_leader=identity == state.leader,
-                    match_index=match_index,
-                    silent_seconds=silent_seconds,
-                )
-            )
-        return tuple(states)
+        return describe_members(self._state.membership, self._state.leader, progress)
 
     # Time
 
--- a/src/merlinstand/session/control_session.py
+++ b/src/merlinstand/session/control_session.py
@@ -10,10 +10,8 @@
 import msgspec
 import xxhash
 
-from merlinstand.common.errors import MerlinstandError, NotFoundError
 from merlinstand.common.ids import CommandId, NodeId
-from merlinstand.configuration.objects import Daemon, encode_object
-from merlinstand.control.commands import Command, PutObject
+from merlinstand.control.commands import Command
 from merlinstand.control.queries import Query
 from merlinstand.kernel.effects import Effect, LearnAddress, LogEvent, SetTimer
 from merlinstand.kernel.events import (
@@ -37,6 +35,7 @@
     ConfigurationFollower,
 )
 from merlinstand.session.durable_state import DurableState
+from merlinstand.session.finished_requests import finished_notice
 from merlinstand.session.lease_keeper import (
     LEASE_TIMER,
     RETRY_SECONDS,
@@ -46,17 +45,16 @@
 )
 from merlinstand.session.notices import (
     CommandFinished,
-    CommandUnresolvedError,
     ConfigurationChanged,
     ConfigurationLeaseChanged,
     Notice,
     QueryFinished,
     SessionBusyError,
 )
+from merlinstand.session.registration import REGISTRATION_TIMEOUT_SECONDS, Registration
 from merlinstand.session.replica_choice import rank_members
 from merlinstand.session.request_sender import (
     SENDER_TIMER,
-    Answered,
     Received,
     RequestSender,
 )
@@ -64,7 +62,6 @@
 from merlinstand.session.view import ConfigurationView
 
 NOTICES_TIMER = "session.notices"
-REGISTRATION_TIMEOUT_SECONDS = 10.0
 RETRY_WITHOUT_LEASE_SECONDS = 1.0
 
 _MESSAGES = (CommandReply, QueryReply, ConfigurationPull, ConfigurationUpdate)
@@ -88,7 +85,7 @@
         self._queued_notices: list[Notice] = []
         self._run_name = ""
         self._run_token: int | None = None
-        self._registration: CommandId | None = None
+        self._registration = Registration(settings)
         self._lease_was_held = False
         self._generator = random.Random(0)
         ranked = rank_members(settings.node_id, settings.members)
@@ -304,15 +301,14 @@
         effects = list(received.effects)
         notices: list[Notice] = []
         for answered in received.answered:
-            if answered.request_id == self._registration:
-                self._registration = None
+            if self._registration.is_answered_by(answered.request_id):
                 continue
             if self._keeper.owns(answered.request_id):
                 notices.extend(self._keeper.finished(answered.request_id, answered.outcome, now))
                 unwanted = self._keeper.release_unwanted(answered.outcome)
                 effects.extend(self._submit_all(unwanted, now))
                 continue
-            notices.append(_finished_notice(answered))
+            notices.append(finished_notice(answered))
         return self._then_keep_leases(SessionStep(tuple(effects), tuple(notices)), now)
 
     def _then_keep_leases(self, step: SessionStep, now: float) -> SessionStep:
@@ -341,19 +337,12 @@
         return effects
 
     def _register(self, now: float) -> list[Effect]:
-        settings = self._settings
-        own = Daemon(
-            settings.node_id, settings.role, settings.address, settings.http_address, settings.zone
-        )
-        if not settings.register or self._registration is not None:
-            return []
-        if self.view.daemons.get(settings.node_id) == own:
+        command = self._registration.due_command(self.view)
+        if command is None:
             return []
-        command = PutObject(key=f"daemon/{settings.node_id}", value=encode_object(own))
-        self._registration = self._next_id()
-        return self._sender.add_command(
-            self._registration, command, now, REGISTRATION_TIMEOUT_SECONDS
-        )
+        command_id = self._next_id()
+        self._registration.sent(command_id)
+        return self._sender.add_command(command_id, command, now, REGISTRATION_TIMEOUT_SECONDS)
 
     def _with_lease_notice(self, step: SessionStep, now: float) -> SessionStep:
         held = self._follower.holds_lease(now)
@@ -379,20 +368,3 @@
 def _run_incarnation(storage_incarnation: int, run: int) -> int:
     """Name one run of one disk by a number below 2**63."""
     return int(xxhash.xxh3_64_intdigest(f"{storage_incarnation}/{run}".encode())) >> 1
-
-
-def _finished_notice(answered: Answered) -> Notice:
-    error: MerlinstandError | None = None
-    if answered.timed_out:
-        error = CommandUnresolvedError(detail="no answer in time", retry_after_seconds=1.0)
-    if isinstance(answered.content, Query):
-        if error is None and answered.answer is None:
-            error = NotFoundError(detail="no such thing")
-        return QueryFinished(query_id=answered.request_id, answer=answered.answer, error=error)
-    return CommandFinished(
-        command_id=answered.request_id,
-        command=answered.content,
-        outcome=answered.outcome,
-        revision=answered.revision,
-        error=error,
-    )
--- /dev/null
+++ b/src/merlinstand/session/finished_requests.py
@@ -0,0 +1,29 @@
+"""From the end of a request to the notice that the embedding daemon is given."""
+
+from merlinstand.common.errors import MerlinstandError, NotFoundError
+from merlinstand.control.queries import Query
+from merlinstand.session.notices import (
+    CommandFinished,
+    CommandUnresolvedError,
+    Notice,
+    QueryFinished,
+)
+from merlinstand.session.request_sender import Answered
+
+
+def finished_notice(answered: Answered) -> Notice:
+    """Tell how a command or query ended."""
+    error: MerlinstandError | None = None
+    if answered.timed_out:
+        error = CommandUnresolvedError(detail="no answer in time", retry_after_seconds=1.0)
+    if isinstance(answered.content, Query):
+        if error is None and answered.answer is None:
+            error = NotFoundError(detail="no such thing")
+        return QueryFinished(query_id=answered.request_id, answer=answered.answer, error=error)
+    return CommandFinished(
+        command_id=answered.request_id,
+        command=answered.content,
+        outcome=answered.outcome,
+        revision=answered.revision,
+        error=error,
+    )
--- /dev/null
+++ b/src/merlinstand/session/registration.py
@@ -0,0 +1,41 @@
+"""The daemon's own entry in the configuration, by which others find it."""
+
+from merlinstand.common.ids import CommandId
+from merlinstand.configuration.objects import Daemon, encode_object
+from merlinstand.control.commands import PutObject
+from merlinstand.session.settings import SessionSettings
+from merlinstand.session.view import ConfigurationView
+
+REGISTRATION_TIMEOUT_SECONDS = 10.0
+
+
+class Registration:
+    """Puts `daemon/NODE` whenever the configuration lacks it or has it otherwise."""
+
+    def __init__(self, settings: SessionSettings) -> None:
+        """Begin with nothing under way."""
+        self._settings = settings
+        self._under_way: CommandId | None = None
+
+    def due_command(self, view: ConfigurationView) -> PutObject | None:
+        """Return the command to submit now, if any."""
+        settings = self._settings
+        own = Daemon(
+            settings.node_id, settings.role, settings.address, settings.http_address, settings.zone
+        )
+        if not settings.register or self._under_way is not None:
+            return None
+        if view.daemons.get(settings.node_id) == own:
+            return None
+        return PutObject(key=f"daemon/{settings.node_id}", value=encode_object(own))
+
+    def sent(self, command_id: CommandId) -> None:
+        """Remember the command under way: there is one at a time."""
+        self._under_way = command_id
+
+    def is_answered_by(self, request_id: CommandId) -> bool:
+        """Tell whether a request that ended was the one under way, which is then over."""
+        if request_id != self._under_way:
+            return False
+        self._under_way = None
+        return True
