--- a/src/merlinstand_lab/fleet/job_move.py
+++ b/src/merlinstand_lab/fleet/job_move.py
@@ -41,13 +41,14 @@
         self._say = say
 
     def schedule(self) -> list[Incident]:
-        """Return the moves as incidents."""
-        return [
+        """Return the beginning and the moves as incidents."""
+        begin = Incident(0, "the old scripts feed the trainer", self._begin)
+        return [begin] + [
             Incident(steps, f"the job moves to {mode.value}", functools.partial(self._move, mode))
             for steps, mode in _MOVES
         ]
 
-    def begin(self) -> None:
+    def _begin(self) -> None:
         """Let the scripts feed the trainer, as they always did."""
         self._feed(FeedName.SCRIPTS)
 
--- a/src/merlinstand_lab/fleet/launcher.py
+++ b/src/merlinstand_lab/fleet/launcher.py
@@ -127,11 +127,9 @@
             schedule = incidents.schedule(self._faults)
             schedule = in_rounds(schedule, self._rounds, self._plan.lab.run.minimum_steps)
             if self._moves:
-                move = JobMove(self._plan, operator, self._say)
                 failure = self._wait_ready(fleet, "scripts", "trainer")
-                if failure is None:
-                    move.begin()
-                schedule = sorted(schedule + move.schedule(), key=lambda one: one.after_steps)
+                schedule += JobMove(self._plan, operator, self._say).schedule()
+                schedule.sort(key=lambda incident: incident.after_steps)
             memory = MemorySampler(fleet, records)
             failure = failure or self._watch(fleet, schedule)
             memory.stop()
--- a/src/merlinstand_lab/fleet/plan.py
+++ b/src/merlinstand_lab/fleet/plan.py
@@ -64,6 +64,9 @@
     platform = [_standin_spec(folder, output, *one) for one in lab.ok_value.platform_standins()]
     users = lab.ok_value.load_standins()
     if with_scripts:
+        missing = _missing_scripts(folder, lab.ok_value)
+        if missing is not None:
+            return Err(missing)
         users = lab.ok_value.old_scripts() + users
     load = [_standin_spec(folder, output, *one) for one in users]
     own = [_daemon_spec(folder, output, daemon) for daemon in daemons]
@@ -78,6 +81,23 @@
     return Ok(plan)
 
 
+def _missing_scripts(folder: Path, lab: LabSettings) -> SettingsError | None:
+    """Return what a fleet lacks for the old scripts to feed its first trainer."""
+    detail = "the settings have no old scripts"
+    file = str(folder / "lab.toml")
+    if lab.scripts is None:
+        return SettingsError(detail=detail, file=file, path="scripts", expected="a table [scripts]")
+    if lab.trainer[0].scripts != lab.scripts.address:
+        return SettingsError(
+            detail=detail,
+            file=file,
+            path="trainer[0].scripts",
+            value=lab.trainer[0].scripts,
+            expected=f"the address of [scripts], {lab.scripts.address}",
+        )
+    return None
+
+
 def _daemon_spec(folder: Path, output: Path, daemon: DaemonEntry) -> ProcessSpec:
     """Command line of a daemon."""
     return ProcessSpec(
--- a/tests/fleet/test_plan.py
+++ b/tests/fleet/test_plan.py
@@ -1,5 +1,6 @@
 """The plan of both examples, and the order of a run's incidents."""
 
+import shutil
 from pathlib import Path
 
 import pytest
@@ -109,11 +110,32 @@
     assert [mode for key, mode in modes.items() if not key.startswith("job/")] == [None] * 3
     operator = OperatorClient("operator", plan.controls, "", RecordWriter(str(tmp_path)), 1.0)
     moves = JobMove(plan, operator, print).schedule()
-    assert [move.title.rsplit(" ", 1)[1] for move in moves] == ["active", "mirror", "active"]
+    assert [move.title.rsplit(" ", 1)[1] for move in moves] == [
+        "trainer",
+        "active",
+        "mirror",
+        "active",
+    ]
     begins = [move.after_steps for move in moves]
     assert begins == sorted(begins) and begins[-1] <= plan.lab.run.minimum_steps
 
 
+def test_a_move_without_old_scripts_is_refused_with_the_place(tmp_path: Path) -> None:
+    folder = tmp_path / "settings"
+    shutil.copytree(EXAMPLES / "vitrina", folder)
+    text = (folder / "lab.toml").read_text()
+    (folder / "lab.toml").write_text(text.replace('scripts = "127.0.0.1:7404"\n', ""))
+    assert isinstance(make_plan(folder, tmp_path), Ok)
+    refused = make_plan(folder, tmp_path, with_scripts=True)
+    assert isinstance(refused, Err)
+    assert "trainer[0].scripts" in refused.err_value.describe()
+    begin, _, rest = text.partition("[scripts]")
+    (folder / "lab.toml").write_text(begin + "[[trainer]]" + rest.partition("[[trainer]]")[2])
+    refused = make_plan(folder, tmp_path, with_scripts=True)
+    assert isinstance(refused, Err)
+    assert "[scripts]" in refused.err_value.describe()
+
+
 def test_rounds_repeat_the_incidents_every_so_many_steps() -> None:
     once = [Incident(2, "a", list), Incident(9, "b", list)]
     repeated = in_rounds(once, rounds=3, steps=20)
