--- a/src/merlinstand/coordinator/dispatch.py
+++ b/src/merlinstand/coordinator/dispatch.py
@@ -45,8 +45,8 @@
         """Return its streams in progress."""
         ...
 
-    def wishes(self, context: Context) -> Sequence[Wish]:
-        """Return what it wants to begin, of any order."""
+    def wishes(self, context: Context, served_version: int) -> Sequence[Wish]:
+        """Return what it wants to begin on engines of at most a version, of any order."""
         ...
 
     def grant(self, context: Context, wish: Wish, engine: Engine) -> bool:
@@ -68,6 +68,11 @@
             entry = (self._work[engine.backend.backend_id], engine.backend.backend_id)
             heapq.heappush(self._by_version.setdefault(engine.active_version, []), entry)
 
+    @property
+    def newest_version(self) -> int:
+        """Newest version that any engine serves."""
+        return max(self._by_version, default=0)
+
     @property
     def free(self) -> float:
         """Places left on all engines together."""
@@ -115,7 +120,7 @@
     limits = _share_out(room, pool, jobs, all_jobs)
     if room.free < 1.0:
         return
-    queues = [deque(_sorted_wishes(job.wishes(context))) for job in jobs]
+    queues = [deque(_sorted_wishes(job.wishes(context, room.newest_version))) for job in jobs]
     while True:
         waiting = [index for index, queue in enumerate(queues) if queue]
         if not waiting:
--- a/src/merlinstand/coordinator/job_planner.py
+++ b/src/merlinstand/coordinator/job_planner.py
@@ -55,7 +55,13 @@
         return sorted(demands, key=lambda demand: demand.due_at)
 
     def wishes(
-        self, context: Context, terms: JobTerms, settling: Collection[int], *, may_begin: bool
+        self,
+        context: Context,
+        terms: JobTerms,
+        settling: Collection[int],
+        served_version: int,
+        *,
+        may_begin: bool,
     ) -> list[Wish]:
         """Return what to begin or resume now.
 
@@ -63,6 +69,8 @@
             context: Shared state.
             terms: The job's terms.
             settling: Slots whose finished samples wait for a score or the journal.
+            served_version: Newest version that any engine serves: what needs a newer one is not
+                wished for yet.
             may_begin: Whether anything new may be begun; interrupted samples are resumed anyway.
         """
         usual = terms.bound.usual_versions
@@ -79,7 +87,8 @@
             usual_staleness=usual,
             over_commit_factor=context.settings.generation.over_commit_factor,
         )
-        return wishes + self._beginnings(context, starts)
+        possible = [start for start in starts if start.minimum_version <= served_version]
+        return wishes + self._beginnings(context, possible)
 
     def _resumption(self, generation: Generation, minimum_version: int) -> Wish:
         oldest = generation.recorder.oldest_version or 0
--- a/src/merlinstand/coordinator/jobs.py
+++ b/src/merlinstand/coordinator/jobs.py
@@ -276,12 +276,14 @@
         """Return the expected batches of all consumers, soonest first."""
         return self._planner.demands(self._context, self._terms)
 
-    def wishes(self, context: Context) -> list[Wish]:
-        """Return what to begin or resume now."""
+    def wishes(self, context: Context, served_version: int) -> list[Wish]:
+        """Return what to begin or resume now on engines of at most a version."""
         if not self.desk.loaded or self.job.phase is not JobPhase.RUNNING:
             return []
         may_begin = self.accepting and context.session.may_take_new_work(context.now)
-        return self._planner.wishes(context, self._terms, self._settling, may_begin=may_begin)
+        return self._planner.wishes(
+            context, self._terms, self._settling, served_version, may_begin=may_begin
+        )
 
     def grant(self, context: Context, wish: Wish, engine: Engine) -> bool:
         """Begin or resume a sample on an engine."""
--- a/tests/coordinator/test_dispatch.py
+++ b/tests/coordinator/test_dispatch.py
@@ -29,7 +29,7 @@
     def streaming(self) -> int:
         return self.granted
 
-    def wishes(self, context: Context) -> list[Wish]:
+    def wishes(self, context: Context, served_version: int) -> list[Wish]:
         slots = range(self.granted, self.granted + self.wanted)
         return [Wish(self.round, 0, 10.0, 0, slot) for slot in slots]
 
