An engine's Retry-After that is not a number still gives a pause

Cause: nan compared false with every time, so the engine was asked again at once. Found by reading. Test: nan (fails without the change), inf, negative and no number at all.

--- a/src/merlinstand/coordinator/generations.py
+++ b/src/merlinstand/coordinator/generations.py
@@ -1,5 +1,6 @@
 """The generations of one job: begun, resumed after interruptions, cancelled."""
 
+import math
 from collections.abc import Callable
 
 import msgspec
@@ -341,6 +342,7 @@
 
 def _retry_after(headers: dict[str, str]) -> float:
     try:
-        return float(headers.get("retry-after", "0"))
+        seconds = float(headers.get("retry-after", "0"))
     except ValueError:
         return 0.0
+    return seconds if math.isfinite(seconds) else 0.0
--- a/tests/coordinator/test_bad_engines.py
+++ b/tests/coordinator/test_bad_engines.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from merlinstand.kernel.events import CallChunk
-from tests.coordinator.driver import CoordinatorDriver
+from merlinstand.kernel.events import CallChunk, CallHeaders
+from tests.coordinator.driver import CoordinatorDriver, engine_pool
 
 HUGE = 10**400
 
@@ -34,6 +34,21 @@
     assert len(driver.batch_of(name)["samples"]) == 4
 
 
+@pytest.mark.parametrize("retry_after", ["nan", "inf", "-1", "soon"])
+def test_an_engine_that_refuses_with_an_impossible_wait_still_gets_a_pause(
+    retry_after: str,
+) -> None:
+    driver = CoordinatorDriver(pool=engine_pool(1))
+    driver.tick()
+    for stream in driver.open_streams():
+        driver.send(CallHeaders(stream.call_id, 503, {"retry-after": retry_after}))
+    driver.tick(0.05)
+    assert driver.open_streams() == []
+    for _ in range(6):
+        driver.tick(1.0)
+    assert driver.open_streams()
+
+
 def test_an_incarnation_uses_all_64_bits() -> None:
     driver = CoordinatorDriver()
     driver.serve("engine-0", 1, incarnation=2**64 - 1)
