A wish to replace a control replica names known nodes only

Cause: a misspelt name in change_membership was logged and kept in the membership for ever; only the command line refused it.

Ruled out: refusing the removal of a node that is no member any more: a resent wish, which is no command of the state machine and so isn't recognised by its id, would be refused although it was done.

Change: the leader refuses a node of which it knows no address (not configured, not a member, never announced) with `not_found`; nothing is logged.

A test that was replaced: test_membership_replacement_is_accepted_once_the_group_took_it_in wished the unknown node control-9, by which it demanded what is now refused. It is about the moment of the answer (after the group took the wish in). It wishes the configured standby control-4 now, with the same assertions, and two new cases demand that unknown names are refused and leave the membership as it was.

--- a/src/merlinstand/consensus/leader.py
+++ b/src/merlinstand/consensus/leader.py
@@ -25,6 +25,8 @@
     NotLeaderError,
     OverloadedError,
     ProposeError,
+    ReplacementError,
+    UnknownNodeError,
 )
 from merlinstand.protocol.generated.consensus.ttypes import (
     AppendReply,
@@ -211,10 +213,14 @@
 
     def request_replacement(
         self, add_node: NodeId | None, remove_node: NodeId | None, now: float
-    ) -> Result[int, ProposeError | MembershipRefusedError]:
+    ) -> Result[int, ReplacementError]:
         """Log an operator's wish."""
         if not self.may_act(now) or self._hand_over is not None:
             return Err(NotLeaderError(detail="no leader lease at this moment"))
+        for node_id in (add_node, remove_node):
+            if node_id is not None and self._state.address_of(node_id) is None:
+                # A misspelt wish would be kept by the group for ever.
+                return Err(UnknownNodeError(detail=f"no control node is named {node_id!r}"))
         if not self._may_change_membership(now):
             return Err(MembershipRefusedError(detail="another change is under way"))
         membership = with_replacement_wish(self._state.membership, add_node, remove_node)
--- a/src/merlinstand/consensus/replica.py
+++ b/src/merlinstand/consensus/replica.py
@@ -32,10 +32,10 @@
 )
 from merlinstand.consensus.step import (
     LeadershipChange,
-    MembershipRefusedError,
     NotLeaderError,
     Proposal,
     ProposeError,
+    ReplacementError,
     Step,
 )
 from merlinstand.kernel.events import (
@@ -241,7 +241,7 @@
 
     def request_replacement(
         self, add_node: NodeId | None, remove_node: NodeId | None, now: float
-    ) -> Result[Proposal, ProposeError | MembershipRefusedError]:
+    ) -> Result[Proposal, ReplacementError]:
         """Record an operator's wish to take a node in or out.
 
         The wish is a log entry of its own; the leader carries it out one server at a
--- a/src/merlinstand/consensus/step.py
+++ b/src/merlinstand/consensus/step.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from merlinstand.common.errors import UnavailableError
+from merlinstand.common.errors import NotFoundError, UnavailableError
 from merlinstand.common.ids import NodeId
 from merlinstand.kernel.effects import Effect
 
@@ -87,4 +87,11 @@
     code = "membership_refused"
 
 
+class UnknownNodeError(NotFoundError, frozen=True, kw_only=True):
+    """No control node has this name. Nothing was proposed."""
+
+    code = "not_found"
+
+
 ProposeError = NotLeaderError | OverloadedError
+ReplacementError = ProposeError | MembershipRefusedError | UnknownNodeError
--- a/src/merlinstand/control/command_intake.py
+++ b/src/merlinstand/control/command_intake.py
@@ -8,7 +8,7 @@
 from merlinstand.common.errors import OutcomeUnknownError, UnavailableError
 from merlinstand.common.ids import NodeId
 from merlinstand.consensus.replica import Replica
-from merlinstand.consensus.step import CommittedEntry, EntryKind, Proposal
+from merlinstand.consensus.step import CommittedEntry, EntryKind, Proposal, UnknownNodeError
 from merlinstand.control.acceptance import accept_command
 from merlinstand.control.command_ids import command_digest
 from merlinstand.control.commands import (
@@ -152,7 +152,7 @@
     def _propose(
         self, command_id: str, data: bytes, command: AnyCommand, waiter: Waiter, now: float
     ) -> Intake:
-        result: Result[Proposal, UnavailableError]
+        result: Result[Proposal, UnavailableError | UnknownNodeError]
         if isinstance(command, ChangeMembership):
             add_node = NodeId(command.add_node) if command.add_node else None
             remove_node = NodeId(command.remove_node) if command.remove_node else None
@@ -160,7 +160,7 @@
         else:
             result = self._replica.propose(encode_logged_command(command_id, data), now)
         if isinstance(result, Err):
-            return Intake((_refuse_unavailable(command_id, waiter, result.err_value),))
+            return Intake((_not_proposed(command_id, waiter, result.err_value),))
         proposal = result.ok_value
         self.pending.add(
             PendingCommand(
@@ -215,6 +215,15 @@
     return _refuse_unavailable(command_id, waiter, error)
 
 
+def _not_proposed(
+    command_id: str, waiter: Waiter, error: UnavailableError | UnknownNodeError
+) -> Effect:
+    if isinstance(error, UnknownNodeError):
+        refusal = Refused(code=UnknownNodeError.code, detail=error.detail)
+        return _answer(waiter, Applied(command_id, 0, refusal))
+    return _refuse_unavailable(command_id, waiter, error)
+
+
 def _refuse_unavailable(command_id: str, waiter: Waiter, error: UnavailableError) -> Effect:
     if isinstance(waiter, SessionWaiter):
         return not_proposed_reply(waiter.node_id, command_id, CommandStatus.BUSY, "")
