--- a/benchmarks/raw_backend.py
+++ b/benchmarks/raw_backend.py
@@ -3,6 +3,7 @@
 Usage: python benchmarks/raw_backend.py PORT CHUNKS CHUNK_INTERVAL_SECONDS
 """
 
+import contextlib
 import json
 import socket
 import sys
@@ -38,7 +39,13 @@
 
 
 def serve(connection: Any, _address: Any) -> None:
-    """Serve one connection."""
+    """Serve one connection until its client goes away."""
+    with contextlib.suppress(OSError):
+        serve_requests(connection)
+
+
+def serve_requests(connection: Any) -> None:
+    """Serve the requests of one connection, one after the other."""
     connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     data = b""
     while True:
