Internal doors: a peer that sends much takes turns, one that never says its name is let go; one way to dial

Cause: the internal door read a peer's frames for as long as there were any without a turn of the loop, so a backlog of thousands of messages held up everybody's heartbeats. The limit for a connection's first message was a limit on each read: a byte every few seconds held a connection for hours. Peers' links and calls connected by two copies of the same code. Change: a turn each 200 messages and after a read that found the loop where it was; the first message has one limit as a whole, by a watchdog; dialing.dial connects for both. Tests: a flood of 5,000 messages beside one of another peer; a connection that drips bytes.

--- a/src/merlinstand/runtime/http_connection.py
+++ b/src/merlinstand/runtime/http_connection.py
@@ -5,17 +5,15 @@
 import time
 from typing import Any
 
-from gevent import socket as gevent_socket
 from gevent.ssl import SSLContext, SSLError
 from geventhttpclient.response import (
     HTTPParseError,
     HTTPProtocolViolationError,
     HTTPResponse,
 )
-from result import Err
 
 from merlinstand.kernel.effects import StartCall
-from merlinstand.runtime.addresses import parse_address
+from merlinstand.runtime.dialing import dial
 from merlinstand.runtime.http_headers import HOP_BY_HOP_HEADERS, merge_header
 
 CONNECT_TIMEOUT_SECONDS = 2.0
@@ -127,26 +125,12 @@
         self._idle.clear()
 
     def _connect(self, address: str) -> Connection:
-        parsed = parse_address(address)
-        if isinstance(parsed, Err):
-            raise ConnectError(parsed.err_value.detail)
-        target = parsed.ok_value
-        family = socket.AF_INET6 if ":" in target.ip else socket.AF_INET
-        sock: Any = gevent_socket.socket(family, socket.SOCK_STREAM)
         try:
-            sock.settimeout(CONNECT_TIMEOUT_SECONDS)
-            sock.connect(target.as_pair())
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            if self._tls_context is not None:
-                sock = self._tls_context.wrap_socket(sock)
-            # From here on the caller's own limit holds.
-            sock.settimeout(None)
-        except SSLError as error:
-            sock.close()
+            sock = dial(address, CONNECT_TIMEOUT_SECONDS, self._tls_context)
+        except (ValueError, SSLError) as error:
             raise ConnectError(str(error)) from error
-        except BaseException:
-            sock.close()
-            raise
+        # From here on the caller's own limit holds.
+        sock.settimeout(None)
         return Connection(address, sock, self._tls_context is not None)
 
 
--- a/src/merlinstand/runtime/transport.py
+++ b/src/merlinstand/runtime/transport.py
@@ -24,8 +24,12 @@
 from merlinstand.runtime.logs import EventLog
 from merlinstand.runtime.tls import BoundedHandshakeServer
 from merlinstand.runtime.transport_peer import PeerLink
+from merlinstand.runtime.watchdog import Watchdog
 
 HELLO_TIMEOUT_SECONDS = 5.0
+"""Longest time for a connection to say whose it is."""
+FRAMES_A_TURN = 200
+"""After so many messages of one peer the loop turns: others' heartbeats are not held up."""
 MAXIMUM_HELLO_BYTES = 4096
 MAXIMUM_INBOUND_CONNECTIONS = 4096
 RECEIVE_BYTES = 256 * 1024
@@ -183,8 +187,9 @@
 
     def _receive(self, connection: Any, address: Any) -> None:
         """Serve one inbound connection; whatever is wrong ends only this connection."""
+        watchdog = Watchdog()
         try:
-            self._read_frames(connection)
+            self._read_messages(connection, watchdog)
         except OSError:
             pass
         except InboundRefusedError as error:
@@ -193,32 +198,22 @@
                 "transport.refused", {"peer": address[0], "reason": str(error)}, "warning"
             )
         finally:
+            watchdog.close()
             connection.close()
 
-    def _read_frames(self, connection: Any) -> None:
+    def _read_messages(self, connection: Any, watchdog: Watchdog) -> None:
+        watchdog.limit(HELLO_TIMEOUT_SECONDS, TimeoutError)
         reader = FrameReader(MAXIMUM_HELLO_BYTES)
         sender: NodeId | None = None
-        connection.settimeout(HELLO_TIMEOUT_SECONDS)
-        while True:
-            data = connection.recv(RECEIVE_BYTES)
-            if not data:
-                return
-            reader.feed(data)
-            while (frame := self._next_frame(reader)) is not None:
-                message = _decode(frame)
-                if sender is None:
-                    sender = self._greet(message)
-                    reader.maximum_frame_bytes = constants.MAXIMUM_MESSAGE_BYTES
-                    connection.settimeout(None)
-                    continue
-                self.counters.note_received(type(message).__name__, len(frame))
-                self._submit(MessageReceived(sender, message))
-
-    def _next_frame(self, reader: FrameReader) -> bytes | None:
-        result = reader.next_frame()
-        if isinstance(result, Err):
-            raise InboundRefusedError(result.err_value.detail)
-        return result.ok_value
+        for frame in _read_frames(connection, reader):
+            message = _decode(frame)
+            if sender is None:
+                sender = self._greet(message)
+                reader.maximum_frame_bytes = constants.MAXIMUM_MESSAGE_BYTES
+                watchdog.lift()
+                continue
+            self.counters.note_received(type(message).__name__, len(frame))
+            self._submit(MessageReceived(sender, message))
 
     def _greet(self, message: Any) -> NodeId:
         if not isinstance(message, Hello):
@@ -234,6 +229,30 @@
     """A peer broke the protocol; its connection ends."""
 
 
+def _read_frames(connection: Any, reader: FrameReader) -> Iterator[bytes]:
+    """Give a connection's frames; a peer that sends much takes turns with others."""
+    loop = gevent.get_hub().loop
+    turn, count = -1, 0
+    while True:
+        if turn == loop.iteration:
+            gevent.sleep(0)
+        turn = loop.iteration
+        data = connection.recv(RECEIVE_BYTES)
+        if not data:
+            return
+        reader.feed(data)
+        while True:
+            result = reader.next_frame()
+            if isinstance(result, Err):
+                raise InboundRefusedError(result.err_value.detail)
+            if result.ok_value is None:
+                break
+            yield result.ok_value
+            count += 1
+            if count % FRAMES_A_TURN == 0:
+                gevent.sleep(0)
+
+
 def _decode(frame: bytes) -> Any:
     result = decode_message(frame)
     if isinstance(result, Err):
--- a/src/merlinstand/runtime/transport_peer.py
+++ b/src/merlinstand/runtime/transport_peer.py
@@ -1,17 +1,14 @@
 """The outbound connection to one peer."""
 
 import random
-import socket
 from collections import deque
 from typing import Any
 
 import gevent
-from gevent import socket as gevent_socket
 from gevent.event import Event
 from gevent.ssl import SSLContext
-from result import Err
 
-from merlinstand.runtime.addresses import parse_address
+from merlinstand.runtime.dialing import dial
 from merlinstand.runtime.end_watcher import EndWatcher
 
 MAXIMUM_QUEUED_FRAMES = 4096
@@ -113,18 +110,11 @@
         connection.sendall(frames[0] if len(frames) == 1 else b"".join(frames))
 
     def _connect(self) -> Any:
-        parsed = parse_address(self._address)
-        if isinstance(parsed, Err):
-            raise OSError(parsed.err_value.detail)
-        target = parsed.ok_value
-        family = socket.AF_INET6 if ":" in target.ip else socket.AF_INET
-        connection: Any = gevent_socket.socket(family, socket.SOCK_STREAM)
         try:
-            connection.settimeout(CONNECT_TIMEOUT_SECONDS)
-            connection.connect(target.as_pair())
-            connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            if self._tls_context is not None:
-                connection = self._tls_context.wrap_socket(connection)
+            connection = dial(self._address, CONNECT_TIMEOUT_SECONDS, self._tls_context)
+        except ValueError as error:
+            raise OSError(str(error)) from error
+        try:
             connection.settimeout(SEND_TIMEOUT_SECONDS)
             connection.sendall(self._hello_frame)
         except BaseException:
--- a/tests/runtime/test_transport.py
+++ b/tests/runtime/test_transport.py
@@ -1,5 +1,6 @@
 """The internal protocol: delivery, reconnection, and doors that stand bad peers."""
 
+import contextlib
 from typing import Any
 
 import gevent
@@ -14,7 +15,7 @@
 from merlinstand.protocol.codec import decode_message, encode_message
 from merlinstand.protocol.generated.consensus.ttypes import ElectNow, ReplicaIdentity
 from merlinstand.protocol.generated.control.ttypes import Hello
-from merlinstand.runtime import transport_peer
+from merlinstand.runtime import transport, transport_peer
 from merlinstand.runtime.frames import FrameReader, encode_frame
 from merlinstand.runtime.logs import EventLog
 from merlinstand.runtime.transport import MAXIMUM_HELLO_BYTES, Transport
@@ -147,6 +148,43 @@
     assert len(b.sink.events) == 1
 
 
+def test_peer_that_sends_much_takes_turns_with_others(nodes: list[Node]) -> None:
+    _a, b = nodes
+    quick = connect(b.transport.address)
+    many = connect(b.transport.address)
+    quick.sendall(HELLO)
+    many.sendall(HELLO)
+    while NodeId("tester") not in b.transport._addresses:
+        gevent.sleep(0)
+    many.sendall(encode_frame(encode_message(message(1))) * 5000)
+    quick.sendall(encode_frame(encode_message(message(2))))
+    b.sink.wait_for(MessageReceived, 5001)
+    assert b.sink.events[-1].message.term == 1
+    quick.close()
+    many.close()
+
+
+def test_connection_that_never_says_whose_it_is_ends(
+    nodes: list[Node], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Also one that says a little now and then."""
+    _a, b = nodes
+    monkeypatch.setattr(transport, "HELLO_TIMEOUT_SECONDS", 0.1)
+    connection = connect(b.transport.address)
+
+    def drip() -> None:
+        with contextlib.suppress(OSError):
+            connection.sendall(MAXIMUM_HELLO_BYTES.to_bytes(4, "big"))
+            while True:
+                connection.sendall(b"x")
+                gevent.sleep(0.01)
+
+    dripping = gevent.spawn(drip)
+    assert read_to_end(connection) == b""
+    dripping.kill()
+    connection.close()
+
+
 @given(st.binary(max_size=200))
 def test_decoder_never_raises(data: bytes) -> None:
     result = decode_message(data)
