--- a/src/merlinstand/runtime/__init__.py
+++ b/src/merlinstand/runtime/__init__.py
@@ -1,1 +1,15 @@
-"""The gevent host: sockets, disk, timers, logs and metrics of one process."""
+"""The gevent host: performs a reducer's effects on real sockets, disks and clocks.
+
+`process` runs a daemon, `host` its reducer: events queue up, one is reduced at a time, and
+`performer` hands each effect to the part that performs it.
+
+- Callers' door: `http_server` reads requests (`http_headers`, `http_input`), `http_door` makes
+  them events, `http_exchange` carries the response back, `end_watcher` notices who left.
+- Calls: `http_client` runs them over connections of `http_connection`.
+- Internal protocol: `transport` receives, `transport_peer` sends, `frames` cuts.
+- Both kinds of connection: `dialing`, `addresses`, `tls`, `watchdog`.
+- The rest: `disk`, `timers`, `logs`, `metrics`, `record_writer`, `profile`.
+
+Nothing here may block the loop, and no connection may keep it to itself: whoever reads bytes
+that are already there lets the loop turn now and then.
+"""
