A request that is still coming when the process ends is told that it was not run

Cause: at a planned stop the host waited for responses under way, not for requests whose bytes were still arriving: their connections just ended, which leaves the client in doubt whether it ran. Change: the server counts connections between a request's first byte and its response's last; the host waits for them within the same 5 s, and such a request gets 503 `stopping` with `X-Outcome: not_run`. The count of unfinished sends, which this covers, is gone. Tests: half a request, a stop, the other half; fails when only responses are waited for, as do the large answers.

--- a/src/merlinstand/runtime/host.py
+++ b/src/merlinstand/runtime/host.py
@@ -166,7 +166,7 @@
             self._server.closing = True
             self._server.close()
         with gevent.Timeout(FLUSH_SECONDS, False):
-            while self._door.open_count or (self._server is not None and self._server.sending):
+            while self._server is not None and self._server.busy:
                 gevent.sleep(FLUSH_POLL_SECONDS)
         self.transport.flush(FLUSH_SECONDS)
         self._disk.flush(FLUSH_SECONDS)
--- a/src/merlinstand/runtime/http_door.py
+++ b/src/merlinstand/runtime/http_door.py
@@ -43,11 +43,6 @@
         """Set when the reducer is done: later requests are refused, not run."""
         self.application = self._make_application()
 
-    @property
-    def open_count(self) -> int:
-        """Number of requests whose response is not yet sent."""
-        return len(self._exchanges)
-
     def respond(
         self, request_id: RequestId, status: int, headers: dict[str, str], body: bytes
     ) -> None:
--- a/src/merlinstand/runtime/http_server.py
+++ b/src/merlinstand/runtime/http_server.py
@@ -65,8 +65,8 @@
         self.limits = limits
         self.closing = False
         """Set during a planned stop: every response then ends its connection."""
-        self.sending = 0
-        """Number of connections whose client has not yet taken what is being sent."""
+        self.busy = 0
+        """Number of connections between a request's first byte and its response's last."""
 
 
 class SlowSenderError(OSError):
@@ -124,6 +124,13 @@
         # From the first byte on, head and body together have one limit; the application
         # lifts it when it has the body.
         self._watchdog.limit(limits.request_read_timeout_seconds, SlowSenderError)
+        self.server.busy += 1
+        try:
+            return self._read_and_serve()
+        finally:
+            self.server.busy -= 1
+
+    def _read_and_serve(self) -> Any:
         try:
             head = read_request_head(self.rfile)
         except SlowSenderError:
@@ -245,11 +252,7 @@
         # Mostly one call takes it all; `sendall` asks for the buffer's size each time.
         sent = self.socket.send(data)
         if sent < len(data):
-            self.server.sending += 1
-            try:
-                self.socket.sendall(memoryview(data)[sent:])
-            finally:
-                self.server.sending -= 1
+            self.socket.sendall(memoryview(data)[sent:])
         self._watchdog.lift()
 
     def log_request(self) -> None:
--- a/tests/runtime/test_http_door.py
+++ b/tests/runtime/test_http_door.py
@@ -425,14 +425,30 @@
     connection.sendall(request())
     host.wait()
     stopping = gevent.spawn(host.stop)
-    while host._server.sending == 0:
-        gevent.sleep(0)
     answer = read_to_end(connection)
     assert answer.count(b"x") >= len(body)
     stopping.get()
     connection.close()
 
 
+def test_request_that_is_still_coming_at_a_stop_is_refused_in_words(run_reducer: Any) -> None:
+    """A connection that just ended would leave its client in doubt."""
+    host, reducer = run_reducer(echo)
+    connection = connect(host.http_address)
+    data = request("/", b"four")
+    connection.sendall(data[:-2])
+    while host._server.busy == 0:
+        gevent.sleep(0)
+    host.request_exit(0)
+    stopping = gevent.spawn(host.stop)
+    gevent.sleep(0.05)
+    connection.sendall(data[-2:])
+    assert error_of(read_to_end(connection)) == (503, "stopping")
+    stopping.get()
+    connection.close()
+    assert not [one for one in reducer.sink.events if isinstance(one, RequestReceived)]
+
+
 FRAGMENTS = st.sampled_from(
     [
         b"GET /x HTTP/1.1\r\n",
