Test of the dripping connection: its end may come as a reset

Either way the connection has ended, which is what the test asks; a connection that is kept still fails it, by the client's own timeout.

--- a/tests/runtime/test_transport.py
+++ b/tests/runtime/test_transport.py
@@ -180,7 +180,9 @@
                 gevent.sleep(0.01)
 
     dripping = gevent.spawn(drip)
-    assert read_to_end(connection) == b""
+    # Bytes that were still under way turn the end into a reset; a hang raises a timeout.
+    with contextlib.suppress(ConnectionResetError):
+        assert read_to_end(connection) == b""
     dripping.kill()
     connection.close()
 
