--- a/src/merlinstand_lab/capacity/cli_control.py
+++ b/src/merlinstand_lab/capacity/cli_control.py
@@ -158,4 +158,18 @@
     run_measurement(options, lambda folder: measure_coordinators(folder, plan))
 
 
-COMMANDS = (daemons, spread, commits, ledger, churn, partitions, coordinators)
+@click.command()
+@click.option("--sizes", type=INTEGERS, default="70,160,320,630", show_default=True)
+@click.option("--replicas", default=7, show_default=True)
+@click.pass_obj
+def starts(options: OutputOptions, sizes: tuple[int, ...], replicas: int) -> None:
+    """Blank daemons that all start at once, as after a loss of power.
+
+    Example: merlinstand-lab capacity starts --sizes 70,160,320,630
+    """
+    from merlinstand_lab.capacity.measurements.starts import measure_starts
+
+    run_measurement(options, lambda folder: measure_starts(folder, sizes, replicas))
+
+
+COMMANDS = (daemons, starts, spread, commits, ledger, churn, partitions, coordinators)
--- a/src/merlinstand_lab/capacity/deployment.py
+++ b/src/merlinstand_lab/capacity/deployment.py
@@ -1,5 +1,7 @@
 """A real control group before a hollow fleet, as most measurements need it."""
 
+import time
+from collections.abc import Sequence
 from pathlib import Path
 from types import TracebackType
 
@@ -11,6 +13,7 @@
 from merlinstand_lab.capacity.fleet import NODES_PER_PROCESS, HollowFleet
 from merlinstand_lab.capacity.measurements.codecs import SERVERS_PER_POOL, make_pool
 from merlinstand_lab.capacity.topology import session_specs
+from merlinstand_lab.capacity.worker_spec import HostedSpec
 
 DAEMONS_PER_COORDINATOR = 21
 """30 coordinators among 630 daemons: an assumption of the page."""
@@ -29,6 +32,8 @@
     nodes_per_process: int = NODES_PER_PROCESS
     lease_every: int = DAEMONS_PER_COORDINATOR
     """Every so many daemons one keeps leases; 0 for none."""
+    rolling_start: bool = True
+    """Start one process of daemons after the other; False for all daemons at once."""
 
 
 class Deployment:
@@ -46,6 +51,8 @@
         self.folder = folder
         self.control = ControlGroup(size.replicas, folder, control_timings)
         self.fleet = HollowFleet([], folder)
+        self.join_seconds = 0.0
+        """How long the last daemons that were started together took to join."""
         try:
             self._fill(session_timings or SessionTimings())
         except BaseException:
@@ -76,20 +83,22 @@
         specs = session_specs(
             self.size.daemons, self.control.members, self.folder, timings, self.size.lease_every
         )
-        # One process after the other, as an operator's rolling start: what a window measures
-        # is the steady state, and not a start of all at once.
-        per_process = self.size.nodes_per_process
-        for first in range(0, len(specs), per_process):
-            part = HollowFleet(
-                specs[first : first + per_process], self.folder, f"fleet-{first}", per_process
-            )
-            self.fleet.workers.extend(part.workers)
-            part.wait_started()
-            if not self.fleet.wait_joined(revision, JOIN_TIMEOUT_SECONDS):
-                raise TimeoutError(f"not all of the first {first + per_process} daemons joined")
+        step = self.size.nodes_per_process if self.size.rolling_start else len(specs)
+        for first in range(0, len(specs), step):
+            self._join(specs[first : first + step], f"fleet-{first}", revision)
         if not self.fleet.wait_quiet(QUIET_SECONDS, JOIN_TIMEOUT_SECONDS):
             raise TimeoutError("the configuration does not come to rest")
 
+    def _join(self, specs: Sequence[HostedSpec], name: str, revision: int) -> None:
+        """Start more daemons and wait until all have joined."""
+        begun = time.monotonic()
+        part = HollowFleet(specs, self.folder, name, self.size.nodes_per_process)
+        self.fleet.workers.extend(part.workers)
+        part.wait_started()
+        if not self.fleet.wait_joined(revision, JOIN_TIMEOUT_SECONDS):
+            raise TimeoutError(f"not all of {len(self.fleet.node_ids)} daemons joined")
+        self.join_seconds = time.monotonic() - begun
+
     def _put_pools(self) -> int:
         revision = 1
         for number, first in enumerate(range(0, self.size.servers, SERVERS_PER_POOL)):
--- a/src/merlinstand_lab/capacity/measurements/coordinators.py
+++ b/src/merlinstand_lab/capacity/measurements/coordinators.py
@@ -46,7 +46,8 @@
         try:
             control.wait_ready()
             park.wait_started()
-            revision = park.put_pools(control.operator)
+            park.put_pools(control.operator)
+            revision = park.put_jobs(control.operator)
             fleet = HollowFleet(coordinator_specs(count, control, run), run, "coordinators")
             fleet.wait_started()
             if not fleet.wait_revision(revision, JOIN_TIMEOUT_SECONDS):
--- a/src/merlinstand_lab/capacity/measurements/engines.py
+++ b/src/merlinstand_lab/capacity/measurements/engines.py
@@ -6,13 +6,15 @@
 
 import msgspec
 
+from merlinstand.configuration.objects import Daemon
 from merlinstand_lab.capacity.control_group import ControlGroup
 from merlinstand_lab.capacity.door_bench import gateway_spec
 from merlinstand_lab.capacity.fleet import HollowFleet
 from merlinstand_lab.capacity.measurements.coordinators import coordinator_specs
+from merlinstand_lab.capacity.measurements.daemons import SERVERS_PER_DAEMON
 from merlinstand_lab.capacity.results import Measured
 from merlinstand_lab.capacity.server_park import ParkPlan, ServerPark
-from merlinstand_lab.capacity.topology import free_addresses
+from merlinstand_lab.capacity.topology import free_addresses, zone_name
 from merlinstand_lab.capacity.window import Subject, between, mark
 from merlinstand_lab.capacity.worker_process import WorkerProcess
 from merlinstand_lab.capacity.worker_spec import HostedSpec, WorkerReport
@@ -60,6 +62,10 @@
         control.wait_ready()
         park.wait_started()
         revision = park.put_pools(control.operator)
+        if role == "gateway":
+            revision = _register_daemons(control, round(park_plan.servers / SERVERS_PER_DAEMON))
+        else:
+            revision = park.put_jobs(control.operator)
         fleet = HollowFleet([_daemon_spec(role, control, folder)], folder, role)
         fleet.wait_started()
         if not fleet.wait_revision(revision, JOIN_TIMEOUT_SECONDS):
@@ -72,6 +78,18 @@
         control.stop()
 
 
+def _register_daemons(control: ControlGroup, count: int) -> int:
+    """Put the daemons that belong to so many servers: a gateway knows them all."""
+    revision = 0
+    for number in range(count):
+        daemon = Daemon(
+            f"gateway-x{number}", "gateway", f"10.1.0.{number}:7000", f"10.1.0.{number}:8000",
+            zone_name(number),
+        )  # fmt: skip
+        revision = control.operator.put(f"daemon/{daemon.node_id}", daemon).revision
+    return revision
+
+
 def _daemon_spec(role: str, control: ControlGroup, folder: Path) -> HostedSpec:
     if role == "coordinator":
         return coordinator_specs(1, control, folder)[0]
--- a/src/merlinstand_lab/capacity/measurements/rollouts.py
+++ b/src/merlinstand_lab/capacity/measurements/rollouts.py
@@ -85,7 +85,8 @@
         source = self._start_store()
         operator = self._control.operator
         publish(operator, 1, source)
-        revision = self._park.put_pools(operator)
+        self._park.put_pools(operator)
+        revision = self._park.put_jobs(operator)
         self._start_coordinators(revision)
         digest = _store_version(source, 2) if source != _NO_STORE else ""
         before = [mark(worker) for worker in self._coordinators.workers]
--- a/src/merlinstand_lab/capacity/server_park.py
+++ b/src/merlinstand_lab/capacity/server_park.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from merlinstand.configuration.objects import Backend, Pool, PoolKind
+from merlinstand.configuration.objects import Backend, Job, JobPhase, Pool, PoolKind
 from merlinstand.runtime.host_settings import HostSettings
 from merlinstand_lab.capacity.fleet import HollowFleet
 from merlinstand_lab.capacity.hollow_settings import HollowServerSettings
@@ -68,6 +68,23 @@
             revision = operator.put(f"pool/{pool.name}", pool).revision
         return revision
 
+    def put_jobs(self, operator: OperatorClient) -> int:
+        """Put a paused job for every pool; return the revision of the last one.
+
+        Coordinators take over the engines of pools that have a job, and of no others.
+        """
+        revision = 1
+        for pool in self.pools:
+            job = Job(
+                name=f"{pool.name}-job",
+                model=pool.model,
+                pool=pool.name,
+                prompts=("a prompt",),
+                phase=JobPhase.PAUSED,
+            )
+            revision = operator.put(f"job/{job.name}", job).revision
+        return revision
+
     def stop(self) -> None:
         """End the servers."""
         self.fleet.stop()
