--- a/src/merlinstand_lab/capacity/cli_traffic.py
+++ b/src/merlinstand_lab/capacity/cli_traffic.py
@@ -81,6 +81,7 @@
     "--store-bytes-per-second", default=0.0, show_default=True, help="Ask a store of this rate."
 )
 @click.option("--store-transfers", default=8, show_default=True, help="Transfers at one time.")
+@click.option("--parallel-loads", default=8, show_default=True, help="Loads of a pool at a time.")
 @click.pass_obj
 def rollouts(
     options: OutputOptions,
@@ -88,6 +89,7 @@
     load_seconds: float,
     store_bytes_per_second: float,
     store_transfers: int,
+    parallel_loads: int,
 ) -> None:
     """A new weight version on all servers, with and without a store's limit.
 
@@ -100,6 +102,7 @@
         load_seconds=load_seconds,
         store_bytes_per_second=store_bytes_per_second,
         store_transfers=store_transfers,
+        parallel_loads=parallel_loads,
     )
     run_measurement(options, lambda folder: measure_rollouts(folder, plan))
 
--- a/src/merlinstand_lab/capacity/measurements/coordinators.py
+++ b/src/merlinstand_lab/capacity/measurements/coordinators.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from merlinstand.coordinator.settings import CoordinatorSettings
+from merlinstand.coordinator.settings import CoordinatorSettings, RolloutSettings
 from merlinstand_lab.capacity.control_group import ControlGroup
 from merlinstand_lab.capacity.fleet import HollowFleet
 from merlinstand_lab.capacity.results import Measured
@@ -61,26 +61,44 @@
             control.stop()
 
 
-def coordinator_specs(count: int, control: ControlGroup, folder: Path) -> list[HostedSpec]:
+def coordinator_specs(
+    count: int, control: ControlGroup, folder: Path, rollout: RolloutSettings | None = None
+) -> list[HostedSpec]:
     """Return the specs of coordinators with HTTP doors."""
     addresses = free_addresses(2 * count)
     return [
-        _spec(number, addresses[2 * number], addresses[2 * number + 1], control, folder)
+        _spec(
+            _settings(
+                number,
+                addresses[2 * number],
+                addresses[2 * number + 1],
+                control,
+                rollout or RolloutSettings(),
+            ),
+            folder,
+        )
         for number in range(count)
     ]
 
 
-def _spec(
-    number: int, internal_address: str, http_address: str, control: ControlGroup, folder: Path
-) -> HostedSpec:
-    node_id = f"coordinator-{number}"
-    settings = CoordinatorSettings(
-        node_id=node_id,
+def _settings(
+    number: int,
+    internal_address: str,
+    http_address: str,
+    control: ControlGroup,
+    rollout: RolloutSettings,
+) -> CoordinatorSettings:
+    return CoordinatorSettings(
+        node_id=f"coordinator-{number}",
         zone=zone_name(number),
         address=internal_address,
         http_address=http_address,
         control_members=control.members,
+        rollout=rollout,
     )
-    host = session_host(node_id, internal_address, control.members, folder)
-    host = msgspec.structs.replace(host, http_address=http_address)
+
+
+def _spec(settings: CoordinatorSettings, folder: Path) -> HostedSpec:
+    host = session_host(settings.node_id, settings.address, settings.control_members, folder)
+    host = msgspec.structs.replace(host, http_address=settings.http_address)
     return hosted_spec(HostedKind.COORDINATOR, host, settings)
--- a/src/merlinstand_lab/capacity/measurements/rollouts.py
+++ b/src/merlinstand_lab/capacity/measurements/rollouts.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from merlinstand.coordinator.settings import RolloutSettings
 from merlinstand.runtime.host_settings import HostSettings
 from merlinstand_lab.capacity.control_group import ControlGroup
 from merlinstand_lab.capacity.fleet import HollowFleet
@@ -26,6 +27,7 @@
 SERVERS_PER_POOL = 100
 COORDINATORS_PER_PROCESS = 8
 LOAD_SECONDS = 0.5
+PARALLEL_LOADS = RolloutSettings().maximum_parallel_loads
 SETTLE_SECONDS = 12.0
 """Coordinators wait a while before they ask for what another prefers, then read statuses."""
 JOIN_TIMEOUT_SECONDS = 60.0
@@ -45,6 +47,8 @@
     store_bytes_per_second: float = 0.0
     """Rate of the weight store; 0 for none."""
     store_transfers: int = 8
+    parallel_loads: int = PARALLEL_LOADS
+    """Most engines of a pool that load at one time."""
 
 
 def measure_rollouts(folder: Path, plan: RolloutPlan) -> Iterator[Measured]:
@@ -63,8 +67,7 @@
     def __init__(self, plan: RolloutPlan, servers: int, folder: Path) -> None:
         self._plan = plan
         self._folder = folder
-        name = "rollouts-store" if plan.store_bytes_per_second > 0 else "rollouts"
-        self._subject = Subject(name, "servers", servers)
+        self._subject = Subject(_name(plan), "servers", servers)
         self._servers = servers
         self._control = ControlGroup(plan.replicas, folder)
         park_plan = ParkPlan(
@@ -135,7 +138,8 @@
 
     def _start_coordinators(self, revision: int) -> None:
         count = max(1, math.ceil(self._servers * COORDINATORS_AT_TARGET / TARGET.servers))
-        specs = coordinator_specs(count, self._control, self._folder)
+        rollout = RolloutSettings(maximum_parallel_loads=self._plan.parallel_loads)
+        specs = coordinator_specs(count, self._control, self._folder, rollout)
         self._coordinators = HollowFleet(
             specs, self._folder, "coordinators", COORDINATORS_PER_PROCESS
         )
@@ -162,6 +166,13 @@
         return list(served.values())
 
 
+def _name(plan: RolloutPlan) -> str:
+    name = "rollouts-store" if plan.store_bytes_per_second > 0 else "rollouts"
+    if plan.parallel_loads == PARALLEL_LOADS:
+        return name
+    return f"{name}-{plan.parallel_loads}-parallel"
+
+
 def _store_version(address: str, version: int) -> str:
     """Put a version into the store and return its digest."""
     connection = http.client.HTTPConnection(address, timeout=STORE_TIMEOUT_SECONDS)
--- a/src/merlinstand_lab/capacity/window.py
+++ b/src/merlinstand_lab/capacity/window.py
@@ -59,9 +59,9 @@
     bytes_received: int
     messages_sent: int
     messages_received: int
-    commands: int
-    """Journal records written: log entries and positions."""
-    record_bytes: int
+    journal_records: int
+    """Records written: log entries and positions."""
+    journal_bytes: int
 
 
 def mark(worker: WorkerProcess) -> WorkerMark:
@@ -80,8 +80,8 @@
         bytes_received=_total(after, "bytes_received") - _total(before, "bytes_received"),
         messages_sent=_total(after, "messages_sent") - _total(before, "messages_sent"),
         messages_received=_total(after, "messages_received") - _total(before, "messages_received"),
-        commands=_records(after) - _records(before),
-        record_bytes=_record_bytes(after) - _record_bytes(before),
+        journal_records=_records(after) - _records(before),
+        journal_bytes=_record_bytes(after) - _record_bytes(before),
     )
 
 
@@ -119,8 +119,8 @@
         "messages_per_second": rate(
             sum(window.messages_sent + window.messages_received for window in windows)
         ),
-        "journal_records_per_second": rate(sum(window.commands for window in windows)),
-        "journal_bytes_per_second": rate(sum(window.record_bytes for window in windows)),
+        "journal_records_per_second": rate(sum(window.journal_records for window in windows)),
+        "journal_bytes_per_second": rate(sum(window.journal_bytes for window in windows)),
     }
     return [subject.row(role, metric, value, elapsed) for metric, value in values.items()]
 
@@ -148,8 +148,8 @@
     return [subject.row(ROLE_DAEMON, metric, value, elapsed) for metric, value in values.items()]
 
 
-def _total(mark_: WorkerMark, field: str) -> int:
-    return sum(_field(traffic, field) for traffic in mark_.report.traffic)
+def _total(worker_mark: WorkerMark, field: str) -> int:
+    return sum(_field(traffic, field) for traffic in worker_mark.report.traffic)
 
 
 def _field(traffic: Traffic, field: str) -> int:
@@ -158,9 +158,9 @@
     return value
 
 
-def _records(mark_: WorkerMark) -> int:
-    return sum(counts.records for counts in mark_.report.counts)
+def _records(worker_mark: WorkerMark) -> int:
+    return sum(counts.records for counts in worker_mark.report.counts)
 
 
-def _record_bytes(mark_: WorkerMark) -> int:
-    return sum(counts.record_bytes for counts in mark_.report.counts)
+def _record_bytes(worker_mark: WorkerMark) -> int:
+    return sum(counts.record_bytes for counts in worker_mark.report.counts)
