--- a/src/merlinstand_lab/capacity/measurements/steps.py
+++ b/src/merlinstand_lab/capacity/measurements/steps.py
@@ -89,7 +89,9 @@
         prompts=("a prompt",),
         maximum_tokens=plan.tokens_per_sample,
     )
-    control.operator.put(f"job/{JOB}", job)
+    revision = control.operator.put(f"job/{JOB}", job).revision
+    if not fleet.wait_revision(revision, JOIN_TIMEOUT_SECONDS):
+        raise TimeoutError("the coordinator does not know the job")
     received = TrainerClient([address], JOB, CONSUMER).next_batch(
         1, deadline_seconds=BATCH_DEADLINE_SECONDS
     )
