--- a/tests/docs/test_pages.py
+++ b/tests/docs/test_pages.py
@@ -23,9 +23,6 @@
 SOURCE = "\n".join(
     path.read_text(encoding="utf-8") for path in sorted((ROOT / "src").rglob("*.py"))
 )
-EXPECTED_PAGES = ("docs/PROOF.md",)
-"""Pages that others write; a link to one of them may come before the page."""
-
 CODE_BLOCK = re.compile(r"^```\w*\n(.*?)^```", re.DOTALL | re.MULTILINE)
 INLINE_CODE = re.compile(r"`([^`\n]+)`")
 COMMAND = re.compile(r"^(?:\.venv/bin/)?(merlinstand(?:-lab)?) (.+)$")
@@ -89,13 +86,10 @@
     text = page.read_text(encoding="utf-8")
     for target in LINK.findall(text):
         path = (page.parent / target).resolve()
-        if "://" in target or str(path.relative_to(ROOT)) in EXPECTED_PAGES:
-            continue
-        assert path.exists(), target
+        assert "://" in target or path.exists(), target
     for name in FILE.findall(text):
         places = (ROOT, ROOT / "src", ROOT / "src" / "merlinstand")
-        exists = any((place / name).exists() for place in places)
-        assert exists or name in EXPECTED_PAGES, name
+        assert any((place / name).exists() for place in places), name
 
 
 def test_figures_beside_settings_are_their_defaults() -> None:
