Engine: a cancel that its closed stream overtook is recorded as a cancel

Ruled out: expiry, a malformed chunk, a broken connection (none in the coordinator's log), a swap.

Change: the record of a closed stream waits a second for its cancel; a crash or a stop records it at once. The test of a client that goes away asserts the same record with its time of end, a moment later; two new tests.

--- a/src/merlinstand_lab/standins/engine.py
+++ b/src/merlinstand_lab/standins/engine.py
@@ -22,7 +22,6 @@
     StopRequested,
     TimerFired,
 )
-from merlinstand_lab.records.kinds import GenerationOutcome
 from merlinstand_lab.standins import door
 from merlinstand_lab.standins.engine_memory import EngineMemory
 from merlinstand_lab.standins.engine_messages import (
@@ -110,6 +109,7 @@
             else:
                 effects.append(SetTimer(_MODEL_TIMER, max(0.0, wake_at - now)))
         if self._stopping and self._memory.streams.is_empty():
+            effects += self._memory.record_abandoned()
             effects.append(StopProcess())
         return effects
 
@@ -192,13 +192,13 @@
             return [door.respond_error(event.request_id, decoded.err_value)]
         name = decoded.ok_value.request_id
         held = self._memory.streams.holds(name)
-        effects = self._memory.end(name, GenerationOutcome.CANCELLED, now)
+        effects = self._memory.cancel(name, now)
         return [*effects, door.respond_json(event.request_id, Cancelled(held))]
 
     def _aborted(self, event: RequestAborted, now: float) -> list[Effect]:
         """The client went away: stop working for it."""
         name = self._memory.streams.abandon(event.request_id)
-        return self._memory.end(name, GenerationOutcome.ABORTED, now) if name else []
+        return self._memory.abandon(name, now) if name else []
 
     def _export(self, event: RequestReceived, now: float) -> list[Effect]:
         """End a stream and keep its cached state for another engine."""
--- a/src/merlinstand_lab/standins/engine_memory.py
+++ b/src/merlinstand_lab/standins/engine_memory.py
@@ -1,11 +1,19 @@
 """Everything that an engine holds in memory, and what it does with it."""
 
+import math
 import random
 
+import msgspec
+
 from merlinstand.common.ids import RequestId
 from merlinstand.kernel.effects import Effect, RespondStart, WriteRecord
 from merlinstand.kernel.events import CallFailed, CallResponded, TimerFired
-from merlinstand_lab.records.kinds import ActivationRecord, GenerationOutcome, StartRecord
+from merlinstand_lab.records.kinds import (
+    ActivationRecord,
+    GenerationOutcome,
+    GenerationRecord,
+    StartRecord,
+)
 from merlinstand_lab.standins import door
 from merlinstand_lab.standins.engine_background import BackgroundSource
 from merlinstand_lab.standins.engine_kv import KvExchange
@@ -19,6 +27,9 @@
 from merlinstand_lab.standins.engine_swap import SwapController, SwapEnd
 from merlinstand_lab.standins.settings import EngineSettings
 
+_CANCEL_GRACE_SECONDS = 1.0
+"""A cancel that comes so long after its client closed the stream is still its cancel."""
+
 _SSE_HEADERS = {"content-type": "text/event-stream", "cache-control": "no-cache"}
 
 
@@ -40,6 +51,8 @@
         self.exchange = KvExchange(profile, generator, f"{settings.node_id}-{incarnation}")
         self.swap = SwapController(self.model, self.orders, profile.activate_seconds)
         self.reporter = EngineReporter(settings, self.model, self.orders, self.swap)
+        self._abandoned: dict[str, GenerationRecord] = {}
+        """Closed streams whose cancel may still be on its way, oldest first."""
 
     @property
     def serves(self) -> bool:
@@ -56,6 +69,7 @@
     def advance(self, now: float) -> list[Effect]:
         """Let the model's time pass; old scripts send what is due."""
         effects = self.perform(self.model.advance(now), now)
+        effects += self.record_abandoned(before=now - _CANCEL_GRACE_SECONDS)
         for request in self.background.due(now):
             if self.model.version:
                 effects += self.perform(self.model.submit(request, now), now)
@@ -97,6 +111,37 @@
             return self.streams.end_unstarted(request_id, outcome, self._incarnation, now)
         return self.perform(self.model.end(request_id, outcome, now), now)
 
+    def abandon(self, request_id: str, now: float) -> list[Effect]:
+        """Stop working for a client that went away.
+
+        A client that cancels closes the stream and sends its cancel on another connection;
+        whichever arrives first, the generation counts as cancelled.
+        """
+        effects: list[Effect] = []
+        for effect in self.end(request_id, GenerationOutcome.ABORTED, now):
+            if isinstance(effect, WriteRecord) and isinstance(effect.record, GenerationRecord):
+                self._abandoned[request_id] = effect.record
+            else:
+                effects.append(effect)
+        return effects
+
+    def cancel(self, request_id: str, now: float) -> list[Effect]:
+        """End a request on its client's wish."""
+        record = self._abandoned.pop(request_id, None)
+        if record is None:
+            return self.end(request_id, GenerationOutcome.CANCELLED, now)
+        cancelled = msgspec.structs.replace(record, outcome=GenerationOutcome.CANCELLED)
+        return [self._generation_effect(cancelled)]
+
+    def record_abandoned(self, before: float = math.inf) -> list[Effect]:
+        """Record the streams that were closed before a moment and not cancelled."""
+        due = [name for name, record in self._abandoned.items() if record.ended_at <= before]
+        return [self._generation_effect(self._abandoned.pop(name)) for name in due]
+
+    def _generation_effect(self, record: GenerationRecord) -> WriteRecord:
+        """Write the record of a generation."""
+        return WriteRecord(f"engine-{self._settings.node_id}", record)
+
     def export(self, request_id: str, now: float) -> tuple[Exported, list[Effect]]:
         """End a running request and keep its cached state for another engine."""
         prompt_tokens = self.streams.prompt_tokens(request_id)
@@ -107,7 +152,8 @@
     def crash(self, now: float) -> list[Effect]:
         """Break every stream; nothing here is of use afterwards."""
         ends = self.model.end_all(GenerationOutcome.CRASHED, now)
-        effects = self.streams.break_all(ends, self._incarnation, now)
+        effects = self.record_abandoned()
+        effects += self.streams.break_all(ends, self._incarnation, now)
         self.model.deactivate()
         return effects
 
--- a/tests/standins/test_engine.py
+++ b/tests/standins/test_engine.py
@@ -129,6 +129,30 @@
     name = completion(serving, "r")
     serving.advance(0.3)
     serving.send(RequestAborted(RequestId(name)))
+    stopped_at = serving.now
+    serving.advance(2.0)
+    (record,) = generations(serving)
+    assert (record.outcome, record.ended_at) == (GenerationOutcome.ABORTED, stopped_at)
+
+
+def test_a_cancel_that_its_closed_stream_overtook_is_a_cancel(serving: Driver) -> None:
+    name = completion(serving, "r")
+    serving.advance(0.3)
+    serving.send(RequestAborted(RequestId(name)))
+    assert serving.ask("POST", "/v1/cancel", {"request_id": "r"}) == {"cancelled": False}
+    serving.advance(2.0)
+    assert [record.outcome for record in generations(serving)] == [GenerationOutcome.CANCELLED]
+
+
+@pytest.mark.parametrize("end", ["crash", "stop"])
+def test_an_abandoned_stream_is_recorded_before_the_engine_ends(serving: Driver, end: str) -> None:
+    name = completion(serving, "r")
+    serving.advance(0.3)
+    serving.send(RequestAborted(RequestId(name)))
+    if end == "crash":
+        serving.ask("POST", "/lab/faults", {"kind": "crash"})
+    else:
+        serving.send(StopRequested())
     assert [record.outcome for record in generations(serving)] == [GenerationOutcome.ABORTED]
 
 
