--- a/src/merlinstand_lab/checkers/liveness.py
+++ b/src/merlinstand_lab/checkers/liveness.py
@@ -1,8 +1,15 @@
 """After the last fault healed, everything works again within a bound, without an operator."""
 
+from merlinstand_lab.checkers.intervals import pause_periods
 from merlinstand_lab.checkers.limits import CheckLimits
 from merlinstand_lab.checkers.report import PromiseResult, Violation
-from merlinstand_lab.records.kinds import CallerOutcome, CallerRecord, RunRecord, StopRecord
+from merlinstand_lab.records.kinds import (
+    CallerOutcome,
+    CallerRecord,
+    RunRecord,
+    StepRecord,
+    StopRecord,
+)
 from merlinstand_lab.records.record_set import RecordSet
 
 _STOP_MARGIN_SECONDS = 10.0
@@ -73,13 +80,25 @@
         return f"made {len(steps)} of {run.minimum_steps} steps"
     if healed_at is None:
         return None
-    due_at = healed_at + limits.liveness_seconds
+    due_at = _due_at(records, steps, healed_at, limits)
     after = [step.received_at for step in steps if step.received_at > healed_at]
     if due_at < run.ended_at and not any(time <= due_at for time in after):
         return f"got no batch within {limits.liveness_seconds:g} s after the last fault healed"
     return None
 
 
+def _due_at(
+    records: RecordSet, steps: list[StepRecord], healed_at: float, limits: CheckLimits
+) -> float:
+    """When the next batch is due; not while its job is paused or a mirror of the scripts."""
+    jobs = {step.job for step in steps}
+    due_at = healed_at + limits.liveness_seconds
+    for period in sorted(pause_periods(records), key=lambda one: one.since):
+        if period.job in jobs and period.since <= due_at and healed_at <= period.until:
+            due_at = max(due_at, period.until + limits.liveness_seconds)
+    return due_at
+
+
 def _at_stopped_gateway(record: CallerRecord, stops: list[StopRecord]) -> bool:
     """Whether a request went to a gateway that was being stopped or started again."""
     return any(
--- a/tests/checkers/test_mirror.py
+++ b/tests/checkers/test_mirror.py
@@ -3,7 +3,9 @@
 import pytest
 
 from merlinstand_lab.checkers.limits import CheckLimits
+from merlinstand_lab.checkers.liveness import check_liveness
 from merlinstand_lab.checkers.operations import check_configuration
+from merlinstand_lab.records.kinds import FaultRecord
 from merlinstand_lab.records.record_set import RecordSet
 
 from .clean_run import CONSUMER, JOB, operator_record, step_record
@@ -51,3 +53,30 @@
     move(mirrored, "active", MOVED_AT + 10.0)
     mirrored.add(f"idle-{CONSUMER}", step_record(4, samples=0, received_at=MOVED_AT + 12.0))
     assert violations(mirrored) == []
+
+
+def overdue(records: RecordSet) -> list[str]:
+    """What works-again reports of a fault that healed when the job had just moved away."""
+    fault = FaultRecord(kind="kill", target="control-a", started_at=35.0, healed_at=36.5)
+    records.add("faults", fault)
+    result = check_liveness(records, CheckLimits(liveness_seconds=5.0))
+    return [str(one) for one in result.violations if one.subject == CONSUMER]
+
+
+def test_no_batch_is_due_while_the_scripts_lead(mirrored: RecordSet) -> None:
+    assert overdue(mirrored) == []
+
+
+def test_a_batch_is_due_a_while_after_the_job_came_back(mirrored: RecordSet) -> None:
+    move(mirrored, "active", 48.0)
+    assert "no batch within" in overdue(mirrored)[0]
+
+
+def test_a_batch_after_the_job_came_back_is_in_time(mirrored: RecordSet) -> None:
+    move(mirrored, "active", 48.0)
+    mirrored.add(f"idle-{CONSUMER}", step_record(4, samples=0, received_at=52.0))
+    assert overdue(mirrored) == []
+
+
+def test_without_a_move_the_batch_is_overdue(records: RecordSet) -> None:
+    assert "no batch within" in overdue(records)[0]
