Samples of a batch that left are not ready: they hid what the next batch still needs

Cause: a delivered batch is kept until it is acknowledged, a whole step later. It was counted as ready, so the next batch seemed to need nothing and the budget of samples begun again was three times too large; `ready_samples` in `GET /v1/jobs` said too much as well. Tests: a straggler goes on where the job's share has no time to spare (fails without the change). The test of bounded memory used `ready_samples` for all samples kept; it now looks at the store itself with the same bound, and pins `ready_samples` to it less the unacknowledged batch.

--- a/src/merlinstand/coordinator/jobs.py
+++ b/src/merlinstand/coordinator/jobs.py
@@ -352,8 +352,8 @@
         self._settling.discard(slot)
 
     def ready_count(self) -> int:
-        """Return the finished samples in store."""
-        return len(self._store.samples)
+        """Return the finished samples that wait for a batch."""
+        return self._store.slots.ready_count
 
     def shortest_cycle_seconds(self) -> float | None:
         """Return the shortest measured cycle of a consumer."""
--- a/tests/coordinator/test_journal_and_stop.py
+++ b/tests/coordinator/test_journal_and_stop.py
@@ -79,8 +79,13 @@
         driver.generate(3)
         assert driver.batch_of(name)["batch"] == batch + 1
         last = f"n{batch}"
+    runner = driver.daemon._work.runner(JOB)
+    assert runner is not None
+    kept = len(runner._store.samples)
+    assert kept <= 3 * driver.control.job.batch_size
     body = json.loads(driver.responses[driver.post("/v1/jobs", b"", "GET")].body)
-    assert body["jobs"][0]["ready_samples"] <= 3 * driver.control.job.batch_size
+    # The delivered batch is kept until it is acknowledged, but waits for no batch any more.
+    assert body["jobs"][0]["ready_samples"] == kept - driver.control.job.batch_size
     assert driver.control.ledger.used.above() == ()
 
 
--- a/tests/coordinator/test_refresh.py
+++ b/tests/coordinator/test_refresh.py
@@ -1,5 +1,8 @@
 """Samples that would arrive old are begun again on newer weights, where there is time to spare."""
 
+from collections.abc import Sequence
+
+from merlinstand.configuration.objects import Job
 from merlinstand.coordinator.refresh import Restartable, RestartBudget, Window
 from tests.coordinator.driver import CoordinatorDriver, make_job
 from tests.coordinator.engine_side import Stream
@@ -7,9 +10,11 @@
 STEP_SECONDS = 60
 
 
-def _straggler_after_a_publication(tokens: int) -> tuple[CoordinatorDriver, Stream]:
+def _straggler_after_a_publication(
+    tokens: int, others: Sequence[Job] = ()
+) -> tuple[CoordinatorDriver, Stream]:
     """A sample with tokens of version 1 that missed its batch; version 2 is published."""
-    driver = CoordinatorDriver(make_job(maximum_tokens=10_000))
+    driver = CoordinatorDriver(make_job(maximum_tokens=10_000), other_jobs=others)
     first = driver.ask(0, "a")
     driver.tick()
     straggler = driver.open_streams()[-1]
@@ -73,6 +78,16 @@
     assert straggler.request_id not in driver.cancelled_requests
 
 
+def test_a_straggler_goes_on_where_the_job_has_no_time_to_spare() -> None:
+    # Its share makes about 190 tokens before the next batch is due, which needs 200. Samples of
+    # the batch that left are kept until it is acknowledged, but do not count for the next one.
+    big = make_job(name="big", model="another", share=2_000.0)
+    driver, straggler = _straggler_after_a_publication(tokens=10, others=[big])
+    _swap(driver)
+    assert straggler in driver.open_streams()
+    assert straggler.request_id not in driver.cancelled_requests
+
+
 def _single(slot: int, done_tokens: int) -> Restartable:
     return Restartable((slot,), done_tokens, float(done_tokens))
 
