--- a/src/merlinstand_lab/simulator/assembly.py
+++ b/src/merlinstand_lab/simulator/assembly.py
@@ -18,7 +18,7 @@
 from merlinstand_lab.simulator.lease_worker import LeaseWorker, LeaseWorkerSettings
 from merlinstand_lab.simulator.operator_settings import OperatorSettings
 from merlinstand_lab.simulator.operators import Operators
-from merlinstand_lab.simulator.process import ProcessSpec
+from merlinstand_lab.simulator.process_spec import ProcessSpec
 from merlinstand_lab.simulator.simulation import Simulation
 
 LARGEST_CLOCK_OFFSET_SECONDS = 100_000.0
--- a/src/merlinstand_lab/simulator/process.py
+++ b/src/merlinstand_lab/simulator/process.py
@@ -4,45 +4,19 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING, Any
 
-import msgspec
-
 from merlinstand.kernel import effects as fx
-from merlinstand.kernel.events import Event, Started, StopRequested, TimerFired
+from merlinstand.kernel.events import Event, Started, StopRequested
 from merlinstand.kernel.reducer import Reducer
 from merlinstand_lab.simulator.calls import HttpCall, Segment
 from merlinstand_lab.simulator.clock import LocalClock
-from merlinstand_lab.simulator.disk import DiskSettings, SimulatedDisk
+from merlinstand_lab.simulator.disk import SimulatedDisk
+from merlinstand_lab.simulator.process_spec import ProcessSpec
+from merlinstand_lab.simulator.process_timers import ProcessTimers
 
 if TYPE_CHECKING:
     from merlinstand_lab.simulator.simulation import Simulation
 
 
-class ProcessSpec(msgspec.Struct, frozen=True, kw_only=True):
-    """What to run on one machine."""
-
-    node_id: str
-    zone: str
-    http_address: str
-    internal_address: str = ""
-    make_reducer: Callable[[], Reducer]
-    """Makes a fresh reducer for each life of the process."""
-    clock_offset_seconds: float = 0.0
-    clock_drift: float = 0.0
-    disk: DiskSettings = DiskSettings()
-    keeps_disk: bool = True
-    """False for stand-ins without a disk: every life starts blank but keeps its records."""
-
-
-class Timer:
-    """A named timer; replacing it by a later one costs no new queue entry."""
-
-    __slots__ = ("due", "pending_at")
-
-    def __init__(self) -> None:
-        self.due = -1.0
-        self.pending_at = -1.0
-
-
 class SimulatedProcess:
     """A machine, its disk and clock, and the process that lives on it at the moment."""
 
@@ -72,7 +46,7 @@
         self.idle_connections: dict[str, int] = {}
         self.events_handled = 0
         self._known_addresses: dict[str, str] = {}
-        self._timers: dict[str, Timer] = {}
+        self._timers = ProcessTimers(self, simulation.clock)
         self._inbox: list[Event | Callable[[], None]] = []
         self._cancelled_calls: set[str] = set()
         self._thawing = False
@@ -80,8 +54,8 @@
         self._kill_countdown = -1
         self._kill_action: Callable[[], None] | None = None
         self._handlers: dict[type, Callable[[Any], None]] = {
-            fx.SetTimer: self._set_timer,
-            fx.CancelTimer: self._cancel_timer,
+            fx.SetTimer: self._timers.set,
+            fx.CancelTimer: self._timers.cancel,
             fx.SendMessage: self._send_message,
             fx.LearnAddress: self._learn_address,
             fx.AppendRecords: self.disk.write,
@@ -155,7 +129,7 @@
         self.life += 1
         self.reducer = None
         self._inbox = []
-        self._timers = {}
+        self._timers.forget()
         self._known_addresses = {}
         self.idle_connections = {}
         calls, self.calls = self.calls, {}
@@ -259,50 +233,6 @@
         self._kill_action()
         return True
 
-    # Timers.
-
-    def _set_timer(self, effect: fx.SetTimer) -> None:
-        timer = self._timers.get(effect.name)
-        if timer is None:
-            timer = self._timers[effect.name] = Timer()
-        timer.due = self._clock.now + self.local_clock.true_delay(effect.delay_seconds)
-        # A pending queue entry that comes earlier looks again at `due` when it fires.
-        if not 0.0 <= timer.pending_at <= timer.due:
-            self._schedule_timer(effect.name, timer)
-
-    def _schedule_timer(self, name: str, timer: Timer) -> None:
-        timer.pending_at = timer.due
-        self._clock.call_at(timer.due, self._timer_due, name, timer, timer.due, self.life)
-
-    def _timer_due(self, name: str, timer: Timer, scheduled_for: float, life: int) -> None:
-        if life != self.life or timer.pending_at != scheduled_for:
-            return
-        timer.pending_at = -1.0
-        if timer.due < 0.0:
-            return
-        if timer.due > self._clock.now:
-            self._schedule_timer(name, timer)
-            return
-        if self.frozen:
-            self._inbox.append(lambda: self._fire_late(name, timer))
-            return
-        timer.due = -1.0
-        self._dispatch(TimerFired(name))
-
-    def _fire_late(self, name: str, timer: Timer) -> None:
-        # While the process thawed, an earlier event may have cancelled or moved the timer.
-        if timer.due < 0.0 or timer.due > self._clock.now:
-            if timer.due > self._clock.now and timer.pending_at < 0.0:
-                self._schedule_timer(name, timer)
-            return
-        timer.due = -1.0
-        self._dispatch(TimerFired(name))
-
-    def _cancel_timer(self, effect: fx.CancelTimer) -> None:
-        timer = self._timers.get(effect.name)
-        if timer is not None:
-            timer.due = -1.0
-
     # Internal messages.
 
     def learn_peer(self, node_id: str) -> None:
--- a/src/merlinstand_lab/simulator/simulation.py
+++ b/src/merlinstand_lab/simulator/simulation.py
@@ -7,7 +7,8 @@
 from merlinstand.kernel.reducer import Reducer
 from merlinstand_lab.simulator.clock import VirtualClock
 from merlinstand_lab.simulator.network import Network
-from merlinstand_lab.simulator.process import ProcessSpec, SimulatedProcess
+from merlinstand_lab.simulator.process import SimulatedProcess
+from merlinstand_lab.simulator.process_spec import ProcessSpec
 from merlinstand_lab.simulator.topology import CLIENT_ZONE, Topology
 from merlinstand_lab.simulator.trace import Trace, TraceLevel
 
--- a/tests/simulator/test_calls.py
+++ b/tests/simulator/test_calls.py
@@ -3,7 +3,7 @@
 from merlinstand.kernel import effects as fx
 from merlinstand.kernel import events as ev
 from merlinstand.kernel.events import CallPhase
-from merlinstand_lab.simulator.process import ProcessSpec
+from merlinstand_lab.simulator.process_spec import ProcessSpec
 from merlinstand_lab.simulator.simulation import Simulation
 from merlinstand_lab.simulator.topology import CLIENT_ZONE, VITRINA
 from tests.simulator.toys import Client, Note, Server
--- a/tests/simulator/test_host.py
+++ b/tests/simulator/test_host.py
@@ -3,7 +3,8 @@
 import pytest
 
 from merlinstand_lab.simulator.network import LinkQuality
-from merlinstand_lab.simulator.process import ProcessSpec, SimulatedProcess
+from merlinstand_lab.simulator.process import SimulatedProcess
+from merlinstand_lab.simulator.process_spec import ProcessSpec
 from merlinstand_lab.simulator.simulation import Simulation
 from merlinstand_lab.simulator.topology import VITRINA
 from merlinstand_lab.simulator.trace import TraceLevel
--- a/tests/simulator/test_observers.py
+++ b/tests/simulator/test_observers.py
@@ -19,7 +19,8 @@
     Observer,
     StateMachineSafety,
 )
-from merlinstand_lab.simulator.process import ProcessSpec, SimulatedProcess
+from merlinstand_lab.simulator.process import SimulatedProcess
+from merlinstand_lab.simulator.process_spec import ProcessSpec
 from merlinstand_lab.simulator.simulation import Simulation
 from merlinstand_lab.simulator.topology import VITRINA
 from tests.simulator.toys import Toy
