Ask a second replica for a lookup that is slower than nearly all others

Cause: a lookup sent to a frozen server waits half of its deadline (1.5 s of 3 s) before it is tried elsewhere, and goes on being sent there until five of them have failed or three status requests went unanswered.

Ruled out: a shorter first try (it would cut slow but living servers off, and turn a slow pool into doubled work without a bound); fewer failures for the breaker (a second of silence is needed anyway).

Change: a repeatable lookup is asked at a second replica after twice the time that 95 of 100 answers take (a running estimate for each pool, 10 ms at least). The first whole answer wins; the other call is cancelled, which closes its connection. Hedges spend a budget of their own, 0.1 of first tries; where requests queue there are none; never for what must not be repeated, nor for generations. A call that was beaten by a later one counts as a failure of its replica, so a frozen one's breaker opens before anything times out; a losing hedge, or a caller that left, blames nobody. Experiments take gateways' `requests` for each variant, and freezes of service servers.

--- a/src/merlinstand/gateway/agenda.py
+++ b/src/merlinstand/gateway/agenda.py
@@ -20,6 +20,8 @@
     """A begun stream looks for an engine to go on with."""
     PUMP = 3
     """A pool's queue may go on after a pause."""
+    HEDGE = 4
+    """A lookup is slow: another replica is asked too."""
 
 
 AgendaKey = tuple[Due, int]
--- a/src/merlinstand/gateway/calls.py
+++ b/src/merlinstand/gateway/calls.py
@@ -4,7 +4,7 @@
 
 from merlinstand.common.ids import CallId
 from merlinstand.configuration.objects import Backend
-from merlinstand.gateway.caller_request import CompletionBody, EngineBody
+from merlinstand.gateway.caller_request import CompletionBody, EngineBody, RequestKind
 from merlinstand.gateway.exchange import Exchange
 from merlinstand.gateway.outcome import DEADLINE_HEADER
 from merlinstand.gateway.settings import RequestSettings
@@ -108,6 +108,22 @@
     return _shared_try_seconds(exchange, settings, now)
 
 
+def hedge_delay_seconds(exchange: Exchange, settings: RequestSettings, now: float) -> float | None:
+    """Return after what time another replica is asked too; None if that is never done."""
+    lane = exchange.lane
+    if (
+        settings.hedge_factor <= 0.0
+        or exchange.request.kind is not RequestKind.LOOKUP
+        or not exchange.request.repeatable
+        or len(lane.router.replicas) < 2
+    ):
+        return None
+    delay_seconds = max(
+        settings.shortest_hedge_seconds, settings.hedge_factor * lane.latency.seconds
+    )
+    return delay_seconds if delay_seconds < exchange.remaining_seconds(now) else None
+
+
 def stream_idle_seconds(exchange: Exchange, settings: RequestSettings, now: float) -> float:
     """Return the longest silence of an engine before its generation goes on elsewhere.
 
--- a/src/merlinstand/gateway/concluder.py
+++ b/src/merlinstand/gateway/concluder.py
@@ -9,7 +9,7 @@
 from merlinstand.gateway.lanes import PoolLane
 from merlinstand.gateway.outcome import Outcome
 from merlinstand.gateway.responses import answer, refusal
-from merlinstand.kernel.effects import CountMetric, Effect, LogEvent
+from merlinstand.kernel.effects import CancelCall, CountMetric, Effect, LogEvent
 from merlinstand.kernel.events import CallResponded
 from merlinstand.routing.router import CallResult
 
@@ -149,6 +149,8 @@
             self._agenda.cancel((Due.TRY_AGAIN, number))
         exchange.phase = ExchangePhase.CONCLUDED
         self._agenda.cancel((Due.DEADLINE, number))
+        self._agenda.cancel((Due.HEDGE, number))
+        self.drop_parked(exchange, _result_of_loser(exchange, outcome), now, out)
         self.release(exchange, CallResult.ABANDONED, now)
         self._table.remove(exchange)
         request = exchange.request
@@ -164,6 +166,21 @@
             self._claims.record(ticket, outcome, recorded, now, out)
         self.count(exchange, outcome, out)
 
+    def drop_parked(
+        self, exchange: Exchange, result: CallResult, now: float, out: list[Effect]
+    ) -> None:
+        """Give up the parked call of a hedged lookup, if there is one."""
+        parked = exchange.parked
+        if parked is None:
+            return
+        exchange.parked = None
+        self._table.parked_call_ended(parked)
+        out.append(CancelCall(parked.call_id))
+        lane = exchange.lane
+        lane.router.call_finished(parked.backend.backend_id, result, now)
+        if len(lane.queue):
+            self._freed_lanes[lane.number] = lane
+
     def count(self, exchange: Exchange, outcome: Outcome, out: list[Effect]) -> None:
         """Count what a caller was told, once."""
         if not exchange.told:
@@ -182,6 +199,17 @@
         return counter
 
 
+def _result_of_loser(exchange: Exchange, outcome: Outcome) -> CallResult:
+    """Return what the losing call of a hedged lookup tells about its replica."""
+    parked = exchange.parked
+    if parked is None or outcome is not Outcome.ANSWER:
+        return CallResult.ABANDONED
+    # Another replica, asked later, answered first. One beaten call means little, but a frozen
+    # replica loses them all, and its breaker opens before any of them times out.
+    beaten = parked.sent_at < exchange.call_sent_at
+    return CallResult.FAILURE if beaten else CallResult.ABANDONED
+
+
 def _unused_cost(exchange: Exchange) -> float:
     """Return the tokens a generation asked for and did not produce."""
     completion = exchange.request.completion
--- a/src/merlinstand/gateway/daemon.py
+++ b/src/merlinstand/gateway/daemon.py
@@ -13,6 +13,7 @@
 from merlinstand.gateway.door import Door
 from merlinstand.gateway.exchange import Exchange, ExchangeTable
 from merlinstand.gateway.health import MACHINES_TIMER, STATUS_TIMER, Health
+from merlinstand.gateway.hedging import Hedging
 from merlinstand.gateway.interruptions import Interruptions
 from merlinstand.gateway.lanes import Lanes
 from merlinstand.gateway.loop_delay import LoopDelay
@@ -78,6 +79,7 @@
             self._dispatcher,
             self._concluder,
         )
+        self._hedging = Hedging(self._dispatcher)
         self._retries = Retries(settings.requests, self._agenda, self._dispatcher, self._concluder)
         self._interruptions = Interruptions(
             settings.claims.linger_seconds,
@@ -165,6 +167,7 @@
         if exchange is None:
             self._health_answered(event, now, out)
             return
+        self._hedging.bring_forward(exchange, event.call_id)
         match event:
             case CallResponded():
                 self._proxying.responded(exchange, event, now, out)
@@ -224,6 +227,8 @@
             self._interruptions.deadline_passed(exchange, now, out)
         elif due is Due.QUEUE_WAIT:
             self._interruptions.waited_enough(exchange, now, out)
+        elif due is Due.HEDGE:
+            self._hedging.due(exchange, now, out)
         else:
             self._retries.search_again(exchange, now, out)
 
--- a/src/merlinstand/gateway/dispatcher.py
+++ b/src/merlinstand/gateway/dispatcher.py
@@ -8,6 +8,7 @@
 from merlinstand.gateway.caller_request import RequestKind
 from merlinstand.gateway.calls import (
     generation_call,
+    hedge_delay_seconds,
     lookup_call,
     lookup_try_seconds,
     read_interval_seconds,
@@ -63,6 +64,7 @@
         self._agenda.set((Due.DEADLINE, exchange.number), exchange.deadline_at)
         lane = exchange.lane
         lane.router.retry_budget.first_try(now)
+        lane.hedge_budget.first_try(now)
         if len(lane.queue):
             self._enqueue(exchange, now, out)
             return
@@ -137,6 +139,10 @@
         exchange.phase = ExchangePhase.CALLING
         exchange.call_sent_at = now
         self._table.call_began(exchange, call_id)
+        if exchange.tries == 1:
+            delay_seconds = hedge_delay_seconds(exchange, self._settings.requests, now)
+            if delay_seconds is not None:
+                self._agenda.set((Due.HEDGE, exchange.number), now + delay_seconds)
 
     def _build_call(
         self, exchange: Exchange, backend: Backend, call_id: CallId, now: float
--- a/src/merlinstand/gateway/exchange.py
+++ b/src/merlinstand/gateway/exchange.py
@@ -42,6 +42,18 @@
         self.granted = False
 
 
+class ParkedCall:
+    """A call that goes on while the exchange looks at another one (a hedge)."""
+
+    __slots__ = ("backend", "call_id", "sent_at")
+
+    def __init__(self, backend: Backend, call_id: CallId, sent_at: float) -> None:
+        """Remember a call under way."""
+        self.backend = backend
+        self.call_id = call_id
+        self.sent_at = sent_at
+
+
 class Exchange:
     """Mutable state of one request."""
 
@@ -60,6 +72,7 @@
         "last_error",
         "maybe_ran",
         "number",
+        "parked",
         "phase",
         "progress",
         "request",
@@ -92,6 +105,8 @@
         """Where a place is held or a call is under way."""
         self.call_id: CallId | None = None
         self.call_sent_at = 0.0
+        self.parked: ParkedCall | None = None
+        """The other call of a hedged lookup."""
         self.tries = 0
         """Calls sent; for generations, since tokens last arrived."""
         self.tried: set[str] = set()
@@ -116,6 +131,31 @@
         """Return the time left until the caller's deadline."""
         return self.deadline_at - now
 
+    def park_call(self) -> None:
+        """Put the call under way aside, so that another one can begin."""
+        if self.backend is not None and self.call_id is not None:
+            self.parked = ParkedCall(self.backend, self.call_id, self.call_sent_at)
+            self.backend = None
+            self.call_id = None
+
+    def unpark_call(self) -> None:
+        """Take the parked call back; there is no other."""
+        parked = self.parked
+        if parked is not None:
+            self.parked = None
+            self.backend = parked.backend
+            self.call_id = parked.call_id
+            self.call_sent_at = parked.sent_at
+
+    def swap_calls(self) -> None:
+        """Look at the parked call and park the other one."""
+        parked = self.parked
+        if parked is not None:
+            self.park_call()
+            self.backend = parked.backend
+            self.call_id = parked.call_id
+            self.call_sent_at = parked.sent_at
+
 
 class ExchangeTable:
     """All exchanges, by number, by the host's name and by call."""
@@ -146,6 +186,10 @@
         exchange.call_id = call_id
         self.by_call[call_id] = exchange
 
+    def parked_call_ended(self, parked: ParkedCall) -> None:
+        """Forget a parked call."""
+        self.by_call.pop(parked.call_id, None)
+
     def call_ended(self, exchange: Exchange) -> None:
         """Forget the call of an exchange; later events of it find nobody."""
         if exchange.call_id is not None:
--- a/src/merlinstand/gateway/interruptions.py
+++ b/src/merlinstand/gateway/interruptions.py
@@ -39,7 +39,12 @@
             return
         if exchange.phase is ExchangePhase.CALLING:
             exchange.maybe_ran = True
-            self._cancel_call(exchange, timeout_result(exchange, now), now, out)
+            parked = exchange.parked
+            if parked is not None:
+                result = timeout_result(parked.sent_at, now)
+                self._concluder.drop_parked(exchange, result, now, out)
+            result = timeout_result(exchange.call_sent_at, now)
+            self._cancel_call(exchange, result, now, out)
         if self._retries.break_stream(exchange, now, out):
             return
         if exchange.maybe_ran:
--- a/src/merlinstand/gateway/lanes.py
+++ b/src/merlinstand/gateway/lanes.py
@@ -9,7 +9,9 @@
 
 from merlinstand.configuration.objects import Daemon, Pool
 from merlinstand.gateway.fair_queue import FairQueue
+from merlinstand.gateway.latency_quantile import LatencyQuantile
 from merlinstand.gateway.settings import GatewaySettings
+from merlinstand.routing.retry_budget import RetryBudget
 from merlinstand.routing.router import PoolRouter
 from merlinstand.session.view import ConfigurationView
 
@@ -58,17 +60,22 @@
 class PoolLane:
     """One pool as this gateway serves it."""
 
-    __slots__ = ("number", "pool", "queue", "rate", "router")
+    __slots__ = ("hedge_budget", "latency", "number", "pool", "queue", "rate", "router")
 
     def __init__(
-        self, number: int, pool: Pool, router: PoolRouter, maximum: int, each: int
+        self, number: int, pool: Pool, router: PoolRouter, settings: GatewaySettings
     ) -> None:
         """Make a lane with an empty queue."""
+        admission = settings.admission
         self.number = number
         self.pool = pool
         self.router = router
-        self.queue: FairQueue[Exchange] = FairQueue(maximum, each)
+        self.queue: FairQueue[Exchange] = FairQueue(
+            admission.maximum_queued_per_pool, admission.maximum_queued_per_caller
+        )
         self.rate = CompletionRate()
+        self.latency = LatencyQuantile()
+        self.hedge_budget = RetryBudget(settings.requests.hedge_budget)
 
     def expected_wait_seconds(self, caller: str, weight: float, now: float) -> float:
         """Return how long a new request of a caller would wait; 0 while nothing is known."""
@@ -123,13 +130,7 @@
         settings = self._settings
         router = PoolRouter(settings.node_id, settings.zone, self._random, settings.routing)
         self._next_number += 1
-        lane = PoolLane(
-            self._next_number,
-            pool,
-            router,
-            settings.admission.maximum_queued_per_pool,
-            settings.admission.maximum_queued_per_caller,
-        )
+        lane = PoolLane(self._next_number, pool, router, settings)
         self._lanes[name] = lane
         self._by_number[lane.number] = lane
         return lane
--- /dev/null
+++ b/src/merlinstand/gateway/latency_quantile.py
@@ -0,0 +1,26 @@
+"""A running estimate of the time that nearly all lookups of a pool stay below."""
+
+FIRST_LATENCY_SECONDS = 0.1
+LATENCY_QUANTILE = 0.95
+LATENCY_STEP = 0.1
+
+
+class LatencyQuantile:
+    """A running estimate of the time that nearly all lookups stay below.
+
+    Each answer moves the estimate by a small factor, up or down in the proportion that leaves
+    it in place at the quantile. Needs no window and follows a pool that becomes slower.
+    """
+
+    __slots__ = ("seconds",)
+
+    def __init__(self) -> None:
+        """Start high: no hedges before something is known."""
+        self.seconds = FIRST_LATENCY_SECONDS
+
+    def answered(self, seconds: float) -> None:
+        """Take in the time that one answer took."""
+        if seconds > self.seconds:
+            self.seconds *= 1.0 + LATENCY_STEP * LATENCY_QUANTILE
+        else:
+            self.seconds *= 1.0 - LATENCY_STEP * (1.0 - LATENCY_QUANTILE)
--- a/src/merlinstand/gateway/retries.py
+++ b/src/merlinstand/gateway/retries.py
@@ -40,6 +40,10 @@
         )
         if failure.ran:
             exchange.maybe_ran = True
+        if exchange.parked is not None:
+            # The other call of a hedged lookup is still under way.
+            exchange.unpark_call()
+            return
         if exchange.client_gone and exchange.request.repeatable:
             self._concluder.conclude(exchange, Outcome.UNKNOWN, None, now, out)
             return
--- a/src/merlinstand/gateway/settings.py
+++ b/src/merlinstand/gateway/settings.py
@@ -3,7 +3,7 @@
 import msgspec
 
 from merlinstand.common.constants import MAXIMUM_REQUEST_BODY_BYTES
-from merlinstand.routing.settings import RouterSettings
+from merlinstand.routing.settings import RetryBudgetSettings, RouterSettings
 from merlinstand.session.settings import DaemonSettings
 
 
@@ -65,6 +65,12 @@
     """Share of the remaining time for which a repeatable try may be silent."""
     minimum_try_seconds: float = 0.25
     """Least time given to one try, whatever `first_try_share` leaves."""
+    hedge_factor: float = 2.0
+    """A lookup is hedged after so many times what 95 of 100 take; 0 switches hedging off."""
+    shortest_hedge_seconds: float = 0.01
+    """Hedges never begin earlier than this."""
+    hedge_budget: RetryBudgetSettings = RetryBudgetSettings(share=0.1)
+    """Hedges allowed for each first try."""
     require_response_id: bool = True
     """Refuse an answer of a back end that does not carry the request's id back."""
 
--- a/src/merlinstand/gateway/try_failure.py
+++ b/src/merlinstand/gateway/try_failure.py
@@ -40,13 +40,13 @@
         return TryFailure(reason=event.reason, ran=False, sent=False, result=CallResult.FAILURE)
     result = CallResult.FAILURE
     if event.reason == "timeout":
-        result = timeout_result(exchange, now)
+        result = timeout_result(exchange.call_sent_at, now)
     return TryFailure(reason=event.reason, ran=True, result=result)
 
 
-def timeout_result(exchange: Exchange, now: float) -> CallResult:
+def timeout_result(sent_at: float, now: float) -> CallResult:
     """Return what a try without answer tells about its back end."""
-    waited_seconds = now - exchange.call_sent_at
+    waited_seconds = now - sent_at
     return CallResult.FAILURE if waited_seconds >= BLAME_SECONDS else CallResult.ABANDONED
 
 
--- a/src/merlinstand/settings/numbers.py
+++ b/src/merlinstand/settings/numbers.py
@@ -26,6 +26,8 @@
         "export_minimum_tokens",
         "shortest_read_interval_seconds",
         "minimum_try_seconds",
+        "hedge_factor",
+        "shortest_hedge_seconds",
         "drain_seconds",
         "stop_patience_seconds",
         "scorer_wait_seconds",
--- a/src/merlinstand_lab/experiments/settings.py
+++ b/src/merlinstand_lab/experiments/settings.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from merlinstand.coordinator.settings import GenerationSettings, RolloutSettings
+from merlinstand.gateway.settings import RequestSettings
 from merlinstand_lab.simulator.deployment import Scheduler
 from merlinstand_lab.standins.settings import EngineProfile
 
@@ -30,6 +31,8 @@
     weight_bytes: int = 2_000_000_000
     faults_per_minute: float = 0.0
     """Random faults of the brief: crashes, freezes, cuts, failed swaps, on every part."""
+    service_freezes_per_minute: float = 0.0
+    """Silent freezes of service servers, besides those faults."""
     engine: EngineProfile = EngineProfile()
 
 
@@ -40,6 +43,8 @@
     scheduler: Scheduler = Scheduler.MERLINSTAND
     generation: GenerationSettings = GenerationSettings()
     rollout: RolloutSettings = RolloutSettings()
+    requests: RequestSettings = RequestSettings()
+    """Of the gateways."""
     workload: dict[str, float] = {}
     """Numbers of the workload that differ in this variant (a flood, for example)."""
 
--- a/src/merlinstand_lab/simulator/deployment.py
+++ b/src/merlinstand_lab/simulator/deployment.py
@@ -7,6 +7,7 @@
 from merlinstand.common.constants import CONFIGURATION_LEASE_SECONDS
 from merlinstand.control.settings import ControlMember
 from merlinstand.coordinator.settings import GenerationSettings, RolloutSettings
+from merlinstand.gateway.settings import RequestSettings
 from merlinstand_lab.simulator.topology import TATRASOFT, VITRINA, Topology
 from merlinstand_lab.standins.settings import EngineProfile
 
@@ -145,6 +146,7 @@
     scheduler: Scheduler = Scheduler.MERLINSTAND
     generation: GenerationSettings = GenerationSettings()
     rollout: RolloutSettings = RolloutSettings()
+    requests: RequestSettings = RequestSettings()
     engine_profile: EngineProfile = EngineProfile(chunk_interval_seconds=ENGINE_CHUNK_SECONDS)
     weight_bytes: int = 2_000_000_000
     flood_per_second: float = 0.0
--- a/src/merlinstand_lab/simulator/whole_fleet.py
+++ b/src/merlinstand_lab/simulator/whole_fleet.py
@@ -57,6 +57,7 @@
             control_members=members,
             peers=tuple(peer.member() for peer in places.gateways if peer is not place),
             machine_list_address=places.machine_list.http_address,
+            requests=assembly.plan.requests,
         )
         settings = msgspec.structs.replace(
             settings, session=_with_lease(settings.session, assembly.plan)
