A stopping gateway still answers, for a second, what was on its way to it

Cause: a gateway without requests ended within the request to stop.

Both requests were sent before the stop was asked for, to a gateway that was well: it is the promise that a planned stop cuts off nothing.

The planned stop has a module and a settings table of its own, `[gateway_options.stop]`; `stop_patience_seconds` of the claims is `patience_seconds` there.

A stop of an idle gateway takes 1 s longer.

--- a/src/merlinstand/gateway/daemon.py
+++ b/src/merlinstand/gateway/daemon.py
@@ -17,11 +17,12 @@
 from merlinstand.gateway.interruptions import Interruptions
 from merlinstand.gateway.lanes import Lanes
 from merlinstand.gateway.loop_delay import LoopDelay
+from merlinstand.gateway.planned_stop import PlannedStop
 from merlinstand.gateway.proxying import Proxying
 from merlinstand.gateway.retries import Retries
 from merlinstand.gateway.settings import GatewaySettings
 from merlinstand.gateway.streaming import Streaming
-from merlinstand.kernel.effects import Effect, LogEvent, SetTimer, StopProcess
+from merlinstand.kernel.effects import Effect
 from merlinstand.kernel.events import (
     CallChunk,
     CallEnded,
@@ -39,7 +40,6 @@
 from merlinstand.session.notices import CommandFinished, ConfigurationChanged, Notice
 from merlinstand.session.settings import session_settings
 
-STOP_TIMER = "gateway.stop"
 FOLLOWED_KINDS = ("pool/", "drain/", "limits/", "daemon/")
 """Kinds of configuration objects that change what a gateway does."""
 
@@ -97,9 +97,9 @@
         self._door = Door(
             settings, self._session, self._lanes, self._admission, self._claims, self._dispatcher
         )
-        self._stop_timer_set = False
-        self._stop_patience_over = False
-        self._stopped = False
+        self._planned_stop = PlannedStop(
+            settings.stop, self._session, self._table, self._claims, self._door
+        )
 
     @property
     def in_flight(self) -> int:
@@ -133,7 +133,7 @@
         for lane in self._concluder.take_freed_lanes():
             self._dispatcher.pump(lane, now, out)
         if self._door.stopping:
-            self._stop_if_drained(now, out)
+            self._planned_stop.stop_if_drained(now, out)
         self._agenda.arm(now, out)
         return out
 
@@ -150,7 +150,7 @@
                 if exchange is not None:
                     self._interruptions.client_left(exchange, now, out)
             case StopRequested():
-                self._begin_stop(out)
+                self._planned_stop.begin(out)
             case TimerFired() if event.name.startswith("gateway."):
                 self._timer_fired(event.name, now, out)
             case _:
@@ -211,8 +211,8 @@
             self._health.machines_tick(out)
         elif name == CACHE_TIMER:
             self._cache_watch.tick(out)
-        elif name == STOP_TIMER:
-            self._stop_patience_over = True
+        else:
+            self._planned_stop.timer_fired(name)
 
     def _due(self, due: Due, number: int, now: float, out: list[Effect]) -> None:
         if due is Due.PUMP:
@@ -253,27 +253,6 @@
         self._admission.rate_limits.configure(view.limits)
         self._health.ask_new(now, out)
 
-    # Planned stop ---------------------------------------------------------------------
-
-    def _begin_stop(self, out: list[Effect]) -> None:
-        if self._door.stopping:
-            return
-        self._door.stopping = True
-        out.append(LogEvent("gateway.stopping", {"in_flight": len(self._table)}))
-
-    def _stop_if_drained(self, now: float, out: list[Effect]) -> None:
-        """Stop once every request is answered and control has the last outcomes."""
-        if self._stopped or len(self._table):
-            return
-        if self._claims.under_way and not self._stop_patience_over:
-            if not self._stop_timer_set:
-                self._stop_timer_set = True
-                out.append(SetTimer(STOP_TIMER, self._settings.claims.stop_patience_seconds))
-            return
-        self._stopped = True
-        out.extend(self._session.stop(now))
-        out.append(StopProcess())
-
 
 def _concerns_gateways(notice: ConfigurationChanged) -> bool:
     return any(key.startswith(FOLLOWED_KINDS) for key in notice.changed_keys)
--- /dev/null
+++ b/src/merlinstand/gateway/planned_stop.py
@@ -0,0 +1,64 @@
+"""A planned stop: refuse what is new, finish what is in flight, record the last outcomes, end."""
+
+from merlinstand.gateway.claims import Claims
+from merlinstand.gateway.door import Door
+from merlinstand.gateway.exchange import ExchangeTable
+from merlinstand.gateway.settings import StopSettings
+from merlinstand.kernel.effects import Effect, LogEvent, SetTimer, StopProcess
+from merlinstand.session.control_session import ControlSession
+
+GRACE_TIMER = "gateway.stop_grace"
+PATIENCE_TIMER = "gateway.stop"
+
+
+class PlannedStop:
+    """Ends the process when nobody would notice."""
+
+    def __init__(
+        self,
+        settings: StopSettings,
+        session: ControlSession,
+        table: ExchangeTable,
+        claims: Claims,
+        door: Door,
+    ) -> None:
+        """Join the parts."""
+        self._settings = settings
+        self._session = session
+        self._table = table
+        self._claims = claims
+        self._door = door
+        self._grace_over = False
+        self._patience_timer_set = False
+        self._patience_over = False
+        self._stopped = False
+
+    def begin(self, out: list[Effect]) -> None:
+        """Refuse new requests from now on."""
+        if self._door.stopping:
+            return
+        self._door.stopping = True
+        # Requests sent before the stop may still be on their way: ending now would reset them,
+        # and their callers could not know whether they ran.
+        out.append(SetTimer(GRACE_TIMER, self._settings.grace_seconds))
+        out.append(LogEvent("gateway.stopping", {"in_flight": len(self._table)}))
+
+    def timer_fired(self, name: str) -> None:
+        """One of the two waits is over."""
+        if name == GRACE_TIMER:
+            self._grace_over = True
+        elif name == PATIENCE_TIMER:
+            self._patience_over = True
+
+    def stop_if_drained(self, now: float, out: list[Effect]) -> None:
+        """Stop once every request is answered and control has the last outcomes."""
+        if self._stopped or not self._grace_over or len(self._table):
+            return
+        if self._claims.under_way and not self._patience_over:
+            if not self._patience_timer_set:
+                self._patience_timer_set = True
+                out.append(SetTimer(PATIENCE_TIMER, self._settings.patience_seconds))
+            return
+        self._stopped = True
+        out.extend(self._session.stop(now))
+        out.append(StopProcess())
--- a/src/merlinstand/gateway/settings.py
+++ b/src/merlinstand/gateway/settings.py
@@ -89,8 +89,16 @@
     """How long the record of an outcome is sent again and again."""
     maximum_claims: int = 1_024
     """Claims and records under way at one time."""
-    stop_patience_seconds: float = 10.0
-    """Longest wait of a planned stop for control to take in the last outcomes."""
+
+
+class StopSettings(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """How a planned stop ends."""
+
+    grace_seconds: float = 1.0
+    """How long a stopping gateway still answers, though with refusals, so that requests already
+    on their way are not cut off."""
+    patience_seconds: float = 10.0
+    """Longest wait for control to take in the last outcomes."""
 
 
 class HealthSettings(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
@@ -114,5 +122,6 @@
     admission: AdmissionSettings = AdmissionSettings()
     requests: RequestSettings = RequestSettings()
     claims: ClaimSettings = ClaimSettings()
+    stop: StopSettings = StopSettings()
     health: HealthSettings = HealthSettings()
     routing: RouterSettings = RouterSettings()
--- a/src/merlinstand/settings/deployment.py
+++ b/src/merlinstand/settings/deployment.py
@@ -15,6 +15,7 @@
     ClaimSettings,
     HealthSettings,
     RequestSettings,
+    StopSettings,
 )
 from merlinstand.routing.settings import RouterSettings
 from merlinstand.runtime.host_settings import HttpLimits, TlsFiles
@@ -101,6 +102,7 @@
     admission: AdmissionSettings = AdmissionSettings()
     requests: RequestSettings = RequestSettings()
     claims: ClaimSettings = ClaimSettings()
+    stop: StopSettings = StopSettings()
     health: HealthSettings = HealthSettings()
     routing: RouterSettings = RouterSettings()
 
--- a/src/merlinstand/settings/numbers.py
+++ b/src/merlinstand/settings/numbers.py
@@ -29,7 +29,8 @@
         "hedge_factor",
         "shortest_hedge_seconds",
         "drain_seconds",
-        "stop_patience_seconds",
+        "grace_seconds",
+        "patience_seconds",
         "scorer_wait_seconds",
         "pull_hold_seconds",
     )
