Fair queue: its virtual time goes on as it serves, and a returning caller goes first

Cause: the dispatcher looked at the next item and then removed it, as if it had been taken back, so the queue's virtual time stood still until the queue was empty. Callers kept the tags of all they had been served in a busy time, and a newcomer began at nothing: a second flood went before a quiet caller for as long as that one had been served.

Change: the dispatcher pops what it has dispatched. A caller that has had nothing for a round goes before the item that each backlog has at that time ("new flows first", RFC 8290) and is charged for it as before. What is taken back unserved is no longer charged.

--- a/src/merlinstand/gateway/dispatcher.py
+++ b/src/merlinstand/gateway/dispatcher.py
@@ -188,7 +188,8 @@
             if error is not None:
                 self._concluder.refuse(exchange, error, now, out)
                 continue
-            lane.queue.remove(exchange.number)
+            # Taken out as served, not removed: the queue's virtual time goes on with it.
+            lane.queue.pop()
             self._agenda.cancel((Due.QUEUE_WAIT, exchange.number))
 
     def _pump_later(self, lane: PoolLane, error: PoolBusyError, now: float) -> None:
--- a/src/merlinstand/gateway/fair_queue.py
+++ b/src/merlinstand/gateway/fair_queue.py
@@ -1,5 +1,6 @@
 """A bounded queue that serves callers by weight and cost (start-time fair queueing)."""
 
+import math
 from collections import OrderedDict
 from typing import Generic, TypeVar
 
@@ -11,13 +12,15 @@
 class Flow(Generic[Item]):
     """One caller's waiting items."""
 
-    __slots__ = ("costs", "finish_tag", "items", "queued_cost", "weight")
+    __slots__ = ("costs", "finish_tag", "is_returning", "items", "queued_cost", "weight")
 
     def __init__(self, weight: float, finish_tag: float) -> None:
         """Start without items."""
         self.weight = weight
         self.finish_tag = finish_tag
         """Virtual time at which everything queued so far would be served."""
+        self.is_returning = False
+        """Its first item goes before all backlogs: nothing of it was served for a round."""
         self.queued_cost = 0.0
         self.items: OrderedDict[int, Item] = OrderedDict()
         self.costs: dict[int, float] = {}
@@ -28,7 +31,9 @@
 
     An item's tag is the virtual time at which its caller's earlier items would be done; the
     lowest tag goes first. A caller that was idle starts at the current virtual time, so it
-    neither saves up credit nor waits behind another's backlog.
+    neither saves up credit nor waits behind another's backlog. Its first item goes even before
+    the one that each backlog has at that time ("new flows first", RFC 8290); it is charged like
+    any other, so sending one at a time gains a place in the round and no more rounds.
     """
 
     def __init__(self, maximum: int, maximum_per_caller: int) -> None:
@@ -82,13 +87,17 @@
             self._flows[caller] = flow
         flow.weight = weight
         start_tag = max(self._virtual_time, flow.finish_tag)
+        order_tag = start_tag
+        if flow.finish_tag <= self._virtual_time and not flow.items:
+            flow.is_returning = True
+            order_tag = math.nextafter(self._virtual_time, -math.inf)
         flow.finish_tag = start_tag + cost / weight
         flow.items[number] = item
         flow.costs[number] = cost
         flow.queued_cost += cost
         self.queued_cost += cost
         self._callers[number] = caller
-        self._order.put(number, start_tag)
+        self._order.put(number, order_tag)
         return True, evicted
 
     def peek(self) -> Item | None:
@@ -112,12 +121,19 @@
         """Take an item out before its turn; None if it does not wait."""
         if not self._order.remove(number):
             return None
+        flow = self._flows[self._callers[number]]
+        if number == next(reversed(flow.items)):
+            # Not served, so not charged. Behind an older item the tags of later ones stand.
+            flow.finish_tag -= flow.costs[number] / flow.weight
         return self._take_out(number)
 
     def work_ahead(self, caller: str, weight: float) -> float:
         """Return the cost served before a new item of this caller would be."""
         flow = self._flows.get(caller)
-        if flow is None or not flow.items:
+        if flow is None or flow.finish_tag <= self._virtual_time:
+            # It returns: only others that do so go first.
+            return sum(_first_cost(other) for other in self._flows.values() if other.is_returning)
+        if not flow.items:
             # Served within one round: at most one item of each other caller comes first.
             return min(self.queued_cost, sum(_first_cost(other) for other in self._flows.values()))
         weights = sum(other.weight for other in self._flows.values())
@@ -128,6 +144,7 @@
         flow = self._flows[caller]
         item = flow.items.pop(number)
         cost = flow.costs.pop(number)
+        flow.is_returning = False
         flow.queued_cost -= cost
         self.queued_cost -= cost
         if not flow.items:
@@ -145,9 +162,9 @@
 
     def _evict_newest(self, victim: Flow[Item]) -> Item:
         number = next(reversed(victim.items))
-        victim.finish_tag -= victim.costs[number] / victim.weight
-        self._order.remove(number)
-        return self._take_out(number)
+        item = victim.items[number]
+        self.remove(number)
+        return item
 
 
 def _work(flow: "Flow[Item]") -> float:
