Average a replica's load reports; numbers of back ends have bounds

Cause: a service server's report is half a second to a second old, fifty times as old as its requests are long. Taken as it comes it says where the crowd was: gateways avoid the servers that were busy and make the next crowd at the others, worse the more gateways there are.

Ruled out: a shorter half-life (the first half second does the harm); no reports at all (load that old scripts send, and other gateways' share of a slow server, would go unseen).

Change: a gateway gives a new report a weight of 0.1 against what it knew (`load_report_share`); what lasts is still learnt within some seconds. Coordinators keep taking reports as they come: their calls last for seconds. A replica that restarted starts afresh. And: integers in back ends' statuses and cache events are bounded where they are decoded, and a load where it becomes a float: a JSON number of 400 digits raised OverflowError out of the reducer.

--- a/src/merlinstand/routing/load_reports.py
+++ b/src/merlinstand/routing/load_reports.py
@@ -2,6 +2,9 @@
 
 import msgspec
 
+MAXIMUM_LOAD = 1_000_000
+"""Requests at one replica above which a report means no more; JSON numbers have no bound."""
+
 
 class LoadReport(msgspec.Struct, frozen=True):
     """What a replica said about its load, lagging."""
@@ -18,15 +21,32 @@
 
     A report lags and includes this daemon's own requests, so the own ones in flight when the
     report arrived are taken off and the rest fades with age: an old report must neither shun
-    a replica for ever nor draw a crowd to it.
+    a replica for ever nor draw a crowd to it. Reports are also averaged: one that lags by many
+    requests' times says where the crowd was, and following it makes the next crowd.
     """
 
-    __slots__ = ("_expiry_seconds", "_foreign", "_half_life_seconds", "_received_at", "report")
+    __slots__ = (
+        "_expiry_seconds",
+        "_foreign",
+        "_half_life_seconds",
+        "_received_at",
+        "_report_share",
+        "report",
+    )
+
+    def __init__(
+        self, half_life_seconds: float, expiry_seconds: float, report_share: float = 1.0
+    ) -> None:
+        """Start without a report.
 
-    def __init__(self, half_life_seconds: float, expiry_seconds: float) -> None:
-        """Start without a report."""
+        Args:
+            half_life_seconds: Age at which what is known counts half.
+            expiry_seconds: Age from which it counts nothing.
+            report_share: Weight of a new report against what is known, above 0, at most 1.
+        """
         self._half_life_seconds = half_life_seconds
         self._expiry_seconds = expiry_seconds
+        self._report_share = report_share
         self._received_at = 0.0
         self._foreign = 0.0
         self.report: LoadReport | None = None
@@ -49,9 +69,15 @@
             and report.reported_at < last.reported_at
         ):
             return False
+        others = report.running + report.queued - own_in_flight
+        seen = float(min(max(0, others), MAXIMUM_LOAD))
+        if last is None or report.incarnation != last.incarnation:
+            self._foreign = seen
+        else:
+            known = self.foreign(now)
+            self._foreign = known + self._report_share * (seen - known)
         self.report = report
         self._received_at = now
-        self._foreign = max(0.0, float(report.running + report.queued - own_in_flight))
         return True
 
     def foreign(self, now: float) -> float:
--- a/src/merlinstand/routing/replica.py
+++ b/src/merlinstand/routing/replica.py
@@ -32,7 +32,11 @@
         """Start knowing nothing but the address."""
         self.backend = backend
         self.breaker = Breaker(settings.breaker, random)
-        self.load = AgedLoad(settings.load_half_life_seconds, settings.load_expiry_seconds)
+        self.load = AgedLoad(
+            settings.load_half_life_seconds,
+            settings.load_expiry_seconds,
+            settings.load_report_share,
+        )
         self.signals = LeavingSignals()
         self.hints = PrefixHints(settings.maximum_hints)
         self.limit = ConcurrencyLimit(1)
--- a/src/merlinstand/routing/settings.py
+++ b/src/merlinstand/routing/settings.py
@@ -42,6 +42,8 @@
     """Age at which a reported load counts half."""
     load_expiry_seconds: float = 15.0
     """Age from which a reported load counts nothing."""
+    load_report_share: float = 0.1
+    """Weight of a replica's new load report against those before it."""
     spill_utilisation: float = 0.35
     """Utilisation by which a local replica must exceed a remote one to send work away."""
     bounded_load_factor: float = 1.25
--- a/src/merlinstand/routing/status.py
+++ b/src/merlinstand/routing/status.py
@@ -1,6 +1,6 @@
 """Answers of back ends to `GET /v1/status`, and of the platform's machine list."""
 
-from typing import TypeVar
+from typing import Annotated, TypeVar
 
 import msgspec
 from result import Err, Ok, Result
@@ -10,14 +10,18 @@
 from merlinstand.routing.load_reports import LoadReport
 from merlinstand.routing.membership import MachineState, ReplicaState, StateReport
 
+Count = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
+"""JSON numbers have no bound; larger ones would overflow where they become floats or msgpack."""
+
 
 class ServiceStatus(msgspec.Struct, frozen=True, kw_only=True):
     """Status of a service server."""
 
     state: ReplicaState
     reported_at: float
-    in_flight: int = 0
+    in_flight: Count = 0
     incarnation: int = 0
+    """Only ever compared."""
 
     def state_report(self) -> StateReport:
         """Return the part that tells the server's state."""
@@ -34,14 +38,15 @@
     state: ReplicaState
     reported_at: float
     model: str = ""
-    active_version: int | None = None
-    running: int = 0
-    queued: int = 0
-    queued_tokens: int = 0
-    free_blocks: int = 0
-    total_blocks: int = 0
+    active_version: Count | None = None
+    running: Count = 0
+    queued: Count = 0
+    queued_tokens: Count = 0
+    free_blocks: Count = 0
+    total_blocks: Count = 0
     tokens_per_second: float = 0.0
     incarnation: int = 0
+    """Only ever compared."""
 
     def state_report(self) -> StateReport:
         """Return the part that tells the engine's state."""
@@ -69,7 +74,7 @@
 class CacheEvent(msgspec.Struct, frozen=True):
     """One change of an engine's prefix cache."""
 
-    sequence: int
+    sequence: Count
     kind: str
     """`stored` or `evicted`."""
     prefix_digest: str
@@ -79,7 +84,7 @@
     """Some changes of an engine's prefix cache; late and with gaps."""
 
     events: tuple[CacheEvent, ...]
-    next: int
+    next: Count
 
 
 BackendStatus = EngineStatus | ServiceStatus
