A machine list that came before the pools counts for them

Ruled out: the hedge itself (it asks the same router, which excludes what is leaving).

Change: the last list is kept and passed on whenever the configuration changes; lists are ordered by their own time, so this changes nothing for replicas that had it.

The new test fails without the change.

--- a/src/merlinstand/gateway/health.py
+++ b/src/merlinstand/gateway/health.py
@@ -13,6 +13,7 @@
 from merlinstand.kernel.effects import Effect, SetTimer, StartCall
 from merlinstand.kernel.events import CallFailed, CallResponded
 from merlinstand.routing.status import (
+    MachineList,
     decode_engine_status,
     decode_machine_list,
     decode_service_status,
@@ -49,6 +50,8 @@
         self._owed = 0.0
         """Fraction of a status request carried over to the next tick."""
         self._number = 0
+        self._machines: MachineList | None = None
+        """The platform's last list."""
 
     def start(self, out: list[Effect]) -> None:
         """Begin to ask."""
@@ -58,6 +61,9 @@
 
     def ask_new(self, now: float, out: list[Effect]) -> None:
         """Ask replicas that were never asked, at once (the configuration changed)."""
+        if self._machines is not None:
+            # It may have come before the replicas that it names were configured.
+            self._pass_on_machines(self._machines)
         for lane in self._lanes:
             for backend_id, replica in lane.router.replicas.items():
                 if replica.status is None and not replica.unanswered_statuses:
@@ -173,5 +179,9 @@
             return
         machines = decode_machine_list(event.body)
         if machines.is_ok():
-            for lane in self._lanes:
-                lane.router.machines_received(machines.unwrap())
+            self._machines = machines.unwrap()
+            self._pass_on_machines(self._machines)
+
+    def _pass_on_machines(self, machines: MachineList) -> None:
+        for lane in self._lanes:
+            lane.router.machines_received(machines)
--- a/tests/gateway/test_lifecycle.py
+++ b/tests/gateway/test_lifecycle.py
@@ -27,8 +27,8 @@
 
 def machines(driver: GatewayDriver, as_of: float, **states: str) -> None:
     """Answer the request for the platform's list."""
-    pool = driver.session.view.pools["shop-api"]
-    by_id = {backend.backend_id.replace("-", "_"): backend.address for backend in pool.backends}
+    backends = service_pool().backends
+    by_id = {backend.backend_id.replace("-", "_"): backend.address for backend in backends}
     listed = [{"address": by_id[name], "state": state} for name, state in states.items()]
     driver.advance(1.0, watch=True)
     call_id = next(
@@ -181,6 +181,14 @@
     assert "shop-api-0" in addresses_used(driver)
 
 
+def test_list_that_came_before_the_pool_counts_for_it() -> None:
+    driver = GatewayDriver([], machine_list_address="10.7.0.1:80")
+    machines(driver, 50.0, shop_api_0="leaving", shop_api_1="live", shop_api_2="live")
+    driver.configure([service_pool()])
+    driver.answer_statuses()
+    assert addresses_used(driver) == {"shop-api-1", "shop-api-2"}
+
+
 def test_machine_that_vanished_from_the_list_gets_nothing() -> None:
     driver = GatewayDriver([service_pool()], machine_list_address="10.7.0.1:80")
     machines(driver, 50.0, shop_api_0="live", shop_api_1="live")
