--- a/src/merlinstand_lab/standins/scripts.py
+++ b/src/merlinstand_lab/standins/scripts.py
@@ -40,6 +40,8 @@
 SEED_MASK = 0x7FFF_FFFF
 POLL_SECONDS = 0.1
 RETRY_SECONDS = 0.5
+PATIENCE_SECONDS = 2.0
+"""A trainer that has not asked for so long is fed by somebody else, who orders the engines."""
 _RETRY_PREFIX = "scripts.retry."
 _GENERATION_PREFIX = "generation."
 
@@ -78,6 +80,7 @@
         self._next_engine = 0
         self._calls: dict[CallId, _Slot] = {}
         self._call_count = 0
+        self._asked_at = 0.0
 
     def start(self, event: Started, now: float) -> Sequence[Effect]:
         """Wait for the trainer."""
@@ -87,7 +90,7 @@
         """Take one event."""
         match event:
             case RequestReceived():
-                return self._request(event)
+                return self._request(event, now)
             case CallResponded() | CallFailed() if self._swap.handles(event.call_id):
                 return [*self._swap.answered(event), *self._begin_ready_steps()]
             case CallResponded() | CallFailed():
@@ -95,6 +98,8 @@
             case TimerFired(name=name) if name.startswith(_RETRY_PREFIX):
                 return self._retry(int(name.removeprefix(_RETRY_PREFIX)))
             case TimerFired():
+                if now - self._asked_at > PATIENCE_SECONDS:
+                    self._swap.abandon()
                 return self._swap.timer_fired(event.name)
             case StopRequested():
                 return (StopProcess(),)
@@ -103,7 +108,7 @@
 
     # --- the trainer's door ---------------------------------------------------------
 
-    def _request(self, event: RequestReceived) -> Sequence[Effect]:
+    def _request(self, event: RequestReceived, now: float) -> Sequence[Effect]:
         """Answer a trainer's pull."""
         common = door.respond_common(event, ready=True)
         if common is not None:
@@ -113,6 +118,7 @@
         decoded = door.decode_body(event.body, PullBody)
         if decoded.is_err():
             return (door.respond_error(event.request_id, decoded.unwrap_err()),)
+        self._asked_at = now
         return self._pulled(event.request_id, decoded.unwrap())
 
     def _pulled(self, request_id: RequestId, pull: PullBody) -> Sequence[Effect]:
@@ -125,8 +131,8 @@
             # meanwhile) are worth nothing to it.
             step = self._new_step(batch, pull.trainer_version)
             self._steps[pull.consumer] = step
-            effects += self._swap.swap_to(pull.trainer_version)
-            effects += self._begin_ready_steps()
+        effects += self._swap.swap_to(step.version)
+        effects += self._begin_ready_steps()
         if not step.is_complete:
             refusal = PullRefusal(code="not_ready", retry_after_seconds=POLL_SECONDS)
             return [*effects, door.respond_json(request_id, refusal, 202)]
--- a/src/merlinstand_lab/standins/scripts_swap.py
+++ b/src/merlinstand_lab/standins/scripts_swap.py
@@ -74,6 +74,11 @@
         self._swaps = {}
         return (self._ask_digest(),)
 
+    def abandon(self) -> None:
+        """Nobody waits for the version any more: send no further orders."""
+        self._version = 0
+        self._swaps = {}
+
     def repair(self, engine: int) -> Sequence[Effect]:
         """Load and activate again on an engine whose request failed."""
         swap = self._swaps.get(engine)
@@ -97,13 +102,15 @@
             return ()
         engine = int(name.removeprefix(_TIMER_PREFIX))
         if engine < 0:
-            return (self._ask_digest(),)
+            return (self._ask_digest(),) if self._version else ()
         swap = self._swaps.get(engine)
         if swap is None or swap.phase is _Phase.DONE or swap.awaiting is not None:
             return ()
         return (self._order(engine, swap),)
 
     def _digest_answered(self, event: CallResponded | CallFailed) -> Sequence[Effect]:
+        if not self._version:
+            return ()
         if isinstance(event, CallFailed) or event.status != 200:
             return (SetTimer(f"{_TIMER_PREFIX}-1", ORDER_POLL_SECONDS),)
         self._digest = msgspec.json.decode(event.body, type=StorePutAnswer).digest
--- a/tests/standins/test_scripts.py
+++ b/tests/standins/test_scripts.py
@@ -107,3 +107,21 @@
     swap(driver)
     assert generate(driver) == ["scripts/blurbs/2/0~3", "scripts/blurbs/3/0~4"]
     assert driver.answer(pull(driver, 0, 9))["newest_version"] == 9
+
+
+def test_a_swap_that_nobody_waits_for_sends_no_more_orders(driver: Driver) -> None:
+    pull(driver, 0, 1)
+    (ask,) = driver.calls
+    driver.respond(ask, {"digest": "d"})
+    in_progress = {"fence": {"epoch": 1, "sequence": 1}, "state": "in_progress"}
+    driver.respond(order(driver), in_progress)
+    # The trainer is fed by merlinstand now, which orders the engines.
+    driver.advance(1.0)
+    driver.respond(order(driver), in_progress)
+    driver.advance(5.0)
+    for call in list(driver.calls):
+        driver.respond(call, in_progress)
+    driver.advance(5.0)
+    assert driver.calls == []
+    pull(driver, 0, 1)
+    assert [call.path for call in driver.calls] == ["/v1/weights/m/1"], "and begins again later"
