--- a/src/merlinstand/coordinator/jobs.py
+++ b/src/merlinstand/coordinator/jobs.py
@@ -325,6 +325,9 @@
         old = self._supply.old_units(needed_version)
         for slot in self._restarts.choose(old, window, needed_version):
             self._context.count("samples_begun_again_total", job=self.job.name)
+            self._context.log(
+                "sample.begun_again", job=self.job.name, slot=slot, version=needed_version
+            )
             self._cancel_slot(slot)
             self._store.begin_again(slot)
 
