--- a/src/merlinstand_lab/experiments/cli.py
+++ b/src/merlinstand_lab/experiments/cli.py
@@ -88,6 +88,8 @@
             f"{len(outcomes)}/{total} {outcome.variant} seed {outcome.seed}:"
             f" idle {_share_text(outcome.measures.idle_share)}, {outcome.real_seconds:.1f} s"
         )
+        for example in outcome.examples:
+            click.echo(f"    {example}")
     result = collect(experiment, outcomes)
     click.echo(f"\n{experiment.name}: {experiment.question}")
     click.echo(f"means over {experiment.seeds} seeds with 95% bootstrap intervals")
--- a/src/merlinstand_lab/experiments/plans.py
+++ b/src/merlinstand_lab/experiments/plans.py
@@ -11,7 +11,7 @@
     Parts,
     Sizes,
 )
-from merlinstand_lab.simulator.scenario import Plan
+from merlinstand_lab.simulator.scenario import WHOLE_RECOVERY_SECONDS, Plan
 from merlinstand_lab.simulator.scenarios import schedules
 
 DEPLOYMENTS: dict[str, Sizes] = {"vitrina": VITRINA_SIZES, "tatrasoft": TATRASOFT_SIZES}
@@ -19,7 +19,8 @@
 """Faults begin when the first step is under way."""
 FIRST_FREEZE_SECONDS = 20.0
 """Freezes of services begin when lookups have run for a while."""
-LAST_FAULT_BEFORE_END_SECONDS = 90.0
+STEPS_AFTER_LAST_FAULT = 2.2
+"""Steps of a trainer that are left after the last fault, so that its recovery can be seen."""
 GATEWAYS = ("gateway-1", "gateway-2", "gateway-3")
 LONGEST_DOWN_SECONDS = 20.0
 
@@ -51,6 +52,7 @@
     return Plan(
         fleet=fleet,
         faults=fault_schedule(workload, sizes, seed) + service_freezes(workload, sizes, seed),
+        recovery_seconds=WHOLE_RECOVERY_SECONDS,
         minimum_duration_seconds=workload.duration_seconds,
     )
 
@@ -58,7 +60,12 @@
 def fault_schedule(workload: Workload, sizes: Sizes, seed: int) -> tuple[ft.AnyFault, ...]:
     """Return random faults of every kind, spread over the run."""
     source = random.Random(f"{seed}/experiment-faults")
-    spread = workload.duration_seconds - FIRST_FAULT_SECONDS - LAST_FAULT_BEFORE_END_SECONDS
+    last_seconds = (
+        LONGEST_DOWN_SECONDS
+        + WHOLE_RECOVERY_SECONDS
+        + STEPS_AFTER_LAST_FAULT * workload.trainer_step_seconds
+    )
+    spread = max(0.0, workload.duration_seconds - FIRST_FAULT_SECONDS - last_seconds)
     count = round(workload.faults_per_minute * spread / 60.0)
     engines = tuple(f"{sizes.engine_pool}-{number + 1}" for number in range(sizes.engines))
     services = tuple(f"{sizes.service_pool}-{number + 1}" for number in range(sizes.services))
--- a/src/merlinstand_lab/experiments/results.py
+++ b/src/merlinstand_lab/experiments/results.py
@@ -21,6 +21,8 @@
     violations: dict[str, int]
     """Violations by checker."""
     real_seconds: float
+    examples: tuple[str, ...] = ()
+    """The first violations, with their detail."""
     staleness: dict[str, int] = {}
     """Samples received at each staleness in versions."""
 
--- a/src/merlinstand_lab/experiments/runner.py
+++ b/src/merlinstand_lab/experiments/runner.py
@@ -12,6 +12,9 @@
 from merlinstand_lab.experiments.settings import Experiment, Variant
 from merlinstand_lab.simulator.runner import Run
 
+MAXIMUM_EXAMPLES = 5
+"""Violations of a run that are kept with their detail."""
+
 
 class Task(msgspec.Struct, frozen=True):
     """One run to make."""
@@ -35,6 +38,10 @@
         measures=measure(records, workload.engine, engines),
         violations=dict(Counter(violation.checker for violation in result.violations)),
         real_seconds=result.real_seconds,
+        examples=tuple(
+            f"{violation.checker}: {violation.detail}"
+            for violation in result.violations[:MAXIMUM_EXAMPLES]
+        ),
         staleness=staleness_counts(records),
     )
 
