Experiments: a trainer within a long step cannot show that it recovered

Change: the recovery bound of an experiment is the fleet's 40 s and a trainer's step; faults end as much earlier.

--- a/src/merlinstand_lab/experiments/plans.py
+++ b/src/merlinstand_lab/experiments/plans.py
@@ -52,20 +52,23 @@
     return Plan(
         fleet=fleet,
         faults=fault_schedule(workload, sizes, seed) + service_freezes(workload, sizes, seed),
-        recovery_seconds=WHOLE_RECOVERY_SECONDS,
+        recovery_seconds=recovery_seconds(workload),
         minimum_duration_seconds=workload.duration_seconds,
     )
 
 
+def recovery_seconds(workload: Workload) -> float:
+    """Return within which time after the last fault a trainer must have its next batch.
+
+    A trainer that has just begun a step asks for nothing until the step ends.
+    """
+    return WHOLE_RECOVERY_SECONDS + workload.trainer_step_seconds
+
+
 def fault_schedule(workload: Workload, sizes: Sizes, seed: int) -> tuple[ft.AnyFault, ...]:
     """Return random faults of every kind, spread over the run."""
     source = random.Random(f"{seed}/experiment-faults")
-    last_seconds = (
-        LONGEST_DOWN_SECONDS
-        + WHOLE_RECOVERY_SECONDS
-        + STEPS_AFTER_LAST_FAULT * workload.trainer_step_seconds
-    )
-    spread = max(0.0, workload.duration_seconds - FIRST_FAULT_SECONDS - last_seconds)
+    spread = _fault_seconds(workload, FIRST_FAULT_SECONDS)
     count = round(workload.faults_per_minute * spread / 60.0)
     engines = tuple(f"{sizes.engine_pool}-{number + 1}" for number in range(sizes.engines))
     services = tuple(f"{sizes.service_pool}-{number + 1}" for number in range(sizes.services))
@@ -78,7 +81,7 @@
 def service_freezes(workload: Workload, sizes: Sizes, seed: int) -> tuple[ft.AnyFault, ...]:
     """Return freezes of service servers at random times after the first seconds."""
     source = random.Random(f"{seed}/experiment-freezes")
-    spread = workload.duration_seconds - FIRST_FREEZE_SECONDS - LONGEST_DOWN_SECONDS
+    spread = _fault_seconds(workload, FIRST_FREEZE_SECONDS)
     count = round(workload.service_freezes_per_minute * spread / 60.0)
     return tuple(
         schedules.freeze(
@@ -91,6 +94,16 @@
     )
 
 
+def _fault_seconds(workload: Workload, first_seconds: float) -> float:
+    """Return for how long faults may begin, so that the last one's recovery can be seen."""
+    last_seconds = (
+        LONGEST_DOWN_SECONDS
+        + recovery_seconds(workload)
+        + STEPS_AFTER_LAST_FAULT * workload.trainer_step_seconds
+    )
+    return max(0.0, workload.duration_seconds - first_seconds - last_seconds)
+
+
 def _one_fault(
     source: random.Random, engines: tuple[str, ...], services: tuple[str, ...], at: float
 ) -> ft.AnyFault:
