Experiments measure the idle share after the first batch too

Cause: with 180 s steps nearly all waiting lies before the first batch, while engines start and no sample can be ready; one figure hid that the trainer never waits afterwards. Change: idle_share_after_first, from the second request on.

--- a/src/merlinstand_lab/experiments/cli.py
+++ b/src/merlinstand_lab/experiments/cli.py
@@ -18,6 +18,7 @@
 SHOWN_MEASURES = (
     "steps",
     "idle_share",
+    "idle_share_after_first",
     "lower_bound_idle_share",
     "staleness_mean",
     "staleness_p99",
--- a/src/merlinstand_lab/experiments/measures.py
+++ b/src/merlinstand_lab/experiments/measures.py
@@ -22,6 +22,8 @@
     samples: float | None
     idle_share: float | None
     """Time trainers waited for batches, from their first request on, as a share."""
+    idle_share_after_first: float | None
+    """The same without the wait for the first batch, while the fleet starts."""
     lower_bound_idle_share: float | None
     """The least idle share that any scheduler could reach (`lower_bound.py`)."""
     tokens_per_second: float | None
@@ -52,7 +54,8 @@
     return Measures(
         steps=len(records.steps),
         samples=len(samples),
-        idle_share=_idle_share(records),
+        idle_share=_idle_share(records, first_step=0),
+        idle_share_after_first=_idle_share(records, first_step=1),
         lower_bound_idle_share=lower_bound_idle_share(records, engine, engines),
         tokens_per_second=sum(sample.token_count for sample in samples) / elapsed,
         staleness_mean=sum(staleness) / len(staleness) if staleness else None,
@@ -91,11 +94,13 @@
     return min(step.asked_at for step in steps), max(step.received_at for step in steps)
 
 
-def _idle_share(records: RecordSet) -> float | None:
-    """Waiting time of all trainers over their time from first request to last receipt."""
+def _idle_share(records: RecordSet, first_step: int) -> float | None:
+    """Waiting time of all trainers over their time from a step's request to the last receipt."""
     waited, present = 0.0, 0.0
     for consumer in {step.consumer for step in records.steps}:
-        steps = [step for step in records.steps if step.consumer == consumer]
+        steps = [step for step in records.steps if step.consumer == consumer][first_step:]
+        if not steps:
+            continue
         waited += sum(step.received_at - step.asked_at for step in steps)
         present += steps[-1].received_at - steps[0].asked_at
     return waited / present if present else None
--- a/tests/experiments/test_statistics.py
+++ b/tests/experiments/test_statistics.py
@@ -89,6 +89,7 @@
     measures = measure(two_steps(), ENGINE, 1)
     assert measures.steps == 2
     assert measures.idle_share == pytest.approx((14.0 + 8.0) / 26.0)
+    assert measures.idle_share_after_first == pytest.approx(8.0 / 8.0)
     assert measures.tokens_per_second == pytest.approx(2000 / 26.0)
     # The second sample of version 1 came when version 2 was stored.
     assert measures.staleness_maximum == 1.0
