--- a/benchmarks/flood.py
+++ b/benchmarks/flood.py
@@ -118,10 +118,10 @@
         if following < self._end:
             self._plan(following, caller)
         self._requests[caller] += 1
-        door_id = RequestId(f"{caller}-{self._requests[caller]}")
-        headers = {"x-caller": caller, "x-request-id": door_id}
-        self._sent_at[door_id] = now
-        received = RequestReceived(door_id, "GET", "/shop-api/a", headers, b"", "10.8.0.1")
+        endpoint_id = RequestId(f"{caller}-{self._requests[caller]}")
+        headers = {"x-caller": caller, "x-request-id": endpoint_id}
+        self._sent_at[endpoint_id] = now
+        received = RequestReceived(endpoint_id, "GET", "/shop-api/a", headers, b"", "10.8.0.1")
         self._perform(self._gateway.reduce(received, now), now)
 
     def _perform(self, effects: Sequence[Effect], now: float) -> None:
--- a/benchmarks/gateway_reducer.py
+++ b/benchmarks/gateway_reducer.py
@@ -65,7 +65,7 @@
     reduce = driver.gateway.reduce
     requests = [
         RequestReceived(
-            f"door-{number}",
+            f"endpoint-{number}",
             "GET",
             f"/shop-api/items/{number}",
             {"x-request-id": f"r{number}", "x-caller": f"caller-{number % 1000}", "accept": "*/*"},
--- a/src/merlinstand/coordinator/batches.py
+++ b/src/merlinstand/coordinator/batches.py
@@ -59,7 +59,7 @@
     """When the trainer's request came in."""
 
 
-class BatchDesk:
+class BatchManager:
     """Serves the consumers of one job, one commit a consumer at a time."""
 
     def __init__(self, store: SampleStore) -> None:
@@ -319,7 +319,7 @@
         self._release_commit(command)
         self.forecast(command.consumer).asked_again()
         # Stale: the ledger knows a newer version, the configuration follows. Everything
-        # else says that the ledger and this desk differ, and the ledger is right.
+        # else says that the ledger and this manager differ, and the ledger is right.
         if code not in ("stale", "conflict"):
             self.wants_ledger = True
         if commit.request_id is None:
--- a/src/merlinstand/coordinator/call_router.py
+++ b/src/merlinstand/coordinator/call_router.py
@@ -10,7 +10,7 @@
     ScoreCall,
     StatusCall,
 )
-from merlinstand.coordinator.workplace import Workplace
+from merlinstand.coordinator.work_manager import WorkManager
 from merlinstand.kernel.events import (
     CallChunk,
     CallEnded,
@@ -23,7 +23,7 @@
 class CallRouter:
     """Finds a call's purpose and passes the event on."""
 
-    def __init__(self, context: Context, work: Workplace) -> None:
+    def __init__(self, context: Context, work: WorkManager) -> None:
         """Route for one coordinator."""
         self._context = context
         self._work = work
--- a/src/merlinstand/coordinator/daemon.py
+++ b/src/merlinstand/coordinator/daemon.py
@@ -19,7 +19,7 @@
     LivenessAsked,
     parse_request,
 )
-from merlinstand.coordinator.workplace import Workplace
+from merlinstand.coordinator.work_manager import WorkManager
 from merlinstand.kernel.effects import Effect, SetTimer, StopProcess
 from merlinstand.kernel.events import (
     CallChunk,
@@ -86,7 +86,7 @@
             session_settings(settings, "coordinator", owns_journal=False)
         )
         self._context = Context(settings, self._session)
-        self._work = Workplace(self._context, Random(0))
+        self._work = WorkManager(self._context, Random(0))
         self._calls = CallRouter(self._context, self._work)
         self._stopping_since: float | None = None
         self._released_at: float | None = None
@@ -94,7 +94,7 @@
     def start(self, event: Started, now: float) -> Sequence[Effect]:
         """Recover the journal and join the control group's clients."""
         self._context.now = now
-        self._work = Workplace(self._context, Random(event.seed))
+        self._work = WorkManager(self._context, Random(event.seed))
         self._calls = CallRouter(self._context, self._work)
         recovered = self._work.journal.recover(event.snapshot, event.records)
         self._context.add(*self._session.start(event, now).effects)
--- a/src/merlinstand/coordinator/generations.py
+++ b/src/merlinstand/coordinator/generations.py
@@ -36,7 +36,7 @@
 SEED_MASK = 0x7FFF_FFFF
 
 
-class GenerationDesk:
+class GenerationManager:
     """Owns a job's generations and their streams."""
 
     def __init__(self, job: str, pool: EnginePool, on_finished: Callable[[Generation], None]):
--- a/src/merlinstand/coordinator/job_planner.py
+++ b/src/merlinstand/coordinator/job_planner.py
@@ -2,13 +2,13 @@
 
 from collections.abc import Collection
 
-from merlinstand.coordinator.batches import BatchDesk
+from merlinstand.coordinator.batches import BatchManager
 from merlinstand.coordinator.context import Context
 from merlinstand.coordinator.dispatch import Wish
 from merlinstand.coordinator.engines import Engine
 from merlinstand.coordinator.forecast import Demand
 from merlinstand.coordinator.generation import Generation
-from merlinstand.coordinator.generations import GenerationDesk
+from merlinstand.coordinator.generations import GenerationManager
 from merlinstand.coordinator.lengths import LengthStatistics
 from merlinstand.coordinator.planning import PlannedStart, plan_starts
 from merlinstand.coordinator.prompts import PromptBook
@@ -28,15 +28,15 @@
     def __init__(
         self,
         store: SampleStore,
-        desk: BatchDesk,
-        generations: GenerationDesk,
+        batch_manager: BatchManager,
+        generations: GenerationManager,
         prompts: PromptBook,
         lengths: LengthStatistics,
         supply: SupplyBook,
     ) -> None:
         """Plan from a job's parts."""
         self._store = store
-        self._desk = desk
+        self._batch_manager = batch_manager
         self._generations = generations
         self._prompts = prompts
         self._lengths = lengths
@@ -48,7 +48,7 @@
         demands = [
             demand
             for consumer in terms.job.consumers
-            for demand in self._desk.forecast(consumer).demands(
+            for demand in self._batch_manager.forecast(consumer).demands(
                 context.now, terms.clock.newest, terms.job.batch_size, rounds
             )
         ]
@@ -80,7 +80,7 @@
         ]
         if not may_begin:
             return wishes
-        delivered_at = self._desk.last_delivered_at()
+        delivered_at = self._batch_manager.last_delivered_at()
         starts = plan_starts(
             self.demands(context, terms),
             self._supply.supplies(context, terms, settling, delivered_at),
--- a/src/merlinstand/coordinator/jobs.py
+++ b/src/merlinstand/coordinator/jobs.py
@@ -8,7 +8,7 @@
 from merlinstand.configuration.objects import Job, JobMode, JobPhase
 from merlinstand.control.commands import AnyOutcome
 from merlinstand.control.queries import LedgerAnswer, LedgerQuery
-from merlinstand.coordinator.batches import BatchDesk
+from merlinstand.coordinator.batches import BatchManager
 from merlinstand.coordinator.context import Context
 from merlinstand.coordinator.dispatch import Wish
 from merlinstand.coordinator.engines import Engine, EnginePool
@@ -20,7 +20,7 @@
 )
 from merlinstand.coordinator.forecast import Demand
 from merlinstand.coordinator.generation import Generation
-from merlinstand.coordinator.generations import GenerationDesk
+from merlinstand.coordinator.generations import GenerationManager
 from merlinstand.coordinator.job_planner import JobPlanner
 from merlinstand.coordinator.journal import SampleJournal
 from merlinstand.coordinator.lengths import LengthStatistics
@@ -28,7 +28,7 @@
 from merlinstand.coordinator.purposes import LedgerRead
 from merlinstand.coordinator.refresh import RestartBudget, Window
 from merlinstand.coordinator.samples import BatchRequest, Sample
-from merlinstand.coordinator.scoring import ScoringDesk
+from merlinstand.coordinator.scoring import ScoringManager
 from merlinstand.coordinator.slots import SlotState
 from merlinstand.coordinator.staleness import StalenessBound
 from merlinstand.coordinator.store import SampleStore
@@ -69,15 +69,20 @@
         self._terms = self._make_terms()
         unit_size = self._unit_size()
         self._store = SampleStore(job.name, job.samples_per_prompt, unit_size)
-        self.desk = BatchDesk(self._store)
+        self.batch_manager = BatchManager(self._store)
         self._lengths = LengthStatistics(job.maximum_tokens)
-        self.generations = GenerationDesk(job.name, pool, self._generated)
-        self._scoring = ScoringDesk(job.name, random)
+        self.generations = GenerationManager(job.name, pool, self._generated)
+        self._scoring = ScoringManager(job.name, random)
         self._prompts = PromptBook(job)
         self._supply = SupplyBook(self._store, self.generations, self._lengths)
         self._restarts = RestartBudget()
         self._planner = JobPlanner(
-            self._store, self.desk, self.generations, self._prompts, self._lengths, self._supply
+            self._store,
+            self.batch_manager,
+            self.generations,
+            self._prompts,
+            self._lengths,
+            self._supply,
         )
         self._settling: set[int] = set()
         self._recovered: list[Sample] = journal.live_samples(job.name)
@@ -133,7 +138,7 @@
             for position in answer.consumers
             for sample_id in position.samples
         }
-        self.desk.load(answer, slot_of)
+        self.batch_manager.load(answer, slot_of)
         for slot in self._store.slots.with_state(SlotState.RESERVED):
             self._cancel_slot(slot)
         recovered, self._recovered = self._recovered, []
@@ -149,9 +154,13 @@
         return int(prompt_index) * max(1, self.job.samples_per_prompt) + int(attempt)
 
     def _read_ledger_if_wanted(self) -> None:
-        desk = self.desk
+        batch_manager = self.batch_manager
         # While a batch is on its way the answer could be older than its outcome.
-        if self._reading_ledger or desk.committing or (desk.loaded and not desk.wants_ledger):
+        if (
+            self._reading_ledger
+            or batch_manager.committing
+            or (batch_manager.loaded and not batch_manager.wants_ledger)
+        ):
             return
         self._reading_ledger = True
         self._context.query(LedgerQuery(job=self.job.name), LedgerRead(self.job.name, self.epoch))
@@ -173,13 +182,13 @@
             context.refuse(request_id, error)
         else:
             self.changed = True
-            self.desk.ask(context, request_id, request)
+            self.batch_manager.ask(context, request_id, request)
             self.serve()
             self._read_ledger_if_wanted()
 
     def serve(self) -> None:
         """Answer the trainers that can be."""
-        self.desk.serve(self._context, self.terms())
+        self.batch_manager.serve(self._context, self.terms())
         closed = self._store.take_closed()
         if closed:
             self._context.add(self._journal.close(self.job.name, closed))
@@ -189,7 +198,7 @@
     ) -> None:
         """The ledger answered a batch."""
         self.changed = True
-        self.desk.finished(self._context, self.terms(), command_id, consumer, outcome)
+        self.batch_manager.finished(self._context, self.terms(), command_id, consumer, outcome)
         self._read_ledger_if_wanted()
         self.serve()
 
@@ -260,7 +269,7 @@
         """Do what time alone brings about."""
         self._read_ledger_if_wanted()
         self._scored(self._scoring.tick(self._context, self.job.scorer))
-        if self.desk.loaded and self._context.now >= self._housekeeping_at:
+        if self.batch_manager.loaded and self._context.now >= self._housekeeping_at:
             self._housekeeping_at = self._context.now + HOUSEKEEPING_SECONDS
             self.generations.resume_stalled(self._context)
             self.generations.move_off_leaving(self._context)
@@ -278,7 +287,7 @@
 
     def wishes(self, context: Context, served_version: int) -> list[Wish]:
         """Return what to begin or resume now on engines of at most a version."""
-        if not self.desk.loaded or self.job.phase is not JobPhase.RUNNING:
+        if not self.batch_manager.loaded or self.job.phase is not JobPhase.RUNNING:
             return []
         may_begin = self.accepting and context.session.may_take_new_work(context.now)
         return self._planner.wishes(
@@ -360,7 +369,7 @@
 
     def shortest_cycle_seconds(self) -> float | None:
         """Return the shortest measured cycle of a consumer."""
-        cycles = [forecast.cycle_seconds for forecast in self.desk.forecasts.values()]
+        cycles = [forecast.cycle_seconds for forecast in self.batch_manager.forecasts.values()]
         return min((cycle for cycle in cycles if cycle is not None), default=None)
 
     def typical_sample_seconds(self) -> float:
@@ -369,7 +378,7 @@
 
     def needed_tokens_per_second(self) -> float | None:
         """Return what would keep all trainers busy; None before the first measured step."""
-        steps = [forecast.step_seconds for forecast in self.desk.forecasts.values()]
+        steps = [forecast.step_seconds for forecast in self.batch_manager.forecasts.values()]
         rate = sum(self.job.batch_size / seconds for seconds in steps if seconds)
         return rate * self._lengths.mean() if rate else None
 
@@ -379,12 +388,16 @@
 
     def idle(self) -> bool:
         """Tell whether nothing is under way (planned stop)."""
-        return not self.desk.committing and len(self.generations) == 0 and not self._settling
+        return (
+            not self.batch_manager.committing and len(self.generations) == 0 and not self._settling
+        )
 
     def stop(self, reason: str) -> None:
         """The lease is gone: end everything that was done under it."""
         detail = f"this coordinator no longer leads the job ({reason})"
-        self.desk.refuse_all(self._context, NoLeaseError(detail=detail, retry_after_seconds=0.5))
+        self.batch_manager.refuse_all(
+            self._context, NoLeaseError(detail=detail, retry_after_seconds=0.5)
+        )
         self.generations.cancel_all(self._context)
 
     def _unit_size(self) -> int:
--- a/src/merlinstand/coordinator/scoring.py
+++ b/src/merlinstand/coordinator/scoring.py
@@ -39,7 +39,7 @@
     in_call: bool = False
 
 
-class ScoringDesk:
+class ScoringManager:
     """Scores the samples of one job; every sample leaves within a bounded time."""
 
     def __init__(self, job: str, random: Random) -> None:
--- a/src/merlinstand/coordinator/supply.py
+++ b/src/merlinstand/coordinator/supply.py
@@ -6,7 +6,7 @@
 from merlinstand.coordinator.context import Context
 from merlinstand.coordinator.forecast import Demand
 from merlinstand.coordinator.generation import Generation
-from merlinstand.coordinator.generations import GenerationDesk
+from merlinstand.coordinator.generations import GenerationManager
 from merlinstand.coordinator.lengths import LengthStatistics
 from merlinstand.coordinator.planning import Supply
 from merlinstand.coordinator.refresh import Restartable
@@ -28,7 +28,7 @@
     def __init__(
         self,
         store: SampleStore,
-        generations: GenerationDesk,
+        generations: GenerationManager,
         lengths: LengthStatistics,
     ) -> None:
         """Read from a job's parts."""
--- a/src/merlinstand/coordinator/workplace.py
+++ b/src/merlinstand/coordinator/work_manager.py
@@ -24,7 +24,7 @@
 LEASE_CHECK_SECONDS = 1.0
 
 
-class Workplace:
+class WorkManager:
     """Creates and ends work as the configuration and the leases say."""
 
     def __init__(self, context: Context, random: Random) -> None:
@@ -192,7 +192,7 @@
     def request_aborted(self, request_id: RequestId) -> None:
         """A trainer went away."""
         for runner in self._runners.values():
-            runner.desk.aborted(request_id)
+            runner.batch_manager.aborted(request_id)
 
     # --- time -----------------------------------------------------------------------
 
--- a/src/merlinstand/gateway/agenda.py
+++ b/src/merlinstand/gateway/agenda.py
@@ -25,7 +25,7 @@
 
 
 AgendaKey = tuple[Due, int]
-"""What to do, and the number of the exchange or lane concerned."""
+"""What to do, and the number of the exchange or pool state concerned."""
 
 
 class Agenda:
--- a/src/merlinstand/gateway/cache_watch.py
+++ b/src/merlinstand/gateway/cache_watch.py
@@ -4,7 +4,7 @@
 
 from merlinstand.common.ids import CallId
 from merlinstand.configuration.objects import PoolKind
-from merlinstand.gateway.lanes import Lanes, PoolLane
+from merlinstand.gateway.pool_states import PoolState, PoolStates
 from merlinstand.gateway.settings import HealthSettings
 from merlinstand.kernel.effects import Effect, SetTimer, StartCall
 from merlinstand.kernel.events import CallFailed, CallResponded
@@ -17,7 +17,7 @@
 class CacheCall(msgspec.Struct, frozen=True):
     """A request for cache events under way."""
 
-    lane: PoolLane
+    pool_state: PoolState
     backend_id: str
     incarnation: int
 
@@ -25,12 +25,12 @@
 class CacheWatch:
     """Asks one engine a tick, in turn: the cost of a gateway does not grow with its engines."""
 
-    def __init__(self, settings: HealthSettings, lanes: Lanes) -> None:
+    def __init__(self, settings: HealthSettings, pool_states: PoolStates) -> None:
         """Start without calls."""
         self._settings = settings
-        self._lanes = lanes
+        self._pool_states = pool_states
         self._calls: dict[CallId, CacheCall] = {}
-        self._turns: list[tuple[PoolLane, str]] = []
+        self._turns: list[tuple[PoolState, str]] = []
         self._number = 0
 
     def start(self, out: list[Effect]) -> None:
@@ -42,18 +42,18 @@
         """Ask the next engine."""
         if not self._turns:
             self._turns = [
-                (lane, backend_id)
-                for lane in self._lanes
-                if lane.pool.kind is PoolKind.ENGINE
-                for backend_id in lane.router.replicas
+                (pool_state, backend_id)
+                for pool_state in self._pool_states
+                if pool_state.pool.kind is PoolKind.ENGINE
+                for backend_id in pool_state.router.replicas
             ]
         interval_seconds = self._settings.cache_event_interval_seconds
         shortest_seconds = 1.0 / self._settings.maximum_status_requests_per_second
         tick_seconds = max(shortest_seconds, interval_seconds / max(1, len(self._turns)))
         out.append(SetTimer(CACHE_TIMER, min(interval_seconds, tick_seconds)))
         if self._turns:
-            lane, backend_id = self._turns.pop()
-            self._ask(lane, backend_id, out)
+            pool_state, backend_id = self._turns.pop()
+            self._ask(pool_state, backend_id, out)
 
     def responded(self, event: CallResponded) -> None:
         """Take in an answer."""
@@ -62,7 +62,7 @@
             return
         decoded = decode_cache_events(event.body)
         if decoded.is_ok():
-            call.lane.router.cache_events_received(
+            call.pool_state.router.cache_events_received(
                 call.backend_id, decoded.unwrap(), call.incarnation
             )
 
@@ -70,13 +70,13 @@
         """A request got no answer: nothing is learnt from that."""
         self._calls.pop(event.call_id, None)
 
-    def _ask(self, lane: PoolLane, backend_id: str, out: list[Effect]) -> None:
-        replica = lane.router.replicas.get(backend_id)
+    def _ask(self, pool_state: PoolState, backend_id: str, out: list[Effect]) -> None:
+        replica = pool_state.router.replicas.get(backend_id)
         if replica is None or replica.status is None:
             return
         self._number += 1
         call_id = CallId(f"cache.{self._number}")
-        self._calls[call_id] = CacheCall(lane, backend_id, replica.status.incarnation)
+        self._calls[call_id] = CacheCall(pool_state, backend_id, replica.status.incarnation)
         out.append(
             StartCall(
                 call_id,
--- a/src/merlinstand/gateway/calls.py
+++ b/src/merlinstand/gateway/calls.py
@@ -110,16 +110,16 @@
 
 def hedge_delay_seconds(exchange: Exchange, settings: RequestSettings, now: float) -> float | None:
     """Return after what time another replica is asked too; None if that is never done."""
-    lane = exchange.lane
+    pool_state = exchange.pool_state
     if (
         settings.hedge_factor <= 0.0
         or exchange.request.kind is not RequestKind.LOOKUP
         or not exchange.request.repeatable
-        or len(lane.router.replicas) < 2
+        or len(pool_state.router.replicas) < 2
     ):
         return None
     delay_seconds = max(
-        settings.shortest_hedge_seconds, settings.hedge_factor * lane.latency.seconds
+        settings.shortest_hedge_seconds, settings.hedge_factor * pool_state.latency.seconds
     )
     return delay_seconds if delay_seconds < exchange.remaining_seconds(now) else None
 
--- a/src/merlinstand/gateway/claim_flow.py
+++ b/src/merlinstand/gateway/claim_flow.py
@@ -61,7 +61,7 @@
             self._concluder.refuse(exchange, self._dispatcher.stale_configuration(now), now, out)
             return
         backend = exchange.backend
-        if backend is not None and exchange.lane.router.is_usable(backend.backend_id):
+        if backend is not None and exchange.pool_state.router.is_usable(backend.backend_id):
             self._dispatcher.call(exchange, backend, now, out)
             return
         self._concluder.release(exchange, CallResult.ABANDONED, now)
@@ -77,7 +77,7 @@
         if taken.recorded == "answer":
             out.append(
                 replayed_answer(
-                    exchange.door_id, request_id, taken.status, taken.content_type, taken.body
+                    exchange.endpoint_id, request_id, taken.status, taken.content_type, taken.body
                 )
             )
             self._concluder.conclude(exchange, Outcome.ANSWER, None, now, out)
--- a/src/merlinstand/gateway/concluder.py
+++ b/src/merlinstand/gateway/concluder.py
@@ -6,8 +6,8 @@
 from merlinstand.gateway.caller_request import RequestKind
 from merlinstand.gateway.claims import Claims, RecordedAnswer
 from merlinstand.gateway.exchange import Exchange, ExchangePhase, ExchangeTable
-from merlinstand.gateway.lanes import PoolLane
 from merlinstand.gateway.outcome import Outcome
+from merlinstand.gateway.pool_states import PoolState
 from merlinstand.gateway.responses import answer, refusal
 from merlinstand.kernel.effects import CancelCall, CountMetric, Effect, LogEvent
 from merlinstand.kernel.events import CallResponded
@@ -28,15 +28,15 @@
         self._admission = admission
         self._claims = claims
         self._counters: dict[tuple[str, str], CountMetric] = {}
-        self._freed_lanes: dict[int, PoolLane] = {}
+        self._freed_pools: dict[int, PoolState] = {}
 
-    def take_freed_lanes(self) -> list[PoolLane]:
-        """Return lanes where a place became free since the last call."""
-        if not self._freed_lanes:
+    def take_freed_pools(self) -> list[PoolState]:
+        """Return pool states where a place became free since the last call."""
+        if not self._freed_pools:
             return []
-        lanes = list(self._freed_lanes.values())
-        self._freed_lanes.clear()
-        return lanes
+        pool_states = list(self._freed_pools.values())
+        self._freed_pools.clear()
+        return pool_states
 
     def release(
         self,
@@ -53,16 +53,16 @@
         if backend is None:
             return
         exchange.backend = None
-        lane = exchange.lane
-        lane.router.call_finished(
+        pool_state = exchange.pool_state
+        pool_state.router.call_finished(
             backend.backend_id,
             result,
             now,
             retry_after_seconds=retry_after_seconds,
             leaving=leaving,
         )
-        if len(lane.queue):
-            self._freed_lanes[lane.number] = lane
+        if len(pool_state.queue):
+            self._freed_pools[pool_state.number] = pool_state
 
     def pass_on(
         self,
@@ -77,7 +77,7 @@
             request_id = exchange.request.request_id
             out.append(
                 answer(
-                    exchange.door_id,
+                    exchange.endpoint_id,
                     request_id,
                     backend_id,
                     event.status,
@@ -115,7 +115,7 @@
     ) -> None:
         """Answer the caller with an error, whether or not the exchange goes on."""
         if not exchange.client_gone:
-            out.append(refusal(exchange.door_id, exchange.request.request_id, error, outcome))
+            out.append(refusal(exchange.endpoint_id, exchange.request.request_id, error, outcome))
         out.append(
             LogEvent(
                 "request.refused" if outcome is Outcome.NOT_RUN else "request.unknown",
@@ -143,7 +143,7 @@
             return
         number = exchange.number
         if exchange.phase is ExchangePhase.QUEUED:
-            exchange.lane.queue.remove(number)
+            exchange.pool_state.queue.remove(number)
             self._agenda.cancel((Due.QUEUE_WAIT, number))
         elif exchange.phase is ExchangePhase.SEARCHING:
             self._agenda.cancel((Due.TRY_AGAIN, number))
@@ -156,7 +156,7 @@
         request = exchange.request
         unused_cost = 0.0
         if outcome is Outcome.ANSWER:
-            exchange.lane.rate.completed(request.cost, now)
+            exchange.pool_state.rate.completed(request.cost, now)
             unused_cost = _unused_cost(exchange)
         elif outcome is Outcome.NOT_RUN:
             unused_cost = request.cost
@@ -176,10 +176,10 @@
         exchange.parked = None
         self._table.parked_call_ended(parked)
         out.append(CancelCall(parked.call_id))
-        lane = exchange.lane
-        lane.router.call_finished(parked.backend.backend_id, result, now)
-        if len(lane.queue):
-            self._freed_lanes[lane.number] = lane
+        pool_state = exchange.pool_state
+        pool_state.router.call_finished(parked.backend.backend_id, result, now)
+        if len(pool_state.queue):
+            self._freed_pools[pool_state.number] = pool_state
 
     def count(self, exchange: Exchange, outcome: Outcome, out: list[Effect]) -> None:
         """Count what a caller was told, once."""
--- a/src/merlinstand/gateway/daemon.py
+++ b/src/merlinstand/gateway/daemon.py
@@ -10,14 +10,14 @@
 from merlinstand.gateway.claims import Claims
 from merlinstand.gateway.concluder import Concluder
 from merlinstand.gateway.dispatcher import Dispatcher
-from merlinstand.gateway.door import Door
+from merlinstand.gateway.endpoint import Endpoint
 from merlinstand.gateway.exchange import Exchange, ExchangeTable
 from merlinstand.gateway.health import MACHINES_TIMER, STATUS_TIMER, Health
 from merlinstand.gateway.hedging import Hedging
 from merlinstand.gateway.interruptions import Interruptions
-from merlinstand.gateway.lanes import Lanes
 from merlinstand.gateway.loop_delay import LoopDelay
 from merlinstand.gateway.planned_stop import PlannedStop
+from merlinstand.gateway.pool_states import PoolStates
 from merlinstand.gateway.proxying import Proxying
 from merlinstand.gateway.retries import Retries
 from merlinstand.gateway.settings import GatewaySettings
@@ -91,14 +91,19 @@
         self._proxying = Proxying(settings.requests, self._retries, self._concluder)
         self._streaming = Streaming(settings.requests, self._retries, self._concluder)
         self._random = Random(0)
-        self._lanes = Lanes(settings, self._random)
-        self._health = Health(settings.health, settings.machine_list_address, self._lanes)
-        self._cache_watch = CacheWatch(settings.health, self._lanes)
-        self._door = Door(
-            settings, self._session, self._lanes, self._admission, self._claims, self._dispatcher
+        self._pool_states = PoolStates(settings, self._random)
+        self._health = Health(settings.health, settings.machine_list_address, self._pool_states)
+        self._cache_watch = CacheWatch(settings.health, self._pool_states)
+        self._endpoint = Endpoint(
+            settings,
+            self._session,
+            self._pool_states,
+            self._admission,
+            self._claims,
+            self._dispatcher,
         )
         self._planned_stop = PlannedStop(
-            settings.stop, self._session, self._table, self._claims, self._door
+            settings.stop, self._session, self._table, self._claims, self._endpoint
         )
 
     @property
@@ -130,9 +135,9 @@
                 return out
         else:
             self._route(event, now, out)
-        for lane in self._concluder.take_freed_lanes():
-            self._dispatcher.pump(lane, now, out)
-        if self._door.stopping:
+        for pool_state in self._concluder.take_freed_pools():
+            self._dispatcher.pump(pool_state, now, out)
+        if self._endpoint.stopping:
             self._planned_stop.stop_if_drained(now, out)
         self._agenda.arm(now, out)
         return out
@@ -142,11 +147,11 @@
     def _route(self, event: Event, now: float, out: list[Effect]) -> None:
         match event:
             case RequestReceived():
-                self._door.receive(event, now, out)
+                self._endpoint.receive(event, now, out)
             case CallResponded() | CallHeaders() | CallEnded() | CallFailed():
                 self._route_call(event, now, out)
             case RequestAborted():
-                exchange = self._table.by_door.get(event.request_id)
+                exchange = self._table.by_endpoint.get(event.request_id)
                 if exchange is not None:
                     self._interruptions.client_left(exchange, now, out)
             case StopRequested():
@@ -190,9 +195,9 @@
         """A call that carries no caller's request; late events of ended ones fall through."""
         if isinstance(event, CallResponded):
             self._cache_watch.responded(event)
-            lane = self._health.responded(event, now)
-            if lane is not None and len(lane.queue):
-                self._dispatcher.pump(lane, now, out)
+            pool_state = self._health.responded(event, now)
+            if pool_state is not None and len(pool_state.queue):
+                self._dispatcher.pump(pool_state, now, out)
         elif isinstance(event, CallFailed):
             self._cache_watch.failed(event)
             self._health.failed(event)
@@ -216,9 +221,9 @@
 
     def _due(self, due: Due, number: int, now: float, out: list[Effect]) -> None:
         if due is Due.PUMP:
-            lane = self._lanes.numbered(number)
-            if lane is not None:
-                self._dispatcher.pump(lane, now, out)
+            pool_state = self._pool_states.numbered(number)
+            if pool_state is not None:
+                self._dispatcher.pump(pool_state, now, out)
             return
         exchange = self._table.by_number.get(number)
         if exchange is None:
@@ -249,7 +254,7 @@
 
     def _follow_configuration(self, now: float, out: list[Effect]) -> None:
         view = self._session.view
-        self._lanes.configure(view)
+        self._pool_states.configure(view)
         self._admission.rate_limits.configure(view.limits)
         self._health.ask_new(now, out)
 
--- a/src/merlinstand/gateway/dispatcher.py
+++ b/src/merlinstand/gateway/dispatcher.py
@@ -22,7 +22,7 @@
     OverloadedError,
 )
 from merlinstand.gateway.exchange import Exchange, ExchangePhase, ExchangeTable
-from merlinstand.gateway.lanes import PoolLane
+from merlinstand.gateway.pool_states import PoolState
 from merlinstand.gateway.settings import GatewaySettings
 from merlinstand.gateway.stream_progress import StreamProgress
 from merlinstand.kernel.effects import Effect, StartCall
@@ -62,27 +62,27 @@
         """Take in an admitted request: dispatch, queue or refuse it at once."""
         self._table.add(exchange)
         self._agenda.set((Due.DEADLINE, exchange.number), exchange.deadline_at)
-        lane = exchange.lane
-        lane.router.retry_budget.first_try(now)
-        lane.hedge_budget.first_try(now)
-        if len(lane.queue):
+        pool_state = exchange.pool_state
+        pool_state.router.retry_budget.first_try(now)
+        pool_state.hedge_budget.first_try(now)
+        if len(pool_state.queue):
             self._enqueue(exchange, now, out)
             return
         error = self.dispatch(exchange, now, out)
         if isinstance(error, PoolBusyError):
             self._enqueue(exchange, now, out)
-            self._pump_later(lane, error, now)
+            self._pump_later(pool_state, error, now)
         elif error is not None:
             self._concluder.refuse(exchange, error, now, out)
 
     def _enqueue(self, exchange: Exchange, now: float, out: list[Effect]) -> None:
-        lane, request, weight = exchange.lane, exchange.request, exchange.buckets.weight
+        pool_state, request, weight = exchange.pool_state, exchange.request, exchange.buckets.weight
         longest_seconds = self._longest_wait_seconds(exchange, now)
-        expected_seconds = lane.expected_wait_seconds(request.caller, weight, now)
+        expected_seconds = pool_state.expected_wait_seconds(request.caller, weight, now)
         if expected_seconds > longest_seconds:
             self._concluder.refuse(exchange, overloaded(expected_seconds), now, out)
             return
-        accepted, evicted = lane.queue.push(
+        accepted, evicted = pool_state.queue.push(
             exchange.number, exchange, request.caller, weight, request.cost
         )
         if evicted is not None:
@@ -109,13 +109,13 @@
         if not self._session.may_take_new_work(now):
             # The configuration may have been replaced: a back end in it may be drained.
             return self.stale_configuration(now)
-        chosen = exchange.lane.router.choose(
+        chosen = exchange.pool_state.router.choose(
             now, exclude=exchange.tried, affinity=exchange.request.affinity
         )
         if chosen.is_err():
             return chosen.unwrap_err()
         backend = chosen.unwrap()
-        exchange.lane.router.call_started(backend.backend_id, now)
+        exchange.pool_state.router.call_started(backend.backend_id, now)
         exchange.backend = backend
         if exchange.request.repeatable or exchange.claim is not None:
             self.call(exchange, backend, now, out)
@@ -175,26 +175,26 @@
 
     # Queues ---------------------------------------------------------------------------
 
-    def pump(self, lane: PoolLane, now: float, out: list[Effect]) -> None:
-        """Dispatch waiting requests of a lane while there are free places."""
-        while len(lane.queue) and lane.router.free_room() > 0:
-            exchange = lane.queue.peek()
+    def pump(self, pool_state: PoolState, now: float, out: list[Effect]) -> None:
+        """Dispatch waiting requests of a pool state while there are free places."""
+        while len(pool_state.queue) and pool_state.router.free_room() > 0:
+            exchange = pool_state.queue.peek()
             if exchange is None:
                 return
             error = self.dispatch(exchange, now, out)
             if isinstance(error, PoolBusyError):
-                self._pump_later(lane, error, now)
+                self._pump_later(pool_state, error, now)
                 return
             if error is not None:
                 self._concluder.refuse(exchange, error, now, out)
                 continue
             # Taken out as served, not removed: the queue's virtual time goes on with it.
-            lane.queue.pop()
+            pool_state.queue.pop()
             self._agenda.cancel((Due.QUEUE_WAIT, exchange.number))
 
-    def _pump_later(self, lane: PoolLane, error: PoolBusyError, now: float) -> None:
+    def _pump_later(self, pool_state: PoolState, error: PoolBusyError, now: float) -> None:
         wait_seconds = max(MINIMUM_RETRY_AFTER_SECONDS, error.retry_after_seconds or 0.0)
-        self._agenda.set((Due.PUMP, lane.number), now + wait_seconds)
+        self._agenda.set((Due.PUMP, pool_state.number), now + wait_seconds)
 
 
 def overloaded(expected_seconds: float) -> OverloadedError:
--- a/src/merlinstand/gateway/door.py
+++ b/src/merlinstand/gateway/endpoint.py
@@ -1,4 +1,4 @@
-"""The door: health checks, and what is refused before a request becomes an exchange."""
+"""The endpoint: health checks, and what is refused before a request becomes an exchange."""
 
 from result import Err
 
@@ -10,8 +10,8 @@
 from merlinstand.gateway.dispatcher import Dispatcher
 from merlinstand.gateway.errors import ClaimUnavailableError, KeyReusedError, UnknownPoolError
 from merlinstand.gateway.exchange import Exchange
-from merlinstand.gateway.lanes import Lanes
 from merlinstand.gateway.outcome import Outcome
+from merlinstand.gateway.pool_states import PoolStates
 from merlinstand.gateway.request_parser import (
     RequestHead,
     check_size,
@@ -29,14 +29,14 @@
 HEALTHY_BODY = b'{"status":"ok"}'
 
 
-class Door:
+class Endpoint:
     """Checks requests in the order of cost, cheapest first."""
 
     def __init__(
         self,
         settings: GatewaySettings,
         session: ControlSession,
-        lanes: Lanes,
+        pool_states: PoolStates,
         admission: Admission,
         claims: Claims,
         dispatcher: Dispatcher,
@@ -44,7 +44,7 @@
         """Join the parts."""
         self._settings = settings
         self._session = session
-        self._lanes = lanes
+        self._pool_states = pool_states
         self._admission = admission
         self._claims = claims
         self._dispatcher = dispatcher
@@ -88,8 +88,8 @@
     ) -> None:
         if request.idempotency_key and self._refuse_twin(event, request, out):
             return
-        lane = self._lanes.get(request.pool.name)
-        if lane is None:
+        pool_state = self._pool_states.get(request.pool.name)
+        if pool_state is None:
             error: MerlinstandError = UnknownPoolError(detail="no such pool")
             self._refuse(event, request.request_id, error, Outcome.NOT_RUN, out)
             return
@@ -97,7 +97,9 @@
         if isinstance(admitted, Err):
             self._refuse(event, request.request_id, admitted.err_value, Outcome.NOT_RUN, out)
             return
-        exchange = Exchange(self._number, event.request_id, request, lane, admitted.ok_value, now)
+        exchange = Exchange(
+            self._number, event.request_id, request, pool_state, admitted.ok_value, now
+        )
         self._dispatcher.submit(exchange, now, out)
 
     def _refuse_early(
--- a/src/merlinstand/gateway/exchange.py
+++ b/src/merlinstand/gateway/exchange.py
@@ -6,7 +6,7 @@
 from merlinstand.common.ids import CallId, RequestId
 from merlinstand.configuration.objects import Backend
 from merlinstand.gateway.caller_request import CallerRequest
-from merlinstand.gateway.lanes import PoolLane
+from merlinstand.gateway.pool_states import PoolState
 from merlinstand.gateway.rate_limits import CallerBuckets
 from merlinstand.gateway.stream_progress import StreamProgress
 
@@ -66,14 +66,14 @@
         "claim",
         "client_gone",
         "deadline_at",
-        "door_id",
+        "endpoint_id",
         "held_answer",
-        "lane",
         "last_error",
         "maybe_ran",
         "number",
         "parked",
         "phase",
+        "pool_state",
         "progress",
         "request",
         "search_until",
@@ -85,18 +85,18 @@
     def __init__(
         self,
         number: int,
-        door_id: RequestId,
+        endpoint_id: RequestId,
         request: CallerRequest,
-        lane: PoolLane,
+        pool_state: PoolState,
         buckets: CallerBuckets,
         now: float,
     ) -> None:
         """Make an exchange that has just arrived."""
         self.number = number
-        self.door_id = door_id
+        self.endpoint_id = endpoint_id
         """The host's name of the request."""
         self.request = request
-        self.lane = lane
+        self.pool_state = pool_state
         self.buckets = buckets
         self.arrived_at = now
         self.deadline_at = now + request.deadline_seconds
@@ -163,7 +163,7 @@
     def __init__(self) -> None:
         """Make an empty table."""
         self.by_number: dict[int, Exchange] = {}
-        self.by_door: dict[RequestId, Exchange] = {}
+        self.by_endpoint: dict[RequestId, Exchange] = {}
         self.by_call: dict[CallId, Exchange] = {}
 
     def __len__(self) -> int:
@@ -173,12 +173,12 @@
     def add(self, exchange: Exchange) -> None:
         """Take an exchange in."""
         self.by_number[exchange.number] = exchange
-        self.by_door[exchange.door_id] = exchange
+        self.by_endpoint[exchange.endpoint_id] = exchange
 
     def remove(self, exchange: Exchange) -> None:
         """Forget an exchange."""
         self.by_number.pop(exchange.number, None)
-        self.by_door.pop(exchange.door_id, None)
+        self.by_endpoint.pop(exchange.endpoint_id, None)
         self.call_ended(exchange)
 
     def call_began(self, exchange: Exchange, call_id: CallId) -> None:
--- a/src/merlinstand/gateway/health.py
+++ b/src/merlinstand/gateway/health.py
@@ -8,7 +8,7 @@
 
 from merlinstand.common.ids import CallId
 from merlinstand.configuration.objects import PoolKind
-from merlinstand.gateway.lanes import Lanes, PoolLane
+from merlinstand.gateway.pool_states import PoolState, PoolStates
 from merlinstand.gateway.settings import HealthSettings
 from merlinstand.kernel.effects import Effect, SetTimer, StartCall
 from merlinstand.kernel.events import CallFailed, CallResponded
@@ -30,7 +30,7 @@
 class StatusCall(msgspec.Struct, frozen=True):
     """A status request under way."""
 
-    lane: PoolLane
+    pool_state: PoolState
     backend_id: str
     asked_at: float
 
@@ -38,14 +38,16 @@
 class Health:
     """Keeps routers informed about their replicas."""
 
-    def __init__(self, settings: HealthSettings, machine_list_address: str, lanes: Lanes) -> None:
+    def __init__(
+        self, settings: HealthSettings, machine_list_address: str, pool_states: PoolStates
+    ) -> None:
         """Start without calls."""
         self._settings = settings
         self._machine_list_address = machine_list_address
-        self._lanes = lanes
+        self._pool_states = pool_states
         self._calls: dict[CallId, StatusCall] = {}
         self._asked: set[tuple[int, str]] = set()
-        self._turns: list[tuple[PoolLane, str]] = []
+        self._turns: list[tuple[PoolState, str]] = []
         """Replicas not yet asked in this round."""
         self._owed = 0.0
         """Fraction of a status request carried over to the next tick."""
@@ -64,10 +66,10 @@
         if self._machines is not None:
             # It may have come before the replicas that it names were configured.
             self._pass_on_machines(self._machines)
-        for lane in self._lanes:
-            for backend_id, replica in lane.router.replicas.items():
+        for pool_state in self._pool_states:
+            for backend_id, replica in pool_state.router.replicas.items():
                 if replica.status is None and not replica.unanswered_statuses:
-                    self._ask(lane, backend_id, now, out)
+                    self._ask(pool_state, backend_id, now, out)
 
     # Timers ---------------------------------------------------------------------------
 
@@ -75,7 +77,7 @@
         """Ask the next few replicas; return the time to the next tick."""
         tick_seconds = self._settings.status_interval_seconds / TICKS_PER_INTERVAL
         out.append(SetTimer(STATUS_TIMER, tick_seconds))
-        count = sum(len(lane.router.replicas) for lane in self._lanes)
+        count = sum(len(pool_state.router.replicas) for pool_state in self._pool_states)
         per_second = min(
             count / self._settings.status_interval_seconds,
             self._settings.maximum_status_requests_per_second,
@@ -88,8 +90,8 @@
                 self._begin_round()
             if not self._turns:
                 break
-            lane, backend_id = self._turns.pop()
-            self._ask(lane, backend_id, now, out)
+            pool_state, backend_id = self._turns.pop()
+            self._ask(pool_state, backend_id, now, out)
         return tick_seconds
 
     def machines_tick(self, out: list[Effect]) -> None:
@@ -109,19 +111,19 @@
 
     # Answers --------------------------------------------------------------------------
 
-    def responded(self, event: CallResponded, now: float) -> PoolLane | None:
-        """Take in an answer; return the lane it concerns, if its replicas may take more."""
+    def responded(self, event: CallResponded, now: float) -> PoolState | None:
+        """Take in an answer; return the pool state it concerns, if its replicas may take more."""
         if event.call_id == MACHINES_CALL:
             self._machines_answered(event)
             return None
         call = self._finished(event.call_id)
         if call is None:
             return None
-        router = call.lane.router
+        router = call.pool_state.router
         if event.status != 200:
             router.status_unanswered(call.backend_id)
             return None
-        if call.lane.pool.kind is PoolKind.ENGINE:
+        if call.pool_state.pool.kind is PoolKind.ENGINE:
             engine = decode_engine_status(event.body)
             if engine.is_err():
                 router.status_unanswered(call.backend_id)
@@ -133,29 +135,31 @@
                 router.status_unanswered(call.backend_id)
                 return None
             router.status_received(call.backend_id, service.unwrap(), call.asked_at, now)
-        return call.lane
+        return call.pool_state
 
     def failed(self, event: CallFailed) -> None:
         """A status request got no answer. A silent machine list says nothing."""
         call = self._finished(event.call_id)
         if call is not None:
-            call.lane.router.status_unanswered(call.backend_id)
+            call.pool_state.router.status_unanswered(call.backend_id)
 
     # Details --------------------------------------------------------------------------
 
     def _begin_round(self) -> None:
         self._turns = [
-            (lane, backend_id) for lane in self._lanes for backend_id in lane.router.replicas
+            (pool_state, backend_id)
+            for pool_state in self._pool_states
+            for backend_id in pool_state.router.replicas
         ]
 
-    def _ask(self, lane: PoolLane, backend_id: str, now: float, out: list[Effect]) -> None:
-        replica = lane.router.replicas.get(backend_id)
-        if replica is None or (lane.number, backend_id) in self._asked:
+    def _ask(self, pool_state: PoolState, backend_id: str, now: float, out: list[Effect]) -> None:
+        replica = pool_state.router.replicas.get(backend_id)
+        if replica is None or (pool_state.number, backend_id) in self._asked:
             return
         self._number += 1
         call_id = CallId(f"status.{self._number}")
-        self._calls[call_id] = StatusCall(lane, backend_id, now)
-        self._asked.add((lane.number, backend_id))
+        self._calls[call_id] = StatusCall(pool_state, backend_id, now)
+        self._asked.add((pool_state.number, backend_id))
         out.append(
             StartCall(
                 call_id,
@@ -171,7 +175,7 @@
     def _finished(self, call_id: CallId) -> StatusCall | None:
         call = self._calls.pop(call_id, None)
         if call is not None:
-            self._asked.discard((call.lane.number, call.backend_id))
+            self._asked.discard((call.pool_state.number, call.backend_id))
         return call
 
     def _machines_answered(self, event: CallResponded) -> None:
@@ -183,5 +187,5 @@
             self._pass_on_machines(self._machines)
 
     def _pass_on_machines(self, machines: MachineList) -> None:
-        for lane in self._lanes:
-            lane.router.machines_received(machines)
+        for pool_state in self._pool_states:
+            pool_state.router.machines_received(machines)
--- a/src/merlinstand/gateway/hedging.py
+++ b/src/merlinstand/gateway/hedging.py
@@ -22,11 +22,11 @@
 
     def due(self, exchange: Exchange, now: float, out: list[Effect]) -> None:
         """A lookup has waited longer than nearly all others do."""
-        lane = exchange.lane
+        pool_state = exchange.pool_state
         if exchange.phase is not ExchangePhase.CALLING or exchange.parked is not None:
             return
         # Where requests queue, places are better used for those that have none.
-        if len(lane.queue) or not lane.hedge_budget.take(now):
+        if len(pool_state.queue) or not pool_state.hedge_budget.take(now):
             return
         exchange.park_call()
         if self._dispatcher.dispatch(exchange, now, out) is None:
--- a/src/merlinstand/gateway/interruptions.py
+++ b/src/merlinstand/gateway/interruptions.py
@@ -62,7 +62,7 @@
         progress = exchange.progress
         if progress is not None and progress.started:
             if not exchange.client_gone:
-                out.append(RespondEnd(exchange.door_id, whole=False))
+                out.append(RespondEnd(exchange.endpoint_id, whole=False))
             self._concluder.count(exchange, Outcome.UNKNOWN, out)
         else:
             error = OutcomeUnknownError(detail="the deadline passed")
@@ -74,7 +74,7 @@
     def waited_enough(self, exchange: Exchange, now: float, out: list[Effect]) -> None:
         """A request has waited in its queue as long as it may."""
         if exchange.phase is ExchangePhase.QUEUED:
-            expected_seconds = exchange.lane.expected_wait_seconds(
+            expected_seconds = exchange.pool_state.expected_wait_seconds(
                 exchange.request.caller, exchange.buckets.weight, now
             )
             self._concluder.refuse(exchange, overloaded(expected_seconds), now, out)
--- a/src/merlinstand/gateway/planned_stop.py
+++ b/src/merlinstand/gateway/planned_stop.py
@@ -1,7 +1,7 @@
 """A planned stop: refuse what is new, finish what is in flight, record the last outcomes, end."""
 
 from merlinstand.gateway.claims import Claims
-from merlinstand.gateway.door import Door
+from merlinstand.gateway.endpoint import Endpoint
 from merlinstand.gateway.exchange import ExchangeTable
 from merlinstand.gateway.settings import StopSettings
 from merlinstand.kernel.effects import Effect, LogEvent, SetTimer, StopProcess
@@ -20,14 +20,14 @@
         session: ControlSession,
         table: ExchangeTable,
         claims: Claims,
-        door: Door,
+        endpoint: Endpoint,
     ) -> None:
         """Join the parts."""
         self._settings = settings
         self._session = session
         self._table = table
         self._claims = claims
-        self._door = door
+        self._endpoint = endpoint
         self._grace_over = False
         self._patience_timer_set = False
         self._patience_over = False
@@ -35,9 +35,9 @@
 
     def begin(self, out: list[Effect]) -> None:
         """Refuse new requests from now on."""
-        if self._door.stopping:
+        if self._endpoint.stopping:
             return
-        self._door.stopping = True
+        self._endpoint.stopping = True
         # Requests sent before the stop may still be on their way: ending now would reset them,
         # and their callers could not know whether they ran.
         out.append(SetTimer(GRACE_TIMER, self._settings.grace_seconds))
--- a/src/merlinstand/gateway/lanes.py
+++ b/src/merlinstand/gateway/pool_states.py
@@ -1,4 +1,4 @@
-"""One pool's lane through the gateway: its router, its queue, its speed."""
+"""The state of one pool in a gateway: its router, its queue, its speed."""
 
 import math
 from collections.abc import Iterator, Mapping
@@ -57,7 +57,7 @@
         self._updated_at = now
 
 
-class PoolLane:
+class PoolState:
     """One pool as this gateway serves it."""
 
     __slots__ = ("hedge_budget", "latency", "number", "pool", "queue", "rate", "router")
@@ -65,7 +65,7 @@
     def __init__(
         self, number: int, pool: Pool, router: PoolRouter, settings: GatewaySettings
     ) -> None:
-        """Make a lane with an empty queue."""
+        """Begin with an empty queue."""
         admission = settings.admission
         self.number = number
         self.pool = pool
@@ -87,53 +87,53 @@
         return self.queue.work_ahead(caller, weight) / rate
 
 
-class Lanes:
-    """All lanes, following the configuration."""
+class PoolStates:
+    """The state of every pool, following the configuration."""
 
     def __init__(self, settings: GatewaySettings, random: Random) -> None:
         """Start without pools."""
         self._settings = settings
         self._random = random
-        self._lanes: dict[str, PoolLane] = {}
-        self._by_number: dict[int, PoolLane] = {}
+        self._pool_states: dict[str, PoolState] = {}
+        self._by_number: dict[int, PoolState] = {}
         self._next_number = 0
 
-    def __iter__(self) -> Iterator[PoolLane]:
-        """Iterate over lanes of configured pools."""
-        return iter(self._lanes.values())
+    def __iter__(self) -> Iterator[PoolState]:
+        """Iterate over pool states of configured pools."""
+        return iter(self._pool_states.values())
 
-    def get(self, pool_name: str) -> PoolLane | None:
-        """Return a pool's lane."""
-        return self._lanes.get(pool_name)
+    def get(self, pool_name: str) -> PoolState | None:
+        """Return the state of a pool."""
+        return self._pool_states.get(pool_name)
 
-    def numbered(self, number: int) -> PoolLane | None:
-        """Return a lane by number."""
+    def numbered(self, number: int) -> PoolState | None:
+        """Return a pool state by number."""
         return self._by_number.get(number)
 
     def configure(self, view: ConfigurationView) -> None:
         """Follow the configuration.
 
-        A deleted pool's lane leaves the table; exchanges inside keep it until they end, and its
-        router, configured empty, chooses nobody any more.
+        A deleted pool's state leaves the table; exchanges inside keep it until they end, and
+        its router, configured empty, chooses nobody any more.
         """
         peers = gateways_by_zone(view.daemons)
-        for name in [name for name in self._lanes if name not in view.pools]:
-            lane = self._lanes.pop(name)
-            del self._by_number[lane.number]
-            lane.router.configure(without_backends(lane.pool), view.drains, peers)
+        for name in [name for name in self._pool_states if name not in view.pools]:
+            pool_state = self._pool_states.pop(name)
+            del self._by_number[pool_state.number]
+            pool_state.router.configure(without_backends(pool_state.pool), view.drains, peers)
         for name, pool in view.pools.items():
-            lane = self._lanes.get(name) or self._make(name, pool)
-            lane.pool = pool
-            lane.router.configure(pool, view.drains, peers)
+            pool_state = self._pool_states.get(name) or self._make(name, pool)
+            pool_state.pool = pool
+            pool_state.router.configure(pool, view.drains, peers)
 
-    def _make(self, name: str, pool: Pool) -> PoolLane:
+    def _make(self, name: str, pool: Pool) -> PoolState:
         settings = self._settings
         router = PoolRouter(settings.node_id, settings.zone, self._random, settings.routing)
         self._next_number += 1
-        lane = PoolLane(self._next_number, pool, router, settings)
-        self._lanes[name] = lane
-        self._by_number[lane.number] = lane
-        return lane
+        pool_state = PoolState(self._next_number, pool, router, settings)
+        self._pool_states[name] = pool_state
+        self._by_number[pool_state.number] = pool_state
+        return pool_state
 
 
 def gateways_by_zone(daemons: Mapping[str, Daemon]) -> dict[str, list[str]]:
--- a/src/merlinstand/gateway/proxying.py
+++ b/src/merlinstand/gateway/proxying.py
@@ -37,7 +37,7 @@
             return
         result = CallResult.FAILURE if event.status >= 500 else CallResult.SUCCESS
         if exchange.request.repeatable:
-            exchange.lane.latency.answered(now - exchange.call_sent_at)
+            exchange.pool_state.latency.answered(now - exchange.call_sent_at)
         self._concluder.release(exchange, result, now)
         self._concluder.pass_on(exchange, backend_id, event, now, out)
 
--- a/src/merlinstand/gateway/request_parser.py
+++ b/src/merlinstand/gateway/request_parser.py
@@ -1,4 +1,4 @@
-"""Checks a request at the door and types it. Whatever is wrong costs nobody else anything."""
+"""Checks a request at the endpoint and types it. Whatever is wrong costs nobody else anything."""
 
 import math
 from collections.abc import Mapping
--- a/src/merlinstand/gateway/responses.py
+++ b/src/merlinstand/gateway/responses.py
@@ -34,7 +34,7 @@
 
 
 def refusal(
-    door_id: RequestId, request_id: str, error: MerlinstandError, outcome: Outcome
+    endpoint_id: RequestId, request_id: str, error: MerlinstandError, outcome: Outcome
 ) -> Respond:
     """Answer with an error and an outcome other than `ANSWER`."""
     headers = {
@@ -44,11 +44,11 @@
     }
     if error.retry_after_seconds is not None:
         headers[RETRY_AFTER_HEADER] = retry_after_value(error.retry_after_seconds)
-    return Respond(door_id, type(error).http_status, headers, error_body(error))
+    return Respond(endpoint_id, type(error).http_status, headers, error_body(error))
 
 
 def answer(
-    door_id: RequestId,
+    endpoint_id: RequestId,
     request_id: str,
     backend_id: str,
     status: int,
@@ -60,11 +60,11 @@
     headers[REQUEST_ID_HEADER] = request_id
     headers[OUTCOME_HEADER] = Outcome.ANSWER.value
     headers[ANSWERED_BY_HEADER] = backend_id
-    return Respond(door_id, status, headers, body)
+    return Respond(endpoint_id, status, headers, body)
 
 
 def replayed_answer(
-    door_id: RequestId, request_id: str, status: int, content_type: str, body: bytes
+    endpoint_id: RequestId, request_id: str, status: int, content_type: str, body: bytes
 ) -> Respond:
     """Answer a twin with what was recorded for its key."""
     headers = {
@@ -74,10 +74,10 @@
         ANSWERED_BY_HEADER: RECORD_NAME,
         REPLAYED_HEADER: "true",
     }
-    return Respond(door_id, status, headers, body)
+    return Respond(endpoint_id, status, headers, body)
 
 
-def stream_start(door_id: RequestId, request_id: str, backend_id: str) -> RespondStart:
+def stream_start(endpoint_id: RequestId, request_id: str, backend_id: str) -> RespondStart:
     """Begin a relayed stream."""
     headers = {
         "content-type": EVENT_STREAM_TYPE,
@@ -86,10 +86,12 @@
         OUTCOME_HEADER: Outcome.ANSWER.value,
         ANSWERED_BY_HEADER: backend_id,
     }
-    return RespondStart(door_id, 200, headers)
+    return RespondStart(endpoint_id, 200, headers)
 
 
-def completion_answer(door_id: RequestId, backend_id: str, completion: CompletionAnswer) -> Respond:
+def completion_answer(
+    endpoint_id: RequestId, backend_id: str, completion: CompletionAnswer
+) -> Respond:
     """Answer a whole completion."""
     headers = {
         "content-type": JSON_TYPE,
@@ -97,4 +99,4 @@
         OUTCOME_HEADER: Outcome.ANSWER.value,
         ANSWERED_BY_HEADER: backend_id,
     }
-    return Respond(door_id, 200, headers, msgspec.json.encode(completion))
+    return Respond(endpoint_id, 200, headers, msgspec.json.encode(completion))
--- a/src/merlinstand/gateway/retries.py
+++ b/src/merlinstand/gateway/retries.py
@@ -70,7 +70,7 @@
         if progress is not None and progress.position > 0 and exchange.tries <= 1:
             # Tokens arrived since the last try: going on repeats no work.
             return True
-        return exchange.lane.router.retry_budget.take(now)
+        return exchange.pool_state.router.retry_budget.take(now)
 
     def _may_search(self, exchange: Exchange, now: float) -> bool:
         """Tell whether a begun generation may wait for an engine; patience ends without tokens."""
@@ -130,6 +130,6 @@
         if progress is None or not progress.started:
             return False
         if not exchange.client_gone:
-            out.append(RespondEnd(exchange.door_id, whole=False))
+            out.append(RespondEnd(exchange.endpoint_id, whole=False))
         self._concluder.conclude(exchange, Outcome.UNKNOWN, None, now, out)
         return True
--- a/src/merlinstand/gateway/streaming.py
+++ b/src/merlinstand/gateway/streaming.py
@@ -71,7 +71,7 @@
         if not exchange.client_gone and exchange.backend is not None:
             out.append(
                 stream_start(
-                    exchange.door_id, exchange.request.request_id, exchange.backend.backend_id
+                    exchange.endpoint_id, exchange.request.request_id, exchange.backend.backend_id
                 )
             )
 
@@ -97,7 +97,7 @@
                 break
         if forwarded and not exchange.client_gone:
             forwarded.append(b"")
-            out.append(RespondChunk(exchange.door_id, EVENT_END.join(forwarded)))
+            out.append(RespondChunk(exchange.endpoint_id, EVENT_END.join(forwarded)))
         if progress.position != position and exchange.tries > 1:
             self._note_progress(exchange)
         if taken is Taken.WHOLE:
@@ -157,8 +157,8 @@
             return
         if not exchange.client_gone and progress.last_event is not None:
             data = progress.last_event + EVENT_END + DONE_EVENT
-            out.append(RespondChunk(exchange.door_id, data))
-            out.append(RespondEnd(exchange.door_id))
+            out.append(RespondChunk(exchange.endpoint_id, data))
+            out.append(RespondEnd(exchange.endpoint_id))
         self._concluder.conclude(exchange, Outcome.ANSWER, None, now, out)
 
     def _answer_whole(
@@ -176,7 +176,7 @@
             tuple(progress.spans),
             progress.finish_reason,
         )
-        response = completion_answer(exchange.door_id, backend_id, completion)
+        response = completion_answer(exchange.endpoint_id, backend_id, completion)
         if not exchange.client_gone:
             out.append(response)
         recorded = RecordedAnswer(response.status, response.body, response.headers["content-type"])
--- a/src/merlinstand/runtime/__init__.py
+++ b/src/merlinstand/runtime/__init__.py
@@ -3,8 +3,9 @@
 `process` runs a daemon, `host` its reducer: events queue up, one is reduced at a time, and
 `performer` hands each effect to the part that performs it.
 
-- Callers' door: `http_server` reads requests (`http_headers`, `http_input`), `http_door` makes
-  them events, `http_exchange` carries the response back, `end_watcher` notices who left.
+- Callers' endpoint: `http_server` reads requests (`http_headers`, `http_input`),
+  `http_endpoint` makes them events, `http_exchange` carries the response back,
+  `end_watcher` notices who left.
 - Calls: `http_client` runs them over connections of `http_connection`.
 - Internal protocol: `transport` receives, `transport_peer` sends, `frames` cuts.
 - Both kinds of connection: `dialing`, `addresses`, `tls`, `watchdog`.
--- a/src/merlinstand/runtime/host.py
+++ b/src/merlinstand/runtime/host.py
@@ -22,8 +22,8 @@
 from merlinstand.runtime.host_settings import HostSettings
 from merlinstand.runtime.http_client import HttpClient
 from merlinstand.runtime.http_connection import ConnectionPool
-from merlinstand.runtime.http_door import HttpDoor
-from merlinstand.runtime.http_server import DoorServer
+from merlinstand.runtime.http_endpoint import HttpEndpoint
+from merlinstand.runtime.http_server import EndpointServer
 from merlinstand.runtime.logs import EventLog
 from merlinstand.runtime.metrics import Metrics
 from merlinstand.runtime.performer import EffectPerformer
@@ -74,7 +74,7 @@
         self._events: deque[Event] = deque()
         self._reducing = False
         self._stopping = LoopEvent()
-        self._server: DoorServer | None = None
+        self._server: EndpointServer | None = None
         contexts = TlsContexts.of(settings.tls)
         if isinstance(contexts, Err):
             raise HostSetupFailedError(contexts.err_value)
@@ -85,7 +85,7 @@
         self.metrics.register(self.transport.counters)
         self._timers = Timers(lambda name: self.submit(TimerFired(name)))
         self._disk: Disk = NoDisk(self.submit)
-        self._door = HttpDoor(self.submit, self.metrics, settings.http_limits)
+        self._endpoint = HttpEndpoint(self.submit, self.metrics, settings.http_limits)
         outbound_tls = self._tls.client if settings.tls and settings.tls.calls else None
         self._pool = ConnectionPool(outbound_tls)
         self._client = HttpClient(self.submit, self._pool)
@@ -95,7 +95,7 @@
 
     @property
     def http_address(self) -> str:
-        """Where the HTTP door listens; empty without one."""
+        """Where the HTTP endpoint listens; empty without one."""
         if self._server is None:
             return ""
         return f"{self._server.server_host}:{self._server.server_port}"
@@ -114,7 +114,7 @@
             timers=self._timers,
             transport=self.transport,
             disk=self._disk,
-            door=self._door,
+            endpoint=self._endpoint,
             client=self._client,
             log=self.log,
             metrics=self.metrics,
@@ -145,7 +145,7 @@
         """Let `wait` return; later events are dropped."""
         if not self._stopping.is_set():
             self.exit_code = exit_code
-            self._door.closing = True
+            self._endpoint.closing = True
             self._stopping.set()
 
     def announce_stop(self) -> None:
@@ -229,13 +229,13 @@
         except (OSError, ValueError) as error:
             raise HostSetupFailedError(HostSetupError(detail=f"can't listen: {error}")) from error
 
-    def _start_server(self) -> DoorServer:
+    def _start_server(self) -> EndpointServer:
         parsed = parse_address(self._settings.http_address)
         if isinstance(parsed, Err):
             raise ValueError(parsed.err_value.detail)
-        server = DoorServer(
+        server = EndpointServer(
             parsed.ok_value.as_pair(),
-            self._door.application,
+            self._endpoint.application,
             self._settings.http_limits,
             self._tls.server,
         )
--- a/src/merlinstand/runtime/http_door.py
+++ b/src/merlinstand/runtime/http_endpoint.py
@@ -21,13 +21,13 @@
 _BODILESS_STATUSES = frozenset((204, 304))
 
 
-class HttpDoor:
+class HttpEndpoint:
     """Keeps the requests that wait for a response."""
 
     def __init__(
         self, submit: Callable[[Event], None], metrics: Metrics, limits: HttpLimits
     ) -> None:
-        """Create a door.
+        """Create an endpoint.
 
         Args:
             submit: Hands an event to the reducer.
--- a/src/merlinstand/runtime/http_exchange.py
+++ b/src/merlinstand/runtime/http_exchange.py
@@ -1,4 +1,4 @@
-"""One HTTP request at the door and the response that effects build for it."""
+"""One HTTP request at the endpoint and the response that effects build for it."""
 
 import errno
 from collections import deque
--- a/src/merlinstand/runtime/http_input.py
+++ b/src/merlinstand/runtime/http_input.py
@@ -11,7 +11,7 @@
 """After so many reads the loop turns, however much the client has sent ahead."""
 
 
-class DoorInput(Input):
+class EndpointInput(Input):
     """A request's body. Unread rests are never awaited: their connection ends instead."""
 
     __slots__ = ()
--- a/src/merlinstand/runtime/http_server.py
+++ b/src/merlinstand/runtime/http_server.py
@@ -17,7 +17,7 @@
 from merlinstand.runtime.errors import SlowRequestError
 from merlinstand.runtime.host_settings import HttpLimits
 from merlinstand.runtime.http_headers import RequestHead, read_request_head
-from merlinstand.runtime.http_input import DoorInput
+from merlinstand.runtime.http_input import EndpointInput
 from merlinstand.runtime.tls import BoundedHandshakeServer
 from merlinstand.runtime.watchdog import Watchdog
 
@@ -32,7 +32,7 @@
 """Bodies up to this size leave in one write with their head."""
 
 
-class DoorServer(BoundedHandshakeServer, WSGIServer):
+class EndpointServer(BoundedHandshakeServer, WSGIServer):
     """Accepts connections up to a bound and serves a WSGI application."""
 
     def __init__(
@@ -58,7 +58,7 @@
             spawn=Pool(limits.maximum_connections),
             log=None,
             error_log=None,
-            handler_class=DoorHandler,
+            handler_class=EndpointHandler,
             environ={"SERVER_NAME": "merlinstand"},
             **tls,
         )
@@ -84,13 +84,13 @@
         super().__init__(errno.EPIPE, "client takes the response too slowly")
 
 
-class DoorHandler(WSGIHandler):
+class EndpointHandler(WSGIHandler):
     """Serves the requests of one connection, one after the other."""
 
-    server: DoorServer
+    server: EndpointServer
     provided_date: str | None
 
-    def __init__(self, connection: Any, address: Any, server: DoorServer) -> None:
+    def __init__(self, connection: Any, address: Any, server: EndpointServer) -> None:
         """Begin on a new connection, in its greenlet."""
         super().__init__(connection, address, server)
         # Otherwise each piece of a stream waits until the client has acknowledged the one
@@ -165,7 +165,7 @@
         environ = self.server.get_environ()
         path, _mark, query = head.target.partition("?")
         expects = head.headers.get("expect", "").lower() == "100-continue"
-        self.wsgi_input = DoorInput(
+        self.wsgi_input = EndpointInput(
             self.rfile,
             head.content_length,
             self.socket if expects else None,
--- a/src/merlinstand/runtime/performer.py
+++ b/src/merlinstand/runtime/performer.py
@@ -6,7 +6,7 @@
 from merlinstand.kernel import effects
 from merlinstand.runtime.disk import Disk
 from merlinstand.runtime.http_client import HttpClient
-from merlinstand.runtime.http_door import HttpDoor
+from merlinstand.runtime.http_endpoint import HttpEndpoint
 from merlinstand.runtime.logs import EventLog
 from merlinstand.runtime.metrics import Metrics
 from merlinstand.runtime.record_writer import RecordWriter
@@ -23,7 +23,7 @@
         timers: Timers,
         transport: Transport,
         disk: Disk,
-        door: HttpDoor,
+        endpoint: HttpEndpoint,
         client: HttpClient,
         log: EventLog,
         metrics: Metrics,
@@ -39,10 +39,10 @@
             effects.LearnAddress: lambda e: transport.learn(e.node_id, e.address),
             effects.AppendRecords: disk.append,
             effects.SaveSnapshot: disk.save_snapshot,
-            effects.Respond: lambda e: door.respond(e.request_id, e.status, e.headers, e.body),
-            effects.RespondStart: lambda e: door.start(e.request_id, e.status, e.headers),
-            effects.RespondChunk: lambda e: door.push(e.request_id, e.data),
-            effects.RespondEnd: lambda e: door.end(e.request_id, e.whole),
+            effects.Respond: lambda e: endpoint.respond(e.request_id, e.status, e.headers, e.body),
+            effects.RespondStart: lambda e: endpoint.start(e.request_id, e.status, e.headers),
+            effects.RespondChunk: lambda e: endpoint.push(e.request_id, e.data),
+            effects.RespondEnd: lambda e: endpoint.end(e.request_id, e.whole),
             effects.StartCall: client.start,
             effects.CancelCall: lambda e: client.cancel(e.call_id),
             effects.LogEvent: lambda e: log.write(e.name, e.fields, e.severity),
--- a/src/merlinstand/runtime/tls.py
+++ b/src/merlinstand/runtime/tls.py
@@ -38,9 +38,9 @@
     """The contexts of one process; all None without TLS."""
 
     server: Any = None
-    """Of the HTTP door: clients need no certificate."""
+    """Of the HTTP endpoint: clients need no certificate."""
     internal: Any = None
-    """Of the internal door: peers show a certificate of the authority."""
+    """Of the internal endpoint: peers show a certificate of the authority."""
     client: Any = None
     """Of connections to peers and, if asked for, to back ends."""
 
--- a/src/merlinstand_lab/capacity/door_bench.py
+++ b/src/merlinstand_lab/capacity/endpoint_bench.py
@@ -26,7 +26,7 @@
 """The limits of callers are not what is measured."""
 
 
-class DoorLoad(msgspec.Struct, frozen=True, kw_only=True):
+class EndpointLoad(msgspec.Struct, frozen=True, kw_only=True):
     """How callers load one gateway."""
 
     pool_kind: PoolKind
@@ -41,7 +41,7 @@
     """Callers go straight to the servers: the cost of the load itself."""
 
 
-class DoorWindow(msgspec.Struct, frozen=True):
+class EndpointWindow(msgspec.Struct, frozen=True):
     """What the gateway used and what callers saw over one window."""
 
     gateway: ProcessCost | None
@@ -57,10 +57,10 @@
     latencies_seconds: tuple[float, ...]
 
 
-class DoorBench:
+class EndpointBench:
     """Control group of one, one gateway, servers and callers; a context manager."""
 
-    def __init__(self, load: DoorLoad, folder: Path) -> None:
+    def __init__(self, load: EndpointLoad, folder: Path) -> None:
         """Start every process."""
         self._load = load
         self._folder = folder
@@ -79,7 +79,7 @@
             server.wait_started()
         self._start_callers(targets)
 
-    def __enter__(self) -> "DoorBench":
+    def __enter__(self) -> "EndpointBench":
         """Return the bench."""
         return self
 
@@ -97,7 +97,7 @@
         if self._control is not None:
             self._control.stop()
 
-    def measure(self, seconds: float) -> DoorWindow:
+    def measure(self, seconds: float) -> EndpointWindow:
         """Let the load run for a while and return what it cost."""
         time.sleep(SETTLE_SECONDS)
         counts_before = self._caller_counts()
@@ -113,7 +113,7 @@
         costs = [cost_between(*pair, elapsed) for pair in zip(before, after, strict=True)]
         callers = len(self._callers)
         servers = costs[callers : callers + len(self._servers)]
-        return DoorWindow(
+        return EndpointWindow(
             gateway=costs[-1] if self._gateway is not None else None,
             server=_sum_costs(servers),
             caller=_sum_costs(costs[:callers]),
@@ -193,7 +193,7 @@
     folder: Path,
     zone_number: int = 0,
 ) -> HostedSpec:
-    """Return the spec of a gateway with an HTTP door."""
+    """Return the spec of a gateway with an HTTP endpoint."""
     settings = GatewaySettings(
         node_id=node_id,
         zone=zone_name(zone_number),
@@ -212,7 +212,7 @@
     return hosted_spec(HostedKind.GATEWAY, host, settings)
 
 
-def _server_spec(number: int, address: str, load: DoorLoad) -> HostedSpec:
+def _server_spec(number: int, address: str, load: EndpointLoad) -> HostedSpec:
     settings = HollowServerSettings(
         node_id=f"server-{number}",
         model=POOL_NAME,
--- a/src/merlinstand_lab/capacity/hollow.py
+++ b/src/merlinstand_lab/capacity/hollow.py
@@ -1,7 +1,7 @@
 """Hosts many reducers in one process, on one gevent loop, over real loopback connections.
 
 Every node is an ordinary `runtime` host of its own: its transport, codecs, timers, journal
-and HTTP door are those of a real daemon. Only the process is shared.
+and HTTP endpoint are those of a real daemon. Only the process is shared.
 """
 
 import shutil
--- a/src/merlinstand_lab/capacity/measurements/coordinators.py
+++ b/src/merlinstand_lab/capacity/measurements/coordinators.py
@@ -64,7 +64,7 @@
 def coordinator_specs(
     count: int, control: ControlGroup, folder: Path, rollout: RolloutSettings | None = None
 ) -> list[HostedSpec]:
-    """Return the specs of coordinators with HTTP doors."""
+    """Return the specs of coordinators with HTTP endpoints."""
     addresses = free_addresses(2 * count)
     return [
         _spec(
--- a/src/merlinstand_lab/capacity/measurements/engines.py
+++ b/src/merlinstand_lab/capacity/measurements/engines.py
@@ -8,7 +8,7 @@
 
 from merlinstand.configuration.objects import Daemon
 from merlinstand_lab.capacity.control_group import ControlGroup
-from merlinstand_lab.capacity.door_bench import gateway_spec
+from merlinstand_lab.capacity.endpoint_bench import gateway_spec
 from merlinstand_lab.capacity.fleet import HollowFleet
 from merlinstand_lab.capacity.measurements.coordinators import coordinator_specs
 from merlinstand_lab.capacity.measurements.daemons import SERVERS_PER_DAEMON
--- a/src/merlinstand_lab/capacity/measurements/lookups.py
+++ b/src/merlinstand_lab/capacity/measurements/lookups.py
@@ -4,7 +4,7 @@
 from pathlib import Path
 
 from merlinstand.configuration.objects import PoolKind
-from merlinstand_lab.capacity.door_bench import DoorBench, DoorLoad, DoorWindow
+from merlinstand_lab.capacity.endpoint_bench import EndpointBench, EndpointLoad, EndpointWindow
 from merlinstand_lab.capacity.results import Measured
 from merlinstand_lab.capacity.slopes import percentile
 from merlinstand_lab.capacity.window import Subject
@@ -21,12 +21,12 @@
 ) -> Iterator[Measured]:
     """Measure gateway, server and caller at each rate."""
     for rate in rates:
-        load = DoorLoad(pool_kind=PoolKind.SERVICE, requests_per_second=rate, direct=direct)
-        with DoorBench(load, folder / f"lookups-{rate:g}") as bench:
+        load = EndpointLoad(pool_kind=PoolKind.SERVICE, requests_per_second=rate, direct=direct)
+        with EndpointBench(load, folder / f"lookups-{rate:g}") as bench:
             yield from _rows(bench.measure(window_seconds), load)
 
 
-def _rows(window: DoorWindow, load: DoorLoad) -> list[Measured]:
+def _rows(window: EndpointWindow, load: EndpointLoad) -> list[Measured]:
     elapsed = window.caller.elapsed_seconds
     name = "lookups-direct" if load.direct else "lookups"
     subject = Subject(name, "requests_per_second", load.requests_per_second)
--- a/src/merlinstand_lab/capacity/measurements/streams.py
+++ b/src/merlinstand_lab/capacity/measurements/streams.py
@@ -4,7 +4,7 @@
 from pathlib import Path
 
 from merlinstand.configuration.objects import PoolKind
-from merlinstand_lab.capacity.door_bench import DoorBench, DoorLoad, DoorWindow
+from merlinstand_lab.capacity.endpoint_bench import EndpointBench, EndpointLoad, EndpointWindow
 from merlinstand_lab.capacity.results import Measured
 from merlinstand_lab.capacity.window import Subject
 
@@ -25,7 +25,7 @@
     """Measure gateway, server and caller at each load."""
     for tokens in tokens_per_chunk:
         for streams in stream_counts:
-            load = DoorLoad(
+            load = EndpointLoad(
                 pool_kind=PoolKind.ENGINE,
                 streams=streams,
                 tokens_per_chunk=tokens,
@@ -33,11 +33,11 @@
                 tokens_per_stream=round(STREAM_SECONDS * TOKENS_PER_SECOND_OF_A_STREAM),
                 direct=direct,
             )
-            with DoorBench(load, folder / f"streams-{tokens}-{streams}") as bench:
+            with EndpointBench(load, folder / f"streams-{tokens}-{streams}") as bench:
                 yield from _rows(bench.measure(window_seconds), load)
 
 
-def _rows(window: DoorWindow, load: DoorLoad) -> list[Measured]:
+def _rows(window: EndpointWindow, load: EndpointLoad) -> list[Measured]:
     elapsed = window.caller.elapsed_seconds
     offered = load.streams * TOKENS_PER_SECOND_OF_A_STREAM
     name = "streams-direct" if load.direct else "streams"
--- a/src/merlinstand_lab/capacity/server_park.py
+++ b/src/merlinstand_lab/capacity/server_park.py
@@ -1,4 +1,4 @@
-"""Hollow servers with HTTP doors, many in a process, and the pools they form."""
+"""Hollow servers with HTTP endpoints, many in a process, and the pools they form."""
 
 from collections.abc import Sequence
 from pathlib import Path
--- a/src/merlinstand_lab/capacity/topology.py
+++ b/src/merlinstand_lab/capacity/topology.py
@@ -160,7 +160,7 @@
 def session_host(
     node_id: str, address: str, members: tuple[ControlMember, ...], folder: Path
 ) -> HostSettings:
-    """Return the host of a hollow daemon: internal transport and journal, no HTTP door."""
+    """Return the host of a hollow daemon: internal transport and journal, no HTTP endpoint."""
     return HostSettings(
         node_id=node_id,
         http_address="",
--- a/src/merlinstand_lab/simulator/injector.py
+++ b/src/merlinstand_lab/simulator/injector.py
@@ -11,7 +11,7 @@
 from merlinstand_lab.simulator.process import SimulatedProcess
 from merlinstand_lab.simulator.simulation import Simulation
 from merlinstand_lab.simulator.topology import CLIENT_ZONE
-from merlinstand_lab.standins.door import LabFault, LabLeave
+from merlinstand_lab.standins.endpoint import LabFault, LabLeave
 
 STOP_POLL_SECONDS = 0.05
 FAULT_STREAM = "faults"
--- a/src/merlinstand_lab/standins/caller_answers.py
+++ b/src/merlinstand_lab/standins/caller_answers.py
@@ -4,7 +4,7 @@
 
 from merlinstand.kernel.events import CallFailed, CallPhase
 from merlinstand_lab.records.kinds import CallerOutcome
-from merlinstand_lab.standins import door
+from merlinstand_lab.standins import endpoint
 from merlinstand_lab.standins.caller_work import Attempt
 from merlinstand_lab.standins.engine_model.text import parse_text
 from merlinstand_lab.standins.service import ServiceAnswer, answer_digest
@@ -68,7 +68,7 @@
 def _claimed_outcome(attempt: Attempt) -> Judgement:
     """Read what the system says of the attempt."""
     headers = attempt.headers
-    echoed = headers.get(door.REQUEST_ID_HEADER, "")
+    echoed = headers.get(endpoint.REQUEST_ID_HEADER, "")
     if echoed and echoed != attempt.request_id:
         return Judgement(outcome=CallerOutcome.ANSWER, reason=f"answer of request {echoed}")
     try:
@@ -94,7 +94,7 @@
 def _is_own_answer(attempt: Attempt, body: bytes) -> bool:
     """Whether a service's answer belongs to this operation and is whole."""
     operation = attempt.operation
-    if attempt.headers.get(door.REQUEST_ID_HEADER) != attempt.request_id:
+    if attempt.headers.get(endpoint.REQUEST_ID_HEADER) != attempt.request_id:
         return False
     try:
         answer = msgspec.json.decode(body, type=ServiceAnswer)
--- a/src/merlinstand_lab/standins/caller_work.py
+++ b/src/merlinstand_lab/standins/caller_work.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from merlinstand_lab.standins import door
+from merlinstand_lab.standins import endpoint
 
 
 class RequestKind(enum.Enum):
@@ -93,7 +93,7 @@
     def headers(self, request_id: str, remaining_seconds: float) -> dict[str, str]:
         """Headers of one attempt."""
         headers = {
-            door.REQUEST_ID_HEADER: request_id,
+            endpoint.REQUEST_ID_HEADER: request_id,
             "x-caller": self.caller,
             "x-repeatable": "true" if self.repeatable else "false",
             "x-deadline-seconds": f"{remaining_seconds:.3f}",
--- a/src/merlinstand_lab/standins/callers.py
+++ b/src/merlinstand_lab/standins/callers.py
@@ -20,7 +20,7 @@
     TimerFired,
 )
 from merlinstand_lab.records.kinds import CallerOutcome, CallerRecord
-from merlinstand_lab.standins import door
+from merlinstand_lab.standins import endpoint
 from merlinstand_lab.standins.caller_answers import (
     Judgement,
     judge_completion,
@@ -101,13 +101,13 @@
 
     def _request(self, event: RequestReceived) -> Effect:
         """Show progress."""
-        common = door.respond_common(event, ready=True)
+        common = endpoint.respond_common(event, ready=True)
         if common is not None:
             return common
-        if door.route(event) != ("GET", "/lab/progress"):
-            return door.respond_not_found(event)
+        if endpoint.route(event) != ("GET", "/lab/progress"):
+            return endpoint.respond_not_found(event)
         progress = CallersProgress(sent=self._calls, outcomes=self._outcomes)
-        return door.respond_json(event.request_id, progress)
+        return endpoint.respond_json(event.request_id, progress)
 
     # --- sending --------------------------------------------------------------------
 
--- a/src/merlinstand_lab/standins/door.py
+++ b/src/merlinstand_lab/standins/endpoint.py
@@ -1,4 +1,4 @@
-"""What all stand-ins' HTTP doors share: responses, request bodies, health, fault orders."""
+"""What all stand-ins' HTTP endpoints share: responses, request bodies, health, fault orders."""
 
 from typing import Any, TypeVar
 from urllib.parse import parse_qs, urlsplit
--- a/src/merlinstand_lab/standins/engine.py
+++ b/src/merlinstand_lab/standins/engine.py
@@ -1,4 +1,4 @@
-"""The engine stand-in: an HTTP door before the engine model."""
+"""The engine stand-in: an HTTP endpoint before the engine model."""
 
 import random
 from collections.abc import Sequence
@@ -22,7 +22,7 @@
     StopRequested,
     TimerFired,
 )
-from merlinstand_lab.standins import door
+from merlinstand_lab.standins import endpoint
 from merlinstand_lab.standins.engine_memory import EngineMemory
 from merlinstand_lab.standins.engine_messages import (
     Cancelled,
@@ -40,7 +40,7 @@
 
 
 class EngineServer:
-    """Reducer of one engine: its door, its timers, and the faults brought about in it."""
+    """Reducer of one engine: its endpoint, its timers, and the faults brought about in it."""
 
     def __init__(self, settings: EngineSettings) -> None:
         """Keep the settings; `start` begins."""
@@ -133,10 +133,10 @@
 
     def _request(self, event: RequestReceived, now: float) -> list[Effect]:
         """Route one HTTP request."""
-        common = door.respond_common(event, self._memory.serves and not self._down)
+        common = endpoint.respond_common(event, self._memory.serves and not self._down)
         if common is not None:
             return [common]
-        method, path = door.route(event)
+        method, path = endpoint.route(event)
         if path.startswith("/lab/"):
             return self._laboratory(event, path, now)
         if self._down:
@@ -151,49 +151,49 @@
             case ("POST", "/v1/orders"):
                 return self._order(event, now)
             case ("GET", "/v1/status"):
-                return [door.respond_json(event.request_id, self._memory.reporter.visible(now))]
+                return [endpoint.respond_json(event.request_id, self._memory.reporter.visible(now))]
             case ("GET", "/v1/cache_events"):
-                lines = self._memory.cache_log.after(door.query_integer(event, "after"), now)
-                return [door.respond_json(event.request_id, lines)]
+                lines = self._memory.cache_log.after(endpoint.query_integer(event, "after"), now)
+                return [endpoint.respond_json(event.request_id, lines)]
             case ("GET", _) if path.startswith("/v1/kv/"):
                 return [self._memory.exchange.answer(event, path.rsplit("/", 1)[1])]
             case _:
-                return [door.respond_not_found(event)]
+                return [endpoint.respond_not_found(event)]
 
     def _refuse(self, event: RequestReceived, detail: str) -> Effect:
         """Refuse before any work."""
         error = UnavailableError(detail=detail, retry_after_seconds=_RETRY_AFTER_SECONDS)
-        headers = {door.NOT_RUN_HEADER: "true"}
-        echoed = event.headers.get(door.REQUEST_ID_HEADER)
+        headers = {endpoint.NOT_RUN_HEADER: "true"}
+        echoed = event.headers.get(endpoint.REQUEST_ID_HEADER)
         if echoed:
-            headers[door.REQUEST_ID_HEADER] = echoed
-        return door.respond_error(event.request_id, error, headers)
+            headers[endpoint.REQUEST_ID_HEADER] = echoed
+        return endpoint.respond_error(event.request_id, error, headers)
 
     def _complete(self, event: RequestReceived, now: float) -> list[Effect]:
         """Take a completion request, or refuse it."""
         read = read_completion(event, self._settings.model)
         if isinstance(read, Err):
-            return [door.respond_error(event.request_id, read.err_value)]
+            return [endpoint.respond_error(event.request_id, read.err_value)]
         body = read.ok_value
-        request_id = body.request_id or event.headers.get(door.REQUEST_ID_HEADER, "")
+        request_id = body.request_id or event.headers.get(endpoint.REQUEST_ID_HEADER, "")
         request_id = request_id or str(event.request_id)
         if not self._memory.serves or self._stopping:
             return [self._refuse(event, "the engine serves no version now")]
         if self._memory.streams.holds(request_id):
             conflict = ConflictError(detail=f"request {request_id} is running")
-            headers = {door.NOT_RUN_HEADER: "true"}
-            return [door.respond_error(event.request_id, conflict, headers)]
+            headers = {endpoint.NOT_RUN_HEADER: "true"}
+            return [endpoint.respond_error(event.request_id, conflict, headers)]
         return self._memory.begin(event.request_id, request_id, body, now)
 
     def _cancel(self, event: RequestReceived, now: float) -> list[Effect]:
         """End a request on the caller's wish."""
-        decoded = door.decode_body(event.body, RequestName)
+        decoded = endpoint.decode_body(event.body, RequestName)
         if isinstance(decoded, Err):
-            return [door.respond_error(event.request_id, decoded.err_value)]
+            return [endpoint.respond_error(event.request_id, decoded.err_value)]
         name = decoded.ok_value.request_id
         held = self._memory.streams.holds(name)
         effects = self._memory.cancel(name, now)
-        return [*effects, door.respond_json(event.request_id, Cancelled(held))]
+        return [*effects, endpoint.respond_json(event.request_id, Cancelled(held))]
 
     def _aborted(self, event: RequestAborted, now: float) -> list[Effect]:
         """The client went away: stop working for it."""
@@ -202,43 +202,43 @@
 
     def _export(self, event: RequestReceived, now: float) -> list[Effect]:
         """End a stream and keep its cached state for another engine."""
-        decoded = door.decode_body(event.body, RequestName)
+        decoded = endpoint.decode_body(event.body, RequestName)
         if isinstance(decoded, Err):
-            return [door.respond_error(event.request_id, decoded.err_value)]
+            return [endpoint.respond_error(event.request_id, decoded.err_value)]
         name = decoded.ok_value.request_id
         if not self._memory.model.holds(name):
             error = NotFoundError(detail=f"request {name} is not running")
-            return [door.respond_error(event.request_id, error)]
+            return [endpoint.respond_error(event.request_id, error)]
         exported, effects = self._memory.export(name, now)
-        return [*effects, door.respond_json(event.request_id, exported)]
+        return [*effects, endpoint.respond_json(event.request_id, exported)]
 
     def _order(self, event: RequestReceived, now: float) -> list[Effect]:
         """Take a fenced order."""
-        decoded = door.decode_body(event.body, OrderBody)
+        decoded = endpoint.decode_body(event.body, OrderBody)
         if isinstance(decoded, Err):
-            return [door.respond_error(event.request_id, decoded.err_value)]
+            return [endpoint.respond_error(event.request_id, decoded.err_value)]
         order = decoded.ok_value
         orders = self._memory.orders
         if orders.is_overtaken(order.fence):
             assert orders.last is not None
-            return [door.respond_json(event.request_id, FencedBody(orders.last.fence), 409)]
+            return [endpoint.respond_json(event.request_id, FencedBody(orders.last.fence), 409)]
         effects = [] if orders.is_resent(order.fence) else self._memory.order(order, now)
-        return [*effects, door.respond_json(event.request_id, orders.last)]
+        return [*effects, endpoint.respond_json(event.request_id, orders.last)]
 
     # --- laboratory -----------------------------------------------------------------
 
     def _laboratory(self, event: RequestReceived, path: str, now: float) -> list[Effect]:
         """Bring about a fault, or leave."""
         if path == "/lab/leave":
-            leave = door.decode_body(event.body, door.LabLeave)
+            leave = endpoint.decode_body(event.body, endpoint.LabLeave)
             if isinstance(leave, Err):
-                return [door.respond_error(event.request_id, leave.err_value)]
+                return [endpoint.respond_error(event.request_id, leave.err_value)]
             effects = self._set_leaving(leave.ok_value.leaving, now)
-            return [*effects, door.respond_json(event.request_id, door.Acknowledged())]
-        fault = door.decode_body(event.body, door.LabFault)
+            return [*effects, endpoint.respond_json(event.request_id, endpoint.Acknowledged())]
+        fault = endpoint.decode_body(event.body, endpoint.LabFault)
         if isinstance(fault, Err):
-            return [door.respond_error(event.request_id, fault.err_value)]
-        answer = door.respond_json(event.request_id, door.Acknowledged())
+            return [endpoint.respond_error(event.request_id, fault.err_value)]
+        answer = endpoint.respond_json(event.request_id, endpoint.Acknowledged())
         match fault.ok_value.kind:
             case "crash":
                 return [answer, *self._crash(now)]
@@ -248,7 +248,7 @@
                 self._swap_failures = 0
             case kind:
                 error = InvalidInputError(detail=f"unknown fault {kind}")
-                return [door.respond_error(event.request_id, error)]
+                return [endpoint.respond_error(event.request_id, error)]
         return [answer]
 
     def _crash(self, now: float) -> list[Effect]:
--- a/src/merlinstand_lab/standins/engine_kv.py
+++ b/src/merlinstand_lab/standins/engine_kv.py
@@ -8,7 +8,7 @@
 from merlinstand.common.ids import CallId
 from merlinstand.kernel.effects import Effect, StartCall
 from merlinstand.kernel.events import CallFailed, CallResponded, RequestReceived
-from merlinstand_lab.standins import door
+from merlinstand_lab.standins import endpoint
 from merlinstand_lab.standins.engine_messages import Exported
 from merlinstand_lab.standins.engine_model.sequence import GenerationRequest
 from merlinstand_lab.standins.settings import EngineProfile
@@ -54,8 +54,8 @@
         state = self._exports.get(handle)
         if state is None:
             error = NotFoundError(detail="no such exported state")
-            return door.respond_error(event.request_id, error)
-        return door.respond_json(event.request_id, state)
+            return endpoint.respond_error(event.request_id, error)
+        return endpoint.respond_json(event.request_id, state)
 
     def start_import(self, request: GenerationRequest, handle: str, source: str) -> Effect:
         """Ask the exporting engine for the state that a request resumes from."""
--- a/src/merlinstand_lab/standins/engine_memory.py
+++ b/src/merlinstand_lab/standins/engine_memory.py
@@ -14,7 +14,7 @@
     GenerationRecord,
     StartRecord,
 )
-from merlinstand_lab.standins import door
+from merlinstand_lab.standins import endpoint
 from merlinstand_lab.standins.engine_background import BackgroundSource
 from merlinstand_lab.standins.engine_kv import KvExchange
 from merlinstand_lab.standins.engine_messages import CompletionBody, Exported, OrderBody
@@ -96,7 +96,7 @@
         )
         effects: list[Effect] = [WriteRecord(f"started-{self._settings.node_id}", start)]
         if body.stream:
-            headers = {**_SSE_HEADERS, door.REQUEST_ID_HEADER: request_id}
+            headers = {**_SSE_HEADERS, endpoint.REQUEST_ID_HEADER: request_id}
             effects.append(RespondStart(http_request_id, 200, headers))
         request = generation_request(body, request_id, self._settings.profile)
         resume = body.resume
--- a/src/merlinstand_lab/standins/engine_model/model.py
+++ b/src/merlinstand_lab/standins/engine_model/model.py
@@ -42,7 +42,7 @@
         self._arrivals = 0
         self._events: list[ModelEvent] = []
 
-    # --- what the door asks ---------------------------------------------------------
+    # --- what the endpoint asks ---------------------------------------------------------
 
     @property
     def running(self) -> int:
--- a/src/merlinstand_lab/standins/engine_requests.py
+++ b/src/merlinstand_lab/standins/engine_requests.py
@@ -5,7 +5,7 @@
 from merlinstand.common.errors import InvalidInputError, MerlinstandError, NotFoundError
 from merlinstand.kernel.events import RequestReceived
 from merlinstand_lab.records.kinds import GenerationOutcome
-from merlinstand_lab.standins import door
+from merlinstand_lab.standins import endpoint
 from merlinstand_lab.standins.engine_messages import CompletionBody
 from merlinstand_lab.standins.engine_model.lengths import completion_length, prompt_token_count
 from merlinstand_lab.standins.engine_model.prefix_cache import prefix_digests
@@ -17,7 +17,7 @@
 
 def read_completion(event: RequestReceived, model: str) -> Result[CompletionBody, MerlinstandError]:
     """Decode and check a completion request for an engine of `model`."""
-    decoded = door.decode_body(event.body, CompletionBody)
+    decoded = endpoint.decode_body(event.body, CompletionBody)
     if isinstance(decoded, Err):
         return Err(decoded.err_value)
     body = decoded.ok_value
--- a/src/merlinstand_lab/standins/engine_streams.py
+++ b/src/merlinstand_lab/standins/engine_streams.py
@@ -11,7 +11,7 @@
     WriteRecord,
 )
 from merlinstand_lab.records.kinds import GenerationOutcome, GenerationRecord, Span
-from merlinstand_lab.standins import door
+from merlinstand_lab.standins import endpoint
 from merlinstand_lab.standins.engine_messages import (
     CompletionAnswer,
     CompletionBody,
@@ -122,7 +122,7 @@
         for stream in list(self._streams.values()):
             if stream.http_request_id is not None:
                 if not stream.streamed:
-                    effects.append(RespondStart(stream.http_request_id, 200, door.JSON_HEADERS))
+                    effects.append(RespondStart(stream.http_request_id, 200, endpoint.JSON_HEADERS))
                 effects.append(RespondEnd(stream.http_request_id, whole=False))
             unstarted = Finished(stream.request_id, GenerationOutcome.CRASHED, [], 0)
             event = ends.get(stream.request_id, unstarted)
@@ -174,8 +174,8 @@
                 spans=spans,
                 finish_reason=event.outcome.value,
             )
-            headers = {door.REQUEST_ID_HEADER: stream.request_id}
-            return [*effects, door.respond_json(http_request_id, answer, headers=headers)]
+            headers = {endpoint.REQUEST_ID_HEADER: stream.request_id}
+            return [*effects, endpoint.respond_json(http_request_id, answer, headers=headers)]
         end = CompletionEnd(
             request_id=stream.request_id,
             index=event.token_count,
--- a/src/merlinstand_lab/standins/machine_list.py
+++ b/src/merlinstand_lab/standins/machine_list.py
@@ -9,7 +9,7 @@
 from merlinstand.kernel.effects import Effect, SetTimer, StopProcess, WriteRecord
 from merlinstand.kernel.events import Event, RequestReceived, Started, StopRequested, TimerFired
 from merlinstand_lab.records.kinds import MachineRecord
-from merlinstand_lab.standins import door
+from merlinstand_lab.standins import endpoint
 from merlinstand_lab.standins.settings import MachineEntry, MachineListSettings
 
 _VISIBLE_TIMER = "machines.visible."
@@ -57,33 +57,33 @@
 
     def _request(self, event: RequestReceived, now: float) -> Sequence[Effect]:
         """Route one HTTP request."""
-        common = door.respond_common(event, ready=True)
+        common = endpoint.respond_common(event, ready=True)
         if common is not None:
             return (common,)
-        match door.route(event):
+        match endpoint.route(event):
             case ("GET", "/v1/machines"):
                 as_of = now - self._settings.lag_seconds
                 answer = MachinesAnswer(list(self._visible.values()), as_of)
-                return (door.respond_json(event.request_id, answer),)
+                return (endpoint.respond_json(event.request_id, answer),)
             case ("POST", "/lab/leave"):
                 return self._leave(event, now)
             case _:
-                return (door.respond_not_found(event),)
+                return (endpoint.respond_not_found(event),)
 
     def _leave(self, event: RequestReceived, now: float) -> Sequence[Effect]:
         """A machine begins to leave, or is back; readers learn it later."""
-        decoded = door.decode_body(event.body, door.LabLeave)
+        decoded = endpoint.decode_body(event.body, endpoint.LabLeave)
         if isinstance(decoded, Err):
-            return (door.respond_error(event.request_id, decoded.err_value),)
+            return (endpoint.respond_error(event.request_id, decoded.err_value),)
         leave = decoded.ok_value
         if leave.address not in self._visible:
             error = InvalidInputError(detail=f"unknown machine {leave.address!r}")
-            return (door.respond_error(event.request_id, error),)
+            return (endpoint.respond_error(event.request_id, error),)
         entry = MachineEntry(address=leave.address, state="leaving" if leave.leaving else "live")
         self._count += 1
         name = f"{_VISIBLE_TIMER}{self._count}"
         self._pending[name] = _Change(entry, now)
-        acknowledged = door.respond_json(event.request_id, door.Acknowledged())
+        acknowledged = endpoint.respond_json(event.request_id, endpoint.Acknowledged())
         return (SetTimer(name, self._settings.lag_seconds), acknowledged)
 
     def _become_visible(self, change: _Change, now: float) -> Sequence[Effect]:
--- a/src/merlinstand_lab/standins/publisher.py
+++ b/src/merlinstand_lab/standins/publisher.py
@@ -9,7 +9,7 @@
 from merlinstand.kernel.effects import Effect, LogEvent, SetTimer, StartCall, WriteRecord
 from merlinstand.kernel.events import CallFailed, CallResponded, TimerFired
 from merlinstand_lab.records.kinds import OperatorRecord
-from merlinstand_lab.standins import door
+from merlinstand_lab.standins import endpoint
 from merlinstand_lab.standins.engine_messages import StorePut, StorePutAnswer
 from merlinstand_lab.standins.settings import TrainerSettings
 from merlinstand_lab.standins.trainer_messages import (
@@ -83,7 +83,7 @@
     def _call(self, address: str, method: str, path: str, body: bytes) -> StartCall:
         """Send a request."""
         self._calls += 1
-        headers = dict(door.JSON_HEADERS)
+        headers = dict(endpoint.JSON_HEADERS)
         if self._settings.operator_token:
             headers["authorization"] = f"Bearer {self._settings.operator_token}"
         return StartCall(
--- a/src/merlinstand_lab/standins/scorer.py
+++ b/src/merlinstand_lab/standins/scorer.py
@@ -11,7 +11,7 @@
 from merlinstand.common.errors import InvalidInputError
 from merlinstand.kernel.effects import Effect, Respond, SetTimer, StopProcess
 from merlinstand.kernel.events import Event, RequestReceived, Started, StopRequested, TimerFired
-from merlinstand_lab.standins import door
+from merlinstand_lab.standins import endpoint
 from merlinstand_lab.standins.settings import ScorerSettings
 
 _ANSWER_TIMER = "scorer.answer."
@@ -65,29 +65,29 @@
 
     def _request(self, event: RequestReceived) -> Sequence[Effect]:
         """Route one HTTP request."""
-        common = door.respond_common(event, ready=not self._fault)
+        common = endpoint.respond_common(event, ready=not self._fault)
         if common is not None:
             return (common,)
-        match door.route(event):
+        match endpoint.route(event):
             case ("POST", "/v1/score"):
                 return self._score(event)
             case ("POST", "/lab/faults"):
                 return self._laboratory(event)
             case _:
-                return (door.respond_not_found(event),)
+                return (endpoint.respond_not_found(event),)
 
     def _score(self, event: RequestReceived) -> Sequence[Effect]:
         """Answer after a while; never while dead."""
-        decoded = door.decode_body(event.body, ScoreBody)
+        decoded = endpoint.decode_body(event.body, ScoreBody)
         if isinstance(decoded, Err):
-            return (door.respond_error(event.request_id, decoded.err_value),)
+            return (endpoint.respond_error(event.request_id, decoded.err_value),)
         if self._fault == "dead":
             return ()
         digest = xxhash.xxh3_64_intdigest(decoded.ok_value.sample_id.encode())
         answer = ScoreAnswer(digest % _SCORE_STEPS / _SCORE_STEPS)
         self._count += 1
         name = f"{_ANSWER_TIMER}{self._count}"
-        self._answers[name] = door.respond_json(event.request_id, answer)
+        self._answers[name] = endpoint.respond_json(event.request_id, answer)
         return (SetTimer(name, self._delay_seconds()),)
 
     def _delay_seconds(self) -> float:
@@ -99,15 +99,15 @@
 
     def _laboratory(self, event: RequestReceived) -> Sequence[Effect]:
         """Become slow or dead, or heal."""
-        decoded = door.decode_body(event.body, door.LabFault)
+        decoded = endpoint.decode_body(event.body, endpoint.LabFault)
         if isinstance(decoded, Err):
-            return (door.respond_error(event.request_id, decoded.err_value),)
+            return (endpoint.respond_error(event.request_id, decoded.err_value),)
         fault = decoded.ok_value
         if fault.kind not in ("slow", "dead", "heal"):
             error = InvalidInputError(detail=f"unknown fault {fault.kind}")
-            return (door.respond_error(event.request_id, error),)
+            return (endpoint.respond_error(event.request_id, error),)
         self._fault = "" if fault.kind == "heal" else fault.kind
-        effects: list[Effect] = [door.respond_json(event.request_id, door.Acknowledged())]
+        effects: list[Effect] = [endpoint.respond_json(event.request_id, endpoint.Acknowledged())]
         if self._fault and fault.duration_seconds > 0:
             effects.append(SetTimer(_HEAL_TIMER, fault.duration_seconds))
         return effects
--- a/src/merlinstand_lab/standins/scripts.py
+++ b/src/merlinstand_lab/standins/scripts.py
@@ -26,7 +26,7 @@
     StopRequested,
     TimerFired,
 )
-from merlinstand_lab.standins import door
+from merlinstand_lab.standins import endpoint
 from merlinstand_lab.standins.engine_messages import CompletionAnswer, CompletionBody
 from merlinstand_lab.standins.scripts_swap import ScriptsSwap
 from merlinstand_lab.standins.settings import ScriptsSettings
@@ -106,18 +106,18 @@
             case _:
                 return ()
 
-    # --- the trainer's door ---------------------------------------------------------
+    # --- the trainer's endpoint ---------------------------------------------------------
 
     def _request(self, event: RequestReceived, now: float) -> Sequence[Effect]:
         """Answer a trainer's pull."""
-        common = door.respond_common(event, ready=True)
+        common = endpoint.respond_common(event, ready=True)
         if common is not None:
             return (common,)
-        if door.route(event) != ("POST", f"/v1/jobs/{self._settings.job}/batches"):
-            return (door.respond_not_found(event),)
-        decoded = door.decode_body(event.body, PullBody)
+        if endpoint.route(event) != ("POST", f"/v1/jobs/{self._settings.job}/batches"):
+            return (endpoint.respond_not_found(event),)
+        decoded = endpoint.decode_body(event.body, PullBody)
         if decoded.is_err():
-            return (door.respond_error(event.request_id, decoded.unwrap_err()),)
+            return (endpoint.respond_error(event.request_id, decoded.unwrap_err()),)
         self._asked_at = now
         return self._pulled(event.request_id, decoded.unwrap())
 
@@ -135,7 +135,7 @@
         effects += self._begin_ready_steps()
         if not step.is_complete:
             refusal = PullRefusal(code="not_ready", retry_after_seconds=POLL_SECONDS)
-            return [*effects, door.respond_json(request_id, refusal, 202)]
+            return [*effects, endpoint.respond_json(request_id, refusal, 202)]
         return [*effects, self._answer(request_id, pull, step)]
 
     def _answer(self, request_id: RequestId, pull: PullBody, step: _Step) -> Respond:
@@ -148,7 +148,7 @@
             newest_version=step.version,
             samples=samples,
         )
-        return door.respond_json(request_id, answer)
+        return endpoint.respond_json(request_id, answer)
 
     # --- one step -------------------------------------------------------------------
 
@@ -192,7 +192,7 @@
             address=settings.engines[slot.engine],
             method="POST",
             path="/v1/completions",
-            headers={**door.JSON_HEADERS, door.REQUEST_ID_HEADER: request_id},
+            headers={**endpoint.JSON_HEADERS, endpoint.REQUEST_ID_HEADER: request_id},
             body=msgspec.json.encode(body),
             timeout_seconds=settings.timeout_seconds,
         )
--- a/src/merlinstand_lab/standins/scripts_swap.py
+++ b/src/merlinstand_lab/standins/scripts_swap.py
@@ -8,7 +8,7 @@
 from merlinstand.common.ids import CallId
 from merlinstand.kernel.effects import Effect, SetTimer, StartCall
 from merlinstand.kernel.events import CallFailed, CallResponded
-from merlinstand_lab.standins import door
+from merlinstand_lab.standins import endpoint
 from merlinstand_lab.standins.engine_messages import (
     Fence,
     FencedBody,
@@ -180,7 +180,7 @@
             address=address,
             method=method,
             path=path,
-            headers=dict(door.JSON_HEADERS),
+            headers=dict(endpoint.JSON_HEADERS),
             body=msgspec.json.encode(body),
             timeout_seconds=ORDER_TIMEOUT_SECONDS,
         )
--- a/src/merlinstand_lab/standins/service.py
+++ b/src/merlinstand_lab/standins/service.py
@@ -21,7 +21,7 @@
 )
 from merlinstand.kernel.events import Event, RequestReceived, Started, StopRequested, TimerFired
 from merlinstand_lab.records.kinds import BackendStateRecord, ServiceRecord, StartRecord
-from merlinstand_lab.standins import door
+from merlinstand_lab.standins import endpoint
 from merlinstand_lab.standins.settings import ServiceSettings
 
 _ANSWER_TIMER = "service.answer."
@@ -109,16 +109,16 @@
 
     def _request(self, event: RequestReceived, now: float) -> Sequence[Effect]:
         """Route one HTTP request."""
-        common = door.respond_common(event, ready=not self._down)
+        common = endpoint.respond_common(event, ready=not self._down)
         if common is not None:
             return (common,)
-        method, path = door.route(event)
+        method, path = endpoint.route(event)
         if path.startswith("/lab/"):
             return self._laboratory(event, path, now)
         if self._down or self._stopping or self._is_full():
             return (self._refuse(event),)
         if (method, path) == ("GET", "/v1/status"):
-            return (door.respond_json(event.request_id, self._status(now)),)
+            return (endpoint.respond_json(event.request_id, self._status(now)),)
         return self._run(event, method, now)
 
     def _is_full(self) -> bool:
@@ -131,14 +131,14 @@
             detail="not taking requests now", retry_after_seconds=_RETRY_AFTER_SECONDS
         )
         headers = {
-            door.NOT_RUN_HEADER: "true",
-            door.REQUEST_ID_HEADER: event.headers.get(door.REQUEST_ID_HEADER, ""),
+            endpoint.NOT_RUN_HEADER: "true",
+            endpoint.REQUEST_ID_HEADER: event.headers.get(endpoint.REQUEST_ID_HEADER, ""),
         }
-        return door.respond_error(event.request_id, error, headers)
+        return endpoint.respond_error(event.request_id, error, headers)
 
     def _run(self, event: RequestReceived, method: str, now: float) -> Sequence[Effect]:
         """Run a request: its effect counts from here on."""
-        request_id = event.headers.get(door.REQUEST_ID_HEADER, "")
+        request_id = event.headers.get(endpoint.REQUEST_ID_HEADER, "")
         running = _Running(
             http_request_id=event.request_id,
             request_id=request_id,
@@ -193,8 +193,8 @@
             answered_by=self._settings.node_id,
             filler="." * self._settings.response_bytes,
         )
-        headers = {door.REQUEST_ID_HEADER: running.request_id}
-        return (door.respond_json(running.http_request_id, answer, headers=headers),)
+        headers = {endpoint.REQUEST_ID_HEADER: running.request_id}
+        return (endpoint.respond_json(running.http_request_id, answer, headers=headers),)
 
     def _status(self, now: float) -> ServiceStatus:
         """State and load."""
@@ -203,15 +203,15 @@
 
     def _laboratory(self, event: RequestReceived, path: str, now: float) -> Sequence[Effect]:
         """Leave, come back, or crash."""
-        acknowledged = door.respond_json(event.request_id, door.Acknowledged())
+        acknowledged = endpoint.respond_json(event.request_id, endpoint.Acknowledged())
         if path == "/lab/leave":
-            leave = door.decode_body(event.body, door.LabLeave)
+            leave = endpoint.decode_body(event.body, endpoint.LabLeave)
             if isinstance(leave, Err):
-                return (door.respond_error(event.request_id, leave.err_value),)
+                return (endpoint.respond_error(event.request_id, leave.err_value),)
             return (*self._set_leaving(leave.ok_value.leaving, now), acknowledged)
-        fault = door.decode_body(event.body, door.LabFault)
+        fault = endpoint.decode_body(event.body, endpoint.LabFault)
         if isinstance(fault, Err):
-            return (door.respond_error(event.request_id, fault.err_value),)
+            return (endpoint.respond_error(event.request_id, fault.err_value),)
         if fault.ok_value.kind == "crash":
             return (acknowledged, *self._crash())
         return (acknowledged,)
@@ -220,7 +220,7 @@
         """Break every response; whether its request took effect stays open."""
         effects: list[Effect] = []
         for running in self._running.values():
-            effects.append(RespondStart(running.http_request_id, 200, door.JSON_HEADERS))
+            effects.append(RespondStart(running.http_request_id, 200, endpoint.JSON_HEADERS))
             effects.append(RespondEnd(running.http_request_id, whole=False))
         self._running.clear()
         self._down = True
--- a/src/merlinstand_lab/standins/settings.py
+++ b/src/merlinstand_lab/standins/settings.py
@@ -8,7 +8,7 @@
 
     node_id: str
     address: str
-    """`ip:port` of its HTTP door."""
+    """`ip:port` of its HTTP endpoint."""
     zone: str = ""
 
 
--- a/src/merlinstand_lab/standins/trainer.py
+++ b/src/merlinstand_lab/standins/trainer.py
@@ -29,7 +29,7 @@
     TimerFired,
 )
 from merlinstand_lab.records.kinds import StepRecord
-from merlinstand_lab.standins import door
+from merlinstand_lab.standins import endpoint
 from merlinstand_lab.standins.publisher import Publisher
 from merlinstand_lab.standins.settings import TrainerSettings
 from merlinstand_lab.standins.trainer_feed import FeedBody, FeedName, make_feeds
@@ -114,10 +114,10 @@
 
     def _request(self, event: RequestReceived, now: float) -> Sequence[Effect]:
         """Route one HTTP request."""
-        common = door.respond_common(event, ready=True)
+        common = endpoint.respond_common(event, ready=True)
         if common is not None:
             return (common,)
-        match door.route(event):
+        match endpoint.route(event):
             case ("GET", "/lab/progress"):
                 return (self._show_progress(event),)
             case ("POST", "/lab/rewind"):
@@ -125,7 +125,7 @@
             case ("POST", "/lab/feed"):
                 return self._change_feed(event, now)
             case _:
-                return (door.respond_not_found(event),)
+                return (endpoint.respond_not_found(event),)
 
     def _show_progress(self, event: RequestReceived) -> Effect:
         """Answer how far the trainer is."""
@@ -137,19 +137,19 @@
             waiting=self._asked_at is not None,
             samples=self._samples,
         )
-        return door.respond_json(event.request_id, progress)
+        return endpoint.respond_json(event.request_id, progress)
 
     def _rewind(self, event: RequestReceived, now: float) -> Sequence[Effect]:
         """Fall back to an older checkpoint: the step under way and its batch are lost."""
-        decoded = door.decode_body(event.body, Rewind)
+        decoded = endpoint.decode_body(event.body, Rewind)
         if isinstance(decoded, Err):
-            return (door.respond_error(event.request_id, decoded.err_value),)
+            return (endpoint.respond_error(event.request_id, decoded.err_value),)
         batch = decoded.ok_value.batch
         if not 1 <= batch <= self._feed.last_batch + 1:
             error = InvalidInputError(detail=f"there is no checkpoint before batch {batch}")
-            return (door.respond_error(event.request_id, error),)
+            return (endpoint.respond_error(event.request_id, error),)
         effects: list[Effect] = [
-            door.respond_json(event.request_id, door.Acknowledged()),
+            endpoint.respond_json(event.request_id, endpoint.Acknowledged()),
             CancelCall(self._current_call_id()),
             CancelTimer(_STEP_TIMER),
             CancelTimer(_PULL_TIMER),
@@ -163,15 +163,15 @@
 
     def _change_feed(self, event: RequestReceived, now: float) -> Sequence[Effect]:
         """Pull from somebody else; a step under way goes on."""
-        decoded = door.decode_body(event.body, FeedBody)
+        decoded = endpoint.decode_body(event.body, FeedBody)
         if isinstance(decoded, Err):
-            return (door.respond_error(event.request_id, decoded.err_value),)
+            return (endpoint.respond_error(event.request_id, decoded.err_value),)
         feed = self._feeds.get(decoded.ok_value.feed)
         if feed is None:
             error = InvalidInputError(detail="the settings name no such source of batches")
-            return (door.respond_error(event.request_id, error),)
+            return (endpoint.respond_error(event.request_id, error),)
         self._feed = feed
-        acknowledged = door.respond_json(event.request_id, door.Acknowledged())
+        acknowledged = endpoint.respond_json(event.request_id, endpoint.Acknowledged())
         if self._asked_at is None:
             return (acknowledged,)
         # An answer of the former source that is still on its way has an older nonce.
@@ -223,7 +223,7 @@
             address=self._feed.address,
             method="POST",
             path=f"/v1/jobs/{self._settings.job}/batches",
-            headers=dict(door.JSON_HEADERS),
+            headers=dict(endpoint.JSON_HEADERS),
             body=msgspec.json.encode(body),
             timeout_seconds=self._settings.request_timeout_seconds,
         )
--- a/src/merlinstand_lab/standins/weight_store.py
+++ b/src/merlinstand_lab/standins/weight_store.py
@@ -10,7 +10,7 @@
 from merlinstand.kernel.effects import Effect, SetTimer, StopProcess, WriteRecord
 from merlinstand.kernel.events import Event, RequestReceived, Started, StopRequested, TimerFired
 from merlinstand_lab.records.kinds import StoreRecord
-from merlinstand_lab.standins import door
+from merlinstand_lab.standins import endpoint
 from merlinstand_lab.standins.engine_messages import StoreAnswer, StorePut, StorePutAnswer
 from merlinstand_lab.standins.settings import WeightStoreSettings
 
@@ -61,22 +61,22 @@
 
     def _request(self, event: RequestReceived, now: float) -> Sequence[Effect]:
         """Route one HTTP request."""
-        common = door.respond_common(event, ready=True)
+        common = endpoint.respond_common(event, ready=True)
         if common is not None:
             return (common,)
-        method, path = door.route(event)
+        method, path = endpoint.route(event)
         key = _weights_key(path)
         if key is None:
-            return (door.respond_not_found(event),)
+            return (endpoint.respond_not_found(event),)
         if method == "PUT":
             return self._put(event, key, now)
         return self._get(event, key)
 
     def _put(self, event: RequestReceived, key: tuple[str, int], now: float) -> Sequence[Effect]:
         """Keep a version; putting it again changes nothing."""
-        decoded = door.decode_body(event.body, StorePut)
+        decoded = endpoint.decode_body(event.body, StorePut)
         if isinstance(decoded, Err):
-            return (door.respond_error(event.request_id, decoded.err_value),)
+            return (endpoint.respond_error(event.request_id, decoded.err_value),)
         effects: list[Effect] = []
         if key not in self._versions:
             digest = xxhash.xxh3_64_hexdigest(f"{key[0]}/{key[1]}".encode())
@@ -84,20 +84,20 @@
             record = StoreRecord(model=key[0], version=key[1], digest=digest, published_at=now)
             effects.append(WriteRecord("store", record))
         answer = StorePutAnswer(self._versions[key].digest)
-        return [*effects, door.respond_json(event.request_id, answer)]
+        return [*effects, endpoint.respond_json(event.request_id, answer)]
 
     def _get(self, event: RequestReceived, key: tuple[str, int]) -> Sequence[Effect]:
         """Hand a version out; the rate is shared by the transfers under way."""
         stored = self._versions.get(key)
         if stored is None:
             error = NotFoundError(detail=f"no version {key[1]} of {key[0]}")
-            return (door.respond_error(event.request_id, error),)
+            return (endpoint.respond_error(event.request_id, error),)
         one_transfer_seconds = stored.size_bytes / self._settings.bytes_per_second
         if self._transfers >= self._settings.maximum_transfers:
             used_up = RateUsedUpError(
                 detail="too many transfers", retry_after_seconds=max(0.1, one_transfer_seconds)
             )
-            return (door.respond_error(event.request_id, used_up),)
+            return (endpoint.respond_error(event.request_id, used_up),)
         self._transfers += 1
         self._transfer_count += 1
         seconds = one_transfer_seconds * self._transfers
@@ -105,7 +105,7 @@
             digest=stored.digest, size_bytes=stored.size_bytes, transfer_seconds=seconds
         )
         timer = SetTimer(f"{_TRANSFER_TIMER}{self._transfer_count}", seconds)
-        return (timer, door.respond_json(event.request_id, answer))
+        return (timer, endpoint.respond_json(event.request_id, answer))
 
 
 def _weights_key(path: str) -> tuple[str, int] | None:
--- a/tests/control/test_daemon.py
+++ b/tests/control/test_daemon.py
@@ -314,7 +314,7 @@
     header=st.text(st.characters(max_codepoint=0xFF), max_size=30)
     | st.sampled_from(["Bearer", "Bearer ", "bearer  s3 s3", "Basic s3", "Bearer s\u00e9"]),
 )
-def test_no_other_token_opens_the_door(path: str, header: str) -> None:
+def test_no_other_token_opens_the_endpoint(path: str, header: str) -> None:
     made = control_daemon.ControlDaemon(
         ControlSettings(
             node_id="control-1", zone="z", members=(MEMBER,), http_address="10.0.0.1:8000",
--- a/tests/gateway/driver.py
+++ b/tests/gateway/driver.py
@@ -229,10 +229,10 @@
         self, path: str, method: str = "GET", body: bytes = b"", **headers: str
     ) -> RequestId:
         self._requests += 1
-        door_id = RequestId(f"door-{self._requests}")
+        endpoint_id = RequestId(f"endpoint-{self._requests}")
         named = {name.replace("_", "-"): value for name, value in headers.items()}
-        self.send(RequestReceived(door_id, method, path, named, body, "10.8.0.1"))
-        return door_id
+        self.send(RequestReceived(endpoint_id, method, path, named, body, "10.8.0.1"))
+        return endpoint_id
 
     def complete(self, stream: bool = True, max_tokens: int = 8, **headers: str) -> RequestId:
         body = msgspec.json.encode(
@@ -240,49 +240,49 @@
         )
         return self.request("/v1/completions", "POST", body, **headers)
 
-    def abort(self, door_id: RequestId) -> None:
-        self.send(RequestAborted(door_id))
+    def abort(self, endpoint_id: RequestId) -> None:
+        self.send(RequestAborted(endpoint_id))
 
-    def response(self, door_id: RequestId) -> Respond:
+    def response(self, endpoint_id: RequestId) -> Respond:
         """The only whole response to a request."""
         found = [
             effect
             for effect in self.effects
-            if isinstance(effect, Respond) and effect.request_id == door_id
+            if isinstance(effect, Respond) and effect.request_id == endpoint_id
         ]
         assert len(found) == 1, found
         return found[0]
 
-    def is_answered(self, door_id: RequestId) -> bool:
+    def is_answered(self, endpoint_id: RequestId) -> bool:
         return any(
-            isinstance(effect, Respond | RespondEnd) and effect.request_id == door_id
+            isinstance(effect, Respond | RespondEnd) and effect.request_id == endpoint_id
             for effect in self.effects
         )
 
-    def outcome(self, door_id: RequestId) -> str:
-        return self.response(door_id).headers["x-outcome"]
+    def outcome(self, endpoint_id: RequestId) -> str:
+        return self.response(endpoint_id).headers["x-outcome"]
 
-    def code(self, door_id: RequestId) -> str:
-        return str(msgspec.json.decode(self.response(door_id).body)["code"])
+    def code(self, endpoint_id: RequestId) -> str:
+        return str(msgspec.json.decode(self.response(endpoint_id).body)["code"])
 
-    def streamed(self, door_id: RequestId) -> tuple[bytes, bool | None]:
+    def streamed(self, endpoint_id: RequestId) -> tuple[bytes, bool | None]:
         """Bytes streamed to a caller, and whether the stream ended whole (None: still open)."""
         data = b"".join(
             effect.data
             for effect in self.effects
-            if isinstance(effect, RespondChunk) and effect.request_id == door_id
+            if isinstance(effect, RespondChunk) and effect.request_id == endpoint_id
         )
         ends = [
             effect.whole
             for effect in self.effects
-            if isinstance(effect, RespondEnd) and effect.request_id == door_id
+            if isinstance(effect, RespondEnd) and effect.request_id == endpoint_id
         ]
         assert len(ends) <= 1
         return data, ends[0] if ends else None
 
-    def stream_started(self, door_id: RequestId) -> bool:
+    def stream_started(self, endpoint_id: RequestId) -> bool:
         return any(
-            isinstance(effect, RespondStart) and effect.request_id == door_id
+            isinstance(effect, RespondStart) and effect.request_id == endpoint_id
             for effect in self.effects
         )
 
--- a/tests/gateway/test_admission.py
+++ b/tests/gateway/test_admission.py
@@ -14,10 +14,10 @@
 def test_rate_limited_caller_is_told_when_to_come_back_and_others_are_served() -> None:
     limits = [Limits(caller="flood", requests_per_second=2.0)]
     driver = GatewayDriver([service_pool()], limits=limits)
-    doors = [driver.request("/shop-api/a", x_caller="flood") for _ in range(3)]
-    assert driver.response(doors[2]).status == 429
-    assert driver.outcome(doors[2]) == "not_run"
-    assert driver.response(doors[2]).headers["retry-after"] == "1"
+    endpoints = [driver.request("/shop-api/a", x_caller="flood") for _ in range(3)]
+    assert driver.response(endpoints[2]).status == 429
+    assert driver.outcome(endpoints[2]) == "not_run"
+    assert driver.response(endpoints[2]).headers["retry-after"] == "1"
     driver.request("/shop-api/a", x_caller="other")
     assert len(driver.calls) == 3
     driver.advance(0.6)
@@ -52,18 +52,18 @@
 def test_generations_leave_a_floor_for_lookups() -> None:
     admission = AdmissionSettings(maximum_requests=10, lookup_floor=0.4)
     driver = GatewayDriver([engine_pool(), service_pool()], admission=admission)
-    doors = [driver.complete(x_caller=f"c{number}") for number in range(8)]
-    refused = [door for door in doors if driver.is_answered(door)]
+    endpoints = [driver.complete(x_caller=f"c{number}") for number in range(8)]
+    refused = [endpoint for endpoint in endpoints if driver.is_answered(endpoint)]
     assert len(refused) == 2
     assert driver.code(refused[0]) == "overloaded"
     lookups = [driver.request("/shop-api/a", x_caller="shopper") for _ in range(4)]
-    assert not any(driver.is_answered(door) for door in lookups)
+    assert not any(driver.is_answered(endpoint) for endpoint in lookups)
 
 
 def test_whole_gateway_is_bounded() -> None:
     driver = GatewayDriver([service_pool()], admission=AdmissionSettings(maximum_requests=5))
-    doors = [driver.request("/shop-api/a") for _ in range(6)]
-    assert driver.outcome(doors[5]) == "not_run"
+    endpoints = [driver.request("/shop-api/a") for _ in range(6)]
+    assert driver.outcome(endpoints[5]) == "not_run"
     assert driver.gateway.in_flight == 5
 
 
@@ -171,16 +171,16 @@
     leaving = {"state": "leaving"}
     driver.advance(1.0, watch=True)
     driver.answer_statuses(shop_api_0=leaving, shop_api_1=leaving)
-    door_id = driver.request("/shop-api/a")
-    assert driver.code(door_id) == "no_backend"
-    assert driver.outcome(door_id) == "not_run"
+    endpoint_id = driver.request("/shop-api/a")
+    assert driver.code(endpoint_id) == "no_backend"
+    assert driver.outcome(endpoint_id) == "not_run"
 
 
 def test_callers_beyond_the_table_share_one_limit() -> None:
     admission = AdmissionSettings(maximum_callers=4)
     driver = GatewayDriver([service_pool(maximum_concurrency=10_000)], admission=admission)
-    doors = [driver.request("/shop-api/a", x_caller=f"name{number}") for number in range(400)]
-    refused = sum(driver.is_answered(door) for door in doors)
+    endpoints = [driver.request("/shop-api/a", x_caller=f"name{number}") for number in range(400)]
+    refused = sum(driver.is_answered(endpoint) for endpoint in endpoints)
     # Inventing names gives the four named ones and one shared limit of 200, no more.
     assert refused == 400 - 4 - 200
     assert len(driver.gateway._admission.rate_limits) == 5
@@ -189,11 +189,11 @@
 def test_everything_is_given_back() -> None:
     driver = GatewayDriver([service_pool(), engine_pool()])
     for number in range(30):
-        door_id = driver.request("/shop-api/a") if number % 2 else driver.complete()
+        endpoint_id = driver.request("/shop-api/a") if number % 2 else driver.complete()
         call = next(iter(driver.calls.values()))
         match number % 5:
             case 0:
-                driver.abort(door_id)
+                driver.abort(endpoint_id)
             case 1:
                 driver.fail(call, CallPhase.SENT)
             case 2:
@@ -207,6 +207,6 @@
     assert driver.gateway.in_flight == 0
     assert driver.gateway._admission.inside == 0
     assert len(driver.gateway._agenda) == 0
-    for lane in driver.gateway._lanes:
-        assert len(lane.queue) == 0
-        assert all(replica.in_flight == 0 for replica in lane.router.replicas.values())
+    for pool_state in driver.gateway._pool_states:
+        assert len(pool_state.queue) == 0
+        assert all(replica.in_flight == 0 for replica in pool_state.router.replicas.values())
--- a/tests/gateway/test_claims.py
+++ b/tests/gateway/test_claims.py
@@ -35,9 +35,9 @@
 
 def test_key_is_needed() -> None:
     driver = booking_driver()
-    door_id = driver.request("/book-app/book", "POST", x_repeatable="false")
-    assert driver.response(door_id).status == 400
-    assert driver.outcome(door_id) == "not_run"
+    endpoint_id = driver.request("/book-app/book", "POST", x_repeatable="false")
+    assert driver.response(endpoint_id).status == 400
+    assert driver.outcome(endpoint_id) == "not_run"
     assert not driver.session.submitted
 
 
@@ -52,7 +52,7 @@
 
 def test_claim_comes_before_the_call() -> None:
     driver = booking_driver()
-    door_id = driver.request("/book-app/book", "POST", b"{}", **BOOKING)
+    endpoint_id = driver.request("/book-app/book", "POST", b"{}", **BOOKING)
     claim = driver.session.submitted[0].command
     assert isinstance(claim, ClaimRequest)
     assert claim.idempotency_key == "book-app/k-1"
@@ -62,7 +62,7 @@
     assert call.fresh_connection
     assert call.headers["idempotency-key"] == "k-1"
     driver.respond(call, 201, b"slot 9", content_type="text/plain")
-    assert driver.outcome(door_id) == "answer"
+    assert driver.outcome(endpoint_id) == "answer"
     record = recorded(driver)[0]
     assert (record.outcome, record.status, record.body) == ("answer", 201, b"slot 9")
     assert record.content_type == "text/plain"
@@ -80,42 +80,42 @@
 @pytest.mark.parametrize("phase", [CallPhase.SENT, CallPhase.BODY])
 def test_no_second_call_once_a_byte_may_have_left(phase: CallPhase) -> None:
     driver = booking_driver()
-    door_id = driver.request("/book-app/book", "POST", **BOOKING)
+    endpoint_id = driver.request("/book-app/book", "POST", **BOOKING)
     grant(driver, 0)
     driver.fail(driver.only_call(), phase)
     assert not driver.calls
-    assert driver.outcome(door_id) == "unknown"
+    assert driver.outcome(endpoint_id) == "unknown"
     assert recorded(driver)[0].outcome == "unknown"
 
 
 def test_unreachable_replica_is_followed_by_another_under_the_same_claim() -> None:
     driver = booking_driver()
-    door_id = driver.request("/book-app/book", "POST", **BOOKING)
+    endpoint_id = driver.request("/book-app/book", "POST", **BOOKING)
     grant(driver, 0)
     driver.fail(driver.only_call(), CallPhase.CONNECT, "refused")
     call = driver.only_call()
     assert call.fresh_connection
     driver.respond(call)
-    assert driver.outcome(door_id) == "answer"
+    assert driver.outcome(endpoint_id) == "answer"
     assert len(driver.session.submitted) == 2
 
 
 def test_proved_refusal_frees_the_key_and_is_not_sent_again() -> None:
     driver = booking_driver()
-    door_id = driver.request("/book-app/book", "POST", **BOOKING)
+    endpoint_id = driver.request("/book-app/book", "POST", **BOOKING)
     grant(driver, 0)
     driver.refuse(driver.only_call())
     assert not driver.calls
-    assert driver.outcome(door_id) == "not_run"
+    assert driver.outcome(endpoint_id) == "not_run"
     assert recorded(driver)[0].outcome == "not_run"
 
 
 def test_claim_granted_after_the_deadline_is_freed_and_never_dispatched() -> None:
     driver = booking_driver()
-    door_id = driver.request("/book-app/book", "POST", x_deadline_seconds="1", **BOOKING)
+    endpoint_id = driver.request("/book-app/book", "POST", x_deadline_seconds="1", **BOOKING)
     driver.advance(1.01)
-    assert driver.outcome(door_id) == "not_run"
-    assert "retry-after" in driver.response(door_id).headers
+    assert driver.outcome(endpoint_id) == "not_run"
+    assert "retry-after" in driver.response(endpoint_id).headers
     grant(driver, 0)
     assert not driver.calls
     assert recorded(driver)[0].outcome == "not_run"
@@ -126,19 +126,19 @@
 
 def test_claim_granted_in_the_very_moment_of_the_deadline_is_not_dispatched() -> None:
     driver = booking_driver()
-    door_id = driver.request("/book-app/book", "POST", x_deadline_seconds="1", **BOOKING)
+    endpoint_id = driver.request("/book-app/book", "POST", x_deadline_seconds="1", **BOOKING)
     # The process was frozen: the grant is read before the overdue timer.
     driver.now += 5.0
     grant(driver, 0)
     assert not driver.calls
-    assert driver.outcome(door_id) == "not_run"
+    assert driver.outcome(endpoint_id) == "not_run"
     assert recorded(driver)[0].outcome == "not_run"
 
 
 def test_claim_granted_after_the_caller_left_is_freed() -> None:
     driver = booking_driver()
-    door_id = driver.request("/book-app/book", "POST", **BOOKING)
-    driver.abort(door_id)
+    endpoint_id = driver.request("/book-app/book", "POST", **BOOKING)
+    driver.abort(endpoint_id)
     grant(driver, 0)
     assert not driver.calls
     assert recorded(driver)[0].outcome == "not_run"
@@ -146,11 +146,11 @@
 
 def test_claim_granted_without_configuration_lease_is_freed() -> None:
     driver = booking_driver()
-    door_id = driver.request("/book-app/book", "POST", **BOOKING)
+    endpoint_id = driver.request("/book-app/book", "POST", **BOOKING)
     driver.session.lease_held = False
     grant(driver, 0)
     assert not driver.calls
-    assert driver.outcome(door_id) == "not_run"
+    assert driver.outcome(endpoint_id) == "not_run"
     assert recorded(driver)[0].outcome == "not_run"
 
 
@@ -159,7 +159,7 @@
     driver = GatewayDriver([pool])
     driver.request("/book-app/book", "POST", **BOOKING)
     # A place is held at the server chosen before the claim.
-    router = next(iter(driver.gateway._lanes)).router
+    router = next(iter(driver.gateway._pool_states)).router
     chosen = next(name for name, replica in router.replicas.items() if replica.in_flight)
     driver.configure([pool], drains=[Drain(backend_id=chosen)])
     grant(driver, 0)
@@ -171,15 +171,15 @@
 )
 def test_claim_without_answer_of_control_is_never_dispatched(error: object) -> None:
     driver = booking_driver()
-    door_id = driver.request("/book-app/book", "POST", **BOOKING)
+    endpoint_id = driver.request("/book-app/book", "POST", **BOOKING)
     driver.finish_command(0, error=error)
     assert not driver.calls
-    assert driver.outcome(door_id) == "not_run"
+    assert driver.outcome(endpoint_id) == "not_run"
 
 
 def test_twin_is_told_the_recorded_answer() -> None:
     driver = booking_driver()
-    door_id = driver.request("/book-app/book", "POST", **BOOKING)
+    endpoint_id = driver.request("/book-app/book", "POST", **BOOKING)
     taken = ClaimTaken(
         idempotency_key="book-app/k-1",
         recorded="answer",
@@ -188,7 +188,7 @@
         content_type="text/plain",
     )
     driver.finish_command(0, taken)
-    response = driver.response(door_id)
+    response = driver.response(endpoint_id)
     assert not driver.calls
     assert (response.status, response.body) == (201, b"slot 9")
     assert response.headers["x-outcome"] == "answer"
@@ -206,11 +206,11 @@
 )
 def test_twin_without_recorded_answer(state: str, status: int, outcome: str) -> None:
     driver = booking_driver()
-    door_id = driver.request("/book-app/book", "POST", **BOOKING)
+    endpoint_id = driver.request("/book-app/book", "POST", **BOOKING)
     driver.finish_command(0, ClaimTaken(idempotency_key="book-app/k-1", recorded=state))
     assert not driver.calls
-    assert driver.response(door_id).status == status
-    assert driver.outcome(door_id) == outcome
+    assert driver.response(endpoint_id).status == status
+    assert driver.outcome(endpoint_id) == outcome
     assert not recorded(driver)
 
 
@@ -255,11 +255,11 @@
 
 def test_outcome_is_learnt_and_recorded_after_the_callers_deadline() -> None:
     driver = booking_driver()
-    door_id = driver.request("/book-app/book", "POST", x_deadline_seconds="1", **BOOKING)
+    endpoint_id = driver.request("/book-app/book", "POST", x_deadline_seconds="1", **BOOKING)
     grant(driver, 0)
     call = driver.only_call()
     driver.advance(1.01)
-    assert driver.outcome(door_id) == "unknown"
+    assert driver.outcome(endpoint_id) == "unknown"
     assert not driver.cancelled
     assert call.timeout_seconds > 1.0
     driver.respond(call, 201, b"slot 9")
@@ -278,27 +278,27 @@
 
 def test_departed_caller_does_not_stop_its_booking() -> None:
     driver = booking_driver()
-    door_id = driver.request("/book-app/book", "POST", **BOOKING)
+    endpoint_id = driver.request("/book-app/book", "POST", **BOOKING)
     grant(driver, 0)
-    driver.abort(door_id)
+    driver.abort(endpoint_id)
     assert not driver.cancelled
     driver.respond(driver.only_call(), 201, b"slot 9")
     assert recorded(driver)[0].outcome == "answer"
-    assert not driver.is_answered(door_id)
+    assert not driver.is_answered(endpoint_id)
 
 
 def test_answer_too_large_to_record_is_unknown_for_twins_not_cut() -> None:
     driver = booking_driver()
-    door_id = driver.request("/book-app/book", "POST", **BOOKING)
+    endpoint_id = driver.request("/book-app/book", "POST", **BOOKING)
     grant(driver, 0)
     driver.respond(driver.only_call(), 200, b"x" * 100_000)
-    assert driver.outcome(door_id) == "answer"
+    assert driver.outcome(endpoint_id) == "answer"
     assert (recorded(driver)[0].outcome, recorded(driver)[0].body) == ("unknown", b"")
 
 
 def test_generation_that_is_not_repeatable_is_claimed_and_not_resumed() -> None:
     driver = booking_driver()
-    door_id = driver.complete(**BOOKING)
+    endpoint_id = driver.complete(**BOOKING)
     assert not driver.calls
     grant(driver, 0)
     call = driver.only_call()
@@ -306,7 +306,7 @@
     driver.tokens(call, 0, 2)
     driver.fail(call, CallPhase.BODY)
     assert not driver.calls
-    assert driver.streamed(door_id)[1] is False
+    assert driver.streamed(endpoint_id)[1] is False
     assert recorded(driver)[0].outcome == "unknown"
 
 
--- a/tests/gateway/test_door.py
+++ b/tests/gateway/test_endpoint.py
@@ -1,4 +1,4 @@
-"""Bad input at the door: clear typed errors, nothing sent, nobody else harmed."""
+"""Bad input at the endpoint: clear typed errors, nothing sent, nobody else harmed."""
 
 import msgspec
 import pytest
@@ -62,9 +62,9 @@
     path: str, method: str, body: bytes, headers: dict[str, str], status: int
 ) -> None:
     driver = GatewayDriver([service_pool(), engine_pool()])
-    door_id = RequestId("door")
-    driver.send(RequestReceived(door_id, method, path, headers, body, "10.8.0.1"))
-    response = driver.response(door_id)
+    endpoint_id = RequestId("endpoint")
+    driver.send(RequestReceived(endpoint_id, method, path, headers, body, "10.8.0.1"))
+    response = driver.response(endpoint_id)
     assert response.status == status
     assert response.headers["x-outcome"] == "not_run"
     error = msgspec.json.decode(response.body)
@@ -124,8 +124,8 @@
     path: str, method: str, headers: dict[str, str], body: bytes
 ) -> None:
     driver = GatewayDriver([service_pool(), engine_pool()])
-    door_id = RequestId("door")
-    effects = driver.send(RequestReceived(door_id, method, path, headers, body, "10.8.0.1"))
+    endpoint_id = RequestId("endpoint")
+    effects = driver.send(RequestReceived(endpoint_id, method, path, headers, body, "10.8.0.1"))
     answers = [effect for effect in effects if isinstance(effect, Respond)]
     calls = [effect for effect in effects if isinstance(effect, StartCall)]
     claims = driver.session.submitted
@@ -151,12 +151,12 @@
 @given(chunks=st.lists(st.binary(max_size=40) | st.just(b"data: {}\n\n"), max_size=6))
 def test_whatever_an_engine_sends_harms_only_its_own_stream(chunks: list[bytes]) -> None:
     driver = GatewayDriver([engine_pool(), service_pool()])
-    door_id = driver.complete(x_request_id="r")
+    endpoint_id = driver.complete(x_request_id="r")
     call = driver.only_call()
     driver.open_stream(call)
     for chunk in chunks:
         driver.chunk(call, chunk)
-    assert driver.streamed(door_id) == (b"", None)
+    assert driver.streamed(endpoint_id) == (b"", None)
     other = driver.request("/shop-api/a")
     lookup = next(found for found in driver.calls.values() if found.path == "/a")
     driver.respond(lookup)
--- a/tests/gateway/test_hedging.py
+++ b/tests/gateway/test_hedging.py
@@ -5,8 +5,8 @@
 import pytest
 
 from merlinstand.control.commands import ClaimGranted
-from merlinstand.gateway.lanes import PoolLane
 from merlinstand.gateway.latency_quantile import FIRST_LATENCY_SECONDS, LatencyQuantile
+from merlinstand.gateway.pool_states import PoolState
 from merlinstand.gateway.settings import AdmissionSettings, RequestSettings
 from merlinstand.kernel.effects import StartCall
 from merlinstand.kernel.events import CallPhase
@@ -18,14 +18,14 @@
 """Until something is known of a pool, a lookup is hedged after twice the first estimate."""
 
 
-def lane(driver: GatewayDriver) -> PoolLane:
-    found = driver.gateway._lanes.get("shop-api")
+def pool_state(driver: GatewayDriver) -> PoolState:
+    found = driver.gateway._pool_states.get("shop-api")
     assert found is not None
     return found
 
 
 def replicas(driver: GatewayDriver) -> dict[str, Replica]:
-    return dict(lane(driver).router.replicas)
+    return dict(pool_state(driver).router.replicas)
 
 
 def in_flight(driver: GatewayDriver) -> int:
@@ -34,17 +34,17 @@
 
 def hedged(driver: GatewayDriver, **headers: str) -> tuple[str, StartCall, StartCall]:
     """A lookup whose first call is slow, and its two calls."""
-    door_id = driver.request("/shop-api/a", **headers)
+    endpoint_id = driver.request("/shop-api/a", **headers)
     first = driver.only_call()
-    driver.advance(2.0 * lane(driver).latency.seconds + 0.001)
+    driver.advance(2.0 * pool_state(driver).latency.seconds + 0.001)
     first_again, second = driver.calls.values()
     assert first_again is first
-    return door_id, first, second
+    return endpoint_id, first, second
 
 
 def test_a_slow_lookup_is_asked_at_another_replica_with_the_time_that_is_left() -> None:
     driver = GatewayDriver([service_pool()])
-    _door, first, second = hedged(driver, x_request_id="r-1", x_deadline_seconds="2.0")
+    _endpoint, first, second = hedged(driver, x_request_id="r-1", x_deadline_seconds="2.0")
     assert second.address != first.address
     assert (second.path, second.headers["x-request-id"]) == (first.path, "r-1")
     assert float(second.headers["x-deadline-seconds"]) == pytest.approx(1.8)
@@ -63,22 +63,22 @@
 
 def test_the_second_answer_wins_and_the_first_call_is_given_up() -> None:
     driver = GatewayDriver([service_pool()])
-    door_id, first, second = hedged(driver)
+    endpoint_id, first, second = hedged(driver)
     driver.respond(second, 200, b"second")
-    response = driver.response(door_id)
+    response = driver.response(endpoint_id)
     assert (response.body, response.headers["x-outcome"]) == (b"second", "answer")
     assert response.headers["x-answered-by"] == driver.backend_at(second.address)
     assert driver.cancelled == [first.call_id]
     assert driver.gateway.in_flight == in_flight(driver) == 0
     driver.respond(first, 200, b"late")
-    assert driver.response(door_id).body == b"second"
+    assert driver.response(endpoint_id).body == b"second"
 
 
 def test_the_first_answer_may_still_win() -> None:
     driver = GatewayDriver([service_pool()])
-    door_id, first, second = hedged(driver)
+    endpoint_id, first, second = hedged(driver)
     driver.respond(first, 200, b"first")
-    response = driver.response(door_id)
+    response = driver.response(endpoint_id)
     assert response.headers["x-answered-by"] == driver.backend_at(first.address)
     assert driver.cancelled == [second.call_id]
     assert driver.gateway.in_flight == in_flight(driver) == 0
@@ -116,69 +116,69 @@
 
 def test_no_hedge_begins_under_a_configuration_that_may_be_replaced() -> None:
     driver = GatewayDriver([service_pool()])
-    door_id = driver.request("/shop-api/a")
+    endpoint_id = driver.request("/shop-api/a")
     first = driver.only_call()
     driver.session.lease_held = False
     driver.advance(HEDGE_SECONDS)
     driver.respond(first)
-    assert driver.outcome(door_id) == "answer"
+    assert driver.outcome(endpoint_id) == "answer"
     assert in_flight(driver) == 0
 
 
 @pytest.mark.parametrize("loser", [0, 1])
 def test_one_of_two_calls_that_fails_leaves_the_other(loser: int) -> None:
     driver = GatewayDriver([service_pool()])
-    door_id, *calls = hedged(driver)
+    endpoint_id, *calls = hedged(driver)
     driver.fail(calls[loser], CallPhase.SENT, "reset")
-    assert not driver.is_answered(door_id)
+    assert not driver.is_answered(endpoint_id)
     assert driver.only_call() is calls[1 - loser]
     driver.respond(calls[1 - loser])
-    assert driver.outcome(door_id) == "answer"
+    assert driver.outcome(endpoint_id) == "answer"
     assert driver.gateway.in_flight == in_flight(driver) == 0
 
 
 def test_two_failed_calls_are_followed_by_a_third_replica() -> None:
     driver = GatewayDriver([service_pool()])
-    door_id, first, second = hedged(driver)
+    endpoint_id, first, second = hedged(driver)
     driver.fail(second, CallPhase.SENT, "reset")
     driver.fail(first, CallPhase.SENT, "reset")
     third = driver.only_call()
     assert third.address not in (first.address, second.address)
     driver.respond(third)
-    assert driver.outcome(door_id) == "answer"
+    assert driver.outcome(endpoint_id) == "answer"
 
 
 def test_one_call_that_may_have_run_taints_a_refusal_of_the_other() -> None:
     driver = GatewayDriver([service_pool(count=2)])
-    door_id, first, second = hedged(driver)
+    endpoint_id, first, second = hedged(driver)
     driver.fail(first, CallPhase.SENT, "reset")
     driver.refuse(second)
-    assert driver.outcome(door_id) == "unknown"
+    assert driver.outcome(endpoint_id) == "unknown"
 
 
 def test_two_proofs_of_not_having_begun_are_not_run() -> None:
     driver = GatewayDriver([service_pool(count=2)])
-    door_id, first, second = hedged(driver)
+    endpoint_id, first, second = hedged(driver)
     driver.refuse(second)
     driver.refuse(first)
-    assert driver.outcome(door_id) == "not_run"
+    assert driver.outcome(endpoint_id) == "not_run"
 
 
 def test_a_foreign_answer_to_the_hedge_is_never_passed_on() -> None:
     driver = GatewayDriver([service_pool()])
-    door_id, first, second = hedged(driver, x_request_id="mine")
+    endpoint_id, first, second = hedged(driver, x_request_id="mine")
     driver.respond(second, 200, b"their cart", x_request_id="theirs")
-    assert not driver.is_answered(door_id)
+    assert not driver.is_answered(endpoint_id)
     driver.respond(first)
-    assert driver.response(door_id).body == b"whole"
+    assert driver.response(endpoint_id).body == b"whole"
 
 
 def test_the_deadline_ends_both_calls_as_unknown_and_blames_both_replicas() -> None:
     driver = GatewayDriver([service_pool(count=2)])
     for _ in range(5):
-        door_id, first, second = hedged(driver, x_deadline_seconds="1.0")
+        endpoint_id, first, second = hedged(driver, x_deadline_seconds="1.0")
         driver.advance(1.0)
-        assert driver.outcome(door_id) == "unknown"
+        assert driver.outcome(endpoint_id) == "unknown"
         assert {first.call_id, second.call_id} <= set(driver.cancelled)
         assert driver.gateway.in_flight == in_flight(driver) == 0
     states = [replica.breaker.state for replica in replicas(driver).values()]
@@ -188,10 +188,10 @@
 def test_a_caller_that_left_ends_both_calls_and_blames_nobody() -> None:
     driver = GatewayDriver([service_pool(count=2)])
     for _ in range(10):
-        door_id, first, second = hedged(driver)
-        driver.abort(door_id)
+        endpoint_id, first, second = hedged(driver)
+        driver.abort(endpoint_id)
         assert {first.call_id, second.call_id} <= set(driver.cancelled)
-        assert not driver.is_answered(door_id)
+        assert not driver.is_answered(endpoint_id)
         assert driver.gateway.in_flight == in_flight(driver) == 0
     states = [replica.breaker.state for replica in replicas(driver).values()]
     assert states == [BreakerState.CLOSED, BreakerState.CLOSED]
@@ -201,7 +201,7 @@
     driver = GatewayDriver([service_pool(count=2)])
     frozen = replicas(driver)["shop-api-0"]
     for _ in range(5):
-        _door, first, second = hedged(driver)
+        _endpoint, first, second = hedged(driver)
         assert driver.backend_at(first.address) == "shop-api-0"
         driver.respond(second)
     assert frozen.breaker.state is BreakerState.OPEN
@@ -212,7 +212,7 @@
 def test_a_hedge_that_loses_does_not_blame_its_replica() -> None:
     driver = GatewayDriver([service_pool(count=2)])
     for _ in range(10):
-        _door, first, _second = hedged(driver)
+        _endpoint, first, _second = hedged(driver)
         driver.respond(first)
     states = [replica.breaker.state for replica in replicas(driver).values()]
     assert states == [BreakerState.CLOSED, BreakerState.CLOSED]
--- a/tests/gateway/test_lifecycle.py
+++ b/tests/gateway/test_lifecycle.py
@@ -15,8 +15,8 @@
     """Ids of the servers that get requests now."""
     used = set()
     for _ in range(count):
-        door_id = driver.request("/shop-api/a", x_caller="probe")
-        if driver.is_answered(door_id):
+        endpoint_id = driver.request("/shop-api/a", x_caller="probe")
+        if driver.is_answered(endpoint_id):
             continue
         call = driver.only_call()
         used.add(driver.backend_at(call.address))
@@ -46,10 +46,10 @@
 def test_without_configuration_lease_everything_is_refused_at_once() -> None:
     driver = GatewayDriver([service_pool()])
     driver.session.lease_held = False
-    door_id = driver.request("/shop-api/a")
-    assert driver.code(door_id) == "configuration_stale"
-    assert driver.outcome(door_id) == "not_run"
-    assert driver.response(door_id).headers["retry-after"] == "2"
+    endpoint_id = driver.request("/shop-api/a")
+    assert driver.code(endpoint_id) == "configuration_stale"
+    assert driver.outcome(endpoint_id) == "not_run"
+    assert driver.response(endpoint_id).headers["retry-after"] == "2"
     assert driver.response(driver.request("/readyz")).status == 503
     assert driver.response(driver.request("/livez")).status == 200
 
@@ -66,11 +66,11 @@
 
 def test_retry_is_not_dispatched_without_lease() -> None:
     driver = GatewayDriver([service_pool()])
-    door_id = driver.request("/shop-api/a")
+    endpoint_id = driver.request("/shop-api/a")
     driver.session.lease_held = False
     driver.refuse(driver.only_call())
     assert not driver.calls
-    assert driver.outcome(door_id) == "not_run"
+    assert driver.outcome(endpoint_id) == "not_run"
 
 
 # Planned stop --------------------------------------------------------------------------
@@ -254,8 +254,8 @@
 
 def test_deleted_pool_refuses_and_its_request_in_flight_ends_well() -> None:
     driver = GatewayDriver([service_pool()])
-    door_id = driver.request("/shop-api/a")
+    endpoint_id = driver.request("/shop-api/a")
     driver.configure([])
     assert driver.response(driver.request("/shop-api/a")).status == 404
     driver.respond(driver.only_call())
-    assert driver.outcome(door_id) == "answer"
+    assert driver.outcome(endpoint_id) == "answer"
--- a/tests/gateway/test_streams.py
+++ b/tests/gateway/test_streams.py
@@ -11,47 +11,47 @@
 
 def test_whole_stream_is_relayed_byte_for_byte() -> None:
     driver = GatewayDriver([engine_pool()])
-    door_id = driver.complete(x_request_id="r")
+    endpoint_id = driver.complete(x_request_id="r")
     call = driver.only_call()
     body = msgspec.json.decode(call.body)
     assert body["request_id"] == "r"
     assert body["resume"] is None
     driver.open_stream(call)
-    assert driver.stream_started(door_id)
+    assert driver.stream_started(endpoint_id)
     first = driver.tokens(call, 0, 3)
     second = driver.tokens(call, 3, 2, version=2)
     end = driver.finish_stream(call, [(1, 0, 3), (2, 3, 5)])
-    assert driver.streamed(door_id) == (first + second + end + DONE, True)
+    assert driver.streamed(endpoint_id) == (first + second + end + DONE, True)
     assert driver.gateway.in_flight == 0
 
 
 @pytest.mark.parametrize("cut", range(1, 40, 7))
 def test_chunk_borders_carry_no_meaning(cut: int) -> None:
     driver = GatewayDriver([engine_pool()])
-    door_id = driver.complete(x_request_id="r")
+    endpoint_id = driver.complete(x_request_id="r")
     call = driver.only_call()
     driver.open_stream(call)
     data = token_event("r", 0, 2) + token_event("r", 2, 1) + last_event("r", [(1, 0, 3)]) + DONE
     for start in range(0, len(data), cut):
         driver.chunk(call, data[start : start + cut])
-    assert driver.streamed(door_id) == (data, True)
+    assert driver.streamed(endpoint_id) == (data, True)
 
 
 def test_carriage_returns_are_understood() -> None:
     driver = GatewayDriver([engine_pool()])
-    door_id = driver.complete(x_request_id="r")
+    endpoint_id = driver.complete(x_request_id="r")
     call = driver.only_call()
     driver.open_stream(call)
     data = token_event("r", 0, 2) + last_event("r", [(1, 0, 2)]) + DONE
     for byte in data.replace(b"\n", b"\r\n"):
         driver.chunk(call, bytes([byte]))
-    assert driver.streamed(door_id) == (data, True)
+    assert driver.streamed(endpoint_id) == (data, True)
 
 
 @pytest.mark.parametrize("how", ["failed", "ended", "done_early"])
 def test_interrupted_stream_goes_on_elsewhere_with_every_token_once(how: str) -> None:
     driver = GatewayDriver([engine_pool()])
-    door_id = driver.complete(x_request_id="r")
+    endpoint_id = driver.complete(x_request_id="r")
     first = driver.only_call()
     driver.open_stream(first)
     sent = driver.tokens(first, 0, 3)
@@ -71,12 +71,12 @@
     driver.open_stream(second)
     sent += driver.tokens(second, 3, 2, version=2)
     sent += driver.finish_stream(second, [(1, 0, 3), (2, 3, 5)])
-    assert driver.streamed(door_id) == (sent + DONE, True)
+    assert driver.streamed(endpoint_id) == (sent + DONE, True)
 
 
 def test_repeated_tokens_of_a_resumed_stream_are_dropped() -> None:
     driver = GatewayDriver([engine_pool()])
-    door_id = driver.complete(x_request_id="r")
+    endpoint_id = driver.complete(x_request_id="r")
     first = driver.only_call()
     driver.open_stream(first)
     sent = driver.tokens(first, 0, 3)
@@ -87,13 +87,13 @@
     driver.tokens(second, 2, 1)
     sent += driver.tokens(second, 3, 1)
     sent += driver.finish_stream(second, [(1, 0, 4)])
-    assert driver.streamed(door_id) == (sent + DONE, True)
+    assert driver.streamed(endpoint_id) == (sent + DONE, True)
 
 
 @pytest.mark.parametrize("index", [4, 1])
 def test_gap_or_overlap_is_never_passed_on(index: int) -> None:
     driver = GatewayDriver([engine_pool(count=1)], requests=_impatient())
-    door_id = driver.complete(x_request_id="r")
+    endpoint_id = driver.complete(x_request_id="r")
     call = driver.only_call()
     driver.open_stream(call)
     sent = driver.tokens(call, 0, 3)
@@ -103,52 +103,52 @@
     while driver.calls:
         driver.fail(driver.only_call(), CallPhase.CONNECT)
         driver.advance(2.0)
-    assert driver.streamed(door_id) == (sent, False)
+    assert driver.streamed(endpoint_id) == (sent, False)
 
 
 def test_events_of_another_request_are_never_passed_on() -> None:
     driver = GatewayDriver([engine_pool()])
-    door_id = driver.complete(x_request_id="r")
+    endpoint_id = driver.complete(x_request_id="r")
     call = driver.only_call()
     driver.open_stream(call)
     driver.chunk(call, token_event("other", 0, 3))
     assert call.call_id in driver.cancelled
-    assert driver.streamed(door_id)[0] == b""
+    assert driver.streamed(endpoint_id)[0] == b""
 
 
 def test_finish_reason_without_end_mark_is_a_truncation() -> None:
     driver = GatewayDriver([engine_pool()])
-    door_id = driver.complete(x_request_id="r")
+    endpoint_id = driver.complete(x_request_id="r")
     call = driver.only_call()
     driver.open_stream(call)
     driver.tokens(call, 0, 3)
     driver.chunk(call, last_event("r", [(1, 0, 3)]))
-    assert driver.streamed(door_id)[1] is None
+    assert driver.streamed(endpoint_id)[1] is None
     driver.fail(call, CallPhase.BODY)
-    assert driver.streamed(door_id)[1] is None
+    assert driver.streamed(endpoint_id)[1] is None
     assert msgspec.json.decode(driver.only_call().body)["resume"]["token_count"] == 3
 
 
 @pytest.mark.parametrize("reason", ["cancelled", "exported", "swapped"])
 def test_end_on_somebodys_order_is_an_interruption(reason: str) -> None:
     driver = GatewayDriver([engine_pool()])
-    door_id = driver.complete(x_request_id="r")
+    endpoint_id = driver.complete(x_request_id="r")
     call = driver.only_call()
     driver.open_stream(call)
     driver.tokens(call, 0, 3)
     driver.finish_stream(call, [(1, 0, 3)], reason)
-    assert driver.streamed(door_id)[1] is None
+    assert driver.streamed(endpoint_id)[1] is None
     assert driver.only_call().address != call.address
 
 
 def test_spans_told_are_those_the_chunks_were_stamped_with() -> None:
     driver = GatewayDriver([engine_pool()])
-    door_id = driver.complete(x_request_id="r")
+    endpoint_id = driver.complete(x_request_id="r")
     call = driver.only_call()
     driver.open_stream(call)
     driver.tokens(call, 0, 3, version=4)
     driver.finish_stream(call, [(5, 0, 3)])
-    data, whole = driver.streamed(door_id)
+    data, whole = driver.streamed(endpoint_id)
     assert whole is True
     last = data.split(b"\n\n")[-3]
     assert msgspec.json.decode(last[6:])["spans"] == [[4, 0, 3]]
@@ -156,7 +156,7 @@
 
 def test_answer_without_stream_is_gathered_and_survives_an_engine() -> None:
     driver = GatewayDriver([engine_pool()])
-    door_id = driver.complete(stream=False, x_request_id="r")
+    endpoint_id = driver.complete(stream=False, x_request_id="r")
     first = driver.only_call()
     assert first.stream
     driver.open_stream(first)
@@ -166,7 +166,7 @@
     driver.open_stream(second)
     driver.tokens(second, 2, 1, version=2)
     driver.finish_stream(second, [(1, 0, 2), (2, 2, 3)], "length")
-    response = driver.response(door_id)
+    response = driver.response(endpoint_id)
     assert response.headers["x-outcome"] == "answer"
     assert msgspec.json.decode(response.body) == {
         "request_id": "r",
@@ -179,32 +179,32 @@
 
 def test_refusal_in_the_head_is_followed_by_another_engine() -> None:
     driver = GatewayDriver([engine_pool()])
-    door_id = driver.complete()
+    endpoint_id = driver.complete()
     first = driver.only_call()
     driver.open_stream(first, 503, x_not_run="true")
     driver.chunk(first, b"{}")
     driver.end_stream(first)
     second = driver.only_call()
     assert second.address != first.address
-    assert not driver.stream_started(door_id)
+    assert not driver.stream_started(endpoint_id)
 
 
 def test_error_answer_of_an_engine_is_passed_on_whole() -> None:
     driver = GatewayDriver([engine_pool()])
-    door_id = driver.complete()
+    endpoint_id = driver.complete()
     call = driver.only_call()
     driver.open_stream(call, 400)
     driver.chunk(call, b'{"code":')
     driver.chunk(call, b'"bad"}')
     driver.end_stream(call)
-    response = driver.response(door_id)
+    response = driver.response(endpoint_id)
     assert (response.status, response.body) == (400, b'{"code":"bad"}')
     assert response.headers["x-outcome"] == "answer"
 
 
 def test_begun_stream_waits_for_an_engine_to_come_back() -> None:
     driver = GatewayDriver([engine_pool(count=1)])
-    door_id = driver.complete(x_request_id="r")
+    endpoint_id = driver.complete(x_request_id="r")
     first = driver.only_call()
     driver.open_stream(first)
     sent = driver.tokens(first, 0, 3)
@@ -215,12 +215,12 @@
     driver.open_stream(second)
     sent += driver.tokens(second, 3, 1)
     sent += driver.finish_stream(second, [(1, 0, 4)])
-    assert driver.streamed(door_id) == (sent + DONE, True)
+    assert driver.streamed(endpoint_id) == (sent + DONE, True)
 
 
 def test_begun_stream_without_any_engine_ends_truncated() -> None:
     driver = GatewayDriver([engine_pool(count=1)], requests=_impatient())
-    door_id = driver.complete(x_request_id="r")
+    endpoint_id = driver.complete(x_request_id="r")
     call = driver.only_call()
     driver.open_stream(call)
     driver.tokens(call, 0, 3)
@@ -230,18 +230,18 @@
         driver.advance(0.1)
         while driver.calls:
             driver.fail(driver.only_call(), CallPhase.CONNECT)
-    assert driver.streamed(door_id)[1] is False
+    assert driver.streamed(endpoint_id)[1] is False
     assert driver.gateway.in_flight == 0
 
 
 def test_deadline_truncates_a_begun_stream_and_stops_the_engine() -> None:
     driver = GatewayDriver([engine_pool()])
-    door_id = driver.complete(x_request_id="r", x_deadline_seconds="1")
+    endpoint_id = driver.complete(x_request_id="r", x_deadline_seconds="1")
     call = driver.only_call()
     driver.open_stream(call)
     driver.tokens(call, 0, 1)
     driver.advance(1.01)
-    assert driver.streamed(door_id)[1] is False
+    assert driver.streamed(endpoint_id)[1] is False
     assert call.call_id in driver.cancelled
     cancel = driver.only_call()
     assert (cancel.path, cancel.address) == ("/v1/cancel", call.address)
@@ -281,13 +281,13 @@
 def test_answer_without_stream_is_bounded() -> None:
     settings = msgspec.structs.replace(_impatient(), maximum_answer_bytes=16)
     driver = GatewayDriver([engine_pool(count=1)], requests=settings)
-    door_id = driver.complete(stream=False, x_request_id="r")
+    endpoint_id = driver.complete(stream=False, x_request_id="r")
     call = driver.only_call()
     driver.open_stream(call)
     driver.tokens(call, 0, 30)
     driver.advance(5.0)
     assert driver.gateway.in_flight == 0
-    assert driver.outcome(door_id) == "unknown"
+    assert driver.outcome(endpoint_id) == "unknown"
 
 
 def _impatient() -> "object":
--- a/tests/runtime/test_http_door.py
+++ b/tests/runtime/test_http_endpoint.py
@@ -1,4 +1,4 @@
-"""The HTTP door: what reaches the reducer, how responses leave, what bad clients get."""
+"""The HTTP endpoint: what reaches the reducer, how responses leave, what bad clients get."""
 
 import json
 import socket
@@ -24,7 +24,7 @@
 from merlinstand.kernel.events import Event, RequestAborted, RequestReceived, TimerFired
 from merlinstand.runtime.host_settings import HttpLimits
 from merlinstand.runtime.http_input import MAXIMUM_CHUNK_READS
-from merlinstand.runtime.http_server import DoorHandler
+from merlinstand.runtime.http_server import EndpointHandler
 from tests.runtime.conftest import connect, read_to_end
 
 LIMITS = HttpLimits(maximum_body_bytes=1000, request_read_timeout_seconds=0.2)
@@ -138,13 +138,13 @@
     run_reducer: Any, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     options: list[int] = []
-    serve = DoorHandler.handle
+    serve = EndpointHandler.handle
 
-    def handle(handler: DoorHandler) -> None:
+    def handle(handler: EndpointHandler) -> None:
         options.append(handler.socket.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY))
         serve(handler)
 
-    monkeypatch.setattr(DoorHandler, "handle", handle)
+    monkeypatch.setattr(EndpointHandler, "handle", handle)
     host, _reducer = run_reducer(echo)
     exchange(host, request("/", b"", "Connection: close"))
     assert options == [1]
@@ -473,7 +473,7 @@
 @example([b"GET http://h HTTP/1.0\r\n\r\n"])
 @example([b"BREW /pot HTTP/1.1\r\n\r\n"])
 @example([b"POST / HTTP/1.1\r\nContent-Length: 0000000000000000004\r\n\r\nbody"])
-def test_any_bytes_leave_the_door_open(run_reducer: Any, parts: list[bytes]) -> None:
+def test_any_bytes_leave_the_endpoint_open(run_reducer: Any, parts: list[bytes]) -> None:
     """Whatever a client sends, it gets HTTP or silence, and the next client is served."""
     host, _reducer = run_reducer(echo, http_limits=PATIENT)
     connection = connect(host.http_address)
--- a/tests/runtime/test_tls.py
+++ b/tests/runtime/test_tls.py
@@ -1,4 +1,4 @@
-"""TLS on the HTTP door, on calls and between peers, with certificates made for the tests."""
+"""TLS on the HTTP endpoint, on calls and between peers, with certificates made for the tests."""
 
 import contextlib
 import socket
@@ -49,7 +49,7 @@
     return StartCall(CallId("c"), address, "GET", "/x", {}, b"", 20.0)
 
 
-def test_calls_and_door_speak_tls(run_reducer: Any) -> None:
+def test_calls_and_endpoint_speak_tls(run_reducer: Any) -> None:
     server, _reducer = run_reducer(answer_ok, tls=files())
     client, reducer = run_reducer(tls=files())
     client._client.start(call(server.http_address))
@@ -64,7 +64,7 @@
     assert not [one for one in served.sink.events if isinstance(one, RequestReceived)]
 
 
-def test_plain_client_gets_nothing_from_a_tls_door(run_reducer: Any) -> None:
+def test_plain_client_gets_nothing_from_a_tls_endpoint(run_reducer: Any) -> None:
     server, served = run_reducer(answer_ok, tls=files())
     connection = connect(server.http_address)
     connection.sendall(b"GET / HTTP/1.1\r\n\r\n")
@@ -100,7 +100,7 @@
 
 @settings(max_examples=30)
 @given(first=RECORDS, rest=st.binary(max_size=40))
-def test_any_bytes_leave_the_tls_door_open(run_reducer: Any, first: bytes, rest: bytes) -> None:
+def test_any_bytes_leave_the_tls_endpoint_open(run_reducer: Any, first: bytes, rest: bytes) -> None:
     server, served = run_reducer(answer_ok, tls=files())
     connection = connect(server.http_address)
     connection.sendall(first + rest)
--- a/tests/runtime/test_transport.py
+++ b/tests/runtime/test_transport.py
@@ -1,4 +1,4 @@
-"""The internal protocol: delivery, reconnection, and doors that stand bad peers."""
+"""The internal protocol: delivery, reconnection, and endpoints that stand bad peers."""
 
 import contextlib
 from typing import Any
@@ -201,7 +201,7 @@
 
 
 @given(st.binary(min_size=1, max_size=64), st.booleans())
-def test_any_bytes_leave_the_internal_door_open(data: bytes, with_hello: bool) -> None:
+def test_any_bytes_leave_the_internal_endpoint_open(data: bytes, with_hello: bool) -> None:
     node = Node("b")
     connection = connect(node.transport.address)
     connection.sendall((HELLO if with_hello else b"") + data)
--- a/tests/standins/test_engine.py
+++ b/tests/standins/test_engine.py
@@ -1,4 +1,4 @@
-"""The engine's HTTP door: streams, orders, faults, reports."""
+"""The engine's HTTP endpoint: streams, orders, faults, reports."""
 
 from typing import Any
 
--- a/tests/standins/test_engine_behaviour.py
+++ b/tests/standins/test_engine_behaviour.py
@@ -174,7 +174,7 @@
     assert driver.ask("GET", "/v1/status")["running"] == 1
 
 
-def test_imported_state_saves_the_prefill_at_the_door_too() -> None:
+def test_imported_state_saves_the_prefill_at_the_endpoint_too() -> None:
     def first_chunk_after(status: int) -> float:
         driver = serving_engine(prefill_seconds_per_token=0.05, chunk_interval_seconds=0.05)
         resume = {"handle": "h", "source": "127.0.0.1:7", "token_count": 40, "spans": [[1, 0, 40]]}
