One nearest-rank quantile for experiments, capacity and failover

Cause: the same rank stood three times in the laboratory, once with a guard against rounding. Ruled out: the fleet summary's quantile, which takes another rank (rounded down); merging it would change a figure that it prints. Change: merlinstand_lab/quantiles.py, with the guard.

--- a/src/merlinstand_lab/capacity/slopes.py
+++ b/src/merlinstand_lab/capacity/slopes.py
@@ -6,6 +6,8 @@
 import msgspec
 import numpy
 
+from merlinstand_lab.quantiles import nearest_rank
+
 MINIMUM_POINTS = 3
 
 _STUDENT_975 = (
@@ -89,5 +91,4 @@
 
 def percentile(values: Sequence[float], share: float) -> float:
     """Return the smallest value that at least `share` of the values do not exceed."""
-    ordered = sorted(values)
-    return ordered[max(0, math.ceil(share * len(ordered)) - 1)]
+    return nearest_rank(sorted(values), share)
--- a/src/merlinstand_lab/experiments/measures.py
+++ b/src/merlinstand_lab/experiments/measures.py
@@ -1,11 +1,11 @@
 """What the users measure, from the records of outsiders alone."""
 
-import math
 from collections import Counter
 
 import msgspec
 
 from merlinstand_lab.experiments.lower_bound import lower_bound_idle_share
+from merlinstand_lab.quantiles import quantile
 from merlinstand_lab.records.kinds import CallerOutcome, CallerRecord, SampleRecord
 from merlinstand_lab.records.record_set import RecordSet
 from merlinstand_lab.simulator.whole_fleet import FLOOD_CALLER
@@ -71,13 +71,6 @@
     )
 
 
-def quantile(ordered: list[float], share: float) -> float | None:
-    """Return the smallest value that a share of an ordered list does not exceed."""
-    if not ordered:
-        return None
-    return ordered[min(len(ordered) - 1, math.ceil(share * len(ordered)) - 1)]
-
-
 def _is_measured_lookup(caller: CallerRecord) -> bool:
     return caller.kind == "lookup" and caller.caller != FLOOD_CALLER
 
--- a/src/merlinstand_lab/failover/summary.py
+++ b/src/merlinstand_lab/failover/summary.py
@@ -1,10 +1,9 @@
 """Sums a run up: times by kind of fault, and what speaks against it."""
 
-from collections.abc import Sequence
-
 import msgspec
 
 from merlinstand_lab.failover.trial import FaultKind, TrialResult
+from merlinstand_lab.quantiles import quantile
 
 SHOWN_COMMANDS = 5
 _ROW = "{:8} {:>5} {:>7} {:>7} {:>7} {:>7} {:>10}"
@@ -65,17 +64,8 @@
         kind=kind,
         count=len(of_kind),
         shortest_seconds=times[0] if times else None,
-        median_seconds=_quantile(times, 0.5),
-        percentile_90_seconds=_quantile(times, 0.9),
+        median_seconds=quantile(times, 0.5),
+        percentile_90_seconds=quantile(times, 0.9),
         longest_seconds=times[-1] if times else None,
         over_bound=len(of_kind) - in_time,
     )
-
-
-def _quantile(times: Sequence[float], fraction: float) -> float | None:
-    """Return the smallest time that at least a fraction of all don't exceed."""
-    if not times:
-        return None
-    # In whole thousandths: 0.9 * 20 must not become the 19th of 20 by a rounding error.
-    rank = -(-len(times) * round(fraction * 1000) // 1000)
-    return times[max(rank, 1) - 1]
--- a/tests/experiments/test_statistics.py
+++ b/tests/experiments/test_statistics.py
@@ -8,8 +8,9 @@
     aggregate_tokens_per_second,
     lower_bound_idle_share,
 )
-from merlinstand_lab.experiments.measures import measure, quantile
+from merlinstand_lab.experiments.measures import measure
 from merlinstand_lab.experiments.statistics import mean_interval, paired_difference
+from merlinstand_lab.quantiles import quantile
 from merlinstand_lab.records.kinds import ActivationRecord, SampleRecord, StepRecord, StoreRecord
 from merlinstand_lab.records.record_set import RecordSet
 from merlinstand_lab.standins.settings import EngineProfile
