--- /dev/null
+++ b/src/merlinstand/batch_jobs/calls.py
@@ -0,0 +1,113 @@
+"""What gateways ask of a batch keeper, and its replies (msgpack over HTTP)."""
+
+import msgspec
+
+from merlinstand.batch_jobs.model import BatchJob, ItemResult
+
+CALL_PATH = "/v1/batch-call"
+
+
+class SubmitJob(msgspec.Struct, frozen=True, tag="submit"):
+    """Keep a job and run it; taken once, however often it comes."""
+
+    job: BatchJob
+
+
+class ReadResults(msgspec.Struct, frozen=True, tag="results"):
+    """Read results from a position on."""
+
+    job_id: str
+    position: int
+    wait_seconds: float = 0.0
+    """Longest wait for a first result."""
+
+
+class ReadItemBody(msgspec.Struct, frozen=True, tag="body"):
+    """Read the body of an item that is not listed yet."""
+
+    job_id: str
+    item_id: str
+
+
+class EndJob(msgspec.Struct, frozen=True, tag="end"):
+    """Run nothing more of a job; repeating it is harmless."""
+
+    job_id: str
+
+
+BatchCall = SubmitJob | ReadResults | ReadItemBody | EndJob
+
+
+class JobAccepted(msgspec.Struct, frozen=True, tag="accepted"):
+    """The job is kept."""
+
+
+class ResultsPage(msgspec.Struct, frozen=True, tag="page"):
+    """Results from the asked position on."""
+
+    total: int
+    """Items of the job."""
+    position: int
+    results: tuple[ItemResult, ...]
+
+
+class ItemBody(msgspec.Struct, frozen=True, tag="item"):
+    """An item's body."""
+
+    body: bytes
+
+
+class JobEnded(msgspec.Struct, frozen=True, tag="ended"):
+    """The job runs no more."""
+
+
+class NotFound(msgspec.Struct, frozen=True, tag="not_found"):
+    """There is no such job, or no such unlisted item."""
+
+
+class NotLeader(msgspec.Struct, frozen=True, tag="not_leader"):
+    """Nothing was done; another keeper leads."""
+
+    http_address: str = ""
+    """The leader's, if known."""
+
+
+class Undecided(msgspec.Struct, frozen=True, tag="undecided"):
+    """It may or may not be done."""
+
+
+class Invalid(msgspec.Struct, frozen=True, tag="invalid"):
+    """The call itself is wrong."""
+
+    detail: str
+
+
+BatchReply = (
+    JobAccepted | ResultsPage | ItemBody | JobEnded | NotFound | NotLeader | Undecided | Invalid
+)
+
+_CALL_DECODER = msgspec.msgpack.Decoder(BatchCall)
+_REPLY_DECODER = msgspec.msgpack.Decoder(BatchReply)
+
+
+def encode(message: BatchCall | BatchReply) -> bytes:
+    """Encode a call or a reply."""
+    return msgspec.msgpack.encode(message)
+
+
+def decode_call(data: bytes) -> BatchCall:
+    """Decode a call.
+
+    Raises:
+        msgspec.DecodeError: The bytes are malformed.
+    """
+    return _CALL_DECODER.decode(data)
+
+
+def decode_reply(data: bytes) -> BatchReply:
+    """Decode a reply.
+
+    Raises:
+        msgspec.DecodeError: The bytes are malformed.
+    """
+    return _REPLY_DECODER.decode(data)
--- /dev/null
+++ b/src/merlinstand/batch_jobs/engines.py
@@ -0,0 +1,89 @@
+"""Engines as the leading keeper sees them: free slots, weight versions, own evidence."""
+
+import msgspec
+
+from merlinstand.common.ids import BackendId
+from merlinstand.directory.backends import Backend
+from merlinstand.directory.follower import DirectoryFollower
+
+DEFAULT_SLOTS = 4
+"""Assumed of an engine that does not tell its slots."""
+FIRST_PENALTY_SECONDS = 0.3
+LONGEST_PENALTY_SECONDS = 4.0
+
+
+class EngineState(msgspec.Struct):
+    """One engine."""
+
+    backend: Backend
+    running: int = 0
+    """Runs that this keeper has there."""
+    is_loading: bool = False
+    """Whether it loads weights, and so begins no run."""
+    versions: dict[str, int] = msgspec.field(default_factory=dict)
+    """Newest weight version seen, by model."""
+    avoid_until: float = 0.0
+    penalty_seconds: float = 0.0
+
+    def version_of(self, model: str) -> int:
+        """Newest weight version known; versions never go back within an incarnation."""
+        return max(self.versions.get(model, 0), self.backend.version_of(model))
+
+    def note_version(self, model: str, version: int) -> None:
+        """Take in a version that the engine showed."""
+        if version > self.versions.get(model, 0):
+            self.versions[model] = version
+
+    @property
+    def slots(self) -> int:
+        """Requests that it works on at once."""
+        return self.backend.slots or DEFAULT_SLOTS
+
+    @property
+    def free_slots(self) -> int:
+        """Slots that this keeper does not use."""
+        return self.slots - self.running
+
+    def note_failure(self, now: float) -> None:
+        """Avoid the engine for a while, longer each time."""
+        longer = max(FIRST_PENALTY_SECONDS, self.penalty_seconds * 2)
+        self.penalty_seconds = min(LONGEST_PENALTY_SECONDS, longer)
+        self.avoid_until = now + self.penalty_seconds
+
+    def note_success(self) -> None:
+        """The engine works."""
+        self.penalty_seconds = 0.0
+        self.avoid_until = 0.0
+
+    def is_usable(self, now: float) -> bool:
+        """Whether a run may begin there now."""
+        is_sound = self.avoid_until <= now
+        return is_sound and not self.is_loading and not self.backend.is_leaving
+
+
+class EngineStates:
+    """All registered engines."""
+
+    def __init__(self, follower: DirectoryFollower) -> None:
+        """Begin with those that the directory tells."""
+        self._follower = follower
+        self._revision = -2
+        self.states: dict[BackendId, EngineState] = {}
+
+    def refresh(self) -> None:
+        """Follow the directory."""
+        if self._revision == self._follower.backends_revision:
+            return
+        self._revision = self._follower.backends_revision
+        previous = self.states
+        self.states = {}
+        for backend in self._follower.backends:
+            state = previous.get(backend.backend_id)
+            if state is None:
+                state = EngineState(backend)
+            state.backend = backend
+            self.states[backend.backend_id] = state
+
+    def of_service(self, service: str) -> list[EngineState]:
+        """Engines of a service."""
+        return [state for state in self.states.values() if state.backend.service == service]
--- /dev/null
+++ b/src/merlinstand/batch_jobs/event_text.py
@@ -0,0 +1,103 @@
+"""The text of one item, gathered from server-sent events of one or several runs."""
+
+import msgspec
+from result import Err, Ok, Result
+
+from merlinstand.common.errors import InvalidInputError
+from merlinstand.gateway.sse import MAXIMUM_EVENT_BYTES, EventCutter
+
+
+class GeneratedEvent(msgspec.Struct, frozen=True, gc=False):
+    """One event of an engine."""
+
+    event_id: int
+    data: str
+    version: int | None
+    """Weight version from this event on, where the event says so."""
+
+
+def parse_event(raw: bytes, version_name: str) -> Result[GeneratedEvent | None, InvalidInputError]:
+    """Parse one event.
+
+    Args:
+        raw: Its lines, without the empty one.
+        version_name: Name of the line that tells a new weight version.
+
+    Returns:
+        The event; None for a comment or an event without id.
+    """
+    event_id: int | None = None
+    version: int | None = None
+    data: list[str] = []
+    try:
+        for line in raw.decode("utf-8").split("\n"):
+            name, _colon, value = line.partition(":")
+            value = value.removeprefix(" ")
+            if name == "data":
+                data.append(value)
+            elif name == "id":
+                event_id = int(value)
+            elif name == version_name:
+                version = int(value)
+    except ValueError as error:
+        return Err(InvalidInputError(detail=f"malformed event: {error}"))
+    if event_id is None:
+        return Ok(None)
+    return Ok(GeneratedEvent(event_id, "\n".join(data), version))
+
+
+class ItemText:
+    """Events so far, each exactly once and in order."""
+
+    def __init__(self) -> None:
+        """Begin without events."""
+        self.pieces: list[str] = []
+        self.versions: list[int] = []
+        """Versions that made an event, in order of appearance."""
+        self.last_event_id = 0
+        self._current_version = 0
+        self._cutter = EventCutter()
+
+    @property
+    def text(self) -> str:
+        """The data of all events, one a line."""
+        return "\n".join(self.pieces)
+
+    @property
+    def has_partial_event(self) -> bool:
+        """Whether bytes of an unfinished event are held."""
+        return self._cutter.pending_bytes > 0
+
+    def begin_run(self, version: int) -> None:
+        """A run begins, or goes on after the last whole event."""
+        self._cutter = EventCutter()
+        self._current_version = version
+
+    def reset(self) -> None:
+        """Drop everything."""
+        self.__init__()  # type: ignore[misc]
+
+    def feed(self, data: bytes, version_name: str) -> Result[None, InvalidInputError]:
+        """Take bytes of a run in; an event out of order is an error."""
+        for raw in self._cutter.feed(data):
+            parsed = parse_event(raw, version_name)
+            if isinstance(parsed, Err):
+                return parsed
+            event = parsed.ok_value
+            if event is None:
+                continue
+            if event.event_id != self.last_event_id + 1:
+                detail = f"event {event.event_id} follows {self.last_event_id}"
+                return Err(InvalidInputError(detail=detail))
+            self._take(event)
+        if self._cutter.pending_bytes > MAXIMUM_EVENT_BYTES:
+            return Err(InvalidInputError(detail="event too long"))
+        return Ok(None)
+
+    def _take(self, event: GeneratedEvent) -> None:
+        if event.version is not None:
+            self._current_version = event.version
+        if self._current_version not in self.versions:
+            self.versions.append(self._current_version)
+        self.pieces.append(event.data)
+        self.last_event_id = event.event_id
--- /dev/null
+++ b/src/merlinstand/batch_jobs/item_run.py
@@ -0,0 +1,63 @@
+"""One item on its way to its result, in the leading keeper."""
+
+import enum
+
+import msgspec
+
+from merlinstand.batch_jobs.event_text import ItemText
+from merlinstand.batch_jobs.model import BatchItem, ItemResult, ResultState
+from merlinstand.common.ids import BackendId, CallId
+
+
+class RunPhase(enum.Enum):
+    """Where an item is."""
+
+    WAITING = "waiting"
+    GENERATING = "generating"
+    SCORING = "scoring"
+    LISTING = "listing"
+    """Its result is proposed."""
+
+
+class ItemRun(msgspec.Struct):
+    """An item that has no position yet."""
+
+    job_id: str
+    item: BatchItem
+    order: tuple[int, int] = (0, 0)
+    """Position of the job among open jobs, and of the item in the job."""
+    phase: RunPhase = RunPhase.WAITING
+    text: ItemText = msgspec.field(default_factory=ItemText)
+    failures: int = 0
+    """Answers of 500."""
+    call_id: CallId | None = None
+    backend_id: BackendId | None = None
+    """Where it runs, or ran last."""
+    has_head: bool = False
+    """Whether the present run was accepted by its engine."""
+    wait_until: float = 0.0
+    scoring_failures: int = 0
+    score: str = ""
+    result: ItemResult | None = None
+    """Set once it is to be listed."""
+    is_carried: bool = False
+    """Whether the item stood in an earlier job, too."""
+
+    @property
+    def key(self) -> str:
+        """Names the item within this process."""
+        return f"{self.job_id}/{self.item.item_id}"
+
+    def succeeded(self) -> ItemResult:
+        """The result of a whole text."""
+        return ItemResult(
+            item_id=self.item.item_id,
+            state=ResultState.SUCCEEDED,
+            text=self.text.text,
+            versions=tuple(self.text.versions),
+            score=self.score,
+        )
+
+    def terminated(self) -> ItemResult:
+        """The result of an item that was given up."""
+        return ItemResult(item_id=self.item.item_id, state=ResultState.TERMINATED)
--- /dev/null
+++ b/src/merlinstand/batch_jobs/model.py
@@ -0,0 +1,67 @@
+"""Batch jobs, their items and their results."""
+
+import enum
+
+import msgspec
+
+
+class ScoringCall(msgspec.Struct, frozen=True, array_like=True):
+    """The request that scores an item's text."""
+
+    request_id: str
+    host: str
+    path: str
+    body: bytes
+
+
+class BatchItem(msgspec.Struct, frozen=True, kw_only=True):
+    """One generation of a batch job."""
+
+    item_id: str
+    path: str
+    headers: dict[str, str]
+    """Names in lower case."""
+    body: bytes
+    tokens: int = 0
+    """Tokens of the prompt and most tokens out, summed."""
+    expected_tokens: int = 0
+    """The sender's guess of the tokens out; 0 if it made none."""
+    group: str = ""
+    """Items of a group share their prompt and count together."""
+    scoring: ScoringCall | None = None
+
+
+class BatchJob(msgspec.Struct, frozen=True, kw_only=True):
+    """Many generations that are accepted at once and run later."""
+
+    job_id: str
+    host: str
+    """Host and path of its route."""
+    path: str
+    items: tuple[BatchItem, ...]
+    step: int = 0
+    model: str = ""
+    minimum_version: int = 0
+    """Oldest weight version that may make its tokens."""
+    wanted_groups: int = 0
+    """Whole groups that the trainer waits for."""
+
+
+class ResultState(enum.Enum):
+    """How an item ended."""
+
+    SUCCEEDED = "succeeded"
+    TERMINATED = "terminated"
+
+
+class ItemResult(msgspec.Struct, frozen=True, kw_only=True):
+    """What a reader gets for an item, at a position that never changes."""
+
+    item_id: str
+    state: ResultState
+    text: str = ""
+    """Data of all events in order, one a line."""
+    versions: tuple[int, ...] = ()
+    """Every weight version that made an event of the text."""
+    score: str = ""
+    """The scoring service's signature."""
--- /dev/null
+++ b/src/merlinstand/batch_jobs/runner.py
@@ -0,0 +1,403 @@
+"""Runs and scores the items of open jobs; lives in the leading keeper only.
+
+Everything here may be lost with the process: an item without a position is run again.
+"""
+
+from collections.abc import Callable
+
+from result import Err
+
+from merlinstand.batch_jobs.engines import EngineState, EngineStates
+from merlinstand.batch_jobs.item_run import ItemRun, RunPhase
+from merlinstand.batch_jobs.model import ItemResult
+from merlinstand.batch_jobs.schedule import GroupProgress, choose_engine, group_progress, urgency
+from merlinstand.batch_jobs.state_machine import JobState, JobStates
+from merlinstand.common.ids import CallId
+from merlinstand.directory.follower import DirectoryFollower
+from merlinstand.directory.routes import Route
+from merlinstand.forwarding.forwarder import Forwarder
+from merlinstand.forwarding.header_names import HeaderNames
+from merlinstand.forwarding.requests import Answered, Finished, ForwardRequest
+from merlinstand.forwarding.traffic_split import TrafficSplit
+from merlinstand.kernel.effects import CancelCall, Effect, LogEvent, StartCall
+from merlinstand.kernel.events import CallChunk, CallEnded, CallFailed, CallHeaders
+
+CALL_PREFIX = "item:"
+SILENCE_SECONDS = 1.5
+"""An engine that sends nothing for this long is given up on."""
+BUSY_PAUSE_SECONDS = 0.1
+RETRY_PAUSE_SECONDS = 0.05
+SCORING_SECONDS = 3.0
+"""Longest time of one round of scoring tries."""
+SCORING_PAUSE_SECONDS = 0.2
+SUCCESS_STATUS = 200
+MISDIRECTED_STATUS = 421
+UNPROCESSABLE_STATUS = 422
+SERVER_ERROR_STATUS = 500
+CARRIED_LIMIT = 20_000
+"""Item ids remembered to recognise items that come back in a later job."""
+
+StreamEvent = CallHeaders | CallChunk | CallEnded | CallFailed
+
+
+class ItemRunner:
+    """All items of open jobs, while this keeper leads."""
+
+    def __init__(
+        self,
+        jobs: JobStates,
+        follower: DirectoryFollower,
+        engines: EngineStates,
+        forwarder: Forwarder,
+        names: HeaderNames,
+        split: TrafficSplit,
+        list_result: Callable[[str, ItemResult, float], list[Effect] | None],
+    ) -> None:
+        """Begin without items.
+
+        Args:
+            jobs: The replicated jobs.
+            follower: The directory.
+            engines: All engines.
+            forwarder: Makes scoring calls.
+            names: Header names.
+            split: Chooses the service of a weighted route.
+            list_result: Proposes a result for its job; None if that can't be done now.
+        """
+        self._jobs = jobs
+        self._follower = follower
+        self._engines = engines
+        self._forwarder = forwarder
+        self._names = names
+        self._split = split
+        self._list_result = list_result
+        self._runs: dict[str, ItemRun] = {}
+        self._by_call: dict[CallId, ItemRun] = {}
+        self._seen: dict[str, str] = {}
+        """Job that an item id first came with."""
+        self._job_count = 0
+        self._calls = 0
+
+    def __len__(self) -> int:
+        """Items under way."""
+        return len(self._runs)
+
+    # Jobs
+
+    def begin(self) -> None:
+        """A leadership begins: take up all open jobs."""
+        jobs = sorted(self._jobs.jobs.values(), key=lambda job: job.accepted_at)
+        for job in jobs:
+            self.add_job(job)
+
+    def add_job(self, job: JobState) -> None:
+        """Take up a job's unlisted items."""
+        self._job_count += 1
+        for number, item in enumerate(job.job.items):
+            first_job = self._seen.setdefault(item.item_id, job.job.job_id)
+            if not job.is_open or job.is_listed(item.item_id):
+                continue
+            run = ItemRun(job.job.job_id, item, (self._job_count, number))
+            run.is_carried = first_job != job.job.job_id
+            self._runs[run.key] = run
+        while len(self._seen) > CARRIED_LIMIT:
+            del self._seen[next(iter(self._seen))]
+
+    def end_job(self, job_id: str, now: float) -> list[Effect]:
+        """Run nothing more of a job."""
+        runs = [run for run in self._runs.values() if run.job_id == job_id]
+        return [effect for run in runs for effect in self._drop(run, now)]
+
+    def end(self, now: float) -> list[Effect]:
+        """The leadership is over: stop everything."""
+        return [effect for run in list(self._runs.values()) for effect in self._drop(run, now)]
+
+    def listed(self, job_id: str, item_id: str) -> None:
+        """A result has its position."""
+        self._runs.pop(f"{job_id}/{item_id}", None)
+
+    def _drop(self, run: ItemRun, now: float) -> list[Effect]:
+        self._runs.pop(run.key, None)
+        if run.phase is RunPhase.SCORING:
+            return self._forwarder.abort(run.key, now)
+        return self._stop_call(run)
+
+    def _stop_call(self, run: ItemRun) -> list[Effect]:
+        call_id = run.call_id
+        if call_id is None:
+            return []
+        self._release(run)
+        return [CancelCall(call_id)]
+
+    def _release(self, run: ItemRun) -> None:
+        """The present call is over."""
+        if run.call_id is not None:
+            self._by_call.pop(run.call_id, None)
+        run.call_id = None
+        run.has_head = False
+        state = self._engine_of(run)
+        if state is not None:
+            state.running -= 1
+
+    def _engine_of(self, run: ItemRun) -> EngineState | None:
+        return self._engines.states.get(run.backend_id) if run.backend_id else None
+
+    # Scheduling
+
+    def tick(self, now: float) -> list[Effect]:
+        """Start what can be started; call it only while this process may act as leader."""
+        effects: list[Effect] = []
+        waiting = [run for run in self._runs.values() if run.phase is RunPhase.WAITING]
+        groups = group_progress(self._runs.values()) if waiting else {}
+        waiting.sort(key=lambda run: urgency(run, groups[(run.job_id, run.item.group)]))
+        for run in waiting:
+            if run.wait_until <= now:
+                group = groups[(run.job_id, run.item.group)]
+                effects.extend(self._try_start(run, group, now))
+        for run in list(self._runs.values()):
+            if not 0.0 < run.wait_until <= now:
+                continue
+            if run.phase is RunPhase.SCORING:
+                effects.extend(self._score(run, now))
+            elif run.phase is RunPhase.LISTING:
+                effects.extend(self._propose(run, now))
+        return effects
+
+    def give_up_job(self, job_id: str, now: float) -> list[Effect]:
+        """List every unlisted item of a job as terminated: its time is over."""
+        effects: list[Effect] = []
+        for run in [run for run in self._runs.values() if run.job_id == job_id]:
+            if run.phase is RunPhase.LISTING:
+                continue
+            if run.phase is RunPhase.SCORING:
+                effects.extend(self._forwarder.abort(run.key, now))
+            effects.extend(self._stop_call(run))
+            effects.extend(self._list(run, run.terminated(), "queue_time", now))
+        return effects
+
+    def _try_start(self, run: ItemRun, group: GroupProgress, now: float) -> list[Effect]:
+        job = self._jobs.jobs[run.job_id].job
+        host = run.item.headers.get("host", job.host)
+        route = self._follower.routes.find(host, run.item.path.partition("?")[0])
+        if route is None:
+            return []
+        service = self._split.choose(route)
+        engine = choose_engine(
+            self._engines.of_service(service),
+            job.model,
+            job.minimum_version,
+            group.last_backend,
+            now,
+        )
+        if engine is None:
+            return []
+        group.last_backend = engine.backend.backend_id
+        return [self._start(run, engine, host, now)]
+
+    def _start(self, run: ItemRun, engine: EngineState, host: str, now: float) -> Effect:
+        self._calls += 1
+        call_id = CallId(f"{CALL_PREFIX}{self._calls}")
+        run.call_id = call_id
+        run.backend_id = engine.backend.backend_id
+        run.phase = RunPhase.GENERATING
+        engine.running += 1
+        self._by_call[call_id] = run
+        headers = {
+            **run.item.headers,
+            self._names.request_id: run.item.item_id,
+            self._names.expected_backend: engine.backend.backend_id,
+        }
+        if run.text.last_event_id:
+            headers["last-event-id"] = str(run.text.last_event_id)
+        return StartCall(
+            call_id=call_id,
+            address=engine.backend.address,
+            method="POST",
+            path=run.item.path,
+            headers=headers,
+            body=run.item.body,
+            timeout_seconds=SILENCE_SECONDS,
+            stream=True,
+            host=host,
+            echo_header=self._names.request_id,
+        )
+
+    # Generation
+
+    def on_call(self, event: StreamEvent, now: float) -> list[Effect]:
+        """Something happened to a call with `CALL_PREFIX`."""
+        run = self._by_call.get(event.call_id)
+        if run is None:
+            return []
+        match event:
+            case CallHeaders():
+                return self._on_head(run, event, now)
+            case CallChunk():
+                return self._on_chunk(run, event, now)
+            case CallEnded():
+                return self._on_end(run, now)
+            case CallFailed():
+                return self._on_failure(run, event, now)
+
+    def _on_head(self, run: ItemRun, event: CallHeaders, now: float) -> list[Effect]:
+        if event.status != SUCCESS_STATUS:
+            return self._on_refusal(run, event, now)
+        job = self._jobs.jobs[run.job_id].job
+        version = _whole_number(event.headers.get(self._names.weight_versions, ""))
+        engine = self._engine_of(run)
+        if engine is not None and job.model:
+            engine.note_version(job.model, version)
+        if version < job.minimum_version:
+            return self._wait(run, "version_too_old", now, RETRY_PAUSE_SECONDS)
+        if self._is_single_version(run) and run.text.versions not in ([], [version]):
+            # The kept text can't go on under other weights.
+            run.text.reset()
+            return self._wait(run, "version_changed", now, 0.0)
+        run.has_head = True
+        run.text.begin_run(version)
+        return []
+
+    def _on_refusal(self, run: ItemRun, event: CallHeaders, now: float) -> list[Effect]:
+        status = event.status
+        is_not_run = self._names.not_run in event.headers or status == MISDIRECTED_STATUS
+        engine = self._engine_of(run)
+        if is_not_run:
+            if engine is not None:
+                engine.avoid_until = max(engine.avoid_until, now + BUSY_PAUSE_SECONDS)
+            return self._wait(run, f"not_run_{status}", now, RETRY_PAUSE_SECONDS)
+        if status == UNPROCESSABLE_STATUS:
+            effects = self._stop_call(run)
+            return effects + self._list(run, run.terminated(), "unprocessable", now)
+        if status == SERVER_ERROR_STATUS:
+            run.failures += 1
+            route = self._route_of(run)
+            if route is not None and run.failures >= route.maximum_attempts:
+                effects = self._stop_call(run)
+                return effects + self._list(run, run.terminated(), "failed", now)
+        return self._wait(run, f"status_{status}", now, RETRY_PAUSE_SECONDS)
+
+    def _on_chunk(self, run: ItemRun, event: CallChunk, now: float) -> list[Effect]:
+        if not run.has_head:
+            return []
+        fed = run.text.feed(event.data, self._names.weight_versions)
+        if isinstance(fed, Err):
+            fields = {"item": run.item.item_id, "detail": fed.err_value.detail}
+            log = LogEvent("item.bad_stream", fields, "warning")
+            self._note_engine_failure(run, now)
+            return [log, *self._wait(run, "bad_stream", now, RETRY_PAUSE_SECONDS)]
+        if self._is_single_version(run) and len(run.text.versions) > 1:
+            run.text.reset()
+            return self._wait(run, "version_changed", now, 0.0)
+        return []
+
+    def _on_end(self, run: ItemRun, now: float) -> list[Effect]:
+        if run.text.has_partial_event or not run.text.last_event_id:
+            self._note_engine_failure(run, now)
+            return self._wait(run, "cut_short", now, RETRY_PAUSE_SECONDS)
+        engine = self._engine_of(run)
+        if engine is not None:
+            engine.note_success()
+        self._release(run)
+        run.phase = RunPhase.SCORING
+        return self._score(run, now)
+
+    def _on_failure(self, run: ItemRun, event: CallFailed, now: float) -> list[Effect]:
+        self._note_engine_failure(run, now)
+        reason = f"{event.phase.value}_{event.reason}"
+        return self._wait(run, reason, now, RETRY_PAUSE_SECONDS)
+
+    def _note_engine_failure(self, run: ItemRun, now: float) -> None:
+        engine = self._engine_of(run)
+        if engine is not None:
+            engine.note_failure(now)
+
+    def _wait(self, run: ItemRun, reason: str, now: float, pause_seconds: float) -> list[Effect]:
+        """Give the present run up; the item goes on elsewhere with the text it has."""
+        fields = {
+            "item": run.item.item_id,
+            "job": run.job_id,
+            "backend": run.backend_id,
+            "reason": reason,
+            "events": run.text.last_event_id,
+        }
+        effects = self._stop_call(run)
+        run.phase = RunPhase.WAITING
+        run.wait_until = now + pause_seconds
+        return [LogEvent("item.run_ended", fields), *effects]
+
+    def _route_of(self, run: ItemRun) -> Route | None:
+        job = self._jobs.jobs[run.job_id].job
+        host = run.item.headers.get("host", job.host)
+        return self._follower.routes.find(host, run.item.path.partition("?")[0])
+
+    def _is_single_version(self, run: ItemRun) -> bool:
+        route = self._route_of(run)
+        return route is not None and route.single_version
+
+    # Scoring
+
+    def _score(self, run: ItemRun, now: float) -> list[Effect]:
+        run.wait_until = 0.0
+        scoring = run.item.scoring
+        if scoring is None:
+            return self._list(run, run.succeeded(), "", now)
+        route = self._follower.routes.find(scoring.host, scoring.path.partition("?")[0])
+        if route is None:
+            run.wait_until = now + SCORING_PAUSE_SECONDS
+            return []
+        request = ForwardRequest(
+            key=run.key,
+            route=route,
+            service=self._split.choose(route),
+            method="POST",
+            path=scoring.path,
+            headers={"host": scoring.host},
+            body=scoring.body,
+            request_id=scoring.request_id,
+            deadline_at=now + SCORING_SECONDS,
+        )
+        return self._forwarder.begin(request, now)
+
+    def on_scored(self, finished: Finished, now: float) -> list[Effect]:
+        """A scoring call ended."""
+        run = self._runs.get(finished.request.key)
+        if run is None or run.phase is not RunPhase.SCORING:
+            return []
+        outcome = finished.outcome
+        if isinstance(outcome, Answered):
+            signature = outcome.headers.get(self._names.signature, "")
+            if SUCCESS_STATUS <= outcome.status < SUCCESS_STATUS + 100 and signature:
+                run.score = signature
+                return self._list(run, run.succeeded(), "", now)
+            if outcome.status == SERVER_ERROR_STATUS:
+                run.scoring_failures += finished.attempts
+        if run.scoring_failures >= finished.request.route.maximum_attempts:
+            return self._list(run, run.terminated(), "scoring_failed", now)
+        run.wait_until = now + SCORING_PAUSE_SECONDS
+        return []
+
+    def _list(self, run: ItemRun, result: ItemResult, reason: str, now: float) -> list[Effect]:
+        run.phase = RunPhase.LISTING
+        run.result = result
+        fields = {
+            "item": run.item.item_id,
+            "job": run.job_id,
+            "state": result.state.value,
+            "reason": reason,
+            "events": run.text.last_event_id,
+        }
+        return [LogEvent("item.done", fields), *self._propose(run, now)]
+
+    def _propose(self, run: ItemRun, now: float) -> list[Effect]:
+        run.wait_until = 0.0
+        if run.result is None:
+            return []
+        effects = self._list_result(run.job_id, run.result, now)
+        if effects is None:
+            run.wait_until = now + RETRY_PAUSE_SECONDS
+            return []
+        return effects
+
+
+def _whole_number(text: str) -> int:
+    return int(text) if text.isascii() and text.isdigit() else 0
--- /dev/null
+++ b/src/merlinstand/batch_jobs/settings.py
@@ -0,0 +1,31 @@
+"""Settings of a batch keeper."""
+
+import msgspec
+
+from merlinstand.forwarding.header_names import HeaderNames
+
+
+class KeeperSettings(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """One batch keeper."""
+
+    node_id: str
+    name: str
+    """The machine's name, as operators know it."""
+    zone: str
+    internal_address: str
+    """`ip:port` of the internal protocol."""
+    http_address: str
+    """`ip:port` of the HTTP interface for gateways."""
+    seeds: tuple[str, ...]
+    """Internal addresses of some control daemons."""
+    may_found: bool = False
+    """Whether this is the very first start of the whole system."""
+    header_names: HeaderNames = HeaderNames()
+    order_lease_seconds: float = 3.0
+    """A new leader gives engines no orders for this long: the one before may have just done so."""
+    result_retention_seconds: float = 120.0
+    """Results stay readable for this long after their job was accepted, and while it is open."""
+    repair_delay_seconds: float = 2.5
+    """Silence after which a lost replica is replaced from the standbys."""
+    call_timeout_seconds: float = 2.0
+    """Longest wait of a call for its decision."""
--- /dev/null
+++ b/src/merlinstand/batch_jobs/state_machine.py
@@ -0,0 +1,168 @@
+"""The replicated batch jobs: the same commands in the same order give the same state."""
+
+import msgspec
+
+from merlinstand.batch_jobs.model import BatchItem, BatchJob, ItemResult
+
+
+class AcceptJob(msgspec.Struct, frozen=True, tag="accept"):
+    """Keep a job; a second one under its id changes nothing."""
+
+    job: BatchJob
+
+
+class ListResult(msgspec.Struct, frozen=True, tag="list"):
+    """Give an item's result the next position; a second one changes nothing."""
+
+    job_id: str
+    result: ItemResult
+
+
+class CloseJob(msgspec.Struct, frozen=True, tag="close"):
+    """End a job."""
+
+    job_id: str
+
+
+class ForgetJob(msgspec.Struct, frozen=True, tag="forget"):
+    """Drop a job that nobody may ask for any more."""
+
+    job_id: str
+
+
+JobCommand = AcceptJob | ListResult | CloseJob | ForgetJob
+
+_COMMAND_DECODER = msgspec.msgpack.Decoder(JobCommand)
+
+
+def encode_command(command: JobCommand) -> bytes:
+    """Encode for the log."""
+    return msgspec.msgpack.encode(command)
+
+
+def decode_command(data: bytes) -> JobCommand:
+    """Decode a log entry.
+
+    Raises:
+        msgspec.DecodeError: The bytes are malformed.
+    """
+    return _COMMAND_DECODER.decode(data)
+
+
+class JobState(msgspec.Struct):
+    """One kept job."""
+
+    job: BatchJob
+    accepted_at: float
+    """Group time in seconds."""
+    results: list[ItemResult] = msgspec.field(default_factory=list)
+    is_ended: bool = False
+    ended_at: float = 0.0
+
+    def __post_init__(self) -> None:
+        """Index the items."""
+        self._items = {item.item_id: item for item in self.job.items}
+        self._listed = {result.item_id for result in self.results}
+
+    def find_item(self, item_id: str) -> BatchItem | None:
+        """Give an item of the job."""
+        return self._items.get(item_id)
+
+    def is_listed(self, item_id: str) -> bool:
+        """Whether the item has a position."""
+        return item_id in self._listed
+
+    @property
+    def is_open(self) -> bool:
+        """Whether items may still be run."""
+        return not self.is_ended and len(self.results) < len(self.job.items)
+
+    def unlisted(self) -> list[BatchItem]:
+        """Items without a position."""
+        return [item for item in self.job.items if item.item_id not in self._listed]
+
+    def add(self, result: ItemResult) -> bool:
+        """Give a result the next position; false if its item has one or is unknown."""
+        if result.item_id in self._listed or result.item_id not in self._items:
+            return False
+        self._listed.add(result.item_id)
+        self.results.append(result)
+        return True
+
+
+class StoredJob(msgspec.Struct, frozen=True):
+    """A job in a snapshot."""
+
+    job: BatchJob
+    accepted_at: float
+    results: list[ItemResult]
+    is_ended: bool
+    ended_at: float
+
+
+_SNAPSHOT_DECODER = msgspec.msgpack.Decoder(list[StoredJob])
+
+
+class JobStates:
+    """All kept jobs of one replica."""
+
+    def __init__(self) -> None:
+        """Begin without jobs."""
+        self.jobs: dict[str, JobState] = {}
+
+    def apply(self, command: JobCommand, group_time: float) -> str:
+        """Apply a committed command.
+
+        Args:
+            command: What was agreed.
+            group_time: Group time of its proposal in seconds.
+
+        Returns:
+            Id of the job that changed, or nothing.
+        """
+        match command:
+            case AcceptJob():
+                return self._accept(command.job, group_time)
+            case ListResult():
+                job = self.jobs.get(command.job_id)
+                return command.job_id if job is not None and job.add(command.result) else ""
+            case CloseJob():
+                return self._close(command.job_id, group_time)
+            case ForgetJob():
+                return command.job_id if self.jobs.pop(command.job_id, None) else ""
+
+    def _accept(self, job: BatchJob, group_time: float) -> str:
+        if job.job_id in self.jobs:
+            return ""
+        self.jobs[job.job_id] = JobState(job, group_time)
+        return job.job_id
+
+    def _close(self, job_id: str, group_time: float) -> str:
+        job = self.jobs.get(job_id)
+        if job is None or job.is_ended:
+            return ""
+        job.is_ended = True
+        job.ended_at = group_time
+        return job_id
+
+    def snapshot(self) -> bytes:
+        """Encode the whole state."""
+        return msgspec.msgpack.encode(
+            [
+                StoredJob(job.job, job.accepted_at, job.results, job.is_ended, job.ended_at)
+                for job in self.jobs.values()
+            ]
+        )
+
+    def restore(self, data: bytes) -> None:
+        """Replace the whole state.
+
+        Raises:
+            msgspec.DecodeError: The bytes are no snapshot.
+        """
+        self.jobs = {
+            stored.job.job_id: JobState(
+                stored.job, stored.accepted_at, stored.results, stored.is_ended, stored.ended_at
+            )
+            for stored in _SNAPSHOT_DECODER.decode(data)
+        }
--- /dev/null
+++ b/src/merlinstand/batch_jobs/weight_loader.py
@@ -0,0 +1,235 @@
+"""Brings every engine to the newest named weight version by fenced orders, a few at a time."""
+
+import math
+
+import msgspec
+from result import Err
+
+from merlinstand.batch_jobs.engine_interface import (
+    EngineCall,
+    EngineInterface,
+    EngineReport,
+    LoadMode,
+    OrderReply,
+    WeightOrder,
+)
+from merlinstand.batch_jobs.engines import EngineState, EngineStates
+from merlinstand.common.ids import BackendId, CallId
+from merlinstand.directory.follower import DirectoryFollower
+from merlinstand.directory.routes import RouteKind
+from merlinstand.forwarding.header_names import HeaderNames
+from merlinstand.kernel.effects import Effect, LogEvent, StartCall
+from merlinstand.kernel.events import CallFailed, CallResponded
+
+CALL_PREFIX = "weights:"
+PARALLEL_SHARE = 0.4
+"""Share of a service's engines that may load at once."""
+CALL_TIMEOUT_SECONDS = 1.0
+POLL_SECONDS = 0.25
+FIRST_POLL_SECONDS = 0.9
+"""A load takes about this long at least."""
+RETRY_SECONDS = 0.5
+SUCCESS_STATUS = 200
+
+
+class _Load(msgspec.Struct):
+    """One engine on its way to a version."""
+
+    backend_id: BackendId
+    model: str
+    version: int
+    is_ordered: bool = False
+    """Whether an order was sent that may still be carried out."""
+    next_at: float = 0.0
+    call_id: CallId | None = None
+
+
+class WeightLoader:
+    """Orders of one leadership; the owner ticks it while it may act."""
+
+    def __init__(
+        self,
+        follower: DirectoryFollower,
+        engines: EngineStates,
+        interface: EngineInterface,
+        names: HeaderNames,
+        holder: str,
+    ) -> None:
+        """Begin without orders.
+
+        Args:
+            follower: Tells the named versions and the services' models.
+            engines: All engines.
+            interface: Translates orders and reports.
+            names: Header names.
+            holder: This machine's name.
+        """
+        self._follower = follower
+        self._engines = engines
+        self._interface = interface
+        self._names = names
+        self._holder = holder
+        self._loads: dict[BackendId, _Load] = {}
+        self._not_before = math.inf
+        self._fence = 0
+        self._calls = 0
+
+    def begin(self, fence: int, not_before: float) -> None:
+        """A leadership begins.
+
+        Args:
+            fence: Above that of every earlier holder.
+            not_before: Local time of the first order.
+        """
+        self._fence = fence
+        self._not_before = not_before
+        self._forget()
+
+    def end(self) -> None:
+        """The leadership is over: nothing is ordered any more."""
+        self._not_before = math.inf
+        self._forget()
+
+    def _forget(self) -> None:
+        for state in self._engines.states.values():
+            state.is_loading = False
+        self._loads.clear()
+
+    def tick(self, now: float) -> list[Effect]:
+        """Start and continue loads; call it only while this process may act as leader."""
+        if now < self._not_before:
+            return []
+        self._drop_finished()
+        effects: list[Effect] = []
+        for service in self._follower.routes.services.values():
+            for model in service.models:
+                target = self._follower.weights.get(model, 0)
+                effects.extend(self._start_loads(service.name, model, target))
+        for load in list(self._loads.values()):
+            if load.call_id is None and load.next_at <= now:
+                effects.append(self._ask_report(load))
+        return effects
+
+    def _drop_finished(self) -> None:
+        for backend_id, load in list(self._loads.items()):
+            state = self._engines.states.get(backend_id)
+            if state is None or state.backend.is_leaving:
+                self._end_load(load)
+
+    def _start_loads(self, service: str, model: str, target: int) -> list[Effect]:
+        engines = self._engines.of_service(service)
+        limit = max(1, round(len(engines) * PARALLEL_SHARE))
+        loading = sum(1 for state in engines if state.backend.backend_id in self._loads)
+        effects: list[Effect] = []
+        behind = [state for state in engines if self._lacks(state, model, target)]
+        behind.sort(key=lambda state: state.running)
+        for state in behind[: max(0, limit - loading)]:
+            backend_id = state.backend.backend_id
+            self._loads[backend_id] = _Load(backend_id, model, target)
+            fields = {"backend": backend_id, "model": model, "version": target}
+            effects.append(LogEvent("weights.load_begins", fields))
+        return effects
+
+    def _lacks(self, state: EngineState, model: str, target: int) -> bool:
+        backend = state.backend
+        is_free = backend.backend_id not in self._loads and not backend.is_leaving
+        return is_free and state.version_of(model) < target
+
+    # Calls
+
+    def _start_call(self, load: _Load, call: EngineCall, kind: str) -> Effect:
+        state = self._engines.states[load.backend_id]
+        self._calls += 1
+        load.call_id = CallId(f"{CALL_PREFIX}{kind}:{self._calls}:{load.backend_id}")
+        return StartCall(
+            call_id=load.call_id,
+            address=state.backend.address,
+            method=call.method,
+            path=call.path,
+            headers={**call.headers, self._names.expected_backend: load.backend_id},
+            body=call.body,
+            timeout_seconds=CALL_TIMEOUT_SECONDS,
+        )
+
+    def _ask_report(self, load: _Load) -> Effect:
+        return self._start_call(load, self._interface.report_call(), "report")
+
+    def on_call(self, event: CallResponded | CallFailed, may_act: bool, now: float) -> list[Effect]:
+        """A call with `CALL_PREFIX` ended."""
+        kind, _number, backend_id = event.call_id.removeprefix(CALL_PREFIX).split(":", 2)
+        load = self._loads.get(BackendId(backend_id))
+        if load is None or load.call_id != event.call_id:
+            return []
+        load.call_id = None
+        load.next_at = now + RETRY_SECONDS
+        if isinstance(event, CallFailed) or not may_act or now < self._not_before:
+            return []
+        if kind == "report":
+            return self._on_report(load, event, now)
+        return self._on_order_reply(load, event, now)
+
+    def _on_report(self, load: _Load, event: CallResponded, now: float) -> list[Effect]:
+        if event.status != SUCCESS_STATUS:
+            return []
+        read = self._interface.read_report(event.body)
+        if isinstance(read, Err):
+            return [LogEvent("weights.bad_report", {"backend": load.backend_id}, "warning")]
+        report = read.ok_value
+        state = self._engines.states[load.backend_id]
+        state.note_version(load.model, report.versions.get(load.model, 0))
+        load.version = max(load.version, self._follower.weights.get(load.model, 0))
+        if state.version_of(load.model) >= load.version:
+            self._end_load(load)
+            fields = {"backend": load.backend_id, "model": load.model, "version": load.version}
+            return [LogEvent("weights.loaded", fields)]
+        if report.is_ordered:
+            load.next_at = now + POLL_SECONDS
+            return []
+        return [self._order(load, report, state)]
+
+    def _order(self, load: _Load, report: EngineReport, state: EngineState) -> Effect:
+        state.is_loading = True
+        load.is_ordered = True
+        order = WeightOrder(
+            model=load.model,
+            version=load.version,
+            mode=self._mode(load.model),
+            holder=self._holder,
+            fence=self._fence,
+            expected_sequence=report.sequence,
+        )
+        return self._start_call(load, self._interface.order_call(order), "order")
+
+    def _mode(self, model: str) -> LoadMode:
+        """Runs go on under new weights unless a route wants one version a text."""
+        services = {s.name for s in self._follower.routes.services.values() if model in s.models}
+        for route in self._follower.routes.document.routes:
+            if route.kind is RouteKind.BATCH and route.single_version:
+                if any(target.service in services for target in route.targets):
+                    return LoadMode.LET_END
+        return LoadMode.GO_ON
+
+    def _on_order_reply(self, load: _Load, event: CallResponded, now: float) -> list[Effect]:
+        reply = self._interface.read_order_reply(event.status)
+        state = self._engines.states[load.backend_id]
+        fields = {
+            "backend": load.backend_id,
+            "model": load.model,
+            "version": load.version,
+            "fence": self._fence,
+            "reply": reply.value,
+        }
+        if reply is OrderReply.UNDER_WAY:
+            load.next_at = now + FIRST_POLL_SECONDS
+        elif reply is OrderReply.HOLDS_ALREADY:
+            state.note_version(load.model, load.version)
+            self._end_load(load)
+        else:
+            state.is_loading = False
+        return [LogEvent("weights.ordered", fields)]
+
+    def _end_load(self, load: _Load) -> None:
+        self._loads.pop(load.backend_id, None)
+        state = self._engines.states.get(load.backend_id)
+        if state is not None:
+            state.is_loading = False
--- /dev/null
+++ b/src/merlinstand/directory/backends.py
@@ -0,0 +1,92 @@
+"""Back ends that register themselves: what is agreed of them."""
+
+import msgspec
+
+from merlinstand.common.ids import BackendId
+
+
+class HeldModel(msgspec.Struct, frozen=True, array_like=True, gc=False):
+    """A model that an engine holds, with its weight version."""
+
+    name: str
+    version: int
+
+
+class Backend(msgspec.Struct, frozen=True, kw_only=True):
+    """One incarnation of a server, as it registered itself."""
+
+    backend_id: BackendId
+    """New at every start of the server."""
+    service: str
+    address: str
+    """`ip:port`."""
+    zone: str = ""
+    slots: int = 0
+    """Requests that it works on at once."""
+    is_leaving: bool = False
+    """Takes no new requests any more."""
+    models: tuple[HeldModel, ...] = ()
+
+    def version_of(self, model: str) -> int:
+        """The weight version it reported of a model; 0 if it doesn't hold it."""
+        for held in self.models:
+            if held.name == model:
+                return held.version
+        return 0
+
+
+class BackendTable:
+    """Registered back ends; part of the replicated directory, so deterministic."""
+
+    REMOVED_LIMIT = 4_096
+    """Removed ids remembered, so that a late heartbeat brings none of them back."""
+
+    def __init__(self) -> None:
+        """Begin empty."""
+        self.backends: dict[BackendId, Backend] = {}
+        self.sequences: dict[BackendId, int] = {}
+        """Newest heartbeat that changed something."""
+        self.removed: dict[BackendId, None] = {}
+
+    def would_change(self, backend: Backend, sequence: int) -> bool:
+        """Whether a heartbeat tells anything that is not agreed yet."""
+        if backend.backend_id in self.removed:
+            return False
+        present = self.backends.get(backend.backend_id)
+        if present is None:
+            return True
+        if sequence <= self.sequences.get(backend.backend_id, -1):
+            return False
+        return _merged(present, backend) != present
+
+    def put(self, backend: Backend, sequence: int) -> bool:
+        """Take a heartbeat's content in; tells whether anything changed."""
+        if not self.would_change(backend, sequence):
+            return False
+        backend_id = backend.backend_id
+        present = self.backends.get(backend_id)
+        for other in list(self.backends.values()):
+            # One address, one server: whoever had it before is gone.
+            if other.address == backend.address and other.backend_id != backend_id:
+                self.remove(other.backend_id)
+        self.backends[backend_id] = backend if present is None else _merged(present, backend)
+        self.sequences[backend_id] = sequence
+        return True
+
+    def remove(self, backend_id: BackendId) -> bool:
+        """Forget a back end for good; tells whether it was there."""
+        self.removed[backend_id] = None
+        while len(self.removed) > self.REMOVED_LIMIT:
+            del self.removed[next(iter(self.removed))]
+        self.sequences.pop(backend_id, None)
+        return self.backends.pop(backend_id, None) is not None
+
+    def expire(self, backend_id: BackendId) -> bool:
+        """Forget a silent back end, which may register again."""
+        self.sequences.pop(backend_id, None)
+        return self.backends.pop(backend_id, None) is not None
+
+
+def _merged(present: Backend, heard: Backend) -> Backend:
+    """What a newer heartbeat makes of a registration: leaving can't be taken back."""
+    return msgspec.structs.replace(heard, is_leaving=present.is_leaving or heard.is_leaving)
--- /dev/null
+++ b/src/merlinstand/directory/commands.py
@@ -0,0 +1,81 @@
+"""Commands of the directory's log."""
+
+import msgspec
+
+from merlinstand.common.ids import BackendId
+from merlinstand.directory.backends import Backend
+from merlinstand.directory.routes import RoutesDocument
+from merlinstand.directory.view import KeeperGroup
+
+
+class PutDocument(msgspec.Struct, frozen=True, tag="put_document"):
+    """Make a valid document the newest, if its version is higher."""
+
+    document: RoutesDocument
+    raw: bytes
+    """The operator's own bytes, given back on reads."""
+
+
+class PutBackend(msgspec.Struct, frozen=True, tag="put_backend"):
+    """Register a back end, or note what its heartbeat changed."""
+
+    backend: Backend
+    sequence: int
+
+
+class RemoveBackend(msgspec.Struct, frozen=True, tag="remove_backend"):
+    """A back end said that it is gone."""
+
+    backend_id: BackendId
+
+
+class ExpireBackend(msgspec.Struct, frozen=True, tag="expire_backend"):
+    """A back end has been silent for long."""
+
+    backend_id: BackendId
+
+
+class NameWeights(msgspec.Struct, frozen=True, tag="name_weights"):
+    """A trainer published a weight version."""
+
+    model: str
+    version: int
+
+
+class FoundKeepers(msgspec.Struct, frozen=True, tag="found_keepers"):
+    """Fix the founding members of the batch keepers' group; only the first one counts."""
+
+    group: KeeperGroup
+
+
+class RetireKeeper(msgspec.Struct, frozen=True, tag="retire_keeper"):
+    """An operator wants a keeper emptied."""
+
+    node_id: str
+
+
+DirectoryCommand = (
+    PutDocument
+    | PutBackend
+    | RemoveBackend
+    | ExpireBackend
+    | NameWeights
+    | FoundKeepers
+    | RetireKeeper
+)
+
+_DECODER = msgspec.msgpack.Decoder(DirectoryCommand)
+
+
+def encode_command(command: DirectoryCommand) -> bytes:
+    """Encode for the log."""
+    return msgspec.msgpack.encode(command)
+
+
+def decode_command(data: bytes) -> DirectoryCommand:
+    """Decode a log entry.
+
+    Raises:
+        msgspec.DecodeError: The bytes are malformed.
+    """
+    return _DECODER.decode(data)
--- /dev/null
+++ b/src/merlinstand/directory/daemon.py
@@ -0,0 +1,544 @@
+"""The control daemon of the directory: consensus replica, directory and HTTP as one reducer."""
+
+import contextlib
+from collections.abc import Sequence
+
+import msgspec
+from result import Err
+
+from merlinstand.common.decoding import MALFORMED_INPUT
+from merlinstand.common.errors import (
+    ConflictError,
+    NotFoundError,
+    OutcomeUnknownError,
+    UnavailableError,
+)
+from merlinstand.common.ids import BackendId, NodeId, RequestId, Zone
+from merlinstand.consensus.replica import Replica
+from merlinstand.consensus.settings import (
+    PeerSettings,
+    ReplicaLimits,
+    ReplicaSettings,
+    ReplicaTimings,
+)
+from merlinstand.consensus.step import CommittedEntry, EntryKind, LeadershipChange, Step
+from merlinstand.directory.commands import (
+    DirectoryCommand,
+    ExpireBackend,
+    FoundKeepers,
+    NameWeights,
+    PutBackend,
+    PutDocument,
+    RemoveBackend,
+    RetireKeeper,
+    decode_command,
+    encode_command,
+)
+from merlinstand.directory.requests import (
+    Accepted,
+    BackendLeft,
+    ControlInterface,
+    ControlReply,
+    ControlRequest,
+    DocumentFound,
+    DocumentGet,
+    DocumentPut,
+    Elsewhere,
+    Failed,
+    Heartbeat,
+    HeartbeatAccepted,
+    ReadinessGet,
+    RetirementGet,
+    RetirementPost,
+    RetirementState,
+    WeightsNamed,
+)
+from merlinstand.directory.settings import DirectorySettings
+from merlinstand.directory.state_machine import DirectoryState
+from merlinstand.directory.subscribers import Subscriber, Subscribers
+from merlinstand.directory.view import Keeper, KeeperGroup, decode_report, encode_changes
+from merlinstand.kernel.effects import (
+    Effect,
+    LearnAddress,
+    LogEvent,
+    Respond,
+    SendMessage,
+    SetTimer,
+    StopProcess,
+)
+from merlinstand.kernel.events import (
+    Event,
+    MessageReceived,
+    RequestAborted,
+    RequestReceived,
+    Started,
+    StopRequested,
+    TimerFired,
+)
+from merlinstand.protocol.generated.directory.ttypes import DirectoryPull, DirectoryUpdate
+
+HOUSEKEEPING_TIMER = "directory.housekeeping"
+HOUSEKEEPING_INTERVAL_SECONDS = 0.25
+FOUNDING_SETTLE_SECONDS = 1.0
+"""Founders are chosen once enough keepers reported and no new one came for this long."""
+FOUNDING_PATIENCE_SECONDS = 5.0
+"""After this long a smaller group is founded."""
+STOP_TIMER = "directory.stop"
+STOP_GRACE_SECONDS = 2.0
+RETRY_AFTER_SECONDS = 0.3
+COMPACTION_ENTRIES = 2_000
+COMPACTION_BYTES = 8 * 1024 * 1024
+
+
+class _Waiter(msgspec.Struct, frozen=True):
+    """A request that waits for its log entry."""
+
+    request_id: RequestId
+    reply: ControlReply
+    term: int
+    since: float
+
+
+class DirectoryDaemon:
+    """Reducer of the `control` role where the directory is used."""
+
+    def __init__(self, settings: DirectorySettings, interface: ControlInterface) -> None:
+        """Make a daemon that has not started.
+
+        Args:
+            settings: Checked settings.
+            interface: Translates HTTP requests and replies.
+        """
+        self._settings = settings
+        self._interface = interface
+        self.replica = Replica(_replica_settings(settings))
+        self.state = DirectoryState()
+        self._subscribers = Subscribers()
+        self._waiters: dict[int, list[_Waiter]] = {}
+        """By log position."""
+        self._reads: dict[str, tuple[RequestId, str]] = {}
+        self._read_count = 0
+        self._delivered_index = 0
+        self._heartbeat_at: dict[BackendId, float] = {}
+        self._led_since = 0.0
+        self._keepers_seen: dict[str, float] = {}
+        self._is_founding_proposed = False
+        self._stopping = False
+
+    def start(self, event: Started, now: float) -> Sequence[Effect]:
+        """Recover from the journal and join the group."""
+        effects: list[Effect] = [
+            LearnAddress(_node_of(address), address)
+            for address in self._settings.seeds
+            if address != self._settings.internal_address
+        ]
+        effects.append(SetTimer(HOUSEKEEPING_TIMER, HOUSEKEEPING_INTERVAL_SECONDS))
+        effects.extend(self._perform(self.replica.start(event, now), now))
+        return effects
+
+    def reduce(self, event: Event, now: float) -> Sequence[Effect]:
+        """Handle one event."""
+        if self.replica.handles(event):
+            return self._perform(self.replica.handle(event, now), now)
+        match event:
+            case MessageReceived(message=DirectoryPull()):
+                return self._pull(event.sender, event.message, now)
+            case RequestReceived():
+                return self._request(event, now)
+            case RequestAborted():
+                return []
+            case TimerFired(name=name) if name == HOUSEKEEPING_TIMER:
+                return self._housekeeping(now)
+            case TimerFired(name=name) if name == STOP_TIMER:
+                return [StopProcess()]
+            case StopRequested():
+                return self._stop(now)
+            case _:
+                return []
+
+    # Consensus
+
+    def _perform(self, step: Step, now: float) -> list[Effect]:
+        effects = list(step.effects)
+        if step.restored is not None:
+            self.state.restore(step.restored)
+            self._delivered_index = self.replica.commit_index
+        for entry in step.committed:
+            effects.extend(self._committed(entry))
+        for read_id in step.reads_ready:
+            effects.extend(self._read_ready(read_id))
+        for read_id in step.reads_failed:
+            effects.extend(self._read_failed(read_id))
+        if step.leadership is not None:
+            effects.extend(self._leadership_changed(step.leadership, now))
+        if step.committed:
+            effects.extend(self._push(now))
+        if step.snapshot_wanted:
+            compacted = self.replica.compact(self._delivered_index, self.state.snapshot(), now)
+            effects.extend(self._perform(compacted, now))
+        if step.hand_over_ended and self._stopping:
+            effects.append(SetTimer(STOP_TIMER, 0.1 if not self._waiters else STOP_GRACE_SECONDS))
+        return effects
+
+    def _committed(self, entry: CommittedEntry) -> list[Effect]:
+        self._delivered_index = entry.index
+        if entry.kind is EntryKind.COMMAND:
+            # A replica that can't decode a command changes nothing; the leader proposes only
+            # what it encoded itself.
+            with contextlib.suppress(*MALFORMED_INPUT):
+                self.state.apply(entry.index, decode_command(entry.payload))
+        effects: list[Effect] = []
+        for waiter in self._waiters.pop(entry.index, []):
+            if waiter.term == entry.term:
+                effects.append(self._respond(waiter.request_id, waiter.reply))
+            else:
+                error = UnavailableError(
+                    detail="another leader took over", retry_after_seconds=RETRY_AFTER_SECONDS
+                )
+                effects.append(self._respond(waiter.request_id, Failed(error)))
+        return effects
+
+    def _leadership_changed(self, change: LeadershipChange, now: float) -> list[Effect]:
+        if change is LeadershipChange.GAINED:
+            self._led_since = now
+            self._is_founding_proposed = False
+            self._heartbeat_at = dict.fromkeys(self.state.table.backends, now)
+            self._subscribers.clear()
+            self._keepers_seen.clear()
+        fields = {"change": change.value, "term": self.replica.term}
+        return [LogEvent("control.leadership", fields)]
+
+    def _propose(
+        self, command: DirectoryCommand, request_id: RequestId, reply: ControlReply, now: float
+    ) -> list[Effect]:
+        result = self.replica.propose(encode_command(command), now)
+        if isinstance(result, Err):
+            return [self._respond(request_id, self._elsewhere_or_busy(""))]
+        proposal = result.ok_value
+        waiter = _Waiter(request_id, reply, proposal.term, now)
+        self._waiters.setdefault(proposal.index, []).append(waiter)
+        return self._perform(proposal.step, now)
+
+    def _propose_own(self, command: DirectoryCommand, now: float) -> list[Effect]:
+        result = self.replica.propose(encode_command(command), now)
+        return [] if isinstance(result, Err) else self._perform(result.ok_value.step, now)
+
+    # Requests
+
+    def _request(self, event: RequestReceived, now: float) -> list[Effect]:
+        result = self._interface.read(event)
+        if isinstance(result, Err):
+            return [self._respond(event.request_id, Failed(result.err_value))]
+        request = result.ok_value
+        if isinstance(request, ReadinessGet):
+            return [self._readiness(event.request_id, now)]
+        if not self.replica.may_act(now) or self._stopping:
+            return [self._respond(event.request_id, self._elsewhere_or_busy(event.path))]
+        return self._leader_request(event.request_id, request, now)
+
+    def _leader_request(
+        self, request_id: RequestId, request: ControlRequest, now: float
+    ) -> list[Effect]:
+        match request:
+            case DocumentPut():
+                return self._put_document(request_id, request, now)
+            case DocumentGet():
+                return self._read(request_id, now)
+            case Heartbeat():
+                return self._heartbeat(request_id, request, now)
+            case BackendLeft():
+                command = RemoveBackend(request.backend_id)
+                if request.backend_id in self.state.table.removed:
+                    return [self._respond(request_id, Accepted())]
+                effects: list[Effect] = [LogEvent("backend.left", {"backend": request.backend_id})]
+                return effects + self._propose(command, request_id, Accepted(), now)
+            case WeightsNamed():
+                if request.version <= self.state.weights.get(request.model, 0):
+                    return [self._respond(request_id, Accepted())]
+                weights = NameWeights(request.model, request.version)
+                return self._propose(weights, request_id, Accepted(), now)
+            case RetirementPost():
+                return self._retire(request_id, request.name, now)
+            case RetirementGet():
+                return [self._respond(request_id, self._retirement_state(request.name, now))]
+            case _:
+                return []
+
+    def _put_document(
+        self, request_id: RequestId, request: DocumentPut, now: float
+    ) -> list[Effect]:
+        held = self.state.document
+        if held is not None and request.document.version <= held.version:
+            # Not above the held one: acknowledged, and nothing changes.
+            return [self._respond(request_id, Accepted())]
+        command = PutDocument(request.document, request.raw)
+        effects: list[Effect] = [
+            LogEvent("document.proposed", {"version": request.document.version})
+        ]
+        return effects + self._propose(command, request_id, Accepted(), now)
+
+    def _heartbeat(self, request_id: RequestId, request: Heartbeat, now: float) -> list[Effect]:
+        backend = request.backend
+        self._heartbeat_at[backend.backend_id] = now
+        reply = HeartbeatAccepted(
+            f"{_ip_of(self._settings.internal_address)}:{self._settings.http_port}"
+        )
+        if not self.state.table.would_change(backend, request.sequence):
+            return [self._respond(request_id, reply)]
+        fields = {
+            "backend": backend.backend_id,
+            "service": backend.service,
+            "address": backend.address,
+            "leaving": backend.is_leaving,
+        }
+        command = PutBackend(backend, request.sequence)
+        effects: list[Effect] = [LogEvent("backend.changed", fields)]
+        return effects + self._propose(command, request_id, reply, now)
+
+    def _readiness(self, request_id: RequestId, now: float) -> Effect:
+        age = self.replica.proof_age_seconds(now)
+        is_ready = not self._stopping and age is not None and age < 3.0
+        if is_ready:
+            return self._respond(request_id, Accepted())
+        return self._respond(request_id, Failed(UnavailableError(detail="no known leader")))
+
+    def _elsewhere_or_busy(self, path: str) -> ControlReply:
+        leader = self.replica.leader_address
+        is_other = leader is not None and self.replica.leader != self._settings.node_id
+        if path and is_other and leader is not None:
+            return Elsewhere(f"{_ip_of(leader)}:{self._settings.http_port}", path)
+        return Failed(UnavailableError(detail="no leader", retry_after_seconds=RETRY_AFTER_SECONDS))
+
+    def _respond(self, request_id: RequestId, reply: ControlReply) -> Effect:
+        response = self._interface.write(reply)
+        return Respond(request_id, response.status, response.headers, response.body)
+
+    # Reads
+
+    def _read(self, request_id: RequestId, now: float) -> list[Effect]:
+        self._read_count += 1
+        read_id = f"read-{self._read_count}"
+        self._reads[read_id] = (request_id, "")
+        return self._perform(self.replica.read_barrier(read_id, now), now)
+
+    def _read_ready(self, read_id: str) -> list[Effect]:
+        request_id, _path = self._reads.pop(read_id)
+        if self.state.document is None:
+            error = NotFoundError(detail="no document yet")
+            return [self._respond(request_id, Failed(error))]
+        return [self._respond(request_id, DocumentFound(self.state.raw_document))]
+
+    def _read_failed(self, read_id: str) -> list[Effect]:
+        request_id, _path = self._reads.pop(read_id)
+        return [self._respond(request_id, self._elsewhere_or_busy(""))]
+
+    # Retirement of keepers
+
+    def _retire(self, request_id: RequestId, name: str, now: float) -> list[Effect]:
+        reports = self._subscribers.keeper_reports(now)
+        named = [report for report in reports if report.name == name]
+        if not named:
+            error = NotFoundError(detail=f"no keeper is named {name!r}")
+            return [self._respond(request_id, Failed(error))]
+        node_id = named[0].node_id
+        if node_id in self.state.retiring:
+            return [self._respond(request_id, Accepted())]
+        leaving = {*self.state.retiring, node_id}
+        staying = [report for report in reports if report.node_id not in leaving]
+        if len(staying) < self._settings.keeper_group_size:
+            conflict = ConflictError(detail="too few keepers would be left")
+            return [self._respond(request_id, Failed(conflict))]
+        return self._propose(RetireKeeper(node_id), request_id, Accepted(), now)
+
+    def _retirement_state(self, name: str, now: float) -> ControlReply:
+        named = [r for r in self._subscribers.keeper_reports(now) if r.name == name]
+        leader = self._subscribers.leading_keeper(now)
+        if not named:
+            return Failed(NotFoundError(detail=f"no keeper is named {name!r}"))
+        if named[0].node_id not in self.state.retiring:
+            return Failed(NotFoundError(detail=f"{name!r} is not to be emptied"))
+        node_id = named[0].node_id
+        is_done = leader is not None and bool(leader.members) and node_id not in leader.members
+        return RetirementState(is_done)
+
+    # Subscribers
+
+    def _pull(self, sender: NodeId, pull: DirectoryPull, now: float) -> list[Effect]:
+        if not self.replica.may_act(now):
+            return [SendMessage(sender, self._update(b""))]
+        try:
+            report = decode_report(pull.report)
+        except MALFORMED_INPUT:
+            return []
+        subscriber = Subscriber(
+            report=report,
+            heard_at=now,
+            document_revision=pull.document_revision,
+            backends_revision=pull.backends_revision,
+            weights_revision=pull.weights_revision,
+            keepers_mark=pull.keepers_mark,
+        )
+        self._subscribers.note(sender, subscriber)
+        self._refresh(now)
+        # Answered even if nothing changed: the answer proves that a leader lives.
+        changes = self._subscribers.changes_for(subscriber, self.state)
+        data = encode_changes(changes) if changes is not None else b""
+        return [SendMessage(sender, self._update(data)), *self._push(now)]
+
+    def _refresh(self, now: float) -> None:
+        members = self.replica.membership.members()
+        controls = tuple((str(m.identity.node_id), m.address) for m in members)
+        self._subscribers.refresh(controls, self.state.retiring, self.replica.term, now)
+
+    def _push(self, now: float) -> list[Effect]:
+        """Tell every daemon at once what it lacks."""
+        if not self.replica.may_act(now):
+            return []
+        self._refresh(now)
+        effects: list[Effect] = []
+        for node_id, subscriber in self._subscribers.fresh(now):
+            changes = self._subscribers.changes_for(subscriber, self.state)
+            if changes is not None:
+                effects.append(SendMessage(node_id, self._update(encode_changes(changes))))
+        return effects
+
+    def _update(self, changes: bytes) -> DirectoryUpdate:
+        is_leader = self.replica.is_leader
+        address = self.replica.leader_address or ""
+        if is_leader:
+            address = self._settings.internal_address
+        return DirectoryUpdate(
+            from_leader=is_leader,
+            leader=str(self.replica.leader or ""),
+            leader_address=address,
+            changes=changes,
+            term=self.replica.term,
+        )
+
+    # Time
+
+    def _housekeeping(self, now: float) -> list[Effect]:
+        effects: list[Effect] = [SetTimer(HOUSEKEEPING_TIMER, HOUSEKEEPING_INTERVAL_SECONDS)]
+        effects.extend(self._give_up_waiters(now))
+        if not self.replica.may_act(now):
+            return effects
+        effects.extend(self._expire_backends(now))
+        effects.extend(self._found_keepers(now))
+        effects.extend(self._push(now))
+        return effects
+
+    def _give_up_waiters(self, now: float) -> list[Effect]:
+        effects: list[Effect] = []
+        oldest = now - self._settings.request_timeout_seconds
+        for index, waiters in list(self._waiters.items()):
+            late = [waiter for waiter in waiters if waiter.since < oldest]
+            if not late:
+                continue
+            self._waiters[index] = [waiter for waiter in waiters if waiter.since >= oldest]
+            if not self._waiters[index]:
+                del self._waiters[index]
+            error = OutcomeUnknownError(detail="not decided in time")
+            effects.extend(self._respond(waiter.request_id, Failed(error)) for waiter in late)
+        return effects
+
+    def _expire_backends(self, now: float) -> list[Effect]:
+        effects: list[Effect] = []
+        limit = self._settings.backend_silence_seconds
+        for backend_id in list(self.state.table.backends):
+            heard_at = self._heartbeat_at.setdefault(backend_id, now)
+            if now - heard_at > limit:
+                # Not again at the next turn, should the entry take its time.
+                self._heartbeat_at[backend_id] = now
+                fields = {"backend": backend_id, "silent_seconds": round(now - heard_at, 1)}
+                effects.append(LogEvent("backend.expired", fields))
+                effects.extend(self._propose_own(ExpireBackend(backend_id), now))
+        return effects
+
+    def _found_keepers(self, now: float) -> list[Effect]:
+        """Choose the founding members of the keepers' group, once and for all."""
+        if self.state.founding is not None or self._is_founding_proposed:
+            return []
+        reports = [r for r in self._subscribers.keeper_reports(now) if r.may_found]
+        for report in reports:
+            self._keepers_seen.setdefault(report.node_id, now)
+        if not reports:
+            return []
+        size = self._settings.keeper_group_size
+        first_at, last_at = min(self._keepers_seen.values()), max(self._keepers_seen.values())
+        is_settled = len(reports) >= size and now - last_at >= FOUNDING_SETTLE_SECONDS
+        if not is_settled and now - first_at < FOUNDING_PATIENCE_SECONDS:
+            return []
+        self._is_founding_proposed = True
+        chosen = _spread_over_zones(
+            [
+                Keeper(
+                    node_id=report.node_id,
+                    name=report.name,
+                    zone=report.zone,
+                    address=report.address,
+                    http_address=report.http_address,
+                    is_leader=False,
+                    term=0,
+                )
+                for report in reports
+            ],
+            size,
+        )
+        fields = {"members": ",".join(keeper.node_id for keeper in chosen)}
+        return [
+            LogEvent("keepers.founding", fields),
+            *self._propose_own(FoundKeepers(KeeperGroup(tuple(chosen))), now),
+        ]
+
+    def _stop(self, now: float) -> list[Effect]:
+        if self._stopping:
+            return []
+        self._stopping = True
+        effects: list[Effect] = [LogEvent("control.stopping")]
+        effects.extend(self._perform(self.replica.hand_over(now), now))
+        return effects
+
+
+def _spread_over_zones(keepers: list[Keeper], size: int) -> list[Keeper]:
+    """Choose members so that zones differ as far as possible."""
+    chosen: list[Keeper] = []
+    remaining = sorted(keepers, key=lambda keeper: keeper.node_id)
+    while remaining and len(chosen) < size:
+        best = min(
+            remaining,
+            key=lambda keeper: (
+                sum(1 for other in chosen if other.zone == keeper.zone),
+                keeper.node_id,
+            ),
+        )
+        chosen.append(best)
+        remaining.remove(best)
+    return chosen
+
+
+def _ip_of(address: str) -> str:
+    return address.rpartition(":")[0]
+
+
+def _node_of(address: str) -> NodeId:
+    """A node is named by its IP address: seeds come without names."""
+    return NodeId(_ip_of(address))
+
+
+def _replica_settings(settings: DirectorySettings) -> ReplicaSettings:
+    # All founders list the seeds in one order, so that they agree on who founds.
+    members = tuple(
+        PeerSettings(node_id=_node_of(address), address=address)
+        for address in sorted(settings.seeds)
+    )
+    return ReplicaSettings(
+        node_id=NodeId(settings.node_id),
+        address=settings.internal_address,
+        zone=Zone(settings.zone),
+        members=members,
+        bootstrap=settings.may_found,
+        timings=ReplicaTimings(repair_delay_seconds=settings.repair_delay_seconds),
+        limits=ReplicaLimits(
+            compaction_entries=COMPACTION_ENTRIES, compaction_bytes=COMPACTION_BYTES
+        ),
+    )
--- /dev/null
+++ b/src/merlinstand/directory/follower.py
@@ -0,0 +1,149 @@
+"""Follows the directory from a daemon that is no control daemon (part of its reducer)."""
+
+from collections.abc import Callable
+
+from merlinstand.common.decoding import MALFORMED_INPUT
+from merlinstand.common.ids import NodeId
+from merlinstand.directory.backends import Backend
+from merlinstand.directory.routes import RoutesDocument, RouteTable
+from merlinstand.directory.view import (
+    DaemonReport,
+    DirectoryChanges,
+    Keeper,
+    KeeperGroup,
+    decode_changes,
+    encode_report,
+)
+from merlinstand.kernel.effects import Effect, LearnAddress, LogEvent, SendMessage, SetTimer
+from merlinstand.protocol.generated.directory.ttypes import DirectoryPull, DirectoryUpdate
+
+PULL_TIMER = "directory.pull"
+PULL_INTERVAL_SECONDS = 0.3
+SILENCE_SECONDS = 0.75
+"""A leader that has not answered for this long is not the only one asked any more."""
+
+
+class DirectoryFollower:
+    """What one daemon knows of the directory, and how it keeps up."""
+
+    def __init__(self, seeds: tuple[str, ...], report: Callable[[float], DaemonReport]) -> None:
+        """Begin with nothing known.
+
+        Args:
+            seeds: Internal addresses of some control daemons.
+            report: Gives this daemon's own account at a local time.
+        """
+        self._report = report
+        self._addresses: dict[NodeId, str] = {
+            NodeId(address.rpartition(":")[0]): address for address in seeds
+        }
+        self._leader: NodeId | None = None
+        self._term = 0
+        self._heard_at = float("-inf")
+        self.document_revision = -1
+        self.backends_revision = -1
+        self.weights_revision = -1
+        self.keepers_mark = ""
+        self.routes = RouteTable(RoutesDocument(version=-1))
+        self.backends: tuple[Backend, ...] = ()
+        self.weights: dict[str, int] = {}
+        self.keepers: tuple[Keeper, ...] = ()
+        self.founding: KeeperGroup | None = None
+        self.retiring: tuple[str, ...] = ()
+
+    @property
+    def has_document(self) -> bool:
+        """Whether any routes are known."""
+        return self.document_revision >= 0
+
+    def age_seconds(self, now: float) -> float:
+        """Time since a leader answered."""
+        return now - self._heard_at
+
+    def start(self, now: float) -> list[Effect]:
+        """Begin asking."""
+        effects: list[Effect] = [
+            LearnAddress(node_id, address) for node_id, address in self._addresses.items()
+        ]
+        return effects + self.pull(now)
+
+    def pull(self, now: float) -> list[Effect]:
+        """Ask for news; called by the owner whenever `PULL_TIMER` fires."""
+        effects: list[Effect] = [SetTimer(PULL_TIMER, PULL_INTERVAL_SECONDS)]
+        message = DirectoryPull(
+            report=encode_report(self._report(now)),
+            document_revision=self.document_revision,
+            backends_revision=self.backends_revision,
+            weights_revision=self.weights_revision,
+            keepers_mark=self.keepers_mark,
+        )
+        effects.extend(SendMessage(node_id, message) for node_id in self._receivers(now))
+        return effects
+
+    def _receivers(self, now: float) -> list[NodeId]:
+        if self._leader is not None and now - self._heard_at < SILENCE_SECONDS:
+            return [self._leader]
+        return list(self._addresses)
+
+    def take(self, sender: NodeId, update: DirectoryUpdate, now: float) -> list[Effect]:
+        """Take a control daemon's answer."""
+        if not update.from_leader:
+            return self._redirected(update, now)
+        if update.term < self._term:
+            return []
+        effects: list[Effect] = []
+        if self._leader != sender:
+            effects.append(LogEvent("directory.following", {"leader": sender, "term": update.term}))
+        self._term = update.term
+        self._leader = sender
+        self._heard_at = now
+        if update.changes:
+            try:
+                changes = decode_changes(update.changes)
+            except MALFORMED_INPUT:
+                return effects
+            effects.extend(self._apply(changes))
+        return effects
+
+    def _redirected(self, update: DirectoryUpdate, now: float) -> list[Effect]:
+        leader = NodeId(update.leader)
+        if not leader or not update.leader_address or leader in self._addresses:
+            return []
+        self._addresses[leader] = update.leader_address
+        return [LearnAddress(leader, update.leader_address), *self.pull(now)]
+
+    def _apply(self, changes: DirectoryChanges) -> list[Effect]:
+        """Take sections in; an older one than held never replaces it."""
+        effects: list[Effect] = []
+        document = changes.document
+        if document is not None and changes.document_revision > self.document_revision:
+            self.document_revision = changes.document_revision
+            self.routes = RouteTable(document)
+            effects.append(LogEvent("directory.document", {"version": document.version}))
+        if changes.backends is not None and changes.backends_revision > self.backends_revision:
+            self.backends_revision = changes.backends_revision
+            self.backends = changes.backends
+        if changes.weights is not None and changes.weights_revision > self.weights_revision:
+            self.weights_revision = changes.weights_revision
+            self.weights = changes.weights
+        if changes.keepers is not None:
+            self.keepers_mark = changes.keepers_mark
+            self.keepers = changes.keepers
+            self.founding = changes.founding
+            self.retiring = changes.wishes.retiring
+            effects.extend(self._learn_controls(changes.controls or ()))
+        return effects
+
+    def _learn_controls(self, controls: tuple[tuple[str, str], ...]) -> list[Effect]:
+        news = [(NodeId(n), a) for n, a in controls if self._addresses.get(NodeId(n)) != a]
+        self._addresses.update(news)
+        return [LearnAddress(node_id, address) for node_id, address in news]
+
+    def leading_keeper(self) -> Keeper | None:
+        """The keepers' leader, as last told."""
+        leaders = [keeper for keeper in self.keepers if keeper.is_leader]
+        return max(leaders, key=lambda keeper: keeper.term, default=None)
+
+    def snapshot_of(self, service: str) -> tuple[Backend, ...]:
+        """Back ends of a service, leaving ones included."""
+        return tuple(backend for backend in self.backends if backend.service == service)
--- /dev/null
+++ b/src/merlinstand/directory/settings.py
@@ -0,0 +1,33 @@
+"""Settings of a control daemon that keeps the directory."""
+
+import msgspec
+
+
+class DirectorySettings(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """One control daemon, which learns of the others from a few seed addresses."""
+
+    node_id: str
+    name: str
+    """The machine's name, as operators know it."""
+    zone: str
+    internal_address: str
+    """`ip:port` of the internal protocol."""
+    http_port: int
+    """Port of the HTTP interface; the same on every control daemon."""
+    seeds: tuple[str, ...]
+    """Internal addresses of some control daemons; at the first start, of the founders."""
+    may_found: bool = False
+    """Whether this is the very first start of the whole system."""
+    tolerated_losses: int = 1
+    """Machines with a disk that may be lost at once."""
+    backend_silence_seconds: float = 15.0
+    """A back end without heartbeats for this long is forgotten."""
+    repair_delay_seconds: float = 2.5
+    """Silence after which a lost replica is replaced from the standbys."""
+    request_timeout_seconds: float = 3.0
+    """Longest wait of a request for its decision."""
+
+    @property
+    def keeper_group_size(self) -> int:
+        """Replicas of batch jobs needed to tolerate the losses."""
+        return 2 * self.tolerated_losses + 1
--- /dev/null
+++ b/src/merlinstand/directory/state_machine.py
@@ -0,0 +1,130 @@
+"""The replicated directory: the same commands in the same order give the same state."""
+
+import msgspec
+
+from merlinstand.common.ids import BackendId
+from merlinstand.directory.backends import Backend, BackendTable
+from merlinstand.directory.commands import (
+    DirectoryCommand,
+    ExpireBackend,
+    FoundKeepers,
+    NameWeights,
+    PutBackend,
+    PutDocument,
+    RemoveBackend,
+    RetireKeeper,
+)
+from merlinstand.directory.routes import RoutesDocument
+from merlinstand.directory.view import KeeperGroup
+
+
+class DirectorySnapshot(msgspec.Struct, frozen=True, kw_only=True):
+    """The whole state as written to disk and sent to other replicas."""
+
+    document: RoutesDocument | None
+    raw_document: bytes
+    document_revision: int
+    backends: tuple[Backend, ...]
+    sequences: dict[BackendId, int]
+    removed: tuple[BackendId, ...]
+    backends_revision: int
+    weights: dict[str, int]
+    weights_revision: int
+    founding: KeeperGroup | None
+    retiring: tuple[str, ...]
+
+
+_DECODER = msgspec.msgpack.Decoder(DirectorySnapshot)
+
+
+class DirectoryState:
+    """The directory of one control replica."""
+
+    def __init__(self) -> None:
+        """Begin with nothing known."""
+        self.document: RoutesDocument | None = None
+        self.raw_document = b""
+        self.document_revision = 0
+        """Log position of the newest change; likewise for the other sections."""
+        self.table = BackendTable()
+        self.backends_revision = 0
+        self.weights: dict[str, int] = {}
+        self.weights_revision = 0
+        self.founding: KeeperGroup | None = None
+        self.retiring: tuple[str, ...] = ()
+
+    def apply(self, index: int, command: DirectoryCommand) -> None:
+        """Apply a committed command.
+
+        Args:
+            index: Its log position; above every earlier one.
+            command: What was agreed.
+        """
+        match command:
+            case PutDocument():
+                self._put_document(index, command)
+            case PutBackend():
+                self._note_backends(index, self.table.put(command.backend, command.sequence))
+            case RemoveBackend():
+                self._note_backends(index, self.table.remove(command.backend_id))
+            case ExpireBackend():
+                self._note_backends(index, self.table.expire(command.backend_id))
+            case NameWeights():
+                if command.version > self.weights.get(command.model, 0):
+                    self.weights[command.model] = command.version
+                    self.weights_revision = index
+            case FoundKeepers():
+                if self.founding is None:
+                    self.founding = command.group
+            case RetireKeeper():
+                if command.node_id not in self.retiring:
+                    self.retiring = (*self.retiring, command.node_id)
+
+    def _put_document(self, index: int, command: PutDocument) -> None:
+        held = -1 if self.document is None else self.document.version
+        if command.document.version > held:
+            self.document = command.document
+            self.raw_document = command.raw
+            self.document_revision = index
+
+    def _note_backends(self, index: int, changed: bool) -> None:
+        if changed:
+            self.backends_revision = index
+
+    def snapshot(self) -> bytes:
+        """Encode the whole state."""
+        return msgspec.msgpack.encode(
+            DirectorySnapshot(
+                document=self.document,
+                raw_document=self.raw_document,
+                document_revision=self.document_revision,
+                backends=tuple(self.table.backends.values()),
+                sequences=self.table.sequences,
+                removed=tuple(self.table.removed),
+                backends_revision=self.backends_revision,
+                weights=self.weights,
+                weights_revision=self.weights_revision,
+                founding=self.founding,
+                retiring=self.retiring,
+            )
+        )
+
+    def restore(self, data: bytes) -> None:
+        """Replace the whole state.
+
+        Raises:
+            msgspec.DecodeError: The bytes are no snapshot.
+        """
+        snapshot = _DECODER.decode(data)
+        self.document = snapshot.document
+        self.raw_document = snapshot.raw_document
+        self.document_revision = snapshot.document_revision
+        self.table = BackendTable()
+        self.table.backends = {backend.backend_id: backend for backend in snapshot.backends}
+        self.table.sequences = dict(snapshot.sequences)
+        self.table.removed = dict.fromkeys(snapshot.removed)
+        self.backends_revision = snapshot.backends_revision
+        self.weights = dict(snapshot.weights)
+        self.weights_revision = snapshot.weights_revision
+        self.founding = snapshot.founding
+        self.retiring = snapshot.retiring
--- /dev/null
+++ b/src/merlinstand/directory/subscribers.py
@@ -0,0 +1,129 @@
+"""The daemons that follow the directory, as its leader sees them (soft state)."""
+
+import msgspec
+
+from merlinstand.common.ids import NodeId
+from merlinstand.directory.state_machine import DirectoryState
+from merlinstand.directory.view import (
+    DaemonReport,
+    DirectoryChanges,
+    Keeper,
+    KeeperWishes,
+)
+
+KEEPER_ROLE = "keeper"
+REPORT_FRESH_SECONDS = 2.5
+"""A daemon that has not reported for this long counts as unreachable."""
+
+
+class Subscriber(msgspec.Struct):
+    """One daemon and what it holds."""
+
+    report: DaemonReport
+    heard_at: float
+    document_revision: int = -1
+    backends_revision: int = -1
+    weights_revision: int = -1
+    keepers_mark: str = ""
+
+
+class Subscribers:
+    """Reports of all daemons, and who lacks what."""
+
+    def __init__(self) -> None:
+        """Begin with nobody."""
+        self._by_node: dict[NodeId, Subscriber] = {}
+        self._keepers: tuple[Keeper, ...] = ()
+        self._controls: tuple[tuple[str, str], ...] = ()
+        self._wishes = KeeperWishes()
+        self._mark = ""
+        self._counter = 0
+
+    def clear(self) -> None:
+        """Forget everybody: a new leadership hears them again."""
+        self._by_node.clear()
+
+    def note(self, node_id: NodeId, subscriber: Subscriber) -> None:
+        """Take a report."""
+        self._by_node[node_id] = subscriber
+
+    def fresh(self, now: float) -> list[tuple[NodeId, Subscriber]]:
+        """Daemons that reported lately."""
+        return [
+            (node_id, subscriber)
+            for node_id, subscriber in self._by_node.items()
+            if now - subscriber.heard_at < REPORT_FRESH_SECONDS
+        ]
+
+    def keeper_reports(self, now: float) -> list[DaemonReport]:
+        """Reports of the batch keepers heard lately."""
+        return [
+            subscriber.report
+            for _node_id, subscriber in self.fresh(now)
+            if subscriber.report.role == KEEPER_ROLE
+        ]
+
+    def leading_keeper(self, now: float) -> DaemonReport | None:
+        """The report of the keepers' leader."""
+        leaders = [report for report in self.keeper_reports(now) if report.is_leader]
+        return max(leaders, key=lambda report: report.term, default=None)
+
+    def refresh(
+        self,
+        controls: tuple[tuple[str, str], ...],
+        retiring: tuple[str, ...],
+        term: int,
+        now: float,
+    ) -> None:
+        """Bring the soft section up to date and give it a new mark if it changed."""
+        keepers = tuple(
+            Keeper(
+                node_id=report.node_id,
+                name=report.name,
+                zone=report.zone,
+                address=report.address,
+                http_address=report.http_address,
+                is_leader=report.is_leader,
+                term=report.term,
+            )
+            for report in sorted(self.keeper_reports(now), key=lambda report: report.node_id)
+        )
+        wishes = KeeperWishes(retiring)
+        if (keepers, controls, wishes) != (self._keepers, self._controls, self._wishes) or (
+            not self._mark.startswith(f"{term}.")
+        ):
+            self._keepers, self._controls, self._wishes = keepers, controls, wishes
+            self._counter += 1
+            self._mark = f"{term}.{self._counter}"
+
+    def changes_for(self, subscriber: Subscriber, state: DirectoryState) -> DirectoryChanges | None:
+        """What a daemon lacks; it counts as told from now on. None if it lacks nothing."""
+        parts: dict[str, object] = {}
+        if state.document is not None and subscriber.document_revision < state.document_revision:
+            parts |= {
+                "document_revision": state.document_revision,
+                "document": state.document,
+            }
+            subscriber.document_revision = state.document_revision
+        if subscriber.backends_revision < state.backends_revision:
+            parts |= {
+                "backends_revision": state.backends_revision,
+                "backends": tuple(state.table.backends.values()),
+            }
+            subscriber.backends_revision = state.backends_revision
+        if subscriber.weights_revision < state.weights_revision:
+            parts |= {
+                "weights_revision": state.weights_revision,
+                "weights": dict(state.weights),
+            }
+            subscriber.weights_revision = state.weights_revision
+        if subscriber.keepers_mark != self._mark:
+            parts |= {
+                "keepers_mark": self._mark,
+                "keepers": self._keepers,
+                "founding": state.founding,
+                "wishes": self._wishes,
+                "controls": self._controls,
+            }
+            subscriber.keepers_mark = self._mark
+        return DirectoryChanges(**parts) if parts else None  # type: ignore[arg-type]
--- /dev/null
+++ b/src/merlinstand/forwarding/daemon.py
@@ -0,0 +1,228 @@
+"""The gateway's reducer: callers' requests by the directory's routes, and batch calls."""
+
+from collections.abc import Sequence
+
+from result import Err
+
+from merlinstand.common.errors import MerlinstandError, NotFoundError, error_body
+from merlinstand.common.ids import RequestId
+from merlinstand.directory.follower import PULL_TIMER, DirectoryFollower
+from merlinstand.directory.routes import Route
+from merlinstand.directory.view import DaemonReport
+from merlinstand.forwarding.batch_relay import CALL_PREFIX as BATCH_PREFIX
+from merlinstand.forwarding.batch_relay import TIMER_PREFIX as BATCH_TIMER_PREFIX
+from merlinstand.forwarding.batch_relay import BatchRelay
+from merlinstand.forwarding.forwarder import CALL_PREFIX as FORWARD_PREFIX
+from merlinstand.forwarding.forwarder import TIMER_PREFIX as FORWARD_TIMER_PREFIX
+from merlinstand.forwarding.forwarder import Forwarder
+from merlinstand.forwarding.interface import GatewayInterface
+from merlinstand.forwarding.requests import (
+    Answered,
+    Finished,
+    ForwardRequest,
+    NotRun,
+    OutcomeUnknown,
+)
+from merlinstand.forwarding.settings import ForwardingSettings
+from merlinstand.forwarding.traffic_split import TrafficSplit
+from merlinstand.kernel.effects import Effect, LogEvent, Respond, SetTimer, StopProcess
+from merlinstand.kernel.events import (
+    CallFailed,
+    CallResponded,
+    Event,
+    MessageReceived,
+    RequestAborted,
+    RequestReceived,
+    Started,
+    StopRequested,
+    TimerFired,
+)
+from merlinstand.protocol.generated.directory.ttypes import DirectoryUpdate
+
+GATEWAY_ROLE = "gateway"
+STOP_TIMER = "gateway.stop"
+STOP_POLL_SECONDS = 0.1
+UNREADY_RETRY_SECONDS = 0.5
+"""Told to callers before any routes are known."""
+ANSWER_MARGIN_SECONDS = 0.01
+"""A caller's deadline ends this long before it for the gateway."""
+_BAD_GATEWAY = 502
+_UNAVAILABLE = 503
+_GATEWAY_TIMEOUT = 504
+
+
+class ForwardingGateway:
+    """Reducer of the `gateway` role where the directory is used."""
+
+    def __init__(self, settings: ForwardingSettings, interface: GatewayInterface) -> None:
+        """Make a gateway that has not started.
+
+        Args:
+            settings: Checked settings.
+            interface: Translates batch calls and health checks.
+        """
+        self._settings = settings
+        self._interface = interface
+        self._names = settings.header_names
+        self.follower = DirectoryFollower(settings.seeds, self._report)
+        self._forwarder = Forwarder(self._names, self.follower.snapshot_of)
+        self._relay = BatchRelay(settings, self.follower)
+        self._split = TrafficSplit()
+        self._stop_asked_at: float | None = None
+
+    def start(self, event: Started, now: float) -> Sequence[Effect]:
+        """Ask for the directory."""
+        self._split.seed(event.seed)
+        self._forwarder.chooser.seed(event.seed)
+        return self.follower.start(now)
+
+    def reduce(self, event: Event, now: float) -> Sequence[Effect]:
+        """Handle one event."""
+        effects = self._dispatch(event, now)
+        for finished in self._forwarder.take_finished():
+            effects.extend(self._finish(finished))
+        for relayed in self._relay.take_finished():
+            reply = self._interface.write_batch_reply(relayed.reply)
+            effects.append(Respond(relayed.request_id, reply.status, reply.headers, reply.body))
+        return effects
+
+    def _dispatch(self, event: Event, now: float) -> list[Effect]:
+        match event:
+            case RequestReceived():
+                return self._request(event, now)
+            case CallResponded() | CallFailed():
+                if event.call_id.startswith(FORWARD_PREFIX):
+                    return self._forwarder.on_call(event, now)
+                if event.call_id.startswith(BATCH_PREFIX):
+                    return self._relay.on_call(event, now)
+                return []
+            case RequestAborted():
+                return self._aborted(event.request_id, now)
+            case TimerFired():
+                return self._timer(event.name, now)
+            case MessageReceived(message=DirectoryUpdate()):
+                effects = self.follower.take(event.sender, event.message, now)
+                present = [backend.backend_id for backend in self.follower.backends]
+                self._forwarder.chooser.forget_all_but(present)
+                return effects
+            case StopRequested():
+                return self._stop(now)
+            case _:
+                return []
+
+    # Requests
+
+    def _request(self, event: RequestReceived, now: float) -> list[Effect]:
+        if self._interface.is_readiness_check(event):
+            is_ready = self.follower.has_document and self._stop_asked_at is None
+            return [Respond(event.request_id, 200 if is_ready else _UNAVAILABLE, {}, b"")]
+        if not self.follower.has_document:
+            return [_not_run(event.request_id, "no routes yet", UNREADY_RETRY_SECONDS)]
+        path = event.path.partition("?")[0]
+        route = self.follower.routes.find(event.headers.get("host", ""), path)
+        read = self._interface.read_batch_call(event, route)
+        if isinstance(read, Err):
+            return [_refuse(event.request_id, read.err_value)]
+        if read.ok_value is not None:
+            return self._relay.begin(event.request_id, read.ok_value, now)
+        if route is None:
+            fields = {
+                "request": event.headers.get(self._names.request_id, ""),
+                "host": event.headers.get("host", ""),
+                "version": self.follower.routes.document.version,
+            }
+            log = LogEvent("request.no_route", fields)
+            return [log, _refuse(event.request_id, NotFoundError(detail="no such route"))]
+        return self._forward(event, route, now)
+
+    def _forward(self, event: RequestReceived, route: Route, now: float) -> list[Effect]:
+        limit = route.timeout_seconds
+        told = event.headers.get(self._names.deadline_ms, "")
+        if told.isascii() and told.isdigit():
+            limit = min(limit, int(told) / 1000 - ANSWER_MARGIN_SECONDS)
+        request = ForwardRequest(
+            key=event.request_id,
+            route=route,
+            service=self._split.choose(route),
+            method=event.method,
+            path=event.path,
+            headers=event.headers,
+            body=event.body,
+            request_id=event.headers.get(self._names.request_id, ""),
+            deadline_at=now + limit,
+        )
+        return self._forwarder.begin(request, now)
+
+    def _aborted(self, request_id: RequestId, now: float) -> list[Effect]:
+        return self._forwarder.abort(request_id, now) + self._relay.abort(request_id)
+
+    def _finish(self, finished: Finished) -> list[Effect]:
+        request_id = RequestId(finished.request.key)
+        outcome = finished.outcome
+        if isinstance(outcome, Answered):
+            return [Respond(request_id, outcome.status, outcome.headers, outcome.body)]
+        fields = {
+            "request": finished.request.request_id,
+            "route": finished.request.route.name,
+            "outcome": type(outcome).__name__,
+            "reason": outcome.reason,
+            "attempts": finished.attempts,
+        }
+        log = LogEvent("request.failed", fields)
+        if isinstance(outcome, NotRun):
+            return [log, _not_run(request_id, outcome.reason, outcome.retry_after_seconds)]
+        return [log, _unknown(request_id, outcome)]
+
+    # Time
+
+    def _timer(self, name: str, now: float) -> list[Effect]:
+        if name == PULL_TIMER:
+            return self.follower.pull(now)
+        if name.startswith(FORWARD_TIMER_PREFIX):
+            return self._forwarder.on_timer(name, now)
+        if name.startswith(BATCH_TIMER_PREFIX):
+            return self._relay.on_timer(name, now)
+        if name == STOP_TIMER:
+            return self._continue_stop(now)
+        return []
+
+    def _stop(self, now: float) -> list[Effect]:
+        if self._stop_asked_at is not None:
+            return []
+        self._stop_asked_at = now
+        return [LogEvent("gateway.stopping"), SetTimer(STOP_TIMER, STOP_POLL_SECONDS)]
+
+    def _continue_stop(self, now: float) -> list[Effect]:
+        """End once balancers have noticed and nothing is in flight."""
+        asked_at = self._stop_asked_at if self._stop_asked_at is not None else now
+        elapsed = now - asked_at
+        is_idle = len(self._forwarder) == 0 and len(self._relay) == 0
+        is_drained = elapsed >= self._settings.drain_seconds and is_idle
+        if is_drained or elapsed >= self._settings.stop_limit_seconds:
+            return [LogEvent("gateway.stopped"), StopProcess()]
+        return [SetTimer(STOP_TIMER, STOP_POLL_SECONDS)]
+
+    def _report(self, now: float) -> DaemonReport:
+        settings = self._settings
+        return DaemonReport(
+            node_id=settings.node_id,
+            name=settings.name,
+            role=GATEWAY_ROLE,
+            zone=settings.zone,
+            address=settings.internal_address,
+        )
+
+
+def _refuse(request_id: RequestId, error: MerlinstandError) -> Effect:
+    headers = {"content-type": "application/json"}
+    return Respond(request_id, type(error).http_status, headers, error_body(error))
+
+
+def _not_run(request_id: RequestId, reason: str, retry_after_seconds: float) -> Effect:
+    headers = {"retry-after": f"{retry_after_seconds:g}"}
+    return Respond(request_id, _UNAVAILABLE, headers, reason.encode())
+
+
+def _unknown(request_id: RequestId, outcome: OutcomeUnknown) -> Effect:
+    status = _GATEWAY_TIMEOUT if outcome.is_late else _BAD_GATEWAY
+    return Respond(request_id, status, {}, outcome.reason.encode())
--- /dev/null
+++ b/src/merlinstand/forwarding/forwarder.py
@@ -0,0 +1,294 @@
+"""Sends requests to back ends until one answers whole, or time or attempts run out.
+
+Pure part of a reducer: the owner passes call events and timers of its prefix in, performs the
+effects, and takes what `take_finished` gives.
+"""
+
+from collections.abc import Callable
+
+import msgspec
+
+from merlinstand.common.ids import BackendId, CallId
+from merlinstand.directory.backends import Backend
+from merlinstand.directory.routes import RouteKind
+from merlinstand.forwarding.backend_choice import BackendChooser
+from merlinstand.forwarding.header_names import HeaderNames
+from merlinstand.forwarding.requests import (
+    Answered,
+    Finished,
+    ForwardOutcome,
+    ForwardRequest,
+    NotRun,
+    OutcomeUnknown,
+)
+from merlinstand.kernel.effects import (
+    CancelCall,
+    CancelTimer,
+    Effect,
+    LogEvent,
+    SetTimer,
+    StartCall,
+)
+from merlinstand.kernel.events import CallFailed, CallPhase, CallResponded
+
+CALL_PREFIX = "forward:"
+TIMER_PREFIX = "forward."
+MISDIRECTED_STATUS = 421
+FIRST_SERVER_ERROR_STATUS = 500
+BUSY_PAUSE_SECONDS = 0.02
+"""Wait before a request that was turned away as not run is offered again."""
+HEDGE_SHARE = 0.6
+"""A repeatable request is sent a second time after this share of its aim."""
+SHORTEST_HEDGE_SECONDS = 0.06
+RETRY_AFTER_SECONDS = 0.1
+"""Told to callers whose request has not run."""
+DEADLINE_MARGIN_SECONDS = 0.01
+SHORTEST_TIME_SECONDS = 0.005
+
+
+class _Attempt(msgspec.Struct, frozen=True):
+    backend: Backend
+    started_at: float
+
+
+class _Pending(msgspec.Struct):
+    """A request on its way."""
+
+    request: ForwardRequest
+    tried: set[BackendId] = msgspec.field(default_factory=set)
+    running: dict[CallId, _Attempt] = msgspec.field(default_factory=dict)
+    sent: int = 0
+    may_have_run: bool = False
+    last_error_answer: Answered | None = None
+    last_reason: str = ""
+    is_hedged: bool = False
+
+
+class Forwarder:
+    """All requests that one process forwards."""
+
+    def __init__(
+        self,
+        names: HeaderNames,
+        backends_of: Callable[[str], tuple[Backend, ...]],
+    ) -> None:
+        """Begin without requests.
+
+        Args:
+            names: Header names.
+            backends_of: Gives the registered back ends of a service.
+        """
+        self.chooser = BackendChooser()
+        self._names = names
+        self._backends_of = backends_of
+        self._pending: dict[str, _Pending] = {}
+        self._finished: list[Finished] = []
+        self._calls = 0
+
+    def __len__(self) -> int:
+        """Requests on their way."""
+        return len(self._pending)
+
+    def take_finished(self) -> list[Finished]:
+        """Give the requests that ended since the last time."""
+        finished, self._finished = self._finished, []
+        return finished
+
+    def begin(self, request: ForwardRequest, now: float) -> list[Effect]:
+        """Take a request."""
+        pending = _Pending(request)
+        self._pending[request.key] = pending
+        left = request.deadline_at - now
+        effects: list[Effect] = [SetTimer(f"{TIMER_PREFIX}deadline:{request.key}", max(0.0, left))]
+        return effects + self._send(pending, now)
+
+    def abort(self, key: str, now: float) -> list[Effect]:
+        """The caller left: stop the work everywhere."""
+        pending = self._pending.pop(key, None)
+        return [] if pending is None else self._clean_up(pending, now)
+
+    def on_timer(self, name: str, now: float) -> list[Effect]:
+        """A timer with `TIMER_PREFIX` fired."""
+        kind, _colon, key = name.removeprefix(TIMER_PREFIX).partition(":")
+        pending = self._pending.get(key)
+        if pending is None:
+            return []
+        if kind == "deadline":
+            return self._give_up(pending, "time ran out", now, is_late=True)
+        if kind == "hedge" and pending.running:
+            return self._hedge(pending, now)
+        if kind == "retry" and not pending.running:
+            return self._send(pending, now)
+        return []
+
+    def on_call(self, event: CallResponded | CallFailed, now: float) -> list[Effect]:
+        """A call with `CALL_PREFIX` ended."""
+        key = event.call_id.removeprefix(CALL_PREFIX).rpartition("#")[0]
+        pending = self._pending.get(key)
+        attempt = pending.running.pop(event.call_id, None) if pending is not None else None
+        if pending is None or attempt is None:
+            return []
+        evidence = self.chooser.evidence(attempt.backend.backend_id)
+        evidence.in_flight -= 1
+        if isinstance(event, CallFailed):
+            evidence.note_failure(now)
+            if event.phase is not CallPhase.CONNECT:
+                pending.may_have_run = True
+            pending.last_reason = f"{event.phase.value}_{event.reason}"
+            return self._after_failure(pending, event, attempt, now)
+        return self._after_answer(pending, event, attempt, now)
+
+    # Answers
+
+    def _after_answer(
+        self, pending: _Pending, event: CallResponded, attempt: _Attempt, now: float
+    ) -> list[Effect]:
+        evidence = self.chooser.evidence(attempt.backend.backend_id)
+        if self._is_not_run(event):
+            evidence.note_latency(now - attempt.started_at + BUSY_PAUSE_SECONDS, now)
+            if event.status == MISDIRECTED_STATUS:
+                evidence.note_failure(now)
+            pending.last_reason = f"not_run_{event.status}"
+            return self._try_again(pending, now)
+        answer = Answered(event.status, event.headers, event.body)
+        if event.status < FIRST_SERVER_ERROR_STATUS:
+            evidence.note_success()
+            evidence.note_latency(now - attempt.started_at, now)
+            return self._finish(pending, answer, attempt, now)
+        pending.may_have_run = True
+        pending.last_error_answer = answer
+        pending.last_reason = f"status_{event.status}"
+        if pending.request.route.kind is RouteKind.REPEATABLE:
+            return self._try_again(pending, now)
+        return self._finish(pending, answer, attempt, now)
+
+    def _is_not_run(self, event: CallResponded) -> bool:
+        return self._names.not_run in event.headers or event.status == MISDIRECTED_STATUS
+
+    def _after_failure(
+        self, pending: _Pending, event: CallFailed, attempt: _Attempt, now: float
+    ) -> list[Effect]:
+        fields = {
+            "request": pending.request.request_id,
+            "backend": attempt.backend.backend_id,
+            "phase": event.phase.value,
+            "reason": event.reason,
+        }
+        log = LogEvent("request.attempt_failed", fields)
+        is_repeatable = pending.request.route.kind is RouteKind.REPEATABLE
+        if is_repeatable or event.phase is CallPhase.CONNECT:
+            return [log, *self._try_again(pending, now)]
+        return [log, *self._give_up(pending, pending.last_reason, now)]
+
+    def _try_again(self, pending: _Pending, now: float) -> list[Effect]:
+        if pending.running:
+            return []
+        if not self._has_attempts(pending):
+            return self._give_up(pending, pending.last_reason, now)
+        if self._candidate(pending, now) is not None:
+            return self._send(pending, now)
+        # Every server was asked: ask them once more, after a pause.
+        pending.tried.clear()
+        return [SetTimer(f"{TIMER_PREFIX}retry:{pending.request.key}", BUSY_PAUSE_SECONDS)]
+
+    def _has_attempts(self, pending: _Pending) -> bool:
+        return pending.sent < max(1, pending.request.route.maximum_attempts)
+
+    # Sending
+
+    def _candidate(self, pending: _Pending, now: float) -> Backend | None:
+        backends = self._backends_of(pending.request.service)
+        return self.chooser.choose(backends, pending.tried, now)
+
+    def _send(self, pending: _Pending, now: float) -> list[Effect]:
+        backend = self._candidate(pending, now)
+        if backend is None:
+            return self._give_up(pending, "no back end", now)
+        request = pending.request
+        left = request.deadline_at - now
+        if left < SHORTEST_TIME_SECONDS:
+            return self._give_up(pending, "time ran out", now, is_late=True)
+        self._calls += 1
+        call_id = CallId(f"{CALL_PREFIX}{request.key}#{self._calls}")
+        pending.running[call_id] = _Attempt(backend, now)
+        pending.tried.add(backend.backend_id)
+        pending.sent += 1
+        self.chooser.evidence(backend.backend_id).in_flight += 1
+        headers = {
+            **request.headers,
+            self._names.request_id: request.request_id,
+            self._names.deadline_ms: str(max(1, int(left * 1000))),
+            self._names.expected_backend: backend.backend_id,
+        }
+        call = StartCall(
+            call_id=call_id,
+            address=backend.address,
+            method=request.method,
+            path=request.path,
+            headers=headers,
+            body=request.body,
+            timeout_seconds=left + DEADLINE_MARGIN_SECONDS,
+            host=request.headers.get("host", ""),
+            echo_header=self._names.request_id,
+            accepts_unframed=True,
+            fresh_connection=request.route.kind is not RouteKind.REPEATABLE,
+        )
+        return [call, *self._plan_hedge(pending)]
+
+    def _plan_hedge(self, pending: _Pending) -> list[Effect]:
+        request = pending.request
+        is_possible = request.route.kind is RouteKind.REPEATABLE and self._has_attempts(pending)
+        if not is_possible or pending.is_hedged:
+            return []
+        aim = request.route.target_latency_seconds
+        delay = max(SHORTEST_HEDGE_SECONDS, HEDGE_SHARE * aim)
+        return [SetTimer(f"{TIMER_PREFIX}hedge:{request.key}", delay)]
+
+    def _hedge(self, pending: _Pending, now: float) -> list[Effect]:
+        candidate = self._candidate(pending, now)
+        if candidate is None or not self._has_attempts(pending):
+            return []
+        if self.chooser.evidence(candidate.backend_id).avoid_until > now:
+            return []
+        pending.is_hedged = True
+        return self._send(pending, now)
+
+    # Ends
+
+    def _finish(
+        self, pending: _Pending, outcome: ForwardOutcome, attempt: _Attempt | None, now: float
+    ) -> list[Effect]:
+        del self._pending[pending.request.key]
+        backend_id = attempt.backend.backend_id if attempt is not None else ""
+        self._finished.append(Finished(pending.request, outcome, pending.sent, backend_id))
+        return self._clean_up(pending, now)
+
+    def _give_up(
+        self, pending: _Pending, reason: str, now: float, is_late: bool = False
+    ) -> list[Effect]:
+        is_running = bool(pending.running)
+        outcome: ForwardOutcome
+        if pending.last_error_answer is not None and not is_late:
+            outcome = pending.last_error_answer
+        elif pending.may_have_run or is_running:
+            outcome = OutcomeUnknown(reason, is_late)
+        else:
+            outcome = NotRun(reason, RETRY_AFTER_SECONDS)
+        return self._finish(pending, outcome, None, now)
+
+    def _clean_up(self, pending: _Pending, now: float) -> list[Effect]:
+        """Stop attempts that are still running, and the timers."""
+        effects: list[Effect] = []
+        for call_id, attempt in pending.running.items():
+            evidence = self.chooser.evidence(attempt.backend.backend_id)
+            evidence.in_flight -= 1
+            elapsed = now - attempt.started_at
+            if elapsed > evidence.latency(now):
+                evidence.note_latency(elapsed, now)
+            effects.append(CancelCall(call_id))
+        pending.running.clear()
+        key = pending.request.key
+        effects.extend(
+            CancelTimer(f"{TIMER_PREFIX}{kind}:{key}") for kind in ("deadline", "hedge", "retry")
+        )
+        return effects
--- /dev/null
+++ b/src/merlinstand/forwarding/interface.py
@@ -0,0 +1,37 @@
+"""The part of a gateway's HTTP interface that differs between platforms."""
+
+from typing import Protocol
+
+import msgspec
+from result import Result
+
+from merlinstand.batch_jobs.calls import BatchCall, BatchReply
+from merlinstand.common.errors import MerlinstandError
+from merlinstand.directory.requests import HttpReply
+from merlinstand.directory.routes import Route
+from merlinstand.kernel.events import RequestReceived
+
+
+class BatchFailure(msgspec.Struct, frozen=True):
+    """A batch call that no keeper answered."""
+
+    may_be_done: bool
+    retry_after_seconds: float
+
+
+class GatewayInterface(Protocol):
+    """Pure translation; it keeps no state."""
+
+    def is_readiness_check(self, event: RequestReceived) -> bool:
+        """Whether a request asks if this gateway wants connections."""
+        ...
+
+    def read_batch_call(
+        self, event: RequestReceived, route: Route | None
+    ) -> Result[BatchCall | None, MerlinstandError]:
+        """Understand a batch call; None if the request is none."""
+        ...
+
+    def write_batch_reply(self, reply: BatchReply | BatchFailure) -> HttpReply:
+        """Give the response for a keeper's reply."""
+        ...
--- /dev/null
+++ b/src/merlinstand/forwarding/traffic_split.py
@@ -0,0 +1,37 @@
+"""Chooses among the weighted services of a route."""
+
+import random
+
+from merlinstand.directory.routes import Route
+
+GOLDEN_RATIO_FRACTION = 0.6180339887498949
+"""Steps of a low-discrepancy sequence: every stretch of it is spread evenly over 0 to 1."""
+
+
+class TrafficSplit:
+    """Spreads each route's requests evenly by weight, from a random beginning."""
+
+    def __init__(self) -> None:
+        """Begin without routes."""
+        self._random = random.Random(0)
+        self._positions: dict[str, float] = {}
+
+    def seed(self, seed: int) -> None:
+        """Make the beginnings follow this seed, so that processes differ."""
+        self._random = random.Random(seed)
+
+    def choose(self, route: Route) -> str:
+        """Give the service of a route's next request."""
+        if len(route.targets) == 1:
+            return route.targets[0].service
+        position = self._positions.get(route.name)
+        if position is None:
+            position = self._random.random()
+        position = (position + GOLDEN_RATIO_FRACTION) % 1.0
+        self._positions[route.name] = position
+        left = position * sum(target.weight for target in route.targets)
+        for target in route.targets:
+            left -= target.weight
+            if left < 0:
+                return target.service
+        return next(target.service for target in reversed(route.targets) if target.weight > 0)
--- a/src/merlinstand/kernel/effects.py
+++ b/src/merlinstand/kernel/effects.py
@@ -111,6 +111,13 @@
     `CallChunk`. Hosts without a cost for each read may ignore it."""
     fresh_connection: bool = False
     """Use a new connection instead of a pooled one (non-repeatable requests)."""
+    host: str = ""
+    """`Host` header; the address if empty."""
+    echo_header: str = ""
+    """A header of the request, in lower case, that a 2xx response must carry back unchanged: an
+    answer that belongs to another request ends its connection and fails the call."""
+    accepts_unframed: bool = False
+    """Take a body without length as whole when its connection ends in order."""
 
 
 class CancelCall(Effect, frozen=True):
--- /dev/null
+++ b/src/merlinstand/protocol/idl/directory.thrift
@@ -0,0 +1,25 @@
+namespace py merlinstand.protocol.generated.directory
+
+/** Messages between the control group, which keeps the directory, and all other daemons. */
+
+/** A daemon reports itself and asks for what it lacks; any control daemon may be asked. */
+struct DirectoryPull {
+  /** merlinstand.directory.view.DaemonReport in msgpack. */
+  1: required binary report;
+  /** Revision held of each section; -1 for none. */
+  2: required i64 document_revision;
+  3: required i64 backends_revision;
+  4: required i64 weights_revision;
+  /** Opaque mark of the newest list of batch keepers. */
+  5: required string keepers_mark;
+}
+
+/** What the asker lacks, from the leader; from a follower, only where the leader is. */
+struct DirectoryUpdate {
+  1: required bool from_leader;
+  2: required string leader;
+  3: required string leader_address;
+  /** merlinstand.directory.view.DirectoryChanges in msgpack; empty from a follower. */
+  4: required binary changes;
+  5: required i64 term;
+}
--- a/src/merlinstand/protocol/registry.py
+++ b/src/merlinstand/protocol/registry.py
@@ -2,6 +2,7 @@
 
 from merlinstand.protocol.generated.consensus import ttypes as consensus
 from merlinstand.protocol.generated.control import ttypes as control
+from merlinstand.protocol.generated.directory import ttypes as directory
 
 MESSAGE_CLASSES: dict[str, type] = {
     message_class.__name__: message_class
@@ -21,6 +22,8 @@
         control.QueryReply,
         control.ConfigurationPull,
         control.ConfigurationUpdate,
+        directory.DirectoryPull,
+        directory.DirectoryUpdate,
     )
 }
 """Message class by its name on the wire."""
--- a/src/merlinstand/runtime/dialing.py
+++ b/src/merlinstand/runtime/dialing.py
@@ -9,6 +9,9 @@
 
 from merlinstand.runtime.addresses import parse_address
 
+UNACKNOWLEDGED_LIMIT_MS = 3_000
+"""A connection whose peer acknowledges nothing for this long ends."""
+
 
 def dial(address: str, timeout_seconds: float, tls_context: SSLContext | None) -> Any:
     """Connect, without delaying small writes.
@@ -36,6 +39,8 @@
         connection.settimeout(timeout_seconds)
         connection.connect(target.as_pair())
         connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        # A silent peer must not hold a connection for ever.
+        connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_LIMIT_MS)
         if tls_context is not None:
             connection = tls_context.wrap_socket(connection)
     except BaseException:
--- a/src/merlinstand/runtime/host.py
+++ b/src/merlinstand/runtime/host.py
@@ -75,6 +75,8 @@
         self._reducing = False
         self._stopping = LoopEvent()
         self._server: EndpointServer | None = None
+        self._servers: list[EndpointServer] = []
+        """`_server` and those of the extra addresses."""
         contexts = TlsContexts.of(settings.tls)
         if isinstance(contexts, Err):
             raise HostSetupFailedError(contexts.err_value)
@@ -87,7 +89,7 @@
         self._disk: Disk = NoDisk(self.submit)
         self._endpoint = HttpEndpoint(self.submit, self.metrics, settings.http_limits)
         outbound_tls = self._tls.client if settings.tls and settings.tls.calls else None
-        self._pool = ConnectionPool(outbound_tls)
+        self._pool = ConnectionPool(outbound_tls, settings.connect_timeout_seconds)
         self._client = HttpClient(self.submit, self._pool)
         self._records = RecordWriter(settings.record_folder) if settings.record_folder else None
         self._performer: EffectPerformer | None = None
@@ -150,8 +152,8 @@
 
     def announce_stop(self) -> None:
         """Tell the reducer that a planned stop was asked for."""
-        if self._server is not None:
-            self._server.closing = True
+        for server in self._servers:
+            server.closing = True
         self.submit(StopRequested())
 
     def wait(self) -> int:
@@ -162,11 +164,11 @@
     def stop(self) -> None:
         """Let responses and messages leave, then close everything."""
         self._timers.close()
-        if self._server is not None:
-            self._server.closing = True
-            self._server.close()
+        for server in self._servers:
+            server.closing = True
+            server.close()
         with gevent.Timeout(FLUSH_SECONDS, False):
-            while self._server is not None and self._server.busy:
+            while any(server.busy for server in self._servers):
                 gevent.sleep(FLUSH_POLL_SECONDS)
         self.transport.flush(FLUSH_SECONDS)
         self._disk.flush(FLUSH_SECONDS)
@@ -181,8 +183,8 @@
     def _close(self) -> None:
         self._client.close()
         self.transport.close()
-        if self._server is not None:
-            self._server.stop(timeout=0)
+        for server in self._servers:
+            server.stop(timeout=0)
         self._disk.close()
         if self._records is not None:
             self._records.close()
@@ -225,12 +227,14 @@
             if settings.internal_address:
                 self.transport.start(settings.internal_address, incarnation)
             if settings.http_address:
-                self._server = self._start_server()
+                self._server = self._start_server(settings.http_address)
+            for address in settings.extra_http_addresses:
+                self._start_server(address)
         except (OSError, ValueError) as error:
             raise HostSetupFailedError(HostSetupError(detail=f"can't listen: {error}")) from error
 
-    def _start_server(self) -> EndpointServer:
-        parsed = parse_address(self._settings.http_address)
+    def _start_server(self, address: str) -> EndpointServer:
+        parsed = parse_address(address)
         if isinstance(parsed, Err):
             raise ValueError(parsed.err_value.detail)
         server = EndpointServer(
@@ -240,6 +244,7 @@
             self._tls.server,
         )
         server.start()
+        self._servers.append(server)
         return server
 
     def _drain_events(self) -> None:
--- a/src/merlinstand/runtime/host_settings.py
+++ b/src/merlinstand/runtime/host_settings.py
@@ -41,6 +41,10 @@
     node_id: str
     http_address: str = "127.0.0.1:0"
     """`ip:port` of the HTTP server; port 0 takes a free one (logged as `host.listening`)."""
+    extra_http_addresses: tuple[str, ...] = ()
+    """Further `ip:port` of the same HTTP server."""
+    connect_timeout_seconds: float = 2.0
+    """Longest time for a connection to a back end to come up."""
     internal_address: str = ""
     """`ip:port` of the internal protocol; empty for processes without one."""
     data_folder: str = ""
--- a/src/merlinstand/runtime/http_client.py
+++ b/src/merlinstand/runtime/http_client.py
@@ -23,6 +23,7 @@
     Event,
 )
 from merlinstand.runtime.http_connection import (
+    IDLE_CONNECTION_SECONDS,
     Connection,
     ConnectionPool,
     ResponseParser,
@@ -30,6 +31,9 @@
 )
 from merlinstand.runtime.watchdog import Watchdog
 
+KEEP_ALIVE_MARGIN_SECONDS = 0.5
+"""A kept connection is given up this long before its server said that it would close it."""
+_FIRST_REDIRECT_STATUS = 300
 MAXIMUM_RESPONSE_BYTES = 64 * 1024 * 1024
 """Largest body of a call with `stream=False`."""
 
@@ -99,7 +103,8 @@
             if data and call.read_interval_seconds > 0.0:
                 # Not before the first read of the body: the first token is not delayed.
                 progress.pause(call.read_interval_seconds)
-            progress.read_more()
+            if not progress.read_more_or_end():
+                return CallEnded(call.call_id)
 
     def _emit(self, call: StartCall, event: Event) -> None:
         if self._is_current(call):
@@ -129,6 +134,8 @@
         self._loop = gevent.get_hub().loop
         self._turn = -1
         """The loop's turn of the last read."""
+        self._ends_with_connection = False
+        self._is_foreign = False
         self.phase = CallPhase.CONNECT
         self.parser = ResponseParser(call.method)
 
@@ -154,7 +161,8 @@
         while not self.parser.message_complete:
             if self.parser.body_size > MAXIMUM_RESPONSE_BYTES:
                 raise ResponseTooLargeError
-            self.read_more()
+            if not self.read_more_or_end():
+                break
         return CallResponded(
             self._call.call_id,
             self.parser.status_code,
@@ -171,9 +179,34 @@
             # The head may be there although the bytes behind it are malformed.
             if self.parser.has_final_head:
                 self.phase = CallPhase.BODY
+        self._check_echo()
         if not self.parser.message_complete and not self.parser.is_framed():
-            # A body that ends with its connection can't be told from a truncated one.
-            raise HTTPParseError("response without length")
+            if not self._call.accepts_unframed:
+                # A body that ends with its connection can't be told from a truncated one.
+                raise HTTPParseError("response without length")
+            self._ends_with_connection = True
+
+    def _check_echo(self) -> None:
+        """Refuse an answer that belongs to another request."""
+        name = self._call.echo_header
+        if not name:
+            return
+        expected = self._call.headers.get(name)
+        answered = self.parser.get(name)
+        is_success = self.parser.status_code < _FIRST_REDIRECT_STATUS
+        if answered != expected and (answered is not None or is_success):
+            self._is_foreign = True
+            raise HTTPParseError("answer to another request")
+
+    def read_more_or_end(self) -> bool:
+        """Read some bytes; false if the connection ended and with it an unframed body."""
+        try:
+            self.read_more()
+        except TruncatedResponseError:
+            if self._ends_with_connection:
+                return False
+            raise
+        return True
 
     def read_more(self) -> None:
         """Read some bytes into the parser."""
@@ -203,11 +236,23 @@
         self._connection = None
         if connection is None:
             return
-        if self.parser.message_complete and not self.parser.should_close():
+        if self._is_reusable():
+            self._note_keep_alive(connection)
             self._pool.give_back(connection)
         else:
             connection.close()
 
+    def _is_reusable(self) -> bool:
+        is_whole = self.parser.message_complete and not self.parser.should_close()
+        return bool(is_whole and not self._is_foreign)
+
+    def _note_keep_alive(self, connection: Connection) -> None:
+        told = self.parser.keep_alive_seconds()
+        if told is not None:
+            # Whole seconds are told, and the answer was on its way: leave a margin.
+            margin = min(KEEP_ALIVE_MARGIN_SECONDS, told / 2)
+            connection.idle_seconds = min(IDLE_CONNECTION_SECONDS, told - margin)
+
     def _limit_step(self) -> None:
         """Begin the time limit: of the whole call, or of the next bytes of a stream."""
         self._watchdog.limit(self._call.timeout_seconds, TimeoutError)
--- a/src/merlinstand/runtime/http_connection.py
+++ b/src/merlinstand/runtime/http_connection.py
@@ -28,6 +28,7 @@
 _DROPPED_HEADERS = HOP_BY_HOP_HEADERS | {"content-length", "host", "expect"}
 _TARGET = re.compile(r"/[\x21-\x7e]*\Z")
 _TOKEN = re.compile(r"[!#$%&'*+\-.^_`|~0-9A-Za-z]+\Z")
+_KEEP_ALIVE_TIMEOUT = re.compile(r"timeout=(\d{1,6})")
 _BAD_VALUE = re.compile(r"[\x00-\x08\x0a-\x1f\x7f]")
 
 
@@ -43,6 +44,8 @@
         self.address = address
         self.encrypted = encrypted
         self.idle_since = 0.0
+        self.idle_seconds = IDLE_CONNECTION_SECONDS
+        """How long it may rest; less if the server said so."""
         self._socket = sock
 
     def send(self, data: memoryview) -> int:
@@ -71,13 +74,19 @@
 class ConnectionPool:
     """Connects, and keeps connections whose last response was read to its end."""
 
-    def __init__(self, tls_context: SSLContext | None = None) -> None:
+    def __init__(
+        self,
+        tls_context: SSLContext | None = None,
+        connect_timeout_seconds: float = CONNECT_TIMEOUT_SECONDS,
+    ) -> None:
         """Create an empty pool.
 
         Args:
             tls_context: Set to speak TLS to every server.
+            connect_timeout_seconds: Longest time for a connection to come up.
         """
         self._tls_context = tls_context
+        self._connect_timeout_seconds = connect_timeout_seconds
         self._idle: dict[str, list[Connection]] = {}
 
     def take(self, address: str, fresh: bool) -> Connection:
@@ -91,7 +100,7 @@
         idle = self._idle.get(address)
         while idle and not fresh:
             connection = idle.pop()
-            is_young = time.monotonic() - connection.idle_since < IDLE_CONNECTION_SECONDS
+            is_young = time.monotonic() - connection.idle_since < connection.idle_seconds
             if is_young and connection.is_quiet():
                 return connection
             connection.close()
@@ -108,12 +117,13 @@
 
     def sweep(self) -> None:
         """Close connections that were idle for too long."""
-        oldest = time.monotonic() - IDLE_CONNECTION_SECONDS
+        now = time.monotonic()
         for address, idle in list(self._idle.items()):
+            young = [c for c in idle if now - c.idle_since < c.idle_seconds]
             for connection in idle:
-                if connection.idle_since < oldest:
+                if connection not in young:
                     connection.close()
-            idle[:] = [connection for connection in idle if connection.idle_since >= oldest]
+            idle[:] = young
             if not idle:
                 del self._idle[address]
 
@@ -126,7 +136,7 @@
 
     def _connect(self, address: str) -> Connection:
         try:
-            sock = dial(address, CONNECT_TIMEOUT_SECONDS, self._tls_context)
+            sock = dial(address, self._connect_timeout_seconds, self._tls_context)
         except (ValueError, SSLError) as error:
             raise ConnectError(str(error)) from error
         # From here on the caller's own limit holds.
@@ -177,6 +187,11 @@
             return "chunked" in str(self.get("transfer-encoding")).lower()
         return self.content_length is not None
 
+    def keep_alive_seconds(self) -> float | None:
+        """How long the server says that it keeps the connection; None if it doesn't say."""
+        match = _KEEP_ALIVE_TIMEOUT.search(str(self.get("keep-alive") or ""))
+        return None if match is None else float(match.group(1))
+
     def header_dict(self) -> dict[str, str]:
         """Give the headers, names in lower case."""
         headers: dict[str, str] = {}
@@ -197,9 +212,10 @@
     Raises:
         ValueError: Method, path or headers can't be sent safely.
     """
-    if not _TOKEN.match(call.method) or not _TARGET.match(call.path):
+    is_host_safe = not _BAD_VALUE.search(call.host)
+    if not (_TOKEN.match(call.method) and _TARGET.match(call.path) and is_host_safe):
         raise ValueError("method or path can't be sent")
-    lines = [f"{call.method} {call.path} HTTP/1.1\r\nHost: {call.address}\r\n"]
+    lines = [f"{call.method} {call.path} HTTP/1.1\r\nHost: {call.host or call.address}\r\n"]
     for name, value in call.headers.items():
         if name.lower() in _DROPPED_HEADERS:
             continue
