--- a/src/merlinstand/batch_jobs/state_machine.py
+++ b/src/merlinstand/batch_jobs/state_machine.py
@@ -58,19 +58,21 @@
     results: list[ItemResult] = msgspec.field(default_factory=list)
     is_ended: bool = False
     ended_at: float = 0.0
+    items_by_id: dict[str, BatchItem] = msgspec.field(default_factory=dict)
+    listed_ids: set[str] = msgspec.field(default_factory=set)
 
     def __post_init__(self) -> None:
         """Index the items."""
-        self._items = {item.item_id: item for item in self.job.items}
-        self._listed = {result.item_id for result in self.results}
+        self.items_by_id = {item.item_id: item for item in self.job.items}
+        self.listed_ids = {result.item_id for result in self.results}
 
     def find_item(self, item_id: str) -> BatchItem | None:
         """Give an item of the job."""
-        return self._items.get(item_id)
+        return self.items_by_id.get(item_id)
 
     def is_listed(self, item_id: str) -> bool:
         """Whether the item has a position."""
-        return item_id in self._listed
+        return item_id in self.listed_ids
 
     @property
     def is_open(self) -> bool:
@@ -79,13 +81,13 @@
 
     def unlisted(self) -> list[BatchItem]:
         """Items without a position."""
-        return [item for item in self.job.items if item.item_id not in self._listed]
+        return [item for item in self.job.items if item.item_id not in self.listed_ids]
 
     def add(self, result: ItemResult) -> bool:
         """Give a result the next position; false if its item has one or is unknown."""
-        if result.item_id in self._listed or result.item_id not in self._items:
+        if result.item_id in self.listed_ids or result.item_id not in self.items_by_id:
             return False
-        self._listed.add(result.item_id)
+        self.listed_ids.add(result.item_id)
         self.results.append(result)
         return True
 
--- a/src/merlinstand/directory/daemon.py
+++ b/src/merlinstand/directory/daemon.py
@@ -388,7 +388,9 @@
     def _refresh(self, now: float) -> None:
         members = self.replica.membership.members()
         controls = tuple((str(m.identity.node_id), m.address) for m in members)
-        self._subscribers.refresh(controls, self.state.retiring, self.replica.term, now)
+        self._subscribers.refresh(
+            controls, self.state.founding, self.state.retiring, self.replica.term, now
+        )
 
     def _push(self, now: float) -> list[Effect]:
         """Tell every daemon at once what it lacks."""
--- a/src/merlinstand/directory/subscribers.py
+++ b/src/merlinstand/directory/subscribers.py
@@ -8,6 +8,7 @@
     DaemonReport,
     DirectoryChanges,
     Keeper,
+    KeeperGroup,
     KeeperWishes,
 )
 
@@ -36,6 +37,7 @@
         self._keepers: tuple[Keeper, ...] = ()
         self._controls: tuple[tuple[str, str], ...] = ()
         self._wishes = KeeperWishes()
+        self._founding: KeeperGroup | None = None
         self._mark = ""
         self._counter = 0
 
@@ -71,6 +73,7 @@
     def refresh(
         self,
         controls: tuple[tuple[str, str], ...],
+        founding: KeeperGroup | None,
         retiring: tuple[str, ...],
         term: int,
         now: float,
@@ -89,10 +92,10 @@
             for report in sorted(self.keeper_reports(now), key=lambda report: report.node_id)
         )
         wishes = KeeperWishes(retiring)
-        if (keepers, controls, wishes) != (self._keepers, self._controls, self._wishes) or (
-            not self._mark.startswith(f"{term}.")
-        ):
-            self._keepers, self._controls, self._wishes = keepers, controls, wishes
+        section = (keepers, controls, wishes, founding)
+        held = (self._keepers, self._controls, self._wishes, self._founding)
+        if section != held or not self._mark.startswith(f"{term}."):
+            self._keepers, self._controls, self._wishes, self._founding = section
             self._counter += 1
             self._mark = f"{term}.{self._counter}"
 
@@ -121,7 +124,7 @@
             parts |= {
                 "keepers_mark": self._mark,
                 "keepers": self._keepers,
-                "founding": state.founding,
+                "founding": self._founding,
                 "wishes": self._wishes,
                 "controls": self._controls,
             }
