Engines follow only some models' weights where several share a service

Ruled out: refused orders (0 of 73), single-version routes (none), lost runs (5 cut, all on the slow engine). Change: engines are shared out among the models by demand (Sainte-Lague), as few changes as possible; engines that failed several times in a row are left out and asked once a second whether they work again.

--- a/src/merlinstand/batch_jobs/daemon.py
+++ b/src/merlinstand/batch_jobs/daemon.py
@@ -106,11 +106,17 @@
             self._engines,
             self._forwarder,
             names,
+            lambda backend_id, model: self._weights.follows(backend_id, model),
             self._split,
             self._list_result,
         )
         self._weights = WeightLoader(
-            self.follower, self._engines, engine_interface, names, settings.name
+            self.follower,
+            self._engines,
+            engine_interface,
+            names,
+            settings.name,
+            self.jobs.recent_tokens,
         )
         self.replica: Replica | None = None
         self._started: Started | None = None
--- /dev/null
+++ b/src/merlinstand/batch_jobs/engine_assignment.py
@@ -0,0 +1,70 @@
+"""Which engines keep which model's weights new (a pure decision).
+
+Loading a version costs an engine about a second and what it has cached, so where several models
+share a service each engine follows only some of them: shares follow the models' demand.
+"""
+
+from collections.abc import Iterable, Mapping, Sequence
+
+from merlinstand.common.ids import BackendId
+
+Assignment = dict[BackendId, frozenset[str]]
+"""Models that each engine follows."""
+
+
+def engine_quotas(engine_count: int, demand: Mapping[str, float]) -> dict[str, int]:
+    """Share engines out by Sainte-Laguë's method, at least one for each model.
+
+    Args:
+        engine_count: Engines to share out; no fewer than models.
+        demand: Work of each model, in any unit.
+    """
+    quotas = dict.fromkeys(sorted(demand), 1)
+    for _ in range(engine_count - len(quotas)):
+        neediest = max(quotas, key=lambda model: (demand[model] / (2 * quotas[model] + 1), model))
+        quotas[neediest] += 1
+    return quotas
+
+
+def assign_engines(
+    engines: Sequence[BackendId], demand: Mapping[str, float], held: Assignment
+) -> Assignment:
+    """Assign models to engines, with as few changes as possible.
+
+    Args:
+        engines: Sound engines of one service.
+        demand: Work of each model of the service.
+        held: The assignment so far.
+    """
+    if not demand:
+        return {}
+    models = sorted(demand)
+    if len(models) == 1:
+        return dict.fromkeys(engines, frozenset(models))
+    if len(engines) <= len(models):
+        return _several_each(engines, models)
+    quotas = engine_quotas(len(engines), demand)
+    assignment: Assignment = {}
+    for engine in engines:
+        model = _only(held.get(engine, frozenset()))
+        if model in quotas and quotas[model] > 0:
+            quotas[model] -= 1
+            assignment[engine] = frozenset((model,))
+    vacant = [model for model in models for _ in range(quotas[model])]
+    free = [engine for engine in engines if engine not in assignment]
+    for engine, model in zip(free, vacant, strict=True):
+        assignment[engine] = frozenset((model,))
+    return assignment
+
+
+def _several_each(engines: Sequence[BackendId], models: Sequence[str]) -> Assignment:
+    followed: dict[BackendId, set[str]] = {engine: set() for engine in engines}
+    for number, model in enumerate(models):
+        if engines:
+            followed[engines[number % len(engines)]].add(model)
+    return {engine: frozenset(names) for engine, names in followed.items()}
+
+
+def _only(models: Iterable[str]) -> str:
+    names = list(models)
+    return names[0] if len(names) == 1 else ""
--- a/src/merlinstand/batch_jobs/engines.py
+++ b/src/merlinstand/batch_jobs/engines.py
@@ -8,6 +8,8 @@
 
 DEFAULT_SLOTS = 4
 """Assumed of an engine that does not tell its slots."""
+SUSPECT_PENALTY_SECONDS = 1.0
+"""An engine with a penalty this long failed several times in a row."""
 FIRST_PENALTY_SECONDS = 0.3
 LONGEST_PENALTY_SECONDS = 4.0
 
@@ -55,6 +57,11 @@
         self.penalty_seconds = 0.0
         self.avoid_until = 0.0
 
+    @property
+    def is_suspect(self) -> bool:
+        """Whether it failed several times in a row and has not worked since."""
+        return self.penalty_seconds >= SUSPECT_PENALTY_SECONDS
+
     def is_usable(self, now: float) -> bool:
         """Whether a run may begin there now."""
         is_sound = self.avoid_until <= now
--- a/src/merlinstand/batch_jobs/runner.py
+++ b/src/merlinstand/batch_jobs/runner.py
@@ -12,7 +12,7 @@
 from merlinstand.batch_jobs.model import ItemResult
 from merlinstand.batch_jobs.schedule import GroupProgress, choose_engine, group_progress, urgency
 from merlinstand.batch_jobs.state_machine import JobState, JobStates
-from merlinstand.common.ids import CallId
+from merlinstand.common.ids import BackendId, CallId
 from merlinstand.directory.follower import DirectoryFollower
 from merlinstand.directory.routes import Route
 from merlinstand.forwarding.forwarder import Forwarder
@@ -50,6 +50,7 @@
         engines: EngineStates,
         forwarder: Forwarder,
         names: HeaderNames,
+        follows: Callable[[BackendId, str], bool],
         split: TrafficSplit,
         list_result: Callable[[str, ItemResult, float], list[Effect] | None],
     ) -> None:
@@ -61,6 +62,7 @@
             engines: All engines.
             forwarder: Makes scoring calls.
             names: Header names.
+            follows: Whether an engine is there for a model in the first place.
             split: Chooses the service of a weighted route.
             list_result: Proposes a result for its job; None if that can't be done now.
         """
@@ -69,6 +71,7 @@
         self._engines = engines
         self._forwarder = forwarder
         self._names = names
+        self._follows = follows
         self._split = split
         self._list_result = list_result
         self._runs: dict[str, ItemRun] = {}
@@ -187,6 +190,7 @@
             job.model,
             job.minimum_version,
             group.last_backend,
+            self._follows,
             now,
         )
         if engine is None:
--- a/src/merlinstand/batch_jobs/schedule.py
+++ b/src/merlinstand/batch_jobs/schedule.py
@@ -1,6 +1,6 @@
 """Which waiting item runs next, and on which engine (pure decisions)."""
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 import msgspec
 
@@ -53,6 +53,7 @@
     model: str,
     minimum_version: int,
     preferred: BackendId | None,
+    follows: Callable[[BackendId, str], bool],
     now: float,
 ) -> EngineState | None:
     """Choose an engine with a free slot whose weights are new enough.
@@ -62,6 +63,7 @@
         model: The item's model; empty if any will do.
         minimum_version: Oldest weight version allowed.
         preferred: Engine that holds the group's shared prompt.
+        follows: Whether an engine is there for a model in the first place.
         now: Local time.
     """
     fitting = [
@@ -74,4 +76,11 @@
     for state in fitting:
         if state.backend.backend_id == preferred:
             return state
-    return min(fitting, key=lambda state: state.running / state.slots, default=None)
+    return min(
+        fitting,
+        key=lambda state: (
+            not follows(state.backend.backend_id, model),
+            state.running / state.slots,
+        ),
+        default=None,
+    )
--- a/src/merlinstand/batch_jobs/state_machine.py
+++ b/src/merlinstand/batch_jobs/state_machine.py
@@ -32,6 +32,8 @@
 
 JobCommand = AcceptJob | ListResult | CloseJob | ForgetJob
 
+RECENT_JOBS = 3
+"""Jobs of a model from which its demand is told."""
 _COMMAND_DECODER = msgspec.msgpack.Decoder(JobCommand)
 
 
@@ -147,6 +149,13 @@
         job.ended_at = group_time
         return job_id
 
+    def recent_tokens(self, model: str) -> float:
+        """Tokens out that the newest jobs of a model are expected to need."""
+        newest = [job.job for job in reversed(self.jobs.values()) if job.job.model == model]
+        jobs = newest[:RECENT_JOBS]
+        total = sum(item.expected_tokens or item.tokens for job in jobs for item in job.items)
+        return total / max(1, len(jobs))
+
     def snapshot(self) -> bytes:
         """Encode the whole state."""
         return msgspec.msgpack.encode(
--- a/src/merlinstand/batch_jobs/weight_loader.py
+++ b/src/merlinstand/batch_jobs/weight_loader.py
@@ -1,10 +1,12 @@
 """Brings every engine to the newest named weight version by fenced orders, a few at a time."""
 
 import math
+from collections.abc import Callable
 
 import msgspec
 from result import Err
 
+from merlinstand.batch_jobs.engine_assignment import Assignment, assign_engines
 from merlinstand.batch_jobs.engine_interface import (
     EngineCall,
     EngineInterface,
@@ -29,6 +31,9 @@
 FIRST_POLL_SECONDS = 0.9
 """A load takes about this long at least."""
 RETRY_SECONDS = 0.5
+ASSIGNMENT_SECONDS = 10.0
+"""The engines are shared out anew this often, as demand changes."""
+PROBE_SECONDS = 1.0
 SUCCESS_STATUS = 200
 
 
@@ -54,6 +59,7 @@
         interface: EngineInterface,
         names: HeaderNames,
         holder: str,
+        demand_of: Callable[[str], float],
     ) -> None:
         """Begin without orders.
 
@@ -63,12 +69,19 @@
             interface: Translates orders and reports.
             names: Header names.
             holder: This machine's name.
+            demand_of: Work lately asked for of a model.
         """
         self._follower = follower
         self._engines = engines
         self._interface = interface
         self._names = names
         self._holder = holder
+        self._demand_of = demand_of
+        self._assignment: Assignment = {}
+        self._assigned_for: tuple[object, ...] = ()
+        self._assign_again_at = 0.0
+        self._probes: dict[CallId, BackendId] = {}
+        self._probe_at: dict[BackendId, float] = {}
         self._loads: dict[BackendId, _Load] = {}
         self._not_before = math.inf
         self._fence = 0
@@ -94,13 +107,57 @@
         for state in self._engines.states.values():
             state.is_loading = False
         self._loads.clear()
+        self._probes.clear()
+        self._probe_at.clear()
+        self._assigned_for = ()
+
+    def follows(self, backend_id: BackendId, model: str) -> bool:
+        """Whether an engine's weights of a model are kept new."""
+        return model in self._assignment.get(backend_id, ())
+
+    def _assign(self, now: float) -> None:
+        """Share the engines out anew when some came or went, and now and then."""
+        services = [s for s in self._follower.routes.services.values() if s.models]
+        sound = {
+            service.name: sorted(
+                state.backend.backend_id
+                for state in self._engines.of_service(service.name)
+                if not state.backend.is_leaving and not state.is_suspect
+            )
+            for service in services
+        }
+        basis = tuple((s.name, s.models, tuple(sound[s.name])) for s in services)
+        if basis == self._assigned_for and now < self._assign_again_at:
+            return
+        self._assigned_for = basis
+        self._assign_again_at = now + ASSIGNMENT_SECONDS
+        assignment: Assignment = {}
+        for service in services:
+            demand = {model: self._demand_of(model) + 1.0 for model in service.models}
+            assignment |= assign_engines(sound[service.name], demand, self._assignment)
+        self._assignment = assignment
+
+    def _probe_suspects(self, now: float) -> list[Effect]:
+        """Ask engines that failed several times whether they work again."""
+        effects: list[Effect] = []
+        for backend_id, state in self._engines.states.items():
+            is_due = now >= self._probe_at.get(backend_id, 0.0)
+            if not (state.is_suspect and is_due) or state.backend.is_leaving:
+                continue
+            self._probe_at[backend_id] = now + PROBE_SECONDS
+            self._calls += 1
+            call_id = CallId(f"{CALL_PREFIX}probe:{self._calls}:{backend_id}")
+            self._probes[call_id] = backend_id
+            effects.append(self._call(call_id, state, self._interface.report_call()))
+        return effects
 
     def tick(self, now: float) -> list[Effect]:
         """Start and continue loads; call it only while this process may act as leader."""
         if now < self._not_before:
             return []
         self._drop_finished()
-        effects: list[Effect] = []
+        self._assign(now)
+        effects = self._probe_suspects(now)
         for service in self._follower.routes.services.values():
             for model in service.models:
                 target = self._follower.weights.get(model, 0)
@@ -133,7 +190,8 @@
     def _lacks(self, state: EngineState, model: str, target: int) -> bool:
         backend = state.backend
         is_free = backend.backend_id not in self._loads and not backend.is_leaving
-        return is_free and state.version_of(model) < target
+        is_meant = self.follows(backend.backend_id, model)
+        return is_free and is_meant and state.version_of(model) < target
 
     # Calls
 
@@ -141,12 +199,16 @@
         state = self._engines.states[load.backend_id]
         self._calls += 1
         load.call_id = CallId(f"{CALL_PREFIX}{kind}:{self._calls}:{load.backend_id}")
+        return self._call(load.call_id, state, call)
+
+    def _call(self, call_id: CallId, state: EngineState, call: EngineCall) -> Effect:
+        backend = state.backend
         return StartCall(
-            call_id=load.call_id,
-            address=state.backend.address,
+            call_id=call_id,
+            address=backend.address,
             method=call.method,
             path=call.path,
-            headers={**call.headers, self._names.expected_backend: load.backend_id},
+            headers={**call.headers, self._names.expected_backend: backend.backend_id},
             body=call.body,
             timeout_seconds=CALL_TIMEOUT_SECONDS,
         )
@@ -156,6 +218,8 @@
 
     def on_call(self, event: CallResponded | CallFailed, may_act: bool, now: float) -> list[Effect]:
         """A call with `CALL_PREFIX` ended."""
+        if event.call_id in self._probes:
+            return self._on_probe(event)
         kind, _number, backend_id = event.call_id.removeprefix(CALL_PREFIX).split(":", 2)
         load = self._loads.get(BackendId(backend_id))
         if load is None or load.call_id != event.call_id:
@@ -168,6 +232,14 @@
             return self._on_report(load, event, now)
         return self._on_order_reply(load, event, now)
 
+    def _on_probe(self, event: CallResponded | CallFailed) -> list[Effect]:
+        backend_id = self._probes.pop(event.call_id)
+        state = self._engines.states.get(backend_id)
+        if state is None or isinstance(event, CallFailed) or event.status != SUCCESS_STATUS:
+            return []
+        state.note_success()
+        return [LogEvent("engine.works_again", {"backend": backend_id})]
+
     def _on_report(self, load: _Load, event: CallResponded, now: float) -> list[Effect]:
         if event.status != SUCCESS_STATUS:
             return []
@@ -204,9 +276,9 @@
         """Runs go on under new weights unless a route wants one version a text."""
         services = {s.name for s in self._follower.routes.services.values() if model in s.models}
         for route in self._follower.routes.document.routes:
-            if route.kind is RouteKind.BATCH and route.single_version:
-                if any(target.service in services for target in route.targets):
-                    return LoadMode.LET_END
+            is_strict = route.kind is RouteKind.BATCH and route.single_version
+            if is_strict and any(target.service in services for target in route.targets):
+                return LoadMode.LET_END
         return LoadMode.GO_ON
 
     def _on_order_reply(self, load: _Load, event: CallResponded, now: float) -> list[Effect]:
