Adapter tests; the platform's names stay in its folder; SIGHUP does not end a daemon

Cause: SIGHUP's default ended the process; the platform sends it when the settings file changes. Change: it is logged, what the settings hold is needed at the start only. Tests of every translation.

--- a/src/merlinstand/batch_jobs/daemon.py
+++ b/src/merlinstand/batch_jobs/daemon.py
@@ -52,7 +52,7 @@
 from merlinstand.forwarding.forwarder import CALL_PREFIX as FORWARD_PREFIX
 from merlinstand.forwarding.forwarder import TIMER_PREFIX as FORWARD_TIMER_PREFIX
 from merlinstand.forwarding.forwarder import Forwarder
-from merlinstand.forwarding.traffic_split import TrafficSplit
+from merlinstand.forwarding.weighted_choice import WeightedChoice
 from merlinstand.kernel.effects import Effect, LogEvent, Respond, SetTimer, StopProcess
 from merlinstand.kernel.events import (
     CallChunk,
@@ -98,7 +98,7 @@
         self.jobs = JobStates()
         self.follower = DirectoryFollower(settings.seeds, self._report)
         self._engines = EngineStates(self.follower)
-        self._split = TrafficSplit()
+        self._split = WeightedChoice()
         self._forwarder = Forwarder(names, self.follower.snapshot_of)
         self._runner = ItemRunner(
             self.jobs,
--- a/src/merlinstand/batch_jobs/runner.py
+++ b/src/merlinstand/batch_jobs/runner.py
@@ -18,7 +18,7 @@
 from merlinstand.forwarding.forwarder import Forwarder
 from merlinstand.forwarding.header_names import HeaderNames
 from merlinstand.forwarding.requests import Answered, Finished, ForwardRequest
-from merlinstand.forwarding.traffic_split import TrafficSplit
+from merlinstand.forwarding.weighted_choice import WeightedChoice
 from merlinstand.kernel.effects import CancelCall, Effect, LogEvent, StartCall
 from merlinstand.kernel.events import CallChunk, CallEnded, CallFailed, CallHeaders
 
@@ -51,7 +51,7 @@
         forwarder: Forwarder,
         names: HeaderNames,
         follows: Callable[[BackendId, str], bool],
-        split: TrafficSplit,
+        split: WeightedChoice,
         list_result: Callable[[str, ItemResult, float], list[Effect] | None],
     ) -> None:
         """Begin without items.
--- a/src/merlinstand/forwarding/daemon.py
+++ b/src/merlinstand/forwarding/daemon.py
@@ -24,7 +24,7 @@
     OutcomeUnknown,
 )
 from merlinstand.forwarding.settings import ForwardingSettings
-from merlinstand.forwarding.traffic_split import TrafficSplit
+from merlinstand.forwarding.weighted_choice import WeightedChoice
 from merlinstand.kernel.effects import Effect, LogEvent, Respond, SetTimer, StopProcess
 from merlinstand.kernel.events import (
     CallFailed,
@@ -67,7 +67,7 @@
         self.follower = DirectoryFollower(settings.seeds, self._report)
         self._forwarder = Forwarder(self._names, self.follower.snapshot_of)
         self._relay = BatchRelay(settings, self.follower)
-        self._split = TrafficSplit()
+        self._split = WeightedChoice()
         self._stop_asked_at: float | None = None
 
     def start(self, event: Started, now: float) -> Sequence[Effect]:
--- a/src/merlinstand/forwarding/traffic_split.py
+++ b/src/merlinstand/forwarding/weighted_choice.py
@@ -8,7 +8,7 @@
 """Steps of a low-discrepancy sequence: every stretch of it is spread evenly over 0 to 1."""
 
 
-class TrafficSplit:
+class WeightedChoice:
     """Spreads each route's requests evenly by weight, from a random beginning."""
 
     def __init__(self) -> None:
--- a/src/merlinstand/runtime/host.py
+++ b/src/merlinstand/runtime/host.py
@@ -156,6 +156,10 @@
             server.closing = True
         self.submit(StopRequested())
 
+    def note_settings_changed(self) -> None:
+        """The settings file changed (SIGHUP); its fields are read at the next start."""
+        self.log.write("host.settings_changed", {"in_force": "at the next start"})
+
     def wait(self) -> int:
         """Block until the reducer asks to stop; returns the exit code."""
         self._stopping.wait()
--- a/src/merlinstand/runtime/process.py
+++ b/src/merlinstand/runtime/process.py
@@ -20,7 +20,8 @@
 def run_host(reducer: Reducer, settings: HostSettings) -> int:
     """Run a reducer until it asks to stop.
 
-    The first SIGTERM or SIGINT becomes `StopRequested`; a second one ends at once.
+    The first SIGTERM or SIGINT becomes `StopRequested`; a second one ends at once. SIGHUP is
+    logged: what the settings hold is needed at the start only.
 
     Args:
         reducer: The process's decisions.
@@ -75,4 +76,6 @@
     watchers = [gevent.get_hub().loop.signal(number) for number in _STOP_SIGNALS]
     for watcher in watchers:
         watcher.start(on_signal)
-    return watchers
+    reload_watcher = gevent.get_hub().loop.signal(signal.SIGHUP)
+    reload_watcher.start(host.note_settings_changed)
+    return [*watchers, reload_watcher]
--- /dev/null
+++ b/tests/users_platform/test_adapter.py
@@ -0,0 +1,160 @@
+"""The adapter's translations, without any daemon."""
+
+import base64
+import json
+
+import pytest
+
+from merlinstand.batch_jobs.calls import (
+    EndJob,
+    JobAccepted,
+    NotFound,
+    ReadItemBody,
+    ReadResults,
+    ResultsPage,
+    SubmitJob,
+)
+from merlinstand.batch_jobs.model import ItemResult, ResultState
+from merlinstand.common.ids import RequestId
+from merlinstand.directory.requests import BackendLeft, DocumentPut, Elsewhere, Heartbeat
+from merlinstand.directory.routes import Route, RouteKind, RouteTarget
+from merlinstand.forwarding.interface import BatchFailure
+from merlinstand.kernel.events import RequestReceived
+from merlinstand_platform.batch import PlatformGatewayInterface
+from merlinstand_platform.control import PlatformControlInterface
+from merlinstand_platform.document import read_document
+from tests.users_platform.callers import HOST, config
+
+SERVICES: dict[str, list[str]] = {"shop": [], "llm": ["m0"]}
+BATCH_ROUTE = Route(
+    name="llm",
+    host=HOST,
+    path_prefix="/llm/",
+    kind=RouteKind.BATCH,
+    timeout_seconds=7.5,
+    targets=(RouteTarget("llm", 1.0),),
+)
+
+
+def request(method: str, path: str, body: bytes = b"", **headers: str) -> RequestReceived:
+    named = {name.replace("_", "-"): value for name, value in headers.items()}
+    return RequestReceived(RequestId("r1"), method, path, {"host": HOST, **named}, body)
+
+
+def test_a_valid_configuration_is_read_whole() -> None:
+    document = read_document(json.dumps(config(3, SERVICES)).encode()).unwrap()
+    assert document.version == 3
+    kinds = {route.name: route.kind for route in document.routes}
+    assert kinds == {
+        "lookup": RouteKind.REPEATABLE,
+        "score": RouteKind.REPEATABLE,
+        "llm": RouteKind.BATCH,
+    }
+    assert document.services[1].models == ("m0",)
+
+
+@pytest.mark.parametrize(
+    ("change", "place"),
+    [
+        (lambda c: c["Routes"][0].update(Service="nobody"), "unknown service 'nobody'"),
+        (lambda c: c["Routes"][0].update(TimeoutMs=0), "time-out"),
+        (lambda c: c["Routes"][1].update(PathPrefix="/lookup/"), "same host and prefix"),
+        (
+            lambda c: c["Routes"][0].update(TrafficSplit=[{"Service": "shop", "Weight": 0}]),
+            "weights add up to 0",
+        ),
+        (lambda c: c.pop("Services"), "services"),
+        (lambda c: c["Routes"][0].update(Type="other"), "type 'other'"),
+        (lambda c: c.update(Version="x"), "version"),
+    ],
+)
+def test_an_invalid_configuration_is_refused_with_its_place(change: object, place: str) -> None:
+    content = config(3, SERVICES)
+    change(content)  # type: ignore[operator]
+    error = read_document(json.dumps(content).encode()).unwrap_err()
+    assert place.lower() in error.detail.lower()
+
+
+def test_a_configuration_cut_short_is_refused() -> None:
+    raw = json.dumps(config(3, SERVICES)).encode()
+    assert read_document(raw[: len(raw) // 2]).is_err()
+    reply = PlatformControlInterface().read(request("PUT", "/config", raw[:-5]))
+    assert reply.is_err()
+
+
+def test_calls_to_control() -> None:
+    interface = PlatformControlInterface()
+    raw = json.dumps(config(3, SERVICES)).encode()
+    put = interface.read(request("PUT", "/config", raw)).unwrap()
+    assert isinstance(put, DocumentPut)
+    assert put.raw == raw
+    beat = {"Service": "llm", "Address": "1.2.3.4:5", "State": "draining", "Seq": 4}
+    beat["Models"] = [{"Name": "m0", "Version": 2}]  # type: ignore[assignment]
+    heard = interface.read(request("PUT", "/instances/i-1", json.dumps(beat).encode())).unwrap()
+    assert isinstance(heard, Heartbeat)
+    assert heard.backend.is_leaving
+    assert heard.backend.version_of("m0") == 2
+    left = interface.read(request("DELETE", "/instances/i-1")).unwrap()
+    assert left == BackendLeft("i-1")
+    moved = interface.write(Elsewhere("10.0.0.4:8080", "/config"))
+    assert moved.status == 307
+    assert moved.headers["location"] == "http://10.0.0.4:8080/config"
+
+
+def test_a_malformed_heartbeat_names_the_place() -> None:
+    interface = PlatformControlInterface()
+    error = interface.read(request("PUT", "/instances/i-1", b'{"Service": 5}')).unwrap_err()
+    assert "Service" in error.detail
+
+
+def test_batch_calls() -> None:
+    interface = PlatformGatewayInterface()
+    read = interface.read_batch_call(request("GET", "/lots/j1?After=12", x_wait_ms="1000"), None)
+    assert read.unwrap() == ReadResults("j1", 12, 1.0)
+    body = interface.read_batch_call(request("GET", "/items/j1?Id=i1"), None)
+    assert body.unwrap() == ReadItemBody("j1", "i1")
+    end = interface.read_batch_call(request("DELETE", "/lots/j1"), None)
+    assert end.unwrap() == EndJob("j1")
+    assert interface.read_batch_call(request("POST", "/lookup/x"), None).unwrap() is None
+
+
+def test_a_batch_job_is_read_whole() -> None:
+    item = {
+        "Id": "i1",
+        "Path": "/llm/1",
+        "Headers": {"X-Model": "m0", "X-Length-Hint": "40"},
+        "Body": base64.b64encode(b"bytes").decode(),
+        "Group": "g",
+        "ScoringUrl": {"Id": "s1", "Host": HOST, "Path": "/score/1", "Body": ""},
+    }
+    job = {"Step": 1, "Model": "m0", "MinVersion": 2, "Desired": 1, "Requests": [item]}
+    event = request("POST", "/llm/x", json.dumps(job).encode(), x_request_id="j1")
+    call = PlatformGatewayInterface().read_batch_call(event, BATCH_ROUTE).unwrap()
+    assert isinstance(call, SubmitJob)
+    assert call.job.job_id == "j1"
+    assert call.job.items[0].body == b"bytes"
+    assert call.job.items[0].expected_tokens == 40
+    item["Body"] = "not base64!"
+    bad = request("POST", "/llm/x", json.dumps(job).encode(), x_request_id="j1")
+    assert PlatformGatewayInterface().read_batch_call(bad, BATCH_ROUTE).is_err()
+
+
+def test_replies_to_batch_calls() -> None:
+    interface = PlatformGatewayInterface()
+    result = ItemResult(
+        item_id="i1", state=ResultState.SUCCEEDED, text="a\nb", versions=(7, 6), score="s"
+    )
+    page = interface.write_batch_reply(ResultsPage(4, 2, (result,)))
+    assert json.loads(page.body) == {
+        "Total": 4,
+        "NextToken": 3,
+        "Results": [
+            {"Id": "i1", "State": "succeeded", "Text": "a\nb", "Versions": [6, 7], "Score": "s"}
+        ],
+    }
+    assert interface.write_batch_reply(JobAccepted()).status == 202
+    assert interface.write_batch_reply(NotFound()).status == 404
+    # A refusal promises that nothing runs: without certainty there is no such promise.
+    assert interface.write_batch_reply(BatchFailure(True, 0.3)).status == 504
+    refused = interface.write_batch_reply(BatchFailure(False, 0.3))
+    assert (refused.status, refused.headers) == (503, {"retry-after": "0.3"})
--- a/tests/users_platform/world.py
+++ b/tests/users_platform/world.py
@@ -180,9 +180,9 @@
         """The keeper that leads now, or the first one."""
         for ip in self.keepers:
             reducer = self.process(ip).reducer
-            if isinstance(reducer, KeeperDaemon) and reducer.replica is not None:
-                if reducer.replica.is_leader:
-                    return ip
+            replica = reducer.replica if isinstance(reducer, KeeperDaemon) else None
+            if replica is not None and replica.is_leader:
+                return ip
         return self.keepers[0]
 
     def leading_control(self) -> str:
