--- a/src/merlinstand/batch_jobs/weight_loader.py
+++ b/src/merlinstand/batch_jobs/weight_loader.py
@@ -224,6 +224,9 @@
         load = self._loads.get(BackendId(backend_id))
         if load is None or load.call_id != event.call_id:
             return []
+        if load.backend_id not in self._engines.states:
+            self._end_load(load)
+            return []
         load.call_id = None
         load.next_at = now + RETRY_SECONDS
         if isinstance(event, CallFailed) or not may_act or now < self._not_before:
--- /dev/null
+++ b/tests/batch_jobs/test_weight_loader.py
@@ -0,0 +1,114 @@
+"""Orders of weights: what the leading keeper sends to engines, and when."""
+
+import json
+
+from merlinstand_platform.engines import PlatformEngineInterface
+
+from merlinstand.batch_jobs.engines import EngineStates
+from merlinstand.batch_jobs.weight_loader import WeightLoader
+from merlinstand.common.ids import BackendId
+from merlinstand.directory.backends import Backend, HeldModel
+from merlinstand.directory.follower import DirectoryFollower
+from merlinstand.directory.routes import RoutesDocument, RouteTable, Service
+from merlinstand.directory.view import DaemonReport
+from merlinstand.forwarding.header_names import HeaderNames
+from merlinstand.kernel.effects import StartCall
+from merlinstand.kernel.events import CallFailed, CallPhase, CallResponded
+
+
+class Loading:
+    """A loader with some engines of one model."""
+
+    def __init__(self, engines: int = 1) -> None:
+        report = DaemonReport(node_id="k", name="k", role="keeper")
+        self.follower = DirectoryFollower((), lambda _now: report)
+        service = Service(name="llm", slots=4, models=("m0",))
+        self.follower.routes = RouteTable(RoutesDocument(version=1, services=(service,)))
+        self.follower.weights = {"m0": 2}
+        self.states = EngineStates(self.follower)
+        self.register(*(f"i-{number}" for number in range(engines)))
+        self.loader = WeightLoader(
+            self.follower,
+            self.states,
+            PlatformEngineInterface(),
+            HeaderNames(),
+            "keeper-1",
+            lambda _model: 1.0,
+        )
+        self.loader.begin(fence=5, not_before=0.0)
+
+    def register(self, *backend_ids: str) -> None:
+        self.follower.backends = tuple(
+            Backend(
+                backend_id=BackendId(backend_id),
+                service="llm",
+                address=f"{backend_id}:1",
+                models=(HeldModel("m0", 1),),
+            )
+            for backend_id in backend_ids
+        )
+        self.follower.backends_revision += 1
+        self.states.refresh()
+
+    def calls(self, now: float) -> list[StartCall]:
+        return [e for e in self.loader.tick(now) if isinstance(e, StartCall)]
+
+
+def report(sequence: int, version: int, in_flight: bool = False) -> bytes:
+    models = [{"Name": "m0", "Version": version}]
+    return json.dumps({"Seq": sequence, "InFlight": in_flight, "Models": models}).encode()
+
+
+def test_an_engine_that_left_while_it_was_asked_ends_its_load() -> None:
+    """Hunt 9c6c, vitrina-ro trouble-1 seed 100170021143: the keeper ended with a KeyError."""
+    loading = Loading()
+    [call] = loading.calls(0.0)
+    loading.register("i-9")
+    effects = loading.loader.on_call(CallResponded(call.call_id, 200, {}, report(0, 1)), True, 0.1)
+    assert effects == []
+    assert [c.address for c in loading.calls(0.2)] == ["i-9:1"]
+
+
+def test_an_order_carries_holder_fence_and_the_sequence_reported() -> None:
+    loading = Loading()
+    [call] = loading.calls(0.0)
+    [order] = loading.loader.on_call(CallResponded(call.call_id, 200, {}, report(3, 1)), True, 0.1)
+    assert isinstance(order, StartCall)
+    body = json.loads(order.body)
+    assert (body["Holder"], body["Fence"], body["ExpectedRev"]) == ("keeper-1", 5, 3)
+    assert body["Version"] == 2
+
+
+def test_no_order_without_the_right_to_act() -> None:
+    loading = Loading()
+    [call] = loading.calls(0.0)
+    answer = CallResponded(call.call_id, 200, {}, report(3, 1))
+    assert loading.loader.on_call(answer, False, 0.1) == []
+
+
+def test_an_unanswered_order_is_repeated_only_under_the_sequence_seen_then() -> None:
+    """The first may be carried out seconds later; the second can't come on top of it."""
+    loading = Loading()
+    [call] = loading.calls(0.0)
+    [order] = loading.loader.on_call(CallResponded(call.call_id, 200, {}, report(0, 1)), True, 0.1)
+    assert isinstance(order, StartCall)
+    lost = CallFailed(order.call_id, CallPhase.SENT, "timeout")
+    assert loading.loader.on_call(lost, True, 1.1) == []
+    [again] = loading.calls(1.7)
+    [second] = loading.loader.on_call(
+        CallResponded(again.call_id, 200, {}, report(0, 1)), True, 1.8
+    )
+    assert isinstance(second, StartCall)
+    assert json.loads(second.body)["ExpectedRev"] == 0
+
+
+def test_only_a_share_of_the_engines_loads_at_once() -> None:
+    loading = Loading(engines=5)
+    assert len(loading.calls(0.0)) == 2
+
+
+def test_a_new_leader_waits_before_its_first_order() -> None:
+    loading = Loading()
+    loading.loader.begin(fence=6, not_before=3.3)
+    assert loading.calls(3.2) == []
+    assert len(loading.calls(3.4)) == 1
