--- a/src/merlinstand/batch_jobs/daemon.py
+++ b/src/merlinstand/batch_jobs/daemon.py
@@ -43,12 +43,14 @@
 from merlinstand.batch_jobs.weight_loader import WeightLoader
 from merlinstand.common.decoding import MALFORMED_INPUT
 from merlinstand.common.ids import NodeId, RequestId, Zone
+from merlinstand.consensus.recovery import holds_membership
 from merlinstand.consensus.replica import Replica
-from merlinstand.consensus.settings import PeerSettings, ReplicaSettings, ReplicaTimings
+from merlinstand.consensus.settings import PeerSettings, ReplicaSettings
 from merlinstand.consensus.step import CommittedEntry, EntryKind, LeadershipChange, Step
+from merlinstand.consensus.timings import quick_timings
 from merlinstand.directory.follower import PULL_TIMER, DirectoryFollower
 from merlinstand.directory.subscribers import KEEPER_ROLE
-from merlinstand.directory.view import DaemonReport, KeeperGroup
+from merlinstand.directory.view import DaemonReport, Keeper
 from merlinstand.forwarding.forwarder import CALL_PREFIX as FORWARD_PREFIX
 from merlinstand.forwarding.forwarder import TIMER_PREFIX as FORWARD_TIMER_PREFIX
 from merlinstand.forwarding.forwarder import Forwarder
@@ -131,9 +133,14 @@
     def start(self, event: Started, now: float) -> Sequence[Effect]:
         """Ask for the directory; the replica starts once the group's founders are known."""
         self._started = event
+        effects: list[Effect] = []
+        alone = self._replica_settings((), ())
+        if holds_membership(alone, event):
+            # The group's members stand in the log: no need to wait for the directory.
+            effects.extend(self._start_replica(alone, event, now))
         self._split.seed(event.seed)
         self._forwarder.chooser.seed(event.seed)
-        return [*self.follower.start(now), SetTimer(TICK_TIMER, TICK_SECONDS)]
+        return [*effects, *self.follower.start(now), SetTimer(TICK_TIMER, TICK_SECONDS)]
 
     def reduce(self, event: Event, now: float) -> Sequence[Effect]:
         """Handle one event."""
@@ -186,27 +193,34 @@
         founding = self.follower.founding
         if self.replica is not None or founding is None or self._started is None:
             return []
-        self.replica = Replica(self._replica_settings(founding))
-        return self._perform(self.replica.start(self._started, now), now)
+        founders = {keeper.node_id for keeper in founding.members}
+        others = tuple(k for k in self.follower.keepers if k.node_id not in founders)
+        settings = self._replica_settings(founding.members, others)
+        return self._start_replica(settings, self._started, now)
 
-    def _replica_settings(self, founding: KeeperGroup) -> ReplicaSettings:
+    def _start_replica(self, settings: ReplicaSettings, event: Started, now: float) -> list[Effect]:
+        self.replica = Replica(settings)
+        return self._perform(self.replica.start(event, now), now)
+
+    def _replica_settings(
+        self, founders: tuple[Keeper, ...], others: tuple[Keeper, ...]
+    ) -> ReplicaSettings:
         settings = self._settings
-        founders = {keeper.node_id for keeper in founding.members}
-        others = [k for k in self.follower.keepers if k.node_id not in founders]
         return ReplicaSettings(
             node_id=NodeId(settings.node_id),
             address=settings.internal_address,
             zone=Zone(settings.zone),
             members=tuple(
                 PeerSettings(node_id=NodeId(k.node_id), address=k.address, zone=Zone(k.zone))
-                for k in founding.members
+                for k in founders
             ),
             standbys=tuple(
                 PeerSettings(node_id=NodeId(k.node_id), address=k.address, zone=Zone(k.zone))
                 for k in others
             ),
             bootstrap=settings.may_found,
-            timings=ReplicaTimings(repair_delay_seconds=settings.repair_delay_seconds),
+            target_size=settings.group_size,
+            timings=quick_timings(settings.election_timeout_seconds, settings.repair_delay_seconds),
         )
 
     def _may_act(self, now: float) -> bool:
--- a/src/merlinstand/batch_jobs/settings.py
+++ b/src/merlinstand/batch_jobs/settings.py
@@ -25,7 +25,16 @@
     """A new leader gives engines no orders for this long: the one before may have just done so."""
     result_retention_seconds: float = 120.0
     """Results stay readable for this long after their job was accepted, and while it is open."""
+    tolerated_losses: int = 1
+    """Machines with a disk that may be lost at once."""
+    election_timeout_seconds: float = 0.6
+    """Shortest silence of the leader after which a replica stands for election."""
     repair_delay_seconds: float = 2.5
     """Silence after which a lost replica is replaced from the standbys."""
     call_timeout_seconds: float = 2.0
     """Longest wait of a call for its decision."""
+
+    @property
+    def group_size(self) -> int:
+        """Replicas of batch jobs needed to tolerate the losses."""
+        return 2 * self.tolerated_losses + 1
--- a/src/merlinstand/consensus/group_watch.py
+++ b/src/merlinstand/consensus/group_watch.py
@@ -70,7 +70,7 @@
         """When the repair decision should act."""
         settings = self._state.settings
         return RepairSettings(
-            target_voters=len(settings.members),
+            target_voters=settings.target_voters,
             repair_delay_seconds=settings.timings.repair_delay_seconds,
             standby_freshness_seconds=settings.timings.standby_freshness_seconds,
             replaced_disk_delay_seconds=2 * settings.timings.election_timeout_seconds,
--- a/src/merlinstand/consensus/recovery.py
+++ b/src/merlinstand/consensus/recovery.py
@@ -15,6 +15,7 @@
     decode_record,
     decode_snapshot,
 )
+from merlinstand.consensus.settings import ReplicaSettings
 from merlinstand.consensus.state import ReplicaState
 from merlinstand.consensus.step import CommittedEntry as Entry
 from merlinstand.kernel.events import Started
@@ -47,6 +48,19 @@
     return state.snapshot.state if event.snapshot is not None else None
 
 
+def holds_membership(settings: ReplicaSettings, event: Started) -> bool:
+    """Whether the disk knows the members of its group.
+
+    A replica that voted but never took an entry has records, too, and knows nobody.
+
+    Raises:
+        JournalContentError: The content makes no sense.
+    """
+    state = ReplicaState(settings)
+    recover(state, event)
+    return not state.membership.is_empty
+
+
 def _restore_snapshot(state: ReplicaState, data: bytes) -> None:
     try:
         state.snapshot = decode_snapshot(data)
--- a/src/merlinstand/consensus/settings.py
+++ b/src/merlinstand/consensus/settings.py
@@ -69,6 +69,8 @@
     It does so only when every configured member and standby granted it a vote with an
     empty log: see docs/DECISIONS/0002-replica-identity.md.
     """
+    target_size: int = 0
+    """Voters that the group should have; 0 for as many as `members`."""
     automatic_repair: bool = True
     timings: ReplicaTimings = ReplicaTimings()
     limits: ReplicaLimits = ReplicaLimits()
@@ -78,6 +80,11 @@
         """Whether this node may found the group."""
         return self.bootstrap and bool(self.members) and self.members[0].node_id == self.node_id
 
+    @property
+    def target_voters(self) -> int:
+        """Voters that the group should have."""
+        return self.target_size or len(self.members)
+
     def peers(self) -> tuple[PeerSettings, ...]:
         """All configured control nodes but this one."""
         return tuple(peer for peer in self.members + self.standbys if peer.node_id != self.node_id)
--- a/src/merlinstand/directory/daemon.py
+++ b/src/merlinstand/directory/daemon.py
@@ -19,9 +19,9 @@
     PeerSettings,
     ReplicaLimits,
     ReplicaSettings,
-    ReplicaTimings,
 )
 from merlinstand.consensus.step import CommittedEntry, EntryKind, LeadershipChange, Step
+from merlinstand.consensus.timings import quick_timings
 from merlinstand.directory.commands import (
     DirectoryCommand,
     ExpireBackend,
@@ -539,7 +539,7 @@
         zone=Zone(settings.zone),
         members=members,
         bootstrap=settings.may_found,
-        timings=ReplicaTimings(repair_delay_seconds=settings.repair_delay_seconds),
+        timings=quick_timings(settings.election_timeout_seconds, settings.repair_delay_seconds),
         limits=ReplicaLimits(
             compaction_entries=COMPACTION_ENTRIES, compaction_bytes=COMPACTION_BYTES
         ),
--- a/src/merlinstand/directory/follower.py
+++ b/src/merlinstand/directory/follower.py
@@ -19,6 +19,8 @@
 
 PULL_TIMER = "directory.pull"
 PULL_INTERVAL_SECONDS = 0.3
+SEARCH_INTERVAL_SECONDS = 0.1
+"""How often a daemon that hears no leader asks for one."""
 SILENCE_SECONDS = 0.75
 """A leader that has not answered for this long is not the only one asked any more."""
 
@@ -69,7 +71,9 @@
 
     def pull(self, now: float) -> list[Effect]:
         """Ask for news; called by the owner whenever `PULL_TIMER` fires."""
-        effects: list[Effect] = [SetTimer(PULL_TIMER, PULL_INTERVAL_SECONDS)]
+        is_following = now - self._heard_at < SILENCE_SECONDS
+        interval = PULL_INTERVAL_SECONDS if is_following else SEARCH_INTERVAL_SECONDS
+        effects: list[Effect] = [SetTimer(PULL_TIMER, interval)]
         message = DirectoryPull(
             report=encode_report(self._report(now)),
             document_revision=self.document_revision,
--- a/tests/batch_jobs/test_weight_loader.py
+++ b/tests/batch_jobs/test_weight_loader.py
@@ -2,8 +2,6 @@
 
 import json
 
-from merlinstand_platform.engines import PlatformEngineInterface
-
 from merlinstand.batch_jobs.engines import EngineStates
 from merlinstand.batch_jobs.weight_loader import WeightLoader
 from merlinstand.common.ids import BackendId
@@ -14,6 +12,7 @@
 from merlinstand.forwarding.header_names import HeaderNames
 from merlinstand.kernel.effects import StartCall
 from merlinstand.kernel.events import CallFailed, CallPhase, CallResponded
+from merlinstand_platform.engines import PlatformEngineInterface
 
 
 class Loading:
--- a/tests/users_platform/test_days.py
+++ b/tests/users_platform/test_days.py
@@ -119,3 +119,20 @@
     acknowledged = [r for r in records(world, "config") if isinstance(r, ConfigAcknowledged)]
     assert acknowledged[-1].version == 9
     assert whole_steps(world) == 5
+
+
+def test_keepers_lead_again_while_the_directory_is_away() -> None:
+    """vitrina-ro fresh-d7c7: after a loss of all power, keepers waited for control to be whole."""
+    world = World(2)
+    for ip in (*world.controls, *world.keepers):
+        world.kill(ip, 8.0, 1.0 if ip in world.keepers else 8.0, power_loss=True)
+    leaders: list[str] = []
+    world.at(11.5, lambda: leaders.append(world.leading_keeper()))
+    world.simulation.run_until(12.0)
+    reducer = world.process(leaders[0]).reducer
+    assert reducer is not None
+    assert reducer.replica is not None  # type: ignore[attr-defined]
+    assert reducer.replica.is_leader  # type: ignore[attr-defined]
+    world.simulation.run_until(DAY_SECONDS + 10)
+    assert violations(world) == []
+    assert whole_steps(world) == 5
