--- a/src/merlinstand/directory/settings.py
+++ b/src/merlinstand/directory/settings.py
@@ -22,7 +22,7 @@
     """Machines with a disk that may be lost at once."""
     backend_silence_seconds: float = 15.0
     """A back end without heartbeats for this long is forgotten."""
-    election_timeout_seconds: float = 0.6
+    election_timeout_seconds: float = 0.4
     """Shortest silence of the leader after which a replica stands for election."""
     repair_delay_seconds: float = 2.5
     """Silence after which a lost replica is replaced from the standbys."""
