Streams through a gateway: events as they come, resumed after a break; tests of tries, hedges and refusals

Cause: routes of the stream kind were answered whole at their end, which deployments with such routes would count late. Change: whole events leave as they come; after a break a resumable stream goes on elsewhere after its last whole event, under the head of its first server; any other is broken off, never ended as whole.

--- a/src/merlinstand/forwarding/daemon.py
+++ b/src/merlinstand/forwarding/daemon.py
@@ -7,7 +7,7 @@
 from merlinstand.common.errors import MerlinstandError, NotFoundError, error_body
 from merlinstand.common.ids import RequestId
 from merlinstand.directory.follower import PULL_TIMER, DirectoryFollower
-from merlinstand.directory.routes import Route
+from merlinstand.directory.routes import Route, RouteKind
 from merlinstand.directory.view import DaemonReport
 from merlinstand.forwarding.batch_relay import CALL_PREFIX as BATCH_PREFIX
 from merlinstand.forwarding.batch_relay import TIMER_PREFIX as BATCH_TIMER_PREFIX
@@ -24,10 +24,16 @@
     OutcomeUnknown,
 )
 from merlinstand.forwarding.settings import ForwardingSettings
+from merlinstand.forwarding.stream_forwarder import CALL_PREFIX as STREAM_PREFIX
+from merlinstand.forwarding.stream_forwarder import TIMER_PREFIX as STREAM_TIMER_PREFIX
+from merlinstand.forwarding.stream_forwarder import StreamForwarder
 from merlinstand.forwarding.weighted_choice import WeightedChoice
 from merlinstand.kernel.effects import Effect, LogEvent, Respond, SetTimer, StopProcess
 from merlinstand.kernel.events import (
+    CallChunk,
+    CallEnded,
     CallFailed,
+    CallHeaders,
     CallResponded,
     Event,
     MessageReceived,
@@ -66,6 +72,9 @@
         self._names = settings.header_names
         self.follower = DirectoryFollower(settings.seeds, self._report)
         self._forwarder = Forwarder(self._names, self.follower.snapshot_of)
+        self._streams = StreamForwarder(
+            self._names, self._forwarder.chooser, self.follower.snapshot_of
+        )
         self._relay = BatchRelay(settings, self.follower)
         self._split = WeightedChoice()
         self._stop_asked_at: float | None = None
@@ -81,6 +90,13 @@
         effects = self._dispatch(event, now)
         for finished in self._forwarder.take_finished():
             effects.extend(self._finish(finished))
+        for refused in self._streams.take_refused():
+            request_id = RequestId(refused.request.key)
+            outcome = refused.outcome
+            if isinstance(outcome, NotRun):
+                effects.append(_not_run(request_id, outcome.reason, outcome.retry_after_seconds))
+            else:
+                effects.append(_unknown(request_id, outcome))
         for relayed in self._relay.take_finished():
             reply = self._interface.write_batch_reply(relayed.reply)
             effects.append(Respond(relayed.request_id, reply.status, reply.headers, reply.body))
@@ -90,7 +106,11 @@
         match event:
             case RequestReceived():
                 return self._request(event, now)
+            case CallHeaders() | CallChunk() | CallEnded():
+                return self._streams.on_call(event, now)
             case CallResponded() | CallFailed():
+                if event.call_id.startswith(STREAM_PREFIX) and isinstance(event, CallFailed):
+                    return self._streams.on_call(event, now)
                 if event.call_id.startswith(FORWARD_PREFIX):
                     return self._forwarder.on_call(event, now)
                 if event.call_id.startswith(BATCH_PREFIX):
@@ -151,10 +171,16 @@
             request_id=event.headers.get(self._names.request_id, ""),
             deadline_at=now + limit,
         )
+        if route.kind is RouteKind.STREAM:
+            return self._streams.begin(request, now)
         return self._forwarder.begin(request, now)
 
     def _aborted(self, request_id: RequestId, now: float) -> list[Effect]:
-        return self._forwarder.abort(request_id, now) + self._relay.abort(request_id)
+        return [
+            *self._forwarder.abort(request_id, now),
+            *self._streams.abort(request_id),
+            *self._relay.abort(request_id),
+        ]
 
     def _finish(self, finished: Finished) -> list[Effect]:
         request_id = RequestId(finished.request.key)
@@ -180,6 +206,8 @@
             return self.follower.pull(now)
         if name.startswith(FORWARD_TIMER_PREFIX):
             return self._forwarder.on_timer(name, now)
+        if name.startswith(STREAM_TIMER_PREFIX):
+            return self._streams.on_timer(name)
         if name.startswith(BATCH_TIMER_PREFIX):
             return self._relay.on_timer(name, now)
         if name == STOP_TIMER:
@@ -196,7 +224,7 @@
         """End once balancers have noticed and nothing is in flight."""
         asked_at = self._stop_asked_at if self._stop_asked_at is not None else now
         elapsed = now - asked_at
-        is_idle = len(self._forwarder) == 0 and len(self._relay) == 0
+        is_idle = len(self._forwarder) + len(self._streams) + len(self._relay) == 0
         is_drained = elapsed >= self._settings.drain_seconds and is_idle
         if is_drained or elapsed >= self._settings.stop_limit_seconds:
             return [LogEvent("gateway.stopped"), StopProcess()]
--- a/src/merlinstand/forwarding/forwarder.py
+++ b/src/merlinstand/forwarding/forwarder.py
@@ -237,16 +237,19 @@
 
     def _plan_hedge(self, pending: _Pending) -> list[Effect]:
         request = pending.request
-        is_possible = request.route.kind is RouteKind.REPEATABLE and self._has_attempts(pending)
-        if not is_possible or pending.is_hedged:
+        if not self._may_hedge(pending):
             return []
         aim = request.route.target_latency_seconds
         delay = max(SHORTEST_HEDGE_SECONDS, HEDGE_SHARE * aim)
         return [SetTimer(f"{TIMER_PREFIX}hedge:{request.key}", delay)]
 
+    def _may_hedge(self, pending: _Pending) -> bool:
+        is_repeatable = pending.request.route.kind is RouteKind.REPEATABLE
+        return is_repeatable and not pending.is_hedged and self._has_attempts(pending)
+
     def _hedge(self, pending: _Pending, now: float) -> list[Effect]:
         candidate = self._candidate(pending, now)
-        if candidate is None or not self._has_attempts(pending):
+        if candidate is None or not self._may_hedge(pending):
             return []
         if self.chooser.evidence(candidate.backend_id).avoid_until > now:
             return []
--- /dev/null
+++ b/src/merlinstand/forwarding/stream_forwarder.py
@@ -0,0 +1,285 @@
+"""Passes streams of events on as they come; resumes a broken one elsewhere where that is allowed.
+
+Only whole events leave, so that a stream can go on after the last one at another server without
+an event missing or standing twice. Pure part of a reducer, like `forwarder`.
+"""
+
+from collections.abc import Callable
+
+import msgspec
+from result import Err
+
+from merlinstand.batch_jobs.event_text import parse_event
+from merlinstand.common.ids import BackendId, CallId, RequestId
+from merlinstand.directory.backends import Backend
+from merlinstand.forwarding.backend_choice import BackendChooser
+from merlinstand.forwarding.forwarder import MISDIRECTED_STATUS, RETRY_AFTER_SECONDS
+from merlinstand.forwarding.header_names import HeaderNames
+from merlinstand.forwarding.requests import ForwardRequest, NotRun, OutcomeUnknown
+from merlinstand.gateway.sse import EVENT_END, EventCutter
+from merlinstand.kernel.effects import (
+    CancelCall,
+    CancelTimer,
+    Effect,
+    LogEvent,
+    RespondChunk,
+    RespondEnd,
+    RespondStart,
+    SetTimer,
+    StartCall,
+)
+from merlinstand.kernel.events import CallChunk, CallEnded, CallFailed, CallHeaders, CallPhase
+
+CALL_PREFIX = "stream:"
+TIMER_PREFIX = "stream."
+SILENCE_SECONDS = 1.5
+"""A server that sends nothing for this long is given up on."""
+SUCCESS_STATUS = 200
+LAST_EVENT_HEADER = "last-event-id"
+
+StreamEvent = CallHeaders | CallChunk | CallEnded | CallFailed
+
+
+class _Stream(msgspec.Struct):
+    """A caller's stream on its way."""
+
+    request: ForwardRequest
+    tried: set[BackendId] = msgspec.field(default_factory=set)
+    sent: int = 0
+    call_id: CallId | None = None
+    backend: Backend | None = None
+    may_have_run: bool = False
+    is_started: bool = False
+    """Whether the caller has the head of the answer."""
+    is_failure: bool = False
+    """Whether the answer is no stream but a server's failure, passed on as it comes."""
+    last_event_id: int = 0
+    cutter: EventCutter = msgspec.field(default_factory=EventCutter)
+
+
+class StreamRefused(msgspec.Struct, frozen=True):
+    """A stream that never began."""
+
+    request: ForwardRequest
+    outcome: NotRun | OutcomeUnknown
+
+
+class StreamForwarder:
+    """All streams that one gateway passes on."""
+
+    def __init__(
+        self,
+        names: HeaderNames,
+        chooser: BackendChooser,
+        backends_of: Callable[[str], tuple[Backend, ...]],
+    ) -> None:
+        """Begin without streams.
+
+        Args:
+            names: Header names.
+            chooser: Evidence about back ends, shared with whole requests.
+            backends_of: Gives the registered back ends of a service.
+        """
+        self._names = names
+        self._chooser = chooser
+        self._backends_of = backends_of
+        self._streams: dict[str, _Stream] = {}
+        self._by_call: dict[CallId, _Stream] = {}
+        self._refused: list[StreamRefused] = []
+        self._calls = 0
+
+    def __len__(self) -> int:
+        """Streams on their way."""
+        return len(self._streams)
+
+    def take_refused(self) -> list[StreamRefused]:
+        """Give the streams that ended before they began."""
+        refused, self._refused = self._refused, []
+        return refused
+
+    def begin(self, request: ForwardRequest, now: float) -> list[Effect]:
+        """Take a request for a stream."""
+        stream = _Stream(request, last_event_id=_whole_number(request.headers))
+        self._streams[request.key] = stream
+        left = max(0.0, request.deadline_at - now)
+        return [SetTimer(f"{TIMER_PREFIX}{request.key}", left), *self._send(stream, now)]
+
+    def abort(self, key: str) -> list[Effect]:
+        """The caller left: stop the work."""
+        stream = self._streams.get(key)
+        return [] if stream is None else self._close(stream)
+
+    def on_timer(self, name: str) -> list[Effect]:
+        """A timer with `TIMER_PREFIX` fired: the stream's time is over."""
+        stream = self._streams.get(name.removeprefix(TIMER_PREFIX))
+        return [] if stream is None else self._give_up(stream, "time ran out", True)
+
+    def on_call(self, event: StreamEvent, now: float) -> list[Effect]:
+        """Something happened to a call with `CALL_PREFIX`."""
+        stream = self._by_call.get(event.call_id)
+        if stream is None:
+            return []
+        match event:
+            case CallHeaders():
+                return self._on_head(stream, event, now)
+            case CallChunk():
+                return self._on_chunk(stream, event.data, now)
+            case CallEnded():
+                return self._on_end(stream, now)
+            case CallFailed():
+                return self._on_failure(stream, event, now)
+
+    # Answers
+
+    def _on_head(self, stream: _Stream, event: CallHeaders, now: float) -> list[Effect]:
+        is_not_run = self._names.not_run in event.headers or event.status == MISDIRECTED_STATUS
+        if is_not_run:
+            return [*self._drop_call(stream), *self._try_again(stream, "not run", now)]
+        stream.may_have_run = True
+        if event.status != SUCCESS_STATUS and stream.is_started:
+            return [*self._drop_call(stream), *self._try_again(stream, "failed", now)]
+        stream.cutter = EventCutter()
+        if stream.is_started:
+            return []
+        stream.is_started = True
+        stream.is_failure = event.status != SUCCESS_STATUS
+        return [RespondStart(RequestId(stream.request.key), event.status, event.headers)]
+
+    def _on_chunk(self, stream: _Stream, data: bytes, now: float) -> list[Effect]:
+        request_id = RequestId(stream.request.key)
+        if stream.is_failure:
+            return [RespondChunk(request_id, data)]
+        effects: list[Effect] = []
+        for raw in stream.cutter.feed(data):
+            parsed = parse_event(raw, self._names.weight_versions)
+            if isinstance(parsed, Err):
+                self._note_failure(stream, now)
+                return [
+                    *effects,
+                    *self._drop_call(stream),
+                    *self._try_again(stream, "malformed event", now),
+                ]
+            event = parsed.ok_value
+            if event is not None:
+                if event.event_id <= stream.last_event_id:
+                    continue
+                stream.last_event_id = event.event_id
+            effects.append(RespondChunk(request_id, raw + EVENT_END))
+        return effects
+
+    def _on_end(self, stream: _Stream, now: float) -> list[Effect]:
+        if stream.cutter.pending_bytes and not stream.is_failure:
+            # A server that stops within an event has not ended its stream.
+            return [*self._drop_call(stream), *self._try_again(stream, "cut short", now)]
+        if stream.backend is not None:
+            self._chooser.evidence(stream.backend.backend_id).note_success()
+        end = RespondEnd(RequestId(stream.request.key), whole=True)
+        return [end, *self._close(stream)]
+
+    def _on_failure(self, stream: _Stream, event: CallFailed, now: float) -> list[Effect]:
+        self._note_failure(stream, now)
+        if event.phase is not CallPhase.CONNECT:
+            stream.may_have_run = True
+        fields = {
+            "request": stream.request.request_id,
+            "backend": stream.backend.backend_id if stream.backend else "",
+            "phase": event.phase.value,
+            "reason": event.reason,
+            "last_event": stream.last_event_id,
+        }
+        log = LogEvent("request.stream_broken", fields)
+        return [log, *self._drop_call(stream), *self._try_again(stream, event.reason, now)]
+
+    def _note_failure(self, stream: _Stream, now: float) -> None:
+        if stream.backend is not None:
+            self._chooser.evidence(stream.backend.backend_id).note_failure(now)
+
+    # Sending
+
+    def _try_again(self, stream: _Stream, reason: str, now: float) -> list[Effect]:
+        route = stream.request.route
+        is_allowed = not stream.may_have_run or route.is_resumable
+        if stream.is_failure or not is_allowed or stream.sent >= max(1, route.maximum_attempts):
+            return self._give_up(stream, reason, False)
+        return self._send(stream, now)
+
+    def _send(self, stream: _Stream, now: float) -> list[Effect]:
+        request = stream.request
+        backends = self._backends_of(request.service)
+        backend = self._chooser.choose(backends, stream.tried, now)
+        if backend is None:
+            return self._give_up(stream, "no back end", False)
+        left = request.deadline_at - now
+        self._calls += 1
+        call_id = CallId(f"{CALL_PREFIX}{self._calls}")
+        stream.call_id = call_id
+        stream.backend = backend
+        stream.tried.add(backend.backend_id)
+        stream.sent += 1
+        self._by_call[call_id] = stream
+        self._chooser.evidence(backend.backend_id).in_flight += 1
+        headers = {
+            **request.headers,
+            self._names.request_id: request.request_id,
+            self._names.deadline_ms: str(max(1, int(left * 1000))),
+            self._names.expected_backend: backend.backend_id,
+        }
+        if stream.last_event_id:
+            headers[LAST_EVENT_HEADER] = str(stream.last_event_id)
+        return [
+            StartCall(
+                call_id=call_id,
+                address=backend.address,
+                method=request.method,
+                path=request.path,
+                headers=headers,
+                body=request.body,
+                timeout_seconds=min(SILENCE_SECONDS, max(0.01, left)),
+                stream=True,
+                host=request.headers.get("host", ""),
+                echo_header=self._names.request_id,
+                fresh_connection=not request.route.is_resumable,
+            )
+        ]
+
+    # Ends
+
+    def _give_up(self, stream: _Stream, reason: str, is_late: bool) -> list[Effect]:
+        request = stream.request
+        fields = {
+            "request": request.request_id,
+            "route": request.route.name,
+            "reason": reason,
+            "attempts": stream.sent,
+            "begun": stream.is_started,
+        }
+        effects: list[Effect] = [LogEvent("request.stream_failed", fields)]
+        is_running = stream.call_id is not None
+        effects.extend(self._close(stream))
+        if stream.is_started:
+            return [*effects, RespondEnd(RequestId(request.key), whole=False)]
+        outcome: NotRun | OutcomeUnknown = NotRun(reason, RETRY_AFTER_SECONDS)
+        if stream.may_have_run or is_running:
+            outcome = OutcomeUnknown(reason, is_late)
+        self._refused.append(StreamRefused(request, outcome))
+        return effects
+
+    def _drop_call(self, stream: _Stream) -> list[Effect]:
+        call_id = stream.call_id
+        if call_id is None:
+            return []
+        stream.call_id = None
+        self._by_call.pop(call_id, None)
+        if stream.backend is not None:
+            self._chooser.evidence(stream.backend.backend_id).in_flight -= 1
+        return [CancelCall(call_id)]
+
+    def _close(self, stream: _Stream) -> list[Effect]:
+        self._streams.pop(stream.request.key, None)
+        timer = CancelTimer(f"{TIMER_PREFIX}{stream.request.key}")
+        return [timer, *self._drop_call(stream)]
+
+
+def _whole_number(headers: dict[str, str]) -> int:
+    text = headers.get(LAST_EVENT_HEADER, "")
+    return int(text) if text.isascii() and text.isdigit() else 0
--- a/src/merlinstand/runtime/host.py
+++ b/src/merlinstand/runtime/host.py
@@ -38,6 +38,9 @@
 """Longest time at the end for responses and messages to leave."""
 FLUSH_POLL_SECONDS = 0.005
 CONNECTION_SWEEP_SECONDS = 10.0
+LOOP_CHECK_SECONDS = 1.0
+LOOP_STALL_SECONDS = 0.5
+"""A loop that stood still for this long is worth a log line."""
 _SEED_BITS = 63
 
 
@@ -94,6 +97,7 @@
         self._records = RecordWriter(settings.record_folder) if settings.record_folder else None
         self._performer: EffectPerformer | None = None
         self._sweeper: Any = None
+        self._loop_watcher: Any = None
 
     @property
     def http_address(self) -> str:
@@ -131,6 +135,7 @@
             {"http": self.http_address, "internal": self.transport.address},
         )
         self._sweeper = gevent.spawn(self._sweep)
+        self._loop_watcher = gevent.spawn(self._watch_loop)
         try:
             self._perform(self._reducer.start(started, time.monotonic()))
         except Exception:
@@ -192,8 +197,9 @@
         self._disk.close()
         if self._records is not None:
             self._records.close()
-        if self._sweeper is not None:
-            self._sweeper.kill(block=False)
+        for greenlet in (self._sweeper, self._loop_watcher):
+            if greenlet is not None:
+                greenlet.kill(block=False)
 
     def _recover(self) -> Started:
         """Open the data folder, if there is one, and tell what survived in it."""
@@ -284,6 +290,16 @@
                 self._fail("host.effect_failed", {"effect": type(effect).__name__})
                 return
 
+    def _watch_loop(self) -> None:
+        """Say when the loop stood still: a frozen machine can't tell, but it can afterwards."""
+        while True:
+            begun_at = time.monotonic()
+            gevent.sleep(LOOP_CHECK_SECONDS)
+            stood_seconds = time.monotonic() - begun_at - LOOP_CHECK_SECONDS
+            if stood_seconds >= LOOP_STALL_SECONDS:
+                fields = {"seconds": round(stood_seconds, 3)}
+                self.log.write("host.loop_stalled", fields, "warning")
+
     def _sweep(self) -> None:
         while True:
             gevent.sleep(CONNECTION_SWEEP_SECONDS)
--- /dev/null
+++ b/tests/forwarding/test_forwarder.py
@@ -0,0 +1,146 @@
+"""Whole requests: tries within their budget, true refusals, nothing joined wrongly."""
+
+from merlinstand.common.ids import BackendId
+from merlinstand.directory.backends import Backend
+from merlinstand.directory.routes import Route, RouteKind, RouteTarget
+from merlinstand.forwarding.forwarder import Forwarder
+from merlinstand.forwarding.header_names import HeaderNames
+from merlinstand.forwarding.requests import Answered, ForwardRequest, NotRun, OutcomeUnknown
+from merlinstand.forwarding.weighted_choice import WeightedChoice
+from merlinstand.kernel.effects import CancelCall, Effect, StartCall
+from merlinstand.kernel.events import CallFailed, CallPhase, CallResponded
+
+NAMES = HeaderNames()
+BACKENDS = tuple(
+    Backend(backend_id=BackendId(f"b{n}"), service="shop", address=f"10.0.0.{n}:1")
+    for n in (1, 2, 3)
+)
+
+
+def route(kind: RouteKind = RouteKind.REPEATABLE, attempts: int = 3) -> Route:
+    return Route(
+        name="r",
+        host="h",
+        path_prefix="/l/",
+        kind=kind,
+        timeout_seconds=1.5,
+        target_latency_seconds=0.2,
+        targets=(RouteTarget("shop", 1.0),),
+        maximum_attempts=attempts,
+    )
+
+
+def request(of_route: Route) -> ForwardRequest:
+    return ForwardRequest(
+        key="k",
+        route=of_route,
+        service="shop",
+        method="POST",
+        path="/l/1",
+        headers={"host": "h", "x-other": "kept"},
+        body=b"body",
+        request_id="q1",
+        deadline_at=1.5,
+    )
+
+
+def calls(effects: list[Effect]) -> list[StartCall]:
+    return [effect for effect in effects if isinstance(effect, StartCall)]
+
+
+def begin(of_route: Route) -> tuple[Forwarder, StartCall]:
+    forwarder = Forwarder(NAMES, lambda _service: BACKENDS)
+    [call] = calls(forwarder.begin(request(of_route), 0.0))
+    return forwarder, call
+
+
+def answer(call: StartCall, status: int, **headers: str) -> CallResponded:
+    return CallResponded(call.call_id, status, headers, b"b")
+
+
+def test_a_request_goes_on_untouched_but_for_our_own_headers() -> None:
+    _forwarder, call = begin(route())
+    assert (call.method, call.path, call.body, call.host) == ("POST", "/l/1", b"body", "h")
+    assert call.headers["x-other"] == "kept"
+    assert call.headers[NAMES.request_id] == "q1"
+    assert call.headers[NAMES.deadline_ms] == "1500"
+    assert call.headers[NAMES.expected_backend] in {"b1", "b2", "b3"}
+
+
+def test_an_answer_is_given_back_as_it_is() -> None:
+    forwarder, call = begin(route())
+    forwarder.on_call(answer(call, 404, stamp="s"), 0.05)
+    [finished] = forwarder.take_finished()
+    assert finished.outcome == Answered(404, {"stamp": "s"}, b"b")
+
+
+def test_no_more_servers_than_allowed() -> None:
+    forwarder, call = begin(route(attempts=2))
+    [second] = calls(forwarder.on_call(CallFailed(call.call_id, CallPhase.SENT, "reset"), 0.1))
+    assert second.address != call.address
+    effects = forwarder.on_call(CallFailed(second.call_id, CallPhase.SENT, "reset"), 0.2)
+    assert calls(effects) == []
+    [finished] = forwarder.take_finished()
+    assert isinstance(finished.outcome, OutcomeUnknown)
+
+
+def test_a_request_that_may_not_repeat_runs_once() -> None:
+    forwarder, call = begin(route(RouteKind.ONCE))
+    assert call.fresh_connection
+    assert calls(forwarder.on_call(CallFailed(call.call_id, CallPhase.SENT, "reset"), 0.1)) == []
+    [finished] = forwarder.take_finished()
+    assert isinstance(finished.outcome, OutcomeUnknown)
+
+
+def test_a_request_that_was_not_run_goes_elsewhere_and_is_refused_truly() -> None:
+    forwarder, call = begin(route(RouteKind.ONCE, attempts=2))
+    [second] = calls(forwarder.on_call(answer(call, 503, **{NAMES.not_run: "1"}), 0.05))
+    forwarder.on_call(CallFailed(second.call_id, CallPhase.CONNECT, "refused"), 0.1)
+    [finished] = forwarder.take_finished()
+    assert isinstance(finished.outcome, NotRun)
+    assert finished.outcome.retry_after_seconds > 0
+
+
+def test_a_slow_server_is_hedged_and_the_first_answer_wins() -> None:
+    forwarder, call = begin(route())
+    [second] = calls(forwarder.on_timer("forward.hedge:k", 0.12))
+    effects = forwarder.on_call(answer(second, 200), 0.15)
+    assert CancelCall(call.call_id) in effects
+    [finished] = forwarder.take_finished()
+    assert isinstance(finished.outcome, Answered)
+    assert forwarder.on_call(answer(call, 200), 0.2) == []
+
+
+def test_a_request_that_may_not_repeat_is_never_hedged() -> None:
+    forwarder, _call = begin(route(RouteKind.ONCE))
+    assert forwarder.on_timer("forward.hedge:k", 0.12) == []
+
+
+def test_time_that_ran_out_is_told_at_once() -> None:
+    forwarder, call = begin(route())
+    effects = forwarder.on_timer("forward.deadline:k", 1.5)
+    assert CancelCall(call.call_id) in effects
+    [finished] = forwarder.take_finished()
+    assert finished.outcome == OutcomeUnknown("time ran out", True)
+
+
+def test_later_tries_tell_servers_the_time_that_is_left() -> None:
+    forwarder, call = begin(route())
+    [second] = calls(forwarder.on_call(CallFailed(call.call_id, CallPhase.SENT, "reset"), 0.5))
+    assert second.headers[NAMES.deadline_ms] == "1000"
+
+
+def test_weights_are_kept_over_few_requests() -> None:
+    split = WeightedChoice()
+    split.seed(5)
+    targets = (RouteTarget("a", 90.0), RouteTarget("b", 10.0))
+    weighted = Route(
+        name="w",
+        host="h",
+        path_prefix="/w/",
+        kind=RouteKind.REPEATABLE,
+        timeout_seconds=1.0,
+        targets=targets,
+    )
+    chosen = [split.choose(weighted) for _ in range(100)]
+    assert 8 <= chosen.count("b") <= 12
--- /dev/null
+++ b/tests/forwarding/test_streams.py
@@ -0,0 +1,136 @@
+"""Streams at a gateway: events as they come, resumed after a break, never joined wrongly."""
+
+from merlinstand.common.ids import BackendId
+from merlinstand.directory.backends import Backend
+from merlinstand.directory.routes import Route, RouteKind, RouteTarget
+from merlinstand.forwarding.backend_choice import BackendChooser
+from merlinstand.forwarding.header_names import HeaderNames
+from merlinstand.forwarding.requests import ForwardRequest, NotRun, OutcomeUnknown
+from merlinstand.forwarding.stream_forwarder import StreamForwarder
+from merlinstand.kernel.effects import (
+    CancelCall,
+    Effect,
+    RespondChunk,
+    RespondEnd,
+    RespondStart,
+    StartCall,
+)
+from merlinstand.kernel.events import CallChunk, CallEnded, CallFailed, CallHeaders, CallPhase
+
+NAMES = HeaderNames()
+BACKENDS = tuple(
+    Backend(backend_id=BackendId(f"b{n}"), service="llm", address=f"10.0.0.{n}:1") for n in (1, 2)
+)
+
+
+class Streaming:
+    """A forwarder with one request under way."""
+
+    def __init__(self, is_resumable: bool, attempts: int = 3) -> None:
+        self.forwarder = StreamForwarder(NAMES, BackendChooser(), lambda _service: BACKENDS)
+        route = Route(
+            name="r",
+            host="h",
+            path_prefix="/s/",
+            kind=RouteKind.STREAM,
+            timeout_seconds=10.0,
+            targets=(RouteTarget("llm", 1.0),),
+            maximum_attempts=attempts,
+            is_resumable=is_resumable,
+        )
+        request = ForwardRequest(
+            key="k",
+            route=route,
+            service="llm",
+            method="POST",
+            path="/s/1",
+            headers={"host": "h"},
+            body=b"",
+            request_id="q1",
+            deadline_at=10.0,
+        )
+        self.call = only_call(self.forwarder.begin(request, 0.0))
+
+    def head(self, status: int = 200, **headers: str) -> list[Effect]:
+        return self.forwarder.on_call(CallHeaders(self.call.call_id, status, headers), 0.1)
+
+    def data(self, data: bytes) -> list[Effect]:
+        return self.forwarder.on_call(CallChunk(self.call.call_id, data), 0.2)
+
+    def fail(self, phase: CallPhase) -> list[Effect]:
+        return self.forwarder.on_call(CallFailed(self.call.call_id, phase, "reset"), 0.3)
+
+
+def only_call(effects: list[Effect]) -> StartCall:
+    [call] = [effect for effect in effects if isinstance(effect, StartCall)]
+    return call
+
+
+def chunks(effects: list[Effect]) -> bytes:
+    return b"".join(effect.data for effect in effects if isinstance(effect, RespondChunk))
+
+
+def event(number: int) -> bytes:
+    return f"id: {number}\ndata: d{number}\n\n".encode()
+
+
+def test_events_leave_whole_and_the_end_is_told() -> None:
+    streaming = Streaming(is_resumable=False)
+    [start] = streaming.head(signature="s")
+    assert isinstance(start, RespondStart)
+    assert chunks(streaming.data(event(1) + b"id: 2\nda")) == event(1)
+    assert chunks(streaming.data(b"ta: d2\n\n")) == event(2)
+    effects = streaming.forwarder.on_call(CallEnded(streaming.call.call_id), 0.4)
+    assert RespondEnd("k", whole=True) in effects
+    assert len(streaming.forwarder) == 0
+
+
+def test_a_broken_stream_goes_on_after_its_last_whole_event() -> None:
+    streaming = Streaming(is_resumable=True)
+    streaming.head()
+    streaming.data(event(1) + b"id: 2\nda")
+    again = only_call(streaming.fail(CallPhase.BODY))
+    assert again.headers["last-event-id"] == "1"
+    assert again.address != streaming.call.address
+    streaming.call = again
+    assert streaming.head() == []
+    assert chunks(streaming.data(event(2))) == event(2)
+
+
+def test_a_stream_that_may_not_be_resumed_is_broken_off() -> None:
+    streaming = Streaming(is_resumable=False)
+    streaming.head()
+    streaming.data(event(1))
+    effects = streaming.fail(CallPhase.BODY)
+    assert RespondEnd("k", whole=False) in effects
+    assert not [effect for effect in effects if isinstance(effect, StartCall)]
+
+
+def test_nothing_is_repeated_once_it_may_have_run() -> None:
+    streaming = Streaming(is_resumable=False)
+    streaming.fail(CallPhase.SENT)
+    [refused] = streaming.forwarder.take_refused()
+    assert isinstance(refused.outcome, OutcomeUnknown)
+
+
+def test_a_server_that_did_not_run_it_is_replaced() -> None:
+    streaming = Streaming(is_resumable=False)
+    again = only_call(streaming.head(503, **{NAMES.not_run: "1"}))
+    assert again.address != streaming.call.address
+    streaming.call = again
+    streaming.fail(CallPhase.CONNECT)
+    [refused] = streaming.forwarder.take_refused()
+    assert isinstance(refused.outcome, NotRun)
+
+
+def test_a_failure_is_passed_on_as_the_server_gave_it() -> None:
+    streaming = Streaming(is_resumable=True)
+    [start] = streaming.head(500, signature="s")
+    assert start == RespondStart("k", 500, {"signature": "s"})
+    assert chunks(streaming.data(b"no events")) == b"no events"
+
+
+def test_a_caller_that_leaves_stops_the_work() -> None:
+    streaming = Streaming(is_resumable=True)
+    streaming.head()
+    assert CancelCall(streaming.call.call_id) in streaming.forwarder.abort("k")
