--- a/src/merlinstand/runtime/logs.py
+++ b/src/merlinstand/runtime/logs.py
@@ -1,11 +1,14 @@
 """Logs: one line of key=value pairs for each event, by the standard library's logging."""
 
+import atexit
 import json
 import logging
 import sys
 import time
 from typing import Any
 
+from merlinstand.runtime.log_writer import LogWriter
+
 _SEVERITIES = {
     "debug": logging.DEBUG,
     "info": logging.INFO,
@@ -47,15 +50,32 @@
     return " ".join(f"{_bare_key(key)}={_format_value(value)}" for key, value in fields.items())
 
 
-def configure_process_logging() -> None:
-    """Send all of this process's log lines to standard error. Call once, in `main`."""
-    handler = logging.StreamHandler(sys.stderr)
+class QueueHandler(logging.Handler):
+    """Hands formatted lines to a writer that never blocks."""
+
+    def __init__(self, writer: LogWriter) -> None:
+        """Wrap a writer."""
+        super().__init__()
+        self._writer = writer
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Queue one line."""
+        self._writer.push(self.format(record) + "\n", record.levelno >= logging.WARNING)
+
+
+def configure_process_logging() -> LogWriter:
+    """Send all of this process's log lines to standard output. Call once, in `main`."""
+    sys.stdout.flush()
+    writer = LogWriter(sys.stdout.fileno())
+    atexit.register(writer.flush_at_exit)
+    handler = QueueHandler(writer)
     handler.setFormatter(_LineFormatter())
     root = logging.getLogger()
     root.handlers[:] = [handler]
     root.setLevel(logging.INFO)
     # A full or closed pipe must not print tracebacks into the very same pipe.
     logging.raiseExceptions = False
+    return writer
 
 
 class _LineFormatter(logging.Formatter):
--- a/src/merlinstand/runtime/process.py
+++ b/src/merlinstand/runtime/process.py
@@ -11,9 +11,12 @@
 from merlinstand.runtime.exit_codes import EXIT_FORCED, EXIT_SETUP_FAILED, FAULTS
 from merlinstand.runtime.host import Host, HostSetupFailedError
 from merlinstand.runtime.host_settings import HostSettings
+from merlinstand.runtime.log_writer import LogWriter
 from merlinstand.runtime.logs import EventLog, configure_process_logging
 from merlinstand.runtime.profile import profiled
 
+LOG_FLUSH_SECONDS = 1.0
+"""Longest wait at the end for the log's reader."""
 _STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
 
@@ -30,12 +33,15 @@
     Returns:
         The process's exit code (from `StopProcess`).
     """
-    configure_process_logging()
-    with profiled(settings.profile_path):
-        return _run_host(reducer, settings)
+    writer = configure_process_logging()
+    try:
+        with profiled(settings.profile_path):
+            return _run_host(reducer, settings, writer)
+    finally:
+        writer.flush(LOG_FLUSH_SECONDS)
 
 
-def _run_host(reducer: Reducer, settings: HostSettings) -> int:
+def _run_host(reducer: Reducer, settings: HostSettings, writer: LogWriter) -> int:
     log = EventLog(settings.node_id, settings.log_level)
     # Unexpected faults of greenlets become log lines, not tracebacks over many lines.
     gevent.get_hub().print_exception = lambda _context, *failure: log.write(
@@ -45,7 +51,7 @@
     )
     try:
         host = Host(reducer, settings)
-        watchers = _install_signals(host)
+        watchers = _install_signals(host, writer)
         host.start()
     except HostSetupFailedError as failure:
         log.write("host.setup_failed", {"detail": failure.error.detail}, "error")
@@ -61,14 +67,15 @@
     return exit_code
 
 
-def _install_signals(host: Host) -> list[Any]:
+def _install_signals(host: Host, writer: LogWriter) -> list[Any]:
     """Give the watchers: they work as long as they are referenced."""
     asked = False
 
     def on_signal() -> None:
         nonlocal asked
         if asked:
-            # At once: no flushing, no waiting for responses.
+            # At once: no waiting for responses, nor for a reader of the log.
+            writer.flush_at_exit()
             os._exit(EXIT_FORCED)
         asked = True
         host.announce_stop()
--- a/tests/runtime/real_processes.py
+++ b/tests/runtime/real_processes.py
@@ -94,10 +94,10 @@
         self._started: list[Any] = []
 
     def start(self, role: str) -> Any:
-        """Start the daemon of a role; its log comes on `stderr`."""
+        """Start the daemon of a role; its log comes on `stdout`."""
         arguments = [role, "--settings", str(self._settings), "--node", f"{role}-1"]
         process = subprocess.Popen(
-            [sys.executable, "-c", LAUNCH, *arguments], stderr=subprocess.PIPE
+            [sys.executable, "-c", LAUNCH, *arguments], stdout=subprocess.PIPE
         )
         self._started.append(process)
         return process
@@ -115,7 +115,7 @@
             if process.poll() is None:
                 process.send_signal(signal.SIGKILL)
             process.wait()
-            process.stderr.close()
+            process.stdout.close()
 
 
 def free_ports(count: int) -> list[int]:
--- a/tests/runtime/test_host.py
+++ b/tests/runtime/test_host.py
@@ -231,15 +231,15 @@
 def test_signals_of_a_process(mode: str, exit_code: int) -> None:
     """The first SIGTERM asks the reducer; a second one ends a process that hangs."""
     process = subprocess.Popen(
-        [sys.executable, "-c", PROGRAM, mode], stderr=subprocess.PIPE, text=True
+        [sys.executable, "-c", PROGRAM, mode], stdout=subprocess.PIPE, text=True
     )
-    assert process.stderr is not None
+    assert process.stdout is not None
     with gevent.Timeout(60):
-        line = process.stderr.readline()
+        line = process.stdout.readline()
         assert "event=host.listening" in line
         process.send_signal(signal.SIGTERM)
         if mode == "hang":
-            assert "event=asked" in process.stderr.readline()
+            assert "event=asked" in process.stdout.readline()
             process.send_signal(signal.SIGTERM)
         assert process.wait() == exit_code
-    process.stderr.close()
+    process.stdout.close()
--- a/tests/runtime/test_logs.py
+++ b/tests/runtime/test_logs.py
@@ -1,9 +1,14 @@
 """Log lines: one of key=value pairs for each event."""
 
 import logging
+import os
+import subprocess
+import sys
 
+import gevent
 import pytest
 
+from merlinstand.runtime.log_writer import LogQueue, LogWriter
 from merlinstand.runtime.logs import EventLog
 
 
@@ -12,3 +17,62 @@
         EventLog("control-1").write("consensus.elected", {"node": "control-2", "term": 3})
     (record,) = caplog.records
     assert record.getMessage() == "node=control-1 event=consensus.elected term=3"
+
+
+def test_a_full_queue_drops_routine_lines_first_and_says_so() -> None:
+    queue = LogQueue(maximum_routine=2, maximum_failures=2)
+    queue.push("failure\n", True)
+    for number in range(4):
+        queue.push(f"routine-{number}\n", False)
+    text = queue.take(10_000)
+    assert text.splitlines() == [
+        "severity=warning event=host.log_lines_dropped count=2",
+        "failure",
+        "routine-2",
+        "routine-3",
+    ]
+    assert len(queue) == 0
+
+
+def test_a_reader_that_never_reads_blocks_nobody() -> None:
+    read_end, write_end = os.pipe()
+    writer = LogWriter(write_end, LogQueue(maximum_routine=100, maximum_failures=10))
+    line = "x" * 2_000 + "\n"
+    for _ in range(500):
+        writer.push(line, False)
+    turns = 0
+    for _ in range(20):
+        gevent.sleep(0.005)
+        turns += 1
+    assert turns == 20
+    assert len(writer.queue) <= 100
+    os.set_blocking(read_end, False)
+    received = b""
+    for _ in range(1_000):
+        try:
+            received += os.read(read_end, 1 << 20)
+        except BlockingIOError:
+            if len(writer.queue) == 0 and received:
+                break
+        gevent.sleep(0.005)
+    assert b"event=host.log_lines_dropped" in received
+    os.close(read_end)
+
+
+def test_a_reader_that_went_away_is_no_failure() -> None:
+    read_end, write_end = os.pipe()
+    os.close(read_end)
+    writer = LogWriter(write_end)
+    writer.push("line\n", False)
+    writer.flush(1.0)
+    assert len(writer.queue) == 0
+
+
+def test_lines_of_a_process_that_ends_at_once_are_written() -> None:
+    program = (
+        "from merlinstand.runtime.logs import EventLog, configure_process_logging\n"
+        "configure_process_logging()\n"
+        "EventLog('n').write('host.ended', {})\n"
+    )
+    done = subprocess.run([sys.executable, "-c", program], stdout=subprocess.PIPE, check=True)
+    assert b"node=n event=host.ended" in done.stdout
--- a/tests/runtime/test_real_stop.py
+++ b/tests/runtime/test_real_stop.py
@@ -82,9 +82,9 @@
     process = processes.start(role)
     with gevent.Timeout(GIVE_UP_SECONDS):
         # The first line is written before the reducer starts.
-        lines = [process.stderr.readline()]
+        lines = [process.stdout.readline()]
         process.send_signal(signal.SIGTERM)
-        lines += process.stderr.readlines()
+        lines += process.stdout.readlines()
     assert process.wait(GIVE_UP_SECONDS) == 0
     assert b"event=host." in lines[0]
     assert b"event=host.stopped exit_code=0" in lines[-1]
