Runs leave an engine that turned slow; slow engines get the next run last

Ruled out: waiting for a slot, weights (1 run refused), scoring. Change: the time of an event is measured on each engine; the choice of an engine weighs it, and with nothing waiting a run that could go on 1.8 times as fast elsewhere is resumed there after its last event. An old measure counts for nothing.

--- a/src/merlinstand/batch_jobs/daemon.py
+++ b/src/merlinstand/batch_jobs/daemon.py
@@ -145,7 +145,7 @@
     def reduce(self, event: Event, now: float) -> Sequence[Effect]:
         """Handle one event."""
         effects = self._dispatch(event, now)
-        if self._is_running:
+        if self._is_running and not isinstance(event, CallChunk):
             # Whatever happened may have freed a slot or finished a scoring call.
             effects = [*effects, *self._work(now)]
         return effects
--- a/src/merlinstand/batch_jobs/engines.py
+++ b/src/merlinstand/batch_jobs/engines.py
@@ -1,5 +1,8 @@
 """Engines as the leading keeper sees them: free slots, weight versions, own evidence."""
 
+from collections.abc import Iterable
+from statistics import median
+
 import msgspec
 
 from merlinstand.common.ids import BackendId
@@ -8,6 +11,12 @@
 
 DEFAULT_SLOTS = 4
 """Assumed of an engine that does not tell its slots."""
+FIRST_EVENT_SECONDS = 0.03
+"""Assumed time of one event while nothing is known of any engine."""
+SPEED_FRESH_SECONDS = 5.0
+"""An older measure of an engine's speed says nothing: it may have recovered."""
+EVENT_TIME_WEIGHT = 0.1
+"""Weight of the newest event in the moving average."""
 SUSPECT_PENALTY_SECONDS = 1.0
 """An engine with a penalty this long failed several times in a row."""
 FIRST_PENALTY_SECONDS = 0.3
@@ -26,6 +35,32 @@
     """Newest weight version seen, by model."""
     avoid_until: float = 0.0
     penalty_seconds: float = 0.0
+    event_seconds: float = 0.0
+    """Moving average of the time between two events of one run; 0 if none was seen."""
+    event_at: float = 0.0
+    """When it was last measured."""
+
+    def note_event_time(self, seconds: float, now: float) -> None:
+        """Take in how long one event took; pauses for a load of weights don't count."""
+        if self.is_loading:
+            return
+        if self.has_fresh_speed(now):
+            self.event_seconds += EVENT_TIME_WEIGHT * (seconds - self.event_seconds)
+        else:
+            self.event_seconds = seconds
+        self.event_at = now
+
+    def has_fresh_speed(self, now: float) -> bool:
+        """Whether its speed was measured lately."""
+        return self.event_seconds > 0.0 and now - self.event_at < SPEED_FRESH_SECONDS
+
+    def cost(self, typical_seconds: float, now: float) -> float:
+        """What one more run costs here: slow and busy engines come last."""
+        return self.speed(typical_seconds, now) * (1.0 + self.running / self.slots)
+
+    def speed(self, typical_seconds: float, now: float) -> float:
+        """Seconds of one event; the typical time where none was measured lately."""
+        return self.event_seconds if self.has_fresh_speed(now) else typical_seconds
 
     def version_of(self, model: str) -> int:
         """Newest weight version known; versions never go back within an incarnation."""
@@ -68,6 +103,12 @@
         return is_sound and not self.is_loading and not self.backend.is_leaving
 
 
+def typical_event_seconds(engines: Iterable[EngineState], now: float) -> float:
+    """Median time of one event over the engines measured lately."""
+    known = [state.event_seconds for state in engines if state.has_fresh_speed(now)]
+    return median(known) if known else FIRST_EVENT_SECONDS
+
+
 class EngineStates:
     """All registered engines."""
 
--- a/src/merlinstand/batch_jobs/item_run.py
+++ b/src/merlinstand/batch_jobs/item_run.py
@@ -33,6 +33,10 @@
     call_id: CallId | None = None
     backend_id: BackendId | None = None
     """Where it runs, or ran last."""
+    begun_at: float = 0.0
+    """When the present run began."""
+    heard_at: float = 0.0
+    """When its engine last sent something."""
     has_head: bool = False
     """Whether the present run was accepted by its engine."""
     wait_until: float = 0.0
--- a/src/merlinstand/batch_jobs/runner.py
+++ b/src/merlinstand/batch_jobs/runner.py
@@ -7,10 +7,20 @@
 
 from result import Err
 
-from merlinstand.batch_jobs.engines import EngineState, EngineStates
+from merlinstand.batch_jobs.engines import (
+    EngineState,
+    EngineStates,
+    typical_event_seconds,
+)
 from merlinstand.batch_jobs.item_run import ItemRun, RunPhase
 from merlinstand.batch_jobs.model import ItemResult
-from merlinstand.batch_jobs.schedule import GroupProgress, choose_engine, group_progress, urgency
+from merlinstand.batch_jobs.schedule import (
+    GroupProgress,
+    choose_engine,
+    group_progress,
+    is_worth_moving,
+    urgency,
+)
 from merlinstand.batch_jobs.state_machine import JobState, JobStates
 from merlinstand.common.ids import BackendId, CallId
 from merlinstand.directory.follower import DirectoryFollower
@@ -164,8 +174,31 @@
                 effects.extend(self._score(run, now))
             elif run.phase is RunPhase.LISTING:
                 effects.extend(self._propose(run, now))
+        if not waiting:
+            effects.extend(self._move_slow_run(now))
         return effects
 
+    def _move_slow_run(self, now: float) -> list[Effect]:
+        """Let one run of a slow engine go on at a faster one that has a free slot."""
+        for run in self._runs.values():
+            present = self._engine_of(run)
+            if run.phase is not RunPhase.GENERATING or present is None:
+                continue
+            job = self._jobs.jobs[run.job_id].job
+            engines = self._engines.of_service(present.backend.service)
+            other = choose_engine(
+                engines,
+                job.model,
+                job.minimum_version,
+                None,
+                self._follows,
+                now,
+            )
+            typical = typical_event_seconds(engines, now)
+            if other is not None and is_worth_moving(run, present, other, typical, now):
+                return self._wait(run, "slow_engine", now, 0.0)
+        return []
+
     def give_up_job(self, job_id: str, now: float) -> list[Effect]:
         """List every unlisted item of a job as terminated: its time is over."""
         effects: list[Effect] = []
@@ -204,6 +237,7 @@
         run.call_id = call_id
         run.backend_id = engine.backend.backend_id
         run.phase = RunPhase.GENERATING
+        run.begun_at = run.heard_at = now
         engine.running += 1
         self._by_call[call_id] = run
         headers = {
@@ -283,17 +317,28 @@
     def _on_chunk(self, run: ItemRun, event: CallChunk, now: float) -> list[Effect]:
         if not run.has_head:
             return []
+        before = run.text.last_event_id
         fed = run.text.feed(event.data, self._names.weight_versions)
         if isinstance(fed, Err):
             fields = {"item": run.item.item_id, "detail": fed.err_value.detail}
             log = LogEvent("item.bad_stream", fields, "warning")
             self._note_engine_failure(run, now)
             return [log, *self._wait(run, "bad_stream", now, RETRY_PAUSE_SECONDS)]
+        self._note_event_times(run, run.text.last_event_id - before, now)
         if self._is_single_version(run) and len(run.text.versions) > 1:
             run.text.reset()
             return self._wait(run, "version_changed", now, 0.0)
         return []
 
+    def _note_event_times(self, run: ItemRun, events: int, now: float) -> None:
+        engine = self._engine_of(run)
+        if events <= 0:
+            return
+        # The first events of a run come after its prompt was read.
+        if engine is not None and run.heard_at > run.begun_at:
+            engine.note_event_time((now - run.heard_at) / events, now)
+        run.heard_at = now
+
     def _on_end(self, run: ItemRun, now: float) -> list[Effect]:
         if run.text.has_partial_event or not run.text.last_event_id:
             self._note_engine_failure(run, now)
--- a/src/merlinstand/batch_jobs/schedule.py
+++ b/src/merlinstand/batch_jobs/schedule.py
@@ -4,10 +4,14 @@
 
 import msgspec
 
-from merlinstand.batch_jobs.engines import EngineState
+from merlinstand.batch_jobs.engines import EngineState, typical_event_seconds
 from merlinstand.batch_jobs.item_run import ItemRun, RunPhase
 from merlinstand.common.ids import BackendId
 
+SLOW_RATIO = 1.8
+"""An engine is slow if its events take this many times as long as another's."""
+SHORTEST_STAY_SECONDS = 0.6
+
 
 class GroupProgress(msgspec.Struct):
     """Items of one group that have no result yet."""
@@ -66,6 +70,8 @@
         follows: Whether an engine is there for a model in the first place.
         now: Local time.
     """
+    engines = list(engines)
+    typical = typical_event_seconds(engines, now)
     fitting = [
         state
         for state in engines
@@ -73,14 +79,30 @@
         and state.free_slots > 0
         and (not model or state.version_of(model) >= minimum_version)
     ]
-    for state in fitting:
-        if state.backend.backend_id == preferred:
-            return state
-    return min(
+    best = min(
         fitting,
         key=lambda state: (
             not follows(state.backend.backend_id, model),
-            state.running / state.slots,
+            state.cost(typical, now),
         ),
         default=None,
     )
+    for state in fitting:
+        if best is not None and state.backend.backend_id == preferred:
+            is_slow = state.speed(typical, now) > SLOW_RATIO * best.speed(typical, now)
+            return best if is_slow else state
+    return best
+
+
+def is_worth_moving(
+    run: ItemRun, present: EngineState, other: EngineState, typical_seconds: float, now: float
+) -> bool:
+    """Whether a run had better go on at another engine.
+
+    The other engine reads the prompt and what was generated anew, which takes some ten
+    milliseconds; a run that has hardly begun, or has moved just now, stays.
+    """
+    is_settled = now - run.begun_at >= SHORTEST_STAY_SECONDS and run.has_head
+    if not (is_settled and present.has_fresh_speed(now)):
+        return False
+    return present.event_seconds > SLOW_RATIO * other.speed(typical_seconds, now)
--- /dev/null
+++ b/tests/batch_jobs/test_schedule.py
@@ -0,0 +1,123 @@
+"""Which item runs next, where, and when a run moves."""
+
+from merlinstand.batch_jobs.engine_assignment import assign_engines, engine_quotas
+from merlinstand.batch_jobs.engines import EngineState
+from merlinstand.batch_jobs.item_run import ItemRun, RunPhase
+from merlinstand.batch_jobs.model import BatchItem
+from merlinstand.batch_jobs.schedule import (
+    choose_engine,
+    group_progress,
+    is_worth_moving,
+    urgency,
+)
+from merlinstand.common.ids import BackendId
+from merlinstand.directory.backends import Backend, HeldModel
+
+
+def engine(
+    name: str, running: int = 0, version: int = 1, event_seconds: float = 0.03
+) -> EngineState:
+    backend = Backend(
+        backend_id=BackendId(name),
+        service="llm",
+        address=f"{name}:1",
+        slots=4,
+        models=(HeldModel("m0", version),),
+    )
+    return EngineState(backend, running=running, event_seconds=event_seconds)
+
+
+def run(item: str, group: str, job: int = 1, expected: int = 0) -> ItemRun:
+    batch_item = BatchItem(
+        item_id=item, path="/l/1", headers={}, body=b"", group=group, expected_tokens=expected
+    )
+    return ItemRun(f"j{job}", batch_item, (job, int(item)))
+
+
+def any_model(_backend: BackendId, _model: str) -> bool:
+    return True
+
+
+def choose(engines: list[EngineState], minimum: int = 1, preferred: str | None = None) -> str:
+    held = BackendId(preferred) if preferred else None
+    chosen = choose_engine(engines, "m0", minimum, held, any_model, 0.0)
+    return chosen.backend.backend_id if chosen else ""
+
+
+def test_an_engine_below_the_minimum_version_gets_nothing() -> None:
+    assert choose([engine("a", version=1), engine("b", running=3, version=2)], minimum=2) == "b"
+    assert choose([engine("a", version=1)], minimum=2) == ""
+
+
+def test_a_group_goes_where_its_prompt_is_unless_that_engine_is_slow() -> None:
+    assert choose([engine("a"), engine("b", running=2)], preferred="b") == "b"
+    assert choose([engine("a"), engine("b", event_seconds=0.1)], preferred="b") == "a"
+
+
+def test_full_loading_and_avoided_engines_get_nothing() -> None:
+    full, loading, avoided = engine("a", running=4), engine("b"), engine("c")
+    loading.is_loading = True
+    avoided.avoid_until = 1.0
+    assert choose([full, loading, avoided]) == ""
+
+
+def test_begun_groups_are_finished_first_and_earlier_jobs_before_later_ones() -> None:
+    begun = run("1", "g1")
+    begun.phase = RunPhase.GENERATING
+    runs = [run("4", "g2", job=2), run("3", "g2"), run("2", "g1"), begun]
+    groups = group_progress(runs)
+    waiting = [r for r in runs if r.phase is RunPhase.WAITING]
+    waiting.sort(key=lambda r: urgency(r, groups[(r.job_id, r.item.group)]))
+    assert [r.item.item_id for r in waiting] == ["2", "3", "4"]
+
+
+def test_long_items_begin_before_short_ones() -> None:
+    runs = [run("1", "g1", expected=10), run("2", "g2", expected=900)]
+    groups = group_progress(runs)
+    runs.sort(key=lambda r: urgency(r, groups[(r.job_id, r.item.group)]))
+    assert runs[0].item.item_id == "2"
+
+
+def test_a_run_leaves_an_engine_that_turned_slow() -> None:
+    """vitrina-ro quiet-1: a group came after 9.8 s, its long item on an engine slowed 3.9 times."""
+    slow, sound = engine("a", event_seconds=0.12), engine("b")
+    moving = run("1", "g1")
+    moving.has_head = True
+    assert is_worth_moving(moving, slow, sound, 0.03, now=2.0)
+    assert not is_worth_moving(moving, slow, sound, 0.03, now=0.3)
+    assert not is_worth_moving(moving, engine("c", event_seconds=0.04), sound, 0.03, now=2.0)
+    # What was measured long ago says nothing: the engine may have recovered.
+    assert not is_worth_moving(moving, slow, sound, 0.03, now=9.0)
+
+
+def test_an_engine_that_was_slow_long_ago_is_tried_again() -> None:
+    once_slow, busy = engine("a", event_seconds=0.5), engine("b", running=2)
+    busy.event_at = 9.0
+    chosen = choose_engine([once_slow, busy], "m0", 1, None, any_model, 9.0)
+    assert chosen is once_slow
+
+
+def test_pauses_for_weights_do_not_make_an_engine_slow() -> None:
+    state = engine("a")
+    state.is_loading = True
+    state.note_event_time(0.9, 1.0)
+    assert state.event_seconds == 0.03
+
+
+def test_engines_are_shared_out_by_demand() -> None:
+    assert engine_quotas(5, {"a": 350.0, "b": 770.0, "c": 900.0}) == {"a": 1, "b": 2, "c": 2}
+    assert engine_quotas(3, {"a": 0.0, "b": 1.0, "c": 900.0}) == {"a": 1, "b": 1, "c": 1}
+
+
+def test_an_engine_keeps_its_model_when_another_comes() -> None:
+    names = [BackendId(name) for name in ("e1", "e2", "e3", "e4")]
+    demand = {"a": 1.0, "b": 1.0}
+    before = assign_engines(names[:3], demand, {})
+    after = assign_engines(names, demand, before)
+    assert all(after[name] == before[name] for name in names[:3])
+    assert sorted(m for models in after.values() for m in models) == ["a", "a", "b", "b"]
+
+
+def test_fewer_engines_than_models_follow_several() -> None:
+    assignment = assign_engines([BackendId("e1"), BackendId("e2")], dict.fromkeys("abc", 1.0), {})
+    assert {m for models in assignment.values() for m in models} == {"a", "b", "c"}
