Control grows to as many replicas as the losses ask for

Cause: the grown sites name three seeds and want two losses of disks borne; the founders alone were the group's target size, so two losses stopped every change. Ruled out: founding with more (a process is told of three only). Change: the target is twice the losses plus one; standbys are taken in by the repair that replaces lost voters. Test fails first.

--- a/src/merlinstand/directory/daemon.py
+++ b/src/merlinstand/directory/daemon.py
@@ -539,6 +539,7 @@
         zone=Zone(settings.zone),
         members=members,
         bootstrap=settings.may_found,
+        target_size=settings.control_group_size,
         timings=quick_timings(settings.election_timeout_seconds, settings.repair_delay_seconds),
         limits=ReplicaLimits(
             compaction_entries=COMPACTION_ENTRIES, compaction_bytes=COMPACTION_BYTES
--- a/src/merlinstand/directory/settings.py
+++ b/src/merlinstand/directory/settings.py
@@ -29,6 +29,11 @@
     request_timeout_seconds: float = 3.0
     """Longest wait of a request for its decision."""
 
+    @property
+    def control_group_size(self) -> int:
+        """Control replicas needed to tolerate the losses; grown to beyond the founders."""
+        return 2 * self.tolerated_losses + 1
+
     @property
     def keeper_group_size(self) -> int:
         """Replicas of batch jobs needed to tolerate the losses."""
--- a/tests/users_platform/test_days.py
+++ b/tests/users_platform/test_days.py
@@ -136,3 +136,17 @@
     world.simulation.run_until(DAY_SECONDS + 10)
     assert violations(world) == []
     assert whole_steps(world) == 5
+
+
+def test_control_grows_beyond_its_founders_where_more_losses_are_to_be_borne() -> None:
+    """The grown sites name three seeds and want two losses borne: three voters are too few."""
+    world = World(6, losses=2)
+    for number, zone in enumerate(("hall-a", "hall-b"), 1):
+        world.add_daemon("core", f"10.{number}.0.24", zone, start_at=0.1)
+    for ip in world.controls[:2]:
+        world.at(12.0, lambda ip=ip: world.process(ip).kill(power_loss=True))
+    world.add_operator([(15.0, config(9, world.services))], "late")
+    world.simulation.run_until(DAY_SECONDS)
+    assert violations(world) == []
+    acknowledged = [r for r in records(world, "config") if isinstance(r, ConfigAcknowledged)]
+    assert acknowledged[-1].version == 9
--- a/tests/users_platform/world.py
+++ b/tests/users_platform/world.py
@@ -33,7 +33,9 @@
 class World:
     """Daemons, servers and callers of one simulated day."""
 
-    def __init__(self, seed: int, models: tuple[str, ...] = ("m0",), steps: int = 5) -> None:
+    def __init__(
+        self, seed: int, models: tuple[str, ...] = ("m0",), steps: int = 5, losses: int = 1
+    ) -> None:
         self.simulation = Simulation(seed, VITRINA)
         self.controls = [f"10.{number}.0.14" for number in range(1, 4)]
         self.keepers = [f"10.{number}.0.13" for number in range(1, 4)]
@@ -43,6 +45,7 @@
         self.control_addresses = [f"{ip}:{CONTROL_PORT}" for ip in self.controls]
         self.gateway_addresses = [f"{ip}:{FRONT_PORT}" for ip in self.gateways]
         self._founded: set[str] = set()
+        self._losses = losses
         for zone, ip in zip(ZONES, self.controls, strict=True):
             self.add_daemon("core", ip, zone)
         for zone, ip in zip(ZONES, self.keepers, strict=True):
@@ -77,6 +80,7 @@
                 "PortRange": (INTERNAL_PORT, INTERNAL_PORT + 15),
                 "Seeds": self.control_addresses,
                 "Bootstrap": bootstrap,
+                "FaultTolerance": {"Machines": self._losses},
                 "Listen": {
                     "Front": f"{ip}:{FRONT_PORT}",
                     "Ready": f"{ip}:8167",
