Only answers of 500 count as failures of a scoring call

Change: the forwarder counts whole answers of 500 apart from tries; an item is given up for those alone.

--- a/src/merlinstand/batch_jobs/runner.py
+++ b/src/merlinstand/batch_jobs/runner.py
@@ -413,13 +413,13 @@
         if run is None or run.phase is not RunPhase.SCORING:
             return []
         outcome = finished.outcome
+        # A try whose answer was lost proves no failure: the item can't be given up for it.
+        run.scoring_failures += finished.failed_answers
         if isinstance(outcome, Answered):
             signature = outcome.headers.get(self._names.signature, "")
             if SUCCESS_STATUS <= outcome.status < SUCCESS_STATUS + 100 and signature:
                 run.score = signature
                 return self._list(run, run.succeeded(), "", now)
-            if outcome.status == SERVER_ERROR_STATUS:
-                run.scoring_failures += finished.attempts
         if run.scoring_failures >= finished.request.route.maximum_attempts:
             return self._list(run, run.terminated(), "scoring_failed", now)
         run.wait_until = now + SCORING_PAUSE_SECONDS
--- a/src/merlinstand/forwarding/forwarder.py
+++ b/src/merlinstand/forwarding/forwarder.py
@@ -59,6 +59,7 @@
     running: dict[CallId, _Attempt] = msgspec.field(default_factory=dict)
     sent: int = 0
     may_have_run: bool = False
+    failed_answers: int = 0
     last_error_answer: Answered | None = None
     last_reason: str = ""
     is_hedged: bool = False
@@ -157,6 +158,7 @@
             return self._finish(pending, answer, attempt, now)
         pending.may_have_run = True
         pending.last_error_answer = answer
+        pending.failed_answers += event.status == FIRST_SERVER_ERROR_STATUS
         pending.last_reason = f"status_{event.status}"
         if pending.request.route.kind is RouteKind.REPEATABLE:
             return self._try_again(pending, now)
@@ -263,7 +265,9 @@
     ) -> list[Effect]:
         del self._pending[pending.request.key]
         backend_id = attempt.backend.backend_id if attempt is not None else ""
-        self._finished.append(Finished(pending.request, outcome, pending.sent, backend_id))
+        self._finished.append(
+            Finished(pending.request, outcome, pending.sent, backend_id, pending.failed_answers)
+        )
         return self._clean_up(pending, now)
 
     def _give_up(
--- a/src/merlinstand/forwarding/requests.py
+++ b/src/merlinstand/forwarding/requests.py
@@ -54,4 +54,7 @@
     request: ForwardRequest
     outcome: ForwardOutcome
     attempts: int
+    """Back ends that it was sent to."""
     backend_id: str = ""
+    failed_answers: int = 0
+    """Whole answers of 500: the server ran it and failed."""
--- a/tests/forwarding/test_forwarder.py
+++ b/tests/forwarding/test_forwarder.py
@@ -144,3 +144,14 @@
     )
     chosen = [split.choose(weighted) for _ in range(100)]
     assert 8 <= chosen.count("b") <= 12
+
+
+def test_only_answers_count_as_failures_of_the_server() -> None:
+    """tatravet-book mix 347986209464 (hunt 5ba8): lost answers counted as failures of a scoring
+    call, and its item was given up too early."""
+    forwarder, call = begin(route(attempts=3))
+    [second] = calls(forwarder.on_call(CallFailed(call.call_id, CallPhase.SENT, "reset"), 0.1))
+    [third] = calls(forwarder.on_call(answer(second, 500), 0.2))
+    forwarder.on_call(answer(third, 500), 0.3)
+    [finished] = forwarder.take_finished()
+    assert (finished.attempts, finished.failed_answers) == (3, 2)
