Orders are noted in the log before they are given; a new leader waits only where one may be young

Ruled out: the election (0.7 s), lost runs. Change: an order is noted for its engine in the keepers' log, and given within 0.4 s after that or not at all; a new leader waits for the lease only after another holder's note.

--- a/src/merlinstand/batch_jobs/daemon.py
+++ b/src/merlinstand/batch_jobs/daemon.py
@@ -36,13 +36,14 @@
     JobCommand,
     JobStates,
     ListResult,
+    NoteOrder,
     decode_command,
     encode_command,
 )
 from merlinstand.batch_jobs.weight_loader import CALL_PREFIX as WEIGHTS_PREFIX
 from merlinstand.batch_jobs.weight_loader import WeightLoader
 from merlinstand.common.decoding import MALFORMED_INPUT
-from merlinstand.common.ids import NodeId, RequestId, Zone
+from merlinstand.common.ids import BackendId, NodeId, RequestId, Zone
 from merlinstand.consensus.recovery import holds_membership
 from merlinstand.consensus.replica import Replica
 from merlinstand.consensus.settings import PeerSettings, ReplicaSettings
@@ -76,9 +77,9 @@
 TICK_SECONDS = 0.05
 STOP_TIMER = "keeper.stop"
 STOP_GRACE_SECONDS = 0.5
-FIRST_TERM = 1
-"""The founder's term: nobody gave orders before."""
-ORDER_LEASE_MARGIN_SECONDS = 0.3
+ORDER_LEASE_MARGIN_SECONDS = 0.7
+"""An order arrives this long after its note was proposed, at the latest: `NOTE_SECONDS` to be
+noted, the rest on its way."""
 FORGET_SECONDS = 5.0
 """Kept longer than promised by this much."""
 _BINARY = {"content-type": "application/msgpack"}
@@ -119,6 +120,8 @@
             names,
             settings.name,
             self.jobs.recent_tokens,
+            self._free_to_order_in,
+            self._note_order,
         )
         self.replica: Replica | None = None
         self._started: Started | None = None
@@ -256,8 +259,7 @@
         self._engines.refresh()
         self._runner.begin()
         term = self.replica.term
-        lease = self._settings.order_lease_seconds + ORDER_LEASE_MARGIN_SECONDS
-        self._weights.begin(term, now if term == FIRST_TERM else now + lease)
+        self._weights.begin(term)
         fields = {"term": term, "jobs": len(self.jobs.jobs), "items": len(self._runner)}
         return [LogEvent("keeper.leads", fields), *self.follower.pull(now)]
 
@@ -299,6 +301,11 @@
                 return effects + self._answer_readers(command.job_id)
             case ForgetJob():
                 return self._runner.end_job(command.job_id, now)
+            case NoteOrder():
+                if command.holder != self._settings.name or not self._is_running:
+                    return []
+                backend_id = BackendId(command.backend_id)
+                return self._weights.order_noted(backend_id, self._may_act(now), now)
 
     def _propose(self, command: JobCommand, now: float) -> tuple[int, int, list[Effect]] | None:
         """Propose a command; position, term and effects, or None if that can't be done."""
@@ -314,6 +321,18 @@
         proposed = self._propose(ListResult(job_id, result), now)
         return None if proposed is None else proposed[2]
 
+    def _free_to_order_in(self, backend_id: BackendId, now: float) -> float:
+        """Seconds until no order of another holder can be younger than the lease."""
+        last = self.jobs.orders.get(backend_id)
+        if last is None or last.holder == self._settings.name or self.replica is None:
+            return 0.0
+        lease = self._settings.order_lease_seconds + ORDER_LEASE_MARGIN_SECONDS
+        return max(0.0, last.noted_at + lease - self.replica.group_time(now))
+
+    def _note_order(self, backend_id: BackendId, now: float) -> list[Effect] | None:
+        proposed = self._propose(NoteOrder(backend_id, self._settings.name), now)
+        return None if proposed is None else proposed[2]
+
     # Calls of gateways
 
     def _request(self, event: RequestReceived, now: float) -> list[Effect]:
--- a/src/merlinstand/batch_jobs/state_machine.py
+++ b/src/merlinstand/batch_jobs/state_machine.py
@@ -30,7 +30,14 @@
     job_id: str
 
 
-JobCommand = AcceptJob | ListResult | CloseJob | ForgetJob
+class NoteOrder(msgspec.Struct, frozen=True, tag="order"):
+    """The leader is about to give an engine an order; noted before it is sent."""
+
+    backend_id: str
+    holder: str
+
+
+JobCommand = AcceptJob | ListResult | CloseJob | ForgetJob | NoteOrder
 
 RECENT_JOBS = 3
 """Jobs of a model from which its demand is told."""
@@ -104,7 +111,24 @@
     ended_at: float
 
 
-_SNAPSHOT_DECODER = msgspec.msgpack.Decoder(list[StoredJob])
+class LastOrder(msgspec.Struct, frozen=True, array_like=True):
+    """The newest order that an engine may have got."""
+
+    holder: str
+    noted_at: float
+    """Group time in seconds."""
+
+
+class StoredJobs(msgspec.Struct, frozen=True):
+    """A whole snapshot."""
+
+    jobs: list[StoredJob]
+    orders: dict[str, LastOrder]
+
+
+ORDERS_LIMIT = 1_024
+"""Engines whose last order is remembered; the oldest are forgotten first."""
+_SNAPSHOT_DECODER = msgspec.msgpack.Decoder(StoredJobs)
 
 
 class JobStates:
@@ -113,6 +137,8 @@
     def __init__(self) -> None:
         """Begin without jobs."""
         self.jobs: dict[str, JobState] = {}
+        self.orders: dict[str, LastOrder] = {}
+        """Newest order by engine, oldest first."""
 
     def apply(self, command: JobCommand, group_time: float) -> str:
         """Apply a committed command.
@@ -134,6 +160,12 @@
                 return self._close(command.job_id, group_time)
             case ForgetJob():
                 return command.job_id if self.jobs.pop(command.job_id, None) else ""
+            case NoteOrder():
+                self.orders.pop(command.backend_id, None)
+                self.orders[command.backend_id] = LastOrder(command.holder, group_time)
+                while len(self.orders) > ORDERS_LIMIT:
+                    del self.orders[next(iter(self.orders))]
+                return ""
 
     def _accept(self, job: BatchJob, group_time: float) -> str:
         if job.job_id in self.jobs:
@@ -158,12 +190,11 @@
 
     def snapshot(self) -> bytes:
         """Encode the whole state."""
-        return msgspec.msgpack.encode(
-            [
-                StoredJob(job.job, job.accepted_at, job.results, job.is_ended, job.ended_at)
-                for job in self.jobs.values()
-            ]
-        )
+        jobs = [
+            StoredJob(job.job, job.accepted_at, job.results, job.is_ended, job.ended_at)
+            for job in self.jobs.values()
+        ]
+        return msgspec.msgpack.encode(StoredJobs(jobs, self.orders))
 
     def restore(self, data: bytes) -> None:
         """Replace the whole state.
@@ -171,9 +202,11 @@
         Raises:
             msgspec.DecodeError: The bytes are no snapshot.
         """
+        snapshot = _SNAPSHOT_DECODER.decode(data)
+        self.orders = dict(snapshot.orders)
         self.jobs = {
             stored.job.job_id: JobState(
                 stored.job, stored.accepted_at, stored.results, stored.is_ended, stored.ended_at
             )
-            for stored in _SNAPSHOT_DECODER.decode(data)
+            for stored in snapshot.jobs
         }
--- a/src/merlinstand/batch_jobs/weight_loader.py
+++ b/src/merlinstand/batch_jobs/weight_loader.py
@@ -1,6 +1,5 @@
 """Brings every engine to the newest named weight version by fenced orders, a few at a time."""
 
-import math
 from collections.abc import Callable
 
 import msgspec
@@ -31,6 +30,8 @@
 FIRST_POLL_SECONDS = 0.9
 """A load takes about this long at least."""
 RETRY_SECONDS = 0.5
+NOTE_SECONDS = 0.4
+"""An order is given within this time after its note was proposed, or not at all."""
 ASSIGNMENT_SECONDS = 10.0
 """The engines are shared out anew this often, as demand changes."""
 PROBE_SECONDS = 1.0
@@ -46,6 +47,10 @@
     is_ordered: bool = False
     """Whether an order was sent that may still be carried out."""
     next_at: float = 0.0
+    sequence: int = 0
+    """Orders that the engine had taken when it was asked."""
+    noted_since: float | None = None
+    """When the note of the next order was proposed; None if none is."""
     call_id: CallId | None = None
 
 
@@ -60,6 +65,8 @@
         names: HeaderNames,
         holder: str,
         demand_of: Callable[[str], float],
+        free_in: Callable[[BackendId, float], float],
+        note_order: Callable[[BackendId, float], list[Effect] | None],
     ) -> None:
         """Begin without orders.
 
@@ -70,6 +77,9 @@
             names: Header names.
             holder: This machine's name.
             demand_of: Work lately asked for of a model.
+            free_in: Seconds until this holder may order an engine, whoever did before.
+            note_order: Proposes to note an order, before it is given; `order_noted` follows.
+                None if that can't be done now.
         """
         self._follower = follower
         self._engines = engines
@@ -77,30 +87,31 @@
         self._names = names
         self._holder = holder
         self._demand_of = demand_of
+        self._free_in = free_in
+        self._note_order = note_order
         self._assignment: Assignment = {}
         self._assigned_for: tuple[object, ...] = ()
         self._assign_again_at = 0.0
         self._probes: dict[CallId, BackendId] = {}
         self._probe_at: dict[BackendId, float] = {}
         self._loads: dict[BackendId, _Load] = {}
-        self._not_before = math.inf
+        self._is_holder = False
         self._fence = 0
         self._calls = 0
 
-    def begin(self, fence: int, not_before: float) -> None:
+    def begin(self, fence: int) -> None:
         """A leadership begins.
 
         Args:
             fence: Above that of every earlier holder.
-            not_before: Local time of the first order.
         """
         self._fence = fence
-        self._not_before = not_before
+        self._is_holder = True
         self._forget()
 
     def end(self) -> None:
         """The leadership is over: nothing is ordered any more."""
-        self._not_before = math.inf
+        self._is_holder = False
         self._forget()
 
     def _forget(self) -> None:
@@ -153,7 +164,7 @@
 
     def tick(self, now: float) -> list[Effect]:
         """Start and continue loads; call it only while this process may act as leader."""
-        if now < self._not_before:
+        if not self._is_holder:
             return []
         self._drop_finished()
         self._assign(now)
@@ -229,7 +240,7 @@
             return []
         load.call_id = None
         load.next_at = now + RETRY_SECONDS
-        if isinstance(event, CallFailed) or not may_act or now < self._not_before:
+        if isinstance(event, CallFailed) or not may_act or not self._is_holder:
             return []
         if kind == "report":
             return self._on_report(load, event, now)
@@ -260,9 +271,36 @@
         if report.is_ordered:
             load.next_at = now + POLL_SECONDS
             return []
-        return [self._order(load, report, state)]
+        return self._prepare_order(load, report, now)
 
-    def _order(self, load: _Load, report: EngineReport, state: EngineState) -> Effect:
+    def _prepare_order(self, load: _Load, report: EngineReport, now: float) -> list[Effect]:
+        """Have the order noted: a later leader must know when this one gave its last."""
+        wait_seconds = self._free_in(load.backend_id, now)
+        if wait_seconds > 0.0:
+            load.next_at = now + wait_seconds
+            return []
+        load.sequence = report.sequence
+        load.noted_since = now
+        effects = self._note_order(load.backend_id, now)
+        if effects is None:
+            load.noted_since = None
+            return []
+        load.next_at = now + NOTE_SECONDS + RETRY_SECONDS
+        return effects
+
+    def order_noted(self, backend_id: BackendId, may_act: bool, now: float) -> list[Effect]:
+        """The note of an order is committed: give it, unless too much time has passed."""
+        load = self._loads.get(backend_id)
+        state = self._engines.states.get(backend_id)
+        if load is None or state is None or load.noted_since is None:
+            return []
+        is_prompt = now - load.noted_since <= NOTE_SECONDS
+        load.noted_since = None
+        if not (is_prompt and may_act and self._is_holder) or load.call_id is not None:
+            return []
+        return [self._order(load, state)]
+
+    def _order(self, load: _Load, state: EngineState) -> Effect:
         state.is_loading = True
         load.is_ordered = True
         order = WeightOrder(
@@ -271,7 +309,7 @@
             mode=self._mode(load.model),
             holder=self._holder,
             fence=self._fence,
-            expected_sequence=report.sequence,
+            expected_sequence=load.sequence,
         )
         return self._start_call(load, self._interface.order_call(order), "order")
 
