Loads: engines that do not answer or may not be ordered yet take no place; a new leader keeps the engines' models

Two engines that were gone held both places for loads from 18.5 to 31.8 s; after a change of leader engines were dealt to the models anew, loaded twice, and those that had to wait for the lease kept others from loading. Ruled out: suspicion of engines alone (an engine that is never asked for an item is never suspected). Change: an unanswered report ends the load and counts as a failure (an unanswered order does not: it may be carried out late); engines within another holder's lease are passed over; a new leader infers the assignment from the versions.

--- a/src/merlinstand/batch_jobs/engine_assignment.py
+++ b/src/merlinstand/batch_jobs/engine_assignment.py
@@ -57,6 +57,24 @@
     return assignment
 
 
+def apparent_assignment(lags: Mapping[BackendId, Mapping[str, int]]) -> Assignment:
+    """Tell from the engines' versions which model each has followed so far.
+
+    Args:
+        lags: By engine and model, how many versions it is behind.
+
+    Returns:
+        The model that an engine is least behind with; nothing for engines that don't show it.
+    """
+    apparent: Assignment = {}
+    for engine, of_model in lags.items():
+        least = min(of_model.values(), default=0)
+        nearest = [model for model, lag in of_model.items() if lag == least]
+        if len(nearest) == 1:
+            apparent[engine] = frozenset(nearest)
+    return apparent
+
+
 def _several_each(engines: Sequence[BackendId], models: Sequence[str]) -> Assignment:
     followed: dict[BackendId, set[str]] = {engine: set() for engine in engines}
     for number, model in enumerate(models):
--- a/src/merlinstand/batch_jobs/weight_loader.py
+++ b/src/merlinstand/batch_jobs/weight_loader.py
@@ -5,7 +5,11 @@
 import msgspec
 from result import Err
 
-from merlinstand.batch_jobs.engine_assignment import Assignment, assign_engines
+from merlinstand.batch_jobs.engine_assignment import (
+    Assignment,
+    apparent_assignment,
+    assign_engines,
+)
 from merlinstand.batch_jobs.engine_interface import (
     EngineCall,
     EngineInterface,
@@ -121,6 +125,7 @@
         self._probes.clear()
         self._probe_at.clear()
         self._assigned_for = ()
+        self._assignment = {}
 
     def follows(self, backend_id: BackendId, model: str) -> bool:
         """Whether an engine's weights of a model are kept new."""
@@ -142,12 +147,26 @@
             return
         self._assigned_for = basis
         self._assign_again_at = now + ASSIGNMENT_SECONDS
+        held = self._assignment or self._apparent_assignment()
         assignment: Assignment = {}
         for service in services:
             demand = {model: self._demand_of(model) + 1.0 for model in service.models}
-            assignment |= assign_engines(sound[service.name], demand, self._assignment)
+            assignment |= assign_engines(sound[service.name], demand, held)
         self._assignment = assignment
 
+    def _apparent_assignment(self) -> Assignment:
+        """What a leader before this one has decided, as far as the engines show it."""
+        return apparent_assignment(
+            {
+                state.backend.backend_id: {
+                    model: self._follower.weights.get(model, 1) - state.version_of(model)
+                    for model in service.models
+                }
+                for service in self._follower.routes.services.values()
+                for state in self._engines.of_service(service.name)
+            }
+        )
+
     def _probe_suspects(self, now: float) -> list[Effect]:
         """Ask engines that failed several times whether they work again."""
         effects: list[Effect] = []
@@ -172,7 +191,7 @@
         for service in self._follower.routes.services.values():
             for model in service.models:
                 target = self._follower.weights.get(model, 0)
-                effects.extend(self._start_loads(service.name, model, target))
+                effects.extend(self._start_loads(service.name, model, target, now))
         for load in list(self._loads.values()):
             if load.call_id is None and load.next_at <= now:
                 effects.append(self._ask_report(load))
@@ -184,12 +203,12 @@
             if state is None or state.backend.is_leaving:
                 self._end_load(load)
 
-    def _start_loads(self, service: str, model: str, target: int) -> list[Effect]:
+    def _start_loads(self, service: str, model: str, target: int, now: float) -> list[Effect]:
         engines = self._engines.of_service(service)
         limit = max(1, round(len(engines) * PARALLEL_SHARE))
         loading = sum(1 for state in engines if state.backend.backend_id in self._loads)
         effects: list[Effect] = []
-        behind = [state for state in engines if self._lacks(state, model, target)]
+        behind = [state for state in engines if self._lacks(state, model, target, now)]
         behind.sort(key=lambda state: state.running)
         for state in behind[: max(0, limit - loading)]:
             backend_id = state.backend.backend_id
@@ -198,9 +217,14 @@
             effects.append(LogEvent("weights.load_begins", fields))
         return effects
 
-    def _lacks(self, state: EngineState, model: str, target: int) -> bool:
+    def _lacks(self, state: EngineState, model: str, target: int, now: float) -> bool:
         backend = state.backend
-        is_free = backend.backend_id not in self._loads and not backend.is_leaving
+        is_busy = (
+            backend.backend_id in self._loads
+            or state.avoid_until > now
+            or self._free_in(backend.backend_id, now) > 0.0
+        )
+        is_free = not is_busy and not backend.is_leaving
         is_meant = self.follows(backend.backend_id, model)
         return is_free and is_meant and state.version_of(model) < target
 
@@ -240,12 +264,25 @@
             return []
         load.call_id = None
         load.next_at = now + RETRY_SECONDS
-        if isinstance(event, CallFailed) or not may_act or not self._is_holder:
+        if isinstance(event, CallFailed):
+            return self._on_silence(load, kind, now)
+        if not may_act or not self._is_holder:
             return []
         if kind == "report":
             return self._on_report(load, event, now)
         return self._on_order_reply(load, event, now)
 
+    def _on_silence(self, load: _Load, kind: str, now: float) -> list[Effect]:
+        """An engine did not answer: its place is free for others until it is tried again.
+
+        Only the report tells: an order may be taken, or be carried out late, without an answer.
+        """
+        if kind == "report":
+            self._engines.states[load.backend_id].note_failure(now)
+            self._end_load(load)
+        fields = {"backend": load.backend_id, "version": load.version, "call": kind}
+        return [LogEvent("weights.no_answer", fields, "warning")]
+
     def _on_probe(self, event: CallResponded | CallFailed) -> list[Effect]:
         backend_id = self._probes.pop(event.call_id)
         state = self._engines.states.get(backend_id)
--- a/tests/batch_jobs/test_schedule.py
+++ b/tests/batch_jobs/test_schedule.py
@@ -1,6 +1,10 @@
 """Which item runs next, where, and when a run moves."""
 
-from merlinstand.batch_jobs.engine_assignment import assign_engines, engine_quotas
+from merlinstand.batch_jobs.engine_assignment import (
+    apparent_assignment,
+    assign_engines,
+    engine_quotas,
+)
 from merlinstand.batch_jobs.engines import EngineState
 from merlinstand.batch_jobs.item_run import ItemRun, RunPhase
 from merlinstand.batch_jobs.model import BatchItem
@@ -121,3 +125,17 @@
 def test_fewer_engines_than_models_follow_several() -> None:
     assignment = assign_engines([BackendId("e1"), BackendId("e2")], dict.fromkeys("abc", 1.0), {})
     assert {m for models in assignment.values() for m in models} == {"a", "b", "c"}
+
+
+def test_a_new_leader_sees_which_model_each_engine_follows() -> None:
+    """tatravet-book, own day with freezes: a new leader dealt the engines anew and loaded twice."""
+    lags = {
+        BackendId("e1"): {"a": 0, "b": 3},
+        BackendId("e2"): {"a": 4, "b": 1},
+        BackendId("e3"): {"a": 0, "b": 0},
+    }
+    apparent = apparent_assignment(lags)
+    assert apparent == {BackendId("e1"): frozenset("a"), BackendId("e2"): frozenset("b")}
+    engines = sorted(lags)
+    after = assign_engines(engines, {"a": 1.0, "b": 1.0}, apparent)
+    assert (after[BackendId("e1")], after[BackendId("e2")]) == (frozenset("a"), frozenset("b"))
