--- a/src/merlinstand/batch_jobs/daemon.py
+++ b/src/merlinstand/batch_jobs/daemon.py
@@ -102,7 +102,7 @@
         self.follower = DirectoryFollower(settings.seeds, self._report)
         self._engines = EngineStates(self.follower)
         self._split = WeightedChoice()
-        self._forwarder = Forwarder(names, self.follower.snapshot_of, settings.zone)
+        self._forwarder = Forwarder(names, self.follower.snapshot_of)
         self._runner = ItemRunner(
             self.jobs,
             self.follower,
--- a/src/merlinstand/forwarding/backend_choice.py
+++ b/src/merlinstand/forwarding/backend_choice.py
@@ -14,8 +14,6 @@
 """Weight of the newest latency in the moving average."""
 LATENCY_HALF_LIFE_SECONDS = 3.0
 """An old latency moves half the way to the first assumption in this time."""
-OTHER_ZONE_FACTOR = 1.3
-"""A back end in another zone counts as this much slower: connections stay few, bytes near."""
 FIRST_PENALTY_SECONDS = 0.5
 LONGEST_PENALTY_SECONDS = 4.0
 
@@ -56,13 +54,8 @@
 class BackendChooser:
     """Evidence about all back ends, and the choice among them."""
 
-    def __init__(self, zone: str = "") -> None:
-        """Begin without evidence.
-
-        Args:
-            zone: Where this process is; back ends there are preferred while they are idle.
-        """
-        self._zone = zone
+    def __init__(self) -> None:
+        """Begin without evidence."""
         self._random = random.Random(0)
         self._evidence: dict[BackendId, BackendEvidence] = {}
 
@@ -108,5 +101,4 @@
     def _cost(self, backend: Backend, now: float) -> float:
         evidence = self.evidence(backend.backend_id)
         jitter = 1.0 + 0.2 * self._random.random()
-        distance = 1.0 if not self._zone or backend.zone == self._zone else OTHER_ZONE_FACTOR
-        return (evidence.in_flight + 1) * evidence.latency(now) * jitter * distance
+        return (evidence.in_flight + 1) * evidence.latency(now) * jitter
--- a/src/merlinstand/forwarding/daemon.py
+++ b/src/merlinstand/forwarding/daemon.py
@@ -71,7 +71,7 @@
         self._interface = interface
         self._names = settings.header_names
         self.follower = DirectoryFollower(settings.seeds, self._report)
-        self._forwarder = Forwarder(self._names, self.follower.snapshot_of, settings.zone)
+        self._forwarder = Forwarder(self._names, self.follower.snapshot_of)
         self._streams = StreamForwarder(
             self._names, self._forwarder.chooser, self.follower.snapshot_of
         )
--- a/src/merlinstand/forwarding/forwarder.py
+++ b/src/merlinstand/forwarding/forwarder.py
@@ -72,16 +72,14 @@
         self,
         names: HeaderNames,
         backends_of: Callable[[str], tuple[Backend, ...]],
-        zone: str = "",
     ) -> None:
         """Begin without requests.
 
         Args:
             names: Header names.
             backends_of: Gives the registered back ends of a service.
-            zone: Where this process is.
         """
-        self.chooser = BackendChooser(zone)
+        self.chooser = BackendChooser()
         self._names = names
         self._backends_of = backends_of
         self._pending: dict[str, _Pending] = {}
