--- /dev/null
+++ b/tests/users_platform/real_world.py
@@ -0,0 +1,276 @@
+"""The real programs as separate processes on loopback, with stand-ins hosted in this process.
+
+Every machine has an address of its own in 127.0.0.0/8. Servers stand behind proxies that can be
+cut (bytes stop, nothing is said) or reset.
+"""
+
+import contextlib
+import os
+import signal
+import subprocess
+import sys
+from collections.abc import Sequence
+from pathlib import Path
+from types import SimpleNamespace
+from typing import Any
+
+import gevent
+from gevent.event import Event as LoopEvent
+from gevent.server import StreamServer
+from gevent.socket import create_connection
+
+from merlinstand.kernel.effects import Effect, WriteRecord
+from merlinstand.kernel.events import Event, Started
+from merlinstand.kernel.reducer import Reducer
+from merlinstand.runtime.host import Host
+from merlinstand.runtime.host_settings import HostSettings
+from tests.users_platform.callers import LookupClient, Operator, Trainer, config
+from tests.users_platform.servers import Engine, RegisteredServer
+
+ROOT = Path(__file__).resolve().parents[2]
+CONTROL_PORT = 18509
+FRONT_PORT = 18161
+READY_PORT = 18167
+INTERNAL_PORT = 17620
+SERVER_PORT = 18503
+PROXY_PORT = 18504
+ZONES = ("hall-a", "hall-b", "hall-c")
+RECEIVE_BYTES = 65536
+
+NODE_FILE = """
+Node = "{node}"
+Ip = "{ip}"
+Zone = "{zone}"
+PortRange = [{first_port}, {last_port}]
+Seeds = {seeds}
+Bootstrap = {bootstrap}
+DataDir = "{data}"
+[Listen]
+Front = "{ip}:{front}"
+Ready = "{ip}:{ready}"
+Control = "{ip}:{control}"
+[FaultTolerance]
+Machines = 1
+"""
+
+
+class Recording:
+    """Keeps what a stand-in records, with the time of each record."""
+
+    def __init__(self, reducer: Any, records: SimpleNamespace) -> None:
+        self._reducer = reducer
+        self._records = records
+
+    def start(self, event: Started, now: float) -> Sequence[Effect]:
+        return self._keep(self._reducer.start(event, now), now)
+
+    def reduce(self, event: Event, now: float) -> Sequence[Effect]:
+        return self._keep(self._reducer.reduce(event, now), now)
+
+    def _keep(self, effects: Sequence[Effect], now: float) -> list[Effect]:
+        others: list[Effect] = []
+        for effect in effects:
+            if isinstance(effect, WriteRecord):
+                self._records.records.setdefault(effect.stream, []).append(effect.record)
+                self._records.record_times.setdefault(effect.stream, []).append(now)
+            else:
+                others.append(effect)
+        return others
+
+
+class Proxy:
+    """A TCP proxy on loopback that can be cut or reset."""
+
+    def __init__(self, address: tuple[str, int], target: tuple[str, int]) -> None:
+        self._target = target
+        self._open = LoopEvent()
+        self._open.set()
+        self._connections: set[Any] = set()
+        self._server = StreamServer(address, self._serve)
+        self._server.start()
+
+    def cut(self) -> None:
+        """Hold every byte back, in silence."""
+        self._open.clear()
+
+    def heal(self) -> None:
+        """Let bytes pass again."""
+        self._open.set()
+
+    def reset(self) -> None:
+        """Close every connection."""
+        for connection in list(self._connections):
+            connection.close()
+
+    def close(self) -> None:
+        self._server.stop(timeout=0)
+        self.reset()
+
+    def _serve(self, inbound: Any, _address: Any) -> None:
+        self._open.wait()
+        try:
+            outbound = create_connection(self._target, timeout=2.0)
+            outbound.settimeout(None)
+        except OSError:
+            inbound.close()
+            return
+        self._connections |= {inbound, outbound}
+        back = gevent.spawn(self._copy, outbound, inbound)
+        self._copy(inbound, outbound)
+        back.join(5.0)
+        self._connections -= {inbound, outbound}
+        inbound.close()
+        outbound.close()
+
+    def _copy(self, source: Any, destination: Any) -> None:
+        try:
+            while True:
+                data = source.recv(RECEIVE_BYTES)
+                self._open.wait()
+                if not data:
+                    break
+                destination.sendall(data)
+        except OSError:
+            pass
+        with contextlib.suppress(OSError):
+            destination.shutdown(1)
+
+
+class Machine:
+    """One machine of the system: a settings file, a data folder and perhaps a process."""
+
+    def __init__(self, world: "RealWorld", role: str, ip: str, zone: str) -> None:
+        self.role = role
+        self.ip = ip
+        self._world = world
+        self._zone = zone
+        self._starts = 0
+        self._folder = world.folder / ip
+        self._folder.mkdir(parents=True)
+        self.process: subprocess.Popen[bytes] | None = None
+
+    def start(self) -> None:
+        """Start the process unless it runs."""
+        if self.process is not None and self.process.poll() is None:
+            return
+        data = self._folder / "data" if self.role != "gateway" else ""
+        settings = self._folder / "boot.toml"
+        settings.write_text(
+            NODE_FILE.format(
+                node=f"{self.role}-{self.ip}",
+                ip=self.ip,
+                zone=self._zone,
+                first_port=INTERNAL_PORT,
+                last_port=INTERNAL_PORT + 15,
+                seeds=[f"{ip}:{CONTROL_PORT}" for ip in self._world.control_ips],
+                bootstrap="true" if self._starts == 0 else "false",
+                data=data,
+                front=FRONT_PORT,
+                ready=READY_PORT,
+                control=CONTROL_PORT,
+            )
+        )
+        self._starts += 1
+        with (self._folder / "log").open("ab") as log:
+            self.process = subprocess.Popen(
+                [sys.executable, str(ROOT / "platform" / "start.py"), self.role],
+                env={**os.environ, "MERLINSTAND_NODE_FILE": str(settings)},
+                stdin=subprocess.DEVNULL,
+                stdout=log,
+                stderr=subprocess.STDOUT,
+            )
+
+    def signal(self, number: int) -> None:
+        """Send a signal to the process, if it runs."""
+        if self.process is not None and self.process.poll() is None:
+            self.process.send_signal(number)
+
+    def kill(self) -> None:
+        """End the process at once."""
+        self.signal(signal.SIGKILL)
+        if self.process is not None:
+            self.process.wait()
+
+    def wipe(self) -> None:
+        """Lose the disk; the process must be down."""
+        folder = self._folder / "data"
+        if folder.exists():
+            for path in folder.iterdir():
+                path.unlink()
+            folder.rmdir()
+
+    @property
+    def log(self) -> str:
+        """Everything that the processes of this machine wrote."""
+        path = self._folder / "log"
+        return path.read_text(errors="replace") if path.exists() else ""
+
+
+class RealWorld:
+    """Daemons as processes; servers, an operator, a trainer and a client in this process."""
+
+    def __init__(self, folder: Path, seed: int, network: int = 0, steps: int = 3) -> None:
+        """Start everything.
+
+        Args:
+            folder: For settings, data and logs.
+            seed: Of the stand-ins.
+            network: Second byte of all addresses: worlds side by side need different ones.
+            steps: Steps of the trainer.
+        """
+        self.folder = folder
+        self.simulation = SimpleNamespace(records={}, record_times={}, failures=[])
+        base = f"127.{100 + network}"
+        self.control_ips = [f"{base}.{zone}.14" for zone in (1, 2, 3)]
+        keeper_ips = [f"{base}.{zone}.13" for zone in (1, 2, 3)]
+        gateway_ips = [f"{base}.{zone}.10" for zone in (1, 2)]
+        self.controls = [Machine(self, "control", i, z) for i, z in self._zoned(self.control_ips)]
+        self.keepers = [Machine(self, "keeper", i, z) for i, z in self._zoned(keeper_ips)]
+        self.gateways = [Machine(self, "gateway", i, z) for i, z in self._zoned(gateway_ips)]
+        self.machines = [*self.controls, *self.keepers, *self.gateways]
+        self.proxies: list[Proxy] = []
+        self._hosts: list[Host] = []
+        self._seed = seed
+        for machine in self.machines:
+            machine.start()
+        controls = [f"{ip}:{CONTROL_PORT}" for ip in self.control_ips]
+        gateways = [f"{ip}:{FRONT_PORT}" for ip in gateway_ips]
+        for number in (1, 2, 3):
+            shop = f"{base}.{number}.64"
+            proxied = f"{shop}:{PROXY_PORT}"
+            self._host_server(shop, RegisteredServer("shop", proxied, ZONES[0], controls))
+            engine = f"{base}.{number}.65"
+            proxied = f"{engine}:{PROXY_PORT}"
+            self._host_server(engine, Engine("llm-m0", proxied, ZONES[0], controls, ["m0"]))
+        services = {"shop": [], "llm-m0": ["m0"]}
+        self._host("op", Operator(controls, [(0.5, config(3, services))]))
+        trainer = Trainer("t0", "llm-m0", "m0", gateways, controls, steps=steps, first_at=5.0)
+        self._host("trainer", trainer)
+        self._host("lookups", LookupClient("c0", gateways, first_at=5.0))
+
+    def _zoned(self, ips: list[str]) -> list[tuple[str, str]]:
+        return list(zip(ips, ZONES, strict=False))
+
+    def _host_server(self, ip: str, reducer: Any) -> None:
+        self._host(ip, reducer, f"{ip}:{SERVER_PORT}")
+        self.proxies.append(Proxy((ip, PROXY_PORT), (ip, SERVER_PORT)))
+
+    def _host(self, name: str, reducer: Any, address: str = "127.0.0.1:0") -> None:
+        recording: Reducer = Recording(reducer, self.simulation)
+        self._seed += 1
+        settings = HostSettings(
+            node_id=name, http_address=address, seed=self._seed, log_level="error"
+        )
+        host = Host(recording, settings)
+        host.start()
+        self._hosts.append(host)
+
+    def close(self) -> None:
+        """End all processes and stand-ins."""
+        for machine in self.machines:
+            machine.signal(signal.SIGCONT)
+            machine.kill()
+        for host in self._hosts:
+            host.abort()
+        for proxy in self.proxies:
+            proxy.close()
--- /dev/null
+++ b/tests/users_platform/test_real_programs.py
@@ -0,0 +1,66 @@
+"""The real programs on loopback: the whole path, a kill of each role, a planned stop, SIGHUP."""
+
+import signal
+from collections.abc import Iterator
+from pathlib import Path
+
+import gevent
+import pytest
+
+from tests.users_platform.checks import answered_share, violations, whole_steps
+from tests.users_platform.real_world import RealWorld
+
+GIVE_UP_SECONDS = 90.0
+STEPS = 2
+
+
+@pytest.fixture
+def world(tmp_path: Path) -> Iterator[RealWorld]:
+    real = RealWorld(tmp_path, seed=1, steps=STEPS)
+    yield real
+    real.close()
+
+
+def wait_for_steps(world: RealWorld) -> None:
+    """Wait until the trainer has its steps; give up only when something is badly wrong."""
+    with gevent.Timeout(GIVE_UP_SECONDS):
+        while whole_steps(world) < STEPS:  # type: ignore[arg-type]
+            gevent.sleep(0.2)
+
+
+def test_steps_are_served_while_one_process_of_each_role_dies(world: RealWorld) -> None:
+    gevent.sleep(6.0)
+    world.keepers[0].kill()
+    world.keepers[0].start()
+    gevent.sleep(1.0)
+    world.controls[0].kill()
+    world.controls[0].start()
+    world.gateways[0].kill()
+    world.gateways[0].start()
+    wait_for_steps(world)
+    assert violations(world) == []  # type: ignore[arg-type]
+    assert answered_share(world) > 0  # type: ignore[arg-type]
+    assert not [m for m in world.machines if "_failed" in m.log]
+
+
+def test_a_planned_stop_ends_with_0_and_a_reload_ends_nothing(world: RealWorld) -> None:
+    gateway, keeper, control = world.gateways[0], world.keepers[1], world.controls[1]
+    gevent.sleep(4.0)
+    for machine in (gateway, keeper, control):
+        machine.signal(signal.SIGHUP)
+    gevent.sleep(1.0)
+    for machine in (gateway, keeper, control):
+        assert machine.process is not None
+        assert machine.process.poll() is None
+        assert "event=host.settings_changed" in machine.log
+        machine.signal(signal.SIGTERM)
+    with gevent.Timeout(GIVE_UP_SECONDS):
+        for machine in (gateway, keeper, control):
+            while machine.process is not None and machine.process.poll() is None:
+                gevent.sleep(0.1)
+    codes = [m.process.returncode for m in (gateway, keeper, control) if m.process is not None]
+    assert codes == [0, 0, 0]
+    for machine in (gateway, keeper, control):
+        machine.start()
+    wait_for_steps(world)
+    assert violations(world) == []  # type: ignore[arg-type]
