--- a/src/merlinstand_lab/standins/trainer.py
+++ b/src/merlinstand_lab/standins/trainer.py
@@ -9,7 +9,6 @@
 from merlinstand.common.errors import InvalidInputError
 from merlinstand.common.ids import CallId
 from merlinstand.kernel.effects import (
-    AppendRecords,
     CancelCall,
     CancelTimer,
     CountMetric,
@@ -24,7 +23,6 @@
     CallFailed,
     CallResponded,
     Event,
-    RecordsSynced,
     RequestReceived,
     Started,
     StopRequested,
@@ -68,23 +66,8 @@
     batch: int
 
 
-class TrainerCheckpoint(msgspec.Struct, frozen=True, array_like=True):
-    """What survives a trainer's death: its weights' version and how far it has read."""
-
-    version: int
-    last_batches: dict[str, tuple[int, str]]
-    """Newest batch and its nonce, by source."""
-
-
-_CHECKPOINT_DECODER = msgspec.msgpack.Decoder(TrainerCheckpoint)
-
-
 class Trainer:
-    """Reducer of one trainer.
-
-    A batch counts as received once the checkpoint that says so is durable: a trainer that dies
-    goes on where its checkpoint stands, as the trainers' client asks for.
-    """
+    """Reducer of one trainer."""
 
     def __init__(self, settings: TrainerSettings) -> None:
         """Keep the settings; `start` begins."""
@@ -101,16 +84,10 @@
         self._samples = 0
         self._steps_done = 0
         self._steps_fed_by_scripts = 0
-        self._saves = 0
-        self._once_saved: Sequence[Effect] = ()
-        """What follows as soon as the newest checkpoint is durable."""
 
     def start(self, event: Started, now: float) -> Sequence[Effect]:
-        """Publish the first weights, or just begin to pull; go on after a death."""
+        """Publish the first weights, or just begin to pull."""
         self._random = random.Random(event.seed)
-        if event.records:
-            self._restore(_CHECKPOINT_DECODER.decode(event.records[-1]))
-            return self._next_pull(now)
         if self._settings.publishes:
             return self._publisher.publish(_FIRST_VERSION)
         return (self._pull(now),)
@@ -130,9 +107,6 @@
                 return self._try_elsewhere()
             case RequestReceived():
                 return self._request(event, now)
-            case RecordsSynced(token=token) if token == self._saves:
-                once_saved, self._once_saved = self._once_saved, ()
-                return once_saved
             case StopRequested():
                 return (StopProcess(),)
             case _:
@@ -181,9 +155,7 @@
             CancelTimer(_PULL_TIMER),
         ]
         self._feed.fall_back(batch - 1)
-        effects.append(self._save())
         self._step = None
-        self._once_saved = ()
         self._asked_at = None
         if self._publisher.is_idle:
             effects += self._next_pull(now)
@@ -206,23 +178,6 @@
         cancel = (CancelCall(self._current_call_id()), CancelTimer(_PULL_TIMER))
         return (acknowledged, *cancel, self._pull(now))
 
-    # --- checkpoints ----------------------------------------------------------------
-
-    def _save(self) -> Effect:
-        """Save a checkpoint."""
-        self._saves += 1
-        last_batches = {
-            name.value: (feed.last_batch, feed.last_nonce) for name, feed in self._feeds.items()
-        }
-        checkpoint = TrainerCheckpoint(self._version, last_batches)
-        return AppendRecords((msgspec.msgpack.encode(checkpoint),), self._saves)
-
-    def _restore(self, checkpoint: TrainerCheckpoint) -> None:
-        self._version = checkpoint.version
-        for name, feed in self._feeds.items():
-            if name.value in checkpoint.last_batches:
-                feed.received(*checkpoint.last_batches[name.value])
-
     # --- publishing -----------------------------------------------------------------
 
     def _publishing(
@@ -233,7 +188,6 @@
         effects = list(self._publisher.reduce(event, now))
         if self._publisher.is_idle and not was_idle:
             self._version += 1
-            effects.append(self._save())
             effects += self._next_pull(now)
         return effects
 
@@ -316,8 +270,7 @@
         effects: list[Effect] = [self._record(sample, batch, now) for sample in batch.samples]
         effects.append(CountMetric("trainer_samples_total", len(batch.samples)))
         effects.append(SetTimer(_STEP_TIMER, self._settings.step_seconds))
-        self._once_saved = effects
-        return (self._save(),)
+        return effects
 
     def _record(self, sample: PulledSample, batch: PulledBatch, now: float) -> WriteRecord:
         """Record one sample."""
