--- a/tests/users_platform/checks.py
+++ b/tests/users_platform/checks.py
@@ -33,6 +33,7 @@
 def _results(world: World) -> list[str]:
     found: list[str] = []
     positions: dict[tuple[str, int], dict[str, Any]] = {}
+    places: dict[tuple[str, str], int] = {}
     accepted = {r.job: r for r in records(world, "jobs") if isinstance(r, JobAccepted)}
     ran: dict[str, set[int]] = {}
     for run in records(world, "runs"):
@@ -46,6 +47,9 @@
             if result["Id"] in seen or result["Id"] not in accepted[read.job].items:
                 found.append(f"item twice or foreign: {place}")
             seen.add(result["Id"])
+            position = read.position + offset
+            if places.setdefault((read.job, result["Id"]), position) != position:
+                found.append(f"item at two positions: {read.job} {result['Id']}")
             found += _result(accepted[read.job], result)
     for answer in (r for r in records(world, "jobs") if isinstance(r, JobAnswer)):
         if answer.job in accepted and answer.status in (404, 410):
--- a/tests/users_platform/real_world.py
+++ b/tests/users_platform/real_world.py
@@ -7,6 +7,7 @@
 import contextlib
 import os
 import signal
+import socket
 import subprocess
 import sys
 from collections.abc import Sequence
@@ -34,6 +35,9 @@
 INTERNAL_PORT = 17620
 SERVER_PORT = 18503
 PROXY_PORT = 18504
+CLAIM_PORT = 18500
+FIRST_NETWORK = 100
+LAST_NETWORK = 200
 ZONES = ("hall-a", "hall-b", "hall-c")
 RECEIVE_BYTES = 65536
 
@@ -209,18 +213,17 @@
 class RealWorld:
     """Daemons as processes; servers, an operator, a trainer and a client in this process."""
 
-    def __init__(self, folder: Path, seed: int, network: int = 0, steps: int = 3) -> None:
+    def __init__(self, folder: Path, seed: int, steps: int = 3) -> None:
         """Start everything.
 
         Args:
             folder: For settings, data and logs.
             seed: Of the stand-ins.
-            network: Second byte of all addresses: worlds side by side need different ones.
             steps: Steps of the trainer.
         """
         self.folder = folder
         self.simulation = SimpleNamespace(records={}, record_times={}, failures=[])
-        base = f"127.{100 + network}"
+        self._claim, base = _claim_network()
         self.control_ips = [f"{base}.{zone}.14" for zone in (1, 2, 3)]
         keeper_ips = [f"{base}.{zone}.13" for zone in (1, 2, 3)]
         gateway_ips = [f"{base}.{zone}.10" for zone in (1, 2)]
@@ -274,3 +277,22 @@
             host.abort()
         for proxy in self.proxies:
             proxy.close()
+        self._claim.close()
+
+
+def _claim_network() -> tuple[socket.socket, str]:
+    """Find a part of 127.0.0.0/8 that no other world on this machine uses.
+
+    Returns:
+        A socket that holds the claim while it is open, and the first two bytes.
+    """
+    for number in range(FIRST_NETWORK, LAST_NETWORK):
+        claim = socket.socket()
+        try:
+            claim.bind((f"127.{number}.0.1", CLAIM_PORT))
+            claim.listen(1)
+        except OSError:
+            claim.close()
+            continue
+        return claim, f"127.{number}"
+    raise RuntimeError("no free part of the loopback network")
--- a/tests/users_platform/soak.py
+++ b/tests/users_platform/soak.py
@@ -37,7 +37,7 @@
 def run_seed(seed: int) -> tuple[list[str], str]:
     """Run one seed; broken promises and a summary."""
     with tempfile.TemporaryDirectory() as folder:
-        world = RealWorld(Path(folder), seed, network=seed % 100, steps=STEPS)
+        world = RealWorld(Path(folder), seed, steps=STEPS)
         try:
             faults = _strike(world, random.Random(seed))
             _wait_for_steps(world)
--- /dev/null
+++ b/tests/users_platform/test_checks.py
@@ -0,0 +1,169 @@
+"""The checks can fail: each reports a planted violation, and a mutant of the product."""
+
+import json
+from types import SimpleNamespace
+from typing import Any
+
+import pytest
+
+from merlinstand.batch_jobs import weight_loader
+from merlinstand.batch_jobs.daemon import KeeperDaemon
+from merlinstand.batch_jobs.state_machine import JobState
+from merlinstand.directory.state_machine import DirectoryState
+from merlinstand.kernel.effects import Effect, Respond, WriteRecord
+from merlinstand.kernel.events import RequestReceived
+from tests.users_platform.callers import (
+    ConfigAcknowledged,
+    ConfigRead,
+    JobAccepted,
+    JobAnswer,
+    JobRead,
+    LookupAnswer,
+    config,
+)
+from tests.users_platform.checks import violations
+from tests.users_platform.servers import Engine, OrderTaken, event_count, event_data, stamp_of
+from tests.users_platform.world import World
+
+ACCEPTED = JobAccepted("j", ("i1", "i2"), 2)
+
+
+def result(item: str, **changes: Any) -> dict[str, Any]:
+    """A result as it should be, with changes."""
+    text = "\n".join(event_data(item, n) for n in range(1, event_count(item) + 1))
+    sound = {
+        "Id": item,
+        "State": "succeeded",
+        "Text": text,
+        "Versions": [2],
+        "Score": stamp_of(f"score-{item}"),
+    }
+    return {**sound, **changes}
+
+
+def seen(times: list[float] | None = None, **streams: list[Any]) -> Any:
+    """A world of which only the records are left."""
+    record_times = {"orders": times or [0.0] * len(streams.get("orders", []))}
+    simulation = SimpleNamespace(records=streams, record_times=record_times, failures=[])
+    return SimpleNamespace(simulation=simulation)
+
+
+def read(*results: dict[str, Any], position: int = 0) -> JobRead:
+    return JobRead("j", position, 2, results)
+
+
+def order(holder: str, fence: int) -> OrderTaken:
+    return OrderTaken("e1", holder, fence, "m0", 2)
+
+
+def test_sound_records_are_no_violation() -> None:
+    jobs = [ACCEPTED, read(result("i1"), result("i2")), read(result("i2"), position=1)]
+    orders = [order("k1", 1), order("k2", 2)]
+    lookup = LookupAnswer("q", 200, stamp_of("q"), b"answer to q", 0.1)
+    world = seen([0.0, 3.2], jobs=jobs, orders=orders, lookups=[lookup])
+    assert violations(world) == []
+
+
+@pytest.mark.parametrize(
+    ("jobs", "what"),
+    [
+        ([ACCEPTED, read(result("i1")), read(result("i2"))], "position changed"),
+        ([ACCEPTED, read(result("i1"), result("i1"))], "item twice"),
+        ([ACCEPTED, read(result("i1")), read(result("i1"), position=1)], "at two positions"),
+        ([ACCEPTED, read(result("i9"))], "foreign"),
+        ([ACCEPTED, read(result("i1", Text="i1-1"))], "not whole"),
+        ([ACCEPTED, read(result("i1", Score="other"))], "score"),
+        ([ACCEPTED, read(result("i1", Versions=[1]))], "below 2"),
+        ([ACCEPTED, read(result("i1", State="terminated"))], "terminated without a reason"),
+        ([ACCEPTED, JobAnswer("j", "read", 404)], "not found"),
+    ],
+)
+def test_planted_faults_of_batch_jobs_are_reported(jobs: list[Any], what: str) -> None:
+    assert any(what in violation for violation in violations(seen(jobs=jobs)))
+
+
+@pytest.mark.parametrize(
+    ("orders", "times", "what"),
+    [
+        ([order("k1", 2), order("k1", 1)], [0.0, 9.0], "fence went back"),
+        ([order("k1", 1), order("k2", 2)], [0.0, 2.9], "took turns"),
+        ([order("k1", 1), order("k2", 1)], [0.0, 9.0], "fence shared"),
+    ],
+)
+def test_planted_faults_of_orders_are_reported(
+    orders: list[OrderTaken], times: list[float], what: str
+) -> None:
+    found = violations(seen(times, orders=orders))
+    assert any(what in violation for violation in found)
+
+
+def test_planted_faults_of_configurations_and_lookups_are_reported() -> None:
+    records = [ConfigAcknowledged(5), ConfigRead(4)]
+    assert "read version 4 after 5 was acknowledged" in violations(seen(config=records))
+    mixed = LookupAnswer("q", 200, stamp_of("other"), b"answer to other", 0.1)
+    assert any("mixed" in violation for violation in violations(seen(lookups=[mixed])))
+    denied = LookupAnswer("q", 404, "", b"", 0.1)
+    assert any("refused" in violation for violation in violations(seen(lookups=[denied])))
+
+
+def take_no_order(self: Engine, event: RequestReceived) -> list[Effect]:
+    """An engine that acknowledges orders and never carries them out."""
+    order = json.loads(event.body)
+    taken = OrderTaken(
+        self.instance, order["Holder"], order["Fence"], order["Model"], order["Version"]
+    )
+    return [WriteRecord("orders", taken), Respond(event.request_id, 202, {}, b"")]
+
+
+def orders_over_a_change_of_leader(seed: int) -> list[str]:
+    """Violations of a day on which the leader dies while engines are ordered again and again."""
+    world = World(seed)
+    world.at(14.0 + 0.3 * seed, lambda: world.process(world.leading_keeper()).kill())
+    world.simulation.run_until(22.0)
+    assert len({o.holder for o in world.simulation.records["orders"]}) == 2  # type: ignore[attr-defined]
+    return [violation for violation in violations(world) if "took turns" in violation]
+
+
+def test_a_keeper_that_orders_without_waiting_for_the_lease_is_reported(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(Engine, "_order", take_no_order)
+    monkeypatch.setattr(weight_loader, "PARALLEL_SHARE", 1.0)
+    assert orders_over_a_change_of_leader(1) == []
+    monkeypatch.setattr(KeeperDaemon, "_free_to_order_in", lambda _self, _backend, _now: 0.0)
+    assert orders_over_a_change_of_leader(1) != []
+
+
+def test_results_that_change_their_place_are_reported(monkeypatch: pytest.MonkeyPatch) -> None:
+    def add_in_front(self: JobState, result: Any) -> bool:
+        if result.item_id in self.listed_ids:
+            return False
+        self.listed_ids.add(result.item_id)
+        self.results.insert(0, result)
+        return True
+
+    monkeypatch.setattr(JobState, "add", add_in_front)
+    world = World(1)
+    world.simulation.run_until(20.0)
+    found = violations(world)
+    assert any("item at two positions" in violation for violation in found)
+
+
+def test_a_directory_that_takes_lower_versions_is_reported(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    def put_any(self: DirectoryState, index: int, command: Any) -> None:
+        self.document = command.document
+        self.raw_document = command.raw
+        self.document_revision = index
+
+    monkeypatch.setattr(DirectoryState, "_put_document", put_any)
+    found: list[str] = []
+    for seed in range(6):
+        world = World(seed)
+        # Two operators race: the lower version is proposed while the higher one is on its way.
+        world.add_operator([(6.0, config(9, world.services))], "first")
+        world.add_operator([(6.0, config(8, world.services))], "second")
+        world.simulation.run_until(12.0)
+        found += violations(world)
+    assert any("after 9 was acknowledged" in violation for violation in found)
