Elections at once after the whole group restarted; requests wait a moment for the first routes

Ruled out: slow starts (listening after 0.02 to 0.16 s) and the pull of the routes (20 ms after the election).

Change: a candidate asks all voters twice (`consensus/restart_census.py`); if each says both times, under the same start, that it neither leads nor has heard a leader since, the promises before their restarts are void and they vote. If one does not answer, all waits as before. A gateway keeps requests for at most 0.2 s until it knows routes, then refuses them with the time to come back; a daemon that never heard a leader asks every 0.05 s.

Tests: census table, whole group leads again within half an election timeout, one that does not come back is waited for, a mutant and two schedules.

--- a/src/merlinstand/consensus/election.py
+++ b/src/merlinstand/consensus/election.py
@@ -6,7 +6,8 @@
 - Votes count by identity (node and incarnation), never by node.
 - A voter that heard from a leader within one election timeout helps nobody else, unless
   that leader itself handed over. The same holds after a restart, because the promise
-  made before it is forgotten.
+  made before it is forgotten, unless a census proves that leader to be gone
+  (`restart_census`).
 """
 
 from collections.abc import Callable
@@ -14,6 +15,7 @@
 from merlinstand.common.ids import NodeId
 from merlinstand.consensus.membership import Identity, Member, Membership
 from merlinstand.consensus.quorum import quorum_size
+from merlinstand.consensus.restart_census import RestartCensus
 from merlinstand.consensus.state import ELECTION_TIMER, ReplicaState, Role
 from merlinstand.protocol.generated.consensus.ttypes import (
     ReplicaIdentity,
@@ -21,6 +23,12 @@
     VoteRequest,
 )
 
+EARLY_SHARE = 0.5
+"""A restarted voter asks after this share of a heartbeat interval, and again until its promise
+ends."""
+START_BITS = 62
+"""Bits of the random number that tells one start of a replica from another."""
+
 
 def to_wire_identity(identity: Identity) -> ReplicaIdentity:
     """Convert an identity for a message."""
@@ -55,15 +63,24 @@
         self._votes: dict[NodeId, Identity] = {}
         self._own_vote_position = 0
         self._promised_until = float("-inf")
+        self._restart_promise_until = float("-inf")
+        self._start_number = 0
+        self._census = RestartCensus()
+        self._confirmed_starts: dict[NodeId, int] = {}
+        """Starts of the voters whose promises the present candidacy may set aside."""
         self._deadline = 0.0
         self._uses_hand_over = False
         self._timer_due: float | None = None
 
     def start(self, now: float) -> None:
         """Begin as a follower that may have promised something before its restart."""
-        if not self._state.is_blank:
-            self._promised_until = now + self._state.settings.timings.election_timeout_seconds
-        self.postpone(now)
+        state = self._state
+        self._start_number = 1 + state.random.getrandbits(START_BITS)
+        if state.is_blank:
+            self.postpone(now)
+            return
+        self._restart_promise_until = now + state.settings.timings.election_timeout_seconds
+        self._wait_early(now)
 
     # Time
 
@@ -75,8 +92,16 @@
         """
         self._wait(now, self._state.settings.timings.election_timeout_seconds)
 
+    def _wait_early(self, now: float) -> None:
+        """Wait a moment only: the whole group may have restarted."""
+        pause_seconds = EARLY_SHARE * self._state.settings.timings.heartbeat_interval_seconds
+        self._wait_between(now, pause_seconds, pause_seconds)
+
     def _wait(self, now: float, shortest_seconds: float) -> None:
         spread_seconds = self._state.settings.timings.election_timeout_spread_seconds
+        self._wait_between(now, shortest_seconds, spread_seconds)
+
+    def _wait_between(self, now: float, shortest_seconds: float, spread_seconds: float) -> None:
         self._deadline = now + shortest_seconds + self._state.random.random() * spread_seconds
         if self._timer_due is None:
             self._arm(now)
@@ -88,10 +113,15 @@
     def heard_leader(self, now: float) -> None:
         """A valid leader was heard: promise it one election timeout."""
         self._promised_until = now + self._state.settings.timings.election_timeout_seconds
+        self._census.forget()
         self.postpone(now)
 
     def is_promised(self, now: float) -> bool:
         """Whether this replica must not help to elect another leader now."""
+        return now < self._restart_promise_until or self._is_promised_since_start(now)
+
+    def _is_promised_since_start(self, now: float) -> bool:
+        """Whether it leads, or has promised something that it remembers."""
         return self._state.role is Role.LEADER or now < self._promised_until
 
     def on_timer(self, now: float) -> None:
@@ -102,11 +132,14 @@
         if now < self._deadline:
             self._arm(now)
             return
-        if self._may_stand():
-            self._wait(now, self._state.settings.timings.heartbeat_interval_seconds)
-            self._ask_for_votes(Role.PRE_CANDIDATE, now)
-        else:
+        if not self._may_stand():
             self.postpone(now)
+            return
+        if now < self._restart_promise_until:
+            self._wait_early(now)
+        else:
+            self._wait(now, self._state.settings.timings.heartbeat_interval_seconds)
+        self._ask_for_votes(Role.PRE_CANDIDATE, now)
 
     # Standing for election
 
@@ -135,17 +168,11 @@
         state.leader = None
         self._votes = {}
         is_pre_vote = role is Role.PRE_CANDIDATE
-        request = VoteRequest(
-            term=state.term + 1 if is_pre_vote else state.term,
-            candidate=to_wire_identity(state.identity),
-            last_log_index=state.log.last_index,
-            last_log_term=state.log.last_term,
-            pre_vote=is_pre_vote,
-            hand_over=self._uses_hand_over and not is_pre_vote,
-        )
+        if is_pre_vote:
+            self._census.open_round(1 + state.random.getrandbits(START_BITS))
         for node_id in self._electorate():
             if node_id != state.identity.node_id:
-                state.send_when_synced(node_id, request)
+                state.send_when_synced(node_id, self._vote_request(node_id, is_pre_vote))
         if is_pre_vote:
             self._uses_hand_over = False
             self._count(state.identity, now)
@@ -153,6 +180,19 @@
             self._own_vote_position = state.journal.position
             self.on_synced(now)
 
+    def _vote_request(self, receiver: NodeId, is_pre_vote: bool) -> VoteRequest:
+        state = self._state
+        return VoteRequest(
+            term=state.term + 1 if is_pre_vote else state.term,
+            candidate=to_wire_identity(state.identity),
+            last_log_index=state.log.last_index,
+            last_log_term=state.log.last_term,
+            pre_vote=is_pre_vote,
+            hand_over=self._uses_hand_over and not is_pre_vote,
+            round=self._census.round,
+            voter_start=0 if is_pre_vote else self._confirmed_starts.get(receiver, 0),
+        )
+
     def on_synced(self, now: float) -> None:
         """Count the own vote, like any other, only when it is durable."""
         state = self._state
@@ -174,20 +214,35 @@
         """Answer a request for a vote."""
         if request.pre_vote:
             self._answer_pre_vote(request, sender, now)
-        elif request.hand_over or not self.is_promised(now):
+        elif request.hand_over or not self._is_bound(request, now):
             self._answer_vote(request, sender, now)
 
+    def _is_bound(self, request: VoteRequest, now: float) -> bool:
+        """Whether a promise forbids the vote; a census of this very start lifts a restart's."""
+        if request.voter_start and request.voter_start == self._start_number:
+            return self._is_promised_since_start(now)
+        return self.is_promised(now)
+
     def _answer_pre_vote(self, request: VoteRequest, sender: NodeId, now: float) -> None:
         state = self._state
-        granted = (
+        is_eligible = (
             request.term > state.term
-            and not self.is_promised(now)
+            and not self._is_promised_since_start(now)
             and state.log.is_up_to_date(request.last_log_index, request.last_log_term)
         )
-        term = request.term if granted else state.term
-        state.send_when_synced(
-            sender, VoteReply(term, to_wire_identity(state.identity), granted, True)
+        granted = is_eligible and now >= self._restart_promise_until
+        if is_eligible and not granted:
+            # The asker is early, too; don't stand against it.
+            self._wait_early(now)
+        reply = VoteReply(
+            term=request.term if granted else state.term,
+            voter=to_wire_identity(state.identity),
+            granted=granted,
+            pre_vote=True,
+            round=request.round,
+            start=self._start_number if is_eligible else 0,
         )
+        state.send_when_synced(sender, reply)
 
     def _answer_vote(self, request: VoteRequest, sender: NodeId, now: float) -> None:
         state = self._state
@@ -219,6 +274,7 @@
         """Stop standing for election."""
         self._state.role = Role.FOLLOWER
         self._uses_hand_over = False
+        self._confirmed_starts = {}
         self._votes = {}
         self.postpone(now)
 
@@ -228,6 +284,10 @@
         """Count a vote."""
         state = self._state
         voter = from_wire_identity(reply.voter)
+        if reply.pre_vote:
+            self._census.note(voter, reply.round, reply.start)
+            if self._take_census(now):
+                return
         if not reply.granted:
             if reply.term > state.term and not self.is_promised(now):
                 self.adopt_term(reply.term, now)
@@ -239,12 +299,37 @@
         if state.role is expected_role and reply.term == expected_term:
             self._count(voter, now)
 
+    def _take_census(self, now: float) -> bool:
+        """Stand for election if all voters have twice said that their restart binds them to
+        nobody; ask the second time as soon as all have answered the first.
+
+        Returns:
+            Whether the answer has had its effect.
+        """
+        state = self._state
+        if state.role is not Role.PRE_CANDIDATE or now >= self._restart_promise_until:
+            return False
+        voters = state.membership.voter_identities()
+        if not self._census.is_complete(v for v in voters if v != state.identity):
+            return False
+        is_confirmed = self._census.is_confirmed()
+        self._census.close_round()
+        if is_confirmed:
+            self._confirmed_starts = dict(self._census.starts)
+            state.log_event("census", voters=len(voters))
+            self._begin_candidacy(now)
+        else:
+            self._ask_for_votes(Role.PRE_CANDIDATE, now)
+        return True
+
     def _count(self, voter: Identity, now: float) -> None:
         self._votes[voter.node_id] = voter
         if not self._has_won():
             return
         if self._state.role is Role.PRE_CANDIDATE:
-            self._begin_candidacy(now)
+            # The own vote is bound by the own restart, too.
+            if now >= self._restart_promise_until:
+                self._begin_candidacy(now)
         else:
             self._on_elected(now, self._founded_membership() if self._may_found() else None)
 
--- a/src/merlinstand/directory/follower.py
+++ b/src/merlinstand/directory/follower.py
@@ -21,6 +21,8 @@
 PULL_INTERVAL_SECONDS = 0.3
 SEARCH_INTERVAL_SECONDS = 0.1
 """How often a daemon that hears no leader asks for one."""
+FIRST_SEARCH_INTERVAL_SECONDS = 0.05
+"""The same while it has never heard one: callers wait for what it lacks."""
 SILENCE_SECONDS = 0.75
 """A leader that has not answered for this long is not the only one asked any more."""
 
@@ -71,9 +73,7 @@
 
     def pull(self, now: float) -> list[Effect]:
         """Ask for news; called by the owner whenever `PULL_TIMER` fires."""
-        is_following = now - self._heard_at < SILENCE_SECONDS
-        interval = PULL_INTERVAL_SECONDS if is_following else SEARCH_INTERVAL_SECONDS
-        effects: list[Effect] = [SetTimer(PULL_TIMER, interval)]
+        effects: list[Effect] = [SetTimer(PULL_TIMER, self._pull_interval_seconds(now))]
         message = DirectoryPull(
             report=encode_report(self._report(now)),
             document_revision=self.document_revision,
@@ -84,6 +84,11 @@
         effects.extend(SendMessage(node_id, message) for node_id in self._receivers(now))
         return effects
 
+    def _pull_interval_seconds(self, now: float) -> float:
+        if now - self._heard_at < SILENCE_SECONDS:
+            return PULL_INTERVAL_SECONDS
+        return SEARCH_INTERVAL_SECONDS if self.has_document else FIRST_SEARCH_INTERVAL_SECONDS
+
     def _receivers(self, now: float) -> list[NodeId]:
         if self._leader is not None and now - self._heard_at < SILENCE_SECONDS:
             return [self._leader]
--- a/src/merlinstand/forwarding/daemon.py
+++ b/src/merlinstand/forwarding/daemon.py
@@ -23,12 +23,14 @@
     NotRun,
     OutcomeUnknown,
 )
+from merlinstand.forwarding.routes_wait import TIMER_PREFIX as ROUTES_TIMER_PREFIX
+from merlinstand.forwarding.routes_wait import RoutesWait
 from merlinstand.forwarding.settings import ForwardingSettings
 from merlinstand.forwarding.stream_forwarder import CALL_PREFIX as STREAM_PREFIX
 from merlinstand.forwarding.stream_forwarder import TIMER_PREFIX as STREAM_TIMER_PREFIX
 from merlinstand.forwarding.stream_forwarder import StreamForwarder
 from merlinstand.forwarding.weighted_choice import WeightedChoice
-from merlinstand.kernel.effects import Effect, LogEvent, Respond, SetTimer, StopProcess
+from merlinstand.kernel.effects import CancelTimer, Effect, LogEvent, Respond, SetTimer, StopProcess
 from merlinstand.kernel.events import (
     CallChunk,
     CallEnded,
@@ -48,8 +50,8 @@
 GATEWAY_ROLE = "gateway"
 STOP_TIMER = "gateway.stop"
 STOP_POLL_SECONDS = 0.1
-UNREADY_RETRY_SECONDS = 0.5
-"""Told to callers before any routes are known."""
+UNREADY_RETRY_SECONDS = 0.3
+"""Told to callers when the routes did not come in time."""
 ANSWER_MARGIN_SECONDS = 0.01
 """A caller's deadline ends this long before it for the gateway."""
 _BAD_GATEWAY = 502
@@ -77,6 +79,7 @@
         )
         self._relay = BatchRelay(settings, self.follower)
         self._split = WeightedChoice()
+        self._routes_wait = RoutesWait()
         self._stop_asked_at: float | None = None
 
     def start(self, event: Started, now: float) -> Sequence[Effect]:
@@ -124,7 +127,7 @@
                 effects = self.follower.take(event.sender, event.message, now)
                 present = [backend.backend_id for backend in self.follower.backends]
                 self._forwarder.chooser.forget_all_but(present)
-                return effects
+                return effects + self._end_routes_wait(now)
             case StopRequested():
                 return self._stop(now)
             case _:
@@ -136,8 +139,20 @@
         if self._interface.is_readiness_check(event):
             is_ready = self.follower.has_document and self._stop_asked_at is None
             return [Respond(event.request_id, 200 if is_ready else _UNAVAILABLE, {}, b"")]
-        if not self.follower.has_document:
-            return [_not_run(event.request_id, "no routes yet", UNREADY_RETRY_SECONDS)]
+        if self.follower.has_document:
+            return self._route_request(event, now, now)
+        return self._routes_wait.begin(event, now) or [_no_routes(event.request_id)]
+
+    def _end_routes_wait(self, now: float) -> list[Effect]:
+        """The first routes are known: go on with the requests that waited for them."""
+        if not self.follower.has_document or not len(self._routes_wait):
+            return []
+        waiting, effects = self._routes_wait.take_all()
+        for held in waiting:
+            effects.extend(self._route_request(held.event, held.arrived_at, now))
+        return effects
+
+    def _route_request(self, event: RequestReceived, arrived_at: float, now: float) -> list[Effect]:
         path = event.path.partition("?")[0]
         route = self.follower.routes.find(event.headers.get("host", ""), path)
         read = self._interface.read_batch_call(event, route)
@@ -153,9 +168,11 @@
             }
             log = LogEvent("request.no_route", fields)
             return [log, _refuse(event.request_id, NotFoundError(detail="no such route"))]
-        return self._forward(event, route, now)
+        return self._forward(event, route, arrived_at, now)
 
-    def _forward(self, event: RequestReceived, route: Route, now: float) -> list[Effect]:
+    def _forward(
+        self, event: RequestReceived, route: Route, arrived_at: float, now: float
+    ) -> list[Effect]:
         limit = route.timeout_seconds
         told = event.headers.get(self._names.deadline_ms, "")
         if told.isascii() and told.isdigit():
@@ -169,13 +186,15 @@
             headers=event.headers,
             body=event.body,
             request_id=event.headers.get(self._names.request_id, ""),
-            deadline_at=now + limit,
+            deadline_at=arrived_at + limit,
         )
         if route.kind is RouteKind.STREAM:
             return self._streams.begin(request, now)
         return self._forwarder.begin(request, now)
 
     def _aborted(self, request_id: RequestId, now: float) -> list[Effect]:
+        if self._routes_wait.end(request_id) is not None:
+            return [CancelTimer(f"{ROUTES_TIMER_PREFIX}{request_id}")]
         return [
             *self._forwarder.abort(request_id, now),
             *self._streams.abort(request_id),
@@ -210,10 +229,16 @@
             return self._streams.on_timer(name)
         if name.startswith(BATCH_TIMER_PREFIX):
             return self._relay.on_timer(name, now)
+        if name.startswith(ROUTES_TIMER_PREFIX):
+            return self._give_up_routes(RequestId(name.removeprefix(ROUTES_TIMER_PREFIX)))
         if name == STOP_TIMER:
             return self._continue_stop(now)
         return []
 
+    def _give_up_routes(self, request_id: RequestId) -> list[Effect]:
+        held = self._routes_wait.end(request_id)
+        return [] if held is None else [_no_routes(request_id)]
+
     def _stop(self, now: float) -> list[Effect]:
         if self._stop_asked_at is not None:
             return []
@@ -224,7 +249,8 @@
         """End once balancers have noticed and nothing is in flight."""
         asked_at = self._stop_asked_at if self._stop_asked_at is not None else now
         elapsed = now - asked_at
-        is_idle = len(self._forwarder) + len(self._streams) + len(self._relay) == 0
+        parts = (self._forwarder, self._streams, self._relay, self._routes_wait)
+        is_idle = not any(len(part) for part in parts)
         is_drained = elapsed >= self._settings.drain_seconds and is_idle
         if is_drained or elapsed >= self._settings.stop_limit_seconds:
             return [LogEvent("gateway.stopped"), StopProcess()]
@@ -251,6 +277,10 @@
     return Respond(request_id, _UNAVAILABLE, headers, reason.encode())
 
 
+def _no_routes(request_id: RequestId) -> Effect:
+    return _not_run(request_id, "no routes yet", UNREADY_RETRY_SECONDS)
+
+
 def _unknown(request_id: RequestId, outcome: OutcomeUnknown) -> Effect:
     status = _GATEWAY_TIMEOUT if outcome.is_late else _BAD_GATEWAY
     return Respond(request_id, status, {}, outcome.reason.encode())
--- a/src/merlinstand/protocol/idl/consensus.thrift
+++ b/src/merlinstand/protocol/idl/consensus.thrift
@@ -26,6 +26,10 @@
   5: required bool pre_vote;
   /** Set during a leadership hand-over: ignore the lease of the present leader. */
   6: required bool hand_over;
+  /** Number of the candidate's round of questions; echoed in the reply to a pre-vote. */
+  7: optional i64 round = 0;
+  /** Start of the receiver as it told it; lifts the promise that a restart brings. */
+  8: optional i64 voter_start = 0;
 }
 
 struct VoteReply {
@@ -33,6 +37,9 @@
   2: required ReplicaIdentity voter;
   3: required bool granted;
   4: required bool pre_vote;
+  5: optional i64 round = 0;
+  /** Number of this start of the voter, if nothing but its restart speaks against; else 0. */
+  6: optional i64 start = 0;
 }
 
 struct AppendRequest {
--- a/tests/consensus/mutants.py
+++ b/tests/consensus/mutants.py
@@ -13,6 +13,7 @@
     membership_history,
     proof,
     replication,
+    restart_census,
     snapshot_transfer,
     state,
 )
@@ -98,6 +99,13 @@
 
 def no_promise_to_a_living_leader(patch: Patch) -> None:
     patch.setattr(election.Election, "is_promised", lambda self, now: False)
+    patch.setattr(election.Election, "_is_promised_since_start", lambda self, now: False)
+
+
+def census_of_some_voters(patch: Patch) -> None:
+    patch.setattr(
+        restart_census.RestartCensus, "is_complete", lambda self, others: bool(self._present)
+    )
 
 
 def promise_forgotten_in_a_restart(patch: Patch) -> None:
@@ -239,6 +247,7 @@
     log_not_compared_in_votes,
     founded_by_a_majority,
     no_promise_to_a_living_leader,
+    census_of_some_voters,
     promise_forgotten_in_a_restart,
     lease_ignores_clock_drift,
     lease_counted_from_the_answer,
--- a/tests/consensus/schedules.py
+++ b/tests/consensus/schedules.py
@@ -5,8 +5,9 @@
 
 from merlinstand.consensus.settings import ReplicaLimits, ReplicaTimings
 from merlinstand.consensus.state import Role
+from merlinstand.consensus.step import EntryKind
 
-from .chaos import SMALL_LIMITS
+from .chaos import FAST_REPAIR, SMALL_LIMITS
 from .network import Network, Node
 
 NO_REPAIR = ReplicaTimings(repair_delay_seconds=1000.0)
@@ -21,6 +22,14 @@
     return network, network.settle()
 
 
+def _start_repairing(seed: int) -> tuple[Network, Node]:
+    network = Network(members=3, standbys=2, seed=seed, timings=FAST_REPAIR)
+    network.start_all()
+    network.commit(b"first")
+    network.run(1.0)
+    return network, network.settle()
+
+
 def _others(network: Network, *names: str) -> list[str]:
     return [name for name in network.nodes if name not in names]
 
@@ -62,6 +71,42 @@
     _finish(network)
 
 
+def whole_group_restarts_but_the_leader(seed: int) -> None:
+    """Every voter but the leader restarts at once, and one of them does not reach the leader."""
+    network, leader = _start(seed)
+    cut_off, voter = _others(network, leader.name)
+    for _ in range(6):
+        network.restart(voter)
+        network.restart(cut_off)
+        network.run(0.1)
+        _part(network, leader.name, cut_off)
+        network.run(0.4)
+        network.heal()
+        network.run(1.0)
+    _finish(network)
+
+
+def changes_of_members_wait_for_slow_disks(seed: int) -> None:
+    """Nothing commits for a while, but all are heard: the leader has one change under way."""
+    network, leader = _start_repairing(seed)
+    replaced = _others(network, leader.name)[0]
+    network.lose_disk(replaced)
+    network.start(replaced)
+    network.sync_delay = (1.0, 1.5)
+    for _ in range(40):
+        network.run(0.1)
+        assert leader.replica is not None
+        state = leader.replica._state
+        under_way = [
+            index
+            for index in range(state.commit_index + 1, state.log.last_index + 1)
+            if state.log.entry_at(index).kind is EntryKind.MEMBERSHIP
+        ]
+        assert len(under_way) <= 1, f"membership changes pile up at {under_way}"
+    network.sync_delay = (0.0005, 0.003)
+    _finish(network)
+
+
 def leader_is_not_heard_after_its_hand_over(seed: int) -> None:
     """A leader hands over and is cut off before it hears of its successor."""
     network, leader = _start(seed)
--- /dev/null
+++ b/tests/forwarding/test_first_routes.py
@@ -0,0 +1,105 @@
+"""A gateway that has just started and knows no routes yet (vitrina-ro scale-1: refused at once)."""
+
+import pytest
+
+from merlinstand.common.ids import BackendId, NodeId, RequestId
+from merlinstand.directory.backends import Backend
+from merlinstand.directory.routes import Route, RouteKind, RoutesDocument, RouteTarget, Service
+from merlinstand.directory.view import DirectoryChanges, encode_changes
+from merlinstand.forwarding.daemon import ForwardingGateway
+from merlinstand.forwarding.routes_wait import MAXIMUM_WAITING, PATIENCE_SECONDS, TIMER_PREFIX
+from merlinstand.forwarding.settings import ForwardingSettings
+from merlinstand.kernel.effects import CancelTimer, Effect, Respond, SetTimer, StartCall
+from merlinstand.kernel.events import (
+    MessageReceived,
+    RequestAborted,
+    RequestReceived,
+    Started,
+    TimerFired,
+)
+from merlinstand.protocol.generated.directory.ttypes import DirectoryUpdate
+from merlinstand_platform.batch import PlatformGatewayInterface
+
+SETTINGS = ForwardingSettings(
+    node_id="g", name="gateway-1", zone="z", internal_address="10.0.0.9:1", seeds=("10.0.0.1:1",)
+)
+ROUTE = Route(
+    name="r",
+    host="h",
+    path_prefix="/l/",
+    kind=RouteKind.REPEATABLE,
+    timeout_seconds=1.5,
+    target_latency_seconds=0.2,
+    targets=(RouteTarget("shop", 1.0),),
+    maximum_attempts=3,
+)
+UPDATE = DirectoryUpdate(
+    from_leader=True,
+    leader="10.0.0.1",
+    leader_address="10.0.0.1:1",
+    term=2,
+    changes=encode_changes(
+        DirectoryChanges(
+            document_revision=1,
+            document=RoutesDocument(version=1, routes=(ROUTE,), services=(Service(name="shop"),)),
+            backends_revision=1,
+            backends=(Backend(backend_id=BackendId("b"), service="shop", address="10.0.0.2:1"),),
+        )
+    ),
+)
+
+
+def gateway() -> ForwardingGateway:
+    started = ForwardingGateway(SETTINGS, PlatformGatewayInterface())
+    started.start(Started(NodeId("g"), 1, seed=5), 0.0)
+    return started
+
+
+def request(name: str) -> RequestReceived:
+    headers = {"host": "h", "x-request-id": name}
+    return RequestReceived(RequestId(name), "POST", "/l/1", headers, b"")
+
+
+def responses(effects: list[Effect]) -> list[tuple[str, int]]:
+    return [(e.request_id, e.status) for e in effects if isinstance(e, Respond)]
+
+
+def test_a_request_waits_for_the_first_routes_and_keeps_its_own_deadline() -> None:
+    daemon = gateway()
+    effects = list(daemon.reduce(request("q"), 0.0))
+    assert effects == [SetTimer(f"{TIMER_PREFIX}q", PATIENCE_SECONDS)]
+    effects = list(daemon.reduce(MessageReceived(NodeId("10.0.0.1"), UPDATE), 0.1))
+    assert CancelTimer(f"{TIMER_PREFIX}q") in effects
+    [call] = [effect for effect in effects if isinstance(effect, StartCall)]
+    assert call.headers[SETTINGS.header_names.deadline_ms] == "1400"
+
+
+def test_without_routes_it_is_refused_soon_and_told_when_to_come_back() -> None:
+    daemon = gateway()
+    daemon.reduce(request("q"), 0.0)
+    [answer] = daemon.reduce(TimerFired(f"{TIMER_PREFIX}q"), PATIENCE_SECONDS)
+    assert isinstance(answer, Respond)
+    assert answer.status == 503
+    assert float(answer.headers["retry-after"]) > 0.0
+    later = list(daemon.reduce(MessageReceived(NodeId("10.0.0.1"), UPDATE), 0.3))
+    assert not [effect for effect in later if isinstance(effect, StartCall)]
+
+
+def test_a_caller_that_left_is_forgotten() -> None:
+    daemon = gateway()
+    daemon.reduce(request("q"), 0.0)
+    daemon.reduce(RequestAborted(RequestId("q")), 0.05)
+    later = list(daemon.reduce(MessageReceived(NodeId("10.0.0.1"), UPDATE), 0.1))
+    assert not [effect for effect in later if isinstance(effect, StartCall)]
+
+
+@pytest.mark.parametrize(
+    ("number", "is_refused"), [(MAXIMUM_WAITING, False), (MAXIMUM_WAITING + 1, True)]
+)
+def test_only_so_many_wait(number: int, is_refused: bool) -> None:
+    daemon = gateway()
+    for one in range(number - 1):
+        daemon.reduce(request(f"q{one}"), 0.0)
+    assert responses(list(daemon.reduce(request("last"), 0.0))) == (
+        [("last", 503)] if is_refused else []
+    )
