--- a/src/merlinstand/runtime/host.py
+++ b/src/merlinstand/runtime/host.py
@@ -85,7 +85,12 @@
             raise HostSetupFailedError(contexts.err_value)
         self._tls = contexts.ok_value
         self.transport = Transport(
-            NodeId(settings.node_id), self.submit, self.log, self._tls.internal, self._tls.client
+            NodeId(settings.node_id),
+            self.submit,
+            self.log,
+            self._tls.internal,
+            self._tls.client,
+            settings.peer_timings,
         )
         self.metrics.register(self.transport.counters)
         self._timers = Timers(lambda name: self.submit(TimerFired(name)))
--- a/src/merlinstand/runtime/host_settings.py
+++ b/src/merlinstand/runtime/host_settings.py
@@ -5,6 +5,19 @@
 from merlinstand.common import constants
 
 
+class PeerTimings(msgspec.Struct, frozen=True):
+    """How a lost peer is sought again."""
+
+    connect_timeout_seconds: float = 1.0
+    """Longest time for a connection to come up. A packet that opens one and is lost, since the
+    peer's machine is down just then, is sent again by the kernel after a second only."""
+    longest_back_off_seconds: float = 1.0
+    """Longest pause between two attempts."""
+
+
+USUAL_PEER_TIMINGS = PeerTimings()
+
+
 class TlsFiles(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
     """PEM files for the HTTP server and the internal transport."""
 
@@ -47,6 +60,8 @@
     """Longest time for a connection to a back end to come up."""
     internal_address: str = ""
     """`ip:port` of the internal protocol; empty for processes without one."""
+    peer_timings: PeerTimings = USUAL_PEER_TIMINGS
+    """How lost peers of the internal protocol are sought again."""
     data_folder: str = ""
     """Where journal and snapshot live; empty for processes without durable state."""
     record_folder: str = ""
--- a/src/merlinstand/runtime/transport.py
+++ b/src/merlinstand/runtime/transport.py
@@ -21,6 +21,7 @@
 from merlinstand.protocol.generated.control.ttypes import Hello
 from merlinstand.runtime.addresses import parse_address
 from merlinstand.runtime.frames import FrameReader, encode_frame
+from merlinstand.runtime.host_settings import USUAL_PEER_TIMINGS, PeerTimings
 from merlinstand.runtime.logs import EventLog
 from merlinstand.runtime.tls import BoundedHandshakeServer
 from merlinstand.runtime.transport_peer import PeerLink
@@ -103,6 +104,7 @@
         log: EventLog,
         server_context: SSLContext | None = None,
         client_context: SSLContext | None = None,
+        timings: PeerTimings = USUAL_PEER_TIMINGS,
     ) -> None:
         """Create a transport that does not listen yet.
 
@@ -112,6 +114,7 @@
             log: For refused connections and frames.
             server_context: Set to accept TLS only.
             client_context: Set to connect by TLS.
+            timings: How lost peers are sought again.
         """
         self.counters = TransportCounters()
         self.address = ""
@@ -121,6 +124,7 @@
         self._log = log
         self._server_context = server_context
         self._client_context = client_context
+        self._timings = timings
         self._addresses: dict[NodeId, str] = {}
         self._links: dict[NodeId, PeerLink] = {}
         self._server: BoundedHandshakeServer | None = None
@@ -181,7 +185,8 @@
 
     def _open_link(self, receiver: NodeId, address: str) -> PeerLink:
         hello = Hello(node_id=self._node_id, incarnation=self._incarnation, address=self.address)
-        link = PeerLink(address, encode_frame(encode_message(hello)), self._client_context)
+        hello_frame = encode_frame(encode_message(hello))
+        link = PeerLink(address, hello_frame, self._client_context, self._timings)
         self._links[receiver] = link
         return link
 
--- a/src/merlinstand/runtime/transport_peer.py
+++ b/src/merlinstand/runtime/transport_peer.py
@@ -10,30 +10,37 @@
 
 from merlinstand.runtime.dialing import dial
 from merlinstand.runtime.end_watcher import EndWatcher
+from merlinstand.runtime.host_settings import USUAL_PEER_TIMINGS, PeerTimings
 
 MAXIMUM_QUEUED_FRAMES = 4096
 MAXIMUM_QUEUED_BYTES = 128 * 1024 * 1024
-CONNECT_TIMEOUT_SECONDS = 1.0
 SEND_TIMEOUT_SECONDS = 5.0
 FIRST_BACK_OFF_SECONDS = 0.05
-LONGEST_BACK_OFF_SECONDS = 1.0
 MERGED_SEND_BYTES = 256 * 1024
 
 
 class PeerLink:
     """Queues frames and sends them over one connection, which it reopens as needed."""
 
-    def __init__(self, address: str, hello_frame: bytes, tls_context: SSLContext | None) -> None:
+    def __init__(
+        self,
+        address: str,
+        hello_frame: bytes,
+        tls_context: SSLContext | None,
+        timings: PeerTimings = USUAL_PEER_TIMINGS,
+    ) -> None:
         """Start connecting.
 
         Args:
             address: Where the peer listens.
             hello_frame: First frame of every connection.
             tls_context: Set to connect by TLS.
+            timings: How long attempts and pauses last.
         """
         self._address = address
         self._hello_frame = hello_frame
         self._tls_context = tls_context
+        self._timings = timings
         self._queue: deque[bytes] = deque()
         self._queued_bytes = 0
         self._wake = Event()
@@ -93,7 +100,8 @@
                     self._sent.set()
                     # Random, so that a crowd does not reconnect in step.
                     gevent.sleep(back_off_seconds * random.uniform(0.5, 1.0))
-                    back_off_seconds = min(back_off_seconds * 2, LONGEST_BACK_OFF_SECONDS)
+                    longest_seconds = self._timings.longest_back_off_seconds
+                    back_off_seconds = min(back_off_seconds * 2, longest_seconds)
             self._sent.set()
 
     def _send_some(self) -> None:
@@ -110,8 +118,9 @@
         connection.sendall(frames[0] if len(frames) == 1 else b"".join(frames))
 
     def _connect(self) -> Any:
+        limit_seconds = self._timings.connect_timeout_seconds
         try:
-            connection = dial(self._address, CONNECT_TIMEOUT_SECONDS, self._tls_context)
+            connection = dial(self._address, limit_seconds, self._tls_context)
         except ValueError as error:
             raise OSError(str(error)) from error
         try:
--- a/tests/runtime/test_transport.py
+++ b/tests/runtime/test_transport.py
@@ -17,6 +17,7 @@
 from merlinstand.protocol.generated.control.ttypes import Hello
 from merlinstand.runtime import transport, transport_peer
 from merlinstand.runtime.frames import FrameReader, encode_frame
+from merlinstand.runtime.host_settings import PeerTimings
 from merlinstand.runtime.logs import EventLog
 from merlinstand.runtime.transport import MAXIMUM_HELLO_BYTES, Transport
 from tests.runtime.conftest import EventSink, connect, read_to_end
@@ -227,3 +228,28 @@
         while (frame := reader.next_frame().unwrap()) is not None:
             found.append(frame)
     assert found == payloads
+
+
+def test_a_lost_peer_is_sought_again_as_the_settings_say(monkeypatch: pytest.MonkeyPatch) -> None:
+    """vitrina-ro trouble-1: gateways that started before control's machines waited a second for
+    the answer to a packet that had arrived nowhere, 0.5 s longer than the others."""
+    asked: list[float] = []
+    pauses: list[float] = []
+
+    def dial(_address: str, timeout_seconds: float, _tls: object) -> Any:
+        asked.append(timeout_seconds)
+        raise OSError("no answer")
+
+    def sleep(seconds: float) -> None:
+        pauses.append(seconds)
+        if len(pauses) == 8:
+            raise gevent.GreenletExit
+
+    monkeypatch.setattr(transport_peer, "dial", dial)
+    monkeypatch.setattr(transport_peer.gevent, "sleep", sleep)
+    timings = PeerTimings(connect_timeout_seconds=0.25, longest_back_off_seconds=0.2)
+    link = transport_peer.PeerLink("127.0.0.1:9", HELLO, None, timings)
+    link.push(b"frame")
+    link._greenlet.join()
+    assert asked == [0.25] * 8
+    assert max(pauses) <= 0.2
