The leading keeper looks for engines only when a slot is free, and at all engines once a turn

Ruled out: capacity (a third of the slots would do), loads of weights.

Change: `start_if_news` after an event only if it freed a slot or brought items; what is due again and moves from slow engines at the tick of 50 ms; `SchedulingTurn` looks at the engines once, offers only open ones, and asks once for a wish that none fulfils. 0.17 ms and 0.10 ms in the same two cases.

--- a/src/merlinstand/batch_jobs/daemon.py
+++ b/src/merlinstand/batch_jobs/daemon.py
@@ -455,6 +455,8 @@
         effects.extend(self._give_up_readers(now))
         if self._may_act(now) and self.replica is not None:
             effects.extend(self._weights.tick(now))
+            if self._is_running:
+                effects.extend(self._runner.tick(now))
             effects.extend(self._look_after_jobs(now))
             effects.extend(self._carry_out_wishes(now))
         return effects
@@ -464,7 +466,7 @@
         for finished in self._forwarder.take_finished():
             effects.extend(self._runner.on_scored(finished, now))
         if self._may_act(now):
-            effects.extend(self._runner.tick(now))
+            effects.extend(self._runner.start_if_news(now))
         return effects
 
     def _give_up_decisions(self, now: float) -> list[Effect]:
--- a/src/merlinstand/batch_jobs/runner.py
+++ b/src/merlinstand/batch_jobs/runner.py
@@ -7,20 +7,16 @@
 
 from result import Err
 
-from merlinstand.batch_jobs.engines import (
-    EngineState,
-    EngineStates,
-    typical_event_seconds,
-)
+from merlinstand.batch_jobs.engines import EngineState, EngineStates
 from merlinstand.batch_jobs.item_run import ItemRun, RunPhase
 from merlinstand.batch_jobs.model import ItemResult
 from merlinstand.batch_jobs.schedule import (
     GroupProgress,
-    choose_engine,
     group_progress,
     is_worth_moving,
     urgency,
 )
+from merlinstand.batch_jobs.scheduling_turn import SchedulingTurn
 from merlinstand.batch_jobs.state_machine import JobState, JobStates
 from merlinstand.common.ids import BackendId, CallId
 from merlinstand.directory.follower import DirectoryFollower
@@ -44,6 +40,8 @@
 MISDIRECTED_STATUS = 421
 UNPROCESSABLE_STATUS = 422
 SERVER_ERROR_STATUS = 500
+MOVES_A_TICK = 4
+"""Runs that leave slow engines at one tick, at most: each reads its prompt anew elsewhere."""
 CARRIED_LIMIT = 20_000
 """Item ids remembered to recognise items that come back in a later job."""
 
@@ -90,6 +88,8 @@
         """Job that an item id first came with."""
         self._job_count = 0
         self._calls = 0
+        self._has_news = False
+        """Whether an item came or a slot was freed since the last turn of scheduling."""
 
     def __len__(self) -> int:
         """Items under way."""
@@ -106,6 +106,7 @@
     def add_job(self, job: JobState) -> None:
         """Take up a job's unlisted items."""
         self._job_count += 1
+        self._has_news = True
         for number, item in enumerate(job.job.items):
             first_job = self._seen.setdefault(item.item_id, job.job.job_id)
             if not job.is_open or job.is_listed(item.item_id):
@@ -148,6 +149,7 @@
             self._by_call.pop(run.call_id, None)
         run.call_id = None
         run.has_head = False
+        self._has_news = True
         state = self._engine_of(run)
         if state is not None:
             state.running -= 1
@@ -158,46 +160,72 @@
     # Scheduling
 
     def tick(self, now: float) -> list[Effect]:
-        """Start what can be started; call it only while this process may act as leader."""
-        effects: list[Effect] = []
+        """Start, try again and move what is due, every few ten milliseconds.
+
+        Call it only while this process may act as leader.
+        """
+        effects = [effect for run in self._due_again(now) for effect in self._go_on(run, now)]
+        effects.extend(self._start_waiting(now))
+        if not any(run.phase is RunPhase.WAITING for run in self._runs.values()):
+            effects.extend(self._move_slow_runs(now))
+        return effects
+
+    def start_if_news(self, now: float) -> list[Effect]:
+        """Start waiting items after an event, if it freed a slot or brought items.
+
+        Call it only while this process may act as leader.
+        """
+        return self._start_waiting(now) if self._has_news else []
+
+    def _due_again(self, now: float) -> list[ItemRun]:
+        """Runs that wait to be scored or listed once more."""
+        later = (RunPhase.SCORING, RunPhase.LISTING)
+        runs = self._runs.values()
+        return [run for run in runs if run.phase in later and 0.0 < run.wait_until <= now]
+
+    def _go_on(self, run: ItemRun, now: float) -> list[Effect]:
+        return self._score(run, now) if run.phase is RunPhase.SCORING else self._propose(run, now)
+
+    def _start_waiting(self, now: float) -> list[Effect]:
+        """Give free slots to the most urgent items."""
+        self._has_news = False
+        turn = SchedulingTurn(self._engines, self._follows, now)
         waiting = [run for run in self._runs.values() if run.phase is RunPhase.WAITING]
-        groups = group_progress(self._runs.values()) if waiting else {}
+        if not waiting or not turn.has_open_engines:
+            return []
+        groups = group_progress(self._runs.values())
         waiting.sort(key=lambda run: urgency(run, groups[(run.job_id, run.item.group)]))
+        effects: list[Effect] = []
         for run in waiting:
             if run.wait_until <= now:
                 group = groups[(run.job_id, run.item.group)]
-                effects.extend(self._try_start(run, group, now))
+                effects.extend(self._try_start(run, group, turn, now))
+            if not turn.has_open_engines:
+                break
+        return effects
+
+    def _move_slow_runs(self, now: float) -> list[Effect]:
+        """Let runs of slow engines go on at faster ones that have free slots."""
+        turn = SchedulingTurn(self._engines, self._follows, now)
+        effects: list[Effect] = []
+        moved = 0
         for run in list(self._runs.values()):
-            if not 0.0 < run.wait_until <= now:
-                continue
-            if run.phase is RunPhase.SCORING:
-                effects.extend(self._score(run, now))
-            elif run.phase is RunPhase.LISTING:
-                effects.extend(self._propose(run, now))
-        if not waiting:
-            effects.extend(self._move_slow_run(now))
+            if moved == MOVES_A_TICK or not turn.has_open_engines:
+                break
+            if self._had_better_move(run, turn, now):
+                effects.extend(self._wait(run, "slow_engine", now, 0.0))
+                moved += 1
         return effects
 
-    def _move_slow_run(self, now: float) -> list[Effect]:
-        """Let one run of a slow engine go on at a faster one that has a free slot."""
-        for run in self._runs.values():
-            present = self._engine_of(run)
-            if run.phase is not RunPhase.GENERATING or present is None:
-                continue
-            job = self._jobs.jobs[run.job_id].job
-            engines = self._engines.of_service(present.backend.service)
-            other = choose_engine(
-                engines,
-                job.model,
-                job.minimum_version,
-                None,
-                self._follows,
-                now,
-            )
-            typical = typical_event_seconds(engines, now)
-            if other is not None and is_worth_moving(run, present, other, typical, now):
-                return self._wait(run, "slow_engine", now, 0.0)
-        return []
+    def _had_better_move(self, run: ItemRun, turn: SchedulingTurn, now: float) -> bool:
+        present = self._engine_of(run)
+        if run.phase is not RunPhase.GENERATING or present is None:
+            return False
+        job = self._jobs.jobs[run.job_id].job
+        service = present.backend.service
+        other = turn.choose(service, job.model, job.minimum_version, None)
+        typical = turn.typical_event_seconds(service)
+        return other is not None and is_worth_moving(run, present, other, typical, now)
 
     def give_up_job(self, job_id: str, now: float) -> list[Effect]:
         """List every unlisted item of a job as terminated: its time is over."""
@@ -211,25 +239,22 @@
             effects.extend(self._list(run, run.terminated(), "queue_time", now))
         return effects
 
-    def _try_start(self, run: ItemRun, group: GroupProgress, now: float) -> list[Effect]:
+    def _try_start(
+        self, run: ItemRun, group: GroupProgress, turn: SchedulingTurn, now: float
+    ) -> list[Effect]:
         job = self._jobs.jobs[run.job_id].job
         host = run.item.headers.get("host", job.host)
         route = self._follower.routes.find(host, run.item.path.partition("?")[0])
         if route is None:
             return []
         service = self._split.choose(route)
-        engine = choose_engine(
-            self._engines.of_service(service),
-            job.model,
-            job.minimum_version,
-            group.last_backend,
-            self._follows,
-            now,
-        )
+        engine = turn.choose(service, job.model, job.minimum_version, group.last_backend)
         if engine is None:
             return []
         group.last_backend = engine.backend.backend_id
-        return [self._start(run, engine, host, now)]
+        effect = self._start(run, engine, host, now)
+        turn.note_begun(engine)
+        return [effect]
 
     def _start(self, run: ItemRun, engine: EngineState, host: str, now: float) -> Effect:
         self._calls += 1
--- a/src/merlinstand/batch_jobs/schedule.py
+++ b/src/merlinstand/batch_jobs/schedule.py
@@ -59,6 +59,7 @@
     preferred: BackendId | None,
     follows: Callable[[BackendId, str], bool],
     now: float,
+    typical_seconds: float | None = None,
 ) -> EngineState | None:
     """Choose an engine with a free slot whose weights are new enough.
 
@@ -69,9 +70,13 @@
         preferred: Engine that holds the group's shared prompt.
         follows: Whether an engine is there for a model in the first place.
         now: Local time.
+        typical_seconds: Median time of one event over the service's engines; None to take it
+            over `engines`.
     """
     engines = list(engines)
-    typical = typical_event_seconds(engines, now)
+    typical = typical_seconds
+    if typical is None:
+        typical = typical_event_seconds(engines, now)
     fitting = [
         state
         for state in engines
--- /dev/null
+++ b/tests/batch_jobs/test_runner_scheduling.py
@@ -0,0 +1,138 @@
+"""When the runner looks for engines, and how little it does while none is free."""
+
+from collections.abc import Callable
+
+import pytest
+
+from merlinstand.batch_jobs import scheduling_turn
+from merlinstand.batch_jobs.engines import EngineStates
+from merlinstand.batch_jobs.model import BatchItem, BatchJob
+from merlinstand.batch_jobs.runner import ItemRunner
+from merlinstand.batch_jobs.state_machine import JobStates
+from merlinstand.common.ids import BackendId
+from merlinstand.directory.backends import Backend
+from merlinstand.directory.follower import DirectoryFollower
+from merlinstand.directory.routes import (
+    Route,
+    RouteKind,
+    RoutesDocument,
+    RouteTable,
+    RouteTarget,
+    Service,
+)
+from merlinstand.directory.view import DaemonReport
+from merlinstand.forwarding.forwarder import Forwarder
+from merlinstand.forwarding.header_names import HeaderNames
+from merlinstand.forwarding.weighted_choice import WeightedChoice
+from merlinstand.kernel.effects import Effect, StartCall
+from merlinstand.kernel.events import CallChunk, CallEnded, CallFailed, CallHeaders, CallPhase
+
+SLOTS = 3
+ENGINES = 2
+ITEMS = 40
+ROUTE = Route(
+    name="r",
+    host="h",
+    path_prefix="/l/",
+    kind=RouteKind.BATCH,
+    timeout_seconds=10.0,
+    targets=(RouteTarget("llm", 1.0),),
+    maximum_attempts=3,
+)
+
+
+def no_report(_now: float) -> DaemonReport:
+    return DaemonReport(node_id="k", name="k", role="keeper")
+
+
+@pytest.fixture
+def runner() -> ItemRunner:
+    follower = DirectoryFollower((), no_report)
+    follower.routes = RouteTable(
+        RoutesDocument(version=1, routes=(ROUTE,), services=(Service(name="llm"),))
+    )
+    follower.backends = tuple(
+        Backend(backend_id=BackendId(f"e{n}"), service="llm", address=f"10.0.0.{n}:1", slots=SLOTS)
+        for n in range(ENGINES)
+    )
+    follower.backends_revision = 1
+    engines = EngineStates(follower)
+    engines.refresh()
+    jobs = JobStates()
+    names = HeaderNames()
+    forwarder = Forwarder(names, follower.snapshot_of)
+    made = ItemRunner(
+        jobs,
+        follower,
+        engines,
+        forwarder,
+        names,
+        lambda _backend, _model: True,
+        WeightedChoice(),
+        lambda _job, _result, _now: [],
+    )
+    items = tuple(
+        BatchItem(item_id=f"i{n}", path="/l/1", headers={"host": "h"}, body=b"", group=f"g{n // 4}")
+        for n in range(ITEMS)
+    )
+    job = BatchJob(job_id="j", host="h", path="/l/", items=items)
+    jobs._accept(job, 0.0)
+    made.add_job(jobs.jobs["j"])
+    return made
+
+
+def calls(effects: list[Effect]) -> list[StartCall]:
+    return [effect for effect in effects if isinstance(effect, StartCall)]
+
+
+def test_a_new_job_fills_the_free_slots_and_no_more(runner: ItemRunner) -> None:
+    begun = calls(runner.start_if_news(0.0))
+    assert len(begun) == SLOTS * ENGINES
+    assert calls(runner.start_if_news(0.01)) == []
+
+
+def test_a_freed_slot_is_given_to_the_next_item_at_once(runner: ItemRunner) -> None:
+    call = calls(runner.start_if_news(0.0))[0]
+    head = CallHeaders(call.call_id, 200, {})
+    runner.on_call(head, 0.1)
+    runner.on_call(CallChunk(call.call_id, b"id: 1\ndata: x\n\n"), 0.15)
+    runner.on_call(CallEnded(call.call_id), 0.2)
+    [following] = calls(runner.start_if_news(0.2))
+    assert following.address == call.address
+
+
+def test_nothing_is_weighed_while_no_engine_is_free(
+    runner: ItemRunner, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """vitrina-ro-grown scale-2: with 300 items waiting, each event cost the leader 6 ms."""
+    runner.start_if_news(0.0)
+    weighed: list[str] = []
+    monkeypatch.setattr(scheduling_turn, "choose_engine", _recorder(weighed))
+    for step in range(20):
+        runner.tick(0.01 * step)
+        runner.start_if_news(0.01 * step)
+    assert weighed == []
+
+
+def test_items_of_one_wish_that_no_engine_fulfils_are_weighed_once(
+    runner: ItemRunner, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    weighed: list[str] = []
+    monkeypatch.setattr(scheduling_turn, "choose_engine", _recorder(weighed))
+    runner.start_if_news(0.0)
+    assert weighed == ["llm"]
+
+
+def test_an_item_whose_run_failed_waits_for_its_pause(runner: ItemRunner) -> None:
+    call = calls(runner.start_if_news(0.0))[0]
+    runner.on_call(CallFailed(call.call_id, CallPhase.CONNECT, "refused"), 0.1)
+    assert calls(runner.start_if_news(0.1)) == []
+    # Its engine is avoided for a while; then the freed slot is used.
+    assert len(calls(runner.tick(1.0))) == 1
+
+
+def _recorder(weighed: list[str]) -> Callable[..., None]:
+    def choose(engines: list[object], *_rest: object) -> None:
+        weighed.append("llm")
+
+    return choose
