The log keeps the texts of long items: a new leading keeper goes on where they end

Change: each item that still generates 1 s after its last part gives the log what is new (`KeepTexts`, several items in one entry); a new leader resumes after the last kept event. Short items, the most, give nothing; listed and ended ones are dropped.

--- a/src/merlinstand/batch_jobs/daemon.py
+++ b/src/merlinstand/batch_jobs/daemon.py
@@ -24,6 +24,7 @@
 )
 from merlinstand.batch_jobs.engine_interface import EngineInterface
 from merlinstand.batch_jobs.engines import EngineStates
+from merlinstand.batch_jobs.kept_text import TextPart
 from merlinstand.batch_jobs.model import ItemResult
 from merlinstand.batch_jobs.reads import DecisionWaiter, ResultsWaiter, results_page
 from merlinstand.batch_jobs.runner import CALL_PREFIX as ITEM_PREFIX
@@ -35,6 +36,7 @@
     ForgetJob,
     JobCommand,
     JobStates,
+    KeepTexts,
     ListResult,
     NoteOrder,
     decode_command,
@@ -112,6 +114,7 @@
             lambda backend_id, model: self._weights.follows(backend_id, model),
             self._split,
             self._list_result,
+            self._keep_texts,
         )
         self._weights = WeightLoader(
             self.follower,
@@ -301,6 +304,8 @@
                 return effects + self._answer_readers(command.job_id)
             case ForgetJob():
                 return self._runner.end_job(command.job_id, now)
+            case KeepTexts():
+                return []
             case NoteOrder():
                 if command.holder != self._settings.name or not self._is_running:
                     return []
@@ -321,6 +326,10 @@
         proposed = self._propose(ListResult(job_id, result), now)
         return None if proposed is None else proposed[2]
 
+    def _keep_texts(self, parts: tuple[TextPart, ...], now: float) -> list[Effect] | None:
+        proposed = self._propose(KeepTexts(parts), now)
+        return None if proposed is None else proposed[2]
+
     def _free_to_order_in(self, backend_id: BackendId, now: float) -> float:
         """Seconds until no order of another holder can be younger than the lease."""
         last = self.jobs.orders.get(backend_id)
--- a/src/merlinstand/batch_jobs/event_text.py
+++ b/src/merlinstand/batch_jobs/event_text.py
@@ -1,5 +1,7 @@
 """The text of one item, gathered from server-sent events of one or several runs."""
 
+from collections.abc import Sequence
+
 import msgspec
 from result import Err, Ok, Result
 
@@ -73,6 +75,18 @@
         self._cutter = EventCutter()
         self._current_version = version
 
+    def restore(self, pieces: Sequence[str], versions: Sequence[int]) -> None:
+        """Go on after a beginning that was kept.
+
+        Args:
+            pieces: Data of the first events.
+            versions: Weight versions that made them.
+        """
+        self.reset()
+        self.pieces = list(pieces)
+        self.versions = list(versions)
+        self.last_event_id = len(self.pieces)
+
     def reset(self) -> None:
         """Drop everything."""
         self.__init__()  # type: ignore[misc]
--- a/src/merlinstand/batch_jobs/item_run.py
+++ b/src/merlinstand/batch_jobs/item_run.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from merlinstand.batch_jobs.event_text import ItemText
+from merlinstand.batch_jobs.kept_text import KeptText, TextPart
 from merlinstand.batch_jobs.model import BatchItem, ItemResult, ResultState
 from merlinstand.common.ids import BackendId, CallId
 
@@ -41,6 +42,10 @@
     """Whether the present run was accepted by its engine."""
     wait_until: float = 0.0
     scoring_failures: int = 0
+    kept_events: int = 0
+    """Events of the text that were given to the log."""
+    kept_at: float = 0.0
+    """When they were, or when the item first began; 0 before that."""
     score: str = ""
     result: ItemResult | None = None
     """Set once it is to be listed."""
@@ -52,6 +57,26 @@
         """Names the item within this process."""
         return f"{self.job_id}/{self.item.item_id}"
 
+    def restart_text(self) -> None:
+        """Drop the text: it can't go on."""
+        self.text.reset()
+        self.kept_events = 0
+
+    def resume_text(self, kept: KeptText) -> None:
+        """Go on after the beginning that an earlier leader kept."""
+        self.text.restore(kept.pieces, kept.versions)
+        self.kept_events = self.text.last_event_id
+
+    def next_part(self) -> TextPart:
+        """What was not given to the log yet."""
+        return TextPart(
+            job_id=self.job_id,
+            item_id=self.item.item_id,
+            first_event_id=self.kept_events + 1,
+            pieces=tuple(self.text.pieces[self.kept_events :]),
+            versions=tuple(self.text.versions),
+        )
+
     def succeeded(self) -> ItemResult:
         """The result of a whole text."""
         return ItemResult(
--- /dev/null
+++ b/src/merlinstand/batch_jobs/kept_text.py
@@ -0,0 +1,38 @@
+"""Texts of unfinished items, replicated now and then: a new leader goes on where they end."""
+
+import msgspec
+
+
+class TextPart(msgspec.Struct, frozen=True, array_like=True):
+    """Events that one unfinished item has gained since its last part."""
+
+    job_id: str
+    item_id: str
+    first_event_id: int
+    """Id of the first event given; 1 if the text began anew."""
+    pieces: tuple[str, ...]
+    """Data of the events, in order."""
+    versions: tuple[int, ...]
+    """Every weight version that made an event of the text so far."""
+
+    @property
+    def size(self) -> int:
+        """Characters given."""
+        return sum(len(piece) for piece in self.pieces)
+
+
+class KeptText(msgspec.Struct):
+    """The replicated beginning of one item's text."""
+
+    pieces: list[str] = msgspec.field(default_factory=list)
+    """Data of events 1, 2, and so on."""
+    versions: tuple[int, ...] = ()
+
+    def take(self, part: TextPart) -> None:
+        """Append a part; one that begins anew replaces everything, one with a gap is dropped."""
+        if part.first_event_id == 1:
+            self.pieces = []
+        if part.first_event_id != len(self.pieces) + 1:
+            return
+        self.pieces.extend(part.pieces)
+        self.versions = part.versions
--- a/src/merlinstand/batch_jobs/runner.py
+++ b/src/merlinstand/batch_jobs/runner.py
@@ -1,6 +1,7 @@
 """Runs and scores the items of open jobs; lives in the leading keeper only.
 
-Everything here may be lost with the process: an item without a position is run again.
+Everything here may be lost with the process: an item without a position is run again, from the
+last part of its text on that the log holds.
 """
 
 from collections.abc import Callable
@@ -9,6 +10,7 @@
 
 from merlinstand.batch_jobs.engines import EngineState, EngineStates
 from merlinstand.batch_jobs.item_run import ItemRun, RunPhase
+from merlinstand.batch_jobs.kept_text import TextPart
 from merlinstand.batch_jobs.model import ItemResult
 from merlinstand.batch_jobs.schedule import (
     GroupProgress,
@@ -40,6 +42,10 @@
 MISDIRECTED_STATUS = 421
 UNPROCESSABLE_STATUS = 422
 SERVER_ERROR_STATUS = 500
+KEEP_TEXT_SECONDS = 1.0
+"""Text of an item that is still being generated is given to the log this often."""
+KEPT_CHARACTERS_A_TICK = 256 * 1024
+"""Text given to the log at one tick, about: more waits for the next."""
 MOVES_A_TICK = 4
 """Runs that leave slow engines at one tick, at most: each reads its prompt anew elsewhere."""
 CARRIED_LIMIT = 20_000
@@ -61,6 +67,7 @@
         follows: Callable[[BackendId, str], bool],
         split: WeightedChoice,
         list_result: Callable[[str, ItemResult, float], list[Effect] | None],
+        keep_texts: Callable[[tuple[TextPart, ...], float], list[Effect] | None],
     ) -> None:
         """Begin without items.
 
@@ -73,6 +80,7 @@
             follows: Whether an engine is there for a model in the first place.
             split: Chooses the service of a weighted route.
             list_result: Proposes a result for its job; None if that can't be done now.
+            keep_texts: Proposes to remember texts of unfinished items; None likewise.
         """
         self._jobs = jobs
         self._follower = follower
@@ -82,6 +90,7 @@
         self._follows = follows
         self._split = split
         self._list_result = list_result
+        self._keep_texts = keep_texts
         self._runs: dict[str, ItemRun] = {}
         self._by_call: dict[CallId, ItemRun] = {}
         self._seen: dict[str, str] = {}
@@ -113,6 +122,9 @@
                 continue
             run = ItemRun(job.job.job_id, item, (self._job_count, number))
             run.is_carried = first_job != job.job.job_id
+            kept = job.kept_texts.get(item.item_id)
+            if kept is not None:
+                run.resume_text(kept)
             self._runs[run.key] = run
         while len(self._seen) > CARRIED_LIMIT:
             del self._seen[next(iter(self._seen))]
@@ -168,7 +180,7 @@
         effects.extend(self._start_waiting(now))
         if not any(run.phase is RunPhase.WAITING for run in self._runs.values()):
             effects.extend(self._move_slow_runs(now))
-        return effects
+        return effects + self._keep_long_texts(now)
 
     def start_if_news(self, now: float) -> list[Effect]:
         """Start waiting items after an event, if it freed a slot or brought items.
@@ -204,6 +216,22 @@
                 break
         return effects
 
+    def _keep_long_texts(self, now: float) -> list[Effect]:
+        """Have the log keep the texts of items that take long: they would end last again."""
+        runs = [run for run in self._runs.values() if _is_text_due(run, now)]
+        parts: list[TextPart] = []
+        for run in runs:
+            parts.append(run.next_part())
+            if sum(part.size for part in parts) >= KEPT_CHARACTERS_A_TICK:
+                break
+        effects = self._keep_texts(tuple(parts), now) if parts else None
+        if effects is None:
+            return []
+        for run in runs[: len(parts)]:
+            run.kept_events = run.text.last_event_id
+            run.kept_at = now
+        return effects
+
     def _move_slow_runs(self, now: float) -> list[Effect]:
         """Let runs of slow engines go on at faster ones that have free slots."""
         turn = SchedulingTurn(self._engines, self._follows, now)
@@ -263,6 +291,7 @@
         run.backend_id = engine.backend.backend_id
         run.phase = RunPhase.GENERATING
         run.begun_at = run.heard_at = now
+        run.kept_at = run.kept_at or now
         engine.running += 1
         self._by_call[call_id] = run
         headers = {
@@ -314,7 +343,7 @@
             return self._wait(run, "version_too_old", now, RETRY_PAUSE_SECONDS)
         if self._is_single_version(run) and run.text.versions not in ([], [version]):
             # The kept text can't go on under other weights.
-            run.text.reset()
+            run.restart_text()
             return self._wait(run, "version_changed", now, 0.0)
         run.has_head = True
         run.text.begin_run(version)
@@ -351,7 +380,7 @@
             return [log, *self._wait(run, "bad_stream", now, RETRY_PAUSE_SECONDS)]
         self._note_event_times(run, run.text.last_event_id - before, now)
         if self._is_single_version(run) and len(run.text.versions) > 1:
-            run.text.reset()
+            run.restart_text()
             return self._wait(run, "version_changed", now, 0.0)
         return []
 
@@ -473,5 +502,10 @@
         return effects
 
 
+def _is_text_due(run: ItemRun, now: float) -> bool:
+    has_news = run.phase is RunPhase.GENERATING and run.text.last_event_id > run.kept_events
+    return has_news and now - run.kept_at >= KEEP_TEXT_SECONDS
+
+
 def _whole_number(text: str) -> int:
     return int(text) if text.isascii() and text.isdigit() else 0
--- a/src/merlinstand/batch_jobs/state_machine.py
+++ b/src/merlinstand/batch_jobs/state_machine.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from merlinstand.batch_jobs.kept_text import KeptText, TextPart
 from merlinstand.batch_jobs.model import BatchItem, BatchJob, ItemResult
 
 
@@ -37,7 +38,13 @@
     holder: str
 
 
-JobCommand = AcceptJob | ListResult | CloseJob | ForgetJob | NoteOrder
+class KeepTexts(msgspec.Struct, frozen=True, tag="texts"):
+    """Remember how far some unfinished items have come."""
+
+    parts: tuple[TextPart, ...]
+
+
+JobCommand = AcceptJob | ListResult | CloseJob | ForgetJob | NoteOrder | KeepTexts
 
 RECENT_JOBS = 3
 """Jobs of a model from which its demand is told."""
@@ -69,6 +76,8 @@
     ended_at: float = 0.0
     items_by_id: dict[str, BatchItem] = msgspec.field(default_factory=dict)
     listed_ids: set[str] = msgspec.field(default_factory=set)
+    kept_texts: dict[str, KeptText] = msgspec.field(default_factory=dict)
+    """Beginnings of the texts of long items that have no position yet."""
 
     def __post_init__(self) -> None:
         """Index the items."""
@@ -92,11 +101,17 @@
         """Items without a position."""
         return [item for item in self.job.items if item.item_id not in self.listed_ids]
 
+    def keep_text(self, part: TextPart) -> None:
+        """Take in more of an unfinished item's text."""
+        if self.is_open and part.item_id in self.items_by_id and not self.is_listed(part.item_id):
+            self.kept_texts.setdefault(part.item_id, KeptText()).take(part)
+
     def add(self, result: ItemResult) -> bool:
         """Give a result the next position; false if its item has one or is unknown."""
         if result.item_id in self.listed_ids or result.item_id not in self.items_by_id:
             return False
         self.listed_ids.add(result.item_id)
+        self.kept_texts.pop(result.item_id, None)
         self.results.append(result)
         return True
 
@@ -109,6 +124,7 @@
     results: list[ItemResult]
     is_ended: bool
     ended_at: float
+    kept_texts: dict[str, KeptText]
 
 
 class LastOrder(msgspec.Struct, frozen=True, array_like=True):
@@ -166,6 +182,12 @@
                 while len(self.orders) > ORDERS_LIMIT:
                     del self.orders[next(iter(self.orders))]
                 return ""
+            case KeepTexts():
+                for part in command.parts:
+                    held = self.jobs.get(part.job_id)
+                    if held is not None:
+                        held.keep_text(part)
+                return ""
 
     def _accept(self, job: BatchJob, group_time: float) -> str:
         if job.job_id in self.jobs:
@@ -179,6 +201,7 @@
             return ""
         job.is_ended = True
         job.ended_at = group_time
+        job.kept_texts.clear()
         return job_id
 
     def recent_tokens(self, model: str) -> float:
@@ -191,7 +214,9 @@
     def snapshot(self) -> bytes:
         """Encode the whole state."""
         jobs = [
-            StoredJob(job.job, job.accepted_at, job.results, job.is_ended, job.ended_at)
+            StoredJob(
+                job.job, job.accepted_at, job.results, job.is_ended, job.ended_at, job.kept_texts
+            )
             for job in self.jobs.values()
         ]
         return msgspec.msgpack.encode(StoredJobs(jobs, self.orders))
@@ -206,7 +231,12 @@
         self.orders = dict(snapshot.orders)
         self.jobs = {
             stored.job.job_id: JobState(
-                stored.job, stored.accepted_at, stored.results, stored.is_ended, stored.ended_at
+                stored.job,
+                stored.accepted_at,
+                stored.results,
+                stored.is_ended,
+                stored.ended_at,
+                kept_texts=stored.kept_texts,
             )
             for stored in snapshot.jobs
         }
--- /dev/null
+++ b/tests/batch_jobs/test_kept_texts.py
@@ -0,0 +1,109 @@
+"""Texts of long items outlive the leading keeper (tatravet-book trouble-3: a text of 179 events,
+lost after 4.9 s with its leader, made its trainer's step 6 s late)."""
+
+import pytest
+
+from merlinstand.batch_jobs.item_run import RunPhase
+from merlinstand.batch_jobs.kept_text import KeptText, TextPart
+from merlinstand.batch_jobs.model import BatchItem, BatchJob, ItemResult, ResultState
+from merlinstand.batch_jobs.runner import KEEP_TEXT_SECONDS, ItemRunner
+from merlinstand.batch_jobs.state_machine import (
+    AcceptJob,
+    CloseJob,
+    JobStates,
+    KeepTexts,
+    ListResult,
+    decode_command,
+    encode_command,
+)
+from merlinstand.kernel.events import CallChunk, CallHeaders
+from tests.batch_jobs.test_runner_scheduling import calls, make_runner
+
+JOB = BatchJob(
+    job_id="j",
+    host="h",
+    path="/l/",
+    items=tuple(
+        BatchItem(item_id=item, path="/l/1", headers={"host": "h"}, body=b"") for item in "ab"
+    ),
+)
+VERSIONS = {"x-weight-versions": "3"}
+
+
+def part(first: int, *pieces: str, item: str = "a") -> TextPart:
+    return TextPart("j", item, first, pieces, (3,))
+
+
+@pytest.mark.parametrize(
+    ("parts", "pieces"),
+    [
+        ([part(1, "x", "y"), part(3, "z")], ["x", "y", "z"]),
+        ([part(1, "x"), part(3, "z")], ["x"]),
+        ([part(2, "y")], []),
+        ([part(1, "x", "y"), part(1, "n")], ["n"]),
+        ([part(1, "x"), part(1, "x")], ["x"]),
+    ],
+    ids=["goes on", "gap", "no beginning", "began anew", "twice"],
+)
+def test_parts_make_a_beginning_without_gaps(parts: list[TextPart], pieces: list[str]) -> None:
+    kept = KeptText()
+    for one in parts:
+        kept.take(one)
+    assert kept.pieces == pieces
+
+
+def accepted() -> JobStates:
+    states = JobStates()
+    states.apply(AcceptJob(JOB), 0.0)
+    return states
+
+
+def test_what_is_listed_or_ended_is_kept_no_more() -> None:
+    states = accepted()
+    states.apply(KeepTexts((part(1, "x"), part(1, "y", item="b"))), 1.0)
+    states.apply(ListResult("j", ItemResult(item_id="a", state=ResultState.SUCCEEDED)), 2.0)
+    assert list(states.jobs["j"].kept_texts) == ["b"]
+    states.apply(KeepTexts((part(1, "late"),)), 2.1)
+    assert list(states.jobs["j"].kept_texts) == ["b"]
+    states.apply(CloseJob("j"), 3.0)
+    states.apply(KeepTexts((part(1, "late", item="b"), part(1, "foreign", item="q"))), 3.1)
+    assert states.jobs["j"].kept_texts == {}
+
+
+def test_a_new_leader_goes_on_after_the_last_kept_event() -> None:
+    states = accepted()
+    command = decode_command(encode_command(KeepTexts((part(1, "x", "y"),))))
+    states.apply(command, 1.0)
+    restored = JobStates()
+    restored.restore(states.snapshot())
+    begun = calls(make_runner(restored).start_if_news(0.0))
+    assert {call.headers.get("last-event-id") for call in begun} == {"2", None}
+
+
+def test_only_long_items_are_given_to_the_log_and_each_event_once() -> None:
+    proposed: list[tuple[TextPart, ...]] = []
+    runner = make_runner(accepted(), proposed)
+    call = calls(runner.start_if_news(0.0))[0]
+    runner.on_call(CallHeaders(call.call_id, 200, VERSIONS), 0.1)
+    runner.on_call(CallChunk(call.call_id, b"id: 1\ndata: x\n\n"), 0.2)
+    runner.tick(0.5 * KEEP_TEXT_SECONDS)
+    assert proposed == []
+    runner.tick(KEEP_TEXT_SECONDS)
+    runner.on_call(CallChunk(call.call_id, b"id: 2\ndata: y\n\n"), 1.2)
+    runner.tick(2.5 * KEEP_TEXT_SECONDS)
+    runner.tick(4.0 * KEEP_TEXT_SECONDS)
+    firsts = [(one.first_event_id, one.pieces) for parts in proposed for one in parts]
+    assert firsts == [(1, ("x",)), (2, ("y",))]
+
+
+def test_a_text_that_begins_anew_replaces_the_kept_one() -> None:
+    proposed: list[tuple[TextPart, ...]] = []
+    runner: ItemRunner = make_runner(accepted(), proposed)
+    call = calls(runner.start_if_news(0.0))[0]
+    runner.on_call(CallHeaders(call.call_id, 200, VERSIONS), 0.1)
+    runner.on_call(CallChunk(call.call_id, b"id: 1\ndata: x\n\n"), 0.2)
+    runner.tick(KEEP_TEXT_SECONDS)
+    [run] = [r for r in runner._runs.values() if r.call_id == call.call_id]
+    assert run.phase is RunPhase.GENERATING
+    run.restart_text()
+    assert run.next_part().first_event_id == 1
--- a/tests/batch_jobs/test_runner_scheduling.py
+++ b/tests/batch_jobs/test_runner_scheduling.py
@@ -6,9 +6,10 @@
 
 from merlinstand.batch_jobs import scheduling_turn
 from merlinstand.batch_jobs.engines import EngineStates
+from merlinstand.batch_jobs.kept_text import TextPart
 from merlinstand.batch_jobs.model import BatchItem, BatchJob
 from merlinstand.batch_jobs.runner import ItemRunner
-from merlinstand.batch_jobs.state_machine import JobStates
+from merlinstand.batch_jobs.state_machine import AcceptJob, JobStates
 from merlinstand.common.ids import BackendId
 from merlinstand.directory.backends import Backend
 from merlinstand.directory.follower import DirectoryFollower
@@ -45,8 +46,8 @@
     return DaemonReport(node_id="k", name="k", role="keeper")
 
 
-@pytest.fixture
-def runner() -> ItemRunner:
+def make_runner(jobs: JobStates, kept: list[tuple[TextPart, ...]] | None = None) -> ItemRunner:
+    """Make a runner of two engines that has taken up all jobs; `kept` notes kept texts."""
     follower = DirectoryFollower((), no_report)
     follower.routes = RouteTable(
         RoutesDocument(version=1, routes=(ROUTE,), services=(Service(name="llm"),))
@@ -58,9 +59,14 @@
     follower.backends_revision = 1
     engines = EngineStates(follower)
     engines.refresh()
-    jobs = JobStates()
     names = HeaderNames()
     forwarder = Forwarder(names, follower.snapshot_of)
+
+    def keep_texts(parts: tuple[TextPart, ...], _now: float) -> list[Effect]:
+        if kept is not None:
+            kept.append(parts)
+        return []
+
     made = ItemRunner(
         jobs,
         follower,
@@ -70,15 +76,21 @@
         lambda _backend, _model: True,
         WeightedChoice(),
         lambda _job, _result, _now: [],
+        keep_texts,
     )
+    made.begin()
+    return made
+
+
+@pytest.fixture
+def runner() -> ItemRunner:
     items = tuple(
         BatchItem(item_id=f"i{n}", path="/l/1", headers={"host": "h"}, body=b"", group=f"g{n // 4}")
         for n in range(ITEMS)
     )
-    job = BatchJob(job_id="j", host="h", path="/l/", items=items)
-    jobs._accept(job, 0.0)
-    made.add_job(jobs.jobs["j"])
-    return made
+    jobs = JobStates()
+    jobs.apply(AcceptJob(BatchJob(job_id="j", host="h", path="/l/", items=items)), 0.0)
+    return make_runner(jobs)
 
 
 def calls(effects: list[Effect]) -> list[StartCall]:
--- a/tests/batch_jobs/test_scoring.py
+++ b/tests/batch_jobs/test_scoring.py
@@ -62,6 +62,7 @@
             lambda _backend, _model: True,
             WeightedChoice(),
             self._list,
+            lambda _parts, _now: [],
         )
         self.runner.add_job(jobs.jobs["j"])
         [self.run] = self.runner._runs.values()
