--- a/src/merlinstand/forwarding/backend_choice.py
+++ b/src/merlinstand/forwarding/backend_choice.py
@@ -14,10 +14,6 @@
 """Weight of the newest latency in the moving average."""
 LATENCY_HALF_LIFE_SECONDS = 3.0
 """An old latency moves half the way to the first assumption in this time."""
-WARM_SECONDS = 4.0
-"""A connection that rested no longer than this is probably still open at the back end."""
-WARM_DISCOUNT = 0.7
-"""What a back end with such a connection costs, as a share: a new one costs both sides time."""
 FIRST_PENALTY_SECONDS = 0.5
 LONGEST_PENALTY_SECONDS = 4.0
 
@@ -28,8 +24,6 @@
     in_flight: int = 0
     latency_seconds: float = FIRST_LATENCY_SECONDS
     latency_at: float = 0.0
-    answered_at: float = float("-inf")
-    """When the newest whole answer came."""
     avoid_until: float = 0.0
     penalty_seconds: float = 0.0
 
@@ -45,21 +39,16 @@
         self.latency_seconds = present + LATENCY_WEIGHT * (seconds - present)
         self.latency_at = now
 
-    def is_warm(self, now: float) -> bool:
-        """Whether a connection to it is probably open and at rest."""
-        return now - self.answered_at < WARM_SECONDS and self.in_flight == 0
-
     def note_failure(self, now: float) -> None:
         """Avoid the back end for a while, longer each time."""
         longer = max(FIRST_PENALTY_SECONDS, self.penalty_seconds * 2)
         self.penalty_seconds = min(LONGEST_PENALTY_SECONDS, longer)
         self.avoid_until = now + self.penalty_seconds
 
-    def note_success(self, now: float) -> None:
+    def note_success(self) -> None:
         """The back end works."""
         self.penalty_seconds = 0.0
         self.avoid_until = 0.0
-        self.answered_at = now
 
 
 class BackendChooser:
@@ -112,5 +101,4 @@
     def _cost(self, backend: Backend, now: float) -> float:
         evidence = self.evidence(backend.backend_id)
         jitter = 1.0 + 0.2 * self._random.random()
-        share = WARM_DISCOUNT if evidence.is_warm(now) else 1.0
-        return (evidence.in_flight + 1) * evidence.latency(now) * jitter * share
+        return (evidence.in_flight + 1) * evidence.latency(now) * jitter
--- a/src/merlinstand/forwarding/forwarder.py
+++ b/src/merlinstand/forwarding/forwarder.py
@@ -153,7 +153,7 @@
             return self._try_again(pending, now)
         answer = Answered(event.status, event.headers, event.body)
         if event.status < FIRST_SERVER_ERROR_STATUS:
-            evidence.note_success(now)
+            evidence.note_success()
             evidence.note_latency(now - attempt.started_at, now)
             return self._finish(pending, answer, attempt, now)
         pending.may_have_run = True
--- a/src/merlinstand/forwarding/stream_forwarder.py
+++ b/src/merlinstand/forwarding/stream_forwarder.py
@@ -172,7 +172,7 @@
             # A server that stops within an event has not ended its stream.
             return [*self._drop_call(stream), *self._try_again(stream, "cut short", now)]
         if stream.backend is not None:
-            self._chooser.evidence(stream.backend.backend_id).note_success(now)
+            self._chooser.evidence(stream.backend.backend_id).note_success()
         end = RespondEnd(RequestId(stream.request.key), whole=True)
         return [end, *self._close(stream)]
 
