A wish to empty a keeper is acknowledged again by a leader that has heard of nobody

Ruled out: a lost entry (the wish was in the log).

Change: the log keeps the machine's name with the wish (`directory/keeper_retirement.py`, pure); until a leader has led for as long as reports stay fresh it answers 503 where it would say unknown or too few.

Test: table of wishes (fails before: 404).

--- a/src/merlinstand/batch_jobs/daemon.py
+++ b/src/merlinstand/batch_jobs/daemon.py
@@ -26,7 +26,7 @@
 from merlinstand.batch_jobs.engines import EngineStates
 from merlinstand.batch_jobs.kept_text import TextPart
 from merlinstand.batch_jobs.model import ItemResult
-from merlinstand.batch_jobs.reads import DecisionWaiter, ResultsWaiter, results_page
+from merlinstand.batch_jobs.reads import ResultsWaiter, results_page
 from merlinstand.batch_jobs.runner import CALL_PREFIX as ITEM_PREFIX
 from merlinstand.batch_jobs.runner import ItemRunner
 from merlinstand.batch_jobs.settings import KeeperSettings
@@ -46,6 +46,7 @@
 from merlinstand.batch_jobs.weight_loader import WeightLoader
 from merlinstand.common.decoding import MALFORMED_INPUT
 from merlinstand.common.ids import BackendId, NodeId, RequestId, Zone
+from merlinstand.consensus.decision_waiters import DecisionWaiter, DecisionWaiters
 from merlinstand.consensus.recovery import holds_membership
 from merlinstand.consensus.replica import Replica
 from merlinstand.consensus.settings import PeerSettings, ReplicaSettings
@@ -129,7 +130,7 @@
         self.replica: Replica | None = None
         self._started: Started | None = None
         self._delivered_index = 0
-        self._decisions: dict[int, list[DecisionWaiter]] = {}
+        self._decisions: DecisionWaiters[BatchReply] = DecisionWaiters()
         self._readers: list[ResultsWaiter] = []
         self._is_running = False
         """Whether items are run here: this keeper leads and knows all that is committed."""
@@ -285,7 +286,8 @@
                 return effects
             changed = self.jobs.apply(command, entry.group_time)
             effects.extend(self._applied(command, changed, now))
-        for waiter in self._decisions.pop(entry.index, []):
+        waiter = self._decisions.take(entry.index)
+        if waiter is not None:
             reply = waiter.reply if waiter.term == entry.term else self._not_leader()
             effects.append(self._reply(waiter.request_id, reply))
         return effects
@@ -398,8 +400,7 @@
             return [self._reply(request_id, self._not_leader())]
         proposal = result.ok_value
         until = now + self._settings.call_timeout_seconds
-        waiter = DecisionWaiter(request_id, reply, proposal.term, until)
-        self._decisions.setdefault(proposal.index, []).append(waiter)
+        self._decisions.add(proposal.index, DecisionWaiter(request_id, reply, proposal.term, until))
         return self._perform(proposal.step, now)
 
     def _read_results(self, request_id: RequestId, call: ReadResults, now: float) -> list[Effect]:
@@ -479,16 +480,8 @@
         return effects
 
     def _give_up_decisions(self, now: float) -> list[Effect]:
-        effects: list[Effect] = []
-        for index, waiters in list(self._decisions.items()):
-            late = [waiter for waiter in waiters if waiter.until <= now]
-            if not late:
-                continue
-            self._decisions[index] = [waiter for waiter in waiters if waiter.until > now]
-            if not self._decisions[index]:
-                del self._decisions[index]
-            effects.extend(self._reply(waiter.request_id, Undecided()) for waiter in late)
-        return effects
+        late = self._decisions.take_late(now)
+        return [self._reply(waiter.request_id, Undecided()) for waiter in late]
 
     def _give_up_readers(self, now: float) -> list[Effect]:
         late = [reader for reader in self._readers if reader.until <= now]
--- a/src/merlinstand/batch_jobs/reads.py
+++ b/src/merlinstand/batch_jobs/reads.py
@@ -1,8 +1,8 @@
-"""Calls that wait in the leading keeper: for results, or for their log entry."""
+"""Readers that wait in the leading keeper for results."""
 
 import msgspec
 
-from merlinstand.batch_jobs.calls import BatchReply, ResultsPage
+from merlinstand.batch_jobs.calls import ResultsPage
 from merlinstand.batch_jobs.model import ItemResult
 from merlinstand.batch_jobs.state_machine import JobState
 from merlinstand.common.ids import RequestId
@@ -20,15 +20,6 @@
     until: float
 
 
-class DecisionWaiter(msgspec.Struct, frozen=True):
-    """A call that waits for its log entry."""
-
-    request_id: RequestId
-    reply: BatchReply
-    term: int
-    until: float
-
-
 def results_page(job: JobState, position: int) -> ResultsPage:
     """Give the results from a position on, as far as they fit one page."""
     results: list[ItemResult] = []
--- a/src/merlinstand/batch_jobs/weight_loader.py
+++ b/src/merlinstand/batch_jobs/weight_loader.py
@@ -48,8 +48,6 @@
     backend_id: BackendId
     model: str
     version: int
-    is_ordered: bool = False
-    """Whether an order was sent that may still be carried out."""
     next_at: float = 0.0
     sequence: int = 0
     """Orders that the engine had taken when it was asked."""
@@ -339,7 +337,6 @@
 
     def _order(self, load: _Load, state: EngineState) -> Effect:
         state.is_loading = True
-        load.is_ordered = True
         order = WeightOrder(
             model=load.model,
             version=load.version,
--- a/src/merlinstand/directory/commands.py
+++ b/src/merlinstand/directory/commands.py
@@ -52,6 +52,8 @@
     """An operator wants a keeper emptied."""
 
     node_id: str
+    name: str
+    """The machine's name, by which the operator asks again."""
 
 
 DirectoryCommand = (
--- a/src/merlinstand/directory/daemon.py
+++ b/src/merlinstand/directory/daemon.py
@@ -3,17 +3,16 @@
 import contextlib
 from collections.abc import Sequence
 
-import msgspec
 from result import Err
 
 from merlinstand.common.decoding import MALFORMED_INPUT
 from merlinstand.common.errors import (
-    ConflictError,
     NotFoundError,
     OutcomeUnknownError,
     UnavailableError,
 )
 from merlinstand.common.ids import BackendId, NodeId, RequestId, Zone
+from merlinstand.consensus.decision_waiters import DecisionWaiter, DecisionWaiters
 from merlinstand.consensus.replica import Replica
 from merlinstand.consensus.settings import (
     PeerSettings,
@@ -34,6 +33,12 @@
     decode_command,
     encode_command,
 )
+from merlinstand.directory.founding import KeeperFounding
+from merlinstand.directory.keeper_retirement import (
+    KeepersView,
+    is_retired,
+    keeper_to_retire,
+)
 from merlinstand.directory.requests import (
     Accepted,
     BackendLeft,
@@ -55,8 +60,8 @@
 )
 from merlinstand.directory.settings import DirectorySettings
 from merlinstand.directory.state_machine import DirectoryState
-from merlinstand.directory.subscribers import Subscriber, Subscribers
-from merlinstand.directory.view import Keeper, KeeperGroup, decode_report, encode_changes
+from merlinstand.directory.subscribers import REPORT_FRESH_SECONDS, Subscriber, Subscribers
+from merlinstand.directory.view import KeeperGroup, decode_report, encode_changes
 from merlinstand.kernel.effects import (
     Effect,
     LearnAddress,
@@ -79,10 +84,6 @@
 
 HOUSEKEEPING_TIMER = "directory.housekeeping"
 HOUSEKEEPING_INTERVAL_SECONDS = 0.25
-FOUNDING_SETTLE_SECONDS = 1.0
-"""Founders are chosen once enough keepers reported and no new one came for this long."""
-FOUNDING_PATIENCE_SECONDS = 5.0
-"""After this long a smaller group is founded."""
 STOP_TIMER = "directory.stop"
 STOP_GRACE_SECONDS = 2.0
 RETRY_AFTER_SECONDS = 0.3
@@ -90,15 +91,6 @@
 COMPACTION_BYTES = 8 * 1024 * 1024
 
 
-class _Waiter(msgspec.Struct, frozen=True):
-    """A request that waits for its log entry."""
-
-    request_id: RequestId
-    reply: ControlReply
-    term: int
-    since: float
-
-
 class DirectoryDaemon:
     """Reducer of the `control` role where the directory is used."""
 
@@ -114,15 +106,13 @@
         self.replica = Replica(_replica_settings(settings))
         self.state = DirectoryState()
         self._subscribers = Subscribers()
-        self._waiters: dict[int, list[_Waiter]] = {}
-        """By log position."""
-        self._reads: dict[str, tuple[RequestId, str]] = {}
+        self._waiters: DecisionWaiters[ControlReply] = DecisionWaiters()
+        self._reads: dict[str, RequestId] = {}
         self._read_count = 0
         self._delivered_index = 0
         self._heartbeat_at: dict[BackendId, float] = {}
         self._led_since = 0.0
-        self._keepers_seen: dict[str, float] = {}
-        self._is_founding_proposed = False
+        self._founding = KeeperFounding(settings.keeper_group_size)
         self._stopping = False
 
     def start(self, event: Started, now: float) -> Sequence[Effect]:
@@ -187,24 +177,22 @@
             # what it encoded itself.
             with contextlib.suppress(*MALFORMED_INPUT):
                 self.state.apply(entry.index, decode_command(entry.payload))
-        effects: list[Effect] = []
-        for waiter in self._waiters.pop(entry.index, []):
-            if waiter.term == entry.term:
-                effects.append(self._respond(waiter.request_id, waiter.reply))
-            else:
-                error = UnavailableError(
-                    detail="another leader took over", retry_after_seconds=RETRY_AFTER_SECONDS
-                )
-                effects.append(self._respond(waiter.request_id, Failed(error)))
-        return effects
+        waiter = self._waiters.take(entry.index)
+        if waiter is None:
+            return []
+        if waiter.term == entry.term:
+            return [self._respond(waiter.request_id, waiter.reply)]
+        error = UnavailableError(
+            detail="another leader took over", retry_after_seconds=RETRY_AFTER_SECONDS
+        )
+        return [self._respond(waiter.request_id, Failed(error))]
 
     def _leadership_changed(self, change: LeadershipChange, now: float) -> list[Effect]:
         if change is LeadershipChange.GAINED:
             self._led_since = now
-            self._is_founding_proposed = False
+            self._founding = KeeperFounding(self._settings.keeper_group_size)
             self._heartbeat_at = dict.fromkeys(self.state.table.backends, now)
             self._subscribers.clear()
-            self._keepers_seen.clear()
         fields = {"change": change.value, "term": self.replica.term}
         return [LogEvent("control.leadership", fields)]
 
@@ -215,8 +203,8 @@
         if isinstance(result, Err):
             return [self._respond(request_id, self._elsewhere_or_busy(""))]
         proposal = result.ok_value
-        waiter = _Waiter(request_id, reply, proposal.term, now)
-        self._waiters.setdefault(proposal.index, []).append(waiter)
+        until = now + self._settings.request_timeout_seconds
+        self._waiters.add(proposal.index, DecisionWaiter(request_id, reply, proposal.term, until))
         return self._perform(proposal.step, now)
 
     def _propose_own(self, command: DirectoryCommand, now: float) -> list[Effect]:
@@ -318,48 +306,43 @@
     def _read(self, request_id: RequestId, now: float) -> list[Effect]:
         self._read_count += 1
         read_id = f"read-{self._read_count}"
-        self._reads[read_id] = (request_id, "")
+        self._reads[read_id] = request_id
         return self._perform(self.replica.read_barrier(read_id, now), now)
 
     def _read_ready(self, read_id: str) -> list[Effect]:
-        request_id, _path = self._reads.pop(read_id)
+        request_id = self._reads.pop(read_id)
         if self.state.document is None:
             error = NotFoundError(detail="no document yet")
             return [self._respond(request_id, Failed(error))]
         return [self._respond(request_id, DocumentFound(self.state.raw_document))]
 
     def _read_failed(self, read_id: str) -> list[Effect]:
-        request_id, _path = self._reads.pop(read_id)
+        request_id = self._reads.pop(read_id)
         return [self._respond(request_id, self._elsewhere_or_busy(""))]
 
     # Retirement of keepers
 
     def _retire(self, request_id: RequestId, name: str, now: float) -> list[Effect]:
-        reports = self._subscribers.keeper_reports(now)
-        named = [report for report in reports if report.name == name]
-        if not named:
-            error = NotFoundError(detail=f"no keeper is named {name!r}")
-            return [self._respond(request_id, Failed(error))]
-        node_id = named[0].node_id
-        if node_id in self.state.retiring:
+        judged = keeper_to_retire(self._keepers_view(now), name)
+        if isinstance(judged, Err):
+            return [self._respond(request_id, Failed(judged.err_value))]
+        node_id = judged.ok_value
+        if node_id is None:
             return [self._respond(request_id, Accepted())]
-        leaving = {*self.state.retiring, node_id}
-        staying = [report for report in reports if report.node_id not in leaving]
-        if len(staying) < self._settings.keeper_group_size:
-            conflict = ConflictError(detail="too few keepers would be left")
-            return [self._respond(request_id, Failed(conflict))]
-        return self._propose(RetireKeeper(node_id), request_id, Accepted(), now)
+        return self._propose(RetireKeeper(node_id, name), request_id, Accepted(), now)
 
     def _retirement_state(self, name: str, now: float) -> ControlReply:
-        named = [r for r in self._subscribers.keeper_reports(now) if r.name == name]
         leader = self._subscribers.leading_keeper(now)
-        if not named:
-            return Failed(NotFoundError(detail=f"no keeper is named {name!r}"))
-        if named[0].node_id not in self.state.retiring:
-            return Failed(NotFoundError(detail=f"{name!r} is not to be emptied"))
-        node_id = named[0].node_id
-        is_done = leader is not None and bool(leader.members) and node_id not in leader.members
-        return RetirementState(is_done)
+        told = is_retired(self._keepers_view(now), name, leader)
+        return Failed(told.err_value) if isinstance(told, Err) else RetirementState(told.ok_value)
+
+    def _keepers_view(self, now: float) -> KeepersView:
+        return KeepersView(
+            reports=self._subscribers.keeper_reports(now),
+            retiring=self.state.retiring,
+            is_complete=now - self._led_since >= REPORT_FRESH_SECONDS,
+            group_size=self._settings.keeper_group_size,
+        )
 
     # Subscribers
 
@@ -389,7 +372,7 @@
         members = self.replica.membership.members()
         controls = tuple((str(m.identity.node_id), m.address) for m in members)
         self._subscribers.refresh(
-            controls, self.state.founding, self.state.retiring, self.replica.term, now
+            controls, self.state.founding, tuple(self.state.retiring), self.replica.term, now
         )
 
     def _push(self, now: float) -> list[Effect]:
@@ -430,18 +413,9 @@
         return effects
 
     def _give_up_waiters(self, now: float) -> list[Effect]:
-        effects: list[Effect] = []
-        oldest = now - self._settings.request_timeout_seconds
-        for index, waiters in list(self._waiters.items()):
-            late = [waiter for waiter in waiters if waiter.since < oldest]
-            if not late:
-                continue
-            self._waiters[index] = [waiter for waiter in waiters if waiter.since >= oldest]
-            if not self._waiters[index]:
-                del self._waiters[index]
-            error = OutcomeUnknownError(detail="not decided in time")
-            effects.extend(self._respond(waiter.request_id, Failed(error)) for waiter in late)
-        return effects
+        error = OutcomeUnknownError(detail="not decided in time")
+        late = self._waiters.take_late(now)
+        return [self._respond(waiter.request_id, Failed(error)) for waiter in late]
 
     def _expire_backends(self, now: float) -> list[Effect]:
         effects: list[Effect] = []
@@ -458,39 +432,14 @@
 
     def _found_keepers(self, now: float) -> list[Effect]:
         """Choose the founding members of the keepers' group, once and for all."""
-        if self.state.founding is not None or self._is_founding_proposed:
+        if self.state.founding is not None:
             return []
-        reports = [r for r in self._subscribers.keeper_reports(now) if r.may_found]
-        for report in reports:
-            self._keepers_seen.setdefault(report.node_id, now)
-        if not reports:
+        chosen = self._founding.decide(self._subscribers.keeper_reports(now), now)
+        if not chosen:
             return []
-        size = self._settings.keeper_group_size
-        first_at, last_at = min(self._keepers_seen.values()), max(self._keepers_seen.values())
-        is_settled = len(reports) >= size and now - last_at >= FOUNDING_SETTLE_SECONDS
-        if not is_settled and now - first_at < FOUNDING_PATIENCE_SECONDS:
-            return []
-        self._is_founding_proposed = True
-        chosen = _spread_over_zones(
-            [
-                Keeper(
-                    node_id=report.node_id,
-                    name=report.name,
-                    zone=report.zone,
-                    address=report.address,
-                    http_address=report.http_address,
-                    is_leader=False,
-                    term=0,
-                )
-                for report in reports
-            ],
-            size,
-        )
         fields = {"members": ",".join(keeper.node_id for keeper in chosen)}
-        return [
-            LogEvent("keepers.founding", fields),
-            *self._propose_own(FoundKeepers(KeeperGroup(tuple(chosen))), now),
-        ]
+        command = FoundKeepers(KeeperGroup(tuple(chosen)))
+        return [LogEvent("keepers.founding", fields), *self._propose_own(command, now)]
 
     def _stop(self, now: float) -> list[Effect]:
         if self._stopping:
@@ -501,23 +450,6 @@
         return effects
 
 
-def _spread_over_zones(keepers: list[Keeper], size: int) -> list[Keeper]:
-    """Choose members so that zones differ as far as possible."""
-    chosen: list[Keeper] = []
-    remaining = sorted(keepers, key=lambda keeper: keeper.node_id)
-    while remaining and len(chosen) < size:
-        best = min(
-            remaining,
-            key=lambda keeper: (
-                sum(1 for other in chosen if other.zone == keeper.zone),
-                keeper.node_id,
-            ),
-        )
-        chosen.append(best)
-        remaining.remove(best)
-    return chosen
-
-
 def _ip_of(address: str) -> str:
     return address.rpartition(":")[0]
 
--- a/src/merlinstand/directory/follower.py
+++ b/src/merlinstand/directory/follower.py
@@ -60,10 +60,6 @@
         """Whether any routes are known."""
         return self.document_revision >= 0
 
-    def age_seconds(self, now: float) -> float:
-        """Time since a leader answered."""
-        return now - self._heard_at
-
     def start(self, now: float) -> list[Effect]:
         """Begin asking."""
         effects: list[Effect] = [
--- /dev/null
+++ b/src/merlinstand/directory/founding.py
@@ -0,0 +1,77 @@
+"""Who founds the batch keepers' group: decided once, by the control group's leader."""
+
+from collections.abc import Sequence
+
+from merlinstand.directory.view import DaemonReport, Keeper
+
+SETTLE_SECONDS = 1.0
+"""Founders are chosen once enough keepers reported and no new one came for this long."""
+PATIENCE_SECONDS = 5.0
+"""After this long a smaller group is founded."""
+
+
+class KeeperFounding:
+    """Keepers of a first start that reported to one leader; forgotten with its leadership."""
+
+    def __init__(self, group_size: int) -> None:
+        """Begin a leadership.
+
+        Args:
+            group_size: Replicas of batch jobs needed to tolerate the losses.
+        """
+        self._group_size = group_size
+        self._first_seen_at: dict[str, float] = {}
+        self._is_decided = False
+
+    def decide(self, reports: Sequence[DaemonReport], now: float) -> list[Keeper]:
+        """Choose the founders if it is time to.
+
+        Args:
+            reports: What keepers told lately.
+            now: Local time.
+
+        Returns:
+            The founders, given once; nothing while more may come.
+        """
+        founders = [report for report in reports if report.may_found]
+        for report in founders:
+            self._first_seen_at.setdefault(report.node_id, now)
+        if self._is_decided or not founders or not self._is_time(len(founders), now):
+            return []
+        self._is_decided = True
+        return spread_over_zones([_keeper_of(report) for report in founders], self._group_size)
+
+    def _is_time(self, reported: int, now: float) -> bool:
+        first_at = min(self._first_seen_at.values())
+        last_at = max(self._first_seen_at.values())
+        is_settled = reported >= self._group_size and now - last_at >= SETTLE_SECONDS
+        return is_settled or now - first_at >= PATIENCE_SECONDS
+
+
+def spread_over_zones(keepers: Sequence[Keeper], size: int) -> list[Keeper]:
+    """Choose members so that zones differ as far as possible."""
+    chosen: list[Keeper] = []
+    remaining = sorted(keepers, key=lambda keeper: keeper.node_id)
+    while remaining and len(chosen) < size:
+        best = min(
+            remaining,
+            key=lambda keeper: (
+                sum(1 for other in chosen if other.zone == keeper.zone),
+                keeper.node_id,
+            ),
+        )
+        chosen.append(best)
+        remaining.remove(best)
+    return chosen
+
+
+def _keeper_of(report: DaemonReport) -> Keeper:
+    return Keeper(
+        node_id=report.node_id,
+        name=report.name,
+        zone=report.zone,
+        address=report.address,
+        http_address=report.http_address,
+        is_leader=False,
+        term=0,
+    )
--- /dev/null
+++ b/src/merlinstand/directory/keeper_retirement.py
@@ -0,0 +1,76 @@
+"""What an operator's wish to have a keeper emptied comes to (pure decisions).
+
+Which keepers there are is soft state: a new leader hears of them within moments. Until then it
+can tell neither that one doesn't exist nor that too few would be left, so it says neither.
+"""
+
+from collections.abc import Mapping, Sequence
+
+import msgspec
+from result import Err, Ok, Result
+
+from merlinstand.common.errors import (
+    ConflictError,
+    MerlinstandError,
+    NotFoundError,
+    UnavailableError,
+)
+from merlinstand.directory.view import DaemonReport
+
+RETRY_AFTER_SECONDS = 0.5
+
+
+class KeepersView(msgspec.Struct, frozen=True):
+    """What the control leader knows of the keepers."""
+
+    reports: Sequence[DaemonReport]
+    """Those heard lately."""
+    retiring: Mapping[str, str]
+    """Names of the keepers that are being emptied, by node id; agreed."""
+    is_complete: bool
+    """Whether every living keeper has had the time to report to this leader."""
+    group_size: int
+    """Replicas of batch jobs needed to tolerate the losses."""
+
+
+def keeper_to_retire(view: KeepersView, name: str) -> Result[str | None, MerlinstandError]:
+    """Judge a wish.
+
+    Returns:
+        The node id of the keeper to be emptied; None if it was wished before.
+    """
+    if name in view.retiring.values():
+        return Ok(None)
+    named = [report.node_id for report in view.reports if report.name == name]
+    if not named:
+        return Err(_unless_complete(view, NotFoundError(detail=f"no keeper is named {name!r}")))
+    leaving = {*view.retiring, named[0]}
+    staying = [report for report in view.reports if report.node_id not in leaving]
+    if len(staying) < view.group_size:
+        return Err(_unless_complete(view, ConflictError(detail="too few keepers would be left")))
+    return Ok(named[0])
+
+
+def is_retired(
+    view: KeepersView, name: str, leader: DaemonReport | None
+) -> Result[bool, MerlinstandError]:
+    """Tell whether a keeper holds nothing any more that is needed.
+
+    Args:
+        view: The keepers.
+        name: Whose retirement is asked for.
+        leader: Report of the keepers' leader, if one is known.
+    """
+    node_ids = [node_id for node_id, retiring in view.retiring.items() if retiring == name]
+    if not node_ids:
+        return Err(NotFoundError(detail=f"{name!r} is not to be emptied"))
+    is_known = leader is not None and bool(leader.members)
+    return Ok(is_known and leader is not None and node_ids[-1] not in leader.members)
+
+
+def _unless_complete(view: KeepersView, error: MerlinstandError) -> MerlinstandError:
+    if view.is_complete:
+        return error
+    return UnavailableError(
+        detail="keepers are still reporting", retry_after_seconds=RETRY_AFTER_SECONDS
+    )
--- a/src/merlinstand/directory/routes.py
+++ b/src/merlinstand/directory/routes.py
@@ -147,7 +147,3 @@
                 return route
             end = path.rfind("/", 0, end)
         return None
-
-    def has_host(self, host: str) -> bool:
-        """Whether any route is for this host."""
-        return host.lower() in self._by_host or host.partition(":")[0].lower() in self._by_host
--- a/src/merlinstand/directory/state_machine.py
+++ b/src/merlinstand/directory/state_machine.py
@@ -31,7 +31,7 @@
     weights: dict[str, int]
     weights_revision: int
     founding: KeeperGroup | None
-    retiring: tuple[str, ...]
+    retiring: dict[str, str]
 
 
 _DECODER = msgspec.msgpack.Decoder(DirectorySnapshot)
@@ -51,7 +51,8 @@
         self.weights: dict[str, int] = {}
         self.weights_revision = 0
         self.founding: KeeperGroup | None = None
-        self.retiring: tuple[str, ...] = ()
+        self.retiring: dict[str, str] = {}
+        """Names of the keepers that are to be emptied, by node id."""
 
     def apply(self, index: int, command: DirectoryCommand) -> None:
         """Apply a committed command.
@@ -77,8 +78,7 @@
                 if self.founding is None:
                     self.founding = command.group
             case RetireKeeper():
-                if command.node_id not in self.retiring:
-                    self.retiring = (*self.retiring, command.node_id)
+                self.retiring.setdefault(command.node_id, command.name)
 
     def _put_document(self, index: int, command: PutDocument) -> None:
         held = -1 if self.document is None else self.document.version
@@ -127,4 +127,4 @@
         self.weights = dict(snapshot.weights)
         self.weights_revision = snapshot.weights_revision
         self.founding = snapshot.founding
-        self.retiring = snapshot.retiring
+        self.retiring = dict(snapshot.retiring)
--- a/src/merlinstand/directory/view.py
+++ b/src/merlinstand/directory/view.py
@@ -25,8 +25,6 @@
     term: int = 0
     members: tuple[str, ...] = ()
     """Batch keepers: node ids of the group's voters, told by its leader."""
-    leaving: tuple[str, ...] = ()
-    """Batch keepers: node ids that are to leave the group, told by its leader."""
 
 
 class Keeper(msgspec.Struct, frozen=True, kw_only=True):
