--- a/tests/users_platform/callers.py
+++ b/tests/users_platform/callers.py
@@ -179,6 +179,47 @@
         return [WriteRecord("config", ConfigRead(json.loads(body)["Version"]))]
 
 
+class RetiringOperator:
+    """Wishes one keeper emptied again and again, then asks how far that is."""
+
+    def __init__(self, controls: list[str], name: str, wish_at: tuple[float, ...]) -> None:
+        self._caller = ControlCaller(controls)
+        self._name = name
+        self._wish_at = wish_at
+        self.answers: list[tuple[int, bytes]] = []
+        """Clear answers to the wishes."""
+        self.states: list[str] = []
+
+    def start(self, event: Started, now: float) -> list[Effect]:
+        wishes = [SetTimer(f"wish:{n}", at) for n, at in enumerate(self._wish_at)]
+        return [*wishes, SetTimer("state", self._wish_at[-1] + 1.0)]
+
+    def reduce(self, event: Event, now: float) -> list[Effect]:
+        match event:
+            case CallResponded() | CallFailed() if event.call_id.startswith(CALL_PREFIX):
+                return self._caller.on_call(event, now)
+            case TimerFired(name="state"):
+                order = Order("state", "GET", f"/retire/{self._name}", b"", self._on_state)
+                return [SetTimer("state", 1.0), *self._caller.send(order)]
+            case TimerFired(name=name) if name.startswith(TIMER_PREFIX):
+                return self._caller.on_timer(name)
+            case TimerFired(name=name):
+                body = b'{"DurationS":10}'
+                path = f"/retire/{self._name}"
+                return self._caller.send(Order(name, "POST", path, body, self._on_answer))
+            case _:
+                return []
+
+    def _on_answer(self, status: int, body: bytes, now: float) -> list[Effect]:
+        self.answers.append((status, body))
+        return []
+
+    def _on_state(self, status: int, body: bytes, now: float) -> list[Effect]:
+        if status == 200:
+            self.states.append(json.loads(body)["State"])
+        return []
+
+
 class _Call(msgspec.Struct):
     job: str
     kind: str
--- a/tests/users_platform/servers.py
+++ b/tests/users_platform/servers.py
@@ -40,6 +40,8 @@
     path: str
     host: str
     version: int = 0
+    first_event: int = 1
+    """Engines: the event that the run begins with."""
 
 
 class OrderTaken(msgspec.Struct, frozen=True):
@@ -167,6 +169,9 @@
 class Engine(RegisteredServer):
     """Streams items' events; loads weights by order."""
 
+    event_seconds = EVENT_SECONDS
+    """Time from one event of a run to the next."""
+
     def __init__(
         self, service: str, address: str, zone: str, controls: list[str], models: list[str]
     ) -> None:
@@ -200,11 +205,12 @@
             "X-Server-Stamp": stamp_of(item_id),
             "X-Weight-Versions": str(version),
         }
-        arrival = Arrival(self.instance, item_id, event.path, event.headers["host"], version)
+        host = event.headers["host"]
+        arrival = Arrival(self.instance, item_id, event.path, host, version, first)
         return [
             WriteRecord("runs", arrival),
             RespondStart(event.request_id, 200, headers),
-            SetTimer(f"event:{event.request_id}", EVENT_SECONDS),
+            SetTimer(f"event:{event.request_id}", self.event_seconds),
         ]
 
     def reduce(self, event: Event, now: float) -> list[Effect]:
@@ -234,7 +240,7 @@
             del self._runs[request.request_id]
             return [*effects, RespondEnd(request.request_id)]
         run.next_event += 1
-        return [*effects, SetTimer(f"event:{request.request_id}", EVENT_SECONDS)]
+        return [*effects, SetTimer(f"event:{request.request_id}", self.event_seconds)]
 
     def _report(self, request_id: RequestId) -> Effect:
         body = {
--- a/tests/users_platform/test_checks.py
+++ b/tests/users_platform/test_checks.py
@@ -8,6 +8,7 @@
 
 from merlinstand.batch_jobs import weight_loader
 from merlinstand.batch_jobs.daemon import KeeperDaemon
+from merlinstand.batch_jobs.kept_text import KeptText, TextPart
 from merlinstand.batch_jobs.state_machine import JobState
 from merlinstand.directory.state_machine import DirectoryState
 from merlinstand.kernel.effects import Effect, Respond, WriteRecord
@@ -167,3 +168,21 @@
         world.simulation.run_until(12.0)
         found += violations(world)
     assert any("after 9 was acknowledged" in violation for violation in found)
+
+
+def test_kept_texts_that_are_joined_with_gaps_are_reported(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    def take_anything(self: KeptText, part: TextPart) -> None:
+        self.pieces.extend(part.pieces[1:])
+        self.versions = part.versions
+
+    monkeypatch.setattr(Engine, "event_seconds", 0.3)
+    monkeypatch.setattr(KeptText, "take", take_anything)
+    found: list[str] = []
+    for seed in range(4):
+        world = World(seed)
+        world.at(11.6, lambda world=world: world.process(world.leading_keeper()).kill())
+        world.simulation.run_until(24.0)
+        found += violations(world)
+    assert found != []
--- a/tests/users_platform/test_days.py
+++ b/tests/users_platform/test_days.py
@@ -2,8 +2,14 @@
 
 import pytest
 
-from tests.users_platform.callers import ConfigAcknowledged, ConfigRead, config
+from tests.users_platform.callers import (
+    ConfigAcknowledged,
+    ConfigRead,
+    RetiringOperator,
+    config,
+)
 from tests.users_platform.checks import answered_share, records, violations, whole_steps
+from tests.users_platform.servers import Engine
 from tests.users_platform.world import World
 
 DAY_SECONDS = 34.0
@@ -37,6 +43,39 @@
     assert whole_steps(world) == 5
 
 
+@pytest.mark.parametrize("seed", range(4))
+def test_long_texts_go_on_under_the_next_leading_keeper(
+    seed: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """tatravet-book trouble-3: a text of 4.9 s was lost with its leader, and its step late."""
+    monkeypatch.setattr(Engine, "event_seconds", 0.3)
+    world = World(seed)
+    leaders: list[str] = []
+
+    def kill_leader() -> None:
+        leaders.append(world.leading_keeper())
+        world.process(leaders[0]).kill()
+
+    world.at(11.6 + 0.2 * seed, kill_leader)
+    world.at(14.0, lambda: world.simulation.start_if_down(world.process(leaders[0])))
+    world.simulation.run_until(DAY_SECONDS + 10)
+    assert violations(world) == []
+    assert any(run.first_event > 1 for run in records(world, "runs"))
+
+
+def test_an_emptied_keeper_is_acknowledged_again_by_the_next_control_leader() -> None:
+    """vitrina-ro trouble-1 seed 222919164408: the second answer was 404."""
+    world = World(4)
+    world.add_daemon("store", "10.1.0.43", "hall-a", start_at=3.0)
+    operator = RetiringOperator(world.control_addresses, "store-10.1.0.43", (9.0, 9.3, 9.6, 10.0))
+    world.add_caller("retiring", lambda: operator)
+    world.at(9.2, lambda: world.process(world.leading_control()).kill())
+    world.simulation.run_until(20.0)
+    assert violations(world) == []
+    assert [status for status, _body in operator.answers] == [200] * 4
+    assert operator.states[-1] == "succeeded"
+
+
 @pytest.mark.parametrize("seed", range(4))
 def test_a_keeper_without_its_disk_comes_back(seed: int) -> None:
     world = World(seed)
--- a/tests/users_platform/world.py
+++ b/tests/users_platform/world.py
@@ -57,7 +57,7 @@
         self.add_operator(configs)
         for number, model in enumerate(models):
             trainer = f"t{number}"
-            self._add_caller(
+            self.add_caller(
                 f"trainer-{trainer}",
                 lambda trainer=trainer, model=model: Trainer(
                     trainer,
@@ -68,7 +68,7 @@
                     steps=steps,
                 ),
             )
-        self._add_caller("lookups", lambda: LookupClient("c0", self.gateway_addresses))
+        self.add_caller("lookups", lambda: LookupClient("c0", self.gateway_addresses))
 
     def node(self, machine_class: str, ip: str, zone: str, bootstrap: bool) -> NodeFile:
         """The settings file of a machine."""
@@ -153,9 +153,9 @@
 
     def add_operator(self, configs: list[tuple[float, dict[str, Any]]], name: str = "op") -> None:
         """Add an operator that sends configurations at given times."""
-        self._add_caller(name, lambda: Operator(self.control_addresses, configs))
+        self.add_caller(name, lambda: Operator(self.control_addresses, configs))
 
-    def _add_caller(self, name: str, make: Any) -> None:
+    def add_caller(self, name: str, make: Any) -> None:
         spec = ProcessSpec(
             node_id=name,
             zone=CLIENT_ZONE,
