Calls that are given up close by a reset; a request refused for want of routes leaves a line

Change: `Connection.abort` (SO_LINGER 0) where the response was not read to its end; whole responses close as before. The simulator models it: bytes that a cut holds back at the time of the close never arrive.

--- a/src/merlinstand/forwarding/daemon.py
+++ b/src/merlinstand/forwarding/daemon.py
@@ -52,6 +52,7 @@
 STOP_POLL_SECONDS = 0.1
 UNREADY_RETRY_SECONDS = 0.3
 """Told to callers when the routes did not come in time."""
+NO_ROUTES_REASON = "no routes yet"
 ANSWER_MARGIN_SECONDS = 0.01
 """A caller's deadline ends this long before it for the gateway."""
 _BAD_GATEWAY = 502
@@ -141,7 +142,7 @@
             return [Respond(event.request_id, 200 if is_ready else _UNAVAILABLE, {}, b"")]
         if self.follower.has_document:
             return self._route_request(event, now, now)
-        return self._routes_wait.begin(event, now) or [_no_routes(event.request_id)]
+        return self._routes_wait.begin(event, now) or self._refuse_without_routes(event)
 
     def _end_routes_wait(self, now: float) -> list[Effect]:
         """The first routes are known: go on with the requests that waited for them."""
@@ -237,7 +238,17 @@
 
     def _give_up_routes(self, request_id: RequestId) -> list[Effect]:
         held = self._routes_wait.end(request_id)
-        return [] if held is None else [_no_routes(request_id)]
+        return [] if held is None else self._refuse_without_routes(held.event)
+
+    def _refuse_without_routes(self, event: RequestReceived) -> list[Effect]:
+        fields = {
+            "request": event.headers.get(self._names.request_id, ""),
+            "outcome": NotRun.__name__,
+            "reason": NO_ROUTES_REASON,
+            "attempts": 0,
+        }
+        answer = _not_run(event.request_id, NO_ROUTES_REASON, UNREADY_RETRY_SECONDS)
+        return [LogEvent("request.failed", fields), answer]
 
     def _stop(self, now: float) -> list[Effect]:
         if self._stop_asked_at is not None:
@@ -277,10 +288,6 @@
     return Respond(request_id, _UNAVAILABLE, headers, reason.encode())
 
 
-def _no_routes(request_id: RequestId) -> Effect:
-    return _not_run(request_id, "no routes yet", UNREADY_RETRY_SECONDS)
-
-
 def _unknown(request_id: RequestId, outcome: OutcomeUnknown) -> Effect:
     status = _GATEWAY_TIMEOUT if outcome.is_late else _BAD_GATEWAY
     return Respond(request_id, status, {}, outcome.reason.encode())
--- a/src/merlinstand/runtime/http_client.py
+++ b/src/merlinstand/runtime/http_client.py
@@ -230,7 +230,7 @@
         self._limit_step()
 
     def release(self) -> None:
-        """Give the connection back, or close it unless the response was read to its end."""
+        """Give the connection back; close it if it can't be reused, by a reset if given up."""
         self._watchdog.close()
         connection = self._connection
         self._connection = None
@@ -239,8 +239,10 @@
         if self._is_reusable():
             self._note_keep_alive(connection)
             self._pool.give_back(connection)
-        else:
+        elif self.parser.message_complete:
             connection.close()
+        else:
+            connection.abort()
 
     def _is_reusable(self) -> bool:
         is_whole = self.parser.message_complete and not self.parser.should_close()
--- a/src/merlinstand/runtime/http_connection.py
+++ b/src/merlinstand/runtime/http_connection.py
@@ -1,7 +1,9 @@
 """Connections to HTTP servers: a pool, the request's bytes and the response's parser."""
 
+import contextlib
 import re
 import socket
+import struct
 import time
 from typing import Any
 
@@ -29,6 +31,8 @@
 _TARGET = re.compile(r"/[\x21-\x7e]*\Z")
 _TOKEN = re.compile(r"[!#$%&'*+\-.^_`|~0-9A-Za-z]+\Z")
 _KEEP_ALIVE_TIMEOUT = re.compile(r"timeout=(\d{1,6})")
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+"""`SO_LINGER` switched on with no time: the kernel drops what it has not sent and resets."""
 _BAD_VALUE = re.compile(r"[\x00-\x08\x0a-\x1f\x7f]")
 
 
@@ -70,6 +74,16 @@
         """Close the connection."""
         self._socket.close()
 
+    def abort(self) -> None:
+        """Close the connection by a reset: bytes that have not arrived yet never will.
+
+        A request that a cut link holds back would otherwise reach its server after the cut,
+        although nobody waits for it any more.
+        """
+        with contextlib.suppress(OSError):
+            self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        self._socket.close()
+
 
 class ConnectionPool:
     """Connects, and keeps connections whose last response was read to its end."""
--- a/src/merlinstand_lab/simulator/calls.py
+++ b/src/merlinstand_lab/simulator/calls.py
@@ -62,6 +62,7 @@
         "client_life",
         "closed",
         "effect",
+        "is_reset",
         "phase",
         "request_id",
         "server",
@@ -83,6 +84,8 @@
         self.effect = effect
         self.phase = CallPhase.CONNECT
         self.closed = False
+        self.is_reset = False
+        """Whether the client gave up while a cut held its bytes back: they never arrive."""
         self.request_id: str | None = None
         self._queues: tuple[deque[tuple[Segment, Any]], deque[tuple[Segment, Any]]] = (
             deque(),
@@ -187,7 +190,8 @@
                 self._transmit(BACKWARD, Segment.RESET, None)
             return
         if segment is Segment.REQUEST:
-            self._deliver_request()
+            if not self.is_reset:
+                self._deliver_request()
         elif segment is Segment.CLIENT_CLOSED and self.request_id is not None:
             if server.requests.pop(self.request_id, None) is not None:
                 server.deliver(RequestAborted(self.request_id))  # type: ignore[arg-type]
@@ -229,8 +233,10 @@
             self._transmit(FORWARD, Segment.CLIENT_CLOSED, None)
 
     def cancel(self) -> None:
-        """Close the connection from the client's side."""
+        """Close the connection from the client's side, by a reset as the runtime does."""
         self._close()
+        network = self._simulation.network
+        self.is_reset = bool(network.link(self.client, self.server).cuts)
         if self.phase is not CallPhase.CONNECT:
             self._transmit(FORWARD, Segment.CLIENT_CLOSED, None)
 
