Accounts of a run: steps against their shortest time, bytes between zones by kind

Cause: where a step's time and the priced bytes went could only be guessed. Change: each process counts the bytes it exchanges by kind and peer and logs them every 5 s (host.traffic); an item's last line tells how long it waited, was generated and scored; a job's first line tells slots, groups and the fastest event; control tells each daemon's zone. merlinstand-lab account reads the lines of a run and prints both accounts.

--- a/src/merlinstand/batch_jobs/daemon.py
+++ b/src/merlinstand/batch_jobs/daemon.py
@@ -23,7 +23,7 @@
     encode,
 )
 from merlinstand.batch_jobs.engine_interface import EngineInterface
-from merlinstand.batch_jobs.engines import EngineStates
+from merlinstand.batch_jobs.engines import EngineStates, fastest_event_seconds
 from merlinstand.batch_jobs.kept_text import TextPart
 from merlinstand.batch_jobs.model import ItemResult
 from merlinstand.batch_jobs.reads import ResultsWaiter, results_page
@@ -261,7 +261,7 @@
         assert self.replica is not None
         self._is_running = True
         self._engines.refresh()
-        self._runner.begin()
+        self._runner.begin(now)
         term = self.replica.term
         self._weights.begin(term)
         fields = {"term": term, "jobs": len(self.jobs.jobs), "items": len(self._runner)}
@@ -296,7 +296,7 @@
         match command:
             case AcceptJob():
                 if self._is_running and changed:
-                    self._runner.add_job(self.jobs.jobs[changed])
+                    self._runner.add_job(self.jobs.jobs[changed], now)
                 return []
             case ListResult():
                 self._runner.listed(command.job_id, command.result.item_id)
@@ -371,11 +371,16 @@
     def _submit(self, request_id: RequestId, call: SubmitJob, now: float) -> list[Effect]:
         if call.job.job_id in self.jobs.jobs:
             return [self._reply(request_id, JobAccepted())]
+        engines = self._engines.of_model(call.job.model)
         fields = {
             "job": call.job.job_id,
             "items": len(call.job.items),
             "step": call.job.step,
             "minimum_version": call.job.minimum_version,
+            "groups": len({item.group for item in call.job.items}),
+            "wanted_groups": call.job.wanted_groups,
+            "slots": sum(state.slots for state in engines),
+            "event_seconds": round(fastest_event_seconds(engines, now), 4),
         }
         log = LogEvent("job.submitted", fields)
         return [log, *self._decide(AcceptJob(call.job), request_id, JobAccepted(), now)]
--- a/src/merlinstand/batch_jobs/engines.py
+++ b/src/merlinstand/batch_jobs/engines.py
@@ -109,6 +109,12 @@
     return median(known) if known else FIRST_EVENT_SECONDS
 
 
+def fastest_event_seconds(engines: Iterable[EngineState], now: float) -> float:
+    """Time of one event at the fastest engine that was measured lately; 0 if none was."""
+    measured = [state.event_seconds for state in engines if state.has_fresh_speed(now)]
+    return min(measured, default=0.0)
+
+
 class EngineStates:
     """All registered engines."""
 
@@ -132,6 +138,11 @@
             state.backend = backend
             self.states[backend.backend_id] = state
 
+    def of_model(self, model: str) -> list[EngineState]:
+        """Engines that hold weights of a model, leaving ones left out."""
+        present = (state for state in self.states.values() if not state.backend.is_leaving)
+        return [state for state in present if state.version_of(model) > 0]
+
     def of_service(self, service: str) -> list[EngineState]:
         """Engines of a service."""
         return [state for state in self.states.values() if state.backend.service == service]
--- a/src/merlinstand/batch_jobs/item_run.py
+++ b/src/merlinstand/batch_jobs/item_run.py
@@ -49,6 +49,14 @@
     score: str = ""
     result: ItemResult | None = None
     """Set once it is to be listed."""
+    taken_up_at: float = 0.0
+    """When this keeper took the item up."""
+    first_begun_at: float = 0.0
+    """When its first run here began; 0 before that."""
+    whole_at: float = 0.0
+    """When its text was whole; 0 before that."""
+    run_count: int = 0
+    """Runs that began here."""
     is_carried: bool = False
     """Whether the item stood in an earlier job, too."""
 
@@ -57,6 +65,17 @@
         """Names the item within this process."""
         return f"{self.job_id}/{self.item.item_id}"
 
+    def timings(self, now: float) -> dict[str, object]:
+        """Where an item's time went so far, in seconds, for its last log line."""
+        begun_at = self.first_begun_at or now
+        whole_at = self.whole_at or now
+        return {
+            "waited": round(begun_at - self.taken_up_at, 3),
+            "generated": round(max(0.0, whole_at - begun_at), 3),
+            "scored": round(now - max(whole_at, begun_at), 3),
+            "runs": self.run_count,
+        }
+
     def restart_text(self) -> None:
         """Drop the text: it can't go on."""
         self.text.reset()
--- a/src/merlinstand/batch_jobs/runner.py
+++ b/src/merlinstand/batch_jobs/runner.py
@@ -106,13 +106,13 @@
 
     # Jobs
 
-    def begin(self) -> None:
+    def begin(self, now: float) -> None:
         """A leadership begins: take up all open jobs."""
         jobs = sorted(self._jobs.jobs.values(), key=lambda job: job.accepted_at)
         for job in jobs:
-            self.add_job(job)
+            self.add_job(job, now)
 
-    def add_job(self, job: JobState) -> None:
+    def add_job(self, job: JobState, now: float) -> None:
         """Take up a job's unlisted items."""
         self._job_count += 1
         self._has_news = True
@@ -120,7 +120,7 @@
             first_job = self._seen.setdefault(item.item_id, job.job.job_id)
             if not job.is_open or job.is_listed(item.item_id):
                 continue
-            run = ItemRun(job.job.job_id, item, (self._job_count, number))
+            run = ItemRun(job.job.job_id, item, (self._job_count, number), taken_up_at=now)
             run.is_carried = first_job != job.job.job_id
             kept = job.kept_texts.get(item.item_id)
             if kept is not None:
@@ -291,6 +291,8 @@
         run.backend_id = engine.backend.backend_id
         run.phase = RunPhase.GENERATING
         run.begun_at = run.heard_at = now
+        run.first_begun_at = run.first_begun_at or now
+        run.run_count += 1
         run.kept_at = run.kept_at or now
         engine.running += 1
         self._by_call[call_id] = run
@@ -401,6 +403,7 @@
         if engine is not None:
             engine.note_success()
         self._release(run)
+        run.whole_at = now
         run.phase = RunPhase.SCORING
         return self._score(run, now)
 
@@ -488,6 +491,9 @@
             "state": result.state.value,
             "reason": reason,
             "events": run.text.last_event_id,
+            "group": run.item.group,
+            "backend": run.backend_id or "",
+            **run.timings(now),
         }
         return [LogEvent("item.done", fields), *self._propose(run, now)]
 
--- a/src/merlinstand/directory/daemon.py
+++ b/src/merlinstand/directory/daemon.py
@@ -61,7 +61,7 @@
 from merlinstand.directory.settings import DirectorySettings
 from merlinstand.directory.state_machine import DirectoryState
 from merlinstand.directory.subscribers import REPORT_FRESH_SECONDS, Subscriber, Subscribers
-from merlinstand.directory.view import KeeperGroup, decode_report, encode_changes
+from merlinstand.directory.view import DaemonReport, KeeperGroup, decode_report, encode_changes
 from merlinstand.kernel.effects import (
     Effect,
     LearnAddress,
@@ -277,6 +277,7 @@
             "backend": backend.backend_id,
             "service": backend.service,
             "address": backend.address,
+            "zone": backend.zone,
             "leaving": backend.is_leaving,
         }
         command = PutBackend(backend, request.sequence)
@@ -361,12 +362,14 @@
             weights_revision=pull.weights_revision,
             keepers_mark=pull.keepers_mark,
         )
+        is_new = not self._subscribers.knows(sender)
         self._subscribers.note(sender, subscriber)
         self._refresh(now)
         # Answered even if nothing changed: the answer proves that a leader lives.
         changes = self._subscribers.changes_for(subscriber, self.state)
         data = encode_changes(changes) if changes is not None else b""
-        return [SendMessage(sender, self._update(data)), *self._push(now)]
+        effects: list[Effect] = [_reported(report)] if is_new else []
+        return [*effects, SendMessage(sender, self._update(data)), *self._push(now)]
 
     def _refresh(self, now: float) -> None:
         members = self.replica.membership.members()
@@ -477,3 +480,15 @@
             compaction_entries=COMPACTION_ENTRIES, compaction_bytes=COMPACTION_BYTES
         ),
     )
+
+
+def _reported(report: DaemonReport) -> Effect:
+    """Tell of a daemon that this leader hears for the first time."""
+    fields = {
+        "daemon": report.node_id,
+        "name": report.name,
+        "role": report.role,
+        "zone": report.zone,
+        "address": report.address,
+    }
+    return LogEvent("daemon.reported", fields)
--- a/src/merlinstand/directory/subscribers.py
+++ b/src/merlinstand/directory/subscribers.py
@@ -45,6 +45,10 @@
         """Forget everybody: a new leadership hears them again."""
         self._by_node.clear()
 
+    def knows(self, node_id: NodeId) -> bool:
+        """Whether a daemon has reported to this leadership."""
+        return node_id in self._by_node
+
     def note(self, node_id: NodeId, subscriber: Subscriber) -> None:
         """Take a report."""
         self._by_node[node_id] = subscriber
--- a/src/merlinstand/forwarding/batch_relay.py
+++ b/src/merlinstand/forwarding/batch_relay.py
@@ -161,6 +161,7 @@
             headers=_HEADERS,
             body=relayed.body,
             timeout_seconds=timeout,
+            kind=f"{CALL_PREFIX}{type(relayed.call).__name__}",
         )
         return [call]
 
--- a/src/merlinstand/kernel/effects.py
+++ b/src/merlinstand/kernel/effects.py
@@ -118,6 +118,8 @@
     answer that belongs to another request ends its connection and fails the call."""
     accepts_unframed: bool = False
     """Take a body without length as whole when its connection ends in order."""
+    kind: str = ""
+    """What its bytes are counted as; the call id's prefix if empty. One of a few fixed names."""
 
 
 class CancelCall(Effect, frozen=True):
--- a/src/merlinstand/runtime/host.py
+++ b/src/merlinstand/runtime/host.py
@@ -30,6 +30,7 @@
 from merlinstand.runtime.record_writer import RecordWriter
 from merlinstand.runtime.timers import Timers
 from merlinstand.runtime.tls import TlsContexts
+from merlinstand.runtime.traffic import TrafficCounters
 from merlinstand.runtime.transport import Transport
 from merlinstand.storage.errors import StorageError
 from merlinstand.storage.store import DurableStore
@@ -38,6 +39,8 @@
 """Longest time at the end for responses and messages to leave."""
 FLUSH_POLL_SECONDS = 0.005
 CONNECTION_SWEEP_SECONDS = 10.0
+TRAFFIC_SECONDS = 5.0
+"""How often the bytes by kind and peer are told."""
 LOOP_CHECK_SECONDS = 1.0
 LOOP_STALL_SECONDS = 0.5
 """A loop that stood still for this long is worth a log line."""
@@ -84,6 +87,7 @@
         if isinstance(contexts, Err):
             raise HostSetupFailedError(contexts.err_value)
         self._tls = contexts.ok_value
+        self._traffic = TrafficCounters()
         self.transport = Transport(
             NodeId(settings.node_id),
             self.submit,
@@ -91,6 +95,7 @@
             self._tls.internal,
             self._tls.client,
             settings.peer_timings,
+            self._traffic,
         )
         self.metrics.register(self.transport.counters)
         self._timers = Timers(lambda name: self.submit(TimerFired(name)))
@@ -98,11 +103,12 @@
         self._endpoint = HttpEndpoint(self.submit, self.metrics, settings.http_limits)
         outbound_tls = self._tls.client if settings.tls and settings.tls.calls else None
         self._pool = ConnectionPool(outbound_tls, settings.connect_timeout_seconds)
-        self._client = HttpClient(self.submit, self._pool)
+        self._client = HttpClient(self.submit, self._pool, self._traffic)
         self._records = RecordWriter(settings.record_folder) if settings.record_folder else None
         self._performer: EffectPerformer | None = None
         self._sweeper: Any = None
         self._loop_watcher: Any = None
+        self._traffic_teller: Any = None
 
     @property
     def http_address(self) -> str:
@@ -141,6 +147,7 @@
         )
         self._sweeper = gevent.spawn(self._sweep)
         self._loop_watcher = gevent.spawn(self._watch_loop)
+        self._traffic_teller = gevent.spawn(self._tell_traffic)
         try:
             self._perform(self._reducer.start(started, time.monotonic()))
         except Exception:
@@ -202,7 +209,7 @@
         self._disk.close()
         if self._records is not None:
             self._records.close()
-        for greenlet in (self._sweeper, self._loop_watcher):
+        for greenlet in (self._sweeper, self._loop_watcher, self._traffic_teller):
             if greenlet is not None:
                 greenlet.kill(block=False)
 
@@ -305,6 +312,18 @@
                 fields = {"seconds": round(stood_seconds, 3)}
                 self.log.write("host.loop_stalled", fields, "warning")
 
+    def _tell_traffic(self) -> None:
+        """Log the bytes so far by kind and peer; the newest line of a kind counts."""
+        while True:
+            gevent.sleep(TRAFFIC_SECONDS)
+            for kind, direction, peers in self._traffic.rows():
+                fields = {
+                    "kind": kind,
+                    "direction": direction.value,
+                    "bytes": ",".join(f"{peer}:{count}" for peer, count in peers.items()),
+                }
+                self.log.write("host.traffic", fields)
+
     def _sweep(self) -> None:
         while True:
             gevent.sleep(CONNECTION_SWEEP_SECONDS)
--- a/src/merlinstand/runtime/http_client.py
+++ b/src/merlinstand/runtime/http_client.py
@@ -29,6 +29,7 @@
     ResponseParser,
     encode_request,
 )
+from merlinstand.runtime.traffic import Direction, TrafficCounters, call_kind
 from merlinstand.runtime.watchdog import Watchdog
 
 KEEP_ALIVE_MARGIN_SECONDS = 0.5
@@ -41,13 +42,20 @@
 class HttpClient:
     """Runs calls, each in its own greenlet."""
 
-    def __init__(self, submit: Callable[[Event], None], pool: ConnectionPool) -> None:
+    def __init__(
+        self,
+        submit: Callable[[Event], None],
+        pool: ConnectionPool,
+        traffic: TrafficCounters | None = None,
+    ) -> None:
         """Create a client.
 
         Args:
             submit: Hands an event to the reducer.
             pool: Where connections come from.
+            traffic: Counts bytes by kind of call and by server.
         """
+        self._traffic = TrafficCounters() if traffic is None else traffic
         self._submit = submit
         self._pool = pool
         self._calls: dict[CallId, Greenlet] = {}
@@ -86,10 +94,16 @@
         finally:
             # Also on a kill: an unfinished connection must never go back to the pool.
             progress.release()
+            self._count(call, progress)
         if self._is_current(call):
             del self._calls[call.call_id]
             self._submit(final)
 
+    def _count(self, call: StartCall, progress: "_CallProgress") -> None:
+        kind = call.kind or call_kind(call.call_id)
+        self._traffic.note(kind, Direction.SENT, call.address, progress.sent_bytes)
+        self._traffic.note(kind, Direction.RECEIVED, call.address, progress.received_bytes)
+
     def _read_stream(self, call: StartCall, progress: "_CallProgress") -> Event:
         progress.read_head()
         parser = progress.parser
@@ -137,6 +151,8 @@
         self._ends_with_connection = False
         self._is_foreign = False
         self.phase = CallPhase.CONNECT
+        self.sent_bytes = 0
+        self.received_bytes = 0
         self.parser = ResponseParser(call.method)
 
     def send(self) -> None:
@@ -153,6 +169,7 @@
             # An error of the very first send means that the kernel took no byte.
             sent = connection.send(view)
             self.phase = CallPhase.SENT
+            self.sent_bytes += sent
             view = view[sent:]
 
     def read_whole(self) -> CallResponded:
@@ -219,6 +236,7 @@
         data = self._connection.receive()
         if not data:
             raise TruncatedResponseError("connection ended")
+        self.received_bytes += len(data)
         if self._call.stream:
             self._limit_step()
         self.parser.feed(data)
--- a/src/merlinstand/runtime/transport.py
+++ b/src/merlinstand/runtime/transport.py
@@ -24,6 +24,7 @@
 from merlinstand.runtime.host_settings import USUAL_PEER_TIMINGS, PeerTimings
 from merlinstand.runtime.logs import EventLog
 from merlinstand.runtime.tls import BoundedHandshakeServer
+from merlinstand.runtime.traffic import Direction, TrafficCounters
 from merlinstand.runtime.transport_peer import PeerLink
 from merlinstand.runtime.watchdog import Watchdog
 
@@ -105,6 +106,7 @@
         server_context: SSLContext | None = None,
         client_context: SSLContext | None = None,
         timings: PeerTimings = USUAL_PEER_TIMINGS,
+        traffic: TrafficCounters | None = None,
     ) -> None:
         """Create a transport that does not listen yet.
 
@@ -115,7 +117,9 @@
             server_context: Set to accept TLS only.
             client_context: Set to connect by TLS.
             timings: How lost peers are sought again.
+            traffic: Counts the bytes sent by peer.
         """
+        self._traffic = TrafficCounters() if traffic is None else traffic
         self.counters = TransportCounters()
         self.address = ""
         self._node_id = node_id
@@ -166,7 +170,9 @@
                 self.counters.messages_dropped += 1
                 return
             link = self._open_link(receiver, address)
-        self.counters.note_sent(type(message).__name__, len(frame))
+        name = type(message).__name__
+        self.counters.note_sent(name, len(frame))
+        self._traffic.note(name, Direction.SENT, self._addresses.get(receiver, ""), len(frame))
         self.counters.messages_dropped += link.push(frame)
 
     def flush(self, timeout_seconds: float) -> None:
--- a/src/merlinstand_lab/cli/main.py
+++ b/src/merlinstand_lab/cli/main.py
@@ -13,6 +13,7 @@
     "experiment": "merlinstand_lab.experiments.cli",
     "report": "merlinstand_lab.report.cli",
     "capacity": "merlinstand_lab.capacity.cli",
+    "account": "merlinstand_lab.accounts.cli",
     "failover": "merlinstand_lab.failover.cli",
 }
 """Module of each subcommand; every module exposes `command`."""
--- a/tests/batch_jobs/test_runner_scheduling.py
+++ b/tests/batch_jobs/test_runner_scheduling.py
@@ -78,7 +78,7 @@
         lambda _job, _result, _now: [],
         keep_texts,
     )
-    made.begin()
+    made.begin(0.0)
     return made
 
 
--- a/tests/batch_jobs/test_scoring.py
+++ b/tests/batch_jobs/test_scoring.py
@@ -64,7 +64,7 @@
             self._list,
             lambda _parts, _now: [],
         )
-        self.runner.add_job(jobs.jobs["j"])
+        self.runner.add_job(jobs.jobs["j"], 0.0)
         [self.run] = self.runner._runs.values()
         self.run.phase = RunPhase.SCORING
 
