--- a/src/merlinstand/batch_jobs/calls.py
+++ b/src/merlinstand/batch_jobs/calls.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from merlinstand.batch_jobs.model import BatchJob, ItemResult
+from merlinstand.batch_jobs.packed_message import pack_message, unpack_message
 
 CALL_PATH = "/v1/batch-call"
 
@@ -91,8 +92,9 @@
 
 
 def encode(message: BatchCall | BatchReply) -> bytes:
-    """Encode a call or a reply."""
-    return msgspec.msgpack.encode(message)
+    """Encode a call or a reply; the texts in a page of results are packed already."""
+    data = msgspec.msgpack.encode(message)
+    return pack_message(data) if isinstance(message, SubmitJob) else data
 
 
 def decode_call(data: bytes) -> BatchCall:
@@ -101,7 +103,7 @@
     Raises:
         msgspec.DecodeError: The bytes are malformed.
     """
-    return _CALL_DECODER.decode(data)
+    return _CALL_DECODER.decode(unpack_message(data))
 
 
 def decode_reply(data: bytes) -> BatchReply:
--- a/src/merlinstand/batch_jobs/item_run.py
+++ b/src/merlinstand/batch_jobs/item_run.py
@@ -98,12 +98,8 @@
 
     def succeeded(self) -> ItemResult:
         """The result of a whole text."""
-        return ItemResult(
-            item_id=self.item.item_id,
-            state=ResultState.SUCCEEDED,
-            text=self.text.text,
-            versions=tuple(self.text.versions),
-            score=self.score,
+        return ItemResult.succeeded(
+            self.item.item_id, self.text.text, tuple(self.text.versions), self.score
         )
 
     def terminated(self) -> ItemResult:
--- a/src/merlinstand/batch_jobs/model.py
+++ b/src/merlinstand/batch_jobs/model.py
@@ -3,6 +3,10 @@
 import enum
 
 import msgspec
+from result import Err, Ok, Result
+
+from merlinstand.batch_jobs.packed_text import pack, unpack
+from merlinstand.common.errors import InvalidInputError
 
 
 class ScoringCall(msgspec.Struct, frozen=True, array_like=True):
@@ -60,8 +64,45 @@
     item_id: str
     state: ResultState
     text: str = ""
-    """Data of all events in order, one a line."""
+    """Data of all events in order, one a line; empty if it is packed."""
+    packed_text: bytes = b""
+    """The text compressed, where that makes it smaller."""
+    text_length: int = 0
+    """Characters of the packed text."""
     versions: tuple[int, ...] = ()
     """Every weight version that made an event of the text."""
     score: str = ""
     """The scoring service's signature."""
+
+    @classmethod
+    def succeeded(
+        cls, item_id: str, text: str, versions: tuple[int, ...], score: str
+    ) -> "ItemResult":
+        """Make the result of a whole text, packed if that makes it smaller."""
+        packed = pack(text.encode())
+        return cls(
+            item_id=item_id,
+            state=ResultState.SUCCEEDED,
+            text="" if packed else text,
+            packed_text=packed,
+            text_length=len(text) if packed else 0,
+            versions=versions,
+            score=score,
+        )
+
+    @property
+    def length(self) -> int:
+        """Characters of the text."""
+        return self.text_length or len(self.text)
+
+    def whole_text(self) -> Result[str, InvalidInputError]:
+        """Give the text; an error if its packed form is malformed."""
+        if not self.packed_text:
+            return Ok(self.text)
+        unpacked = unpack(self.packed_text)
+        if isinstance(unpacked, Err):
+            return unpacked
+        try:
+            return Ok(unpacked.ok_value.decode())
+        except UnicodeDecodeError as error:
+            return Err(InvalidInputError(detail=f"packed text: {error}"))
--- a/src/merlinstand/batch_jobs/reads.py
+++ b/src/merlinstand/batch_jobs/reads.py
@@ -25,7 +25,7 @@
     results: list[ItemResult] = []
     size = 0
     for result in job.results[position:]:
-        size += len(result.text)
+        size += result.length
         if results and size > MAXIMUM_PAGE_BYTES:
             break
         results.append(result)
--- a/src/merlinstand/batch_jobs/state_machine.py
+++ b/src/merlinstand/batch_jobs/state_machine.py
@@ -4,6 +4,7 @@
 
 from merlinstand.batch_jobs.kept_text import KeptText, TextPart
 from merlinstand.batch_jobs.model import BatchItem, BatchJob, ItemResult
+from merlinstand.batch_jobs.packed_message import pack_message, unpack_message
 
 
 class AcceptJob(msgspec.Struct, frozen=True, tag="accept"):
@@ -52,8 +53,9 @@
 
 
 def encode_command(command: JobCommand) -> bytes:
-    """Encode for the log."""
-    return msgspec.msgpack.encode(command)
+    """Encode for the log; bodies and texts are compressed once, by whoever makes them."""
+    data = msgspec.msgpack.encode(command)
+    return pack_message(data) if isinstance(command, AcceptJob | KeepTexts) else data
 
 
 def decode_command(data: bytes) -> JobCommand:
@@ -62,7 +64,7 @@
     Raises:
         msgspec.DecodeError: The bytes are malformed.
     """
-    return _COMMAND_DECODER.decode(data)
+    return _COMMAND_DECODER.decode(unpack_message(data))
 
 
 class JobState(msgspec.Struct):
--- /dev/null
+++ b/tests/batch_jobs/test_packed_text.py
@@ -0,0 +1,81 @@
+"""Texts of results and bodies of jobs are kept and sent compressed, and come back unchanged."""
+
+import msgspec
+import pytest
+
+from merlinstand.batch_jobs.calls import SubmitJob, decode_call, encode
+from merlinstand.batch_jobs.kept_text import TextPart
+from merlinstand.batch_jobs.model import BatchItem, BatchJob, ItemResult, ResultState
+from merlinstand.batch_jobs.packed_message import PACKED_MARK
+from merlinstand.batch_jobs.packed_text import pack
+from merlinstand.batch_jobs.state_machine import (
+    AcceptJob,
+    JobCommand,
+    KeepTexts,
+    ListResult,
+    decode_command,
+    encode_command,
+)
+
+LONG = "an event's data\n" * 200
+JOB = BatchJob(
+    job_id="j",
+    host="h",
+    path="/l/",
+    items=tuple(
+        BatchItem(item_id=f"i{n}", path="/l/1", headers={"host": "h"}, body=b"b") for n in range(20)
+    ),
+)
+
+
+@pytest.mark.parametrize(
+    "text", ["", "a", "ä\n" * 40, LONG], ids=["empty", "short", "wide", "long"]
+)
+def test_a_text_comes_back_unchanged(text: str) -> None:
+    result = ItemResult.succeeded("i", text, (1,), "s")
+    assert result.whole_text().unwrap() == text
+    assert result.length == len(text)
+    assert len(result.text) + len(result.packed_text) <= len(text.encode())
+
+
+@pytest.mark.parametrize(
+    "packed",
+    [b"no zlib", pack(LONG.encode())[:-3], pack(LONG.encode()) + b"more", pack(b"\xff" * 300)],
+    ids=["other bytes", "cut short", "bytes behind", "no utf-8"],
+)
+def test_a_malformed_packed_text_is_an_error(packed: bytes) -> None:
+    result = ItemResult(item_id="i", state=ResultState.SUCCEEDED, packed_text=packed)
+    assert result.whole_text().is_err()
+
+
+@pytest.mark.parametrize(
+    "command",
+    [
+        AcceptJob(JOB),
+        KeepTexts((TextPart("j", "i1", 1, (LONG,), (1,)),)),
+        ListResult("j", ItemResult.succeeded("i1", LONG, (1,), "s")),
+    ],
+    ids=["job", "texts", "result"],
+)
+def test_long_commands_are_small_in_the_log(command: JobCommand) -> None:
+    data = encode_command(command)
+    assert decode_command(data) == command
+    plain = msgspec.msgpack.encode(command)
+    assert decode_command(plain) == command
+    assert len(data) < len(LONG) / 2
+
+
+def test_a_submitted_job_is_sent_compressed() -> None:
+    data = encode(SubmitJob(JOB))
+    assert data.startswith(PACKED_MARK)
+    assert decode_call(data) == SubmitJob(JOB)
+
+
+@pytest.mark.parametrize(
+    "data", [PACKED_MARK, PACKED_MARK + b"x", PACKED_MARK + pack(b"\xc1" * 300)]
+)
+def test_a_malformed_packed_message_is_no_message(data: bytes) -> None:
+    with pytest.raises(msgspec.DecodeError):
+        decode_command(data)
+    with pytest.raises(msgspec.DecodeError):
+        decode_call(data)
