--- a/src/merlinstand/batch_jobs/daemon.py
+++ b/src/merlinstand/batch_jobs/daemon.py
@@ -354,9 +354,19 @@
         except MALFORMED_INPUT as error:
             return [self._reply(event.request_id, Invalid(str(error)))]
         if not self._is_running or not self._may_act(now):
-            return [self._reply(event.request_id, self._not_leader())]
+            return [self._reply(event.request_id, self._copy_reply(call))]
         return self._leader_call(event.request_id, call, now)
 
+    def _copy_reply(self, call: BatchCall) -> BatchReply:
+        """Answer without leading: a committed result at a position is the same everywhere.
+
+        That a copy has nothing there proves nothing; the leader is to be asked.
+        """
+        job = self.jobs.jobs.get(call.job_id) if isinstance(call, ReadResults) else None
+        if job is not None and isinstance(call, ReadResults) and len(job.results) > call.position:
+            return results_page(job, call.position)
+        return self._not_leader()
+
     def _leader_call(self, request_id: RequestId, call: BatchCall, now: float) -> list[Effect]:
         match call:
             case SubmitJob():
--- a/src/merlinstand/directory/founding.py
+++ b/src/merlinstand/directory/founding.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Sequence
 
-from merlinstand.directory.view import DaemonReport, Keeper
+from merlinstand.directory.view import DaemonReport, Keeper, keeper_of
 
 SETTLE_SECONDS = 1.0
 """Founders are chosen once enough keepers reported and no new one came for this long."""
@@ -39,7 +39,7 @@
         if self._is_decided or not founders or not self._is_time(len(founders), now):
             return []
         self._is_decided = True
-        return spread_over_zones([_keeper_of(report) for report in founders], self._group_size)
+        return spread_over_zones([keeper_of(report) for report in founders], self._group_size)
 
     def _is_time(self, reported: int, now: float) -> bool:
         first_at = min(self._first_seen_at.values())
@@ -63,15 +63,3 @@
         chosen.append(best)
         remaining.remove(best)
     return chosen
-
-
-def _keeper_of(report: DaemonReport) -> Keeper:
-    return Keeper(
-        node_id=report.node_id,
-        name=report.name,
-        zone=report.zone,
-        address=report.address,
-        http_address=report.http_address,
-        is_leader=False,
-        term=0,
-    )
--- a/src/merlinstand/directory/subscribers.py
+++ b/src/merlinstand/directory/subscribers.py
@@ -10,6 +10,7 @@
     Keeper,
     KeeperGroup,
     KeeperWishes,
+    keeper_of,
 )
 
 KEEPER_ROLE = "keeper"
@@ -83,18 +84,10 @@
         now: float,
     ) -> None:
         """Bring the soft section up to date and give it a new mark if it changed."""
-        keepers = tuple(
-            Keeper(
-                node_id=report.node_id,
-                name=report.name,
-                zone=report.zone,
-                address=report.address,
-                http_address=report.http_address,
-                is_leader=report.is_leader,
-                term=report.term,
-            )
-            for report in sorted(self.keeper_reports(now), key=lambda report: report.node_id)
-        )
+        leader = self.leading_keeper(now)
+        copies = leader.members if leader is not None else ()
+        reports = sorted(self.keeper_reports(now), key=lambda report: report.node_id)
+        keepers = tuple(keeper_of(report, copies) for report in reports)
         wishes = KeeperWishes(retiring)
         section = (keepers, controls, wishes, founding)
         held = (self._keepers, self._controls, self._wishes, self._founding)
--- a/src/merlinstand/directory/view.py
+++ b/src/merlinstand/directory/view.py
@@ -1,5 +1,7 @@
 """What daemons tell the control group about themselves, and what they are told."""
 
+from collections.abc import Collection
+
 import msgspec
 
 from merlinstand.directory.backends import Backend
@@ -37,6 +39,27 @@
     http_address: str
     is_leader: bool
     term: int
+    has_copy: bool = False
+    """Whether it holds the replicated jobs, as the group's leader tells."""
+
+
+def keeper_of(report: DaemonReport, members: Collection[str] = ()) -> Keeper:
+    """Make a keeper of its report.
+
+    Args:
+        report: What the keeper told of itself.
+        members: Node ids of the group's members, as its leader tells them.
+    """
+    return Keeper(
+        node_id=report.node_id,
+        name=report.name,
+        zone=report.zone,
+        address=report.address,
+        http_address=report.http_address,
+        is_leader=report.is_leader,
+        term=report.term,
+        has_copy=report.node_id in members,
+    )
 
 
 class KeeperGroup(msgspec.Struct, frozen=True):
--- a/src/merlinstand/forwarding/batch_relay.py
+++ b/src/merlinstand/forwarding/batch_relay.py
@@ -10,6 +10,7 @@
     Invalid,
     NotLeader,
     ReadResults,
+    ResultsPage,
     SubmitJob,
     Undecided,
     decode_reply,
@@ -19,6 +20,7 @@
 from merlinstand.common.ids import CallId, RequestId
 from merlinstand.directory.follower import DirectoryFollower
 from merlinstand.forwarding.interface import BatchFailure
+from merlinstand.forwarding.near_copies import NearCopies
 from merlinstand.forwarding.settings import ForwardingSettings
 from merlinstand.kernel.effects import (
     CancelCall,
@@ -35,6 +37,8 @@
 PAUSE_SECONDS = 0.1
 """Wait before the keepers are asked again when none leads."""
 RETRY_AFTER_SECONDS = 0.3
+COPY_CALL_SECONDS = 0.25
+"""A copy in the own zone answers within some ms; after this long the leader is asked."""
 _HEADERS = {"content-type": "application/msgpack"}
 
 
@@ -47,6 +51,8 @@
     call_id: CallId | None = None
     address: str = ""
     may_be_done: bool = False
+    is_at_copy: bool = False
+    """Whether the present call asks a copy of the own zone, not the leader."""
 
 
 class RelayFinished(msgspec.Struct, frozen=True):
@@ -69,6 +75,8 @@
         """HTTP address of the leader, as a keeper told it last."""
         self._turn = 0
 
+        self._copies = NearCopies(settings.zone, follower)
+
     def __len__(self) -> int:
         """Calls on their way."""
         return len(self._relayed)
@@ -85,6 +93,11 @@
             limit += call.wait_seconds
         relayed = _Relayed(request_id, call, encode(call), now + limit)
         self._relayed[request_id] = relayed
+        if isinstance(call, ReadResults):
+            copy = self._copies.choose(now)
+            if copy:
+                relayed.is_at_copy = True
+                return self._ask(relayed, copy, COPY_CALL_SECONDS)
         return self._send(relayed, now)
 
     def abort(self, request_id: RequestId) -> list[Effect]:
@@ -111,6 +124,8 @@
         if relayed is None or relayed.call_id != event.call_id:
             return []
         relayed.call_id = None
+        if relayed.is_at_copy:
+            return self._after_copy(relayed, event, now)
         if isinstance(event, CallFailed):
             if event.phase is not CallPhase.CONNECT:
                 relayed.may_be_done = True
@@ -124,6 +139,23 @@
             return self._pause(relayed, now)
         return self._take(relayed, reply, now)
 
+    def _after_copy(
+        self, relayed: _Relayed, event: CallResponded | CallFailed, now: float
+    ) -> list[Effect]:
+        """Take a copy's page; whatever else it answers, the leader is asked."""
+        relayed.is_at_copy = False
+        if isinstance(event, CallFailed):
+            self._copies.note_failure(relayed.address, now)
+            return self._send(relayed, now)
+        try:
+            reply = decode_reply(event.body)
+        except MALFORMED_INPUT:
+            self._copies.note_failure(relayed.address, now)
+            return self._send(relayed, now)
+        if isinstance(reply, ResultsPage):
+            return self._finish(relayed, reply)
+        return self._send(relayed, now)
+
     def _take(self, relayed: _Relayed, reply: BatchReply, now: float) -> list[Effect]:
         if isinstance(reply, Undecided):
             relayed.may_be_done = True
@@ -147,12 +179,15 @@
             return self._give_up(relayed)
         if not address:
             return self._pause(relayed, now)
-        relayed.tries += 1
-        relayed.address = address
-        relayed.call_id = CallId(f"{CALL_PREFIX}{relayed.request_id}#{relayed.tries}")
         timeout = min(self._settings.keeper_call_seconds, relayed.until - now)
         if isinstance(relayed.call, ReadResults):
             timeout += relayed.call.wait_seconds
+        return self._ask(relayed, address, timeout)
+
+    def _ask(self, relayed: _Relayed, address: str, timeout_seconds: float) -> list[Effect]:
+        relayed.tries += 1
+        relayed.address = address
+        relayed.call_id = CallId(f"{CALL_PREFIX}{relayed.request_id}#{relayed.tries}")
         call = StartCall(
             call_id=relayed.call_id,
             address=address,
@@ -160,7 +195,7 @@
             path=CALL_PATH,
             headers=_HEADERS,
             body=relayed.body,
-            timeout_seconds=timeout,
+            timeout_seconds=timeout_seconds,
             kind=f"{CALL_PREFIX}{type(relayed.call).__name__}",
         )
         return [call]
