--- a/src/merlinstand/batch_jobs/daemon.py
+++ b/src/merlinstand/batch_jobs/daemon.py
@@ -25,7 +25,6 @@
 from merlinstand.batch_jobs.engine_interface import EngineInterface
 from merlinstand.batch_jobs.engines import EngineStates, fastest_event_seconds
 from merlinstand.batch_jobs.kept_text import TextPart
-from merlinstand.batch_jobs.model import ItemResult
 from merlinstand.batch_jobs.reads import ResultsWaiter, results_page
 from merlinstand.batch_jobs.runner import CALL_PREFIX as ITEM_PREFIX
 from merlinstand.batch_jobs.runner import ItemRunner
@@ -299,8 +298,7 @@
                     self._runner.add_job(self.jobs.jobs[changed], now)
                 return []
             case ListResult():
-                self._runner.listed(command.job_id, command.result.item_id)
-                return self._answer_readers(command.job_id)
+                return self._after_listing(command, now)
             case CloseJob():
                 effects = self._runner.end_job(command.job_id, now)
                 return effects + self._answer_readers(command.job_id)
@@ -314,6 +312,14 @@
                 backend_id = BackendId(command.backend_id)
                 return self._weights.order_noted(backend_id, self._may_act(now), now)
 
+    def _after_listing(self, command: ListResult, now: float) -> list[Effect]:
+        job = self.jobs.jobs.get(command.job_id)
+        item_id = command.result.item_id
+        if command.kept_events and job is not None and job.is_open and not job.is_listed(item_id):
+            return self._runner.list_whole(command.job_id, item_id, now)
+        self._runner.listed(command.job_id, item_id)
+        return self._answer_readers(command.job_id)
+
     def _propose(self, command: JobCommand, now: float) -> tuple[int, int, list[Effect]] | None:
         """Propose a command; position, term and effects, or None if that can't be done."""
         if self.replica is None or not self._may_act(now):
@@ -324,8 +330,8 @@
         proposal = result.ok_value
         return proposal.index, proposal.term, self._perform(proposal.step, now)
 
-    def _list_result(self, job_id: str, result: ItemResult, now: float) -> list[Effect] | None:
-        proposed = self._propose(ListResult(job_id, result), now)
+    def _list_result(self, command: ListResult, now: float) -> list[Effect] | None:
+        proposed = self._propose(command, now)
         return None if proposed is None else proposed[2]
 
     def _keep_texts(self, parts: tuple[TextPart, ...], now: float) -> list[Effect] | None:
--- a/src/merlinstand/batch_jobs/item_run.py
+++ b/src/merlinstand/batch_jobs/item_run.py
@@ -102,6 +102,11 @@
             self.item.item_id, self.text.text, tuple(self.text.versions), self.score
         )
 
+    def succeeded_after(self, beginning: str) -> ItemResult:
+        """The result without its beginning, which the log holds already."""
+        rest = self.text.text[len(beginning) :]
+        return ItemResult.succeeded(self.item.item_id, rest, tuple(self.text.versions), self.score)
+
     def terminated(self) -> ItemResult:
         """The result of an item that was given up."""
         return ItemResult(item_id=self.item.item_id, state=ResultState.TERMINATED)
--- a/src/merlinstand/batch_jobs/runner.py
+++ b/src/merlinstand/batch_jobs/runner.py
@@ -11,7 +11,7 @@
 from merlinstand.batch_jobs.engines import EngineState, EngineStates
 from merlinstand.batch_jobs.item_run import ItemRun, RunPhase
 from merlinstand.batch_jobs.kept_text import TextPart
-from merlinstand.batch_jobs.model import ItemResult
+from merlinstand.batch_jobs.model import ItemResult, ResultState
 from merlinstand.batch_jobs.schedule import (
     GroupProgress,
     group_progress,
@@ -19,7 +19,7 @@
     urgency,
 )
 from merlinstand.batch_jobs.scheduling_turn import SchedulingTurn
-from merlinstand.batch_jobs.state_machine import JobState, JobStates
+from merlinstand.batch_jobs.state_machine import JobState, JobStates, ListResult
 from merlinstand.common.ids import BackendId, CallId
 from merlinstand.directory.follower import DirectoryFollower
 from merlinstand.directory.routes import Route
@@ -66,7 +66,7 @@
         names: HeaderNames,
         follows: Callable[[BackendId, str], bool],
         split: WeightedChoice,
-        list_result: Callable[[str, ItemResult, float], list[Effect] | None],
+        list_result: Callable[[ListResult, float], list[Effect] | None],
         keep_texts: Callable[[tuple[TextPart, ...], float], list[Effect] | None],
     ) -> None:
         """Begin without items.
@@ -497,11 +497,35 @@
         }
         return [LogEvent("item.done", fields), *self._propose(run, now)]
 
+    def _listing(self, run: ItemRun, result: ItemResult) -> ListResult:
+        """Give the command for a result; what the log holds of the text is not sent again.
+
+        Only if all that was given to the log is applied here already: then nothing on its way
+        can change the beginning before the command itself is applied.
+        """
+        events = run.kept_events
+        kept = self._jobs.jobs[run.job_id].kept_texts.get(run.item.item_id)
+        is_success = result.state is ResultState.SUCCEEDED
+        if not (is_success and events and kept is not None and len(kept.pieces) == events):
+            return ListResult(run.job_id, result)
+        beginning = "\n".join(kept.pieces)
+        if not run.text.text.startswith(beginning):
+            return ListResult(run.job_id, result)
+        return ListResult(run.job_id, run.succeeded_after(beginning), events)
+
+    def list_whole(self, job_id: str, item_id: str, now: float) -> list[Effect]:
+        """A listing could not be applied without its kept beginning: list the whole text."""
+        run = self._runs.get(f"{job_id}/{item_id}")
+        if run is None or run.phase is not RunPhase.LISTING:
+            return []
+        run.kept_events = 0
+        return self._propose(run, now)
+
     def _propose(self, run: ItemRun, now: float) -> list[Effect]:
         run.wait_until = 0.0
         if run.result is None:
             return []
-        effects = self._list_result(run.job_id, run.result, now)
+        effects = self._list_result(self._listing(run, run.result), now)
         if effects is None:
             run.wait_until = now + RETRY_PAUSE_SECONDS
             return []
--- a/src/merlinstand/batch_jobs/state_machine.py
+++ b/src/merlinstand/batch_jobs/state_machine.py
@@ -1,6 +1,7 @@
 """The replicated batch jobs: the same commands in the same order give the same state."""
 
 import msgspec
+from result import Err
 
 from merlinstand.batch_jobs.kept_text import KeptText, TextPart
 from merlinstand.batch_jobs.model import BatchItem, BatchJob, ItemResult
@@ -18,6 +19,9 @@
 
     job_id: str
     result: ItemResult
+    kept_events: int = 0
+    """Events that the text of the result begins with and that were kept before (`KeepTexts`): their
+    data is left out here, and stands in front once the command is applied."""
 
 
 class CloseJob(msgspec.Struct, frozen=True, tag="close"):
@@ -108,10 +112,33 @@
         if self.is_open and part.item_id in self.items_by_id and not self.is_listed(part.item_id):
             self.kept_texts.setdefault(part.item_id, KeptText()).take(part)
 
-    def add(self, result: ItemResult) -> bool:
-        """Give a result the next position; false if its item has one or is unknown."""
+    def kept_beginning(self, item_id: str, events: int) -> str | None:
+        """Give the text of an item's first events; None if so many were not kept."""
+        kept = self.kept_texts.get(item_id)
+        if kept is None or len(kept.pieces) < events:
+            return None
+        return "\n".join(kept.pieces[:events])
+
+    def add(self, result: ItemResult, kept_events: int = 0) -> bool:
+        """Give a result the next position.
+
+        Args:
+            result: With the text that follows the kept events.
+            kept_events: Events whose text was kept before.
+
+        Returns:
+            False if its item has a position or is unknown, or if its beginning was not kept.
+        """
         if result.item_id in self.listed_ids or result.item_id not in self.items_by_id:
             return False
+        if kept_events:
+            beginning = self.kept_beginning(result.item_id, kept_events)
+            rest = result.whole_text()
+            if beginning is None or isinstance(rest, Err):
+                return False
+            result = ItemResult.succeeded(
+                result.item_id, beginning + rest.ok_value, result.versions, result.score
+            )
         self.listed_ids.add(result.item_id)
         self.kept_texts.pop(result.item_id, None)
         self.results.append(result)
@@ -173,7 +200,9 @@
                 return self._accept(command.job, group_time)
             case ListResult():
                 job = self.jobs.get(command.job_id)
-                return command.job_id if job is not None and job.add(command.result) else ""
+                if job is None or not job.add(command.result, command.kept_events):
+                    return ""
+                return command.job_id
             case CloseJob():
                 return self._close(command.job_id, group_time)
             case ForgetJob():
--- a/tests/batch_jobs/test_kept_texts.py
+++ b/tests/batch_jobs/test_kept_texts.py
@@ -16,7 +16,7 @@
     decode_command,
     encode_command,
 )
-from merlinstand.kernel.events import CallChunk, CallHeaders
+from merlinstand.kernel.events import CallChunk, CallEnded, CallHeaders
 from tests.batch_jobs.test_runner_scheduling import calls, make_runner
 
 JOB = BatchJob(
@@ -107,3 +107,57 @@
     assert run.phase is RunPhase.GENERATING
     run.restart_text()
     assert run.next_part().first_event_id == 1
+
+
+def succeeded(text: str) -> ItemResult:
+    return ItemResult.succeeded("a", text, (3,), "s")
+
+
+@pytest.mark.parametrize(
+    ("parts", "rest", "events", "text"),
+    [
+        ([part(1, "x", "y")], "\nz", 2, "x\ny\nz"),
+        ([part(1, "x", "y")], "", 2, "x\ny"),
+        ([part(1, "x", "y")], "\nq", 1, "x\nq"),
+        ([part(1, "x" * 300)], "\n" + "y" * 300, 1, "x" * 300 + "\n" + "y" * 300),
+        ([part(1, "x")], "\nz", 2, None),
+        ([], "z", 1, None),
+    ],
+    ids=["goes on", "nothing follows", "kept more", "packed", "kept less", "nothing kept"],
+)
+def test_a_result_is_joined_to_its_kept_beginning(
+    parts: list[TextPart], rest: str, events: int, text: str | None
+) -> None:
+    states = accepted()
+    for one in parts:
+        states.apply(KeepTexts((one,)), 1.0)
+    command = decode_command(encode_command(ListResult("j", succeeded(rest), events)))
+    changed = states.apply(command, 2.0)
+    results = states.jobs["j"].results
+    if text is None:
+        assert (changed, results) == ("", [])
+        return
+    assert changed == "j"
+    assert [result.whole_text().unwrap() for result in results] == [text]
+
+
+@pytest.mark.parametrize("is_applied", [True, False], ids=["kept", "on its way"])
+def test_what_the_log_holds_is_not_sent_again(is_applied: bool) -> None:
+    states = accepted()
+    proposed: list[tuple[TextPart, ...]] = []
+    listed: list[ListResult] = []
+    runner = make_runner(states, proposed, listed)
+    call = calls(runner.start_if_news(0.0))[0]
+    runner.on_call(CallHeaders(call.call_id, 200, VERSIONS), 0.1)
+    runner.on_call(CallChunk(call.call_id, b"id: 1\ndata: x\n\n"), 0.2)
+    runner.tick(KEEP_TEXT_SECONDS)
+    if is_applied:
+        states.apply(KeepTexts(proposed[0]), 1.1)
+    runner.on_call(CallChunk(call.call_id, b"id: 2\ndata: y\n\n"), 1.2)
+    runner.on_call(CallEnded(call.call_id), 1.3)
+    [command] = listed
+    shown = (command.kept_events, command.result.whole_text().unwrap())
+    assert shown == ((1, "\ny") if is_applied else (0, "x\ny"))
+    runner.list_whole("j", command.result.item_id, 1.4)
+    assert listed[-1].kept_events == 0
+    assert listed[-1].result.whole_text().unwrap() == "x\ny"
--- a/tests/batch_jobs/test_runner_scheduling.py
+++ b/tests/batch_jobs/test_runner_scheduling.py
@@ -9,7 +9,7 @@
 from merlinstand.batch_jobs.kept_text import TextPart
 from merlinstand.batch_jobs.model import BatchItem, BatchJob
 from merlinstand.batch_jobs.runner import ItemRunner
-from merlinstand.batch_jobs.state_machine import AcceptJob, JobStates
+from merlinstand.batch_jobs.state_machine import AcceptJob, JobStates, ListResult
 from merlinstand.common.ids import BackendId
 from merlinstand.directory.backends import Backend
 from merlinstand.directory.follower import DirectoryFollower
@@ -46,8 +46,15 @@
     return DaemonReport(node_id="k", name="k", role="keeper")
 
 
-def make_runner(jobs: JobStates, kept: list[tuple[TextPart, ...]] | None = None) -> ItemRunner:
-    """Make a runner of two engines that has taken up all jobs; `kept` notes kept texts."""
+def make_runner(
+    jobs: JobStates,
+    kept: list[tuple[TextPart, ...]] | None = None,
+    listed: list[ListResult] | None = None,
+) -> ItemRunner:
+    """Make a runner of two engines that has taken up all jobs.
+
+    `kept` notes kept texts, `listed` the commands that list results.
+    """
     follower = DirectoryFollower((), no_report)
     follower.routes = RouteTable(
         RoutesDocument(version=1, routes=(ROUTE,), services=(Service(name="llm"),))
@@ -67,6 +74,11 @@
             kept.append(parts)
         return []
 
+    def list_result(command: ListResult, _now: float) -> list[Effect]:
+        if listed is not None:
+            listed.append(command)
+        return []
+
     made = ItemRunner(
         jobs,
         follower,
@@ -75,7 +87,7 @@
         names,
         lambda _backend, _model: True,
         WeightedChoice(),
-        lambda _job, _result, _now: [],
+        list_result,
         keep_texts,
     )
     made.begin(0.0)
--- a/tests/batch_jobs/test_scoring.py
+++ b/tests/batch_jobs/test_scoring.py
@@ -4,7 +4,7 @@
 from merlinstand.batch_jobs.item_run import RunPhase
 from merlinstand.batch_jobs.model import BatchItem, BatchJob, ItemResult, ResultState, ScoringCall
 from merlinstand.batch_jobs.runner import ItemRunner
-from merlinstand.batch_jobs.state_machine import AcceptJob, JobStates
+from merlinstand.batch_jobs.state_machine import AcceptJob, JobStates, ListResult
 from merlinstand.common.ids import BackendId
 from merlinstand.directory.backends import Backend
 from merlinstand.directory.follower import DirectoryFollower
@@ -68,8 +68,8 @@
         [self.run] = self.runner._runs.values()
         self.run.phase = RunPhase.SCORING
 
-    def _list(self, _job: str, result: ItemResult, _now: float) -> list[Effect]:
-        self.listed.append(result)
+    def _list(self, command: ListResult, _now: float) -> list[Effect]:
+        self.listed.append(command.result)
         return []
 
     def scored(self, outcome: ForwardOutcome, attempts: int, failed_answers: int) -> None:
--- a/tests/users_platform/test_checks.py
+++ b/tests/users_platform/test_checks.py
@@ -136,7 +136,7 @@
 
 
 def test_results_that_change_their_place_are_reported(monkeypatch: pytest.MonkeyPatch) -> None:
-    def add_in_front(self: JobState, result: Any) -> bool:
+    def add_in_front(self: JobState, result: Any, _kept_events: int = 0) -> bool:
         if result.item_id in self.listed_ids:
             return False
         self.listed_ids.add(result.item_id)
