--- a/src/merlinstand/batch_jobs/daemon.py
+++ b/src/merlinstand/batch_jobs/daemon.py
@@ -36,7 +36,6 @@
     JobCommand,
     JobStates,
     KeepTexts,
-    ListGroup,
     ListResult,
     NoteOrder,
     decode_command,
@@ -114,7 +113,7 @@
             names,
             lambda backend_id, model: self._weights.follows(backend_id, model),
             self._split,
-            self._list_results,
+            self._list_result,
             self._keep_texts,
         )
         self._weights = WeightLoader(
@@ -299,9 +298,7 @@
                     self._runner.add_job(self.jobs.jobs[changed], now)
                 return []
             case ListResult():
-                return self._after_listings((command,), now)
-            case ListGroup():
-                return self._after_listings(command.listings, now)
+                return self._after_listing(command, now)
             case CloseJob():
                 effects = self._runner.end_job(command.job_id, now)
                 return effects + self._answer_readers(command.job_id)
@@ -315,20 +312,13 @@
                 backend_id = BackendId(command.backend_id)
                 return self._weights.order_noted(backend_id, self._may_act(now), now)
 
-    def _after_listings(self, listings: tuple[ListResult, ...], now: float) -> list[Effect]:
-        """Answer readers once all results of one entry have their positions."""
-        effects: list[Effect] = []
-        for listing in listings:
-            item_id = listing.result.item_id
-            job = self.jobs.jobs.get(listing.job_id)
-            is_missing = job is not None and job.is_open and not job.is_listed(item_id)
-            if listing.kept_events and is_missing:
-                effects.extend(self._runner.list_whole(listing.job_id, item_id, now))
-            else:
-                self._runner.listed(listing.job_id, item_id)
-        for job_id in {listing.job_id for listing in listings}:
-            effects.extend(self._answer_readers(job_id))
-        return effects
+    def _after_listing(self, command: ListResult, now: float) -> list[Effect]:
+        job = self.jobs.jobs.get(command.job_id)
+        item_id = command.result.item_id
+        if command.kept_events and job is not None and job.is_open and not job.is_listed(item_id):
+            return self._runner.list_whole(command.job_id, item_id, now)
+        self._runner.listed(command.job_id, item_id)
+        return self._answer_readers(command.job_id)
 
     def _propose(self, command: JobCommand, now: float) -> tuple[int, int, list[Effect]] | None:
         """Propose a command; position, term and effects, or None if that can't be done."""
@@ -340,7 +330,7 @@
         proposal = result.ok_value
         return proposal.index, proposal.term, self._perform(proposal.step, now)
 
-    def _list_results(self, command: ListResult | ListGroup, now: float) -> list[Effect] | None:
+    def _list_result(self, command: ListResult, now: float) -> list[Effect] | None:
         proposed = self._propose(command, now)
         return None if proposed is None else proposed[2]
 
--- a/src/merlinstand/batch_jobs/item_run.py
+++ b/src/merlinstand/batch_jobs/item_run.py
@@ -16,8 +16,6 @@
     WAITING = "waiting"
     GENERATING = "generating"
     SCORING = "scoring"
-    DONE = "done"
-    """It has a result and waits for the rest of its group."""
     LISTING = "listing"
     """Its result is proposed."""
 
@@ -46,8 +44,6 @@
     scoring_failures: int = 0
     kept_events: int = 0
     """Events of the text that were given to the log."""
-    kept_whole: bool = False
-    """Whether the log was told that they are all."""
     kept_at: float = 0.0
     """When they were, or when the item first began; 0 before that."""
     score: str = ""
@@ -69,11 +65,6 @@
         """Names the item within this process."""
         return f"{self.job_id}/{self.item.item_id}"
 
-    @property
-    def result_succeeded(self) -> bool:
-        """Whether it has a result, and not that it was given up."""
-        return self.result is not None and self.result.state is ResultState.SUCCEEDED
-
     def timings(self, now: float) -> dict[str, object]:
         """Where an item's time went so far, in seconds, for its last log line."""
         begun_at = self.first_begun_at or now
@@ -103,7 +94,6 @@
             first_event_id=self.kept_events + 1,
             pieces=tuple(self.text.pieces[self.kept_events :]),
             versions=tuple(self.text.versions),
-            is_whole=self.phase is RunPhase.DONE,
         )
 
     def succeeded(self) -> ItemResult:
--- a/src/merlinstand/batch_jobs/kept_text.py
+++ b/src/merlinstand/batch_jobs/kept_text.py
@@ -14,8 +14,6 @@
     """Data of the events, in order."""
     versions: tuple[int, ...]
     """Every weight version that made an event of the text so far."""
-    is_whole: bool = False
-    """Whether the text ends with this part."""
 
     @property
     def size(self) -> int:
@@ -29,8 +27,6 @@
     pieces: list[str] = msgspec.field(default_factory=list)
     """Data of events 1, 2, and so on."""
     versions: tuple[int, ...] = ()
-    is_whole: bool = False
-    """Whether nothing is left to generate."""
 
     def take(self, part: TextPart) -> None:
         """Append a part; one that begins anew replaces everything, one with a gap is dropped."""
@@ -40,4 +36,3 @@
             return
         self.pieces.extend(part.pieces)
         self.versions = part.versions
-        self.is_whole = part.is_whole
--- a/src/merlinstand/batch_jobs/runner.py
+++ b/src/merlinstand/batch_jobs/runner.py
@@ -4,7 +4,7 @@
 last part of its text on that the log holds.
 """
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable
 
 from result import Err
 
@@ -19,7 +19,7 @@
     urgency,
 )
 from merlinstand.batch_jobs.scheduling_turn import SchedulingTurn
-from merlinstand.batch_jobs.state_machine import JobState, JobStates, ListGroup, ListResult
+from merlinstand.batch_jobs.state_machine import JobState, JobStates, ListResult
 from merlinstand.common.ids import BackendId, CallId
 from merlinstand.directory.follower import DirectoryFollower
 from merlinstand.directory.routes import Route
@@ -66,7 +66,7 @@
         names: HeaderNames,
         follows: Callable[[BackendId, str], bool],
         split: WeightedChoice,
-        list_results: Callable[[ListResult | ListGroup, float], list[Effect] | None],
+        list_result: Callable[[ListResult, float], list[Effect] | None],
         keep_texts: Callable[[tuple[TextPart, ...], float], list[Effect] | None],
     ) -> None:
         """Begin without items.
@@ -79,7 +79,7 @@
             names: Header names.
             follows: Whether an engine is there for a model in the first place.
             split: Chooses the service of a weighted route.
-            list_results: Proposes results for their job; None if that can't be done now.
+            list_result: Proposes a result for its job; None if that can't be done now.
             keep_texts: Proposes to remember texts of unfinished items; None likewise.
         """
         self._jobs = jobs
@@ -89,7 +89,7 @@
         self._names = names
         self._follows = follows
         self._split = split
-        self._list_results = list_results
+        self._list_result = list_result
         self._keep_texts = keep_texts
         self._runs: dict[str, ItemRun] = {}
         self._by_call: dict[CallId, ItemRun] = {}
@@ -125,9 +125,6 @@
             kept = job.kept_texts.get(item.item_id)
             if kept is not None:
                 run.resume_text(kept)
-            if kept is not None and kept.is_whole:
-                run.phase = RunPhase.SCORING
-                run.whole_at = run.wait_until = now
             self._runs[run.key] = run
         while len(self._seen) > CARRIED_LIMIT:
             del self._seen[next(iter(self._seen))]
@@ -199,7 +196,7 @@
         return [run for run in runs if run.phase in later and 0.0 < run.wait_until <= now]
 
     def _go_on(self, run: ItemRun, now: float) -> list[Effect]:
-        return self._score(run, now) if run.phase is RunPhase.SCORING else self._propose([run], now)
+        return self._score(run, now) if run.phase is RunPhase.SCORING else self._propose(run, now)
 
     def _start_waiting(self, now: float) -> list[Effect]:
         """Give free slots to the most urgent items."""
@@ -220,11 +217,7 @@
         return effects
 
     def _keep_long_texts(self, now: float) -> list[Effect]:
-        """Have the log keep texts that it would take long to generate again.
-
-        Those of items that run for long, which would end last again, and whole ones that wait
-        for their groups.
-        """
+        """Have the log keep the texts of items that take long: they would end last again."""
         runs = [run for run in self._runs.values() if _is_text_due(run, now)]
         parts: list[TextPart] = []
         for run in runs:
@@ -236,7 +229,6 @@
             return []
         for run in runs[: len(parts)]:
             run.kept_events = run.text.last_event_id
-            run.kept_whole = run.phase is RunPhase.DONE
             run.kept_at = now
         return effects
 
@@ -269,9 +261,6 @@
         for run in [run for run in self._runs.values() if run.job_id == job_id]:
             if run.phase is RunPhase.LISTING:
                 continue
-            if run.phase is RunPhase.DONE:
-                effects.extend(self._propose([run], now))
-                continue
             if run.phase is RunPhase.SCORING:
                 effects.extend(self._forwarder.abort(run.key, now))
             effects.extend(self._stop_call(run))
@@ -494,6 +483,7 @@
         return []
 
     def _list(self, run: ItemRun, result: ItemResult, reason: str, now: float) -> list[Effect]:
+        run.phase = RunPhase.LISTING
         run.result = result
         fields = {
             "item": run.item.item_id,
@@ -505,26 +495,7 @@
             "backend": run.backend_id or "",
             **run.timings(now),
         }
-        run.phase = RunPhase.DONE
-        return [LogEvent("item.done", fields), *self._list_with_group(run, now)]
-
-    def _list_with_group(self, run: ItemRun, now: float) -> list[Effect]:
-        """Propose a group's results together, once all of its items have one.
-
-        A trainer has no use for part of a group, and a reader that waits is answered by the first
-        result: it should be one that makes a group whole. Meanwhile the log keeps the text, so
-        that nothing is generated again if this leader dies.
-        """
-        group = [
-            other
-            for other in self._runs.values()
-            if other.job_id == run.job_id and other.item.group == run.item.group
-        ]
-        unfinished = (RunPhase.WAITING, RunPhase.GENERATING, RunPhase.SCORING)
-        if run.item.group and any(other.phase in unfinished for other in group):
-            return []
-        done = [other for other in group if other.phase is RunPhase.DONE]
-        return self._propose(done, now)
+        return [LogEvent("item.done", fields), *self._propose(run, now)]
 
     def _listing(self, run: ItemRun, result: ItemResult) -> ListResult:
         """Give the command for a result; what the log holds of the text is not sent again.
@@ -548,29 +519,20 @@
         if run is None or run.phase is not RunPhase.LISTING:
             return []
         run.kept_events = 0
-        return self._propose([run], now)
+        return self._propose(run, now)
 
-    def _propose(self, runs: Sequence[ItemRun], now: float) -> list[Effect]:
-        """Propose the results of some items of one job, as one entry of the log."""
-        listings = [self._listing(run, run.result) for run in runs if run.result is not None]
-        if not listings:
+    def _propose(self, run: ItemRun, now: float) -> list[Effect]:
+        run.wait_until = 0.0
+        if run.result is None:
             return []
-        for run in runs:
-            run.phase = RunPhase.LISTING
-            run.wait_until = 0.0
-        is_single = len(listings) == 1
-        command = listings[0] if is_single else ListGroup(runs[0].job_id, tuple(listings))
-        effects = self._list_results(command, now)
+        effects = self._list_result(self._listing(run, run.result), now)
         if effects is None:
-            for run in runs:
-                run.wait_until = now + RETRY_PAUSE_SECONDS
+            run.wait_until = now + RETRY_PAUSE_SECONDS
             return []
         return effects
 
 
 def _is_text_due(run: ItemRun, now: float) -> bool:
-    if run.phase is RunPhase.DONE:
-        return not run.kept_whole and run.result_succeeded
     has_news = run.phase is RunPhase.GENERATING and run.text.last_event_id > run.kept_events
     return has_news and now - run.kept_at >= KEEP_TEXT_SECONDS
 
--- a/src/merlinstand/batch_jobs/state_machine.py
+++ b/src/merlinstand/batch_jobs/state_machine.py
@@ -24,13 +24,6 @@
     data is left out here, and stands in front once the command is applied."""
 
 
-class ListGroup(msgspec.Struct, frozen=True, tag="list_group"):
-    """Give several results of one job the next positions, in this order."""
-
-    job_id: str
-    listings: tuple[ListResult, ...]
-
-
 class CloseJob(msgspec.Struct, frozen=True, tag="close"):
     """End a job."""
 
@@ -56,7 +49,7 @@
     parts: tuple[TextPart, ...]
 
 
-JobCommand = AcceptJob | ListResult | ListGroup | CloseJob | ForgetJob | NoteOrder | KeepTexts
+JobCommand = AcceptJob | ListResult | CloseJob | ForgetJob | NoteOrder | KeepTexts
 
 RECENT_JOBS = 3
 """Jobs of a model from which its demand is told."""
@@ -206,10 +199,10 @@
             case AcceptJob():
                 return self._accept(command.job, group_time)
             case ListResult():
-                return self._list(command)
-            case ListGroup():
-                changed = [self._list(listing) for listing in command.listings]
-                return command.job_id if any(changed) else ""
+                job = self.jobs.get(command.job_id)
+                if job is None or not job.add(command.result, command.kept_events):
+                    return ""
+                return command.job_id
             case CloseJob():
                 return self._close(command.job_id, group_time)
             case ForgetJob():
@@ -233,12 +226,6 @@
         self.jobs[job.job_id] = JobState(job, group_time)
         return job.job_id
 
-    def _list(self, command: ListResult) -> str:
-        job = self.jobs.get(command.job_id)
-        if job is None or not job.add(command.result, command.kept_events):
-            return ""
-        return command.job_id
-
     def _close(self, job_id: str, group_time: float) -> str:
         job = self.jobs.get(job_id)
         if job is None or job.is_ended:
--- a/tests/batch_jobs/test_kept_texts.py
+++ b/tests/batch_jobs/test_kept_texts.py
@@ -161,18 +161,3 @@
     runner.list_whole("j", command.result.item_id, 1.4)
     assert listed[-1].kept_events == 0
     assert listed[-1].result.whole_text().unwrap() == "x\ny"
-
-
-def test_a_text_that_was_kept_whole_is_scored_and_not_generated_again() -> None:
-    states = accepted()
-    last = TextPart("j", "a", 1, ("x", "y"), (3,), is_whole=True)
-    states.apply(decode_command(encode_command(KeepTexts((last,)))), 1.0)
-    restored = JobStates()
-    restored.restore(states.snapshot())
-    listed: list[ListResult] = []
-    runner = make_runner(restored, [], listed, now=1.0)
-    assert len(calls(runner.start_if_news(1.0))) == 1
-    runner.tick(1.05)
-    [command] = listed
-    assert restored.apply(command, 2.0) == "j"
-    assert [result.whole_text().unwrap() for result in restored.jobs["j"].results] == ["x\ny"]
--- a/tests/batch_jobs/test_runner_scheduling.py
+++ b/tests/batch_jobs/test_runner_scheduling.py
@@ -9,7 +9,7 @@
 from merlinstand.batch_jobs.kept_text import TextPart
 from merlinstand.batch_jobs.model import BatchItem, BatchJob
 from merlinstand.batch_jobs.runner import ItemRunner
-from merlinstand.batch_jobs.state_machine import AcceptJob, JobStates, ListGroup, ListResult
+from merlinstand.batch_jobs.state_machine import AcceptJob, JobStates, ListResult
 from merlinstand.common.ids import BackendId
 from merlinstand.directory.backends import Backend
 from merlinstand.directory.follower import DirectoryFollower
@@ -50,7 +50,6 @@
     jobs: JobStates,
     kept: list[tuple[TextPart, ...]] | None = None,
     listed: list[ListResult] | None = None,
-    now: float = 0.0,
 ) -> ItemRunner:
     """Make a runner of two engines that has taken up all jobs.
 
@@ -75,9 +74,9 @@
             kept.append(parts)
         return []
 
-    def list_results(command: ListResult | ListGroup, _now: float) -> list[Effect]:
+    def list_result(command: ListResult, _now: float) -> list[Effect]:
         if listed is not None:
-            listed.extend(command.listings if isinstance(command, ListGroup) else [command])
+            listed.append(command)
         return []
 
     made = ItemRunner(
@@ -88,10 +87,10 @@
         names,
         lambda _backend, _model: True,
         WeightedChoice(),
-        list_results,
+        list_result,
         keep_texts,
     )
-    made.begin(now)
+    made.begin(0.0)
     return made
 
 
