--- a/src/merlinstand/batch_jobs/runner.py
+++ b/src/merlinstand/batch_jobs/runner.py
@@ -46,7 +46,7 @@
 MISDIRECTED_STATUS = 421
 UNPROCESSABLE_STATUS = 422
 SERVER_ERROR_STATUS = 500
-KEEP_TEXT_SECONDS = 1.0
+KEEP_TEXT_SECONDS = 0.3
 """Text of an item that is still being generated is given to the log this often."""
 KEPT_CHARACTERS_A_TICK = 256 * 1024
 """Text given to the log at one tick, about: more waits for the next."""
