--- a/src/merlinstand/batch_jobs/daemon.py
+++ b/src/merlinstand/batch_jobs/daemon.py
@@ -46,6 +46,11 @@
 from merlinstand.common.decoding import MALFORMED_INPUT
 from merlinstand.common.ids import BackendId, NodeId, RequestId, Zone
 from merlinstand.consensus.decision_waiters import DecisionWaiter, DecisionWaiters
+from merlinstand.consensus.first_start import (
+    is_first_start_kept,
+    keep_first_start,
+    remembers_first_start,
+)
 from merlinstand.consensus.recovery import holds_membership
 from merlinstand.consensus.replica import Replica
 from merlinstand.consensus.settings import PeerSettings, ReplicaSettings
@@ -58,7 +63,13 @@
 from merlinstand.forwarding.forwarder import TIMER_PREFIX as FORWARD_TIMER_PREFIX
 from merlinstand.forwarding.forwarder import Forwarder
 from merlinstand.forwarding.weighted_choice import WeightedChoice
-from merlinstand.kernel.effects import Effect, LogEvent, Respond, SetTimer, StopProcess
+from merlinstand.kernel.effects import (
+    Effect,
+    LogEvent,
+    Respond,
+    SetTimer,
+    StopProcess,
+)
 from merlinstand.kernel.events import (
     CallChunk,
     CallEnded,
@@ -133,13 +144,16 @@
         self._readers: list[ResultsWaiter] = []
         self._is_running = False
         """Whether items are run here: this keeper leads and knows all that is committed."""
+        self._may_found = settings.may_found
+        """Whether this is the first start of all, or it was and the group is not founded yet."""
         self._wished_out: set[str] = set()
         self._stopping = False
 
     def start(self, event: Started, now: float) -> Sequence[Effect]:
         """Ask for the directory; the replica starts once the group's founders are known."""
         self._started = event
-        effects: list[Effect] = []
+        self._may_found = self._settings.may_found or remembers_first_start(event)
+        effects = keep_first_start(event, self._settings.may_found)
         alone = self._replica_settings((), ())
         if holds_membership(alone, event):
             # The group's members stand in the log: no need to wait for the directory.
@@ -157,6 +171,8 @@
         return effects
 
     def _dispatch(self, event: Event, now: float) -> list[Effect]:
+        if is_first_start_kept(event):
+            return []
         if self.replica is not None and self.replica.handles(event):
             return self._perform(self.replica.handle(event, now), now)
         match event:
@@ -224,7 +240,7 @@
                 PeerSettings(node_id=NodeId(k.node_id), address=k.address, zone=Zone(k.zone))
                 for k in others
             ),
-            bootstrap=settings.may_found,
+            bootstrap=self._may_found,
             target_size=settings.group_size,
             timings=quick_timings(settings.election_timeout_seconds, settings.repair_delay_seconds),
         )
@@ -566,7 +582,7 @@
             zone=settings.zone,
             address=settings.internal_address,
             http_address=settings.http_address,
-            may_found=settings.may_found,
+            may_found=self._may_found,
             is_leader=leads,
             term=replica.term if replica is not None else 0,
             members=members,
--- a/src/merlinstand/consensus/election.py
+++ b/src/merlinstand/consensus/election.py
@@ -147,7 +147,9 @@
         return self._state.is_voter or self._may_found()
 
     def _may_found(self) -> bool:
-        return self._state.is_blank and self._state.settings.is_founder
+        state = self._state
+        is_first_start = state.settings.bootstrap or state.was_first_start
+        return state.is_blank and is_first_start and state.settings.is_first_member
 
     def stand_at_once(self, now: float) -> None:
         """The present leader handed over: stand without pre-vote."""
--- a/src/merlinstand/consensus/records.py
+++ b/src/merlinstand/consensus/records.py
@@ -31,7 +31,11 @@
     term: int
 
 
-Record = EntryRecord | HardState | LogStart
+class FirstStart(msgspec.Struct, frozen=True, array_like=True, tag=3):
+    """Journal record: the disk was there at the first start of all; see `first_start`."""
+
+
+Record = EntryRecord | HardState | LogStart | FirstStart
 
 
 class Snapshot(msgspec.Struct, frozen=True, array_like=True):
@@ -57,7 +61,7 @@
     return _ENCODER.encode(record)
 
 
-def encode_record(record: HardState | LogStart) -> bytes:
+def encode_record(record: HardState | LogStart | FirstStart) -> bytes:
     """Encode any other journal record."""
     return _ENCODER.encode(record)
 
--- a/src/merlinstand/consensus/recovery.py
+++ b/src/merlinstand/consensus/recovery.py
@@ -9,6 +9,7 @@
 from merlinstand.consensus.membership_history import MembershipHistory
 from merlinstand.consensus.records import (
     EntryRecord,
+    FirstStart,
     HardState,
     LogStart,
     Record,
@@ -85,6 +86,8 @@
         state.term, state.voted_for = record.term, record.voted_for
     elif isinstance(record, LogStart):
         state.log.reset(record.index, record.term)
+    elif isinstance(record, FirstStart):
+        state.was_first_start = True
     else:
         _replay_entry(state, record)
 
--- a/src/merlinstand/consensus/settings.py
+++ b/src/merlinstand/consensus/settings.py
@@ -76,9 +76,9 @@
     limits: ReplicaLimits = ReplicaLimits()
 
     @property
-    def is_founder(self) -> bool:
-        """Whether this node may found the group."""
-        return self.bootstrap and bool(self.members) and self.members[0].node_id == self.node_id
+    def is_first_member(self) -> bool:
+        """Whether this node founds the group, if anybody may."""
+        return bool(self.members) and self.members[0].node_id == self.node_id
 
     @property
     def target_voters(self) -> int:
--- a/src/merlinstand/consensus/state.py
+++ b/src/merlinstand/consensus/state.py
@@ -62,6 +62,8 @@
         self.log = ReplicaLog()
         self.history = MembershipHistory()
         self.journal = Journal()
+        self.was_first_start = False
+        """Whether the disk was there at the first start of all: it may still found the group."""
         self.snapshot = Snapshot()
         self.snapshot_data = b""
         self.commit_index = 0
--- a/src/merlinstand/directory/daemon.py
+++ b/src/merlinstand/directory/daemon.py
@@ -13,6 +13,7 @@
 )
 from merlinstand.common.ids import BackendId, NodeId, RequestId, Zone
 from merlinstand.consensus.decision_waiters import DecisionWaiter, DecisionWaiters
+from merlinstand.consensus.first_start import is_first_start_kept, keep_first_start
 from merlinstand.consensus.replica import Replica
 from merlinstand.consensus.settings import (
     PeerSettings,
@@ -123,11 +124,14 @@
             if address != self._settings.internal_address
         ]
         effects.append(SetTimer(HOUSEKEEPING_TIMER, HOUSEKEEPING_INTERVAL_SECONDS))
+        effects.extend(keep_first_start(event, self._settings.may_found))
         effects.extend(self._perform(self.replica.start(event, now), now))
         return effects
 
     def reduce(self, event: Event, now: float) -> Sequence[Effect]:
         """Handle one event."""
+        if is_first_start_kept(event):
+            return []
         if self.replica.handles(event):
             return self._perform(self.replica.handle(event, now), now)
         match event:
--- a/tests/users_platform/test_checks.py
+++ b/tests/users_platform/test_checks.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from merlinstand.batch_jobs import weight_loader
+from merlinstand.batch_jobs import runner, weight_loader
 from merlinstand.batch_jobs.daemon import KeeperDaemon
 from merlinstand.batch_jobs.kept_text import KeptText, TextPart
 from merlinstand.batch_jobs.state_machine import JobState
@@ -178,6 +178,8 @@
         self.versions = part.versions
 
     monkeypatch.setattr(Engine, "event_seconds", 0.3)
+    # Parts of several events each: the planted fault loses one of each part.
+    monkeypatch.setattr(runner, "KEEP_TEXT_SECONDS", 1.0)
     monkeypatch.setattr(KeptText, "take", take_anything)
     found: list[str] = []
     for seed in range(4):
