--- a/src/merlinstand/batch_jobs/engines.py
+++ b/src/merlinstand/batch_jobs/engines.py
@@ -162,6 +162,10 @@
         present = (state for state in self.states.values() if not state.backend.is_leaving)
         return [state for state in present if state.version_of(model) > 0]
 
+    def typical_event_seconds(self, now: float) -> float:
+        """Median time of one event over all engines measured lately."""
+        return typical_event_seconds(self.states.values(), now)
+
     def of_service(self, service: str) -> list[EngineState]:
         """Engines of a service."""
         return [state for state in self.states.values() if state.backend.service == service]
--- a/src/merlinstand/batch_jobs/lengths.py
+++ b/src/merlinstand/batch_jobs/lengths.py
@@ -48,6 +48,10 @@
             return float(events) if len(self._events) < REMEMBERED_ITEMS // 4 else 1.0
         return (self._sums[-1] - self._sums[first]) / longer - events
 
+    def longest(self) -> float:
+        self._update()
+        return float(self._events[-1]) if self._events else USUAL_EVENTS
+
 
 class LengthHistory:
     """Lengths by model; no more models than the services have."""
@@ -76,3 +80,8 @@
         if known is None:
             return max(USUAL_EVENTS, float(events))
         return known.rest(events, expected_tokens)
+
+    def longest(self, model: str) -> float:
+        """Events of the longest item of a model that ended lately."""
+        known = self._models.get(model)
+        return USUAL_EVENTS if known is None else known.longest()
--- a/src/merlinstand/batch_jobs/runner.py
+++ b/src/merlinstand/batch_jobs/runner.py
@@ -19,6 +19,7 @@
     GroupProgress,
     ItemDemand,
     group_progress,
+    latest_begin,
     seconds_won,
     urgency,
 )
@@ -219,7 +220,12 @@
         if not waiting or not turn.has_open_engines:
             return []
         groups = group_progress(self._runs.values())
-        waiting.sort(key=lambda run: urgency(run, groups[(run.job_id, run.item.group)]))
+        typical = self._engines.typical_event_seconds(now)
+        waiting.sort(
+            key=lambda run: urgency(
+                run, groups[(run.job_id, run.item.group)], self._latest_begin(run, typical)
+            )
+        )
         effects: list[Effect] = []
         for run in waiting:
             if run.wait_until <= now:
@@ -229,6 +235,18 @@
                 break
         return effects
 
+    def _latest_begin(self, run: ItemRun, typical_event_seconds: float) -> float:
+        job = self._jobs.jobs[run.job_id]
+        rest = self._expected_rest(run)
+        return latest_begin(job.accepted_at, rest, typical_event_seconds)
+
+    def _expected_rest(self, run: ItemRun) -> float:
+        model = self._jobs.jobs[run.job_id].job.model
+        if run.is_carried:
+            # It was not whole when its earlier job ended: it takes long.
+            return self._lengths.longest(model) - run.text.last_event_id
+        return self._lengths.expected_rest(model, run.text.last_event_id, run.item.expected_tokens)
+
     def _keep_long_texts(self, now: float) -> list[Effect]:
         """Have the log keep the texts of items that take long: they would end last again."""
         runs = [run for run in self._runs.values() if _is_text_due(run, now)]
@@ -279,13 +297,10 @@
 
     def _demand(self, run: ItemRun, preferred: BackendId | None) -> ItemDemand:
         job = self._jobs.jobs[run.job_id].job
-        rest = self._lengths.expected_rest(
-            job.model, run.text.last_event_id, run.item.expected_tokens
-        )
         return ItemDemand(
             model=job.model,
             minimum_version=job.minimum_version,
-            rest_events=rest,
+            rest_events=max(1.0, self._expected_rest(run)),
             preferred=preferred,
         )
 
--- a/src/merlinstand/batch_jobs/schedule.py
+++ b/src/merlinstand/batch_jobs/schedule.py
@@ -22,7 +22,6 @@
     unfinished: int = 0
     begun: int = 0
     last_backend: BackendId | None = None
-    longest_expected: int = 0
 
 
 def group_progress(runs: Iterable[ItemRun]) -> dict[tuple[str, str], GroupProgress]:
@@ -31,28 +30,36 @@
     for run in runs:
         group = groups.setdefault((run.job_id, run.item.group), GroupProgress())
         group.unfinished += 1
-        group.longest_expected = max(group.longest_expected, run.item.expected_tokens)
         if run.phase is not RunPhase.WAITING or run.text.last_event_id:
             group.begun += 1
             group.last_backend = run.backend_id or group.last_backend
     return groups
 
 
-def urgency(run: ItemRun, group: GroupProgress) -> tuple[object, ...]:
+def urgency(run: ItemRun, group: GroupProgress, latest_begin: float) -> tuple[object, ...]:
     """Sort key: the smallest goes first.
 
-    Earlier jobs, carried groups, begun groups, groups with long items (they would end last),
-    and within a group the longest item.
+    Items with the least slack, whichever job they belong to: an item that takes long must begin
+    before a short one of a job that came a little earlier. Then begun groups, and items in order.
+
+    Args:
+        run: An item that waits.
+        group: Its group.
+        latest_begin: When it would have to begin to end a fixed time after its job came, in group
+            time; see `latest_begin`.
     """
-    return (
-        run.order[0],
-        not run.is_carried,
-        not group.begun,
-        -group.longest_expected,
-        run.item.group,
-        -run.item.expected_tokens,
-        run.order[1],
-    )
+    return (latest_begin, not group.begun, run.item.group, run.order)
+
+
+def latest_begin(accepted_at: float, rest_events: float, event_seconds: float) -> float:
+    """Tell when an item must begin, apart from a constant that is the same for all.
+
+    Args:
+        accepted_at: When its job came, in group time.
+        rest_events: Events that it is expected to have yet.
+        event_seconds: Typical time of one event.
+    """
+    return accepted_at - rest_events * event_seconds
 
 
 class ItemDemand(msgspec.Struct, frozen=True, kw_only=True):
--- a/tests/batch_jobs/test_lengths.py
+++ b/tests/batch_jobs/test_lengths.py
@@ -43,3 +43,8 @@
     made = history([(10, 0)] * REMEMBERED_ITEMS + [(30, 0)] * REMEMBERED_ITEMS)
     assert made.expected_rest("m", 0, 0) == pytest.approx(30.0)
     assert made.expected_rest("other", 0, 0) == USUAL_EVENTS
+
+
+def test_the_longest_that_ended_lately() -> None:
+    assert history([]).longest("m") == USUAL_EVENTS
+    assert history([(10, 0), (90, 0), (20, 0)]).longest("m") == 90.0
