--- a/src/merlinstand/batch_jobs/runner.py
+++ b/src/merlinstand/batch_jobs/runner.py
@@ -19,6 +19,7 @@
     GroupProgress,
     ItemDemand,
     group_progress,
+    job_ranks,
     latest_begin,
     seconds_won,
     urgency,
@@ -220,10 +221,14 @@
         if not waiting or not turn.has_open_engines:
             return []
         groups = group_progress(self._runs.values())
+        ranks = job_ranks(self._jobs.jobs.values())
         typical = self._engines.typical_event_seconds(now)
         waiting.sort(
             key=lambda run: urgency(
-                run, groups[(run.job_id, run.item.group)], self._latest_begin(run, typical)
+                run,
+                groups[(run.job_id, run.item.group)],
+                ranks.get(run.job_id, 0),
+                self._latest_begin(run, typical),
             )
         )
         effects: list[Effect] = []
--- a/src/merlinstand/batch_jobs/schedule.py
+++ b/src/merlinstand/batch_jobs/schedule.py
@@ -1,11 +1,13 @@
 """Which waiting item runs next, and on which engine (pure decisions)."""
 
+from collections import Counter
 from collections.abc import Callable, Iterable
 
 import msgspec
 
 from merlinstand.batch_jobs.engines import EngineState, typical_event_seconds
 from merlinstand.batch_jobs.item_run import ItemRun, RunPhase
+from merlinstand.batch_jobs.state_machine import JobState
 from merlinstand.common.ids import BackendId
 
 LEAST_MOVE_RATIO = 1.15
@@ -36,19 +38,34 @@
     return groups
 
 
-def urgency(run: ItemRun, group: GroupProgress, latest_begin: float) -> tuple[object, ...]:
+def job_ranks(jobs: Iterable[JobState]) -> dict[str, int]:
+    """Tell of each open job how many open ones of its model came before it."""
+    ranks: dict[str, int] = {}
+    counts: Counter[str] = Counter()
+    open_jobs = [job for job in jobs if job.is_open]
+    for job in sorted(open_jobs, key=lambda job: job.accepted_at):
+        ranks[job.job.job_id] = counts[job.job.model]
+        counts[job.job.model] += 1
+    return ranks
+
+
+def urgency(
+    run: ItemRun, group: GroupProgress, job_rank: int, latest_begin: float
+) -> tuple[object, ...]:
     """Sort key: the smallest goes first.
 
-    Items with the least slack, whichever job they belong to: an item that takes long must begin
-    before a short one of a job that came a little earlier. Then begun groups, and items in order.
+    Earlier jobs of a model go before its later ones: its trainer waits for them in this order.
+    Among jobs of several models those items go first that have the least slack: one that takes
+    long must begin before a short one of a job that came a little earlier. Then begun groups.
 
     Args:
         run: An item that waits.
         group: Its group.
+        job_rank: How many open jobs of the same model came before.
         latest_begin: When it would have to begin to end a fixed time after its job came, in group
             time; see `latest_begin`.
     """
-    return (latest_begin, not group.begun, run.item.group, run.order)
+    return (job_rank, latest_begin, not group.begun, run.item.group, run.order)
 
 
 def latest_begin(accepted_at: float, rest_events: float, event_seconds: float) -> float:
--- a/tests/batch_jobs/test_schedule.py
+++ b/tests/batch_jobs/test_schedule.py
@@ -9,15 +9,17 @@
 )
 from merlinstand.batch_jobs.engines import EngineState
 from merlinstand.batch_jobs.item_run import ItemRun, RunPhase
-from merlinstand.batch_jobs.model import BatchItem
+from merlinstand.batch_jobs.model import BatchItem, BatchJob
 from merlinstand.batch_jobs.schedule import (
     ItemDemand,
     choose_engine,
     group_progress,
+    job_ranks,
     latest_begin,
     seconds_won,
     urgency,
 )
+from merlinstand.batch_jobs.state_machine import JobState
 from merlinstand.common.ids import BackendId
 from merlinstand.directory.backends import Backend, HeldModel
 
@@ -72,11 +74,18 @@
     assert choose([full, loading, avoided]) == ""
 
 
-def in_order(runs: list[ItemRun], begins: dict[str, float]) -> list[str]:
+def in_order(
+    runs: list[ItemRun], begins: dict[str, float], ranks: dict[str, int] | None = None
+) -> list[str]:
     groups = group_progress(runs)
     waiting = [r for r in runs if r.phase is RunPhase.WAITING]
     waiting.sort(
-        key=lambda r: urgency(r, groups[(r.job_id, r.item.group)], begins.get(r.item.item_id, 0.0))
+        key=lambda r: urgency(
+            r,
+            groups[(r.job_id, r.item.group)],
+            (ranks or {}).get(r.job_id, 0),
+            begins.get(r.item.item_id, 0.0),
+        )
     )
     return [r.item.item_id for r in waiting]
 
@@ -106,6 +115,24 @@
     assert in_order(runs, begins) == order
 
 
+def test_short_items_of_an_earlier_job_do_not_wait_for_long_ones_of_the_next() -> None:
+    """hanbit-reg inc-d8a1: an item of 18 events waited 5 s and ended its step."""
+    runs = [run("1", "g1"), run("2", "g2", job=2)]
+    begins = {"1": latest_begin(0.0, 10.0, 0.04), "2": latest_begin(4.0, 160.0, 0.04)}
+    assert begins["2"] < begins["1"]
+    assert in_order(runs, begins, {"j1": 0, "j2": 1}) == ["1", "2"]
+
+
+def test_open_jobs_are_ranked_within_their_model() -> None:
+    def job(name: str, model: str, accepted_at: float, is_ended: bool = False) -> JobState:
+        items = (BatchItem(item_id="i", path="/", headers={}, body=b""),)
+        batch_job = BatchJob(job_id=name, host="h", path="/", items=items, model=model)
+        return JobState(batch_job, accepted_at, is_ended=is_ended)
+
+    jobs = [job("b", "m", 4.0), job("a", "m", 0.0), job("c", "n", 5.0), job("d", "m", 1.0, True)]
+    assert job_ranks(jobs) == {"a": 0, "b": 1, "c": 0}
+
+
 def test_a_run_leaves_an_engine_that_turned_slow() -> None:
     """vitrina-ro quiet-1: a group came after 9.8 s, its long item on an engine slowed 3.9 times."""
     slow, sound = engine("a", event_seconds=0.12), engine("b")
