Read once more: simpler copies' reply, one way to make a result, no turn of scheduling while nothing waits

Same behaviour. A keeper that doesn't lead answers by early returns; succeeded() is succeeded_after(""); the engines are looked at only once something waits; sizes of kept parts are summed once; the two limits of the sample of lengths have names.

--- a/src/merlinstand/batch_jobs/daemon.py
+++ b/src/merlinstand/batch_jobs/daemon.py
@@ -63,13 +63,7 @@
 from merlinstand.forwarding.forwarder import TIMER_PREFIX as FORWARD_TIMER_PREFIX
 from merlinstand.forwarding.forwarder import Forwarder
 from merlinstand.forwarding.weighted_choice import WeightedChoice
-from merlinstand.kernel.effects import (
-    Effect,
-    LogEvent,
-    Respond,
-    SetTimer,
-    StopProcess,
-)
+from merlinstand.kernel.effects import Effect, LogEvent, Respond, SetTimer, StopProcess
 from merlinstand.kernel.events import (
     CallChunk,
     CallEnded,
@@ -152,7 +146,7 @@
     def start(self, event: Started, now: float) -> Sequence[Effect]:
         """Ask for the directory; the replica starts once the group's founders are known."""
         self._started = event
-        self._may_found = self._settings.may_found or remembers_first_start(event)
+        self._may_found = self._may_found or remembers_first_start(event)
         effects = keep_first_start(event, self._settings.may_found)
         alone = self._replica_settings((), ())
         if holds_membership(alone, event):
@@ -384,10 +378,12 @@
 
         That a copy has nothing there proves nothing; the leader is to be asked.
         """
-        job = self.jobs.jobs.get(call.job_id) if isinstance(call, ReadResults) else None
-        if job is not None and isinstance(call, ReadResults) and len(job.results) > call.position:
-            return results_page(job, call.position)
-        return self._not_leader()
+        if not isinstance(call, ReadResults):
+            return self._not_leader()
+        job = self.jobs.jobs.get(call.job_id)
+        if job is None or len(job.results) <= call.position:
+            return self._not_leader()
+        return results_page(job, call.position)
 
     def _leader_call(self, request_id: RequestId, call: BatchCall, now: float) -> list[Effect]:
         match call:
--- a/src/merlinstand/batch_jobs/item_run.py
+++ b/src/merlinstand/batch_jobs/item_run.py
@@ -98,9 +98,7 @@
 
     def succeeded(self) -> ItemResult:
         """The result of a whole text."""
-        return ItemResult.succeeded(
-            self.item.item_id, self.text.text, tuple(self.text.versions), self.score
-        )
+        return self.succeeded_after("")
 
     def succeeded_after(self, beginning: str) -> ItemResult:
         """The result without its beginning, which the log holds already."""
--- a/src/merlinstand/batch_jobs/lengths.py
+++ b/src/merlinstand/batch_jobs/lengths.py
@@ -7,7 +7,11 @@
 REMEMBERED_ITEMS = 512
 """Ended items of one model from which the lengths of others are told."""
 FEWEST_LONGER = 5
-"""With fewer longer items known, an item is assumed to go on for as long as it did so far."""
+"""With fewer longer items known, an item is assumed to go on for as long as it did so far, or, if
+`ENOUGH_ITEMS` are known, to be at its end."""
+ENOUGH_ITEMS = REMEMBERED_ITEMS // 4
+LAST_EVENTS = 1.0
+"""Events of an item that is at its end."""
 USUAL_EVENTS = 20.0
 """Assumed of a new item while nothing of its model has ended."""
 
@@ -45,7 +49,7 @@
         longer = len(self._events) - first
         if longer < FEWEST_LONGER:
             # Hardly any item was longer: it is at the end, or lengths are new to us.
-            return float(events) if len(self._events) < REMEMBERED_ITEMS // 4 else 1.0
+            return float(events) if len(self._events) < ENOUGH_ITEMS else LAST_EVENTS
         return (self._sums[-1] - self._sums[first]) / longer - events
 
     def longest(self) -> float:
--- a/src/merlinstand/batch_jobs/runner.py
+++ b/src/merlinstand/batch_jobs/runner.py
@@ -216,9 +216,11 @@
     def _start_waiting(self, now: float) -> list[Effect]:
         """Give free slots to the most urgent items."""
         self._has_news = False
-        turn = SchedulingTurn(self._engines, self._follows, now)
         waiting = [run for run in self._runs.values() if run.phase is RunPhase.WAITING]
-        if not waiting or not turn.has_open_engines:
+        if not waiting:
+            return []
+        turn = SchedulingTurn(self._engines, self._follows, now)
+        if not turn.has_open_engines:
             return []
         groups = group_progress(self._runs.values())
         ranks = job_ranks(self._jobs.jobs.values())
@@ -256,9 +258,12 @@
         """Have the log keep the texts of items that take long: they would end last again."""
         runs = [run for run in self._runs.values() if _is_text_due(run, now)]
         parts: list[TextPart] = []
+        size = 0
         for run in runs:
-            parts.append(run.next_part())
-            if sum(part.size for part in parts) >= KEPT_CHARACTERS_A_TICK:
+            part = run.next_part()
+            parts.append(part)
+            size += part.size
+            if size >= KEPT_CHARACTERS_A_TICK:
                 break
         effects = self._keep_texts(tuple(parts), now) if parts else None
         if effects is None:
