Overload: groups that cannot be in time are put off, each model weighed apart

Items ran earliest job first, so with more work than places every step of all three trainers took 9 to 12 s, later than its aim of 7.5 s.

Change: batch_jobs/overload weighs the groups of each model against what the engines that follow it can do (Moore and Hodgson: due order; whenever one would be late, one is put off: not needed, else late anyhow, else the one with most work). batch_jobs/group_plan holds the result, weighed anew each 0.25 s. While all that can be in time fits, nothing changes.

The test in test_runner_scheduling fails with the weighing switched off.

--- a/src/merlinstand/batch_jobs/daemon.py
+++ b/src/merlinstand/batch_jobs/daemon.py
@@ -120,6 +120,7 @@
             self._split,
             self._list_result,
             self._keep_texts,
+            self._group_time,
         )
         self._weights = WeightLoader(
             self.follower,
@@ -348,6 +349,9 @@
         proposed = self._propose(KeepTexts(parts), now)
         return None if proposed is None else proposed[2]
 
+    def _group_time(self, now: float) -> float:
+        return self.replica.group_time(now) if self.replica is not None else 0.0
+
     def _free_to_order_in(self, backend_id: BackendId, now: float) -> float:
         """Seconds until no order of another holder can be younger than the lease."""
         last = self.jobs.orders.get(backend_id)
--- a/src/merlinstand/batch_jobs/runner.py
+++ b/src/merlinstand/batch_jobs/runner.py
@@ -11,6 +11,7 @@
 from result import Err
 
 from merlinstand.batch_jobs.engines import EngineState, EngineStates
+from merlinstand.batch_jobs.group_plan import GroupPlan
 from merlinstand.batch_jobs.item_run import ItemRun, RunPhase
 from merlinstand.batch_jobs.kept_text import TextPart
 from merlinstand.batch_jobs.lengths import LengthHistory
@@ -21,6 +22,7 @@
     group_progress,
     job_ranks,
     latest_begin,
+    put_off_urgency,
     seconds_won,
     urgency,
 )
@@ -82,6 +84,7 @@
         split: WeightedChoice,
         list_result: Callable[[ListResult, float], list[Effect] | None],
         keep_texts: Callable[[tuple[TextPart, ...], float], list[Effect] | None],
+        group_time: Callable[[float], float],
     ) -> None:
         """Begin without items.
 
@@ -95,6 +98,7 @@
             split: Chooses the service of a weighted route.
             list_result: Proposes a result for its job; None if that can't be done now.
             keep_texts: Proposes to remember texts of unfinished items; None likewise.
+            group_time: Gives the time by which jobs were accepted, at a local time.
         """
         self._jobs = jobs
         self._follower = follower
@@ -105,6 +109,8 @@
         self._split = split
         self._list_result = list_result
         self._keep_texts = keep_texts
+        self._group_time = group_time
+        self._plan = GroupPlan(lambda: follower.routes, engines, follows, self._expected_rest)
         self._runs: dict[str, ItemRun] = {}
         self._by_call: dict[CallId, ItemRun] = {}
         self._seen: dict[str, str] = {}
@@ -131,6 +137,7 @@
         """Take up a job's unlisted items."""
         self._job_count += 1
         self._has_news = True
+        self._plan.weigh_soon()
         for number, item in enumerate(job.job.items):
             first_job = self._seen.setdefault(item.item_id, job.job.job_id)
             if not job.is_open or job.is_listed(item.item_id):
@@ -192,6 +199,7 @@
         Call it only while this process may act as leader.
         """
         effects = [effect for run in self._due_again(now) for effect in self._go_on(run, now)]
+        effects.extend(self._weigh_groups(now))
         effects.extend(self._start_waiting(now))
         if not any(run.phase is RunPhase.WAITING for run in self._runs.values()):
             effects.extend(self._move_slow_runs(now))
@@ -225,15 +233,15 @@
         groups = group_progress(self._runs.values())
         ranks = job_ranks(self._jobs.jobs.values())
         typical = self._engines.typical_event_seconds(now)
+        effects = self._weigh_groups(now)
         waiting.sort(
-            key=lambda run: urgency(
+            key=lambda run: self._order_key(
                 run,
                 groups[(run.job_id, run.item.group)],
                 ranks.get(run.job_id, 0),
-                self._latest_begin(run, typical),
+                typical,
             )
         )
-        effects: list[Effect] = []
         for run in waiting:
             if run.wait_until <= now:
                 group = groups[(run.job_id, run.item.group)]
@@ -242,6 +250,21 @@
                 break
         return effects
 
+    def _weigh_groups(self, now: float) -> list[Effect]:
+        runs = self._runs.values()
+        return self._plan.weigh(runs, self._jobs.jobs, self._group_time(now), now)
+
+    def _order_key(
+        self, run: ItemRun, group: GroupProgress, job_rank: int, typical_event_seconds: float
+    ) -> tuple[object, ...]:
+        """Sort key: what is put off comes last."""
+        group_events = self._plan.put_off_events(run)
+        if group_events is not None:
+            accepted_at = self._jobs.jobs[run.job_id].accepted_at
+            return (True, put_off_urgency(run, accepted_at, group_events))
+        latest = self._latest_begin(run, typical_event_seconds)
+        return (False, urgency(run, group, job_rank, latest))
+
     def _latest_begin(self, run: ItemRun, typical_event_seconds: float) -> float:
         job = self._jobs.jobs[run.job_id]
         rest = self._expected_rest(run)
--- a/src/merlinstand/batch_jobs/schedule.py
+++ b/src/merlinstand/batch_jobs/schedule.py
@@ -68,6 +68,17 @@
     return (job_rank, latest_begin, not group.begun, run.item.group, run.order)
 
 
+def put_off_urgency(run: ItemRun, accepted_at: float, group_events: float) -> tuple[object, ...]:
+    """Sort key among items of groups that are put off: whole groups of the earliest job first.
+
+    Args:
+        run: An item that waits.
+        accepted_at: When its job came, in group time.
+        group_events: Events that its group still needs.
+    """
+    return (accepted_at, group_events, run.item.group, run.order)
+
+
 def latest_begin(accepted_at: float, rest_events: float, event_seconds: float) -> float:
     """Tell when an item must begin, apart from a constant that is the same for all.
 
--- /dev/null
+++ b/tests/batch_jobs/test_overload.py
@@ -0,0 +1,129 @@
+"""Which groups wait when there is more work than the engines can do in time."""
+
+import msgspec
+import pytest
+
+from merlinstand.batch_jobs.engines import EngineState
+from merlinstand.batch_jobs.item_run import ItemRun, RunPhase
+from merlinstand.batch_jobs.model import BatchItem, BatchJob, ItemResult, ResultState
+from merlinstand.batch_jobs.overload import (
+    GENERATING_SHARE,
+    EngineCapacity,
+    GroupKey,
+    GroupLoad,
+    engine_capacity,
+    group_loads,
+    groups_to_put_off,
+)
+from merlinstand.batch_jobs.state_machine import JobState
+from merlinstand.common.ids import BackendId
+from merlinstand.directory.backends import Backend
+
+CAPACITY = EngineCapacity(events_per_second=100.0, event_seconds=0.04)
+
+
+class Case(msgspec.Struct, frozen=True):
+    """Groups as (due at, events, longest item, needed), at time 0, and the indexes put off."""
+
+    name: str
+    groups: list[tuple[float, float, float, bool]]
+    put_off: set[int]
+
+
+CASES = [
+    Case("nothing to do", [], set()),
+    Case("all fit", [(4.0, 200.0, 50.0, True), (8.0, 500.0, 50.0, True)], set()),
+    Case("the largest waits", [(4.0, 300.0, 50.0, True), (4.0, 200.0, 50.0, True)], {0}),
+    Case(
+        "one that is not needed goes first",
+        [(4.0, 300.0, 9.0, True), (4.0, 200.0, 9.0, False)],
+        {1},
+    ),
+    Case("one that is late goes first", [(-1.0, 100.0, 9.0, True), (4.0, 400.0, 9.0, True)], {0}),
+    Case(
+        "late ones keep their place if all fit",
+        [(-1.0, 100.0, 9.0, True), (4.0, 200.0, 9.0, True)],
+        set(),
+    ),
+    Case(
+        "a text too long for its time is late",
+        [(4.0, 200.0, 120.0, True), (4.0, 300.0, 9.0, True)],
+        {0},
+    ),
+    Case("a long text alone puts nothing off", [(4.0, 200.0, 120.0, True)], set()),
+    Case("alone too large", [(1.0, 300.0, 9.0, True)], {0}),
+    Case("those due later fit again", [(1.0, 300.0, 9.0, True), (9.0, 800.0, 9.0, True)], {0}),
+]
+
+
+@pytest.mark.parametrize("case", CASES, ids=lambda case: case.name)
+def test_groups_that_cannot_be_in_time_wait(case: Case) -> None:
+    loads = [
+        GroupLoad(
+            key=GroupKey("j", f"g{number}"),
+            due_at=due_at,
+            rest_events=events,
+            longest_rest_events=longest,
+            is_needed=is_needed,
+        )
+        for number, (due_at, events, longest, is_needed) in enumerate(case.groups)
+    ]
+    chosen = groups_to_put_off(loads, CAPACITY, 0.0)
+    assert chosen == {GroupKey("j", f"g{number}") for number in case.put_off}
+
+
+def test_without_an_engine_nothing_is_put_off() -> None:
+    load = GroupLoad(key=GroupKey("j", "g"), due_at=1.0, rest_events=10.0)
+    assert groups_to_put_off([load], EngineCapacity(0.0, 0.04), 0.0) == frozenset()
+
+
+def item(name: str, group: str) -> BatchItem:
+    return BatchItem(item_id=name, path="/l/", headers={}, body=b"", group=group)
+
+
+def test_only_items_without_a_text_count_and_wanted_groups_are_needed() -> None:
+    """Of three groups one is whole, two are wanted: the one with less work is needed."""
+    items = tuple(item(f"{group}{n}", group) for group in "abc" for n in range(2))
+    job = BatchJob(job_id="j", host="h", path="/l/", items=items, wanted_groups=2)
+    state = JobState(job, accepted_at=3.0)
+    for done in items[:2]:
+        state.add(ItemResult(item_id=done.item_id, state=ResultState.TERMINATED))
+    runs = [ItemRun("j", waiting) for waiting in items[2:]]
+    runs[0].phase = RunPhase.SCORING
+    loads = group_loads(runs, {"j": state}, lambda _job: 7.5, lambda _run: 10.0)
+    assert {(load.key.group, load.rest_events, load.is_needed) for load in loads} == {
+        ("b", 10.0, True),
+        ("c", 20.0, False),
+    }
+    assert {load.due_at for load in loads} == {10.5}
+
+
+def test_a_carried_group_is_needed_whatever_its_work() -> None:
+    items = (item("a", "a"), item("b", "b"))
+    job = BatchJob(job_id="j", host="h", path="/l/", items=items, wanted_groups=1)
+    runs = [ItemRun("j", waiting) for waiting in items]
+    runs[1].is_carried = True
+    rests = {"a": 1.0, "b": 100.0}
+    jobs = {"j": JobState(job, accepted_at=0.0)}
+    loads = group_loads(runs, jobs, lambda _job: 7.5, lambda run: rests[run.item.item_id])
+    assert {load.key.group: load.is_needed for load in loads} == {"a": False, "b": True}
+
+
+@pytest.mark.parametrize(
+    ("is_leaving", "penalty_seconds", "followed", "rate"),
+    [
+        pytest.param(False, 0.0, 1, 100.0, id="sound"),
+        pytest.param(False, 0.0, 2, 50.0, id="shared by two models"),
+        pytest.param(True, 0.0, 1, 0.0, id="leaving"),
+        pytest.param(False, 4.0, 1, 0.0, id="suspect"),
+    ],
+)
+def test_capacity_counts_sound_engines(
+    is_leaving: bool, penalty_seconds: float, followed: int, rate: float
+) -> None:
+    backend = Backend(
+        backend_id=BackendId("e"), service="s", address="a:1", slots=4, is_leaving=is_leaving
+    )
+    engine = EngineState(backend, penalty_seconds=penalty_seconds)
+    capacity = engine_capacity([(engine, followed)], 0.04, 0.0)
+    assert capacity.events_per_second == pytest.approx(GENERATING_SHARE * rate)
--- a/tests/batch_jobs/test_runner_scheduling.py
+++ b/tests/batch_jobs/test_runner_scheduling.py
@@ -39,6 +39,7 @@
     timeout_seconds=10.0,
     targets=(RouteTarget("llm", 1.0),),
     maximum_attempts=3,
+    result_deadline_seconds=7.5,
 )
 
 
@@ -89,6 +90,7 @@
         WeightedChoice(),
         list_result,
         keep_texts,
+        lambda now: now,
     )
     made.begin(0.0)
     return made
@@ -185,3 +187,30 @@
     assert len(moved) == 1
     assert again.address == fast.backend.address
     assert again.headers["last-event-id"] == "7"
+
+
+def test_under_overload_a_late_job_does_not_make_the_next_one_late() -> None:
+    """vitrina-ro-large scale-1, small twin: earliest first made every step of three trainers late.
+
+    The first job is past its due time. The second, with 5.5 s left for 880 events at 160 a second,
+    can be in time only without any of the first.
+    """
+    jobs = JobStates()
+    for number, size in enumerate((40, 44)):
+        items = tuple(
+            BatchItem(
+                item_id=f"{number}-{n}",
+                path="/l/1",
+                headers={"host": "h"},
+                body=b"",
+                group=f"{number}-{n // 4}",
+            )
+            for n in range(size)
+        )
+        job = BatchJob(job_id=f"j{number}", host="h", path="/l/", items=items)
+        jobs.apply(AcceptJob(job), 6.0 * number)
+    runner = make_runner(jobs)
+    now = 8.0
+    begun = [call for call in calls(runner.tick(now)) if call.method == "POST"]
+    begun_jobs = {call.headers[HeaderNames().request_id].partition("-")[0] for call in begun}
+    assert begun_jobs == {"1"}
--- a/tests/batch_jobs/test_scoring.py
+++ b/tests/batch_jobs/test_scoring.py
@@ -63,6 +63,7 @@
             WeightedChoice(),
             self._list,
             lambda _parts, _now: [],
+            lambda now: now,
         )
         self.runner.add_job(jobs.jobs["j"], 0.0)
         [self.run] = self.runner._runs.values()
