The directory tells daemons only the back ends that changed, compressed and encoded once

Ruled out: appends between keepers (63 MB) and results read (1 MB across zones) are less.

Change: directory/backend_history remembers which back ends changed at which log position (soft state, bounded); a daemon is told those after the revision it holds, all of them if that is too long ago. A follower passes over an update that begins after what it holds: its next pull, within 0.3 s, brings the rest. Updates are compressed, and encoded once for all daemons that lack the same. packed_text and packed_message move to common.

--- a/src/merlinstand/batch_jobs/model.py
+++ b/src/merlinstand/batch_jobs/model.py
@@ -5,8 +5,8 @@
 import msgspec
 from result import Err, Ok, Result
 
-from merlinstand.batch_jobs.packed_text import pack, unpack
 from merlinstand.common.errors import InvalidInputError
+from merlinstand.common.packed_text import pack, unpack
 
 
 class ScoringCall(msgspec.Struct, frozen=True, array_like=True):
--- a/src/merlinstand/batch_jobs/state_machine.py
+++ b/src/merlinstand/batch_jobs/state_machine.py
@@ -5,7 +5,7 @@
 
 from merlinstand.batch_jobs.kept_text import KeptText, TextPart
 from merlinstand.batch_jobs.model import BatchItem, BatchJob, ItemResult
-from merlinstand.batch_jobs.packed_message import pack_message, unpack_message
+from merlinstand.common.packed_message import pack_message, unpack_message
 
 
 class AcceptJob(msgspec.Struct, frozen=True, tag="accept"):
--- a/src/merlinstand/batch_jobs/packed_message.py
+++ b/src/merlinstand/common/packed_message.py
@@ -3,7 +3,7 @@
 import msgspec
 from result import Err
 
-from merlinstand.batch_jobs.packed_text import pack, unpack
+from merlinstand.common.packed_text import pack, unpack
 
 PACKED_MARK = b"\xc1"
 """Begins a compressed message; no value of msgpack begins with this byte."""
--- a/src/merlinstand/directory/backends.py
+++ b/src/merlinstand/directory/backends.py
@@ -47,6 +47,12 @@
         self.sequences: dict[BackendId, int] = {}
         """Newest heartbeat that changed something."""
         self.removed: dict[BackendId, None] = {}
+        self._touched: list[BackendId] = []
+
+    def take_touched(self) -> list[BackendId]:
+        """Give the back ends that came, changed or went since the last time."""
+        touched, self._touched = self._touched, []
+        return touched
 
     def would_change(self, backend: Backend, sequence: int) -> bool:
         """Whether a heartbeat tells anything that is not agreed yet."""
@@ -70,6 +76,7 @@
             if other.address == backend.address and other.backend_id != backend_id:
                 self.remove(other.backend_id)
         self.backends[backend_id] = backend if present is None else _merged(present, backend)
+        self._touched.append(backend_id)
         self.sequences[backend_id] = sequence
         return True
 
@@ -78,13 +85,15 @@
         self.removed[backend_id] = None
         while len(self.removed) > self.REMOVED_LIMIT:
             del self.removed[next(iter(self.removed))]
-        self.sequences.pop(backend_id, None)
-        return self.backends.pop(backend_id, None) is not None
+        return self.expire(backend_id)
 
     def expire(self, backend_id: BackendId) -> bool:
         """Forget a silent back end, which may register again."""
         self.sequences.pop(backend_id, None)
-        return self.backends.pop(backend_id, None) is not None
+        if self.backends.pop(backend_id, None) is None:
+            return False
+        self._touched.append(backend_id)
+        return True
 
 
 def _merged(present: Backend, heard: Backend) -> Backend:
--- a/src/merlinstand/directory/daemon.py
+++ b/src/merlinstand/directory/daemon.py
@@ -62,7 +62,7 @@
 from merlinstand.directory.settings import DirectorySettings
 from merlinstand.directory.state_machine import DirectoryState
 from merlinstand.directory.subscribers import REPORT_FRESH_SECONDS, Subscriber, Subscribers
-from merlinstand.directory.view import DaemonReport, KeeperGroup, decode_report, encode_changes
+from merlinstand.directory.view import DaemonReport, KeeperGroup, decode_report
 from merlinstand.kernel.effects import (
     Effect,
     LearnAddress,
@@ -370,8 +370,7 @@
         self._subscribers.note(sender, subscriber)
         self._refresh(now)
         # Answered even if nothing changed: the answer proves that a leader lives.
-        changes = self._subscribers.changes_for(subscriber, self.state)
-        data = encode_changes(changes) if changes is not None else b""
+        data = self._subscribers.encoded_changes_for(subscriber, self.state)
         effects: list[Effect] = [_reported(report)] if is_new else []
         return [*effects, SendMessage(sender, self._update(data)), *self._push(now)]
 
@@ -389,9 +388,9 @@
         self._refresh(now)
         effects: list[Effect] = []
         for node_id, subscriber in self._subscribers.fresh(now):
-            changes = self._subscribers.changes_for(subscriber, self.state)
-            if changes is not None:
-                effects.append(SendMessage(node_id, self._update(encode_changes(changes))))
+            data = self._subscribers.encoded_changes_for(subscriber, self.state)
+            if data:
+                effects.append(SendMessage(node_id, self._update(data)))
         return effects
 
     def _update(self, changes: bytes) -> DirectoryUpdate:
--- a/src/merlinstand/directory/follower.py
+++ b/src/merlinstand/directory/follower.py
@@ -126,8 +126,7 @@
             self.routes = RouteTable(document)
             effects.append(LogEvent("directory.document", {"version": document.version}))
         if changes.backends is not None and changes.backends_revision > self.backends_revision:
-            self.backends_revision = changes.backends_revision
-            self.backends = changes.backends
+            self._apply_backends(changes, changes.backends)
         if changes.weights is not None and changes.weights_revision > self.weights_revision:
             self.weights_revision = changes.weights_revision
             self.weights = changes.weights
@@ -139,6 +138,21 @@
             effects.extend(self._learn_controls(changes.controls or ()))
         return effects
 
+    def _apply_backends(self, changes: DirectoryChanges, news: tuple[Backend, ...]) -> None:
+        """Take in all back ends, or those that changed."""
+        if changes.backends_since < 0:
+            self.backends = news
+        elif changes.backends_since <= self.backends_revision:
+            table = {backend.backend_id: backend for backend in self.backends}
+            for backend_id in changes.backends_gone:
+                table.pop(backend_id, None)
+            table.update((backend.backend_id, backend) for backend in news)
+            self.backends = tuple(table.values())
+        else:
+            # An update in between was lost: the next pull tells what is held here.
+            return
+        self.backends_revision = changes.backends_revision
+
     def _learn_controls(self, controls: tuple[tuple[str, str], ...]) -> list[Effect]:
         news = [(NodeId(n), a) for n, a in controls if self._addresses.get(NodeId(n)) != a]
         self._addresses.update(news)
--- a/src/merlinstand/directory/state_machine.py
+++ b/src/merlinstand/directory/state_machine.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from merlinstand.common.ids import BackendId
+from merlinstand.directory.backend_history import BackendHistory
 from merlinstand.directory.backends import Backend, BackendTable
 from merlinstand.directory.commands import (
     DirectoryCommand,
@@ -48,6 +49,8 @@
         """Log position of the newest change; likewise for the other sections."""
         self.table = BackendTable()
         self.backends_revision = 0
+        self.backend_history = BackendHistory()
+        """Not part of a snapshot."""
         self.weights: dict[str, int] = {}
         self.weights_revision = 0
         self.founding: KeeperGroup | None = None
@@ -90,6 +93,8 @@
     def _note_backends(self, index: int, changed: bool) -> None:
         if changed:
             self.backends_revision = index
+        for backend_id in self.table.take_touched():
+            self.backend_history.note(index, backend_id)
 
     def snapshot(self) -> bytes:
         """Encode the whole state."""
@@ -124,6 +129,7 @@
         self.table.sequences = dict(snapshot.sequences)
         self.table.removed = dict.fromkeys(snapshot.removed)
         self.backends_revision = snapshot.backends_revision
+        self.backend_history = BackendHistory(snapshot.backends_revision)
         self.weights = dict(snapshot.weights)
         self.weights_revision = snapshot.weights_revision
         self.founding = snapshot.founding
--- a/src/merlinstand/directory/subscribers.py
+++ b/src/merlinstand/directory/subscribers.py
@@ -10,6 +10,7 @@
     Keeper,
     KeeperGroup,
     KeeperWishes,
+    encode_changes,
     keeper_of,
 )
 
@@ -18,6 +19,19 @@
 """A daemon that has not reported for this long counts as unreachable."""
 
 
+ENCODED_LIMIT = 64
+"""Encoded changes kept, for daemons that lack the same."""
+
+
+class _Lack(msgspec.Struct, frozen=True):
+    """What a daemon holds of each section, and what there is."""
+
+    document: tuple[int, int]
+    backends: tuple[int, int]
+    weights: tuple[int, int]
+    keepers: tuple[str, str]
+
+
 class Subscriber(msgspec.Struct):
     """One daemon and what it holds."""
 
@@ -28,6 +42,14 @@
     weights_revision: int = -1
     keepers_mark: str = ""
 
+    def note_told(self, state: DirectoryState, keepers_mark: str) -> None:
+        """It was sent whatever it lacked."""
+        if state.document is not None:
+            self.document_revision = max(self.document_revision, state.document_revision)
+        self.backends_revision = max(self.backends_revision, state.backends_revision)
+        self.weights_revision = max(self.weights_revision, state.weights_revision)
+        self.keepers_mark = keepers_mark
+
 
 class Subscribers:
     """Reports of all daemons, and who lacks what."""
@@ -41,10 +63,12 @@
         self._founding: KeeperGroup | None = None
         self._mark = ""
         self._counter = 0
+        self._encoded: dict[_Lack, bytes] = {}
 
     def clear(self) -> None:
         """Forget everybody: a new leadership hears them again."""
         self._by_node.clear()
+        self._encoded.clear()
 
     def knows(self, node_id: NodeId) -> bool:
         """Whether a daemon has reported to this leadership."""
@@ -96,27 +120,43 @@
             self._counter += 1
             self._mark = f"{term}.{self._counter}"
 
-    def changes_for(self, subscriber: Subscriber, state: DirectoryState) -> DirectoryChanges | None:
-        """What a daemon lacks; it counts as told from now on. None if it lacks nothing."""
+    def encoded_changes_for(self, subscriber: Subscriber, state: DirectoryState) -> bytes:
+        """What a daemon lacks, encoded; it counts as told from now on. Empty if it lacks nothing.
+
+        Many daemons lack the same at the same time: it is encoded and compressed once for them.
+        """
+        lack = _Lack(
+            document=(subscriber.document_revision, state.document_revision),
+            backends=(subscriber.backends_revision, state.backends_revision),
+            weights=(subscriber.weights_revision, state.weights_revision),
+            keepers=(subscriber.keepers_mark, self._mark),
+        )
+        data = self._encoded.get(lack)
+        if data is None:
+            changes = self._changes_for(subscriber, state)
+            data = encode_changes(changes) if changes is not None else b""
+            if len(self._encoded) >= ENCODED_LIMIT:
+                self._encoded.clear()
+            self._encoded[lack] = data
+        subscriber.note_told(state, self._mark)
+        return data
+
+    def _changes_for(
+        self, subscriber: Subscriber, state: DirectoryState
+    ) -> DirectoryChanges | None:
         parts: dict[str, object] = {}
         if state.document is not None and subscriber.document_revision < state.document_revision:
             parts |= {
                 "document_revision": state.document_revision,
                 "document": state.document,
             }
-            subscriber.document_revision = state.document_revision
         if subscriber.backends_revision < state.backends_revision:
-            parts |= {
-                "backends_revision": state.backends_revision,
-                "backends": tuple(state.table.backends.values()),
-            }
-            subscriber.backends_revision = state.backends_revision
+            parts |= _backend_parts(subscriber.backends_revision, state)
         if subscriber.weights_revision < state.weights_revision:
             parts |= {
                 "weights_revision": state.weights_revision,
                 "weights": dict(state.weights),
             }
-            subscriber.weights_revision = state.weights_revision
         if subscriber.keepers_mark != self._mark:
             parts |= {
                 "keepers_mark": self._mark,
@@ -125,5 +165,17 @@
                 "wishes": self._wishes,
                 "controls": self._controls,
             }
-            subscriber.keepers_mark = self._mark
         return DirectoryChanges(**parts) if parts else None  # type: ignore[arg-type]
+
+
+def _backend_parts(held_revision: int, state: DirectoryState) -> dict[str, object]:
+    """The back ends that a daemon lacks: the changed ones if they are known, else all."""
+    parts: dict[str, object] = {"backends_revision": state.backends_revision}
+    news = state.backend_history.since(held_revision, state.table.backends)
+    if news is None:
+        return parts | {"backends": tuple(state.table.backends.values())}
+    return parts | {
+        "backends": news.changed,
+        "backends_since": held_revision,
+        "backends_gone": news.gone,
+    }
--- a/src/merlinstand/directory/view.py
+++ b/src/merlinstand/directory/view.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from merlinstand.common.ids import BackendId
+from merlinstand.common.packed_message import pack_message, unpack_message
 from merlinstand.directory.backends import Backend
 from merlinstand.directory.routes import RoutesDocument
 
@@ -81,6 +83,11 @@
     document: RoutesDocument | None = None
     backends_revision: int = -1
     backends: tuple[Backend, ...] | None = None
+    """All of them, or those that changed since `backends_since`."""
+    backends_since: int = -1
+    """Revision that the changes begin at; -1 if all back ends are told."""
+    backends_gone: tuple[BackendId, ...] = ()
+    """Back ends that went since `backends_since`."""
     weights_revision: int = -1
     weights: dict[str, int] | None = None
     """Newest named weight version by model."""
@@ -99,8 +106,8 @@
 
 
 def encode_changes(changes: DirectoryChanges) -> bytes:
-    """Encode for `DirectoryUpdate.changes`."""
-    return msgspec.msgpack.encode(changes)
+    """Encode for `DirectoryUpdate.changes`; compressed, since it goes to every daemon."""
+    return pack_message(msgspec.msgpack.encode(changes))
 
 
 def decode_changes(data: bytes) -> DirectoryChanges:
@@ -109,7 +116,7 @@
     Raises:
         msgspec.DecodeError: The bytes are malformed.
     """
-    return _CHANGES_DECODER.decode(data)
+    return _CHANGES_DECODER.decode(unpack_message(data))
 
 
 def encode_report(report: DaemonReport) -> bytes:
--- a/tests/batch_jobs/test_packed_text.py
+++ b/tests/common/test_packed_text.py
@@ -6,8 +6,6 @@
 from merlinstand.batch_jobs.calls import SubmitJob, decode_call, encode
 from merlinstand.batch_jobs.kept_text import TextPart
 from merlinstand.batch_jobs.model import BatchItem, BatchJob, ItemResult, ResultState
-from merlinstand.batch_jobs.packed_message import PACKED_MARK
-from merlinstand.batch_jobs.packed_text import pack
 from merlinstand.batch_jobs.state_machine import (
     AcceptJob,
     JobCommand,
@@ -16,6 +14,8 @@
     decode_command,
     encode_command,
 )
+from merlinstand.common.packed_message import PACKED_MARK
+from merlinstand.common.packed_text import pack
 
 LONG = "an event's data\n" * 200
 JOB = BatchJob(
