Gateways stay with back ends that they have a connection to

A gateway of 165 gets a request each few seconds; chance chose among five servers, so it opened a connection to each.

Change: a back end that has not answered within 15 s counts as twice as slow. One that is slow, busy or fails is left as before: one answer six times as slow is enough.

--- a/src/merlinstand/forwarding/backend_choice.py
+++ b/src/merlinstand/forwarding/backend_choice.py
@@ -14,6 +14,13 @@
 """Weight of the newest latency in the moving average."""
 LATENCY_HALF_LIFE_SECONDS = 3.0
 """An old latency moves half the way to the first assumption in this time."""
+KEPT_CONNECTION_SECONDS = 15.0
+"""A connection is assumed to be kept this long after an answer; if its server closed it sooner,
+a new one is opened there as it would be anywhere."""
+NEW_CONNECTION_FACTOR = 2.0
+"""A back end without a kept connection counts as this many times as slow. More than chance and
+load of the moment make (1.2 and about 1.5), less than one answer of a back end that has become six
+times as slow: that one is left after a single answer."""
 FIRST_PENALTY_SECONDS = 0.5
 LONGEST_PENALTY_SECONDS = 4.0
 
@@ -26,6 +33,8 @@
     latency_at: float = 0.0
     avoid_until: float = 0.0
     penalty_seconds: float = 0.0
+    connected_until: float = 0.0
+    """Until when a connection to it is assumed to be kept."""
 
     def latency(self, now: float) -> float:
         """Moving average, faded towards the first assumption as it ages."""
@@ -44,6 +53,11 @@
         longer = max(FIRST_PENALTY_SECONDS, self.penalty_seconds * 2)
         self.penalty_seconds = min(LONGEST_PENALTY_SECONDS, longer)
         self.avoid_until = now + self.penalty_seconds
+        self.connected_until = 0.0
+
+    def note_answer(self, now: float) -> None:
+        """It answered, whatever it said: the connection can be used again."""
+        self.connected_until = now + KEPT_CONNECTION_SECONDS
 
     def note_success(self) -> None:
         """The back end works."""
@@ -101,4 +115,5 @@
     def _cost(self, backend: Backend, now: float) -> float:
         evidence = self.evidence(backend.backend_id)
         jitter = 1.0 + 0.2 * self._random.random()
-        return (evidence.in_flight + 1) * evidence.latency(now) * jitter
+        connecting = 1.0 if evidence.connected_until > now else NEW_CONNECTION_FACTOR
+        return (evidence.in_flight + 1) * evidence.latency(now) * jitter * connecting
--- a/src/merlinstand/forwarding/forwarder.py
+++ b/src/merlinstand/forwarding/forwarder.py
@@ -145,6 +145,7 @@
         self, pending: _Pending, event: CallResponded, attempt: _Attempt, now: float
     ) -> list[Effect]:
         evidence = self.chooser.evidence(attempt.backend.backend_id)
+        evidence.note_answer(now)
         if self._is_not_run(event):
             evidence.note_latency(now - attempt.started_at + BUSY_PAUSE_SECONDS, now)
             if event.status == MISDIRECTED_STATUS:
