--- a/src/merlinstand/runtime/host.py
+++ b/src/merlinstand/runtime/host.py
@@ -16,7 +16,7 @@
 from merlinstand.kernel.events import Event, Started, StopRequested, TimerFired
 from merlinstand.kernel.reducer import Reducer
 from merlinstand.runtime.addresses import parse_address
-from merlinstand.runtime.disk import Disk, NoDisk, StoreDisk
+from merlinstand.runtime.disk import Disk, NoDisk
 from merlinstand.runtime.errors import HostSetupError
 from merlinstand.runtime.exit_codes import EXIT_DISK_FAILED, EXIT_FORCED, EXIT_REDUCER_FAILED
 from merlinstand.runtime.host_settings import HostSettings
@@ -33,7 +33,6 @@
 from merlinstand.runtime.traffic import TrafficCounters
 from merlinstand.runtime.transport import Transport
 from merlinstand.storage.errors import StorageError
-from merlinstand.storage.store import DurableStore
 
 FLUSH_SECONDS = 5.0
 """Longest time at the end for responses and messages to leave."""
@@ -220,6 +219,10 @@
         node_id = NodeId(settings.node_id)
         if not settings.data_folder:
             return Started(node_id, incarnation=secrets.randbits(_SEED_BITS), seed=seed)
+        # Loaded here: most processes have no disk, and are up sooner and smaller without this.
+        from merlinstand.runtime.store_disk import StoreDisk
+        from merlinstand.storage.store import DurableStore
+
         opened = DurableStore.open(settings.data_folder)
         if isinstance(opened, Err):
             error = opened.err_value
