--- a/tests/batch_jobs/test_runner_scheduling.py
+++ b/tests/batch_jobs/test_runner_scheduling.py
@@ -14,11 +14,9 @@
 from merlinstand.directory.backends import Backend
 from merlinstand.directory.follower import DirectoryFollower
 from merlinstand.directory.routes import (
-    Route,
     RouteKind,
     RoutesDocument,
     RouteTable,
-    RouteTarget,
     Service,
 )
 from merlinstand.directory.view import DaemonReport
@@ -27,17 +25,16 @@
 from merlinstand.forwarding.weighted_choice import WeightedChoice
 from merlinstand.kernel.effects import CancelCall, Effect, StartCall
 from merlinstand.kernel.events import CallChunk, CallEnded, CallFailed, CallHeaders, CallPhase
+from tests.routes import make_route
 
 SLOTS = 3
 ENGINES = 2
 ITEMS = 40
-ROUTE = Route(
-    name="r",
-    host="h",
-    path_prefix="/l/",
-    kind=RouteKind.BATCH,
+ROUTE = make_route(
+    RouteKind.BATCH,
+    "llm",
+    "/l/",
     timeout_seconds=10.0,
-    targets=(RouteTarget("llm", 1.0),),
     maximum_attempts=3,
     result_deadline_seconds=7.5,
 )
--- a/tests/batch_jobs/test_scoring.py
+++ b/tests/batch_jobs/test_scoring.py
@@ -8,7 +8,7 @@
 from merlinstand.common.ids import BackendId
 from merlinstand.directory.backends import Backend
 from merlinstand.directory.follower import DirectoryFollower
-from merlinstand.directory.routes import Route, RouteKind, RoutesDocument, RouteTable, RouteTarget
+from merlinstand.directory.routes import RouteKind, RoutesDocument, RouteTable
 from merlinstand.directory.view import DaemonReport
 from merlinstand.forwarding.forwarder import Forwarder
 from merlinstand.forwarding.header_names import HeaderNames
@@ -21,17 +21,10 @@
 )
 from merlinstand.forwarding.weighted_choice import WeightedChoice
 from merlinstand.kernel.effects import Effect
+from tests.routes import make_route
 
 NAMES = HeaderNames()
-SCORE_ROUTE = Route(
-    name="score",
-    host="h",
-    path_prefix="/score/",
-    kind=RouteKind.REPEATABLE,
-    timeout_seconds=1.5,
-    targets=(RouteTarget("shop", 1.0),),
-    maximum_attempts=3,
-)
+SCORE_ROUTE = make_route(RouteKind.REPEATABLE, "shop", "/score/", maximum_attempts=3)
 
 
 class Scoring:
--- a/tests/directory/test_changes.py
+++ b/tests/directory/test_changes.py
@@ -16,16 +16,15 @@
 )
 from merlinstand.directory.follower import DirectoryFollower
 from merlinstand.directory.routes import (
-    Route,
     RouteKind,
     RoutesDocument,
-    RouteTarget,
     Service,
 )
 from merlinstand.directory.state_machine import DirectoryState
 from merlinstand.directory.subscribers import Subscriber, Subscribers
 from merlinstand.directory.view import DaemonReport
 from merlinstand.protocol.generated.directory.ttypes import DirectoryUpdate
+from tests.routes import make_route
 
 SERVERS = 24
 LEADER = NodeId("10.0.0.1")
@@ -46,14 +45,7 @@
 
 def document(version: int) -> RoutesDocument:
     routes = tuple(
-        Route(
-            name=f"r{number}",
-            host="h.example",
-            path_prefix=f"/p{number}/",
-            kind=RouteKind.REPEATABLE,
-            timeout_seconds=2.0,
-            targets=(RouteTarget("llm", 1.0),),
-        )
+        make_route(RouteKind.REPEATABLE, "llm", f"/p{number}/", name=f"r{number}")
         for number in range(40)
     )
     return RoutesDocument(version=version, routes=routes, services=(Service(name="llm"),))
--- a/tests/forwarding/test_first_routes.py
+++ b/tests/forwarding/test_first_routes.py
@@ -4,7 +4,7 @@
 
 from merlinstand.common.ids import BackendId, NodeId, RequestId
 from merlinstand.directory.backends import Backend
-from merlinstand.directory.routes import Route, RouteKind, RoutesDocument, RouteTarget, Service
+from merlinstand.directory.routes import RouteKind, RoutesDocument, Service
 from merlinstand.directory.view import DirectoryChanges, encode_changes
 from merlinstand.forwarding.daemon import NO_ROUTES_REASON, ForwardingGateway
 from merlinstand.forwarding.routes_wait import MAXIMUM_WAITING, PATIENCE_SECONDS, TIMER_PREFIX
@@ -19,19 +19,13 @@
 )
 from merlinstand.protocol.generated.directory.ttypes import DirectoryUpdate
 from merlinstand_platform.batch import PlatformGatewayInterface
+from tests.routes import make_route
 
 SETTINGS = ForwardingSettings(
     node_id="g", name="gateway-1", zone="z", internal_address="10.0.0.9:1", seeds=("10.0.0.1:1",)
 )
-ROUTE = Route(
-    name="r",
-    host="h",
-    path_prefix="/l/",
-    kind=RouteKind.REPEATABLE,
-    timeout_seconds=1.5,
-    target_latency_seconds=0.2,
-    targets=(RouteTarget("shop", 1.0),),
-    maximum_attempts=3,
+ROUTE = make_route(
+    RouteKind.REPEATABLE, "shop", "/l/", target_latency_seconds=0.2, maximum_attempts=3
 )
 UPDATE = DirectoryUpdate(
     from_leader=True,
--- a/tests/forwarding/test_forwarder.py
+++ b/tests/forwarding/test_forwarder.py
@@ -9,6 +9,7 @@
 from merlinstand.forwarding.weighted_choice import WeightedChoice
 from merlinstand.kernel.effects import CancelCall, Effect, StartCall
 from merlinstand.kernel.events import CallFailed, CallPhase, CallResponded
+from tests.routes import make_route
 
 NAMES = HeaderNames()
 BACKENDS = tuple(
@@ -18,16 +19,7 @@
 
 
 def route(kind: RouteKind = RouteKind.REPEATABLE, attempts: int = 3) -> Route:
-    return Route(
-        name="r",
-        host="h",
-        path_prefix="/l/",
-        kind=kind,
-        timeout_seconds=1.5,
-        target_latency_seconds=0.2,
-        targets=(RouteTarget("shop", 1.0),),
-        maximum_attempts=attempts,
-    )
+    return make_route(kind, "shop", "/l/", target_latency_seconds=0.2, maximum_attempts=attempts)
 
 
 def request(of_route: Route) -> ForwardRequest:
--- a/tests/forwarding/test_streams.py
+++ b/tests/forwarding/test_streams.py
@@ -2,7 +2,7 @@
 
 from merlinstand.common.ids import BackendId
 from merlinstand.directory.backends import Backend
-from merlinstand.directory.routes import Route, RouteKind, RouteTarget
+from merlinstand.directory.routes import RouteKind
 from merlinstand.forwarding.backend_choice import BackendChooser
 from merlinstand.forwarding.header_names import HeaderNames
 from merlinstand.forwarding.requests import ForwardRequest, NotRun, OutcomeUnknown
@@ -16,6 +16,7 @@
     StartCall,
 )
 from merlinstand.kernel.events import CallChunk, CallEnded, CallFailed, CallHeaders, CallPhase
+from tests.routes import make_route
 
 NAMES = HeaderNames()
 BACKENDS = tuple(
@@ -28,13 +29,11 @@
 
     def __init__(self, is_resumable: bool, attempts: int = 3) -> None:
         self.forwarder = StreamForwarder(NAMES, BackendChooser(), lambda _service: BACKENDS)
-        route = Route(
-            name="r",
-            host="h",
-            path_prefix="/s/",
-            kind=RouteKind.STREAM,
+        route = make_route(
+            RouteKind.STREAM,
+            "llm",
+            "/s/",
             timeout_seconds=10.0,
-            targets=(RouteTarget("llm", 1.0),),
             maximum_attempts=attempts,
             is_resumable=is_resumable,
         )
--- a/tests/users_platform/test_adapter.py
+++ b/tests/users_platform/test_adapter.py
@@ -17,22 +17,18 @@
 from merlinstand.batch_jobs.model import ItemResult, ResultState
 from merlinstand.common.ids import RequestId
 from merlinstand.directory.requests import BackendLeft, DocumentPut, Elsewhere, Heartbeat
-from merlinstand.directory.routes import Route, RouteKind, RouteTarget
+from merlinstand.directory.routes import RouteKind
 from merlinstand.forwarding.interface import BatchFailure
 from merlinstand.kernel.events import RequestReceived
 from merlinstand_platform.batch import PlatformGatewayInterface
 from merlinstand_platform.control import PlatformControlInterface
 from merlinstand_platform.document import read_document
+from tests.routes import make_route
 from tests.users_platform.callers import HOST, config
 
 SERVICES: dict[str, list[str]] = {"shop": [], "llm": ["m0"]}
-BATCH_ROUTE = Route(
-    name="llm",
-    host=HOST,
-    path_prefix="/llm/",
-    kind=RouteKind.BATCH,
-    timeout_seconds=7.5,
-    targets=(RouteTarget("llm", 1.0),),
+BATCH_ROUTE = make_route(
+    RouteKind.BATCH, "llm", "/llm/", name="llm", host=HOST, timeout_seconds=7.5
 )
 
 
