--- a/src/merlinstand/batch_jobs/overload.py
+++ b/src/merlinstand/batch_jobs/overload.py
@@ -1,16 +1,16 @@
-"""Which groups to put off when a model's engines can't make all in time (pure decisions).
+"""Which groups to defer when a model's engines can't make all in time (pure decisions).
 
 A job earns by its groups that are whole before its results are due. Earliest due first is the best
 order as long as everything fits. With more work than that it makes every group late. So, as by
 Moore's and Hodgson's rule for the fewest late jobs (Management Science 15, 1968), groups are taken
 up in the order in which they are due, and whenever one would be late, one of those taken up so far
-is put off: one that its job doesn't need, else one that is late in any case, else the one with
-most work. What is put off runs as slots are left over.
+is deferred: one that its job doesn't need, else one that is late in any case, else the one with
+most work. What is deferred runs as slots are left over.
 
-Models are weighed apart: an item runs only where the weights of its model are kept new, so the
-engines of one model are little help to another.
+Each model is judged by itself: an item runs only where the weights of its model are kept new, so
+the engines of one model are little help to another.
 
-Nothing is put off while everything that can still be in time fits.
+Nothing is deferred while everything that can still be in time fits.
 """
 
 import heapq
@@ -125,7 +125,7 @@
             load.is_needed = load.is_carried
 
 
-def groups_to_put_off(
+def groups_to_defer(
     loads: Iterable[GroupLoad], capacity: EngineCapacity, group_time: float
 ) -> frozenset[GroupKey]:
     """Choose the groups of one model that had better wait.
@@ -137,9 +137,9 @@
     """
     if capacity.events_per_second <= 0.0:
         return frozenset()
-    put_off: set[GroupKey] = set()
+    deferred: set[GroupKey] = set()
     taken_up: list[tuple[bool, bool, float, GroupKey]] = []
-    """A heap; its first entry is to be put off first."""
+    """A heap; its first entry is to be deferred first."""
     events = 0.0
     for load in sorted(loads, key=lambda load: (load.due_at, load.key)):
         left_seconds = load.due_at - group_time
@@ -148,8 +148,8 @@
         heapq.heappush(taken_up, entry)
         events += load.rest_events
         possible_events = left_seconds * capacity.events_per_second
-        while can_be_in_time and events > possible_events and load.key not in put_off:
+        while can_be_in_time and events > possible_events and load.key not in deferred:
             _needed, _in_time, negative_events, key = heapq.heappop(taken_up)
             events += negative_events
-            put_off.add(key)
-    return frozenset(put_off)
+            deferred.add(key)
+    return frozenset(deferred)
--- a/src/merlinstand/batch_jobs/runner.py
+++ b/src/merlinstand/batch_jobs/runner.py
@@ -10,8 +10,8 @@
 import msgspec
 from result import Err
 
+from merlinstand.batch_jobs.deferral import GroupDeferral
 from merlinstand.batch_jobs.engines import EngineState, EngineStates
-from merlinstand.batch_jobs.group_plan import GroupPlan
 from merlinstand.batch_jobs.item_run import ItemRun, RunPhase
 from merlinstand.batch_jobs.kept_text import TextPart
 from merlinstand.batch_jobs.lengths import LengthHistory
@@ -19,10 +19,10 @@
 from merlinstand.batch_jobs.schedule import (
     GroupProgress,
     ItemDemand,
+    deferred_urgency,
     group_progress,
     job_ranks,
     latest_begin,
-    put_off_urgency,
     seconds_won,
     urgency,
 )
@@ -110,7 +110,7 @@
         self._list_result = list_result
         self._keep_texts = keep_texts
         self._group_time = group_time
-        self._plan = GroupPlan(lambda: follower.routes, engines, follows, self._expected_rest)
+        self._deferral = GroupDeferral(follower, engines, follows, self._expected_rest)
         self._runs: dict[str, ItemRun] = {}
         self._by_call: dict[CallId, ItemRun] = {}
         self._seen: dict[str, str] = {}
@@ -137,7 +137,7 @@
         """Take up a job's unlisted items."""
         self._job_count += 1
         self._has_news = True
-        self._plan.weigh_soon()
+        self._deferral.review_soon()
         for number, item in enumerate(job.job.items):
             first_job = self._seen.setdefault(item.item_id, job.job.job_id)
             if not job.is_open or job.is_listed(item.item_id):
@@ -199,7 +199,7 @@
         Call it only while this process may act as leader.
         """
         effects = [effect for run in self._due_again(now) for effect in self._go_on(run, now)]
-        effects.extend(self._weigh_groups(now))
+        effects.extend(self._defer_groups(now))
         effects.extend(self._start_waiting(now))
         if not any(run.phase is RunPhase.WAITING for run in self._runs.values()):
             effects.extend(self._move_slow_runs(now))
@@ -233,7 +233,7 @@
         groups = group_progress(self._runs.values())
         ranks = job_ranks(self._jobs.jobs.values())
         typical = self._engines.typical_event_seconds(now)
-        effects = self._weigh_groups(now)
+        effects = self._defer_groups(now)
         waiting.sort(
             key=lambda run: self._order_key(
                 run,
@@ -250,18 +250,18 @@
                 break
         return effects
 
-    def _weigh_groups(self, now: float) -> list[Effect]:
+    def _defer_groups(self, now: float) -> list[Effect]:
         runs = self._runs.values()
-        return self._plan.weigh(runs, self._jobs.jobs, self._group_time(now), now)
+        return self._deferral.review(runs, self._jobs.jobs, self._group_time(now), now)
 
     def _order_key(
         self, run: ItemRun, group: GroupProgress, job_rank: int, typical_event_seconds: float
     ) -> tuple[object, ...]:
-        """Sort key: what is put off comes last."""
-        group_events = self._plan.put_off_events(run)
+        """Sort key: what is deferred comes last."""
+        group_events = self._deferral.deferred_events(run)
         if group_events is not None:
             accepted_at = self._jobs.jobs[run.job_id].accepted_at
-            return (True, put_off_urgency(run, accepted_at, group_events))
+            return (True, deferred_urgency(run, accepted_at, group_events))
         latest = self._latest_begin(run, typical_event_seconds)
         return (False, urgency(run, group, job_rank, latest))
 
--- a/src/merlinstand/batch_jobs/schedule.py
+++ b/src/merlinstand/batch_jobs/schedule.py
@@ -68,8 +68,8 @@
     return (job_rank, latest_begin, not group.begun, run.item.group, run.order)
 
 
-def put_off_urgency(run: ItemRun, accepted_at: float, group_events: float) -> tuple[object, ...]:
-    """Sort key among items of groups that are put off: whole groups of the earliest job first.
+def deferred_urgency(run: ItemRun, accepted_at: float, group_events: float) -> tuple[object, ...]:
+    """Sort key among items of groups that are deferred: whole groups of the earliest job first.
 
     Args:
         run: An item that waits.
--- a/tests/batch_jobs/test_overload.py
+++ b/tests/batch_jobs/test_overload.py
@@ -13,7 +13,7 @@
     GroupLoad,
     engine_capacity,
     group_loads,
-    groups_to_put_off,
+    groups_to_defer,
 )
 from merlinstand.batch_jobs.state_machine import JobState
 from merlinstand.common.ids import BackendId
@@ -23,11 +23,11 @@
 
 
 class Case(msgspec.Struct, frozen=True):
-    """Groups as (due at, events, longest item, needed), at time 0, and the indexes put off."""
+    """Groups as (due at, events, longest item, needed), at time 0, and the indexes deferred."""
 
     name: str
     groups: list[tuple[float, float, float, bool]]
-    put_off: set[int]
+    deferred: set[int]
 
 
 CASES = [
@@ -50,7 +50,7 @@
         [(4.0, 200.0, 120.0, True), (4.0, 300.0, 9.0, True)],
         {0},
     ),
-    Case("a long text alone puts nothing off", [(4.0, 200.0, 120.0, True)], set()),
+    Case("a long text alone defers nothing", [(4.0, 200.0, 120.0, True)], set()),
     Case("alone too large", [(1.0, 300.0, 9.0, True)], {0}),
     Case("those due later fit again", [(1.0, 300.0, 9.0, True), (9.0, 800.0, 9.0, True)], {0}),
 ]
@@ -68,13 +68,13 @@
         )
         for number, (due_at, events, longest, is_needed) in enumerate(case.groups)
     ]
-    chosen = groups_to_put_off(loads, CAPACITY, 0.0)
-    assert chosen == {GroupKey("j", f"g{number}") for number in case.put_off}
+    chosen = groups_to_defer(loads, CAPACITY, 0.0)
+    assert chosen == {GroupKey("j", f"g{number}") for number in case.deferred}
 
 
-def test_without_an_engine_nothing_is_put_off() -> None:
+def test_without_an_engine_nothing_is_deferred() -> None:
     load = GroupLoad(key=GroupKey("j", "g"), due_at=1.0, rest_events=10.0)
-    assert groups_to_put_off([load], EngineCapacity(0.0, 0.04), 0.0) == frozenset()
+    assert groups_to_defer([load], EngineCapacity(0.0, 0.04), 0.0) == frozenset()
 
 
 def item(name: str, group: str) -> BatchItem:
