Read the whole change again: groups of a job are counted once, a job's route is looked up in one place

Each review of the overload rule, four times a second, counted the groups of every open job anew from all of its items, as the line of a submitted job did beside it: BatchJob.count_groups serves both, and a kept job holds the count from its acceptance on. deferral looks a job's route up in one function. packed_text says what it serves now that the directory uses it.

--- a/src/merlinstand/batch_jobs/daemon.py
+++ b/src/merlinstand/batch_jobs/daemon.py
@@ -409,7 +409,7 @@
             "items": len(call.job.items),
             "step": call.job.step,
             "minimum_version": call.job.minimum_version,
-            "groups": len({item.group for item in call.job.items}),
+            "groups": call.job.count_groups(),
             "wanted_groups": call.job.wanted_groups,
             "slots": sum(state.slots for state in engines),
             "event_seconds": round(fastest_event_seconds(engines, now), 4),
--- a/src/merlinstand/batch_jobs/deferral.py
+++ b/src/merlinstand/batch_jobs/deferral.py
@@ -15,6 +15,7 @@
 from merlinstand.batch_jobs.state_machine import JobState
 from merlinstand.common.ids import BackendId
 from merlinstand.directory.follower import DirectoryFollower
+from merlinstand.directory.routes import Route
 from merlinstand.kernel.effects import Effect, LogEvent
 
 REVIEW_SECONDS = 0.25
@@ -91,13 +92,16 @@
             by_model.setdefault((self._service_of(job), job.job.model), []).append(load)
         return by_model
 
+    def _route_of(self, job: JobState) -> Route | None:
+        return self._follower.routes.find(job.job.host, job.job.path)
+
     def _due_seconds(self, job: JobState) -> float:
-        route = self._follower.routes.find(job.job.host, job.job.path)
+        route = self._route_of(job)
         return route.result_deadline_seconds if route is not None else 0.0
 
     def _service_of(self, job: JobState) -> str:
         """The service that runs a job's items; of a split route the first one stands for all."""
-        route = self._follower.routes.find(job.job.host, job.job.path)
+        route = self._route_of(job)
         return route.targets[0].service if route is not None else ""
 
     def _capacity(self, service: str, model: str, now: float) -> EngineCapacity:
--- a/src/merlinstand/batch_jobs/model.py
+++ b/src/merlinstand/batch_jobs/model.py
@@ -50,6 +50,10 @@
     wanted_groups: int = 0
     """Whole groups that the trainer waits for."""
 
+    def count_groups(self) -> int:
+        """Count its groups, whole or not."""
+        return len({item.group for item in self.items})
+
 
 class ResultState(enum.Enum):
     """How an item ended."""
--- a/src/merlinstand/batch_jobs/overload.py
+++ b/src/merlinstand/batch_jobs/overload.py
@@ -116,12 +116,13 @@
     for load in loads:
         by_job.setdefault(load.key.job_id, []).append(load)
     for job_id, of_job in by_job.items():
-        job = jobs[job_id].job
-        if not job.wanted_groups:
+        job = jobs[job_id]
+        wanted = job.job.wanted_groups
+        if not wanted:
             continue
-        whole = len({item.group for item in job.items}) - len(of_job)
+        whole = job.group_count - len(of_job)
         of_job.sort(key=lambda load: (not load.is_carried, load.rest_events, load.key))
-        for load in of_job[max(0, job.wanted_groups - whole) :]:
+        for load in of_job[max(0, wanted - whole) :]:
             load.is_needed = load.is_carried
 
 
--- a/src/merlinstand/batch_jobs/state_machine.py
+++ b/src/merlinstand/batch_jobs/state_machine.py
@@ -84,11 +84,13 @@
     listed_ids: set[str] = msgspec.field(default_factory=set)
     kept_texts: dict[str, KeptText] = msgspec.field(default_factory=dict)
     """Beginnings of the texts of long items that have no position yet."""
+    group_count: int = 0
 
     def __post_init__(self) -> None:
-        """Index the items."""
+        """Index the items and count their groups."""
         self.items_by_id = {item.item_id: item for item in self.job.items}
         self.listed_ids = {result.item_id for result in self.results}
+        self.group_count = self.job.count_groups()
 
     def find_item(self, item_id: str) -> BatchItem | None:
         """Give an item of the job."""
--- a/src/merlinstand/common/packed_text.py
+++ b/src/merlinstand/common/packed_text.py
@@ -1,4 +1,4 @@
-"""Texts and bodies of batch jobs, kept and sent compressed (zlib, RFC 1950)."""
+"""Texts and messages, kept and sent compressed (zlib, RFC 1950)."""
 
 import zlib
 
--- a/src/merlinstand/directory/subscribers.py
+++ b/src/merlinstand/directory/subscribers.py
@@ -17,8 +17,6 @@
 KEEPER_ROLE = "keeper"
 REPORT_FRESH_SECONDS = 2.5
 """A daemon that has not reported for this long counts as unreachable."""
-
-
 ENCODED_LIMIT = 64
 """Encoded changes kept, for daemons that lack the same."""
 
