--- a/src/merlinstand/batch_jobs/settings.py
+++ b/src/merlinstand/batch_jobs/settings.py
@@ -16,6 +16,8 @@
     """`ip:port` of the internal protocol."""
     http_address: str
     """`ip:port` of the HTTP interface for gateways."""
+    zones: dict[str, str] = {}
+    """Region of each zone of the deployment."""
     seeds: tuple[str, ...]
     """Internal addresses of some control daemons."""
     may_found: bool = False
--- a/src/merlinstand/directory/backends.py
+++ b/src/merlinstand/directory/backends.py
@@ -28,6 +28,8 @@
     is_leaving: bool = False
     """Takes no new requests any more."""
     models: tuple[HeldModel, ...] = ()
+    is_cold: bool = False
+    """Bears only some requests a second yet, as after a start."""
 
     def version_of(self, model: str) -> int:
         """The weight version it reported of a model; 0 if it doesn't hold it."""
--- /dev/null
+++ b/src/merlinstand/directory/places.py
@@ -0,0 +1,23 @@
+"""Where things stand: the zones of a deployment and their regions, as the settings tell them."""
+
+from collections.abc import Collection
+
+import msgspec
+
+
+class Places(msgspec.Struct, frozen=True):
+    """All zones; empty where the settings name none."""
+
+    region_by_zone: dict[str, str] = {}
+
+    def knows(self, zone: str) -> bool:
+        """Whether the deployment has a zone of this name."""
+        return zone in self.region_by_zone
+
+    def region_of(self, zone: str) -> str:
+        """The region of a zone; empty for a zone that the settings don't name."""
+        return self.region_by_zone.get(zone, "")
+
+    def is_within(self, zone: str, regions: Collection[str]) -> bool:
+        """Whether a zone lies in one of some regions; no regions at all means anywhere."""
+        return not regions or self.region_of(zone) in regions
--- a/src/merlinstand/directory/routes.py
+++ b/src/merlinstand/directory/routes.py
@@ -53,6 +53,8 @@
     """Batch jobs: one weight version makes the whole text of an item."""
     is_public: bool = False
     """Requests need no key where there are tenants."""
+    allowed_regions: tuple[str, ...] = ()
+    """Regions in which its requests may be served and kept; without any, all of them."""
 
 
 class Service(msgspec.Struct, frozen=True, kw_only=True):
@@ -66,6 +68,10 @@
     """Requests that one engine works on at once; 0 if it is no engine."""
     models: tuple[str, ...] = ()
     """Models that the service's engines hold."""
+    cold_start_seconds: float = 0.0
+    """A server stays cold this long after its start; 0 if it bears everything at once."""
+    cold_requests_per_second: float = 0.0
+    """Requests a second that a cold server bears from all callers together; 0 for any number."""
 
 
 class RequestLimits(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/merlinstand/directory/settings.py
+++ b/src/merlinstand/directory/settings.py
@@ -14,6 +14,8 @@
     """`ip:port` of the internal protocol."""
     http_port: int
     """Port of the HTTP interface; the same on every control daemon."""
+    zones: dict[str, str] = {}
+    """Region of each zone of the deployment."""
     seeds: tuple[str, ...]
     """Internal addresses of some control daemons; at the first start, of the founders."""
     may_found: bool = False
--- a/src/merlinstand/directory/tenants.py
+++ b/src/merlinstand/directory/tenants.py
@@ -30,6 +30,9 @@
     """SHA-256 of each key; without any, nobody can call for this tenant."""
     priority: int | None = None
     """Goes before the priority of a route; 0 is the most urgent."""
+    allowed_regions: tuple[str, ...] = ()
+    """Regions in which its requests may be served and kept, besides what the route allows; without
+    any, all of them."""
 
 
 def digest_key(key: str) -> Result[bytes, InvalidInputError]:
--- a/src/merlinstand/directory/view.py
+++ b/src/merlinstand/directory/view.py
@@ -93,6 +93,9 @@
     weights_revision: int = -1
     weights: dict[str, int] | None = None
     """Newest named weight version by model."""
+    zones_revision: int = -1
+    evacuated: tuple[str, ...] | None = None
+    """Zones to whose servers nothing is sent, by the operators' order."""
     keepers_mark: str = ""
     keepers: tuple[Keeper, ...] | None = None
     founding: KeeperGroup | None = None
--- a/src/merlinstand/forwarding/requests.py
+++ b/src/merlinstand/forwarding/requests.py
@@ -20,6 +20,8 @@
     request_id: str
     deadline_at: float
     """Local time by which the answer must have been given."""
+    allowed_regions: frozenset[str] = frozenset()
+    """Regions of the servers that may be asked; without any, all of them."""
 
 
 class Answered(msgspec.Struct, frozen=True):
--- a/src/merlinstand/forwarding/settings.py
+++ b/src/merlinstand/forwarding/settings.py
@@ -14,6 +14,8 @@
     zone: str
     internal_address: str
     """`ip:port` of the internal protocol."""
+    zones: dict[str, str] = {}
+    """Region of each zone of the deployment."""
     seeds: tuple[str, ...]
     """Internal addresses of some control daemons."""
     header_names: HeaderNames = HeaderNames()
--- a/src/merlinstand/protocol/idl/directory.thrift
+++ b/src/merlinstand/protocol/idl/directory.thrift
@@ -14,6 +14,8 @@
   5: required string keepers_mark;
   /** merlinstand.metering.usage.UsageReport in msgpack, if it holds anything new. */
   6: optional binary usage;
+  /** Revision held of the evacuated zones; none from daemons that don't know them. */
+  7: optional i64 zones_revision;
 }
 
 /** A control replica tells the leader of the heartbeats that it took. */
@@ -34,4 +36,6 @@
   6: optional double true_seconds;
   /** Newest usage report of the receiver that is agreed; 0 for none. */
   7: optional i64 usage_mark;
+  /** merlinstand.directory.cold_grants.ColdGrants in msgpack: cold servers it may use. */
+  8: optional binary cold_grants;
 }
