A group's replicas gather in one region where no region's loss is to be borne

Every entry passes from the leader to each voter, and is committed once a majority has it. The founders were spread over zones alone, so that with two regions three of five voters stood in one and two in the other: each copy of a job and of its results crossed the link between regions twice, and a majority needed 20 ms more whenever one of the three was away. Now the pure decision consensus/placement gathers the voters in the region with most candidates, in as many zones as it has, and spreads them over regions where the settings ask for a region's loss to be borne. Founding and repair both ask it. With one region nothing changes.

--- a/src/merlinstand/batch_jobs/daemon.py
+++ b/src/merlinstand/batch_jobs/daemon.py
@@ -240,6 +240,7 @@
             ),
             bootstrap=self._may_found,
             target_size=settings.group_size,
+            placement=settings.placement,
             timings=quick_timings(settings.election_timeout_seconds, settings.repair_delay_seconds),
         )
 
--- a/src/merlinstand/batch_jobs/settings.py
+++ b/src/merlinstand/batch_jobs/settings.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from merlinstand.consensus.placement import PlacementRule
 from merlinstand.forwarding.header_names import HeaderNames
 
 
@@ -29,6 +30,9 @@
     """Results stay readable for this long after their job was accepted, and while it is open."""
     tolerated_losses: int = 1
     """Machines with a disk that may be lost at once."""
+    tolerated_region_losses: int = 0
+    """Regions that may be lost at once; with 0, a group's replicas stand in one region if they
+    can."""
     election_timeout_seconds: float = 0.6
     """Shortest silence of the leader after which a replica stands for election."""
     repair_delay_seconds: float = 2.5
@@ -36,6 +40,13 @@
     call_timeout_seconds: float = 2.0
     """Longest wait of a call for its decision."""
 
+    @property
+    def placement(self) -> PlacementRule:
+        """Where the replicas of a group should stand."""
+        return PlacementRule(
+            region_by_zone=self.zones, tolerated_region_losses=self.tolerated_region_losses
+        )
+
     @property
     def group_size(self) -> int:
         """Replicas of batch jobs needed to tolerate the losses."""
--- a/src/merlinstand/consensus/group_watch.py
+++ b/src/merlinstand/consensus/group_watch.py
@@ -74,4 +74,5 @@
             repair_delay_seconds=settings.timings.repair_delay_seconds,
             standby_freshness_seconds=settings.timings.standby_freshness_seconds,
             replaced_disk_delay_seconds=2 * settings.timings.election_timeout_seconds,
+            placement=settings.placement,
         )
--- a/src/merlinstand/consensus/repair.py
+++ b/src/merlinstand/consensus/repair.py
@@ -15,7 +15,7 @@
 
 import msgspec
 
-from merlinstand.common.ids import NodeId, Zone
+from merlinstand.common.ids import NodeId
 from merlinstand.consensus.membership import (
     Identity,
     Member,
@@ -24,6 +24,7 @@
     with_promotion,
     without_member,
 )
+from merlinstand.consensus.placement import PlacementRule
 from merlinstand.consensus.quorum import quorum_size
 
 
@@ -70,6 +71,8 @@
     standby_freshness_seconds: float
     replaced_disk_delay_seconds: float
     """Silence that suffices when the node has announced itself under a new incarnation."""
+    placement: PlacementRule = PlacementRule()
+    """Where voters should stand."""
 
 
 class GroupView(msgspec.Struct, frozen=True):
@@ -194,7 +197,9 @@
     wished = [member for member in candidates if _is_preferred(view, member)]
     if view.membership.learners or not (wished or (missing > 0 and candidates)):
         return None
-    best = min(wished or candidates, key=lambda member: _rank(view, to_replace, member))
+    best = min(
+        wished or candidates, key=lambda member: _rank(view, settings.placement, to_replace, member)
+    )
     return RepairAction(RepairKind.ADD_LEARNER, best)
 
 
@@ -207,13 +212,14 @@
     return present is None or present.identity != candidate.identity
 
 
-def _rank(view: GroupView, to_replace: list[Member], candidate: Member) -> tuple[bool, int, NodeId]:
-    """Prefer the node that lost its disk, then zones with few voters, then the name."""
+def _rank(
+    view: GroupView, placement: PlacementRule, to_replace: list[Member], candidate: Member
+) -> tuple[bool, tuple[int, int], NodeId]:
+    """Prefer the node that lost its disk, then the place that suits best, then the name."""
     returns = any(m.identity.node_id == candidate.identity.node_id for m in to_replace)
-    zone: Zone = candidate.zone
     staying = [voter for voter in view.membership.voters if voter not in to_replace]
-    zone_crowding = sum(1 for voter in staying if voter.zone == zone)
-    return (not returns, zone_crowding, candidate.identity.node_id)
+    crowding = placement.crowding(candidate.zone, staying)
+    return (not returns, crowding, candidate.identity.node_id)
 
 
 def apply_action(action: RepairAction, membership: Membership) -> Membership:
--- a/src/merlinstand/consensus/settings.py
+++ b/src/merlinstand/consensus/settings.py
@@ -4,6 +4,7 @@
 
 from merlinstand.common import constants
 from merlinstand.common.ids import NodeId, Zone
+from merlinstand.consensus.placement import PlacementRule
 
 
 class PeerSettings(msgspec.Struct, frozen=True, kw_only=True):
@@ -71,6 +72,8 @@
     """
     target_size: int = 0
     """Voters that the group should have; 0 for as many as `members`."""
+    placement: PlacementRule = PlacementRule()
+    """Where voters should stand."""
     automatic_repair: bool = True
     timings: ReplicaTimings = ReplicaTimings()
     limits: ReplicaLimits = ReplicaLimits()
--- a/src/merlinstand/directory/daemon.py
+++ b/src/merlinstand/directory/daemon.py
@@ -132,7 +132,7 @@
         self._delivered_index = 0
         self._heartbeats = Heartbeats(settings, self.replica, self.state, self._try_to_propose)
         self._led_since = 0.0
-        self._founding = KeeperFounding(settings.keeper_group_size)
+        self._founding = KeeperFounding(settings.keeper_group_size, settings.placement)
         self._duties = DutyKeeper(settings, self.state, platform, self._try_to_propose)
         self._publisher = DirectoryPublisher(settings, self.replica, self.state, self._duties)
         self._stopping = False
@@ -242,7 +242,9 @@
     def _leadership_changed(self, change: LeadershipChange, now: float) -> list[Effect]:
         if change is LeadershipChange.GAINED:
             self._led_since = now
-            self._founding = KeeperFounding(self._settings.keeper_group_size)
+            self._founding = KeeperFounding(
+                self._settings.keeper_group_size, self._settings.placement
+            )
             self._heartbeats.begin_leading(now)
             self._publisher.subscribers.clear()
             self._duties.begin(self.replica.term, now)
@@ -457,6 +459,7 @@
         members=members,
         bootstrap=settings.may_found,
         target_size=settings.control_group_size,
+        placement=settings.placement,
         timings=quick_timings(settings.election_timeout_seconds, settings.repair_delay_seconds),
         limits=ReplicaLimits(
             compaction_entries=COMPACTION_ENTRIES, compaction_bytes=COMPACTION_BYTES
--- a/src/merlinstand/directory/founding.py
+++ b/src/merlinstand/directory/founding.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Sequence
 
+from merlinstand.consensus.placement import PlacementRule
 from merlinstand.directory.view import DaemonReport, Keeper, keeper_of
 
 SETTLE_SECONDS = 1.0
@@ -13,13 +14,15 @@
 class KeeperFounding:
     """Keepers of a first start that reported to one leader; forgotten with its leadership."""
 
-    def __init__(self, group_size: int) -> None:
+    def __init__(self, group_size: int, placement: PlacementRule) -> None:
         """Begin a leadership.
 
         Args:
             group_size: Replicas of batch jobs needed to tolerate the losses.
+            placement: Where the members should stand.
         """
         self._group_size = group_size
+        self._placement = placement
         self._first_seen_at: dict[str, float] = {}
         self._is_decided = False
 
@@ -39,27 +42,11 @@
         if self._is_decided or not founders or not self._is_time(len(founders), now):
             return []
         self._is_decided = True
-        return spread_over_zones([keeper_of(report) for report in founders], self._group_size)
+        keepers = sorted((keeper_of(report) for report in founders), key=lambda k: k.node_id)
+        return self._placement.choose(keepers, self._group_size)
 
     def _is_time(self, reported: int, now: float) -> bool:
         first_at = min(self._first_seen_at.values())
         last_at = max(self._first_seen_at.values())
         is_settled = reported >= self._group_size and now - last_at >= SETTLE_SECONDS
         return is_settled or now - first_at >= PATIENCE_SECONDS
-
-
-def spread_over_zones(keepers: Sequence[Keeper], size: int) -> list[Keeper]:
-    """Choose members so that zones differ as far as possible."""
-    chosen: list[Keeper] = []
-    remaining = sorted(keepers, key=lambda keeper: keeper.node_id)
-    while remaining and len(chosen) < size:
-        best = min(
-            remaining,
-            key=lambda keeper: (
-                sum(1 for other in chosen if other.zone == keeper.zone),
-                keeper.node_id,
-            ),
-        )
-        chosen.append(best)
-        remaining.remove(best)
-    return chosen
--- a/src/merlinstand/directory/settings.py
+++ b/src/merlinstand/directory/settings.py
@@ -2,6 +2,8 @@
 
 import msgspec
 
+from merlinstand.consensus.placement import PlacementRule
+
 
 class DirectorySettings(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
     """One control daemon, which learns of the others from a few seed addresses."""
@@ -22,6 +24,9 @@
     """Whether this is the very first start of the whole system."""
     tolerated_losses: int = 1
     """Machines with a disk that may be lost at once."""
+    tolerated_region_losses: int = 0
+    """Regions that may be lost at once; with 0, a group's replicas stand in one region if they
+    can."""
     platform_address: str = ""
     """`ip:port` of the platform that is called for the duties; empty if there are none."""
     duty_lease_seconds: float = 3.0
@@ -41,6 +46,13 @@
     request_timeout_seconds: float = 3.0
     """Longest wait of a request for its decision."""
 
+    @property
+    def placement(self) -> PlacementRule:
+        """Where the replicas of a group should stand."""
+        return PlacementRule(
+            region_by_zone=self.zones, tolerated_region_losses=self.tolerated_region_losses
+        )
+
     @property
     def control_group_size(self) -> int:
         """Control replicas needed to tolerate the losses; grown to beyond the founders."""
