Items prefer engines of the leading keeper's region

An engine in another region must win 0.15 s to be chosen or moved to: its text comes back over the link between regions. Engines of the own region are shared out to all models by turns, else a model whose engines all stand elsewhere would have no choice.

--- a/src/merlinstand/batch_jobs/daemon.py
+++ b/src/merlinstand/batch_jobs/daemon.py
@@ -58,6 +58,7 @@
 from merlinstand.consensus.step import CommittedEntry, EntryKind, LeadershipChange, Step
 from merlinstand.consensus.timings import quick_timings
 from merlinstand.directory.follower import PULL_TIMER, DirectoryFollower
+from merlinstand.directory.places import Places
 from merlinstand.directory.subscribers import KEEPER_ROLE
 from merlinstand.directory.view import DaemonReport, Keeper
 from merlinstand.duties.turns import LEASE_MARGIN_SECONDS
@@ -107,7 +108,7 @@
         names = settings.header_names
         self.jobs = JobStates()
         self.follower = DirectoryFollower(settings.seeds, self._report)
-        self._engines = EngineStates(self.follower)
+        self._engines = EngineStates(self.follower, Places(settings.zones), settings.zone)
         self._split = WeightedChoice()
         self._forwarder = Forwarder(names, self.follower.snapshot_of)
         self._runner = ItemRunner(
--- a/src/merlinstand/batch_jobs/engine_assignment.py
+++ b/src/merlinstand/batch_jobs/engine_assignment.py
@@ -32,7 +32,7 @@
     """Assign models to engines, with as few changes as possible.
 
     Args:
-        engines: Sound engines of one service.
+        engines: Sound engines of one service, best ones first: each model gets its share of them.
         demand: Work of each model of the service.
         held: The assignment so far.
     """
@@ -50,7 +50,7 @@
         if model in quotas and quotas[model] > 0:
             quotas[model] -= 1
             assignment[engine] = frozenset((model,))
-    vacant = [model for model in models for _ in range(quotas[model])]
+    vacant = _in_turn(models, quotas)
     free = [engine for engine in engines if engine not in assignment]
     for engine, model in zip(free, vacant, strict=True):
         assignment[engine] = frozenset((model,))
@@ -83,6 +83,12 @@
     return {engine: frozenset(names) for engine, names in followed.items()}
 
 
+def _in_turn(models: Sequence[str], vacancies: Mapping[str, int]) -> list[str]:
+    """Models by turns, each as often as it lacks engines."""
+    most = max(vacancies.values(), default=0)
+    return [model for turn in range(most) for model in models if vacancies[model] > turn]
+
+
 def _only(models: Iterable[str]) -> str:
     names = list(models)
     return names[0] if len(names) == 1 else ""
--- a/src/merlinstand/batch_jobs/engines.py
+++ b/src/merlinstand/batch_jobs/engines.py
@@ -8,6 +8,7 @@
 from merlinstand.common.ids import BackendId
 from merlinstand.directory.backends import Backend
 from merlinstand.directory.follower import DirectoryFollower
+from merlinstand.directory.places import Places
 
 DEFAULT_SLOTS = 4
 """Assumed of an engine that does not tell its slots."""
@@ -46,6 +47,8 @@
     """Lowest that the average ever was: what the engine can do; 0 if none was seen."""
     first_event_seconds: float = 0.0
     """Moving average of the time from a run's begin to its first event; 0 if none was seen."""
+    is_remote: bool = False
+    """Whether it stands in another region than this keeper."""
 
     def note_event_time(self, seconds: float, now: float) -> None:
         """Take in how long one event took; pauses for a load of weights don't count."""
@@ -137,9 +140,19 @@
 class EngineStates:
     """All registered engines."""
 
-    def __init__(self, follower: DirectoryFollower) -> None:
-        """Begin with those that the directory tells."""
+    def __init__(
+        self, follower: DirectoryFollower, places: Places | None = None, zone: str = ""
+    ) -> None:
+        """Begin with those that the directory tells.
+
+        Args:
+            follower: The directory.
+            places: Regions of the zones; without, no engine is remote.
+            zone: The keeper's own zone.
+        """
         self._follower = follower
+        self._places = Places() if places is None else places
+        self._region = self._places.region_of(zone)
         self._revision = -2
         self.states: dict[BackendId, EngineState] = {}
 
@@ -153,7 +166,8 @@
         for backend in self._follower.backends:
             state = previous.get(backend.backend_id)
             if state is None:
-                state = EngineState(backend)
+                is_remote = self._places.region_of(backend.zone) != self._region
+                state = EngineState(backend, is_remote=is_remote)
             state.backend = backend
             self.states[backend.backend_id] = state
 
--- a/src/merlinstand/batch_jobs/schedule.py
+++ b/src/merlinstand/batch_jobs/schedule.py
@@ -16,6 +16,10 @@
 FIRST_READ_SECONDS = 0.1
 """Assumed time to read a prompt while none was measured."""
 SHORTEST_STAY_SECONDS = 0.6
+REMOTE_REGION_SECONDS = 0.15
+"""An item goes to an engine in another region only if it ends this much sooner there: its text
+comes back over the link between regions, which is narrow and paid by the byte. Half of what an item
+of the mean length takes, so that a free engine at home is preferred and a queue at home isn't."""
 
 
 class GroupProgress(msgspec.Struct):
@@ -152,7 +156,12 @@
     generating = demand.rest_events * state.event_cost(typical_seconds, now)
     holds_prompt = state.backend.backend_id == demand.preferred
     reading = 0.0 if holds_prompt else state.first_event_seconds or FIRST_READ_SECONDS
-    return generating + reading
+    return generating + reading + remote_seconds(state)
+
+
+def remote_seconds(state: EngineState) -> float:
+    """What an engine in another region must win to be chosen."""
+    return REMOTE_REGION_SECONDS if state.is_remote else 0.0
 
 
 def seconds_won(
@@ -176,5 +185,6 @@
     if present_seconds < LEAST_MOVE_RATIO * other_seconds:
         return 0.0
     reading = other.first_event_seconds or FIRST_READ_SECONDS
+    reading += max(0.0, remote_seconds(other) - remote_seconds(present))
     won = rest_events * (present_seconds - other_seconds) - reading
     return won if won >= reading else 0.0
--- a/src/merlinstand/batch_jobs/weight_loader.py
+++ b/src/merlinstand/batch_jobs/weight_loader.py
@@ -131,14 +131,7 @@
     def _assign(self, now: float) -> None:
         """Share the engines out anew when some came or went, and now and then."""
         services = [s for s in self._follower.routes.services.values() if s.models]
-        sound = {
-            service.name: sorted(
-                state.backend.backend_id
-                for state in self._engines.of_service(service.name)
-                if not state.backend.is_leaving and not state.is_suspect
-            )
-            for service in services
-        }
+        sound = {service.name: self._sound_engines(service.name) for service in services}
         basis = tuple((s.name, s.models, tuple(sound[s.name])) for s in services)
         if basis == self._assigned_for and now < self._assign_again_at:
             return
@@ -151,6 +144,16 @@
             assignment |= assign_engines(sound[service.name], demand, held)
         self._assignment = assignment
 
+    def _sound_engines(self, service: str) -> list[BackendId]:
+        """Engines that stay and work; the own region's first, so that all models get some."""
+        sound = [
+            state
+            for state in self._engines.of_service(service)
+            if not state.backend.is_leaving and not state.is_suspect
+        ]
+        sound.sort(key=lambda state: (state.is_remote, state.backend.backend_id))
+        return [state.backend.backend_id for state in sound]
+
     def _apparent_assignment(self) -> Assignment:
         """What a leader before this one has decided, as far as the engines show it."""
         return apparent_assignment(
--- a/tests/batch_jobs/test_schedule.py
+++ b/tests/batch_jobs/test_schedule.py
@@ -57,6 +57,32 @@
     return chosen.backend.backend_id if chosen else ""
 
 
+@pytest.mark.parametrize(
+    ("running_at_home", "event_seconds_at_home", "expected"),
+    [
+        pytest.param(0, 0.03, "home", id="equally fast: no text crosses the regions' link"),
+        pytest.param(3, 0.03, "home", id="a little busy at home"),
+        pytest.param(4, 0.03, "away", id="no free slot at home"),
+        pytest.param(0, 0.06, "away", id="twice as slow at home"),
+    ],
+)
+def test_an_engine_in_another_region_must_win_something(
+    running_at_home: int, event_seconds_at_home: float, expected: str
+) -> None:
+    home = engine("home", running=running_at_home, event_seconds=event_seconds_at_home)
+    away = engine("away")
+    away.is_remote = True
+    home.event_at = away.event_at = 0.0
+    assert choose([away, home]) == expected
+
+
+def test_each_model_gets_its_share_of_the_best_engines() -> None:
+    engines = [BackendId(name) for name in ("a1", "a2", "a3", "b1", "b2", "b3")]
+    assignment = assign_engines(engines, {"m0": 1.0, "m1": 1.0, "m2": 1.0}, {})
+    best = {model for name in ("a1", "a2", "a3") for model in assignment[BackendId(name)]}
+    assert best == {"m0", "m1", "m2"}
+
+
 def test_an_engine_below_the_minimum_version_gets_nothing() -> None:
     assert choose([engine("a", version=1), engine("b", running=3, version=2)], minimum=2) == "b"
     assert choose([engine("a", version=1)], minimum=2) == ""
