--- a/src/merlinstand/forwarding/batch_relay.py
+++ b/src/merlinstand/forwarding/batch_relay.py
@@ -19,6 +19,7 @@
 from merlinstand.common.decoding import MALFORMED_INPUT
 from merlinstand.common.ids import CallId, RequestId
 from merlinstand.directory.follower import DirectoryFollower
+from merlinstand.directory.places import Places
 from merlinstand.forwarding.interface import BatchFailure
 from merlinstand.forwarding.near_copies import NearCopies
 from merlinstand.forwarding.settings import ForwardingSettings
@@ -75,7 +76,7 @@
         """HTTP address of the leader, as a keeper told it last."""
         self._turn = 0
 
-        self._copies = NearCopies(settings.zone, follower)
+        self._copies = NearCopies(settings.zone, Places(settings.zones), follower)
 
     def __len__(self) -> int:
         """Calls on their way."""
--- a/src/merlinstand/forwarding/near_copies.py
+++ b/src/merlinstand/forwarding/near_copies.py
@@ -1,10 +1,14 @@
-"""Keepers of the own zone that hold the replicated jobs: read there, results cross no zone.
+"""Keepers nearby that hold the replicated jobs: read there, results cross no zone, or no region.
 
 A position of a job never changes once it is committed, so any copy that has a result there may
 give it. What a copy lacks, only the leader can tell.
 """
 
+from collections.abc import Iterable
+
 from merlinstand.directory.follower import DirectoryFollower
+from merlinstand.directory.places import Places
+from merlinstand.directory.view import Keeper
 
 AVOID_SECONDS = 3.0
 """A copy that did not answer is passed over for this long."""
@@ -13,14 +17,16 @@
 class NearCopies:
     """The choice of a copy for one gateway."""
 
-    def __init__(self, zone: str, follower: DirectoryFollower) -> None:
+    def __init__(self, zone: str, places: Places, follower: DirectoryFollower) -> None:
         """Begin without evidence.
 
         Args:
             zone: The gateway's zone.
+            places: Regions of the zones.
             follower: Tells the keepers.
         """
         self._zone = zone
+        self._places = places
         self._follower = follower
         self._avoid_until: dict[str, float] = {}
         """By HTTP address; no more of them than keepers."""
@@ -28,16 +34,25 @@
 
     def choose(self, now: float) -> str:
         """Give a copy's HTTP address; empty if the leader is as near, or no copy is."""
-        near = [keeper for keeper in self._follower.keepers if keeper.zone == self._zone]
-        if any(keeper.is_leader for keeper in near):
-            return ""
-        copies = [
+        keepers = self._follower.keepers
+        copies = self._copies_among((k for k in keepers if k.zone == self._zone), now)
+        copies = copies or self._copies_among((k for k in keepers if self._is_in_region(k)), now)
+        self._turn += 1
+        return copies[self._turn % len(copies)] if copies else ""
+
+    def _is_in_region(self, keeper: Keeper) -> bool:
+        return self._places.region_of(keeper.zone) == self._places.region_of(self._zone)
+
+    def _copies_among(self, near: Iterable[Keeper], now: float) -> list[str]:
+        """Addresses of copies; none if the leader is among these keepers, which lacks nothing."""
+        keepers = list(near)
+        if any(keeper.is_leader for keeper in keepers):
+            return []
+        return [
             keeper.http_address
-            for keeper in near
+            for keeper in keepers
             if keeper.has_copy and self._avoid_until.get(keeper.http_address, 0.0) <= now
         ]
-        self._turn += 1
-        return copies[self._turn % len(copies)] if copies else ""
 
     def note_failure(self, address: str, now: float) -> None:
         """A copy gave no answer, or none that can be understood."""
--- a/tests/forwarding/test_near_copies.py
+++ b/tests/forwarding/test_near_copies.py
@@ -30,7 +30,12 @@
 from merlinstand.protocol.generated.directory.ttypes import DirectoryUpdate
 
 SETTINGS = ForwardingSettings(
-    node_id="g", name="gateway-1", zone="a", internal_address="10.0.0.9:1", seeds=("10.0.0.1:1",)
+    node_id="g",
+    name="gateway-1",
+    zone="a",
+    zones={"a": "north", "b": "north", "c": "north", "d": "south", "e": "south"},
+    internal_address="10.0.0.9:1",
+    seeds=("10.0.0.1:1",),
 )
 PAGE = ResultsPage(4, 0, (ItemResult(item_id="i", state=ResultState.TERMINATED),))
 READ = ReadResults("j", 0, wait_seconds=1.0)
@@ -92,8 +97,18 @@
         ((AWAY_LEADER, keeper("standby", "a")), READ, LEADER),
         ((AWAY_LEADER, keeper("far", "c", has_copy=True)), READ, LEADER),
         ((keeper("leader", "a", True, True), NEAR_COPY), READ, LEADER),
+        ((keeper("leader", "d", True, True), keeper("copy", "c", True)), READ, COPY),
+        ((keeper("leader", "d", True, True), keeper("far", "e", True)), READ, LEADER),
+    ],
+    ids=[
+        "copy near",
+        "no read",
+        "near one is a standby",
+        "copy far",
+        "leader near",
+        "copy in the own region, leader in another",
+        "all in another region",
     ],
-    ids=["copy near", "no read", "near one is a standby", "copy far", "leader near"],
 )
 def test_who_is_asked_first(keepers: tuple[Keeper, ...], call: BatchCall, address: str) -> None:
     assert begin(relay_among(*keepers), call).address == address
