Routes and tenants that may use some regions only

Cause: documents may name `AllowedRegions`; nothing acted on them.

Change: `directory/regions` intersects what binds a request and filters servers, `batch_jobs/job_regions` and `item_regions` do the same for whole jobs and their items. Lookups, hedges, second tries, streams, items and scoring calls go to servers in allowed regions only; without one a request is refused at once (503, Retry-After). A route and a tenant without a common region are refused by type (403), not the document. A job leaves its gateway only if all known keepers stand in allowed regions, and the leading keeper looks at its own members once more.

--- a/src/merlinstand/batch_jobs/calls.py
+++ b/src/merlinstand/batch_jobs/calls.py
@@ -12,6 +12,8 @@
     """Keep a job and run it; taken once, however often it comes."""
 
     job: BatchJob
+    allowed_regions: tuple[str, ...] = ()
+    """Where it may be kept; without any, everywhere."""
 
 
 class ReadResults(msgspec.Struct, frozen=True, tag="results"):
@@ -81,6 +83,14 @@
     """It may or may not be done."""
 
 
+class KeptElsewhere(msgspec.Struct, frozen=True, tag="kept_elsewhere"):
+    """Nothing was done: a machine of the group stands where the job may not be kept."""
+
+    detail: str
+    retry_after_seconds: float = 1.0
+    """Until machines are taken in or out, the answer stays the same; that takes seconds."""
+
+
 class Invalid(msgspec.Struct, frozen=True, tag="invalid"):
     """The call itself is wrong."""
 
@@ -88,7 +98,15 @@
 
 
 BatchReply = (
-    JobAccepted | ResultsPage | ItemBody | JobEnded | NotFound | NotLeader | Undecided | Invalid
+    JobAccepted
+    | ResultsPage
+    | ItemBody
+    | JobEnded
+    | NotFound
+    | NotLeader
+    | Undecided
+    | KeptElsewhere
+    | Invalid
 )
 
 _CALL_DECODER = msgspec.msgpack.Decoder(BatchCall)
--- a/src/merlinstand/batch_jobs/daemon.py
+++ b/src/merlinstand/batch_jobs/daemon.py
@@ -13,6 +13,7 @@
     ItemBody,
     JobAccepted,
     JobEnded,
+    KeptElsewhere,
     NotFound,
     NotLeader,
     ReadItemBody,
@@ -24,6 +25,7 @@
 )
 from merlinstand.batch_jobs.engine_interface import EngineInterface
 from merlinstand.batch_jobs.engines import EngineStates, fastest_event_seconds
+from merlinstand.batch_jobs.item_regions import find_keeper_outside
 from merlinstand.batch_jobs.kept_text import TextPart
 from merlinstand.batch_jobs.reads import ResultsWaiter, results_page
 from merlinstand.batch_jobs.runner import CALL_PREFIX as ITEM_PREFIX
@@ -58,6 +60,7 @@
 from merlinstand.consensus.step import CommittedEntry, EntryKind, LeadershipChange, Step
 from merlinstand.consensus.timings import quick_timings
 from merlinstand.directory.follower import PULL_TIMER, DirectoryFollower
+from merlinstand.directory.places import Places
 from merlinstand.directory.subscribers import KEEPER_ROLE
 from merlinstand.directory.view import DaemonReport, Keeper
 from merlinstand.duties.turns import LEASE_MARGIN_SECONDS
@@ -109,7 +112,8 @@
         self.follower = DirectoryFollower(settings.seeds, self._report)
         self._engines = EngineStates(self.follower)
         self._split = WeightedChoice()
-        self._forwarder = Forwarder(names, self.follower.snapshot_of)
+        self._places = Places(settings.zones)
+        self._forwarder = Forwarder(names, self.follower.snapshot_of, self._places)
         self._runner = ItemRunner(
             self.jobs,
             self.follower,
@@ -121,6 +125,7 @@
             self._list_result,
             self._keep_texts,
             self._group_time,
+            self._places,
         )
         self._weights = WeightLoader(
             self.follower,
@@ -412,6 +417,11 @@
             is_same = held.job.tenant == call.job.tenant
             reply = JobAccepted() if is_same else Invalid("the job's id is taken")
             return [self._reply(request_id, reply)]
+        members = self.replica.membership.members() if self.replica is not None else ()
+        regions = call.allowed_regions
+        outside = find_keeper_outside(regions, self.follower, members, self._places)
+        if outside:
+            return [self._reply(request_id, KeptElsewhere(outside))]
         engines = self._engines.of_model(call.job.model)
         fields = {
             "job": call.job.job_id,
--- /dev/null
+++ b/src/merlinstand/batch_jobs/item_regions.py
@@ -0,0 +1,83 @@
+"""Where the items of kept jobs may run and be scored, by the newest document."""
+
+from collections.abc import Iterable
+
+from result import Err
+
+from merlinstand.batch_jobs.item_run import ItemRun
+from merlinstand.batch_jobs.state_machine import JobStates
+from merlinstand.consensus.membership import Member
+from merlinstand.directory.follower import DirectoryFollower
+from merlinstand.directory.places import Places
+from merlinstand.directory.regions import Keeping, Regions, common_regions, find_outsider
+from merlinstand.directory.routes import Route, RouteTable
+
+
+class ItemRegions:
+    """Looks items up in the leading keeper."""
+
+    def __init__(self, jobs: JobStates, follower: DirectoryFollower, places: Places) -> None:
+        """Look at nothing yet.
+
+        Args:
+            jobs: The replicated jobs.
+            follower: The directory.
+            places: The deployment's zones.
+        """
+        self._jobs = jobs
+        self._follower = follower
+        self._places = places
+        self._judged: RouteTable | None = None
+        self._binds_any = False
+
+    def zones_of(self, run: ItemRun) -> frozenset[str] | None:
+        """Give the zones whose engines may run an item; None for all of them."""
+        routes = self._follower.routes
+        if not self._is_bound(routes):
+            return None
+        job = self._jobs.jobs[run.job_id].job
+        host = run.item.headers.get("host", job.host)
+        route = routes.find(host, run.item.path.partition("?")[0])
+        of_route = route.allowed_regions if route is not None else ()
+        common = common_regions(of_route, routes.tenants.regions_of(job.tenant))
+        if isinstance(common, Err):
+            return frozenset()
+        if not common.ok_value:
+            return None
+        zones = self._places.region_by_zone.items()
+        return frozenset(zone for zone, region in zones if region in common.ok_value)
+
+    def of_scoring(self, run: ItemRun, route: Route) -> Regions:
+        """Give the regions of the servers that may score an item: its tenant's bind that, too."""
+        job = self._jobs.jobs[run.job_id].job
+        of_tenant = self._follower.routes.tenants.regions_of(job.tenant)
+        return common_regions(route.allowed_regions, of_tenant)
+
+    def _is_bound(self, routes: RouteTable) -> bool:
+        """Whether any route or tenant names regions; looked up once a document."""
+        if self._judged is not routes:
+            self._judged = routes
+            document = routes.document
+            of_routes = any(route.allowed_regions for route in document.routes)
+            of_tenants = any(tenant.allowed_regions for tenant in document.tenants)
+            self._binds_any = of_routes or of_tenants
+        return self._binds_any
+
+
+def find_keeper_outside(
+    regions: Iterable[str], follower: DirectoryFollower, members: Iterable[Member], places: Places
+) -> str:
+    """Tell why the leading keeper may not take a job; nothing if it may.
+
+    Its own list of members holds those that the directory hasn't heard for a while, too.
+
+    Args:
+        regions: Where the job may be kept; anywhere if there are none.
+        follower: Tells all keepers that could become members.
+        members: Of the leader's group.
+        places: The deployment's zones.
+    """
+    keepers = [Keeping(keeper.name, keeper.zone) for keeper in follower.keepers]
+    keepers += [Keeping(str(member.identity.node_id), member.zone) for member in members]
+    outsider = find_outsider(keepers, frozenset(regions), places)
+    return f"keeper {outsider.name} stands in zone {outsider.zone!r}" if outsider else ""
--- a/src/merlinstand/batch_jobs/item_scoring.py
+++ b/src/merlinstand/batch_jobs/item_scoring.py
@@ -2,6 +2,9 @@
 
 from collections.abc import Callable, Mapping
 
+from result import Err
+
+from merlinstand.batch_jobs.item_regions import ItemRegions
 from merlinstand.batch_jobs.item_run import ItemRun, RunPhase
 from merlinstand.batch_jobs.model import ItemResult, ScoringCall
 from merlinstand.batch_jobs.scoring_queue import ScoringQueue
@@ -32,6 +35,7 @@
         signature_header: str,
         split: WeightedChoice,
         list_result: ListResult,
+        regions: ItemRegions,
     ) -> None:
         """Begin without calls.
 
@@ -42,6 +46,7 @@
             signature_header: Of an answer: the score.
             split: Chooses the service of a weighted route.
             list_result: Takes an item's result.
+            regions: Where items may be scored.
         """
         self._runs = runs
         self._follower = follower
@@ -49,6 +54,7 @@
         self._signature_header = signature_header
         self._split = split
         self._list_result = list_result
+        self._regions = regions
         self._queue = ScoringQueue(self._slots_of)
 
     def score(self, run: ItemRun, now: float) -> list[Effect]:
@@ -101,11 +107,14 @@
         return effects
 
     def _request(self, run: ItemRun, service: str, now: float) -> ForwardRequest | None:
-        """Give an item's call; None if it has no route any more."""
+        """Give an item's call; None if it has no route any more, or no region may serve it."""
         scoring = run.item.scoring
         route = self._route_of(scoring) if scoring is not None else None
         if scoring is None or route is None:
             return None
+        regions = self._regions.of_scoring(run, route)
+        if isinstance(regions, Err):
+            return None
         return ForwardRequest(
             key=run.key,
             route=route,
@@ -116,6 +125,7 @@
             body=scoring.body,
             request_id=scoring.request_id,
             deadline_at=now + SCORING_SECONDS,
+            allowed_regions=regions.ok_value,
         )
 
     def _take_score(self, finished: Finished, now: float) -> list[Effect]:
--- a/src/merlinstand/batch_jobs/runner.py
+++ b/src/merlinstand/batch_jobs/runner.py
@@ -12,6 +12,7 @@
 
 from merlinstand.batch_jobs.deferral import GroupDeferral
 from merlinstand.batch_jobs.engines import EngineState, EngineStates
+from merlinstand.batch_jobs.item_regions import ItemRegions
 from merlinstand.batch_jobs.item_run import ItemRun, RunPhase
 from merlinstand.batch_jobs.item_scoring import ItemScoring
 from merlinstand.batch_jobs.kept_text import TextPart
@@ -31,6 +32,7 @@
 from merlinstand.batch_jobs.state_machine import JobState, JobStates, ListResult
 from merlinstand.common.ids import BackendId, CallId
 from merlinstand.directory.follower import DirectoryFollower
+from merlinstand.directory.places import Places
 from merlinstand.directory.routes import Route
 from merlinstand.forwarding.forwarder import Forwarder
 from merlinstand.forwarding.header_names import HeaderNames
@@ -84,6 +86,7 @@
         list_result: Callable[[ListResult, float], list[Effect] | None],
         keep_texts: Callable[[tuple[TextPart, ...], float], list[Effect] | None],
         group_time: Callable[[float], float],
+        places: Places | None = None,
     ) -> None:
         """Begin without items.
 
@@ -98,6 +101,7 @@
             list_result: Proposes a result for its job; None if that can't be done now.
             keep_texts: Proposes to remember texts of unfinished items; None likewise.
             group_time: Gives the time by which jobs were accepted, at a local time.
+            places: Regions of the zones; without, no engine is in any region.
         """
         self._jobs = jobs
         self._follower = follower
@@ -115,8 +119,9 @@
         self._seen: dict[str, str] = {}
         """Job that an item id first came with."""
         self._lengths = LengthHistory()
+        self._regions = ItemRegions(jobs, follower, Places() if places is None else places)
         self._scoring = ItemScoring(
-            self._runs, follower, forwarder, names.signature, split, self._list
+            self._runs, follower, forwarder, names.signature, split, self._list, self._regions
         )
         self._job_count = 0
         self._calls = 0
@@ -341,6 +346,7 @@
             minimum_version=job.minimum_version,
             rest_events=max(1.0, self._expected_rest(run)),
             preferred=preferred,
+            allowed_zones=self._regions.zones_of(run),
         )
 
     def give_up_job(self, job_id: str, now: float) -> list[Effect]:
--- a/src/merlinstand/batch_jobs/schedule.py
+++ b/src/merlinstand/batch_jobs/schedule.py
@@ -101,6 +101,12 @@
     """Events that it is expected to have yet."""
     preferred: BackendId | None = None
     """Engine that holds its group's shared prompt."""
+    allowed_zones: frozenset[str] | None = None
+    """Zones whose engines may run it; None for all of them."""
+
+    def allows(self, zone: str) -> bool:
+        """Whether an engine of a zone may run it."""
+        return self.allowed_zones is None or zone in self.allowed_zones
 
 
 def choose_engine(
@@ -134,6 +140,7 @@
         if state.is_usable(now)
         and state.free_slots > 0
         and (not model or state.version_of(model) >= demand.minimum_version)
+        and demand.allows(state.backend.zone)
     ]
     return min(
         fitting,
--- a/src/merlinstand/batch_jobs/scheduling_turn.py
+++ b/src/merlinstand/batch_jobs/scheduling_turn.py
@@ -26,8 +26,8 @@
         self._all: dict[str, list[EngineState]] = {}
         self._open: dict[str, list[EngineState]] = {}
         self._typical: dict[str, float] = {}
-        self._fruitless: set[tuple[str, str, int]] = set()
-        """Service, model and oldest version for which no engine was found."""
+        self._fruitless: set[tuple[object, ...]] = set()
+        """Service, model, oldest version and zones for which no engine was found."""
         for state in engines.states.values():
             service = state.backend.service
             self._all.setdefault(service, []).append(state)
@@ -49,7 +49,7 @@
 
     def choose(self, service: str, demand: ItemDemand) -> EngineState | None:
         """Choose an engine with a free slot whose weights are new enough; see `choose_engine`."""
-        wish = (service, demand.model, demand.minimum_version)
+        wish = (service, demand.model, demand.minimum_version, demand.allowed_zones)
         open_engines = self._open.get(service)
         if not open_engines or wish in self._fruitless:
             return None
--- a/src/merlinstand/directory/daemon.py
+++ b/src/merlinstand/directory/daemon.py
@@ -33,6 +33,7 @@
     decode_command,
     encode_command,
 )
+from merlinstand.directory.document_regions import region_warnings
 from merlinstand.directory.duty_keeper import DutyKeeper
 from merlinstand.directory.founding import KeeperFounding
 from merlinstand.directory.heartbeats import (
@@ -47,6 +48,7 @@
     is_retired,
     keeper_to_retire,
 )
+from merlinstand.directory.places import Places
 from merlinstand.directory.publisher import PUSH_TIMER, DirectoryPublisher
 from merlinstand.directory.requests import (
     Accepted,
@@ -319,7 +321,8 @@
             return [self._respond(request_id, Accepted())]
         command = PutDocument(request.document, request.raw)
         effects: list[Effect] = [
-            LogEvent("document.proposed", {"version": request.document.version})
+            LogEvent("document.proposed", {"version": request.document.version}),
+            *region_warnings(request.document, Places(self._settings.zones)),
         ]
         return effects + self._propose(command, request_id, Accepted(), now)
 
--- /dev/null
+++ b/src/merlinstand/directory/regions.py
@@ -0,0 +1,84 @@
+"""Regions in which a request may be served and kept (pure decisions).
+
+A route and a tenant may each name regions; a request is bound by all that concern it. No regions
+named, or an empty list of them, bind nothing. Whatever stands in a zone that the settings don't
+know stands in no region: it serves no request that is bound.
+"""
+
+from collections.abc import Collection, Iterable
+
+import msgspec
+from result import Err, Ok, Result
+
+from merlinstand.common.errors import ExitCode, MerlinstandError
+from merlinstand.directory.backends import Backend
+from merlinstand.directory.places import Places
+
+ANYWHERE: frozenset[str] = frozenset()
+"""Of a request that nothing binds."""
+NO_SERVER_REASON = "no back end in the allowed regions"
+_NAMELESS = "a region without a name"
+
+
+class NoCommonRegionError(MerlinstandError, frozen=True, kw_only=True):
+    """By the document no region may serve the request; trying again will not help."""
+
+    code = "no_common_region"
+    http_status = 403
+    exit_code = ExitCode.INVALID
+
+
+Regions = Result[frozenset[str], NoCommonRegionError]
+"""`ANYWHERE`, or the regions that are allowed; an error if there are none."""
+
+
+class Keeping(msgspec.Struct, frozen=True):
+    """A machine that keeps, or may come to keep, what it is sent."""
+
+    name: str
+    zone: str
+
+
+def find_region_fault(regions: Collection[str]) -> str:
+    """Tell what makes a list of regions invalid, or nothing.
+
+    A region that no zone has is none: zones come with the settings of the machines, of which a
+    document knows nothing.
+    """
+    return _NAMELESS if "" in regions else ""
+
+
+def common_regions(*bounds: Collection[str]) -> Regions:
+    """Give the regions that all bounds allow.
+
+    Args:
+        *bounds: Regions that routes and tenants name; an empty one binds nothing.
+
+    Returns:
+        `ANYWHERE` if nothing binds; an error if the bounds leave no region.
+    """
+    named = [frozenset(bound) for bound in bounds if bound]
+    if not named:
+        return Ok(ANYWHERE)
+    common = frozenset.intersection(*named)
+    if common:
+        return Ok(common)
+    told = " and ".join(sorted("[" + ", ".join(sorted(bound)) + "]" for bound in set(named)))
+    return Err(NoCommonRegionError(detail=f"no region is common to {told}"))
+
+
+def servers_within(
+    servers: tuple[Backend, ...], regions: frozenset[str], places: Places
+) -> tuple[Backend, ...]:
+    """Give the servers that a request may go to, as they are if nothing binds it."""
+    if not regions:
+        return servers
+    return tuple(server for server in servers if places.is_within(server.zone, regions))
+
+
+def find_outsider(
+    machines: Iterable[Keeping], regions: frozenset[str], places: Places
+) -> Keeping | None:
+    """Give a machine that stands outside the allowed regions; None if none does."""
+    outside = (machine for machine in machines if not places.is_within(machine.zone, regions))
+    return next(outside, None)
--- a/src/merlinstand/directory/routes.py
+++ b/src/merlinstand/directory/routes.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from merlinstand.directory.regions import find_region_fault
 from merlinstand.directory.tenants import Tenant, TenantTable, find_tenant_fault
 
 
@@ -125,7 +126,7 @@
             return "negative weight"
     if sum(target.weight for target in route.targets) <= 0:
         return "weights add up to 0"
-    return ""
+    return find_region_fault(route.allowed_regions)
 
 
 def live_services(document: RoutesDocument | None) -> frozenset[str]:
--- a/src/merlinstand/directory/tenants.py
+++ b/src/merlinstand/directory/tenants.py
@@ -12,6 +12,7 @@
 from result import Err, Ok, Result
 
 from merlinstand.common.errors import InvalidInputError
+from merlinstand.directory.regions import find_region_fault
 
 AUTHORIZATION_HEADER = "authorization"
 KEY_SCHEME = "bearer"
@@ -56,6 +57,9 @@
         if tenant.name in names:
             return f"tenant {tenant.name!r}: name is there twice"
         names.add(tenant.name)
+        fault = find_region_fault(tenant.allowed_regions)
+        if fault:
+            return f"tenant {tenant.name!r}: {fault}"
         for digest in tenant.key_digests:
             owner = owners.setdefault(digest, tenant.name)
             if owner != tenant.name:
@@ -82,6 +86,11 @@
         """Give a tenant by its name."""
         return self._by_name.get(name)
 
+    def regions_of(self, name: str) -> tuple[str, ...]:
+        """Give the regions that bind a tenant; none of one that isn't there."""
+        tenant = self._by_name.get(name)
+        return tenant.allowed_regions if tenant is not None else ()
+
     def find(self, authorization: str) -> Tenant | None:
         """Give the tenant of an `Authorization` header; None if its key is nobody's."""
         scheme, _space, key = authorization.partition(" ")
--- a/src/merlinstand/forwarding/batch_relay.py
+++ b/src/merlinstand/forwarding/batch_relay.py
@@ -8,6 +8,7 @@
     BatchReply,
     EndJob,
     Invalid,
+    KeptElsewhere,
     NotLeader,
     ReadResults,
     ResultsPage,
@@ -19,6 +20,8 @@
 from merlinstand.common.decoding import MALFORMED_INPUT
 from merlinstand.common.ids import CallId, RequestId
 from merlinstand.directory.follower import DirectoryFollower
+from merlinstand.directory.places import Places
+from merlinstand.directory.regions import ANYWHERE, Keeping, find_outsider
 from merlinstand.forwarding.interface import BatchFailure
 from merlinstand.forwarding.near_copies import NearCopies
 from merlinstand.forwarding.settings import ForwardingSettings
@@ -47,6 +50,8 @@
     call: BatchCall
     body: bytes
     until: float
+    regions: frozenset[str] = ANYWHERE
+    """Where its body may be kept."""
     tries: int = 0
     call_id: CallId | None = None
     address: str = ""
@@ -69,6 +74,7 @@
         """Begin without calls."""
         self._settings = settings
         self._follower = follower
+        self._places = Places(settings.zones)
         self._relayed: dict[RequestId, _Relayed] = {}
         self._finished: list[RelayFinished] = []
         self._hint = ""
@@ -92,6 +98,8 @@
         if isinstance(call, ReadResults):
             limit += call.wait_seconds
         relayed = _Relayed(request_id, call, encode(call), now + limit)
+        if isinstance(call, SubmitJob):
+            relayed.regions = frozenset(call.allowed_regions)
         self._relayed[request_id] = relayed
         if isinstance(call, ReadResults):
             copy = self._copies.choose(now)
@@ -174,7 +182,13 @@
         return [SetTimer(f"{TIMER_PREFIX}{relayed.request_id}", PAUSE_SECONDS)]
 
     def _send(self, relayed: _Relayed, now: float) -> list[Effect]:
-        address = self._target()
+        if relayed.regions:
+            # At each try: keepers come and go.
+            keepers = (Keeping(keeper.name, keeper.zone) for keeper in self._follower.keepers)
+            outsider = find_outsider(keepers, relayed.regions, self._places)
+            if outsider is not None:
+                return self._refuse(relayed, outsider)
+        address = self._target(relayed)
         if now >= relayed.until:
             return self._give_up(relayed)
         if not address:
@@ -200,16 +214,32 @@
         )
         return [call]
 
-    def _target(self) -> str:
-        if self._hint:
-            return self._hint
+    def _target(self, relayed: _Relayed) -> str:
         leader = self._follower.leading_keeper()
         addresses = [keeper.http_address for keeper in self._follower.keepers]
+        # Where a keeper stands that only another one told of isn't known.
+        if self._hint and (not relayed.regions or self._hint in addresses):
+            return self._hint
         self._turn += 1
         if leader is not None and self._turn % 2 == 1:
             return leader.http_address
         return addresses[self._turn // 2 % len(addresses)] if addresses else ""
 
+    def _refuse(self, relayed: _Relayed, outsider: Keeping) -> list[Effect]:
+        """A keeper stands where the job may not be kept: its body goes to none of them."""
+        if relayed.may_be_done:
+            return self._give_up(relayed)
+        region = self._places.region_of(outsider.zone)
+        fields = {
+            "request": relayed.request_id,
+            "keeper": outsider.name,
+            "region": region,
+            "allowed": ",".join(sorted(relayed.regions)),
+        }
+        detail = f"keeper {outsider.name} stands in region {region!r}"
+        log = LogEvent("batch.kept_elsewhere", fields)
+        return [log, *self._finish(relayed, KeptElsewhere(detail))]
+
     def _give_up(self, relayed: _Relayed) -> list[Effect]:
         fields = {
             "request": relayed.request_id,
--- a/src/merlinstand/forwarding/daemon.py
+++ b/src/merlinstand/forwarding/daemon.py
@@ -4,6 +4,8 @@
 
 from result import Err
 
+from merlinstand.batch_jobs.calls import BatchCall, SubmitJob
+from merlinstand.batch_jobs.job_regions import regions_to_keep_in
 from merlinstand.common.errors import (
     MerlinstandError,
     NotFoundError,
@@ -13,6 +15,8 @@
 )
 from merlinstand.common.ids import RequestId
 from merlinstand.directory.follower import PULL_TIMER, DirectoryFollower
+from merlinstand.directory.places import Places
+from merlinstand.directory.regions import common_regions
 from merlinstand.directory.routes import Route, RouteKind
 from merlinstand.directory.tenants import AUTHORIZATION_HEADER, Tenant
 from merlinstand.directory.view import DaemonReport
@@ -93,9 +97,10 @@
         self._names = settings.header_names
         self._usage = UsageCounter(settings.usage_window_seconds)
         self.follower = DirectoryFollower(settings.seeds, self._report, self._usage.tell)
-        self._forwarder = Forwarder(self._names, self.follower.snapshot_of)
+        places = Places(settings.zones)
+        self._forwarder = Forwarder(self._names, self.follower.snapshot_of, places)
         self._streams = StreamForwarder(
-            self._names, self._forwarder.chooser, self.follower.snapshot_of
+            self._names, self._forwarder.chooser, self.follower.snapshot_of, places
         )
         self._relay = BatchRelay(settings, self.follower)
         self._split = WeightedChoice()
@@ -199,7 +204,7 @@
         if read.ok_value is not None:
             if barred is not None:
                 return self._bar(event, barred)
-            return self._relay.begin(event.request_id, read.ok_value, now)
+            return self._begin_batch_call(event, read.ok_value, now)
         if route is None:
             fields = {
                 "request": event.headers.get(self._names.request_id, ""),
@@ -210,6 +215,16 @@
             return [log, _refuse(event.request_id, NotFoundError(detail="no such route"))]
         return self._forward(event, route, tenant, arrived_at, now)
 
+    def _begin_batch_call(
+        self, event: RequestReceived, call: BatchCall, now: float
+    ) -> list[Effect]:
+        if isinstance(call, SubmitJob):
+            regions = regions_to_keep_in(call.job, self.follower.routes)
+            if isinstance(regions, Err):
+                return self._bar(event, regions.err_value)
+            call = SubmitJob(call.job, tuple(sorted(regions.ok_value)))
+        return self._relay.begin(event.request_id, call, now)
+
     def _tenant_of(self, event: RequestReceived) -> Tenant | None:
         tenants = self.follower.routes.tenants
         return tenants.find(event.headers.get(AUTHORIZATION_HEADER, "")) if tenants else None
@@ -227,7 +242,7 @@
         return UnauthorizedError(detail="no known key") if tenant is None else None
 
     def _bar(self, event: RequestReceived, error: MerlinstandError) -> list[Effect]:
-        """Refuse a caller; its key is never told, not even to the log."""
+        """Refuse a caller whom the document bars; its key is never told, not even to the log."""
         fields = {
             "request": event.headers.get(self._names.request_id, ""),
             "reason": type(error).code,
@@ -243,6 +258,11 @@
         arrived_at: float,
         now: float,
     ) -> list[Effect]:
+        regions = common_regions(
+            route.allowed_regions, tenant.allowed_regions if tenant is not None else ()
+        )
+        if isinstance(regions, Err):
+            return self._bar(event, regions.err_value)
         limit = route.timeout_seconds
         told = event.headers.get(self._names.deadline_ms, "")
         if told.isascii() and told.isdigit():
@@ -263,6 +283,7 @@
             body=event.body,
             request_id=event.headers.get(self._names.request_id, ""),
             deadline_at=arrived_at + limit,
+            allowed_regions=regions.ok_value,
         )
         if tenant is not None:
             true_seconds = self.follower.true_seconds(now)
--- a/src/merlinstand/forwarding/forwarder.py
+++ b/src/merlinstand/forwarding/forwarder.py
@@ -10,6 +10,8 @@
 
 from merlinstand.common.ids import BackendId, CallId
 from merlinstand.directory.backends import Backend
+from merlinstand.directory.places import Places
+from merlinstand.directory.regions import NO_SERVER_REASON, servers_within
 from merlinstand.directory.routes import RouteKind
 from merlinstand.forwarding.backend_choice import BackendChooser
 from merlinstand.forwarding.header_names import HeaderNames
@@ -72,16 +74,19 @@
         self,
         names: HeaderNames,
         backends_of: Callable[[str], tuple[Backend, ...]],
+        places: Places | None = None,
     ) -> None:
         """Begin without requests.
 
         Args:
             names: Header names.
             backends_of: Gives the registered back ends of a service.
+            places: Regions of the zones; without, no server is in any region.
         """
         self.chooser = BackendChooser()
         self._names = names
         self._backends_of = backends_of
+        self._places = Places() if places is None else places
         self._pending: dict[str, _Pending] = {}
         self._finished: list[Finished] = []
         self._calls = 0
@@ -200,13 +205,16 @@
     # Sending
 
     def _candidate(self, pending: _Pending, now: float) -> Backend | None:
-        backends = self._backends_of(pending.request.service)
-        return self.chooser.choose(backends, pending.tried, now)
+        request = pending.request
+        backends = self._backends_of(request.service)
+        allowed = servers_within(backends, request.allowed_regions, self._places)
+        return self.chooser.choose(allowed, pending.tried, now)
 
     def _send(self, pending: _Pending, now: float) -> list[Effect]:
         backend = self._candidate(pending, now)
         if backend is None:
-            return self._give_up(pending, "no back end", now)
+            is_bound = bool(pending.request.allowed_regions)
+            return self._give_up(pending, NO_SERVER_REASON if is_bound else "no back end", now)
         request = pending.request
         left = request.deadline_at - now
         if left < SHORTEST_TIME_SECONDS:
--- a/src/merlinstand/forwarding/stream_forwarder.py
+++ b/src/merlinstand/forwarding/stream_forwarder.py
@@ -12,6 +12,8 @@
 from merlinstand.batch_jobs.event_text import parse_event
 from merlinstand.common.ids import BackendId, CallId, RequestId
 from merlinstand.directory.backends import Backend
+from merlinstand.directory.places import Places
+from merlinstand.directory.regions import NO_SERVER_REASON, servers_within
 from merlinstand.forwarding.backend_choice import BackendChooser
 from merlinstand.forwarding.forwarder import MISDIRECTED_STATUS, RETRY_AFTER_SECONDS
 from merlinstand.forwarding.header_names import HeaderNames
@@ -72,6 +74,7 @@
         names: HeaderNames,
         chooser: BackendChooser,
         backends_of: Callable[[str], tuple[Backend, ...]],
+        places: Places | None = None,
     ) -> None:
         """Begin without streams.
 
@@ -79,10 +82,12 @@
             names: Header names.
             chooser: Evidence about back ends, shared with whole requests.
             backends_of: Gives the registered back ends of a service.
+            places: Regions of the zones; without, no server is in any region.
         """
         self._names = names
         self._chooser = chooser
         self._backends_of = backends_of
+        self._places = Places() if places is None else places
         self._streams: dict[str, _Stream] = {}
         self._by_call: dict[CallId, _Stream] = {}
         self._refused: list[StreamRefused] = []
@@ -206,9 +211,12 @@
     def _send(self, stream: _Stream, now: float) -> list[Effect]:
         request = stream.request
         backends = self._backends_of(request.service)
-        backend = self._chooser.choose(backends, stream.tried, now)
+        allowed = servers_within(backends, request.allowed_regions, self._places)
+        backend = self._chooser.choose(allowed, stream.tried, now)
         if backend is None:
-            return self._give_up(stream, "no back end", False)
+            is_bound = bool(request.allowed_regions)
+            reason = NO_SERVER_REASON if is_bound else "no back end"
+            return self._give_up(stream, reason, False)
         left = request.deadline_at - now
         self._calls += 1
         call_id = CallId(f"{CALL_PREFIX}{self._calls}")
