Heartbeats that a cut held back neither bring an old incarnation back nor drive the new one out

Cause: `BackendTable.put` removed whoever held the address, for good. A late beat of an incarnation that had expired, or was never known, drove the live one out, whose own beats counted nothing from then on. What was agreed of an expired one was forgotten with it, so that an older beat brought it back, also as not leaving. Ruled out: the beat's own number (beats held back are newer than any that was heard), and the order of first beats alone (an incarnation that was never known has none).

Change: `former_backends` keeps, in the replicated table, in which order back ends came and what was agreed of those that are gone: one that came before the present holder counts nothing while that one is there. Driving out is no removal any more; whoever was driven out wrongly comes back once the other expires. One that leaves at a held address is answered and never registered.

--- a/src/merlinstand/directory/backends.py
+++ b/src/merlinstand/directory/backends.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from merlinstand.common.ids import BackendId
+from merlinstand.directory.former_backends import BackendArrivals, FormerBackend
 
 
 class HeldModel(msgspec.Struct, frozen=True, array_like=True, gc=False):
@@ -58,6 +59,7 @@
         self.sequences: dict[BackendId, int] = {}
         """Newest heartbeat that changed something."""
         self.removed: dict[BackendId, None] = {}
+        self.arrivals = BackendArrivals()
         self._by_address: dict[str, BackendId] = {}
         self._touched: list[Touched] = []
 
@@ -72,13 +74,18 @@
         touched, self._touched = self._touched, []
         return touched
 
+    def holder_of(self, address: str) -> BackendId | None:
+        """The back end that is registered at an address."""
+        return self._by_address.get(address)
+
     def would_change(self, backend: Backend, sequence: int) -> bool:
         """Whether a heartbeat tells anything that is not agreed yet."""
         if backend.backend_id in self.removed:
             return False
         present = self.backends.get(backend.backend_id)
         if present is None:
-            return True
+            holder = self.holder_of(backend.address)
+            return self.arrivals.admits(backend.backend_id, sequence, holder)
         if sequence <= self.sequences.get(backend.backend_id, -1):
             return False
         return _merged(present, backend) != present
@@ -89,10 +96,12 @@
             return False
         backend_id = backend.backend_id
         present = self.backends.get(backend_id)
-        # One address, one server: whoever had it before is gone.
+        if present is None:
+            backend = _returned(backend, self.arrivals.begin(backend_id))
+        # One address, one server: whoever had it before is gone, unless this one expires.
         before = self._by_address.get(backend.address, backend_id)
         if before != backend_id:
-            self.remove(before)
+            self.expire(before)
         if present is not None and present.address != backend.address:
             self._by_address.pop(present.address, None)
         self._by_address[backend.address] = backend_id
@@ -106,20 +115,31 @@
         self.removed[backend_id] = None
         while len(self.removed) > self.REMOVED_LIMIT:
             del self.removed[next(iter(self.removed))]
-        return self.expire(backend_id)
+        was_there = self.expire(backend_id)
+        self.arrivals.forget(backend_id)
+        return was_there
 
     def expire(self, backend_id: BackendId) -> bool:
         """Forget a silent back end, which may register again."""
-        self.sequences.pop(backend_id, None)
+        sequence = self.sequences.pop(backend_id, -1)
         backend = self.backends.pop(backend_id, None)
         if backend is None:
             return False
+        self.arrivals.end(backend_id, sequence, backend.service, backend.is_leaving)
         if self._by_address.get(backend.address) == backend_id:
             del self._by_address[backend.address]
         self._touched.append(Touched(backend_id, backend.service))
         return True
 
 
+def _returned(heard: Backend, former: FormerBackend | None) -> Backend:
+    """What is registered of a back end that comes, or comes back: see `_merged`."""
+    if former is None:
+        return heard
+    is_leaving = former.is_leaving or heard.is_leaving
+    return msgspec.structs.replace(heard, is_leaving=is_leaving, service=former.service)
+
+
 def _merged(present: Backend, heard: Backend) -> Backend:
     """What a newer heartbeat makes of a registration: leaving can't be taken back, and one
     incarnation serves one service."""
--- a/src/merlinstand/directory/beat_intake.py
+++ b/src/merlinstand/directory/beat_intake.py
@@ -12,6 +12,7 @@
 import xxhash
 
 from merlinstand.common.ids import BackendId, NodeId
+from merlinstand.directory.address_contests import AddressContests
 from merlinstand.directory.backends import Backend
 from merlinstand.directory.commands import PutBackend
 from merlinstand.directory.requests import Heartbeat
@@ -66,6 +67,7 @@
         self._changed: dict[BackendId, PutBackend] = {}
         self._heard_at: dict[BackendId, float] = {}
         """Leader: when each back end was heard last, by whichever replica."""
+        self._contests = AddressContests(lambda: state.table, self._heard_at_of)
 
     @property
     def has_changes(self) -> bool:
@@ -75,6 +77,7 @@
     def begin_leading(self, now: float) -> None:
         """A leadership begins: every known back end counts as heard now."""
         self._heard_at = dict.fromkeys(self._state.table.backends, now)
+        self._contests.clear()
 
     def tells_leaving(self, beat: Heartbeat) -> bool:
         """Whether a beat says for the first time that its back end leaves."""
@@ -82,6 +85,15 @@
         is_known = present is not None and present.is_leaving
         return beat.backend.is_leaving and not is_known
 
+    def _heard_at_of(self, backend_id: BackendId) -> float | None:
+        return self._heard_at.get(backend_id)
+
+    def is_at_taken_address(self, backend: Backend) -> bool:
+        """Whether a back end that isn't registered tells an address that another one holds."""
+        table = self._state.table
+        is_held = table.holder_of(backend.address) is not None
+        return is_held and backend.backend_id not in table.backends
+
     def take(self, beat: Heartbeat, leads: bool, now: float) -> None:
         """Take a beat in.
 
@@ -119,6 +131,10 @@
                 batch.append(change)
         return tuple(batch)
 
+    def take_settled_changes(self, now: float) -> tuple[PutBackend, ...]:
+        """Leader: give those among the changes that no other back end's address is claimed by."""
+        return self._contests.settle(self.take_changes(), now)
+
     def take_heard(self) -> tuple[BackendId, ...]:
         """Give the back ends heard here since the last time."""
         heard, self._heard = tuple(self._heard), {}
--- /dev/null
+++ b/src/merlinstand/directory/former_backends.py
@@ -0,0 +1,88 @@
+"""Which of two incarnations at one address came first, and what was agreed of those that are gone.
+
+A heartbeat that a cut held back may arrive after its sender has crashed and the next incarnation
+has registered at the same address. Incarnations follow one another at an address, so that one which
+was known before the present one is older, and its heartbeat is late. It may come back only once the
+address is free: should the present one be the wrong one after all, it falls silent and expires.
+"""
+
+import msgspec
+
+from merlinstand.common.ids import BackendId
+
+
+class FormerBackend(msgspec.Struct, frozen=True, array_like=True):
+    """A back end that is not registered any more."""
+
+    arrival: int
+    """Counts the back ends in the order in which they first came."""
+    sequence: int
+    """Newest heartbeat that had changed something."""
+    service: str
+    is_leaving: bool
+
+
+class StoredArrivals(msgspec.Struct, frozen=True):
+    """What a snapshot holds of all this."""
+
+    count: int = 0
+    present: dict[BackendId, int] = {}
+    former: dict[BackendId, FormerBackend] = {}
+
+
+class BackendArrivals:
+    """The order of all back ends; part of the replicated directory, so deterministic."""
+
+    FORMER_LIMIT = 4_096
+    """Former back ends remembered, the oldest ones are forgotten: as many as removed ids."""
+
+    def __init__(self) -> None:
+        """Begin with nobody known."""
+        self.count = 0
+        self.present: dict[BackendId, int] = {}
+        self.former: dict[BackendId, FormerBackend] = {}
+
+    def admits(self, backend_id: BackendId, sequence: int, holder: BackendId | None) -> bool:
+        """Whether a heartbeat may register a back end that isn't registered.
+
+        Args:
+            backend_id: Whose heartbeat it is.
+            sequence: Its number.
+            holder: The registered back end at the same address, if there is one.
+        """
+        former = self.former.get(backend_id)
+        if former is None:
+            return True
+        if sequence <= former.sequence:
+            return False
+        return holder is None or former.arrival > self.present.get(holder, 0)
+
+    def begin(self, backend_id: BackendId) -> FormerBackend | None:
+        """A back end is registered; gives what was agreed of it before, if it was known."""
+        former = self.former.pop(backend_id, None)
+        if former is None:
+            self.count += 1
+        self.present[backend_id] = self.count if former is None else former.arrival
+        return former
+
+    def end(self, backend_id: BackendId, sequence: int, service: str, is_leaving: bool) -> None:
+        """A back end is registered no more, and may come back."""
+        arrival = self.present.pop(backend_id, 0)
+        self.former[backend_id] = FormerBackend(arrival, sequence, service, is_leaving)
+        while len(self.former) > self.FORMER_LIMIT:
+            del self.former[next(iter(self.former))]
+
+    def forget(self, backend_id: BackendId) -> None:
+        """A back end never comes back."""
+        self.present.pop(backend_id, None)
+        self.former.pop(backend_id, None)
+
+    def stored(self) -> StoredArrivals:
+        """Give what a snapshot holds."""
+        return StoredArrivals(self.count, dict(self.present), dict(self.former))
+
+    def restore(self, stored: StoredArrivals) -> None:
+        """Replace everything by what a snapshot held."""
+        self.count = stored.count
+        self.present = dict(stored.present)
+        self.former = dict(stored.former)
--- a/src/merlinstand/directory/heartbeats.py
+++ b/src/merlinstand/directory/heartbeats.py
@@ -23,6 +23,7 @@
     ExpireBackend,
     PutBackend,
     PutBackends,
+    RemoveBackend,
 )
 from merlinstand.directory.requests import Heartbeat, HeartbeatAccepted
 from merlinstand.directory.settings import DirectorySettings
@@ -46,7 +47,7 @@
 class BeatToDecide(msgspec.Struct, frozen=True):
     """A back end leaves: answered once that is agreed."""
 
-    command: PutBackend
+    command: PutBackend | RemoveBackend
     reply: HeartbeatAccepted
     log: LogEvent
 
@@ -96,7 +97,11 @@
                 return BeatElsewhere()
             fields = {"backend": beat.backend.backend_id, "service": beat.backend.service}
             log = LogEvent("backend.leaving", fields)
-            return BeatToDecide(PutBackend(beat.backend, beat.sequence), reply, log)
+            command: PutBackend | RemoveBackend = PutBackend(beat.backend, beat.sequence)
+            if self._intake.is_at_taken_address(beat.backend):
+                # It gets no requests and must not drive out the one that does.
+                command = RemoveBackend(beat.backend.backend_id)
+            return BeatToDecide(command, reply, log)
         age = self._replica.proof_age_seconds(now)
         if not leads and (age is None or age >= FOLLOWER_PROOF_SECONDS):
             return BeatElsewhere()
@@ -139,7 +144,7 @@
             self._passed_on_at = now
         if not self._replica.may_act(now):
             return self._tell_leader()
-        changes = self._intake.take_changes()
+        changes = self._intake.take_settled_changes(now)
         effects = self._timer_for_the_rest()
         if not changes:
             return effects
--- a/src/merlinstand/directory/state_machine.py
+++ b/src/merlinstand/directory/state_machine.py
@@ -21,6 +21,7 @@
     RetireKeeper,
     SettleUsage,
 )
+from merlinstand.directory.former_backends import StoredArrivals
 from merlinstand.directory.routes import RoutesDocument, live_services
 from merlinstand.directory.view import KeeperGroup
 from merlinstand.duties.turns import LastTurn, Turns
@@ -43,6 +44,7 @@
     retiring: dict[str, str]
     usage: StoredUsage | None = None
     turns: dict[str, LastTurn] = {}
+    arrivals: StoredArrivals = StoredArrivals()
 
 
 _DECODER = msgspec.msgpack.Decoder(DirectorySnapshot)
@@ -159,6 +161,7 @@
                 retiring=self.retiring,
                 usage=self.usage.stored(),
                 turns=self.turns.last,
+                arrivals=self.table.arrivals.stored(),
             )
         )
 
@@ -175,6 +178,7 @@
         self.table = BackendTable()
         self.table.restore(snapshot.backends, snapshot.sequences)
         self.table.removed = dict.fromkeys(snapshot.removed)
+        self.table.arrivals.restore(snapshot.arrivals)
         self.backends_revision = snapshot.backends_revision
         self.backend_history = BackendHistory(snapshot.backends_revision)
         self.live_services = live_services(snapshot.document)
