A client that gave up before its request was read gets no work begun for it

Cause: a request that was read after its client had closed (a full queue of connections, a loop that stood) went to the reducer, and its call to a server left before the end of the connection was looked at. And a client that sent bytes ahead and then closed was noticed only by the next write: the unread bytes hid the end.

Change: the endpoint looks once before it hands a request on; a connection with unread bytes is asked for its end five times a second (`POLLRDHUP`). Two tests that fail on the code before.

Ruled out by tests that hold already: calls, hedges, retries, streams, batch submits, scoring calls and runs of jobs that end at once are cancelled in the same turn, and no timer or late answer begins anything afterwards.

--- a/src/merlinstand/runtime/end_watcher.py
+++ b/src/merlinstand/runtime/end_watcher.py
@@ -1,5 +1,6 @@
 """Notices that the other side of a connection went away while nobody reads from it."""
 
+import select
 import socket
 from collections.abc import Callable
 from typing import Any
@@ -7,6 +8,25 @@
 import gevent
 
 _READ_EVENTS = 1
+LOOK_SECONDS = 0.2
+"""How often a connection with unread bytes is looked at: work for a client that left ends within
+half a second."""
+_END_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
+
+
+def has_ended(connection: Any) -> bool:
+    """Whether the peer has closed or reset a connection from which all was read.
+
+    Args:
+        connection: A gevent socket, plain or TLS.
+    """
+    try:
+        # The plain socket below gevent's (and below TLS): only its end matters here.
+        return not connection._sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+    except BlockingIOError:
+        return False
+    except OSError:
+        return True
 
 
 class EndWatcher:
@@ -32,14 +52,17 @@
             self._watcher = None
 
     def _check(self) -> None:
-        try:
-            # The plain socket below gevent's (and below TLS): only its end matters here.
-            gone = not self._connection._sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
-        except BlockingIOError:
-            return
-        except OSError:
-            gone = True
-        # Unread bytes would wake the loop again and again; they hide a later end.
         self.stop()
-        if gone:
+        if has_ended(self._connection):
+            self._on_end()
+            return
+        # Unread bytes would wake the loop again and again, and the end comes behind them.
+        self._watcher = gevent.get_hub().loop.timer(LOOK_SECONDS, LOOK_SECONDS)
+        self._watcher.start(self._look)
+
+    def _look(self) -> None:
+        poll = select.poll()
+        poll.register(self._connection.fileno(), _END_EVENTS)
+        if poll.poll(0):
+            self.stop()
             self._on_end()
--- a/src/merlinstand/runtime/http_endpoint.py
+++ b/src/merlinstand/runtime/http_endpoint.py
@@ -9,7 +9,7 @@
 from merlinstand.common.errors import BodyTooLargeError, MerlinstandError, StoppingError, error_body
 from merlinstand.common.ids import RequestId
 from merlinstand.kernel.events import Event, RequestAborted, RequestReceived
-from merlinstand.runtime.end_watcher import EndWatcher
+from merlinstand.runtime.end_watcher import EndWatcher, has_ended
 from merlinstand.runtime.errors import MalformedRequestError, SlowRequestError, TruncatedBodyError
 from merlinstand.runtime.host_settings import HttpLimits
 from merlinstand.runtime.http_exchange import BrokenResponseError, Exchange
@@ -88,6 +88,9 @@
         if self.closing:
             _refuse(resp, StoppingError(detail="this process is stopping"))
             return
+        if has_ended(environ[SOCKET_KEY]):
+            # It gave up before its request was read: nothing must be begun for it.
+            raise BrokenResponseError
         exchange = self._open_exchange()
         self._submit(
             RequestReceived(
--- a/tests/runtime/test_http_endpoint.py
+++ b/tests/runtime/test_http_endpoint.py
@@ -177,6 +177,29 @@
     assert reducer.sink.wait_for(RequestAborted).request_id == received.request_id
 
 
+def test_client_that_went_away_behind_unread_bytes_is_reported(run_reducer: Any) -> None:
+    host, reducer = run_reducer()
+    connection = connect(host.http_address)
+    connection.sendall(request("/first"))
+    received = reducer.sink.wait_for(RequestReceived)
+    connection.sendall(request("/sent-ahead"))
+    # The server's loop meets the bytes before the end comes.
+    gevent.sleep(0.01)
+    connection.close()
+    assert reducer.sink.wait_for(RequestAborted).request_id == received.request_id
+
+
+def test_request_whose_client_left_before_it_was_read_is_not_begun(run_reducer: Any) -> None:
+    host, reducer = run_reducer(echo)
+    ip, _colon, port = host.http_address.rpartition(":")
+    # A plain socket: the server's turn comes only after the client has closed.
+    with socket.create_connection((ip, int(port))) as hasty:
+        hasty.sendall(request("/left", b"body"))
+    exchange(host, request("/stays", b"", "Connection: close"))
+    paths = [one.path for one in reducer.sink.events if isinstance(one, RequestReceived)]
+    assert paths == ["/stays"]
+
+
 def test_client_that_never_reads_is_cut_off(run_reducer: Any) -> None:
     def decide(event: Event) -> Sequence[Effect]:
         if not isinstance(event, RequestReceived):
