Connections that go silent are replaced within a second or so, kept ones that rest are probed

Cause: a connection that goes silent without a reset ended only once something that was sent on it was not acknowledged for 3 s: peers of the consensus lost what they sent meanwhile, and calls on kept connections waited for it or for their own limit. Resting connections were never found out, and those that only read held their place for good. After a call had timed out, the next one took another kept connection of the same age.

The kernel probes resting connections and both ends of links each second. A call that timed out on a kept connection without a byte gives up the others to this address that have rested since.

Where the figures come from stands in `runtime/dialing`: three sendings at 0, 0.2 and 0.6 s, of which a link that loses 3 in 10 both ways spoils all in one case of eight. The tests drop packets by a filter on the other end's socket.

--- a/src/merlinstand/runtime/dialing.py
+++ b/src/merlinstand/runtime/dialing.py
@@ -1,4 +1,11 @@
-"""Opens TCP and TLS connections to `ip:port` addresses."""
+"""Opens TCP and TLS connections to `ip:port` addresses, and has silent ones end.
+
+A connection may go silent for good, without a reset, while new ones work. The kernel alone sees it:
+it sends again what is not acknowledged, after 0.2 s, 0.4 s more, 0.8 s more and so on (RFC 6298
+with Linux's shortest interval; a round trip between regions, 0.04 s, comes on top). A limit between
+0.6 and 1.4 s therefore waits for three sendings: where a link loses 3 packets in 10, and of
+acknowledgements as many, one piece in eight ends a sound connection. With 3 s it is one in fifteen.
+"""
 
 import socket
 from typing import Any
@@ -9,11 +16,21 @@
 
 from merlinstand.runtime.addresses import parse_address
 
-UNACKNOWLEDGED_LIMIT_MS = 3_000
+UNACKNOWLEDGED_LIMIT_SECONDS = 3.0
 """A connection whose peer acknowledges nothing for this long ends."""
+PROBE_SECONDS = 1
+"""An idle connection is probed after this long, and again each time it has passed: the shortest
+that the kernel knows, in whole seconds."""
+PROBE_COUNT = 3
+"""Probes without an answer end a connection for which the limit above does not do so before."""
 
 
-def dial(address: str, timeout_seconds: float, tls_context: SSLContext | None) -> Any:
+def dial(
+    address: str,
+    timeout_seconds: float,
+    tls_context: SSLContext | None,
+    silence_limit_seconds: float = UNACKNOWLEDGED_LIMIT_SECONDS,
+) -> Any:
     """Connect, without delaying small writes.
 
     Args:
@@ -21,6 +38,7 @@
         timeout_seconds: Longest time to connect, and again to shake hands; stays the
             socket's limit on each send and receive until the caller sets another.
         tls_context: Set to speak TLS.
+        silence_limit_seconds: The connection ends if nothing is acknowledged for this long.
 
     Returns:
         A connected gevent socket.
@@ -39,11 +57,23 @@
         connection.settimeout(timeout_seconds)
         connection.connect(target.as_pair())
         connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        # A silent peer must not hold a connection for ever.
-        connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_LIMIT_MS)
+        limit_silence(connection, silence_limit_seconds)
         if tls_context is not None:
             connection = tls_context.wrap_socket(connection)
     except BaseException:
         connection.close()
         raise
     return connection
+
+
+def limit_silence(connection: Any, seconds: float) -> None:
+    """End a connection whose peer acknowledges nothing that was sent for some seconds."""
+    connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, int(seconds * 1000))
+
+
+def probe_when_idle(connection: Any) -> None:
+    """Have the kernel ask the peer for a sign of life while nothing is sent."""
+    connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, PROBE_SECONDS)
+    connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, PROBE_SECONDS)
+    connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, PROBE_COUNT)
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
--- a/src/merlinstand/runtime/host_settings.py
+++ b/src/merlinstand/runtime/host_settings.py
@@ -13,6 +13,9 @@
     peer's machine is down just then, is sent again by the kernel after a second only."""
     longest_back_off_seconds: float = 1.0
     """Longest pause between two attempts."""
+    silence_limit_seconds: float = 3.0
+    """A connection ends if the peer acknowledges nothing for this long: it has gone silent, and the
+    next message opens a new one."""
 
 
 USUAL_PEER_TIMINGS = PeerTimings()
--- a/src/merlinstand/runtime/http_client.py
+++ b/src/merlinstand/runtime/http_client.py
@@ -5,6 +5,7 @@
 one `StartCall` leads to at most one request on the wire.
 """
 
+import time
 from collections.abc import Callable
 
 import gevent
@@ -90,6 +91,8 @@
                     self._read_stream(call, progress) if call.stream else progress.read_whole()
                 )
             except (TimeoutError, OSError, HTTPParseError, ValueError) as error:
+                if isinstance(error, TimeoutError):
+                    progress.note_time_out()
                 final = CallFailed(call.call_id, progress.phase, _reason(error, progress))
         finally:
             # Also on a kill: an unfinished connection must never go back to the pool.
@@ -150,6 +153,7 @@
         """The loop's turn of the last read."""
         self._ends_with_connection = False
         self._is_foreign = False
+        self._sent_at = 0.0
         self.phase = CallPhase.CONNECT
         self.sent_bytes = 0
         self.received_bytes = 0
@@ -161,6 +165,7 @@
         self._limit_step()
         connection = self._pool.take(self._call.address, self._call.fresh_connection)
         self._connection = connection
+        self._sent_at = time.monotonic()
         if connection.encrypted:
             # TLS may hand bytes on before it reports an error: assume the worst.
             self.phase = CallPhase.SENT
@@ -247,6 +252,12 @@
         gevent.sleep(seconds)
         self._limit_step()
 
+    def note_time_out(self) -> None:
+        """Nothing came in time, or the kernel says that nothing was acknowledged."""
+        connection = self._connection
+        if connection is not None and connection.is_kept and not self.received_bytes:
+            self._pool.drop_suspects(connection.address, self._sent_at)
+
     def release(self) -> None:
         """Give the connection back; close it if it can't be reused, by a reset if given up."""
         self._watchdog.close()
--- a/src/merlinstand/runtime/http_connection.py
+++ b/src/merlinstand/runtime/http_connection.py
@@ -15,7 +15,7 @@
 )
 
 from merlinstand.kernel.effects import StartCall
-from merlinstand.runtime.dialing import dial
+from merlinstand.runtime.dialing import dial, limit_silence, probe_when_idle
 from merlinstand.runtime.http_headers import HOP_BY_HOP_HEADERS, merge_header
 
 CONNECT_TIMEOUT_SECONDS = 2.0
@@ -23,6 +23,9 @@
 """Kept connections are given up well before servers usually close them."""
 MAXIMUM_IDLE_CONNECTIONS = 64
 """Kept connections for each server."""
+KEPT_SILENCE_SECONDS = 1.0
+"""A kept connection ends if a request on it isn't acknowledged for this long; see `dialing`. A new
+one has just shown that its server answers, and a request on it that can't be repeated waits."""
 RECEIVE_BYTES = 64 * 1024
 
 _FIRST_FINAL_STATUS = 200
@@ -50,6 +53,8 @@
         self.idle_since = 0.0
         self.idle_seconds = IDLE_CONNECTION_SECONDS
         """How long it may rest; less if the server said so."""
+        self.is_kept = False
+        """Whether it rested since it was opened."""
         self._socket = sock
 
     def send(self, data: memoryview) -> int:
@@ -70,6 +75,14 @@
             return False
         return False
 
+    def note_kept(self) -> None:
+        """It rests from now on: it may go silent unnoticed."""
+        self.idle_since = time.monotonic()
+        if not self.is_kept:
+            self.is_kept = True
+            limit_silence(self._socket, KEPT_SILENCE_SECONDS)
+            probe_when_idle(self._socket)
+
     def close(self) -> None:
         """Close the connection."""
         self._socket.close()
@@ -126,9 +139,26 @@
         if len(idle) >= MAXIMUM_IDLE_CONNECTIONS:
             connection.close()
             return
-        connection.idle_since = time.monotonic()
+        try:
+            connection.note_kept()
+        except OSError:
+            connection.close()
+            return
         idle.append(connection)
 
+    def drop_suspects(self, address: str, since: float) -> None:
+        """A kept connection was silent: others may have gone silent at the same time.
+
+        Args:
+            address: Of the server.
+            since: Local time; what was used later was sound then.
+        """
+        idle = self._idle.get(address, [])
+        suspects = [connection for connection in idle if connection.idle_since < since]
+        for connection in suspects:
+            idle.remove(connection)
+            connection.close()
+
     def sweep(self) -> None:
         """Close connections that were idle for too long."""
         now = time.monotonic()
--- a/src/merlinstand/runtime/transport.py
+++ b/src/merlinstand/runtime/transport.py
@@ -20,6 +20,7 @@
 from merlinstand.protocol.codec import decode_message, encode_message
 from merlinstand.protocol.generated.control.ttypes import Hello
 from merlinstand.runtime.addresses import parse_address
+from merlinstand.runtime.dialing import probe_when_idle
 from merlinstand.runtime.frames import FrameReader, encode_frame
 from merlinstand.runtime.host_settings import USUAL_PEER_TIMINGS, PeerTimings
 from merlinstand.runtime.logs import EventLog
@@ -200,6 +201,8 @@
         """Serve one inbound connection; whatever is wrong ends only this connection."""
         watchdog = Watchdog()
         try:
+            # Only read from: a peer that went silent would hold it for ever.
+            probe_when_idle(connection)
             self._read_messages(connection, watchdog)
         except OSError:
             pass
--- a/src/merlinstand/runtime/transport_peer.py
+++ b/src/merlinstand/runtime/transport_peer.py
@@ -8,7 +8,7 @@
 from gevent.event import Event
 from gevent.ssl import SSLContext
 
-from merlinstand.runtime.dialing import dial
+from merlinstand.runtime.dialing import dial, probe_when_idle
 from merlinstand.runtime.end_watcher import EndWatcher
 from merlinstand.runtime.host_settings import USUAL_PEER_TIMINGS, PeerTimings
 
@@ -118,12 +118,18 @@
         connection.sendall(frames[0] if len(frames) == 1 else b"".join(frames))
 
     def _connect(self) -> Any:
-        limit_seconds = self._timings.connect_timeout_seconds
+        timings = self._timings
         try:
-            connection = dial(self._address, limit_seconds, self._tls_context)
+            connection = dial(
+                self._address,
+                timings.connect_timeout_seconds,
+                self._tls_context,
+                timings.silence_limit_seconds,
+            )
         except ValueError as error:
             raise OSError(str(error)) from error
         try:
+            probe_when_idle(connection)
             connection.settimeout(SEND_TIMEOUT_SECONDS)
             connection.sendall(self._hello_frame)
         except BaseException:
--- /dev/null
+++ b/tests/runtime/test_silent_connections.py
@@ -0,0 +1,228 @@
+"""Connections that go silent for good, without a reset, while new ones work.
+
+The other side's socket gets a filter that drops every packet: what is sent to it is never
+acknowledged, as behind a cut, and the kernel's own limits are at work.
+"""
+
+import ctypes
+import socket
+import struct
+from typing import Any
+
+import gevent
+import pytest
+
+from merlinstand.common.ids import NodeId
+from merlinstand.kernel.events import CallFailed, CallPhase, CallResponded, MessageReceived
+from merlinstand.runtime import http_connection
+from merlinstand.runtime.dialing import PROBE_COUNT, PROBE_SECONDS
+from merlinstand.runtime.host_settings import PeerTimings
+from merlinstand.runtime.http_client import HttpClient
+from merlinstand.runtime.http_connection import KEPT_SILENCE_SECONDS, ConnectionPool
+from merlinstand.runtime.logs import EventLog
+from merlinstand.runtime.transport import Transport
+from tests.runtime.conftest import GIVE_UP_SECONDS, EventSink, read_request
+from tests.runtime.test_http_client import WHOLE, call
+from tests.runtime.test_transport import message
+
+SO_ATTACH_FILTER = 26
+_RETURN_NOTHING = struct.pack("HBBI", 6, 0, 0, 0)
+"""Classic packet filter of one instruction: keep 0 bytes of each packet."""
+SHORT_SECONDS = 0.2
+
+
+def fall_silent(connection: Any) -> None:
+    """Let every packet to this end of a connection get lost."""
+    program = ctypes.create_string_buffer(_RETURN_NOTHING)
+    filter_of_one = struct.pack("HxxxxxxP", 1, ctypes.addressof(program))
+    connection.setsockopt(socket.SOL_SOCKET, SO_ATTACH_FILTER, filter_of_one)
+
+
+def user_timeout_of(connection: Any) -> float:
+    return int(connection.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT)) / 1000
+
+
+def probes_of(connection: Any) -> tuple[int, ...]:
+    """Whether it is probed when idle, after how long, each how long, and how often."""
+    on = connection.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE)
+    names = (socket.TCP_KEEPIDLE, socket.TCP_KEEPINTVL, socket.TCP_KEEPCNT)
+    return on, *(connection.getsockopt(socket.IPPROTO_TCP, name) for name in names)
+
+
+class Server:
+    """Answers requests; each connection may be told to fall silent."""
+
+    def __init__(self) -> None:
+        self.connections: list[Any] = []
+
+    def serve(self, connection: Any) -> None:
+        self.connections.append(connection)
+        while read_request(connection):
+            connection.sendall(WHOLE)
+
+
+class Calls:
+    """A client, its pool, and a server of its own."""
+
+    def __init__(self, sink: EventSink, start_server: Any) -> None:
+        self.sink = sink
+        self.pool = ConnectionPool()
+        self.client = HttpClient(sink.submit, self.pool)
+        self.server = Server()
+        self.address = start_server(self.server.serve)
+        self._count = 0
+
+    def start(self, **changes: Any) -> str:
+        self._count += 1
+        made = call(self.address, f"c{self._count}", **changes)
+        self.client.start(made)
+        return made.call_id
+
+    def answered(self, number: int) -> None:
+        """Let some calls at once be answered, each on a connection of its own that is kept."""
+        before = len([e for e in self.sink.events if isinstance(e, CallResponded)])
+        for _ in range(number):
+            self.start()
+        self.sink.wait_for(CallResponded, before + number)
+
+    def kept(self) -> list[Any]:
+        return [connection._socket for connection in self.pool._idle.get(self.address, [])]
+
+    def server_end_of(self, kept: Any) -> Any:
+        name = kept.getsockname()
+        [end] = [one for one in self.server.connections if one.getpeername() == name]
+        return end
+
+
+@pytest.fixture
+def calls(sink: EventSink, raw_server: Any) -> Any:
+    made = Calls(sink, raw_server)
+    yield made
+    made.client.close()
+
+
+def test_a_request_on_a_silent_kept_connection_fails_long_before_its_own_limit(
+    calls: Calls, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(http_connection, "KEPT_SILENCE_SECONDS", SHORT_SECONDS)
+    calls.answered(1)
+    fall_silent(calls.server.connections[0])
+    calls.start(timeout_seconds=1000.0)
+    event = calls.sink.wait_for(CallFailed)
+    assert (event.phase, event.reason) == (CallPhase.SENT, "timeout")
+    calls.answered(1)
+    assert len(calls.server.connections) == 2
+
+
+def test_a_kept_connection_that_falls_silent_while_it_rests_is_not_used_again(
+    calls: Calls, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(http_connection, "KEPT_SILENCE_SECONDS", SHORT_SECONDS)
+    calls.answered(1)
+    fall_silent(calls.server.connections[0])
+    [kept] = calls.pool._idle[calls.address]
+    with gevent.Timeout(GIVE_UP_SECONDS):
+        while kept.is_quiet():
+            gevent.sleep(0.05)
+    calls.answered(1)
+    assert len(calls.server.connections) == 2
+
+
+def test_after_a_time_out_the_other_resting_connections_are_given_up(calls: Calls) -> None:
+    calls.answered(3)
+    assert len(calls.kept()) == 3
+    for connection in calls.server.connections:
+        fall_silent(connection)
+    calls.start(timeout_seconds=SHORT_SECONDS)
+    calls.sink.wait_for(CallFailed)
+    assert calls.kept() == []
+    calls.answered(1)
+
+
+def test_a_connection_that_answered_meanwhile_is_kept(calls: Calls) -> None:
+    calls.answered(2)
+    silent, sound = calls.kept()[-1], calls.kept()[0]
+    fall_silent(calls.server_end_of(silent))
+    calls.start(timeout_seconds=SHORT_SECONDS)
+    gevent.sleep(0)
+    calls.answered(1)
+    calls.sink.wait_for(CallFailed)
+    assert calls.kept() == [sound]
+
+
+def test_a_new_connection_is_not_hurried(calls: Calls) -> None:
+    calls.start()
+    with gevent.Timeout(GIVE_UP_SECONDS):
+        while not calls.server.connections:
+            gevent.sleep(0)
+    calls.sink.wait_for(CallResponded)
+    [kept] = calls.kept()
+    assert (user_timeout_of(kept), probes_of(kept)) == (
+        KEPT_SILENCE_SECONDS,
+        (1, PROBE_SECONDS, PROBE_SECONDS, PROBE_COUNT),
+    )
+    fresh = calls.pool.take(calls.address, fresh=True)
+    assert user_timeout_of(fresh._socket) == 3.0
+    assert probes_of(fresh._socket)[0] == 0
+    fresh.close()
+
+
+class Pair:
+    """Two transports; the first one's limit is short."""
+
+    def __init__(self, silence_limit_seconds: float = SHORT_SECONDS) -> None:
+        timings = PeerTimings(silence_limit_seconds=silence_limit_seconds)
+        self.sink = EventSink()
+        self.sender = Transport(
+            NodeId("a"), lambda _event: None, EventLog("a", "error"), timings=timings
+        )
+        self.receiver = Transport(NodeId("b"), self.sink.submit, EventLog("b", "error"))
+        self.sender.start("127.0.0.1:0", 1)
+        self.receiver.start("127.0.0.1:0", 1)
+        self.sender.learn(NodeId("b"), self.receiver.address)
+        self.inbound: list[Any] = []
+        receive = self.receiver._receive
+        self.receiver._server.set_handle(self._note(receive))
+
+    def _note(self, receive: Any) -> Any:
+        def handle(connection: Any, address: Any) -> None:
+            self.inbound.append(connection)
+            receive(connection, address)
+
+        return handle
+
+    def send(self, term: int) -> None:
+        self.sender.send(NodeId("b"), message(term))
+
+    def close(self) -> None:
+        self.sender.close()
+        self.receiver.close()
+
+
+@pytest.fixture
+def pair() -> Any:
+    made = Pair()
+    yield made
+    made.close()
+
+
+def test_a_silent_connection_between_peers_is_replaced(pair: Pair) -> None:
+    pair.send(1)
+    pair.sink.wait_for(MessageReceived)
+    fall_silent(pair.inbound[0])
+    term = 2
+    with gevent.Timeout(GIVE_UP_SECONDS):
+        while len(pair.sink.events) < 2:
+            pair.send(term)
+            term += 1
+            gevent.sleep(0.02)
+    assert len(pair.inbound) == 2
+
+
+def test_both_ends_between_peers_are_probed(pair: Pair) -> None:
+    pair.send(1)
+    pair.sink.wait_for(MessageReceived)
+    link = pair.sender._links[NodeId("b")]
+    assert user_timeout_of(link._socket) == SHORT_SECONDS
+    for end in (link._socket, pair.inbound[0]):
+        assert probes_of(end) == (1, PROBE_SECONDS, PROBE_SECONDS, PROBE_COUNT)
--- a/tests/runtime/test_transport.py
+++ b/tests/runtime/test_transport.py
@@ -236,7 +236,7 @@
     asked: list[float] = []
     pauses: list[float] = []
 
-    def dial(_address: str, timeout_seconds: float, _tls: object) -> Any:
+    def dial(_address: str, timeout_seconds: float, _tls: object, _silence: float) -> Any:
         asked.append(timeout_seconds)
         raise OSError("no answer")
 
