--- a/src/merlinstand/runtime/errors.py
+++ b/src/merlinstand/runtime/errors.py
@@ -2,7 +2,7 @@
 
 from typing import ClassVar
 
-from merlinstand.common.errors import InvalidInputError, MerlinstandError
+from merlinstand.common.errors import InvalidInputError, MerlinstandError, UnavailableError
 
 
 class HostSetupError(MerlinstandError, frozen=True, kw_only=True):
@@ -11,6 +11,12 @@
     code: ClassVar[str] = "host_setup"
 
 
+class NotAcceptingError(UnavailableError, frozen=True, kw_only=True):
+    """The process takes no new connections at its main address now."""
+
+    code: ClassVar[str] = "not_accepting"
+
+
 class TargetTooLongError(InvalidInputError, frozen=True, kw_only=True):
     """The request line is longer than the limit."""
 
--- a/src/merlinstand/runtime/host.py
+++ b/src/merlinstand/runtime/host.py
@@ -261,11 +261,11 @@
             if settings.http_address:
                 self._server = self._start_server(settings.http_address)
             for address in settings.extra_http_addresses:
-                self._start_server(address)
+                self._start_server(address, self._server)
         except (OSError, ValueError) as error:
             raise HostSetupFailedError(HostSetupError(detail=f"can't listen: {error}")) from error
 
-    def _start_server(self, address: str) -> EndpointServer:
+    def _start_server(self, address: str, front: EndpointServer | None = None) -> EndpointServer:
         parsed = parse_address(address)
         if isinstance(parsed, Err):
             raise ValueError(parsed.err_value.detail)
@@ -274,6 +274,7 @@
             self._endpoint.application,
             self._settings.http_limits,
             self._tls.server,
+            front,
         )
         server.start()
         self._servers.append(server)
--- a/src/merlinstand/runtime/host_settings.py
+++ b/src/merlinstand/runtime/host_settings.py
@@ -58,7 +58,8 @@
     http_address: str = "127.0.0.1:0"
     """`ip:port` of the HTTP server; port 0 takes a free one (logged as `host.listening`)."""
     extra_http_addresses: tuple[str, ...] = ()
-    """Further `ip:port` of the same HTTP server."""
+    """Further `ip:port` of the same HTTP server, for health checks: requests there are refused
+    while no new connection is taken at `http_address`."""
     connect_timeout_seconds: float = 2.0
     """Longest time for a connection to a back end to come up."""
     internal_address: str = ""
--- a/src/merlinstand/runtime/http_endpoint.py
+++ b/src/merlinstand/runtime/http_endpoint.py
@@ -10,11 +10,22 @@
 from merlinstand.common.ids import RequestId
 from merlinstand.kernel.events import Event, RequestAborted, RequestReceived
 from merlinstand.runtime.end_watcher import EndWatcher, has_ended
-from merlinstand.runtime.errors import MalformedRequestError, SlowRequestError, TruncatedBodyError
+from merlinstand.runtime.errors import (
+    MalformedRequestError,
+    NotAcceptingError,
+    SlowRequestError,
+    TruncatedBodyError,
+)
 from merlinstand.runtime.host_settings import HttpLimits
 from merlinstand.runtime.http_exchange import BrokenResponseError, Exchange
 from merlinstand.runtime.http_headers import RequestHead, header_lines
-from merlinstand.runtime.http_server import HEAD_KEY, SOCKET_KEY, WATCHDOG_KEY, SlowSenderError
+from merlinstand.runtime.http_server import (
+    FRONT_KEY,
+    HEAD_KEY,
+    SOCKET_KEY,
+    WATCHDOG_KEY,
+    SlowSenderError,
+)
 from merlinstand.runtime.metrics import CONTENT_TYPE, Metrics
 
 _FRAMING_HEADERS = frozenset(("content-length", "content-type", "date", "server"))
@@ -85,6 +96,11 @@
         if isinstance(body, MerlinstandError):
             _refuse(resp, body)
             return
+        front = environ[FRONT_KEY]
+        if front is not None and not front.accepts:
+            # Whoever asks at an extra address, such as a health check, wants to know of the main.
+            _refuse(resp, NotAcceptingError(detail="no new connections are taken"))
+            return
         if self.closing:
             _refuse(resp, StoppingError(detail="this process is stopping"))
             return
--- a/src/merlinstand/runtime/http_server.py
+++ b/src/merlinstand/runtime/http_server.py
@@ -21,6 +21,7 @@
 from merlinstand.runtime.tls import BoundedHandshakeServer
 from merlinstand.runtime.watchdog import Watchdog
 
+FRONT_KEY = "merlinstand.front"
 HEAD_KEY = "merlinstand.head"
 SOCKET_KEY = "merlinstand.socket"
 WATCHDOG_KEY = "merlinstand.watchdog"
@@ -41,6 +42,7 @@
         application: Any,
         limits: HttpLimits,
         tls_context: SSLContext | None,
+        front: "EndpointServer | None" = None,
     ) -> None:
         """Create a server; `start` makes it accept.
 
@@ -49,6 +51,7 @@
             application: The WSGI application.
             limits: Bounds on reading and writing.
             tls_context: Set to speak TLS.
+            front: The process's main server, if this one is at an extra address.
         """
         tls = {} if tls_context is None else {"ssl_context": tls_context}
         super().__init__(
@@ -59,7 +62,7 @@
             log=None,
             error_log=None,
             handler_class=EndpointHandler,
-            environ={"SERVER_NAME": "merlinstand"},
+            environ={"SERVER_NAME": "merlinstand", FRONT_KEY: front},
             **tls,
         )
         self.limits = limits
@@ -68,6 +71,11 @@
         self.busy = 0
         """Number of connections between a request's first byte and its response's last."""
 
+    @property
+    def accepts(self) -> bool:
+        """Whether a new connection would be taken now: it isn't full and doesn't pause."""
+        return self.started and self._watcher is not None and not self.full()
+
 
 class SlowSenderError(OSError):
     """A request did not arrive whole in time."""
--- a/tests/runtime/test_http_endpoint.py
+++ b/tests/runtime/test_http_endpoint.py
@@ -25,7 +25,7 @@
 from merlinstand.runtime.host_settings import HttpLimits
 from merlinstand.runtime.http_input import MAXIMUM_CHUNK_READS
 from merlinstand.runtime.http_server import EndpointHandler
-from tests.runtime.conftest import connect, read_to_end
+from tests.runtime.conftest import GIVE_UP_SECONDS, connect, read_to_end
 
 LIMITS = HttpLimits(maximum_body_bytes=1000, request_read_timeout_seconds=0.2)
 PATIENT = HttpLimits(maximum_body_bytes=1000)
@@ -42,8 +42,8 @@
 
 
 def exchange(host: Any, data: bytes) -> bytes:
-    """Send bytes, then read what comes until the server closes."""
-    connection = connect(host.http_address)
+    """Send bytes to a host or an address, then read what comes until the server closes."""
+    connection = connect(host if isinstance(host, str) else host.http_address)
     connection.sendall(data)
     answer = read_to_end(connection)
     connection.close()
@@ -508,3 +508,37 @@
     assert b"Internal Server Error" not in answer
     assert exchange(host, request("/", b"next", "Connection: close")).endswith(b"next")
     host.abort()
+
+
+def test_a_health_check_tells_whether_the_main_address_takes_connections(run_reducer: Any) -> None:
+    limits = HttpLimits(maximum_connections=2)
+    host, reducer = run_reducer(echo, http_limits=limits, extra_http_addresses=("127.0.0.1:0",))
+    health = f"127.0.0.1:{host._servers[1].server_port}"
+
+    def state() -> tuple[int, str]:
+        answer = exchange(health, request("/readyz", b"", "Connection: close"))
+        status = int(answer.split(b" ")[1])
+        return (status, "") if status == 200 else error_of(answer)
+
+    assert state() == (200, "")
+    clients = [connect(host.http_address) for _ in range(2)]
+    for number, client in enumerate(clients):
+        client.sendall(request(f"/{number}"))
+    reducer.sink.wait_for(RequestReceived, 3)
+    assert state() == (503, "not_accepting")
+    clients[0].close()
+    with gevent.Timeout(GIVE_UP_SECONDS):
+        while state() != (200, ""):
+            gevent.sleep(0.01)
+    clients[1].close()
+
+
+def test_a_server_that_pauses_after_an_error_takes_no_connections(run_reducer: Any) -> None:
+    host, _reducer = run_reducer(echo)
+    front = host._servers[0]
+    assert front.accepts
+    # What gevent does for up to a second when it can't take a connection, as without descriptors.
+    front.stop_accepting()
+    assert not front.accepts
+    front.start_accepting()
+    assert front.accepts
