Evacuations of zones: order in the control log, spread to daemons, one view of back ends

Cause: operators could not have a zone emptied of requests. An order (EvacuateZone, TakeBackZone) is an entry of the directory's log and acknowledged once committed; every order is proposed, also one that changes nothing, so that no answer rests on an order before it that is undecided. Daemons that know the section are told at once; they see the back ends of an evacuated zone as leaving. Servers of a zone that was taken back are cold until a heartbeat that was surely sent later says otherwise.

The loader's limit counts engines that stay, and it gives no order to one that left while it was noted.

--- a/src/merlinstand/batch_jobs/engines.py
+++ b/src/merlinstand/batch_jobs/engines.py
@@ -140,14 +140,14 @@
     def __init__(self, follower: DirectoryFollower) -> None:
         """Begin with those that the directory tells."""
         self._follower = follower
-        self._revision = -2
+        self._revision = -1
         self.states: dict[BackendId, EngineState] = {}
 
     def refresh(self) -> None:
         """Follow the directory."""
-        if self._revision == self._follower.backends_revision:
+        if self._revision == self._follower.view_revision:
             return
-        self._revision = self._follower.backends_revision
+        self._revision = self._follower.view_revision
         previous = self.states
         self.states = {}
         for backend in self._follower.backends:
--- a/src/merlinstand/batch_jobs/weight_loader.py
+++ b/src/merlinstand/batch_jobs/weight_loader.py
@@ -29,7 +29,7 @@
 
 CALL_PREFIX = "weights:"
 PARALLEL_SHARE = 0.4
-"""Share of a service's engines that may load at once."""
+"""Share of a service's engines that may load at once; those that leave don't count."""
 CALL_TIMEOUT_SECONDS = 1.0
 POLL_SECONDS = 0.25
 FIRST_POLL_SECONDS = 0.9
@@ -196,13 +196,18 @@
 
     def _drop_finished(self) -> None:
         for backend_id, load in list(self._loads.items()):
-            state = self._engines.states.get(backend_id)
-            if state is None or state.backend.is_leaving:
+            if self._is_gone(backend_id):
                 self._end_load(load)
 
+    def _is_gone(self, backend_id: BackendId) -> bool:
+        """Whether an engine is to be asked or ordered nothing any more."""
+        state = self._engines.states.get(backend_id)
+        return state is None or state.backend.is_leaving
+
     def _start_loads(self, service: str, model: str, target: int, now: float) -> list[Effect]:
         engines = self._engines.of_service(service)
-        limit = max(1, round(len(engines) * PARALLEL_SHARE))
+        staying = sum(1 for state in engines if not state.backend.is_leaving)
+        limit = max(1, round(staying * PARALLEL_SHARE))
         loading = sum(1 for state in engines if state.backend.backend_id in self._loads)
         effects: list[Effect] = []
         behind = [state for state in engines if self._lacks(state, model, target, now)]
@@ -256,7 +261,7 @@
         load = self._loads.get(BackendId(backend_id))
         if load is None or load.call_id != event.call_id:
             return []
-        if load.backend_id not in self._engines.states:
+        if self._is_gone(load.backend_id):
             self._end_load(load)
             return []
         load.call_id = None
@@ -328,6 +333,9 @@
         state = self._engines.states.get(backend_id)
         if load is None or state is None or load.noted_since is None:
             return []
+        if state.backend.is_leaving:
+            self._end_load(load)
+            return []
         is_prompt = now - load.noted_since <= NOTE_SECONDS
         load.noted_since = None
         if not (is_prompt and may_act and self._is_holder) or load.call_id is not None:
--- a/src/merlinstand/directory/backends.py
+++ b/src/merlinstand/directory/backends.py
@@ -1,10 +1,11 @@
 """Back ends that register themselves: what is agreed of them."""
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 
 import msgspec
 
 from merlinstand.common.ids import BackendId
+from merlinstand.directory.returned_backends import ReturnedBackends
 
 
 class HeldModel(msgspec.Struct, frozen=True, array_like=True, gc=False):
@@ -58,6 +59,7 @@
         self.sequences: dict[BackendId, int] = {}
         """Newest heartbeat that changed something."""
         self.removed: dict[BackendId, None] = {}
+        self.returned = ReturnedBackends()
         self._by_address: dict[str, BackendId] = {}
         self._touched: list[Touched] = []
 
@@ -81,14 +83,26 @@
             return True
         if sequence <= self.sequences.get(backend.backend_id, -1):
             return False
-        return _merged(present, backend) != present
+        is_awaited = self.returned.holds(backend.backend_id)
+        return is_awaited or _merged(present, backend) != present
 
-    def put(self, backend: Backend, sequence: int) -> bool:
-        """Take a heartbeat's content in; tells whether anything changed."""
+    def put(self, backend: Backend, sequence: int, group_time: float = 0.0) -> bool:
+        """Take a heartbeat's content in; tells whether anything changed.
+
+        Args:
+            backend: What it tells.
+            sequence: Its number.
+            group_time: When it was taken in, in seconds.
+        """
         if not self.would_change(backend, sequence):
             return False
         backend_id = backend.backend_id
         present = self.backends.get(backend_id)
+        if not self.returned.take_beat(backend_id, sequence, group_time):
+            backend = msgspec.structs.replace(backend, is_cold=True)
+        if present is not None and _merged(present, backend) == present:
+            self.sequences[backend_id] = sequence
+            return False
         # One address, one server: whoever had it before is gone.
         before = self._by_address.get(backend.address, backend_id)
         if before != backend_id:
@@ -101,6 +115,22 @@
         self.sequences[backend_id] = sequence
         return True
 
+    def note_returned(self, zone: str, services: Collection[str], group_time: float) -> None:
+        """The servers of a zone are used again: some services' are cold until they say otherwise.
+
+        Args:
+            zone: The zone.
+            services: Services whose cold servers bear only some requests a second.
+            group_time: Present time in seconds.
+        """
+        for backend_id, backend in self.backends.items():
+            if backend.zone != zone or backend.service not in services:
+                continue
+            self.returned.begin(backend_id, group_time)
+            if not backend.is_cold:
+                self.backends[backend_id] = msgspec.structs.replace(backend, is_cold=True)
+                self._touched.append(Touched(backend_id, backend.service))
+
     def remove(self, backend_id: BackendId) -> bool:
         """Forget a back end for good; tells whether it was there."""
         self.removed[backend_id] = None
@@ -111,6 +141,7 @@
     def expire(self, backend_id: BackendId) -> bool:
         """Forget a silent back end, which may register again."""
         self.sequences.pop(backend_id, None)
+        self.returned.forget(backend_id)
         backend = self.backends.pop(backend_id, None)
         if backend is None:
             return False
--- a/src/merlinstand/directory/commands.py
+++ b/src/merlinstand/directory/commands.py
@@ -63,6 +63,18 @@
     """The machine's name, by which the operator asks again."""
 
 
+class EvacuateZone(msgspec.Struct, frozen=True, tag="evacuate_zone"):
+    """An operator wants nothing more sent to the servers of a zone."""
+
+    zone: str
+
+
+class TakeBackZone(msgspec.Struct, frozen=True, tag="take_back_zone"):
+    """An operator wants the servers of a zone used again."""
+
+    zone: str
+
+
 class NoteUsage(msgspec.Struct, frozen=True, tag="note_usage"):
     """Gateways told what they counted."""
 
@@ -103,6 +115,8 @@
     | NameWeights
     | FoundKeepers
     | RetireKeeper
+    | EvacuateZone
+    | TakeBackZone
     | NoteUsage
     | BeginMetering
     | FixUsage
--- a/src/merlinstand/directory/daemon.py
+++ b/src/merlinstand/directory/daemon.py
@@ -34,6 +34,7 @@
     encode_command,
 )
 from merlinstand.directory.duty_keeper import DutyKeeper
+from merlinstand.directory.evacuations import judge_order, order_events
 from merlinstand.directory.founding import KeeperFounding
 from merlinstand.directory.heartbeats import (
     CHANGES_TIMER,
@@ -47,6 +48,7 @@
     is_retired,
     keeper_to_retire,
 )
+from merlinstand.directory.places import Places
 from merlinstand.directory.publisher import PUSH_TIMER, DirectoryPublisher
 from merlinstand.directory.requests import (
     Accepted,
@@ -58,6 +60,8 @@
     DocumentGet,
     DocumentPut,
     Elsewhere,
+    EvacuationDelete,
+    EvacuationPost,
     Failed,
     Heartbeat,
     ReadinessGet,
@@ -124,6 +128,7 @@
         """
         self._settings = settings
         self._interface = interface
+        self._places = Places(settings.zones)
         self.replica = Replica(_replica_settings(settings))
         self.state = DirectoryState()
         self._waiters: DecisionWaiters[ControlReply] = DecisionWaiters()
@@ -214,8 +219,10 @@
         """Log position of the newest change that somebody waits for, and that is told at once.
 
         A step begins once its weights are named: whatever that takes longer adds up over the steps.
+        An evacuation is in force once every daemon was told.
         """
-        return max(self.state.document_revision, self.state.weights_revision)
+        state = self.state
+        return max(state.document_revision, state.weights_revision, state.evacuations.revision)
 
     def _committed(self, entry: CommittedEntry, now: float) -> list[Effect]:
         self._delivered_index = entry.index
@@ -225,6 +232,8 @@
             # what it encoded itself.
             with contextlib.suppress(*MALFORMED_INPUT):
                 command = decode_command(entry.payload)
+                if self.replica.may_act(now):
+                    effects.extend(order_events(command, self.state.evacuations, entry.group_time))
                 self.state.apply(entry.index, command, entry.group_time)
                 if isinstance(command, NoteTurn):
                     may_act = self.replica.may_act(now)
@@ -305,6 +314,8 @@
                 return self._propose(weights, request_id, Accepted(), now)
             case RetirementPost():
                 return self._retire(request_id, request.name, now)
+            case EvacuationPost() | EvacuationDelete():
+                return self._order_zone(request_id, request, now)
             case RetirementGet():
                 return [self._respond(request_id, self._retirement_state(request.name, now))]
             case _:
@@ -323,6 +334,17 @@
         ]
         return effects + self._propose(command, request_id, Accepted(), now)
 
+    def _order_zone(
+        self, request_id: RequestId, request: EvacuationPost | EvacuationDelete, now: float
+    ) -> list[Effect]:
+        judged = judge_order(request, self._places)
+        if isinstance(judged, Err):
+            error = judged.err_value
+            fields = {"zone": request.zone, "reason": type(error).code}
+            refusal = LogEvent("zone.order_refused", fields)
+            return [refusal, self._respond(request_id, Failed(error))]
+        return self._propose(judged.ok_value, request_id, Accepted(), now)
+
     def _heartbeat(self, event: RequestReceived, request: Heartbeat, now: float) -> list[Effect]:
         outcome = self._heartbeats.take(request, now)
         match outcome:
--- /dev/null
+++ b/src/merlinstand/directory/evacuated_zones.py
@@ -0,0 +1,54 @@
+"""Zones to whose servers a daemon sends nothing: what it sees of their back ends.
+
+A back end of such a zone is seen as one that leaves. All that sends heeds leaving back ends
+already, so there is no second rule to forget: nothing new goes there, what runs may end.
+"""
+
+from collections.abc import Collection
+
+import msgspec
+
+from merlinstand.directory.backends import Backend
+from merlinstand.directory.view import DirectoryChanges
+from merlinstand.kernel.effects import Effect, LogEvent
+
+
+class EvacuatedZones:
+    """The zones that one daemon was told of."""
+
+    def __init__(self) -> None:
+        """Begin with none known."""
+        self.zones: frozenset[str] = frozenset()
+        self.revision = -1
+
+    def take(self, changes: DirectoryChanges, has_backends: bool) -> list[Effect]:
+        """Take the section in; an older one than held never replaces it.
+
+        Args:
+            changes: What the control leader told.
+            has_backends: Whether this daemon holds the back ends that were told along with it. If
+                not, no zone comes back yet: which of its servers are cold is not known here.
+        """
+        if changes.evacuated is None or changes.zones_revision <= self.revision:
+            return []
+        zones = frozenset(changes.evacuated)
+        if has_backends:
+            self.revision = changes.zones_revision
+        else:
+            zones |= self.zones
+        if zones == self.zones:
+            return []
+        self.zones = zones
+        fields = {"zones": ",".join(sorted(zones)), "revision": changes.zones_revision}
+        return [LogEvent("directory.evacuated", fields)]
+
+    def seen(self, backend: Backend) -> Backend:
+        """Give a back end as what sends requests is to see it."""
+        if backend.zone not in self.zones or backend.is_leaving:
+            return backend
+        return msgspec.structs.replace(backend, is_leaving=True)
+
+    def hides_all(self, backends: Collection[Backend]) -> bool:
+        """Whether some registered back ends could be used but for the evacuated zones."""
+        present = [backend for backend in backends if not backend.is_leaving]
+        return bool(present) and all(backend.zone in self.zones for backend in present)
--- a/src/merlinstand/directory/follower.py
+++ b/src/merlinstand/directory/follower.py
@@ -5,6 +5,7 @@
 from merlinstand.common.decoding import MALFORMED_INPUT
 from merlinstand.common.ids import BackendId, NodeId
 from merlinstand.directory.backends import Backend
+from merlinstand.directory.evacuated_zones import EvacuatedZones
 from merlinstand.directory.routes import RoutesDocument, RouteTable
 from merlinstand.directory.view import (
     DaemonReport,
@@ -73,6 +74,9 @@
         self._backends: dict[BackendId, Backend] = {}
         self._by_service: dict[str, tuple[Backend, ...]] = {}
         """Filled as services are asked for, emptied by news of them."""
+        self.evacuated = EvacuatedZones()
+        self.view_revision = 0
+        """Rises with every change of what `backends` gives."""
         self.weights: dict[str, int] = {}
         self.keepers: tuple[Keeper, ...] = ()
         self.founding: KeeperGroup | None = None
@@ -85,8 +89,10 @@
 
     @property
     def backends(self) -> Collection[Backend]:
-        """All back ends that this daemon is told of."""
-        return self._backends.values()
+        """All back ends that this daemon is told of; those of evacuated zones as leaving."""
+        if not self.evacuated.zones:
+            return self._backends.values()
+        return [self.evacuated.seen(backend) for backend in self._backends.values()]
 
     def silence_seconds(self, now: float) -> float:
         """How long no leader was heard; all that it had agreed before that is known here."""
@@ -108,6 +114,7 @@
             backends_revision=self.backends_revision,
             weights_revision=self.weights_revision,
             keepers_mark=self.keepers_mark,
+            zones_revision=self.evacuated.revision,
             usage=self._usage(self._usage_mark),
         )
         self._asked_at = now
@@ -180,6 +187,7 @@
             effects.append(LogEvent("directory.document", {"version": document.version}))
         if changes.backends is not None and changes.backends_revision > self.backends_revision:
             self._apply_backends(changes, changes.backends)
+        effects.extend(self._apply_zones(changes))
         if changes.weights is not None and changes.weights_revision > self.weights_revision:
             self.weights_revision = changes.weights_revision
             self.weights = changes.weights
@@ -202,12 +210,22 @@
             self._change_backends(changes.backends_gone, news)
         self.backends_revision = changes.backends_revision
 
+    def _apply_zones(self, changes: DirectoryChanges) -> list[Effect]:
+        has_backends = self.backends_revision >= changes.backends_revision
+        effects = self.evacuated.take(changes, has_backends)
+        if effects:
+            self._by_service.clear()
+            self.view_revision += 1
+        return effects
+
     def set_backends(self, backends: Iterable[Backend]) -> None:
         """Replace all back ends."""
         self._backends = {backend.backend_id: backend for backend in backends}
         self._by_service.clear()
+        self.view_revision += 1
 
     def _change_backends(self, gone: Iterable[BackendId], news: Iterable[Backend]) -> None:
+        self.view_revision += 1
         for backend_id in gone:
             before = self._backends.pop(backend_id, None)
             if before is not None:
@@ -227,9 +245,18 @@
         return max(leaders, key=lambda keeper: keeper.term, default=None)
 
     def snapshot_of(self, service: str) -> tuple[Backend, ...]:
-        """Back ends of a service, leaving ones included."""
+        """Back ends of a service, leaving ones included; see `backends`."""
         known = self._by_service.get(service)
         if known is None:
-            known = tuple(b for b in self._backends.values() if b.service == service)
+            known = tuple(self.evacuated.seen(backend) for backend in self._registered(service))
             self._by_service[service] = known
         return known
+
+    def is_evacuated(self, service: str) -> bool:
+        """Whether only evacuated zones have servers of a service that could be used."""
+        if not self.evacuated.zones or any(not b.is_leaving for b in self.snapshot_of(service)):
+            return False
+        return self.evacuated.hides_all(self._registered(service))
+
+    def _registered(self, service: str) -> list[Backend]:
+        return [b for b in self._backends.values() if b.service == service]
--- a/src/merlinstand/directory/publisher.py
+++ b/src/merlinstand/directory/publisher.py
@@ -62,6 +62,7 @@
             backends_revision=pull.backends_revision,
             weights_revision=pull.weights_revision,
             keepers_mark=pull.keepers_mark,
+            zones_revision=pull.zones_revision,
         )
         is_new = not self.subscribers.knows(sender)
         is_news = self.subscribers.note(sender, subscriber)
--- a/src/merlinstand/directory/requests.py
+++ b/src/merlinstand/directory/requests.py
@@ -60,6 +60,18 @@
     name: str
 
 
+class EvacuationPost(msgspec.Struct, frozen=True):
+    """An operator wants nothing more sent to the servers of a zone."""
+
+    zone: str
+
+
+class EvacuationDelete(msgspec.Struct, frozen=True):
+    """An operator wants the servers of a zone used again."""
+
+    zone: str
+
+
 class ReadinessGet(msgspec.Struct, frozen=True):
     """A health check."""
 
@@ -72,6 +84,8 @@
     | WeightsNamed
     | RetirementPost
     | RetirementGet
+    | EvacuationPost
+    | EvacuationDelete
     | ReadinessGet
 )
 
--- a/src/merlinstand/directory/state_machine.py
+++ b/src/merlinstand/directory/state_machine.py
@@ -8,6 +8,7 @@
 from merlinstand.directory.commands import (
     BeginMetering,
     DirectoryCommand,
+    EvacuateZone,
     ExpireBackend,
     FixUsage,
     FoundKeepers,
@@ -20,7 +21,10 @@
     RemoveBackend,
     RetireKeeper,
     SettleUsage,
+    TakeBackZone,
 )
+from merlinstand.directory.evacuations import Evacuations, StoredEvacuations
+from merlinstand.directory.returned_backends import ReturnedBackend
 from merlinstand.directory.routes import RoutesDocument, live_services
 from merlinstand.directory.view import KeeperGroup
 from merlinstand.duties.turns import LastTurn, Turns
@@ -43,6 +47,8 @@
     retiring: dict[str, str]
     usage: StoredUsage | None = None
     turns: dict[str, LastTurn] = {}
+    evacuations: StoredEvacuations = StoredEvacuations()
+    returned: dict[BackendId, ReturnedBackend] = {}
 
 
 _DECODER = msgspec.msgpack.Decoder(DirectorySnapshot)
@@ -74,6 +80,7 @@
 
         self.usage = UsageLedger()
         self.turns = Turns()
+        self.evacuations = Evacuations()
 
     def apply(self, index: int, command: DirectoryCommand, group_time: float = 0.0) -> None:
         """Apply a committed command.
@@ -87,11 +94,11 @@
             case PutDocument():
                 self._put_document(index, command)
             case PutBackend():
-                self.table.put(command.backend, command.sequence)
+                self.table.put(command.backend, command.sequence, group_time)
                 self._note_backends(index)
             case PutBackends():
                 for change in command.changes:
-                    self.table.put(change.backend, change.sequence)
+                    self.table.put(change.backend, change.sequence, group_time)
                 self._note_backends(index)
             case RemoveBackend():
                 self.table.remove(command.backend_id)
@@ -108,6 +115,11 @@
                     self.founding = command.group
             case RetireKeeper():
                 self.retiring.setdefault(command.node_id, command.name)
+            case EvacuateZone():
+                self.evacuations.order(command.zone, index, group_time)
+            case TakeBackZone():
+                if self.evacuations.take_back(command.zone, index, group_time):
+                    self._note_returned(command.zone, index, group_time)
             case NoteUsage():
                 self.usage.note(command.reports)
             case BeginMetering():
@@ -127,6 +139,13 @@
             self.document_revision = index
             self._note_live_services(index)
 
+    def _note_returned(self, zone: str, index: int, group_time: float) -> None:
+        """The servers of a zone may have become cold while nothing was sent to them."""
+        services = self.document.services if self.document is not None else ()
+        limited = {s.name for s in services if s.cold_requests_per_second > 0.0}
+        self.table.note_returned(zone, limited, group_time)
+        self._note_backends(index)
+
     def _note_backends(self, index: int) -> None:
         for touched in self.table.take_touched():
             self.backends_revision = index
@@ -159,6 +178,8 @@
                 retiring=self.retiring,
                 usage=self.usage.stored(),
                 turns=self.turns.last,
+                evacuations=self.evacuations.stored(),
+                returned=self.table.returned.marks,
             )
         )
 
@@ -175,6 +196,7 @@
         self.table = BackendTable()
         self.table.restore(snapshot.backends, snapshot.sequences)
         self.table.removed = dict.fromkeys(snapshot.removed)
+        self.table.returned.marks = dict(snapshot.returned)
         self.backends_revision = snapshot.backends_revision
         self.backend_history = BackendHistory(snapshot.backends_revision)
         self.live_services = live_services(snapshot.document)
@@ -188,3 +210,4 @@
         if snapshot.usage is not None:
             self.usage.restore(snapshot.usage)
         self.turns.last = dict(snapshot.turns)
+        self.evacuations.restore(snapshot.evacuations)
--- a/src/merlinstand/directory/subscribers.py
+++ b/src/merlinstand/directory/subscribers.py
@@ -33,6 +33,8 @@
     backends: int
     weights: int
     keepers: str
+    zones: int | None
+    """None for a daemon that doesn't know evacuations."""
 
 
 class _Lack(msgspec.Struct, frozen=True):
@@ -52,6 +54,8 @@
     backends_revision: int = -1
     weights_revision: int = -1
     keepers_mark: str = ""
+    zones_revision: int | None = None
+    """None if it doesn't know evacuations: then it is told none."""
 
     @property
     def is_gateway(self) -> bool:
@@ -66,6 +70,7 @@
             self.backends_revision,
             self.weights_revision,
             self.keepers_mark,
+            self.zones_revision,
         )
 
     def note_told(self, present: _Revisions) -> None:
@@ -74,6 +79,7 @@
         self.backends_revision = max(self.backends_revision, present.backends)
         self.weights_revision = max(self.weights_revision, present.weights)
         self.keepers_mark = present.keepers
+        self.zones_revision = present.zones
 
 
 class Subscribers:
@@ -167,7 +173,7 @@
 
         Many daemons lack the same at the same time: it is encoded and compressed once for them.
         """
-        present = self._present(state, subscriber.is_gateway)
+        present = self._present(state, subscriber)
         if subscriber.held() == present:
             return b""
         lack = _Lack(subscriber.is_gateway, subscriber.held(), present)
@@ -181,10 +187,13 @@
         subscriber.note_told(present)
         return data
 
-    def _present(self, state: DirectoryState, is_gateway: bool) -> _Revisions:
+    def _present(self, state: DirectoryState, subscriber: Subscriber) -> _Revisions:
+        """What there is for a daemon."""
+        is_gateway = subscriber.is_gateway
         backends = state.live_backends_revision if is_gateway else state.backends_revision
+        zones = None if subscriber.zones_revision is None else state.evacuations.revision
         document = state.document_revision if state.document is not None else -1
-        return _Revisions(document, backends, state.weights_revision, self._mark)
+        return _Revisions(document, backends, state.weights_revision, self._mark, zones)
 
     def _changes_for(
         self, subscriber: Subscriber, backends_revision: int, state: DirectoryState
@@ -201,6 +210,12 @@
                 "weights_revision": state.weights_revision,
                 "weights": dict(state.weights),
             }
+        zones_held = subscriber.zones_revision
+        if zones_held is not None and zones_held < state.evacuations.revision:
+            parts |= {
+                "zones_revision": state.evacuations.revision,
+                "evacuated": state.evacuations.zones,
+            }
         if subscriber.keepers_mark != self._mark:
             parts |= {
                 "keepers_mark": self._mark,
--- a/src/merlinstand/forwarding/daemon.py
+++ b/src/merlinstand/forwarding/daemon.py
@@ -71,6 +71,10 @@
 UNREADY_RETRY_SECONDS = 0.3
 """Told to callers when the routes did not come in time."""
 NO_ROUTES_REASON = "no routes yet"
+EVACUATED_REASON = "zone evacuated"
+EVACUATED_RETRY_SECONDS = 1.0
+"""Told to callers whose service has servers in evacuated zones only: operators take minutes, and a
+caller that comes back sooner is refused again."""
 ANSWER_MARGIN_SECONDS = 0.01
 """A caller's deadline ends this long before it for the gateway."""
 _BAD_GATEWAY = 502
@@ -175,7 +179,7 @@
             return [Respond(event.request_id, 200 if is_ready else _UNAVAILABLE, {}, b"")]
         if self.follower.has_document:
             return self._route_request(event, now, now)
-        return self._routes_wait.begin(event, now) or self._refuse_without_routes(event)
+        return self._routes_wait.begin(event, now) or self._refuse_unsent(event)
 
     def _end_routes_wait(self, now: float) -> list[Effect]:
         """The first routes are known: go on with the requests that waited for them."""
@@ -243,6 +247,10 @@
         arrived_at: float,
         now: float,
     ) -> list[Effect]:
+        service = self._split.choose(route)
+        if self.follower.is_evacuated(service):
+            # Held, it could only wait for the operators.
+            return self._refuse_unsent(event, EVACUATED_REASON, EVACUATED_RETRY_SECONDS)
         limit = route.timeout_seconds
         told = event.headers.get(self._names.deadline_ms, "")
         if told.isascii() and told.isdigit():
@@ -250,7 +258,7 @@
         request = ForwardRequest(
             key=event.request_id,
             route=route,
-            service=self._split.choose(route),
+            service=service,
             method=event.method,
             path=event.path,
             headers=backend_headers(
@@ -318,16 +326,21 @@
 
     def _give_up_routes(self, request_id: RequestId) -> list[Effect]:
         held = self._routes_wait.end(request_id)
-        return [] if held is None else self._refuse_without_routes(held.event)
+        return [] if held is None else self._refuse_unsent(held.event)
 
-    def _refuse_without_routes(self, event: RequestReceived) -> list[Effect]:
+    def _refuse_unsent(
+        self,
+        event: RequestReceived,
+        reason: str = NO_ROUTES_REASON,
+        retry_after_seconds: float = UNREADY_RETRY_SECONDS,
+    ) -> list[Effect]:
         fields = {
             "request": event.headers.get(self._names.request_id, ""),
             "outcome": NotRun.__name__,
-            "reason": NO_ROUTES_REASON,
+            "reason": reason,
             "attempts": 0,
         }
-        answer = _not_run(event.request_id, NO_ROUTES_REASON, UNREADY_RETRY_SECONDS)
+        answer = _not_run(event.request_id, reason, retry_after_seconds)
         return [LogEvent("request.failed", fields), answer]
 
     def _stop(self, now: float) -> list[Effect]:
