--- a/tests/directory/lone_control.py
+++ b/tests/directory/lone_control.py
@@ -77,6 +77,7 @@
         """Processor time of the reducer: for looking at, not for asserting."""
         self.changes: dict[str, DirectoryChanges] = {}
         """Revisions that each daemon holds."""
+        self._without_zones: set[str] = set()
         self._decoded: dict[bytes, DirectoryChanges] = {}
         self._timers: dict[str, float] = {}
         self._queue: list[tuple[float, int, Event | Callable[[], Event]]] = []
@@ -99,9 +100,13 @@
         self.at(when, RequestReceived(request_id, method, path, {}, data))
         return request_id
 
-    def add_daemon(self, node_id: str, role: str, first_at: float) -> None:
-        """Let a daemon follow the directory from a time on."""
+    def add_daemon(
+        self, node_id: str, role: str, first_at: float, knows_zones: bool = True
+    ) -> None:
+        """Let a daemon follow the directory from a time on; an earlier version knows no zones."""
         self.changes[node_id] = DirectoryChanges()
+        if not knows_zones:
+            self._without_zones.add(node_id)
         self.at(first_at, lambda: self._pull(node_id, role))
 
     def _pull(self, node_id: str, role: str) -> Event:
@@ -115,7 +120,7 @@
             backends_revision=held.backends_revision,
             weights_revision=held.weights_revision,
             keepers_mark=held.keepers_mark,
-            zones_revision=held.zones_revision,
+            zones_revision=None if node_id in self._without_zones else held.zones_revision,
         )
         return MessageReceived(NodeId(node_id), message)
 
--- a/tests/directory/test_evacuations.py
+++ b/tests/directory/test_evacuations.py
@@ -241,6 +241,18 @@
     assert control.changes["10.0.0.9"].evacuated == (("a",) if method == "POST" else ())
 
 
+def test_a_daemon_whose_pulls_tell_no_zones_is_told_none() -> None:
+    """It is of an earlier version; others beside it are told."""
+    control = lone_control()
+    control.add_daemon("10.0.0.8", "gateway", 2.1, knows_zones=False)
+    control.add_daemon("10.0.0.9", "gateway", 2.1)
+    control.request(3.0, "POST", "/evacuations/a")
+    control.run_until(4.0)
+    assert control.changes["10.0.0.9"].evacuated == ("a",)
+    assert control.changes["10.0.0.8"].evacuated is None
+    assert control.updates["10.0.0.8"] == 1
+
+
 # At daemons
 
 
