--- a/tests/users_platform/real_world.py
+++ b/tests/users_platform/real_world.py
@@ -25,7 +25,15 @@
 from merlinstand.kernel.reducer import Reducer
 from merlinstand.runtime.host import Host
 from merlinstand.runtime.host_settings import HostSettings
-from tests.users_platform.callers import LookupClient, Operator, Trainer, config
+from tests.users_platform.callers import (
+    LookupClient,
+    Operator,
+    Trainer,
+    ZoneOperator,
+    ZoneOrder,
+    ZoneOrderAnswered,
+    config,
+)
 from tests.users_platform.servers import Engine, RegisteredServer
 from tests.users_platform.world import (
     LOOKUPS_TENANT,
@@ -45,7 +53,11 @@
 FIRST_NETWORK = 100
 LAST_NETWORK = 200
 ZONES = ("hall-a", "hall-b", "hall-c")
+REGION = "ro-central"
 RECEIVE_BYTES = 65536
+ORDER_LIMIT_SECONDS = 10.0
+"""Twice what an acknowledgement may take while the leader is replaced."""
+ORDER_LOOK_SECONDS = 0.05
 
 NODE_FILE = """
 Node = "{node}"
@@ -61,6 +73,8 @@
 Control = "{ip}:{control}"
 [FaultTolerance]
 Machines = 1
+[Zones]
+{zones}
 """
 
 
@@ -178,6 +192,7 @@
                 front=FRONT_PORT,
                 ready=READY_PORT,
                 control=CONTROL_PORT,
+                zones="\n".join(f'{zone} = "{REGION}"' for zone in ZONES),
             )
         )
         self._starts += 1
@@ -244,13 +259,15 @@
             machine.start()
         controls = [f"{ip}:{CONTROL_PORT}" for ip in self.control_ips]
         gateways = [f"{ip}:{FRONT_PORT}" for ip in gateway_ips]
-        for number in (1, 2, 3):
+        self._control_addresses = controls
+        self._zone_orders = 0
+        for number, zone in enumerate(ZONES, 1):
             shop = f"{base}.{number}.64"
             proxied = f"{shop}:{PROXY_PORT}"
-            self._host_server(shop, RegisteredServer("shop", proxied, ZONES[0], controls))
+            self._host_server(shop, RegisteredServer("shop", proxied, zone, controls))
             engine = f"{base}.{number}.65"
             proxied = f"{engine}:{PROXY_PORT}"
-            self._host_server(engine, Engine("llm-m0", proxied, ZONES[0], controls, ["m0"]))
+            self._host_server(engine, Engine("llm-m0", proxied, zone, controls, ["m0"]))
         services = {"shop": [], "llm-m0": ["m0"]}
         content = config(3, services, keys=TENANT_KEYS)
         self._host("op", Operator(controls, [(0.5, content)]))
@@ -268,6 +285,20 @@
         keys = tuple(TENANT_KEYS[LOOKUPS_TENANT])
         self._host("lookups", LookupClient("c0", gateways, first_at=5.0, keys=keys))
 
+    def order_zone(self, order: ZoneOrder) -> bool:
+        """Have an operator give an order for a zone; tells whether it was acknowledged in time."""
+        self._zone_orders += 1
+        name = f"zones-{self._zone_orders}"
+        self._host(name, ZoneOperator(name, self._control_addresses, [(0.0, order)]))
+        waited = 0.0
+        while waited < ORDER_LIMIT_SECONDS:
+            gevent.sleep(ORDER_LOOK_SECONDS)
+            waited += ORDER_LOOK_SECONDS
+            for record in self.simulation.records.get("evacuations", []):
+                if isinstance(record, ZoneOrderAnswered) and record.number.startswith(f"{name}-"):
+                    return record.status == 200
+        return False
+
     def tenant_of(self, request_id: str) -> str:
         """Whose request it is that runs under an id."""
         return tenant_of(request_id)
--- a/tests/users_platform/soak.py
+++ b/tests/users_platform/soak.py
@@ -1,7 +1,8 @@
 """Randomized fault soak of the real programs: `python -m tests.users_platform.soak SEED [SEED...]`.
 
-Each seed draws kills, freezes, planned stops, lost disks and cut or reset servers for half a
-minute; whatever outsiders saw is then checked. Bounded in time and load, loopback only.
+Each seed draws kills, freezes, planned stops, lost disks, cut or reset servers and evacuations of
+zones for half a minute; whatever outsiders saw is then checked. Bounded in time and load, loopback
+only.
 """
 
 import random
@@ -13,8 +14,10 @@
 
 import gevent
 
+from tests.users_platform.callers import ZoneOrder
 from tests.users_platform.checks import answered_share, violations, whole_steps
-from tests.users_platform.real_world import Machine, RealWorld
+from tests.users_platform.evacuation_check import IN_FORCE_SECONDS
+from tests.users_platform.real_world import ZONES, Machine, RealWorld
 
 STEPS = 6
 QUIET_SECONDS = 6.0
@@ -42,6 +45,7 @@
             faults = _strike(world, random.Random(seed))
             _wait_for_steps(world)
             found = violations(world) + _crashes(world)  # type: ignore[arg-type]
+            found += [fault for fault in faults if "without an answer" in fault]
             steps = whole_steps(world)  # type: ignore[arg-type]
             if steps < STEPS:
                 found.append(f"only {steps} of {STEPS} steps whole")
@@ -66,6 +70,7 @@
         _cut_server,
         _reset_servers,
         _reload,
+        _evacuate,
     ]
     spent = 0.0
     while spent < FAULT_SECONDS:
@@ -144,6 +149,15 @@
     return f"reload {machine.role}"
 
 
+def _evacuate(world: RealWorld, draw: random.Random) -> str:
+    """Empty a zone for a while: two are left, and no other fault strikes meanwhile."""
+    zone = draw.choice(ZONES)
+    is_done = world.order_zone(ZoneOrder(zone, True))
+    gevent.sleep(draw.uniform(1.0, IN_FORCE_SECONDS + 2.0))
+    is_back = world.order_zone(ZoneOrder(zone, False))
+    return "evacuate" if is_done and is_back else "evacuate without an answer"
+
+
 def _wait_for_steps(world: RealWorld) -> None:
     waited = 0.0
     while whole_steps(world) < STEPS and waited < RECOVERY_LIMIT_SECONDS:  # type: ignore[arg-type]
--- a/tests/users_platform/test_real_programs.py
+++ b/tests/users_platform/test_real_programs.py
@@ -7,8 +7,9 @@
 import gevent
 import pytest
 
+from tests.users_platform.callers import ZoneOrder
 from tests.users_platform.checks import answered_share, violations, whole_steps
-from tests.users_platform.real_world import RealWorld
+from tests.users_platform.real_world import ZONES, RealWorld
 
 GIVE_UP_SECONDS = 90.0
 STEPS = 2
@@ -55,6 +56,19 @@
     assert not [m for m in world.machines if "_failed" in m.log]
 
 
+def test_a_zone_is_emptied_and_taken_back(world: RealWorld) -> None:
+    wait_for_founding(world)
+    assert world.order_zone(ZoneOrder(ZONES[1], True))
+    wait_for_steps(world)
+    assert world.order_zone(ZoneOrder(ZONES[1], False))
+    assert violations(world) == []  # type: ignore[arg-type]
+    logs = "".join(control.log for control in world.controls)
+    assert logs.count(f"event=zone.evacuated zone={ZONES[1]}") == 1
+    assert logs.count(f"event=zone.taken_back zone={ZONES[1]} evacuated_seconds=") == 1
+    told = [f"event=directory.evacuated zones={ZONES[1]}" in m.log for m in world.gateways]
+    assert all(told)
+
+
 def test_a_planned_stop_ends_with_0_and_a_reload_ends_nothing(world: RealWorld) -> None:
     gateway, keeper, control = world.gateways[0], world.keepers[1], world.controls[1]
     wait_for_founding(world)
