--- a/tests/directory/test_evacuations.py
+++ b/tests/directory/test_evacuations.py
@@ -1,5 +1,7 @@
 """Orders for zones: what they change in the directory, and what daemons make of them."""
 
+import random
+
 import msgspec
 import pytest
 
@@ -360,6 +362,42 @@
     assert directory.usable() == ["i-2"]
 
 
+@pytest.mark.parametrize("role", ["gateway", "keeper"])
+@pytest.mark.parametrize("seed", range(10))
+def test_a_daemon_holds_what_the_leader_holds_after_each_pull(seed: int, role: str) -> None:
+    """Whatever was ordered, changed or lost; and in between no server of a zone that came back is
+    used by what was known of it before."""
+    chance = random.Random(seed)
+    directory = Directory(role)
+    for step in range(200):
+        zone = chance.choice("ab")
+        number = chance.randrange(6)
+        orders = [EvacuateZone(zone), TakeBackZone(zone)]
+        changes = [PutBackend(server(number, "ab"[number % 2]), step), ExpireBackend(name(number))]
+        directory.apply(chance.choice(orders + changes), step / 10)
+        if chance.random() < 0.5:
+            directory.push(is_lost=chance.random() < 0.3)
+        if chance.random() < 0.1:
+            directory.restart()
+        if chance.random() < 0.3:
+            directory.pull()
+            assert directory.follower.evacuated.zones == {*directory.state.evacuations.zones}
+        assert_no_server_is_used_too_soon(directory)
+
+
+def name(number: int) -> BackendId:
+    return BackendId(f"i-{number}")
+
+
+def assert_no_server_is_used_too_soon(directory: Directory) -> None:
+    """Whoever knows the newest order knows which servers are cold for it."""
+    follower = directory.follower
+    if follower.evacuated.revision == directory.state.evacuations.revision:
+        marked = directory.state.table.returned.marks
+        usable = [backend for backend in follower.backends if not backend.is_leaving]
+        assert all(backend.is_cold for backend in usable if backend.backend_id in marked)
+
+
 # Cold servers after a return
 
 
