--- a/src/merlinstand/batch_jobs/engines.py
+++ b/src/merlinstand/batch_jobs/engines.py
@@ -153,14 +153,14 @@
         self._follower = follower
         self._places = Places() if places is None else places
         self._region = self._places.region_of(zone)
-        self._revision = -2
+        self._revision = -1
         self.states: dict[BackendId, EngineState] = {}
 
     def refresh(self) -> None:
         """Follow the directory."""
-        if self._revision == self._follower.backends_revision:
+        if self._revision == self._follower.view_revision:
             return
-        self._revision = self._follower.backends_revision
+        self._revision = self._follower.view_revision
         previous = self.states
         self.states = {}
         for backend in self._follower.backends:
--- a/tests/directory/lone_control.py
+++ b/tests/directory/lone_control.py
@@ -46,13 +46,19 @@
 class LoneControl:
     """Runs one daemon's events in order of time; everything is durable a millisecond later."""
 
-    def __init__(self) -> None:
+    def __init__(self, zones: dict[str, str] | None = None) -> None:
+        """Start it.
+
+        Args:
+            zones: Region by zone.
+        """
         settings = DirectorySettings(
             node_id="10.0.0.1",
             name="control-1",
             zone="z",
             internal_address=ADDRESS,
             http_port=9,
+            zones=zones or {},
             seeds=(ADDRESS,),
             may_found=True,
             tolerated_losses=0,
@@ -63,12 +69,15 @@
         """Updates with changes in them, by receiver."""
         self.update_bytes = 0
         self.writes = 0
+        self.hold_writes = False
+        """Nothing becomes durable any more."""
         self.responses: dict[str, tuple[int, float]] = {}
         """Status and time of each answered request."""
         self.busy_seconds = 0.0
         """Processor time of the reducer: for looking at, not for asserting."""
         self.changes: dict[str, DirectoryChanges] = {}
         """Revisions that each daemon holds."""
+        self._without_zones: set[str] = set()
         self._decoded: dict[bytes, DirectoryChanges] = {}
         self._timers: dict[str, float] = {}
         self._queue: list[tuple[float, int, Event | Callable[[], Event]]] = []
@@ -91,9 +100,13 @@
         self.at(when, RequestReceived(request_id, method, path, {}, data))
         return request_id
 
-    def add_daemon(self, node_id: str, role: str, first_at: float) -> None:
-        """Let a daemon follow the directory from a time on."""
+    def add_daemon(
+        self, node_id: str, role: str, first_at: float, knows_zones: bool = True
+    ) -> None:
+        """Let a daemon follow the directory from a time on; an earlier version knows no zones."""
         self.changes[node_id] = DirectoryChanges()
+        if not knows_zones:
+            self._without_zones.add(node_id)
         self.at(first_at, lambda: self._pull(node_id, role))
 
     def _pull(self, node_id: str, role: str) -> Event:
@@ -107,6 +120,7 @@
             backends_revision=held.backends_revision,
             weights_revision=held.weights_revision,
             keepers_mark=held.keepers_mark,
+            zones_revision=None if node_id in self._without_zones else held.zones_revision,
         )
         return MessageReceived(NodeId(node_id), message)
 
@@ -124,6 +138,8 @@
             backends_revision=max(held.backends_revision, told.backends_revision),
             weights_revision=max(held.weights_revision, told.weights_revision),
             keepers_mark=told.keepers_mark or held.keepers_mark,
+            zones_revision=max(held.zones_revision, told.zones_revision),
+            evacuated=held.evacuated if told.evacuated is None else told.evacuated,
         )
 
     def run_until(self, end: float) -> None:
@@ -159,6 +175,8 @@
                     self._timers.pop(effect.name, None)
                 case AppendRecords():
                     self.writes += 1
+                    if self.hold_writes:
+                        continue
                     self.at(self.now + SYNC_SECONDS, RecordsSynced(effect.token))
                 case SaveSnapshot():
                     self.at(self.now + SYNC_SECONDS, SnapshotSaved(effect.token))
