--- a/src/merlinstand/batch_jobs/daemon.py
+++ b/src/merlinstand/batch_jobs/daemon.py
@@ -110,7 +110,7 @@
         names = settings.header_names
         self.jobs = JobStates()
         self.follower = DirectoryFollower(settings.seeds, self._report)
-        self._engines = EngineStates(self.follower)
+        self._engines = EngineStates(self.follower, Places(settings.zones), settings.zone)
         self._split = WeightedChoice()
         self._places = Places(settings.zones)
         self._forwarder = Forwarder(names, self.follower.snapshot_of, self._places)
@@ -245,6 +245,7 @@
             ),
             bootstrap=self._may_found,
             target_size=settings.group_size,
+            placement=settings.placement,
             timings=quick_timings(settings.election_timeout_seconds, settings.repair_delay_seconds),
         )
 
