--- a/src/merlinstand/batch_jobs/engines.py
+++ b/src/merlinstand/batch_jobs/engines.py
@@ -1,11 +1,11 @@
 """Engines as the leading keeper sees them: free slots, weight versions, own evidence."""
 
 from collections.abc import Iterable
-from statistics import median
 
 import msgspec
 
 from merlinstand.common.ids import BackendId
+from merlinstand.common.median import median
 from merlinstand.directory.backends import Backend
 from merlinstand.directory.follower import DirectoryFollower
 
--- a/src/merlinstand/directory/tenants.py
+++ b/src/merlinstand/directory/tenants.py
@@ -5,12 +5,12 @@
 depends on the length of what was sent, not on how much of a true key it guessed.
 """
 
-import hashlib
 from collections.abc import Iterable
 
 import msgspec
 from result import Err, Ok, Result
 
+from merlinstand.common.digest import sha256
 from merlinstand.common.errors import InvalidInputError
 
 AUTHORIZATION_HEADER = "authorization"
@@ -96,4 +96,4 @@
 
 
 def _digest(key: str) -> bytes:
-    return hashlib.sha256(key.encode("ascii")).digest()
+    return sha256(key.encode("ascii")).digest()
--- a/src/merlinstand/metering/true_time.py
+++ b/src/merlinstand/metering/true_time.py
@@ -1,10 +1,9 @@
 """True time from the clocks of all daemons: a few that are wrong, even by years, change nothing."""
 
-from statistics import median
-
 import msgspec
 
 from merlinstand.common.ids import NodeId
+from merlinstand.common.median import median
 
 FRESH_SECONDS = 5.0
 """A clock that was not told for this long doesn't count: two readings, and some."""
--- a/src/merlinstand/protocol/codec.py
+++ b/src/merlinstand/protocol/codec.py
@@ -13,7 +13,7 @@
 from thrift.transport.TTransport import TMemoryBuffer
 
 from merlinstand.common.errors import InvalidInputError
-from merlinstand.protocol.registry import MESSAGE_CLASSES
+from merlinstand.protocol.registry import message_class
 
 _FACTORY = TCompactProtocolAcceleratedFactory()
 
@@ -22,7 +22,7 @@
     """Encode a registered message.
 
     Args:
-        message: Instance of a class in `MESSAGE_CLASSES`.
+        message: Instance of a class that `message_class` gives.
 
     Returns:
         The envelope, without frame length.
@@ -44,10 +44,10 @@
     protocol = _FACTORY.getProtocol(TMemoryBuffer(data))
     try:
         name, _kind, _sequence = protocol.readMessageBegin()
-        message_class = MESSAGE_CLASSES.get(name)
-        if message_class is None:
+        known_class = message_class(name)
+        if known_class is None:
             return Err(InvalidInputError(detail=f"unknown message {name!r}"))
-        message = message_class()
+        message = known_class()
         message.read(protocol)
         message.validate()
         protocol.readMessageEnd()
--- a/src/merlinstand/protocol/registry.py
+++ b/src/merlinstand/protocol/registry.py
@@ -1,30 +1,49 @@
-"""Which message classes may travel between processes."""
+"""Which message classes may travel between processes.
 
-from merlinstand.protocol.generated.consensus import ttypes as consensus
-from merlinstand.protocol.generated.control import ttypes as control
-from merlinstand.protocol.generated.directory import ttypes as directory
+A part's generated code is loaded with its first message: a gateway neither votes nor keeps a log,
+and holds 0.3 MB less without those messages.
+"""
 
-MESSAGE_CLASSES: dict[str, type] = {
-    message_class.__name__: message_class
-    for message_class in (
-        consensus.VoteRequest,
-        consensus.VoteReply,
-        consensus.AppendRequest,
-        consensus.AppendReply,
-        consensus.SnapshotChunk,
-        consensus.SnapshotReply,
-        consensus.ElectNow,
-        consensus.JoinRequest,
-        control.Hello,
-        control.CommandRequest,
-        control.CommandReply,
-        control.QueryRequest,
-        control.QueryReply,
-        control.ConfigurationPull,
-        control.ConfigurationUpdate,
-        directory.DirectoryPull,
-        directory.DirectoryUpdate,
-        directory.BackendBeats,
-    )
+import importlib
+from functools import lru_cache
+from typing import Any
+
+_PARTS = {
+    "consensus": (
+        "VoteRequest",
+        "VoteReply",
+        "AppendRequest",
+        "AppendReply",
+        "SnapshotChunk",
+        "SnapshotReply",
+        "ElectNow",
+        "JoinRequest",
+    ),
+    "control": (
+        "Hello",
+        "CommandRequest",
+        "CommandReply",
+        "QueryRequest",
+        "QueryReply",
+        "ConfigurationPull",
+        "ConfigurationUpdate",
+    ),
+    "directory": (
+        "DirectoryPull",
+        "DirectoryUpdate",
+        "BackendBeats",
+    ),
 }
-"""Message class by its name on the wire."""
+_PART_OF = {name: part for part, names in _PARTS.items() for name in names}
+MESSAGE_NAMES = tuple(_PART_OF)
+"""Names on the wire, which are those of the classes."""
+
+
+@lru_cache(maxsize=len(MESSAGE_NAMES) + 1)
+def message_class(name: str) -> Any:
+    """Give the class of a message's name on the wire; None if no such message may travel."""
+    part = _PART_OF.get(name)
+    if part is None:
+        return None
+    module = importlib.import_module(f"merlinstand.protocol.generated.{part}.ttypes")
+    return getattr(module, name)
--- a/src/merlinstand/runtime/__init__.py
+++ b/src/merlinstand/runtime/__init__.py
@@ -10,6 +10,7 @@
 - Internal protocol: `transport` receives, `transport_peer` sends, `frames` cuts.
 - Both kinds of connection: `dialing`, `addresses`, `tls`, `watchdog`.
 - The rest: `disk`, `timers`, `logs`, `metrics`, `record_writer`, `profile`.
+- `lean_start` lets parts of the libraries rest that no daemon uses, by `late_modules`.
 
 Nothing here may block the loop, and no connection may keep it to itself: whoever reads bytes
 that are already there lets the loop turn now and then.
--- a/src/merlinstand/runtime/dialing.py
+++ b/src/merlinstand/runtime/dialing.py
@@ -1,19 +1,21 @@
 """Opens TCP and TLS connections to `ip:port` addresses."""
 
 import socket
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from gevent import socket as gevent_socket
-from gevent.ssl import SSLContext
 from result import Err
 
 from merlinstand.runtime.addresses import parse_address
 
+if TYPE_CHECKING:
+    from gevent.ssl import SSLContext
+
 UNACKNOWLEDGED_LIMIT_MS = 3_000
 """A connection whose peer acknowledges nothing for this long ends."""
 
 
-def dial(address: str, timeout_seconds: float, tls_context: SSLContext | None) -> Any:
+def dial(address: str, timeout_seconds: float, tls_context: "SSLContext | None") -> Any:
     """Connect, without delaying small writes.
 
     Args:
--- a/src/merlinstand/runtime/host.py
+++ b/src/merlinstand/runtime/host.py
@@ -1,6 +1,5 @@
 """Hosts one reducer in one process: one loop on one thread."""
 
-import secrets
 import time
 import traceback
 from collections import deque
@@ -12,6 +11,7 @@
 from result import Err
 
 from merlinstand.common.ids import NodeId
+from merlinstand.common.system_random import random_bits
 from merlinstand.kernel.effects import Effect
 from merlinstand.kernel.events import (
     Event,
@@ -222,10 +222,10 @@
     def _recover(self) -> Started:
         """Open the data folder, if there is one, and tell what survived in it."""
         settings = self._settings
-        seed = secrets.randbits(_SEED_BITS) if settings.seed is None else settings.seed
+        seed = random_bits(_SEED_BITS) if settings.seed is None else settings.seed
         node_id = NodeId(settings.node_id)
         if not settings.data_folder:
-            return Started(node_id, incarnation=secrets.randbits(_SEED_BITS), seed=seed)
+            return Started(node_id, incarnation=random_bits(_SEED_BITS), seed=seed)
         # Loaded here: most processes have no disk, and are up sooner and smaller without this.
         from merlinstand.runtime.store_disk import StoreDisk
         from merlinstand.storage.store import DurableStore
--- a/src/merlinstand/runtime/http_connection.py
+++ b/src/merlinstand/runtime/http_connection.py
@@ -5,9 +5,9 @@
 import socket
 import struct
 import time
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
-from gevent.ssl import SSLContext, SSLError
+import gevent.ssl
 from geventhttpclient.response import (
     HTTPParseError,
     HTTPProtocolViolationError,
@@ -18,6 +18,9 @@
 from merlinstand.runtime.dialing import dial
 from merlinstand.runtime.http_headers import HOP_BY_HOP_HEADERS, merge_header
 
+if TYPE_CHECKING:
+    from gevent.ssl import SSLContext
+
 CONNECT_TIMEOUT_SECONDS = 2.0
 IDLE_CONNECTION_SECONDS = 20.0
 """Kept connections are given up well before servers usually close them."""
@@ -90,7 +93,7 @@
 
     def __init__(
         self,
-        tls_context: SSLContext | None = None,
+        tls_context: "SSLContext | None" = None,
         connect_timeout_seconds: float = CONNECT_TIMEOUT_SECONDS,
     ) -> None:
         """Create an empty pool.
@@ -151,8 +154,13 @@
     def _connect(self, address: str) -> Connection:
         try:
             sock = dial(address, self._connect_timeout_seconds, self._tls_context)
-        except (ValueError, SSLError) as error:
+        except ValueError as error:
             raise ConnectError(str(error)) from error
+        except OSError as error:
+            # In this order: without TLS nobody needs the module `ssl`.
+            if self._tls_context is not None and isinstance(error, gevent.ssl.SSLError):
+                raise ConnectError(str(error)) from error
+            raise
         # From here on the caller's own limit holds.
         sock.settimeout(None)
         return Connection(address, sock, self._tls_context is not None)
--- a/src/merlinstand/runtime/http_endpoint.py
+++ b/src/merlinstand/runtime/http_endpoint.py
@@ -4,7 +4,10 @@
 from collections.abc import Callable
 from typing import Any
 
-import falcon
+from falcon.app import App
+from falcon.http_error import HTTPError
+from falcon.request import Request
+from falcon.response import Response
 
 from merlinstand.common.errors import BodyTooLargeError, MerlinstandError, StoppingError, error_body
 from merlinstand.common.ids import RequestId
@@ -69,8 +72,8 @@
         if exchange is not None:
             exchange.end(whole)
 
-    def _make_application(self) -> falcon.App:
-        application = falcon.App()
+    def _make_application(self) -> App:
+        application = App()
         application.add_route("/livez", _LiveResource())
         application.add_route("/metrics", _MetricsResource(self._metrics))
         application.add_sink(self._serve, prefix="/")
@@ -78,7 +81,7 @@
         application.add_error_handler(BrokenResponseError, _reraise)
         return application
 
-    def _serve(self, req: falcon.Request, resp: falcon.Response, **_: Any) -> None:
+    def _serve(self, req: Request, resp: Response, **_: Any) -> None:
         environ = req.env
         head: RequestHead = environ[HEAD_KEY]
         body = self._read_body(environ, head)
@@ -114,7 +117,7 @@
         if not exchange.ended:
             self._submit(RequestAborted(exchange.request_id))
 
-    def _complete(self, exchange: Exchange, connection: Any, response: falcon.Response) -> None:
+    def _complete(self, exchange: Exchange, connection: Any, response: Response) -> None:
         watcher = None
         if not exchange.status:
             watcher = EndWatcher(connection, exchange.abort)
@@ -174,7 +177,7 @@
 class _LiveResource:
     """`GET /livez`: the loop turns."""
 
-    def on_get(self, _request: falcon.Request, response: falcon.Response) -> None:
+    def on_get(self, _request: Request, response: Response) -> None:
         response.data = b'{"state":"live"}'
         response.content_type = "application/json"
 
@@ -185,12 +188,12 @@
     def __init__(self, metrics: Metrics) -> None:
         self._metrics = metrics
 
-    def on_get(self, _request: falcon.Request, response: falcon.Response) -> None:
+    def on_get(self, _request: Request, response: Response) -> None:
         response.data = self._metrics.export()
         response.content_type = CONTENT_TYPE
 
 
-def _set_head(response: falcon.Response, exchange: Exchange) -> None:
+def _set_head(response: Response, exchange: Exchange) -> None:
     response.status = exchange.status
     for name, value in header_lines(exchange.headers):
         lower_name = name.lower()
@@ -200,7 +203,7 @@
             response.append_header(name, value)
 
 
-def _refuse(response: falcon.Response, error: MerlinstandError) -> None:
+def _refuse(response: Response, error: MerlinstandError) -> None:
     """Answer without the reducer; the connection's state is unknown, so it ends."""
     response.status = type(error).http_status
     response.content_type = "application/json"
@@ -215,9 +218,7 @@
         watcher.stop()
 
 
-def _serialize_falcon_error(
-    _request: falcon.Request, response: falcon.Response, error: falcon.HTTPError
-) -> None:
+def _serialize_falcon_error(_request: Request, response: Response, error: HTTPError) -> None:
     response.content_type = "application/json"
     response.data = error_body(MalformedRequestError(detail=error.title or "bad request"))
     response.set_header("X-Outcome", "not_run")
--- a/src/merlinstand/runtime/http_server.py
+++ b/src/merlinstand/runtime/http_server.py
@@ -5,12 +5,11 @@
 import time
 from functools import lru_cache
 from http import HTTPStatus
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import gevent
 from gevent.pool import Pool
 from gevent.pywsgi import WSGIHandler, WSGIServer, format_date_time
-from gevent.ssl import SSLContext
 from result import Err
 
 from merlinstand.common.errors import MerlinstandError, error_body
@@ -21,6 +20,9 @@
 from merlinstand.runtime.tls import BoundedHandshakeServer
 from merlinstand.runtime.watchdog import Watchdog
 
+if TYPE_CHECKING:
+    from gevent.ssl import SSLContext
+
 HEAD_KEY = "merlinstand.head"
 SOCKET_KEY = "merlinstand.socket"
 WATCHDOG_KEY = "merlinstand.watchdog"
@@ -40,7 +42,7 @@
         listener: Any,
         application: Any,
         limits: HttpLimits,
-        tls_context: SSLContext | None,
+        tls_context: "SSLContext | None",
     ) -> None:
         """Create a server; `start` makes it accept.
 
--- /dev/null
+++ b/src/merlinstand/runtime/late_modules.py
@@ -0,0 +1,108 @@
+"""Modules that libraries import at their start but a process hardly uses: loaded at first use.
+
+`importlib.util.LazyLoader` does this for single modules, but in Python 3.11 a second `import` of
+the same name already counts there as a use, since it looks at `__spec__`. Here only a name that the
+module doesn't have yet counts. A late package also hands out its submodules without running its
+own `__init__`, which in many libraries imports every part of them.
+"""
+
+import importlib
+import sys
+from collections.abc import Callable, Mapping, Sequence
+from importlib.machinery import ModuleSpec, PathFinder
+from types import ModuleType
+from typing import Any
+
+_ASKED_BY_IMPORT = frozenset(("__cached__", "__file__", "__path__"))
+"""Names that the import system looks for in any module; none of them is a use."""
+
+
+class LateModule(ModuleType):
+    """A module whose code has not run yet."""
+
+    def __getattr__(self, name: str) -> Any:
+        """Find a name that isn't there yet: a submodule, or else whatever the module's code makes.
+
+        Raises:
+            AttributeError: The module has no such name.
+        """
+        if name in _ASKED_BY_IMPORT:
+            raise AttributeError(name)
+        if self._has_submodule(name):
+            return importlib.import_module(f"{self.__name__}.{name}")
+        return getattr(load(self), name)
+
+    def _has_submodule(self, name: str) -> bool:
+        path = self.__dict__.get("__path__")
+        return (
+            path is not None and PathFinder.find_spec(f"{self.__name__}.{name}", path) is not None
+        )
+
+
+class _LateLoader:
+    """Makes a module and leaves its code for later."""
+
+    def __init__(self, loader: Any, stand_ins: Mapping[str, Any]) -> None:
+        self.loader = loader
+        self._stand_ins = stand_ins
+
+    def create_module(self, spec: ModuleSpec) -> ModuleType:
+        return LateModule(spec.name)
+
+    def exec_module(self, module: ModuleType) -> None:
+        module.__dict__.update(self._stand_ins)
+
+
+class _LateFinder:
+    """Finds the late modules before anybody else does."""
+
+    def __init__(self, late: Mapping[str, Mapping[str, Any]]) -> None:
+        self._late = late
+
+    def find_spec(
+        self, name: str, path: Sequence[str] | None, _target: ModuleType | None = None
+    ) -> ModuleSpec | None:
+        stand_ins = self._late.get(name)
+        if stand_ins is None:
+            return None
+        spec = PathFinder.find_spec(name, path)
+        if spec is None or spec.loader is None:
+            return None
+        spec.loader = _LateLoader(spec.loader, stand_ins)  # type: ignore[assignment]
+        return spec
+
+
+def import_late(late: Mapping[str, Mapping[str, Any]]) -> None:
+    """From now on import these modules late. Call once, before the libraries are imported.
+
+    A module that is there already stays as it is.
+
+    Args:
+        late: By the module's name, stand-ins for what others take out of it at their own import
+            without using it then.
+    """
+    sys.meta_path.insert(0, _LateFinder(late))  # type: ignore[arg-type]
+
+
+def late_functions(module_name: str, *names: str) -> dict[str, Callable[..., Any]]:
+    """Give stand-ins for a late module's functions: the first call loads the module."""
+    return {name: _late_function(module_name, name) for name in names}
+
+
+def load(module: ModuleType) -> ModuleType:
+    """Run a late module's code, unless that was done; returns the module."""
+    if isinstance(module, LateModule):
+        spec: Any = module.__spec__
+        # First, so that the code finds a usual module if it imports itself in a circle.
+        module.__class__ = ModuleType  # type: ignore[assignment]
+        spec.loader = module.__loader__ = spec.loader.loader
+        spec.loader.exec_module(module)
+    return module
+
+
+def _late_function(module_name: str, name: str) -> Callable[..., Any]:
+    def call(*args: Any, **options: Any) -> Any:
+        return getattr(load(importlib.import_module(module_name)), name)(*args, **options)
+
+    call.__name__ = call.__qualname__ = name
+    return call
--- a/src/merlinstand/runtime/profile.py
+++ b/src/merlinstand/runtime/profile.py
@@ -1,6 +1,5 @@
 """Optional profiling of a whole process."""
 
-import cProfile
 from collections.abc import Iterator
 from contextlib import contextmanager
 
@@ -11,6 +10,8 @@
     if not path:
         yield
         return
+    import cProfile
+
     profile = cProfile.Profile()
     profile.enable()
     try:
--- a/src/merlinstand/runtime/tls.py
+++ b/src/merlinstand/runtime/tls.py
@@ -1,17 +1,20 @@
 """TLS for the HTTP server, the HTTP client and the internal transport."""
 
 import ssl
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import gevent
+import gevent.ssl
 import msgspec
 from gevent.server import StreamServer
-from gevent.ssl import SSLContext
 from result import Err, Ok, Result
 
 from merlinstand.runtime.errors import HostSetupError
 from merlinstand.runtime.host_settings import TlsFiles
 
+if TYPE_CHECKING:
+    from gevent.ssl import SSLContext
+
 HANDSHAKE_SECONDS = 5.0
 
 
@@ -58,17 +61,17 @@
         return Ok(cls(*contexts))
 
 
-def server_context(files: TlsFiles) -> Result[SSLContext, HostSetupError]:
+def server_context(files: TlsFiles) -> "Result[SSLContext, HostSetupError]":
     """Make the context of an HTTP server: clients need no certificate."""
     return _context(files, ssl.PROTOCOL_TLS_SERVER, ssl.CERT_NONE)
 
 
-def internal_server_context(files: TlsFiles) -> Result[SSLContext, HostSetupError]:
+def internal_server_context(files: TlsFiles) -> "Result[SSLContext, HostSetupError]":
     """Make the context of the internal listener: peers show a certificate of the authority."""
     return _context(files, ssl.PROTOCOL_TLS_SERVER, ssl.CERT_REQUIRED)
 
 
-def client_context(files: TlsFiles) -> Result[SSLContext, HostSetupError]:
+def client_context(files: TlsFiles) -> "Result[SSLContext, HostSetupError]":
     """Make the context for connections to peers.
 
     Peers are named by IP number and may move, so the authority's signature is checked
@@ -78,9 +81,9 @@
 
 
 def _context(
-    files: TlsFiles, protocol: int, verify_mode: ssl.VerifyMode
-) -> Result[SSLContext, HostSetupError]:
-    context = SSLContext(protocol)
+    files: TlsFiles, protocol: int, verify_mode: "ssl.VerifyMode"
+) -> "Result[SSLContext, HostSetupError]":
+    context = gevent.ssl.SSLContext(protocol)
     context.minimum_version = ssl.TLSVersion.TLSv1_2
     context.check_hostname = False
     context.verify_mode = verify_mode
--- a/src/merlinstand/runtime/transport.py
+++ b/src/merlinstand/runtime/transport.py
@@ -6,12 +6,10 @@
 """
 
 from collections.abc import Callable, Iterator
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import gevent
 from gevent.pool import Pool
-from gevent.ssl import SSLContext
-from prometheus_client.core import CounterMetricFamily
 from result import Err
 
 from merlinstand.common import constants
@@ -28,6 +26,9 @@
 from merlinstand.runtime.transport_peer import PeerLink
 from merlinstand.runtime.watchdog import Watchdog
 
+if TYPE_CHECKING:
+    from gevent.ssl import SSLContext
+
 HELLO_TIMEOUT_SECONDS = 5.0
 """Longest time for a connection to say whose it is."""
 FRAMES_A_TURN = 200
@@ -63,8 +64,11 @@
         self.bytes_received += size_bytes
         self.received_by_class[message_name] = self.received_by_class.get(message_name, 0) + 1
 
-    def collect(self) -> Iterator[CounterMetricFamily]:
+    def collect(self) -> Iterator[Any]:
         """Export in prometheus_client's collector interface."""
+        # Loaded here as in `Metrics.export`: most daemons are never asked for metrics.
+        from prometheus_client.metrics_core import CounterMetricFamily
+
         messages = CounterMetricFamily(
             "merlinstand_internal_messages",
             "Messages of the internal protocol",
@@ -103,8 +107,8 @@
         node_id: NodeId,
         submit: Callable[[Event], None],
         log: EventLog,
-        server_context: SSLContext | None = None,
-        client_context: SSLContext | None = None,
+        server_context: "SSLContext | None" = None,
+        client_context: "SSLContext | None" = None,
         timings: PeerTimings = USUAL_PEER_TIMINGS,
         traffic: TrafficCounters | None = None,
     ) -> None:
--- a/src/merlinstand/runtime/transport_peer.py
+++ b/src/merlinstand/runtime/transport_peer.py
@@ -2,16 +2,18 @@
 
 import random
 from collections import deque
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import gevent
 from gevent.event import Event
-from gevent.ssl import SSLContext
 
 from merlinstand.runtime.dialing import dial
 from merlinstand.runtime.end_watcher import EndWatcher
 from merlinstand.runtime.host_settings import USUAL_PEER_TIMINGS, PeerTimings
 
+if TYPE_CHECKING:
+    from gevent.ssl import SSLContext
+
 MAXIMUM_QUEUED_FRAMES = 4096
 MAXIMUM_QUEUED_BYTES = 128 * 1024 * 1024
 SEND_TIMEOUT_SECONDS = 5.0
@@ -26,7 +28,7 @@
         self,
         address: str,
         hello_frame: bytes,
-        tls_context: SSLContext | None,
+        tls_context: "SSLContext | None",
         timings: PeerTimings = USUAL_PEER_TIMINGS,
     ) -> None:
         """Start connecting.
--- a/src/merlinstand/storage/incarnation.py
+++ b/src/merlinstand/storage/incarnation.py
@@ -1,8 +1,8 @@
 """The storage incarnation's file content (pure)."""
 
-from crc32c import crc32c
 from result import Err, Ok, Result
 
+from merlinstand.storage.checksum import crc32c
 from merlinstand.storage.errors import IncompleteFolderError, StorageError
 
 _PREFIX = "merlinstand-incarnation 1"
--- a/src/merlinstand/storage/journal_format.py
+++ b/src/merlinstand/storage/journal_format.py
@@ -21,9 +21,9 @@
 from collections.abc import Sequence
 
 import msgspec
-from crc32c import crc32c
 from result import Err, Ok, Result
 
+from merlinstand.storage.checksum import crc32c
 from merlinstand.storage.errors import CorruptJournalError, StorageError, UnsupportedVersionError
 
 MAGIC = b"MSJRNL"
--- a/src/merlinstand/storage/journal_format_v1.py
+++ b/src/merlinstand/storage/journal_format_v1.py
@@ -9,9 +9,9 @@
 
 import struct
 
-from crc32c import crc32c
 from result import Err, Ok, Result
 
+from merlinstand.storage.checksum import crc32c
 from merlinstand.storage.errors import CorruptJournalError, StorageError
 from merlinstand.storage.journal_format import MAGIC, VERSION_PREFIX, DecodedJournal
 
--- a/src/merlinstand/storage/snapshot_format.py
+++ b/src/merlinstand/storage/snapshot_format.py
@@ -7,9 +7,9 @@
 
 import struct
 
-from crc32c import crc32c
 from result import Err, Ok, Result
 
+from merlinstand.storage.checksum import crc32c
 from merlinstand.storage.errors import CorruptSnapshotError, StorageError, UnsupportedVersionError
 
 MAGIC = b"MSSNAP"
--- a/src/merlinstand/storage/store.py
+++ b/src/merlinstand/storage/store.py
@@ -17,13 +17,13 @@
 import contextlib
 import fcntl
 import os
-import secrets
 from collections.abc import Callable, Sequence
 from pathlib import Path
 
 import msgspec
 from result import Err, Ok, Result
 
+from merlinstand.common.system_random import random_bits
 from merlinstand.storage import journal_format
 from merlinstand.storage.errors import (
     FileOperationError,
@@ -134,7 +134,7 @@
 
     def _make_new(self) -> Result[None, StorageError]:
         """Begin a new incarnation; its file comes last, when all else is durable."""
-        incarnation = secrets.randbits(62) | 1
+        incarnation = random_bits(62) | 1
         self._write_journal(0, ())
         sync_folder(self._folder)
         write_file(self._folder / INCARNATION_NAME, encode_incarnation(incarnation))
@@ -252,7 +252,7 @@
         return Ok(None)
 
     def _write_journal(self, generation: int, records: Sequence[bytes]) -> None:
-        self._salt = secrets.randbits(64)
+        self._salt = random_bits(64)
         content = journal_format.encode_header(self._salt)
         if records:
             content += journal_format.encode_frame(records, 0, self._salt)
