--- a/src/merlinstand/batch_jobs/daemon.py
+++ b/src/merlinstand/batch_jobs/daemon.py
@@ -220,6 +220,8 @@
 
     def _start_replica(self, settings: ReplicaSettings, event: Started, now: float) -> list[Effect]:
         self.replica = Replica(settings)
+        # Its records are as large as the whole journal, and are in the replica's log from here on.
+        self._started = None
         return self._perform(self.replica.start(event, now), now)
 
     def _replica_settings(
--- a/src/merlinstand/storage/store.py
+++ b/src/merlinstand/storage/store.py
@@ -105,6 +105,10 @@
 
     # Recovery
 
+    def forget_recovered(self) -> None:
+        """Let go of what was found, once it was handed on: it is as large as the whole journal."""
+        self.recovered = Recovered(self.recovered.incarnation, None, ())
+
     def _recover(self) -> Result[None, StorageError]:
         content = list_folder(self._folder)
         if not content.has_incarnation:
