The host's own tests run once more after a lean start; the start's tool knows the platform's names

The tool stood under benchmarks/, where no name of the platform may stand (a test of the whole suite failed on it): it is beside the soak now.

--- /dev/null
+++ b/tests/runtime/test_lean_start.py
@@ -0,0 +1,30 @@
+"""The host does the same with the libraries' unused parts at rest: its own tests, run once more."""
+
+import subprocess
+import sys
+
+import pytest
+
+_CODE = """
+import sys
+from merlinstand.runtime.lean_start import begin_lean
+begin_lean()
+import pytest
+sys.exit(pytest.main(["-q", "-p", "no:cacheprovider", "-p", "no:xdist", sys.argv[1]]))
+"""
+
+
+@pytest.mark.parametrize(
+    "tests",
+    [
+        pytest.param("tests/runtime/test_http_endpoint.py", id="falcon, pywsgi"),
+        pytest.param("tests/runtime/test_http_client.py", id="geventhttpclient"),
+        pytest.param("tests/runtime/test_tls.py", id="TLS, loaded at its first use"),
+        pytest.param("tests/runtime/test_host.py", id="logs, metrics, failures"),
+    ],
+)
+def test_the_hosts_tests_hold_after_a_lean_start(tests: str) -> None:
+    done = subprocess.run(
+        [sys.executable, "-c", _CODE, tests], capture_output=True, text=True, timeout=300
+    )
+    assert done.returncode == 0, done.stdout + done.stderr
--- a/benchmarks/start_cost.py
+++ b/tests/users_platform/start_cost.py
@@ -3,7 +3,7 @@
 Starts each role alone on loopback, as deploy/system.toml does, some times over. Times differ by a
 factor of two with the load of the machine: compare only runs that take turns.
 
-Usage: python benchmarks/start_cost.py [ROOT] [RUNS]
+Usage: python -m tests.users_platform.start_cost [ROOT] [RUNS]
     ROOT: a checkout with its target/deps built; this one if absent.
 """
 
@@ -17,23 +17,19 @@
 from pathlib import Path
 from typing import Any
 
+from tests.users_platform.real_world import (
+    CONTROL_PORT,
+    FRONT_PORT,
+    INTERNAL_PORT,
+    NODE_FILE,
+    READY_PORT,
+    ROOT,
+)
+
 ROLES = ("gateway", "keeper", "control")
 USUAL_RUNS = 9
 LISTENING = b"event=host.listening"
 IP = "127.77.0.1"
-NODE_FILE = """
-Node = "start-cost"
-Ip = "{ip}"
-Zone = "a"
-PortRange = [27620, 27635]
-Seeds = ["{ip}:18509"]
-Bootstrap = true
-DataDir = "{data}"
-[Listen]
-Front = "{ip}:18161"
-Ready = "{ip}:18167"
-Control = "{ip}:18509"
-"""
 MEMORY_FIELDS = ("VmHWM", "RssAnon")
 _KILOBYTES_IN_MEGABYTE = 1024
 _NANOSECONDS_IN_MILLISECOND = 1_000_000
@@ -41,7 +37,7 @@
 
 def main() -> None:
     """Measure all roles and print a table."""
-    root = Path(sys.argv[1] if len(sys.argv) > 1 else Path(__file__).parent.parent).resolve()
+    root = Path(sys.argv[1] if len(sys.argv) > 1 else ROOT).resolve()
     runs = int(sys.argv[2]) if len(sys.argv) > 2 else USUAL_RUNS
     deploy = tomllib.loads((root / "deploy/system.toml").read_text())
     print(f"{'role':10}{'ms, median':>12}{'ms, least':>12}{'peak MB':>10}{'own MB':>10}")
@@ -59,7 +55,21 @@
     folder = Path(tempfile.mkdtemp())
     settings = folder / "boot.toml"
     data = folder / "data" if role != "gateway" else ""
-    settings.write_text(NODE_FILE.format(ip=IP, data=data))
+    settings.write_text(
+        NODE_FILE.format(
+            node="start-cost",
+            ip=IP,
+            zone="hall-a",
+            first_port=INTERNAL_PORT,
+            last_port=INTERNAL_PORT + 15,
+            seeds=[f"{IP}:{CONTROL_PORT}"],
+            bootstrap="true",
+            data=data,
+            front=FRONT_PORT,
+            ready=READY_PORT,
+            control=CONTROL_PORT,
+        )
+    )
     process = subprocess.Popen(
         [sys.executable, *run.split()[1:]],
         cwd=root,
--- a/tests/users_platform/test_roles.py
+++ b/tests/users_platform/test_roles.py
@@ -5,6 +5,8 @@
 
 import pytest
 
+from tests.users_platform.real_world import ROOT
+
 ROLES = ("gateway", "control", "keeper")
 
 _CODE = """
@@ -87,6 +89,6 @@
 
 def test_the_programs_run_without_site() -> None:
     """What a machine's `.pth` files load is in no process of ours."""
-    with open("deploy/system.toml", encoding="utf-8") as file:
+    with open(ROOT / "deploy" / "system.toml", encoding="utf-8") as file:
         runs = [line for line in file if line.startswith("run = ")]
     assert [run.split()[3] for run in runs] == ["-S"] * len(ROLES)
