Cold servers get only what the control leader grants, send by send

Cause: nothing limited what all machines together send to a server that is cold after its start; in virtual time a cold server got 19 to 50 requests within a second, its bound is 18.8.

Change: the control leader keeps a token bucket for each cold back end and grants single sends with the answers to pulls; a grant ends 0.3 s after its wish left, by the asker's steady clock, and counts once, for the very pull that it answers. Everything that daemons send passes the same gate: callers' requests, second tries, streams, scoring, items, weight orders, reports. Warm servers go first; a request that only cold ones could serve waits a fifth of its aim at most, then is refused with the time of the next token. Services without a limit cost one look at a flag.

--- a/src/merlinstand/batch_jobs/daemon.py
+++ b/src/merlinstand/batch_jobs/daemon.py
@@ -109,7 +109,7 @@
         self.follower = DirectoryFollower(settings.seeds, self._report)
         self._engines = EngineStates(self.follower)
         self._split = WeightedChoice()
-        self._forwarder = Forwarder(names, self.follower.snapshot_of)
+        self._forwarder = Forwarder(names, self.follower.snapshot_of, self.follower.cold)
         self._runner = ItemRunner(
             self.jobs,
             self.follower,
@@ -162,7 +162,7 @@
         effects = self._dispatch(event, now)
         if self._is_running and not isinstance(event, CallChunk):
             # Whatever happened may have freed a slot or finished a scoring call.
-            effects = [*effects, *self._work(now)]
+            effects = [*effects, *self._work(now), *self.follower.pull_if_wished(now)]
         return effects
 
     def _dispatch(self, event: Event, now: float) -> list[Effect]:
@@ -174,6 +174,9 @@
             case MessageReceived(message=DirectoryUpdate()):
                 effects = self.follower.take(event.sender, event.message, now)
                 self._engines.refresh()
+                if event.message.cold_grants is not None:
+                    self._runner.note_grants()
+                    effects.extend(self._forwarder.resume(now))
                 return effects + self._begin_replica(now)
             case RequestReceived():
                 return self._request(event, now)
--- a/src/merlinstand/batch_jobs/item_scoring.py
+++ b/src/merlinstand/batch_jobs/item_scoring.py
@@ -139,6 +139,9 @@
         return self._follower.routes.find(scoring.host, scoring.path.partition("?")[0])
 
     def _slots_of(self, service: str) -> int:
-        """Slots of a service's servers that don't leave."""
+        """Slots of a service's servers that don't leave; a cold one is as good as one slot."""
         servers = self._follower.snapshot_of(service)
-        return sum(server.slots for server in servers if not server.is_leaving)
+        is_cold = self._follower.cold.is_cold
+        return sum(
+            1 if is_cold(server) else server.slots for server in servers if not server.is_leaving
+        )
--- a/src/merlinstand/batch_jobs/runner.py
+++ b/src/merlinstand/batch_jobs/runner.py
@@ -10,6 +10,7 @@
 import msgspec
 from result import Err
 
+from merlinstand.batch_jobs.cold_engines import wish_for_items
 from merlinstand.batch_jobs.deferral import GroupDeferral
 from merlinstand.batch_jobs.engines import EngineState, EngineStates
 from merlinstand.batch_jobs.item_run import ItemRun, RunPhase
@@ -209,6 +210,10 @@
             effects.extend(self._move_slow_runs(now))
         return effects + self._keep_long_texts(now)
 
+    def note_grants(self) -> None:
+        """Runs may be sent to cold engines now: look for engines after this event."""
+        self._has_news = True
+
     def start_if_news(self, now: float) -> list[Effect]:
         """Start waiting items after an event, if it freed a slot or brought items.
 
@@ -233,9 +238,22 @@
         waiting = [run for run in self._runs.values() if run.phase is RunPhase.WAITING]
         if not waiting:
             return []
-        turn = SchedulingTurn(self._engines, self._follows, now)
-        if not turn.has_open_engines:
-            return []
+        turn = SchedulingTurn(self._engines, self._follows, self._follower.cold, now)
+        effects = self._start_on(turn, waiting, now) if turn.has_open_engines else []
+        if turn.closed:
+            wish_for_items(self._follower.cold, turn.closed, self._needs_of(waiting, now))
+        return effects
+
+    def _needs_of(self, runs: list[ItemRun], now: float) -> list[tuple[str, int]]:
+        """Model and oldest version of runs that still wait."""
+        jobs = [
+            self._jobs.jobs[run.job_id].job
+            for run in runs
+            if run.phase is RunPhase.WAITING and run.wait_until <= now
+        ]
+        return [(job.model, job.minimum_version) for job in jobs]
+
+    def _start_on(self, turn: SchedulingTurn, waiting: list[ItemRun], now: float) -> list[Effect]:
         groups = group_progress(self._runs.values())
         ranks = job_ranks(self._jobs.jobs.values())
         typical = self._engines.typical_event_seconds(now)
@@ -304,7 +322,7 @@
 
     def _move_slow_runs(self, now: float) -> list[Effect]:
         """Let runs of slow engines go on at faster open ones; those that gain most go first."""
-        turn = SchedulingTurn(self._engines, self._follows, now)
+        turn = SchedulingTurn(self._engines, self._follows, self._follower.cold, now)
         slow = {state.backend.backend_id for state in turn.slow_engines()}
         if not slow:
             return []
@@ -327,7 +345,7 @@
             return None
         demand = self._demand(run, None)
         service = present.backend.service
-        target = turn.choose(service, demand)
+        target = turn.choose(service, demand, may_be_cold=False)
         if target is None or target is present:
             return None
         typical = turn.typical_event_seconds(service)
@@ -505,6 +523,9 @@
 
     def _on_failure(self, run: ItemRun, event: CallFailed, now: float) -> list[Effect]:
         self._note_engine_failure(run, now)
+        engine = self._engine_of(run)
+        if engine is not None:
+            self._follower.cold.note_failure(engine.backend, event, now)
         reason = f"{event.phase.value}_{event.reason}"
         return self._wait(run, reason, now, RETRY_PAUSE_SECONDS)
 
--- a/src/merlinstand/batch_jobs/weight_loader.py
+++ b/src/merlinstand/batch_jobs/weight_loader.py
@@ -171,6 +171,8 @@
             is_due = now >= self._probe_at.get(backend_id, 0.0)
             if not (state.is_suspect and is_due) or state.backend.is_leaving:
                 continue
+            if not self._may_send(state, now):
+                continue
             self._probe_at[backend_id] = now + PROBE_SECONDS
             self._calls += 1
             call_id = CallId(f"{CALL_PREFIX}probe:{self._calls}:{backend_id}")
@@ -190,10 +192,20 @@
                 target = self._follower.weights.get(model, 0)
                 effects.extend(self._start_loads(service.name, model, target, now))
         for load in list(self._loads.values()):
-            if load.call_id is None and load.next_at <= now:
+            is_due = load.call_id is None and load.next_at <= now
+            if is_due and self._may_send(self._engines.states[load.backend_id], now):
                 effects.append(self._ask_report(load))
         return effects
 
+    def _may_send(self, state: EngineState, now: float) -> bool:
+        """Whether a call may go to an engine now: a cold one bears only so many of any kind."""
+        cold = self._follower.cold
+        if not cold.is_open(state.backend, now):
+            cold.wish(f"{CALL_PREFIX}{state.backend.backend_id}", 1, (state.backend,))
+            return False
+        cold.note_sent(state.backend, now)
+        return True
+
     def _drop_finished(self) -> None:
         for backend_id, load in list(self._loads.items()):
             state = self._engines.states.get(backend_id)
@@ -332,6 +344,8 @@
         load.noted_since = None
         if not (is_prompt and may_act and self._is_holder) or load.call_id is not None:
             return []
+        if not self._may_send(state, now):
+            return []
         return [self._order(load, state)]
 
     def _order(self, load: _Load, state: EngineState) -> Effect:
--- a/src/merlinstand/directory/beat_intake.py
+++ b/src/merlinstand/directory/beat_intake.py
@@ -66,6 +66,7 @@
         self._changed: dict[BackendId, PutBackend] = {}
         self._heard_at: dict[BackendId, float] = {}
         """Leader: when each back end was heard last, by whichever replica."""
+        self._led_since = float("inf")
 
     @property
     def has_changes(self) -> bool:
@@ -75,6 +76,12 @@
     def begin_leading(self, now: float) -> None:
         """A leadership begins: every known back end counts as heard now."""
         self._heard_at = dict.fromkeys(self._state.table.backends, now)
+        self._led_since = now
+
+    def heard_at(self, backend_id: BackendId) -> float | None:
+        """Leader: when it heard a back end last; None if it did not since it leads."""
+        heard_at = self._heard_at.get(backend_id)
+        return heard_at if heard_at is not None and heard_at > self._led_since else None
 
     def tells_leaving(self, beat: Heartbeat) -> bool:
         """Whether a beat says for the first time that its back end leaves."""
--- /dev/null
+++ b/src/merlinstand/directory/cold_feeding.py
@@ -0,0 +1,204 @@
+"""The control leader's side of cold back ends: one token bucket for each.
+
+Pure part of the control daemon's reducer; `cold_grants` tells why the bound holds.
+"""
+
+from collections.abc import Callable
+
+import msgspec
+
+from merlinstand.common.decoding import MALFORMED_INPUT
+from merlinstand.common.ids import BackendId, NodeId
+from merlinstand.directory.cold_grants import (
+    ColdGrants,
+    ColdWish,
+    FeedRate,
+    decode_wishes,
+    encode_grants,
+    feed_rate,
+)
+from merlinstand.directory.state_machine import DirectoryState
+from merlinstand.kernel.effects import Effect, LogEvent
+
+CALLERS_RESERVE = 1.0
+"""Sends that batch work leaves in a bucket where callers wait for the same service: a batch keeper
+asks ten times a second, and callers would find nothing."""
+
+
+class ColdAnswer(msgspec.Struct, frozen=True):
+    """What a daemon is answered about its wishes."""
+
+    data: bytes | None = None
+    """Encoded grants; None if it wished nothing."""
+    effects: tuple[Effect, ...] = ()
+
+
+class _Bucket(msgspec.Struct):
+    """Sends that one cold back end may be granted."""
+
+    rate: FeedRate
+    filled_at: float
+    level: float = 0.0
+    """It begins empty: the leader before may have granted until now."""
+    granted: int = 0
+
+    def fill(self, now: float) -> None:
+        """Take in the time that passed."""
+        passed = max(0.0, now - self.filled_at)
+        self.level = min(self.rate.burst, self.level + passed * self.rate.per_second)
+        self.filled_at = now
+
+    def seconds_until(self, level: float) -> float:
+        """How long until it holds this much; endless if it never does."""
+        if level > self.rate.burst or self.rate.per_second <= 0.0:
+            return float("inf")
+        return max(0.0, level - self.level) / self.rate.per_second
+
+
+class ColdFeeding:
+    """All cold back ends that one leader feeds."""
+
+    def __init__(
+        self,
+        state: DirectoryState,
+        overshoot: float,
+        slack: float,
+        heard_seconds: Callable[[BackendId, float], float | None],
+    ) -> None:
+        """Begin with nothing granted.
+
+        Args:
+            state: What the group agreed on.
+            overshoot: See `feed_rate`.
+            slack: See `feed_rate`.
+            heard_seconds: How long ago a back end's newest heartbeat came, at a local time; None
+                if this leader heard none yet.
+        """
+        self._state = state
+        self._overshoot = overshoot
+        self._slack = slack
+        self._heard_seconds = heard_seconds
+        self._buckets: dict[BackendId, _Bucket] = {}
+        """Of cold back ends that were wished; those that are warm or gone are dropped."""
+        self._revision = (-1, -1)
+
+    def begin(self) -> None:
+        """A leadership begins: whatever was granted before is not known here."""
+        self._buckets.clear()
+
+    def answer(self, sender: NodeId, is_batch: bool, data: bytes | None, now: float) -> ColdAnswer:
+        """Grant a daemon what it may send; call it only while this process may act as leader.
+
+        Args:
+            sender: Who asks.
+            is_batch: Whether its work comes after that of callers.
+            data: Its encoded wishes, if it has any.
+            now: Local time.
+        """
+        if not data:
+            return ColdAnswer()
+        try:
+            told = decode_wishes(data)
+        except MALFORMED_INPUT as error:
+            fields = {"daemon": sender, "detail": str(error)}
+            return ColdAnswer(effects=(LogEvent("cold.malformed", fields, "warning"),))
+        effects = self._drop_warm()
+        sends: dict[BackendId, int] = {}
+        next_seconds: dict[str, float] = {}
+        heard: dict[BackendId, float] = {}
+        for wish in told.wishes:
+            cold = self._cold_of(wish, now, effects)
+            self._grant(wish, cold, is_batch, sends, next_seconds)
+            heard.update(self._warm_of(wish, now))
+        grants = ColdGrants(told.asked_at, sends, next_seconds, heard)
+        return ColdAnswer(encode_grants(grants), tuple(effects))
+
+    def _drop_warm(self) -> list[Effect]:
+        """Follow the directory: what is warm or gone is fed no more."""
+        revision = (self._state.backends_revision, self._state.document_revision)
+        if revision == self._revision:
+            return []
+        self._revision = revision
+        effects: list[Effect] = []
+        for backend_id, bucket in list(self._buckets.items()):
+            rate = self._rate_of(backend_id)
+            if rate is None:
+                del self._buckets[backend_id]
+                fields = {"backend": backend_id, "granted": bucket.granted}
+                effects.append(LogEvent("cold.fed", fields))
+            else:
+                bucket.rate = rate
+                bucket.level = min(bucket.level, rate.burst)
+        return effects
+
+    def _rate_of(self, backend_id: BackendId) -> FeedRate | None:
+        """How fast a back end may be fed; None if it isn't cold, or bears anything."""
+        backend = self._state.table.backends.get(backend_id)
+        document = self._state.document
+        if backend is None or not backend.is_cold or document is None:
+            return None
+        for service in document.services:
+            if service.name == backend.service:
+                bears = service.cold_requests_per_second
+                return feed_rate(bears, self._overshoot, self._slack) if bears > 0.0 else None
+        return None
+
+    def _cold_of(
+        self, wish: ColdWish, now: float, effects: list[Effect]
+    ) -> dict[BackendId, _Bucket]:
+        """Give the buckets of a wish's back ends, as full as they are now."""
+        cold: dict[BackendId, _Bucket] = {}
+        for backend_id in wish.backends:
+            bucket = self._buckets.get(backend_id)
+            if bucket is None:
+                rate = self._rate_of(backend_id)
+                if rate is None:
+                    continue
+                bucket = self._buckets[backend_id] = _Bucket(rate, now)
+                fields = {
+                    "backend": backend_id,
+                    "per_second": round(rate.per_second, 2),
+                    "burst": round(rate.burst, 2),
+                }
+                effects.append(LogEvent("cold.feeding", fields))
+            bucket.fill(now)
+            cold[backend_id] = bucket
+        return cold
+
+    def _grant(
+        self,
+        wish: ColdWish,
+        cold: dict[BackendId, _Bucket],
+        is_batch: bool,
+        sends: dict[BackendId, int],
+        next_seconds: dict[str, float],
+    ) -> None:
+        """Draw a wish's sends, from the fullest buckets first."""
+        left = wish.sends
+        needed = {b: 1.0 + self._reserve(b, bucket, is_batch) for b, bucket in cold.items()}
+        while left > 0:
+            fullest = max(cold, key=lambda b: cold[b].level - needed[b], default=None)
+            if fullest is None or cold[fullest].level < needed[fullest]:
+                break
+            cold[fullest].level -= 1.0
+            cold[fullest].granted += 1
+            sends[fullest] = sends.get(fullest, 0) + 1
+            left -= 1
+        if left > 0 and cold:
+            next_seconds[wish.kind] = min(cold[b].seconds_until(needed[b]) for b in cold)
+
+    def _reserve(self, backend_id: BackendId, bucket: _Bucket, is_batch: bool) -> float:
+        """What batch work leaves to callers."""
+        service = self._state.table.backends[backend_id].service
+        if not is_batch or service not in self._state.live_services:
+            return 0.0
+        return min(CALLERS_RESERVE, bucket.rate.burst - 1.0)
+
+    def _warm_of(self, wish: ColdWish, now: float) -> dict[BackendId, float]:
+        """Of a wish's back ends that aren't cold: how long ago they said so."""
+        heard: dict[BackendId, float] = {}
+        for backend_id in wish.backends:
+            seconds = self._heard_seconds(backend_id, now)
+            if backend_id not in self._buckets and seconds is not None:
+                heard[backend_id] = seconds
+        return heard
--- a/src/merlinstand/directory/daemon.py
+++ b/src/merlinstand/directory/daemon.py
@@ -22,6 +22,7 @@
 )
 from merlinstand.consensus.step import CommittedEntry, EntryKind, LeadershipChange, Step
 from merlinstand.consensus.timings import quick_timings
+from merlinstand.directory.cold_feeding import ColdFeeding
 from merlinstand.directory.commands import (
     DirectoryCommand,
     FoundKeepers,
@@ -134,7 +135,13 @@
         self._led_since = 0.0
         self._founding = KeeperFounding(settings.keeper_group_size)
         self._duties = DutyKeeper(settings, self.state, platform, self._try_to_propose)
-        self._publisher = DirectoryPublisher(settings, self.replica, self.state, self._duties)
+        cold = ColdFeeding(
+            self.state,
+            settings.cold_overshoot,
+            settings.cold_slack_requests,
+            self._heartbeats.heard_seconds,
+        )
+        self._publisher = DirectoryPublisher(settings, self.replica, self.state, self._duties, cold)
         self._stopping = False
 
     def start(self, event: Started, now: float) -> Sequence[Effect]:
@@ -244,7 +251,7 @@
             self._led_since = now
             self._founding = KeeperFounding(self._settings.keeper_group_size)
             self._heartbeats.begin_leading(now)
-            self._publisher.subscribers.clear()
+            self._publisher.begin_leading()
             self._duties.begin(self.replica.term, now)
         ended = self._duties.end() if change is LeadershipChange.LOST else []
         fields = {"change": change.value, "term": self.replica.term}
--- a/src/merlinstand/directory/follower.py
+++ b/src/merlinstand/directory/follower.py
@@ -5,6 +5,7 @@
 from merlinstand.common.decoding import MALFORMED_INPUT
 from merlinstand.common.ids import BackendId, NodeId
 from merlinstand.directory.backends import Backend
+from merlinstand.directory.cold_budget import ColdBudget
 from merlinstand.directory.routes import RoutesDocument, RouteTable
 from merlinstand.directory.view import (
     DaemonReport,
@@ -55,6 +56,8 @@
         self._report = report
         self._usage = usage
         self._usage_mark = 0
+        self.cold = ColdBudget(self._bears_per_second)
+        """What this daemon may send to cold back ends."""
         self._clock = OwnClock()
         self._told_time = ToldTime()
         self._asked_at = 0.0
@@ -109,6 +112,7 @@
             weights_revision=self.weights_revision,
             keepers_mark=self.keepers_mark,
             usage=self._usage(self._usage_mark),
+            cold_wishes=self.cold.ask(now),
         )
         self._asked_at = now
         if self._clock.is_due(now):
@@ -116,6 +120,14 @@
         effects.extend(SendMessage(node_id, message) for node_id in self._receivers(now))
         return effects
 
+    def pull_if_wished(self, now: float) -> list[Effect]:
+        """Ask at once if work waits for cold back ends; called by the owner after each event."""
+        return self.pull(now) if self.cold.is_ask_due(now) else []
+
+    def _bears_per_second(self, service_name: str) -> float:
+        service = self.routes.services.get(service_name)
+        return 0.0 if service is None else service.cold_requests_per_second
+
     def take_clock(self, event: WallClockRead, now: float) -> None:
         """The machine's clock was read; the next pull tells it."""
         self._clock.take(event.wall_seconds, now)
@@ -161,6 +173,8 @@
             except MALFORMED_INPUT:
                 return effects
             effects.extend(self._apply(changes))
+        if update.cold_grants is not None:
+            self.cold.take(update.cold_grants, now)
         return effects
 
     def _redirected(self, update: DirectoryUpdate, now: float) -> list[Effect]:
@@ -201,6 +215,7 @@
         else:
             self._change_backends(changes.backends_gone, news)
         self.backends_revision = changes.backends_revision
+        self.cold.keep_only(self._backends)
 
     def set_backends(self, backends: Iterable[Backend]) -> None:
         """Replace all back ends."""
--- a/src/merlinstand/directory/heartbeats.py
+++ b/src/merlinstand/directory/heartbeats.py
@@ -87,6 +87,11 @@
         """A leadership begins."""
         self._intake.begin_leading(now)
 
+    def heard_seconds(self, backend_id: BackendId, now: float) -> float | None:
+        """How long ago this leader heard a back end; None if it did not yet."""
+        heard_at = self._intake.heard_at(backend_id)
+        return None if heard_at is None else now - heard_at
+
     def take(self, beat: Heartbeat, now: float) -> BeatOutcome:
         """Answer a beat here if this replica may; one that leaves is the leader's matter."""
         leads = self._replica.may_act(now)
--- a/src/merlinstand/directory/publisher.py
+++ b/src/merlinstand/directory/publisher.py
@@ -6,10 +6,11 @@
 from merlinstand.common.decoding import MALFORMED_INPUT
 from merlinstand.common.ids import NodeId
 from merlinstand.consensus.replica import Replica
+from merlinstand.directory.cold_feeding import ColdFeeding
 from merlinstand.directory.duty_keeper import DutyKeeper
 from merlinstand.directory.settings import DirectorySettings
 from merlinstand.directory.state_machine import DirectoryState
-from merlinstand.directory.subscribers import Subscriber, Subscribers
+from merlinstand.directory.subscribers import KEEPER_ROLE, Subscriber, Subscribers
 from merlinstand.directory.view import DaemonReport, decode_report
 from merlinstand.kernel.effects import Effect, LogEvent, SendMessage, SetTimer
 from merlinstand.protocol.generated.directory.ttypes import DirectoryPull, DirectoryUpdate
@@ -29,6 +30,7 @@
         replica: Replica,
         state: DirectoryState,
         duties: DutyKeeper,
+        cold: ColdFeeding,
     ) -> None:
         """Begin with nobody.
 
@@ -37,15 +39,22 @@
             replica: Tells who leads.
             state: What the group agreed on.
             duties: Takes the daemons' clocks and counts, and tells true time.
+            cold: Grants sends to cold back ends.
         """
         self._settings = settings
         self._replica = replica
         self._state = state
         self._duties = duties
+        self._cold = cold
         self.subscribers = Subscribers()
         self._pushed_at = float("-inf")
         self._is_push_due = False
 
+    def begin_leading(self) -> None:
+        """A leadership begins: it hears everybody again, and grants from empty buckets."""
+        self.subscribers.clear()
+        self._cold.begin()
+
     def pull(self, sender: NodeId, pull: DirectoryPull, now: float) -> list[Effect]:
         """A daemon reports itself and asks for what it lacks."""
         if not self._replica.may_act(now):
@@ -76,6 +85,9 @@
         update = self._update(data)
         update.true_seconds = self._duties.true_seconds(now)
         update.usage_mark = usage.agreed_mark
+        cold = self._cold.answer(sender, report.role == KEEPER_ROLE, pull.cold_wishes, now)
+        update.cold_grants = cold.data
+        effects.extend(cold.effects)
         effects.append(SendMessage(sender, update))
         return effects + self.push_soon(now) if is_news else effects
 
--- a/src/merlinstand/directory/settings.py
+++ b/src/merlinstand/directory/settings.py
@@ -32,6 +32,11 @@
     """Length of the windows by which the tenants' use is told; 0 if it isn't."""
     usage_due_seconds: float = 10.0
     """A window's report is due this long after the window's end."""
+    cold_overshoot: float = 1.0
+    """In any second no more requests may reach a cold back end than this many times what it
+    bears, and `cold_slack_requests`."""
+    cold_slack_requests: float = 0.0
+    """See `cold_overshoot`."""
     backend_silence_seconds: float = 15.0
     """A back end without heartbeats for this long is forgotten."""
     election_timeout_seconds: float = 0.4
--- a/src/merlinstand/forwarding/backend_choice.py
+++ b/src/merlinstand/forwarding/backend_choice.py
@@ -7,6 +7,7 @@
 
 from merlinstand.common.ids import BackendId
 from merlinstand.directory.backends import Backend
+from merlinstand.directory.cold_budget import ColdBudget
 
 FIRST_LATENCY_SECONDS = 0.03
 """Assumed of a back end that nothing is known of."""
@@ -68,8 +69,13 @@
 class BackendChooser:
     """Evidence about all back ends, and the choice among them."""
 
-    def __init__(self) -> None:
-        """Begin without evidence."""
+    def __init__(self, cold: ColdBudget | None = None) -> None:
+        """Begin without evidence.
+
+        Args:
+            cold: What may be sent to cold back ends; without it, no service limits that.
+        """
+        self.cold = ColdBudget() if cold is None else cold
         self._random = random.Random(0)
         self._evidence: dict[BackendId, BackendEvidence] = {}
 
@@ -104,13 +110,35 @@
             now: Local time.
 
         Returns:
-            A sound back end if there is one, else one that failed before; None if all were tried.
+            A sound back end if there is one, a warm one rather than a cold one, else one that
+            failed before; None if all were tried, or are cold and nothing may be sent there now.
         """
         fresh = [b for b in backends if not b.is_leaving and b.backend_id not in tried]
+        warm: list[Backend] = []
+        if self.cold.concerns(fresh):
+            fresh = [b for b in fresh if self.cold.is_open(b, now)]
+            warm = [b for b in fresh if not self.cold.is_cold(b)]
         if not fresh:
             return None
-        sound = [b for b in fresh if self.evidence(b.backend_id).avoid_until <= now]
-        return min(sound or fresh, key=lambda backend: self._cost(backend, now))
+        preferred = self._sound(warm, now) or self._sound(fresh, now) or fresh
+        return min(preferred, key=lambda backend: self._cost(backend, now))
+
+    def _sound(self, backends: list[Backend], now: float) -> list[Backend]:
+        return [b for b in backends if self.evidence(b.backend_id).avoid_until <= now]
+
+    def closed(
+        self, backends: Iterable[Backend], tried: set[BackendId], now: float
+    ) -> list[Backend]:
+        """Give the cold back ends that a request may not be sent to just now, but later."""
+        fresh = [b for b in backends if not b.is_leaving and b.backend_id not in tried]
+        if not self.cold.concerns(fresh):
+            return []
+        return [b for b in fresh if not self.cold.is_open(b, now)]
+
+    def begin(self, backend: Backend, now: float) -> None:
+        """A request goes to a back end."""
+        self.cold.note_sent(backend, now)
+        self.evidence(backend.backend_id).in_flight += 1
 
     def _cost(self, backend: Backend, now: float) -> float:
         evidence = self.evidence(backend.backend_id)
--- /dev/null
+++ b/src/merlinstand/forwarding/cold_wait.py
@@ -0,0 +1,67 @@
+"""Requests that only cold back ends could serve: they wait for a grant, a moment at most.
+
+The leader of control answers within a few milliseconds. What it can't grant, or doesn't answer in
+time, is refused, with the time after which more may be granted. Pure part of the forwarders.
+"""
+
+from collections.abc import Sequence
+
+from merlinstand.directory.backends import Backend
+from merlinstand.directory.cold_budget import ASK_SECONDS, ColdBudget
+from merlinstand.forwarding.requests import ForwardRequest
+from merlinstand.kernel.effects import CancelTimer, Effect, SetTimer
+
+WAIT_SHARE = 0.2
+"""Share of a request's aim that it waits: one held for over a quarter of it is better refused."""
+COLD_REASON = "cold back ends"
+
+
+class ColdWait:
+    """Requests of one forwarder that wait for grants."""
+
+    def __init__(self, cold: ColdBudget, timer_prefix: str) -> None:
+        """Begin with none.
+
+        Args:
+            cold: Takes wishes, and tells which are in vain.
+            timer_prefix: Of the timers that end waits; a request's key follows.
+        """
+        self._cold = cold
+        self._prefix = timer_prefix
+        self._waiting: dict[str, ForwardRequest] = {}
+
+    def begin(
+        self, request: ForwardRequest, backends: Sequence[Backend], now: float
+    ) -> list[Effect]:
+        """Let a request wait for a grant; nothing if that would be in vain.
+
+        Args:
+            request: A request without a back end that is open to it.
+            backends: Cold back ends that would do.
+            now: Local time.
+        """
+        if not backends or self._cold.refused_seconds(request.service, now) > 0.0:
+            return []
+        seconds = WAIT_SHARE * request.route.target_latency_seconds
+        self._waiting[request.key] = request
+        sends = sum(1 for held in self._waiting.values() if held.service == request.service)
+        self._cold.wish(request.service, sends, backends)
+        return [SetTimer(f"{self._prefix}{request.key}", seconds)]
+
+    def retry_after_seconds(self, service: str, now: float) -> float:
+        """When a refused request may come again."""
+        return self._cold.refused_seconds(service, now) or ASK_SECONDS
+
+    def end(self, key: str) -> list[Effect]:
+        """A request waits no more."""
+        if self._waiting.pop(key, None) is None:
+            return []
+        return [CancelTimer(f"{self._prefix}{key}")]
+
+    def take_all(self) -> list[str]:
+        """Give the keys of all that wait, most urgent first; they wait no more."""
+        waiting = sorted(
+            self._waiting.values(), key=lambda held: (held.route.priority, held.deadline_at)
+        )
+        self._waiting.clear()
+        return [request.key for request in waiting]
--- a/src/merlinstand/forwarding/daemon.py
+++ b/src/merlinstand/forwarding/daemon.py
@@ -93,7 +93,7 @@
         self._names = settings.header_names
         self._usage = UsageCounter(settings.usage_window_seconds)
         self.follower = DirectoryFollower(settings.seeds, self._report, self._usage.tell)
-        self._forwarder = Forwarder(self._names, self.follower.snapshot_of)
+        self._forwarder = Forwarder(self._names, self.follower.snapshot_of, self.follower.cold)
         self._streams = StreamForwarder(
             self._names, self._forwarder.chooser, self.follower.snapshot_of
         )
@@ -125,6 +125,7 @@
         for relayed in self._relay.take_finished():
             reply = self._interface.write_batch_reply(relayed.reply)
             effects.append(Respond(relayed.request_id, reply.status, reply.headers, reply.body))
+        effects.extend(self.follower.pull_if_wished(now))
         return effects
 
     def _dispatch(self, event: Event, now: float) -> list[Effect]:
@@ -151,6 +152,9 @@
                 if self.follower.backends_revision != held:
                     present = [backend.backend_id for backend in self.follower.backends]
                     self._forwarder.chooser.forget_all_but(present)
+                if event.message.cold_grants is not None:
+                    effects.extend(self._forwarder.resume(now))
+                    effects.extend(self._note_ended_streams(self._streams.resume(now)))
                 return effects + self._end_routes_wait(now)
             case StopRequested():
                 return self._stop(now)
@@ -307,7 +311,7 @@
         if name.startswith(FORWARD_TIMER_PREFIX):
             return self._forwarder.on_timer(name, now)
         if name.startswith(STREAM_TIMER_PREFIX):
-            return self._note_ended_streams(self._streams.on_timer(name))
+            return self._note_ended_streams(self._streams.on_timer(name, now))
         if name.startswith(BATCH_TIMER_PREFIX):
             return self._relay.on_timer(name, now)
         if name.startswith(ROUTES_TIMER_PREFIX):
--- a/src/merlinstand/forwarding/forwarder.py
+++ b/src/merlinstand/forwarding/forwarder.py
@@ -10,8 +10,10 @@
 
 from merlinstand.common.ids import BackendId, CallId
 from merlinstand.directory.backends import Backend
+from merlinstand.directory.cold_budget import ColdBudget
 from merlinstand.directory.routes import RouteKind
 from merlinstand.forwarding.backend_choice import BackendChooser
+from merlinstand.forwarding.cold_wait import COLD_REASON, ColdWait
 from merlinstand.forwarding.header_names import HeaderNames
 from merlinstand.forwarding.requests import (
     Answered,
@@ -72,14 +74,17 @@
         self,
         names: HeaderNames,
         backends_of: Callable[[str], tuple[Backend, ...]],
+        cold: ColdBudget | None = None,
     ) -> None:
         """Begin without requests.
 
         Args:
             names: Header names.
             backends_of: Gives the registered back ends of a service.
+            cold: What may be sent to cold back ends; without it, no service limits that.
         """
-        self.chooser = BackendChooser()
+        self.chooser = BackendChooser(cold)
+        self._cold_wait = ColdWait(self.chooser.cold, f"{TIMER_PREFIX}cold:")
         self._names = names
         self._backends_of = backends_of
         self._pending: dict[str, _Pending] = {}
@@ -120,8 +125,23 @@
             return self._hedge(pending, now)
         if kind == "retry" and not pending.running:
             return self._send(pending, now)
+        if kind == "cold" and not pending.running:
+            self._cold_wait.end(key)
+            return self._refuse_cold(pending, now)
         return []
 
+    def resume(self, now: float) -> list[Effect]:
+        """The leader answered: go on with requests that waited for grants, or refuse them."""
+        effects: list[Effect] = []
+        for key in self._cold_wait.take_all():
+            pending = self._pending.get(key)
+            if pending is None or pending.running:
+                continue
+            effects.append(CancelTimer(f"{TIMER_PREFIX}cold:{key}"))
+            is_open = self._candidate(pending, now) is not None
+            effects.extend((self._send if is_open else self._refuse_cold)(pending, now))
+        return effects
+
     def on_call(self, event: CallResponded | CallFailed, now: float) -> list[Effect]:
         """A call with `CALL_PREFIX` ended."""
         key = event.call_id.removeprefix(CALL_PREFIX).rpartition("#")[0]
@@ -133,6 +153,7 @@
         evidence.in_flight -= 1
         if isinstance(event, CallFailed):
             evidence.note_failure(now)
+            self.chooser.cold.note_failure(attempt.backend, event, now)
             if event.phase is not CallPhase.CONNECT:
                 pending.may_have_run = True
             pending.last_reason = f"{event.phase.value}_{event.reason}"
@@ -190,7 +211,10 @@
             return self._give_up(pending, pending.last_reason, now)
         if self._candidate(pending, now) is not None:
             return self._send(pending, now)
-        # Every server was asked: ask them once more, after a pause.
+        return self._await_cold(pending, now) or self._pause(pending)
+
+    def _pause(self, pending: _Pending) -> list[Effect]:
+        """Every server was asked: ask them once more, after a pause."""
         pending.tried.clear()
         return [SetTimer(f"{TIMER_PREFIX}retry:{pending.request.key}", BUSY_PAUSE_SECONDS)]
 
@@ -203,10 +227,23 @@
         backends = self._backends_of(pending.request.service)
         return self.chooser.choose(backends, pending.tried, now)
 
+    def _await_cold(self, pending: _Pending, now: float) -> list[Effect]:
+        """Wait for a grant if cold back ends are left; nothing if there are none, or in vain."""
+        backends = self._backends_of(pending.request.service)
+        closed = self.chooser.closed(backends, pending.tried, now)
+        return self._cold_wait.begin(pending.request, closed, now)
+
+    def _refuse_cold(self, pending: _Pending, now: float) -> list[Effect]:
+        """Nothing may be sent to cold back ends: ask the others again, or refuse the request."""
+        if pending.sent and self._has_attempts(pending):
+            return self._pause(pending)
+        return self._give_up(pending, COLD_REASON, now)
+
     def _send(self, pending: _Pending, now: float) -> list[Effect]:
         backend = self._candidate(pending, now)
         if backend is None:
-            return self._give_up(pending, "no back end", now)
+            reason = self._reason_for_none(pending, now)
+            return self._await_cold(pending, now) or self._give_up(pending, reason, now)
         request = pending.request
         left = request.deadline_at - now
         if left < SHORTEST_TIME_SECONDS:
@@ -216,7 +253,7 @@
         pending.running[call_id] = _Attempt(backend, now)
         pending.tried.add(backend.backend_id)
         pending.sent += 1
-        self.chooser.evidence(backend.backend_id).in_flight += 1
+        self.chooser.begin(backend, now)
         headers = {
             **request.headers,
             self._names.request_id: request.request_id,
@@ -259,6 +296,11 @@
         pending.is_hedged = True
         return self._send(pending, now)
 
+    def _reason_for_none(self, pending: _Pending, now: float) -> str:
+        backends = self._backends_of(pending.request.service)
+        is_cold = bool(self.chooser.closed(backends, pending.tried, now))
+        return COLD_REASON if is_cold else "no back end"
+
     # Ends
 
     def _finish(
@@ -281,12 +323,17 @@
         elif pending.may_have_run or is_running:
             outcome = OutcomeUnknown(reason, is_late)
         else:
-            outcome = NotRun(reason, RETRY_AFTER_SECONDS)
+            outcome = NotRun(reason, self._retry_after_seconds(pending, reason, now))
         return self._finish(pending, outcome, None, now)
 
+    def _retry_after_seconds(self, pending: _Pending, reason: str, now: float) -> float:
+        if reason != COLD_REASON:
+            return RETRY_AFTER_SECONDS
+        return self._cold_wait.retry_after_seconds(pending.request.service, now)
+
     def _clean_up(self, pending: _Pending, now: float) -> list[Effect]:
         """Stop attempts that are still running, and the timers."""
-        effects: list[Effect] = []
+        effects = self._cold_wait.end(pending.request.key)
         for call_id, attempt in pending.running.items():
             evidence = self.chooser.evidence(attempt.backend.backend_id)
             evidence.in_flight -= 1
--- a/src/merlinstand/forwarding/stream_forwarder.py
+++ b/src/merlinstand/forwarding/stream_forwarder.py
@@ -13,6 +13,7 @@
 from merlinstand.common.ids import BackendId, CallId, RequestId
 from merlinstand.directory.backends import Backend
 from merlinstand.forwarding.backend_choice import BackendChooser
+from merlinstand.forwarding.cold_wait import COLD_REASON, ColdWait
 from merlinstand.forwarding.forwarder import MISDIRECTED_STATUS, RETRY_AFTER_SECONDS
 from merlinstand.forwarding.header_names import HeaderNames
 from merlinstand.forwarding.requests import ForwardRequest, NotRun, OutcomeUnknown
@@ -32,6 +33,8 @@
 
 CALL_PREFIX = "stream:"
 TIMER_PREFIX = "stream."
+COLD_MARK = "cold:"
+"""Stands before the key in the name of the timer that ends a wait for a grant."""
 SILENCE_SECONDS = 1.5
 """A server that sends nothing for this long is given up on."""
 SUCCESS_STATUS = 200
@@ -83,6 +86,7 @@
         self._names = names
         self._chooser = chooser
         self._backends_of = backends_of
+        self._cold_wait = ColdWait(chooser.cold, f"{TIMER_PREFIX}{COLD_MARK}")
         self._streams: dict[str, _Stream] = {}
         self._by_call: dict[CallId, _Stream] = {}
         self._refused: list[StreamRefused] = []
@@ -109,10 +113,25 @@
         stream = self._streams.get(key)
         return [] if stream is None else self._close(stream)
 
-    def on_timer(self, name: str) -> list[Effect]:
-        """A timer with `TIMER_PREFIX` fired: the stream's time is over."""
-        stream = self._streams.get(name.removeprefix(TIMER_PREFIX))
-        return [] if stream is None else self._give_up(stream, "time ran out", True)
+    def on_timer(self, name: str, now: float) -> list[Effect]:
+        """A timer with `TIMER_PREFIX` fired: the stream's time is over, or its wait for a grant."""
+        key = name.removeprefix(TIMER_PREFIX)
+        stream = self._streams.get(key.removeprefix(COLD_MARK))
+        if stream is None:
+            return []
+        if key.startswith(COLD_MARK):
+            return self._give_up(stream, COLD_REASON, False, now)
+        return self._give_up(stream, "time ran out", True, now)
+
+    def resume(self, now: float) -> list[Effect]:
+        """The leader answered: go on with streams that waited for grants, or refuse them."""
+        effects: list[Effect] = []
+        for key in self._cold_wait.take_all():
+            stream = self._streams.get(key)
+            if stream is not None and stream.call_id is None:
+                effects.append(CancelTimer(f"{TIMER_PREFIX}{COLD_MARK}{key}"))
+                effects.extend(self._send(stream, now, may_wait=False))
+        return effects
 
     def on_call(self, event: StreamEvent, now: float) -> list[Effect]:
         """Something happened to a call with `CALL_PREFIX`."""
@@ -177,7 +196,7 @@
         return [end, *self._close(stream)]
 
     def _on_failure(self, stream: _Stream, event: CallFailed, now: float) -> list[Effect]:
-        self._note_failure(stream, now)
+        self._note_failure(stream, now, event)
         if event.phase is not CallPhase.CONNECT:
             stream.may_have_run = True
         fields = {
@@ -190,9 +209,11 @@
         log = LogEvent("request.stream_broken", fields)
         return [log, *self._drop_call(stream), *self._try_again(stream, event.reason, now)]
 
-    def _note_failure(self, stream: _Stream, now: float) -> None:
+    def _note_failure(self, stream: _Stream, now: float, event: CallFailed | None = None) -> None:
         if stream.backend is not None:
             self._chooser.evidence(stream.backend.backend_id).note_failure(now)
+            if event is not None:
+                self._chooser.cold.note_failure(stream.backend, event, now)
 
     # Sending
 
@@ -200,15 +221,18 @@
         route = stream.request.route
         is_allowed = not stream.may_have_run or route.is_resumable
         if stream.is_failure or not is_allowed or stream.sent >= max(1, route.maximum_attempts):
-            return self._give_up(stream, reason, False)
+            return self._give_up(stream, reason, False, now)
         return self._send(stream, now)
 
-    def _send(self, stream: _Stream, now: float) -> list[Effect]:
+    def _send(self, stream: _Stream, now: float, may_wait: bool = True) -> list[Effect]:
         request = stream.request
         backends = self._backends_of(request.service)
         backend = self._chooser.choose(backends, stream.tried, now)
         if backend is None:
-            return self._give_up(stream, "no back end", False)
+            closed = self._chooser.closed(backends, stream.tried, now)
+            wait = self._cold_wait.begin(request, closed, now) if may_wait else []
+            reason = COLD_REASON if closed else "no back end"
+            return wait or self._give_up(stream, reason, False, now)
         left = request.deadline_at - now
         self._calls += 1
         call_id = CallId(f"{CALL_PREFIX}{self._calls}")
@@ -217,7 +241,7 @@
         stream.tried.add(backend.backend_id)
         stream.sent += 1
         self._by_call[call_id] = stream
-        self._chooser.evidence(backend.backend_id).in_flight += 1
+        self._chooser.begin(backend, now)
         headers = {
             **request.headers,
             self._names.request_id: request.request_id,
@@ -244,7 +268,7 @@
 
     # Ends
 
-    def _give_up(self, stream: _Stream, reason: str, is_late: bool) -> list[Effect]:
+    def _give_up(self, stream: _Stream, reason: str, is_late: bool, now: float) -> list[Effect]:
         request = stream.request
         fields = {
             "request": request.request_id,
@@ -258,7 +282,10 @@
         effects.extend(self._close(stream))
         if stream.is_started:
             return [*effects, RespondEnd(RequestId(request.key), whole=False)]
-        outcome: NotRun | OutcomeUnknown = NotRun(reason, RETRY_AFTER_SECONDS)
+        retry_after = RETRY_AFTER_SECONDS
+        if reason == COLD_REASON:
+            retry_after = self._cold_wait.retry_after_seconds(request.service, now)
+        outcome: NotRun | OutcomeUnknown = NotRun(reason, retry_after)
         if stream.may_have_run or is_running:
             outcome = OutcomeUnknown(reason, is_late)
         self._refused.append(StreamRefused(request, outcome))
@@ -277,7 +304,7 @@
     def _close(self, stream: _Stream) -> list[Effect]:
         self._streams.pop(stream.request.key, None)
         timer = CancelTimer(f"{TIMER_PREFIX}{stream.request.key}")
-        return [timer, *self._drop_call(stream)]
+        return [timer, *self._cold_wait.end(stream.request.key), *self._drop_call(stream)]
 
 
 def _whole_number(headers: dict[str, str]) -> int:
--- a/src/merlinstand/protocol/idl/directory.thrift
+++ b/src/merlinstand/protocol/idl/directory.thrift
@@ -16,6 +16,8 @@
   6: optional binary usage;
   /** Revision held of the evacuated zones; none from daemons that don't know them. */
   7: optional i64 zones_revision;
+  /** merlinstand.directory.cold_grants.ColdWishes in msgpack: sends to cold servers that it wants. */
+  8: optional binary cold_wishes;
 }
 
 /** A control replica tells the leader of the heartbeats that it took. */
--- a/tests/users_platform/callers.py
+++ b/tests/users_platform/callers.py
@@ -16,6 +16,8 @@
 STEP_SECONDS = 4.0
 READ_SECONDS = 0.3
 LOOKUP_SECONDS = 0.15
+COLD_START_SECONDS = 3.0
+COLD_REQUESTS_PER_SECOND = 9.2
 LOOKUP_DEADLINE_MS = 1500
 JOB_CALL_SECONDS = 2.5
 
@@ -87,6 +89,7 @@
     services: dict[str, list[str]],
     extra_routes: int = 0,
     keys: dict[str, list[str]] | None = None,
+    cold: bool = False,
 ) -> dict[str, Any]:
     """A configuration in the platform's shape.
 
@@ -95,6 +98,7 @@
         services: Models by engine service; a plain service has none.
         extra_routes: Idle routes more.
         keys: Keys by tenant; scoring calls need none.
+        cold: Whether servers bear only some requests a second after a start.
     """
     engines = [name for name, models in services.items() if models]
     plain = next(name for name, models in services.items() if not models)
@@ -129,6 +133,11 @@
                     if models
                     else {}
                 ),
+                **(
+                    {"ColdStartS": COLD_START_SECONDS, "ColdPerS": COLD_REQUESTS_PER_SECOND}
+                    if cold
+                    else {}
+                ),
             }
             for name, models in services.items()
         ],
--- a/tests/users_platform/checks.py
+++ b/tests/users_platform/checks.py
@@ -1,10 +1,12 @@
 """What must hold on any simulated day, judged by what outsiders saw."""
 
 import itertools
+from bisect import bisect_left
 from typing import Any
 
 from merlinstand_lab.simulator.process import WALL_START
 from tests.users_platform.callers import (
+    COLD_REQUESTS_PER_SECOND,
     ConfigAcknowledged,
     ConfigRead,
     JobAccepted,
@@ -14,10 +16,19 @@
     LookupAnswer,
 )
 from tests.users_platform.platform_standin import WINDOW_SECONDS, UsageTold
-from tests.users_platform.servers import Arrival, OrderTaken, event_count, event_data, stamp_of
-from tests.users_platform.world import World
+from tests.users_platform.servers import (
+    Arrival,
+    ColdArrival,
+    OrderTaken,
+    event_count,
+    event_data,
+    stamp_of,
+)
+from tests.users_platform.world import COLD_OVERSHOOT, COLD_SLACK, World
 
 LEASE_SECONDS = 3.0
+COLD_BOUND = COLD_REQUESTS_PER_SECOND * COLD_OVERSHOOT + COLD_SLACK
+"""More may not reach a cold server within any second."""
 
 
 def records(world: World, stream: str) -> list[Any]:
@@ -34,9 +45,38 @@
     found += _lookups(world)
     found += _tenants(world)
     found += _duties(world)
+    found += _cold(world)
+    return found
+
+
+def _cold(world: World) -> list[str]:
+    """A cold server is not flooded: whoever sends, in whichever second."""
+    found = []
+    for server, times in cold_arrivals(world).items():
+        most = most_within(times, 1.0)
+        if most > COLD_BOUND:
+            found.append(f"{most} requests in a second at the cold server {server}")
     return found
 
 
+def cold_arrivals(world: World) -> dict[str, list[float]]:
+    """When requests reached cold servers, by server."""
+    arrivals: dict[str, list[float]] = {}
+    times = world.simulation.record_times.get("cold", [])
+    for arrival, time in zip(records(world, "cold"), times, strict=True):
+        if isinstance(arrival, ColdArrival):
+            arrivals.setdefault(arrival.server, []).append(time)
+    return arrivals
+
+
+def most_within(times: list[float], seconds: float) -> int:
+    """Most of some times, in rising order, within any span of this length."""
+    return max(
+        (last + 1 - bisect_left(times, time - seconds) for last, time in enumerate(times)),
+        default=0,
+    )
+
+
 def _duties(world: World) -> list[str]:
     """One holder at a time: fences never go back, none is shared, no turns within the lease."""
     found = []
--- a/tests/users_platform/servers.py
+++ b/tests/users_platform/servers.py
@@ -30,6 +30,8 @@
 BEAT_SECONDS = 1.2
 LOAD_SECONDS = 0.9
 EVENT_SECONDS = 0.03
+FIRST_STARTS_SECONDS = 1.0
+"""Servers that start later than this start during the day."""
 
 
 class Arrival(msgspec.Struct, frozen=True):
@@ -48,6 +50,13 @@
     """Whether the server was shown a key."""
 
 
+class ColdArrival(msgspec.Struct, frozen=True):
+    """Anything that reached a server while it was cold, but for what was meant for another."""
+
+    server: str
+    path: str
+
+
 class OrderTaken(msgspec.Struct, frozen=True):
     """An order that an engine took."""
 
@@ -76,6 +85,9 @@
 class RegisteredServer:
     """A plain service's server; engines build on it."""
 
+    cold_seconds = 0.0
+    """It stays cold this long after a start during the day; set by the world for all of them."""
+
     def __init__(
         self, service: str, address: str, zone: str, controls: list[str], work_seconds: float = 0.02
     ) -> None:
@@ -85,12 +97,15 @@
         self.state = "ready"
         self.instance = ""
         self.sequence = 0
+        self.cold_until = 0.0
         self._work_seconds = work_seconds
         self._caller = ControlCaller(controls)
         self._working: dict[str, RequestReceived] = {}
 
     def start(self, event: Started, now: float) -> list[Effect]:
         self.instance = f"i-{event.seed % 10**9:09d}"
+        if now > FIRST_STARTS_SECONDS:
+            self.cold_until = now + self.cold_seconds
         return self._beat(now)
 
     def reduce(self, event: Event, now: float) -> list[Effect]:
@@ -109,7 +124,7 @@
                 expected = event.headers.get("x-expect-instance", self.instance)
                 if expected != self.instance:
                     return [Respond(event.request_id, 421, {"X-Instance-Id": self.instance}, b"")]
-                return self._request(event, now)
+                return [*self._note_cold(event, now), *self._request(event, now)]
             case RequestAborted():
                 self._working.pop(event.request_id, None)
                 return []
@@ -119,6 +134,11 @@
             case _:
                 return []
 
+    def _note_cold(self, event: RequestReceived, now: float) -> list[Effect]:
+        if now >= self.cold_until:
+            return []
+        return [WriteRecord("cold", ColdArrival(self.instance, event.path))]
+
     def _beat(self, now: float) -> list[Effect]:
         self.sequence += 1
         body = json.dumps(
@@ -129,7 +149,7 @@
                 "Version": "v1",
                 "Slots": 4,
                 "State": self.state,
-                "ColdLeftMs": 0,
+                "ColdLeftMs": max(0.0, self.cold_until - now) * 1000,
                 "Seq": self.sequence,
                 **self._beat_extra(),
             }
--- a/tests/users_platform/world.py
+++ b/tests/users_platform/world.py
@@ -22,6 +22,7 @@
     keeper_settings,
 )
 from tests.users_platform.callers import (
+    COLD_START_SECONDS,
     ForeignReader,
     LookupClient,
     Operator,
@@ -36,6 +37,8 @@
 INTERNAL_PORT = 7620
 SERVER_PORT = 8503
 ZONES = VITRINA.zones
+COLD_OVERSHOOT = 1.5
+COLD_SLACK = 5.0
 PLATFORM_ADDRESS = "10.200.0.155:8621"
 TRAINERS_TENANT = "alpha"
 LOOKUPS_TENANT = "beta"
@@ -59,7 +62,10 @@
         steps: int = 5,
         losses: int = 1,
         has_tenants: bool = False,
+        has_cold: bool = False,
+        groups: int = 4,
     ) -> None:
+        self.has_cold = has_cold
         self.keys = TENANT_KEYS if has_tenants else {}
         self.simulation = Simulation(seed, VITRINA)
         self.controls = [f"10.{number}.0.14" for number in range(1, 4)]
@@ -91,6 +97,7 @@
                     model,
                     self.gateway_addresses,
                     self.control_addresses,
+                    groups=groups,
                     steps=steps,
                     keys=self.keys_of(TRAINERS_TENANT),
                 ),
@@ -104,6 +111,21 @@
             key = self.keys_of(LOOKUPS_TENANT)[0]
             self.add_caller("foreign", lambda: ForeignReader(self.gateway_addresses, jobs, key))
 
+    def add_lookups(self, clients: int) -> None:
+        """Add clients that look things up, at all gateways there are by now."""
+        for number in range(1, clients + 1):
+            name = f"c{number}"
+            self.add_caller(name, lambda name=name: LookupClient(name, self.gateway_addresses))
+
+    def add_gateways(self, count: int) -> None:
+        """Add gateways, zone by zone."""
+        for number in range(count):
+            zone = number % len(ZONES)
+            ip = f"10.{zone + 1}.1.{10 + number}"
+            self.gateways.append(ip)
+            self.gateway_addresses.append(f"{ip}:{FRONT_PORT}")
+            self.add_daemon("edge", ip, ZONES[zone])
+
     def config(self, version: int, keys: dict[str, list[str]] | None = None) -> dict[str, Any]:
         """A configuration of this deployment.
 
@@ -111,7 +133,8 @@
             version: Its version.
             keys: Keys by tenant; the usual ones if left out.
         """
-        return config(version, self.services, keys=self.keys if keys is None else keys)
+        held = self.keys if keys is None else keys
+        return config(version, self.services, keys=held, cold=self.has_cold)
 
     def keys_of(self, tenant: str) -> tuple[str, ...]:
         """Keys that a tenant's callers use."""
@@ -132,7 +155,12 @@
                 "Seeds": self.control_addresses,
                 "Bootstrap": bootstrap,
                 "FaultTolerance": {"Machines": self._losses},
-                "Bounds": {"UsageWindowS": WINDOW_SECONDS, "UsageLateS": DUE_SECONDS},
+                "Bounds": {
+                    "UsageWindowS": WINDOW_SECONDS,
+                    "UsageLateS": DUE_SECONDS,
+                    "ColdOvershoot": COLD_OVERSHOOT,
+                    "ColdSlack": COLD_SLACK,
+                },
                 "Cloud": {"Address": PLATFORM_ADDRESS, "Duties": ["metering"], "DutyPerS": 50.0},
                 "Listen": {
                     "Front": f"{ip}:{FRONT_PORT}",
@@ -200,7 +228,12 @@
                     ),
                 )
 
-    def _add_server(self, name: str, zone: str, address: str, make: Any) -> None:
+    def _add_server(self, name: str, zone: str, address: str, make_server: Any) -> None:
+        def make() -> Any:
+            server = make_server()
+            server.cold_seconds = COLD_START_SECONDS if self.has_cold else 0.0
+            return server
+
         spec = ProcessSpec(
             node_id=name, zone=zone, http_address=address, make_reducer=make, keeps_disk=False
         )
