Servers whose heartbeats stayed away count as cold; tests of the parts, and any order of faults

Cause: a server that gets cold while it is cut off was flooded once the cut was over: 56 to 68 requests within its first second, since nobody knew (test_servers_that_got_cold_while_they_were_cut_off). A note of failed connections at each sender alone did not help: in a cut most calls end by their own deadline.

Change: the control leader notes back ends of limited services as cold once no heartbeat came for 3 s; a newer one says what they are. A daemon that could not connect to a server takes it for cold, too, until the leader has heard it since.

Planted floods are reported.

--- a/src/merlinstand/directory/backends.py
+++ b/src/merlinstand/directory/backends.py
@@ -101,6 +101,14 @@
         self.sequences[backend_id] = sequence
         return True
 
+    def take_for_cold(self, backend_ids: Iterable[BackendId]) -> None:
+        """Note that some back ends may be cold, until newer heartbeats of theirs say otherwise."""
+        for backend_id in backend_ids:
+            present = self.backends.get(backend_id)
+            if present is not None and not present.is_cold:
+                self.backends[backend_id] = msgspec.structs.replace(present, is_cold=True)
+                self._touched.append(Touched(backend_id, present.service))
+
     def remove(self, backend_id: BackendId) -> bool:
         """Forget a back end for good; tells whether it was there."""
         self.removed[backend_id] = None
--- a/src/merlinstand/directory/beat_intake.py
+++ b/src/merlinstand/directory/beat_intake.py
@@ -131,6 +131,14 @@
         heard, self._heard = tuple(self._heard), {}
         return heard
 
+    def missing(self, limit_seconds: float, now: float) -> list[Backend]:
+        """Leader: back ends that were not heard for some time, but for those taken for cold."""
+        return [
+            backend
+            for backend_id, backend in self._state.table.backends.items()
+            if not backend.is_cold and now - self._heard_at.get(backend_id, now) > limit_seconds
+        ]
+
     def silent(self, limit_seconds: float, now: float) -> list[Backend]:
         """Leader: back ends that were not heard for long; each is told once."""
         present = self._state.table.backends
--- a/src/merlinstand/directory/cold_budget.py
+++ b/src/merlinstand/directory/cold_budget.py
@@ -35,7 +35,6 @@
 """Pulls with wishes whose answers are still taken; older grants have ended."""
 WISHED_BACKENDS = 32
 """Cold back ends named in one wish: with a burst of two each, more than one pull's work."""
-TIMEOUT_REASON = "timeout"
 DOUBTED_KIND = ""
 """Names the wish of nothing that only asks whether back ends are warm."""
 
@@ -107,8 +106,12 @@
         return live
 
     def note_failure(self, backend: Backend, event: CallFailed, now: float) -> None:
-        """A call failed: a back end that can't be reached may be cold when it is back."""
-        is_away = event.phase is CallPhase.CONNECT or event.reason == TIMEOUT_REASON
+        """A call failed: a back end that can't be reached may be cold when it is back.
+
+        One that is silent on an open connection is not taken for away: a daemon that stood still
+        itself finds all of them silent.
+        """
+        is_away = event.phase is CallPhase.CONNECT
         if is_away and self._bears_per_second(backend.service) > 0.0:
             self._doubted_since[backend.backend_id] = now
 
--- a/src/merlinstand/directory/commands.py
+++ b/src/merlinstand/directory/commands.py
@@ -42,6 +42,12 @@
     backend_id: BackendId
 
 
+class TakeForCold(msgspec.Struct, frozen=True, tag="take_for_cold"):
+    """Back ends whose heartbeats stayed away: they may be cold when they are back."""
+
+    backend_ids: tuple[BackendId, ...]
+
+
 class NameWeights(msgspec.Struct, frozen=True, tag="name_weights"):
     """A trainer published a weight version."""
 
@@ -100,6 +106,7 @@
     | PutBackends
     | RemoveBackend
     | ExpireBackend
+    | TakeForCold
     | NameWeights
     | FoundKeepers
     | RetireKeeper
--- a/src/merlinstand/directory/heartbeats.py
+++ b/src/merlinstand/directory/heartbeats.py
@@ -23,6 +23,7 @@
     ExpireBackend,
     PutBackend,
     PutBackends,
+    TakeForCold,
 )
 from merlinstand.directory.requests import Heartbeat, HeartbeatAccepted
 from merlinstand.directory.settings import DirectorySettings
@@ -34,6 +35,9 @@
 CHANGES_SECONDS = 0.05
 """What heartbeats change goes on at most this often: at once after a quiet time, else together. A
 tenth of the time in which a heartbeat's answer is due, and a sixth of a load of weights."""
+MISSED_BEATS_SECONDS = 3.0
+"""A back end that was not heard for so long may be cold when it is back: two heartbeats that come
+each 1.2 s were missed, and more than half of a third."""
 
 
 class BeatTaken(msgspec.Struct, frozen=True):
@@ -168,10 +172,24 @@
         return [SetTimer(CHANGES_TIMER, CHANGES_SECONDS)] if self._intake.has_changes else []
 
     def expire(self, now: float) -> list[Effect]:
-        """Leader: forget back ends that have been silent for long."""
-        effects: list[Effect] = []
+        """Leader: forget back ends that have been silent for long, doubt those silent for less."""
+        effects = self._take_for_cold(now)
         for backend in self._intake.silent(self._settings.backend_silence_seconds, now):
             fields = {"backend": backend.backend_id, "service": backend.service}
             effects.append(LogEvent("backend.expired", fields))
             effects.extend(self._propose(ExpireBackend(backend.backend_id), now) or [])
         return effects
+
+    def _take_for_cold(self, now: float) -> list[Effect]:
+        """Where cold back ends are limited, those that went missing count as cold."""
+        document = self._state.document
+        services = document.services if document is not None else ()
+        limited = {s.name for s in services if s.cold_requests_per_second > 0.0}
+        if not limited:
+            return []
+        missing = self._intake.missing(MISSED_BEATS_SECONDS, now)
+        ids = tuple(backend.backend_id for backend in missing if backend.service in limited)
+        if not ids:
+            return []
+        log = LogEvent("backends.taken_for_cold", {"count": len(ids), "backends": ",".join(ids)})
+        return [log, *(self._propose(TakeForCold(ids), now) or [])]
--- a/src/merlinstand/directory/state_machine.py
+++ b/src/merlinstand/directory/state_machine.py
@@ -20,6 +20,7 @@
     RemoveBackend,
     RetireKeeper,
     SettleUsage,
+    TakeForCold,
 )
 from merlinstand.directory.routes import RoutesDocument, live_services
 from merlinstand.directory.view import KeeperGroup
@@ -99,6 +100,9 @@
             case ExpireBackend():
                 self.table.expire(command.backend_id)
                 self._note_backends(index)
+            case TakeForCold():
+                self.table.take_for_cold(command.backend_ids)
+                self._note_backends(index)
             case NameWeights():
                 if command.version > self.weights.get(command.model, 0):
                     self.weights[command.model] = command.version
--- /dev/null
+++ b/tests/batch_jobs/test_cold_engines.py
@@ -0,0 +1,132 @@
+"""Cold engines get runs, scoring calls and weight orders only as the leader grants them."""
+
+import msgspec
+import pytest
+
+from merlinstand.batch_jobs.cold_engines import wish_for_items
+from merlinstand.batch_jobs.engines import EngineState, EngineStates
+from merlinstand.batch_jobs.schedule import ItemDemand
+from merlinstand.batch_jobs.scheduling_turn import SchedulingTurn
+from merlinstand.common.ids import BackendId
+from merlinstand.directory.backends import Backend, HeldModel
+from merlinstand.directory.cold_budget import ColdBudget
+from merlinstand.directory.cold_grants import (
+    ColdGrants,
+    ColdWish,
+    decode_wishes,
+    encode_grants,
+)
+from merlinstand.directory.follower import DirectoryFollower
+from merlinstand.directory.routes import RoutesDocument, RouteTable, Service
+from merlinstand.directory.view import DaemonReport
+from tests.batch_jobs.test_scoring import Scoring
+from tests.batch_jobs.test_weight_loader import Loading, report
+
+SERVICE = Service(name="llm", slots=4, models=("m0",), cold_requests_per_second=9.2)
+DEMAND = ItemDemand(model="m0", minimum_version=1)
+
+
+def engine(number: int, is_cold: bool, version: int = 1) -> Backend:
+    return Backend(
+        backend_id=BackendId(f"e{number}"),
+        service="llm",
+        address=f"e{number}:1",
+        slots=4,
+        models=(HeldModel("m0", version),),
+        is_cold=is_cold,
+    )
+
+
+def engines_of(*backends: Backend) -> tuple[EngineStates, ColdBudget]:
+    follower = DirectoryFollower((), lambda _now: DaemonReport(node_id="k", name="k", role="k"))
+    follower.routes = RouteTable(RoutesDocument(version=1, services=(SERVICE,)))
+    follower.set_backends(backends)
+    follower.backends_revision = 1
+    engines = EngineStates(follower)
+    engines.refresh()
+    return engines, follower.cold
+
+
+def grant(cold: ColdBudget, backend: Backend, sends: int, now: float) -> None:
+    cold.wish("x", sends, (backend,))
+    cold.ask(now)
+    cold.take(encode_grants(ColdGrants(now, {backend.backend_id: sends})), now)
+
+
+def turn(engines: EngineStates, cold: ColdBudget, now: float) -> SchedulingTurn:
+    return SchedulingTurn(engines, lambda _backend, _model: True, cold, now)
+
+
+def begin(of_turn: SchedulingTurn, may_be_cold: bool = True) -> str:
+    """Begin a run; gives its engine."""
+    chosen = of_turn.choose("llm", DEMAND, may_be_cold)
+    if chosen is None:
+        return ""
+    chosen.running += 1
+    of_turn.note_begun(chosen)
+    return chosen.backend.backend_id
+
+
+def test_warm_engines_go_first_then_cold_ones_as_far_as_granted() -> None:
+    engines, cold = engines_of(engine(0, True), engine(1, False))
+    grant(cold, engine(0, True), 2, 1.0)
+    of_turn = turn(engines, cold, 1.01)
+    assert [begin(of_turn) for _ in range(7)] == ["e1"] * 4 + ["e0"] * 2 + [""]
+    assert not of_turn.has_open_engines
+    assert [state.backend.backend_id for state in of_turn.closed] == ["e0"]
+
+
+def test_runs_move_to_no_cold_engine() -> None:
+    engines, cold = engines_of(engine(0, True))
+    grant(cold, engine(0, True), 2, 1.0)
+    assert begin(turn(engines, cold, 1.01), may_be_cold=False) == ""
+
+
+@pytest.mark.parametrize(
+    ("waiting", "wished"),
+    [
+        pytest.param([("m0", 1)] * 9, [("m0/1", 4, ("e0",))], id="no more than free slots"),
+        pytest.param([("m0", 1)] * 2, [("m0/1", 2, ("e0",))], id="no more than items"),
+        pytest.param([("m0", 2)], [], id="older weights won't do"),
+        pytest.param([("", 0)], [("/0", 1, ("e0",))], id="any engine will do"),
+    ],
+)
+def test_items_wish_what_they_can_use(
+    waiting: list[tuple[str, int]], wished: list[tuple[str, int, tuple[str, ...]]]
+) -> None:
+    cold = ColdBudget(lambda _service: 9.2)
+    wish_for_items(cold, [EngineState(engine(0, True))], waiting)
+    data = cold.ask(1.0)
+    wishes = decode_wishes(data).wishes if data is not None else ()
+    expected = [ColdWish(kind, sends, tuple(map(BackendId, ids))) for kind, sends, ids in wished]
+    assert list(wishes) == expected
+
+
+def test_reports_and_orders_count_too() -> None:
+    loading = Loading()
+    loading.follower.routes = RouteTable(RoutesDocument(version=1, services=(SERVICE,)))
+    [state] = loading.states.states.values()
+    state.backend = msgspec.structs.replace(state.backend, is_cold=True)
+    cold = loading.follower.cold
+    assert loading.calls(0.0) == []
+    assert cold.is_ask_due(0.0)
+    grant(cold, state.backend, 2, 0.1)
+    [asked] = loading.calls(0.11)
+    [order] = loading.reported(asked, report(3, 1), 0.12)
+    assert order.path == "/order"
+    assert cold.granted(state.backend.backend_id, 0.12) == 0
+
+
+@pytest.mark.parametrize(("is_cold", "calls"), [(False, 6), (True, 1)])
+def test_a_cold_server_takes_one_scoring_call_at_a_time(is_cold: bool, calls: int) -> None:
+    scoring = Scoring(items=20, slots=8)
+    follower = scoring.runner._follower
+    service = Service(name="shop", cold_requests_per_second=9.2)
+    follower.routes = RouteTable(
+        msgspec.structs.replace(follower.routes.document, services=(service,))
+    )
+    follower.set_backends(
+        msgspec.structs.replace(backend, is_cold=is_cold) for backend in follower.backends
+    )
+    scoring.end_generation()
+    assert len(scoring.forwarder) == calls
--- /dev/null
+++ b/tests/directory/test_cold_bound.py
@@ -0,0 +1,109 @@
+"""The bound on what reaches cold back ends holds in any order of faults, and mutants break it."""
+
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+
+from merlinstand.directory import cold_budget, cold_feeding
+from merlinstand.directory.cold_budget import ColdBudget
+from tests.directory.cold_machine import EXAMPLES, play
+
+MUTANT_EXAMPLES = 300
+
+
+def test_no_order_of_faults_floods_a_cold_back_end() -> None:
+    play(EXAMPLES)
+
+
+class FullBucket(cold_feeding._Bucket):
+    """A bucket that begins full."""
+
+    def __post_init__(self) -> None:
+        self.level = self.rate.burst
+
+
+def begin_full(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(cold_feeding, "_Bucket", FullBucket)
+
+
+def take_twice(patch: pytest.MonkeyPatch) -> None:
+    """Grants that answer no pull of this process, or one for the second time."""
+    sound = ColdBudget.take
+
+    def take(self: ColdBudget, data: bytes, now: float) -> None:
+        asked_at = cold_budget.decode_grants(data).asked_at
+        self._pulls[asked_at] = None
+        sound(self, data, now)
+        self._pulls.pop(asked_at, None)
+
+    patch.setattr(ColdBudget, "take", take)
+
+
+def count_from_the_answer(patch: pytest.MonkeyPatch) -> None:
+    """A grant that ends some time after its answer came, however late that was.
+
+    That only few pulls wait for their answers hides it mostly.
+    """
+    patch.setattr(cold_budget, "KEPT_PULLS", 1_000)
+    sound = ColdBudget.take
+
+    def take(self: ColdBudget, data: bytes, now: float) -> None:
+        asked_at = cold_budget.decode_grants(data).asked_at
+        patch.setattr(cold_budget, "GRANT_SECONDS", now - asked_at + 0.3)
+        sound(self, data, now)
+
+    patch.setattr(ColdBudget, "take", take)
+
+
+def extend_by_pushes(patch: pytest.MonkeyPatch) -> None:
+    """Whatever comes counts, from when it comes."""
+    count_from_the_answer(patch)
+    take_twice(patch)
+
+
+def never_end(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(cold_budget, "GRANT_SECONDS", 3_600.0)
+
+
+def forget_sends(patch: pytest.MonkeyPatch) -> None:
+    """Every second send isn't counted."""
+    sound = ColdBudget.note_sent
+    count = [0]
+
+    def note_sent(self: ColdBudget, *args: Any) -> None:
+        count[0] += 1
+        if count[0] % 2:
+            sound(self, *args)
+
+    patch.setattr(ColdBudget, "note_sent", note_sent)
+
+
+def fill_without_end(patch: pytest.MonkeyPatch) -> None:
+    """A bucket that fills up while nobody sends."""
+
+    def fill(self: cold_feeding._Bucket, now: float) -> None:
+        self.level += (now - self.filled_at) * self.rate.per_second
+        self.filled_at = now
+
+    patch.setattr(cold_feeding._Bucket, "fill", fill)
+
+
+@pytest.mark.parametrize(
+    "mutate",
+    [
+        begin_full,
+        take_twice,
+        count_from_the_answer,
+        extend_by_pushes,
+        never_end,
+        forget_sends,
+        fill_without_end,
+    ],
+)
+def test_a_mutant_is_found(
+    mutate: Callable[[pytest.MonkeyPatch], None], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    mutate(monkeypatch)
+    with pytest.raises(AssertionError):
+        play(MUTANT_EXAMPLES, shrinks=False)
--- /dev/null
+++ b/tests/directory/test_cold_budget.py
@@ -0,0 +1,131 @@
+"""What a daemon may send to cold back ends, and what it wishes."""
+
+import pytest
+
+from merlinstand.common.ids import CallId
+from merlinstand.directory.cold_budget import ASK_SECONDS, KEPT_PULLS, ColdBudget
+from merlinstand.directory.cold_grants import (
+    GRANT_SECONDS,
+    ColdGrants,
+    decode_wishes,
+    encode_grants,
+)
+from merlinstand.kernel.events import CallFailed, CallPhase
+from tests.directory.cold_machine import COLD, make_budget
+from tests.directory.test_cold_feeding import IDS, WARM
+
+CUT = CallFailed(CallId("c"), CallPhase.CONNECT, "timeout")
+
+
+def asked(budget: ColdBudget, at: float) -> ColdBudget:
+    """Wish something at a time."""
+    budget.wish("w", 5, COLD)
+    assert budget.ask(at) is not None
+    return budget
+
+
+def answer(asked_at: float, sends: int = 2, **more: object) -> bytes:
+    return encode_grants(ColdGrants(asked_at, {IDS[0]: sends}, **more))  # type: ignore[arg-type]
+
+
+def test_each_grant_is_for_one_request() -> None:
+    budget = asked(make_budget(), 1.0)
+    assert not budget.is_open(COLD[0], 1.0)
+    budget.take(answer(1.0), 1.01)
+    for _ in range(2):
+        assert budget.is_open(COLD[0], 1.02)
+        budget.note_sent(COLD[0], 1.02)
+    assert not budget.is_open(COLD[0], 1.02)
+    assert not budget.is_open(COLD[1], 1.02)
+
+
+@pytest.mark.parametrize("came_at", [1.01, 1.2, 1.29])
+def test_a_grant_ends_by_the_time_of_its_wish_whenever_it_came(came_at: float) -> None:
+    budget = asked(make_budget(), 1.0)
+    budget.take(answer(1.0), came_at)
+    assert budget.is_open(COLD[0], came_at)
+    assert not budget.is_open(COLD[0], 1.0 + GRANT_SECONDS)
+
+
+def test_an_answer_counts_once() -> None:
+    budget = asked(make_budget(), 1.0)
+    for _ in range(3):
+        budget.take(answer(1.0), 1.01)
+    assert budget.granted(IDS[0], 1.02) == 2
+
+
+def test_an_answer_to_an_earlier_life_counts_nothing() -> None:
+    budget = make_budget()
+    budget.take(answer(1.0), 1.01)
+    assert budget.granted(IDS[0], 1.02) == 0
+
+
+def test_pulls_whose_answers_never_come_are_forgotten() -> None:
+    budget = make_budget()
+    for number in range(3 * KEPT_PULLS):
+        asked(budget, float(number))
+    assert len(budget._pulls) == KEPT_PULLS
+
+
+def test_wishes_go_at_once_then_only_when_that_is_of_use() -> None:
+    budget = make_budget()
+    assert not budget.is_ask_due(1.0)
+    budget.wish("w", 1, COLD)
+    assert budget.is_ask_due(1.0)
+    budget.ask(1.0)
+    budget.wish("w", 1, COLD)
+    assert not budget.is_ask_due(1.0 + ASK_SECONDS / 2)
+    assert budget.is_ask_due(1.0 + ASK_SECONDS)
+    budget.take(answer(1.0, 0, next_seconds={"w": 0.25}), 1.01)
+    assert not budget.is_ask_due(1.2)
+    assert budget.refused_seconds("w", 1.01) == pytest.approx(0.25)
+    assert budget.is_ask_due(1.27)
+
+
+def test_what_could_not_be_reached_is_cold_until_it_was_heard_since() -> None:
+    budget = make_budget()
+    budget.note_failure(WARM, CUT, 1.0)
+    assert not budget.is_open(WARM, 1.5)
+    data = budget.ask(2.0)
+    assert data is not None
+    assert decode_wishes(data).wishes[0].backends == (IDS[0],)
+    # Heard before the failure: proves nothing.
+    budget.take(answer(2.0, 0, warm_heard_seconds={IDS[0]: 1.2}), 2.01)
+    assert not budget.is_open(WARM, 2.02)
+    budget.ask(3.0)
+    budget.take(answer(3.0, 0, warm_heard_seconds={IDS[0]: 0.4}), 3.01)
+    assert budget.is_open(WARM, 3.02)
+    assert budget.ask(4.0) is None
+
+
+@pytest.mark.parametrize(
+    "event",
+    [
+        CallFailed(CallId("c"), CallPhase.SENT, "reset"),
+        CallFailed(CallId("c"), CallPhase.BODY, "truncated"),
+        CallFailed(CallId("c"), CallPhase.BODY, "timeout"),
+    ],
+    ids=lambda event: event.reason,
+)
+def test_a_back_end_that_took_a_call_was_there(event: CallFailed) -> None:
+    budget = make_budget()
+    budget.note_failure(WARM, event, 1.0)
+    assert budget.is_open(WARM, 1.0)
+
+
+def test_what_is_gone_is_forgotten() -> None:
+    budget = asked(make_budget(), 1.0)
+    budget.take(answer(1.0), 1.01)
+    budget.note_failure(COLD[1], CUT, 1.0)
+    budget.keep_only(())
+    assert budget.granted(IDS[0], 1.02) == 0
+    assert budget.ask(2.0) is None
+
+
+def test_where_nothing_is_limited_nothing_is_kept() -> None:
+    budget = ColdBudget()
+    budget.note_failure(COLD[0], CUT, 1.0)
+    assert budget.is_open(COLD[0], 1.0)
+    budget.note_sent(COLD[0], 1.0)
+    assert not budget.is_ask_due(1.0)
+    assert budget.ask(1.0) is None
--- /dev/null
+++ b/tests/directory/test_missing_back_ends.py
@@ -0,0 +1,70 @@
+"""Back ends whose heartbeats stay away count as cold where cold ones are limited."""
+
+import pytest
+
+from merlinstand.common.ids import BackendId
+from merlinstand.directory.commands import PutBackend, TakeForCold, decode_command, encode_command
+from merlinstand.directory.heartbeats import MISSED_BEATS_SECONDS
+from tests.directory.cold_machine import make_state
+from tests.directory.lone_control import LoneControl
+from tests.directory.test_cold_feeding import IDS, WARM
+from tests.users_platform.callers import config
+
+QUIET = "i-quiet"
+BEATING = "i-beating"
+
+
+def control_with_servers(is_limited: bool) -> LoneControl:
+    """A control daemon that has heard one server once; another goes on."""
+    control = LoneControl()
+    control.request(2.1, "PUT", "/config", config(1, {"shop": []}, cold=is_limited))
+    for number, name in enumerate((QUIET, BEATING)):
+        for beat in range(20 if name == BEATING else 1):
+            body = {"Service": "shop", "Address": f"10.1.0.{number}:1", "Seq": beat}
+            control.request(2.3 + 0.6 * beat, "PUT", f"/instances/{name}", body)
+    return control
+
+
+def cold(control: LoneControl) -> list[str]:
+    return [b.backend_id for b in control.daemon.state.table.backends.values() if b.is_cold]
+
+
+@pytest.mark.parametrize(("is_limited", "taken"), [(True, [QUIET]), (False, [])])
+def test_only_missing_back_ends_of_limited_services_are_taken_for_cold(
+    is_limited: bool, taken: list[str]
+) -> None:
+    control = control_with_servers(is_limited)
+    control.run_until(2.3 + MISSED_BEATS_SECONDS - 0.1)
+    assert cold(control) == []
+    control.run_until(2.3 + MISSED_BEATS_SECONDS + 0.6)
+    assert cold(control) == taken
+
+
+def test_its_next_heartbeat_says_what_it_is() -> None:
+    control = control_with_servers(True)
+    control.run_until(6.0)
+    assert cold(control) == [QUIET]
+    body = {"Service": "shop", "Address": "10.1.0.0:1", "Seq": 9, "ColdLeftMs": 0}
+    control.request(6.1, "PUT", f"/instances/{QUIET}", body)
+    control.run_until(6.5)
+    assert cold(control) == []
+
+
+def test_it_is_noted_once_and_followed() -> None:
+    control = control_with_servers(True)
+    control.add_daemon("10.0.0.9", "keeper", 2.5)
+    control.run_until(6.0)
+    writes, updates = control.writes, control.updates["10.0.0.9"]
+    control.run_until(8.0)
+    assert (control.writes, control.updates["10.0.0.9"]) == (writes, updates)
+
+
+def test_older_heartbeats_don_t_take_it_back() -> None:
+    state = make_state((WARM,))
+    state.apply(8, decode_command(encode_command(TakeForCold((IDS[0], BackendId("nobody"))))))
+    assert state.table.backends[IDS[0]].is_cold
+    assert state.backends_revision == 8
+    state.apply(9, PutBackend(WARM, 1))
+    assert state.table.backends[IDS[0]].is_cold
+    state.apply(10, PutBackend(WARM, 2))
+    assert not state.table.backends[IDS[0]].is_cold
--- a/tests/users_platform/test_adapter.py
+++ b/tests/users_platform/test_adapter.py
@@ -3,6 +3,7 @@
 import base64
 import json
 
+import msgspec
 import pytest
 
 from merlinstand.batch_jobs.calls import (
@@ -23,8 +24,9 @@
 from merlinstand_platform.batch import PlatformGatewayInterface
 from merlinstand_platform.control import PlatformControlInterface
 from merlinstand_platform.document import read_document
+from merlinstand_platform.settings import NodeFile, directory_settings
 from tests.routes import make_route
-from tests.users_platform.callers import HOST, config
+from tests.users_platform.callers import COLD_REQUESTS_PER_SECOND, HOST, config
 
 SERVICES: dict[str, list[str]] = {"shop": [], "llm": ["m0"]}
 BATCH_ROUTE = make_route(
@@ -156,3 +158,35 @@
     assert interface.write_batch_reply(BatchFailure(True, 0.3)).status == 504
     refused = interface.write_batch_reply(BatchFailure(False, 0.3))
     assert (refused.status, refused.headers) == (503, {"retry-after": "0.3"})
+
+
+def test_bounds_on_cold_servers_are_read() -> None:
+    node = msgspec.convert(
+        {
+            "Node": "core-1",
+            "Ip": "10.0.0.1",
+            "Zone": "z",
+            "PortRange": (7000, 7010),
+            "Seeds": ["10.0.0.1:8000"],
+            "Listen": {"Control": "10.0.0.1:8000"},
+            "Bounds": {"ColdOvershoot": 1.5, "ColdSlack": 5},
+        },
+        NodeFile,
+    )
+    settings = directory_settings(node)
+    assert (settings.cold_overshoot, settings.cold_slack_requests) == (1.5, 5.0)
+
+
+def test_what_cold_servers_bear_is_read() -> None:
+    content = json.dumps(config(3, SERVICES, cold=True)).encode()
+    for service in read_document(content).unwrap().services:
+        assert service.cold_requests_per_second == COLD_REQUESTS_PER_SECOND
+
+
+@pytest.mark.parametrize(("left_ms", "is_cold"), [(0, False), (1, True), (2_900.5, True)])
+def test_a_heartbeat_says_whether_its_server_is_cold(left_ms: float, is_cold: bool) -> None:
+    body = json.dumps({"Service": "llm", "Address": "a:1", "ColdLeftMs": left_ms, "Seq": 1})
+    read = PlatformControlInterface().read(request("PUT", "/instances/i-1", body.encode()))
+    beat = read.unwrap()
+    assert isinstance(beat, Heartbeat)
+    assert beat.backend.is_cold is is_cold
--- a/tests/users_platform/test_checks.py
+++ b/tests/users_platform/test_checks.py
@@ -10,6 +10,7 @@
 from merlinstand.batch_jobs.daemon import KeeperDaemon
 from merlinstand.batch_jobs.kept_text import KeptText, TextPart
 from merlinstand.batch_jobs.state_machine import JobState
+from merlinstand.directory.cold_budget import ColdBudget
 from merlinstand.directory.state_machine import DirectoryState
 from merlinstand.kernel.effects import Effect, Respond, WriteRecord
 from merlinstand.kernel.events import RequestReceived
@@ -27,6 +28,7 @@
 from tests.users_platform.platform_standin import UsageTold
 from tests.users_platform.servers import (
     Arrival,
+    ColdArrival,
     Engine,
     OrderTaken,
     event_count,
@@ -240,3 +242,38 @@
 def test_a_repeated_report_and_slow_turns_are_no_violation() -> None:
     usage = [told(1, "a", 1), told(1, "a", 1), told(2, "b", 2), told(3, "a", 3)]
     assert violations(seen([0.0, 0.5, 4.0, 8.0], usage=usage)) == []
+
+
+@pytest.mark.parametrize(
+    ("times", "is_flood"),
+    [
+        pytest.param([10.0 + 0.05 * n for n in range(18)], False, id="as many as it may get"),
+        pytest.param([10.0 + 0.05 * n for n in range(19)], True, id="one more"),
+        pytest.param([10.6 + 0.05 * n for n in range(19)], True, id="over a full second"),
+        pytest.param([10.0 + 0.1 * n for n in range(30)], False, id="for longer than a second"),
+    ],
+)
+def test_a_planted_flood_of_a_cold_server(times: list[float], is_flood: bool) -> None:
+    cold = [ColdArrival("s1", "/lookup/1") for _ in times]
+    found = violations(seen(times, cold=cold))
+    assert any("requests in a second at the cold server s1" in f for f in found) == is_flood
+
+
+def test_what_reaches_two_cold_servers_is_not_added_up() -> None:
+    cold = [ColdArrival(f"s{n % 2}", "/lookup/1") for n in range(30)]
+    assert violations(seen([10.0 + 0.01 * n for n in range(30)], cold=cold)) == []
+
+
+def send_without_grants(_self: ColdBudget, _backend: object, _now: float) -> bool:
+    """A daemon that takes cold servers for warm ones."""
+    return True
+
+
+def test_daemons_that_send_without_grants_are_reported(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(ColdBudget, "is_open", send_without_grants)
+    world = World(1, has_cold=True)
+    world.add_lookups(9)
+    for shop in ("shop-1", "shop-2", "shop-3"):
+        world.kill(shop, 10.0, 1.0)
+    world.simulation.run_until(14.0)
+    assert any("at the cold server" in violation for violation in violations(world))
--- a/tests/users_platform/test_cold_days.py
+++ b/tests/users_platform/test_cold_days.py
@@ -12,7 +12,7 @@
     violations,
     whole_steps,
 )
-from tests.users_platform.servers import Engine
+from tests.users_platform.servers import Engine, RegisteredServer
 from tests.users_platform.world import World
 
 DAY_SECONDS = 26.0
@@ -174,3 +174,23 @@
         reducer = world.process(ip).reducer
         assert reducer is not None
         assert reducer.follower.cold.ask(DAY_SECONDS) is None  # type: ignore[attr-defined]
+
+
+def test_servers_that_got_cold_while_they_were_cut_off_are_not_flooded_when_they_are_back() -> None:
+    world = World(4, has_cold=True, steps=3)
+    world.add_gateways(9)
+    world.add_lookups(9)
+    ends = (frozenset(SHOPS), frozenset((*world.gateways, *world.keepers, *world.controls)))
+
+    def get_cold() -> None:
+        for shop in SHOPS:
+            server = world.process(shop).reducer
+            assert isinstance(server, RegisteredServer)
+            server.cold_until = BACK_AT + COLD_START_SECONDS
+
+    for sources, destinations in (ends, ends[::-1]):
+        world.at(BACK_AT - 4.0, world.simulation.network.cut, sources, destinations)
+        world.at(BACK_AT, world.simulation.network.heal, sources, destinations)
+    world.at(BACK_AT - 0.5, get_cold)
+    run(world)
+    assert whole_steps(world) == 3
