--- a/src/merlinstand/directory/cold_budget.py
+++ b/src/merlinstand/directory/cold_budget.py
@@ -34,7 +34,7 @@
 KEPT_PULLS = 8
 """Pulls with wishes whose answers are still taken; older grants have ended."""
 WISHED_BACKENDS = 32
-"""Cold back ends named in one wish: with a burst of two each, more than one pull's work."""
+"""Cold back ends named in one wish, so that a pull stays small; of more, each in its turn."""
 DOUBTED_KIND = ""
 """Names the wish of nothing that only asks whether back ends are warm."""
 
@@ -65,6 +65,7 @@
         self._refused_until: dict[str, float] = {}
         """By kind of work."""
         self._asked_at = float("-inf")
+        self._turn = 0
 
     # Sending
 
@@ -133,8 +134,11 @@
             sends: Requests that wait.
             backends: Cold back ends that they may go to.
         """
-        ids = tuple(backend.backend_id for backend in backends[:WISHED_BACKENDS])
-        self._wishes[kind] = ColdWish(kind, sends, ids)
+        ids = [backend.backend_id for backend in backends]
+        if len(ids) > WISHED_BACKENDS:
+            first = self._turn % len(ids)
+            ids = (ids[first:] + ids[:first])[:WISHED_BACKENDS]
+        self._wishes[kind] = ColdWish(kind, sends, tuple(ids))
 
     def refused_seconds(self, kind: str, now: float) -> float:
         """How long wishes of a kind are in vain, as the leader told; 0 if they may be granted."""
@@ -151,6 +155,7 @@
 
     def ask(self, now: float) -> bytes | None:
         """Give the wishes for a pull that leaves now, encoded; None if there are none."""
+        self._turn += WISHED_BACKENDS
         wishes = list(self._wishes.values())
         if self._doubted_since:
             # Whether they are warm is asked even if no work waits for them: it might never.
--- a/tests/directory/test_cold_budget.py
+++ b/tests/directory/test_cold_budget.py
@@ -1,9 +1,15 @@
 """What a daemon may send to cold back ends, and what it wishes."""
 
+import msgspec
 import pytest
 
-from merlinstand.common.ids import CallId
-from merlinstand.directory.cold_budget import ASK_SECONDS, KEPT_PULLS, ColdBudget
+from merlinstand.common.ids import BackendId, CallId
+from merlinstand.directory.cold_budget import (
+    ASK_SECONDS,
+    KEPT_PULLS,
+    WISHED_BACKENDS,
+    ColdBudget,
+)
 from merlinstand.directory.cold_grants import (
     GRANT_SECONDS,
     ColdGrants,
@@ -113,6 +119,20 @@
     assert budget.is_open(WARM, 1.0)
 
 
+def test_of_very_many_cold_back_ends_each_is_wished_in_its_turn() -> None:
+    budget = make_budget()
+    many = [msgspec.structs.replace(COLD[0], backend_id=BackendId(f"b{n}")) for n in range(70)]
+    wished: set[BackendId] = set()
+    for asked_at in (1.0, 2.0, 3.0):
+        budget.wish("w", 70, many)
+        data = budget.ask(asked_at)
+        assert data is not None
+        [wish] = decode_wishes(data).wishes
+        assert len(wish.backends) == WISHED_BACKENDS
+        wished.update(wish.backends)
+    assert len(wished) == len(many)
+
+
 def test_what_is_gone_is_forgotten() -> None:
     budget = asked(make_budget(), 1.0)
     budget.take(answer(1.0), 1.01)
