--- /dev/null
+++ b/src/merlinstand/batch_jobs/cold_engines.py
@@ -0,0 +1,52 @@
+"""Which sends to cold engines the waiting items need (pure decision)."""
+
+from collections import Counter
+from collections.abc import Iterable, Sequence
+
+import msgspec
+
+from merlinstand.batch_jobs.engines import EngineState
+from merlinstand.batch_jobs.schedule import ItemDemand
+from merlinstand.directory.cold_budget import ColdBudget
+
+
+class _Need(msgspec.Struct, frozen=True):
+    """What tells items apart for which other engines will do."""
+
+    model: str
+    oldest: int
+    zones: frozenset[str] | None
+
+    def fits(self, state: EngineState) -> bool:
+        if self.zones is not None and state.backend.zone not in self.zones:
+            return False
+        return not self.model or state.version_of(self.model) >= self.oldest
+
+    @property
+    def kind(self) -> str:
+        within = "" if self.zones is None else f"@{','.join(sorted(self.zones))}"
+        return f"{self.model}/{self.oldest}{within}"
+
+
+def wish_for_items(
+    cold: ColdBudget, closed: Sequence[EngineState], waiting: Iterable[ItemDemand]
+) -> None:
+    """Wish sends for items that found no engine.
+
+    Args:
+        cold: Takes the wishes.
+        closed: Cold engines with free slots to which nothing may be sent just now.
+        waiting: What each item that waits needs of an engine.
+    """
+    if not closed:
+        return
+    for need, count in Counter(_needed(demand) for demand in waiting).items():
+        fitting = [state for state in closed if need.fits(state)]
+        slots = sum(state.free_slots for state in fitting)
+        if slots:
+            backends = [state.backend for state in fitting]
+            cold.wish(need.kind, min(count, slots), backends)
+
+
+def _needed(demand: ItemDemand) -> _Need:
+    return _Need(demand.model, demand.minimum_version, demand.allowed_zones)
--- a/src/merlinstand/directory/state_machine.py
+++ b/src/merlinstand/directory/state_machine.py
@@ -22,6 +22,7 @@
     RetireKeeper,
     SettleUsage,
     TakeBackZone,
+    TakeForCold,
 )
 from merlinstand.directory.evacuations import Evacuations, StoredEvacuations
 from merlinstand.directory.former_backends import StoredArrivals
@@ -108,6 +109,9 @@
             case ExpireBackend():
                 self.table.expire(command.backend_id)
                 self._note_backends(index)
+            case TakeForCold():
+                self.table.take_for_cold(command.backend_ids)
+                self._note_backends(index)
             case NameWeights():
                 if command.version > self.weights.get(command.model, 0):
                     self.weights[command.model] = command.version
--- a/src/merlinstand/forwarding/forwarder.py
+++ b/src/merlinstand/forwarding/forwarder.py
@@ -10,10 +10,12 @@
 
 from merlinstand.common.ids import BackendId, CallId
 from merlinstand.directory.backends import Backend
+from merlinstand.directory.cold_budget import ColdBudget
 from merlinstand.directory.places import Places
 from merlinstand.directory.regions import NO_SERVER_REASON, servers_within
 from merlinstand.directory.routes import RouteKind
 from merlinstand.forwarding.backend_choice import BackendChooser
+from merlinstand.forwarding.cold_wait import COLD_REASON, ColdWait
 from merlinstand.forwarding.header_names import HeaderNames
 from merlinstand.forwarding.requests import (
     Answered,
@@ -75,6 +77,7 @@
         names: HeaderNames,
         backends_of: Callable[[str], tuple[Backend, ...]],
         places: Places | None = None,
+        cold: ColdBudget | None = None,
     ) -> None:
         """Begin without requests.
 
@@ -82,8 +85,10 @@
             names: Header names.
             backends_of: Gives the registered back ends of a service.
             places: Regions of the zones; without, no server is in any region.
+            cold: What may be sent to cold back ends; without it, no service limits that.
         """
-        self.chooser = BackendChooser()
+        self.chooser = BackendChooser(cold)
+        self._cold_wait = ColdWait(self.chooser.cold, f"{TIMER_PREFIX}cold:")
         self._names = names
         self._backends_of = backends_of
         self._places = Places() if places is None else places
@@ -125,8 +130,23 @@
             return self._hedge(pending, now)
         if kind == "retry" and not pending.running:
             return self._send(pending, now)
+        if kind == "cold" and not pending.running:
+            self._cold_wait.end(key)
+            return self._refuse_cold(pending, now)
         return []
 
+    def resume(self, now: float) -> list[Effect]:
+        """The leader answered: go on with requests that waited for grants, or refuse them."""
+        effects: list[Effect] = []
+        for key in self._cold_wait.take_all():
+            pending = self._pending.get(key)
+            if pending is None or pending.running:
+                continue
+            effects.append(CancelTimer(f"{TIMER_PREFIX}cold:{key}"))
+            is_open = self._candidate(pending, now) is not None
+            effects.extend((self._send if is_open else self._refuse_cold)(pending, now))
+        return effects
+
     def on_call(self, event: CallResponded | CallFailed, now: float) -> list[Effect]:
         """A call with `CALL_PREFIX` ended."""
         key = event.call_id.removeprefix(CALL_PREFIX).rpartition("#")[0]
@@ -138,6 +158,7 @@
         evidence.in_flight -= 1
         if isinstance(event, CallFailed):
             evidence.note_failure(now)
+            self.chooser.cold.note_failure(attempt.backend, event, now)
             if event.phase is not CallPhase.CONNECT:
                 pending.may_have_run = True
             pending.last_reason = f"{event.phase.value}_{event.reason}"
@@ -195,7 +216,10 @@
             return self._give_up(pending, pending.last_reason, now)
         if self._candidate(pending, now) is not None:
             return self._send(pending, now)
-        # Every server was asked: ask them once more, after a pause.
+        return self._await_cold(pending, now) or self._pause(pending)
+
+    def _pause(self, pending: _Pending) -> list[Effect]:
+        """Every server was asked: ask them once more, after a pause."""
         pending.tried.clear()
         return [SetTimer(f"{TIMER_PREFIX}retry:{pending.request.key}", BUSY_PAUSE_SECONDS)]
 
@@ -205,16 +229,33 @@
     # Sending
 
     def _candidate(self, pending: _Pending, now: float) -> Backend | None:
+        return self.chooser.choose(self._allowed(pending), pending.tried, now)
+
+    def _allowed(self, pending: _Pending) -> tuple[Backend, ...]:
+        """Back ends of the request's service in the regions that may serve it."""
         request = pending.request
         backends = self._backends_of(request.service)
-        allowed = servers_within(backends, request.allowed_regions, self._places)
-        return self.chooser.choose(allowed, pending.tried, now)
+        return servers_within(backends, request.allowed_regions, self._places)
+
+    def _closed(self, pending: _Pending, now: float) -> list[Backend]:
+        """Cold back ends that only a grant opens to the request."""
+        return self.chooser.closed(self._allowed(pending), pending.tried, now)
+
+    def _await_cold(self, pending: _Pending, now: float) -> list[Effect]:
+        """Wait for a grant if cold back ends are left; nothing if there are none, or in vain."""
+        return self._cold_wait.begin(pending.request, self._closed(pending, now), now)
+
+    def _refuse_cold(self, pending: _Pending, now: float) -> list[Effect]:
+        """Nothing may be sent to cold back ends: ask the others again, or refuse the request."""
+        if pending.sent and self._has_attempts(pending):
+            return self._pause(pending)
+        return self._give_up(pending, COLD_REASON, now)
 
     def _send(self, pending: _Pending, now: float) -> list[Effect]:
         backend = self._candidate(pending, now)
         if backend is None:
-            is_bound = bool(pending.request.allowed_regions)
-            return self._give_up(pending, NO_SERVER_REASON if is_bound else "no back end", now)
+            reason = self._reason_for_none(pending, now)
+            return self._await_cold(pending, now) or self._give_up(pending, reason, now)
         request = pending.request
         left = request.deadline_at - now
         if left < SHORTEST_TIME_SECONDS:
@@ -224,7 +265,7 @@
         pending.running[call_id] = _Attempt(backend, now)
         pending.tried.add(backend.backend_id)
         pending.sent += 1
-        self.chooser.evidence(backend.backend_id).in_flight += 1
+        self.chooser.begin(backend, now)
         headers = {
             **request.headers,
             self._names.request_id: request.request_id,
@@ -267,6 +308,11 @@
         pending.is_hedged = True
         return self._send(pending, now)
 
+    def _reason_for_none(self, pending: _Pending, now: float) -> str:
+        if self._closed(pending, now):
+            return COLD_REASON
+        return NO_SERVER_REASON if pending.request.allowed_regions else "no back end"
+
     # Ends
 
     def _finish(
@@ -289,12 +335,17 @@
         elif pending.may_have_run or is_running:
             outcome = OutcomeUnknown(reason, is_late)
         else:
-            outcome = NotRun(reason, RETRY_AFTER_SECONDS)
+            outcome = NotRun(reason, self._retry_after_seconds(pending, reason, now))
         return self._finish(pending, outcome, None, now)
 
+    def _retry_after_seconds(self, pending: _Pending, reason: str, now: float) -> float:
+        if reason != COLD_REASON:
+            return RETRY_AFTER_SECONDS
+        return self._cold_wait.retry_after_seconds(pending.request.service, now)
+
     def _clean_up(self, pending: _Pending, now: float) -> list[Effect]:
         """Stop attempts that are still running, and the timers."""
-        effects: list[Effect] = []
+        effects = self._cold_wait.end(pending.request.key)
         for call_id, attempt in pending.running.items():
             evidence = self.chooser.evidence(attempt.backend.backend_id)
             evidence.in_flight -= 1
--- a/tests/users_platform/test_checks.py
+++ b/tests/users_platform/test_checks.py
@@ -10,6 +10,7 @@
 from merlinstand.batch_jobs.daemon import KeeperDaemon
 from merlinstand.batch_jobs.kept_text import KeptText, TextPart
 from merlinstand.batch_jobs.state_machine import JobState
+from merlinstand.directory.cold_budget import ColdBudget
 from merlinstand.directory.evacuated_zones import EvacuatedZones
 from merlinstand.directory.state_machine import DirectoryState
 from merlinstand.kernel.effects import Effect, Respond, WriteRecord
@@ -31,6 +32,7 @@
 from tests.users_platform.platform_standin import UsageTold
 from tests.users_platform.servers import (
     Arrival,
+    ColdArrival,
     Engine,
     OrderTaken,
     ReportAsked,
@@ -320,3 +322,38 @@
     world.add_zone_operator([(12.0, ZoneOrder("hall-b", True))])
     world.simulation.run_until(24.0)
     assert any("sent to evacuated hall-b" in violation for violation in violations(world))
+
+
+@pytest.mark.parametrize(
+    ("times", "is_flood"),
+    [
+        pytest.param([10.0 + 0.05 * n for n in range(18)], False, id="as many as it may get"),
+        pytest.param([10.0 + 0.05 * n for n in range(19)], True, id="one more"),
+        pytest.param([10.6 + 0.05 * n for n in range(19)], True, id="over a full second"),
+        pytest.param([10.0 + 0.1 * n for n in range(30)], False, id="for longer than a second"),
+    ],
+)
+def test_a_planted_flood_of_a_cold_server(times: list[float], is_flood: bool) -> None:
+    cold = [ColdArrival("s1", "/lookup/1") for _ in times]
+    found = violations(seen(times, cold=cold))
+    assert any("requests in a second at the cold server s1" in f for f in found) == is_flood
+
+
+def test_what_reaches_two_cold_servers_is_not_added_up() -> None:
+    cold = [ColdArrival(f"s{n % 2}", "/lookup/1") for n in range(30)]
+    assert violations(seen([10.0 + 0.01 * n for n in range(30)], cold=cold)) == []
+
+
+def send_without_grants(_self: ColdBudget, _backend: object, _now: float) -> bool:
+    """A daemon that takes cold servers for warm ones."""
+    return True
+
+
+def test_daemons_that_send_without_grants_are_reported(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(ColdBudget, "is_open", send_without_grants)
+    world = World(1, has_cold=True)
+    world.add_lookups(9)
+    for shop in ("shop-1", "shop-2", "shop-3"):
+        world.kill(shop, 10.0, 1.0)
+    world.simulation.run_until(14.0)
+    assert any("at the cold server" in violation for violation in violations(world))
