A cold engine gets the order that its report asks for

Cause: a keeper wished one send for an engine that lacks its version; the report used it, and the order, noted a moment later, found no grant and was dropped; 0.9 s later the same again. So no cold engine loaded weights before it was warm (the existing test granted two sends by hand). Now two sends are wished, and a noted order waits for a grant as long as it may be given (0.4 s). Tests: two of three new ones failed before.

--- a/src/merlinstand/batch_jobs/weight_loader.py
+++ b/src/merlinstand/batch_jobs/weight_loader.py
@@ -31,6 +31,8 @@
 PARALLEL_SHARE = 0.4
 """Share of a service's engines that may load at once; those that leave don't count."""
 CALL_TIMEOUT_SECONDS = 1.0
+REPORT_AND_ORDER = 2
+"""Sends wished for a cold engine that is asked: an order follows the report within a moment."""
 POLL_SECONDS = 0.25
 FIRST_POLL_SECONDS = 0.9
 """A load takes about this long at least."""
@@ -52,6 +54,8 @@
     """Orders that the engine had taken when it was asked."""
     noted_since: float | None = None
     """When the note of the next order was proposed; None if none is."""
+    order_until: float = float("-inf")
+    """Until when an order that is noted may be given; it waits for a grant."""
     call_id: CallId | None = None
 
 
@@ -192,16 +196,30 @@
                 target = self._follower.weights.get(model, 0)
                 effects.extend(self._start_loads(service.name, model, target, now))
         for load in list(self._loads.values()):
-            is_due = load.call_id is None and load.next_at <= now
-            if is_due and self._may_send(self._engines.states[load.backend_id], now):
-                effects.append(self._ask_report(load))
+            if load.call_id is None:
+                effects.extend(self._go_on(load, now))
         return effects
 
-    def _may_send(self, state: EngineState, now: float) -> bool:
-        """Whether a call may go to an engine now: a cold one bears only so many of any kind."""
+    def _go_on(self, load: _Load, now: float) -> list[Effect]:
+        """Give an order that waits for a grant, or ask for a report if that is due."""
+        state = self._engines.states[load.backend_id]
+        if load.order_until >= now:
+            return self._give_order(load, state, now)
+        if load.next_at <= now and self._may_send(state, now, REPORT_AND_ORDER):
+            return [self._ask_report(load)]
+        return []
+
+    def _may_send(self, state: EngineState, now: float, sends: int = 1) -> bool:
+        """Whether a call may go to an engine now: a cold one bears only so many of any kind.
+
+        Args:
+            state: The engine.
+            now: Local time.
+            sends: Calls to wish if not: this one, and those that will follow it at once.
+        """
         cold = self._follower.cold
         if not cold.is_open(state.backend, now):
-            cold.wish(f"{CALL_PREFIX}{state.backend.backend_id}", 1, (state.backend,))
+            cold.wish(f"{CALL_PREFIX}{state.backend.backend_id}", sends, (state.backend,))
             return False
         cold.note_sent(state.backend, now)
         return True
@@ -348,12 +366,18 @@
         if state.backend.is_leaving:
             self._end_load(load)
             return []
-        is_prompt = now - load.noted_since <= NOTE_SECONDS
+        left = load.noted_since + NOTE_SECONDS - now
         load.noted_since = None
-        if not (is_prompt and may_act and self._is_holder) or load.call_id is not None:
+        if not (left >= 0.0 and may_act and self._is_holder) or load.call_id is not None:
             return []
+        load.order_until = now + left
+        return self._give_order(load, state, now)
+
+    def _give_order(self, load: _Load, state: EngineState, now: float) -> list[Effect]:
+        """Give a noted order, unless it waits for a grant."""
         if not self._may_send(state, now):
             return []
+        load.order_until = float("-inf")
         return [self._order(load, state)]
 
     def _order(self, load: _Load, state: EngineState) -> Effect:
--- a/tests/batch_jobs/test_cold_engines.py
+++ b/tests/batch_jobs/test_cold_engines.py
@@ -131,3 +131,56 @@
     )
     scoring.end_generation()
     assert len(scoring.forwarder) == calls
+
+
+def cold_loading() -> Loading:
+    loading = Loading()
+    loading.follower.routes = RouteTable(RoutesDocument(version=1, services=(SERVICE,)))
+    [state] = loading.states.states.values()
+    state.backend = msgspec.structs.replace(state.backend, is_cold=True)
+    return loading
+
+
+def grant_wished(cold: ColdBudget, now: float) -> int:
+    """The leader grants all that is wished; tells how many sends that were."""
+    data = cold.ask(now)
+    wishes = decode_wishes(data).wishes if data is not None else ()
+    sends = {backend: wish.sends for wish in wishes for backend in wish.backends}
+    cold.take(encode_grants(ColdGrants(now, sends)), now)
+    return sum(sends.values())
+
+
+def test_an_engine_that_is_asked_can_be_ordered_with_what_was_wished_for_it() -> None:
+    loading = cold_loading()
+    cold = loading.follower.cold
+    assert loading.calls(0.0) == []
+    assert grant_wished(cold, 0.01) == 2
+    [asked] = loading.calls(0.1)
+    [order] = loading.reported(asked, report(3, 1), 0.12)
+    assert order.path == "/order"
+
+
+def test_a_noted_order_waits_for_a_grant_as_long_as_it_may_be_given() -> None:
+    loading = cold_loading()
+    cold = loading.follower.cold
+    [state] = loading.states.states.values()
+    grant(cold, state.backend, 1, 0.0)
+    [asked] = loading.calls(0.1)
+    assert loading.reported(asked, report(3, 1), 0.12) == []
+    assert loading.calls(0.2) == []
+    assert grant_wished(cold, 0.21) > 0
+    [order] = loading.calls(0.3)
+    assert order.path == "/order"
+
+
+def test_a_noted_order_is_not_given_too_late() -> None:
+    loading = cold_loading()
+    cold = loading.follower.cold
+    [state] = loading.states.states.values()
+    grant(cold, state.backend, 1, 0.0)
+    [asked] = loading.calls(0.1)
+    assert loading.reported(asked, report(3, 1), 0.12) == []
+    grant(cold, state.backend, 2, 0.5)
+    assert loading.calls(0.53) == []
+    grant(cold, state.backend, 2, 1.0)
+    assert [call.path for call in loading.calls(1.1)] == [asked.path]
