Who came after a pull waits for its own answer

Cause: the first answer refused every request that waited, also those whose wish had not left yet (a second lookup 5 ms after the first: 503 unasked), and the wish that it left behind drew tokens for work already done. Lookups and streams of one service replaced each other's wishes, too: kinds are now told apart by the forwarder. A request that was asked for in vain is still refused at the answer, so no pull is repeated for it.

--- a/src/merlinstand/directory/cold_budget.py
+++ b/src/merlinstand/directory/cold_budget.py
@@ -65,6 +65,8 @@
         self._refused_until: dict[str, float] = {}
         """By kind of work."""
         self._asked_at = float("-inf")
+        self.answered_at = float("-inf")
+        """When the newest pull left that was answered."""
         self._turn = 0
 
     # Sending
@@ -140,6 +142,10 @@
             ids = (ids[first:] + ids[:first])[:WISHED_BACKENDS]
         self._wishes[kind] = ColdWish(kind, sends, tuple(ids))
 
+    def drop_wish(self, kind: str) -> None:
+        """Wish nothing of a kind any more: the work is done, or was given up."""
+        self._wishes.pop(kind, None)
+
     def refused_seconds(self, kind: str, now: float) -> float:
         """How long wishes of a kind are in vain, as the leader told; 0 if they may be granted."""
         return max(0.0, self._refused_until.get(kind, 0.0) - now)
@@ -183,6 +189,7 @@
         if grants.asked_at not in self._pulls:
             return
         del self._pulls[grants.asked_at]
+        self.answered_at = max(self.answered_at, grants.asked_at)
         until = grants.asked_at + GRANT_SECONDS
         for backend_id, sends in grants.sends.items():
             self._live_grants(backend_id, now)
--- a/src/merlinstand/forwarding/cold_wait.py
+++ b/src/merlinstand/forwarding/cold_wait.py
@@ -29,6 +29,8 @@
         self._cold = cold
         self._prefix = timer_prefix
         self._waiting: dict[str, ForwardRequest] = {}
+        self._since: dict[str, float] = {}
+        """When each request began to wait."""
 
     def begin(
         self, request: ForwardRequest, backends: Sequence[Backend], now: float
@@ -40,26 +42,48 @@
             backends: Cold back ends that would do.
             now: Local time.
         """
-        if not backends or self._cold.refused_seconds(request.service, now) > 0.0:
+        if not self._wait(request, backends, now):
             return []
+        self._since[request.key] = now
         seconds = WAIT_SHARE * request.route.target_latency_seconds
+        return [SetTimer(f"{self._prefix}{request.key}", seconds)]
+
+    def go_on(self, request: ForwardRequest, backends: Sequence[Backend], now: float) -> bool:
+        """Let a request that was not asked for yet wait on; tells whether it does.
+
+        An answer is for the wishes that its pull took along. Whoever came after that is asked for
+        with the next one, unless the answer tells that more would be in vain. The timer goes on.
+        """
+        since = self._since.get(request.key, now)
+        return self._cold.answered_at < since and self._wait(request, backends, now)
+
+    def _wait(self, request: ForwardRequest, backends: Sequence[Backend], now: float) -> bool:
+        kind = self._kind(request.service)
+        if not backends or self._cold.refused_seconds(kind, now) > 0.0:
+            return False
         self._waiting[request.key] = request
         sends = sum(1 for held in self._waiting.values() if held.service == request.service)
-        self._cold.wish(request.service, sends, backends)
-        return [SetTimer(f"{self._prefix}{request.key}", seconds)]
+        self._cold.wish(kind, sends, backends)
+        return True
+
+    def _kind(self, service: str) -> str:
+        return f"{self._prefix}{service}"
 
     def retry_after_seconds(self, service: str, now: float) -> float:
         """When a refused request may come again."""
-        return self._cold.refused_seconds(service, now) or ASK_SECONDS
+        return self._cold.refused_seconds(self._kind(service), now) or ASK_SECONDS
 
     def end(self, key: str) -> list[Effect]:
         """A request waits no more."""
+        self._since.pop(key, None)
         if self._waiting.pop(key, None) is None:
             return []
         return [CancelTimer(f"{self._prefix}{key}")]
 
     def take_all(self) -> list[str]:
-        """Give the keys of all that wait, most urgent first; they wait no more."""
+        """Give the keys of all that wait, most urgent first; they wait and wish no more."""
+        for service in {held.service for held in self._waiting.values()}:
+            self._cold.drop_wish(self._kind(service))
         waiting = sorted(
             self._waiting.values(), key=lambda held: (held.route.priority, held.deadline_at)
         )
--- a/src/merlinstand/forwarding/forwarder.py
+++ b/src/merlinstand/forwarding/forwarder.py
@@ -142,8 +142,10 @@
             pending = self._pending.get(key)
             if pending is None or pending.running:
                 continue
-            effects.append(CancelTimer(f"{TIMER_PREFIX}cold:{key}"))
             is_open = self._candidate(pending, now) is not None
+            if not is_open and self._waits_on(pending, now):
+                continue
+            effects.append(CancelTimer(f"{TIMER_PREFIX}cold:{key}"))
             effects.extend((self._send if is_open else self._refuse_cold)(pending, now))
         return effects
 
@@ -245,6 +247,9 @@
         """Wait for a grant if cold back ends are left; nothing if there are none, or in vain."""
         return self._cold_wait.begin(pending.request, self._closed(pending, now), now)
 
+    def _waits_on(self, pending: _Pending, now: float) -> bool:
+        return self._cold_wait.go_on(pending.request, self._closed(pending, now), now)
+
     def _refuse_cold(self, pending: _Pending, now: float) -> list[Effect]:
         """Nothing may be sent to cold back ends: ask the others again, or refuse the request."""
         if pending.sent and self._has_attempts(pending):
--- a/src/merlinstand/forwarding/stream_forwarder.py
+++ b/src/merlinstand/forwarding/stream_forwarder.py
@@ -134,10 +134,23 @@
         for key in self._cold_wait.take_all():
             stream = self._streams.get(key)
             if stream is not None and stream.call_id is None:
-                effects.append(CancelTimer(f"{TIMER_PREFIX}{COLD_MARK}{key}"))
-                effects.extend(self._send(stream, now, may_wait=False))
+                effects.extend(self._resume(stream, now))
         return effects
 
+    def _resume(self, stream: _Stream, now: float) -> list[Effect]:
+        allowed = self._allowed(stream.request)
+        is_open = self._chooser.choose(allowed, stream.tried, now) is not None
+        closed = self._chooser.closed(allowed, stream.tried, now)
+        if not is_open and self._cold_wait.go_on(stream.request, closed, now):
+            return []
+        timer = CancelTimer(f"{TIMER_PREFIX}{COLD_MARK}{stream.request.key}")
+        return [timer, *self._send(stream, now, may_wait=False)]
+
+    def _allowed(self, request: ForwardRequest) -> tuple[Backend, ...]:
+        """Back ends of the request's service in the regions that may serve it."""
+        backends = self._backends_of(request.service)
+        return servers_within(backends, request.allowed_regions, self._places)
+
     def on_call(self, event: StreamEvent, now: float) -> list[Effect]:
         """Something happened to a call with `CALL_PREFIX`."""
         stream = self._by_call.get(event.call_id)
@@ -231,8 +244,7 @@
 
     def _send(self, stream: _Stream, now: float, may_wait: bool = True) -> list[Effect]:
         request = stream.request
-        backends = self._backends_of(request.service)
-        allowed = servers_within(backends, request.allowed_regions, self._places)
+        allowed = self._allowed(request)
         backend = self._chooser.choose(allowed, stream.tried, now)
         if backend is None:
             closed = self._chooser.closed(allowed, stream.tried, now)
--- a/tests/forwarding/test_cold_back_ends.py
+++ b/tests/forwarding/test_cold_back_ends.py
@@ -38,7 +38,7 @@
     def grant(self, asked_at: float, sends: int, next_seconds: float = 0.0) -> list[Effect]:
         """The leader answers what is wished at a time, ten milliseconds later."""
         assert self.budget.ask(asked_at) is not None
-        refused = {"shop": next_seconds} if next_seconds else {}
+        refused = {"forward.cold:shop": next_seconds} if next_seconds else {}
         told = ColdGrants(asked_at, {COLD[0].backend_id: sends}, refused)
         self.budget.take(encode_grants(told), asked_at + 0.01)
         return self.forwarder.resume(asked_at + 0.01)
@@ -78,6 +78,38 @@
     assert finished.outcome == NotRun(COLD_REASON, pytest.approx(0.25))
 
 
+def test_an_answer_to_an_earlier_pull_refuses_nobody_who_came_after_it() -> None:
+    cold = Cold()
+    cold.begin("k0")
+    data = cold.budget.ask(0.0)
+    cold.begin("k1", 0.005)
+    assert data is not None
+    told = ColdGrants(0.0, {COLD[0].backend_id: 1})
+    cold.budget.take(encode_grants(told), 0.01)
+    assert len(calls(cold.forwarder.resume(0.01))) == 1
+    assert cold.forwarder.take_finished() == []
+    assert len(calls(cold.grant(0.02, 1))) == 1
+
+
+def test_who_was_asked_for_in_vain_is_refused_even_if_no_time_is_told() -> None:
+    cold = Cold()
+    cold.begin("k")
+    assert calls(cold.grant(0.0, 0)) == []
+    [finished] = cold.forwarder.take_finished()
+    assert isinstance(finished.outcome, NotRun)
+
+
+def test_what_was_granted_is_not_wished_again() -> None:
+    cold = Cold()
+    cold.begin("k0")
+    assert cold.budget.ask(0.0) is not None
+    cold.begin("k1", 0.005)
+    told = ColdGrants(0.0, {COLD[0].backend_id: 2})
+    cold.budget.take(encode_grants(told), 0.01)
+    assert len(calls(cold.forwarder.resume(0.01))) == 2
+    assert cold.budget.ask(0.02) is None
+
+
 def test_while_wishes_are_in_vain_requests_are_refused_at_once() -> None:
     cold = Cold()
     cold.begin("k0")
@@ -134,6 +166,7 @@
     assert call.address == COLD[0].address
     streams.abort("k")
     assert calls(streams.begin(stream_request(), 0.1)) == []
+    assert streams.resume(0.11) == []
     streams.on_timer("stream.cold:k", 0.14)
     [refused] = streams.take_refused()
     assert isinstance(refused.outcome, NotRun)
