What was silent and what was taken back are held for cold by the same marks

A server taken for cold after 3 s of silence was warm again with its next heartbeat, which may be an older one that a cut held back; the evacuations' marks cover that: the first heartbeat never counts. Their 3 s of late beats are not waited for, as the silence lasted so long already.

--- a/src/merlinstand/directory/backends.py
+++ b/src/merlinstand/directory/backends.py
@@ -6,7 +6,7 @@
 
 from merlinstand.common.ids import BackendId
 from merlinstand.directory.former_backends import BackendArrivals, FormerBackend
-from merlinstand.directory.returned_backends import ReturnedBackends
+from merlinstand.directory.returned_backends import LATE_BEAT_SECONDS, ReturnedBackends
 
 
 class HeldModel(msgspec.Struct, frozen=True, array_like=True, gc=False):
@@ -140,11 +140,16 @@
                 self.backends[backend_id] = msgspec.structs.replace(backend, is_cold=True)
                 self._touched.append(Touched(backend_id, backend.service))
 
-    def take_for_cold(self, backend_ids: Iterable[BackendId]) -> None:
-        """Note that some back ends may be cold, until newer heartbeats of theirs say otherwise."""
+    def take_for_cold(self, backend_ids: Iterable[BackendId], group_time: float) -> None:
+        """Note that some silent back ends may be cold, until they say otherwise.
+
+        The first heartbeat after the silence doesn't count: it may be an older one that a cut held
+        back. They were silent for long enough, so the second one does.
+        """
         for backend_id in backend_ids:
             present = self.backends.get(backend_id)
             if present is not None and not present.is_cold:
+                self.returned.begin(backend_id, group_time - LATE_BEAT_SECONDS)
                 self.backends[backend_id] = msgspec.structs.replace(present, is_cold=True)
                 self._touched.append(Touched(backend_id, present.service))
 
--- a/src/merlinstand/directory/returned_backends.py
+++ b/src/merlinstand/directory/returned_backends.py
@@ -1,4 +1,4 @@
-"""Back ends of a zone that was taken back: cold until they surely say otherwise.
+"""Back ends of a zone that was taken back, or silent for long: cold until they surely say otherwise.
 
 They had no requests for a while and may have become cold. A heartbeat may arrive seconds after it
 was sent, so one that tells of a warm server may be older than the return. It counts once it came
--- a/src/merlinstand/directory/state_machine.py
+++ b/src/merlinstand/directory/state_machine.py
@@ -110,7 +110,7 @@
                 self.table.expire(command.backend_id)
                 self._note_backends(index)
             case TakeForCold():
-                self.table.take_for_cold(command.backend_ids)
+                self.table.take_for_cold(command.backend_ids, group_time)
                 self._note_backends(index)
             case NameWeights():
                 if command.version > self.weights.get(command.model, 0):
