--- a/src/merlinstand/runtime/dialing.py
+++ b/src/merlinstand/runtime/dialing.py
@@ -8,14 +8,16 @@
 """
 
 import socket
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from gevent import socket as gevent_socket
-from gevent.ssl import SSLContext
 from result import Err
 
 from merlinstand.runtime.addresses import parse_address
 
+if TYPE_CHECKING:
+    from gevent.ssl import SSLContext
+
 UNACKNOWLEDGED_LIMIT_SECONDS = 3.0
 """A connection whose peer acknowledges nothing for this long ends."""
 PROBE_SECONDS = 1
@@ -28,7 +30,7 @@
 def dial(
     address: str,
     timeout_seconds: float,
-    tls_context: SSLContext | None,
+    tls_context: "SSLContext | None",
     silence_limit_seconds: float = UNACKNOWLEDGED_LIMIT_SECONDS,
 ) -> Any:
     """Connect, without delaying small writes.
