--- a/src/merlinstand/directory/beat_intake.py
+++ b/src/merlinstand/directory/beat_intake.py
@@ -68,6 +68,7 @@
         self._heard_at: dict[BackendId, float] = {}
         """Leader: when each back end was heard last, by whichever replica."""
         self._contests = AddressContests(lambda: state.table, self._heard_at_of)
+        self._led_since = float("inf")
 
     @property
     def has_changes(self) -> bool:
@@ -78,6 +79,12 @@
         """A leadership begins: every known back end counts as heard now."""
         self._heard_at = dict.fromkeys(self._state.table.backends, now)
         self._contests.clear()
+        self._led_since = now
+
+    def heard_at(self, backend_id: BackendId) -> float | None:
+        """Leader: when it heard a back end last; None if it did not since it leads."""
+        heard_at = self._heard_at.get(backend_id)
+        return heard_at if heard_at is not None and heard_at > self._led_since else None
 
     def tells_leaving(self, beat: Heartbeat) -> bool:
         """Whether a beat says for the first time that its back end leaves."""
@@ -140,6 +147,14 @@
         heard, self._heard = tuple(self._heard), {}
         return heard
 
+    def missing(self, limit_seconds: float, now: float) -> list[Backend]:
+        """Leader: back ends that were not heard for some time, but for those taken for cold."""
+        return [
+            backend
+            for backend_id, backend in self._state.table.backends.items()
+            if not backend.is_cold and now - self._heard_at.get(backend_id, now) > limit_seconds
+        ]
+
     def silent(self, limit_seconds: float, now: float) -> list[Backend]:
         """Leader: back ends that were not heard for long; each is told once."""
         present = self._state.table.backends
--- a/src/merlinstand/runtime/late_modules.py
+++ b/src/merlinstand/runtime/late_modules.py
@@ -95,8 +95,17 @@
         spec: Any = module.__spec__
         # First, so that the code finds a usual module if it imports itself in a circle.
         module.__class__ = ModuleType  # type: ignore[assignment]
-        spec.loader = module.__loader__ = spec.loader.loader
-        spec.loader.exec_module(module)
+        late_loader = spec.loader
+        spec.loader = module.__loader__ = late_loader.loader
+        try:
+            spec.loader.exec_module(module)
+        except BaseException:
+            # As before, for the next use: a file may be readable again, as after a shortage of
+            # descriptors. What the code overwrote so far is a stand-in again.
+            spec.loader = module.__loader__ = late_loader
+            module.__class__ = LateModule
+            late_loader.exec_module(module)
+            raise
     return module
 
 
--- a/tests/runtime/test_late_modules.py
+++ b/tests/runtime/test_late_modules.py
@@ -70,6 +70,14 @@
             "broken",
             id="a module that fails does so at its use",
         ),
+        pytest.param(
+            "from library.heavy import weigh\nimport os, library, sys\n"
+            "path = library.__path__[0] + '/heavy.py'\nos.rename(path, path + '.away')\n"
+            "for turn in range(2):\n    try: weigh(2)\n    except OSError: print('not yet')\n"
+            "os.rename(path + '.away', path)\nprint(weigh(2))",
+            "not yet|not yet|loaded: heavy|4",
+            id="a module that could not be read is loaded at a later use",
+        ),
         pytest.param(
             "try: import missing\nexcept ImportError: print('none')",
             "none",
