Lookups go to the nearest server; a connection that never came up is no try

Cause: the choice of a server knew no zones. Tries whose connection never came up counted against MaxAttempts although they ran nothing.

Change: forwarding/distance.py tells what a distance costs (first latency, bytes, time to connect), zone_evidence.py shares silences among the servers of a zone, backend_choice.py weighs both with load, latency and kept connections. A gateway that hears no control leader, or whose try to another zone is silent, prefers its own zone. StartCall has a limit for the connection alone (simulator and runtime). Two tries at most at once; a try left alone by a failure gets company again. A cancelled try leaves no kept connection in the evidence.

--- a/src/merlinstand/batch_jobs/daemon.py
+++ b/src/merlinstand/batch_jobs/daemon.py
@@ -58,9 +58,12 @@
 from merlinstand.consensus.step import CommittedEntry, EntryKind, LeadershipChange, Step
 from merlinstand.consensus.timings import quick_timings
 from merlinstand.directory.follower import PULL_TIMER, DirectoryFollower
+from merlinstand.directory.places import Places
 from merlinstand.directory.subscribers import KEEPER_ROLE
 from merlinstand.directory.view import DaemonReport, Keeper
 from merlinstand.duties.turns import LEASE_MARGIN_SECONDS
+from merlinstand.forwarding.backend_choice import BackendChooser
+from merlinstand.forwarding.distance import Standpoint
 from merlinstand.forwarding.forwarder import CALL_PREFIX as FORWARD_PREFIX
 from merlinstand.forwarding.forwarder import TIMER_PREFIX as FORWARD_TIMER_PREFIX
 from merlinstand.forwarding.forwarder import Forwarder
@@ -109,7 +112,9 @@
         self.follower = DirectoryFollower(settings.seeds, self._report)
         self._engines = EngineStates(self.follower)
         self._split = WeightedChoice()
-        self._forwarder = Forwarder(names, self.follower.snapshot_of)
+        standpoint = Standpoint(settings.zone, Places(settings.zones))
+        chooser = BackendChooser(standpoint, self.follower.is_out_of_touch)
+        self._forwarder = Forwarder(names, self.follower.snapshot_of, chooser)
         self._runner = ItemRunner(
             self.jobs,
             self.follower,
--- a/src/merlinstand/directory/follower.py
+++ b/src/merlinstand/directory/follower.py
@@ -34,6 +34,8 @@
 """The same while it has never heard one: callers wait for what it lacks."""
 SILENCE_SECONDS = 0.75
 """A leader that has not answered for this long is not the only one asked any more."""
+OUT_OF_TOUCH_SECONDS = 1.0
+"""A daemon that heard no leader for this long has missed three answers."""
 
 
 class DirectoryFollower:
@@ -92,6 +94,10 @@
         """How long no leader was heard; all that it had agreed before that is known here."""
         return now - self._heard_at
 
+    def is_out_of_touch(self, now: float) -> bool:
+        """Whether the leader was lost: it is down, or this daemon is cut off from it."""
+        return self.has_document and self.silence_seconds(now) > OUT_OF_TOUCH_SECONDS
+
     def start(self, now: float) -> list[Effect]:
         """Begin asking."""
         effects: list[Effect] = [
--- a/src/merlinstand/forwarding/backend_choice.py
+++ b/src/merlinstand/forwarding/backend_choice.py
@@ -1,15 +1,19 @@
-"""Chooses a back end by this process's own evidence: requests in flight, latency, failures."""
+"""Chooses a back end by what it costs to reach: this process's own evidence, and the distance.
+
+Evidence is requests in flight, latency, failures and silence; the distance is `distance`'s. A near
+back end goes first where all else is equal; one that is busy or slow loses to a far one.
+"""
 
 import random
-from collections.abc import Iterable
+from collections.abc import Callable, Collection, Iterable
 
 import msgspec
 
 from merlinstand.common.ids import BackendId
 from merlinstand.directory.backends import Backend
+from merlinstand.forwarding.distance import ANSWER_SECONDS, REACH, Distance, Reach, Standpoint
+from merlinstand.forwarding.zone_evidence import ZoneEvidence
 
-FIRST_LATENCY_SECONDS = 0.03
-"""Assumed of a back end that nothing is known of."""
 LATENCY_WEIGHT = 0.3
 """Weight of the newest latency in the moving average."""
 LATENCY_HALF_LIFE_SECONDS = 3.0
@@ -19,8 +23,13 @@
 a new one is opened there as it would be anywhere."""
 NEW_CONNECTION_FACTOR = 2.0
 """A back end without a kept connection counts as this many times as slow. More than chance and
-load of the moment make (1.2 and about 1.5), less than one answer of a back end that has become six
+load of the moment make (1.1 and about 1.5), less than one answer of a back end that has become six
 times as slow: that one is left after a single answer."""
+CHANCE_SHARE = 0.1
+"""Largest share that chance adds, so that gateways spread over equal back ends."""
+DOUBT_FACTOR = 4.0
+"""A back end that probably can't be reached counts as this many times as slow: also one with a kept
+connection loses to a near one without, but not to one that is several times as busy."""
 FIRST_PENALTY_SECONDS = 0.5
 LONGEST_PENALTY_SECONDS = 4.0
 
@@ -29,7 +38,9 @@
     """What this process saw of one back end."""
 
     in_flight: int = 0
-    latency_seconds: float = FIRST_LATENCY_SECONDS
+    first_latency_seconds: float = ANSWER_SECONDS
+    """Assumed while nothing is known."""
+    latency_seconds: float = ANSWER_SECONDS
     latency_at: float = 0.0
     avoid_until: float = 0.0
     penalty_seconds: float = 0.0
@@ -40,7 +51,8 @@
         """Moving average, faded towards the first assumption as it ages."""
         age = max(0.0, now - self.latency_at)
         share = 0.5 ** (age / LATENCY_HALF_LIFE_SECONDS)
-        return FIRST_LATENCY_SECONDS + (self.latency_seconds - FIRST_LATENCY_SECONDS) * share
+        first = self.first_latency_seconds
+        return first + (self.latency_seconds - first) * share
 
     def note_latency(self, seconds: float, now: float) -> None:
         """Take a whole answer's latency in."""
@@ -59,6 +71,10 @@
         """It answered, whatever it said: the connection can be used again."""
         self.connected_until = now + KEPT_CONNECTION_SECONDS
 
+    def note_given_up(self) -> None:
+        """A try there was cancelled, and its connection closed."""
+        self.connected_until = 0.0
+
     def note_success(self) -> None:
         """The back end works."""
         self.penalty_seconds = 0.0
@@ -68,10 +84,23 @@
 class BackendChooser:
     """Evidence about all back ends, and the choice among them."""
 
-    def __init__(self) -> None:
-        """Begin without evidence."""
+    def __init__(
+        self,
+        standpoint: Standpoint | None = None,
+        is_out_of_touch: Callable[[float], bool] = lambda _now: False,
+    ) -> None:
+        """Begin without evidence.
+
+        Args:
+            standpoint: Where this process stands; without one, all back ends are equally far.
+            is_out_of_touch: Whether this process hears no leading control daemon at a local time:
+                its zone is probably cut off from the others.
+        """
         self._random = random.Random(0)
+        self._standpoint = standpoint or Standpoint()
+        self._is_out_of_touch = is_out_of_touch
         self._evidence: dict[BackendId, BackendEvidence] = {}
+        self._zones = ZoneEvidence()
 
     def seed(self, seed: int) -> None:
         """Make random choices follow this seed."""
@@ -93,8 +122,25 @@
             if backend_id in kept or evidence.in_flight > 0
         }
 
+    def note_silence(self, backend: Backend, now: float) -> None:
+        """A try there has had no answer for too long, and no refusal either."""
+        self._zones.note_silence(backend.zone, backend.backend_id, now)
+
+    def note_heard(self, backend: Backend, now: float) -> None:
+        """A back end answered, whatever it said."""
+        self._zones.note_answer(backend.zone)
+        self.evidence(backend.backend_id).note_answer(now)
+
+    def reach(self, backend: Backend) -> Reach:
+        """What it takes to reach a back end, by its distance alone."""
+        return REACH[self._standpoint.distance(backend.zone)]
+
     def choose(
-        self, backends: Iterable[Backend], tried: set[BackendId], now: float
+        self,
+        backends: Iterable[Backend],
+        tried: Collection[BackendId],
+        now: float,
+        silent: Collection[Backend] = (),
     ) -> Backend | None:
         """Choose where to send a request.
 
@@ -102,6 +148,7 @@
             backends: Candidates; leaving ones are passed over.
             tried: Back ends that the request was sent to before.
             now: Local time.
+            silent: Back ends where a try of this request is still without an answer.
 
         Returns:
             A sound back end if there is one, else one that failed before; None if all were tried.
@@ -109,11 +156,36 @@
         fresh = [b for b in backends if not b.is_leaving and b.backend_id not in tried]
         if not fresh:
             return None
-        sound = [b for b in fresh if self.evidence(b.backend_id).avoid_until <= now]
-        return min(sound or fresh, key=lambda backend: self._cost(backend, now))
-
-    def _cost(self, backend: Backend, now: float) -> float:
-        evidence = self.evidence(backend.backend_id)
-        jitter = 1.0 + 0.2 * self._random.random()
-        connecting = 1.0 if evidence.connected_until > now else NEW_CONNECTION_FACTOR
-        return (evidence.in_flight + 1) * evidence.latency(now) * jitter * connecting
+        sound = [b for b in fresh if self._evidence_of(b).avoid_until <= now]
+        reachable = [b for b in sound if not self._zones.is_doubtful(b.zone, now)]
+        doubt = self._doubt(silent, now)
+        return min(reachable or sound or fresh, key=lambda b: self._cost(b, now, doubt))
+
+    def _doubt(self, silent: Collection[Backend], now: float) -> Callable[[Backend], bool]:
+        """Tell which back ends probably can't be reached."""
+        zones = {backend.zone for backend in silent}
+        # A far server that is silent may mean that the own zone is cut off from all others.
+        is_cut_off = any(self._is_far(zone) for zone in zones) or self._is_out_of_touch(now)
+        return lambda backend: backend.zone in zones or (is_cut_off and self._is_far(backend.zone))
+
+    def _is_far(self, zone: str) -> bool:
+        return self._standpoint.distance(zone) is not Distance.OWN_ZONE
+
+    def _evidence_of(self, backend: Backend) -> BackendEvidence:
+        evidence = self._evidence.get(backend.backend_id)
+        if evidence is None:
+            first = self.reach(backend).first_latency_seconds
+            evidence = BackendEvidence(first_latency_seconds=first, latency_seconds=first)
+            self._evidence[backend.backend_id] = evidence
+        return evidence
+
+    def _cost(self, backend: Backend, now: float, doubt: Callable[[Backend], bool]) -> float:
+        evidence = self._evidence_of(backend)
+        cost = (evidence.in_flight + 1) * evidence.latency(now)
+        cost *= 1.0 + CHANCE_SHARE * self._random.random()
+        cost *= self.reach(backend).cost_factor
+        if evidence.connected_until <= now:
+            cost *= NEW_CONNECTION_FACTOR
+        if doubt(backend):
+            cost *= DOUBT_FACTOR
+        return cost
--- a/src/merlinstand/forwarding/daemon.py
+++ b/src/merlinstand/forwarding/daemon.py
@@ -13,12 +13,15 @@
 )
 from merlinstand.common.ids import RequestId
 from merlinstand.directory.follower import PULL_TIMER, DirectoryFollower
+from merlinstand.directory.places import Places
 from merlinstand.directory.routes import Route, RouteKind
 from merlinstand.directory.tenants import AUTHORIZATION_HEADER, Tenant
 from merlinstand.directory.view import DaemonReport
+from merlinstand.forwarding.backend_choice import BackendChooser
 from merlinstand.forwarding.batch_relay import CALL_PREFIX as BATCH_PREFIX
 from merlinstand.forwarding.batch_relay import TIMER_PREFIX as BATCH_TIMER_PREFIX
 from merlinstand.forwarding.batch_relay import BatchRelay
+from merlinstand.forwarding.distance import Standpoint
 from merlinstand.forwarding.forwarder import CALL_PREFIX as FORWARD_PREFIX
 from merlinstand.forwarding.forwarder import TIMER_PREFIX as FORWARD_TIMER_PREFIX
 from merlinstand.forwarding.forwarder import Forwarder
@@ -93,10 +96,10 @@
         self._names = settings.header_names
         self._usage = UsageCounter(settings.usage_window_seconds)
         self.follower = DirectoryFollower(settings.seeds, self._report, self._usage.tell)
-        self._forwarder = Forwarder(self._names, self.follower.snapshot_of)
-        self._streams = StreamForwarder(
-            self._names, self._forwarder.chooser, self.follower.snapshot_of
-        )
+        standpoint = Standpoint(settings.zone, Places(settings.zones))
+        chooser = BackendChooser(standpoint, self.follower.is_out_of_touch)
+        self._forwarder = Forwarder(self._names, self.follower.snapshot_of, chooser)
+        self._streams = StreamForwarder(self._names, chooser, self.follower.snapshot_of)
         self._relay = BatchRelay(settings, self.follower)
         self._split = WeightedChoice()
         self._routes_wait = RoutesWait()
--- a/src/merlinstand/forwarding/forwarder.py
+++ b/src/merlinstand/forwarding/forwarder.py
@@ -37,6 +37,9 @@
 FIRST_SERVER_ERROR_STATUS = 500
 BUSY_PAUSE_SECONDS = 0.02
 """Wait before a request that was turned away as not run is offered again."""
+UNCONNECTED_TRIES = 2
+"""Tries beyond the route's number of servers: connections that never came up ran nothing."""
+CALL_TIMEOUT_REASON = "timeout"
 HEDGE_SHARE = 0.6
 """A repeatable request is sent a second time after this share of its aim."""
 SHORTEST_HEDGE_SECONDS = 0.06
@@ -57,12 +60,17 @@
     request: ForwardRequest
     tried: set[BackendId] = msgspec.field(default_factory=set)
     running: dict[CallId, _Attempt] = msgspec.field(default_factory=dict)
+    tries: int = 0
     sent: int = 0
+    """Tries that ran, may have run, or were turned away; not those that never connected."""
     may_have_run: bool = False
     failed_answers: int = 0
     last_error_answer: Answered | None = None
     last_reason: str = ""
-    is_hedged: bool = False
+
+    def silent_backends(self) -> list[Backend]:
+        """Back ends where a try is under way; asked for once it has taken too long."""
+        return [attempt.backend for attempt in self.running.values()]
 
 
 class Forwarder:
@@ -72,14 +80,16 @@
         self,
         names: HeaderNames,
         backends_of: Callable[[str], tuple[Backend, ...]],
+        chooser: BackendChooser | None = None,
     ) -> None:
         """Begin without requests.
 
         Args:
             names: Header names.
             backends_of: Gives the registered back ends of a service.
+            chooser: Chooses among them; without one, all are taken to be equally far.
         """
-        self.chooser = BackendChooser()
+        self.chooser = chooser or BackendChooser()
         self._names = names
         self._backends_of = backends_of
         self._pending: dict[str, _Pending] = {}
@@ -133,7 +143,11 @@
         evidence.in_flight -= 1
         if isinstance(event, CallFailed):
             evidence.note_failure(now)
-            if event.phase is not CallPhase.CONNECT:
+            if event.reason == CALL_TIMEOUT_REASON:
+                self.chooser.note_silence(attempt.backend, now)
+            if event.phase is CallPhase.CONNECT:
+                pending.sent -= 1
+            else:
                 pending.may_have_run = True
             pending.last_reason = f"{event.phase.value}_{event.reason}"
             return self._after_failure(pending, event, attempt, now)
@@ -145,7 +159,7 @@
         self, pending: _Pending, event: CallResponded, attempt: _Attempt, now: float
     ) -> list[Effect]:
         evidence = self.chooser.evidence(attempt.backend.backend_id)
-        evidence.note_answer(now)
+        self.chooser.note_heard(attempt.backend, now)
         if self._is_not_run(event):
             evidence.note_latency(now - attempt.started_at + BUSY_PAUSE_SECONDS, now)
             if event.status == MISDIRECTED_STATUS:
@@ -185,7 +199,8 @@
 
     def _try_again(self, pending: _Pending, now: float) -> list[Effect]:
         if pending.running:
-            return []
+            # The other try goes on; it gets company in its turn.
+            return self._plan_hedge(pending)
         if not self._has_attempts(pending):
             return self._give_up(pending, pending.last_reason, now)
         if self._candidate(pending, now) is not None:
@@ -195,13 +210,14 @@
         return [SetTimer(f"{TIMER_PREFIX}retry:{pending.request.key}", BUSY_PAUSE_SECONDS)]
 
     def _has_attempts(self, pending: _Pending) -> bool:
-        return pending.sent < max(1, pending.request.route.maximum_attempts)
+        most = max(1, pending.request.route.maximum_attempts)
+        return pending.sent < most and pending.tries < most + UNCONNECTED_TRIES
 
     # Sending
 
     def _candidate(self, pending: _Pending, now: float) -> Backend | None:
         backends = self._backends_of(pending.request.service)
-        return self.chooser.choose(backends, pending.tried, now)
+        return self.chooser.choose(backends, pending.tried, now, pending.silent_backends())
 
     def _send(self, pending: _Pending, now: float) -> list[Effect]:
         backend = self._candidate(pending, now)
@@ -215,6 +231,7 @@
         call_id = CallId(f"{CALL_PREFIX}{request.key}#{self._calls}")
         pending.running[call_id] = _Attempt(backend, now)
         pending.tried.add(backend.backend_id)
+        pending.tries += 1
         pending.sent += 1
         self.chooser.evidence(backend.backend_id).in_flight += 1
         headers = {
@@ -231,6 +248,7 @@
             headers=headers,
             body=request.body,
             timeout_seconds=left + DEADLINE_MARGIN_SECONDS,
+            connect_seconds=self.chooser.reach(backend).connect_seconds,
             host=request.headers.get("host", ""),
             echo_header=self._names.request_id,
             accepts_unframed=True,
@@ -248,15 +266,16 @@
 
     def _may_hedge(self, pending: _Pending) -> bool:
         is_repeatable = pending.request.route.kind is RouteKind.REPEATABLE
-        return is_repeatable and not pending.is_hedged and self._has_attempts(pending)
+        return is_repeatable and len(pending.running) == 1 and self._has_attempts(pending)
 
     def _hedge(self, pending: _Pending, now: float) -> list[Effect]:
+        for backend in pending.silent_backends():
+            self.chooser.note_silence(backend, now)
         candidate = self._candidate(pending, now)
         if candidate is None or not self._may_hedge(pending):
             return []
         if self.chooser.evidence(candidate.backend_id).avoid_until > now:
             return []
-        pending.is_hedged = True
         return self._send(pending, now)
 
     # Ends
@@ -293,6 +312,7 @@
             elapsed = now - attempt.started_at
             if elapsed > evidence.latency(now):
                 evidence.note_latency(elapsed, now)
+            evidence.note_given_up()
             effects.append(CancelCall(call_id))
         pending.running.clear()
         key = pending.request.key
--- a/src/merlinstand/forwarding/stream_forwarder.py
+++ b/src/merlinstand/forwarding/stream_forwarder.py
@@ -13,7 +13,11 @@
 from merlinstand.common.ids import BackendId, CallId, RequestId
 from merlinstand.directory.backends import Backend
 from merlinstand.forwarding.backend_choice import BackendChooser
-from merlinstand.forwarding.forwarder import MISDIRECTED_STATUS, RETRY_AFTER_SECONDS
+from merlinstand.forwarding.forwarder import (
+    CALL_TIMEOUT_REASON,
+    MISDIRECTED_STATUS,
+    RETRY_AFTER_SECONDS,
+)
 from merlinstand.forwarding.header_names import HeaderNames
 from merlinstand.forwarding.requests import ForwardRequest, NotRun, OutcomeUnknown
 from merlinstand.gateway.sse import EVENT_END, EventCutter
@@ -177,7 +181,7 @@
         return [end, *self._close(stream)]
 
     def _on_failure(self, stream: _Stream, event: CallFailed, now: float) -> list[Effect]:
-        self._note_failure(stream, now)
+        self._note_failure(stream, now, event.reason == CALL_TIMEOUT_REASON)
         if event.phase is not CallPhase.CONNECT:
             stream.may_have_run = True
         fields = {
@@ -190,9 +194,11 @@
         log = LogEvent("request.stream_broken", fields)
         return [log, *self._drop_call(stream), *self._try_again(stream, event.reason, now)]
 
-    def _note_failure(self, stream: _Stream, now: float) -> None:
+    def _note_failure(self, stream: _Stream, now: float, is_silent: bool = False) -> None:
         if stream.backend is not None:
             self._chooser.evidence(stream.backend.backend_id).note_failure(now)
+            if is_silent:
+                self._chooser.note_silence(stream.backend, now)
 
     # Sending
 
@@ -235,6 +241,7 @@
                 headers=headers,
                 body=request.body,
                 timeout_seconds=min(SILENCE_SECONDS, max(0.01, left)),
+                connect_seconds=self._chooser.reach(backend).connect_seconds,
                 stream=True,
                 host=request.headers.get("host", ""),
                 echo_header=self._names.request_id,
--- a/src/merlinstand/kernel/effects.py
+++ b/src/merlinstand/kernel/effects.py
@@ -120,6 +120,9 @@
     """Take a body without length as whole when its connection ends in order."""
     kind: str = ""
     """What its bytes are counted as; the call id's prefix if empty. One of a few fixed names."""
+    connect_seconds: float = 0.0
+    """Longest wait for a new connection to come up, if shorter than the host's own limit; 0 for
+    that one alone. A call that ends so fails in its `CONNECT` phase."""
 
 
 class CancelCall(Effect, frozen=True):
--- a/src/merlinstand/runtime/http_client.py
+++ b/src/merlinstand/runtime/http_client.py
@@ -159,7 +159,8 @@
         """Connect and send the request."""
         request = encode_request(self._call)
         self._limit_step()
-        connection = self._pool.take(self._call.address, self._call.fresh_connection)
+        call = self._call
+        connection = self._pool.take(call.address, call.fresh_connection, call.connect_seconds)
         self._connection = connection
         if connection.encrypted:
             # TLS may hand bytes on before it reports an error: assume the worst.
--- a/src/merlinstand/runtime/http_connection.py
+++ b/src/merlinstand/runtime/http_connection.py
@@ -103,9 +103,14 @@
         self._connect_timeout_seconds = connect_timeout_seconds
         self._idle: dict[str, list[Connection]] = {}
 
-    def take(self, address: str, fresh: bool) -> Connection:
+    def take(self, address: str, fresh: bool, connect_seconds: float = 0.0) -> Connection:
         """Give a kept connection that still looks sound, or a new one.
 
+        Args:
+            address: `ip:port` of the server.
+            fresh: Whether it must be a new one.
+            connect_seconds: Longest time for a new one to come up; 0 for the pool's own limit.
+
         Raises:
             ConnectError: No connection came about.
             ConnectionRefusedError: Nobody listens there.
@@ -118,7 +123,7 @@
             if is_young and connection.is_quiet():
                 return connection
             connection.close()
-        return self._connect(address)
+        return self._connect(address, connect_seconds)
 
     def give_back(self, connection: Connection) -> None:
         """Keep a connection for a later call."""
@@ -148,9 +153,12 @@
                 connection.close()
         self._idle.clear()
 
-    def _connect(self, address: str) -> Connection:
+    def _connect(self, address: str, connect_seconds: float) -> Connection:
+        limit_seconds = self._connect_timeout_seconds
+        if connect_seconds > 0.0:
+            limit_seconds = min(limit_seconds, connect_seconds)
         try:
-            sock = dial(address, self._connect_timeout_seconds, self._tls_context)
+            sock = dial(address, limit_seconds, self._tls_context)
         except (ValueError, SSLError) as error:
             raise ConnectError(str(error)) from error
         # From here on the caller's own limit holds.
--- a/src/merlinstand_lab/simulator/calls.py
+++ b/src/merlinstand_lab/simulator/calls.py
@@ -114,8 +114,15 @@
                 self._send_request()
                 return
             del self.client.idle_connections[self.effect.address]
+        if self.effect.connect_seconds > 0.0:
+            limit = self.client.local_clock.true_delay(self.effect.connect_seconds)
+            self._simulation.clock.call_at(now + limit, self._check_connected)
         self._transmit(FORWARD, Segment.OPEN, None)
 
+    def _check_connected(self) -> None:
+        if not self.closed and self.phase is CallPhase.CONNECT:
+            self._fail("timeout")
+
     def _client_knows_of_reset(self, now: float) -> bool:
         link = self._simulation.network.link(self.server, self.client)
         return not link.cuts and now - self.server.ended_at > 2.0 * link.latency
--- a/tests/runtime/test_http_client.py
+++ b/tests/runtime/test_http_client.py
@@ -17,6 +17,7 @@
     CallPhase,
     CallResponded,
 )
+from merlinstand.runtime import http_connection
 from merlinstand.runtime.http_client import HttpClient
 from merlinstand.runtime.http_connection import ConnectionPool
 from tests.runtime.conftest import EventSink, read_request
@@ -82,6 +83,34 @@
     assert (event.phase, event.reason) == (CallPhase.CONNECT, "refused")
 
 
+@pytest.mark.parametrize(
+    ("connect_seconds", "expected"),
+    [
+        pytest.param(0.0, 2.0, id="the pool's limit"),
+        pytest.param(0.1, 0.1, id="the call's limit"),
+        pytest.param(3.0, 2.0, id="the shorter one"),
+    ],
+)
+def test_a_connection_that_does_not_come_up_in_time_is_not_run(
+    sink: EventSink,
+    client: Any,
+    monkeypatch: pytest.MonkeyPatch,
+    connect_seconds: float,
+    expected: float,
+) -> None:
+    asked: list[float] = []
+
+    def dial(address: str, timeout_seconds: float, tls_context: Any) -> Any:
+        asked.append(timeout_seconds)
+        raise TimeoutError
+
+    monkeypatch.setattr(http_connection, "dial", dial)
+    client.start(call("127.0.0.1:9", connect_seconds=connect_seconds))
+    event = sink.wait_for(CallFailed)
+    assert (event.phase, event.reason) == (CallPhase.CONNECT, "timeout")
+    assert asked == [expected]
+
+
 @pytest.mark.parametrize(
     "changes",
     [
--- a/tests/simulator/test_calls.py
+++ b/tests/simulator/test_calls.py
@@ -1,5 +1,7 @@
 """HTTP calls of the simulator and how far a failed one had come."""
 
+import msgspec
+
 from merlinstand.kernel import effects as fx
 from merlinstand.kernel import events as ev
 from merlinstand.kernel.events import CallPhase
@@ -67,6 +69,21 @@
     assert client.events[-1] == ev.CallFailed("d", CallPhase.BODY, "truncated")
 
 
+def test_a_connection_that_a_cut_holds_back_is_given_up_in_time() -> None:
+    limited = msgspec.structs.replace(call("/whole"), connect_seconds=0.1)
+    simulation, client = fleet({0.5: limited})
+    simulation.network.cut(frozenset(["client"]), frozenset(["server"]))
+    simulation.run_until(0.65)
+    assert client.events == [ev.CallFailed("c", CallPhase.CONNECT, "timeout")]
+
+
+def test_a_connection_that_came_up_outlasts_its_limit() -> None:
+    limited = msgspec.structs.replace(call("/whole"), connect_seconds=0.1)
+    simulation, client = fleet({0.5: limited})
+    simulation.run_until(1.0)
+    assert client.events == [ev.CallResponded("c", 200, {"x-place": "server"}, b"hello")]
+
+
 def test_a_process_that_is_down_refuses_the_connection() -> None:
     simulation, client = fleet({0.5: call("/whole")})
     simulation.clock.call_at(0.4, simulation.processes["server"].kill)
--- a/tests/users_platform/test_days.py
+++ b/tests/users_platform/test_days.py
@@ -5,12 +5,13 @@
 from tests.users_platform.callers import (
     ConfigAcknowledged,
     ConfigRead,
+    LookupClient,
     RetiringOperator,
     config,
 )
 from tests.users_platform.checks import answered_share, records, violations, whole_steps
 from tests.users_platform.servers import Engine
-from tests.users_platform.world import World
+from tests.users_platform.world import ZONES, World
 
 DAY_SECONDS = 34.0
 
@@ -203,3 +204,30 @@
     assert violations(world) == []
     acknowledged = [r for r in records(world, "config") if isinstance(r, ConfigAcknowledged)]
     assert acknowledged[-1].version == 9
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_lookups_of_a_zone_that_is_cut_off_are_answered_there(seed: int) -> None:
+    """Shared shop: gateways of a cut zone asked servers of the other zones twice, in silence."""
+    world = World(seed)
+    name = f"here-{seed}"
+    gateway = world.gateway_addresses[seed]
+    world.add_caller("here", lambda: LookupClient(name, [gateway]))
+    inside = frozenset(
+        n for n in world.simulation.processes if world.process(n).zone == ZONES[seed]
+    )
+    others = frozenset(n for n in world.simulation.processes if world.process(n).zone in ZONES)
+    network = world.simulation.network
+    for one, other in ((inside, others - inside), (others - inside, inside)):
+        world.at(12.0, network.cut, one, other)
+        world.at(17.0, network.heal, one, other)
+    world.simulation.run_until(17.0)
+    assert violations(world) == []
+    times = world.simulation.record_times["lookups"]
+    answers = [
+        answer
+        for answer, at in zip(records(world, "lookups"), times, strict=True)
+        if answer.request_id.startswith(name) and at > 12.0
+    ]
+    assert len(answers) > 25
+    assert [answer for answer in answers if answer.status != 200] == []
