--- a/src/merlinstand/runtime/host.py
+++ b/src/merlinstand/runtime/host.py
@@ -21,6 +21,7 @@
     WallClockRead,
 )
 from merlinstand.kernel.reducer import Reducer
+from merlinstand.runtime import early_listeners
 from merlinstand.runtime.addresses import parse_address
 from merlinstand.runtime.disk import Disk, NoDisk
 from merlinstand.runtime.errors import HostSetupError
@@ -270,7 +271,7 @@
         if isinstance(parsed, Err):
             raise ValueError(parsed.err_value.detail)
         server = EndpointServer(
-            parsed.ok_value.as_pair(),
+            early_listeners.take(address) or parsed.ok_value.as_pair(),
             self._endpoint.application,
             self._settings.http_limits,
             self._tls.server,
--- a/src/merlinstand/runtime/http_server.py
+++ b/src/merlinstand/runtime/http_server.py
@@ -45,7 +45,7 @@
         """Create a server; `start` makes it accept.
 
         Args:
-            listener: `(ip, port)` to bind.
+            listener: `(ip, port)` to bind, or a socket that listens already.
             application: The WSGI application.
             limits: Bounds on reading and writing.
             tls_context: Set to speak TLS.
@@ -54,7 +54,7 @@
         super().__init__(
             listener,
             application,
-            backlog=LISTEN_BACKLOG,
+            backlog=None if isinstance(listener, socket.socket) else LISTEN_BACKLOG,
             spawn=Pool(limits.maximum_connections),
             log=None,
             error_log=None,
