--- a/src/merlinstand/forwarding/batch_relay.py
+++ b/src/merlinstand/forwarding/batch_relay.py
@@ -39,6 +39,8 @@
 RETRY_AFTER_SECONDS = 0.3
 COPY_CALL_SECONDS = 0.25
 """A copy in the own zone answers within some ms; after this long the leader is asked."""
+CONNECT_SECONDS = 0.3
+"""A keeper that can't be reached is left after this long: the call has certainly not been done."""
 _HEADERS = {"content-type": "application/msgpack"}
 
 
@@ -196,6 +198,7 @@
             headers=_HEADERS,
             body=relayed.body,
             timeout_seconds=timeout_seconds,
+            connect_seconds=CONNECT_SECONDS,
             kind=f"{CALL_PREFIX}{type(relayed.call).__name__}",
         )
         return [call]
