A caller with more time is held longer while a gateway has no routes yet

Change: held for 0.4 of the time they told, at least 0.2 s and at most 1 s: less than half, which is what a refusal may cost them.

--- a/src/merlinstand/forwarding/daemon.py
+++ b/src/merlinstand/forwarding/daemon.py
@@ -178,7 +178,13 @@
             return [Respond(event.request_id, 200 if is_ready else _UNAVAILABLE, {}, b"")]
         if self.follower.has_document:
             return self._route_request(event, now, now)
-        return self._routes_wait.begin(event, now) or self._refuse_without_routes(event)
+        held = self._routes_wait.begin(event, self._told_seconds(event), now)
+        return held or self._refuse_without_routes(event)
+
+    def _told_seconds(self, event: RequestReceived) -> float | None:
+        """How long a caller said that it will wait; None if it didn't."""
+        told = event.headers.get(self._names.deadline_ms, "")
+        return int(told) / 1000 if told.isascii() and told.isdigit() else None
 
     def _end_routes_wait(self, now: float) -> list[Effect]:
         """The first routes are known: go on with the requests that waited for them."""
@@ -247,9 +253,9 @@
         now: float,
     ) -> list[Effect]:
         limit = route.timeout_seconds
-        told = event.headers.get(self._names.deadline_ms, "")
-        if told.isascii() and told.isdigit():
-            limit = min(limit, int(told) / 1000 - ANSWER_MARGIN_SECONDS)
+        told_seconds = self._told_seconds(event)
+        if told_seconds is not None:
+            limit = min(limit, told_seconds - ANSWER_MARGIN_SECONDS)
         request = ForwardRequest(
             key=event.request_id,
             route=route,
--- a/tests/forwarding/test_first_routes.py
+++ b/tests/forwarding/test_first_routes.py
@@ -7,7 +7,12 @@
 from merlinstand.directory.routes import RouteKind, RoutesDocument, Service
 from merlinstand.directory.view import DirectoryChanges, encode_changes
 from merlinstand.forwarding.daemon import NO_ROUTES_REASON, ForwardingGateway
-from merlinstand.forwarding.routes_wait import MAXIMUM_WAITING, PATIENCE_SECONDS, TIMER_PREFIX
+from merlinstand.forwarding.routes_wait import (
+    LONGEST_PATIENCE_SECONDS,
+    MAXIMUM_WAITING,
+    PATIENCE_SECONDS,
+    TIMER_PREFIX,
+)
 from merlinstand.forwarding.settings import ForwardingSettings
 from merlinstand.kernel.effects import CancelTimer, Effect, LogEvent, Respond, SetTimer, StartCall
 from merlinstand.kernel.events import (
@@ -49,8 +54,8 @@
     return started
 
 
-def request(name: str) -> RequestReceived:
-    headers = {"host": "h", "x-request-id": name}
+def request(name: str, **told: str) -> RequestReceived:
+    headers = {"host": "h", "x-request-id": name, **told}
     return RequestReceived(RequestId(name), "POST", "/l/1", headers, b"")
 
 
@@ -68,6 +73,23 @@
     assert call.headers[SETTINGS.header_names.deadline_ms] == "1400"
 
 
+@pytest.mark.parametrize(
+    ("told", "expected"),
+    [
+        pytest.param("2000", 0.8, id="much time: held for a part of it"),
+        pytest.param("300", PATIENCE_SECONDS, id="little time"),
+        pytest.param("60000", LONGEST_PATIENCE_SECONDS, id="never for long"),
+        pytest.param("soon", PATIENCE_SECONDS, id="no number"),
+    ],
+)
+def test_a_caller_with_more_time_is_held_longer(told: str, expected: float) -> None:
+    """Two regions, all power lost: routes came after 0.55 s, and callers with 2 s were refused."""
+    daemon = gateway()
+    one = request("q", **{SETTINGS.header_names.deadline_ms: told})
+    [timer] = daemon.reduce(one, 0.0)
+    assert timer == SetTimer(f"{TIMER_PREFIX}q", expected)
+
+
 def test_without_routes_it_is_refused_soon_and_told_when_to_come_back() -> None:
     daemon = gateway()
     daemon.reduce(request("q"), 0.0)
