--- a/src/merlinstand/forwarding/daemon.py
+++ b/src/merlinstand/forwarding/daemon.py
@@ -4,6 +4,8 @@
 
 from result import Err
 
+from merlinstand.batch_jobs.calls import BatchCall, SubmitJob
+from merlinstand.batch_jobs.job_regions import regions_to_keep_in
 from merlinstand.common.errors import (
     MerlinstandError,
     NotFoundError,
@@ -14,6 +16,7 @@
 from merlinstand.common.ids import RequestId
 from merlinstand.directory.follower import PULL_TIMER, DirectoryFollower
 from merlinstand.directory.places import Places
+from merlinstand.directory.regions import common_regions
 from merlinstand.directory.routes import Route, RouteKind
 from merlinstand.directory.tenants import AUTHORIZATION_HEADER, Tenant
 from merlinstand.directory.view import DaemonReport
@@ -74,6 +77,10 @@
 UNREADY_RETRY_SECONDS = 0.3
 """Told to callers when the routes did not come in time."""
 NO_ROUTES_REASON = "no routes yet"
+EVACUATED_REASON = "zone evacuated"
+EVACUATED_RETRY_SECONDS = 1.0
+"""Told to callers whose service has servers in evacuated zones only: operators take minutes, and a
+caller that comes back sooner is refused again."""
 ANSWER_MARGIN_SECONDS = 0.01
 """A caller's deadline ends this long before it for the gateway."""
 _BAD_GATEWAY = 502
@@ -96,10 +103,11 @@
         self._names = settings.header_names
         self._usage = UsageCounter(settings.usage_window_seconds)
         self.follower = DirectoryFollower(settings.seeds, self._report, self._usage.tell)
-        standpoint = Standpoint(settings.zone, Places(settings.zones))
+        places = Places(settings.zones)
+        standpoint = Standpoint(settings.zone, places)
         chooser = BackendChooser(standpoint, self.follower.is_out_of_touch)
-        self._forwarder = Forwarder(self._names, self.follower.snapshot_of, chooser)
-        self._streams = StreamForwarder(self._names, chooser, self.follower.snapshot_of)
+        self._forwarder = Forwarder(self._names, self.follower.snapshot_of, places, chooser)
+        self._streams = StreamForwarder(self._names, chooser, self.follower.snapshot_of, places)
         self._relay = BatchRelay(settings, self.follower)
         self._split = WeightedChoice()
         self._routes_wait = RoutesWait()
@@ -179,7 +187,7 @@
         if self.follower.has_document:
             return self._route_request(event, now, now)
         held = self._routes_wait.begin(event, self._told_seconds(event), now)
-        return held or self._refuse_without_routes(event)
+        return held or self._refuse_unsent(event)
 
     def _told_seconds(self, event: RequestReceived) -> float | None:
         """How long a caller said that it will wait; None if it didn't."""
@@ -208,7 +216,7 @@
         if read.ok_value is not None:
             if barred is not None:
                 return self._bar(event, barred)
-            return self._relay.begin(event.request_id, read.ok_value, now)
+            return self._begin_batch_call(event, read.ok_value, now)
         if route is None:
             fields = {
                 "request": event.headers.get(self._names.request_id, ""),
@@ -219,6 +227,16 @@
             return [log, _refuse(event.request_id, NotFoundError(detail="no such route"))]
         return self._forward(event, route, tenant, arrived_at, now)
 
+    def _begin_batch_call(
+        self, event: RequestReceived, call: BatchCall, now: float
+    ) -> list[Effect]:
+        if isinstance(call, SubmitJob):
+            regions = regions_to_keep_in(call.job, self.follower.routes)
+            if isinstance(regions, Err):
+                return self._bar(event, regions.err_value)
+            call = SubmitJob(call.job, tuple(sorted(regions.ok_value)))
+        return self._relay.begin(event.request_id, call, now)
+
     def _tenant_of(self, event: RequestReceived) -> Tenant | None:
         tenants = self.follower.routes.tenants
         return tenants.find(event.headers.get(AUTHORIZATION_HEADER, "")) if tenants else None
@@ -236,7 +254,7 @@
         return UnauthorizedError(detail="no known key") if tenant is None else None
 
     def _bar(self, event: RequestReceived, error: MerlinstandError) -> list[Effect]:
-        """Refuse a caller; its key is never told, not even to the log."""
+        """Refuse a caller whom the document bars; its key is never told, not even to the log."""
         fields = {
             "request": event.headers.get(self._names.request_id, ""),
             "reason": type(error).code,
@@ -252,6 +270,15 @@
         arrived_at: float,
         now: float,
     ) -> list[Effect]:
+        regions = common_regions(
+            route.allowed_regions, tenant.allowed_regions if tenant is not None else ()
+        )
+        if isinstance(regions, Err):
+            return self._bar(event, regions.err_value)
+        service = self._split.choose(route)
+        if self.follower.is_evacuated(service):
+            # Held, it could only wait for the operators.
+            return self._refuse_unsent(event, EVACUATED_REASON, EVACUATED_RETRY_SECONDS)
         limit = route.timeout_seconds
         told_seconds = self._told_seconds(event)
         if told_seconds is not None:
@@ -259,7 +286,7 @@
         request = ForwardRequest(
             key=event.request_id,
             route=route,
-            service=self._split.choose(route),
+            service=service,
             method=event.method,
             path=event.path,
             headers=backend_headers(
@@ -272,6 +299,7 @@
             body=event.body,
             request_id=event.headers.get(self._names.request_id, ""),
             deadline_at=arrived_at + limit,
+            allowed_regions=regions.ok_value,
         )
         if tenant is not None:
             true_seconds = self.follower.true_seconds(now)
@@ -327,16 +355,21 @@
 
     def _give_up_routes(self, request_id: RequestId) -> list[Effect]:
         held = self._routes_wait.end(request_id)
-        return [] if held is None else self._refuse_without_routes(held.event)
+        return [] if held is None else self._refuse_unsent(held.event)
 
-    def _refuse_without_routes(self, event: RequestReceived) -> list[Effect]:
+    def _refuse_unsent(
+        self,
+        event: RequestReceived,
+        reason: str = NO_ROUTES_REASON,
+        retry_after_seconds: float = UNREADY_RETRY_SECONDS,
+    ) -> list[Effect]:
         fields = {
             "request": event.headers.get(self._names.request_id, ""),
             "outcome": NotRun.__name__,
-            "reason": NO_ROUTES_REASON,
+            "reason": reason,
             "attempts": 0,
         }
-        answer = _not_run(event.request_id, NO_ROUTES_REASON, UNREADY_RETRY_SECONDS)
+        answer = _not_run(event.request_id, reason, retry_after_seconds)
         return [LogEvent("request.failed", fields), answer]
 
     def _stop(self, now: float) -> list[Effect]:
