--- a/src/merlinstand/batch_jobs/daemon.py
+++ b/src/merlinstand/batch_jobs/daemon.py
@@ -64,6 +64,8 @@
 from merlinstand.directory.subscribers import KEEPER_ROLE
 from merlinstand.directory.view import DaemonReport, Keeper
 from merlinstand.duties.turns import LEASE_MARGIN_SECONDS
+from merlinstand.forwarding.backend_choice import BackendChooser
+from merlinstand.forwarding.distance import Standpoint
 from merlinstand.forwarding.forwarder import CALL_PREFIX as FORWARD_PREFIX
 from merlinstand.forwarding.forwarder import TIMER_PREFIX as FORWARD_TIMER_PREFIX
 from merlinstand.forwarding.forwarder import Forwarder
@@ -113,8 +115,10 @@
         self._engines = EngineStates(self.follower, Places(settings.zones), settings.zone)
         self._split = WeightedChoice()
         self._places = Places(settings.zones)
-        cold = self.follower.cold
-        self._forwarder = Forwarder(names, self.follower.snapshot_of, self._places, cold)
+        standpoint = Standpoint(settings.zone, self._places)
+        follower = self.follower
+        chooser = BackendChooser(standpoint, follower.is_out_of_touch, follower.cold)
+        self._forwarder = Forwarder(names, follower.snapshot_of, self._places, chooser)
         self._runner = ItemRunner(
             self.jobs,
             self.follower,
--- a/src/merlinstand/forwarding/daemon.py
+++ b/src/merlinstand/forwarding/daemon.py
@@ -20,9 +20,11 @@
 from merlinstand.directory.routes import Route, RouteKind
 from merlinstand.directory.tenants import AUTHORIZATION_HEADER, Tenant
 from merlinstand.directory.view import DaemonReport
+from merlinstand.forwarding.backend_choice import BackendChooser
 from merlinstand.forwarding.batch_relay import CALL_PREFIX as BATCH_PREFIX
 from merlinstand.forwarding.batch_relay import TIMER_PREFIX as BATCH_TIMER_PREFIX
 from merlinstand.forwarding.batch_relay import BatchRelay
+from merlinstand.forwarding.distance import Standpoint
 from merlinstand.forwarding.forwarder import CALL_PREFIX as FORWARD_PREFIX
 from merlinstand.forwarding.forwarder import TIMER_PREFIX as FORWARD_TIMER_PREFIX
 from merlinstand.forwarding.forwarder import Forwarder
@@ -102,11 +104,11 @@
         self._usage = UsageCounter(settings.usage_window_seconds)
         self.follower = DirectoryFollower(settings.seeds, self._report, self._usage.tell)
         places = Places(settings.zones)
-        cold = self.follower.cold
-        self._forwarder = Forwarder(self._names, self.follower.snapshot_of, places, cold)
-        self._streams = StreamForwarder(
-            self._names, self._forwarder.chooser, self.follower.snapshot_of, places
-        )
+        standpoint = Standpoint(settings.zone, places)
+        follower = self.follower
+        chooser = BackendChooser(standpoint, follower.is_out_of_touch, follower.cold)
+        self._forwarder = Forwarder(self._names, follower.snapshot_of, places, chooser)
+        self._streams = StreamForwarder(self._names, chooser, follower.snapshot_of, places)
         self._relay = BatchRelay(settings, self.follower)
         self._split = WeightedChoice()
         self._routes_wait = RoutesWait()
@@ -189,7 +191,13 @@
             return [Respond(event.request_id, 200 if is_ready else _UNAVAILABLE, {}, b"")]
         if self.follower.has_document:
             return self._route_request(event, now, now)
-        return self._routes_wait.begin(event, now) or self._refuse_unsent(event)
+        held = self._routes_wait.begin(event, self._told_seconds(event), now)
+        return held or self._refuse_unsent(event)
+
+    def _told_seconds(self, event: RequestReceived) -> float | None:
+        """How long a caller said that it will wait; None if it didn't."""
+        told = event.headers.get(self._names.deadline_ms, "")
+        return int(told) / 1000 if told.isascii() and told.isdigit() else None
 
     def _end_routes_wait(self, now: float) -> list[Effect]:
         """The first routes are known: go on with the requests that waited for them."""
@@ -277,9 +285,9 @@
             # Held, it could only wait for the operators.
             return self._refuse_unsent(event, EVACUATED_REASON, EVACUATED_RETRY_SECONDS)
         limit = route.timeout_seconds
-        told = event.headers.get(self._names.deadline_ms, "")
-        if told.isascii() and told.isdigit():
-            limit = min(limit, int(told) / 1000 - ANSWER_MARGIN_SECONDS)
+        told_seconds = self._told_seconds(event)
+        if told_seconds is not None:
+            limit = min(limit, told_seconds - ANSWER_MARGIN_SECONDS)
         request = ForwardRequest(
             key=event.request_id,
             route=route,
--- a/src/merlinstand/forwarding/forwarder.py
+++ b/src/merlinstand/forwarding/forwarder.py
@@ -10,7 +10,6 @@
 
 from merlinstand.common.ids import BackendId, CallId
 from merlinstand.directory.backends import Backend
-from merlinstand.directory.cold_budget import ColdBudget
 from merlinstand.directory.places import Places
 from merlinstand.directory.regions import NO_SERVER_REASON, servers_within
 from merlinstand.directory.routes import RouteKind
@@ -41,6 +40,9 @@
 FIRST_SERVER_ERROR_STATUS = 500
 BUSY_PAUSE_SECONDS = 0.02
 """Wait before a request that was turned away as not run is offered again."""
+UNCONNECTED_TRIES = 2
+"""Tries beyond the route's number of servers: connections that never came up ran nothing."""
+CALL_TIMEOUT_REASON = "timeout"
 HEDGE_SHARE = 0.6
 """A repeatable request is sent a second time after this share of its aim."""
 SHORTEST_HEDGE_SECONDS = 0.06
@@ -61,12 +63,17 @@
     request: ForwardRequest
     tried: set[BackendId] = msgspec.field(default_factory=set)
     running: dict[CallId, _Attempt] = msgspec.field(default_factory=dict)
+    tries: int = 0
     sent: int = 0
+    """Tries that ran, may have run, or were turned away; not those that never connected."""
     may_have_run: bool = False
     failed_answers: int = 0
     last_error_answer: Answered | None = None
     last_reason: str = ""
-    is_hedged: bool = False
+
+    def silent_backends(self) -> list[Backend]:
+        """Back ends where a try is under way; asked for once it has taken too long."""
+        return [attempt.backend for attempt in self.running.values()]
 
 
 class Forwarder:
@@ -77,7 +84,7 @@
         names: HeaderNames,
         backends_of: Callable[[str], tuple[Backend, ...]],
         places: Places | None = None,
-        cold: ColdBudget | None = None,
+        chooser: BackendChooser | None = None,
     ) -> None:
         """Begin without requests.
 
@@ -85,9 +92,9 @@
             names: Header names.
             backends_of: Gives the registered back ends of a service.
             places: Regions of the zones; without, no server is in any region.
-            cold: What may be sent to cold back ends; without it, no service limits that.
+            chooser: Chooses among them; without one, all are taken to be equally far.
         """
-        self.chooser = BackendChooser(cold)
+        self.chooser = chooser or BackendChooser()
         self._cold_wait = ColdWait(self.chooser.cold, f"{TIMER_PREFIX}cold:")
         self._names = names
         self._backends_of = backends_of
@@ -161,7 +168,11 @@
         if isinstance(event, CallFailed):
             evidence.note_failure(now)
             self.chooser.cold.note_failure(attempt.backend, event, now)
-            if event.phase is not CallPhase.CONNECT:
+            if event.reason == CALL_TIMEOUT_REASON:
+                self.chooser.note_silence(attempt.backend, now)
+            if event.phase is CallPhase.CONNECT:
+                pending.sent -= 1
+            else:
                 pending.may_have_run = True
             pending.last_reason = f"{event.phase.value}_{event.reason}"
             return self._after_failure(pending, event, attempt, now)
@@ -173,7 +184,7 @@
         self, pending: _Pending, event: CallResponded, attempt: _Attempt, now: float
     ) -> list[Effect]:
         evidence = self.chooser.evidence(attempt.backend.backend_id)
-        evidence.note_answer(now)
+        self.chooser.note_heard(attempt.backend, now)
         if self._is_not_run(event):
             evidence.note_latency(now - attempt.started_at + BUSY_PAUSE_SECONDS, now)
             if event.status == MISDIRECTED_STATUS:
@@ -213,7 +224,8 @@
 
     def _try_again(self, pending: _Pending, now: float) -> list[Effect]:
         if pending.running:
-            return []
+            # The other try goes on; it gets company in its turn.
+            return self._plan_hedge(pending)
         if not self._has_attempts(pending):
             return self._give_up(pending, pending.last_reason, now)
         if self._candidate(pending, now) is not None:
@@ -226,12 +238,14 @@
         return [SetTimer(f"{TIMER_PREFIX}retry:{pending.request.key}", BUSY_PAUSE_SECONDS)]
 
     def _has_attempts(self, pending: _Pending) -> bool:
-        return pending.sent < max(1, pending.request.route.maximum_attempts)
+        most = max(1, pending.request.route.maximum_attempts)
+        return pending.sent < most and pending.tries < most + UNCONNECTED_TRIES
 
     # Sending
 
     def _candidate(self, pending: _Pending, now: float) -> Backend | None:
-        return self.chooser.choose(self._allowed(pending), pending.tried, now)
+        allowed = self._allowed(pending)
+        return self.chooser.choose(allowed, pending.tried, now, pending.silent_backends())
 
     def _allowed(self, pending: _Pending) -> tuple[Backend, ...]:
         """Back ends of the request's service in the regions that may serve it."""
@@ -269,6 +283,7 @@
         call_id = CallId(f"{CALL_PREFIX}{request.key}#{self._calls}")
         pending.running[call_id] = _Attempt(backend, now)
         pending.tried.add(backend.backend_id)
+        pending.tries += 1
         pending.sent += 1
         self.chooser.begin(backend, now)
         headers = {
@@ -285,6 +300,7 @@
             headers=headers,
             body=request.body,
             timeout_seconds=left + DEADLINE_MARGIN_SECONDS,
+            connect_seconds=self.chooser.reach(backend).connect_seconds,
             host=request.headers.get("host", ""),
             echo_header=self._names.request_id,
             accepts_unframed=True,
@@ -302,15 +318,16 @@
 
     def _may_hedge(self, pending: _Pending) -> bool:
         is_repeatable = pending.request.route.kind is RouteKind.REPEATABLE
-        return is_repeatable and not pending.is_hedged and self._has_attempts(pending)
+        return is_repeatable and len(pending.running) == 1 and self._has_attempts(pending)
 
     def _hedge(self, pending: _Pending, now: float) -> list[Effect]:
+        for backend in pending.silent_backends():
+            self.chooser.note_silence(backend, now)
         candidate = self._candidate(pending, now)
         if candidate is None or not self._may_hedge(pending):
             return []
         if self.chooser.evidence(candidate.backend_id).avoid_until > now:
             return []
-        pending.is_hedged = True
         return self._send(pending, now)
 
     def _reason_for_none(self, pending: _Pending, now: float) -> str:
@@ -357,6 +374,7 @@
             elapsed = now - attempt.started_at
             if elapsed > evidence.latency(now):
                 evidence.note_latency(elapsed, now)
+            evidence.note_given_up()
             effects.append(CancelCall(call_id))
         pending.running.clear()
         key = pending.request.key
--- a/src/merlinstand/forwarding/stream_forwarder.py
+++ b/src/merlinstand/forwarding/stream_forwarder.py
@@ -16,7 +16,11 @@
 from merlinstand.directory.regions import NO_SERVER_REASON, servers_within
 from merlinstand.forwarding.backend_choice import BackendChooser
 from merlinstand.forwarding.cold_wait import COLD_REASON, ColdWait
-from merlinstand.forwarding.forwarder import MISDIRECTED_STATUS, RETRY_AFTER_SECONDS
+from merlinstand.forwarding.forwarder import (
+    CALL_TIMEOUT_REASON,
+    MISDIRECTED_STATUS,
+    RETRY_AFTER_SECONDS,
+)
 from merlinstand.forwarding.header_names import HeaderNames
 from merlinstand.forwarding.requests import ForwardRequest, NotRun, OutcomeUnknown
 from merlinstand.gateway.sse import EVENT_END, EventCutter
@@ -228,10 +232,14 @@
         return [log, *self._drop_call(stream), *self._try_again(stream, event.reason, now)]
 
     def _note_failure(self, stream: _Stream, now: float, event: CallFailed | None = None) -> None:
-        if stream.backend is not None:
-            self._chooser.evidence(stream.backend.backend_id).note_failure(now)
-            if event is not None:
-                self._chooser.cold.note_failure(stream.backend, event, now)
+        if stream.backend is None:
+            return
+        self._chooser.evidence(stream.backend.backend_id).note_failure(now)
+        if event is None:
+            return
+        self._chooser.cold.note_failure(stream.backend, event, now)
+        if event.reason == CALL_TIMEOUT_REASON:
+            self._chooser.note_silence(stream.backend, now)
 
     # Sending
 
@@ -278,6 +286,7 @@
                 headers=headers,
                 body=request.body,
                 timeout_seconds=min(SILENCE_SECONDS, max(0.01, left)),
+                connect_seconds=self._chooser.reach(backend).connect_seconds,
                 stream=True,
                 host=request.headers.get("host", ""),
                 echo_header=self._names.request_id,
--- a/tests/forwarding/test_cold_back_ends.py
+++ b/tests/forwarding/test_cold_back_ends.py
@@ -28,7 +28,9 @@
 
     def __init__(self, backends: tuple[Backend, ...] = COLD) -> None:
         self.budget = ColdBudget(lambda _service: 9.2)
-        self.forwarder = Forwarder(NAMES, lambda _service: backends, cold=self.budget)
+        self.forwarder = Forwarder(
+            NAMES, lambda _service: backends, chooser=BackendChooser(cold=self.budget)
+        )
 
     def begin(self, key: str, now: float = 0.0, priority: int = 5) -> list[Effect]:
         of_route = msgspec.structs.replace(route(), priority=priority)
@@ -158,7 +160,7 @@
 
 def test_streams_wait_and_are_refused_likewise() -> None:
     budget = ColdBudget(lambda _service: 9.2)
-    streams = StreamForwarder(NAMES, BackendChooser(budget), lambda _service: COLD)
+    streams = StreamForwarder(NAMES, BackendChooser(cold=budget), lambda _service: COLD)
     assert calls(streams.begin(stream_request(), 0.0)) == []
     budget.ask(0.0)
     budget.take(encode_grants(ColdGrants(0.0, {COLD[0].backend_id: 1})), 0.01)
