A stream's head shows that its zone can be reached

Streams noted silences by zone but never an answer: a gateway that passes on streams only kept a zone's doubt for good, and one silent server put the whole zone aside for 4 s again. The test failed before the change.

--- a/src/merlinstand/forwarding/stream_forwarder.py
+++ b/src/merlinstand/forwarding/stream_forwarder.py
@@ -173,6 +173,8 @@
     # Answers
 
     def _on_head(self, stream: _Stream, event: CallHeaders, now: float) -> list[Effect]:
+        if stream.backend is not None:
+            self._chooser.note_heard(stream.backend, now)
         is_not_run = self._names.not_run in event.headers or event.status == MISDIRECTED_STATUS
         if is_not_run:
             return [*self._drop_call(stream), *self._try_again(stream, "not run", now)]
--- a/tests/forwarding/test_streams.py
+++ b/tests/forwarding/test_streams.py
@@ -27,8 +27,11 @@
 class Streaming:
     """A forwarder with one request under way."""
 
-    def __init__(self, is_resumable: bool, attempts: int = 3) -> None:
-        self.forwarder = StreamForwarder(NAMES, BackendChooser(), lambda _service: BACKENDS)
+    def __init__(
+        self, is_resumable: bool, attempts: int = 3, backends: tuple[Backend, ...] = BACKENDS
+    ) -> None:
+        self.chooser = BackendChooser()
+        self.forwarder = StreamForwarder(NAMES, self.chooser, lambda _service: backends)
         route = make_route(
             RouteKind.STREAM,
             "llm",
@@ -133,3 +136,19 @@
     streaming = Streaming(is_resumable=True)
     streaming.head()
     assert CancelCall(streaming.call.call_id) in streaming.forwarder.abort("k")
+
+
+def test_a_stream_that_begins_shows_that_its_zone_can_be_reached() -> None:
+    """Otherwise one silent server would put the zone in doubt for ever after."""
+    ours, silent = (
+        Backend(backend_id=BackendId(name), service="llm", address=f"{name}:1", zone="z")
+        for name in ("ours", "silent")
+    )
+    other = Backend(backend_id=BackendId("other"), service="llm", address="other:1", zone="y")
+    streaming = Streaming(is_resumable=True, backends=(ours,))
+    for backend in (ours, silent):
+        streaming.chooser.note_silence(backend, 0.0)
+    streaming.head()
+    streaming.chooser.evidence(other.backend_id).in_flight = 9
+    streaming.chooser.note_silence(silent, 4.0)
+    assert streaming.chooser.choose((ours, other), set(), 4.1) == ours
