An earlier try's hedge timer doesn't speak for the last try

Where the attempts are used up, no new hedge timer was set, but that of the try before stayed: some ms after the last try began it was noted as silent, and two of those put a sound zone in doubt. The timer is ended. The test failed before the change.

--- a/src/merlinstand/forwarding/forwarder.py
+++ b/src/merlinstand/forwarding/forwarder.py
@@ -310,11 +310,14 @@
 
     def _plan_hedge(self, pending: _Pending) -> list[Effect]:
         request = pending.request
+        name = f"{TIMER_PREFIX}hedge:{request.key}"
         if not self._may_hedge(pending):
-            return []
+            # The timer of an earlier try would take this one for silent too soon.
+            is_planned = request.route.kind is RouteKind.REPEATABLE and pending.tries > 1
+            return [CancelTimer(name)] if is_planned else []
         aim = request.route.target_latency_seconds
         delay = max(SHORTEST_HEDGE_SECONDS, HEDGE_SHARE * aim)
-        return [SetTimer(f"{TIMER_PREFIX}hedge:{request.key}", delay)]
+        return [SetTimer(name, delay)]
 
     def _may_hedge(self, pending: _Pending) -> bool:
         is_repeatable = pending.request.route.kind is RouteKind.REPEATABLE
--- a/tests/forwarding/test_forwarder.py
+++ b/tests/forwarding/test_forwarder.py
@@ -9,7 +9,7 @@
 from merlinstand.forwarding.header_names import HeaderNames
 from merlinstand.forwarding.requests import Answered, ForwardRequest, NotRun, OutcomeUnknown
 from merlinstand.forwarding.weighted_choice import WeightedChoice
-from merlinstand.kernel.effects import CancelCall, Effect, SetTimer, StartCall
+from merlinstand.kernel.effects import CancelCall, CancelTimer, Effect, SetTimer, StartCall
 from merlinstand.kernel.events import CallFailed, CallPhase, CallResponded
 from tests.routes import make_route
 
@@ -206,3 +206,10 @@
     forwarder.chooser.evidence(first).note_answer(0.12)
     forwarder.on_call(answer(second, 200), 0.15)
     assert forwarder.chooser.evidence(first).connected_until == 0.0
+
+
+def test_the_last_try_is_not_taken_for_silent_by_an_earlier_ones_timer() -> None:
+    forwarder, call = begin(route(attempts=2))
+    effects = forwarder.on_call(CallFailed(call.call_id, CallPhase.SENT, "reset"), 0.11)
+    assert len(calls(effects)) == 1
+    assert CancelTimer("forward.hedge:k") in effects
