As many engines as models: each keeps its model whoever leads

Where both counts are equal, models were dealt by the list's order, whatever the engines held. The list begins with the leader's own region now, so a leader in the other region dealt them anew and every engine loaded other weights. The usual way, which keeps what is held, serves this case as well. The test failed before the change.

--- a/src/merlinstand/batch_jobs/engine_assignment.py
+++ b/src/merlinstand/batch_jobs/engine_assignment.py
@@ -41,7 +41,7 @@
     models = sorted(demand)
     if len(models) == 1:
         return dict.fromkeys(engines, frozenset(models))
-    if len(engines) <= len(models):
+    if len(engines) < len(models):
         return _several_each(engines, models)
     quotas = engine_quotas(len(engines), demand)
     assignment: Assignment = {}
--- a/tests/batch_jobs/test_schedule.py
+++ b/tests/batch_jobs/test_schedule.py
@@ -230,6 +230,14 @@
     assert sorted(m for models in after.values() for m in models) == ["a", "a", "b", "b"]
 
 
+def test_as_many_engines_as_models_keep_theirs_whoever_leads() -> None:
+    """Leaders in two regions list the engines in different orders."""
+    names = [BackendId(name) for name in ("e1", "e2")]
+    demand = {"a": 1.0, "b": 1.0}
+    before = assign_engines(names, demand, {})
+    assert assign_engines(names[::-1], demand, before) == before
+
+
 def test_fewer_engines_than_models_follow_several() -> None:
     assignment = assign_engines([BackendId("e1"), BackendId("e2")], dict.fromkeys("abc", 1.0), {})
     assert {m for models in assignment.values() for m in models} == {"a", "b", "c"}
