A header's number of very many digits ends no gateway

`x-deadline-ms` of 400 digits (division overflows) at a gateway without routes, or `last-event-id` of 5,000 digits (Python refuses to read them) at any time, raised in the reducer and ended the process: any caller could. The tests failed before the change.

--- a/src/merlinstand/batch_jobs/runner.py
+++ b/src/merlinstand/batch_jobs/runner.py
@@ -32,6 +32,7 @@
 from merlinstand.batch_jobs.scheduling_turn import SchedulingTurn
 from merlinstand.batch_jobs.state_machine import JobState, JobStates, ListResult
 from merlinstand.common.ids import BackendId, CallId
+from merlinstand.common.whole_number import read_whole_number
 from merlinstand.directory.follower import DirectoryFollower
 from merlinstand.directory.places import Places
 from merlinstand.directory.routes import Route
@@ -452,7 +453,7 @@
         if event.status != SUCCESS_STATUS:
             return self._on_refusal(run, event, now)
         job = self._jobs.jobs[run.job_id].job
-        version = _whole_number(event.headers.get(self._names.weight_versions, ""))
+        version = read_whole_number(event.headers.get(self._names.weight_versions, "")) or 0
         engine = self._engine_of(run)
         if engine is not None and job.model:
             engine.note_version(job.model, version)
@@ -621,7 +622,3 @@
 def _is_text_due(run: ItemRun, now: float) -> bool:
     has_news = run.phase is RunPhase.GENERATING and run.text.last_event_id > run.kept_events
     return has_news and now - run.kept_at >= KEEP_TEXT_SECONDS
-
-
-def _whole_number(text: str) -> int:
-    return int(text) if text.isascii() and text.isdigit() else 0
--- a/src/merlinstand/forwarding/daemon.py
+++ b/src/merlinstand/forwarding/daemon.py
@@ -14,6 +14,7 @@
     error_body,
 )
 from merlinstand.common.ids import RequestId
+from merlinstand.common.whole_number import read_whole_number
 from merlinstand.directory.follower import PULL_TIMER, DirectoryFollower
 from merlinstand.directory.places import Places
 from merlinstand.directory.regions import common_regions
@@ -196,8 +197,8 @@
 
     def _told_seconds(self, event: RequestReceived) -> float | None:
         """How long a caller said that it will wait; None if it didn't."""
-        told = event.headers.get(self._names.deadline_ms, "")
-        return int(told) / 1000 if told.isascii() and told.isdigit() else None
+        told_ms = read_whole_number(event.headers.get(self._names.deadline_ms, ""))
+        return None if told_ms is None else told_ms / 1000
 
     def _end_routes_wait(self, now: float) -> list[Effect]:
         """The first routes are known: go on with the requests that waited for them."""
--- a/src/merlinstand/forwarding/stream_forwarder.py
+++ b/src/merlinstand/forwarding/stream_forwarder.py
@@ -11,6 +11,7 @@
 
 from merlinstand.batch_jobs.event_text import parse_event
 from merlinstand.common.ids import BackendId, CallId, RequestId
+from merlinstand.common.whole_number import read_whole_number
 from merlinstand.directory.backends import Backend
 from merlinstand.directory.places import Places
 from merlinstand.directory.regions import NO_SERVER_REASON, servers_within
@@ -112,7 +113,7 @@
 
     def begin(self, request: ForwardRequest, now: float) -> list[Effect]:
         """Take a request for a stream."""
-        stream = _Stream(request, last_event_id=_whole_number(request.headers))
+        stream = _Stream(request, last_event_id=_last_event_id(request.headers))
         self._streams[request.key] = stream
         left = max(0.0, request.deadline_at - now)
         return [SetTimer(f"{TIMER_PREFIX}{request.key}", left), *self._send(stream, now)]
@@ -337,6 +338,5 @@
         return [timer, *self._cold_wait.end(stream.request.key), *self._drop_call(stream)]
 
 
-def _whole_number(headers: dict[str, str]) -> int:
-    text = headers.get(LAST_EVENT_HEADER, "")
-    return int(text) if text.isascii() and text.isdigit() else 0
+def _last_event_id(headers: dict[str, str]) -> int:
+    return read_whole_number(headers.get(LAST_EVENT_HEADER, "")) or 0
--- a/tests/forwarding/test_first_routes.py
+++ b/tests/forwarding/test_first_routes.py
@@ -80,6 +80,8 @@
         pytest.param("300", PATIENCE_SECONDS, id="little time"),
         pytest.param("60000", LONGEST_PATIENCE_SECONDS, id="never for long"),
         pytest.param("soon", PATIENCE_SECONDS, id="no number"),
+        pytest.param("9" * 400, PATIENCE_SECONDS, id="a number too long to divide"),
+        pytest.param("9" * 5000, PATIENCE_SECONDS, id="a number too long to read"),
     ],
 )
 def test_a_caller_with_more_time_is_held_longer(told: str, expected: float) -> None:
--- a/tests/forwarding/test_streams.py
+++ b/tests/forwarding/test_streams.py
@@ -6,7 +6,7 @@
 from merlinstand.forwarding.backend_choice import BackendChooser
 from merlinstand.forwarding.header_names import HeaderNames
 from merlinstand.forwarding.requests import ForwardRequest, NotRun, OutcomeUnknown
-from merlinstand.forwarding.stream_forwarder import StreamForwarder
+from merlinstand.forwarding.stream_forwarder import LAST_EVENT_HEADER, StreamForwarder
 from merlinstand.kernel.effects import (
     CancelCall,
     Effect,
@@ -28,7 +28,11 @@
     """A forwarder with one request under way."""
 
     def __init__(
-        self, is_resumable: bool, attempts: int = 3, backends: tuple[Backend, ...] = BACKENDS
+        self,
+        is_resumable: bool,
+        attempts: int = 3,
+        backends: tuple[Backend, ...] = BACKENDS,
+        **headers: str,
     ) -> None:
         self.chooser = BackendChooser()
         self.forwarder = StreamForwarder(NAMES, self.chooser, lambda _service: backends)
@@ -46,7 +50,7 @@
             service="llm",
             method="POST",
             path="/s/1",
-            headers={"host": "h"},
+            headers={"host": "h", **headers},
             body=b"",
             request_id="q1",
             deadline_at=10.0,
@@ -152,3 +156,9 @@
     streaming.chooser.evidence(other.backend_id).in_flight = 9
     streaming.chooser.note_silence(silent, 4.0)
     assert streaming.chooser.choose((ours, other), set(), 4.1) == ours
+
+
+def test_a_number_too_long_to_read_is_no_last_event() -> None:
+    streaming = Streaming(is_resumable=True, **{LAST_EVENT_HEADER: "9" * 5000})
+    streaming.head()
+    assert chunks(streaming.data(event(1))) == event(1)
