--- a/tests/users_platform/real_world.py
+++ b/tests/users_platform/real_world.py
@@ -10,6 +10,7 @@
 import socket
 import subprocess
 import sys
+import sysconfig
 from collections.abc import Sequence
 from pathlib import Path
 from types import SimpleNamespace
@@ -54,6 +55,9 @@
 LAST_NETWORK = 200
 ZONES = ("hall-a", "hall-b", "hall-c")
 REGION = "ro-central"
+LIBRARIES = sysconfig.get_path("purelib")
+"""The programs run without `site`, as in deploy/system.toml: they find their own code, and of the
+virtual environment only what stands here."""
 RECEIVE_BYTES = 65536
 ORDER_LIMIT_SECONDS = 10.0
 """Twice what an acknowledgement may take while the leader is replaced."""
@@ -198,8 +202,12 @@
         self._starts += 1
         with (self._folder / "log").open("ab") as log:
             self.process = subprocess.Popen(
-                [sys.executable, str(ROOT / "platform" / "start.py"), self.role],
-                env={**os.environ, "MERLINSTAND_NODE_FILE": str(settings)},
+                [sys.executable, "-S", str(ROOT / "platform" / "start.py"), self.role],
+                env={
+                    **os.environ,
+                    "MERLINSTAND_NODE_FILE": str(settings),
+                    "PYTHONPATH": LIBRARIES,
+                },
                 stdin=subprocess.DEVNULL,
                 stdout=log,
                 stderr=subprocess.STDOUT,
