A batch call's number of very many digits ends no gateway

`After`, `X-Wait-Ms` and the length hint were read without a bound on their digits: the read, the division or, later, the message to the keeper raised in the reducer. The first two are refused, the hint is none.

--- a/tests/users_platform/test_adapter.py
+++ b/tests/users_platform/test_adapter.py
@@ -190,3 +190,27 @@
     beat = read.unwrap()
     assert isinstance(beat, Heartbeat)
     assert beat.backend.is_cold is is_cold
+
+
+@pytest.mark.parametrize(
+    ("after", "wait_ms"),
+    [
+        pytest.param("x", "0", id="no number"),
+        pytest.param("9" * 40, "0", id="a position that no message holds"),
+        pytest.param("0", "9" * 400, id="a wait that no float holds"),
+        pytest.param("9" * 5000, "0", id="more digits than can be read"),
+    ],
+)
+def test_a_read_with_a_bad_number_is_refused(after: str, wait_ms: str) -> None:
+    event = request("GET", f"/lots/j1?After={after}", x_wait_ms=wait_ms)
+    assert PlatformGatewayInterface().read_batch_call(event, None, "").is_err()
+
+
+def test_a_length_hint_of_too_many_digits_is_none() -> None:
+    headers = {"X-Length-Hint": "9" * 5000}
+    item = {"Id": "i1", "Path": "/llm/1", "Headers": headers, "Body": ""}
+    body = json.dumps({"Requests": [item]}).encode()
+    event = request("POST", "/llm/", body, x_request_id="j1")
+    call = PlatformGatewayInterface().read_batch_call(event, BATCH_ROUTE, "").unwrap()
+    assert isinstance(call, SubmitJob)
+    assert call.job.items[0].expected_tokens == 0
