A JSON number that no message holds ends no process

Whole numbers in jobs, heartbeats, documents and reports had no bound, but messages between processes hold 64 bits: a job with a step of 10**30 raised at the gateway when it was passed on, and ended it. They are refused as malformed now.

--- a/tests/users_platform/test_adapter.py
+++ b/tests/users_platform/test_adapter.py
@@ -214,3 +214,15 @@
     call = PlatformGatewayInterface().read_batch_call(event, BATCH_ROUTE, "").unwrap()
     assert isinstance(call, SubmitJob)
     assert call.job.items[0].expected_tokens == 0
+
+
+@pytest.mark.parametrize("name", ["Step", "MinVersion", "Desired"])
+@pytest.mark.parametrize("number", [10**30, -(10**30)])
+def test_a_job_with_a_number_that_no_message_holds_is_refused(name: str, number: int) -> None:
+    body = json.dumps({"Requests": [], name: number}).encode()
+    event = request("POST", "/llm/", body, x_request_id="j1")
+    assert PlatformGatewayInterface().read_batch_call(event, BATCH_ROUTE, "").is_err()
+
+
+def test_a_document_with_a_number_that_no_message_holds_is_refused() -> None:
+    assert read_document(json.dumps(config(10**30, SERVICES)).encode()).is_err()
