A body nested too deeply ends no process

The platform's JSON was decoded without catching RecursionError, which msgspec raises where it skips a field that nobody knows: one body of 100 kB of brackets ended a gateway or control daemon.

--- a/tests/users_platform/test_adapter.py
+++ b/tests/users_platform/test_adapter.py
@@ -226,3 +226,17 @@
 
 def test_a_document_with_a_number_that_no_message_holds_is_refused() -> None:
     assert read_document(json.dumps(config(10**30, SERVICES)).encode()).is_err()
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        pytest.param(b'{"Else":' + b"[" * 100_000, id="nested too deeply"),
+        pytest.param(b"{", id="cut short"),
+        pytest.param(b'{"Requests": [], "Model": "\xff"}', id="not UTF-8"),
+        pytest.param(b'{"Requests": [], "Step": "one"}', id="a field of another type"),
+    ],
+)
+def test_a_malformed_body_is_refused(body: bytes) -> None:
+    event = request("POST", "/llm/", body, x_request_id="j1")
+    assert PlatformGatewayInterface().read_batch_call(event, BATCH_ROUTE, "").is_err()
