--- a/tests/users_platform/test_adapter.py
+++ b/tests/users_platform/test_adapter.py
@@ -234,6 +234,10 @@
         pytest.param(b'{"Else":' + b"[" * 100_000, id="nested too deeply"),
         pytest.param(b"{", id="cut short"),
         pytest.param(b'{"Requests": [], "Model": "\xff"}', id="not UTF-8"),
+        pytest.param(
+            json.dumps({"Requests": [{"Id": "i", "Path": "/", "Body": "é"}]}).encode(),
+            id="not ASCII where base64 stands",
+        ),
         pytest.param(b'{"Requests": [], "Step": "one"}', id="a field of another type"),
     ],
 )
