A keeper's far engines by the same rule as a gateway's far servers

The keeper took an engine that tells no zone, and all engines where its own zone isn't told, to be in another region; `Standpoint` takes them to be near. One rule now. Two comments of batch_relay spoke of the own zone alone.

--- a/src/merlinstand/batch_jobs/engines.py
+++ b/src/merlinstand/batch_jobs/engines.py
@@ -9,6 +9,7 @@
 from merlinstand.directory.backends import Backend
 from merlinstand.directory.follower import DirectoryFollower
 from merlinstand.directory.places import Places
+from merlinstand.forwarding.distance import Distance, Standpoint
 
 DEFAULT_SLOTS = 4
 """Assumed of an engine that does not tell its slots."""
@@ -151,8 +152,7 @@
             zone: The keeper's own zone.
         """
         self._follower = follower
-        self._places = Places() if places is None else places
-        self._region = self._places.region_of(zone)
+        self._standpoint = Standpoint(zone, Places() if places is None else places)
         self._revision = -1
         self.states: dict[BackendId, EngineState] = {}
 
@@ -166,8 +166,8 @@
         for backend in self._follower.backends:
             state = previous.get(backend.backend_id)
             if state is None:
-                is_remote = self._places.region_of(backend.zone) != self._region
-                state = EngineState(backend, is_remote=is_remote)
+                distance = self._standpoint.distance(backend.zone)
+                state = EngineState(backend, is_remote=distance is Distance.OTHER_REGION)
             state.backend = backend
             self.states[backend.backend_id] = state
 
--- a/src/merlinstand/forwarding/batch_relay.py
+++ b/src/merlinstand/forwarding/batch_relay.py
@@ -41,7 +41,7 @@
 """Wait before the keepers are asked again when none leads."""
 RETRY_AFTER_SECONDS = 0.3
 COPY_CALL_SECONDS = 0.25
-"""A copy in the own zone answers within some ms; after this long the leader is asked."""
+"""A copy in the own zone or region answers within some ms; after this long the leader is asked."""
 CONNECT_SECONDS = 0.3
 """A keeper that can't be reached is left after this long: the call has certainly not been done."""
 _HEADERS = {"content-type": "application/msgpack"}
@@ -59,7 +59,7 @@
     address: str = ""
     may_be_done: bool = False
     is_at_copy: bool = False
-    """Whether the present call asks a copy of the own zone, not the leader."""
+    """Whether the present call asks a near copy, not the leader."""
 
 
 class RelayFinished(msgspec.Struct, frozen=True):
