--- a/tests/users_platform/test_adapter.py
+++ b/tests/users_platform/test_adapter.py
@@ -190,3 +190,57 @@
     beat = read.unwrap()
     assert isinstance(beat, Heartbeat)
     assert beat.backend.is_cold is is_cold
+
+
+@pytest.mark.parametrize(
+    ("after", "wait_ms"),
+    [
+        pytest.param("x", "0", id="no number"),
+        pytest.param("9" * 40, "0", id="a position that no message holds"),
+        pytest.param("0", "9" * 400, id="a wait that no float holds"),
+        pytest.param("9" * 5000, "0", id="more digits than can be read"),
+    ],
+)
+def test_a_read_with_a_bad_number_is_refused(after: str, wait_ms: str) -> None:
+    event = request("GET", f"/lots/j1?After={after}", x_wait_ms=wait_ms)
+    assert PlatformGatewayInterface().read_batch_call(event, None, "").is_err()
+
+
+def test_a_length_hint_of_too_many_digits_is_none() -> None:
+    headers = {"X-Length-Hint": "9" * 5000}
+    item = {"Id": "i1", "Path": "/llm/1", "Headers": headers, "Body": ""}
+    body = json.dumps({"Requests": [item]}).encode()
+    event = request("POST", "/llm/", body, x_request_id="j1")
+    call = PlatformGatewayInterface().read_batch_call(event, BATCH_ROUTE, "").unwrap()
+    assert isinstance(call, SubmitJob)
+    assert call.job.items[0].expected_tokens == 0
+
+
+@pytest.mark.parametrize("name", ["Step", "MinVersion", "Desired"])
+@pytest.mark.parametrize("number", [10**30, -(10**30)])
+def test_a_job_with_a_number_that_no_message_holds_is_refused(name: str, number: int) -> None:
+    body = json.dumps({"Requests": [], name: number}).encode()
+    event = request("POST", "/llm/", body, x_request_id="j1")
+    assert PlatformGatewayInterface().read_batch_call(event, BATCH_ROUTE, "").is_err()
+
+
+def test_a_document_with_a_number_that_no_message_holds_is_refused() -> None:
+    assert read_document(json.dumps(config(10**30, SERVICES)).encode()).is_err()
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        pytest.param(b'{"Else":' + b"[" * 100_000, id="nested too deeply"),
+        pytest.param(b"{", id="cut short"),
+        pytest.param(b'{"Requests": [], "Model": "\xff"}', id="not UTF-8"),
+        pytest.param(
+            json.dumps({"Requests": [{"Id": "i", "Path": "/", "Body": "é"}]}).encode(),
+            id="not ASCII where base64 stands",
+        ),
+        pytest.param(b'{"Requests": [], "Step": "one"}', id="a field of another type"),
+    ],
+)
+def test_a_malformed_body_is_refused(body: bytes) -> None:
+    event = request("POST", "/llm/", body, x_request_id="j1")
+    assert PlatformGatewayInterface().read_batch_call(event, BATCH_ROUTE, "").is_err()
