--- a/tests/users_platform/test_roles.py
+++ b/tests/users_platform/test_roles.py
@@ -1,8 +1,10 @@
 """Each role's process loads its own code only, and no part of a library that it doesn't use."""
 
+import math
 import socket
 import subprocess
 import sys
+import tomllib
 from pathlib import Path
 
 import pytest
@@ -15,6 +17,7 @@
 
 _CODE = """
 import sys
+import tomllib
 sys.path[:0] = ["platform", "src"]
 sys.path += sys.argv[1:]
 # Not among the deployed libraries; the tests' tools have it installed.
@@ -126,6 +129,7 @@
 def test_listening_early_needs_no_code_of_a_role() -> None:
     code = """
 import sys
+import tomllib
 sys.path[:0] = ["platform", "src"]
 import merlinstand_platform.early
 print(*(name for name in sys.modules if name.startswith(("merlinstand.", "gevent", "msgspec"))))
@@ -137,3 +141,16 @@
         "merlinstand.runtime",
         "merlinstand.runtime.early_listeners",
     }
+
+
+@pytest.mark.parametrize(
+    ("machines_in_zone", "fewest"),
+    [
+        pytest.param(1, 1, id="one a zone: it keeps jobs"),
+        pytest.param(2, 2, id="one was added: it can take over from one that is emptied"),
+        pytest.param(3, 2, id="three a zone"),
+    ],
+)
+def test_so_many_store_machines_of_a_zone_keep_jobs(machines_in_zone: int, fewest: int) -> None:
+    roles = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())["roles"]
+    assert math.ceil(roles["keeper"]["share"] * machines_in_zone) >= fewest
