A daemon makes its table of zones once

Three parts joined side by side had each made their own: the directory daemon at every document, the relay twice. Lint, types and the tests of both folders pass; the whole suite was not run on this.

--- a/src/merlinstand/directory/daemon.py
+++ b/src/merlinstand/directory/daemon.py
@@ -341,7 +341,7 @@
         command = PutDocument(request.document, request.raw)
         effects: list[Effect] = [
             LogEvent("document.proposed", {"version": request.document.version}),
-            *region_warnings(request.document, Places(self._settings.zones)),
+            *region_warnings(request.document, self._places),
         ]
         return effects + self._propose(command, request_id, Accepted(), now)
 
--- a/src/merlinstand/forwarding/batch_relay.py
+++ b/src/merlinstand/forwarding/batch_relay.py
@@ -83,7 +83,7 @@
         """HTTP address of the leader, as a keeper told it last."""
         self._turn = 0
 
-        self._copies = NearCopies(settings.zone, Places(settings.zones), follower)
+        self._copies = NearCopies(settings.zone, self._places, follower)
 
     def __len__(self) -> int:
         """Calls on their way."""
