Sight: failed tries tell the content and the caller of a request; control tells replaced servers

Two lines with different request ids could be of one request or of two, and a reset did not say whether the server ended. Now the digest of what a server is shown (who asks, host, method, path, body) stands beside each try that had been sent, and the control leader names a server whose address another incarnation took without a word of leaving.

--- a/src/merlinstand/batch_jobs/runner.py
+++ b/src/merlinstand/batch_jobs/runner.py
@@ -31,13 +31,14 @@
 )
 from merlinstand.batch_jobs.scheduling_turn import SchedulingTurn
 from merlinstand.batch_jobs.state_machine import JobState, JobStates, ListResult
-from merlinstand.common.ids import BackendId, CallId
+from merlinstand.common.ids import BackendId, CallId, ContentDigest
 from merlinstand.common.whole_number import read_whole_number
 from merlinstand.directory.follower import DirectoryFollower
 from merlinstand.directory.places import Places
 from merlinstand.directory.routes import Route
 from merlinstand.forwarding.forwarder import Forwarder
 from merlinstand.forwarding.header_names import HeaderNames
+from merlinstand.forwarding.request_content import digest_of
 from merlinstand.forwarding.requests import Finished
 from merlinstand.forwarding.tenant_headers import backend_headers
 from merlinstand.forwarding.weighted_choice import WeightedChoice
@@ -548,12 +549,19 @@
             "backend": run.backend_id,
             "reason": reason,
             "events": run.text.last_event_id,
+            "content": self._content_of(run),
         }
         effects = self._stop_call(run)
         run.phase = RunPhase.WAITING
         run.wait_until = now + pause_seconds
         return [LogEvent("item.run_ended", fields), *effects]
 
+    def _content_of(self, run: ItemRun) -> ContentDigest:
+        """What the item asks of an engine."""
+        job = self._jobs.jobs[run.job_id].job
+        host = run.item.headers.get("host", job.host)
+        return digest_of(job.tenant, host, "POST", run.item.path, run.item.body)
+
     def _route_of(self, run: ItemRun) -> Route | None:
         job = self._jobs.jobs[run.job_id].job
         host = run.item.headers.get("host", job.host)
--- a/src/merlinstand/common/ids.py
+++ b/src/merlinstand/common/ids.py
@@ -23,3 +23,5 @@
 """One server of a pool, unique in a deployment (`blurb-llm-1`)."""
 
 Zone = NewType("Zone", str)
+ContentDigest = NewType("ContentDigest", str)
+"""What a request asks, in hexadecimal digits: equal for all tries of the same request."""
--- a/src/merlinstand/directory/heartbeats.py
+++ b/src/merlinstand/directory/heartbeats.py
@@ -160,8 +160,27 @@
         services = sorted({change.backend.service for change in changes})
         fields = {"count": len(changes), "services": ",".join(services)}
         effects.append(LogEvent("backends.changed", fields))
+        effects.extend(self._replaced(changes))
         return effects + (self._propose(PutBackends(changes), now) or [])
 
+    def _replaced(self, changes: tuple[PutBackend, ...]) -> list[Effect]:
+        """Tell of servers that ended without a word: another incarnation holds their address."""
+        table = self._state.table
+        effects: list[Effect] = []
+        for change in changes:
+            holder = table.backends.get(table.holder_of(change.backend.address) or BackendId(""))
+            successor = change.backend.backend_id
+            if holder is None or holder.backend_id == successor or holder.is_leaving:
+                continue
+            fields = {
+                "backend": holder.backend_id,
+                "by": successor,
+                "service": holder.service,
+                "address": holder.address,
+            }
+            effects.append(LogEvent("backend.replaced", fields))
+        return effects
+
     def _tell_leader(self) -> list[Effect]:
         leader = self._replica.leader
         if leader is None or leader == self._settings.node_id:
--- a/src/merlinstand/forwarding/daemon.py
+++ b/src/merlinstand/forwarding/daemon.py
@@ -306,6 +306,7 @@
             request_id=event.headers.get(self._names.request_id, ""),
             deadline_at=arrived_at + limit,
             allowed_regions=regions.ok_value,
+            caller=event.peer,
         )
         if tenant is not None:
             true_seconds = self.follower.true_seconds(now)
--- a/src/merlinstand/forwarding/forwarder.py
+++ b/src/merlinstand/forwarding/forwarder.py
@@ -16,6 +16,7 @@
 from merlinstand.forwarding.backend_choice import BackendChooser
 from merlinstand.forwarding.cold_wait import COLD_REASON, ColdWait
 from merlinstand.forwarding.header_names import HeaderNames
+from merlinstand.forwarding.request_content import content_of
 from merlinstand.forwarding.requests import (
     Answered,
     Finished,
@@ -216,6 +217,10 @@
             "phase": event.phase.value,
             "reason": event.reason,
         }
+        if event.phase is not CallPhase.CONNECT:
+            # What failed at a server is looked for over tries, callers and gateways.
+            fields["content"] = content_of(pending.request, self._names)
+            fields["caller"] = pending.request.caller
         log = LogEvent("request.attempt_failed", fields)
         is_repeatable = pending.request.route.kind is RouteKind.REPEATABLE
         if is_repeatable or event.phase is CallPhase.CONNECT:
--- /dev/null
+++ b/src/merlinstand/forwarding/request_content.py
@@ -0,0 +1,41 @@
+"""What a request asks of a server, in short: the same request that comes again has the same digest.
+
+Each try of a caller has an id and a deadline of its own. What a server makes of it depends on who
+asks, and on host, method, path and body: these name it over tries, gateways and restarts.
+"""
+
+import xxhash
+
+from merlinstand.common.ids import ContentDigest
+from merlinstand.forwarding.header_names import HeaderNames
+from merlinstand.forwarding.requests import ForwardRequest
+
+_LENGTH_BYTES = 8
+
+
+def digest_of(tenant: str, host: str, method: str, path: str, body: bytes) -> ContentDigest:
+    """Give the digest of a request's content.
+
+    Wide enough that two contents don't meet by chance (128 bits); not made against callers that
+    search for two contents with one digest.
+
+    Args:
+        tenant: Who asks; empty where callers have no keys.
+        host: `Host` header.
+        method: HTTP method.
+        path: Path with query.
+        body: Whole body.
+    """
+    digest = xxhash.xxh3_128()
+    for part in (tenant.encode(), host.lower().encode(), method.encode(), path.encode(), body):
+        # Lengths keep parts apart: "ab", "c" is not "a", "bc".
+        digest.update(len(part).to_bytes(_LENGTH_BYTES))
+        digest.update(part)
+    return ContentDigest(digest.hexdigest())
+
+
+def content_of(request: ForwardRequest, names: HeaderNames) -> ContentDigest:
+    """Give the digest of a request that is forwarded."""
+    headers = request.headers
+    tenant = headers.get(names.tenant, "")
+    return digest_of(tenant, headers.get("host", ""), request.method, request.path, request.body)
--- a/src/merlinstand/forwarding/requests.py
+++ b/src/merlinstand/forwarding/requests.py
@@ -22,6 +22,8 @@
     """Local time by which the answer must have been given."""
     allowed_regions: frozenset[str] = frozenset()
     """Regions of the servers that may be asked; without any, all of them."""
+    caller: str = ""
+    """IP address of who sent it, for the log; empty for calls of merlinstand's own."""
 
 
 class Answered(msgspec.Struct, frozen=True):
--- a/src/merlinstand/forwarding/stream_forwarder.py
+++ b/src/merlinstand/forwarding/stream_forwarder.py
@@ -23,6 +23,7 @@
     RETRY_AFTER_SECONDS,
 )
 from merlinstand.forwarding.header_names import HeaderNames
+from merlinstand.forwarding.request_content import content_of
 from merlinstand.forwarding.requests import ForwardRequest, NotRun, OutcomeUnknown
 from merlinstand.gateway.sse import EVENT_END, EventCutter
 from merlinstand.kernel.effects import (
@@ -224,13 +225,16 @@
         self._note_failure(stream, now, event)
         if event.phase is not CallPhase.CONNECT:
             stream.may_have_run = True
-        fields = {
+        fields: dict[str, object] = {
             "request": stream.request.request_id,
             "backend": stream.backend.backend_id if stream.backend else "",
             "phase": event.phase.value,
             "reason": event.reason,
             "last_event": stream.last_event_id,
         }
+        if event.phase is not CallPhase.CONNECT:
+            fields["content"] = content_of(stream.request, self._names)
+            fields["caller"] = stream.request.caller
         log = LogEvent("request.stream_broken", fields)
         return [log, *self._drop_call(stream), *self._try_again(stream, event.reason, now)]
 
