--- a/tests/users_platform/callers.py
+++ b/tests/users_platform/callers.py
@@ -11,6 +11,7 @@
 from merlinstand.kernel.effects import Effect, SetTimer, StartCall, WriteRecord
 from merlinstand.kernel.events import CallFailed, CallResponded, Event, Started, TimerFired
 from tests.users_platform.control_caller import CALL_PREFIX, TIMER_PREFIX, ControlCaller, Order
+from tests.users_platform.servers import CRASH_MARK
 
 HOST = "shop.example"
 STEP_SECONDS = 4.0
@@ -20,6 +21,8 @@
 COLD_REQUESTS_PER_SECOND = 9.2
 LOOKUP_DEADLINE_MS = 1500
 JOB_CALL_SECONDS = 2.5
+VAIN_SECONDS = 16.0
+"""A trainer keeps a job open so long if items of it can't be had."""
 
 
 class ConfigAcknowledged(msgspec.Struct, frozen=True):
@@ -340,9 +343,27 @@
         steps: int = 5,
         first_at: float = 6.0,
         keys: tuple[str, ...] = (),
+        crashing: tuple[str, ...] = (),
     ) -> None:
+        """Begin with no step asked.
+
+        Args:
+            name: Of the trainer.
+            service: Its engines' service.
+            model: What it trains.
+            gateways: Addresses of the gateways.
+            controls: Addresses of the control daemons.
+            groups: Groups of a step.
+            group_size: Items of a group.
+            steps: How many steps it asks.
+            first_at: When it asks the first.
+            keys: Keys that it may use.
+            crashing: Item ids and ids of scoring calls that end the servers which run them; the
+                trainer doesn't wait for these items.
+        """
         self._name = name
         self._keys = keys
+        self._crashing = crashing
         self._service = service
         self._model = model
         self._gateways = gateways
@@ -385,21 +406,22 @@
         step = self._step
         requests = [
             {
-                "Id": f"{self._name}-{step}-{group}-{number}",
+                "Id": item_id,
                 "Path": f"/{self._service}/{step}/{group}",
                 "Headers": {"X-Model": self._model, "X-Token-Count": "20,100"},
-                "Body": base64.b64encode(f"body-{step}-{group}-{number}".encode()).decode(),
+                "Body": self._body(item_id, f"body-{step}-{group}-{number}".encode()),
                 "Tokens": 120,
                 "Group": f"g{step}-{group}",
                 "ScoringUrl": {
-                    "Id": f"score-{self._name}-{step}-{group}-{number}",
+                    "Id": f"score-{item_id}",
                     "Host": HOST,
                     "Path": "/score/x",
-                    "Body": base64.b64encode(b"text").decode(),
+                    "Body": self._body(f"score-{item_id}", b"text"),
                 },
             }
             for group in range(groups)
             for number in range(size)
+            for item_id in [f"{self._name}-{step}-{group}-{number}"]
         ]
         minimum_version = max(1, step - 1)
         body = {
@@ -415,6 +437,13 @@
         self._job = _Job(job_id, step, encoded, items, minimum_version, now)
         return [*self._submit(now), SetTimer("read", READ_SECONDS)]
 
+    def _body(self, request_id: str, body: bytes) -> str:
+        is_crashing = request_id in self._crashing
+        return base64.b64encode(CRASH_MARK + body if is_crashing else body).decode()
+
+    def _is_awaited(self, item_id: str) -> bool:
+        return not {item_id, f"score-{item_id}"} & set(self._crashing)
+
     def _start(
         self, kind: str, method: str, path: str, body: bytes, now: float, position: int = 0
     ) -> list[Effect]:
@@ -485,7 +514,11 @@
         fresh = results[max(0, len(job.results) - call.position) :]
         job.results.extend(fresh)
         effects: list[Effect] = [WriteRecord("jobs", read)]
-        if len(job.results) == page["Total"] and not job.is_done:
+        awaited = {item for item in job.items if self._is_awaited(item)}
+        is_awaited_in_vain = len(awaited) < len(job.items)
+        is_time = not is_awaited_in_vain or now - job.asked_at > VAIN_SECONDS
+        is_read = awaited <= {result["Id"] for result in job.results}
+        if is_read and is_time and not job.is_done:
             job.is_done = True
             effects.extend(self._end(job, now))
         return effects
@@ -494,7 +527,8 @@
         return self._start("end", "DELETE", f"/lots/{job.job_id}", b"", now)
 
     def _next_step(self, job: _Job, now: float) -> list[Effect]:
-        ended = JobEnded(job.job_id, len(job.results), len(job.results) == len(job.items))
+        awaited = sum(self._is_awaited(item) for item in job.items)
+        ended = JobEnded(job.job_id, len(job.results), len(job.results) >= awaited)
         self._step += 1
         version = self._step + 1
         body = json.dumps({"Model": self._model, "Version": version}).encode()
@@ -511,6 +545,71 @@
         ]
 
 
+class CrashingCaller:
+    """Sends one request that ends servers again and again, each time with an id of its own."""
+
+    def __init__(
+        self,
+        name: str,
+        gateways: list[str],
+        times: tuple[float, ...],
+        keys: tuple[str, ...] = (),
+        path: str = "/lookup/crash",
+    ) -> None:
+        """Begin with nothing sent.
+
+        Args:
+            name: Begins its requests' ids.
+            gateways: Addresses of the gateways; each send draws one.
+            times: When it sends, by its own clock.
+            keys: Keys that it may use.
+            path: What it asks for.
+        """
+        self._name = name
+        self._gateways = gateways
+        self._times = times
+        self._keys = keys
+        self._path = path
+        self._random = random.Random(0)
+        self._begun: dict[CallId, float] = {}
+
+    def start(self, event: Started, now: float) -> list[Effect]:
+        self._random = random.Random(event.seed)
+        return [SetTimer(f"{n}", max(0.01, at - now)) for n, at in enumerate(self._times)]
+
+    def reduce(self, event: Event, now: float) -> list[Effect]:
+        match event:
+            case TimerFired(name=name):
+                return self._send(f"{self._name}-{name}", now)
+            case CallResponded() | CallFailed():
+                status = event.status if isinstance(event, CallResponded) else 0
+                seconds = now - self._begun.pop(event.call_id)
+                answer = LookupAnswer(event.call_id, status, "", b"", seconds)
+                return [WriteRecord("crashing", answer)]
+            case _:
+                return []
+
+    def _send(self, request_id: str, now: float) -> list[Effect]:
+        call_id = CallId(request_id)
+        self._begun[call_id] = now
+        headers = {"X-Request-Id": request_id, "X-Deadline-Ms": str(LOOKUP_DEADLINE_MS)}
+        if self._keys:
+            headers["Authorization"] = f"Bearer {self._random.choice(self._keys)}"
+        return [
+            StartCall(
+                call_id=call_id,
+                address=self._random.choice(self._gateways),
+                method="POST",
+                path=self._path,
+                headers=headers,
+                body=CRASH_MARK,
+                timeout_seconds=LOOKUP_DEADLINE_MS / 1000 + 0.2,
+                host=HOST,
+                fresh_connection=True,
+            )
+        ]
+
+
 class LookupClient:
     """Asks for something now and then; never retries."""
 
--- a/tests/users_platform/checks.py
+++ b/tests/users_platform/checks.py
@@ -18,8 +18,10 @@
 from tests.users_platform.evacuation_check import evacuation_violations
 from tests.users_platform.platform_standin import WINDOW_SECONDS, UsageTold
 from tests.users_platform.servers import (
+    CRASH_SECONDS,
     Arrival,
     ColdArrival,
+    CrashArrival,
     OrderTaken,
     event_count,
     event_data,
@@ -28,6 +30,10 @@
 from tests.users_platform.world import COLD_OVERSHOOT, COLD_SLACK, World
 
 LEASE_SECONDS = 3.0
+CONTACT_SECONDS = 3.0
+"""What a machine does counts once it has been in touch with the others for this long."""
+ENDS_ALLOWED = 3
+LATE_SENDS_ALLOWED = 3
 COLD_BOUND = COLD_REQUESTS_PER_SECOND * COLD_OVERSHOOT + COLD_SLACK
 """More may not reach a cold server within any second."""
 
@@ -48,6 +54,36 @@
     found += _duties(world)
     found += evacuation_violations(world.simulation.records, world.simulation.record_times)
     found += _cold(world)
+    found += repeated_crashes(world)
+    return found
+
+
+def repeated_crashes(world: World) -> list[str]:
+    """A request under which three servers have ended is sent to hardly any server any more."""
+    found = []
+    for content, arrivals in crash_arrivals(world).items():
+        ended: dict[str, float] = {}
+        for time, arrival in arrivals:
+            ended.setdefault(arrival.server, time + CRASH_SECONDS)
+        ends = sorted(ended.values())
+        if len(ends) < ENDS_ALLOWED:
+            continue
+        known_at = ends[ENDS_ALLOWED - 1] + CONTACT_SECONDS
+        late = sum(1 for time, _arrival in arrivals if time > known_at)
+        if late > LATE_SENDS_ALLOWED:
+            path = content[0]
+            found.append(f"{path}: sent {late} times after three servers; {len(ends)} ended in all")
+    return found
+
+
+def crash_arrivals(
+    world: World,
+) -> dict[tuple[str, str, bytes], list[tuple[float, CrashArrival]]]:
+    """When requests that end servers reached which server, by content."""
+    found: dict[tuple[str, str, bytes], list[tuple[float, CrashArrival]]] = {}
+    times = world.simulation.record_times.get("crashes", [])
+    for arrival, time in zip(records(world, "crashes"), times, strict=True):
+        found.setdefault(arrival.content, []).append((time, arrival))
     return found
 
 
--- a/tests/users_platform/servers.py
+++ b/tests/users_platform/servers.py
@@ -13,6 +13,7 @@
     RespondEnd,
     RespondStart,
     SetTimer,
+    StopProcess,
     WriteRecord,
 )
 from merlinstand.kernel.events import (
@@ -30,6 +31,11 @@
 BEAT_SECONDS = 1.2
 LOAD_SECONDS = 0.9
 EVENT_SECONDS = 0.03
+CRASH_MARK = b"ends the server"
+"""A request whose body begins so ends each server that begins to run it."""
+CRASH_SECONDS = 0.045
+"""From the beginning of its run to the server's end."""
+CRASH_EXIT_CODE = 139
 FIRST_STARTS_SECONDS = 1.0
 """Servers that start later than this start during the day."""
 
@@ -52,6 +58,16 @@
     """The server's."""
 
 
+class CrashArrival(msgspec.Struct, frozen=True):
+    """A request that will end the server which began to work on it."""
+
+    server: str
+    content: tuple[str, str, bytes]
+    """Path, tenant and body: equal for the same request that comes again."""
+    sender: str
+    """IP address of the machine that sent it."""
+
+
 class ColdArrival(msgspec.Struct, frozen=True):
     """Anything that reached a server while it was cold, but for what was meant for another."""
 
@@ -127,6 +143,8 @@
                 return []
             case TimerFired(name="beat"):
                 return self._beat(now)
+            case TimerFired(name="crash"):
+                return [StopProcess(CRASH_EXIT_CODE)]
             case TimerFired(name=name) if name.startswith(TIMER_PREFIX):
                 return self._caller.on_timer(name)
             case TimerFired(name=name):
@@ -174,8 +192,19 @@
     def _beat_extra(self) -> dict[str, Any]:
         return {}
 
+    def _crash(self, event: RequestReceived) -> list[Effect]:
+        """Begin a run that ends the server; nothing if the request is none of these."""
+        if not event.body.startswith(CRASH_MARK):
+            return []
+        content = (event.path, event.headers.get("x-tenant", ""), event.body)
+        record = CrashArrival(self.instance, content, event.peer)
+        return [WriteRecord("crashes", record), SetTimer("crash", CRASH_SECONDS)]
+
     def _request(self, event: RequestReceived, now: float) -> list[Effect]:
         self._working[event.request_id] = event
+        crash = self._crash(event)
+        if crash:
+            return crash
         arrival = Arrival(
             self.instance,
             event.headers.get("x-request-id", ""),
@@ -232,6 +261,9 @@
         if event.path == "/order":
             return self._order(event)
         model = event.headers.get("x-model", "")
+        crash = self._crash(event)
+        if crash:
+            return crash
         if self.loading is not None and self.loading[0] == model:
             headers = {"X-Not-Executed": "1", "X-Request-Id": event.headers["x-request-id"]}
             return [Respond(event.request_id, 503, headers, b"")]
--- a/tests/users_platform/test_checks.py
+++ b/tests/users_platform/test_checks.py
@@ -33,6 +33,7 @@
 from tests.users_platform.servers import (
     Arrival,
     ColdArrival,
+    CrashArrival,
     Engine,
     OrderTaken,
     ReportAsked,
@@ -357,3 +358,21 @@
         world.kill(shop, 10.0, 1.0)
     world.simulation.run_until(14.0)
     assert any("at the cold server" in violation for violation in violations(world))
+
+
+@pytest.mark.parametrize(
+    ("times", "is_violation"),
+    [
+        pytest.param([1.0, 1.2, 1.4, 9.0, 9.1, 9.2], False, id="three later sends"),
+        pytest.param([1.0, 1.2, 1.4, 9.0, 9.1, 9.2, 9.3], True, id="four later sends"),
+        pytest.param([1.0, 1.2, 1.4, 2.0, 2.5, 3.0, 3.5, 4.0], False, id="before it is known"),
+        pytest.param([1.0, 1.2, 30.0], False, id="three servers in all"),
+    ],
+)
+def test_planted_sends_of_a_request_that_ends_servers(
+    times: list[float], is_violation: bool
+) -> None:
+    content = ("/lookup/crash", "", b"body")
+    crashes = [CrashArrival(f"s{n}", content, "10.1.0.10") for n in range(len(times))]
+    found = violations(seen(times, crashes=crashes))
+    assert any("after three servers" in text for text in found) == is_violation
--- a/tests/users_platform/world.py
+++ b/tests/users_platform/world.py
@@ -10,7 +10,7 @@
 from merlinstand_lab.simulator.process import SimulatedProcess
 from merlinstand_lab.simulator.process_spec import ProcessSpec
 from merlinstand_lab.simulator.simulation import Simulation
-from merlinstand_lab.simulator.topology import CLIENT_ZONE, VITRINA
+from merlinstand_lab.simulator.topology import CLIENT_ZONE, VITRINA, Topology
 from merlinstand_platform.batch import PlatformGatewayInterface
 from merlinstand_platform.control import PlatformControlInterface
 from merlinstand_platform.duties import PlatformDutyInterface
@@ -23,6 +23,7 @@
 )
 from tests.users_platform.callers import (
     COLD_START_SECONDS,
+    CrashingCaller,
     ForeignReader,
     LookupClient,
     Operator,
@@ -42,6 +43,8 @@
 REGION = "ro-central"
 COLD_OVERSHOOT = 1.5
 COLD_SLACK = 5.0
+REVIVAL_SECONDS = 2.9
+"""A server that ended is back after this time."""
 PLATFORM_ADDRESS = "10.200.0.155:8621"
 TRAINERS_TENANT = "alpha"
 LOOKUPS_TENANT = "beta"
@@ -55,6 +58,21 @@
     return LOOKUPS_TENANT if request_id.startswith("c0-") else TRAINERS_TENANT
 
 
+class Day(Simulation):
+    """A simulation in which servers that end by themselves are started again."""
+
+    def __init__(self, seed: int, topology: Topology) -> None:
+        super().__init__(seed, topology)
+        self.revived: set[str] = set()
+        """Processes that the platform starts again."""
+
+    def process_stopped(self, process: SimulatedProcess) -> None:
+        super().process_stopped(process)
+        if process.node_id in self.revived:
+            back_at = self.clock.now + REVIVAL_SECONDS
+            self.clock.call_at(back_at, self.start_if_down, process)
+
+
 class World:
     """Daemons, servers and callers of one simulated day."""
 
@@ -67,10 +85,11 @@
         has_tenants: bool = False,
         has_cold: bool = False,
         groups: int = 4,
+        crashing: tuple[str, ...] = (),
     ) -> None:
         self.has_cold = has_cold
         self.keys = TENANT_KEYS if has_tenants else {}
-        self.simulation = Simulation(seed, VITRINA)
+        self.simulation = Day(seed, VITRINA)
         self.controls = [f"10.{number}.0.14" for number in range(1, 4)]
         self.keepers = [f"10.{number}.0.13" for number in range(1, 4)]
         self.gateways = [f"10.{number}.0.10" for number in range(1, 4)]
@@ -103,6 +122,7 @@
                     groups=groups,
                     steps=steps,
                     keys=self.keys_of(TRAINERS_TENANT),
+                    crashing=crashing,
                 ),
             )
         self.add_caller(
@@ -242,6 +262,13 @@
             node_id=name, zone=zone, http_address=address, make_reducer=make, keeps_disk=False
         )
         self.simulation.add_process(spec, 0.1)
+        self.simulation.revived.add(name)
+
+    def add_crashing_caller(self, times: tuple[float, ...], name: str = "crash") -> None:
+        """Add a caller whose one request ends each server that begins to run it."""
+        keys = self.keys_of(LOOKUPS_TENANT)
+        make = lambda: CrashingCaller(name, self.gateway_addresses, times, keys)  # noqa: E731
+        self.add_caller(name, make)
 
     def add_operator(self, configs: list[tuple[float, dict[str, Any]]], name: str = "op") -> None:
         """Add an operator that sends configurations at given times."""
