--- a/src/merlinstand/batch_jobs/daemon.py
+++ b/src/merlinstand/batch_jobs/daemon.py
@@ -65,6 +65,8 @@
 from merlinstand.directory.view import DaemonReport, Keeper
 from merlinstand.duties.turns import LEASE_MARGIN_SECONDS
 from merlinstand.forwarding.backend_choice import BackendChooser
+from merlinstand.forwarding.crash_watch import CALL_PREFIX as PROBE_PREFIX
+from merlinstand.forwarding.crash_watch import CrashWatch
 from merlinstand.forwarding.distance import Standpoint
 from merlinstand.forwarding.forwarder import CALL_PREFIX as FORWARD_PREFIX
 from merlinstand.forwarding.forwarder import TIMER_PREFIX as FORWARD_TIMER_PREFIX
@@ -117,8 +119,11 @@
         self._places = Places(settings.zones)
         standpoint = Standpoint(settings.zone, self._places)
         follower = self.follower
-        chooser = BackendChooser(standpoint, follower.is_out_of_touch, follower.cold)
-        self._forwarder = Forwarder(names, follower.snapshot_of, self._places, chooser)
+        chooser = BackendChooser(
+            standpoint, follower.is_out_of_touch, follower.cold, follower.suspects.has_ended
+        )
+        self._watch = CrashWatch(follower.suspects, names, follower.health_path_of, follower.cold)
+        self._forwarder = Forwarder(names, follower.snapshot_of, self._places, chooser, self._watch)
         self._runner = ItemRunner(
             self.jobs,
             self.follower,
@@ -131,6 +136,7 @@
             self._keep_texts,
             self._group_time,
             self._places,
+            self._watch,
         )
         self._weights = WeightLoader(
             self.follower,
@@ -165,6 +171,7 @@
             effects.extend(self._start_replica(alone, event, now))
         self._split.seed(event.seed)
         self._forwarder.chooser.seed(event.seed)
+        self.follower.suspects.begin(f"{self._settings.node_id}/{event.seed}")
         return [*effects, *self.follower.start(now), SetTimer(TICK_TIMER, TICK_SECONDS)]
 
     def reduce(self, event: Event, now: float) -> Sequence[Effect]:
@@ -182,8 +189,12 @@
             return self._perform(self.replica.handle(event, now), now)
         match event:
             case MessageReceived(message=DirectoryUpdate()):
+                held_suspects = self.follower.suspects.revision
                 effects = self.follower.take(event.sender, event.message, now)
                 self._engines.refresh()
+                if self.follower.suspects.revision != held_suspects:
+                    self._runner.review_held(now)
+                    effects.extend(self._forwarder.on_suspects(now))
                 if event.message.cold_grants is not None:
                     self._runner.note_grants()
                     effects.extend(self._forwarder.resume(now))
@@ -214,6 +225,8 @@
         if isinstance(event, CallResponded | CallFailed):
             if call_id.startswith(FORWARD_PREFIX):
                 return self._forwarder.on_call(event, now)
+            if call_id.startswith(PROBE_PREFIX):
+                return [*self._watch.on_call(event, now), *self._forwarder.on_verdicts(now)]
             if call_id.startswith(WEIGHTS_PREFIX):
                 return self._weights.on_call(event, self._may_act(now), now)
         if call_id.startswith(ITEM_PREFIX) and not isinstance(event, CallResponded):
--- a/src/merlinstand/batch_jobs/engines.py
+++ b/src/merlinstand/batch_jobs/engines.py
@@ -34,6 +34,8 @@
     backend: Backend
     running: int = 0
     """Runs that this keeper has there."""
+    suspects: int = 0
+    """Runs among them under whose items engines have ended before."""
     is_loading: bool = False
     """Whether it loads weights, and so begins no run."""
     versions: dict[str, int] = msgspec.field(default_factory=dict)
@@ -180,6 +182,13 @@
         """Median time of one event over all engines measured lately."""
         return typical_event_seconds(self.states.values(), now)
 
+    def has_one_left(self, service: str, now: float) -> bool:
+        """Whether only one of several engines of a service is sound, as far as anybody knows."""
+        states = [s for s in self.of_service(service) if not s.backend.is_leaving]
+        has_ended = self._follower.suspects.has_ended
+        sound = [s for s in states if s.avoid_until <= now and not has_ended(s.backend.backend_id)]
+        return len(states) > 1 and len(sound) <= 1
+
     def of_service(self, service: str) -> list[EngineState]:
         """Engines of a service."""
         return [state for state in self.states.values() if state.backend.service == service]
--- a/src/merlinstand/batch_jobs/item_run.py
+++ b/src/merlinstand/batch_jobs/item_run.py
@@ -7,7 +7,7 @@
 from merlinstand.batch_jobs.event_text import ItemText
 from merlinstand.batch_jobs.kept_text import KeptText, TextPart
 from merlinstand.batch_jobs.model import BatchItem, ItemResult, ResultState
-from merlinstand.common.ids import BackendId, CallId
+from merlinstand.common.ids import BackendId, CallId, ContentDigest
 
 
 class RunPhase(enum.Enum):
@@ -16,6 +16,8 @@
     WAITING = "waiting"
     GENERATING = "generating"
     SCORING = "scoring"
+    HELD = "held"
+    """Engines ended under it: it does not run for now, or never again."""
     LISTING = "listing"
     """Its result is proposed."""
 
@@ -57,6 +59,10 @@
     """When its text was whole; 0 before that."""
     run_count: int = 0
     """Runs that began here."""
+    content: ContentDigest | None = None
+    """Digest of what it asks of an engine, once somebody has asked for it."""
+    is_suspect: bool = False
+    """Whether engines had ended under it when its present run began."""
     is_carried: bool = False
     """Whether the item stood in an earlier job, too."""
 
--- a/src/merlinstand/batch_jobs/item_scoring.py
+++ b/src/merlinstand/batch_jobs/item_scoring.py
@@ -11,13 +11,15 @@
 from merlinstand.directory.follower import DirectoryFollower
 from merlinstand.directory.routes import Route
 from merlinstand.forwarding.forwarder import Forwarder
-from merlinstand.forwarding.requests import Answered, Finished, ForwardRequest
+from merlinstand.forwarding.requests import Answered, Finished, ForwardRequest, NotRun
 from merlinstand.forwarding.weighted_choice import WeightedChoice
 from merlinstand.kernel.effects import Effect
 
 SCORING_SECONDS = 3.0
 """Longest time of one round of scoring tries."""
 SCORING_PAUSE_SECONDS = 0.2
+LONGEST_PAUSE_SECONDS = 2.0
+"""A call that is refused for longer is looked at again after this time: it may be cleared."""
 _SUCCESS = range(200, 300)
 
 ListResult = Callable[[ItemRun, ItemResult, str, float], list[Effect]]
@@ -143,6 +145,9 @@
         if run.scoring_failures >= finished.request.route.maximum_attempts:
             return self._list_result(run, run.terminated(), "scoring_failed", now)
         run.wait_until = now + SCORING_PAUSE_SECONDS
+        if isinstance(outcome, NotRun):
+            pause = min(outcome.retry_after_seconds, LONGEST_PAUSE_SECONDS)
+            run.wait_until = now + max(SCORING_PAUSE_SECONDS, pause)
         return []
 
     def _route_of(self, scoring: ScoringCall) -> Route | None:
--- a/src/merlinstand/batch_jobs/runner.py
+++ b/src/merlinstand/batch_jobs/runner.py
@@ -13,6 +13,7 @@
 from merlinstand.batch_jobs.cold_engines import wish_for_items
 from merlinstand.batch_jobs.deferral import GroupDeferral
 from merlinstand.batch_jobs.engines import EngineState, EngineStates
+from merlinstand.batch_jobs.held_items import HeldItems
 from merlinstand.batch_jobs.item_regions import ItemRegions
 from merlinstand.batch_jobs.item_run import ItemRun, RunPhase
 from merlinstand.batch_jobs.item_scoring import ItemScoring
@@ -36,8 +37,10 @@
 from merlinstand.directory.follower import DirectoryFollower
 from merlinstand.directory.places import Places
 from merlinstand.directory.routes import Route
+from merlinstand.forwarding.crash_watch import CrashWatch
 from merlinstand.forwarding.forwarder import Forwarder
 from merlinstand.forwarding.header_names import HeaderNames
+from merlinstand.forwarding.quarantine_gate import Admission, QuarantineGate
 from merlinstand.forwarding.request_content import digest_of
 from merlinstand.forwarding.requests import Finished
 from merlinstand.forwarding.tenant_headers import backend_headers
@@ -90,6 +93,7 @@
         keep_texts: Callable[[tuple[TextPart, ...], float], list[Effect] | None],
         group_time: Callable[[float], float],
         places: Places | None = None,
+        watch: CrashWatch | None = None,
     ) -> None:
         """Begin without items.
 
@@ -105,7 +109,13 @@
             keep_texts: Proposes to remember texts of unfinished items; None likewise.
             group_time: Gives the time by which jobs were accepted, at a local time.
             places: Regions of the zones; without, no engine is in any region.
+            watch: Notices engines that end; without one, nobody else is told of them.
         """
+        self._watch = watch or CrashWatch(
+            follower.suspects, names, follower.health_path_of, follower.cold
+        )
+        gate = QuarantineGate(self._watch.suspects, "item.trial:")
+        self._held = HeldItems(gate, self._content_of)
         self._jobs = jobs
         self._follower = follower
         self._engines = engines
@@ -177,14 +187,16 @@
 
     def _drop(self, run: ItemRun, now: float) -> list[Effect]:
         self._runs.pop(run.key, None)
+        self._held.end(run)
         if run.phase is RunPhase.SCORING:
             return self._scoring.abort(run, now)
-        return self._stop_call(run)
+        return self._stop_call(run, now)
 
-    def _stop_call(self, run: ItemRun) -> list[Effect]:
+    def _stop_call(self, run: ItemRun, now: float) -> list[Effect]:
         call_id = run.call_id
         if call_id is None:
             return []
+        self._watch.given_up(call_id, now)
         self._release(run)
         return [CancelCall(call_id)]
 
@@ -198,6 +210,7 @@
         state = self._engine_of(run)
         if state is not None:
             state.running -= 1
+            state.suspects -= run.is_suspect
 
     def _engine_of(self, run: ItemRun) -> EngineState | None:
         return self._engines.states.get(run.backend_id) if run.backend_id else None
@@ -209,6 +222,7 @@
 
         Call it only while this process may act as leader.
         """
+        self.review_held(now)
         effects = [effect for run in self._due_again(now) for effect in self._go_on(run, now)]
         effects.extend(self._scoring.tick(now))
         effects.extend(self._defer_groups(now))
@@ -221,6 +235,10 @@
         """Runs may be sent to cold engines now: look for engines after this event."""
         self._has_news = True
 
+    def review_held(self, now: float) -> None:
+        """What is held against items may have changed."""
+        self._has_news |= self._held.review(now)
+
     def start_if_news(self, now: float) -> list[Effect]:
         """Start waiting items after an event, if it freed a slot or brought items.
 
@@ -245,8 +263,11 @@
         waiting = [run for run in self._runs.values() if run.phase is RunPhase.WAITING]
         if not waiting:
             return []
+        effects = self._held.hold_back(waiting, now)
+        waiting = [run for run in waiting if run.phase is RunPhase.WAITING]
         turn = SchedulingTurn(self._engines, self._follows, self._follower.cold, now)
-        effects = self._start_on(turn, waiting, now) if turn.has_open_engines else []
+        if turn.has_open_engines:
+            effects.extend(self._start_on(turn, waiting, now))
         if turn.closed:
             wish_for_items(self._follower.cold, turn.closed, self._needs_of(waiting, now))
         return effects
@@ -358,14 +379,17 @@
         won = seconds_won(run, present, target, demand.rest_events, typical, now)
         return _Move(run, target, won) if won > 0.0 else None
 
-    def _demand(self, run: ItemRun, preferred: BackendId | None) -> ItemDemand:
+    def _demand(
+        self, run: ItemRun, preferred: BackendId | None, is_suspect: bool = False
+    ) -> ItemDemand:
         job = self._jobs.jobs[run.job_id].job
         return ItemDemand(
             model=job.model,
             minimum_version=job.minimum_version,
             rest_events=max(1.0, self._expected_rest(run)),
-            preferred=preferred,
+            preferred=None if is_suspect else preferred,
             allowed_zones=self._regions.zones_of(run),
+            is_suspect=is_suspect,
         )
 
     def give_up_job(self, job_id: str, now: float) -> list[Effect]:
@@ -376,7 +400,8 @@
                 continue
             if run.phase is RunPhase.SCORING:
                 effects.extend(self._scoring.abort(run, now))
-            effects.extend(self._stop_call(run))
+            self._held.end(run)
+            effects.extend(self._stop_call(run, now))
             effects.extend(self._list(run, run.terminated(), "queue_time", now))
         return effects
 
@@ -389,9 +414,14 @@
         if route is None:
             return []
         service = self._split.choose(route)
-        engine = turn.choose(service, self._demand(run, group.last_backend))
+        admission = self._held.admit(run, now)
+        if admission is Admission.SPARING and self._engines.has_one_left(service, now):
+            return []
+        is_suspect = admission is not Admission.FREE
+        engine = turn.choose(service, self._demand(run, group.last_backend, is_suspect))
         if engine is None:
             return []
+        run.is_suspect = is_suspect
         group.last_backend = engine.backend.backend_id
         effect = self._start(run, engine, host, route, now)
         turn.note_begun(engine)
@@ -410,6 +440,10 @@
         run.run_count += 1
         run.kept_at = run.kept_at or now
         engine.running += 1
+        if run.is_suspect:
+            engine.suspects += 1
+            self._held.note_begun(run)
+        self._watch.sent(call_id, engine.backend, lambda: self._content_of(run))
         self._by_call[call_id] = run
         tenant = self._jobs.jobs[run.job_id].job.tenant
         tenants = self._follower.routes.tenants
@@ -431,6 +465,8 @@
             stream=True,
             host=host,
             echo_header=self._names.request_id,
+            # Not to be reset by an engine that was gone before: see `Forwarder`.
+            fresh_connection=run.is_suspect,
         )
 
     # Generation
@@ -473,17 +509,19 @@
         is_not_run = self._names.not_run in event.headers or status == MISDIRECTED_STATUS
         engine = self._engine_of(run)
         if is_not_run:
+            self._watch.turned_away(event.call_id)
             if engine is not None:
                 engine.avoid_until = max(engine.avoid_until, now + BUSY_PAUSE_SECONDS)
             return self._wait(run, f"not_run_{status}", now, RETRY_PAUSE_SECONDS)
+        self._watch.answered(event.call_id, now)
         if status == UNPROCESSABLE_STATUS:
-            effects = self._stop_call(run)
+            effects = self._stop_call(run, now)
             return effects + self._list(run, run.terminated(), "unprocessable", now)
         if status == SERVER_ERROR_STATUS:
             run.failures += 1
             route = self._route_of(run)
             if route is not None and run.failures >= route.maximum_attempts:
-                effects = self._stop_call(run)
+                effects = self._stop_call(run, now)
                 return effects + self._list(run, run.terminated(), "failed", now)
         return self._wait(run, f"status_{status}", now, RETRY_PAUSE_SECONDS)
 
@@ -521,6 +559,8 @@
         engine = self._engine_of(run)
         if engine is not None:
             engine.note_success()
+        if run.call_id is not None:
+            self._watch.answered(run.call_id, now)
         self._release(run)
         model = self._jobs.jobs[run.job_id].job.model
         self._lengths.note(model, run.text.last_event_id, run.item.expected_tokens)
@@ -533,8 +573,9 @@
         engine = self._engine_of(run)
         if engine is not None:
             self._follower.cold.note_failure(engine.backend, event, now)
+        asked = self._watch.failed(event, now)
         reason = f"{event.phase.value}_{event.reason}"
-        return self._wait(run, reason, now, RETRY_PAUSE_SECONDS)
+        return asked + self._wait(run, reason, now, RETRY_PAUSE_SECONDS)
 
     def _note_engine_failure(self, run: ItemRun, now: float) -> None:
         engine = self._engine_of(run)
@@ -551,16 +592,18 @@
             "events": run.text.last_event_id,
             "content": self._content_of(run),
         }
-        effects = self._stop_call(run)
+        effects = self._stop_call(run, now)
         run.phase = RunPhase.WAITING
         run.wait_until = now + pause_seconds
         return [LogEvent("item.run_ended", fields), *effects]
 
     def _content_of(self, run: ItemRun) -> ContentDigest:
         """What the item asks of an engine."""
-        job = self._jobs.jobs[run.job_id].job
-        host = run.item.headers.get("host", job.host)
-        return digest_of(job.tenant, host, "POST", run.item.path, run.item.body)
+        if run.content is None:
+            job = self._jobs.jobs[run.job_id].job
+            host = run.item.headers.get("host", job.host)
+            run.content = digest_of(job.tenant, host, "POST", run.item.path, run.item.body)
+        return run.content
 
     def _route_of(self, run: ItemRun) -> Route | None:
         job = self._jobs.jobs[run.job_id].job
--- a/src/merlinstand/batch_jobs/schedule.py
+++ b/src/merlinstand/batch_jobs/schedule.py
@@ -36,7 +36,8 @@
     for run in runs:
         group = groups.setdefault((run.job_id, run.item.group), GroupProgress())
         group.unfinished += 1
-        if run.phase is not RunPhase.WAITING or run.text.last_event_id:
+        is_idle = run.phase in (RunPhase.WAITING, RunPhase.HELD)
+        if not is_idle or run.text.last_event_id:
             group.begun += 1
             group.last_backend = run.backend_id or group.last_backend
     return groups
@@ -107,6 +108,9 @@
     """Engine that holds its group's shared prompt."""
     allowed_zones: frozenset[str] | None = None
     """Zones whose engines may run it; None for all of them."""
+    is_suspect: bool = False
+    """Whether engines have ended under it: it goes where fewest such items run, so that the next
+    end tells the guilty one from the others."""
 
     def allows(self, zone: str) -> bool:
         """Whether an engine of a zone may run it."""
@@ -150,6 +154,7 @@
         fitting,
         key=lambda state: (
             not follows(state.backend.backend_id, model),
+            state.suspects if demand.is_suspect else 0,
             expected_seconds(state, demand, typical, now),
         ),
         default=None,
--- a/src/merlinstand/directory/commands.py
+++ b/src/merlinstand/directory/commands.py
@@ -2,9 +2,10 @@
 
 import msgspec
 
-from merlinstand.common.ids import BackendId
+from merlinstand.common.ids import BackendId, ContentDigest
 from merlinstand.directory.backends import Backend
 from merlinstand.directory.routes import RoutesDocument
+from merlinstand.directory.suspect_news import ServerEnd
 from merlinstand.directory.view import KeeperGroup
 from merlinstand.metering.usage import UsageReport
 
@@ -112,6 +113,32 @@
     holder: str
 
 
+class NoteEnds(msgspec.Struct, frozen=True, tag="note_ends"):
+    """A daemon saw servers end, or requests served whole that were in flight at such an end."""
+
+    ends: tuple[ServerEnd, ...]
+    served: tuple[ContentDigest, ...]
+
+
+class BeginTrial(msgspec.Struct, frozen=True, tag="begin_trial"):
+    """A doubtful request may be sent once, by one daemon."""
+
+    content: ContentDigest
+    asker: str
+
+
+class EndTrial(msgspec.Struct, frozen=True, tag="end_trial"):
+    """A trial's outcome was not told in time."""
+
+    number: int
+
+
+class AllowTrials(msgspec.Struct, frozen=True, tag="allow_trials"):
+    """The quarantine of some requests is over."""
+
+    contents: tuple[ContentDigest, ...]
+
+
 DirectoryCommand = (
     PutDocument
     | PutBackend
@@ -129,6 +156,10 @@
     | FixUsage
     | SettleUsage
     | NoteTurn
+    | NoteEnds
+    | BeginTrial
+    | EndTrial
+    | AllowTrials
 )
 
 _DECODER = msgspec.msgpack.Decoder(DirectoryCommand)
--- a/src/merlinstand/directory/daemon.py
+++ b/src/merlinstand/directory/daemon.py
@@ -75,6 +75,7 @@
 from merlinstand.directory.settings import DirectorySettings
 from merlinstand.directory.state_machine import DirectoryState
 from merlinstand.directory.subscribers import REPORT_FRESH_SECONDS
+from merlinstand.directory.suspect_intake import SuspectIntake
 from merlinstand.directory.view import KeeperGroup
 from merlinstand.duties.caller import CALL_PREFIX as PLATFORM_PREFIX
 from merlinstand.duties.interface import PlatformInterface
@@ -147,7 +148,10 @@
             settings.cold_slack_requests,
             self._heartbeats.heard_seconds,
         )
-        self._publisher = DirectoryPublisher(settings, self.replica, self.state, self._duties, cold)
+        self._suspects = SuspectIntake(self.state, self._try_to_propose)
+        self._publisher = DirectoryPublisher(
+            settings, self.replica, self.state, self._duties, cold, self._suspects
+        )
         self._stopping = False
 
     def start(self, event: Started, now: float) -> Sequence[Effect]:
@@ -227,10 +231,16 @@
         """Log position of the newest change that somebody waits for, and that is told at once.
 
         A step begins once its weights are named: whatever that takes longer adds up over the steps.
-        An evacuation is in force once every daemon was told.
+        An evacuation is in force once every daemon was told. What is held against requests keeps
+        them from ending the next server.
         """
         state = self.state
-        return max(state.document_revision, state.weights_revision, state.evacuations.revision)
+        return max(
+            state.document_revision,
+            state.weights_revision,
+            state.evacuations.revision,
+            state.suspects.revision,
+        )
 
     def _committed(self, entry: CommittedEntry, now: float) -> list[Effect]:
         self._delivered_index = entry.index
@@ -440,6 +450,7 @@
         effects.extend(self._found_keepers(now))
         gateways = self._publisher.subscribers.heard_gateways()
         effects.extend(self._duties.tick(gateways, self.replica.group_time(now), now))
+        effects.extend(self._suspects.tick(self.replica.group_time(now), now))
         effects.extend(self._publisher.push(now))
         return effects
 
--- a/src/merlinstand/directory/follower.py
+++ b/src/merlinstand/directory/follower.py
@@ -8,6 +8,7 @@
 from merlinstand.directory.cold_budget import ColdBudget
 from merlinstand.directory.evacuated_zones import EvacuatedZones
 from merlinstand.directory.routes import RoutesDocument, RouteTable
+from merlinstand.directory.suspect_table import SuspectTable
 from merlinstand.directory.view import (
     DaemonReport,
     DirectoryChanges,
@@ -61,6 +62,8 @@
         self._usage_mark = 0
         self.cold = ColdBudget(self._bears_per_second)
         """What this daemon may send to cold back ends."""
+        self.suspects = SuspectTable()
+        """What is held against requests, and what this daemon has to tell of them."""
         self._clock = OwnClock()
         self._told_time = ToldTime()
         self._asked_at = 0.0
@@ -126,6 +129,8 @@
             zones_revision=self.evacuated.revision,
             usage=self._usage(self._usage_mark),
             cold_wishes=self.cold.ask(now),
+            suspects_revision=self.suspects.revision,
+            suspect_news=self.suspects.tell(now),
         )
         self._asked_at = now
         if self._clock.is_due(now):
@@ -134,8 +139,9 @@
         return effects
 
     def pull_if_wished(self, now: float) -> list[Effect]:
-        """Ask at once if work waits for cold back ends; called by the owner after each event."""
-        return self.pull(now) if self.cold.is_ask_due(now) else []
+        """Ask at once if work waits for an answer; called by the owner after each event."""
+        is_due = self.cold.is_ask_due(now) or self.suspects.is_tell_due(now)
+        return self.pull(now) if is_due else []
 
     def _bears_per_second(self, service_name: str) -> float:
         service = self.routes.services.get(service_name)
@@ -185,9 +191,11 @@
                 changes = decode_changes(update.changes)
             except MALFORMED_INPUT:
                 return effects
-            effects.extend(self._apply(changes))
+            effects.extend(self._apply(changes, now))
         if update.cold_grants is not None:
             self.cold.take(update.cold_grants, now)
+        if update.suspects_mark is not None:
+            self.suspects.take_mark(update.suspects_mark)
         return effects
 
     def _redirected(self, update: DirectoryUpdate, now: float) -> list[Effect]:
@@ -197,7 +205,7 @@
         self._addresses[leader] = update.leader_address
         return [LearnAddress(leader, update.leader_address), *self.pull(now)]
 
-    def _apply(self, changes: DirectoryChanges) -> list[Effect]:
+    def _apply(self, changes: DirectoryChanges, now: float) -> list[Effect]:
         """Take sections in; an older one than held never replaces it."""
         effects: list[Effect] = []
         document = changes.document
@@ -208,6 +216,8 @@
         if changes.backends is not None and changes.backends_revision > self.backends_revision:
             self._apply_backends(changes, changes.backends)
         effects.extend(self._apply_zones(changes))
+        if changes.suspects is not None:
+            self.suspects.take(changes.suspects, changes.suspects_revision, now)
         if changes.weights is not None and changes.weights_revision > self.weights_revision:
             self.weights_revision = changes.weights_revision
             self.weights = changes.weights
@@ -273,6 +283,11 @@
             self._by_service[service] = known
         return known
 
+    def health_path_of(self, service_name: str) -> str:
+        """Path that a service's servers answer while they are there; empty if there is none."""
+        service = self.routes.services.get(service_name)
+        return "" if service is None else service.health_path
+
     def is_evacuated(self, service: str) -> bool:
         """Whether only evacuated zones have servers of a service that could be used."""
         if not self.evacuated.zones or any(not b.is_leaving for b in self.snapshot_of(service)):
--- a/src/merlinstand/directory/publisher.py
+++ b/src/merlinstand/directory/publisher.py
@@ -11,6 +11,7 @@
 from merlinstand.directory.settings import DirectorySettings
 from merlinstand.directory.state_machine import DirectoryState
 from merlinstand.directory.subscribers import KEEPER_ROLE, Subscriber, Subscribers
+from merlinstand.directory.suspect_intake import SuspectIntake
 from merlinstand.directory.view import DaemonReport, decode_report
 from merlinstand.kernel.effects import Effect, LogEvent, SendMessage, SetTimer
 from merlinstand.protocol.generated.directory.ttypes import DirectoryPull, DirectoryUpdate
@@ -31,6 +32,7 @@
         state: DirectoryState,
         duties: DutyKeeper,
         cold: ColdFeeding,
+        suspects: SuspectIntake,
     ) -> None:
         """Begin with nobody.
 
@@ -40,12 +42,14 @@
             state: What the group agreed on.
             duties: Takes the daemons' clocks and counts, and tells true time.
             cold: Grants sends to cold back ends.
+            suspects: Takes news of requests under which servers ended.
         """
         self._settings = settings
         self._replica = replica
         self._state = state
         self._duties = duties
         self._cold = cold
+        self._suspects = suspects
         self.subscribers = Subscribers()
         self._pushed_at = float("-inf")
         self._is_push_due = False
@@ -72,6 +76,7 @@
             weights_revision=pull.weights_revision,
             keepers_mark=pull.keepers_mark,
             zones_revision=pull.zones_revision,
+            suspects_revision=pull.suspects_revision,
         )
         is_new = not self.subscribers.knows(sender)
         is_news = self.subscribers.note(sender, subscriber)
@@ -89,7 +94,11 @@
         cold = self._cold.answer(sender, report.role == KEEPER_ROLE, pull.cold_wishes, now)
         update.cold_grants = cold.data
         effects.extend(cold.effects)
+        group_time = self._replica.group_time(now)
+        told = self._suspects.answer(sender, pull.suspect_news, group_time, now)
+        update.suspects_mark = told.mark
         effects.append(SendMessage(sender, update))
+        effects.extend(told.effects)
         return effects + self.push_soon(now) if is_news else effects
 
     def push_soon(self, now: float) -> list[Effect]:
--- a/src/merlinstand/directory/state_machine.py
+++ b/src/merlinstand/directory/state_machine.py
@@ -6,13 +6,17 @@
 from merlinstand.directory.backend_history import BackendHistory
 from merlinstand.directory.backends import Backend, BackendTable
 from merlinstand.directory.commands import (
+    AllowTrials,
     BeginMetering,
+    BeginTrial,
     DirectoryCommand,
+    EndTrial,
     EvacuateZone,
     ExpireBackend,
     FixUsage,
     FoundKeepers,
     NameWeights,
+    NoteEnds,
     NoteTurn,
     NoteUsage,
     PutBackend,
@@ -28,6 +32,7 @@
 from merlinstand.directory.former_backends import StoredArrivals
 from merlinstand.directory.returned_backends import ReturnedBackend
 from merlinstand.directory.routes import RoutesDocument, live_services
+from merlinstand.directory.suspects import StoredSuspects, Suspects
 from merlinstand.directory.view import KeeperGroup
 from merlinstand.duties.turns import LastTurn, Turns
 from merlinstand.metering.ledger import StoredUsage, UsageLedger
@@ -52,6 +57,7 @@
     arrivals: StoredArrivals = StoredArrivals()
     evacuations: StoredEvacuations = StoredEvacuations()
     returned: dict[BackendId, ReturnedBackend] = {}
+    suspects: StoredSuspects = StoredSuspects()
 
 
 _DECODER = msgspec.msgpack.Decoder(DirectorySnapshot)
@@ -84,6 +90,7 @@
         self.usage = UsageLedger()
         self.turns = Turns()
         self.evacuations = Evacuations()
+        self.suspects = Suspects()
 
     def apply(self, index: int, command: DirectoryCommand, group_time: float = 0.0) -> None:
         """Apply a committed command.
@@ -136,6 +143,14 @@
                 self.usage.settle(command.window)
             case NoteTurn():
                 self.turns.note(command.subject, command.holder, group_time)
+            case NoteEnds():
+                self.suspects.note(command.ends, command.served, index, group_time)
+            case BeginTrial():
+                self.suspects.begin_trial(command.content, command.asker, index, group_time)
+            case EndTrial():
+                self.suspects.end_trial(command.number, index)
+            case AllowTrials():
+                self.suspects.allow_trials(command.contents, index)
 
     def _put_document(self, index: int, command: PutDocument) -> None:
         held = -1 if self.document is None else self.document.version
@@ -187,6 +202,7 @@
                 arrivals=self.table.arrivals.stored(),
                 evacuations=self.evacuations.stored(),
                 returned=self.table.returned.marks,
+                suspects=self.suspects.stored(),
             )
         )
 
@@ -219,3 +235,4 @@
             self.usage.restore(snapshot.usage)
         self.turns.last = dict(snapshot.turns)
         self.evacuations.restore(snapshot.evacuations)
+        self.suspects.restore(snapshot.suspects)
--- a/src/merlinstand/directory/subscribers.py
+++ b/src/merlinstand/directory/subscribers.py
@@ -35,6 +35,8 @@
     keepers: str
     zones: int | None
     """None for a daemon that doesn't know evacuations."""
+    suspects: int | None
+    """None for a daemon that doesn't know suspects."""
 
 
 class _Lack(msgspec.Struct, frozen=True):
@@ -56,6 +58,8 @@
     keepers_mark: str = ""
     zones_revision: int | None = None
     """None if it doesn't know evacuations: then it is told none."""
+    suspects_revision: int | None = None
+    """None if it doesn't know suspects: then it is told none."""
 
     @property
     def is_gateway(self) -> bool:
@@ -71,6 +75,7 @@
             self.weights_revision,
             self.keepers_mark,
             self.zones_revision,
+            self.suspects_revision,
         )
 
     def note_told(self, present: _Revisions) -> None:
@@ -80,6 +85,7 @@
         self.weights_revision = max(self.weights_revision, present.weights)
         self.keepers_mark = present.keepers
         self.zones_revision = present.zones
+        self.suspects_revision = present.suspects
 
 
 class Subscribers:
@@ -192,8 +198,11 @@
         is_gateway = subscriber.is_gateway
         backends = state.live_backends_revision if is_gateway else state.backends_revision
         zones = None if subscriber.zones_revision is None else state.evacuations.revision
+        knows_suspects = subscriber.suspects_revision is not None
+        suspects = state.suspects.revision if knows_suspects else None
         document = state.document_revision if state.document is not None else -1
-        return _Revisions(document, backends, state.weights_revision, self._mark, zones)
+        weights = state.weights_revision
+        return _Revisions(document, backends, weights, self._mark, zones, suspects)
 
     def _changes_for(
         self, subscriber: Subscriber, backends_revision: int, state: DirectoryState
@@ -216,6 +225,12 @@
                 "zones_revision": state.evacuations.revision,
                 "evacuated": state.evacuations.zones,
             }
+        suspects_held = subscriber.suspects_revision
+        if suspects_held is not None and suspects_held < state.suspects.revision:
+            parts |= {
+                "suspects_revision": state.suspects.revision,
+                "suspects": state.suspects.view(),
+            }
         if subscriber.keepers_mark != self._mark:
             parts |= {
                 "keepers_mark": self._mark,
--- /dev/null
+++ b/src/merlinstand/directory/suspect_intake.py
@@ -0,0 +1,103 @@
+"""The control leader's side of suspects: takes daemons' news in, gives leave to try.
+
+Part of the control daemon's reducer; `suspects` is what the group agreed on.
+"""
+
+from collections.abc import Callable
+
+import msgspec
+
+from merlinstand.common.decoding import MALFORMED_INPUT
+from merlinstand.common.ids import NodeId
+from merlinstand.directory.commands import (
+    AllowTrials,
+    BeginTrial,
+    DirectoryCommand,
+    EndTrial,
+    NoteEnds,
+)
+from merlinstand.directory.state_machine import DirectoryState
+from merlinstand.directory.suspect_news import SuspectNews, decode_news
+from merlinstand.kernel.effects import Effect, LogEvent
+
+
+class IntakeAnswer(msgspec.Struct, frozen=True):
+    """What a daemon is answered about its news."""
+
+    mark: int | None = None
+    """Newest news of it that are agreed; None if it told none, or they aren't yet."""
+    effects: tuple[Effect, ...] = ()
+
+
+class SuspectIntake:
+    """All news of suspects that one leader gets."""
+
+    def __init__(
+        self,
+        state: DirectoryState,
+        propose: Callable[[DirectoryCommand, float], list[Effect] | None],
+    ) -> None:
+        """Begin without any.
+
+        Args:
+            state: What the group agreed on.
+            propose: Proposes a command; None if that can't be done now.
+        """
+        self._state = state
+        self._propose = propose
+
+    def answer(
+        self, sender: NodeId, data: bytes | None, group_time: float, now: float
+    ) -> IntakeAnswer:
+        """Take a daemon's news in; call it only while this process may act as leader.
+
+        Args:
+            sender: Who tells.
+            data: Encoded news, if there are any.
+            group_time: Present time by which ends were noted, in seconds.
+            now: Local time.
+        """
+        if not data:
+            return IntakeAnswer()
+        try:
+            news = decode_news(data)
+        except MALFORMED_INPUT as error:
+            fields = {"daemon": sender, "detail": str(error)}
+            return IntakeAnswer(effects=(LogEvent("suspects.malformed", fields, "warning"),))
+        effects = self._agree(sender, news, now)
+        mark = None if effects else news.mark
+        return IntakeAnswer(mark, (*effects, *self._try_next(news, group_time, now)))
+
+    def _agree(self, sender: NodeId, news: SuspectNews, now: float) -> list[Effect]:
+        """Propose what isn't agreed yet; nothing if all is."""
+        suspects = self._state.suspects
+        ends = tuple(end for end in news.ends if suspects.is_news(end))
+        told = {content for end in ends for content in end.contents}
+        served = tuple(c for c in news.served if suspects.is_held_against(c) or c in told)
+        if not ends and not served:
+            return []
+        fields = {
+            "daemon": sender,
+            "ended": ",".join(end.backend_id for end in ends),
+            "contents": sum(len(end.contents) for end in ends),
+            "served": len(served),
+        }
+        log = LogEvent("suspects.told", fields)
+        return [log, *(self._propose(NoteEnds(ends, served), now) or [])]
+
+    def _try_next(self, news: SuspectNews, group_time: float, now: float) -> list[Effect]:
+        for content in news.wishes:
+            if self._state.suspects.may_try(content, group_time):
+                return self._propose(BeginTrial(content, news.asker), now) or []
+        return []
+
+    def tick(self, group_time: float, now: float) -> list[Effect]:
+        """End what has had its time: the trial under way, and quarantines."""
+        suspects = self._state.suspects
+        effects: list[Effect] = []
+        if suspects.trial is not None and suspects.is_trial_late(group_time):
+            effects.extend(self._propose(EndTrial(suspects.trial.trial.number), now) or [])
+        due = suspects.due_for_trial(group_time)
+        if due:
+            effects.extend(self._propose(AllowTrials(due), now) or [])
+        return effects
--- /dev/null
+++ b/src/merlinstand/directory/suspect_table.py
@@ -0,0 +1,230 @@
+"""A daemon's side of suspects: what is held against a request, and what the daemon has to tell.
+
+What this daemon saw itself counts at once, also while no leader can be reached; what all daemons
+saw counts as soon as the control group has agreed on it. All that sends requests to servers asks
+`standing` first.
+"""
+
+from collections.abc import Iterable
+
+import msgspec
+
+from merlinstand.common.ids import BackendId, ContentDigest
+from merlinstand.directory.blame import ENDS_TO_BLAME, Standing, standing_after
+from merlinstand.directory.suspect_news import (
+    LARGEST_NEWS,
+    ServerEnd,
+    SuspectNews,
+    SuspectsView,
+    Trial,
+    encode_news,
+)
+from merlinstand.directory.suspects import TRIAL_PAUSE_SECONDS
+
+TELL_SECONDS = 0.1
+"""What was not answered is told again after this time."""
+UNTOLD_LIMIT = 512
+"""Ends, and cleared requests, that wait to be agreed; older ones are dropped while no leader can be
+reached for long."""
+
+
+VOUCH_SECONDS = 10.0
+"""A request that was served whole so short a time ago did not end a server now. Where many callers
+ask the same, some of them are in flight whenever servers end, and three servers lost at once would
+have all of them refused; short enough that what new servers can't bear is found."""
+RECENT_LIMIT = 2_048
+"""Requests remembered that were served lately, of which a gateway has some 80 a second; 0.3 MB."""
+
+
+class _Untold(msgspec.Struct):
+    """An end that isn't agreed yet."""
+
+    mark: int
+    contents: dict[ContentDigest, None]
+
+
+class SuspectTable:
+    """What one daemon knows of suspects."""
+
+    def __init__(self) -> None:
+        """Begin with nothing known."""
+        self.revision = -1
+        self._view = SuspectsView()
+        self._ended: frozenset[BackendId] = frozenset()
+        self._doubtful_since: dict[ContentDigest, float] = {}
+        """When this daemon heard that a request is in doubt."""
+        self._asker = ""
+        self._untold: dict[BackendId, _Untold] = {}
+        self._served: dict[ContentDigest, int] = {}
+        """Marks of cleared requests that aren't agreed yet."""
+        self._recent: dict[ContentDigest, float] = {}
+        """When requests were last served whole here, oldest first."""
+        self._wishes: dict[ContentDigest, None] = {}
+        self._mark = 0
+        self._told_mark = 0
+        self._told_at = float("-inf")
+        self._are_wishes_told = True
+        self._used_trial = 0
+
+    def begin(self, asker: str) -> None:
+        """The daemon starts.
+
+        Args:
+            asker: Names this run of it: leave given to an earlier one is not this one's.
+        """
+        self._asker = asker
+
+    # What is held against requests
+
+    @property
+    def is_empty(self) -> bool:
+        """Whether nothing is held against any request: then nobody needs to ask."""
+        return not self._view.suspicions and not self._untold
+
+    def standing(self, content: ContentDigest) -> Standing | None:
+        """Tell what is held against a request; None if nothing is."""
+        if content in self._served:
+            return None
+        agreed = self._view.suspicions.get(content)
+        if agreed is not None and agreed.standing in (Standing.DOUBTFUL, Standing.QUARANTINED):
+            return agreed.standing
+        ends = {b for b, untold in self._untold.items() if content in untold.contents}
+        if agreed is not None:
+            ends.update(agreed.ends)
+        if len(ends) >= ENDS_TO_BLAME:
+            # Nobody can give leave to try it before the control group knows of it.
+            return Standing.QUARANTINED
+        return standing_after(len(ends)) if ends else None
+
+    def has_ended(self, backend_id: BackendId) -> bool:
+        """Whether a server is known to have ended: no incarnation comes back."""
+        return backend_id in self._ended or backend_id in self._untold
+
+    @property
+    def trial(self) -> Trial | None:
+        """The trial that is under way, whoever has leave for it."""
+        return self._view.trial
+
+    def has_leave(self, content: ContentDigest) -> bool:
+        """Whether a doubtful request may be sent from here now, once."""
+        trial = self._view.trial
+        if trial is None or trial.number <= self._used_trial:
+            return False
+        return trial.content == content and trial.asker == self._asker
+
+    def trial_wait_seconds(self, content: ContentDigest, now: float) -> float:
+        """How long until leave to try a doubtful request may be wished for; 0 if it may now."""
+        since = self._doubtful_since.get(content, now)
+        left = since + TRIAL_PAUSE_SECONDS - now
+        if self._view.trial is not None and not self.has_leave(content):
+            return max(left, TELL_SECONDS)
+        return max(0.0, left)
+
+    def use_leave(self) -> None:
+        """The request of the trial is sent."""
+        if self._view.trial is not None:
+            self._used_trial = self._view.trial.number
+
+    # What there is to tell
+
+    def note_end(
+        self, backend_id: BackendId, contents: Iterable[ContentDigest], now: float
+    ) -> tuple[ContentDigest, ...]:
+        """A server ended while these requests were in flight there; gives those suspected."""
+        suspected = tuple(content for content in contents if not self._vouches(content, now))
+        if not suspected:
+            return ()
+        self._mark += 1
+        untold = self._untold.setdefault(backend_id, _Untold(self._mark, {}))
+        untold.mark = self._mark
+        for content in suspected:
+            untold.contents[content] = None
+            # It was cleared of earlier ends only.
+            self._served.pop(content, None)
+        while len(self._untold) > UNTOLD_LIMIT:
+            del self._untold[next(iter(self._untold))]
+        return suspected
+
+    def _vouches(self, content: ContentDigest, now: float) -> bool:
+        served_at = self._recent.get(content)
+        return served_at is not None and now - served_at <= VOUCH_SECONDS
+
+    def note_served(self, content: ContentDigest, now: float) -> None:
+        """A server answered a request whole: whatever ended, not under this one."""
+        self._recent.pop(content, None)
+        self._recent[content] = now
+        if len(self._recent) > RECENT_LIMIT:
+            del self._recent[next(iter(self._recent))]
+        if not self.is_empty and self.standing(content) is not None:
+            self._clear(content)
+
+    def _clear(self, content: ContentDigest) -> None:
+        self._mark += 1
+        self._served[content] = self._mark
+        for untold in self._untold.values():
+            untold.contents.pop(content, None)
+        while len(self._served) > UNTOLD_LIMIT:
+            del self._served[next(iter(self._served))]
+
+    def wish_trial(self, content: ContentDigest) -> None:
+        """A doubtful request waits here to be tried."""
+        if content not in self._wishes:
+            self._wishes[content] = None
+            self._are_wishes_told = False
+
+    def drop_wish(self, content: ContentDigest) -> None:
+        """Nothing waits for a trial of this request any more."""
+        self._wishes.pop(content, None)
+
+    def is_tell_due(self, now: float) -> bool:
+        """Whether there are news that are worth a pull of their own."""
+        if self._mark > self._told_mark or not self._are_wishes_told:
+            return True
+        is_open = bool(self._untold or self._served or self._wishes)
+        return is_open and now - self._told_at >= TELL_SECONDS
+
+    def tell(self, now: float) -> bytes | None:
+        """Give the news for a pull that leaves now, encoded; None if there are none."""
+        if not (self._untold or self._served or self._wishes):
+            self._told_mark = self._mark
+            return None
+        ends = list(self._untold.items())[:LARGEST_NEWS]
+        served = list(self._served.items())[:LARGEST_NEWS]
+        self._told_at = now
+        self._told_mark = self._mark
+        self._are_wishes_told = True
+        left = [untold.mark for _id, untold in list(self._untold.items())[LARGEST_NEWS:]]
+        left += list(self._served.values())[LARGEST_NEWS:]
+        news = SuspectNews(
+            asker=self._asker,
+            # Only what is told along is agreed with it.
+            mark=min(left, default=self._mark + 1) - 1,
+            ends=tuple(ServerEnd(b, tuple(untold.contents)) for b, untold in ends),
+            served=tuple(content for content, _mark in served),
+            wishes=tuple(self._wishes)[:LARGEST_NEWS],
+        )
+        return encode_news(news)
+
+    def take_mark(self, mark: int) -> None:
+        """News up to a mark are agreed."""
+        self._untold = {b: u for b, u in self._untold.items() if u.mark > mark}
+        self._served = {c: m for c, m in self._served.items() if m > mark}
+
+    def take(self, view: SuspectsView, revision: int, now: float) -> bool:
+        """Take in what was agreed; an older view never replaces a newer one."""
+        if revision <= self.revision:
+            return False
+        self.revision = revision
+        self._view = view
+        self._ended = frozenset(b for held in view.suspicions.values() for b in held.ends)
+        for content in view.suspicions:
+            # Another daemon saw a server end under it, which this one saw served.
+            if content not in self._served and self._vouches(content, now):
+                self._clear(content)
+        before = self._doubtful_since
+        self._doubtful_since = {
+            content: before.get(content, now)
+            for content, suspicion in view.suspicions.items()
+            if suspicion.standing is Standing.DOUBTFUL
+        }
+        return True
--- /dev/null
+++ b/src/merlinstand/directory/suspects.py
@@ -0,0 +1,237 @@
+"""Servers that ended, and the requests held against them: replicated by the control group.
+
+It outlives gateways, keepers and leaders: a request that ends servers comes again at any of them.
+"""
+
+import msgspec
+
+from merlinstand.common.ids import BackendId, ContentDigest
+from merlinstand.directory.blame import Standing, judge
+from merlinstand.directory.suspect_news import ServerEnd, SuspectsView, Suspicion, Trial
+
+ENDS_LIMIT = 512
+"""Ends remembered, the oldest are forgotten first: more than half of a day's at 3,400 servers, 1 MB
+at most."""
+CONTENTS_LIMIT = 64
+"""Requests remembered of one end: the slots of a large engine twice."""
+MEMORY_SECONDS = 600.0
+"""An end that nobody is held back for is forgotten after this time."""
+QUARANTINE_SECONDS = 600.0
+"""A request that ended servers may be tried again so long after the last of them: servers are
+replaced by repaired ones meanwhile, and if not, one server in ten minutes is lost."""
+UNSURE_QUARANTINE_SECONDS = 15.0
+"""The same for a request that was never alone at a server which ended. It may only have run beside
+several guilty ones; those are found meanwhile, as others are cleared."""
+TRIAL_PAUSE_SECONDS = 3.0
+"""A doubtful request is tried so long after the last server that ended under it at the earliest:
+those that ran beside it are served and cleared meanwhile, mostly within a second, which leaves
+nothing to try; and the servers that ended are back."""
+TRIAL_SECONDS = 5.0
+"""A trial whose outcome nobody tells is over after this time: a server begins a request or turns it
+away within two seconds, and half of it is left for the news."""
+
+
+class StoredEnd(msgspec.Struct):
+    """One server that ended."""
+
+    at: float
+    """Group time in seconds."""
+    blamed: dict[ContentDigest, bool]
+    """Requests in flight there; False for those that were cleared."""
+
+    def contents(self) -> list[ContentDigest]:
+        """Requests that are not cleared of it."""
+        return [content for content, is_blamed in self.blamed.items() if is_blamed]
+
+
+class StoredTrial(msgspec.Struct, frozen=True):
+    """A trial and when it began, in group time."""
+
+    trial: Trial
+    at: float
+
+
+class StoredSuspects(msgspec.Struct, frozen=True):
+    """What a snapshot holds."""
+
+    ends: dict[BackendId, StoredEnd] = {}
+    allowed: tuple[ContentDigest, ...] = ()
+    trial: StoredTrial | None = None
+    trials: int = 0
+    revision: int = 0
+
+
+class Suspects:
+    """What is held against requests; part of the replicated directory, so deterministic."""
+
+    def __init__(self) -> None:
+        """Begin with nothing."""
+        self.ends: dict[BackendId, StoredEnd] = {}
+        """Oldest first."""
+        self.allowed: dict[ContentDigest, None] = {}
+        """Requests whose quarantine is over until they end another server."""
+        self.trial: StoredTrial | None = None
+        self.trials = 0
+        """Trials so far; numbers them."""
+        self.revision = 0
+        """Log position of the newest change."""
+        self._standings: dict[ContentDigest, Standing] = {}
+
+    @property
+    def standings(self) -> dict[ContentDigest, Standing]:
+        """What is held against each request."""
+        return self._standings
+
+    def view(self) -> SuspectsView:
+        """Give what all daemons are told."""
+        suspicions = {
+            content: Suspicion(standing, self._ends_of(content))
+            for content, standing in self._standings.items()
+        }
+        return SuspectsView(suspicions, self.trial.trial if self.trial is not None else None)
+
+    def _ends_of(self, content: ContentDigest) -> tuple[BackendId, ...]:
+        """Servers that ended under a request, but for those that another one is known to end."""
+        return tuple(b for b, end in self.ends.items() if content in self._suspected(end))
+
+    def _suspected(self, end: StoredEnd) -> list[ContentDigest]:
+        contents = end.contents()
+        guilty = [c for c in contents if self._standings.get(c) is Standing.QUARANTINED]
+        return guilty or contents
+
+    def is_news(self, end: ServerEnd) -> bool:
+        """Whether an end, or a request in flight at it, isn't known yet."""
+        held = self.ends.get(end.backend_id)
+        return held is None or any(
+            content not in held.blamed for content in end.contents[:CONTENTS_LIMIT]
+        )
+
+    def is_held_against(self, content: ContentDigest) -> bool:
+        """Whether anything is held against a request."""
+        return content in self._standings
+
+    def note(
+        self,
+        ends: tuple[ServerEnd, ...],
+        served: tuple[ContentDigest, ...],
+        index: int,
+        group_time: float,
+    ) -> None:
+        """Take in ends of servers, and requests that were served whole after all.
+
+        Args:
+            ends: Of any daemon; what is known already changes nothing.
+            served: Cleared of all ends so far.
+            index: Log position.
+            group_time: When this was proposed, in seconds.
+        """
+        for end in ends:
+            if self.is_news(end):
+                self._note_end(end, group_time)
+        for content in served:
+            self._clear(content)
+        self._forget(group_time)
+        self._changed(index)
+
+    def _note_end(self, end: ServerEnd, group_time: float) -> None:
+        held = self.ends.setdefault(end.backend_id, StoredEnd(group_time, {}))
+        for content in end.contents:
+            if len(held.blamed) < CONTENTS_LIMIT:
+                held.blamed.setdefault(content, True)
+                self.allowed.pop(content, None)
+        trial = self.trial.trial if self.trial is not None else None
+        if trial is not None and trial.content in end.contents:
+            # It was tried alone among those in doubt: the others there are not to blame.
+            held.blamed = {content: content == trial.content for content in held.blamed}
+            self.trial = None
+
+    def _clear(self, content: ContentDigest) -> None:
+        for end in self.ends.values():
+            if content in end.blamed:
+                end.blamed[content] = False
+        self.allowed.pop(content, None)
+        if self.trial is not None and self.trial.trial.content == content:
+            self.trial = None
+
+    def _forget(self, group_time: float) -> None:
+        """Forget old ends, but for those that a request is still held back for."""
+        is_held_back = (Standing.DOUBTFUL, Standing.QUARANTINED)
+        held_back = {c for c, standing in self._standings.items() if standing in is_held_back}
+        for backend_id, end in list(self.ends.items()):
+            is_needed = any(content in held_back for content in end.contents())
+            if group_time - end.at > MEMORY_SECONDS and not is_needed:
+                del self.ends[backend_id]
+        while len(self.ends) > ENDS_LIMIT:
+            del self.ends[next(iter(self.ends))]
+
+    def may_try(self, content: ContentDigest, group_time: float) -> bool:
+        """Whether leave may be given to try a request now."""
+        is_free = self.trial is None or self.is_trial_late(group_time)
+        if not is_free or self._standings.get(content) is not Standing.DOUBTFUL:
+            return False
+        last = max((end.at for end in self.ends.values() if end.blamed.get(content)), default=0.0)
+        return group_time - last >= TRIAL_PAUSE_SECONDS
+
+    def begin_trial(
+        self, content: ContentDigest, asker: str, index: int, group_time: float
+    ) -> None:
+        """Give leave to try a doubtful request, unless a trial is under way."""
+        if self.may_try(content, group_time):
+            self.trials += 1
+            self.trial = StoredTrial(Trial(self.trials, content, asker), group_time)
+            self.revision = index
+
+    def end_trial(self, number: int, index: int) -> None:
+        """A trial's outcome was not told in time."""
+        if self.trial is not None and self.trial.trial.number == number:
+            self.trial = None
+            self.revision = index
+
+    def is_trial_late(self, group_time: float) -> bool:
+        """Whether the trial under way has had its time."""
+        return self.trial is not None and group_time - self.trial.at > TRIAL_SECONDS
+
+    def allow_trials(self, contents: tuple[ContentDigest, ...], index: int) -> None:
+        """The quarantine of some requests is over: they may be tried."""
+        self.allowed.update(dict.fromkeys(contents))
+        self._changed(index)
+
+    def due_for_trial(self, group_time: float) -> tuple[ContentDigest, ...]:
+        """Give the requests whose quarantine is over and was not ended yet."""
+        last: dict[ContentDigest, float] = {}
+        sure: set[ContentDigest] = set()
+        for end in self.ends.values():
+            blamed = end.contents()
+            if len(blamed) == 1:
+                sure.update(blamed)
+            for content in blamed:
+                if self._standings.get(content) is Standing.QUARANTINED:
+                    last[content] = max(end.at, last.get(content, end.at))
+        return tuple(
+            content
+            for content, at in last.items()
+            if group_time - at
+            > (QUARANTINE_SECONDS if content in sure else UNSURE_QUARANTINE_SECONDS)
+        )
+
+    def _changed(self, index: int) -> None:
+        self._standings = judge([end.contents() for end in self.ends.values()])
+        for content in list(self.allowed):
+            if self._standings.get(content) is Standing.QUARANTINED:
+                self._standings[content] = Standing.DOUBTFUL
+            else:
+                del self.allowed[content]
+        self.revision = index
+
+    def stored(self) -> StoredSuspects:
+        """Give what a snapshot holds."""
+        ends = {b: StoredEnd(end.at, dict(end.blamed)) for b, end in self.ends.items()}
+        return StoredSuspects(ends, tuple(self.allowed), self.trial, self.trials, self.revision)
+
+    def restore(self, stored: StoredSuspects) -> None:
+        """Replace everything by what a snapshot held."""
+        self.ends = {b: StoredEnd(end.at, dict(end.blamed)) for b, end in stored.ends.items()}
+        self.allowed = dict.fromkeys(stored.allowed)
+        self.trial = stored.trial
+        self.trials = stored.trials
+        self._changed(stored.revision)
--- a/src/merlinstand/directory/view.py
+++ b/src/merlinstand/directory/view.py
@@ -8,6 +8,7 @@
 from merlinstand.common.packed_message import pack_message, unpack_message
 from merlinstand.directory.backends import Backend
 from merlinstand.directory.routes import RoutesDocument
+from merlinstand.directory.suspect_news import SuspectsView
 
 
 class DaemonReport(msgspec.Struct, frozen=True, kw_only=True):
@@ -96,6 +97,9 @@
     zones_revision: int = -1
     evacuated: tuple[str, ...] | None = None
     """Zones to whose servers nothing is sent, by the operators' order."""
+    suspects_revision: int = -1
+    suspects: SuspectsView | None = None
+    """What is held against requests under which servers ended."""
     keepers_mark: str = ""
     keepers: tuple[Keeper, ...] | None = None
     founding: KeeperGroup | None = None
--- a/src/merlinstand/forwarding/backend_choice.py
+++ b/src/merlinstand/forwarding/backend_choice.py
@@ -39,6 +39,8 @@
     """What this process saw of one back end."""
 
     in_flight: int = 0
+    suspects: int = 0
+    """Requests in flight there under which servers have ended before."""
     first_latency_seconds: float = ANSWER_SECONDS
     """Assumed while nothing is known."""
     latency_seconds: float = ANSWER_SECONDS
@@ -90,6 +92,7 @@
         standpoint: Standpoint | None = None,
         is_out_of_touch: Callable[[float], bool] = lambda _now: False,
         cold: ColdBudget | None = None,
+        has_ended: Callable[[BackendId], bool] = lambda _backend_id: False,
     ) -> None:
         """Begin without evidence.
 
@@ -98,7 +101,9 @@
             is_out_of_touch: Whether this process hears no leading control daemon at a local time:
                 its zone is probably cut off from the others.
             cold: What may be sent to cold back ends; without it, no service limits that.
+            has_ended: Whether any daemon has seen a back end end.
         """
+        self._has_ended = has_ended
         self.cold = ColdBudget() if cold is None else cold
         self._random = random.Random(0)
         self._standpoint = standpoint or Standpoint()
@@ -145,6 +150,8 @@
         tried: Collection[BackendId],
         now: float,
         silent: Collection[Backend] = (),
+        is_suspect: bool = False,
+        spares_last: bool = False,
     ) -> Backend | None:
         """Choose where to send a request.
 
@@ -153,6 +160,9 @@
             tried: Back ends that the request was sent to before.
             now: Local time.
             silent: Back ends where a try of this request is still without an answer.
+            is_suspect: Whether servers have ended under this request: it goes where fewest such
+                requests are, so that the next end tells the guilty one from the others.
+            spares_last: Whether the last sound one of several back ends is not to be chosen.
 
         Returns:
             A sound back end if there is one, a warm one rather than a cold one, else one that
@@ -165,10 +175,22 @@
             warm = [b for b in fresh if not self.cold.is_cold(b)]
         if not fresh:
             return None
+        if spares_last and self._is_last(fresh, backends, now):
+            return None
         preferred = self._sound(warm, now) or self._sound(fresh, now) or fresh
         reachable = [b for b in preferred if not self._zones.is_doubtful(b.zone, now)]
         doubt = self._doubt(silent, now)
-        return min(reachable or preferred, key=lambda b: self._cost(b, now, doubt))
+        candidates = reachable or preferred
+        if is_suspect:
+            fewest = min(self._evidence_of(b).suspects for b in candidates)
+            candidates = [b for b in candidates if self._evidence_of(b).suspects == fewest]
+        return min(candidates, key=lambda b: self._cost(b, now, doubt))
+
+    def _is_last(self, fresh: list[Backend], backends: Iterable[Backend], now: float) -> bool:
+        """Whether only one of several back ends is sound, and would be chosen."""
+        staying = [backend for backend in backends if not backend.is_leaving]
+        sound = [b for b in self._sound(staying, now) if not self._has_ended(b.backend_id)]
+        return len(staying) > 1 and len(sound) <= 1 and any(b in sound for b in fresh)
 
     def _sound(self, backends: list[Backend], now: float) -> list[Backend]:
         return [b for b in backends if self._evidence_of(b).avoid_until <= now]
--- /dev/null
+++ b/src/merlinstand/forwarding/crash_watch.py
@@ -0,0 +1,191 @@
+"""Notices servers that end while they work on this daemon's requests; part of its reducer.
+
+A connection that breaks says nothing of its server: answers get lost, connections are reset, and
+the server lives on. So a server at which a call broke is asked on a new connection whether it is
+there. Only one that refuses it, or whose address another incarnation has taken, has ended; then all
+requests that this daemon had in flight there, or gave up just before, are suspects.
+"""
+
+from collections.abc import Callable
+
+import msgspec
+
+from merlinstand.common.ids import BackendId, CallId, ContentDigest
+from merlinstand.directory.backends import Backend
+from merlinstand.directory.cold_budget import ColdBudget
+from merlinstand.directory.suspect_table import SuspectTable
+from merlinstand.forwarding.header_names import HeaderNames
+from merlinstand.kernel.effects import Effect, LogEvent, StartCall
+from merlinstand.kernel.events import CallFailed, CallPhase, CallResponded
+
+CALL_PREFIX = "alive:"
+PROBE_SECONDS = 0.5
+"""Longest wait for a server's sign of life: a dead one refuses a connection within some ms, a full
+one lets it wait, and the connection alone shows that it lives."""
+GIVEN_UP_SECONDS = 1.0
+"""A try that was given up this long before its server was found gone may have ended it: servers go
+on with what they had begun for a moment, and runs that end one take some tenths of a second."""
+GIVEN_UP_LIMIT = 64
+"""Tries remembered for each server after they were given up."""
+BROKEN_REASONS = frozenset(("reset", "truncated"))
+"""How a call fails whose server ends; time-outs and malformed answers come from servers that are
+there."""
+REFUSED_REASON = "refused"
+MISDIRECTED_STATUS = 421
+
+
+class _Sent(msgspec.Struct, frozen=True):
+    """A call under way."""
+
+    backend: Backend
+    content_of: Callable[[], ContentDigest]
+
+
+class _GivenUp(msgspec.Struct, frozen=True):
+    """A call that ended without an answer."""
+
+    content: ContentDigest
+    at: float
+
+
+class CrashWatch:
+    """All requests that one daemon has in flight at servers."""
+
+    def __init__(
+        self,
+        suspects: SuspectTable,
+        names: HeaderNames,
+        health_path_of: Callable[[str], str],
+        cold: ColdBudget,
+    ) -> None:
+        """Begin with nothing in flight.
+
+        Args:
+            suspects: Takes what is found.
+            names: Header names.
+            health_path_of: Gives the path that a service's servers answer at once; empty if it
+                has none, then none of them is asked.
+            cold: Tells what may be sent to cold servers.
+        """
+        self.suspects = suspects
+        self._names = names
+        self._health_path_of = health_path_of
+        self._cold = cold
+        self._sent: dict[CallId, _Sent] = {}
+        self._given_up: dict[BackendId, list[_GivenUp]] = {}
+        self._probes: dict[CallId, Backend] = {}
+        self._probed: set[BackendId] = set()
+        self._calls = 0
+
+    def sent(
+        self, call_id: CallId, backend: Backend, content_of: Callable[[], ContentDigest]
+    ) -> None:
+        """A request goes to a server.
+
+        Args:
+            call_id: Of the call.
+            backend: Where it goes.
+            content_of: Gives the request's content; asked only if there is something to tell.
+        """
+        self._sent[call_id] = _Sent(backend, content_of)
+
+    def answered(self, call_id: CallId, now: float) -> None:
+        """The server ran the request and answered whole: it lives, the request didn't end it."""
+        sent = self._sent.pop(call_id, None)
+        if sent is not None:
+            self.suspects.note_served(sent.content_of(), now)
+
+    def turned_away(self, call_id: CallId) -> None:
+        """The server answered that it has not begun the request: that proves nothing."""
+        self._sent.pop(call_id, None)
+
+    def given_up(self, call_id: CallId, now: float) -> None:
+        """The call was cancelled, or its answer came to nothing."""
+        sent = self._sent.pop(call_id, None)
+        if sent is not None:
+            self._remember(sent, now)
+
+    def _remember(self, sent: _Sent, now: float) -> None:
+        backend_id = sent.backend.backend_id
+        held = [g for g in self._given_up.get(backend_id, ()) if now - g.at <= GIVEN_UP_SECONDS]
+        held.append(_GivenUp(sent.content_of(), now))
+        self._given_up[backend_id] = held[-GIVEN_UP_LIMIT:]
+
+    def failed(self, event: CallFailed, now: float) -> list[Effect]:
+        """A call failed; asks its server for a sign of life if the call had broken off."""
+        sent = self._sent.pop(event.call_id, None)
+        if sent is None:
+            return []
+        if event.phase is CallPhase.CONNECT:
+            is_refused = event.reason == REFUSED_REASON
+            return self._gone(sent.backend, now) if is_refused else []
+        self._remember(sent, now)
+        return self._probe(sent.backend, now) if event.reason in BROKEN_REASONS else []
+
+    def _probe(self, backend: Backend, now: float) -> list[Effect]:
+        path = self._health_path_of(backend.service)
+        if not path or backend.backend_id in self._probed or not self._cold.is_open(backend, now):
+            return []
+        self._calls += 1
+        call_id = CallId(f"{CALL_PREFIX}{self._calls}")
+        self._probes[call_id] = backend
+        self._probed.add(backend.backend_id)
+        self._cold.note_sent(backend, now)
+        headers = {
+            self._names.request_id: f"{backend.backend_id}-{self._calls}",
+            self._names.deadline_ms: str(int(PROBE_SECONDS * 1000)),
+            self._names.expected_backend: backend.backend_id,
+        }
+        return [
+            StartCall(
+                call_id=call_id,
+                address=backend.address,
+                method="GET",
+                path=path,
+                headers=headers,
+                body=b"",
+                timeout_seconds=PROBE_SECONDS,
+                fresh_connection=True,
+            )
+        ]
+
+    def is_asked(self, backend_id: BackendId) -> bool:
+        """Whether a server is being asked for a sign of life."""
+        return backend_id in self._probed
+
+    def on_call(self, event: CallResponded | CallFailed, now: float) -> list[Effect]:
+        """A call with `CALL_PREFIX` ended: the server is there, or it isn't."""
+        backend = self._probes.pop(event.call_id, None)
+        if backend is None:
+            return []
+        self._probed.discard(backend.backend_id)
+        if isinstance(event, CallFailed):
+            is_refused = event.phase is CallPhase.CONNECT and event.reason == REFUSED_REASON
+            return self._gone(backend, now) if is_refused else []
+        if event.status == MISDIRECTED_STATUS:
+            return self._gone(backend, now)
+        self._given_up.pop(backend.backend_id, None)
+        return []
+
+    def _gone(self, backend: Backend, now: float) -> list[Effect]:
+        """A server isn't there any more: whatever it worked on last may have ended it.
+
+        One that leaves ends by itself, with what it still worked on. Calls under way don't count
+        yet: they may still be connecting, and those that had been sent break off by themselves.
+        """
+        held = self._given_up.pop(backend.backend_id, [])
+        contents = dict.fromkeys(g.content for g in held if now - g.at <= GIVEN_UP_SECONDS)
+        if not contents or backend.is_leaving:
+            return []
+        suspected = self.suspects.note_end(backend.backend_id, contents, now)
+        fields = {
+            "backend": backend.backend_id,
+            "service": backend.service,
+            "in_flight": len(contents),
+            "suspected": ",".join(suspected),
+        }
+        return [LogEvent("backend.ended", fields)]
+
+    def forget_all_but(self, present: frozenset[BackendId]) -> None:
+        """Drop what is known of servers that are not registered any more."""
+        self._given_up = {b: held for b, held in self._given_up.items() if b in present}
--- a/src/merlinstand/forwarding/daemon.py
+++ b/src/merlinstand/forwarding/daemon.py
@@ -25,6 +25,8 @@
 from merlinstand.forwarding.batch_relay import CALL_PREFIX as BATCH_PREFIX
 from merlinstand.forwarding.batch_relay import TIMER_PREFIX as BATCH_TIMER_PREFIX
 from merlinstand.forwarding.batch_relay import BatchRelay
+from merlinstand.forwarding.crash_watch import CALL_PREFIX as PROBE_PREFIX
+from merlinstand.forwarding.crash_watch import CrashWatch
 from merlinstand.forwarding.distance import Standpoint
 from merlinstand.forwarding.forwarder import CALL_PREFIX as FORWARD_PREFIX
 from merlinstand.forwarding.forwarder import TIMER_PREFIX as FORWARD_TIMER_PREFIX
@@ -107,9 +109,16 @@
         places = Places(settings.zones)
         standpoint = Standpoint(settings.zone, places)
         follower = self.follower
-        chooser = BackendChooser(standpoint, follower.is_out_of_touch, follower.cold)
-        self._forwarder = Forwarder(self._names, follower.snapshot_of, places, chooser)
-        self._streams = StreamForwarder(self._names, chooser, follower.snapshot_of, places)
+        chooser = BackendChooser(
+            standpoint, follower.is_out_of_touch, follower.cold, follower.suspects.has_ended
+        )
+        self._watch = CrashWatch(
+            follower.suspects, self._names, follower.health_path_of, follower.cold
+        )
+        self._forwarder = Forwarder(self._names, follower.snapshot_of, places, chooser, self._watch)
+        self._streams = StreamForwarder(
+            self._names, chooser, follower.snapshot_of, places, self._watch
+        )
         self._relay = BatchRelay(settings, self.follower)
         self._split = WeightedChoice()
         self._routes_wait = RoutesWait()
@@ -119,7 +128,9 @@
         """Ask for the directory."""
         self._split.seed(event.seed)
         self._forwarder.chooser.seed(event.seed)
-        self._usage.begin(f"{self._settings.node_id}/{event.incarnation}")
+        run_name = f"{self._settings.node_id}/{event.incarnation}"
+        self._usage.begin(run_name)
+        self.follower.suspects.begin(run_name)
         return self.follower.start(now)
 
     def reduce(self, event: Event, now: float) -> Sequence[Effect]:
@@ -154,6 +165,9 @@
                     return self._forwarder.on_call(event, now)
                 if event.call_id.startswith(BATCH_PREFIX):
                     return self._relay.on_call(event, now)
+                if event.call_id.startswith(PROBE_PREFIX):
+                    found = self._watch.on_call(event, now)
+                    return found + self._forwarder.on_verdicts(now)
                 return []
             case RequestAborted():
                 return self._aborted(event.request_id, now)
@@ -161,10 +175,15 @@
                 return self._timer(event.name, now)
             case MessageReceived(message=DirectoryUpdate()):
                 held = self.follower.backends_revision
+                held_suspects = self.follower.suspects.revision
                 effects = self.follower.take(event.sender, event.message, now)
                 if self.follower.backends_revision != held:
-                    present = [backend.backend_id for backend in self.follower.backends]
+                    present = frozenset(b.backend_id for b in self.follower.backends)
                     self._forwarder.chooser.forget_all_but(present)
+                    self._watch.forget_all_but(present)
+                if self.follower.suspects.revision != held_suspects:
+                    effects.extend(self._forwarder.on_suspects(now))
+                    effects.extend(self._streams.on_suspects(now))
                 if event.message.cold_grants is not None:
                     effects.extend(self._forwarder.resume(now))
                     effects.extend(self._note_ended_streams(self._streams.resume(now)))
@@ -321,7 +340,7 @@
         self._usage.note_aborted(request_id, now)
         return [
             *self._forwarder.abort(request_id, now),
-            *self._streams.abort(request_id),
+            *self._streams.abort(request_id, now),
             *self._relay.abort(request_id),
         ]
 
--- a/src/merlinstand/forwarding/forwarder.py
+++ b/src/merlinstand/forwarding/forwarder.py
@@ -8,14 +8,24 @@
 
 import msgspec
 
-from merlinstand.common.ids import BackendId, CallId
+from merlinstand.common.ids import BackendId, CallId, ContentDigest
 from merlinstand.directory.backends import Backend
 from merlinstand.directory.places import Places
 from merlinstand.directory.regions import NO_SERVER_REASON, servers_within
 from merlinstand.directory.routes import RouteKind
+from merlinstand.directory.suspect_table import SuspectTable
 from merlinstand.forwarding.backend_choice import BackendChooser
 from merlinstand.forwarding.cold_wait import COLD_REASON, ColdWait
+from merlinstand.forwarding.crash_watch import CrashWatch
 from merlinstand.forwarding.header_names import HeaderNames
+from merlinstand.forwarding.quarantine_gate import (
+    QUARANTINED_REASON,
+    SPARED_REASON,
+    SPARED_RETRY_SECONDS,
+    Admission,
+    QuarantineGate,
+    refusal_log,
+)
 from merlinstand.forwarding.request_content import content_of
 from merlinstand.forwarding.requests import (
     Answered,
@@ -49,6 +59,10 @@
 SHORTEST_HEDGE_SECONDS = 0.06
 RETRY_AFTER_SECONDS = 0.1
 """Told to callers whose request has not run."""
+VERDICT_SECONDS = 0.05
+"""Longest wait of a request whose try broke off for whether its server has ended: the next try goes
+where that does least harm. A server that ended refuses a connection after one way there and back,
+1 to 40 ms."""
 DEADLINE_MARGIN_SECONDS = 0.01
 SHORTEST_TIME_SECONDS = 0.005
 
@@ -56,6 +70,8 @@
 class _Attempt(msgspec.Struct, frozen=True):
     backend: Backend
     started_at: float
+    is_suspect: bool = False
+    """Whether servers had ended under the request when it was sent."""
 
 
 class _Pending(msgspec.Struct):
@@ -71,6 +87,10 @@
     failed_answers: int = 0
     last_error_answer: Answered | None = None
     last_reason: str = ""
+    content: ContentDigest | None = None
+    """Its digest, once somebody has asked for it."""
+    doubted: BackendId | None = None
+    """Server at which its last try broke off, while that is asked whether it has ended."""
 
     def silent_backends(self) -> list[Backend]:
         """Back ends where a try is under way; asked for once it has taken too long."""
@@ -86,6 +106,7 @@
         backends_of: Callable[[str], tuple[Backend, ...]],
         places: Places | None = None,
         chooser: BackendChooser | None = None,
+        watch: CrashWatch | None = None,
     ) -> None:
         """Begin without requests.
 
@@ -94,8 +115,11 @@
             backends_of: Gives the registered back ends of a service.
             places: Regions of the zones; without, no server is in any region.
             chooser: Chooses among them; without one, all are taken to be equally far.
+            watch: Notices servers that end; without one, nobody else is told of them.
         """
         self.chooser = chooser or BackendChooser()
+        self._watch = watch or CrashWatch(SuspectTable(), names, _no_path, self.chooser.cold)
+        self._gate = QuarantineGate(self._watch.suspects, f"{TIMER_PREFIX}trial:")
         self._cold_wait = ColdWait(self.chooser.cold, f"{TIMER_PREFIX}cold:")
         self._names = names
         self._backends_of = backends_of
@@ -141,8 +165,35 @@
         if kind == "cold" and not pending.running:
             self._cold_wait.end(key)
             return self._refuse_cold(pending, now)
+        if kind == "trial" and not pending.running:
+            return self._refuse_quarantined(pending, now)
+        if kind == "verdict" and pending.doubted is not None:
+            return self._after_verdict(pending, now)
         return []
 
+    def on_verdicts(self, now: float) -> list[Effect]:
+        """Servers were found gone, or there: go on with the requests that waited for that."""
+        effects: list[Effect] = []
+        for pending in list(self._pending.values()):
+            if pending.doubted is not None and not self._watch.is_asked(pending.doubted):
+                effects.append(CancelTimer(f"{TIMER_PREFIX}verdict:{pending.request.key}"))
+                effects.extend(self._after_verdict(pending, now))
+        return effects
+
+    def _after_verdict(self, pending: _Pending, now: float) -> list[Effect]:
+        pending.doubted = None
+        return self._try_again(pending, now)
+
+    def on_suspects(self, now: float) -> list[Effect]:
+        """What is held against requests has changed: go on with those that waited for leave."""
+        effects: list[Effect] = []
+        for key in self._gate.waiting:
+            pending = self._pending.get(key)
+            if pending is not None and self._admit(pending, now) is not Admission.WAIT:
+                effects.extend(self._gate.end(key))
+                effects.extend(self._send(pending, now))
+        return effects
+
     def resume(self, now: float) -> list[Effect]:
         """The leader answered: go on with requests that waited for grants, or refuse them."""
         effects: list[Effect] = []
@@ -166,6 +217,7 @@
             return []
         evidence = self.chooser.evidence(attempt.backend.backend_id)
         evidence.in_flight -= 1
+        evidence.suspects -= attempt.is_suspect
         if isinstance(event, CallFailed):
             evidence.note_failure(now)
             self.chooser.cold.note_failure(attempt.backend, event, now)
@@ -176,7 +228,8 @@
             else:
                 pending.may_have_run = True
             pending.last_reason = f"{event.phase.value}_{event.reason}"
-            return self._after_failure(pending, event, attempt, now)
+            asked = self._watch.failed(event, now)
+            return asked + self._after_failure(pending, event, attempt, now)
         return self._after_answer(pending, event, attempt, now)
 
     # Answers
@@ -187,11 +240,13 @@
         evidence = self.chooser.evidence(attempt.backend.backend_id)
         self.chooser.note_heard(attempt.backend, now)
         if self._is_not_run(event):
+            self._watch.turned_away(event.call_id)
             evidence.note_latency(now - attempt.started_at + BUSY_PAUSE_SECONDS, now)
             if event.status == MISDIRECTED_STATUS:
                 evidence.note_failure(now)
             pending.last_reason = f"not_run_{event.status}"
             return self._try_again(pending, now)
+        self._watch.answered(event.call_id, now)
         answer = Answered(event.status, event.headers, event.body)
         if event.status < FIRST_SERVER_ERROR_STATUS:
             evidence.note_success()
@@ -219,14 +274,24 @@
         }
         if event.phase is not CallPhase.CONNECT:
             # What failed at a server is looked for over tries, callers and gateways.
-            fields["content"] = content_of(pending.request, self._names)
+            fields["content"] = self._content(pending)
             fields["caller"] = pending.request.caller
         log = LogEvent("request.attempt_failed", fields)
         is_repeatable = pending.request.route.kind is RouteKind.REPEATABLE
+        if is_repeatable and self._awaits_verdict(pending, event, attempt):
+            pending.doubted = attempt.backend.backend_id
+            name = f"{TIMER_PREFIX}verdict:{pending.request.key}"
+            return [log, SetTimer(name, VERDICT_SECONDS)]
         if is_repeatable or event.phase is CallPhase.CONNECT:
             return [log, *self._try_again(pending, now)]
         return [log, *self._give_up(pending, pending.last_reason, now)]
 
+    def _awaits_verdict(self, pending: _Pending, event: CallFailed, attempt: _Attempt) -> bool:
+        """Whether the next try had better wait for whether the server of the last one has ended."""
+        is_broken = event.phase is not CallPhase.CONNECT
+        is_last = pending.running or not self._has_attempts(pending)
+        return is_broken and not is_last and self._watch.is_asked(attempt.backend.backend_id)
+
     def _try_again(self, pending: _Pending, now: float) -> list[Effect]:
         if pending.running:
             # The other try goes on; it gets company in its turn.
@@ -246,11 +311,32 @@
         most = max(1, pending.request.route.maximum_attempts)
         return pending.sent < most and pending.tries < most + UNCONNECTED_TRIES
 
+    # What is held against a request
+
+    def _content(self, pending: _Pending) -> ContentDigest:
+        if pending.content is None:
+            pending.content = content_of(pending.request, self._names)
+        return pending.content
+
+    def _admit(self, pending: _Pending, now: float) -> Admission:
+        return self._gate.admit(lambda: self._content(pending), now)
+
+    def _is_suspect(self, pending: _Pending, now: float) -> bool:
+        return self._admit(pending, now) is not Admission.FREE
+
+    def _refuse_quarantined(self, pending: _Pending, now: float) -> list[Effect]:
+        log = refusal_log(pending.request.request_id, self._content(pending))
+        return [log, *self._give_up(pending, QUARANTINED_REASON, now)]
+
     # Sending
 
     def _candidate(self, pending: _Pending, now: float) -> Backend | None:
         allowed = self._allowed(pending)
-        return self.chooser.choose(allowed, pending.tried, now, pending.silent_backends())
+        silent = pending.silent_backends()
+        admission = self._admit(pending, now)
+        is_suspect = admission is not Admission.FREE
+        is_sparing = admission is Admission.SPARING
+        return self.chooser.choose(allowed, pending.tried, now, silent, is_suspect, is_sparing)
 
     def _allowed(self, pending: _Pending) -> tuple[Backend, ...]:
         """Back ends of the request's service in the regions that may serve it."""
@@ -276,6 +362,12 @@
         return self._give_up(pending, COLD_REASON, now)
 
     def _send(self, pending: _Pending, now: float) -> list[Effect]:
+        # Each try passes here, also second ones: what ended servers must not end the next one.
+        admission = self._admit(pending, now)
+        if admission is Admission.WAIT:
+            return self._gate.wait(pending.request.key, self._content(pending))
+        if admission is Admission.BARRED:
+            return self._refuse_quarantined(pending, now)
         backend = self._candidate(pending, now)
         if backend is None:
             reason = self._reason_for_none(pending, now)
@@ -286,7 +378,12 @@
             return self._give_up(pending, "time ran out", now, is_late=True)
         self._calls += 1
         call_id = CallId(f"{CALL_PREFIX}{request.key}#{self._calls}")
-        pending.running[call_id] = _Attempt(backend, now)
+        is_suspect = admission is not Admission.FREE
+        pending.running[call_id] = _Attempt(backend, now, is_suspect)
+        if is_suspect:
+            self.chooser.evidence(backend.backend_id).suspects += 1
+            self._gate.note_sent(lambda: self._content(pending))
+        self._watch.sent(call_id, backend, lambda: self._content(pending))
         pending.tried.add(backend.backend_id)
         pending.tries += 1
         pending.sent += 1
@@ -309,7 +406,11 @@
             host=request.headers.get("host", ""),
             echo_header=self._names.request_id,
             accepts_unframed=True,
-            fresh_connection=request.route.kind is not RouteKind.REPEATABLE,
+            # A kept connection may belong to a server that is gone: its reset would look as if the
+            # server had ended under this request. A new one is refused there.
+            fresh_connection=request.route.kind is not RouteKind.REPEATABLE
+            or is_suspect
+            or pending.may_have_run,
         )
         return [call, *self._plan_hedge(pending)]
 
@@ -332,7 +433,8 @@
         for backend in pending.silent_backends():
             self.chooser.note_silence(backend, now)
         candidate = self._candidate(pending, now)
-        if candidate is None or not self._may_hedge(pending):
+        if candidate is None or not self._may_hedge(pending) or self._is_suspect(pending, now):
+            # A request that may end servers is at one of them at a time.
             return []
         if self.chooser.evidence(candidate.backend_id).avoid_until > now:
             return []
@@ -341,6 +443,8 @@
     def _reason_for_none(self, pending: _Pending, now: float) -> str:
         if self._closed(pending, now):
             return COLD_REASON
+        if self._admit(pending, now) is Admission.SPARING:
+            return SPARED_REASON
         return NO_SERVER_REASON if pending.request.allowed_regions else "no back end"
 
     # Ends
@@ -369,6 +473,10 @@
         return self._finish(pending, outcome, None, now)
 
     def _retry_after_seconds(self, pending: _Pending, reason: str, now: float) -> float:
+        if reason == SPARED_REASON:
+            return SPARED_RETRY_SECONDS
+        if reason == QUARANTINED_REASON:
+            return self._gate.retry_after_seconds(self._content(pending), now)
         if reason != COLD_REASON:
             return RETRY_AFTER_SECONDS
         return self._cold_wait.retry_after_seconds(pending.request.service, now)
@@ -376,9 +484,12 @@
     def _clean_up(self, pending: _Pending, now: float) -> list[Effect]:
         """Stop attempts that are still running, and the timers."""
         effects = self._cold_wait.end(pending.request.key)
+        effects.extend(self._gate.end(pending.request.key))
         for call_id, attempt in pending.running.items():
+            self._watch.given_up(call_id, now)
             evidence = self.chooser.evidence(attempt.backend.backend_id)
             evidence.in_flight -= 1
+            evidence.suspects -= attempt.is_suspect
             elapsed = now - attempt.started_at
             if elapsed > evidence.latency(now):
                 evidence.note_latency(elapsed, now)
@@ -387,6 +498,11 @@
         pending.running.clear()
         key = pending.request.key
         effects.extend(
-            CancelTimer(f"{TIMER_PREFIX}{kind}:{key}") for kind in ("deadline", "hedge", "retry")
+            CancelTimer(f"{TIMER_PREFIX}{kind}:{key}")
+            for kind in ("deadline", "hedge", "retry", "verdict")
         )
         return effects
+
+
+def _no_path(_service: str) -> str:
+    return ""
--- a/src/merlinstand/forwarding/stream_forwarder.py
+++ b/src/merlinstand/forwarding/stream_forwarder.py
@@ -10,19 +10,29 @@
 from result import Err
 
 from merlinstand.batch_jobs.event_text import parse_event
-from merlinstand.common.ids import BackendId, CallId, RequestId
+from merlinstand.common.ids import BackendId, CallId, ContentDigest, RequestId
 from merlinstand.common.whole_number import read_whole_number
 from merlinstand.directory.backends import Backend
 from merlinstand.directory.places import Places
 from merlinstand.directory.regions import NO_SERVER_REASON, servers_within
+from merlinstand.directory.suspect_table import SuspectTable
 from merlinstand.forwarding.backend_choice import BackendChooser
 from merlinstand.forwarding.cold_wait import COLD_REASON, ColdWait
+from merlinstand.forwarding.crash_watch import CrashWatch
 from merlinstand.forwarding.forwarder import (
     CALL_TIMEOUT_REASON,
     MISDIRECTED_STATUS,
     RETRY_AFTER_SECONDS,
 )
 from merlinstand.forwarding.header_names import HeaderNames
+from merlinstand.forwarding.quarantine_gate import (
+    QUARANTINED_REASON,
+    SPARED_REASON,
+    SPARED_RETRY_SECONDS,
+    Admission,
+    QuarantineGate,
+    refusal_log,
+)
 from merlinstand.forwarding.request_content import content_of
 from merlinstand.forwarding.requests import ForwardRequest, NotRun, OutcomeUnknown
 from merlinstand.gateway.sse import EVENT_END, EventCutter
@@ -43,6 +53,8 @@
 TIMER_PREFIX = "stream."
 COLD_MARK = "cold:"
 """Stands before the key in the name of the timer that ends a wait for a grant."""
+TRIAL_MARK = "trial:"
+"""The same for a wait for leave to be tried."""
 SILENCE_SECONDS = 1.5
 """A server that sends nothing for this long is given up on."""
 SUCCESS_STATUS = 200
@@ -65,6 +77,10 @@
     is_failure: bool = False
     """Whether the answer is no stream but a server's failure, passed on as it comes."""
     last_event_id: int = 0
+    is_suspect: bool = False
+    """Whether servers had ended under it when it was sent to the present one."""
+    content: ContentDigest | None = None
+    """Its digest, once somebody has asked for it."""
     cutter: EventCutter = msgspec.field(default_factory=EventCutter)
 
 
@@ -84,6 +100,7 @@
         chooser: BackendChooser,
         backends_of: Callable[[str], tuple[Backend, ...]],
         places: Places | None = None,
+        watch: CrashWatch | None = None,
     ) -> None:
         """Begin without streams.
 
@@ -92,9 +109,12 @@
             chooser: Evidence about back ends, shared with whole requests.
             backends_of: Gives the registered back ends of a service.
             places: Regions of the zones; without, no server is in any region.
+            watch: Notices servers that end; without one, nobody else is told of them.
         """
         self._names = names
         self._chooser = chooser
+        self._watch = watch or CrashWatch(SuspectTable(), names, lambda _service: "", chooser.cold)
+        self._gate = QuarantineGate(self._watch.suspects, f"{TIMER_PREFIX}{TRIAL_MARK}")
         self._backends_of = backends_of
         self._places = Places() if places is None else places
         self._cold_wait = ColdWait(chooser.cold, f"{TIMER_PREFIX}{COLD_MARK}")
@@ -119,17 +139,19 @@
         left = max(0.0, request.deadline_at - now)
         return [SetTimer(f"{TIMER_PREFIX}{request.key}", left), *self._send(stream, now)]
 
-    def abort(self, key: str) -> list[Effect]:
+    def abort(self, key: str, now: float) -> list[Effect]:
         """The caller left: stop the work."""
         stream = self._streams.get(key)
-        return [] if stream is None else self._close(stream)
+        return [] if stream is None else self._close(stream, now)
 
     def on_timer(self, name: str, now: float) -> list[Effect]:
         """A timer with `TIMER_PREFIX` fired: the stream's time is over, or its wait for a grant."""
         key = name.removeprefix(TIMER_PREFIX)
-        stream = self._streams.get(key.removeprefix(COLD_MARK))
+        stream = self._streams.get(key.removeprefix(COLD_MARK).removeprefix(TRIAL_MARK))
         if stream is None:
             return []
+        if key.startswith(TRIAL_MARK):
+            return self._refuse_quarantined(stream, now)
         if key.startswith(COLD_MARK):
             return self._give_up(stream, COLD_REASON, False, now)
         return self._give_up(stream, "time ran out", True, now)
@@ -143,6 +165,16 @@
                 effects.extend(self._resume(stream, now))
         return effects
 
+    def on_suspects(self, now: float) -> list[Effect]:
+        """What is held against requests has changed: go on with those that waited for leave."""
+        effects: list[Effect] = []
+        for key in self._gate.waiting:
+            stream = self._streams.get(key)
+            if stream is not None and self._admit(stream, now) is not Admission.WAIT:
+                effects.extend(self._gate.end(key))
+                effects.extend(self._send(stream, now))
+        return effects
+
     def _resume(self, stream: _Stream, now: float) -> list[Effect]:
         allowed = self._allowed(stream.request)
         is_open = self._chooser.choose(allowed, stream.tried, now) is not None
@@ -179,10 +211,12 @@
             self._chooser.note_heard(stream.backend, now)
         is_not_run = self._names.not_run in event.headers or event.status == MISDIRECTED_STATUS
         if is_not_run:
-            return [*self._drop_call(stream), *self._try_again(stream, "not run", now)]
+            self._watch.turned_away(event.call_id)
+            return [*self._drop_call(stream, now), *self._try_again(stream, "not run", now)]
         stream.may_have_run = True
         if event.status != SUCCESS_STATUS and stream.is_started:
-            return [*self._drop_call(stream), *self._try_again(stream, "failed", now)]
+            self._watch.answered(event.call_id, now)
+            return [*self._drop_call(stream, now), *self._try_again(stream, "failed", now)]
         stream.cutter = EventCutter()
         if stream.is_started:
             return []
@@ -201,7 +235,7 @@
                 self._note_failure(stream, now)
                 return [
                     *effects,
-                    *self._drop_call(stream),
+                    *self._drop_call(stream, now),
                     *self._try_again(stream, "malformed event", now),
                 ]
             event = parsed.ok_value
@@ -215,14 +249,17 @@
     def _on_end(self, stream: _Stream, now: float) -> list[Effect]:
         if stream.cutter.pending_bytes and not stream.is_failure:
             # A server that stops within an event has not ended its stream.
-            return [*self._drop_call(stream), *self._try_again(stream, "cut short", now)]
+            return [*self._drop_call(stream, now), *self._try_again(stream, "cut short", now)]
+        if stream.call_id is not None:
+            self._watch.answered(stream.call_id, now)
         if stream.backend is not None:
             self._chooser.evidence(stream.backend.backend_id).note_success()
         end = RespondEnd(RequestId(stream.request.key), whole=True)
-        return [end, *self._close(stream)]
+        return [end, *self._close(stream, now)]
 
     def _on_failure(self, stream: _Stream, event: CallFailed, now: float) -> list[Effect]:
         self._note_failure(stream, now, event)
+        asked = self._watch.failed(event, now)
         if event.phase is not CallPhase.CONNECT:
             stream.may_have_run = True
         fields: dict[str, object] = {
@@ -233,10 +270,11 @@
             "last_event": stream.last_event_id,
         }
         if event.phase is not CallPhase.CONNECT:
-            fields["content"] = content_of(stream.request, self._names)
+            fields["content"] = self._content(stream)
             fields["caller"] = stream.request.caller
         log = LogEvent("request.stream_broken", fields)
-        return [log, *self._drop_call(stream), *self._try_again(stream, event.reason, now)]
+        dropped = self._drop_call(stream, now)
+        return [log, *asked, *dropped, *self._try_again(stream, event.reason, now)]
 
     def _note_failure(self, stream: _Stream, now: float, event: CallFailed | None = None) -> None:
         if stream.backend is None:
@@ -248,6 +286,20 @@
         if event.reason == CALL_TIMEOUT_REASON:
             self._chooser.note_silence(stream.backend, now)
 
+    # What is held against a request
+
+    def _content(self, stream: _Stream) -> ContentDigest:
+        if stream.content is None:
+            stream.content = content_of(stream.request, self._names)
+        return stream.content
+
+    def _admit(self, stream: _Stream, now: float) -> Admission:
+        return self._gate.admit(lambda: self._content(stream), now)
+
+    def _refuse_quarantined(self, stream: _Stream, now: float) -> list[Effect]:
+        log = refusal_log(stream.request.request_id, self._content(stream))
+        return [log, *self._give_up(stream, QUARANTINED_REASON, False, now)]
+
     # Sending
 
     def _try_again(self, stream: _Stream, reason: str, now: float) -> list[Effect]:
@@ -259,13 +311,23 @@
 
     def _send(self, stream: _Stream, now: float, may_wait: bool = True) -> list[Effect]:
         request = stream.request
+        admission = self._admit(stream, now)
+        if admission is Admission.WAIT:
+            return self._gate.wait(request.key, self._content(stream))
+        if admission is Admission.BARRED:
+            return self._refuse_quarantined(stream, now)
+        is_suspect = admission is not Admission.FREE
+        is_sparing = admission is Admission.SPARING
         allowed = self._allowed(request)
-        backend = self._chooser.choose(allowed, stream.tried, now)
+        backend = self._chooser.choose(
+            allowed, stream.tried, now, is_suspect=is_suspect, spares_last=is_sparing
+        )
         if backend is None:
             closed = self._chooser.closed(allowed, stream.tried, now)
             wait = self._cold_wait.begin(request, closed, now) if may_wait else []
             is_bound = bool(request.allowed_regions)
             reason = NO_SERVER_REASON if is_bound else "no back end"
+            reason = SPARED_REASON if is_sparing else reason
             return wait or self._give_up(stream, COLD_REASON if closed else reason, False, now)
         left = request.deadline_at - now
         self._calls += 1
@@ -274,6 +336,11 @@
         stream.backend = backend
         stream.tried.add(backend.backend_id)
         stream.sent += 1
+        stream.is_suspect = is_suspect
+        if is_suspect:
+            self._chooser.evidence(backend.backend_id).suspects += 1
+            self._gate.note_sent(lambda: self._content(stream))
+        self._watch.sent(call_id, backend, lambda: self._content(stream))
         self._by_call[call_id] = stream
         self._chooser.begin(backend, now)
         headers = {
@@ -297,7 +364,10 @@
                 stream=True,
                 host=request.headers.get("host", ""),
                 echo_header=self._names.request_id,
-                fresh_connection=not request.route.is_resumable,
+                # Not to be reset by a server that was gone before: see `Forwarder`.
+                fresh_connection=not request.route.is_resumable
+                or is_suspect
+                or stream.may_have_run,
             )
         ]
 
@@ -314,32 +384,41 @@
         }
         effects: list[Effect] = [LogEvent("request.stream_failed", fields)]
         is_running = stream.call_id is not None
-        effects.extend(self._close(stream))
+        effects.extend(self._close(stream, now))
         if stream.is_started:
             return [*effects, RespondEnd(RequestId(request.key), whole=False)]
         retry_after = RETRY_AFTER_SECONDS
         if reason == COLD_REASON:
             retry_after = self._cold_wait.retry_after_seconds(request.service, now)
+        if reason == SPARED_REASON:
+            retry_after = SPARED_RETRY_SECONDS
+        if reason == QUARANTINED_REASON:
+            retry_after = self._gate.retry_after_seconds(self._content(stream), now)
         outcome: NotRun | OutcomeUnknown = NotRun(reason, retry_after)
         if stream.may_have_run or is_running:
             outcome = OutcomeUnknown(reason, is_late)
         self._refused.append(StreamRefused(request, outcome))
         return effects
 
-    def _drop_call(self, stream: _Stream) -> list[Effect]:
+    def _drop_call(self, stream: _Stream, now: float) -> list[Effect]:
         call_id = stream.call_id
         if call_id is None:
             return []
         stream.call_id = None
+        self._watch.given_up(call_id, now)
         self._by_call.pop(call_id, None)
         if stream.backend is not None:
-            self._chooser.evidence(stream.backend.backend_id).in_flight -= 1
+            evidence = self._chooser.evidence(stream.backend.backend_id)
+            evidence.in_flight -= 1
+            evidence.suspects -= stream.is_suspect
         return [CancelCall(call_id)]
 
-    def _close(self, stream: _Stream) -> list[Effect]:
+    def _close(self, stream: _Stream, now: float) -> list[Effect]:
         self._streams.pop(stream.request.key, None)
         timer = CancelTimer(f"{TIMER_PREFIX}{stream.request.key}")
-        return [timer, *self._cold_wait.end(stream.request.key), *self._drop_call(stream)]
+        key = stream.request.key
+        waits = [*self._cold_wait.end(key), *self._gate.end(key)]
+        return [timer, *waits, *self._drop_call(stream, now)]
 
 
 def _last_event_id(headers: dict[str, str]) -> int:
--- a/src/merlinstand/protocol/idl/directory.thrift
+++ b/src/merlinstand/protocol/idl/directory.thrift
@@ -18,6 +18,10 @@
   7: optional i64 zones_revision;
   /** merlinstand.directory.cold_grants.ColdWishes in msgpack: sends to cold servers that it wants. */
   8: optional binary cold_wishes;
+  /** Revision held of the suspects; none from daemons that don't know them. */
+  9: optional i64 suspects_revision;
+  /** merlinstand.directory.suspect_news.SuspectNews in msgpack: servers that ended, and under what. */
+  10: optional binary suspect_news;
 }
 
 /** A control replica tells the leader of the heartbeats that it took. */
@@ -40,4 +44,6 @@
   7: optional i64 usage_mark;
   /** merlinstand.directory.cold_grants.ColdGrants in msgpack: cold servers it may use. */
   8: optional binary cold_grants;
+  /** Mark of the receiver's newest news of suspects that are agreed. */
+  9: optional i64 suspects_mark;
 }
--- a/tests/forwarding/test_cold_back_ends.py
+++ b/tests/forwarding/test_cold_back_ends.py
@@ -166,7 +166,7 @@
     budget.take(encode_grants(ColdGrants(0.0, {COLD[0].backend_id: 1})), 0.01)
     [call] = calls(streams.resume(0.01))
     assert call.address == COLD[0].address
-    streams.abort("k")
+    streams.abort("k", 1.0)
     assert calls(streams.begin(stream_request(), 0.1)) == []
     assert streams.resume(0.11) == []
     streams.on_timer("stream.cold:k", 0.14)
--- a/tests/forwarding/test_streams.py
+++ b/tests/forwarding/test_streams.py
@@ -139,7 +139,7 @@
 def test_a_caller_that_leaves_stops_the_work() -> None:
     streaming = Streaming(is_resumable=True)
     streaming.head()
-    assert CancelCall(streaming.call.call_id) in streaming.forwarder.abort("k")
+    assert CancelCall(streaming.call.call_id) in streaming.forwarder.abort("k", 1.0)
 
 
 def test_a_stream_that_begins_shows_that_its_zone_can_be_reached() -> None:
