--- a/src/merlinstand/directory/suspect_table.py
+++ b/src/merlinstand/directory/suspect_table.py
@@ -86,15 +86,17 @@
         if content in self._served:
             return None
         agreed = self._view.suspicions.get(content)
-        if agreed is not None and agreed.standing in (Standing.DOUBTFUL, Standing.QUARANTINED):
+        own = {b for b, untold in self._untold.items() if content in untold.contents}
+        if agreed is None:
+            return self._standing_after(len(own)) if own else None
+        if not own or agreed.standing in (Standing.DOUBTFUL, Standing.QUARANTINED):
             return agreed.standing
-        ends = {b for b, untold in self._untold.items() if content in untold.contents}
-        if agreed is not None:
-            ends.update(agreed.ends)
-        if len(ends) >= ENDS_TO_BLAME:
-            # Nobody can give leave to try it before the control group knows of it.
-            return Standing.QUARANTINED
-        return standing_after(len(ends)) if ends else None
+        return self._standing_after(len(own.union(agreed.ends)))
+
+    def _standing_after(self, ends: int) -> Standing:
+        """What is held against a request by ends that aren't all agreed."""
+        # Nobody can give leave to try a doubtful one before the control group knows of it.
+        return Standing.QUARANTINED if ends >= ENDS_TO_BLAME else standing_after(ends)
 
     def has_ended(self, backend_id: BackendId) -> bool:
         """Whether a server is known to have ended: no incarnation comes back."""
--- a/src/merlinstand/forwarding/forwarder.py
+++ b/src/merlinstand/forwarding/forwarder.py
@@ -300,7 +300,10 @@
             return self._give_up(pending, pending.last_reason, now)
         if self._candidate(pending, now) is not None:
             return self._send(pending, now)
-        return self._await_cold(pending, now) or self._pause(pending)
+        waits = self._await_cold(pending, now)
+        if not waits and self._admit(pending, now) is Admission.SPARING:
+            return self._give_up(pending, SPARED_REASON, now)
+        return waits or self._pause(pending)
 
     def _pause(self, pending: _Pending) -> list[Effect]:
         """Every server was asked: ask them once more, after a pause."""
--- /dev/null
+++ b/tests/directory/test_blame.py
@@ -0,0 +1,51 @@
+"""What tells a request that ends servers from those that only ran beside it."""
+
+import pytest
+
+from merlinstand.common.ids import ContentDigest
+from merlinstand.directory.blame import Standing, judge
+
+SUSPECT, GRAVE = Standing.SUSPECT, Standing.GRAVE
+DOUBTFUL, QUARANTINED = Standing.DOUBTFUL, Standing.QUARANTINED
+
+
+@pytest.mark.parametrize(
+    ("ends", "expected"),
+    [
+        pytest.param("", {}, id="nothing ended"),
+        pytest.param("g", {"g": SUSPECT}, id="one server"),
+        pytest.param("g g", {"g": GRAVE}, id="two servers"),
+        pytest.param("g g g", {"g": QUARANTINED}, id="three servers, alone"),
+        pytest.param("g g g g g", {"g": QUARANTINED}, id="more of them"),
+        pytest.param("gi gj gk", {"g": QUARANTINED}, id="others were beside it, each once"),
+        pytest.param("gi gi g", {"g": QUARANTINED}, id="another was beside it twice"),
+        pytest.param("gi gi gi", {"g": DOUBTFUL, "i": DOUBTFUL}, id="another was always there"),
+        pytest.param("gi gi gi g", {"g": QUARANTINED}, id="once without the other"),
+        pytest.param(
+            "gi gi gi g i", {"g": DOUBTFUL, "i": DOUBTFUL}, id="each of them once without the other"
+        ),
+        pytest.param("g g g gi i", {"g": QUARANTINED, "i": SUSPECT}, id="only the rest counts"),
+        pytest.param("g g g h h h", {"g": QUARANTINED, "h": QUARANTINED}, id="two guilty ones"),
+        pytest.param(
+            "gi g g hi h h ki k k",
+            {"g": QUARANTINED, "h": QUARANTINED, "k": QUARANTINED},
+            id="beside three guilty ones",
+        ),
+        pytest.param(
+            "gi g g hi h h i", {"g": QUARANTINED, "h": QUARANTINED, "i": SUSPECT}, id="beside two"
+        ),
+        pytest.param("gi gi gi h", {"g": DOUBTFUL, "i": DOUBTFUL, "h": SUSPECT}, id="apart"),
+        pytest.param(". . g", {"g": SUSPECT}, id="all were cleared of two ends"),
+    ],
+)
+def test_who_is_to_blame(ends: str, expected: dict[str, Standing]) -> None:
+    """Each word is a server that ended, each letter a request in flight there."""
+    contents = [[ContentDigest(c) for c in word if c != "."] for word in ends.split()]
+    assert judge(contents) == expected
+
+
+def test_the_order_of_ends_and_requests_makes_no_difference() -> None:
+    ends = [["g", "i"], ["i", "g"], ["g"], ["h", "i"], ["h"], ["h", "k"]]
+    forward = judge([[ContentDigest(c) for c in end] for end in ends])
+    backward = judge([[ContentDigest(c) for c in reversed(end)] for end in reversed(ends)])
+    assert forward == backward
--- /dev/null
+++ b/tests/directory/test_suspects.py
@@ -0,0 +1,234 @@
+"""The replicated ends of servers: how blame comes, lasts and ends."""
+
+from collections.abc import Sequence
+
+import msgspec
+from hypothesis import given
+from hypothesis import strategies as st
+
+from merlinstand.common.ids import BackendId, ContentDigest
+from merlinstand.directory.blame import Standing
+from merlinstand.directory.commands import (
+    AllowTrials,
+    BeginTrial,
+    DirectoryCommand,
+    EndTrial,
+    NoteEnds,
+    decode_command,
+    encode_command,
+)
+from merlinstand.directory.state_machine import DirectoryState
+from merlinstand.directory.suspect_news import ServerEnd
+from merlinstand.directory.suspects import (
+    CONTENTS_LIMIT,
+    ENDS_LIMIT,
+    MEMORY_SECONDS,
+    QUARANTINE_SECONDS,
+    TRIAL_PAUSE_SECONDS,
+    TRIAL_SECONDS,
+    UNSURE_QUARANTINE_SECONDS,
+)
+
+GUILTY, INNOCENT, OTHER = ContentDigest("g"), ContentDigest("i"), ContentDigest("o")
+PAUSE = TRIAL_PAUSE_SECONDS
+
+
+def end_of(number: int, *contents: ContentDigest) -> ServerEnd:
+    return ServerEnd(BackendId(f"b{number}"), contents)
+
+
+class Group:
+    """A directory whose commands go through the log's codec."""
+
+    def __init__(self) -> None:
+        self.state = DirectoryState()
+        self.index = 0
+
+    def apply(self, command: DirectoryCommand, at: float) -> None:
+        self.index += 1
+        self.state.apply(self.index, decode_command(encode_command(command)), at)
+
+    def note(
+        self, at: float, *ends: ServerEnd, served: Sequence[ContentDigest] = ()
+    ) -> dict[ContentDigest, Standing]:
+        self.apply(NoteEnds(ends, tuple(served)), at)
+        return self.standings
+
+    def trial_of(self, content: ContentDigest, at: float, asker: str = "d/1") -> bool:
+        """Whether this daemon gets leave to try a request."""
+        before = self.state.suspects.trials
+        self.apply(BeginTrial(content, asker), at)
+        return self.state.suspects.trials > before
+
+    @property
+    def standings(self) -> dict[ContentDigest, Standing]:
+        return self.state.suspects.standings
+
+
+def in_doubt() -> Group:
+    """Two requests that were there each time."""
+    group = Group()
+    for number in range(3):
+        group.note(float(number), end_of(number, GUILTY, INNOCENT))
+    assert set(group.standings.values()) == {Standing.DOUBTFUL}
+    return group
+
+
+def quarantined(*beside: ContentDigest) -> Group:
+    group = Group()
+    for number in range(3):
+        group.note(float(number), end_of(number, GUILTY, *beside[number : number + 1]))
+    assert group.standings == {GUILTY: Standing.QUARANTINED}
+    return group
+
+
+def test_an_end_that_several_daemons_tell_counts_once_and_adds_up_what_was_there() -> None:
+    group = Group()
+    group.note(1.0, end_of(1, GUILTY))
+    revision = group.state.suspects.revision
+    group.note(1.1, end_of(1, INNOCENT))
+    assert group.standings == {GUILTY: Standing.SUSPECT, INNOCENT: Standing.SUSPECT}
+    assert group.state.suspects.revision > revision
+
+
+def test_who_is_served_is_cleared_and_an_end_told_again_blames_nobody_anew() -> None:
+    group = Group()
+    group.note(1.0, end_of(1, GUILTY, INNOCENT))
+    group.note(1.2, served=[INNOCENT])
+    assert group.standings == {GUILTY: Standing.SUSPECT}
+    assert not group.state.suspects.is_news(end_of(1, GUILTY, INNOCENT))
+    assert group.note(1.4, end_of(1, GUILTY, INNOCENT)) == {GUILTY: Standing.SUSPECT}
+
+
+def test_once_the_guilty_one_is_known_who_ran_beside_it_is_free() -> None:
+    group = Group()
+    group.note(1.0, end_of(1, GUILTY, INNOCENT))
+    group.note(1.2, end_of(2, GUILTY, INNOCENT))
+    assert group.standings[INNOCENT] is Standing.GRAVE
+    assert group.note(1.4, end_of(3, GUILTY)) == {GUILTY: Standing.QUARANTINED}
+
+
+def test_in_doubt_each_is_tried_alone_and_the_innocent_one_is_free_first() -> None:
+    group = in_doubt()
+    assert not group.trial_of(INNOCENT, 2.0 + PAUSE - 0.1)
+    assert group.trial_of(INNOCENT, 2.0 + PAUSE)
+    assert not group.trial_of(GUILTY, 2.0 + PAUSE + 0.1, "d/2")
+    group.note(2.0 + PAUSE + 0.2, served=[INNOCENT])
+    assert group.standings == {GUILTY: Standing.QUARANTINED}
+    assert group.state.suspects.trial is None
+    assert not group.trial_of(GUILTY, 2.0 + PAUSE + 0.3)
+
+
+def test_in_doubt_the_guilty_one_ends_one_more_server_at_most() -> None:
+    group = in_doubt()
+    assert group.trial_of(GUILTY, 2.0 + PAUSE)
+    # Something else was at the server, too: it was not the one that was tried.
+    assert group.note(6.0, end_of(9, GUILTY, OTHER)) == {GUILTY: Standing.QUARANTINED}
+    assert not group.trial_of(GUILTY, 60.0)
+
+
+def test_a_trial_without_an_outcome_makes_room_for_the_next() -> None:
+    group = in_doubt()
+    assert group.trial_of(GUILTY, 10.0)
+    assert not group.trial_of(INNOCENT, 10.0 + TRIAL_SECONDS)
+    assert group.state.suspects.is_trial_late(10.0 + TRIAL_SECONDS + 0.1)
+    group.apply(EndTrial(group.state.suspects.trials), 10.0 + TRIAL_SECONDS + 0.1)
+    assert group.state.suspects.trial is None
+    assert group.trial_of(INNOCENT, 10.0 + TRIAL_SECONDS + 0.2)
+
+
+def test_the_late_end_of_an_earlier_trial_ends_no_later_one() -> None:
+    group = in_doubt()
+    group.trial_of(GUILTY, 10.0)
+    group.apply(EndTrial(1), 16.0)
+    group.trial_of(INNOCENT, 17.0)
+    group.apply(EndTrial(1), 18.0)
+    assert group.state.suspects.trial is not None
+
+
+def test_quarantine_ends_with_one_trial_and_begins_anew_with_the_next_end() -> None:
+    group = quarantined()
+    suspects = group.state.suspects
+    assert suspects.due_for_trial(2.0 + QUARANTINE_SECONDS) == ()
+    later = 2.0 + QUARANTINE_SECONDS + 1.0
+    assert suspects.due_for_trial(later) == (GUILTY,)
+    group.apply(AllowTrials((GUILTY,)), later)
+    assert group.standings == {GUILTY: Standing.DOUBTFUL}
+    assert suspects.due_for_trial(later) == ()
+    assert group.trial_of(GUILTY, later)
+    assert group.note(later + 1.0, end_of(7, GUILTY)) == {GUILTY: Standing.QUARANTINED}
+    assert suspects.due_for_trial(later + QUARANTINE_SECONDS) == ()
+
+
+def test_a_request_that_is_served_after_its_quarantine_is_free() -> None:
+    group = quarantined()
+    later = 2.0 + QUARANTINE_SECONDS + 1.0
+    group.apply(AllowTrials((GUILTY,)), later)
+    group.trial_of(GUILTY, later)
+    assert group.note(later + 0.1, served=[GUILTY]) == {}
+    assert group.state.suspects.trial is None
+
+
+def test_who_was_never_alone_at_an_end_is_tried_sooner() -> None:
+    group = quarantined(*(ContentDigest(f"x{number}") for number in range(3)))
+    due = group.state.suspects.due_for_trial
+    assert due(2.0 + UNSURE_QUARANTINE_SECONDS) == ()
+    assert due(2.0 + UNSURE_QUARANTINE_SECONDS + 0.1) == (GUILTY,)
+
+
+def test_an_old_end_is_forgotten_but_not_the_guilty_ones() -> None:
+    group = quarantined()
+    group.note(3.0, end_of(10, INNOCENT))
+    group.note(3.0 + MEMORY_SECONDS + 0.1, end_of(11, OTHER))
+    assert group.standings == {GUILTY: Standing.QUARANTINED, OTHER: Standing.SUSPECT}
+
+
+def test_the_tables_are_bounded() -> None:
+    group = Group()
+    crowd = tuple(ContentDigest(f"x{number}") for number in range(CONTENTS_LIMIT + 9))
+    group.note(0.0, end_of(0, *crowd))
+    assert len(group.state.suspects.ends[BackendId("b0")].blamed) == CONTENTS_LIMIT
+    assert not group.state.suspects.is_news(end_of(0, *crowd))
+    for number in range(1, ENDS_LIMIT + 9):
+        group.note(0.1, end_of(number, ContentDigest(f"y{number}")))
+    assert len(group.state.suspects.ends) == ENDS_LIMIT
+
+
+CONTENTS = st.sampled_from([ContentDigest(c) for c in "abc"])
+COMMANDS = st.one_of(
+    st.builds(
+        lambda number, contents: NoteEnds((end_of(number, *contents),), ()),
+        st.integers(0, 9),
+        st.lists(CONTENTS, min_size=1, max_size=3, unique=True),
+    ),
+    st.builds(lambda content: NoteEnds((), (content,)), CONTENTS),
+    st.builds(BeginTrial, CONTENTS, st.sampled_from(["d/1", "d/2"])),
+    st.builds(EndTrial, st.integers(1, 3)),
+    st.builds(lambda content: AllowTrials((content,)), CONTENTS),
+)
+
+
+@given(st.lists(st.tuples(COMMANDS, st.floats(0.0, 400.0)), max_size=25))
+def test_a_snapshot_gives_the_same_state_whatever_happened(
+    steps: list[tuple[DirectoryCommand, float]],
+) -> None:
+    group = Group()
+    now = 0.0
+    for command, pause in steps:
+        now += pause
+        group.apply(command, now)
+    copy = DirectoryState()
+    copy.restore(group.state.snapshot())
+    assert copy.suspects.view() == group.state.suspects.view()
+    assert copy.suspects.stored() == group.state.suspects.stored()
+    assert copy.suspects.due_for_trial(now + 700.0) == group.state.suspects.due_for_trial(
+        now + 700.0
+    )
+
+
+def test_a_snapshot_of_an_earlier_version_holds_nothing_against_anybody() -> None:
+    raw = msgspec.msgpack.decode(DirectoryState().snapshot())
+    del raw["suspects"]
+    state = DirectoryState()
+    state.restore(msgspec.msgpack.encode(raw))
+    assert state.suspects.standings == {}
