--- /dev/null
+++ b/tests/batch_jobs/test_held_items.py
@@ -0,0 +1,202 @@
+"""Items under which engines end: held back, apart from others, free again."""
+
+import pytest
+
+from merlinstand.batch_jobs.engines import EngineStates
+from merlinstand.batch_jobs.item_run import ItemRun, RunPhase
+from merlinstand.batch_jobs.model import BatchItem, BatchJob, ResultState
+from merlinstand.batch_jobs.runner import ItemRunner
+from merlinstand.batch_jobs.schedule import group_progress
+from merlinstand.batch_jobs.state_machine import AcceptJob, JobStates, ListResult
+from merlinstand.common.ids import BackendId, ContentDigest
+from merlinstand.directory.backends import Backend
+from merlinstand.directory.blame import Standing
+from merlinstand.directory.follower import DirectoryFollower
+from merlinstand.directory.routes import RoutesDocument, RouteTable, Service
+from merlinstand.directory.suspect_news import SuspectsView, Suspicion, Trial
+from merlinstand.forwarding.forwarder import Forwarder
+from merlinstand.forwarding.header_names import HeaderNames
+from merlinstand.forwarding.weighted_choice import WeightedChoice
+from merlinstand.kernel.effects import Effect, LogEvent, StartCall
+from merlinstand.kernel.events import CallChunk, CallEnded, CallFailed, CallHeaders, CallPhase
+from tests.batch_jobs.test_runner_scheduling import ROUTE, no_report
+
+LATE = 50.0
+ENGINES = 3
+
+
+class Keeper:
+    """A runner with one group of three items and three engines of three slots."""
+
+    def __init__(self) -> None:
+        self.follower = DirectoryFollower((), no_report)
+        services = (Service(name="llm", health_path="/healthz"),)
+        self.follower.routes = RouteTable(
+            RoutesDocument(version=1, routes=(ROUTE,), services=services)
+        )
+        self.follower.set_backends(
+            Backend(backend_id=BackendId(f"e{n}"), service="llm", address=f"10.0.0.{n}:1", slots=3)
+            for n in range(ENGINES)
+        )
+        self.suspects = self.follower.suspects
+        self.suspects.begin("k/1")
+        self.listed: list[ListResult] = []
+        engines = EngineStates(self.follower)
+        engines.refresh()
+        items = tuple(
+            BatchItem(
+                item_id=f"i{n}", path="/l/1", headers={"host": "h"}, body=b"%d" % n, group="g"
+            )
+            for n in range(3)
+        )
+        jobs = JobStates()
+        jobs.apply(AcceptJob(BatchJob(job_id="j", host="h", path="/l/", items=items)), 0.0)
+        names = HeaderNames()
+        self.runner = ItemRunner(
+            jobs,
+            self.follower,
+            engines,
+            Forwarder(names, self.follower.snapshot_of),
+            names,
+            lambda _backend, _model: True,
+            WeightedChoice(),
+            self._list,
+            lambda _parts, _now: [],
+            lambda now: now,
+        )
+        self.runner.begin(0.0)
+        self.revision = 0
+
+    def _list(self, command: ListResult, _now: float) -> list[Effect]:
+        self.listed.append(command)
+        return []
+
+    def run(self, number: int) -> ItemRun:
+        return self.runner._runs[f"j/i{number}"]
+
+    def content(self, number: int) -> ContentDigest:
+        return self.runner._content_of(self.run(number))
+
+    def told(self, now: float, trial: Trial | None = None, **held: Standing) -> None:
+        """The keeper is told what is held against its items."""
+        self.revision += 1
+        view = {self.content(int(name[1:])): Suspicion(s) for name, s in held.items()}
+        self.suspects.take(SuspectsView(view, trial), self.revision, now)
+        self.runner.review_held(now)
+
+    def begin(self, now: float) -> dict[str, StartCall]:
+        """What begins now, by item."""
+        return begun(self.runner.start_if_news(now))
+
+
+def begun(effects: list[Effect]) -> dict[str, StartCall]:
+    names = HeaderNames()
+    calls = [effect for effect in effects if isinstance(effect, StartCall)]
+    return {call.headers[names.request_id]: call for call in calls}
+
+
+def test_items_of_a_group_run_beside_each_other_while_nothing_is_held_against_them() -> None:
+    keeper = Keeper()
+    assert len({call.address for call in keeper.begin(0.0).values()}) == 1
+
+
+def test_suspects_run_apart_on_new_connections() -> None:
+    keeper = Keeper()
+    keeper.told(0.0, i0=Standing.SUSPECT, i1=Standing.SUSPECT, i2=Standing.SUSPECT)
+    calls = keeper.begin(0.0)
+    assert len({call.address for call in calls.values()}) == ENGINES
+    assert all(call.fresh_connection for call in calls.values())
+
+
+def test_a_quarantined_item_is_held_and_the_others_run() -> None:
+    keeper = Keeper()
+    keeper.told(0.0, i1=Standing.QUARANTINED)
+    effects = keeper.runner.start_if_news(0.0)
+    assert set(begun(effects)) == {"i0", "i2"}
+    assert keeper.run(1).phase is RunPhase.HELD
+    assert [e.fields["item"] for e in effects if isinstance(e, LogEvent)] == ["i1"]
+    assert begun(keeper.runner.tick(0.1)) == {}
+
+
+def test_a_held_item_is_listed_when_its_jobs_time_is_over() -> None:
+    keeper = Keeper()
+    keeper.told(0.0, i1=Standing.QUARANTINED)
+    keeper.begin(0.0)
+    keeper.runner.give_up_job("j", 700.0)
+    states = {c.result.item_id: c.result.state for c in keeper.listed}
+    assert states["i1"] is ResultState.TERMINATED
+
+
+def test_a_held_item_does_not_make_its_group_a_begun_one() -> None:
+    keeper = Keeper()
+    keeper.told(0.0, i0=Standing.QUARANTINED, i1=Standing.QUARANTINED, i2=Standing.QUARANTINED)
+    keeper.begin(0.0)
+    assert group_progress([keeper.run(n) for n in range(3)])[("j", "g")].begun == 0
+
+
+def test_an_item_that_is_cleared_runs_again() -> None:
+    keeper = Keeper()
+    keeper.told(0.0, i1=Standing.QUARANTINED)
+    keeper.begin(0.0)
+    keeper.told(1.0)
+    assert set(keeper.begin(1.0)) == {"i1"}
+
+
+def test_a_doubtful_item_is_wished_for_and_begins_with_leave_once() -> None:
+    keeper = Keeper()
+    keeper.told(0.0, i1=Standing.DOUBTFUL)
+    keeper.begin(0.0)
+    assert not keeper.suspects.is_tell_due(0.1)
+    keeper.runner.tick(LATE)
+    assert keeper.suspects.is_tell_due(LATE)
+    keeper.told(LATE, Trial(1, keeper.content(1), "k/1"), i1=Standing.DOUBTFUL)
+    [call] = keeper.begin(LATE).values()
+    keeper.runner.on_call(CallFailed(call.call_id, CallPhase.SENT, "timeout"), LATE + 0.1)
+    assert keeper.begin(LATE + 1.0) == {}
+    assert keeper.run(1).phase is RunPhase.HELD
+
+
+def test_the_end_of_a_job_takes_the_wish_along() -> None:
+    keeper = Keeper()
+    keeper.told(0.0, i1=Standing.DOUBTFUL)
+    keeper.begin(0.0)
+    keeper.runner.tick(LATE)
+    keeper.runner.end_job("j", LATE)
+    assert keeper.suspects.tell(LATE + 1.0) is None
+
+
+@pytest.mark.parametrize("phase", [CallPhase.SENT, CallPhase.BODY])
+def test_an_engine_that_ends_is_told_with_all_that_ran_there(phase: CallPhase) -> None:
+    keeper = Keeper()
+    calls = list(keeper.begin(0.0).values())
+    effects = [
+        effect
+        for call in calls
+        for effect in keeper.runner.on_call(CallFailed(call.call_id, phase, "reset"), 0.1)
+    ]
+    [probe] = [e for e in effects if isinstance(e, StartCall) and e.path == "/healthz"]
+    refused = CallFailed(probe.call_id, CallPhase.CONNECT, "refused")
+    keeper.runner._watch.on_call(refused, 0.11)
+    standings = {keeper.suspects.standing(keeper.content(n)) for n in range(3)}
+    assert standings == {Standing.SUSPECT}
+
+
+def test_a_whole_text_clears_its_item() -> None:
+    keeper = Keeper()
+    keeper.told(0.0, i1=Standing.SUSPECT)
+    call = keeper.begin(0.0)["i1"]
+    keeper.runner.on_call(CallHeaders(call.call_id, 200, {}), 0.1)
+    keeper.runner.on_call(CallChunk(call.call_id, b"id: 1\ndata: x\n\n"), 0.15)
+    content = keeper.content(1)
+    keeper.runner.on_call(CallEnded(call.call_id), 0.2)
+    assert keeper.suspects.standing(content) is None
+
+
+def test_after_two_ends_the_last_engine_is_spared() -> None:
+    keeper = Keeper()
+    for state in list(keeper.runner._engines.states.values())[:2]:
+        state.note_failure(0.0)
+    keeper.told(0.0, i1=Standing.GRAVE)
+    assert set(keeper.begin(0.1)) == {"i0", "i2"}
+    assert keeper.run(1).phase is RunPhase.WAITING
+    assert set(begun(keeper.runner.tick(9.0))) == {"i1"}
--- a/tests/users_platform/callers.py
+++ b/tests/users_platform/callers.py
@@ -545,8 +545,8 @@
         ]
 
 
-class CrashingCaller:
-    """Sends one request that ends servers again and again, each time with an id of its own."""
+class RepeatingCaller:
+    """Sends one request again and again, each time with an id of its own."""
 
     def __init__(
         self,
@@ -554,7 +554,7 @@
         gateways: list[str],
         times: tuple[float, ...],
         keys: tuple[str, ...] = (),
-        path: str = "/lookup/crash",
+        body: bytes = CRASH_MARK,
     ) -> None:
         """Begin with nothing sent.
 
@@ -563,13 +563,13 @@
             gateways: Addresses of the gateways; each send draws one.
             times: When it sends, by its own clock.
             keys: Keys that it may use.
-            path: What it asks for.
+            body: What it sends: by itself a request that ends servers.
         """
         self._name = name
         self._gateways = gateways
         self._times = times
         self._keys = keys
-        self._path = path
+        self._body = body
         self._random = random.Random(0)
         self._begun: dict[CallId, float] = {}
 
@@ -585,7 +585,7 @@
                 status = event.status if isinstance(event, CallResponded) else 0
                 seconds = now - self._begun.pop(event.call_id)
                 answer = LookupAnswer(event.call_id, status, "", b"", seconds)
-                return [WriteRecord("crashing", answer)]
+                return [WriteRecord(f"repeated-{self._name}", answer)]
             case _:
                 return []
 
@@ -600,9 +600,9 @@
                 call_id=call_id,
                 address=self._random.choice(self._gateways),
                 method="POST",
-                path=self._path,
+                path="/lookup/repeated",
                 headers=headers,
-                body=CRASH_MARK,
+                body=self._body,
                 timeout_seconds=LOOKUP_DEADLINE_MS / 1000 + 0.2,
                 host=HOST,
                 fresh_connection=True,
--- a/tests/users_platform/servers.py
+++ b/tests/users_platform/servers.py
@@ -114,10 +114,12 @@
 
     cold_seconds = 0.0
     """It stays cold this long after a start during the day; set by the world for all of them."""
+    work_seconds = 0.02
+    """From the beginning of a run to its answer."""
+    crashing_tenant = ""
+    """Only this tenant's requests end servers; of each tenant if there is none."""
 
-    def __init__(
-        self, service: str, address: str, zone: str, controls: list[str], work_seconds: float = 0.02
-    ) -> None:
+    def __init__(self, service: str, address: str, zone: str, controls: list[str]) -> None:
         self.service = service
         self.address = address
         self.zone = zone
@@ -125,7 +127,6 @@
         self.instance = ""
         self.sequence = 0
         self.cold_until = 0.0
-        self._work_seconds = work_seconds
         self._caller = ControlCaller(controls)
         self._working: dict[str, RequestReceived] = {}
 
@@ -194,9 +195,11 @@
 
     def _crash(self, event: RequestReceived) -> list[Effect]:
         """Begin a run that ends the server; nothing if the request is none of these."""
-        if not event.body.startswith(CRASH_MARK):
+        tenant = event.headers.get("x-tenant", "")
+        is_harmless = self.crashing_tenant not in ("", tenant)
+        if is_harmless or not event.body.startswith(CRASH_MARK):
             return []
-        content = (event.path, event.headers.get("x-tenant", ""), event.body)
+        content = (event.path, tenant, event.body)
         record = CrashArrival(self.instance, content, event.peer)
         return [WriteRecord("crashes", record), SetTimer("crash", CRASH_SECONDS)]
 
@@ -216,7 +219,7 @@
         )
         return [
             WriteRecord("arrivals", arrival),
-            SetTimer(f"work:{event.request_id}", self._work_seconds),
+            SetTimer(f"work:{event.request_id}", self.work_seconds),
         ]
 
     def _work_timer(self, name: str, now: float) -> list[Effect]:
--- a/tests/users_platform/world.py
+++ b/tests/users_platform/world.py
@@ -23,17 +23,17 @@
 )
 from tests.users_platform.callers import (
     COLD_START_SECONDS,
-    CrashingCaller,
     ForeignReader,
     LookupClient,
     Operator,
+    RepeatingCaller,
     Trainer,
     ZoneOperator,
     ZoneOrder,
     config,
 )
 from tests.users_platform.platform_standin import DUE_SECONDS, WINDOW_SECONDS, Platform
-from tests.users_platform.servers import Engine, RegisteredServer
+from tests.users_platform.servers import CRASH_MARK, Engine, RegisteredServer
 
 CONTROL_PORT = 8509
 FRONT_PORT = 8161
@@ -55,7 +55,7 @@
     """Whose request it is that runs under an id, where there are tenants; scoring is nobody's."""
     if request_id.startswith("score-"):
         return ""
-    return LOOKUPS_TENANT if request_id.startswith("c0-") else TRAINERS_TENANT
+    return LOOKUPS_TENANT if request_id.startswith(("c0-", "crash-")) else TRAINERS_TENANT
 
 
 class Day(Simulation):
@@ -264,11 +264,17 @@
         self.simulation.add_process(spec, 0.1)
         self.simulation.revived.add(name)
 
-    def add_crashing_caller(self, times: tuple[float, ...], name: str = "crash") -> None:
-        """Add a caller whose one request ends each server that begins to run it."""
-        keys = self.keys_of(LOOKUPS_TENANT)
-        make = lambda: CrashingCaller(name, self.gateway_addresses, times, keys)  # noqa: E731
-        self.add_caller(name, make)
+    def add_repeating_caller(
+        self,
+        times: tuple[float, ...],
+        name: str = "crash",
+        body: bytes = CRASH_MARK,
+        tenant: str = LOOKUPS_TENANT,
+    ) -> None:
+        """Add a caller of one request; left as it is, it ends each server that begins to run it."""
+        keys = self.keys_of(tenant)
+        gateways = self.gateway_addresses
+        self.add_caller(name, lambda: RepeatingCaller(name, gateways, times, keys, body))
 
     def add_operator(self, configs: list[tuple[float, dict[str, Any]]], name: str = "op") -> None:
         """Add an operator that sends configurations at given times."""
