--- a/tests/users_platform/test_crashing_requests.py
+++ b/tests/users_platform/test_crashing_requests.py
@@ -171,7 +171,7 @@
 def test_requests_that_ran_beside_a_crashing_one_are_served(
     seed: int, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    """Eight others come whenever the guilty one does, and take longer than it needs to end a server.
+    """Eight others come whenever the guilty one does, and take longer than it needs for an end.
 
     They end with it, time and again. What tells them apart: they are served whole where it is not,
     and it is found at an end without them. Then nothing is held against them any more.
