Time limits count the time for which a machine was suspended

Cause: reducers, timers, calls and kept connections went by the steady clock, which stands still while a machine is suspended; a leader that woke up took its lease for held. Now they go by the boot-time clock, and each loop watches the difference between the two clocks and sets its timers anew when it has grown. Not changed, since they bound fractions of a second of one step: the set-up of a connection, a send to a peer, the flush at the end.

--- a/src/merlinstand/cli/operator_client.py
+++ b/src/merlinstand/cli/operator_client.py
@@ -20,6 +20,7 @@
     UntrustedControlError,
 )
 from merlinstand.cli.http_request import Answer, request
+from merlinstand.common.boot_clock import boot_seconds
 from merlinstand.common.decoding import MALFORMED_INPUT
 from merlinstand.common.errors import ExitCode, MerlinstandError
 
@@ -69,7 +70,7 @@
     def __init__(
         self,
         settings: ClientSettings,
-        monotonic: Callable[[], float] = time.monotonic,
+        monotonic: Callable[[], float] = boot_seconds,
         sleep: Callable[[float], None] = time.sleep,
     ) -> None:
         """Create a client.
--- a/src/merlinstand/client/batches.py
+++ b/src/merlinstand/client/batches.py
@@ -17,6 +17,7 @@
     RejectedError,
 )
 from merlinstand.client.http_json import ErrorAnswer, HttpAnswer, decode_error, post_json
+from merlinstand.common.boot_clock import boot_seconds
 from merlinstand.common.decoding import MALFORMED_INPUT
 
 FIRST_BACK_OFF_SECONDS = 0.1
@@ -132,7 +133,7 @@
             The batch. It counts as received: keep `position` with the checkpoint that holds
             it.
         """
-        ends_at = time.monotonic() + deadline_seconds
+        ends_at = boot_seconds() + deadline_seconds
         back_off_seconds = FIRST_BACK_OFF_SECONDS
         while True:
             outcome = self._try_once(trainer_version)
@@ -146,7 +147,7 @@
                 back_off_seconds = min(back_off_seconds * 2.0, LONGEST_BACK_OFF_SECONDS)
             else:
                 back_off_seconds = FIRST_BACK_OFF_SECONDS
-            if time.monotonic() + wait_seconds >= ends_at:
+            if boot_seconds() + wait_seconds >= ends_at:
                 return outcome
             self._sleep(wait_seconds)
 
@@ -161,7 +162,7 @@
             last_received_nonce=self.position.last_received_nonce,
         )
         address = self._owner or self._addresses[self._current % len(self._addresses)]
-        sent_at = time.monotonic()
+        sent_at = boot_seconds()
         answered = post_json(
             address,
             f"/v1/jobs/{quote(self._job, safe='')}/batches",
@@ -191,7 +192,7 @@
         ):
             return Err(NoAnswerError(detail="an answer to another request was dropped"))
         limit_seconds = batch.use_within_seconds
-        if limit_seconds is not None and time.monotonic() - sent_at > limit_seconds:
+        if limit_seconds is not None and boot_seconds() - sent_at > limit_seconds:
             detail = "the answer took so long that the batch may be older than its bound"
             return Err(NoAnswerError(detail=detail, retry_after_seconds=0.0))
         self.position = Position(batch.batch, batch.nonce)
--- a/src/merlinstand/client/weights.py
+++ b/src/merlinstand/client/weights.py
@@ -10,6 +10,7 @@
 
 from merlinstand.client.errors import ClientError, NoAnswerError, RejectedError
 from merlinstand.client.http_json import HttpAnswer, decode_error, post_json
+from merlinstand.common.boot_clock import boot_seconds
 from merlinstand.common.decoding import MALFORMED_INPUT
 from merlinstand.control.commands import PublishWeights
 
@@ -69,7 +70,7 @@
         raise ValueError("no control address")
     body = msgspec.json.encode(_CommandBody(command_id=uuid.uuid4().hex, command=weights))
     headers = {"Authorization": f"Bearer {token}"} if token else {}
-    ends_at = time.monotonic() + deadline_seconds
+    ends_at = boot_seconds() + deadline_seconds
     back_off_seconds = FIRST_BACK_OFF_SECONDS
     tries = 0
     leader = ""
@@ -92,7 +93,7 @@
             problem = NoAnswerError(detail=f"{address}: {decode_error(answer).detail}")
         else:
             problem = answered.err_value
-        if time.monotonic() + back_off_seconds >= ends_at:
+        if boot_seconds() + back_off_seconds >= ends_at:
             return Err(problem)
         # Also before asking the named leader: during an election replicas may name each other.
         sleep(back_off_seconds * random.uniform(0.5, 1.0))
--- a/src/merlinstand/runtime/host.py
+++ b/src/merlinstand/runtime/host.py
@@ -10,6 +10,7 @@
 from gevent.event import Event as LoopEvent
 from result import Err
 
+from merlinstand.common.boot_clock import steady_seconds
 from merlinstand.common.ids import NodeId
 from merlinstand.common.system_random import random_bits
 from merlinstand.kernel.effects import Effect
@@ -21,7 +22,7 @@
     WallClockRead,
 )
 from merlinstand.kernel.reducer import Reducer
-from merlinstand.runtime import early_listeners
+from merlinstand.runtime import early_listeners, wake_up
 from merlinstand.runtime.addresses import parse_address
 from merlinstand.runtime.disk import Disk, NoDisk
 from merlinstand.runtime.errors import HostSetupError
@@ -104,6 +105,7 @@
             self._traffic,
         )
         self.metrics.register(self.transport.counters)
+        self._wake_up = wake_up.of_this_loop()
         self._timers = Timers(lambda name: self.submit(TimerFired(name)))
         self._disk: Disk = NoDisk(self.submit)
         self._endpoint = HttpEndpoint(self.submit, self.metrics, settings.http_limits)
@@ -152,11 +154,12 @@
             "host.listening",
             {"http": self.http_address, "internal": self.transport.address},
         )
+        self._wake_up.follow(self)
         self._sweeper = gevent.spawn(self._sweep)
         self._loop_watcher = gevent.spawn(self._watch_loop)
         self._traffic_teller = gevent.spawn(self._tell_traffic)
         try:
-            self._perform(self._reducer.start(started, time.monotonic()))
+            self._perform(self._reducer.start(started, self._wake_up.now()))
         except Exception:
             self._fail("host.reducer_failed", {"on": "Started"})
         self._drain_events()
@@ -208,7 +211,13 @@
         self._timers.close()
         self._close()
 
+    def catch_up(self, suspended_seconds: float) -> None:
+        """The machine was suspended; whoever reads the log wonders where that time is."""
+        fields = {"seconds": round(suspended_seconds, 3)}
+        self.log.write("host.suspended", fields, "warning")
+
     def _close(self) -> None:
+        self._wake_up.leave(self)
         self._client.close()
         self.transport.close()
         for server in self._servers:
@@ -291,7 +300,7 @@
                 if self._stopping.is_set():
                     continue
                 try:
-                    effects = self._reducer.reduce(event, time.monotonic())
+                    effects = self._reducer.reduce(event, self._wake_up.now())
                 except Exception:
                     self._fail("host.reducer_failed", {"on": type(event).__name__})
                     continue
@@ -318,9 +327,9 @@
     def _watch_loop(self) -> None:
         """Say when the loop stood still: a frozen machine can't tell, but it can afterwards."""
         while True:
-            begun_at = time.monotonic()
+            begun_at = steady_seconds()
             gevent.sleep(LOOP_CHECK_SECONDS)
-            stood_seconds = time.monotonic() - begun_at - LOOP_CHECK_SECONDS
+            stood_seconds = steady_seconds() - begun_at - LOOP_CHECK_SECONDS
             if stood_seconds >= LOOP_STALL_SECONDS:
                 fields = {"seconds": round(stood_seconds, 3)}
                 self.log.write("host.loop_stalled", fields, "warning")
--- a/src/merlinstand/runtime/http_client.py
+++ b/src/merlinstand/runtime/http_client.py
@@ -5,13 +5,13 @@
 one `StartCall` leads to at most one request on the wire.
 """
 
-import time
 from collections.abc import Callable
 
 import gevent
 from gevent import Greenlet
 from geventhttpclient.response import HTTPParseError
 
+from merlinstand.common.boot_clock import boot_seconds
 from merlinstand.common.ids import CallId
 from merlinstand.kernel.effects import StartCall
 from merlinstand.kernel.events import (
@@ -166,7 +166,7 @@
         call = self._call
         connection = self._pool.take(call.address, call.fresh_connection, call.connect_seconds)
         self._connection = connection
-        self._sent_at = time.monotonic()
+        self._sent_at = boot_seconds()
         if connection.encrypted:
             # TLS may hand bytes on before it reports an error: assume the worst.
             self.phase = CallPhase.SENT
--- a/src/merlinstand/runtime/http_connection.py
+++ b/src/merlinstand/runtime/http_connection.py
@@ -4,7 +4,6 @@
 import re
 import socket
 import struct
-import time
 from typing import TYPE_CHECKING, Any
 
 import gevent.ssl
@@ -14,6 +13,7 @@
     HTTPResponse,
 )
 
+from merlinstand.common.boot_clock import boot_seconds
 from merlinstand.kernel.effects import StartCall
 from merlinstand.runtime.dialing import dial, limit_silence, probe_when_idle
 from merlinstand.runtime.http_headers import HOP_BY_HOP_HEADERS, merge_header
@@ -80,7 +80,7 @@
 
     def note_kept(self) -> None:
         """It rests from now on: it may go silent unnoticed."""
-        self.idle_since = time.monotonic()
+        self.idle_since = boot_seconds()
         if not self.is_kept:
             self.is_kept = True
             limit_silence(self._socket, KEPT_SILENCE_SECONDS)
@@ -135,7 +135,7 @@
         idle = self._idle.get(address)
         while idle and not fresh:
             connection = idle.pop()
-            is_young = time.monotonic() - connection.idle_since < connection.idle_seconds
+            is_young = boot_seconds() - connection.idle_since < connection.idle_seconds
             if is_young and connection.is_quiet():
                 return connection
             connection.close()
@@ -169,7 +169,7 @@
 
     def sweep(self) -> None:
         """Close connections that were idle for too long."""
-        now = time.monotonic()
+        now = boot_seconds()
         for address, idle in list(self._idle.items()):
             young = [c for c in idle if now - c.idle_since < c.idle_seconds]
             for connection in idle:
--- a/src/merlinstand/runtime/timers.py
+++ b/src/merlinstand/runtime/timers.py
@@ -4,6 +4,21 @@
 from typing import Any
 
 import gevent
+import msgspec
+
+from merlinstand.common.boot_clock import boot_seconds
+from merlinstand.runtime import wake_up
+
+ORDER_SECONDS = 1e-6
+"""Keeps timers that came due during a suspension apart."""
+
+
+class _Timer(msgspec.Struct):
+    """A pending timer."""
+
+    due: float
+    """By the clock that counts suspensions."""
+    watcher: Any
 
 
 class Timers:
@@ -17,29 +32,50 @@
         """
         self._on_fired = on_fired
         self._loop = gevent.get_hub().loop
-        self._watchers: dict[str, Any] = {}
+        self._pending: dict[str, _Timer] = {}
+        self._wake_up = wake_up.of_this_loop()
+        self._wake_up.follow(self)
 
     def set(self, name: str, delay_seconds: float) -> None:
         """Start a timer, replacing a pending one of that name."""
         self.cancel(name)
-        watcher = self._loop.timer(max(delay_seconds, 0.0))
-        self._watchers[name] = watcher
+        delay_seconds = max(delay_seconds, 0.0)
+        due = boot_seconds() + delay_seconds
+        self._pending[name] = _Timer(due, self._start(name, delay_seconds))
+
+    def _start(self, name: str, delay_seconds: float) -> Any:
+        watcher = self._loop.timer(delay_seconds)
         # The loop caches its time; without the update a delay would be counted from
         # the start of the present turn of the loop and fire early.
         watcher.start(self._fire, name, update=True)
+        return watcher
+
+    def catch_up(self, suspended_seconds: float) -> None:
+        """The machine was suspended: what came due meanwhile fires now, in its order."""
+        now = boot_seconds()
+        pending = sorted(self._pending.items(), key=lambda item: item[1].due)
+        for position, (name, timer) in enumerate(pending):
+            _end(timer.watcher)
+            delay_seconds = max(timer.due - now, position * ORDER_SECONDS)
+            timer.watcher = self._start(name, delay_seconds)
 
     def cancel(self, name: str) -> None:
         """Forget a pending timer, if there is one."""
-        watcher = self._watchers.pop(name, None)
-        if watcher is not None:
-            watcher.stop()
-            watcher.close()
+        timer = self._pending.pop(name, None)
+        if timer is not None:
+            _end(timer.watcher)
 
     def close(self) -> None:
         """Forget all timers."""
-        for name in list(self._watchers):
+        self._wake_up.leave(self)
+        for name in list(self._pending):
             self.cancel(name)
 
     def _fire(self, name: str) -> None:
         self.cancel(name)
         self._on_fired(name)
+
+
+def _end(watcher: Any) -> None:
+    watcher.stop()
+    watcher.close()
--- a/src/merlinstand/runtime/watchdog.py
+++ b/src/merlinstand/runtime/watchdog.py
@@ -1,11 +1,13 @@
 """Time limits for one greenlet that change at every step but seldom run out."""
 
 import math
-import time
 from typing import Any
 
 import gevent
 
+from merlinstand.common.boot_clock import boot_seconds
+from merlinstand.runtime import wake_up
+
 
 class Watchdog:
     """Raises an error in its greenlet when a step takes too long.
@@ -33,7 +35,7 @@
             seconds: Longest duration from now.
             error: Raised in the greenlet, wherever it waits, when time is up.
         """
-        now = time.monotonic()
+        now = boot_seconds()
         self._due = now + seconds
         self._error = error
         if self._fires_at > self._due:
@@ -53,19 +55,26 @@
         self._fires_at = now + seconds
         self._timer = self._loop.timer(seconds)
         self._timer.start(self._fire, update=True)
+        wake_up.of_this_loop().follow(self)
+
+    def catch_up(self, suspended_seconds: float) -> None:
+        """The machine was suspended: the step's time may be over."""
+        now = boot_seconds()
+        self._arm(max(0.0, self._fires_at - now), now)
 
     def _disarm(self) -> None:
         if self._timer is not None:
             self._timer.stop()
             self._timer.close()
             self._timer = None
+            wake_up.of_this_loop().leave(self)
         self._fires_at = math.inf
 
     def _fire(self) -> None:
         self._disarm()
         if self._due == math.inf:
             return
-        now = time.monotonic()
+        now = boot_seconds()
         left = self._due - now
         if left > 0:
             self._arm(left, now)
--- a/tests/runtime/test_suspended_machine.py
+++ b/tests/runtime/test_suspended_machine.py
@@ -7,6 +7,7 @@
 
 import inspect
 import time
+import weakref
 from collections.abc import Callable, Iterator, Sequence
 from typing import Any
 
@@ -35,6 +36,7 @@
     StopRequested,
     TimerFired,
 )
+from merlinstand.runtime import wake_up
 from merlinstand.runtime.host import Host
 from merlinstand.runtime.host_settings import HostSettings
 from merlinstand.runtime.http_client import HttpClient
@@ -66,6 +68,8 @@
         suspended[0] += SUSPENDED_SECONDS
 
     monkeypatch.setattr(time, "clock_gettime", read)
+    # A clock that went back at the end of a test would make the next suspension look like none.
+    monkeypatch.setattr(wake_up, "_watches", weakref.WeakKeyDictionary())
     return strike
 
 
