--- a/src/merlinstand_lab/simulator/calls.py
+++ b/src/merlinstand_lab/simulator/calls.py
@@ -127,6 +127,10 @@
         link = self._simulation.network.link(self.server, self.client)
         return not link.cuts and now - self.server.ended_at > 2.0 * link.latency
 
+    def postpone(self, seconds: float) -> None:
+        """Give the call so much more time."""
+        self._deadline_base += seconds
+
     def _timeout(self) -> float:
         return self.client.local_clock.true_delay(self.effect.timeout_seconds)
 
--- a/src/merlinstand_lab/simulator/clock.py
+++ b/src/merlinstand_lab/simulator/clock.py
@@ -58,6 +58,9 @@
             self.environment.run(until=time)
 
 
+SHORTEST_DELAY_SECONDS = 1e-9
+
+
 class LocalClock:
     """A machine's monotonic clock: any offset and a bounded rate error."""
 
@@ -73,10 +76,17 @@
         self.offset_seconds = offset_seconds
         self.rate = 1.0 + drift
 
+    def stand_still(self, seconds: float) -> None:
+        """Leave a span of true time out, as a steady clock does with a suspension."""
+        self.offset_seconds -= seconds * self.rate
+
     def now(self) -> float:
         """Return local time in seconds."""
         return self.offset_seconds + float(self._environment._now) * self.rate
 
     def true_delay(self, local_delay_seconds: float) -> float:
         """Return how much true time passes during a local delay."""
-        return local_delay_seconds / self.rate if local_delay_seconds > 0.0 else 0.0
+        if local_delay_seconds <= 0.0:
+            return 0.0
+        # What rounding leaves of a delay must not be lost again: it would never be over.
+        return max(SHORTEST_DELAY_SECONDS, local_delay_seconds / self.rate)
--- a/src/merlinstand_lab/simulator/process.py
+++ b/src/merlinstand_lab/simulator/process.py
@@ -173,6 +173,21 @@
         finally:
             self._thawing = False
 
+    def suspend(self, seconds: float) -> None:
+        """Suspend the machine for a while; for others this is a freeze."""
+        self.freeze()
+        self._clock.call_at(self._clock.now + seconds, self._resume, seconds, self.life)
+
+    def _resume(self, seconds: float, life: int) -> None:
+        if life != self.life:
+            return
+        if not self.spec.counts_suspensions:
+            self.local_clock.stand_still(seconds)
+            self._timers.postpone(seconds)
+            for call in self.calls.values():
+                call.postpone(seconds)
+        self.thaw()
+
     def _drain(self, inbox: list[Event | Callable[[], None]], life: int) -> None:
         for position, item in enumerate(inbox):
             if self.life != life:
--- a/src/merlinstand_lab/simulator/process_timers.py
+++ b/src/merlinstand_lab/simulator/process_timers.py
@@ -50,6 +50,12 @@
         if timer is not None:
             timer.due = -1.0
 
+    def postpone(self, seconds: float) -> None:
+        """Let all timers fire so much later."""
+        for timer in self._timers.values():
+            if timer.due >= 0.0:
+                timer.due += seconds
+
     def _schedule(self, name: str, timer: Timer) -> None:
         timer.pending_at = timer.due
         self._clock.call_at(timer.due, self._due, name, timer, timer.due, self._process.life)
--- a/tests/users_platform/world.py
+++ b/tests/users_platform/world.py
@@ -86,7 +86,9 @@
         has_cold: bool = False,
         groups: int = 4,
         crashing: tuple[str, ...] = (),
+        counts_suspensions: bool = True,
     ) -> None:
+        self._counts_suspensions = counts_suspensions
         self.has_cold = has_cold
         self.keys = TENANT_KEYS if has_tenants else {}
         self.simulation = Day(seed, VITRINA)
@@ -224,6 +226,7 @@
             http_address=address,
             internal_address=node.internal_address,
             make_reducer=make,
+            counts_suspensions=self._counts_suspensions,
             keeps_disk=machine_class != "edge",
         )
         return self.simulation.add_process(spec, start_at)
