Soak: requests that end servers, suspended machines, overlapping signals, many gateways

Servers of the real-process world end and come back; each daemon runs in a wrapper that lets its boot-time clock jump as after a suspension. Tests of the watch that notices suspensions.

--- /dev/null
+++ b/tests/runtime/test_wake_up.py
@@ -0,0 +1,150 @@
+"""How a loop notices that its machine was suspended."""
+
+import time
+
+import gevent
+import pytest
+
+from merlinstand.runtime import wake_up
+from merlinstand.runtime.timers import Timers
+from merlinstand.runtime.wake_up import LOOK_SECONDS, SHORTEST_SECONDS, WakeUp
+from merlinstand.runtime.watchdog import Watchdog
+
+
+class Clocks:
+    """Both clocks of a machine, in the hands of a test."""
+
+    def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        self.suspended = 0.0
+        self.delay = 0.0
+        """Passes between two readings."""
+        self._real = time.clock_gettime
+        self._passed = 0.0
+        monkeypatch.setattr(time, "clock_gettime", self.read)
+        monkeypatch.setattr(wake_up, "_watches", type(wake_up._watches)())
+
+    def read(self, clock: int) -> float:
+        self._passed += self.delay
+        suspended = self.suspended if clock == time.CLOCK_BOOTTIME else 0.0
+        return self._real(clock) + suspended + self._passed
+
+
+class Told:
+    """A follower."""
+
+    def __init__(self) -> None:
+        self.seconds: list[float] = []
+
+    def catch_up(self, suspended_seconds: float) -> None:
+        self.seconds.append(round(suspended_seconds, 2))
+
+
+@pytest.fixture
+def clocks(monkeypatch: pytest.MonkeyPatch) -> Clocks:
+    return Clocks(monkeypatch)
+
+
+def test_each_suspension_is_told_once_by_whoever_asks_the_time(clocks: Clocks) -> None:
+    watch, told = WakeUp(), Told()
+    watch.follow(told)
+    before = watch.now()
+    for seconds in (2.0, 3.0):
+        clocks.suspended += seconds
+        assert watch.now() - before >= clocks.suspended
+        watch.now()
+    watch.leave(told)
+    assert told.seconds == [2.0, 3.0]
+
+
+def test_it_is_noticed_without_any_event(clocks: Clocks) -> None:
+    told = Told()
+    watch = wake_up.of_this_loop()
+    watch.follow(told)
+    clocks.suspended += 2.0
+    with gevent.Timeout(20 * LOOK_SECONDS):
+        while not told.seconds:
+            gevent.sleep(LOOK_SECONDS / 5)
+    watch.leave(told)
+
+
+@pytest.mark.parametrize(
+    ("suspended", "delay"),
+    [
+        pytest.param(SHORTEST_SECONDS / 2, 0.0, id="too short to matter"),
+        pytest.param(0.0, 0.001, id="slow readings"),
+    ],
+)
+def test_what_is_no_suspension(clocks: Clocks, suspended: float, delay: float) -> None:
+    watch, told = WakeUp(), Told()
+    watch.follow(told)
+    clocks.suspended += suspended
+    clocks.delay = delay
+    for _ in range(5):
+        watch.now()
+    watch.leave(told)
+    assert told.seconds == []
+
+
+def test_a_processor_that_was_lost_between_two_readings_is_no_suspension(clocks: Clocks) -> None:
+    watch, told = WakeUp(), Told()
+    watch.follow(told)
+    readings = iter([0.0, 1.0])
+
+    def slow_once(clock: int) -> float:
+        clocks._passed += next(readings, 0.0)
+        return Clocks.read(clocks, clock)
+
+    time.clock_gettime = slow_once
+    watch.now()
+    watch.leave(told)
+    assert told.seconds == []
+
+
+def test_timers_that_came_due_meanwhile_fire_in_their_order_and_others_wait(
+    clocks: Clocks,
+) -> None:
+    fired: list[str] = []
+    timers = Timers(fired.append)
+    for name, seconds in (("c", 50.0), ("a", 30.0), ("later", 70.0), ("b", 40.0)):
+        timers.set(name, seconds)
+    timers.set("gone", 10.0)
+    timers.cancel("gone")
+    clocks.suspended += 60.0
+    wake_up.of_this_loop().now()
+    gevent.sleep(0.1)
+    assert fired == ["a", "b", "c"]
+    clocks.suspended += 60.0
+    wake_up.of_this_loop().now()
+    gevent.sleep(0.1)
+    timers.close()
+    assert fired == ["a", "b", "c", "later"]
+
+
+def test_a_step_whose_time_passed_meanwhile_ends_and_a_longer_one_goes_on(clocks: Clocks) -> None:
+    ended: list[str] = []
+
+    def step(name: str, seconds: float) -> None:
+        watchdog = Watchdog()
+        watchdog.limit(seconds, TimeoutError)
+        try:
+            gevent.sleep(5.0)
+        except TimeoutError:
+            ended.append(name)
+        finally:
+            watchdog.close()
+
+    steps = [gevent.spawn(step, "short", 30.0), gevent.spawn(step, "long", 90.0)]
+    gevent.sleep(0)
+    clocks.suspended += 60.0
+    wake_up.of_this_loop().now()
+    gevent.sleep(0.1)
+    assert ended == ["short"]
+    gevent.killall(steps)
+
+
+def test_nobody_is_watched_after_the_last_has_left(clocks: Clocks) -> None:
+    timers = Timers(lambda _name: None)
+    watch = wake_up.of_this_loop()
+    assert watch._timer is not None
+    timers.close()
+    assert watch._timer is None
--- a/tests/users_platform/callers.py
+++ b/tests/users_platform/callers.py
@@ -561,7 +561,7 @@
         Args:
             name: Begins its requests' ids.
             gateways: Addresses of the gateways; each send draws one.
-            times: When it sends, by its own clock.
+            times: When it sends, in seconds from its start.
             keys: Keys that it may use.
             body: What it sends: by itself a request that ends servers.
         """
@@ -575,7 +575,7 @@
 
     def start(self, event: Started, now: float) -> list[Effect]:
         self._random = random.Random(event.seed)
-        return [SetTimer(f"{n}", max(0.01, at - now)) for n, at in enumerate(self._times)]
+        return [SetTimer(f"{n}", max(0.01, at)) for n, at in enumerate(self._times)]
 
     def reduce(self, event: Event, now: float) -> list[Effect]:
         match event:
--- a/tests/users_platform/real_world.py
+++ b/tests/users_platform/real_world.py
@@ -11,7 +11,7 @@
 import subprocess
 import sys
 import sysconfig
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from pathlib import Path
 from types import SimpleNamespace
 from typing import Any
@@ -21,7 +21,7 @@
 from gevent.server import StreamServer
 from gevent.socket import create_connection
 
-from merlinstand.kernel.effects import Effect, WriteRecord
+from merlinstand.kernel.effects import Effect, StopProcess, WriteRecord
 from merlinstand.kernel.events import Event, Started
 from merlinstand.kernel.reducer import Reducer
 from merlinstand.runtime.host import Host
@@ -29,6 +29,7 @@
 from tests.users_platform.callers import (
     LookupClient,
     Operator,
+    RepeatingCaller,
     Trainer,
     ZoneOperator,
     ZoneOrder,
@@ -38,12 +39,15 @@
 from tests.users_platform.servers import Engine, RegisteredServer
 from tests.users_platform.world import (
     LOOKUPS_TENANT,
+    REVIVAL_SECONDS,
     TENANT_KEYS,
     TRAINERS_TENANT,
     tenant_of,
 )
 
 ROOT = Path(__file__).resolve().parents[2]
+START = ROOT / "tests" / "users_platform" / "suspendable_start.py"
+"""Runs `platform/start.py` itself."""
 CONTROL_PORT = 18509
 FRONT_PORT = 18161
 READY_PORT = 18167
@@ -59,6 +63,10 @@
 """The programs run without `site`, as in deploy/system.toml: they find their own code, and of the
 virtual environment only what stands here."""
 RECEIVE_BYTES = 65536
+CRASHING_ITEMS = ("t0-0-1-1", "score-t0-1-2-0")
+"""An item, and the scoring call of another, that end the servers which run them."""
+CRASH_TIMES = tuple(7.0 + 0.9 * number for number in range(60))
+"""When a caller's request that does so comes again, from the caller's start."""
 ORDER_LIMIT_SECONDS = 10.0
 """Twice what an acknowledgement may take while the leader is replaced."""
 ORDER_LOOK_SECONDS = 0.05
@@ -85,9 +93,12 @@
 class Recording:
     """Keeps what a stand-in records, with the time of each record."""
 
-    def __init__(self, reducer: Any, records: SimpleNamespace) -> None:
+    def __init__(
+        self, reducer: Any, records: SimpleNamespace, on_end: Callable[[], None] = lambda: None
+    ) -> None:
         self._reducer = reducer
         self._records = records
+        self._on_end = on_end
 
     def start(self, event: Started, now: float) -> Sequence[Effect]:
         return self._keep(self._reducer.start(event, now), now)
@@ -101,6 +112,8 @@
             if isinstance(effect, WriteRecord):
                 self._records.records.setdefault(effect.stream, []).append(effect.record)
                 self._records.record_times.setdefault(effect.stream, []).append(now)
+            elif isinstance(effect, StopProcess):
+                self._on_end()
             else:
                 others.append(effect)
         return others
@@ -110,6 +123,7 @@
     """A TCP proxy on loopback that can be cut or reset."""
 
     def __init__(self, address: tuple[str, int], target: tuple[str, int]) -> None:
+        self._address = address
         self._target = target
         self._open = LoopEvent()
         self._open.set()
@@ -117,6 +131,16 @@
         self._server = StreamServer(address, self._serve)
         self._server.start()
 
+    def go_down(self) -> None:
+        """The server has ended: its connections are reset, new ones refused."""
+        self._server.stop(timeout=0)
+        self.reset()
+
+    def come_up(self) -> None:
+        """The server is back."""
+        self._server = StreamServer(self._address, self._serve)
+        self._server.start()
+
     def cut(self) -> None:
         """Hold every byte back, in silence."""
         self._open.clear()
@@ -202,7 +226,7 @@
         self._starts += 1
         with (self._folder / "log").open("ab") as log:
             self.process = subprocess.Popen(
-                [sys.executable, "-S", str(ROOT / "platform" / "start.py"), self.role],
+                [sys.executable, "-S", str(START), self.role],
                 env={
                     **os.environ,
                     "MERLINSTAND_NODE_FILE": str(settings),
@@ -242,26 +266,31 @@
 class RealWorld:
     """Daemons as processes; servers, an operator, a trainer and a client in this process."""
 
-    def __init__(self, folder: Path, seed: int, steps: int = 3) -> None:
+    def __init__(
+        self, folder: Path, seed: int, steps: int = 3, gateways: int = 2, crashes: bool = False
+    ) -> None:
         """Start everything.
 
         Args:
             folder: For settings, data and logs.
             seed: Of the stand-ins.
             steps: Steps of the trainer.
+            gateways: How many there are.
+            crashes: Whether an item and a caller's request end the servers that run them.
         """
         self.folder = folder
         self.simulation = SimpleNamespace(records={}, record_times={}, failures=[])
         self._claim, base = _claim_network()
         self.control_ips = [f"{base}.{zone}.14" for zone in (1, 2, 3)]
         keeper_ips = [f"{base}.{zone}.13" for zone in (1, 2, 3)]
-        gateway_ips = [f"{base}.{zone}.10" for zone in (1, 2)]
+        gateway_ips = [f"{base}.{1 + n % 3}.{10 + n // 3 * 10}" for n in range(gateways)]
         self.controls = [Machine(self, "control", i, z) for i, z in self._zoned(self.control_ips)]
         self.keepers = [Machine(self, "keeper", i, z) for i, z in self._zoned(keeper_ips)]
         self.gateways = [Machine(self, "gateway", i, z) for i, z in self._zoned(gateway_ips)]
         self.machines = [*self.controls, *self.keepers, *self.gateways]
         self.proxies: list[Proxy] = []
         self._hosts: list[Host] = []
+        self._is_closed = False
         self._seed = seed
         for machine in self.machines:
             machine.start()
@@ -272,10 +301,20 @@
         for number, zone in enumerate(ZONES, 1):
             shop = f"{base}.{number}.64"
             proxied = f"{shop}:{PROXY_PORT}"
-            self._host_server(shop, RegisteredServer("shop", proxied, zone, controls))
+            self._host_server(
+                shop,
+                lambda proxied=proxied, zone=zone: RegisteredServer(
+                    "shop", proxied, zone, controls
+                ),
+            )
             engine = f"{base}.{number}.65"
             proxied = f"{engine}:{PROXY_PORT}"
-            self._host_server(engine, Engine("llm-m0", proxied, zone, controls, ["m0"]))
+            self._host_server(
+                engine,
+                lambda proxied=proxied, zone=zone: Engine(
+                    "llm-m0", proxied, zone, controls, ["m0"]
+                ),
+            )
         services = {"shop": [], "llm-m0": ["m0"]}
         content = config(3, services, keys=TENANT_KEYS)
         self._host("op", Operator(controls, [(0.5, content)]))
@@ -288,10 +327,13 @@
             steps=steps,
             first_at=5.0,
             keys=tuple(TENANT_KEYS[TRAINERS_TENANT]),
+            crashing=CRASHING_ITEMS if crashes else (),
         )
         self._host("trainer", trainer)
         keys = tuple(TENANT_KEYS[LOOKUPS_TENANT])
         self._host("lookups", LookupClient("c0", gateways, first_at=5.0, keys=keys))
+        if crashes:
+            self._host("crash", RepeatingCaller("crash", gateways, CRASH_TIMES, keys))
 
     def order_zone(self, order: ZoneOrder) -> bool:
         """Have an operator give an order for a zone; tells whether it was acknowledged in time."""
@@ -312,14 +354,38 @@
         return tenant_of(request_id)
 
     def _zoned(self, ips: list[str]) -> list[tuple[str, str]]:
-        return list(zip(ips, ZONES, strict=False))
-
-    def _host_server(self, ip: str, reducer: Any) -> None:
-        self._host(ip, reducer, f"{ip}:{SERVER_PORT}")
-        self.proxies.append(Proxy((ip, PROXY_PORT), (ip, SERVER_PORT)))
-
-    def _host(self, name: str, reducer: Any, address: str = "127.0.0.1:0") -> None:
-        recording: Reducer = Recording(reducer, self.simulation)
+        return [(ip, ZONES[int(ip.split(".")[2]) - 1]) for ip in ips]
+
+    def _host_server(self, ip: str, make: Callable[[], Any]) -> None:
+        proxy = Proxy((ip, PROXY_PORT), (ip, SERVER_PORT))
+        self.proxies.append(proxy)
+        self._start_server(ip, make, proxy)
+
+    def _start_server(self, ip: str, make: Callable[[], Any], proxy: Proxy) -> None:
+        def on_end() -> None:
+            # Not from within the host's own events.
+            gevent.spawn(self._revive, host, ip, make, proxy)
+
+        host = self._host(ip, make(), f"{ip}:{SERVER_PORT}", on_end)
+
+    def _revive(self, host: Host, ip: str, make: Callable[[], Any], proxy: Proxy) -> None:
+        """A server has ended; the platform starts it again."""
+        proxy.go_down()
+        host.abort()
+        self._hosts.remove(host)
+        gevent.sleep(REVIVAL_SECONDS)
+        if not self._is_closed:
+            self._start_server(ip, make, proxy)
+            proxy.come_up()
+
+    def _host(
+        self,
+        name: str,
+        reducer: Any,
+        address: str = "127.0.0.1:0",
+        on_end: Callable[[], None] = lambda: None,
+    ) -> Host:
+        recording: Reducer = Recording(reducer, self.simulation, on_end)
         self._seed += 1
         settings = HostSettings(
             node_id=name, http_address=address, seed=self._seed, log_level="error"
@@ -327,9 +393,11 @@
         host = Host(recording, settings)
         host.start()
         self._hosts.append(host)
+        return host
 
     def close(self) -> None:
         """End all processes and stand-ins."""
+        self._is_closed = True
         for machine in self.machines:
             machine.signal(signal.SIGCONT)
             machine.kill()
--- a/tests/users_platform/soak.py
+++ b/tests/users_platform/soak.py
@@ -1,8 +1,10 @@
 """Randomized fault soak of the real programs: `python -m tests.users_platform.soak SEED [SEED...]`.
 
-Each seed draws kills, freezes, planned stops, lost disks, cut or reset servers and evacuations of
-zones for half a minute; whatever outsiders saw is then checked. Bounded in time and load, loopback
-only.
+Each seed draws kills, freezes, suspensions, planned stops, lost disks, cut or reset servers,
+series of signals and evacuations of zones for half a minute, while requests come that end the
+servers which run them; whatever outsiders saw is then checked. Clients keep their connections until
+the process at the other end is gone. Every fourth seed has many gateways. Bounded in time and load,
+loopback only.
 """
 
 import random
@@ -15,13 +17,21 @@
 import gevent
 
 from tests.users_platform.callers import ZoneOrder
-from tests.users_platform.checks import answered_share, violations, whole_steps
+from tests.users_platform.checks import (
+    answered_share,
+    crash_arrivals,
+    violations,
+    whole_steps,
+)
 from tests.users_platform.evacuation_check import IN_FORCE_SECONDS
 from tests.users_platform.real_world import ZONES, Machine, RealWorld
 
 STEPS = 6
 QUIET_SECONDS = 6.0
 FAULT_SECONDS = 20.0
+FEW_GATEWAYS = 3
+MANY_GATEWAYS = 24
+"""Some 30 processes of 25 MB and the stand-ins: 1 GB."""
 RECOVERY_LIMIT_SECONDS = 60.0
 
 
@@ -37,20 +47,28 @@
     return 1 if broken else 0
 
 
-def run_seed(seed: int) -> tuple[list[str], str]:
+def run_seed(
+    seed: int, steps: int = STEPS, fault_seconds: float = FAULT_SECONDS
+) -> tuple[list[str], str]:
     """Run one seed; broken promises and a summary."""
     with tempfile.TemporaryDirectory() as folder:
-        world = RealWorld(Path(folder), seed, steps=STEPS)
+        gateways = FEW_GATEWAYS if seed % 4 else MANY_GATEWAYS
+        world = RealWorld(Path(folder), seed, steps, gateways, crashes=True)
         try:
-            faults = _strike(world, random.Random(seed))
-            _wait_for_steps(world)
+            faults = _strike(world, random.Random(seed), fault_seconds)
+            _wait_for_steps(world, steps)
             found = violations(world) + _crashes(world)  # type: ignore[arg-type]
             found += [fault for fault in faults if "without an answer" in fault]
-            steps = whole_steps(world)  # type: ignore[arg-type]
-            if steps < STEPS:
-                found.append(f"only {steps} of {STEPS} steps whole")
+            whole = whole_steps(world)  # type: ignore[arg-type]
+            if whole < steps:
+                found.append(f"only {whole} of {steps} steps whole")
             share = answered_share(world)  # type: ignore[arg-type]
-            summary = f"{len(faults)} faults ({', '.join(faults)}), {share:.3f} lookups answered"
+            arrivals = crash_arrivals(world).values()  # type: ignore[arg-type]
+            ends = [len({arrival.server for _time, arrival in seen}) for seen in arrivals]
+            summary = (
+                f"{len(faults)} faults ({', '.join(faults)}), {share:.3f} lookups answered, "
+                f"servers ended under each request {ends}"
+            )
             if found:
                 _keep_logs(world, seed)
             return found, summary
@@ -58,13 +76,15 @@
             world.close()
 
 
-def _strike(world: RealWorld, draw: random.Random) -> list[str]:
+def _strike(world: RealWorld, draw: random.Random, fault_seconds: float) -> list[str]:
     """Faults one after the other: never more than one machine with a disk at a time."""
     gevent.sleep(QUIET_SECONDS)
     done: list[str] = []
     kinds: list[Callable[[RealWorld, random.Random], str]] = [
         _kill,
         _freeze,
+        _suspend,
+        _signal_series,
         _stop,
         _wipe,
         _cut_server,
@@ -73,7 +93,7 @@
         _evacuate,
     ]
     spent = 0.0
-    while spent < FAULT_SECONDS:
+    while spent < fault_seconds:
         done.append(draw.choice(kinds)(world, draw))
         pause = draw.uniform(1.5, 3.5)
         gevent.sleep(pause)
@@ -106,6 +126,35 @@
     return f"freeze {machine.role}"
 
 
+def _suspend(world: RealWorld, draw: random.Random) -> str:
+    """One machine, once or twice shortly after each other, and a gateway beside it."""
+    machine = _any(world, draw)
+    machine.signal(signal.SIGUSR1)
+    beside = draw.choice(world.gateways)
+    gevent.sleep(draw.uniform(0.0, 0.6))
+    beside.signal(signal.SIGUSR1)
+    if draw.random() < 0.5:
+        machine.signal(signal.SIGUSR1)
+    return f"suspend {machine.role}"
+
+
+def _signal_series(world: RealWorld, draw: random.Random) -> str:
+    """Signals that overlap: gateways stop, stand still, are suspended and read settings at once."""
+    chosen = draw.sample(world.gateways, max(1, len(world.gateways) // 2))
+    kinds = (signal.SIGHUP, signal.SIGUSR1, signal.SIGSTOP, signal.SIGCONT, signal.SIGTERM)
+    for _ in range(4 * len(chosen)):
+        draw.choice(chosen).signal(draw.choice(kinds))
+        draw.choice(world.machines).signal(signal.SIGHUP)
+        gevent.sleep(draw.uniform(0.0, 0.15))
+    for machine in chosen:
+        machine.signal(signal.SIGCONT)
+    gevent.sleep(draw.uniform(0.5, 2.0))
+    for machine in chosen:
+        machine.kill()
+        machine.start()
+    return f"signals to {len(chosen)} gateways"
+
+
 def _stop(world: RealWorld, draw: random.Random) -> str:
     machine = _any(world, draw)
     machine.signal(signal.SIGTERM)
@@ -158,9 +207,9 @@
     return "evacuate" if is_done and is_back else "evacuate without an answer"
 
 
-def _wait_for_steps(world: RealWorld) -> None:
+def _wait_for_steps(world: RealWorld, steps: int) -> None:
     waited = 0.0
-    while whole_steps(world) < STEPS and waited < RECOVERY_LIMIT_SECONDS:  # type: ignore[arg-type]
+    while whole_steps(world) < steps and waited < RECOVERY_LIMIT_SECONDS:  # type: ignore[arg-type]
         gevent.sleep(0.5)
         waited += 0.5
 
