A try that was given up counts until its server has answered a later one

A caller that leaves before the server ends, or a time-out shorter than the run, left nobody to blame: the call was cancelled before its connection broke. Now what was given up at a server is remembered until the server has outlived it, and a server whose address its successor holds has ended. Leave to try a request is given back where no server began it.

--- a/src/merlinstand/batch_jobs/daemon.py
+++ b/src/merlinstand/batch_jobs/daemon.py
@@ -189,9 +189,12 @@
             return self._perform(self.replica.handle(event, now), now)
         match event:
             case MessageReceived(message=DirectoryUpdate()):
+                held = self.follower.backends_revision
                 held_suspects = self.follower.suspects.revision
                 effects = self.follower.take(event.sender, event.message, now)
                 self._engines.refresh()
+                if self.follower.backends_revision != held:
+                    effects.extend(self._watch.follow(self.follower.backends, now))
                 if self.follower.suspects.revision != held_suspects:
                     self._runner.review_held(now)
                     effects.extend(self._forwarder.on_suspects(now))
--- a/src/merlinstand/directory/suspect_table.py
+++ b/src/merlinstand/directory/suspect_table.py
@@ -127,6 +127,12 @@
         if self._view.trial is not None:
             self._used_trial = self._view.trial.number
 
+    def give_leave_back(self, content: ContentDigest) -> None:
+        """The request of the trial has reached no server, or none that began it."""
+        trial = self._view.trial
+        if trial is not None and (trial.content, trial.asker) == (content, self._asker):
+            self._used_trial = min(self._used_trial, trial.number - 1)
+
     # What there is to tell
 
     def note_end(
--- a/src/merlinstand/forwarding/crash_watch.py
+++ b/src/merlinstand/forwarding/crash_watch.py
@@ -6,7 +6,7 @@
 requests that this daemon had in flight there, or gave up just before, are suspects.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 
 import msgspec
 
@@ -22,9 +22,13 @@
 PROBE_SECONDS = 0.5
 """Longest wait for a server's sign of life: a dead one refuses a connection within some ms, a full
 one lets it wait, and the connection alone shows that it lives."""
-GIVEN_UP_SECONDS = 1.0
-"""A try that was given up this long before its server was found gone may have ended it: servers go
-on with what they had begun for a moment, and runs that end one take some tenths of a second."""
+GIVEN_UP_SECONDS = 15.0
+"""A try that was given up may have ended its server until that has answered a later one, or this
+time has passed: callers leave early and time runs out, the server goes on with what it had begun,
+and that it is gone shows by the next try there, or by its successor at the same address."""
+SURVIVED_SECONDS = 1.0
+"""A server that answers what was sent so long after a try was given up has outlived that try: runs
+that end a server take some tenths of a second."""
 GIVEN_UP_LIMIT = 64
 """Tries remembered for each server after they were given up."""
 BROKEN_REASONS = frozenset(("reset", "truncated"))
@@ -39,6 +43,7 @@
 
     backend: Backend
     content_of: Callable[[], ContentDigest]
+    at: float
 
 
 class _GivenUp(msgspec.Struct, frozen=True):
@@ -48,6 +53,13 @@
     at: float
 
 
+class _Doubted(msgspec.Struct):
+    """A server, and the calls there that ended without an answer."""
+
+    backend: Backend
+    given_up: list[_GivenUp]
+
+
 class CrashWatch:
     """All requests that one daemon has in flight at servers."""
 
@@ -72,32 +84,55 @@
         self._health_path_of = health_path_of
         self._cold = cold
         self._sent: dict[CallId, _Sent] = {}
-        self._given_up: dict[BackendId, list[_GivenUp]] = {}
+        self._doubted: dict[BackendId, _Doubted] = {}
         self._probes: dict[CallId, Backend] = {}
         self._probed: set[BackendId] = set()
         self._calls = 0
 
     def sent(
-        self, call_id: CallId, backend: Backend, content_of: Callable[[], ContentDigest]
+        self,
+        call_id: CallId,
+        backend: Backend,
+        content_of: Callable[[], ContentDigest],
+        now: float,
     ) -> None:
         """A request goes to a server.
 
         Args:
             call_id: Of the call.
             backend: Where it goes.
-            content_of: Gives the request's content; asked only if there is something to tell.
+            content_of: Gives the request's content; asked once it has ended.
+            now: Local time.
         """
-        self._sent[call_id] = _Sent(backend, content_of)
+        self._sent[call_id] = _Sent(backend, content_of, now)
 
     def answered(self, call_id: CallId, now: float) -> None:
         """The server ran the request and answered whole: it lives, the request didn't end it."""
         sent = self._sent.pop(call_id, None)
         if sent is not None:
+            self._note_life(sent.backend.backend_id, sent.at)
             self.suspects.note_served(sent.content_of(), now)
 
     def turned_away(self, call_id: CallId) -> None:
         """The server answered that it has not begun the request: that proves nothing."""
-        self._sent.pop(call_id, None)
+        sent = self._sent.pop(call_id, None)
+        if sent is not None:
+            self._note_life(sent.backend.backend_id, sent.at)
+            self._note_unsent(sent)
+
+    def _note_unsent(self, sent: _Sent) -> None:
+        if not self.suspects.is_empty:
+            self.suspects.give_leave_back(sent.content_of())
+
+    def _note_life(self, backend_id: BackendId, at: float) -> None:
+        """A server was there at a time: what was given up long before has not ended it."""
+        doubted = self._doubted.get(backend_id)
+        if doubted is None:
+            return
+        survived = at - SURVIVED_SECONDS
+        doubted.given_up = [given_up for given_up in doubted.given_up if given_up.at > survived]
+        if not doubted.given_up:
+            del self._doubted[backend_id]
 
     def given_up(self, call_id: CallId, now: float) -> None:
         """The call was cancelled, or its answer came to nothing."""
@@ -106,10 +141,10 @@
             self._remember(sent, now)
 
     def _remember(self, sent: _Sent, now: float) -> None:
-        backend_id = sent.backend.backend_id
-        held = [g for g in self._given_up.get(backend_id, ()) if now - g.at <= GIVEN_UP_SECONDS]
+        doubted = self._doubted.setdefault(sent.backend.backend_id, _Doubted(sent.backend, []))
+        held = [given_up for given_up in doubted.given_up if now - given_up.at <= GIVEN_UP_SECONDS]
         held.append(_GivenUp(sent.content_of(), now))
-        self._given_up[backend_id] = held[-GIVEN_UP_LIMIT:]
+        doubted.given_up = held[-GIVEN_UP_LIMIT:]
 
     def failed(self, event: CallFailed, now: float) -> list[Effect]:
         """A call failed; asks its server for a sign of life if the call had broken off."""
@@ -117,6 +152,7 @@
         if sent is None:
             return []
         if event.phase is CallPhase.CONNECT:
+            self._note_unsent(sent)
             is_refused = event.reason == REFUSED_REASON
             return self._gone(sent.backend, now) if is_refused else []
         self._remember(sent, now)
@@ -124,7 +160,8 @@
 
     def _probe(self, backend: Backend, now: float) -> list[Effect]:
         path = self._health_path_of(backend.service)
-        if not path or backend.backend_id in self._probed or not self._cold.is_open(backend, now):
+        is_idle = backend.is_leaving or backend.backend_id in self._probed
+        if not path or is_idle or not self._cold.is_open(backend, now):
             return []
         self._calls += 1
         call_id = CallId(f"{CALL_PREFIX}{self._calls}")
@@ -164,7 +201,7 @@
             return self._gone(backend, now) if is_refused else []
         if event.status == MISDIRECTED_STATUS:
             return self._gone(backend, now)
-        self._given_up.pop(backend.backend_id, None)
+        self._note_life(backend.backend_id, now)
         return []
 
     def _gone(self, backend: Backend, now: float) -> list[Effect]:
@@ -173,7 +210,8 @@
         One that leaves ends by itself, with what it still worked on. Calls under way don't count
         yet: they may still be connecting, and those that had been sent break off by themselves.
         """
-        held = self._given_up.pop(backend.backend_id, [])
+        doubted = self._doubted.pop(backend.backend_id, None)
+        held = doubted.given_up if doubted is not None else []
         contents = dict.fromkeys(g.content for g in held if now - g.at <= GIVEN_UP_SECONDS)
         if not contents or backend.is_leaving:
             return []
@@ -186,6 +224,21 @@
         }
         return [LogEvent("backend.ended", fields)]
 
-    def forget_all_but(self, present: frozenset[BackendId]) -> None:
-        """Drop what is known of servers that are not registered any more."""
-        self._given_up = {b: held for b, held in self._given_up.items() if b in present}
+    def follow(self, present: Collection[Backend], now: float) -> list[Effect]:
+        """Take note of the servers that are registered now.
+
+        A server at whose address another incarnation of its service stands has ended, if nobody
+        said that it leaves.
+        """
+        effects: list[Effect] = []
+        if not self._doubted:
+            return effects
+        ids = {backend.backend_id for backend in present}
+        for backend_id, doubted in list(self._doubted.items()):
+            if backend_id in ids:
+                continue
+            place = (doubted.backend.address, doubted.backend.service)
+            if any((backend.address, backend.service) == place for backend in present):
+                effects.extend(self._gone(doubted.backend, now))
+            self._doubted.pop(backend_id, None)
+        return effects
--- a/src/merlinstand/forwarding/daemon.py
+++ b/src/merlinstand/forwarding/daemon.py
@@ -178,9 +178,9 @@
                 held_suspects = self.follower.suspects.revision
                 effects = self.follower.take(event.sender, event.message, now)
                 if self.follower.backends_revision != held:
-                    present = frozenset(b.backend_id for b in self.follower.backends)
-                    self._forwarder.chooser.forget_all_but(present)
-                    self._watch.forget_all_but(present)
+                    present = self.follower.backends
+                    self._forwarder.chooser.forget_all_but(b.backend_id for b in present)
+                    effects.extend(self._watch.follow(present, now))
                 if self.follower.suspects.revision != held_suspects:
                     effects.extend(self._forwarder.on_suspects(now))
                     effects.extend(self._streams.on_suspects(now))
--- a/src/merlinstand/forwarding/forwarder.py
+++ b/src/merlinstand/forwarding/forwarder.py
@@ -386,7 +386,7 @@
         if is_suspect:
             self.chooser.evidence(backend.backend_id).suspects += 1
             self._gate.note_sent(lambda: self._content(pending))
-        self._watch.sent(call_id, backend, lambda: self._content(pending))
+        self._watch.sent(call_id, backend, lambda: self._content(pending), now)
         pending.tried.add(backend.backend_id)
         pending.tries += 1
         pending.sent += 1
--- a/src/merlinstand/forwarding/stream_forwarder.py
+++ b/src/merlinstand/forwarding/stream_forwarder.py
@@ -340,7 +340,7 @@
         if is_suspect:
             self._chooser.evidence(backend.backend_id).suspects += 1
             self._gate.note_sent(lambda: self._content(stream))
-        self._watch.sent(call_id, backend, lambda: self._content(stream))
+        self._watch.sent(call_id, backend, lambda: self._content(stream), now)
         self._by_call[call_id] = stream
         self._chooser.begin(backend, now)
         headers = {
--- a/tests/forwarding/test_crash_watch.py
+++ b/tests/forwarding/test_crash_watch.py
@@ -3,12 +3,18 @@
 import msgspec
 import pytest
 
-from merlinstand.common.ids import CallId, ContentDigest
+from merlinstand.common.ids import BackendId, CallId, ContentDigest
 from merlinstand.directory.backends import Backend
 from merlinstand.directory.blame import Standing
 from merlinstand.directory.cold_budget import ColdBudget
+from merlinstand.directory.suspect_news import SuspectsView, Suspicion, Trial
 from merlinstand.directory.suspect_table import SuspectTable
-from merlinstand.forwarding.crash_watch import GIVEN_UP_LIMIT, GIVEN_UP_SECONDS, CrashWatch
+from merlinstand.forwarding.crash_watch import (
+    GIVEN_UP_LIMIT,
+    GIVEN_UP_SECONDS,
+    SURVIVED_SECONDS,
+    CrashWatch,
+)
 from merlinstand.kernel.effects import Effect, LogEvent, StartCall
 from merlinstand.kernel.events import CallFailed, CallPhase, CallResponded
 from tests.forwarding.test_forwarder import BACKENDS, NAMES
@@ -30,10 +36,10 @@
         self.server = server
         self.count = 0
 
-    def send(self, content: ContentDigest = GUILTY) -> CallId:
+    def send(self, content: ContentDigest = GUILTY, at: float = 1.0) -> CallId:
         self.count += 1
         call_id = CallId(f"c{self.count}")
-        self.watch.sent(call_id, self.server, lambda: content)
+        self.watch.sent(call_id, self.server, lambda: content, at)
         return call_id
 
     def fail(
@@ -114,7 +120,7 @@
 def test_a_try_that_was_given_up_just_before_counts(seconds: float, is_suspected: bool) -> None:
     """Callers leave and time runs out while the server goes on for a moment."""
     world = Watch()
-    world.watch.given_up(world.send(), 1.0 - seconds)
+    world.watch.given_up(world.send(at=0.0), 1.0 - seconds)
     world.fail(world.send(ContentDigest("i")), CallPhase.CONNECT, "refused")
     assert (world.standing is Standing.SUSPECT) == is_suspected
 
@@ -140,8 +146,8 @@
 
 def test_a_server_that_leaves_ends_by_itself() -> None:
     world = Watch(msgspec.structs.replace(SERVER, is_leaving=True))
-    [call] = world.fail(world.send())
-    world.watch.on_call(CallFailed(call.call_id, CallPhase.CONNECT, "refused"), 1.01)
+    assert world.fail(world.send()) == [], "it need not be asked"
+    world.fail(world.send(), CallPhase.CONNECT, "refused")
     assert world.suspects.is_empty
 
 
@@ -161,9 +167,64 @@
     world = Watch()
     for number in range(GIVEN_UP_LIMIT + 9):
         world.watch.given_up(world.send(ContentDigest(f"c{number}")), 1.0)
-    assert len(world.watch._given_up[SERVER.backend_id]) == GIVEN_UP_LIMIT
-    world.watch.forget_all_but(frozenset())
-    assert not world.watch._given_up
+    assert len(world.watch._doubted[SERVER.backend_id].given_up) == GIVEN_UP_LIMIT
+    world.watch.follow([], 1.0)
+    assert not world.watch._doubted
+    assert world.suspects.is_empty
+
+
+SUCCESSOR = msgspec.structs.replace(SERVER, backend_id=BackendId("b9"))
+
+
+@pytest.mark.parametrize(
+    ("present", "is_suspected"),
+    [
+        pytest.param([SUCCESSOR], True, id="another incarnation at its address"),
+        pytest.param([SERVER], False, id="it is there"),
+        pytest.param([BACKENDS[1]], False, id="nobody at its address"),
+        pytest.param(
+            [msgspec.structs.replace(SUCCESSOR, service="other")], False, id="another service there"
+        ),
+    ],
+)
+def test_a_server_that_was_replaced_has_ended_under_what_was_given_up_there(
+    present: list[Backend], is_suspected: bool
+) -> None:
+    """Its caller's time was over before the server ended, and nobody tried it again meanwhile."""
+    world = Watch()
+    world.watch.given_up(world.send(), 1.0)
+    world.watch.follow(present, 4.0)
+    assert (world.standing is Standing.SUSPECT) == is_suspected
+
+
+@pytest.mark.parametrize(
+    ("sent_after", "is_suspected"),
+    [(0.1, True), (SURVIVED_SECONDS - 0.1, True), (SURVIVED_SECONDS + 0.1, False)],
+)
+def test_a_server_that_answers_later_tries_has_outlived_the_earlier_one(
+    sent_after: float, is_suspected: bool
+) -> None:
+    world = Watch()
+    world.watch.given_up(world.send(), 1.0)
+    later = world.send(ContentDigest("i"), at=1.0 + sent_after)
+    world.watch.answered(later, 1.05 + sent_after)
+    world.watch.follow([SUCCESSOR], 9.0)
+    assert (world.standing is Standing.SUSPECT) == is_suspected
+
+
+@pytest.mark.parametrize("how", ["turned away", "not connected"])
+def test_leave_is_not_used_up_by_a_server_that_did_not_begin(how: str) -> None:
+    world = Watch()
+    world.suspects.begin("d/1")
+    view = SuspectsView({GUILTY: Suspicion(Standing.DOUBTFUL)}, Trial(1, GUILTY, "d/1"))
+    world.suspects.take(view, 1, 0.0)
+    world.suspects.use_leave()
+    call_id = world.send()
+    if how == "turned away":
+        world.watch.turned_away(call_id)
+    else:
+        world.fail(call_id, CallPhase.CONNECT, "refused")
+    assert world.suspects.has_leave(GUILTY)
 
 
 def test_an_answer_to_no_question_says_nothing() -> None:
