--- a/tests/users_platform/callers.py
+++ b/tests/users_platform/callers.py
@@ -555,6 +555,7 @@
         times: tuple[float, ...],
         keys: tuple[str, ...] = (),
         body: bytes = CRASH_MARK,
+        deadline_ms: int = LOOKUP_DEADLINE_MS,
     ) -> None:
         """Begin with nothing sent.
 
@@ -564,7 +565,9 @@
             times: When it sends, in seconds from its start.
             keys: Keys that it may use.
             body: What it sends: by itself a request that ends servers.
+            deadline_ms: How long it waits.
         """
+        self._deadline_ms = deadline_ms
         self._name = name
         self._gateways = gateways
         self._times = times
@@ -592,7 +595,7 @@
     def _send(self, request_id: str, now: float) -> list[Effect]:
         call_id = CallId(request_id)
         self._begun[call_id] = now
-        headers = {"X-Request-Id": request_id, "X-Deadline-Ms": str(LOOKUP_DEADLINE_MS)}
+        headers = {"X-Request-Id": request_id, "X-Deadline-Ms": str(self._deadline_ms)}
         if self._keys:
             headers["Authorization"] = f"Bearer {self._random.choice(self._keys)}"
         return [
@@ -603,7 +606,7 @@
                 path="/lookup/repeated",
                 headers=headers,
                 body=self._body,
-                timeout_seconds=LOOKUP_DEADLINE_MS / 1000 + 0.2,
+                timeout_seconds=self._deadline_ms / 1000 + 0.2,
                 host=HOST,
                 fresh_connection=True,
             )
--- a/tests/users_platform/test_crashing_requests.py
+++ b/tests/users_platform/test_crashing_requests.py
@@ -55,6 +55,19 @@
     assert violations(world) == []
 
 
+@pytest.mark.parametrize("seed", range(3))
+@pytest.mark.parametrize("deadline_ms", [20, 40])
+def test_callers_that_leave_before_the_server_ends_hide_nothing(
+    seed: int, deadline_ms: int
+) -> None:
+    """Their tries are over, and no connection breaks: that the server is gone shows later."""
+    world = World(seed)
+    world.add_repeating_caller(SENDS, deadline_ms=deadline_ms)
+    world.simulation.run_until(DAY_SECONDS)
+    assert len(crash_arrivals(world)) == 1
+    assert violations(world) == []
+
+
 def test_lookups_beside_such_a_request_are_all_served() -> None:
     """Two servers end; the last one is spared until they are back, and then one of three ends."""
     world = World(1)
--- a/tests/users_platform/world.py
+++ b/tests/users_platform/world.py
@@ -23,6 +23,7 @@
 )
 from tests.users_platform.callers import (
     COLD_START_SECONDS,
+    LOOKUP_DEADLINE_MS,
     ForeignReader,
     LookupClient,
     Operator,
@@ -273,11 +274,14 @@
         name: str = "crash",
         body: bytes = CRASH_MARK,
         tenant: str = LOOKUPS_TENANT,
+        deadline_ms: int = LOOKUP_DEADLINE_MS,
     ) -> None:
         """Add a caller of one request; left as it is, it ends each server that begins to run it."""
         keys = self.keys_of(tenant)
         gateways = self.gateway_addresses
-        self.add_caller(name, lambda: RepeatingCaller(name, gateways, times, keys, body))
+        self.add_caller(
+            name, lambda: RepeatingCaller(name, gateways, times, keys, body, deadline_ms)
+        )
 
     def add_operator(self, configs: list[tuple[float, dict[str, Any]]], name: str = "op") -> None:
         """Add an operator that sends configurations at given times."""
