--- a/src/merlinstand/batch_jobs/runner.py
+++ b/src/merlinstand/batch_jobs/runner.py
@@ -443,7 +443,9 @@
         if run.is_suspect:
             engine.suspects += 1
             self._held.note_begun(run)
-        self._watch.sent(call_id, engine.backend, lambda: self._content_of(run), now)
+        # Now, since the job may be gone once the run has ended.
+        content = self._content_of(run)
+        self._watch.sent(call_id, engine.backend, lambda: content, now)
         self._by_call[call_id] = run
         tenant = self._jobs.jobs[run.job_id].job.tenant
         tenants = self._follower.routes.tenants
--- a/src/merlinstand/directory/suspect_table.py
+++ b/src/merlinstand/directory/suspect_table.py
@@ -23,6 +23,9 @@
 
 TELL_SECONDS = 0.1
 """What was not answered is told again after this time."""
+TELL_PAUSE_SECONDS = 0.02
+"""News that follow each other sooner are told together: when many servers end, each of some
+hundred calls that break is news."""
 UNTOLD_LIMIT = 512
 """Ends, and cleared requests, that wait to be agreed; older ones are dropped while no leader can be
 reached for long."""
@@ -186,8 +189,10 @@
 
     def is_tell_due(self, now: float) -> bool:
         """Whether there are news that are worth a pull of their own."""
-        if self._mark > self._told_mark or not self._are_wishes_told:
+        if not self._are_wishes_told:
             return True
+        if self._mark > self._told_mark:
+            return now - self._told_at >= TELL_PAUSE_SECONDS
         is_open = bool(self._untold or self._served or self._wishes)
         return is_open and now - self._told_at >= TELL_SECONDS
 
--- a/tests/directory/test_suspect_table.py
+++ b/tests/directory/test_suspect_table.py
@@ -83,7 +83,8 @@
     first = told(suspects, 1.0)
     assert not suspects.is_tell_due(1.0)
     assert suspects.is_tell_due(1.0 + TELL_SECONDS)
-    suspects.note_end(server(2), [GUILTY], 1.05)
+    suspects.note_end(server(2), [GUILTY], 1.0)
+    assert not suspects.is_tell_due(1.01), "told together with what else comes"
     assert suspects.is_tell_due(1.05)
     assert len(told(suspects, 1.05).ends) == 2
     suspects.take_mark(first.mark)
