--- a/src/merlinstand/forwarding/forwarder.py
+++ b/src/merlinstand/forwarding/forwarder.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from merlinstand.common.ids import BackendId, CallId, ContentDigest
+from merlinstand.common.ids import BackendId, CallId
 from merlinstand.directory.backends import Backend
 from merlinstand.directory.places import Places
 from merlinstand.directory.regions import NO_SERVER_REASON, servers_within
@@ -26,7 +26,7 @@
     QuarantineGate,
     refusal_log,
 )
-from merlinstand.forwarding.request_content import content_of
+from merlinstand.forwarding.request_content import KnownRequest
 from merlinstand.forwarding.requests import (
     Answered,
     Finished,
@@ -74,10 +74,9 @@
     """Whether servers had ended under the request when it was sent."""
 
 
-class _Pending(msgspec.Struct):
+class _Pending(KnownRequest):
     """A request on its way."""
 
-    request: ForwardRequest
     tried: set[BackendId] = msgspec.field(default_factory=set)
     running: dict[CallId, _Attempt] = msgspec.field(default_factory=dict)
     tries: int = 0
@@ -87,8 +86,6 @@
     failed_answers: int = 0
     last_error_answer: Answered | None = None
     last_reason: str = ""
-    content: ContentDigest | None = None
-    """Its digest, once somebody has asked for it."""
     doubted: BackendId | None = None
     """Server at which its last try broke off, while that is asked whether it has ended."""
 
@@ -274,7 +271,7 @@
         }
         if event.phase is not CallPhase.CONNECT:
             # What failed at a server is looked for over tries, callers and gateways.
-            fields["content"] = self._content(pending)
+            fields["content"] = pending.content(self._names)
             fields["caller"] = pending.request.caller
         log = LogEvent("request.attempt_failed", fields)
         is_repeatable = pending.request.route.kind is RouteKind.REPEATABLE
@@ -316,19 +313,14 @@
 
     # What is held against a request
 
-    def _content(self, pending: _Pending) -> ContentDigest:
-        if pending.content is None:
-            pending.content = content_of(pending.request, self._names)
-        return pending.content
-
     def _admit(self, pending: _Pending, now: float) -> Admission:
-        return self._gate.admit(lambda: self._content(pending), now)
+        return self._gate.admit(lambda: pending.content(self._names), now)
 
     def _is_suspect(self, pending: _Pending, now: float) -> bool:
         return self._admit(pending, now) is not Admission.FREE
 
     def _refuse_quarantined(self, pending: _Pending, now: float) -> list[Effect]:
-        log = refusal_log(pending.request.request_id, self._content(pending))
+        log = refusal_log(pending.request.request_id, pending.content(self._names))
         return [log, *self._give_up(pending, QUARANTINED_REASON, now)]
 
     # Sending
@@ -368,7 +360,7 @@
         # Each try passes here, also second ones: what ended servers must not end the next one.
         admission = self._admit(pending, now)
         if admission is Admission.WAIT:
-            return self._gate.wait(pending.request.key, self._content(pending))
+            return self._gate.wait(pending.request.key, pending.content(self._names))
         if admission is Admission.BARRED:
             return self._refuse_quarantined(pending, now)
         backend = self._candidate(pending, now)
@@ -385,8 +377,8 @@
         pending.running[call_id] = _Attempt(backend, now, is_suspect)
         if is_suspect:
             self.chooser.evidence(backend.backend_id).suspects += 1
-            self._gate.note_sent(lambda: self._content(pending))
-        self._watch.sent(call_id, backend, lambda: self._content(pending), now)
+            self._gate.note_sent(lambda: pending.content(self._names))
+        self._watch.sent(call_id, backend, lambda: pending.content(self._names), now)
         pending.tried.add(backend.backend_id)
         pending.tries += 1
         pending.sent += 1
@@ -479,7 +471,7 @@
         if reason == SPARED_REASON:
             return SPARED_RETRY_SECONDS
         if reason == QUARANTINED_REASON:
-            return self._gate.retry_after_seconds(self._content(pending), now)
+            return self._gate.retry_after_seconds(pending.content(self._names), now)
         if reason != COLD_REASON:
             return RETRY_AFTER_SECONDS
         return self._cold_wait.retry_after_seconds(pending.request.service, now)
--- a/src/merlinstand/forwarding/request_content.py
+++ b/src/merlinstand/forwarding/request_content.py
@@ -4,6 +4,7 @@
 asks, and on host, method, path and body: these name it over tries, gateways and restarts.
 """
 
+import msgspec
 import xxhash
 
 from merlinstand.common.ids import ContentDigest
@@ -34,6 +35,19 @@
     return ContentDigest(digest.hexdigest())
 
 
+class KnownRequest(msgspec.Struct):
+    """A request on its way that knows its content, once somebody has asked for it."""
+
+    request: ForwardRequest
+    digest: ContentDigest | None = None
+
+    def content(self, names: HeaderNames) -> ContentDigest:
+        """Give the digest of what it asks."""
+        if self.digest is None:
+            self.digest = content_of(self.request, names)
+        return self.digest
+
+
 def content_of(request: ForwardRequest, names: HeaderNames) -> ContentDigest:
     """Give the digest of a request that is forwarded."""
     headers = request.headers
--- a/src/merlinstand/forwarding/stream_forwarder.py
+++ b/src/merlinstand/forwarding/stream_forwarder.py
@@ -10,7 +10,7 @@
 from result import Err
 
 from merlinstand.batch_jobs.event_text import parse_event
-from merlinstand.common.ids import BackendId, CallId, ContentDigest, RequestId
+from merlinstand.common.ids import BackendId, CallId, RequestId
 from merlinstand.common.whole_number import read_whole_number
 from merlinstand.directory.backends import Backend
 from merlinstand.directory.places import Places
@@ -33,7 +33,7 @@
     QuarantineGate,
     refusal_log,
 )
-from merlinstand.forwarding.request_content import content_of
+from merlinstand.forwarding.request_content import KnownRequest
 from merlinstand.forwarding.requests import ForwardRequest, NotRun, OutcomeUnknown
 from merlinstand.gateway.sse import EVENT_END, EventCutter
 from merlinstand.kernel.effects import (
@@ -63,10 +63,9 @@
 StreamEvent = CallHeaders | CallChunk | CallEnded | CallFailed
 
 
-class _Stream(msgspec.Struct):
+class _Stream(KnownRequest):
     """A caller's stream on its way."""
 
-    request: ForwardRequest
     tried: set[BackendId] = msgspec.field(default_factory=set)
     sent: int = 0
     call_id: CallId | None = None
@@ -79,8 +78,6 @@
     last_event_id: int = 0
     is_suspect: bool = False
     """Whether servers had ended under it when it was sent to the present one."""
-    content: ContentDigest | None = None
-    """Its digest, once somebody has asked for it."""
     cutter: EventCutter = msgspec.field(default_factory=EventCutter)
 
 
@@ -270,7 +267,7 @@
             "last_event": stream.last_event_id,
         }
         if event.phase is not CallPhase.CONNECT:
-            fields["content"] = self._content(stream)
+            fields["content"] = stream.content(self._names)
             fields["caller"] = stream.request.caller
         log = LogEvent("request.stream_broken", fields)
         dropped = self._drop_call(stream, now)
@@ -288,16 +285,11 @@
 
     # What is held against a request
 
-    def _content(self, stream: _Stream) -> ContentDigest:
-        if stream.content is None:
-            stream.content = content_of(stream.request, self._names)
-        return stream.content
-
     def _admit(self, stream: _Stream, now: float) -> Admission:
-        return self._gate.admit(lambda: self._content(stream), now)
+        return self._gate.admit(lambda: stream.content(self._names), now)
 
     def _refuse_quarantined(self, stream: _Stream, now: float) -> list[Effect]:
-        log = refusal_log(stream.request.request_id, self._content(stream))
+        log = refusal_log(stream.request.request_id, stream.content(self._names))
         return [log, *self._give_up(stream, QUARANTINED_REASON, False, now)]
 
     # Sending
@@ -313,7 +305,7 @@
         request = stream.request
         admission = self._admit(stream, now)
         if admission is Admission.WAIT:
-            return self._gate.wait(request.key, self._content(stream))
+            return self._gate.wait(request.key, stream.content(self._names))
         if admission is Admission.BARRED:
             return self._refuse_quarantined(stream, now)
         is_suspect = admission is not Admission.FREE
@@ -339,8 +331,8 @@
         stream.is_suspect = is_suspect
         if is_suspect:
             self._chooser.evidence(backend.backend_id).suspects += 1
-            self._gate.note_sent(lambda: self._content(stream))
-        self._watch.sent(call_id, backend, lambda: self._content(stream), now)
+            self._gate.note_sent(lambda: stream.content(self._names))
+        self._watch.sent(call_id, backend, lambda: stream.content(self._names), now)
         self._by_call[call_id] = stream
         self._chooser.begin(backend, now)
         headers = {
@@ -393,7 +385,7 @@
         if reason == SPARED_REASON:
             retry_after = SPARED_RETRY_SECONDS
         if reason == QUARANTINED_REASON:
-            retry_after = self._gate.retry_after_seconds(self._content(stream), now)
+            retry_after = self._gate.retry_after_seconds(stream.content(self._names), now)
         outcome: NotRun | OutcomeUnknown = NotRun(reason, retry_after)
         if stream.may_have_run or is_running:
             outcome = OutcomeUnknown(reason, is_late)
