--- /dev/null
+++ b/tests/users_platform/test_short_soak.py
@@ -0,0 +1,14 @@
+"""A short run of the fault soak with a seed of its own: real programs, real servers that end."""
+
+import pytest
+
+from tests.users_platform.soak import run_seed
+
+STEPS = 3
+FAULT_SECONDS = 10.0
+
+
+@pytest.mark.parametrize("seed", [1202001, 1202002])
+def test_a_short_soak_breaks_no_promise(seed: int) -> None:
+    found, summary = run_seed(seed, STEPS, FAULT_SECONDS)
+    assert found == [], summary
