Servers that end in crowds are held against nobody; news of suspects are agreed together

Found by reading for the target size: an end with as many requests as are remembered was told for ever, and a lost zone (370 servers) would have had thousands of requests told to all daemons, one log entry a daemon and end. Now 16 ends within a second count, and news within 50 ms are one entry.

--- a/src/merlinstand/directory/daemon.py
+++ b/src/merlinstand/directory/daemon.py
@@ -75,7 +75,7 @@
 from merlinstand.directory.settings import DirectorySettings
 from merlinstand.directory.state_machine import DirectoryState
 from merlinstand.directory.subscribers import REPORT_FRESH_SECONDS
-from merlinstand.directory.suspect_intake import SuspectIntake
+from merlinstand.directory.suspect_intake import TOGETHER_TIMER, SuspectIntake
 from merlinstand.directory.view import KeeperGroup
 from merlinstand.duties.caller import CALL_PREFIX as PLATFORM_PREFIX
 from merlinstand.duties.interface import PlatformInterface
@@ -191,6 +191,8 @@
                 return self._housekeeping(now)
             case TimerFired(name=name) if name == CHANGES_TIMER:
                 return self._heartbeats.pass_on(now)
+            case TimerFired(name=name) if name == TOGETHER_TIMER:
+                return self._suspects.agree(now) if self.replica.may_act(now) else []
             case TimerFired(name=name) if name == PUSH_TIMER:
                 return self._publisher.push(now)
             case TimerFired(name=name) if name == STOP_TIMER:
--- a/src/merlinstand/directory/publisher.py
+++ b/src/merlinstand/directory/publisher.py
@@ -58,6 +58,7 @@
         """A leadership begins: it hears everybody again, and grants from empty buckets."""
         self.subscribers.clear()
         self._cold.begin()
+        self._suspects.begin()
 
     def pull(self, sender: NodeId, pull: DirectoryPull, now: float) -> list[Effect]:
         """A daemon reports itself and asks for what it lacks."""
--- a/src/merlinstand/directory/suspect_intake.py
+++ b/src/merlinstand/directory/suspect_intake.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from merlinstand.common.decoding import MALFORMED_INPUT
-from merlinstand.common.ids import NodeId
+from merlinstand.common.ids import BackendId, ContentDigest, NodeId
 from merlinstand.directory.commands import (
     AllowTrials,
     BeginTrial,
@@ -17,8 +17,8 @@
     NoteEnds,
 )
 from merlinstand.directory.state_machine import DirectoryState
-from merlinstand.directory.suspect_news import SuspectNews, decode_news
-from merlinstand.kernel.effects import Effect, LogEvent
+from merlinstand.directory.suspect_news import ServerEnd, SuspectNews, decode_news
+from merlinstand.kernel.effects import Effect, LogEvent, SetTimer
 
 
 class IntakeAnswer(msgspec.Struct, frozen=True):
@@ -29,6 +29,12 @@
     effects: tuple[Effect, ...] = ()
 
 
+TOGETHER_SECONDS = 0.05
+"""News are agreed at most this often: at once after a quiet time, else with what else comes. When
+servers end, each daemon that worked with them has news within the same moment."""
+TOGETHER_TIMER = "directory.suspects"
+
+
 class SuspectIntake:
     """All news of suspects that one leader gets."""
 
@@ -45,6 +51,16 @@
         """
         self._state = state
         self._propose = propose
+        self._ends: dict[BackendId, dict[ContentDigest, None]] = {}
+        """News that wait to be agreed together."""
+        self._served: dict[ContentDigest, None] = {}
+        self._agreed_at = float("-inf")
+
+    def begin(self) -> None:
+        """A leadership begins: daemons tell again what isn't agreed."""
+        self._ends.clear()
+        self._served.clear()
+        self._agreed_at = float("-inf")
 
     def answer(
         self, sender: NodeId, data: bytes | None, group_time: float, now: float
@@ -64,12 +80,12 @@
         except MALFORMED_INPUT as error:
             fields = {"daemon": sender, "detail": str(error)}
             return IntakeAnswer(effects=(LogEvent("suspects.malformed", fields, "warning"),))
-        effects = self._agree(sender, news, now)
+        effects = self._take(sender, news, now)
         mark = None if effects else news.mark
         return IntakeAnswer(mark, (*effects, *self._try_next(news, group_time, now)))
 
-    def _agree(self, sender: NodeId, news: SuspectNews, now: float) -> list[Effect]:
-        """Propose what isn't agreed yet; nothing if all is."""
+    def _take(self, sender: NodeId, news: SuspectNews, now: float) -> list[Effect]:
+        """Have what isn't agreed yet agreed, at once or soon; nothing if all is."""
         suspects = self._state.suspects
         ends = tuple(end for end in news.ends if suspects.is_news(end))
         told = {content for end in ends for content in end.contents}
@@ -83,7 +99,27 @@
             "served": len(served),
         }
         log = LogEvent("suspects.told", fields)
-        return [log, *(self._propose(NoteEnds(ends, served), now) or [])]
+        had_news = bool(self._ends or self._served)
+        for end in ends:
+            self._ends.setdefault(end.backend_id, {}).update(dict.fromkeys(end.contents))
+        self._served.update(dict.fromkeys(served))
+        if had_news:
+            return [log]
+        wait_seconds = self._agreed_at + TOGETHER_SECONDS - now
+        if wait_seconds > 0.0:
+            return [log, SetTimer(TOGETHER_TIMER, wait_seconds)]
+        return [log, *self.agree(now)]
+
+    def agree(self, now: float) -> list[Effect]:
+        """Propose the news that wait; called also when `TOGETHER_TIMER` fires."""
+        if not self._ends and not self._served:
+            return []
+        ends = tuple(ServerEnd(b, tuple(contents)) for b, contents in self._ends.items())
+        command = NoteEnds(ends, tuple(self._served))
+        self._ends.clear()
+        self._served.clear()
+        self._agreed_at = now
+        return self._propose(command, now) or []
 
     def _try_next(self, news: SuspectNews, group_time: float, now: float) -> list[Effect]:
         for content in news.wishes:
--- a/src/merlinstand/directory/suspects.py
+++ b/src/merlinstand/directory/suspects.py
@@ -14,6 +14,14 @@
 at most."""
 CONTENTS_LIMIT = 64
 """Requests remembered of one end: the slots of a large engine twice."""
+MANY_ENDS = 16
+"""Servers that end within `MANY_SECONDS` before more of them are passed over: a rack or a zone was
+lost, and what its servers worked on is no more to blame than anything else. One request ends three
+before it is held back, some of them at once may end a few each; of a lost zone of the target size,
+370 servers with thousands of requests, all daemons would be told otherwise."""
+MANY_SECONDS = 1.0
+PASSED_OVER_LIMIT = 4_096
+"""As many as the directory remembers of removed servers."""
 MEMORY_SECONDS = 600.0
 """An end that nobody is held back for is forgotten after this time."""
 QUARANTINE_SECONDS = 600.0
@@ -55,6 +63,7 @@
     """What a snapshot holds."""
 
     ends: dict[BackendId, StoredEnd] = {}
+    passed_over: tuple[BackendId, ...] = ()
     allowed: tuple[ContentDigest, ...] = ()
     trial: StoredTrial | None = None
     trials: int = 0
@@ -68,6 +77,8 @@
         """Begin with nothing."""
         self.ends: dict[BackendId, StoredEnd] = {}
         """Oldest first."""
+        self.passed_over: dict[BackendId, None] = {}
+        """Servers that ended among many others; oldest first."""
         self.allowed: dict[ContentDigest, None] = {}
         """Requests whose quarantine is over until they end another server."""
         self.trial: StoredTrial | None = None
@@ -84,27 +95,31 @@
 
     def view(self) -> SuspectsView:
         """Give what all daemons are told."""
+        ended: dict[ContentDigest, list[BackendId]] = {content: [] for content in self._standings}
+        for backend_id, end in self.ends.items():
+            for content in self._suspected(end):
+                ended[content].append(backend_id)
         suspicions = {
-            content: Suspicion(standing, self._ends_of(content))
+            content: Suspicion(standing, tuple(ended[content]))
             for content, standing in self._standings.items()
         }
         return SuspectsView(suspicions, self.trial.trial if self.trial is not None else None)
 
-    def _ends_of(self, content: ContentDigest) -> tuple[BackendId, ...]:
-        """Servers that ended under a request, but for those that another one is known to end."""
-        return tuple(b for b, end in self.ends.items() if content in self._suspected(end))
-
     def _suspected(self, end: StoredEnd) -> list[ContentDigest]:
+        """Requests that an end is held against: those known to end servers, if there are any."""
         contents = end.contents()
         guilty = [c for c in contents if self._standings.get(c) is Standing.QUARANTINED]
         return guilty or contents
 
     def is_news(self, end: ServerEnd) -> bool:
-        """Whether an end, or a request in flight at it, isn't known yet."""
+        """Whether an end, or a request in flight at it, is to be noted."""
+        if end.backend_id in self.passed_over:
+            return False
         held = self.ends.get(end.backend_id)
-        return held is None or any(
-            content not in held.blamed for content in end.contents[:CONTENTS_LIMIT]
-        )
+        if held is None:
+            return True
+        is_full = len(held.blamed) >= CONTENTS_LIMIT
+        return not is_full and any(content not in held.blamed for content in end.contents)
 
     def is_held_against(self, content: ContentDigest) -> bool:
         """Whether anything is held against a request."""
@@ -126,13 +141,25 @@
             group_time: When this was proposed, in seconds.
         """
         for end in ends:
-            if self.is_news(end):
+            if self.is_news(end) and not self._is_one_of_many(end, group_time):
                 self._note_end(end, group_time)
         for content in served:
             self._clear(content)
         self._forget(group_time)
         self._changed(index)
 
+    def _is_one_of_many(self, end: ServerEnd, group_time: float) -> bool:
+        """Whether an end is passed over: so many servers ended lately that no request did it."""
+        if end.backend_id in self.ends:
+            return False
+        lately = sum(group_time - held.at < MANY_SECONDS for held in self.ends.values())
+        if lately < MANY_ENDS:
+            return False
+        self.passed_over[end.backend_id] = None
+        while len(self.passed_over) > PASSED_OVER_LIMIT:
+            del self.passed_over[next(iter(self.passed_over))]
+        return True
+
     def _note_end(self, end: ServerEnd, group_time: float) -> None:
         held = self.ends.setdefault(end.backend_id, StoredEnd(group_time, {}))
         for content in end.contents:
@@ -226,11 +253,14 @@
     def stored(self) -> StoredSuspects:
         """Give what a snapshot holds."""
         ends = {b: StoredEnd(end.at, dict(end.blamed)) for b, end in self.ends.items()}
-        return StoredSuspects(ends, tuple(self.allowed), self.trial, self.trials, self.revision)
+        passed_over = tuple(self.passed_over)
+        allowed = tuple(self.allowed)
+        return StoredSuspects(ends, passed_over, allowed, self.trial, self.trials, self.revision)
 
     def restore(self, stored: StoredSuspects) -> None:
         """Replace everything by what a snapshot held."""
         self.ends = {b: StoredEnd(end.at, dict(end.blamed)) for b, end in stored.ends.items()}
+        self.passed_over = dict.fromkeys(stored.passed_over)
         self.allowed = dict.fromkeys(stored.allowed)
         self.trial = stored.trial
         self.trials = stored.trials
--- a/tests/directory/test_suspects.py
+++ b/tests/directory/test_suspects.py
@@ -22,6 +22,8 @@
 from merlinstand.directory.suspects import (
     CONTENTS_LIMIT,
     ENDS_LIMIT,
+    MANY_ENDS,
+    MANY_SECONDS,
     MEMORY_SECONDS,
     QUARANTINE_SECONDS,
     TRIAL_PAUSE_SECONDS,
@@ -189,11 +191,25 @@
     group.note(0.0, end_of(0, *crowd))
     assert len(group.state.suspects.ends[BackendId("b0")].blamed) == CONTENTS_LIMIT
     assert not group.state.suspects.is_news(end_of(0, *crowd))
+    late = end_of(0, ContentDigest("late"))
+    assert not group.state.suspects.is_news(late), "it would be told for ever"
     for number in range(1, ENDS_LIMIT + 9):
-        group.note(0.1, end_of(number, ContentDigest(f"y{number}")))
+        group.note(0.1 * number, end_of(number, ContentDigest(f"y{number}")))
     assert len(group.state.suspects.ends) == ENDS_LIMIT
 
 
+def test_servers_that_end_in_crowds_are_held_against_nobody() -> None:
+    """A zone is lost with all that ran there."""
+    group = Group()
+    ends = [end_of(number, ContentDigest(f"x{number}")) for number in range(40)]
+    group.note(1.0, *ends)
+    assert len(group.standings) == MANY_ENDS
+    assert not any(group.state.suspects.is_news(end) for end in ends), "told once"
+    group.note(1.5, end_of(50, GUILTY))
+    assert GUILTY not in group.standings
+    assert group.note(1.0 + MANY_SECONDS, end_of(51, GUILTY))[GUILTY] is Standing.SUSPECT
+
+
 CONTENTS = st.sampled_from([ContentDigest(c) for c in "abc"])
 COMMANDS = st.one_of(
     st.builds(
