--- a/tests/users_platform/checks.py
+++ b/tests/users_platform/checks.py
@@ -13,9 +13,11 @@
     JobAnswer,
     JobEnded,
     JobRead,
-    LookupAnswer,
 )
 from tests.users_platform.evacuation_check import evacuation_violations
+from tests.users_platform.lookup_clients import (
+    LookupAnswer,
+)
 from tests.users_platform.platform_standin import WINDOW_SECONDS, UsageTold
 from tests.users_platform.servers import (
     CRASH_SECONDS,
--- /dev/null
+++ b/tests/users_platform/lookup_clients.py
@@ -0,0 +1,211 @@
+"""Stand-ins of the platform's live clients: lookups, and whoever asks for another tenant's jobs."""
+
+import random
+from collections.abc import Sequence
+
+import msgspec
+
+from merlinstand.common.ids import CallId
+from merlinstand.kernel.effects import Effect, SetTimer, StartCall, WriteRecord
+from merlinstand.kernel.events import CallFailed, CallResponded, Event, Started, TimerFired
+from tests.users_platform.callers import HOST, JOB_CALL_SECONDS
+from tests.users_platform.servers import CRASH_MARK
+
+LOOKUP_SECONDS = 0.15
+LOOKUP_DEADLINE_MS = 1500
+ANSWER_SLACK_SECONDS = 0.2
+"""A client waits this much longer than it says."""
+
+
+class ForeignAnswer(msgspec.Struct, frozen=True):
+    """What a tenant was answered that asked for another's job."""
+
+    call: str
+    status: int
+
+
+class LookupAnswer(msgspec.Struct, frozen=True):
+    """How a lookup ended; status 0 is no answer."""
+
+    request_id: str
+    status: int
+    stamp: str
+    body: bytes
+    seconds: float
+
+
+class _Lookups:
+    """Lookups under way of one client."""
+
+    def __init__(self, gateways: list[str], keys: Sequence[str], deadline_ms: int) -> None:
+        self._gateways = gateways
+        self._keys = keys
+        self._deadline_ms = deadline_ms
+        self._random = random.Random(0)
+        self._begun: dict[CallId, float] = {}
+
+    def seed(self, seed: int) -> None:
+        """Make random choices follow this seed."""
+        self._random = random.Random(seed)
+
+    def send(
+        self,
+        request_id: str,
+        path: str,
+        body: bytes,
+        now: float,
+        headers: dict[str, str] | None = None,
+        fresh_connection: bool = False,
+    ) -> StartCall:
+        """Send a lookup to some gateway, with one of the client's keys if it has any."""
+        call_id = CallId(request_id)
+        self._begun[call_id] = now
+        own = {"X-Request-Id": request_id, "X-Deadline-Ms": str(self._deadline_ms)}
+        if self._keys:
+            own["Authorization"] = f"Bearer {self._random.choice(self._keys)}"
+        return StartCall(
+            call_id=call_id,
+            address=self._random.choice(self._gateways),
+            method="POST",
+            path=path,
+            headers=own | (headers or {}),
+            body=body,
+            timeout_seconds=self._deadline_ms / 1000 + ANSWER_SLACK_SECONDS,
+            host=HOST,
+            fresh_connection=fresh_connection,
+        )
+
+    def answer(self, event: CallResponded | CallFailed, now: float) -> LookupAnswer:
+        """Tell how a lookup ended."""
+        seconds = now - self._begun.pop(event.call_id)
+        if isinstance(event, CallFailed):
+            return LookupAnswer(event.call_id, 0, "", b"", seconds)
+        stamp = event.headers.get("x-server-stamp", "")
+        return LookupAnswer(event.call_id, event.status, stamp, event.body, seconds)
+
+
+class LookupClient:
+    """Asks for something now and then; never retries."""
+
+    def __init__(
+        self, name: str, gateways: list[str], first_at: float = 6.0, keys: tuple[str, ...] = ()
+    ) -> None:
+        self._name = name
+        # What a caller says of its tenant must not count.
+        self._headers = {"X-Tenant": "somebody-else"} if keys else {}
+        self._first_at = first_at
+        self._lookups = _Lookups(gateways, keys, LOOKUP_DEADLINE_MS)
+        self._count = 0
+
+    def start(self, event: Started, now: float) -> list[Effect]:
+        self._lookups.seed(event.seed)
+        return [SetTimer("ask", self._first_at)]
+
+    def reduce(self, event: Event, now: float) -> list[Effect]:
+        match event:
+            case TimerFired(name="ask"):
+                self._count += 1
+                request_id = f"{self._name}-{self._count}"
+                path = "/lookup/stock?q=1"
+                call = self._lookups.send(request_id, path, b"body", now, self._headers)
+                return [SetTimer("ask", LOOKUP_SECONDS), call]
+            case CallResponded() | CallFailed():
+                return [WriteRecord("lookups", self._lookups.answer(event, now))]
+            case _:
+                return []
+
+
+class RepeatingCaller:
+    """Sends one request again and again, each time with an id of its own."""
+
+    def __init__(
+        self,
+        name: str,
+        gateways: list[str],
+        times: tuple[float, ...],
+        keys: tuple[str, ...] = (),
+        body: bytes = CRASH_MARK,
+        deadline_ms: int = LOOKUP_DEADLINE_MS,
+    ) -> None:
+        """Begin with nothing sent.
+
+        Args:
+            name: Begins its requests' ids.
+            gateways: Addresses of the gateways; each send draws one.
+            times: When it sends, in seconds from its start.
+            keys: Keys that it may use.
+            body: What it sends: by itself a request that ends servers.
+            deadline_ms: How long it waits.
+        """
+        self._name = name
+        self._times = times
+        self._body = body
+        self._lookups = _Lookups(gateways, keys, deadline_ms)
+
+    def start(self, event: Started, now: float) -> list[Effect]:
+        self._lookups.seed(event.seed)
+        return [SetTimer(f"{n}", max(0.01, at)) for n, at in enumerate(self._times)]
+
+    def reduce(self, event: Event, now: float) -> list[Effect]:
+        match event:
+            case TimerFired(name=name):
+                request_id = f"{self._name}-{name}"
+                path = "/lookup/repeated"
+                return [
+                    self._lookups.send(request_id, path, self._body, now, fresh_connection=True)
+                ]
+            case CallResponded() | CallFailed():
+                answer = self._lookups.answer(event, now)
+                return [WriteRecord(f"repeated-{self._name}", answer)]
+            case _:
+                return []
+
+
+class ForeignReader:
+    """Another tenant's client: looks at a trainer's jobs and wishes them ended."""
+
+    def __init__(self, gateways: list[str], jobs: list[str], key: str) -> None:
+        self._gateways = gateways
+        self._jobs = jobs
+        self._key = key
+        self._random = random.Random(0)
+        self._count = 0
+
+    def start(self, event: Started, now: float) -> list[Effect]:
+        self._random = random.Random(event.seed)
+        return [SetTimer("ask", 7.0)]
+
+    def reduce(self, event: Event, now: float) -> list[Effect]:
+        match event:
+            case TimerFired():
+                return [SetTimer("ask", 0.1), *self._ask()]
+            case CallResponded():
+                kind = event.call_id.partition("#")[0]
+                return [WriteRecord("foreign", ForeignAnswer(kind, event.status))]
+            case _:
+                return []
+
+    def _ask(self) -> list[Effect]:
+        self._count += 1
+        job = self._random.choice(self._jobs)
+        item = f"{job.removeprefix('job-')}-0-0"
+        method, path = self._random.choice(
+            [
+                ("GET", f"/lots/{job}?After=0"),
+                ("GET", f"/items/{job}?Id={item}"),
+                ("DELETE", f"/lots/{job}"),
+            ]
+        )
+        return [
+            StartCall(
+                call_id=CallId(f"{method} {path}#{self._count}"),
+                address=self._random.choice(self._gateways),
+                method=method,
+                path=path,
+                headers={"Authorization": f"Bearer {self._key}", "X-Tenant": "alpha"},
+                body=b"",
+                timeout_seconds=JOB_CALL_SECONDS,
+                host=HOST,
+                fresh_connection=True,
+            )
+        ]
--- a/tests/users_platform/real_world.py
+++ b/tests/users_platform/real_world.py
@@ -27,15 +27,17 @@
 from merlinstand.runtime.host import Host
 from merlinstand.runtime.host_settings import HostSettings
 from tests.users_platform.callers import (
-    LookupClient,
     Operator,
-    RepeatingCaller,
     Trainer,
     ZoneOperator,
     ZoneOrder,
     ZoneOrderAnswered,
     config,
 )
+from tests.users_platform.lookup_clients import (
+    LookupClient,
+    RepeatingCaller,
+)
 from tests.users_platform.servers import Engine, RegisteredServer
 from tests.users_platform.world import (
     LOOKUPS_TENANT,
--- a/tests/users_platform/test_checks.py
+++ b/tests/users_platform/test_checks.py
@@ -18,17 +18,19 @@
 from tests.users_platform.callers import (
     ConfigAcknowledged,
     ConfigRead,
-    ForeignAnswer,
     JobAccepted,
     JobAnswer,
     JobRead,
-    LookupAnswer,
     ZoneOrder,
     ZoneOrderAnswered,
     ZoneOrderSent,
     config,
 )
 from tests.users_platform.checks import violations
+from tests.users_platform.lookup_clients import (
+    ForeignAnswer,
+    LookupAnswer,
+)
 from tests.users_platform.platform_standin import UsageTold
 from tests.users_platform.servers import (
     Arrival,
--- a/tests/users_platform/test_days.py
+++ b/tests/users_platform/test_days.py
@@ -5,11 +5,13 @@
 from tests.users_platform.callers import (
     ConfigAcknowledged,
     ConfigRead,
-    LookupClient,
     RetiringOperator,
     config,
 )
 from tests.users_platform.checks import answered_share, records, violations, whole_steps
+from tests.users_platform.lookup_clients import (
+    LookupClient,
+)
 from tests.users_platform.servers import Engine
 from tests.users_platform.world import ZONES, World
 
--- a/tests/users_platform/test_tenant_days.py
+++ b/tests/users_platform/test_tenant_days.py
@@ -2,8 +2,11 @@
 
 import pytest
 
-from tests.users_platform.callers import ForeignAnswer, LookupAnswer
 from tests.users_platform.checks import answered_share, records, violations, whole_steps
+from tests.users_platform.lookup_clients import (
+    ForeignAnswer,
+    LookupAnswer,
+)
 from tests.users_platform.servers import Arrival
 from tests.users_platform.world import LOOKUPS_TENANT, TENANT_KEYS, TRAINERS_TENANT, World
 
--- a/tests/users_platform/world.py
+++ b/tests/users_platform/world.py
@@ -23,16 +23,18 @@
 )
 from tests.users_platform.callers import (
     COLD_START_SECONDS,
-    LOOKUP_DEADLINE_MS,
-    ForeignReader,
-    LookupClient,
     Operator,
-    RepeatingCaller,
     Trainer,
     ZoneOperator,
     ZoneOrder,
     config,
 )
+from tests.users_platform.lookup_clients import (
+    LOOKUP_DEADLINE_MS,
+    ForeignReader,
+    LookupClient,
+    RepeatingCaller,
+)
 from tests.users_platform.platform_standin import DUE_SECONDS, WINDOW_SECONDS, Platform
 from tests.users_platform.servers import CRASH_MARK, Engine, RegisteredServer
 
