A quarantine that is over keeps its ends to itself

Cause: the view for daemons listed each end under all requests that were not cleared of it; once a quarantine was over, its request no longer counted as known, and those that had run beside it, free by then, had no entry: KeyError in the leader's view, after a committed entry, so again after each restart.

--- a/src/merlinstand/directory/suspects.py
+++ b/src/merlinstand/directory/suspects.py
@@ -106,10 +106,16 @@
         return SuspectsView(suspicions, self.trial.trial if self.trial is not None else None)
 
     def _suspected(self, end: StoredEnd) -> list[ContentDigest]:
-        """Requests that an end is held against: those known to end servers, if there are any."""
+        """Requests that an end is held against: those known to end servers, if there are any.
+
+        One whose quarantine is over stays known; nothing is held against what was beside it.
+        """
         contents = end.contents()
-        guilty = [c for c in contents if self._standings.get(c) is Standing.QUARANTINED]
-        return guilty or contents
+        known = [c for c in contents if self._is_known(c)]
+        return known or [c for c in contents if c in self._standings]
+
+    def _is_known(self, content: ContentDigest) -> bool:
+        return content in self.allowed or self._standings.get(content) is Standing.QUARANTINED
 
     def is_news(self, end: ServerEnd) -> bool:
         """Whether an end, or a request in flight at it, is to be noted."""
--- a/tests/users_platform/test_crashing_requests.py
+++ b/tests/users_platform/test_crashing_requests.py
@@ -210,6 +210,30 @@
     assert list(held.values()) == [Standing.QUARANTINED]
 
 
+@pytest.mark.parametrize("seed", range(2))
+def test_a_request_that_was_never_alone_at_an_end_is_tried_once_more(
+    seed: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Others come once, whenever it does, and leave as its server ends: nobody clears them.
+
+    Its quarantine is short, since it may only have run beside guilty ones. Seen: the control
+    daemons ended, all of them and again after each restart, as it was over.
+    """
+    monkeypatch.setattr(RegisteredServer, "work_seconds", 0.07)
+    world = World(seed)
+    sends = tuple(8.0 + 0.7 * number for number in range(60))
+    world.add_repeating_caller(sends)
+    for place, at in enumerate(sends[:8]):
+        for number in range(BESIDE):
+            name = f"once-{place}-{number}"
+            world.add_repeating_caller((at,), name, body=name.encode(), deadline_ms=60)
+    world.simulation.run_until(55.0)
+    assert violations(world) == []
+    [arrivals] = crash_arrivals(world).values()
+    assert len(arrivals) == 4
+    assert answered_share(world) > 0.95
+
+
 def test_another_tenants_equal_request_is_served(monkeypatch: pytest.MonkeyPatch) -> None:
     """Who asks is part of what is asked: here servers end under one tenant's request only."""
     monkeypatch.setattr(RegisteredServer, "crashing_tenant", LOOKUPS_TENANT)
