Stand-in servers answer a question for a sign of life

Soak reported a request that ran for nobody: after resets of connections whose servers lived, the gateway's question at the health path was taken for a request by the stand-in; an engine's would have ended at it. Test first failed; the check stays as it was.

--- a/tests/users_platform/callers.py
+++ b/tests/users_platform/callers.py
@@ -11,7 +11,7 @@
 from merlinstand.kernel.effects import Effect, SetTimer, StartCall, WriteRecord
 from merlinstand.kernel.events import CallFailed, CallResponded, Event, Started, TimerFired
 from tests.users_platform.control_caller import CALL_PREFIX, TIMER_PREFIX, ControlCaller, Order
-from tests.users_platform.servers import CRASH_MARK
+from tests.users_platform.servers import CRASH_MARK, HEALTH_PATH
 
 HOST = "shop.example"
 STEP_SECONDS = 4.0
@@ -110,7 +110,7 @@
         "Services": [
             {
                 "Name": name,
-                "HealthPath": "/healthz",
+                "HealthPath": HEALTH_PATH,
                 "MaxConns": 100,
                 **(
                     {"Engine": {"Slots": 4, "Models": [{"Name": m} for m in models]}}
--- a/tests/users_platform/servers.py
+++ b/tests/users_platform/servers.py
@@ -31,6 +31,7 @@
 BEAT_SECONDS = 1.2
 LOAD_SECONDS = 0.9
 EVENT_SECONDS = 0.03
+HEALTH_PATH = "/healthz"
 CRASH_MARK = b"ends the server"
 """A request whose body begins so ends each server that begins to run it."""
 CRASH_SECONDS = 0.045
@@ -154,7 +155,7 @@
                 expected = event.headers.get("x-expect-instance", self.instance)
                 if expected != self.instance:
                     return [Respond(event.request_id, 421, {"X-Instance-Id": self.instance}, b"")]
-                return [*self._note_cold(event, now), *self._request(event, now)]
+                return [*self._note_cold(event, now), *self._take(event, now)]
             case RequestAborted():
                 self._working.pop(event.request_id, None)
                 return []
@@ -164,6 +165,12 @@
             case _:
                 return []
 
+    def _take(self, event: RequestReceived, now: float) -> list[Effect]:
+        if event.path == HEALTH_PATH:
+            headers = {"X-Instance-Id": self.instance}
+            return [Respond(event.request_id, 200, headers, b"")]
+        return self._request(event, now)
+
     def _note_cold(self, event: RequestReceived, now: float) -> list[Effect]:
         if now >= self.cold_until:
             return []
--- /dev/null
+++ b/tests/users_platform/test_servers.py
@@ -0,0 +1,37 @@
+"""The stand-ins of servers answer a question for a sign of life; that runs nothing.
+
+Soak seed 1202222201: connections were reset while their servers lived, and a stand-in took the
+question that followed for a request of nobody's.
+"""
+
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+
+from merlinstand.common.ids import NodeId, RequestId
+from merlinstand.kernel.effects import Respond
+from merlinstand.kernel.events import RequestReceived, Started
+from tests.users_platform.servers import HEALTH_PATH, Engine, RegisteredServer
+
+
+def plain_server() -> RegisteredServer:
+    return RegisteredServer("shop", "10.0.0.1:1", "z", ["10.0.0.9:1"])
+
+
+def engine() -> Engine:
+    return Engine("llm", "10.0.0.1:1", "z", ["10.0.0.9:1"], ["m0"])
+
+
+@pytest.mark.parametrize("make", [plain_server, engine])
+@pytest.mark.parametrize("is_meant", [True, False])
+def test_a_sign_of_life_is_no_run(make: Callable[[], Any], is_meant: bool) -> None:
+    server = make()
+    server.start(Started(NodeId("s"), 1, seed=7), 0.0)
+    expected = server.instance if is_meant else "i-another"
+    headers = {"x-request-id": "q", "x-expect-instance": expected}
+    asked = RequestReceived(RequestId("r"), "GET", HEALTH_PATH, headers, b"")
+    [answer] = server.reduce(asked, 1.0)
+    assert isinstance(answer, Respond)
+    assert answer.status == (200 if is_meant else 421)
+    assert answer.headers["X-Instance-Id"] == server.instance
