--- a/tests/batch_jobs/test_cold_engines.py
+++ b/tests/batch_jobs/test_cold_engines.py
@@ -19,6 +19,7 @@
 from merlinstand.directory.follower import DirectoryFollower
 from merlinstand.directory.routes import RoutesDocument, RouteTable, Service
 from merlinstand.directory.view import DaemonReport
+from merlinstand.kernel.effects import StartCall
 from tests.batch_jobs.test_scoring import Scoring
 from tests.batch_jobs.test_weight_loader import Loading, report
 
@@ -104,10 +105,8 @@
 
 
 def test_reports_and_orders_count_too() -> None:
-    loading = Loading()
-    loading.follower.routes = RouteTable(RoutesDocument(version=1, services=(SERVICE,)))
+    loading = cold_loading()
     [state] = loading.states.states.values()
-    state.backend = msgspec.structs.replace(state.backend, is_cold=True)
     cold = loading.follower.cold
     assert loading.calls(0.0) == []
     assert cold.is_ask_due(0.0)
@@ -141,6 +140,16 @@
     return loading
 
 
+def loading_with_a_noted_order() -> tuple[Loading, StartCall]:
+    """The one send that was granted is used for the report: the order that follows has to wait."""
+    loading = cold_loading()
+    [state] = loading.states.states.values()
+    grant(loading.follower.cold, state.backend, 1, 0.0)
+    [asked] = loading.calls(0.1)
+    assert loading.reported(asked, report(3, 1), 0.12) == []
+    return loading, asked
+
+
 def grant_wished(cold: ColdBudget, now: float) -> int:
     """The leader grants all that is wished; tells how many sends that were."""
     data = cold.ask(now)
@@ -161,12 +170,8 @@
 
 
 def test_a_noted_order_waits_for_a_grant_as_long_as_it_may_be_given() -> None:
-    loading = cold_loading()
+    loading, _asked = loading_with_a_noted_order()
     cold = loading.follower.cold
-    [state] = loading.states.states.values()
-    grant(cold, state.backend, 1, 0.0)
-    [asked] = loading.calls(0.1)
-    assert loading.reported(asked, report(3, 1), 0.12) == []
     assert loading.calls(0.2) == []
     assert grant_wished(cold, 0.21) > 0
     [order] = loading.calls(0.3)
@@ -174,12 +179,9 @@
 
 
 def test_a_noted_order_is_not_given_too_late() -> None:
-    loading = cold_loading()
+    loading, asked = loading_with_a_noted_order()
     cold = loading.follower.cold
     [state] = loading.states.states.values()
-    grant(cold, state.backend, 1, 0.0)
-    [asked] = loading.calls(0.1)
-    assert loading.reported(asked, report(3, 1), 0.12) == []
     grant(cold, state.backend, 2, 0.5)
     assert loading.calls(0.53) == []
     grant(cold, state.backend, 2, 1.0)
