--- /dev/null
+++ b/tests/users_platform/test_gateway_days.py
@@ -0,0 +1,32 @@
+"""What gateways alone know of requests that end servers dies with them.
+
+A caller leaves after 20 ms, its request ends the server after 45 ms, and the request comes again at
+another gateway. The first gateway is the only one that knows what the server was working on, and
+finds the server gone only when it next sends something there. Killed before that, it takes its
+evidence along: nobody else writes `backend.ended … suspected=…` for that server, and the request is
+sent on as if nothing had happened. On seed 2 the request reached 23 servers after the third. A
+gateway that is killed while the request is still at the server loses its evidence in the same way,
+whatever its caller does.
+"""
+
+import pytest
+
+from tests.users_platform.gateway_days import play
+
+
+@pytest.mark.parametrize(
+    "seed",
+    [
+        pytest.param(2, id="every sender is killed 10 ms after the request arrived"),
+        pytest.param(16, id="gateways are killed at random"),
+        pytest.param(
+            25, id="every sender is killed 30 ms after the arrival, once all power is lost"
+        ),
+        pytest.param(32, id="every sender is killed 1 ms after the arrival"),
+        pytest.param(36, id="three of five senders are killed, and control daemons"),
+        pytest.param(39, id="every sender is killed 60 ms after the arrival, and all in turn"),
+        pytest.param(53, id="gateways are killed in turn and at random"),
+    ],
+)
+def test_what_gateways_knew_outlives_them(seed: int) -> None:
+    assert play(seed) == []
