Quarantine: what a daemon knows of its tries outlives it

Cause: only the gateway that sent a request knew what was at the server. It told others after it had found the server gone, at its next try there. Killed before that, its evidence was gone; a gateway killed with the request still at the server lost it whatever its caller did.

Change, in the order of what it costs: - a try that ends without an answer is told at once (SuspectReport.unanswered) and held in the log (NoteCrashes.unanswered, 15 s); when the server turns out to be gone, by a refused connection at any daemon, by its successor, or by a new start under its id (born), the leader counts it as in flight. The server's later heartbeats take it off again; - daemons tell of servers that are gone also if nothing of theirs was there; - once a server crashed while a daemon died, daemons announce each try of that service in the turn in which they send it, for 15 s. What a daemon announced that has not reported for 0.2 s after the crash counts as in flight. Nothing is announced otherwise: a lookup costs nothing then. - what was told of a server before its crash is judged once: a gateway that found it gone seconds later used to add requests that the server had long outlived.

Ruled out: waiting for an acknowledgement before each send (a round trip a lookup), announcing always (a message a lookup at one leader, 47,000 a second at the target size), gateways' own disks (they have none).

Beside: new fields have defaults and stand last; old daemons pass over them, new ones do without. Crashes themselves go through the log as before.

--- a/src/merlinstand/directory/backend_table.py
+++ b/src/merlinstand/directory/backend_table.py
@@ -85,6 +85,11 @@
         """The back end that is registered at an address."""
         return self._by_address.get(address)
 
+    def service_of(self, backend_id: BackendId) -> str:
+        """Service of a back end that is registered and doesn't leave; empty for any other."""
+        backend = self.backends.get(backend_id)
+        return "" if backend is None or backend.is_leaving else backend.service
+
     def would_change(self, backend: Backend, sequence: int) -> bool:
         """Whether a heartbeat reports anything that is not agreed yet."""
         if backend.backend_id in self.removed:
--- a/src/merlinstand/directory/daemon.py
+++ b/src/merlinstand/directory/daemon.py
@@ -19,7 +19,7 @@
     OutcomeUnknownError,
     UnavailableError,
 )
-from merlinstand.common.ids import RequestId
+from merlinstand.common.ids import BackendId, RequestId
 from merlinstand.consensus.decision_waiters import DecisionWaiter, DecisionWaiters
 from merlinstand.consensus.first_start import is_first_start_kept, keep_first_start
 from merlinstand.consensus.replica import Replica
@@ -32,6 +32,7 @@
     Heartbeats,
     HeartbeatTaken,
     HeartbeatToDecide,
+    ServerEnds,
 )
 from merlinstand.directory.leader_requests import LeaderRequests
 from merlinstand.directory.leader_tasks import LeaderTasks
@@ -76,7 +77,13 @@
     BackendBeats,
     DirectoryPull,
 )
-from merlinstand.quarantine.leader import TOGETHER_TIMER, QuarantineLeader
+from merlinstand.quarantine.leader import (
+    SETTLE_TIMER,
+    TOGETHER_TIMER,
+    QuarantineLeader,
+    ServerLife,
+)
+from merlinstand.quarantine.lost_senders import LostSenders
 
 HOUSEKEEPING_TIMER = "directory.housekeeping"
 """What is due is done when it fires."""
@@ -123,12 +130,17 @@
     def _make_parts(self, platform: PlatformInterface) -> None:
         settings, replica, state = self._settings, self.replica, self.state
         propose = self._try_to_propose
-        self._heartbeats = Heartbeats(settings, replica, state, propose)
+        self._heartbeats = Heartbeats(settings, replica, state, propose, self._server_ends())
         self._metering = MeteringLeader(
             metering_settings(settings), state.usage, state.turns, platform, propose
         )
-        self._quarantine = QuarantineLeader(state.suspects, propose)
         heard_seconds = self._heartbeats.heard_seconds
+        self._quarantine = QuarantineLeader(
+            state.suspects,
+            propose,
+            ServerLife(heard_seconds, lambda backend_id: state.table.service_of(backend_id)),
+            LostSenders(lambda now: self._publisher.subscribers.silences(now)),
+        )
         grants = GrantIssuer(
             state, settings.cold_overshoot, settings.cold_slack_requests, heard_seconds
         )
@@ -154,6 +166,18 @@
             self._propose,
         )
 
+    def _server_ends(self) -> ServerEnds:
+        """What heartbeats tell of servers that have ended goes to the quarantine."""
+
+        def note_replaced(backend_id: BackendId, now: float) -> list[Effect]:
+            return self._quarantine.note_replaced(backend_id, self.replica.group_time(now), now)
+
+        def note_born(backend_id: BackendId, born_ms: int, now: float) -> list[Effect]:
+            group_time = self.replica.group_time(now)
+            return self._quarantine.note_born(backend_id, born_ms, group_time, now)
+
+        return ServerEnds(note_replaced, note_born)
+
     def start(self, event: Started, now: float) -> Sequence[Effect]:
         """Recover from the journal and join the group."""
         effects: list[Effect] = [
@@ -193,6 +217,10 @@
                 return self._heartbeats.pass_on(now)
             case TimerFired(name=name) if name == TOGETHER_TIMER:
                 return self._quarantine.agree(now) if self.replica.may_act(now) else []
+            case TimerFired(name=name) if name == SETTLE_TIMER:
+                group_time = self.replica.group_time(now)
+                may_act = self.replica.may_act(now)
+                return self._quarantine.note_left(group_time, now) if may_act else []
             case TimerFired(name=name) if name == PUSH_TIMER:
                 return self._publisher.push(now)
             case TimerFired(name=name) if name == STOP_TIMER:
--- a/src/merlinstand/directory/heartbeat_intake.py
+++ b/src/merlinstand/directory/heartbeat_intake.py
@@ -11,7 +11,7 @@
 import msgspec
 
 from merlinstand.cluster.backends import Backend
-from merlinstand.common.ids import BackendId
+from merlinstand.common.ids import BackendId, NodeId
 from merlinstand.directory.address_contests import AddressContests
 from merlinstand.directory.commands import PutBackend
 from merlinstand.directory.heartbeat_rules import may_have_cooled
@@ -22,13 +22,16 @@
 """Back ends in one log entry: 100 KB at most, a tenth of a message between replicas."""
 
 
-class HeartbeatBatch(msgspec.Struct, frozen=True):
+class HeartbeatBatch(msgspec.Struct, frozen=True, omit_defaults=True):
     """What a replica reports to the leader."""
 
     heard: tuple[BackendId, ...]
     """Back ends whose heartbeats it took."""
     changed: tuple[PutBackend, ...]
     """What they changed."""
+    born_ms: dict[BackendId, int] = {}
+    """When servers started, in Unix milliseconds, where the leader may not know it. Earlier builds
+    neither send nor read it."""
 
 
 _DECODER = msgspec.msgpack.Decoder(HeartbeatBatch)
@@ -62,6 +65,11 @@
         self._changed: dict[BackendId, PutBackend] = {}
         self._heard_at: dict[BackendId, float] = {}
         """Leader: when each back end was heard last, by whichever replica."""
+        self._born_ms: dict[BackendId, int] = {}
+        """What a leader may not know yet of when servers started."""
+        self._told_born_ms: dict[BackendId, int] = {}
+        """What `_told_leader` was told of that."""
+        self._told_leader: NodeId | None = None
         self._contests = AddressContests(lambda: state.table, self._heard_at_of)
         self._led_since = float("inf")
 
@@ -87,6 +95,25 @@
         is_known = present is not None and present.is_leaving
         return heartbeat.backend.is_leaving and not is_known
 
+    def note_born(self, heartbeat: Heartbeat) -> None:
+        """Keep when a server started, to report it to the leader once."""
+        backend_id, born_ms = heartbeat.backend.backend_id, heartbeat.born_ms
+        if born_ms > self._told_born_ms.get(backend_id, 0):
+            self._born_ms[backend_id] = born_ms
+
+    def take_born(self, leader: NodeId) -> dict[BackendId, int]:
+        """Give what this leader may not know yet of when servers started."""
+        if leader != self._told_leader:
+            self._born_ms = {**self._told_born_ms, **self._born_ms}
+            self._told_born_ms = {}
+            self._told_leader = leader
+        born_ms, self._born_ms = self._born_ms, {}
+        present = self._state.table.backends
+        self._told_born_ms = {
+            b: at for b, at in (self._told_born_ms | born_ms).items() if b in present
+        }
+        return born_ms
+
     def _heard_at_of(self, backend_id: BackendId) -> float | None:
         return self._heard_at.get(backend_id)
 
--- a/src/merlinstand/directory/heartbeats.py
+++ b/src/merlinstand/directory/heartbeats.py
@@ -60,6 +60,19 @@
     """Only the leader can answer it."""
 
 
+def _no_end(_backend_id: BackendId, _now: float) -> list[Effect]:
+    return []
+
+
+class ServerEnds(msgspec.Struct, frozen=True):
+    """Who takes what heartbeats tell the leader of servers that have ended."""
+
+    note_replaced: Callable[[BackendId, float], list[Effect]] = _no_end
+    """Another server registers at the address of one that nobody said would leave."""
+    note_born: Callable[[BackendId, int, float], list[Effect]] = lambda *_args: []
+    """A server says when it started, in Unix milliseconds."""
+
+
 HeartbeatOutcome = HeartbeatTaken | HeartbeatToDecide | HeartbeatElsewhere
 
 
@@ -72,6 +85,7 @@
         replica: Replica,
         state: DirectoryState,
         propose: Callable[[DirectoryCommand, float], list[Effect] | None],
+        ends: ServerEnds | None = None,
     ) -> None:
         """Begin without any.
 
@@ -80,11 +94,13 @@
             replica: Knows who leads.
             state: What the group agreed on.
             propose: Proposes a command; None if that can't be done now.
+            ends: Takes what heartbeats tell of servers that have ended.
         """
         self._settings = settings
         self._replica = replica
         self._state = state
         self._propose = propose
+        self._ends = ends or ServerEnds()
         self._intake = HeartbeatIntake(state)
         self._throttle = Throttle(CHANGES_TIMER, CHANGES_SECONDS)
 
@@ -113,9 +129,18 @@
             return HeartbeatToDecide(command, reply, log)
         if not may_answer(leads, self._replica.proof_age_seconds(now)):
             return HeartbeatElsewhere()
+        ended = self._note_born(heartbeat, leads, now)
         had_changes = self._intake.has_changes
         self._intake.take(heartbeat, leads, now)
-        return HeartbeatTaken(reply, tuple(self._after_change(had_changes, now)))
+        return HeartbeatTaken(reply, (*ended, *self._after_change(had_changes, now)))
+
+    def _note_born(self, heartbeat: Heartbeat, leads: bool, now: float) -> list[Effect]:
+        if not heartbeat.born_ms:
+            return []
+        if not leads:
+            self._intake.note_born(heartbeat)
+            return []
+        return self._ends.note_born(heartbeat.backend.backend_id, heartbeat.born_ms, now)
 
     def _after_change(self, had_changes: bool, now: float) -> list[Effect]:
         """Pass a first change on at once after a quiet time, else with what else comes soon."""
@@ -139,9 +164,12 @@
         except MALFORMED_INPUT as error:
             fields = {"replica": sender, "detail": str(error)}
             return [LogEvent("backends.malformed", fields, "warning")]
+        effects: list[Effect] = []
+        for backend_id, born_ms in batch.born_ms.items():
+            effects.extend(self._ends.note_born(backend_id, born_ms, now))
         had_changes = self._intake.has_changes
         self._intake.take_batch(batch, now)
-        return self._after_change(had_changes, now)
+        return effects + self._after_change(had_changes, now)
 
     def pass_on(self, now: float) -> list[Effect]:
         """Have changes agreed; a replica that doesn't lead reports them to the leader."""
@@ -156,11 +184,12 @@
         services = sorted({change.backend.service for change in changes})
         fields = {"count": len(changes), "services": ",".join(services)}
         effects.append(LogEvent("backends.changed", fields))
-        effects.extend(self._log_replaced(changes))
+        # First, so that what was in flight there counts before the successors get requests.
+        effects.extend(self._note_replaced(changes, now))
         return effects + (self._propose(PutBackends(changes), now) or [])
 
-    def _log_replaced(self, changes: tuple[PutBackend, ...]) -> list[Effect]:
-        """Log servers that are gone without a word: another incarnation takes their address."""
+    def _note_replaced(self, changes: tuple[PutBackend, ...], now: float) -> list[Effect]:
+        """Servers are gone without a word: another incarnation takes their address."""
         table = self._state.table
         effects: list[Effect] = []
         for change in changes:
@@ -175,6 +204,7 @@
                 "address": holder.address,
             }
             effects.append(LogEvent("backend.replaced", fields))
+            effects.extend(self._ends.note_replaced(holder.backend_id, now))
         return effects
 
     def _report_to_leader(self) -> list[Effect]:
@@ -185,7 +215,8 @@
         changed = self._intake.take_changes()
         if not heard and not changed:
             return []
-        message = BackendBeats(batch=encode_heartbeats(HeartbeatBatch(heard, changed)))
+        batch = HeartbeatBatch(heard, changed, self._intake.take_born(leader))
+        message = BackendBeats(batch=encode_heartbeats(batch))
         return [SendMessage(leader, message), *self._timer_for_the_rest()]
 
     def _timer_for_the_rest(self) -> list[Effect]:
--- a/src/merlinstand/directory/publisher.py
+++ b/src/merlinstand/directory/publisher.py
@@ -76,6 +76,8 @@
             return [LogEvent("daemon.malformed", fields, "warning")]
         subscriber = _subscriber_of(report, pull, now)
         is_new = not self.subscribers.knows(sender)
+        if subscriber.document_revision < 0:
+            self._quarantine.senders.note_started(now)
         changes_keepers = self.subscribers.note(sender, subscriber)
         if changes_keepers:
             self._refresh(now)
--- a/src/merlinstand/directory/requests.py
+++ b/src/merlinstand/directory/requests.py
@@ -34,6 +34,8 @@
     backend: Backend
     sequence: int
     """Rises with every heartbeat of one back end."""
+    born_ms: int = 0
+    """When the server started, in Unix milliseconds; 0 if it doesn't say."""
 
 
 class BackendLeft(msgspec.Struct, frozen=True):
--- a/src/merlinstand/directory/subscribers.py
+++ b/src/merlinstand/directory/subscribers.py
@@ -134,6 +134,10 @@
             if now - subscriber.heard_at < REPORT_FRESH_SECONDS
         ]
 
+    def silences(self, now: float) -> Iterable[float]:
+        """How many seconds ago each daemon was heard."""
+        return (now - subscriber.heard_at for subscriber in self._by_node.values())
+
     def heard_gateways(self) -> list[GatewayHeard]:
         """When each gateway was heard last, however long ago."""
         return [
--- a/src/merlinstand/quarantine/commands.py
+++ b/src/merlinstand/quarantine/commands.py
@@ -3,14 +3,22 @@
 import msgspec
 
 from merlinstand.common.ids import ContentDigest
-from merlinstand.quarantine.messages import ServerCrash
+from merlinstand.quarantine.messages import ServerCrash, UnansweredTries
 
 
-class NoteCrashes(msgspec.Struct, frozen=True, tag="note_ends"):
-    """A daemon saw servers crash, or requests served whole that were in flight at such a crash."""
+class NoteCrashes(msgspec.Struct, frozen=True, tag="note_ends", omit_defaults=True):
+    """A daemon saw servers crash, or requests served whole that were in flight at such a crash.
+
+    Replicas of earlier builds pass over the fields with a default: what they apply of the others is
+    the same.
+    """
 
     crashes: tuple[ServerCrash, ...] = msgspec.field(name="ends")
     served: tuple[ContentDigest, ...]
+    unanswered: tuple[UnansweredTries, ...] = ()
+    """Tries whose servers may crash yet."""
+    announced_services: tuple[str, ...] = ()
+    """Services whose tries daemons are to tell of as they send them, for some time."""
 
 
 class BeginTrial(msgspec.Struct, frozen=True, tag="begin_trial"):
--- a/src/merlinstand/quarantine/crash_watch.py
+++ b/src/merlinstand/quarantine/crash_watch.py
@@ -4,7 +4,9 @@
 says nothing of its server: answers get lost, connections are reset, and the server lives on. So a
 server at which a call broke is probed on a new connection. Only one that refuses it, or whose
 address another incarnation has taken, has crashed; then all requests that this daemon had in flight
-there, or gave up just before, are suspects. Part of the reducers of gateways and keepers.
+there, or gave up just before, are suspects. Tries that end without an answer are told at once, and
+at times each try as it is sent (`tries_to_tell`): this daemon may die before it finds out what
+became of the server. Part of the reducers of gateways and keepers.
 """
 
 from collections.abc import Callable, Collection
@@ -102,17 +104,23 @@
             now: Local time.
         """
         self._sent[call_id] = _Sent(backend, content_of, now)
+        self.suspects.note_sent(call_id, backend, content_of, now)
+
+    def _end(self, call_id: CallId) -> _Sent | None:
+        """A call is over; gives what was known of it."""
+        self.suspects.note_ended(call_id)
+        return self._sent.pop(call_id, None)
 
     def answered(self, call_id: CallId, now: float) -> None:
         """The server ran the request and answered whole: it lives, the request didn't crash it."""
-        sent = self._sent.pop(call_id, None)
+        sent = self._end(call_id)
         if sent is not None:
             self._note_life(sent.backend.backend_id, sent.at)
             self.suspects.note_served(sent.content_of(), now)
 
     def turned_away(self, call_id: CallId) -> None:
         """The server answered that it has not begun the request: that proves nothing."""
-        sent = self._sent.pop(call_id, None)
+        sent = self._end(call_id)
         if sent is not None:
             self._note_life(sent.backend.backend_id, sent.at)
             self._note_unsent(sent)
@@ -123,6 +131,7 @@
 
     def _note_life(self, backend_id: BackendId, at: float) -> None:
         """A server was there at a time: what was given up long before has not crashed it."""
+        self.suspects.note_alive(backend_id)
         unanswered = self._unanswered.get(backend_id)
         if unanswered is None:
             return
@@ -133,10 +142,11 @@
         ]
         if not unanswered.given_up:
             del self._unanswered[backend_id]
+            self.suspects.note_outlived(backend_id)
 
     def given_up(self, call_id: CallId, now: float) -> None:
         """The call was cancelled, or its answer came to nothing."""
-        sent = self._sent.pop(call_id, None)
+        sent = self._end(call_id)
         if sent is not None:
             self._remember(sent, now)
 
@@ -149,12 +159,14 @@
             for given_up in unanswered.given_up
             if may_have_crashed_server(given_up.at, now)
         ]
-        held.append(_GivenUp(sent.content_of(), now))
+        content = sent.content_of()
+        held.append(_GivenUp(content, now))
         unanswered.given_up = held[-GIVEN_UP_LIMIT:]
+        self.suspects.note_unanswered(sent.backend.backend_id, content, now)
 
     def failed(self, event: CallFailed, now: float) -> list[Effect]:
         """A call failed; asks its server for a sign of life if the call had broken off."""
-        sent = self._sent.pop(event.call_id, None)
+        sent = self._end(event.call_id)
         if sent is None:
             return []
         if event.phase is CallPhase.CONNECT:
@@ -220,9 +232,11 @@
         unanswered = self._unanswered.pop(backend.backend_id, None)
         held = unanswered.given_up if unanswered is not None else []
         contents = dict.fromkeys(g.content for g in held if may_have_crashed_server(g.at, now))
-        if not contents or backend.is_leaving:
+        if backend.is_leaving:
             return []
         suspected = self.suspects.note_crash(backend.backend_id, contents, now)
+        if not contents:
+            return []
         fields = {
             "backend": backend.backend_id,
             "service": backend.service,
--- a/src/merlinstand/quarantine/follower.py
+++ b/src/merlinstand/quarantine/follower.py
@@ -7,12 +7,14 @@
 with its pulls.
 """
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 import msgspec
 
-from merlinstand.common.ids import BackendId, ContentDigest
+from merlinstand.cluster.backends import Backend
+from merlinstand.common.ids import BackendId, CallId, ContentDigest
 from merlinstand.quarantine.blame import CRASHES_TO_BLAME, Standing, standing_after
+from merlinstand.quarantine.incarnations import has_start, server_of
 from merlinstand.quarantine.messages import (
     MAXIMUM_REPORT_ENTRIES,
     ServerCrash,
@@ -22,6 +24,7 @@
     encode_suspect_report,
 )
 from merlinstand.quarantine.rules import TRIAL_PAUSE_SECONDS, is_vouched_for
+from merlinstand.quarantine.tries_to_tell import TriesToTell
 
 REPORT_AGAIN_SECONDS = 0.1
 """What was not acknowledged is reported again after this time; chosen, not measured."""
@@ -56,12 +59,20 @@
         """When this daemon heard that a request is unproven."""
         self._asker = ""
         self._crashes: dict[BackendId, _PendingCrash] = {}
+        self._gone: dict[BackendId, int] = {}
+        """Sequence numbers of servers that are gone, with nothing of this daemon in flight there,
+        and that the group doesn't know of yet."""
+        self._told_gone: dict[BackendId, None] = {}
+        """Servers that were told as gone, and have not answered since; oldest first."""
         self._cleared: dict[ContentDigest, int] = {}
         """Sequence numbers of cleared requests that aren't agreed yet."""
         self._served_at: dict[ContentDigest, float] = {}
         """When requests were last served whole here, oldest first."""
         self._trial_requests: dict[ContentDigest, None] = {}
+        self._tries = TriesToTell()
         self._sequence = 0
+        self._news_sequence = 0
+        """Of the newest crash, or cleared request: what changes what is held against requests."""
         self._reported_sequence = 0
         self._reported_at = float("-inf")
         self._are_trial_requests_sent = True
@@ -92,7 +103,9 @@
             return self._standing_after(len(seen)) if seen else None
         if not seen or agreed.standing in (Standing.UNPROVEN, Standing.QUARANTINED):
             return agreed.standing
-        return self._standing_after(len(seen.union(agreed.crashed)))
+        # A crash that was seen here may be among the agreed ones by now.
+        unagreed = seen.difference(server_of(b) for b in agreed.crashed)
+        return self._standing_after(len(unagreed) + len(agreed.crashed))
 
     def _standing_after(self, crashes: int) -> Standing:
         """What is held against a request by crashes that aren't all agreed."""
@@ -100,8 +113,10 @@
         return Standing.QUARANTINED if crashes >= CRASHES_TO_BLAME else standing_after(crashes)
 
     def has_crashed(self, backend_id: BackendId) -> bool:
-        """Whether a server is known to have crashed: no incarnation comes back."""
-        return backend_id in self._crashed_servers or backend_id in self._crashes
+        """Whether a server is known to have crashed, and can't be back under its id."""
+        return any(
+            backend_id in known for known in (self._crashed_servers, self._crashes, self._gone)
+        )
 
     @property
     def trial(self) -> Trial | None:
@@ -141,11 +156,14 @@
     ) -> tuple[ContentDigest, ...]:
         """A server crashed while these requests were in flight there; gives those suspected."""
         suspected = tuple(content for content in contents if not self._vouches(content, now))
+        self._tries.forget(backend_id)
         if not suspected:
+            self._note_gone(backend_id)
             return ()
-        self._sequence += 1
-        crash = self._crashes.setdefault(backend_id, _PendingCrash(self._sequence, {}))
-        crash.sequence = self._sequence
+        self._gone.pop(backend_id, None)
+        sequence = self._next_news()
+        crash = self._crashes.setdefault(backend_id, _PendingCrash(sequence, {}))
+        crash.sequence = sequence
         for content in suspected:
             crash.contents[content] = None
             # It was cleared of earlier crashes only.
@@ -154,6 +172,61 @@
             del self._crashes[next(iter(self._crashes))]
         return suspected
 
+    def _next_news(self) -> int:
+        self._sequence += 1
+        self._news_sequence = self._sequence
+        return self._sequence
+
+    def _note_gone(self, backend_id: BackendId) -> None:
+        """Nothing of this daemon was there; another one may have died that had something there."""
+        if backend_id in self._told_gone or backend_id in self._crashes:
+            return
+        self._gone[backend_id] = self._next_news()
+        self._told_gone[backend_id] = None
+        while len(self._told_gone) > PENDING_LIMIT:
+            oldest = next(iter(self._told_gone))
+            del self._told_gone[oldest]
+            self._gone.pop(oldest, None)
+
+    def note_alive(self, backend_id: BackendId) -> None:
+        """A server answered: one that was gone is back under its id."""
+        self._told_gone.pop(backend_id, None)
+
+    def note_unanswered(self, backend_id: BackendId, content: ContentDigest, now: float) -> None:
+        """A try ended without an answer: its server may crash under it yet."""
+        if not self._vouches(content, now):
+            self._sequence += 1
+            self._tries.note(backend_id, content, self._sequence)
+
+    def note_outlived(self, backend_id: BackendId) -> None:
+        """A server has outlived all tries there that ended without an answer."""
+        self._tries.forget(backend_id)
+
+    def note_sent(
+        self,
+        call_id: CallId,
+        backend: Backend,
+        content_of: Callable[[], ContentDigest],
+        now: float,
+    ) -> None:
+        """A try is sent: it is announced, if evidence of its service's crashes was lost lately.
+
+        Args:
+            call_id: Of the try; `note_ended` follows.
+            backend: Where it goes.
+            content_of: Gives its content; asked only if it is announced.
+            now: Local time.
+        """
+        if not self._tries.announces(backend.service, now):
+            return
+        content = content_of()
+        if not self._vouches(content, now):
+            self._tries.announce(call_id, backend.backend_id, content)
+
+    def note_ended(self, call_id: CallId) -> None:
+        """A try is over, however it ended."""
+        self._tries.end(call_id)
+
     def _vouches(self, content: ContentDigest, now: float) -> bool:
         return is_vouched_for(self._served_at.get(content), now)
 
@@ -167,8 +240,7 @@
             self._clear(content)
 
     def _clear(self, content: ContentDigest) -> None:
-        self._sequence += 1
-        self._cleared[content] = self._sequence
+        self._cleared[content] = self._next_news()
         for crash in self._crashes.values():
             crash.contents.pop(content, None)
         while len(self._cleared) > PENDING_LIMIT:
@@ -186,25 +258,34 @@
 
     def is_report_due(self, now: float) -> bool:
         """Whether there is something to report that is worth a pull of its own."""
-        if not self._are_trial_requests_sent:
+        if not self._are_trial_requests_sent or self._tries.is_due(now):
             return True
-        if self._sequence > self._reported_sequence:
+        if self._news_sequence > self._reported_sequence:
             return now - self._reported_at >= REPORT_PAUSE_SECONDS
-        is_open = bool(self._crashes or self._cleared or self._trial_requests)
-        return is_open and now - self._reported_at >= REPORT_AGAIN_SECONDS
+        return self._has_news and now - self._reported_at >= REPORT_AGAIN_SECONDS
+
+    @property
+    def _has_news(self) -> bool:
+        return bool(self._crashes or self._cleared or self._trial_requests or self._gone)
 
     def next_report(self, now: float) -> bytes | None:
         """Give the report for a pull that leaves now, encoded; None if there is none."""
-        if not (self._crashes or self._cleared or self._trial_requests):
+        if not self._has_news and self._tries.is_empty:
             self._reported_sequence = self._sequence
             return None
         crashes = list(self._crashes.items())
         cleared = list(self._cleared.items())
-        self._reported_at = now
+        gone = list(self._gone.items())
+        if self._has_news:
+            # A report of tries alone doesn't put off the next one that changes what is held.
+            self._reported_at = now
         self._reported_sequence = self._sequence
         self._are_trial_requests_sent = True
-        left = [crash.sequence for _id, crash in crashes[MAXIMUM_REPORT_ENTRIES:]]
+        tries = self._tries.report(now)
+        left = [] if tries.first_left is None else [tries.first_left]
+        left += [crash.sequence for _id, crash in crashes[MAXIMUM_REPORT_ENTRIES:]]
         left += [sequence for _content, sequence in cleared[MAXIMUM_REPORT_ENTRIES:]]
+        left += [sequence for _id, sequence in gone[MAXIMUM_REPORT_ENTRIES:]]
         report = SuspectReport(
             asker=self._asker,
             # Only what is in the report is agreed with it.
@@ -212,9 +293,12 @@
             crashes=tuple(
                 ServerCrash(b, tuple(crash.contents))
                 for b, crash in crashes[:MAXIMUM_REPORT_ENTRIES]
-            ),
+            )
+            + tuple(ServerCrash(b, ()) for b, _sequence in gone[:MAXIMUM_REPORT_ENTRIES]),
             served=tuple(content for content, _sequence in cleared[:MAXIMUM_REPORT_ENTRIES]),
             trial_requests=tuple(self._trial_requests)[:MAXIMUM_REPORT_ENTRIES],
+            unanswered=tries.unanswered,
+            in_flight=tries.in_flight,
         )
         return encode_suspect_report(report)
 
@@ -222,15 +306,21 @@
         """What was reported up to a sequence number is agreed."""
         self._crashes = {b: c for b, c in self._crashes.items() if c.sequence > sequence}
         self._cleared = {c: s for c, s in self._cleared.items() if s > sequence}
+        self._gone = {b: s for b, s in self._gone.items() if s > sequence}
+        self._tries.acknowledge(sequence)
 
     def take(self, view: SuspectsView, revision: int, now: float) -> bool:
         """Take in what was agreed; an older view never replaces a newer one."""
         if revision <= self.revision:
             return False
         self.revision = revision
+        known = self._view.announced_services
+        for service, mark in view.announced_services.items():
+            if mark > known.get(service, 0):
+                self._tries.begin_announcing(service, now)
         self._view = view
         self._crashed_servers = frozenset(
-            b for held in view.suspicions.values() for b in held.crashed
+            b for held in view.suspicions.values() for b in held.crashed if not has_start(b)
         )
         for content in view.suspicions:
             # Another daemon saw a server crash under it, which this one saw served.
--- a/src/merlinstand/quarantine/leader.py
+++ b/src/merlinstand/quarantine/leader.py
@@ -1,7 +1,8 @@
 """The control leader's side of suspects: takes daemons' reports in, permits trials.
 
-Owns reports that wait to be agreed together; `replica` holds what the group agreed on. Part of the
-control daemon's reducer.
+Owns reports that wait to be agreed together; `replica` holds what the group agreed on. What was in
+flight at a server that crashed is what daemons report of it, and what any of them had told before,
+also those that died since. Part of the control daemon's reducer.
 """
 
 from collections.abc import Callable
@@ -10,7 +11,7 @@
 
 from merlinstand.common.decoding import MALFORMED_INPUT
 from merlinstand.common.ids import BackendId, ContentDigest, NodeId
-from merlinstand.kernel.effects import Effect, LogEvent
+from merlinstand.kernel.effects import Effect, LogEvent, SetTimer
 from merlinstand.kernel.throttle import Throttle
 from merlinstand.quarantine.commands import (
     AllowTrials,
@@ -19,8 +20,17 @@
     NoteCrashes,
     QuarantineCommand,
 )
-from merlinstand.quarantine.messages import ServerCrash, SuspectReport, decode_suspect_report
+from merlinstand.quarantine.in_flight import AnnouncedTries
+from merlinstand.quarantine.incarnations import Incarnations, server_of
+from merlinstand.quarantine.lost_senders import LostSenders
+from merlinstand.quarantine.messages import (
+    ServerCrash,
+    SuspectReport,
+    UnansweredTries,
+    decode_suspect_report,
+)
 from merlinstand.quarantine.replica import Suspects
+from merlinstand.quarantine.rules import SETTLE_SECONDS
 
 
 class ReportAnswer(msgspec.Struct, frozen=True):
@@ -31,11 +41,28 @@
     effects: tuple[Effect, ...] = ()
 
 
+class ServerLife(msgspec.Struct, frozen=True):
+    """What the control leader knows of servers besides."""
+
+    heard_seconds: Callable[[BackendId, float], float | None] = lambda _backend_id, _now: None
+    """How long ago a server's last heartbeat came at a local time; None if that isn't known."""
+    service_of: Callable[[BackendId], str] = lambda _backend_id: ""
+    """Service of a server that is registered and doesn't leave; empty for any other."""
+
+
 TOGETHER_SECONDS = 0.05
 """Shortest time between two entries of the log about crashes: see `Throttle`. When servers crash,
 each daemon that worked with them reports within the same moment."""
 TOGETHER_TIMER = "directory.suspects"
 """The owner calls `agree` when it fires."""
+SETTLE_TIMER = "directory.announced"
+"""The owner calls `note_left` when it fires."""
+TIMER_MARGIN_SECONDS = 0.005
+"""A timer may fire early by a rounding error, when nothing is settled yet. Chosen, not measured."""
+WAITING_TRIES_LIMIT = 256
+"""Tries in one entry of the log, 10 KB; what comes beyond that within `TOGETHER_SECONDS` is
+dropped: when a whole zone falls silent, each daemon gives up all that it had there. Chosen, not
+measured."""
 
 
 class QuarantineLeader:
@@ -45,26 +72,42 @@
         self,
         suspects: Suspects,
         propose: Callable[[QuarantineCommand, float], list[Effect] | None],
+        servers: ServerLife | None = None,
+        senders: LostSenders | None = None,
     ) -> None:
         """Begin without any.
 
         Args:
             suspects: What the group agreed on.
             propose: Proposes a command; None if that can't be done now.
+            servers: What is known of servers' lives.
+            senders: Whether daemons died lately.
         """
         self._suspects = suspects
         self._propose = propose
+        self._servers = servers or ServerLife()
+        self.senders = senders or LostSenders(lambda _now: ())
+        self._incarnations = Incarnations()
+        self._announced = AnnouncedTries()
         self._crashes: dict[BackendId, dict[ContentDigest, None]] = {}
         """Reported, and not proposed yet."""
         self._served: dict[ContentDigest, None] = {}
+        self._unanswered: dict[BackendId, dict[ContentDigest, None]] = {}
+        self._announced_services: dict[str, None] = {}
         self._throttle = Throttle(TOGETHER_TIMER, TOGETHER_SECONDS)
 
     def begin(self) -> None:
         """A leadership begins: daemons report again what isn't agreed."""
         self._crashes.clear()
         self._served.clear()
+        self._unanswered.clear()
+        self._announced_services.clear()
+        self._incarnations.begin()
+        self._announced.begin()
         self._throttle.reset()
 
+    # Reports
+
     def answer(
         self, sender: NodeId, data: bytes | None, group_time: float, now: float
     ) -> ReportAnswer:
@@ -79,48 +122,187 @@
         if not data:
             return ReportAnswer()
         try:
-            report = decode_suspect_report(data)
+            report = self._incarnations.complete(decode_suspect_report(data))
         except MALFORMED_INPUT as error:
             fields = {"daemon": sender, "detail": str(error)}
             return ReportAnswer(effects=(LogEvent("suspects.malformed", fields, "warning"),))
-        effects = self._take(sender, report, now)
+        self._announced.take(report.asker, report.in_flight, now)
+        effects = self._take(sender, report, group_time, now)
         acknowledged = None if effects else report.sequence
-        return ReportAnswer(acknowledged, (*effects, *self._permit_trial(report, group_time, now)))
+        settle = [e for crash in report.crashes for e in self._settle(crash.backend_id, now)]
+        trial = self._permit_trial(report, group_time, now)
+        return ReportAnswer(acknowledged, (*effects, *settle, *trial))
 
-    def _take(self, sender: NodeId, report: SuspectReport, now: float) -> list[Effect]:
+    def _take(
+        self, sender: NodeId, report: SuspectReport, group_time: float, now: float
+    ) -> list[Effect]:
         """Have what isn't agreed yet agreed, at once or soon; nothing if all is."""
         suspects = self._suspects
-        crashes = tuple(crash for crash in report.crashes if suspects.is_unknown(crash))
+        crashes = self._new_crashes(report, group_time, now)
         suspected = {content for crash in crashes for content in crash.contents}
         served = tuple(c for c in report.served if suspects.is_held_against(c) or c in suspected)
-        if not crashes and not served:
+        unanswered = self._new_tries(report, group_time)
+        if not crashes and not served and not unanswered:
             return []
         fields = {
             "daemon": sender,
             "ended": ",".join(crash.backend_id for crash in crashes),
             "contents": sum(len(crash.contents) for crash in crashes),
             "served": len(served),
+            "unanswered": sum(len(tries.contents) for tries in unanswered),
         }
         log = LogEvent("suspects.told", fields)
-        is_waiting = bool(self._crashes or self._served)
+        is_waiting = self._is_waiting
         for crash in crashes:
-            self._crashes.setdefault(crash.backend_id, {}).update(dict.fromkeys(crash.contents))
+            self._wait_for_crash(crash, now)
         self._served.update(dict.fromkeys(served))
+        self._wait_for_tries(unanswered)
         if is_waiting:
             return [log]
         return [log, *self._throttle.act_or_wait(self.agree, now)]
 
+    def _new_crashes(
+        self, report: SuspectReport, group_time: float, now: float
+    ) -> tuple[ServerCrash, ...]:
+        """Crashes that aren't agreed yet, with all that is known to have been in flight there."""
+        late = tuple(
+            ServerCrash(tries.backend_id, tries.contents)
+            for tries in report.unanswered
+            if self._suspects.has_just_crashed(tries.backend_id, group_time)
+        )
+        crashes = [self._complete(crash, group_time, now) for crash in (*report.crashes, *late)]
+        return tuple(crash for crash in crashes if self._is_news(crash, now))
+
+    def _is_news(self, crash: ServerCrash, now: float) -> bool:
+        """Whether a crash is to be agreed: something was there, or who knew of it may be dead."""
+        if not self._suspects.is_unknown(crash):
+            return False
+        if crash.contents:
+            return True
+        is_first = crash.backend_id not in self._crashes
+        is_serving = bool(self._servers.service_of(server_of(crash.backend_id)))
+        return is_first and is_serving and self.senders.may_have_died(now)
+
+    def _complete(self, crash: ServerCrash, group_time: float, now: float) -> ServerCrash:
+        """Add the tries that were told before the server crashed, without those it has outlived.
+
+        What was told before is judged once, when the crash becomes known: a daemon that finds the
+        server gone later has nothing to add by it.
+        """
+        server = crash.backend_id
+        told = self._suspects.unanswered.told(server)
+        in_flight: tuple[ContentDigest, ...] = ()
+        if server not in self._suspects.crashes:
+            heard_seconds = self._servers.heard_seconds(server_of(server), now)
+            heard_at = None if heard_seconds is None else group_time - heard_seconds
+            in_flight = self._suspects.unanswered.in_flight(server, heard_at, group_time)
+        untold = (content for content in crash.contents if content not in told)
+        waiting = self._unanswered.get(server, {})
+        return ServerCrash(server, tuple(dict.fromkeys((*untold, *waiting, *in_flight))))
+
+    def _new_tries(self, report: SuspectReport, group_time: float) -> tuple[UnansweredTries, ...]:
+        table = self._suspects.unanswered
+        ended = {crash.backend_id for crash in report.crashes}
+        new = []
+        for tries in report.unanswered:
+            has_just_crashed = self._suspects.has_just_crashed(tries.backend_id, group_time)
+            if has_just_crashed or tries.backend_id in ended:
+                continue
+            held = self._unanswered.get(tries.backend_id, {})
+            contents = tuple(
+                content
+                for content in tries.contents
+                if content not in held and not table.is_known(tries.backend_id, content, group_time)
+            )
+            if contents:
+                new.append(UnansweredTries(tries.backend_id, contents))
+        return tuple(new)
+
+    # What waits to be agreed
+
+    @property
+    def _is_waiting(self) -> bool:
+        return bool(self._crashes or self._served or self._unanswered)
+
+    def _wait_for_crash(self, crash: ServerCrash, now: float) -> None:
+        held = self._crashes.setdefault(crash.backend_id, {})
+        held.update(dict.fromkeys(crash.contents))
+        is_first = crash.backend_id not in self._suspects.crashes
+        if is_first and self.senders.may_have_died(now):
+            service = self._servers.service_of(server_of(crash.backend_id))
+            self._announced_services.update(dict.fromkeys(filter(None, (service,))))
+
+    def _wait_for_tries(self, unanswered: tuple[UnansweredTries, ...]) -> None:
+        room = WAITING_TRIES_LIMIT - sum(len(held) for held in self._unanswered.values())
+        for tries in unanswered:
+            taken = tries.contents[: max(0, room)]
+            room -= len(taken)
+            if taken:
+                held = self._unanswered.setdefault(tries.backend_id, {})
+                held.update(dict.fromkeys(taken))
+
     def agree(self, now: float) -> list[Effect]:
         """Propose what was reported; called also when `TOGETHER_TIMER` fires."""
-        if not self._crashes and not self._served:
+        if not self._is_waiting:
             return []
         crashes = tuple(ServerCrash(b, tuple(c)) for b, c in self._crashes.items())
-        command = NoteCrashes(crashes, tuple(self._served))
+        unanswered = tuple(
+            UnansweredTries(b, tuple(c))
+            for b, c in self._unanswered.items()
+            if b not in self._crashes
+        )
+        services = tuple(self._announced_services)
+        command = NoteCrashes(crashes, tuple(self._served), unanswered, services)
         self._crashes.clear()
         self._served.clear()
+        self._unanswered.clear()
+        self._announced_services.clear()
         self._throttle.note_act(now)
         return self._propose(command, now) or []
 
+    # Servers that are gone
+
+    def note_replaced(self, backend_id: BackendId, group_time: float, now: float) -> list[Effect]:
+        """Another server registers at the address of one that nobody said would leave."""
+        return self._note_end(self._incarnations.name(backend_id), group_time, now)
+
+    def note_born(
+        self, backend_id: BackendId, born_ms: int, group_time: float, now: float
+    ) -> list[Effect]:
+        """A server says when it started: an earlier start of it has ended.
+
+        Call it before the heartbeat counts as heard: it is none of the server that has ended.
+        """
+        ended = self._incarnations.note(backend_id, born_ms)
+        return [] if ended is None else self._note_end(ended, group_time, now)
+
+    def _note_end(self, incarnation: BackendId, group_time: float, now: float) -> list[Effect]:
+        """Have a crash agreed at once, so that it counts before the successor gets requests."""
+        settle = self._settle(incarnation, now)
+        crash = self._complete(ServerCrash(incarnation, ()), group_time, now)
+        if not self._is_news(crash, now):
+            return settle
+        self._wait_for_crash(crash, now)
+        return [*settle, *self.agree(now)]
+
+    def _settle(self, incarnation: BackendId, now: float) -> list[Effect]:
+        """Wait for whether all daemons live that announced tries at a server that has crashed."""
+        is_first = self._announced.note_crash(incarnation, now)
+        return [SetTimer(SETTLE_TIMER, SETTLE_SECONDS + TIMER_MARGIN_SECONDS)] if is_first else []
+
+    def note_left(self, group_time: float, now: float) -> list[Effect]:
+        """Have agreed what daemons that died had announced at servers that crashed since."""
+        effects: list[Effect] = []
+        for backend_id, contents in self._announced.take_left(now).items():
+            crash = self._complete(ServerCrash(backend_id, contents), group_time, now)
+            if self._is_news(crash, now):
+                fields = {"backend": backend_id, "contents": ",".join(contents)}
+                effects.append(LogEvent("suspects.left", fields))
+                self._wait_for_crash(crash, now)
+        return effects + self.agree(now)
+
+    # Trials
+
     def _permit_trial(self, report: SuspectReport, group_time: float, now: float) -> list[Effect]:
         for content in report.trial_requests:
             if self._suspects.may_try(content, group_time):
@@ -128,9 +310,9 @@
         return []
 
     def tick(self, group_time: float, now: float) -> list[Effect]:
-        """End what has had its time: the trial under way, and quarantines."""
+        """Do what is due: end trials and quarantines, hold what dead daemons left against it."""
         suspects = self._suspects
-        effects: list[Effect] = []
+        effects = self.note_left(group_time, now)
         if suspects.trial is not None and suspects.is_trial_late(group_time):
             effects.extend(self._propose(EndTrial(suspects.trial.trial.number), now) or [])
         due = suspects.due_for_trial(group_time)
--- a/src/merlinstand/quarantine/messages.py
+++ b/src/merlinstand/quarantine/messages.py
@@ -9,8 +9,8 @@
 from merlinstand.quarantine.blame import Standing
 
 MAXIMUM_REPORT_ENTRIES = 64
-"""Crashes, and likewise cleared requests, in one message: 64 crashes of 24 requests each take
-50 KB."""
+"""Crashes, and likewise cleared requests and unanswered tries, in one message: 64 crashes of 24
+requests each take 50 KB."""
 
 
 class ServerCrash(msgspec.Struct, frozen=True, array_like=True):
@@ -20,6 +20,13 @@
     contents: tuple[ContentDigest, ...]
 
 
+class UnansweredTries(msgspec.Struct, frozen=True, array_like=True):
+    """Tries of one daemon at one server without an answer: the server may crash under them."""
+
+    backend_id: BackendId
+    contents: tuple[ContentDigest, ...]
+
+
 class SuspectReport(msgspec.Struct, frozen=True, array_like=True):
     """What a daemon reports with a pull; sent again until it is agreed."""
 
@@ -32,6 +39,12 @@
     """Suspects that a server answered whole."""
     trial_requests: tuple[ContentDigest, ...] = ()
     """Unproven requests that wait here to be tried."""
+    unanswered: tuple[UnansweredTries, ...] = ()
+    """Tries that ended without an answer. They are told before their servers are known to have
+    crashed, as this daemon may die before it knows. Earlier builds neither send nor read them, nor
+    what follows."""
+    in_flight: tuple[UnansweredTries, ...] = ()
+    """Tries under way; told only while daemons announce what they send."""
 
 
 class Trial(msgspec.Struct, frozen=True, array_like=True):
@@ -50,12 +63,15 @@
     """Servers that crashed under it, as far as nothing else is to blame."""
 
 
-class SuspectsView(msgspec.Struct, frozen=True):
+class SuspectsView(msgspec.Struct, frozen=True, omit_defaults=True):
     """What all daemons are sent."""
 
     suspicions: dict[ContentDigest, Suspicion] = {}
     trial: Trial | None = None
     """The one that is under way; there is never a second one beside it."""
+    announced_services: dict[str, int] = {}
+    """Services whose tries all daemons are to tell of as they send them; the number rises each time
+    from which on they are."""
 
 
 _DECODER = msgspec.msgpack.Decoder(SuspectReport)
--- a/src/merlinstand/quarantine/replica.py
+++ b/src/merlinstand/quarantine/replica.py
@@ -19,12 +19,14 @@
 )
 from merlinstand.quarantine.messages import ServerCrash, SuspectsView, Suspicion, Trial
 from merlinstand.quarantine.rules import (
+    SURVIVED_SECONDS,
     is_forgotten,
     is_mass_outage,
     is_quarantine_over,
     is_trial_late,
     may_begin_trial,
 )
+from merlinstand.quarantine.unanswered import StoredTries, UnansweredTable
 
 CRASHES_LIMIT = 512
 """Crashes remembered, the oldest are forgotten first: more than half of a day's at 3,400 servers,
@@ -65,6 +67,8 @@
     trial: StoredTrial | None = None
     trials: int = 0
     revision: int = 0
+    unanswered: StoredTries = {}
+    announced_services: dict[str, int] = {}
 
 
 class Suspects:
@@ -83,6 +87,10 @@
         """Trials so far; numbers them."""
         self.revision = 0
         """Log position of the newest change."""
+        self.unanswered = UnansweredTable()
+        self.announced_services: dict[str, int] = {}
+        """Log position at which daemons were last asked to tell of each try of a service as they
+        send it; bounded by the services of all documents."""
         self._standings: dict[ContentDigest, Standing] = {}
 
     def apply(self, command: QuarantineCommand, index: int, group_time: float) -> None:
@@ -95,7 +103,10 @@
         """
         match command:
             case NoteCrashes():
-                self.note(command.crashes, command.served, index, group_time)
+                self._note_tries(command, index, group_time)
+                # Tries alone change nothing that daemons are sent.
+                if command.crashes or command.served or command.announced_services:
+                    self.note(command.crashes, command.served, index, group_time)
             case BeginTrial():
                 self.begin_trial(command.content, command.asker, index, group_time)
             case EndTrial():
@@ -118,7 +129,8 @@
             content: Suspicion(standing, tuple(crashed[content]))
             for content, standing in self._standings.items()
         }
-        return SuspectsView(suspicions, self.trial.trial if self.trial is not None else None)
+        trial = self.trial.trial if self.trial is not None else None
+        return SuspectsView(suspicions, trial, dict(self.announced_services))
 
     def _suspected(self, crash: StoredCrash) -> list[ContentDigest]:
         """Requests that a crash is held against: those known to crash servers, if there are any.
@@ -142,10 +154,20 @@
         is_full = len(held.blamed) >= CONTENTS_LIMIT
         return not is_full and any(content not in held.blamed for content in crash.contents)
 
+    def has_just_crashed(self, backend_id: BackendId, group_time: float) -> bool:
+        """Whether a crash was noted so lately that what is told of its server was there then."""
+        crash = self.crashes.get(backend_id)
+        return crash is not None and group_time - crash.at <= SURVIVED_SECONDS
+
     def is_held_against(self, content: ContentDigest) -> bool:
         """Whether anything is held against a request."""
         return content in self._standings
 
+    def _note_tries(self, command: NoteCrashes, index: int, group_time: float) -> None:
+        """Take in tries without an answer, and from which services' tries on all are announced."""
+        self.unanswered.note(command.unanswered, group_time)
+        self.announced_services.update(dict.fromkeys(command.announced_services, index))
+
     def note(
         self,
         crashes: tuple[ServerCrash, ...],
@@ -276,7 +298,16 @@
         }
         passed_over = tuple(self.passed_over)
         allowed = tuple(self.allowed)
-        return StoredSuspects(crashes, passed_over, allowed, self.trial, self.trials, self.revision)
+        return StoredSuspects(
+            crashes,
+            passed_over,
+            allowed,
+            self.trial,
+            self.trials,
+            self.revision,
+            self.unanswered.stored(),
+            dict(self.announced_services),
+        )
 
     def restore(self, stored: StoredSuspects) -> None:
         """Replace everything by what a snapshot held."""
@@ -287,4 +318,6 @@
         self.allowed = dict.fromkeys(stored.allowed)
         self.trial = stored.trial
         self.trials = stored.trials
+        self.unanswered.restore(stored.unanswered)
+        self.announced_services = dict(stored.announced_services)
         self._changed(stored.revision)
--- a/src/merlinstand/quarantine/rules.py
+++ b/src/merlinstand/quarantine/rules.py
@@ -46,6 +46,23 @@
 """A server that answers what was sent so long after a try was given up has outlived that try: runs
 that crash a server take some tenths of a second."""
 
+UNANSWERED_AGAIN_SECONDS = 0.5
+"""A try that was noted is noted again after this time at the earliest: half of `SURVIVED_SECONDS`,
+so that a server which answers after the later one doesn't seem to have outlived it."""
+LOST_SENDER_SECONDS = 15.0
+"""A daemon that died so long before a server's crash may have had requests there: as long as its
+own tries would count."""
+SENDER_SILENCE_SECONDS = 1.0
+"""A daemon that was not heard for this long may have died: three of its pulls are missing."""
+ANNOUNCEMENT_SECONDS = 15.0
+"""For so long daemons tell of each try of a service as they send it, once one of its servers
+crashed while a daemon died: a server is back within some seconds, and the request that crashed it
+comes again then."""
+
+SETTLE_SECONDS = 0.2
+"""A daemon that lives has reported again this long after a server's crash: while anything that it
+announced is under way, it reports each 0.1 s."""
+
 
 def is_mass_outage(crashed_at: Iterable[float], now: float) -> bool:
     """Whether so many servers crashed lately that no request did it: one more is passed over.
@@ -112,11 +129,22 @@
 
     Args:
         given_up_at: When the try ended.
-        answered_sent_at: When the request that the server answered was sent.
+        answered_sent_at: When the request that the server answered was sent; or when the server
+            sent a heartbeat.
     """
     return given_up_at <= answered_sent_at - SURVIVED_SECONDS
 
 
+def is_announcement_settled(crashed_at: float, now: float) -> bool:
+    """Whether all daemons that live have reported since a server's crash.
+
+    Args:
+        crashed_at: When the leader learned of the crash.
+        now: Its local time.
+    """
+    return now - crashed_at >= SETTLE_SECONDS
+
+
 def is_vouched_for(served_at: float | None, now: float) -> bool:
     """Whether a request is not suspected of a crash, as it was served whole just before.
 
