--- a/tests/forwarding/test_streams.py
+++ b/tests/forwarding/test_streams.py
@@ -14,13 +14,22 @@
 from merlinstand.forwarding.stream_forwarder import LAST_EVENT_HEADER, StreamForwarder
 from merlinstand.kernel.effects import (
     CancelCall,
+    CancelTimer,
     Effect,
     RespondChunk,
     RespondEnd,
     RespondStart,
+    SetTimer,
     StartCall,
 )
-from merlinstand.kernel.events import CallChunk, CallEnded, CallFailed, CallHeaders, CallPhase
+from merlinstand.kernel.events import (
+    CallChunk,
+    CallEnded,
+    CallFailed,
+    CallHeaders,
+    CallPhase,
+    CallResponded,
+)
 from merlinstand.quarantine.crash_watch import CrashWatch
 from merlinstand.quarantine.follower import SuspectTable
 from tests.routes import make_route
@@ -193,6 +202,37 @@
     assert probe.path == "/alive"
 
 
+def test_a_stream_without_time_left_is_not_sent() -> None:
+    """Its server would begin what nobody waits for any more."""
+    streaming = Streaming(is_resumable=True)
+    late = CallFailed(streaming.call.call_id, CallPhase.CONNECT, "refused")
+    effects = streaming.forwarder.on_call(late, 9.998)
+    assert [effect for effect in effects if isinstance(effect, StartCall)] == []
+
+
+def test_a_stream_waits_for_the_verdict_and_goes_on_when_it_comes() -> None:
+    """The server answers, so the stream may go to the next one; it doesn't wait on in vain."""
+    watch = CrashWatch(SuspectTable(), NAMES, lambda _service: "/alive", ColdBudget())
+    streaming = Streaming(is_resumable=True, watch=watch)
+    streaming.head()
+    streaming.data(event(1))
+    effects = streaming.fail(CallPhase.BODY)
+    [probe] = [effect for effect in effects if isinstance(effect, StartCall)]
+    watch.on_call(CallResponded(probe.call_id, 200, {}, b""), 0.31)
+    again = only_call(streaming.forwarder.on_verdicts(0.31))
+    assert again.headers["last-event-id"] == "1"
+    assert again.address != streaming.call.address
+    assert streaming.forwarder.on_verdicts(0.32) == []
+
+
+def test_a_caller_that_leaves_during_the_wait_for_a_verdict_ends_it() -> None:
+    watch = CrashWatch(SuspectTable(), NAMES, lambda _service: "/alive", ColdBudget())
+    streaming = Streaming(is_resumable=True, watch=watch)
+    [timer] = [e for e in streaming.fail(CallPhase.SENT) if isinstance(e, SetTimer)]
+    assert CancelTimer(timer.name) in streaming.forwarder.abort("k", 0.31)
+    assert streaming.forwarder.on_timer(timer.name, 0.35) == []
+
+
 @pytest.mark.parametrize(
     "check",
     [
