--- a/src/merlinstand/decisions/retry.py
+++ b/src/merlinstand/decisions/retry.py
@@ -6,22 +6,18 @@
 A request may be sent again if it can't have run (it never left, or its server said so), or if its
 route allows that it runs twice. It is given up once its route's number of servers has been used.
 
-Whole requests and streams differ in four points. `RetryRules` names two of them: whether a refused
-connection uses up a try, and whether the next try waits for a verdict. The others show in the
-forwarders: when all servers turned it away, a whole request asks them again after a pause, and a
-stream ends; a whole request with almost no time left is not sent, and a stream is. No reason for
-any of them is recorded.
+Whole requests and streams differ in one point, which shows in the forwarders: when all servers
+turned it away, a whole request asks them again after a pause, and a stream ends. No reason for that
+is recorded.
 """
 
 import enum
 from http import HTTPStatus
 
-import msgspec
-
 from merlinstand.cluster.routes import Route, RouteKind
 
 SHORTEST_TIME_SECONDS = 0.005
-"""A whole request with less time left is not sent: the way there and back alone takes 1 to 4 ms."""
+"""A request with less time left is not sent: the way there and back alone takes 1 to 4 ms."""
 DEADLINE_MARGIN_SECONDS = 0.01
 """A try of a whole request may take this much longer than its deadline, so that the request's own
 timer ends it, with the right reason. Chosen, not measured."""
@@ -31,34 +27,22 @@
 long as one event takes. Chosen, not measured."""
 
 
-class RetryRules(msgspec.Struct, frozen=True):
-    """In what whole requests and streams differ."""
-
-    unconnected_tries: int
-    """Tries beyond the route's number that never connected: they ran nothing. Without, two refused
-    connections end a request of two tries although a third server is sound
-    (docs/design/choice-by-place.md, "How many tries")."""
-    awaits_verdict: bool
-    """Whether the next try waits until it is known whether the last one's server has crashed."""
-
-
-WHOLE_REQUEST = RetryRules(unconnected_tries=2, awaits_verdict=True)
-STREAM = RetryRules(unconnected_tries=0, awaits_verdict=False)
-"""Each try of a stream counts, also one that never connected. Chosen, not measured; whether it is
-meant is open (docs/FINDINGS.md)."""
+UNCONNECTED_TRIES = 2
+"""Tries beyond the route's number that never connected: they ran nothing. Without, two refused
+connections end a request of two tries although a third server is sound
+(docs/design/choice-by-place.md, "How many tries")."""
 
 
-def has_tries_left(route: Route, sent: int, tries: int, rules: RetryRules) -> bool:
+def has_tries_left(route: Route, sent: int, tries: int) -> bool:
     """Return whether a request may be sent once more.
 
     Args:
         route: Its route.
         sent: Tries that count towards the route's number of servers.
         tries: All tries, also those that never connected.
-        rules: Of whole requests or of streams.
     """
     most = max(1, route.maximum_attempts)
-    return sent < most and tries < most + rules.unconnected_tries
+    return sent < most and tries < most + UNCONNECTED_TRIES
 
 
 class AnswerVerdict(enum.Enum):
@@ -112,7 +96,6 @@
     may_have_run: bool,
     is_server_probed: bool,
     has_next_try: bool,
-    rules: RetryRules,
 ) -> FailureVerdict:
     """Judge a try that ended without an answer.
 
@@ -121,11 +104,10 @@
         may_have_run: Whether this try or an earlier one may have run.
         is_server_probed: Whether the server where the try broke off is asked for a sign of life.
         has_next_try: Whether another try may follow and none is running.
-        rules: Of whole requests or of streams.
     """
     if may_have_run and not is_repeatable:
         return FailureVerdict.GIVE_UP
-    if rules.awaits_verdict and is_repeatable and is_server_probed and has_next_try:
+    if is_repeatable and is_server_probed and has_next_try:
         return FailureVerdict.AWAIT_VERDICT
     return FailureVerdict.RETRY
 
--- a/src/merlinstand/forwarding/daemon.py
+++ b/src/merlinstand/forwarding/daemon.py
@@ -144,7 +144,8 @@
                     return self._relay.on_call(event, now)
                 if event.call_id.startswith(PROBE_PREFIX):
                     found = self._watch.on_call(event, now)
-                    return found + self._forwarder.on_verdicts(now)
+                    streams = self._note_ended_streams(self._streams.on_verdicts(now))
+                    return [*found, *self._forwarder.on_verdicts(now), *streams]
                 return []
             case RequestAborted():
                 return self._aborted(event.request_id, now)
--- a/src/merlinstand/forwarding/forwarder.py
+++ b/src/merlinstand/forwarding/forwarder.py
@@ -28,7 +28,6 @@
 from merlinstand.decisions.retry import (
     DEADLINE_MARGIN_SECONDS,
     SHORTEST_TIME_SECONDS,
-    WHOLE_REQUEST,
     AnswerVerdict,
     FailureVerdict,
     judge_answer,
@@ -217,17 +216,18 @@
         effects = self._watch.failed(event, now)
         fields = failure_fields(pending, backend, event, self._names)
         effects.append(LogEvent("request.attempt_failed", fields))
-        is_broken = event.phase is not CallPhase.CONNECT
+        probed = None
+        if event.phase is not CallPhase.CONNECT:
+            probed = self._picker.probed_server(pending, backend, now)
         verdict = judge_failure(
             pending.request.route.kind is RouteKind.REPEATABLE,
             pending.may_have_run,
-            is_server_probed=is_broken and self._watch.is_asked(backend.backend_id),
+            is_server_probed=probed is not None,
             has_next_try=not pending.running and pending.has_tries_left(),
-            rules=WHOLE_REQUEST,
         )
         match verdict:
             case FailureVerdict.AWAIT_VERDICT:
-                pending.probed_backend = backend.backend_id
+                pending.probed_backend = probed
                 name = f"{TIMER_PREFIX}verdict:{pending.request.key}"
                 return [*effects, SetTimer(name, VERDICT_SECONDS)]
             case FailureVerdict.RETRY:
--- a/src/merlinstand/forwarding/pending_request.py
+++ b/src/merlinstand/forwarding/pending_request.py
@@ -6,7 +6,7 @@
 from merlinstand.cluster.requests import Answered
 from merlinstand.common.ids import BackendId, CallId
 from merlinstand.decisions.hedging import may_hedge
-from merlinstand.decisions.retry import WHOLE_REQUEST, has_tries_left
+from merlinstand.decisions.retry import has_tries_left
 from merlinstand.forwarding.server_picker import Target
 from merlinstand.quarantine.request_digest import KnownRequest
 
@@ -40,7 +40,7 @@
 
     def has_tries_left(self) -> bool:
         """Whether it may be sent once more."""
-        return has_tries_left(self.request.route, self.sent, self.tries, WHOLE_REQUEST)
+        return has_tries_left(self.request.route, self.sent, self.tries)
 
     def may_hedge(self) -> bool:
         """Whether it may get a second try beside the running one."""
--- a/src/merlinstand/forwarding/server_picker.py
+++ b/src/merlinstand/forwarding/server_picker.py
@@ -105,6 +105,20 @@
         """Return what may be done with a request now, by what is held against it."""
         return self.gate.admit(lambda: self._content_of(known), now)
 
+    def probed_server(self, known: KnownRequest, backend: Backend, now: float) -> BackendId | None:
+        """Give the server whose verdict a request's next try waits for; None if it needn't wait.
+
+        Args:
+            known: The request.
+            backend: Where its try broke off.
+            now: Local time.
+        """
+        if not self._watch.is_asked(backend.backend_id):
+            return None
+        # Whatever the verdict, it is sent to no server any more.
+        is_rejected = self.admit(known, now) is Admission.REJECTED
+        return None if is_rejected else backend.backend_id
+
     def candidate(
         self,
         known: KnownRequest,
--- a/src/merlinstand/forwarding/stream_forwarder.py
+++ b/src/merlinstand/forwarding/stream_forwarder.py
@@ -17,19 +17,19 @@
 from merlinstand.cluster.places import Places
 from merlinstand.cluster.requests import ForwardRequest, NotRun, OutcomeUnknown
 from merlinstand.common.event_stream import EVENT_END, EventCutter, parse_event
-from merlinstand.common.ids import BackendId, CallId, RequestId
+from merlinstand.common.ids import CallId, RequestId
 from merlinstand.common.whole_number import read_whole_number
 from merlinstand.decisions.rejection import Reason, Rejection
 from merlinstand.decisions.retry import (
-    STREAM,
+    SHORTEST_TIME_SECONDS,
     STREAM_SILENCE_SECONDS,
     FailureVerdict,
-    has_tries_left,
     is_not_run,
-    judge_failure,
     needs_fresh_connection,
 )
 from merlinstand.decisions.server_choice import BackendChooser
+from merlinstand.decisions.waiting import VERDICT_SECONDS
+from merlinstand.forwarding.pending_stream import PendingStream
 from merlinstand.forwarding.server_picker import ServerPicker, Target, Waiting
 from merlinstand.forwarding.try_call import try_call, try_headers
 from merlinstand.forwarding.try_failure import failure_fields, note_failed_try
@@ -47,7 +47,6 @@
 from merlinstand.kernel.events import CallChunk, CallEnded, CallFailed, CallHeaders, CallPhase
 from merlinstand.quarantine.crash_watch import CrashWatch
 from merlinstand.quarantine.follower import SuspectTable
-from merlinstand.quarantine.request_digest import KnownRequest
 
 CALL_PREFIX = "stream:"
 TIMER_PREFIX = "stream."
@@ -55,6 +54,8 @@
 """Stands before the key in the name of the timer that ends a wait for a grant."""
 TRIAL_TIMER = "trial:"
 """The same for a wait for a permit to be tried."""
+VERDICT_TIMER = "verdict:"
+"""The same for a wait for whether the last try's server has crashed."""
 SHORTEST_TIMEOUT_SECONDS = 0.01
 """A call's time-out is never shorter: the stream's own timer ends it. Chosen, not measured."""
 LAST_EVENT_HEADER = "last-event-id"
@@ -63,28 +64,6 @@
 StreamEvent = CallHeaders | CallChunk | CallEnded | CallFailed
 
 
-class _Stream(KnownRequest):
-    """A caller's stream on its way."""
-
-    tried: set[BackendId] = msgspec.field(default_factory=set)
-    sent: int = 0
-    call_id: CallId | None = None
-    target: Target | None = None
-    """Server of the present try, or of the last one."""
-    may_have_run: bool = False
-    is_started: bool = False
-    """Whether the caller has the head of the answer."""
-    is_failure: bool = False
-    """Whether the answer is no stream but a server's failure, passed on as it comes."""
-    last_event_id: int = 0
-    cutter: EventCutter = msgspec.field(default_factory=EventCutter)
-
-    @property
-    def backend(self) -> Backend | None:
-        """Server of the present try, or of the last one."""
-        return self.target.backend if self.target is not None else None
-
-
 class StreamRefused(msgspec.Struct, frozen=True):
     """A stream that never began."""
 
@@ -118,8 +97,8 @@
         self._picker = ServerPicker(
             names, chooser, backends_of, places or Places(), self._watch, TIMER_PREFIX
         )
-        self._streams: dict[str, _Stream] = {}
-        self._by_call: dict[CallId, _Stream] = {}
+        self._streams: dict[str, PendingStream] = {}
+        self._by_call: dict[CallId, PendingStream] = {}
         self._refused: list[StreamRefused] = []
         self._calls = 0
 
@@ -134,7 +113,7 @@
 
     def begin(self, request: ForwardRequest, now: float) -> list[Effect]:
         """Take a request for a stream."""
-        stream = _Stream(request, last_event_id=_last_event_id(request.headers))
+        stream = PendingStream(request, last_event_id=_last_event_id(request.headers))
         self._streams[request.key] = stream
         left = max(0.0, request.deadline_at - now)
         return [SetTimer(f"{TIMER_PREFIX}{request.key}", left), *self._send(stream, now)]
@@ -147,15 +126,38 @@
     def on_timer(self, name: str, now: float) -> list[Effect]:
         """A timer with `TIMER_PREFIX` fired: the stream's time is over, or one of its waits."""
         key = name.removeprefix(TIMER_PREFIX)
-        stream = self._streams.get(key.removeprefix(COLD_TIMER).removeprefix(TRIAL_TIMER))
+        for prefix in (COLD_TIMER, TRIAL_TIMER, VERDICT_TIMER):
+            key = key.removeprefix(prefix)
+        stream = self._streams.get(key)
         if stream is None:
             return []
+        return self._on_timer(stream, name.removeprefix(TIMER_PREFIX), now)
+
+    def _on_timer(self, stream: PendingStream, key: str, now: float) -> list[Effect]:
+        if key.startswith(VERDICT_TIMER):
+            return self._after_verdict(stream, now)
         if key.startswith(TRIAL_TIMER):
             return self._reject(stream, Reason.QUARANTINED, now)
         if key.startswith(COLD_TIMER):
             return self._reject(stream, Reason.COLD, now)
         return self._give_up(stream, Reason.TIME_RAN_OUT, True, now)
 
+    def on_verdicts(self, now: float) -> list[Effect]:
+        """Servers were found gone, or there: go on with the streams that waited for that."""
+        effects: list[Effect] = []
+        for stream in list(self._streams.values()):
+            probed = stream.probed_backend
+            if probed is not None and not self._watch.is_asked(probed):
+                effects.append(_cancel_verdict(stream))
+                effects.extend(self._after_verdict(stream, now))
+        return effects
+
+    def _after_verdict(self, stream: PendingStream, now: float) -> list[Effect]:
+        if stream.probed_backend is None:
+            return []
+        stream.probed_backend = None
+        return self._try_again(stream, stream.last_reason, now)
+
     def resume(self, now: float) -> list[Effect]:
         """The leader answered: go on with streams that waited for grants, or refuse them."""
         effects: list[Effect] = []
@@ -173,8 +175,8 @@
             effects.extend(self._send(stream, now))
         return effects
 
-    def _resume(self, stream: _Stream, now: float) -> list[Effect]:
-        is_open = self._chooser.choose(self._picker.allowed(stream), stream.tried, now) is not None
+    def _resume(self, stream: PendingStream, now: float) -> list[Effect]:
+        is_open = self._picker.candidate(stream, stream.tried, now) is not None
         if not is_open and self._picker.waits_on(stream, stream.tried, now):
             return []
         timer = CancelTimer(f"{TIMER_PREFIX}{COLD_TIMER}{stream.request.key}")
@@ -197,7 +199,7 @@
 
     # Answers
 
-    def _on_head(self, stream: _Stream, event: CallHeaders, now: float) -> list[Effect]:
+    def _on_head(self, stream: PendingStream, event: CallHeaders, now: float) -> list[Effect]:
         if stream.backend is not None:
             self._chooser.note_heard(stream.backend, now)
         if is_not_run(event.status, self._names.not_run in event.headers):
@@ -214,7 +216,7 @@
         stream.is_failure = event.status != HTTPStatus.OK
         return [RespondStart(RequestId(stream.request.key), event.status, event.headers)]
 
-    def _on_chunk(self, stream: _Stream, data: bytes, now: float) -> list[Effect]:
+    def _on_chunk(self, stream: PendingStream, data: bytes, now: float) -> list[Effect]:
         request_id = RequestId(stream.request.key)
         if stream.is_failure:
             return [RespondChunk(request_id, data)]
@@ -237,7 +239,7 @@
             effects.append(RespondChunk(request_id, raw + EVENT_END))
         return effects
 
-    def _on_end(self, stream: _Stream, now: float) -> list[Effect]:
+    def _on_end(self, stream: PendingStream, now: float) -> list[Effect]:
         if stream.cutter.pending_bytes and not stream.is_failure:
             # A server that stops within an event has not ended its stream.
             return [*self._drop_call(stream, now), *self._try_again(stream, "cut short", now)]
@@ -248,48 +250,61 @@
         end = RespondEnd(RequestId(stream.request.key), whole=True)
         return [end, *self._close(stream, now)]
 
-    def _on_failure(self, stream: _Stream, event: CallFailed, now: float) -> list[Effect]:
+    def _on_failure(self, stream: PendingStream, event: CallFailed, now: float) -> list[Effect]:
         if stream.backend is not None:
             note_failed_try(self._chooser, stream.backend, event, now)
         asked = self._watch.failed(event, now)
-        if event.phase is not CallPhase.CONNECT:
+        if event.phase is CallPhase.CONNECT:
+            stream.sent -= 1
+        else:
             stream.may_have_run = True
+        stream.last_reason = event.reason
         fields = failure_fields(stream, stream.backend, event, self._names)
         fields["last_event"] = stream.last_event_id
         log = LogEvent("request.stream_broken", fields)
         dropped = self._drop_call(stream, now)
-        return [log, *asked, *dropped, *self._try_again(stream, event.reason, now)]
+        return [log, *asked, *dropped, *self._after_failure(stream, event, now)]
+
+    def _after_failure(self, stream: PendingStream, event: CallFailed, now: float) -> list[Effect]:
+        backend = stream.backend
+        probed = None
+        if event.phase is not CallPhase.CONNECT and backend is not None:
+            probed = self._picker.probed_server(stream, backend, now)
+        if stream.judge_try(probed is not None) is not FailureVerdict.AWAIT_VERDICT:
+            return self._try_again(stream, event.reason, now)
+        stream.probed_backend = probed
+        return [SetTimer(f"{TIMER_PREFIX}{VERDICT_TIMER}{stream.request.key}", VERDICT_SECONDS)]
 
     # Sending
 
-    def _try_again(self, stream: _Stream, reason: str, now: float) -> list[Effect]:
+    def _try_again(self, stream: PendingStream, reason: str, now: float) -> list[Effect]:
         """Go on at another server after a try that failed, or that was turned away."""
-        route = stream.request.route
-        has_next_try = has_tries_left(route, stream.sent, stream.sent, STREAM)
-        verdict = judge_failure(
-            route.is_resumable, stream.may_have_run, False, has_next_try, STREAM
-        )
-        if stream.is_failure or not has_next_try or verdict is FailureVerdict.GIVE_UP:
+        if stream.judge_try(is_server_probed=False) is FailureVerdict.GIVE_UP:
             return self._give_up(stream, reason, False, now)
         return self._send(stream, now)
 
-    def _send(self, stream: _Stream, now: float, may_wait: bool = True) -> list[Effect]:
+    def _send(self, stream: PendingStream, now: float, may_wait: bool = True) -> list[Effect]:
         picked = self._picker.pick(stream, stream.tried, now, may_wait=may_wait)
         if isinstance(picked, Waiting):
             return picked.effects
         if isinstance(picked, Rejection):
             return self._reject(stream, picked.reason, now)
+        if stream.request.deadline_at - now < SHORTEST_TIME_SECONDS:
+            return self._give_up(stream, Reason.TIME_RAN_OUT, True, now)
         self._calls += 1
         call_id = CallId(f"{CALL_PREFIX}{self._calls}")
         stream.call_id = call_id
         stream.target = picked
         stream.tried.add(picked.backend.backend_id)
+        stream.tries += 1
         stream.sent += 1
         self._by_call[call_id] = stream
         self._picker.begin_try(stream, picked, call_id, now)
         return [self._call(stream, picked, call_id, now)]
 
-    def _call(self, stream: _Stream, target: Target, call_id: CallId, now: float) -> StartCall:
+    def _call(
+        self, stream: PendingStream, target: Target, call_id: CallId, now: float
+    ) -> StartCall:
         request = stream.request
         left = request.deadline_at - now
         headers = try_headers(request, target.backend, left, self._names)
@@ -311,12 +326,14 @@
 
     # Ends
 
-    def _reject(self, stream: _Stream, reason: Reason, now: float) -> list[Effect]:
+    def _reject(self, stream: PendingStream, reason: Reason, now: float) -> list[Effect]:
         """End a stream that goes to no server, or to none any more."""
         log = self._picker.log_rejection(stream, reason)
         return [*log, *self._give_up(stream, reason, False, now)]
 
-    def _give_up(self, stream: _Stream, reason: str, is_late: bool, now: float) -> list[Effect]:
+    def _give_up(
+        self, stream: PendingStream, reason: str, is_late: bool, now: float
+    ) -> list[Effect]:
         request = stream.request
         fields = {
             "request": request.request_id,
@@ -338,7 +355,7 @@
         self._refused.append(StreamRefused(request, outcome))
         return effects
 
-    def _drop_call(self, stream: _Stream, now: float) -> list[Effect]:
+    def _drop_call(self, stream: PendingStream, now: float) -> list[Effect]:
         call_id = stream.call_id
         if call_id is None:
             return []
@@ -349,11 +366,17 @@
             self._picker.end_try(stream.target)
         return [CancelCall(call_id)]
 
-    def _close(self, stream: _Stream, now: float) -> list[Effect]:
+    def _close(self, stream: PendingStream, now: float) -> list[Effect]:
         key = stream.request.key
         self._streams.pop(key, None)
-        timer = CancelTimer(f"{TIMER_PREFIX}{key}")
-        return [timer, *self._picker.end(key), *self._drop_call(stream, now)]
+        timers = [CancelTimer(f"{TIMER_PREFIX}{key}")]
+        if stream.probed_backend is not None:
+            timers.append(_cancel_verdict(stream))
+        return [*timers, *self._picker.end(key), *self._drop_call(stream, now)]
+
+
+def _cancel_verdict(stream: PendingStream) -> CancelTimer:
+    return CancelTimer(f"{TIMER_PREFIX}{VERDICT_TIMER}{stream.request.key}")
 
 
 def _last_event_id(headers: dict[str, str]) -> int:
