Gateways: the configuration's limits bind what callers may send

Symptom (known red): a body of 1,001 bytes was served where the configuration allowed 1,000. Cause: the limits were translated, agreed and spread, and read by nobody; what bounds requests is the host, which reads its settings at its start. Nothing led from a reducer to it.

An effect, BoundRequests, given by gateways when the limits of their document change; the host keeps what is in force in RequestBounds, for all its servers. Sizes never exceed the host's own; times replace them, since clients count on them: a connection that is idle already when a longer idle time comes is kept. A head has its time limit to itself, its body then has the host's.

The same question elsewhere (fields of a document that nobody reads): MaxConns and ColdStartS, in docs/FINDINGS.md, not mended.

--- a/src/merlinstand/forwarding/daemon.py
+++ b/src/merlinstand/forwarding/daemon.py
@@ -8,10 +8,12 @@
 
 from collections.abc import Sequence
 
+import msgspec
+
 from merlinstand.cluster.daemons import DaemonReport
 from merlinstand.cluster.places import Places
 from merlinstand.cluster.requests import Answered, Finished, NotRun
-from merlinstand.cluster.routes import RouteKind
+from merlinstand.cluster.routes import RequestLimits, RouteKind
 from merlinstand.common.ids import NodeId, RequestId
 from merlinstand.decisions.distance import Standpoint
 from merlinstand.decisions.rejection import UNAVAILABLE, Reason
@@ -38,6 +40,7 @@
 from merlinstand.forwarding.stream_forwarder import TIMER_PREFIX as STREAM_TIMER_PREFIX
 from merlinstand.forwarding.stream_forwarder import StreamForwarder
 from merlinstand.kernel.effects import (
+    BoundRequests,
     CancelTimer,
     Effect,
     LogEvent,
@@ -104,6 +107,7 @@
         self._intake = RequestIntake(settings, interface, follower)
         self._routes_wait = RoutesWait()
         self._stop_asked_at: float | None = None
+        self._limits_in_force: RequestLimits | None = None
 
     def start(self, event: Started, now: float) -> Sequence[Effect]:
         """Ask for the directory."""
@@ -170,6 +174,7 @@
             present = self.follower.backends
             self._forwarder.chooser.forget_all_but(b.backend_id for b in present)
             effects.extend(self._watch.follow(present, now))
+        effects.extend(self._bound_requests())
         if self.follower.suspects.revision != held_suspects:
             effects.extend(self._forwarder.on_suspects(now))
             effects.extend(self._streams.on_suspects(now))
@@ -178,6 +183,20 @@
             effects.extend(self._note_ended_streams(self._streams.resume(now)))
         return effects + self._end_routes_wait(now)
 
+    def _bound_requests(self) -> list[Effect]:
+        """Put the limits of the newest routes document in force, if they have changed."""
+        limits = self.follower.routes.document.limits
+        if not self.follower.has_document or limits == self._limits_in_force:
+            return []
+        self._limits_in_force = limits
+        order = BoundRequests(
+            limits.maximum_head_bytes,
+            limits.maximum_body_bytes,
+            limits.head_timeout_seconds,
+            limits.idle_timeout_seconds,
+        )
+        return [LogEvent("gateway.request_limits", msgspec.structs.asdict(limits)), order]
+
     def _note_ended_streams(self, effects: list[Effect]) -> list[Effect]:
         """Streams that end now have run; those that never began are reported apart."""
         for effect in effects:
--- a/src/merlinstand/kernel/effects.py
+++ b/src/merlinstand/kernel/effects.py
@@ -70,6 +70,20 @@
     body: bytes
 
 
+class BoundRequests(Effect, frozen=True):
+    """Bound what HTTP clients may send from now on; a bound of 0 leaves that to the host."""
+
+    maximum_head_bytes: int
+    """Longest head, request line included; never above the host's own bound."""
+    maximum_body_bytes: int
+    """Longest body; never above the host's own bound."""
+    head_timeout_seconds: float
+    """Longest time from a request's first byte to the end of its head."""
+    idle_connection_seconds: float
+    """Longest silence between requests on a connection; may exceed the host's own, since clients
+    count on it."""
+
+
 class RespondStart(Effect, frozen=True):
     """Begin a streamed HTTP response."""
 
--- a/src/merlinstand/runtime/host.py
+++ b/src/merlinstand/runtime/host.py
@@ -45,6 +45,7 @@
 from merlinstand.runtime.metrics import Metrics
 from merlinstand.runtime.performer import EffectPerformer
 from merlinstand.runtime.record_writer import RecordWriter
+from merlinstand.runtime.request_bounds import RequestBounds
 from merlinstand.runtime.timers import Timers
 from merlinstand.runtime.tls import TlsContexts
 from merlinstand.runtime.traffic import TrafficCounters
@@ -110,7 +111,8 @@
         self._suspension_watch = suspension.of_this_loop()
         self._timers = Timers(lambda name: self.submit(TimerFired(name)))
         self._disk: Disk = NoDisk(self.submit)
-        self._endpoint = HttpEndpoint(self.submit, self.metrics, settings.http_limits)
+        self._bounds = RequestBounds(settings.http_limits)
+        self._endpoint = HttpEndpoint(self.submit, self.metrics, settings.http_limits, self._bounds)
         self._pool = self._make_pool()
         self._client = HttpClient(self.submit, self._pool, self._traffic)
         self._records = RecordWriter(settings.record_folder) if settings.record_folder else None
@@ -301,6 +303,7 @@
             self._settings.http_limits,
             self._tls.server,
             front,
+            self._bounds,
         )
         server.start()
         self._servers.append(server)
--- a/src/merlinstand/runtime/http_endpoint.py
+++ b/src/merlinstand/runtime/http_endpoint.py
@@ -39,6 +39,7 @@
     SlowSenderError,
 )
 from merlinstand.runtime.metrics import CONTENT_TYPE, Metrics
+from merlinstand.runtime.request_bounds import RequestBounds
 
 _FRAMING_HEADERS = frozenset(("content-length", "content-type", "date", "server"))
 
@@ -47,18 +48,24 @@
     """Keeps the requests that wait for a response."""
 
     def __init__(
-        self, submit: Callable[[Event], None], metrics: Metrics, limits: HttpLimits
+        self,
+        submit: Callable[[Event], None],
+        metrics: Metrics,
+        limits: HttpLimits,
+        bounds: RequestBounds | None = None,
     ) -> None:
         """Create an endpoint.
 
         Args:
             submit: Hands an event to the reducer.
             metrics: Exported at `/metrics`.
-            limits: Bounds on requests.
+            limits: Bounds of the host's settings.
+            bounds: What clients may send; by `limits` alone if left out.
         """
         self._submit = submit
         self._metrics = metrics
         self._limits = limits
+        self.bounds = bounds or RequestBounds(limits)
         self._exchanges: dict[RequestId, Exchange] = {}
         self._numbers = itertools.count(1)
         self.closing = False
@@ -166,7 +173,7 @@
 
     def _read_body(self, environ: dict[str, Any], head: RequestHead) -> bytes | MerlinstandError:
         """Read the body under the request's read limit, which ends here."""
-        limit = self._limits.maximum_body_bytes
+        limit = self.bounds.maximum_body_bytes
         length = head.content_length
         try:
             if length is None and not head.chunked:
--- a/src/merlinstand/runtime/http_headers.py
+++ b/src/merlinstand/runtime/http_headers.py
@@ -96,13 +96,19 @@
         return None if text is None else int(text)
 
 
-def read_request_head(reader: HeadReader) -> Result[RequestHead | None, MerlinstandError]:
+def read_request_head(
+    reader: HeadReader, maximum_bytes: int = MAXIMUM_HEAD_BYTES
+) -> Result[RequestHead | None, MerlinstandError]:
     """Read one request's head.
 
+    Args:
+        reader: The connection.
+        maximum_bytes: Longest head, request line included.
+
     Returns:
         The head, None if the connection ended before its first byte, or what is wrong.
     """
-    data = _read_head_bytes(reader)
+    data = _read_head_bytes(reader, maximum_bytes)
     if isinstance(data, Err):
         return data
     if not data.ok_value:
@@ -182,31 +188,32 @@
 _cached_lower_name = lru_cache(maxsize=_CACHED_NAMES)(_lower_name)
 
 
-def _read_head_bytes(reader: HeadReader) -> Result[bytes, MerlinstandError]:
+def _read_head_bytes(reader: HeadReader, maximum_bytes: int) -> Result[bytes, MerlinstandError]:
     """Take a head's bytes; nothing if the connection ended before the first one."""
     buffered = reader.peek(1)
     end = buffered.find(HEAD_END)
     if end < 0:
-        return _read_head_lines(reader)
+        return _read_head_lines(reader, maximum_bytes)
     # The usual case: the whole head has come with the first bytes.
     data = buffered[: end + len(HEAD_END)]
-    fault = _size_fault(data.find(_LINE_END), len(data), data.count(_LINE_END))
+    fault = _size_fault(data.find(_LINE_END), len(data), data.count(_LINE_END), maximum_bytes)
     if fault is not None:
         return Err(fault)
     return Ok(reader.read(len(data)))
 
 
-def _read_head_lines(reader: HeadReader) -> Result[bytes, MerlinstandError]:
+def _read_head_lines(reader: HeadReader, maximum_bytes: int) -> Result[bytes, MerlinstandError]:
     """Take a head that comes in pieces, with its bounds checked as it grows."""
     lines: list[bytes] = []
     size = 0
     while True:
-        line = reader.readline(MAXIMUM_HEAD_BYTES + 1)
+        line = reader.readline(maximum_bytes + 1)
         if not line and not lines:
             return Ok(b"")
         lines.append(line)
         size += len(line)
-        fault = _size_fault(len(lines[0]) - len(_LINE_END), size, len(lines))
+        first = len(lines[0]) - len(_LINE_END)
+        fault = _size_fault(first, size, len(lines), maximum_bytes)
         if fault is not None:
             return Err(fault)
         if line == _LINE_END:
@@ -215,12 +222,14 @@
             return Err(MalformedRequestError(detail="truncated or malformed head"))
 
 
-def _size_fault(request_line_bytes: int, size: int, line_count: int) -> MerlinstandError | None:
+def _size_fault(
+    request_line_bytes: int, size: int, line_count: int, maximum_bytes: int
+) -> MerlinstandError | None:
     if request_line_bytes > MAXIMUM_REQUEST_LINE_BYTES:
         detail = f"request line is longer than {MAXIMUM_REQUEST_LINE_BYTES} bytes"
         return TargetTooLongError(detail=detail)
-    if size > MAXIMUM_HEAD_BYTES:
-        return HeadTooLargeError(detail=f"head exceeds {MAXIMUM_HEAD_BYTES} bytes")
+    if size > maximum_bytes:
+        return HeadTooLargeError(detail=f"head exceeds {maximum_bytes} bytes")
     # Besides the headers there are the request line and the empty line.
     if line_count > MAXIMUM_HEADER_COUNT + 2:
         return HeadTooLargeError(detail=f"more than {MAXIMUM_HEADER_COUNT} headers")
--- a/src/merlinstand/runtime/http_server.py
+++ b/src/merlinstand/runtime/http_server.py
@@ -5,7 +5,8 @@
 environment to the application of `http_endpoint`, which answers it.
 
 Each step has a time limit of its own: the silence between two requests, a request's head and body
-together, each piece of the response. Bad clients get typed answers and leave no log line.
+(together, unless `RequestBounds` has one for the head), each piece of the response. Bad clients get
+typed answers and leave no log line.
 """
 
 import errno
@@ -20,12 +21,14 @@
 from gevent.pywsgi import WSGIHandler, WSGIServer, format_date_time
 from result import Err
 
+from merlinstand.common.boot_clock import boot_seconds
 from merlinstand.common.errors import MerlinstandError, error_body
 from merlinstand.runtime.early_listeners import BACKLOG
 from merlinstand.runtime.errors import SlowRequestError
 from merlinstand.runtime.host_settings import HttpLimits
 from merlinstand.runtime.http_headers import RequestHead, read_request_head
 from merlinstand.runtime.http_input import EndpointInput
+from merlinstand.runtime.request_bounds import RequestBounds
 from merlinstand.runtime.tls import BoundedHandshakeServer
 from merlinstand.runtime.watchdog import Watchdog
 
@@ -56,6 +59,7 @@
         limits: HttpLimits,
         tls_context: "SSLContext | None",
         front: "EndpointServer | None" = None,
+        bounds: RequestBounds | None = None,
     ) -> None:
         """Create a server; `start` makes it accept.
 
@@ -65,6 +69,7 @@
             limits: Bounds on reading and writing.
             tls_context: Set to speak TLS.
             front: The process's main server, if this one is at an extra address.
+            bounds: What clients may send; by `limits` alone if left out.
         """
         tls = {} if tls_context is None else {"ssl_context": tls_context}
         super().__init__(
@@ -79,6 +84,7 @@
             **tls,
         )
         self.limits = limits
+        self.bounds = bounds or RequestBounds(limits)
         self.closing = False
         """Set during a planned stop: every response then ends its connection."""
         self.busy = 0
@@ -136,25 +142,42 @@
             # A client that sent many requests ahead gets one answer a turn.
             gevent.sleep(0)
         self._turn = self._loop.iteration
-        self._watchdog.limit(limits.idle_connection_seconds, SlowSenderError)
-        try:
-            if not self.rfile.peek(1):
-                return None
-        except OSError:
-            # Idle for too long, or gone: nothing was asked, so there is nobody to answer.
+        if not self._await_request():
             return None
-        # From the first byte on, head and body together have one limit; the application
-        # lifts it when it has the body.
-        self._watchdog.limit(limits.request_read_timeout_seconds, SlowSenderError)
+        # From the first byte on; the application lifts it when it has the body.
+        head_seconds = self.server.bounds.head_timeout_seconds
+        self._watchdog.limit(head_seconds or limits.request_read_timeout_seconds, SlowSenderError)
         self.server.busy += 1
         try:
             return self._read_and_serve()
         finally:
             self.server.busy -= 1
 
+    def _await_request(self) -> bool:
+        """Wait for a request's first byte; False if the connection has ended or is idle too long.
+
+        Nothing was asked, so there is nobody to answer.
+        """
+        begun_at = boot_seconds()
+        waits_until = 0.0
+        while True:
+            # While it waits, the bound may have been raised.
+            idle_until = begun_at + self.server.bounds.idle_connection_seconds
+            if idle_until <= waits_until:
+                return False
+            waits_until = idle_until
+            self._watchdog.limit(idle_until - boot_seconds(), SlowSenderError)
+            try:
+                return bool(self.rfile.peek(1))
+            except SlowSenderError:
+                continue
+            except OSError:
+                return False
+
     def _read_and_serve(self) -> Any:
+        bounds = self.server.bounds
         try:
-            head = read_request_head(self.rfile)
+            head = read_request_head(self.rfile, bounds.maximum_head_bytes)
         except SlowSenderError:
             return self._refuse(SlowRequestError(detail="request head came too slowly"))
         except OSError:
@@ -162,7 +185,12 @@
             return None
         if isinstance(head, Err):
             return self._refuse(head.err_value)
-        return self._serve(head.ok_value) if head.ok_value is not None else None
+        if head.ok_value is None:
+            return None
+        if bounds.head_timeout_seconds is not None:
+            read_seconds = self.server.limits.request_read_timeout_seconds
+            self._watchdog.limit(read_seconds, SlowSenderError)
+        return self._serve(head.ok_value)
 
     def _refuse(self, error: MerlinstandError) -> Any:
         """Give an early error to the base class, which sends it and ends the connection."""
--- a/src/merlinstand/runtime/performer.py
+++ b/src/merlinstand/runtime/performer.py
@@ -86,6 +86,7 @@
         effects.RespondStart: lambda e: endpoint.start(e.request_id, e.status, e.headers),
         effects.RespondChunk: lambda e: endpoint.push(e.request_id, e.data),
         effects.RespondEnd: lambda e: endpoint.end(e.request_id, e.whole),
+        effects.BoundRequests: endpoint.bounds.apply,
     }
 
 
--- a/src/merlinstand_lab/simulator/calls.py
+++ b/src/merlinstand_lab/simulator/calls.py
@@ -8,6 +8,7 @@
 
 import enum
 from collections import deque
+from http import HTTPStatus
 from typing import Any
 
 from merlinstand.kernel.effects import StartCall
@@ -206,6 +207,11 @@
 
     def _deliver_request(self) -> None:
         server = self.server
+        limit = server.maximum_body_bytes
+        if limit and len(self.effect.body) > limit:
+            # Refused by the host, as the runtime does: the reducer never sees it.
+            self.respond(Segment.RESPONSE, (HTTPStatus.REQUEST_ENTITY_TOO_LARGE, {}, b""))
+            return
         self.request_id = server.next_request_id()
         server.requests[self.request_id] = self
         effect = self.effect
--- a/src/merlinstand_lab/simulator/machine.py
+++ b/src/merlinstand_lab/simulator/machine.py
@@ -28,6 +28,8 @@
     """Open calls to this machine by request id."""
     idle_connections: dict[str, int]
     """Life of the server by address, where a connection was kept."""
+    maximum_body_bytes: int
+    """Longest body that the process takes; 0 for any."""
 
     @property
     def accepts_connections(self) -> bool:
--- a/src/merlinstand_lab/simulator/process.py
+++ b/src/merlinstand_lab/simulator/process.py
@@ -53,6 +53,8 @@
         self.exit_code: int | None = None
         self.calls: dict[str, Any] = {}
         self.requests: dict[str, Any] = {}
+        self.maximum_body_bytes = 0
+        """By order of its reducer; 0 for any number."""
         self.idle_connections: dict[str, int] = {}
         self.events_handled = 0
         self._known_addresses: dict[str, str] = {}
@@ -75,6 +77,7 @@
             fx.RespondStart: self._respond_start,
             fx.RespondChunk: self._respond_chunk,
             fx.RespondEnd: self._respond_end,
+            fx.BoundRequests: self._bound_requests,
             fx.StartCall: self._start_call,
             fx.CancelCall: self._cancel_call,
             fx.LogEvent: self._log_event,
@@ -146,6 +149,7 @@
         self.idle_connections = {}
         calls, self.calls = self.calls, {}
         requests, self.requests = self.requests, {}
+        self.maximum_body_bytes = 0
         for request in requests.values():
             request.server_ended(silent)
         for call in calls.values():
@@ -298,6 +302,9 @@
         if call is not None:
             call.respond(Segment.RESPONSE, (effect.status, effect.headers, effect.body))
 
+    def _bound_requests(self, effect: fx.BoundRequests) -> None:
+        self.maximum_body_bytes = effect.maximum_body_bytes
+
     def _respond_start(self, effect: fx.RespondStart) -> None:
         call = self.requests.get(effect.request_id)
         if call is not None:
