--- a/src/merlinstand/quarantine/leader.py
+++ b/src/merlinstand/quarantine/leader.py
@@ -30,7 +30,7 @@
     decode_suspect_report,
 )
 from merlinstand.quarantine.replica import Suspects
-from merlinstand.quarantine.rules import SETTLE_SECONDS
+from merlinstand.quarantine.rules import SETTLE_SECONDS, SURVIVED_SECONDS
 
 
 class ReportAnswer(msgspec.Struct, frozen=True):
@@ -60,9 +60,8 @@
 TIMER_MARGIN_SECONDS = 0.005
 """A timer may fire early by a rounding error, when nothing is settled yet. Chosen, not measured."""
 WAITING_TRIES_LIMIT = 256
-"""Tries in one entry of the log, 10 KB; what comes beyond that within `TOGETHER_SECONDS` is
-dropped: when a whole zone falls silent, each daemon gives up all that it had there. Chosen, not
-measured."""
+"""Tries in one entry of the log, 10 KB; the rest is taken when it is reported again: when a whole
+zone falls silent, each daemon gives up all that it had there. Chosen, not measured."""
 
 
 class QuarantineLeader:
@@ -186,19 +185,20 @@
     def _complete(self, crash: ServerCrash, group_time: float, now: float) -> ServerCrash:
         """Add the tries that were told before the server crashed, without those it has outlived.
 
-        What was told before is judged once, when the crash becomes known: a daemon that finds the
-        server gone later has nothing to add by it.
+        What was told long before is judged once, when the crash becomes known: a daemon that finds
+        the server gone later has nothing to add by it.
         """
         server = crash.backend_id
-        told = self._suspects.unanswered.told(server)
+        unanswered = self._suspects.unanswered
         in_flight: tuple[ContentDigest, ...] = ()
         if server not in self._suspects.crashes:
             heard_seconds = self._servers.heard_seconds(server_of(server), now)
             heard_at = None if heard_seconds is None else group_time - heard_seconds
-            in_flight = self._suspects.unanswered.in_flight(server, heard_at, group_time)
-        untold = (content for content in crash.contents if content not in told)
+            in_flight = unanswered.in_flight(server, heard_at, group_time)
+        judged = unanswered.told_until(server, group_time - SURVIVED_SECONDS)
+        reported = (content for content in crash.contents if content not in judged)
         waiting = self._unanswered.get(server, {})
-        return ServerCrash(server, tuple(dict.fromkeys((*untold, *waiting, *in_flight))))
+        return ServerCrash(server, tuple(dict.fromkeys((*reported, *waiting, *in_flight))))
 
     def _new_tries(self, report: SuspectReport, group_time: float) -> tuple[UnansweredTries, ...]:
         table = self._suspects.unanswered
@@ -278,6 +278,9 @@
 
     def _note_end(self, incarnation: BackendId, group_time: float, now: float) -> list[Effect]:
         """Have a crash agreed at once, so that it counts before the successor gets requests."""
+        if not self._servers.service_of(server_of(incarnation)):
+            # It left, and ended by itself.
+            return []
         settle = self._settle(incarnation, now)
         crash = self._complete(ServerCrash(incarnation, ()), group_time, now)
         if not self._is_news(crash, now):
@@ -292,8 +295,11 @@
 
     def note_left(self, group_time: float, now: float) -> list[Effect]:
         """Have agreed what daemons that died had announced at servers that crashed since."""
+        left = self._announced.take_left(now)
+        if not left:
+            return []
         effects: list[Effect] = []
-        for backend_id, contents in self._announced.take_left(now).items():
+        for backend_id, contents in left.items():
             crash = self._complete(ServerCrash(backend_id, contents), group_time, now)
             if self._is_news(crash, now):
                 fields = {"backend": backend_id, "contents": ",".join(contents)}
--- a/src/merlinstand/quarantine/unanswered.py
+++ b/src/merlinstand/quarantine/unanswered.py
@@ -69,9 +69,10 @@
             del self._noted_at[backend_id][content]
         self._noted_at = {b: held for b, held in self._noted_at.items() if held}
 
-    def told(self, backend_id: BackendId) -> frozenset[ContentDigest]:
-        """Give all requests that were told of a server, whatever became of them."""
-        return frozenset(self._noted_at.get(backend_id, {}))
+    def told_until(self, backend_id: BackendId, time: float) -> frozenset[ContentDigest]:
+        """Give the requests that were told of a server up to a time, whatever became of them."""
+        held = self._noted_at.get(backend_id, {})
+        return frozenset(content for content, at in held.items() if at <= time)
 
     def in_flight(
         self, backend_id: BackendId, heard_at: float | None, now: float
