Quarantine: a crash belongs to one start of a server, told to the leader at once

Servers may start again under their id with a new born. A gateway that never lost sight of the id sends on at once, and the leader, which learned the new start only with the next quarter second's report, took the next crash for one of the earlier start: two requests seemed to have been there together. A new start goes to the leader like a change now, and every replica keeps what it heard.

--- a/src/merlinstand/directory/daemon.py
+++ b/src/merlinstand/directory/daemon.py
@@ -176,7 +176,9 @@
             group_time = self.replica.group_time(now)
             return self._quarantine.note_born(backend_id, born_ms, group_time, now)
 
-        return ServerEnds(note_replaced, note_born)
+        return ServerEnds(
+            note_replaced, note_born, lambda *born: self._quarantine.learn_born(*born)
+        )
 
     def start(self, event: Started, now: float) -> Sequence[Effect]:
         """Recover from the journal and join the group."""
--- a/src/merlinstand/directory/heartbeat_intake.py
+++ b/src/merlinstand/directory/heartbeat_intake.py
@@ -76,10 +76,13 @@
     @property
     def has_changes(self) -> bool:
         """Whether something is to be passed on or agreed on."""
-        return bool(self._changed)
+        return bool(self._changed or self._born_ms)
 
     def begin_leading(self, now: float) -> None:
         """A leadership begins: every known back end counts as heard now."""
+        self._told_born_ms |= self._born_ms
+        self._born_ms = {}
+        self._told_leader = None
         self._heard_at = dict.fromkeys(self._state.table.backends, now)
         self._contests.clear()
         self._led_since = now
--- a/src/merlinstand/directory/heartbeats.py
+++ b/src/merlinstand/directory/heartbeats.py
@@ -71,6 +71,8 @@
     """Another server registers at the address of one that nobody said would leave."""
     note_born: Callable[[BackendId, int, float], list[Effect]] = lambda *_args: []
     """A server says when it started, in Unix milliseconds."""
+    learn_born: Callable[[BackendId, int], None] = lambda *_args: None
+    """The same at a replica that doesn't lead: it may lead later."""
 
 
 HeartbeatOutcome = HeartbeatTaken | HeartbeatToDecide | HeartbeatElsewhere
@@ -129,8 +131,8 @@
             return HeartbeatToDecide(command, reply, log)
         if not may_answer(leads, self._replica.proof_age_seconds(now)):
             return HeartbeatElsewhere()
-        ended = self._note_born(heartbeat, leads, now)
         had_changes = self._intake.has_changes
+        ended = self._note_born(heartbeat, leads, now)
         self._intake.take(heartbeat, leads, now)
         return HeartbeatTaken(reply, (*ended, *self._after_change(had_changes, now)))
 
@@ -139,6 +141,7 @@
             return []
         if not leads:
             self._intake.note_born(heartbeat)
+            self._ends.learn_born(heartbeat.backend.backend_id, heartbeat.born_ms)
             return []
         return self._ends.note_born(heartbeat.backend.backend_id, heartbeat.born_ms, now)
 
--- a/src/merlinstand/quarantine/incarnations.py
+++ b/src/merlinstand/quarantine/incarnations.py
@@ -2,7 +2,7 @@
 
 A server may crash twice under one request and have the same id both times; these are two crashes.
 So a crash is noted under the id and the time of that start, as far as a heartbeat has told it. The
-newest starts are soft state of the control leader: daemons report ids, and the leader completes
+newest starts are soft state of each control replica: daemons report ids, and the leader completes
 them. A report that comes only after the next start is taken for one of that start.
 """
 
@@ -11,6 +11,9 @@
 from merlinstand.common.ids import BackendId
 from merlinstand.quarantine.messages import ServerCrash, SuspectReport, UnansweredTries
 
+STARTS_LIMIT = 8_192
+"""Servers whose newest start is remembered, those that started longest ago are forgotten first:
+twice as many as there are at the target size; 1 MB."""
 _SEPARATOR = "@"
 
 
@@ -38,16 +41,12 @@
 
 
 class Incarnations:
-    """The newest start of each server, as one control leader heard it."""
+    """The newest start of each server that one control replica heard of."""
 
     def __init__(self) -> None:
         """Begin with none known."""
         self._born_ms: dict[BackendId, int] = {}
 
-    def begin(self) -> None:
-        """A leadership begins."""
-        self._born_ms.clear()
-
     def note(self, backend_id: BackendId, born_ms: int) -> BackendId | None:
         """Take in when a server says that it started; gives its earlier start if that has ended.
 
@@ -56,7 +55,10 @@
         known = self._born_ms.get(backend_id, 0)
         if born_ms <= known:
             return None
+        self._born_ms.pop(backend_id, None)
         self._born_ms[backend_id] = born_ms
+        if len(self._born_ms) > STARTS_LIMIT:
+            del self._born_ms[next(iter(self._born_ms))]
         return incarnation_id(backend_id, known) if known else None
 
     def name(self, backend_id: BackendId) -> BackendId:
--- a/src/merlinstand/quarantine/leader.py
+++ b/src/merlinstand/quarantine/leader.py
@@ -101,7 +101,6 @@
         self._served.clear()
         self._unanswered.clear()
         self._announced_services.clear()
-        self._incarnations.begin()
         self._announced.begin()
         self._throttle.reset()
 
@@ -276,6 +275,10 @@
         ended = self._incarnations.note(backend_id, born_ms)
         return [] if ended is None else self._note_end(ended, group_time, now)
 
+    def learn_born(self, backend_id: BackendId, born_ms: int) -> None:
+        """A server says when it started, to a replica that doesn't lead."""
+        self._incarnations.note(backend_id, born_ms)
+
     def _note_end(self, incarnation: BackendId, group_time: float, now: float) -> list[Effect]:
         """Have a crash agreed at once, so that it counts before the successor gets requests."""
         if not self._servers.service_of(server_of(incarnation)):
--- a/tests/users_platform/gateway_days.py
+++ b/tests/users_platform/gateway_days.py
@@ -3,9 +3,11 @@
 Played by `test_gateway_days` for the seeds that once broke a rule, and by hand for many more:
 
     PYTHONPATH=platform python -m tests.users_platform.gateway_days 1 200
+    PYTHONPATH=platform python -m tests.users_platform.gateway_days 1 200 same-ids
 """
 
 import sys
+from functools import partial
 from multiprocessing import Pool
 from random import Random
 
@@ -106,10 +108,17 @@
         world.simulation.start_if_down(world.process(ip))
 
 
-def draw_gateway_day(seed: int, monkeypatch: pytest.MonkeyPatch) -> World:
-    """Draw a day; the order of the draws is what makes a seed the same day again."""
+def draw_gateway_day(seed: int, monkeypatch: pytest.MonkeyPatch, keeps_id: bool = False) -> World:
+    """Draw a day; the order of the draws is what makes a seed the same day again.
+
+    Args:
+        seed: Of all draws.
+        monkeypatch: Undoes what the day changes of the stand-ins.
+        keeps_id: Whether servers start again under the ids that they had.
+    """
     random = Random(seed)
     monkeypatch.setattr(RegisteredServer, "work_seconds", random.choice([0.02, 0.07]))
+    monkeypatch.setattr(RegisteredServer, "keeps_id", keeps_id)
     world = World(seed)
     world.add_gateways(random.choice([0, 0, 2, 6]))
     draw_callers(world, random)
@@ -120,20 +129,22 @@
     return world
 
 
-def play(seed: int) -> list[str]:
+def play(seed: int, keeps_id: bool = False) -> list[str]:
     """Play a day; gives what it broke."""
     with pytest.MonkeyPatch.context() as monkeypatch:
-        world = draw_gateway_day(seed, monkeypatch)
+        world = draw_gateway_day(seed, monkeypatch, keeps_id)
         world.simulation.run_until(DAY_SECONDS)
         return violations(world)
 
 
-def hunt(first: int, last: int) -> int:
+def hunt(first: int, last: int, keeps_id: bool = False) -> int:
     """Play days by hand and print what they broke; gives the number of broken ones."""
     broken = 0
     with Pool(WORKERS) as pool:
         seeds = range(first, last + 1)
-        for seed, found in zip(seeds, pool.imap(play, seeds), strict=True):
+        for seed, found in zip(
+            seeds, pool.imap(partial(play, keeps_id=keeps_id), seeds), strict=True
+        ):
             if found:
                 broken += 1
                 print(f"seed={seed} broken={found}", flush=True)
@@ -142,4 +153,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(hunt(int(sys.argv[1]), int(sys.argv[2])) > 0)
+    sys.exit(hunt(int(sys.argv[1]), int(sys.argv[2]), "same-ids" in sys.argv) > 0)
--- a/tests/users_platform/servers.py
+++ b/tests/users_platform/servers.py
@@ -26,6 +26,7 @@
     StopRequested,
     TimerFired,
 )
+from merlinstand_lab.simulator.process import WALL_START
 from tests.users_platform.control_caller import CALL_PREFIX, TIMER_PREFIX, ControlCaller, Order
 
 BEAT_SECONDS = 1.2
@@ -117,6 +118,8 @@
     """It stays cold this long after a start during the day; set by the world for all of them."""
     work_seconds = 0.02
     """From the beginning of a run to its answer."""
+    keeps_id = False
+    """A server starts again under the id that it had, and says when it was born."""
     crashing_tenant = ""
     """Only this tenant's requests end servers; of each tenant if there is none."""
 
@@ -126,6 +129,7 @@
         self.zone = zone
         self.state = "ready"
         self.instance = ""
+        self.born_ms = 0
         self.sequence = 0
         self.cold_until = 0.0
         self._caller = ControlCaller(controls)
@@ -133,6 +137,9 @@
 
     def start(self, event: Started, now: float) -> list[Effect]:
         self.instance = f"i-{event.seed % 10**9:09d}"
+        if self.keeps_id:
+            self.instance = f"i-{self.address}"
+            self.born_ms = int((WALL_START + now) * 1000)
         if now > FIRST_STARTS_SECONDS:
             self.cold_until = now + self.cold_seconds
         return self._beat(now)
@@ -188,6 +195,7 @@
                 "State": self.state,
                 "ColdLeftMs": max(0.0, self.cold_until - now) * 1000,
                 "Seq": self.sequence,
+                **({"born": self.born_ms} if self.born_ms else {}),
                 **self._beat_extra(),
             }
         ).encode()
@@ -207,7 +215,8 @@
         if is_harmless or not event.body.startswith(CRASH_MARK):
             return []
         content = (event.path, tenant, event.body)
-        record = CrashArrival(self.instance, content, event.peer)
+        incarnation = f"{self.instance}@{self.born_ms}" if self.born_ms else self.instance
+        record = CrashArrival(incarnation, content, event.peer)
         return [WriteRecord("crashes", record), SetTimer("crash", CRASH_SECONDS)]
 
     def _request(self, event: RequestReceived, now: float) -> list[Effect]:
