--- a/tests/users_platform/real_world.py
+++ b/tests/users_platform/real_world.py
@@ -6,6 +6,7 @@
 
 import contextlib
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -48,8 +49,8 @@
 )
 
 ROOT = Path(__file__).resolve().parents[2]
-START = ROOT / "tests" / "users_platform" / "suspendable_start.py"
-"""Runs `platform/start.py` itself."""
+START = Path("tests") / "users_platform" / "suspendable_start.py"
+"""In a checkout: runs its `platform/start.py` itself."""
 CONTROL_PORT = 18509
 FRONT_PORT = 18161
 READY_PORT = 18167
@@ -228,7 +229,7 @@
         self._starts += 1
         with (self._folder / "log").open("ab") as log:
             self.process = subprocess.Popen(
-                [sys.executable, "-S", str(START), self.role],
+                [sys.executable, "-S", str(self._world.draw_checkout() / START), self.role],
                 env={
                     **os.environ,
                     "MERLINSTAND_NODE_FILE": str(settings),
@@ -269,7 +270,13 @@
     """Daemons as processes; servers, an operator, a trainer and a client in this process."""
 
     def __init__(
-        self, folder: Path, seed: int, steps: int = 3, gateways: int = 2, crashes: bool = False
+        self,
+        folder: Path,
+        seed: int,
+        steps: int = 3,
+        gateways: int = 2,
+        crashes: bool = False,
+        older: Path | None = None,
     ) -> None:
         """Start everything.
 
@@ -279,8 +286,12 @@
             steps: Steps of the trainer.
             gateways: How many there are.
             crashes: Whether an item and a caller's request end the servers that run them.
+            older: A checkout of an earlier build: each start of a machine draws which of the two
+                it runs.
         """
         self.folder = folder
+        self._checkouts = [ROOT] if older is None else [ROOT, older]
+        self._draw = random.Random(seed)
         self.simulation = SimpleNamespace(records={}, record_times={}, failures=[])
         self._claim, base = _claim_network()
         self.control_ips = [f"{base}.{zone}.14" for zone in (1, 2, 3)]
@@ -337,6 +348,10 @@
         if crashes:
             self._host("crash", RepeatingCaller("crash", gateways, CRASH_TIMES, keys))
 
+    def draw_checkout(self) -> Path:
+        """Draw whose programs a machine runs from its next start on."""
+        return self._draw.choice(self._checkouts)
+
     def order_zone(self, order: ZoneOrder) -> bool:
         """Have an operator give an order for a zone; tells whether it was acknowledged in time."""
         self._zone_orders += 1
--- a/tests/users_platform/soak.py
+++ b/tests/users_platform/soak.py
@@ -1,5 +1,8 @@
 """Randomized fault soak of the real programs: `python -m tests.users_platform.soak SEED [SEED...]`.
 
+With `--older CHECKOUT` before the seeds each start of a machine draws whether it runs this build or
+that one, on the same data folder: both builds run beside each other, and are replaced both ways.
+
 Each seed draws kills, freezes, suspensions, planned stops, lost disks, cut or reset servers,
 series of signals and evacuations of zones for half a minute, while requests come that end the
 servers which run them; whatever outsiders saw is then checked. Clients keep their connections until
@@ -37,10 +40,12 @@
 
 def main() -> int:
     """Run the seeds given on the command line; 1 if any showed a broken promise."""
-    seeds = [int(text) for text in sys.argv[1:]]
+    arguments = sys.argv[1:]
+    older = Path(arguments[1]).resolve() if arguments[0] == "--older" else None
+    seeds = [int(text) for text in (arguments[2:] if older else arguments)]
     broken = 0
     for seed in seeds:
-        found, summary = run_seed(seed)
+        found, summary = run_seed(seed, older=older)
         broken += bool(found)
         print(f"seed {seed}: {summary}; {'broken: ' + '; '.join(found[:3]) if found else 'kept'}")
     print(f"{len(seeds) - broken} passed, {broken} failed")
@@ -48,12 +53,15 @@
 
 
 def run_seed(
-    seed: int, steps: int = STEPS, fault_seconds: float = FAULT_SECONDS
+    seed: int,
+    steps: int = STEPS,
+    fault_seconds: float = FAULT_SECONDS,
+    older: Path | None = None,
 ) -> tuple[list[str], str]:
     """Run one seed; broken promises and a summary."""
     with tempfile.TemporaryDirectory() as folder:
         gateways = FEW_GATEWAYS if seed % 4 else MANY_GATEWAYS
-        world = RealWorld(Path(folder), seed, steps, gateways, crashes=True)
+        world = RealWorld(Path(folder), seed, steps, gateways, crashes=True, older=older)
         try:
             faults = _strike(world, random.Random(seed), fault_seconds)
             _wait_for_steps(world, steps)
