--- a/tests/users_platform/test_gateway_days.py
+++ b/tests/users_platform/test_gateway_days.py
@@ -50,7 +50,11 @@
 
 @pytest.mark.parametrize(
     ("seed", "keeps_id"),
-    [pytest.param(1248, False, id="1 ms"), pytest.param(73, True, id="10 ms, servers keep ids")],
+    [
+        pytest.param(1248, False, id="1 ms"),
+        pytest.param(2081, False, id="30 ms, control killed"),
+        pytest.param(73, True, id="10 ms, servers keep ids"),
+    ],
 )
 def test_three_requests_whose_senders_all_die_are_told_apart(seed: int, keeps_id: bool) -> None:
     """Three requests end the same servers, and every gateway dies so soon after it sent one.
