--- a/src/merlinstand/quarantine/in_flight.py
+++ b/src/merlinstand/quarantine/in_flight.py
@@ -1,7 +1,7 @@
 """Tries that daemons announced as they sent them, at the control leader.
 
 A daemon reports all of its tries that are under way, each report in place of the one before. One
-that lives reports again within a third of a second, and tells by itself what broke off with its
+that lives reports again each 0.1 s while there are any, and tells by itself what broke off with its
 server. So what was listed before a server's crash, by one that has not reported since, was sent by
 a daemon that died. Soft state of the leader, bounded by the daemons that announce.
 """
