forwarding: a stopping gateway rejects what it can't finish, and answers the rest

Cause: the gateway took requests until its limit (`stop_limit_seconds`, 7 s), whatever time they needed. At the limit it sent `StopProcess` with requests pending. From then on the host drops all events, the servers' responses among them, but waits up to 5 s for connections with a request in progress, so that the platform's SIGKILL at 8 s ended them.

Evidence: in the case's log `gateway.stopped` is written 7.0 s after `gateway.stopping`, the servers record the whole runs, and no further line of the gateway follows. Requests sent before 6.8 s, 0.19 s of work before the limit, were all answered. Ruled out: the servers (each lost request was run whole), the connection (other requests on it were answered), the client's deadline (1.5 s, closed after 1.1 s).

Change: `decisions.draining` holds the phases of a stop. While load balancers may not have noticed it (2.5 s), all requests are accepted as before. Later, a request is accepted only if its deadline, or a batch call's, lies before the limit. All others get a 503 with `Retry-After: 0` and `Connection: close` at once; a retry on a new connection reaches another gateway. What is pending at the limit, and only that, is ended by the reducer itself: 502 or 504 if it may have run, 503 if not; a started stream is truncated. The process exits at the next poll, when nothing is pending. So no response can come after the last event. `gateway.stopping` and the new `gateway.stop_limit_reached` count what is pending.

--- a/src/merlinstand/common/errors.py
+++ b/src/merlinstand/common/errors.py
@@ -10,6 +10,10 @@
 
 import msgspec
 
+STOPPING_RETRY_AFTER_SECONDS = 0.0
+"""Retry-After of a stopping process. It closes the connection, and the retry on a new one reaches
+another process."""
+
 
 class ExitCode(enum.IntEnum):
     """Exit codes of the command line, one per category of error."""
--- a/src/merlinstand/decisions/rejection.py
+++ b/src/merlinstand/decisions/rejection.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from merlinstand.cluster.requests import NotRun, OutcomeUnknown
+from merlinstand.common.errors import STOPPING_RETRY_AFTER_SECONDS
 
 BAD_GATEWAY = 502
 """HTTP status (RFC 9110): a backend may have run the request, and no complete response came."""
@@ -46,6 +47,8 @@
     """Only evacuated zones have backends that could run the request."""
     KEYS_UNKNOWN = "keys may have been taken away"
     """The last contact with a control leader was so long ago that keys may have been revoked."""
+    STOPPING = "stopping"
+    """This gateway is stopping and might exit before the request has ended."""
 
 
 DEFAULT_RETRY_AFTER_SECONDS = 0.1
@@ -67,6 +70,7 @@
     Reason.KEYS_UNKNOWN: 0.3,
     Reason.EVACUATED: 1.0,
     Reason.LAST_BACKEND: 1.0,
+    Reason.STOPPING: STOPPING_RETRY_AFTER_SECONDS,
 }
 """Retry-After by reason. Routes and keys: a control group that lost its leader has a new one after
 0.2 to 0.9 s, and the gateway asks every 0.05 to 0.1 s. Evacuated: operators take minutes to end an
--- a/src/merlinstand/forwarding/batch_relay.py
+++ b/src/merlinstand/forwarding/batch_relay.py
@@ -24,6 +24,7 @@
 from merlinstand.cluster.regions import UNRESTRICTED, StorageNode, find_node_outside
 from merlinstand.cluster.zone_map import ZoneMap
 from merlinstand.common.decoding import DECODE_ERRORS
+from merlinstand.common.errors import STOPPING_RETRY_AFTER_SECONDS
 from merlinstand.common.ids import CallId, RequestId
 from merlinstand.decisions.rejection import BATCH_CALL_RETRY_AFTER_SECONDS
 from merlinstand.directory.follower import DirectoryFollower
@@ -99,12 +100,16 @@
         finished, self._finished = self._finished, []
         return finished
 
-    def begin(self, request_id: RequestId, call: BatchCall, now: float) -> list[Effect]:
-        """Start a call; a read of results goes to a nearby replica first, if there is one."""
+    def deadline_of(self, call: BatchCall, now: float) -> float:
+        """Return the local time by which a call that begins now has ended."""
         limit = self._settings.batch_call_seconds
         if isinstance(call, ReadResults):
             limit += call.wait_seconds
-        pending = _PendingCall(request_id, call, encode(call), now + limit)
+        return now + limit
+
+    def begin(self, request_id: RequestId, call: BatchCall, now: float) -> list[Effect]:
+        """Start a call; a read of results goes to a nearby replica first, if there is one."""
+        pending = _PendingCall(request_id, call, encode(call), self.deadline_of(call, now))
         if isinstance(call, SubmitJob):
             pending.allowed_regions = frozenset(call.allowed_regions)
         self._pending[request_id] = pending
@@ -125,6 +130,16 @@
             effects.append(CancelCall(pending.call_id))
         return effects
 
+    def end_all(self) -> list[Effect]:
+        """End all pending calls, because the process stops."""
+        effects: list[Effect] = []
+        for pending in list(self._pending.values()):
+            if pending.call_id is not None:
+                pending.may_have_run = True
+                effects.append(CancelCall(pending.call_id))
+            effects.extend(self._fail(pending, STOPPING_RETRY_AFTER_SECONDS))
+        return effects
+
     def on_timer(self, name: str, now: float) -> list[Effect]:
         """Handle a timer whose name starts with `TIMER_PREFIX`: send the call again."""
         pending = self._pending.get(RequestId(name.removeprefix(TIMER_PREFIX)))
@@ -256,7 +271,9 @@
         log = LogEvent("batch.region_not_allowed", fields)
         return [log, *self._finish(pending, OutsideAllowedRegions(detail))]
 
-    def _fail(self, pending: _PendingCall) -> list[Effect]:
+    def _fail(
+        self, pending: _PendingCall, retry_after_seconds: float = BATCH_CALL_RETRY_AFTER_SECONDS
+    ) -> list[Effect]:
         fields = {
             "request": pending.request_id,
             "call": type(pending.call).__name__,
@@ -264,7 +281,7 @@
             "may_have_run": pending.may_have_run,
         }
         may_have_run = pending.may_have_run and isinstance(pending.call, SubmitJob | EndJob)
-        failure = BatchFailure(may_have_run, BATCH_CALL_RETRY_AFTER_SECONDS)
+        failure = BatchFailure(may_have_run, retry_after_seconds)
         return [LogEvent("batch.given_up", fields), *self._finish(pending, failure)]
 
     def _finish(self, pending: _PendingCall, reply: BatchReply | BatchFailure) -> list[Effect]:
--- a/src/merlinstand/forwarding/daemon.py
+++ b/src/merlinstand/forwarding/daemon.py
@@ -16,6 +16,7 @@
 from merlinstand.cluster.zone_map import ZoneMap
 from merlinstand.common.ids import NodeId, RequestId
 from merlinstand.decisions.distance import ProcessLocation
+from merlinstand.decisions.draining import Drain, begin_drain
 from merlinstand.decisions.readiness import Readiness
 from merlinstand.decisions.rejection import UNAVAILABLE, Reason
 from merlinstand.decisions.server_choice import BackendChooser
@@ -100,7 +101,8 @@
         self._routes_queue = RoutesWaitQueue()
         self._readiness = Readiness()
         self._load = HostLoad(0.0, 0.0)
-        self._stop_requested_at: float | None = None
+        self._drain: Drain | None = None
+        """Phases of the planned stop; None if the gateway is not stopping."""
         self._limits_in_force: RequestLimits | None = None
 
     def _make_forwarders(self) -> None:
@@ -265,7 +267,7 @@
 
     def _is_ready(self) -> bool:
         """Return whether the gateway accepts new connections."""
-        is_stopping = self._stop_requested_at is not None
+        is_stopping = self._drain is not None
         return self.follower.has_document and not is_stopping and not self._readiness.is_full
 
     def _on_request(self, event: RequestReceived, now: float) -> list[Effect]:
@@ -295,10 +297,18 @@
             case RejectedRequest():
                 return decision.effects
             case AcceptedBatchCall():
+                if not self._can_end(self._relay.deadline_of(decision.call, now), now):
+                    return self._intake.reject_unsent(event, Reason.STOPPING)
                 return self._relay.begin(event.request_id, decision.call, now)
             case AcceptedRequest():
+                if not self._can_end(decision.request.deadline_at, now):
+                    return self._intake.reject_unsent(event, Reason.STOPPING)
                 return self._forward(decision, now)
 
+    def _can_end(self, latest_end: float, now: float) -> bool:
+        """Return whether a request with this latest end may be accepted."""
+        return self._drain is None or self._drain.accepts(latest_end, now)
+
     def _forward(self, accepted: AcceptedRequest, now: float) -> list[Effect]:
         request = accepted.request
         flow = accepted.flow
@@ -379,22 +389,49 @@
         return self._intake.reject_unsent(waiting.event, Reason.NO_ROUTES)
 
     def _stop(self, now: float) -> list[Effect]:
-        if self._stop_requested_at is not None:
+        if self._drain is not None:
             return []
-        self._stop_requested_at = now
-        return [LogEvent("gateway.stopping"), SetTimer(STOP_TIMER, STOP_POLL_SECONDS)]
+        settings = self._settings
+        self._drain = begin_drain(settings.drain_seconds, settings.stop_limit_seconds, now)
+        log = LogEvent("gateway.stopping", self._pending_counts())
+        poll = SetTimer(STOP_TIMER, STOP_POLL_SECONDS)
+        return [log, poll]
 
     def _continue_stop(self, now: float) -> list[Effect]:
-        """Exit once load balancers have noticed the stop and no request is pending."""
-        requested_at = self._stop_requested_at if self._stop_requested_at is not None else now
-        elapsed = now - requested_at
-        parts = (self._forwarder, self._streams, self._relay, self._routes_queue)
-        is_idle = not any(len(part) for part in parts)
-        is_drained = elapsed >= self._settings.drain_seconds and is_idle
-        if is_drained or elapsed >= self._settings.stop_limit_seconds:
+        """Exit once load balancers have noticed the stop and no request is pending.
+
+        At the end of the drain the remaining requests are ended; the process exits at the next
+        poll, after their callers were told.
+        """
+        drain = self._drain
+        if drain is None:
+            return []
+        counts = self._pending_counts()
+        is_idle = not any(counts.values())
+        if drain.may_exit(is_idle, now):
             # The final pull reports the usage that was counted since the previous pull.
             return [LogEvent("gateway.stopped"), *self.follower.pull(now), StopProcess()]
-        return [SetTimer(STOP_TIMER, STOP_POLL_SECONDS)]
+        poll = SetTimer(STOP_TIMER, STOP_POLL_SECONDS)
+        if not drain.is_over(now):
+            return [poll]
+        log = LogEvent("gateway.stop_limit_reached", counts, "warning")
+        return [log, *self._end_pending(now), poll]
+
+    def _end_pending(self, now: float) -> list[Effect]:
+        """End every pending request with a response that says whether it may have run."""
+        return [
+            *self._forwarder.end_all(Reason.STOPPING, now),
+            *self._record_ended_streams(self._streams.end_all(Reason.STOPPING, now)),
+            *self._relay.end_all(),
+        ]
+
+    def _pending_counts(self) -> dict[str, object]:
+        return {
+            "requests": len(self._forwarder),
+            "streams": len(self._streams),
+            "batch_calls": len(self._relay),
+            "waiting_for_routes": len(self._routes_queue),
+        }
 
     def _report(self, now: float) -> DaemonReport:
         settings = self._settings
--- a/src/merlinstand/forwarding/forwarder.py
+++ b/src/merlinstand/forwarding/forwarder.py
@@ -130,6 +130,13 @@
         pending = self._pending.pop(key, None)
         return [] if pending is None else self._clean_up(pending, now)
 
+    def end_all(self, reason: Reason, now: float) -> list[Effect]:
+        """End all pending requests; their callers are told whether they may have run."""
+        effects: list[Effect] = []
+        for pending in list(self._pending.values()):
+            effects.extend(self._fail(pending, reason, now))
+        return effects
+
     def on_timer(self, name: str, now: float) -> list[Effect]:
         """Handle a timer whose name starts with `TIMER_PREFIX`."""
         kind, _colon, key = name.removeprefix(TIMER_PREFIX).partition(":")
--- a/src/merlinstand/forwarding/settings.py
+++ b/src/merlinstand/forwarding/settings.py
@@ -32,7 +32,8 @@
     """Time after a stop request during which new connections are still accepted, since load
     balancers take a while to notice a failed health check."""
     stop_limit_seconds: float = 7.0
-    """Maximum time from the stop request to the exit of the process."""
+    """Time from a stop request until every request must have ended, so that the process exits
+    before the platform kills it. Late requests that might take longer are rejected."""
     keeper_call_seconds: float = 1.2
     """Timeout of a keeper's reply; for a read, the wait that the reader requested is added."""
     batch_call_seconds: float = 3.0
--- a/src/merlinstand/forwarding/stream_forwarder.py
+++ b/src/merlinstand/forwarding/stream_forwarder.py
@@ -146,6 +146,13 @@
         stream = self._streams.get(key)
         return [] if stream is None else self._close(stream, now)
 
+    def end_all(self, reason: Reason, now: float) -> list[Effect]:
+        """End all pending streams; a caller sees a started one as truncated."""
+        effects: list[Effect] = []
+        for stream in list(self._streams.values()):
+            effects.extend(self._fail(stream, reason, False, now))
+        return effects
+
     def on_timer(self, name: str, now: float) -> list[Effect]:
         """Handle a timer whose name starts with `TIMER_PREFIX`: a deadline or the end of a wait."""
         key = name.removeprefix(TIMER_PREFIX)
--- a/tests/decisions/test_rejection.py
+++ b/tests/decisions/test_rejection.py
@@ -23,6 +23,7 @@
         (Reason.NO_ROUTES, "no routes yet", 0.3),
         (Reason.EVACUATED, "zone evacuated", 1.0),
         (Reason.KEYS_UNKNOWN, "keys may have been taken away", 0.3),
+        (Reason.STOPPING, "stopping", 0.0),
     ],
 )
 def test_text_and_retry_after_of_each_reason(reason: Reason, text: str, seconds: float) -> None:
