forwarding: a stopping gateway without routes rejects waiting requests at once

What callers saw: requests that reached a newly started gateway wait for its first routes, 0.2 to 1 s. A SIGTERM in that time changed nothing for them, and further requests were queued, too, although each of them was certain to do better at another gateway.

Cause: the queue of waiting requests didn't know of the stop.

Change: the stop rejects the waiting requests, and later ones that come before the first routes, with 503, `Retry-After: 0` and `Connection: close`. Once routes have come, requests are treated as at any stopping gateway.

Test: test_a_stopping_gateway_without_routes_rejects_requests_at_once; before, the stop gave no response.

--- a/src/merlinstand/forwarding/daemon.py
+++ b/src/merlinstand/forwarding/daemon.py
@@ -277,6 +277,8 @@
             return [*effects, Respond(event.request_id, status, {}, b"")]
         if self.follower.has_document:
             return self._route_request(event, now, now)
+        if self._drain is not None:
+            return self._intake.reject_unsent(event, Reason.STOPPING)
         wait_effects = self._routes_queue.enqueue(
             event, self._intake.caller_timeout_seconds(event), now
         )
@@ -395,7 +397,14 @@
         self._drain = begin_drain(settings.drain_seconds, settings.stop_limit_seconds, now)
         log = LogEvent("gateway.stopping", self._pending_counts())
         poll = SetTimer(STOP_TIMER, STOP_POLL_SECONDS)
-        return [log, poll]
+        return [log, *self._reject_routes_queue(), poll]
+
+    def _reject_routes_queue(self) -> list[Effect]:
+        """Reject the requests that wait for the first routes; another gateway may have routes."""
+        waiting, effects = self._routes_queue.pop_all()
+        for queued in waiting:
+            effects.extend(self._intake.reject_unsent(queued.event, Reason.STOPPING))
+        return effects
 
     def _continue_stop(self, now: float) -> list[Effect]:
         """Exit once load balancers have noticed the stop and no request is pending.
--- a/tests/forwarding/test_planned_stop.py
+++ b/tests/forwarding/test_planned_stop.py
@@ -190,3 +190,14 @@
     assert ("gateway.stop_limit_reached", counts) in logged
     [ended] = [fields for name, fields in logged if name == "request.failed"]
     assert ended["reason"] == Reason.STOPPING
+
+
+def test_a_stopping_gateway_without_routes_rejects_requests_at_once() -> None:
+    """They waited for routes for up to a second, although another gateway may have routes."""
+    gateway = ForwardingGateway(SETTINGS, PlatformGatewayInterface())
+    gateway.start(Started(NodeId("g"), 1, seed=5), 0.0)
+    assert responses(list(gateway.reduce(request("/short/1"), STOP_AT))) == []
+    assert responses(list(gateway.reduce(StopRequested(), STOP_AT + 0.1))) == [(503, "0")]
+    assert responses(list(gateway.reduce(request("/short/2"), STOP_AT + 0.2))) == [(503, "0")]
+    gateway.reduce(MessageReceived(NodeId("10.0.0.1"), UPDATE), STOP_AT + 0.3)
+    assert calls(list(gateway.reduce(request("/short/3"), STOP_AT + 0.4)))
