runtime: a stopping process answers the requests that its reducer leaves

What callers saw: a request that a reducer had not answered when it sent `StopProcess` was held for the 5 s in which the host waits for busy connections, then got a plain 500, or nothing if the platform killed the process first. That concerns each role: calls that wait for a commit at a stopping control daemon (after 2 s) or keeper (after 0.5 s), operators' reads. A request that was read completely only after the stop (half a head or half a body had come) got a 503 without Retry-After.

From `StopProcess` on the host drops events, so the reducer can't answer any more, but the endpoint's pending exchanges still waited for it.

Change: `Host.stop` first ends these exchanges: 504 `outcome_unknown` at once, since the request may have run; a started stream is truncated. The log says how many there were (`host.requests_unanswered`). The 503 of a stopping process says `Retry-After: 0`: it closes the connection, and the retry reaches another process.

Test: tests/runtime/test_host_stop.py; on the code before, its three cases fail (500 after 5 s; no Retry-After twice).

--- a/src/merlinstand/runtime/host.py
+++ b/src/merlinstand/runtime/host.py
@@ -196,8 +196,11 @@
         return self.exit_code
 
     def stop(self) -> None:
-        """Send pending responses and messages and flush the disk, then close everything."""
+        """End pending requests, send responses and messages, flush the disk, close everything."""
         self._timers.close()
+        unanswered = self._endpoint.end_pending()
+        if unanswered:
+            self.log.write("host.requests_unanswered", {"requests": unanswered}, "warning")
         for server in self._servers:
             server.closing = True
             server.close()
--- a/src/merlinstand/runtime/http_endpoint.py
+++ b/src/merlinstand/runtime/http_endpoint.py
@@ -17,7 +17,14 @@
 from falcon.request import Request
 from falcon.response import Response
 
-from merlinstand.common.errors import BodyTooLargeError, MerlinstandError, StoppingError, error_body
+from merlinstand.common.errors import (
+    STOPPING_RETRY_AFTER_SECONDS,
+    BodyTooLargeError,
+    MerlinstandError,
+    OutcomeUnknownError,
+    StoppingError,
+    error_body,
+)
 from merlinstand.common.ids import RequestId
 from merlinstand.kernel.events import Event, RequestAborted, RequestReceived
 from merlinstand.runtime.end_watcher import DisconnectWatcher, is_disconnected
@@ -102,6 +109,24 @@
         if exchange is not None:
             exchange.end(whole)
 
+    def end_pending(self) -> int:
+        """End the requests to which the reducer, which has stopped, will not respond any more.
+
+        Their callers are told that the requests may have run; a streamed response is truncated.
+
+        Returns:
+            The number of these requests.
+        """
+        error = OutcomeUnknownError(detail="this process stopped before it could respond")
+        headers = {"content-type": "application/json"}
+        pending = [exchange for exchange in self._exchanges.values() if not exchange.ended]
+        for exchange in pending:
+            if exchange.streamed:
+                exchange.end(whole=False)
+            else:
+                exchange.respond(error.http_status, headers, error_body(error))
+        return len(pending)
+
     def _make_application(self) -> App:
         application = App()
         application.add_route("/livez", _LiveResource())
@@ -125,7 +150,11 @@
             _refuse(resp, NotAcceptingError(detail="no new connections are taken"))
             return
         if self.closing:
-            _refuse(resp, StoppingError(detail="this process is stopping"))
+            error = StoppingError(
+                detail="this process is stopping",
+                retry_after_seconds=STOPPING_RETRY_AFTER_SECONDS,
+            )
+            _refuse(resp, error)
             return
         if is_disconnected(environ[SOCKET_KEY]):
             # The client disconnected before its request was read: do not run it.
@@ -255,6 +284,8 @@
     response.set_header("Connection", "close")
     response.set_header("X-Outcome", "not_run")
     response.set_header("X-Not-Run", "true")
+    if error.retry_after_seconds is not None:
+        response.set_header("Retry-After", f"{error.retry_after_seconds:g}")
 
 
 def _stop_watcher(watcher: DisconnectWatcher | None) -> None:
--- /dev/null
+++ b/tests/runtime/test_host_stop.py
@@ -0,0 +1,73 @@
+"""Stop of a host: each request that it has read gets a response before the process exits."""
+
+from collections.abc import Sequence
+from typing import Any
+
+import gevent
+import pytest
+
+from merlinstand.kernel.effects import Effect, Respond, StopProcess
+from merlinstand.kernel.events import Event, RequestReceived, StopRequested
+from tests.runtime.conftest import TEST_TIMEOUT_SECONDS, connect, read_to_end
+
+HEAD = b"POST /%s HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\n"
+BODY = b"body"
+
+
+def stop_at_once(event: Event) -> Sequence[Effect]:
+    """Respond only to requests for `/answered`, and stop without waiting for any."""
+    if isinstance(event, StopRequested):
+        return (StopProcess(),)
+    if isinstance(event, RequestReceived) and event.path == "/answered":
+        return (Respond(event.request_id, 200, {}, event.body),)
+    return ()
+
+
+def stop(host: Any) -> Any:
+    """Stop a host as `run_host` does; return the greenlet that does it."""
+    host.request_stop()
+    host.wait()
+    return gevent.spawn(host.stop)
+
+
+def test_a_request_that_the_reducer_leaves_is_answered_as_unknown(run_reducer: Any) -> None:
+    """It waited for the 5 s of the shutdown, and got a 500, or nothing after a SIGKILL."""
+    host, reducer = run_reducer(stop_at_once)
+    connection = connect(host.http_address)
+    connection.sendall(HEAD % b"left" + BODY)
+    reducer.sink.wait_for(RequestReceived)
+    stopping = stop(host)
+    answer = read_to_end(connection)
+    assert answer.startswith(b"HTTP/1.1 504 ")
+    assert b"outcome_unknown" in answer
+    assert b"connection: close" in answer.lower()
+    stopping.join(TEST_TIMEOUT_SECONDS)
+
+
+@pytest.mark.parametrize(
+    "sent_before",
+    [
+        pytest.param(b"POST", id="half a head"),
+        pytest.param(HEAD % b"late" + BODY[:1], id="half a body"),
+    ],
+)
+def test_a_request_that_is_complete_only_after_the_stop_is_rejected(
+    run_reducer: Any, sent_before: bytes
+) -> None:
+    """Without Retry-After its caller waited before it tried another process."""
+    host, reducer = run_reducer(stop_at_once)
+    connection = connect(host.http_address)
+    # The first request shows that the connection was accepted.
+    connection.sendall(HEAD % b"answered" + BODY)
+    reducer.sink.wait_for(RequestReceived)
+    connection.recv(65536)
+    connection.sendall(sent_before)
+    gevent.sleep(0.05)
+    stopping = stop(host)
+    connection.sendall((HEAD % b"late" + BODY)[len(sent_before) :])
+    answer = read_to_end(connection)
+    assert answer.startswith(b"HTTP/1.1 503 ")
+    assert b"\r\nretry-after: 0\r\n" in answer.lower()
+    assert b"\r\nx-not-run: true\r\n" in answer.lower()
+    assert len([e for e in reducer.sink.events if isinstance(e, RequestReceived)]) == 1
+    stopping.join(TEST_TIMEOUT_SECONDS)
