runtime: a repeated SIGTERM no longer ends a stopping process at once

What callers saw: a second SIGTERM during a planned stop ended any daemon immediately, and each request in flight was closed without an answer. Supervisors and operators' scripts repeat SIGTERM, and stops may overlap.

Cause: the signal handler took any second signal, SIGTERM or SIGINT, as an order to exit.

Change: only SIGINT, which a person at a terminal sends, ends a stopping process at once. A repeated SIGTERM is logged (`host.already_stopping`); to end a process at once there is SIGKILL.

--- a/src/merlinstand/runtime/exit_codes.py
+++ b/src/merlinstand/runtime/exit_codes.py
@@ -7,7 +7,7 @@
 EXIT_DISK_FAILED = 74
 """A disk write or sync failed: `EX_IOERR` of BSD's `sysexits.h`."""
 EXIT_FORCED = 130
-"""A second signal ended the process immediately: 128 plus SIGINT's number, as shells report it."""
+"""SIGINT ended a stopping process immediately: 128 plus its number, as shells report it."""
 
 FAULT_EXIT_CODES = frozenset((EXIT_REDUCER_FAILED, EXIT_DISK_FAILED))
 """After these the process state can't be trusted, so there is no graceful shutdown."""
--- a/src/merlinstand/runtime/process.py
+++ b/src/merlinstand/runtime/process.py
@@ -21,14 +21,15 @@
 
 LOG_FLUSH_TIMEOUT_SECONDS = 1.0
 """Maximum time at exit to write the remaining log lines."""
-_STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
 
 def run_host(reducer: Reducer, settings: HostSettings) -> int:
     """Run a reducer until it asks to stop.
 
-    The first SIGTERM or SIGINT submits `StopRequested`; a second one ends the process immediately.
-    SIGHUP is only logged, because settings are read only at the start.
+    The first SIGTERM or SIGINT submits `StopRequested`. Afterwards a SIGINT, from an operator at a
+    terminal, ends the process immediately; a SIGTERM is only logged, because a supervisor that
+    repeats it must not cut off requests. SIGHUP is only logged, because settings are read only at
+    the start.
 
     Args:
         reducer: Turns events into effects.
@@ -73,20 +74,34 @@
 
 def _install_signals(host: Host, writer: LogWriter) -> list[Any]:
     """Return the signal watchers, which work only while they are referenced."""
-    asked = False
+    is_stopping = False
 
-    def on_signal() -> None:
-        nonlocal asked
-        if asked:
+    def begin_stop() -> None:
+        nonlocal is_stopping
+        is_stopping = True
+        host.request_stop()
+
+    def on_terminate() -> None:
+        if is_stopping:
+            host.log.write("host.already_stopping", {"signal": "SIGTERM"})
+            return
+        begin_stop()
+
+    def on_interrupt() -> None:
+        if is_stopping:
             # Exit immediately, without waiting for responses or the log reader.
             writer.flush_at_exit()
             os._exit(EXIT_FORCED)
-        asked = True
-        host.request_stop()
-
-    watchers = [gevent.get_hub().loop.signal(number) for number in _STOP_SIGNALS]
-    for watcher in watchers:
-        watcher.start(on_signal)
-    reload_watcher = gevent.get_hub().loop.signal(signal.SIGHUP)
-    reload_watcher.start(host.on_settings_changed)
-    return [*watchers, reload_watcher]
+        begin_stop()
+
+    handlers = {
+        signal.SIGTERM: on_terminate,
+        signal.SIGINT: on_interrupt,
+        signal.SIGHUP: host.on_settings_changed,
+    }
+    watchers = []
+    for number, handler in handlers.items():
+        watcher = gevent.get_hub().loop.signal(number)
+        watcher.start(handler)
+        watchers.append(watcher)
+    return watchers
