roles: SIGHUP while a role is being loaded no longer ends the process

What callers saw: a gateway listens before its code is loaded, so that the kernel queues connections meanwhile. A SIGHUP in these tenths of a second, sent because the settings file changed, ended the process by the signal's default action, and each queued connection was reset. Control daemons and keepers ended as well.

Cause: SIGHUP is handled only from `run_host` on.

A SIGTERM in this time still ends the process: it has read no request.

Test: test_a_reload_signal_while_a_role_is_loaded_does_not_end_it, for three roles; all fail before (ended by SIGHUP).

--- a/src/merlinstand/cli/daemon_commands.py
+++ b/src/merlinstand/cli/daemon_commands.py
@@ -11,6 +11,7 @@
 from merlinstand.cli.options import SETTINGS_VARIABLE
 from merlinstand.cli.output import unwrap
 from merlinstand.kernel.reducer import Reducer
+from merlinstand.runtime.early_signals import ignore_reload_signal
 from merlinstand.settings.daemons import (
     Overrides,
     control_daemon,
@@ -74,6 +75,7 @@
     Example:
         merlinstand control --settings examples/vitrina/merlinstand.toml --node control-hall-a
     """
+    ignore_reload_signal()
     from merlinstand.control.daemon import ControlDaemon
 
     _run(control_daemon, ControlDaemon, options)
@@ -88,6 +90,7 @@
     Example:
         merlinstand gateway --settings examples/vitrina/merlinstand.toml --node gateway-hall-a
     """
+    ignore_reload_signal()
     from merlinstand.gateway.daemon import GatewayDaemon
 
     _run(gateway_daemon, GatewayDaemon, options)
@@ -103,6 +106,7 @@
         merlinstand coordinator --settings examples/vitrina/merlinstand.toml \\
             --node coordinator-hall-a
     """
+    ignore_reload_signal()
     from merlinstand.coordinator.daemon import CoordinatorDaemon
 
     _run(coordinator_daemon, CoordinatorDaemon, options)
--- a/tests/users_platform/test_roles.py
+++ b/tests/users_platform/test_roles.py
@@ -1,6 +1,7 @@
 """Each role loads only its own code and the library modules that it uses."""
 
 import math
+import os
 import socket
 import subprocess
 import sys
@@ -152,3 +153,29 @@
 def test_number_of_keepers_per_zone(machines_in_zone: int, fewest: int) -> None:
     roles = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())["roles"]
     assert math.ceil(roles["keeper"]["share"] * machines_in_zone) >= fewest
+
+
+_RELOADED_WHILE_LOADING = """
+import os, signal, sys
+sys.path[:0] = ["platform", "src"]
+sys.path += sys.argv[1:]
+from merlinstand_platform import roles
+
+def load_role(role):
+    os.kill(os.getpid(), signal.SIGHUP)
+    return lambda _path: 0
+
+roles.load_role = load_role
+sys.exit(roles.run_role("{role}"))
+"""
+
+
+@pytest.mark.parametrize("role", ROLES)
+def test_a_reload_signal_while_a_role_is_loaded_does_not_end_it(role: str) -> None:
+    """The default action of SIGHUP ended the process, and reset the connections it had queued."""
+    done = subprocess.run(
+        [sys.executable, "-S", "-c", _RELOADED_WHILE_LOADING.format(role=role), *sys.path],
+        env={**os.environ, "MERLINSTAND_NODE_FILE": "/nonexistent"},
+        timeout=60,
+    )
+    assert done.returncode == 0
