forwarding: a batch call that a stopping keeper rejects goes to another keeper

What callers saw: a batch call that reached the leading keeper after its stop was sent there again every 0.1 s, as long as the process still answered, and if its time ran out meanwhile, its caller got a 504 (may have run) although the keeper had said that it hadn't run, instead of a 503, which promises this and has a Retry-After.

Cause: an HTTP response that is no keeper's reply, such as a stopping host's 503, counted as a call that may have run, and the keeper stayed the last known leader; a call without any response did forget it.

Change: both are treated alike; a 503 counts as not run.

Test: test_a_stopping_keeper_is_not_called_again; both cases fail before (second send to the same keeper).

--- a/src/merlinstand/forwarding/batch_relay.py
+++ b/src/merlinstand/forwarding/batch_relay.py
@@ -4,6 +4,8 @@
 results to a nearby replica (`near_copies`), if there is one.
 """
 
+from http import HTTPStatus
+
 import msgspec
 
 from merlinstand.batch_calls.calls import (
@@ -157,18 +159,28 @@
         if pending.is_at_replica:
             return self._on_replica_call(pending, event, now)
         if isinstance(event, CallFailed):
-            if event.phase is not CallPhase.CONNECT:
-                pending.may_have_run = True
-            if self._leader_hint == pending.address:
-                self._leader_hint = ""
-            return self._schedule_retry(pending, now)
+            return self._after_failure(pending, event.phase is not CallPhase.CONNECT, now)
         try:
             reply = decode_reply(event.body)
         except DECODE_ERRORS:
-            pending.may_have_run = True
-            return self._schedule_retry(pending, now)
+            # A stopping keeper rejects calls with 503 before they reach its reducer.
+            is_rejection = event.status == HTTPStatus.SERVICE_UNAVAILABLE
+            return self._after_failure(pending, not is_rejection, now)
         return self._on_reply(pending, reply, now)
 
+    def _after_failure(self, pending: _PendingCall, may_have_run: bool, now: float) -> list[Effect]:
+        """Retry after a keeper gave no reply, at another keeper if this one was the hinted leader.
+
+        Args:
+            pending: The call.
+            may_have_run: Whether the keeper may have executed it.
+            now: Local time in seconds.
+        """
+        pending.may_have_run |= may_have_run
+        if self._leader_hint == pending.address:
+            self._leader_hint = ""
+        return self._schedule_retry(pending, now)
+
     def _on_replica_call(
         self, pending: _PendingCall, event: CallResponded | CallFailed, now: float
     ) -> list[Effect]:
--- a/tests/forwarding/test_batch_relay.py
+++ b/tests/forwarding/test_batch_relay.py
@@ -2,12 +2,12 @@
 
 import pytest
 
-from merlinstand.batch_calls.calls import BatchCall, EndJob, ReadResults
+from merlinstand.batch_calls.calls import BatchCall, EndJob, JobEnded, ReadResults, encode
 from merlinstand.common.ids import RequestId
 from merlinstand.forwarding.batch_relay import BatchRelay
 from merlinstand.forwarding.interface import BatchFailure
 from merlinstand.kernel.effects import Effect, SetTimer, StartCall
-from merlinstand.kernel.events import CallFailed, CallPhase
+from merlinstand.kernel.events import CallFailed, CallPhase, CallResponded
 from tests.forwarding.test_near_copies import SETTINGS, keeper, make_relay
 
 KEEPERS = tuple(keeper(name, "b", is_leader=name == "leader") for name in ("leader", "k2", "k3"))
@@ -57,3 +57,34 @@
         make_relay(*KEEPERS), EndJob("j"), CallPhase.CONNECT
     )
     assert call_count >= 6
+
+
+@pytest.mark.parametrize(
+    ("status", "may_have_run"),
+    [
+        pytest.param(503, False, id="rejected: not run"),
+        pytest.param(504, True, id="stopped before the reply: unknown"),
+    ],
+)
+def test_a_stopping_keeper_is_not_called_again(status: int, may_have_run: bool) -> None:
+    """It was called every 0.1 s as long as it was the last known leader, and a rejected call was
+    reported as one that may have run."""
+    relay = make_relay(*KEEPERS)
+    [call] = relay.begin(RequestId("first"), EndJob("j"), 0.0)
+    assert isinstance(call, StartCall)
+    relay.on_call(CallResponded(call.call_id, 200, {}, encode(JobEnded())), 0.1)
+    stopping_address = call.address
+    [call] = relay.begin(RequestId("r"), EndJob("j"), 0.2)
+    assert isinstance(call, StartCall)
+    assert call.address == stopping_address
+    [timer] = relay.on_call(CallResponded(call.call_id, status, {}, b"{}"), 0.3)
+    assert isinstance(timer, SetTimer)
+    [call] = relay.on_timer(timer.name, 0.4)
+    assert isinstance(call, StartCall)
+    assert call.address != stopping_address
+    relay.take_finished()
+    late = 0.2 + SETTINGS.batch_call_seconds
+    relay.on_call(CallFailed(call.call_id, CallPhase.CONNECT, "refused"), late)
+    [finished] = relay.take_finished()
+    assert isinstance(finished.reply, BatchFailure)
+    assert finished.reply.may_have_run is may_have_run
