runtime: a signal at the very end of a stop no longer changes the exit code

Cause: after the host was closed, the signal watchers were stopped, which restored the signals' default actions, while the process still wrote its log and exited.

Change: SIGTERM and SIGHUP are ignored from then on.

Test: test_a_signal_after_the_stop_does_not_change_the_exit_code; both cases fail before.

--- a/src/merlinstand/runtime/process.py
+++ b/src/merlinstand/runtime/process.py
@@ -66,12 +66,19 @@
         host.abort()
     else:
         host.stop()
-    for watcher in watchers:
-        watcher.stop()
+    _ignore_signals(watchers)
     log.write("host.stopped", {"exit_code": exit_code})
     return exit_code
 
 
+def _ignore_signals(watchers: list[Any]) -> None:
+    """Stop the watchers; a late signal must not change the exit code or the last log lines."""
+    for watcher in watchers:
+        watcher.stop()
+    for number in (signal.SIGTERM, signal.SIGHUP):
+        signal.signal(number, signal.SIG_IGN)
+
+
 def _install_signals(host: Host, writer: LogWriter) -> list[Any]:
     """Return the signal watchers, which work only while they are referenced."""
     is_stopping = False
--- a/tests/runtime/test_host.py
+++ b/tests/runtime/test_host.py
@@ -245,3 +245,23 @@
             process.send_signal(signal.SIGINT)
         assert process.wait() == exit_code
     process.stdout.close()
+
+
+@pytest.mark.parametrize("number", [signal.SIGTERM, signal.SIGHUP])
+def test_a_signal_after_the_stop_does_not_change_the_exit_code(number: signal.Signals) -> None:
+    """The signal's default action ended the process while it wrote its last log lines."""
+    late = (
+        f"code = run_host(Daemon(), HostSettings(node_id='daemon'))\nos.kill(os.getpid(), {number})"
+    )
+    program = PROGRAM.replace("import sys", "import os, sys", 1).replace(
+        'sys.exit(run_host(Daemon(), HostSettings(node_id="daemon")))', f"{late}\nsys.exit(code)"
+    )
+    process = subprocess.Popen(
+        [sys.executable, "-c", program, "stop"], stdout=subprocess.PIPE, text=True
+    )
+    assert process.stdout is not None
+    with gevent.Timeout(60):
+        assert "event=host.listening" in process.stdout.readline()
+        process.send_signal(signal.SIGTERM)
+        assert process.wait() == 0
+    process.stdout.close()
