--- a/tests/users_platform/real_world.py
+++ b/tests/users_platform/real_world.py
@@ -347,7 +347,7 @@
             )
         services = {"shop": [], "llm-m0": ["m0"]}
         content = make_config(3, services, keys=TENANT_KEYS, crowds=crowds)
-        self._host("op", Operator(controls, [(0.5, content)]))
+        self.host("op", Operator(controls, [(0.5, content)]))
         trainer = Trainer(
             "t0",
             "llm-m0",
@@ -359,11 +359,11 @@
             keys=tuple(TENANT_KEYS[TRAINERS_TENANT]),
             crashing_ids=CRASHING_ITEMS if crashes else (),
         )
-        self._host("trainer", trainer)
+        self.host("trainer", trainer)
         keys = tuple(TENANT_KEYS[LOOKUPS_TENANT])
-        self._host("lookups", LookupClient("c0", gateways, first_at=5.0, keys=keys))
+        self.host("lookups", LookupClient("c0", gateways, first_at=5.0, keys=keys))
         if crashes:
-            self._host("crash", RepeatingCaller("crash", gateways, CRASH_TIMES, keys))
+            self.host("crash", RepeatingCaller("crash", gateways, CRASH_TIMES, keys))
 
     def _make_plain_server(self, _ip: str, address: str, zone: str) -> RegisteredServer:
         return RegisteredServer("shop", address, zone, self._control_addresses)
@@ -389,7 +389,7 @@
             name = f"crowd-{tenant}-{self._crowds}"
             tenant_rate = rate / len(TENANT_KEYS)
             caller = CrowdCaller(name, self._gateway_addresses, keys, seconds, tenant_rate)
-            self._host(name, caller)
+            self.host(name, caller)
         key = TENANT_KEYS[LOOKUPS_TENANT][0]
         for number in range(slow_readers):
             request_id = f"crowd-{LOOKUPS_TENANT}-{self._crowds}-large-{number}"
@@ -413,7 +413,7 @@
         """Send an operator's order for a zone; return whether it was acknowledged in time."""
         self._zone_orders += 1
         name = f"zones-{self._zone_orders}"
-        self._host(name, ZoneOperator(name, self._control_addresses, [(0.0, order)]))
+        self.host(name, ZoneOperator(name, self._control_addresses, [(0.0, order)]))
         waited = 0.0
         while waited < ORDER_TIMEOUT_SECONDS:
             gevent.sleep(ORDER_POLL_SECONDS)
@@ -440,7 +440,7 @@
             # In a new greenlet: the host can't be aborted from its own event handler.
             gevent.spawn(self._restart_server, host, ip, make, proxy)
 
-        host = self._host(ip, make(), f"{ip}:{SERVER_PORT}", on_stop)
+        host = self.host(ip, make(), f"{ip}:{SERVER_PORT}", on_stop)
 
     def _restart_server(self, host: Host, ip: str, make: Callable[[], Any], proxy: Proxy) -> None:
         """Restart a crashed server after `RESTART_DELAY_SECONDS`."""
@@ -452,13 +452,14 @@
             self._start_server(ip, make, proxy)
             proxy.bring_up()
 
-    def _host(
+    def host(
         self,
         name: str,
         reducer: Any,
         address: str = "127.0.0.1:0",
         on_stop: Callable[[], None] = lambda: None,
     ) -> Host:
+        """Run a stub's reducer in this process and collect its records."""
         recording: Reducer = RecordingReducer(reducer, self.simulation, on_stop)
         self._seed += 1
         settings = HostSettings(
