forwarding: silence no longer ends a started stream that can't be resumed

What callers saw: a stream whose server was silent for 1.5 s was ended by the gateway, although the server went on, its caller still waited (clients allow two seconds at least), and the stream could not be taken up elsewhere.

Cause: the idle timeout exists so that a stream can go on at another server. It also applied to streams of routes that can't be resumed, and to the last attempt of one that can.

Change: such an attempt has no idle timeout once its response has begun; it ends at the stream's deadline, or when its caller leaves. The wait for the response's head is limited as before, by a timer of the forwarder, so that a server that accepts requests and is silent still counts as failed.

Tests: test_silence_ends_a_started_stream_only_if_it_can_be_resumed; before, the timeout of the call was 1.5 s in its cases "last attempt" and "not resumable". The soak's streams pause for up to 1.8 s now.

--- a/src/merlinstand/decisions/retry.py
+++ b/src/merlinstand/decisions/retry.py
@@ -21,7 +21,8 @@
 STREAM_IDLE_TIMEOUT_SECONDS = 1.5
 """An attempt of a stream, or the run of an item at an engine, ends if nothing is received for this
 long. This is ten times the longest pause that callers accept between two pieces of a stream
-(0.15 s), and some tens of times the duration of one event."""
+(0.15 s), and some tens of times the duration of one event. A stream that has begun and can't be
+resumed does not end by silence, see `idle_timeout_seconds`."""
 
 
 EXTRA_UNCONNECTED_ATTEMPTS = 2
@@ -199,3 +200,16 @@
         may_have_run: Whether an earlier attempt of the request may have run.
     """
     return not is_repeatable or is_suspect or may_have_run
+
+
+def idle_timeout_seconds(can_resume: bool, remaining_seconds: float) -> float:
+    """Return how long the body of a stream may be silent before the attempt ends.
+
+    A stream that can't go on at another backend ends only at its deadline, or when its caller
+    leaves: its backend may still send the rest.
+
+    Args:
+        can_resume: Whether another attempt may resume the stream.
+        remaining_seconds: Time until the stream's deadline.
+    """
+    return min(STREAM_IDLE_TIMEOUT_SECONDS, remaining_seconds) if can_resume else remaining_seconds
--- a/src/merlinstand/forwarding/pending_stream.py
+++ b/src/merlinstand/forwarding/pending_stream.py
@@ -17,6 +17,8 @@
     call_id: CallId | None = None
     target: Target | None = None
     """Backend of the current attempt, or of the last one."""
+    awaits_head: bool = False
+    """Whether the current attempt has no response headers yet."""
     is_started: bool = False
     """Whether the response headers have been sent to the caller."""
     is_error_response: bool = False
@@ -34,6 +36,11 @@
         """Backend of the current attempt, or of the last one."""
         return self.target.backend if self.target is not None else None
 
+    @property
+    def can_resume(self) -> bool:
+        """Whether another attempt may continue the stream if the current one ends."""
+        return self.request.route.is_resumable and self.has_attempts_left()
+
     def next_action(self, is_backend_probed: bool) -> FailureAction:
         """Decide how to continue after an attempt that ended before the stream was complete.
 
--- a/src/merlinstand/forwarding/stream_forwarder.py
+++ b/src/merlinstand/forwarding/stream_forwarder.py
@@ -24,6 +24,7 @@
     STREAM_IDLE_TIMEOUT_SECONDS,
     FailureAction,
     RefusalAction,
+    idle_timeout_seconds,
     is_not_run,
     is_unconfirmed_refusal,
     needs_new_connection,
@@ -66,6 +67,8 @@
 """Prefix for the timer that limits a wait for the crash check of the last attempt's backend."""
 PAUSE_TIMER = "pause:"
 """Prefix for the timer that ends a pause after backends refused the stream."""
+HEAD_TIMER = "head:"
+"""Prefix for the timer that limits the wait for response headers if the body has no such limit."""
 MINIMUM_TIMEOUT_SECONDS = 0.01
 """Minimum timeout of a call; the stream's own timer enforces its deadline."""
 LAST_EVENT_HEADER = "last-event-id"
@@ -156,7 +159,7 @@
     def on_timer(self, name: str, now: float) -> list[Effect]:
         """Handle a timer whose name starts with `TIMER_PREFIX`: a deadline or the end of a wait."""
         key = name.removeprefix(TIMER_PREFIX)
-        for prefix in (COLD_TIMER, TRIAL_TIMER, CRASH_CHECK_TIMER, PAUSE_TIMER):
+        for prefix in (COLD_TIMER, TRIAL_TIMER, CRASH_CHECK_TIMER, PAUSE_TIMER, HEAD_TIMER):
             key = key.removeprefix(prefix)
         stream = self._streams.get(key)
         if stream is None:
@@ -168,6 +171,8 @@
             return self._after_crash_check(stream, now)
         if key.startswith(PAUSE_TIMER):
             return self._after_pause(stream, now)
+        if key.startswith(HEAD_TIMER):
+            return self._after_head_timeout(stream, now)
         if key.startswith(TRIAL_TIMER):
             return self._reject(stream, Reason.QUARANTINED, now)
         if key.startswith(COLD_TIMER):
@@ -231,7 +236,13 @@
             case CallFailed():
                 return self._on_failure(stream, event, now)
 
+    def _after_head_timeout(self, stream: PendingStream, now: float) -> list[Effect]:
+        if stream.call_id is None or not stream.awaits_head:
+            return []
+        return self._on_failure(stream, CallFailed(stream.call_id, CallPhase.SENT, "timeout"), now)
+
     def _on_headers(self, stream: PendingStream, event: CallHeaders, now: float) -> list[Effect]:
+        stream.awaits_head = False
         if stream.backend is not None:
             self._chooser.record_response(stream.backend, now)
             self._send_control.record_reported_load(stream.backend.backend_id, event.headers)
@@ -401,7 +412,12 @@
         stream.target = picked
         self._by_call[call_id] = stream
         self._picker.begin_attempt(stream, picked, call_id, now)
-        return [self._call(stream, picked, call_id, now)]
+        stream.awaits_head = True
+        call = self._call(stream, picked, call_id, now)
+        if call.timeout_seconds <= STREAM_IDLE_TIMEOUT_SECONDS:
+            return [call]
+        head_timer = f"{TIMER_PREFIX}{HEAD_TIMER}{stream.request.key}"
+        return [call, SetTimer(head_timer, STREAM_IDLE_TIMEOUT_SECONDS)]
 
     def _call(
         self, stream: PendingStream, target: Target, call_id: CallId, now: float
@@ -416,8 +432,8 @@
             request,
             target.backend,
             headers=headers,
-            timeout_seconds=min(
-                STREAM_IDLE_TIMEOUT_SECONDS, max(MINIMUM_TIMEOUT_SECONDS, remaining)
+            timeout_seconds=idle_timeout_seconds(
+                stream.can_resume, max(MINIMUM_TIMEOUT_SECONDS, remaining)
             ),
             connect_seconds=self._chooser.distance_profile(target.backend).connect_timeout_seconds,
             fresh_connection=needs_new_connection(
@@ -487,6 +503,8 @@
             timers.append(_cancel_crash_check_timer(stream))
         if stream.is_pausing:
             timers.append(CancelTimer(f"{TIMER_PREFIX}{PAUSE_TIMER}{key}"))
+        if stream.awaits_head:
+            timers.append(CancelTimer(f"{TIMER_PREFIX}{HEAD_TIMER}{key}"))
         return [*timers, *self._picker.end_waits(key), *self._cancel_call(stream, now, end)]
 
 
--- a/tests/forwarding/test_streams.py
+++ b/tests/forwarding/test_streams.py
@@ -10,8 +10,14 @@
 from merlinstand.cluster.routes import RouteKind
 from merlinstand.cold_servers.follower import ColdBackendBudget
 from merlinstand.common.ids import BackendId
+from merlinstand.decisions.retry import STREAM_IDLE_TIMEOUT_SECONDS
 from merlinstand.decisions.server_choice import BackendChooser
-from merlinstand.forwarding.stream_forwarder import LAST_EVENT_HEADER, StreamForwarder
+from merlinstand.forwarding.stream_forwarder import (
+    HEAD_TIMER,
+    LAST_EVENT_HEADER,
+    TIMER_PREFIX,
+    StreamForwarder,
+)
 from merlinstand.kernel.effects import (
     CancelCall,
     CancelTimer,
@@ -110,6 +116,36 @@
     assert len(streaming.forwarder) == 0
 
 
+@pytest.mark.parametrize(
+    ("is_resumable", "attempts", "expected_seconds"),
+    [
+        pytest.param(True, 2, STREAM_IDLE_TIMEOUT_SECONDS, id="can be resumed"),
+        pytest.param(True, 1, 10.0, id="last attempt"),
+        pytest.param(False, 3, 10.0, id="not resumable"),
+    ],
+)
+def test_silence_ends_a_started_stream_only_if_it_can_be_resumed(
+    is_resumable: bool, attempts: int, expected_seconds: float
+) -> None:
+    """A pause of 1.5 s cut off streams whose backend then went on."""
+    streaming = Streaming(is_resumable=is_resumable, attempts=attempts)
+    assert streaming.call.timeout_seconds == expected_seconds
+    streaming.head()
+    streaming.data(event(1))
+    head_timer = f"{TIMER_PREFIX}{HEAD_TIMER}k"
+    assert streaming.forwarder.on_timer(head_timer, STREAM_IDLE_TIMEOUT_SECONDS) == []
+    assert chunks(streaming.data(event(2))) == event(2)
+
+
+def test_a_backend_that_sends_no_head_is_given_up() -> None:
+    streaming = Streaming(is_resumable=False)
+    head_timer = f"{TIMER_PREFIX}{HEAD_TIMER}k"
+    effects = streaming.forwarder.on_timer(head_timer, STREAM_IDLE_TIMEOUT_SECONDS)
+    assert CancelCall(streaming.call.call_id) in effects
+    [unstarted] = streaming.forwarder.take_unstarted()
+    assert unstarted.outcome == OutcomeUnknown("timeout", is_timeout=False)
+
+
 def test_a_broken_stream_resumes_after_its_last_whole_event() -> None:
     streaming = Streaming(is_resumable=True)
     streaming.head()
--- a/tests/users_platform/stop_soak.py
+++ b/tests/users_platform/stop_soak.py
@@ -12,7 +12,9 @@
 import signal
 import sys
 import tempfile
+import time
 from collections import Counter
+from datetime import datetime
 from pathlib import Path
 from typing import Any
 
@@ -57,8 +59,6 @@
 """PROTOCOL.md: a client gives up an attempt that was not read after a third of the time left."""
 INTERPRETER_START_SECONDS = 0.3
 """A signal before the interpreter runs the program's first line ends the process."""
-LOADING_SECONDS = 2.0
-"""A process that was started less than this before may not handle signals or read requests yet."""
 EXIT_SECONDS = 1.0
 """Time that a process may need to exit after the last request has come."""
 WARM_UP_SECONDS = 6.0
@@ -135,6 +135,7 @@
     def __init__(self, folder: Path, seed: int) -> None:
         gateways = FEW_GATEWAYS if seed % 5 else MANY_GATEWAYS
         self._random = random.Random(f"stops {seed}")
+        self._clock_offset = time.time() - monotonic_seconds()
         self._seed = seed
         self._deployment = ProcessDeployment(folder, seed, steps=1, gateways=gateways)
         self._version = FIRST_VERSION
@@ -164,14 +165,30 @@
         """Return the ids of the requests that servers have run."""
         return set(self._deployment.simulation.records.get("work", []))
 
-    def was_loading(self, address: str, at: float) -> bool:
-        """Return whether the process at an address may have been too young to read requests.
+    def was_loading(self, ip: str, at: float) -> bool:
+        """Return whether the process of a machine was being loaded, and handled no signals yet.
 
-        The kernel queues them meanwhile. On a full machine a start takes over a second.
+        The kernel queues requests meanwhile. On a full machine this takes some seconds.
         """
-        [machine] = [m for m in self.machines if address.startswith(f"{m.ip}:")]
+        [machine] = [m for m in self.machines if m.ip == ip]
         starts = [started_at for started_at, number in machine.disruptions if number == 0]
-        return any(started_at <= at <= started_at + LOADING_SECONDS for started_at in starts)
+        last_start = max((start for start in starts if start <= at), default=0.0)
+        return not any(
+            last_start < seen <= at for seen in self.logged_at(machine, "host.listening")
+        )
+
+    def has_closed(self, stop: Stop) -> bool:
+        """Return whether a stopping process had closed everything before it could be killed."""
+        [machine] = [m for m in self.machines if m.ip == stop.address]
+        killed_at = stop.requested_at + GRACE_SECONDS
+        closed_at = self.logged_at(machine, "host.stopped")
+        return any(stop.requested_at < seen < killed_at for seen in closed_at)
+
+    def logged_at(self, machine: Machine, event: str) -> list[float]:
+        """Return the local times at which the processes of a machine logged an event."""
+        lines = [line for line in machine.log.splitlines() if f" event={event} " in line]
+        stamps = [line.partition("time=")[2].partition(" ")[0] for line in lines]
+        return [datetime.fromisoformat(stamp).timestamp() - self._clock_offset for stamp in stamps]
 
     def logs(self) -> dict[str, str]:
         """Return the output of each machine's processes by role and address."""
@@ -292,8 +309,7 @@
             gevent.sleep(0.1)
 
     def _record_unplanned_end(self, machine: Machine, exit_code: int) -> None:
-        age_seconds = monotonic_seconds() - self._started_at[machine.ip]
-        if exit_code == -signal.SIGHUP and age_seconds < LOADING_SECONDS:
+        if exit_code == -signal.SIGHUP and self.was_loading(machine.ip, monotonic_seconds()):
             # The interpreter did not run the program's first line yet.
             self.actions["reload before the start"] += 1
             return
@@ -389,8 +405,8 @@
 
 
 def draw_stream(source: random.Random) -> Request:
-    """Draw a stream of 0.2 to 9 s."""
-    count, interval_ms = source.choice(((10, 20), (20, 50), (30, 100), (9, 1000)))
+    """Draw a stream of 0.2 to 9 s, with pauses of up to 1.8 s."""
+    count, interval_ms = source.choice(((10, 20), (20, 50), (30, 100), (9, 1000), (2, 1800)))
     path = f"/events/{count}/{interval_ms}/x"
     headers = _caller_headers(STREAM_DEADLINE_SECONDS)
     return Request("POST", path, STREAM_DEADLINE_SECONDS, headers=headers, rest_seconds=0.05)
@@ -453,13 +469,14 @@
         f"{stop.address} ended with {stop.exit_code}"
         for stop in soak.stops
         if stop.exit_code not in (0, None)
-        and stop.requested_at - stop.started_at > LOADING_SECONDS
+        and not soak.was_loading(stop.address, stop.requested_at)
+        and not (stop.exit_code == -signal.SIGKILL and soak.has_closed(stop))
         and not _was_reading(soak.attempts, stop)
     ]
     found += soak.unplanned_ends
     for attempt in soak.attempts:
         stops = [stop for stop in soak.stops if attempt.address.startswith(f"{stop.address}:")]
-        was_loading = soak.was_loading(attempt.address, attempt.sent_at)
+        was_loading = soak.was_loading(attempt.address.partition(":")[0], attempt.sent_at)
         problem = problem_of(attempt, stops, attempt.request_id in arrivals, was_loading)
         if problem:
             times = _times(attempt, stops)
@@ -491,7 +508,7 @@
         attempt: The request.
         stops: The planned stops of its daemon's machine.
         has_run: Whether a server has run it.
-        was_loading: Whether the daemon may have been too young to read it.
+        was_loading: Whether the daemon was still being loaded when it was sent.
     """
     if not attempt.is_complete:
         return _problem_without_response(attempt, stops, has_run, was_loading)
