runtime: a stopping process answers connections that were queued before it stopped

What callers saw: a connection that the kernel had taken for a process, but that the process had not accepted when it closed its listener, was reset, with its request unread. Clients may send such a request again (PROTOCOL.md), but lose a try without being told when to come back.

Cause: `Host.stop` closed the listeners at once, while connections waited in their queues.

Change: it first lets the loop accept what is queued, 5 ms; these requests get the 503 of a stopping process with `Retry-After: 0`. Later connections are refused.

Test: test_a_connection_that_was_not_accepted_before_the_stop_is_answered; before, its client got ECONNRESET.

--- a/src/merlinstand/runtime/host.py
+++ b/src/merlinstand/runtime/host.py
@@ -57,7 +57,8 @@
 FLUSH_TIMEOUT_SECONDS = 5.0
 """Timeout at shutdown for responses, then for messages, then for disk writes."""
 FLUSH_POLL_INTERVAL_SECONDS = 0.005
-"""How often shutdown checks whether the servers are still busy."""
+"""How often shutdown checks whether the servers are still busy, and how long it accepts connections
+that are already queued."""
 CONNECTION_SWEEP_INTERVAL_SECONDS = 10.0
 """How often expired idle connections are closed."""
 TRAFFIC_LOG_INTERVAL_SECONDS = 5.0
@@ -203,6 +204,9 @@
             self.log.write("host.requests_unanswered", {"requests": unanswered}, "warning")
         for server in self._servers:
             server.closing = True
+        # Closing a listener resets the connections that it has not accepted yet.
+        gevent.sleep(FLUSH_POLL_INTERVAL_SECONDS)
+        for server in self._servers:
             server.close()
         with gevent.Timeout(FLUSH_TIMEOUT_SECONDS, False):
             while any(server.busy for server in self._servers):
--- a/tests/runtime/test_host_stop.py
+++ b/tests/runtime/test_host_stop.py
@@ -1,5 +1,6 @@
 """Stop of a host: each request that it has read gets a response before the process exits."""
 
+import socket
 from collections.abc import Sequence
 from typing import Any
 
@@ -71,3 +72,19 @@
     assert b"\r\nx-not-run: true\r\n" in answer.lower()
     assert len([e for e in reducer.sink.events if isinstance(e, RequestReceived)]) == 1
     stopping.join(TEST_TIMEOUT_SECONDS)
+
+
+def test_a_connection_that_was_not_accepted_before_the_stop_is_answered(run_reducer: Any) -> None:
+    """Closing the listener reset it, and its caller could not know that nothing had run."""
+    host, reducer = run_reducer(stop_at_once)
+    ip, _colon, port = host.http_address.rpartition(":")
+    # A plain socket blocks the loop: the connection stays in the kernel's queue until the stop.
+    with socket.create_connection((ip, int(port))) as queued:
+        queued.sendall(HEAD % b"late" + BODY)
+        host.request_stop()
+        host.wait()
+        host.stop()
+        answer = queued.recv(65536)
+    assert answer.startswith(b"HTTP/1.1 503 ")
+    assert b"\r\nretry-after: 0\r\n" in answer.lower()
+    assert not [event for event in reducer.sink.events if isinstance(event, RequestReceived)]
