--- a/tests/users_platform/test_stop_soak.py
+++ b/tests/users_platform/test_stop_soak.py
@@ -5,8 +5,9 @@
 import msgspec
 import pytest
 
+from tests.users_platform.stop_checks import Problem, Stop, problem_of
 from tests.users_platform.stop_clients import Attempt
-from tests.users_platform.stop_soak import Problem, Stop, problem_of, run_seed
+from tests.users_platform.stop_soak import run_seed
 
 GATEWAY = "127.0.0.1"
 STOP = Stop(GATEWAY, started_at=0.0, requested_at=100.0, exit_code=0)
