runtime: a request that is still being sent when the process exits gets a 503, not a 500

What callers saw: a request whose body was still arriving when a stopping process closed its connections, 5 s after its reducer had stopped, got a plain 500, as if it had run and failed; clients don't send it again.

Cause: closing kills the connection's greenlet, and pywsgi answers any exception with a 500.

Change: while a body is read, this end counts like a stop that was noticed after it: 503, not run, `Retry-After: 0`.

Test: test_a_request_that_is_still_sent_when_the_process_exits_is_rejected; before, the answer was "500 Internal Server Error".

--- a/src/merlinstand/runtime/http_endpoint.py
+++ b/src/merlinstand/runtime/http_endpoint.py
@@ -16,6 +16,7 @@
 from falcon.http_error import HTTPError
 from falcon.request import Request
 from falcon.response import Response
+from gevent import GreenletExit
 
 from merlinstand.common.errors import (
     STOPPING_RETRY_AFTER_SECONDS,
@@ -150,11 +151,7 @@
             _refuse(resp, NotAcceptingError(detail="no new connections are taken"))
             return
         if self.closing:
-            error = StoppingError(
-                detail="this process is stopping",
-                retry_after_seconds=STOPPING_RETRY_AFTER_SECONDS,
-            )
-            _refuse(resp, error)
+            _refuse(resp, _stopping_error())
             return
         if is_disconnected(environ[SOCKET_KEY]):
             # The client disconnected before its request was read: do not run it.
@@ -222,6 +219,9 @@
             body: bytes = environ["wsgi.input"].read(limit + 1)
         except SlowSenderError:
             return SlowRequestError(detail="request body came too slowly")
+        except GreenletExit:
+            # The process closes its connections. This request has not reached the reducer.
+            return _stopping_error()
         except (OSError, ValueError):
             return TruncatedBodyError(detail="request body ended early or is malformed")
         finally:
@@ -276,6 +276,12 @@
             response.append_header(name, value)
 
 
+def _stopping_error() -> StoppingError:
+    return StoppingError(
+        detail="this process is stopping", retry_after_seconds=STOPPING_RETRY_AFTER_SECONDS
+    )
+
+
 def _refuse(response: Response, error: MerlinstandError) -> None:
     """Send an error without the reducer; the connection is closed because its state is unknown."""
     response.status = type(error).http_status
--- a/tests/runtime/test_host_stop.py
+++ b/tests/runtime/test_host_stop.py
@@ -88,3 +88,21 @@
     assert answer.startswith(b"HTTP/1.1 503 ")
     assert b"\r\nretry-after: 0\r\n" in answer.lower()
     assert not [event for event in reducer.sink.events if isinstance(event, RequestReceived)]
+
+
+def test_a_request_that_is_still_sent_when_the_process_exits_is_rejected(
+    run_reducer: Any, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """It got a 500, as if a server had run it and failed."""
+    monkeypatch.setattr("merlinstand.runtime.host.FLUSH_TIMEOUT_SECONDS", 0.05)
+    host, reducer = run_reducer(stop_at_once)
+    connection = connect(host.http_address)
+    connection.sendall(HEAD % b"answered" + BODY)
+    reducer.sink.wait_for(RequestReceived)
+    connection.recv(65536)
+    connection.sendall(HEAD % b"late" + BODY[:1])
+    gevent.sleep(0.05)
+    stop(host).join(TEST_TIMEOUT_SECONDS)
+    answer = connection.recv(65536)
+    assert answer.startswith(b"HTTP/1.1 503 ")
+    assert b"\r\nretry-after: 0\r\n" in answer.lower()
