--- a/tests/users_platform/stop_checks.py
+++ b/tests/users_platform/stop_checks.py
@@ -121,11 +121,12 @@
         return None if was_loading else Problem("held past its deadline", is_timed=True)
     if not attempt.sent_at:
         return None
+    seconds = attempt.ended_at - attempt.sent_at
     if has_run:
-        if _is_cut_excused(attempt, stops):
+        is_late = seconds >= attempt.deadline_seconds - LOSS_SLACK_SECONDS
+        if is_late or _is_cut_excused(attempt, stops):
             return None
         return Problem("cut off", is_timed=_was_killed(attempt, stops))
-    seconds = attempt.ended_at - attempt.sent_at
     if seconds <= LOSS_SLACK_SECONDS or was_loading:
         return None
     return Problem(f"closed without a response after {seconds:.2f} s", is_timed=True)
--- a/tests/users_platform/test_stop_soak.py
+++ b/tests/users_platform/test_stop_soak.py
@@ -42,8 +42,19 @@
     ("one", "has_run", "problem"),
     [
         pytest.param(attempt(6.9, 8.0), True, "cut off", id="review, case 3"),
-        pytest.param(attempt(2.9, 6.7), True, "", id="cut in the last sixth, sent early"),
-        pytest.param(attempt(2.9, 6.6), True, "cut off", id="cut before the last sixth"),
+        pytest.param(
+            attempt(2.9, 6.7, deadline_seconds=12.0),
+            True,
+            "",
+            id="cut in the last sixth, sent early",
+        ),
+        pytest.param(
+            attempt(2.9, 6.6, deadline_seconds=12.0),
+            True,
+            "cut off",
+            id="cut before the last sixth",
+        ),
+        pytest.param(attempt(5.0, 6.5), True, "", id="cut at the deadline"),
         pytest.param(attempt(5.0, 5.1), False, "", id="crosses the close"),
         pytest.param(attempt(5.0, 5.3), False, "closed without", id="closed later, not run"),
         pytest.param(
