--- a/tests/users_platform/real_world.py
+++ b/tests/users_platform/real_world.py
@@ -90,6 +90,8 @@
 Control = "{ip}:{control}"
 [FaultTolerance]
 Machines = 1
+[Limits]
+{limits}
 [Zones]
 {zones}
 """
@@ -227,6 +229,7 @@
                 front=FRONT_PORT,
                 ready=READY_PORT,
                 control=CONTROL_PORT,
+                limits="\n".join(f"{k} = {v}" for k, v in self._deployment.limits.items()),
                 zones="\n".join(f'{zone} = "{REGION}"' for zone in ZONES),
             )
         )
@@ -285,6 +288,7 @@
         crashes: bool = False,
         older_checkout: Path | None = None,
         crowds: bool = False,
+        limits: dict[str, int] | None = None,
     ) -> None:
         """Start everything.
 
@@ -297,8 +301,10 @@
             older_checkout: Checkout of an earlier build; each start of a machine draws which of
                 the two builds it runs.
             crowds: Whether the shop's servers have bounded queues and report their load.
+            limits: `Limits` of every machine's settings file, in the platform's words.
         """
         self.folder = folder
+        self.limits = limits or {}
         self._checkouts = [ROOT] if older_checkout is None else [ROOT, older_checkout]
         self._draw = random.Random(seed)
         self.simulation = SimpleNamespace(records={}, record_times={}, failures=[])
