runtime: a chunked body is served whatever the size of its chunks

Cause: pywsgi reads the framing byte by byte in Python and keeps each chunk as an object.

Change: http_input reads a size line with the buffered reader's readline and the data into one buffer, and yields every 100 chunks or 256 KiB.

--- a/src/merlinstand/runtime/http_endpoint.py
+++ b/src/merlinstand/runtime/http_endpoint.py
@@ -20,7 +20,6 @@
 
 from merlinstand.common.errors import (
     STOPPING_RETRY_AFTER_SECONDS,
-    BodyTooLargeError,
     MerlinstandError,
     OutcomeUnknownError,
     StoppingError,
@@ -38,6 +37,7 @@
 from merlinstand.runtime.host_settings import HttpLimits
 from merlinstand.runtime.http_exchange import BrokenResponseError, Exchange
 from merlinstand.runtime.http_headers import RequestHead, header_lines
+from merlinstand.runtime.http_input import EndpointInput
 from merlinstand.runtime.http_server import (
     BUFFER_KEY,
     HEAD_KEY,
@@ -140,7 +140,7 @@
     def _serve(self, req: Request, resp: Response, **_: Any) -> None:
         environ = req.env
         head: RequestHead = environ[HEAD_KEY]
-        body = self._read_body(environ, head)
+        body = self._read_body(environ)
         if isinstance(body, MerlinstandError):
             _refuse(resp, body)
             return
@@ -207,16 +207,11 @@
             exchange.close()
             response.data = exchange.body
 
-    def _read_body(self, environ: dict[str, Any], head: RequestHead) -> bytes | MerlinstandError:
+    def _read_body(self, environ: dict[str, Any]) -> bytes | MerlinstandError:
         """Read the body within the request's read timeout, and clear the timeout."""
-        limit = self.bounds.maximum_body_bytes
-        length = head.content_length
+        source: EndpointInput = environ["wsgi.input"]
         try:
-            if length is None and not head.chunked:
-                return b""
-            if length is not None and length > limit:
-                return BodyTooLargeError(detail=f"body exceeds {limit} bytes")
-            body: bytes = environ["wsgi.input"].read(limit + 1)
+            return source.read_body(self.bounds.maximum_body_bytes)
         except SlowSenderError:
             return SlowRequestError(detail="request body came too slowly")
         except GreenletExit:
@@ -226,9 +221,6 @@
             return TruncatedBodyError(detail="request body ended early or is malformed")
         finally:
             environ[WATCHDOG_KEY].clear_limit()
-        if len(body) > limit:
-            return BodyTooLargeError(detail=f"body exceeds {limit} bytes")
-        return body
 
 
 class _StreamedBody:
