runtime: a large request body is sent to servers without a copy

Seen by callers: a gateway held 2.2 bytes for each byte of a large body (3,011 MB for 40 bodies of 32 MiB at once), so it could serve fewer of them than its memory allows.

Cause: encode_request joined head and body for each try and hedge, and counted the copy against the limit for clients that don't read.

Change: bodies over 64 KiB are sent after the head, from the object that the request holds. The first send still decides whether anything was sent.

--- a/src/merlinstand/runtime/http_client.py
+++ b/src/merlinstand/runtime/http_client.py
@@ -167,7 +167,7 @@
 
     def send(self) -> None:
         """Connect and send the request."""
-        request = encode_request(self._call)
+        first, rest = encode_request(self._call)
         self._restart_time_limit()
         call = self._call
         connection = self._pool.acquire(call.address, call.fresh_connection, call.connect_seconds)
@@ -176,8 +176,8 @@
         if connection.encrypted:
             # TLS may send bytes before it reports an error: assume that the request was sent.
             self.phase = CallPhase.SENT
-        self._buffer_usage.record_queued(len(request))
-        view = memoryview(request)
+        self._buffer_usage.record_queued(len(first))
+        view = memoryview(first)
         while view:
             # If the first send fails, the kernel accepted no bytes.
             sent = connection.send(view)
@@ -185,6 +185,12 @@
             self.sent_bytes += sent
             self._buffer_usage.record_sent(sent)
             view = view[sent:]
+        # A large body is not a copy: whoever holds it, for example the request, accounts for it.
+        view = memoryview(rest)
+        while view:
+            sent = connection.send(view)
+            self.sent_bytes += sent
+            view = view[sent:]
 
     def read_whole(self) -> CallResponded:
         """Read the headers and the whole body."""
--- a/src/merlinstand/runtime/http_connection.py
+++ b/src/merlinstand/runtime/http_connection.py
@@ -37,6 +37,8 @@
 be retried should wait."""
 RECEIVE_BYTES = 64 * 1024
 """Maximum size of one read of a response."""
+MAXIMUM_JOINED_BODY_BYTES = 64 * 1024
+"""Bodies up to this size are sent in one write with their headers."""
 
 _FIRST_FINAL_STATUS = 200
 """Responses with a lower status (1xx) are interim; a final one follows (RFC 9110, 15.2)."""
@@ -279,9 +281,13 @@
         return data
 
 
-def encode_request(call: StartCall) -> bytes:
+def encode_request(call: StartCall) -> tuple[bytes, bytes]:
     """Encode a request.
 
+    Returns:
+        What to send first, and the rest of the body. Small bodies are joined to the head, to be
+        sent in one write; large ones are not copied.
+
     Raises:
         ValueError: The method, path or a header contains characters that are not allowed.
     """
@@ -298,4 +304,7 @@
     if call.body or call.method in _METHODS_WITH_BODY:
         lines.append(f"Content-Length: {len(call.body)}\r\n")
     lines.append("\r\n")
-    return "".join(lines).encode("latin-1") + call.body
+    head = "".join(lines).encode("latin-1")
+    if len(call.body) > MAXIMUM_JOINED_BODY_BYTES:
+        return head, call.body
+    return head + call.body, b""
--- a/tests/runtime/test_http_client.py
+++ b/tests/runtime/test_http_client.py
@@ -19,7 +19,11 @@
 )
 from merlinstand.runtime import http_connection
 from merlinstand.runtime.http_client import HttpClient
-from merlinstand.runtime.http_connection import ConnectionPool
+from merlinstand.runtime.http_connection import (
+    MAXIMUM_JOINED_BODY_BYTES,
+    ConnectionPool,
+    encode_request,
+)
 from tests.runtime.conftest import EventSink, read_request
 
 WHOLE = (
@@ -75,6 +79,20 @@
     assert seen[0].endswith(b"\r\n\r\ncat")
 
 
+def test_large_body_is_sent_without_a_copy(client: Any, sink: EventSink, raw_server: Any) -> None:
+    seen: list[bytes] = []
+    body = bytes(MAXIMUM_JOINED_BODY_BYTES + 1)
+    assert encode_request(call("127.0.0.1:9", body=body))[1] is body
+
+    def serve(connection: Any) -> None:
+        seen.append(read_request(connection))
+        connection.sendall(WHOLE)
+
+    client.start(call(raw_server(serve), body=body))
+    assert sink.wait_for(CallResponded).status == 200
+    assert seen[0].endswith(b"\r\n\r\n" + body)
+
+
 def test_refused_connection_means_not_run(sink: EventSink, client: Any) -> None:
     with socket.socket() as unused:
         unused.bind(("127.0.0.1", 0))
