A gateway holds fewer copies of a batch job while it relays it

Seen by callers: a batch job of 31 MB took a gateway to 183 MB (items of random bytes; a trial on the new body budget), over the 160 MB of the smallest machines.

Cause: the job was in memory as JSON text, as its strings, as decoded items, as the encoded call, as the compressed call and once more with its prefix; the pending call kept the items, too.

--- a/src/merlinstand/common/packed_message.py
+++ b/src/merlinstand/common/packed_message.py
@@ -11,8 +11,7 @@
 
 def compress_message(message: bytes) -> bytes:
     """Compress an encoded message; return it unchanged if compression does not make it smaller."""
-    compressed = compress(message)
-    return COMPRESSED_PREFIX + compressed if compressed else message
+    return compress(message, COMPRESSED_PREFIX) or message
 
 
 def decompress_message(data: bytes) -> bytes:
@@ -23,7 +22,7 @@
     """
     if not data.startswith(COMPRESSED_PREFIX):
         return data
-    decompressed = decompress(data[len(COMPRESSED_PREFIX) :])
+    decompressed = decompress(memoryview(data)[len(COMPRESSED_PREFIX) :])
     if isinstance(decompressed, Err):
         raise msgspec.DecodeError(decompressed.err_value.detail)
     return decompressed.ok_value
--- a/src/merlinstand/forwarding/batch_relay.py
+++ b/src/merlinstand/forwarding/batch_relay.py
@@ -59,6 +59,7 @@
 class _PendingCall(msgspec.Struct):
     request_id: RequestId
     call: BatchCall
+    """The call; a submitted job is kept without its items, which `body` holds."""
     body: bytes
     deadline_at: float
     allowed_regions: frozenset[str] = UNRESTRICTED
@@ -114,6 +115,7 @@
         pending = _PendingCall(request_id, call, encode(call), self.deadline_of(call, now))
         if isinstance(call, SubmitJob):
             pending.allowed_regions = frozenset(call.allowed_regions)
+            pending.call = _without_items(call)
         self._pending[request_id] = pending
         if isinstance(call, ReadResults):
             replica = self._replicas.choose(now)
@@ -300,3 +302,7 @@
         del self._pending[pending.request_id]
         self._finished.append(FinishedBatchCall(pending.request_id, reply))
         return [CancelTimer(f"{TIMER_PREFIX}{pending.request_id}")]
+
+
+def _without_items(call: SubmitJob) -> SubmitJob:
+    return msgspec.structs.replace(call, job=msgspec.structs.replace(call.job, items=()))
--- a/tests/common/test_packed_text.py
+++ b/tests/common/test_packed_text.py
@@ -1,5 +1,7 @@
 """Compressed texts, commands and jobs decode to the original; malformed data is an error."""
 
+import random
+
 import msgspec
 import pytest
 
@@ -15,7 +17,7 @@
     encode_command,
 )
 from merlinstand.common.packed_message import COMPRESSED_PREFIX
-from merlinstand.common.packed_text import compress
+from merlinstand.common.packed_text import PIECE_BYTES, compress, decompress
 
 LONG_TEXT = "an event's data\n" * 200
 JOB = BatchJob(
@@ -87,3 +89,22 @@
         decode_command(data)
     with pytest.raises(msgspec.DecodeError):
         decode_call(data)
+
+
+@pytest.mark.parametrize(
+    ("data", "is_compressed"),
+    [
+        pytest.param(b"text " * PIECE_BYTES, True, id="text of several pieces"),
+        pytest.param(random.Random(1).randbytes(2 * PIECE_BYTES), False, id="random bytes"),
+        pytest.param(
+            random.Random(1).randbytes(PIECE_BYTES) + b"a" * PIECE_BYTES, False, id="random first"
+        ),
+    ],
+)
+def test_large_data_is_compressed_only_if_that_halves_it(data: bytes, is_compressed: bool) -> None:
+    compressed = compress(data, b"prefix")
+    assert bool(compressed) == is_compressed
+    if is_compressed:
+        assert compressed.startswith(b"prefix")
+        assert decompress(compressed.removeprefix(b"prefix")).unwrap() == data
+        assert len(compressed) < len(data) / 2
