runtime: what unfinished requests hold is limited by the process's memory

Seen by callers: forty clients with large bodies of legal size, whole or stopped short of the end, took a gateway, its ready address, a control daemon or a keeper far over its memory; on the users' machine the process ended, and with it every ordinary request.

Cause: the endpoint read a whole body before anything counted it. Nothing bounded the sum of bodies that arrive, wait or are tried, of unfinished heads (64 KiB each) and of connections (16 to 20 KB each); kept_bytes counts only what is sent.

Change: RequestBudget (docs/design/client-limits.md). Heads and small bodies have one share of the memory, large bodies another, so that they don't compete. A body reserves its announced length at its head, or grows in steps. Where room is short, clients without progress are closed, most bytes times time first; then the newcomer gets 503 at once, with Retry-After in the order of rejection and the mark that it has not run. Requests that run are never closed.

--- a/src/merlinstand/runtime/end_watcher.py
+++ b/src/merlinstand/runtime/end_watcher.py
@@ -35,6 +35,18 @@
         return True
 
 
+def has_unread(connection: Any) -> bool:
+    """Return whether bytes of the peer have arrived and wait to be read.
+
+    Args:
+        connection: A gevent socket, plain or TLS.
+    """
+    try:
+        return bool(connection._sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
+    except OSError:
+        return False
+
+
 class DisconnectWatcher:
     """Calls back from the event loop once the peer closes or resets the connection."""
 
--- a/src/merlinstand/runtime/errors.py
+++ b/src/merlinstand/runtime/errors.py
@@ -21,6 +21,12 @@
     code: ClassVar[str] = "not_accepting"
 
 
+class NoRoomError(UnavailableError, frozen=True, kw_only=True):
+    """Unfinished requests occupy the memory for them; the request was not executed."""
+
+    code: ClassVar[str] = "no_room"
+
+
 class TargetTooLongError(InvalidInputError, frozen=True, kw_only=True):
     """The request line is longer than the limit."""
 
--- a/src/merlinstand/runtime/host.py
+++ b/src/merlinstand/runtime/host.py
@@ -33,6 +33,7 @@
 from merlinstand.kernel.reducer import Reducer
 from merlinstand.runtime import early_listeners, suspension
 from merlinstand.runtime.addresses import require_address
+from merlinstand.runtime.client_log import ClientLog
 from merlinstand.runtime.disk import Disk, NoDisk
 from merlinstand.runtime.errors import HostSetupError
 from merlinstand.runtime.exit_codes import EXIT_DISK_FAILED, EXIT_FORCED, EXIT_REDUCER_FAILED
@@ -48,6 +49,11 @@
 from merlinstand.runtime.performer import EffectPerformer
 from merlinstand.runtime.record_writer import RecordWriter
 from merlinstand.runtime.request_bounds import RequestBounds
+from merlinstand.runtime.request_budget import (
+    RequestBudget,
+    peer_limits,
+    request_limits,
+)
 from merlinstand.runtime.timers import Timers
 from merlinstand.runtime.tls import TlsContexts
 from merlinstand.runtime.traffic import TrafficCounters
@@ -109,6 +115,10 @@
         """`_server` and the servers of the extra addresses."""
         self._tls = _load_tls(settings)
         self._traffic = TrafficCounters()
+        self._peer_budget = RequestBudget(
+            peer_limits(settings.http_limits.memory_bytes),
+            ClientLog("peer", self.log, self.metrics).record,
+        )
         self.transport = self._make_transport()
         self.metrics.register(self.transport.counters)
         self._suspension_watch = suspension.current_watch()
@@ -118,8 +128,18 @@
         self._buffer_budget = BufferBudget(
             buffer_limit_bytes(settings.http_limits.memory_bytes), self._on_slow_reader
         )
+        self._request_budget = RequestBudget(
+            request_limits(settings.http_limits.memory_bytes, settings.body_copies),
+            ClientLog("client", self.log, self.metrics).record,
+            other_bytes=self._other_client_bytes,
+        )
         self._load_monitor = LoadMonitor(
-            self._buffer_budget, self._connection_share, self.submit, self.metrics
+            self._buffer_budget,
+            self._request_budget,
+            self._peer_budget,
+            self._connection_share,
+            self.submit,
+            self.metrics,
         )
         self._endpoint = HttpEndpoint(
             self.submit,
@@ -313,6 +333,10 @@
         self.log.write("caller.too_slow", fields, "warning")
         self.metrics.count("merlinstand_callers_too_slow_total", 1.0, {})
 
+    def _other_client_bytes(self) -> int:
+        peers = self._peer_budget
+        return self._buffer_budget.total_bytes + peers.small_bytes + peers.large_bytes
+
     def _connection_share(self) -> float:
         return 0.0 if self._server is None else self._server.connection_share
 
@@ -340,6 +364,7 @@
             main_server,
             self._bounds,
             self._buffer_budget,
+            self._request_budget,
         )
         server.start()
         self._servers.append(server)
--- a/src/merlinstand/runtime/host_settings.py
+++ b/src/merlinstand/runtime/host_settings.py
@@ -32,6 +32,18 @@
 DEFAULT_PEER_TIMINGS = PeerTimings()
 
 
+class PeerLimits(msgspec.Struct, frozen=True):
+    """Limits of the listener for peers."""
+
+    maximum_connections: int = 4096
+    """Maximum open connections; those that have been silent longest are closed for new ones."""
+    maximum_message_bytes: int = constants.MAXIMUM_MESSAGE_BYTES
+    """A connection that announces a longer message is closed."""
+
+
+DEFAULT_PEER_LIMITS = PeerLimits()
+
+
 class TlsFiles(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
     """PEM files for the HTTP server and the internal transport."""
 
@@ -80,6 +92,8 @@
     """`ip:port` of the internal protocol; empty for processes without one."""
     peer_timings: PeerTimings = DEFAULT_PEER_TIMINGS
     """Timeouts and backoff for connections to peers of the internal protocol."""
+    peer_limits: PeerLimits = DEFAULT_PEER_LIMITS
+    """Limits of the internal protocol's listener."""
     data_folder: str = ""
     """Folder of the journal and snapshot; empty for processes without durable state."""
     record_folder: str = ""
@@ -89,6 +103,9 @@
     seed: int | None = None
     """Seed of `Started`; random if None."""
     http_limits: HttpLimits = HttpLimits()
+    body_copies: float = 2.0
+    """Memory that the role needs to process a large request body, besides the body itself, in
+    multiples of its size."""
     request_id_header: str = ""
     """Lower-case name of the header with the client's request id, used in the host's log lines."""
     tls: TlsFiles | None = None
--- a/src/merlinstand/runtime/http_endpoint.py
+++ b/src/merlinstand/runtime/http_endpoint.py
@@ -30,6 +30,7 @@
 from merlinstand.runtime.end_watcher import DisconnectWatcher, is_disconnected
 from merlinstand.runtime.errors import (
     MalformedRequestError,
+    NoRoomError,
     NotAcceptingError,
     SlowRequestError,
     TruncatedBodyError,
@@ -43,12 +44,15 @@
     HEAD_KEY,
     MAIN_SERVER_KEY,
     SOCKET_KEY,
+    USAGE_KEY,
     WATCHDOG_KEY,
+    EvictedError,
     SlowSenderError,
 )
 from merlinstand.runtime.kept_bytes import ConnectionBuffer
 from merlinstand.runtime.metrics import CONTENT_TYPE, Metrics
 from merlinstand.runtime.request_bounds import RequestBounds
+from merlinstand.runtime.request_budget import ConnectionUsage
 
 _FRAMING_HEADERS = frozenset(("content-length", "content-type", "date", "server"))
 
@@ -156,6 +160,11 @@
         if is_disconnected(environ[SOCKET_KEY]):
             # The client disconnected before its request was read: do not run it.
             raise BrokenResponseError
+        usage: ConnectionUsage = environ[USAGE_KEY]
+        evicted_with = usage.record_complete(len(body))
+        if evicted_with is not None:
+            _refuse(resp, evicted_with)
+            return
         buffer: ConnectionBuffer = environ[BUFFER_KEY]
         exchange = self._open_exchange(buffer)
         buffer.request = head.headers.get(self._request_id_header, exchange.request_id)
@@ -169,6 +178,8 @@
                 environ["REMOTE_ADDR"],
             )
         )
+        # The reducer may need only parts of a large body.
+        del body
         self._complete(exchange, environ[SOCKET_KEY], resp)
 
     def _open_exchange(self, buffer: ConnectionBuffer) -> Exchange:
@@ -210,8 +221,11 @@
     def _read_body(self, environ: dict[str, Any]) -> bytes | MerlinstandError:
         """Read the body within the request's read timeout, and clear the timeout."""
         source: EndpointInput = environ["wsgi.input"]
+        usage: ConnectionUsage = environ[USAGE_KEY]
         try:
-            return source.read_body(self.bounds.maximum_body_bytes)
+            return source.read_body(self.bounds.maximum_body_bytes, usage)
+        except EvictedError:
+            return usage.evicted_with or NoRoomError()
         except SlowSenderError:
             return SlowRequestError(detail="request body came too slowly")
         except GreenletExit:
--- a/src/merlinstand/runtime/http_headers.py
+++ b/src/merlinstand/runtime/http_headers.py
@@ -1,7 +1,7 @@
 """Strict parsing of HTTP/1.1 request heads, and the list of hop-by-hop headers."""
 
 import re
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from functools import lru_cache
 from typing import Protocol
 
@@ -19,6 +19,9 @@
 MAXIMUM_HEADER_COUNT = 128
 """Maximum number of header lines; more get 431."""
 
+LINE_PART_BYTES = 4 * 1024
+"""Maximum part of a line that is read at once."""
+
 HOP_BY_HOP_HEADERS = frozenset(
     (
         "connection",
@@ -96,18 +99,21 @@
 
 
 def read_request_head(
-    reader: HeadReader, maximum_bytes: int = MAXIMUM_HEAD_BYTES
+    reader: HeadReader,
+    maximum_bytes: int = MAXIMUM_HEAD_BYTES,
+    add_bytes: Callable[[int], MerlinstandError | None] = lambda _size: None,
 ) -> Result[RequestHead | None, MerlinstandError]:
     """Read the head of one request.
 
     Args:
         reader: The connection.
         maximum_bytes: Maximum size of the request line and headers.
+        add_bytes: Called with the size of each part read; may return an error, which ends reading.
 
     Returns:
         The head, None if the connection ended before its first byte, or an error.
     """
-    data = _read_head_bytes(reader, maximum_bytes)
+    data = _read_head_bytes(reader, maximum_bytes, add_bytes)
     if isinstance(data, Err):
         return data
     if not data.ok_value:
@@ -187,26 +193,33 @@
 _cached_lower_name = lru_cache(maxsize=_CACHED_NAMES)(_lower_name)
 
 
-def _read_head_bytes(reader: HeadReader, maximum_bytes: int) -> Result[bytes, MerlinstandError]:
+def _read_head_bytes(
+    reader: HeadReader, maximum_bytes: int, add_bytes: Callable[[int], MerlinstandError | None]
+) -> Result[bytes, MerlinstandError]:
     """Consume the bytes of a head; empty if the connection ended before the first one."""
     buffered = reader.peek(1)
     end = buffered.find(HEAD_END)
     if end < 0:
-        return _read_head_lines(reader, maximum_bytes)
+        return _read_head_lines(reader, maximum_bytes, add_bytes)
     # The usual case: the whole head arrived at once.
     data = buffered[: end + len(HEAD_END)]
     fault = _size_error(data.find(_LINE_END), len(data), data.count(_LINE_END), maximum_bytes)
+    fault = fault or add_bytes(len(data))
     if fault is not None:
         return Err(fault)
     return Ok(reader.read(len(data)))
 
 
-def _read_head_lines(reader: HeadReader, maximum_bytes: int) -> Result[bytes, MerlinstandError]:
+def _read_head_lines(
+    reader: HeadReader, maximum_bytes: int, add_bytes: Callable[[int], MerlinstandError | None]
+) -> Result[bytes, MerlinstandError]:
     """Consume a head that arrives in pieces, checking the limits as it grows."""
     lines: list[bytes] = []
     size = 0
     while True:
-        line = reader.readline(maximum_bytes + 1)
+        line = _read_line(reader, maximum_bytes + 1 - size, add_bytes)
+        if isinstance(line, MerlinstandError):
+            return Err(line)
         if not line and not lines:
             return Ok(b"")
         lines.append(line)
@@ -221,6 +234,24 @@
             return Err(MalformedRequestError(detail="truncated or malformed head"))
 
 
+def _read_line(
+    reader: HeadReader, maximum_bytes: int, add_bytes: Callable[[int], MerlinstandError | None]
+) -> bytes | MerlinstandError:
+    """Consume a line in parts, so that those of a long line are counted as they arrive."""
+    parts: list[bytes] = []
+    left = maximum_bytes
+    while left > 0:
+        part = reader.readline(min(left, LINE_PART_BYTES))
+        fault = add_bytes(len(part))
+        if fault is not None:
+            return fault
+        parts.append(part)
+        left -= len(part)
+        if len(part) < LINE_PART_BYTES or part.endswith(b"\n"):
+            break
+    return parts[0] if len(parts) == 1 else b"".join(parts)
+
+
 def _size_error(
     request_line_bytes: int, size: int, line_count: int, maximum_bytes: int
 ) -> MerlinstandError | None:
--- a/src/merlinstand/runtime/http_server.py
+++ b/src/merlinstand/runtime/http_server.py
@@ -25,13 +25,15 @@
 from merlinstand.common.boot_clock import boot_seconds
 from merlinstand.common.errors import MerlinstandError, error_body
 from merlinstand.runtime.early_listeners import LISTEN_BACKLOG
-from merlinstand.runtime.errors import SlowRequestError
+from merlinstand.runtime.end_watcher import has_unread
+from merlinstand.runtime.errors import NoRoomError, SlowRequestError
 from merlinstand.runtime.host_settings import HttpLimits
 from merlinstand.runtime.http_connection import RESET_ON_CLOSE
 from merlinstand.runtime.http_headers import RequestHead, read_request_head
 from merlinstand.runtime.http_input import EndpointInput
 from merlinstand.runtime.kept_bytes import BufferBudget
 from merlinstand.runtime.request_bounds import RequestBounds
+from merlinstand.runtime.request_budget import RequestBudget
 from merlinstand.runtime.tls import BoundedHandshakeServer
 from merlinstand.runtime.watchdog import Watchdog
 
@@ -41,8 +43,12 @@
 MAIN_SERVER_KEY = "merlinstand.front"
 HEAD_KEY = "merlinstand.head"
 BUFFER_KEY = "merlinstand.holding"
+USAGE_KEY = "merlinstand.usage"
 SOCKET_KEY = "merlinstand.socket"
 WATCHDOG_KEY = "merlinstand.watchdog"
+EXTRA_CONNECTIONS_DIVISOR = 16
+"""Extra addresses, for health checks, accept this fraction of the connections of the main one."""
+MINIMUM_EXTRA_CONNECTIONS = 8
 _LINGER_SECONDS = 1.0
 """Maximum time for a refused client to read its response."""
 _LINGER_BYTES = 4 * 1024 * 1024
@@ -65,6 +71,7 @@
         main_server: "EndpointServer | None" = None,
         bounds: RequestBounds | None = None,
         budget: BufferBudget | None = None,
+        request_budget: RequestBudget | None = None,
     ) -> None:
         """Create a server; `start` begins accepting.
 
@@ -76,13 +83,17 @@
             main_server: The process's main server, if this one is at an extra address.
             bounds: Limits in force for requests; only `limits` apply if None.
             budget: Accounts for unread response bytes; unlimited if None.
+            request_budget: Accounts for connections and unfinished requests; unlimited if None.
         """
+        maximum_connections = limits.maximum_connections
+        if main_server is not None:
+            maximum_connections = extra_connections(maximum_connections)
         tls = {} if tls_context is None else {"ssl_context": tls_context}
         super().__init__(
             listener,
             application,
             backlog=None if isinstance(listener, socket.socket) else LISTEN_BACKLOG,
-            spawn=Pool(limits.maximum_connections),
+            spawn=Pool(maximum_connections),
             log=None,
             error_log=None,
             handler_class=EndpointHandler,
@@ -92,6 +103,8 @@
         self.limits = limits
         self.bounds = bounds or RequestBounds(limits)
         self.budget = BufferBudget() if budget is None else budget
+        self.request_budget = request_budget or RequestBudget()
+        self.connection_group = self.request_budget.add_group(maximum_connections)
         self.closing = False
         """Set during a planned stop: every response then closes its connection."""
         self.busy = 0
@@ -108,10 +121,26 @@
         return self.started and self._watcher is not None and not self.full()
 
 
+def extra_connections(maximum_connections: int) -> int:
+    """Return the maximum connections of each extra address, given those of the main one."""
+    return max(MINIMUM_EXTRA_CONNECTIONS, maximum_connections // EXTRA_CONNECTIONS_DIVISOR)
+
+
 class SlowSenderError(OSError):
     """A request did not arrive completely within the time limit."""
 
 
+class EvictedError(OSError):
+    """The connection is closed because its client makes no progress and others need the room.
+
+    Its errno is `EPIPE`, for which pywsgi closes the connection without logging.
+    """
+
+    def __init__(self) -> None:
+        """Create the error."""
+        super().__init__(errno.EPIPE, "client makes no progress and others need the room")
+
+
 class SlowReceiverError(OSError):
     """A client did not receive a response within the time limit.
 
@@ -137,6 +166,9 @@
         self.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._watchdog = Watchdog()
         self._buffer_usage = server.budget.open_connection(self._abort_slow_client)
+        self._usage = server.request_budget.open_connection(
+            server.connection_group, address[0], self._evict, lambda: has_unread(self.socket)
+        )
         self._loop = gevent.get_hub().loop
         self._turn = -1
         """Event loop iteration in which `handle_one_request` was last called."""
@@ -148,6 +180,7 @@
         finally:
             self._watchdog.close()
             self._buffer_usage.close()
+            self._usage.close()
 
     def handle_one_request(self) -> Any:
         """Serve one request; see the base class for the meaning of the result."""
@@ -164,10 +197,12 @@
             head_seconds or limits.request_read_timeout_seconds, SlowSenderError
         )
         self.server.busy += 1
+        self._usage.begin_request()
         try:
             return self._read_and_serve()
         finally:
             self.server.busy -= 1
+            self._usage.end_request()
 
     def _await_request(self) -> bool:
         """Wait for the first byte of a request.
@@ -177,7 +212,7 @@
         """
         started_at = boot_seconds()
         current_deadline = 0.0
-        while True:
+        while not self._usage.is_closed:
             # The reducer may raise the idle timeout while this waits.
             idle_deadline = started_at + self.server.bounds.idle_connection_seconds
             if idle_deadline <= current_deadline:
@@ -190,13 +225,16 @@
                 continue
             except OSError:
                 return False
+        return False
 
     def _read_and_serve(self) -> Any:
         bounds = self.server.bounds
         try:
-            head = read_request_head(self.rfile, bounds.maximum_head_bytes)
+            head = read_request_head(self.rfile, bounds.maximum_head_bytes, self._usage.add_head)
         except SlowSenderError:
             return self._refuse(SlowRequestError(detail="request head came too slowly"))
+        except EvictedError:
+            return self._refuse(self._usage.evicted_with or NoRoomError())
         except OSError:
             # The client disconnected while sending the head: no response can be sent.
             return None
@@ -250,6 +288,7 @@
         environ["wsgi.input_terminated"] = True
         environ[HEAD_KEY] = head
         environ[BUFFER_KEY] = self._buffer_usage
+        environ[USAGE_KEY] = self._usage
         environ[SOCKET_KEY] = self.socket
         environ[WATCHDOG_KEY] = self._watchdog
         return environ
@@ -344,6 +383,11 @@
             self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
         self._watchdog.set_limit(0.0, SlowReceiverError)
 
+    def _evict(self) -> None:
+        """End the connection, whose client makes no progress; callable from any greenlet."""
+        self.close_connection = True
+        self._watchdog.set_limit(0.0, EvictedError)
+
     def log_request(self) -> None:
         """Write no access log; the reducers log requests."""
 
@@ -355,10 +399,15 @@
     """Return the response to an unreadable request in pywsgi's error format."""
     status = HTTPStatus(type(error).http_status)
     body = error_body(error)
+    retry_after = ""
+    if error.retry_after_seconds is not None:
+        retry_after = f"Retry-After: {error.retry_after_seconds:g}\r\n"
     head = (
         f"HTTP/1.1 {status.value} {status.phrase}\r\n"
         "Content-Type: application/json\r\n"
         "X-Outcome: not_run\r\n"
+        "X-Not-Run: true\r\n"
+        f"{retry_after}"
         f"Content-Length: {len(body)}\r\n"
         "Connection: close\r\n\r\n"
     )
--- /dev/null
+++ b/src/merlinstand/runtime/request_budget.py
@@ -0,0 +1,518 @@
+"""Limits what unfinished requests of clients make a process hold (docs/design/client-limits.md).
+
+`RequestBudget` keeps the sums of a process. `ConnectionUsage` counts one connection: its fixed
+cost, the head and body of its current request, and when its client last made progress. Small
+requests and large bodies have separate limits. If room is short, clients without progress are
+closed, most bytes times time first; requests that have reached the reducer are never closed here.
+Bytes of responses are counted by `kept_bytes`.
+"""
+
+import enum
+from collections.abc import Callable
+
+import msgspec
+
+from merlinstand.common.boot_clock import boot_seconds
+from merlinstand.decisions.return_order import ReturnOrder
+from merlinstand.runtime.errors import NoRoomError
+from merlinstand.runtime.kept_bytes import BASE_PROCESS_BYTES
+
+SMALL_SHARE = 0.25
+"""Share of the memory above `BASE_PROCESS_BYTES` for connections, heads and small bodies."""
+LARGE_SHARE = 0.30
+"""Share for large bodies."""
+SMALL_PEER_SHARE = 0.05
+"""Share for connections of peers and their small messages that are arriving."""
+LARGE_PEER_SHARE = 0.10
+"""Share for large messages of peers that are arriving."""
+MESSAGE_COPIES = 1.0
+"""A large message is copied once when it is complete."""
+CALM_BYTES = 8_000_000
+"""If the rest of a process holds no more than this, its only large body may be processed, however
+small the machine."""
+UNKNOWN_MEMORY_BYTES = 512_000_000
+"""Memory that is assumed if the settings don't give it."""
+MINIMUM_AVAILABLE_BYTES = 16_000_000
+"""Memory above the base that is assumed on the smallest machines."""
+SMALL_BODY_BYTES = 64 * 1024
+"""Larger bodies count as large."""
+CONNECTION_BYTES = 20_000
+"""Memory of an open connection: its greenlet, handler, buffers and timer."""
+GRACE_SECONDS = 0.5
+"""A client that made progress within this time is not closed."""
+PROGRESS_FRACTION = 1 / 32
+"""Progress is at least this fraction of the bytes held. Slower bodies would exceed the default read
+timeout."""
+MINIMUM_PROGRESS_BYTES = 64 * 1024
+"""Progress of a large body is at least this; any byte is progress of a small one."""
+CONNECTION_RESERVE_FRACTION = 1 / 16
+"""Fraction of the maximum connections that is kept free by closing resting ones."""
+CHECK_INTERVAL_SECONDS = 0.1
+"""Minimum interval between two searches for clients to close, if the last one found none."""
+SMALL_RETRY_SECONDS = 0.1
+"""Smallest Retry-After of a small request, and the assumed time that small requests need."""
+LARGE_RETRY_SECONDS = 1.0
+"""The assumed time that large bodies need."""
+
+
+class RequestLimits(msgspec.Struct, frozen=True):
+    """Limits of one process; 0 selects no limit."""
+
+    small_bytes: int = 0
+    """Connections, heads and small bodies."""
+    large_bytes: int = 0
+    """Large bodies, with the copies of the largest while it is processed."""
+    body_copies: float = 0.0
+    """Memory that processing a large body needs besides the body, in multiples of its size."""
+    available_bytes: int = 0
+    """Everything that clients may make the process hold, and what processing needs."""
+
+
+def request_limits(memory_bytes: int, body_copies: float = 0.0) -> RequestLimits:
+    """Return the limits of a process.
+
+    Args:
+        memory_bytes: Memory that the process may use; 0 if unknown.
+        body_copies: See `RequestLimits`.
+    """
+    available = available_bytes(memory_bytes)
+    return RequestLimits(
+        int(SMALL_SHARE * available), int(LARGE_SHARE * available), body_copies, available
+    )
+
+
+def peer_limits(memory_bytes: int) -> RequestLimits:
+    """Return the limits for connections and messages of peers."""
+    available = available_bytes(memory_bytes)
+    return RequestLimits(
+        int(SMALL_PEER_SHARE * available), int(LARGE_PEER_SHARE * available), MESSAGE_COPIES
+    )
+
+
+def available_bytes(memory_bytes: int) -> int:
+    """Return the memory of a process above its base; an assumed one if the memory is unknown."""
+    known = memory_bytes if memory_bytes > 0 else UNKNOWN_MEMORY_BYTES
+    return max(MINIMUM_AVAILABLE_BYTES, known - BASE_PROCESS_BYTES)
+
+
+class Reason(enum.StrEnum):
+    """Why a client was refused or closed; the text goes to the log and the metrics."""
+
+    LARGE_BODIES = "large_bodies"
+    """Large bodies take all room for them."""
+    SMALL_REQUESTS = "small_requests"
+    """Connections, heads and small bodies take all room for them."""
+    CONNECTIONS = "connections"
+    """Nearly all connections are taken."""
+
+
+class Action(enum.StrEnum):
+    """What happened to a client."""
+
+    REFUSED = "refused"
+    """Its request found no room; it got 503."""
+    CLOSED = "closed"
+    """It held room without progress, and others needed it."""
+
+
+class Decision(msgspec.Struct, frozen=True):
+    """One client that was refused or closed, for the log."""
+
+    action: Action
+    reason: Reason
+    peer: str
+    """IP address of the client."""
+    held_bytes: int
+    idle_seconds: float
+    """Time since its last progress."""
+
+
+class ConnectionGroup:
+    """The connections of one listening address."""
+
+    __slots__ = ("count", "limit")
+
+    def __init__(self, maximum_connections: int) -> None:
+        """Start without connections.
+
+        Args:
+            maximum_connections: How many the address accepts at most.
+        """
+        self.count = 0
+        self.limit = maximum_connections * (1 - CONNECTION_RESERVE_FRACTION)
+        """Above it, resting connections are closed."""
+
+
+class RequestBudget:
+    """Tracks and limits what the unfinished requests of one process hold."""
+
+    def __init__(
+        self,
+        limits: RequestLimits | None = None,
+        on_decision: Callable[[Decision], None] = lambda _decision: None,
+        clock: Callable[[], float] = boot_seconds,
+        other_bytes: Callable[[], int] = lambda: 0,
+    ) -> None:
+        """Create an empty budget.
+
+        Args:
+            limits: The limits; none if None.
+            on_decision: Called for each refused or closed client; must not block.
+            clock: Returns local time in seconds.
+            other_bytes: Returns what the process holds for clients besides requests.
+        """
+        self.limits = limits or RequestLimits()
+        self._other_bytes = other_bytes
+        self.small_bytes = 0
+        self.large_bytes = 0
+        self._on_decision = on_decision
+        self.now = clock
+        self._usages: dict[ConnectionUsage, None] = {}
+        self._groups: list[ConnectionGroup] = []
+        self._large: dict[ConnectionUsage, None] = {}
+        """Connections with a large body; at most as many as fit."""
+        self._next_search_at = dict.fromkeys(Reason, 0.0)
+        self._returns = {
+            Reason.SMALL_REQUESTS: ReturnOrder(SMALL_RETRY_SECONDS, SMALL_RETRY_SECONDS),
+            Reason.LARGE_BODIES: ReturnOrder(GRACE_SECONDS, LARGE_RETRY_SECONDS),
+        }
+
+    @property
+    def connections(self) -> int:
+        """Number of open connections."""
+        return len(self._usages)
+
+    def add_group(self, maximum_connections: int) -> ConnectionGroup:
+        """Add a listening address that accepts this many connections."""
+        group = ConnectionGroup(maximum_connections)
+        self._groups.append(group)
+        return group
+
+    def open_connection(
+        self,
+        group: ConnectionGroup,
+        peer: str,
+        close: Callable[[], None],
+        has_unread: Callable[[], bool],
+    ) -> "ConnectionUsage":
+        """Count a new connection, and close resting ones if there are too many.
+
+        Args:
+            group: The address that accepted it.
+            peer: IP address of the client.
+            close: Ends the connection, from any greenlet, without blocking.
+            has_unread: Returns whether bytes of the client have arrived and wait to be read.
+        """
+        usage = ConnectionUsage(self, group, peer, close, has_unread)
+        self._usages[usage] = None
+        group.count += 1
+        self.small_bytes += CONNECTION_BYTES
+        if group.count > group.limit or not self._small_fits(0):
+            self.check()
+        return usage
+
+    def check(self) -> None:
+        """Close clients without progress as long as connections or small bytes are short."""
+        for group in self._groups:
+            self._close_resting(group)
+        self._make_room(Reason.SMALL_REQUESTS, lambda: self._small_fits(0))
+
+    def remove(self, usage: "ConnectionUsage") -> None:
+        """Stop counting an open connection; only `ConnectionUsage` calls this."""
+        del self._usages[usage]
+        usage.group.count -= 1
+        self.small_bytes -= CONNECTION_BYTES
+
+    def add_small(self, usage: "ConnectionUsage", size_bytes: int) -> NoRoomError | None:
+        """Count bytes of a small request, or return an error; only `ConnectionUsage` calls this."""
+        if not self._small_fits(size_bytes) and not self._make_room(
+            Reason.SMALL_REQUESTS, lambda: self._small_fits(size_bytes), usage
+        ):
+            return self._refuse(usage, Reason.SMALL_REQUESTS, size_bytes)
+        self.small_bytes += size_bytes
+        return None
+
+    def add_large(self, usage: "ConnectionUsage", size_bytes: int) -> NoRoomError | None:
+        """Count bytes of a large body, or return an error; only `ConnectionUsage` calls this.
+
+        If no client stands still, bodies without an announced length that have moved less than
+        this one are rejected first.
+        """
+
+        def fits() -> bool:
+            return self._large_fits(usage, size_bytes)
+
+        has_room = self._make_room(Reason.LARGE_BODIES, fits, usage) or self._reject_least_moved(
+            usage, fits
+        )
+        if not has_room:
+            return self._refuse(usage, Reason.LARGE_BODIES, usage.body_bytes + size_bytes)
+        self.large_bytes += size_bytes
+        self._large[usage] = None
+        return None
+
+    def admit_processing(self, usage: "ConnectionUsage") -> NoRoomError | None:
+        """Return an error if there is no room to process a large body that has arrived."""
+        limits = self.limits
+        held_bytes = self.small_bytes + self.large_bytes + self._other_bytes()
+        needed_bytes = held_bytes + limits.body_copies * usage.body_bytes
+        is_calm = held_bytes - usage.body_bytes <= CALM_BYTES
+        if not limits.available_bytes or is_calm or needed_bytes <= limits.available_bytes:
+            return None
+        return self._refuse(usage, Reason.LARGE_BODIES, usage.body_bytes)
+
+    def release_large(self, usage: "ConnectionUsage", seconds: float | None) -> None:
+        """Stop counting a large body; only `ConnectionUsage` calls this.
+
+        Args:
+            usage: The connection.
+            seconds: How long the body occupied its room; None if it never arrived.
+        """
+        self.large_bytes -= usage.body_bytes
+        del self._large[usage]
+        if seconds is not None:
+            share = self._large_share(usage.body_bytes)
+            self._returns[Reason.LARGE_BODIES].record_use(seconds, share)
+
+    def _small_fits(self, size_bytes: int) -> bool:
+        limit = self.limits.small_bytes
+        return not limit or self.small_bytes + size_bytes <= limit
+
+    def _close_resting(self, group: ConnectionGroup) -> None:
+        self._make_room(Reason.CONNECTIONS, lambda: group.count <= group.limit, group=group)
+
+    def _large_fits(self, usage: "ConnectionUsage", size_bytes: int) -> bool:
+        limit = self.limits.large_bytes
+        others = [other.body_bytes for other in self._large if other is not usage]
+        if not limit or not others:
+            return True
+        largest = max(usage.body_bytes + size_bytes, *others)
+        needed = self.large_bytes + size_bytes + self.limits.body_copies * largest
+        return needed <= limit
+
+    def _large_share(self, size_bytes: int) -> float:
+        limit = self.limits.large_bytes
+        return min(1.0, (1 + self.limits.body_copies) * size_bytes / limit) if limit else 0.0
+
+    def _make_room(
+        self,
+        reason: Reason,
+        fits: Callable[[], bool],
+        usage: "ConnectionUsage | None" = None,
+        group: ConnectionGroup | None = None,
+    ) -> bool:
+        """Close clients without progress until there is room; return whether there is.
+
+        Args:
+            reason: What is short.
+            fits: Returns whether there is room.
+            usage: The connection that needs it, which is not closed.
+            group: If set, only connections of this address are closed.
+        """
+        if fits():
+            return True
+        now = self.now()
+        if now < self._next_search_at[reason]:
+            return False
+        for candidate in self._closable(reason, now):
+            if group is not None and candidate.group is not group:
+                continue
+            if candidate is not usage and not candidate.has_unread():
+                self._close(candidate, reason, now)
+                if fits():
+                    return True
+        self._next_search_at[reason] = now + CHECK_INTERVAL_SECONDS
+        return False
+
+    def _closable(self, reason: Reason, now: float) -> "list[ConnectionUsage]":
+        among = self._large if reason is Reason.LARGE_BODIES else self._usages
+        found = [
+            usage
+            for usage in among
+            if not usage.is_running and now - usage.progress_at >= GRACE_SECONDS
+        ]
+        if reason is Reason.SMALL_REQUESTS:
+            # Large bodies are counted apart.
+            found = [usage for usage in found if usage not in self._large]
+        return sorted(found, key=lambda usage: usage.closing_priority(now), reverse=True)
+
+    def _reject_least_moved(self, usage: "ConnectionUsage", fits: Callable[[], bool]) -> bool:
+        growing = [other for other in self._large if other.is_growing and not other.is_running]
+        for other in sorted(growing, key=lambda other: other.moved_bytes):
+            if other is usage or other.moved_bytes >= usage.moved_bytes:
+                break
+            self._close(other, Reason.LARGE_BODIES, self.now())
+            if fits():
+                return True
+        return False
+
+    def _close(self, usage: "ConnectionUsage", reason: Reason, now: float) -> None:
+        decision = Decision(
+            Action.CLOSED, reason, usage.peer, usage.held_bytes, now - usage.progress_at
+        )
+        # Not counted from now on: the connection's greenlet drops the bytes in the next loop
+        # iteration, and until then they would cause further clients to be closed.
+        usage.evicted_with = self._no_room(reason, usage.body_bytes)
+        usage.close()
+        usage.end_connection()
+        self._on_decision(decision)
+
+    def _refuse(self, usage: "ConnectionUsage", reason: Reason, size_bytes: int) -> NoRoomError:
+        idle_seconds = self.now() - usage.progress_at
+        self._on_decision(Decision(Action.REFUSED, reason, usage.peer, size_bytes, idle_seconds))
+        return self._no_room(reason, size_bytes)
+
+    def _no_room(self, reason: Reason, size_bytes: int) -> NoRoomError:
+        if reason is Reason.LARGE_BODIES:
+            share, held, limit = (
+                self._large_share(size_bytes),
+                self.large_bytes,
+                self.limits.large_bytes,
+            )
+        else:
+            share, held, limit = 0.0, self.small_bytes, self.limits.small_bytes
+            reason = Reason.SMALL_REQUESTS
+        seconds = self._returns[reason].retry_after_seconds(self.now(), share)
+        detail = f"no room for {size_bytes} bytes: {held} of {limit} bytes are in use"
+        return NoRoomError(detail=detail, retry_after_seconds=round(seconds, 3))
+
+
+class ConnectionUsage:
+    """Counts what one connection holds."""
+
+    __slots__ = (
+        "_budget",
+        "_moved_before",
+        "_small_request_bytes",
+        "_started_at",
+        "body_bytes",
+        "end_connection",
+        "evicted_with",
+        "group",
+        "has_unread",
+        "is_closed",
+        "is_growing",
+        "is_running",
+        "moved_bytes",
+        "peer",
+        "progress_at",
+    )
+
+    def __init__(
+        self,
+        budget: RequestBudget,
+        group: ConnectionGroup,
+        peer: str,
+        end_connection: Callable[[], None],
+        has_unread: Callable[[], bool],
+    ) -> None:
+        """Create the usage of a new connection; see `RequestBudget.open_connection`."""
+        self.group = group
+        self.peer = peer
+        self.end_connection = end_connection
+        self.has_unread = has_unread
+        self.is_running = False
+        """Whether the request has reached the reducer, so that it must not be closed here."""
+        self.is_growing = False
+        """Whether the length of the large body is unknown."""
+        self.is_closed = False
+        self.evicted_with: NoRoomError | None = None
+        """The error for the client, if it was closed because others needed the room."""
+        self.body_bytes = 0
+        """Bytes reserved for a large body; 0 for a small one."""
+        self.moved_bytes = 0
+        """Bytes of the current request that have arrived."""
+        self.progress_at = budget.now()
+        self._budget = budget
+        self._moved_before = 0
+        """`moved_bytes` at the last progress."""
+        self._small_request_bytes = 0
+        self._started_at = self.progress_at
+
+    @property
+    def held_bytes(self) -> int:
+        """Everything that is counted for this connection."""
+        return CONNECTION_BYTES + self._small_request_bytes + self.body_bytes
+
+    def closing_priority(self, now: float) -> float:
+        """Return the sort key: bytes held times the time without progress."""
+        return self.held_bytes * (now - self.progress_at)
+
+    def begin_request(self) -> None:
+        """Start a request: its first byte has arrived."""
+        self._started_at = self.progress_at = self._budget.now()
+        self.moved_bytes = self._moved_before = 0
+
+    def add_head(self, size_bytes: int) -> NoRoomError | None:
+        """Count bytes of a head that have arrived; returns an error if there is no room."""
+        self.record_arrived(size_bytes)
+        return self.add_small(size_bytes)
+
+    def add_small(self, size_bytes: int) -> NoRoomError | None:
+        """Count bytes of a head or a small body; returns an error if there is no room."""
+        if self.is_closed:
+            return self.evicted_with
+        error = self._budget.add_small(self, size_bytes)
+        if error is None:
+            self._small_request_bytes += size_bytes
+        return error
+
+    def reserve_body(self, size_bytes: int, is_final: bool) -> NoRoomError | None:
+        """Reserve room for a large body; returns an error if there is no room.
+
+        Args:
+            size_bytes: Its length, or the length up to which it may grow for now.
+            is_final: Whether this is its announced length.
+        """
+        if self.is_closed:
+            return self.evicted_with
+        self.is_growing = not is_final
+        error = self._budget.add_large(self, size_bytes - self.body_bytes)
+        if error is None:
+            self.body_bytes = size_bytes
+        return error
+
+    def record_arrived(self, size_bytes: int) -> None:
+        """Record bytes of the request that have arrived."""
+        self.moved_bytes += size_bytes
+        needed = 1
+        if self.body_bytes:
+            needed = max(MINIMUM_PROGRESS_BYTES, int(PROGRESS_FRACTION * self.body_bytes))
+        if self.moved_bytes - self._moved_before >= needed:
+            self._moved_before = self.moved_bytes
+            self.progress_at = self._budget.now()
+
+    def record_complete(self, size_bytes: int) -> NoRoomError | None:
+        """Record that the body, of this size, has arrived and is passed to the reducer.
+
+        Returns:
+            An error if there is no room to process it, or if the connection was closed meanwhile.
+        """
+        if self.is_closed:
+            return self.evicted_with
+        if self.body_bytes:
+            self._budget.large_bytes -= self.body_bytes - size_bytes
+            self.body_bytes = size_bytes
+            error = self._budget.admit_processing(self)
+            if error is not None:
+                return error
+        self.is_running = True
+        return None
+
+    def end_request(self) -> None:
+        """Stop counting the request, whose response has been sent, or which was refused."""
+        self.progress_at = self._budget.now()
+        self._budget.small_bytes -= self._small_request_bytes
+        self._small_request_bytes = 0
+        if self.body_bytes:
+            seconds = self.progress_at - self._started_at
+            self._budget.release_large(self, seconds if self.is_running else None)
+            self.body_bytes = 0
+        self.is_running = self.is_growing = False
+
+    def close(self) -> None:
+        """Stop counting the connection, which has ended or is being closed."""
+        if not self.is_closed:
+            self.end_request()
+            self.is_closed = True
+            self._budget.remove(self)
