runtime: connections and messages at the internal address are limited

Seen by callers: anybody who reaches a daemon's internal address could open 4,096 connections, more than its descriptors, or begin messages of up to 64 MiB without limit on their sum: 12 of 16 MiB took a daemon over its memory.

Cause: MAXIMUM_INBOUND_CONNECTIONS was one number for all machines, and frames were buffered as announced. A complete frame was copied twice, by the slice of a bytearray and again to bytes.

Messages that are arriving have a budget of their own; the connection of one that finds no room is closed. A frame is copied once.

--- a/src/merlinstand/runtime/frames.py
+++ b/src/merlinstand/runtime/frames.py
@@ -32,6 +32,13 @@
         """Append received bytes to the buffer."""
         self._buffer += data
 
+    @property
+    def announced_bytes(self) -> int:
+        """Length of the incomplete frame that has begun to arrive; 0 if there is none."""
+        if len(self._buffer) < LENGTH_BYTES:
+            return 0
+        return int.from_bytes(self._buffer[:LENGTH_BYTES], "big")
+
     def next_frame(self) -> Result[bytes | None, InvalidInputError]:
         """Return the next frame, None if it is incomplete, or an error for an invalid length."""
         if len(self._buffer) < LENGTH_BYTES:
@@ -46,6 +53,7 @@
         end = LENGTH_BYTES + length
         if len(self._buffer) < end:
             return Ok(None)
-        frame = bytes(self._buffer[LENGTH_BYTES:end])
+        with memoryview(self._buffer) as view:
+            frame = bytes(view[LENGTH_BYTES:end])
         del self._buffer[:end]
         return Ok(frame)
--- a/src/merlinstand/runtime/host.py
+++ b/src/merlinstand/runtime/host.py
@@ -255,6 +255,8 @@
             self._tls.client,
             self._settings.peer_timings,
             self._traffic,
+            self._peer_budget,
+            self._settings.peer_limits,
         )
 
     def _make_pool(self) -> ConnectionPool:
--- a/src/merlinstand/runtime/transport.py
+++ b/src/merlinstand/runtime/transport.py
@@ -12,16 +12,27 @@
 from gevent.pool import Pool
 from result import Err
 
-from merlinstand.common import constants
 from merlinstand.common.ids import NodeId
 from merlinstand.kernel.events import Event, MessageReceived
 from merlinstand.protocol.codec import decode_message, encode_message
 from merlinstand.protocol.generated.control.ttypes import Hello
 from merlinstand.runtime.addresses import parse_address, require_address
+from merlinstand.runtime.allocator import return_large_blocks
 from merlinstand.runtime.dialing import enable_keepalive
+from merlinstand.runtime.end_watcher import has_unread
 from merlinstand.runtime.frames import FrameReader, encode_frame
-from merlinstand.runtime.host_settings import DEFAULT_PEER_TIMINGS, PeerTimings
+from merlinstand.runtime.host_settings import (
+    DEFAULT_PEER_LIMITS,
+    DEFAULT_PEER_TIMINGS,
+    PeerLimits,
+    PeerTimings,
+)
 from merlinstand.runtime.logs import EventLog
+from merlinstand.runtime.request_budget import (
+    SMALL_BODY_BYTES,
+    ConnectionUsage,
+    RequestBudget,
+)
 from merlinstand.runtime.tls import BoundedHandshakeServer
 from merlinstand.runtime.traffic import Direction, TrafficCounters
 from merlinstand.runtime.transport_peer import PeerConnection
@@ -38,8 +49,6 @@
 MAXIMUM_HELLO_BYTES = 4096
 """Maximum size of the first frame of a connection, whose sender is still unknown; a `Hello` holds a
 name, an address and a number."""
-MAXIMUM_INBOUND_CONNECTIONS = 4096
-"""Maximum concurrent inbound connections of peers; further ones wait."""
 RECEIVE_BYTES = 256 * 1024
 """Maximum size of one read. Only the part of the buffer that is filled gets touched, so its size
 costs no memory (docs/design/light-processes.md)."""
@@ -118,6 +127,8 @@
         client_context: "SSLContext | None" = None,
         timings: PeerTimings = DEFAULT_PEER_TIMINGS,
         traffic: TrafficCounters | None = None,
+        budget: RequestBudget | None = None,
+        limits: PeerLimits = DEFAULT_PEER_LIMITS,
     ) -> None:
         """Create a transport; `start` begins listening.
 
@@ -129,7 +140,12 @@
             client_context: If set, TLS is used for outbound connections.
             timings: Timeouts and backoff for connections to peers.
             traffic: Counts the bytes sent by peer.
+            budget: Accounts for connections and messages that are arriving; unlimited if None.
+            limits: Limits of the listener.
         """
+        self._budget = RequestBudget() if budget is None else budget
+        self._limits = limits
+        self._group = self._budget.add_group(limits.maximum_connections)
         self._traffic = TrafficCounters() if traffic is None else traffic
         self.counters = TransportCounters()
         self.address = ""
@@ -155,7 +171,7 @@
         self._incarnation = incarnation
         tls = {} if self._server_context is None else {"ssl_context": self._server_context}
         self._server = BoundedHandshakeServer(
-            parsed.as_pair(), self._receive, spawn=Pool(MAXIMUM_INBOUND_CONNECTIONS), **tls
+            parsed.as_pair(), self._receive, spawn=Pool(self._limits.maximum_connections), **tls
         )
         self._server.start()
         self.address = f"{parsed.ip}:{self._server.server_port}"
@@ -208,10 +224,16 @@
     def _receive(self, connection: Any, address: Any) -> None:
         """Serve one inbound connection; errors end only this connection."""
         watchdog = Watchdog()
+        usage = self._budget.open_connection(
+            self._group,
+            address[0],
+            lambda: watchdog.set_limit(0.0, TimeoutError),
+            lambda: has_unread(connection),
+        )
         try:
             # Nothing is sent here, so only probes detect an unresponsive peer.
             enable_keepalive(connection)
-            self._read_messages(connection, watchdog)
+            self._read_messages(connection, watchdog, usage)
         except OSError:
             # The peer or the network ended the connection, or `Hello` did not arrive in time. The
             # peer reconnects when it has something to send.
@@ -223,18 +245,20 @@
             )
         finally:
             watchdog.close()
+            usage.close()
             connection.close()
 
-    def _read_messages(self, connection: Any, watchdog: Watchdog) -> None:
+    def _read_messages(self, connection: Any, watchdog: Watchdog, usage: ConnectionUsage) -> None:
         watchdog.set_limit(HELLO_TIMEOUT_SECONDS, TimeoutError)
         reader = FrameReader(MAXIMUM_HELLO_BYTES)
         sender: NodeId | None = None
-        for frame in _read_frames(connection, reader):
+        for frame in _read_frames(connection, reader, usage):
             message = _decode(frame)
             if sender is None:
                 sender = self._accept_hello(message)
-                reader.maximum_frame_bytes = constants.MAXIMUM_MESSAGE_BYTES
-                watchdog.clear_limit()
+                reader.maximum_frame_bytes = self._limits.maximum_message_bytes
+                if not usage.is_closed:
+                    watchdog.clear_limit()
                 continue
             self.counters.count_received(type(message).__name__, len(frame))
             self._submit(MessageReceived(sender, message))
@@ -253,17 +277,19 @@
     """A peer violated the protocol; its connection is closed."""
 
 
-def _read_frames(connection: Any, reader: FrameReader) -> Iterator[bytes]:
+def _read_frames(connection: Any, reader: FrameReader, usage: ConnectionUsage) -> Iterator[bytes]:
     """Yield a connection's frames, yielding to the event loop regularly."""
     loop = gevent.get_hub().loop
     turn, count = -1, 0
+    reserved_bytes = 0
     while True:
         if turn == loop.iteration:
             gevent.sleep(0)
         turn = loop.iteration
         data = connection.recv(RECEIVE_BYTES)
-        if not data:
+        if not data or usage.is_closed:
             return
+        usage.record_arrived(len(data))
         reader.feed(data)
         while True:
             result = reader.next_frame()
@@ -271,10 +297,32 @@
                 raise InboundRefusedError(result.err_value.detail)
             if result.ok_value is None:
                 break
+            if reserved_bytes:
+                usage.end_request()
+                usage.begin_request()
+                reserved_bytes = 0
             yield result.ok_value
             count += 1
             if count % FRAMES_PER_YIELD == 0:
                 gevent.sleep(0)
+        if not reserved_bytes and reader.announced_bytes:
+            reserved_bytes = reader.announced_bytes
+            _reserve(usage, reserved_bytes)
+
+
+def _reserve(usage: ConnectionUsage, frame_bytes: int) -> None:
+    """Reserve room for the rest of a frame.
+
+    Raises:
+        InboundRefusedError: There is no room.
+    """
+    if frame_bytes <= SMALL_BODY_BYTES:
+        error = usage.add_small(frame_bytes)
+    else:
+        return_large_blocks()
+        error = usage.reserve_body(frame_bytes, is_final=True)
+    if error is not None:
+        raise InboundRefusedError(error.detail)
 
 
 def _decode(frame: bytes) -> Any:
