--- a/src/merlinstand/runtime/host.py
+++ b/src/merlinstand/runtime/host.py
@@ -129,7 +129,7 @@
             buffer_limit_bytes(settings.http_limits.memory_bytes), self._on_slow_reader
         )
         self._request_budget = RequestBudget(
-            request_limits(settings.http_limits.memory_bytes, settings.body_copies),
+            request_limits(settings.http_limits, settings.body_copies),
             ClientLog("client", self.log, self.metrics).record,
             other_bytes=self._other_client_bytes,
         )
--- a/src/merlinstand/runtime/host_settings.py
+++ b/src/merlinstand/runtime/host_settings.py
@@ -75,6 +75,13 @@
     memory_bytes: int = 0
     """Memory that the process may use. A quarter of what exceeds its base size may buffer data for
     slow clients; above that, the slowest are disconnected. 0: unknown, so no such limit."""
+    small_request_bytes: int = 0
+    """Maximum bytes that open connections, unfinished heads and bodies up to 64 KiB may occupy;
+    above that, connections without progress are closed and requests rejected. 0: a quarter of the
+    memory above the base size, or of 448 MB if `memory_bytes` is unknown."""
+    large_request_bytes: int = 0
+    """The same for larger request bodies, until their response has been sent. A body that is the
+    only one is accepted even if it is larger. 0: three tenths of the memory above the base size."""
 
 
 class HostSettings(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
--- a/src/merlinstand/runtime/request_budget.py
+++ b/src/merlinstand/runtime/request_budget.py
@@ -15,13 +15,14 @@
 from merlinstand.common.boot_clock import boot_seconds
 from merlinstand.decisions.return_order import ReturnOrder
 from merlinstand.runtime.errors import NoRoomError
+from merlinstand.runtime.host_settings import HttpLimits
 from merlinstand.runtime.kept_bytes import BASE_PROCESS_BYTES
 
 SMALL_SHARE = 0.25
 """Share of the memory above `BASE_PROCESS_BYTES` for connections, heads and small bodies."""
 LARGE_SHARE = 0.30
 """Share for large bodies."""
-SMALL_PEER_SHARE = 0.05
+SMALL_PEER_SHARE = 0.10
 """Share for connections of peers and their small messages that are arriving."""
 LARGE_PEER_SHARE = 0.10
 """Share for large messages of peers that are arriving."""
@@ -68,16 +69,19 @@
     """Everything that clients may make the process hold, and what processing needs."""
 
 
-def request_limits(memory_bytes: int, body_copies: float = 0.0) -> RequestLimits:
+def request_limits(settings: HttpLimits, body_copies: float = 0.0) -> RequestLimits:
     """Return the limits of a process.
 
     Args:
-        memory_bytes: Memory that the process may use; 0 if unknown.
+        settings: Settings of its HTTP server.
         body_copies: See `RequestLimits`.
     """
-    available = available_bytes(memory_bytes)
+    available = available_bytes(settings.memory_bytes)
     return RequestLimits(
-        int(SMALL_SHARE * available), int(LARGE_SHARE * available), body_copies, available
+        settings.small_request_bytes or int(SMALL_SHARE * available),
+        settings.large_request_bytes or int(LARGE_SHARE * available),
+        body_copies,
+        available,
     )
 
 
--- a/src/merlinstand/settings/numbers.py
+++ b/src/merlinstand/settings/numbers.py
@@ -12,6 +12,8 @@
 ZERO_ALLOWED = frozenset(
     (
         "memory_bytes",
+        "small_request_bytes",
+        "large_request_bytes",
         "election_timeout_spread_seconds",
         "cache_event_interval_seconds",
         "look_ahead_batches",
--- a/tests/runtime/test_request_budget.py
+++ b/tests/runtime/test_request_budget.py
@@ -6,6 +6,7 @@
 
 from merlinstand.decisions.return_order import MAXIMUM_RETRY_AFTER_SECONDS, ReturnOrder
 from merlinstand.runtime.errors import NoRoomError
+from merlinstand.runtime.host_settings import HttpLimits
 from merlinstand.runtime.kept_bytes import BASE_PROCESS_BYTES
 from merlinstand.runtime.request_budget import (
     CONNECTION_BYTES,
@@ -61,11 +62,16 @@
     ],
 )
 def test_limits_follow_from_the_memory(memory_bytes: int, available_bytes: int) -> None:
-    limits = request_limits(memory_bytes)
+    limits = request_limits(HttpLimits(memory_bytes=memory_bytes))
     assert limits.small_bytes == int(SMALL_SHARE * available_bytes)
     assert limits.large_bytes == int(LARGE_SHARE * available_bytes)
 
 
+def test_settings_replace_the_derived_limits() -> None:
+    limits = request_limits(HttpLimits(small_request_bytes=1, large_request_bytes=2))
+    assert (limits.small_bytes, limits.large_bytes) == (1, 2)
+
+
 def test_single_body_is_admitted_however_large() -> None:
     clients = Clients(large_bytes=MIB, body_copies=2.0)
     usage = clients.connect("one")
--- a/tests/users_platform/client_crowds.py
+++ b/tests/users_platform/client_crowds.py
@@ -114,14 +114,14 @@
 
     def __init__(self, address: str, clients: Iterable[Client], reads: bool = False) -> None:
         self.members = [CrowdMember(address, client, reads) for client in clients]
-        self._greenlets = [gevent.spawn(member.run) for member in self.members]
+        self.greenlets = [gevent.spawn(member.run) for member in self.members]
 
     def wait(self) -> None:
         """Wait until each client has sent all, was refused, or is blocked for a long time."""
-        gevent.joinall(self._greenlets, timeout=SEND_SECONDS)
+        gevent.joinall(self.greenlets, timeout=SEND_SECONDS)
 
     def close(self) -> None:
-        gevent.killall(self._greenlets)
+        gevent.killall(self.greenlets)
         for member in self.members:
             member.close()
 
