batch_jobs: what open jobs hold is limited; jobs that don't fit get 503

Seen by callers: clients that submit many large jobs, each inside every limit, took the keepers over their memory: sixteen jobs of 5.4 MB at machines of 200 MB, peaks of 470 MB (one after the other) and 610 MB (at once). Without keepers no job is run.

Cause: nothing bounded the jobs that are open. A job's requests are in memory about four times: in the state, in the log, and in what is sent to other keepers.

Change: the leader rejects a job that doesn't fit beside the open ones (JobRoom), before it proposes it: NoRoom, with HTTP status 503, so that gateways of earlier versions take it for a rejection. A job that is the only one is accepted.

--- a/src/merlinstand/batch_calls/calls.py
+++ b/src/merlinstand/batch_calls/calls.py
@@ -1,8 +1,9 @@
 """Calls of gateways to batch keepers and their replies (msgpack over HTTP).
 
 A call is the body of a `POST` to `CALL_PATH` at a keeper's HTTP address; the reply is the body of
-the response, whose status is always 200. Gateways send calls in `forwarding.batch_relay`; every
-keeper handles them in `batch_jobs.gateway_calls`. The protocol is described in docs/INTERFACES.md.
+the response, whose status is 200 except for `NoRoom`. Gateways send calls in
+`forwarding.batch_relay`; every keeper handles them in `batch_jobs.gateway_calls`. The protocol is
+described in docs/INTERFACES.md.
 """
 
 import msgspec
@@ -101,6 +102,16 @@
     removed, which takes seconds."""
 
 
+class NoRoom(msgspec.Struct, frozen=True, tag="no_room"):
+    """The call had no effect: the open jobs take the room that the keepers have for them.
+
+    Its HTTP status is 503, so that gateways that don't know this reply take it for a rejection.
+    """
+
+    detail: str
+    retry_after_seconds: float
+
+
 class Invalid(msgspec.Struct, frozen=True, tag="invalid"):
     """The call is malformed or conflicts with an existing job."""
 
@@ -116,6 +127,7 @@
     | NotLeader
     | CommitTimeout
     | OutsideAllowedRegions
+    | NoRoom
     | Invalid
 )
 
--- a/src/merlinstand/batch_jobs/gateway_calls.py
+++ b/src/merlinstand/batch_jobs/gateway_calls.py
@@ -18,6 +18,7 @@
     ItemBody,
     JobAccepted,
     JobEnded,
+    NoRoom,
     NotFound,
     NotLeader,
     OutsideAllowedRegions,
@@ -29,6 +30,7 @@
 )
 from merlinstand.batch_jobs.engines import EngineStates, fastest_event_seconds
 from merlinstand.batch_jobs.item_regions import find_region_violation
+from merlinstand.batch_jobs.job_room import JobRoom
 from merlinstand.batch_jobs.keeper_replica import KeeperReplica
 from merlinstand.batch_jobs.reads import ResultsWaiter, make_results_page
 from merlinstand.batch_jobs.settings import KeeperSettings
@@ -79,6 +81,7 @@
         self._follower = follower
         self._engines = engines
         self._zone_map = zone_map
+        self._room = JobRoom(settings.maximum_job_bytes)
         self._commit_waiters: PendingProposals[BatchReply] = PendingProposals()
         self._waiting_readers: list[ResultsWaiter] = []
 
@@ -206,6 +209,10 @@
         )
         if violation:
             return [_reply(request_id, OutsideAllowedRegions(violation))]
+        shortage = self._room.find_shortage(call.job, self._jobs.jobs, now)
+        if shortage is not None:
+            refused = {"job": call.job.job_id, "detail": shortage.detail}
+            return [LogEvent("job.refused", refused), _reply(request_id, shortage)]
         engines = self._engines.holding_model(call.job.model)
         fields = {
             "job": call.job.job_id,
@@ -266,4 +273,5 @@
 
 
 def _reply(request_id: RequestId, reply: BatchReply) -> Effect:
-    return Respond(request_id, HTTPStatus.OK.value, _MSGPACK_HEADERS, encode(reply))
+    status = HTTPStatus.SERVICE_UNAVAILABLE if isinstance(reply, NoRoom) else HTTPStatus.OK
+    return Respond(request_id, status.value, _MSGPACK_HEADERS, encode(reply))
--- a/src/merlinstand/batch_jobs/settings.py
+++ b/src/merlinstand/batch_jobs/settings.py
@@ -42,6 +42,10 @@
     call_timeout_seconds: float = 2.0
     """Maximum time that a gateway's call waits for its command to be committed."""
 
+    maximum_job_bytes: int = 0
+    """Maximum size of the request bodies of all open jobs; further jobs are rejected. A job that is
+    the only one is accepted even if it is larger. 0: no limit."""
+
     @property
     def placement(self) -> PlacementRule:
         """Preferred distribution of a group's replicas over zones and regions."""
