runtime: TLS handshakes count as connections; a refused client gets its answer after a whole body

Seen by callers: connections whose TLS handshake never began took the places of others for 5 s each, and nothing closed them earlier. The ready address read a body before it said that no connections are taken. A client that sends a legal body of more than 4 MiB before it reads lost its 503 in a reset.

Cause: a connection was counted from its handler on, after the handshake; the check of the main address came after reading; lingering stopped at 4 MiB whatever the body's length.

Change: the handshake is counted, and closed like any other connection that rests. The check comes first. A body within the limits is read to its end within the second of lingering, yielding to others.

--- a/src/merlinstand/runtime/http_endpoint.py
+++ b/src/merlinstand/runtime/http_endpoint.py
@@ -144,16 +144,16 @@
     def _serve(self, req: Request, resp: Response, **_: Any) -> None:
         environ = req.env
         head: RequestHead = environ[HEAD_KEY]
-        body = self._read_body(environ)
-        if isinstance(body, MerlinstandError):
-            _refuse(resp, body)
-            return
         main_server = environ[MAIN_SERVER_KEY]
         if main_server is not None and not main_server.is_accepting:
             # At an extra address, requests are rejected while the main address accepts no
             # connections, so that health checks there fail too.
             _refuse(resp, NotAcceptingError(detail="no new connections are taken"))
             return
+        body = self._read_body(environ)
+        if isinstance(body, MerlinstandError):
+            _refuse(resp, body)
+            return
         if self.closing:
             _refuse(resp, _stopping_error())
             return
--- a/src/merlinstand/runtime/http_server.py
+++ b/src/merlinstand/runtime/http_server.py
@@ -13,7 +13,7 @@
 import errno
 import socket
 import time
-from functools import lru_cache
+from functools import lru_cache, partial
 from http import HTTPStatus
 from typing import TYPE_CHECKING, Any
 
@@ -52,7 +52,8 @@
 _LINGER_SECONDS = 1.0
 """Maximum time for a refused client to read its response."""
 _LINGER_BYTES = 4 * 1024 * 1024
-"""Maximum bytes of a refused request that are read and discarded meanwhile."""
+"""Maximum bytes of a refused request that are read and discarded meanwhile; more if its body is
+within the limits, since its client may read the response only after sending the body."""
 _LINGER_CHUNK_BYTES = 64 * 1024
 """Maximum size of each of these reads."""
 _MAXIMUM_JOINED_BODY_BYTES = 64 * 1024
@@ -105,6 +106,7 @@
         self.budget = BufferBudget() if budget is None else budget
         self.request_budget = request_budget or RequestBudget()
         self.connection_group = self.request_budget.add_group(maximum_connections)
+        self.handshake_usage = partial(self.request_budget.open_connection, self.connection_group)
         self.closing = False
         """Set during a planned stop: every response then closes its connection."""
         self.busy = 0
@@ -303,7 +305,11 @@
         try:
             self.socket.shutdown(socket.SHUT_WR)
             left = _LINGER_BYTES
+            if (self.content_length or 0) <= self.server.bounds.maximum_body_bytes:
+                left = max(left, self.content_length or 0)
             while left > 0:
+                # Available bytes don't yield to the event loop by themselves.
+                gevent.sleep(0)
                 data = self.socket.recv(_LINGER_CHUNK_BYTES)
                 if not data:
                     break
--- a/src/merlinstand/runtime/tls.py
+++ b/src/merlinstand/runtime/tls.py
@@ -6,16 +6,19 @@
 """
 
 import ssl
+from collections.abc import Callable
 from typing import TYPE_CHECKING, Any
 
-import gevent
 import gevent.ssl
 import msgspec
 from gevent.server import StreamServer
 from result import Err, Ok, Result
 
+from merlinstand.runtime.end_watcher import has_unread
 from merlinstand.runtime.errors import HostSetupError
 from merlinstand.runtime.host_settings import TlsFiles
+from merlinstand.runtime.request_budget import ConnectionUsage
+from merlinstand.runtime.watchdog import Watchdog
 
 if TYPE_CHECKING:
     from gevent.ssl import SSLContext
@@ -28,15 +31,12 @@
 class BoundedHandshakeServer(StreamServer):
     """A server that closes connections whose TLS handshake fails or times out, without logging."""
 
+    handshake_usage: Callable[..., ConnectionUsage] | None = None
+    """Counts a connection during its handshake: `RequestBudget.open_connection` of its address."""
+
     def wrap_socket_and_handle(self, client_socket: Any, address: Any) -> None:
         """Perform the TLS handshake within a time limit, then serve the connection."""
-        secured = None
-        with gevent.Timeout(HANDSHAKE_TIMEOUT_SECONDS, False):
-            try:
-                secured = self.wrap_socket(client_socket, **self.ssl_args)
-            except OSError:
-                # Any client may connect without speaking TLS, so this is not logged.
-                return
+        secured = self._shake_hands(client_socket, address)
         if secured is None:
             return
         try:
@@ -44,6 +44,27 @@
         finally:
             secured.close()
 
+    def _shake_hands(self, client_socket: Any, address: Any) -> Any:
+        """Return the secured connection; None if the handshake failed or took too long."""
+        watchdog = Watchdog()
+        watchdog.set_limit(HANDSHAKE_TIMEOUT_SECONDS, TimeoutError)
+        usage = None
+        if self.handshake_usage is not None:
+            usage = self.handshake_usage(
+                address[0],
+                lambda: watchdog.set_limit(0.0, TimeoutError),
+                lambda: has_unread(client_socket),
+            )
+        try:
+            return self.wrap_socket(client_socket, **self.ssl_args)
+        except OSError:
+            # Any client may connect without speaking TLS, so this is not logged.
+            return None
+        finally:
+            watchdog.close()
+            if usage is not None:
+                usage.close()
+
 
 class TlsContexts(msgspec.Struct, frozen=True):
     """The TLS contexts of one process; all None without TLS."""
--- a/src/merlinstand/runtime/transport.py
+++ b/src/merlinstand/runtime/transport.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Callable, Iterator
+from functools import partial
 from typing import TYPE_CHECKING, Any
 
 import gevent
@@ -173,6 +174,7 @@
         self._server = BoundedHandshakeServer(
             parsed.as_pair(), self._receive, spawn=Pool(self._limits.maximum_connections), **tls
         )
+        self._server.handshake_usage = partial(self._budget.open_connection, self._group)
         self._server.start()
         self.address = f"{parsed.ip}:{self._server.server_port}"
 
--- a/tests/runtime/real_processes.py
+++ b/tests/runtime/real_processes.py
@@ -85,12 +85,17 @@
 class RealProcesses:
     """Daemons of one small deployment."""
 
-    def __init__(self, folder: Path) -> None:
+    def __init__(self, folder: Path, more_settings: str = "") -> None:
         ports = free_ports(6)
         self.gateway_address = f"127.0.0.1:{ports[3]}"
+        self.http_addresses = {
+            role: f"127.0.0.1:{port}"
+            for role, port in zip(("control", "gateway", "coordinator"), ports[1::2], strict=True)
+        }
         self._folder = folder
         self._settings = folder / "merlinstand.toml"
-        self._settings.write_text(DEPLOYMENT.format(folder=folder / "data", ports=ports))
+        settings = DEPLOYMENT.format(folder=folder / "data", ports=ports)
+        self._settings.write_text(settings + more_settings)
         self._started: list[Any] = []
 
     def start(self, role: str) -> Any:
--- a/tests/users_platform/client_crowds.py
+++ b/tests/users_platform/client_crowds.py
@@ -76,8 +76,9 @@
 class CrowdMember:
     """One client of a crowd."""
 
-    def __init__(self, address: str, client: Client, reads: bool) -> None:
+    def __init__(self, address: str, client: Client, reads: bool, tls_context: Any) -> None:
         self.is_refused = False
+        self._tls_context = tls_context
         self.received = b""
         self._address = address
         self._client = client
@@ -89,6 +90,8 @@
         ip, _colon, port = self._address.rpartition(":")
         try:
             self._socket = create_connection((ip, int(port)), CONNECT_SECONDS)
+            if self._tls_context is not None:
+                self._socket = self._tls_context.wrap_socket(self._socket)
             self._socket.settimeout(None)
             for data in self._client():
                 self._socket.sendall(data)
@@ -112,8 +115,14 @@
 class Crowd:
     """Clients that send at the same time to one address."""
 
-    def __init__(self, address: str, clients: Iterable[Client], reads: bool = False) -> None:
-        self.members = [CrowdMember(address, client, reads) for client in clients]
+    def __init__(
+        self,
+        address: str,
+        clients: Iterable[Client],
+        reads: bool = False,
+        tls_context: Any = None,
+    ) -> None:
+        self.members = [CrowdMember(address, client, reads, tls_context) for client in clients]
         self.greenlets = [gevent.spawn(member.run) for member in self.members]
 
     def wait(self) -> None:
@@ -150,7 +159,7 @@
     return len(os.listdir(f"/proc/{pid}/fd"))
 
 
-def send_request(address: str, data: bytes) -> bytes:
+def send_request(address: str, data: bytes, tls_context: Any = None) -> bytes:
     """Send one request on a new connection; return the response, empty if there is none."""
     ip, _colon, port = address.rpartition(":")
     received = b""
@@ -159,6 +168,8 @@
     except OSError:
         return b""
     try:
+        if tls_context is not None:
+            connection = tls_context.wrap_socket(connection)
         connection.sendall(data)
         while more := connection.recv(len(PIECE)):
             received += more
@@ -169,12 +180,12 @@
     return received
 
 
-def is_answered(address: str, data: bytes, status: int) -> bool:
+def is_answered(address: str, data: bytes, status: int, tls_context: Any = None) -> bool:
     """Repeat a request until it gets a status; return whether it did in time."""
     deadline = monotonic_seconds() + ORDINARY_SECONDS
     expected = b"HTTP/1.1 %d " % status
     while monotonic_seconds() < deadline:
-        if send_request(address, data).startswith(expected):
+        if send_request(address, data, tls_context).startswith(expected):
             return True
         gevent.sleep(RETRY_SECONDS)
     return False
