runtime: requests that never arrive completely don't delay a stop

Seen by callers: a gateway that got SIGTERM while clients stood still in the middle of their bodies took 8.6 s, longer than its grace period of 8 s, so the platform killed it.

Cause: the host waited up to 5 s for busy connections after the reducer had stopped, also for requests that it would only reject once they were complete.

Change: it rejects them at once with 503, Retry-After 0 and the mark that they have not run, and waits for the others as before.

Evidence: the same crowd: 3.6 s, of which 2.5 s are the drain. tests/runtime/test_host_stop.py fails before in all three new cases.

--- a/src/merlinstand/runtime/host.py
+++ b/src/merlinstand/runtime/host.py
@@ -40,7 +40,7 @@
 from merlinstand.runtime.host_settings import HostSettings
 from merlinstand.runtime.http_client import HttpClient
 from merlinstand.runtime.http_connection import ConnectionPool
-from merlinstand.runtime.http_endpoint import HttpEndpoint
+from merlinstand.runtime.http_endpoint import HttpEndpoint, stopping_error
 from merlinstand.runtime.http_server import EndpointServer
 from merlinstand.runtime.kept_bytes import BufferBudget, SlowReader, buffer_limit_bytes
 from merlinstand.runtime.load_watch import LoadMonitor
@@ -228,6 +228,10 @@
         gevent.sleep(FLUSH_POLL_INTERVAL_SECONDS)
         for server in self._servers:
             server.close()
+        # They would be rejected once they are complete, which clients may put off.
+        rejected = self._request_budget.end_arriving(stopping_error())
+        if rejected:
+            self.log.write("host.arriving_requests_rejected", {"requests": rejected})
         with gevent.Timeout(FLUSH_TIMEOUT_SECONDS, False):
             while any(server.busy for server in self._servers):
                 gevent.sleep(FLUSH_POLL_INTERVAL_SECONDS)
--- a/src/merlinstand/runtime/http_endpoint.py
+++ b/src/merlinstand/runtime/http_endpoint.py
@@ -155,7 +155,7 @@
             _refuse(resp, body)
             return
         if self.closing:
-            _refuse(resp, _stopping_error())
+            _refuse(resp, stopping_error())
             return
         if is_disconnected(environ[SOCKET_KEY]):
             # The client disconnected before its request was read: do not run it.
@@ -230,11 +230,12 @@
             return SlowRequestError(detail="request body came too slowly")
         except GreenletExit:
             # The process closes its connections. This request has not reached the reducer.
-            return _stopping_error()
+            return stopping_error()
         except (OSError, ValueError):
             return TruncatedBodyError(detail="request body ended early or is malformed")
         finally:
             environ[WATCHDOG_KEY].clear_limit()
+            usage.end_arrival()
 
 
 class _StreamedBody:
@@ -282,7 +283,8 @@
             response.append_header(name, value)
 
 
-def _stopping_error() -> StoppingError:
+def stopping_error() -> StoppingError:
+    """Return the error of requests that are rejected because the process stops."""
     return StoppingError(
         detail="this process is stopping", retry_after_seconds=STOPPING_RETRY_AFTER_SECONDS
     )
--- a/src/merlinstand/runtime/http_server.py
+++ b/src/merlinstand/runtime/http_server.py
@@ -251,6 +251,7 @@
 
     def _refuse(self, error: MerlinstandError) -> Any:
         """Return an error response to the base class, which sends it and closes the connection."""
+        self._usage.end_arrival()
         self._watchdog.set_limit(
             self.server.limits.response_write_timeout_seconds, SlowReceiverError
         )
--- a/src/merlinstand/runtime/request_budget.py
+++ b/src/merlinstand/runtime/request_budget.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from merlinstand.common.boot_clock import boot_seconds
+from merlinstand.common.errors import MerlinstandError
 from merlinstand.decisions.return_order import ReturnOrder
 from merlinstand.runtime.errors import NoRoomError
 from merlinstand.runtime.host_settings import HttpLimits
@@ -221,6 +222,19 @@
             self._close_resting(group)
         self._make_room(Reason.SMALL_REQUESTS, lambda: self._small_fits(0))
 
+    def end_arriving(self, error: MerlinstandError) -> int:
+        """Reject the requests that are still arriving, because the process stops.
+
+        Returns:
+            Their number.
+        """
+        arriving = [usage for usage in self._usages if usage.is_arriving]
+        for usage in arriving:
+            usage.evicted_with = error
+            usage.close()
+            usage.end_connection()
+        return len(arriving)
+
     def remove(self, usage: "ConnectionUsage") -> None:
         """Stop counting an open connection; only `ConnectionUsage` calls this."""
         del self._usages[usage]
@@ -394,6 +408,7 @@
         "evicted_with",
         "group",
         "has_unread",
+        "is_arriving",
         "is_closed",
         "is_growing",
         "is_running",
@@ -415,13 +430,15 @@
         self.peer = peer
         self.end_connection = end_connection
         self.has_unread = has_unread
+        self.is_arriving = False
+        """Whether a request has begun to arrive and is neither complete nor rejected."""
         self.is_running = False
         """Whether the request has reached the reducer, so that it must not be closed here."""
         self.is_growing = False
         """Whether the length of the large body is unknown."""
         self.is_closed = False
-        self.evicted_with: NoRoomError | None = None
-        """The error for the client, if it was closed because others needed the room."""
+        self.evicted_with: MerlinstandError | None = None
+        """The error for the client, if the connection was closed here before its request ran."""
         self.body_bytes = 0
         """Bytes reserved for a large body; 0 for a small one."""
         self.moved_bytes = 0
@@ -444,15 +461,16 @@
 
     def begin_request(self) -> None:
         """Start a request: its first byte has arrived."""
+        self.is_arriving = True
         self._started_at = self.progress_at = self._budget.now()
         self.moved_bytes = self._moved_before = 0
 
-    def add_head(self, size_bytes: int) -> NoRoomError | None:
+    def add_head(self, size_bytes: int) -> MerlinstandError | None:
         """Count bytes of a head that have arrived; returns an error if there is no room."""
         self.record_arrived(size_bytes)
         return self.add_small(size_bytes)
 
-    def add_small(self, size_bytes: int) -> NoRoomError | None:
+    def add_small(self, size_bytes: int) -> MerlinstandError | None:
         """Count bytes of a head or a small body; returns an error if there is no room."""
         if self.is_closed:
             return self.evicted_with
@@ -461,7 +479,7 @@
             self._small_request_bytes += size_bytes
         return error
 
-    def reserve_body(self, size_bytes: int, is_final: bool) -> NoRoomError | None:
+    def reserve_body(self, size_bytes: int, is_final: bool) -> MerlinstandError | None:
         """Reserve room for a large body; returns an error if there is no room.
 
         Args:
@@ -486,7 +504,11 @@
             self._moved_before = self.moved_bytes
             self.progress_at = self._budget.now()
 
-    def record_complete(self, size_bytes: int) -> NoRoomError | None:
+    def end_arrival(self) -> None:
+        """Record that the request has arrived completely, or was rejected before."""
+        self.is_arriving = False
+
+    def record_complete(self, size_bytes: int) -> MerlinstandError | None:
         """Record that the body, of this size, has arrived and is passed to the reducer.
 
         Returns:
@@ -512,7 +534,7 @@
             seconds = self.progress_at - self._started_at
             self._budget.release_large(self, seconds if self.is_running else None)
             self.body_bytes = 0
-        self.is_running = self.is_growing = False
+        self.is_arriving = self.is_running = self.is_growing = False
 
     def close(self) -> None:
         """Stop counting the connection, which has ended or is being closed."""
--- a/tests/runtime/test_host_stop.py
+++ b/tests/runtime/test_host_stop.py
@@ -9,10 +9,13 @@
 
 from merlinstand.kernel.effects import Effect, Respond, StopProcess
 from merlinstand.kernel.events import Event, RequestReceived, StopRequested
+from merlinstand.runtime.host_settings import HttpLimits
 from tests.runtime.conftest import TEST_TIMEOUT_SECONDS, connect, read_to_end
 
 HEAD = b"POST /%s HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\n"
+CHUNKED_HEAD = b"POST /x HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
 BODY = b"body"
+NEVER_SECONDS = 100 * TEST_TIMEOUT_SECONDS
 
 
 def stop_at_once(event: Event) -> Sequence[Effect]:
@@ -106,3 +109,35 @@
     answer = connection.recv(65536)
     assert answer.startswith(b"HTTP/1.1 503 ")
     assert b"\r\nretry-after: 0\r\n" in answer.lower()
+
+
+@pytest.mark.parametrize(
+    "sent",
+    [
+        pytest.param(b"POST", id="half a head"),
+        pytest.param(HEAD % b"late" + BODY[:1], id="half a body"),
+        pytest.param(
+            b"POST /x HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx", id="half a chunk"
+        ),
+    ],
+)
+def test_a_client_that_never_completes_its_request_does_not_delay_the_stop(
+    run_reducer: Any, monkeypatch: pytest.MonkeyPatch, sent: bytes
+) -> None:
+    """With a crowd of them a gateway took longer than its grace period, and was killed."""
+    monkeypatch.setattr(
+        "merlinstand.runtime.host.FLUSH_TIMEOUT_SECONDS", 100 * TEST_TIMEOUT_SECONDS
+    )
+    limits = HttpLimits(request_read_timeout_seconds=100 * TEST_TIMEOUT_SECONDS)
+    host, reducer = run_reducer(stop_at_once, http_limits=limits)
+    connection = connect(host.http_address)
+    connection.sendall(HEAD % b"answered" + BODY)
+    reducer.sink.wait_for(RequestReceived)
+    connection.recv(65536)
+    connection.sendall(sent)
+    gevent.sleep(0.05)
+    stopping = stop(host)
+    assert read_to_end(connection).startswith(b"HTTP/1.1 503 ")
+    connection.close()
+    stopping.join(TEST_TIMEOUT_SECONDS)
+    assert stopping.ready()
