runtime: the allocator is set up only in processes that get blocks of 1 MiB

Cause: the module for it takes memory and start time, and batch jobs of over 64 KiB are usual at gateways.

--- a/src/merlinstand/runtime/allocator.py
+++ b/src/merlinstand/runtime/allocator.py
@@ -12,6 +12,14 @@
 """Parameters of glibc's `mallopt`, the same on all its platforms."""
 MAPPING_THRESHOLD_BYTES = 256 * 1024
 """Larger blocks are mapped separately, so that their memory is returned when they are freed."""
+LARGE_BLOCK_BYTES = 1024 * 1024
+"""The allocator's default is kept until the process gets a block of this size."""
+
+
+def prepare_for_block(size_bytes: int) -> None:
+    """Make the allocator return the memory of large blocks, if this is the size of one."""
+    if size_bytes >= LARGE_BLOCK_BYTES:
+        return_large_blocks()
 
 
 @functools.cache
--- a/src/merlinstand/runtime/http_input.py
+++ b/src/merlinstand/runtime/http_input.py
@@ -14,7 +14,7 @@
 from gevent.pywsgi import Input
 
 from merlinstand.common.errors import BodyTooLargeError, HeadTooLargeError, MerlinstandError
-from merlinstand.runtime.allocator import return_large_blocks
+from merlinstand.runtime.allocator import prepare_for_block
 from merlinstand.runtime.http_headers import MAXIMUM_HEAD_BYTES, TOKEN
 from merlinstand.runtime.request_budget import SMALL_BODY_BYTES, ConnectionUsage
 
@@ -109,7 +109,7 @@
         error = usage.reserve_body(length, is_final=True)
         if error is not None:
             return error
-        return_large_blocks()
+        prepare_for_block(length)
         self._send_100_continue()
         body = BytesIO()
         while body.tell() < length:
@@ -210,7 +210,7 @@
     if reservation_bytes <= SMALL_BODY_BYTES:
         error = usage.add_small(reservation_bytes - reserved_bytes)
     else:
-        return_large_blocks()
+        prepare_for_block(reservation_bytes)
         error = usage.reserve_body(reservation_bytes, is_final=False)
     if error is not None:
         raise NoRoomForBodyError(error)
--- a/src/merlinstand/runtime/transport.py
+++ b/src/merlinstand/runtime/transport.py
@@ -18,7 +18,7 @@
 from merlinstand.protocol.codec import decode_message, encode_message
 from merlinstand.protocol.generated.control.ttypes import Hello
 from merlinstand.runtime.addresses import parse_address, require_address
-from merlinstand.runtime.allocator import return_large_blocks
+from merlinstand.runtime.allocator import prepare_for_block
 from merlinstand.runtime.dialing import enable_keepalive
 from merlinstand.runtime.end_watcher import has_unread
 from merlinstand.runtime.frames import FrameReader, encode_frame
@@ -321,7 +321,7 @@
     if frame_bytes <= SMALL_BODY_BYTES:
         error = usage.add_small(frame_bytes)
     else:
-        return_large_blocks()
+        prepare_for_block(frame_bytes)
         error = usage.reserve_body(frame_bytes, is_final=True)
     if error is not None:
         raise InboundRefusedError(error.detail)
