runtime: limits on requests close in batches, and give back a refused body's room at once

Cause, found by reading: with nearly all connections taken, each new one searched and sorted all others to close one. A refused request kept its room while it lingered, up to a second. A growing body rejected those behind it even where that didn't make room for it. All small requests that were refused were told the same time to come back.

Change: a search frees 1/32 of the limit more than is needed; the room is given back when the request is refused; bodies behind are rejected only if that makes room; small requests return in the order of their rejection, too. Connections that had a request served stay longer than those that never had one.

--- a/src/merlinstand/runtime/http_endpoint.py
+++ b/src/merlinstand/runtime/http_endpoint.py
@@ -150,8 +150,11 @@
             # connections, so that health checks there fail too.
             _refuse(resp, NotAcceptingError(detail="no new connections are taken"))
             return
+        usage: ConnectionUsage = environ[USAGE_KEY]
         body = self._read_body(environ)
         if isinstance(body, MerlinstandError):
+            # What has arrived was dropped; the client may take a second to read the response.
+            usage.end_request()
             _refuse(resp, body)
             return
         if self.closing:
@@ -160,7 +163,6 @@
         if is_disconnected(environ[SOCKET_KEY]):
             # The client disconnected before its request was read: do not run it.
             raise BrokenResponseError
-        usage: ConnectionUsage = environ[USAGE_KEY]
         evicted_with = usage.record_complete(len(body))
         if evicted_with is not None:
             _refuse(resp, evicted_with)
--- a/src/merlinstand/runtime/request_budget.py
+++ b/src/merlinstand/runtime/request_budget.py
@@ -8,7 +8,7 @@
 """
 
 import enum
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 
 import msgspec
 
@@ -49,12 +49,15 @@
 """Progress of a large body is at least this; any byte is progress of a small one."""
 CONNECTION_RESERVE_FRACTION = 1 / 16
 """Fraction of the maximum connections that is kept free by closing resting ones."""
+CLOSING_BATCH_FRACTION = 1 / 32
+"""When connections are closed for others, this fraction of the limit is freed besides, so that not
+every new connection causes a search."""
 CHECK_INTERVAL_SECONDS = 0.1
 """Minimum interval between two searches for clients to close, if the last one found none."""
 SMALL_RETRY_SECONDS = 0.1
-"""Smallest Retry-After of a small request, and the assumed time that small requests need."""
-LARGE_RETRY_SECONDS = 1.0
-"""The assumed time that large bodies need."""
+"""Smallest Retry-After of a small request."""
+USUAL_SECONDS = 1.0
+"""How long requests that fill their room are assumed to occupy it."""
 
 
 class RequestLimits(msgspec.Struct, frozen=True):
@@ -135,7 +138,7 @@
 class ConnectionGroup:
     """The connections of one listening address."""
 
-    __slots__ = ("count", "limit")
+    __slots__ = ("count", "limit", "target")
 
     def __init__(self, maximum_connections: int) -> None:
         """Start without connections.
@@ -146,6 +149,8 @@
         self.count = 0
         self.limit = maximum_connections * (1 - CONNECTION_RESERVE_FRACTION)
         """Above it, resting connections are closed."""
+        self.target = self.limit - maximum_connections * CLOSING_BATCH_FRACTION
+        """How many may be left then."""
 
 
 class RequestBudget:
@@ -178,8 +183,8 @@
         """Connections with a large body; at most as many as fit."""
         self._next_search_at = dict.fromkeys(Reason, 0.0)
         self._returns = {
-            Reason.SMALL_REQUESTS: ReturnOrder(SMALL_RETRY_SECONDS, SMALL_RETRY_SECONDS),
-            Reason.LARGE_BODIES: ReturnOrder(GRACE_SECONDS, LARGE_RETRY_SECONDS),
+            Reason.SMALL_REQUESTS: ReturnOrder(SMALL_RETRY_SECONDS, USUAL_SECONDS),
+            Reason.LARGE_BODIES: ReturnOrder(GRACE_SECONDS, USUAL_SECONDS),
         }
 
     @property
@@ -219,8 +224,11 @@
     def check(self) -> None:
         """Close clients without progress as long as connections or small bytes are short."""
         for group in self._groups:
-            self._close_resting(group)
-        self._make_room(Reason.SMALL_REQUESTS, lambda: self._small_fits(0))
+            if group.count > group.limit:
+                self._close_resting(group)
+        if not self._small_fits(0):
+            batch_bytes = int(CLOSING_BATCH_FRACTION * self.limits.small_bytes)
+            self._make_room(Reason.SMALL_REQUESTS, lambda: self._small_fits(batch_bytes))
 
     def end_arriving(self, error: MerlinstandError) -> int:
         """Reject the requests that are still arriving, because the process stops.
@@ -243,10 +251,11 @@
 
     def add_small(self, usage: "ConnectionUsage", size_bytes: int) -> NoRoomError | None:
         """Count bytes of a small request, or return an error; only `ConnectionUsage` calls this."""
-        if not self._small_fits(size_bytes) and not self._make_room(
-            Reason.SMALL_REQUESTS, lambda: self._small_fits(size_bytes), usage
-        ):
-            return self._refuse(usage, Reason.SMALL_REQUESTS, size_bytes)
+        if not self._small_fits(size_bytes):
+            batch_bytes = size_bytes + int(CLOSING_BATCH_FRACTION * self.limits.small_bytes)
+            self._make_room(Reason.SMALL_REQUESTS, lambda: self._small_fits(batch_bytes), usage)
+            if not self._small_fits(size_bytes):
+                return self._refuse(usage, Reason.SMALL_REQUESTS, size_bytes)
         self.small_bytes += size_bytes
         return None
 
@@ -260,9 +269,8 @@
         def fits() -> bool:
             return self._large_fits(usage, size_bytes)
 
-        has_room = self._make_room(Reason.LARGE_BODIES, fits, usage) or self._reject_least_moved(
-            usage, fits
-        )
+        has_room = self._make_room(Reason.LARGE_BODIES, fits, usage)
+        has_room = has_room or self._reject_least_moved(usage, size_bytes)
         if not has_room:
             return self._refuse(usage, Reason.LARGE_BODIES, usage.body_bytes + size_bytes)
         self.large_bytes += size_bytes
@@ -297,16 +305,24 @@
         return not limit or self.small_bytes + size_bytes <= limit
 
     def _close_resting(self, group: ConnectionGroup) -> None:
-        self._make_room(Reason.CONNECTIONS, lambda: group.count <= group.limit, group=group)
+        self._make_room(Reason.CONNECTIONS, lambda: group.count <= group.target, group=group)
 
-    def _large_fits(self, usage: "ConnectionUsage", size_bytes: int) -> bool:
+    def _large_fits(
+        self,
+        usage: "ConnectionUsage",
+        size_bytes: int,
+        without: "Collection[ConnectionUsage]" = (),
+    ) -> bool:
+        """Return whether a body may take more bytes, if some others are closed."""
         limit = self.limits.large_bytes
-        others = [other.body_bytes for other in self._large if other is not usage]
+        others = [
+            other.body_bytes for other in self._large if other is not usage and other not in without
+        ]
         if not limit or not others:
             return True
-        largest = max(usage.body_bytes + size_bytes, *others)
-        needed = self.large_bytes + size_bytes + self.limits.body_copies * largest
-        return needed <= limit
+        own_bytes = usage.body_bytes + size_bytes
+        largest = max(own_bytes, *others)
+        return own_bytes + sum(others) + self.limits.body_copies * largest <= limit
 
     def _large_share(self, size_bytes: int) -> float:
         limit = self.limits.large_bytes
@@ -354,15 +370,20 @@
             found = [usage for usage in found if usage not in self._large]
         return sorted(found, key=lambda usage: usage.closing_priority(now), reverse=True)
 
-    def _reject_least_moved(self, usage: "ConnectionUsage", fits: Callable[[], bool]) -> bool:
-        growing = [other for other in self._large if other.is_growing and not other.is_running]
-        for other in sorted(growing, key=lambda other: other.moved_bytes):
-            if other is usage or other.moved_bytes >= usage.moved_bytes:
-                break
+    def _reject_least_moved(self, usage: "ConnectionUsage", size_bytes: int) -> bool:
+        """Reject growing bodies that have moved less than this one, if that makes room for it."""
+        behind = [
+            other
+            for other in self._large
+            if other.is_growing and not other.is_running and other.moved_bytes < usage.moved_bytes
+        ]
+        if not self._large_fits(usage, size_bytes, behind):
+            return False
+        for other in sorted(behind, key=lambda other: other.moved_bytes):
             self._close(other, Reason.LARGE_BODIES, self.now())
-            if fits():
-                return True
-        return False
+            if self._large_fits(usage, size_bytes):
+                break
+        return True
 
     def _close(self, usage: "ConnectionUsage", reason: Reason, now: float) -> None:
         decision = Decision(
@@ -382,13 +403,11 @@
 
     def _no_room(self, reason: Reason, size_bytes: int) -> NoRoomError:
         if reason is Reason.LARGE_BODIES:
-            share, held, limit = (
-                self._large_share(size_bytes),
-                self.large_bytes,
-                self.limits.large_bytes,
-            )
+            held, limit = self.large_bytes, self.limits.large_bytes
+            share = self._large_share(size_bytes)
         else:
-            share, held, limit = 0.0, self.small_bytes, self.limits.small_bytes
+            held, limit = self.small_bytes, self.limits.small_bytes
+            share = (CONNECTION_BYTES + size_bytes) / limit if limit else 0.0
             reason = Reason.SMALL_REQUESTS
         seconds = self._returns[reason].retry_after_seconds(self.now(), share)
         detail = f"no room for {size_bytes} bytes: {held} of {limit} bytes are in use"
@@ -407,6 +426,7 @@
         "end_connection",
         "evicted_with",
         "group",
+        "has_served",
         "has_unread",
         "is_arriving",
         "is_closed",
@@ -430,6 +450,8 @@
         self.peer = peer
         self.end_connection = end_connection
         self.has_unread = has_unread
+        self.has_served = False
+        """Whether a request of this connection has reached the reducer and ended."""
         self.is_arriving = False
         """Whether a request has begun to arrive and is neither complete nor rejected."""
         self.is_running = False
@@ -455,9 +477,12 @@
         """Everything that is counted for this connection."""
         return CONNECTION_BYTES + self._small_request_bytes + self.body_bytes
 
-    def closing_priority(self, now: float) -> float:
-        """Return the sort key: bytes held times the time without progress."""
-        return self.held_bytes * (now - self.progress_at)
+    def closing_priority(self, now: float) -> tuple[bool, float]:
+        """Return the sort key: no request served yet, then bytes held times time without progress.
+
+        A connection whose earlier requests were served rests longer than one that never sent any.
+        """
+        return not self.has_served, self.held_bytes * (now - self.progress_at)
 
     def begin_request(self) -> None:
         """Start a request: its first byte has arrived."""
@@ -534,6 +559,7 @@
             seconds = self.progress_at - self._started_at
             self._budget.release_large(self, seconds if self.is_running else None)
             self.body_bytes = 0
+        self.has_served |= self.is_running
         self.is_arriving = self.is_running = self.is_growing = False
 
     def close(self) -> None:
