forwarding: a batch call that finds no room at a keeper is rejected at once

Seen by callers: a job whose body the leading keeper had no room for was repeated every 0.1 s for 3 s, and only then got its 503.

Cause: the relay took every 503 for that of a stopping keeper, whose calls belong to another one.

Change: a rejection with a Retry-After above 0 ends the call with that Retry-After. A stopping keeper says 0, and its calls go to another keeper as before.

Evidence: tests/forwarding/test_batch_relay.py; the new test fails before (found by reading the diff).

--- a/src/merlinstand/forwarding/batch_relay.py
+++ b/src/merlinstand/forwarding/batch_relay.py
@@ -165,8 +165,11 @@
         try:
             reply = decode_reply(event.body)
         except DECODE_ERRORS:
-            # A stopping keeper rejects calls with 503 before they reach its reducer.
+            # A keeper that stops or has no room rejects calls before they reach its reducer.
             is_rejection = event.status == HTTPStatus.SERVICE_UNAVAILABLE
+            retry_after = _retry_after_seconds(event.headers) if is_rejection else 0.0
+            if retry_after > 0.0:
+                return self._fail(pending, retry_after)
             return self._after_failure(pending, not is_rejection, now)
         return self._on_reply(pending, reply, now)
 
@@ -306,3 +309,11 @@
 
 def _without_items(call: SubmitJob) -> SubmitJob:
     return msgspec.structs.replace(call, job=msgspec.structs.replace(call.job, items=()))
+
+
+def _retry_after_seconds(headers: dict[str, str]) -> float:
+    """Return the Retry-After of a rejection; 0 if another process may be asked at once."""
+    try:
+        return max(0.0, float(headers.get("retry-after", "0")))
+    except ValueError:
+        return 0.0
--- a/src/merlinstand/runtime/http_server.py
+++ b/src/merlinstand/runtime/http_server.py
@@ -133,14 +133,14 @@
 
 
 class EvictedError(OSError):
-    """The connection is closed because its client makes no progress and others need the room.
+    """The connection is closed before its request has run; `ConnectionUsage.evicted_with` says why.
 
     Its errno is `EPIPE`, for which pywsgi closes the connection without logging.
     """
 
     def __init__(self) -> None:
         """Create the error."""
-        super().__init__(errno.EPIPE, "client makes no progress and others need the room")
+        super().__init__(errno.EPIPE, "connection closed before its request was complete")
 
 
 class SlowReceiverError(OSError):
--- a/tests/forwarding/test_batch_relay.py
+++ b/tests/forwarding/test_batch_relay.py
@@ -88,3 +88,13 @@
     [finished] = relay.take_finished()
     assert isinstance(finished.reply, BatchFailure)
     assert finished.reply.may_have_run is may_have_run
+
+
+def test_a_call_that_finds_no_room_at_a_keeper_is_rejected_at_once() -> None:
+    """It was repeated until its deadline."""
+    relay = make_relay(*KEEPERS)
+    [call] = relay.begin(RequestId("r"), EndJob("j"), 0.0)
+    assert isinstance(call, StartCall)
+    relay.on_call(CallResponded(call.call_id, 503, {"retry-after": "1.5"}, b"{}"), 0.1)
+    [finished] = relay.take_finished()
+    assert finished.reply == BatchFailure(False, 1.5)
