--- a/src/merlinstand/runtime/host.py
+++ b/src/merlinstand/runtime/host.py
@@ -49,11 +49,8 @@
 from merlinstand.runtime.performer import EffectPerformer
 from merlinstand.runtime.record_writer import RecordWriter
 from merlinstand.runtime.request_bounds import RequestBounds
-from merlinstand.runtime.request_budget import (
-    RequestBudget,
-    peer_limits,
-    request_limits,
-)
+from merlinstand.runtime.request_budget import RequestBudget
+from merlinstand.runtime.request_limits import peer_limits, request_limits
 from merlinstand.runtime.timers import Timers
 from merlinstand.runtime.tls import TlsContexts
 from merlinstand.runtime.traffic import TrafficCounters
--- a/src/merlinstand/runtime/http_endpoint.py
+++ b/src/merlinstand/runtime/http_endpoint.py
@@ -27,6 +27,7 @@
 )
 from merlinstand.common.ids import RequestId
 from merlinstand.kernel.events import Event, RequestAborted, RequestReceived
+from merlinstand.runtime.connection_usage import ConnectionUsage
 from merlinstand.runtime.end_watcher import DisconnectWatcher, is_disconnected
 from merlinstand.runtime.errors import (
     MalformedRequestError,
@@ -52,7 +53,6 @@
 from merlinstand.runtime.kept_bytes import ConnectionBuffer
 from merlinstand.runtime.metrics import CONTENT_TYPE, Metrics
 from merlinstand.runtime.request_bounds import RequestBounds
-from merlinstand.runtime.request_budget import ConnectionUsage
 
 _FRAMING_HEADERS = frozenset(("content-length", "content-type", "date", "server"))
 
--- a/src/merlinstand/runtime/http_input.py
+++ b/src/merlinstand/runtime/http_input.py
@@ -15,8 +15,9 @@
 
 from merlinstand.common.errors import BodyTooLargeError, HeadTooLargeError, MerlinstandError
 from merlinstand.runtime.allocator import prepare_for_block
+from merlinstand.runtime.connection_usage import ConnectionUsage
 from merlinstand.runtime.http_headers import MAXIMUM_HEAD_BYTES, TOKEN
-from merlinstand.runtime.request_budget import SMALL_BODY_BYTES, ConnectionUsage
+from merlinstand.runtime.request_budget import SMALL_BODY_BYTES
 
 PIECE_BYTES = 64 * 1024
 """Maximum size of one read of a body."""
--- a/src/merlinstand/runtime/request_budget.py
+++ b/src/merlinstand/runtime/request_budget.py
@@ -1,7 +1,6 @@
 """Limits what unfinished requests of clients make a process hold (docs/design/client-limits.md).
 
-`RequestBudget` keeps the sums of a process. `ConnectionUsage` counts one connection: its fixed
-cost, the head and body of its current request, and when its client last made progress. Small
+`RequestBudget` keeps the sums of a process; `connection_usage` counts one connection. Small
 requests and large bodies have separate limits. If room is short, clients without progress are
 closed, most bytes times time first; requests that have reached the reducer are never closed here.
 Bytes of responses are counted by `kept_bytes`.
@@ -15,43 +14,22 @@
 from merlinstand.common.boot_clock import boot_seconds
 from merlinstand.common.errors import MerlinstandError
 from merlinstand.decisions.return_order import ReturnOrder
+from merlinstand.runtime.connection_usage import (
+    CLOSING_BATCH_FRACTION,
+    CONNECTION_BYTES,
+    ConnectionGroup,
+    ConnectionUsage,
+)
 from merlinstand.runtime.errors import NoRoomError
-from merlinstand.runtime.host_settings import HttpLimits
-from merlinstand.runtime.kept_bytes import BASE_PROCESS_BYTES
-
-SMALL_SHARE = 0.25
-"""Share of the memory above `BASE_PROCESS_BYTES` for connections, heads and small bodies."""
-LARGE_SHARE = 0.30
-"""Share for large bodies."""
-SMALL_PEER_SHARE = 0.10
-"""Share for connections of peers and their small messages that are arriving."""
-LARGE_PEER_SHARE = 0.10
-"""Share for large messages of peers that are arriving."""
-MESSAGE_COPIES = 1.0
-"""A large message is copied once when it is complete."""
+from merlinstand.runtime.request_limits import RequestLimits
+
 CALM_BYTES = 8_000_000
 """If the rest of a process holds no more than this, its only large body may be processed, however
 small the machine."""
-UNKNOWN_MEMORY_BYTES = 512_000_000
-"""Memory that is assumed if the settings don't give it."""
-MINIMUM_AVAILABLE_BYTES = 16_000_000
-"""Memory above the base that is assumed on the smallest machines."""
 SMALL_BODY_BYTES = 64 * 1024
 """Larger bodies count as large."""
-CONNECTION_BYTES = 20_000
-"""Memory of an open connection: its greenlet, handler, buffers and timer."""
 GRACE_SECONDS = 0.5
 """A client that made progress within this time is not closed."""
-PROGRESS_FRACTION = 1 / 32
-"""Progress is at least this fraction of the bytes held. Slower bodies would exceed the default read
-timeout."""
-MINIMUM_PROGRESS_BYTES = 64 * 1024
-"""Progress of a large body is at least this; any byte is progress of a small one."""
-CONNECTION_RESERVE_FRACTION = 1 / 16
-"""Fraction of the maximum connections that is kept free by closing resting ones."""
-CLOSING_BATCH_FRACTION = 1 / 32
-"""When connections are closed for others, this fraction of the limit is freed besides, so that not
-every new connection causes a search."""
 CHECK_INTERVAL_SECONDS = 0.1
 """Minimum interval between two searches for clients to close, if the last one found none."""
 SMALL_RETRY_SECONDS = 0.1
@@ -60,49 +38,6 @@
 """How long requests that fill their room are assumed to occupy it."""
 
 
-class RequestLimits(msgspec.Struct, frozen=True):
-    """Limits of one process; 0 selects no limit."""
-
-    small_bytes: int = 0
-    """Connections, heads and small bodies."""
-    large_bytes: int = 0
-    """Large bodies, with the copies of the largest while it is processed."""
-    body_copies: float = 0.0
-    """Memory that processing a large body needs besides the body, in multiples of its size."""
-    available_bytes: int = 0
-    """Everything that clients may make the process hold, and what processing needs."""
-
-
-def request_limits(settings: HttpLimits, body_copies: float = 0.0) -> RequestLimits:
-    """Return the limits of a process.
-
-    Args:
-        settings: Settings of its HTTP server.
-        body_copies: See `RequestLimits`.
-    """
-    available = available_bytes(settings.memory_bytes)
-    return RequestLimits(
-        settings.small_request_bytes or int(SMALL_SHARE * available),
-        settings.large_request_bytes or int(LARGE_SHARE * available),
-        body_copies,
-        available,
-    )
-
-
-def peer_limits(memory_bytes: int) -> RequestLimits:
-    """Return the limits for connections and messages of peers."""
-    available = available_bytes(memory_bytes)
-    return RequestLimits(
-        int(SMALL_PEER_SHARE * available), int(LARGE_PEER_SHARE * available), MESSAGE_COPIES
-    )
-
-
-def available_bytes(memory_bytes: int) -> int:
-    """Return the memory of a process above its base; an assumed one if the memory is unknown."""
-    known = memory_bytes if memory_bytes > 0 else UNKNOWN_MEMORY_BYTES
-    return max(MINIMUM_AVAILABLE_BYTES, known - BASE_PROCESS_BYTES)
-
-
 class Reason(enum.StrEnum):
     """Why a client was refused or closed; the text goes to the log and the metrics."""
 
@@ -135,24 +70,6 @@
     """Time since its last progress."""
 
 
-class ConnectionGroup:
-    """The connections of one listening address."""
-
-    __slots__ = ("count", "limit", "target")
-
-    def __init__(self, maximum_connections: int) -> None:
-        """Start without connections.
-
-        Args:
-            maximum_connections: How many the address accepts at most.
-        """
-        self.count = 0
-        self.limit = maximum_connections * (1 - CONNECTION_RESERVE_FRACTION)
-        """Above it, resting connections are closed."""
-        self.target = self.limit - maximum_connections * CLOSING_BATCH_FRACTION
-        """How many may be left then."""
-
-
 class RequestBudget:
     """Tracks and limits what the unfinished requests of one process hold."""
 
@@ -176,7 +93,7 @@
         self.small_bytes = 0
         self.large_bytes = 0
         self._on_decision = on_decision
-        self.now = clock
+        self._clock = clock
         self._usages: dict[ConnectionUsage, None] = {}
         self._groups: list[ConnectionGroup] = []
         self._large: dict[ConnectionUsage, None] = {}
@@ -192,6 +109,10 @@
         """Number of open connections."""
         return len(self._usages)
 
+    def now(self) -> float:
+        """Return local time in seconds."""
+        return self._clock()
+
     def add_group(self, maximum_connections: int) -> ConnectionGroup:
         """Add a listening address that accepts this many connections."""
         group = ConnectionGroup(maximum_connections)
@@ -204,7 +125,7 @@
         peer: str,
         close: Callable[[], None],
         has_unread: Callable[[], bool],
-    ) -> "ConnectionUsage":
+    ) -> ConnectionUsage:
         """Count a new connection, and close resting ones if there are too many.
 
         Args:
@@ -243,13 +164,13 @@
             usage.end_connection()
         return len(arriving)
 
-    def remove(self, usage: "ConnectionUsage") -> None:
+    def remove(self, usage: ConnectionUsage) -> None:
         """Stop counting an open connection; only `ConnectionUsage` calls this."""
         del self._usages[usage]
         usage.group.count -= 1
         self.small_bytes -= CONNECTION_BYTES
 
-    def add_small(self, usage: "ConnectionUsage", size_bytes: int) -> NoRoomError | None:
+    def add_small(self, usage: ConnectionUsage, size_bytes: int) -> NoRoomError | None:
         """Count bytes of a small request, or return an error; only `ConnectionUsage` calls this."""
         if not self._small_fits(size_bytes):
             batch_bytes = size_bytes + int(CLOSING_BATCH_FRACTION * self.limits.small_bytes)
@@ -259,7 +180,7 @@
         self.small_bytes += size_bytes
         return None
 
-    def add_large(self, usage: "ConnectionUsage", size_bytes: int) -> NoRoomError | None:
+    def add_large(self, usage: ConnectionUsage, size_bytes: int) -> NoRoomError | None:
         """Count bytes of a large body, or return an error; only `ConnectionUsage` calls this.
 
         If no client stands still, bodies without an announced length that have moved less than
@@ -277,7 +198,15 @@
         self._large[usage] = None
         return None
 
-    def admit_processing(self, usage: "ConnectionUsage") -> NoRoomError | None:
+    def release_small(self, size_bytes: int) -> None:
+        """Stop counting bytes of a small request; only `ConnectionUsage` calls this."""
+        self.small_bytes -= size_bytes
+
+    def shrink_large(self, size_bytes: int) -> None:
+        """Give back what a large body reserved and did not need."""
+        self.large_bytes -= size_bytes
+
+    def admit_processing(self, usage: ConnectionUsage) -> NoRoomError | None:
         """Return an error if there is no room to process a large body that has arrived."""
         limits = self.limits
         held_bytes = self.small_bytes + self.large_bytes + self._other_bytes()
@@ -287,7 +216,7 @@
             return None
         return self._refuse(usage, Reason.LARGE_BODIES, usage.body_bytes)
 
-    def release_large(self, usage: "ConnectionUsage", seconds: float | None) -> None:
+    def release_large(self, usage: ConnectionUsage, seconds: float | None) -> None:
         """Stop counting a large body; only `ConnectionUsage` calls this.
 
         Args:
@@ -309,9 +238,9 @@
 
     def _large_fits(
         self,
-        usage: "ConnectionUsage",
+        usage: ConnectionUsage,
         size_bytes: int,
-        without: "Collection[ConnectionUsage]" = (),
+        without: Collection[ConnectionUsage] = (),
     ) -> bool:
         """Return whether a body may take more bytes, if some others are closed."""
         limit = self.limits.large_bytes
@@ -332,7 +261,7 @@
         self,
         reason: Reason,
         fits: Callable[[], bool],
-        usage: "ConnectionUsage | None" = None,
+        usage: ConnectionUsage | None = None,
         group: ConnectionGroup | None = None,
     ) -> bool:
         """Close clients without progress until there is room; return whether there is.
@@ -358,7 +287,7 @@
         self._next_search_at[reason] = now + CHECK_INTERVAL_SECONDS
         return False
 
-    def _closable(self, reason: Reason, now: float) -> "list[ConnectionUsage]":
+    def _closable(self, reason: Reason, now: float) -> list[ConnectionUsage]:
         among = self._large if reason is Reason.LARGE_BODIES else self._usages
         found = [
             usage
@@ -370,7 +299,7 @@
             found = [usage for usage in found if usage not in self._large]
         return sorted(found, key=lambda usage: usage.closing_priority(now), reverse=True)
 
-    def _reject_least_moved(self, usage: "ConnectionUsage", size_bytes: int) -> bool:
+    def _reject_least_moved(self, usage: ConnectionUsage, size_bytes: int) -> bool:
         """Reject growing bodies that have moved less than this one, if that makes room for it."""
         behind = [
             other
@@ -385,7 +314,7 @@
                 break
         return True
 
-    def _close(self, usage: "ConnectionUsage", reason: Reason, now: float) -> None:
+    def _close(self, usage: ConnectionUsage, reason: Reason, now: float) -> None:
         decision = Decision(
             Action.CLOSED, reason, usage.peer, usage.held_bytes, now - usage.progress_at
         )
@@ -396,7 +325,7 @@
         usage.end_connection()
         self._on_decision(decision)
 
-    def _refuse(self, usage: "ConnectionUsage", reason: Reason, size_bytes: int) -> NoRoomError:
+    def _refuse(self, usage: ConnectionUsage, reason: Reason, size_bytes: int) -> NoRoomError:
         idle_seconds = self.now() - usage.progress_at
         self._on_decision(Decision(Action.REFUSED, reason, usage.peer, size_bytes, idle_seconds))
         return self._no_room(reason, size_bytes)
@@ -412,159 +341,3 @@
         seconds = self._returns[reason].retry_after_seconds(self.now(), share)
         detail = f"no room for {size_bytes} bytes: {held} of {limit} bytes are in use"
         return NoRoomError(detail=detail, retry_after_seconds=round(seconds, 3))
-
-
-class ConnectionUsage:
-    """Counts what one connection holds."""
-
-    __slots__ = (
-        "_budget",
-        "_moved_before",
-        "_small_request_bytes",
-        "_started_at",
-        "body_bytes",
-        "end_connection",
-        "evicted_with",
-        "group",
-        "has_served",
-        "has_unread",
-        "is_arriving",
-        "is_closed",
-        "is_growing",
-        "is_running",
-        "moved_bytes",
-        "peer",
-        "progress_at",
-    )
-
-    def __init__(
-        self,
-        budget: RequestBudget,
-        group: ConnectionGroup,
-        peer: str,
-        end_connection: Callable[[], None],
-        has_unread: Callable[[], bool],
-    ) -> None:
-        """Create the usage of a new connection; see `RequestBudget.open_connection`."""
-        self.group = group
-        self.peer = peer
-        self.end_connection = end_connection
-        self.has_unread = has_unread
-        self.has_served = False
-        """Whether a request of this connection has reached the reducer and ended."""
-        self.is_arriving = False
-        """Whether a request has begun to arrive and is neither complete nor rejected."""
-        self.is_running = False
-        """Whether the request has reached the reducer, so that it must not be closed here."""
-        self.is_growing = False
-        """Whether the length of the large body is unknown."""
-        self.is_closed = False
-        self.evicted_with: MerlinstandError | None = None
-        """The error for the client, if the connection was closed here before its request ran."""
-        self.body_bytes = 0
-        """Bytes reserved for a large body; 0 for a small one."""
-        self.moved_bytes = 0
-        """Bytes of the current request that have arrived."""
-        self.progress_at = budget.now()
-        self._budget = budget
-        self._moved_before = 0
-        """`moved_bytes` at the last progress."""
-        self._small_request_bytes = 0
-        self._started_at = self.progress_at
-
-    @property
-    def held_bytes(self) -> int:
-        """Everything that is counted for this connection."""
-        return CONNECTION_BYTES + self._small_request_bytes + self.body_bytes
-
-    def closing_priority(self, now: float) -> tuple[bool, float]:
-        """Return the sort key: no request served yet, then bytes held times time without progress.
-
-        A connection whose earlier requests were served rests longer than one that never sent any.
-        """
-        return not self.has_served, self.held_bytes * (now - self.progress_at)
-
-    def begin_request(self) -> None:
-        """Start a request: its first byte has arrived."""
-        self.is_arriving = True
-        self._started_at = self.progress_at = self._budget.now()
-        self.moved_bytes = self._moved_before = 0
-
-    def add_head(self, size_bytes: int) -> MerlinstandError | None:
-        """Count bytes of a head that have arrived; returns an error if there is no room."""
-        self.record_arrived(size_bytes)
-        return self.add_small(size_bytes)
-
-    def add_small(self, size_bytes: int) -> MerlinstandError | None:
-        """Count bytes of a head or a small body; returns an error if there is no room."""
-        if self.is_closed:
-            return self.evicted_with
-        error = self._budget.add_small(self, size_bytes)
-        if error is None:
-            self._small_request_bytes += size_bytes
-        return error
-
-    def reserve_body(self, size_bytes: int, is_final: bool) -> MerlinstandError | None:
-        """Reserve room for a large body; returns an error if there is no room.
-
-        Args:
-            size_bytes: Its length, or the length up to which it may grow for now.
-            is_final: Whether this is its announced length.
-        """
-        if self.is_closed:
-            return self.evicted_with
-        self.is_growing = not is_final
-        error = self._budget.add_large(self, size_bytes - self.body_bytes)
-        if error is None:
-            self.body_bytes = size_bytes
-        return error
-
-    def record_arrived(self, size_bytes: int) -> None:
-        """Record bytes of the request that have arrived."""
-        self.moved_bytes += size_bytes
-        needed = 1
-        if self.body_bytes:
-            needed = max(MINIMUM_PROGRESS_BYTES, int(PROGRESS_FRACTION * self.body_bytes))
-        if self.moved_bytes - self._moved_before >= needed:
-            self._moved_before = self.moved_bytes
-            self.progress_at = self._budget.now()
-
-    def end_arrival(self) -> None:
-        """Record that the request has arrived completely, or was rejected before."""
-        self.is_arriving = False
-
-    def record_complete(self, size_bytes: int) -> MerlinstandError | None:
-        """Record that the body, of this size, has arrived and is passed to the reducer.
-
-        Returns:
-            An error if there is no room to process it, or if the connection was closed meanwhile.
-        """
-        if self.is_closed:
-            return self.evicted_with
-        if self.body_bytes:
-            self._budget.large_bytes -= self.body_bytes - size_bytes
-            self.body_bytes = size_bytes
-            error = self._budget.admit_processing(self)
-            if error is not None:
-                return error
-        self.is_running = True
-        return None
-
-    def end_request(self) -> None:
-        """Stop counting the request, whose response has been sent, or which was refused."""
-        self.progress_at = self._budget.now()
-        self._budget.small_bytes -= self._small_request_bytes
-        self._small_request_bytes = 0
-        if self.body_bytes:
-            seconds = self.progress_at - self._started_at
-            self._budget.release_large(self, seconds if self.is_running else None)
-            self.body_bytes = 0
-        self.has_served |= self.is_running
-        self.is_arriving = self.is_running = self.is_growing = False
-
-    def close(self) -> None:
-        """Stop counting the connection, which has ended or is being closed."""
-        if not self.is_closed:
-            self.end_request()
-            self.is_closed = True
-            self._budget.remove(self)
--- a/src/merlinstand/runtime/tls.py
+++ b/src/merlinstand/runtime/tls.py
@@ -14,10 +14,10 @@
 from gevent.server import StreamServer
 from result import Err, Ok, Result
 
+from merlinstand.runtime.connection_usage import ConnectionUsage
 from merlinstand.runtime.end_watcher import has_unread
 from merlinstand.runtime.errors import HostSetupError
 from merlinstand.runtime.host_settings import TlsFiles
-from merlinstand.runtime.request_budget import ConnectionUsage
 from merlinstand.runtime.watchdog import Watchdog
 
 if TYPE_CHECKING:
--- a/src/merlinstand/runtime/transport.py
+++ b/src/merlinstand/runtime/transport.py
@@ -19,6 +19,7 @@
 from merlinstand.protocol.generated.control.ttypes import Hello
 from merlinstand.runtime.addresses import parse_address, require_address
 from merlinstand.runtime.allocator import prepare_for_block
+from merlinstand.runtime.connection_usage import ConnectionUsage
 from merlinstand.runtime.dialing import enable_keepalive
 from merlinstand.runtime.end_watcher import has_unread
 from merlinstand.runtime.frames import FrameReader, encode_frame
@@ -29,11 +30,7 @@
     PeerTimings,
 )
 from merlinstand.runtime.logs import EventLog
-from merlinstand.runtime.request_budget import (
-    SMALL_BODY_BYTES,
-    ConnectionUsage,
-    RequestBudget,
-)
+from merlinstand.runtime.request_budget import SMALL_BODY_BYTES, RequestBudget
 from merlinstand.runtime.tls import BoundedHandshakeServer
 from merlinstand.runtime.traffic import Direction, TrafficCounters
 from merlinstand.runtime.transport_peer import PeerConnection
--- a/tests/runtime/test_request_budget.py
+++ b/tests/runtime/test_request_budget.py
@@ -5,21 +5,22 @@
 import pytest
 
 from merlinstand.decisions.return_order import MAXIMUM_RETRY_AFTER_SECONDS, ReturnOrder
+from merlinstand.runtime.connection_usage import CONNECTION_BYTES, ConnectionUsage
 from merlinstand.runtime.errors import NoRoomError
 from merlinstand.runtime.host_settings import HttpLimits
 from merlinstand.runtime.kept_bytes import BASE_PROCESS_BYTES
 from merlinstand.runtime.request_budget import (
-    CONNECTION_BYTES,
     GRACE_SECONDS,
-    LARGE_SHARE,
-    MINIMUM_AVAILABLE_BYTES,
-    SMALL_SHARE,
-    UNKNOWN_MEMORY_BYTES,
     Action,
-    ConnectionUsage,
     Decision,
     Reason,
     RequestBudget,
+)
+from merlinstand.runtime.request_limits import (
+    LARGE_SHARE,
+    MINIMUM_AVAILABLE_BYTES,
+    SMALL_SHARE,
+    UNKNOWN_MEMORY_BYTES,
     RequestLimits,
     request_limits,
 )
