--- a/tests/users_platform/client_crowds.py
+++ b/tests/users_platform/client_crowds.py
@@ -16,6 +16,7 @@
 
 from merlinstand.common.boot_clock import monotonic_seconds
 from tests.users_platform.callers import HOST
+from tests.users_platform.real_world import Machine
 from tests.users_platform.world import LOOKUPS_TENANT, TENANT_KEYS
 
 PIECE = b"x" * 65536
@@ -26,7 +27,9 @@
 RETRY_SECONDS = 0.2
 ORDINARY_SECONDS = 30.0
 """Time in which one ordinary request must be answered; not a bound on latency."""
+SETTLE_SECONDS = 0.5
 KILOBYTE = 1024
+BYTES_PER_MEGABYTE = 1_000_000
 
 Client = Callable[[], Iterator[bytes]]
 """Generates what one client sends."""
@@ -200,3 +203,38 @@
 def read_only(path: str) -> bytes:
     """Return a small request without a body."""
     return head(path, "Connection: close", method="GET")
+
+
+def check_crowd(
+    machine: Machine,
+    crowd_address: str,
+    clients: list[Client],
+    ask: tuple[str, bytes, int],
+    memory_mb: int,
+    maximum_descriptors: int,
+) -> None:
+    """Send a crowd to a machine, and check its process during the crowd and after it.
+
+    Args:
+        machine: The machine.
+        crowd_address: Address to which the crowd connects.
+        clients: The crowd.
+        ask: Address, request and expected status of an ordinary caller.
+        memory_mb: `MemoryMb` of the machine.
+        maximum_descriptors: `MaxFds` of the machine.
+    """
+    assert machine.process is not None
+    pid = machine.process.pid
+    reset_memory_peak(pid)
+    crowd = Crowd(crowd_address, clients)
+    try:
+        crowd.wait()
+        gevent.sleep(SETTLE_SECONDS)
+        assert descriptor_count(pid) < maximum_descriptors
+        assert is_answered(*ask), "no answer during the crowd"
+        assert descriptor_count(pid) < maximum_descriptors
+    finally:
+        crowd.close()
+    assert is_answered(*ask), "no answer after the crowd"
+    assert machine.process.poll() is None
+    assert memory_peak_bytes(pid) < memory_mb * BYTES_PER_MEGABYTE
--- a/tests/users_platform/test_body_crowds.py
+++ b/tests/users_platform/test_body_crowds.py
@@ -15,15 +15,13 @@
     Client,
     Crowd,
     announced,
+    check_crowd,
     chunked,
-    descriptor_count,
     head,
     is_answered,
     lookup,
-    memory_peak_bytes,
     pieces,
     read_only,
-    reset_memory_peak,
     send_request,
     status_of,
 )
@@ -110,30 +108,10 @@
 SHAPES = (unfinished, whole, in_large_chunks, in_small_chunks, over_the_limit, expecting, mixed)
 
 
-def check_crowd(
+def check(
     machine: Machine, crowd_address: str, clients: list[Client], ask: tuple[str, bytes, int]
 ) -> None:
-    """Send a crowd and check the process during it and after it.
-
-    Args:
-        machine: The machine of the process.
-        crowd_address: Address to which the crowd connects.
-        clients: The crowd.
-        ask: Address, request and expected status of an ordinary caller.
-    """
-    assert machine.process is not None
-    pid = machine.process.pid
-    reset_memory_peak(pid)
-    crowd = Crowd(crowd_address, clients)
-    try:
-        crowd.wait()
-        assert is_answered(*ask), "no answer during the crowd"
-        assert descriptor_count(pid) < MAXIMUM_DESCRIPTORS
-    finally:
-        crowd.close()
-    assert is_answered(*ask), "no answer after the crowd"
-    assert machine.process.poll() is None
-    assert memory_peak_bytes(pid) < MEMORY_MB * 1_000_000
+    check_crowd(machine, crowd_address, clients, ask, MEMORY_MB, MAXIMUM_DESCRIPTORS)
 
 
 @pytest.mark.parametrize("shape", SHAPES, ids=lambda shape: shape.__name__)
@@ -142,14 +120,14 @@
 ) -> None:
     gateway = deployment.gateways[0]
     front = f"{gateway.ip}:{FRONT_PORT}"
-    check_crowd(gateway, front, shape(LOOKUP, BODY_BYTES), (front, lookup("front"), 200))
+    check(gateway, front, shape(LOOKUP, BODY_BYTES), (front, lookup("front"), 200))
 
 
 def test_crowd_that_comes_three_times(deployment: ProcessDeployment) -> None:
     gateway = deployment.gateways[0]
     front = f"{gateway.ip}:{FRONT_PORT}"
     for _ in range(3):
-        check_crowd(gateway, front, mixed(LOOKUP, BODY_BYTES), (front, lookup("thrice"), 200))
+        check(gateway, front, mixed(LOOKUP, BODY_BYTES), (front, lookup("thrice"), 200))
 
 
 @pytest.mark.parametrize("shape", (unfinished, whole, mixed), ids=lambda shape: shape.__name__)
@@ -159,7 +137,7 @@
     gateway = deployment.gateways[0]
     clients = shape("/readyz", BODY_BYTES)
     ask = (f"{gateway.ip}:{FRONT_PORT}", lookup("ready"), 200)
-    check_crowd(gateway, f"{gateway.ip}:{READY_PORT}", clients, ask)
+    check(gateway, f"{gateway.ip}:{READY_PORT}", clients, ask)
 
 
 @pytest.mark.parametrize(
@@ -172,7 +150,7 @@
     control = deployment.controls[0]
     address = f"{control.ip}:{CONTROL_PORT}"
     clients = shape(path, CONTROL_BODY_BYTES, method)
-    check_crowd(control, address, clients, (address, read_only("/nothing-here"), 404))
+    check(control, address, clients, (address, read_only("/nothing-here"), 404))
 
 
 @pytest.mark.parametrize("shape", (unfinished, whole, mixed), ids=lambda shape: shape.__name__)
@@ -182,7 +160,7 @@
     keeper = deployment.keepers[0]
     address = f"{keeper.ip}:{KEEPER_PORT}"
     clients = shape("/v1/batch-call", CONTROL_BODY_BYTES)
-    check_crowd(keeper, address, clients, (address, read_only("/nothing-here"), 404))
+    check(keeper, address, clients, (address, read_only("/nothing-here"), 404))
 
 
 def test_single_body_inside_the_limit_is_served(deployment: ProcessDeployment) -> None:
@@ -202,6 +180,46 @@
     assert is_answered(f"{gateway.ip}:{FRONT_PORT}", data, 200)
 
 
+def large_body(request_id: str) -> Client:
+    """Send a whole body steadily."""
+    return announced(
+        LOOKUP, BODY_BYTES, BODY_BYTES, f"X-Request-Id: {request_id}", "Connection: close"
+    )
+
+
+def test_steady_body_is_served_beside_forty_that_stand_still(
+    deployment: ProcessDeployment,
+) -> None:
+    gateway = deployment.gateways[0]
+    front = f"{gateway.ip}:{FRONT_PORT}"
+    still = Crowd(front, unfinished(LOOKUP, BODY_BYTES))
+    try:
+        still.wait()
+        data = b"".join(large_body("steady")())
+        assert is_answered(front, data, 200)
+    finally:
+        still.close()
+
+
+def test_of_two_large_bodies_that_do_not_fit_together_each_is_served_in_the_end(
+    deployment: ProcessDeployment,
+) -> None:
+    """None is cut off or waits: it is served, or told when to come back."""
+    gateway = deployment.gateways[0]
+    front = f"{gateway.ip}:{FRONT_PORT}"
+    two = Crowd(front, [large_body("first"), large_body("second")], reads=True)
+    try:
+        two.wait()
+        answers = [member.received for member in two.members]
+    finally:
+        two.close()
+    statuses = sorted(status_of(answer) for answer in answers)
+    assert statuses in ([200, 200], [200, 503])
+    refused = [answer for answer in answers if status_of(answer) == 503]
+    assert all(b"\r\nretry-after: " in answer.lower() for answer in refused)
+    assert is_answered(front, b"".join(large_body("again")()), 200)
+
+
 def test_refusals_tell_when_to_come_back(deployment: ProcessDeployment) -> None:
     """What finds no room gets 503, Retry-After and the mark that it hasn't run; never 500."""
     gateway = deployment.gateways[0]
--- a/tests/users_platform/test_connection_crowds.py
+++ b/tests/users_platform/test_connection_crowds.py
@@ -6,7 +6,6 @@
 
 from collections.abc import Iterator
 
-import gevent
 import pytest
 
 from merlinstand.protocol.codec import encode_message
@@ -14,15 +13,12 @@
 from merlinstand.runtime.frames import encode_frame
 from tests.users_platform.client_crowds import (
     Client,
-    Crowd,
-    descriptor_count,
+    check_crowd,
     head,
     is_answered,
     lookup,
-    memory_peak_bytes,
     pieces,
     read_only,
-    reset_memory_peak,
 )
 from tests.users_platform.real_world import (
     CONTROL_PORT,
@@ -45,7 +41,6 @@
 PIPELINED_REQUESTS = 20_000
 PIPELINING_CLIENTS = 100
 KEEPER_PORT = INTERNAL_PORT + 1
-SETTLE_SECONDS = 0.5
 
 
 def _deployment(
@@ -129,37 +124,14 @@
 ENDLESS_SHAPES = (unfinished_trailer, unfinished_chunk_extension, pipelining)
 
 
-def check_crowd(
+def check(
     machine: Machine,
     address: str,
     clients: list[Client],
     ask: tuple[str, bytes, int],
-    maximum_descriptors: int,
+    maximum_descriptors: int = MAXIMUM_DESCRIPTORS,
 ) -> None:
-    """Send a crowd and check the process during it and after it.
-
-    Args:
-        machine: The machine of the process.
-        address: Address to which the crowd connects.
-        clients: The crowd.
-        ask: Address, request and expected status of an ordinary caller.
-        maximum_descriptors: `MaxFds` of the machine.
-    """
-    assert machine.process is not None
-    pid = machine.process.pid
-    reset_memory_peak(pid)
-    crowd = Crowd(address, clients)
-    try:
-        crowd.wait()
-        gevent.sleep(SETTLE_SECONDS)
-        assert descriptor_count(pid) < maximum_descriptors
-        assert is_answered(*ask), "no answer during the crowd"
-        assert descriptor_count(pid) < maximum_descriptors
-    finally:
-        crowd.close()
-    assert is_answered(*ask), "no answer after the crowd"
-    assert machine.process.poll() is None
-    assert memory_peak_bytes(pid) < MEMORY_MB * 1_000_000
+    check_crowd(machine, address, clients, ask, MEMORY_MB, maximum_descriptors)
 
 
 @pytest.mark.parametrize("client", SMALL_SHAPES, ids=lambda client: client.__name__)
@@ -168,7 +140,7 @@
     gateway = deployment.gateways[0]
     ask = (f"{gateway.ip}:{FRONT_PORT}", lookup("connections"), 200)
     clients = [client] * CONNECTIONS
-    check_crowd(gateway, f"{gateway.ip}:{port}", clients, ask, MAXIMUM_DESCRIPTORS)
+    check(gateway, f"{gateway.ip}:{port}", clients, ask)
 
 
 @pytest.mark.parametrize("client", SMALL_SHAPES, ids=lambda client: client.__name__)
@@ -176,7 +148,7 @@
     control = deployment.controls[0]
     address = f"{control.ip}:{CONTROL_PORT}"
     ask = (address, read_only("/nothing-here"), 404)
-    check_crowd(control, address, [client] * CONNECTIONS, ask, MAXIMUM_DESCRIPTORS)
+    check(control, address, [client] * CONNECTIONS, ask)
 
 
 @pytest.mark.parametrize("client", (silent, silent_peer), ids=lambda client: client.__name__)
@@ -186,9 +158,7 @@
 ) -> None:
     machine = getattr(deployment, role)[0]
     address = f"{machine.ip}:{INTERNAL_PORT}"
-    check_crowd(
-        machine, address, [client] * CONNECTIONS, _ask(deployment, role), MAXIMUM_DESCRIPTORS
-    )
+    check(machine, address, [client] * CONNECTIONS, _ask(deployment, role))
 
 
 @pytest.mark.parametrize("role", ("gateways", "controls", "keepers"))
@@ -198,7 +168,7 @@
     machine = getattr(deployment, role)[0]
     address = f"{machine.ip}:{INTERNAL_PORT}"
     clients = [unfinished_frame] * FRAMES
-    check_crowd(machine, address, clients, _ask(deployment, role), MAXIMUM_DESCRIPTORS)
+    check(machine, address, clients, _ask(deployment, role))
 
 
 @pytest.mark.parametrize("client", ENDLESS_SHAPES, ids=lambda client: client.__name__)
@@ -206,14 +176,14 @@
     gateway = deployment.gateways[0]
     front = f"{gateway.ip}:{FRONT_PORT}"
     clients = [client] * PIPELINING_CLIENTS
-    check_crowd(gateway, front, clients, (front, lookup("endless"), 200), MAXIMUM_DESCRIPTORS)
+    check(gateway, front, clients, (front, lookup("endless"), 200))
 
 
 def test_unfinished_heads(roomy_deployment: ProcessDeployment) -> None:
     gateway = roomy_deployment.gateways[0]
     front = f"{gateway.ip}:{FRONT_PORT}"
     clients = [stopped_in_its_head] * HEADS
-    check_crowd(gateway, front, clients, (front, lookup("heads"), 200), MANY_DESCRIPTORS)
+    check(gateway, front, clients, (front, lookup("heads"), 200), MANY_DESCRIPTORS)
 
 
 def _ask(deployment: ProcessDeployment, role: str) -> tuple[str, bytes, int]:
