--- a/tests/runtime/test_http_endpoint.py
+++ b/tests/runtime/test_http_endpoint.py
@@ -368,9 +368,14 @@
     ],
 )
 def test_chunked_framing(run_reducer: Any, framing: bytes, status: int) -> None:
-    host, _reducer = run_reducer(echo)
+    host, reducer = run_reducer(echo)
     answer = exchange(host, SMALL_CHUNKS + framing)
-    assert answer.startswith(b"HTTP/1.1 %d " % status)
+    if status == 200:
+        assert answer.startswith(b"HTTP/1.1 200 ")
+        return
+    code = {400: "truncated_body", 431: "head_too_large"}[status]
+    assert error_of(answer) == (status, code)
+    assert not [one for one in reducer.sink.events if isinstance(one, RequestReceived)]
 
 
 def test_request_after_a_chunked_body_is_read_from_its_first_byte(run_reducer: Any) -> None:
--- a/tests/users_platform/client_crowds.py
+++ b/tests/users_platform/client_crowds.py
@@ -162,12 +162,14 @@
     return len(os.listdir(f"/proc/{pid}/fd"))
 
 
-def send_request(address: str, data: bytes, tls_context: Any = None) -> bytes:
+def send_request(
+    address: str, data: bytes, tls_context: Any = None, seconds: float = REQUEST_SECONDS
+) -> bytes:
     """Send one request on a new connection; return the response, empty if there is none."""
     ip, _colon, port = address.rpartition(":")
     received = b""
     try:
-        connection = create_connection((ip, int(port)), REQUEST_SECONDS)
+        connection = create_connection((ip, int(port)), seconds)
     except OSError:
         return b""
     try:
--- a/tests/users_platform/real_world.py
+++ b/tests/users_platform/real_world.py
@@ -27,7 +27,7 @@
 from merlinstand.kernel.events import Event, Started
 from merlinstand.kernel.reducer import Reducer
 from merlinstand.runtime.host import Host
-from merlinstand.runtime.host_settings import HostSettings
+from merlinstand.runtime.host_settings import HostSettings, HttpLimits
 from tests.users_platform.callers import (
     Operator,
     Trainer,
@@ -68,6 +68,8 @@
 """The programs run without `site`, as in deploy/system.toml; of the virtual environment they see
 only this folder."""
 RECEIVE_BYTES = 65536
+MAXIMUM_STUB_BODY_BYTES = 40 * 1024 * 1024
+"""Servers accept the largest body that a configuration may allow."""
 CRASHING_ITEMS = ("t0-0-1-1", "score-t0-1-2-0")
 """Ids of an item, and of the scoring call of another item, that crash the servers running them."""
 CRASH_TIMES = tuple(7.0 + 0.9 * number for number in range(60))
@@ -469,7 +471,11 @@
         recording: Reducer = RecordingReducer(reducer, self.simulation, on_stop)
         self._seed += 1
         settings = HostSettings(
-            node_id=name, http_address=address, seed=self._seed, log_level="error"
+            node_id=name,
+            http_address=address,
+            seed=self._seed,
+            log_level="error",
+            http_limits=HttpLimits(maximum_body_bytes=MAXIMUM_STUB_BODY_BYTES),
         )
         host = Host(recording, settings)
         host.start()
