batch_jobs: a log line and gauges tell why an item is at no engine

Cause: HeldItems, _try_start and the scheduling pass leave an item waiting for a dozen reasons without a line or a counter (item.held has no counterpart either), so the hypotheses of the incident can't be told apart.

Change: WaitMonitor writes item.waiting (four lines a second at most) once an item has waited for 2 s, and again when the reason changes; gauges count waiting items by reason with the age of the oldest, and the longest silence of an engine that runs an item. Nothing influences scheduling.

--- a/src/merlinstand/batch_jobs/item_calls.py
+++ b/src/merlinstand/batch_jobs/item_calls.py
@@ -110,5 +110,6 @@
         }
         effects = self.cancel(run, now)
         run.phase = RunPhase.WAITING
+        run.waiting_since = now
         run.wait_until = now + decision.pause_seconds
         return [LogEvent("item.run_ended", fields), *effects]
--- a/src/merlinstand/batch_jobs/item_run.py
+++ b/src/merlinstand/batch_jobs/item_run.py
@@ -61,6 +61,8 @@
     """The result, once the item has ended; None before."""
     queued_at: float = 0.0
     """Local time at which this leader queued the item."""
+    waiting_since: float = 0.0
+    """Local time since which the item is at no engine, if it waits."""
     first_started_at: float = 0.0
     """Local time at which its first run under this leader started; 0 before that."""
     completed_at: float = 0.0
--- a/src/merlinstand/batch_jobs/runner.py
+++ b/src/merlinstand/batch_jobs/runner.py
@@ -36,6 +36,7 @@
 from merlinstand.batch_jobs.scheduling_pass import SchedulingPass
 from merlinstand.batch_jobs.state_machine import JobState
 from merlinstand.batch_jobs.text_keeping import CHECKPOINT_INTERVAL_SECONDS, find_due_checkpoints
+from merlinstand.batch_jobs.waiting_items import WaitMonitor, WaitReason, WaitReasons
 from merlinstand.cluster.requests import FinishedRequest
 from merlinstand.common.ids import BackendId
 from merlinstand.decisions.admission import Admission
@@ -84,6 +85,8 @@
         )
         gate = QuarantineGate(context.crash_detector.suspects, "item.trial:")
         self._held_items = HeldItems(gate, self._requests.content_of)
+        self._wait_reasons = WaitReasons(context, self._requests, self._regions)
+        self._wait_monitor = WaitMonitor(self._wait_reason, self._wait_reasons.begin_review)
         self._deferral = GroupDeferral(
             context.follower, context.engines, context.is_assigned, self._expected_remaining_events
         )
@@ -110,6 +113,7 @@
             if not job.is_open or job.is_listed(item.item_id):
                 continue
             run = ItemRun(job.job.job_id, item, (self._job_count, number), queued_at=now)
+            run.waiting_since = now
             run.is_resubmitted = first_job != job.job.job_id
             checkpoint = job.text_checkpoints.get(item.item_id)
             if checkpoint is not None:
@@ -126,7 +130,8 @@
     def stop_all(self, now: float) -> list[Effect]:
         """Stop all items at the end of the leadership term."""
         self._scoring.clear()
-        return [effect for run in list(self._runs.values()) for effect in self._drop(run, now)]
+        effects = [effect for run in list(self._runs.values()) for effect in self._drop(run, now)]
+        return effects + self._wait_monitor.clear()
 
     def remove_listed(self, job_id: str, item_id: str) -> None:
         """Remove an item whose result is listed."""
@@ -152,6 +157,7 @@
         effects.extend(self._defer_groups(now))
         effects.extend(self._start_waiting(now))
         effects.extend(self._move_slow_runs(now))
+        effects.extend(self._wait_monitor.review(self._runs.values(), now))
         return effects + self._checkpoint_texts(now)
 
     def on_cold_grants(self) -> None:
@@ -365,6 +371,18 @@
         scheduling_pass.record_start(engine)
         return [effect]
 
+    def _wait_reason(self, run: ItemRun, now: float) -> WaitReason:
+        """Return why a waiting item is at no engine."""
+        if run.phase is RunPhase.HELD:
+            return WaitReason.QUARANTINED
+        admission = self._held_items.admit(run, now)
+        route = self._requests.route_of(run)
+        if admission is Admission.NOT_LAST_BACKEND and route is not None:
+            services = [target.service for target in route.targets]
+            if all(self._engines.has_single_healthy_engine(s, now) for s in services):
+                return WaitReason.LAST_ENGINE
+        return self._wait_reasons.reason_of(run, now)
+
     # Calls
 
     def on_call(self, event: StreamEvent, now: float) -> list[Effect]:
