batch_jobs: an item under which engines crashed is run again at once

Cause: the quarantine of requests that crash servers judged items like live requests: three crashes while an item ran, with nothing else left to blame, held it for 600 s by its content, in the next job too. By the users' new term an item that is handed in for later never crashes a server by itself. Class: a defence applied to work that can't be the cause, with a penalty longer than the work's time.

Change: calls of items serve to find crashes, but carry no content: they are no suspects or rivals, aren't reported as unanswered and aren't announced by keepers, so that nothing about them outlives a keeper. HeldItems and the rule of the last healthy engine are gone. Items whose run was cut off are still spread over engines, on new connections. Scoring calls stay subject to the quarantine.

--- a/src/merlinstand/batch_jobs/__init__.py
+++ b/src/merlinstand/batch_jobs/__init__.py
@@ -5,7 +5,7 @@
 - replicated jobs and the log: `state_machine`, `kept_text`, `request_stripping`, `keeper_replica`;
 - calls of gateways: `gateway_calls`, `reads`; the call types are in the package `batch_calls`;
 - items, in the leader only: `runner`, with `item_calls`, `item_streams`, `item_scoring`,
-  `scoring_queue`, `item_listing` and `held_items`;
+  `scoring_queue`, `item_listing` and `waiting_items`;
 - model weights, in the leader only: `weight_loader`, `weight_calls`, `engine_probes`,
   `model_assignments`.
 
--- a/src/merlinstand/batch_jobs/daemon.py
+++ b/src/merlinstand/batch_jobs/daemon.py
@@ -213,7 +213,6 @@
         if self.follower.backends_revision != old_backends_revision:
             effects.extend(self._crash_detector.update_backends(self.follower.backends, now))
         if self.follower.suspects.revision != old_suspects_revision:
-            self._runner.review_held(now)
             effects.extend(self._forwarder.on_quarantine_change(now))
         if update.cold_grants is not None:
             self._runner.on_cold_grants()
--- a/src/merlinstand/batch_jobs/engines.py
+++ b/src/merlinstand/batch_jobs/engines.py
@@ -52,8 +52,8 @@
     backend: Backend
     running: int = 0
     """Number of this keeper's runs on the engine."""
-    suspect_runs: int = 0
-    """Number of these runs whose items were running when an engine crashed earlier."""
+    interrupted_runs: int = 0
+    """Number of these runs whose items were interrupted earlier; see `ItemRun.was_interrupted`."""
     is_loading: bool = False
     """Whether the engine is loading weights; no run starts on it meanwhile."""
     versions: dict[str, int] = msgspec.field(default_factory=dict)
@@ -219,19 +219,6 @@
         """Return the median time per event over all engines measured recently."""
         return median_event_seconds(self.states.values(), now)
 
-    def has_single_healthy_engine(self, service: str, now: float) -> bool:
-        """Whether a service has several engines, of which at most one is healthy.
-
-        An engine is unhealthy if this keeper has it in backoff or any daemon reported that it
-        crashed.
-        """
-        states = [s for s in self.of_service(service) if not s.backend.is_draining]
-        has_crashed = self._follower.suspects.has_crashed
-        healthy = [
-            s for s in states if s.backoff_until <= now and not has_crashed(s.backend.backend_id)
-        ]
-        return len(states) > 1 and len(healthy) <= 1
-
     def of_service(self, service: str) -> list[EngineState]:
         """Return the engines of a service."""
         return [state for state in self.states.values() if state.backend.service == service]
--- a/src/merlinstand/batch_jobs/item_calls.py
+++ b/src/merlinstand/batch_jobs/item_calls.py
@@ -1,8 +1,8 @@
 """Calls to engines in progress, one for each item that is being generated.
 
 Used by the leading keeper's `runner`. Only this module changes the numbers of runs per engine
-(`EngineState.running` and `suspect_runs`). This module reports started and cancelled calls to the
-crash detector; `item_streams` reports the calls that end by themselves.
+(`EngineState.running` and `interrupted_runs`). This module reports started and cancelled calls to
+the crash detector; `item_streams` reports the calls that end by themselves.
 """
 
 from collections.abc import Iterable
@@ -68,10 +68,8 @@
         run.run_count += 1
         run.checkpointed_at = run.checkpointed_at or now
         engine.running += 1
-        engine.suspect_runs += run.is_suspect
-        # Computed now, because the job may be deleted before the run ends.
-        content = self._requests.content_of(run)
-        self._crash_detector.record_send(call_id, engine.backend, lambda: content, now)
+        engine.interrupted_runs += run.was_interrupted
+        self._crash_detector.record_send(call_id, engine.backend, None, now)
         self._runs_by_call[call_id] = run
         return self._requests.make_call(run, call_id, engine.backend, route)
 
@@ -94,7 +92,7 @@
         state = self.engine_of(run)
         if state is not None:
             state.running -= 1
-            state.suspect_runs -= run.is_suspect
+            state.interrupted_runs -= run.was_interrupted
 
     def requeue(self, run: ItemRun, decision: Requeue, now: float) -> list[Effect]:
         """Cancel the current run; the item waits for an engine again."""
@@ -106,7 +104,6 @@
             "backend": run.backend_id,
             "reason": decision.reason,
             "events": run.text.last_event_id,
-            "content": self._requests.content_of(run),
         }
         effects = self.cancel(run, now)
         run.phase = RunPhase.WAITING
--- a/src/merlinstand/batch_jobs/item_request.py
+++ b/src/merlinstand/batch_jobs/item_request.py
@@ -9,11 +9,10 @@
 from merlinstand.cluster.backends import Backend
 from merlinstand.cluster.header_names import HeaderNames
 from merlinstand.cluster.routes import Route
-from merlinstand.common.ids import CallId, ContentDigest
+from merlinstand.common.ids import CallId
 from merlinstand.decisions.retry import STREAM_IDLE_TIMEOUT_SECONDS
 from merlinstand.directory.follower import DirectoryFollower
 from merlinstand.kernel.effects import StartCall
-from merlinstand.quarantine.request_digest import compute_digest
 
 
 class ItemRequests:
@@ -48,14 +47,6 @@
         route = self.route_of(run)
         return route is not None and route.single_version
 
-    def content_of(self, run: ItemRun) -> ContentDigest:
-        """Return the digest of the item's request, which identifies its content in all runs."""
-        if run.content is None:
-            tenant = self._jobs.jobs[run.job_id].job.tenant
-            host = self.host_of(run)
-            run.content = compute_digest(tenant, host, "POST", run.item.path, run.item.body)
-        return run.content
-
     def make_call(self, run: ItemRun, call_id: CallId, backend: Backend, route: Route) -> StartCall:
         """Return the call that runs an item at an engine.
 
@@ -80,7 +71,7 @@
             host=self.host_of(run),
             echo_header=self._header_names.request_id,
             # A reused connection could be reset because of an earlier crash; see `Forwarder`.
-            fresh_connection=run.is_suspect,
+            fresh_connection=run.was_interrupted,
         )
 
     def _headers(self, run: ItemRun, backend: Backend, route: Route) -> dict[str, str]:
--- a/src/merlinstand/batch_jobs/item_run.py
+++ b/src/merlinstand/batch_jobs/item_run.py
@@ -1,7 +1,7 @@
 """The state of an unfinished item in the leading keeper.
 
-The phase and the call are changed by `item_calls`, `item_streams`, `item_scoring`, `item_listing`
-and `held_items`, the text by `item_streams`, and the checkpoint fields by `runner`.
+The phase and the call are changed by `item_calls`, `item_streams`, `item_scoring` and
+`item_listing`, the text by `item_streams`, and the checkpoint fields by `runner`.
 """
 
 import enum
@@ -11,7 +11,7 @@
 from merlinstand.batch_calls.jobs import BatchItem, ItemResult, ResultState
 from merlinstand.batch_jobs.event_text import ItemText
 from merlinstand.batch_jobs.kept_text import TextCheckpoint, TextPart
-from merlinstand.common.ids import BackendId, CallId, ContentDigest
+from merlinstand.common.ids import BackendId, CallId
 
 
 class RunPhase(enum.Enum):
@@ -20,8 +20,6 @@
     WAITING = "waiting"
     GENERATING = "generating"
     SCORING = "scoring"
-    HELD = "held"
-    """Engines crashed while running it, so it must not run now; it may be released later."""
     LISTING = "listing"
     """Its result is being proposed to the log."""
 
@@ -69,10 +67,9 @@
     """Local time at which its text was complete; 0 before that."""
     run_count: int = 0
     """Number of runs started under this leader."""
-    content: ContentDigest | None = None
-    """Digest of its request; computed on first use."""
-    is_suspect: bool = False
-    """Whether the item was suspected of crashing engines when its current run started."""
+    was_interrupted: bool = False
+    """Whether the connection to an engine broke while the engine ran the item. Later runs are kept
+    apart from those of other interrupted items, so that one crash does not interrupt them all."""
     is_resubmitted: bool = False
     """Whether the item was also in an earlier job."""
 
--- a/src/merlinstand/batch_jobs/item_streams.py
+++ b/src/merlinstand/batch_jobs/item_streams.py
@@ -32,7 +32,8 @@
 )
 from merlinstand.decisions.retry import is_not_run
 from merlinstand.kernel.effects import Effect, LogEvent
-from merlinstand.kernel.events import CallChunk, CallEnded, CallFailed, CallHeaders
+from merlinstand.kernel.events import CallChunk, CallEnded, CallFailed, CallHeaders, CallPhase
+from merlinstand.quarantine.crash_watch import BROKEN_CONNECTION_REASONS
 
 StreamEvent = CallHeaders | CallChunk | CallEnded | CallFailed
 
@@ -172,7 +173,10 @@
             self._cold.record_failure(engine.backend, event, now)
         probes = self._crash_detector.record_failure(event, now)
         decision = after_broken_call(event.phase.value, event.reason)
-        return probes + self._calls.requeue(run, decision, now)
+        requeued = self._calls.requeue(run, decision, now)
+        if event.phase is not CallPhase.CONNECT and event.reason in BROKEN_CONNECTION_REASONS:
+            run.was_interrupted = True
+        return probes + requeued
 
     def _record_engine_failure(self, run: ItemRun, now: float) -> None:
         engine = self._calls.engine_of(run)
--- a/src/merlinstand/batch_jobs/placement.py
+++ b/src/merlinstand/batch_jobs/placement.py
@@ -32,9 +32,9 @@
     """Engine that has its group's shared prompt cached."""
     allowed_zones: frozenset[str] | None = None
     """Zones whose engines may run it; None for all zones."""
-    is_suspect: bool = False
-    """Whether it was running when engines crashed. A suspect item runs on the engine with the
-    fewest suspect items, so that the next crash identifies the item that causes the crashes."""
+    was_interrupted: bool = False
+    """Whether an earlier run was interrupted. Such an item runs on the engine with the fewest
+    interrupted items, so that one crash does not interrupt them all."""
 
     def fits(self, state: EngineState) -> bool:
         """Whether an engine's weights are recent enough and its zone is allowed."""
@@ -53,8 +53,8 @@
 ) -> EngineState | None:
     """Choose an engine with a free slot that fits the item; None if there is none.
 
-    Engines that are assigned the item's model are preferred; then, for a suspect item, those with
-    the fewest suspect runs; then the one with the earliest expected completion.
+    Engines that are assigned the item's model are preferred; then, for an interrupted item, those
+    with the fewest interrupted runs; then the one with the earliest expected completion.
 
     Args:
         engines: Engines of the item's service.
@@ -72,7 +72,7 @@
         candidates,
         key=lambda state: (
             not is_assigned(state.backend.backend_id, requirements.model),
-            state.suspect_runs if requirements.is_suspect else 0,
+            state.interrupted_runs if requirements.was_interrupted else 0,
             expected_seconds(state, requirements, median_event_seconds, now),
         ),
         default=None,
--- a/src/merlinstand/batch_jobs/runner.py
+++ b/src/merlinstand/batch_jobs/runner.py
@@ -13,7 +13,6 @@
 
 from merlinstand.batch_jobs.cold_engines import request_grants_for_items
 from merlinstand.batch_jobs.deferral import GroupDeferral
-from merlinstand.batch_jobs.held_items import HeldItems
 from merlinstand.batch_jobs.item_calls import ItemCalls
 from merlinstand.batch_jobs.item_context import ItemContext
 from merlinstand.batch_jobs.item_listing import ItemListing
@@ -36,12 +35,10 @@
 from merlinstand.batch_jobs.scheduling_pass import SchedulingPass
 from merlinstand.batch_jobs.state_machine import JobState
 from merlinstand.batch_jobs.text_keeping import CHECKPOINT_INTERVAL_SECONDS, find_due_checkpoints
-from merlinstand.batch_jobs.waiting_items import WaitMonitor, WaitReason, WaitReasons
+from merlinstand.batch_jobs.waiting_items import WaitMonitor, WaitReasons
 from merlinstand.cluster.requests import FinishedRequest
 from merlinstand.common.ids import BackendId
-from merlinstand.decisions.admission import Admission
 from merlinstand.decisions.item_retry import AFTER_MOVE, JOB_EXPIRED
-from merlinstand.forwarding.quarantine_gate import QuarantineGate
 from merlinstand.kernel.effects import Effect
 
 REMEMBERED_ITEM_LIMIT = 20_000
@@ -83,10 +80,7 @@
         self._streams = ItemStreams(
             context, self._requests, self._calls, self._lengths, self._scoring, self._listing
         )
-        gate = QuarantineGate(context.crash_detector.suspects, "item.trial:")
-        self._held_items = HeldItems(gate, self._requests.content_of)
-        self._wait_reasons = WaitReasons(context, self._requests, self._regions)
-        self._wait_monitor = WaitMonitor(self._wait_reason, self._wait_reasons.begin_review)
+        self._wait_monitor = WaitMonitor(WaitReasons(context, self._requests, self._regions))
         self._deferral = GroupDeferral(
             context.follower, context.engines, context.is_assigned, self._expected_remaining_events
         )
@@ -139,7 +133,6 @@
 
     def _drop(self, run: ItemRun, now: float) -> list[Effect]:
         self._runs.pop(run.key, None)
-        self._held_items.release(run)
         if run.phase is RunPhase.SCORING:
             return self._scoring.abort(run, now)
         return self._calls.cancel(run, now)
@@ -151,7 +144,6 @@
 
         Call it only while this process may act as leader.
         """
-        self.review_held(now)
         effects = [effect for run in self._runs_to_retry(now) for effect in self._retry(run, now)]
         effects.extend(self._scoring.tick(now))
         effects.extend(self._defer_groups(now))
@@ -164,10 +156,6 @@
         """Request a scheduling pass, since attempts at cold engines were granted."""
         self._is_start_due = True
 
-    def review_held(self, now: float) -> None:
-        """Release held items that may run now; called at ticks and when the suspects change."""
-        self._is_start_due |= self._held_items.review(now)
-
     def start_if_due(self, now: float) -> list[Effect]:
         """Start waiting items after an event that freed a slot or made items startable.
 
@@ -194,8 +182,7 @@
         waiting = [run for run in self._runs.values() if run.phase is RunPhase.WAITING]
         if not waiting:
             return []
-        effects = self._held_items.hold(waiting, now)
-        waiting = [run for run in waiting if run.phase is RunPhase.WAITING]
+        effects: list[Effect] = []
         scheduling_pass = SchedulingPass(
             self._engines, self._is_assigned, self._follower.cold_budget, now
         )
@@ -317,17 +304,15 @@
     def _model_of(self, run: ItemRun) -> str:
         return self._jobs.jobs[run.job_id].job.model
 
-    def _requirements(
-        self, run: ItemRun, preferred: BackendId | None, is_suspect: bool = False
-    ) -> ItemRequirements:
+    def _requirements(self, run: ItemRun, preferred: BackendId | None) -> ItemRequirements:
         job = self._jobs.jobs[run.job_id].job
         return ItemRequirements(
             model=job.model,
             minimum_version=job.minimum_version,
             remaining_events=max(1.0, self._expected_remaining_events(run)),
-            preferred_backend_id=None if is_suspect else preferred,
+            preferred_backend_id=None if run.was_interrupted else preferred,
             allowed_zones=self._regions.allowed_zones(run),
-            is_suspect=is_suspect,
+            was_interrupted=run.was_interrupted,
         )
 
     def expire_job(self, job_id: str, now: float) -> list[Effect]:
@@ -338,7 +323,6 @@
                 continue
             if run.phase is RunPhase.SCORING:
                 effects.extend(self._scoring.abort(run, now))
-            self._held_items.release(run)
             effects.extend(self._calls.cancel(run, now))
             effects.extend(
                 self._listing.finish(run, run.make_terminated_result(), JOB_EXPIRED.reason, now)
@@ -352,37 +336,16 @@
         if route is None:
             return []
         service = self._service_choice.choose(route)
-        admission = self._held_items.admit(run, now)
-        if admission is Admission.NOT_LAST_BACKEND and self._engines.has_single_healthy_engine(
-            service, now
-        ):
-            return []
-        is_suspect = admission is not Admission.ALLOWED
         engine = scheduling_pass.choose_engine(
-            service, self._requirements(run, group.last_backend_id, is_suspect)
+            service, self._requirements(run, group.last_backend_id)
         )
         if engine is None:
             return []
-        run.is_suspect = is_suspect
         group.last_backend_id = engine.backend.backend_id
-        if is_suspect:
-            self._held_items.record_start(run)
         effect = self._calls.start(run, engine, route, now)
         scheduling_pass.record_start(engine)
         return [effect]
 
-    def _wait_reason(self, run: ItemRun, now: float) -> WaitReason:
-        """Return why a waiting item is at no engine."""
-        if run.phase is RunPhase.HELD:
-            return WaitReason.QUARANTINED
-        admission = self._held_items.admit(run, now)
-        route = self._requests.route_of(run)
-        if admission is Admission.NOT_LAST_BACKEND and route is not None:
-            services = [target.service for target in route.targets]
-            if all(self._engines.has_single_healthy_engine(s, now) for s in services):
-                return WaitReason.LAST_ENGINE
-        return self._wait_reasons.reason_of(run, now)
-
     # Calls
 
     def on_call(self, event: StreamEvent, now: float) -> list[Effect]:
--- a/src/merlinstand/batch_jobs/schedule.py
+++ b/src/merlinstand/batch_jobs/schedule.py
@@ -33,7 +33,7 @@
     groups: dict[GroupId, GroupProgress] = {}
     for run in runs:
         group = groups.setdefault((run.job_id, run.item.group), GroupProgress())
-        is_idle = run.phase in (RunPhase.WAITING, RunPhase.HELD)
+        is_idle = run.phase is RunPhase.WAITING
         if not is_idle or run.text.last_event_id:
             group.started_count += 1
             group.last_backend_id = run.backend_id or group.last_backend_id
--- a/src/merlinstand/batch_jobs/waiting_items.py
+++ b/src/merlinstand/batch_jobs/waiting_items.py
@@ -7,6 +7,7 @@
 import enum
 from collections import Counter
 from collections.abc import Callable, Collection, Iterable
+from typing import Protocol
 
 from merlinstand.batch_jobs.engines import EngineState
 from merlinstand.batch_jobs.item_context import ItemContext
@@ -27,10 +28,6 @@
 class WaitReason(enum.StrEnum):
     """Why an item is at no engine; the text goes to the log and the metrics."""
 
-    QUARANTINED = "quarantined"
-    """Engines crashed while they ran it."""
-    LAST_ENGINE = "last_engine"
-    """Two engines crashed while they ran it, and at most one engine of its service is healthy."""
     NO_ROUTE = "no_route"
     """No route matches its host and path."""
     NO_ENGINE = "no_engine"
@@ -95,6 +92,16 @@
     return WaitReason.COLD if is_blocked_as_cold(state) else WaitReason.DUE
 
 
+class FindsReasons(Protocol):
+    """What `WaitMonitor` needs to know about items."""
+
+    def begin_review(self) -> None:
+        """Forget what was found in an earlier review."""
+
+    def reason_of(self, run: ItemRun, now: float) -> WaitReason:
+        """Return why a waiting item is at no engine."""
+
+
 class WaitReasons:
     """The reasons for which items wait during one review, each computed once for equal items."""
 
@@ -147,17 +154,13 @@
 class WaitMonitor:
     """Reports the waiting items of one leadership term."""
 
-    def __init__(
-        self, reason_of: Callable[[ItemRun, float], WaitReason], begin_review: Callable[[], None]
-    ) -> None:
+    def __init__(self, reasons: FindsReasons) -> None:
         """Start without reported items.
 
         Args:
-            reason_of: Returns why a waiting item is at no engine, at a local time.
-            begin_review: Called before the reasons of a review are queried.
+            reasons: Finds the reasons.
         """
-        self._reason_of = reason_of
-        self._begin_review = begin_review
+        self._reasons = reasons
         self._next_review_at = 0.0
         self._reported: dict[str, WaitReason] = {}
         """Last reported reason by key of the item; only items that still wait."""
@@ -174,10 +177,10 @@
         if now < self._next_review_at:
             return []
         self._next_review_at = now + REVIEW_INTERVAL_SECONDS
-        self._begin_review()
+        self._reasons.begin_review()
         runs = list(runs)
-        waiting = [run for run in runs if run.phase in (RunPhase.WAITING, RunPhase.HELD)]
-        waits = [(run, self._reason_of(run, now)) for run in waiting]
+        waiting = [run for run in runs if run.phase is RunPhase.WAITING]
+        waits = [(run, self._reasons.reason_of(run, now)) for run in waiting]
         long_waits = [w for w in waits if now - w[0].waiting_since >= LONG_WAIT_SECONDS]
         self._reported = {
             run.key: self._reported[run.key] for run, _reason in waits if run.key in self._reported
--- a/src/merlinstand/quarantine/crash_watch.py
+++ b/src/merlinstand/quarantine/crash_watch.py
@@ -1,5 +1,8 @@
 """Detects backends that crash while they run this daemon's requests.
 
+Items of batch jobs never crash backends by themselves: their calls serve to detect crashes, but the
+items are neither suspects nor reported, and no crash holds them back.
+
 Tracks this daemon's calls in flight and those that ended without a response. A broken connection is
 no evidence of a crash: responses are lost and connections are reset while the backend keeps
 running. A backend at which a call broke off is therefore probed on a new connection. It has crashed
@@ -44,14 +47,15 @@
     """A call in flight."""
 
     backend: Backend
-    content_of: Callable[[], ContentDigest]
+    content_of: Callable[[], ContentDigest] | None
     sent_at: float
 
 
 class _UnansweredAttempt(msgspec.Struct, frozen=True):
     """A call that ended without a response."""
 
-    content: ContentDigest
+    content: ContentDigest | None
+    """None for an item of a batch job."""
     ended_at: float
 
 
@@ -95,7 +99,7 @@
         self,
         call_id: CallId,
         backend: Backend,
-        content_of: Callable[[], ContentDigest],
+        content_of: Callable[[], ContentDigest] | None,
         now: float,
     ) -> None:
         """Record that a request is sent to a backend.
@@ -104,11 +108,13 @@
             call_id: Id of the call.
             backend: Receiver of the request.
             content_of: Returns the request's content digest; called when the call has ended, or at
-                once if the attempt is announced.
+                once if the attempt is announced. None for an item of a batch job, which is never
+                to blame for a crash.
             now: Local time in seconds.
         """
         self._in_flight[call_id] = _InFlightCall(backend, content_of, now)
-        self.suspects.record_send(call_id, backend, content_of, now)
+        if content_of is not None:
+            self.suspects.record_send(call_id, backend, content_of, now)
 
     def _remove_call(self, call_id: CallId) -> _InFlightCall | None:
         """Remove and return a call that has ended; None if it is unknown."""
@@ -118,8 +124,10 @@
     def record_response(self, call_id: CallId, now: float) -> None:
         """Record a complete response: the backend is alive, and the request didn't crash it."""
         call = self._remove_call(call_id)
-        if call is not None:
-            self._record_alive(call.backend.backend_id, call.sent_at)
+        if call is None:
+            return
+        self._record_alive(call.backend.backend_id, call.sent_at)
+        if call.content_of is not None:
             self.suspects.record_served(call.content_of(), now)
 
     def record_refusal(self, call_id: CallId) -> None:
@@ -133,7 +141,7 @@
             self._release_permit(call)
 
     def _release_permit(self, call: _InFlightCall) -> None:
-        if not self.suspects.is_empty:
+        if call.content_of is not None and not self.suspects.is_empty:
             self.suspects.return_permit(call.content_of())
 
     def _record_alive(self, backend_id: BackendId, alive_at: float) -> None:
@@ -166,10 +174,11 @@
             for attempt in unanswered.attempts
             if may_have_crashed_backend(attempt.ended_at, now)
         ]
-        content = call.content_of()
+        content = call.content_of() if call.content_of is not None else None
         held.append(_UnansweredAttempt(content, now))
         unanswered.attempts = held[-UNANSWERED_PER_BACKEND_LIMIT:]
-        self.suspects.record_unanswered(call.backend.backend_id, content, now)
+        if content is not None:
+            self.suspects.record_unanswered(call.backend.backend_id, content, now)
 
     def record_failure(self, event: CallFailed, now: float) -> list[Effect]:
         """Record a failed call; return a probe of its backend if the connection broke."""
@@ -238,18 +247,17 @@
         """
         unanswered = self._unanswered.pop(backend.backend_id, None)
         held = unanswered.attempts if unanswered is not None else []
-        contents = dict.fromkeys(
-            g.content for g in held if may_have_crashed_backend(g.ended_at, now)
-        )
+        attempts = [a for a in held if may_have_crashed_backend(a.ended_at, now)]
         if backend.is_draining:
             return []
+        contents = dict.fromkeys(a.content for a in attempts if a.content is not None)
         suspected = self.suspects.record_crash(backend.backend_id, contents, now)
-        if not contents:
+        if not attempts:
             return []
         fields = {
             "backend": backend.backend_id,
             "service": backend.service,
-            "in_flight": len(contents),
+            "in_flight": len(attempts),
             "suspected": ",".join(suspected),
         }
         return [LogEvent("backend.crashed", fields)]
