batch_jobs: the backoff of an engine that failed is 1.5 s at most

Cause: the backoff doubles to 4 s, and each item that breaks off at a crash counts as a failure, so one crash of an engine with five items is enough. An engine that keeps its id over a restart keeps its backoff, too. Change: the limit is 1.5 s, inside the 2 s in which an item has to be at a sound engine.

--- a/src/merlinstand/batch_jobs/engines.py
+++ b/src/merlinstand/batch_jobs/engines.py
@@ -42,8 +42,9 @@
 INITIAL_BACKOFF_SECONDS = 0.3
 """Backoff after a first failure, during which no run starts at the engine; doubled on each further
 failure until a text completes on the engine."""
-MAXIMUM_BACKOFF_SECONDS = 4.0
-"""Upper limit of the backoff."""
+MAXIMUM_BACKOFF_SECONDS = 1.5
+"""Upper limit of the backoff. If the only engine with room has recovered, items start on it within
+2 s."""
 
 
 class EngineState(msgspec.Struct):
--- a/tests/batch_jobs/test_items_after_crashes.py
+++ b/tests/batch_jobs/test_items_after_crashes.py
@@ -7,6 +7,7 @@
 import pytest
 
 from merlinstand.batch_calls.jobs import BatchItem, BatchJob, ResultState
+from merlinstand.batch_jobs.daemon import TICK_SECONDS
 from merlinstand.batch_jobs.engines import EngineStates
 from merlinstand.batch_jobs.item_run import ItemRun
 from merlinstand.batch_jobs.runner import ItemRunner
@@ -31,6 +32,8 @@
 from tests.batch_jobs.test_runner_scheduling import ROUTE, no_report
 
 AFTER_PAUSE_SECONDS = 5.0
+ITEM_WAIT_LIMIT_SECONDS = 2.0
+"""An item starts within this time if a sound engine has room."""
 ENGINES = 3
 
 
@@ -226,3 +229,25 @@
     jobs.apply(AcceptJob(BatchJob(job_id="k", host="h", path="/l/", items=items)), now)
     keeper.runner.add_job(jobs.jobs["k"], now)
     assert set(keeper.start_waiting(now)) == {"i0", "i1", "i2"}
+
+
+@pytest.mark.parametrize("failures", [1, 3, 6, 12])
+def test_an_item_waits_at_most_two_seconds_for_the_only_engine_after_failures(
+    failures: int,
+) -> None:
+    """Guards against a backoff that keeps items from a sound engine (LOST)."""
+    keeper = Keeper()
+    [only, *others] = keeper.runner._engines.states.values()
+    for other in others:
+        other.running = other.slots
+    now = 0.0
+    for _ in range(failures):
+        while not (calls := started_calls(keeper.runner.tick(now))):
+            now += TICK_SECONDS
+        for call in calls.values():
+            keeper.runner.on_call(CallFailed(call.call_id, CallPhase.CONNECT, "refused"), now)
+    failed_at = now
+    while not (calls := started_calls(keeper.runner.tick(now))):
+        now += TICK_SECONDS
+    assert {call.address for call in calls.values()} == {only.backend.address}
+    assert now - failed_at <= ITEM_WAIT_LIMIT_SECONDS
