batch_jobs: a run ends if its engine sends no events of the text, or more of them than the item has tokens

Seen by reading, then by the new tests (both fail before: the run goes on without end): comments or events without an id renew the time limit for ever, and events with rising ids without end let a text grow until the process runs out of memory. Change: a run ends with no_event if data arrives but no event of the text for 3 s (twice the limit of silence), and with too_many_events (the text starts again elsewhere) once it has more events than the item's Tokens, the sum of prompt and most out. The engine counts as failed.

--- a/src/merlinstand/batch_jobs/item_streams.py
+++ b/src/merlinstand/batch_jobs/item_streams.py
@@ -19,6 +19,8 @@
 from merlinstand.common.whole_number import parse_whole_number
 from merlinstand.decisions.item_retry import (
     AFTER_MALFORMED_STREAM,
+    AFTER_NO_EVENT,
+    AFTER_TOO_MANY_EVENTS,
     REFUSAL_PAUSE_SECONDS,
     Requeue,
     Terminate,
@@ -135,8 +137,18 @@
             self._record_engine_failure(run, now)
             return [log, *self._calls.requeue(run, AFTER_MALFORMED_STREAM, now)]
         self._record_event_times(run, run.text.last_event_id - previous_event_id, now)
-        decision = after_events(run.text.versions, self._requests.is_single_version(run))
-        return self._calls.requeue(run, decision, now) if decision is not None else []
+        decision = after_events(
+            run.text.versions,
+            self._requests.is_single_version(run),
+            run.text.last_event_id,
+            run.item.maximum_tokens,
+            now - run.last_received_at,
+        )
+        if decision is None:
+            return []
+        if decision in (AFTER_NO_EVENT, AFTER_TOO_MANY_EVENTS):
+            self._record_engine_failure(run, now)
+        return self._calls.requeue(run, decision, now)
 
     def _record_event_times(self, run: ItemRun, events: int, now: float) -> None:
         engine = self._calls.engine_of(run)
--- a/src/merlinstand/decisions/item_retry.py
+++ b/src/merlinstand/decisions/item_retry.py
@@ -18,6 +18,9 @@
 REFUSAL_PAUSE_SECONDS = 0.1
 """Pause before the next run at an engine that refused a run without executing it, so that a slot
 can become free."""
+EVENT_TIMEOUT_SECONDS = 3.0
+"""A run ends if data arrives but no event of the text for this long: twice the time after which a
+silent run ends (`retry.STREAM_IDLE_TIMEOUT_SECONDS`)."""
 SCORING_ROUND_TIMEOUT_SECONDS = 3.0
 """Timeout of one round of scoring attempts, after which the item waits for the next round."""
 MINIMUM_SCORING_PAUSE_SECONDS = 0.2
@@ -61,6 +64,10 @@
 
 AFTER_MALFORMED_STREAM = Requeue("bad_stream", RETRY_PAUSE_SECONDS)
 """The stream contained something that is not an event, or events out of order."""
+AFTER_NO_EVENT = Requeue("no_event", RETRY_PAUSE_SECONDS)
+"""The stream contained comments or events without an id, but for long no event of the text."""
+AFTER_TOO_MANY_EVENTS = Requeue("too_many_events", RETRY_PAUSE_SECONDS, is_text_discarded=True)
+"""The text has more events than the item allows tokens, so its engine does not end it."""
 AFTER_MOVE = Requeue("slow_engine", 0.0)
 """Another engine is expected to complete the text sooner; see `run_moves`."""
 JOB_EXPIRED = Terminate("queue_time")
@@ -112,13 +119,26 @@
     return None
 
 
-def after_events(text_versions: Sequence[int], is_single_version: bool) -> Requeue | None:
-    """Return what follows after events arrived; None if the run continues.
+def after_events(
+    text_versions: Sequence[int],
+    is_single_version: bool,
+    event_count: int,
+    maximum_tokens: int,
+    seconds_since_event: float,
+) -> Requeue | None:
+    """Return what follows after data arrived; None if the run continues.
 
     Args:
         text_versions: Versions that produced the text so far, each once.
         is_single_version: Whether a text must come from one version.
+        event_count: Number of events of the text; each holds one token or more.
+        maximum_tokens: Maximum number of tokens; 0 if unknown.
+        seconds_since_event: Time since the last event of the text, or since the run's start.
     """
+    if 0 < maximum_tokens < event_count:
+        return AFTER_TOO_MANY_EVENTS
+    if seconds_since_event > EVENT_TIMEOUT_SECONDS:
+        return AFTER_NO_EVENT
     if is_single_version and len(text_versions) > 1:
         return Requeue("version_changed", 0.0, is_text_discarded=True)
     return None
--- a/tests/batch_jobs/test_items_after_crashes.py
+++ b/tests/batch_jobs/test_items_after_crashes.py
@@ -40,7 +40,7 @@
 class Keeper:
     """A runner with one group of three items and three engines of three slots."""
 
-    def __init__(self) -> None:
+    def __init__(self, maximum_tokens: int = 0) -> None:
         self.follower = DirectoryFollower((), no_report)
         services = (Service(name="llm", health_path="/healthz"),)
         self.follower.routes = RouteTable(
@@ -57,7 +57,12 @@
         engines.refresh()
         items = tuple(
             BatchItem(
-                item_id=f"i{n}", path="/l/1", headers={"host": "h"}, body=b"%d" % n, group="g"
+                item_id=f"i{n}",
+                path="/l/1",
+                headers={"host": "h"},
+                body=b"%d" % n,
+                maximum_tokens=maximum_tokens,
+                group="g",
             )
             for n in range(3)
         )
