client, cli: responses that end within their head or never end are errors

Seen: the report of a server that stopped within its head and closed.

Cause, second fault of the same reader: a socket's timeout applies to each packet. Header lines, interim responses, chunk extensions and trailers, one each 0.05 s with a timeout of 0.5 s, were read to their end by the operators' and the trainers' client; the operators' body had no limit of size, the trainers' one only if it declared a length.

The operators' client uses the daemons' client with its limits (fetch). test_client_stops_when_all_certificates_are_refused replaced the library's class by a stand-in; it replaces fetch now, same checks.

--- a/src/merlinstand/cli/http_request.py
+++ b/src/merlinstand/cli/http_request.py
@@ -6,12 +6,14 @@
 import ssl
 
 import msgspec
-from geventhttpclient import HTTPClient
 from geventhttpclient.response import HTTPParseError
 from result import Err, Ok, Result
 
 from merlinstand.cli.errors import ControlUnavailableError, UntrustedControlError
-from merlinstand.runtime.addresses import Address, parse_address
+from merlinstand.common.ids import CallId
+from merlinstand.kernel.effects import StartCall
+from merlinstand.runtime.http_client import fetch
+from merlinstand.runtime.http_connection import ConnectionPool
 
 
 class HttpResponse(msgspec.Struct, frozen=True):
@@ -33,41 +35,31 @@
 ) -> Result[HttpResponse, ControlUnavailableError | UntrustedControlError]:
     """Send a request on a new connection and read the whole response.
 
-    The HTTP library may resend the request if the connection breaks; command ids make that safe.
-
     Args:
         address: `ip:port` of a control replica's API.
         method: `GET` or `POST`.
         path: Path with query.
         body: JSON, or empty.
         token: Bearer token, or empty.
-        timeout_seconds: Timeout to connect, and for each read of the response.
+        timeout_seconds: Timeout to connect, and of the whole response.
         authority: File of the CA certificates that sign the replicas'; empty for plain HTTP.
     """
-    parsed = parse_address(address)
-    if isinstance(parsed, Err):
-        return Err(ControlUnavailableError(detail=parsed.err_value.detail))
-    client = _make_client(parsed.ok_value, timeout_seconds, authority)
+    call = StartCall(
+        call_id=CallId("operator"),
+        address=address,
+        method=method,
+        path=path,
+        headers=_headers(token),
+        body=body,
+        timeout_seconds=timeout_seconds,
+        fresh_connection=True,
+    )
     try:
-        response = client.request(method, path, body=body, headers=_headers(token))
-        return Ok(HttpResponse(response.status_code, bytes(response.read())))
-    except (OSError, HTTPParseError) as error:
+        tls_context = make_tls_context(authority) if authority else None
+        response = fetch(call, ConnectionPool(tls_context, timeout_seconds))
+    except (OSError, HTTPParseError, ValueError) as error:
         return Err(_connection_error(address, error))
-    finally:
-        client.close()
-
-
-def _make_client(address: Address, timeout_seconds: float, authority: str) -> HTTPClient:
-    return HTTPClient(
-        address.ip,
-        address.port,
-        connection_timeout=timeout_seconds,
-        network_timeout=timeout_seconds,
-        concurrency=1,
-        ssl=bool(authority),
-        ssl_context_factory=(lambda **_options: make_tls_context(authority)) if authority else None,
-        insecure=bool(authority),
-    )
+    return Ok(HttpResponse(response.status, response.body))
 
 
 def _headers(token: str) -> dict[str, str]:
@@ -94,10 +86,11 @@
 
 
 def _connection_error(
-    address: str, error: OSError | HTTPParseError
+    address: str, error: OSError | HTTPParseError | ValueError
 ) -> ControlUnavailableError | UntrustedControlError:
-    if isinstance(error, ssl.SSLError):
-        return UntrustedControlError(detail=f"{address}: {_describe_tls_error(error)}")
+    tls_error = error if isinstance(error, ssl.SSLError) else error.__cause__
+    if isinstance(tls_error, ssl.SSLError):
+        return UntrustedControlError(detail=f"{address}: {_describe_tls_error(tls_error)}")
     return ControlUnavailableError(detail=f"{address}: {error or type(error).__name__}")
 
 
--- a/tests/cli/test_errors.py
+++ b/tests/cli/test_errors.py
@@ -5,7 +5,7 @@
 import ssl
 import sys
 from pathlib import Path
-from typing import Any
+from typing import Any, NoReturn
 
 import pytest
 from click.testing import CliRunner, Result
@@ -14,6 +14,8 @@
 
 from merlinstand.cli import http_request, output
 from merlinstand.cli.main import main
+from merlinstand.kernel.effects import StartCall
+from merlinstand.runtime.http_connection import ConnectError, ConnectionPool
 from tests.cli.conftest import FakeControl
 
 EXAMPLE_FILE = str(Path(__file__).parents[2] / "examples" / "vitrina" / "merlinstand.toml")
@@ -132,19 +134,13 @@
 def test_client_stops_when_all_certificates_are_refused(monkeypatch: pytest.MonkeyPatch) -> None:
     addresses_tried: list[str] = []
 
-    class ExpiredClient:
-        def __init__(self, host: str, port: int, **_options: Any) -> None:
-            addresses_tried.append(f"{host}:{port}")
+    def refuse_certificate(call: StartCall, _pool: ConnectionPool) -> NoReturn:
+        addresses_tried.append(call.address)
+        error = ssl.SSLCertVerificationError(1, "certificate verify failed")
+        error.verify_message = "certificate has expired"
+        raise ConnectError(str(error)) from error
 
-        def request(self, *_arguments: Any, **_options: Any) -> None:
-            error = ssl.SSLCertVerificationError(1, "certificate verify failed")
-            error.verify_message = "certificate has expired"
-            raise error
-
-        def close(self) -> None:
-            pass
-
-    monkeypatch.setattr(http_request, "HTTPClient", ExpiredClient)
+    monkeypatch.setattr(http_request, "fetch", refuse_certificate)
     addresses = ("--control", "127.0.0.1:1", "--control", "127.0.0.1:2")
     result = invoke("members", "list", *addresses, "--timeout", "60")
     check_error(result, 6, "error: untrusted: 127.0.0.1:1", "certificate has expired", "renew")
