runtime: the memory of a response that was given up is freed at once

Seen: 40 lookups at once to servers that send bodies without end took a gateway of 160 MB to 295 MB although ResponseBudget counted 24 MB at most (test_faulty_responses; the client alone: 232 MB with 40 calls, 146 MB with 5). Cause: the usage of a response refers to its call and the call to it, so the buffers waited for the cyclic garbage collector; and the allocator kept large blocks. Change: the usage of an ended call drops its reference; the allocator returns large blocks once arriving responses take 1 MiB.

tests: real programs with servers that cut heads at each byte or send without end (test_faulty_responses), and a soak of them with crashes in series and overlapping signals (response_soak, items_at_no_server by the words of rule LOST).

--- a/src/merlinstand/runtime/http_client.py
+++ b/src/merlinstand/runtime/http_client.py
@@ -399,7 +399,7 @@
         """Return the connection to the pool, or close it, by a reset if the call is incomplete."""
         self._watchdog.close()
         self._buffer_usage.close()
-        self._usage.close()
+        self._usage.end()
         connection = self._connection
         self._connection = None
         if connection is None:
--- a/src/merlinstand/runtime/response_budget.py
+++ b/src/merlinstand/runtime/response_budget.py
@@ -9,6 +9,7 @@
 import math
 from collections.abc import Callable
 
+from merlinstand.runtime.allocator import prepare_for_block
 from merlinstand.runtime.host_settings import HttpLimits
 from merlinstand.runtime.kept_bytes import BUFFER_SHARE, MINIMUM_LIMIT_BYTES
 from merlinstand.runtime.request_limits import available_bytes
@@ -57,6 +58,7 @@
     def add(self, usage: "ResponseUsage", size_bytes: int) -> None:
         """Count bytes, and give up responses if there are too many; for `ResponseUsage`."""
         self.total_bytes += size_bytes
+        prepare_for_block(self.total_bytes)
         if usage.held_bytes > SMALL_RESPONSE_BYTES:
             self._large[usage] = None
         if self.limit_bytes and size_bytes > 0:
@@ -116,3 +118,13 @@
         if not self._is_closed:
             self._is_closed = True
             self._budget.remove(self)
+
+    def end(self) -> None:
+        """Stop counting the response, whose call has ended."""
+        self.close()
+        # Breaks the reference cycle with the call, whose memory is then freed at once.
+        self.give_up = _do_nothing
+
+
+def _do_nothing() -> None:
+    pass
--- a/tests/runtime/test_response_limits.py
+++ b/tests/runtime/test_response_limits.py
@@ -213,14 +213,6 @@
         b"x" * 10_000,
         id="small chunks with extensions and a trailer",
     ),
-    pytest.param(
-        OK + b"Content-Length: %d\r\n\r\n" % (32 * MIB) + bytes(32 * MIB),
-        bytes(32 * MIB),
-        id="32 MiB",
-    ),
-    pytest.param(
-        CHUNKED + chunk(bytes(8 * MIB)) * 4 + b"0\r\n\r\n", bytes(32 * MIB), id="32 MiB in chunks"
-    ),
 ]
 
 
@@ -242,6 +234,34 @@
     exchange.client.close()
 
 
+@pytest.mark.parametrize(
+    ("start", "piece", "end"),
+    [
+        pytest.param(
+            OK + b"Content-Length: %d\r\n\r\n" % (32 * MIB), bytes(MIB), b"", id="declared"
+        ),
+        pytest.param(CHUNKED, chunk(bytes(MIB)), b"0\r\n\r\n", id="in chunks"),
+    ],
+)
+def test_a_response_of_32_mib_passes(
+    sink: EventSink, raw_server: Any, start: bytes, piece: bytes, end: bytes
+) -> None:
+    def serve(connection: Any) -> None:
+        read_request(connection)
+        connection.sendall(start)
+        for _ in range(32):
+            connection.sendall(piece)
+        connection.sendall(end)
+        connection.recv(1)
+
+    exchange = Exchange(sink, response_limit_bytes(LIMITS))
+    exchange.client.start(call(raw_server(serve)))
+    assert len(sink.wait_for(CallResponded).body) == 32 * MIB
+    assert exchange.rejected == []
+    assert exchange.budget.total_bytes == 0
+    exchange.client.close()
+
+
 def test_events_in_pieces_are_progress(
     sink: EventSink, exchange: Exchange, raw_server: Any
 ) -> None:
--- a/tests/users_platform/real_world.py
+++ b/tests/users_platform/real_world.py
@@ -41,6 +41,7 @@
     LookupClient,
     RepeatingCaller,
 )
+from tests.users_platform.response_faults import ResponseFault
 from tests.users_platform.servers import Engine, RegisteredServer
 from tests.users_platform.world import (
     LOOKUPS_TENANT,
@@ -137,6 +138,8 @@
         self._open = LoopEvent()
         self._open.set()
         self._connections: set[Any] = set()
+        self.response_fault: ResponseFault | None = None
+        """What happens to the responses of new connections; None forwards them."""
         self._server = StreamServer(address, self._serve)
         self._server.start()
 
@@ -169,6 +172,12 @@
 
     def _serve(self, inbound: Any, _address: Any) -> None:
         self._open.wait()
+        if self.response_fault is not None:
+            self._connections.add(inbound)
+            self.response_fault.serve(inbound, self._target)
+            self._connections.discard(inbound)
+            inbound.close()
+            return
         try:
             outbound = create_connection(self._target, timeout=2.0)
             outbound.settimeout(None)
@@ -324,6 +333,11 @@
         self.loaded_servers: dict[str, LoadedServer] = {}
         """The shop's current servers with bounded queues, by IP address."""
         self._hosts: list[Host] = []
+        self._servers: dict[str, tuple[Any, Callable[[], None]]] = {}
+        """By IP address, the running server and a function that crashes it."""
+        self.restart_delay_seconds = RESTART_DELAY_SECONDS
+        self.crash_times: dict[str, float] = {}
+        """Time of each crash, by the server's id."""
         self._is_closed = False
         self._seed = seed
         for machine in self.machines:
@@ -448,14 +462,38 @@
             # In a new greenlet: the host can't be aborted from its own event handler.
             gevent.spawn(self._restart_server, host, ip, make, proxy)
 
-        host = self.host(ip, make(), f"{ip}:{SERVER_PORT}", on_stop)
+        server = make()
+        host = self.host(ip, server, f"{ip}:{SERVER_PORT}", on_stop)
+        self._servers[ip] = (server, on_stop)
+
+    @property
+    def server_ips(self) -> list[str]:
+        """IP addresses of the servers that run now."""
+        return sorted(self._servers)
+
+    def address_of(self, server_id: str) -> str:
+        """Return the IP address of a server; empty if it doesn't run."""
+        found = (
+            ip for ip, (server, _crash) in self._servers.items() if server.instance == server_id
+        )
+        return next(found, "")
+
+    def crash_server(self, ip: str) -> None:
+        """Crash the server at an address, unless it is down; it restarts after a while."""
+        if ip in self._servers:
+            _server, crash = self._servers[ip]
+            crash()
 
     def _restart_server(self, host: Host, ip: str, make: Callable[[], Any], proxy: Proxy) -> None:
-        """Restart a crashed server after `RESTART_DELAY_SECONDS`."""
+        """Restart a crashed server after `restart_delay_seconds`."""
+        crashed = self._servers.pop(ip, None)
+        if crashed is None:
+            return
+        self.crash_times[crashed[0].instance] = monotonic_seconds()
         proxy.take_down()
         host.abort()
         self._hosts.remove(host)
-        gevent.sleep(RESTART_DELAY_SECONDS)
+        gevent.sleep(self.restart_delay_seconds)
         if not self._is_closed:
             self._start_server(ip, make, proxy)
             proxy.bring_up()
--- /dev/null
+++ b/tests/users_platform/response_faults.py
@@ -0,0 +1,118 @@
+"""Faults of responses on real connections: cut off at a byte, or without end."""
+
+import contextlib
+from random import Random
+from typing import Any, Protocol
+
+import gevent
+import msgspec
+from gevent.socket import create_connection
+
+RECEIVE_BYTES = 65536
+FLOOD_PIECE_BYTES = 64 * 1024
+ENDLESS_SECONDS = 45.0
+"""Bound of one response without end; longer than any run of a soak needs."""
+FLOOD_BYTES = 200_000_000
+"""Bound of one response that is sent as fast as it is read."""
+SLOW_PIECE_SECONDS = 0.2
+LONGEST_HEAD_BYTES = 240
+"""More than the heads of the stubs."""
+
+STATUS_LINE = b"HTTP/1.1 200 OK\r\n"
+CHUNKED = STATUS_LINE + b"Transfer-Encoding: chunked\r\n"
+
+
+class ResponseFault(Protocol):
+    """Answers the requests of one connection in place of its server."""
+
+    def serve(self, connection: Any, target: tuple[str, int]) -> None:
+        """Serve a connection until it ends.
+
+        Args:
+            connection: Connection of the caller.
+            target: Address of the server.
+        """
+
+
+class CutResponse(msgspec.Struct, frozen=True):
+    """The server's response ends after some bytes, and the connection closes."""
+
+    sent_bytes: int
+
+    def serve(self, connection: Any, target: tuple[str, int]) -> None:
+        with contextlib.suppress(OSError):
+            server = create_connection(target, timeout=2.0)
+            try:
+                server.sendall(connection.recv(RECEIVE_BYTES))
+                left = self.sent_bytes
+                while left > 0 and (data := server.recv(min(left, RECEIVE_BYTES))):
+                    connection.sendall(data)
+                    left -= len(data)
+            finally:
+                server.close()
+
+
+class EndlessResponse(msgspec.Struct, frozen=True):
+    """The response begins, and then the same piece is sent until the caller closes."""
+
+    name: str
+    start: bytes
+    piece: bytes
+    is_slow: bool
+
+    def serve(self, connection: Any, target: tuple[str, int]) -> None:
+        with contextlib.suppress(OSError):
+            request = connection.recv(RECEIVE_BYTES)
+            connection.sendall(self.start.replace(b"ID", _request_id(request)))
+            if self.is_slow:
+                self._drip(connection)
+            else:
+                self._flood(connection)
+
+    def _drip(self, connection: Any) -> None:
+        for _ in range(int(ENDLESS_SECONDS / SLOW_PIECE_SECONDS)):
+            connection.sendall(self.piece)
+            gevent.sleep(SLOW_PIECE_SECONDS)
+
+    def _flood(self, connection: Any) -> None:
+        data = self.piece * max(1, FLOOD_PIECE_BYTES // len(self.piece))
+        for _ in range(FLOOD_BYTES // len(data)):
+            connection.sendall(data)
+
+
+def _request_id(request: bytes) -> bytes:
+    for line in request.split(b"\r\n"):
+        name, _colon, value = line.partition(b": ")
+        if name.lower() == b"x-request-id":
+            return value
+    return b""
+
+
+def _chunk(data: bytes) -> bytes:
+    return b"%x\r\n%s\r\n" % (len(data), data)
+
+
+ECHO = b"X-Request-Id: ID\r\nX-Weight-Versions: 99\r\n\r\n"
+SHAPES = {
+    "header lines": (STATUS_LINE, b"X-Filler: x\r\n"),
+    "one header line": (STATUS_LINE + b"X-Filler: ", b"x" * 16),
+    "interim responses": (b"", b"HTTP/1.1 100 Continue\r\n\r\n"),
+    "chunk extension": (CHUNKED + ECHO + b"5;name=", b"x" * 16),
+    "trailers": (CHUNKED + ECHO + b"0\r\n", b"X-Filler: x\r\n"),
+    "body": (CHUNKED + ECHO, _chunk(b"x" * 1000)),
+    "event": (CHUNKED + ECHO, _chunk(b"data: x\n")),
+    "comments": (CHUNKED + ECHO, _chunk(b": ping\n\n")),
+    "no HTTP": (b"", b"garbage "),
+}
+
+
+def draw_fault(random_source: Random) -> tuple[str, ResponseFault]:
+    """Draw a fault; return it with its name."""
+    if random_source.random() < 0.4:
+        sent_bytes = random_source.randint(0, LONGEST_HEAD_BYTES)
+        return f"cut at byte {sent_bytes}", CutResponse(sent_bytes)
+    shape = random_source.choice(sorted(SHAPES))
+    is_slow = random_source.random() < 0.5
+    start, piece = SHAPES[shape]
+    fault = EndlessResponse(shape, start, piece, is_slow)
+    return f"{'slow' if is_slow else 'fast'} {shape} without end", fault
--- a/tests/users_platform/servers.py
+++ b/tests/users_platform/servers.py
@@ -256,6 +256,15 @@
         return [Respond(event.request_id, 200, headers, b"answer to " + request_id.encode())]
 
 
+class RunEnd(msgspec.Struct, frozen=True):
+    """The end of an item's run at an engine that did not crash."""
+
+    server: str
+    request_id: str
+    is_complete: bool
+    """Whether the engine sent the whole text."""
+
+
 class _Run(msgspec.Struct):
     request: RequestReceived
     next_event: int
@@ -317,9 +326,13 @@
         ]
 
     def reduce(self, event: Event, now: float) -> list[Effect]:
-        if isinstance(event, RequestAborted):
-            self._runs.pop(event.request_id, None)
-        return super().reduce(event, now)
+        run = self._runs.pop(event.request_id, None) if isinstance(event, RequestAborted) else None
+        ended = [] if run is None else [self._record_end(run, is_complete=False)]
+        return [*ended, *super().reduce(event, now)]
+
+    def _record_end(self, run: _Run, is_complete: bool) -> Effect:
+        item_id = run.request.headers["x-request-id"]
+        return WriteRecord("run_ends", RunEnd(self.instance, item_id, is_complete))
 
     def _on_work_timer(self, name: str, now: float) -> list[Effect]:
         if name == "loaded" and self.loading is not None:
@@ -341,7 +354,8 @@
         effects: list[Effect] = [RespondChunk(request.request_id, data.encode())]
         if run.next_event >= event_count(item_id):
             del self._runs[request.request_id]
-            return [*effects, RespondEnd(request.request_id)]
+            ended = self._record_end(run, is_complete=True)
+            return [*effects, ended, RespondEnd(request.request_id)]
         run.next_event += 1
         return [*effects, SetTimer(f"event:{request.request_id}", self.event_interval_seconds)]
 
--- /dev/null
+++ b/tests/users_platform/test_faulty_responses.py
@@ -0,0 +1,135 @@
+"""Responses of servers that are cut off or never end, through every role of the real programs.
+
+Guards against a response that was cut off within its head and passed on as whole (MIXED), against
+items that wait for a response that never comes (LOST), and against responses without end that take
+a machine's memory.
+"""
+
+from collections.abc import Iterator
+from pathlib import Path
+
+import gevent
+import pytest
+
+from merlinstand.common.boot_clock import monotonic_seconds
+from tests.users_platform.checks import complete_steps, records, violations
+from tests.users_platform.client_crowds import (
+    BYTES_PER_MEGABYTE,
+    is_answered,
+    lookup,
+    memory_peak_bytes,
+    reset_memory_peak,
+    send_request,
+    status_of,
+)
+from tests.users_platform.item_places import items_at_no_server
+from tests.users_platform.lookup_clients import LookupResponse
+from tests.users_platform.real_world import FRONT_PORT, ProcessDeployment
+from tests.users_platform.response_faults import (
+    LONGEST_HEAD_BYTES,
+    SHAPES,
+    CutResponse,
+    EndlessResponse,
+)
+from tests.users_platform.response_soak import run_seed
+from tests.users_platform.servers import Engine
+
+MEMORY_MB = 160
+STEPS = 3
+SETTLE_SECONDS = 8.0
+CUT_SECONDS = 0.1
+CONTACT_SECONDS = 3.0
+TIMEOUT_SECONDS = 90.0
+CALLERS = 40
+
+
+@pytest.fixture
+def deployment(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> Iterator[ProcessDeployment]:
+    monkeypatch.setattr(Engine, "event_interval_seconds", 0.2)
+    real = ProcessDeployment(
+        tmp_path, seed=1, steps=STEPS, gateways=1, limits={"MemoryMb": MEMORY_MB}
+    )
+    gateway = f"{real.gateways[0].ip}:{FRONT_PORT}"
+    assert is_answered(gateway, lookup("c0-first"), 200)
+    yield real
+    real.close()
+
+
+def wait_for_steps(deployment: ProcessDeployment) -> None:
+    with gevent.Timeout(TIMEOUT_SECONDS):
+        while complete_steps(deployment) < STEPS:  # type: ignore[arg-type]
+            gevent.sleep(0.2)
+
+
+def test_heads_cut_off_at_each_byte_are_never_passed_on(deployment: ProcessDeployment) -> None:
+    """Lookups, items, scoring calls, probes, reports and orders: all pass the proxies."""
+    for sent_bytes in range(LONGEST_HEAD_BYTES):
+        # One service after the other, so that items can be scored now and then.
+        cut = deployment.proxies[sent_bytes % 2 :: 2]
+        for proxy in cut:
+            proxy.response_fault = CutResponse(sent_bytes)
+            proxy.reset()
+        gevent.sleep(CUT_SECONDS)
+        for proxy in cut:
+            proxy.response_fault = None
+    wait_for_steps(deployment)
+    responses = [r for r in records(deployment, "lookups") if isinstance(r, LookupResponse)]  # type: ignore[arg-type]
+    assert {response.status for response in responses} >= {200}
+    assert violations(deployment) == []  # type: ignore[arg-type]
+
+
+@pytest.mark.parametrize("is_slow", [True, False], ids=["slow", "fast"])
+@pytest.mark.parametrize("shape", ["header lines", "trailers", "event", "comments"])
+def test_items_leave_an_engine_that_sends_without_end(
+    deployment: ProcessDeployment, shape: str, is_slow: bool
+) -> None:
+    """Each engine answers its next runs without end; what has begun goes on when that is over."""
+    engines = deployment.proxies[1::2]
+    start, piece = SHAPES[shape]
+    gevent.sleep(SETTLE_SECONDS)
+    for proxy in engines:
+        proxy.response_fault = EndlessResponse(shape, start, piece, is_slow)
+        proxy.reset()
+        gevent.sleep(0.5)
+        proxy.response_fault = None
+    calm_from = monotonic_seconds() + CONTACT_SECONDS
+    wait_for_steps(deployment)
+    assert items_at_no_server(deployment, calm_from, monotonic_seconds()) == []
+    assert violations(deployment) == []  # type: ignore[arg-type]
+    keepers = [m for m in deployment.keepers if m.process is not None]
+    peaks = [memory_peak_bytes(m.process.pid) / BYTES_PER_MEGABYTE for m in keepers if m.process]
+    assert max(peaks) <= MEMORY_MB
+
+
+@pytest.mark.parametrize("shape", ["body", "header lines", "interim responses", "trailers"])
+def test_a_gateway_stays_within_its_memory_and_answers_afterwards(
+    deployment: ProcessDeployment, shape: str
+) -> None:
+    """Many lookups at once reach servers that send without end, as fast as the gateway reads."""
+    gateway = deployment.gateways[0]
+    address = f"{gateway.ip}:{FRONT_PORT}"
+    assert gateway.process is not None
+    reset_memory_peak(gateway.process.pid)
+    start, piece = SHAPES[shape]
+    shops = deployment.proxies[::2]
+    for proxy in shops:
+        proxy.response_fault = EndlessResponse(shape, start, piece, is_slow=False)
+        proxy.reset()
+    callers = [
+        gevent.spawn(send_request, address, lookup(f"c0-flood-{number}"))
+        for number in range(CALLERS)
+    ]
+    gevent.joinall(callers)
+    statuses = {status_of(caller.get()) for caller in callers}
+    assert 200 not in statuses
+    assert memory_peak_bytes(gateway.process.pid) <= MEMORY_MB * BYTES_PER_MEGABYTE
+    for proxy in shops:
+        proxy.response_fault = None
+    assert is_answered(address, lookup("c0-afterwards"), 200)
+    assert "event=response.rejected" in gateway.log
+
+
+@pytest.mark.parametrize("seed", [61001, 61002])
+def test_short_response_soak_has_no_violations(seed: int) -> None:
+    found, summary = run_seed(seed, steps=3, fault_seconds=8.0)
+    assert found == [], summary
