runtime: less work for each read of a response

Change: a usage is opened only when a read leaves the response incomplete, whole events take one test, and the usage refers to the call's greenlet instead of the call, so that there is no cycle to break.

--- a/src/merlinstand/runtime/http_client.py
+++ b/src/merlinstand/runtime/http_client.py
@@ -34,8 +34,13 @@
     encode_request,
 )
 from merlinstand.runtime.kept_bytes import BufferBudget
-from merlinstand.runtime.response_budget import NoResponseRoomError, ResponseBudget
+from merlinstand.runtime.response_budget import (
+    NoResponseRoomError,
+    ResponseBudget,
+    ResponseUsage,
+)
 from merlinstand.runtime.response_limits import (
+    EventMeter,
     RejectedResponse,
     ResponseMeter,
     ResponsePart,
@@ -213,13 +218,15 @@
         responses: ResponseAccounting,
     ) -> None:
         self._call = call
+        self._responses = responses
         self._limits = responses.limits
         self._meter = ResponseMeter(responses.limits)
-        self._usage = responses.budget.open_response(self._give_up)
-        self._greenlet = gevent.getcurrent()
-        self._started_at = boot_seconds()
-        self._limit_at = 0.0
-        """Local time at which the time limit expires."""
+        self._usage: ResponseUsage | None = None
+        """What the response holds; None until a read left it incomplete."""
+        self._event: EventMeter | None = None
+        """Follows the events of the body, if it is a stream of events."""
+        self._declared_bytes: int | None = None
+        """Declared length of a body that is read as a whole."""
         self._buffer_usage = budget.open_connection()
         self._pool = pool
         self._connection: Connection | None = None
@@ -268,7 +275,7 @@
         declared_bytes = self.parser.content_length
         if declared_bytes is not None and declared_bytes > self._limits.maximum_response_bytes:
             raise ResponseTooLargeError(ResponsePart.BODY, self._limits.maximum_response_bytes)
-        self._usage.declared_bytes = declared_bytes
+        self._declared_bytes = declared_bytes
         while not self.parser.message_complete:
             if not self.read_more_or_end():
                 break
@@ -290,6 +297,8 @@
                 self.phase = CallPhase.BODY
         if self._call.stream:
             self._restart_time_limit()
+            if self._call.is_event_stream and self.parser.status_code == HTTPStatus.OK:
+                self._event = EventMeter(self._limits.maximum_event_bytes)
         self._check_echo_header()
         if not self.parser.message_complete and not self.parser.is_framed():
             if not self._call.accepts_unframed:
@@ -340,15 +349,35 @@
     def _parse(self, data: bytes) -> None:
         """Pass received bytes to the parser, and check the limits of the response."""
         parser = self.parser
-        had_head = parser.has_final_head
+        had_head = self.phase is CallPhase.BODY
         body_bytes_before = parser.body_size
         parser.feed(data)
-        if had_head:
-            body_bytes = parser.body_size - body_bytes_before
-            self._meter.record_body(len(data), body_bytes, parser.body_size)
-        else:
+        body_bytes = parser.body_size
+        if body_bytes > body_bytes_before and self._event is not None:
+            # Counted by `record_streamed`.
+            self._meter.bytes_without_body = 0
+            return
+        if not had_head:
             self._meter.record_head(len(data), parser.has_final_head)
-        self._usage.set_held(parser.body_size + self._meter.held_bytes)
+        elif body_bytes > body_bytes_before:
+            self._meter.record_body(body_bytes)
+        else:
+            self._meter.record_framing(len(data))
+        if not parser.is_complete:
+            self._hold(body_bytes + self._meter.bytes_without_body)
+
+    def _hold(self, size_bytes: int) -> None:
+        """Count what the incomplete response holds.
+
+        Raises:
+            NoResponseRoomError: Other responses need the room.
+        """
+        if self._usage is None:
+            if not size_bytes:
+                return
+            self._usage = self._responses.budget.open_response(_give_up_later(gevent.getcurrent()))
+        self._usage.declared_bytes = self._declared_bytes
+        self._usage.set_held(size_bytes)
 
     def record_streamed(self, data: bytes) -> None:
         """Restart the time limit if a piece of a stream's body is progress.
@@ -357,34 +386,31 @@
             ResponseTooLargeError: An event of the stream is too large.
             NoResponseRoomError: Other responses need the room.
         """
-        is_progress = True
-        if self._call.is_event_stream and self.parser.status_code == HTTPStatus.OK:
-            is_progress = self._meter.record_event_data(data)
-            self._usage.set_held(self._meter.held_bytes)
-        if is_progress:
+        event = self._event
+        if event is None or event.feed(data):
             self._restart_time_limit()
+        if event is not None and (event.pending_bytes or self._usage is not None):
+            # Usually neither: each read ends with an event.
+            self._hold(event.pending_bytes)
 
     @property
     def part(self) -> ResponsePart:
         """Part of the response that is being received."""
-        return self._meter.part
+        if self._event is not None:
+            return ResponsePart.EVENT
+        return ResponsePart.HEAD if self.phase is not CallPhase.BODY else ResponsePart.BODY
 
     @property
     def seconds(self) -> float:
-        """Time since the call began."""
-        return boot_seconds() - self._started_at
-
-    def _give_up(self) -> None:
-        """End the call from another greenlet, because other responses need the room."""
-        if gevent.getcurrent() is not self._greenlet:
-            self._greenlet.kill(NoResponseRoomError, block=False)
+        """Time since the request was sent."""
+        return boot_seconds() - self._sent_at
 
     def pause(self, seconds: float) -> None:
         """Let bytes accumulate; the pause does not count against the server's time limit."""
+        remaining_seconds = self._watchdog.remaining_seconds
         self._watchdog.clear_limit()
         gevent.sleep(seconds)
-        self._limit_at += seconds
-        self._watchdog.set_limit(max(0.0, self._limit_at - boot_seconds()), TimeoutError)
+        self._watchdog.set_limit(remaining_seconds, TimeoutError)
 
     def on_timeout(self) -> None:
         """Close idle connections that may be unresponsive, after a timeout on a reused connection.
@@ -399,7 +425,8 @@
         """Return the connection to the pool, or close it, by a reset if the call is incomplete."""
         self._watchdog.close()
         self._buffer_usage.close()
-        self._usage.end()
+        if self._usage is not None:
+            self._usage.close()
         connection = self._connection
         self._connection = None
         if connection is None:
@@ -427,10 +454,20 @@
 
     def _restart_time_limit(self) -> None:
         """Restart the time limit, for the whole call or for the next progress of a stream."""
-        self._limit_at = boot_seconds() + self._call.timeout_seconds
         self._watchdog.set_limit(self._call.timeout_seconds, TimeoutError)
 
 
+def _give_up_later(greenlet: Greenlet) -> Callable[[], None]:
+    """Return a function that ends a call, from any greenlet, because others need its room."""
+
+    def give_up() -> None:
+        # The call's own greenlet gets the error from `ResponseUsage.set_held`.
+        if gevent.getcurrent() is not greenlet:
+            greenlet.kill(NoResponseRoomError, block=False)
+
+    return give_up
+
+
 def _failure_reason(error: BaseException, progress: _CallProgress) -> str:
     if isinstance(error, TimeoutError):
         return "timeout"
--- a/src/merlinstand/runtime/response_budget.py
+++ b/src/merlinstand/runtime/response_budget.py
@@ -52,6 +52,7 @@
 
         Args:
             give_up: Ends the call with `NoResponseRoomError`, from any greenlet, without blocking.
+                It must not refer to the response, whose memory would then be freed late.
         """
         return ResponseUsage(self, give_up)
 
@@ -118,13 +119,3 @@
         if not self._is_closed:
             self._is_closed = True
             self._budget.remove(self)
-
-    def end(self) -> None:
-        """Stop counting the response, whose call has ended."""
-        self.close()
-        # Breaks the reference cycle with the call, whose memory is then freed at once.
-        self.give_up = _do_nothing
-
-
-def _do_nothing() -> None:
-    pass
--- a/src/merlinstand/runtime/response_limits.py
+++ b/src/merlinstand/runtime/response_limits.py
@@ -38,7 +38,9 @@
 
 
 class ResponseMeter:
-    """Follows one response and raises an error once a part exceeds its limit."""
+    """Counts the bytes of one response, and raises an error once a part exceeds its limit."""
+
+    __slots__ = ("_limits", "bytes_without_body")
 
     def __init__(self, limits: HttpLimits) -> None:
         """Start before the first byte.
@@ -47,16 +49,8 @@
             limits: The limits, in bytes.
         """
         self._limits = limits
-        self._bytes_without_body = 0
+        self.bytes_without_body = 0
         """Bytes since the start, or after the head since the last byte of the body."""
-        self._event = EventMeter()
-        self.part = ResponsePart.HEAD
-        """Part that the next bytes belong to, as far as known."""
-
-    @property
-    def held_bytes(self) -> int:
-        """Bytes of the response that are held besides its body."""
-        return self._bytes_without_body + self._event.pending_bytes
 
     def record_head(self, size_bytes: int, is_complete: bool) -> None:
         """Count bytes that were received before the head was complete.
@@ -64,75 +58,81 @@
         Raises:
             ResponseTooLargeError: The head is too large.
         """
-        self._bytes_without_body += size_bytes
+        if is_complete:
+            self.bytes_without_body = 0
+            return
+        self.bytes_without_body += size_bytes
         limit = self._limits.maximum_response_head_bytes
-        if not is_complete and self._bytes_without_body > limit:
+        if self.bytes_without_body > limit:
             raise ResponseTooLargeError(ResponsePart.HEAD, limit)
-        if is_complete:
-            self.part = ResponsePart.BODY
-            self._bytes_without_body = 0
 
-    def record_body(self, size_bytes: int, body_bytes: int, held_body_bytes: int) -> None:
-        """Count bytes that were received after the head.
+    def record_body(self, held_bytes: int) -> None:
+        """Record that bytes of the body arrived.
 
         Args:
-            size_bytes: Number of bytes.
-            body_bytes: How many of them belong to the body.
-            held_body_bytes: Size of the body so far, unless it was passed on.
+            held_bytes: Size of the body so far, unless it was passed on.
 
         Raises:
-            ResponseTooLargeError: The body is too large, or too many bytes carried no body.
+            ResponseTooLargeError: The body is too large.
         """
-        limits = self._limits
-        if held_body_bytes > limits.maximum_response_bytes:
-            raise ResponseTooLargeError(ResponsePart.BODY, limits.maximum_response_bytes)
-        if body_bytes:
-            self._bytes_without_body = 0
-            return
-        self._bytes_without_body += size_bytes
-        if self._bytes_without_body > limits.maximum_response_head_bytes:
-            raise ResponseTooLargeError(ResponsePart.FRAMING, limits.maximum_response_head_bytes)
-
-    def record_event_data(self, data: bytes) -> bool:
-        """Follow a piece of a stream of events; return whether the stream made progress.
+        self.bytes_without_body = 0
+        limit = self._limits.maximum_response_bytes
+        if held_bytes > limit:
+            raise ResponseTooLargeError(ResponsePart.BODY, limit)
 
-        Progress is the end of an event, or the beginning of one.
+    def record_framing(self, size_bytes: int) -> None:
+        """Count bytes after the head among which were none of the body.
 
         Raises:
-            ResponseTooLargeError: An event is too large.
+            ResponseTooLargeError: Too many bytes carried no body.
         """
-        self.part = ResponsePart.EVENT
-        has_progress = self._event.feed(data)
-        if self._event.pending_bytes > self._limits.maximum_event_bytes:
-            raise ResponseTooLargeError(ResponsePart.EVENT, self._limits.maximum_event_bytes)
-        return has_progress
+        self.bytes_without_body += size_bytes
+        limit = self._limits.maximum_response_head_bytes
+        if self.bytes_without_body > limit:
+            raise ResponseTooLargeError(ResponsePart.FRAMING, limit)
 
 
 class EventMeter:
     """Follows the boundaries of the events in a stream, without keeping its bytes."""
 
-    __slots__ = ("_tail", "pending_bytes")
+    __slots__ = ("_maximum_bytes", "_tail", "pending_bytes")
+
+    def __init__(self, maximum_bytes: int) -> None:
+        """Start before the first event.
 
-    def __init__(self) -> None:
-        """Start before the first event."""
+        Args:
+            maximum_bytes: Maximum size of an event.
+        """
+        self._maximum_bytes = maximum_bytes
         self.pending_bytes = 0
         """Bytes of the incomplete event."""
         self._tail = b""
         """Last bytes of the incomplete event, which may be the start of a delimiter."""
 
     def feed(self, data: bytes) -> bool:
-        """Follow a piece; return whether an event ended in it, or began with it."""
+        """Follow a piece; return whether the stream made progress: an event ended or began in it.
+
+        Raises:
+            ResponseTooLargeError: The event is too large.
+        """
+        if data.endswith(_DELIMITERS):
+            # The usual case: whole events.
+            self.pending_bytes = 0
+            self._tail = b""
+            return True
+        had_begun = self.pending_bytes > 0
         joined = self._tail + data
-        end = max(joined.rfind(delimiter) + len(delimiter) for delimiter in _DELIMITERS)
         has_ended = any(delimiter in joined for delimiter in _DELIMITERS)
-        has_begun = not self.pending_bytes
         if has_ended:
-            self.pending_bytes = len(joined) - end
-            self._tail = joined[max(end, len(joined) - _DELIMITER_BYTES) :]
+            end = max(joined.rfind(delimiter) + len(delimiter) for delimiter in _DELIMITERS)
+            joined = joined[end:]
+            self.pending_bytes = len(joined)
         else:
             self.pending_bytes += len(data)
-            self._tail = joined[-_DELIMITER_BYTES:]
-        return has_ended or has_begun
+        self._tail = joined[-_DELIMITER_BYTES:]
+        if self.pending_bytes > self._maximum_bytes:
+            raise ResponseTooLargeError(ResponsePart.EVENT, self._maximum_bytes)
+        return has_ended or not had_begun
 
 
 class RejectedResponse(msgspec.Struct, frozen=True):
--- a/src/merlinstand/runtime/watchdog.py
+++ b/src/merlinstand/runtime/watchdog.py
@@ -45,6 +45,11 @@
         if self._fires_at > self._deadline:
             self._arm(seconds, now)
 
+    @property
+    def remaining_seconds(self) -> float:
+        """Time until the limit expires; infinite without a limit."""
+        return max(0.0, self._deadline - boot_seconds())
+
     def clear_limit(self) -> None:
         """End the step and its limit."""
         self._deadline = math.inf
--- a/tests/runtime/test_response_limits.py
+++ b/tests/runtime/test_response_limits.py
@@ -98,8 +98,8 @@
     pytest.param(OK, [b"X-A: b\r\n"], CallPhase.SENT, "head", id="header lines"),
     pytest.param(OK + b"X-A: ", [b"b"], CallPhase.SENT, "head", id="one header line"),
     pytest.param(b"", [b"HTTP/1.1 100 Continue\r\n\r\n"], CallPhase.SENT, "head", id="interim"),
-    pytest.param(CHUNKED + b"5;a=", [b"b"], CallPhase.BODY, "body", id="chunk extension"),
-    pytest.param(CHUNKED + b"0\r\n", [b"X-A: b\r\n"], CallPhase.BODY, "body", id="trailers"),
+    pytest.param(CHUNKED + b"5;a=", [b"b"], CallPhase.BODY, "event", id="chunk extension"),
+    pytest.param(CHUNKED + b"0\r\n", [b"X-A: b\r\n"], CallPhase.BODY, "event", id="trailers"),
     pytest.param(EVENT_START, [chunk(b"data: x\n")], CallPhase.BODY, "event", id="event"),
 ]
 
@@ -303,7 +303,7 @@
 @pytest.mark.parametrize("delimiter", [b"\n\n", b"\r\n\r\n", b"\n\r\n"])
 def test_an_event_ends_wherever_its_delimiter_is_split(delimiter: bytes, split: int) -> None:
     event = b"id: 1\nx" + delimiter + b"id"
-    meter = EventMeter()
+    meter = EventMeter(maximum_bytes=100)
     results = [meter.feed(piece) for piece in (event[:split], event[split:]) if piece]
     assert any(results)
     assert meter.pending_bytes == 2
