--- a/src/merlinstand/batch_jobs/daemon.py
+++ b/src/merlinstand/batch_jobs/daemon.py
@@ -136,6 +136,7 @@
             ),
             group_time=self._replica.group_time,
             zone_map=self._zone_map,
+            event_timeout_seconds=self._settings.event_timeout_seconds,
             crash_detector=self._crash_detector,
         )
 
--- a/src/merlinstand/batch_jobs/item_context.py
+++ b/src/merlinstand/batch_jobs/item_context.py
@@ -42,5 +42,7 @@
     """Converts a local time to the consensus group's replicated clock; both in seconds."""
     zone_map: ZoneMap
     """Maps zones to regions."""
+    event_timeout_seconds: float
+    """A run ends if data arrives, but no event of the text for this long."""
     crash_detector: CrashDetector
     """Detects crashed engines."""
--- a/src/merlinstand/batch_jobs/item_streams.py
+++ b/src/merlinstand/batch_jobs/item_streams.py
@@ -64,6 +64,7 @@
         """
         self._jobs = context.jobs
         self._header_names = context.header_names
+        self._event_timeout_seconds = context.event_timeout_seconds
         self._crash_detector = context.crash_detector
         self._cold = context.follower.cold_budget
         self._requests = requests
@@ -143,6 +144,7 @@
             run.text.last_event_id,
             run.item.maximum_tokens,
             now - run.last_received_at,
+            self._event_timeout_seconds,
         )
         if decision is None:
             return []
--- a/src/merlinstand/batch_jobs/settings.py
+++ b/src/merlinstand/batch_jobs/settings.py
@@ -39,6 +39,9 @@
     """Minimum time without a message from the leader after which a replica starts an election."""
     repair_delay_seconds: float = 2.5
     """Time without a message from a replica after which a standby replaces it."""
+    event_timeout_seconds: float = 3.0
+    """A run ends if data arrives from its engine, but for this long no event of the text. Twice the
+    time after which a silent run ends."""
     call_timeout_seconds: float = 2.0
     """Maximum time that a gateway's call waits for its command to be committed."""
 
--- a/src/merlinstand/decisions/item_retry.py
+++ b/src/merlinstand/decisions/item_retry.py
@@ -18,9 +18,6 @@
 REFUSAL_PAUSE_SECONDS = 0.1
 """Pause before the next run at an engine that refused a run without executing it, so that a slot
 can become free."""
-EVENT_TIMEOUT_SECONDS = 3.0
-"""A run ends if data arrives but no event of the text for this long: twice the time after which a
-silent run ends (`retry.STREAM_IDLE_TIMEOUT_SECONDS`)."""
 SCORING_ROUND_TIMEOUT_SECONDS = 3.0
 """Timeout of one round of scoring attempts, after which the item waits for the next round."""
 MINIMUM_SCORING_PAUSE_SECONDS = 0.2
@@ -125,6 +122,7 @@
     event_count: int,
     maximum_tokens: int,
     seconds_since_event: float,
+    event_timeout_seconds: float,
 ) -> Requeue | None:
     """Return what follows after data arrived; None if the run continues.
 
@@ -134,10 +132,11 @@
         event_count: Number of events of the text; each holds one token or more.
         maximum_tokens: Maximum number of tokens; 0 if unknown.
         seconds_since_event: Time since the last event of the text, or since the run's start.
+        event_timeout_seconds: A longer time ends the run.
     """
     if 0 < maximum_tokens < event_count:
         return AFTER_TOO_MANY_EVENTS
-    if seconds_since_event > EVENT_TIMEOUT_SECONDS:
+    if seconds_since_event > event_timeout_seconds:
         return AFTER_NO_EVENT
     if is_single_version and len(text_versions) > 1:
         return Requeue("version_changed", 0.0, is_text_discarded=True)
--- a/tests/batch_jobs/contexts.py
+++ b/tests/batch_jobs/contexts.py
@@ -14,6 +14,8 @@
 from merlinstand.kernel.effects import Effect
 from merlinstand.quarantine.crash_watch import CrashDetector
 
+EVENT_TIMEOUT_SECONDS = 3.0
+
 
 def make_context(
     jobs: JobStates,
@@ -39,6 +41,7 @@
         propose_checkpoints=keep_texts or (lambda _parts, _now: []),
         group_time=lambda now: now,
         zone_map=places or ZoneMap(),
+        event_timeout_seconds=EVENT_TIMEOUT_SECONDS,
         crash_detector=CrashDetector(
             suspects, names, follower.health_path_of, follower.cold_budget
         ),
--- a/tests/batch_jobs/test_endless_streams.py
+++ b/tests/batch_jobs/test_endless_streams.py
@@ -7,9 +7,9 @@
 import pytest
 
 from merlinstand.batch_jobs.item_run import RunPhase
-from merlinstand.decisions.item_retry import EVENT_TIMEOUT_SECONDS
 from merlinstand.kernel.effects import CancelCall, LogEvent
 from merlinstand.kernel.events import CallChunk, CallHeaders
+from tests.batch_jobs.contexts import EVENT_TIMEOUT_SECONDS
 from tests.batch_jobs.test_items_after_crashes import Keeper
 
 MAXIMUM_TOKENS = 40
--- a/tests/decisions/test_item_retry.py
+++ b/tests/decisions/test_item_retry.py
@@ -74,9 +74,9 @@
 
 
 def test_events_of_a_second_version_restart_a_single_version_text() -> None:
-    assert after_events([3, 4], True, 2, 0, 0.1) == RESTART_TEXT
-    assert after_events([3, 4], False, 2, 0, 0.1) is None
-    assert after_events([3], True, 2, 0, 0.1) is None
+    assert after_events([3, 4], True, 2, 0, 0.1, 3.0) == RESTART_TEXT
+    assert after_events([3, 4], False, 2, 0, 0.1, 3.0) is None
+    assert after_events([3], True, 2, 0, 0.1, 3.0) is None
 
 
 def test_streams_that_end_or_break_off() -> None:
