--- a/tests/users_platform/real_world.py
+++ b/tests/users_platform/real_world.py
@@ -78,6 +78,7 @@
 ORDER_TIMEOUT_SECONDS = 10.0
 """Twice the time that an acknowledgement may take during a leader change."""
 ORDER_POLL_SECONDS = 0.05
+CLOSE_SECONDS = 0.1
 
 NODE_FILE = """
 Node = "{node}"
@@ -530,6 +531,9 @@
             host.abort()
         for proxy in self.proxies:
             proxy.close()
+        # gevent closes some sockets only in the next iteration of its loop, and the next deployment
+        # may use the same addresses.
+        gevent.sleep(CLOSE_SECONDS)
         self._network_claim.close()
 
 
