batch_jobs: each long wait of an item is logged, also a second one for the same reason

Seen on reading: a wait that ended and began again between two reviews of a second was taken for the one logged before. The new test failed before.

--- a/src/merlinstand/batch_jobs/waiting_items.py
+++ b/src/merlinstand/batch_jobs/waiting_items.py
@@ -26,7 +26,10 @@
 
 
 class WaitReason(enum.StrEnum):
-    """Why an item is at no engine; the text goes to the log and the metrics."""
+    """Why an item is at no engine; the text goes to the log and the metrics.
+
+    Ordered by how near the item is to a run: of several engines, the last reason counts.
+    """
 
     NO_ROUTE = "no_route"
     """No route matches its host and path."""
@@ -162,8 +165,9 @@
         """
         self._reasons = reasons
         self._next_review_at = 0.0
-        self._reported: dict[str, WaitReason] = {}
-        """Last reported reason by key of the item; only items that still wait."""
+        self._reported: dict[str, tuple[WaitReason, float]] = {}
+        """Last reported reason and start of the wait, by key of the item; only items that still
+        wait."""
         self._seen_reasons: set[WaitReason] = set()
         """Reasons whose gauges were set; they are set to 0 when no item waits for the reason."""
 
@@ -193,13 +197,17 @@
         return self._gauges([], [], 0.0)
 
     def _report(self, long_waits: list[tuple[ItemRun, WaitReason]], now: float) -> list[Effect]:
-        """Log each item once for each reason, the oldest first; full engines come last."""
-        due = [(run, why) for run, why in long_waits if self._reported.get(run.key) is not why]
+        """Log each wait once for each reason, the oldest first; full engines come last."""
+        due = [
+            (run, why)
+            for run, why in long_waits
+            if self._reported.get(run.key) != (why, run.waiting_since)
+        ]
         due.sort(key=lambda wait: (wait[1] is WaitReason.FULL, wait[0].waiting_since))
         reported = due[:LINES_PER_REVIEW]
         effects: list[Effect] = []
         for run, reason in reported:
-            self._reported[run.key] = reason
+            self._reported[run.key] = (reason, run.waiting_since)
             fields = {
                 "item": run.item.item_id,
                 "job": run.job_id,
--- a/tests/batch_jobs/test_waiting_items.py
+++ b/tests/batch_jobs/test_waiting_items.py
@@ -109,6 +109,15 @@
     ]
 
 
+def test_a_second_wait_for_the_same_reason_is_logged_again() -> None:
+    waits = Waits(1)
+    assert lines(waits.review(LONG_WAIT_SECONDS)) == [("i0", "backoff")]
+    [run] = waits.runs
+    run.waiting_since = LONG_WAIT_SECONDS + 0.5
+    begun_again = run.waiting_since + LONG_WAIT_SECONDS
+    assert lines(waits.review(begun_again)) == [("i0", "backoff")]
+
+
 def test_the_lines_of_one_review_are_bounded_and_the_rest_follow() -> None:
     waits = Waits(LINES_PER_REVIEW + 1)
     first = waits.review(LONG_WAIT_SECONDS)
