--- a/src/merlinstand/runtime/http_client.py
+++ b/src/merlinstand/runtime/http_client.py
@@ -272,11 +272,11 @@
     def read_whole(self) -> CallResponded:
         """Read the headers and the whole body."""
         self.read_head()
-        declared_bytes = self.parser.content_length
-        if declared_bytes is not None and declared_bytes > self._limits.maximum_response_bytes:
-            raise ResponseTooLargeError(ResponsePart.BODY, self._limits.maximum_response_bytes)
-        self._declared_bytes = declared_bytes
+        self._declared_bytes = self.parser.content_length
+        # A response to HEAD declares the length of a body that it does not have.
         while not self.parser.message_complete:
+            if (self._declared_bytes or 0) > self._limits.maximum_response_bytes:
+                raise ResponseTooLargeError(ResponsePart.BODY, self._limits.maximum_response_bytes)
             if not self.read_more_or_end():
                 break
         return CallResponded(
--- a/tests/runtime/test_response_limits.py
+++ b/tests/runtime/test_response_limits.py
@@ -180,6 +180,20 @@
     assert exchange.rejected[0].received_bytes < MIB
 
 
+def test_a_response_to_head_may_declare_any_length(
+    sink: EventSink, exchange: Exchange, raw_server: Any
+) -> None:
+    head = OK + b"Content-Length: %d\r\n\r\n" % (LIMITS.maximum_response_bytes + 1)
+
+    def serve(connection: Any) -> None:
+        read_request(connection)
+        connection.sendall(head)
+        connection.recv(1)
+
+    exchange.client.start(call(raw_server(serve), method="HEAD", body=b""))
+    assert sink.wait_for(CallResponded).body == b""
+
+
 def test_an_event_without_end_is_cut_off_at_its_limit(
     sink: EventSink, exchange: Exchange, raw_server: Any
 ) -> None:
