--- a/benchmarks/response_cost.py
+++ b/benchmarks/response_cost.py
@@ -23,7 +23,7 @@
 
 BODY = b"x" * 600
 RESPONSE = (
-    b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nX-Server-Stamp: 0123456789abcdef\r\n"
+    b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nX-Answer-Stamp: 0123456789abcdef\r\n"
     b"X-Request-Id: r1\r\nX-Instance-Id: i-1\r\nContent-Length: %d\r\n\r\n%s" % (len(BODY), BODY)
 )
 STREAM_HEAD = (
