--- a/tests/users_platform/real_world.py
+++ b/tests/users_platform/real_world.py
@@ -492,8 +492,9 @@
             return
         self.crash_times[crashed[0].instance] = monotonic_seconds()
         proxy.take_down()
-        host.abort()
-        self._hosts.remove(host)
+        if host in self._hosts:
+            self._hosts.remove(host)
+            host.abort()
         gevent.sleep(self.restart_delay_seconds)
         if not self._is_closed:
             self._start_server(ip, make, proxy)
@@ -527,8 +528,9 @@
         for machine in self.machines:
             machine.signal(signal.SIGCONT)
             machine.kill()
-        for host in self._hosts:
-            host.abort()
+        # A server that crashes meanwhile removes its host.
+        while self._hosts:
+            self._hosts.pop().abort()
         for proxy in self.proxies:
             proxy.close()
         # gevent closes some sockets only in the next iteration of its loop, and the next deployment
