--- a/tests/users_platform/test_unlucky_items.py
+++ b/tests/users_platform/test_unlucky_items.py
@@ -132,3 +132,31 @@
     assert accepted_items(deployment) == listed_items(deployment)
     assert complete_steps(deployment) == 6
     assert violations(deployment) == []
+
+
+def draw_day(seed: int, monkeypatch: pytest.MonkeyPatch) -> tuple[SimulatedDeployment, int]:
+    """Draw a day with unlucky items and killed daemons; return it with its number of steps."""
+    random = Random(seed)
+    monkeypatch.setattr(Engine, "event_interval_seconds", random.choice([0.2, 0.5, 0.8]))
+    monkeypatch.setattr(Engine, "keeps_id", random.random() < 0.5)
+    models = ("m0",) if random.random() < 0.5 else ("m0", "m1")
+    deployment = SimulatedDeployment(seed, models=models, steps=3)
+    for _ in range(random.randint(1, 3)):
+        trainer, step = random.randrange(len(models)), random.randrange(2)
+        item_id = f"t{trainer}-{step}-{random.randrange(4)}-{random.randrange(3)}"
+        UnluckyItem(deployment, item_id, random.randint(3, 12), random.uniform(0.02, 0.7))
+    for _ in range(random.randint(0, 3)):
+        daemon = random.choice([*deployment.keepers, *deployment.controls, *deployment.gateways])
+        deployment.kill(daemon, random.uniform(7.0, 30.0), random.uniform(0.2, 2.0))
+    return deployment, 3 * len(models)
+
+
+@pytest.mark.parametrize("seed", [61000, 61001, 61002])
+def test_drawn_days_with_unlucky_items_lose_none(
+    seed: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    deployment, steps = draw_day(seed, monkeypatch)
+    deployment.simulation.run_until(100.0)
+    assert accepted_items(deployment) == listed_items(deployment)
+    assert complete_steps(deployment) == steps
+    assert violations(deployment) == []
