runtime: a stream that holds nothing is not given up for want of room

Seen on reading: a response that once held more than 64 KiB stayed among the large ones, so a stream after one large event, whose length isn't declared, was given up before responses that hold megabytes. The new test failed before. Change: a response counts as large while it is.

--- a/src/merlinstand/runtime/response_budget.py
+++ b/src/merlinstand/runtime/response_budget.py
@@ -45,7 +45,7 @@
         self.total_bytes = 0
         self._other_bytes = other_bytes
         self._large: dict[ResponseUsage, None] = {}
-        """Large responses, in the order in which they became large."""
+        """Responses that hold more than `SMALL_RESPONSE_BYTES` now, in the order in which they did."""
 
     def open_response(self, give_up: Callable[[], None]) -> "ResponseUsage":
         """Create the usage of one response.
@@ -62,6 +62,9 @@
         prepare_for_block(self.total_bytes)
         if usage.held_bytes > SMALL_RESPONSE_BYTES:
             self._large[usage] = None
+        else:
+            # The event of a stream has ended, or its head.
+            self._large.pop(usage, None)
         if self.limit_bytes and size_bytes > 0:
             self._make_room()
 
--- a/tests/runtime/test_response_limits.py
+++ b/tests/runtime/test_response_limits.py
@@ -325,6 +325,24 @@
     assert meter.pending_bytes == 5
 
 
+def test_a_stream_whose_large_event_has_ended_is_not_given_up() -> None:
+    """Guards against a stream that holds nothing and is given up in place of a large response."""
+    given_up: list[str] = []
+    budget = ResponseBudget(limit_bytes=10 * SMALL_RESPONSE_BYTES)
+    usages = {
+        name: budget.open_response(lambda name=name: given_up.append(name))  # type: ignore[misc]
+        for name in ("stream", "first", "second")
+    }
+    usages["stream"].set_held(2 * SMALL_RESPONSE_BYTES)
+    usages["stream"].set_held(0)
+    for name in ("first", "second"):
+        usages[name].declared_bytes = 8 * SMALL_RESPONSE_BYTES
+        usages[name].set_held(4 * SMALL_RESPONSE_BYTES)
+    usages["first"].set_held(7 * SMALL_RESPONSE_BYTES)
+    assert given_up == ["second"]
+    assert budget.total_bytes == 7 * SMALL_RESPONSE_BYTES
+
+
 CROWD = 20
 
 
