--- a/src/merlinstand/runtime/response_budget.py
+++ b/src/merlinstand/runtime/response_budget.py
@@ -45,7 +45,7 @@
         self.total_bytes = 0
         self._other_bytes = other_bytes
         self._large: dict[ResponseUsage, None] = {}
-        """Responses that hold more than `SMALL_RESPONSE_BYTES` now, in the order in which they did."""
+        """Responses that hold more than `SMALL_RESPONSE_BYTES` now."""
 
     def open_response(self, give_up: Callable[[], None]) -> "ResponseUsage":
         """Create the usage of one response.
