--- a/src/merlinstand/client/http_json.py
+++ b/src/merlinstand/client/http_json.py
@@ -31,6 +31,8 @@
 """Statuses that allow a retry: the server is not the leader or owner, is overloaded, or failed."""
 MAXIMUM_RESPONSE_BYTES = 1024 * 1024 * 1024
 """Responses with a longer body are rejected; a batch with all its samples must fit."""
+MAXIMUM_BODY_SECONDS = 600.0
+"""Time limit of a whole body, however often it makes progress."""
 READ_BYTES = 64 * 1024
 """Maximum size of one read of a body."""
 
@@ -114,6 +116,7 @@
         Raises:
             ValueError: The body is larger than `maximum_bytes`, or its end can't be told from that
                 of the connection.
+            TimeoutError: The body or a piece of it took too long.
             http.client.IncompleteRead: The body is shorter than its declared length.
         """
         if self.length is None and not self.chunked:
@@ -123,12 +126,15 @@
         missing = self.length
         pieces = []
         size = 0
+        ends_at = time.monotonic() + MAXIMUM_BODY_SECONDS
         while piece := self.read1(READ_BYTES):
             self._reader.restart()
             pieces.append(piece)
             size += len(piece)
             if size > maximum_bytes:
                 raise ValueError(f"response exceeds {maximum_bytes} bytes")
+            if time.monotonic() > ends_at:
+                raise TimeoutError(f"body incomplete after {MAXIMUM_BODY_SECONDS:g} s")
         body = b"".join(pieces)
         if missing is not None and size < missing:
             raise http.client.IncompleteRead(body, missing - size)
--- a/tests/client/test_response_limits.py
+++ b/tests/client/test_response_limits.py
@@ -98,9 +98,13 @@
         pytest.param(b"", b"HTTP/1.1 100 Continue\r\n\r\n", id="interim responses"),
         pytest.param(CHUNKED + b"5;a=", b"b", id="chunk extension"),
         pytest.param(CHUNKED + b"0\r\n", b"X-A: b\r\n", id="trailers"),
+        pytest.param(CHUNKED, b"1\r\nx\r\n", id="body"),
     ],
 )
-def test_slow_bytes_without_end_are_given_up(send: Send, start: bytes, piece: bytes) -> None:
+def test_slow_bytes_without_end_are_given_up(
+    send: Send, start: bytes, piece: bytes, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(http_json, "MAXIMUM_BODY_SECONDS", TIMEOUT_SECONDS)
     with serving(start, itertools.repeat(piece, PIECES), PIECE_SECONDS) as server:
         assert isinstance(send(server.address), Err)
     assert server.was_cut_off
